--- /dev/null
+++ b/lab/main.ts
@@ -0,0 +1,60 @@
+/**
+ * Entry point of the lab's program: demo, emulators, proofs, benches and replay. A bench or proof
+ * is a module of its own that exports `run`; names are fixed lists, as scripts rely on them.
+ */
+import sade from 'sade';
+
+/** Benches by name; each lives in `lab/bench/NAME.ts`. */
+export const BENCH_NAMES = [
+  'association',
+  'cooperative',
+  'routing',
+  'ledger',
+  'membership',
+  'config-feed',
+  'node',
+] as const;
+
+/** Flags a command was given, as sade parsed them. */
+export type CommandFlags = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** A lab command: prints its result, the last line being JSON, and returns the exit code. */
+export interface LabCommand {
+  run(name: string, flags: CommandFlags): Promise<number>;
+}
+
+async function runModule(specifier: string, name: string, flags: CommandFlags): Promise<void> {
+  const command = (await import(specifier)) as LabCommand;
+  process.exitCode = await command.run(name, flags);
+}
+
+const program = sade('wardwing-lab');
+
+program
+  .command('demo', 'Run the whole system on loopback for about a minute')
+  .action((flags: CommandFlags) => runModule('./demo/demo.js', 'demo', flags));
+
+program
+  .command('emulate <name>', 'Run one emulator: key-value, engine, weight-store, machine-list')
+  .action((name: string, flags: CommandFlags) => runModule('./emulator/emulate.js', name, flags));
+
+program
+  .command('proof [name]', 'Prove one promise under seeded faults in simulated time')
+  .action((name: string, flags: CommandFlags) => runModule('./proofs/proof.js', name ?? '', flags));
+
+program
+  .command('replay <file>', 'Replay a recorded trace and compare its stated outcome')
+  .action((file: string, flags: CommandFlags) => runModule('./replay/replay.js', file, flags));
+
+program
+  .command('bench <name>', `Measure: ${BENCH_NAMES.join(', ')}`)
+  .action((name: string, flags: CommandFlags) => {
+    if (!(BENCH_NAMES as readonly string[]).includes(name)) {
+      console.error(`There is no bench "${name}"; known: ${BENCH_NAMES.join(', ')}`);
+      process.exitCode = 2;
+      return undefined;
+    }
+    return runModule(`./bench/${name}.js`, name, flags);
+  });
+
+program.parse(process.argv);
--- /dev/null
+++ b/src/core/random.ts
@@ -0,0 +1,29 @@
+/**
+ * Seeded random numbers, passed into decision modules so that a run can be repeated.
+ */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** Resolution of {@link RandomSource.fraction}. */
+const FRACTION_STEPS = 0x7fffffff;
+
+/** A source of random numbers with an explicit seed. */
+export interface RandomSource {
+  /** A whole number in `[0, limit)`; `limit` is at least 1. */
+  integer(limit: number): number;
+  /** A number in `[0, 1)`. */
+  fraction(): number;
+  /** A hexadecimal identifier of 16 characters. */
+  identifier(): string;
+}
+
+/** Creates a source from a seed (any 32-bit whole number). */
+export function createRandomSource(seed: number): RandomSource {
+  const generator = xoroshiro128plus(seed);
+  const word = (): string => (generator.next() >>> 0).toString(16).padStart(8, '0');
+  return {
+    integer: (limit) => uniformInt(generator, 0, limit - 1),
+    fraction: () => uniformInt(generator, 0, FRACTION_STEPS - 1) / FRACTION_STEPS,
+    identifier: () => word() + word(),
+  };
+}
--- /dev/null
+++ b/src/errors/error-kinds.ts
@@ -0,0 +1,97 @@
+/**
+ * The closed list of error kinds and the one table from kind to answer. Every refusal or failure
+ * that leaves wardwing carries one of these kinds.
+ */
+import type { Milliseconds } from '../core/units.js';
+
+/** Whether the work behind a request ran: `no` is a promise, `unknown` admits ignorance. */
+export type RanState = 'no' | 'yes' | 'unknown';
+
+/** How one kind of error is answered over HTTP. */
+export interface ErrorAnswer {
+  readonly status: number;
+  readonly ran: RanState;
+  /** When to come back; `null` where repeating the same request cannot help. */
+  readonly retryAfter: Milliseconds | null;
+  /** One sentence for people. */
+  readonly title: string;
+}
+
+function answer(
+  status: number,
+  ran: RanState,
+  retryAfter: Milliseconds | null,
+  title: string,
+): ErrorAnswer {
+  return { status, ran, retryAfter, title };
+}
+
+/** The table from kind to answer. */
+export const ERROR_ANSWERS = {
+  malformed_request: answer(400, 'no', null, 'The request could not be read.'),
+  unknown_field: answer(400, 'no', null, 'The request has a field that is not known.'),
+  unauthenticated: answer(401, 'no', null, 'The token is missing or not known.'),
+  forbidden: answer(403, 'no', null, 'The account may not do this.'),
+  zone_not_allowed: answer(403, 'no', null, 'No intent allows this work in this zone.'),
+  not_found: answer(404, 'no', null, 'There is no such thing, or it is not yours.'),
+  method_not_allowed: answer(405, 'no', null, 'The path does not take this method.'),
+  sender_too_slow: answer(408, 'no', 1_000, 'The body did not arrive in time.'),
+  key_conflict: answer(409, 'no', null, 'The idempotency key was used with another body.'),
+  plan_stale: answer(409, 'no', null, 'The configuration changed after the plan was made.'),
+  plan_used: answer(409, 'no', null, 'The plan was confirmed before.'),
+  cursor_conflict: answer(409, 'no', null, 'An acknowledged cursor never goes back.'),
+  body_too_large: answer(413, 'no', null, 'The body is larger than the limit.'),
+  headers_too_large: answer(431, 'no', null, 'The headers are larger than the limit.'),
+  invalid_intent: answer(422, 'no', null, 'The intent is not valid.'),
+  rate_limited: answer(429, 'no', 1_000, 'The account has used up its share.'),
+  overloaded: answer(503, 'no', 1_000, 'All workers that may run this are full.'),
+  no_worker: answer(503, 'no', 2_000, 'No worker that may run this is in service.'),
+  cut_off: answer(503, 'no', 5_000, 'This zone cannot show that its configuration is fresh.'),
+  version_unknown: answer(503, 'no', 2_000, 'No worker serves weights within the bound.'),
+  ledger_unavailable: answer(503, 'no', 2_000, 'No majority of the replicas answers.'),
+  ledger_full: answer(503, 'no', 10_000, 'The replicas have no room for more results.'),
+  stopping: answer(503, 'no', 1_000, 'The node is stopping; ask another.'),
+  configuration_unavailable: answer(503, 'no', 5_000, 'The key-value service does not answer.'),
+  confirm_unknown: answer(504, 'unknown', 5_000, 'The confirmation may have taken effect.'),
+  deadline_exceeded: answer(504, 'unknown', 1_000, 'The deadline passed before the answer.'),
+  outcome_unknown: answer(504, 'unknown', null, 'The work may have run; its outcome is lost.'),
+  step_closed: answer(410, 'yes', null, 'The step was closed; its later samples are dropped.'),
+  engine_failed: answer(502, 'unknown', 1_000, 'The engine failed while it ran the work.'),
+  internal: answer(500, 'unknown', 1_000, 'A fault of wardwing itself.'),
+} as const satisfies Record<string, ErrorAnswer>;
+
+/** One kind of error; the list is closed. */
+export type ErrorKind = keyof typeof ERROR_ANSWERS;
+
+/** All kinds, in the order of the table. */
+export const ERROR_KINDS = Object.keys(ERROR_ANSWERS) as readonly ErrorKind[];
+
+/** A failure on its way to a caller. */
+export interface Failure {
+  readonly kind: ErrorKind;
+  /** What exactly went wrong, without any caller's data. */
+  readonly detail: string;
+  /** Overrides the table's time to come back. */
+  readonly retryAfter?: Milliseconds;
+  /** Overrides the table where more is known of whether the work ran. */
+  readonly ran?: RanState;
+}
+
+/** Makes a failure of a kind. */
+export function failure(
+  kind: ErrorKind,
+  detail: string,
+  overrides: { readonly retryAfter?: Milliseconds; readonly ran?: RanState } = {},
+): Failure {
+  return { kind, detail, ...overrides };
+}
+
+/** Whether the work behind a failure ran, as the caller is told. */
+export function ranStateOf(value: Failure): RanState {
+  return value.ran ?? ERROR_ANSWERS[value.kind].ran;
+}
+
+/** When the caller is told to come back; `null` where it need not. */
+export function retryAfterOf(value: Failure): Milliseconds | null {
+  return value.retryAfter ?? ERROR_ANSWERS[value.kind].retryAfter;
+}
--- /dev/null
+++ b/test/errors/error-kinds.test.ts
@@ -0,0 +1,23 @@
+import t from 'tap';
+import { ERROR_ANSWERS, ERROR_KINDS, failure, ranStateOf } from '../../src/errors/error-kinds.js';
+
+t.test('every kind has a complete answer', async (t) => {
+  for (const kind of ERROR_KINDS) {
+    const answer = ERROR_ANSWERS[kind];
+    t.ok(answer.status >= 400 && answer.status < 600, `${kind} has an error status`);
+    t.ok(['no', 'yes', 'unknown'].includes(answer.ran), `${kind} says whether the work ran`);
+    t.ok(answer.title.endsWith('.'), `${kind} has a sentence`);
+  }
+});
+
+t.test('a busy or missing place tells when to come back', async (t) => {
+  for (const kind of ERROR_KINDS) {
+    const { status, retryAfter } = ERROR_ANSWERS[kind];
+    if (status === 503 || status === 429) t.ok(retryAfter, `${kind} names a time`);
+  }
+});
+
+t.test('what is known of one failure goes before the table', async (t) => {
+  t.equal(ranStateOf(failure('deadline_exceeded', 'x')), 'unknown');
+  t.equal(ranStateOf(failure('deadline_exceeded', 'x', { ran: 'no' })), 'no');
+});
