--- /dev/null
+++ b/src/dispatch/dispatch-client.ts
@@ -0,0 +1,166 @@
+/**
+ * The origin's side of dispatches: sends a generation to a worker's home node, repeats itself
+ * until the home answers, and reports exactly one outcome. A home that stays silent makes the
+ * outcome `lost`: the work may have run.
+ */
+import type { GenerationRequest, TokenSegment } from '../core/generation.js';
+import type { NodeId, NodeIdentity, WorkerId } from '../core/identity.js';
+import { sameIdentity } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { DispatchMessage, DispatchOutcome } from './messages.js';
+
+/** How a dispatch ended, as its origin knows it. */
+export type OriginOutcome = DispatchOutcome | { readonly kind: 'lost' };
+
+/** What the origin is told of one dispatch. */
+export interface DispatchListener {
+  onSegment?(segment: TokenSegment, text: string): void;
+  /** Called once. */
+  onEnd(outcome: OriginOutcome): void;
+}
+
+/** One dispatch to be started. */
+export interface DispatchOrder {
+  readonly dispatchId: string;
+  readonly home: NodeIdentity;
+  readonly worker: WorkerId;
+  readonly request: GenerationRequest;
+  readonly stream: boolean;
+}
+
+/** Settings of the client. */
+export interface DispatchClientOptions {
+  readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
+  /** Time between repetitions to a silent home. @default 400 */
+  readonly repeatInterval?: Milliseconds;
+  /** Silence after which the dispatch counts as lost. @default 2000 */
+  readonly silenceLimit?: Milliseconds;
+  /** Time between queries to a home that runs a dispatch. @default 1000 */
+  readonly queryInterval?: Milliseconds;
+}
+
+interface OpenDispatch {
+  readonly order: DispatchOrder;
+  readonly listener: DispatchListener;
+  accepted: boolean;
+  lastHeard: Milliseconds;
+  lastSent: Milliseconds;
+}
+
+const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
+const DEFAULT_SILENCE_LIMIT: Milliseconds = 2_000;
+const DEFAULT_QUERY_INTERVAL: Milliseconds = 1_000;
+
+/** Origin side of all dispatches of one node. */
+export class DispatchClient {
+  private readonly open = new Map<string, OpenDispatch>();
+  private readonly send: DispatchClientOptions['send'];
+  private readonly repeatInterval: Milliseconds;
+  private readonly silenceLimit: Milliseconds;
+  private readonly queryInterval: Milliseconds;
+
+  constructor(options: DispatchClientOptions) {
+    this.send = options.send;
+    this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
+    this.silenceLimit = options.silenceLimit ?? DEFAULT_SILENCE_LIMIT;
+    this.queryInterval = options.queryInterval ?? DEFAULT_QUERY_INTERVAL;
+  }
+
+  /** How many dispatches have no outcome yet. */
+  get openCount(): number {
+    return this.open.size;
+  }
+
+  /** Starts a dispatch. */
+  start(order: DispatchOrder, listener: DispatchListener, now: Milliseconds): void {
+    this.open.set(order.dispatchId, {
+      order,
+      listener,
+      accepted: false,
+      lastHeard: now,
+      lastSent: now,
+    });
+    this.sendDispatch(order);
+  }
+
+  /** Gives a dispatch up; its listener is not called any more. */
+  cancel(dispatchId: string): void {
+    const dispatch = this.open.get(dispatchId);
+    if (dispatch === undefined) return;
+    this.open.delete(dispatchId);
+    this.send(dispatch.order.home, { kind: 'dispatch-cancel', dispatchId });
+  }
+
+  /** Takes in a home's message. */
+  receive(from: NodeIdentity, message: DispatchMessage, now: Milliseconds): void {
+    const dispatch = this.open.get(message.dispatchId);
+    if (message.kind === 'dispatch-ended') this.acknowledge(from, message.dispatchId);
+    if (dispatch === undefined) {
+      this.cancelUnwanted(from, message);
+      return;
+    }
+    if (!sameIdentity(from, dispatch.order.home)) return;
+    dispatch.lastHeard = now;
+    dispatch.accepted = true;
+    if (message.kind === 'dispatch-segment') {
+      dispatch.listener.onSegment?.(message.segment, message.text);
+    }
+    if (message.kind === 'dispatch-ended') this.end(dispatch, message.outcome);
+  }
+
+  /** Repeats what was not answered and gives silent homes up. */
+  tick(now: Milliseconds): void {
+    for (const dispatch of [...this.open.values()]) this.check(dispatch, now);
+  }
+
+  /** A node was declared dead or came back as another life: its dispatches are lost. */
+  homeGone(node: NodeId, survivor: NodeIdentity | null): void {
+    for (const dispatch of [...this.open.values()]) {
+      const { home } = dispatch.order;
+      if (home.node !== node) continue;
+      if (survivor !== null && sameIdentity(home, survivor)) continue;
+      this.end(dispatch, { kind: 'lost' });
+    }
+  }
+
+  private check(dispatch: OpenDispatch, now: Milliseconds): void {
+    if (now - dispatch.lastHeard >= this.silenceLimit) {
+      this.send(dispatch.order.home, {
+        kind: 'dispatch-cancel',
+        dispatchId: dispatch.order.dispatchId,
+      });
+      this.end(dispatch, { kind: 'lost' });
+      return;
+    }
+    const interval = dispatch.accepted ? this.queryInterval : this.repeatInterval;
+    const quietSince = Math.max(dispatch.lastSent, dispatch.accepted ? dispatch.lastHeard : 0);
+    if (now - quietSince < interval) return;
+    dispatch.lastSent = now;
+    if (dispatch.accepted) this.sendQuery(dispatch.order);
+    else this.sendDispatch(dispatch.order);
+  }
+
+  private end(dispatch: OpenDispatch, outcome: OriginOutcome): void {
+    this.open.delete(dispatch.order.dispatchId);
+    dispatch.listener.onEnd(outcome);
+  }
+
+  private acknowledge(home: NodeIdentity, dispatchId: string): void {
+    this.send(home, { kind: 'dispatch-acknowledged', dispatchId });
+  }
+
+  /** A home that works on something this node gave up is told so again. */
+  private cancelUnwanted(from: NodeIdentity, message: DispatchMessage): void {
+    if (message.kind !== 'dispatch-segment' && message.kind !== 'dispatch-accepted') return;
+    this.send(from, { kind: 'dispatch-cancel', dispatchId: message.dispatchId });
+  }
+
+  private sendDispatch(order: DispatchOrder): void {
+    const { dispatchId, worker, request, stream } = order;
+    this.send(order.home, { kind: 'dispatch', dispatchId, worker, request, stream });
+  }
+
+  private sendQuery(order: DispatchOrder): void {
+    this.send(order.home, { kind: 'dispatch-query', dispatchId: order.dispatchId });
+  }
+}
--- /dev/null
+++ b/src/dispatch/home-dispatcher.ts
@@ -0,0 +1,363 @@
+/**
+ * The home node's side of dispatches: admits work to the workers it is home of, runs it on their
+ * engines and reports the outcome until the origin has acknowledged it. A dispatch id is run at
+ * most once in one life of a home, whatever is repeated, late or out of order.
+ */
+import type { GenerationRequest } from '../core/generation.js';
+import type { NodeId, NodeIdentity, WorkerId } from '../core/identity.js';
+import { sameIdentity } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import { MINUTE } from '../core/units.js';
+import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
+import type { EngineEvent, WorkerRecord } from '../platform/worker.js';
+import type { DispatchMessage, DispatchOutcome } from './messages.js';
+
+/** A decision of the worker's admission control. */
+export type AdmissionDecision =
+  | { readonly kind: 'admitted'; readonly preempt: string | null }
+  | { readonly kind: 'queued' }
+  | { readonly kind: 'refused'; readonly failure: Failure };
+
+/** Admission control as the dispatcher needs it; see `src/routing/home-admission.ts`. */
+export interface AdmissionPort {
+  admit(
+    dispatchId: string,
+    request: GenerationRequest,
+    worker: WorkerRecord,
+    now: Milliseconds,
+  ): AdmissionDecision;
+  /** Frees the place of a dispatch; returns the queued dispatches that may now start. */
+  release(dispatchId: string, now: Milliseconds): readonly string[];
+}
+
+/** What the dispatcher asks of its node. */
+export interface HomeDispatcherOptions {
+  readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
+  readonly startEngine: (
+    dispatchId: string,
+    worker: WorkerRecord,
+    request: GenerationRequest,
+  ) => void;
+  readonly cancelEngine: (dispatchId: string, worker: WorkerRecord) => void;
+  readonly admission: AdmissionPort;
+  /** The worker's record, or why it takes no work from this node now. */
+  readonly acceptable: (
+    worker: WorkerId,
+    request: GenerationRequest,
+    now: Milliseconds,
+  ) => { readonly worker: WorkerRecord } | { readonly failure: Failure };
+  readonly outcomeSeen: (worker: WorkerId, outcome: DispatchOutcome, now: Milliseconds) => void;
+  /** Whether repeated dispatches are recognised; off only in the lab. @default true */
+  readonly deduplicate?: boolean;
+  /** Whether a query for an unknown dispatch bars it from running later. @default true */
+  readonly barUnknown?: boolean;
+  /** Time between repetitions of an outcome. @default 400 */
+  readonly repeatInterval?: Milliseconds;
+}
+
+interface HomeDispatch {
+  readonly dispatchId: string;
+  readonly origin: NodeIdentity;
+  readonly stream: boolean;
+  readonly request: GenerationRequest | null;
+  readonly worker: WorkerRecord | null;
+  state: 'queued' | 'running' | 'ended';
+  outcome: DispatchOutcome | null;
+  changedAt: Milliseconds;
+  lastSent: Milliseconds;
+}
+
+const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
+/** How long an ended dispatch is remembered, so that a late repetition is not run. */
+const MEMORY_OF_ENDED: Milliseconds = 5 * MINUTE;
+/** How long an outcome is repeated to an origin that does not acknowledge it. */
+const REPEAT_LIMIT: Milliseconds = MINUTE;
+/** How often forgotten dispatches are looked for. */
+const SWEEP_INTERVAL: Milliseconds = 10_000;
+
+/** Home side of all dispatches of one node. */
+export class HomeDispatcher {
+  private readonly dispatches = new Map<string, HomeDispatch>();
+  /** Dispatches whose outcome is not acknowledged yet. */
+  private readonly unacknowledged = new Set<HomeDispatch>();
+  private readonly repeatInterval: Milliseconds;
+  private nextSweep: Milliseconds = 0;
+
+  constructor(private readonly options: HomeDispatcherOptions) {
+    this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
+  }
+
+  /** How many dispatches are queued or run here. */
+  get activeCount(): number {
+    let count = 0;
+    for (const dispatch of this.dispatches.values()) {
+      if (dispatch.state !== 'ended') count += 1;
+    }
+    return count;
+  }
+
+  /** How many outcomes their origins have not acknowledged. */
+  get unacknowledgedCount(): number {
+    return this.unacknowledged.size;
+  }
+
+  /** Takes in an origin's message. */
+  receive(from: NodeIdentity, message: DispatchMessage, now: Milliseconds): void {
+    switch (message.kind) {
+      case 'dispatch':
+        this.receiveDispatch(from, message, now);
+        return;
+      case 'dispatch-query':
+        this.receiveQuery(from, message.dispatchId, now);
+        return;
+      case 'dispatch-cancel':
+        this.receiveCancel(from, message.dispatchId, now);
+        return;
+      case 'dispatch-acknowledged':
+        this.receiveAcknowledgement(message.dispatchId);
+        return;
+      default:
+        return;
+    }
+  }
+
+  /** Takes in an event of an engine. */
+  engineEvent(dispatchId: string, event: EngineEvent, now: Milliseconds): void {
+    const dispatch = this.dispatches.get(dispatchId);
+    if (dispatch === undefined || dispatch.state !== 'running') return;
+    if (event.kind === 'segment') {
+      this.forwardSegment(dispatch, event);
+      return;
+    }
+    this.end(dispatch, outcomeOf(event), now);
+  }
+
+  /** Repeats unacknowledged outcomes and forgets old dispatches. */
+  tick(now: Milliseconds): void {
+    for (const dispatch of [...this.unacknowledged]) this.repeatOutcome(dispatch, now);
+    if (now < this.nextSweep) return;
+    this.nextSweep = now + SWEEP_INTERVAL;
+    for (const dispatch of this.dispatches.values()) {
+      const old = now - dispatch.changedAt > MEMORY_OF_ENDED;
+      if (dispatch.state === 'ended' && old) this.dispatches.delete(dispatch.dispatchId);
+    }
+  }
+
+  /** The origin's life ended: its work is cancelled, for nobody would take the outcome. */
+  originGone(node: NodeId, survivor: NodeIdentity | null, now: Milliseconds): void {
+    for (const dispatch of [...this.dispatches.values()]) {
+      if (dispatch.origin.node !== node) continue;
+      if (survivor !== null && sameIdentity(dispatch.origin, survivor)) continue;
+      this.unacknowledged.delete(dispatch);
+      if (dispatch.state !== 'ended') this.abort(dispatch, now);
+    }
+  }
+
+  /** Ends with a failure all queued or running dispatches that a test names. */
+  withdraw(
+    test: (request: GenerationRequest, worker: WorkerRecord) => Failure | null,
+    now: Milliseconds,
+  ): number {
+    let withdrawn = 0;
+    for (const dispatch of [...this.dispatches.values()]) {
+      if (dispatch.state === 'ended' || dispatch.request === null || dispatch.worker === null) {
+        continue;
+      }
+      const reason = test(dispatch.request, dispatch.worker);
+      if (reason === null) continue;
+      withdrawn += 1;
+      this.stopRunning(dispatch);
+      this.end(dispatch, withdrawnOutcome(dispatch.state, reason), now);
+    }
+    return withdrawn;
+  }
+
+  private receiveDispatch(
+    from: NodeIdentity,
+    message: Extract<DispatchMessage, { kind: 'dispatch' }>,
+    now: Milliseconds,
+  ): void {
+    const known = this.dispatches.get(message.dispatchId);
+    if (known !== undefined && this.options.deduplicate !== false) {
+      this.answer(known, now);
+      return;
+    }
+    const decision = this.options.acceptable(message.worker, message.request, now);
+    if ('failure' in decision) {
+      this.refuse(from, message.dispatchId, decision.failure, now);
+      return;
+    }
+    this.admit(from, message, decision.worker, now);
+  }
+
+  private admit(
+    from: NodeIdentity,
+    message: Extract<DispatchMessage, { kind: 'dispatch' }>,
+    worker: WorkerRecord,
+    now: Milliseconds,
+  ): void {
+    const { dispatchId, request, stream } = message;
+    const admission = this.options.admission.admit(dispatchId, request, worker, now);
+    if (admission.kind === 'refused') {
+      this.refuse(from, dispatchId, admission.failure, now);
+      return;
+    }
+    const dispatch: HomeDispatch = {
+      dispatchId,
+      origin: from,
+      stream,
+      request,
+      worker,
+      state: 'queued',
+      outcome: null,
+      changedAt: now,
+      lastSent: now,
+    };
+    this.dispatches.set(dispatchId, dispatch);
+    this.options.send(from, { kind: 'dispatch-accepted', dispatchId });
+    if (admission.kind === 'queued') return;
+    if (admission.preempt !== null) this.preempt(admission.preempt, now);
+    this.start(dispatch, now);
+  }
+
+  private start(dispatch: HomeDispatch, now: Milliseconds): void {
+    if (dispatch.worker === null || dispatch.request === null) return;
+    const decision = this.options.acceptable(dispatch.worker.worker, dispatch.request, now);
+    if ('failure' in decision) {
+      this.end(dispatch, { kind: 'refused', failure: decision.failure }, now);
+      return;
+    }
+    dispatch.state = 'running';
+    dispatch.changedAt = now;
+    this.options.startEngine(dispatch.dispatchId, dispatch.worker, dispatch.request);
+  }
+
+  private preempt(dispatchId: string, now: Milliseconds): void {
+    const victim = this.dispatches.get(dispatchId);
+    if (victim === undefined || victim.state === 'ended') return;
+    this.stopRunning(victim);
+    this.end(victim, { kind: 'preempted' }, now);
+  }
+
+  private receiveQuery(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    const known = this.dispatches.get(dispatchId);
+    if (known !== undefined) {
+      this.answer(known, now);
+      return;
+    }
+    this.bar(from, dispatchId, now);
+  }
+
+  private receiveCancel(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    const known = this.dispatches.get(dispatchId);
+    if (known === undefined) {
+      this.bar(from, dispatchId, now);
+      return;
+    }
+    this.unacknowledged.delete(known);
+    if (known.state !== 'ended') this.abort(known, now);
+  }
+
+  /** A dispatch asked about or cancelled before it came must never run if it comes late. */
+  private bar(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    const unknown = failure('no_worker', 'the home node has not seen this dispatch', { ran: 'no' });
+    if (this.options.barUnknown === false) {
+      const outcome: DispatchOutcome = { kind: 'refused', failure: unknown };
+      this.options.send(from, { kind: 'dispatch-ended', dispatchId, outcome });
+      return;
+    }
+    this.refuse(from, dispatchId, unknown, now);
+  }
+
+  private receiveAcknowledgement(dispatchId: string): void {
+    const known = this.dispatches.get(dispatchId);
+    if (known !== undefined) this.unacknowledged.delete(known);
+  }
+
+  private refuse(from: NodeIdentity, dispatchId: string, reason: Failure, now: Milliseconds): void {
+    const outcome: DispatchOutcome = { kind: 'refused', failure: reason };
+    this.dispatches.set(dispatchId, {
+      dispatchId,
+      origin: from,
+      stream: false,
+      request: null,
+      worker: null,
+      state: 'ended',
+      outcome,
+      changedAt: now,
+      lastSent: now,
+    });
+    this.options.send(from, { kind: 'dispatch-ended', dispatchId, outcome });
+  }
+
+  private answer(dispatch: HomeDispatch, now: Milliseconds): void {
+    const { dispatchId, origin, outcome } = dispatch;
+    dispatch.lastSent = now;
+    if (outcome === null) this.options.send(origin, { kind: 'dispatch-accepted', dispatchId });
+    else this.options.send(origin, { kind: 'dispatch-ended', dispatchId, outcome });
+  }
+
+  private forwardSegment(
+    dispatch: HomeDispatch,
+    event: Extract<EngineEvent, { kind: 'segment' }>,
+  ): void {
+    if (!dispatch.stream) return;
+    this.options.send(dispatch.origin, {
+      kind: 'dispatch-segment',
+      dispatchId: dispatch.dispatchId,
+      segment: event.segment,
+      text: event.text,
+    });
+  }
+
+  private abort(dispatch: HomeDispatch, now: Milliseconds): void {
+    this.stopRunning(dispatch);
+    const reason = failure('outcome_unknown', 'the origin gave the dispatch up');
+    dispatch.outcome = { kind: 'failed', failure: reason };
+    this.close(dispatch, now);
+  }
+
+  private stopRunning(dispatch: HomeDispatch): void {
+    if (dispatch.state !== 'running' || dispatch.worker === null) return;
+    this.options.cancelEngine(dispatch.dispatchId, dispatch.worker);
+  }
+
+  private end(dispatch: HomeDispatch, outcome: DispatchOutcome, now: Milliseconds): void {
+    if (dispatch.worker !== null) {
+      this.options.outcomeSeen(dispatch.worker.worker, outcome, now);
+    }
+    dispatch.outcome = outcome;
+    this.unacknowledged.add(dispatch);
+    this.answer(dispatch, now);
+    this.close(dispatch, now);
+  }
+
+  private close(dispatch: HomeDispatch, now: Milliseconds): void {
+    dispatch.state = 'ended';
+    dispatch.changedAt = now;
+    for (const startable of this.options.admission.release(dispatch.dispatchId, now)) {
+      const next = this.dispatches.get(startable);
+      if (next !== undefined && next.state === 'queued') this.start(next, now);
+    }
+  }
+
+  private repeatOutcome(dispatch: HomeDispatch, now: Milliseconds): void {
+    if (now - dispatch.changedAt > REPEAT_LIMIT) {
+      this.unacknowledged.delete(dispatch);
+      return;
+    }
+    if (now - dispatch.lastSent >= this.repeatInterval) this.answer(dispatch, now);
+  }
+}
+
+function outcomeOf(event: Exclude<EngineEvent, { kind: 'segment' }>): DispatchOutcome {
+  if (event.kind === 'finished') return { kind: 'finished', result: event.result };
+  const reason = failure('engine_failed', event.reason, { ran: event.ran });
+  if (ranStateOf(reason) === 'no') return { kind: 'refused', failure: reason };
+  return { kind: 'failed', failure: reason };
+}
+
+function withdrawnOutcome(state: HomeDispatch['state'], reason: Failure): DispatchOutcome {
+  if (state === 'queued') return { kind: 'refused', failure: reason };
+  return { kind: 'failed', failure: { ...reason, ran: 'unknown' } };
+}
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -1,4 +1,47 @@
-/** Messages of the `dispatch` module between nodes. */
+/**
+ * Messages between the node that wants a generation run (the origin) and the home node of the
+ * worker that runs it. Every exchange is named by its dispatch id, unique per attempt; each side
+ * repeats itself until the other has answered, and both ignore repetitions.
+ */
+import type { GenerationRequest, GenerationResult, TokenSegment } from '../core/generation.js';
+import type { WorkerId } from '../core/identity.js';
+import type { Failure } from '../errors/error-kinds.js';
+
+/** How one dispatch ended. */
+export type DispatchOutcome =
+  | { readonly kind: 'finished'; readonly result: GenerationResult }
+  /** Refused before any engine saw it; the work did not run. */
+  | { readonly kind: 'refused'; readonly failure: Failure }
+  /** Cancelled while it ran to make room for interactive work. */
+  | { readonly kind: 'preempted' }
+  /** The engine failed; whether the work ran is in the failure. */
+  | { readonly kind: 'failed'; readonly failure: Failure };
 
 /** A message of this module. */
-export type DispatchMessage = { readonly kind: 'unused' };
+export type DispatchMessage =
+  | {
+      readonly kind: 'dispatch';
+      readonly dispatchId: string;
+      readonly worker: WorkerId;
+      readonly request: GenerationRequest;
+      /** Whether the origin wants segments as they come. */
+      readonly stream: boolean;
+    }
+  /** The home has taken the dispatch in: it is queued or runs. */
+  | { readonly kind: 'dispatch-accepted'; readonly dispatchId: string }
+  | {
+      readonly kind: 'dispatch-segment';
+      readonly dispatchId: string;
+      readonly segment: TokenSegment;
+      readonly text: string;
+    }
+  | {
+      readonly kind: 'dispatch-ended';
+      readonly dispatchId: string;
+      readonly outcome: DispatchOutcome;
+    }
+  /** The origin has the outcome; the home may forget it. */
+  | { readonly kind: 'dispatch-acknowledged'; readonly dispatchId: string }
+  | { readonly kind: 'dispatch-cancel'; readonly dispatchId: string }
+  /** The origin asks a silent home whether it still works on the dispatch. */
+  | { readonly kind: 'dispatch-query'; readonly dispatchId: string };
--- /dev/null
+++ b/src/node/node-options.ts
@@ -0,0 +1,56 @@
+/** Settings of a node's decision core. */
+import type { AccountName, NodeRecord, RegionName, ZoneName } from '../core/identity.js';
+import type { RandomSource } from '../core/random.js';
+import type { Milliseconds } from '../core/units.js';
+import { ALL_MECHANISMS, type MechanismSwitches } from './mechanisms.js';
+
+/** A zone of the fleet. */
+export interface FleetZone {
+  readonly name: ZoneName;
+  readonly region: RegionName;
+}
+
+/** Options of {@link NodeCore}. */
+export interface NodeCoreOptions {
+  readonly self: NodeRecord;
+  readonly random: RandomSource;
+  readonly zones: readonly FleetZone[];
+  /** Accounts that may publish versions of any model. */
+  readonly operators: readonly AccountName[];
+  /** Addresses of other nodes known from the start; the machine list adds more. @default none */
+  readonly seedAddresses?: readonly string[];
+  /** Age up to which a configuration counts as fresh, in milliseconds. @default 6000 */
+  readonly freshnessBound?: Milliseconds;
+  /** Replicas of each ledger group. @default 5 */
+  readonly replicaCount?: number;
+  /** Ledger shards of each intent. @default 8 */
+  readonly shardsPerDomain?: number;
+  /** Name of the routing policy. @default "home-counting" */
+  readonly routingPolicy?: string;
+  /** Whether slow last samples of a step get a second copy. @default true */
+  readonly hedging?: boolean;
+  /** Time between polls of the machine list, in milliseconds. @default 2000 */
+  readonly machineListInterval?: Milliseconds;
+  /** Mechanisms; all on but in the lab. */
+  readonly mechanisms?: MechanismSwitches;
+}
+
+/** Defaults of {@link NodeCoreOptions}. */
+export const NODE_DEFAULTS = {
+  seedAddresses: [] as readonly string[],
+  hedging: true,
+  mechanisms: ALL_MECHANISMS,
+  freshnessBound: 6_000,
+  replicaCount: 5,
+  shardsPerDomain: 8,
+  routingPolicy: 'home-counting',
+  machineListInterval: 2_000,
+} as const;
+
+/** Options with all defaults filled in. */
+export type NodeSettings = Required<NodeCoreOptions>;
+
+/** Fills in the defaults. */
+export function resolveNodeOptions(options: NodeCoreOptions): NodeSettings {
+  return { ...NODE_DEFAULTS, ...options };
+}
--- a/src/node/peer-message.ts
+++ b/src/node/peer-message.ts
@@ -7,6 +7,7 @@
 import type { MembershipMessage } from '../membership/messages.js';
 import type { RolloutMessage } from '../rollouts/messages.js';
 import type { WorkerViewMessage } from '../routing/messages.js';
+import type { StatusMessage } from './status-messages.js';
 
 /** A message between two nodes. */
 export type PeerMessage =
@@ -15,4 +16,5 @@
   | { readonly module: 'ledger'; readonly body: LedgerMessage }
   | { readonly module: 'dispatch'; readonly body: DispatchMessage }
   | { readonly module: 'rollouts'; readonly body: RolloutMessage }
-  | { readonly module: 'routing'; readonly body: WorkerViewMessage };
+  | { readonly module: 'routing'; readonly body: WorkerViewMessage }
+  | { readonly module: 'status'; readonly body: StatusMessage };
--- /dev/null
+++ b/src/rollouts/step-driver.ts
@@ -0,0 +1,270 @@
+/**
+ * Drives one step: has its samples generated, and appends each finished one to the delivery log.
+ * Every member of the step's replica group can drive it; two drivers at once cost work, never a
+ * doubled sample, since the log takes each key once.
+ */
+import type { GenerationResult } from '../core/generation.js';
+import type { NodePorts } from '../core/node-ports.js';
+import type { Milliseconds } from '../core/units.js';
+import { SECOND } from '../core/units.js';
+import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
+import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
+import type { SampleRequest } from '../node/calls.js';
+import { DeliveryAppender } from './delivery-appender.js';
+import { endStep } from './delivery-log.js';
+import type { StepRecord } from './records.js';
+import { decodeSamples, encodeResult } from './step-bodies.js';
+import type { StepPorts } from './step-ports.js';
+import { DispatchWindow } from './dispatch-window.js';
+import { SampleQueue } from './sample-queue.js';
+
+/** Time given to one ledger operation before it is tried anew. */
+const LEDGER_TIMEOUT: Milliseconds = 2 * SECOND;
+/** Pause after a failed ledger operation. */
+const RETRY_PAUSE: Milliseconds = 200;
+
+interface RunningSample {
+  readonly sample: SampleRequest;
+  readonly startedAt: Milliseconds;
+  readonly generations: RunningGeneration[];
+  /** Copies that have not ended. */
+  liveCopies: number;
+}
+
+/** Drives one step until it is complete, closed, or given over to another member. */
+export class StepDriver {
+  private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
+  private readonly running = new Map<string, RunningSample>();
+  private readonly window = new DispatchWindow();
+  private queue: SampleQueue | null = null;
+  private readonly appender: DeliveryAppender;
+  private pausedUntil: Milliseconds = 0;
+
+  /**
+   * @param key the step record's key, which also picks the shard.
+   * @param deadline when this node closes the step, on its own clock.
+   */
+  constructor(
+    private readonly ports: StepPorts,
+    readonly key: string,
+    readonly record: StepRecord,
+    private readonly deadline: Milliseconds,
+  ) {
+    this.appender = new DeliveryAppender(ports.node, key, record, {
+      delivered: (keys) => this.delivered(keys),
+      closed: () => this.end('closed'),
+      stale: (sampleKey) => this.regenerate(sampleKey),
+    });
+  }
+
+  private get node(): NodePorts {
+    return this.ports.node;
+  }
+
+  /** Whether nothing is left to be done here. */
+  get isOver(): boolean {
+    return this.phase === 'ended';
+  }
+
+  /** Loads the step's samples and what was delivered already. */
+  start(): void {
+    const { intent, samplesDigest } = this.record;
+    const deadline = this.node.now() + LEDGER_TIMEOUT;
+    this.node.ledger.fetchBody(intent, this.key, samplesDigest, deadline, (outcome) => {
+      if (this.phase !== 'loading') return;
+      if (outcome.kind !== 'body') {
+        this.pausedUntil = this.node.now() + RETRY_PAUSE;
+        return;
+      }
+      this.queue = new SampleQueue(decodeSamples(outcome.body));
+      this.appender.load(() => this.begin());
+    });
+    this.pausedUntil = Number.POSITIVE_INFINITY;
+  }
+
+  /** Goes on with what can be done now. */
+  tick(): void {
+    const now = this.node.now();
+    if (this.phase === 'ended') return;
+    if (now >= this.deadline && this.phase !== 'ending') this.close('deadline_exceeded');
+    if (now < this.pausedUntil) return;
+    if (this.phase === 'loading') this.retryLoading();
+    if (this.phase === 'running') this.dispatchMore();
+    if (this.phase === 'ending') this.markEnded();
+    this.appender.tick();
+  }
+
+  /** Stops driving; what runs is cancelled. Another member goes on. */
+  abandon(): void {
+    this.cancelAll();
+    this.phase = 'ended';
+  }
+
+  private retryLoading(): void {
+    if (this.queue === null) this.start();
+    else this.appender.load(() => this.begin());
+  }
+
+  private begin(): void {
+    if (this.phase !== 'loading') return;
+    this.phase = 'running';
+    this.pausedUntil = 0;
+    this.checkComplete();
+    if (this.phase === 'running') this.dispatchMore();
+  }
+
+  private dispatchMore(): void {
+    const queue = this.queue;
+    const now = this.node.now();
+    if (queue === null || now < this.pausedUntil) return;
+    while (this.running.size < this.window.size) {
+      const sample = queue.next();
+      if (sample === undefined) break;
+      if (!this.dispatch(sample)) break;
+    }
+    if (queue.size === 0) this.hedgeSlowest(now);
+  }
+
+  /** Starts one sample; false where no more should be started now. */
+  private dispatch(sample: SampleRequest): boolean {
+    const answer = this.ports.permission(this.record);
+    if (answer.kind === 'refused') {
+      this.queue?.putBack(sample);
+      this.pausedUntil = this.node.now() + RETRY_PAUSE;
+      return false;
+    }
+    const entry: RunningSample = { sample, startedAt: this.node.now(), generations: [], liveCopies: 0 };
+    this.running.set(sample.key, entry);
+    this.generate(entry, answer.permission);
+    return this.node.now() >= this.pausedUntil;
+  }
+
+  private generate(
+    entry: RunningSample,
+    permission: Parameters<StepPorts['generate']>[1],
+  ): void {
+    entry.liveCopies += 1;
+    const running = this.ports.generate(this.record, permission, entry.sample, this.deadline, {
+      onEnd: (outcome) => this.generated(entry, outcome),
+    });
+    entry.generations.push(running);
+  }
+
+  private generated(entry: RunningSample, outcome: GenerationOutcome): void {
+    const { sample } = entry;
+    entry.liveCopies -= 1;
+    if (this.phase !== 'running' || this.running.get(sample.key) !== entry) return;
+    if (outcome.kind === 'finished') {
+      this.window.succeeded();
+      this.queue?.observe(outcome.result.tokenCount, this.node.now() - entry.startedAt);
+      this.keep(entry, outcome.result);
+      return;
+    }
+    if (entry.liveCopies > 0) return;
+    this.running.delete(sample.key);
+    this.queue?.putBack(sample);
+    if (ranStateOf(outcome.failure) === 'no') {
+      this.window.refused();
+      const pause = Math.min(retryAfterOf(outcome.failure) ?? RETRY_PAUSE, RETRY_PAUSE);
+      this.pausedUntil = this.node.now() + pause;
+    }
+  }
+
+  /** Stores a result on a majority, then has it appended. */
+  private keep(entry: RunningSample, result: GenerationResult): void {
+    for (const other of entry.generations) other.cancel();
+    const { sample } = entry;
+    const body = encodeResult(sample.key, result);
+    const deadline = this.node.now() + LEDGER_TIMEOUT;
+    const { intent } = this.record;
+    this.node.ledger.storeBody(intent, this.key, body, deadline, (digest, outcome) => {
+      if (this.phase !== 'running') return;
+      if (outcome.kind === 'stored') {
+        this.appender.add({ key: sample.key, digest }, result);
+        return;
+      }
+      this.pausedUntil = this.node.now() + RETRY_PAUSE;
+      if (outcome.kind === 'full') this.node.explain(this.key, 'paused', 'the ledger is full');
+      this.node.later(RETRY_PAUSE, () => this.keepAgain(entry, result));
+    });
+  }
+
+  private keepAgain(entry: RunningSample, result: GenerationResult): void {
+    if (this.phase === 'running') this.keep(entry, result);
+  }
+
+  private regenerate(sampleKey: string): void {
+    const entry = this.running.get(sampleKey);
+    if (entry === undefined) return;
+    this.running.delete(sampleKey);
+    this.node.counters.increment('samples_stale');
+    this.node.explain(this.key, `sample ${sampleKey} runs again`, 'a token is older than the bound');
+    this.queue?.putBack(entry.sample);
+  }
+
+  private delivered(keys: readonly string[]): void {
+    for (const key of keys) {
+      const entry = this.running.get(key);
+      this.running.delete(key);
+      this.queue?.remove(key);
+      for (const generation of entry?.generations ?? []) generation.cancel();
+    }
+    if (this.phase === 'running') this.checkComplete();
+    if (this.phase === 'running') this.dispatchMore();
+  }
+
+  private checkComplete(): void {
+    if (this.appender.deliveredCount < this.record.sampleCount) return;
+    this.node.counters.increment('steps_completed');
+    this.end('complete');
+  }
+
+  private close(kind: ErrorKind): void {
+    this.cancelAll();
+    this.appender.close({ kind, detail: 'the step was not whole when its time was over' });
+  }
+
+  private end(state: 'complete' | 'closed'): void {
+    if (this.phase === 'ending' || this.phase === 'ended') return;
+    this.cancelAll();
+    this.phase = 'ending';
+    this.endState = state;
+    this.node.explain(this.key, `ended: ${state}`, `${this.appender.deliveredCount} delivered`);
+    this.pausedUntil = 0;
+    this.markEnded();
+  }
+
+  private endState: 'complete' | 'closed' = 'complete';
+
+  private markEnded(): void {
+    const { intent } = this.record;
+    const address = { domain: intent, shardKey: this.key, key: this.key };
+    const now = this.node.now();
+    this.pausedUntil = Number.POSITIVE_INFINITY;
+    this.node.ledger.change(address, endStep(this.endState), now + LEDGER_TIMEOUT, (outcome) => {
+      if (outcome.kind === 'changed') this.phase = 'ended';
+      else this.pausedUntil = this.node.now() + RETRY_PAUSE;
+    });
+  }
+
+  private cancelAll(): void {
+    for (const entry of this.running.values()) {
+      for (const generation of entry.generations) generation.cancel();
+    }
+    this.running.clear();
+  }
+
+  /** With nothing left to start, a second copy of the slowest samples guards against a bad worker. */
+  private hedgeSlowest(now: Milliseconds): void {
+    const threshold = this.queue?.hedgeThreshold() ?? null;
+    if (threshold === null || !this.ports.hedging) return;
+    for (const entry of this.running.values()) {
+      const slow = now - entry.startedAt > threshold;
+      if (!slow || entry.generations.length > 1) continue;
+      const answer = this.ports.permission(this.record);
+      if (answer.kind === 'refused') return;
+      this.node.counters.increment('samples_hedged');
+      this.generate(entry, answer.permission);
+    }
+  }
+}
