--- /dev/null
+++ b/lab/emulator/sequence.ts
@@ -0,0 +1,95 @@
+/**
+ * One generation inside an emulated engine: how many tokens it has, which were streamed, and
+ * which versions made them.
+ */
+import type {
+  GenerationRequest,
+  GenerationResult,
+  TokenSegment,
+} from '../../src/core/generation.js';
+import type { TokenCount, WeightVersion } from '../../src/core/units.js';
+import type { EngineEvent } from '../../src/platform/worker.js';
+import { type AnswerLengthInput, answerLength } from './answer-length.js';
+import { answerKey, segmentText } from './generated-text.js';
+
+/** Tokens already made for a request, exported by one engine and imported by another. */
+export interface KeyValueCacheExport {
+  /** See {@link answerKey}; an import for another request is ignored. */
+  readonly answer: number;
+  readonly segments: readonly TokenSegment[];
+}
+
+/** A sequence that runs or waits. */
+export class Sequence {
+  readonly answer: number;
+  /** Tokens the answer will have. */
+  readonly target: TokenCount;
+  /** Tokens made up to `joinedStep`; while running, each later step adds one. */
+  tokens: TokenCount = 0;
+  joinedStep = 0;
+  /** Whether its prompt has been read, so that resuming costs nothing. */
+  prefilled = false;
+  /** Tokens already streamed. */
+  streamed: TokenCount = 0;
+  private readonly cutOff: boolean;
+  private readonly segments: TokenSegment[] = [];
+  private text = '';
+
+  constructor(
+    readonly dispatchId: string,
+    readonly request: GenerationRequest,
+    lengths: Pick<AnswerLengthInput, 'medianTokens' | 'lengthSpread'>,
+  ) {
+    const { promptGroup, samplingSeed } = request;
+    const length = answerLength({ promptGroup, samplingSeed, ...lengths });
+    this.answer = answerKey(request.prompt, samplingSeed);
+    this.cutOff = length > request.maxTokens;
+    this.target = Math.min(length, request.maxTokens);
+  }
+
+  /** Streams all tokens not streamed yet; they were made by `version`. */
+  stream(version: WeightVersion): EngineEvent | undefined {
+    const tokenCount = this.tokens - this.streamed;
+    if (tokenCount <= 0) return undefined;
+    return this.append({ version, firstToken: this.streamed, tokenCount });
+  }
+
+  /** Takes over tokens made elsewhere; returns the events that stream them. */
+  import(source: KeyValueCacheExport): EngineEvent[] {
+    if (source.answer !== this.answer) return [];
+    this.prefilled = true;
+    return source.segments.map((segment) => {
+      this.tokens += segment.tokenCount;
+      return this.append(segment);
+    });
+  }
+
+  /** Tokens streamed so far, for an import elsewhere. */
+  export(): KeyValueCacheExport {
+    return { answer: this.answer, segments: [...this.segments] };
+  }
+
+  /** The complete answer. */
+  result(): GenerationResult {
+    return {
+      text: this.text,
+      tokenCount: this.streamed,
+      segments: [...this.segments],
+      finishReason: this.cutOff ? 'length' : 'stop',
+    };
+  }
+
+  private append(segment: TokenSegment): EngineEvent {
+    const text = segmentText(this.answer, segment);
+    this.text += text;
+    this.streamed += segment.tokenCount;
+    const last = this.segments.at(-1);
+    if (last?.version === segment.version) {
+      const tokenCount = last.tokenCount + segment.tokenCount;
+      this.segments[this.segments.length - 1] = { ...last, tokenCount };
+    } else {
+      this.segments.push(segment);
+    }
+    return { kind: 'segment', segment, text };
+  }
+}
