--- /dev/null
+++ b/src/platform/engine-wire-client.ts
@@ -0,0 +1,74 @@
+/**
+ * Wire form of model engines: bodies and schemas of completions, reports and orders.
+ */
+import { z } from 'zod';
+import type { GenerationRequest } from '../core/generation.js';
+
+const count = z.number().int().nonnegative();
+
+/** A run of tokens of one version. */
+const tokenSegment = z.object({ version: count, firstToken: count, tokenCount: count });
+
+/** One event of a completion's stream. */
+export const completionChunk = z.object({
+  choices: z
+    .array(z.object({ text: z.string(), finish_reason: z.enum(['stop', 'length']).nullable() }))
+    .length(1),
+  wardwing: z.object({ segment: tokenSegment.nullable() }),
+});
+
+/** Answer of `/load`. */
+export const workerReport = z.object({
+  worker: z.string().min(1),
+  running: count,
+  waiting: count,
+  activeVersion: count,
+  loadedVersions: z.array(count),
+  epoch: count,
+  leaving: z.boolean(),
+});
+
+/** Body of `/orders`. */
+export const workerOrder = z.object({
+  epoch: count,
+  action: z.object({ kind: z.enum(['load', 'activate']), version: count }),
+});
+
+/** Answer of `/orders`. */
+export const orderResult = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('done') }),
+  z.object({ kind: z.literal('refused-epoch'), epoch: count }),
+  z.object({ kind: z.literal('failed'), reason: z.string() }),
+]);
+
+/** Body of `/v1/completions`; `wardwing` holds the extension fields. */
+export const completionRequest = z.object({
+  model: z.string(),
+  prompt: z.string(),
+  max_tokens: count.min(1),
+  seed: z.number().int(),
+  stream: z.literal(true),
+  wardwing: z.object({
+    requestId: z.string(),
+    priority: z.enum(['interactive', 'training']),
+    oldestVersion: count,
+    promptGroup: z.string(),
+  }),
+});
+
+/** Body that asks an engine for a generation. */
+export function encodeGeneration(request: GenerationRequest): z.infer<typeof completionRequest> {
+  return {
+    model: request.model,
+    prompt: request.prompt,
+    max_tokens: request.maxTokens,
+    seed: request.samplingSeed,
+    stream: true,
+    wardwing: {
+      requestId: request.requestId,
+      priority: request.trafficClass,
+      oldestVersion: request.oldestVersion,
+      promptGroup: request.promptGroup,
+    },
+  };
+}
--- /dev/null
+++ b/src/platform/machine-list-client.ts
@@ -0,0 +1,69 @@
+/**
+ * Client of the platform's machine list. The list lags behind the truth and only seeds what
+ * nodes find out for themselves.
+ */
+import http from 'node:http';
+import { z } from 'zod';
+import type { Milliseconds } from '../core/units.js';
+import { exchangeHttp, parseJson } from './http-exchange-client.js';
+import type { MachineRecord } from './worker.js';
+
+/** Options of {@link MachineListClient}. */
+export interface MachineListClientOptions {
+  /** Host and port of the service. */
+  readonly address: string;
+  /** Time for one request. Default 2 s. */
+  readonly requestTimeout?: Milliseconds;
+  /** Largest answer, in bytes. Default 32 MiB. */
+  readonly maximumBytes?: number;
+}
+
+const DEFAULTS = { requestTimeout: 2_000, maximumBytes: 32 * 1_048_576 } as const;
+
+const workerRecord = z.object({
+  worker: z.string().min(1),
+  model: z.string().min(1),
+  zone: z.string().min(1),
+  address: z.string().regex(/^.+:\d+$/),
+  slots: z.number().int().positive(),
+});
+
+/** Schema of the list. */
+export const machineList = z.array(
+  z.object({
+    machine: z.string().min(1),
+    zone: z.string().min(1),
+    state: z.enum(['live', 'leaving']),
+    nodeAddresses: z.array(z.string().regex(/^.+:\d+$/)),
+    workers: z.array(workerRecord),
+  }),
+);
+
+/** Speaks to one machine list. */
+export class MachineListClient {
+  private readonly options: Required<MachineListClientOptions>;
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+
+  constructor(options: MachineListClientOptions) {
+    this.options = { ...DEFAULTS, ...options };
+  }
+
+  /** The list; `undefined` where the service fails or breaks the schema. */
+  async list(): Promise<readonly MachineRecord[] | undefined> {
+    const outcome = await exchangeHttp({
+      agent: this.agent,
+      address: this.options.address,
+      method: 'GET',
+      path: '/machines',
+      timeout: this.options.requestTimeout,
+      maximumBytes: this.options.maximumBytes,
+    });
+    if (outcome.kind !== 'answer' || outcome.status !== 200) return undefined;
+    return machineList.safeParse(parseJson(outcome.body)).data;
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+}
