Ledger: replicated registers and bodies as pure decision code, first form

Change: CASPaxos registers per shard, bodies on a majority, groups created and changed by compare-and-swap in the key-value service, sealing and catch-up between members. Facade and exported types are ready to be built on.

--- /dev/null
+++ b/src/ledger/group-change.ts
@@ -0,0 +1,56 @@
+/** Decides what the next record of a replica group should be, if it should change at all. */
+import { type GroupRecord, groupKey } from '../config-feed/configuration.js';
+import { identityKey, type NodeRecord } from '../core/identity.js';
+import { faultTolerance, fillMembers, targetSize } from './placement.js';
+
+/** What the decision rests on. */
+export interface GroupSituation {
+  readonly domain: string;
+  readonly shard: number;
+  readonly replicaCount: number;
+  /** Living nodes of the domain's zones. */
+  readonly live: readonly NodeRecord[];
+  /** Whether a life has been gone for so long, or so surely, that it is to be replaced. */
+  readonly isGone: (identity: string) => boolean;
+}
+
+function identitiesOf(members: readonly NodeRecord[]) {
+  return members.map(({ node, incarnation }) => ({ node, incarnation }));
+}
+
+/** The first record of a group; `undefined` while no node lives. */
+export function planCreation(situation: GroupSituation): GroupRecord | undefined {
+  const { domain, shard, live, replicaCount } = situation;
+  const size = targetSize(live.length, replicaCount);
+  const members = fillMembers(groupKey(domain, shard), [], live, size);
+  if (members.length === 0) return undefined;
+  return { domain, shard, epoch: 1, members: identitiesOf(members), previousMembers: [] };
+}
+
+/**
+ * The record that follows the current one; `undefined` where no change is of use. A majority of
+ * the current members always stays, and at most a minority is removed.
+ */
+export function planChange(
+  current: GroupRecord,
+  situation: GroupSituation,
+): GroupRecord | undefined {
+  const { domain, shard, live, replicaCount } = situation;
+  const liveRecords = new Map(live.map((record) => [identityKey(record), record]));
+  const isKept = (key: string): boolean => !situation.isGone(key);
+  const kept = current.members.filter((member) => isKept(identityKey(member)));
+  const removed = current.members.length - kept.length;
+  if (removed > Math.floor((current.members.length - 1) / 2)) return undefined;
+  const aliveKept = kept.flatMap((member) => liveRecords.get(identityKey(member)) ?? []);
+  const waitedFor = kept.length - aliveKept.length;
+  const size = targetSize(live.length, replicaCount) - waitedFor;
+  const members = fillMembers(groupKey(domain, shard), aliveKept, live, size);
+  const silent = kept.filter((member) => !liveRecords.has(identityKey(member)));
+  const nextMembers = [...identitiesOf(members), ...silent];
+  const toleranceBefore = faultTolerance(current.members.length, aliveKept.length);
+  const toleranceAfter = faultTolerance(nextMembers.length, members.length);
+  const becomesPair = current.members.length === 1 && nextMembers.length === 2;
+  if (toleranceAfter <= toleranceBefore && !becomesPair) return undefined;
+  const { epoch, members: previousMembers } = current;
+  return { domain, shard, epoch: epoch + 1, members: nextMembers, previousMembers };
+}
--- /dev/null
+++ b/src/ledger/proposer.ts
@@ -0,0 +1,342 @@
+/**
+ * The proposer of one register (CASPaxos, Rystsov 2018): prepare at a majority, apply the change
+ * to the value with the highest accepted ballot, accept at a majority. Operations that arrive
+ * during an attempt wait and share the next one.
+ */
+import type { GroupRecord } from '../config-feed/configuration.js';
+import type { Milliseconds } from '../core/units.js';
+import type { Ballot } from './ballot.js';
+import type { LedgerEnvironment } from './environment.js';
+import type { LedgerContent, LedgerMessage } from './messages.js';
+import {
+  type AppliedBatch,
+  applyBatch,
+  type OperationResult,
+  type RegisterOperation,
+} from './operation.js';
+import type { PreparedRegisters } from './prepared-registers.js';
+import { RegisterAnswers } from './register-answers.js';
+import { Round } from './round.js';
+
+/** A register and the shard it is in. */
+export interface RegisterAddress {
+  readonly domain: string;
+  readonly shard: number;
+  readonly shardKey: string;
+  readonly key: string;
+}
+
+/** What a proposer needs from the ledger. */
+export interface ProposerHost<Value> {
+  readonly environment: LedgerEnvironment<Value>;
+  readonly prepared: PreparedRegisters<Value>;
+  group(domain: string, shard: number): GroupRecord | undefined;
+  /** Counter this node's own replica promised for the register; 0 for none. */
+  promisedCounter(address: RegisterAddress): number;
+  /** Answers to the request go to this proposer from now on. */
+  route(request: number, proposer: RegisterProposer<Value>): void;
+  unroute(request: number): void;
+}
+
+/** Conflicts double the backoff up to this many times. */
+const BACKOFF_DOUBLINGS = 3;
+
+type Phase<Value> =
+  | { readonly kind: 'waiting'; readonly until: Milliseconds }
+  | {
+      readonly kind: 'read' | 'prepare';
+      readonly round: Round<Value>;
+      readonly group: GroupRecord;
+      readonly ballot: Ballot | null;
+      readonly answers: RegisterAnswers;
+    }
+  | {
+      readonly kind: 'accept';
+      readonly round: Round<Value>;
+      readonly group: GroupRecord;
+      readonly batch: AppliedBatch<Value>;
+      readonly next: Ballot | null;
+    };
+
+/** Runs the operations of this node on one register, one attempt at a time. */
+export class RegisterProposer<Value> {
+  readonly #host: ProposerHost<Value>;
+  readonly #address: RegisterAddress;
+  #queue: RegisterOperation<Value>[] = [];
+  #phase: Phase<Value> = { kind: 'waiting', until: 0 };
+  #highestCounter = 0;
+  #conflicts = 0;
+  /** Set when a read found no agreement, so that the next attempt settles the value. */
+  #mustPrepare = false;
+
+  constructor(host: ProposerHost<Value>, address: RegisterAddress) {
+    this.#host = host;
+    this.#address = address;
+  }
+
+  /** Whether no operation is left. */
+  get isIdle(): boolean {
+    return this.#phase.kind === 'waiting' && this.#queue.length === 0;
+  }
+
+  /** Adds an operation and starts an attempt unless one is running. */
+  add(operation: RegisterOperation<Value>, now: Milliseconds): void {
+    this.#queue.push(operation);
+    if (this.#phase.kind === 'waiting' && this.#phase.until <= now) this.#start(now);
+  }
+
+  /** Forgets an operation; a change already sent may still take effect. */
+  cancel(operationId: string): void {
+    this.#queue = this.#queue.filter((operation) => operation.operationId !== operationId);
+    this.#dropFromBatch((operation) => operation.operationId === operationId);
+    if (this.#queue.length === 0 && this.#phase.kind !== 'accept') this.#enter(0);
+  }
+
+  /** Ends operations past their deadline, sends again, and starts over when it is time. */
+  tick(now: Milliseconds): void {
+    this.#expire(now);
+    const phase = this.#phase;
+    if (phase.kind === 'waiting') {
+      if (phase.until <= now) this.#start(now);
+      return;
+    }
+    if (this.#currentGroup()?.epoch !== phase.group.epoch) this.#retry(now, now);
+    else if (phase.round.isOpposed && phase.round.isDue(now)) this.#backOff(now);
+    else phase.round.tick(now);
+  }
+
+  /** Takes an answer to the request of the running attempt. */
+  receive(from: string, message: LedgerMessage, now: Milliseconds): void {
+    const phase = this.#phase;
+    if (phase.kind === 'waiting' || phase.round.request !== message.request) return;
+    if (message.kind === 'register' && phase.kind !== 'accept') {
+      if (!phase.round.agree(from)) return;
+      phase.answers.add(message.accepted, message.value);
+      if (phase.round.hasMajority) this.#decide(phase, now);
+    } else if (message.kind === 'accepted' && phase.kind === 'accept') {
+      if (phase.round.agree(from) && phase.round.hasMajority) this.#finish(phase, now);
+    } else if (message.kind === 'conflict') {
+      this.#highestCounter = Math.max(this.#highestCounter, message.promised.counter);
+      phase.round.oppose(from);
+      if (phase.round.hasFailed) this.#backOff(now);
+    } else if (message.kind === 'refused') {
+      this.#refused(from, message, now);
+    }
+  }
+
+  #refused(
+    from: string,
+    message: Extract<LedgerContent, { kind: 'refused' }>,
+    now: Milliseconds,
+  ): void {
+    const phase = this.#phase;
+    if (phase.kind === 'waiting') return;
+    if (this.#currentGroup()?.epoch !== phase.group.epoch) {
+      this.#retry(now, now);
+      return;
+    }
+    if (message.reason === 'not-active') return;
+    phase.round.oppose(from);
+    if (!phase.round.hasFailed) return;
+    this.#requeue();
+    const refused = this.#queue;
+    this.#queue = [];
+    for (const operation of refused) this.#giveUp(operation, message.reason === 'full');
+    this.#enter(0);
+  }
+
+  #currentGroup(): GroupRecord | undefined {
+    return this.#host.group(this.#address.domain, this.#address.shard);
+  }
+
+  #start(now: Milliseconds): void {
+    if (this.#queue.length === 0) return;
+    const group = this.#currentGroup();
+    if (group === undefined) {
+      this.#phase = { kind: 'waiting', until: now };
+      return;
+    }
+    const onlyReads = this.#queue.every((operation) => operation.isRead);
+    if (onlyReads && !this.#mustPrepare) {
+      this.#ask('read', group, null, { kind: 'read', key: this.#address.key }, now);
+      return;
+    }
+    const name = this.#preparedName();
+    const prepared = this.#host.prepared.take(name, group.epoch);
+    if (prepared !== undefined && !this.#mustPrepare) {
+      // Others may have overtaken the prepared ballot, so only an acceptance proves the value.
+      this.#accept(group, prepared.ballot, prepared.value, false, now);
+      return;
+    }
+    const ballot = this.#newBallot(group.epoch);
+    this.#ask('prepare', group, ballot, { kind: 'prepare', key: this.#address.key, ballot }, now);
+  }
+
+  #ask(
+    kind: 'read' | 'prepare',
+    group: GroupRecord,
+    ballot: Ballot | null,
+    content: LedgerContent,
+    now: Milliseconds,
+  ): void {
+    const round = new Round(this.#host.environment, group, group.members, content, now);
+    this.#phase = { kind, round, group, ballot, answers: new RegisterAnswers() };
+    this.#host.route(round.request, this);
+    round.open();
+  }
+
+  #decide(phase: Extract<Phase<Value>, { kind: 'read' | 'prepare' }>, now: Milliseconds): void {
+    const value = phase.answers.value as Value | null;
+    const isChosen = phase.answers.isChosen(phase.group.epoch);
+    this.#host.unroute(phase.round.request);
+    if (phase.ballot !== null) {
+      this.#accept(phase.group, phase.ballot, value, isChosen, now);
+      return;
+    }
+    if (isChosen) {
+      const reads = this.#queue.filter((operation) => operation.isRead);
+      this.#queue = this.#queue.filter((operation) => !operation.isRead);
+      this.#complete(reads.map((operation) => ({ operation, value, written: false })));
+    } else {
+      this.#mustPrepare = true;
+    }
+    this.#enter(now);
+    this.#start(now);
+  }
+
+  /** Applies the waiting operations to the value and asks the members to accept the result. */
+  #accept(
+    group: GroupRecord,
+    ballot: Ballot,
+    current: Value | null,
+    isChosen: boolean,
+    now: Milliseconds,
+  ): void {
+    const batch = applyBatch(this.#queue, current);
+    this.#queue = [];
+    if (!batch.written && isChosen) {
+      this.#keepPrepared(ballot, current);
+      this.#settled(batch.results, now);
+      return;
+    }
+    for (const result of batch.results) {
+      if (result.written) result.operation.mayHaveApplied = true;
+    }
+    const { key, shardKey } = this.#address;
+    const next = this.#host.environment.settings.piggybackPrepare
+      ? this.#newBallot(group.epoch, ballot.counter + 1)
+      : null;
+    const content: LedgerContent = {
+      kind: 'accept',
+      key,
+      shardKey,
+      ballot,
+      value: batch.value,
+      next,
+    };
+    const round = new Round(this.#host.environment, group, group.members, content, now);
+    this.#phase = { kind: 'accept', round, group, batch, next };
+    this.#host.route(round.request, this);
+    round.open();
+  }
+
+  #finish(phase: Extract<Phase<Value>, { kind: 'accept' }>, now: Milliseconds): void {
+    this.#host.unroute(phase.round.request);
+    if (phase.next !== null) this.#keepPrepared(phase.next, phase.batch.value);
+    this.#settled(phase.batch.results, now);
+  }
+
+  #settled(results: readonly OperationResult<Value>[], now: Milliseconds): void {
+    this.#conflicts = 0;
+    this.#mustPrepare = false;
+    this.#complete(results);
+    this.#enter(now);
+    this.#start(now);
+  }
+
+  #complete(results: readonly OperationResult<Value>[]): void {
+    for (const { operation, value, written } of results) {
+      const outcome = { kind: 'changed', value, written } as const;
+      this.#host.environment.complete(operation.operationId, outcome);
+    }
+  }
+
+  #keepPrepared(ballot: Ballot, value: Value | null): void {
+    if (!this.#host.environment.settings.piggybackPrepare) return;
+    this.#host.prepared.put(this.#preparedName(), { ballot, value });
+  }
+
+  #preparedName(): string {
+    return `${this.#address.domain}/${this.#address.shard}/${this.#address.key}`;
+  }
+
+  /** After a conflict: at once the first time, then after a random wait that grows. */
+  #backOff(now: Milliseconds): void {
+    const { environment } = this.#host;
+    environment.counters.conflicts += 1;
+    this.#conflicts += 1;
+    const doublings = Math.min(this.#conflicts - 2, BACKOFF_DOUBLINGS);
+    const { conflictBackoff, random } = environment.settings;
+    const longest = doublings < 0 ? 0 : conflictBackoff * 2 ** doublings;
+    this.#retry(now + Math.floor(random.fraction() * longest), now);
+  }
+
+  #retry(at: Milliseconds, now: Milliseconds): void {
+    this.#requeue();
+    this.#enter(at);
+    if (at <= now) this.#start(now);
+  }
+
+  #requeue(): void {
+    const phase = this.#phase;
+    if (phase.kind !== 'accept') return;
+    const attempted = phase.batch.results.map((result) => result.operation);
+    this.#queue = [...attempted, ...this.#queue];
+  }
+
+  /** Leaves the running attempt; the next one may start at the given time. */
+  #enter(until: Milliseconds): void {
+    if (this.#phase.kind !== 'waiting') this.#host.unroute(this.#phase.round.request);
+    this.#phase = { kind: 'waiting', until };
+  }
+
+  #newBallot(epoch: number, atLeast = 1): Ballot {
+    const { environment } = this.#host;
+    const promised = this.#host.promisedCounter(this.#address);
+    const counter = Math.max(this.#highestCounter + 1, promised + 1, atLeast);
+    this.#highestCounter = counter;
+    const sequence = environment.nextRequest();
+    return { epoch, counter, proposer: environment.selfKey, sequence };
+  }
+
+  #expire(now: Milliseconds): void {
+    const isOver = (operation: RegisterOperation<Value>): boolean => operation.deadline <= now;
+    const over = this.#queue.filter(isOver);
+    this.#queue = this.#queue.filter((operation) => !isOver(operation));
+    over.push(...this.#dropFromBatch(isOver));
+    for (const operation of over) this.#giveUp(operation, false);
+    const phase = this.#phase;
+    const isUnwanted =
+      phase.kind === 'accept' ? phase.batch.results.length === 0 : this.#queue.length === 0;
+    if (isUnwanted) this.#enter(0);
+  }
+
+  #dropFromBatch(matches: (operation: RegisterOperation<Value>) => boolean) {
+    const phase = this.#phase;
+    if (phase.kind !== 'accept') return [];
+    const dropped = phase.batch.results.filter((result) => matches(result.operation));
+    if (dropped.length === 0) return [];
+    const results = phase.batch.results.filter((result) => !matches(result.operation));
+    this.#phase = { ...phase, batch: { ...phase.batch, results } };
+    return dropped.map((result) => result.operation);
+  }
+
+  #giveUp(operation: RegisterOperation<Value>, isFull: boolean): void {
+    const { mayHaveApplied } = operation;
+    const outcome =
+      isFull && !mayHaveApplied
+        ? ({ kind: 'full' } as const)
+        : ({ kind: 'unavailable', mayHaveApplied } as const);
+    this.#host.environment.complete(operation.operationId, outcome);
+  }
+}
