--- /dev/null
+++ b/src/membership/membership-effects.ts
@@ -0,0 +1,57 @@
+/** Effects of the membership module, and the list in which one call gathers them. */
+import type { NodeIdentity, NodeRecord } from '../core/identity.js';
+import type { MembershipMessage } from './messages.js';
+
+/** State of a member as other modules see it. */
+export type MemberState = 'alive' | 'suspect' | 'leaving' | 'dead';
+
+/** One member of the fleet. */
+export interface MemberView {
+  readonly record: NodeRecord;
+  readonly state: MemberState;
+}
+
+/** Something membership wants done or known. */
+export type MembershipEffect =
+  | {
+      readonly kind: 'send';
+      readonly to: NodeIdentity | null;
+      readonly address: string;
+      readonly message: MembershipMessage;
+    }
+  | {
+      readonly kind: 'member-changed';
+      readonly member: MemberView;
+      readonly before: MemberState | null;
+    }
+  /** Others hold this life for dead: nothing may be done until it is confirmed again. */
+  | { readonly kind: 'declared-dead' }
+  | {
+      readonly kind: 'state-change';
+      readonly change: string;
+      readonly details: Readonly<Record<string, string | number | boolean>>;
+    };
+
+/** Gathers the effects of one call. */
+export class EffectList {
+  private effects: MembershipEffect[] = [];
+
+  add(effect: MembershipEffect): void {
+    this.effects.push(effect);
+  }
+
+  send(to: NodeRecord, message: MembershipMessage): void {
+    this.add({ kind: 'send', to, address: to.address, message });
+  }
+
+  sendToAddress(address: string, message: MembershipMessage): void {
+    this.add({ kind: 'send', to: null, address, message });
+  }
+
+  /** Hands over what was gathered and starts anew. */
+  take(): readonly MembershipEffect[] {
+    const taken = this.effects;
+    this.effects = [];
+    return taken;
+  }
+}
