--- /dev/null
+++ b/src/settings/duration.ts
@@ -0,0 +1,34 @@
+/**
+ * Durations as people write them: a whole or decimal number and a unit, e.g. `500ms`, `6s`, `10m`.
+ */
+import { Maybe } from 'true-myth';
+import type { Milliseconds } from '../core/units.js';
+
+/** Milliseconds in each accepted unit. */
+const UNIT_MILLISECONDS: Readonly<Record<string, Milliseconds>> = {
+  ms: 1,
+  s: 1_000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s|m|h)$/;
+
+/** What {@link parseDuration} accepts, for messages. */
+export const ACCEPTED_DURATIONS = 'a number with a unit ms, s, m or h, e.g. "500ms", "6s", "10m"';
+
+/** Reads a duration; nothing where the text is not one. */
+export function parseDuration(text: string): Maybe<Milliseconds> {
+  const match = DURATION_PATTERN.exec(text);
+  if (match === null) return Maybe.nothing();
+  const factor = UNIT_MILLISECONDS[match[2] ?? ''] ?? 0;
+  return Maybe.just(Math.round(Number(match[1]) * factor));
+}
+
+/** Writes a duration with the largest unit that keeps it whole; inverse of {@link parseDuration}. */
+export function formatDuration(duration: Milliseconds): string {
+  const units = Object.entries(UNIT_MILLISECONDS).reverse();
+  const fitting = units.find(([, factor]) => duration > 0 && duration % factor === 0);
+  const [unit, factor] = fitting ?? ['ms', 1];
+  return `${duration / factor}${unit}`;
+}
--- /dev/null
+++ b/src/settings/schema-problems.ts
@@ -0,0 +1,130 @@
+/**
+ * Turns what the schema library reports into problems a person can act on: which key, what is
+ * wrong with it, and what would be accepted. Pure; shared by settings and intents.
+ */
+import { Result } from 'true-myth';
+import { z } from 'zod';
+import { ACCEPTED_DURATIONS, parseDuration } from './duration.js';
+
+/** One thing that is wrong with a document. */
+export interface SchemaProblem {
+  /** Path of the key, e.g. `fleet.zones[0].name`; `(document)` for the whole. */
+  readonly key: string;
+  readonly reason: string;
+  /** What would be accepted, in words. */
+  readonly accepted: string;
+}
+
+/** One line for people. */
+export function formatProblem(problem: SchemaProblem): string {
+  return `${problem.key}: ${problem.reason}; accepted: ${problem.accepted}`;
+}
+
+/** A duration in a document, read into milliseconds. */
+export function durationField(): z.ZodType<number, string> {
+  return z
+    .string()
+    .transform((text, context) => {
+      const duration = parseDuration(text).unwrapOr(Number.NaN);
+      if (Number.isNaN(duration)) context.addIssue(`"${text}" is not a duration`);
+      return duration;
+    })
+    .describe(ACCEPTED_DURATIONS);
+}
+
+/** Checks a document against a schema and reports all problems at once. */
+export function checkDocument<Schema extends z.ZodType>(
+  schema: Schema,
+  document: unknown,
+): Result<z.output<Schema>, readonly SchemaProblem[]> {
+  const checked = schema.safeParse(document);
+  if (checked.success) return Result.ok(checked.data);
+  return Result.err(checked.error.issues.flatMap((issue) => problemsOf(schema, document, issue)));
+}
+
+function problemsOf(
+  schema: z.ZodType,
+  document: unknown,
+  issue: z.core.$ZodIssue,
+): SchemaProblem[] {
+  if (issue.code === 'unrecognized_keys') {
+    const accepted = `the keys ${knownKeysAt(schema, issue.path).join(', ')}`;
+    return issue.keys.map((key) => ({
+      key: pathText([...issue.path, key]),
+      reason: 'this key is not known',
+      accepted,
+    }));
+  }
+  const missing = valueAt(document, issue.path) === undefined;
+  return [
+    {
+      key: pathText(issue.path),
+      reason: missing ? 'this key is missing' : lowerFirst(issue.message),
+      accepted: acceptedAt(schema, issue),
+    },
+  ];
+}
+
+function acceptedAt(schema: z.ZodType, issue: z.core.$ZodIssue): string {
+  if (issue.code === 'invalid_value') return issue.values.map(String).join(', ');
+  const described = schemasAlong(schema, issue.path).at(-1)?.description;
+  if (described !== undefined) return described;
+  if (issue.code === 'invalid_type') return `a value of type ${issue.expected}`;
+  return 'see the reason';
+}
+
+function knownKeysAt(schema: z.ZodType, path: readonly PropertyKey[]): string[] {
+  const found = unwrap(schemasAlong(schema, path).at(-1));
+  return found instanceof z.ZodObject ? Object.keys(found.shape) : [];
+}
+
+/** The schemas met along a path, from the outermost on; stops where the path leaves the schema. */
+function schemasAlong(schema: z.ZodType, path: readonly PropertyKey[]): z.ZodType[] {
+  const met = [schema];
+  for (const step of path) {
+    const current = unwrap(met.at(-1));
+    const next =
+      current instanceof z.ZodObject
+        ? (current.shape[String(step)] as z.ZodType | undefined)
+        : current instanceof z.ZodArray
+          ? (current.element as z.ZodType)
+          : undefined;
+    if (next === undefined) break;
+    met.push(next);
+  }
+  return met;
+}
+
+function unwrap(schema: z.ZodType | undefined): z.ZodType | undefined {
+  if (schema instanceof z.ZodPipe) return unwrap(schema.in as z.ZodType);
+  const wrapped =
+    schema instanceof z.ZodOptional ||
+    schema instanceof z.ZodNullable ||
+    schema instanceof z.ZodDefault ||
+    schema instanceof z.ZodPrefault;
+  return wrapped ? unwrap(schema.unwrap() as z.ZodType) : schema;
+}
+
+function valueAt(document: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>(
+    (value, step) =>
+      typeof value === 'object' && value !== null
+        ? (value as Record<PropertyKey, unknown>)[step]
+        : undefined,
+    document,
+  );
+}
+
+function pathText(path: readonly PropertyKey[]): string {
+  if (path.length === 0) return '(document)';
+  return path
+    .map((step, position) => {
+      if (typeof step === 'number') return `[${step}]`;
+      return position === 0 ? String(step) : `.${String(step)}`;
+    })
+    .join('');
+}
+
+function lowerFirst(text: string): string {
+  return text.charAt(0).toLowerCase() + text.slice(1);
+}
--- /dev/null
+++ b/src/settings/settings-schema.ts
@@ -0,0 +1,176 @@
+/**
+ * The schema of the settings file (TOML, keys in snake case) and the checks that span several
+ * keys. An unknown key is a problem, never ignored.
+ */
+import { isIP } from 'node:net';
+import { Result } from 'true-myth';
+import { z } from 'zod';
+import { checkDocument, durationField, type SchemaProblem } from './schema-problems.js';
+
+const MEBIBYTE = 1_048_576;
+const LARGEST_PORT = 65_535;
+
+const nameSchema = z
+  .string()
+  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'this is not a name')
+  .describe('letters, digits, ".", "_" and "-", at most 63 characters');
+
+const endpointSchema = z
+  .string()
+  .refine(isEndpoint, 'this is not an IP address and port')
+  .describe('ip:port, e.g. "127.0.0.1:7400" or "[::1]:7400"');
+
+const nodeSchema = z.strictObject({
+  name: nameSchema,
+  zone: nameSchema,
+  region: nameSchema,
+  machine: nameSchema,
+  listen: endpointSchema,
+  peer_listen: endpointSchema,
+  data_folder: z.string().min(1).nullable().default(null).describe('the path of a folder'),
+});
+
+const platformSchema = z.strictObject({
+  key_value: z.array(endpointSchema).min(1).describe('a list of ip:port, at least one'),
+  machine_list: endpointSchema,
+});
+
+const fleetSchema = z.strictObject({
+  zones: z
+    .array(z.strictObject({ name: nameSchema, region: nameSchema }))
+    .min(1)
+    .describe('a list of zones, e.g. [{ name = "abdali-hall", region = "amman" }]'),
+  shards_per_domain: wholeNumber(1, 1_024).default(4),
+  replicas: z
+    .int()
+    .min(1)
+    .max(9)
+    .refine((count) => count % 2 === 1, 'an even number gives no better majority')
+    .default(3)
+    .describe('an odd whole number from 1 to 9'),
+});
+
+const accountSchema = z.strictObject({
+  name: nameSchema,
+  role: z.enum(['trainer', 'caller', 'operator']),
+  token_digest: z
+    .string()
+    .regex(/^[0-9a-f]{64}$/, 'this is not a SHA-256 digest')
+    .describe('64 hexadecimal digits in lower case'),
+});
+
+const peersSchema = z
+  .strictObject({
+    token_file: z.string().min(1).optional().describe('the path of a file with the token'),
+    token_variable: z.string().min(1).optional().describe('the name of an environment variable'),
+  })
+  .refine(
+    (peers) => (peers.token_file === undefined) !== (peers.token_variable === undefined),
+    'exactly one source of the token must be named',
+  )
+  .describe('token_file or token_variable, not both');
+
+const limitsSchema = z.strictObject({
+  max_body_bytes: wholeNumber(1_024, 1_024 * MEBIBYTE).default(4 * MEBIBYTE),
+  max_header_bytes: wholeNumber(1_024, MEBIBYTE).default(16_384),
+  body_timeout: duration('10s'),
+  max_connections: wholeNumber(1, 100_000).default(1_024),
+  max_result_bytes: wholeNumber(MEBIBYTE, 65_536 * MEBIBYTE).default(64 * MEBIBYTE),
+  max_queued_requests: wholeNumber(1, 1_000_000).default(4_096),
+});
+
+const timingSchema = z.strictObject({
+  freshness_bound: duration('6s'),
+  stop_timeout: duration('30s'),
+  request_timeout: duration('60s'),
+  key_value_timeout: duration('2s'),
+  machine_list_interval: duration('1s'),
+});
+
+/** The written form of the settings. */
+export const settingsSchema = z.strictObject({
+  node: nodeSchema,
+  platform: platformSchema,
+  fleet: fleetSchema,
+  accounts: z.array(accountSchema).default([]),
+  peers: peersSchema,
+  limits: limitsSchema.prefault({}),
+  timing: timingSchema.prefault({}),
+  log: z
+    .strictObject({ level: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info') })
+    .prefault({}),
+});
+
+/** A checked settings file. */
+export type WrittenSettings = z.output<typeof settingsSchema>;
+
+/** Checks a settings document; reports all problems of form, or else all that span keys. */
+export function checkSettings(
+  document: unknown,
+): Result<WrittenSettings, readonly SchemaProblem[]> {
+  return checkDocument(settingsSchema, document).andThen((written) => {
+    const problems = [...zoneProblems(written), ...accountProblems(written)];
+    return problems.length === 0
+      ? Result.ok<WrittenSettings, readonly SchemaProblem[]>(written)
+      : Result.err<WrittenSettings, readonly SchemaProblem[]>(problems);
+  });
+}
+
+function zoneProblems(written: WrittenSettings): SchemaProblem[] {
+  const { node, fleet } = written;
+  const names = fleet.zones.map((zone) => zone.name);
+  const problems = repeatedNames(names).map((name) => ({
+    key: 'fleet.zones',
+    reason: `the zone "${name}" is named twice`,
+    accepted: 'each zone once',
+  }));
+  const own = fleet.zones.find((zone) => zone.name === node.zone);
+  if (own === undefined) {
+    const reason = `"${node.zone}" is not a zone of the fleet`;
+    problems.push({ key: 'node.zone', reason, accepted: names.join(', ') });
+  } else if (own.region !== node.region) {
+    const reason = `the zone "${own.name}" is in another region`;
+    problems.push({ key: 'node.region', reason, accepted: own.region });
+  }
+  return problems;
+}
+
+function accountProblems(written: WrittenSettings): SchemaProblem[] {
+  const names = repeatedNames(written.accounts.map((account) => account.name));
+  const digests = repeatedNames(written.accounts.map((account) => account.token_digest));
+  return [
+    ...names.map((name) => ({
+      key: 'accounts',
+      reason: `the account "${name}" is named twice`,
+      accepted: 'each account once',
+    })),
+    ...digests.map(() => ({
+      key: 'accounts',
+      reason: 'two accounts have the same token_digest',
+      accepted: 'a token of its own for each account',
+    })),
+  ];
+}
+
+function repeatedNames(names: readonly string[]): string[] {
+  return [...new Set(names.filter((name, place) => names.indexOf(name) !== place))];
+}
+
+function wholeNumber(least: number, most: number): z.ZodInt {
+  return z.int().min(least).max(most).describe(`a whole number from ${least} to ${most}`);
+}
+
+function duration(standard: string) {
+  return durationField()
+    .refine((value) => value > 0, 'this must be longer than nothing')
+    .prefault(standard);
+}
+
+function isEndpoint(text: string): boolean {
+  const match = /^(?:\[(.+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  if (match === null) return false;
+  const port = Number(match[3]);
+  const address = match[1] ?? match[2] ?? '';
+  const version = match[1] === undefined ? 4 : 6;
+  return isIP(address) === version && port >= 1 && port <= LARGEST_PORT;
+}
