--- /dev/null
+++ b/src/routing/least-lagged-load-policy.ts
@@ -0,0 +1,24 @@
+/**
+ * Baseline policy: the lowest load the engines report of themselves. The reports lag, so senders
+ * tend to choose the same worker until the next report.
+ */
+import type { RandomSource } from '../core/random.js';
+import { candidateAt, type RoutingPolicy } from './routing-policy.js';
+
+/** Creates the policy `least-lagged-load`; ties go to the first after a random start. */
+export function createLeastLaggedLoadPolicy(random: RandomSource): RoutingPolicy {
+  return {
+    name: 'least-lagged-load',
+    pick: ({ candidates, eligible, eligibleCount }) => {
+      const start = random.integer(eligibleCount);
+      let best = candidateAt(candidates, eligible[start]);
+      for (let offset = 1; offset < eligibleCount; offset += 1) {
+        const position = (start + offset) % eligibleCount;
+        const candidate = candidateAt(candidates, eligible[position]);
+        const lower = candidate.reportedLoad * best.slots < best.reportedLoad * candidate.slots;
+        if (lower) best = candidate;
+      }
+      return { candidate: best, reason: 'least-load' };
+    },
+  };
+}
--- /dev/null
+++ b/src/routing/round-robin-policy.ts
@@ -0,0 +1,15 @@
+/** Baseline policy: eligible workers in turn, whatever their load. */
+import { candidateAt, type RoutingPolicy } from './routing-policy.js';
+
+/** Creates the policy `round-robin`; each instance keeps one turn. */
+export function createRoundRobinPolicy(): RoutingPolicy {
+  let turn = 0;
+  return {
+    name: 'round-robin',
+    pick: ({ candidates, eligible, eligibleCount }) => {
+      const index = eligible[turn % eligibleCount];
+      turn += 1;
+      return { candidate: candidateAt(candidates, index), reason: 'round-robin' };
+    },
+  };
+}
--- /dev/null
+++ b/src/routing/worker-entries.ts
@@ -0,0 +1,62 @@
+/** The directory's records of workers, and the changes of their states. */
+import type { NodeRecord, WorkerId } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { WorkerRecord } from '../platform/worker.js';
+import type { WorkerState, WorkerStateChange } from './worker-candidate.js';
+import { WorkerEntry } from './worker-entry.js';
+
+/** Settings of the records. */
+export interface WorkerEntriesOptions {
+  /** Time without news after which a worker counts as `connecting`. */
+  readonly staleAfter: Milliseconds;
+  /** Called on each change of a worker's state. */
+  readonly onChange: (entry: WorkerEntry, change: WorkerStateChange) => void;
+}
+
+/** States from which a worker returns with a slow start. */
+const RETURN_STATES: ReadonlySet<WorkerState> = new Set(['ejected', 'leaving', 'unreachable']);
+
+/** Records by worker. */
+export class WorkerEntries {
+  readonly #options: WorkerEntriesOptions;
+  readonly #entries = new Map<WorkerId, WorkerEntry>();
+
+  constructor(options: WorkerEntriesOptions) {
+    this.#options = options;
+  }
+
+  get(worker: WorkerId): WorkerEntry | undefined {
+    return this.#entries.get(worker);
+  }
+
+  values(): IterableIterator<WorkerEntry> {
+    return this.#entries.values();
+  }
+
+  /** Makes or updates the record of a worker; a change of home starts its load anew. */
+  keep(record: WorkerRecord, home: NodeRecord, withdrawn: boolean, now: Milliseconds): WorkerEntry {
+    const known = this.#entries.get(record.worker);
+    const entry = known ?? new WorkerEntry(record, home);
+    this.#entries.set(record.worker, entry);
+    entry.record = record;
+    entry.home = home;
+    entry.withdrawn = withdrawn;
+    this.refresh(entry, now);
+    return entry;
+  }
+
+  /** Drops the records of all other workers. */
+  retain(kept: ReadonlySet<WorkerId>): void {
+    for (const worker of this.#entries.keys()) if (!kept.has(worker)) this.#entries.delete(worker);
+  }
+
+  /** Works out a worker's state anew and tells of a change. */
+  refresh(entry: WorkerEntry, now: Milliseconds): void {
+    const from = entry.state;
+    const to = entry.stateAt(now, this.#options.staleAfter);
+    if (from === to) return;
+    entry.state = to;
+    if (RETURN_STATES.has(from)) entry.returnedAt = now;
+    this.#options.onChange(entry, { worker: entry.record.worker, from, to });
+  }
+}
--- /dev/null
+++ b/src/routing/zone-homes.ts
@@ -0,0 +1,141 @@
+/**
+ * The home node of each worker of one zone: the live node with the highest random weight for the
+ * worker (Thaler and Ravishankar, 1998). Names are hashed once and mixed as numbers, as a zone may
+ * hold thousands of workers and hundreds of nodes.
+ */
+import { placementHash } from '../core/hashing.js';
+import type { NodeId, NodeRecord, WorkerId } from '../core/identity.js';
+
+/** A node with the hash of its name. */
+interface ScoredNode {
+  record: NodeRecord;
+  readonly hash: number;
+}
+
+/** The best node found for a worker. */
+interface Home {
+  readonly workerHash: number;
+  node: ScoredNode;
+  score: number;
+}
+
+/** Mixes two 32-bit hashes into one (finalizer of MurmurHash3). */
+function weightOf(workerHash: number, nodeHash: number): number {
+  let mixed = Math.imul(workerHash ^ nodeHash, 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13) ^ workerHash, 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/** Whether a node goes before the best one so far; equal weights go by name. */
+function isBetter(node: ScoredNode, score: number, home: Home): boolean {
+  if (score !== home.score) return score > home.score;
+  return node.record.node < home.node.record.node;
+}
+
+/** Homes of the workers of one zone, kept up to date as nodes come and go. */
+export class ZoneHomes {
+  readonly #nodes = new Map<NodeId, ScoredNode>();
+  readonly #homes = new Map<WorkerId, Home>();
+  #source: readonly NodeRecord[] = [];
+
+  /** Live nodes, in no particular order. */
+  get nodeCount(): number {
+    return this.#nodes.size;
+  }
+
+  /** Place of a node in the order of names; `undefined` where it is not live. */
+  rankOf(node: NodeId): number | undefined {
+    if (!this.#nodes.has(node)) return undefined;
+    let rank = 0;
+    for (const name of this.#nodes.keys()) if (name < node) rank += 1;
+    return rank;
+  }
+
+  /** Takes in the live nodes; true where any node or life of a node changed. */
+  update(nodes: readonly NodeRecord[]): boolean {
+    if (nodes === this.#source) return false;
+    this.#source = nodes;
+    const newest = newestLives(nodes);
+    const removed = this.#removeAbsent(newest);
+    const added: ScoredNode[] = [];
+    let renewed = false;
+    for (const record of newest.values()) {
+      const known = this.#nodes.get(record.node);
+      if (known === undefined) added.push(this.#add(record));
+      else if (known.record.incarnation !== record.incarnation) renewed = true;
+      if (known !== undefined) known.record = record;
+    }
+    if (removed.size > 0 || added.length > 0) this.#reassign(removed, added);
+    return renewed || removed.size > 0 || added.length > 0;
+  }
+
+  /** The home of a worker; `undefined` where no node of the zone is live. */
+  homeOf(worker: WorkerId): NodeRecord | undefined {
+    const known = this.#homes.get(worker);
+    if (known !== undefined) return known.node.record;
+    const home = this.#findHome(placementHash(worker));
+    if (home === undefined) return undefined;
+    this.#homes.set(worker, home);
+    return home.node.record;
+  }
+
+  /** Forgets workers that are not in the machine list any more. */
+  retain(exists: (worker: WorkerId) => boolean): void {
+    for (const worker of this.#homes.keys()) if (!exists(worker)) this.#homes.delete(worker);
+  }
+
+  #add(record: NodeRecord): ScoredNode {
+    const node = { record, hash: placementHash(record.node) };
+    this.#nodes.set(record.node, node);
+    return node;
+  }
+
+  #removeAbsent(newest: ReadonlyMap<NodeId, NodeRecord>): ReadonlySet<ScoredNode> {
+    const removed = new Set<ScoredNode>();
+    for (const [name, node] of this.#nodes) {
+      if (newest.has(name)) continue;
+      removed.add(node);
+      this.#nodes.delete(name);
+    }
+    return removed;
+  }
+
+  #reassign(removed: ReadonlySet<ScoredNode>, added: readonly ScoredNode[]): void {
+    for (const [worker, home] of this.#homes) {
+      if (removed.has(home.node)) {
+        const next = this.#findHome(home.workerHash);
+        if (next === undefined) this.#homes.delete(worker);
+        else this.#homes.set(worker, next);
+        continue;
+      }
+      for (const node of added) offer(home, node);
+    }
+  }
+
+  #findHome(workerHash: number): Home | undefined {
+    let home: Home | undefined;
+    for (const node of this.#nodes.values()) {
+      if (home === undefined) home = { workerHash, node, score: weightOf(workerHash, node.hash) };
+      else offer(home, node);
+    }
+    return home;
+  }
+}
+
+function offer(home: Home, node: ScoredNode): void {
+  const score = weightOf(home.workerHash, node.hash);
+  if (!isBetter(node, score, home)) return;
+  home.node = node;
+  home.score = score;
+}
+
+function newestLives(nodes: readonly NodeRecord[]): ReadonlyMap<NodeId, NodeRecord> {
+  const newest = new Map<NodeId, NodeRecord>();
+  for (const record of nodes) {
+    const known = newest.get(record.node);
+    if (known === undefined || known.incarnation < record.incarnation) {
+      newest.set(record.node, record);
+    }
+  }
+  return newest;
+}
