--- a/src/routing/home-workers.ts
+++ b/src/routing/home-workers.ts
@@ -16,6 +16,7 @@
   record: WorkerRecord;
   pollAt: Milliseconds;
   failures: number;
+  answeredAt: Milliseconds;
   report: WorkerReport | undefined;
   published: WorkerLoad | undefined;
 }
@@ -23,6 +24,9 @@
 /** Failed polls in a row that make a worker unreachable. */
 const UNREACHABLE_FAILURES = 2;
 
+/** Polls without an answer after which a worker is silent. */
+const SILENT_POLLS = 8;
+
 /** Counts are published when they move by this share of the slots, or across full. */
 const PUBLISHED_STEP = 1 / 8;
 
@@ -65,11 +69,12 @@
   }
 
   /** Takes in the answer to a poll. */
-  answered(report: WorkerReport): void {
+  answered(report: WorkerReport, now: Milliseconds): void {
     const worker = this.#workers.get(report.worker);
     if (worker === undefined) return;
     worker.report = report;
     worker.failures = 0;
+    worker.answeredAt = now;
   }
 
   /** Takes in a failed poll; true where the worker counts as unreachable. */
@@ -80,6 +85,16 @@
     return worker.failures >= UNREACHABLE_FAILURES;
   }
 
+  /** Workers that have answered none of the last polls, whether or not these failed. */
+  silent(now: Milliseconds): readonly WorkerId[] {
+    const limit = SILENT_POLLS * this.#options.pollInterval;
+    const silent: WorkerId[] = [];
+    for (const [name, worker] of this.#workers) {
+      if (now - worker.answeredAt > limit) silent.push(name);
+    }
+    return silent;
+  }
+
   /** The last report of a worker. */
   report(name: WorkerId): WorkerReport | undefined {
     return this.#workers.get(name)?.report;
@@ -100,6 +115,7 @@
       record,
       pollAt: now + delay,
       failures: 0,
+      answeredAt: now,
       report: undefined,
       published: undefined,
     });
--- a/src/routing/load-subscriptions.ts
+++ b/src/routing/load-subscriptions.ts
@@ -2,6 +2,7 @@
 import { identityKey, type NodeIdentity, type WorkerId } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
+import type { WorkersOfHome } from './followed-workers.js';
 import type { LoadPush } from './load-publisher.js';
 
 /** Settings of the subscriptions. */
@@ -36,10 +37,7 @@
   }
 
   /** Sets which workers are wanted from which homes; returns messages that end subscriptions. */
-  replace(
-    wanted: ReadonlyMap<string, { readonly home: NodeIdentity; readonly workers: WorkerId[] }>,
-    now: Milliseconds,
-  ): readonly LoadPush[] {
+  replace(wanted: ReadonlyMap<string, WorkersOfHome>, now: Milliseconds): readonly LoadPush[] {
     const ended: LoadPush[] = [];
     for (const [key, subscription] of this.#subscriptions) {
       if (wanted.has(key)) continue;
--- a/src/routing/worker-entries.ts
+++ b/src/routing/worker-entries.ts
@@ -9,8 +9,10 @@
 export interface WorkerEntriesOptions {
   /** Time without news after which a worker counts as `connecting`. */
   readonly staleAfter: Milliseconds;
+  /** Time for which an own dispatch is counted apart; then the home's count has it. */
+  readonly sentLife: Milliseconds;
   /** Called on each change of a worker's state. */
-  readonly onChange: (entry: WorkerEntry, change: WorkerStateChange) => void;
+  readonly onChange: (change: WorkerStateChange) => void;
 }
 
 /** States from which a worker returns with a slow start. */
@@ -29,16 +31,22 @@
     return this.#entries.get(worker);
   }
 
-  values(): IterableIterator<WorkerEntry> {
-    return this.#entries.values();
+  /** Works out all that changes by time alone. */
+  sweep(now: Milliseconds): void {
+    for (const entry of this.#entries.values()) {
+      const isOld = now - entry.sentAt > this.#options.sentLife;
+      if (entry.sentSinceUpdate > 0 && isOld) entry.sentSinceUpdate = 0;
+      this.refresh(entry, now);
+    }
   }
 
-  /** Makes or updates the record of a worker; a change of home starts its load anew. */
+  /** Makes or updates the record of a worker; what was known stays until it is stale. */
   keep(record: WorkerRecord, home: NodeRecord, withdrawn: boolean, now: Milliseconds): WorkerEntry {
     const known = this.#entries.get(record.worker);
     const entry = known ?? new WorkerEntry(record, home);
     this.#entries.set(record.worker, entry);
     entry.record = record;
+    if (entry.home.node !== home.node) entry.counted = false;
     entry.home = home;
     entry.withdrawn = withdrawn;
     this.refresh(entry, now);
@@ -57,6 +65,6 @@
     if (from === to) return;
     entry.state = to;
     if (RETURN_STATES.has(from)) entry.returnedAt = now;
-    this.#options.onChange(entry, { worker: entry.record.worker, from, to });
+    this.#options.onChange({ worker: entry.record.worker, from, to });
   }
 }
--- a/src/routing/worker-entry.ts
+++ b/src/routing/worker-entry.ts
@@ -58,14 +58,15 @@
 
   /** Takes in what the worker's home tells. */
   takeLoad(load: WorkerLoad, now: Milliseconds): void {
+    this.saysLeaving = load.leaving;
+    this.health = load.health;
+    if (load.activeVersion === null) return;
     this.outstanding = load.outstanding;
     this.interactiveOutstanding = load.interactiveOutstanding;
     this.queueFree = load.queueFree;
     this.reportedLoad = load.reportedLoad;
-    this.activeVersion = load.activeVersion ?? undefined;
+    this.activeVersion = load.activeVersion;
     this.loadedVersions = load.loadedVersions;
-    this.saysLeaving = load.leaving;
-    this.health = load.health;
     this.heardAt = now;
     this.sentSinceUpdate = 0;
   }
@@ -92,6 +93,18 @@
     this.sentSinceUpdate = 0;
   }
 
+  /** Notes a dispatch of this node. */
+  noteSent(now: Milliseconds): void {
+    if (this.sentSinceUpdate === 0) this.sentAt = now;
+    this.sentSinceUpdate += 1;
+  }
+
+  /** Forgets the load: the worker is `connecting` until its home tells of it. */
+  forgetLoad(): void {
+    this.activeVersion = undefined;
+    this.heardAt = Number.NEGATIVE_INFINITY;
+  }
+
   /** What the home publishes. */
   toLoad(now: Milliseconds): WorkerLoad {
     const failing = this.outcomes.ejectedUntil > now;
