--- a/src/weights/model-rollout.ts
+++ b/src/weights/model-rollout.ts
@@ -1,6 +1,6 @@
 /**
  * Brings the workers of one model in one zone to a target version: prefetch under a limit on
- * loads at once, then activation once enough of them have loaded it or a wait limit has passed;
+ * loads at once, then activation once enough of them have loaded it or loading has stalled;
  * stragglers follow as they load.
  */
 import type { ModelName, WorkerId } from '../core/identity.js';
@@ -18,7 +18,7 @@
 export interface RolloutLimits {
   /** Share of the reachable workers that must have loaded a version before any activates it. */
   readonly activationQuorum: number;
-  /** Longest wait for that share. */
+  /** Longest wait for that share in which no further worker has loaded the version. */
   readonly activationWaitLimit: Milliseconds;
   /** Time after which an unanswered load is given up. */
   readonly loadTimeout: Milliseconds;
@@ -53,7 +53,9 @@
   /** Workers with an unanswered order, by the order's id. */
   private readonly orders = new Map<string, WorkerRollout>();
   private target: WeightVersion | undefined;
-  private targetSince: Milliseconds = 0;
+  /** Most workers seen with the target loaded, and since when. */
+  private mostLoaded = 0;
+  private progressAt: Milliseconds = 0;
   private activating = false;
 
   constructor(
@@ -82,7 +84,8 @@
   setTarget(target: WeightVersion | undefined, now: Milliseconds): boolean {
     if (target === this.target) return false;
     this.target = target;
-    this.targetSince = now;
+    this.mostLoaded = 0;
+    this.progressAt = now;
     this.activating = false;
     return true;
   }
@@ -118,8 +121,9 @@
   /**
    * Orders to be sent now.
    * @param loadsAtOnce how many loads may be under way at once.
+   * @param mayGoBack whether a worker may be ordered to an older version than its active one.
    */
-  dueOrders(loadsAtOnce: number, now: Milliseconds): RolloutOrder[] {
+  dueOrders(loadsAtOnce: number, mayGoBack: boolean, now: Milliseconds): RolloutOrder[] {
     this.expireOrders(now);
     const target = this.target;
     if (target === undefined) return [];
@@ -128,6 +132,7 @@
     const orders: RolloutOrder[] = [];
     for (const rollout of this.workers.values()) {
       if (rollout.isActive(target) || !rollout.isReady(now)) continue;
+      if (!mayGoBack && rollout.isAheadOf(target)) continue;
       if (rollout.hasLoaded(target)) {
         if (this.activating) orders.push(this.order(rollout, 'activate', target, now));
       } else if (freeLoads > 0) {
@@ -178,7 +183,11 @@
       if (rollout.hasLoaded(target)) loaded += 1;
     }
     const enough = reachable > 0 && loaded >= this.limits.activationQuorum * reachable;
-    const waited = now - this.targetSince >= this.limits.activationWaitLimit;
+    if (loaded > this.mostLoaded) {
+      this.mostLoaded = loaded;
+      this.progressAt = now;
+    }
+    const waited = now - this.progressAt >= this.limits.activationWaitLimit;
     this.activating = enough || waited;
   }
 
--- a/src/weights/weight-controller-types.ts
+++ b/src/weights/weight-controller-types.ts
@@ -33,7 +33,10 @@
 /** What the controller decides on. */
 export interface WeightControllerView {
   readonly configuration: Configuration;
-  /** Rollouts go on with the last known configuration while this is false. */
+  /**
+   * While this is false no epoch is claimed, and a controller that holds one only brings workers
+   * forward to the last known target, never back.
+   */
   readonly configurationFresh: boolean;
   /** Live nodes of the own zone, this node included while it may control. */
   readonly liveInZone: readonly NodeRecord[];
--- a/src/weights/weight-controller.ts
+++ b/src/weights/weight-controller.ts
@@ -104,18 +104,22 @@
     return effects;
   }
 
-  /** Sends what is due: claims, polls and orders. */
+  /**
+   * Sends what is due: claims, polls and orders. Call `update` first, so that a node which was
+   * paused knows that its configuration is not fresh.
+   */
   tick(now: Milliseconds): readonly WeightControllerEffect[] {
     const effects: WeightControllerEffect[] = [];
+    const isFresh = this.view?.configurationFresh ?? false;
     const loadsAtOnce = Math.max(1, Math.floor(this.zoneLoadsAtOnce / this.modelCount));
     for (const control of this.controls.values()) {
       const { claim, rollout } = control;
-      const request = claim.tick(now);
+      const request = isFresh ? claim.tick(now) : undefined;
       if (request !== undefined) effects.push(requestEffect(request));
       for (const worker of rollout.duePolls(now)) effects.push({ kind: 'poll', worker });
       const epoch = claim.epoch;
       if (epoch === undefined) continue;
-      for (const order of rollout.dueOrders(loadsAtOnce, now)) {
+      for (const order of rollout.dueOrders(loadsAtOnce, isFresh, now)) {
         effects.push(orderEffect(order, epoch));
       }
       this.tellCompletion(control, now, effects);
--- a/src/weights/worker-rollout.ts
+++ b/src/weights/worker-rollout.ts
@@ -97,6 +97,11 @@
     return this.activeVersion === version;
   }
 
+  /** Whether new tokens are made with a newer version. */
+  isAheadOf(version: WeightVersion): boolean {
+    return this.activeVersion !== undefined && this.activeVersion > version;
+  }
+
   private backOff(now: Milliseconds, random: RandomSource): void {
     this.failures += 1;
     this.retryAt = now + retryDelay(ORDER_RETRY_DELAY, this.failures, random);
