Gateway: HTTP for callers, trainers and operators

Cause: callers, trainers and operators need the published routes over the node's calls. Ruled out: closing a refused sender's connection at once, as that can destroy the answer on its way; ignoring fields of the OpenAI interface that cannot be honoured.

--- /dev/null
+++ b/src/gateway/health-routes.ts
@@ -0,0 +1,36 @@
+/**
+ * Routes that need no token: `/healthz`, `/readyz` and `/metrics`.
+ */
+import type { ServerResponse } from 'node:http';
+import type { CallHandler, Readiness } from './call-handler.js';
+import { writeDocument } from './response-writer.js';
+
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const METRICS_MEDIA_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
+
+/** Paths of these routes. */
+export const HEALTH_PATHS: readonly string[] = ['/healthz', '/readyz', '/metrics'];
+
+/** Answers one of {@link HEALTH_PATHS}. */
+export async function answerHealth(
+  path: string,
+  response: ServerResponse,
+  handler: CallHandler,
+  draining: boolean,
+): Promise<void> {
+  if (path === '/healthz') {
+    writeDocument(response, { status: STATUS_OK, document: { alive: true } });
+  } else if (path === '/readyz') {
+    const readiness = readinessOf(handler, draining);
+    const status = readiness.ready ? STATUS_OK : STATUS_UNAVAILABLE;
+    writeDocument(response, { status, document: readiness });
+  } else {
+    const counters = await handler.countersText();
+    response.writeHead(STATUS_OK, { 'content-type': METRICS_MEDIA_TYPE }).end(counters);
+  }
+}
+
+function readinessOf(handler: CallHandler, draining: boolean): Readiness {
+  return draining ? { ready: false, reason: 'stopping' } : handler.readiness();
+}
--- a/src/transport/peer-outbox.ts
+++ b/src/transport/peer-outbox.ts
@@ -60,11 +60,11 @@
     if (first === undefined) return undefined;
     let bytes = first.bytes;
     let count = 1;
-    for (const message of this.#waiting.slice(1)) {
-      if (!sameRecipient(first.to, message.to)) break;
+    for (; count < this.#waiting.length; count += 1) {
+      const message = this.#waiting[count];
+      if (message === undefined || !sameRecipient(first.to, message.to)) break;
       if (bytes + message.bytes > this.#limits.maxBatchBytes) break;
       bytes += message.bytes;
-      count += 1;
     }
     const taken = this.#waiting.splice(0, count);
     this.#bytes -= bytes;
