Node core builds on the merged modules

Cause: the draft waited for the facades of ledger, membership, feed, routing, weights and intents. Change: names and shapes fitted to what the modules export; readiness declared once.

--- a/src/core/node-ports.ts
+++ b/src/core/node-ports.ts
@@ -10,7 +10,7 @@
 import type { PeerMessage } from '../node/peer-message.js';
 import type { LedgerRecord } from '../rollouts/records.js';
 import type { CounterSink } from './counter-names.js';
-import type { NodeId, NodeIdentity, NodeRecord } from './identity.js';
+import type { NodeIdentity, NodeRecord } from './identity.js';
 import type { RandomSource } from './random.js';
 import type { Milliseconds } from './units.js';
 
@@ -71,8 +71,6 @@
   isConfirmed(): boolean;
   /** Whether the life is thought to be in service. */
   isAlive(identity: NodeIdentity): boolean;
-  /** Zone of a node, if it is known. */
-  zoneOf(node: NodeId): string | undefined;
   isStopping(): boolean;
   /** Runs a callback at the first tick after a delay. */
   later(delay: Milliseconds, callback: () => void): void;
--- a/src/gateway/call-handler.ts
+++ b/src/gateway/call-handler.ts
@@ -3,14 +3,7 @@
  */
 import type { Observable } from 'rxjs';
 import type { Milliseconds } from '../core/units.js';
-import type { CallReply, NodeCall } from '../node/calls.js';
-
-/** Whether the node may be given work. */
-export interface Readiness {
-  readonly ready: boolean;
-  /** Why, in a few words; shown at `/readyz`. */
-  readonly reason: string;
-}
+import type { CallReply, NodeCall, Readiness } from '../node/calls.js';
 
 /** The node as the gateway sees it. */
 export interface CallHandler {
--- a/src/node/calls.ts
+++ b/src/node/calls.ts
@@ -141,3 +141,10 @@
   | { readonly kind: 'segment'; readonly segment: TokenSegment; readonly text: string }
   | { readonly kind: 'done'; readonly body: ReplyBody }
   | { readonly kind: 'failed'; readonly failure: Failure };
+
+/** Whether a node may be given work. */
+export interface Readiness {
+  readonly ready: boolean;
+  /** Why, in a few words; shown at `/readyz`. */
+  readonly reason: string;
+}
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -2,11 +2,12 @@
  * The decision core of a node: every event in, every effect out, no I/O. It owns one instance of
  * each module and passes their effects on. Real processes and the lab's simulator run it alike.
  */
+
+import type { CounterName } from '../core/counter-names.js';
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
-import type { CounterName } from '../core/counter-names.js';
-import type { NodeCall } from './calls.js';
+import type { NodeCall, Readiness } from './calls.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
 import { NodeModules } from './node-modules.js';
 import type { NodeCoreOptions } from './node-options.js';
@@ -22,12 +23,6 @@
 /** How long a stopping node stays at least, so that others have heard of it. */
 const STOP_MINIMUM: Milliseconds = 1_500;
 
-/** Whether a node can take calls, and why not. */
-export interface Readiness {
-  readonly ready: boolean;
-  readonly reason: string;
-}
-
 /** One node's decisions. */
 export class NodeCore {
   private readonly modules: NodeModules;
@@ -138,11 +133,7 @@
     this.checkStopped(now);
   }
 
-  private receiveFromPeer(
-    from: NodeRecord,
-    to: NodeIdentity | null,
-    message: PeerMessage,
-  ): void {
+  private receiveFromPeer(from: NodeRecord, to: NodeIdentity | null, message: PeerMessage): void {
     const meantForOther = to !== null && !sameIdentity(to, this.self);
     if (meantForOther && this.modules.settings.mechanisms['incarnation-check']) {
       this.modules.context.counters.increment('messages_for_earlier_life');
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -17,14 +17,14 @@
 import type { KeyValueResult } from '../platform/key-value.js';
 import type { MachineRecord, WorkerRecord, WorkerReport } from '../platform/worker.js';
 import type { LedgerRecord } from '../rollouts/records.js';
-import { WorkerDirectory, type WorkerDirectoryEffect } from '../routing/worker-directory.js';
+import { WorkerDirectory } from '../routing/worker-directory.js';
+import type { WorkerDirectoryEffect } from '../routing/worker-directory-types.js';
 import { ExplainLog } from '../telemetry/explain-log.js';
 import { WeightController } from '../weights/weight-controller.js';
 import type { WeightControllerEffect } from '../weights/weight-controller-types.js';
-import type { NodeCall } from './calls.js';
+import type { NodeCall, Readiness } from './calls.js';
 import { LEDGER_REQUEST_PREFIX, LedgerAdapter } from './ledger-adapter.js';
 import { NodeContext } from './node-context.js';
-import type { Readiness } from './node-core.js';
 import { type NodeCoreOptions, type NodeSettings, resolveNodeOptions } from './node-options.js';
 import type { NodeStatus } from './status-messages.js';
 import { StatusService } from './status-service.js';
@@ -445,7 +445,7 @@
       self,
       now: () => this.context.now(),
       ownStatus: () => this.ownStatus(),
-      explain: (subject) => this.explainLog.about(subject),
+      explain: (subject) => this.explainLog.recordsOf(subject),
       members: () => this.otherMembers(),
       send: (to, message) => this.context.send(to, { module: 'status', body: message }),
       reply: (callId, reply) => this.context.reply(callId, reply),
@@ -485,8 +485,8 @@
     return this.ledger
       .health()
       .filter((group) => group.underStrength)
-      .map(({ domain, shard, epoch, active, members }) => {
-        return { intent: domain, shard, epoch, active, members };
+      .map(({ domain, shard, epoch, aliveCount, memberCount }) => {
+        return { intent: domain, shard, epoch, alive: aliveCount, members: memberCount };
       });
   }
 
--- a/src/node/sample-generation.ts
+++ b/src/node/sample-generation.ts
@@ -1,7 +1,7 @@
 /** Makes the generation request behind a sample of a step. */
 import type { Permission } from '../access/permission.js';
 import type { GenerationRequest } from '../core/generation.js';
-import { stepKey, type StepRecord } from '../rollouts/records.js';
+import { type StepRecord, stepKey } from '../rollouts/records.js';
 import { promptGroupOf } from '../rollouts/sample-queue.js';
 import type { SampleRequest } from './calls.js';
 
--- a/src/node/status-messages.ts
+++ b/src/node/status-messages.ts
@@ -27,7 +27,7 @@
   readonly intent: IntentName;
   readonly shard: number;
   readonly epoch: number;
-  readonly active: number;
+  readonly alive: number;
   readonly members: number;
 }
 
--- a/src/node/status-service.ts
+++ b/src/node/status-service.ts
@@ -140,7 +140,8 @@
 
   private finish(query: OpenQuery): void {
     if (!this.open.delete(query.queryId)) return;
-    const document = query.subject === null ? statusDocument(query, this.options) : explained(query);
+    const document =
+      query.subject === null ? statusDocument(query, this.options) : explained(query);
     this.options.reply(query.callId, { kind: 'done', body: { kind: 'operator', document } });
   }
 }
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -41,7 +41,7 @@
   private readonly admission: HomeAdmission;
   private readonly placement: WorkPlacement;
   private readonly runner: GenerationRunner;
-  private readonly retryBudget = new RetryBudget();
+  private readonly retryBudget = new RetryBudget({}, 0);
   private readonly withdrawal = new PeriodicTask(WITHDRAWAL_INTERVAL);
   private limitsOf: Configuration | null = null;
 
@@ -174,7 +174,7 @@
         choose: (request, zones, exclude, now) =>
           this.placement.choose(request, zones, exclude, now),
         mayRetry: (now) => this.retryBudget.tryRetry(now),
-        countFirstAttempt: (now) => this.retryBudget.recordRequest(now),
+        countFirstAttempt: (now) => this.retryBudget.recordFirstAttempt(now),
         nextDispatchId: () => this.modules.nextId(),
         explain: (subject, decision, reason) => this.ports.explain(subject, decision, reason),
         singleDispatch: mechanisms['single-dispatch'],
--- a/src/requests/interactive-request.ts
+++ b/src/requests/interactive-request.ts
@@ -3,15 +3,15 @@
  * comes. Nothing is kept of it.
  */
 import type { Permission } from '../access/permission.js';
-import { contentDigest } from '../core/hashing.js';
 import type { GenerationRequest } from '../core/generation.js';
+import { contentDigest } from '../core/hashing.js';
 import type { NodePorts } from '../core/node-ports.js';
-import type { NodeCall } from '../node/calls.js';
 import type {
   GenerationOutcome,
   GenerationRunner,
   RunningGeneration,
 } from '../dispatch/generation-runner.js';
+import type { NodeCall } from '../node/calls.js';
 import { promptGroupOf } from '../rollouts/sample-queue.js';
 
 /** An interactive call. */
--- a/src/requests/request-calls.ts
+++ b/src/requests/request-calls.ts
@@ -61,11 +61,7 @@
     }
   }
 
-  private startRepeatable(
-    callId: string,
-    call: GenerateCall,
-    permission: Permission,
-  ): void {
+  private startRepeatable(callId: string, call: GenerateCall, permission: Permission): void {
     const open: OpenCall = { deadline: call.deadline, generation: null, claimed: null };
     this.open.set(callId, open);
     const generation = runRepeatable(
@@ -82,11 +78,7 @@
     open.generation = generation;
   }
 
-  private startClaimed(
-    callId: string,
-    call: GenerateCall,
-    permission: Permission,
-  ): void {
+  private startClaimed(callId: string, call: GenerateCall, permission: Permission): void {
     if (call.idempotencyKey === null) {
       const reason = 'a request that may not be repeated needs an idempotency key';
       this.finish(callId, { kind: 'failed', failure: failure('malformed_request', reason) });
--- a/src/rollouts/step-calls.ts
+++ b/src/rollouts/step-calls.ts
@@ -3,8 +3,8 @@
  * zone of the trainer's intent answers them, from the replicated ledger.
  */
 import type { PermissionAnswer } from '../access/permission.js';
-import type { LedgerCallback, NodePorts, RegisterAddress } from '../core/node-ports.js';
 import type { AccountName, IntentName, ModelName } from '../core/identity.js';
+import type { LedgerCallback, NodePorts, RegisterAddress } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
 import { type ErrorKind, type Failure, failure } from '../errors/error-kinds.js';
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -12,11 +12,11 @@
 import type { SampleRequest } from '../node/calls.js';
 import { DeliveryAppender } from './delivery-appender.js';
 import { endStep } from './delivery-log.js';
+import { DispatchWindow } from './dispatch-window.js';
 import type { StepRecord } from './records.js';
+import { SampleQueue } from './sample-queue.js';
 import { decodeSamples, encodeResult } from './step-bodies.js';
 import type { StepPorts } from './step-ports.js';
-import { DispatchWindow } from './dispatch-window.js';
-import { SampleQueue } from './sample-queue.js';
 
 /** Time given to one ledger operation before it is tried anew. */
 const LEDGER_TIMEOUT: Milliseconds = 2 * SECOND;
@@ -133,16 +133,18 @@
       this.pausedUntil = this.node.now() + RETRY_PAUSE;
       return false;
     }
-    const entry: RunningSample = { sample, startedAt: this.node.now(), generations: [], liveCopies: 0 };
+    const entry: RunningSample = {
+      sample,
+      startedAt: this.node.now(),
+      generations: [],
+      liveCopies: 0,
+    };
     this.running.set(sample.key, entry);
     this.generate(entry, answer.permission);
     return this.node.now() >= this.pausedUntil;
   }
 
-  private generate(
-    entry: RunningSample,
-    permission: Parameters<StepPorts['generate']>[1],
-  ): void {
+  private generate(entry: RunningSample, permission: Parameters<StepPorts['generate']>[1]): void {
     entry.liveCopies += 1;
     const running = this.ports.generate(this.record, permission, entry.sample, this.deadline, {
       onEnd: (outcome) => this.generated(entry, outcome),
@@ -198,7 +200,11 @@
     if (entry === undefined) return;
     this.running.delete(sampleKey);
     this.node.counters.increment('samples_stale');
-    this.node.explain(this.key, `sample ${sampleKey} runs again`, 'a token is older than the bound');
+    this.node.explain(
+      this.key,
+      `sample ${sampleKey} runs again`,
+      'a token is older than the bound',
+    );
     this.queue?.putBack(entry.sample);
   }
 
--- a/src/rollouts/step-reader.ts
+++ b/src/rollouts/step-reader.ts
@@ -3,8 +3,9 @@
  * ended, or the reader's deadline is over, and answers at once then. Reading again gives the same
  * bytes, since positions and results never change.
  */
-import type { NodePorts } from '../core/node-ports.js';
+
 import type { IntentName } from '../core/identity.js';
+import type { NodePorts } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -4,11 +4,12 @@
  * that hears of no driver for a while, longer the lower its rank, takes the step over. A lower
  * ranked driver that hears of a higher ranked one stands back.
  */
+
+import type { GroupRecord } from '../config-feed/configuration.js';
 import { rendezvousOrder } from '../core/hashing.js';
 import { identityKey, type NodeIdentity, sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { MINUTE } from '../core/units.js';
-import type { GroupRecord } from '../config-feed/configuration.js';
 import type { RolloutMessage } from './messages.js';
 import { pagePrefix, STEP_PREFIX, type StepRecord } from './records.js';
 import { StepDriver } from './step-driver.js';
