Node core builds on the merged modules

Cause: the draft waited for the facades of ledger, membership, feed, routing, weights and intents. Change: names and shapes fitted to what the modules export; readiness declared once.

--- a/src/gateway/health-routes.ts
+++ b/src/gateway/health-routes.ts
@@ -2,7 +2,8 @@
  * Routes that need no token: `/healthz`, `/readyz` and `/metrics`.
  */
 import type { ServerResponse } from 'node:http';
-import type { CallHandler, Readiness } from './call-handler.js';
+import type { Readiness } from '../node/calls.js';
+import type { CallHandler } from './call-handler.js';
 import { writeDocument } from './response-writer.js';
 
 const STATUS_OK = 200;
