--- /dev/null
+++ b/src/cli/in-force-report.ts
@@ -0,0 +1,91 @@
+/** Watches the status of the fleet until a revision is in force in every zone. */
+import { printDocument } from './client-command.js';
+import type { CommandInput } from './command.js';
+import { EXIT_CODES, type ExitCode } from './exit-codes.js';
+import type { OperatorClient } from './operator-client.js';
+
+/** Time between two looks at the status, in milliseconds. */
+const STATUS_INTERVAL = 500;
+
+/** What the status says of one zone. */
+export interface ZoneStatus {
+  /** Lowest revision in force on a live node of the zone. */
+  readonly lowestRevision: number;
+  readonly nodes: number;
+  /** Whether the zone can show that its configuration is fresh. */
+  readonly fresh: boolean;
+}
+
+/** One line of the report. */
+interface ZoneReport {
+  readonly zone: string;
+  readonly state: 'in-force' | 'not-seen' | 'cut-off';
+  readonly revision: number;
+  /** Time from the confirmation until it was seen, in milliseconds. */
+  readonly after_ms: number;
+}
+
+/**
+ * Asks for the status again and again, and prints each zone as soon as the revision is in force
+ * there. A cut-off zone follows the intent's cut-off rule; it is named at the end.
+ */
+export async function waitUntilInForce(
+  input: CommandInput,
+  client: OperatorClient,
+  revision: number,
+  timeout: number,
+): Promise<ExitCode> {
+  const reported = new Set<string>();
+  let zones: Readonly<Record<string, ZoneStatus>> = {};
+  for (let waited = 0; ; waited += STATUS_INTERVAL) {
+    const answer = await client.send({ method: 'GET', path: '/v1/status', body: null });
+    if (answer.isOk) zones = zonesOf(answer.value);
+    for (const report of freshReports(zones, revision, waited, reported)) {
+      printDocument(input, report);
+    }
+    const complete = Object.keys(zones).length > 0 && reported.size === Object.keys(zones).length;
+    if (complete) return EXIT_CODES.ok;
+    if (waited >= timeout) return reportMissing(input, zones, reported, waited);
+    await input.terminal.pause(STATUS_INTERVAL);
+  }
+}
+
+function zonesOf(status: Readonly<Record<string, unknown>>): Record<string, ZoneStatus> {
+  const { zones } = status;
+  return typeof zones === 'object' && zones !== null ? (zones as Record<string, ZoneStatus>) : {};
+}
+
+function freshReports(
+  zones: Readonly<Record<string, ZoneStatus>>,
+  revision: number,
+  waited: number,
+  reported: Set<string>,
+): ZoneReport[] {
+  const reached = Object.entries(zones).filter(
+    ([zone, status]) => !reported.has(zone) && status.lowestRevision >= revision,
+  );
+  return reached.map(([zone, status]) => {
+    reported.add(zone);
+    return { zone, state: 'in-force', revision: status.lowestRevision, after_ms: waited };
+  });
+}
+
+function reportMissing(
+  input: CommandInput,
+  zones: Readonly<Record<string, ZoneStatus>>,
+  reported: ReadonlySet<string>,
+  waited: number,
+): ExitCode {
+  for (const [zone, status] of Object.entries(zones)) {
+    if (reported.has(zone)) continue;
+    const state = status.fresh ? 'not-seen' : 'cut-off';
+    const report: ZoneReport = {
+      zone,
+      state,
+      revision: status.lowestRevision,
+      after_ms: waited,
+    };
+    printDocument(input, report);
+  }
+  return EXIT_CODES.outcomeUnknown;
+}
--- /dev/null
+++ b/src/cli/intent-confirm-command.ts
@@ -0,0 +1,57 @@
+/** `wardwing intent confirm`: puts a plan into force, and with `--wait` watches it get there. */
+import { ACCEPTED_DURATIONS, parseDuration } from '../settings/duration.js';
+import { CLIENT_FLAGS, clientOf, printDocument, reportFailure } from './client-command.js';
+import {
+  type Command,
+  type CommandInput,
+  flagText,
+  reportProblems,
+  switchFlag,
+  valueFlag,
+} from './command.js';
+import { EXIT_CODES, type ExitCode } from './exit-codes.js';
+import { waitUntilInForce } from './in-force-report.js';
+import type { OperatorClient } from './operator-client.js';
+
+const STANDARD_WAIT = '30s';
+
+/** The command. */
+export const intentConfirmCommand: Command = {
+  words: 'intent confirm',
+  parameters: ['plan'],
+  summary: 'Put a plan into force, unless the intent changed since the plan was made',
+  flags: [
+    ...CLIENT_FLAGS,
+    switchFlag('wait', 'Report per zone when the change is in force'),
+    valueFlag('wait-timeout', `Longest wait for all zones, ${STANDARD_WAIT} where not given`),
+  ],
+  examples: [
+    'intent confirm 3f2a90c41b7d5e68 --endpoint 127.0.0.1:7400',
+    'intent confirm 3f2a90c41b7d5e68 --wait --wait-timeout 1m --endpoint 127.0.0.1:7400',
+  ],
+  async run(input) {
+    const asked = flagText(input.flags, 'wait-timeout') ?? STANDARD_WAIT;
+    const timeout = parseDuration(asked);
+    if (timeout.isNothing) {
+      const reason = `"${asked}" is not a duration`;
+      const problem = { key: '--wait-timeout', reason, accepted: ACCEPTED_DURATIONS };
+      return reportProblems(input.terminal, [problem]);
+    }
+    const client = clientOf(input);
+    if (client.isErr) return reportProblems(input.terminal, client.error);
+    return confirm(input, client.value, timeout.value);
+  },
+};
+
+async function confirm(
+  input: CommandInput,
+  client: OperatorClient,
+  waitTimeout: number,
+): Promise<ExitCode> {
+  const body = { plan_id: input.parameters[0] };
+  const answer = await client.send({ method: 'POST', path: '/v1/intents/confirm', body });
+  if (answer.isErr) return reportFailure(input, answer.error, true);
+  printDocument(input, answer.value);
+  if (input.flags.wait !== true) return EXIT_CODES.ok;
+  return waitUntilInForce(input, client, Number(answer.value.revision), waitTimeout);
+}
--- /dev/null
+++ b/src/cli/publish-command.ts
@@ -0,0 +1,26 @@
+/** `wardwing publish`: announces a weight version that lies ready in the weight store. */
+import type { SchemaProblem } from '../settings/schema-problems.js';
+import { askAndPrint, CLIENT_FLAGS } from './client-command.js';
+import { type Command, reportProblems } from './command.js';
+
+/** The command. */
+export const publishCommand: Command = {
+  words: 'publish',
+  parameters: ['model', 'version', 'digest', 'bytes'],
+  summary: 'Announce a weight version of a model; versions only rise, repeating one is harmless',
+  flags: CLIENT_FLAGS,
+  examples: ['publish model-bench 7 sha256-9f86d081 1048576 --endpoint 127.0.0.1:7400'],
+  async run(input) {
+    const [model = '', version = '', digest = '', bytes = ''] = input.parameters;
+    const problems = [...numberProblems('version', version), ...numberProblems('bytes', bytes)];
+    if (problems.length > 0) return reportProblems(input.terminal, problems);
+    const path = `/v1/models/${encodeURIComponent(model)}/versions`;
+    const body = { version: Number(version), digest, bytes: Number(bytes) };
+    return askAndPrint(input, { method: 'POST', path, body }, true);
+  },
+};
+
+function numberProblems(key: string, text: string): SchemaProblem[] {
+  if (/^[1-9]\d{0,14}$/.test(text)) return [];
+  return [{ key, reason: `"${text}" is not such a number`, accepted: 'a whole number above 0' }];
+}
--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -6,8 +6,14 @@
 import { z } from 'zod';
 import type { CutOffRule, Intent } from '../config-feed/configuration.js';
 import type { ZoneName } from '../core/identity.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
 import { formatDuration } from '../settings/duration.js';
-import { checkDocument, durationField, type SchemaProblem } from '../settings/schema-problems.js';
+import {
+  checkDocument,
+  durationField,
+  formatProblem,
+  type SchemaProblem,
+} from '../settings/schema-problems.js';
 
 /** Largest share of a worker's slots that may be reserved for interactive traffic. */
 export const RESERVED_SHARE_LIMIT = 0.9;
@@ -95,6 +101,16 @@
   });
 }
 
+/** Makes a reader of drafts for the gateway: {@link parseIntent} with one failure for all problems. */
+export function draftReader(
+  knownZones: readonly ZoneName[],
+): (document: unknown) => Result<Intent, Failure> {
+  return (document) =>
+    parseIntent(document, knownZones).mapErr((problems) =>
+      failure('invalid_intent', problems.map(formatProblem).join('; ')),
+    );
+}
+
 /** Checks what an intent means against the zones of the fleet; empty when it may be proposed. */
 export function checkIntent(intent: Intent, knownZones: readonly ZoneName[]): SchemaProblem[] {
   return [
--- a/src/settings/flags.ts
+++ b/src/settings/flags.ts
@@ -1,6 +1,4 @@
 /** Flags that override keys of the settings file, as one table. */
-import type { SchemaProblem } from './schema-problems.js';
-
 /** Flags by name, without the leading dashes. */
 export type FlagValues = Readonly<Record<string, unknown>>;
 
@@ -50,15 +48,3 @@
   }
   return result;
 }
-
-/** Problems with flags that are not in the table. */
-export function unknownFlags(values: FlagValues, others: readonly string[]): SchemaProblem[] {
-  const known = [...SETTINGS_FLAGS.map((entry) => entry.flag), ...others];
-  return Object.keys(values)
-    .filter((name) => !known.includes(name))
-    .map((name) => ({
-      key: `--${name}`,
-      reason: 'this flag is not known',
-      accepted: known.map((entry) => `--${entry}`).join(', '),
-    }));
-}
--- /dev/null
+++ b/src/telemetry/counters.ts
@@ -0,0 +1,83 @@
+/** Counters and gauges of one node, over the closed list in `metric-table.ts`. */
+import { Counter, collectDefaultMetrics, Gauge, Registry } from 'prom-client';
+import {
+  COUNTERS,
+  type CounterName,
+  GAUGES,
+  type GaugeName,
+  type LabelsOf,
+  type MetricDescription,
+} from './metric-table.js';
+
+/** Settings of {@link NodeCounters}. */
+export interface NodeCountersOptions {
+  /** Whether to add the library's metrics of the process: CPU, memory, event loop. @default false */
+  readonly withProcessMetrics?: boolean;
+}
+
+/** Counters and gauges of one node, in a registry of their own. */
+export class NodeCounters {
+  readonly #registry = new Registry();
+  readonly #counters: ReadonlyMap<string, Counter>;
+  readonly #gauges: ReadonlyMap<string, Gauge>;
+
+  constructor(options: NodeCountersOptions = {}) {
+    this.#counters = createAll(COUNTERS, (settings) => new Counter(settings), this.#registry);
+    this.#gauges = createAll(GAUGES, (settings) => new Gauge(settings), this.#registry);
+    if (options.withProcessMetrics === true) collectDefaultMetrics({ register: this.#registry });
+  }
+
+  /** Raises a counter; `amount` must not be negative. */
+  increment<Name extends CounterName>(
+    name: Name,
+    labels: LabelsOf<(typeof COUNTERS)[Name]>,
+    amount = 1,
+  ): void {
+    this.#counters.get(name)?.inc(labels, amount);
+  }
+
+  /** Sets a gauge. */
+  set<Name extends GaugeName>(
+    name: Name,
+    labels: LabelsOf<(typeof GAUGES)[Name]>,
+    value: number,
+  ): void {
+    this.#gauges.get(name)?.set(labels, value);
+  }
+
+  /** Drops all values of a gauge, before its labels are set anew. */
+  clear(name: GaugeName): void {
+    this.#gauges.get(name)?.reset();
+  }
+
+  /** All metrics in the Prometheus text format, for `/metrics`. */
+  countersText(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  /** Media type of {@link countersText}. */
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+}
+
+/** What the library needs to make one metric. */
+interface MetricSettings {
+  readonly name: string;
+  readonly help: string;
+  readonly labelNames: string[];
+  readonly registers: Registry[];
+}
+
+function createAll<Metric>(
+  table: Readonly<Record<string, MetricDescription>>,
+  create: (settings: MetricSettings) => Metric,
+  registry: Registry,
+): ReadonlyMap<string, Metric> {
+  return new Map(
+    Object.entries(table).map(([name, { help, labels }]) => {
+      const settings = { name, help, labelNames: [...labels], registers: [registry] };
+      return [name, create(settings)];
+    }),
+  );
+}
