Tests of settings, intents' schema, command line and telemetry

Cause: errors must name key, reason and accepted values, and exit codes must hold. Found by the tests: the accepted values of a duration were lost behind the schema's wrappers, so a wrong unit was answered with 'see the reason'; the description is now looked for inside the wrappers. Change: tests for settings, intents, the command line (against a stand-in HTTP server in the same process) and telemetry. Conclusion: the schema errors say what would be accepted.

--- a/src/settings/schema-problems.ts
+++ b/src/settings/schema-problems.ts
@@ -67,7 +67,7 @@
 
 function acceptedAt(schema: z.ZodType, issue: z.core.$ZodIssue): string {
   if (issue.code === 'invalid_value') return issue.values.map(String).join(', ');
-  const described = schemasAlong(schema, issue.path).at(-1)?.description;
+  const described = descriptionOf(schemasAlong(schema, issue.path).at(-1));
   if (described !== undefined) return described;
   if (issue.code === 'invalid_type') return `a value of type ${issue.expected}`;
   return 'see the reason';
@@ -95,14 +95,27 @@
   return met;
 }
 
+/** The description of a schema, or of the nearest schema inside it that has one. */
+function descriptionOf(schema: z.ZodType | undefined): string | undefined {
+  if (schema === undefined) return undefined;
+  return schema.description ?? descriptionOf(innerOf(schema));
+}
+
+/** The schema without everything that is wrapped around it. */
 function unwrap(schema: z.ZodType | undefined): z.ZodType | undefined {
-  if (schema instanceof z.ZodPipe) return unwrap(schema.in as z.ZodType);
-  const wrapped =
+  const inner = schema === undefined ? undefined : innerOf(schema);
+  return inner === undefined ? schema : unwrap(inner);
+}
+
+/** What a schema that adds a default, a transformation or the like is wrapped around. */
+function innerOf(schema: z.ZodType): z.ZodType | undefined {
+  if (schema instanceof z.ZodPipe) return schema.in as z.ZodType;
+  const wraps =
     schema instanceof z.ZodOptional ||
     schema instanceof z.ZodNullable ||
     schema instanceof z.ZodDefault ||
     schema instanceof z.ZodPrefault;
-  return wrapped ? unwrap(schema.unwrap() as z.ZodType) : schema;
+  return wraps ? (schema.unwrap() as z.ZodType) : undefined;
 }
 
 function valueAt(document: unknown, path: readonly PropertyKey[]): unknown {
--- /dev/null
+++ b/test/cli/program.test.ts
@@ -0,0 +1,206 @@
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import path from 'node:path';
+import t from 'tap';
+import { nodeCommand } from '../../src/cli/node-command.js';
+import { COMMANDS, runProgram } from '../../src/cli/program.js';
+import type { Settings } from '../../src/settings/settings.js';
+import { SETTINGS_TEXT } from '../settings/fixtures/settings-text.js';
+
+const INTENT_TEXT = `
+name = "pricing"
+trainer = "pricing-trainer"
+model = "model-bench"
+zones = ["abdali-hall"]
+staleness_bound = 2
+cut_off = { rule = "refuse" }
+`;
+
+const folder = t.testdir({
+  'node.toml': SETTINGS_TEXT,
+  'wrong.toml': SETTINGS_TEXT.replace('machine =', 'machnie ='),
+  'intent.toml': INTENT_TEXT,
+  'wrong-intent.toml': INTENT_TEXT.replace('zones', 'zone'),
+  token: 'token-from-file\n',
+});
+
+const inFolder = (name: string) => path.join(folder, name);
+
+async function run(words: readonly string[], commands = COMMANDS) {
+  const lines: string[] = [];
+  const errors: string[] = [];
+  let paused = 0;
+  const code = await runProgram(
+    words,
+    {
+      writeLine: (text) => lines.push(text),
+      writeError: (text) => errors.push(text),
+      environment: { PEER_TOKEN: 'a-shared-peer-token', WARDWING_TOKEN: 'token-of-amal' },
+      pause: async (duration) => {
+        paused += duration;
+      },
+    },
+    commands,
+  );
+  return { code, lines, errors, paused };
+}
+
+interface Received {
+  readonly line: string;
+  readonly token: string | undefined;
+  readonly body: unknown;
+}
+
+/** A stand-in for a node's HTTP interface; `null` breaks the connection off. */
+async function startServer(answer: (received: Received) => [number, unknown] | null) {
+  const received: Received[] = [];
+  const server: Server = createServer(async (request, response) => {
+    const body = await bodyOf(request);
+    const line = `${request.method} ${request.url}`;
+    received.push({ line, token: request.headers.authorization, body });
+    const answered = answer(received.at(-1) as Received);
+    if (answered === null) request.socket.destroy();
+    else response.writeHead(answered[0]).end(JSON.stringify(answered[1]));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const endpoint = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return { received, endpoint };
+}
+
+async function bodyOf(request: IncomingMessage): Promise<unknown> {
+  let text = '';
+  for await (const chunk of request) text += String(chunk);
+  return text === '' ? null : JSON.parse(text);
+}
+
+t.test('check: exit code 0 for a good file, 2 for a wrong one', async (t) => {
+  t.match(await run(['check', inFolder('node.toml')]), {
+    code: 0,
+    lines: [/valid, node abdali-1/],
+  });
+  const wrong = await run(['check', inFolder('wrong.toml')]);
+  t.match(wrong, { code: 2, errors: [/^node.machine: .*missing/, /^node.machnie: .*not known/] });
+  const json = await run(['check', '--json', inFolder('wrong.toml')]);
+  t.equal(json.code, 2);
+  t.match(JSON.parse(json.lines[0] ?? ''), {
+    valid: false,
+    problems: [{ key: 'node.machine' }, {}],
+  });
+  t.equal((await run(['check', inFolder('node.toml'), '--zone', 'nowhere'])).code, 2);
+});
+
+t.test('bad usage is exit code 2 and says what is accepted', async (t) => {
+  const calls: [string, RegExp][] = [
+    ['', /names no command; accepted: node, check/],
+    ['intent destroy', /names no command/],
+    ['intent confirm', /plan: .*missing; accepted: wardwing intent confirm PLAN/],
+    ['status surplus', /surplus: there is no such parameter/],
+    ['status --unknown 1', /--unknown: this flag is not known/],
+    ['status', /--endpoint: this flag is missing/],
+    ['status --endpoint localhost', /"localhost" is not an endpoint/],
+    ['drain rack r1', /kind: "rack" cannot be drained; accepted: node, worker, zone/],
+    ['publish m 0 d 10', /version: "0"/],
+    ['node', /--settings: this flag is missing/],
+    [`node --settings ${inFolder('wrong.toml')}`, /node.machine/],
+    [`intent propose ${inFolder('wrong-intent.toml')} --endpoint 127.0.0.1:1`, /zones: .*missing/],
+    ['intent confirm p --wait --wait-timeout 5 --endpoint 127.0.0.1:1', /--wait-timeout/],
+  ];
+  for (const [words, message] of calls) {
+    const result = await run(words.split(' ').filter((word) => word !== ''));
+    t.equal(result.code, 2, words);
+    t.match(result.errors[0], message);
+  }
+});
+
+t.test('node starts with the settings, flags over the file', async (t) => {
+  let started: Settings | undefined;
+  const program = {
+    startNode: async (settings: Settings) => {
+      started = settings;
+      return 0;
+    },
+  };
+  const words = ['node', '--settings', inFolder('node.toml'), '--name', '7'];
+  const result = await run(words, [nodeCommand(async () => program)]);
+  t.equal(result.code, 0);
+  t.equal(started?.node.name, '7');
+});
+
+t.test('each command sends its request with the token', async (t) => {
+  const server = await startServer(() => [200, { revision: 12 }]);
+  const target = ['--endpoint', server.endpoint, '--json'];
+  const propose = [...target, '--token-file', inFolder('token')];
+  t.equal((await run(['intent', 'propose', inFolder('intent.toml'), ...propose])).code, 0);
+  const confirmed = await run(['intent', 'confirm', '0042', ...target]);
+  t.same(confirmed.lines, ['{"revision":12}']);
+  await run(['intent', 'show', ...target]);
+  await run(['intent', 'history', ...target]);
+  await run(['explain', 'step/7', ...target]);
+  await run(['drain', 'node', 'abdali-1', '--undo', ...target]);
+  await run(['publish', 'model-bench', '7', '0012', '99', ...target]);
+  t.match(server.received, [
+    {
+      line: 'POST /v1/intents/propose',
+      token: 'Bearer token-from-file',
+      body: { draft: { name: 'pricing', zones: ['abdali-hall'], cut_off: { rule: 'refuse' } } },
+    },
+    { line: 'POST /v1/intents/confirm', token: 'Bearer token-of-amal', body: { plan_id: '0042' } },
+    { line: 'GET /v1/intents' },
+    { line: 'GET /v1/intents/history' },
+    { line: 'GET /v1/explain/step%2F7' },
+    { body: { target: { kind: 'node', name: 'abdali-1' }, drained: false } },
+    {
+      line: 'POST /v1/models/model-bench/versions',
+      body: { version: 7, digest: '0012', bytes: 99 },
+    },
+  ]);
+});
+
+t.test('exit codes tell refused, unreachable and unknown apart', async (t) => {
+  const problem = { kind: 'plan_stale', ran: 'no', retry_after_ms: null, detail: 'by "basil"' };
+  const stale = await startServer(() => [409, problem]);
+  const refused = await run(['intent', 'confirm', 'p', '--endpoint', stale.endpoint]);
+  t.match(refused, { code: 1, errors: [/plan_stale: by "basil"/] });
+  const unknown = await startServer(() => [
+    504,
+    { ...problem, kind: 'confirm_unknown', ran: 'unknown' },
+  ]);
+  t.equal((await run(['intent', 'confirm', 'p', '--endpoint', unknown.endpoint])).code, 4);
+  const broken = await startServer(() => null);
+  t.equal((await run(['drain', 'node', 'n', '--endpoint', broken.endpoint])).code, 4);
+  t.equal((await run(['status', '--endpoint', broken.endpoint])).code, 3);
+  t.equal((await run(['drain', 'node', 'n', '--endpoint', '127.0.0.1:1'])).code, 3);
+});
+
+t.test('confirm --wait reports each zone when it is in force, and a cut-off one', async (t) => {
+  let looks = 0;
+  const zone = (lowestRevision: number, fresh = true) => ({ lowestRevision, nodes: 2, fresh });
+  const server = await startServer(({ line }) => {
+    if (line.startsWith('POST')) return [202, { revision: 20 }];
+    looks += 1;
+    const abdali = zone(looks >= 2 ? 20 : 19);
+    return [200, { zones: { abdali, marka: looks >= 3 ? zone(21) : zone(11, false) } }];
+  });
+  const words = ['intent', 'confirm', 'p', '--wait', '--json', '--endpoint', server.endpoint];
+  const result = await run(words);
+  t.equal(result.code, 0);
+  t.match(
+    result.lines.slice(1).map((line) => JSON.parse(line)),
+    [
+      { zone: 'abdali', state: 'in-force', revision: 20, after_ms: 500 },
+      { zone: 'marka', state: 'in-force', revision: 21, after_ms: 1_000 },
+    ],
+  );
+  looks = Number.NEGATIVE_INFINITY;
+  const late = await run([...words, '--wait-timeout', '2s']);
+  t.equal(late.code, 4, 'not seen in force');
+  t.match(
+    late.lines.slice(1).map((line) => JSON.parse(line)),
+    [
+      { zone: 'abdali', state: 'not-seen' },
+      { zone: 'marka', state: 'cut-off' },
+    ],
+  );
+  t.equal(late.paused, 2_000);
+});
