--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,133 @@
+/**
+ * One node as a process: builds clients, servers and the decision core from the settings, runs
+ * until it is stopped, and ends in order. The only place that wires I/O to decisions.
+ */
+import { firstValueFrom } from 'rxjs';
+import type { NodeRecord } from './core/identity.js';
+import { createRandomSource } from './core/random.js';
+import { GatewayServer } from './gateway/gateway-server.js';
+import { draftReader } from './intents/intent-schema.js';
+import { EffectRunner } from './node/effect-runner.js';
+import { NodeCore } from './node/node-core.js';
+import { NodeRunner } from './node/node-runner.js';
+import { EngineClient } from './platform/engine-client.js';
+import { KeyValueClient } from './platform/key-value-client.js';
+import { MachineListClient } from './platform/machine-list-client.js';
+import type { Settings } from './settings/settings.js';
+import { createLogger, type NodeLogger } from './telemetry/logger.js';
+import { NodeMetrics } from './telemetry/node-metrics.js';
+import { PeerTransport } from './transport/peer-transport.js';
+
+/** Exit code of a process that was told to end at once. */
+const EXIT_ENDED_AT_ONCE = 1;
+
+/** Where a server listens. */
+interface Endpoint {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Runs a node until it is stopped; resolves with the exit code of the process. */
+export async function startNode(settings: Settings): Promise<number> {
+  const { node } = settings;
+  const logger = createLogger({ node: node.name, zone: node.zone, level: settings.log.level });
+  const self = nodeRecord(settings);
+  const { token } = settings.peers;
+  const transport = new PeerTransport({ self, listen: parseEndpoint(node.peerListen), token });
+  const effects = createEffects(settings, transport, logger);
+  const core = createCore(settings, self);
+  const metrics = new NodeMetrics(
+    () => core.counters(),
+    () => transport.stats(),
+  );
+  const runner = new NodeRunner(core, effects, transport.received, () => metrics.text());
+  const gateway = createGateway(settings, runner);
+  await transport.start();
+  runner.start();
+  const { address } = await gateway.start();
+  logger.logStateChange('node', 'started', { address, incarnation: self.incarnation });
+  await stopRequested(runner, logger);
+  await gateway.drain();
+  await gateway.stop();
+  runner.close();
+  effects.close();
+  await transport.stop();
+  logger.logStateChange('node', 'stopped', {});
+  return 0;
+}
+
+function nodeRecord(settings: Settings): NodeRecord {
+  const { name, zone, region, machine, peerListen } = settings.node;
+  return { node: name, incarnation: Date.now(), zone, region, machine, address: peerListen };
+}
+
+function createCore(settings: Settings, self: NodeRecord): NodeCore {
+  const operators = settings.accounts.filter((account) => account.role === 'operator');
+  return new NodeCore({
+    self,
+    random: createRandomSource((self.incarnation ^ process.pid) | 0),
+    zones: settings.fleet.zones,
+    operators: operators.map((account) => account.name),
+    freshnessBound: settings.timing.freshnessBound,
+    replicaCount: settings.fleet.replicas,
+    shardsPerDomain: settings.fleet.shardsPerDomain,
+    machineListInterval: settings.timing.machineListInterval,
+  });
+}
+
+function createEffects(
+  settings: Settings,
+  transport: PeerTransport,
+  logger: NodeLogger,
+): EffectRunner {
+  const { keyValue, machineList } = settings.platform;
+  const requestTimeout = settings.timing.keyValueTimeout;
+  return new EffectRunner({
+    transport,
+    keyValue: keyValue.map((address) => new KeyValueClient({ address, requestTimeout })),
+    engines: new EngineClient(),
+    machineList: new MachineListClient({ address: machineList }),
+    logger,
+  });
+}
+
+function createGateway(settings: Settings, runner: NodeRunner): GatewayServer {
+  const { limits, timing, node } = settings;
+  return new GatewayServer(
+    {
+      listen: parseEndpoint(node.listen),
+      accounts: settings.accounts,
+      parseIntent: draftReader(settings.fleet.zones.map((zone) => zone.name)),
+      limits: {
+        maxBodyBytes: limits.maxBodyBytes,
+        maxHeaderBytes: limits.maxHeaderBytes,
+        bodyTimeout: limits.bodyTimeout,
+        maxConnections: limits.maxConnections,
+        defaultDeadline: timing.requestTimeout,
+      },
+    },
+    runner,
+  );
+}
+
+/** Resolves once a stop was asked for, by signal or by an operator's drain, and has been done. */
+async function stopRequested(runner: NodeRunner, logger: NodeLogger): Promise<void> {
+  let asked = false;
+  const onSignal = (): void => {
+    if (asked) {
+      logger.logStateChange('node', 'ended at once', {});
+      process.exit(EXIT_ENDED_AT_ONCE);
+    }
+    asked = true;
+    runner.stop();
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+  await firstValueFrom(runner.stopped);
+}
+
+function parseEndpoint(endpoint: string): Endpoint {
+  const separator = endpoint.lastIndexOf(':');
+  const host = endpoint.slice(0, separator).replace(/^\[|\]$/g, '');
+  return { host, port: Number(endpoint.slice(separator + 1)) };
+}
