Demo: both deployments as real processes, with trainers, callers and an oracle

Cause: the whole path must be seen end to end before it is deepened. Change: lab clients over HTTP judging every answer by the oracle of generated text; launcher, deployments, closing table; a node is killed and started again on the way.

--- /dev/null
+++ b/lab/demo/demo.ts
@@ -0,0 +1,58 @@
+/**
+ * The demo: both deployments of wardwing's first users as real processes on loopback, with
+ * operators, trainers and interactive callers, changing weights and a killed node. Ends by itself;
+ * the exit code says whether the promises held.
+ */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { closeConnections } from '../load/json-client.js';
+import type { CommandFlags } from '../main.js';
+import { DeploymentRun } from './deployment-run.js';
+import { DEPLOYMENTS } from './deployments.js';
+import { ProcessGroup } from './process-group.js';
+import { RunningDeployment } from './running-deployment.js';
+import { promisesHeld, summaryTable } from './summary.js';
+
+const DEFAULT_LOAD_SECONDS = 36;
+const DEFAULT_SEED = 1;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Runs the demo; returns the exit code. */
+export async function run(_name: string, flags: CommandFlags): Promise<number> {
+  const seconds = Number(flags.seconds ?? DEFAULT_LOAD_SECONDS);
+  const seed = Number(flags.seed ?? DEFAULT_SEED);
+  const keep = flags.keep === true;
+  const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-demo-'));
+  const group = new ProcessGroup(folder);
+  const startedAt = performance.now();
+  const progress = (line: string): void => {
+    const elapsed = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
+    console.log(`${elapsed.toFixed(1).padStart(6)} s  ${line}`);
+  };
+  const endBySignal = (): void => void group.stopAll().then(() => process.exit(1));
+  process.once('SIGINT', endBySignal);
+  process.once('SIGTERM', endBySignal);
+  try {
+    const running = DEPLOYMENTS.map((deployment) => {
+      return new RunningDeployment(deployment, group, folder);
+    });
+    progress('starting platform stand-ins, engines and nodes');
+    await Promise.all(running.map((deployment) => deployment.start()));
+    progress('all nodes are ready');
+    const runs = running.map((deployment, index) => {
+      return new DeploymentRun(deployment, progress, seed + index * 10);
+    });
+    const duration = seconds * MILLISECONDS_PER_SECOND;
+    const reports = await Promise.all(runs.map((deploymentRun) => deploymentRun.run(duration)));
+    console.log(`\n${summaryTable(reports)}\n`);
+    const held = promisesHeld(reports);
+    console.log(held ? 'The promises held.' : 'A PROMISE WAS BROKEN.');
+    return held ? 0 : 1;
+  } finally {
+    await group.stopAll();
+    closeConnections();
+    if (keep) console.log(`logs are in ${folder}`);
+    else rmSync(folder, { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/lab/load/trainer-client.ts
@@ -0,0 +1,228 @@
+/**
+ * A trainer over HTTP: submits steps, reads them by cursor, judges every sample with the oracle of
+ * generated text, acknowledges, and goes on. Nodes that do not answer are left for others.
+ */
+import type { TokenSegment } from '../../src/core/generation.js';
+import type { RandomSource } from '../../src/core/random.js';
+import { expectedText } from '../emulator/generated-text.js';
+import { type JsonAnswer, requestJson } from './json-client.js';
+import type { TrainerReport } from './trainer-report.js';
+import type { VersionRecord } from './version-record.js';
+
+/** What a trainer does. */
+export interface TrainerOptions {
+  readonly name: string;
+  readonly token: string;
+  readonly model: string;
+  readonly addresses: () => readonly string[];
+  readonly samplesPerStep: number;
+  /** How long a step is trained on before the next is drawn, in milliseconds. */
+  readonly trainingTime: number;
+  readonly stepTimeout: number;
+  /** How many versions behind a token may be. */
+  readonly stalenessBound: number;
+  /** Time a published version may take to be known everywhere, in milliseconds. */
+  readonly versionGrace: number;
+  readonly versions: VersionRecord;
+  readonly random: RandomSource;
+}
+
+interface SampleDocument {
+  readonly position: number;
+  readonly key: string;
+  readonly text: string;
+  readonly versions: readonly {
+    readonly version: number;
+    readonly first_token: number;
+    readonly token_count: number;
+  }[];
+}
+
+interface PageDocument {
+  readonly state: 'open' | 'complete' | 'closed';
+  readonly next_cursor: number;
+  readonly samples: readonly SampleDocument[];
+}
+
+interface StepSample {
+  readonly key: string;
+  readonly prompt: string;
+  readonly max_tokens: number;
+  readonly seed: number;
+}
+
+const MAX_TOKENS = 400;
+/** Samples that share a prompt. */
+const GROUP_SIZE = 8;
+const READ_WAIT_MILLISECONDS = 2_000;
+const READ_LIMIT = 64;
+const REQUEST_TIMEOUT_MILLISECONDS = 8_000;
+const RETRY_PAUSE_MILLISECONDS = 200;
+
+/** Draws steps until it is stopped. */
+export class TrainerClient {
+  private stopped = false;
+  private stepNumber = 0;
+
+  constructor(
+    private readonly options: TrainerOptions,
+    readonly report: TrainerReport,
+  ) {}
+
+  /** Lets the step in progress end and draws no further one. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Draws steps; resolves once stopped and the last step has ended. */
+  async run(): Promise<void> {
+    const startedAt = performance.now();
+    while (!this.stopped) {
+      this.stepNumber += 1;
+      const waitedFrom = performance.now();
+      await this.drawStep(`${this.options.name}-${this.stepNumber}`);
+      this.report.idleMilliseconds += performance.now() - waitedFrom;
+      await pause(this.options.trainingTime);
+    }
+    this.report.totalMilliseconds += performance.now() - startedAt;
+  }
+
+  /** Tries to submit one step once; the answer shows whether an intent allows it. */
+  async trySubmit(stepId: string): Promise<JsonAnswer | undefined> {
+    return this.submit(stepId, this.makeSamples(stepId), this.pickAddress());
+  }
+
+  private async drawStep(stepId: string): Promise<void> {
+    const samples = this.makeSamples(stepId);
+    await this.submitUntilAccepted(stepId, samples);
+    this.report.asked += samples.length;
+    const byKey = new Map(samples.map((sample) => [sample.key, sample]));
+    const seen = new Map<string, string>();
+    let cursor = 0;
+    let state: PageDocument['state'] = 'open';
+    while (state === 'open') {
+      const page = await this.read(stepId, cursor);
+      if (page === undefined) {
+        await pause(RETRY_PAUSE_MILLISECONDS);
+        continue;
+      }
+      for (const sample of page.samples) this.judge(sample, byKey, seen);
+      state = page.state;
+      if (page.next_cursor > cursor) {
+        cursor = page.next_cursor;
+        await this.acknowledge(stepId, cursor);
+      }
+    }
+    this.report.steps += 1;
+    if (state === 'closed') this.report.closedSteps += 1;
+    else this.report.lost += samples.length - seen.size;
+    if (cursor > 0) await this.readAgain(stepId, seen);
+  }
+
+  private makeSamples(stepId: string): readonly StepSample[] {
+    return Array.from({ length: this.options.samplesPerStep }, (_unused, index) => {
+      const group = Math.floor(index / GROUP_SIZE);
+      return {
+        key: `s${index}`,
+        prompt: `step ${stepId} clause ${group}: summarize for the guidance`,
+        max_tokens: MAX_TOKENS,
+        seed: index,
+      };
+    });
+  }
+
+  private async submitUntilAccepted(stepId: string, samples: readonly StepSample[]): Promise<void> {
+    for (;;) {
+      const answer = await this.submit(stepId, samples, this.pickAddress());
+      if (answer?.status === 202) return;
+      this.report.refused(answer);
+      await pause(RETRY_PAUSE_MILLISECONDS);
+    }
+  }
+
+  private submit(
+    stepId: string,
+    samples: readonly StepSample[],
+    address: string,
+  ): Promise<JsonAnswer | undefined> {
+    const { model, token, stepTimeout } = this.options;
+    const body = { step_id: stepId, model, timeout_ms: stepTimeout, samples };
+    return this.request('POST', '/v1/rollouts', address, token, body);
+  }
+
+  private async read(stepId: string, cursor: number): Promise<PageDocument | undefined> {
+    const query = `cursor=${cursor}&limit=${READ_LIMIT}&wait_ms=${READ_WAIT_MILLISECONDS}`;
+    const path = `/v1/rollouts/${stepId}?${query}`;
+    const answer = await this.request('GET', path, this.pickAddress(), this.options.token);
+    if (answer?.status === 200) return answer.document as PageDocument;
+    this.report.refused(answer);
+    return undefined;
+  }
+
+  private async acknowledge(stepId: string, cursor: number): Promise<void> {
+    const path = `/v1/rollouts/${stepId}/acknowledge`;
+    const answer = await this.request('POST', path, this.pickAddress(), this.options.token, {
+      cursor,
+    });
+    if (answer?.status !== 200) this.report.refused(answer);
+  }
+
+  /** Reads the first page once more: positions and texts must be the same. */
+  private async readAgain(stepId: string, seen: ReadonlyMap<string, string>): Promise<void> {
+    const page = await this.read(stepId, 0);
+    for (const sample of page?.samples ?? []) {
+      if (seen.get(sample.key) !== `${sample.position} ${sample.text}`) this.report.changed += 1;
+    }
+  }
+
+  private judge(
+    sample: SampleDocument,
+    byKey: ReadonlyMap<string, StepSample>,
+    seen: Map<string, string>,
+  ): void {
+    const asked = byKey.get(sample.key);
+    if (seen.has(sample.key)) this.report.twice += 1;
+    seen.set(sample.key, `${sample.position} ${sample.text}`);
+    this.report.delivered += 1;
+    const segments: TokenSegment[] = sample.versions.map((range) => ({
+      version: range.version,
+      firstToken: range.first_token,
+      tokenCount: range.token_count,
+    }));
+    const expected = asked && expectedText(asked.prompt, asked.seed, segments);
+    if (expected !== sample.text) this.report.wrongText += 1;
+    this.judgeVersions(segments);
+  }
+
+  private judgeVersions(segments: readonly TokenSegment[]): void {
+    const { versions, stalenessBound, versionGrace } = this.options;
+    const now = performance.now();
+    const oldest = Math.min(...segments.map((segment) => segment.version));
+    for (const segment of segments) this.report.versions.add(segment.version);
+    if (segments.length > 1) this.report.spanning += 1;
+    this.report.stalenessVersions.push(Math.max(0, versions.newestAt(now) - oldest));
+    this.report.stalenessMilliseconds.push(versions.ageAt(oldest, now));
+    const known = versions.newestAt(now - versionGrace);
+    if (oldest < known - stalenessBound) this.report.tooOld += 1;
+  }
+
+  private pickAddress(): string {
+    const addresses = this.options.addresses();
+    return addresses[this.options.random.integer(addresses.length)] ?? '';
+  }
+
+  private request(
+    method: 'GET' | 'POST',
+    path: string,
+    address: string,
+    token: string,
+    body?: unknown,
+  ): Promise<JsonAnswer | undefined> {
+    const timeout = REQUEST_TIMEOUT_MILLISECONDS;
+    return requestJson({ method, path, address, token, body, timeout });
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
