Plans of nodes with equal seeds are never mixed up

Cause: a conflict on storing a plan was taken for a lost attempt of the same call. Two nodes, or two lives of one node, with equal seeds draw the same identifier, and the second would have been handed the first one's plan. Ruled out: relying on distinct seeds, which settings can break. Change: a conflict without a lost attempt draws another identifier, one after a lost attempt reads back and compares the value; change identifiers name the node and its incarnation.

--- a/src/intents/confirm.ts
+++ b/src/intents/confirm.ts
@@ -5,7 +5,6 @@
  */
 import { type Intent, intentKey } from '../config-feed/configuration.js';
 import type { AccountName } from '../core/identity.js';
-import type { RandomSource } from '../core/random.js';
 import type { Revision } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import {
@@ -30,7 +29,8 @@
 export interface ConfirmInput {
   readonly account: AccountName;
   readonly planId: string;
-  readonly random: RandomSource;
+  /** Unique for this call in the whole fleet. */
+  readonly changeId: string;
 }
 
 /** What stands in the key-value service about one plan. */
@@ -45,7 +45,7 @@
 
 /** Puts a plan into force, once. */
 export function* confirm(input: ConfirmInput): Procedure {
-  const use: PlanUse = { account: input.account, changeId: input.random.identifier() };
+  const use: PlanUse = { account: input.account, changeId: input.changeId };
   let unknown = false;
   for (;;) {
     const state = yield* readPlanState(input.planId, unknown);
--- a/src/intents/intent-service.ts
+++ b/src/intents/intent-service.ts
@@ -141,7 +141,7 @@
       case 'intent-propose':
         return propose({ account: call.account, draft: call.draft, configuration, random });
       case 'intent-confirm':
-        return confirm({ account: call.account, planId: call.planId, random });
+        return confirm({ account: call.account, planId: call.planId, changeId: this.#changeId() });
       case 'intent-history':
         return showHistory();
       case 'version-publish': {
@@ -149,9 +149,15 @@
         return publishVersion({ ...call, catalogueLimit });
       }
       case 'drain':
-        return setDrain({ ...call, random });
+        return setDrain({ ...call, changeId: this.#changeId() });
     }
   }
+
+  /** Names the node's life as well, so that equal seeds on two nodes or lives do no harm. */
+  #changeId(): string {
+    const { self, random } = this.#options;
+    return `${self.node}-${self.incarnation}-${random.identifier()}`;
+  }
 }
 
 function* showHistory(): Procedure {
--- a/src/intents/propose.ts
+++ b/src/intents/propose.ts
@@ -3,7 +3,14 @@
 import type { AccountName } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import { makePlan, type Plan, planDocument, planKey, type StoredPlan } from './plan.js';
-import { documented, type Procedure, type ProcedureOutcome, read, transact } from './procedure.js';
+import {
+  documented,
+  type Procedure,
+  type ProcedureOutcome,
+  read,
+  readPatiently,
+  transact,
+} from './procedure.js';
 
 /** What a proposal needs. */
 export interface ProposeInput {
@@ -17,29 +24,36 @@
 export function* propose(input: ProposeInput): Procedure {
   const found = yield* read(intentKey(input.draft.name));
   const entry = found.entries[0];
-  const plan = makePlan({
-    planId: input.random.identifier(),
-    account: input.account,
-    draft: input.draft,
-    current: entry === undefined ? null : (JSON.parse(entry.value) as Intent),
-    modRevision: entry?.modRevision ?? 0,
-    readAtRevision: found.revision,
-    configuration: input.configuration,
-  });
-  yield* store(plan);
-  return proposed(plan);
+  for (;;) {
+    const plan = makePlan({
+      planId: input.random.identifier(),
+      account: input.account,
+      draft: input.draft,
+      current: entry === undefined ? null : (JSON.parse(entry.value) as Intent),
+      modRevision: entry?.modRevision ?? 0,
+      readAtRevision: found.revision,
+      configuration: input.configuration,
+    });
+    if (yield* store(plan)) return proposed(plan);
+  }
 }
 
-function* store(plan: Plan): Procedure<void> {
+/** Stores a plan; false where its identifier is taken by another plan. */
+function* store(plan: Plan): Procedure<boolean> {
   const key = planKey(plan.planId);
   const stored: StoredPlan = { plan, use: null };
-  const write = { kind: 'put', key, value: JSON.stringify(stored) } as const;
+  const value = JSON.stringify(stored);
   let unknown = false;
   for (;;) {
-    const outcome = yield* transact([{ key, modRevision: 0 }], [write], unknown);
-    // The identifier is this plan's own, so a conflict means that a lost attempt took effect.
-    if (outcome.kind !== 'unknown') return;
-    unknown = true;
+    const outcome = yield* transact(
+      [{ key, modRevision: 0 }],
+      [{ kind: 'put', key, value }],
+      unknown,
+    );
+    if (outcome.kind === 'applied') return true;
+    if (outcome.kind === 'unknown') unknown = true;
+    // A conflict may be with a lost attempt of this call, which left the very same value.
+    else return unknown && (yield* readPatiently(key)).entries[0]?.value === value;
   }
 }
 
--- a/src/intents/set-drain.ts
+++ b/src/intents/set-drain.ts
@@ -1,7 +1,6 @@
 /** Draining: puts or deletes a drain record by compare-and-swap; repeating it changes nothing. */
 import { type DrainRecord, type DrainTarget, drainKey } from '../config-feed/configuration.js';
 import type { AccountName } from '../core/identity.js';
-import type { RandomSource } from '../core/random.js';
 import type { KeyValueWrite } from '../platform/key-value.js';
 import { type DrainChangeRecord, historyKey } from './history.js';
 import {
@@ -20,7 +19,8 @@
   readonly reason: string;
   /** False takes an earlier drain back. */
   readonly drained: boolean;
-  readonly random: RandomSource;
+  /** Unique for this call in the whole fleet. */
+  readonly changeId: string;
 }
 
 /**
@@ -30,9 +30,8 @@
 export function* setDrain(input: DrainInput): Procedure {
   const key = drainKey(input.target);
   const first = yield* read(key);
-  const changeId = input.random.identifier();
-  const record = historyKey(first.revision, changeId);
-  const writes = [writeOf(input, key), recordOf(input, record, changeId)];
+  const record = historyKey(first.revision, input.changeId);
+  const writes = [writeOf(input, key), recordOf(input, record)];
   let found = first;
   let unknown = false;
   for (;;) {
@@ -61,11 +60,11 @@
   return { kind: 'put', key, value: JSON.stringify(record) };
 }
 
-function recordOf(input: DrainInput, key: string, changeId: string): KeyValueWrite {
+function recordOf(input: DrainInput, key: string): KeyValueWrite {
   const record: DrainChangeRecord = {
     kind: 'drain',
     account: input.account,
-    changeId,
+    changeId: input.changeId,
     target: input.target,
     reason: input.reason,
     drained: input.drained,
--- a/test/intents/intent-service.test.ts
+++ b/test/intents/intent-service.test.ts
@@ -118,6 +118,23 @@
   t.equal(failureOf(harness.run(confirmCall('no-such-plan'))).kind, 'not_found');
 });
 
+t.test('equal seeds on two nodes never mix up their plans', async (t) => {
+  const harness = new ServiceHarness(2, 1, 'equal-seeds');
+  const first = harness.propose(DRAFT, 'amal', 0);
+  const second = harness.propose({ ...DRAFT, zones: [] }, 'basil', 1);
+  t.not(first, second);
+  harness.run(confirmCall(second));
+  t.match(harness.store.entries.get(INTENT_KEY)?.value, '"zones":[]');
+  const lost = documentOf(
+    harness.run({ kind: 'intent-propose', account: 'amal', draft: DRAFT }, [
+      'none',
+      'applied-answer-lost',
+    ]),
+  );
+  t.ok(harness.store.entries.has(`/wardwing/plans/${lost.plan_id}`));
+  t.equal(harness.store.entries.size, 5, 'three plans, one intent, one record');
+});
+
 t.test('an abandoned call takes no further step', async (t) => {
   const harness = new ServiceHarness();
   const planId = harness.propose(DRAFT);
