--- a/src/cli/in-force-report.ts
+++ b/src/cli/in-force-report.ts
@@ -9,9 +9,12 @@
 
 /** What the status says of one zone. */
 export interface ZoneStatus {
-  /** Lowest revision in force on a live node of the zone. */
-  readonly lowestRevision: number;
+  /** Lowest revision in force on a node of the zone that answered; `null` where none did. */
+  readonly lowestRevision: number | null;
+  /** Nodes that are thought to be in service. */
   readonly nodes: number;
+  /** Nodes that told their revision; all of them where it is left out. */
+  readonly answered?: number;
   /** Whether the zone can show that its configuration is fresh. */
   readonly fresh: boolean;
 }
@@ -20,7 +23,7 @@
 interface ZoneReport {
   readonly zone: string;
   readonly state: 'in-force' | 'not-seen' | 'cut-off';
-  readonly revision: number;
+  readonly revision: number | null;
   /** Time from the confirmation until it was seen, in milliseconds. */
   readonly after_ms: number;
 }
@@ -62,7 +65,7 @@
   reported: Set<string>,
 ): ZoneReport[] {
   const reached = Object.entries(zones).filter(
-    ([zone, status]) => !reported.has(zone) && status.lowestRevision >= revision,
+    ([zone, status]) => !reported.has(zone) && isInForce(status, revision),
   );
   return reached.map(([zone, status]) => {
     reported.add(zone);
@@ -70,6 +73,12 @@
   });
 }
 
+/** A node that did not tell its revision may be behind, so all nodes of the zone must have. */
+function isInForce(status: ZoneStatus, revision: number): boolean {
+  const complete = (status.answered ?? status.nodes) >= status.nodes;
+  return complete && status.lowestRevision !== null && status.lowestRevision >= revision;
+}
+
 function reportMissing(
   input: CommandInput,
   zones: Readonly<Record<string, ZoneStatus>>,
--- a/test/cli/program.test.ts
+++ b/test/cli/program.test.ts
@@ -175,12 +175,14 @@
 
 t.test('confirm --wait reports each zone when it is in force, and a cut-off one', async (t) => {
   let looks = 0;
-  const zone = (lowestRevision: number, fresh = true) => ({ lowestRevision, nodes: 2, fresh });
+  const silent = { lowestRevision: null, nodes: 2, answered: 0, fresh: false };
+  const zone = (lowestRevision: number) => ({ lowestRevision, nodes: 2, fresh: true });
   const server = await startServer(({ line }) => {
     if (line.startsWith('POST')) return [202, { revision: 20 }];
     looks += 1;
-    const abdali = zone(looks >= 2 ? 20 : 19);
-    return [200, { zones: { abdali, marka: looks >= 3 ? zone(21) : zone(11, false) } }];
+    // At the first look a node of the zone is silent, and may be behind.
+    const abdali = looks >= 2 ? zone(20) : { ...zone(looks === 1 ? 20 : 19), answered: 1 };
+    return [200, { zones: { abdali, marka: looks >= 3 ? zone(21) : silent } }];
   });
   const words = ['intent', 'confirm', 'p', '--wait', '--json', '--endpoint', server.endpoint];
   const result = await run(words);
