Membership starts once the machine list is known

Cause: a node whose first tick came before the machine list confirmed itself as the only member and never joined; ledger groups were then created with one member. Seen in two demo runs. Change: the membership is ticked only after the first machine list.

--- a/lab/demo/deployment-run.ts
+++ b/lab/demo/deployment-run.ts
@@ -1,6 +1,7 @@
 /** One deployment's part of the demo: intent, weights, steps, lookups, and a killed node. */
 import { createRandomSource } from '../../src/core/random.js';
 import { InteractiveClient, InteractiveReport } from '../load/interactive-client.js';
+import type { JsonAnswer } from '../load/json-client.js';
 import { OperatorClient } from '../load/operator-client.js';
 import { kindOf } from '../load/refusal-counts.js';
 import { TrainerClient } from '../load/trainer-client.js';
@@ -133,12 +134,14 @@
   /** Waits until a first step would be accepted. */
   private async untilServing(): Promise<void> {
     const end = performance.now() + SERVING_LIMIT_MILLISECONDS;
+    let answer: JsonAnswer | undefined;
     while (performance.now() < end) {
-      const answer = await this.trainer.trySubmit('first-light');
+      answer = await this.trainer.trySubmit('first-light');
       if (answer?.status === 202) return;
       await pause(LOOKUP_INTERVAL_MILLISECONDS);
     }
-    throw new Error(`${this.running.deployment.name}: no step was accepted`);
+    const last = JSON.stringify(answer);
+    throw new Error(`${this.running.deployment.name}: no step was accepted: ${last}`);
   }
 
   private async publish(model: string): Promise<void> {
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -53,6 +53,8 @@
   readonly work: WorkModules;
   private readonly explainLog = new ExplainLog();
   private machines: readonly MachineRecord[] = [];
+  /** Without it a node cannot tell being alone from not having been told of others. */
+  private machineListSeen = false;
   private zoneWorkers: readonly WorkerRecord[] = [];
   /** The machine list that `zoneWorkers` was made from. */
   private zoneWorkersOf: readonly MachineRecord[] = [];
@@ -157,6 +159,7 @@
   machineList(machines: readonly MachineRecord[]): void {
     const now = this.context.now();
     this.machines = machines;
+    this.machineListSeen = true;
     const signalled = this.settings.mechanisms['leaving-signal'];
     const listed = signalled ? machines : machines.map((machine) => ({ ...machine, state: LIVE }));
     this.applyMembership(this.membership.machineList(listed, now));
@@ -173,7 +176,7 @@
 
   /** Time passes for the modules that keep the node part of the fleet. */
   tickFoundation(now: Milliseconds): void {
-    this.applyMembership(this.membership.tick(now));
+    if (this.machineListSeen) this.applyMembership(this.membership.tick(now));
     this.applyFeed(this.feed.tick(now));
     this.ledgerAdapter.apply(this.ledger.tick(now));
     this.applyDirectory(this.directory.tick(now));
