--- a/src/gateway/body-reader.ts
+++ b/src/gateway/body-reader.ts
@@ -54,7 +54,8 @@
     };
     const onEnd = (): void => finish(result.ok(Buffer.concat(chunks)));
     const onClose = (): void => finish(result.err('gone'));
-    const onTimeout = (): void => finish(result.err(failure('sender_too_slow', 'body')));
+    const onTimeout = (): void =>
+      finish(result.err(failure('sender_too_slow', 'body: not whole in time')));
     const timer = setTimeout(onTimeout, this.#limits.bodyTimeout);
     request.on('data', onData).on('end', onEnd).on('close', onClose);
   }
