Gateway: faults of one call stay in it; an untaken answer cannot hold up a drain

Cause: a node that threw on submit left the call's timer and listener behind, which would have written to an ended answer; a caller that never reads its answer kept drain waiting for ever; a 401 lacked the WWW-Authenticate header. Ruled out: ending the drain while answers are still on their way. Change: submit is deferred into the stream, a reply that cannot be written fails its call, answers have answerTimeout to be taken, 401 names the scheme. Conclusion: the two faults have tests.

--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -3,7 +3,7 @@
  * away, reads too slowly, or gets no answer by the deadline.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { type Observable, Subscription } from 'rxjs';
+import { defer, type Observable, Subscription } from 'rxjs';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { CallReply, ReplyBody } from '../node/calls.js';
 import { type StreamFormat, unexpectedReply } from './answer-format.js';
@@ -76,7 +76,7 @@
     this.#startTimer();
     this.#subscription.add(
       this.#replies().subscribe({
-        next: (reply) => this.#onReply(reply),
+        next: (reply) => this.#answer(reply),
         error: () => this.#fail(failure('internal', 'the call ended with a fault')),
         complete: () => this.#fail(failure('internal', 'the call ended without an answer')),
       }),
@@ -84,7 +84,7 @@
   }
 
   #replies(): Observable<CallReply> {
-    return this.#handler.submit(this.#prepared.call);
+    return defer(() => this.#handler.submit(this.#prepared.call));
   }
 
   #startTimer(): void {
@@ -94,6 +94,14 @@
     this.#subscription.add(() => clearTimeout(timer));
   }
 
+  #answer(reply: CallReply): void {
+    try {
+      this.#onReply(reply);
+    } catch {
+      this.#fail(failure('internal', 'the reply could not be written'));
+    }
+  }
+
   #onReply(reply: CallReply): void {
     if (this.#ended) return;
     if (reply.kind === 'failed') this.#fail(reply.failure);
@@ -114,8 +122,8 @@
       this.#fail(unexpectedReply());
       return;
     }
-    this.#end({ kind: 'answered' });
     writeDocument(this.#exchange.response, answer);
+    this.#end({ kind: 'answered' });
   }
 
   #finishStream(format: StreamFormat, body: ReplyBody): void {
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -55,6 +55,11 @@
    * @default 1 s
    */
   readonly lingerTime: Milliseconds;
+  /**
+   * Time for a caller to take an answer that is complete; then its connection is cut.
+   * @default 30 s
+   */
+  readonly answerTimeout: Milliseconds;
   /**
    * Connections at once; more are closed as they come.
    * @default 4,096
@@ -118,6 +123,7 @@
   headerTimeout: 10 * SECOND,
   bodyTimeout: 30 * SECOND,
   lingerTime: SECOND,
+  answerTimeout: 30 * SECOND,
   maxConnections: 4_096,
   maxInFlightPerAccount: 2_048,
   maxStreamBufferBytes: 256 * KIBIBYTE,
--- a/src/gateway/problem-document.ts
+++ b/src/gateway/problem-document.ts
@@ -47,8 +47,11 @@
 
 /** Headers that go with a failure: `Retry-After` in whole seconds, rounded up, at least 1. */
 export function problemHeaders(value: Failure): Readonly<Record<string, string>> {
+  const headers: Record<string, string> = { 'content-type': PROBLEM_MEDIA_TYPE };
   const retryAfter = retryAfterOf(value);
-  const headers = { 'content-type': PROBLEM_MEDIA_TYPE };
-  if (retryAfter === null) return headers;
-  return { ...headers, 'retry-after': String(Math.max(1, Math.ceil(retryAfter / SECOND))) };
+  if (retryAfter !== null) {
+    headers['retry-after'] = String(Math.max(1, Math.ceil(retryAfter / SECOND)));
+  }
+  if (value.kind === 'unauthenticated') headers['www-authenticate'] = 'Bearer';
+  return headers;
 }
--- a/src/gateway/request-pipeline.ts
+++ b/src/gateway/request-pipeline.ts
@@ -4,6 +4,7 @@
 import type { ServerResponse } from 'node:http';
 import type Result from 'true-myth/result';
 import * as result from 'true-myth/result';
+import type { Milliseconds } from '../core/units.js';
 import { type ErrorKind, type Failure, failure } from '../errors/error-kinds.js';
 import { AccountRegistry } from './account-registry.js';
 import { BodyReader } from './body-reader.js';
@@ -95,7 +96,7 @@
     this.#counters.countRequest();
     try {
       await this.#run(exchange, admitted.value);
-      await flushed(exchange.response);
+      await flushed(exchange.response, this.#limits.answerTimeout);
     } finally {
       this.#inFlight.leave(admitted.value.account.name);
     }
@@ -151,10 +152,18 @@
   }
 }
 
-/** Resolves when an answer was handed to the operating system, or its reader has gone. */
-function flushed(response: ServerResponse): Promise<void> {
+/**
+ * Resolves when an answer was handed to the operating system or its reader has gone; a reader that
+ * takes longer than `timeout` is cut off.
+ */
+function flushed(response: ServerResponse, timeout: Milliseconds): Promise<void> {
   if (response.writableFinished || response.destroyed) return Promise.resolve();
   return new Promise((resolve) => {
-    response.once('finish', resolve).once('close', resolve);
+    const timer = setTimeout(() => response.destroy(), timeout);
+    const finish = (): void => {
+      clearTimeout(timer);
+      resolve();
+    };
+    response.once('finish', finish).once('close', finish);
   });
 }
--- a/test/gateway/completions.test.ts
+++ b/test/gateway/completions.test.ts
@@ -188,3 +188,37 @@
   gateway.handler.arrived.subscribe((position) => gateway.handler.replies[position]?.complete());
   t.match(await gateway.ask('caller', '/v1/completions', BODY), { document: { kind: 'internal' } });
 });
+
+t.test(
+  'a node that throws, or replies what cannot be written, is a fault of its own call',
+  async (t) => {
+    const gateway = await new GatewayFixture().start();
+    t.teardown(() => gateway.server.stop());
+    gateway.handler.answers = [{ kind: 'done', body: { kind: 'operator', document: { big: 1n } } }];
+    const unwritable = await gateway.ask('operator', '/v1/status');
+    t.match(unwritable, { status: 500, document: { kind: 'internal', ran: 'unknown' } });
+    gateway.handler.submit = () => {
+      throw new Error('broken');
+    };
+    t.match(await gateway.ask('caller', '/v1/completions', BODY), {
+      document: { kind: 'internal' },
+    });
+    t.match(gateway.server.stats(), { inFlight: 0, failures: { internal: 2 } });
+  },
+);
+
+t.test('a caller that does not take its answer cannot hold up a drain', async (t) => {
+  const gateway = await new GatewayFixture({ answerTimeout: 10 }).start();
+  t.teardown(() => gateway.server.stop());
+  const body = { kind: 'operator', document: { text: 'x'.repeat(50_000_000) } } as const;
+  gateway.handler.answers = [{ kind: 'done', body }];
+  const arrived = firstValueFrom(gateway.handler.arrived);
+  const socket = gateway.raw(
+    'GET /v1/status HTTP/1.1\r\nhost: x\r\nauthorization: Bearer operator-token\r\n\r\n',
+  );
+  socket.pause();
+  await arrived;
+  await gateway.server.drain();
+  t.equal(gateway.server.stats().inFlight, 0);
+  socket.destroy();
+});
