Gateway tests: an answer on its way is whole although the node stops

Change: a test that reads a large answer slowly while the node drains and stops; the test of a throwing node waits past the deadline of its call. Conclusion: a planned stop cuts off no answer is now shown for the gateway.

--- a/test/gateway/completions.test.ts
+++ b/test/gateway/completions.test.ts
@@ -190,23 +190,50 @@
 });
 
 t.test(
-  'a node that throws, or replies what cannot be written, is a fault of its own call',
+  'a node that throws is a fault of its own call, as is a reply that cannot be written',
   async (t) => {
-    const gateway = await new GatewayFixture().start();
+    const gateway = await new GatewayFixture({ deadlineGrace: 1 }).start();
     t.teardown(() => gateway.server.stop());
+    const ask = (deadline: string) =>
+      gateway.ask('caller', '/v1/completions', BODY, { 'wardwing-deadline-ms': deadline });
     gateway.handler.answers = [{ kind: 'done', body: { kind: 'operator', document: { big: 1n } } }];
     const unwritable = await gateway.ask('operator', '/v1/status');
     t.match(unwritable, { status: 500, document: { kind: 'internal', ran: 'unknown' } });
+    gateway.handler.answers = [];
+    const submit = gateway.handler.submit.bind(gateway.handler);
     gateway.handler.submit = () => {
       throw new Error('broken');
     };
-    t.match(await gateway.ask('caller', '/v1/completions', BODY), {
-      document: { kind: 'internal' },
-    });
+    t.match(await ask('1'), { document: { kind: 'internal' } });
     t.match(gateway.server.stats(), { inFlight: 0, failures: { internal: 2 } });
+    gateway.handler.submit = submit;
+    const later = await ask('20');
+    t.match(later, { document: { kind: 'deadline_exceeded' } }, 'lives on past the first deadline');
   },
 );
 
+t.test('an answer on its way is whole although the node stops', async (t) => {
+  const gateway = await new GatewayFixture().start();
+  const text = 'x'.repeat(50_000_000);
+  gateway.handler.answers = [{ kind: 'done', body: { kind: 'operator', document: { text } } }];
+  const arrived = firstValueFrom(gateway.handler.arrived);
+  const socket = gateway.raw(
+    'GET /v1/status HTTP/1.1\r\nhost: x\r\nauthorization: Bearer operator-token\r\n\r\n',
+  );
+  socket.pause();
+  await arrived;
+  const stopped = gateway.server.drain().then(() => gateway.server.stop());
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  let bytes = 0;
+  socket.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+  });
+  socket.resume();
+  await stopped;
+  if (!socket.closed) await new Promise((resolve) => socket.once('close', resolve));
+  t.ok(bytes > text.length, `${bytes} bytes`);
+});
+
 t.test('a caller that does not take its answer cannot hold up a drain', async (t) => {
   const gateway = await new GatewayFixture({ answerTimeout: 10 }).start();
   t.teardown(() => gateway.server.stop());
