Gateway and transport tests: starting and stopping in one place

Cause: each test repeated how servers start and stop. Ruled out: leaving out assertions to shorten them; none was changed. Change: startGateway, listening and stopping do it once.

--- a/test/gateway/completions.test.ts
+++ b/test/gateway/completions.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import { failure } from '../../src/errors/error-kinds.js';
 import type { CallReply, NodeCall } from '../../src/node/calls.js';
-import { GatewayFixture, GENERATED, RESULT } from './fixtures/gateway-fixture.js';
+import { GatewayFixture, GENERATED, RESULT, startGateway } from './fixtures/gateway-fixture.js';
 
 const BODY = { model: 'm', prompt: 'hello', max_tokens: 8, seed: 3 };
 
@@ -11,8 +11,7 @@
 }
 
 t.test('a completion as one document', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   gateway.handler.answers = [GENERATED];
   const { status, document } = await gateway.ask('caller', '/v1/completions', BODY, {
     'idempotency-key': 'order-1',
@@ -46,8 +45,7 @@
 });
 
 t.test('a chat is joined to one prompt, and its messages cannot take another role', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   gateway.handler.answers = [GENERATED];
   const ask = (content: string) =>
     gateway.ask('caller', '/v1/chat/completions', {
@@ -69,8 +67,7 @@
 });
 
 t.test('the seed of a repeated key is the same where none is named', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   gateway.handler.answers = [GENERATED];
   const body = { model: 'm', prompt: 'p' };
   for (const key of ['k', 'k', 'other']) {
@@ -107,8 +104,7 @@
 });
 
 t.test('a stream that fails midway has a problem event and no [DONE]', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   const failed: CallReply = { kind: 'failed', failure: failure('engine_failed', 'lost') };
   const differs: CallReply = {
     kind: 'done',
@@ -155,8 +151,7 @@
 });
 
 t.test('a stream whose reader takes nothing is ended and its call abandoned', async (t) => {
-  const gateway = await new GatewayFixture({ maxStreamBufferBytes: 1_000 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { maxStreamBufferBytes: 1_000 });
   const body = JSON.stringify({ ...BODY, stream: true });
   const head = `POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer caller-token\r\n`;
   const arrived = firstValueFrom(gateway.handler.arrived);
@@ -179,8 +174,7 @@
 });
 
 t.test('a call without an answer ends at its deadline, a lost one as a fault', async (t) => {
-  const gateway = await new GatewayFixture({ deadlineGrace: 1 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { deadlineGrace: 1 });
   const late = await gateway.ask('caller', '/v1/completions', BODY, {
     'wardwing-deadline-ms': '1',
   });
@@ -217,10 +211,7 @@
   const text = 'x'.repeat(50_000_000);
   gateway.handler.answers = [{ kind: 'done', body: { kind: 'operator', document: { text } } }];
   const arrived = firstValueFrom(gateway.handler.arrived);
-  const socket = gateway.raw(
-    'GET /v1/status HTTP/1.1\r\nhost: x\r\nauthorization: Bearer operator-token\r\n\r\n',
-  );
-  socket.pause();
+  const socket = gateway.unreadStatus();
   await arrived;
   const stopped = gateway.server.drain().then(() => gateway.server.stop());
   await new Promise((resolve) => setTimeout(resolve, 100));
@@ -235,15 +226,11 @@
 });
 
 t.test('a caller that does not take its answer cannot hold up a drain', async (t) => {
-  const gateway = await new GatewayFixture({ answerTimeout: 10 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { answerTimeout: 10 });
   const body = { kind: 'operator', document: { text: 'x'.repeat(50_000_000) } } as const;
   gateway.handler.answers = [{ kind: 'done', body }];
   const arrived = firstValueFrom(gateway.handler.arrived);
-  const socket = gateway.raw(
-    'GET /v1/status HTTP/1.1\r\nhost: x\r\nauthorization: Bearer operator-token\r\n\r\n',
-  );
-  socket.pause();
+  const socket = gateway.unreadStatus();
   await arrived;
   await gateway.server.drain();
   t.equal(gateway.server.stats().inFlight, 0);
--- a/test/gateway/refusals.test.ts
+++ b/test/gateway/refusals.test.ts
@@ -3,14 +3,19 @@
 import t from 'tap';
 import { ERROR_ANSWERS, ERROR_KINDS, failure } from '../../src/errors/error-kinds.js';
 import { GatewayServer } from '../../src/gateway/gateway-server.js';
-import { FakeHandler, GatewayFixture, GENERATED, receivedBy } from './fixtures/gateway-fixture.js';
+import {
+  FakeHandler,
+  GatewayFixture,
+  GENERATED,
+  receivedBy,
+  startGateway,
+} from './fixtures/gateway-fixture.js';
 
 const BODY = { model: 'm', prompt: 'hello' };
 const HEAD = 'POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer caller-token\r\n';
 
 t.test('tokens and roles', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   const cases = [
     ['nobody', '/v1/completions', 'unauthenticated'],
     ['trainer', '/v1/completions', 'forbidden'],
@@ -41,8 +46,7 @@
 });
 
 t.test('wrong bodies and headers name the field', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   const cases: [unknown, Record<string, string>, string, string][] = [
     ['{', {}, 'malformed_request', 'body'],
     ['[]', {}, 'malformed_request', 'body'],
@@ -64,8 +68,7 @@
 });
 
 t.test('each kind of failure is answered by the table', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   for (const kind of ERROR_KINDS) {
     gateway.handler.answers = [{ kind: 'failed', failure: failure(kind, 'why') }];
     const { status, headers, document } = await gateway.ask('caller', '/v1/completions', BODY);
@@ -101,8 +104,7 @@
 });
 
 t.test('a large body is refused at once, announced or not', async (t) => {
-  const gateway = await new GatewayFixture({ maxBodyBytes: 100 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { maxBodyBytes: 100 });
   const heads = [
     `${HEAD}content-length: 101\r\n\r\n`,
     `${HEAD}content-length: 101\r\nexpect: 100-continue\r\n\r\n`,
@@ -116,20 +118,17 @@
 });
 
 t.test('bodies of all connections together are bounded', async (t) => {
-  const gateway = await new GatewayFixture({ maxBodyBytesTogether: 100 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { maxBodyBytesTogether: 100 });
   const { document } = await gateway.ask('caller', '/v1/completions', 'x'.repeat(101));
   t.match(document, { kind: 'overloaded', ran: 'no' });
   t.equal(gateway.server.stats().bodyBytes, 0);
 });
 
 t.test('a slow sender is told so, and one that leaves is forgotten', async (t) => {
-  const gateway = await new GatewayFixture({ bodyTimeout: 10 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { bodyTimeout: 10 });
   const text = await receivedBy(gateway.raw(`${HEAD}content-length: 50\r\n\r\n{`));
   t.match(text, /^HTTP\/1.1 408 [\s\S]*"kind":"sender_too_slow","ran":"no"/);
-  const patient = await new GatewayFixture().start();
-  t.teardown(() => patient.server.stop());
+  const patient = await startGateway(t);
   const socket = patient.raw(`${HEAD}content-length: 50\r\nexpect: 100-continue\r\n\r\n{`);
   await new Promise((resolve) => socket.once('data', resolve));
   socket.destroy();
@@ -138,8 +137,7 @@
 });
 
 t.test('what the parser refuses is answered with a problem document', async (t) => {
-  const gateway = await new GatewayFixture({ maxHeaderBytes: 1_000 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { maxHeaderBytes: 1_000 });
   const large = await receivedBy(gateway.raw(`${HEAD}x: ${'y'.repeat(2_000)}\r\n\r\n`));
   t.match(large, /^HTTP\/1.1 431 [\s\S]*"kind":"headers_too_large"/);
   const garbage = await receivedBy(gateway.raw('nonsense\r\n\r\n'));
@@ -147,8 +145,7 @@
 });
 
 t.test('an account has a limit of calls under way', async (t) => {
-  const gateway = await new GatewayFixture({ maxInFlightPerAccount: 1 }).start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t, { maxInFlightPerAccount: 1 });
   const arrived = firstValueFrom(gateway.handler.arrived);
   const first = gateway.ask('caller', '/v1/completions', BODY);
   await arrived;
--- a/test/gateway/routes.test.ts
+++ b/test/gateway/routes.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import { failure } from '../../src/errors/error-kinds.js';
 import type { ReplyBody } from '../../src/node/calls.js';
-import { GatewayFixture, GENERATED, RESULT } from './fixtures/gateway-fixture.js';
+import { GENERATED, RESULT, startGateway } from './fixtures/gateway-fixture.js';
 
 const STEP = {
   step_id: 's1',
@@ -24,8 +24,7 @@
 } as const;
 
 t.test('a step: submit, read, acknowledge, close', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   const ask = (reply: ReplyBody, path: string, body?: unknown) => {
     gateway.handler.answers = [{ kind: 'done', body: reply }];
     return gateway.ask('trainer', path, body);
@@ -65,8 +64,7 @@
 });
 
 t.test('a step of the full size is taken, a larger one refused', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   const accepted = {
     kind: 'step-accepted',
     stepId: 's1',
@@ -91,8 +89,7 @@
 });
 
 t.test('wrong steps and cursors name the field', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   const twice = { ...STEP, samples: [STEP.samples[0], STEP.samples[0]] };
   const extra = { ...STEP, samples: [{ ...STEP.samples[0], extra: 1 }] };
   const cases: [string, unknown, string, RegExp][] = [
@@ -113,8 +110,7 @@
 });
 
 t.test('operators', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   gateway.handler.answers = [{ kind: 'done', body: { kind: 'operator', document: { x: 1 } } }];
   const version = { version: 2, digest: 'd', bytes: 10 };
   const drain = { target: { kind: 'zone', name: 'z' }, reason: 'repair', drained: true };
@@ -153,8 +149,7 @@
 });
 
 t.test('health, readiness and counters need no token', async (t) => {
-  const gateway = await new GatewayFixture().start();
-  t.teardown(() => gateway.server.stop());
+  const gateway = await startGateway(t);
   t.equal((await gateway.ask('', '/healthz')).status, 200);
   t.equal((await gateway.ask('', '/readyz')).status, 200);
   gateway.handler.ready = false;
--- a/test/transport/peer-transport.test.ts
+++ b/test/transport/peer-transport.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
-import { type AddressInfo, createServer as createSocketServer } from 'node:net';
+import { type AddressInfo, createServer as createSocketServer, type Server } from 'node:net';
 import { firstValueFrom, take, toArray } from 'rxjs';
-import t from 'tap';
+import t, { type Test } from 'tap';
 import type { PeerMessage } from '../../src/node/peer-message.js';
 import { decodeEnvelope, encodeEnvelope } from '../../src/transport/peer-envelope.js';
 import { PeerTransport } from '../../src/transport/peer-transport.js';
@@ -20,6 +20,19 @@
     ...options,
   });
 
+/** A transport that stops with its test. */
+function stopping(t: Test, started: PeerTransport): PeerTransport {
+  t.teardown(() => started.stop());
+  return started;
+}
+
+/** Listens on a free port and gives the address; closes with the test. */
+async function listening(t: Test, server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 /** Resolves when a counter is above zero; polls, as counters have no events. */
 async function counted(of: PeerTransport, counter: 'droppedRequestFailed' | 'batchesSent') {
   while (of.stats()[counter] === 0) await new Promise((resolve) => setTimeout(resolve, 1));
@@ -27,8 +40,7 @@
 }
 
 t.test('messages of one moment travel in one batch, to the life that is meant', async (t) => {
-  const [sender, receiver] = [transport('a'), transport('b')];
-  t.teardown(() => Promise.all([sender.stop(), receiver.stop()]));
+  const [sender, receiver] = [stopping(t, transport('a')), stopping(t, transport('b'))];
   const from = await sender.start();
   const { address } = await receiver.start();
   const received = firstValueFrom(receiver.received.pipe(take(3), toArray()));
@@ -45,8 +57,7 @@
 });
 
 t.test('a message is sent as it was when it was handed over', async (t) => {
-  const [sender, receiver] = [transport('a'), transport('b')];
-  t.teardown(() => Promise.all([sender.stop(), receiver.stop()]));
+  const [sender, receiver] = [stopping(t, transport('a')), stopping(t, transport('b'))];
   const { address } = await receiver.start();
   const received = firstValueFrom(receiver.received);
   const changing = message('before');
@@ -81,16 +92,12 @@
 });
 
 t.test(
-  'a peer that never answers costs what waits beyond the bound, then its batches',
+  'a peer that never answers costs its batches, and what waits beyond the bound',
   async (t) => {
     const silent = createSocketServer((socket) => socket.on('error', () => undefined));
-    await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
-    const sender = transport('a', { requestTimeout: 10, maxBatchBytes: 1, maxOutboxMessages: 5 });
-    t.teardown(async () => {
-      await sender.stop();
-      silent.close();
-    });
-    const address = `127.0.0.1:${(silent.address() as AddressInfo).port}`;
+    const limits = { requestTimeout: 10, maxBatchBytes: 1, maxOutboxMessages: 5 };
+    const address = await listening(t, silent);
+    const sender = stopping(t, transport('a', limits));
     for (let count = 0; count < 10; count += 1) sender.send(null, address, message('x'));
     t.equal(sender.stats().droppedOutboxFull, 5);
     t.match(await counted(sender, 'droppedRequestFailed'), { messagesSent: 0 });
@@ -111,13 +118,9 @@
     };
     request.resume().on('end', () => setTimeout(answer, 5));
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const sender = transport('a', { maxBatchBytes: 1 });
-  t.teardown(async () => {
-    await sender.stop();
-    server.close();
-  });
-  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const address = await listening(t, server);
+  t.teardown(() => sender.stop());
   for (let count = 0; count < 8; count += 1) sender.send(null, address, message('x'));
   while (answered < 8) await new Promise((resolve) => setTimeout(resolve, 1));
   t.equal(most, 2);
@@ -149,13 +152,9 @@
 
 t.test('an answer other than accepted counts as loss', async (t) => {
   const server = createServer((_, response) => response.writeHead(500).end());
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const sender = transport('a');
-  t.teardown(async () => {
-    await sender.stop();
-    server.close();
-  });
-  sender.send(null, `127.0.0.1:${(server.address() as AddressInfo).port}`, message('x'));
+  t.teardown(() => sender.stop());
+  sender.send(null, await listening(t, server), message('x'));
   t.match(await counted(sender, 'droppedRequestFailed'), { messagesSent: 0 });
 });
 
