--- a/src/node/node-context.ts
+++ b/src/node/node-context.ts
@@ -70,8 +70,13 @@
       this.counters.increment('messages_dropped');
       return;
     }
-    const { node, incarnation } = to;
-    this.emit({ kind: 'send', to: { node, incarnation }, address, message });
+    this.sendToAddress(to, address, message);
+  }
+
+  /** Sends a message to an address; `to` is `null` where the life behind it is not known. */
+  sendToAddress(to: NodeIdentity | null, address: string, message: PeerMessage): void {
+    const identity = to === null ? null : { node: to.node, incarnation: to.incarnation };
+    this.emit({ kind: 'send', to: identity, address, message });
   }
 
   /** Sends one reply to a call. */
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -228,8 +228,7 @@
       switch (effect.kind) {
         case 'send': {
           const { to, address, message } = effect;
-          const wrapped = { module: 'membership', body: message } as const;
-          this.context.emit({ kind: 'send', to, address, message: wrapped });
+          this.context.sendToAddress(to, address, { module: 'membership', body: message });
           break;
         }
         case 'member-changed':
@@ -251,8 +250,7 @@
       switch (effect.kind) {
         case 'send': {
           const { to, address, message } = effect;
-          const wrapped = { module: 'config-feed', body: message } as const;
-          this.context.emit({ kind: 'send', to, address, message: wrapped });
+          this.context.sendToAddress(to, address, { module: 'config-feed', body: message });
           break;
         }
         case 'key-value': {
