--- a/src/node.ts
+++ b/src/node.ts
@@ -7,13 +7,14 @@
 import { createRandomSource } from './core/random.js';
 import { GatewayServer } from './gateway/gateway-server.js';
 import { draftReader } from './intents/intent-schema.js';
-import { EffectRunner } from './node/effect-runner.js';
+import { type EffectClients, EffectRunner } from './node/effect-runner.js';
 import { NodeCore } from './node/node-core.js';
-import { NodeRunner } from './node/node-runner.js';
+import { monotonicNow, NodeRunner } from './node/node-runner.js';
 import { EngineClient } from './platform/engine-client.js';
 import { KeyValueClient } from './platform/key-value-client.js';
 import { MachineListClient } from './platform/machine-list-client.js';
 import type { Settings } from './settings/settings.js';
+import { NodeCounters } from './telemetry/counters.js';
 import { createLogger, type NodeLogger } from './telemetry/logger.js';
 import { NodeMetrics } from './telemetry/node-metrics.js';
 import { PeerTransport } from './transport/peer-transport.js';
@@ -34,13 +35,21 @@
   const self = nodeRecord(settings);
   const { token } = settings.peers;
   const transport = new PeerTransport({ self, listen: parseEndpoint(node.peerListen), token });
-  const effects = createEffects(settings, transport, logger);
+  const counters = new NodeCounters({ withProcessMetrics: true });
+  const effects = createEffects(settings, { transport, logger, counters });
   const core = createCore(settings, self);
-  const metrics = new NodeMetrics(
-    () => core.counters(),
-    () => transport.stats(),
-  );
-  const runner = new NodeRunner(core, effects, transport.received, () => metrics.text());
+  const metrics = new NodeMetrics(counters, {
+    counters: () => core.counters(),
+    gauges: () => core.gauges(monotonicNow()),
+    transport: () => transport.stats(),
+  });
+  const runner = new NodeRunner({
+    core,
+    effects,
+    received: transport.received,
+    counters,
+    metricsText: () => metrics.text(),
+  });
   const gateway = createGateway(settings, runner);
   await transport.start();
   runner.start();
@@ -77,17 +86,15 @@
 
 function createEffects(
   settings: Settings,
-  transport: PeerTransport,
-  logger: NodeLogger,
+  own: Pick<EffectClients, 'transport' | 'logger' | 'counters'>,
 ): EffectRunner {
   const { keyValue, machineList } = settings.platform;
   const requestTimeout = settings.timing.keyValueTimeout;
   return new EffectRunner({
-    transport,
+    ...own,
     keyValue: keyValue.map((address) => new KeyValueClient({ address, requestTimeout })),
     engines: new EngineClient(),
     machineList: new MachineListClient({ address: machineList }),
-    logger,
   });
 }
 
--- a/src/node/effect-runner.ts
+++ b/src/node/effect-runner.ts
@@ -7,6 +7,7 @@
 import type { KeyValueResult } from '../platform/key-value.js';
 import type { KeyValueClient } from '../platform/key-value-client.js';
 import type { MachineListClient } from '../platform/machine-list-client.js';
+import type { NodeCounters } from '../telemetry/counters.js';
 import type { NodeLogger } from '../telemetry/logger.js';
 import type { PeerTransport } from '../transport/peer-transport.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
@@ -19,6 +20,7 @@
   readonly engines: EngineClient;
   readonly machineList: MachineListClient;
   readonly logger: NodeLogger;
+  readonly counters: NodeCounters;
 }
 
 /** Carries out effects. */
@@ -36,7 +38,7 @@
   run(effect: NodeEffect): void {
     switch (effect.kind) {
       case 'send':
-        this.clients.transport.send(effect.to, effect.address, effect.message);
+        this.sendMessage(effect);
         return;
       case 'key-value':
         void this.performKeyValue(effect);
@@ -63,7 +65,7 @@
         void this.pollMachineList();
         return;
       case 'state-change':
-        this.clients.logger.logStateChange(effect.module, effect.change, effect.details);
+        this.logChange(effect);
         return;
       case 'reply':
       case 'stopped':
@@ -81,13 +83,33 @@
     this.events.complete();
   }
 
+  private sendMessage(effect: Extract<NodeEffect, { kind: 'send' }>): void {
+    const { module } = effect.message;
+    this.clients.counters.increment('wardwing_peer_messages_sent_total', { module });
+    this.clients.transport.send(effect.to, effect.address, effect.message);
+  }
+
+  private logChange(effect: Extract<NodeEffect, { kind: 'state-change' }>): void {
+    const { module, change, details } = effect;
+    this.clients.counters.increment('wardwing_state_changes_total', { module });
+    this.clients.logger.logStateChange(module, change, details);
+  }
+
   private async performKeyValue(effect: Extract<NodeEffect, { kind: 'key-value' }>): Promise<void> {
     const { requestId, operation } = effect;
     const result = (await this.keyValueClient()?.perform(operation)) ?? UNAVAILABLE;
+    this.countKeyValue(operation.kind, result);
     if (result.kind === 'failed' && result.reason === 'unavailable') this.keyValueIndex += 1;
     this.events.next({ kind: 'key-value-result', requestId, result });
   }
 
+  private countKeyValue(operation: string, result: KeyValueResult): void {
+    const { counters } = this.clients;
+    counters.increment('wardwing_key_value_requests_total', { operation });
+    if (result.kind !== 'failed') return;
+    counters.increment('wardwing_key_value_failures_total', { reason: result.reason });
+  }
+
   private startWatch(effect: Extract<NodeEffect, { kind: 'watch-start' }>): void {
     const { watchId, prefix, fromRevision } = effect;
     this.stopWatch(watchId);
@@ -109,6 +131,8 @@
 
   private startEngine(effect: Extract<NodeEffect, { kind: 'engine-start' }>): void {
     const { dispatchId, worker, request } = effect;
+    const traffic = request.trafficClass;
+    this.clients.counters.increment('wardwing_engine_streams_total', { traffic });
     const cancel = this.clients.engines.generate(worker, request, (event) => {
       if (event.kind !== 'segment') this.generations.delete(dispatchId);
       this.events.next({ kind: 'engine', dispatchId, event });
@@ -133,6 +157,8 @@
   private async giveOrder(effect: Extract<NodeEffect, { kind: 'worker-order' }>): Promise<void> {
     const { orderId, worker, order } = effect;
     const result = await this.clients.engines.order(worker, order);
+    const labels = { action: order.action.kind, outcome: result.kind };
+    this.clients.counters.increment('wardwing_weight_orders_total', labels);
     this.events.next({ kind: 'order-result', orderId, result });
   }
 
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -7,6 +7,7 @@
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { NodeGauges } from '../telemetry/node-metrics.js';
 import type { NodeCall, Readiness } from './calls.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
 import { NodeModules } from './node-modules.js';
@@ -60,6 +61,11 @@
     return this.modules.context.counters.snapshot();
   }
 
+  /** The state at this moment, for metrics. */
+  gauges(now: Milliseconds): NodeGauges {
+    return this.modules.gauges(now);
+  }
+
   /** The configuration in force on this node. */
   configuration(): ReturnType<NodeModules['feed']['configuration']> {
     return this.modules.feed.configuration();
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -20,6 +20,7 @@
 import { WorkerDirectory } from '../routing/worker-directory.js';
 import type { WorkerDirectoryEffect } from '../routing/worker-directory-types.js';
 import { ExplainLog } from '../telemetry/explain-log.js';
+import type { NodeGauges } from '../telemetry/node-metrics.js';
 import { WeightController } from '../weights/weight-controller.js';
 import type { WeightControllerEffect } from '../weights/weight-controller-types.js';
 import type { NodeCall, Readiness } from './calls.js';
@@ -102,6 +103,27 @@
     return { ready: true, reason: 'ready' };
   }
 
+  /** The state of the node at this moment, for its metrics. */
+  gauges(now: Milliseconds): NodeGauges {
+    const age = this.feed.freshnessAge(now);
+    const membersByState = new Map<string, number>();
+    for (const { state } of this.membership.members()) {
+      membersByState.set(state, (membersByState.get(state) ?? 0) + 1);
+    }
+    return {
+      revision: this.feed.completeRevision(),
+      configurationAge: age,
+      configurationFresh: this.permission.isFresh(age),
+      membersByState,
+      callsOpen: this.work.requests.openCount,
+      dispatchesActive: this.work.home.activeCount,
+      stepsDriven: this.work.supervisor.drivenSteps().length,
+      ledgerBytes: this.ledger.usage.bodyBytes,
+      ledgerRegisters: this.ledger.usage.registers,
+      groupsUnderStrength: this.groupsUnderStrength().length,
+    };
+  }
+
   /** What permission checks rest on. */
   permissionView(): PermissionView {
     const freshnessAge = this.feed.freshnessAge(this.context.now());
--- a/src/node/node-runner.ts
+++ b/src/node/node-runner.ts
@@ -3,9 +3,11 @@
  * what comes of its effects) and carries its effects out. Events are handled one at a time.
  */
 import { interval, merge, Observable, Subject, type Subscription } from 'rxjs';
-import { map } from 'rxjs/operators';
+import { map, tap } from 'rxjs/operators';
 import type { Milliseconds } from '../core/units.js';
+import type { ErrorKind } from '../errors/error-kinds.js';
 import type { CallHandler } from '../gateway/call-handler.js';
+import type { NodeCounters } from '../telemetry/counters.js';
 import type { ReceivedMessage } from '../transport/peer-transport.js';
 import type { CallReply, NodeCall, Readiness } from './calls.js';
 import type { EffectRunner } from './effect-runner.js';
@@ -20,20 +22,27 @@
   return Math.round(performance.now() * CLOCK_RESOLUTION) / CLOCK_RESOLUTION;
 }
 
+/** What a runner joins. */
+export interface NodeRunnerParts {
+  readonly core: NodeCore;
+  readonly effects: EffectRunner;
+  readonly received: Observable<ReceivedMessage>;
+  readonly counters: NodeCounters;
+  readonly metricsText: () => Promise<string>;
+}
+
 /** Joins a node's core to its effects and callers. */
 export class NodeRunner implements CallHandler {
+  private readonly core: NodeCore;
   private readonly ownEvents = new Subject<NodeEvent>();
   private readonly openCalls = new Map<string, Subject<CallReply>>();
   private subscription: Subscription | null = null;
   private lastCall = 0;
   private readonly stoppedSignal = new Subject<void>();
 
-  constructor(
-    private readonly core: NodeCore,
-    private readonly effects: EffectRunner,
-    private readonly received: Observable<ReceivedMessage>,
-    private readonly metricsText: () => Promise<string>,
-  ) {}
+  constructor(private readonly parts: NodeRunnerParts) {
+    this.core = parts.core;
+  }
 
   /** Emits once when the core has ended all its work after a stop. */
   get stopped(): Observable<void> {
@@ -43,8 +52,11 @@
   /** Begins to handle events. */
   start(): void {
     const ticks = interval(TICK_INTERVAL_MILLISECONDS).pipe(map(() => TICK));
-    const messages = this.received.pipe(map(asEvent));
-    const events = merge(ticks, messages, this.effects.events, this.ownEvents);
+    const messages = this.parts.received.pipe(
+      tap(({ message }) => this.countReceived(message.module)),
+      map(asEvent),
+    );
+    const events = merge(ticks, messages, this.parts.effects.events, this.ownEvents);
     this.subscription = events.subscribe((event) => this.handle(event));
   }
 
@@ -60,6 +72,7 @@
 
   submit(call: NodeCall): Observable<CallReply> {
     return new Observable<CallReply>((subscriber) => {
+      this.parts.counters.increment('wardwing_requests_total', { call: call.kind });
       this.lastCall += 1;
       const callId = `${this.core.self.node}.${this.core.self.incarnation}.c${this.lastCall}`;
       const replies = new Subject<CallReply>();
@@ -83,7 +96,7 @@
   }
 
   countersText(): Promise<string> {
-    return this.metricsText();
+    return this.parts.metricsText();
   }
 
   private handle(event: NodeEvent): void {
@@ -93,7 +106,7 @@
   private carryOut(effect: NodeEffect): void {
     if (effect.kind === 'reply') this.reply(effect.callId, effect.reply);
     else if (effect.kind === 'stopped') this.stoppedSignal.next();
-    else this.effects.run(effect);
+    else this.parts.effects.run(effect);
   }
 
   private reply(callId: string, reply: CallReply): void {
@@ -104,9 +117,18 @@
       return;
     }
     this.openCalls.delete(callId);
+    if (reply.kind === 'failed') this.countRefusal(reply.failure.kind);
     replies.next(reply);
     replies.complete();
   }
+
+  private countReceived(module: string): void {
+    this.parts.counters.increment('wardwing_peer_messages_received_total', { module });
+  }
+
+  private countRefusal(kind: ErrorKind): void {
+    this.parts.counters.increment('wardwing_refusals_total', { kind });
+  }
 }
 
 const TICK: NodeEvent = { kind: 'tick' };
--- a/src/telemetry/counters.ts
+++ b/src/telemetry/counters.ts
@@ -50,6 +50,11 @@
     this.#gauges.get(name)?.reset();
   }
 
+  /** Where further metrics of this node are registered. */
+  get registry(): Registry {
+    return this.#registry;
+  }
+
   /** All metrics in the Prometheus text format, for `/metrics`. */
   countersText(): Promise<string> {
     return this.#registry.metrics();
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -1,15 +1,40 @@
 /**
- * Exports the counters of a node's decision core and of its transport in the Prometheus text
- * format, next to the process's own metrics.
+ * Brings the counts of a node's decision core and of its transport into the process's metrics at
+ * the moment they are asked for.
  */
-import { Counter, collectDefaultMetrics, Registry } from 'prom-client';
+import { Counter, type Registry } from 'prom-client';
 import { COUNTER_HELP, COUNTER_NAMES, type CounterName } from '../core/counter-names.js';
+import type { Milliseconds } from '../core/units.js';
+import { SECOND } from '../core/units.js';
 import type { TransportStats } from '../transport/transport-options.js';
+import type { NodeCounters } from './counters.js';
 
 /** Prefix of all metrics. */
 const PREFIX = 'wardwing_';
 
-/** A value that only rises, read when metrics are asked for. */
+/** The state of a node at one moment. */
+export interface NodeGauges {
+  readonly revision: number;
+  /** Infinite where the configuration was never fresh. */
+  readonly configurationAge: Milliseconds;
+  readonly configurationFresh: boolean;
+  readonly membersByState: ReadonlyMap<string, number>;
+  readonly callsOpen: number;
+  readonly dispatchesActive: number;
+  readonly stepsDriven: number;
+  readonly ledgerBytes: number;
+  readonly ledgerRegisters: number;
+  readonly groupsUnderStrength: number;
+}
+
+/** What is read when metrics are asked for. */
+export interface MetricSources {
+  counters(): Readonly<Record<CounterName, number>>;
+  gauges(): NodeGauges;
+  transport(): Readonly<TransportStats>;
+}
+
+/** A value that only rises. */
 interface RisingValue {
   readonly name: string;
   readonly help: string;
@@ -18,32 +43,50 @@
 
 /** Metrics of one node. */
 export class NodeMetrics {
-  private readonly registry = new Registry();
-
   constructor(
-    counters: () => Readonly<Record<CounterName, number>>,
-    transport: () => Readonly<TransportStats>,
+    private readonly counters: NodeCounters,
+    private readonly sources: MetricSources,
   ) {
-    collectDefaultMetrics({ register: this.registry });
     for (const name of COUNTER_NAMES) {
-      this.add({ name, help: COUNTER_HELP[name], read: () => counters()[name] });
+      this.add({ name, help: COUNTER_HELP[name], read: () => sources.counters()[name] });
     }
-    for (const name of Object.keys(transport()) as (keyof TransportStats)[]) {
+    for (const name of Object.keys(sources.transport()) as (keyof TransportStats)[]) {
       const help = `Node-to-node transport: ${name}`;
-      this.add({ name: `transport_${snakeCase(name)}`, help, read: () => transport()[name] });
+      const metric = `transport_${snakeCase(name)}`;
+      this.add({ name: metric, help, read: () => sources.transport()[name] });
     }
   }
 
   /** All metrics in the Prometheus text format. */
   text(): Promise<string> {
-    return this.registry.metrics();
+    this.setGauges(this.sources.gauges());
+    return this.counters.countersText();
+  }
+
+  private setGauges(gauges: NodeGauges): void {
+    const { counters } = this;
+    counters.set('wardwing_configuration_revision', {}, gauges.revision);
+    const age = gauges.configurationAge / SECOND;
+    counters.set('wardwing_configuration_age_seconds', {}, Number.isFinite(age) ? age : -1);
+    counters.set('wardwing_configuration_fresh', {}, gauges.configurationFresh ? 1 : 0);
+    counters.clear('wardwing_members');
+    for (const [state, count] of gauges.membersByState) {
+      counters.set('wardwing_members', { state }, count);
+    }
+    counters.set('wardwing_calls_open', {}, gauges.callsOpen);
+    counters.set('wardwing_dispatches_active', {}, gauges.dispatchesActive);
+    counters.set('wardwing_steps_driven', {}, gauges.stepsDriven);
+    counters.set('wardwing_ledger_bytes', {}, gauges.ledgerBytes);
+    counters.set('wardwing_ledger_registers', {}, gauges.ledgerRegisters);
+    counters.set('wardwing_groups_under_strength', {}, gauges.groupsUnderStrength);
   }
 
   private add(value: RisingValue): void {
+    const registry: Registry = this.counters.registry;
     new Counter({
       name: `${PREFIX}${value.name}_total`,
       help: value.help,
-      registers: [this.registry],
+      registers: [registry],
       collect(): void {
         this.reset();
         this.inc(value.read());
