Gateway: the schema of generation headers is built once

Cause: a processor profile of the node bench at saturation showed 25% of all time in reading the headers: the zod schema was built and compiled anew for each request. Ruled out: body schema, step and read schemas, which are built once already. Change: generationHeadersReader(limits) builds the schema when the routes are made.

--- a/lab/bench/node-deployment.ts
+++ b/lab/bench/node-deployment.ts
@@ -42,8 +42,8 @@
 export interface NodeDeploymentOptions {
   /** Engine time for each millisecond of real time. @default 20 */
   readonly timeScale?: number;
-  /** Options of Node for the node's process, such as `--cpu-prof`. @default none */
-  readonly nodeOptions?: string;
+  /** Folder for a processor profile of the node. @default no profile is taken */
+  readonly profileFolder?: string;
 }
 
 /** A node with all it needs. */
@@ -74,10 +74,7 @@
     await publishMachines(machineList, peerAddress, workers);
     const settingsFile = path.join(this.folder, 'node.toml');
     writeFileSync(settingsFile, settingsText(this.address, peerAddress, keyValue, machineList));
-    const { nodeOptions = '' } = this.options;
-    const environment = { WARDWING_PEER_TOKEN: PEER_TOKEN, NODE_OPTIONS: nodeOptions };
-    const parameters = ['node', '--settings', settingsFile];
-    this.node = this.group.start('node', productScript(), parameters, environment);
+    this.node = this.startNode(settingsFile);
     await this.until('the node is ready', () => this.isReady());
     await this.confirmIntent();
     await this.until('a request is answered', () => this.isServing());
@@ -100,6 +97,17 @@
     return (await this.node?.exited) ?? null;
   }
 
+  private startNode(settingsFile: string): StartedProcess {
+    const environment = { WARDWING_PEER_TOKEN: PEER_TOKEN };
+    const parameters = ['node', '--settings', settingsFile];
+    const { profileFolder } = this.options;
+    if (profileFolder === undefined) {
+      return this.group.start('node', productScript(), parameters, environment);
+    }
+    const profiled = ['--cpu-prof-dir', profileFolder, productScript(), ...parameters];
+    return this.group.start('node', '--cpu-prof', profiled, environment);
+  }
+
   private startEngines(): Promise<readonly WorkerRecord[]> {
     const timeScale = this.options.timeScale ?? DEFAULT_TIME_SCALE;
     const names = Array.from({ length: ENGINE_COUNT }, (_unused, index) => `engine-${index + 1}`);
--- a/lab/bench/node.ts
+++ b/lab/bench/node.ts
@@ -82,14 +82,18 @@
   }
 }
 
-/** Runs the bench; exit code 0 when all targets are met. */
+/**
+ * Runs the bench. Flags: `--rate`, `--seconds` for each load, `--time-scale` of the engines, and
+ * `--profile FOLDER` for a processor profile of the node. Exit code 0 when all
+ * targets are met.
+ */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-bench-node-'));
   const group = new ProcessGroup(folder);
   try {
     const deployment = new NodeDeployment(group, folder, {
       ...(flags['time-scale'] === undefined ? {} : { timeScale: Number(flags['time-scale']) }),
-      nodeOptions: String(flags['node-options'] ?? ''),
+      ...(flags.profile === undefined ? {} : { profileFolder: String(flags.profile) }),
     });
     await deployment.start();
     const holds = await measure(new NodeBench(group, deployment), deployment, flags);
--- a/src/gateway/completion-routes.ts
+++ b/src/gateway/completion-routes.ts
@@ -17,7 +17,7 @@
   chatSchema,
   completionSchema,
   type GenerationHeaders,
-  readGenerationHeaders,
+  generationHeadersReader,
 } from './completion-schema.js';
 import { check } from './request-check.js';
 import type { PreparedCall, Route, RouteRequest } from './route-table.js';
@@ -46,13 +46,14 @@
   shape: AnswerShape,
   fieldsOf: (body: unknown) => Result<GenerationFields, Failure>,
 ): Route {
+  const readHeaders = generationHeadersReader(environment.limits);
   return {
     method: 'POST',
     path,
     roles: ['caller'],
     maxBodyBytes: environment.limits.maxBodyBytes,
     prepare: (request) =>
-      readGenerationHeaders(request.headers, environment.limits).andThen((headers) =>
+      readHeaders(request.headers).andThen((headers) =>
         fieldsOf(request.body).map((fields) =>
           prepareGeneration(environment, request, shape, headers, fields),
         ),
--- a/src/gateway/completion-schema.ts
+++ b/src/gateway/completion-schema.ts
@@ -75,10 +75,12 @@
 const DEADLINE = 'wardwing-deadline-ms';
 
 /** Reads the headers of a generation. */
-export function readGenerationHeaders(
+export type GenerationHeadersReader = (
   headers: IncomingHttpHeaders,
-  limits: GatewayLimits,
-): Result<GenerationHeaders, Failure> {
+) => Result<GenerationHeaders, Failure>;
+
+/** Makes a reader of headers. The schema is built once, as that costs more than a check by it. */
+export function generationHeadersReader(limits: GatewayLimits): GenerationHeadersReader {
   const schema = z.object({
     [IDEMPOTENCY_KEY]: z
       .string()
@@ -87,13 +89,14 @@
     [REPEATABLE]: z.enum(['true', 'false']).default('true'),
     [DEADLINE]: wholeNumberText(1, limits.maxDeadline).optional(),
   });
-  return check(schema, headers).andThen((checked) => {
-    const idempotencyKey = checked[IDEMPOTENCY_KEY] ?? null;
-    const repeatable = checked[REPEATABLE] === 'true';
-    if (!repeatable && idempotencyKey === null) {
-      return result.err(malformed(IDEMPOTENCY_KEY, 'needed where a request is not repeatable'));
-    }
-    const timeLeft = checked[DEADLINE] ?? limits.defaultDeadline;
-    return result.ok({ idempotencyKey, repeatable, timeLeft });
-  });
+  return (headers) =>
+    check(schema, headers).andThen((checked) => {
+      const idempotencyKey = checked[IDEMPOTENCY_KEY] ?? null;
+      const repeatable = checked[REPEATABLE] === 'true';
+      if (!repeatable && idempotencyKey === null) {
+        return result.err(malformed(IDEMPOTENCY_KEY, 'needed where a request is not repeatable'));
+      }
+      const timeLeft = checked[DEADLINE] ?? limits.defaultDeadline;
+      return result.ok({ idempotencyKey, repeatable, timeLeft });
+    });
 }
