A home forgets an outcome once its origin has it

Cause: a home kept each ended dispatch for five minutes with prompt, answer and worker, also when its origin had acknowledged the outcome; withdrawals (each 500 ms) and activeCount walked over all of them. Ruled out: explain log (bounded at 4096 records), dispatch client (drops at the outcome). Change: src/dispatch/dispatch-memory.ts keeps what is in progress apart from what has ended; an acknowledged dispatch leaves its id only, for five minutes, and nothing where the node sent to itself, which can't repeat. Late messages of an acknowledged dispatch are not answered any more: before, a repetition got the outcome again, which its origin had already. Outcomes, refusals and barred ids not acknowledged are kept and given again as before.

--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -10,6 +10,7 @@
 import { MINUTE } from '../core/units.js';
 import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
 import type { EngineEvent, WorkerRecord } from '../platform/worker.js';
+import { DispatchMemory, type HomeDispatch } from './dispatch-memory.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
 
 /** A decision of the worker's admission control. */
@@ -32,6 +33,8 @@
 
 /** What the dispatcher asks of its node. */
 export interface HomeDispatcherOptions {
+  /** This life of the home. */
+  readonly self: NodeIdentity;
   readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
   readonly startEngine: (
     dispatchId: string,
@@ -55,33 +58,15 @@
   readonly repeatInterval?: Milliseconds;
 }
 
-interface HomeDispatch {
-  readonly dispatchId: string;
-  readonly origin: NodeIdentity;
-  readonly stream: boolean;
-  readonly request: GenerationRequest | null;
-  readonly worker: WorkerRecord | null;
-  state: 'queued' | 'running' | 'ended';
-  outcome: DispatchOutcome | null;
-  changedAt: Milliseconds;
-  lastSent: Milliseconds;
-}
-
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
-/** How long an ended dispatch is remembered, so that a late repetition is not run. */
-const MEMORY_OF_ENDED: Milliseconds = 5 * MINUTE;
 /** How long an outcome is repeated to an origin that does not acknowledge it. */
 const REPEAT_LIMIT: Milliseconds = MINUTE;
-/** How often forgotten dispatches are looked for. */
-const SWEEP_INTERVAL: Milliseconds = 10_000;
-
 /** Home side of all dispatches of one node. */
 export class HomeDispatcher {
-  private readonly dispatches = new Map<string, HomeDispatch>();
+  private readonly dispatches = new DispatchMemory();
   /** Dispatches whose outcome is not acknowledged yet. */
   private readonly unacknowledged = new Set<HomeDispatch>();
   private readonly repeatInterval: Milliseconds;
-  private nextSweep: Milliseconds = 0;
 
   constructor(private readonly options: HomeDispatcherOptions) {
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
@@ -89,11 +74,12 @@
 
   /** How many dispatches are queued or run here. */
   get activeCount(): number {
-    let count = 0;
-    for (const dispatch of this.dispatches.values()) {
-      if (dispatch.state !== 'ended') count += 1;
-    }
-    return count;
+    return this.dispatches.activeCount;
+  }
+
+  /** How many outcomes are kept for origins that may ask again. */
+  get outcomeCount(): number {
+    return this.dispatches.outcomeCount;
   }
 
   /** How many outcomes their origins have not acknowledged. */
@@ -135,17 +121,12 @@
   /** Repeats unacknowledged outcomes and forgets old dispatches. */
   tick(now: Milliseconds): void {
     for (const dispatch of [...this.unacknowledged]) this.repeatOutcome(dispatch, now);
-    if (now < this.nextSweep) return;
-    this.nextSweep = now + SWEEP_INTERVAL;
-    for (const dispatch of this.dispatches.values()) {
-      const old = now - dispatch.changedAt > MEMORY_OF_ENDED;
-      if (dispatch.state === 'ended' && old) this.dispatches.delete(dispatch.dispatchId);
-    }
+    this.dispatches.sweep(now);
   }
 
   /** The origin's life ended: its work is cancelled, for nobody would take the outcome. */
   originGone(node: NodeId, survivor: NodeIdentity | null, now: Milliseconds): void {
-    for (const dispatch of [...this.dispatches.values()]) {
+    for (const dispatch of [...this.dispatches.activeDispatches(), ...this.unacknowledged]) {
       if (dispatch.origin.node !== node) continue;
       if (survivor !== null && sameIdentity(dispatch.origin, survivor)) continue;
       this.unacknowledged.delete(dispatch);
@@ -159,7 +140,7 @@
     now: Milliseconds,
   ): number {
     let withdrawn = 0;
-    for (const dispatch of [...this.dispatches.values()]) {
+    for (const dispatch of this.dispatches.activeDispatches()) {
       if (dispatch.state === 'ended' || dispatch.request === null || dispatch.worker === null) {
         continue;
       }
@@ -177,10 +158,13 @@
     message: Extract<DispatchMessage, { kind: 'dispatch' }>,
     now: Milliseconds,
   ): void {
-    const known = this.dispatches.get(message.dispatchId);
-    if (known !== undefined && this.options.deduplicate !== false) {
-      this.answer(known, now);
-      return;
+    if (this.options.deduplicate !== false) {
+      if (this.dispatches.isSettled(message.dispatchId)) return;
+      const known = this.dispatches.get(message.dispatchId);
+      if (known !== undefined) {
+        this.answer(known, now);
+        return;
+      }
     }
     const decision = this.options.acceptable(message.worker, message.request, now);
     if ('failure' in decision) {
@@ -213,7 +197,7 @@
       changedAt: now,
       lastSent: now,
     };
-    this.dispatches.set(dispatchId, dispatch);
+    this.dispatches.keep(dispatch);
     this.options.send(from, { kind: 'dispatch-accepted', dispatchId });
     if (admission.kind === 'queued') return;
     if (admission.preempt !== null) this.preempt(admission.preempt, now);
@@ -240,6 +224,7 @@
   }
 
   private receiveQuery(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    if (this.dispatches.isSettled(dispatchId)) return;
     const known = this.dispatches.get(dispatchId);
     if (known !== undefined) {
       this.answer(known, now);
@@ -249,6 +234,7 @@
   }
 
   private receiveCancel(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    if (this.dispatches.isSettled(dispatchId)) return;
     const known = this.dispatches.get(dispatchId);
     if (known === undefined) {
       this.bar(from, dispatchId, now);
@@ -271,12 +257,15 @@
 
   private receiveAcknowledgement(dispatchId: string): void {
     const known = this.dispatches.get(dispatchId);
-    if (known !== undefined) this.unacknowledged.delete(known);
+    if (known?.state !== 'ended') return;
+    this.unacknowledged.delete(known);
+    // What a node sends to itself comes once and in order, so nothing is left to come.
+    this.dispatches.settle(dispatchId, !sameIdentity(known.origin, this.options.self));
   }
 
   private refuse(from: NodeIdentity, dispatchId: string, reason: Failure, now: Milliseconds): void {
     const outcome: DispatchOutcome = { kind: 'refused', failure: reason };
-    this.dispatches.set(dispatchId, {
+    this.dispatches.keep({
       dispatchId,
       origin: from,
       stream: false,
@@ -335,6 +324,7 @@
   private close(dispatch: HomeDispatch, now: Milliseconds): void {
     dispatch.state = 'ended';
     dispatch.changedAt = now;
+    this.dispatches.keep(dispatch);
     for (const startable of this.options.admission.release(dispatch.dispatchId, now)) {
       const next = this.dispatches.get(startable);
       if (next !== undefined && next.state === 'queued') this.start(next, now);
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -131,6 +131,7 @@
   private createHome(): HomeDispatcher {
     const { context, directory } = this.modules;
     return new HomeDispatcher({
+      self: this.ports.self,
       send: (to, message) => this.sendDispatch(to, message),
       startEngine: (dispatchId, worker, request) => {
         context.counters.increment('dispatches_admitted');
