--- /dev/null
+++ b/lab/proofs/oracles/config-in-force.ts
@@ -0,0 +1,118 @@
+/** An accepted configuration is in force everywhere within seconds and never reverts. */
+import type { Intent } from '../../../src/config-feed/configuration.js';
+import type { GenerationRequest } from '../../../src/core/generation.js';
+import type { NodeId, ZoneName } from '../../../src/core/identity.js';
+import type { Milliseconds, Revision } from '../../../src/core/units.js';
+import type { Observation } from '../../simulation/observation.js';
+import { Oracle } from '../oracle.js';
+import { ConfigurationLog } from './configuration-log.js';
+import { FRESHNESS_BOUND } from './staleness-bound.js';
+
+/** How soon a change reaches every node that can be reached. */
+export const IN_FORCE_LIMIT: Milliseconds = 12_000;
+
+/** Time from a node's decision to the engine's acceptance. */
+const ACCEPTANCE_DELAY: Milliseconds = 100;
+
+interface SeenRevision {
+  readonly at: Milliseconds;
+  readonly revision: Revision;
+}
+
+/** Compares what nodes do and say with what stood in the key-value service before. */
+export class ConfigInForceOracle extends Oracle {
+  readonly #configuration = new ConfigurationLog();
+  readonly #seen = new Map<NodeId, SeenRevision[]>();
+  readonly #startedAt = new Map<NodeId, Milliseconds>();
+  #healedAt = Number.POSITIVE_INFINITY;
+
+  override observe(observation: Observation): void {
+    this.#configuration.observe(observation);
+    switch (observation.kind) {
+      case 'node-started':
+        this.#startedAt.set(observation.node, observation.at);
+        break;
+      case 'fault':
+        this.#healedAt = Number.POSITIVE_INFINITY;
+        break;
+      case 'healed':
+        this.#healedAt = observation.at;
+        break;
+      case 'engine-accepted':
+        this.#judgeWork(observation.at, observation.zone, observation.request);
+        break;
+      case 'revision-seen':
+        this.#judgeRevision(observation);
+        break;
+      default:
+        break;
+    }
+  }
+
+  #judgeWork(at: Milliseconds, zone: ZoneName, request: GenerationRequest): void {
+    const limit = FRESHNESS_BOUND + ACCEPTANCE_DELAY;
+    const allowed = this.#configuration
+      .intentForms(request.intent, at - limit - longestService(this.#configuration, request, at))
+      .some((intent) => isAllowed(intent, zone, request, at, limit, this.#configuration));
+    this.compare(allowed, at, () => `"${request.intent}" was served in ${zone} after it ended`);
+  }
+
+  #judgeRevision(seen: Extract<Observation, { readonly kind: 'revision-seen' }>): void {
+    const { at, askedAt, node, revision } = seen;
+    if (revision === 0) return;
+    const log = this.#seen.get(node) ?? [];
+    const before = Math.max(
+      0,
+      ...log.filter((entry) => entry.at <= askedAt).map((entry) => entry.revision),
+    );
+    this.compare(revision >= before, at, () => `${node} fell from ${before} to ${revision}`);
+    log.push({ at, revision });
+    this.#seen.set(node, log);
+    this.#judgeSpread(seen);
+  }
+
+  #judgeSpread(seen: Extract<Observation, { readonly kind: 'revision-seen' }>): void {
+    const { askedAt, at, node, revision } = seen;
+    const calmSince = Math.max(this.#healedAt, this.#startedAt.get(node) ?? 0);
+    if (askedAt - calmSince < IN_FORCE_LIMIT) return;
+    const due = this.#configuration.revision(askedAt - IN_FORCE_LIMIT);
+    this.compare(revision >= due, at, () => `${node} is at ${revision}, ${due} was due`);
+  }
+}
+
+/** The longest time that a recent form of the intent lets a cut-off zone serve. */
+function longestService(
+  configuration: ConfigurationLog,
+  request: GenerationRequest,
+  at: Milliseconds,
+): Milliseconds {
+  const forms = configuration.intentForms(request.intent, at - LONGEST_MEMORY);
+  return Math.max(0, ...forms.map(serviceTime));
+}
+
+/** How far back forms of an intent can matter. */
+const LONGEST_MEMORY: Milliseconds = 60_000;
+
+function serviceTime(intent: Intent): Milliseconds {
+  return intent.cutOff.kind === 'serve' ? intent.cutOff.duration : 0;
+}
+
+/** Whether a form of the intent allows the work, given how long ago it was replaced. */
+function isAllowed(
+  intent: Intent,
+  zone: ZoneName,
+  request: GenerationRequest,
+  at: Milliseconds,
+  limit: Milliseconds,
+  configuration: ConfigurationLog,
+): boolean {
+  const inForceLately = configuration
+    .intentForms(request.intent, at - Math.max(limit, serviceTime(intent)))
+    .includes(intent);
+  return inForceLately && intent.zones.includes(zone) && isUser(intent, request);
+}
+
+function isUser(intent: Intent, request: GenerationRequest): boolean {
+  if (request.trafficClass === 'training') return intent.trainer === request.account;
+  return intent.interactive.accounts.includes(request.account);
+}
--- /dev/null
+++ b/lab/proofs/oracles/planned-stop.ts
@@ -0,0 +1,68 @@
+/** A planned stop of a node or a worker cuts off no request. */
+import type { NodeId } from '../../../src/core/identity.js';
+import type { Milliseconds } from '../../../src/core/units.js';
+import { ranStateOf } from '../../../src/errors/error-kinds.js';
+import type { CallReply, NodeCall } from '../../../src/node/calls.js';
+import type { LostCallCause, Observation } from '../../simulation/observation.js';
+import { Oracle } from '../oracle.js';
+
+interface OpenCall {
+  readonly node: NodeId;
+  readonly call: NodeCall;
+}
+
+/**
+ * Notes which calls were open at a node that was asked to stop: none may lose its connection, and
+ * none whose work may have begun may fail for it. Meant for runs whose only faults are planned
+ * stops and such as must not matter to a running request.
+ */
+export class PlannedStopOracle extends Oracle {
+  readonly #open = new Map<string, OpenCall>();
+  readonly #stopping = new Set<NodeId>();
+
+  override observe(observation: Observation): void {
+    switch (observation.kind) {
+      case 'call':
+        this.#open.set(observation.callId, observation);
+        break;
+      case 'node-stop-asked':
+        this.#stopping.add(observation.node);
+        break;
+      case 'node-started':
+        this.#stopping.delete(observation.node);
+        break;
+      case 'reply-sent':
+        this.#noteReply(observation.at, observation.callId, observation.reply);
+        break;
+      case 'call-lost':
+        this.#noteLost(observation.at, observation.callId, observation.cause);
+        break;
+      default:
+        break;
+    }
+  }
+
+  #noteReply(at: Milliseconds, callId: string, reply: CallReply): void {
+    if (reply.kind === 'segment') return;
+    const open = this.#takeStopping(callId);
+    if (open === undefined) return;
+    const cutOff =
+      reply.kind === 'failed' &&
+      open.call.kind === 'generate' &&
+      reply.failure.kind !== 'deadline_exceeded' &&
+      ranStateOf(reply.failure) !== 'no';
+    this.compare(!cutOff, at, () => `${callId} at ${open.node} failed while the node stopped`);
+  }
+
+  #noteLost(at: Milliseconds, callId: string, cause: LostCallCause): void {
+    const open = this.#takeStopping(callId);
+    if (open === undefined || cause === 'connection-refused') return;
+    this.compare(cause !== 'connection-lost', at, () => `${callId} at ${open.node} was cut off`);
+  }
+
+  #takeStopping(callId: string): OpenCall | undefined {
+    const open = this.#open.get(callId);
+    this.#open.delete(callId);
+    return open !== undefined && this.#stopping.has(open.node) ? open : undefined;
+  }
+}
--- a/lab/simulation/observation.ts
+++ b/lab/simulation/observation.ts
@@ -60,6 +60,7 @@
       /** The first or a later sign that a worker is on its way out, or that it stays. */
       readonly kind: 'worker-leaving';
       readonly worker: WorkerId;
+      readonly sign: 'report' | 'machine-list';
       readonly leaving: boolean;
     }
   | {
@@ -78,6 +79,7 @@
   | { readonly kind: 'node-stop-asked'; readonly node: NodeId }
   | {
       readonly kind: 'revision-seen';
+      readonly askedAt: Milliseconds;
       readonly node: NodeId;
       readonly incarnation: Incarnation;
       readonly revision: Revision;
--- a/lab/simulation/simulated-engine.ts
+++ b/lab/simulation/simulated-engine.ts
@@ -4,11 +4,16 @@
  */
 import type { GenerationRequest } from '../../src/core/generation.js';
 import type { Milliseconds } from '../../src/core/units.js';
-import type { EngineEvent, WorkerOrder, WorkerOrderResult, WorkerRecord } from '../../src/platform/worker.js';
+import type {
+  EngineEvent,
+  WorkerOrder,
+  WorkerOrderResult,
+  WorkerRecord,
+} from '../../src/platform/worker.js';
+import type { EngineCore, EngineOutput } from '../emulator/engine-core.js';
 import type { EventQueue } from './event-queue.js';
 import type { SimulatedNetwork } from './network.js';
 import type { ObservationBody } from './observation.js';
-import type { Engine, EngineOutput } from './ports.js';
 import type { SimulatedNode } from './simulated-node.js';
 
 /** How long a node waits for a connection to be made. */
@@ -28,7 +33,7 @@
 /** What an engine needs of its surroundings. */
 export interface SimulatedEngineOptions {
   readonly worker: WorkerRecord;
-  readonly engine: Engine;
+  readonly engine: EngineCore;
   readonly queue: EventQueue;
   readonly network: SimulatedNetwork;
   readonly observe: (body: ObservationBody) => void;
@@ -37,7 +42,7 @@
 /** An engine with its open streams and orders. */
 export class SimulatedEngine {
   readonly worker: WorkerRecord;
-  readonly #engine: Engine;
+  readonly #engine: EngineCore;
   readonly #queue: EventQueue;
   readonly #network: SimulatedNetwork;
   readonly #observe: (body: ObservationBody) => void;
@@ -123,15 +128,10 @@
   /** Ends the process with all it holds. */
   crash(): void {
     if (this.#down) return;
-    this.#down = true;
     this.#engine.crash(this.#queue.now);
     this.#observe({ kind: 'engine-crashed', worker: this.worker.worker });
-    for (const [dispatchId, stream] of this.#streams) {
-      this.#fail(stream, dispatchId, this.#delay(stream.node), 'unknown', 'connection reset');
-    }
-    for (const [orderId, stream] of this.#orders) {
-      this.#answerOrder(stream, orderId, this.#delay(stream.node), failedOrder('connection reset'));
-    }
+    for (const output of this.#engine.advance(this.#queue.now)) this.#carry(output);
+    this.#down = true;
     this.#streams.clear();
     this.#orders.clear();
   }
@@ -149,9 +149,9 @@
     this.#engine.setLeaving(leaving);
   }
 
-  /** Lets the next loads of weights fail. */
-  failNextSwaps(count: number): void {
-    this.#engine.failNextSwaps(count);
+  /** Share of later loads of weights that fail, in `[0, 1]`. */
+  setLoadFailureRate(rate: number): void {
+    this.#engine.setLoadFailureRate(rate);
   }
 
   #accept(stream: Stream, dispatchId: string, request: GenerationRequest): void {
--- a/lab/simulation/simulated-key-value.ts
+++ b/lab/simulation/simulated-key-value.ts
@@ -11,9 +11,9 @@
   KeyValueResult,
   KeyValueWatchEvent,
 } from '../../src/platform/key-value.js';
+import type { KeyValueCore } from '../emulator/key-value-core.js';
 import type { EventQueue } from './event-queue.js';
 import type { SimulatedNetwork } from './network.js';
-import type { KeyValueStore } from './ports.js';
 
 /** Zone name under which the platform's services take part in the network. */
 export const PLATFORM_ZONE: ZoneName = 'platform';
@@ -31,7 +31,8 @@
 
 /** What may be wrong with the service; all may be at once. */
 export interface KeyValueFaults {
-  down: boolean;
+  /** How many outages last at present; the service answers while there is none. */
+  outages: number;
   /** Extra time of each answer. */
   slowness: Milliseconds;
   /** Share of requests refused by the rate limit. */
@@ -61,7 +62,7 @@
 /** The service with its watches and faults. */
 export class SimulatedKeyValue {
   readonly faults: KeyValueFaults = {
-    down: false,
+    outages: 0,
     slowness: 0,
     refusedShare: 0,
     lostAnswerShare: 0,
@@ -69,22 +70,23 @@
   readonly #queue: EventQueue;
   readonly #network: SimulatedNetwork;
   readonly #random: RandomSource;
-  readonly #store: KeyValueStore;
+  readonly #store: KeyValueCore;
   readonly #onChange: ChangeListener;
   readonly #watches = new Set<Watch>();
-  #revision: Revision = 0;
+  #revision: Revision;
 
   constructor(
     queue: EventQueue,
     network: SimulatedNetwork,
     random: RandomSource,
-    store: KeyValueStore,
+    store: KeyValueCore,
     onChange: ChangeListener,
   ) {
     this.#queue = queue;
     this.#network = network;
     this.#random = random;
     this.#store = store;
+    this.#revision = store.revision;
     this.#onChange = onChange;
     this.#scheduleProgress();
   }
@@ -153,7 +155,7 @@
     operation: KeyValueOperation,
     deliver: (result: KeyValueResult) => void,
   ): void {
-    if (this.faults.down) {
+    if (this.faults.outages > 0) {
       this.#answer(ANSWER_TIMEOUT, deliver, unavailable(false));
       return;
     }
@@ -225,7 +227,7 @@
   }
 
   #isUsable(watch: Watch): boolean {
-    if (!watch.active || this.faults.down) return false;
+    if (!watch.active || this.faults.outages > 0) return false;
     if (!watch.client.open()) {
       this.#end(watch);
       return false;
--- a/lab/simulation/simulated-machine-list.ts
+++ b/lab/simulation/simulated-machine-list.ts
@@ -6,6 +6,9 @@
 import type { FleetPlan } from './fleet-plan.js';
 import { workerMachine } from './fleet-plan.js';
 
+/** How old the shown list is at least. */
+export const BASE_LAG: Milliseconds = 500;
+
 interface Snapshot {
   readonly at: Milliseconds;
   readonly machines: readonly MachineRecord[];
@@ -13,8 +16,8 @@
 
 /** The list with its recent past. */
 export class SimulatedMachineList {
-  /** How old the shown list is. */
-  lag: Milliseconds = 500;
+  /** How much older than {@link BASE_LAG} the shown list is. */
+  extraLag: Milliseconds = 0;
   readonly #plan: FleetPlan;
   readonly #leaving = new Set<string>();
   #snapshots: Snapshot[];
@@ -33,7 +36,7 @@
 
   /** The list as it is shown at a point of time. */
   shown(now: Milliseconds): readonly MachineRecord[] {
-    const shownTime = now - this.lag;
+    const shownTime = now - BASE_LAG - this.extraLag;
     const past = this.#snapshots.filter((snapshot) => snapshot.at <= shownTime);
     return (past.at(-1) ?? this.#snapshots[0])?.machines ?? [];
   }
--- a/lab/simulation/simulated-node.ts
+++ b/lab/simulation/simulated-node.ts
@@ -3,7 +3,11 @@
  */
 import type { NodeIdentity, NodeRecord } from '../../src/core/identity.js';
 import type { Milliseconds } from '../../src/core/units.js';
-import { type NodeEffect, type NodeEvent, TICK_INTERVAL_MILLISECONDS } from '../../src/node/node-events.js';
+import {
+  type NodeEffect,
+  type NodeEvent,
+  TICK_INTERVAL_MILLISECONDS,
+} from '../../src/node/node-events.js';
 import type { EventQueue } from './event-queue.js';
 import type { NodePlan } from './fleet-plan.js';
 import type { NodeClock } from './node-clock.js';
