--- /dev/null
+++ b/lab/proofs/proof-definition.ts
@@ -0,0 +1,14 @@
+/** What a proof consists of. */
+import type { ActionWeights } from './action-arbitraries.js';
+import type { Oracle } from './oracle.js';
+
+/** One promise with how it is tried and judged. */
+export interface ProofDefinition {
+  readonly name: string;
+  readonly createOracle: () => Oracle;
+  /** Mechanisms that the promise rests on; without any one of them it must not hold. */
+  readonly mechanisms: readonly string[];
+  readonly weights: ActionWeights;
+  /** Whether the oracle looks at messages between nodes. */
+  readonly observeMessages: boolean;
+}
--- /dev/null
+++ b/lab/replay/replay.ts
@@ -0,0 +1,26 @@
+/**
+ * The command `replay FILE`: runs a recorded trace again and compares what comes of it with the
+ * outcome that the trace states. Exit code 1 and a readable difference where they differ.
+ */
+import { associationPlan } from '../simulation/fleet-plan.js';
+import { createNodeFactory } from '../simulation/node-core-factory.js';
+import type { CommandFlags } from '../main.js';
+import { isMechanismName } from '../proofs/mechanism-names.js';
+import { readTrace } from '../proofs/trace.js';
+import { replayTrace } from './replay-trace.js';
+
+/** Runs the command. */
+export async function run(file: string, _flags: CommandFlags): Promise<number> {
+  const trace = readTrace(file);
+  const without = trace.header.without.filter(isMechanismName);
+  const result = replayTrace(trace, {
+    plan: associationPlan(),
+    createNode: createNodeFactory(without),
+  });
+  for (const line of result.differences) console.error(line);
+  const { holds, checked, violations } = result;
+  const replayed = result.differences.length === 0;
+  const { proof } = trace.header;
+  console.log(JSON.stringify({ replay: file, proof, holds, checked, violations, replayed }));
+  return replayed ? 0 : 1;
+}
--- a/lab/simulation/action.ts
+++ b/lab/simulation/action.ts
@@ -49,7 +49,7 @@
       readonly position: number;
       readonly duration: Milliseconds;
     }
-  /** An onlooker asks every running node which revision it acts on. */
+  /** An operator asks a node for the state of the fleet. */
   | { readonly kind: 'ask-status'; readonly node: number };
 
 /** What goes wrong, or is taken away on purpose. */
--- /dev/null
+++ b/lab/simulation/node-core-factory.ts
@@ -0,0 +1,18 @@
+/** Makes the real decision core for simulated nodes. */
+import { type MechanismName, mechanismsWithout } from '../../src/node/mechanisms.js';
+import { NodeCore } from '../../src/node/node-core.js';
+import type { NodeFactory } from './ports.js';
+
+/** A factory of nodes on which the named mechanisms are switched off. */
+export function createNodeFactory(without: readonly MechanismName[] = []): NodeFactory {
+  const mechanisms = mechanismsWithout(...without);
+  return (self, plan, random) =>
+    new NodeCore({
+      self,
+      random,
+      zones: plan.zones,
+      operators: plan.operators,
+      seedAddresses: plan.nodes.map((node) => node.address),
+      mechanisms,
+    });
+}
