--- a/lab/proofs/action-arbitraries.ts
+++ b/lab/proofs/action-arbitraries.ts
@@ -47,7 +47,7 @@
   'change-zones': fc.record({
     kind: fc.constant('change-zones' as const),
     intent: position,
-    without: fc.option(position),
+    without: fc.option(position, { nil: null }),
     cutOffServes: fc.boolean(),
   }),
   race: fc.record({
@@ -78,7 +78,11 @@
     oneWay: fc.boolean(),
     duration,
   }),
-  'isolate-zone': fc.record({ kind: fc.constant('isolate-zone' as const), zone: position, duration }),
+  'isolate-zone': fc.record({
+    kind: fc.constant('isolate-zone' as const),
+    zone: position,
+    duration,
+  }),
   'disturb-network': fc.record({
     kind: fc.constant('disturb-network' as const),
     loss: fc.constantFrom(0, 0.01, 0.1, 0.3),
--- a/lab/proofs/proof.ts
+++ b/lab/proofs/proof.ts
@@ -5,10 +5,11 @@
  * A step is one generated operation or fault that was carried out. Exit code 0 means that no
  * oracle objected and that oracles compared something.
  */
-import { createNodeFactory } from '../simulation/node-core-factory.js';
-import { associationPlan } from '../simulation/fleet-plan.js';
+
 import type { MechanismName } from '../../src/node/mechanisms.js';
 import type { CommandFlags } from '../main.js';
+import { associationPlan } from '../simulation/fleet-plan.js';
+import { createNodeFactory } from '../simulation/node-core-factory.js';
 import { PROOFS, proofNamed } from './catalogue.js';
 import { isMechanismName } from './mechanism-names.js';
 import type { ProofDefinition } from './proof-definition.js';
@@ -35,7 +36,9 @@
   }
   const proof = proofNamed(name);
   if (proof === undefined) {
-    console.error(`There is no proof "${name}"; known: ${PROOFS.map((one) => one.name).join(', ')}`);
+    console.error(
+      `There is no proof "${name}"; known: ${PROOFS.map((one) => one.name).join(', ')}`,
+    );
     return USAGE_ERROR;
   }
   const without = flags.without === undefined ? [] : [String(flags.without)];
--- a/lab/proofs/run-steps.ts
+++ b/lab/proofs/run-steps.ts
@@ -1,6 +1,7 @@
 /** Runs given steps against a proof's oracle, from the start of a deployment to its settling. */
-import type { FleetPlan } from '../simulation/fleet-plan.js';
+
 import type { Step } from '../simulation/action.js';
+import type { FleetPlan } from '../simulation/fleet-plan.js';
 import type { NodeFactory } from '../simulation/ports.js';
 import { Scenario } from '../simulation/scenario.js';
 import { Simulation } from '../simulation/simulation.js';
--- a/lab/replay/replay.ts
+++ b/lab/replay/replay.ts
@@ -2,11 +2,12 @@
  * The command `replay FILE`: runs a recorded trace again and compares what comes of it with the
  * outcome that the trace states. Exit code 1 and a readable difference where they differ.
  */
-import { associationPlan } from '../simulation/fleet-plan.js';
-import { createNodeFactory } from '../simulation/node-core-factory.js';
+
 import type { CommandFlags } from '../main.js';
 import { isMechanismName } from '../proofs/mechanism-names.js';
 import { readTrace } from '../proofs/trace.js';
+import { associationPlan } from '../simulation/fleet-plan.js';
+import { createNodeFactory } from '../simulation/node-core-factory.js';
 import { replayTrace } from './replay-trace.js';
 
 /** Runs the command. */
--- a/lab/simulation/scenario.ts
+++ b/lab/simulation/scenario.ts
@@ -171,7 +171,13 @@
   #askStatus(position: number): void {
     const account = at(this.simulation.plan.operators, 0);
     const node = this.simulation.nodeAt(position);
-    attempt(this.simulation, node, () => ({ kind: 'status', account }), PATIENCE, () => undefined);
+    attempt(
+      this.simulation,
+      node,
+      () => ({ kind: 'status', account }),
+      PATIENCE,
+      () => undefined,
+    );
   }
 
   /** Notes which revision every running node acts on. */
--- a/lab/simulation/trainer-client.ts
+++ b/lab/simulation/trainer-client.ts
@@ -14,6 +14,9 @@
 /** Longest wait of one read. */
 const READ_WAIT: Milliseconds = 1_000;
 
+/** Pause between two reads. */
+const READ_PAUSE: Milliseconds = 30;
+
 /** Share of pages after which the trainer acknowledges. */
 const ACKNOWLEDGE_SHARE = 0.6;
 
@@ -113,7 +116,7 @@
   }
 
   #continue(step: TrainerStep, outcome: Attempt): void {
-    const pause = outcome.kind === 'done' ? 0 : pauseAfter(outcome);
+    const pause = outcome.kind === 'done' ? READ_PAUSE : pauseAfter(outcome);
     this.#simulation.queue.after(pause, () => {
       if (step.phase === 'submitting') this.#submit(step);
       if (step.phase === 'reading') this.#read(step);
