--- a/lab/simulation/node-core-factory.ts
+++ b/lab/simulation/node-core-factory.ts
@@ -3,6 +3,9 @@
 import { NodeCore } from '../../src/node/node-core.js';
 import type { NodeFactory } from './ports.js';
 
+/** Ledger shards of an intent: few, so that the groups of a small deployment form quickly. */
+const SHARDS_PER_DOMAIN = 3;
+
 /** A factory of nodes on which the named mechanisms are switched off. */
 export function createNodeFactory(without: readonly MechanismName[] = []): NodeFactory {
   const mechanisms = mechanismsWithout(...without);
@@ -13,6 +16,7 @@
       zones: plan.zones,
       operators: plan.operators,
       seedAddresses: plan.nodes.map((node) => node.address),
+      shardsPerDomain: SHARDS_PER_DOMAIN,
       mechanisms,
     });
 }
