Streams in order and whole; oracles see hand-over and content; mechanism table

Ruled out: the final answer itself was whole. Change: src/dispatch/segment-sequence.ts orders segments and completes them from the answer. Two faults of the harness: a watch's events could overtake each other, and a rewrite of the same value counted as a new configuration.

--- a/lab/proofs/action-arbitraries.ts
+++ b/lab/proofs/action-arbitraries.ts
@@ -23,13 +23,19 @@
   { weight: 1, arbitrary: fc.integer({ min: 500, max: 4_000 }) },
 );
 
+/** Mostly short; the long ones matter where the engines' answers are long. */
+const answerLimit = fc.oneof(
+  { weight: 3, arbitrary: fc.integer({ min: 4, max: 48 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 300, max: 2_000 }) },
+);
+
 /** One arbitrary for each kind of action. */
 const ACTIONS = {
   'submit-step': fc.record({
     kind: fc.constant('submit-step' as const),
     trainer: position,
     samples: fc.integer({ min: 1, max: 8 }),
-    maxTokens: fc.integer({ min: 4, max: 48 }),
+    maxTokens: answerLimit,
     timeout: stepTimeout,
   }),
   'read-again': fc.record({ kind: fc.constant('read-again' as const), trainer: position }),
--- a/lab/proofs/catalogue.ts
+++ b/lab/proofs/catalogue.ts
@@ -1,4 +1,5 @@
 /** The ten proofs. */
+import { SHORT_ANSWERS } from '../simulation/fleet-plan.js';
 import { FAULTS, OPERATIONS } from './action-arbitraries.js';
 import { AtMostOnceOracle } from './oracles/at-most-once.js';
 import { CompleteAnswerOracle } from './oracles/complete-answer.js';
@@ -12,61 +13,77 @@
 import { WeightVersionsOracle } from './oracles/weight-versions.js';
 import type { ProofDefinition } from './proof-definition.js';
 
+/** Median length of answers that often outlast a version. */
+const LONG_ANSWERS = 250;
+
 /** All proofs, in the order in which the brief names the promises. */
 export const PROOFS: readonly ProofDefinition[] = [
   {
     name: 'weight-versions',
     createOracle: () => new WeightVersionsOracle(),
-    mechanisms: [],
+    mechanisms: ['segment-versions', 'version-fencing'],
     weights: { ...OPERATIONS, ...FAULTS, 'publish-version': 40 },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'staleness-bound',
     createOracle: () => new StalenessBoundOracle(),
-    mechanisms: [],
+    mechanisms: ['staleness-check-at-dispatch', 'staleness-check-at-hand-over'],
     weights: { ...OPERATIONS, ...FAULTS, 'publish-version': 12, 'submit-step': 250 },
     observeMessages: false,
+    medianTokens: LONG_ANSWERS,
   },
   {
     name: 'exactly-once',
     createOracle: () => new ExactlyOnceOracle(),
-    mechanisms: [],
+    mechanisms: [
+      'result-claim',
+      'group-catch-up',
+      'body-replication',
+      'step-take-over',
+      'cursor-monotonic',
+    ],
     weights: { ...OPERATIONS, ...FAULTS, 'submit-step': 200, 'read-again': 60 },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'complete-answer',
     createOracle: () => new CompleteAnswerOracle(),
-    mechanisms: [],
+    mechanisms: ['request-identity', 'whole-answer'],
     weights: { ...OPERATIONS, ...FAULTS },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'not-run-is-true',
     createOracle: () => new NotRunIsTrueOracle(),
-    mechanisms: [],
+    mechanisms: ['unknown-outcome', 'barred-dispatch'],
     weights: { ...OPERATIONS, ...FAULTS, 'isolate-zone': 8, 'disturb-network': 10 },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'at-most-once',
     createOracle: () => new AtMostOnceOracle(),
-    mechanisms: [],
+    mechanisms: ['claim-before-dispatch', 'dispatch-deduplication', 'single-dispatch'],
     weights: { ...OPERATIONS, ...FAULTS, ask: 700, 'disturb-network': 12 },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'drain',
     createOracle: () => new DrainOracle(),
-    mechanisms: [],
+    mechanisms: ['drain-refusal', 'leaving-signal'],
     weights: { ...OPERATIONS, ...FAULTS, drain: 15, 'worker-leaves': 25 },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'planned-stop',
     createOracle: () => new PlannedStopOracle(),
-    mechanisms: [],
+    mechanisms: ['graceful-stop', 'hand-over-on-stop'],
     weights: {
       ...OPERATIONS,
       stop: 20,
@@ -79,20 +96,23 @@
       'watches-break': 3,
     },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'config-in-force',
     createOracle: () => new ConfigInForceOracle(),
-    mechanisms: [],
+    mechanisms: ['freshness-rule', 'revision-order', 'withdraw-on-change'],
     weights: { ...OPERATIONS, ...FAULTS, 'change-zones': 20, 'isolate-zone': 10 },
     observeMessages: false,
+    medianTokens: SHORT_ANSWERS,
   },
   {
     name: 'residency',
     createOracle: () => new ResidencyOracle(),
-    mechanisms: [],
+    mechanisms: ['residency-routing', 'residency-gateway', 'residency-replicas'],
     weights: { ...OPERATIONS, ...FAULTS, 'submit-step': 250, 'change-zones': 4 },
     observeMessages: true,
+    medianTokens: SHORT_ANSWERS,
   },
 ];
 
--- a/lab/proofs/oracles/complete-answer.ts
+++ b/lab/proofs/oracles/complete-answer.ts
@@ -3,8 +3,8 @@
 import type { Milliseconds } from '../../../src/core/units.js';
 import type { CallReply } from '../../../src/node/calls.js';
 import { answerLength } from '../../emulator/answer-length.js';
-import { DEFAULT_ENGINE_SETTINGS } from '../../emulator/engine-settings.js';
 import { expectedText } from '../../emulator/generated-text.js';
+import { SHORT_ANSWERS } from '../../simulation/fleet-plan.js';
 import type { Observation } from '../../simulation/observation.js';
 import { SIMULATED_ENGINE_SETTINGS } from '../../simulation/simulation.js';
 import { Oracle } from '../oracle.js';
@@ -58,8 +58,9 @@
     const promptGroup = this.#groups.get(work.prompt);
     if (promptGroup === undefined) return undefined;
     const { samplingSeed } = work;
-    const settings = { ...DEFAULT_ENGINE_SETTINGS, ...SIMULATED_ENGINE_SETTINGS };
-    return answerLength({ promptGroup, samplingSeed, ...settings });
+    const { lengthSpread } = SIMULATED_ENGINE_SETTINGS;
+    const medianTokens = SHORT_ANSWERS;
+    return answerLength({ promptGroup, samplingSeed, medianTokens, lengthSpread });
   }
 }
 
--- a/lab/proofs/oracles/configuration-log.ts
+++ b/lab/proofs/oracles/configuration-log.ts
@@ -23,13 +23,15 @@
   readonly #intents = new Map<IntentName, Dated<Intent>[]>();
   readonly #newest = new Map<ModelName, Dated<WeightVersion>[]>();
   readonly #revisions: Dated<Revision>[] = [];
+  readonly #values = new Map<string, string | null>();
 
   /** Notes a change. */
   observe(observation: Observation): void {
     if (observation.kind !== 'key-value-changed') return;
     const { at, key, value, revision } = observation;
     if (!key.startsWith(FEED_PREFIX)) return;
-    this.#revisions.push({ at, value: revision });
+    if (value !== (this.#values.get(key) ?? null)) this.#revisions.push({ at, value: revision });
+    this.#values.set(key, value);
     if (value === null) return;
     if (key.startsWith(FEED_PREFIXES.intents)) {
       const intent = decodeRecord<Intent>(value);
@@ -47,7 +49,7 @@
     return lastAt(this.#newest.get(model) ?? [], time) ?? 0;
   }
 
-  /** Revision of the last change of the configuration at or before a time. */
+  /** Revision of the last change of the configuration's content at or before a time. */
   revision(time: Milliseconds): Revision {
     return lastAt(this.#revisions, time) ?? 0;
   }
--- a/lab/proofs/proof.ts
+++ b/lab/proofs/proof.ts
@@ -9,7 +9,6 @@
 import { SECOND } from '../../src/core/units.js';
 import type { MechanismName } from '../../src/node/mechanisms.js';
 import type { CommandFlags } from '../main.js';
-import { associationPlan } from '../simulation/fleet-plan.js';
 import { createNodeFactory } from '../simulation/node-core-factory.js';
 import { PROOFS, proofNamed } from './catalogue.js';
 import { isMechanismName } from './mechanism-names.js';
@@ -58,7 +57,6 @@
   const seed = Number(flags.seed ?? DEFAULT_SEED);
   const outcome = prove({
     proof,
-    plan: associationPlan(),
     createNode: createNodeFactory(without),
     seed,
     steps: Number(flags.steps ?? DEFAULT_STEPS),
--- a/lab/proofs/prove.ts
+++ b/lab/proofs/prove.ts
@@ -4,7 +4,6 @@
  */
 import fc from 'fast-check';
 import { isFault, type Step } from '../simulation/action.js';
-import type { FleetPlan } from '../simulation/fleet-plan.js';
 import type { NodeFactory } from '../simulation/ports.js';
 import { steps } from './action-arbitraries.js';
 import { FaultBudget } from './fault-budget.js';
@@ -18,7 +17,6 @@
 /** What a proof is asked to do. */
 export interface ProveOptions {
   readonly proof: ProofDefinition;
-  readonly plan: FleetPlan;
   readonly createNode: NodeFactory;
   readonly seed: number;
   /** Generated operations and faults to be carried out at least, over all runs. */
--- a/lab/proofs/run-steps.ts
+++ b/lab/proofs/run-steps.ts
@@ -1,7 +1,7 @@
 /** Runs given steps against a proof's oracle, from the start of a deployment to its settling. */
 
 import type { Step } from '../simulation/action.js';
-import type { FleetPlan } from '../simulation/fleet-plan.js';
+import { associationPlan } from '../simulation/fleet-plan.js';
 import type { NodeFactory } from '../simulation/ports.js';
 import { Scenario } from '../simulation/scenario.js';
 import { Simulation } from '../simulation/simulation.js';
@@ -11,7 +11,6 @@
 /** What one run is made of, besides its steps. */
 export interface RunSetting {
   readonly proof: ProofDefinition;
-  readonly plan: FleetPlan;
   readonly createNode: NodeFactory;
   readonly seed: number;
 }
@@ -29,7 +28,7 @@
   const oracle = setting.proof.createOracle();
   const simulation = new Simulation({
     seed: setting.seed,
-    plan: setting.plan,
+    plan: associationPlan(setting.proof.medianTokens),
     createNode: setting.createNode,
     observeMessages: setting.proof.observeMessages,
   });
--- a/lab/replay/replay-trace.ts
+++ b/lab/replay/replay-trace.ts
@@ -2,15 +2,8 @@
 import { proofNamed } from '../proofs/catalogue.js';
 import { runSteps } from '../proofs/run-steps.js';
 import type { Trace, TraceOutcome } from '../proofs/trace.js';
-import type { FleetPlan } from '../simulation/fleet-plan.js';
 import type { NodeFactory } from '../simulation/ports.js';
 
-/** What a trace is run on. */
-export interface ReplaySetting {
-  readonly plan: FleetPlan;
-  readonly createNode: NodeFactory;
-}
-
 /** What came of a replay. */
 export interface ReplayResult {
   readonly holds: boolean;
@@ -21,10 +14,10 @@
 }
 
 /** Replays a trace. Throws where it names no known proof. */
-export function replayTrace(trace: Trace, setting: ReplaySetting): ReplayResult {
+export function replayTrace(trace: Trace, createNode: NodeFactory): ReplayResult {
   const proof = proofNamed(trace.header.proof);
   if (proof === undefined) throw new RangeError(`there is no proof "${trace.header.proof}"`);
-  const run = runSteps({ proof, ...setting, seed: trace.header.simulationSeed }, trace.steps);
+  const run = runSteps({ proof, createNode, seed: trace.header.simulationSeed }, trace.steps);
   const { checked, violationCount, violations } = run.oracle;
   const holds = violationCount === 0 && checked > 0;
   const actual: TraceOutcome = { holds, firstViolation: violations[0]?.detail ?? null };
--- a/lab/replay/replay.ts
+++ b/lab/replay/replay.ts
@@ -6,7 +6,6 @@
 import type { CommandFlags } from '../main.js';
 import { isMechanismName } from '../proofs/mechanism-names.js';
 import { readTrace } from '../proofs/trace.js';
-import { associationPlan } from '../simulation/fleet-plan.js';
 import { createNodeFactory } from '../simulation/node-core-factory.js';
 import { replayTrace } from './replay-trace.js';
 
@@ -14,10 +13,7 @@
 export async function run(file: string, _flags: CommandFlags): Promise<number> {
   const trace = readTrace(file);
   const without = trace.header.without.filter(isMechanismName);
-  const result = replayTrace(trace, {
-    plan: associationPlan(),
-    createNode: createNodeFactory(without),
-  });
+  const result = replayTrace(trace, createNodeFactory(without));
   for (const line of result.differences) console.error(line);
   const { holds, checked, violations } = result;
   const replayed = result.differences.length === 0;
--- a/lab/simulation/fleet-plan.ts
+++ b/lab/simulation/fleet-plan.ts
@@ -9,7 +9,7 @@
   RegionName,
   ZoneName,
 } from '../../src/core/identity.js';
-import type { WeightVersion } from '../../src/core/units.js';
+import type { TokenCount, WeightVersion } from '../../src/core/units.js';
 import type { WorkerRecord } from '../../src/platform/worker.js';
 import type { NetworkLatency } from './network.js';
 
@@ -40,6 +40,8 @@
   readonly callers: readonly CallerPlan[];
   readonly operators: readonly AccountName[];
   readonly latency: NetworkLatency;
+  /** Median length of answers, in tokens, before a request's own limit. */
+  readonly medianTokens: TokenCount;
 }
 
 /** A trainer with the model it draws from. */
@@ -61,6 +63,8 @@
 
 const ZONE_NAMES = ['abdali-hall', 'sweifieh-hall', 'marka-hall'] as const;
 
+const NODES_PER_ZONE = 3;
+
 const BROKERS: readonly AccountName[] = ['broker-1', 'broker-2'];
 
 function zones(): ZonePlan[] {
@@ -110,14 +114,17 @@
   };
 }
 
+/** Median length of answers where a run has no need of long ones. */
+export const SHORT_ANSWERS: TokenCount = 16;
+
 /**
  * The association of the brief: three zones, a model for samples, one for interactive lookups, a
  * trainer that may use all zones and one that must stay in two of them.
  */
-export function associationPlan(nodesPerZone = 3): FleetPlan {
+export function associationPlan(medianTokens: TokenCount = SHORT_ANSWERS): FleetPlan {
   return {
     zones: zones(),
-    nodes: nodes(nodesPerZone),
+    nodes: nodes(NODES_PER_ZONE),
     workers: [...workers('model-bench', 2, 4, 8_101), ...workers('member-portal', 1, 4, 8_201)],
     intents: [
       intent('clause-summaries', 'model-bench', 'trainer-pricing', ZONE_NAMES),
@@ -133,5 +140,6 @@
     callers: BROKERS.map((account) => ({ account, model: 'member-portal' })),
     operators: ['operator-1', 'operator-2'],
     latency: { insideZone: 0.2, betweenZones: 0.5, toClients: 3 },
+    medianTokens,
   };
 }
--- a/lab/simulation/simulated-key-value.ts
+++ b/lab/simulation/simulated-key-value.ts
@@ -53,6 +53,8 @@
   readonly deliver: (event: KeyValueWatchEvent) => void;
   nextRevision: Revision;
   lastHeard: Milliseconds;
+  /** Earliest time of the next delivery, since a connection keeps the order. */
+  notBefore: Milliseconds;
   active: boolean;
 }
 
@@ -133,6 +135,7 @@
       deliver,
       nextRevision: fromRevision,
       lastHeard: this.#queue.now,
+      notBefore: 0,
       active: true,
     };
     this.#watches.add(watch);
@@ -221,7 +224,8 @@
     watch.nextRevision = event.revision + 1;
     watch.lastHeard = this.#queue.now;
     const delay = this.#network.delay(PLATFORM_ZONE, watch.client.zone);
-    this.#queue.after(delay, () => {
+    watch.notBefore = Math.max(watch.notBefore, this.#queue.now + delay);
+    this.#queue.after(watch.notBefore - this.#queue.now, () => {
       if (watch.active) watch.deliver(event);
     });
   }
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -29,11 +29,10 @@
 import { SimulatedMachineList } from './simulated-machine-list.js';
 import { SimulatedNode } from './simulated-node.js';
 
-/** Engines of a simulation: short answers, so that many fit into a run. */
+/** Engines of a simulation. */
 export const SIMULATED_ENGINE_SETTINGS = {
   ...DEFAULT_ENGINE_SETTINGS,
   chunkTokens: 4,
-  medianTokens: 16,
   lengthSpread: 0.8,
   loadTime: 400,
 };
@@ -169,6 +168,7 @@
         ...SIMULATED_ENGINE_SETTINGS,
         worker: worker.worker,
         slots: worker.slots,
+        medianTokens: this.plan.medianTokens,
         initialVersion: this.plan.firstVersion,
       };
       const engine = new EngineCore(settings, this.#fork());
--- a/src/dispatch/generation-runner.ts
+++ b/src/dispatch/generation-runner.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
 import type { DispatchClient, OriginOutcome } from './dispatch-client.js';
+import { SegmentSequence } from './segment-sequence.js';
 
 /** A worker chosen for a request, or why there is none. */
 export type WorkerChoice =
@@ -72,16 +73,18 @@
   private readonly tried = new Set<WorkerId>();
   private dispatchId: string | null = null;
   private count = 0;
-  private passedOn = false;
   private mayHaveRun = false;
   private over = false;
+  private readonly stream: SegmentSequence;
 
   constructor(
     private readonly options: GenerationRunnerOptions,
     private readonly order: GenerationOrder,
     private readonly listener: GenerationListener,
     private readonly clock: () => Milliseconds,
-  ) {}
+  ) {
+    this.stream = new SegmentSequence((segment, text) => listener.onSegment?.(segment, text));
+  }
 
   cancel(): void {
     this.over = true;
@@ -117,9 +120,7 @@
   }
 
   private pass(segment: TokenSegment, text: string): void {
-    if (this.over) return;
-    this.passedOn = true;
-    this.listener.onSegment?.(segment, text);
+    if (!this.over) this.stream.accept(segment, text);
   }
 
   private ended(worker: WorkerId, outcome: OriginOutcome): void {
@@ -127,6 +128,7 @@
     if (this.over) return;
     if (outcome.kind === 'finished') {
       this.over = true;
+      if (this.order.stream) this.stream.complete(outcome.result);
       this.listener.onEnd({ kind: 'finished', result: outcome.result, worker }, this.clock());
       return;
     }
@@ -149,7 +151,7 @@
     if (this.count >= this.order.maxAttempts) return false;
     const now = this.clock();
     if (now >= this.order.deadline) return false;
-    if (this.passedOn) return false;
+    if (this.stream.hasPassed) return false;
     const repeatable = this.order.request.repeatable || !this.options.singleDispatch;
     if (ranStateOf(reason) !== 'no' && !repeatable) return false;
     return this.options.mayRetry(now);
--- a/test/lab/proofs/prove.test.ts
+++ b/test/lab/proofs/prove.test.ts
@@ -3,7 +3,6 @@
 import type { ProofDefinition } from '../../../lab/proofs/proof-definition.js';
 import { type ProofOutcome, prove } from '../../../lab/proofs/prove.js';
 import { runSteps } from '../../../lab/proofs/run-steps.js';
-import { associationPlan } from '../../../lab/simulation/fleet-plan.js';
 import { createStubFactory, type StubFault } from '../simulation/stub-node.js';
 
 /** A proof by name, tried with client operations only. */
@@ -15,8 +14,7 @@
 
 function tryStub(name: string, fault: StubFault, seed = 1): ProofOutcome {
   const createNode = createStubFactory(fault);
-  const plan = associationPlan();
-  return prove({ proof: calm(name), plan, createNode, seed, steps: 100, shrinkTime: 3_000 });
+  return prove({ proof: calm(name), createNode, seed, steps: 100, shrinkTime: 3_000 });
 }
 
 for (const name of ['weight-versions', 'exactly-once', 'complete-answer']) {
@@ -48,7 +46,6 @@
   const run = runSteps(
     {
       proof: calm('exactly-once'),
-      plan: associationPlan(),
       createNode: createStubFactory('twice'),
       seed: failing?.simulationSeed ?? 0,
     },
