--- a/lab/import-check.ts
+++ b/lab/import-check.ts
@@ -17,6 +17,9 @@
   'weights',
   'rollouts',
   'dispatch',
+  'requests',
+  'retention',
+  'access',
   'node',
 ];
 
--- a/src/core/node-ports.ts
+++ b/src/core/node-ports.ts
@@ -49,8 +49,10 @@
   ): void;
   /** The ledger itself, for queries that have no effects. */
   readonly view: Pick<Ledger<LedgerRecord>, 'localEntries' | 'groupFor' | 'isActiveMember'>;
-  /** Forgets the registers and bodies of a shard key below a prefix. */
-  remove(domain: string, shardKey: string, keyPrefix: string): void;
+  /** Forgets the register with a key or, where the key ends with `/`, all below it. */
+  removeRegisters(domain: string, shardKey: string, key: string): void;
+  /** Forgets all bodies of a shard key. */
+  removeBodies(domain: string, shardKey: string): void;
 }
 
 /** The node as its composite modules see it. */
--- a/src/node/ledger-adapter.ts
+++ b/src/node/ledger-adapter.ts
@@ -74,8 +74,12 @@
     this.apply(this.ledger.fetchBody(request, this.context.now()));
   }
 
-  remove(domain: string, shardKey: string, keyPrefix: string): void {
-    this.apply(this.ledger.removeKeys(domain, shardKey, keyPrefix, this.context.now()));
+  removeRegisters(domain: string, shardKey: string, key: string): void {
+    this.apply(this.ledger.removeKeys(domain, shardKey, key, this.context.now()));
+  }
+
+  removeBodies(domain: string, shardKey: string): void {
+    this.apply(this.ledger.removeBodies(domain, shardKey, null, this.context.now()));
   }
 
   /** Carries out what the ledger wants. */
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -2,6 +2,7 @@
 import type { AccountName, NodeRecord, RegionName, ZoneName } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
+import { DEFAULT_RETENTION, type RetentionTimes } from '../retention/retention-sweeper.js';
 import { ALL_MECHANISMS, type MechanismSwitches } from './mechanisms.js';
 
 /** A zone of the fleet. */
@@ -31,6 +32,8 @@
   readonly hedging?: boolean;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
+  /** How long ended steps and claimed requests are kept. @default see RetentionTimes */
+  readonly retention?: RetentionTimes;
   /** Mechanisms; all on but in the lab. */
   readonly mechanisms?: MechanismSwitches;
 }
@@ -39,6 +42,7 @@
 export const NODE_DEFAULTS = {
   seedAddresses: [] as readonly string[],
   hedging: true,
+  retention: DEFAULT_RETENTION,
   mechanisms: ALL_MECHANISMS,
   freshnessBound: 6_000,
   replicaCount: 5,
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -15,6 +15,7 @@
 import { ranStateOf } from '../errors/error-kinds.js';
 import type { EngineEvent } from '../platform/worker.js';
 import { RequestCalls } from '../requests/request-calls.js';
+import { RetentionSweeper } from '../retention/retention-sweeper.js';
 import { StepCalls } from '../rollouts/step-calls.js';
 import type { StepPorts } from '../rollouts/step-ports.js';
 import { StepSupervisor } from '../rollouts/step-supervisor.js';
@@ -38,6 +39,7 @@
   readonly requests: RequestCalls;
   readonly steps: StepCalls;
   readonly supervisor: StepSupervisor;
+  private readonly retention: RetentionSweeper;
   private readonly admission: HomeAdmission;
   private readonly placement: WorkPlacement;
   private readonly runner: GenerationRunner;
@@ -70,6 +72,7 @@
         modules.permission.readableIntents(account, modules.permissionView()),
     });
     this.supervisor = new StepSupervisor(this.createStepPorts());
+    this.retention = new RetentionSweeper(ports, modules.settings.retention);
   }
 
   /** Time passes for the work in progress. */
@@ -78,7 +81,10 @@
     this.home.tick(now);
     this.requests.tick();
     this.steps.tick();
-    if (this.ports.isConfirmed()) this.supervisor.tick();
+    if (this.ports.isConfirmed()) {
+      this.supervisor.tick();
+      this.retention.tick();
+    }
     if (this.withdrawal.isDue(now)) this.withdrawForbidden();
   }
 
--- a/src/rollouts/delivery-log.ts
+++ b/src/rollouts/delivery-log.ts
@@ -5,13 +5,7 @@
  * key that is in no earlier page and not in the current one is nowhere.
  */
 import type { LedgerChange } from '../ledger/ledger.js';
-import type {
-  ClosingMark,
-  DeliveryEntry,
-  DeliveryPage,
-  LedgerRecord,
-  StepRecord,
-} from './records.js';
+import type { ClosingMark, DeliveryEntry, DeliveryPage, LedgerRecord } from './records.js';
 
 /** How many entries a page holds. */
 export const PAGE_SIZE = 256;
@@ -58,6 +52,7 @@
     const present = new Set(existing.entries.map((entry) => entry.key));
     const fresh = entries.filter((entry) => {
       const wanted = !unique || !present.has(entry.key);
+      present.add(entry.key);
       return wanted && admissible(entry);
     });
     const room = PAGE_SIZE - existing.entries.length;
@@ -85,10 +80,18 @@
   };
 }
 
-/** Marks a step as ended. */
-export function endStep(state: StepRecord['state']): PageChange {
+/** Marks an open step as ended. */
+export function endStep(state: 'complete' | 'closed'): PageChange {
   return (current) => {
     if (current?.kind !== 'step' || current.state !== 'open') return { kind: 'keep' };
     return { kind: 'write', value: { ...current, state } };
   };
 }
+
+/** Marks an ended step as expired, before its pages and results are removed. */
+export function expireStep(): PageChange {
+  return (current) => {
+    if (current?.kind !== 'step' || current.state === 'open') return { kind: 'keep' };
+    return { kind: 'write', value: { ...current, state: 'expired' } };
+  };
+}
--- a/src/rollouts/records.ts
+++ b/src/rollouts/records.ts
@@ -19,7 +19,8 @@
   readonly timeout: Milliseconds;
   /** All positions below were acknowledged; never goes back. */
   readonly acknowledged: number;
-  readonly state: 'open' | 'complete' | 'closed';
+  /** `expired`: ended a while ago; its pages and results are gone. */
+  readonly state: 'open' | 'complete' | 'closed' | 'expired';
 }
 
 /** One delivered sample: its place in the page is its position. */
@@ -81,7 +82,10 @@
   return `${pagePrefix(step)}${page}`;
 }
 
+/** Prefix of the keys of all requests that may run at most once. */
+export const REQUEST_PREFIX = 'request/';
+
 /** Key of a request that may run at most once. */
 export function requestKey(account: AccountName, idempotencyKey: string): string {
-  return `request/${account}/${idempotencyKey}`;
+  return `${REQUEST_PREFIX}${account}/${idempotencyKey}`;
 }
--- a/src/rollouts/step-reader.ts
+++ b/src/rollouts/step-reader.ts
@@ -51,6 +51,10 @@
 
   /** Looks for the first time. */
   start(): void {
+    if (this.order.record.state === 'expired') {
+      this.fail(failure('not_found', 'the step ended a while ago; its samples are gone'));
+      return;
+    }
     this.look();
   }
 
--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -9,9 +9,8 @@
 import { rendezvousOrder } from '../core/hashing.js';
 import { identityKey, type NodeIdentity, sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
-import { MINUTE } from '../core/units.js';
 import type { RolloutMessage } from './messages.js';
-import { pagePrefix, STEP_PREFIX, type StepRecord } from './records.js';
+import { STEP_PREFIX, type StepRecord } from './records.js';
 import { StepDriver } from './step-driver.js';
 import type { StepPorts } from './step-ports.js';
 
@@ -23,8 +22,6 @@
 const RANK_DELAY: Milliseconds = 300;
 /** How often the registers are looked through for steps. */
 const SCAN_INTERVAL: Milliseconds = 100;
-/** How long an ended step can still be read. */
-const RETENTION: Milliseconds = 5 * MINUTE;
 
 interface KnownStep {
   readonly key: string;
@@ -79,10 +76,15 @@
   }
 
   private scan(now: Milliseconds): void {
+    const present = new Set<string>();
     for (const { key, value } of this.ports.node.ledger.view.localEntries(STEP_PREFIX)) {
       if (value.kind !== 'step') continue;
+      present.add(key);
       this.notice(key, value, now);
     }
+    for (const step of this.steps.values()) {
+      if (step.driver === null && !present.has(step.key)) this.steps.delete(step.key);
+    }
   }
 
   private notice(key: string, record: StepRecord, now: Milliseconds): void {
@@ -103,10 +105,7 @@
       if (step.driver.isOver) step.driver = null;
       return;
     }
-    if (step.endedSince !== null) {
-      if (now - step.endedSince > RETENTION) this.forget(step);
-      return;
-    }
+    if (step.endedSince !== null) return;
     if (this.shouldDrive(step, now)) this.drive(step, now);
   }
 
@@ -197,11 +196,4 @@
       stepsByMember.set(identityKey(member), entry);
     }
   }
-
-  private forget(step: KnownStep): void {
-    const { intent } = step.record;
-    this.steps.delete(step.key);
-    this.ports.node.ledger.remove(intent, step.key, pagePrefix(step.key));
-    this.ports.node.ledger.remove(intent, step.key, step.key);
-  }
 }
