Ledger bench: cost of a sample, kills and a long outage, beside lease and Raft

Change: bench ledger with fleets of 10 to 1,000 nodes and small models of the two others; the storm test now also asks that every group serves at the end.

--- /dev/null
+++ b/lab/bench/ledger.ts
@@ -0,0 +1,88 @@
+/**
+ * Bench of the ledger in simulated time: cost of a sample against the size of the fleet, time
+ * without service after a kill, and the leaderless register beside a lease-held owner and a Raft
+ * leader a shard. The last line is JSON.
+ */
+import type { CommandFlags } from '../main.js';
+import { LeaseModel } from './ledger-lease-model.js';
+import type { ModelledDesign } from './ledger-model-network.js';
+import {
+  leaderlessKill,
+  leaderlessOutage,
+  modelCost,
+  modelKill,
+  modelOutage,
+} from './ledger-outage.js';
+import { RaftModel } from './ledger-raft-model.js';
+import { measureScaling, type ScalingRow } from './ledger-scaling.js';
+import { percentile, rounded } from './ledger-service-probe.js';
+
+const FLEET_SIZES = [10, 100, 300, 1_000];
+const GROUP_SIZE = 5;
+/** Samples a second of one group in the 100-node fleet: 100 samples over 8 shards. */
+const GROUP_SAMPLES_A_SECOND = 12.5;
+const MODEL_SAMPLES = 500;
+/** Simulated samples measured in each fleet, about the same for all sizes. */
+const MEASURED_SAMPLES = 6_000;
+const LEAST_MEASURE_MILLISECONDS = 10_000;
+
+/** Largest deviation from the mean, as a share of the mean in percent. */
+function spreadPercent(values: readonly number[]): number {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+  const largest = Math.max(...values.map((value) => Math.abs(value - mean)));
+  return rounded((largest / mean) * 100);
+}
+
+function scalingRows(seed: number): ScalingRow[] {
+  measureScaling(100, seed, LEAST_MEASURE_MILLISECONDS);
+  return FLEET_SIZES.map((nodes) => {
+    const milliseconds = Math.max(LEAST_MEASURE_MILLISECONDS, (MEASURED_SAMPLES / nodes) * 1_000);
+    const row = measureScaling(nodes, seed, milliseconds);
+    console.log(JSON.stringify(row));
+    return row;
+  });
+}
+
+function killFigures(trials: number, measure: (seed: number) => number) {
+  const gaps = Array.from({ length: trials }, (_, trial) => measure(trial + 1));
+  return {
+    killGapMsP50: rounded(percentile(gaps, 0.5)),
+    killGapMsP99: rounded(percentile(gaps, 0.99)),
+  };
+}
+
+function modelFigures(trials: number, create: (seed: number) => ModelledDesign) {
+  return {
+    ...modelCost(create(1), MODEL_SAMPLES, GROUP_SAMPLES_A_SECOND),
+    ...killFigures(trials, (seed) => modelKill(create(seed))),
+    outageSecondsWithoutService: rounded(modelOutage(create(1)) / 1_000),
+  };
+}
+
+/** Runs the bench; `--seed N` and `--trials N` (kills of each design) may be given. */
+export async function run(_name: string, flags: CommandFlags): Promise<number> {
+  const seed = Number(flags.seed ?? 1);
+  const trials = Number(flags.trials ?? 100);
+  const rows = scalingRows(seed);
+  const reference = rows[1] as ScalingRow;
+  const leaderless = {
+    messagesPerSample: reference.messagesPerSample,
+    bytesPerSample: reference.bytesPerSample,
+    ...killFigures(trials, (trial) => leaderlessKill(seed + trial, 30)),
+    outageSecondsWithoutService: rounded(leaderlessOutage(seed) / 1_000),
+  };
+  console.log(JSON.stringify({ leaderless }));
+  const lease = modelFigures(trials, (trial) => new LeaseModel(GROUP_SIZE, seed + trial));
+  console.log(JSON.stringify({ lease }));
+  const raft = modelFigures(trials, (trial) => new RaftModel(GROUP_SIZE, seed + trial));
+  console.log(JSON.stringify({ raft }));
+  const spread = {
+    messagesSpreadPercent: spreadPercent(rows.map((row) => row.messagesPerSample)),
+    bytesSpreadPercent: spreadPercent(rows.map((row) => row.bytesPerSample)),
+    cpuSpreadPercent: spreadPercent(rows.map((row) => row.cpuMicrosecondsPerSample)),
+  };
+  console.log(
+    JSON.stringify({ bench: 'ledger', seed, trials, rows, spread, leaderless, lease, raft }),
+  );
+  return 0;
+}
--- a/test/ledger/registers.test.ts
+++ b/test/ledger/registers.test.ts
@@ -1,6 +1,7 @@
 /** Registers under every fault the network and the fleet have, against an append-only list. */
 import t from 'tap';
 import { type FleetNode, LedgerFleet, nodeOf } from '../../lab/bench/ledger-fleet.js';
+import type { NodeIdentity } from '../../src/core/identity.js';
 import type { LedgerOutcome } from '../../src/ledger/ledger.js';
 
 const ZONES = ['east', 'north', 'west'];
@@ -182,14 +183,27 @@
   return workload;
 }
 
+/** Whether too many members of the last epoch lost their memory for the group to go on. */
+function hasLostMajority(fleet: LedgerFleet, key: string): boolean {
+  const records = fleet.nodes.flatMap((node) => node.ledger.groupFor(fleet.domain, key) ?? []);
+  const newest = records.sort((left, right) => right.epoch - left.epoch)[0];
+  const isLost = (members: readonly NodeIdentity[]): boolean =>
+    members.filter((member) => nodeOf(fleet, member)).length <= members.length / 2;
+  return newest === undefined || isLost(newest.members);
+}
+
 function settle(workload: Workload): void {
   const { fleet } = workload;
   Object.assign(fleet.network, { lossShare: 0, passes: () => true });
   Object.assign(fleet.keyValue.faults, { isDown: false, lostAnswers: 0 });
   for (const node of fleet.nodes) if (!node.isUp) fleet.restart(node);
   fleet.run(30_000);
+  const { checked } = workload.oracle;
   for (const key of KEYS) workload.read(key);
   fleet.run(5_000);
+  const lost = KEYS.filter((key) => hasLostMajority(fleet, key)).length;
+  const unanswered = KEYS.length - lost - (workload.oracle.checked - checked);
+  if (unanswered > 0) workload.oracle.problems.push(`${unanswered} groups do not serve`);
   workload.oracle.finish();
 }
 
