Ledger: smaller modules; members move back to zones that have too few

Ruled out: moving members while nodes come and go, as each move copies state. Change: operations, message-router, ballot-source, proposer-host split off; planSpread after 30 s without a change; every change waits for a majority of the current epoch to be active, the first epoch too.

--- a/src/ledger/group-change.ts
+++ b/src/ledger/group-change.ts
@@ -1,6 +1,6 @@
 /** Decides what the next record of a replica group should be, if it should change at all. */
 import { type GroupRecord, groupKey } from '../config-feed/configuration.js';
-import { identityKey, type NodeRecord } from '../core/identity.js';
+import { identityKey, type NodeIdentity, type NodeRecord } from '../core/identity.js';
 import { faultTolerance, fillMembers, targetSize } from './placement.js';
 
 /** What the decision rests on. */
@@ -10,6 +10,8 @@
   readonly replicaCount: number;
   /** Living nodes of the domain's zones. */
   readonly live: readonly NodeRecord[];
+  /** Whether the set of living nodes has been the same for long. */
+  readonly isSettled: boolean;
   /** Whether a life has been gone for so long, or so surely, that it is to be replaced. */
   readonly isGone: (identity: string) => boolean;
 }
@@ -50,7 +52,31 @@
   const toleranceBefore = faultTolerance(current.members.length, aliveKept.length);
   const toleranceAfter = faultTolerance(nextMembers.length, members.length);
   const becomesPair = current.members.length === 1 && nextMembers.length === 2;
-  if (toleranceAfter <= toleranceBefore && !becomesPair) return undefined;
-  const { epoch, members: previousMembers } = current;
-  return { domain, shard, epoch: epoch + 1, members: nextMembers, previousMembers };
+  if (toleranceAfter > toleranceBefore || becomesPair) return successor(current, nextMembers);
+  const isWhole = situation.isSettled && aliveKept.length === current.members.length;
+  return isWhole ? planSpread(current, aliveKept, situation) : undefined;
+}
+
+/** Moves one member to a zone that has too few, once the fleet has settled. */
+function planSpread(
+  current: GroupRecord,
+  members: readonly NodeRecord[],
+  situation: GroupSituation,
+): GroupRecord | undefined {
+  if (members.length < 3) return undefined;
+  const key = groupKey(situation.domain, situation.shard);
+  const countIn = (zone: string): number => members.filter((item) => item.zone === zone).length;
+  const fullest = members.reduce((left, right) =>
+    countIn(right.zone) > countIn(left.zone) ? right : left,
+  );
+  const kept = members.filter((member) => member !== fullest);
+  const next = fillMembers(key, kept, situation.live, members.length);
+  const added = next.at(-1);
+  if (added === undefined || countIn(fullest.zone) - countIn(added.zone) < 2) return undefined;
+  return successor(current, identitiesOf(next));
+}
+
+function successor(current: GroupRecord, members: readonly NodeIdentity[]): GroupRecord {
+  const { domain, shard, epoch, members: previousMembers } = current;
+  return { domain, shard, epoch: epoch + 1, members, previousMembers };
 }
--- a/src/ledger/group-manager.ts
+++ b/src/ledger/group-manager.ts
@@ -12,6 +12,7 @@
 import type { LedgerEnvironment } from './environment.js';
 import { type GroupSituation, planChange, planCreation } from './group-change.js';
 import { decodeGroupRecord, encodeGroupRecord } from './group-record.js';
+import type { GroupTable } from './group-table.js';
 import type { MemberView } from './member-view.js';
 import type { LedgerDomain } from './requests.js';
 
@@ -26,8 +27,7 @@
   readonly environment: LedgerEnvironment<Value>;
   readonly view: MemberView;
   readonly activations: Activations;
-  group(domain: string, shard: number): GroupRecord | undefined;
-  learnGroup(record: GroupRecord, now: Milliseconds): void;
+  readonly groups: GroupTable<Value>;
 }
 
 interface GroupWork {
@@ -78,7 +78,7 @@
 
   #review(domain: LedgerDomain, shard: number, now: Milliseconds): void {
     const key = groupKey(domain.name, shard);
-    const current = this.#host.group(domain.name, shard);
+    const current = this.#host.groups.group(domain.name, shard);
     if (this.#plan(domain, shard, current, now) === undefined) {
       this.#work.delete(key);
       return;
@@ -106,7 +106,7 @@
     now: Milliseconds,
   ): GroupRecord | undefined {
     const { view, environment } = this.#host;
-    const { replicaCount, replacementGrace } = environment.settings;
+    const { replicaCount, replacementGrace, spreadDelay } = environment.settings;
     if (current === undefined && now - view.changedAt < FORMATION_DELAY) return undefined;
     const gone = new Set(
       (current?.members ?? [])
@@ -115,12 +115,14 @@
     );
     const live = view.liveIn(domain);
     const isWhole = gone.size === 0 && (current?.members.length ?? 0) >= replicaCount;
-    if (isWhole) return undefined;
+    const isSettled = now - view.changedAt >= spreadDelay;
+    if (isWhole && !isSettled) return undefined;
     const situation: GroupSituation = {
       domain: domain.name,
       shard,
       replicaCount,
       live,
+      isSettled,
       isGone: (identity) => gone.has(identity),
     };
     return current === undefined ? planCreation(situation) : planChange(current, situation);
@@ -136,13 +138,14 @@
 
   /** Whether the current epoch has settled, so that the next one may begin. */
   #isReady(work: GroupWork, current: GroupRecord | undefined, now: Milliseconds): boolean {
-    if (current === undefined || current.epoch === 1) return true;
+    if (current === undefined) return true;
     const { activations, environment } = this.#host;
     const unsettled = current.members.filter((member) => {
       const key = identityKey(member);
       return environment.alive.has(key) && activations.stateOf(current, key) !== 'complete';
     });
     for (const member of unsettled) {
+      environment.send(member, current, 0, { kind: 'group-record', record: current });
       environment.send(member, current, 0, { kind: 'activation-query' });
     }
     if (!activations.hasMajority(current, 'active')) return false;
@@ -157,9 +160,9 @@
   }
 
   #afterRead(work: GroupWork, entry: KeyValueEntry | undefined, now: Milliseconds): void {
-    const known = this.#host.group(work.domain.name, work.shard);
+    const known = this.#host.groups.group(work.domain.name, work.shard);
     const stored = entry === undefined ? undefined : decodeGroupRecord(entry.value);
-    if (stored !== undefined) this.#host.learnGroup(stored, now);
+    if (stored !== undefined) this.#host.groups.learn(stored, now);
     // A change is decided only on the record it was wanted for.
     if (stored?.epoch !== known?.epoch || (entry !== undefined && stored === undefined)) return;
     const next = this.#plan(work.domain, work.shard, known, now);
@@ -188,7 +191,7 @@
     const { domain, shard, epoch } = record;
     const details = { domain, shard, epoch, members: record.members.map(identityKey).join(' ') };
     environment.emit({ kind: 'state-change', change: 'group-decided', details });
-    this.#host.learnGroup(record, now);
+    this.#host.groups.learn(record, now);
     for (const member of record.members) {
       environment.send(member, record, 0, { kind: 'group-record', record });
     }
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -4,20 +4,19 @@
  */
 import type { GroupRecord } from '../config-feed/configuration.js';
 import { placementHash } from '../core/hashing.js';
-import { identityKey, type NodeIdentity } from '../core/identity.js';
+import type { NodeIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueResult } from '../platform/key-value.js';
 import { Activations } from './activations.js';
-import { BodyOperation } from './body-operation.js';
 import { LedgerEnvironment } from './environment.js';
 import { GroupManager } from './group-manager.js';
 import { GroupTable } from './group-table.js';
 import { MemberView } from './member-view.js';
+import { MessageRouter } from './message-router.js';
 import type { LedgerContent, LedgerMessage, Tombstone } from './messages.js';
-import { keepValue, type RegisterOperation } from './operation.js';
+import { keepValue } from './operation.js';
+import { Operations } from './operations.js';
 import { type LedgerOptions, resolveLedgerOptions } from './options.js';
-import { PreparedRegisters } from './prepared-registers.js';
-import { type RegisterAddress, RegisterProposer } from './proposer.js';
 import { Removals } from './removals.js';
 import { ReplicaService } from './replica-service.js';
 import type {
@@ -40,10 +39,6 @@
 
 type Effects<Value> = readonly LedgerEffect<Value>[];
 
-type AnswerReceiver = {
-  receive(from: string, message: LedgerMessage, now: Milliseconds): void;
-};
-
 /** One node's part of the ledger. */
 export class Ledger<Value> {
   readonly #environment: LedgerEnvironment<Value>;
@@ -51,39 +46,32 @@
   readonly #view = new MemberView();
   readonly #groups: GroupTable<Value>;
   readonly #service: ReplicaService<Value>;
+  readonly #router: MessageRouter<Value>;
   readonly #manager: GroupManager<Value>;
   readonly #removals: Removals<Value>;
-  readonly #prepared: PreparedRegisters<Value>;
-  readonly #proposers = new Map<string, RegisterProposer<Value>>();
-  readonly #bodyOperations = new Map<string, BodyOperation<Value>>();
-  /** Which proposer or body operation waits for answers to a request. */
-  readonly #routes = new Map<number, AnswerReceiver>();
-  readonly #host;
+  readonly #operations: Operations<Value>;
 
   constructor(options: LedgerOptions) {
-    const settings = resolveLedgerOptions(options);
-    this.#environment = new LedgerEnvironment(settings);
-    this.#groups = new GroupTable(this.#environment, this.#activations);
-    this.#service = new ReplicaService(this.#environment);
-    this.#removals = new Removals(this.#environment);
-    this.#prepared = new PreparedRegisters(settings.preparedLimit);
-    this.#host = {
-      environment: this.#environment,
-      prepared: this.#prepared,
+    const environment = new LedgerEnvironment<Value>(resolveLedgerOptions(options));
+    this.#environment = environment;
+    this.#groups = new GroupTable(environment, this.#activations);
+    this.#service = new ReplicaService(environment);
+    this.#removals = new Removals(environment);
+    this.#operations = new Operations(environment, this.#groups);
+    this.#manager = new GroupManager({
+      environment,
       view: this.#view,
       activations: this.#activations,
-      group: (domain: string, shard: number) => this.#groups.group(domain, shard),
-      learnGroup: (record: GroupRecord, now: Milliseconds) => this.#learn(record, now),
-      promisedCounter: ({ domain, shard, key }: RegisterAddress) =>
-        this.#groups.replica(domain, shard)?.acceptor.highestCounter(key) ?? 0,
-      route: (request: number, receiver: AnswerReceiver) => {
-        this.#routes.set(request, receiver);
-      },
-      unroute: (request: number) => {
-        this.#routes.delete(request);
-      },
-    };
-    this.#manager = new GroupManager(this.#host);
+      groups: this.#groups,
+    });
+    this.#router = new MessageRouter({
+      environment,
+      activations: this.#activations,
+      groups: this.#groups,
+      service: this.#service,
+      removals: this.#removals,
+      operations: this.#operations,
+    });
   }
 
   /** Counters since the ledger was created. */
@@ -125,9 +113,7 @@
 
   /** Forgets an operation; it reports no outcome, though its change may still take effect. */
   cancel(operationId: string): Effects<Value> {
-    for (const proposer of this.#proposers.values()) proposer.cancel(operationId);
-    this.#bodyOperations.get(operationId)?.cancel();
-    this.#bodyOperations.delete(operationId);
+    this.#operations.cancel(operationId);
     return this.#environment.takeEffects();
   }
 
@@ -158,20 +144,13 @@
 
   /** Handles a message; one that is meant for another life of this node is dropped. */
   receive(from: NodeIdentity, message: LedgerMessage, now: Milliseconds): Effects<Value> {
-    if (message.to === this.#environment.selfKey) this.#handle(from, message, now);
+    if (message.to === this.#environment.selfKey) this.#router.handle(from, message, now);
     return this.#settle(now);
   }
 
   /** Lets time pass: deadlines, repeated sends, catch-up and group changes. */
   tick(now: Milliseconds): Effects<Value> {
-    for (const [name, proposer] of this.#proposers) {
-      proposer.tick(now);
-      if (proposer.isIdle) this.#proposers.delete(name);
-    }
-    for (const [operationId, operation] of this.#bodyOperations) {
-      operation.tick(now);
-      if (operation.isDone) this.#bodyOperations.delete(operationId);
-    }
+    this.#operations.tick(now);
     for (const replica of this.#groups.replicas()) replica.tick(now);
     this.#removals.tick(now);
     this.#service.tick(now);
@@ -181,7 +160,7 @@
 
   /** Takes group records of the configuration feed; older ones change nothing. */
   updateGroups(groups: Iterable<GroupRecord>, now: Milliseconds): Effects<Value> {
-    for (const record of groups) this.#learn(record, now);
+    for (const record of groups) this.#groups.learn(record, now);
     return this.#settle(now);
   }
 
@@ -240,22 +219,9 @@
     now: Milliseconds,
   ): void {
     const { domain, shardKey, key, operationId, deadline } = request;
-    const name = `${domain}\n${shardKey}\n${key}`;
-    let proposer = this.#proposers.get(name);
-    if (proposer === undefined) {
-      const address = { domain, shard: this.#shardOf(shardKey), shardKey, key };
-      proposer = new RegisterProposer(this.#host, address);
-      this.#proposers.set(name, proposer);
-    }
-    const operation: RegisterOperation<Value> = {
-      operationId,
-      shardKey,
-      deadline,
-      isRead,
-      apply,
-      mayHaveApplied: false,
-    };
-    proposer.add(operation, now);
+    const address = { domain, shard: this.#shardOf(shardKey), shardKey, key };
+    const operation = { operationId, deadline, isRead, apply, mayHaveApplied: false };
+    this.#operations.startOnRegister(address, operation, now);
   }
 
   #operateOnBody(
@@ -265,15 +231,8 @@
   ): void {
     const { operationId, domain, shardKey, deadline } = request;
     const shard = this.#shardOf(shardKey);
-    const operation = new BodyOperation(this.#host, {
-      operationId,
-      domain,
-      shard,
-      deadline,
-      content,
-    });
-    this.#bodyOperations.set(operationId, operation);
-    operation.tick(now);
+    const bodyRequest = { operationId, domain, shard, deadline, content };
+    this.#operations.startOnBody(bodyRequest, now);
   }
 
   #remove(
@@ -290,94 +249,13 @@
     this.#removals.begin(group, { kind: 'remove', tombstone, digests }, now);
   }
 
-  #learn(record: GroupRecord, now: Milliseconds): void {
-    this.#groups.learn(record, now);
-  }
-
   /** Handles messages to this node itself until none is left, then hands over the effects. */
   #settle(now: Milliseconds): Effects<Value> {
     let message = this.#environment.takeOwnMessage();
     while (message !== undefined) {
-      this.#handle(this.#environment.settings.self, message, now);
+      this.#router.handle(this.#environment.settings.self, message, now);
       message = this.#environment.takeOwnMessage();
     }
     return this.#environment.takeEffects();
   }
-
-  #handle(from: NodeIdentity, message: LedgerMessage, now: Milliseconds): void {
-    const { domain, shard } = message;
-    const fromKey = identityKey(from);
-    switch (message.kind) {
-      case 'pull':
-        this.#learn(message.record, now);
-        this.#answer(from, message, now);
-        return;
-      case 'read':
-      case 'prepare':
-      case 'accept':
-      case 'body-store':
-      case 'body-fetch':
-      case 'body-list':
-      case 'remove':
-      case 'activation-query':
-        this.#answer(from, message, now);
-        return;
-      case 'refused':
-        this.#exchangeRecords(from, message, now);
-        this.#routes.get(message.request)?.receive(fromKey, message, now);
-        return;
-      case 'register':
-      case 'accepted':
-      case 'conflict':
-      case 'body-stored':
-        this.#routes.get(message.request)?.receive(fromKey, message, now);
-        return;
-      case 'body':
-      case 'body-names':
-        this.#routes.get(message.request)?.receive(fromKey, message, now);
-        this.#groups.replica(domain, shard)?.receiveBodies(fromKey, message, now);
-        return;
-      case 'page-refused':
-        if (message.record !== null) this.#learn(message.record, now);
-        this.#groups.replica(domain, shard)?.receivePage(fromKey, message, now);
-        return;
-      case 'page':
-        this.#groups.replica(domain, shard)?.receivePage(fromKey, message, now);
-        return;
-      case 'group-record':
-        this.#learn(message.record, now);
-        return;
-      case 'activation':
-        this.#learn(message.record, now);
-        this.#activations.note(message.record, fromKey, message.state);
-        return;
-      case 'removed':
-        this.#removals.receive(fromKey, message);
-        return;
-    }
-  }
-
-  #answer(
-    from: NodeIdentity,
-    message: Parameters<ReplicaService<Value>['answer']>[1],
-    now: Milliseconds,
-  ): void {
-    const { domain, shard } = message;
-    const replica = this.#groups.replica(domain, shard);
-    const record = this.#groups.group(domain, shard);
-    this.#service.answer(from, message, replica, record, now);
-  }
-
-  /** After a refusal, whichever side knows the older record learns the newer one. */
-  #exchangeRecords(
-    from: NodeIdentity,
-    message: Extract<LedgerMessage, { kind: 'refused' }>,
-    now: Milliseconds,
-  ): void {
-    const { record, domain, shard } = message;
-    if (record !== null) this.#learn(record, now);
-    const own = this.#groups.group(domain, shard);
-    if (own === undefined || (record !== null && record.epoch >= own.epoch)) return;
-    this.#environment.send(from, own, 0, { kind: 'group-record', record: own });
-  }
 }
--- a/src/ledger/operation.ts
+++ b/src/ledger/operation.ts
@@ -1,11 +1,11 @@
 /** Operations on registers that wait for, or take part in, an attempt of a proposer. */
 import type { Milliseconds } from '../core/units.js';
+import type { LedgerEnvironment } from './environment.js';
 import type { ChangeRequest, LedgerChange } from './requests.js';
 
 /** One caller's change of, or read from, a register. */
 export interface RegisterOperation<Value> {
   readonly operationId: string;
-  readonly shardKey: string;
   readonly deadline: Milliseconds;
   readonly isRead: boolean;
   readonly apply: ChangeRequest<Value>['apply'];
@@ -51,3 +51,24 @@
   });
   return { value, written, results };
 }
+
+/** Reports operations whose attempt succeeded. */
+export function completeResults<Value>(
+  environment: LedgerEnvironment<Value>,
+  results: readonly OperationResult<Value>[],
+): void {
+  for (const { operation, value, written } of results) {
+    environment.complete(operation.operationId, { kind: 'changed', value, written });
+  }
+}
+
+/** Reports an operation that ends without agreement. */
+export function giveUpOperation<Value>(
+  environment: LedgerEnvironment<Value>,
+  operation: RegisterOperation<Value>,
+  isFull: boolean,
+): void {
+  const { operationId, mayHaveApplied } = operation;
+  if (isFull && !mayHaveApplied) environment.complete(operationId, { kind: 'full' });
+  else environment.complete(operationId, { kind: 'unavailable', mayHaveApplied });
+}
--- a/src/ledger/options.ts
+++ b/src/ledger/options.ts
@@ -21,6 +21,8 @@
   readonly preparedLimit: number;
   /** How long a member is dead before it is replaced. Default 3 s. */
   readonly replacementGrace: Milliseconds;
+  /** How long no node came or went before members are moved to other zones. Default 30 s. */
+  readonly spreadDelay: Milliseconds;
   /** How often groups are checked for members to replace. Default 500 ms. */
   readonly reviewInterval: Milliseconds;
   /** Longest wait for bodies to be copied before the next change of a group. Default 30 s. */
@@ -61,6 +63,7 @@
   piggybackPrepare: true,
   preparedLimit: 1_000,
   replacementGrace: 3 * SECOND,
+  spreadDelay: 30 * SECOND,
   reviewInterval: 500,
   bodyCatchUpLimit: 30 * SECOND,
   keyValueTimeout: 10 * SECOND,
--- a/src/ledger/proposer.ts
+++ b/src/ledger/proposer.ts
@@ -6,65 +6,30 @@
 import type { GroupRecord } from '../config-feed/configuration.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Ballot } from './ballot.js';
-import type { LedgerEnvironment } from './environment.js';
+import { BallotSource } from './ballot-source.js';
 import type { LedgerContent, LedgerMessage } from './messages.js';
 import {
-  type AppliedBatch,
   applyBatch,
+  completeResults,
+  giveUpOperation,
   type OperationResult,
   type RegisterOperation,
 } from './operation.js';
-import type { PreparedRegisters } from './prepared-registers.js';
+import type { ProposerHost, RegisterAddress } from './proposer-host.js';
+import type { Phase } from './proposer-phase.js';
 import { RegisterAnswers } from './register-answers.js';
 import { Round } from './round.js';
 
-/** A register and the shard it is in. */
-export interface RegisterAddress {
-  readonly domain: string;
-  readonly shard: number;
-  readonly shardKey: string;
-  readonly key: string;
-}
-
-/** What a proposer needs from the ledger. */
-export interface ProposerHost<Value> {
-  readonly environment: LedgerEnvironment<Value>;
-  readonly prepared: PreparedRegisters<Value>;
-  group(domain: string, shard: number): GroupRecord | undefined;
-  /** Counter this node's own replica promised for the register; 0 for none. */
-  promisedCounter(address: RegisterAddress): number;
-  /** Answers to the request go to this proposer from now on. */
-  route(request: number, proposer: RegisterProposer<Value>): void;
-  unroute(request: number): void;
-}
-
 /** Conflicts double the backoff up to this many times. */
 const BACKOFF_DOUBLINGS = 3;
 
-type Phase<Value> =
-  | { readonly kind: 'waiting'; readonly until: Milliseconds }
-  | {
-      readonly kind: 'read' | 'prepare';
-      readonly round: Round<Value>;
-      readonly group: GroupRecord;
-      readonly ballot: Ballot | null;
-      readonly answers: RegisterAnswers;
-    }
-  | {
-      readonly kind: 'accept';
-      readonly round: Round<Value>;
-      readonly group: GroupRecord;
-      readonly batch: AppliedBatch<Value>;
-      readonly next: Ballot | null;
-    };
-
 /** Runs the operations of this node on one register, one attempt at a time. */
 export class RegisterProposer<Value> {
   readonly #host: ProposerHost<Value>;
   readonly #address: RegisterAddress;
   #queue: RegisterOperation<Value>[] = [];
   #phase: Phase<Value> = { kind: 'waiting', until: 0 };
-  #highestCounter = 0;
+  readonly #ballots: BallotSource<Value>;
   #conflicts = 0;
   /** Set when a read found no agreement, so that the next attempt settles the value. */
   #mustPrepare = false;
@@ -72,6 +37,7 @@
   constructor(host: ProposerHost<Value>, address: RegisterAddress) {
     this.#host = host;
     this.#address = address;
+    this.#ballots = new BallotSource(host.environment);
   }
 
   /** Whether no operation is left. */
@@ -116,7 +82,7 @@
     } else if (message.kind === 'accepted' && phase.kind === 'accept') {
       if (phase.round.agree(from) && phase.round.hasMajority) this.#finish(phase, now);
     } else if (message.kind === 'conflict') {
-      this.#highestCounter = Math.max(this.#highestCounter, message.promised.counter);
+      this.#ballots.observe(message.promised.counter);
       phase.round.oppose(from);
       if (phase.round.hasFailed) this.#backOff(now);
     } else if (message.kind === 'refused') {
@@ -141,7 +107,8 @@
     this.#requeue();
     const refused = this.#queue;
     this.#queue = [];
-    for (const operation of refused) this.#giveUp(operation, message.reason === 'full');
+    const isFull = message.reason === 'full';
+    for (const operation of refused) giveUpOperation(this.#host.environment, operation, isFull);
     this.#enter(0);
   }
 
@@ -196,7 +163,8 @@
     if (isChosen) {
       const reads = this.#queue.filter((operation) => operation.isRead);
       this.#queue = this.#queue.filter((operation) => !operation.isRead);
-      this.#complete(reads.map((operation) => ({ operation, value, written: false })));
+      const results = reads.map((operation) => ({ operation, value, written: false }));
+      completeResults(this.#host.environment, results);
     } else {
       this.#mustPrepare = true;
     }
@@ -223,8 +191,9 @@
       if (result.written) result.operation.mayHaveApplied = true;
     }
     const { key, shardKey } = this.#address;
+    this.#ballots.observe(ballot.counter);
     const next = this.#host.environment.settings.piggybackPrepare
-      ? this.#newBallot(group.epoch, ballot.counter + 1)
+      ? this.#newBallot(group.epoch)
       : null;
     const content: LedgerContent = {
       kind: 'accept',
@@ -249,18 +218,11 @@
   #settled(results: readonly OperationResult<Value>[], now: Milliseconds): void {
     this.#conflicts = 0;
     this.#mustPrepare = false;
-    this.#complete(results);
+    completeResults(this.#host.environment, results);
     this.#enter(now);
     this.#start(now);
   }
 
-  #complete(results: readonly OperationResult<Value>[]): void {
-    for (const { operation, value, written } of results) {
-      const outcome = { kind: 'changed', value, written } as const;
-      this.#host.environment.complete(operation.operationId, outcome);
-    }
-  }
-
   #keepPrepared(ballot: Ballot, value: Value | null): void {
     if (!this.#host.environment.settings.piggybackPrepare) return;
     this.#host.prepared.put(this.#preparedName(), { ballot, value });
@@ -300,13 +262,9 @@
     this.#phase = { kind: 'waiting', until };
   }
 
-  #newBallot(epoch: number, atLeast = 1): Ballot {
-    const { environment } = this.#host;
-    const promised = this.#host.promisedCounter(this.#address);
-    const counter = Math.max(this.#highestCounter + 1, promised + 1, atLeast);
-    this.#highestCounter = counter;
-    const sequence = environment.nextRequest();
-    return { epoch, counter, proposer: environment.selfKey, sequence };
+  #newBallot(epoch: number): Ballot {
+    this.#ballots.observe(this.#host.promisedCounter(this.#address));
+    return this.#ballots.next(epoch);
   }
 
   #expire(now: Milliseconds): void {
@@ -314,7 +272,7 @@
     const over = this.#queue.filter(isOver);
     this.#queue = this.#queue.filter((operation) => !isOver(operation));
     over.push(...this.#dropFromBatch(isOver));
-    for (const operation of over) this.#giveUp(operation, false);
+    for (const operation of over) giveUpOperation(this.#host.environment, operation, false);
     const phase = this.#phase;
     const isUnwanted =
       phase.kind === 'accept' ? phase.batch.results.length === 0 : this.#queue.length === 0;
@@ -330,13 +288,4 @@
     this.#phase = { ...phase, batch: { ...phase.batch, results } };
     return dropped.map((result) => result.operation);
   }
-
-  #giveUp(operation: RegisterOperation<Value>, isFull: boolean): void {
-    const { mayHaveApplied } = operation;
-    const outcome =
-      isFull && !mayHaveApplied
-        ? ({ kind: 'full' } as const)
-        : ({ kind: 'unavailable', mayHaveApplied } as const);
-    this.#host.environment.complete(operation.operationId, outcome);
-  }
 }
--- a/test/ledger/group-change.test.ts
+++ b/test/ledger/group-change.test.ts
@@ -16,9 +16,13 @@
   }));
 }
 
-function situation(live: readonly NodeRecord[], gone: readonly string[]): GroupSituation {
+function situation(
+  live: readonly NodeRecord[],
+  gone: readonly string[],
+  isSettled = false,
+): GroupSituation {
   const isGone = (identity: string): boolean => gone.includes(identity);
-  return { domain: 'd', shard: 0, replicaCount: 5, live, isGone };
+  return { domain: 'd', shard: 0, replicaCount: 5, live, isSettled, isGone };
 }
 
 function recordOf(members: readonly NodeRecord[]): GroupRecord {
@@ -65,3 +69,15 @@
   t.equal(next?.members.length, 5);
   t.ok(next?.members.some((member) => member.node === 'node-0'));
 });
+
+t.test('a zone without members gets one back once the fleet has settled', async (t) => {
+  const all = nodes(9);
+  const inZones = (zones: readonly number[]) => zones.map((index) => all[index] as NodeRecord);
+  const uneven = recordOf(inZones([0, 3, 6, 1, 4]));
+  t.equal(planChange(uneven, situation(all, [])), undefined, 'not while nodes come and go');
+  const next = planChange(uneven, situation(all, [], true));
+  const zones = next?.members.map((member) => Number(member.node.at(-1)) % 3);
+  t.same(zones?.sort(), [0, 0, 1, 1, 2]);
+  const even = recordOf(inZones([0, 3, 1, 4, 2]));
+  t.equal(planChange(even, situation(all, [], true)), undefined);
+});
