Ledger: a read that joins a running round waits for answers of its own

Ruled out: a fault of epochs, as all lists stayed prefixes of one order. Change: only operations present when the request was sent may rest on its answers; a test of its own.

--- a/src/ledger/proposer-phase.ts
+++ b/src/ledger/proposer-phase.ts
@@ -2,7 +2,7 @@
 import type { GroupRecord } from '../config-feed/configuration.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Ballot } from './ballot.js';
-import type { AppliedBatch } from './operation.js';
+import type { AppliedBatch, RegisterOperation } from './operation.js';
 import type { RegisterAnswers } from './register-answers.js';
 import type { Round } from './round.js';
 
@@ -15,6 +15,8 @@
       readonly group: GroupRecord;
       readonly ballot: Ballot | null;
       readonly answers: RegisterAnswers;
+      /** Operations that waited when the request was sent; only they may rest on its answers. */
+      readonly present: ReadonlySet<RegisterOperation<Value>>;
     }
   | {
       readonly kind: 'accept';
--- a/src/ledger/proposer.ts
+++ b/src/ledger/proposer.ts
@@ -147,7 +147,8 @@
     now: Milliseconds,
   ): void {
     const round = new Round(this.#host.environment, group, group.members, content, now);
-    this.#phase = { kind, round, group, ballot, answers: new RegisterAnswers() };
+    const present = new Set(this.#queue);
+    this.#phase = { kind, round, group, ballot, answers: new RegisterAnswers(), present };
     this.#host.route(round.request, this);
     round.open();
   }
@@ -157,12 +158,15 @@
     const isChosen = phase.answers.isChosen(phase.group.epoch);
     this.#host.unroute(phase.round.request);
     if (phase.ballot !== null) {
-      this.#accept(phase.group, phase.ballot, value, isChosen, now);
+      const isFresh = isChosen && this.#queue.every((operation) => phase.present.has(operation));
+      this.#accept(phase.group, phase.ballot, value, isFresh, now);
       return;
     }
     if (isChosen) {
-      const reads = this.#queue.filter((operation) => operation.isRead);
-      this.#queue = this.#queue.filter((operation) => !operation.isRead);
+      const isAnswered = (operation: RegisterOperation<Value>): boolean =>
+        operation.isRead && phase.present.has(operation);
+      const reads = this.#queue.filter(isAnswered);
+      this.#queue = this.#queue.filter((operation) => !isAnswered(operation));
       const results = reads.map((operation) => ({ operation, value, written: false }));
       completeResults(this.#host.environment, results);
     } else {
@@ -172,17 +176,20 @@
     this.#start(now);
   }
 
-  /** Applies the waiting operations to the value and asks the members to accept the result. */
+  /**
+   * Applies the waiting operations to the value and asks the members to accept the result. Where
+   * nothing changes and the value is known to be fresh for all of them, that is not needed.
+   */
   #accept(
     group: GroupRecord,
     ballot: Ballot,
     current: Value | null,
-    isChosen: boolean,
+    isFresh: boolean,
     now: Milliseconds,
   ): void {
     const batch = applyBatch(this.#queue, current);
     this.#queue = [];
-    if (!batch.written && isChosen) {
+    if (!batch.written && isFresh) {
       this.#keepPrepared(ballot, current);
       this.#settled(batch.results, now);
       return;
--- a/test/ledger/groups.test.ts
+++ b/test/ledger/groups.test.ts
@@ -188,3 +188,25 @@
   }
   t.match(loser?.ledger.groupFor('east', KEY), { epoch: 1, members: [{ node: 'node-a' }] });
 });
+
+t.test('a read that joins later is not answered by answers given before it began', async (t) => {
+  const node = (name: string) => ({ node: name, incarnation: 1 });
+  const self = { ...node('reader'), zone: 'east', region: 'r', address: '', machine: 'm' };
+  const ledger = new Ledger<string>({ self, random: createRandomSource(1), shardsPerDomain: 1 });
+  const members = ['node-a', 'node-b', 'node-c'].map(node);
+  const record = { domain: 'east', shard: 0, epoch: 1, members, previousMembers: [] };
+  ledger.updateGroups([record], 0);
+  const read = { domain: 'east', shardKey: KEY, key: KEY, deadline: 1_000 };
+  const sent = ledger.read({ ...read, operationId: 'first' }, 0);
+  const request = sent[0]?.kind === 'send' ? sent[0].message.request : -1;
+  const header = { domain: 'east', shard: 0, epoch: 1, to: 'reader#1', request };
+  const empty = { ...header, kind: 'register', accepted: null, value: null } as const;
+  ledger.receive(node('node-a'), empty, 1);
+  t.strictSame(ledger.read({ ...read, operationId: 'second' }, 2), []);
+  const effects = ledger.receive(node('node-b'), empty, 3);
+  const ended = effects.filter((effect) => effect.kind === 'completed');
+  t.match(ended, [{ operationId: 'first', outcome: { kind: 'changed', value: null } }]);
+  t.equal(ended.length, 1);
+  const asked = effects.filter((effect) => effect.kind === 'send');
+  t.match(asked, [{ message: { kind: 'read' } }, {}, {}]);
+});
