Ledger: a removal also drops prepared ballots of the removed registers

Cause: a removed register that this node had prepared ahead was proposed again without a prepare, so that a refusal could only say 'may have applied'. Change: removeKeys forgets prepared registers; a test of removal with a member that misses the first message.

--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -17,6 +17,7 @@
 import { keepValue } from './operation.js';
 import { Operations } from './operations.js';
 import { type LedgerOptions, resolveLedgerOptions } from './options.js';
+import { preparedName } from './prepared-registers.js';
 import { Removals } from './removals.js';
 import { ReplicaService } from './replica-service.js';
 import type {
@@ -244,6 +245,9 @@
   ): void {
     const shard = this.#shardOf(shardKey);
     this.#groups.replica(domain, shard)?.remove(tombstone, digests, now);
+    if (tombstone.kind === 'registers') {
+      this.#operations.prepared.forget(preparedName(domain, shard, tombstone.name));
+    }
     const group = this.#groups.group(domain, shard);
     if (group === undefined) return;
     this.#removals.begin(group, { kind: 'remove', tombstone, digests }, now);
--- a/src/ledger/prepared-registers.ts
+++ b/src/ledger/prepared-registers.ts
@@ -30,6 +30,17 @@
     }
   }
 
+  /** Forgets the register of this name or, where it ends with `/`, all below it. */
+  forget(prefix: string): void {
+    if (!prefix.endsWith('/')) {
+      this.#registers.delete(prefix);
+      return;
+    }
+    for (const name of this.#registers.keys()) {
+      if (name.startsWith(prefix)) this.#registers.delete(name);
+    }
+  }
+
   /** Takes a register out; its ballot may be used once, and only in its own epoch. */
   take(name: string, epoch: number): PreparedRegister<Value> | undefined {
     const prepared = this.#registers.get(name);
@@ -38,3 +49,8 @@
     return prepared.ballot.epoch === epoch ? prepared : undefined;
   }
 }
+
+/** The name under which a register is kept while it is prepared. */
+export function preparedName(domain: string, shard: number, key: string): string {
+  return `${domain}/${shard}/${key}`;
+}
--- a/src/ledger/proposer.ts
+++ b/src/ledger/proposer.ts
@@ -15,6 +15,7 @@
   type OperationResult,
   type RegisterOperation,
 } from './operation.js';
+import { preparedName } from './prepared-registers.js';
 import type { ProposerHost, RegisterAddress } from './proposer-host.js';
 import type { Phase } from './proposer-phase.js';
 import { RegisterAnswers } from './register-answers.js';
@@ -236,7 +237,8 @@
   }
 
   #preparedName(): string {
-    return `${this.#address.domain}/${this.#address.shard}/${this.#address.key}`;
+    const { domain, shard, key } = this.#address;
+    return preparedName(domain, shard, key);
   }
 
   /** After a conflict: at once the first time, then after a random wait that grows. */
--- a/test/ledger/bodies.test.ts
+++ b/test/ledger/bodies.test.ts
@@ -92,6 +92,27 @@
   t.match(store(fleet, 'b'.repeat(60)), { kind: 'stored' });
 });
 
+t.test('removed registers free their room on all members, and are refused later', async (t) => {
+  const fleet = startFleet(5);
+  const { domain, queue } = fleet;
+  const write = () => {
+    const apply = () => ({ kind: 'write', value: 1 }) as const;
+    const request = { domain, shardKey: SHARD_KEY, key: 'page/step-1/0', apply };
+    const deadline = queue.now + 1_500;
+    return run(fleet, (operationId, ledger) =>
+      ledger.change({ ...request, operationId, deadline }, queue.now),
+    );
+  };
+  t.match(write(), { kind: 'changed' });
+  t.ok(fleet.nodes.every((node) => node.ledger.usage.registers === 1));
+  // One member misses the first message and gets the repeated one.
+  fleet.freeze(fleet.nodes[3] as FleetNode, 500);
+  run(fleet, (_, ledger) => ledger.removeKeys(domain, SHARD_KEY, 'page/step-1/', queue.now));
+  t.ok(fleet.nodes.every((node) => node.ledger.usage.registers === 0));
+  t.match(write(), { kind: 'unavailable', mayHaveApplied: false });
+  t.ok(fleet.nodes.every((node) => node.ledger.usage.registers === 0));
+});
+
 t.test('a body that does not match its digest is not stored; old ones expire', async (t) => {
   const bodies = new BodyStore({ bytes: 0, limit: 100 });
   const name = { shardKey: SHARD_KEY, digest: contentDigest('body') };
