Ledger: a late member asks again once another member became active

Ruled out: a lost majority; three of five old members had been up, and one copy of an active member is enough.

--- a/src/ledger/catch-up.ts
+++ b/src/ledger/catch-up.ts
@@ -65,6 +65,17 @@
     }
   }
 
+  /**
+   * A member has become active in the epoch: its copy is enough now, also where it had only given
+   * its share of a majority before.
+   */
+  noteActive(member: string, now: Milliseconds): void {
+    const source = this.#sources.get(member);
+    if (source === undefined || source.kind !== 'previous') return;
+    this.#forget(source);
+    this.#ask(source, now);
+  }
+
   /** Takes a page; gives the result once enough copies are full. */
   receive(from: string, message: LedgerMessage, now: Milliseconds): CatchUpResult | undefined {
     const source = this.#sources.get(from);
@@ -97,6 +108,7 @@
     source.cursor = 0;
     source.entries = [];
     source.request = 0;
+    source.isFull = false;
   }
 
   #ask(source: Source, now: Milliseconds): void {
--- a/src/ledger/message-router.ts
+++ b/src/ledger/message-router.ts
@@ -74,6 +74,10 @@
       case 'activation':
         this.#receivers.groups.learn(message.record, now);
         this.#receivers.activations.note(message.record, fromKey, message.state);
+        if (message.state === 'catching-up') return;
+        this.#receivers.groups
+          .replica(domain, shard)
+          ?.noteActive(fromKey, message.record.epoch, now);
         return;
       case 'removed':
         this.#receivers.removals.receive(fromKey, message);
--- a/src/ledger/replica.ts
+++ b/src/ledger/replica.ts
@@ -118,6 +118,11 @@
     if (catchUp !== undefined && result !== undefined) this.#activate(catchUp.record, result, now);
   }
 
+  /** Notes that a member is active in an epoch this replica may still be catching up for. */
+  noteActive(member: string, epoch: number, now: Milliseconds): void {
+    this.#catchUps.get(epoch)?.noteActive(member, now);
+  }
+
   /** Takes a list of bodies, or a body, this replica asked for. */
   receiveBodies(from: string, message: LedgerMessage, now: Milliseconds): void {
     this.#transfer?.receive(from, message, now);
@@ -197,11 +202,15 @@
     this.#environment.send(member, record, 0, content);
   }
 
-  /** Drops state of past epochs once a majority of the newest one holds everything. */
+  /**
+   * Asks how far the newest epoch has got, and drops state of past epochs once a majority of it
+   * holds everything.
+   */
   #dropOldState(now: Milliseconds): void {
     this.#queryAt = now + DROP_QUERY_INTERVAL;
     const isMember = includesIdentity(this.newest.members, this.#environment.selfKey);
-    if (this.#sealedEntries.size === 0 && (isMember || this.#isDropped)) return;
+    const isSettled = isMember ? this.state !== 'catching-up' : this.#isDropped;
+    if (this.#sealedEntries.size === 0 && isSettled) return;
     if (!this.#activations.hasMajority(this.newest, 'complete')) {
       for (const member of this.newest.members) {
         if (this.#activations.stateOf(this.newest, identityKey(member)) === 'complete') continue;
