Membership: ring probes, short digests, hollow-fleet bench

Ruled out: a shorter interval alone, as the tail of random probing is exponential and the bytes rise with it. Change: every second probe goes to the successor in the zone's ring; digests carry one hash of the table first; hashes of records are kept; an update is passed on more often. lab/bench/membership.ts measures it.

--- /dev/null
+++ b/lab/bench/membership.ts
@@ -0,0 +1,249 @@
+/**
+ * Bench of membership in hollow fleets of 100 to 2,700 nodes in 8 zones: traffic, processor time
+ * and memory a node; detection of deaths and their spread; false deaths at 1% packet loss; time
+ * until a cut zone is seen as unreachable and as reachable again.
+ */
+import type { Histogram } from 'hdr-histogram-js';
+import type { NodeId, NodeRecord } from '../../src/core/identity.js';
+import { createRandomSource } from '../../src/core/random.js';
+import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { Membership, type MembershipEffect } from '../../src/membership/membership.js';
+import type { MembershipMessage } from '../../src/membership/messages.js';
+import type { CommandFlags } from '../main.js';
+import {
+  FLEET_SIZES,
+  FLEET_ZONES,
+  fleetRecords,
+  HollowFleet,
+  type HollowNode,
+  perSecond,
+} from './hollow-fleet.js';
+import {
+  type DurationSummary,
+  durationHistogram,
+  heapInUse,
+  processorMilliseconds,
+  round,
+  slopePerThousand,
+  summarize,
+} from './hollow-fleet-measures.js';
+
+const PACKET_LOSS = 0.01;
+const WARM_UP: Milliseconds = 5 * SECOND;
+const STEADY: Milliseconds = 15 * SECOND;
+const KILLS = 40;
+const KILL_INTERVAL: Milliseconds = 400;
+const SETTLING: Milliseconds = 6 * SECOND;
+const CUT: Milliseconds = 12 * SECOND;
+
+/** Targets of the issue; the bench fails when one is missed. */
+const DETECTION_LIMIT: Milliseconds = 5 * SECOND;
+const BYTES_LIMIT = 1_536;
+
+/** Figures of one size. */
+interface MembershipFigures {
+  readonly nodes: number;
+  readonly bytes_per_second_a_node: number;
+  readonly largest_bytes_per_second_of_a_node: number;
+  readonly messages_per_second_a_node: number;
+  readonly core_share_percent_a_node: number;
+  readonly core_share_with_codec_percent_a_node: number;
+  readonly memory_shared_records_kb_a_node: number;
+  readonly detection_first_in_zone: DurationSummary;
+  readonly detection_every_node_of_zone: DurationSummary;
+  readonly spread_every_node_of_fleet: DurationSummary;
+  readonly kills: number;
+  readonly kills_not_known_to_all: number;
+  readonly false_deaths: number;
+  readonly zone_cut_seen: DurationSummary;
+  readonly zone_healing_seen: DurationSummary;
+  readonly false_unreachable_views: number;
+}
+
+class MembershipFleet {
+  readonly fleet: HollowFleet<MembershipMessage>;
+  readonly records: readonly NodeRecord[];
+  readonly nodes = new Map<NodeId, Membership>();
+  readonly killedAt = new Map<NodeId, Milliseconds>();
+  readonly first = durationHistogram();
+  readonly inZone = durationHistogram();
+  readonly inFleet = durationHistogram();
+  private readonly learntBy = new Map<NodeId, number>();
+  falseDeaths = 0;
+
+  constructor(size: number, seed: number) {
+    this.fleet = new HollowFleet({ seed, loss: PACKET_LOSS });
+    this.records = fleetRecords(size);
+    for (const [position, record] of this.records.entries()) {
+      this.start(record, seed + position + 1);
+    }
+  }
+
+  kill(node: NodeId): void {
+    this.fleet.kill(node);
+    this.killedAt.set(node, this.fleet.queue.now);
+  }
+
+  running(): readonly NodeRecord[] {
+    return this.records.filter((record) => !this.killedAt.has(record.node));
+  }
+
+  /** Killed nodes that some running node still holds for alive. */
+  notKnownToAll(): number {
+    const running = this.running();
+    const isKnown = (node: NodeId) =>
+      running.every((record) => this.nodes.get(record.node)?.find(node)?.state === 'dead');
+    return [...this.killedAt.keys()].filter((node) => !isKnown(node)).length;
+  }
+
+  private start(record: NodeRecord, seed: number): void {
+    const random = createRandomSource(seed);
+    const node = new Membership({ self: record, random, initialMembers: this.records });
+    this.nodes.set(record.node, node);
+    const hollow: HollowNode<MembershipMessage> = {
+      record,
+      receive: (from, message, now) => this.carry(record, node.receive(from, message, now)),
+      tick: (now) => this.carry(record, node.tick(now)),
+    };
+    this.fleet.add(hollow);
+  }
+
+  private carry(from: NodeRecord, effects: readonly MembershipEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'send') this.fleet.send(from, effect);
+      if (effect.kind === 'declared-dead') this.falseDeaths += 1;
+      if (effect.kind === 'member-changed' && effect.member.state === 'dead') {
+        this.sawDeath(from, effect.member.record);
+      }
+    }
+  }
+
+  private sawDeath(observer: NodeRecord, dead: NodeRecord): void {
+    const killedAt = this.killedAt.get(dead.node);
+    if (killedAt === undefined) {
+      this.falseDeaths += 1;
+      return;
+    }
+    const took = this.fleet.queue.now - killedAt;
+    const learnt = this.learntBy.get(dead.node) ?? 0;
+    this.learntBy.set(dead.node, learnt + 1);
+    if (learnt === 0) this.first.recordValue(took);
+    if (observer.zone === dead.zone) this.inZone.recordValue(took);
+    this.inFleet.recordValue(took);
+  }
+}
+
+function measureCut(bench: MembershipFleet, isCut: boolean): Histogram {
+  const { fleet } = bench;
+  const cutZone = FLEET_ZONES[0]?.zone ?? '';
+  fleet.cut((left, right) => isCut && (left === cutZone) !== (right === cutZone));
+  const started = fleet.queue.now;
+  const seen = durationHistogram();
+  const waiting = new Set(bench.running().filter((record) => record.zone !== cutZone));
+  for (let step = 0; step * 250 < CUT; step += 1) {
+    fleet.queue.runUntil(fleet.queue.now + 250);
+    for (const record of waiting) {
+      const node = bench.nodes.get(record.node);
+      if (node?.zoneReachable(cutZone, fleet.queue.now) !== !isCut) continue;
+      waiting.delete(record);
+      seen.recordValue(fleet.queue.now - started);
+    }
+  }
+  return seen;
+}
+
+function unreachableViews(bench: MembershipFleet): number {
+  let count = 0;
+  for (const record of bench.running()) {
+    const node = bench.nodes.get(record.node);
+    for (const { zone } of FLEET_ZONES) {
+      if (node?.zoneReachable(zone, bench.fleet.queue.now) === false) count += 1;
+    }
+  }
+  return count;
+}
+
+function killSome(bench: MembershipFleet): void {
+  const kills = Math.min(KILLS, Math.floor(bench.records.length / 8));
+  for (let kill = 0; kill < kills; kill += 1) {
+    const running = bench.running();
+    const victim = running[bench.fleet.random.integer(running.length)];
+    if (victim !== undefined) bench.kill(victim.node);
+    bench.fleet.queue.runUntil(bench.fleet.queue.now + KILL_INTERVAL);
+  }
+  bench.fleet.queue.runUntil(bench.fleet.queue.now + SETTLING);
+}
+
+function measure(size: number, seed: number): MembershipFigures {
+  const heapBefore = heapInUse();
+  const bench = new MembershipFleet(size, seed);
+  const { fleet } = bench;
+  fleet.queue.runUntil(WARM_UP);
+  const memory = heapInUse() - heapBefore;
+  fleet.traffic.reset();
+  const startedCpu = processorMilliseconds();
+  let falseUnreachable = 0;
+  for (let second = 0; second * SECOND < STEADY; second += 1) {
+    fleet.queue.runUntil(fleet.queue.now + SECOND);
+    falseUnreachable += unreachableViews(bench);
+  }
+  const cpu = processorMilliseconds() - startedCpu - fleet.traffic.samplingMilliseconds;
+  const traffic = fleet.traffic.totals();
+  killSome(bench);
+  const notKnownToAll = bench.notKnownToAll();
+  const cutSeen = measureCut(bench, true);
+  const healingSeen = measureCut(bench, false);
+  const share = (milliseconds: number) => round((100 * milliseconds) / STEADY / size, 4);
+  return {
+    nodes: size,
+    bytes_per_second_a_node: round(perSecond(traffic.bytes, STEADY) / size, 1),
+    largest_bytes_per_second_of_a_node: round(perSecond(traffic.largestNodeBytes, STEADY), 1),
+    messages_per_second_a_node: round(perSecond(traffic.messages, STEADY) / size, 2),
+    core_share_percent_a_node: share(cpu),
+    core_share_with_codec_percent_a_node: share(cpu + traffic.codecMilliseconds),
+    memory_shared_records_kb_a_node: round(memory / size / 1_024, 1),
+    detection_first_in_zone: summarize(bench.first),
+    detection_every_node_of_zone: summarize(bench.inZone),
+    spread_every_node_of_fleet: summarize(bench.inFleet),
+    kills: bench.killedAt.size,
+    kills_not_known_to_all: notKnownToAll,
+    false_deaths: bench.falseDeaths,
+    zone_cut_seen: summarize(cutSeen),
+    zone_healing_seen: summarize(healingSeen),
+    false_unreachable_views: falseUnreachable,
+  };
+}
+
+/** Runs the bench; flags: `--seed N`, `--size N` for one size only. */
+export async function run(_name: string, flags: CommandFlags): Promise<number> {
+  const seed = Number(flags.seed ?? 1);
+  const sizes = flags.size === undefined ? FLEET_SIZES : [Number(flags.size)];
+  const figures: MembershipFigures[] = [];
+  for (const size of sizes) {
+    const measured = measure(size, seed);
+    figures.push(measured);
+    console.log(JSON.stringify(measured));
+  }
+  const slope = (pick: (figure: MembershipFigures) => number) =>
+    slopePerThousand(figures.map((figure) => ({ x: figure.nodes, y: pick(figure) })));
+  const holds = figures.every(
+    (figure) =>
+      figure.false_deaths === 0 &&
+      figure.kills_not_known_to_all === 0 &&
+      figure.detection_every_node_of_zone.p99_ms < DETECTION_LIMIT &&
+      figure.bytes_per_second_a_node < BYTES_LIMIT,
+  );
+  const summary = {
+    bench: 'membership',
+    seed,
+    packet_loss_percent: PACKET_LOSS * 100,
+    sizes: figures,
+    slope_bytes_per_second_a_node_per_1000_nodes: slope((one) => one.bytes_per_second_a_node),
+    slope_messages_per_second_a_node_per_1000_nodes: slope((one) => one.messages_per_second_a_node),
+    slope_core_share_percent_a_node_per_1000_nodes: slope((one) => one.core_share_percent_a_node),
+    slope_memory_kb_a_node_per_1000_nodes: slope((one) => one.memory_shared_records_kb_a_node),
+    holds,
+  };
+  console.log(JSON.stringify(summary));
+  return holds ? 0 : 1;
+}
--- a/src/membership/digest-exchange.ts
+++ b/src/membership/digest-exchange.ts
@@ -62,7 +62,11 @@
 
   /** Handles a message of the exchange. */
   receive(from: NodeRecord, message: MembershipMessage, now: Milliseconds): void {
-    if (message.kind === 'digest') this.answerDigest(from, message.zones);
+    if (message.kind === 'digest') this.answerFleetDigest(from, message.fleetHash);
+    if (message.kind === 'zone-digest') {
+      this.host.contacts.contacted(from.zone, now);
+      this.answerZoneDigests(from, message.zones);
+    }
     if (message.kind === 'bucket-digest') {
       this.host.contacts.contacted(from.zone, now);
       if (message.zones.length > 0) this.answerBuckets(from, message.zones);
@@ -70,9 +74,9 @@
     if (message.kind === 'bucket-entries') this.takeEntries(from, message, now);
   }
 
-  /** Sends a digest of all zones to an address whose node may be unknown. */
+  /** Sends a digest to an address whose node may be unknown. */
   sendDigestTo(address: string): void {
-    this.host.effects.sendToAddress(address, { kind: 'digest', zones: this.digests() });
+    this.host.effects.sendToAddress(address, this.digest());
   }
 
   private isBridge(): boolean {
@@ -93,7 +97,7 @@
         const sent = updates.map((update) => updateFor(zone, update));
         effects.send(bridge, { kind: 'updates', updates: sent });
       }
-      if (this.isDue(zone, now)) effects.send(bridge, { kind: 'digest', zones: this.digests() });
+      if (this.isDue(zone, now)) effects.send(bridge, this.digest());
     }
   }
 
@@ -112,15 +116,24 @@
     const peers = table.presentInZone(self.zone);
     const peer = peers[random.integer(Math.max(1, peers.length))];
     if (peer === undefined || peer.node === self.node) return;
-    effects.send(peer, { kind: 'digest', zones: this.digests() });
+    effects.send(peer, this.digest());
+  }
+
+  private digest(): MembershipMessage {
+    return { kind: 'digest', fleetHash: this.host.table.fleetHash() };
   }
 
-  private digests(): readonly ZoneDigest[] {
-    const { table } = this.host;
-    return table.zones().map((zone) => ({ zone, hash: table.zoneHash(zone) }));
+  private answerFleetDigest(from: NodeRecord, fleetHash: number): void {
+    const { table, effects } = this.host;
+    if (fleetHash === table.fleetHash()) {
+      effects.send(from, { kind: 'bucket-digest', zones: [] });
+      return;
+    }
+    const zones = table.zones().map((zone) => ({ zone, hash: table.zoneHash(zone) }));
+    effects.send(from, { kind: 'zone-digest', zones });
   }
 
-  private answerDigest(from: NodeRecord, digests: readonly ZoneDigest[]): void {
+  private answerZoneDigests(from: NodeRecord, digests: readonly ZoneDigest[]): void {
     const { table, effects } = this.host;
     const theirs = new Map(digests.map((digest) => [digest.zone, digest.hash]));
     const names = new Set([...table.zones(), ...theirs.keys()]);
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -2,14 +2,17 @@
  * The table of all members, by zone, with the hashes by which two tables are compared. Updates
  * of one member are ordered by life, then refutation number, then state.
  */
-import { placementHash, rendezvousOrder } from '../core/hashing.js';
-import type { NodeId, NodeRecord, ZoneName } from '../core/identity.js';
+import { placementHash } from '../core/hashing.js';
+import { identityKey, type NodeId, type NodeRecord, type ZoneName } from '../core/identity.js';
 import type { MemberState } from './membership-effects.js';
 import type { MemberUpdate } from './messages.js';
 
 /** Buckets of a zone in which members are hashed. */
 export const BUCKET_COUNT = 32;
 
+/** Odd, so that the hash of a leaving life differs from that of a staying one. */
+const LEAVING_FACTOR = 0x9e3779b1;
+
 const STATE_RANKS = { alive: 0, suspect: 1, dead: 2 } as const;
 
 /** Whether an update takes the place of another one of the same node. */
@@ -31,20 +34,44 @@
   );
 }
 
-function bucketOf(node: NodeId): number {
-  return placementHash(node) % BUCKET_COUNT;
+/** Hashes of a record, kept because tables are hashed and sorted anew at every change. */
+interface RecordHashes {
+  /** Rendezvous score within the zone. */
+  readonly score: number;
+  readonly bucket: number;
+  /** Hash of the life. */
+  readonly life: number;
+}
+
+const recordHashes = new WeakMap<NodeRecord, RecordHashes>();
+
+function hashesOf(record: NodeRecord): RecordHashes {
+  const known = recordHashes.get(record);
+  if (known !== undefined) return known;
+  const score = placementHash(`${record.zone}\u0000${record.node}`);
+  const bucket = placementHash(record.node) % BUCKET_COUNT;
+  const hashes = { score, bucket, life: placementHash(identityKey(record)) };
+  recordHashes.set(record, hashes);
+  return hashes;
 }
 
 function entryHash(update: MemberUpdate): number {
   if (update.state === 'dead') return 0;
-  const { node, incarnation } = update.record;
-  return placementHash(`${node}#${incarnation}#${update.leaving}`);
+  const { life } = hashesOf(update.record);
+  return update.leaving ? Math.imul(life, LEAVING_FACTOR) : life;
 }
 
 function byNode(left: NodeRecord, right: NodeRecord): number {
   return left.node < right.node ? -1 : 1;
 }
 
+/** Members of a zone by rendezvous score: the same order on every node. */
+function rendezvousSorted(records: readonly NodeRecord[]): readonly NodeRecord[] {
+  return [...records].sort(
+    (left, right) => hashesOf(right).score - hashesOf(left).score || byNode(left, right),
+  );
+}
+
 /** Members of one zone. */
 class ZoneTable {
   readonly updates = new Map<NodeId, MemberUpdate>();
@@ -52,8 +79,10 @@
   present: readonly NodeRecord[] | null = null;
   staying: readonly NodeRecord[] | null = null;
   bridges: readonly NodeRecord[] | null = null;
+  ring: readonly NodeRecord[] | null = null;
 
   forgetLists(): void {
+    this.ring = null;
     this.present = null;
     this.staying = null;
     this.bridges = null;
@@ -61,7 +90,7 @@
 
   /** Adds the hash of an entry into its bucket, or takes it out again (XOR does both). */
   toggle(update: MemberUpdate): void {
-    const bucket = bucketOf(update.record.node);
+    const bucket = hashesOf(update.record).bucket;
     this.buckets[bucket] = (this.buckets[bucket] ?? 0) ^ entryHash(update);
   }
 
@@ -74,6 +103,7 @@
 
 /** The table of all members. */
 export class MemberTable {
+  private readonly all = new Map<NodeId, MemberUpdate>();
   private readonly zoneTables = new Map<ZoneName, ZoneTable>();
   private sortedZones: readonly ZoneName[] | null = null;
   private namesHash = 0;
@@ -112,21 +142,18 @@
   }
 
   find(node: NodeId): MemberUpdate | undefined {
-    for (const zone of this.zoneTables.values()) {
-      const update = zone.updates.get(node);
-      if (update !== undefined) return update;
-    }
-    return undefined;
+    return this.all.get(node);
   }
 
-  *updates(): Iterable<MemberUpdate> {
-    for (const zone of this.zoneTables.values()) yield* zone.updates.values();
+  updates(): Iterable<MemberUpdate> {
+    return this.all.values();
   }
 
   /** Stores an update without any check of order. */
   store(update: MemberUpdate): void {
     const previous = this.find(update.record.node);
     if (previous !== undefined) this.remove(previous);
+    this.all.set(update.record.node, update);
     const zone = this.zoneTable(update.record.zone);
     zone.updates.set(update.record.node, update);
     zone.toggle(update);
@@ -137,6 +164,7 @@
   /** Removes an entry. */
   remove(update: MemberUpdate): void {
     const zone = this.zoneTable(update.record.zone);
+    this.all.delete(update.record.node);
     zone.updates.delete(update.record.node);
     zone.toggle(update);
     zone.forgetLists();
@@ -166,14 +194,23 @@
   bridgesOf(name: ZoneName): readonly NodeRecord[] {
     const zone = this.zoneTables.get(name);
     if (zone === undefined) return [];
-    zone.bridges ??= rendezvousOrder(
-      `bridge ${name}`,
-      this.stayingInZone(name),
-      (record) => record.node,
-    ).slice(0, this.bridgesPerZone);
+    zone.bridges ??= rendezvousSorted(this.stayingInZone(name)).slice(0, this.bridgesPerZone);
     return zone.bridges;
   }
 
+  /** Members of a zone that are not dead, in an order that is the same on every node. */
+  ringOf(name: ZoneName): readonly NodeRecord[] {
+    const zone = this.zoneTables.get(name);
+    if (zone === undefined) return [];
+    zone.ring ??= rendezvousSorted(this.presentInZone(name));
+    return zone.ring;
+  }
+
+  /** Hash of all zones. */
+  fleetHash(): number {
+    return this.zones().reduce((sum, zone) => (Math.imul(sum, 31) + this.zoneHash(zone)) | 0, 0);
+  }
+
   zoneHash(name: ZoneName): number {
     return this.zoneTables.get(name)?.hash() ?? 0;
   }
@@ -185,7 +222,7 @@
   /** Entries of some buckets of a zone, the dead included. */
   bucketEntries(name: ZoneName, buckets: readonly number[]): readonly MemberUpdate[] {
     const updates = this.zoneTables.get(name)?.updates.values() ?? [];
-    return [...updates].filter((update) => buckets.includes(bucketOf(update.record.node)));
+    return [...updates].filter((update) => buckets.includes(hashesOf(update.record).bucket));
   }
 
   private isLeaving(update: MemberUpdate): boolean {
--- a/src/membership/membership-options.ts
+++ b/src/membership/membership-options.ts
@@ -7,7 +7,7 @@
 export interface MembershipTiming {
   /** Time between probes in zones of up to `smallZone` members. Default 500 ms. */
   readonly probeInterval: Milliseconds;
-  /** Time between probes in the largest zones; in between it grows linearly. Default 1,000 ms. */
+  /** Time between probes in the largest zones; in between it grows linearly. Default 750 ms. */
   readonly largestProbeInterval: Milliseconds;
   /** Members of a zone up to which `probeInterval` holds. Default 100. */
   readonly smallZone: number;
@@ -25,7 +25,7 @@
   readonly gossipInterval: Milliseconds;
   /** Peers an urgent update is sent to in one round. Default 3. */
   readonly gossipFanOut: number;
-  /** Times an update is passed on, per decimal digit of the zone's size. Default 3. */
+  /** Times an update is passed on, per decimal digit of the zone's size. Default 4. */
   readonly retransmitFactor: number;
   /** Updates carried by one message at most. Default 6. */
   readonly updatesPerMessage: number;
@@ -46,7 +46,7 @@
 /** Defaults of {@link MembershipTiming}. */
 export const DEFAULT_MEMBERSHIP_TIMING: MembershipTiming = {
   probeInterval: 500,
-  largestProbeInterval: 1_000,
+  largestProbeInterval: 750,
   smallZone: 100,
   directTimeout: 150,
   indirectTimeout: 300,
@@ -55,7 +55,7 @@
   suspectProbeInterval: 150,
   gossipInterval: 100,
   gossipFanOut: 3,
-  retransmitFactor: 3,
+  retransmitFactor: 4,
   updatesPerMessage: 6,
   bridgesPerZone: 3,
   bridgeInterval: 3_000,
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -29,6 +29,9 @@
 /** Addresses or peers asked at once to join or to be confirmed. */
 const CONFIRM_FAN_OUT = 3;
 
+/** Transmissions on top of those that grow with the zone, so that small zones lose nothing. */
+const EXTRA_TRANSMISSIONS = 3;
+
 function aliveUpdate(record: NodeRecord): MemberUpdate {
   return { record, state: 'alive', leaving: false, refutation: 0 };
 }
@@ -285,7 +288,7 @@
 
   private retransmitLimit(): number {
     const size = this.table.presentInZone(this.self.zone).length;
-    return Math.ceil(this.timing.retransmitFactor * Math.log10(size + 1)) + 1;
+    return Math.ceil(this.timing.retransmitFactor * Math.log10(size + 1)) + EXTRA_TRANSMISSIONS;
   }
 
   /** Takes in an update if it is news; `passOn` says whether the zone should hear of it. */
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -61,8 +61,11 @@
   | { readonly kind: 'join' }
   /** One page of the answer to a join. */
   | { readonly kind: 'table'; readonly updates: readonly MemberUpdate[] }
-  | { readonly kind: 'digest'; readonly zones: readonly ZoneDigest[] }
-  /** Answer to a digest: the zones that differ, none where all agree. */
+  /** Hash of the sender's whole table; asks for a comparison. */
+  | { readonly kind: 'digest'; readonly fleetHash: number }
+  /** Answer to a digest that differs. */
+  | { readonly kind: 'zone-digest'; readonly zones: readonly ZoneDigest[] }
+  /** Answer to either digest: the zones that differ, none where all agree. */
   | { readonly kind: 'bucket-digest'; readonly zones: readonly ZoneBuckets[] }
   | {
       readonly kind: 'bucket-entries';
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -60,6 +60,7 @@
   private readonly relayed = new Map<number, RelayedPing>();
   private order: NodeRecord[] = [];
   private selfDoubt = 0;
+  private isRingTurn = false;
 
   constructor(private readonly host: ProberHost) {}
 
@@ -138,8 +139,26 @@
     );
   }
 
-  /** The next member in a random order in which each comes once (SWIM, section 4.3). */
+  /**
+   * Every second probe goes to the successor in the zone's ring, so that each member is probed at
+   * a bounded interval; the others follow a random order, so that gossip mixes and no member
+   * depends on one neighbour.
+   */
   private nextTarget(): NodeRecord | undefined {
+    this.isRingTurn = !this.isRingTurn;
+    return (this.isRingTurn ? this.ringSuccessor() : undefined) ?? this.nextRandomTarget();
+  }
+
+  private ringSuccessor(): NodeRecord | undefined {
+    const { table, self } = this.host;
+    const ring = table.ringOf(self.zone);
+    const position = ring.findIndex((record) => record.node === self.node);
+    const successor = ring[(position + 1) % ring.length];
+    return successor?.node === self.node ? undefined : successor;
+  }
+
+  /** The next member in a random order in which each comes once (SWIM, section 4.3). */
+  private nextRandomTarget(): NodeRecord | undefined {
     for (let attempt = 0; attempt < 2; attempt += 1) {
       while (this.order.length > 0) {
         const candidate = this.order.pop();
