--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -119,11 +119,19 @@
     return this.isLeaving(update) ? 'leaving' : update.state;
   }
 
-  /** Sets the addresses that the machine list marks as leaving; a sign for this node only. */
-  setListedLeaving(addresses: ReadonlySet<string>): void {
+  /**
+   * Sets the addresses that the machine list marks as leaving; a sign for this node only.
+   * False where nothing changed.
+   */
+  setListedLeaving(addresses: ReadonlySet<string>): boolean {
+    const previous = this.listedLeaving;
+    const isSame =
+      previous.size === addresses.size && [...addresses].every((one) => previous.has(one));
+    if (isSame) return false;
     this.listedLeaving = addresses;
     for (const zone of this.zoneTables.values()) zone.forgetLists();
     this.version += 1;
+    return true;
   }
 
   /** Zone names, sorted. */
--- a/src/membership/membership-effects.ts
+++ b/src/membership/membership-effects.ts
@@ -48,6 +48,10 @@
     this.add({ kind: 'send', to: null, address, message });
   }
 
+  logChange(change: string, details: Readonly<Record<string, string | number | boolean>>): void {
+    this.add({ kind: 'state-change', change, details });
+  }
+
   /** Hands over what was gathered and starts anew. */
   take(): readonly MembershipEffect[] {
     const taken = this.effects;
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -11,6 +11,7 @@
 import type { EffectList } from './membership-effects.js';
 import type { MembershipTiming } from './membership-options.js';
 import type { Gossip, MemberUpdate } from './messages.js';
+import { ProbeOrder } from './probe-order.js';
 
 /** Rounds without any answer from helpers after which a target is suspected all the same. */
 const SELF_DOUBT_ROUNDS = 2;
@@ -58,11 +59,12 @@
   private readonly probes = new Map<number, Probe>();
   private readonly suspicions = new Map<NodeId, Suspicion>();
   private readonly relayed = new Map<number, RelayedPing>();
-  private order: NodeRecord[] = [];
   private selfDoubt = 0;
-  private isRingTurn = false;
+  private readonly probeOrder: ProbeOrder;
 
-  constructor(private readonly host: ProberHost) {}
+  constructor(private readonly host: ProberHost) {
+    this.probeOrder = new ProbeOrder(host.self, host.table, host.random);
+  }
 
   /** Drops what a frozen node had begun. */
   reset(now: Milliseconds): void {
@@ -84,7 +86,7 @@
     if (now < this.nextProbeAt) return;
     const jitter = 0.9 + 0.2 * this.host.random.fraction();
     this.nextProbeAt = now + this.interval() * jitter;
-    const target = this.nextTarget();
+    const target = this.probeOrder.next();
     if (target !== undefined) this.startProbe(target, now);
   }
 
@@ -139,54 +141,6 @@
     );
   }
 
-  /**
-   * Every second probe goes to the successor in the zone's ring, so that each member is probed at
-   * a bounded interval; the others follow a random order, so that gossip mixes and no member
-   * depends on one neighbour.
-   */
-  private nextTarget(): NodeRecord | undefined {
-    this.isRingTurn = !this.isRingTurn;
-    return (this.isRingTurn ? this.ringSuccessor() : undefined) ?? this.nextRandomTarget();
-  }
-
-  private ringSuccessor(): NodeRecord | undefined {
-    const { table, self } = this.host;
-    const ring = table.ringOf(self.zone);
-    const position = ring.findIndex((record) => record.node === self.node);
-    const successor = ring[(position + 1) % ring.length];
-    return successor?.node === self.node ? undefined : successor;
-  }
-
-  /** The next member in a random order in which each comes once (SWIM, section 4.3). */
-  private nextRandomTarget(): NodeRecord | undefined {
-    for (let attempt = 0; attempt < 2; attempt += 1) {
-      while (this.order.length > 0) {
-        const candidate = this.order.pop();
-        if (candidate === undefined) break;
-        const update = this.host.table.find(candidate.node);
-        if (update !== undefined && update.state !== 'dead') return update.record;
-      }
-      this.order = this.shuffledPeers();
-    }
-    return undefined;
-  }
-
-  private shuffledPeers(): NodeRecord[] {
-    const peers = this.peers();
-    for (let position = peers.length - 1; position > 0; position -= 1) {
-      const other = this.host.random.integer(position + 1);
-      const moved = peers[position] as NodeRecord;
-      peers[position] = peers[other] as NodeRecord;
-      peers[other] = moved;
-    }
-    return peers;
-  }
-
-  private peers(): NodeRecord[] {
-    const { table, self } = this.host;
-    return table.presentInZone(self.zone).filter((record) => record.node !== self.node);
-  }
-
   private startProbe(target: NodeRecord, now: Milliseconds): void {
     this.sequence += 1;
     this.probes.set(this.sequence, {
@@ -233,7 +187,7 @@
   }
 
   private chooseHelpers(targetNode: NodeId): NodeRecord[] {
-    const candidates = this.peers().filter((record) => record.node !== targetNode);
+    const candidates = this.probeOrder.peers().filter((record) => record.node !== targetNode);
     const helpers: NodeRecord[] = [];
     while (helpers.length < this.host.timing.helpers && candidates.length > 0) {
       const chosen = this.host.random.integer(candidates.length);
