--- a/lab/bench/hollow-fleet.ts
+++ b/lab/bench/hollow-fleet.ts
@@ -138,6 +138,7 @@
   private readonly byAddress = new Map<string, HollowNode<Message>>();
   private readonly stopped = new Set<NodeId>();
   private readonly frozen = new Map<NodeId, Milliseconds>();
+  private readonly isolated = new Set<NodeId>();
   private isCut: (left: ZoneName, right: ZoneName) => boolean = () => false;
   /** Share of messages lost; may be changed while the fleet runs. */
   loss: number;
@@ -165,6 +166,12 @@
     this.frozen.set(node, until);
   }
 
+  /** Cuts one node off from all others, or joins it again. */
+  isolate(node: NodeId, isIsolated: boolean): void {
+    if (isIsolated) this.isolated.add(node);
+    else this.isolated.delete(node);
+  }
+
   isRunning(node: NodeId): boolean {
     return !this.stopped.has(node) && this.queue.now >= (this.frozen.get(node) ?? 0);
   }
@@ -179,6 +186,7 @@
     const target = this.byAddress.get(address);
     this.traffic.count(from, message);
     if (target === undefined || this.isCut(from.zone, target.record.zone)) return;
+    if (this.isolated.has(from.node) || this.isolated.has(target.record.node)) return;
     if (this.loss > 0 && this.random.fraction() < this.loss) return;
     const at = this.queue.now + this.latency(from, target.record);
     this.queue.schedule(at, () => this.deliver(from, target, message));
--- a/lab/bench/membership.ts
+++ b/lab/bench/membership.ts
@@ -5,19 +5,9 @@
  */
 import type { Histogram } from 'hdr-histogram-js';
 import type { NodeId, NodeRecord } from '../../src/core/identity.js';
-import { createRandomSource } from '../../src/core/random.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
-import { Membership, type MembershipEffect } from '../../src/membership/membership.js';
-import type { MembershipMessage } from '../../src/membership/messages.js';
 import type { CommandFlags } from '../main.js';
-import {
-  FLEET_SIZES,
-  FLEET_ZONES,
-  fleetRecords,
-  HollowFleet,
-  type HollowNode,
-  perSecond,
-} from './hollow-fleet.js';
+import { FLEET_SIZES, FLEET_ZONES, perSecond } from './hollow-fleet.js';
 import {
   type DurationSummary,
   durationHistogram,
@@ -27,6 +17,7 @@
   slopePerThousand,
   summarize,
 } from './hollow-fleet-measures.js';
+import { HollowMembershipFleet } from './hollow-membership-fleet.js';
 
 const PACKET_LOSS = 0.01;
 const WARM_UP: Milliseconds = 5 * SECOND;
@@ -60,10 +51,7 @@
   readonly false_unreachable_views: number;
 }
 
-class MembershipFleet {
-  readonly fleet: HollowFleet<MembershipMessage>;
-  readonly records: readonly NodeRecord[];
-  readonly nodes = new Map<NodeId, Membership>();
+class MembershipFleet extends HollowMembershipFleet {
   readonly killedAt = new Map<NodeId, Milliseconds>();
   readonly first = durationHistogram();
   readonly inZone = durationHistogram();
@@ -72,11 +60,13 @@
   falseDeaths = 0;
 
   constructor(size: number, seed: number) {
-    this.fleet = new HollowFleet({ seed, loss: PACKET_LOSS });
-    this.records = fleetRecords(size);
-    for (const [position, record] of this.records.entries()) {
-      this.start(record, seed + position + 1);
-    }
+    super({ size, seed, loss: PACKET_LOSS });
+    this.onEffect = (observer, effect) => {
+      if (effect.kind === 'declared-dead') this.falseDeaths += 1;
+      if (effect.kind === 'member-changed' && effect.member.state === 'dead') {
+        this.sawDeath(observer, effect.member.record);
+      }
+    };
   }
 
   kill(node: NodeId): void {
@@ -96,28 +86,6 @@
     return [...this.killedAt.keys()].filter((node) => !isKnown(node)).length;
   }
 
-  private start(record: NodeRecord, seed: number): void {
-    const random = createRandomSource(seed);
-    const node = new Membership({ self: record, random, initialMembers: this.records });
-    this.nodes.set(record.node, node);
-    const hollow: HollowNode<MembershipMessage> = {
-      record,
-      receive: (from, message, now) => this.carry(record, node.receive(from, message, now)),
-      tick: (now) => this.carry(record, node.tick(now)),
-    };
-    this.fleet.add(hollow);
-  }
-
-  private carry(from: NodeRecord, effects: readonly MembershipEffect[]): void {
-    for (const effect of effects) {
-      if (effect.kind === 'send') this.fleet.send(from, effect);
-      if (effect.kind === 'declared-dead') this.falseDeaths += 1;
-      if (effect.kind === 'member-changed' && effect.member.state === 'dead') {
-        this.sawDeath(from, effect.member.record);
-      }
-    }
-  }
-
   private sawDeath(observer: NodeRecord, dead: NodeRecord): void {
     const killedAt = this.killedAt.get(dead.node);
     if (killedAt === undefined) {
--- a/src/membership/member-intake.ts
+++ b/src/membership/member-intake.ts
@@ -108,6 +108,22 @@
     for (const { update, view } of before) this.reportChange(update, view);
   }
 
+  /** Treats a member as dead without telling anyone. */
+  assumeDead(update: MemberUpdate): void {
+    const before = this.view(update);
+    this.parts.table.assumeDead(update.record.node);
+    this.reportChange(update, before);
+  }
+
+  /** Takes back what was assumed while this node heard from nobody. */
+  withdrawAssumptions(): void {
+    const { table } = this.parts;
+    for (const node of table.withdrawAssumptions()) {
+      const update = table.find(node);
+      if (update !== undefined) this.reportChange(update, { record: update.record, state: 'dead' });
+    }
+  }
+
   /** A member as other modules see it. */
   view(update: MemberUpdate): MemberView {
     return { record: update.record, state: this.parts.table.stateOf(update) };
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -108,6 +108,7 @@
   private sortedZones: readonly ZoneName[] | null = null;
   private namesHash = 0;
   private listedLeaving: ReadonlySet<string> = new Set();
+  private readonly assumedDead = new Set<NodeId>();
   /** Rises with each change that other modules can see. */
   version = 0;
 
@@ -115,7 +116,7 @@
 
   /** State of a member as other modules see it. */
   stateOf(update: MemberUpdate): MemberState {
-    if (update.state === 'dead') return 'dead';
+    if (this.isGone(update)) return 'dead';
     return this.isLeaving(update) ? 'leaving' : update.state;
   }
 
@@ -129,11 +130,24 @@
       previous.size === addresses.size && [...addresses].every((one) => previous.has(one));
     if (isSame) return false;
     this.listedLeaving = addresses;
-    for (const zone of this.zoneTables.values()) zone.forgetLists();
-    this.version += 1;
+    this.forgetAllLists();
     return true;
   }
 
+  /** Treats a member as dead on this node only, while this node itself may be cut off. */
+  assumeDead(node: NodeId): void {
+    this.assumedDead.add(node);
+    this.forgetAllLists();
+  }
+
+  /** Takes back all assumptions; the nodes they were about. */
+  withdrawAssumptions(): readonly NodeId[] {
+    const nodes = [...this.assumedDead];
+    this.assumedDead.clear();
+    if (nodes.length > 0) this.forgetAllLists();
+    return nodes;
+  }
+
   /** Zone names, sorted. */
   zones(): readonly ZoneName[] {
     if (this.sortedZones === null) {
@@ -193,7 +207,7 @@
     if (zone === undefined) return [];
     zone.staying ??= this.listZone(
       zone,
-      (update) => update.state !== 'dead' && !this.isLeaving(update),
+      (update) => !this.isGone(update) && !this.isLeaving(update),
     );
     return zone.staying;
   }
@@ -233,6 +247,15 @@
     return [...updates].filter((update) => buckets.includes(hashesOf(update.record).bucket));
   }
 
+  private forgetAllLists(): void {
+    for (const zone of this.zoneTables.values()) zone.forgetLists();
+    this.version += 1;
+  }
+
+  private isGone(update: MemberUpdate): boolean {
+    return update.state === 'dead' || this.assumedDead.has(update.record.node);
+  }
+
   private isLeaving(update: MemberUpdate): boolean {
     return update.leaving || this.listedLeaving.has(update.record.address);
   }
--- a/src/membership/membership-options.ts
+++ b/src/membership/membership-options.ts
@@ -19,6 +19,8 @@
   readonly helpers: number;
   /** From suspicion to death at the node that suspects. Default 600 ms. */
   readonly suspicionTimeout: Milliseconds;
+  /** A node that heard from nobody for this long declares no death to others. Default 1,500 ms. */
+  readonly isolationTimeout: Milliseconds;
   /** Time between further probes of a suspect. Default 150 ms. */
   readonly suspectProbeInterval: Milliseconds;
   /** Time between rounds that spread urgent updates. Default 100 ms. */
@@ -52,6 +54,7 @@
   indirectTimeout: 300,
   helpers: 3,
   suspicionTimeout: 600,
+  isolationTimeout: 1_500,
   suspectProbeInterval: 150,
   gossipInterval: 100,
   gossipFanOut: 3,
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -78,6 +78,7 @@
     this.prober = new Prober({
       ...parts,
       apply,
+      assumeDead: (update) => this.intake.assumeDead(update),
       gossipFor: (peer, now) => this.spreader.gossipFor(peer, now),
     });
     this.intake.start(options.initialMembers ?? []);
@@ -113,7 +114,8 @@
   ): readonly MembershipEffect[] {
     this.checkGap(now);
     if (this.intake.meet(from, now)) {
-      this.prober.heardFrom(from.node);
+      this.prober.heardFrom(from.node, now);
+      this.intake.withdrawAssumptions();
       this.handle(from, message, now);
     }
     return this.effects.take();
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -48,6 +48,8 @@
   readonly effects: EffectList;
   /** Gossip for a message to a peer. */
   gossipFor(peer: NodeRecord, now: Milliseconds): Gossip;
+  /** Treats a member as dead without telling anyone. */
+  assumeDead(update: MemberUpdate): void;
   /** Takes in an update made by this node. */
   apply(update: MemberUpdate, now: Milliseconds): void;
 }
@@ -60,6 +62,7 @@
   private readonly suspicions = new Map<NodeId, Suspicion>();
   private readonly relayed = new Map<number, RelayedPing>();
   private selfDoubt = 0;
+  private heardAt: Milliseconds = 0;
   private readonly probeOrder: ProbeOrder;
 
   constructor(private readonly host: ProberHost) {
@@ -72,6 +75,7 @@
     this.suspicions.clear();
     this.relayed.clear();
     this.nextProbeAt = now;
+    this.heardAt = now;
   }
 
   /** Number the next ping will carry. */
@@ -97,7 +101,8 @@
   }
 
   /** Any message from a member shows that it is there. */
-  heardFrom(node: NodeId): void {
+  heardFrom(node: NodeId, now: Milliseconds): void {
+    this.heardAt = now;
     this.suspicions.delete(node);
   }
 
@@ -227,7 +232,7 @@
         this.suspicions.delete(node);
       } else if (now >= suspicion.deadline) {
         this.suspicions.delete(node);
-        this.host.apply({ ...current, state: 'dead' }, now);
+        this.declareDead(current, now);
       } else if (now >= suspicion.nextProbeAt) {
         suspicion.nextProbeAt = now + this.host.timing.suspectProbeInterval;
         this.probeSuspect(suspicion.target, now);
@@ -235,6 +240,14 @@
     }
   }
 
+  /** A node that hears from nobody is more likely cut off than alone; it keeps that to itself. */
+  private declareDead(update: MemberUpdate, now: Milliseconds): void {
+    const isCutOff = now - this.heardAt > this.host.timing.isolationTimeout;
+    const hasOthers = this.probeOrder.peers().length > 1 || this.host.table.zones().length > 1;
+    if (isCutOff && hasOthers) this.host.assumeDead(update);
+    else this.host.apply({ ...update, state: 'dead' }, now);
+  }
+
   private isOutdated(suspicion: Suspicion, current: MemberUpdate): boolean {
     return (
       current.state === 'dead' ||
