--- /dev/null
+++ b/src/transport/peer-envelope.ts
@@ -0,0 +1,60 @@
+/**
+ * The body of a node-to-node request: one devalue document with the sender, the life of the peer
+ * that is meant, and the messages. A text that stands twice in a batch travels once.
+ */
+import { parse, stringify } from 'devalue';
+import type Result from 'true-myth/result';
+import * as result from 'true-myth/result';
+import { z } from 'zod';
+import type { NodeIdentity, NodeRecord } from '../core/identity.js';
+import type { PeerMessage } from '../node/peer-message.js';
+
+/** Messages from one node to one peer. */
+export interface PeerEnvelope {
+  readonly from: NodeRecord;
+  /** The life that is meant; `null` where the sender knew an address only. */
+  readonly to: NodeIdentity | null;
+  readonly messages: readonly PeerMessage[];
+}
+
+/** Why a body is not an envelope. */
+export interface EnvelopeError {
+  readonly reason: string;
+}
+
+const identitySchema = z.strictObject({ node: z.string().min(1), incarnation: z.number() });
+
+const MODULES = ['membership', 'config-feed', 'ledger', 'dispatch', 'rollouts', 'routing'] as const;
+
+const envelopeSchema = z.strictObject({
+  from: z.strictObject({
+    ...identitySchema.shape,
+    zone: z.string(),
+    region: z.string(),
+    address: z.string().min(1),
+    machine: z.string(),
+  }),
+  to: identitySchema.nullable(),
+  messages: z.array(
+    z.strictObject({
+      module: z.enum(MODULES satisfies readonly PeerMessage['module'][]),
+      body: z.looseObject({ kind: z.string() }),
+    }),
+  ),
+});
+
+/** Encodes an envelope; throws where a message holds something other than plain data. */
+export function encodeEnvelope(envelope: PeerEnvelope): string {
+  return stringify(envelope);
+}
+
+/** Reads a body; the messages' own fields are trusted, as peers are authenticated. */
+export function decodeEnvelope(body: string): Result<PeerEnvelope, EnvelopeError> {
+  try {
+    const value: unknown = parse(body);
+    envelopeSchema.parse(value);
+    return result.ok(value as PeerEnvelope);
+  } catch (error) {
+    return result.err({ reason: error instanceof Error ? error.message : String(error) });
+  }
+}
