Speed up decisions, and let a failing zone be ejected

Ruled out: cached load totals, which make the load bound inexact. Change: allowed candidates are worked out once per list and the pick is checked again; loads go through typed arrays; the cap counts over all zones of a model and leaves one worker of each zone; a retry budget saves up 20 retries at most.

--- a/src/routing/bounded-load-pick.ts
+++ b/src/routing/bounded-load-pick.ts
@@ -4,50 +4,58 @@
  */
 import type { HashRing } from './hash-ring.js';
 import { candidateAt, type RoutingChoice, type RoutingPick } from './routing-policy.js';
-import type { WorkerCandidate } from './worker-candidate.js';
 
-/** Load and capacity of one candidate, in the same unit for all. */
-export interface LoadMeasure {
-  /** Generations on the candidate. */
-  load(candidate: WorkerCandidate): number;
-  /** Slots the candidate should be given; above 0. */
-  capacity(candidate: WorkerCandidate): number;
-}
+/** Candidates the arrays hold at first. */
+const INITIAL_SIZE = 128;
+
+/** Loads and capacities of one choice; the arrays are used again for the next one. */
+export class BoundedLoadPicker {
+  readonly #factor: number;
+  #loads = new Float64Array(INITIAL_SIZE);
+  #capacities = new Float64Array(INITIAL_SIZE);
+  #totalLoad = 0;
+  #totalCapacity = 0;
 
-/** Load that each slot may carry, such that all workers together could take one more. */
-function boundPerSlot(choice: RoutingChoice, measure: LoadMeasure, factor: number): number {
-  let load = 1;
-  let capacity = 0;
-  for (let position = 0; position < choice.eligibleCount; position += 1) {
-    const candidate = candidateAt(choice.candidates, choice.eligible[position]);
-    load += measure.load(candidate);
-    capacity += measure.capacity(candidate);
+  /** @param factor how far above the average a worker may be loaded; above 1 */
+  constructor(factor: number) {
+    this.#factor = factor;
   }
-  return (factor * load) / capacity;
-}
 
-/**
- * Picks by affinity on the request's prompt group. A worker is below its bound while one more
- * generation keeps it at `ceil(factor * average * its slots)`.
- */
-export function pickWithBoundedLoad(
-  choice: RoutingChoice,
-  ring: HashRing,
-  measure: LoadMeasure,
-  factor: number,
-): RoutingPick | undefined {
-  const bound = boundPerSlot(choice, measure, factor);
-  const start = ring.pointOf(choice.request.promptGroup);
-  let first = true;
-  for (let step = 0; step < ring.size; step += 1) {
-    const owner = ring.ownerOf(start + step);
-    if (choice.eligibleFlags[owner] !== 1) continue;
-    const candidate = candidateAt(choice.candidates, owner);
-    const limit = Math.ceil(bound * measure.capacity(candidate));
-    if (measure.load(candidate) < limit) {
-      return { candidate, reason: first ? 'prefix-affinity' : 'load-bound-passed-on' };
+  /** Starts a choice among so many candidates. */
+  begin(candidateCount: number): void {
+    this.#totalLoad = 0;
+    this.#totalCapacity = 0;
+    if (candidateCount <= this.#loads.length) return;
+    this.#loads = new Float64Array(candidateCount * 2);
+    this.#capacities = new Float64Array(candidateCount * 2);
+  }
+
+  /** Sets the load and the slots of the eligible candidate at an index; slots are above 0. */
+  add(index: number, load: number, capacity: number): void {
+    this.#loads[index] = load;
+    this.#capacities[index] = capacity;
+    this.#totalLoad += load;
+    this.#totalCapacity += capacity;
+  }
+
+  /**
+   * Picks by affinity on the request's prompt group. A worker is below its bound while its load is
+   * less than `ceil(factor * average * its slots)`, the average counting the request itself.
+   */
+  pick(choice: RoutingChoice, ring: HashRing): RoutingPick | undefined {
+    const bound = (this.#factor * (this.#totalLoad + 1)) / this.#totalCapacity;
+    const start = ring.pointOf(choice.request.promptGroup);
+    let isFirst = true;
+    for (let step = 0; step < ring.size; step += 1) {
+      const owner = ring.ownerOf(start + step);
+      if (choice.eligibleFlags[owner] !== 1) continue;
+      const limit = Math.ceil(bound * (this.#capacities[owner] ?? 0));
+      if ((this.#loads[owner] ?? 0) < limit) {
+        const candidate = candidateAt(choice.candidates, owner);
+        return { candidate, reason: isFirst ? 'prefix-affinity' : 'load-bound-passed-on' };
+      }
+      isFirst = false;
     }
-    first = false;
+    return undefined;
   }
-  return undefined;
 }
--- a/src/routing/followed-workers.ts
+++ b/src/routing/followed-workers.ts
@@ -15,6 +15,14 @@
   readonly workers: WorkerId[];
 }
 
+/** Workers followed and ejected of one model, in one zone and in all zones. */
+export interface GroupHealth {
+  readonly zoneSize: number;
+  readonly zoneEjected: number;
+  readonly modelSize: number;
+  readonly modelEjected: number;
+}
+
 /** Records of followed workers. */
 export class FollowedWorkers {
   readonly #groups = new Map<ModelName, Map<ZoneName, readonly WorkerEntry[]>>();
@@ -27,11 +35,16 @@
     zones.set(zone, entries);
   }
 
-  /** How many workers of one model and zone are followed, and how many of them are ejected. */
-  health(model: ModelName, zone: ZoneName): { readonly size: number; readonly ejected: number } {
-    const group = this.#group(model, zone);
-    const ejected = group.filter((entry) => entry.state === 'ejected').length;
-    return { size: group.length, ejected };
+  /** How many workers of a model are followed and ejected, in one zone and in all. */
+  health(model: ModelName, zone: ZoneName): GroupHealth {
+    const inZone = this.#group(model, zone);
+    const inModel = [...(this.#groups.get(model)?.values() ?? [])].flat();
+    return {
+      zoneSize: inZone.length,
+      zoneEjected: countEjected(inZone),
+      modelSize: inModel.length,
+      modelEjected: countEjected(inModel),
+    };
   }
 
   /** Workers that are not leaving; the same array object until `clearLists`. */
@@ -72,3 +85,7 @@
     return new Set([...this.#groups.values()].flatMap((zones) => [...zones.values()].flat()));
   }
 }
+
+function countEjected(entries: readonly WorkerEntry[]): number {
+  return entries.filter((entry) => entry.state === 'ejected').length;
+}
--- a/src/routing/prefix-affinity-policy.ts
+++ b/src/routing/prefix-affinity-policy.ts
@@ -1,7 +1,7 @@
 /** Policy: prefix affinity with bounded load over the load the engines report. */
-import { pickWithBoundedLoad } from './bounded-load-pick.js';
+import { BoundedLoadPicker } from './bounded-load-pick.js';
 import { HashRingCache } from './hash-ring.js';
-import type { RoutingPolicy } from './routing-policy.js';
+import { candidateAt, type RoutingPolicy } from './routing-policy.js';
 
 /** How far above the average a worker may be loaded. */
 const LOAD_FACTOR = 1.25;
@@ -9,13 +9,18 @@
 /** Creates the policy `prefix-affinity-bounded-load`. */
 export function createPrefixAffinityPolicy(): RoutingPolicy {
   const rings = new HashRingCache();
-  const measure = {
-    load: (candidate: { readonly reportedLoad: number }) => candidate.reportedLoad,
-    capacity: (candidate: { readonly slots: number }) => candidate.slots,
-  };
+  const picker = new BoundedLoadPicker(LOAD_FACTOR);
   return {
     name: 'prefix-affinity-bounded-load',
-    pick: (choice) =>
-      pickWithBoundedLoad(choice, rings.ringOf(choice.candidates), measure, LOAD_FACTOR),
+    pick: (choice) => {
+      const { candidates, eligible, eligibleCount } = choice;
+      picker.begin(candidates.length);
+      for (let position = 0; position < eligibleCount; position += 1) {
+        const index = eligible[position] as number;
+        const candidate = candidateAt(candidates, index);
+        picker.add(index, candidate.reportedLoad, candidate.slots);
+      }
+      return picker.pick(choice, rings.ringOf(candidates));
+    },
   };
 }
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -10,7 +10,7 @@
   readonly share?: number;
   /** Retries per second allowed without any traffic; default 1. */
   readonly minimumPerSecond?: number;
-  /** Most retries that can be saved up; default 100. */
+  /** Most retries that can be saved up; default 20. */
   readonly maximumBalance?: number;
 }
 
@@ -26,7 +26,7 @@
   constructor(options: RetryBudgetOptions, now: Milliseconds) {
     this.#share = options.share ?? 0.1;
     this.#minimumPerSecond = options.minimumPerSecond ?? 1;
-    this.#maximumBalance = options.maximumBalance ?? 100;
+    this.#maximumBalance = options.maximumBalance ?? 20;
     this.#balance = Math.min(this.#minimumPerSecond, this.#maximumBalance);
     this.#filledAt = now;
   }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -7,6 +7,7 @@
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
+import { AllowedCandidates, isAllowed } from './allowed-candidates.js';
 import type { RoutingPolicy, RoutingReason } from './routing-policy.js';
 import type { WorkerCandidate } from './worker-candidate.js';
 
@@ -51,6 +52,9 @@
 /** When to come back, on average, where all workers are full. */
 const OVERLOADED_RETRY: Milliseconds = 1_000;
 
+/** Candidates the buffers hold at first. */
+const INITIAL_SIZE = 128;
+
 /** Queue places beyond the slots that interactive work may count on at a worker. */
 const INTERACTIVE_SPARE = 1;
 
@@ -67,8 +71,9 @@
 export class Router {
   readonly #policy: RoutingPolicy;
   readonly #random: RandomSource;
-  #eligible = new Int32Array(64);
-  #flags = new Uint8Array(64);
+  readonly #allowed = new AllowedCandidates();
+  #eligible = new Int32Array(INITIAL_SIZE);
+  #flags = new Uint8Array(INITIAL_SIZE);
 
   constructor(options: RouterOptions) {
     this.#policy = options.policy;
@@ -91,6 +96,8 @@
       now: context.now,
     });
     if (pick === undefined) return this.#overloaded();
+    const isInside = isAllowed(pick.candidate, request.model, context.zones);
+    if (!isInside) return this.#noWorker(counts);
     return { kind: 'worker', candidate: pick.candidate, reason: pick.reason };
   }
 
@@ -101,14 +108,13 @@
   }
 
   #filter(request: GenerationRequest, context: RoutingContext): FilterCounts {
-    const counts = { allowed: 0, connecting: 0, inService: 0, fresh: 0, eligible: 0 };
     const { candidates, exclude } = context;
-    for (let index = 0; index < candidates.length; index += 1) {
-      this.#flags[index] = 0;
+    const allowed = this.#allowed.indicesOf(candidates, request.model, context.zones);
+    const counts = { allowed: allowed.length, connecting: 0, inService: 0, fresh: 0, eligible: 0 };
+    this.#flags.fill(0, 0, candidates.length);
+    for (let position = 0; position < allowed.length; position += 1) {
+      const index = allowed[position] as number;
       const candidate = candidates[index] as WorkerCandidate;
-      if (!context.zones.includes(candidate.record.zone)) continue;
-      if (candidate.record.model !== request.model) continue;
-      counts.allowed += 1;
       if (candidate.state === 'connecting') counts.connecting += 1;
       if (candidate.state !== 'in-service') continue;
       counts.inService += 1;
--- a/src/routing/worker-directory.ts
+++ b/src/routing/worker-directory.ts
@@ -273,12 +273,16 @@
     }
   }
 
-  /** A home judges alone; other nodes keep most of a group in service whatever homes say. */
+  /**
+   * A home judges alone. Other nodes, whatever homes say, keep one worker of each zone and most
+   * of each model in service, yet may eject nearly all of a zone that fails.
+   */
   #mayEject(entry: WorkerEntry): boolean {
     const { model, zone, worker } = entry.record;
     if (this.isHome(worker)) return this.#topology.groupSize(model, zone) > 1;
-    const { size, ejected } = this.#followed.health(model, zone);
-    return ejected < this.#detector.ejectionLimit(size);
+    const health = this.#followed.health(model, zone);
+    const leavesOne = health.zoneEjected + 1 < health.zoneSize;
+    return leavesOne && health.modelEjected < this.#detector.ejectionLimit(health.modelSize);
   }
 
   #stateChanged(change: WorkerStateChange): void {
--- a/src/routing/worker-entries.ts
+++ b/src/routing/worker-entries.ts
@@ -46,6 +46,7 @@
     const entry = known ?? new WorkerEntry(record, home);
     this.#entries.set(record.worker, entry);
     entry.record = record;
+    entry.slots = record.slots;
     if (entry.home.node !== home.node) entry.counted = false;
     entry.home = home;
     entry.withdrawn = withdrawn;
--- a/src/routing/worker-entry.ts
+++ b/src/routing/worker-entry.ts
@@ -10,6 +10,7 @@
 export class WorkerEntry implements WorkerCandidate {
   record: WorkerRecord;
   home: NodeRecord;
+  slots: number;
   state: WorkerState = 'connecting';
   outstanding = 0;
   interactiveOutstanding = 0;
@@ -36,10 +37,7 @@
   constructor(record: WorkerRecord, home: NodeRecord) {
     this.record = record;
     this.home = home;
-  }
-
-  get slots(): number {
-    return this.record.slots;
+    this.slots = record.slots;
   }
 
   /** Whether any source says that the worker goes away. */
