--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -19,6 +19,8 @@
   readonly candidates: readonly WorkerCandidate[];
   /** The newest published version of the model; `undefined` where it is not known. */
   readonly newestVersion: WeightVersion | undefined;
+  /** The newest version that may be used; absent or `null` where there is no such limit. */
+  readonly maximumVersion?: WeightVersion | null;
   /** Workers that were tried before. */
   readonly exclude: ReadonlySet<WorkerId>;
   readonly now: Milliseconds;
@@ -109,6 +111,7 @@
 
   #filter(request: GenerationRequest, context: RoutingContext): FilterCounts {
     const { candidates, exclude } = context;
+    const maximumVersion = context.maximumVersion ?? Number.POSITIVE_INFINITY;
     const allowed = this.#allowed.indicesOf(candidates, request.model, context.zones);
     const counts = { allowed: allowed.length, connecting: 0, inService: 0, fresh: 0, eligible: 0 };
     this.#flags.fill(0, 0, candidates.length);
@@ -118,7 +121,7 @@
       if (candidate.state === 'connecting') counts.connecting += 1;
       if (candidate.state !== 'in-service') continue;
       counts.inService += 1;
-      if (!isFreshEnough(candidate, request)) continue;
+      if (!isWithinBound(candidate, request.oldestVersion, maximumVersion)) continue;
       counts.fresh += 1;
       if (!hasRoom(candidate, request)) continue;
       if (exclude.size > 0 && exclude.has(candidate.record.worker)) continue;
@@ -168,9 +171,14 @@
   return !bounded || context.newestVersion !== undefined;
 }
 
-function isFreshEnough(candidate: WorkerCandidate, request: GenerationRequest): boolean {
-  if (request.oldestVersion === 0) return true;
-  return candidate.activeVersion !== undefined && candidate.activeVersion >= request.oldestVersion;
+function isWithinBound(
+  candidate: WorkerCandidate,
+  oldest: WeightVersion,
+  newest: WeightVersion,
+): boolean {
+  if (oldest === 0 && newest === Number.POSITIVE_INFINITY) return true;
+  const { activeVersion } = candidate;
+  return activeVersion !== undefined && activeVersion >= oldest && activeVersion <= newest;
 }
 
 function hasRoom(candidate: WorkerCandidate, request: GenerationRequest): boolean {
--- a/src/routing/worker-directory.ts
+++ b/src/routing/worker-directory.ts
@@ -62,6 +62,7 @@
     this.#detector = options.outlierDetector ?? new OutlierDetector({ random });
     this.#subscriptions = new LoadSubscriptions({ random, renewInterval });
     this.#entries = new WorkerEntries({
+      topology: this.#topology,
       staleAfter: options.staleAfter ?? 5_000,
       sentLife: SENT_COUNT_PUSHES * pushInterval,
       onChange: (change) => this.#stateChanged(change),
@@ -222,15 +223,10 @@
     const own = this.#topology.ownWorkers();
     this.#homeLoads.replace(own, now);
     const kept = new Set<WorkerId>();
-    for (const record of own) this.#keep(record, kept, now);
+    this.#entries.keepAll(own, kept, now);
     this.#followed = new FollowedWorkers();
     for (const { model, zone, records } of this.#topology.subsets()) {
-      const entries = records.map((record) => this.#keep(record, kept, now));
-      this.#followed.set(
-        model,
-        zone,
-        entries.filter((entry) => entry !== undefined),
-      );
+      this.#followed.set(model, zone, this.#entries.keepAll(records, kept, now));
     }
     this.#entries.retain(kept);
     const wanted = this.#followed.byHome(this.#self);
@@ -239,14 +235,6 @@
     return this.#takeEffects();
   }
 
-  #keep(record: WorkerRecord, kept: Set<WorkerId>, now: Milliseconds): WorkerEntry | undefined {
-    const home = this.#topology.homeOf(record.worker);
-    if (home === undefined) return undefined;
-    kept.add(record.worker);
-    const withdrawn = this.#topology.isWithdrawn(record.worker);
-    return this.#entries.keep(record, home, withdrawn, now);
-  }
-
   #takeLoad(from: NodeIdentity, load: WorkerLoad, now: Milliseconds): void {
     const entry = this.#entries.get(load.worker);
     if (entry === undefined || !sameIdentity(entry.home, from)) return;
--- a/src/routing/worker-entries.ts
+++ b/src/routing/worker-entries.ts
@@ -4,9 +4,12 @@
 import type { WorkerRecord } from '../platform/worker.js';
 import type { WorkerState, WorkerStateChange } from './worker-candidate.js';
 import { WorkerEntry } from './worker-entry.js';
+import type { WorkerTopology } from './worker-topology.js';
 
 /** Settings of the records. */
 export interface WorkerEntriesOptions {
+  /** Tells workers' homes, and which of them go away. */
+  readonly topology: WorkerTopology;
   /** Time without news after which a worker counts as `connecting`. */
   readonly staleAfter: Milliseconds;
   /** Time for which an own dispatch is counted apart; then the home's count has it. */
@@ -40,18 +43,23 @@
     }
   }
 
-  /** Makes or updates the record of a worker; what was known stays until it is stale. */
-  keep(record: WorkerRecord, home: NodeRecord, withdrawn: boolean, now: Milliseconds): WorkerEntry {
-    const known = this.#entries.get(record.worker);
-    const entry = known ?? new WorkerEntry(record, home);
-    this.#entries.set(record.worker, entry);
-    entry.record = record;
-    entry.slots = record.slots;
-    if (entry.home.node !== home.node) entry.counted = false;
-    entry.home = home;
-    entry.withdrawn = withdrawn;
-    this.refresh(entry, now);
-    return entry;
+  /**
+   * Makes or updates the records of workers and adds their names to `kept`; what was known stays
+   * until it is stale. Workers of a zone without live nodes have no home and are left out.
+   */
+  keepAll(
+    records: readonly WorkerRecord[],
+    kept: Set<WorkerId>,
+    now: Milliseconds,
+  ): readonly WorkerEntry[] {
+    const entries: WorkerEntry[] = [];
+    for (const record of records) {
+      const home = this.#options.topology.homeOf(record.worker);
+      if (home === undefined) continue;
+      kept.add(record.worker);
+      entries.push(this.#keep(record, home, now));
+    }
+    return entries;
   }
 
   /** Drops the records of all other workers. */
@@ -68,4 +76,16 @@
     if (RETURN_STATES.has(from)) entry.returnedAt = now;
     this.#options.onChange({ worker: entry.record.worker, from, to });
   }
+
+  #keep(record: WorkerRecord, home: NodeRecord, now: Milliseconds): WorkerEntry {
+    const entry = this.#entries.get(record.worker) ?? new WorkerEntry(record, home);
+    this.#entries.set(record.worker, entry);
+    if (entry.home.node !== home.node) entry.counted = false;
+    entry.record = record;
+    entry.slots = record.slots;
+    entry.home = home;
+    entry.withdrawn = this.#options.topology.isWithdrawn(record.worker);
+    this.refresh(entry, now);
+    return entry;
+  }
 }
--- a/test/routing/home-admission.test.ts
+++ b/test/routing/home-admission.test.ts
@@ -101,6 +101,18 @@
   t.equal(light, 2, 'a quarter of the slots');
 });
 
+t.test(
+  'with a full queue a trainer over its share is refused, and one under it waits',
+  async (t) => {
+    const admission = new HomeAdmission();
+    fill(admission, 8, 'first');
+    fill(admission, 2, 'second');
+    t.equal(admission.admit(training('first-more', 'first'), 20).kind, 'refused');
+    t.equal(admission.admit(training('third-0', 'third'), 20).kind, 'queued');
+    t.equal(admission.admit(training('third-1', 'third'), 20).kind, 'refused', 'one place only');
+  },
+);
+
 t.test('a leaving worker is refused by its home, and a repeat is not admitted twice', async (t) => {
   const leaving = new Set<string>();
   const admission = new HomeAdmission({ isLeaving: (name) => leaving.has(name) });
--- a/test/routing/router.test.ts
+++ b/test/routing/router.test.ts
@@ -85,6 +85,8 @@
   t.equal(kindOf({ candidates: [worker], zones: ['zone-b'] }), 'no_worker');
   t.equal(kindOf({ candidates: [makeCandidate('x', { state: 'ejected' })] }), 'no_worker');
   t.equal(kindOf({ candidates: [worker] }, 2), 'version_unknown');
+  const tooNew = makeCandidate('x', { activeVersion: 3 });
+  t.equal(kindOf({ candidates: [tooNew], maximumVersion: 2 }), 'version_unknown');
   t.equal(kindOf({ candidates: [worker], newestVersion: undefined }, 1), 'version_unknown');
   t.equal(kindOf({ candidates: [makeCandidate('x', { queueFree: 0 })] }), 'overloaded');
   t.equal(kindOf({ candidates: [worker], exclude: new Set(['worker']) }), 'overloaded');
--- a/test/routing/worker-directory.test.ts
+++ b/test/routing/worker-directory.test.ts
@@ -184,3 +184,29 @@
   fleet.run(1_000);
   t.notOk(fleet.candidateNames().has('stray'));
 });
+
+t.test('a lost push is made good although a later push of the same home arrives', async (t) => {
+  const fleet = new Fleet([makeNode('home'), makeNode('other', 'zone-b')], WORKERS);
+  const follower = fleet.directory('other');
+  const seen = (worker: string) =>
+    follower.candidates(MODEL, ['zone-a']).find((one) => one.record.worker === worker);
+  fleet.reports.set('zone-a-w1', { activeVersion: 5 });
+  fleet.loses = (message) => message.kind === 'load';
+  fleet.run(600);
+  fleet.loses = () => false;
+  fleet.reports.set('zone-a-w2', { activeVersion: 6 });
+  fleet.run(600);
+  t.equal(seen('zone-a-w2')?.activeVersion, 6);
+  t.equal(seen('zone-a-w1')?.activeVersion, 5, 'asked for at once, not at the next renewal');
+  fleet.run(3_000);
+  t.equal(seen('zone-a-w1')?.activeVersion, 5);
+});
+
+t.test('a worker whose home has not heard of it yet is connecting', async (t) => {
+  const fleet = new Fleet(NODES, WORKERS);
+  const added = makeWorker('zone-a-new');
+  fleet.reports.set('zone-a-new', 'hangs');
+  fleet.setMachines([...WORKERS, added].map((record) => makeMachine(record, 'live')));
+  fleet.run(1_000);
+  t.same(fleet.statesOf('zone-a-new'), new Set(['connecting']));
+});
