Experiments: deployment model in simulated time (in progress)

Ruled out: a coarse queueing model, as it would not run the routing and weights decision code. Change: engines, controllers, trainer, lookups and faults in one event queue; variants as flags.

--- /dev/null
+++ b/lab/experiments/step-drawing.ts
@@ -0,0 +1,315 @@
+/**
+ * Draws steps: dispatches their samples by a variant's rules, follows the streams, and takes up
+ * what is lost. The decisions are those of `src/routing` and `src/weights`; this module joins them
+ * in simulated time.
+ */
+import type { TokenSegment } from '../../src/core/generation.js';
+import type { EngineEvent } from '../../src/platform/worker.js';
+import { HedgingPolicy } from '../../src/routing/hedging-policy.js';
+import { LengthPredictor } from '../../src/routing/length-predictor.js';
+import { checkSegment, versionFault } from '../../src/weights/staleness-bound.js';
+import { answerKey } from '../emulator/generated-text.js';
+import type { EventQueue } from '../simulation/event-queue.js';
+import type { CandidateTable, TableCandidate } from './candidate-table.js';
+import {
+  type Attempt,
+  appendSegment,
+  type DrawnSample,
+  type DrawnStep,
+  tokensOf,
+} from './drawn-step.js';
+import { median } from './measures.js';
+import type { Variant } from './variants.js';
+
+/** How often waiting, silent and late samples are looked at. */
+const CHECK_INTERVAL = 250;
+
+/** Silence of a stream after which its sample is taken up elsewhere. */
+const SILENCE_LIMIT = 6_000;
+
+/** Longest and shortest pause before a refused sample is sent again. */
+const REFUSAL_PAUSE = { shortest: 500, longest: 1_500 };
+
+/** Time to read one token of a resumed answer into another engine. */
+const RESUME_TIME_PER_TOKEN = 0.2;
+
+/** Slots of each worker that training leaves to interactive work where homes keep the queue. */
+const RESERVED_SLOTS = 1;
+
+/** What a run counts. */
+export interface DrawingCounters {
+  attemptsWasted: number;
+  tokensWasted: number;
+  tokensUsed: number;
+}
+
+/** Settings of {@link StepDrawing}. */
+export interface StepDrawingOptions {
+  readonly variant: Variant;
+  readonly table: CandidateTable;
+  readonly queue: EventQueue;
+  /** One-way time to a worker. */
+  readonly latency: number;
+  readonly fraction: () => number;
+  readonly onComplete: (step: DrawnStep) => void;
+}
+
+/** The drawing side of one deployment. */
+export class StepDrawing {
+  readonly counters: DrawingCounters = { attemptsWasted: 0, tokensWasted: 0, tokensUsed: 0 };
+  private readonly attempts = new Map<string, Attempt>();
+  private readonly predictor = new LengthPredictor();
+  private readonly hedging = new HedgingPolicy();
+  private steps: DrawnStep[] = [];
+  private nextDispatch = 0;
+
+  constructor(private readonly options: StepDrawingOptions) {
+    this.check();
+  }
+
+  /** Takes a step in; its samples start as the variant allows. */
+  submit(step: DrawnStep): void {
+    this.steps.push(step);
+    this.dispatchPending();
+  }
+
+  /** Runs samples of a step again whose answers the hand-over check refused. */
+  rerun(step: DrawnStep, samples: readonly DrawnSample[]): void {
+    for (const sample of samples) {
+      this.waste(sample.result === undefined ? 0 : sample.result.tokenCount);
+      sample.result = undefined;
+      sample.lost = [];
+      step.missing += 1;
+      step.pending.push(sample);
+    }
+    step.completedAt = undefined;
+    if (!this.steps.includes(step)) this.steps.unshift(step);
+    this.dispatchPending();
+  }
+
+  /** Takes in what an engine says of an attempt. */
+  engineEvent(dispatchId: string, event: EngineEvent): void {
+    const attempt = this.attempts.get(dispatchId);
+    if (attempt === undefined) return;
+    attempt.heardAt = this.options.queue.now;
+    if (event.kind === 'segment') this.segment(attempt, event.segment);
+    else if (event.kind === 'failed') this.lose(attempt, true);
+    else {
+      attempt.sample.result = event.result;
+      this.complete(attempt);
+    }
+  }
+
+  private segment(attempt: Attempt, segment: Attempt['segments'][number]): void {
+    const previous = attempt.segments.at(-1);
+    const bounds = { oldest: attempt.sample.step.oldestVersion, newest: null };
+    const verdict = checkSegment(bounds, 'record', previous, segment);
+    appendSegment(attempt.segments, segment);
+    attempt.tokens += segment.tokenCount;
+    if (verdict.kind !== 'too-old' || !this.options.variant.earlyRerun) return;
+    attempt.segments = [];
+    attempt.candidate.host.cancel(attempt.dispatchId);
+    this.lose(attempt, false);
+  }
+
+  private complete(attempt: Attempt): void {
+    const { sample } = attempt;
+    const { step } = sample;
+    this.release(attempt);
+    for (const other of [...sample.attempts]) {
+      other.candidate.host.cancel(other.dispatchId);
+      this.release(other);
+      this.waste(other.tokens - other.resumedTokens);
+    }
+    this.counters.tokensUsed += attempt.tokens;
+    this.predictor.record(sample.request, attempt.tokens);
+    step.durations.push(this.options.queue.now - attempt.startedAt);
+    step.missing -= 1;
+    if (step.missing === 0) this.finish(step);
+    this.dispatchPending();
+  }
+
+  private finish(step: DrawnStep): void {
+    step.completedAt = this.options.queue.now;
+    this.steps = this.steps.filter((other) => other !== step);
+    this.options.onComplete(step);
+  }
+
+  /** An attempt ended without an answer. */
+  private lose(attempt: Attempt, isWorkerLost: boolean): void {
+    const { sample, candidate } = attempt;
+    this.release(attempt);
+    if (isWorkerLost) this.options.table.suspect(candidate);
+    const keeps = this.options.variant.resume && attempt.segments.length > 0;
+    if (!keeps) this.waste(attempt.tokens);
+    if (sample.attempts.size > 0 || sample.result !== undefined) return;
+    sample.lost = keeps ? attempt.segments : [];
+    sample.step.pending.unshift(sample);
+    this.dispatchPending();
+  }
+
+  private release(attempt: Attempt): void {
+    this.attempts.delete(attempt.dispatchId);
+    attempt.sample.attempts.delete(attempt);
+    attempt.candidate.outstanding -= 1;
+  }
+
+  private waste(tokens: number): void {
+    this.counters.attemptsWasted += 1;
+    this.counters.tokensWasted += Math.max(0, tokens);
+  }
+
+  private check(): void {
+    const { variant, queue } = this.options;
+    if (variant.resume) this.takeUpSilent();
+    if (variant.hedging) for (const step of this.steps) this.hedge(step);
+    this.dispatchPending();
+    queue.after(CHECK_INTERVAL, () => this.check());
+  }
+
+  private takeUpSilent(): void {
+    const { now } = this.options.queue;
+    for (const attempt of [...this.attempts.values()]) {
+      if (now - attempt.heardAt < SILENCE_LIMIT || attempt.candidate.state === 'in-service')
+        continue;
+      attempt.candidate.host.cancel(attempt.dispatchId);
+      this.lose(attempt, true);
+    }
+  }
+
+  private hedge(step: DrawnStep): void {
+    if (step.pending.length > 0) return;
+    const { now } = this.options.queue;
+    const missing = step.samples.filter((sample) => sample.result === undefined);
+    const pending = missing.map((sample) => {
+      const [first] = sample.attempts;
+      const attempts = sample.attempts.size;
+      return {
+        key: sample.request.requestId,
+        startedAt: first?.startedAt,
+        attempts,
+        expected: undefined,
+      };
+    });
+    const typicalDuration = step.durations.length > 0 ? median(step.durations) : undefined;
+    const sampleCount = step.samples.length;
+    const progress = { sampleCount, pending, typicalDuration, hedgesMade: step.hedgesMade };
+    const keys = new Set(this.hedging.samplesToHedge(progress, now));
+    for (const sample of missing) {
+      if (keys.has(sample.request.requestId)) this.hedgeSample(sample);
+    }
+  }
+
+  /** Starts a second attempt from the streamed tokens on a worker that is less loaded. */
+  private hedgeSample(sample: DrawnSample): void {
+    const [first] = sample.attempts;
+    if (first === undefined) return;
+    const isBetter = (candidate: TableCandidate): boolean =>
+      candidate !== first.candidate &&
+      this.mayTake(candidate, sample) &&
+      candidate.outstanding < first.candidate.outstanding;
+    const candidate = this.options.table.choose(sample.request, isBetter);
+    if (candidate === undefined) return;
+    sample.lost = [...first.segments];
+    sample.step.hedgesMade += 1;
+    sample.hedged = true;
+    this.start(sample, candidate);
+  }
+
+  private dispatchPending(): void {
+    for (const step of this.steps) {
+      if (step.pending.length === 0 || !this.mayStart(step)) continue;
+      this.dispatchStep(step);
+    }
+  }
+
+  /** The gang rule: all slots a step can use are free, or it holds them already. */
+  private mayStart(step: DrawnStep): boolean {
+    if (!this.options.variant.gang || step.started) return true;
+    if (this.steps.some((other) => other !== step && other.started)) return false;
+    const { candidates } = this.options.table;
+    return candidates.every((candidate) => candidate.outstanding === 0);
+  }
+
+  private dispatchStep(step: DrawnStep): void {
+    const { variant, queue } = this.options;
+    const hasRoom = this.options.table.candidates.some((candidate) => this.hasRoom(candidate));
+    if (!hasRoom) return;
+    if (variant.longestFirst) step.pending = this.longestFirst(step.pending);
+    const kept: DrawnSample[] = [];
+    let isFull = false;
+    for (const sample of step.pending) {
+      if (isFull || queue.now < sample.retryAt) {
+        kept.push(sample);
+        continue;
+      }
+      const isAllowed = (candidate: TableCandidate): boolean => this.mayTake(candidate, sample);
+      const candidate = this.options.table.choose(sample.request, isAllowed);
+      isFull = candidate === undefined;
+      if (candidate === undefined) kept.push(sample);
+      else this.start(sample, candidate);
+    }
+    step.pending = kept;
+    step.started = true;
+  }
+
+  private longestFirst(samples: readonly DrawnSample[]): DrawnSample[] {
+    const scored = samples.map((sample) => ({
+      sample,
+      tokens: this.predictor.predict(sample.request),
+    }));
+    scored.sort((left, right) => right.tokens - left.tokens);
+    return scored.map((entry) => entry.sample);
+  }
+
+  private mayTake(candidate: TableCandidate, sample: DrawnSample): boolean {
+    const { activeVersion } = candidate;
+    if (activeVersion === undefined || !this.hasRoom(candidate)) return false;
+    const bounds = { oldest: sample.step.oldestVersion, newest: null };
+    return versionFault(bounds, activeVersion) === undefined;
+  }
+
+  private hasRoom(candidate: TableCandidate): boolean {
+    if (!this.options.variant.homeQueue) return true;
+    return candidate.outstanding < candidate.slots - RESERVED_SLOTS;
+  }
+
+  private start(sample: DrawnSample, candidate: TableCandidate): void {
+    const { queue, latency } = this.options;
+    const { lost } = sample;
+    sample.lost = [];
+    this.nextDispatch += 1;
+    const tokens = tokensOf(lost);
+    const attempt: Attempt = {
+      dispatchId: `dispatch-${this.nextDispatch}`,
+      sample,
+      candidate,
+      startedAt: queue.now,
+      heardAt: queue.now,
+      segments: [],
+      tokens: 0,
+      resumedTokens: tokens,
+    };
+    this.attempts.set(attempt.dispatchId, attempt);
+    sample.attempts.add(attempt);
+    candidate.outstanding += 1;
+    queue.after(latency + tokens * RESUME_TIME_PER_TOKEN, () => this.arrive(attempt, lost));
+  }
+
+  private arrive(attempt: Attempt, lost: readonly TokenSegment[]): void {
+    const { dispatchId, sample, candidate } = attempt;
+    if (this.attempts.get(dispatchId) !== attempt) return;
+    const resume =
+      lost.length > 0
+        ? { answer: answerKey(sample.request.prompt, sample.request.samplingSeed), segments: lost }
+        : undefined;
+    if (candidate.host.start(dispatchId, sample.request, resume) === 'accepted') return;
+    this.release(attempt);
+    if (sample.attempts.size > 0 || sample.result !== undefined) return;
+    const { shortest, longest } = REFUSAL_PAUSE;
+    sample.lost = lost;
+    sample.retryAt =
+      this.options.queue.now + shortest + this.options.fraction() * (longest - shortest);
+    sample.step.pending.push(sample);
+  }
+}
--- /dev/null
+++ b/lab/experiments/variants.ts
@@ -0,0 +1,104 @@
+/** The ways of drawing steps that are compared. */
+
+/** When the trainer's next step is submitted. */
+export type Submission =
+  /** After the training on the step before has ended. */
+  | 'step-synchronous'
+  /** When the training on the step before begins. */
+  | 'one-step-ahead'
+  /** As soon as the oldest version the step may use is published. */
+  | 'within-bound';
+
+/** One way of drawing. */
+export interface Variant {
+  readonly name: string;
+  readonly role: 'baseline' | 'ours' | 'ablation';
+  /** Routing policy by its name in the registry. */
+  readonly routing: string;
+  readonly submission: Submission;
+  /** Versions a token may be behind at its use; `null` for the intent's bound. */
+  readonly drawingBound: number | null;
+  /** Samples wait at their home for a slot; otherwise they are pushed to engine queues at once. */
+  readonly homeQueue: boolean;
+  readonly longestFirst: boolean;
+  /** Take a dead or silent worker's samples up elsewhere, with the tokens streamed so far. */
+  readonly resume: boolean;
+  readonly hedging: boolean;
+  /** Run a sample again as soon as a segment is too old, not only at hand-over. */
+  readonly earlyRerun: boolean;
+  /** A step starts only when it can hold all the slots it can use, and keeps them to its end. */
+  readonly gang: boolean;
+}
+
+const BASELINE = {
+  role: 'baseline',
+  homeQueue: false,
+  longestFirst: false,
+  resume: false,
+  hedging: false,
+  earlyRerun: false,
+  gang: false,
+} as const;
+
+const ROUTING_BASELINES = ['random', 'round-robin', 'least-lagged-load', 'power-of-two'] as const;
+
+function baselines(
+  label: string,
+  submission: Submission,
+  drawingBound: number | null,
+  routings: readonly string[],
+): Variant[] {
+  return routings.map((routing) => ({
+    ...BASELINE,
+    name: `${label}/${routing}`,
+    routing,
+    submission,
+    drawingBound,
+  }));
+}
+
+/** Everything of ours; the deployments differ in when steps are submitted. */
+function ours(submission: Submission, drawingBound: number | null): Variant {
+  return {
+    name: 'ours',
+    role: 'ours',
+    routing: 'home-counting',
+    submission,
+    drawingBound,
+    homeQueue: true,
+    longestFirst: true,
+    resume: true,
+    hedging: true,
+    earlyRerun: true,
+    gang: false,
+  };
+}
+
+function ablations(full: Variant): Variant[] {
+  const without = (name: string, change: Partial<Variant>): Variant => ({
+    ...full,
+    ...change,
+    name,
+    role: 'ablation',
+  });
+  return [
+    without('ours, not longest first', { longestFirst: false }),
+    without('ours, no resume', { resume: false }),
+    without('ours, no hedging', { hedging: false }),
+    without('ours, no early re-run', { earlyRerun: false }),
+    without('ours, gang', { gang: true }),
+  ];
+}
+
+/** Variants of a deployment: baselines, ours, and ours with one part changed. */
+export function variantsOf(deployment: 'association' | 'cooperative'): readonly Variant[] {
+  const full =
+    deployment === 'association' ? ours('step-synchronous', 0) : ours('within-bound', null);
+  return [
+    ...baselines('step-synchronous', 'step-synchronous', null, ROUTING_BASELINES),
+    ...baselines('step-synchronous, newest only', 'step-synchronous', 0, ROUTING_BASELINES),
+    ...baselines('one step ahead', 'one-step-ahead', null, ROUTING_BASELINES),
+    full,
+    ...ablations(full),
+  ];
+}
--- a/src/weights/epoch-claim.ts
+++ b/src/weights/epoch-claim.ts
@@ -7,7 +7,7 @@
 import type { RandomSource } from '../core/random.js';
 import { type Milliseconds, type Revision, SECOND } from '../core/units.js';
 import type { KeyValueEntry, KeyValueOperation, KeyValueResult } from '../platform/key-value.js';
-import { type RetryDelayOptions, retryDelay } from './retry-delay.js';
+import { type BackoffOptions, backoffDelay } from '../routing/backoff.js';
 
 /** Prefix of the records of controllers; read on demand, not part of the feed. */
 export const CONTROLLERS_PREFIX = '/wardwing/controllers/';
@@ -16,9 +16,15 @@
 const REQUEST_TIMEOUT: Milliseconds = 5 * SECOND;
 
 /** Pause after another holder took the epoch, so that two nodes do not outbid each other. */
-const STAND_DOWN_DELAY: RetryDelayOptions = { base: 4 * SECOND, limit: 30 * SECOND };
+const STAND_DOWN_DELAY: BackoffOptions = { base: 4 * SECOND, maximum: 30 * SECOND };
 
-const FAILURE_DELAY: RetryDelayOptions = { base: 500, limit: 10 * SECOND };
+/** Shortest such pause. */
+const STAND_DOWN_MINIMUM: Milliseconds = 2 * SECOND;
+
+const FAILURE_DELAY: BackoffOptions = { base: 500, maximum: 10 * SECOND };
+
+/** Shortest pause after a failed request. */
+const FAILURE_MINIMUM: Milliseconds = 200;
 
 /** Record of a controller in the key-value service, as JSON. */
 export interface ControllerRecord extends NodeIdentity {
@@ -102,8 +108,8 @@
   /** An engine has seen a higher epoch: another controller took over. */
   standDown(seenEpoch: number, now: Milliseconds): void {
     this.highestSeen = Math.max(this.highestSeen, seenEpoch);
+    const delay = backoffDelay(this.lostDuels, this.random, STAND_DOWN_DELAY, STAND_DOWN_MINIMUM);
     this.lostDuels += 1;
-    const delay = retryDelay(STAND_DOWN_DELAY, this.lostDuels, this.random);
     this.state = { kind: 'waiting', until: now + delay };
   }
 
@@ -151,9 +157,10 @@
 
   private failed(retryAfter: Milliseconds, mayHaveApplied: boolean, now: Milliseconds): void {
     if (this.state.kind === 'writing' && mayHaveApplied) this.unsettled = this.state.record;
+    const minimum = Math.max(retryAfter, FAILURE_MINIMUM);
+    const delay = backoffDelay(this.failures, this.random, FAILURE_DELAY, minimum);
     this.failures += 1;
-    const delay = retryDelay(FAILURE_DELAY, this.failures, this.random);
-    this.state = { kind: 'waiting', until: now + Math.max(retryAfter, delay) };
+    this.state = { kind: 'waiting', until: now + delay };
   }
 }
 
--- a/src/weights/worker-rollout.ts
+++ b/src/weights/worker-rollout.ts
@@ -11,10 +11,13 @@
   type WorkerRecord,
   type WorkerReport,
 } from '../platform/worker.js';
-import { type RetryDelayOptions, retryDelay } from './retry-delay.js';
+import { type BackoffOptions, backoffDelay } from '../routing/backoff.js';
 
 /** Pause after a failed or unanswered order. */
-const ORDER_RETRY_DELAY: RetryDelayOptions = { base: 500, limit: 15 * SECOND };
+const ORDER_RETRY_DELAY: BackoffOptions = { base: 500, maximum: 15 * SECOND };
+
+/** Shortest such pause. */
+const ORDER_RETRY_MINIMUM: Milliseconds = 250;
 
 /** Age of the last report beyond which a worker counts as unreachable. */
 const REPORT_EXPIRY: Milliseconds = 10 * SECOND;
@@ -103,7 +106,8 @@
   }
 
   private backOff(now: Milliseconds, random: RandomSource): void {
+    this.retryAt =
+      now + backoffDelay(this.failures, random, ORDER_RETRY_DELAY, ORDER_RETRY_MINIMUM);
     this.failures += 1;
-    this.retryAt = now + retryDelay(ORDER_RETRY_DELAY, this.failures, random);
   }
 }
