Status messages pass between nodes; an advertised peer address; accepted requests of an engine

Cause: the list of modules in the envelope's schema lacked 'status', so a node refused the whole batch that held a status or explain query, other modules' messages of the same batch included. The check on the list let a missing name pass. Ruled out: a limit of the query's time. Change: the list is a record over all modules, so that the compiler names what is missing; test over every module (before: an envelope with a status message is not read; after: it is). node.peer_advertise lets something forward to a node's peer port. The engine emulator answers GET /lab/accepted, kept in a file on request, as the ground truth for 'at most once' and 'did not run'.

--- a/lab/emulator/emulate.ts
+++ b/lab/emulator/emulate.ts
@@ -29,6 +29,9 @@
       settings: engineSettings(flags),
       timeScale: numberFlag(flags, 'time-scale', 1),
       seed: numberFlag(flags, 'seed', 1),
+      ...(flags['accepted-file'] === undefined
+        ? {}
+        : { acceptedFile: String(flags['accepted-file']) }),
     }),
   'weight-store': (flags) =>
     startWeightStoreEmulator({ port: port(flags), ...numberFlags(flags, WEIGHT_STORE_DEFAULTS) }),
--- a/lab/emulator/engine-emulator.ts
+++ b/lab/emulator/engine-emulator.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import { completionRequest, workerOrder } from '../../src/platform/engine-wire-client.js';
 import type { EngineEvent, WorkerOrderResult } from '../../src/platform/worker.js';
+import { AcceptedLog } from './accepted-log.js';
 import { EngineCore, type EngineOutput } from './engine-core.js';
 import type { EngineSettings } from './engine-settings.js';
 import {
@@ -28,6 +29,8 @@
   readonly timeScale?: number;
   /** Seed of the faults. Default 1. */
   readonly seed?: number;
+  /** File that keeps the accepted requests over restarts. Default none. */
+  readonly acceptedFile?: string;
 }
 
 /** Body of `/lab/faults`; what is absent stays as it is. */
@@ -52,6 +55,7 @@
 class EngineEmulator {
   private readonly core: EngineCore;
   private readonly timeScale: number;
+  private readonly accepted: AcceptedLog;
   private readonly streams = new Map<string, http.ServerResponse>();
   private readonly orders = new Map<string, (result: WorkerOrderResult) => void>();
   private timer: NodeJS.Timeout | undefined;
@@ -61,6 +65,7 @@
   constructor(options: EngineEmulatorOptions) {
     this.core = new EngineCore(options.settings, createRandomSource(options.seed ?? 1));
     this.timeScale = options.timeScale ?? 1;
+    this.accepted = new AcceptedLog(options.acceptedFile ?? null);
   }
 
   routes(): Record<string, RouteHandler> {
@@ -75,6 +80,8 @@
         sendJson(response, 200, this.core.cacheEvents(this.now())),
       ),
       'POST /orders': this.unlessCrashed((request, response) => this.order(request, response)),
+      'GET /lab/accepted': (_request, response) =>
+        sendJson(response, 200, this.accepted.document()),
       'POST /lab/faults': async (request, response) => {
         const faults = engineFaults.parse(await readBody(request));
         if (faults.crashed === true) this.core.crash(this.now());
@@ -125,6 +132,12 @@
       sendJson(response, 503, { error: 'the queue is full' }, { 'retry-after': '1' });
       return;
     }
+    this.accepted.add({
+      requestId: generation.requestId,
+      prompt: generation.prompt,
+      seed: generation.samplingSeed,
+      at: Date.now(),
+    });
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     response.flushHeaders();
     this.streams.set(dispatchId, response);
--- a/src/node.ts
+++ b/src/node.ts
@@ -57,8 +57,8 @@
 }
 
 function nodeRecord(settings: Settings): NodeRecord {
-  const { name, zone, region, machine, peerListen } = settings.node;
-  return { node: name, incarnation: Date.now(), zone, region, machine, address: peerListen };
+  const { name, zone, region, machine, peerAdvertise } = settings.node;
+  return { node: name, incarnation: Date.now(), zone, region, machine, address: peerAdvertise };
 }
 
 function createCore(settings: Settings, self: NodeRecord): NodeCore {
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -84,6 +84,7 @@
       machine: node.machine,
       listen: node.listen,
       peerListen: node.peer_listen,
+      peerAdvertise: node.peer_advertise ?? node.peer_listen,
       dataFolder: node.data_folder,
     },
     platform: { keyValue: platform.key_value, machineList: platform.machine_list },
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -27,6 +27,7 @@
   machine: nameSchema,
   listen: endpointSchema,
   peer_listen: endpointSchema,
+  peer_advertise: endpointSchema.nullable().default(null),
   data_folder: z.string().min(1).nullable().default(null).describe('the path of a folder'),
 });
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -14,6 +14,8 @@
   readonly listen: string;
   /** `ip:port` for other nodes. */
   readonly peerListen: string;
+  /** Address by which other nodes reach this one; the one listened on unless set. */
+  readonly peerAdvertise: string;
   /** Folder for bulk data; `null` on a machine without a disk. @default null */
   readonly dataFolder: string | null;
 }
--- a/src/transport/peer-envelope.ts
+++ b/src/transport/peer-envelope.ts
@@ -24,7 +24,16 @@
 
 const identitySchema = z.strictObject({ node: z.string().min(1), incarnation: z.number() });
 
-const MODULES = ['membership', 'config-feed', 'ledger', 'dispatch', 'rollouts', 'routing'] as const;
+/** Every module that speaks to its like on other nodes; the type names any that is missing. */
+const MODULES: Readonly<Record<PeerMessage['module'], true>> = {
+  membership: true,
+  'config-feed': true,
+  ledger: true,
+  dispatch: true,
+  rollouts: true,
+  routing: true,
+  status: true,
+};
 
 const envelopeSchema = z.strictObject({
   from: z.strictObject({
@@ -37,7 +46,7 @@
   to: identitySchema.nullable(),
   messages: z.array(
     z.strictObject({
-      module: z.enum(MODULES satisfies readonly PeerMessage['module'][]),
+      module: z.enum(Object.keys(MODULES)),
       body: z.looseObject({ kind: z.string() }),
     }),
   ),
--- a/test/settings/load-settings.test.ts
+++ b/test/settings/load-settings.test.ts
@@ -35,6 +35,17 @@
   });
 });
 
+t.test('a node is reached where it listens unless another address is named', async (t) => {
+  const addressOf = (text: string) =>
+    load(text)
+      .map((settings) => settings.node.peerAdvertise)
+      .unwrapOr('none');
+  const listen = 'peer_listen = "127.0.0.1:7401"';
+  const advertised = `${listen}\npeer_advertise = "127.0.0.1:9000"`;
+  t.equal(addressOf(SETTINGS_TEXT), '127.0.0.1:7401');
+  t.equal(addressOf(SETTINGS_TEXT.replace(listen, advertised)), '127.0.0.1:9000');
+});
+
 t.test('flags override the file and are checked like it', async (t) => {
   const flags = { name: 'abdali-2', 'key-value': '127.0.0.1:1,127.0.0.1:2', 'log-level': 'warn' };
   const settings = load(SETTINGS_TEXT, flags).unwrapOrElse(() => t.fail() as never);
--- a/test/transport/peer-transport.test.ts
+++ b/test/transport/peer-transport.test.ts
@@ -166,3 +166,21 @@
   t.same(decoded.isOk && decoded.value, envelope);
   t.ok(decodeEnvelope('').isErr);
 });
+
+t.test('messages of every module are taken', (t) => {
+  const modules: Readonly<Record<PeerMessage['module'], true>> = {
+    membership: true,
+    'config-feed': true,
+    ledger: true,
+    dispatch: true,
+    rollouts: true,
+    routing: true,
+    status: true,
+  };
+  for (const module of Object.keys(modules)) {
+    const messages = [{ module, body: { kind: 'unused' } }] as unknown as readonly PeerMessage[];
+    const decoded = decodeEnvelope(encodeEnvelope({ from: record('a'), to: null, messages }));
+    t.ok(decoded.isOk, module);
+  }
+  t.end();
+});
