Lab: one set of oracles for live runs and recordings; orders judged by the engines' own logs

Cause: oracles stood in the clients, so that only a live run could be judged, and no oracle saw whether an order ran twice or a 'not run' was false. Engines log accepted requests, also over a restart. RunningDeployment can put TCP proxies before nodes, engines and the key-value service. Settings text and engines in files of their own.

--- a/lab/demo/demo.ts
+++ b/lab/demo/demo.ts
@@ -6,9 +6,11 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { outcomeOf, type RecordedEvent, writeRecording } from '../load/client-recording.js';
 import { closeConnections } from '../load/json-client.js';
 import type { CommandFlags } from '../main.js';
-import { DeploymentRun } from './deployment-run.js';
+import { VERSION_GRACE_MILLISECONDS } from './deployment-load.js';
+import { type DeploymentReport, DeploymentRun } from './deployment-run.js';
 import { DEPLOYMENTS } from './deployments.js';
 import { ProcessGroup } from './process-group.js';
 import { RunningDeployment } from './running-deployment.js';
@@ -40,12 +42,17 @@
     progress('starting platform stand-ins, engines and nodes');
     await Promise.all(running.map((deployment) => deployment.start()));
     progress('all nodes are ready');
+    const recorded: RecordedEvent[] = [];
     const runs = running.map((deployment, index) => {
-      return new DeploymentRun(deployment, progress, seed + index * 10);
+      const { name } = deployment.deployment;
+      return new DeploymentRun(deployment, progress, seed + index * 10, (event) =>
+        recorded.push({ deployment: name, event }),
+      );
     });
     const duration = seconds * MILLISECONDS_PER_SECOND;
     const reports = await Promise.all(runs.map((deploymentRun) => deploymentRun.run(duration)));
     console.log(`\n${summaryTable(reports)}\n`);
+    if (typeof flags.record === 'string') record(flags.record, reports, recorded);
     const held = promisesHeld(reports);
     console.log(held ? 'The promises held.' : 'A PROMISE WAS BROKEN.');
     return held ? 0 : 1;
@@ -56,3 +63,17 @@
     else rmSync(folder, { recursive: true, force: true });
   }
 }
+
+/** Writes down what the clients did and received, to be judged again by `replay`. */
+function record(
+  file: string,
+  reports: readonly DeploymentReport[],
+  events: readonly RecordedEvent[],
+): void {
+  const versionGrace = VERSION_GRACE_MILLISECONDS;
+  const deployments = DEPLOYMENTS.map(({ name, stalenessBound }) => {
+    return { name, stalenessBound, versionGrace };
+  });
+  const outcome = outcomeOf(reports);
+  writeRecording(file, { kind: 'client-recording', deployments, outcome }, events);
+}
--- a/lab/demo/process-group.ts
+++ b/lab/demo/process-group.ts
@@ -52,11 +52,20 @@
 
   /** Starts an emulator and waits until it listens; gives its address. */
   async startEmulator(name: string, parameters: readonly string[]): Promise<string> {
-    const { child, exited } = this.start(name, labScript(), ['emulate', ...parameters]);
+    return (await this.startEmulatorProcess(name, parameters)).address;
+  }
+
+  /** Starts an emulator and waits until it listens. */
+  async startEmulatorProcess(
+    name: string,
+    parameters: readonly string[],
+  ): Promise<{ readonly address: string; readonly process: StartedProcess }> {
+    const started = this.start(name, labScript(), ['emulate', ...parameters]);
+    const { child, exited } = started;
     return new Promise((resolve, reject) => {
       child.stdout?.on('data', (chunk: Buffer) => {
         const address = LISTENING_PATTERN.exec(chunk.toString('utf8'))?.[1];
-        if (address !== undefined) resolve(address);
+        if (address !== undefined) resolve({ address, process: started });
       });
       void exited.then((code) => reject(new Error(`${name} ended with ${code}`)));
     });
--- a/lab/demo/running-deployment.ts
+++ b/lab/demo/running-deployment.ts
@@ -1,27 +1,23 @@
 /** Starts one deployment as processes on loopback: platform stand-ins, engines and nodes. */
 import { writeFileSync } from 'node:fs';
 import path from 'node:path';
-import { contentDigest } from '../../src/core/hashing.js';
-import type { MachineRecord, WorkerRecord } from '../../src/platform/worker.js';
+import type { MachineRecord } from '../../src/platform/worker.js';
+import { TcpProxy } from '../faults/tcp-proxy.js';
 import { requestJson } from '../load/json-client.js';
 import { type DemoDeployment, NODES_PER_ZONE } from './deployments.js';
+import { ACCOUNT_TOKENS, nodeSettingsText, PEER_TOKEN_VARIABLE } from './node-settings.js';
 import {
   freePorts,
   type ProcessGroup,
   productScript,
   type StartedProcess,
 } from './process-group.js';
+import { RunningEngines } from './running-engines.js';
 
-/** Secret tokens of the demo; digests of them go into the settings. */
-const TOKENS = { trainer: 'demo-trainer-token', caller: 'demo-caller-token' } as const;
-const OPERATOR_TOKEN = 'demo-operator-token';
 const PEER_TOKEN = 'demo-peer-token-of-all-nodes';
-/** Slots of each emulated engine. */
-const ENGINE_SLOTS = 12;
-/** Engines decode this many times faster than the emulator's defaults. */
-const TIME_SCALE = 2;
 /** How late the machine list shows a change, in milliseconds. */
-const MACHINE_LIST_LAG = 1_000;
+export const MACHINE_LIST_LAG = 1_000;
+const LAB_TIMEOUT_MILLISECONDS = 5_000;
 const READY_LIMIT_MILLISECONDS = 20_000;
 const READY_POLL_MILLISECONDS = 100;
 
@@ -32,23 +28,40 @@
   readonly settingsFile: string;
   /** Address for callers. */
   readonly address: string;
-  readonly peerAddress: string;
+  /** Address by which other nodes reach it. */
+  readonly advertised: string;
   process: StartedProcess;
 }
 
+/** How a deployment is started. */
+export interface RunningDeploymentOptions {
+  /** Puts a proxy with faults before each node, each engine and the key-value service. */
+  readonly proxied?: boolean;
+}
+
 /** A deployment that runs. */
 export class RunningDeployment {
   readonly nodes: DemoNode[] = [];
-  readonly tokens = { ...TOKENS, operator: OPERATOR_TOKEN };
+  readonly tokens = ACCOUNT_TOKENS;
+  readonly engines: RunningEngines;
+  /** Proxies before the nodes' peer ports, by node; empty without proxies. */
+  readonly peerProxies = new Map<string, TcpProxy>();
+  /** Proxy before the key-value service; `null` without proxies. */
+  keyValueProxy: TcpProxy | null = null;
+  private readonly proxied: boolean;
+  private readonly leavingWorkers = new Set<string>();
   private machineListAddress = '';
   private keyValueAddress = '';
-  private workers: readonly WorkerRecord[] = [];
 
   constructor(
     readonly deployment: DemoDeployment,
     private readonly group: ProcessGroup,
     private readonly folder: string,
-  ) {}
+    options: RunningDeploymentOptions = {},
+  ) {
+    this.proxied = options.proxied === true;
+    this.engines = new RunningEngines(deployment, group, folder, this.proxied);
+  }
 
   /** Starts everything and waits until all nodes are ready. */
   async start(): Promise<void> {
@@ -64,7 +77,7 @@
     ]);
     this.keyValueAddress = keyValue;
     this.machineListAddress = machineList;
-    this.workers = await this.startEngines();
+    await this.engines.start();
     await this.planNodes();
     await this.publishMachines();
     for (const node of this.nodes) node.process = this.startNode(node);
@@ -82,91 +95,86 @@
     node.process = this.startNode(node);
   }
 
+  /** Freezes a node's process, or lets it go on. */
+  signalNode(node: DemoNode, signal: 'SIGSTOP' | 'SIGCONT' | 'SIGTERM'): void {
+    node.process.child.kill(signal);
+  }
+
   /** Asks a node to stop in order; resolves with its exit code. */
   stopNode(node: DemoNode): Promise<number | null> {
-    node.process.child.kill('SIGTERM');
+    this.signalNode(node, 'SIGTERM');
     return node.process.exited;
   }
 
+  /** Waits until a node says that it is ready. Throws where it takes too long. */
+  async untilReady(node: DemoNode): Promise<void> {
+    const end = performance.now() + READY_LIMIT_MILLISECONDS;
+    while (performance.now() < end) {
+      const request = { method: 'GET', address: node.address, path: '/readyz' } as const;
+      const answer = await requestJson({ ...request, timeout: 1_000 });
+      if (answer?.status === 200) return;
+      await pause(READY_POLL_MILLISECONDS);
+    }
+    throw new Error(`node ${node.name} did not become ready`);
+  }
+
+  /** Marks the machine of a worker as leaving in the machine list. */
+  async markLeaving(worker: string): Promise<void> {
+    this.leavingWorkers.add(worker);
+    await this.publishMachines();
+  }
+
+  /** Sets faults of the key-value service; see its `/lab/faults`. */
+  async setKeyValueFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await this.post(this.keyValueAddress, '/lab/faults', faults);
+  }
+
   /** Addresses for callers. */
   addresses(): readonly string[] {
     return this.nodes.map((node) => node.address);
   }
 
-  private async startEngines(): Promise<readonly WorkerRecord[]> {
-    const { training, portal, zones } = this.deployment;
-    const planned = [training, portal].flatMap(({ model, workers }) =>
-      Array.from({ length: workers }, (_unused, index) => {
-        const zone = zones[index % zones.length] ?? '';
-        return { worker: `${model}-${index + 1}`, model, zone, slots: ENGINE_SLOTS };
-      }),
-    );
-    return Promise.all(
-      planned.map(async (worker) => ({
-        ...worker,
-        address: await this.group.startEmulator(worker.worker, [
-          'engine',
-          '--worker',
-          worker.worker,
-          '--slots',
-          String(worker.slots),
-          '--time-scale',
-          String(TIME_SCALE),
-        ]),
-      })),
-    );
+  /** Ends the proxies, which run in this process. */
+  async close(): Promise<void> {
+    const proxies = [...this.peerProxies.values(), ...this.engines.proxies.values()];
+    if (this.keyValueProxy !== null) proxies.push(this.keyValueProxy);
+    await Promise.all(proxies.map((proxy) => proxy.close()));
   }
 
   private async planNodes(): Promise<void> {
-    const { zones, region, name } = this.deployment;
+    const { zones, name } = this.deployment;
     const names = zones.flatMap((zone) =>
       Array.from({ length: NODES_PER_ZONE }, (_unused, index) => {
         return { zone, node: `${zone.split('-')[0]}-${index + 1}` };
       }),
     );
+    const keyValue = await this.keyValueEndpoint();
     const ports = await freePorts(names.length * 2);
     for (const [index, { zone, node }] of names.entries()) {
       const address = `127.0.0.1:${ports[index * 2]}`;
       const peerAddress = `127.0.0.1:${ports[index * 2 + 1]}`;
+      const advertised = await this.advertisedAddress(node, peerAddress);
       const settingsFile = path.join(this.folder, `${name}-${node}.toml`);
-      const planned = { name: node, zone, settingsFile, address, peerAddress };
-      writeFileSync(settingsFile, this.settingsText({ ...planned, region }));
-      this.nodes.push({ ...planned, process: undefined as unknown as StartedProcess });
+      const planned = { name: node, zone, address, peerAddress, advertised };
+      const machineList = this.machineListAddress;
+      const text = nodeSettingsText(this.deployment, { ...planned, keyValue, machineList });
+      writeFileSync(settingsFile, text);
+      const process = undefined as unknown as StartedProcess;
+      this.nodes.push({ name: node, zone, settingsFile, address, advertised, process });
     }
   }
 
-  private settingsText(node: {
-    readonly name: string;
-    readonly zone: string;
-    readonly region: string;
-    readonly address: string;
-    readonly peerAddress: string;
-  }): string {
-    const { zones, trainer, caller } = this.deployment;
-    const zoneList = zones.map((zone) => `{ name = "${zone}", region = "${node.region}" }`);
-    const account = (name: string, role: string, token: string): string =>
-      `[[accounts]]\nname = "${name}"\nrole = "${role}"\ntoken_digest = "${contentDigest(token)}"`;
-    return [
-      '[node]',
-      `name = "${node.name}"`,
-      `zone = "${node.zone}"`,
-      `region = "${node.region}"`,
-      `machine = "machine-${node.name}"`,
-      `listen = "${node.address}"`,
-      `peer_listen = "${node.peerAddress}"`,
-      '[platform]',
-      `key_value = ["${this.keyValueAddress}"]`,
-      `machine_list = "${this.machineListAddress}"`,
-      '[fleet]',
-      `zones = [${zoneList.join(', ')}]`,
-      'replicas = 5',
-      '[peers]',
-      'token_variable = "WARDWING_PEER_TOKEN"',
-      account(trainer, 'trainer', this.tokens.trainer),
-      account(caller, 'caller', this.tokens.caller),
-      account('operator', 'operator', this.tokens.operator),
-      '',
-    ].join('\n');
+  private async keyValueEndpoint(): Promise<string> {
+    if (!this.proxied) return this.keyValueAddress;
+    this.keyValueProxy = new TcpProxy({ target: this.keyValueAddress });
+    return this.keyValueProxy.start();
+  }
+
+  private async advertisedAddress(node: string, peerAddress: string): Promise<string> {
+    if (!this.proxied) return peerAddress;
+    const proxy = new TcpProxy({ target: peerAddress, senders: this.deployment.zones });
+    this.peerProxies.set(node, proxy);
+    return proxy.start();
   }
 
   private async publishMachines(): Promise<void> {
@@ -174,21 +182,20 @@
       machine: `machine-${node.name}`,
       zone: node.zone,
       state: 'live',
-      nodeAddresses: [node.peerAddress],
+      nodeAddresses: [node.advertised],
       workers: [],
     }));
-    for (const worker of this.workers) {
+    for (const worker of this.engines.workers()) {
       const machine = `machine-${worker.worker}`;
-      const zone = worker.zone;
-      machines.push({ machine, zone, state: 'live', nodeAddresses: [], workers: [worker] });
+      const state = this.leavingWorkers.has(worker.worker) ? 'leaving' : 'live';
+      machines.push({ machine, zone: worker.zone, state, nodeAddresses: [], workers: [worker] });
     }
-    await requestJson({
-      method: 'POST',
-      address: this.machineListAddress,
-      path: '/lab/machines',
-      body: machines,
-      timeout: 5_000,
-    });
+    await this.post(this.machineListAddress, '/lab/machines', machines);
+  }
+
+  private async post(address: string, route: string, body: unknown): Promise<void> {
+    const request = { method: 'POST', address, path: route, body } as const;
+    await requestJson({ ...request, timeout: LAB_TIMEOUT_MILLISECONDS });
   }
 
   private startNode(node: DemoNode): StartedProcess {
@@ -196,20 +203,9 @@
       `${this.deployment.name}-${node.name}`,
       productScript(),
       ['node', '--settings', node.settingsFile],
-      { WARDWING_PEER_TOKEN: PEER_TOKEN },
+      { [PEER_TOKEN_VARIABLE]: PEER_TOKEN },
     );
   }
-
-  private async untilReady(node: DemoNode): Promise<void> {
-    const end = performance.now() + READY_LIMIT_MILLISECONDS;
-    while (performance.now() < end) {
-      const request = { method: 'GET', address: node.address, path: '/readyz', timeout: 1_000 };
-      const answer = await requestJson({ ...request, method: 'GET' });
-      if (answer?.status === 200) return;
-      await pause(READY_POLL_MILLISECONDS);
-    }
-    throw new Error(`node ${node.name} did not become ready`);
-  }
 }
 
 /** Resolves after a while. */
--- a/lab/load/interactive-client.ts
+++ b/lab/load/interactive-client.ts
@@ -1,12 +1,13 @@
 /**
  * Interactive callers over HTTP: lookups that may be repeated, and orders that may run at most
- * once. Every answer is judged with the oracle of generated text.
+ * once. An oracle is told of every answer.
  */
-import type { TokenSegment } from '../../src/core/generation.js';
 import type { RandomSource } from '../../src/core/random.js';
-import { expectedText } from '../emulator/generated-text.js';
+import { type ClientEventSink, eventTime } from './client-events.js';
+import type { InteractiveReport } from './interactive-report.js';
 import { type JsonAnswer, requestJson } from './json-client.js';
-import { kindOf, RefusalCounts } from './refusal-counts.js';
+import { kindOf, NO_ANSWER } from './refusal-counts.js';
+import { type VersionRangeDocument, versionRanges } from './trainer-client.js';
 
 /** What the callers do. */
 export interface InteractiveOptions {
@@ -18,38 +19,25 @@
   /** Every this many requests one is an order. */
   readonly orderEvery: number;
   readonly random: RandomSource;
+  /** Is told of every answer. */
+  readonly events: ClientEventSink;
 }
 
 interface CompletionDocument {
   readonly choices: readonly { readonly text: string }[];
-  readonly wardwing: {
-    readonly versions: readonly {
-      readonly version: number;
-      readonly first_token: number;
-      readonly token_count: number;
-    }[];
-  };
+  readonly wardwing: { readonly versions: readonly VersionRangeDocument[] };
+}
+
+/** A request in the making. */
+interface InteractiveRequest {
+  readonly order: boolean;
+  readonly prompt: string;
+  readonly seed: number;
 }
 
 const MAX_TOKENS = 24;
 const DEADLINE_MILLISECONDS = 10_000;
 
-/** What the callers received. */
-export class InteractiveReport extends RefusalCounts {
-  asked = 0;
-  answered = 0;
-  orders = 0;
-  wrongText = 0;
-  /** Order repeats whose answer was not the first one. */
-  differentRepeats = 0;
-  readonly latencies: number[] = [];
-
-  /** Whether all promises held. */
-  get holds(): boolean {
-    return this.wrongText === 0 && this.differentRepeats === 0 && this.answered > 0;
-  }
-}
-
 /** Sends requests at a steady rate. */
 export class InteractiveClient {
   private timer: NodeJS.Timeout | null = null;
@@ -81,47 +69,37 @@
     this.count += 1;
     const number = this.count;
     const prompt = `lookup ${number % 7} of policy ${number}`;
-    if (number % this.options.orderEvery === 0) await this.order(number, prompt);
-    else await this.lookup(number, prompt);
+    const order = number % this.options.orderEvery === 0;
+    const request = { order, prompt, seed: number };
+    this.report.asked += 1;
+    if (order) await this.order(request);
+    else await this.lookup(request);
   }
 
-  private async lookup(seed: number, prompt: string): Promise<void> {
-    this.report.asked += 1;
+  private async lookup(request: InteractiveRequest): Promise<void> {
     const startedAt = performance.now();
-    const answer = await this.complete(prompt, seed, {});
-    if (answer?.status !== 200) {
-      this.report.refused(answer);
-      return;
-    }
-    this.report.latencies.push(performance.now() - startedAt);
-    this.judge(answer, prompt, seed);
+    const answer = await this.send(request, {});
+    if (answer?.status === 200) this.report.latencies.push(performance.now() - startedAt);
+    else this.report.refused(answer);
   }
 
   /** An order; the same key is sent once more and must give the first answer. */
-  private async order(seed: number, prompt: string): Promise<void> {
-    this.report.asked += 1;
+  private async order(request: InteractiveRequest): Promise<void> {
     this.report.orders += 1;
-    const headers = { 'idempotency-key': `order-${seed}`, 'wardwing-repeatable': 'false' };
-    const first = await this.complete(prompt, seed, headers);
-    const again = await this.complete(prompt, seed, headers);
-    if (first?.status === 200) this.judge(first, prompt, seed);
-    else this.report.refused(first);
-    const bothAnswered = first?.status === 200 && again?.status === 200;
-    if (bothAnswered && textOf(first) !== textOf(again)) this.report.differentRepeats += 1;
-    if (first?.status === 200 && again !== undefined && kindOf(again) === 'key_conflict') {
-      this.report.differentRepeats += 1;
-    }
+    const key = `order-${request.seed}`;
+    const headers = { 'idempotency-key': key, 'wardwing-repeatable': 'false' };
+    const first = await this.send(request, headers);
+    if (first?.status !== 200) this.report.refused(first);
+    await this.send(request, headers);
   }
 
-  private judge(answer: JsonAnswer, prompt: string, seed: number): void {
-    this.report.answered += 1;
-    const document = answer.document as CompletionDocument;
-    const segments: TokenSegment[] = document.wardwing.versions.map((range) => ({
-      version: range.version,
-      firstToken: range.first_token,
-      tokenCount: range.token_count,
-    }));
-    if (textOf(answer) !== expectedText(prompt, seed, segments)) this.report.wrongText += 1;
+  private async send(
+    request: InteractiveRequest,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<JsonAnswer | undefined> {
+    const answer = await this.complete(request.prompt, request.seed, headers);
+    this.options.events({ kind: 'answer', at: eventTime(), ...request, ...receivedOf(answer) });
+    return answer;
   }
 
   private complete(
@@ -143,6 +121,19 @@
   }
 }
 
-function textOf(answer: JsonAnswer): string {
-  return (answer.document as CompletionDocument).choices[0]?.text ?? '';
+/** What an answer says; a call that got no whole answer may have run. */
+function receivedOf(answer: JsonAnswer | undefined) {
+  const nothing = { text: '', versions: [] };
+  if (answer === undefined) {
+    return { ...nothing, status: 0, problem: NO_ANSWER, ran: 'unknown' as const };
+  }
+  const { status } = answer;
+  if (status !== 200) {
+    const { ran } = (answer.document ?? {}) as { readonly ran?: 'no' | 'yes' | 'unknown' };
+    return { ...nothing, status, problem: kindOf(answer), ran: ran ?? ('unknown' as const) };
+  }
+  const document = answer.document as CompletionDocument;
+  const text = document.choices[0]?.text ?? '';
+  const versions = versionRanges(document.wardwing.versions);
+  return { status, problem: null, ran: 'yes' as const, text, versions };
 }
--- a/lab/load/trainer-client.ts
+++ b/lab/load/trainer-client.ts
@@ -1,13 +1,11 @@
 /**
- * A trainer over HTTP: submits steps, reads them by cursor, judges every sample with the oracle of
- * generated text, acknowledges, and goes on. Nodes that do not answer are left for others.
+ * A trainer over HTTP: submits steps, reads them by cursor, tells its oracle of every sample,
+ * acknowledges, and goes on. Nodes that do not answer are left for others.
  */
-import type { TokenSegment } from '../../src/core/generation.js';
 import type { RandomSource } from '../../src/core/random.js';
-import { expectedText } from '../emulator/generated-text.js';
+import { type ClientEventSink, eventTime } from './client-events.js';
 import { type JsonAnswer, requestJson } from './json-client.js';
 import type { TrainerReport } from './trainer-report.js';
-import type { VersionRecord } from './version-record.js';
 
 /** What a trainer does. */
 export interface TrainerOptions {
@@ -19,23 +17,23 @@
   /** How long a step is trained on before the next is drawn, in milliseconds. */
   readonly trainingTime: number;
   readonly stepTimeout: number;
-  /** How many versions behind a token may be. */
-  readonly stalenessBound: number;
-  /** Time a published version may take to be known everywhere, in milliseconds. */
-  readonly versionGrace: number;
-  readonly versions: VersionRecord;
   readonly random: RandomSource;
+  /** Is told of everything that comes of the steps. */
+  readonly events: ClientEventSink;
 }
 
 interface SampleDocument {
   readonly position: number;
   readonly key: string;
   readonly text: string;
-  readonly versions: readonly {
-    readonly version: number;
-    readonly first_token: number;
-    readonly token_count: number;
-  }[];
+  readonly versions: readonly VersionRangeDocument[];
+}
+
+/** A weight version and the tokens it made, as answers write it. */
+export interface VersionRangeDocument {
+  readonly version: number;
+  readonly first_token: number;
+  readonly token_count: number;
 }
 
 interface PageDocument {
@@ -95,9 +93,7 @@
   private async drawStep(stepId: string): Promise<void> {
     const samples = this.makeSamples(stepId);
     await this.submitUntilAccepted(stepId, samples);
-    this.report.asked += samples.length;
-    const byKey = new Map(samples.map((sample) => [sample.key, sample]));
-    const seen = new Map<string, string>();
+    this.options.events({ kind: 'step-accepted', at: eventTime(), stepId, samples: [...samples] });
     let cursor = 0;
     let state: PageDocument['state'] = 'open';
     while (state === 'open') {
@@ -106,17 +102,15 @@
         await pause(RETRY_PAUSE_MILLISECONDS);
         continue;
       }
-      for (const sample of page.samples) this.judge(sample, byKey, seen);
+      for (const sample of page.samples) this.tell('sample', stepId, sample);
       state = page.state;
       if (page.next_cursor > cursor) {
         cursor = page.next_cursor;
         await this.acknowledge(stepId, cursor);
       }
     }
-    this.report.steps += 1;
-    if (state === 'closed') this.report.closedSteps += 1;
-    else this.report.lost += samples.length - seen.size;
-    if (cursor > 0) await this.readAgain(stepId, seen);
+    this.options.events({ kind: 'step-over', at: eventTime(), stepId, state });
+    if (cursor > 0) await this.readAgain(stepId);
   }
 
   private makeSamples(stepId: string): readonly StepSample[] {
@@ -168,42 +162,15 @@
   }
 
   /** Reads the first page once more: positions and texts must be the same. */
-  private async readAgain(stepId: string, seen: ReadonlyMap<string, string>): Promise<void> {
+  private async readAgain(stepId: string): Promise<void> {
     const page = await this.read(stepId, 0);
-    for (const sample of page?.samples ?? []) {
-      if (seen.get(sample.key) !== `${sample.position} ${sample.text}`) this.report.changed += 1;
-    }
+    for (const sample of page?.samples ?? []) this.tell('sample-again', stepId, sample);
   }
 
-  private judge(
-    sample: SampleDocument,
-    byKey: ReadonlyMap<string, StepSample>,
-    seen: Map<string, string>,
-  ): void {
-    const asked = byKey.get(sample.key);
-    if (seen.has(sample.key)) this.report.twice += 1;
-    seen.set(sample.key, `${sample.position} ${sample.text}`);
-    this.report.delivered += 1;
-    const segments: TokenSegment[] = sample.versions.map((range) => ({
-      version: range.version,
-      firstToken: range.first_token,
-      tokenCount: range.token_count,
-    }));
-    const expected = asked && expectedText(asked.prompt, asked.seed, segments);
-    if (expected !== sample.text) this.report.wrongText += 1;
-    this.judgeVersions(segments);
-  }
-
-  private judgeVersions(segments: readonly TokenSegment[]): void {
-    const { versions, stalenessBound, versionGrace } = this.options;
-    const now = performance.now();
-    const oldest = Math.min(...segments.map((segment) => segment.version));
-    for (const segment of segments) this.report.versions.add(segment.version);
-    if (segments.length > 1) this.report.spanning += 1;
-    this.report.stalenessVersions.push(Math.max(0, versions.newestAt(now) - oldest));
-    this.report.stalenessMilliseconds.push(versions.ageAt(oldest, now));
-    const known = versions.newestAt(now - versionGrace);
-    if (oldest < known - stalenessBound) this.report.tooOld += 1;
+  private tell(kind: 'sample' | 'sample-again', stepId: string, sample: SampleDocument): void {
+    const { key, position, text } = sample;
+    const versions = versionRanges(sample.versions);
+    this.options.events({ kind, at: eventTime(), stepId, key, position, text, versions });
   }
 
   private pickAddress(): string {
@@ -223,6 +190,17 @@
   }
 }
 
+/** Version ranges of an answer in the lab's own form. */
+export function versionRanges(
+  documents: readonly VersionRangeDocument[],
+): { version: number; firstToken: number; tokenCount: number }[] {
+  return documents.map((range) => ({
+    version: range.version,
+    firstToken: range.first_token,
+    tokenCount: range.token_count,
+  }));
+}
+
 function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
