--- a/lab/run-tests.ts
+++ b/lab/run-tests.ts
@@ -3,13 +3,19 @@
  * as tap does; a run without any test is a failure.
  */
 import { spawn } from 'node:child_process';
+import { readdirSync } from 'node:fs';
 import path from 'node:path';
 
 /** The line by which tap tells its totals. */
 const TOTALS_PATTERN = /# \{ total: (\d+), pass: (\d+)/g;
+const TEST_FOLDER = 'dist/test';
+
+const files = readdirSync(TEST_FOLDER, { recursive: true, encoding: 'utf8' })
+  .filter((name) => name.endsWith('.test.js'))
+  .map((name) => path.join(TEST_FOLDER, name));
 
 const tap = path.join(import.meta.dirname, '..', '..', 'node_modules', '.bin', 'tap');
-const child = spawn(tap, ['run', 'dist/test'], { stdio: ['ignore', 'pipe', 'inherit'] });
+const child = spawn(tap, ['run', ...files], { stdio: ['ignore', 'pipe', 'inherit'] });
 let output = '';
 child.stdout.on('data', (chunk: Buffer) => {
   output += chunk.toString('utf8');
