--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -188,7 +188,7 @@
       if (!replica.isActive) continue;
       const { domain } = replica.newest;
       for (const { key, shardKey, value } of replica.acceptor.accepted()) {
-        if (!key.startsWith(keyPrefix)) continue;
+        if (value === null || !key.startsWith(keyPrefix)) continue;
         yield { domain, shardKey, key, value: value as Value };
       }
     }
