Ledger: reviews of settled groups do no work per living node

Change: zone counts are compared before anything is ranked, and living nodes are looked up in the view's cached maps.

--- a/lab/bench/ledger-fleet.ts
+++ b/lab/bench/ledger-fleet.ts
@@ -35,6 +35,8 @@
   readonly tuning?: Partial<LedgerOptions>;
   /** Whether messages are encoded, which counts bytes and copies values. Default true. */
   readonly encodes?: boolean;
+  /** Whether CPU time is counted; costs time of its own. Default false. */
+  readonly measuresCpu?: boolean;
   /** Time until others see that a node died or came back. Default 1,000 ms. */
   readonly detectionDelay?: number;
 }
@@ -53,9 +55,9 @@
 export interface FleetCounters {
   messages: number;
   bytes: number;
-  /** Nanoseconds spent in ledgers, ticks left out. */
-  workNanoseconds: number;
-  tickNanoseconds: number;
+  /** CPU time in microseconds spent in ledgers, ticks left out. */
+  workMicroseconds: number;
+  tickMicroseconds: number;
 }
 
 /** Name of the domain that spans all zones of a fleet. */
@@ -76,8 +78,8 @@
   readonly counters: FleetCounters = {
     messages: 0,
     bytes: 0,
-    workNanoseconds: 0,
-    tickNanoseconds: 0,
+    workMicroseconds: 0,
+    tickMicroseconds: 0,
   };
   readonly network: NetworkConditions = {
     latency: 0.5,
@@ -188,23 +190,30 @@
     this.queue.after(delay, () => {
       if (!node.isUp || node.ledger !== ledger) return;
       if (!node.isFrozen) {
-        const started = process.hrtime.bigint();
+        const started = this.#cpuMicroseconds();
         const effects = ledger.tick(this.queue.now);
-        this.counters.tickNanoseconds += Number(process.hrtime.bigint() - started);
+        this.counters.tickMicroseconds += this.#cpuMicroseconds() - started;
         this.#perform(node, effects);
       }
       this.#tickLater(node, TICK_MILLISECONDS);
     });
   }
 
+  /** CPU time of the process, which other load on the machine does not stretch; 0 if unmeasured. */
+  #cpuMicroseconds(): number {
+    if (this.#options.measuresCpu !== true) return 0;
+    const { user, system } = process.cpuUsage();
+    return user + system;
+  }
+
   #work(node: FleetNode, work: () => readonly LedgerEffect<unknown>[]): void {
     if (node.isFrozen) {
       node.held.push(() => this.#work(node, work));
       return;
     }
-    const started = process.hrtime.bigint();
+    const started = this.#cpuMicroseconds();
     const effects = work();
-    this.counters.workNanoseconds += Number(process.hrtime.bigint() - started);
+    this.counters.workMicroseconds += this.#cpuMicroseconds() - started;
     this.#perform(node, effects);
   }
 
--- a/lab/bench/ledger-scaling.ts
+++ b/lab/bench/ledger-scaling.ts
@@ -7,6 +7,8 @@
 const NODES_PER_TRAINER = 5;
 const SAMPLES_A_SECOND = 5;
 const WARM_UP_MILLISECONDS = 8_000;
+/** The measured time is cut into parts, of whose CPU times the median counts. */
+const SLICES = 20;
 
 /** Cost of a sample in one fleet. */
 export interface ScalingRow {
@@ -37,12 +39,39 @@
 
 const DEFAULT_PAGE_ENTRIES = 32;
 
+/** CPU time of one part of the measured time. */
+interface Slice {
+  readonly samples: number;
+  readonly workMicroseconds: number;
+  readonly tickMicroseconds: number;
+}
+
+function measureSlice(fleet: LedgerFleet, load: LedgerLoad, milliseconds: number): Slice {
+  const before = { ...fleet.counters, samples: load.samples };
+  fleet.run(milliseconds / SLICES);
+  return {
+    samples: load.samples - before.samples,
+    workMicroseconds: fleet.counters.workMicroseconds - before.workMicroseconds,
+    tickMicroseconds: fleet.counters.tickMicroseconds - before.tickMicroseconds,
+  };
+}
+
+function workOf(slices: readonly Slice[]): number[] {
+  return slices.map((slice) => slice.workMicroseconds / slice.samples);
+}
+
 /** Runs one fleet for some simulated milliseconds. */
 export function measureScaling(options: ScalingRun): ScalingRow {
   const { nodes, seed, milliseconds } = options;
   const pageEntries = options.pageEntries ?? DEFAULT_PAGE_ENTRIES;
   const tuning = { piggybackPrepare: options.piggybackPrepare ?? true };
-  const fleet = new LedgerFleet({ seed, nodeCount: nodes, zones: ZONES, tuning });
+  const fleet = new LedgerFleet({
+    seed,
+    nodeCount: nodes,
+    zones: ZONES,
+    tuning,
+    measuresCpu: true,
+  });
   const trainers = Math.max(1, Math.floor(nodes / NODES_PER_TRAINER));
   fleet.run(3_000);
   const load = new LedgerLoad(fleet, { trainers, rate: SAMPLES_A_SECOND, pageEntries });
@@ -50,11 +79,10 @@
   load.reset();
   const before = { ...fleet.counters };
   const requestsBefore = fleet.keyValue.requests;
-  fleet.run(milliseconds);
+  const slices = Array.from({ length: SLICES }, () => measureSlice(fleet, load, milliseconds));
   const { counters } = fleet;
-  const samples = load.samples;
-  const work = counters.workNanoseconds - before.workNanoseconds;
-  const ticks = counters.tickNanoseconds - before.tickNanoseconds;
+  const { samples } = load;
+  const ticks = slices.map((slice) => slice.tickMicroseconds / nodes / (milliseconds / 1_000));
   return {
     nodes,
     pageEntries,
@@ -62,8 +90,8 @@
     samples,
     messagesPerSample: rounded((counters.messages - before.messages) / samples),
     bytesPerSample: Math.round((counters.bytes - before.bytes) / samples),
-    cpuMicrosecondsPerSample: rounded(work / 1_000 / samples),
-    tickMicrosecondsPerNodeSecond: rounded(ticks / 1_000 / nodes / (milliseconds / 1_000)),
+    cpuMicrosecondsPerSample: rounded(percentile(workOf(slices), 0.5)),
+    tickMicrosecondsPerNodeSecond: rounded(percentile(ticks, 0.5) * SLICES),
     commitMillisecondsP50: rounded(percentile(load.latencies, 0.5)),
     commitMillisecondsP99: rounded(percentile(load.latencies, 0.99)),
     keyValueRequestsInMeasure: fleet.keyValue.requests - requestsBefore,
--- a/src/ledger/group-change.ts
+++ b/src/ledger/group-change.ts
@@ -10,6 +10,10 @@
   readonly replicaCount: number;
   /** Living nodes of the domain's zones. */
   readonly live: readonly NodeRecord[];
+  /** The record of a living node of the domain by its identity key. */
+  readonly liveRecord: (identity: string) => NodeRecord | undefined;
+  /** Zones of the domain with living nodes. */
+  readonly liveZones: ReadonlySet<string>;
   /** Whether the set of living nodes has been the same for long. */
   readonly isSettled: boolean;
   /** Whether a life has been gone for so long, or so surely, that it is to be replaced. */
@@ -38,16 +42,15 @@
   situation: GroupSituation,
 ): GroupRecord | undefined {
   const { domain, shard, live, replicaCount } = situation;
-  const liveRecords = new Map(live.map((record) => [identityKey(record), record]));
   const isKept = (key: string): boolean => !situation.isGone(key);
   const kept = current.members.filter((member) => isKept(identityKey(member)));
   const removed = current.members.length - kept.length;
   if (removed > Math.floor((current.members.length - 1) / 2)) return undefined;
-  const aliveKept = kept.flatMap((member) => liveRecords.get(identityKey(member)) ?? []);
+  const aliveKept = kept.flatMap((member) => situation.liveRecord(identityKey(member)) ?? []);
   const waitedFor = kept.length - aliveKept.length;
   const size = targetSize(live.length, replicaCount) - waitedFor;
   const members = fillMembers(groupKey(domain, shard), aliveKept, live, size);
-  const silent = kept.filter((member) => !liveRecords.has(identityKey(member)));
+  const silent = kept.filter((member) => !situation.liveRecord(identityKey(member)));
   const nextMembers = [...identitiesOf(members), ...silent];
   const toleranceBefore = faultTolerance(current.members.length, aliveKept.length);
   const toleranceAfter = faultTolerance(nextMembers.length, members.length);
@@ -69,6 +72,8 @@
   const fullest = members.reduce((left, right) =>
     countIn(right.zone) > countIn(left.zone) ? right : left,
   );
+  const leastCount = Math.min(...[...situation.liveZones].map(countIn));
+  if (countIn(fullest.zone) - leastCount < 2) return undefined;
   const kept = members.filter((member) => member !== fullest);
   const next = fillMembers(key, kept, situation.live, members.length);
   const added = next.at(-1);
--- a/src/ledger/group-manager.ts
+++ b/src/ledger/group-manager.ts
@@ -123,6 +123,8 @@
       replicaCount,
       live,
       isSettled,
+      liveRecord: (identity) => view.liveRecord(domain, identity),
+      liveZones: view.liveZones(domain),
       isGone: (identity) => gone.has(identity),
     };
     return current === undefined ? planCreation(situation) : planChange(current, situation);
--- a/src/ledger/member-view.ts
+++ b/src/ledger/member-view.ts
@@ -12,6 +12,8 @@
   #members: readonly LedgerMember[] = [];
   readonly #incarnations = new Map<string, number>();
   readonly #goneSince = new Map<string, Milliseconds>();
+  #records: ReadonlyMap<string, NodeRecord> = new Map();
+  #zonesByDomain = new Map<string, ReadonlySet<string>>();
   #liveByDomain = new Map<string, readonly NodeRecord[]>();
   #ranks = new Map<string, number>();
   /** When the set of living nodes last changed. */
@@ -26,9 +28,11 @@
     this.#members = members;
     this.domains = domains;
     const living = members.filter((member) => member.alive);
-    const alive = new Set(living.map((member) => identityKey(member.record)));
+    this.#records = new Map(living.map(({ record }) => [identityKey(record), record]));
+    const alive = new Set(this.#records.keys());
     const isSame = alive.size === this.alive.size && [...alive].every((key) => this.alive.has(key));
     this.#liveByDomain = new Map();
+    this.#zonesByDomain = new Map();
     this.#ranks = new Map();
     if (isSame) return;
     this.alive = alive;
@@ -50,6 +54,22 @@
     return live;
   }
 
+  /** The record of a living node of a domain by its identity key. */
+  liveRecord(domain: LedgerDomain, identity: string): NodeRecord | undefined {
+    const record = this.#records.get(identity);
+    return record !== undefined && domain.zones.includes(record.zone) ? record : undefined;
+  }
+
+  /** Zones of a domain with living nodes. */
+  liveZones(domain: LedgerDomain): ReadonlySet<string> {
+    let zones = this.#zonesByDomain.get(domain.name);
+    if (zones === undefined) {
+      zones = new Set(this.liveIn(domain).map((record) => record.zone));
+      this.#zonesByDomain.set(domain.name, zones);
+    }
+    return zones;
+  }
+
   /** Place of a life in the rendezvous order of a key among the domain's living nodes, or -1. */
   rankIn(domain: LedgerDomain, key: string, identity: string): number {
     let rank = this.#ranks.get(key);
--- a/src/ledger/placement.ts
+++ b/src/ledger/placement.ts
@@ -27,6 +27,7 @@
   size: number,
 ): NodeRecord[] {
   const chosen = [...kept];
+  if (chosen.length >= size) return chosen;
   const keptNodes = new Set(kept.map((member) => member.node));
   const free = candidates.filter((candidate) => !keptNodes.has(candidate.node));
   const ordered = rendezvousOrder(key, free, identityKey);
--- a/test/ledger/group-change.test.ts
+++ b/test/ledger/group-change.test.ts
@@ -22,7 +22,10 @@
   isSettled = false,
 ): GroupSituation {
   const isGone = (identity: string): boolean => gone.includes(identity);
-  return { domain: 'd', shard: 0, replicaCount: 5, live, isSettled, isGone };
+  const liveZones = new Set(live.map((record) => record.zone));
+  const liveRecord = (identity: string) => live.find((item) => identityKey(item) === identity);
+  const group = { domain: 'd', shard: 0, replicaCount: 5 };
+  return { ...group, live, liveRecord, liveZones, isSettled, isGone };
 }
 
 function recordOf(members: readonly NodeRecord[]): GroupRecord {
