--- a/test/ledger/local-entries.test.ts
+++ b/test/ledger/local-entries.test.ts
@@ -11,12 +11,17 @@
   const address = { domain: fleet.domain, shardKey: 's', deadline: now + 1_500 };
   const keep = () => ({ kind: 'keep' }) as const;
   const write = () => ({ kind: 'write', value: 'written' }) as const;
-  fleet.operate(node, (operationId, ledger) =>
-    ledger.change({ ...address, operationId, key: 'request/read', apply: keep }, now),
-  );
-  fleet.operate(node, (operationId, ledger) =>
-    ledger.change({ ...address, operationId, key: 'request/written', apply: write }, now),
-  );
+  const changes = [
+    { key: 'request/read', apply: keep },
+    { key: 'request/written', apply: write },
+  ];
+  for (const change of changes) {
+    fleet.operate(
+      node,
+      (operationId, ledger) => ledger.change({ ...address, operationId, ...change }, now),
+      () => undefined,
+    );
+  }
   fleet.run(2_000);
   for (const { ledger } of fleet.nodes) {
     const entries = [...ledger.localEntries('request/')];
