Seeds are hashed; an intent's version ceiling and leaving workers reach routing and admission

Change: the seed is hashed before use; maximumVersion goes into the routing context; admission asks the directory which workers leave.

--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -3,6 +3,7 @@
  */
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { placementHash } from './hashing.js';
 
 /** Resolution of {@link RandomSource.fraction}. */
 const FRACTION_STEPS = 0x7fffffff;
@@ -17,9 +18,12 @@
   identifier(): string;
 }
 
-/** Creates a source from a seed (any 32-bit whole number). */
+/**
+ * Creates a source from a seed (any whole number). The seed is hashed first, since the generator's
+ * first numbers are nearly the same for small seeds.
+ */
 export function createRandomSource(seed: number): RandomSource {
-  const generator = xoroshiro128plus(seed);
+  const generator = xoroshiro128plus(placementHash(String(seed)) | 0);
   const word = (): string => (generator.next() >>> 0).toString(16).padStart(8, '0');
   return {
     integer: (limit) => uniformInt(generator, 0, limit - 1),
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -58,7 +58,9 @@
     this.placement = new WorkPlacement(ports, directory, router, zones, (request) =>
       this.permissionOf(request.intent, request.trafficClass === 'training'),
     );
-    this.admission = new HomeAdmission();
+    this.admission = new HomeAdmission({
+      isLeaving: (worker) => ports.mechanisms['drain-refusal'] && directory.isLeaving(worker),
+    });
     this.client = new DispatchClient({ send: (to, message) => this.sendDispatch(to, message) });
     this.home = this.createHome();
     this.runner = this.createRunner();
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -35,10 +35,12 @@
     now: Milliseconds,
   ): WorkerChoice {
     const zones = this.node.mechanisms['residency-routing'] ? allowedZones : this.allZones;
+    const configuration = this.node.configuration();
     const decision = this.router.choose(request, {
       zones,
       candidates: this.directory.candidates(request.model, zones),
-      newestVersion: newestVersion(this.node.configuration(), request.model),
+      newestVersion: newestVersion(configuration, request.model),
+      maximumVersion: configuration.intents.get(request.intent)?.maximumVersion ?? null,
       exclude,
       now,
     });
