--- a/lab/bench/node-deployment.ts
+++ b/lab/bench/node-deployment.ts
@@ -23,7 +23,7 @@
 const OPERATOR_TOKEN = 'bench-operator-token';
 const PEER_TOKEN = 'bench-peer-token-of-the-node';
 const ZONE = 'bench-zone';
-const ENGINE_COUNT = 4;
+const DEFAULT_ENGINE_COUNT = 4;
 const ENGINE_SLOTS = 256;
 /** Engine time for each millisecond: a decode step then takes a small part of a millisecond. */
 const DEFAULT_TIME_SCALE = 20;
@@ -42,6 +42,8 @@
 export interface NodeDeploymentOptions {
   /** Engine time for each millisecond of real time. @default 20 */
   readonly timeScale?: number;
+  /** Number of engines. @default 4 */
+  readonly engineCount?: number;
   /** Folder for a processor profile of the node. @default no profile is taken */
   readonly profileFolder?: string;
 }
@@ -110,7 +112,8 @@
 
   private startEngines(): Promise<readonly WorkerRecord[]> {
     const timeScale = this.options.timeScale ?? DEFAULT_TIME_SCALE;
-    const names = Array.from({ length: ENGINE_COUNT }, (_unused, index) => `engine-${index + 1}`);
+    const length = this.options.engineCount ?? DEFAULT_ENGINE_COUNT;
+    const names = Array.from({ length }, (_unused, index) => `engine-${index + 1}`);
     return Promise.all(
       names.map(async (worker) => {
         const settings = {
--- a/lab/bench/node.ts
+++ b/lab/bench/node.ts
@@ -39,8 +39,8 @@
 type LoadRunner = (orders: readonly LoadOrder[]) => Promise<readonly LoadFigures[]>;
 
 /**
- * Runs the bench. Flags: `--rate`, `--rounds`, `--idle-seconds`, `--time-scale` of the engines, and
- * `--profile FOLDER` for a processor profile of the node. Exit code 0 when all targets are met.
+ * Runs the bench. Flags: `--rate`, `--rounds`, `--idle-seconds`, `--engines`, `--time-scale` of the
+ * engines, and `--profile FOLDER` for a processor profile of the node. Exit code 0 when all targets are met.
  */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-bench-node-'));
@@ -48,6 +48,7 @@
   try {
     const deployment = new NodeDeployment(group, folder, {
       ...(flags['time-scale'] === undefined ? {} : { timeScale: Number(flags['time-scale']) }),
+      ...(flags.engines === undefined ? {} : { engineCount: Number(flags.engines) }),
       ...(flags.profile === undefined ? {} : { profileFolder: String(flags.profile) }),
     });
     await deployment.start();
@@ -95,6 +96,7 @@
   const failed = [saturated, ...rounds.flat()].reduce((sum, figures) => sum + figures.failed, 0);
   const figures = {
     rate_per_second: rate,
+    engines: deployment.engines.length,
     rounds: rounds.length,
     ...latencyFigures(rounds),
     saturation_requests_per_second: Math.round(saturated.requestsPerSecond),
--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -33,8 +33,8 @@
 
 /** What the dispatcher asks of its node. */
 export interface HomeDispatcherOptions {
-  /** This life of the home. */
-  readonly self: NodeIdentity;
+  /** This life of the home: what it sends to itself comes once. @default each origin may repeat */
+  readonly self?: NodeIdentity;
   readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
   readonly startEngine: (
     dispatchId: string,
@@ -259,8 +259,13 @@
     const known = this.dispatches.get(dispatchId);
     if (known?.state !== 'ended') return;
     this.unacknowledged.delete(known);
-    // What a node sends to itself comes once and in order, so nothing is left to come.
-    this.dispatches.settle(dispatchId, !sameIdentity(known.origin, this.options.self));
+    this.dispatches.settle(dispatchId, !this.isSelf(known.origin));
+  }
+
+  /** Messages of the home to itself come once and in order, so none is left to come. */
+  private isSelf(origin: NodeIdentity): boolean {
+    const { self } = this.options;
+    return self !== undefined && sameIdentity(origin, self);
   }
 
   private refuse(from: NodeIdentity, dispatchId: string, reason: Failure, now: Milliseconds): void {
