Event loop delay is sampled each 50 ms

Ruled out: the tick of 50 ms, which the profile puts at 0.07 to 0.12% of the time. Change: eventLoopMonitoringPrecision 50. The library's percentiles of the delay include the time between samples, so their floor is now 50 ms in place of 10 ms; the comment says so.

--- a/src/telemetry/counters.ts
+++ b/src/telemetry/counters.ts
@@ -15,6 +15,12 @@
   readonly withProcessMetrics?: boolean;
 }
 
+/**
+ * Time between two samples of the event loop's delay, in milliseconds. The library's default of 10
+ * wakes an idle process a hundred times a second. Its percentiles of the delay include this time.
+ */
+const EVENT_LOOP_SAMPLE_INTERVAL = 50;
+
 /** Counters and gauges of one node, in a registry of their own. */
 export class NodeCounters {
   readonly #registry = new Registry();
@@ -24,7 +30,11 @@
   constructor(options: NodeCountersOptions = {}) {
     this.#counters = createAll(COUNTERS, (settings) => new Counter(settings), this.#registry);
     this.#gauges = createAll(GAUGES, (settings) => new Gauge(settings), this.#registry);
-    if (options.withProcessMetrics === true) collectDefaultMetrics({ register: this.#registry });
+    if (options.withProcessMetrics !== true) return;
+    collectDefaultMetrics({
+      register: this.#registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL,
+    });
   }
 
   /** Raises a counter; `amount` must not be negative. */
