--- a/lab/demo/running-deployment.ts
+++ b/lab/demo/running-deployment.ts
@@ -46,8 +46,8 @@
   readonly engines: RunningEngines;
   /** Proxies before the nodes' peer ports, by node; empty without proxies. */
   readonly peerProxies = new Map<string, TcpProxy>();
-  /** Proxy before the key-value service; `null` without proxies. */
-  keyValueProxy: TcpProxy | null = null;
+  /** Proxies before the key-value service, one for each zone's nodes; empty without proxies. */
+  readonly keyValueProxies = new Map<string, TcpProxy>();
   private readonly proxied: boolean;
   private readonly leavingWorkers = new Set<string>();
   private machineListAddress = '';
@@ -136,8 +136,8 @@
 
   /** Ends the proxies, which run in this process. */
   async close(): Promise<void> {
-    const proxies = [...this.peerProxies.values(), ...this.engines.proxies.values()];
-    if (this.keyValueProxy !== null) proxies.push(this.keyValueProxy);
+    const groups = [this.peerProxies, this.engines.proxies, this.keyValueProxies];
+    const proxies = groups.flatMap((group) => [...group.values()]);
     await Promise.all(proxies.map((proxy) => proxy.close()));
   }
 
@@ -148,7 +148,7 @@
         return { zone, node: `${zone.split('-')[0]}-${index + 1}` };
       }),
     );
-    const keyValue = await this.keyValueEndpoint();
+    const keyValueOf = await this.keyValueEndpoints();
     const ports = await freePorts(names.length * 2);
     for (const [index, { zone, node }] of names.entries()) {
       const address = `127.0.0.1:${ports[index * 2]}`;
@@ -157,6 +157,7 @@
       const settingsFile = path.join(this.folder, `${name}-${node}.toml`);
       const planned = { name: node, zone, address, peerAddress, advertised };
       const machineList = this.machineListAddress;
+      const keyValue = keyValueOf.get(zone) ?? this.keyValueAddress;
       const text = nodeSettingsText(this.deployment, { ...planned, keyValue, machineList });
       writeFileSync(settingsFile, text);
       const process = undefined as unknown as StartedProcess;
@@ -164,10 +165,16 @@
     }
   }
 
-  private async keyValueEndpoint(): Promise<string> {
-    if (!this.proxied) return this.keyValueAddress;
-    this.keyValueProxy = new TcpProxy({ target: this.keyValueAddress });
-    return this.keyValueProxy.start();
+  /** Where the nodes of each zone reach the key-value service; empty without proxies. */
+  private async keyValueEndpoints(): Promise<ReadonlyMap<string, string>> {
+    const endpoints = new Map<string, string>();
+    if (!this.proxied) return endpoints;
+    for (const zone of this.deployment.zones) {
+      const proxy = new TcpProxy({ target: this.keyValueAddress });
+      this.keyValueProxies.set(zone, proxy);
+      endpoints.set(zone, await proxy.start());
+    }
+    return endpoints;
   }
 
   private async advertisedAddress(node: string, peerAddress: string): Promise<string> {
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -34,6 +34,12 @@
   .command('demo', 'Run the whole system on loopback for about a minute')
   .action((flags: CommandFlags) => runModule('./demo/demo.js', 'demo', flags));
 
+program
+  .command('faults [scenario]', 'Run real processes under faults, all scenarios or one')
+  .action((scenario: string | undefined, flags: CommandFlags) =>
+    runModule('./faults/faults.js', scenario ?? '', flags),
+  );
+
 program
   .command('emulate <name>', 'Run one emulator: key-value, engine, weight-store, machine-list')
   .action((name: string, flags: CommandFlags) => runModule('./emulator/emulate.js', name, flags));
