--- a/lab/faults/tcp-proxy.ts
+++ b/lab/faults/tcp-proxy.ts
@@ -58,6 +58,11 @@
     for (const link of [...this.links]) this.applyTo(link);
   }
 
+  /** How many open connections have lost bytes. */
+  get swallowedLinks(): number {
+    return [...this.links].filter((link) => link.swallowed).length;
+  }
+
   /** Breaks all open connections once. */
   cut(): void {
     for (const link of [...this.links]) this.end(link);
