--- a/lab/demo/deployment-load.ts
+++ b/lab/demo/deployment-load.ts
@@ -142,7 +142,11 @@
     this.trainer.stop();
     const ended = Promise.all([this.drawing, this.callers.stop()]).then(() => true);
     if (!Number.isFinite(limit)) return ended;
-    return Promise.race([ended, pause(limit).then(() => false)]);
+    let timer: NodeJS.Timeout | undefined;
+    const tooLong = new Promise<boolean>((resolve) => {
+      timer = setTimeout(() => resolve(false), limit);
+    });
+    return Promise.race([ended, tooLong]).finally(() => clearTimeout(timer));
   }
 
   /** Compares with the engines' own logs; to be called once all answers are in. */
