Ledger storms also move members between zones

Cause: storms rarely stayed calm for the 30 s after which members are spread. Change: a spread delay of 2 s in the storm test.

--- a/test/ledger/registers.test.ts
+++ b/test/ledger/registers.test.ts
@@ -163,6 +163,7 @@
       pageEntries: 1,
       bodyCatchUpLimit: 3_000,
       replacementGrace: 500,
+      spreadDelay: 2_000,
     },
     detectionDelay: 300,
   });
