--- a/src/ledger/group-change.ts
+++ b/src/ledger/group-change.ts
@@ -1,6 +1,6 @@
 /** Decides what the next record of a replica group should be, if it should change at all. */
 import { type GroupRecord, groupKey } from '../config-feed/configuration.js';
-import { identityKey, type NodeRecord } from '../core/identity.js';
+import { identityKey, type NodeIdentity, type NodeRecord } from '../core/identity.js';
 import { faultTolerance, fillMembers, targetSize } from './placement.js';
 
 /** What the decision rests on. */
@@ -10,6 +10,12 @@
   readonly replicaCount: number;
   /** Living nodes of the domain's zones. */
   readonly live: readonly NodeRecord[];
+  /** The record of a living node of the domain by its identity key. */
+  readonly liveRecord: (identity: string) => NodeRecord | undefined;
+  /** Zones of the domain with living nodes. */
+  readonly liveZones: ReadonlySet<string>;
+  /** Whether the set of living nodes has been the same for long. */
+  readonly isSettled: boolean;
   /** Whether a life has been gone for so long, or so surely, that it is to be replaced. */
   readonly isGone: (identity: string) => boolean;
 }
@@ -36,21 +42,46 @@
   situation: GroupSituation,
 ): GroupRecord | undefined {
   const { domain, shard, live, replicaCount } = situation;
-  const liveRecords = new Map(live.map((record) => [identityKey(record), record]));
   const isKept = (key: string): boolean => !situation.isGone(key);
   const kept = current.members.filter((member) => isKept(identityKey(member)));
   const removed = current.members.length - kept.length;
   if (removed > Math.floor((current.members.length - 1) / 2)) return undefined;
-  const aliveKept = kept.flatMap((member) => liveRecords.get(identityKey(member)) ?? []);
+  const aliveKept = kept.flatMap((member) => situation.liveRecord(identityKey(member)) ?? []);
   const waitedFor = kept.length - aliveKept.length;
   const size = targetSize(live.length, replicaCount) - waitedFor;
   const members = fillMembers(groupKey(domain, shard), aliveKept, live, size);
-  const silent = kept.filter((member) => !liveRecords.has(identityKey(member)));
+  const silent = kept.filter((member) => !situation.liveRecord(identityKey(member)));
   const nextMembers = [...identitiesOf(members), ...silent];
   const toleranceBefore = faultTolerance(current.members.length, aliveKept.length);
   const toleranceAfter = faultTolerance(nextMembers.length, members.length);
   const becomesPair = current.members.length === 1 && nextMembers.length === 2;
-  if (toleranceAfter <= toleranceBefore && !becomesPair) return undefined;
-  const { epoch, members: previousMembers } = current;
-  return { domain, shard, epoch: epoch + 1, members: nextMembers, previousMembers };
+  if (toleranceAfter > toleranceBefore || becomesPair) return successor(current, nextMembers);
+  const isWhole = situation.isSettled && aliveKept.length === current.members.length;
+  return isWhole ? planSpread(current, aliveKept, situation) : undefined;
+}
+
+/** Moves one member to a zone that has too few, once the fleet has settled. */
+function planSpread(
+  current: GroupRecord,
+  members: readonly NodeRecord[],
+  situation: GroupSituation,
+): GroupRecord | undefined {
+  if (members.length < 3) return undefined;
+  const key = groupKey(situation.domain, situation.shard);
+  const countIn = (zone: string): number => members.filter((item) => item.zone === zone).length;
+  const fullest = members.reduce((left, right) =>
+    countIn(right.zone) > countIn(left.zone) ? right : left,
+  );
+  const leastCount = Math.min(...[...situation.liveZones].map(countIn));
+  if (countIn(fullest.zone) - leastCount < 2) return undefined;
+  const kept = members.filter((member) => member !== fullest);
+  const next = fillMembers(key, kept, situation.live, members.length);
+  const added = next.at(-1);
+  if (added === undefined || countIn(fullest.zone) - countIn(added.zone) < 2) return undefined;
+  return successor(current, identitiesOf(next));
+}
+
+function successor(current: GroupRecord, members: readonly NodeIdentity[]): GroupRecord {
+  const { domain, shard, epoch, members: previousMembers } = current;
+  return { domain, shard, epoch: epoch + 1, members, previousMembers };
 }
