Replay judges recordings of real processes

A file whose first line says client-recording is judged by the clients' oracles; all others are traces as before.

--- a/lab/load/client-recording.ts
+++ b/lab/load/client-recording.ts
@@ -71,9 +71,10 @@
   return { holds, checked, violations: total };
 }
 
-/** Whether a line is the first line of a recording. */
-export function isRecordingHeader(line: string): boolean {
-  return recordingHeader.safeParse(JSON.parse(line)).success;
+/** Whether a file is a recording, by its first line. */
+export function isRecording(file: string): boolean {
+  const [first = ''] = readFileSync(file, 'utf8').split('\n', 1);
+  return recordingHeader.safeParse(JSON.parse(first)).success;
 }
 
 /** Writes a recording. */
