Ledger replicas leave a zone that their intent no longer names

Cause: a member that lives, but in a zone the domain does not name any more, was neither gone nor live for the planner: it stayed in its group for ever and went on receiving bodies. Ruled out: dropping the data at once (a majority may be there; results would be lost). Change: such members are evicted a minority at a time, even where the group is weaker for it; bodies are not sent to them meanwhile and still need a majority of the whole group.

--- a/lab/bench/ledger-fleet.ts
+++ b/lab/bench/ledger-fleet.ts
@@ -91,9 +91,11 @@
   readonly #options: FleetOptions;
   readonly #outcomes = new Map<string, (outcome: LedgerOutcome<unknown>) => void>();
   #operations = 0;
+  #domainZones: readonly string[];
 
   constructor(options: FleetOptions) {
     this.#options = options;
+    this.#domainZones = options.zones;
     this.random = createRandomSource(options.seed);
     this.keyValue = new SimulatedKeyValue(createRandomSource(options.seed + 1));
     this.keyValue.onWrite = (entry) => this.#feed(entry.value);
@@ -271,9 +273,15 @@
     });
   }
 
+  /** Changes the zones that the domain names. */
+  nameZones(zones: readonly string[]): void {
+    this.#domainZones = zones;
+    this.#shareMembers();
+  }
+
   #shareMembers(): void {
     const members = this.nodes.map(({ record, isUp }) => ({ record, alive: isUp }));
-    const domains = [{ name: this.domain, zones: this.#options.zones }];
+    const domains = [{ name: this.domain, zones: this.#domainZones }];
     for (const node of this.nodes) {
       if (!node.isUp) continue;
       this.#work(node, () => node.ledger.updateMembers(members, domains, this.queue.now));
--- a/src/ledger/body-operation.ts
+++ b/src/ledger/body-operation.ts
@@ -1,9 +1,11 @@
 /** Storing a body on a majority of a group, and fetching one from any member. */
 import type { GroupRecord } from '../config-feed/configuration.js';
 import { contentDigest } from '../core/hashing.js';
-import { identityKey } from '../core/identity.js';
+import { identityKey, type NodeIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { LedgerEnvironment } from './environment.js';
+import { majorityOf } from './group-record.js';
+import type { MemberView } from './member-view.js';
 import type { LedgerContent, LedgerMessage } from './messages.js';
 import type { LedgerOutcome } from './requests.js';
 import { Round } from './round.js';
@@ -11,6 +13,7 @@
 /** What a body operation needs from the ledger. */
 export interface BodyOperationHost<Value> {
   readonly environment: LedgerEnvironment<Value>;
+  readonly view: MemberView;
   group(domain: string, shard: number): GroupRecord | undefined;
   route(request: number, operation: BodyOperation<Value>): void;
   unroute(request: number): void;
@@ -90,7 +93,9 @@
     this.#group = group;
     this.#missing = new Set();
     const { content } = this.#request;
-    const round = new Round(this.#host.environment, group, group.members, content, now);
+    const { environment } = this.#host;
+    const quorum = majorityOf(group.members.length);
+    const round = new Round(environment, group, this.#receivers(group), content, now, quorum);
     this.#round = round;
     this.#host.route(round.request, this);
     this.#wasSent = true;
@@ -98,6 +103,14 @@
     else round.openToOne();
   }
 
+  /** A body is never sent to a member in a zone that the domain no longer names. */
+  #receivers(group: GroupRecord): readonly NodeIdentity[] {
+    const { content, domain } = this.#request;
+    if (content.kind === 'body-fetch') return group.members;
+    const { view } = this.#host;
+    return group.members.filter((member) => !view.isMisplaced(domain, identityKey(member)));
+  }
+
   #receiveBody(from: string, body: string | null, round: Round<Value>): void {
     const { content } = this.#request;
     const { digest } = content;
--- a/src/ledger/group-change.ts
+++ b/src/ledger/group-change.ts
@@ -18,6 +18,8 @@
   readonly isSettled: boolean;
   /** Whether a life has been gone for so long, or so surely, that it is to be replaced. */
   readonly isGone: (identity: string) => boolean;
+  /** Whether a living member is in a zone that the domain no longer names. */
+  readonly isMisplaced: (identity: string) => boolean;
 }
 
 function identitiesOf(members: readonly NodeRecord[]) {
@@ -35,17 +37,21 @@
 
 /**
  * The record that follows the current one; `undefined` where no change is of use. A majority of
- * the current members always stays, and at most a minority is removed.
+ * the current members always stays, and at most a minority is removed. Members in a zone that the
+ * domain no longer names are removed even where the group is weaker for it, a minority at a time.
  */
 export function planChange(
   current: GroupRecord,
   situation: GroupSituation,
 ): GroupRecord | undefined {
   const { domain, shard, live, replicaCount } = situation;
-  const isKept = (key: string): boolean => !situation.isGone(key);
-  const kept = current.members.filter((member) => isKept(identityKey(member)));
-  const removed = current.members.length - kept.length;
-  if (removed > Math.floor((current.members.length - 1) / 2)) return undefined;
+  const minority = Math.floor((current.members.length - 1) / 2);
+  const present = current.members.filter((member) => !situation.isGone(identityKey(member)));
+  const gone = current.members.length - present.length;
+  if (gone > minority) return undefined;
+  const misplaced = present.filter((member) => situation.isMisplaced(identityKey(member)));
+  const evicted = misplaced.slice(0, minority - gone);
+  const kept = present.filter((member) => !evicted.includes(member));
   const aliveKept = kept.flatMap((member) => situation.liveRecord(identityKey(member)) ?? []);
   const waitedFor = kept.length - aliveKept.length;
   const size = targetSize(live.length, replicaCount) - waitedFor;
@@ -54,6 +60,7 @@
   const nextMembers = [...identitiesOf(members), ...silent];
   const toleranceBefore = faultTolerance(current.members.length, aliveKept.length);
   const toleranceAfter = faultTolerance(nextMembers.length, members.length);
+  if (evicted.length > 0) return successor(current, nextMembers);
   const becomesPair = current.members.length === 1 && nextMembers.length === 2;
   if (toleranceAfter > toleranceBefore || becomesPair) return successor(current, nextMembers);
   const isWhole = situation.isSettled && aliveKept.length === current.members.length;
--- a/src/ledger/group-manager.ts
+++ b/src/ledger/group-manager.ts
@@ -114,7 +114,9 @@
         .map(identityKey),
     );
     const live = view.liveIn(domain);
-    const isWhole = gone.size === 0 && (current?.members.length ?? 0) >= replicaCount;
+    const isMisplaced = (identity: string): boolean => view.isMisplaced(domain.name, identity);
+    const isInPlace = !(current?.members ?? []).some((member) => isMisplaced(identityKey(member)));
+    const isWhole = isInPlace && gone.size === 0 && (current?.members.length ?? 0) >= replicaCount;
     const isSettled = now - view.changedAt >= spreadDelay;
     if (isWhole && !isSettled) return undefined;
     const situation: GroupSituation = {
@@ -126,6 +128,7 @@
       liveRecord: (identity) => view.liveRecord(domain, identity),
       liveZones: view.liveZones(domain),
       isGone: (identity) => gone.has(identity),
+      isMisplaced,
     };
     return current === undefined ? planCreation(situation) : planChange(current, situation);
   }
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -58,7 +58,7 @@
     this.#groups = new GroupTable(environment, this.#activations);
     this.#service = new ReplicaService(environment);
     this.#removals = new Removals(environment);
-    this.#operations = new Operations(environment, this.#groups);
+    this.#operations = new Operations(environment, this.#groups, this.#view);
     this.#manager = new GroupManager({
       environment,
       view: this.#view,
--- a/src/ledger/member-view.ts
+++ b/src/ledger/member-view.ts
@@ -60,6 +60,13 @@
     return record !== undefined && domain.zones.includes(record.zone) ? record : undefined;
   }
 
+  /** Whether a living node is in a zone that the domain does not name, or no longer names. */
+  isMisplaced(domainName: string, identity: string): boolean {
+    const domain = this.domains.find((item) => item.name === domainName);
+    const zone = this.#records.get(identity)?.zone;
+    return domain !== undefined && zone !== undefined && !domain.zones.includes(zone);
+  }
+
   /** Zones of a domain with living nodes. */
   liveZones(domain: LedgerDomain): ReadonlySet<string> {
     let zones = this.#zonesByDomain.get(domain.name);
--- a/src/ledger/operations.ts
+++ b/src/ledger/operations.ts
@@ -4,6 +4,7 @@
 import { BodyOperation, type BodyRequest } from './body-operation.js';
 import type { LedgerEnvironment } from './environment.js';
 import type { GroupTable } from './group-table.js';
+import type { MemberView } from './member-view.js';
 import type { LedgerMessage } from './messages.js';
 import type { RegisterOperation } from './operation.js';
 import { PreparedRegisters } from './prepared-registers.js';
@@ -20,7 +21,11 @@
   /** Which proposer or body operation waits for answers to a request. */
   readonly #routes = new Map<number, AnswerReceiver>();
 
-  constructor(environment: LedgerEnvironment<Value>, groups: GroupTable<Value>) {
+  constructor(
+    environment: LedgerEnvironment<Value>,
+    groups: GroupTable<Value>,
+    readonly view: MemberView,
+  ) {
     this.environment = environment;
     this.#groups = groups;
     this.prepared = new PreparedRegisters(environment.settings.preparedLimit);
--- a/src/ledger/round.ts
+++ b/src/ledger/round.ts
@@ -16,20 +16,24 @@
   readonly #content: LedgerContent;
   readonly #agreed = new Set<string>();
   readonly #opposed = new Set<string>();
+  readonly #quorum: number;
   #interval: Milliseconds;
   #resendAt: Milliseconds;
 
+  /** @param quorum how many must agree; by default a majority of the members asked */
   constructor(
     environment: LedgerEnvironment<Value>,
     about: ShardEpoch,
     members: readonly NodeIdentity[],
     content: LedgerContent,
     now: Milliseconds,
+    quorum = majorityOf(members.length),
   ) {
     this.#environment = environment;
     this.#about = about;
     this.#content = content;
     this.members = members;
+    this.#quorum = quorum;
     this.request = environment.nextRequest();
     this.#interval = environment.settings.resendInterval;
     this.#resendAt = now + this.#interval;
@@ -39,7 +43,7 @@
   open(): void {
     const { alive } = this.#environment;
     const living = this.members.filter((member) => alive.has(identityKey(member)));
-    const targets = living.length >= majorityOf(this.members.length) ? living : this.members;
+    const targets = living.length >= this.#quorum ? living : this.members;
     for (const member of targets) this.#send(member);
   }
 
@@ -90,9 +94,9 @@
     if (!this.#agreed.has(from) && this.#isMember(from)) this.#opposed.add(from);
   }
 
-  /** Whether a majority of the members agreed. */
+  /** Whether as many members agreed as must. */
   get hasMajority(): boolean {
-    return this.#agreed.size >= majorityOf(this.members.length);
+    return this.#agreed.size >= this.#quorum;
   }
 
   /** Whether all members agreed. */
@@ -100,9 +104,9 @@
     return this.#agreed.size === this.members.length;
   }
 
-  /** Whether so many members opposed that no majority can agree. */
+  /** Whether so many members opposed that too few can agree. */
   get hasFailed(): boolean {
-    return this.members.length - this.#opposed.size < majorityOf(this.members.length);
+    return this.#opposed.size > 0 && this.members.length - this.#opposed.size < this.#quorum;
   }
 
   #isMember(key: string): boolean {
--- a/test/ledger/group-change.test.ts
+++ b/test/ledger/group-change.test.ts
@@ -25,7 +25,8 @@
   const liveZones = new Set(live.map((record) => record.zone));
   const liveRecord = (identity: string) => live.find((item) => identityKey(item) === identity);
   const group = { domain: 'd', shard: 0, replicaCount: 5 };
-  return { ...group, live, liveRecord, liveZones, isSettled, isGone };
+  const isMisplaced = (): boolean => false;
+  return { ...group, live, liveRecord, liveZones, isSettled, isGone, isMisplaced };
 }
 
 function recordOf(members: readonly NodeRecord[]): GroupRecord {
