Disk: bodies of ledger replicas kept under the data folder as a cache

A repair reads a listed body from disk first and asks the members that list it when that fails. Conclusion: the disk decides nothing; any of its files may be lost.

--- a/src/ledger/body-store.ts
+++ b/src/ledger/body-store.ts
@@ -4,6 +4,7 @@
  */
 import { contentDigest } from '../core/hashing.js';
 import type { Milliseconds } from '../core/units.js';
+import type { ReplicaDisk } from './disk-bodies.js';
 import type { BodyName } from './messages.js';
 
 /** Counts bytes of bodies over all shards of one node, against a limit. */
@@ -32,9 +33,11 @@
   /** Names or whole shard keys that were removed, with the time until which that is known. */
   readonly #removed = new Map<string, Milliseconds>();
   readonly #budget: BodyBudget;
+  readonly #disk: ReplicaDisk | null;
 
-  constructor(budget: BodyBudget) {
+  constructor(budget: BodyBudget, disk: ReplicaDisk | null = null) {
     this.#budget = budget;
+    this.#disk = disk;
   }
 
   /** Stores a body; one with a wrong digest, removed or beyond the limit is not stored. */
@@ -48,6 +51,7 @@
     const { shardKey, digest } = name;
     this.#bodies.set(key, { shardKey, digest, body, bytes, expiresAt });
     this.#budget.bytes += bytes;
+    this.#disk?.stored({ shardKey, digest }, body);
     return 'stored';
   }
 
@@ -116,5 +120,6 @@
   #delete(key: string, stored: StoredBody): void {
     this.#bodies.delete(key);
     this.#budget.bytes -= stored.bytes;
+    this.#disk?.deleted({ shardKey: stored.shardKey, digest: stored.digest });
   }
 }
--- a/src/ledger/environment.ts
+++ b/src/ledger/environment.ts
@@ -5,6 +5,7 @@
 import { identityKey, type NodeIdentity } from '../core/identity.js';
 import type { RegisterBudget } from './acceptor.js';
 import type { BodyBudget } from './body-store.js';
+import { DiskBodies } from './disk-bodies.js';
 import type { LedgerContent, LedgerMessage } from './messages.js';
 import type { LedgerSettings } from './options.js';
 import type { LedgerCounters, LedgerEffect, LedgerOutcome } from './requests.js';
@@ -22,6 +23,7 @@
   readonly selfKey: string;
   readonly registerBudget: RegisterBudget;
   readonly bodyBudget: BodyBudget;
+  readonly disk: DiskBodies;
   readonly counters: LedgerCounters = {
     changesCompleted: 0,
     operationsUnavailable: 0,
@@ -31,6 +33,8 @@
     groupChangesDecided: 0,
     activations: 0,
     bodiesRepaired: 0,
+    bodiesLoaded: 0,
+    bodiesUnreadable: 0,
     fullRefusals: 0,
   };
   /** Identity keys of the lives that the membership sees alive. */
@@ -44,6 +48,11 @@
     this.selfKey = identityKey(settings.self);
     this.registerBudget = { count: 0, limit: settings.registerLimit };
     this.bodyBudget = { bytes: 0, limit: settings.bodyBytesLimit };
+    this.disk = new DiskBodies({
+      found: settings.diskBodies,
+      shardsPerDomain: settings.shardsPerDomain,
+      request: (request) => this.emit({ kind: 'disk', request }),
+    });
   }
 
   /** A number that no other request of this life has. */
--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueResult } from '../platform/key-value.js';
 import { Activations } from './activations.js';
+import type { DiskBodyName } from './disk-bodies.js';
 import { LedgerEnvironment } from './environment.js';
 import { GroupManager } from './group-manager.js';
 import { GroupTable } from './group-table.js';
@@ -32,6 +33,7 @@
   StoreBodyRequest,
 } from './requests.js';
 
+export type { DiskBodyName, DiskRequest } from './disk-bodies.js';
 export { decodeGroupRecord, encodeGroupRecord } from './group-record.js';
 export type { LedgerMessage } from './messages.js';
 export type { LedgerOptions } from './options.js';
@@ -181,6 +183,13 @@
     return this.#settle(now);
   }
 
+  /** Takes a body that a `load` request asked the disk for; `null` where it cannot be read. */
+  bodyLoaded(name: DiskBodyName, body: string | null, now: Milliseconds): Effects<Value> {
+    const replica = this.#groups.replica(name.domain, this.#shardOf(name.shardKey));
+    replica?.bodyLoaded(name, body, now);
+    return this.#settle(now);
+  }
+
   /** Accepted values below a prefix in shards this node votes in; hints, maybe not agreed. */
   *localEntries(keyPrefix: string): Iterable<LocalEntry<Value>> {
     for (const replica of this.#groups.replicas()) {
--- a/src/ledger/options.ts
+++ b/src/ledger/options.ts
@@ -2,6 +2,7 @@
 import type { NodeRecord } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import { MINUTE, type Milliseconds, SECOND } from '../core/units.js';
+import type { DiskBodyName } from './disk-bodies.js';
 
 /** Settings that have a default. */
 export interface LedgerTuning {
@@ -49,10 +50,12 @@
 export interface LedgerOptions extends Partial<LedgerTuning> {
   readonly self: NodeRecord;
   readonly random: RandomSource;
+  /** Bodies an earlier life left on this node's disk; `null`, the default, without a disk. */
+  readonly diskBodies?: readonly DiskBodyName[] | null;
 }
 
 /** Settings with all defaults filled in. */
-export type LedgerSettings = LedgerTuning & Pick<LedgerOptions, 'self' | 'random'>;
+export type LedgerSettings = LedgerTuning & Required<LedgerOptions>;
 
 const DEFAULT_TUNING: LedgerTuning = {
   shardsPerDomain: 8,
@@ -78,5 +81,5 @@
 
 /** Fills in the defaults. */
 export function resolveLedgerOptions(options: LedgerOptions): LedgerSettings {
-  return { ...DEFAULT_TUNING, ...options };
+  return { ...DEFAULT_TUNING, diskBodies: null, ...options };
 }
--- a/src/ledger/replica.ts
+++ b/src/ledger/replica.ts
@@ -11,9 +11,10 @@
 import { BodyStore } from './body-store.js';
 import { BodyTransfer } from './body-transfer.js';
 import { CatchUp, type CatchUpResult } from './catch-up.js';
+import type { ReplicaDisk } from './disk-bodies.js';
 import type { LedgerEnvironment } from './environment.js';
 import { allMembersOf, includesIdentity } from './group-record.js';
-import type { LedgerMessage, RegisterEntry, Tombstone } from './messages.js';
+import type { BodyName, LedgerMessage, RegisterEntry, Tombstone } from './messages.js';
 
 /** How often a replica with state of a past epoch asks whether it may drop that state. */
 const DROP_QUERY_INTERVAL: Milliseconds = 1_000;
@@ -28,6 +29,7 @@
   newest: GroupRecord;
   readonly #environment: LedgerEnvironment<Value>;
   readonly #activations: Activations;
+  readonly #disk: ReplicaDisk;
   /** Epoch whose registers this replica holds; 0 before the first. */
   #activeEpoch = 0;
   /** No vote is cast in this epoch or below. */
@@ -48,7 +50,8 @@
     this.#environment = environment;
     this.#activations = activations;
     this.acceptor = new Acceptor(environment.registerBudget);
-    this.bodies = new BodyStore(environment.bodyBudget);
+    this.#disk = environment.disk.forReplica(record.domain, record.shard);
+    this.bodies = new BodyStore(environment.bodyBudget, this.#disk);
     this.newest = record;
     this.#enter(record, now);
   }
@@ -124,6 +127,12 @@
     this.#checkTransfer();
   }
 
+  /** Takes a body, or `null`, that this replica asked its own disk for. */
+  bodyLoaded(name: BodyName, body: string | null, now: Milliseconds): void {
+    this.#transfer?.bodyLoaded(name, body, now);
+    this.#checkTransfer();
+  }
+
   /** Applies a removal. */
   remove(tombstone: Tombstone, digests: readonly string[] | null, now: Milliseconds): void {
     const until = now + this.#environment.settings.tombstoneLifetime;
@@ -165,7 +174,7 @@
     for (const caughtUp of this.#catchUps.keys()) {
       if (caughtUp <= epoch) this.#catchUps.delete(caughtUp);
     }
-    this.#transfer = new BodyTransfer(this.#environment, record, this.bodies);
+    this.#transfer = new BodyTransfer(this.#environment, record, this.bodies, this.#disk);
     this.#environment.counters.activations += 1;
     const { domain, shard } = record;
     const details = { domain, shard, epoch };
@@ -177,6 +186,7 @@
   #checkTransfer(): void {
     if (this.#transfer?.isComplete !== true) return;
     this.#transfer = undefined;
+    this.#disk.complete();
     if (this.#activeEpoch === this.newest.epoch) this.#announce(this.newest);
   }
 
--- a/src/ledger/requests.ts
+++ b/src/ledger/requests.ts
@@ -2,6 +2,7 @@
 import type { NodeIdentity, NodeRecord, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueOperation } from '../platform/key-value.js';
+import type { DiskRequest } from './disk-bodies.js';
 import type { LedgerMessage } from './messages.js';
 
 /** A node as the membership sees it. */
@@ -89,6 +90,8 @@
       readonly operationId: string;
       readonly outcome: LedgerOutcome<Value>;
     }
+  /** Given by nodes with a disk only. */
+  | { readonly kind: 'disk'; readonly request: DiskRequest }
   | {
       readonly kind: 'state-change';
       readonly change: string;
@@ -127,6 +130,11 @@
   refusals: number;
   groupChangesDecided: number;
   activations: number;
+  /** Bodies fetched from other members during a repair. */
   bodiesRepaired: number;
+  /** Bodies read from this node's own disk instead. */
+  bodiesLoaded: number;
+  /** Bodies on this node's disk that were missing, damaged or read too slowly. */
+  bodiesUnreadable: number;
   fullRefusals: number;
 }
--- a/src/node.ts
+++ b/src/node.ts
@@ -14,12 +14,17 @@
 import { KeyValueClient } from './platform/key-value-client.js';
 import { MachineListClient } from './platform/machine-list-client.js';
 import type { Settings } from './settings/settings.js';
+import { BodyFolder } from './storage/body-folder.js';
 import { createLogger, type NodeLogger } from './telemetry/logger.js';
 import { NodeMetrics } from './telemetry/node-metrics.js';
 import { PeerTransport } from './transport/peer-transport.js';
 
 /** Exit code of a process that was told to end at once. */
 const EXIT_ENDED_AT_ONCE = 1;
+/** Exit code of a process that could not use its data folder. */
+const EXIT_REFUSED = 1;
+/** Room on disk, as a multiple of that in memory: for bodies of this life and of the last. */
+const DISK_SHARE = 2;
 
 /** Where a server listens. */
 interface Endpoint {
@@ -34,12 +39,15 @@
   const self = nodeRecord(settings);
   const { token } = settings.peers;
   const transport = new PeerTransport({ self, listen: parseEndpoint(node.peerListen), token });
-  const effects = createEffects(settings, transport, logger);
-  const core = createCore(settings, self);
+  const disk = await openDisk(settings, logger);
+  if (disk === 'refused') return EXIT_REFUSED;
+  const effects = createEffects(settings, transport, logger, disk);
+  const core = createCore(settings, self, disk);
   const metrics = new NodeMetrics(
     () => core.counters(),
     () => transport.stats(),
   );
+  if (disk !== null) metrics.addStats('disk', 'Data folder', () => disk.stats());
   const runner = new NodeRunner(core, effects, transport.received, () => metrics.text());
   const gateway = createGateway(settings, runner);
   await transport.start();
@@ -52,6 +60,7 @@
   runner.close();
   effects.close();
   await transport.stop();
+  await disk?.close();
   logger.logStateChange('node', 'stopped', {});
   return 0;
 }
@@ -61,7 +70,29 @@
   return { node: name, incarnation: Date.now(), zone, region, machine, address: peerListen };
 }
 
-function createCore(settings: Settings, self: NodeRecord): NodeCore {
+/** Opens the data folder; `null` on a machine without a disk, `refused` where it cannot be used. */
+async function openDisk(
+  settings: Settings,
+  logger: NodeLogger,
+): Promise<BodyFolder | null | 'refused'> {
+  const folder = settings.node.dataFolder;
+  if (folder === null) return null;
+  try {
+    const disk = await BodyFolder.open({
+      folder,
+      bytesLimit: settings.limits.maxResultBytes * DISK_SHARE,
+      logChange: (change, details) => logger.logStateChange('storage', change, details),
+    });
+    logger.logStateChange('storage', 'data folder opened', { ...disk.usage() });
+    return disk;
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    logger.logStateChange('storage', 'data folder refused', { folder, reason });
+    return 'refused';
+  }
+}
+
+function createCore(settings: Settings, self: NodeRecord, disk: BodyFolder | null): NodeCore {
   const operators = settings.accounts.filter((account) => account.role === 'operator');
   return new NodeCore({
     self,
@@ -72,6 +103,7 @@
     replicaCount: settings.fleet.replicas,
     shardsPerDomain: settings.fleet.shardsPerDomain,
     machineListInterval: settings.timing.machineListInterval,
+    diskBodies: disk?.found() ?? null,
   });
 }
 
@@ -79,6 +111,7 @@
   settings: Settings,
   transport: PeerTransport,
   logger: NodeLogger,
+  disk: BodyFolder | null,
 ): EffectRunner {
   const { keyValue, machineList } = settings.platform;
   const requestTimeout = settings.timing.keyValueTimeout;
@@ -88,6 +121,7 @@
     engines: new EngineClient(),
     machineList: new MachineListClient({ address: machineList }),
     logger,
+    disk,
   });
 }
 
--- a/src/node/effect-runner.ts
+++ b/src/node/effect-runner.ts
@@ -7,6 +7,7 @@
 import type { KeyValueResult } from '../platform/key-value.js';
 import type { KeyValueClient } from '../platform/key-value-client.js';
 import type { MachineListClient } from '../platform/machine-list-client.js';
+import type { BodyFolder } from '../storage/body-folder.js';
 import type { NodeLogger } from '../telemetry/logger.js';
 import type { PeerTransport } from '../transport/peer-transport.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
@@ -19,6 +20,8 @@
   readonly engines: EngineClient;
   readonly machineList: MachineListClient;
   readonly logger: NodeLogger;
+  /** `null` on a machine without a disk. */
+  readonly disk: BodyFolder | null;
 }
 
 /** Carries out effects. */
@@ -30,7 +33,11 @@
   private keyValueIndex = 0;
   private pollingMachineList = false;
 
-  constructor(private readonly clients: EffectClients) {}
+  constructor(private readonly clients: EffectClients) {
+    clients.disk?.loaded.subscribe(({ name, body }) => {
+      this.events.next({ kind: 'body-loaded', name, body });
+    });
+  }
 
   /** Carries out one effect; replies and `stopped` are the caller's business. */
   run(effect: NodeEffect): void {
@@ -62,6 +69,9 @@
       case 'machine-list-poll':
         void this.pollMachineList();
         return;
+      case 'disk':
+        this.clients.disk?.perform(effect.request);
+        return;
       case 'state-change':
         this.clients.logger.logStateChange(effect.module, effect.change, effect.details);
         return;
--- a/src/node/ledger-adapter.ts
+++ b/src/node/ledger-adapter.ts
@@ -105,6 +105,9 @@
       case 'completed':
         this.complete(effect);
         return;
+      case 'disk':
+        this.context.emit(effect);
+        return;
       case 'state-change':
         this.context.stateChange('ledger', effect.change, effect.details);
         return;
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -111,6 +111,9 @@
       case 'machine-list':
         modules.machineList(event.machines);
         return;
+      case 'body-loaded':
+        modules.ledgerAdapter.apply(modules.ledger.bodyLoaded(event.name, event.body, now));
+        return;
       case 'call':
         this.call(event.callId, event.call);
         return;
--- a/src/node/node-events.ts
+++ b/src/node/node-events.ts
@@ -4,6 +4,7 @@
  */
 import type { GenerationRequest } from '../core/generation.js';
 import type { NodeIdentity, NodeRecord, WorkerId } from '../core/identity.js';
+import type { DiskBodyName, DiskRequest } from '../ledger/ledger.js';
 import type {
   KeyValueOperation,
   KeyValueResult,
@@ -41,6 +42,12 @@
   | { readonly kind: 'worker-unreachable'; readonly worker: WorkerId }
   | { readonly kind: 'order-result'; readonly orderId: string; readonly result: WorkerOrderResult }
   | { readonly kind: 'machine-list'; readonly machines: readonly MachineRecord[] }
+  | {
+      /** Answers a `load` request; the body is `null` where it cannot be read. */
+      readonly kind: 'body-loaded';
+      readonly name: DiskBodyName;
+      readonly body: string | null;
+    }
   | { readonly kind: 'call'; readonly callId: string; readonly call: NodeCall }
   | { readonly kind: 'call-abandoned'; readonly callId: string }
   | { readonly kind: 'stop' };
@@ -81,6 +88,8 @@
       readonly order: WorkerOrder;
     }
   | { readonly kind: 'machine-list-poll' }
+  /** Only on nodes with a disk; requests are carried out in order. */
+  | { readonly kind: 'disk'; readonly request: DiskRequest }
   | { readonly kind: 'reply'; readonly callId: string; readonly reply: CallReply }
   | {
       /** One log line; only for changes of state. */
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -12,7 +12,7 @@
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { IntentService, type IntentServiceEffect } from '../intents/intent-service.js';
-import { Ledger } from '../ledger/ledger.js';
+import { Ledger, type LedgerDomain } from '../ledger/ledger.js';
 import { Membership, type MembershipEffect } from '../membership/membership.js';
 import type { KeyValueResult } from '../platform/key-value.js';
 import type { MachineRecord, WorkerRecord, WorkerReport } from '../platform/worker.js';
@@ -23,6 +23,7 @@
 import { WeightController } from '../weights/weight-controller.js';
 import type { WeightControllerEffect } from '../weights/weight-controller-types.js';
 import type { NodeCall, Readiness } from './calls.js';
+import { DiskResidency } from './disk-residency.js';
 import { LEDGER_REQUEST_PREFIX, LedgerAdapter } from './ledger-adapter.js';
 import { NodeContext } from './node-context.js';
 import { type NodeCoreOptions, type NodeSettings, resolveNodeOptions } from './node-options.js';
@@ -52,6 +53,7 @@
   readonly permission: PermissionCheck;
   readonly work: WorkModules;
   private readonly explainLog = new ExplainLog();
+  private readonly diskResidency: DiskResidency | null = null;
   private machines: readonly MachineRecord[] = [];
   /** Without it a node cannot tell being alone from not having been told of others. */
   private machineListSeen = false;
@@ -76,8 +78,10 @@
       random,
       replicaCount: settings.replicaCount,
       shardsPerDomain: settings.shardsPerDomain,
+      diskBodies: settings.diskBodies,
     });
     this.ledgerAdapter = new LedgerAdapter(this.ledger, this.context);
+    if (settings.diskBodies !== null) this.diskResidency = new DiskResidency();
     this.directory = new WorkerDirectory({ self, random });
     this.weights = new WeightController({ self, random });
     const zones = settings.zones.map((zone) => zone.name);
@@ -356,6 +360,7 @@
     const domains = [...configuration.intents.values()].map(({ name, zones }) => {
       return { name, zones: this.residentZones(zones) };
     });
+    this.refreshDisk(domains);
     const members = this.membership.members().map(({ record, state }) => {
       return { record, alive: state === 'alive' || state === 'suspect' };
     });
@@ -363,6 +368,13 @@
     this.ledgerAdapter.apply(this.ledger.updateGroups(configuration.groups.values(), now));
   }
 
+  /** Tells the disk which domains may have bodies here, once the configuration is known. */
+  private refreshDisk(domains: readonly LedgerDomain[]): void {
+    if (this.diskResidency === null || this.feed.completeRevision() === 0) return;
+    const request = this.diskResidency.update(domains, this.settings.self.zone);
+    if (request !== null) this.context.emit({ kind: 'disk', request });
+  }
+
   /** Zones that may hold an intent's ledger replicas. */
   private residentZones(zones: readonly string[]): readonly string[] {
     if (this.settings.mechanisms['residency-replicas']) return zones;
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -2,6 +2,7 @@
 import type { AccountName, NodeRecord, RegionName, ZoneName } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
+import type { DiskBodyName } from '../ledger/ledger.js';
 import { ALL_MECHANISMS, type MechanismSwitches } from './mechanisms.js';
 
 /** A zone of the fleet. */
@@ -31,6 +32,8 @@
   readonly hedging?: boolean;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
+  /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
+  readonly diskBodies?: readonly DiskBodyName[] | null;
   /** Mechanisms; all on but in the lab. */
   readonly mechanisms?: MechanismSwitches;
 }
@@ -45,6 +48,7 @@
   shardsPerDomain: 8,
   routingPolicy: 'home-counting',
   machineListInterval: 2_000,
+  diskBodies: null,
 } as const;
 
 /** Options with all defaults filled in. */
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -28,9 +28,21 @@
     for (const name of COUNTER_NAMES) {
       this.add({ name, help: COUNTER_HELP[name], read: () => counters()[name] });
     }
-    for (const name of Object.keys(transport()) as (keyof TransportStats)[]) {
-      const help = `Node-to-node transport: ${name}`;
-      this.add({ name: `transport_${snakeCase(name)}`, help, read: () => transport()[name] });
+    this.addStats('transport', 'Node-to-node transport', transport);
+  }
+
+  /** Exports counts that only rise, named by the prefix and the count's own name. */
+  addStats<Name extends string>(
+    prefix: string,
+    help: string,
+    stats: () => Readonly<Record<Name, number>>,
+  ): void {
+    for (const name of Object.keys(stats()) as Name[]) {
+      this.add({
+        name: `${prefix}_${snakeCase(name)}`,
+        help: `${help}: ${name}`,
+        read: () => stats()[name],
+      });
     }
   }
 
