--- a/lab/bench/storage-fleet.ts
+++ b/lab/bench/storage-fleet.ts
@@ -11,50 +11,18 @@
   type DiskRequest,
   decodeGroupRecord,
   Ledger,
-  type LedgerCounters,
   type LedgerEffect,
   type LedgerMessage,
 } from '../../src/ledger/ledger.js';
 import { EventQueue } from './ledger-event-queue.js';
 import { SimulatedKeyValue } from './ledger-key-value.js';
-
-/** Delay and bandwidth of a link or a disk. */
-export interface ChannelSpeed {
-  /** Milliseconds. */
-  readonly latency: number;
-  readonly bytesPerSecond: number;
-}
-
-/** What a disk does wrong after the restart, to every so-manieth body. */
-export interface DiskFault {
-  readonly kind: 'damaged' | 'missing' | 'silent';
-  readonly every: number;
-}
-
-/** Settings of {@link RestartFleet}. */
-export interface RestartFleetOptions {
-  readonly seed: number;
-  readonly hasDisk: boolean;
-  readonly fault?: DiskFault;
-  /** Default 1 ms and 1 Gbit/s. */
-  readonly link?: ChannelSpeed;
-  /** Default 0.2 ms and 200 MB/s. */
-  readonly disk?: ChannelSpeed;
-}
-
-/** What a restart came to. */
-export interface RestartReport {
-  /** Bytes of messages that the new life received from peers until it was complete. */
-  readonly bytesFromPeers: number;
-  /** Milliseconds from the new life being a member until it votes; `null` if never. */
-  readonly activeAfter: number | null;
-  /** Milliseconds until it holds all bodies; `null` if never. */
-  readonly completeAfter: number | null;
-  readonly counters: Readonly<LedgerCounters>;
-  readonly bodyBytesHeld: number;
-  readonly bodiesOnDisk: number;
-  readonly diskRequests: number;
-}
+import {
+  DEFAULT_DISK,
+  DEFAULT_LINK,
+  type DiskFault,
+  type RestartFleetOptions,
+  type RestartReport,
+} from './storage-fleet-options.js';
 
 interface FleetMember {
   record: NodeRecord;
@@ -148,8 +116,10 @@
     }
     const bytesFromPeers = member.receivedBytes;
     this.#run(1_000);
+    const memberAfter = memberSince === null ? null : memberSince - now;
     return {
       bytesFromPeers,
+      memberAfter,
       activeAfter,
       completeAfter,
       counters: member.ledger.counters,
@@ -305,6 +275,3 @@
     this.#queue.runUntil(this.#queue.now + milliseconds);
   }
 }
-
-const DEFAULT_LINK: ChannelSpeed = { latency: 1, bytesPerSecond: 125_000_000 };
-const DEFAULT_DISK: ChannelSpeed = { latency: 0.2, bytesPerSecond: 200_000_000 };
--- a/src/node.ts
+++ b/src/node.ts
@@ -14,7 +14,7 @@
 import { KeyValueClient } from './platform/key-value-client.js';
 import { MachineListClient } from './platform/machine-list-client.js';
 import type { Settings } from './settings/settings.js';
-import { BodyFolder } from './storage/body-folder.js';
+import type { BodyFolder } from './storage/body-folder.js';
 import { createLogger, type NodeLogger } from './telemetry/logger.js';
 import { NodeMetrics } from './telemetry/node-metrics.js';
 import { PeerTransport } from './transport/peer-transport.js';
@@ -78,7 +78,9 @@
   const folder = settings.node.dataFolder;
   if (folder === null) return null;
   try {
-    const disk = await BodyFolder.open({
+    // Only machines with a disk need the database library.
+    const storage = await import('./storage/body-folder.js');
+    const disk = await storage.BodyFolder.open({
       folder,
       bytesLimit: settings.limits.maxResultBytes * DISK_SHARE,
       logChange: (change, details) => logger.logStateChange('storage', change, details),
--- a/src/storage/body-folder.ts
+++ b/src/storage/body-folder.ts
@@ -45,8 +45,8 @@
   logChange: (): void => {},
 };
 
-/** Time between two searches for bodies past their lifetime, in milliseconds. */
-const EXPIRY_INTERVAL = 60_000;
+/** Time between two searches for what must go, in milliseconds. */
+const UPKEEP_INTERVAL = 60_000;
 
 const BODIES = 'bodies';
 const SET_ASIDE = 'set-aside';
@@ -64,7 +64,9 @@
   private last: Promise<void> = Promise.resolve();
   private backlogBytes = 0;
   private isFull = false;
-  private readonly expiryTimer: NodeJS.Timeout;
+  /** Whether files of other domains may still be there. */
+  private mustDelete = false;
+  private readonly upkeepTimer: NodeJS.Timeout;
 
   private constructor(
     private readonly options: Required<BodyFolderOptions>,
@@ -75,8 +77,8 @@
       stats: createDiskStats(),
       logChange: options.logChange,
     };
-    this.expiryTimer = setInterval(() => this.enqueue(() => this.expire()), EXPIRY_INTERVAL);
-    this.expiryTimer.unref();
+    this.upkeepTimer = setInterval(() => this.keepUp(), UPKEEP_INTERVAL);
+    this.upkeepTimer.unref();
   }
 
   /** Opens a folder; rejects with `DataFolderInUseError` where another process has it open. */
@@ -127,7 +129,8 @@
         return;
       case 'keep-domains':
         this.allowed = new Set(request.domains);
-        this.enqueue(() => this.deleteOthers(new Set(request.domains)));
+        this.mustDelete = true;
+        this.enqueue(() => this.deleteOthers());
         return;
     }
   }
@@ -139,7 +142,7 @@
 
   /** Ends the requests so far, closes the databases and gives the folder up. */
   async close(): Promise<void> {
-    clearInterval(this.expiryTimer);
+    clearInterval(this.upkeepTimer);
     await this.last;
     for (const bodies of this.domains.values()) await bodies.close();
     await this.lock.release();
@@ -189,12 +192,19 @@
     }
   }
 
-  private async deleteOthers(kept: ReadonlySet<string>): Promise<void> {
+  /** Deletes what is past its lifetime, and tries again what could not be deleted before. */
+  private keepUp(): void {
+    this.enqueue(() => this.expire());
+    if (this.mustDelete) this.enqueue(() => this.deleteOthers());
+  }
+
+  private async deleteOthers(): Promise<void> {
     for (const place of [BODIES, SET_ASIDE]) {
       for (const domain of await this.storedDomains(place)) {
-        if (!kept.has(domain)) await this.deleteDomain(domain, place);
+        if (!this.allowed.has(domain)) await this.deleteDomain(domain, place);
       }
     }
+    this.mustDelete = false;
   }
 
   private async deleteDomain(domain: string, place: string): Promise<void> {
@@ -235,12 +245,20 @@
     const folder = path.join(this.options.folder, place);
     await mkdir(folder, { recursive: true });
     const names = await readdir(folder);
-    return names
-      .filter((name) => name.startsWith(DOMAIN_PREFIX))
-      .map((name) => decodeURIComponent(name.slice(DOMAIN_PREFIX.length)));
+    return names.flatMap((name) => domainOf(name) ?? []);
   }
 
   private pathOf(place: string, domain: string): string {
     return path.join(this.options.folder, place, DOMAIN_PREFIX + encodeURIComponent(domain));
   }
 }
+
+/** The domain that a folder's name stands for; `undefined` for names this program never gives. */
+function domainOf(folderName: string): string | undefined {
+  if (!folderName.startsWith(DOMAIN_PREFIX)) return undefined;
+  try {
+    return decodeURIComponent(folderName.slice(DOMAIN_PREFIX.length));
+  } catch {
+    return undefined;
+  }
+}
--- a/src/storage/domain-bodies.ts
+++ b/src/storage/domain-bodies.ts
@@ -74,7 +74,7 @@
   /** Writes a body if it is not there yet; the caller has checked that it has room. */
   async persist(name: BodyName, body: string, facts: BodyFacts): Promise<void> {
     if (this.index.has(nameKeyOf(name))) return;
-    await this.guard(() => this.database.write(name, body, facts));
+    await this.guard('write', () => this.database.write(name, body, facts));
     this.add({ name, ...facts });
     this.state.stats.bodiesPersisted += 1;
   }
@@ -88,13 +88,13 @@
   async forget(name: BodyName): Promise<void> {
     const known = this.index.get(nameKeyOf(name));
     if (known === undefined) return;
-    await this.guard(() => this.database.remove(name));
+    await this.guard('write', () => this.database.remove(name));
     this.drop(known);
     this.state.stats.bodiesForgotten += 1;
     this.deletedBytes += known.bytes;
     if (this.deletedBytes < COMPACTION_BYTES) return;
     this.deletedBytes = 0;
-    await this.guard(() => this.database.compact());
+    await this.guard('write', () => this.database.compact());
   }
 
   /** Reads a body; `null` where it is missing or damaged, which deletes it. */
@@ -104,7 +104,7 @@
       stats.bodiesMissing += 1;
       return null;
     }
-    const result = await this.guard(() => this.database.read(name));
+    const result = await this.guard('read', () => this.database.read(name));
     if (result.kind === 'body') {
       stats.bodiesLoaded += 1;
       return result.body;
@@ -143,11 +143,15 @@
     }
   }
 
-  /** Runs one use of the database; when that fails, the database is set aside. */
-  private async guard<Result>(use: () => Promise<Result>): Promise<Result> {
+  /**
+   * Runs one use of the database. When the database turns out damaged, it is set aside. An I/O
+   * error of a write means no such thing, as with a file system that is full.
+   */
+  private async guard<Result>(kind: 'read' | 'write', use: () => Promise<Result>): Promise<Result> {
     try {
       return await use();
     } catch (error) {
+      if (kind === 'write' && levelErrorCode(error) === 'LEVEL_IO_ERROR') throw error;
       await this.abandon();
       await setAside(this.place, this.state, error);
       this.database = await DomainDatabase.open(this.place.folder);
--- a/test/storage/restart.test.ts
+++ b/test/storage/restart.test.ts
@@ -1,10 +1,11 @@
 /** A restarted member reads its bodies from disk, and only what the disk lacks from peers. */
 import t, { type Test } from 'tap';
-import { RestartFleet, type RestartReport } from '../../lab/bench/storage-fleet.js';
+import { RestartFleet } from '../../lab/bench/storage-fleet.js';
+import type { RestartFleetOptions, RestartReport } from '../../lab/bench/storage-fleet-options.js';
 
 const BODIES = { count: 60, bytes: 2_000 };
 
-function restart(options: ConstructorParameters<typeof RestartFleet>[0]): RestartReport {
+function restart(options: RestartFleetOptions): RestartReport {
   const fleet = new RestartFleet(options);
   fleet.fill(BODIES);
   return fleet.restart();
