--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -11,6 +11,7 @@
 import type { EffectList } from './membership-effects.js';
 import type { MembershipTiming } from './membership-options.js';
 import type { Gossip, MemberUpdate } from './messages.js';
+import { ProbeOrder } from './probe-order.js';
 
 /** Rounds without any answer from helpers after which a target is suspected all the same. */
 const SELF_DOUBT_ROUNDS = 2;
@@ -47,6 +48,8 @@
   readonly effects: EffectList;
   /** Gossip for a message to a peer. */
   gossipFor(peer: NodeRecord, now: Milliseconds): Gossip;
+  /** Treats a member as dead without telling anyone. */
+  assumeDead(update: MemberUpdate): void;
   /** Takes in an update made by this node. */
   apply(update: MemberUpdate, now: Milliseconds): void;
 }
@@ -58,10 +61,13 @@
   private readonly probes = new Map<number, Probe>();
   private readonly suspicions = new Map<NodeId, Suspicion>();
   private readonly relayed = new Map<number, RelayedPing>();
-  private order: NodeRecord[] = [];
   private selfDoubt = 0;
+  private heardAt: Milliseconds = 0;
+  private readonly probeOrder: ProbeOrder;
 
-  constructor(private readonly host: ProberHost) {}
+  constructor(private readonly host: ProberHost) {
+    this.probeOrder = new ProbeOrder(host.self, host.table, host.random);
+  }
 
   /** Drops what a frozen node had begun. */
   reset(now: Milliseconds): void {
@@ -69,6 +75,7 @@
     this.suspicions.clear();
     this.relayed.clear();
     this.nextProbeAt = now;
+    this.heardAt = now;
   }
 
   /** Number the next ping will carry. */
@@ -83,7 +90,7 @@
     if (now < this.nextProbeAt) return;
     const jitter = 0.9 + 0.2 * this.host.random.fraction();
     this.nextProbeAt = now + this.interval() * jitter;
-    const target = this.nextTarget();
+    const target = this.probeOrder.next();
     if (target !== undefined) this.startProbe(target, now);
   }
 
@@ -94,7 +101,8 @@
   }
 
   /** Any message from a member shows that it is there. */
-  heardFrom(node: NodeId): void {
+  heardFrom(node: NodeId, now: Milliseconds): void {
+    this.heardAt = now;
     this.suspicions.delete(node);
   }
 
@@ -138,36 +146,6 @@
     );
   }
 
-  /** The next member in a random order in which each comes once (SWIM, section 4.3). */
-  private nextTarget(): NodeRecord | undefined {
-    for (let attempt = 0; attempt < 2; attempt += 1) {
-      while (this.order.length > 0) {
-        const candidate = this.order.pop();
-        if (candidate === undefined) break;
-        const update = this.host.table.find(candidate.node);
-        if (update !== undefined && update.state !== 'dead') return update.record;
-      }
-      this.order = this.shuffledPeers();
-    }
-    return undefined;
-  }
-
-  private shuffledPeers(): NodeRecord[] {
-    const peers = this.peers();
-    for (let position = peers.length - 1; position > 0; position -= 1) {
-      const other = this.host.random.integer(position + 1);
-      const moved = peers[position] as NodeRecord;
-      peers[position] = peers[other] as NodeRecord;
-      peers[other] = moved;
-    }
-    return peers;
-  }
-
-  private peers(): NodeRecord[] {
-    const { table, self } = this.host;
-    return table.presentInZone(self.zone).filter((record) => record.node !== self.node);
-  }
-
   private startProbe(target: NodeRecord, now: Milliseconds): void {
     this.sequence += 1;
     this.probes.set(this.sequence, {
@@ -214,7 +192,7 @@
   }
 
   private chooseHelpers(targetNode: NodeId): NodeRecord[] {
-    const candidates = this.peers().filter((record) => record.node !== targetNode);
+    const candidates = this.probeOrder.peers().filter((record) => record.node !== targetNode);
     const helpers: NodeRecord[] = [];
     while (helpers.length < this.host.timing.helpers && candidates.length > 0) {
       const chosen = this.host.random.integer(candidates.length);
@@ -254,7 +232,7 @@
         this.suspicions.delete(node);
       } else if (now >= suspicion.deadline) {
         this.suspicions.delete(node);
-        this.host.apply({ ...current, state: 'dead' }, now);
+        this.declareDead(current, now);
       } else if (now >= suspicion.nextProbeAt) {
         suspicion.nextProbeAt = now + this.host.timing.suspectProbeInterval;
         this.probeSuspect(suspicion.target, now);
@@ -262,6 +240,14 @@
     }
   }
 
+  /** A node that hears from nobody is more likely cut off than alone; it keeps that to itself. */
+  private declareDead(update: MemberUpdate, now: Milliseconds): void {
+    const isCutOff = now - this.heardAt > this.host.timing.isolationTimeout;
+    const hasOthers = this.probeOrder.peers().length > 1 || this.host.table.zones().length > 1;
+    if (isCutOff && hasOthers) this.host.assumeDead(update);
+    else this.host.apply({ ...update, state: 'dead' }, now);
+  }
+
   private isOutdated(suspicion: Suspicion, current: MemberUpdate): boolean {
     return (
       current.state === 'dead' ||
--- a/src/node.ts
+++ b/src/node.ts
@@ -7,14 +7,15 @@
 import { createRandomSource } from './core/random.js';
 import { GatewayServer } from './gateway/gateway-server.js';
 import { draftReader } from './intents/intent-schema.js';
-import { EffectRunner } from './node/effect-runner.js';
+import { type EffectClients, EffectRunner } from './node/effect-runner.js';
 import { NodeCore } from './node/node-core.js';
-import { NodeRunner } from './node/node-runner.js';
+import { monotonicNow, NodeRunner } from './node/node-runner.js';
 import { EngineClient } from './platform/engine-client.js';
 import { KeyValueClient } from './platform/key-value-client.js';
 import { MachineListClient } from './platform/machine-list-client.js';
 import type { Settings } from './settings/settings.js';
 import type { BodyFolder } from './storage/body-folder.js';
+import { NodeCounters } from './telemetry/counters.js';
 import { createLogger, type NodeLogger } from './telemetry/logger.js';
 import { NodeMetrics } from './telemetry/node-metrics.js';
 import { PeerTransport } from './transport/peer-transport.js';
@@ -41,14 +42,22 @@
   const transport = new PeerTransport({ self, listen: parseEndpoint(node.peerListen), token });
   const disk = await openDisk(settings, logger);
   if (disk === 'refused') return EXIT_REFUSED;
-  const effects = createEffects(settings, transport, logger, disk);
+  const counters = new NodeCounters({ withProcessMetrics: true });
+  const effects = createEffects(settings, { transport, logger, counters, disk });
   const core = createCore(settings, self, disk);
-  const metrics = new NodeMetrics(
-    () => core.counters(),
-    () => transport.stats(),
-  );
+  const metrics = new NodeMetrics(counters, {
+    counters: () => core.counters(),
+    gauges: () => core.gauges(monotonicNow()),
+    transport: () => transport.stats(),
+  });
   if (disk !== null) metrics.addStats('disk', 'Data folder', () => disk.stats());
-  const runner = new NodeRunner(core, effects, transport.received, () => metrics.text());
+  const runner = new NodeRunner({
+    core,
+    effects,
+    received: transport.received,
+    counters,
+    metricsText: () => metrics.text(),
+  });
   const gateway = createGateway(settings, runner);
   await transport.start();
   runner.start();
@@ -66,8 +75,8 @@
 }
 
 function nodeRecord(settings: Settings): NodeRecord {
-  const { name, zone, region, machine, peerListen } = settings.node;
-  return { node: name, incarnation: Date.now(), zone, region, machine, address: peerListen };
+  const { name, zone, region, machine, peerAdvertise } = settings.node;
+  return { node: name, incarnation: Date.now(), zone, region, machine, address: peerAdvertise };
 }
 
 /** Opens the data folder; `null` on a machine without a disk, `refused` where it cannot be used. */
@@ -111,19 +120,15 @@
 
 function createEffects(
   settings: Settings,
-  transport: PeerTransport,
-  logger: NodeLogger,
-  disk: BodyFolder | null,
+  own: Pick<EffectClients, 'transport' | 'logger' | 'counters' | 'disk'>,
 ): EffectRunner {
   const { keyValue, machineList } = settings.platform;
   const requestTimeout = settings.timing.keyValueTimeout;
   return new EffectRunner({
-    transport,
+    ...own,
     keyValue: keyValue.map((address) => new KeyValueClient({ address, requestTimeout })),
     engines: new EngineClient(),
     machineList: new MachineListClient({ address: machineList }),
-    logger,
-    disk,
   });
 }
 
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
 import type { DiskBodyName } from '../ledger/ledger.js';
+import { DEFAULT_RETENTION, type RetentionTimes } from '../retention/retention-sweeper.js';
 import { ALL_MECHANISMS, type MechanismSwitches } from './mechanisms.js';
 
 /** A zone of the fleet. */
@@ -34,6 +35,8 @@
   readonly machineListInterval?: Milliseconds;
   /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
   readonly diskBodies?: readonly DiskBodyName[] | null;
+  /** How long ended steps and claimed requests are kept. @default see RetentionTimes */
+  readonly retention?: RetentionTimes;
   /** Mechanisms; all on but in the lab. */
   readonly mechanisms?: MechanismSwitches;
 }
@@ -42,6 +45,7 @@
 export const NODE_DEFAULTS = {
   seedAddresses: [] as readonly string[],
   hedging: true,
+  retention: DEFAULT_RETENTION,
   mechanisms: ALL_MECHANISMS,
   freshnessBound: 6_000,
   replicaCount: 5,
