--- a/src/node.ts
+++ b/src/node.ts
@@ -14,6 +14,7 @@
 import { KeyValueClient } from './platform/key-value-client.js';
 import { MachineListClient } from './platform/machine-list-client.js';
 import type { Settings } from './settings/settings.js';
+import type { BodyFolder } from './storage/body-folder.js';
 import { NodeCounters } from './telemetry/counters.js';
 import { createLogger, type NodeLogger } from './telemetry/logger.js';
 import { NodeMetrics } from './telemetry/node-metrics.js';
@@ -21,6 +22,10 @@
 
 /** Exit code of a process that was told to end at once. */
 const EXIT_ENDED_AT_ONCE = 1;
+/** Exit code of a process that could not use its data folder. */
+const EXIT_REFUSED = 1;
+/** Room on disk, as a multiple of that in memory: for bodies of this life and of the last. */
+const DISK_SHARE = 2;
 
 /** Where a server listens. */
 interface Endpoint {
@@ -35,14 +40,17 @@
   const self = nodeRecord(settings);
   const { token } = settings.peers;
   const transport = new PeerTransport({ self, listen: parseEndpoint(node.peerListen), token });
+  const disk = await openDisk(settings, logger);
+  if (disk === 'refused') return EXIT_REFUSED;
   const counters = new NodeCounters({ withProcessMetrics: true });
-  const effects = createEffects(settings, { transport, logger, counters });
-  const core = createCore(settings, self);
+  const effects = createEffects(settings, { transport, logger, counters, disk });
+  const core = createCore(settings, self, disk);
   const metrics = new NodeMetrics(counters, {
     counters: () => core.counters(),
     gauges: () => core.gauges(monotonicNow()),
     transport: () => transport.stats(),
   });
+  if (disk !== null) metrics.addStats('disk', 'Data folder', () => disk.stats());
   const runner = new NodeRunner({
     core,
     effects,
@@ -61,6 +69,7 @@
   runner.close();
   effects.close();
   await transport.stop();
+  await disk?.close();
   logger.logStateChange('node', 'stopped', {});
   return 0;
 }
@@ -70,7 +79,31 @@
   return { node: name, incarnation: Date.now(), zone, region, machine, address: peerAdvertise };
 }
 
-function createCore(settings: Settings, self: NodeRecord): NodeCore {
+/** Opens the data folder; `null` on a machine without a disk, `refused` where it cannot be used. */
+async function openDisk(
+  settings: Settings,
+  logger: NodeLogger,
+): Promise<BodyFolder | null | 'refused'> {
+  const folder = settings.node.dataFolder;
+  if (folder === null) return null;
+  try {
+    // Only machines with a disk need the database library.
+    const storage = await import('./storage/body-folder.js');
+    const disk = await storage.BodyFolder.open({
+      folder,
+      bytesLimit: settings.limits.maxResultBytes * DISK_SHARE,
+      logChange: (change, details) => logger.logStateChange('storage', change, details),
+    });
+    logger.logStateChange('storage', 'data folder opened', { ...disk.usage() });
+    return disk;
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    logger.logStateChange('storage', 'data folder refused', { folder, reason });
+    return 'refused';
+  }
+}
+
+function createCore(settings: Settings, self: NodeRecord, disk: BodyFolder | null): NodeCore {
   const operators = settings.accounts.filter((account) => account.role === 'operator');
   return new NodeCore({
     self,
@@ -81,12 +114,13 @@
     replicaCount: settings.fleet.replicas,
     shardsPerDomain: settings.fleet.shardsPerDomain,
     machineListInterval: settings.timing.machineListInterval,
+    diskBodies: disk?.found() ?? null,
   });
 }
 
 function createEffects(
   settings: Settings,
-  own: Pick<EffectClients, 'transport' | 'logger' | 'counters'>,
+  own: Pick<EffectClients, 'transport' | 'logger' | 'counters' | 'disk'>,
 ): EffectRunner {
   const { keyValue, machineList } = settings.platform;
   const requestTimeout = settings.timing.keyValueTimeout;
