--- a/src/ledger/ledger.ts
+++ b/src/ledger/ledger.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueResult } from '../platform/key-value.js';
 import { Activations } from './activations.js';
+import type { DiskBodyName } from './disk-bodies.js';
 import { LedgerEnvironment } from './environment.js';
 import { GroupManager } from './group-manager.js';
 import { GroupTable } from './group-table.js';
@@ -33,6 +34,7 @@
   StoreBodyRequest,
 } from './requests.js';
 
+export type { DiskBodyName, DiskRequest } from './disk-bodies.js';
 export { decodeGroupRecord, encodeGroupRecord } from './group-record.js';
 export type { LedgerMessage } from './messages.js';
 export type { LedgerOptions } from './options.js';
@@ -58,7 +60,7 @@
     this.#groups = new GroupTable(environment, this.#activations);
     this.#service = new ReplicaService(environment);
     this.#removals = new Removals(environment);
-    this.#operations = new Operations(environment, this.#groups);
+    this.#operations = new Operations(environment, this.#groups, this.#view);
     this.#manager = new GroupManager({
       environment,
       view: this.#view,
@@ -182,6 +184,13 @@
     return this.#settle(now);
   }
 
+  /** Takes a body that a `load` request asked the disk for; `null` where it cannot be read. */
+  bodyLoaded(name: DiskBodyName, body: string | null, now: Milliseconds): Effects<Value> {
+    const replica = this.#groups.replica(name.domain, this.#shardOf(name.shardKey));
+    replica?.bodyLoaded(name, body, now);
+    return this.#settle(now);
+  }
+
   /** Accepted values below a prefix in shards this node votes in; hints, maybe not agreed. */
   *localEntries(keyPrefix: string): Iterable<LocalEntry<Value>> {
     for (const replica of this.#groups.replicas()) {
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -2,6 +2,7 @@
 import type { AccountName, NodeRecord, RegionName, ZoneName } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
+import type { DiskBodyName } from '../ledger/ledger.js';
 import { DEFAULT_RETENTION, type RetentionTimes } from '../retention/retention-sweeper.js';
 import { ALL_MECHANISMS, type MechanismSwitches } from './mechanisms.js';
 
@@ -32,6 +33,8 @@
   readonly hedging?: boolean;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
+  /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
+  readonly diskBodies?: readonly DiskBodyName[] | null;
   /** How long ended steps and claimed requests are kept. @default see RetentionTimes */
   readonly retention?: RetentionTimes;
   /** Mechanisms; all on but in the lab. */
@@ -49,6 +52,7 @@
   shardsPerDomain: 8,
   routingPolicy: 'home-counting',
   machineListInterval: 2_000,
+  diskBodies: null,
 } as const;
 
 /** Options with all defaults filled in. */
--- a/src/telemetry/node-metrics.ts
+++ b/src/telemetry/node-metrics.ts
@@ -50,10 +50,21 @@
     for (const name of COUNTER_NAMES) {
       this.add({ name, help: COUNTER_HELP[name], read: () => sources.counters()[name] });
     }
-    for (const name of Object.keys(sources.transport()) as (keyof TransportStats)[]) {
-      const help = `Node-to-node transport: ${name}`;
-      const metric = `transport_${snakeCase(name)}`;
-      this.add({ name: metric, help, read: () => sources.transport()[name] });
+    this.addStats('transport', 'Node-to-node transport', () => sources.transport());
+  }
+
+  /** Exports counts that only rise, named by the prefix and the count's own name. */
+  addStats<Name extends string>(
+    prefix: string,
+    help: string,
+    stats: () => Readonly<Record<Name, number>>,
+  ): void {
+    for (const name of Object.keys(stats()) as Name[]) {
+      this.add({
+        name: `${prefix}_${snakeCase(name)}`,
+        help: `${help}: ${name}`,
+        read: () => stats()[name],
+      });
     }
   }
 
