Lost dispatches are counted

Cause: wardwing_dispatches_lost_total was exported and named in its help, but nothing raised it; it stayed 0 whatever home node was killed. Change: the origin's side tells of each dispatch it gives up as lost. Before: no use of the counter in src/. After: the tests of a silent and of a reborn home see it raised once.

--- a/src/dispatch/dispatch-client.ts
+++ b/src/dispatch/dispatch-client.ts
@@ -31,6 +31,8 @@
 /** Settings of the client. */
 export interface DispatchClientOptions {
   readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
+  /** Told of each dispatch whose home fell silent, was declared dead or came back. */
+  readonly onLost?: () => void;
   /** Time between repetitions to a silent home. @default 400 */
   readonly repeatInterval?: Milliseconds;
   /** Silence after which the dispatch counts as lost. @default 2000 */
@@ -55,12 +57,14 @@
 export class DispatchClient {
   private readonly open = new Map<string, OpenDispatch>();
   private readonly send: DispatchClientOptions['send'];
+  private readonly onLost: () => void;
   private readonly repeatInterval: Milliseconds;
   private readonly silenceLimit: Milliseconds;
   private readonly queryInterval: Milliseconds;
 
   constructor(options: DispatchClientOptions) {
     this.send = options.send;
+    this.onLost = options.onLost ?? (() => undefined);
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
     this.silenceLimit = options.silenceLimit ?? DEFAULT_SILENCE_LIMIT;
     this.queryInterval = options.queryInterval ?? DEFAULT_QUERY_INTERVAL;
@@ -142,6 +146,7 @@
 
   private end(dispatch: OpenDispatch, outcome: OriginOutcome): void {
     this.open.delete(dispatch.order.dispatchId);
+    if (outcome.kind === 'lost') this.onLost();
     dispatch.listener.onEnd(outcome);
   }
 
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -61,7 +61,10 @@
     this.admission = new HomeAdmission({
       isLeaving: (worker) => ports.mechanisms['drain-refusal'] && directory.isLeaving(worker),
     });
-    this.client = new DispatchClient({ send: (to, message) => this.sendDispatch(to, message) });
+    this.client = new DispatchClient({
+      send: (to, message) => this.sendDispatch(to, message),
+      onLost: () => ports.counters.increment('dispatches_lost'),
+    });
     this.home = this.createHome();
     this.runner = this.createRunner();
     this.requests = new RequestCalls(ports, this.runner, (account, model) =>
--- a/test/dispatch/dispatch.test.ts
+++ b/test/dispatch/dispatch.test.ts
@@ -47,7 +47,14 @@
   refusal: Failure | null = null;
   startable: string[] = [];
 
-  readonly client = new DispatchClient({ send: (_to, message) => this.toHome.push(message) });
+  lost = 0;
+
+  readonly client = new DispatchClient({
+    send: (_to, message) => this.toHome.push(message),
+    onLost: () => {
+      this.lost += 1;
+    },
+  });
   readonly home = new HomeDispatcher({
     send: (_to, message) => this.toOrigin.push(message),
     startEngine: (dispatchId) => this.started.push(dispatchId),
@@ -112,6 +119,7 @@
   pair.start('d1');
   for (let now = 0; now <= 5_000; now += 100) pair.client.tick(now);
   t.same(pair.outcomes, [{ kind: 'lost' }]);
+  t.equal(pair.lost, 1);
 });
 
 t.test('a dispatch that comes after its cancellation never runs', async (t) => {
@@ -176,6 +184,7 @@
   t.same(pair.outcomes, [], 'the same life is alive');
   pair.client.homeGone('home', { node: 'home', incarnation: 2 });
   t.same(pair.outcomes, [{ kind: 'lost' }]);
+  t.equal(pair.lost, 1);
 });
 
 function dispatchMessage(dispatchId: string): DispatchMessage {
