A node that is not fresh refuses reads as cut off, not as forbidden

Cause: with a configuration older than the bound no intent is in force, and a trainer's read, acknowledgement or close was then refused with 403 zone_not_allowed, which names no time to come back and reads as final. Seen in the fault suite: 14 such answers in isolate-zone, 1 in freeze-driver.

--- a/src/rollouts/step-calls.ts
+++ b/src/rollouts/step-calls.ts
@@ -239,12 +239,20 @@
   ): void {
     const intents = this.options.readableIntents(account);
     if (intents.length === 0) {
-      this.fail(callId, failure('zone_not_allowed', 'no intent lets the trainer read here now'));
+      this.fail(callId, this.unreadable());
       return;
     }
     this.findUnder(callId, stepKey(account, stepId), intents, found);
   }
 
+  /** Why nothing may be read here: for now, or because no intent allows it. */
+  private unreadable(): Failure {
+    if (this.node.isFresh()) {
+      return failure('zone_not_allowed', 'no intent lets the trainer read here');
+    }
+    return failure('cut_off', 'the configuration is not fresh; no intent is known to allow it');
+  }
+
   private findUnder(
     callId: string,
     key: string,
