--- a/src/routing/worker-directory.ts
+++ b/src/routing/worker-directory.ts
@@ -62,6 +62,7 @@
     this.#detector = options.outlierDetector ?? new OutlierDetector({ random });
     this.#subscriptions = new LoadSubscriptions({ random, renewInterval });
     this.#entries = new WorkerEntries({
+      topology: this.#topology,
       staleAfter: options.staleAfter ?? 5_000,
       sentLife: SENT_COUNT_PUSHES * pushInterval,
       onChange: (change) => this.#stateChanged(change),
@@ -222,15 +223,10 @@
     const own = this.#topology.ownWorkers();
     this.#homeLoads.replace(own, now);
     const kept = new Set<WorkerId>();
-    for (const record of own) this.#keep(record, kept, now);
+    this.#entries.keepAll(own, kept, now);
     this.#followed = new FollowedWorkers();
     for (const { model, zone, records } of this.#topology.subsets()) {
-      const entries = records.map((record) => this.#keep(record, kept, now));
-      this.#followed.set(
-        model,
-        zone,
-        entries.filter((entry) => entry !== undefined),
-      );
+      this.#followed.set(model, zone, this.#entries.keepAll(records, kept, now));
     }
     this.#entries.retain(kept);
     const wanted = this.#followed.byHome(this.#self);
@@ -239,14 +235,6 @@
     return this.#takeEffects();
   }
 
-  #keep(record: WorkerRecord, kept: Set<WorkerId>, now: Milliseconds): WorkerEntry | undefined {
-    const home = this.#topology.homeOf(record.worker);
-    if (home === undefined) return undefined;
-    kept.add(record.worker);
-    const withdrawn = this.#topology.isWithdrawn(record.worker);
-    return this.#entries.keep(record, home, withdrawn, now);
-  }
-
   #takeLoad(from: NodeIdentity, load: WorkerLoad, now: Milliseconds): void {
     const entry = this.#entries.get(load.worker);
     if (entry === undefined || !sameIdentity(entry.home, from)) return;
@@ -273,12 +261,16 @@
     }
   }
 
-  /** A home judges alone; other nodes keep most of a group in service whatever homes say. */
+  /**
+   * A home judges alone. Other nodes, whatever homes say, keep one worker of each zone and most
+   * of each model in service, yet may eject nearly all of a zone that fails.
+   */
   #mayEject(entry: WorkerEntry): boolean {
     const { model, zone, worker } = entry.record;
     if (this.isHome(worker)) return this.#topology.groupSize(model, zone) > 1;
-    const { size, ejected } = this.#followed.health(model, zone);
-    return ejected < this.#detector.ejectionLimit(size);
+    const health = this.#followed.health(model, zone);
+    const leavesOne = health.zoneEjected + 1 < health.zoneSize;
+    return leavesOne && health.modelEjected < this.#detector.ejectionLimit(health.modelSize);
   }
 
   #stateChanged(change: WorkerStateChange): void {
