--- a/lab/experiments/drawn-step.ts
+++ b/lab/experiments/drawn-step.ts
@@ -28,7 +28,6 @@
   readonly request: GenerationRequest;
   readonly attempts: Set<Attempt>;
   result: GenerationResult | undefined;
-  hedged: boolean;
   /** Segments of a lost attempt, to go on from. */
   lost: readonly TokenSegment[];
   /** Not dispatched again before then. */
--- a/lab/experiments/step-drawing.ts
+++ b/lab/experiments/step-drawing.ts
@@ -58,7 +58,7 @@
   /** Runs samples of a step again whose answers the hand-over check refused. */
   rerun(step: DrawnStep, samples: readonly DrawnSample[]): void {
     for (const sample of samples) {
-      this.waste(sample.result === undefined ? 0 : sample.result.tokenCount);
+      this.waste(sample.result?.tokenCount ?? 0);
       sample.result = undefined;
       sample.lost = [];
       step.missing += 1;
@@ -82,10 +82,9 @@
     }
   }
 
-  private segment(attempt: Attempt, segment: Attempt['segments'][number]): void {
-    const previous = attempt.segments.at(-1);
+  private segment(attempt: Attempt, segment: TokenSegment): void {
     const bounds = { oldest: attempt.sample.step.oldestVersion, newest: null };
-    const verdict = checkSegment(bounds, 'record', previous, segment);
+    const verdict = checkSegment(bounds, 'record', attempt.segments.at(-1), segment);
     appendSegment(attempt.segments, segment);
     attempt.tokens += segment.tokenCount;
     if (verdict.kind !== 'too-old' || !this.options.variant.earlyRerun) return;
@@ -96,7 +95,6 @@
 
   private complete(attempt: Attempt): void {
     const { sample } = attempt;
-    const { step } = sample;
     this.release(attempt);
     for (const other of [...sample.attempts]) {
       other.candidate.host.cancel(other.dispatchId);
@@ -105,6 +103,7 @@
     }
     this.counters.tokensUsed += attempt.tokens;
     this.predictor.record(sample.request, attempt.tokens);
+    const { step } = sample;
     step.durations.push(this.options.queue.now - attempt.startedAt);
     step.missing -= 1;
     if (step.missing === 0) this.finish(step);
@@ -144,7 +143,7 @@
   private check(): void {
     const { variant, queue } = this.options;
     if (variant.resume) this.takeUpSilent();
-    if (variant.hedging) for (const step of this.steps) this.hedge(step);
+    if (variant.hedging) this.hedge();
     if (variant.moveLong) this.moveLong();
     this.dispatchPending();
     queue.after(CHECK_INTERVAL, () => this.check());
@@ -176,10 +175,10 @@
     }
   }
 
-  private hedge(step: DrawnStep): void {
-    for (const sample of lateSamples(step, this.hedging, this.options.queue.now)) {
-      this.hedgeSample(sample);
-    }
+  private hedge(): void {
+    const { now } = this.options.queue;
+    const late = this.steps.flatMap((step) => lateSamples(step, this.hedging, now));
+    for (const sample of late) this.hedgeSample(sample);
   }
 
   /** Starts a second attempt from the streamed tokens on a worker that is less loaded. */
@@ -187,14 +186,11 @@
     const [first] = sample.attempts;
     if (first === undefined) return;
     const isBetter = (candidate: TableCandidate): boolean =>
-      candidate !== first.candidate &&
-      this.mayTake(candidate, sample) &&
-      candidate.outstanding < first.candidate.outstanding;
+      candidate.outstanding < first.candidate.outstanding && this.mayTake(candidate, sample);
     const candidate = this.options.table.choose(sample.request, isBetter);
     if (candidate === undefined) return;
     sample.lost = [...first.segments];
     sample.step.hedgesMade += 1;
-    sample.hedged = true;
     this.start(sample, candidate);
   }
 
@@ -298,7 +294,7 @@
   }
 }
 
-/** Slots of a worker that training may use where homes keep the queue. */
+/** Slots that training may use where homes keep the queue. */
 function trainingSlots(candidate: TableCandidate): number {
   return candidate.slots - RESERVED_SLOTS;
 }
--- a/lab/experiments/trainer.ts
+++ b/lab/experiments/trainer.ts
@@ -110,7 +110,6 @@
         request,
         attempts,
         result: undefined,
-        hedged: false,
         lost: [],
         retryAt: 0,
       });
--- a/lab/experiments/variants.ts
+++ b/lab/experiments/variants.ts
@@ -70,8 +70,11 @@
   }));
 }
 
-/** Everything of ours; the deployments differ in when steps are submitted. */
-function ours(submission: Submission, drawingBound: number | null): Variant {
+/**
+ * Ours; the deployments differ in when steps are submitted, and in whether the tail of a step is
+ * hedged and moved, which pays for the association only (see `docs/design/experiments.md`).
+ */
+function ours(submission: Submission, drawingBound: number | null, careOfTail: boolean): Variant {
   return {
     name: 'ours',
     role: 'ours',
@@ -81,9 +84,9 @@
     drawingBound,
     homeQueue: true,
     longestFirst: true,
-    moveLong: true,
+    moveLong: careOfTail,
     resume: true,
-    hedging: true,
+    hedging: careOfTail,
     earlyRerun: true,
     gang: false,
   };
@@ -98,9 +101,11 @@
   });
   return [
     without('ours, not longest first', { longestFirst: false }),
-    without('ours, long samples stay', { moveLong: false }),
+    without(full.moveLong ? 'ours, long samples stay' : 'ours, long samples moved', {
+      moveLong: !full.moveLong,
+    }),
     without('ours, no resume', { resume: false }),
-    without('ours, no hedging', { hedging: false }),
+    without(full.hedging ? 'ours, no hedging' : 'ours, with hedging', { hedging: !full.hedging }),
     without('ours, gang', { gang: true }),
   ];
 }
@@ -108,7 +113,9 @@
 /** Variants of a deployment: baselines, ours, and ours with one part changed. */
 export function variantsOf(deployment: 'association' | 'cooperative'): readonly Variant[] {
   const full =
-    deployment === 'association' ? ours('step-synchronous', 0) : ours('within-bound', null);
+    deployment === 'association'
+      ? ours('step-synchronous', 0, true)
+      : ours('within-bound', null, false);
   return [
     ...baselines('step-synchronous', 'step-synchronous', null, PLAIN_ROUTINGS),
     ...baselines('step-synchronous, newest only', 'step-synchronous', 0, FURTHER_ROUTINGS),
@@ -122,5 +129,7 @@
 /** Ours with the other deployment's way of submitting, to show what each choice costs. */
 function otherSubmission(deployment: 'association' | 'cooperative'): Variant[] {
   if (deployment === 'cooperative') return [];
-  return [{ ...ours('within-bound', null), name: 'ours, within the bound', role: 'ablation' }];
+  return [
+    { ...ours('within-bound', null, false), name: 'ours, within the bound', role: 'ablation' },
+  ];
 }
