--- a/test/ledger/group-change.test.ts
+++ b/test/ledger/group-change.test.ts
@@ -22,7 +22,11 @@
   isSettled = false,
 ): GroupSituation {
   const isGone = (identity: string): boolean => gone.includes(identity);
-  return { domain: 'd', shard: 0, replicaCount: 5, live, isSettled, isGone };
+  const liveZones = new Set(live.map((record) => record.zone));
+  const liveRecord = (identity: string) => live.find((item) => identityKey(item) === identity);
+  const group = { domain: 'd', shard: 0, replicaCount: 5 };
+  const isMisplaced = (): boolean => false;
+  return { ...group, live, liveRecord, liveZones, isSettled, isGone, isMisplaced };
 }
 
 function recordOf(members: readonly NodeRecord[]): GroupRecord {
