Mechanism switches wired through; planned worker stops; withdrawal judged

Cause: seven named mechanisms could not be switched off, and some proofs did not bring about the failure that their mechanism exists for. Change: switches for request-identity, whole-answer, stream-order, segment-versions, revision-order, group-catch-up, body-replication; longer isolation and answers in the proofs that need them.

--- a/lab/proofs/action-arbitraries.ts
+++ b/lab/proofs/action-arbitraries.ts
@@ -17,6 +17,9 @@
   { weight: 1, arbitrary: longDuration },
 );
 
+/** Often long enough for a cut-off zone to lose the freshness of its configuration. */
+const isolation = fc.oneof(shortDuration, fc.integer({ min: 6_000, max: 16_000 }));
+
 /** A step's timeout: mostly so long that every sample must arrive, sometimes short. */
 const stepTimeout = fc.oneof(
   { weight: 9, arbitrary: fc.constant(3_600_000) },
@@ -29,6 +32,11 @@
   { weight: 1, arbitrary: fc.integer({ min: 300, max: 2_000 }) },
 );
 
+const questionLimit = fc.oneof(
+  { weight: 3, arbitrary: fc.integer({ min: 1, max: 24 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 100, max: 400 }) },
+);
+
 /** One arbitrary for each kind of action. */
 const ACTIONS = {
   'submit-step': fc.record({
@@ -46,7 +54,7 @@
     repeatable: fc.boolean(),
     keyed: fc.boolean(),
     stream: fc.boolean(),
-    maxTokens: fc.integer({ min: 1, max: 24 }),
+    maxTokens: questionLimit,
     patience: fc.integer({ min: 300, max: 4_000 }),
   }),
   'publish-version': fc.record({ kind: fc.constant('publish-version' as const), model: position }),
@@ -87,7 +95,7 @@
   'isolate-zone': fc.record({
     kind: fc.constant('isolate-zone' as const),
     zone: position,
-    duration,
+    duration: isolation,
   }),
   'disturb-network': fc.record({
     kind: fc.constant('disturb-network' as const),
@@ -108,6 +116,12 @@
     sign: fc.constantFrom('report' as const, 'machine-list' as const),
     duration: longDuration,
   }),
+  'stop-worker': fc.record({
+    kind: fc.constant('stop-worker' as const),
+    worker: position,
+    sign: fc.constantFrom('report' as const, 'machine-list' as const),
+    downtime: duration,
+  }),
   'key-value-outage': fc.record({ kind: fc.constant('key-value-outage' as const), duration }),
   'key-value-slow': fc.record({
     kind: fc.constant('key-value-slow' as const),
--- a/lab/proofs/catalogue.ts
+++ b/lab/proofs/catalogue.ts
@@ -16,12 +16,15 @@
 /** Median length of answers that often outlast a version. */
 const LONG_ANSWERS = 250;
 
+/** Median length of answers that are often under way when something fails. */
+const MIDDLE_ANSWERS = 80;
+
 /** All proofs, in the order in which the brief names the promises. */
 export const PROOFS: readonly ProofDefinition[] = [
   {
     name: 'weight-versions',
     createOracle: () => new WeightVersionsOracle(),
-    mechanisms: ['segment-versions', 'version-fencing'],
+    mechanisms: ['segment-versions'],
     weights: { ...OPERATIONS, ...FAULTS, 'publish-version': 40 },
     observeMessages: false,
     medianTokens: SHORT_ANSWERS,
@@ -29,21 +32,21 @@
   {
     name: 'staleness-bound',
     createOracle: () => new StalenessBoundOracle(),
-    mechanisms: ['staleness-check-at-dispatch', 'staleness-check-at-hand-over'],
-    weights: { ...OPERATIONS, ...FAULTS, 'publish-version': 12, 'submit-step': 250 },
+    mechanisms: ['staleness-check-at-hand-over', 'freshness-rule'],
+    weights: {
+      ...OPERATIONS,
+      ...FAULTS,
+      'publish-version': 20,
+      'submit-step': 200,
+      'isolate-zone': 10,
+    },
     observeMessages: false,
     medianTokens: LONG_ANSWERS,
   },
   {
     name: 'exactly-once',
     createOracle: () => new ExactlyOnceOracle(),
-    mechanisms: [
-      'result-claim',
-      'group-catch-up',
-      'body-replication',
-      'step-take-over',
-      'cursor-monotonic',
-    ],
+    mechanisms: ['result-claim', 'group-catch-up', 'body-replication', 'cursor-monotonic'],
     weights: { ...OPERATIONS, ...FAULTS, 'submit-step': 200, 'read-again': 60 },
     observeMessages: false,
     medianTokens: SHORT_ANSWERS,
@@ -51,7 +54,7 @@
   {
     name: 'complete-answer',
     createOracle: () => new CompleteAnswerOracle(),
-    mechanisms: ['request-identity', 'whole-answer'],
+    mechanisms: ['request-identity', 'whole-answer', 'stream-order'],
     weights: { ...OPERATIONS, ...FAULTS },
     observeMessages: false,
     medianTokens: SHORT_ANSWERS,
@@ -59,7 +62,7 @@
   {
     name: 'not-run-is-true',
     createOracle: () => new NotRunIsTrueOracle(),
-    mechanisms: ['unknown-outcome', 'barred-dispatch'],
+    mechanisms: ['unknown-outcome'],
     weights: { ...OPERATIONS, ...FAULTS, 'isolate-zone': 8, 'disturb-network': 10 },
     observeMessages: false,
     medianTokens: SHORT_ANSWERS,
@@ -70,7 +73,7 @@
     mechanisms: ['claim-before-dispatch', 'dispatch-deduplication', 'single-dispatch'],
     weights: { ...OPERATIONS, ...FAULTS, ask: 700, 'disturb-network': 12 },
     observeMessages: false,
-    medianTokens: SHORT_ANSWERS,
+    medianTokens: MIDDLE_ANSWERS,
   },
   {
     name: 'drain',
@@ -83,12 +86,12 @@
   {
     name: 'planned-stop',
     createOracle: () => new PlannedStopOracle(),
-    mechanisms: ['graceful-stop', 'hand-over-on-stop'],
+    mechanisms: ['graceful-stop', 'drain-refusal', 'leaving-signal'],
     weights: {
       ...OPERATIONS,
       stop: 20,
       drain: 10,
-      'worker-leaves': 15,
+      'stop-worker': 6,
       'clock-rate': 3,
       'key-value-slow': 3,
       'key-value-limit': 3,
@@ -102,9 +105,9 @@
     name: 'config-in-force',
     createOracle: () => new ConfigInForceOracle(),
     mechanisms: ['freshness-rule', 'revision-order', 'withdraw-on-change'],
-    weights: { ...OPERATIONS, ...FAULTS, 'change-zones': 20, 'isolate-zone': 10 },
+    weights: { ...OPERATIONS, ...FAULTS, 'change-zones': 40, 'isolate-zone': 12 },
     observeMessages: false,
-    medianTokens: SHORT_ANSWERS,
+    medianTokens: LONG_ANSWERS,
   },
   {
     name: 'residency',
--- a/lab/proofs/oracles/config-in-force.ts
+++ b/lab/proofs/oracles/config-in-force.ts
@@ -14,11 +14,24 @@
 /** Time from a node's decision to the engine's acceptance. */
 const ACCEPTANCE_DELAY: Milliseconds = 100;
 
+/** Time from the end of a permission to the end of work under way. */
+const WITHDRAWAL_DELAY: Milliseconds = 1_500;
+
+/** Work that an engine accepted. */
+interface AcceptedWork {
+  readonly node: NodeId;
+  readonly zone: ZoneName;
+  readonly request: GenerationRequest;
+}
+
 /** Compares what nodes do and say with what stood in the key-value service before. */
 export class ConfigInForceOracle extends Oracle {
   readonly #configuration = new ConfigurationLog();
   readonly #seen = new Map<NodeId, Revision>();
   readonly #startedAt = new Map<NodeId, Milliseconds>();
+  /** Since when each node runs without having been frozen. */
+  readonly #steadySince = new Map<NodeId, Milliseconds>();
+  readonly #work = new Map<string, AcceptedWork>();
   #healedAt = Number.POSITIVE_INFINITY;
 
   override observe(observation: Observation): void {
@@ -26,6 +39,19 @@
     switch (observation.kind) {
       case 'node-started':
         this.#startedAt.set(observation.node, observation.at);
+        this.#steadySince.set(observation.node, observation.at);
+        break;
+      case 'node-woken':
+        this.#steadySince.set(observation.node, observation.at);
+        break;
+      case 'node-frozen':
+      case 'node-ended':
+        this.#steadySince.delete(observation.node);
+        break;
+      case 'engine-event':
+        if (observation.event.kind === 'segment') {
+          this.#judgeSegment(observation.at, observation.dispatchId);
+        }
         break;
       case 'fault':
         this.#healedAt = Number.POSITIVE_INFINITY;
@@ -34,7 +60,8 @@
         this.#healedAt = observation.at;
         break;
       case 'engine-accepted':
-        this.#judgeWork(observation.at, observation.zone, observation.request);
+        this.#work.set(observation.dispatchId, observation);
+        this.#judgeWork(observation.at, observation, FRESHNESS_BOUND + ACCEPTANCE_DELAY);
         break;
       case 'revision-seen':
         this.#judgeRevision(observation);
@@ -44,8 +71,16 @@
     }
   }
 
-  #judgeWork(at: Milliseconds, zone: ZoneName, request: GenerationRequest): void {
-    const limit = FRESHNESS_BOUND + ACCEPTANCE_DELAY;
+  /** Work that runs on although its node could have known better must have been withdrawn. */
+  #judgeSegment(at: Milliseconds, dispatchId: string): void {
+    const work = this.#work.get(dispatchId);
+    const steadySince = work === undefined ? undefined : this.#steadySince.get(work.node);
+    const limit = FRESHNESS_BOUND + WITHDRAWAL_DELAY;
+    if (work === undefined || steadySince === undefined || at - steadySince < limit) return;
+    this.#judgeWork(at, work, limit);
+  }
+
+  #judgeWork(at: Milliseconds, { zone, request }: AcceptedWork, limit: Milliseconds): void {
     const allowed = this.#configuration
       .intentForms(request.intent, at - limit - longestService(this.#configuration, request, at))
       .some((intent) => isAllowed(intent, zone, request, at, limit, this.#configuration));
--- a/lab/proofs/oracles/planned-stop.ts
+++ b/lab/proofs/oracles/planned-stop.ts
@@ -12,13 +12,15 @@
 }
 
 /**
- * Notes which calls were open at a node that was asked to stop: none may lose its connection, and
- * none whose work may have begun may fail for it. Meant for runs whose only faults are planned
+ * A call that is open at a node that was asked to stop may not lose its connection, and no call
+ * whose work may have begun may fail for the stop of a node or worker. Meant for runs whose only faults are planned
  * stops and such as must not matter to a running request.
  */
 export class PlannedStopOracle extends Oracle {
   readonly #open = new Map<string, OpenCall>();
   readonly #stopping = new Set<NodeId>();
+  /** Whether anything has been asked to stop so far. */
+  #anyStop = false;
 
   override observe(observation: Observation): void {
     switch (observation.kind) {
@@ -27,6 +29,10 @@
         break;
       case 'node-stop-asked':
         this.#stopping.add(observation.node);
+        this.#anyStop = true;
+        break;
+      case 'worker-leaving':
+        this.#anyStop = true;
         break;
       case 'node-started':
         this.#stopping.delete(observation.node);
@@ -44,25 +50,27 @@
 
   #noteReply(at: Milliseconds, callId: string, reply: CallReply): void {
     if (reply.kind === 'segment') return;
-    const open = this.#takeStopping(callId);
+    const open = this.#take(callId);
     if (open === undefined) return;
     const cutOff =
       reply.kind === 'failed' &&
       open.call.kind === 'generate' &&
       reply.failure.kind !== 'deadline_exceeded' &&
       ranStateOf(reply.failure) !== 'no';
-    this.compare(!cutOff, at, () => `${callId} at ${open.node} failed while the node stopped`);
+    if (!this.#anyStop) return;
+    this.compare(!cutOff, at, () => `${callId} at ${open.node} failed for a planned stop`);
   }
 
   #noteLost(at: Milliseconds, callId: string, cause: LostCallCause): void {
-    const open = this.#takeStopping(callId);
-    if (open === undefined || cause === 'connection-refused') return;
+    const open = this.#take(callId);
+    if (open === undefined || !this.#stopping.has(open.node) || cause === 'connection-refused')
+      return;
     this.compare(cause !== 'connection-lost', at, () => `${callId} at ${open.node} was cut off`);
   }
 
-  #takeStopping(callId: string): OpenCall | undefined {
+  #take(callId: string): OpenCall | undefined {
     const open = this.#open.get(callId);
     this.#open.delete(callId);
-    return open !== undefined && this.#stopping.has(open.node) ? open : undefined;
+    return open;
   }
 }
--- a/lab/simulation/action.ts
+++ b/lab/simulation/action.ts
@@ -82,6 +82,13 @@
       readonly sign: 'report' | 'machine-list';
       readonly duration: Milliseconds;
     }
+  /** A planned stop: the sign, a while for running work, then the end of the process. */
+  | {
+      readonly kind: 'stop-worker';
+      readonly worker: number;
+      readonly sign: 'report' | 'machine-list';
+      readonly downtime: Milliseconds;
+    }
   | { readonly kind: 'key-value-outage'; readonly duration: Milliseconds }
   | {
       readonly kind: 'key-value-slow';
@@ -125,6 +132,7 @@
   'crash-engine',
   'fail-swaps',
   'worker-leaves',
+  'stop-worker',
   'key-value-outage',
   'key-value-slow',
   'key-value-limit',
--- a/lab/simulation/fault-injector.ts
+++ b/lab/simulation/fault-injector.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Fault } from './action.js';
 import { workerMachine } from './fleet-plan.js';
+import type { SimulatedEngine } from './simulated-engine.js';
 import { PLATFORM_ZONE } from './simulated-key-value.js';
 import type { SimulatedNode } from './simulated-node.js';
 import type { Simulation } from './simulation.js';
@@ -13,6 +14,9 @@
 /** How long a planned stop may take before the process is ended by force. */
 const STOP_GRACE: Milliseconds = 30_000;
 
+/** Time from the sign of a worker's planned stop to the end of its process. */
+const WORKER_NOTICE: Milliseconds = 12_000;
+
 /** Takes a fault back. */
 type Heal = () => void;
 
@@ -21,6 +25,7 @@
   readonly #simulation: Simulation;
   readonly #open = new Set<Heal>();
   readonly #lags: Milliseconds[] = [];
+  readonly #stoppingWorkers = new Set<SimulatedEngine>();
 
   constructor(simulation: Simulation) {
     this.#simulation = simulation;
@@ -60,6 +65,9 @@
       case 'worker-leaves':
         this.#leave(fault);
         break;
+      case 'stop-worker':
+        this.#stopWorker(fault);
+        break;
       case 'watches-break':
         if (fault.compact) this.#simulation.keyValue.compact();
         this.#simulation.keyValue.breakWatches();
@@ -124,9 +132,13 @@
     if (node.state !== 'running') return;
     const life = node.life;
     const timersFirst = this.#simulation.random.integer(2) === 0;
+    const { node: name } = node.plan;
     node.freeze();
+    this.#simulation.observe({ kind: 'node-frozen', node: name });
     this.#until(duration, () => {
-      if (node.isAlive(life)) node.wake(timersFirst);
+      if (!node.isAlive(life)) return;
+      this.#simulation.observe({ kind: 'node-woken', node: name });
+      node.wake(timersFirst);
     });
   }
 
@@ -171,11 +183,22 @@
     this.#until(fault.duration, () => this.#setLeaving(engine, fault.sign, false));
   }
 
-  #setLeaving(
-    engine: ReturnType<Simulation['engineAt']>,
-    sign: 'report' | 'machine-list',
-    leaving: boolean,
-  ): void {
+  #stopWorker(fault: Extract<Fault, { readonly kind: 'stop-worker' }>): void {
+    const engine = this.#simulation.engineAt(fault.worker);
+    if (this.#stoppingWorkers.has(engine)) return;
+    this.#stoppingWorkers.add(engine);
+    this.#setLeaving(engine, fault.sign, true);
+    this.#simulation.queue.after(WORKER_NOTICE, () => {
+      engine.crash();
+      this.#until(fault.downtime, () => {
+        engine.restart();
+        this.#setLeaving(engine, fault.sign, false);
+        this.#stoppingWorkers.delete(engine);
+      });
+    });
+  }
+
+  #setLeaving(engine: SimulatedEngine, sign: 'report' | 'machine-list', leaving: boolean): void {
     const { machineList, queue } = this.#simulation;
     if (sign === 'report') engine.setLeaving(leaving);
     else machineList.setLeaving(workerMachine(engine.worker), leaving, queue.now);
--- a/lab/simulation/observation.ts
+++ b/lab/simulation/observation.ts
@@ -77,6 +77,8 @@
     }
   | { readonly kind: 'node-ended'; readonly node: NodeId; readonly planned: boolean }
   | { readonly kind: 'node-stop-asked'; readonly node: NodeId }
+  | { readonly kind: 'node-frozen'; readonly node: NodeId }
+  | { readonly kind: 'node-woken'; readonly node: NodeId }
   | {
       /** The revision that a running node acts on. */
       readonly kind: 'revision-seen';
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -32,11 +32,16 @@
 /** Engines of a simulation. */
 export const SIMULATED_ENGINE_SETTINGS = {
   ...DEFAULT_ENGINE_SETTINGS,
-  chunkTokens: 4,
   lengthSpread: 0.8,
   loadTime: 400,
 };
 
+/** Tokens between two segments of a short answer. */
+const SMALLEST_CHUNK = 4;
+
+/** Segments of a median answer, where answers are long. */
+const CHUNKS_PER_ANSWER = 10;
+
 /** Largest value a node's clock starts at. */
 const CLOCK_START_LIMIT: Milliseconds = 1_000_000;
 
@@ -169,6 +174,10 @@
         worker: worker.worker,
         slots: worker.slots,
         medianTokens: this.plan.medianTokens,
+        chunkTokens: Math.max(
+          SMALLEST_CHUNK,
+          Math.round(this.plan.medianTokens / CHUNKS_PER_ANSWER),
+        ),
         initialVersion: this.plan.firstVersion,
       };
       const engine = new EngineCore(settings, this.#fork());
--- a/src/config-feed/configuration-feed.ts
+++ b/src/config-feed/configuration-feed.ts
@@ -29,7 +29,7 @@
 /** The configuration feed of one node. */
 export class ConfigurationFeed {
   private readonly effects = new FeedEffectList();
-  private readonly copy = new FeedCopy(this.effects);
+  private readonly copy: FeedCopy;
   private readonly topology: FeedTopology;
   private readonly watcher: FeedWatcher;
   private readonly exchange: FeedExchange;
@@ -38,6 +38,7 @@
   constructor(options: ConfigurationFeedOptions) {
     const { self, random } = options;
     const timing = { ...DEFAULT_FEED_TIMING, ...options.timing };
+    this.copy = new FeedCopy(this.effects, options.ordered ?? true);
     const { watchersPerZone, treeFanOut, parents } = timing;
     this.topology = new FeedTopology({ self, random, watchersPerZone, treeFanOut, parents });
     this.watcher = new FeedWatcher(this.copy, random, timing, this.effects);
--- a/src/config-feed/entry-store.ts
+++ b/src/config-feed/entry-store.ts
@@ -16,7 +16,11 @@
   private forgottenRevision: Revision = 0;
   private tombstones = 0;
 
-  constructor(private readonly tombstoneLimit: number = TOMBSTONE_LIMIT) {}
+  /** @param ordered off only in the lab: older content then replaces newer. */
+  constructor(
+    private readonly tombstoneLimit: number = TOMBSTONE_LIMIT,
+    private readonly ordered: boolean = true,
+  ) {}
 
   /** The copy holds all that was written up to this revision; 0 before the first content. */
   get revision(): Revision {
@@ -52,7 +56,7 @@
    * `null` where the content does not connect to this copy (it starts at a later revision).
    */
   apply(content: FeedContent, revision: Revision): readonly string[] | null {
-    if (revision <= this.completeRevision) return [];
+    if (this.ordered && revision <= this.completeRevision) return [];
     if (content.kind === 'same') return null;
     if (content.kind === 'delta' && content.fromRevision > this.completeRevision) return null;
     const changed = content.entries.filter((entry) => this.put(entry)).map((entry) => entry.key);
@@ -67,7 +71,8 @@
 
   private put(entry: FeedEntry): boolean {
     const current = this.entries.get(entry.key);
-    if (current !== undefined && current.modRevision >= entry.modRevision) return false;
+    const isOld = current !== undefined && current.modRevision >= entry.modRevision;
+    if (isOld && this.ordered) return false;
     this.entries.set(entry.key, entry);
     this.tombstones += (entry.value === null ? 1 : 0) - (current?.value === null ? 1 : 0);
     return current?.value !== entry.value && !(current === undefined && entry.value === null);
--- a/src/config-feed/feed-copy.ts
+++ b/src/config-feed/feed-copy.ts
@@ -19,14 +19,20 @@
 
 /** The copy of one node. */
 export class FeedCopy {
-  readonly store = new EntryStore();
+  readonly store: EntryStore;
   private freshAt: Milliseconds | null = null;
   private current: Configuration = EMPTY_CONFIGURATION;
   private changedRevision: Revision = 0;
   private rejectedKeys = new Set<string>();
   private rejectedTotal = 0;
 
-  constructor(private readonly effects: FeedEffectList) {}
+  /** @param ordered off only in the lab: older content then replaces newer. */
+  constructor(
+    private readonly effects: FeedEffectList,
+    ordered = true,
+  ) {
+    this.store = new EntryStore(undefined, ordered);
+  }
 
   /** The same object until a record changes. */
   get configuration(): Configuration {
--- a/src/config-feed/feed-effects.ts
+++ b/src/config-feed/feed-effects.ts
@@ -94,6 +94,8 @@
   readonly self: NodeRecord;
   readonly random: RandomSource;
   readonly timing?: Partial<ConfigurationFeedTiming>;
+  /** Off only in the lab: older content then replaces newer. @default true */
+  readonly ordered?: boolean;
 }
 
 /** Gathers the effects of one call. */
--- a/src/dispatch/dispatch-client.ts
+++ b/src/dispatch/dispatch-client.ts
@@ -37,6 +37,8 @@
   readonly silenceLimit?: Milliseconds;
   /** Time between queries to a home that runs a dispatch. @default 1000 */
   readonly queryInterval?: Milliseconds;
+  /** Off only in the lab: an answer without an owner then goes to some open dispatch. */
+  readonly matchIdentity?: boolean;
 }
 
 interface OpenDispatch {
@@ -58,12 +60,14 @@
   private readonly repeatInterval: Milliseconds;
   private readonly silenceLimit: Milliseconds;
   private readonly queryInterval: Milliseconds;
+  private readonly matchIdentity: boolean;
 
   constructor(options: DispatchClientOptions) {
     this.send = options.send;
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
     this.silenceLimit = options.silenceLimit ?? DEFAULT_SILENCE_LIMIT;
     this.queryInterval = options.queryInterval ?? DEFAULT_QUERY_INTERVAL;
+    this.matchIdentity = options.matchIdentity ?? true;
   }
 
   /** How many dispatches have no outcome yet. */
@@ -93,7 +97,7 @@
 
   /** Takes in a home's message. */
   receive(from: NodeIdentity, message: DispatchMessage, now: Milliseconds): void {
-    const dispatch = this.open.get(message.dispatchId);
+    const dispatch = this.open.get(message.dispatchId) ?? this.substitute(from);
     if (message.kind === 'dispatch-ended') this.acknowledge(from, message.dispatchId);
     if (dispatch === undefined) {
       this.cancelUnwanted(from, message);
@@ -123,6 +127,12 @@
     }
   }
 
+  /** Some open dispatch of a home, where answers are not matched by identifier. */
+  private substitute(home: NodeIdentity): OpenDispatch | undefined {
+    if (this.matchIdentity) return undefined;
+    return [...this.open.values()].find((one) => sameIdentity(one.order.home, home));
+  }
+
   private check(dispatch: OpenDispatch, now: Milliseconds): void {
     if (now - dispatch.lastHeard >= this.silenceLimit) {
       this.send(dispatch.order.home, {
--- a/src/dispatch/generation-runner.ts
+++ b/src/dispatch/generation-runner.ts
@@ -35,6 +35,12 @@
   readonly singleDispatch: boolean;
   /** Off only in the lab: a lost dispatch is then reported as not run. */
   readonly truthfulUnknown: boolean;
+  /** Off only in the lab: a stream that broke off is then taken for the whole answer. */
+  readonly wholeAnswer: boolean;
+  /** Off only in the lab: segments are then passed on as they come. */
+  readonly streamOrder: boolean;
+  /** Off only in the lab: the newest version is then named for the whole answer. */
+  readonly segmentVersions: boolean;
 }
 
 /** How a generation ended. */
@@ -83,7 +89,10 @@
     private readonly listener: GenerationListener,
     private readonly clock: () => Milliseconds,
   ) {
-    this.stream = new SegmentSequence((segment, text) => listener.onSegment?.(segment, text));
+    this.stream = new SegmentSequence(
+      (segment, text) => listener.onSegment?.(segment, text),
+      options.streamOrder,
+    );
   }
 
   cancel(): void {
@@ -129,7 +138,12 @@
     if (outcome.kind === 'finished') {
       this.over = true;
       if (this.order.stream) this.stream.complete(outcome.result);
-      this.listener.onEnd({ kind: 'finished', result: outcome.result, worker }, this.clock());
+      this.finish(worker, outcome.result);
+      return;
+    }
+    if (this.stream.hasPassed && !this.options.wholeAnswer) {
+      this.over = true;
+      this.finish(worker, this.stream.passed);
       return;
     }
     const reason = this.reasonOf(outcome);
@@ -138,6 +152,11 @@
     else this.fail(reason, outcome.kind === 'preempted');
   }
 
+  private finish(worker: WorkerId, result: GenerationResult): void {
+    const named = this.options.segmentVersions ? result : withNewestVersion(result);
+    this.listener.onEnd({ kind: 'finished', result: named, worker }, this.clock());
+  }
+
   private reasonOf(outcome: Exclude<OriginOutcome, { kind: 'finished' }>): Failure {
     if (outcome.kind === 'refused' || outcome.kind === 'failed') return outcome.failure;
     if (outcome.kind === 'preempted') {
@@ -169,6 +188,12 @@
   }
 }
 
+/** The answer with its newest version named for all of it. */
+function withNewestVersion(result: GenerationResult): GenerationResult {
+  const version = Math.max(...result.segments.map((segment) => segment.version));
+  return { ...result, segments: [{ version, firstToken: 0, tokenCount: result.tokenCount }] };
+}
+
 /** Runs generations for the step drivers and request runners of one node. */
 export class GenerationRunner {
   constructor(
--- a/src/dispatch/segment-sequence.ts
+++ b/src/dispatch/segment-sequence.ts
@@ -16,19 +16,35 @@
 /** One answer's segments on their way to its caller. */
 export class SegmentSequence {
   private nextToken: TokenCount = 0;
-  private passedLength = 0;
+  private passedText = '';
+  private readonly passedSegments: TokenSegment[] = [];
   /** Segments that came too early, by first token. */
   private readonly waiting = new Map<TokenCount, WaitingSegment>();
 
-  constructor(private readonly receiver: SegmentReceiver) {}
+  /** @param ordered off only in the lab: segments are then passed on as they come. */
+  constructor(
+    private readonly receiver: SegmentReceiver,
+    private readonly ordered: boolean = true,
+  ) {}
 
   /** Whether some of the answer has been passed on. */
   get hasPassed(): boolean {
     return this.nextToken > 0;
   }
 
+  /** What has been passed on so far, in the form of an answer. */
+  get passed(): GenerationResult {
+    const text = this.passedText;
+    const segments = this.passedSegments;
+    return { text, segments, tokenCount: this.nextToken, finishReason: 'stop' };
+  }
+
   /** Takes in a segment: passes it on when it is next, keeps it when it is early. */
   accept(segment: TokenSegment, text: string): void {
+    if (!this.ordered) {
+      this.pass(segment, text);
+      return;
+    }
     if (segment.firstToken < this.nextToken) return;
     this.waiting.set(segment.firstToken, { segment, text });
     for (;;) {
@@ -45,8 +61,9 @@
    * by several versions its text goes with the first of them; the answer itself names all.
    */
   complete(result: GenerationResult): void {
+    if (!this.ordered) return;
     this.waiting.clear();
-    let text = result.text.slice(this.passedLength);
+    let text = result.text.slice(this.passedText.length);
     for (const segment of result.segments) {
       const rest = restOf(segment, this.nextToken);
       if (rest === null) continue;
@@ -57,7 +74,8 @@
 
   private pass(segment: TokenSegment, text: string): void {
     this.nextToken = segment.firstToken + segment.tokenCount;
-    this.passedLength += text.length;
+    this.passedText += text;
+    this.passedSegments.push(segment);
     this.receiver(segment, text);
   }
 }
--- a/src/ledger/body-operation.ts
+++ b/src/ledger/body-operation.ts
@@ -70,7 +70,9 @@
     const round = this.#round;
     if (this.#isDone || round === undefined || message.request !== round.request) return;
     if (message.kind === 'body-stored') {
-      if (round.agree(from) && round.hasMajority) this.#end({ kind: 'stored' });
+      if (round.agree(from) && (round.hasMajority || !this.#needsMajority)) {
+        this.#end({ kind: 'stored' });
+      }
     } else if (message.kind === 'body') {
       this.#receiveBody(from, message.body, round);
     } else if (message.kind === 'refused') {
@@ -85,6 +87,10 @@
     }
   }
 
+  get #needsMajority(): boolean {
+    return this.#host.environment.settings.bodyMajority;
+  }
+
   #start(group: GroupRecord, now: Milliseconds): void {
     if (this.#round !== undefined) this.#host.unroute(this.#round.request);
     this.#group = group;
@@ -94,7 +100,7 @@
     this.#round = round;
     this.#host.route(round.request, this);
     this.#wasSent = true;
-    if (content.kind === 'body-store') round.open();
+    if (content.kind === 'body-store' && this.#needsMajority) round.open();
     else round.openToOne();
   }
 
--- a/src/ledger/options.ts
+++ b/src/ledger/options.ts
@@ -43,6 +43,10 @@
   readonly pageEntries: number;
   /** Bodies fetched at once while catching up. Default 8. */
   readonly bodyFetchWindow: number;
+  /** Off only in the lab: a new member then votes before it has caught up. Default true. */
+  readonly catchUpBeforeVoting: boolean;
+  /** Off only in the lab: a body is then stored on one member. Default true. */
+  readonly bodyMajority: boolean;
 }
 
 /** Settings of a ledger. */
@@ -74,6 +78,8 @@
   removalPersistence: MINUTE,
   pageEntries: 200,
   bodyFetchWindow: 8,
+  catchUpBeforeVoting: true,
+  bodyMajority: true,
 };
 
 /** Fills in the defaults. */
--- a/src/ledger/replica.ts
+++ b/src/ledger/replica.ts
@@ -154,6 +154,10 @@
       this.#announce(record);
       return;
     }
+    if (!this.#environment.settings.catchUpBeforeVoting) {
+      this.#activate(record, { entries: [], tombstones: [] }, now);
+      return;
+    }
     const catchUp = new CatchUp(this.#environment, record);
     this.#catchUps.set(record.epoch, catchUp);
     catchUp.tick(now);
--- a/src/node/mechanisms.ts
+++ b/src/node/mechanisms.ts
@@ -19,6 +19,7 @@
   'barred-dispatch',
   'request-identity',
   'whole-answer',
+  'stream-order',
   'incarnation-check',
   'freshness-rule',
   'revision-order',
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -71,12 +71,15 @@
     this.settings = settings;
     this.context = new NodeContext(self, random, (to) => this.addressOf(to), this.explainLog);
     this.membership = new Membership({ self, random });
-    this.feed = new ConfigurationFeed({ self, random });
+    const { mechanisms } = settings;
+    this.feed = new ConfigurationFeed({ self, random, ordered: mechanisms['revision-order'] });
     this.ledger = new Ledger<LedgerRecord>({
       self,
       random,
       replicaCount: settings.replicaCount,
       shardsPerDomain: settings.shardsPerDomain,
+      catchUpBeforeVoting: mechanisms['group-catch-up'],
+      bodyMajority: mechanisms['body-replication'],
     });
     this.ledgerAdapter = new LedgerAdapter(this.ledger, this.context);
     this.directory = new WorkerDirectory({ self, random });
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -59,7 +59,10 @@
       this.permissionOf(request.intent, request.trafficClass === 'training'),
     );
     this.admission = new HomeAdmission();
-    this.client = new DispatchClient({ send: (to, message) => this.sendDispatch(to, message) });
+    this.client = new DispatchClient({
+      send: (to, message) => this.sendDispatch(to, message),
+      matchIdentity: ports.mechanisms['request-identity'],
+    });
     this.home = this.createHome();
     this.runner = this.createRunner();
     this.requests = new RequestCalls(ports, this.runner, (account, model) =>
@@ -185,6 +188,9 @@
         explain: (subject, decision, reason) => this.ports.explain(subject, decision, reason),
         singleDispatch: mechanisms['single-dispatch'],
         truthfulUnknown: mechanisms['unknown-outcome'],
+        wholeAnswer: mechanisms['whole-answer'],
+        streamOrder: mechanisms['stream-order'],
+        segmentVersions: mechanisms['segment-versions'],
       },
       () => this.ports.now(),
     );
--- a/test/dispatch/generation-runner.test.ts
+++ b/test/dispatch/generation-runner.test.ts
@@ -46,6 +46,9 @@
       explain: () => undefined,
       singleDispatch: true,
       truthfulUnknown: true,
+      wholeAnswer: true,
+      streamOrder: true,
+      segmentVersions: true,
     },
     () => 0,
   );
