--- a/lab/simulation/calls.ts
+++ b/lab/simulation/calls.ts
@@ -26,6 +26,8 @@
   readonly handler: CallHandler;
   /** Earliest time of the next delivery, since a connection keeps the order. */
   notBefore: Milliseconds;
+  /** Whether the connection was made. */
+  connected: boolean;
 }
 
 /** All calls that are underway. */
@@ -55,7 +57,7 @@
   ): string {
     this.#count += 1;
     const callId = `call-${this.#count}`;
-    const open: OpenCall = { node, life: node.life, handler, notBefore: 0 };
+    const open: OpenCall = { node, life: node.life, handler, notBefore: 0, connected: false };
     this.#open.set(callId, open);
     const { node: name, zone } = node.plan;
     const call = build(node.localTime());
@@ -78,7 +80,7 @@
   /** Breaks the connections of a node whose process has ended. */
   breakConnections(node: NodeId): void {
     for (const [callId, open] of [...this.#open]) {
-      if (open.node.plan.node !== node) continue;
+      if (open.node.plan.node !== node || !open.connected) continue;
       const delay = this.#network.delay(open.node.plan.zone, CLIENT_ZONE);
       this.#queue.after(Math.max(delay, open.notBefore - this.#queue.now), () =>
         this.#lose(callId, 'connection-lost'),
@@ -93,6 +95,7 @@
       this.#lose(callId, 'connection-refused');
       return;
     }
+    open.connected = true;
     open.node.deliver({ kind: 'call', callId, call: build(open.node.localTime()) });
   }
 
