--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -73,7 +73,8 @@
     this.settings = settings;
     this.context = new NodeContext(self, random, (to) => this.addressOf(to), this.explainLog);
     this.membership = new Membership({ self, random });
-    this.feed = new ConfigurationFeed({ self, random });
+    const { mechanisms } = settings;
+    this.feed = new ConfigurationFeed({ self, random, ordered: mechanisms['revision-order'] });
     this.ledger = new Ledger<LedgerRecord>({
       self,
       random,
@@ -81,6 +82,8 @@
       shardsPerDomain: settings.shardsPerDomain,
       bodyBytesLimit: settings.maxResultBytes,
       diskBodies: settings.diskBodies,
+      catchUpBeforeVoting: mechanisms['group-catch-up'],
+      bodyMajority: mechanisms['body-replication'],
     });
     this.ledgerAdapter = new LedgerAdapter(this.ledger, this.context);
     if (settings.diskBodies !== null) this.diskResidency = new DiskResidency();
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -61,7 +61,10 @@
     this.admission = new HomeAdmission({
       isLeaving: (worker) => ports.mechanisms['drain-refusal'] && directory.isLeaving(worker),
     });
-    this.client = new DispatchClient({ send: (to, message) => this.sendDispatch(to, message) });
+    this.client = new DispatchClient({
+      send: (to, message) => this.sendDispatch(to, message),
+      matchIdentity: ports.mechanisms['request-identity'],
+    });
     this.home = this.createHome();
     this.runner = this.createRunner();
     this.requests = new RequestCalls(ports, this.runner, (account, model) =>
@@ -187,6 +190,9 @@
         explain: (subject, decision, reason) => this.ports.explain(subject, decision, reason),
         singleDispatch: mechanisms['single-dispatch'],
         truthfulUnknown: mechanisms['unknown-outcome'],
+        wholeAnswer: mechanisms['whole-answer'],
+        streamOrder: mechanisms['stream-order'],
+        segmentVersions: mechanisms['segment-versions'],
       },
       () => this.ports.now(),
     );
