--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -64,6 +64,7 @@
     this.client = new DispatchClient({
       send: (to, message) => this.sendDispatch(to, message),
       matchIdentity: ports.mechanisms['request-identity'],
+      onLost: () => ports.counters.increment('dispatches_lost'),
     });
     this.home = this.createHome();
     this.runner = this.createRunner();
