--- a/lab/main.ts
+++ b/lab/main.ts
@@ -13,6 +13,7 @@
   'membership',
   'config-feed',
   'node',
+  'fleet',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -63,6 +63,7 @@
   readonly calls: SimulatedCalls;
   readonly nodes: ReadonlyMap<NodeId, SimulatedNode>;
   readonly engines: ReadonlyMap<WorkerId, SimulatedEngine>;
+  readonly #nodesByAddress: ReadonlyMap<string, SimulatedNode>;
   readonly #options: SimulationOptions;
   readonly #observers: Observer[] = [];
   readonly #effects: EffectRunner;
@@ -86,6 +87,9 @@
     this.engines = this.#createEngines(observe);
     this.#effects = new EffectRunner(this, options.observeMessages);
     this.nodes = this.#createNodes();
+    this.#nodesByAddress = new Map(
+      [...this.nodes.values()].map((node) => [node.plan.address, node]),
+    );
   }
 
   /** Adds an onlooker. */
@@ -152,8 +156,7 @@
 
   /** The node that listens at an address. */
   nodeByAddress(address: string): SimulatedNode | undefined {
-    const place = this.plan.nodes.find((node) => node.address === address);
-    return place === undefined ? undefined : this.nodes.get(place.node);
+    return this.#nodesByAddress.get(address);
   }
 
   #required<Item>(name: string | undefined, items: ReadonlyMap<string, Item>): Item {
