--- a/lab/main.ts
+++ b/lab/main.ts
@@ -15,6 +15,7 @@
   'node',
   'storage',
   'weights-activation',
+  'fleet',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
