Steps learn lengths from their prompt groups and hedge by the policy of routing

Change: one predictor a node, fed by every finished sample; the queue is ordered by it twice a second; HedgingPolicy decides on second copies.

--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -20,6 +20,7 @@
 import type { StepPorts } from '../rollouts/step-ports.js';
 import { StepSupervisor } from '../rollouts/step-supervisor.js';
 import { HomeAdmission } from '../routing/home-admission.js';
+import { LengthPredictor } from '../routing/length-predictor.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import { Router } from '../routing/router.js';
 import { createRoutingPolicies } from '../routing/routing-policies.js';
@@ -204,6 +205,7 @@
     return {
       node: this.ports,
       hedging: this.modules.settings.hedging,
+      predictor: new LengthPredictor(),
       permission: (record) => this.permissionOf(record.intent, true),
       generate: (record, permission, sample, deadline, listener) => {
         const request = sampleGeneration(record, permission, sample);
--- a/src/rollouts/sample-queue.ts
+++ b/src/rollouts/sample-queue.ts
@@ -1,19 +1,21 @@
 /**
  * The samples of a step that wait to be generated, predicted longest first: a long sample that is
- * begun late holds the whole step. A prompt's length is predicted from the finished samples of the
- * same prompt group; groups without history come in the order of submission.
+ * begun late holds the whole step. Lengths are predicted from the finished samples of the same
+ * prompt group, of this step and of earlier ones driven by this node (`bench -- cooperative` shows
+ * what the order gains).
  */
 import { placementHash } from '../core/hashing.js';
+import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, TokenCount } from '../core/units.js';
 import type { SampleRequest } from '../node/calls.js';
+import type { LengthPredictor, PredictedRequest } from '../routing/length-predictor.js';
 
-/** How many durations are kept to tell a slow sample from an ordinary one. */
-const DURATION_MEMORY = 256;
-/** A sample that runs this many times longer than the 90th percentile is slow. */
-const SLOW_FACTOR = 1.5;
-/** Durations needed before any sample is called slow. */
-const MINIMUM_HISTORY = 8;
-const SLOW_QUANTILE = 0.9;
+/** Time between two orderings of the queue by what was learned meanwhile. */
+const ORDER_INTERVAL: Milliseconds = 500;
+
+interface WaitingSample extends PredictedRequest {
+  readonly sample: SampleRequest;
+}
 
 /** Name of the group of samples that share a prompt; tells nothing of the prompt's text. */
 export function promptGroupOf(prompt: string): string {
@@ -22,47 +24,68 @@
 
 /** Waiting samples of one step. */
 export class SampleQueue {
-  private readonly waiting = new Map<string, SampleRequest>();
-  private readonly durations: Milliseconds[] = [];
+  /** Longest last, so that the next one is taken off the end. */
+  private waiting: WaitingSample[];
+  private readonly keys: Set<string>;
+  private learned = true;
+  private orderedAt = Number.NEGATIVE_INFINITY;
 
-  constructor(samples: readonly SampleRequest[]) {
-    const ordered = [...samples].sort((left, right) => right.maxTokens - left.maxTokens);
-    for (const sample of ordered) this.waiting.set(sample.key, sample);
+  constructor(
+    samples: readonly SampleRequest[],
+    private readonly model: ModelName,
+    private readonly predictor: LengthPredictor,
+  ) {
+    this.waiting = samples.map((sample) => this.waitingSample(sample));
+    this.keys = new Set(samples.map((sample) => sample.key));
   }
 
   /** How many wait. */
   get size(): number {
-    return this.waiting.size;
+    return this.keys.size;
   }
 
-  /** Takes out the next sample. */
-  next(): SampleRequest | undefined {
-    const first = this.waiting.values().next().value;
-    if (first !== undefined) this.waiting.delete(first.key);
-    return first;
+  /** Takes out the sample that is expected to take longest. */
+  next(now: Milliseconds): SampleRequest | undefined {
+    this.order(now);
+    for (;;) {
+      const last = this.waiting.pop();
+      if (last === undefined) return undefined;
+      if (this.keys.delete(last.sample.key)) return last.sample;
+    }
   }
 
-  /** A sample must be generated again. */
+  /** A sample must be generated again; it comes first. */
   putBack(sample: SampleRequest): void {
-    this.waiting.set(sample.key, sample);
+    if (this.keys.has(sample.key)) return;
+    this.keys.add(sample.key);
+    this.waiting.push(this.waitingSample(sample));
   }
 
   /** A sample need not be generated any more. */
   remove(key: string): void {
-    this.waiting.delete(key);
+    this.keys.delete(key);
+  }
+
+  /** Learns from a finished sample. */
+  observe(sample: SampleRequest, tokens: TokenCount): void {
+    this.predictor.record(this.waitingSample(sample), tokens);
+    this.learned = true;
+  }
+
+  /** Tokens a sample is expected to take. */
+  predict(sample: SampleRequest): TokenCount {
+    return this.predictor.predict(this.waitingSample(sample));
   }
 
-  /** Notes how long a finished sample took. */
-  observe(_tokens: TokenCount, duration: Milliseconds): void {
-    this.durations.push(duration);
-    if (this.durations.length > DURATION_MEMORY) this.durations.shift();
+  private waitingSample(sample: SampleRequest): WaitingSample {
+    const { maxTokens } = sample;
+    return { sample, model: this.model, promptGroup: promptGroupOf(sample.prompt), maxTokens };
   }
 
-  /** Time after which a running sample counts as slow; `null` without enough history. */
-  hedgeThreshold(): Milliseconds | null {
-    if (this.durations.length < MINIMUM_HISTORY) return null;
-    const sorted = [...this.durations].sort((left, right) => left - right);
-    const index = Math.floor(sorted.length * SLOW_QUANTILE);
-    return (sorted[index] ?? 0) * SLOW_FACTOR;
+  private order(now: Milliseconds): void {
+    if (!this.learned || now - this.orderedAt < ORDER_INTERVAL) return;
+    this.orderedAt = now;
+    this.learned = false;
+    this.waiting = [...this.predictor.longestFirst(this.waiting)].reverse();
   }
 }
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -10,12 +10,14 @@
 import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
+import { HedgingPolicy, type PendingSample } from '../routing/hedging-policy.js';
 import { DeliveryAppender } from './delivery-appender.js';
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
 import type { StepRecord } from './records.js';
 import { SampleQueue } from './sample-queue.js';
 import { decodeSamples, encodeResult } from './step-bodies.js';
+import { StepPace } from './step-pace.js';
 import type { StepPorts } from './step-ports.js';
 
 /** Time given to one ledger operation before it is tried anew. */
@@ -36,9 +38,13 @@
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
   private readonly running = new Map<string, RunningSample>();
   private readonly window = new DispatchWindow();
+  private readonly pace = new StepPace();
+  private readonly hedging = new HedgingPolicy();
+  private hedgesMade = 0;
   private queue: SampleQueue | null = null;
   private readonly appender: DeliveryAppender;
   private pausedUntil: Milliseconds = 0;
+  private endState: 'complete' | 'closed' = 'complete';
 
   /**
    * @param key the step record's key, which also picks the shard.
@@ -76,7 +82,8 @@
         this.pausedUntil = this.node.now() + RETRY_PAUSE;
         return;
       }
-      this.queue = new SampleQueue(decodeSamples(outcome.body));
+      const samples = decodeSamples(outcome.body);
+      this.queue = new SampleQueue(samples, this.record.model, this.ports.predictor);
       this.appender.load(() => this.begin());
     });
     this.pausedUntil = Number.POSITIVE_INFINITY;
@@ -118,11 +125,11 @@
     const now = this.node.now();
     if (queue === null || now < this.pausedUntil) return;
     while (this.running.size < this.window.size) {
-      const sample = queue.next();
+      const sample = queue.next(now);
       if (sample === undefined) break;
       if (!this.dispatch(sample)) break;
     }
-    if (queue.size === 0) this.hedgeSlowest(now);
+    if (queue.size === 0) this.hedgeLate(now);
   }
 
   /** Starts one sample; false where no more should be started now. */
@@ -158,7 +165,7 @@
     if (this.phase !== 'running' || this.running.get(sample.key) !== entry) return;
     if (outcome.kind === 'finished') {
       this.window.succeeded();
-      this.queue?.observe(outcome.result.tokenCount, this.node.now() - entry.startedAt);
+      this.observe(entry, outcome.result);
       this.keep(entry, outcome.result);
       return;
     }
@@ -240,8 +247,6 @@
     this.markEnded();
   }
 
-  private endState: 'complete' | 'closed' = 'complete';
-
   private markEnded(): void {
     const { intent } = this.record;
     const address = { domain: intent, shardKey: this.key, key: this.key };
@@ -260,17 +265,34 @@
     this.running.clear();
   }
 
-  /** With nothing left to start, a second copy of the slowest samples guards against a bad worker. */
-  private hedgeSlowest(now: Milliseconds): void {
-    const threshold = this.queue?.hedgeThreshold() ?? null;
-    if (threshold === null || !this.ports.hedging) return;
-    for (const entry of this.running.values()) {
-      const slow = now - entry.startedAt > threshold;
-      if (!slow || entry.generations.length > 1) continue;
-      const answer = this.ports.permission(this.record);
-      if (answer.kind === 'refused') return;
-      this.node.counters.increment('samples_hedged');
-      this.generate(entry, answer.permission);
-    }
+  private observe(entry: RunningSample, result: GenerationResult): void {
+    this.queue?.observe(entry.sample, result.tokenCount);
+    this.pace.record(result.tokenCount, this.node.now() - entry.startedAt);
+  }
+
+  /** Starts a second copy of the last few samples that are late; see `HedgingPolicy`. */
+  private hedgeLate(now: Milliseconds): void {
+    if (!this.ports.hedging || this.running.size === 0) return;
+    const progress = {
+      sampleCount: this.record.sampleCount,
+      pending: [...this.running.values()].map((entry) => this.pendingSample(entry)),
+      typicalDuration: this.pace.typicalDuration(),
+      hedgesMade: this.hedgesMade,
+    };
+    for (const key of this.hedging.samplesToHedge(progress, now)) this.hedge(key);
+  }
+
+  private pendingSample({ sample, startedAt, liveCopies }: RunningSample): PendingSample {
+    const expected = this.pace.expectedDuration(this.queue?.predict(sample) ?? 0);
+    return { key: sample.key, startedAt, attempts: liveCopies, expected };
+  }
+
+  private hedge(key: string): void {
+    const entry = this.running.get(key);
+    const answer = this.ports.permission(this.record);
+    if (entry === undefined || answer.kind === 'refused') return;
+    this.hedgesMade += 1;
+    this.node.counters.increment('samples_hedged');
+    this.generate(entry, answer.permission);
   }
 }
