--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -53,7 +53,7 @@
 
   /** Whether the node can take calls: its configuration is known and fresh. */
   readiness(now: Milliseconds): Readiness {
-    return this.modules.readiness(now);
+    return this.modules.report.readiness(now);
   }
 
   /** All counters. */
@@ -63,7 +63,7 @@
 
   /** The state at this moment, for metrics. */
   gauges(now: Milliseconds): NodeGauges {
-    return this.modules.gauges(now);
+    return this.modules.report.gauges(now);
   }
 
   /** The configuration in force on this node. */
@@ -100,7 +100,7 @@
         modules.keyValueResult(event.requestId, event.result);
         return;
       case 'watch':
-        modules.applyFeed(modules.feed.watchEvent(event.watchId, event.event, now));
+        modules.effects.feed(modules.feed.watchEvent(event.watchId, event.event, now));
         return;
       case 'engine':
         modules.work.engineEvent(event.dispatchId, event.event);
@@ -109,10 +109,10 @@
         modules.workerReport(event.report);
         return;
       case 'worker-unreachable':
-        modules.applyDirectory(modules.directory.workerUnreachable(event.worker, now));
+        modules.effects.directory(modules.directory.workerUnreachable(event.worker, now));
         return;
       case 'order-result':
-        modules.applyWeights(modules.weights.orderResult(event.orderId, event.result, now));
+        modules.effects.weights(modules.weights.orderResult(event.orderId, event.result, now));
         return;
       case 'machine-list':
         modules.machineList(event.machines);
@@ -136,7 +136,7 @@
     const { modules } = this;
     if (this.machineListPoll.isDue(now)) modules.context.emit({ kind: 'machine-list-poll' });
     modules.tickFoundation(now);
-    if (this.refresh.isDue(now)) modules.refreshViews(now);
+    if (this.refresh.isDue(now)) modules.views.refresh(now);
     modules.work.tick(now);
     modules.context.runTimers();
     this.checkStopped(now);
@@ -156,10 +156,10 @@
     const now = modules.context.now();
     switch (message.module) {
       case 'membership':
-        modules.applyMembership(modules.membership.receive(from, message.body, now));
+        modules.effects.membership(modules.membership.receive(from, message.body, now));
         return;
       case 'config-feed':
-        modules.applyFeed(modules.feed.receive(from, message.body, now));
+        modules.effects.feed(modules.feed.receive(from, message.body, now));
         return;
       case 'ledger':
         modules.ledgerAdapter.apply(modules.ledger.receive(from, message.body, now));
@@ -171,7 +171,7 @@
         modules.work.supervisor.receive(from, message.body);
         return;
       case 'routing':
-        modules.applyDirectory(modules.directory.receive(from, message.body, now));
+        modules.effects.directory(modules.directory.receive(from, message.body, now));
         return;
       case 'status':
         modules.status.receive(from, message.body);
--- /dev/null
+++ b/src/node/view-refresher.ts
@@ -0,0 +1,106 @@
+/**
+ * Passes on what the modules of a node know of each other's subjects: members to the feed and the
+ * ledger, configuration to the directory and the weight controller, and so on.
+ */
+import type { NodeRecord } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { LedgerDomain } from '../ledger/ledger.js';
+import type { MachineRecord, WorkerRecord } from '../platform/worker.js';
+import type { DiskResidency } from './disk-residency.js';
+import type { NodeModules } from './node-modules.js';
+
+/** Refreshes the views of one node's modules. */
+export class ViewRefresher {
+  private membershipVersion = -1;
+  private zoneWorkers: readonly WorkerRecord[] = [];
+  /** The machine list that `zoneWorkers` was made from. */
+  private zoneWorkersOf: readonly MachineRecord[] = [];
+
+  constructor(
+    private readonly modules: NodeModules,
+    private readonly diskResidency: DiskResidency | null,
+  ) {}
+
+  /** Passes on what has changed; cheap where nothing has. */
+  refresh(now: Milliseconds): void {
+    const configuration = this.modules.feed.configuration();
+    if (this.membershipVersion !== this.modules.membership.version) {
+      this.membershipVersion = this.modules.membership.version;
+      this.modules.effects.feed(
+        this.modules.feed.membersChanged(this.modules.membership.members(), now),
+      );
+    }
+    this.refreshLedger(now);
+    this.modules.effects.directory(
+      this.modules.directory.updateDrains(this.modules.effectiveDrains(), now),
+    );
+    const wanted = [...configuration.intents.values()]
+      .filter((intent) => intent.zones.includes(this.modules.settings.self.zone))
+      .map(({ model, zones }) => ({ model, zones }));
+    this.modules.effects.directory(
+      this.modules.directory.updateWanted(this.wantedOrAll(wanted), now),
+    );
+    const liveInZone = (zone: string): readonly NodeRecord[] =>
+      this.modules.membership.liveInZone(zone);
+    this.modules.effects.directory(this.modules.directory.updateNodes(liveInZone, now));
+    this.refreshWeights(now);
+    this.modules.work.refresh(configuration);
+  }
+
+  private refreshLedger(now: Milliseconds): void {
+    const configuration = this.modules.feed.configuration();
+    const domains = [...configuration.intents.values()].map(({ name, zones }) => {
+      return { name, zones: this.residentZones(zones) };
+    });
+    this.refreshDisk(domains);
+    const members = this.modules.membership.members().map(({ record, state }) => {
+      return { record, alive: state === 'alive' || state === 'suspect' };
+    });
+    this.modules.ledgerAdapter.apply(this.modules.ledger.updateMembers(members, domains, now));
+    this.modules.ledgerAdapter.apply(
+      this.modules.ledger.updateGroups(configuration.groups.values(), now),
+    );
+  }
+
+  /** Tells the disk which domains may have bodies here, once the configuration is known. */
+  private refreshDisk(domains: readonly LedgerDomain[]): void {
+    if (this.diskResidency === null || this.modules.feed.completeRevision() === 0) return;
+    const request = this.diskResidency.update(domains, this.modules.settings.self.zone);
+    if (request !== null) this.modules.context.emit({ kind: 'disk', request });
+  }
+
+  /** Zones that may hold an intent's ledger replicas. */
+  private residentZones(zones: readonly string[]): readonly string[] {
+    if (this.modules.settings.mechanisms['residency-replicas']) return zones;
+    return this.modules.settings.zones.map((zone) => zone.name);
+  }
+
+  private wantedOrAll(
+    wanted: readonly { readonly model: string; readonly zones: readonly string[] }[],
+  ): readonly { readonly model: string; readonly zones: readonly string[] }[] {
+    if (this.modules.settings.mechanisms['residency-routing']) return wanted;
+    const zones = this.modules.settings.zones.map((zone) => zone.name);
+    return wanted.map(({ model }) => ({ model, zones }));
+  }
+
+  private refreshWeights(now: Milliseconds): void {
+    const { zone } = this.modules.settings.self;
+    const view = {
+      configuration: this.modules.feed.configuration(),
+      configurationFresh: this.modules.permission.isFresh(this.modules.feed.freshnessAge(now)),
+      liveInZone: this.modules.membership.liveInZone(zone),
+      workers: this.workersOfZone(),
+    };
+    this.modules.effects.weights(this.modules.weights.update(view, now));
+  }
+
+  private workersOfZone(): readonly WorkerRecord[] {
+    if (this.zoneWorkersOf !== this.modules.machines) {
+      this.zoneWorkersOf = this.modules.machines;
+      this.zoneWorkers = this.modules.machines
+        .flatMap((machine) => machine.workers)
+        .filter((worker) => worker.zone === this.modules.settings.self.zone);
+    }
+    return this.zoneWorkers;
+  }
+}
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -173,7 +173,7 @@
     if (outcome.kind === 'refused') counters.increment('dispatches_refused');
     if (outcome.kind === 'preempted') counters.increment('dispatches_preempted');
     const { directory } = this.modules;
-    this.modules.applyDirectory(directory.recordOutcome(worker, callOutcomeOf(outcome), now));
+    this.modules.effects.directory(directory.recordOutcome(worker, callOutcomeOf(outcome), now));
     const record = directory.worker(worker);
     if (record !== undefined) {
       directory.setOutstanding(worker, this.admission.counts(record), now);
