--- a/lab/experiments/drawn-step.ts
+++ b/lab/experiments/drawn-step.ts
@@ -28,7 +28,6 @@
   readonly request: GenerationRequest;
   readonly attempts: Set<Attempt>;
   result: GenerationResult | undefined;
-  hedged: boolean;
   /** Segments of a lost attempt, to go on from. */
   lost: readonly TokenSegment[];
   /** Not dispatched again before then. */
@@ -44,6 +43,8 @@
   readonly samples: DrawnSample[];
   /** Samples that wait to be dispatched, in order. */
   pending: DrawnSample[];
+  /** When the pending samples were last sorted. */
+  sortedAt: Milliseconds;
   missing: number;
   hedgesMade: number;
   /** Whether it holds its slots; used by the gang variant. */
--- a/lab/experiments/trainer.ts
+++ b/lab/experiments/trainer.ts
@@ -96,6 +96,7 @@
       submittedAt: queue.now,
       samples,
       pending: [],
+      sortedAt: Number.NEGATIVE_INFINITY,
       missing: settings.samplesPerStep,
       hedgesMade: 0,
       started: false,
@@ -109,7 +110,6 @@
         request,
         attempts,
         result: undefined,
-        hedged: false,
         lost: [],
         retryAt: 0,
       });
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -13,6 +13,9 @@
   'membership',
   'config-feed',
   'node',
+  'storage',
+  'weights-activation',
+  'fleet',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -32,11 +32,16 @@
 /** Engines of a simulation. */
 export const SIMULATED_ENGINE_SETTINGS = {
   ...DEFAULT_ENGINE_SETTINGS,
-  chunkTokens: 4,
   lengthSpread: 0.8,
   loadTime: 400,
 };
 
+/** Tokens between two segments of a short answer. */
+const SMALLEST_CHUNK = 4;
+
+/** Segments of a median answer, where answers are long. */
+const CHUNKS_PER_ANSWER = 10;
+
 /** Largest value a node's clock starts at. */
 const CLOCK_START_LIMIT: Milliseconds = 1_000_000;
 
@@ -63,6 +68,7 @@
   readonly calls: SimulatedCalls;
   readonly nodes: ReadonlyMap<NodeId, SimulatedNode>;
   readonly engines: ReadonlyMap<WorkerId, SimulatedEngine>;
+  readonly #nodesByAddress: ReadonlyMap<string, SimulatedNode>;
   readonly #options: SimulationOptions;
   readonly #observers: Observer[] = [];
   readonly #effects: EffectRunner;
@@ -86,6 +92,9 @@
     this.engines = this.#createEngines(observe);
     this.#effects = new EffectRunner(this, options.observeMessages);
     this.nodes = this.#createNodes();
+    this.#nodesByAddress = new Map(
+      [...this.nodes.values()].map((node) => [node.plan.address, node]),
+    );
   }
 
   /** Adds an onlooker. */
@@ -152,8 +161,7 @@
 
   /** The node that listens at an address. */
   nodeByAddress(address: string): SimulatedNode | undefined {
-    const place = this.plan.nodes.find((node) => node.address === address);
-    return place === undefined ? undefined : this.nodes.get(place.node);
+    return this.#nodesByAddress.get(address);
   }
 
   #required<Item>(name: string | undefined, items: ReadonlyMap<string, Item>): Item {
@@ -169,6 +177,10 @@
         worker: worker.worker,
         slots: worker.slots,
         medianTokens: this.plan.medianTokens,
+        chunkTokens: Math.max(
+          SMALLEST_CHUNK,
+          Math.round(this.plan.medianTokens / CHUNKS_PER_ANSWER),
+        ),
         initialVersion: this.plan.firstVersion,
       };
       const engine = new EngineCore(settings, this.#fork());
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -20,6 +20,7 @@
 import type { StepPorts } from '../rollouts/step-ports.js';
 import { StepSupervisor } from '../rollouts/step-supervisor.js';
 import { HomeAdmission } from '../routing/home-admission.js';
+import { LengthPredictor } from '../routing/length-predictor.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import { Router } from '../routing/router.js';
 import { createRoutingPolicies } from '../routing/routing-policies.js';
@@ -63,6 +64,7 @@
     });
     this.client = new DispatchClient({
       send: (to, message) => this.sendDispatch(to, message),
+      matchIdentity: ports.mechanisms['request-identity'],
       onLost: () => ports.counters.increment('dispatches_lost'),
     });
     this.home = this.createHome();
@@ -142,6 +144,7 @@
   private createHome(): HomeDispatcher {
     const { context, directory } = this.modules;
     return new HomeDispatcher({
+      self: this.ports.self,
       send: (to, message) => this.sendDispatch(to, message),
       startEngine: (dispatchId, worker, request) => {
         context.counters.increment('dispatches_admitted');
@@ -170,7 +173,7 @@
     if (outcome.kind === 'refused') counters.increment('dispatches_refused');
     if (outcome.kind === 'preempted') counters.increment('dispatches_preempted');
     const { directory } = this.modules;
-    this.modules.applyDirectory(directory.recordOutcome(worker, callOutcomeOf(outcome), now));
+    this.modules.effects.directory(directory.recordOutcome(worker, callOutcomeOf(outcome), now));
     const record = directory.worker(worker);
     if (record !== undefined) {
       directory.setOutstanding(worker, this.admission.counts(record), now);
@@ -190,6 +193,9 @@
         explain: (subject, decision, reason) => this.ports.explain(subject, decision, reason),
         singleDispatch: mechanisms['single-dispatch'],
         truthfulUnknown: mechanisms['unknown-outcome'],
+        wholeAnswer: mechanisms['whole-answer'],
+        streamOrder: mechanisms['stream-order'],
+        segmentVersions: mechanisms['segment-versions'],
       },
       () => this.ports.now(),
     );
@@ -199,6 +205,7 @@
     return {
       node: this.ports,
       hedging: this.modules.settings.hedging,
+      predictor: new LengthPredictor(),
       permission: (record) => this.permissionOf(record.intent, true),
       generate: (record, permission, sample, deadline, listener) => {
         const request = sampleGeneration(record, permission, sample);
