--- a/lab/faults/scenarios/node-faults.ts
+++ b/lab/faults/scenarios/node-faults.ts
@@ -83,23 +83,35 @@
   },
 };
 
-/** The node that drives the step is frozen and goes on unaware. */
+/** The node that drives the step is frozen and goes on unaware; then once more, unused by callers. */
 export const freezeDriver: FaultScenario = {
   name: 'freeze-driver',
   proxied: false,
   versionInterval: VERSION_INTERVAL_MILLISECONDS,
   async run(context) {
     await pause(BEFORE_FAULT_MILLISECONDS);
+    await freeze(context, await drivingNode(context));
+    await pause(AFTER_FAULT_MILLISECONDS);
     const node = await drivingNode(context);
-    context.running.signalNode(node, 'SIGSTOP');
-    context.say(`${node.name} is frozen`);
-    await pause(FREEZE_MILLISECONDS);
-    context.running.signalNode(node, 'SIGCONT');
-    context.say(`${node.name} goes on`);
-    await pause(AFTER_FAULT_MILLISECONDS * 2);
+    context.load.avoided.add(node.address);
+    const before = context.load.trainerReport.delivered;
+    await freeze(context, node);
+    const delivered = context.load.trainerReport.delivered - before;
+    const detail = `${delivered} samples while ${node.name} was frozen`;
+    context.check('another member takes the step over', delivered > 0, detail);
+    context.load.avoided.delete(node.address);
+    await pause(AFTER_FAULT_MILLISECONDS);
   },
 };
 
+async function freeze(context: ScenarioContext, node: DemoNode): Promise<void> {
+  context.running.signalNode(node, 'SIGSTOP');
+  context.say(`${node.name} is frozen`);
+  await pause(FREEZE_MILLISECONDS);
+  context.running.signalNode(node, 'SIGCONT');
+  context.say(`${node.name} goes on`);
+}
+
 /** All nodes are stopped in order and started again, one after the other, under load. */
 export const rollingStop: FaultScenario = {
   name: 'rolling-stop',
