--- a/lab/faults/fault-run.ts
+++ b/lab/faults/fault-run.ts
@@ -130,6 +130,8 @@
     const detail = broken.map(([name, count]) => `${name} ${count}`).join(', ');
     const { holds, checked } = outcomeOf([{ trainer, interactive }]);
     this.check('the promises hold', holds, detail === '' ? `${checked} checked` : detail);
+    const told = `${interactive.accepted} requests for ${interactive.asked} asked`;
+    this.check("the engines' logs are in", interactive.accepted > 0, told);
     const refusals = new Map(trainer.refusals);
     for (const [kind, count] of interactive.refusals) {
       refusals.set(kind, (refusals.get(kind) ?? 0) + count);
--- a/lab/load/interactive-oracle.ts
+++ b/lab/load/interactive-oracle.ts
@@ -19,7 +19,9 @@
   /** Takes in an event; those of trainers are not its business. */
   take(event: ClientEvent): void {
     if (event.kind === 'answer') this.answer(event);
-    if (event.kind === 'accepted') addTo(this.accepted, nameOf(event), event.at);
+    if (event.kind !== 'accepted') return;
+    this.report.accepted += 1;
+    addTo(this.accepted, nameOf(event), event.at);
   }
 
   /** Judges what can be told only when all answers and the engines' logs are in. */
--- a/lab/load/interactive-report.ts
+++ b/lab/load/interactive-report.ts
@@ -13,6 +13,8 @@
   ordersRunTwice = 0;
   /** Answers "not run" to work that an engine had accepted. */
   falseNotRun = 0;
+  /** Requests in the engines' own logs. */
+  accepted = 0;
   readonly latencies: number[] = [];
 
   /** Whether all promises held. */
