Home dispatcher split: its options and its outcomes have files of their own

Change: options and ports in home-dispatcher-options.ts, the meaning of engine events in dispatch-outcomes.ts; no change of behaviour.

--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -4,63 +4,21 @@
  * most once in one life of a home, whatever is repeated, late or out of order.
  */
 import type { GenerationRequest } from '../core/generation.js';
-import type { NodeId, NodeIdentity, WorkerId } from '../core/identity.js';
+import type { NodeId, NodeIdentity } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { MINUTE } from '../core/units.js';
-import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
 import type { EngineEvent, WorkerRecord } from '../platform/worker.js';
 import { DispatchMemory, type HomeDispatch } from './dispatch-memory.js';
+import { outcomeOf, withdrawnOutcome } from './dispatch-outcomes.js';
+import type { HomeDispatcherOptions } from './home-dispatcher-options.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
 
-/** A decision of the worker's admission control. */
-export type AdmissionDecision =
-  | { readonly kind: 'admitted'; readonly preempt: string | null }
-  | { readonly kind: 'queued' }
-  | { readonly kind: 'refused'; readonly failure: Failure };
-
-/** Admission control as the dispatcher needs it; see `src/routing/home-admission.ts`. */
-export interface AdmissionPort {
-  admit(
-    dispatchId: string,
-    request: GenerationRequest,
-    worker: WorkerRecord,
-    now: Milliseconds,
-  ): AdmissionDecision;
-  /** Frees the place of a dispatch; returns the queued dispatches that may now start. */
-  release(dispatchId: string, now: Milliseconds): readonly string[];
-}
-
-/** What the dispatcher asks of its node. */
-export interface HomeDispatcherOptions {
-  /** This life of the home: what it sends to itself comes once. @default each origin may repeat */
-  readonly self?: NodeIdentity;
-  readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
-  readonly startEngine: (
-    dispatchId: string,
-    worker: WorkerRecord,
-    request: GenerationRequest,
-  ) => void;
-  readonly cancelEngine: (dispatchId: string, worker: WorkerRecord) => void;
-  readonly admission: AdmissionPort;
-  /** The worker's record, or why it takes no work from this node now. */
-  readonly acceptable: (
-    worker: WorkerId,
-    request: GenerationRequest,
-    now: Milliseconds,
-  ) => { readonly worker: WorkerRecord } | { readonly failure: Failure };
-  readonly outcomeSeen: (worker: WorkerId, outcome: DispatchOutcome, now: Milliseconds) => void;
-  /** Whether repeated dispatches are recognised; off only in the lab. @default true */
-  readonly deduplicate?: boolean;
-  /** Whether a query for an unknown dispatch bars it from running later. @default true */
-  readonly barUnknown?: boolean;
-  /** Time between repetitions of an outcome. @default 400 */
-  readonly repeatInterval?: Milliseconds;
-}
-
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
 /** How long an outcome is repeated to an origin that does not acknowledge it. */
 const REPEAT_LIMIT: Milliseconds = MINUTE;
+
 /** Home side of all dispatches of one node. */
 export class HomeDispatcher {
   private readonly dispatches = new DispatchMemory();
@@ -344,15 +302,3 @@
     if (now - dispatch.lastSent >= this.repeatInterval) this.answer(dispatch, now);
   }
 }
-
-function outcomeOf(event: Exclude<EngineEvent, { kind: 'segment' }>): DispatchOutcome {
-  if (event.kind === 'finished') return { kind: 'finished', result: event.result };
-  const reason = failure('engine_failed', event.reason, { ran: event.ran });
-  if (ranStateOf(reason) === 'no') return { kind: 'refused', failure: reason };
-  return { kind: 'failed', failure: reason };
-}
-
-function withdrawnOutcome(state: HomeDispatch['state'], reason: Failure): DispatchOutcome {
-  if (state === 'queued') return { kind: 'refused', failure: reason };
-  return { kind: 'failed', failure: { ...reason, ran: 'unknown' } };
-}
