--- a/lab/proofs/oracles/drain.ts
+++ b/lab/proofs/oracles/drain.ts
@@ -29,6 +29,10 @@
       case 'key-value-changed':
         this.#noteDrain(observation.at, observation.key, observation.value);
         break;
+      case 'engine-crashed':
+        // A process that is down shows no sign; it shows it again when it is started.
+        this.#signs.get(observation.worker)?.delete('report');
+        break;
       case 'fault':
         if (observation.name !== 'worker-leaves') this.#lastFault = observation.at;
         break;
--- a/lab/simulation/effect-runner.ts
+++ b/lab/simulation/effect-runner.ts
@@ -58,6 +58,7 @@
         this.#simulation.calls.reply(node, effect.callId, effect.reply);
         break;
       case 'state-change':
+        this.#noteChange(node, effect);
         break;
       case 'stopped':
         this.#simulation.endNode(node, true);
@@ -65,6 +66,18 @@
     }
   }
 
+  #noteChange(node: SimulatedNode, effect: EffectOf<'state-change'>): void {
+    if (effect.change !== 'replica-active') return;
+    const { domain, shard, epoch } = effect.details;
+    this.#simulation.observe({
+      kind: 'replica-active',
+      ...node.identity,
+      domain: String(domain),
+      shard: Number(shard),
+      epoch: Number(epoch),
+    });
+  }
+
   #engine(worker: WorkerId): SimulatedEngine | undefined {
     return this.#simulation.engines.get(worker);
   }
--- a/lab/simulation/observation.ts
+++ b/lab/simulation/observation.ts
@@ -76,6 +76,15 @@
       readonly incarnation: Incarnation;
     }
   | { readonly kind: 'node-ended'; readonly node: NodeId; readonly planned: boolean }
+  | {
+      /** A life of a node logged that it votes in an epoch of a replica group. */
+      readonly kind: 'replica-active';
+      readonly node: NodeId;
+      readonly incarnation: Incarnation;
+      readonly domain: string;
+      readonly shard: number;
+      readonly epoch: number;
+    }
   | { readonly kind: 'node-stop-asked'; readonly node: NodeId }
   | { readonly kind: 'node-frozen'; readonly node: NodeId }
   | { readonly kind: 'node-woken'; readonly node: NodeId }
--- a/lab/simulation/simulated-engine.ts
+++ b/lab/simulation/simulated-engine.ts
@@ -49,6 +49,7 @@
   readonly #streams = new Map<string, Stream>();
   readonly #orders = new Map<string, Stream>();
   #down = false;
+  #leaving = false;
   #scheduledAt: Milliseconds | undefined;
 
   constructor(options: SimulatedEngineOptions) {
@@ -141,12 +142,14 @@
     if (!this.#down) return;
     this.#down = false;
     this.#engine.restart(this.#queue.now);
+    if (this.#leaving) this.#reportLeaving(true);
     this.#reschedule();
   }
 
   /** Lets the engine say that it is on its way out, or that it stays. */
   setLeaving(leaving: boolean): void {
-    this.#engine.setLeaving(leaving);
+    this.#leaving = leaving;
+    if (!this.#down) this.#reportLeaving(leaving);
   }
 
   /** Share of later loads of weights that fail, in `[0, 1]`. */
@@ -154,6 +157,12 @@
     this.#engine.setLoadFailureRate(rate);
   }
 
+  #reportLeaving(leaving: boolean): void {
+    this.#engine.setLeaving(leaving);
+    const { worker } = this.worker;
+    this.#observe({ kind: 'worker-leaving', worker, sign: 'report', leaving });
+  }
+
   #accept(stream: Stream, dispatchId: string, request: GenerationRequest): void {
     if (this.#down) {
       this.#fail(stream, dispatchId, this.#delay(stream.node), 'no', 'connection refused');
