--- a/src/ledger/options.ts
+++ b/src/ledger/options.ts
@@ -2,6 +2,7 @@
 import type { NodeRecord } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import { MINUTE, type Milliseconds, SECOND } from '../core/units.js';
+import type { DiskBodyName } from './disk-bodies.js';
 
 /** Settings that have a default. */
 export interface LedgerTuning {
@@ -43,16 +44,22 @@
   readonly pageEntries: number;
   /** Bodies fetched at once while catching up. Default 8. */
   readonly bodyFetchWindow: number;
+  /** Off only in the lab: a new member then votes before it has caught up. Default true. */
+  readonly catchUpBeforeVoting: boolean;
+  /** Off only in the lab: a body is then stored on one member. Default true. */
+  readonly bodyMajority: boolean;
 }
 
 /** Settings of a ledger. */
 export interface LedgerOptions extends Partial<LedgerTuning> {
   readonly self: NodeRecord;
   readonly random: RandomSource;
+  /** Bodies an earlier life left on this node's disk; `null`, the default, without a disk. */
+  readonly diskBodies?: readonly DiskBodyName[] | null;
 }
 
 /** Settings with all defaults filled in. */
-export type LedgerSettings = LedgerTuning & Pick<LedgerOptions, 'self' | 'random'>;
+export type LedgerSettings = LedgerTuning & Required<LedgerOptions>;
 
 const DEFAULT_TUNING: LedgerTuning = {
   shardsPerDomain: 8,
@@ -74,9 +81,11 @@
   removalPersistence: MINUTE,
   pageEntries: 200,
   bodyFetchWindow: 8,
+  catchUpBeforeVoting: true,
+  bodyMajority: true,
 };
 
 /** Fills in the defaults. */
 export function resolveLedgerOptions(options: LedgerOptions): LedgerSettings {
-  return { ...DEFAULT_TUNING, ...options };
+  return { ...DEFAULT_TUNING, diskBodies: null, ...options };
 }
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -2,6 +2,7 @@
 import type { AccountName, NodeRecord, RegionName, ZoneName } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
+import type { DiskBodyName } from '../ledger/ledger.js';
 import { DEFAULT_RETENTION, type RetentionTimes } from '../retention/retention-sweeper.js';
 import { ALL_MECHANISMS, type MechanismSwitches } from './mechanisms.js';
 
@@ -24,6 +25,8 @@
   readonly freshnessBound?: Milliseconds;
   /** Replicas of each ledger group. @default 5 */
   readonly replicaCount?: number;
+  /** Most bytes of bodies this node's ledger replicas hold in memory. @default 64 MiB */
+  readonly maxResultBytes?: number;
   /** Ledger shards of each intent. @default 8 */
   readonly shardsPerDomain?: number;
   /** Name of the routing policy. @default "home-counting" */
@@ -32,6 +35,8 @@
   readonly hedging?: boolean;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
+  /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
+  readonly diskBodies?: readonly DiskBodyName[] | null;
   /** How long ended steps and claimed requests are kept. @default see RetentionTimes */
   readonly retention?: RetentionTimes;
   /** Mechanisms; all on but in the lab. */
@@ -46,9 +51,11 @@
   mechanisms: ALL_MECHANISMS,
   freshnessBound: 6_000,
   replicaCount: 5,
+  maxResultBytes: 64 * 1024 * 1024,
   shardsPerDomain: 8,
   routingPolicy: 'home-counting',
   machineListInterval: 2_000,
+  diskBodies: null,
 } as const;
 
 /** Options with all defaults filled in. */
--- a/test/dispatch/dispatch.test.ts
+++ b/test/dispatch/dispatch.test.ts
@@ -2,7 +2,8 @@
 import type { GenerationRequest, GenerationResult } from '../../src/core/generation.js';
 import type { NodeIdentity } from '../../src/core/identity.js';
 import { DispatchClient, type OriginOutcome } from '../../src/dispatch/dispatch-client.js';
-import { type AdmissionDecision, HomeDispatcher } from '../../src/dispatch/home-dispatcher.js';
+import { HomeDispatcher } from '../../src/dispatch/home-dispatcher.js';
+import type { AdmissionDecision } from '../../src/dispatch/home-dispatcher-options.js';
 import type { DispatchMessage } from '../../src/dispatch/messages.js';
 import { type Failure, failure } from '../../src/errors/error-kinds.js';
 import type { WorkerRecord } from '../../src/platform/worker.js';
@@ -47,7 +48,14 @@
   refusal: Failure | null = null;
   startable: string[] = [];
 
-  readonly client = new DispatchClient({ send: (_to, message) => this.toHome.push(message) });
+  lost = 0;
+
+  readonly client = new DispatchClient({
+    send: (_to, message) => this.toHome.push(message),
+    onLost: () => {
+      this.lost += 1;
+    },
+  });
   readonly home = new HomeDispatcher({
     send: (_to, message) => this.toOrigin.push(message),
     startEngine: (dispatchId) => this.started.push(dispatchId),
@@ -112,6 +120,7 @@
   pair.start('d1');
   for (let now = 0; now <= 5_000; now += 100) pair.client.tick(now);
   t.same(pair.outcomes, [{ kind: 'lost' }]);
+  t.equal(pair.lost, 1);
 });
 
 t.test('a dispatch that comes after its cancellation never runs', async (t) => {
@@ -176,6 +185,7 @@
   t.same(pair.outcomes, [], 'the same life is alive');
   pair.client.homeGone('home', { node: 'home', incarnation: 2 });
   t.same(pair.outcomes, [{ kind: 'lost' }]);
+  t.equal(pair.lost, 1);
 });
 
 function dispatchMessage(dispatchId: string): DispatchMessage {
