Homes poll their workers twice a second; silence is a time, not a count of polls

Ruled out: one poll a second (a hanging engine is then noticed later than the directory's fault test allows). Change: 500 ms; a worker is silent after 2 s, as before.

--- a/src/routing/home-workers.ts
+++ b/src/routing/home-workers.ts
@@ -24,8 +24,8 @@
 /** Failed polls in a row that make a worker unreachable. */
 const UNREACHABLE_FAILURES = 2;
 
-/** Polls without an answer after which a worker is silent. */
-const SILENT_POLLS = 8;
+/** Time without an answer to any poll after which a worker is silent. */
+const SILENCE_LIMIT: Milliseconds = 2_000;
 
 /** Counts are published when they move by this share of the slots, or across full. */
 const PUBLISHED_STEP = 1 / 8;
@@ -87,10 +87,9 @@
 
   /** Workers that have answered none of the last polls, whether or not these failed. */
   silent(now: Milliseconds): readonly WorkerId[] {
-    const limit = SILENT_POLLS * this.#options.pollInterval;
     const silent: WorkerId[] = [];
     for (const [name, worker] of this.#workers) {
-      if (now - worker.answeredAt > limit) silent.push(name);
+      if (now - worker.answeredAt > SILENCE_LIMIT) silent.push(name);
     }
     return silent;
   }
--- a/src/routing/worker-directory-types.ts
+++ b/src/routing/worker-directory-types.ts
@@ -23,7 +23,7 @@
   readonly random: RandomSource;
   /** Most workers followed of one model and zone; default 32. */
   readonly subsetSize?: number;
-  /** Time between two polls of a worker by its home; default 250 ms. */
+  /** Time between two polls of a worker by its home; default 500 ms. */
   readonly pollInterval?: Milliseconds;
   /** Shortest time between two pushes to one subscriber; default 200 ms. */
   readonly pushInterval?: Milliseconds;
--- a/src/routing/worker-directory.ts
+++ b/src/routing/worker-directory.ts
@@ -32,6 +32,9 @@
 import type { WorkerEntry } from './worker-entry.js';
 import { type WantedModel, WorkerTopology } from './worker-topology.js';
 
+/** A home counts its own dispatches; reports add the version, `leaving` and ill health. */
+const DEFAULT_POLL_INTERVAL: Milliseconds = 500;
+
 /** How often states that change by time alone are looked at. */
 const SWEEP_INTERVAL: Milliseconds = 250;
 
@@ -71,7 +74,7 @@
       random,
       entries: this.#entries,
       isHome: (worker) => this.isHome(worker),
-      pollInterval: options.pollInterval ?? 250,
+      pollInterval: options.pollInterval ?? DEFAULT_POLL_INTERVAL,
       pushInterval,
       subscriptionLife: renewInterval * SUBSCRIPTION_LIFE_RENEWALS,
     });
