--- a/src/node/effect-adapter.ts
+++ b/src/node/effect-adapter.ts
@@ -3,8 +3,10 @@
  * module's name and each key-value request under a prefix that brings its answer back.
  */
 import type { ConfigurationFeedEffect } from '../config-feed/configuration-feed.js';
+import type { WorkerId } from '../core/identity.js';
 import type { IntentServiceEffect } from '../intents/intent-service.js';
 import type { MembershipEffect, MemberView } from '../membership/membership.js';
+import type { WorkerRecord } from '../platform/worker.js';
 import type { WorkerDirectoryEffect } from '../routing/worker-directory-types.js';
 import type { WeightControllerEffect } from '../weights/weight-controller-types.js';
 import type { NodeContext } from './node-context.js';
@@ -20,6 +22,8 @@
 export interface EffectHooks {
   memberChanged(member: MemberView): void;
   configurationApplied(revision: number, changedKeys: number): void;
+  /** Whether this node is a worker's home. */
+  isHome(worker: WorkerId): boolean;
 }
 
 /** Passes on what the modules of one node want. */
@@ -112,7 +116,7 @@
           break;
         }
         case 'poll':
-          this.context.emit({ kind: 'worker-poll', worker: effect.worker });
+          this.pollForWeights(effect.worker);
           break;
         case 'state-change':
           this.context.stateChange('weights', effect.change, effect.details);
@@ -121,6 +125,12 @@
     }
   }
 
+  /** A home polls its workers anyway, and every report reaches the weight controller. */
+  private pollForWeights(worker: WorkerRecord): void {
+    if (this.hooks.isHome(worker.worker)) return;
+    this.context.emit({ kind: 'worker-poll', worker });
+  }
+
   /** Passes on what the intent service wants. */
   intents(effects: readonly IntentServiceEffect[]): void {
     for (const effect of effects) {
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -96,6 +96,7 @@
       memberChanged: (member) => this.memberChanged(member),
       configurationApplied: (revision, changedKeys) =>
         this.configurationApplied(revision, changedKeys),
+      isHome: (worker) => this.directory.isHome(worker),
     });
     this.report = new NodeReport(this, isStopping);
     const hasDisk = settings.diskBodies !== null;
