Fault suite: each scenario's report when it ends; a signal that ends the suite is named

Cause: a run of the whole suite was ended from outside during its third scenario and left no word of the two that had ended, nor of the signal. Change: reports are printed at once, a short table closes the run, SIGHUP also stops the processes in order.

--- a/lab/faults/faults.ts
+++ b/lab/faults/faults.ts
@@ -17,6 +17,7 @@
 
 const DEFAULT_SEED = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
+const END_SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
 
 /** All scenarios, in the order in which they run. */
 export function faultScenarios(): readonly FaultScenario[] {
@@ -48,13 +49,17 @@
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-faults-'));
   const reports: ScenarioReport[] = [];
   try {
-    for (const scenario of chosen) reports.push(await runAlone(scenario, folder, seed));
+    for (const scenario of chosen) {
+      const report = await runAlone(scenario, folder, seed);
+      reports.push(report);
+      console.log(`\n${reportText(report)}\n`);
+    }
   } finally {
     closeConnections();
     if (flags.keep === true) console.log(`logs are in ${folder}`);
     else rmSync(folder, { recursive: true, force: true });
   }
-  console.log(`\n${reports.map(reportText).join('\n')}\n`);
+  console.log(`${reports.map(summaryLine).join('\n')}\n`);
   const held = reports.every((report) => report.held);
   const scenarios = reports.map((report) => {
     const broken = report.checks.filter((check) => !check.held).map((check) => check.name);
@@ -71,9 +76,11 @@
 ): Promise<ScenarioReport> {
   const group = new ProcessGroup(path.join(folder, scenario.name));
   const startedAt = performance.now();
-  const endBySignal = (): void => void group.stopAll().then(() => process.exit(1));
-  process.once('SIGINT', endBySignal);
-  process.once('SIGTERM', endBySignal);
+  const endBySignal = (signal: NodeJS.Signals): void => {
+    console.log(`${scenario.name} was ended by ${signal}`);
+    void group.stopAll().then(() => process.exit(1));
+  };
+  for (const signal of END_SIGNALS) process.once(signal, endBySignal);
   const progress = (line: string): void => {
     const elapsed = (performance.now() - startedAt) / MILLISECONDS_PER_SECOND;
     console.log(`${elapsed.toFixed(1).padStart(6)} s  ${line}`);
@@ -83,8 +90,7 @@
   } catch (error) {
     return failedToRun(scenario, error);
   } finally {
-    process.removeListener('SIGINT', endBySignal);
-    process.removeListener('SIGTERM', endBySignal);
+    for (const signal of END_SIGNALS) process.removeListener(signal, endBySignal);
     await group.stopAll();
   }
 }
@@ -109,3 +115,10 @@
   }
   return lines.join('\n');
 }
+
+function summaryLine(report: ScenarioReport): string {
+  const { name, samples, answers, checks } = report;
+  const held = checks.filter((check) => check.held).length;
+  const verdict = report.held ? 'held  ' : 'BROKEN';
+  return `${verdict}  ${name.padEnd(18)} ${held} of ${checks.length} checks, ${samples} samples, ${answers} answers`;
+}
