--- a/lab/simulation/replica-majority.ts
+++ b/lab/simulation/replica-majority.ts
@@ -5,7 +5,7 @@
  * for {@link SETTLED_AFTER}. Nodes log when they begin to vote. Everything else is unlimited.
  */
 import { FEED_PREFIXES, type GroupRecord, groupKey } from '../../src/config-feed/configuration.js';
-import { identityKey, type NodeIdentity } from '../../src/core/identity.js';
+import { identityKey, type NodeId, type NodeIdentity } from '../../src/core/identity.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Observation } from './observation.js';
 import { decodeRecord } from './record-encoding.js';
@@ -20,6 +20,8 @@
   readonly #simulation: Simulation;
   /** When each life began to vote, by group, epoch and life. */
   readonly #votingSince = new Map<string, Milliseconds>();
+  /** Nodes that were asked to stop and will forget. */
+  readonly #stopping = new Set<NodeId>();
 
   constructor(simulation: Simulation) {
     this.#simulation = simulation;
@@ -46,6 +48,7 @@
 
   #remembers(group: GroupRecord, member: NodeIdentity): boolean {
     const node = this.#simulation.nodes.get(member.node);
+    if (this.#stopping.has(member.node)) return false;
     if (node === undefined || !node.isAlive(member.incarnation)) return false;
     if (group.epoch === 1) return true;
     const since = this.#votingSince.get(votingKey(group.domain, group.shard, group.epoch, member));
@@ -53,6 +56,8 @@
   }
 
   #observe(observation: Observation): void {
+    if (observation.kind === 'node-stop-asked') this.#stopping.add(observation.node);
+    if (observation.kind === 'node-started') this.#stopping.delete(observation.node);
     if (observation.kind !== 'replica-active') return;
     const { at, domain, shard, epoch, node, incarnation } = observation;
     this.#votingSince.set(votingKey(domain, shard, epoch, { node, incarnation }), at);
