A planned stop waits for every open call, and ends reads that only wait

Ruled out: the network and the harness; the call was connected and had no reply when the node left. Change: the node counts all calls that are owed a reply; a read on a stopping node answers at once with what there is. The proof also judges that a stopping node ends by itself, which hand-over-on-stop carries. Refused steps of a run stay in its trace, as their pauses count.

--- a/lab/proofs/catalogue.ts
+++ b/lab/proofs/catalogue.ts
@@ -86,7 +86,7 @@
   {
     name: 'planned-stop',
     createOracle: () => new PlannedStopOracle(),
-    mechanisms: ['graceful-stop', 'leaving-signal'],
+    mechanisms: ['graceful-stop', 'hand-over-on-stop', 'leaving-signal'],
     weights: {
       ...OPERATIONS,
       stop: 20,
@@ -99,7 +99,7 @@
       'watches-break': 3,
     },
     observeMessages: false,
-    medianTokens: SHORT_ANSWERS,
+    medianTokens: LONG_ANSWERS,
   },
   {
     name: 'config-in-force',
--- a/lab/proofs/oracles/planned-stop.ts
+++ b/lab/proofs/oracles/planned-stop.ts
@@ -13,7 +13,8 @@
 
 /**
  * A call that is open at a node that was asked to stop may not lose its connection, and no call
- * whose work may have begun may fail for the stop of a node or worker. Meant for runs whose only faults are planned
+ * whose work may have begun may fail for the stop of a node or worker. A node that was asked to
+ * stop must end by itself. Meant for runs whose only faults are planned
  * stops and such as must not matter to a running request.
  */
 export class PlannedStopOracle extends Oracle {
@@ -37,6 +38,9 @@
       case 'node-started':
         this.#stopping.delete(observation.node);
         break;
+      case 'node-ended':
+        this.#noteEnd(observation.at, observation.node, observation.planned);
+        break;
       case 'reply-sent':
         this.#noteReply(observation.at, observation.callId, observation.reply);
         break;
@@ -48,6 +52,11 @@
     }
   }
 
+  #noteEnd(at: Milliseconds, node: NodeId, planned: boolean): void {
+    if (!this.#stopping.has(node)) return;
+    this.compare(planned, at, () => `${node} did not stop by itself`);
+  }
+
   #noteReply(at: Milliseconds, callId: string, reply: CallReply): void {
     if (reply.kind === 'segment') return;
     const open = this.#take(callId);
--- a/lab/proofs/prove.ts
+++ b/lab/proofs/prove.ts
@@ -3,7 +3,7 @@
  * were taken; the first run that breaks the promise is made shorter for a bounded time.
  */
 import fc from 'fast-check';
-import { isFault, type Step } from '../simulation/action.js';
+import type { Step } from '../simulation/action.js';
 import type { NodeFactory } from '../simulation/ports.js';
 import { steps } from './action-arbitraries.js';
 import type { Violation } from './oracle.js';
@@ -76,8 +76,8 @@
   for (let round = 0; total.steps < options.steps; round += 1) {
     const seed = roundSeed(options.seed, round);
     const attempt = tryRound(options, seed);
-    total.steps += attempt.first.taken.length;
-    total.faults += attempt.first.taken.filter((step) => isFault(step.action)).length;
+    total.steps += attempt.first.taken;
+    total.faults += attempt.first.faults;
     total.checked += attempt.first.oracle.checked;
     const { failing } = attempt;
     if (failing !== undefined) {
@@ -127,7 +127,7 @@
 
 function failingRun(run: ProofRun, simulationSeed: number): FailingRun {
   const { violations, violationCount, checked } = run.oracle;
-  return { simulationSeed, steps: run.taken, violations, violationCount, checked };
+  return { simulationSeed, steps: run.steps, violations, violationCount, checked };
 }
 
 /** Seed of one generated run; rounds of neighbouring seeds do not coincide. */
--- a/lab/proofs/run-steps.ts
+++ b/lab/proofs/run-steps.ts
@@ -1,6 +1,6 @@
 /** Runs given steps against a proof's oracle, from the start of a deployment to its settling. */
 
-import type { Step } from '../simulation/action.js';
+import { isFault, type Step } from '../simulation/action.js';
 import { associationPlan } from '../simulation/fleet-plan.js';
 import type { NodeFactory } from '../simulation/ports.js';
 import { Scenario } from '../simulation/scenario.js';
@@ -19,8 +19,12 @@
 export interface ProofRun {
   readonly scenario: Scenario;
   readonly oracle: Oracle;
+  /** All steps so far, with those that were left out, since their pauses count. */
+  readonly steps: Step[];
   /** Steps taken so far. */
-  readonly taken: Step[];
+  taken: number;
+  /** Faults among them. */
+  faults: number;
 }
 
 /** Begins a run: the deployment is up and serves. */
@@ -35,14 +39,16 @@
   simulation.addObserver((observation) => oracle.observe(observation));
   const scenario = new Scenario(simulation);
   scenario.begin();
-  return { scenario, oracle, taken: [] };
+  return { scenario, oracle, steps: [], taken: 0, faults: 0 };
 }
 
 /** Takes one step; false where taking it would leave a replica group without a majority. */
 export function takeStep(run: ProofRun, step: Step): boolean {
-  const taken = run.scenario.take(step);
-  if (taken) run.taken.push(step);
-  return taken;
+  run.steps.push(step);
+  if (!run.scenario.take(step)) return false;
+  run.taken += 1;
+  if (isFault(step.action)) run.faults += 1;
+  return true;
 }
 
 /** Ends a run: all faults are healed, the system settles, the oracle judges the whole. */
--- a/src/node/node-context.ts
+++ b/src/node/node-context.ts
@@ -26,6 +26,7 @@
   readonly localMessages: PeerMessage[] = [];
   /** Set where an operator's drain asks this node to stop. */
   localStop = false;
+  private readonly openCalls = new Set<string>();
   private effects: NodeEffect[] = [];
   private timers: Timer[] = [];
   private time: Milliseconds = 0;
@@ -79,8 +80,24 @@
     this.emit({ kind: 'send', to: identity, address, message });
   }
 
+  /** How many calls wait for their final reply. */
+  get openCallCount(): number {
+    return this.openCalls.size;
+  }
+
+  /** Notes a call that will get a final reply. */
+  beginCall(callId: string): void {
+    this.openCalls.add(callId);
+  }
+
+  /** The caller has gone; no reply is owed. */
+  abandonCall(callId: string): void {
+    this.openCalls.delete(callId);
+  }
+
   /** Sends one reply to a call. */
   reply(callId: string, reply: CallReply): void {
+    if (reply.kind !== 'segment') this.openCalls.delete(callId);
     this.emit({ kind: 'reply', callId, reply });
   }
 
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -186,6 +186,7 @@
       this.modules.context.reply(callId, { kind: 'failed', failure: refusal });
       return;
     }
+    this.modules.context.beginCall(callId);
     this.modules.startCall(callId, call);
   }
 
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -137,6 +137,7 @@
 
   /** The caller went away. */
   abandonCall(callId: string): void {
+    this.context.abandonCall(callId);
     this.work.requests.abandon(callId);
     this.work.steps.abandon(callId);
     this.intents.abandon(callId);
@@ -197,7 +198,8 @@
 
   /** Whether nothing is in progress any more. */
   isIdle(): boolean {
-    return this.work.isIdle() && this.ledgerAdapter.openCount === 0;
+    const open = this.context.openCallCount + this.ledgerAdapter.openCount;
+    return open === 0 && this.work.isIdle();
   }
 
   /** The failure that refuses calls on a stopping node. */
--- a/src/rollouts/step-reader.ts
+++ b/src/rollouts/step-reader.ts
@@ -117,11 +117,11 @@
     });
   }
 
-  /** Waits for the next look, or ends the read when its time is over. */
+  /** Waits for the next look, or ends the read when its time is over or the node stops. */
   private tryAgain(trouble: Failure | null): void {
     const now = this.node.now();
     this.nextLook = now + POLL_INTERVAL;
-    if (this.nextLook < this.order.deadline) return;
+    if (this.nextLook < this.order.deadline && !this.node.isStopping()) return;
     if (trouble === null) this.finish([], null);
     else this.fail(trouble);
   }
--- a/test/lab/proofs/oracles.test.ts
+++ b/test/lab/proofs/oracles.test.ts
@@ -202,6 +202,10 @@
         at(1, { kind: 'node-stop-asked', node: NODE }),
         at(2, { kind: 'call-lost', callId: 'c', cause: 'connection-lost' }),
       ],
+      'a node ended by force': [
+        at(1, { kind: 'node-stop-asked', node: NODE }),
+        at(2, { kind: 'node-ended', node: NODE, planned: false }),
+      ],
       'an outcome lost': [
         asked,
         at(1, { kind: 'worker-leaving', worker: 'w', sign: 'report', leaving: true }),
