--- a/lab/emulator/engine-emulator.ts
+++ b/lab/emulator/engine-emulator.ts
@@ -187,6 +187,7 @@
 }
 
 function generationOf(body: z.infer<typeof completionRequest>): GenerationRequest {
+  const { resume } = body.wardwing;
   return {
     requestId: body.wardwing.requestId,
     account: '',
@@ -199,6 +200,7 @@
     repeatable: true,
     oldestVersion: body.wardwing.oldestVersion,
     promptGroup: body.wardwing.promptGroup,
+    ...(resume === undefined ? {} : { resume }),
   };
 }
 
--- a/lab/emulator/generated-text.ts
+++ b/lab/emulator/generated-text.ts
@@ -51,6 +51,11 @@
   return segments.map((segment) => segmentText(key, segment)).join('');
 }
 
+/** The tokens of a text. */
+export function tokensOfText(text: string): string[] {
+  return text.split(/(?<= )/);
+}
+
 /** The weight version of each token of a text, read from the text itself. */
 export function versionsInText(text: string): WeightVersion[] {
   const tokens = text.split(' ').filter((token) => token !== '');
--- a/lab/emulator/sequence.ts
+++ b/lab/emulator/sequence.ts
@@ -5,12 +5,13 @@
 import type {
   GenerationRequest,
   GenerationResult,
+  PartialGeneration,
   TokenSegment,
 } from '../../src/core/generation.js';
 import type { TokenCount, WeightVersion } from '../../src/core/units.js';
 import type { EngineEvent } from '../../src/platform/worker.js';
 import { type AnswerLengthInput, answerLength } from './answer-length.js';
-import { answerKey, segmentText } from './generated-text.js';
+import { answerKey, segmentText, tokensOfText } from './generated-text.js';
 
 /** Tokens already made for a request, exported by one engine and imported by another. */
 export interface KeyValueCacheExport {
@@ -29,6 +30,8 @@
   joinedStep = 0;
   /** Whether its prompt has been read, so that resuming costs nothing. */
   prefilled = false;
+  /** Tokens made elsewhere that must be read before the first new one. */
+  unreadTokens: TokenCount = 0;
   /** Tokens already streamed. */
   streamed: TokenCount = 0;
   private readonly cutOff: boolean;
@@ -64,6 +67,23 @@
     });
   }
 
+  /**
+   * Goes on after tokens made elsewhere whose cache is not at hand: they are streamed as given,
+   * and must be read like a prompt. Does nothing where text and segments do not fit together.
+   */
+  resume(partial: PartialGeneration): EngineEvent[] {
+    const texts = tokensOfText(partial.text);
+    const last = partial.segments.at(-1);
+    const count = last === undefined ? 0 : last.firstToken + last.tokenCount;
+    if (count !== texts.length || count > this.target) return [];
+    this.tokens = count;
+    this.unreadTokens = count;
+    return partial.segments.map((segment) => {
+      const end = segment.firstToken + segment.tokenCount;
+      return this.append(segment, texts.slice(segment.firstToken, end).join(''));
+    });
+  }
+
   /** Tokens streamed so far, for an import elsewhere. */
   export(): KeyValueCacheExport {
     return { answer: this.answer, segments: [...this.segments] };
@@ -79,8 +99,10 @@
     };
   }
 
-  private append(segment: TokenSegment): EngineEvent {
-    const text = segmentText(this.answer, segment);
+  private append(
+    segment: TokenSegment,
+    text: string = segmentText(this.answer, segment),
+  ): EngineEvent {
     this.text += text;
     this.streamed += segment.tokenCount;
     const last = this.segments.at(-1);
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -26,6 +26,15 @@
   readonly oldestVersion: WeightVersion;
   /** Samples of one prompt share a group, used for length prediction and prefix affinity. */
   readonly promptGroup: string;
+  /** Tokens that another worker made already, to be gone on from. Absent: from the start. */
+  readonly resume?: PartialGeneration;
+}
+
+/** The beginning of an answer whose generation ended early. */
+export interface PartialGeneration {
+  readonly text: string;
+  /** Contiguous, in order, from token 0; they cover the text. */
+  readonly segments: readonly TokenSegment[];
 }
 
 /** A run of tokens produced by one weight version. */
@@ -46,7 +55,9 @@
 }
 
 /** The oldest weight version in an answer; `undefined` for an answer without tokens. */
-export function oldestVersionOf(result: GenerationResult): WeightVersion | undefined {
+export function oldestVersionOf(
+  result: Pick<GenerationResult, 'segments'>,
+): WeightVersion | undefined {
   if (result.segments.length === 0) return undefined;
   return Math.min(...result.segments.map((segment) => segment.version));
 }
--- a/src/dispatch/dispatch-memory.ts
+++ b/src/dispatch/dispatch-memory.ts
@@ -8,6 +8,7 @@
 import { MINUTE } from '../core/units.js';
 import type { WorkerRecord } from '../platform/worker.js';
 import type { DispatchOutcome } from './messages.js';
+import type { PartialAnswer } from './partial-answer.js';
 
 /** One dispatch at its home. */
 export interface HomeDispatch {
@@ -18,6 +19,8 @@
   readonly worker: WorkerRecord | null;
   state: 'queued' | 'running' | 'ended';
   outcome: DispatchOutcome | null;
+  /** What the engine has reported of a training answer; `null` for other work and once ended. */
+  answer: PartialAnswer | null;
   changedAt: Milliseconds;
   lastSent: Milliseconds;
 }
--- a/src/dispatch/generation-runner.ts
+++ b/src/dispatch/generation-runner.ts
@@ -2,13 +2,20 @@
  * Runs one generation to an end: picks a worker, dispatches to its home, and tries again elsewhere
  * as far as that is truthful and within the retry budget. What was refused did not run and may
  * always be tried again; what may have run is only tried again when it is repeatable and none of
- * its answer has been passed on.
+ * its answer has been passed on. A training generation that ended early goes on on the next worker
+ * from the tokens made already, where these may still be handed over.
  */
-import type { GenerationRequest, GenerationResult, TokenSegment } from '../core/generation.js';
+import type {
+  GenerationRequest,
+  GenerationResult,
+  PartialGeneration,
+  TokenSegment,
+} from '../core/generation.js';
 import type { NodeIdentity, WorkerId, ZoneName } from '../core/identity.js';
-import type { Milliseconds } from '../core/units.js';
+import type { Milliseconds, TokenCount } from '../core/units.js';
 import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
 import type { DispatchClient, OriginOutcome } from './dispatch-client.js';
+import { longerPartial, PartialAnswer, tokensOf } from './partial-answer.js';
 import { SegmentSequence } from './segment-sequence.js';
 
 /** A worker chosen for a request, or why there is none. */
@@ -31,6 +38,14 @@
   readonly countFirstAttempt: (now: Milliseconds) => void;
   readonly nextDispatchId: () => string;
   readonly explain: (subject: string, decision: string, reason: string) => void;
+  /** Whether a worker may go on from these tokens now. */
+  readonly mayResume: (
+    request: GenerationRequest,
+    partial: PartialGeneration,
+    worker: WorkerId,
+  ) => boolean;
+  /** Told of each attempt that goes on from tokens made already. */
+  readonly onResumed?: (tokens: TokenCount) => void;
   /** Off only in the lab: a lost, not repeatable dispatch is then sent again. */
   readonly singleDispatch: boolean;
   /** Off only in the lab: a lost dispatch is then reported as not run. */
@@ -50,7 +65,13 @@
       readonly result: GenerationResult;
       readonly worker: WorkerId;
     }
-  | { readonly kind: 'failed'; readonly failure: Failure; readonly preempted: boolean };
+  | {
+      readonly kind: 'failed';
+      readonly failure: Failure;
+      readonly preempted: boolean;
+      /** What was made of a training answer, for a later generation to go on from. */
+      readonly partial: PartialGeneration | null;
+    };
 
 /** One generation to be run. */
 export interface GenerationOrder {
@@ -60,6 +81,8 @@
   readonly deadline: Milliseconds;
   /** Attempts in all, the first included. */
   readonly maxAttempts: number;
+  /** What an earlier generation made of the answer. @default nothing */
+  readonly resume?: PartialGeneration | null;
 }
 
 /** What the owner of a generation is told. */
@@ -82,6 +105,10 @@
   private mayHaveRun = false;
   private over = false;
   private readonly stream: SegmentSequence;
+  /** What the running attempt's home has passed on of a training answer. */
+  private progress: PartialAnswer;
+  /** The longest beginning of a training answer that any attempt has made. */
+  private partial: PartialGeneration | null;
 
   constructor(
     private readonly options: GenerationRunnerOptions,
@@ -93,6 +120,8 @@
       (segment, text) => listener.onSegment?.(segment, text),
       options.streamOrder,
     );
+    this.progress = new PartialAnswer(clock());
+    this.partial = order.resume ?? null;
   }
 
   cancel(): void {
@@ -117,9 +146,12 @@
   private dispatch(worker: WorkerId, home: NodeIdentity, now: Milliseconds): void {
     const dispatchId = this.options.nextDispatchId();
     this.dispatchId = dispatchId;
-    this.options.explain(this.order.request.requestId, `sent to ${worker}`, `home ${home.node}`);
+    this.progress = new PartialAnswer(now);
+    const request = this.requestFor(worker);
+    const { stream } = this.order;
+    this.options.explain(request.requestId, `sent to ${worker}`, `home ${home.node}`);
     this.options.client.start(
-      { dispatchId, home, worker, request: this.order.request, stream: this.order.stream },
+      { dispatchId, home, worker, request, stream },
       {
         onSegment: (segment, text) => this.pass(segment, text),
         onEnd: (outcome) => this.ended(worker, outcome),
@@ -128,8 +160,29 @@
     );
   }
 
+  /** The request as a worker gets it: with the tokens made already, where it may go on from them. */
+  private requestFor(worker: WorkerId): GenerationRequest {
+    const { request } = this.order;
+    const { partial } = this;
+    if (partial === null || !this.options.mayResume(request, partial, worker)) return request;
+    this.options.onResumed?.(tokensOf(partial));
+    this.options.explain(request.requestId, `resumed on ${worker}`, `${tokensOf(partial)} tokens`);
+    return { ...request, resume: partial };
+  }
+
   private pass(segment: TokenSegment, text: string): void {
-    if (!this.over) this.stream.accept(segment, text);
+    if (this.over) return;
+    if (this.order.stream) this.stream.accept(segment, text);
+    else this.progress.append(segment, text);
+  }
+
+  /** Keeps what the ended attempt has made, as far as its home or the progress tells. */
+  private keepPartial(outcome: OriginOutcome): void {
+    const { trafficClass, repeatable } = this.order.request;
+    if (trafficClass !== 'training' || !repeatable) return;
+    this.partial = longerPartial(this.partial, this.progress.partial());
+    if (outcome.kind !== 'preempted' && outcome.kind !== 'failed') return;
+    this.partial = longerPartial(this.partial, outcome.partial);
   }
 
   private ended(worker: WorkerId, outcome: OriginOutcome): void {
@@ -146,6 +199,7 @@
       this.finish(worker, this.stream.passed);
       return;
     }
+    this.keepPartial(outcome);
     const reason = this.reasonOf(outcome);
     if (ranStateOf(reason) !== 'no') this.mayHaveRun = true;
     if (this.mayTryAgain(reason)) this.attempt();
@@ -184,7 +238,8 @@
     const told: Failure =
       hidden && this.options.truthfulUnknown ? { ...reason, ran: 'unknown' } : reason;
     this.options.explain(this.order.request.requestId, `gave up: ${told.kind}`, told.detail);
-    this.listener.onEnd({ kind: 'failed', failure: told, preempted }, this.clock());
+    const { partial } = this;
+    this.listener.onEnd({ kind: 'failed', failure: told, preempted, partial }, this.clock());
   }
 }
 
--- a/src/dispatch/home-dispatcher-options.ts
+++ b/src/dispatch/home-dispatcher-options.ts
@@ -1,7 +1,7 @@
 /** What the home dispatcher asks of its node, and of the admission control of its workers. */
-import type { GenerationRequest } from '../core/generation.js';
+import type { GenerationRequest, TokenSegment } from '../core/generation.js';
 import type { NodeIdentity, WorkerId } from '../core/identity.js';
-import type { Milliseconds } from '../core/units.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { WorkerRecord } from '../platform/worker.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
@@ -43,6 +43,19 @@
     now: Milliseconds,
   ) => { readonly worker: WorkerRecord } | { readonly failure: Failure };
   readonly outcomeSeen: (worker: WorkerId, outcome: DispatchOutcome, now: Milliseconds) => void;
+  /**
+   * Why a training answer must not go on after a reported run of tokens; `null` where it may.
+   * @param oldest the oldest version of the answer so far, `undefined` before its first token.
+   * @default no check
+   */
+  readonly segmentFault?: (
+    request: GenerationRequest,
+    previous: TokenSegment | undefined,
+    segment: TokenSegment,
+    oldest: WeightVersion | undefined,
+  ) => Failure | null;
+  /** Whether what was made of a training answer is given to the origin. @default true */
+  readonly resume?: boolean;
   /** Whether repeated dispatches are recognised; off only in the lab. @default true */
   readonly deduplicate?: boolean;
   /** Whether a query for an unknown dispatch bars it from running later. @default true */
--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -3,7 +3,7 @@
  * engines and reports the outcome until the origin has acknowledged it. A dispatch id is run at
  * most once in one life of a home, whatever is repeated, late or out of order.
  */
-import type { GenerationRequest } from '../core/generation.js';
+import type { GenerationRequest, PartialGeneration } from '../core/generation.js';
 import type { NodeId, NodeIdentity } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
@@ -14,11 +14,14 @@
 import { outcomeOf, withdrawnOutcome } from './dispatch-outcomes.js';
 import type { HomeDispatcherOptions } from './home-dispatcher-options.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
+import { type AnswerPart, PartialAnswer } from './partial-answer.js';
 
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
 /** How long an outcome is repeated to an origin that does not acknowledge it. */
 const REPEAT_LIMIT: Milliseconds = MINUTE;
 
+type SegmentEvent = Extract<EngineEvent, { kind: 'segment' }>;
+
 /** Home side of all dispatches of one node. */
 export class HomeDispatcher {
   private readonly dispatches = new DispatchMemory();
@@ -70,10 +73,10 @@
     const dispatch = this.dispatches.get(dispatchId);
     if (dispatch === undefined || dispatch.state !== 'running') return;
     if (event.kind === 'segment') {
-      this.forwardSegment(dispatch, event);
+      this.takeSegment(dispatch, event, now);
       return;
     }
-    this.end(dispatch, outcomeOf(event), now);
+    this.end(dispatch, outcomeOf(event, this.partialOf(dispatch)), now);
   }
 
   /** Repeats unacknowledged outcomes and forgets old dispatches. */
@@ -105,8 +108,7 @@
       const reason = test(dispatch.request, dispatch.worker);
       if (reason === null) continue;
       withdrawn += 1;
-      this.stopRunning(dispatch);
-      this.end(dispatch, withdrawnOutcome(dispatch.state, reason), now);
+      this.endEarly(dispatch, reason, now);
     }
     return withdrawn;
   }
@@ -152,6 +154,7 @@
       worker,
       state: 'queued',
       outcome: null,
+      answer: request.trafficClass === 'training' ? new PartialAnswer(now) : null,
       changedAt: now,
       lastSent: now,
     };
@@ -178,7 +181,7 @@
     const victim = this.dispatches.get(dispatchId);
     if (victim === undefined || victim.state === 'ended') return;
     this.stopRunning(victim);
-    this.end(victim, { kind: 'preempted' }, now);
+    this.end(victim, { kind: 'preempted', partial: this.partialOf(victim) }, now);
   }
 
   private receiveQuery(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
@@ -236,6 +239,7 @@
       worker: null,
       state: 'ended',
       outcome,
+      answer: null,
       changedAt: now,
       lastSent: now,
     });
@@ -249,23 +253,50 @@
     else this.options.send(origin, { kind: 'dispatch-ended', dispatchId, outcome });
   }
 
-  private forwardSegment(
-    dispatch: HomeDispatch,
-    event: Extract<EngineEvent, { kind: 'segment' }>,
-  ): void {
-    if (!dispatch.stream) return;
-    this.options.send(dispatch.origin, {
-      kind: 'dispatch-segment',
-      dispatchId: dispatch.dispatchId,
-      segment: event.segment,
-      text: event.text,
-    });
+  private takeSegment(dispatch: HomeDispatch, event: SegmentEvent, now: Milliseconds): void {
+    const { answer, request } = dispatch;
+    if (answer !== null && request !== null) {
+      const { last, oldestVersion } = answer;
+      const fault = this.options.segmentFault?.(request, last, event.segment, oldestVersion);
+      if (fault !== undefined && fault !== null) {
+        this.endEarly(dispatch, fault, now);
+        return;
+      }
+      answer.append(event.segment, event.text);
+    }
+    if (dispatch.stream) this.forward(dispatch, event);
+    else this.reportProgress(dispatch, now);
+  }
+
+  /** Lets the origin know now and then what it could resume if this home were lost. */
+  private reportProgress(dispatch: HomeDispatch, now: Milliseconds): void {
+    if (!this.mayResume(dispatch) || this.isSelf(dispatch.origin)) return;
+    for (const part of dispatch.answer?.takeProgress(now) ?? []) this.forward(dispatch, part);
+  }
+
+  private forward(dispatch: HomeDispatch, { segment, text }: AnswerPart): void {
+    const { dispatchId, origin } = dispatch;
+    this.options.send(origin, { kind: 'dispatch-segment', dispatchId, segment, text });
+  }
+
+  private mayResume({ request }: HomeDispatch): boolean {
+    return this.options.resume !== false && request?.repeatable === true;
+  }
+
+  private partialOf(dispatch: HomeDispatch): PartialGeneration | null {
+    return this.mayResume(dispatch) ? (dispatch.answer?.partial() ?? null) : null;
+  }
+
+  /** Ends a dispatch that may not go on here. */
+  private endEarly(dispatch: HomeDispatch, reason: Failure, now: Milliseconds): void {
+    this.stopRunning(dispatch);
+    this.end(dispatch, withdrawnOutcome(dispatch.state, reason, this.partialOf(dispatch)), now);
   }
 
   private abort(dispatch: HomeDispatch, now: Milliseconds): void {
     this.stopRunning(dispatch);
     const reason = failure('outcome_unknown', 'the origin gave the dispatch up');
-    dispatch.outcome = { kind: 'failed', failure: reason };
+    dispatch.outcome = { kind: 'failed', failure: reason, partial: null };
     this.close(dispatch, now);
   }
 
@@ -286,6 +317,7 @@
 
   private close(dispatch: HomeDispatch, now: Milliseconds): void {
     dispatch.state = 'ended';
+    dispatch.answer = null;
     dispatch.changedAt = now;
     this.dispatches.keep(dispatch);
     for (const startable of this.options.admission.release(dispatch.dispatchId, now)) {
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -3,7 +3,12 @@
  * worker that runs it. Every exchange is named by its dispatch id, unique per attempt; each side
  * repeats itself until the other has answered, and both ignore repetitions.
  */
-import type { GenerationRequest, GenerationResult, TokenSegment } from '../core/generation.js';
+import type {
+  GenerationRequest,
+  GenerationResult,
+  PartialGeneration,
+  TokenSegment,
+} from '../core/generation.js';
 import type { WorkerId } from '../core/identity.js';
 import type { Failure } from '../errors/error-kinds.js';
 
@@ -13,9 +18,14 @@
   /** Refused before any engine saw it; the work did not run. */
   | { readonly kind: 'refused'; readonly failure: Failure }
   /** Cancelled while it ran to make room for interactive work. */
-  | { readonly kind: 'preempted' }
-  /** The engine failed; whether the work ran is in the failure. */
-  | { readonly kind: 'failed'; readonly failure: Failure };
+  | { readonly kind: 'preempted'; readonly partial: PartialGeneration | null }
+  /** The engine failed or the work was withdrawn; whether the work ran is in the failure. */
+  | {
+      readonly kind: 'failed';
+      readonly failure: Failure;
+      /** What the engine had reported, to be resumed elsewhere; `null` for nothing. */
+      readonly partial: PartialGeneration | null;
+    };
 
 /** A message of this module. */
 export type DispatchMessage =
@@ -29,6 +39,7 @@
     }
   /** The home has taken the dispatch in: it is queued or runs. */
   | { readonly kind: 'dispatch-accepted'; readonly dispatchId: string }
+  /** Tokens as they come for a stream; now and then for an answer that can be resumed. */
   | {
       readonly kind: 'dispatch-segment';
       readonly dispatchId: string;
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -33,6 +33,8 @@
   readonly routingPolicy?: string;
   /** Whether slow last samples of a step get a second copy. @default true */
   readonly hedging?: boolean;
+  /** Whether a sample that ended early goes on elsewhere from the tokens it has. @default true */
+  readonly resume?: boolean;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
   /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
@@ -47,6 +49,7 @@
 export const NODE_DEFAULTS = {
   seedAddresses: [] as readonly string[],
   hedging: true,
+  resume: true,
   retention: DEFAULT_RETENTION,
   mechanisms: ALL_MECHANISMS,
   freshnessBound: 6_000,
--- /dev/null
+++ b/src/node/sample-guard.ts
@@ -0,0 +1,88 @@
+/**
+ * The rules for the weight versions of samples while they are made: at the home on each reported
+ * run of tokens, and at the origin before a worker goes on from tokens made elsewhere. The same
+ * rules are checked once more at hand-over; see `src/weights/staleness-bound.ts`.
+ */
+import type { Intent } from '../config-feed/configuration.js';
+import type { GenerationRequest, PartialGeneration, TokenSegment } from '../core/generation.js';
+import { oldestVersionOf } from '../core/generation.js';
+import type { WorkerId } from '../core/identity.js';
+import type { NodePorts } from '../core/node-ports.js';
+import type { WeightVersion } from '../core/units.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
+import {
+  checkSegment,
+  trainingBounds,
+  type VersionBounds,
+  versionFault,
+} from '../weights/staleness-bound.js';
+
+/** Versions that may still be published before a resumed sample is too old. */
+const ROOM_FOR_REST = 1;
+
+/** Guards the versions of samples for one node. */
+export class SampleGuard {
+  /** @param activeVersion the version a worker last reported; `undefined` where none is known. */
+  constructor(
+    private readonly node: NodePorts,
+    private readonly activeVersion: (worker: WorkerId) => WeightVersion | undefined,
+  ) {}
+
+  /**
+   * Why a sample must not go on after a reported run of tokens; `null` where it may, and also where
+   * the newest version cannot be known now: then only its hand-over has to wait.
+   */
+  segmentFault(
+    request: GenerationRequest,
+    previous: TokenSegment | undefined,
+    segment: TokenSegment,
+    oldest: WeightVersion | undefined,
+  ): Failure | null {
+    const intent = this.intentOf(request);
+    const bounds = intent === undefined ? null : this.bounds(intent);
+    if (intent === undefined || bounds === null) return null;
+    const verdict = checkSegment(bounds, intent.versionSpan, previous, segment);
+    if (verdict.kind === 'not-contiguous') {
+      return failure('engine_failed', 'the engine left tokens out', { ran: 'yes' });
+    }
+    const isDoomed = oldest !== undefined && versionFault(bounds, oldest) !== undefined;
+    if (verdict.kind === 'allowed' && !isDoomed) return null;
+    const reason = verdict.kind === 'allowed' ? 'too-old' : verdict.kind;
+    return failure('version_unknown', `the sample cannot be handed over: ${reason}`, {
+      ran: 'yes',
+    });
+  }
+
+  /**
+   * Whether a worker may go on from tokens made elsewhere: all their versions lie inside the
+   * bounds, one more version may be published before they are too old (a bound of 0 leaves no
+   * sample such room), and where the intent asks for one version per sample, the worker serves it.
+   */
+  mayResume(request: GenerationRequest, partial: PartialGeneration, worker: WorkerId): boolean {
+    const intent = this.intentOf(request);
+    const bounds = intent === undefined ? null : this.bounds(intent);
+    const oldest = oldestVersionOf(partial);
+    if (intent === undefined || bounds === null || oldest === undefined) return false;
+    if (partial.segments.some(({ version }) => versionFault(bounds, version) !== undefined)) {
+      return false;
+    }
+    const room = Math.min(ROOM_FOR_REST, intent.stalenessBound);
+    if (oldest < bounds.oldest + room) return false;
+    if (intent.versionSpan === 'record') return true;
+    const active = this.activeVersion(worker);
+    return partial.segments.every(({ version }) => version === active);
+  }
+
+  private intentOf(request: GenerationRequest): Intent | undefined {
+    return this.node.configuration().intents.get(request.intent);
+  }
+
+  private bounds(intent: Intent): VersionBounds | null {
+    const view = {
+      configuration: this.node.configuration(),
+      configurationFresh: this.node.isFresh(),
+    };
+    const bounds = trainingBounds(view, intent);
+    return bounds.isOk ? bounds.value : null;
+  }
+}
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -13,7 +13,7 @@
 import { HomeDispatcher } from '../dispatch/home-dispatcher.js';
 import type { DispatchMessage, DispatchOutcome } from '../dispatch/messages.js';
 import { ranStateOf } from '../errors/error-kinds.js';
-import type { EngineEvent } from '../platform/worker.js';
+import type { EngineEvent, WorkerRecord } from '../platform/worker.js';
 import { RequestCalls } from '../requests/request-calls.js';
 import { RetentionSweeper } from '../retention/retention-sweeper.js';
 import { StepCalls } from '../rollouts/step-calls.js';
@@ -28,6 +28,7 @@
 import type { NodeModules } from './node-modules.js';
 import { PeriodicTask } from './periodic-task.js';
 import { sampleGeneration } from './sample-generation.js';
+import { SampleGuard } from './sample-guard.js';
 import { WorkPlacement } from './work-placement.js';
 
 /** How often running work is checked against the permissions of the moment. */
@@ -43,6 +44,7 @@
   private readonly retention: RetentionSweeper;
   private readonly admission: HomeAdmission;
   private readonly placement: WorkPlacement;
+  private readonly guard: SampleGuard;
   private readonly runner: GenerationRunner;
   private readonly retryBudget = new RetryBudget({}, 0);
   private readonly withdrawal = new PeriodicTask(WITHDRAWAL_INTERVAL);
@@ -59,6 +61,8 @@
     this.placement = new WorkPlacement(ports, directory, router, zones, (request) =>
       this.permissionOf(request.intent, request.trafficClass === 'training'),
     );
+    const reported = (worker: string) => directory.report(worker)?.activeVersion;
+    this.guard = new SampleGuard(ports, reported);
     this.admission = new HomeAdmission({
       isLeaving: (worker) => ports.mechanisms['drain-refusal'] && directory.isLeaving(worker),
     });
@@ -110,7 +114,10 @@
   /** Ends what runs here although its intent no longer allows it. */
   withdrawForbidden(): void {
     if (!this.ports.mechanisms['withdraw-on-change']) return;
-    const withdraw = (request: GenerationRequest) => this.placement.withdrawal(request);
+    const { resume } = this.modules.settings;
+    const withdraw = (request: GenerationRequest, { worker }: WorkerRecord) =>
+      this.placement.withdrawal(request) ??
+      (resume ? this.placement.moveAway(request, worker) : null);
     const count = this.home.withdraw(withdraw, this.ports.now());
     if (count > 0) this.ports.counters.increment('dispatches_withdrawn', count);
   }
@@ -163,6 +170,9 @@
       },
       acceptable: (worker, request) => this.placement.acceptable(worker, request),
       outcomeSeen: (worker, outcome, now) => this.outcomeSeen(worker, outcome, now),
+      segmentFault: (request, previous, segment, oldest) =>
+        this.guard.segmentFault(request, previous, segment, oldest),
+      resume: this.modules.settings.resume,
       deduplicate: this.ports.mechanisms['dispatch-deduplication'],
       barUnknown: this.ports.mechanisms['barred-dispatch'],
     });
@@ -191,6 +201,12 @@
         countFirstAttempt: (now) => this.retryBudget.recordFirstAttempt(now),
         nextDispatchId: () => this.modules.nextId(),
         explain: (subject, decision, reason) => this.ports.explain(subject, decision, reason),
+        mayResume: (request, partial, worker) =>
+          this.modules.settings.resume && this.guard.mayResume(request, partial, worker),
+        onResumed: (tokens) => {
+          this.ports.counters.increment('samples_resumed');
+          this.ports.counters.increment('tokens_resumed', tokens);
+        },
         singleDispatch: mechanisms['single-dispatch'],
         truthfulUnknown: mechanisms['unknown-outcome'],
         wholeAnswer: mechanisms['whole-answer'],
@@ -207,10 +223,10 @@
       hedging: this.modules.settings.hedging,
       predictor: new LengthPredictor(),
       permission: (record) => this.permissionOf(record.intent, true),
-      generate: (record, permission, sample, deadline, listener) => {
+      generate: (record, permission, sample, { deadline, resume }, listener) => {
         const request = sampleGeneration(record, permission, sample);
         const { zones } = permission;
-        const order = { request, zones, stream: false, deadline, maxAttempts: 2 };
+        const order = { request, zones, stream: false, deadline, maxAttempts: 2, resume };
         return this.runner.run(order, listener);
       },
     };
@@ -227,9 +243,9 @@
   }
 }
 
-/** What an outcome says of the worker's health. */
+/** What an outcome says of the worker's health; work that was withdrawn says nothing. */
 function callOutcomeOf(outcome: DispatchOutcome): CallOutcome {
   if (outcome.kind === 'finished' || outcome.kind === 'preempted') return 'succeeded';
-  if (outcome.kind === 'refused') return 'refused';
+  if (outcome.kind === 'refused' || outcome.failure.kind !== 'engine_failed') return 'refused';
   return ranStateOf(outcome.failure) === 'no' ? 'refused' : 'failed';
 }
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -69,6 +69,20 @@
     return this.refusalOfRequest(request);
   }
 
+  /**
+   * Why a training generation should go on on another worker: its own is leaving, and others are
+   * known; `null` where it stays.
+   */
+  moveAway(request: GenerationRequest, worker: WorkerId): Failure | null {
+    if (request.trafficClass !== 'training' || !request.repeatable) return null;
+    if (!this.node.mechanisms['drain-refusal'] || !this.directory.isLeaving(worker)) return null;
+    const answer = this.permission(request);
+    const zones = answer.kind === 'refused' ? [] : answer.permission.zones;
+    const others = this.directory.candidates(request.model, zones);
+    if (!others.some(({ record }) => record.worker !== worker)) return null;
+    return failure('no_worker', `${worker} is leaving`, { ran: 'no' });
+  }
+
   private refusalOfNode(): Failure | null {
     if (this.node.isStopping()) return failure('stopping', 'the home node is stopping');
     if (this.node.isConfirmed()) return null;
--- a/src/platform/engine-wire-client.ts
+++ b/src/platform/engine-wire-client.ts
@@ -53,11 +53,17 @@
     priority: z.enum(['interactive', 'training']),
     oldestVersion: count,
     promptGroup: z.string(),
+    /**
+     * The answer goes on after these tokens. The engine streams them first, as they are given; one
+     * that does not know the field makes the answer from its start.
+     */
+    resume: z.object({ text: z.string(), segments: z.array(tokenSegment).min(1) }).optional(),
   }),
 });
 
 /** Body that asks an engine for a generation. */
 export function encodeGeneration(request: GenerationRequest): z.infer<typeof completionRequest> {
+  const { resume } = request;
   return {
     model: request.model,
     prompt: request.prompt,
@@ -69,6 +75,9 @@
       priority: request.trafficClass,
       oldestVersion: request.oldestVersion,
       promptGroup: request.promptGroup,
+      ...(resume === undefined
+        ? {}
+        : { resume: { text: resume.text, segments: [...resume.segments] } }),
     },
   };
 }
--- a/src/rollouts/delivery-appender.ts
+++ b/src/rollouts/delivery-appender.ts
@@ -1,13 +1,13 @@
 /**
  * Appends finished samples to a step's delivery log, several at a time, and keeps track of what
- * the log holds. The staleness bound is checked here once more, at the moment of the change, with
- * the newest version known then.
+ * the log holds. The versions that made a sample are checked here once more, at the moment of the
+ * change, with the newest version known then.
  */
-import { newestVersion, oldestAllowedVersion } from '../config-feed/configuration.js';
-import { type GenerationResult, oldestVersionOf } from '../core/generation.js';
+import type { GenerationResult } from '../core/generation.js';
 import type { NodePorts, RegisterAddress } from '../core/node-ports.js';
-import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
+import { checkHandOver, type HandOverVerdict } from '../weights/staleness-bound.js';
 import { appendEntries, closeLog, isSealed, pageOf } from './delivery-log.js';
 import { readPages } from './delivery-log-reader.js';
 import {
@@ -24,13 +24,19 @@
   delivered(keys: readonly string[]): void;
   /** The log is closed. */
   closed(): void;
-  /** A result was dropped because a token is older than the bound. */
-  stale(sampleKey: string): void;
+  /** A result was dropped: the versions that made it may not be handed over. */
+  inadmissible(sampleKey: string, reason: string): void;
 }
 
+/** What the checks at hand-over need of an answer. */
+type SampleVersions = Pick<GenerationResult, 'segments' | 'tokenCount'>;
+
+/** No intent allows the step here any more. */
+type SampleVerdict = HandOverVerdict | { readonly kind: 'intent-ended' };
+
 interface PendingEntry {
   readonly entry: DeliveryEntry;
-  readonly oldestVersion: WeightVersion | undefined;
+  readonly answer: SampleVersions;
 }
 
 /** Time given to one ledger operation. */
@@ -88,7 +94,8 @@
       this.node.counters.increment('samples_late');
       return;
     }
-    this.pending.set(entry.key, { entry, oldestVersion: oldestVersionOf(result) });
+    const { segments, tokenCount } = result;
+    this.pending.set(entry.key, { entry, answer: { segments, tokenCount } });
     this.append();
   }
 
@@ -117,7 +124,7 @@
         return;
       }
       this.absorb(pageOf(outcome.value, this.page));
-      this.dropStale();
+      this.dropInadmissible();
       this.append();
     });
   }
@@ -127,7 +134,7 @@
     if (this.pending.size === 0) return null;
     const entries = [...this.pending.values()].map((pending) => pending.entry);
     const unique = this.node.mechanisms['result-claim'];
-    return appendEntries(this.page, entries, (entry) => this.isAdmissible(entry.key), unique);
+    return appendEntries(this.page, entries, (entry) => this.verdict(entry.key) === null, unique);
   }
 
   private absorb(page: DeliveryPage): void {
@@ -159,24 +166,26 @@
     this.listener.closed();
   }
 
-  private dropStale(): void {
+  private dropInadmissible(): void {
     for (const key of [...this.pending.keys()]) {
-      if (this.isAdmissible(key)) continue;
+      const verdict = this.verdict(key);
+      if (verdict === null || verdict.kind === 'hold') continue;
       this.pending.delete(key);
-      this.listener.stale(key);
+      this.listener.inadmissible(key, `its versions may not be handed over: ${verdict.kind}`);
     }
   }
 
-  /** Whether a result may be handed over with what is known now. */
-  private isAdmissible(key: string): boolean {
-    const oldest = this.pending.get(key)?.oldestVersion;
-    if (oldest === undefined) return true;
-    if (!this.node.mechanisms['staleness-check-at-hand-over']) return true;
+  /** Why a sample may not be handed over with what is known now; `null` where it may. */
+  private verdict(key: string): SampleVerdict | null {
+    const answer = this.pending.get(key)?.answer;
+    if (answer === undefined) return null;
+    if (!this.node.mechanisms['staleness-check-at-hand-over']) return null;
     const configuration = this.node.configuration();
     const intent = configuration.intents.get(this.record.intent);
-    const newest = newestVersion(configuration, this.record.model);
-    if (intent === undefined || newest === undefined) return false;
-    return oldest >= oldestAllowedVersion(intent, newest);
+    if (intent === undefined) return { kind: 'intent-ended' };
+    const view = { configuration, configurationFresh: this.node.isFresh() };
+    const verdict = checkHandOver(view, intent, answer);
+    return verdict.kind === 'allowed' ? null : verdict;
   }
 
   private addressOf(page: number): RegisterAddress {
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -3,11 +3,13 @@
  * Every member of the step's replica group can drive it; two drivers at once cost work, never a
  * doubled sample, since the log takes each key once.
  */
-import type { GenerationResult } from '../core/generation.js';
+import type { Permission } from '../access/permission.js';
+import type { GenerationResult, PartialGeneration } from '../core/generation.js';
 import type { NodePorts } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
 import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
+import { longerPartial } from '../dispatch/partial-answer.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
 import { HedgingPolicy, type PendingSample } from '../routing/hedging-policy.js';
@@ -37,6 +39,8 @@
 export class StepDriver {
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
   private readonly running = new Map<string, RunningSample>();
+  /** Beginnings of samples that ended early and wait to be resumed. */
+  private readonly partials = new Map<string, PartialGeneration>();
   private readonly window = new DispatchWindow();
   private readonly pace = new StepPace();
   private readonly hedging = new HedgingPolicy();
@@ -59,7 +63,7 @@
     this.appender = new DeliveryAppender(ports.node, key, record, {
       delivered: (keys) => this.delivered(keys),
       closed: () => this.end('closed'),
-      stale: (sampleKey) => this.regenerate(sampleKey),
+      inadmissible: (sampleKey, reason) => this.regenerate(sampleKey, reason),
     });
   }
 
@@ -147,13 +151,19 @@
       liveCopies: 0,
     };
     this.running.set(sample.key, entry);
-    this.generate(entry, answer.permission);
+    this.generate(entry, answer.permission, this.partials.get(sample.key) ?? null);
+    this.partials.delete(sample.key);
     return this.node.now() >= this.pausedUntil;
   }
 
-  private generate(entry: RunningSample, permission: Parameters<StepPorts['generate']>[1]): void {
+  private generate(
+    entry: RunningSample,
+    permission: Permission,
+    resume: PartialGeneration | null,
+  ): void {
     entry.liveCopies += 1;
-    const running = this.ports.generate(this.record, permission, entry.sample, this.deadline, {
+    const limits = { deadline: this.deadline, resume };
+    const running = this.ports.generate(this.record, permission, entry.sample, limits, {
       onEnd: (outcome) => this.generated(entry, outcome),
     });
     entry.generations.push(running);
@@ -169,6 +179,7 @@
       this.keep(entry, outcome.result);
       return;
     }
+    this.keepPartial(sample.key, outcome.partial);
     if (entry.liveCopies > 0) return;
     this.running.delete(sample.key);
     this.queue?.putBack(sample);
@@ -179,6 +190,11 @@
     }
   }
 
+  private keepPartial(sampleKey: string, partial: PartialGeneration | null): void {
+    const longest = longerPartial(this.partials.get(sampleKey) ?? null, partial);
+    if (longest !== null) this.partials.set(sampleKey, longest);
+  }
+
   /** Stores a result on a majority, then has it appended. */
   private keep(entry: RunningSample, result: GenerationResult): void {
     for (const other of entry.generations) other.cancel();
@@ -202,16 +218,13 @@
     if (this.phase === 'running') this.keep(entry, result);
   }
 
-  private regenerate(sampleKey: string): void {
+  private regenerate(sampleKey: string, reason: string): void {
     const entry = this.running.get(sampleKey);
     if (entry === undefined) return;
     this.running.delete(sampleKey);
     this.node.counters.increment('samples_stale');
-    this.node.explain(
-      this.key,
-      `sample ${sampleKey} runs again`,
-      'a token is older than the bound',
-    );
+    this.partials.delete(sampleKey);
+    this.node.explain(this.key, `sample ${sampleKey} runs again`, reason);
     this.queue?.putBack(entry.sample);
   }
 
@@ -219,6 +232,7 @@
     for (const key of keys) {
       const entry = this.running.get(key);
       this.running.delete(key);
+      this.partials.delete(key);
       this.queue?.remove(key);
       for (const generation of entry?.generations ?? []) generation.cancel();
     }
@@ -263,6 +277,7 @@
       for (const generation of entry.generations) generation.cancel();
     }
     this.running.clear();
+    this.partials.clear();
   }
 
   private observe(entry: RunningSample, result: GenerationResult): void {
@@ -293,6 +308,6 @@
     if (entry === undefined || answer.kind === 'refused') return;
     this.hedgesMade += 1;
     this.node.counters.increment('samples_hedged');
-    this.generate(entry, answer.permission);
+    this.generate(entry, answer.permission, null);
   }
 }
--- a/src/weights/staleness-bound.ts
+++ b/src/weights/staleness-bound.ts
@@ -143,7 +143,7 @@
 export function checkHandOver(
   view: ConfigurationView,
   intent: Intent,
-  result: GenerationResult,
+  result: Pick<GenerationResult, 'segments' | 'tokenCount'>,
 ): HandOverVerdict {
   const bounds = trainingBounds(view, intent);
   if (bounds.isErr) return { kind: 'hold', failure: { ...bounds.error, ran: 'yes' } };
--- a/test/dispatch/generation-runner.test.ts
+++ b/test/dispatch/generation-runner.test.ts
@@ -17,6 +17,7 @@
 const MAY_HAVE_RUN: DispatchOutcome = {
   kind: 'failed',
   failure: failure('engine_failed', 'reset', { ran: 'unknown' }),
+  partial: null,
 };
 
 /** A runner whose dispatches end as a test says. */
@@ -44,6 +45,7 @@
         return `d${lastId}`;
       },
       explain: () => undefined,
+      mayResume: () => true,
       singleDispatch: true,
       truthfulUnknown: true,
       wholeAnswer: true,
