--- a/lab/emulator/sequence.ts
+++ b/lab/emulator/sequence.ts
@@ -50,13 +50,25 @@
     this.target = Math.min(length, request.maxTokens);
   }
 
+  /** How many tokens are made and not streamed yet. */
+  get unstreamed(): TokenCount {
+    return this.tokens - this.streamed;
+  }
+
   /** Streams all tokens not streamed yet; they were made by `version`. */
   stream(version: WeightVersion): EngineEvent | undefined {
-    const tokenCount = this.tokens - this.streamed;
+    const tokenCount = this.unstreamed;
     if (tokenCount <= 0) return undefined;
     return this.append({ version, firstToken: this.streamed, tokenCount });
   }
 
+  /** Takes over tokens made elsewhere, by an import of their cache or by reading them. */
+  takeOver(cache: KeyValueCacheExport | undefined): EngineEvent[] {
+    if (cache !== undefined) return this.import(cache);
+    const { resume } = this.request;
+    return resume === undefined ? [] : this.resume(resume);
+  }
+
   /** Takes over tokens made elsewhere; returns the events that stream them. */
   import(source: KeyValueCacheExport): EngineEvent[] {
     if (source.answer !== this.answer) return [];
@@ -71,7 +83,7 @@
    * Goes on after tokens made elsewhere whose cache is not at hand: they are streamed as given,
    * and must be read like a prompt. Does nothing where text and segments do not fit together.
    */
-  resume(partial: PartialGeneration): EngineEvent[] {
+  private resume(partial: PartialGeneration): EngineEvent[] {
     const texts = tokensOfText(partial.text);
     const last = partial.segments.at(-1);
     const count = last === undefined ? 0 : last.firstToken + last.tokenCount;
--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -3,7 +3,7 @@
  * engines and reports the outcome until the origin has acknowledged it. A dispatch id is run at
  * most once in one life of a home, whatever is repeated, late or out of order.
  */
-import type { GenerationRequest, PartialGeneration } from '../core/generation.js';
+import type { GenerationRequest } from '../core/generation.js';
 import type { NodeId, NodeIdentity } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
@@ -14,22 +14,23 @@
 import { outcomeOf, withdrawnOutcome } from './dispatch-outcomes.js';
 import type { HomeDispatcherOptions } from './home-dispatcher-options.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
-import { type AnswerPart, PartialAnswer } from './partial-answer.js';
+import { PartialAnswer } from './partial-answer.js';
+import { SegmentIntake } from './segment-intake.js';
 
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
 /** How long an outcome is repeated to an origin that does not acknowledge it. */
 const REPEAT_LIMIT: Milliseconds = MINUTE;
 
-type SegmentEvent = Extract<EngineEvent, { kind: 'segment' }>;
-
 /** Home side of all dispatches of one node. */
 export class HomeDispatcher {
   private readonly dispatches = new DispatchMemory();
   /** Dispatches whose outcome is not acknowledged yet. */
   private readonly unacknowledged = new Set<HomeDispatch>();
+  private readonly intake: SegmentIntake;
   private readonly repeatInterval: Milliseconds;
 
   constructor(private readonly options: HomeDispatcherOptions) {
+    this.intake = new SegmentIntake(options);
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
   }
 
@@ -72,11 +73,12 @@
   engineEvent(dispatchId: string, event: EngineEvent, now: Milliseconds): void {
     const dispatch = this.dispatches.get(dispatchId);
     if (dispatch === undefined || dispatch.state !== 'running') return;
-    if (event.kind === 'segment') {
-      this.takeSegment(dispatch, event, now);
+    if (event.kind !== 'segment') {
+      this.end(dispatch, outcomeOf(event, this.intake.partialOf(dispatch)), now);
       return;
     }
-    this.end(dispatch, outcomeOf(event, this.partialOf(dispatch)), now);
+    const fault = this.intake.take(dispatch, event, now);
+    if (fault !== null) this.endEarly(dispatch, fault, now);
   }
 
   /** Repeats unacknowledged outcomes and forgets old dispatches. */
@@ -181,7 +183,7 @@
     const victim = this.dispatches.get(dispatchId);
     if (victim === undefined || victim.state === 'ended') return;
     this.stopRunning(victim);
-    this.end(victim, { kind: 'preempted', partial: this.partialOf(victim) }, now);
+    this.end(victim, { kind: 'preempted', partial: this.intake.partialOf(victim) }, now);
   }
 
   private receiveQuery(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
@@ -220,13 +222,8 @@
     const known = this.dispatches.get(dispatchId);
     if (known?.state !== 'ended') return;
     this.unacknowledged.delete(known);
-    this.dispatches.settle(dispatchId, !this.isSelf(known.origin));
-  }
-
-  /** Messages of the home to itself come once and in order, so none is left to come. */
-  private isSelf(origin: NodeIdentity): boolean {
-    const { self } = this.options;
-    return self !== undefined && sameIdentity(origin, self);
+    // Messages of the home to itself come once and in order, so none is left to come.
+    this.dispatches.settle(dispatchId, !this.intake.isSelf(known.origin));
   }
 
   private refuse(from: NodeIdentity, dispatchId: string, reason: Failure, now: Milliseconds): void {
@@ -253,44 +250,11 @@
     else this.options.send(origin, { kind: 'dispatch-ended', dispatchId, outcome });
   }
 
-  private takeSegment(dispatch: HomeDispatch, event: SegmentEvent, now: Milliseconds): void {
-    const { answer, request } = dispatch;
-    if (answer !== null && request !== null) {
-      const { last, oldestVersion } = answer;
-      const fault = this.options.segmentFault?.(request, last, event.segment, oldestVersion);
-      if (fault !== undefined && fault !== null) {
-        this.endEarly(dispatch, fault, now);
-        return;
-      }
-      answer.append(event.segment, event.text);
-    }
-    if (dispatch.stream) this.forward(dispatch, event);
-    else this.reportProgress(dispatch, now);
-  }
-
-  /** Lets the origin know now and then what it could resume if this home were lost. */
-  private reportProgress(dispatch: HomeDispatch, now: Milliseconds): void {
-    if (!this.mayResume(dispatch) || this.isSelf(dispatch.origin)) return;
-    for (const part of dispatch.answer?.takeProgress(now) ?? []) this.forward(dispatch, part);
-  }
-
-  private forward(dispatch: HomeDispatch, { segment, text }: AnswerPart): void {
-    const { dispatchId, origin } = dispatch;
-    this.options.send(origin, { kind: 'dispatch-segment', dispatchId, segment, text });
-  }
-
-  private mayResume({ request }: HomeDispatch): boolean {
-    return this.options.resume !== false && request?.repeatable === true;
-  }
-
-  private partialOf(dispatch: HomeDispatch): PartialGeneration | null {
-    return this.mayResume(dispatch) ? (dispatch.answer?.partial() ?? null) : null;
-  }
-
   /** Ends a dispatch that may not go on here. */
   private endEarly(dispatch: HomeDispatch, reason: Failure, now: Milliseconds): void {
     this.stopRunning(dispatch);
-    this.end(dispatch, withdrawnOutcome(dispatch.state, reason, this.partialOf(dispatch)), now);
+    const partial = this.intake.partialOf(dispatch);
+    this.end(dispatch, withdrawnOutcome(dispatch.state, reason, partial), now);
   }
 
   private abort(dispatch: HomeDispatch, now: Milliseconds): void {
--- a/src/node/sample-guard.ts
+++ b/src/node/sample-guard.ts
@@ -30,7 +30,8 @@
 
   /**
    * Why a sample must not go on after a reported run of tokens; `null` where it may, and also where
-   * the newest version cannot be known now: then only its hand-over has to wait.
+   * the newest version cannot be known now: then only its hand-over has to wait. The mechanism
+   * `staleness-check-at-hand-over` covers all checks of the versions an answer has.
    */
   segmentFault(
     request: GenerationRequest,
@@ -45,6 +46,7 @@
     if (verdict.kind === 'not-contiguous') {
       return failure('engine_failed', 'the engine left tokens out', { ran: 'yes' });
     }
+    if (!this.node.mechanisms['staleness-check-at-hand-over']) return null;
     const isDoomed = oldest !== undefined && versionFault(bounds, oldest) !== undefined;
     if (verdict.kind === 'allowed' && !isDoomed) return null;
     const reason = verdict.kind === 'allowed' ? 'too-old' : verdict.kind;
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -8,8 +8,7 @@
 import type { NodePorts } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
-import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
-import { longerPartial } from '../dispatch/partial-answer.js';
+import type { GenerationOutcome } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
 import { HedgingPolicy, type PendingSample } from '../routing/hedging-policy.js';
@@ -17,6 +16,7 @@
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
 import type { StepRecord } from './records.js';
+import { type RunningSample, RunningSamples } from './running-samples.js';
 import { SampleQueue } from './sample-queue.js';
 import { decodeSamples, encodeResult } from './step-bodies.js';
 import { StepPace } from './step-pace.js';
@@ -27,20 +27,10 @@
 /** Pause after a failed ledger operation. */
 const RETRY_PAUSE: Milliseconds = 200;
 
-interface RunningSample {
-  readonly sample: SampleRequest;
-  readonly startedAt: Milliseconds;
-  readonly generations: RunningGeneration[];
-  /** Copies that have not ended. */
-  liveCopies: number;
-}
-
 /** Drives one step until it is complete, closed, or given over to another member. */
 export class StepDriver {
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
-  private readonly running = new Map<string, RunningSample>();
-  /** Beginnings of samples that ended early and wait to be resumed. */
-  private readonly partials = new Map<string, PartialGeneration>();
+  private readonly running = new RunningSamples();
   private readonly window = new DispatchWindow();
   private readonly pace = new StepPace();
   private readonly hedging = new HedgingPolicy();
@@ -107,7 +97,7 @@
 
   /** Stops driving; what runs is cancelled. Another member goes on. */
   abandon(): void {
-    this.cancelAll();
+    this.running.forgetAll();
     this.phase = 'ended';
   }
 
@@ -144,15 +134,8 @@
       this.pausedUntil = this.node.now() + RETRY_PAUSE;
       return false;
     }
-    const entry: RunningSample = {
-      sample,
-      startedAt: this.node.now(),
-      generations: [],
-      liveCopies: 0,
-    };
-    this.running.set(sample.key, entry);
-    this.generate(entry, answer.permission, this.partials.get(sample.key) ?? null);
-    this.partials.delete(sample.key);
+    const entry = this.running.start(sample, this.node.now());
+    this.generate(entry, answer.permission, this.running.takePartial(sample.key));
     return this.node.now() >= this.pausedUntil;
   }
 
@@ -179,9 +162,9 @@
       this.keep(entry, outcome.result);
       return;
     }
-    this.keepPartial(sample.key, outcome.partial);
+    this.running.keepPartial(sample.key, outcome.partial);
     if (entry.liveCopies > 0) return;
-    this.running.delete(sample.key);
+    this.running.stop(sample.key);
     this.queue?.putBack(sample);
     if (ranStateOf(outcome.failure) === 'no') {
       this.window.refused();
@@ -190,11 +173,6 @@
     }
   }
 
-  private keepPartial(sampleKey: string, partial: PartialGeneration | null): void {
-    const longest = longerPartial(this.partials.get(sampleKey) ?? null, partial);
-    if (longest !== null) this.partials.set(sampleKey, longest);
-  }
-
   /** Stores a result on a majority, then has it appended. */
   private keep(entry: RunningSample, result: GenerationResult): void {
     for (const other of entry.generations) other.cancel();
@@ -221,20 +199,16 @@
   private regenerate(sampleKey: string, reason: string): void {
     const entry = this.running.get(sampleKey);
     if (entry === undefined) return;
-    this.running.delete(sampleKey);
+    this.running.forget(sampleKey);
     this.node.counters.increment('samples_stale');
-    this.partials.delete(sampleKey);
     this.node.explain(this.key, `sample ${sampleKey} runs again`, reason);
     this.queue?.putBack(entry.sample);
   }
 
   private delivered(keys: readonly string[]): void {
     for (const key of keys) {
-      const entry = this.running.get(key);
-      this.running.delete(key);
-      this.partials.delete(key);
+      this.running.forget(key);
       this.queue?.remove(key);
-      for (const generation of entry?.generations ?? []) generation.cancel();
     }
     if (this.phase === 'running') this.checkComplete();
     if (this.phase === 'running') this.dispatchMore();
@@ -247,13 +221,13 @@
   }
 
   private close(kind: ErrorKind): void {
-    this.cancelAll();
+    this.running.forgetAll();
     this.appender.close({ kind, detail: 'the step was not whole when its time was over' });
   }
 
   private end(state: 'complete' | 'closed'): void {
     if (this.phase === 'ending' || this.phase === 'ended') return;
-    this.cancelAll();
+    this.running.forgetAll();
     this.phase = 'ending';
     this.endState = state;
     this.node.explain(this.key, `ended: ${state}`, `${this.appender.deliveredCount} delivered`);
@@ -272,14 +246,6 @@
     });
   }
 
-  private cancelAll(): void {
-    for (const entry of this.running.values()) {
-      for (const generation of entry.generations) generation.cancel();
-    }
-    this.running.clear();
-    this.partials.clear();
-  }
-
   private observe(entry: RunningSample, result: GenerationResult): void {
     this.queue?.observe(entry.sample, result.tokenCount);
     this.pace.record(result.tokenCount, this.node.now() - entry.startedAt);
@@ -290,7 +256,7 @@
     if (!this.ports.hedging || this.running.size === 0) return;
     const progress = {
       sampleCount: this.record.sampleCount,
-      pending: [...this.running.values()].map((entry) => this.pendingSample(entry)),
+      pending: this.running.all().map((entry) => this.pendingSample(entry)),
       typicalDuration: this.pace.typicalDuration(),
       hedgesMade: this.hedgesMade,
     };
