--- /dev/null
+++ b/lab/bench/resume.ts
@@ -0,0 +1,166 @@
+/**
+ * Bench of going on elsewhere: what a sample loses when it ends early, with and without the
+ * tokens it has. The decision cores of a deployment run in simulated time, all on one seed: long
+ * samples, bursts of interactive requests that preempt them, and once each a killed node, a lost
+ * engine, a leaving worker and a new weight version. The target: fewer tokens wasted with resuming
+ * than without it, and every step whole, on each seed.
+ */
+import type { TokenCount } from '../../src/core/units.js';
+import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import type { CommandFlags } from '../main.js';
+import type { Action } from '../simulation/action.js';
+import { associationPlan, type FleetPlan } from '../simulation/fleet-plan.js';
+import { createNodeFactory } from '../simulation/node-core-factory.js';
+import type { Observation } from '../simulation/observation.js';
+import { Scenario } from '../simulation/scenario.js';
+import { Simulation } from '../simulation/simulation.js';
+
+const DEFAULT_SEEDS = 3;
+const MEDIAN_TOKENS: TokenCount = 400;
+const MAX_TOKENS: TokenCount = 2_000;
+const SAMPLES_OF_STEP = 48;
+const STEP_TIMEOUT: Milliseconds = 3_600 * SECOND;
+/** Interactive requests come in bursts that take most slots of the fleet. */
+const BURST_INTERVAL: Milliseconds = 4 * SECOND;
+const BURSTS = 20;
+const BURST_REQUESTS = 30;
+const INTERACTIVE_TOKENS: TokenCount = 60;
+const PATIENCE: Milliseconds = 20 * SECOND;
+
+/** Faults by the number of the burst they come before. */
+const FAULTS: ReadonlyMap<number, Action> = new Map<number, Action>([
+  [2, { kind: 'kill', node: 0, downtime: 6 * SECOND }],
+  [4, { kind: 'crash-engine', worker: 1, downtime: 5 * SECOND }],
+  [6, { kind: 'worker-leaves', worker: 3, sign: 'report', duration: 20 * SECOND }],
+  [8, { kind: 'publish-version', model: 0 }],
+  [10, { kind: 'kill', node: 4, downtime: 6 * SECOND }],
+]);
+
+/** Figures of one run. */
+export interface ResumeFigures {
+  readonly seed: number;
+  readonly resume: boolean;
+  readonly samples_asked: number;
+  readonly samples_delivered: number;
+  readonly tokens_made: TokenCount;
+  readonly tokens_delivered: TokenCount;
+  /** Tokens made that are in no delivered sample, as a share of those made. */
+  readonly wasted_share: number;
+  /** Engine starts that went on from tokens made elsewhere. */
+  readonly resumed_starts: number;
+  /** Tokens that such starts read in place of making them. */
+  readonly tokens_read_again: TokenCount;
+  /** When the last sample reached its trainer, from the first submission on. */
+  readonly whole_after_seconds: number;
+}
+
+/** The association with its callers on the model that the trainers draw from. */
+function contestedPlan(): FleetPlan {
+  const plan = associationPlan(MEDIAN_TOKENS);
+  const model = 'model-bench';
+  return {
+    ...plan,
+    intents: plan.intents.map((intent) => ({ ...intent, model })),
+    callers: plan.callers.map((caller) => ({ ...caller, model })),
+  };
+}
+
+/** What an onlooker counts. */
+class ResumeMeter {
+  readonly delivered = new Map<string, TokenCount>();
+  lastDelivery: Milliseconds = 0;
+  resumedStarts = 0;
+  tokensReadAgain: TokenCount = 0;
+
+  observe(observation: Observation): void {
+    if (observation.kind === 'engine-accepted') {
+      const last = observation.request.resume?.segments.at(-1);
+      if (last === undefined) return;
+      this.resumedStarts += 1;
+      this.tokensReadAgain += last.firstToken + last.tokenCount;
+    }
+    if (observation.kind !== 'reply-received' || observation.reply.kind !== 'done') return;
+    const { body } = observation.reply;
+    if (body.kind !== 'step-page') return;
+    for (const { key, result } of body.page.samples) {
+      const name = `${body.page.stepId}/${key}`;
+      if (this.delivered.has(name)) continue;
+      this.delivered.set(name, result.tokenCount);
+      this.lastDelivery = observation.at;
+    }
+  }
+}
+
+/** Runs the deployment once. */
+export function measureResume(seed: number, resume: boolean): ResumeFigures {
+  const createNode = createNodeFactory([], { resume });
+  const plan = contestedPlan();
+  const simulation = new Simulation({ seed, plan, createNode, observeMessages: false });
+  const meter = new ResumeMeter();
+  simulation.addObserver((observation) => meter.observe(observation));
+  const scenario = new Scenario(simulation);
+  scenario.begin();
+  const startedAt = simulation.queue.now;
+  submitSteps(scenario, plan);
+  for (let burst = 0; burst < BURSTS; burst += 1) takeBurst(scenario, burst);
+  scenario.settle();
+  const engines = [...simulation.engines.values()];
+  const made = engines.reduce((sum, engine) => sum + engine.made.of('training'), 0);
+  const delivered = [...meter.delivered.values()].reduce((sum, tokens) => sum + tokens, 0);
+  return {
+    seed,
+    resume,
+    samples_asked: SAMPLES_OF_STEP * plan.trainers.length,
+    samples_delivered: meter.delivered.size,
+    tokens_made: made,
+    tokens_delivered: delivered,
+    wasted_share: rounded((made - delivered) / made),
+    resumed_starts: meter.resumedStarts,
+    tokens_read_again: meter.tokensReadAgain,
+    whole_after_seconds: rounded((meter.lastDelivery - startedAt) / SECOND),
+  };
+}
+
+/** Runs the bench; exit code 0 when its target is reached on each seed. */
+export async function run(_name: string, flags: CommandFlags): Promise<number> {
+  const first = Number(flags.seed ?? 1);
+  const count = Number(flags.seeds ?? DEFAULT_SEEDS);
+  const pairs = Array.from({ length: count }, (_, index) => {
+    const without = measureResume(first + index, false);
+    const withResume = measureResume(first + index, true);
+    console.table([without, withResume]);
+    return { without, withResume };
+  });
+  const reached = pairs.every(
+    ({ without, withResume }) =>
+      withResume.wasted_share < without.wasted_share && isWhole(without) && isWhole(withResume),
+  );
+  console.log(JSON.stringify({ bench: 'resume', seeds: count, reached, runs: pairs }));
+  return reached ? 0 : 1;
+}
+
+function submitSteps(scenario: Scenario, plan: FleetPlan): void {
+  plan.trainers.forEach((_, trainer) => {
+    const order = { samples: SAMPLES_OF_STEP, maxTokens: MAX_TOKENS, timeout: STEP_TIMEOUT };
+    scenario.take({ after: 0, action: { kind: 'submit-step', trainer, ...order } });
+  });
+}
+
+function takeBurst(scenario: Scenario, burst: number): void {
+  const fault = FAULTS.get(burst);
+  if (fault !== undefined) scenario.take({ after: 0, action: fault });
+  for (let caller = 0; caller < BURST_REQUESTS; caller += 1) {
+    const question = { maxTokens: INTERACTIVE_TOKENS, patience: PATIENCE };
+    const kind = { repeatable: true, keyed: false, stream: false };
+    scenario.take({ after: 1, action: { kind: 'ask', caller, ...kind, ...question } });
+  }
+  scenario.simulation.advance(BURST_INTERVAL);
+}
+
+function isWhole(figures: ResumeFigures): boolean {
+  return figures.samples_delivered === figures.samples_asked;
+}
+
+function rounded(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
--- a/lab/simulation/simulated-engine.ts
+++ b/lab/simulation/simulated-engine.ts
@@ -11,6 +11,7 @@
   WorkerRecord,
 } from '../../src/platform/worker.js';
 import type { EngineCore, EngineOutput } from '../emulator/engine-core.js';
+import type { MadeTokens } from '../emulator/made-tokens.js';
 import type { EventQueue } from './event-queue.js';
 import type { SimulatedNetwork } from './network.js';
 import type { ObservationBody } from './observation.js';
@@ -60,6 +61,11 @@
     this.#observe = options.observe;
   }
 
+  /** What the engine has made itself. */
+  get made(): MadeTokens {
+    return this.#engine.made;
+  }
+
   /** Sends work from one life of a node to the engine. */
   start(node: SimulatedNode, life: number, dispatchId: string, request: GenerationRequest): void {
     const stream: Stream = { node, life, notBefore: 0, broken: false };
