--- a/src/node/sample-guard.ts
+++ b/src/node/sample-guard.ts
@@ -3,7 +3,7 @@
  * run of tokens, and at the origin before a worker goes on from tokens made elsewhere. The same
  * rules are checked once more at hand-over; see `src/weights/staleness-bound.ts`.
  */
-import type { Intent } from '../config-feed/configuration.js';
+import { type Intent, newestVersion, oldestAllowedVersion } from '../config-feed/configuration.js';
 import type { GenerationRequest, PartialGeneration, TokenSegment } from '../core/generation.js';
 import { oldestVersionOf } from '../core/generation.js';
 import type { WorkerId } from '../core/identity.js';
@@ -17,7 +17,7 @@
   versionFault,
 } from '../weights/staleness-bound.js';
 
-/** Versions that may still be published before a resumed sample is too old. */
+/** Versions that may be published before a resumed sample is too old. */
 const ROOM_FOR_REST = 1;
 
 /** Guards the versions of samples for one node. */
@@ -57,8 +57,8 @@
 
   /**
    * Whether a worker may go on from tokens made elsewhere: all their versions lie inside the
-   * bounds, one more version may be published before they are too old (a bound of 0 leaves no
-   * sample such room), and where the intent asks for one version per sample, the worker serves it.
+   * bounds, one more version may be published before they are too old or they are of the newest
+   * one, and where the intent asks for one version per sample, the worker serves it.
    */
   mayResume(request: GenerationRequest, partial: PartialGeneration, worker: WorkerId): boolean {
     const intent = this.intentOf(request);
@@ -68,13 +68,19 @@
     if (partial.segments.some(({ version }) => versionFault(bounds, version) !== undefined)) {
       return false;
     }
-    const room = Math.min(ROOM_FOR_REST, intent.stalenessBound);
-    if (oldest < bounds.oldest + room) return false;
+    if (oldest < this.oldestWithRoom(intent)) return false;
     if (intent.versionSpan === 'record') return true;
     const active = this.activeVersion(worker);
     return partial.segments.every(({ version }) => version === active);
   }
 
+  /** The oldest version worth resuming; a start from the newest version leaves no more room. */
+  private oldestWithRoom(intent: Intent): WeightVersion {
+    const newest = newestVersion(this.node.configuration(), intent.model) ?? 0;
+    const afterPublications = oldestAllowedVersion(intent, newest + ROOM_FOR_REST);
+    return Math.min(afterPublications, newest, intent.maximumVersion ?? newest);
+  }
+
   private intentOf(request: GenerationRequest): Intent | undefined {
     return this.node.configuration().intents.get(request.intent);
   }
