--- a/lab/simulation/node-core-factory.ts
+++ b/lab/simulation/node-core-factory.ts
@@ -10,7 +10,7 @@
 /** A factory of nodes on which the named mechanisms are switched off. */
 export function createNodeFactory(
   without: readonly MechanismName[] = [],
-  changes: Pick<NodeCoreOptions, 'resume'> = {},
+  changes: Pick<NodeCoreOptions, 'resume' | 'resumeRoom'> = {},
 ): NodeFactory {
   const mechanisms = mechanismsWithout(...without);
   return (self, plan, random) =>
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -35,6 +35,11 @@
   readonly hedging?: boolean;
   /** Whether a sample that ended early goes on elsewhere from the tokens it has. @default true */
   readonly resume?: boolean;
+  /**
+   * How many versions may be published before a sample that is resumed is too old. More room means
+   * fewer samples resumed; see docs/design/resume.md. @default 0
+   */
+  readonly resumeRoom?: number;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
   /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
@@ -50,6 +55,7 @@
   seedAddresses: [] as readonly string[],
   hedging: true,
   resume: true,
+  resumeRoom: 0,
   retention: DEFAULT_RETENTION,
   mechanisms: ALL_MECHANISMS,
   freshnessBound: 6_000,
--- a/src/node/sample-guard.ts
+++ b/src/node/sample-guard.ts
@@ -17,15 +17,16 @@
   versionFault,
 } from '../weights/staleness-bound.js';
 
-/** Versions that may be published before a resumed sample is too old. */
-const ROOM_FOR_REST = 1;
-
 /** Guards the versions of samples for one node. */
 export class SampleGuard {
-  /** @param activeVersion the version a worker last reported; `undefined` where none is known. */
+  /**
+   * @param activeVersion the version a worker last reported; `undefined` where none is known.
+   * @param resumeRoom versions that may be published before a resumed sample is too old.
+   */
   constructor(
     private readonly node: NodePorts,
     private readonly activeVersion: (worker: WorkerId) => WeightVersion | undefined,
+    private readonly resumeRoom: number,
   ) {}
 
   /**
@@ -57,8 +58,7 @@
 
   /**
    * Whether a worker may go on from tokens made elsewhere: all their versions lie inside the
-   * bounds, one more version may be published before they are too old or they are of the newest
-   * one, and where the intent asks for one version per sample, the worker serves it.
+   * bounds with the room asked for, or are of the newest one, and where the intent asks for one version per sample, the worker serves it.
    */
   mayResume(request: GenerationRequest, partial: PartialGeneration, worker: WorkerId): boolean {
     const intent = this.intentOf(request);
@@ -77,7 +77,7 @@
   /** The oldest version worth resuming; a start from the newest version leaves no more room. */
   private oldestWithRoom(intent: Intent): WeightVersion {
     const newest = newestVersion(this.node.configuration(), intent.model) ?? 0;
-    const afterPublications = oldestAllowedVersion(intent, newest + ROOM_FOR_REST);
+    const afterPublications = oldestAllowedVersion(intent, newest + this.resumeRoom);
     return Math.min(afterPublications, newest, intent.maximumVersion ?? newest);
   }
 
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -62,7 +62,7 @@
       this.permissionOf(request.intent, request.trafficClass === 'training'),
     );
     const reported = (worker: string) => directory.report(worker)?.activeVersion;
-    this.guard = new SampleGuard(ports, reported);
+    this.guard = new SampleGuard(ports, reported, settings.resumeRoom);
     this.admission = new HomeAdmission({
       isLeaving: (worker) => ports.mechanisms['drain-refusal'] && directory.isLeaving(worker),
     });
