--- a/lab/bench/resume.ts
+++ b/lab/bench/resume.ts
@@ -3,11 +3,15 @@
  * they have. The decision cores of a deployment run in simulated time, all variants on one seed:
  * long samples, bursts of interactive requests that preempt them, killed nodes, a lost engine, a
  * leaving worker and new weight versions under a staleness bound of 1. The target: fewer tokens
- * wasted with resuming than without it, and every step whole, on each seed.
+ * wasted with resuming than without it, every step whole and no violation, on each seed.
  */
+import type { Intent } from '../../src/config-feed/configuration.js';
 import type { TokenCount } from '../../src/core/units.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
 import type { CommandFlags } from '../main.js';
+import { CompleteAnswerOracle } from '../proofs/oracles/complete-answer.js';
+import { StalenessBoundOracle } from '../proofs/oracles/staleness-bound.js';
+import { WeightVersionsOracle } from '../proofs/oracles/weight-versions.js';
 import type { Action } from '../simulation/action.js';
 import { associationPlan, type FleetPlan } from '../simulation/fleet-plan.js';
 import { createNodeFactory } from '../simulation/node-core-factory.js';
@@ -63,15 +67,19 @@
   readonly tokens_read_again: TokenCount;
   /** When the last sample reached its trainer, from the first submission on. */
   readonly whole_after_seconds: number;
+  /** Delivered samples of more than one version. */
+  readonly mixed_samples: number;
+  /** Of the oracles for whole answers, true versions and the staleness bound. */
+  readonly violations: number;
 }
 
 /** The association with its callers on the model that the trainers draw from. */
-function contestedPlan(): FleetPlan {
+function contestedPlan(versionSpan: Intent['versionSpan']): FleetPlan {
   const plan = associationPlan(MEDIAN_TOKENS);
   const model = 'model-bench';
   return {
     ...plan,
-    intents: plan.intents.map((intent) => ({ ...intent, model })),
+    intents: plan.intents.map((intent) => ({ ...intent, model, versionSpan })),
     callers: plan.callers.map((caller) => ({ ...caller, model })),
   };
 }
@@ -79,11 +87,18 @@
 /** What an onlooker counts. */
 class ResumeMeter {
   readonly delivered = new Map<string, TokenCount>();
+  readonly oracles = [
+    new CompleteAnswerOracle(MEDIAN_TOKENS),
+    new WeightVersionsOracle(),
+    new StalenessBoundOracle(),
+  ];
   lastDelivery: Milliseconds = 0;
+  mixedSamples = 0;
   resumedStarts = 0;
   tokensReadAgain: TokenCount = 0;
 
   observe(observation: Observation): void {
+    for (const oracle of this.oracles) oracle.observe(observation);
     if (observation.kind === 'engine-accepted') {
       const last = observation.request.resume?.segments.at(-1);
       if (last === undefined) return;
@@ -97,15 +112,20 @@
       const name = `${body.page.stepId}/${key}`;
       if (this.delivered.has(name)) continue;
       this.delivered.set(name, result.tokenCount);
+      if (result.segments.length > 1) this.mixedSamples += 1;
       this.lastDelivery = observation.at;
     }
   }
 }
 
 /** Runs the deployment once. */
-export function measureResume(seed: number, variant: ResumeVariant): ResumeFigures {
+export function measureResume(
+  seed: number,
+  variant: ResumeVariant,
+  versionSpan: Intent['versionSpan'] = 'record',
+): ResumeFigures {
   const createNode = createNodeFactory([], VARIANTS[variant]);
-  const plan = contestedPlan();
+  const plan = contestedPlan(versionSpan);
   const simulation = new Simulation({ seed, plan, createNode, observeMessages: false });
   const meter = new ResumeMeter();
   simulation.addObserver((observation) => meter.observe(observation));
@@ -115,6 +135,7 @@
   submitSteps(scenario, plan);
   for (let burst = 0; burst < BURSTS; burst += 1) takeBurst(scenario, burst);
   scenario.settle();
+  for (const oracle of meter.oracles) oracle.finish(simulation.queue.now);
   const engines = [...simulation.engines.values()];
   const made = engines.reduce((sum, engine) => sum + engine.made.of('training'), 0);
   const delivered = [...meter.delivered.values()].reduce((sum, tokens) => sum + tokens, 0);
@@ -129,6 +150,8 @@
     resumed_starts: meter.resumedStarts,
     tokens_read_again: meter.tokensReadAgain,
     whole_after_seconds: rounded((meter.lastDelivery - startedAt) / SECOND),
+    mixed_samples: meter.mixedSamples,
+    violations: meter.oracles.reduce((sum, oracle) => sum + oracle.violationCount, 0),
   };
 }
 
@@ -140,7 +163,7 @@
   const seeds = Array.from({ length: count }, (_, index) => first + index);
   const runs = seeds.flatMap((seed) => names.map((variant) => measureResume(seed, variant)));
   console.table(runs);
-  const reached = runs.every(isWhole) && seeds.every((seed) => pays(runs, seed));
+  const reached = runs.every(isSound) && seeds.every((seed) => pays(runs, seed));
   console.log(JSON.stringify({ bench: 'resume', seeds: count, reached, runs }));
   return reached ? 0 : 1;
 }
@@ -170,8 +193,8 @@
   scenario.simulation.advance(BURST_INTERVAL);
 }
 
-function isWhole(figures: ResumeFigures): boolean {
-  return figures.samples_delivered === figures.samples_asked;
+function isSound(figures: ResumeFigures): boolean {
+  return figures.samples_delivered === figures.samples_asked && figures.violations === 0;
 }
 
 function rounded(value: number): number {
--- a/lab/proofs/oracles/complete-answer.ts
+++ b/lab/proofs/oracles/complete-answer.ts
@@ -1,6 +1,6 @@
 /** A caller or trainer receives the complete answer to its own request. */
 import type { GenerationResult } from '../../../src/core/generation.js';
-import type { Milliseconds } from '../../../src/core/units.js';
+import type { Milliseconds, TokenCount } from '../../../src/core/units.js';
 import type { CallReply } from '../../../src/node/calls.js';
 import { answerLength } from '../../emulator/answer-length.js';
 import { expectedText } from '../../emulator/generated-text.js';
@@ -18,6 +18,11 @@
   /** Prompt group under which each prompt reached an engine; it fixes the length. */
   readonly #groups = new Map<string, string>();
 
+  /** @param medianTokens median length of the answers in the run. */
+  constructor(private readonly medianTokens: TokenCount = SHORT_ANSWERS) {
+    super();
+  }
+
   override observe(observation: Observation): void {
     this.#calls.observe(observation);
     if (observation.kind === 'engine-accepted') {
@@ -59,7 +64,7 @@
     if (promptGroup === undefined) return undefined;
     const { samplingSeed } = work;
     const { lengthSpread } = SIMULATED_ENGINE_SETTINGS;
-    const medianTokens = SHORT_ANSWERS;
+    const { medianTokens } = this;
     return answerLength({ promptGroup, samplingSeed, medianTokens, lengthSpread });
   }
 }
--- a/test/lab/emulator/engine-core.test.ts
+++ b/test/lab/emulator/engine-core.test.ts
@@ -40,6 +40,16 @@
   };
 }
 
+/** Lets an engine run until it is idle, and notes when it says something. */
+function untilIdle(core: EngineCore): { readonly at: number }[] {
+  const times: { at: number }[] = [];
+  for (let at = core.nextEventAt(); at !== undefined; at = core.nextEventAt()) {
+    core.advance(at);
+    times.push({ at });
+  }
+  return times;
+}
+
 /** Lets an engine run until it is idle. */
 function runToEnd(core: EngineCore): EngineOutput[] {
   const outputs: EngineOutput[] = [];
@@ -171,6 +181,36 @@
   t.equal(result?.text, expectedText('a prompt', 5, result?.segments ?? []));
 });
 
+t.test('tokens whose cache is not at hand are read like a prompt, and kept as given', async (t) => {
+  const segments = [
+    { version: 1, firstToken: 0, tokenCount: 60 },
+    { version: 2, firstToken: 60, tokenCount: 20 },
+  ];
+  const resume = { text: expectedText('a prompt', 5, segments), segments };
+  const timeOf = (core: EngineCore, made: GenerationRequest): number => {
+    core.start('d', made, 0);
+    return Math.max(...untilIdle(core).map(({ at }) => at));
+  };
+  const whole = timeOf(engine(), request());
+  const core = engine();
+  const rest = timeOf(core, request({ resume }));
+  const stepTime = SETTINGS.baseStepTime + SETTINGS.stepTimePerSequence;
+  const saved = 80 * stepTime - 80 * SETTINGS.prefillTimePerToken;
+  t.ok(Math.abs(whole - rest - saved) < 1, 'reading costs time, making is saved');
+  t.equal(core.made.of('training'), 20);
+  const other = engine();
+  other.start('d', request({ resume }), 0);
+  const result = resultOf(runToEnd(other), 'd');
+  t.equal(result?.text, expectedText('a prompt', 5, result?.segments ?? []));
+  t.same(
+    result?.segments.map((segment) => segment.version),
+    [1, 2, 1],
+  );
+  const spoiled = engine();
+  spoiled.start('d', request({ resume: { ...resume, text: 'too short ' } }), 0);
+  t.equal(resultOf(runToEnd(spoiled), 'd')?.segments.length, 1, 'made from its start');
+});
+
 t.test('a retry has the same length, and lengths have a long tail', async (t) => {
   const lengths = Array.from({ length: 300 }, (_, samplingSeed) => {
     const core = engine({ medianTokens: 200, lengthSpread: 0.9 });
--- a/test/platform/engine-client.test.ts
+++ b/test/platform/engine-client.test.ts
@@ -157,3 +157,22 @@
     t.match(event, { kind: 'failed', ran: 'unknown' }, answer);
   }
 });
+
+t.test('an answer goes on after given tokens, and is whole', async (t) => {
+  const { client, worker } = await setUp(t);
+  const segments = [{ version: 7, firstToken: 0, tokenCount: 30 }];
+  const resume = { text: expectedText('a prompt', 5, segments), segments };
+  const reported: number[] = [];
+  const last = await new Promise<EngineEvent>((resolve) => {
+    client.generate(worker, { ...request(50), resume }, (event) => {
+      if (event.kind === 'segment') reported.push(event.segment.version);
+      else resolve(event);
+    });
+  });
+  if (last.kind !== 'finished') throw new Error(last.kind);
+  const { result } = last;
+  t.equal(reported[0], 7, 'the given tokens are reported first');
+  t.equal(result.tokenCount, 50);
+  t.same(result.segments[0], segments[0]);
+  t.equal(result.text, expectedText('a prompt', 5, result.segments));
+});
