--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -14,6 +14,8 @@
 import { outcomeOf, withdrawnOutcome } from './dispatch-outcomes.js';
 import type { HomeDispatcherOptions } from './home-dispatcher-options.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
+import { PartialAnswer } from './partial-answer.js';
+import { SegmentIntake } from './segment-intake.js';
 
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
 /** How long an outcome is repeated to an origin that does not acknowledge it. */
@@ -24,9 +26,11 @@
   private readonly dispatches = new DispatchMemory();
   /** Dispatches whose outcome is not acknowledged yet. */
   private readonly unacknowledged = new Set<HomeDispatch>();
+  private readonly intake: SegmentIntake;
   private readonly repeatInterval: Milliseconds;
 
   constructor(private readonly options: HomeDispatcherOptions) {
+    this.intake = new SegmentIntake(options);
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
   }
 
@@ -69,11 +73,12 @@
   engineEvent(dispatchId: string, event: EngineEvent, now: Milliseconds): void {
     const dispatch = this.dispatches.get(dispatchId);
     if (dispatch === undefined || dispatch.state !== 'running') return;
-    if (event.kind === 'segment') {
-      this.forwardSegment(dispatch, event);
+    if (event.kind !== 'segment') {
+      this.end(dispatch, outcomeOf(event, this.intake.partialOf(dispatch)), now);
       return;
     }
-    this.end(dispatch, outcomeOf(event), now);
+    const fault = this.intake.take(dispatch, event, now);
+    if (fault !== null) this.endEarly(dispatch, fault, now);
   }
 
   /** Repeats unacknowledged outcomes and forgets old dispatches. */
@@ -105,8 +110,7 @@
       const reason = test(dispatch.request, dispatch.worker);
       if (reason === null) continue;
       withdrawn += 1;
-      this.stopRunning(dispatch);
-      this.end(dispatch, withdrawnOutcome(dispatch.state, reason), now);
+      this.endEarly(dispatch, reason, now);
     }
     return withdrawn;
   }
@@ -152,6 +156,7 @@
       worker,
       state: 'queued',
       outcome: null,
+      answer: request.trafficClass === 'training' ? new PartialAnswer(now) : null,
       changedAt: now,
       lastSent: now,
     };
@@ -178,7 +183,7 @@
     const victim = this.dispatches.get(dispatchId);
     if (victim === undefined || victim.state === 'ended') return;
     this.stopRunning(victim);
-    this.end(victim, { kind: 'preempted' }, now);
+    this.end(victim, { kind: 'preempted', partial: this.intake.partialOf(victim) }, now);
   }
 
   private receiveQuery(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
@@ -217,13 +222,8 @@
     const known = this.dispatches.get(dispatchId);
     if (known?.state !== 'ended') return;
     this.unacknowledged.delete(known);
-    this.dispatches.settle(dispatchId, !this.isSelf(known.origin));
-  }
-
-  /** Messages of the home to itself come once and in order, so none is left to come. */
-  private isSelf(origin: NodeIdentity): boolean {
-    const { self } = this.options;
-    return self !== undefined && sameIdentity(origin, self);
+    // Messages of the home to itself come once and in order, so none is left to come.
+    this.dispatches.settle(dispatchId, !this.intake.isSelf(known.origin));
   }
 
   private refuse(from: NodeIdentity, dispatchId: string, reason: Failure, now: Milliseconds): void {
@@ -236,6 +236,7 @@
       worker: null,
       state: 'ended',
       outcome,
+      answer: null,
       changedAt: now,
       lastSent: now,
     });
@@ -249,23 +250,17 @@
     else this.options.send(origin, { kind: 'dispatch-ended', dispatchId, outcome });
   }
 
-  private forwardSegment(
-    dispatch: HomeDispatch,
-    event: Extract<EngineEvent, { kind: 'segment' }>,
-  ): void {
-    if (!dispatch.stream) return;
-    this.options.send(dispatch.origin, {
-      kind: 'dispatch-segment',
-      dispatchId: dispatch.dispatchId,
-      segment: event.segment,
-      text: event.text,
-    });
+  /** Ends a dispatch that may not go on here. */
+  private endEarly(dispatch: HomeDispatch, reason: Failure, now: Milliseconds): void {
+    this.stopRunning(dispatch);
+    const partial = this.intake.partialOf(dispatch);
+    this.end(dispatch, withdrawnOutcome(dispatch.state, reason, partial), now);
   }
 
   private abort(dispatch: HomeDispatch, now: Milliseconds): void {
     this.stopRunning(dispatch);
     const reason = failure('outcome_unknown', 'the origin gave the dispatch up');
-    dispatch.outcome = { kind: 'failed', failure: reason };
+    dispatch.outcome = { kind: 'failed', failure: reason, partial: null };
     this.close(dispatch, now);
   }
 
@@ -286,6 +281,7 @@
 
   private close(dispatch: HomeDispatch, now: Milliseconds): void {
     dispatch.state = 'ended';
+    dispatch.answer = null;
     dispatch.changedAt = now;
     this.dispatches.keep(dispatch);
     for (const startable of this.options.admission.release(dispatch.dispatchId, now)) {
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -3,11 +3,12 @@
  * Every member of the step's replica group can drive it; two drivers at once cost work, never a
  * doubled sample, since the log takes each key once.
  */
-import type { GenerationResult } from '../core/generation.js';
+import type { Permission } from '../access/permission.js';
+import type { GenerationResult, PartialGeneration } from '../core/generation.js';
 import type { NodePorts } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
-import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
+import type { GenerationOutcome } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
 import { HedgingPolicy, type PendingSample } from '../routing/hedging-policy.js';
@@ -15,6 +16,7 @@
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
 import type { StepRecord } from './records.js';
+import { type RunningSample, RunningSamples } from './running-samples.js';
 import { SampleQueue } from './sample-queue.js';
 import { decodeSamples, encodeResult } from './step-bodies.js';
 import { StepPace } from './step-pace.js';
@@ -25,18 +27,10 @@
 /** Pause after a failed ledger operation. */
 const RETRY_PAUSE: Milliseconds = 200;
 
-interface RunningSample {
-  readonly sample: SampleRequest;
-  readonly startedAt: Milliseconds;
-  readonly generations: RunningGeneration[];
-  /** Copies that have not ended. */
-  liveCopies: number;
-}
-
 /** Drives one step until it is complete, closed, or given over to another member. */
 export class StepDriver {
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
-  private readonly running = new Map<string, RunningSample>();
+  private readonly running = new RunningSamples();
   private readonly window = new DispatchWindow();
   private readonly pace = new StepPace();
   private readonly hedging = new HedgingPolicy();
@@ -59,7 +53,7 @@
     this.appender = new DeliveryAppender(ports.node, key, record, {
       delivered: (keys) => this.delivered(keys),
       closed: () => this.end('closed'),
-      stale: (sampleKey) => this.regenerate(sampleKey),
+      inadmissible: (sampleKey, reason) => this.regenerate(sampleKey, reason),
     });
   }
 
@@ -103,7 +97,7 @@
 
   /** Stops driving; what runs is cancelled. Another member goes on. */
   abandon(): void {
-    this.cancelAll();
+    this.running.forgetAll();
     this.phase = 'ended';
   }
 
@@ -140,20 +134,19 @@
       this.pausedUntil = this.node.now() + RETRY_PAUSE;
       return false;
     }
-    const entry: RunningSample = {
-      sample,
-      startedAt: this.node.now(),
-      generations: [],
-      liveCopies: 0,
-    };
-    this.running.set(sample.key, entry);
-    this.generate(entry, answer.permission);
+    const entry = this.running.start(sample, this.node.now());
+    this.generate(entry, answer.permission, this.running.takePartial(sample.key));
     return this.node.now() >= this.pausedUntil;
   }
 
-  private generate(entry: RunningSample, permission: Parameters<StepPorts['generate']>[1]): void {
+  private generate(
+    entry: RunningSample,
+    permission: Permission,
+    resume: PartialGeneration | null,
+  ): void {
     entry.liveCopies += 1;
-    const running = this.ports.generate(this.record, permission, entry.sample, this.deadline, {
+    const limits = { deadline: this.deadline, resume };
+    const running = this.ports.generate(this.record, permission, entry.sample, limits, {
       onEnd: (outcome) => this.generated(entry, outcome),
     });
     entry.generations.push(running);
@@ -169,8 +162,9 @@
       this.keep(entry, outcome.result);
       return;
     }
+    this.running.keepPartial(sample.key, outcome.partial);
     if (entry.liveCopies > 0) return;
-    this.running.delete(sample.key);
+    this.running.stop(sample.key);
     this.queue?.putBack(sample);
     if (ranStateOf(outcome.failure) === 'no') {
       this.window.refused();
@@ -202,25 +196,19 @@
     if (this.phase === 'running') this.keep(entry, result);
   }
 
-  private regenerate(sampleKey: string): void {
+  private regenerate(sampleKey: string, reason: string): void {
     const entry = this.running.get(sampleKey);
     if (entry === undefined) return;
-    this.running.delete(sampleKey);
+    this.running.forget(sampleKey);
     this.node.counters.increment('samples_stale');
-    this.node.explain(
-      this.key,
-      `sample ${sampleKey} runs again`,
-      'a token is older than the bound',
-    );
+    this.node.explain(this.key, `sample ${sampleKey} runs again`, reason);
     this.queue?.putBack(entry.sample);
   }
 
   private delivered(keys: readonly string[]): void {
     for (const key of keys) {
-      const entry = this.running.get(key);
-      this.running.delete(key);
+      this.running.forget(key);
       this.queue?.remove(key);
-      for (const generation of entry?.generations ?? []) generation.cancel();
     }
     if (this.phase === 'running') this.checkComplete();
     if (this.phase === 'running') this.dispatchMore();
@@ -233,13 +221,13 @@
   }
 
   private close(kind: ErrorKind): void {
-    this.cancelAll();
+    this.running.forgetAll();
     this.appender.close({ kind, detail: 'the step was not whole when its time was over' });
   }
 
   private end(state: 'complete' | 'closed'): void {
     if (this.phase === 'ending' || this.phase === 'ended') return;
-    this.cancelAll();
+    this.running.forgetAll();
     this.phase = 'ending';
     this.endState = state;
     this.node.explain(this.key, `ended: ${state}`, `${this.appender.deliveredCount} delivered`);
@@ -258,13 +246,6 @@
     });
   }
 
-  private cancelAll(): void {
-    for (const entry of this.running.values()) {
-      for (const generation of entry.generations) generation.cancel();
-    }
-    this.running.clear();
-  }
-
   private observe(entry: RunningSample, result: GenerationResult): void {
     this.queue?.observe(entry.sample, result.tokenCount);
     this.pace.record(result.tokenCount, this.node.now() - entry.startedAt);
@@ -275,7 +256,7 @@
     if (!this.ports.hedging || this.running.size === 0) return;
     const progress = {
       sampleCount: this.record.sampleCount,
-      pending: [...this.running.values()].map((entry) => this.pendingSample(entry)),
+      pending: this.running.all().map((entry) => this.pendingSample(entry)),
       typicalDuration: this.pace.typicalDuration(),
       hedgesMade: this.hedgesMade,
     };
@@ -293,6 +274,6 @@
     if (entry === undefined || answer.kind === 'refused') return;
     this.hedgesMade += 1;
     this.node.counters.increment('samples_hedged');
-    this.generate(entry, answer.permission);
+    this.generate(entry, answer.permission, null);
   }
 }
