Remove the circuit breaker and the hop deadlines, which nothing uses

Cause: src/routing/circuit-breaker.ts, src/routing/deadline.ts and remaining() of src/core/generation.ts were imported by their own tests only, while the routing page told of them as if they ran. Ruled out: wiring them. Messages of dispatch carry no deadline (the origin holds it on its clock and starts no attempt after it), and failing workers are kept out by the outlier detector already. Change: both modules, the function and the three tests of them are gone; no other test is touched.

--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -3,7 +3,7 @@
  * dispatch modules and the engine client.
  */
 import type { AccountName, IntentName, ModelName } from './identity.js';
-import type { Milliseconds, TokenCount, WeightVersion } from './units.js';
+import type { TokenCount, WeightVersion } from './units.js';
 
 /** Traffic classes, most urgent first. Interactive work preempts training work. */
 export type TrafficClass = 'interactive' | 'training';
@@ -61,8 +61,3 @@
   if (result.segments.length === 0) return undefined;
   return Math.min(...result.segments.map((segment) => segment.version));
 }
-
-/** Time left until a deadline, never negative. */
-export function remaining(deadline: Milliseconds, now: Milliseconds): Milliseconds {
-  return Math.max(0, deadline - now);
-}
--- a/test/routing/limits.test.ts
+++ b/test/routing/limits.test.ts
@@ -2,8 +2,6 @@
 import t from 'tap';
 import { createRandomSource } from '../../src/core/random.js';
 import { backoffDelay } from '../../src/routing/backoff.js';
-import { CircuitBreaker } from '../../src/routing/circuit-breaker.js';
-import { deadlineFromGrant, hasTimeForRetry, timeForNextHop } from '../../src/routing/deadline.js';
 import { HedgingPolicy } from '../../src/routing/hedging-policy.js';
 import { LengthPredictor } from '../../src/routing/length-predictor.js';
 import { createOutcomeHistory, OutlierDetector } from '../../src/routing/outlier-detector.js';
@@ -44,43 +42,6 @@
   t.ok(backoffDelay(0, random, {}, 1_000) >= 1_000);
 });
 
-t.test('a breaker opens, lets one probe through, and closes or opens for longer', async (t) => {
-  const breaker = new CircuitBreaker({ random: createRandomSource(2), failureThreshold: 3 });
-  for (let at = 0; at < 3; at += 1) breaker.recordFailure(0);
-  t.equal(breaker.state, 'open');
-  t.notOk(breaker.tryCall(100));
-  const first = breaker.retryAfter(0);
-  t.ok(first >= 250 && first <= 750);
-  t.ok(breaker.tryCall(first));
-  t.equal(breaker.state, 'half-open');
-  t.notOk(breaker.tryCall(first), 'one probe only');
-  breaker.recordFailure(first);
-  t.equal(breaker.state, 'open');
-  breaker.recordSuccess();
-  t.equal(breaker.state, 'open', 'a late success of before changes nothing');
-  const second = first + breaker.retryAfter(first);
-  t.ok(breaker.tryCall(second));
-  breaker.recordSuccess();
-  t.equal(breaker.state, 'closed');
-});
-
-t.test('a probe without an answer does not hold the breaker for good', async (t) => {
-  const breaker = new CircuitBreaker({ random: createRandomSource(3), failureThreshold: 1 });
-  breaker.recordFailure(0);
-  t.ok(breaker.tryCall(1_000));
-  t.ok(breaker.tryCall(60_000), 'another probe later');
-});
-
-t.test('deadlines shrink at each hop', async (t) => {
-  const atOrigin = timeForNextHop(1_000, 100) ?? 0;
-  t.equal(atOrigin, 880);
-  const atHome = timeForNextHop(deadlineFromGrant(atOrigin, 7_000_000), 7_000_030);
-  t.equal(atHome, 830);
-  t.equal(timeForNextHop(1_000, 985), undefined);
-  t.ok(hasTimeForRetry(1_000, 0, 100, 800));
-  t.notOk(hasTimeForRetry(1_000, 0, 300, 800));
-});
-
 t.test('ejections grow, are jittered, and are forgotten after quiet', async (t) => {
   const lengthOf = (seed: number, ejections: number, quiet = 0) => {
     const detector = new OutlierDetector({ random: createRandomSource(seed) });
