Remove the checks of the staleness bound that no dispatch uses

Cause: checkDispatch, DispatchVerdict and noWorkerWithinBound of src/weights/staleness-bound.ts were called by their tests only; the module and the weights page said that dispatch uses them. Ruled out: calling them at dispatch: the router filters by oldestVersion and maximumVersion and the home checks the report of its worker, so a third place would only repeat them. The two tests that went through checkDispatch ask the same of trainingBounds and versionFault, the parts it was made of, with the same versions, limits, error kinds and ran states. Conclusion: behaviour unchanged.

--- a/src/weights/staleness-bound.ts
+++ b/src/weights/staleness-bound.ts
@@ -1,7 +1,7 @@
 /**
- * The staleness bound: which weight versions may produce a sample, and the checks of it at the
- * three places it is enforced: at dispatch, on each segment an engine reports, and at hand-over
- * to the trainer.
+ * The staleness bound: which weight versions may produce a sample, and the checks of it on each
+ * segment an engine reports and at hand-over to the trainer. Before that, the router and the home
+ * of a worker keep work from workers whose active version is too old.
  */
 import { Result } from 'true-myth';
 import {
@@ -32,12 +32,6 @@
   | { readonly kind: 'too-old'; readonly version: WeightVersion; readonly oldest: WeightVersion }
   | { readonly kind: 'too-new'; readonly version: WeightVersion; readonly newest: WeightVersion };
 
-/** Verdict before work is given to a worker; every refusal is true as "not run". */
-export type DispatchVerdict =
-  | { readonly kind: 'allowed'; readonly bounds: VersionBounds }
-  | VersionFault
-  | { readonly kind: 'refused'; readonly failure: Failure };
-
 /** Verdict on one segment of a generation that is running. */
 export type SegmentVerdict =
   | { readonly kind: 'allowed' }
@@ -95,25 +89,6 @@
   return undefined;
 }
 
-/**
- * Checks a worker's active version before training work is dispatched to it. The engine must be
- * told `bounds.oldest`, as its report may lag.
- */
-export function checkDispatch(
-  view: ConfigurationView,
-  intent: Intent,
-  activeVersion: WeightVersion,
-): DispatchVerdict {
-  const bounds = trainingBounds(view, intent);
-  if (bounds.isErr) return { kind: 'refused', failure: bounds.error };
-  return versionFault(bounds.value, activeVersion) ?? { kind: 'allowed', bounds: bounds.value };
-}
-
-/** The failure told to a caller when no worker's active version passed {@link checkDispatch}. */
-export function noWorkerWithinBound(intent: Intent): Failure {
-  return failure('version_unknown', `no worker of ${intent.model} serves weights within the bound`);
-}
-
 /**
  * Checks one reported segment against the bounds of this moment.
  * @param previous the segment before it; `undefined` for the first.
--- a/test/weights/staleness-bound.test.ts
+++ b/test/weights/staleness-bound.test.ts
@@ -4,11 +4,11 @@
 import type { GenerationResult, TokenSegment } from '../../src/core/generation.js';
 import { ranStateOf } from '../../src/errors/error-kinds.js';
 import {
-  checkDispatch,
   checkHandOver,
   checkSegment,
   interactiveBounds,
   trainingBounds,
+  versionFault,
 } from '../../src/weights/staleness-bound.js';
 
 const INTENT: Intent = {
@@ -49,22 +49,29 @@
   return { text: '', tokenCount: versions.length * 10, segments, finishReason: 'stop' };
 }
 
-t.test('dispatch: a worker just inside the bound is allowed, one behind it is not', async (t) => {
-  t.equal(checkDispatch(viewOf(10), INTENT, 8).kind, 'allowed');
-  t.match(checkDispatch(viewOf(10), INTENT, 7), { kind: 'too-old', version: 7, oldest: 8 });
+function faultOf(intent: Intent, version: number) {
+  const bounds = trainingBounds(viewOf(10), intent).unwrapOr({ oldest: 99, newest: null });
+  return versionFault(bounds, version);
+}
+
+t.test('bounds: a version just inside is allowed, one behind it is not', async (t) => {
+  t.equal(faultOf(INTENT, 8), undefined);
+  t.match(faultOf(INTENT, 7), { kind: 'too-old', version: 7, oldest: 8 });
   const pinned = { ...INTENT, maximumVersion: 9 };
-  t.equal(checkDispatch(viewOf(10), pinned, 7).kind, 'allowed');
-  t.match(checkDispatch(viewOf(10), pinned, 10), { kind: 'too-new', newest: 9 });
+  t.equal(faultOf(pinned, 7), undefined);
+  t.match(faultOf(pinned, 10), { kind: 'too-new', newest: 9 });
 });
 
-t.test('dispatch: refused as not run where the newest version cannot be known', async (t) => {
+t.test('bounds: refused as not run where the newest version cannot be known', async (t) => {
   for (const [view, kind] of [
     [viewOf(10, false), 'cut_off'],
     [viewOf(0), 'version_unknown'],
   ] as const) {
-    const verdict = checkDispatch(view, INTENT, 10);
-    t.match(verdict, { kind: 'refused', failure: { kind } });
-    if (verdict.kind === 'refused') t.equal(ranStateOf(verdict.failure), 'no');
+    const bounds = trainingBounds(view, INTENT);
+    t.ok(bounds.isErr);
+    if (bounds.isOk) continue;
+    t.equal(bounds.error.kind, kind);
+    t.equal(ranStateOf(bounds.error), 'no');
   }
 });
 
