Import Result of true-myth in one way

Cause: the gateway and the transport took Result from true-myth/result as a default type and its functions as a namespace called result, all other folders take { Result } from true-myth; a reader met two idioms, and result is also the name of values. Ruled out: the namespace form everywhere; it is the longer one and needs two imports. Run: build, biome and import check clean; test/gateway and test/transport pass. Conclusion: behaviour unchanged.

--- a/src/gateway/body-reader.ts
+++ b/src/gateway/body-reader.ts
@@ -2,8 +2,7 @@
  * Reads request bodies within bounds of size and time, for one body and for all together.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { GatewayLimits } from './gateway-options.js';
 
@@ -26,7 +25,7 @@
   /** Reads one body; fails at once where it is too large, and with `gone` where its sender left. */
   read(request: IncomingMessage, response: ServerResponse, maxBytes: number): Promise<BodyOutcome> {
     const announced = Number(request.headers['content-length'] ?? 0);
-    if (announced > maxBytes) return Promise.resolve(result.err(tooLarge(maxBytes)));
+    if (announced > maxBytes) return Promise.resolve(Result.err(tooLarge(maxBytes)));
     if (request.headers.expect !== undefined) response.writeContinue();
     return new Promise((resolve) => this.#collect(request, maxBytes, resolve));
   }
@@ -49,13 +48,13 @@
       bytes += chunk.length;
       this.#bytesTogether += chunk.length;
       chunks.push(chunk);
-      if (bytes > maxBytes) finish(result.err(tooLarge(maxBytes)));
-      else if (this.#bytesTogether > this.#limits.maxBodyBytesTogether) finish(result.err(busy()));
+      if (bytes > maxBytes) finish(Result.err(tooLarge(maxBytes)));
+      else if (this.#bytesTogether > this.#limits.maxBodyBytesTogether) finish(Result.err(busy()));
     };
-    const onEnd = (): void => finish(result.ok(Buffer.concat(chunks)));
-    const onClose = (): void => finish(result.err('gone'));
+    const onEnd = (): void => finish(Result.ok(Buffer.concat(chunks)));
+    const onClose = (): void => finish(Result.err('gone'));
     const onTimeout = (): void =>
-      finish(result.err(failure('sender_too_slow', 'body: not whole in time')));
+      finish(Result.err(failure('sender_too_slow', 'body: not whole in time')));
     const timer = setTimeout(onTimeout, this.#limits.bodyTimeout);
     request.on('data', onData).on('end', onEnd).on('close', onClose);
   }
--- a/src/gateway/completion-routes.ts
+++ b/src/gateway/completion-routes.ts
@@ -2,7 +2,7 @@
  * `POST /v1/completions` and `POST /v1/chat/completions`, for interactive callers.
  */
 import { randomUUID } from 'node:crypto';
-import type Result from 'true-myth/result';
+import type { Result } from 'true-myth';
 import { placementHash } from '../core/hashing.js';
 import { SECOND } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
--- a/src/gateway/completion-schema.ts
+++ b/src/gateway/completion-schema.ts
@@ -3,8 +3,7 @@
  * cannot honour are refused rather than ignored.
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import { z } from 'zod';
 import type { Milliseconds } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
@@ -94,9 +93,9 @@
       const idempotencyKey = checked[IDEMPOTENCY_KEY] ?? null;
       const repeatable = checked[REPEATABLE] === 'true';
       if (!repeatable && idempotencyKey === null) {
-        return result.err(malformed(IDEMPOTENCY_KEY, 'needed where a request is not repeatable'));
+        return Result.err(malformed(IDEMPOTENCY_KEY, 'needed where a request is not repeatable'));
       }
       const timeLeft = checked[DEADLINE] ?? limits.defaultDeadline;
-      return result.ok({ idempotencyKey, repeatable, timeLeft });
+      return Result.ok({ idempotencyKey, repeatable, timeLeft });
     });
 }
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -1,7 +1,7 @@
 /**
  * Options of the gateway and their defaults.
  */
-import type Result from 'true-myth/result';
+import type { Result } from 'true-myth';
 import type { Intent } from '../config-feed/configuration.js';
 import type { AccountName } from '../core/identity.js';
 import { MINUTE, type Milliseconds, SECOND } from '../core/units.js';
--- a/src/gateway/operator-routes.ts
+++ b/src/gateway/operator-routes.ts
@@ -1,7 +1,7 @@
 /**
  * Routes for operators: intents, weight versions, drains, status and explanations.
  */
-import type Result from 'true-myth/result';
+import type { Result } from 'true-myth';
 import { z } from 'zod';
 import type { Failure } from '../errors/error-kinds.js';
 import type { NodeCall, ReplyBody } from '../node/calls.js';
--- a/src/gateway/request-check.ts
+++ b/src/gateway/request-check.ts
@@ -2,8 +2,7 @@
  * Checks of what callers send: JSON bodies, query parameters and headers against schemas, with a
  * failure that names the field.
  */
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import { z } from 'zod';
 import { type Failure, failure } from '../errors/error-kinds.js';
 
@@ -15,18 +14,18 @@
 /** Reads a body as JSON. */
 export function parseJson(body: Buffer): Result<unknown, Failure> {
   try {
-    return result.ok(JSON.parse(decoder.decode(body)));
+    return Result.ok(JSON.parse(decoder.decode(body)));
   } catch {
-    return result.err(failure('malformed_request', 'body: not JSON in UTF-8'));
+    return Result.err(failure('malformed_request', 'body: not JSON in UTF-8'));
   }
 }
 
 /** Checks a value against a strict schema. */
 export function check<Output>(schema: z.ZodType<Output>, value: unknown): Result<Output, Failure> {
   const outcome = schema.safeParse(value);
-  if (outcome.success) return result.ok(outcome.data);
+  if (outcome.success) return Result.ok(outcome.data);
   const [issue] = outcome.error.issues;
-  return result.err(issue === undefined ? malformed('body', 'not valid') : failureOf(issue));
+  return Result.err(issue === undefined ? malformed('body', 'not valid') : failureOf(issue));
 }
 
 /** Checks query parameters; each may be given once. */
@@ -36,7 +35,7 @@
 ): Result<Output, Failure> {
   const names = [...query.keys()];
   const repeated = names.find((name, position) => names.indexOf(name) !== position);
-  if (repeated !== undefined) return result.err(malformed(repeated, 'given more than once'));
+  if (repeated !== undefined) return Result.err(malformed(repeated, 'given more than once'));
   return check(schema, Object.fromEntries(query));
 }
 
--- a/src/gateway/request-pipeline.ts
+++ b/src/gateway/request-pipeline.ts
@@ -2,8 +2,7 @@
  * The way of one request: public routes, token, route, role, limits, body, schema, call.
  */
 import type { ServerResponse } from 'node:http';
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import type { Milliseconds } from '../core/units.js';
 import { type ErrorKind, type Failure, failure } from '../errors/error-kinds.js';
 import { AccountRegistry } from './account-registry.js';
@@ -104,19 +103,19 @@
 
   #admit({ request }: Exchange, url: URL): Result<AdmittedRequest, Failure> {
     const account = this.#accounts.find(request.headers.authorization);
-    if (account === undefined) return result.err(failure('unauthenticated', 'bearer token'));
+    if (account === undefined) return Result.err(failure('unauthenticated', 'bearer token'));
     const match = this.#routes.find(request.method ?? '', url.pathname);
-    if (match.isErr) return result.err(match.error);
+    if (match.isErr) return Result.err(match.error);
     const { route } = match.value;
     if (!route.roles.includes(account.role)) {
-      return result.err(failure('forbidden', `this path is for: ${route.roles.join(', ')}`));
+      return Result.err(failure('forbidden', `this path is for: ${route.roles.join(', ')}`));
     }
-    if (this.#draining) return result.err(failure('stopping', 'no new calls'));
+    if (this.#draining) return Result.err(failure('stopping', 'no new calls'));
     if (!this.#inFlight.enter(account.name)) {
       const limit = this.#limits.maxInFlightPerAccount;
-      return result.err(failure('rate_limited', `the limit is ${limit} calls under way`));
+      return Result.err(failure('rate_limited', `the limit is ${limit} calls under way`));
     }
-    return result.ok({ ...match.value, account, query: url.searchParams });
+    return Result.ok({ ...match.value, account, query: url.searchParams });
   }
 
   async #run(exchange: Exchange, admitted: AdmittedRequest): Promise<void> {
@@ -140,9 +139,9 @@
     { request, response }: Exchange,
     route: Route,
   ): Promise<Result<unknown, Failure | 'gone'>> {
-    if (route.method === 'GET') return result.ok(undefined);
+    if (route.method === 'GET') return Result.ok(undefined);
     const body = await this.#bodies.read(request, response, route.maxBodyBytes);
-    return body.isErr ? result.err(body.error) : parseJson(body.value);
+    return body.isErr ? Result.err(body.error) : parseJson(body.value);
   }
 
   #refuse({ request, response }: Exchange, value: Failure): void {
--- a/src/gateway/rollout-routes.ts
+++ b/src/gateway/rollout-routes.ts
@@ -1,8 +1,7 @@
 /**
  * `/v1/rollouts`: a trainer submits a step, reads it by cursor, acknowledges and closes it.
  */
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import type { Failure } from '../errors/error-kinds.js';
 import type { NodeCall, ReplyBody, StepPage } from '../node/calls.js';
 import type { DocumentAnswer } from './answer-format.js';
@@ -101,7 +100,7 @@
 
 function stepIdOf(parameters: RouteRequest['parameters']): Result<string, Failure> {
   const checked = check(stepIdSchema, parameters.step);
-  return checked.isOk ? checked : result.err({ ...checked.error, detail: 'step id: not valid' });
+  return checked.isOk ? checked : Result.err({ ...checked.error, detail: 'step id: not valid' });
 }
 
 function prepared(environment: RouteEnvironment, call: NodeCall): PreparedCall {
--- a/src/gateway/route-table.ts
+++ b/src/gateway/route-table.ts
@@ -3,8 +3,7 @@
  * parameter written `:name*` takes the rest of the path, slashes included.
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { NodeCall } from '../node/calls.js';
@@ -62,9 +61,9 @@
     const candidates = this.#routes.filter(({ pattern }) => pattern.test(path));
     const found = candidates.find(({ route }) => route.method === method);
     if (found !== undefined) return parametersOf(found, path);
-    if (candidates.length === 0) return result.err(failure('not_found', 'no such path'));
+    if (candidates.length === 0) return Result.err(failure('not_found', 'no such path'));
     const methods = candidates.map(({ route }) => route.method).join(', ');
-    return result.err(failure('method_not_allowed', `the path takes ${methods}`));
+    return Result.err(failure('method_not_allowed', `the path takes ${methods}`));
   }
 }
 
@@ -80,8 +79,8 @@
   const groups = found.pattern.exec(path)?.groups ?? {};
   try {
     const decoded = Object.entries(groups).map(([name, text]) => [name, decodeURIComponent(text)]);
-    return result.ok({ route: found.route, parameters: Object.fromEntries(decoded) });
+    return Result.ok({ route: found.route, parameters: Object.fromEntries(decoded) });
   } catch {
-    return result.err(failure('malformed_request', 'path: not percent-encoded UTF-8'));
+    return Result.err(failure('malformed_request', 'path: not percent-encoded UTF-8'));
   }
 }
--- a/src/gateway/routes.ts
+++ b/src/gateway/routes.ts
@@ -1,7 +1,7 @@
 /**
  * All routes that need a token.
  */
-import type Result from 'true-myth/result';
+import type { Result } from 'true-myth';
 import type { Intent } from '../config-feed/configuration.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { CallHandler } from './call-handler.js';
--- a/src/transport/peer-envelope.ts
+++ b/src/transport/peer-envelope.ts
@@ -3,8 +3,7 @@
  * that is meant, and the messages. A text that stands twice in a batch travels once.
  */
 import { parse, stringify } from 'devalue';
-import type Result from 'true-myth/result';
-import * as result from 'true-myth/result';
+import { Result } from 'true-myth';
 import { z } from 'zod';
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import type { PeerMessage } from '../node/peer-message.js';
@@ -62,8 +61,8 @@
   try {
     const value: unknown = parse(body);
     envelopeSchema.parse(value);
-    return result.ok(value as PeerEnvelope);
+    return Result.ok(value as PeerEnvelope);
   } catch (error) {
-    return result.err({ reason: error instanceof Error ? error.message : String(error) });
+    return Result.err({ reason: error instanceof Error ? error.message : String(error) });
   }
 }
