Name KiB and MiB once, beside the second and the minute

Ruled out: a typed byte count: sizes are plain numbers with the unit in their comment everywhere. Change: KIBIBYTE and MEBIBYTE of src/core/units.ts; the storage folder says a minute with MINUTE. Run: build, biome and import check clean; tests of storage, settings, platform, cli and transport pass. Conclusion: no value changed.

--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -1,12 +1,13 @@
 /** HTTP client of the operators' interface of one node. */
 import { type ClientRequest, request as httpRequest, type IncomingMessage } from 'node:http';
 import { Result } from 'true-myth';
+import { MEBIBYTE } from '../core/units.js';
 
 /** Longest wait for an answer, in milliseconds; longer than a node takes to give up. */
 const ANSWER_TIMEOUT = 30_000;
 
 /** Longest answer that is read, in bytes. */
-const LONGEST_ANSWER = 64 * 1_048_576;
+const LONGEST_ANSWER = 64 * MEBIBYTE;
 
 const FIRST_ERROR_STATUS = 400;
 
--- a/src/core/units.ts
+++ b/src/core/units.ts
@@ -14,6 +14,12 @@
 /** A weight version of a model; 1 is the first, and a newer version is a larger number. */
 export type WeightVersion = number;
 
+/** Bytes in one KiB. */
+export const KIBIBYTE = 1_024;
+
+/** Bytes in one MiB. */
+export const MEBIBYTE = 1_024 * KIBIBYTE;
+
 /** Milliseconds in one second. */
 export const SECOND: Milliseconds = 1_000;
 
--- a/src/gateway/gateway-options.ts
+++ b/src/gateway/gateway-options.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'true-myth';
 import type { Intent } from '../config-feed/configuration.js';
 import type { AccountName } from '../core/identity.js';
-import { MINUTE, type Milliseconds, SECOND } from '../core/units.js';
+import { KIBIBYTE, MEBIBYTE, MINUTE, type Milliseconds, SECOND } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
 
 /** What an account may do: draw samples, ask interactively, or operate the fleet. */
@@ -111,9 +111,6 @@
   readonly limits?: Partial<GatewayLimits>;
 }
 
-const KIBIBYTE = 1024;
-const MEBIBYTE = 1024 * KIBIBYTE;
-
 /** Limits used where the options name none. */
 export const DEFAULT_GATEWAY_LIMITS: GatewayLimits = {
   maxBodyBytes: MEBIBYTE,
--- a/src/ledger/options.ts
+++ b/src/ledger/options.ts
@@ -1,7 +1,7 @@
 /** Settings of the ledger and their defaults. */
 import type { NodeRecord } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
-import { MINUTE, type Milliseconds, SECOND } from '../core/units.js';
+import { MEBIBYTE, MINUTE, type Milliseconds, SECOND } from '../core/units.js';
 import type { DiskBodyName } from './disk-bodies.js';
 
 /** Settings that have a default. */
@@ -74,7 +74,7 @@
   reviewInterval: 500,
   bodyCatchUpLimit: 30 * SECOND,
   keyValueTimeout: 10 * SECOND,
-  bodyBytesLimit: 64 * 1_024 * 1_024,
+  bodyBytesLimit: 64 * MEBIBYTE,
   bodyLifetime: 60 * MINUTE,
   registerLimit: 200_000,
   tombstoneLifetime: 10 * MINUTE,
--- a/src/platform/engine-client.ts
+++ b/src/platform/engine-client.ts
@@ -4,7 +4,7 @@
  */
 import http from 'node:http';
 import type { GenerationRequest } from '../core/generation.js';
-import type { Milliseconds } from '../core/units.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { startGeneration } from './engine-stream-client.js';
 import { orderResult, workerReport } from './engine-wire-client.js';
 import { exchangeHttp, type HttpOutcome, parseJson } from './http-exchange-client.js';
@@ -32,7 +32,7 @@
   reportTimeout: 1_000,
   orderTimeout: 60_000,
   streamSilenceLimit: 120_000,
-  maximumBytes: 16 * 1_048_576,
+  maximumBytes: 16 * MEBIBYTE,
 } as const;
 
 /** Connections an engine for reports and orders; generations have one each. */
--- a/src/platform/key-value-client.ts
+++ b/src/platform/key-value-client.ts
@@ -3,7 +3,7 @@
  * taken effect is told to the caller, who settles it by reading back.
  */
 import http from 'node:http';
-import type { Milliseconds, Revision } from '../core/units.js';
+import { MEBIBYTE, type Milliseconds, type Revision } from '../core/units.js';
 import { exchangeHttp, type HttpOutcome, parseJson } from './http-exchange-client.js';
 import type { KeyValueOperation, KeyValueResult, KeyValueWatchEvent } from './key-value.js';
 import { startWatch } from './key-value-watch-client.js';
@@ -25,7 +25,7 @@
 
 const DEFAULTS = {
   requestTimeout: 2_000,
-  maximumBytes: 64 * 1_048_576,
+  maximumBytes: 64 * MEBIBYTE,
   progressInterval: 1_000,
   watchSilenceLimit: 5_000,
 } as const;
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -4,7 +4,7 @@
  */
 import http from 'node:http';
 import { z } from 'zod';
-import type { Milliseconds } from '../core/units.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { exchangeHttp, parseJson } from './http-exchange-client.js';
 import type { MachineRecord } from './worker.js';
 
@@ -18,7 +18,7 @@
   readonly maximumBytes?: number;
 }
 
-const DEFAULTS = { requestTimeout: 2_000, maximumBytes: 32 * 1_048_576 } as const;
+const DEFAULTS = { requestTimeout: 2_000, maximumBytes: 32 * MEBIBYTE } as const;
 
 const workerRecord = z.object({
   worker: z.string().min(1),
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -5,9 +5,9 @@
 import { isIP } from 'node:net';
 import { Result } from 'true-myth';
 import { z } from 'zod';
+import { KIBIBYTE, MEBIBYTE } from '../core/units.js';
 import { checkDocument, durationField, type SchemaProblem } from './schema-problems.js';
 
-const MEBIBYTE = 1_048_576;
 const LARGEST_PORT = 65_535;
 
 const nameSchema = z
@@ -72,8 +72,8 @@
   .describe('token_file or token_variable, not both');
 
 const limitsSchema = z.strictObject({
-  max_body_bytes: wholeNumber(1_024, 1_024 * MEBIBYTE).default(4 * MEBIBYTE),
-  max_header_bytes: wholeNumber(1_024, MEBIBYTE).default(16_384),
+  max_body_bytes: wholeNumber(KIBIBYTE, 1_024 * MEBIBYTE).default(4 * MEBIBYTE),
+  max_header_bytes: wholeNumber(KIBIBYTE, MEBIBYTE).default(16 * KIBIBYTE),
   body_timeout: duration('10s'),
   max_connections: wholeNumber(1, 100_000).default(1_024),
   max_result_bytes: wholeNumber(MEBIBYTE, 65_536 * MEBIBYTE).default(64 * MEBIBYTE),
--- a/src/storage/body-folder.ts
+++ b/src/storage/body-folder.ts
@@ -6,6 +6,7 @@
 import { mkdir, readdir, rm } from 'node:fs/promises';
 import path from 'node:path';
 import { Subject } from 'rxjs';
+import { MEBIBYTE, MINUTE } from '../core/units.js';
 import type { DiskBodyName, DiskRequest } from '../ledger/ledger.js';
 import type { ChangeDetails } from '../telemetry/logger.js';
 import { createDiskStats, DiskBudget, type DiskStats } from './disk-stats.js';
@@ -39,14 +40,14 @@
 
 const DEFAULTS = {
   bodiesLimit: 100_000,
-  backlogLimit: 16 * 1_048_576,
-  lifetime: 60 * 60_000,
+  backlogLimit: 16 * MEBIBYTE,
+  lifetime: 60 * MINUTE,
   wallClock: Date.now,
   logChange: (): void => {},
 };
 
 /** Time between two searches for what must go, in milliseconds. */
-const UPKEEP_INTERVAL = 60_000;
+const UPKEEP_INTERVAL = MINUTE;
 
 const BODIES = 'bodies';
 const SET_ASIDE = 'set-aside';
--- a/src/storage/domain-bodies.ts
+++ b/src/storage/domain-bodies.ts
@@ -5,6 +5,7 @@
 import { existsSync } from 'node:fs';
 import { mkdir, rename, rm } from 'node:fs/promises';
 import path from 'node:path';
+import { MEBIBYTE } from '../core/units.js';
 import type { BodyName } from '../ledger/messages.js';
 import type { ChangeDetails } from '../telemetry/logger.js';
 import { type BodyFacts, nameKeyOf } from './body-record.js';
@@ -32,7 +33,7 @@
 }
 
 /** Bytes of deleted bodies after which a database is compacted. */
-const COMPACTION_BYTES = 16 * 1_048_576;
+const COMPACTION_BYTES = 16 * MEBIBYTE;
 
 /** The bodies of one domain. */
 export class DomainBodies {
--- a/src/storage/domain-database.ts
+++ b/src/storage/domain-database.ts
@@ -5,6 +5,7 @@
  */
 import { ClassicLevel } from 'classic-level';
 import { contentDigest } from '../core/hashing.js';
+import { MEBIBYTE } from '../core/units.js';
 import type { BodyName } from '../ledger/messages.js';
 import {
   BODY_RANGE,
@@ -20,7 +21,7 @@
 } from './body-record.js';
 
 /** Bytes of blocks that one database caches; bodies are rarely read twice. */
-const CACHE_BYTES = 1_048_576;
+const CACHE_BYTES = MEBIBYTE;
 
 /** What a scan of the names found. */
 export interface NameScan {
--- a/src/transport/transport-options.ts
+++ b/src/transport/transport-options.ts
@@ -2,7 +2,7 @@
  * Options and counters of the node-to-node transport.
  */
 import type { NodeRecord } from '../core/identity.js';
-import type { Milliseconds } from '../core/units.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 
 /** Bounds of the transport; all have defaults. */
 export interface TransportLimits {
@@ -67,8 +67,6 @@
   readonly token: string;
 }
 
-const MEBIBYTE = 1024 * 1024;
-
 /** Limits used where the options name none. */
 export const DEFAULT_TRANSPORT_LIMITS: TransportLimits = {
   batchDelay: 2,
