Name HTTP statuses once

Cause: the gateway had five constants called STATUS_OK, STATUS_ACCEPTED was 202 in the gateway and 204 in the transport, and the platform clients compared with bare 200, 429, 500 and 503. Ruled out: the names of node:http's STATUS_CODES, which maps numbers to phrases and not the reverse. Change: src/core/http-status.ts holds the codes under their names of RFC 9110; the transport's accepted batch is BATCH_ACCEPTED_STATUS. Conclusion: behaviour unchanged.

--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -1,6 +1,7 @@
 /** HTTP client of the operators' interface of one node. */
 import { type ClientRequest, request as httpRequest, type IncomingMessage } from 'node:http';
 import { Result } from 'true-myth';
+import { FIRST_ERROR_STATUS } from '../core/http-status.js';
 import { MEBIBYTE } from '../core/units.js';
 
 /** Longest wait for an answer, in milliseconds; longer than a node takes to give up. */
@@ -9,8 +10,6 @@
 /** Longest answer that is read, in bytes. */
 const LONGEST_ANSWER = 64 * MEBIBYTE;
 
-const FIRST_ERROR_STATUS = 400;
-
 /** Where a node is and who asks. */
 export interface OperatorClientOptions {
   readonly host: string;
--- a/src/gateway/completion-answer.ts
+++ b/src/gateway/completion-answer.ts
@@ -2,11 +2,11 @@
  * Answers of the OpenAI-compatible routes, with the member `wardwing` that names the weight
  * versions behind each range of tokens.
  */
+
 import type { GenerationResult, TokenSegment } from '../core/generation.js';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { AnswerFormat, DocumentFormat, StreamFormat } from './answer-format.js';
 
-const STATUS_OK = 200;
-
 /** Bytes of a prompt that are counted as one token: engines report no count of their own. */
 const PROMPT_BYTES_PER_TOKEN = 4;
 
@@ -77,7 +77,7 @@
       if (body.kind !== 'generated') return undefined;
       const choice = shape.documentChoice(body.result.text);
       const members = withChoice(shape.documentObject, head, choice, body.result.finishReason);
-      return { status: STATUS_OK, document: { ...members, ...closing(head, body.result) } };
+      return { status: HTTP_STATUS.ok, document: { ...members, ...closing(head, body.result) } };
     },
   };
 }
--- a/src/gateway/event-stream.ts
+++ b/src/gateway/event-stream.ts
@@ -2,10 +2,10 @@
  * A stream of server-sent events to one reader, bounded by what the reader has not yet taken.
  */
 import type { ServerResponse } from 'node:http';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { Failure } from '../errors/error-kinds.js';
 import { problemDocument } from './problem-document.js';
 
-const STATUS_OK = 200;
 const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' };
 
 /** Data of the event that ends a complete answer. */
@@ -58,7 +58,7 @@
 
   #writeText(text: string): void {
     if (this.#response.destroyed) return;
-    if (!this.started) this.#response.writeHead(STATUS_OK, STREAM_HEADERS);
+    if (!this.started) this.#response.writeHead(HTTP_STATUS.ok, STREAM_HEADERS);
     this.#response.write(text);
   }
 }
--- a/src/gateway/health-routes.ts
+++ b/src/gateway/health-routes.ts
@@ -2,12 +2,11 @@
  * Routes that need no token: `/healthz`, `/readyz` and `/metrics`.
  */
 import type { ServerResponse } from 'node:http';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { Readiness } from '../node/calls.js';
 import type { CallHandler } from './call-handler.js';
 import { writeDocument } from './response-writer.js';
 
-const STATUS_OK = 200;
-const STATUS_UNAVAILABLE = 503;
 const METRICS_MEDIA_TYPE = 'text/plain; version=0.0.4; charset=utf-8';
 
 /** Paths of these routes. */
@@ -21,14 +20,14 @@
   draining: boolean,
 ): Promise<void> {
   if (path === '/healthz') {
-    writeDocument(response, { status: STATUS_OK, document: { alive: true } });
+    writeDocument(response, { status: HTTP_STATUS.ok, document: { alive: true } });
   } else if (path === '/readyz') {
     const readiness = readinessOf(handler, draining);
-    const status = readiness.ready ? STATUS_OK : STATUS_UNAVAILABLE;
+    const status = readiness.ready ? HTTP_STATUS.ok : HTTP_STATUS.serviceUnavailable;
     writeDocument(response, { status, document: readiness });
   } else {
     const counters = await handler.countersText();
-    response.writeHead(STATUS_OK, { 'content-type': METRICS_MEDIA_TYPE }).end(counters);
+    response.writeHead(HTTP_STATUS.ok, { 'content-type': METRICS_MEDIA_TYPE }).end(counters);
   }
 }
 
--- a/src/gateway/operator-routes.ts
+++ b/src/gateway/operator-routes.ts
@@ -3,6 +3,7 @@
  */
 import type { Result } from 'true-myth';
 import { z } from 'zod';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { NodeCall, ReplyBody } from '../node/calls.js';
 import type { DocumentAnswer } from './answer-format.js';
@@ -12,9 +13,6 @@
 import type { Route, RouteRequest } from './route-table.js';
 import type { RouteEnvironment } from './routes.js';
 
-const STATUS_OK = 200;
-const STATUS_ACCEPTED = 202;
-
 /** Longest reason of a drain. */
 const MAX_REASON_LENGTH = 1_024;
 
@@ -104,7 +102,7 @@
 }
 
 function render(body: ReplyBody): DocumentAnswer | undefined {
-  if (body.kind === 'operator') return { status: STATUS_OK, document: body.document };
+  if (body.kind === 'operator') return { status: HTTP_STATUS.ok, document: body.document };
   if (body.kind !== 'accepted') return undefined;
-  return { status: STATUS_ACCEPTED, document: { revision: body.revision } };
+  return { status: HTTP_STATUS.accepted, document: { revision: body.revision } };
 }
--- a/src/gateway/rollout-routes.ts
+++ b/src/gateway/rollout-routes.ts
@@ -2,6 +2,7 @@
  * `/v1/rollouts`: a trainer submits a step, reads it by cursor, acknowledges and closes it.
  */
 import { Result } from 'true-myth';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { NodeCall, ReplyBody, StepPage } from '../node/calls.js';
 import type { DocumentAnswer } from './answer-format.js';
@@ -18,9 +19,6 @@
 import type { PreparedCall, Route, RouteRequest } from './route-table.js';
 import type { RouteEnvironment } from './routes.js';
 
-const STATUS_OK = 200;
-const STATUS_ACCEPTED = 202;
-
 /** The routes of this family. */
 export function rolloutRoutes(environment: RouteEnvironment): readonly Route[] {
   const { maxBodyBytes, maxRolloutBodyBytes } = environment.limits;
@@ -113,14 +111,17 @@
     case 'step-accepted': {
       const { stepId, sampleCount, repeated } = body;
       const document = { step_id: stepId, sample_count: sampleCount, repeated };
-      return { status: STATUS_ACCEPTED, document };
+      return { status: HTTP_STATUS.accepted, document };
     }
     case 'step-page':
-      return { status: STATUS_OK, document: pageDocument(body.page) };
+      return { status: HTTP_STATUS.ok, document: pageDocument(body.page) };
     case 'step-acknowledged':
-      return { status: STATUS_OK, document: { step_id: body.stepId, acknowledged: body.cursor } };
+      return {
+        status: HTTP_STATUS.ok,
+        document: { step_id: body.stepId, acknowledged: body.cursor },
+      };
     case 'step-closed':
-      return { status: STATUS_OK, document: { step_id: body.stepId, state: 'closed' } };
+      return { status: HTTP_STATUS.ok, document: { step_id: body.stepId, state: 'closed' } };
     default:
       return undefined;
   }
--- a/src/platform/engine-client.ts
+++ b/src/platform/engine-client.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import type { GenerationRequest } from '../core/generation.js';
+import { HTTP_STATUS } from '../core/http-status.js';
 import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { startGeneration } from './engine-stream-client.js';
 import { orderResult, workerReport } from './engine-wire-client.js';
@@ -70,7 +71,7 @@
   /** The engine's load report; `undefined` where it fails, is too late or breaks the schema. */
   async report(worker: WorkerRecord): Promise<WorkerReport | undefined> {
     const outcome = await this.exchange(worker, '/load', this.options.reportTimeout);
-    if (outcome.kind !== 'answer' || outcome.status !== 200) return undefined;
+    if (outcome.kind !== 'answer' || outcome.status !== HTTP_STATUS.ok) return undefined;
     return workerReport.safeParse(parseJson(outcome.body)).data;
   }
 
--- a/src/platform/engine-stream-client.ts
+++ b/src/platform/engine-stream-client.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import type { GenerationRequest, TokenSegment } from '../core/generation.js';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { Milliseconds, TokenCount } from '../core/units.js';
 import type { RanState } from '../errors/error-kinds.js';
 import { completionChunk, encodeGeneration } from './engine-wire-client.js';
@@ -62,9 +63,11 @@
   request.on('error', (error) => fail(error.message));
   request.on('response', (response) => {
     const status = response.statusCode ?? 0;
-    if (status !== 200) {
+    if (status !== HTTP_STATUS.ok) {
       response.resume();
-      fail(`the engine answered ${status}`, status === 503 ? 'no' : 'unknown');
+      // An engine answers 503 only to work that it does not take in.
+      const ran = status === HTTP_STATUS.serviceUnavailable ? 'no' : 'unknown';
+      fail(`the engine answered ${status}`, ran);
       return;
     }
     readLines(response, options.maximumBytes, {
--- a/src/platform/key-value-client.ts
+++ b/src/platform/key-value-client.ts
@@ -3,6 +3,7 @@
  * taken effect is told to the caller, who settles it by reading back.
  */
 import http from 'node:http';
+import { FIRST_SERVER_ERROR_STATUS, HTTP_STATUS } from '../core/http-status.js';
 import { MEBIBYTE, type Milliseconds, type Revision } from '../core/units.js';
 import { exchangeHttp, type HttpOutcome, parseJson } from './http-exchange-client.js';
 import type { KeyValueOperation, KeyValueResult, KeyValueWatchEvent } from './key-value.js';
@@ -99,14 +100,14 @@
   const writes = operation.kind === 'transaction';
   if (outcome.kind === 'not-sent') return failed(false);
   if (outcome.kind === 'lost') return failed(writes);
-  if (outcome.status === 429) {
+  if (outcome.status === HTTP_STATUS.tooManyRequests) {
     return { ...failed(false, outcome.retryAfter), reason: 'rate-limited' };
   }
-  if (outcome.status === 200) {
+  if (outcome.status === HTTP_STATUS.ok) {
     return decodeResult(operation.kind, parseJson(outcome.body)) ?? failed(writes);
   }
   // A service may answer 5xx for a write that it still carries out, such as after a timeout.
-  return failed(writes && outcome.status >= 500, outcome.retryAfter);
+  return failed(writes && outcome.status >= FIRST_SERVER_ERROR_STATUS, outcome.retryAfter);
 }
 
 function failed(
--- a/src/platform/key-value-watch-client.ts
+++ b/src/platform/key-value-watch-client.ts
@@ -3,6 +3,7 @@
  * progress on it, so that a watch without changes still confirms how far it has seen.
  */
 import http from 'node:http';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import { parseJson, requestOptions } from './http-exchange-client.js';
 import type { KeyValueWatchEvent } from './key-value.js';
@@ -54,7 +55,7 @@
   };
   request.on('error', loseConnection);
   request.on('response', (response) => {
-    if (response.statusCode !== 200) {
+    if (response.statusCode !== HTTP_STATUS.ok) {
       loseConnection();
       return;
     }
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import { z } from 'zod';
+import { HTTP_STATUS } from '../core/http-status.js';
 import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { exchangeHttp, parseJson } from './http-exchange-client.js';
 import type { MachineRecord } from './worker.js';
@@ -63,7 +64,7 @@
       timeout: this.options.requestTimeout,
       maximumBytes: this.options.maximumBytes,
     });
-    if (outcome.kind !== 'answer' || outcome.status !== 200) return undefined;
+    if (outcome.kind !== 'answer' || outcome.status !== HTTP_STATUS.ok) return undefined;
     if (outcome.body === this.lastBody) return this.lastList;
     this.lastBody = outcome.body;
     this.lastList = machineList.safeParse(parseJson(outcome.body)).data;
--- a/src/transport/peer-receiver.ts
+++ b/src/transport/peer-receiver.ts
@@ -8,17 +8,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import { HTTP_STATUS } from '../core/http-status.js';
 import { decodeEnvelope, type PeerEnvelope } from './peer-envelope.js';
-import { PEER_PATH, STATUS_ACCEPTED } from './peer-sender.js';
+import { BATCH_ACCEPTED_STATUS, PEER_PATH } from './peer-sender.js';
 import { PEER_TOKEN_HEADER, PeerTokenCheck } from './peer-token.js';
 import type { TransportLimits, TransportStats } from './transport-options.js';
 
-const STATUS_MALFORMED = 400;
-const STATUS_UNAUTHENTICATED = 401;
-const STATUS_NOT_FOUND = 404;
-const STATUS_TOO_SLOW = 408;
-const STATUS_TOO_LARGE = 413;
-
 /** Spare time by which the server keeps a connection longer than its client does. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 10_000;
 
@@ -45,11 +40,11 @@
   return (request, response) => {
     if (!check.accepts(request.headers[PEER_TOKEN_HEADER])) {
       stats.refusedToken += 1;
-      refuse(response, STATUS_UNAUTHENTICATED);
+      refuse(response, HTTP_STATUS.unauthorized);
       return;
     }
     if (request.method !== 'POST' || request.url !== PEER_PATH) {
-      refuse(response, STATUS_NOT_FOUND);
+      refuse(response, HTTP_STATUS.notFound);
       return;
     }
     const body = new BodyCollector(limits, request, response, stats);
@@ -57,13 +52,13 @@
       const envelope = decodeEnvelope(text);
       if (envelope.isErr) {
         stats.refusedBody += 1;
-        refuse(response, STATUS_MALFORMED);
+        refuse(response, HTTP_STATUS.badRequest);
         return;
       }
       stats.batchesReceived += 1;
       stats.messagesReceived += envelope.value.messages.length;
       stats.bytesReceived += bytes;
-      response.writeHead(STATUS_ACCEPTED).end();
+      response.writeHead(BATCH_ACCEPTED_STATUS).end();
       accept(envelope.value);
     });
   };
@@ -90,7 +85,7 @@
     this.#request = request;
     this.#response = response;
     this.#stats = stats;
-    this.#timer = setTimeout(() => this.#refuse(STATUS_TOO_SLOW), limits.bodyTimeout);
+    this.#timer = setTimeout(() => this.#refuse(HTTP_STATUS.requestTimeout), limits.bodyTimeout);
     request.on('data', (chunk: Buffer) => this.#add(chunk));
     request.on('error', () => undefined);
     request.on('close', () => clearTimeout(this.#timer));
@@ -108,7 +103,7 @@
   #add(chunk: Buffer): void {
     if (this.#ended) return;
     this.#bytes += chunk.length;
-    if (this.#bytes > this.#limits.maxBodyBytes) this.#refuse(STATUS_TOO_LARGE);
+    if (this.#bytes > this.#limits.maxBodyBytes) this.#refuse(HTTP_STATUS.contentTooLarge);
     else this.#chunks.push(chunk);
   }
 
--- a/src/transport/peer-sender.ts
+++ b/src/transport/peer-sender.ts
@@ -3,6 +3,7 @@
  * under way and a time limit for each. A batch whose request fails is dropped and counted.
  */
 import { type Agent, type IncomingMessage, request } from 'node:http';
+import { HTTP_STATUS } from '../core/http-status.js';
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import type { PeerMessage } from '../node/peer-message.js';
 import { encodeEnvelope } from './peer-envelope.js';
@@ -14,7 +15,7 @@
 export const PEER_PATH = '/v1/peer';
 
 /** Status of an accepted batch. */
-export const STATUS_ACCEPTED = 204;
+export const BATCH_ACCEPTED_STATUS = HTTP_STATUS.noContent;
 
 /** What all senders of one transport share. */
 export interface SenderEnvironment {
@@ -77,7 +78,7 @@
     const timer = setTimeout(() => post.destroy(), limits.requestTimeout);
     let accepted = false;
     post.on('response', (response: IncomingMessage) => {
-      accepted = response.statusCode === STATUS_ACCEPTED;
+      accepted = response.statusCode === BATCH_ACCEPTED_STATUS;
       response.on('error', () => undefined).resume();
     });
     post.on('error', () => undefined);
