Give the details of a state change one type

Cause: Readonly<Record<string, string | number | boolean>> was written out in eleven places, and the one named type for it, with the rule what it may hold, sat in the logger, which decision modules do not import. Ruled out: a typed record for each change: only the log reads them. Change: ChangeDetails of src/core/state-change.ts, used by all folders but src/node, which others edit. Conclusion: types only.

--- a/src/config-feed/feed-effects.ts
+++ b/src/config-feed/feed-effects.ts
@@ -1,6 +1,7 @@
 /** Effects of the configuration feed, its options, and the list in which one call gathers them. */
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueOperation } from '../platform/key-value.js';
 import type { Configuration } from './configuration.js';
@@ -35,7 +36,7 @@
   | {
       readonly kind: 'state-change';
       readonly change: string;
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** Timing and fan-out; every field has a default. */
@@ -110,7 +111,7 @@
     this.add({ kind: 'send', to, address: to.address, message });
   }
 
-  logChange(change: string, details: Readonly<Record<string, string | number | boolean>>): void {
+  logChange(change: string, details: ChangeDetails): void {
     this.add({ kind: 'state-change', change, details });
   }
 
--- a/src/core/node-ports.ts
+++ b/src/core/node-ports.ts
@@ -12,6 +12,7 @@
 import type { CounterSink } from './counter-names.js';
 import type { NodeIdentity, NodeRecord } from './identity.js';
 import type { RandomSource } from './random.js';
+import type { ChangeDetails } from './state-change.js';
 import type { Milliseconds } from './units.js';
 
 /** Takes the outcome of a ledger operation. */
@@ -80,9 +81,5 @@
   reply(callId: string, reply: CallReply): void;
   /** Keeps a decision so that it can be explained; never with a caller's data. */
   explain(subject: string, decision: string, reason: string): void;
-  stateChange(
-    module: string,
-    change: string,
-    details: Readonly<Record<string, string | number | boolean>>,
-  ): void;
+  stateChange(module: string, change: string, details: ChangeDetails): void;
 }
--- a/src/gateway/completion-answer.ts
+++ b/src/gateway/completion-answer.ts
@@ -2,7 +2,6 @@
  * Answers of the OpenAI-compatible routes, with the member `wardwing` that names the weight
  * versions behind each range of tokens.
  */
-
 import type { GenerationResult, TokenSegment } from '../core/generation.js';
 import { HTTP_STATUS } from '../core/http-status.js';
 import type { AnswerFormat, DocumentFormat, StreamFormat } from './answer-format.js';
--- a/src/gateway/problem-document.ts
+++ b/src/gateway/problem-document.ts
@@ -2,7 +2,6 @@
  * Failures as problem documents (RFC 9457) with wardwing's own members `kind`, `ran` and
  * `retry_after_ms`.
  */
-
 import { type Milliseconds, SECOND } from '../core/units.js';
 import type { RanState } from '../errors/error-kinds.js';
 import {
--- a/src/intents/procedure-runner.ts
+++ b/src/intents/procedure-runner.ts
@@ -2,6 +2,7 @@
  * Runs procedures: turns their steps into effects, hands them the outcomes, and ends them at their
  * deadline with an answer that is true of what was sent.
  */
+import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { CallReply } from '../node/calls.js';
@@ -25,7 +26,7 @@
   | {
       readonly kind: 'state-change';
       readonly change: string;
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** Prefix of the identifiers of this module's key-value requests. */
--- a/src/intents/procedure.ts
+++ b/src/intents/procedure.ts
@@ -2,6 +2,7 @@
  * Procedures: the steps of one call against the key-value service, written as generators. A
  * procedure yields a step, is given its outcome, and returns the reply; it does no I/O itself.
  */
+import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { CallReply, OperatorDocument } from '../node/calls.js';
@@ -21,7 +22,7 @@
 /** One log line of a change of state. */
 export interface StateChange {
   readonly change: string;
-  readonly details: Readonly<Record<string, string | number | boolean>>;
+  readonly details: ChangeDetails;
 }
 
 /** How a procedure ends. */
--- a/src/ledger/requests.ts
+++ b/src/ledger/requests.ts
@@ -1,5 +1,6 @@
 /** What callers ask of the ledger, and what it gives back. */
 import type { NodeIdentity, NodeRecord, ZoneName } from '../core/identity.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueOperation } from '../platform/key-value.js';
 import type { DiskRequest } from './disk-bodies.js';
@@ -95,7 +96,7 @@
   | {
       readonly kind: 'state-change';
       readonly change: string;
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** A register of a shard this node is active in; its value may not be agreed yet. */
--- a/src/membership/membership-effects.ts
+++ b/src/membership/membership-effects.ts
@@ -1,5 +1,6 @@
 /** Effects of the membership module, and the list in which one call gathers them. */
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import type { MembershipMessage } from './messages.js';
 
 /** State of a member as other modules see it. */
@@ -29,7 +30,7 @@
   | {
       readonly kind: 'state-change';
       readonly change: string;
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** Gathers the effects of one call. */
@@ -48,7 +49,7 @@
     this.add({ kind: 'send', to: null, address, message });
   }
 
-  logChange(change: string, details: Readonly<Record<string, string | number | boolean>>): void {
+  logChange(change: string, details: ChangeDetails): void {
     this.add({ kind: 'state-change', change, details });
   }
 
--- a/src/storage/body-folder.ts
+++ b/src/storage/body-folder.ts
@@ -6,9 +6,9 @@
 import { mkdir, readdir, rm } from 'node:fs/promises';
 import path from 'node:path';
 import { Subject } from 'rxjs';
+import type { ChangeDetails } from '../core/state-change.js';
 import { MEBIBYTE, MINUTE } from '../core/units.js';
 import type { DiskBodyName, DiskRequest } from '../ledger/ledger.js';
-import type { ChangeDetails } from '../telemetry/logger.js';
 import { createDiskStats, DiskBudget, type DiskStats } from './disk-stats.js';
 import { DomainBodies, type FolderState } from './domain-bodies.js';
 import { FolderLock } from './folder-lock.js';
--- a/src/storage/domain-bodies.ts
+++ b/src/storage/domain-bodies.ts
@@ -5,9 +5,9 @@
 import { existsSync } from 'node:fs';
 import { mkdir, rename, rm } from 'node:fs/promises';
 import path from 'node:path';
+import type { ChangeDetails } from '../core/state-change.js';
 import { MEBIBYTE } from '../core/units.js';
 import type { BodyName } from '../ledger/messages.js';
-import type { ChangeDetails } from '../telemetry/logger.js';
 import { type BodyFacts, nameKeyOf } from './body-record.js';
 import type { DiskBudget, DiskStats } from './disk-stats.js';
 import { DomainDatabase, levelErrorCode } from './domain-database.js';
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -4,9 +4,7 @@
  */
 import { type DestinationStream, type Logger, pino } from 'pino';
 import type { NodeId, ZoneName } from '../core/identity.js';
-
-/** Facts that go with a change; never prompts, texts of samples or tokens. */
-export type ChangeDetails = Readonly<Record<string, string | number | boolean>>;
+import type { ChangeDetails } from '../core/state-change.js';
 
 /** Settings of {@link createLogger}. */
 export interface LoggerOptions {
--- a/src/weights/weight-controller-types.ts
+++ b/src/weights/weight-controller-types.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '../config-feed/configuration.js';
 import type { ModelName, NodeRecord } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import { SECOND } from '../core/units.js';
 import type { KeyValueOperation } from '../platform/key-value.js';
 import type { WorkerOrder, WorkerRecord } from '../platform/worker.js';
@@ -62,7 +63,7 @@
   | {
       readonly kind: 'state-change';
       readonly change: 'control-taken' | 'control-lost' | 'rollout-started' | 'rollout-complete';
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** Where one controlled model stands. */
--- a/src/weights/weight-controller.ts
+++ b/src/weights/weight-controller.ts
@@ -9,6 +9,7 @@
  */
 import { rendezvousFirst } from '../core/hashing.js';
 import { type ModelName, type NodeRecord, sameIdentity, type WorkerId } from '../core/identity.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueResult } from '../platform/key-value.js';
 import type { WorkerOrderResult, WorkerRecord, WorkerReport } from '../platform/worker.js';
@@ -255,7 +256,7 @@
 function stateChange(
   change: Extract<WeightControllerEffect, { kind: 'state-change' }>['change'],
   model: ModelName,
-  details: Readonly<Record<string, string | number | boolean>>,
+  details: ChangeDetails,
 ): WeightControllerEffect {
   return { kind: 'state-change', change, details: { model, ...details } };
 }
