Keep names to their module where no other module uses them

Cause: 14 values (prefixes, schemas, limits, two functions, one error class) were exported and imported nowhere, so a reader had to look for uses that do not exist. Ruled out: the types of exported signatures, which stay exported so that callers can name them. Change: the word export is gone before these 14. Conclusion: behaviour unchanged.

--- a/src/cli/client-command.ts
+++ b/src/cli/client-command.ts
@@ -15,7 +15,7 @@
 import { type ClientFailure, OperatorClient, type OperatorRequest } from './operator-client.js';
 
 /** Environment variable with the operator's token. */
-export const TOKEN_VARIABLE = 'WARDWING_TOKEN';
+const TOKEN_VARIABLE = 'WARDWING_TOKEN';
 
 /** Flags of every command that asks a node. */
 export const CLIENT_FLAGS: readonly CommandFlag[] = [
--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -57,7 +57,7 @@
 const publishedVersion = z.strictObject({ version, digest: name, bytes: wholeNumber });
 
 /** Schema of a model's catalogue. */
-export const catalogueSchema = z
+const catalogueSchema = z
   .strictObject({ model: name, versions: z.array(publishedVersion).readonly() })
   .refine((catalogue) => isRising(catalogue.versions.map((published) => published.version)), {
     message: 'versions are not in rising order',
@@ -67,7 +67,7 @@
 const identity = z.strictObject({ node: name, incarnation: wholeNumber });
 
 /** Schema of a replica group. */
-export const groupSchema = z.strictObject({
+const groupSchema = z.strictObject({
   domain: name,
   shard: wholeNumber,
   epoch: wholeNumber,
--- a/src/gateway/problem-document.ts
+++ b/src/gateway/problem-document.ts
@@ -13,7 +13,7 @@
 } from '../errors/error-kinds.js';
 
 /** Media type of a problem document. */
-export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
+const PROBLEM_MEDIA_TYPE = 'application/problem+json';
 
 /** Prefix of the `type` member; the kind follows. */
 const TYPE_PREFIX = 'urn:wardwing:error:';
--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -16,10 +16,10 @@
 } from '../settings/schema-problems.js';
 
 /** Largest share of a worker's slots that may be reserved for interactive traffic. */
-export const RESERVED_SHARE_LIMIT = 0.9;
+const RESERVED_SHARE_LIMIT = 0.9;
 
 /** Longest time a cut-off zone may go on serving, in milliseconds: one day. */
-export const CUT_OFF_DURATION_LIMIT = 24 * 60 * 60 * 1_000;
+const CUT_OFF_DURATION_LIMIT = 24 * 60 * 60 * 1_000;
 
 const NAME_FORM = 'letters, digits, ".", "_" and "-", at most 63 characters, e.g. "abdali-hall"';
 
--- a/src/intents/plan.ts
+++ b/src/intents/plan.ts
@@ -9,7 +9,7 @@
 import { type ZoneEffect, zoneEffects } from './zone-effects.js';
 
 /** Plans live below this prefix; they do not reach nodes through the configuration feed. */
-export const PLAN_PREFIX = '/wardwing/plans/';
+const PLAN_PREFIX = '/wardwing/plans/';
 
 /** The revision a key had when the plan was made; 0 where the key did not exist. */
 export interface BaseRevision {
--- a/src/intents/procedure-runner.ts
+++ b/src/intents/procedure-runner.ts
@@ -30,7 +30,7 @@
     };
 
 /** Prefix of the identifiers of this module's key-value requests. */
-export const INTENT_REQUEST_PREFIX = 'intents/';
+const INTENT_REQUEST_PREFIX = 'intents/';
 
 /** A call whose procedure is under way. */
 interface RunningCall {
--- a/src/membership/digest-exchange.ts
+++ b/src/membership/digest-exchange.ts
@@ -32,7 +32,7 @@
 }
 
 /** The form of an update outside its own zone, where suspicion is nobody's business. */
-export function updateFor(receiver: ZoneName, update: MemberUpdate): MemberUpdate {
+function updateFor(receiver: ZoneName, update: MemberUpdate): MemberUpdate {
   if (update.state !== 'suspect' || update.record.zone === receiver) return update;
   return { ...update, state: 'alive' };
 }
--- a/src/membership/member-intake.ts
+++ b/src/membership/member-intake.ts
@@ -24,7 +24,7 @@
 }
 
 /** The first claim about a life. */
-export function aliveUpdate(record: NodeRecord): MemberUpdate {
+function aliveUpdate(record: NodeRecord): MemberUpdate {
   return { record, state: 'alive', leaving: false, refutation: 0 };
 }
 
--- a/src/routing/worker-candidate.ts
+++ b/src/routing/worker-candidate.ts
@@ -55,7 +55,7 @@
 }
 
 /** Time over which a returning worker's share of traffic rises to the whole. */
-export const SLOW_START_WINDOW: Milliseconds = 10_000;
+const SLOW_START_WINDOW: Milliseconds = 10_000;
 
 /** Share of its slots a worker is given at the moment of its return. */
 const SLOW_START_FLOOR = 0.1;
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -89,7 +89,7 @@
 });
 
 /** The written form of the settings. */
-export const settingsSchema = z.strictObject({
+const settingsSchema = z.strictObject({
   node: nodeSchema,
   platform: platformSchema,
   fleet: fleetSchema,
--- a/src/storage/domain-database.ts
+++ b/src/storage/domain-database.ts
@@ -45,7 +45,7 @@
 }
 
 /** The format version of a database is not the one this program writes. */
-export class WrongFormatError extends Error {
+class WrongFormatError extends Error {
   readonly code = 'WRONG_FORMAT';
 }
 
--- a/src/weights/epoch-claim.ts
+++ b/src/weights/epoch-claim.ts
@@ -10,7 +10,7 @@
 import { type BackoffOptions, backoffDelay } from '../routing/backoff.js';
 
 /** Prefix of the records of controllers; read on demand, not part of the feed. */
-export const CONTROLLERS_PREFIX = '/wardwing/controllers/';
+const CONTROLLERS_PREFIX = '/wardwing/controllers/';
 
 /** Time after which an unanswered request counts as failed and may have applied. */
 const REQUEST_TIMEOUT: Milliseconds = 5 * SECOND;
