Doc comments on the methods other modules call

Ruled out: comments on methods that implement a documented interface. Change: comments only. Conclusion: behaviour unchanged.

--- a/src/config-feed/feed-copy.ts
+++ b/src/config-feed/feed-copy.ts
@@ -39,6 +39,7 @@
     return this.current;
   }
 
+  /** The copy holds all that was written up to this revision; 0 before the first content. */
   get revision(): Revision {
     return this.store.revision;
   }
@@ -58,14 +59,17 @@
     return this.freshAt;
   }
 
+  /** Time since the copy was surely complete; `null` where it never was. */
   age(now: Milliseconds): Milliseconds | null {
     return this.freshAt === null ? null : Math.max(0, now - this.freshAt);
   }
 
+  /** Notes that the copy is fresh as of a time; an earlier time than known changes nothing. */
   noteFresh(at: Milliseconds): void {
     if (this.freshAt === null || at > this.freshAt) this.freshAt = at;
   }
 
+  /** Takes over content that is complete up to a revision, and publishes what it changes. */
   take(content: FeedContent, revision: Revision): TakeOver {
     const isFirst = this.store.revision === 0 && revision > 0;
     const changedKeys = this.store.apply(content, revision);
--- a/src/config-feed/feed-effects.ts
+++ b/src/config-feed/feed-effects.ts
@@ -103,14 +103,17 @@
 export class FeedEffectList {
   private effects: ConfigurationFeedEffect[] = [];
 
+  /** Adds an effect. */
   add(effect: ConfigurationFeedEffect): void {
     this.effects.push(effect);
   }
 
+  /** Adds a message to a peer. */
   send(to: NodeRecord, message: ConfigurationFeedMessage): void {
     this.add({ kind: 'send', to, address: to.address, message });
   }
 
+  /** Adds a change of state for the log. */
   logChange(change: string, details: ChangeDetails): void {
     this.add({ kind: 'state-change', change, details });
   }
--- a/src/config-feed/feed-exchange.ts
+++ b/src/config-feed/feed-exchange.ts
@@ -48,6 +48,7 @@
     private readonly effects: FeedEffectList,
   ) {}
 
+  /** Handles a message of a peer. */
   receive(from: NodeRecord, message: ConfigurationFeedMessage, now: Milliseconds): void {
     if (message.kind === 'pull') this.hold(from, message, now);
     if (message.kind === 'answer') this.takeAnswer(message, now);
@@ -57,6 +58,7 @@
     }
   }
 
+  /** Gives up late pulls, starts those that are missing, and seeks help where the copy is stale. */
   tick(now: Milliseconds): void {
     this.giveUpPulls(now);
     this.keepPulling(now);
--- a/src/config-feed/feed-watcher.ts
+++ b/src/config-feed/feed-watcher.ts
@@ -60,6 +60,7 @@
     this.pending = null;
   }
 
+  /** Starts the reads and the watch that are due; nothing while this node is no watcher. */
   tick(now: Milliseconds): void {
     if (!this.isActive) return;
     this.giveUpSlowRead(now);
@@ -68,6 +69,7 @@
     if (this.read === null && now >= this.nextReadAt) this.startRead(now);
   }
 
+  /** Handles the outcome of a read; one that was given up is ignored. */
   keyValueResult(requestId: string, result: KeyValueResult, now: Milliseconds): void {
     const read = this.read;
     if (read === null || read.requestId !== requestId) return;
@@ -79,6 +81,7 @@
     this.readFailed(now, result.kind === 'failed' ? result.retryAfter : 0);
   }
 
+  /** Handles an event of the watch; one of an earlier watch is ignored. */
   watchEvent(watchId: string, event: KeyValueWatchEvent, now: Milliseconds): void {
     if (watchId !== this.watchId) return;
     if (event.kind === 'lost') {
--- a/src/gateway/call-runner.ts
+++ b/src/gateway/call-runner.ts
@@ -64,6 +64,7 @@
     this.#events = new EventStream(exchange.response, limits.maxStreamBufferBytes);
   }
 
+  /** Submits the call, unless its caller has already gone. */
   start(): void {
     const { response } = this.#exchange;
     if (response.destroyed) {
--- a/src/membership/confirmation.ts
+++ b/src/membership/confirmation.ts
@@ -26,6 +26,7 @@
     return true;
   }
 
+  /** This life is no longer confirmed; an attempt to be confirmed anew is due at once. */
   lose(now: Milliseconds): void {
     this.confirmed = false;
     this.nextAttemptAt = now;
@@ -36,6 +37,7 @@
     this.replaced = true;
   }
 
+  /** Whether a later life of this node exists. */
   isReplaced(): boolean {
     return this.replaced;
   }
@@ -47,6 +49,7 @@
     return isNew;
   }
 
+  /** Whether a peer has confirmed this life and the node has not stood still since. */
   isConfirmed(now: Milliseconds): boolean {
     if (!this.confirmed || this.replaced || this.lastActiveAt === null) return false;
     return now - this.lastActiveAt <= this.longestGap;
--- a/src/membership/digest-exchange.ts
+++ b/src/membership/digest-exchange.ts
@@ -45,6 +45,7 @@
 
   constructor(private readonly host: DigestExchangeHost) {}
 
+  /** Starts the comparisons that are due: inside the zone, and from a bridge to other zones. */
   tick(now: Milliseconds): void {
     if (this.isBridge()) this.bridge(now);
     else this.abroad = [];
--- a/src/membership/gossip-spreader.ts
+++ b/src/membership/gossip-spreader.ts
@@ -52,6 +52,7 @@
     };
   }
 
+  /** Sends a round of urgent updates to a few peers of the zone, when one is due. */
   tick(now: Milliseconds): void {
     const { queue, timing, table, self, random, effects } = this.parts;
     if (now < this.nextRoundAt || !queue.hasUrgent()) return;
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -81,6 +81,7 @@
   bridges: readonly NodeRecord[] | null = null;
   ring: readonly NodeRecord[] | null = null;
 
+  /** Drops the lists made of the members; each is made anew on its next use. */
   forgetLists(): void {
     this.ring = null;
     this.present = null;
@@ -94,6 +95,7 @@
     this.buckets[bucket] = (this.buckets[bucket] ?? 0) ^ entryHash(update);
   }
 
+  /** Hash of all entries of the zone. */
   hash(): number {
     let sum = 0;
     for (const bucket of this.buckets) sum = (Math.imul(sum, 31) + bucket) | 0;
@@ -163,10 +165,12 @@
     return this.namesHash;
   }
 
+  /** What is known of a node; `undefined` for an unknown one. */
   find(node: NodeId): MemberUpdate | undefined {
     return this.all.get(node);
   }
 
+  /** All entries, the dead included. */
   updates(): Iterable<MemberUpdate> {
     return this.all.values();
   }
@@ -233,10 +237,12 @@
     return this.zones().reduce((sum, zone) => (Math.imul(sum, 31) + this.zoneHash(zone)) | 0, 0);
   }
 
+  /** Hash of one zone; 0 for an unknown one. */
   zoneHash(name: ZoneName): number {
     return this.zoneTables.get(name)?.hash() ?? 0;
   }
 
+  /** Hashes of the buckets of one zone. */
   bucketHashes(name: ZoneName): readonly number[] {
     return [...(this.zoneTables.get(name)?.buckets ?? new Int32Array(BUCKET_COUNT))];
   }
--- a/src/membership/membership-effects.ts
+++ b/src/membership/membership-effects.ts
@@ -37,18 +37,22 @@
 export class EffectList {
   private effects: MembershipEffect[] = [];
 
+  /** Adds an effect. */
   add(effect: MembershipEffect): void {
     this.effects.push(effect);
   }
 
+  /** Adds a message to one life of a member. */
   send(to: NodeRecord, message: MembershipMessage): void {
     this.add({ kind: 'send', to, address: to.address, message });
   }
 
+  /** Adds a message to whichever node listens at an address. */
   sendToAddress(address: string, message: MembershipMessage): void {
     this.add({ kind: 'send', to: null, address, message });
   }
 
+  /** Adds a change of state for the log. */
   logChange(change: string, details: ChangeDetails): void {
     this.add({ kind: 'state-change', change, details });
   }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -148,6 +148,7 @@
     return this.cachedMembers;
   }
 
+  /** One member; `undefined` for an unknown node. */
   find(node: NodeId): MemberView | undefined {
     const update = this.table.find(node);
     return update === undefined ? undefined : this.intake.view(update);
@@ -158,6 +159,7 @@
     return this.table.stayingInZone(zone);
   }
 
+  /** Names of all zones with members, sorted. */
   zones(): readonly ZoneName[] {
     return this.table.zones();
   }
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -83,6 +83,7 @@
     return this.sequence + 1;
   }
 
+  /** Moves running probes and suspicions on, and starts the next probe when it is due. */
   tick(now: Milliseconds): void {
     this.advanceProbes(now);
     this.advanceSuspicions(now);
@@ -106,6 +107,7 @@
     this.suspicions.delete(node);
   }
 
+  /** Pings a target on behalf of a member that got no answer from it. */
   pingRequested(from: NodeRecord, sequence: number, target: NodeRecord, now: Milliseconds): void {
     this.sequence += 1;
     this.relayed.set(this.sequence, {
@@ -116,6 +118,7 @@
     this.sendPing(target, this.sequence, now);
   }
 
+  /** A ping was answered: ends its probe, or passes the answer on to whoever asked for the ping. */
   acknowledged(sequence: number, now: Milliseconds): void {
     const relayed = this.relayed.get(sequence);
     if (relayed !== undefined) {
@@ -132,6 +135,7 @@
     this.selfDoubt = 0;
   }
 
+  /** A helper is there but got no answer from the target either. */
   negativelyAcknowledged(sequence: number): void {
     const probe = this.probes.get(sequence);
     if (probe !== undefined) probe.helpersAnswered += 1;
--- a/src/membership/zone-contact-table.ts
+++ b/src/membership/zone-contact-table.ts
@@ -29,11 +29,13 @@
     return now - (at ?? now);
   }
 
+  /** The table as a message carries it. */
   encode(now: Milliseconds): ZoneContacts {
     const ages = this.table.zones().map((zone) => Math.ceil(this.age(zone, now) / AGE_UNIT));
     return { zonesHash: this.table.zonesHash(), ages };
   }
 
+  /** Takes over later contacts of a peer in this zone; ignored where the zone lists differ. */
   merge(contacts: ZoneContacts, now: Milliseconds): void {
     if (contacts.zonesHash !== this.table.zonesHash()) return;
     const zones = this.table.zones();
--- a/src/routing/dispatch-set.ts
+++ b/src/routing/dispatch-set.ts
@@ -18,6 +18,7 @@
   readonly #trainingByAccount = new Map<AccountName, number>();
   #interactive = 0;
 
+  /** Number of all dispatches. */
   get size(): number {
     return this.#dispatches.size;
   }
@@ -42,18 +43,22 @@
     return this.#trainingByAccount.get(account) ?? 0;
   }
 
+  /** A dispatch of the set; `undefined` for another one. */
   get(dispatchId: string): Dispatch | undefined {
     return this.#dispatches.get(dispatchId);
   }
 
+  /** Identifiers in the order of addition. */
   ids(): readonly string[] {
     return [...this.#dispatches.keys()];
   }
 
+  /** Dispatches in the order of addition. */
   values(): IterableIterator<Dispatch> {
     return this.#dispatches.values();
   }
 
+  /** Adds a dispatch that is not in the set yet. */
   add(dispatch: Dispatch): void {
     this.#dispatches.set(dispatch.dispatchId, dispatch);
     if (dispatch.trafficClass === 'interactive') {
--- a/src/routing/worker-entries.ts
+++ b/src/routing/worker-entries.ts
@@ -30,6 +30,7 @@
     this.#options = options;
   }
 
+  /** The entry of a worker; `undefined` for one that is neither followed nor at home here. */
   get(worker: WorkerId): WorkerEntry | undefined {
     return this.#entries.get(worker);
   }
--- a/src/routing/worker-topology.ts
+++ b/src/routing/worker-topology.ts
@@ -38,6 +38,7 @@
     this.#subsetSize = subsetSize;
   }
 
+  /** Takes in the machine list. */
   updateMachines(machines: readonly MachineRecord[]): boolean {
     const index = machineIndexOf(machines);
     if (index === this.#index) return false;
@@ -48,6 +49,7 @@
     return true;
   }
 
+  /** Takes in the live nodes of the zones in use. */
   updateNodes(liveInZone: (zone: ZoneName) => readonly NodeRecord[]): boolean {
     const wantedZones = this.#wanted.flatMap((model) => model.zones);
     let changed = false;
@@ -57,12 +59,14 @@
     return changed;
   }
 
+  /** Takes in the operators' drains. */
   updateDrains(drains: readonly DrainRecord[]): boolean {
     if (this.#drains.isFor(drains)) return false;
     this.#drains = new DrainIndex(drains);
     return true;
   }
 
+  /** Takes in the models this node routes for. */
   updateWanted(models: readonly WantedModel[]): boolean {
     if (wantedText(models) === wantedText(this.#wanted)) return false;
     this.#wanted = models;
--- a/src/transport/message-copy.ts
+++ b/src/transport/message-copy.ts
@@ -30,9 +30,12 @@
   return { copy, bytes: walk.bytes };
 }
 
+/** One walk through a value. */
 class CopyWalk {
+  /** Estimated size of what was copied so far. */
   bytes = 0;
 
+  /** Copies one value and all below it. */
   copy(value: unknown): unknown {
     if (typeof value === 'string') {
       this.bytes += Buffer.byteLength(value) + MEMBER_BYTES;
--- a/src/transport/peer-receiver.ts
+++ b/src/transport/peer-receiver.ts
@@ -91,6 +91,7 @@
     request.on('close', () => clearTimeout(this.#timer));
   }
 
+  /** Calls back once with the whole body and its size in bytes; never for a refused one. */
   onComplete(complete: (text: string, bytes: number) => void): void {
     this.#request.on('end', () => {
       if (this.#ended) return;
