Draw jittered times in one function

Cause: 0.9 + 0.2 * fraction(), 0.75 + 0.5 * fraction(), 0.5 + fraction() and 1 + JITTER * (2 * fraction() - 1) were the same thing in six modules, most with bare numbers. Ruled out: backoffDelay, which draws from zero (full jitter) and doubles; the first digest and the first repair, which are spread over a whole interval on purpose. Change: jittered(random, length, spread) of src/core/random.ts with a test; each user names its spread; the feed's backoff names its limit of doublings. Conclusion: the same draws in the same order; an ejection is rounded to whole milliseconds from a sum written in another order, which can differ only where it lies on the half.

--- a/src/config-feed/feed-watcher.ts
+++ b/src/config-feed/feed-watcher.ts
@@ -3,13 +3,22 @@
  * few seconds that shows up to which revision the service has got. The copy is fresh as of the
  * time such a read was *sent*, once the copy has reached the revision it returned.
  */
-import type { RandomSource } from '../core/random.js';
+import { jittered, type RandomSource } from '../core/random.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { KeyValueResult, KeyValueWatchEvent } from '../platform/key-value.js';
 import { FEED_PREFIX } from './configuration.js';
 import type { FeedCopy } from './feed-copy.js';
 import type { ConfigurationFeedTiming, FeedEffectList } from './feed-effects.js';
 
+/** Share by which the times between reads and between watches are spread both ways. */
+const JITTER = 0.1;
+
+/** A failed read waits up to this share longer than its backoff, never shorter. */
+const BACKOFF_JITTER = 0.5;
+
+/** Backoff doubles at most this often. */
+const MAXIMUM_DOUBLINGS = 10;
+
 interface Read {
   readonly requestId: string;
   readonly sentAt: Milliseconds;
@@ -165,7 +174,7 @@
     if (this.readFailures === 0) this.effects.logChange('key-value-fails', { retryAfter });
     this.readFailures += 1;
     const wait = Math.max(retryAfter, this.backoff(this.readFailures));
-    this.nextReadAt = now + wait * (1 + 0.5 * this.random.fraction());
+    this.nextReadAt = now + wait * (1 + BACKOFF_JITTER * this.random.fraction());
   }
 
   private startWatchIfDue(now: Milliseconds): void {
@@ -199,10 +208,10 @@
 
   private backoff(failures: number): Milliseconds {
     const { firstBackoff, longestBackoff } = this.timing;
-    return Math.min(longestBackoff, firstBackoff * 2 ** Math.min(failures - 1, 10));
+    return Math.min(longestBackoff, firstBackoff * 2 ** Math.min(failures - 1, MAXIMUM_DOUBLINGS));
   }
 
   private jittered(duration: Milliseconds): Milliseconds {
-    return duration * (0.9 + 0.2 * this.random.fraction());
+    return jittered(this.random, duration, JITTER);
   }
 }
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -4,6 +4,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { placementHash } from './hashing.js';
+import type { Milliseconds } from './units.js';
 
 /** Resolution of {@link RandomSource.fraction}. */
 const FRACTION_STEPS = 0x7fffffff;
@@ -31,3 +32,11 @@
     identifier: () => word() + word(),
   };
 }
+
+/**
+ * A time drawn evenly from `[1 - spread, 1 + spread)` times its length, so that nodes which start
+ * together do not go on in step. The spread lies in `[0, 1]`.
+ */
+export function jittered(random: RandomSource, length: Milliseconds, spread: number): Milliseconds {
+  return length * (1 - spread + 2 * spread * random.fraction());
+}
--- a/src/membership/digest-exchange.ts
+++ b/src/membership/digest-exchange.ts
@@ -3,7 +3,7 @@
  * bridging nodes between zones and, less often, by every node with a peer of its own zone.
  */
 import type { NodeRecord, ZoneName } from '../core/identity.js';
-import type { RandomSource } from '../core/random.js';
+import { jittered, type RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
 import { BUCKET_COUNT, type MemberTable } from './member-table.js';
 import type { EffectList } from './membership-effects.js';
@@ -20,6 +20,12 @@
 /** Buckets settled by one exchange at most; the next digest finds the rest. */
 const BUCKETS_PER_EXCHANGE = 16;
 
+/** Share by which the time between digests to another zone is spread both ways. */
+const BRIDGE_JITTER = 0.1;
+
+/** Share by which the time between repairs is spread both ways. */
+export const REPAIR_JITTER = 0.25;
+
 /** What the exchange asks of its owner. */
 export interface DigestExchangeHost {
   readonly self: NodeRecord;
@@ -52,7 +58,7 @@
     const { repairInterval } = this.host.timing;
     this.nextRepairAt ??= now + repairInterval * this.host.random.fraction();
     if (now < this.nextRepairAt) return;
-    this.nextRepairAt = now + repairInterval * (0.75 + 0.5 * this.host.random.fraction());
+    this.nextRepairAt = now + jittered(this.host.random, repairInterval, REPAIR_JITTER);
     this.repair();
   }
 
@@ -107,8 +113,11 @@
     const due = this.nextDigestAt.get(zone);
     const isFirst = due === undefined;
     if (!isFirst && now < due) return false;
-    const share = isFirst ? random.fraction() : 0.9 + 0.2 * random.fraction();
-    this.nextDigestAt.set(zone, now + timing.bridgeInterval * share);
+    const { bridgeInterval } = timing;
+    const wait = isFirst
+      ? bridgeInterval * random.fraction()
+      : jittered(random, bridgeInterval, BRIDGE_JITTER);
+    this.nextDigestAt.set(zone, now + wait);
     return !isFirst;
   }
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -4,10 +4,11 @@
  * between zones, so that the cost of a node stays flat while every node knows every member.
  */
 import type { NodeId, NodeRecord, ZoneName } from '../core/identity.js';
+import { jittered } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
 import type { MachineRecord } from '../platform/worker.js';
 import { Confirmation } from './confirmation.js';
-import { DigestExchange } from './digest-exchange.js';
+import { DigestExchange, REPAIR_JITTER } from './digest-exchange.js';
 import { chooseSome, GossipSpreader } from './gossip-spreader.js';
 import { MemberIntake } from './member-intake.js';
 import { MemberTable } from './member-table.js';
@@ -271,7 +272,7 @@
     if (now < this.nextUpkeepAt) return;
     const { repairInterval } = this.timing;
     const { random } = this.options;
-    this.nextUpkeepAt = now + repairInterval * (0.75 + 0.5 * random.fraction());
+    this.nextUpkeepAt = now + jittered(random, repairInterval, REPAIR_JITTER);
     this.intake.forgetDead(this.timing.deadRetention, now);
     for (const dead of chooseSome(this.intake.deadAtHome(), 1, random)) this.prober.ping(dead, now);
     const isCut = this.table.zones().some((zone) => !this.zoneReachable(zone, now));
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -5,7 +5,7 @@
  * 2018), a node that hears nothing from its helpers doubts itself first.
  */
 import type { NodeId, NodeRecord } from '../core/identity.js';
-import type { RandomSource } from '../core/random.js';
+import { jittered, type RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
 import type { MemberTable } from './member-table.js';
 import type { EffectList } from './membership-effects.js';
@@ -16,6 +16,9 @@
 /** Rounds without any answer from helpers after which a target is suspected all the same. */
 const SELF_DOUBT_ROUNDS = 2;
 
+/** Share by which the time between probes is spread both ways. */
+const PROBE_JITTER = 0.1;
+
 interface Probe {
   readonly target: NodeRecord;
   readonly sequence: number;
@@ -89,8 +92,7 @@
     this.advanceSuspicions(now);
     this.expireRelayed(now);
     if (now < this.nextProbeAt) return;
-    const jitter = 0.9 + 0.2 * this.host.random.fraction();
-    this.nextProbeAt = now + this.interval() * jitter;
+    this.nextProbeAt = now + jittered(this.host.random, this.interval(), PROBE_JITTER);
     const target = this.probeOrder.next();
     if (target !== undefined) this.startProbe(target, now);
   }
--- a/src/routing/outlier-detector.ts
+++ b/src/routing/outlier-detector.ts
@@ -2,7 +2,7 @@
  * Outlier ejection by the outcomes of calls, as in Envoy and gRPC: a worker whose calls fail is
  * taken out for a time that grows with each ejection, and only a share of a group may be out.
  */
-import type { RandomSource } from '../core/random.js';
+import { jittered, type RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
 import type { CallOutcome } from './worker-candidate.js';
 
@@ -100,8 +100,7 @@
   eject(history: OutcomeHistory, now: Milliseconds): void {
     const grown = this.#baseEjection * 2 ** history.ejections;
     const length = Math.min(this.#maximumEjection, grown);
-    const jitter = 1 + JITTER * (2 * this.#random.fraction() - 1);
-    history.ejectedUntil = now + Math.round(length * jitter);
+    history.ejectedUntil = now + Math.round(jittered(this.#random, length, JITTER));
     history.ejections += 1;
     history.consecutiveFailures = 0;
     history.failureShare = 0;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -4,7 +4,7 @@
  */
 import type { GenerationRequest } from '../core/generation.js';
 import type { WorkerId, ZoneName } from '../core/identity.js';
-import type { RandomSource } from '../core/random.js';
+import { jittered, type RandomSource } from '../core/random.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { AllowedCandidates, isAllowed } from './allowed-candidates.js';
@@ -54,6 +54,9 @@
 /** When to come back, on average, where all workers are full. */
 const OVERLOADED_RETRY: Milliseconds = 1_000;
 
+/** Share by which the time to come back is spread both ways. */
+const RETRY_AFTER_JITTER = 0.5;
+
 /** Candidates the buffers hold at first. */
 const INITIAL_SIZE = 128;
 
@@ -154,13 +157,13 @@
     return this.#refusal('overloaded', detail, OVERLOADED_RETRY);
   }
 
-  /** The time to come back is spread over half to one and a half times the average. */
+  /** @param wait average time to come back */
   #refusal(
     kind: 'no_worker' | 'version_unknown' | 'overloaded',
     detail: string,
     wait: Milliseconds,
   ): RoutingDecision {
-    const retryAfter = Math.round(wait * (0.5 + this.#random.fraction()));
+    const retryAfter = Math.round(jittered(this.#random, wait, RETRY_AFTER_JITTER));
     return { kind: 'refused', failure: failure(kind, detail, { retryAfter, ran: 'no' }) };
   }
 }
--- a/test/core/random.test.ts
+++ b/test/core/random.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { createRandomSource } from '../../src/core/random.js';
+import { createRandomSource, jittered } from '../../src/core/random.js';
 
 t.test('neighbouring seeds give unlike first numbers', async (t) => {
   const first = Array.from({ length: 200 }, (_unused, seed) => createRandomSource(seed).fraction());
@@ -14,3 +14,11 @@
   };
   t.same(draw(), draw());
 });
+
+t.test('jitter spreads a time both ways and no further', async (t) => {
+  const random = createRandomSource(3);
+  const drawn = Array.from({ length: 500 }, () => jittered(random, 1_000, 0.25));
+  t.ok(drawn.every((time) => time >= 750 && time < 1_250));
+  t.ok(Math.min(...drawn) < 800 && Math.max(...drawn) > 1_200, 'it uses the whole range');
+  t.equal(jittered(random, 1_000, 0), 1_000);
+});
