A refusal of a repeated order promises nothing that an earlier call may have broken

Cause: a repeat of a not repeatable request that was refused (no majority, cut off, stopping, deadline while another call holds the key) said ran: no. True of the call, not of the work behind the key; a clerk who trusts it and sends the order under a new key ships twice. Ruled out: leaving it to the documentation.

--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -95,3 +95,11 @@
 export function retryAfterOf(value: Failure): Milliseconds | null {
   return value.retryAfter ?? ERROR_ANSWERS[value.kind].retryAfter;
 }
+
+/**
+ * A failure of one call about work that an earlier call with the same key may have run: `no` would
+ * be true of the call, but not of the work.
+ */
+export function withoutPromise(value: Failure): Failure {
+  return ranStateOf(value) === 'no' ? { ...value, ran: 'unknown' } : value;
+}
--- a/src/gateway/completion-schema.ts
+++ b/src/gateway/completion-schema.ts
@@ -72,6 +72,11 @@
 
 const IDEMPOTENCY_KEY = 'idempotency-key';
 const REPEATABLE = 'wardwing-repeatable';
+
+/** Whether the headers say that the work may run at most once. */
+export function isMarkedNotRepeatable(headers: IncomingHttpHeaders): boolean {
+  return headers[REPEATABLE] === 'false';
+}
 const DEADLINE = 'wardwing-deadline-ms';
 
 /** Reads the headers of a generation. */
--- a/src/gateway/request-pipeline.ts
+++ b/src/gateway/request-pipeline.ts
@@ -5,11 +5,12 @@
 import type Result from 'true-myth/result';
 import * as result from 'true-myth/result';
 import type { Milliseconds } from '../core/units.js';
-import { type ErrorKind, type Failure, failure } from '../errors/error-kinds.js';
+import { type ErrorKind, type Failure, failure, withoutPromise } from '../errors/error-kinds.js';
 import { AccountRegistry } from './account-registry.js';
 import { BodyReader } from './body-reader.js';
 import type { CallHandler } from './call-handler.js';
 import { type Exchange, runCall } from './call-runner.js';
+import { isMarkedNotRepeatable } from './completion-schema.js';
 import type { GatewayAccount, GatewayLimits } from './gateway-options.js';
 import { GatewayCounters, type GatewayStats } from './gateway-stats.js';
 import { answerHealth, HEALTH_PATHS } from './health-routes.js';
@@ -147,8 +148,9 @@
 
   #refuse({ request, response }: Exchange, value: Failure): void {
     this.#counters.countFailure(value.kind);
+    const told = isMarkedNotRepeatable(request.headers) ? withoutPromise(value) : value;
     if (response.headersSent) response.destroy();
-    else writeProblem(request, response, value, this.#limits.lingerTime);
+    else writeProblem(request, response, told, this.#limits.lingerTime);
   }
 }
 
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -7,6 +7,7 @@
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import { withoutPromise } from '../errors/error-kinds.js';
 import type { NodeGauges } from '../telemetry/node-metrics.js';
 import type { NodeCall, Readiness } from './calls.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
@@ -183,7 +184,9 @@
     this.modules.context.counters.increment('calls');
     const refusal = this.stoppingSince === null ? null : this.modules.stoppingFailure();
     if (refusal !== null && call.kind !== 'status' && call.kind !== 'explain') {
-      this.modules.context.reply(callId, { kind: 'failed', failure: refusal });
+      const mayHaveRunBefore = call.kind === 'generate' && !call.repeatable;
+      const told = mayHaveRunBefore ? withoutPromise(refusal) : refusal;
+      this.modules.context.reply(callId, { kind: 'failed', failure: told });
       return;
     }
     this.modules.context.beginCall(callId);
--- a/src/requests/claimed-request.ts
+++ b/src/requests/claimed-request.ts
@@ -10,7 +10,7 @@
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
 import type { GenerationOutcome, GenerationRunner } from '../dispatch/generation-runner.js';
-import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
+import { type Failure, failure, type RanState, ranStateOf } from '../errors/error-kinds.js';
 import type { LedgerChange } from '../ledger/ledger.js';
 import { type LedgerRecord, type RequestRecord, requestKey } from '../rollouts/records.js';
 import { decodeResult, encodeResult } from '../rollouts/step-bodies.js';
@@ -36,6 +36,7 @@
   private readonly address: RegisterAddress;
   private readonly digest: string;
   private dispatched = false;
+  private holdsKey = false;
   private over = false;
 
   constructor(
@@ -62,8 +63,9 @@
     const claim = (current: LedgerRecord | null) => this.claim(current);
     this.node.ledger.change(this.address, claim, deadline, (outcome) => {
       if (outcome.kind !== 'changed') {
-        const detail = 'the key could not be claimed; nothing was dispatched';
-        this.end({ kind: 'failed', failure: failure('ledger_unavailable', detail, { ran: 'no' }) });
+        const detail = 'the key could not be read; this call dispatched nothing';
+        const reason = failure('ledger_unavailable', detail, { ran: this.ranSoFar() });
+        this.end({ kind: 'failed', failure: reason });
         this.release();
         return;
       }
@@ -83,11 +85,18 @@
   /** The deadline passed: the caller is answered, and what runs goes on to be recorded. */
   expire(): void {
     if (this.over) return;
-    const ran = this.dispatched ? 'unknown' : 'no';
-    const reason = failure('deadline_exceeded', 'the deadline passed', { ran });
+    const reason = failure('deadline_exceeded', 'the deadline passed', { ran: this.ranSoFar() });
     this.answer({ kind: 'failed', failure: reason });
   }
 
+  /**
+   * Whether the work behind the key ran, for a failure of this call: an earlier call with the same
+   * key may have run it, as long as this one does not hold the key.
+   */
+  private ranSoFar(): RanState {
+    return this.holdsKey && !this.dispatched ? 'no' : 'unknown';
+  }
+
   /** Takes a free key; a key whose attempt did not run is free again. */
   private claim(current: LedgerRecord | null): LedgerChange<LedgerRecord> {
     if (current !== null && current.kind !== 'request') return { kind: 'keep' };
@@ -112,6 +121,7 @@
       return;
     }
     if (record.attempt === this.attempt) {
+      this.holdsKey = true;
       this.node.counters.increment('requests_claimed');
       this.dispatch();
       return;
