--- a/lab/main.ts
+++ b/lab/main.ts
@@ -16,6 +16,7 @@
   'storage',
   'weights-activation',
   'fleet',
+  'letter-steps',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -13,7 +13,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import type { NodeEffect } from '../../src/node/node-events.js';
 import { EngineCore } from '../emulator/engine-core.js';
-import { DEFAULT_ENGINE_SETTINGS } from '../emulator/engine-settings.js';
+import { DEFAULT_ENGINE_SETTINGS, type EngineSettings } from '../emulator/engine-settings.js';
 import { KeyValueCore } from '../emulator/key-value-core.js';
 import { SimulatedCalls } from './calls.js';
 import { EffectRunner } from './effect-runner.js';
@@ -55,6 +55,8 @@
   readonly createNode: NodeFactory;
   /** Whether messages between nodes are observed, which costs time. */
   readonly observeMessages: boolean;
+  /** Settings of all engines that differ from the simulator's own. @default none */
+  readonly engineSettings?: Partial<EngineSettings>;
 }
 
 /** One run. */
@@ -182,6 +184,7 @@
           Math.round(this.plan.medianTokens / CHUNKS_PER_ANSWER),
         ),
         initialVersion: this.plan.firstVersion,
+        ...this.#options.engineSettings,
       };
       const engine = new EngineCore(settings, this.#fork());
       const { queue, network } = this;
