--- a/lab/bench/letter-plan.ts
+++ b/lab/bench/letter-plan.ts
@@ -27,6 +27,12 @@
  */
 export const TOKENS_PER_UNIT = 32;
 
+/** Bytes of text of one token of a model, and of one token of the emulated engine. */
+const TEXT_BYTES = { token: 4, unit: 6.9 } as const;
+
+/** What a byte of an emulated answer stands for: the node's limit of bodies shrinks as they do. */
+export const BODY_SCALE = (TOKENS_PER_UNIT * TEXT_BYTES.token) / TEXT_BYTES.unit;
+
 /** Share of each worker kept for interactive work. */
 const RESERVED_SHARE = 0.25;
 
--- a/lab/bench/letter-trainer.ts
+++ b/lab/bench/letter-trainer.ts
@@ -4,9 +4,11 @@
  */
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
 import type { NodeCall, SampleRequest, StepPage } from '../../src/node/calls.js';
-import { type Attempt, anyNode, attempt, pauseAfter } from '../simulation/client.js';
+import { type Attempt, attempt, pauseAfter } from '../simulation/client.js';
 import type { TrainerPlan } from '../simulation/fleet-plan.js';
+import type { SimulatedNode } from '../simulation/simulated-node.js';
 import type { Simulation } from '../simulation/simulation.js';
+import { nodesOfModel } from './letter-callers.js';
 
 /** Samples that share a prompt. */
 const SAMPLES_A_PROMPT = 16;
@@ -41,12 +43,14 @@
   private startedAt: Milliseconds = 0;
   private readonly keys = new Set<string>();
   private readonly stepId: string;
+  private readonly nodes: readonly SimulatedNode[];
 
   constructor(
     private readonly simulation: Simulation,
     private readonly plan: TrainerPlan,
   ) {
     this.stepId = `${plan.account}-step`;
+    this.nodes = nodesOfModel(simulation, plan.model);
   }
 
   /** Samples handed over more than once. */
@@ -123,11 +127,18 @@
     );
   }
 
+  /** Some node of a zone that the trainer's intent names. */
+  private nodeInZones(): SimulatedNode {
+    const node = this.nodes[this.simulation.random.integer(this.nodes.length)];
+    if (node === undefined) throw new RangeError('the intent names no zone with nodes');
+    return node;
+  }
+
   private ask(
     build: (localNow: Milliseconds) => NodeCall,
     onEnd: (outcome: Attempt) => void,
   ): void {
-    attempt(this.simulation, anyNode(this.simulation), build, PATIENCE, (outcome) => {
+    attempt(this.simulation, this.nodeInZones(), build, PATIENCE, (outcome) => {
       if (outcome.kind !== 'done') this.failedCalls += 1;
       onEnd(outcome);
     });
--- a/src/dispatch/dispatch-client.ts
+++ b/src/dispatch/dispatch-client.ts
@@ -14,6 +14,8 @@
 
 /** What the origin is told of one dispatch. */
 export interface DispatchListener {
+  /** The home has taken the dispatch in; called once at most. */
+  onAccepted?(): void;
   onSegment?(segment: TokenSegment, text: string): void;
   /** Called once. */
   onEnd(outcome: OriginOutcome): void;
@@ -109,13 +111,20 @@
     }
     if (!sameIdentity(from, dispatch.order.home)) return;
     dispatch.lastHeard = now;
-    dispatch.accepted = true;
+    this.noteAccepted(dispatch, message);
     if (message.kind === 'dispatch-segment') {
       dispatch.listener.onSegment?.(message.segment, message.text);
     }
     if (message.kind === 'dispatch-ended') this.end(dispatch, message.outcome);
   }
 
+  /** An outcome that says the work ran tells that it was taken in, as its first answer was lost. */
+  private noteAccepted(dispatch: OpenDispatch, message: DispatchMessage): void {
+    const isRefusal = message.kind === 'dispatch-ended' && message.outcome.kind !== 'finished';
+    if (!dispatch.accepted && !isRefusal) dispatch.listener.onAccepted?.();
+    dispatch.accepted = true;
+  }
+
   /** Repeats what was not answered and gives silent homes up. */
   tick(now: Milliseconds): void {
     for (const dispatch of [...this.open.values()]) this.check(dispatch, now);
--- a/src/dispatch/generation-runner.ts
+++ b/src/dispatch/generation-runner.ts
@@ -64,6 +64,8 @@
 
 /** What the owner of a generation is told. */
 export interface GenerationListener {
+  /** A home has taken an attempt in. */
+  onAccepted?(): void;
   onSegment?(segment: TokenSegment, text: string): void;
   /** Called once, perhaps before `run` returns. */
   onEnd(outcome: GenerationOutcome, now: Milliseconds): void;
@@ -121,6 +123,7 @@
     this.options.client.start(
       { dispatchId, home, worker, request: this.order.request, stream: this.order.stream },
       {
+        onAccepted: () => this.accepted(),
         onSegment: (segment, text) => this.pass(segment, text),
         onEnd: (outcome) => this.ended(worker, outcome),
       },
@@ -128,6 +131,10 @@
     );
   }
 
+  private accepted(): void {
+    if (!this.over) this.listener.onAccepted?.();
+  }
+
   private pass(segment: TokenSegment, text: string): void {
     if (!this.over) this.stream.accept(segment, text);
   }
--- a/src/node/view-refresher.ts
+++ b/src/node/view-refresher.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { LedgerDomain } from '../ledger/ledger.js';
 import type { MachineRecord, WorkerRecord } from '../platform/worker.js';
+import type { WantedModel } from '../routing/worker-topology.js';
 import type { DiskResidency } from './disk-residency.js';
 import type { NodeModules } from './node-modules.js';
 
@@ -34,9 +35,10 @@
     this.modules.effects.directory(
       this.modules.directory.updateDrains(this.modules.effectiveDrains(), now),
     );
+    const driven = this.modules.work.supervisor.drivenSamples();
     const wanted = [...configuration.intents.values()]
       .filter((intent) => intent.zones.includes(this.modules.settings.self.zone))
-      .map(({ model, zones }) => ({ model, zones }));
+      .map(({ model, zones }) => ({ model, zones, samplesDriven: driven.get(model) ?? 0 }));
     this.modules.effects.directory(
       this.modules.directory.updateWanted(this.wantedOrAll(wanted), now),
     );
@@ -75,12 +77,10 @@
     return this.modules.settings.zones.map((zone) => zone.name);
   }
 
-  private wantedOrAll(
-    wanted: readonly { readonly model: string; readonly zones: readonly string[] }[],
-  ): readonly { readonly model: string; readonly zones: readonly string[] }[] {
+  private wantedOrAll(wanted: readonly WantedModel[]): readonly WantedModel[] {
     if (this.modules.settings.mechanisms['residency-routing']) return wanted;
     const zones = this.modules.settings.zones.map((zone) => zone.name);
-    return wanted.map(({ model }) => ({ model, zones }));
+    return wanted.map((model) => ({ ...model, zones }));
   }
 
   private refreshWeights(now: Milliseconds): void {
--- a/src/rollouts/dispatch-window.ts
+++ b/src/rollouts/dispatch-window.ts
@@ -1,11 +1,12 @@
 /**
- * How many samples of a step are in flight at once. Additive increase, multiplicative decrease
- * (Chiu and Jain, 1989): grows with each success, shrinks when workers refuse.
+ * How many samples of a step are in flight at once. It grows by one with each sample that a home
+ * takes in while the limit is reached, so it doubles each round trip as in TCP's slow start
+ * (Jacobson, 1988); waiting for samples to finish instead would take minutes where samples do. A
+ * refusal sets the limit to what is in flight, which is what the workers have room for.
  */
 
 const INITIAL_SIZE = 16;
 const MINIMUM_SIZE = 4;
-const DECREASE_FACTOR = 0.75;
 
 /** Limit of samples in flight for one step. */
 export class DispatchWindow {
@@ -13,16 +14,16 @@
 
   /** The limit, a whole number. */
   get size(): number {
-    return Math.floor(this.limit);
+    return this.limit;
   }
 
-  /** A sample finished: one more may be in flight. */
-  succeeded(): void {
-    this.limit += 1;
+  /** A home took a sample in; `inFlight` counts it. */
+  accepted(inFlight: number): void {
+    if (inFlight >= this.limit) this.limit += 1;
   }
 
-  /** A worker or all of them refused: fewer should be in flight. */
-  refused(): void {
-    this.limit = Math.max(MINIMUM_SIZE, this.limit * DECREASE_FACTOR);
+  /** A worker or all of them refused; `inFlight` does not count the refused sample. */
+  refused(inFlight: number): void {
+    this.limit = Math.max(MINIMUM_SIZE, Math.min(this.limit, inFlight));
   }
 }
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -10,14 +10,13 @@
 import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
-import { HedgingPolicy, type PendingSample } from '../routing/hedging-policy.js';
 import { DeliveryAppender } from './delivery-appender.js';
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
 import type { StepRecord } from './records.js';
 import { SampleQueue } from './sample-queue.js';
 import { decodeSamples, encodeResult } from './step-bodies.js';
-import { StepPace } from './step-pace.js';
+import { StepHedging } from './step-hedging.js';
 import type { StepPorts } from './step-ports.js';
 
 /** Time given to one ledger operation before it is tried anew. */
@@ -38,9 +37,7 @@
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
   private readonly running = new Map<string, RunningSample>();
   private readonly window = new DispatchWindow();
-  private readonly pace = new StepPace();
-  private readonly hedging = new HedgingPolicy();
-  private hedgesMade = 0;
+  private readonly hedging: StepHedging;
   private queue: SampleQueue | null = null;
   private readonly appender: DeliveryAppender;
   private pausedUntil: Milliseconds = 0;
@@ -56,6 +53,7 @@
     readonly record: StepRecord,
     private readonly deadline: Milliseconds,
   ) {
+    this.hedging = new StepHedging(record.sampleCount);
     this.appender = new DeliveryAppender(ports.node, key, record, {
       delivered: (keys) => this.delivered(keys),
       closed: () => this.end('closed'),
@@ -154,17 +152,23 @@
   private generate(entry: RunningSample, permission: Parameters<StepPorts['generate']>[1]): void {
     entry.liveCopies += 1;
     const running = this.ports.generate(this.record, permission, entry.sample, this.deadline, {
+      onAccepted: () => this.accepted(),
       onEnd: (outcome) => this.generated(entry, outcome),
     });
     entry.generations.push(running);
   }
 
+  private accepted(): void {
+    if (this.phase !== 'running') return;
+    this.window.accepted(this.running.size);
+    this.dispatchMore();
+  }
+
   private generated(entry: RunningSample, outcome: GenerationOutcome): void {
     const { sample } = entry;
     entry.liveCopies -= 1;
     if (this.phase !== 'running' || this.running.get(sample.key) !== entry) return;
     if (outcome.kind === 'finished') {
-      this.window.succeeded();
       this.observe(entry, outcome.result);
       this.keep(entry, outcome.result);
       return;
@@ -173,7 +177,7 @@
     this.running.delete(sample.key);
     this.queue?.putBack(sample);
     if (ranStateOf(outcome.failure) === 'no') {
-      this.window.refused();
+      this.window.refused(this.running.size);
       const pause = Math.min(retryAfterOf(outcome.failure) ?? RETRY_PAUSE, RETRY_PAUSE);
       this.pausedUntil = this.node.now() + pause;
     }
@@ -267,31 +271,24 @@
 
   private observe(entry: RunningSample, result: GenerationResult): void {
     this.queue?.observe(entry.sample, result.tokenCount);
-    this.pace.record(result.tokenCount, this.node.now() - entry.startedAt);
+    this.hedging.finished(result.tokenCount, this.node.now() - entry.startedAt);
   }
 
-  /** Starts a second copy of the last few samples that are late; see `HedgingPolicy`. */
+  /** Starts a second copy of the last few samples that are late. */
   private hedgeLate(now: Milliseconds): void {
-    if (!this.ports.hedging || this.running.size === 0) return;
-    const progress = {
-      sampleCount: this.record.sampleCount,
-      pending: [...this.running.values()].map((entry) => this.pendingSample(entry)),
-      typicalDuration: this.pace.typicalDuration(),
-      hedgesMade: this.hedgesMade,
-    };
-    for (const key of this.hedging.samplesToHedge(progress, now)) this.hedge(key);
-  }
-
-  private pendingSample({ sample, startedAt, liveCopies }: RunningSample): PendingSample {
-    const expected = this.pace.expectedDuration(this.queue?.predict(sample) ?? 0);
-    return { key: sample.key, startedAt, attempts: liveCopies, expected };
+    if (!this.ports.hedging || !this.hedging.isTail(this.running.size)) return;
+    const candidates = [...this.running.values()].map(({ sample, startedAt, liveCopies }) => {
+      const predictedTokens = this.queue?.predict(sample) ?? 0;
+      return { key: sample.key, startedAt, liveCopies, predictedTokens };
+    });
+    for (const key of this.hedging.samplesToHedge(candidates, now)) this.hedge(key);
   }
 
   private hedge(key: string): void {
     const entry = this.running.get(key);
     const answer = this.ports.permission(this.record);
     if (entry === undefined || answer.kind === 'refused') return;
-    this.hedgesMade += 1;
+    this.hedging.hedged();
     this.node.counters.increment('samples_hedged');
     this.generate(entry, answer.permission);
   }
--- a/src/rollouts/step-pace.ts
+++ b/src/rollouts/step-pace.ts
@@ -13,11 +13,15 @@
 export class StepPace {
   private readonly durations: Milliseconds[] = [];
   private readonly tokenTimes: Milliseconds[] = [];
+  /** Median time of a token, until the next sample; `undefined` without enough history. */
+  private tokenTime: Milliseconds | undefined;
 
   /** Notes a finished sample. */
   record(tokens: TokenCount, duration: Milliseconds): void {
     push(this.durations, duration);
-    if (tokens > 0) push(this.tokenTimes, duration / tokens);
+    if (tokens <= 0) return;
+    push(this.tokenTimes, duration / tokens);
+    this.tokenTime = undefined;
   }
 
   /** Median time of a sample; `undefined` without enough history. */
@@ -27,8 +31,8 @@
 
   /** Time a sample of a predicted length should take; `undefined` without enough history. */
   expectedDuration(tokens: TokenCount): Milliseconds | undefined {
-    const tokenTime = median(this.tokenTimes);
-    return tokenTime === undefined ? undefined : tokenTime * tokens;
+    this.tokenTime ??= median(this.tokenTimes);
+    return this.tokenTime === undefined ? undefined : this.tokenTime * tokens;
   }
 }
 
--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -7,7 +7,7 @@
 
 import type { GroupRecord } from '../config-feed/configuration.js';
 import { rendezvousOrder } from '../core/hashing.js';
-import { identityKey, type NodeIdentity, sameIdentity } from '../core/identity.js';
+import { identityKey, type ModelName, type NodeIdentity, sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { RolloutMessage } from './messages.js';
 import { STEP_PREFIX, type StepRecord } from './records.js';
@@ -48,6 +48,16 @@
       .map((step) => step.key);
   }
 
+  /** Samples of the steps this node drives now, by model. */
+  drivenSamples(): ReadonlyMap<ModelName, number> {
+    const samples = new Map<ModelName, number>();
+    for (const { driver, record } of this.steps.values()) {
+      if (driver === null || driver.isOver) continue;
+      samples.set(record.model, (samples.get(record.model) ?? 0) + record.sampleCount);
+    }
+    return samples;
+  }
+
   /** Takes in another member's message. */
   receive(from: NodeIdentity, message: RolloutMessage): void {
     for (const key of message.steps) this.heardDriver(from, key);
--- a/src/routing/hedging-policy.ts
+++ b/src/routing/hedging-policy.ts
@@ -47,10 +47,14 @@
     this.#lateness = options.lateness ?? 1.5;
   }
 
+  /** Whether so few samples of a step are pending that late ones may be hedged. */
+  isTail(sampleCount: number, pendingCount: number): boolean {
+    return pendingCount <= Math.max(1, Math.floor(sampleCount * this.#tailShare));
+  }
+
   /** Keys of samples to be run once more now, the latest first. Samples must be repeatable. */
   samplesToHedge(step: StepProgress, now: Milliseconds): readonly string[] {
-    const tail = Math.max(1, Math.floor(step.sampleCount * this.#tailShare));
-    if (step.pending.length > tail) return [];
+    if (!this.isTail(step.sampleCount, step.pending.length)) return [];
     const budget = Math.max(1, Math.floor(step.sampleCount * this.#hedgeShare)) - step.hedgesMade;
     if (budget <= 0) return [];
     return step.pending
--- a/src/routing/worker-topology.ts
+++ b/src/routing/worker-topology.ts
@@ -14,8 +14,13 @@
 export interface WantedModel {
   readonly model: ModelName;
   readonly zones: readonly ZoneName[];
+  /** Samples of the steps this node drives with the model; widens its subsets. @default 0 */
+  readonly samplesDriven?: number;
 }
 
+/** Samples in flight that a driver counts on a worker to take; widens the subsets of drivers. */
+const SAMPLES_A_WORKER = 8;
+
 /** The workers of one model and zone that this node follows. */
 export interface WorkerSubset {
   readonly model: ModelName;
@@ -103,18 +108,27 @@
 
   /** The subsets of all wanted models and zones. */
   subsets(): readonly WorkerSubset[] {
-    return this.#wanted.flatMap(({ model, zones }) =>
-      zones.map((zone) => ({ model, zone, records: this.#subsetOf(model, zone) })),
-    );
+    return this.#wanted.flatMap(({ model, zones }) => {
+      const size = this.#sizeFor(model);
+      return zones.map((zone) => ({ model, zone, records: this.#subsetOf(model, zone, size) }));
+    });
+  }
+
+  /** Workers followed in each zone: the same for all intents of a model. */
+  #sizeFor(model: ModelName): number {
+    const sizes = this.#wanted
+      .filter((wanted) => wanted.model === model)
+      .map(({ samplesDriven, zones }) => (samplesDriven ?? 0) / zones.length / SAMPLES_A_WORKER);
+    return Math.max(this.#subsetSize, ...sizes.map(Math.ceil));
   }
 
   /** Clients of the ring are the nodes of this node's own zone. */
-  #subsetOf(model: ModelName, zone: ZoneName): readonly WorkerRecord[] {
+  #subsetOf(model: ModelName, zone: ZoneName, size: number): readonly WorkerRecord[] {
     const records = this.#drains.usable(this.#index.inService(model, zone));
     const homes = this.#homesOf(this.#self.zone);
     const rank = homes.rankOf(this.#self.node);
-    if (rank !== undefined) return subsetOf(records, rank, homes.nodeCount, this.#subsetSize);
-    return subsetOf(records, homes.nodeCount, homes.nodeCount + 1, this.#subsetSize);
+    if (rank !== undefined) return subsetOf(records, rank, homes.nodeCount, size);
+    return subsetOf(records, homes.nodeCount, homes.nodeCount + 1, size);
   }
 
   #homesOf(zone: ZoneName): ZoneHomes {
@@ -127,5 +141,7 @@
 }
 
 function wantedText(models: readonly WantedModel[]): string {
-  return models.map((model) => [model.model, ...model.zones].join('\n')).join('\n\n');
+  const textOf = ({ model, zones, samplesDriven }: WantedModel): string =>
+    [model, samplesDriven ?? 0, ...zones].join('\n');
+  return models.map(textOf).join('\n\n');
 }
--- a/test/dispatch/dispatch.test.ts
+++ b/test/dispatch/dispatch.test.ts
@@ -4,7 +4,7 @@
 import { DispatchClient, type OriginOutcome } from '../../src/dispatch/dispatch-client.js';
 import { HomeDispatcher } from '../../src/dispatch/home-dispatcher.js';
 import type { AdmissionDecision } from '../../src/dispatch/home-dispatcher-options.js';
-import type { DispatchMessage } from '../../src/dispatch/messages.js';
+import type { DispatchMessage, DispatchOutcome } from '../../src/dispatch/messages.js';
 import { type Failure, failure } from '../../src/errors/error-kinds.js';
 import type { WorkerRecord } from '../../src/platform/worker.js';
 
@@ -191,3 +191,32 @@
 function dispatchMessage(dispatchId: string): DispatchMessage {
   return { kind: 'dispatch', dispatchId, worker: 'w1', request: REQUEST, stream: false };
 }
+
+t.test('a dispatch is told as accepted once, and a refused one never', async (t) => {
+  let accepted = 0;
+  const client = new DispatchClient({ send: () => undefined });
+  const start = (dispatchId: string): void =>
+    client.start(
+      { dispatchId, home: HOME, worker: 'w1', request: REQUEST, stream: false },
+      {
+        onAccepted: () => {
+          accepted += 1;
+        },
+        onEnd: () => undefined,
+      },
+      0,
+    );
+  const ended = (dispatchId: string, outcome: DispatchOutcome): void =>
+    client.receive(HOME, { kind: 'dispatch-ended', dispatchId, outcome }, 1);
+  start('d1');
+  client.receive(HOME, { kind: 'dispatch-accepted', dispatchId: 'd1' }, 1);
+  client.receive(HOME, { kind: 'dispatch-accepted', dispatchId: 'd1' }, 2);
+  ended('d1', { kind: 'finished', result: RESULT });
+  t.equal(accepted, 1);
+  start('d2');
+  ended('d2', { kind: 'refused', failure: failure('overloaded', 'full', { ran: 'no' }) });
+  t.equal(accepted, 1);
+  start('d3');
+  ended('d3', { kind: 'finished', result: RESULT });
+  t.equal(accepted, 2, 'the acceptance was lost, the result was not');
+});
--- /dev/null
+++ b/test/routing/worker-topology.test.ts
@@ -0,0 +1,51 @@
+import t from 'tap';
+import type { NodeRecord } from '../../src/core/identity.js';
+import type { MachineRecord } from '../../src/platform/worker.js';
+import { type WantedModel, WorkerTopology } from '../../src/routing/worker-topology.js';
+
+const ZONES = ['a', 'b', 'c'];
+
+function node(name: string, zone: string): NodeRecord {
+  return { node: name, incarnation: 1, zone, region: 'r', address: `${name}:1`, machine: name };
+}
+
+const NODES = ZONES.flatMap((zone) => [node(`${zone}1`, zone), node(`${zone}2`, zone)]);
+
+const MACHINES: readonly MachineRecord[] = Array.from({ length: 600 }, (_, position) => {
+  const zone = ZONES[position % ZONES.length] ?? '';
+  const worker = { worker: `w${position}`, model: 'm', zone, address: `w${position}:1`, slots: 16 };
+  return { machine: `machine-${position}`, zone, state: 'in-service', workers: [worker] };
+}) as unknown as readonly MachineRecord[];
+
+/** Number of workers followed in each zone. */
+function followed(wanted: readonly WantedModel[]): readonly number[] {
+  const self = NODES[0];
+  if (self === undefined) throw new RangeError('no nodes');
+  const topology = new WorkerTopology(self, 32);
+  topology.updateMachines(MACHINES);
+  topology.updateWanted(wanted);
+  topology.updateNodes((zone) => NODES.filter((one) => one.zone === zone));
+  return topology.subsets().map((subset) => subset.records.length);
+}
+
+t.test('the driver of a large step follows the workers that its samples need', async (t) => {
+  t.same(followed([{ model: 'm', zones: ZONES }]), [32, 32, 32]);
+  t.same(followed([{ model: 'm', zones: ZONES, samplesDriven: 256 }]), [32, 32, 32]);
+  t.same(followed([{ model: 'm', zones: ZONES, samplesDriven: 2_400 }]), [100, 100, 100]);
+  t.same(followed([{ model: 'm', zones: ZONES, samplesDriven: 16_384 }]), [200, 200, 200]);
+});
+
+t.test('two intents of a model agree on its subsets', async (t) => {
+  const narrow = { model: 'm', zones: ['a'], samplesDriven: 800 };
+  t.same(
+    followed([{ model: 'm', zones: ZONES, samplesDriven: 800 }, narrow]),
+    [100, 100, 100, 100],
+  );
+});
+
+t.test('a change of the samples driven is a change of what is wanted', async (t) => {
+  const topology = new WorkerTopology(node('a1', 'a'), 32);
+  t.ok(topology.updateWanted([{ model: 'm', zones: ZONES }]));
+  t.notOk(topology.updateWanted([{ model: 'm', zones: ZONES, samplesDriven: 0 }]));
+  t.ok(topology.updateWanted([{ model: 'm', zones: ZONES, samplesDriven: 512 }]));
+});
