--- a/lab/emulator/engine-core.ts
+++ b/lab/emulator/engine-core.ts
@@ -13,6 +13,7 @@
 import { Batch } from './batch.js';
 import { type EngineOutput, EngineOutputs } from './engine-outputs.js';
 import type { EngineSettings } from './engine-settings.js';
+import { MadeTokens } from './made-tokens.js';
 import { type CacheEvent, PrefixCache } from './prefix-cache.js';
 import { type KeyValueCacheExport, Sequence } from './sequence.js';
 import { WeightMemory } from './weight-memory.js';
@@ -21,6 +22,7 @@
 
 /** One emulated engine. */
 export class EngineCore {
+  readonly made = new MadeTokens();
   private batch: Batch;
   private cache: PrefixCache;
   private weights: WeightMemory;
@@ -68,9 +70,7 @@
     const mayRunNow = this.batch.hasRoom || this.preemptionVictim(request) !== undefined;
     const queue = this.waiting[request.trafficClass];
     if (!mayRunNow && queue.length >= this.settings.queueLimit) return 'refused';
-    if (resume !== undefined) {
-      for (const event of sequence.import(resume)) this.outputs.stream(dispatchId, event, now);
-    }
+    for (const event of sequence.takeOver(resume)) this.outputs.stream(dispatchId, event, now);
     queue.push(sequence);
     this.preempt(request, now);
     this.fillSlots(now);
@@ -81,7 +81,7 @@
   cancel(dispatchId: string, now: Milliseconds): void {
     this.process(now);
     this.outputs.dropStream(dispatchId);
-    if (this.batch.get(dispatchId) !== undefined) this.batch.remove(dispatchId);
+    this.made.count(this.batch.remove(dispatchId));
     for (const kind of ['interactive', 'training'] as const) {
       this.waiting[kind] = this.waiting[kind].filter((held) => held.dispatchId !== dispatchId);
     }
@@ -135,6 +135,7 @@
     if (this.crashed) return;
     this.process(now);
     const { interactive, training } = this.waiting;
+    for (const sequence of this.batch.all()) this.made.count(sequence);
     for (const { dispatchId } of [...this.batch.all(), ...interactive, ...training]) {
       const reason = 'connection reset';
       this.outputs.stream(dispatchId, { kind: 'failed', ran: 'unknown', reason }, now);
@@ -210,6 +211,7 @@
   }
 
   private streamTokens(sequence: Sequence, at: Milliseconds): void {
+    this.made.count(sequence);
     const event = sequence.stream(this.weights.active);
     if (event !== undefined) this.outputs.stream(sequence.dispatchId, event, at);
   }
@@ -218,8 +220,10 @@
     while (this.batch.hasRoom) {
       const next = this.waiting.interactive.shift() ?? this.waiting.training.shift();
       if (next === undefined) return;
-      const unread = next.prefilled ? 0 : this.cache.read(next.request.prompt, now);
+      const unreadPrompt = next.prefilled ? 0 : this.cache.read(next.request.prompt, now);
+      const unread = unreadPrompt + next.unreadTokens;
       next.prefilled = true;
+      next.unreadTokens = 0;
       this.batch.add(next, unread * this.settings.prefillTimePerToken, now);
     }
   }
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -17,6 +17,7 @@
   'weights-activation',
   'fleet',
   'letter-steps',
+  'resume',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -96,6 +96,7 @@
       memberChanged: (member) => this.memberChanged(member),
       configurationApplied: (revision, changedKeys) =>
         this.configurationApplied(revision, changedKeys),
+      isHome: (worker) => this.directory.isHome(worker),
     });
     this.report = new NodeReport(this, isStopping);
     const hasDisk = settings.diskBodies !== null;
@@ -137,6 +138,7 @@
 
   /** The caller went away. */
   abandonCall(callId: string): void {
+    this.context.abandonCall(callId);
     this.work.requests.abandon(callId);
     this.work.steps.abandon(callId);
     this.intents.abandon(callId);
@@ -197,7 +199,8 @@
 
   /** Whether nothing is in progress any more. */
   isIdle(): boolean {
-    return this.work.isIdle() && this.ledgerAdapter.openCount === 0;
+    const open = this.context.openCallCount + this.ledgerAdapter.openCount;
+    return open === 0 && this.work.isIdle();
   }
 
   /** The failure that refuses calls on a stopping node. */
