Steps larger than the ledger's room: acknowledged results make way, and stores are not flooded

Cause: a step's results stay in its replicas' memory until the whole step is acknowledged. Ruled out: a larger limit (655 MB on each replica is beyond 256 MB a node); bodies spread over all shards of the domain (8 groups of 5 hold 2.6 GB, a step at a majority needs 2 GB, all five 3.3 GB). Change: where a result finds the ledger full, the driver has acknowledged results forgotten; they stay readable as long as there is room. A read of one that is gone is answered cursor_conflict. A keeper tries one result at a time after a refusal, twice as many after each success, and the driver makes no further results meanwhile. A refusal without fullness makes the driver read the log again, since another driver may have delivered the sample. Conclusion: the room a step needs is bounded by what its trainer has not acknowledged.

--- a/src/core/node-ports.ts
+++ b/src/core/node-ports.ts
@@ -51,8 +51,8 @@
   readonly view: Pick<Ledger<LedgerRecord>, 'localEntries' | 'groupFor' | 'isActiveMember'>;
   /** Forgets the register with a key or, where the key ends with `/`, all below it. */
   removeRegisters(domain: string, shardKey: string, key: string): void;
-  /** Forgets all bodies of a shard key. */
-  removeBodies(domain: string, shardKey: string): void;
+  /** Forgets bodies of a shard key: those with these digests, or all of them for `null`. */
+  removeBodies(domain: string, shardKey: string, digests: readonly string[] | null): void;
 }
 
 /** The node as its composite modules see it. */
--- a/src/node/ledger-adapter.ts
+++ b/src/node/ledger-adapter.ts
@@ -78,8 +78,8 @@
     this.apply(this.ledger.removeKeys(domain, shardKey, key, this.context.now()));
   }
 
-  removeBodies(domain: string, shardKey: string): void {
-    this.apply(this.ledger.removeBodies(domain, shardKey, null, this.context.now()));
+  removeBodies(domain: string, shardKey: string, digests: readonly string[] | null): void {
+    this.apply(this.ledger.removeBodies(domain, shardKey, digests, this.context.now()));
   }
 
   /** Carries out what the ledger wants. */
--- a/src/retention/retention-sweeper.ts
+++ b/src/retention/retention-sweeper.ts
@@ -110,13 +110,13 @@
       if (outcome.value.state !== 'expired') return;
       this.node.explain(key, 'expired', 'its time to be read is over');
       this.node.ledger.removeRegisters(domain, key, pagePrefix(key));
-      this.node.ledger.removeBodies(domain, key);
+      this.node.ledger.removeBodies(domain, key, null);
     });
   }
 
   private remove(domain: string, shardKey: string, key: string): void {
     this.node.ledger.removeRegisters(domain, shardKey, key);
-    this.node.ledger.removeBodies(domain, shardKey);
+    this.node.ledger.removeBodies(domain, shardKey, null);
   }
 
   private isFirstLiveMember(domain: string, shardKey: string): boolean {
--- a/src/rollouts/delivery-appender.ts
+++ b/src/rollouts/delivery-appender.ts
@@ -20,8 +20,8 @@
 
 /** What the owner of the appender is told. */
 export interface DeliveryListener {
-  /** These keys are in the log now, whoever put them there. */
-  delivered(keys: readonly string[]): void;
+  /** These entries are in the log now, whoever put them there; in the order of the log. */
+  delivered(entries: readonly DeliveryEntry[]): void;
   /** The log is closed. */
   closed(): void;
   /** A result was dropped: the versions that made it may not be handed over. */
@@ -88,6 +88,13 @@
     });
   }
 
+  /** Reads what another driver may have appended meanwhile. */
+  refresh(): void {
+    if (!this.loaded || this.busy || this.over) return;
+    this.loaded = false;
+    this.load(() => this.append());
+  }
+
   /** Takes in a finished sample whose body is stored. */
   add(entry: DeliveryEntry, result: GenerationResult): void {
     if (this.over || this.deliveredKeys.has(entry.key)) {
@@ -140,7 +147,7 @@
   private absorb(page: DeliveryPage): void {
     const fresh = page.entries.filter((entry) => !this.deliveredKeys.has(entry.key));
     for (const entry of fresh) this.absorbEntry(entry);
-    if (fresh.length > 0) this.listener.delivered(fresh.map((entry) => entry.key));
+    if (fresh.length > 0) this.listener.delivered(fresh);
     if (page.closed !== null) {
       this.finish();
       return;
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -11,13 +11,15 @@
 import type { GenerationOutcome } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
+import { AcknowledgedBodies } from './acknowledged-bodies.js';
 import { DeliveryAppender } from './delivery-appender.js';
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
-import type { StepRecord } from './records.js';
+import type { DeliveryEntry, StepRecord } from './records.js';
+import { ResultKeeper } from './result-keeper.js';
 import { type RunningSample, RunningSamples } from './running-samples.js';
 import { SampleQueue } from './sample-queue.js';
-import { decodeSamples, encodeResult } from './step-bodies.js';
+import { decodeSamples } from './step-bodies.js';
 import { StepHedging } from './step-hedging.js';
 import type { StepPorts } from './step-ports.js';
 
@@ -34,6 +36,8 @@
   private readonly hedging: StepHedging;
   private queue: SampleQueue | null = null;
   private readonly appender: DeliveryAppender;
+  private readonly keeper: ResultKeeper;
+  private readonly acknowledgedBodies: AcknowledgedBodies;
   private pausedUntil: Milliseconds = 0;
   private endState: 'complete' | 'closed' = 'complete';
 
@@ -48,8 +52,14 @@
     private readonly deadline: Milliseconds,
   ) {
     this.hedging = new StepHedging(record.sampleCount);
+    this.acknowledgedBodies = new AcknowledgedBodies(ports.node, key, record);
+    this.keeper = new ResultKeeper(ports.node, key, record, {
+      stored: (entry, result) => this.appender.add(entry, result),
+      full: () => this.makeRoom(),
+      refused: () => this.appender.refresh(),
+    });
     this.appender = new DeliveryAppender(ports.node, key, record, {
-      delivered: (keys) => this.delivered(keys),
+      delivered: (entries) => this.delivered(entries),
       closed: () => this.end('closed'),
       inadmissible: (sampleKey, reason) => this.regenerate(sampleKey, reason),
     });
@@ -88,6 +98,7 @@
     if (now >= this.deadline && this.phase !== 'ending') this.close('deadline_exceeded');
     if (now < this.pausedUntil) return;
     if (this.phase === 'loading') this.retryLoading();
+    if (this.phase === 'running') this.keeper.tick();
     if (this.phase === 'running') this.dispatchMore();
     if (this.phase === 'ending') this.markEnded();
     this.appender.tick();
@@ -95,6 +106,7 @@
 
   /** Stops driving; what runs is cancelled. Another member goes on. */
   abandon(): void {
+    this.keeper.stop();
     this.running.forgetAll();
     this.phase = 'ended';
   }
@@ -115,7 +127,7 @@
   private dispatchMore(): void {
     const queue = this.queue;
     const now = this.node.now();
-    if (queue === null || now < this.pausedUntil) return;
+    if (queue === null || now < this.pausedUntil || this.keeper.isBlocked) return;
     while (this.running.size < this.window.size) {
       const sample = queue.next(now);
       if (sample === undefined) break;
@@ -177,27 +189,20 @@
     }
   }
 
-  /** Stores a result on a majority, then has it appended. */
+  /** Has a result stored on a majority, then appended. */
   private keep(entry: RunningSample, result: GenerationResult): void {
     for (const other of entry.generations) other.cancel();
-    const { sample } = entry;
-    const body = encodeResult(sample.key, result);
-    const deadline = this.node.now() + LEDGER_TIMEOUT;
-    const { intent } = this.record;
-    this.node.ledger.storeBody(intent, this.key, body, deadline, (digest, outcome) => {
-      if (this.phase !== 'running') return;
-      if (outcome.kind === 'stored') {
-        this.appender.add({ key: sample.key, digest }, result);
-        return;
-      }
-      this.pausedUntil = this.node.now() + RETRY_PAUSE;
-      if (outcome.kind === 'full') this.node.explain(this.key, 'paused', 'the ledger is full');
-      this.node.later(RETRY_PAUSE, () => this.keepAgain(entry, result));
-    });
+    this.keeper.keep(entry.sample.key, result);
+  }
+
+  /** The trainer has all samples below the cursor. */
+  acknowledged(cursor: number): void {
+    this.acknowledgedBodies.raise(cursor);
   }
 
-  private keepAgain(entry: RunningSample, result: GenerationResult): void {
-    if (this.phase === 'running') this.keep(entry, result);
+  private makeRoom(): void {
+    if (this.acknowledgedBodies.forget() > 0) return;
+    this.node.explain(this.key, 'paused', 'the ledger is full');
   }
 
   private regenerate(sampleKey: string, reason: string): void {
@@ -209,8 +214,10 @@
     this.queue?.putBack(entry.sample);
   }
 
-  private delivered(keys: readonly string[]): void {
-    for (const key of keys) {
+  private delivered(entries: readonly DeliveryEntry[]): void {
+    this.acknowledgedBodies.delivered(entries);
+    this.keeper.delivered(new Set(entries.map((entry) => entry.key)));
+    for (const { key } of entries) {
       this.running.forget(key);
       this.queue?.remove(key);
     }
@@ -231,6 +238,7 @@
 
   private end(state: 'complete' | 'closed'): void {
     if (this.phase === 'ending' || this.phase === 'ended') return;
+    this.keeper.stop();
     this.running.forgetAll();
     this.phase = 'ending';
     this.endState = state;
--- a/src/rollouts/step-reader.ts
+++ b/src/rollouts/step-reader.ts
@@ -131,8 +131,12 @@
     const samples = new Map<number, DeliveredSample>();
     let failed = false;
     for (const [index, entry] of entries.entries()) {
-      this.fetchOne(entry, this.order.cursor + index, (sample) => {
+      this.fetchOne(entry, this.order.cursor + index, (sample, position) => {
         if (this.over || failed) return;
+        if (sample === 'forgotten') {
+          this.fail(failure('cursor_conflict', `${position} is acknowledged and forgotten`));
+          return;
+        }
         if (sample === null) {
           failed = true;
           this.busy = false;
@@ -150,17 +154,19 @@
   private fetchOne(
     entry: DeliveryEntry,
     position: number,
-    done: (sample: DeliveredSample | null) => void,
+    done: (sample: DeliveredSample | 'forgotten' | null, position: number) => void,
   ): void {
     const { intent, stepKey } = this.order;
     const deadline = this.node.now() + LEDGER_TIMEOUT;
     this.node.ledger.fetchBody(intent, stepKey, entry.digest, deadline, (outcome) => {
       if (outcome.kind !== 'body') {
-        done(null);
+        const isForgotten =
+          outcome.kind === 'body-missing' && position < this.order.record.acknowledged;
+        done(isForgotten ? 'forgotten' : null, position);
         return;
       }
       const stored = decodeResult(outcome.body);
-      done({ position, key: stored.key, result: stored.result });
+      done({ position, key: stored.key, result: stored.result }, position);
     });
   }
 
--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -106,6 +106,7 @@
       return;
     }
     known.record = record;
+    known.driver?.acknowledged(record.acknowledged);
     if (record.state !== 'open') known.endedSince ??= now;
   }
 
--- a/test/rollouts/delivery-appender.test.ts
+++ b/test/rollouts/delivery-appender.test.ts
@@ -40,7 +40,7 @@
       configuration: () => this.configuration(),
     } as unknown as NodePorts;
     this.appender = new DeliveryAppender(ports, 'step/s', RECORD, {
-      delivered: (keys) => this.delivered.push(...keys),
+      delivered: (entries) => this.delivered.push(...entries.map((entry) => entry.key)),
       closed: () => undefined,
       inadmissible: (key, reason) => this.dropped.push(`${key} ${reason.split(': ')[1]}`),
     });
