--- a/lab/main.ts
+++ b/lab/main.ts
@@ -16,6 +16,7 @@
   'storage',
   'weights-activation',
   'fleet',
+  'letter-steps',
   'resume',
   'hollow',
 ] as const;
--- a/src/dispatch/generation-runner.ts
+++ b/src/dispatch/generation-runner.ts
@@ -87,6 +87,8 @@
 
 /** What the owner of a generation is told. */
 export interface GenerationListener {
+  /** A home has taken an attempt in. */
+  onAccepted?(): void;
   onSegment?(segment: TokenSegment, text: string): void;
   /** Called once, perhaps before `run` returns. */
   onEnd(outcome: GenerationOutcome, now: Milliseconds): void;
@@ -153,6 +155,7 @@
     this.options.client.start(
       { dispatchId, home, worker, request, stream },
       {
+        onAccepted: () => this.accepted(),
         onSegment: (segment, text) => this.pass(segment, text),
         onEnd: (outcome) => this.ended(worker, outcome),
       },
@@ -160,6 +163,10 @@
     );
   }
 
+  private accepted(): void {
+    if (!this.over) this.listener.onAccepted?.();
+  }
+
   /** The request as a worker gets it: with the tokens made already, where it may go on from them. */
   private requestFor(worker: WorkerId): GenerationRequest {
     const { request } = this.order;
