The engine process loads weights from the weight store; adapters, roles and cache handles

Cause: loads in the engine process ended by a timer and the weight store's rate limit shaped nothing; adapter and role orders and the transfer of key-value caches were missing over HTTP. Ruled out: a new engine output for external loads, which every simulated host would have to know. Change: EngineCore hands out external loads and is told of their end; the process downloads through 429 and Retry-After with jitter. The demo uses it, lets one worker's machine leave for a while, and its trainers draw ahead while training for 3 s.

--- a/lab/demo/deployment-load.ts
+++ b/lab/demo/deployment-load.ts
@@ -19,7 +19,7 @@
 export const VERSION_GRACE_MILLISECONDS = 8_000;
 const LOOKUP_INTERVAL_MILLISECONDS = 100;
 const ORDER_EVERY = 8;
-const TRAINING_TIME_MILLISECONDS = 500;
+const DEFAULT_TRAINING_TIME_MILLISECONDS = 500;
 const STEP_TIMEOUT_MILLISECONDS = 60_000;
 const SERVING_LIMIT_MILLISECONDS = 20_000;
 /** Time until a confirmed intent is in force on all nodes. */
@@ -34,6 +34,13 @@
   readonly record?: (event: ClientEvent) => void;
   /** @default 60000 */
   readonly stepTimeout?: number;
+  /** Time the trainer trains on a step, in milliseconds. @default 500 */
+  readonly trainingTime?: number;
+  /**
+   * Whether the trainer draws the next step meanwhile, where the staleness bound allows a version
+   * between. @default false
+   */
+  readonly drawsAhead?: boolean;
 }
 
 /** Loads one deployment and judges it. */
@@ -68,7 +75,8 @@
         model: deployment.training.model,
         addresses,
         samplesPerStep: deployment.samplesPerStep,
-        trainingTime: TRAINING_TIME_MILLISECONDS,
+        trainingTime: options.trainingTime ?? DEFAULT_TRAINING_TIME_MILLISECONDS,
+        drawsAhead: options.drawsAhead === true && stalenessBound >= 1,
         stepTimeout: options.stepTimeout ?? STEP_TIMEOUT_MILLISECONDS,
         random: createRandomSource(seed),
         events,
--- a/lab/demo/deployment-run.ts
+++ b/lab/demo/deployment-run.ts
@@ -3,11 +3,17 @@
 import type { InteractiveReport } from '../load/interactive-report.js';
 import type { TrainerReport } from '../load/trainer-report.js';
 import { DeploymentLoad, IN_FORCE_PAUSE_MILLISECONDS } from './deployment-load.js';
+import { LeavingMachine, type LeavingReport } from './leaving-machine.js';
 import { pause, type RunningDeployment } from './running-deployment.js';
 
 /** When a node is killed, and when it is started again, after the load has begun. */
 const KILL_AFTER_MILLISECONDS = 9_000;
 const RESTART_AFTER_MILLISECONDS = 6_000;
+/** When a worker's machine leaves and is back, as shares of the load's time. */
+const LEAVE_SHARE = 0.5;
+const COME_BACK_SHARE = 0.8;
+/** Long enough for the share of the time that the trainer waits to mean something. */
+const TRAINING_TIME_MILLISECONDS = 3_000;
 
 /** What came of one deployment's run. */
 export interface DeploymentReport {
@@ -17,11 +23,14 @@
   /** Whether drawing was refused before the plan was confirmed. */
   readonly refusedBeforeConfirm: boolean;
   readonly killedNode: string;
+  /** What came of the worker whose machine left for a while. */
+  readonly leaving: LeavingReport;
 }
 
 /** Runs the load of one deployment for a while. */
 export class DeploymentRun {
   private readonly load: DeploymentLoad;
+  private readonly machine: LeavingMachine;
 
   constructor(
     private readonly running: RunningDeployment,
@@ -29,7 +38,10 @@
     seed: number,
     record: (event: ClientEvent) => void = () => undefined,
   ) {
-    this.load = new DeploymentLoad({ running, seed, progress, record });
+    const trainingTime = TRAINING_TIME_MILLISECONDS;
+    const training = { trainingTime, drawsAhead: true };
+    this.load = new DeploymentLoad({ running, seed, progress, record, ...training });
+    this.machine = new LeavingMachine(running, `${running.deployment.training.model}-2`);
   }
 
   /** Sets the deployment up, loads it for a time, and reports. */
@@ -40,8 +52,9 @@
     this.say('samples are drawn');
     load.start();
     const publishing = this.publishUntil(performance.now() + duration);
+    const leaving = this.leaveAndComeBack(duration);
     const killedNode = await this.killAndRestart();
-    await publishing;
+    await Promise.all([publishing, leaving]);
     await load.stop();
     await load.judge();
     return {
@@ -50,6 +63,7 @@
       interactive: load.interactiveReport,
       refusedBeforeConfirm,
       killedNode,
+      leaving: await this.machine.report(),
     };
   }
 
@@ -77,6 +91,16 @@
     return node.name;
   }
 
+  private async leaveAndComeBack(duration: number): Promise<void> {
+    const { worker } = this.machine;
+    await pause(duration * LEAVE_SHARE);
+    await this.machine.leave();
+    this.say(`the machine of ${worker} is leaving, says the machine list`);
+    await pause(duration * (COME_BACK_SHARE - LEAVE_SHARE));
+    await this.machine.comeBack();
+    this.say(`the machine of ${worker} is back`);
+  }
+
   private say(line: string): void {
     this.progress(`${this.running.deployment.name}: ${line}`);
   }
--- a/lab/demo/running-deployment.ts
+++ b/lab/demo/running-deployment.ts
@@ -17,6 +17,9 @@
 const PEER_TOKEN = 'demo-peer-token-of-all-nodes';
 /** How late the machine list shows a change, in milliseconds. */
 export const MACHINE_LIST_LAG = 1_000;
+/** The weight store takes a second for one version. */
+const WEIGHT_BYTES_PER_SECOND = 1_000_000_000;
+const WEIGHT_VERSION_BYTES = 1_000_000_000;
 const LAB_TIMEOUT_MILLISECONDS = 5_000;
 const READY_LIMIT_MILLISECONDS = 20_000;
 const READY_POLL_MILLISECONDS = 100;
@@ -66,18 +69,24 @@
   /** Starts everything and waits until all nodes are ready. */
   async start(): Promise<void> {
     const { name } = this.deployment;
-    const [keyValue, machineList] = await Promise.all([
+    const [keyValue, machineList, weightStore] = await Promise.all([
       this.group.startEmulator(`${name}-key-value`, ['key-value']),
       this.group.startEmulator(`${name}-machine-list`, [
         'machine-list',
         '--lag',
         String(MACHINE_LIST_LAG),
       ]),
-      this.group.startEmulator(`${name}-weight-store`, ['weight-store']),
+      this.group.startEmulator(`${name}-weight-store`, [
+        'weight-store',
+        '--bytes-per-second',
+        String(WEIGHT_BYTES_PER_SECOND),
+        '--version-bytes',
+        String(WEIGHT_VERSION_BYTES),
+      ]),
     ]);
     this.keyValueAddress = keyValue;
     this.machineListAddress = machineList;
-    await this.engines.start();
+    await this.engines.start(weightStore);
     await this.planNodes();
     await this.publishMachines();
     for (const node of this.nodes) node.process = this.startNode(node);
@@ -124,6 +133,12 @@
     await this.publishMachines();
   }
 
+  /** Marks the machine of a worker as live again. */
+  async markLive(worker: string): Promise<void> {
+    this.leavingWorkers.delete(worker);
+    await this.publishMachines();
+  }
+
   /** Sets faults of the key-value service; see its `/lab/faults`. */
   async setKeyValueFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
     await this.post(this.keyValueAddress, '/lab/faults', faults);
--- a/lab/demo/running-engines.ts
+++ b/lab/demo/running-engines.ts
@@ -26,6 +26,7 @@
 export class RunningEngines {
   /** Proxies before the engines, by worker; empty where the deployment has none. */
   readonly proxies = new Map<string, TcpProxy>();
+  private weightStoreAddress = '';
   private readonly engines = new Map<string, RunningEngine>();
 
   constructor(
@@ -35,8 +36,9 @@
     private readonly proxied: boolean,
   ) {}
 
-  /** Starts all engines. */
-  async start(): Promise<void> {
+  /** Starts all engines; they load weight versions from the weight store. */
+  async start(weightStoreAddress: string): Promise<void> {
+    this.weightStoreAddress = weightStoreAddress;
     const { training, portal, zones } = this.deployment;
     const planned = [training, portal].flatMap(({ model, workers }) =>
       Array.from({ length: workers }, (_unused, index) => {
@@ -64,7 +66,7 @@
   async restart(worker: string): Promise<void> {
     const engine = this.engine(worker);
     const port = engine.address.split(':')[1] ?? '0';
-    const parameters = [...this.parameters(worker), '--port', port];
+    const parameters = [...this.parameters(engine.worker), '--port', port];
     const started = await this.group.startEmulatorProcess(worker, parameters);
     engine.process = started.process;
   }
@@ -92,7 +94,7 @@
     const { worker } = planned;
     const { address, process } = await this.group.startEmulatorProcess(
       worker,
-      this.parameters(worker),
+      this.parameters(planned),
     );
     if (!this.proxied) return { worker: { ...planned, address }, address, process };
     const proxy = new TcpProxy({ target: address });
@@ -100,9 +102,11 @@
     return { worker: { ...planned, address: await proxy.start() }, address, process };
   }
 
-  private parameters(worker: string): readonly string[] {
+  private parameters(planned: Pick<WorkerRecord, 'worker' | 'model'>): readonly string[] {
+    const { worker, model } = planned;
     const acceptedFile = path.join(this.folder, `${this.deployment.name}-${worker}.accepted`);
-    const named = ['engine', '--worker', worker, '--accepted-file', acceptedFile];
-    return [...named, '--slots', String(ENGINE_SLOTS), '--time-scale', String(TIME_SCALE)];
+    const named = ['engine', '--worker', worker, '--model', model, '--accepted-file', acceptedFile];
+    const speed = ['--slots', String(ENGINE_SLOTS), '--time-scale', String(TIME_SCALE)];
+    return [...named, ...speed, '--weight-store', this.weightStoreAddress];
   }
 }
--- a/lab/demo/summary.ts
+++ b/lab/demo/summary.ts
@@ -1,6 +1,7 @@
 /** The demo's closing table. */
 import { build } from 'hdr-histogram-js';
 import type { DeploymentReport } from './deployment-run.js';
+import { leftInTime } from './leaving-machine.js';
 
 /** A row: a name and one value for each deployment. */
 type Row = readonly [string, ...string[]];
@@ -19,7 +20,11 @@
 /** Whether every promise the demo can see held. */
 export function promisesHeld(reports: readonly DeploymentReport[]): boolean {
   return reports.every(
-    (report) => report.trainer.holds && report.interactive.holds && report.refusedBeforeConfirm,
+    (report) =>
+      report.trainer.holds &&
+      report.interactive.holds &&
+      report.refusedBeforeConfirm &&
+      leftInTime(report.leaving),
   );
 }
 
@@ -30,6 +35,11 @@
   return [
     row('refused before the plan was confirmed', (r) => (r.refusedBeforeConfirm ? 'yes' : 'NO')),
     row('node killed and started again', (r) => r.killedNode),
+    row('worker whose machine left for a while', (r) => r.leaving.worker),
+    row('its starts before the sign', (r) => r.leaving.startsBefore),
+    row('its starts over 3 s after the sign', (r) => r.leaving.lateStarts),
+    row('its last start after the sign, ms', (r) => Math.round(r.leaving.lastStart)),
+    row('its starts after its return', (r) => r.leaving.startsAfterReturn),
     row('steps drawn', (r) => r.trainer.steps),
     row('samples asked', (r) => r.trainer.asked),
     row('samples delivered', (r) => r.trainer.delivered),
--- a/lab/emulator/emulate.ts
+++ b/lab/emulator/emulate.ts
@@ -29,9 +29,9 @@
       settings: engineSettings(flags),
       timeScale: numberFlag(flags, 'time-scale', 1),
       seed: numberFlag(flags, 'seed', 1),
-      ...(flags['accepted-file'] === undefined
-        ? {}
-        : { acceptedFile: String(flags['accepted-file']) }),
+      ...textFlag(flags, 'model', 'model'),
+      ...textFlag(flags, 'accepted-file', 'acceptedFile'),
+      ...textFlag(flags, 'weight-store', 'weightStore'),
     }),
   'weight-store': (flags) =>
     startWeightStoreEmulator({ port: port(flags), ...numberFlags(flags, WEIGHT_STORE_DEFAULTS) }),
@@ -73,6 +73,19 @@
   return Object.fromEntries(entries) as Settings;
 }
 
+/** An option from a flag, or none where the flag is absent. */
+function textFlag<Option extends string>(
+  flags: CommandFlags,
+  flag: string,
+  option: Option,
+): Partial<Record<Option, string>> {
+  const value = flags[flag];
+  if (value === undefined) return {};
+  const given: Partial<Record<Option, string>> = {};
+  given[option] = String(value);
+  return given;
+}
+
 function port(flags: CommandFlags): number {
   return numberFlag(flags, 'port', 0);
 }
--- a/lab/emulator/engine-core.ts
+++ b/lab/emulator/engine-core.ts
@@ -6,17 +6,21 @@
  * Calls must come with `now` that never goes back. Outputs wait until `advance` takes them.
  * The engine doesn't look at a request's `oldestVersion`: the bound is the caller's to check.
  */
-import type { GenerationRequest, TrafficClass } from '../../src/core/generation.js';
+import type { GenerationRequest } from '../../src/core/generation.js';
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
-import type { WorkerOrder, WorkerOrderResult, WorkerReport } from '../../src/platform/worker.js';
+import type { EngineOrder, EngineRole, WorkerReport } from '../../src/platform/worker.js';
 import { Batch } from './batch.js';
 import { type EngineOutput, EngineOutputs } from './engine-outputs.js';
 import type { EngineSettings } from './engine-settings.js';
+import { ImportedCaches } from './imported-caches.js';
+import { LoadReports } from './load-reports.js';
 import { MadeTokens } from './made-tokens.js';
+import { type ExternalLoad, OrderProcessing } from './order-processing.js';
 import { type CacheEvent, PrefixCache } from './prefix-cache.js';
 import { type KeyValueCacheExport, Sequence } from './sequence.js';
-import { WeightMemory } from './weight-memory.js';
+import { WaitingSequences } from './waiting-sequences.js';
+import type { WeightMemory } from './weight-memory.js';
 
 export type { EngineOutput } from './engine-outputs.js';
 
@@ -25,26 +29,32 @@
   readonly made = new MadeTokens();
   private batch: Batch;
   private cache: PrefixCache;
-  private weights: WeightMemory;
-  private waiting: Record<TrafficClass, Sequence[]> = { interactive: [], training: [] };
+  private imported = new ImportedCaches();
+  private readonly orders: OrderProcessing;
+  private waiting = new WaitingSequences();
   private readonly outputs = new EngineOutputs();
   /** Latest `now` any call gave. */
   private clock: Milliseconds = 0;
-  private loadFailureRate: number;
   private leaving = false;
   private crashed = false;
-  private published: WorkerReport;
-  private publishedPeriod = Number.NEGATIVE_INFINITY;
+  private readonly reports: LoadReports;
 
   constructor(
     private readonly settings: EngineSettings,
     private readonly random: RandomSource,
+    /** Whether weight versions come from outside: see `takeExternalLoads`. */
+    externalLoads = false,
   ) {
-    this.loadFailureRate = settings.loadFailureRate;
     this.batch = new Batch(settings);
     this.cache = new PrefixCache(settings, random);
-    this.weights = new WeightMemory(settings);
-    this.published = this.currentReport();
+    this.orders = new OrderProcessing({
+      settings,
+      random,
+      outputs: this.outputs,
+      externalLoads,
+      beforeActivation: (now) => this.streamAll(now),
+    });
+    this.reports = new LoadReports(settings.reportLag, () => this.currentReport());
   }
 
   /** Whether the process is down: it refuses connections. */
@@ -57,7 +67,20 @@
     return this.weights.active;
   }
 
-  /** Accepts a generation, or refuses it: crashed, known already, or the queue is full. */
+  /** Work the engine takes; running work goes on after a change. */
+  get role(): EngineRole {
+    return this.weights.role;
+  }
+
+  /** Adapters in memory. */
+  get adapters(): readonly string[] {
+    return this.weights.adapters;
+  }
+
+  /**
+   * Accepts a generation, or refuses it: crashed, known already, the queue is full, or the engine
+   * only reads prompts.
+   */
   start(
     dispatchId: string,
     request: GenerationRequest,
@@ -65,13 +88,15 @@
     resume?: KeyValueCacheExport,
   ): 'accepted' | 'refused' {
     this.process(now);
-    if (this.crashed || this.find(dispatchId) !== undefined) return 'refused';
+    if (this.crashed || this.role === 'prefill') return 'refused';
+    if (this.find(dispatchId) !== undefined) return 'refused';
     const sequence = new Sequence(dispatchId, request, this.settings);
     const mayRunNow = this.batch.hasRoom || this.preemptionVictim(request) !== undefined;
-    const queue = this.waiting[request.trafficClass];
-    if (!mayRunNow && queue.length >= this.settings.queueLimit) return 'refused';
-    for (const event of sequence.takeOver(resume)) this.outputs.stream(dispatchId, event, now);
-    queue.push(sequence);
+    const waiting = this.waiting.sizeOf(request.trafficClass);
+    if (!mayRunNow && waiting >= this.settings.queueLimit) return 'refused';
+    const source = resume ?? this.imported.take(sequence);
+    for (const event of sequence.takeOver(source)) this.outputs.stream(dispatchId, event, now);
+    this.waiting.add(sequence);
     this.preempt(request, now);
     this.fillSlots(now);
     return 'accepted';
@@ -82,9 +107,7 @@
     this.process(now);
     this.outputs.dropStream(dispatchId);
     this.made.count(this.batch.remove(dispatchId));
-    for (const kind of ['interactive', 'training'] as const) {
-      this.waiting[kind] = this.waiting[kind].filter((held) => held.dispatchId !== dispatchId);
-    }
+    this.waiting.remove(dispatchId);
     this.fillSlots(now);
   }
 
@@ -94,17 +117,30 @@
     return this.find(dispatchId)?.export();
   }
 
+  /** Keeps tokens made elsewhere until their request is started here without `resume`. */
+  importCache(source: KeyValueCacheExport): void {
+    this.imported.add(source);
+  }
+
   /** Carries out a fenced order; its result is an output. */
-  order(orderId: string, order: WorkerOrder, now: Milliseconds): void {
+  order(orderId: string, order: EngineOrder, now: Milliseconds): void {
     this.process(now);
     if (this.crashed) {
       this.outputs.order(orderId, { kind: 'failed', reason: 'connection refused' }, now);
       return;
     }
-    const refusal = this.weights.fence(order);
-    if (refusal !== undefined) this.outputs.order(orderId, refusal, now);
-    else if (order.action.kind === 'load') this.load(orderId, order.action.version, now);
-    else this.activate(orderId, order.action.version, now);
+    this.orders.carryOut(orderId, order, now);
+  }
+
+  /** Takes the weight versions that are to be fetched outside; each ends by `endExternalLoad`. */
+  takeExternalLoads(): readonly ExternalLoad[] {
+    return this.orders.takeExternalLoads();
+  }
+
+  /** A weight version was fetched outside, or could not be. */
+  endExternalLoad(orderId: string, succeeded: boolean, now: Milliseconds): void {
+    this.process(now);
+    this.orders.endExternalLoad(orderId, succeeded, now);
   }
 
   /** Lets time pass and takes everything said up to `now`. */
@@ -122,7 +158,7 @@
   /** Load report, up to `reportLag` old. Not to be asked of a crashed engine. */
   report(now: Milliseconds): WorkerReport {
     this.process(now);
-    return this.settings.reportLag > 0 ? this.published : this.currentReport();
+    return this.reports.read();
   }
 
   /** Cache events that are due; late, and with gaps. */
@@ -134,15 +170,12 @@
   crash(now: Milliseconds): void {
     if (this.crashed) return;
     this.process(now);
-    const { interactive, training } = this.waiting;
     for (const sequence of this.batch.all()) this.made.count(sequence);
-    for (const { dispatchId } of [...this.batch.all(), ...interactive, ...training]) {
+    for (const { dispatchId } of [...this.batch.all(), ...this.waiting.all()]) {
       const reason = 'connection reset';
       this.outputs.stream(dispatchId, { kind: 'failed', ran: 'unknown', reason }, now);
     }
-    for (const { orderId } of this.weights.pending) {
-      this.outputs.order(orderId, { kind: 'failed', reason: 'connection reset' }, now);
-    }
+    this.orders.reset(now);
     this.forget();
     this.crashed = true;
   }
@@ -152,8 +185,7 @@
     if (!this.crashed) return;
     this.crashed = false;
     this.leaving = false;
-    this.publishedPeriod = Number.NEGATIVE_INFINITY;
-    this.publishDue(now);
+    this.reports.restart(now);
   }
 
   /** Makes the engine's report say that it is on its way out; it still accepts work. */
@@ -163,20 +195,22 @@
 
   /** Share of later loads that fail, in `[0, 1]`. */
   setLoadFailureRate(rate: number): void {
-    this.loadFailureRate = rate;
+    this.orders.setLoadFailureRate(rate);
+  }
+
+  private get weights(): WeightMemory {
+    return this.orders.memory;
   }
 
   private forget(): void {
     this.batch = new Batch(this.settings);
     this.cache = new PrefixCache(this.settings, this.random);
-    this.weights = new WeightMemory(this.settings);
-    this.waiting = { interactive: [], training: [] };
+    this.imported = new ImportedCaches();
+    this.waiting = new WaitingSequences();
   }
 
   private find(dispatchId: string): Sequence | undefined {
-    const { interactive, training } = this.waiting;
-    const isWanted = (sequence: Sequence): boolean => sequence.dispatchId === dispatchId;
-    return this.batch.get(dispatchId) ?? interactive.find(isWanted) ?? training.find(isWanted);
+    return this.batch.get(dispatchId) ?? this.waiting.find(dispatchId);
   }
 
   private nextChangeAt(): Milliseconds | undefined {
@@ -189,12 +223,12 @@
   private process(now: Milliseconds): void {
     this.clock = Math.max(this.clock, now);
     for (let at = this.nextChangeAt(); at !== undefined && at <= now; at = this.nextChangeAt()) {
-      this.publishDue(at);
+      this.reports.publishDue(at);
       this.batch.settle(at);
       this.streamReady(at);
-      this.finishLoads(at);
+      this.orders.finishDue(at);
     }
-    this.publishDue(now);
+    this.reports.publishDue(now);
     this.batch.settle(now);
   }
 
@@ -218,7 +252,7 @@
 
   private fillSlots(now: Milliseconds): void {
     while (this.batch.hasRoom) {
-      const next = this.waiting.interactive.shift() ?? this.waiting.training.shift();
+      const next = this.waiting.takeNext();
       if (next === undefined) return;
       const unreadPrompt = next.prefilled ? 0 : this.cache.read(next.request.prompt, now);
       const unread = unreadPrompt + next.unreadTokens;
@@ -240,53 +274,20 @@
     if (victim === undefined) return;
     this.batch.remove(victim.dispatchId);
     this.streamTokens(victim, now);
-    this.waiting.training.unshift(victim);
+    this.waiting.addFirst(victim);
   }
 
-  private load(orderId: string, version: WeightVersion, now: Milliseconds): void {
-    if (this.weights.has(version)) {
-      this.outputs.order(orderId, { kind: 'done' }, now);
-      return;
-    }
-    const fails = this.random.fraction() < this.loadFailureRate;
-    const finishAt = now + this.settings.loadTime;
-    this.weights.startLoad({ orderId, version, finishAt, fails });
-  }
-
-  private finishLoads(at: Milliseconds): void {
-    for (let load = this.weights.finishLoad(at); load; load = this.weights.finishLoad(at)) {
-      const result: WorkerOrderResult = load.fails
-        ? { kind: 'failed', reason: 'the weights could not be loaded' }
-        : { kind: 'done' };
-      this.outputs.order(load.orderId, result, at);
-    }
-  }
-
-  private activate(orderId: string, version: WeightVersion, now: Milliseconds): void {
-    if (!this.weights.has(version)) {
-      this.outputs.order(orderId, { kind: 'failed', reason: 'the version is not loaded' }, now);
-      return;
-    }
+  /** Streams what the active version has made, before another one goes on. */
+  private streamAll(now: Milliseconds): void {
     for (const sequence of this.batch.all()) this.streamTokens(sequence, now);
     this.batch.refreshBoundary();
-    this.weights.active = version;
-    this.outputs.order(orderId, { kind: 'done' }, now);
-  }
-
-  /** Publishes the state before a change when a report period has ended since. */
-  private publishDue(now: Milliseconds): void {
-    if (this.settings.reportLag <= 0) return;
-    const period = Math.floor(now / this.settings.reportLag);
-    if (period <= this.publishedPeriod) return;
-    this.publishedPeriod = period;
-    this.published = this.currentReport();
   }
 
   private currentReport(): WorkerReport {
     return {
       worker: this.settings.worker,
       running: this.batch.size,
-      waiting: this.waiting.interactive.length + this.waiting.training.length,
+      waiting: this.waiting.size,
       activeVersion: this.weights.active,
       loadedVersions: [...this.weights.loaded],
       epoch: this.weights.epoch,
--- a/lab/emulator/engine-emulator.ts
+++ b/lab/emulator/engine-emulator.ts
@@ -5,11 +5,13 @@
 import type http from 'node:http';
 import { z } from 'zod';
 import type { GenerationRequest } from '../../src/core/generation.js';
+import { placementHash } from '../../src/core/hashing.js';
 import { createRandomSource } from '../../src/core/random.js';
 import type { Milliseconds } from '../../src/core/units.js';
-import { completionRequest, workerOrder } from '../../src/platform/engine-wire-client.js';
+import { completionRequest, engineOrder } from '../../src/platform/engine-wire-client.js';
 import type { EngineEvent, WorkerOrderResult } from '../../src/platform/worker.js';
 import { AcceptedLog } from './accepted-log.js';
+import { decodeHandle, encodeHandle, exportRequest, importRequest } from './cache-handle.js';
 import { EngineCore, type EngineOutput } from './engine-core.js';
 import type { EngineSettings } from './engine-settings.js';
 import {
@@ -19,6 +21,8 @@
   sendJson,
   startServer,
 } from './http-server.js';
+import type { ExternalLoad } from './order-processing.js';
+import { WeightDownloads } from './weight-download.js';
 
 /** Options of {@link startEngineEmulator}. */
 export interface EngineEmulatorOptions {
@@ -31,8 +35,18 @@
   readonly seed?: number;
   /** File that keeps the accepted requests over restarts. Default none. */
   readonly acceptedFile?: string;
+  /** Model whose weights and adapters the engine holds. Default `model`. */
+  readonly model?: string;
+  /** Host and port of the weight store that versions are loaded from. Default none: by time. */
+  readonly weightStore?: string;
 }
 
+/** Name of a model that none was given for. */
+const DEFAULT_MODEL = 'model';
+
+/** Before the number of a completion in its stream. */
+const COMPLETION_PREFIX = 'cmpl-';
+
 /** Body of `/lab/faults`; what is absent stays as it is. */
 const engineFaults = z.strictObject({
   /** True kills the engine: streams break, and connections are reset until it is false. */
@@ -56,14 +70,21 @@
   private readonly core: EngineCore;
   private readonly timeScale: number;
   private readonly accepted: AcceptedLog;
+  private readonly downloads: WeightDownloads | undefined;
   private readonly streams = new Map<string, http.ServerResponse>();
   private readonly orders = new Map<string, (result: WorkerOrderResult) => void>();
   private timer: NodeJS.Timeout | undefined;
   private lastId = 0;
   private stopped = false;
 
-  constructor(options: EngineEmulatorOptions) {
-    this.core = new EngineCore(options.settings, createRandomSource(options.seed ?? 1));
+  constructor(private readonly options: EngineEmulatorOptions) {
+    const { settings, weightStore: address, model = DEFAULT_MODEL } = options;
+    const random = createRandomSource(options.seed ?? 1);
+    const externalLoads = address !== undefined;
+    this.core = new EngineCore(settings, random, externalLoads);
+    // Engines of one seed must not wait alike.
+    const waits = createRandomSource(placementHash(settings.worker, options.seed ?? 1));
+    if (externalLoads) this.downloads = new WeightDownloads({ address, model, random: waits });
     this.timeScale = options.timeScale ?? 1;
     this.accepted = new AcceptedLog(options.acceptedFile ?? null);
   }
@@ -80,11 +101,22 @@
         sendJson(response, 200, this.core.cacheEvents(this.now())),
       ),
       'POST /orders': this.unlessCrashed((request, response) => this.order(request, response)),
+      'GET /v1/models': this.unlessCrashed((_request, response) =>
+        sendJson(response, 200, this.models()),
+      ),
+      'POST /kv/export': this.unlessCrashed((request, response) =>
+        this.exportCache(request, response),
+      ),
+      'POST /kv/import': this.unlessCrashed(async (request, response) => {
+        const { handle } = importRequest.parse(await readBody(request));
+        this.core.importCache(decodeHandle(handle));
+        sendJson(response, 200, {});
+      }),
       'GET /lab/accepted': (_request, response) =>
         sendJson(response, 200, this.accepted.document()),
       'POST /lab/faults': async (request, response) => {
         const faults = engineFaults.parse(await readBody(request));
-        if (faults.crashed === true) this.core.crash(this.now());
+        if (faults.crashed === true) this.crash();
         if (faults.crashed === false) this.core.restart(this.now());
         if (faults.leaving !== undefined) this.core.setLeaving(faults.leaving);
         if (faults.loadFailureRate !== undefined) {
@@ -98,6 +130,7 @@
 
   stop(): void {
     this.stopped = true;
+    this.downloads?.cancelAll();
     clearTimeout(this.timer);
   }
 
@@ -112,6 +145,28 @@
     };
   }
 
+  private crash(): void {
+    this.core.crash(this.now());
+    this.downloads?.cancelAll();
+  }
+
+  /** Model and adapters, as OpenAI-compatible engines list them. */
+  private models(): object {
+    const names = [this.options.model ?? DEFAULT_MODEL, ...this.core.adapters];
+    return { object: 'list', data: names.map((id) => ({ id, object: 'model' })) };
+  }
+
+  private async exportCache(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { completion } = exportRequest.parse(await readBody(request));
+    const cache = this.core.exportCache(completion.slice(COMPLETION_PREFIX.length), this.now());
+    if (cache === undefined) sendJson(response, 404, { error: 'no such completion runs' });
+    else sendJson(response, 200, { handle: encodeHandle(cache) });
+    this.pump();
+  }
+
   private nextId(): string {
     this.lastId += 1;
     return String(this.lastId);
@@ -129,7 +184,8 @@
     const dispatchId = this.nextId();
     const generation = generationOf(parsed.data);
     if (this.core.start(dispatchId, generation, this.now()) === 'refused') {
-      sendJson(response, 503, { error: 'the queue is full' }, { 'retry-after': '1' });
+      const error = this.core.role === 'prefill' ? 'the engine only reads' : 'the queue is full';
+      sendJson(response, 503, { error }, { 'retry-after': '1' });
       return;
     }
     this.accepted.add({
@@ -153,7 +209,7 @@
   }
 
   private async order(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const parsed = workerOrder.parse(await readBody(request));
+    const parsed = engineOrder.parse(await readBody(request));
     const orderId = this.nextId();
     this.orders.set(orderId, (result) => sendJson(response, 200, result));
     this.core.order(orderId, parsed, this.now());
@@ -162,6 +218,7 @@
 
   /** Carries out what the engine says up to now, and comes back when it says more. */
   private pump(): void {
+    for (const load of this.core.takeExternalLoads()) void this.download(load);
     for (const output of this.core.advance(this.now())) this.deliver(output);
     clearTimeout(this.timer);
     const next = this.core.nextEventAt();
@@ -170,6 +227,13 @@
     this.timer = setTimeout(() => this.pump(), delay);
   }
 
+  private async download({ orderId, version }: ExternalLoad): Promise<void> {
+    const succeeded = (await this.downloads?.fetch(version)) === true;
+    if (this.stopped) return;
+    this.core.endExternalLoad(orderId, succeeded, this.now());
+    this.pump();
+  }
+
   private deliver(output: EngineOutput): void {
     if (output.kind === 'order') {
       this.orders.get(output.orderId)?.(output.result);
@@ -209,6 +273,11 @@
   const finishReason = event.kind === 'finished' ? event.result.finishReason : null;
   const segment = event.kind === 'segment' ? event.segment : null;
   const choices = [{ index: 0, text, finish_reason: finishReason }];
-  const chunk = { id: `cmpl-${id}`, object: 'text_completion', choices, wardwing: { segment } };
+  const chunk = {
+    id: COMPLETION_PREFIX + id,
+    object: 'text_completion',
+    choices,
+    wardwing: { segment },
+  };
   return `data: ${JSON.stringify(chunk)}\n\n`;
 }
--- a/lab/emulator/engine-settings.ts
+++ b/lab/emulator/engine-settings.ts
@@ -30,8 +30,10 @@
   readonly initialVersion: WeightVersion;
   /** Versions held in memory; the oldest one that is not active makes room. */
   readonly loadedVersionLimit: number;
-  /** Time the weight store takes to deliver a version. */
+  /** Time the weight store takes to deliver a version; unused where loads are external. */
   readonly loadTime: Milliseconds;
+  /** Time an adapter takes to be loaded. */
+  readonly adapterLoadTime: Milliseconds;
   /** Share of loads that fail, in `[0, 1]`. */
   readonly loadFailureRate: number;
   /** How old a load report may be. */
@@ -56,6 +58,7 @@
   initialVersion: 1,
   loadedVersionLimit: 3,
   loadTime: 2_000,
+  adapterLoadTime: 200,
   loadFailureRate: 0,
   reportLag: 1_000,
   cacheEventLag: 500,
--- a/lab/emulator/sequence.ts
+++ b/lab/emulator/sequence.ts
@@ -15,7 +15,7 @@
 
 /** Tokens already made for a request, exported by one engine and imported by another. */
 export interface KeyValueCacheExport {
-  /** See {@link answerKey}; an import for another request is ignored. */
+  /** See {@link answerKey}; an import for another request, or longer than the answer, is ignored. */
   readonly answer: number;
   readonly segments: readonly TokenSegment[];
 }
@@ -71,7 +71,9 @@
 
   /** Takes over tokens made elsewhere; returns the events that stream them. */
   import(source: KeyValueCacheExport): EngineEvent[] {
-    if (source.answer !== this.answer) return [];
+    const last = source.segments.at(-1);
+    const count = last === undefined ? 0 : last.firstToken + last.tokenCount;
+    if (source.answer !== this.answer || count > this.target) return [];
     this.prefilled = true;
     return source.segments.map((segment) => {
       this.tokens += segment.tokenCount;
--- a/lab/emulator/weight-memory.ts
+++ b/lab/emulator/weight-memory.ts
@@ -3,7 +3,7 @@
  * controller epoch. All of it is lost with the process, also the highest epoch seen.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
-import type { WorkerOrder, WorkerOrderResult } from '../../src/platform/worker.js';
+import type { EngineOrder, EngineRole, WorkerOrderResult } from '../../src/platform/worker.js';
 
 /** What weight memory needs to know. */
 export interface WeightMemorySettings {
@@ -11,10 +11,14 @@
   readonly loadedVersionLimit: number;
 }
 
-/** A load that the weight store has not finished. */
+/** What is loaded: a weight version or an adapter. */
+export type LoadAction = Extract<EngineOrder['action'], { kind: 'load' | 'load-adapter' }>;
+
+/** A load underway. */
 export interface PendingLoad {
   readonly orderId: string;
-  readonly version: WeightVersion;
+  readonly action: LoadAction;
+  /** `Infinity` where the end is told from outside; see {@link WeightMemory.takeLoad}. */
   readonly finishAt: Milliseconds;
   readonly fails: boolean;
 }
@@ -23,7 +27,9 @@
 export class WeightMemory {
   private readonly versions: WeightVersion[];
   private readonly loads: PendingLoad[] = [];
+  private readonly adapterNames = new Set<string>();
   private highestEpoch = 0;
+  role: EngineRole = 'mixed';
   active: WeightVersion;
 
   constructor(private readonly settings: WeightMemorySettings) {
@@ -39,12 +45,16 @@
     return this.versions;
   }
 
+  get adapters(): readonly string[] {
+    return [...this.adapterNames];
+  }
+
   get pending(): readonly PendingLoad[] {
     return this.loads;
   }
 
   /** Refuses an older epoch; otherwise remembers this one. */
-  fence(order: WorkerOrder): WorkerOrderResult | undefined {
+  fence(order: Pick<EngineOrder, 'epoch'>): WorkerOrderResult | undefined {
     if (order.epoch < this.highestEpoch) {
       return { kind: 'refused-epoch', epoch: this.highestEpoch };
     }
@@ -56,6 +66,12 @@
     return this.versions.includes(version);
   }
 
+  /** Whether a load has nothing left to do. */
+  holds(action: LoadAction): boolean {
+    if (action.kind === 'load') return this.has(action.version);
+    return this.adapterNames.has(action.adapter);
+  }
+
   startLoad(load: PendingLoad): void {
     this.loads.push(load);
   }
@@ -63,16 +79,29 @@
   /** When the next load finishes. */
   nextFinishAt(): Milliseconds | undefined {
     if (this.loads.length === 0) return undefined;
-    return Math.min(...this.loads.map((load) => load.finishAt));
+    const at = Math.min(...this.loads.map((load) => load.finishAt));
+    return Number.isFinite(at) ? at : undefined;
+  }
+
+  /** Takes one load that has finished by `now`. */
+  takeFinished(now: Milliseconds): PendingLoad | undefined {
+    return this.take((load) => load.finishAt <= now);
+  }
+
+  /** Takes the load of one order; `undefined` where it is not underway. */
+  takeLoad(orderId: string): PendingLoad | undefined {
+    return this.take((load) => load.orderId === orderId);
+  }
+
+  /** Keeps what was loaded. */
+  keepLoaded(action: LoadAction): void {
+    if (action.kind === 'load') this.keep(action.version);
+    else this.adapterNames.add(action.adapter);
   }
 
-  /** Takes one load that has finished by `now`, and keeps its version unless it failed. */
-  finishLoad(now: Milliseconds): PendingLoad | undefined {
-    const position = this.loads.findIndex((load) => load.finishAt <= now);
-    if (position < 0) return undefined;
-    const [load] = this.loads.splice(position, 1);
-    if (load !== undefined && !load.fails) this.keep(load.version);
-    return load;
+  private take(isWanted: (load: PendingLoad) => boolean): PendingLoad | undefined {
+    const position = this.loads.findIndex(isWanted);
+    return position < 0 ? undefined : this.loads.splice(position, 1)[0];
   }
 
   private keep(version: WeightVersion): void {
--- a/lab/experiments/hollow-worker.ts
+++ b/lab/experiments/hollow-worker.ts
@@ -113,9 +113,7 @@
   }
 
   private keep(version: WeightVersion): void {
-    const finishAt = this.queue.now;
-    this.memory.startLoad({ orderId: '', version, finishAt, fails: false });
-    this.memory.finishLoad(finishAt);
+    this.memory.keepLoaded({ kind: 'load', version });
   }
 
   private activate(version: WeightVersion): void {
--- a/lab/load/trainer-client.ts
+++ b/lab/load/trainer-client.ts
@@ -16,6 +16,8 @@
   readonly samplesPerStep: number;
   /** How long a step is trained on before the next is drawn, in milliseconds. */
   readonly trainingTime: number;
+  /** Whether the next step is drawn while one is trained on. Default false. */
+  readonly drawsAhead?: boolean;
   readonly stepTimeout: number;
   readonly random: RandomSource;
   /** Is told of everything that comes of the steps. */
@@ -75,14 +77,17 @@
   /** Draws steps; resolves once stopped and the last step has ended. */
   async run(): Promise<void> {
     const startedAt = performance.now();
+    let ahead: Promise<void> | undefined;
     while (!this.stopped) {
-      this.stepNumber += 1;
       const waitedFrom = performance.now();
-      await this.drawStep(`${this.options.name}-${this.stepNumber}`);
+      await (ahead ?? this.drawNextStep());
       this.report.idleMilliseconds += performance.now() - waitedFrom;
+      const draws = this.options.drawsAhead === true && !this.stopped;
+      ahead = draws ? this.drawNextStep() : undefined;
       await pause(this.options.trainingTime);
     }
     this.report.totalMilliseconds += performance.now() - startedAt;
+    await ahead;
   }
 
   /** Tries to submit one step once; the answer shows whether an intent allows it. */
@@ -90,6 +95,11 @@
     return this.submit(stepId, this.makeSamples(stepId), this.pickAddress());
   }
 
+  private drawNextStep(): Promise<void> {
+    this.stepNumber += 1;
+    return this.drawStep(`${this.options.name}-${this.stepNumber}`);
+  }
+
   private async drawStep(stepId: string): Promise<void> {
     const samples = this.makeSamples(stepId);
     await this.submitUntilAccepted(stepId, samples);
--- a/src/platform/engine-client.ts
+++ b/src/platform/engine-client.ts
@@ -10,7 +10,7 @@
 import { exchangeHttp, type HttpOutcome, parseJson } from './http-exchange-client.js';
 import type {
   EngineEvent,
-  WorkerOrder,
+  EngineOrder,
   WorkerOrderResult,
   WorkerRecord,
   WorkerReport,
@@ -75,7 +75,7 @@
   }
 
   /** Gives a fenced order; a missing answer is `failed`, and the order may still take effect. */
-  async order(worker: WorkerRecord, order: WorkerOrder): Promise<WorkerOrderResult> {
+  async order(worker: WorkerRecord, order: EngineOrder): Promise<WorkerOrderResult> {
     const outcome = await this.exchange(worker, '/orders', this.options.orderTimeout, order);
     if (outcome.kind !== 'answer') return { kind: 'failed', reason: outcome.reason };
     const result = orderResult.safeParse(parseJson(outcome.body));
--- a/src/platform/engine-wire-client.ts
+++ b/src/platform/engine-wire-client.ts
@@ -6,8 +6,11 @@
 
 const count = z.number().int().nonnegative();
 
+/** Longest name of an adapter, in characters. */
+const ADAPTER_LENGTH = 256;
+
 /** A run of tokens of one version. */
-const tokenSegment = z.object({ version: count, firstToken: count, tokenCount: count });
+export const tokenSegment = z.object({ version: count, firstToken: count, tokenCount: count });
 
 /** One event of a completion's stream. */
 export const completionChunk = z.object({
@@ -29,9 +32,14 @@
 });
 
 /** Body of `/orders`. */
-export const workerOrder = z.object({
+export const engineOrder = z.object({
   epoch: count,
-  action: z.object({ kind: z.enum(['load', 'activate']), version: count }),
+  action: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('load'), version: count }),
+    z.object({ kind: z.literal('activate'), version: count }),
+    z.object({ kind: z.literal('load-adapter'), adapter: z.string().min(1).max(ADAPTER_LENGTH) }),
+    z.object({ kind: z.literal('change-role'), role: z.enum(['mixed', 'prefill', 'decode']) }),
+  ]),
 });
 
 /** Answer of `/orders`. */
--- a/src/platform/worker.ts
+++ b/src/platform/worker.ts
@@ -40,6 +40,18 @@
     | { readonly kind: 'activate'; readonly version: WeightVersion };
 }
 
+/** Work an engine takes: all of it, reading prompts only, or decoding. */
+export type EngineRole = 'mixed' | 'prefill' | 'decode';
+
+/** Every fenced order an engine knows; the weight controller gives only {@link WorkerOrder}. */
+export interface EngineOrder {
+  readonly epoch: number;
+  readonly action:
+    | WorkerOrder['action']
+    | { readonly kind: 'load-adapter'; readonly adapter: string }
+    | { readonly kind: 'change-role'; readonly role: EngineRole };
+}
+
 /** The outcome of an order. */
 export type WorkerOrderResult =
   | { readonly kind: 'done' }
