--- a/lab/demo/deployment-run.ts
+++ b/lab/demo/deployment-run.ts
@@ -11,7 +11,7 @@
 const RESTART_AFTER_MILLISECONDS = 6_000;
 /** When a worker's machine leaves and is back, as shares of the load's time. */
 const LEAVE_SHARE = 0.5;
-const COME_BACK_SHARE = 0.8;
+const COME_BACK_SHARE = 0.85;
 /** Long enough for the share of the time that the trainer waits to mean something. */
 const TRAINING_TIME_MILLISECONDS = 3_000;
 
--- a/lab/demo/leaving-machine.ts
+++ b/lab/demo/leaving-machine.ts
@@ -20,32 +20,42 @@
   readonly startsBefore: number;
   /** Starts more than 3 s after the sign and before the machine was back. */
   readonly lateStarts: number;
-  /** Time from the sign to the last start before the return; negative or 0 for none after it. */
+  /** Starts on the same model's other engines in that time: that there was work to give. */
+  readonly startsElsewhere: number;
+  /** Time from the sign to the last start before the return, in milliseconds; 0 for none. */
   readonly lastStart: number;
   readonly startsAfterReturn: number;
 }
 
-/** Judges an engine's starts, given as the times at which it accepted work. */
+/**
+ * Judges an engine's starts.
+ *
+ * @param startTimes when each engine of the model accepted work, by worker
+ */
 export function judgeLeaving(
   worker: string,
   period: LeavingPeriod,
-  startTimes: readonly number[],
+  startTimes: ReadonlyMap<string, readonly number[]>,
 ): LeavingReport {
   const { shownAt, backAt } = period;
-  const meanwhile = startTimes.filter((at) => at > shownAt && at < backAt);
   const limit = shownAt + LAST_START_LIMIT_MILLISECONDS;
+  const isLate = (at: number): boolean => at > limit && at < backAt;
+  const own = startTimes.get(worker) ?? [];
+  const others = [...startTimes].filter(([name]) => name !== worker).flatMap(([, at]) => at);
+  const untilReturn = own.filter((at) => at < backAt);
   return {
     worker,
-    startsBefore: startTimes.filter((at) => at <= shownAt).length,
-    lateStarts: meanwhile.filter((at) => at > limit).length,
-    lastStart: Math.max(0, ...meanwhile.map((at) => at - shownAt)),
-    startsAfterReturn: startTimes.filter((at) => at >= backAt).length,
+    startsBefore: own.filter((at) => at <= shownAt).length,
+    lateStarts: own.filter(isLate).length,
+    startsElsewhere: others.filter(isLate).length,
+    lastStart: Math.max(0, ...untilReturn.map((at) => at - shownAt)),
+    startsAfterReturn: own.filter((at) => at >= backAt).length,
   };
 }
 
-/** Whether the engine worked before, and was left alone in time. */
+/** Whether the engine worked before, and was left alone in time while others worked. */
 export function leftInTime(report: LeavingReport): boolean {
-  return report.startsBefore > 0 && report.lateStarts === 0;
+  return report.startsBefore > 0 && report.startsElsewhere > 0 && report.lateStarts === 0;
 }
 
 /** Takes a worker's machine away and brings it back. */
@@ -73,7 +83,15 @@
   /** Judges what the engine accepted; to be called once all work has ended. */
   async report(): Promise<LeavingReport> {
     const accepted = await this.running.engines.accepted();
-    const times = (accepted.get(this.worker) ?? []).map(({ at }) => at);
+    const { model } = this.running.deployment.training;
+    const times = new Map<string, readonly number[]>();
+    for (const [worker, requests] of accepted) {
+      if (worker.startsWith(model))
+        times.set(
+          worker,
+          requests.map(({ at }) => at),
+        );
+    }
     return judgeLeaving(this.worker, { shownAt: this.shownAt, backAt: this.backAt }, times);
   }
 }
--- a/lab/demo/process-group.ts
+++ b/lab/demo/process-group.ts
@@ -19,6 +19,9 @@
 const LISTENING_PATTERN = /listening on (\S+)/;
 /** Time given to a process to end by itself before it is killed. */
 const END_LIMIT_MILLISECONDS = 5_000;
+/** Ports for nodes: 20000 to 31999. */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 12_000;
 
 /** Processes of one demo, with one log file each. */
 export class ProcessGroup {
@@ -97,21 +100,24 @@
   return path.join(import.meta.dirname, '..', '..', 'src', 'cli', 'main.js');
 }
 
-/** Finds free ports on loopback. */
+/**
+ * Finds free ports on loopback. They lie below the ports that systems give to outgoing
+ * connections, one of which could otherwise take the port of a node before it starts, or while it
+ * is down.
+ */
 export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => listen()));
-  const ports = servers.map((server) => {
-    const address = server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
-  });
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
+  }
+  return [...ports];
 }
 
-function listen(): Promise<ReturnType<typeof createServer>> {
-  return new Promise((resolve, reject) => {
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => resolve(server));
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
 }
--- a/lab/demo/summary.ts
+++ b/lab/demo/summary.ts
@@ -38,6 +38,7 @@
     row('worker whose machine left for a while', (r) => r.leaving.worker),
     row('its starts before the sign', (r) => r.leaving.startsBefore),
     row('its starts over 3 s after the sign', (r) => r.leaving.lateStarts),
+    row('starts on the others in that time', (r) => r.leaving.startsElsewhere),
     row('its last start after the sign, ms', (r) => Math.round(r.leaving.lastStart)),
     row('its starts after its return', (r) => r.leaving.startsAfterReturn),
     row('steps drawn', (r) => r.trainer.steps),
