Split the engine's stream into methods of one class

Cause: startGeneration was a function of 56 lines with five closures over three variables. Ruled out: sharing a base with the watch of the key-value service: their ends mean different things. Change: GenerationStream with start, stop, takeResponse, takeLine and fail; the exported function and its events are the same. Conclusion: behaviour unchanged.

--- a/src/platform/engine-stream-client.ts
+++ b/src/platform/engine-stream-client.ts
@@ -23,62 +23,88 @@
   readonly listener: (event: EngineEvent) => void;
 }
 
+/** Prefix of a line that carries data in a stream of server-sent events. */
+const DATA_PREFIX = 'data:';
+
 /** Starts a generation; returns a function that cancels it without a further event. */
 export function startGeneration(options: GenerationStreamOptions): () => void {
-  const { agent, address } = options;
-  const request = http.request(
-    requestOptions({ agent, address, method: 'POST', path: '/v1/completions' }),
-  );
-  const answer = new AnswerReader(options.maximumBytes);
-  let connected = false;
-  let ended = false;
-  const stop = (): void => {
-    ended = true;
-    clearTimeout(timer);
-    request.destroy();
-  };
-  const fail = (reason: string, ran: RanState = 'unknown'): void => {
-    if (ended) return;
-    stop();
-    options.listener({ kind: 'failed', ran: connected ? ran : 'no', reason });
-  };
-  const timer = setTimeout(() => fail('the engine is silent'), options.silenceLimit);
-  const takeLine = (line: string): void => {
-    if (ended || !line.startsWith('data:')) return;
-    timer.refresh();
-    const event = answer.read(line.slice('data:'.length).trim());
-    if (event?.kind === 'failed') {
-      fail(event.reason);
-      return;
-    }
-    if (event?.kind === 'finished') {
-      ended = true;
-      clearTimeout(timer);
-    }
-    if (event !== undefined) options.listener(event);
-  };
-  onConnected(request, () => {
-    connected = true;
-  });
-  request.on('error', (error) => fail(error.message));
-  request.on('response', (response) => {
+  const stream = new GenerationStream(options);
+  stream.start();
+  return () => stream.stop();
+}
+
+/** One streaming completion; its listener hears nothing after `finished`, `failed` or a stop. */
+class GenerationStream {
+  private readonly request: http.ClientRequest;
+  private readonly answer: AnswerReader;
+  private readonly silenceTimer: NodeJS.Timeout;
+  /** Whether the engine may have seen the request. */
+  private connected = false;
+  private ended = false;
+
+  constructor(private readonly options: GenerationStreamOptions) {
+    const { agent, address, silenceLimit, maximumBytes } = options;
+    const target = { agent, address, method: 'POST', path: '/v1/completions' } as const;
+    this.request = http.request(requestOptions(target));
+    this.answer = new AnswerReader(maximumBytes);
+    this.silenceTimer = setTimeout(() => this.fail('the engine is silent'), silenceLimit);
+  }
+
+  /** Sends the request. */
+  start(): void {
+    onConnected(this.request, () => {
+      this.connected = true;
+    });
+    this.request.on('error', (error) => this.fail(error.message));
+    this.request.on('response', (response) => this.takeResponse(response));
+    this.request.end(JSON.stringify(encodeGeneration(this.options.request)));
+  }
+
+  /** Ends the stream without a further event. */
+  stop(): void {
+    this.ended = true;
+    clearTimeout(this.silenceTimer);
+    this.request.destroy();
+  }
+
+  private takeResponse(response: http.IncomingMessage): void {
     const status = response.statusCode ?? 0;
     if (status !== HTTP_STATUS.ok) {
       response.resume();
       // An engine answers 503 only to work that it does not take in.
       const ran = status === HTTP_STATUS.serviceUnavailable ? 'no' : 'unknown';
-      fail(`the engine answered ${status}`, ran);
+      this.fail(`the engine answered ${status}`, ran);
       return;
     }
-    readLines(response, options.maximumBytes, {
-      line: takeLine,
-      tooLong: () => fail('a line of the stream is too long'),
+    readLines(response, this.options.maximumBytes, {
+      line: (line) => this.takeLine(line),
+      tooLong: () => this.fail('a line of the stream is too long'),
     });
-    response.on('error', (error) => fail(error.message));
-    response.on('close', () => fail('the stream ended early'));
-  });
-  request.end(JSON.stringify(encodeGeneration(options.request)));
-  return stop;
+    response.on('error', (error) => this.fail(error.message));
+    response.on('close', () => this.fail('the stream ended early'));
+  }
+
+  private takeLine(line: string): void {
+    if (this.ended || !line.startsWith(DATA_PREFIX)) return;
+    this.silenceTimer.refresh();
+    const event = this.answer.read(line.slice(DATA_PREFIX.length).trim());
+    if (event === undefined) return;
+    if (event.kind === 'failed') {
+      this.fail(event.reason);
+      return;
+    }
+    if (event.kind === 'finished') {
+      this.ended = true;
+      clearTimeout(this.silenceTimer);
+    }
+    this.options.listener(event);
+  }
+
+  private fail(reason: string, ran: RanState = 'unknown'): void {
+    if (this.ended) return;
+    this.stop();
+    this.options.listener({ kind: 'failed', ran: this.connected ? ran : 'no', reason });
+  }
 }
 
 /** Puts an answer together from the events of its stream. */
