Hold the largest reserved share in one place

Cause: 0.9 stood in the schema of feed records and again in the operators' schema; were one changed, a confirmed intent would be rejected by every node. Conclusion: no value changed.

--- a/src/config-feed/configuration.ts
+++ b/src/config-feed/configuration.ts
@@ -31,11 +31,14 @@
       readonly duration: Milliseconds;
     };
 
+/** Largest share of a worker's slots that may be reserved for interactive traffic. */
+export const RESERVED_SHARE_LIMIT = 0.9;
+
 /** How interactive traffic is protected against training work on the same workers. */
 export interface InteractiveProtection {
   /** Accounts that may ask interactively under this intent. */
   readonly accounts: readonly AccountName[];
-  /** Share of each worker's slots that training work never takes, in `[0, 0.9]`. */
+  /** Share of each worker's slots that training work never takes: 0 to {@link RESERVED_SHARE_LIMIT}. */
   readonly reservedShare: number;
 }
 
--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -16,6 +16,7 @@
   type Intent,
   intentKey,
   type ModelCatalogue,
+  RESERVED_SHARE_LIMIT,
 } from './configuration.js';
 
 const name = z.string().min(1).max(200);
@@ -41,7 +42,7 @@
     versionSpan: z.enum(['record', 'restart']),
     interactive: z.strictObject({
       accounts: z.array(name).readonly(),
-      reservedShare: z.number().min(0).max(0.9),
+      reservedShare: z.number().min(0).max(RESERVED_SHARE_LIMIT),
     }),
     cutOff: cutOffRule,
   })
--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -4,8 +4,13 @@
  */
 import { Result } from 'true-myth';
 import { z } from 'zod';
-import type { CutOffRule, Intent } from '../config-feed/configuration.js';
+import {
+  type CutOffRule,
+  type Intent,
+  RESERVED_SHARE_LIMIT,
+} from '../config-feed/configuration.js';
 import type { ZoneName } from '../core/identity.js';
+import { MINUTE, type Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { formatDuration } from '../settings/duration.js';
 import {
@@ -15,11 +20,8 @@
   type SchemaProblem,
 } from '../settings/schema-problems.js';
 
-/** Largest share of a worker's slots that may be reserved for interactive traffic. */
-const RESERVED_SHARE_LIMIT = 0.9;
-
-/** Longest time a cut-off zone may go on serving, in milliseconds: one day. */
-const CUT_OFF_DURATION_LIMIT = 24 * 60 * 60 * 1_000;
+/** Longest time a cut-off zone may go on serving: one day. */
+const CUT_OFF_DURATION_LIMIT: Milliseconds = 24 * 60 * MINUTE;
 
 const NAME_FORM = 'letters, digits, ".", "_" and "-", at most 63 characters, e.g. "abdali-hall"';
 
