Make the key of a body's name in one function

Cause: disk-bodies, body-transfer and body-store each had the same nameKey, and the store's test for removed shard keys rests on its form. Ruled out: sharing with src/storage, whose key is a database key in another form. Change: bodyNameKey beside BodyName in ledger/messages.ts; the comment of body-transfer is wrapped. Run: build, biome and import check clean; test/ledger passes. Conclusion: behaviour unchanged.

--- a/src/ledger/body-store.ts
+++ b/src/ledger/body-store.ts
@@ -5,7 +5,7 @@
 import { contentDigest } from '../core/hashing.js';
 import type { Milliseconds } from '../core/units.js';
 import type { ReplicaDisk } from './disk-bodies.js';
-import type { BodyName } from './messages.js';
+import { type BodyName, bodyNameKey } from './messages.js';
 
 /** Counts bytes of bodies over all shards of one node, against a limit. */
 export interface BodyBudget {
@@ -22,10 +22,6 @@
 /** How storing a body ended. */
 export type StoreResult = 'stored' | 'full' | 'removed' | 'corrupt';
 
-function nameKey(name: BodyName): string {
-  return `${name.shardKey}\n${name.digest}`;
-}
-
 /** Bodies of one shard on one node. */
 export class BodyStore {
   /** Oldest first. */
@@ -42,7 +38,7 @@
 
   /** Stores a body; one with a wrong digest, removed or beyond the limit is not stored. */
   store(name: BodyName, body: string, expiresAt: Milliseconds): StoreResult {
-    const key = nameKey(name);
+    const key = bodyNameKey(name);
     if (this.#bodies.has(key)) return 'stored';
     if (this.isRemoved(name)) return 'removed';
     const bytes = Buffer.byteLength(body);
@@ -57,18 +53,18 @@
 
   /** The body, or `null` where it is not held. */
   fetch(name: BodyName): string | null {
-    return this.#bodies.get(nameKey(name))?.body ?? null;
+    return this.#bodies.get(bodyNameKey(name))?.body ?? null;
   }
 
   /** Whether a body is held. */
   has(name: BodyName): boolean {
-    return this.#bodies.has(nameKey(name));
+    return this.#bodies.has(bodyNameKey(name));
   }
 
   /** Whether a body was removed and must not be stored again. */
   isRemoved(name: BodyName): boolean {
     if (this.#removed.size === 0) return false;
-    return this.#removed.has(name.shardKey) || this.#removed.has(nameKey(name));
+    return this.#removed.has(name.shardKey) || this.#removed.has(bodyNameKey(name));
   }
 
   /** Names of all bodies, oldest first. */
@@ -111,7 +107,7 @@
   }
 
   #removeName(name: BodyName, until: Milliseconds): void {
-    const key = nameKey(name);
+    const key = bodyNameKey(name);
     this.#removed.set(key, until);
     const stored = this.#bodies.get(key);
     if (stored !== undefined) this.#delete(key, stored);
--- a/src/ledger/body-transfer.ts
+++ b/src/ledger/body-transfer.ts
@@ -1,8 +1,8 @@
 /**
  * Repair of bodies after a change of a group: a member lists the bodies of the other members in
- * pages, and fetches those it lacks a few at a time, from its own disk where it has them there. It is complete once a majority of the
- * members of the epoch before and all living members of the new one have been listed, and no
- * fetch is open.
+ * pages, and fetches those it lacks a few at a time, from its own disk where it has them there. It
+ * is complete once a majority of the members of the epoch before and all living members of the new
+ * one have been listed, and no fetch is open.
  */
 import type { GroupRecord } from '../config-feed/configuration.js';
 import { identityKey, type NodeIdentity } from '../core/identity.js';
@@ -11,7 +11,7 @@
 import type { ReplicaDisk } from './disk-bodies.js';
 import type { LedgerEnvironment } from './environment.js';
 import { allMembersOf, majorityOf } from './group-record.js';
-import type { BodyName, LedgerMessage } from './messages.js';
+import { type BodyName, bodyNameKey, type LedgerMessage } from './messages.js';
 
 interface Listing {
   readonly member: NodeIdentity;
@@ -42,10 +42,6 @@
 /** A read from the own disk that takes longer is given up; the body is fetched instead. */
 const LOAD_LIMIT: Milliseconds = 2_000;
 
-function nameKey(name: BodyName): string {
-  return `${name.shardKey}\n${name.digest}`;
-}
-
 /** The repair of one member's bodies for one epoch. */
 export class BodyTransfer<Value> {
   readonly #environment: LedgerEnvironment<Value>;
@@ -106,7 +102,7 @@
 
   /** Takes a body, or `null`, from the own disk. */
   bodyLoaded(name: BodyName, body: string | null, now: Milliseconds): void {
-    const load = this.#loads.get(nameKey(name));
+    const load = this.#loads.get(bodyNameKey(name));
     if (load !== undefined) this.#receiveLoaded(load, body, now);
     this.#fillWindow(now);
   }
@@ -152,7 +148,7 @@
       return;
     }
     this.#fetches.delete(request);
-    this.#alternatives.delete(nameKey(fetch));
+    this.#alternatives.delete(bodyNameKey(fetch));
     if (result === 'stored') this.#environment.counters.bodiesRepaired += 1;
   }
 
@@ -161,27 +157,27 @@
       const next = this.#waiting.shift();
       if (next === undefined) return;
       if (this.#store.has(next) || this.#store.isRemoved(next)) continue;
-      const alternatives = this.#alternatives.get(nameKey(next));
+      const alternatives = this.#alternatives.get(bodyNameKey(next));
       if (alternatives !== undefined) {
         alternatives.push(next);
         continue;
       }
-      this.#alternatives.set(nameKey(next), []);
+      this.#alternatives.set(bodyNameKey(next), []);
       if (this.#disk.load(next)) {
-        this.#loads.set(nameKey(next), { ...next, giveUpAt: now + LOAD_LIMIT });
+        this.#loads.set(bodyNameKey(next), { ...next, giveUpAt: now + LOAD_LIMIT });
       } else this.#startFetch(next, now);
     }
   }
 
   /** A body that could not be read is fetched from the member that listed it. */
   #receiveLoaded(load: Load, body: string | null, now: Milliseconds): void {
-    this.#loads.delete(nameKey(load));
+    this.#loads.delete(bodyNameKey(load));
     const { counters, settings } = this.#environment;
     const expiresAt = now + settings.bodyLifetime;
     const result = body === null ? 'corrupt' : this.#store.store(load, body, expiresAt);
     if (result === 'stored') counters.bodiesLoaded += 1;
     if (result !== 'corrupt') {
-      this.#alternatives.delete(nameKey(load));
+      this.#alternatives.delete(bodyNameKey(load));
       return;
     }
     counters.bodiesUnreadable += 1;
@@ -198,8 +194,8 @@
   }
 
   #askAlternatives(name: BodyName): void {
-    const alternatives = this.#alternatives.get(nameKey(name)) ?? [];
-    this.#alternatives.delete(nameKey(name));
+    const alternatives = this.#alternatives.get(bodyNameKey(name)) ?? [];
+    this.#alternatives.delete(bodyNameKey(name));
     this.#waiting.unshift(...alternatives);
   }
 
--- a/src/ledger/disk-bodies.ts
+++ b/src/ledger/disk-bodies.ts
@@ -4,7 +4,7 @@
  * See docs/design/storage.md.
  */
 import { placementHash } from '../core/hashing.js';
-import type { BodyName } from './messages.js';
+import { type BodyName, bodyNameKey } from './messages.js';
 
 /** Names one body on a disk. */
 export interface DiskBodyName extends BodyName {
@@ -60,10 +60,6 @@
   complete: () => {},
 };
 
-function nameKey(name: BodyName): string {
-  return `${name.shardKey}\n${name.digest}`;
-}
-
 function shardName(domain: string, shard: number): string {
   return `${domain}\n${shard}`;
 }
@@ -80,7 +76,7 @@
     for (const { domain, shardKey, digest } of options.found ?? []) {
       const shard = placementHash(shardKey) % options.shardsPerDomain;
       const name = { shardKey, digest };
-      this.#foundIn(domain, shard).set(nameKey(name), { name, isAsked: false });
+      this.#foundIn(domain, shard).set(bodyNameKey(name), { name, isAsked: false });
     }
   }
 
@@ -93,7 +89,7 @@
       deleted: (name) => this.#request({ kind: 'forget', name: { domain, ...name } }),
       load: (name) => this.#load(found, domain, name),
       unreadable: (name) => {
-        found.delete(nameKey(name));
+        found.delete(bodyNameKey(name));
       },
       complete: () => this.#complete(found, domain),
     };
@@ -110,12 +106,12 @@
   }
 
   #stored(found: FoundBodies, domain: string, name: BodyName, body: string): void {
-    const wasFound = found.delete(nameKey(name));
+    const wasFound = found.delete(bodyNameKey(name));
     if (!wasFound) this.#request({ kind: 'persist', name: { domain, ...name }, body });
   }
 
   #load(found: FoundBodies, domain: string, name: BodyName): boolean {
-    const body = found.get(nameKey(name));
+    const body = found.get(bodyNameKey(name));
     if (body === undefined || body.isAsked) return false;
     body.isAsked = true;
     this.#request({ kind: 'load', name: { domain, ...name } });
--- a/src/ledger/messages.ts
+++ b/src/ledger/messages.ts
@@ -28,6 +28,11 @@
   readonly digest: string;
 }
 
+/** The name as a map key; a digest has no line break, so it is unique. */
+export function bodyNameKey(name: BodyName): string {
+  return `${name.shardKey}\n${name.digest}`;
+}
+
 /** A removed range of registers or bodies that late messages must not bring back. */
 export interface Tombstone {
   readonly kind: 'registers' | 'bodies';
