--- a/src/config-feed/configuration.ts
+++ b/src/config-feed/configuration.ts
@@ -38,7 +38,7 @@
 export interface InteractiveProtection {
   /** Accounts that may ask interactively under this intent. */
   readonly accounts: readonly AccountName[];
-  /** Share of each worker's slots that training work never takes: 0 to {@link RESERVED_SHARE_LIMIT}. */
+  /** Share of a worker's slots that training never takes, at most {@link RESERVED_SHARE_LIMIT}. */
   readonly reservedShare: number;
 }
 
--- a/src/intents/confirm.ts
+++ b/src/intents/confirm.ts
@@ -124,8 +124,8 @@
 function usedOutcome(state: PlanState, found: PlanUse, own: PlanUse): ProcedureOutcome {
   const { plan } = state.stored;
   if (found.changeId === own.changeId) return confirmed(plan, own, state.planRevision);
-  const detail = `plan "${plan.planId}" was confirmed by "${found.account}" at revision ${state.planRevision}`;
-  return refused(failure('plan_used', detail));
+  const confirmation = `was confirmed by "${found.account}" at revision ${state.planRevision}`;
+  return refused(failure('plan_used', `plan "${plan.planId}" ${confirmation}`));
 }
 
 /**
@@ -151,8 +151,9 @@
   const record = intentChangeAt(records, plan.draft.name, state.intentRevision);
   const who = record === undefined ? 'an account not known' : `"${record.account}"`;
   const since = `revision ${baseRevisionOf(plan)}, on which plan "${plan.planId}" rests`;
-  const detail = `intent "${plan.draft.name}" was changed by ${who} at revision ${state.intentRevision}, after ${since}${changedFields(state, record)}`;
-  return failure('plan_stale', detail);
+  const change = `was changed by ${who} at revision ${state.intentRevision}`;
+  const fields = changedFields(state, record);
+  return failure('plan_stale', `intent "${plan.draft.name}" ${change}, after ${since}${fields}`);
 }
 
 function changedFields(state: PlanState, record: IntentChangeRecord | undefined): string {
--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -103,7 +103,7 @@
   });
 }
 
-/** Makes a reader of drafts for the gateway: {@link parseIntent} with one failure for all problems. */
+/** Makes the gateway's reader of drafts: {@link parseIntent} with one failure for all problems. */
 export function draftReader(
   knownZones: readonly ZoneName[],
 ): (document: unknown) => Result<Intent, Failure> {
--- a/src/retention/retention-sweeper.ts
+++ b/src/retention/retention-sweeper.ts
@@ -24,7 +24,10 @@
   readonly endedStep: Milliseconds;
   /** The record of an expired step, which keeps its id from being used anew. @default 60 min */
   readonly stepRecord: Milliseconds;
-  /** A request that may run at most once: a repeat within it gets the first outcome. @default 60 min */
+  /**
+   * A request that may run at most once: a repeat within it gets the first outcome.
+   * @default 60 min
+   */
   readonly request: Milliseconds;
 }
 
@@ -41,6 +44,7 @@
 /** Time given to one ledger operation. */
 const LEDGER_TIMEOUT: Milliseconds = 3 * SECOND;
 
+/** How long a record has been in one state, as this node saw it. */
 interface SeenRecord {
   /** The state that the time is counted in. */
   readonly phase: string;
--- a/src/weights/epoch-claim.ts
+++ b/src/weights/epoch-claim.ts
@@ -15,15 +15,16 @@
 /** Time after which an unanswered request counts as failed and may have applied. */
 const REQUEST_TIMEOUT: Milliseconds = 5 * SECOND;
 
-/** Pause after another holder took the epoch, so that two nodes do not outbid each other. */
+/** Pause after another holder took the epoch, so that two nodes do not take it in turns. */
 const STAND_DOWN_DELAY: BackoffOptions = { base: 4 * SECOND, maximum: 30 * SECOND };
 
 /** Shortest such pause. */
 const STAND_DOWN_MINIMUM: Milliseconds = 2 * SECOND;
 
+/** Pause after a failed request. */
 const FAILURE_DELAY: BackoffOptions = { base: 500, maximum: 10 * SECOND };
 
-/** Shortest pause after a failed request. */
+/** Shortest such pause. */
 const FAILURE_MINIMUM: Milliseconds = 200;
 
 /** Record of a controller in the key-value service, as JSON. */
@@ -59,7 +60,8 @@
 export class EpochClaim {
   private state: ClaimState = { kind: 'waiting', until: 0 };
   private failures = 0;
-  private lostDuels = 0;
+  /** How often this claim gave way to a higher epoch; each makes the next pause longer. */
+  private standDowns = 0;
   /** The write whose answer was lost, until a read tells whether it applied. */
   private unsettled: ControllerRecord | undefined;
   private highestSeen = 0;
@@ -108,8 +110,8 @@
   /** An engine has seen a higher epoch: another controller took over. */
   standDown(seenEpoch: number, now: Milliseconds): void {
     this.highestSeen = Math.max(this.highestSeen, seenEpoch);
-    const delay = backoffDelay(this.lostDuels, this.random, STAND_DOWN_DELAY, STAND_DOWN_MINIMUM);
-    this.lostDuels += 1;
+    const delay = backoffDelay(this.standDowns, this.random, STAND_DOWN_DELAY, STAND_DOWN_MINIMUM);
+    this.standDowns += 1;
     this.state = { kind: 'waiting', until: now + delay };
   }
 
