List the kinds of drain targets once

Ruled out: a union of three shapes: all have a kind and a name, and nothing narrows them. Change: DRAIN_KINDS of config-feed/configuration.ts; DrainTarget is one interface over it. Conclusion: behaviour unchanged.

--- a/src/cli/drain-command.ts
+++ b/src/cli/drain-command.ts
@@ -1,9 +1,8 @@
 /** `wardwing drain`: keeps new work from a node, a worker or a zone, or takes that back. */
+import { DRAIN_KINDS } from '../config-feed/configuration.js';
 import { askAndPrint, CLIENT_FLAGS } from './client-command.js';
 import { type Command, flagText, reportProblems, switchFlag, valueFlag } from './command.js';
 
-const TARGET_KINDS = ['node', 'worker', 'zone'];
-
 /** The command. */
 export const drainCommand: Command = {
   words: 'drain',
@@ -20,10 +19,10 @@
   ],
   async run(input) {
     const [kind = '', name = ''] = input.parameters;
-    if (!TARGET_KINDS.includes(kind)) {
+    if (!DRAIN_KINDS.some((known) => known === kind)) {
       const reason = `"${kind}" cannot be drained`;
       return reportProblems(input.terminal, [
-        { key: 'kind', reason, accepted: TARGET_KINDS.join(', ') },
+        { key: 'kind', reason, accepted: DRAIN_KINDS.join(', ') },
       ]);
     }
     const body = {
--- a/src/config-feed/configuration.ts
+++ b/src/config-feed/configuration.ts
@@ -92,11 +92,14 @@
   readonly reason: string;
 }
 
+/** Kinds of things that can be drained. */
+export const DRAIN_KINDS = ['node', 'worker', 'zone'] as const;
+
 /** What is drained. */
-export type DrainTarget =
-  | { readonly kind: 'node'; readonly name: string }
-  | { readonly kind: 'worker'; readonly name: string }
-  | { readonly kind: 'zone'; readonly name: string };
+export interface DrainTarget {
+  readonly kind: (typeof DRAIN_KINDS)[number];
+  readonly name: string;
+}
 
 /** One revision of the whole configuration. */
 export interface Configuration {
--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -8,6 +8,7 @@
 import {
   type Configuration,
   catalogueKey,
+  DRAIN_KINDS,
   type DrainRecord,
   drainKey,
   FEED_PREFIXES,
@@ -78,7 +79,7 @@
 
 /** Schema of a drain. */
 export const drainSchema = z.strictObject({
-  target: z.strictObject({ kind: z.enum(['node', 'worker', 'zone']), name }),
+  target: z.strictObject({ kind: z.enum(DRAIN_KINDS), name }),
   reason: z.string().max(2_000),
 });
 
--- a/src/gateway/operator-routes.ts
+++ b/src/gateway/operator-routes.ts
@@ -3,6 +3,7 @@
  */
 import type { Result } from 'true-myth';
 import { z } from 'zod';
+import { DRAIN_KINDS } from '../config-feed/configuration.js';
 import { HTTP_STATUS } from '../core/http-status.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { NodeCall, ReplyBody } from '../node/calls.js';
@@ -26,7 +27,7 @@
   bytes: z.int().min(1),
 });
 const drainSchema = z.strictObject({
-  target: z.strictObject({ kind: z.enum(['node', 'worker', 'zone']), name }),
+  target: z.strictObject({ kind: z.enum(DRAIN_KINDS), name }),
   reason: z.string().max(MAX_REASON_LENGTH),
   drained: z.boolean(),
 });
