Check names of settings and intents by one field

Cause: the pattern of a name, its message and its description stood in both schemas. Ruled out: one description for both: intents show an example, settings do not, and both texts stay. Change: nameField of settings/schema-problems.ts, beside durationField. Run: build, biome and import check clean; tests of settings, intents and cli 164 of 164 pass. Conclusion: behaviour unchanged.

--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -17,18 +17,14 @@
   checkDocument,
   durationField,
   formatProblem,
+  nameField,
   type SchemaProblem,
 } from '../settings/schema-problems.js';
 
 /** Longest time a cut-off zone may go on serving: one day. */
 const CUT_OFF_DURATION_LIMIT: Milliseconds = 24 * 60 * MINUTE;
 
-const NAME_FORM = 'letters, digits, ".", "_" and "-", at most 63 characters, e.g. "abdali-hall"';
-
-const nameSchema = z
-  .string()
-  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'this is not a name')
-  .describe(NAME_FORM);
+const nameSchema = nameField('abdali-hall');
 
 const versionSchema = z.int().min(1).describe('a whole number, 1 or larger');
 
--- a/src/settings/schema-problems.ts
+++ b/src/settings/schema-problems.ts
@@ -20,6 +20,21 @@
   return `${problem.key}: ${problem.reason}; accepted: ${problem.accepted}`;
 }
 
+/** Names of nodes, zones, accounts, models and intents. */
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** What {@link nameField} accepts, for messages. */
+const ACCEPTED_NAMES = 'letters, digits, ".", "_" and "-", at most 63 characters';
+
+/** A name in a document; `example` is shown with what is accepted. */
+export function nameField(example?: string): z.ZodString {
+  const suffix = example === undefined ? '' : `, e.g. "${example}"`;
+  return z
+    .string()
+    .regex(NAME_PATTERN, 'this is not a name')
+    .describe(ACCEPTED_NAMES + suffix);
+}
+
 /** A duration in a document, read into milliseconds. */
 export function durationField(): z.ZodType<number, string> {
   return z
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -6,14 +6,11 @@
 import { Result } from 'true-myth';
 import { z } from 'zod';
 import { KIBIBYTE, MEBIBYTE } from '../core/units.js';
-import { checkDocument, durationField, type SchemaProblem } from './schema-problems.js';
+import { checkDocument, durationField, nameField, type SchemaProblem } from './schema-problems.js';
 
 const LARGEST_PORT = 65_535;
 
-const nameSchema = z
-  .string()
-  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'this is not a name')
-  .describe('letters, digits, ".", "_" and "-", at most 63 characters');
+const nameSchema = nameField();
 
 const endpointSchema = z
   .string()
