Split the key-value watch into methods of one class

Cause: startWatch was a function of 42 lines with four closures over a flag and two timers. Change: Watch with start, stop, askProgress, takeResponse, takeLine and lose, in the form of the engine's stream; the exported function and its events are the same. Conclusion: behaviour unchanged.

--- a/src/platform/key-value-watch-client.ts
+++ b/src/platform/key-value-watch-client.ts
@@ -25,46 +25,71 @@
 
 /** Starts a watch; returns a function that ends it without a further event. */
 export function startWatch(options: WatchOptions): () => void {
-  const { agent, address } = options;
-  const request = http.request(
-    requestOptions({ agent, address, method: 'POST', path: '/v3/watch' }),
-  );
-  let ended = false;
-  const stop = (): void => {
-    ended = true;
-    clearInterval(progressTimer);
-    clearTimeout(silenceTimer);
-    request.destroy();
-  };
-  const lose = (compacted: boolean): void => {
-    if (ended) return;
-    stop();
-    options.listener({ kind: 'lost', compacted });
-  };
-  const loseConnection = (): void => lose(false);
-  const silenceTimer = setTimeout(loseConnection, options.watchSilenceLimit);
-  const progressTimer = setInterval(() => {
-    request.write(`${JSON.stringify({ progress_request: {} })}\n`);
-  }, options.progressInterval);
-  const takeLine = (text: string): void => {
-    if (ended || text === '') return;
-    silenceTimer.refresh();
-    const event = eventOf(text);
-    if (event?.kind === 'lost') lose(event.compacted);
-    else if (event !== undefined) options.listener(event);
-  };
-  request.on('error', loseConnection);
-  request.on('response', (response) => {
+  const watch = new Watch(options);
+  watch.start();
+  return () => watch.stop();
+}
+
+/** One open watch; its listener hears nothing after `lost` or a stop. */
+class Watch {
+  private readonly request: http.ClientRequest;
+  private readonly silenceTimer: NodeJS.Timeout;
+  private readonly progressTimer: NodeJS.Timeout;
+  private ended = false;
+
+  constructor(private readonly options: WatchOptions) {
+    const { agent, address, watchSilenceLimit, progressInterval } = options;
+    const target = { agent, address, method: 'POST', path: '/v3/watch' } as const;
+    this.request = http.request(requestOptions(target));
+    this.silenceTimer = setTimeout(() => this.lose(false), watchSilenceLimit);
+    this.progressTimer = setInterval(() => this.askProgress(), progressInterval);
+  }
+
+  /** Sends the request that creates the watch; its body stays open. */
+  start(): void {
+    this.request.on('error', () => this.lose(false));
+    this.request.on('response', (response) => this.takeResponse(response));
+    this.request.write(`${createRequest(this.options)}\n`);
+  }
+
+  /** Ends the watch without a further event. */
+  stop(): void {
+    this.ended = true;
+    clearInterval(this.progressTimer);
+    clearTimeout(this.silenceTimer);
+    this.request.destroy();
+  }
+
+  private askProgress(): void {
+    this.request.write(`${JSON.stringify({ progress_request: {} })}\n`);
+  }
+
+  private takeResponse(response: http.IncomingMessage): void {
     if (response.statusCode !== HTTP_STATUS.ok) {
-      loseConnection();
+      this.lose(false);
       return;
     }
-    readLines(response, options.maximumBytes, { line: takeLine, tooLong: loseConnection });
-    response.on('error', loseConnection);
-    response.on('close', loseConnection);
-  });
-  request.write(`${createRequest(options)}\n`);
-  return stop;
+    readLines(response, this.options.maximumBytes, {
+      line: (text) => this.takeLine(text),
+      tooLong: () => this.lose(false),
+    });
+    response.on('error', () => this.lose(false));
+    response.on('close', () => this.lose(false));
+  }
+
+  private takeLine(text: string): void {
+    if (this.ended || text === '') return;
+    this.silenceTimer.refresh();
+    const event = eventOf(text);
+    if (event?.kind === 'lost') this.lose(event.compacted);
+    else if (event !== undefined) this.options.listener(event);
+  }
+
+  private lose(compacted: boolean): void {
+    if (this.ended) return;
+    this.stop();
+    this.options.listener({ kind: 'lost', compacted });
+  }
 }
 
 function createRequest(options: WatchOptions): string {
