--- a/src/membership/membership-effects.ts
+++ b/src/membership/membership-effects.ts
@@ -1,5 +1,6 @@
 /** Effects of the membership module, and the list in which one call gathers them. */
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import type { MembershipMessage } from './messages.js';
 
 /** State of a member as other modules see it. */
@@ -29,26 +30,30 @@
   | {
       readonly kind: 'state-change';
       readonly change: string;
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** Gathers the effects of one call. */
 export class EffectList {
   private effects: MembershipEffect[] = [];
 
+  /** Adds an effect. */
   add(effect: MembershipEffect): void {
     this.effects.push(effect);
   }
 
+  /** Adds a message to one life of a member. */
   send(to: NodeRecord, message: MembershipMessage): void {
     this.add({ kind: 'send', to, address: to.address, message });
   }
 
+  /** Adds a message to whichever node listens at an address. */
   sendToAddress(address: string, message: MembershipMessage): void {
     this.add({ kind: 'send', to: null, address, message });
   }
 
-  logChange(change: string, details: Readonly<Record<string, string | number | boolean>>): void {
+  /** Adds a change of state for the log. */
+  logChange(change: string, details: ChangeDetails): void {
     this.add({ kind: 'state-change', change, details });
   }
 
