Lab: one queue of simulated time in place of three

Cause: lab/simulation, lab/bench/hollow-fleet and lab/bench/ledger-event-queue each had a binary heap ordered by time, then by insertion. Change: the simulation's queue takes points of time as well as delays (`at`), and the benches use it; a test covers a point of time that has passed. Conclusion: the same order of events from one piece of code.

--- a/lab/bench/hollow-fleet.ts
+++ b/lab/bench/hollow-fleet.ts
@@ -5,6 +5,7 @@
 import type { NodeId, NodeRecord, ZoneName } from '../../src/core/identity.js';
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { EventQueue } from '../simulation/event-queue.js';
 import { TrafficMeter } from './hollow-fleet-traffic.js';
 
 /** Zones of the fleets, with their regions. */
@@ -43,73 +44,6 @@
   });
 }
 
-interface ScheduledEvent {
-  readonly at: Milliseconds;
-  readonly order: number;
-  readonly run: () => void;
-}
-
-/** A queue of events in simulated time; a binary heap ordered by time, then by insertion. */
-export class EventQueue {
-  private readonly heap: ScheduledEvent[] = [];
-  private inserted = 0;
-  now: Milliseconds = 0;
-
-  schedule(at: Milliseconds, run: () => void): void {
-    this.inserted += 1;
-    this.heap.push({ at: Math.max(at, this.now), order: this.inserted, run });
-    this.rise(this.heap.length - 1);
-  }
-
-  /** Runs all events up to a time. */
-  runUntil(end: Milliseconds): void {
-    for (let next = this.heap[0]; next !== undefined && next.at <= end; next = this.heap[0]) {
-      this.removeFirst();
-      this.now = next.at;
-      next.run();
-    }
-    this.now = end;
-  }
-
-  private precedes(left: number, right: number): boolean {
-    const first = this.heap[left] as ScheduledEvent;
-    const second = this.heap[right] as ScheduledEvent;
-    return first.at < second.at || (first.at === second.at && first.order < second.order);
-  }
-
-  private swap(left: number, right: number): void {
-    const moved = this.heap[left] as ScheduledEvent;
-    this.heap[left] = this.heap[right] as ScheduledEvent;
-    this.heap[right] = moved;
-  }
-
-  private rise(start: number): void {
-    let position = start;
-    while (position > 0) {
-      const parent = (position - 1) >> 1;
-      if (!this.precedes(position, parent)) return;
-      this.swap(position, parent);
-      position = parent;
-    }
-  }
-
-  private removeFirst(): void {
-    const last = this.heap.pop() as ScheduledEvent;
-    if (this.heap.length === 0) return;
-    this.heap[0] = last;
-    let position = 0;
-    for (;;) {
-      let smallest = position;
-      for (const child of [2 * position + 1, 2 * position + 2]) {
-        if (child < this.heap.length && this.precedes(child, smallest)) smallest = child;
-      }
-      if (smallest === position) return;
-      this.swap(position, smallest);
-      position = smallest;
-    }
-  }
-}
-
 /** Something a module wants sent. */
 export interface OutgoingMessage<Message> {
   readonly address: string;
@@ -153,7 +87,7 @@
     this.byAddress.set(node.record.address, node);
     this.stopped.delete(node.record.node);
     const first = this.queue.now + TICK_INTERVAL * this.random.fraction();
-    this.queue.schedule(first, () => this.tick(node));
+    this.queue.at(first, () => this.tick(node));
   }
 
   /** Stops a node for good, without a word. */
@@ -189,7 +123,7 @@
     if (this.isolated.has(from.node) || this.isolated.has(target.record.node)) return;
     if (this.loss > 0 && this.random.fraction() < this.loss) return;
     const at = this.queue.now + this.latency(from, target.record);
-    this.queue.schedule(at, () => this.deliver(from, target, message));
+    this.queue.at(at, () => this.deliver(from, target, message));
   }
 
   private deliver(from: NodeRecord, target: HollowNode<Message>, message: Message): void {
@@ -201,7 +135,7 @@
     if (this.byAddress.get(node.record.address) !== node) return;
     if (this.stopped.has(node.record.node)) return;
     if (this.isRunning(node.record.node)) node.tick(this.queue.now);
-    this.queue.schedule(this.queue.now + TICK_INTERVAL, () => this.tick(node));
+    this.queue.at(this.queue.now + TICK_INTERVAL, () => this.tick(node));
   }
 
   /** One-way latency: about 0.5 ms in a zone, 1 ms in a region, 40 ms between regions. */
--- a/lab/bench/hollow-key-value.ts
+++ b/lab/bench/hollow-key-value.ts
@@ -10,7 +10,7 @@
   KeyValueResult,
   KeyValueWatchEvent,
 } from '../../src/platform/key-value.js';
-import type { EventQueue } from './hollow-fleet.js';
+import type { EventQueue } from '../simulation/event-queue.js';
 
 const LATENCY: Milliseconds = 3;
 const WATCH_LATENCY: Milliseconds = 2;
@@ -68,7 +68,7 @@
     const failure = this.failure();
     const result = failure ?? this.range(operation);
     const at = this.queue.now + (failure === null ? LATENCY / 2 + this.slowness : LATENCY);
-    this.queue.schedule(at, () => answer(result));
+    this.queue.at(at, () => answer(result));
   }
 
   /** Starts a watch; `id` is unique in the fleet. */
@@ -110,10 +110,10 @@
 
   private lose(id: string, compacted: boolean): void {
     this.notify(id, { kind: 'lost', compacted });
-    this.queue.schedule(this.queue.now + WATCH_LATENCY, () => this.watches.delete(id));
+    this.queue.at(this.queue.now + WATCH_LATENCY, () => this.watches.delete(id));
   }
 
   private notify(id: string, event: KeyValueWatchEvent): void {
-    this.queue.schedule(this.queue.now + WATCH_LATENCY, () => this.watches.get(id)?.notify(event));
+    this.queue.at(this.queue.now + WATCH_LATENCY, () => this.watches.get(id)?.notify(event));
   }
 }
--- a/lab/bench/ledger-fleet.ts
+++ b/lab/bench/ledger-fleet.ts
@@ -14,7 +14,7 @@
   type LedgerOptions,
   type LedgerOutcome,
 } from '../../src/ledger/ledger.js';
-import { EventQueue } from './ledger-event-queue.js';
+import { EventQueue } from '../simulation/event-queue.js';
 import { SimulatedKeyValue } from './ledger-key-value.js';
 
 /** How the network behaves; times in milliseconds, shares in `[0, 1]`. */
--- a/lab/bench/ledger-model-network.ts
+++ b/lab/bench/ledger-model-network.ts
@@ -1,7 +1,7 @@
 /** The network of the compared designs: counts messages and encoded bytes, skips dead nodes. */
 import { stringify } from 'devalue';
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
-import { EventQueue } from './ledger-event-queue.js';
+import { EventQueue } from '../simulation/event-queue.js';
 
 /** One way of replicating a shard, as far as the comparison needs it. */
 export interface ModelledDesign {
--- a/lab/bench/storage-fleet.ts
+++ b/lab/bench/storage-fleet.ts
@@ -14,7 +14,7 @@
   type LedgerEffect,
   type LedgerMessage,
 } from '../../src/ledger/ledger.js';
-import { EventQueue } from './ledger-event-queue.js';
+import { EventQueue } from '../simulation/event-queue.js';
 import { SimulatedKeyValue } from './ledger-key-value.js';
 import {
   DEFAULT_DISK,
--- a/lab/simulation/event-queue.ts
+++ b/lab/simulation/event-queue.ts
@@ -35,7 +35,12 @@
 
   /** Schedules an action after a delay; a negative delay counts as none. */
   after(delay: Milliseconds, action: ScheduledAction): void {
-    const at = this.#now + Math.max(0, delay);
+    this.at(this.#now + delay, action);
+  }
+
+  /** Schedules an action for a point of time; one that has passed counts as the present. */
+  at(time: Milliseconds, action: ScheduledAction): void {
+    const at = Math.max(time, this.#now);
     this.#heap.push({ at, sequence: this.#sequence, action });
     this.#sequence += 1;
     this.#siftUp(this.#heap.length - 1);
--- a/test/lab/simulation/event-queue.test.ts
+++ b/test/lab/simulation/event-queue.test.ts
@@ -21,6 +21,16 @@
   t.equal(queue.size, 1);
 });
 
+t.test('a point of time that has passed counts as the present', async (t) => {
+  const queue = new EventQueue();
+  const ran: string[] = [];
+  queue.runUntil(10);
+  queue.at(12, () => ran.push(`later@${queue.now}`));
+  queue.at(4, () => ran.push(`passed@${queue.now}`));
+  queue.runUntil(20);
+  t.same(ran, ['passed@10', 'later@12']);
+});
+
 t.test('a clock never jumps when its rate changes', async (t) => {
   const clock = new NodeClock(100, 5_000, 1);
   t.equal(clock.read(200), 5_100);
