Lab: one place for percentiles, means, medians and rounding

Cause: lab/bench and lab/experiments had two percentiles, three medians and five roundings. Ruled out: moving the demo's percentile as well; it reads a histogram of three digits, whose figures differ from those of nearest rank. Change: lab/common/statistics.ts with tests. Two real-time benches (node, routing) now take the mean of the two middle values of an even count, where they took the upper one; all other figures are computed as before. Conclusion: one definition of each figure.

--- a/lab/bench/config-feed.ts
+++ b/lab/bench/config-feed.ts
@@ -6,6 +6,7 @@
  */
 import { intentKey } from '../../src/config-feed/configuration.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { HollowFeedFleet, intentText } from './hollow-feed-fleet.js';
 import { FLEET_SIZES, FLEET_ZONES, perSecond } from './hollow-fleet.js';
@@ -14,7 +15,6 @@
   durationHistogram,
   heapInUse,
   processorMilliseconds,
-  round,
   slopePerThousand,
   summarize,
 } from './hollow-fleet-measures.js';
--- a/lab/bench/fleet-machine-list.ts
+++ b/lab/bench/fleet-machine-list.ts
@@ -7,9 +7,10 @@
 import { NodeCore } from '../../src/node/node-core.js';
 import { NODE_DEFAULTS } from '../../src/node/node-options.js';
 import { machineList } from '../../src/platform/machine-list-client.js';
+import { round } from '../common/statistics.js';
 import { SimulatedMachineList } from '../simulation/simulated-machine-list.js';
 import { fleetPlan } from './fleet-plan.js';
-import { heapInUse, processorMilliseconds, round } from './hollow-fleet-measures.js';
+import { heapInUse, processorMilliseconds } from './hollow-fleet-measures.js';
 
 const READS = 8;
 
--- a/lab/bench/fleet-run.ts
+++ b/lab/bench/fleet-run.ts
@@ -4,11 +4,12 @@
  */
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
 import { NodeCore } from '../../src/node/node-core.js';
+import { round } from '../common/statistics.js';
 import { Simulation } from '../simulation/simulation.js';
 import { TrainerClient } from '../simulation/trainer-client.js';
 import { FleetMeter } from './fleet-meter.js';
 import { fleetPlan, TRAINERS } from './fleet-plan.js';
-import { heapInUse, processorMilliseconds, round } from './hollow-fleet-measures.js';
+import { heapInUse, processorMilliseconds } from './hollow-fleet-measures.js';
 
 /** Samples a node and second at the letter's size. */
 export const SAMPLES_PER_NODE_SECOND = (TRAINERS * 16_384) / 480 / 2_700;
--- a/lab/bench/fleet.ts
+++ b/lab/bench/fleet.ts
@@ -5,11 +5,12 @@
  */
 import { loadavg } from 'node:os';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { type MachineListFigures, measureMachineList } from './fleet-machine-list.js';
 import { type FleetFigures, measureFleet } from './fleet-run.js';
 import { FLEET_SIZES } from './hollow-fleet.js';
-import { round, slopePerThousand } from './hollow-fleet-measures.js';
+import { slopePerThousand } from './hollow-fleet-measures.js';
 
 const WARM_UP: Milliseconds = 8 * SECOND;
 const PHASE: Milliseconds = 10 * SECOND;
--- a/lab/bench/hollow-fleet-measures.ts
+++ b/lab/bench/hollow-fleet-measures.ts
@@ -2,6 +2,7 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { build, type Histogram } from 'hdr-histogram-js';
+import { mean, round } from '../common/statistics.js';
 
 let collectGarbage: (() => void) | null = null;
 
@@ -46,15 +47,9 @@
 
 /** Slope of a least-squares line through points, as the rise of `y` per 1,000 of `x`. */
 export function slopePerThousand(points: readonly { x: number; y: number }[]): number {
-  const meanX = points.reduce((sum, point) => sum + point.x, 0) / points.length;
-  const meanY = points.reduce((sum, point) => sum + point.y, 0) / points.length;
+  const meanX = mean(points.map(({ x }) => x));
+  const meanY = mean(points.map(({ y }) => y));
   const covariance = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0);
   const variance = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0);
   return variance === 0 ? 0 : round((covariance / variance) * 1_000, 4);
 }
-
-/** Rounds to a number of decimals. */
-export function round(value: number, decimals: number): number {
-  const factor = 10 ** decimals;
-  return Math.round(value * factor) / factor;
-}
--- a/lab/bench/ledger-scaling.ts
+++ b/lab/bench/ledger-scaling.ts
@@ -1,7 +1,7 @@
 /** What one sample costs in fleets of different sizes, at the same load a node. */
+import { percentile, round } from '../common/statistics.js';
 import { LedgerFleet } from './ledger-fleet.js';
 import { LedgerLoad } from './ledger-load.js';
-import { percentile, rounded } from './ledger-service-probe.js';
 
 const ZONES = ['east', 'north', 'west'];
 const NODES_PER_TRAINER = 5;
@@ -101,12 +101,12 @@
       pageEntries: this.#pageEntries,
       piggybackPrepare: this.#piggybackPrepare,
       samples,
-      messagesPerSample: rounded((counters.messages - this.#countersBefore.messages) / samples),
+      messagesPerSample: round((counters.messages - this.#countersBefore.messages) / samples, 1),
       bytesPerSample: Math.round((counters.bytes - this.#countersBefore.bytes) / samples),
-      cpuMicrosecondsPerSample: rounded(percentile(work, 0.5)),
-      tickMicrosecondsPerNodeSecond: rounded(percentile(ticks, 0.5)),
-      commitMillisecondsP50: rounded(percentile(latencies, 0.5)),
-      commitMillisecondsP99: rounded(percentile(latencies, 0.99)),
+      cpuMicrosecondsPerSample: round(percentile(work, 0.5), 1),
+      tickMicrosecondsPerNodeSecond: round(percentile(ticks, 0.5), 1),
+      commitMillisecondsP50: round(percentile(latencies, 0.5), 1),
+      commitMillisecondsP99: round(percentile(latencies, 0.99), 1),
       keyValueRequestsInMeasure: keyValue.requests - this.#requestsBefore,
     };
   }
--- a/lab/bench/ledger-service-probe.ts
+++ b/lab/bench/ledger-service-probe.ts
@@ -32,15 +32,3 @@
     return times.slice(1).map((time, index) => time - (times[index] as number));
   }
 }
-
-/** The value below which a share of the sorted values lies. */
-export function percentile(values: readonly number[], share: number): number {
-  const sorted = [...values].sort((left, right) => left - right);
-  const place = Math.min(sorted.length - 1, Math.ceil(share * sorted.length) - 1);
-  return sorted[Math.max(0, place)] ?? 0;
-}
-
-/** Rounds to one decimal. */
-export function rounded(value: number): number {
-  return Math.round(value * 10) / 10;
-}
--- a/lab/bench/ledger.ts
+++ b/lab/bench/ledger.ts
@@ -3,6 +3,7 @@
  * without service after a kill, and the leaderless register beside a lease-held owner and a Raft
  * leader a shard. The last line is JSON.
  */
+import { mean, percentile, round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { LeaseModel } from './ledger-lease-model.js';
 import type { ModelledDesign } from './ledger-model-network.js';
@@ -15,7 +16,6 @@
 } from './ledger-outage.js';
 import { RaftModel } from './ledger-raft-model.js';
 import { measureScaling, type ScalingRow } from './ledger-scaling.js';
-import { percentile, rounded } from './ledger-service-probe.js';
 
 const FLEET_SIZES = [10, 100, 300, 1_000];
 /** Fleet whose figures stand beside the other designs. */
@@ -31,9 +31,9 @@
 
 /** Largest deviation from the mean, as a share of the mean in percent. */
 function spreadPercent(values: readonly number[]): number {
-  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
-  const largest = Math.max(...values.map((value) => Math.abs(value - mean)));
-  return rounded((largest / mean) * 100);
+  const average = mean(values);
+  const largest = Math.max(...values.map((value) => Math.abs(value - average)));
+  return round((largest / average) * 100, 1);
 }
 
 function printed(rows: ScalingRow[]): ScalingRow[] {
@@ -59,8 +59,8 @@
 function killFigures(trials: number, measure: (seed: number) => number) {
   const gaps = Array.from({ length: trials }, (_, trial) => measure(trial + 1));
   return {
-    killGapMsP50: rounded(percentile(gaps, 0.5)),
-    killGapMsP99: rounded(percentile(gaps, 0.99)),
+    killGapMsP50: round(percentile(gaps, 0.5), 1),
+    killGapMsP99: round(percentile(gaps, 0.99), 1),
   };
 }
 
@@ -68,7 +68,7 @@
   return {
     ...modelCost(create(1), MODEL_SAMPLES, GROUP_SAMPLES_A_SECOND),
     ...killFigures(trials, (seed) => modelKill(create(seed))),
-    outageSecondsWithoutService: rounded(modelOutage(create(1)) / 1_000),
+    outageSecondsWithoutService: round(modelOutage(create(1)) / 1_000, 1),
   };
 }
 
@@ -83,7 +83,7 @@
     messagesPerSample: reference.messagesPerSample,
     bytesPerSample: reference.bytesPerSample,
     ...killFigures(trials, (trial) => leaderlessKill(seed + trial, 30)),
-    outageSecondsWithoutService: rounded(leaderlessOutage(seed) / 1_000),
+    outageSecondsWithoutService: round(leaderlessOutage(seed) / 1_000, 1),
   };
   console.log(JSON.stringify({ leaderless }));
   const lease = modelFigures(trials, (trial) => new LeaseModel(GROUP_SIZE, seed + trial));
--- a/lab/bench/membership.ts
+++ b/lab/bench/membership.ts
@@ -6,6 +6,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { NodeId, NodeRecord } from '../../src/core/identity.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { FLEET_SIZES, FLEET_ZONES, perSecond } from './hollow-fleet.js';
 import {
@@ -13,7 +14,6 @@
   durationHistogram,
   heapInUse,
   processorMilliseconds,
-  round,
   slopePerThousand,
   summarize,
 } from './hollow-fleet-measures.js';
--- a/lab/bench/node.ts
+++ b/lab/bench/node.ts
@@ -7,6 +7,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { loadavg, tmpdir } from 'node:os';
 import path from 'node:path';
+import { median, round } from '../common/statistics.js';
 import { ProcessGroup } from '../demo/process-group.js';
 import { pause } from '../demo/running-deployment.js';
 import { closeConnections } from '../load/json-client.js';
@@ -188,16 +189,11 @@
   };
 }
 
-function median(values: readonly number[]): number {
-  const sorted = [...values].sort((left, right) => left - right);
-  return sorted[Math.floor(sorted.length / 2)] ?? Number.NaN;
-}
-
 function cpuShare(before: ProcessUsage, after: ProcessUsage): number {
   const elapsed = (after.at - before.at) / MILLISECONDS_PER_SECOND;
   return (after.cpuSeconds - before.cpuSeconds) / elapsed;
 }
 
 function rounded(value: number): number {
-  return Math.round(value * 10_000) / 10_000;
+  return round(value, 4);
 }
--- a/lab/bench/resume.ts
+++ b/lab/bench/resume.ts
@@ -8,6 +8,7 @@
 import type { Intent } from '../../src/config-feed/configuration.js';
 import type { TokenCount } from '../../src/core/units.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { CompleteAnswerOracle } from '../proofs/oracles/complete-answer.js';
 import { StalenessBoundOracle } from '../proofs/oracles/staleness-bound.js';
@@ -146,10 +147,10 @@
     samples_delivered: meter.delivered.size,
     tokens_made: made,
     tokens_delivered: delivered,
-    wasted_share: rounded((made - delivered) / made),
+    wasted_share: round((made - delivered) / made, 4),
     resumed_starts: meter.resumedStarts,
     tokens_read_again: meter.tokensReadAgain,
-    whole_after_seconds: rounded((meter.lastDelivery - startedAt) / SECOND),
+    whole_after_seconds: round((meter.lastDelivery - startedAt) / SECOND, 4),
     mixed_samples: meter.mixedSamples,
     violations: meter.oracles.reduce((sum, oracle) => sum + oracle.violationCount, 0),
   };
@@ -196,7 +197,3 @@
 function isSound(figures: ResumeFigures): boolean {
   return figures.samples_delivered === figures.samples_asked && figures.violations === 0;
 }
-
-function rounded(value: number): number {
-  return Math.round(value * 10_000) / 10_000;
-}
--- a/lab/bench/routing-decisions.ts
+++ b/lab/bench/routing-decisions.ts
@@ -6,6 +6,7 @@
 import { Router } from '../../src/routing/router.js';
 import { createRoutingPolicies } from '../../src/routing/routing-policies.js';
 import { WorkerDirectory } from '../../src/routing/worker-directory.js';
+import { median } from '../common/statistics.js';
 import { MODEL, makeMachine, makeNode, makeRequest, makeWorker } from './routing-fixtures.js';
 
 /** Zones of the measured fleet. */
@@ -88,11 +89,6 @@
   );
 }
 
-/** The median over batches, so that a pause of the machine does not count. */
-function median(values: readonly number[]): number {
-  return [...values].sort((left, right) => left - right)[values.length >> 1] ?? 0;
-}
-
 /** One policy at one size, ready to be measured. */
 class DecisionRun {
   readonly #directory: WorkerDirectory;
@@ -125,6 +121,7 @@
   }
 
   figure(): DecisionFigure {
+    // The median over batches, so that a pause of the machine does not count.
     const nanoseconds = median(this.#costs);
     return {
       policy: this.policy,
--- a/lab/bench/storage-disk-probe.ts
+++ b/lab/bench/storage-disk-probe.ts
@@ -6,7 +6,7 @@
 import { contentDigest } from '../../src/core/hashing.js';
 import { createRandomSource } from '../../src/core/random.js';
 import { BodyFolder } from '../../src/storage/body-folder.js';
-import { percentile, rounded } from './ledger-service-probe.js';
+import { percentile, round } from '../common/statistics.js';
 
 /** Cost of writing small records, as an acceptor that keeps its promises would. */
 export interface VoteWriteFigures {
@@ -71,8 +71,8 @@
       concurrency,
       writes,
       writesPerSecond: Math.round((writes / elapsed) * 1_000),
-      p50Milliseconds: rounded(percentile(times, 0.5)),
-      p99Milliseconds: rounded(percentile(times, 0.99)),
+      p50Milliseconds: round(percentile(times, 0.5), 1),
+      p99Milliseconds: round(percentile(times, 0.99), 1),
     };
   });
 }
@@ -120,7 +120,7 @@
       megabytes,
       bodies: count,
       persistMegabytesPerSecond: Math.round(megabytes / persist),
-      openMilliseconds: rounded(open * 1_000),
+      openMilliseconds: round(open * 1_000, 1),
       loadMegabytesPerSecond: Math.round(megabytes / load),
     };
   });
--- a/lab/bench/weights-activation.ts
+++ b/lab/bench/weights-activation.ts
@@ -4,6 +4,7 @@
  */
 import { createRandomSource } from '../../src/core/random.js';
 import { MINUTE, SECOND } from '../../src/core/units.js';
+import { round } from '../common/statistics.js';
 import { KeyValueCore } from '../emulator/key-value-core.js';
 import { WeightsZone } from '../experiments/weights-zone.js';
 import type { CommandFlags } from '../main.js';
@@ -90,19 +91,15 @@
   return {
     workers: workers.length,
     all_active: isDone(),
-    activation_p100_seconds: round(Math.max(...zones.map(longestActivation)) / SECOND),
-    publication_p100_seconds: round((lastActive - WARM_UP) / SECOND),
-    orders_per_second: round(orders / elapsed),
-    polls_per_second: round(polls / (queue.now / SECOND)),
+    activation_p100_seconds: round(Math.max(...zones.map(longestActivation)) / SECOND, 2),
+    publication_p100_seconds: round((lastActive - WARM_UP) / SECOND, 2),
+    orders_per_second: round(orders / elapsed, 2),
+    polls_per_second: round(polls / (queue.now / SECOND), 2),
     loads_at_once_per_zone_max: Math.max(...zones.map((zone) => zone.mostLoadsAtOnce)),
-    wall_seconds: round((performance.now() - wallStart) / SECOND),
+    wall_seconds: round((performance.now() - wallStart) / SECOND, 2),
   };
 }
 
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
-
 /** Runs the bench; exit code 0 when every fleet size is within the target. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
   const seed = Number(flags.seed ?? 1);
--- a/lab/experiments/deployment-bench.ts
+++ b/lab/experiments/deployment-bench.ts
@@ -2,7 +2,7 @@
 import type { CommandFlags } from '../main.js';
 import { runDeployment } from './deployment-model.js';
 import { DEPLOYMENTS, type DeploymentName } from './deployment-settings.js';
-import { medianFigures, round } from './measures.js';
+import { medianFigures, roundFigure } from './measures.js';
 import { writeReport } from './report.js';
 import { bestBaseline, compare, type VariantOutcome } from './targets.js';
 import { ISSUE_ROUTINGS, variantsOf } from './variants.js';
@@ -59,7 +59,7 @@
   const outcomes = runVariants(deployment, seeds);
   const summary = summaryOf(deployment, seeds, outcomes);
   if (flags.report) writeReport(REPORT_FOLDER, deployment, seeds, outcomes, summary);
-  const wall_seconds = round((performance.now() - wallStart) / 1_000);
+  const wall_seconds = roundFigure((performance.now() - wallStart) / 1_000);
   console.log(JSON.stringify({ ...summary, wall_seconds }));
   return summary.holds ? 0 : 1;
 }
--- a/lab/experiments/deployment-model.ts
+++ b/lab/experiments/deployment-model.ts
@@ -7,6 +7,7 @@
 import { MINUTE, type Milliseconds, SECOND } from '../../src/core/units.js';
 import type { WorkerRecord } from '../../src/platform/worker.js';
 import { createRoutingPolicies } from '../../src/routing/routing-policies.js';
+import { mean, percentile } from '../common/statistics.js';
 import { EngineCore, type EngineOutput } from '../emulator/engine-core.js';
 import { DEFAULT_ENGINE_SETTINGS } from '../emulator/engine-settings.js';
 import { EventQueue } from '../simulation/event-queue.js';
@@ -20,7 +21,7 @@
 import { EngineHost } from './engine-host.js';
 import { scheduleFaults } from './fault-plan.js';
 import { InteractiveLoad } from './interactive-load.js';
-import { mean, percentile, type RunFigures, round } from './measures.js';
+import { type RunFigures, roundFigure } from './measures.js';
 import { StepDrawing } from './step-drawing.js';
 import { Trainer } from './trainer.js';
 import type { Variant } from './variants.js';
@@ -177,12 +178,12 @@
     values.reduce((total, value) => total + value, 0);
   const idle = sum(record.idleTimes);
   const { counters } = drawing;
-  const seconds = (value: number): number => round(value / SECOND);
+  const seconds = (value: number): number => roundFigure(value / SECOND);
   const afterWarmUp = (load: InteractiveLoad): readonly number[] =>
     load.durations.slice(Math.floor(load.durations.length * INTERACTIVE_WARM_UP_SHARE));
   return {
-    idle_share: round(idle / (idle + sum(record.trainingTimes))),
-    staleness_mean_versions: round(mean(record.stalenessVersions)),
+    idle_share: roundFigure(idle / (idle + sum(record.trainingTimes))),
+    staleness_mean_versions: roundFigure(mean(record.stalenessVersions)),
     staleness_p99_versions: percentile(record.stalenessVersions, 0.99),
     staleness_mean_seconds: seconds(mean(record.stalenessAges)),
     staleness_p99_seconds: seconds(percentile(record.stalenessAges, 0.99)),
@@ -191,7 +192,7 @@
     step_p50_seconds: seconds(percentile(record.stepTimes, 0.5)),
     step_p99_seconds: seconds(percentile(record.stepTimes, 0.99)),
     steps_used: record.idleTimes.length,
-    samples_wasted_share: round(counters.attemptsWasted / record.stalenessVersions.length),
-    tokens_wasted_share: round(counters.tokensWasted / counters.tokensUsed),
+    samples_wasted_share: roundFigure(counters.attemptsWasted / record.stalenessVersions.length),
+    tokens_wasted_share: roundFigure(counters.tokensWasted / counters.tokensUsed),
   };
 }
--- a/lab/experiments/late-samples.ts
+++ b/lab/experiments/late-samples.ts
@@ -1,8 +1,8 @@
 /** Applies the hedging policy to a step that is being drawn. */
 import type { Milliseconds } from '../../src/core/units.js';
 import type { HedgingPolicy } from '../../src/routing/hedging-policy.js';
+import { median } from '../common/statistics.js';
 import type { DrawnSample, DrawnStep } from './drawn-step.js';
-import { median } from './measures.js';
 
 /** Share of a step below which its rest is looked at; above the policy's own default share. */
 const TAIL_SHARE = 0.05;
--- a/lab/experiments/targets.ts
+++ b/lab/experiments/targets.ts
@@ -1,6 +1,6 @@
 /** Whether a bench's outcome reaches the target of its deployment. */
 import type { DeploymentName } from './deployment-settings.js';
-import { type RunFigures, round } from './measures.js';
+import { type RunFigures, roundFigure } from './measures.js';
 import type { Variant } from './variants.js';
 
 /** A variant with its figures. */
@@ -56,10 +56,10 @@
       : staleness <= -STALENESS_REDUCTION && versions <= 0 && idle <= IDLE_ALLOWANCE;
   return {
     baseline: baseline.variant.name,
-    idle_share_change: round(idle),
-    staleness_p99_seconds_change: round(staleness),
+    idle_share_change: roundFigure(idle),
+    staleness_p99_seconds_change: roundFigure(staleness),
     staleness_p99_versions_difference: versions,
-    staleness_mean_versions_difference: round(
+    staleness_mean_versions_difference: roundFigure(
       ours.staleness_mean_versions - other.staleness_mean_versions,
     ),
     reached,
--- a/test/experiments/deployment-model.test.ts
+++ b/test/experiments/deployment-model.test.ts
@@ -1,10 +1,10 @@
 import t from 'tap';
+import { percentile } from '../../lab/common/statistics.js';
 import { EngineCore } from '../../lab/emulator/engine-core.js';
 import { DEFAULT_ENGINE_SETTINGS } from '../../lab/emulator/engine-settings.js';
 import { runDeployment } from '../../lab/experiments/deployment-model.js';
 import { DEPLOYMENTS } from '../../lab/experiments/deployment-settings.js';
 import { EngineHost } from '../../lab/experiments/engine-host.js';
-import { percentile } from '../../lab/experiments/measures.js';
 import { bestBaseline, compare } from '../../lab/experiments/targets.js';
 import { variantsOf } from '../../lab/experiments/variants.js';
 import { EventQueue } from '../../lab/simulation/event-queue.js';
