Lab: number flags are read in one place and refused when they are no numbers

Ruled out: reading flags in lab/main.ts, which doesn't know which flags a command takes. Conclusion: a wrong flag no longer gives figures that look right.

--- a/lab/bench/config-feed.ts
+++ b/lab/bench/config-feed.ts
@@ -6,10 +6,11 @@
  */
 import { intentKey } from '../../src/config-feed/configuration.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { HollowFeedFleet, intentText } from './hollow-feed-fleet.js';
-import { FLEET_SIZES, FLEET_ZONES, perSecond } from './hollow-fleet.js';
+import { FLEET_ZONES, fleetSizes, perSecond } from './hollow-fleet.js';
 import {
   type DurationSummary,
   durationHistogram,
@@ -132,8 +133,8 @@
 
 /** Runs the bench; flags: `--seed N`, `--size N` for one size only. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
-  const sizes = flags.size === undefined ? FLEET_SIZES : [Number(flags.size)];
+  const seed = numberFlag(flags, 'seed', 1);
+  const sizes = fleetSizes(flags);
   const figures: FeedFigures[] = [];
   for (const size of sizes) {
     const measured = measure(size, seed);
--- a/lab/bench/fleet.ts
+++ b/lab/bench/fleet.ts
@@ -5,11 +5,12 @@
  */
 import { loadavg } from 'node:os';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { type MachineListFigures, measureMachineList } from './fleet-machine-list.js';
 import { type FleetFigures, measureFleet } from './fleet-run.js';
-import { FLEET_SIZES } from './hollow-fleet.js';
+import { fleetSizes } from './hollow-fleet.js';
 import { slopePerThousand } from './hollow-fleet-measures.js';
 
 const WARM_UP: Milliseconds = 8 * SECOND;
@@ -35,9 +36,9 @@
 
 /** Runs the bench; flags: `--seed N`, `--size N` for one size, `--seconds N` for the phases. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
-  const sizes = flags.size === undefined ? FLEET_SIZES : [Number(flags.size)];
-  const phase = flags.seconds === undefined ? PHASE : Number(flags.seconds) * SECOND;
+  const seed = numberFlag(flags, 'seed', 1);
+  const sizes = fleetSizes(flags);
+  const phase = numberFlag(flags, 'seconds', PHASE / SECOND) * SECOND;
   const fleets: FleetFigures[] = [];
   const lists: MachineListFigures[] = [];
   for (const nodes of sizes) {
--- a/lab/bench/hollow-fleet.ts
+++ b/lab/bench/hollow-fleet.ts
@@ -5,6 +5,8 @@
 import type { NodeId, NodeRecord, ZoneName } from '../../src/core/identity.js';
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
+import type { CommandFlags } from '../main.js';
 import { EventQueue } from '../simulation/event-queue.js';
 import { TrafficMeter } from './hollow-fleet-traffic.js';
 
@@ -21,7 +23,12 @@
 ];
 
 /** Sizes that the benches measure. */
-export const FLEET_SIZES = [100, 300, 1_000, 2_700] as const;
+const FLEET_SIZES = [100, 300, 1_000, 2_700] as const;
+
+/** The sizes to measure: all, or the one of the flag `--size`. */
+export function fleetSizes(flags: CommandFlags): readonly number[] {
+  return flags.size === undefined ? FLEET_SIZES : [numberFlag(flags, 'size', FLEET_SIZES[0])];
+}
 
 /** Time between ticks of one node, as in a real process. */
 const TICK_INTERVAL: Milliseconds = 50;
--- a/lab/bench/ledger.ts
+++ b/lab/bench/ledger.ts
@@ -3,6 +3,7 @@
  * without service after a kill, and the leaderless register beside a lease-held owner and a Raft
  * leader a shard. The last line is JSON.
  */
+import { numberFlag } from '../common/flags.js';
 import { mean, percentile, round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { LeaseModel } from './ledger-lease-model.js';
@@ -74,8 +75,8 @@
 
 /** Runs the bench; `--seed N` and `--trials N` (kills of each design) may be given. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
-  const trials = Number(flags.trials ?? 100);
+  const seed = numberFlag(flags, 'seed', 1);
+  const trials = numberFlag(flags, 'trials', 100);
   const rows = scalingRows(seed);
   const variants = variantRows(seed);
   const reference = rows[FLEET_SIZES.indexOf(REFERENCE_NODES)] as ScalingRow;
--- a/lab/bench/membership.ts
+++ b/lab/bench/membership.ts
@@ -6,9 +6,10 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { NodeId, NodeRecord } from '../../src/core/identity.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
-import { FLEET_SIZES, FLEET_ZONES, perSecond } from './hollow-fleet.js';
+import { FLEET_ZONES, fleetSizes, perSecond } from './hollow-fleet.js';
 import {
   type DurationSummary,
   durationHistogram,
@@ -204,8 +205,8 @@
 
 /** Runs the bench; flags: `--seed N`, `--size N` for one size only. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
-  const sizes = flags.size === undefined ? FLEET_SIZES : [Number(flags.size)];
+  const seed = numberFlag(flags, 'seed', 1);
+  const sizes = fleetSizes(flags);
   const figures: MembershipFigures[] = [];
   for (const size of sizes) {
     const measured = measure(size, seed);
--- a/lab/bench/node-deployment.ts
+++ b/lab/bench/node-deployment.ts
@@ -23,10 +23,11 @@
 const OPERATOR_TOKEN = 'bench-operator-token';
 const PEER_TOKEN = 'bench-peer-token-of-the-node';
 const ZONE = 'bench-zone';
-const DEFAULT_ENGINE_COUNT = 4;
+/** Engines where `--engines` names no number. */
+export const DEFAULT_ENGINE_COUNT = 4;
 const ENGINE_SLOTS = 256;
 /** Engine time for each millisecond: a decode step then takes a small part of a millisecond. */
-const DEFAULT_TIME_SCALE = 20;
+export const DEFAULT_TIME_SCALE = 20;
 const READY_LIMIT_MILLISECONDS = 20_000;
 const POLL_MILLISECONDS = 50;
 const REQUEST_TIMEOUT_MILLISECONDS = 5_000;
--- a/lab/bench/node.ts
+++ b/lab/bench/node.ts
@@ -7,12 +7,20 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { loadavg, tmpdir } from 'node:os';
 import path from 'node:path';
+import { numberFlag } from '../common/flags.js';
 import { median, round } from '../common/statistics.js';
 import { ProcessGroup } from '../demo/process-group.js';
 import { pause } from '../demo/running-deployment.js';
 import { closeConnections } from '../load/json-client.js';
 import type { CommandFlags } from '../main.js';
-import { BENCH_MODEL, CALLER_TOKEN, NodeDeployment, type ProcessUsage } from './node-deployment.js';
+import {
+  BENCH_MODEL,
+  CALLER_TOKEN,
+  DEFAULT_ENGINE_COUNT,
+  DEFAULT_TIME_SCALE,
+  NodeDeployment,
+  type ProcessUsage,
+} from './node-deployment.js';
 import type { LoadFigures, LoadOrder, LoadTarget } from './node-load.js';
 
 const DEFAULT_RATE_PER_SECOND = 500;
@@ -48,8 +56,8 @@
   const group = new ProcessGroup(folder);
   try {
     const deployment = new NodeDeployment(group, folder, {
-      ...(flags['time-scale'] === undefined ? {} : { timeScale: Number(flags['time-scale']) }),
-      ...(flags.engines === undefined ? {} : { engineCount: Number(flags.engines) }),
+      timeScale: numberFlag(flags, 'time-scale', DEFAULT_TIME_SCALE),
+      engineCount: numberFlag(flags, 'engines', DEFAULT_ENGINE_COUNT),
       ...(flags.profile === undefined ? {} : { profileFolder: String(flags.profile) }),
     });
     await deployment.start();
@@ -86,7 +94,7 @@
   runLoads: LoadRunner,
   flags: CommandFlags,
 ): Promise<boolean> {
-  const rate = Number(flags.rate ?? DEFAULT_RATE_PER_SECOND);
+  const rate = numberFlag(flags, 'rate', DEFAULT_RATE_PER_SECOND);
   const loadBefore = loadavg();
   const idleShare = await idleCpuShare(deployment, flags);
   const rounds = await runRounds(deployment, runLoads, rate, flags);
@@ -125,7 +133,7 @@
 async function idleCpuShare(deployment: NodeDeployment, flags: CommandFlags): Promise<number> {
   await pause(SETTLE_MILLISECONDS);
   const before = await deployment.usage();
-  const seconds = Number(flags['idle-seconds'] ?? DEFAULT_IDLE_SECONDS);
+  const seconds = numberFlag(flags, 'idle-seconds', DEFAULT_IDLE_SECONDS);
   await pause(seconds * MILLISECONDS_PER_SECOND);
   return cpuShare(before, await deployment.usage());
 }
@@ -137,7 +145,7 @@
   rate: number,
   flags: CommandFlags,
 ): Promise<readonly (readonly LoadFigures[])[]> {
-  const count = Number(flags.rounds ?? DEFAULT_ROUNDS) + 1;
+  const count = numberFlag(flags, 'rounds', DEFAULT_ROUNDS) + 1;
   const orders = Array.from({ length: count }, () =>
     ROUND_TARGETS.map((target) => loadOrder(deployment, target, rate, ROUND_SECONDS)),
   );
--- a/lab/bench/resume.ts
+++ b/lab/bench/resume.ts
@@ -8,6 +8,7 @@
 import type { Intent } from '../../src/config-feed/configuration.js';
 import type { TokenCount } from '../../src/core/units.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { CompleteAnswerOracle } from '../proofs/oracles/complete-answer.js';
@@ -158,8 +159,8 @@
 
 /** Runs the bench; exit code 0 when its target is reached on each seed. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const first = Number(flags.seed ?? 1);
-  const count = Number(flags.seeds ?? DEFAULT_SEEDS);
+  const first = numberFlag(flags, 'seed', 1);
+  const count = numberFlag(flags, 'seeds', DEFAULT_SEEDS);
   const names = Object.keys(VARIANTS) as ResumeVariant[];
   const seeds = Array.from({ length: count }, (_, index) => first + index);
   const runs = seeds.flatMap((seed) => names.map((variant) => measureResume(seed, variant)));
--- a/lab/bench/routing.ts
+++ b/lab/bench/routing.ts
@@ -2,6 +2,7 @@
 import { createRandomSource } from '../../src/core/random.js';
 import { HOME_COUNTING } from '../../src/routing/home-counting-policy.js';
 import { createRoutingPolicies } from '../../src/routing/routing-policies.js';
+import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { type DecisionFigure, measureDecisions } from './routing-decisions.js';
 import { measureDirectory } from './routing-directory-cost.js';
@@ -39,8 +40,8 @@
 
 /** Runs the bench; `--seed` seeds the retry storm, `--max-workers` leaves out larger fleets. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? createRandomSource(1).integer(1_000));
-  const largest = Number(flags['max-workers'] ?? WORKER_COUNTS.at(-1));
+  const seed = numberFlag(flags, 'seed', createRandomSource(1).integer(1_000));
+  const largest = numberFlag(flags, 'max-workers', Math.max(...WORKER_COUNTS));
   const decisions = measurePolicies();
   console.table(decisions);
   const everyWorker = Number.MAX_SAFE_INTEGER;
--- a/lab/bench/storage.ts
+++ b/lab/bench/storage.ts
@@ -2,6 +2,7 @@
  * Bench of the data folder: what this machine's disk does through the library, in real time, and
  * what a disk saves a restarted ledger member, in simulated time. The last line is JSON.
  */
+import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { measureScaling } from './ledger-scaling.js';
 import { measureBodies, measureVoteWrites } from './storage-disk-probe.js';
@@ -62,7 +63,7 @@
 
 /** Runs the bench; `--seed N` may be given. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
+  const seed = numberFlag(flags, 'seed', 1);
   const voteWrites = [
     printed(await measureVoteWrites(true, 1, SYNCED_WRITES)),
     printed(await measureVoteWrites(true, CONCURRENT_WRITERS, SYNCED_WRITES)),
--- a/lab/bench/weights-activation.ts
+++ b/lab/bench/weights-activation.ts
@@ -4,6 +4,7 @@
  */
 import { createRandomSource } from '../../src/core/random.js';
 import { MINUTE, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import { KeyValueCore } from '../emulator/key-value-core.js';
 import { WeightsZone } from '../experiments/weights-zone.js';
@@ -102,7 +103,7 @@
 
 /** Runs the bench; exit code 0 when every fleet size is within the target. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
+  const seed = numberFlag(flags, 'seed', 1);
   const sizes = WORKER_COUNTS.map((workers) => measure(workers, seed));
   for (const figures of sizes) console.log(JSON.stringify(figures));
   const holds = sizes.every(
--- /dev/null
+++ b/lab/common/flags.ts
@@ -0,0 +1,11 @@
+/** Reading of the flags that a lab command was given. */
+import type { CommandFlags } from '../main.js';
+
+/** A number, or the fallback where the flag is absent; throws a `RangeError` where it is none. */
+export function numberFlag(flags: CommandFlags, name: string, fallback: number): number {
+  const value = flags[name];
+  if (value === undefined) return fallback;
+  const number = typeof value === 'boolean' || value === '' ? Number.NaN : Number(value);
+  if (!Number.isFinite(number)) throw new RangeError(`--${name} is not a number`);
+  return number;
+}
--- a/lab/demo/demo.ts
+++ b/lab/demo/demo.ts
@@ -6,6 +6,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { numberFlag } from '../common/flags.js';
 import { outcomeOf, type RecordedEvent, writeRecording } from '../load/client-recording.js';
 import { closeConnections } from '../load/json-client.js';
 import type { CommandFlags } from '../main.js';
@@ -22,8 +23,8 @@
 
 /** Runs the demo; returns the exit code. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seconds = Number(flags.seconds ?? DEFAULT_LOAD_SECONDS);
-  const seed = Number(flags.seed ?? DEFAULT_SEED);
+  const seconds = numberFlag(flags, 'seconds', DEFAULT_LOAD_SECONDS);
+  const seed = numberFlag(flags, 'seed', DEFAULT_SEED);
   const keep = flags.keep === true;
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-demo-'));
   const group = new ProcessGroup(folder);
--- a/lab/emulator/emulate.ts
+++ b/lab/emulator/emulate.ts
@@ -2,6 +2,7 @@
  * Runs one emulator as a process: `emulate NAME --port N`, with settings as flags in kebab case.
  * Prints `listening on HOST:PORT` once it serves, and ends on SIGTERM or SIGINT.
  */
+import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { startEngineEmulator } from './engine-emulator.js';
 import { DEFAULT_ENGINE_SETTINGS, type EngineSettings } from './engine-settings.js';
@@ -76,11 +77,3 @@
 function port(flags: CommandFlags): number {
   return numberFlag(flags, 'port', 0);
 }
-
-function numberFlag(flags: CommandFlags, name: string, fallback: number): number {
-  const value = flags[name];
-  if (value === undefined) return fallback;
-  const number = Number(value);
-  if (!Number.isFinite(number)) throw new RangeError(`--${name} is not a number`);
-  return number;
-}
--- a/lab/experiments/deployment-bench.ts
+++ b/lab/experiments/deployment-bench.ts
@@ -1,4 +1,5 @@
 /** Runs all variants of a deployment on several seeds and compares them with ours. */
+import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { runDeployment } from './deployment-model.js';
 import { DEPLOYMENTS, type DeploymentName } from './deployment-settings.js';
@@ -53,8 +54,8 @@
 /** Runs a bench by the flags `--seed`, `--seeds` and `--report`; exit code 0 at the target. */
 export async function runBench(deployment: DeploymentName, flags: CommandFlags): Promise<number> {
   const wallStart = performance.now();
-  const firstSeed = Number(flags.seed ?? 1);
-  const count = Number(flags.seeds ?? DEFAULT_SEED_COUNT);
+  const firstSeed = numberFlag(flags, 'seed', 1);
+  const count = numberFlag(flags, 'seeds', DEFAULT_SEED_COUNT);
   const seeds = Array.from({ length: count }, (_, index) => firstSeed + index * SEED_STEP);
   const outcomes = runVariants(deployment, seeds);
   const summary = summaryOf(deployment, seeds, outcomes);
--- a/lab/faults/faults.ts
+++ b/lab/faults/faults.ts
@@ -5,6 +5,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import { numberFlag } from '../common/flags.js';
 import { ProcessGroup } from '../demo/process-group.js';
 import { closeConnections } from '../load/json-client.js';
 import type { CommandFlags } from '../main.js';
@@ -45,7 +46,7 @@
     console.error(`There is no scenario "${name}"; known: ${known}`);
     return 2;
   }
-  const seed = Number(flags.seed ?? DEFAULT_SEED);
+  const seed = numberFlag(flags, 'seed', DEFAULT_SEED);
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-faults-'));
   const reports: ScenarioReport[] = [];
   try {
--- a/lab/proofs/proof.ts
+++ b/lab/proofs/proof.ts
@@ -5,9 +5,9 @@
  * A step is one generated operation or fault that was carried out. Exit code 0 means that no
  * oracle objected and that oracles compared something.
  */
-
 import { SECOND } from '../../src/core/units.js';
 import type { MechanismName } from '../../src/node/mechanisms.js';
+import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { createNodeFactory } from '../simulation/node-core-factory.js';
 import { PROOFS, proofNamed } from './catalogue.js';
@@ -54,13 +54,13 @@
   without: readonly MechanismName[],
   flags: CommandFlags,
 ): number {
-  const seed = Number(flags.seed ?? DEFAULT_SEED);
+  const seed = numberFlag(flags, 'seed', DEFAULT_SEED);
   const outcome = prove({
     proof,
     createNode: createNodeFactory(without),
     seed,
-    steps: Number(flags.steps ?? DEFAULT_STEPS),
-    shrinkTime: Number(flags['shrink-seconds'] ?? DEFAULT_SHRINK_SECONDS) * SECOND,
+    steps: numberFlag(flags, 'steps', DEFAULT_STEPS),
+    shrinkTime: numberFlag(flags, 'shrink-seconds', DEFAULT_SHRINK_SECONDS) * SECOND,
   });
   if (outcome.failing !== undefined) report(proof, without, outcome.failing, flags.trace);
   printResult(proof, seed, outcome);
