Lab: benches of membership and of the feed share their cost figures and closing line

Cause: both benches measured the steady cost of a node and printed sizes, slopes and verdict with the same lines. Ruled out: taking the whole-node bench in as well; it has phases, and other slopes. Change: lab/bench/hollow-fleet-report.ts holds both parts; the benches keep what is their own. Conclusion: one definition of the cost of a node.

--- a/lab/bench/config-feed.ts
+++ b/lab/bench/config-feed.ts
@@ -6,21 +6,25 @@
  */
 import { intentKey } from '../../src/config-feed/configuration.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
-import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { HollowFeedFleet, intentText } from './hollow-feed-fleet.js';
-import { FLEET_ZONES, fleetSizes, perSecond } from './hollow-fleet.js';
+import { FLEET_ZONES } from './hollow-fleet.js';
 import {
   type DurationSummary,
   durationHistogram,
   heapInUse,
-  processorMilliseconds,
-  slopePerThousand,
   summarize,
 } from './hollow-fleet-measures.js';
+import {
+  type HollowBench,
+  measureSteadyCost,
+  PACKET_LOSS,
+  perSecond,
+  runHollowBench,
+  type SteadyCost,
+} from './hollow-fleet-report.js';
 
-const PACKET_LOSS = 0.01;
 const INTENTS = 20;
 const WARM_UP: Milliseconds = 8 * SECOND;
 const STEADY: Milliseconds = 20 * SECOND;
@@ -34,13 +38,7 @@
 const REQUEST_LIMIT_PER_SECOND = 12;
 
 /** Figures of one size. */
-interface FeedFigures {
-  readonly nodes: number;
-  readonly bytes_per_second_a_node: number;
-  readonly largest_bytes_per_second_of_a_node: number;
-  readonly messages_per_second_a_node: number;
-  readonly core_share_percent_a_node: number;
-  readonly core_share_with_codec_percent_a_node: number;
+interface FeedFigures extends SteadyCost {
   readonly memory_kb_a_node: number;
   readonly key_value_requests_per_second: number;
   readonly in_force: DurationSummary;
@@ -93,26 +91,18 @@
   }
   bench.runFor(WARM_UP);
   const memory = heapInUse() - heapBefore;
-  const { traffic } = bench.fleet;
-  traffic.reset();
   const requestsBefore = bench.keyValue.requests;
-  const startedCpu = processorMilliseconds();
-  const ages = measureAges(bench, STEADY, null);
-  const cpu = processorMilliseconds() - startedCpu - traffic.samplingMilliseconds;
-  const totals = traffic.totals();
+  let ages = durationHistogram();
+  const cost = measureSteadyCost(bench.fleet.traffic, size, STEADY, () => {
+    ages = measureAges(bench, STEADY, null);
+  });
   const requests = bench.keyValue.requests - requestsBefore;
   const { inForce, missing } = measureChanges(bench);
   const cutZone = FLEET_ZONES[0]?.zone ?? '';
   bench.reachesService = (record) => record.zone !== cutZone;
   const cutAges = measureAges(bench, CUT, cutZone);
-  const share = (milliseconds: number) => round((100 * milliseconds) / STEADY / size, 4);
   return {
-    nodes: size,
-    bytes_per_second_a_node: round(perSecond(totals.bytes, STEADY) / size, 1),
-    largest_bytes_per_second_of_a_node: round(perSecond(totals.largestNodeBytes, STEADY), 1),
-    messages_per_second_a_node: round(perSecond(totals.messages, STEADY) / size, 2),
-    core_share_percent_a_node: share(cpu),
-    core_share_with_codec_percent_a_node: share(cpu + totals.codecMilliseconds),
+    ...cost,
     memory_kb_a_node: round(memory / size / 1_024, 1),
     key_value_requests_per_second: round(perSecond(requests, STEADY), 2),
     in_force: summarize(inForce),
@@ -131,30 +121,14 @@
   );
 }
 
+const BENCH: HollowBench<FeedFigures> = {
+  name: 'config-feed',
+  measure,
+  memoryKilobytes: (figures) => figures.memory_kb_a_node,
+  isWithinTargets,
+};
+
 /** Runs the bench; flags: `--seed N`, `--size N` for one size only. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = numberFlag(flags, 'seed', 1);
-  const sizes = fleetSizes(flags);
-  const figures: FeedFigures[] = [];
-  for (const size of sizes) {
-    const measured = measure(size, seed);
-    figures.push(measured);
-    console.log(JSON.stringify(measured));
-  }
-  const slope = (pick: (figure: FeedFigures) => number) =>
-    slopePerThousand(figures.map((figure) => ({ x: figure.nodes, y: pick(figure) })));
-  const holds = figures.every(isWithinTargets);
-  const summary = {
-    bench: 'config-feed',
-    seed,
-    packet_loss_percent: PACKET_LOSS * 100,
-    sizes: figures,
-    slope_bytes_per_second_a_node_per_1000_nodes: slope((one) => one.bytes_per_second_a_node),
-    slope_messages_per_second_a_node_per_1000_nodes: slope((one) => one.messages_per_second_a_node),
-    slope_core_share_percent_a_node_per_1000_nodes: slope((one) => one.core_share_percent_a_node),
-    slope_memory_kb_a_node_per_1000_nodes: slope((one) => one.memory_kb_a_node),
-    holds,
-  };
-  console.log(JSON.stringify(summary));
-  return holds ? 0 : 1;
+  return runHollowBench(BENCH, flags);
 }
--- a/lab/bench/hollow-fleet.ts
+++ b/lab/bench/hollow-fleet.ts
@@ -4,7 +4,7 @@
  */
 import type { NodeId, NodeRecord, ZoneName } from '../../src/core/identity.js';
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
-import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import type { Milliseconds } from '../../src/core/units.js';
 import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { EventQueue } from '../simulation/event-queue.js';
@@ -152,8 +152,3 @@
     return (from.region === to.region ? 1 : 40) * spread;
   }
 }
-
-/** A figure per second. */
-export function perSecond(count: number, duration: Milliseconds): number {
-  return (count * SECOND) / duration;
-}
--- a/lab/bench/membership.ts
+++ b/lab/bench/membership.ts
@@ -6,22 +6,25 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { NodeId, NodeRecord } from '../../src/core/identity.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
-import { numberFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
-import { FLEET_ZONES, fleetSizes, perSecond } from './hollow-fleet.js';
+import { FLEET_ZONES } from './hollow-fleet.js';
 import {
   type DurationSummary,
   durationHistogram,
   heapInUse,
-  processorMilliseconds,
-  slopePerThousand,
   summarize,
 } from './hollow-fleet-measures.js';
+import {
+  type HollowBench,
+  measureSteadyCost,
+  PACKET_LOSS,
+  runHollowBench,
+  type SteadyCost,
+} from './hollow-fleet-report.js';
 import { HollowMembershipFleet } from './hollow-membership-fleet.js';
 
 const RECORD_COPIES = 40;
-const PACKET_LOSS = 0.01;
 const WARM_UP: Milliseconds = 5 * SECOND;
 const STEADY: Milliseconds = 15 * SECOND;
 const KILLS = 40;
@@ -37,13 +40,7 @@
 const BYTES_LIMIT = 2_048;
 
 /** Figures of one size. */
-interface MembershipFigures {
-  readonly nodes: number;
-  readonly bytes_per_second_a_node: number;
-  readonly largest_bytes_per_second_of_a_node: number;
-  readonly messages_per_second_a_node: number;
-  readonly core_share_percent_a_node: number;
-  readonly core_share_with_codec_percent_a_node: number;
+interface MembershipFigures extends SteadyCost {
   readonly memory_shared_records_kb_a_node: number;
   readonly memory_with_own_records_kb_a_node: number;
   readonly detection_first_in_zone: DurationSummary;
@@ -155,27 +152,19 @@
   fleet.queue.runUntil(WARM_UP);
   const memory = heapInUse() - heapBefore;
   const ownRecords = recordBytes(bench.records);
-  fleet.traffic.reset();
-  const startedCpu = processorMilliseconds();
   let falseUnreachable = 0;
-  for (let second = 0; second * SECOND < STEADY; second += 1) {
-    fleet.queue.runUntil(fleet.queue.now + SECOND);
-    falseUnreachable += unreachableViews(bench);
-  }
-  const cpu = processorMilliseconds() - startedCpu - fleet.traffic.samplingMilliseconds;
-  const traffic = fleet.traffic.totals();
+  const cost = measureSteadyCost(fleet.traffic, size, STEADY, () => {
+    for (let second = 0; second * SECOND < STEADY; second += 1) {
+      fleet.queue.runUntil(fleet.queue.now + SECOND);
+      falseUnreachable += unreachableViews(bench);
+    }
+  });
   killSome(bench);
   const notKnownToAll = bench.notKnownToAll();
   const cutSeen = measureCut(bench, true);
   const healingSeen = measureCut(bench, false);
-  const share = (milliseconds: number) => round((100 * milliseconds) / STEADY / size, 4);
   return {
-    nodes: size,
-    bytes_per_second_a_node: round(perSecond(traffic.bytes, STEADY) / size, 1),
-    largest_bytes_per_second_of_a_node: round(perSecond(traffic.largestNodeBytes, STEADY), 1),
-    messages_per_second_a_node: round(perSecond(traffic.messages, STEADY) / size, 2),
-    core_share_percent_a_node: share(cpu),
-    core_share_with_codec_percent_a_node: share(cpu + traffic.codecMilliseconds),
+    ...cost,
     memory_shared_records_kb_a_node: round(memory / size / 1_024, 1),
     memory_with_own_records_kb_a_node: round((memory / size + ownRecords) / 1_024, 1),
     detection_first_in_zone: summarize(bench.first),
@@ -203,36 +192,23 @@
   return (heapInUse() - before) / copies.length;
 }
 
+function isWithinTargets(figures: MembershipFigures): boolean {
+  return (
+    figures.false_deaths === 0 &&
+    figures.kills_not_known_to_all === 0 &&
+    figures.detection_every_node_of_zone.p99_ms < DETECTION_LIMIT &&
+    figures.bytes_per_second_a_node < bytesLimit(figures.nodes)
+  );
+}
+
+const BENCH: HollowBench<MembershipFigures> = {
+  name: 'membership',
+  measure,
+  memoryKilobytes: (figures) => figures.memory_with_own_records_kb_a_node,
+  isWithinTargets,
+};
+
 /** Runs the bench; flags: `--seed N`, `--size N` for one size only. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = numberFlag(flags, 'seed', 1);
-  const sizes = fleetSizes(flags);
-  const figures: MembershipFigures[] = [];
-  for (const size of sizes) {
-    const measured = measure(size, seed);
-    figures.push(measured);
-    console.log(JSON.stringify(measured));
-  }
-  const slope = (pick: (figure: MembershipFigures) => number) =>
-    slopePerThousand(figures.map((figure) => ({ x: figure.nodes, y: pick(figure) })));
-  const holds = figures.every(
-    (figure) =>
-      figure.false_deaths === 0 &&
-      figure.kills_not_known_to_all === 0 &&
-      figure.detection_every_node_of_zone.p99_ms < DETECTION_LIMIT &&
-      figure.bytes_per_second_a_node < bytesLimit(figure.nodes),
-  );
-  const summary = {
-    bench: 'membership',
-    seed,
-    packet_loss_percent: PACKET_LOSS * 100,
-    sizes: figures,
-    slope_bytes_per_second_a_node_per_1000_nodes: slope((one) => one.bytes_per_second_a_node),
-    slope_messages_per_second_a_node_per_1000_nodes: slope((one) => one.messages_per_second_a_node),
-    slope_core_share_percent_a_node_per_1000_nodes: slope((one) => one.core_share_percent_a_node),
-    slope_memory_kb_a_node_per_1000_nodes: slope((one) => one.memory_with_own_records_kb_a_node),
-    holds,
-  };
-  console.log(JSON.stringify(summary));
-  return holds ? 0 : 1;
+  return runHollowBench(BENCH, flags);
 }
