Lab: exports that nobody imports are gone; hollow fleets tick as nodes do

Cause: six values of benches and experiments were exported and used in their own file only, and the hollow fleets had the interval between ticks as a number of their own. Ruled out: types of exported functions' parameters stay exported, for those who call them. Change: the exports are dropped; the interval is that of src/node/node-events.ts (50 ms as before). Measured: tests of experiments, benches and lab/common pass. Conclusion: no change of behaviour.

--- a/lab/bench/hollow-fleet.ts
+++ b/lab/bench/hollow-fleet.ts
@@ -5,6 +5,7 @@
 import type { NodeId, NodeRecord, ZoneName } from '../../src/core/identity.js';
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
 import type { Milliseconds } from '../../src/core/units.js';
+import { TICK_INTERVAL_MILLISECONDS } from '../../src/node/node-events.js';
 import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { EventQueue } from '../simulation/event-queue.js';
@@ -30,9 +31,6 @@
   return flags.size === undefined ? FLEET_SIZES : [numberFlag(flags, 'size', FLEET_SIZES[0])];
 }
 
-/** Time between ticks of one node, as in a real process. */
-const TICK_INTERVAL: Milliseconds = 50;
-
 const BASE_PORT = 7_000;
 
 /** Records of a fleet, spread evenly over {@link FLEET_ZONES}. */
@@ -93,7 +91,7 @@
   add(node: HollowNode<Message>): void {
     this.byAddress.set(node.record.address, node);
     this.stopped.delete(node.record.node);
-    const first = this.queue.now + TICK_INTERVAL * this.random.fraction();
+    const first = this.queue.now + TICK_INTERVAL_MILLISECONDS * this.random.fraction();
     this.queue.at(first, () => this.tick(node));
   }
 
@@ -142,7 +140,7 @@
     if (this.byAddress.get(node.record.address) !== node) return;
     if (this.stopped.has(node.record.node)) return;
     if (this.isRunning(node.record.node)) node.tick(this.queue.now);
-    this.queue.at(this.queue.now + TICK_INTERVAL, () => this.tick(node));
+    this.queue.at(this.queue.now + TICK_INTERVAL_MILLISECONDS, () => this.tick(node));
   }
 
   /** One-way latency: about 0.5 ms in a zone, 1 ms in a region, 40 ms between regions. */
--- a/lab/bench/routing-decisions.ts
+++ b/lab/bench/routing-decisions.ts
@@ -10,10 +10,10 @@
 import { MODEL, makeMachine, makeNode, makeRequest, makeWorker } from './routing-fixtures.js';
 
 /** Zones of the measured fleet. */
-export const BENCH_ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const BENCH_ZONES = ['zone-a', 'zone-b', 'zone-c'];
 
 /** Nodes for each worker, as in a fleet of 2,700 nodes and 10,000 workers. */
-export const NODES_PER_WORKER = 0.27;
+const NODES_PER_WORKER = 0.27;
 
 /** What was measured for one policy at one size. */
 export interface DecisionFigure {
--- a/lab/bench/routing-fixtures.ts
+++ b/lab/bench/routing-fixtures.ts
@@ -74,7 +74,7 @@
 }
 
 /** The report of an idle engine. */
-export function makeReport(worker: string, overrides: Partial<WorkerReport> = {}): WorkerReport {
+function makeReport(worker: string, overrides: Partial<WorkerReport> = {}): WorkerReport {
   const report = { running: 0, waiting: 0, activeVersion: 1, loadedVersions: [1], epoch: 1 };
   return { worker, leaving: false, ...report, ...overrides };
 }
--- a/lab/experiments/deployment-bench.ts
+++ b/lab/experiments/deployment-bench.ts
@@ -16,7 +16,7 @@
 const REPORT_FOLDER = 'docs/results';
 
 /** Runs the variants; one seed fixes faults and work for all of them. */
-export function runVariants(
+function runVariants(
   deployment: DeploymentName,
   seeds: readonly number[],
 ): readonly VariantOutcome[] {
--- a/lab/experiments/deployment-model.ts
+++ b/lab/experiments/deployment-model.ts
@@ -27,7 +27,7 @@
 import type { Variant } from './variants.js';
 
 /** Simulated time of one run. */
-export const RUN_TIME: Milliseconds = 45 * MINUTE;
+const RUN_TIME: Milliseconds = 45 * MINUTE;
 
 /** Latency of a lookup in the first minute is not measured, as weights are being loaded. */
 const INTERACTIVE_WARM_UP_SHARE = 0.05;
--- a/lab/experiments/report.ts
+++ b/lab/experiments/report.ts
@@ -16,7 +16,7 @@
   ];
 
 /** Draws one bar chart, a bar a variant and figure; returns SVG. */
-export function drawPlot(
+function drawPlot(
   title: string,
   outcomes: readonly VariantOutcome[],
   figures: readonly (keyof RunFigures)[],
