--- a/lab/bench/hollow-fleet-report.ts
+++ b/lab/bench/hollow-fleet-report.ts
@@ -1,9 +1,9 @@
 /** What the benches on hollow fleets share: the cost of a module a node, and the closing line. */
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
-import { numberFlag } from '../common/flags.js';
+import { numberFlag, sizesFlag } from '../common/flags.js';
 import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
-import { fleetSizes } from './hollow-fleet.js';
+import { FLEET_SIZES } from './hollow-fleet.js';
 import { processorMilliseconds, slopePerThousand } from './hollow-fleet-measures.js';
 import type { TrafficMeter } from './hollow-fleet-traffic.js';
 
@@ -59,7 +59,7 @@
 ): number {
   const seed = numberFlag(flags, 'seed', 1);
   const figures: Figures[] = [];
-  for (const size of fleetSizes(flags)) {
+  for (const size of sizesFlag(flags, FLEET_SIZES)) {
     const measured = bench.measure(size, seed);
     figures.push(measured);
     console.log(JSON.stringify(measured));
--- a/lab/bench/hollow-fleet.ts
+++ b/lab/bench/hollow-fleet.ts
@@ -6,8 +6,6 @@
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import { TICK_INTERVAL_MILLISECONDS } from '../../src/node/node-events.js';
-import { numberFlag } from '../common/flags.js';
-import type { CommandFlags } from '../main.js';
 import { EventQueue } from '../simulation/event-queue.js';
 import { TrafficMeter } from './hollow-fleet-traffic.js';
 
@@ -24,12 +22,7 @@
 ];
 
 /** Sizes that the benches measure. */
-const FLEET_SIZES = [100, 300, 1_000, 2_700] as const;
-
-/** The sizes to measure: all, or the one of the flag `--size`. */
-export function fleetSizes(flags: CommandFlags): readonly number[] {
-  return flags.size === undefined ? FLEET_SIZES : [numberFlag(flags, 'size', FLEET_SIZES[0])];
-}
+export const FLEET_SIZES = [100, 300, 1_000, 2_700] as const;
 
 const BASE_PORT = 7_000;
 
--- a/lab/common/flags.ts
+++ b/lab/common/flags.ts
@@ -9,3 +9,8 @@
   if (!Number.isFinite(number)) throw new RangeError(`--${name} is not a number`);
   return number;
 }
+
+/** The sizes of fleets to measure: the standard ones, or the one of the flag `--size`. */
+export function sizesFlag(flags: CommandFlags, standard: readonly number[]): readonly number[] {
+  return flags.size === undefined ? standard : [numberFlag(flags, 'size', 0)];
+}
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -11,15 +11,16 @@
 import type { GenerationOutcome } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
-import { HedgingPolicy, type PendingSample } from '../routing/hedging-policy.js';
+import { AcknowledgedBodies } from './acknowledged-bodies.js';
 import { DeliveryAppender } from './delivery-appender.js';
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
-import type { StepRecord } from './records.js';
+import type { DeliveryEntry, StepRecord } from './records.js';
+import { ResultKeeper } from './result-keeper.js';
 import { type RunningSample, RunningSamples } from './running-samples.js';
 import { SampleQueue } from './sample-queue.js';
-import { decodeSamples, encodeResult } from './step-bodies.js';
-import { StepPace } from './step-pace.js';
+import { decodeSamples } from './step-bodies.js';
+import { StepHedging } from './step-hedging.js';
 import type { StepPorts } from './step-ports.js';
 
 /** Time given to one ledger operation before it is tried anew. */
@@ -32,11 +33,11 @@
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
   private readonly running = new RunningSamples();
   private readonly window = new DispatchWindow();
-  private readonly pace = new StepPace();
-  private readonly hedging = new HedgingPolicy();
-  private hedgesMade = 0;
+  private readonly hedging: StepHedging;
   private queue: SampleQueue | null = null;
   private readonly appender: DeliveryAppender;
+  private readonly keeper: ResultKeeper;
+  private readonly acknowledgedBodies: AcknowledgedBodies;
   private pausedUntil: Milliseconds = 0;
   private endState: 'complete' | 'closed' = 'complete';
 
@@ -50,8 +51,15 @@
     readonly record: StepRecord,
     private readonly deadline: Milliseconds,
   ) {
+    this.hedging = new StepHedging(record.sampleCount);
+    this.acknowledgedBodies = new AcknowledgedBodies(ports.node, key, record);
+    this.keeper = new ResultKeeper(ports.node, key, record, {
+      stored: (entry, result) => this.appender.add(entry, result),
+      full: () => this.makeRoom(),
+      refused: () => this.appender.refresh(),
+    });
     this.appender = new DeliveryAppender(ports.node, key, record, {
-      delivered: (keys) => this.delivered(keys),
+      delivered: (entries) => this.delivered(entries),
       closed: () => this.end('closed'),
       inadmissible: (sampleKey, reason) => this.regenerate(sampleKey, reason),
     });
@@ -90,6 +98,7 @@
     if (now >= this.deadline && this.phase !== 'ending') this.close('deadline_exceeded');
     if (now < this.pausedUntil) return;
     if (this.phase === 'loading') this.retryLoading();
+    if (this.phase === 'running') this.keeper.tick();
     if (this.phase === 'running') this.dispatchMore();
     if (this.phase === 'ending') this.markEnded();
     this.appender.tick();
@@ -97,6 +106,7 @@
 
   /** Stops driving; what runs is cancelled. Another member goes on. */
   abandon(): void {
+    this.keeper.stop();
     this.running.forgetAll();
     this.phase = 'ended';
   }
@@ -117,7 +127,7 @@
   private dispatchMore(): void {
     const queue = this.queue;
     const now = this.node.now();
-    if (queue === null || now < this.pausedUntil) return;
+    if (queue === null || now < this.pausedUntil || this.keeper.isBlocked) return;
     while (this.running.size < this.window.size) {
       const sample = queue.next(now);
       if (sample === undefined) break;
@@ -147,17 +157,23 @@
     entry.liveCopies += 1;
     const limits = { deadline: this.deadline, resume };
     const running = this.ports.generate(this.record, permission, entry.sample, limits, {
+      onAccepted: () => this.accepted(),
       onEnd: (outcome) => this.generated(entry, outcome),
     });
     entry.generations.push(running);
   }
 
+  private accepted(): void {
+    if (this.phase !== 'running') return;
+    this.window.accepted(this.running.size);
+    this.dispatchMore();
+  }
+
   private generated(entry: RunningSample, outcome: GenerationOutcome): void {
     const { sample } = entry;
     entry.liveCopies -= 1;
     if (this.phase !== 'running' || this.running.get(sample.key) !== entry) return;
     if (outcome.kind === 'finished') {
-      this.window.succeeded();
       this.observe(entry, outcome.result);
       this.keep(entry, outcome.result);
       return;
@@ -167,33 +183,26 @@
     this.running.stop(sample.key);
     this.queue?.putBack(sample);
     if (ranStateOf(outcome.failure) === 'no') {
-      this.window.refused();
+      this.window.refused(this.running.size);
       const pause = Math.min(retryAfterOf(outcome.failure) ?? RETRY_PAUSE, RETRY_PAUSE);
       this.pausedUntil = this.node.now() + pause;
     }
   }
 
-  /** Stores a result on a majority, then has it appended. */
+  /** Has a result stored on a majority, then appended. */
   private keep(entry: RunningSample, result: GenerationResult): void {
     for (const other of entry.generations) other.cancel();
-    const { sample } = entry;
-    const body = encodeResult(sample.key, result);
-    const deadline = this.node.now() + LEDGER_TIMEOUT;
-    const { intent } = this.record;
-    this.node.ledger.storeBody(intent, this.key, body, deadline, (digest, outcome) => {
-      if (this.phase !== 'running') return;
-      if (outcome.kind === 'stored') {
-        this.appender.add({ key: sample.key, digest }, result);
-        return;
-      }
-      this.pausedUntil = this.node.now() + RETRY_PAUSE;
-      if (outcome.kind === 'full') this.node.explain(this.key, 'paused', 'the ledger is full');
-      this.node.later(RETRY_PAUSE, () => this.keepAgain(entry, result));
-    });
+    this.keeper.keep(entry.sample.key, result);
+  }
+
+  /** The trainer has all samples below the cursor. */
+  acknowledged(cursor: number): void {
+    this.acknowledgedBodies.raise(cursor);
   }
 
-  private keepAgain(entry: RunningSample, result: GenerationResult): void {
-    if (this.phase === 'running') this.keep(entry, result);
+  private makeRoom(): void {
+    if (this.acknowledgedBodies.forget() > 0) return;
+    this.node.explain(this.key, 'paused', 'the ledger is full');
   }
 
   private regenerate(sampleKey: string, reason: string): void {
@@ -205,8 +214,10 @@
     this.queue?.putBack(entry.sample);
   }
 
-  private delivered(keys: readonly string[]): void {
-    for (const key of keys) {
+  private delivered(entries: readonly DeliveryEntry[]): void {
+    this.acknowledgedBodies.delivered(entries);
+    this.keeper.delivered(new Set(entries.map((entry) => entry.key)));
+    for (const { key } of entries) {
       this.running.forget(key);
       this.queue?.remove(key);
     }
@@ -227,6 +238,7 @@
 
   private end(state: 'complete' | 'closed'): void {
     if (this.phase === 'ending' || this.phase === 'ended') return;
+    this.keeper.stop();
     this.running.forgetAll();
     this.phase = 'ending';
     this.endState = state;
@@ -248,31 +260,24 @@
 
   private observe(entry: RunningSample, result: GenerationResult): void {
     this.queue?.observe(entry.sample, result.tokenCount);
-    this.pace.record(result.tokenCount, this.node.now() - entry.startedAt);
+    this.hedging.finished(result.tokenCount, this.node.now() - entry.startedAt);
   }
 
-  /** Starts a second copy of the last few samples that are late; see `HedgingPolicy`. */
+  /** Starts a second copy of the last few samples that are late. */
   private hedgeLate(now: Milliseconds): void {
-    if (!this.ports.hedging || this.running.size === 0) return;
-    const progress = {
-      sampleCount: this.record.sampleCount,
-      pending: this.running.all().map((entry) => this.pendingSample(entry)),
-      typicalDuration: this.pace.typicalDuration(),
-      hedgesMade: this.hedgesMade,
-    };
-    for (const key of this.hedging.samplesToHedge(progress, now)) this.hedge(key);
-  }
-
-  private pendingSample({ sample, startedAt, liveCopies }: RunningSample): PendingSample {
-    const expected = this.pace.expectedDuration(this.queue?.predict(sample) ?? 0);
-    return { key: sample.key, startedAt, attempts: liveCopies, expected };
+    if (!this.ports.hedging || !this.hedging.isTail(this.running.size)) return;
+    const candidates = this.running.all().map(({ sample, startedAt, liveCopies }) => {
+      const predictedTokens = this.queue?.predict(sample) ?? 0;
+      return { key: sample.key, startedAt, liveCopies, predictedTokens };
+    });
+    for (const key of this.hedging.samplesToHedge(candidates, now)) this.hedge(key);
   }
 
   private hedge(key: string): void {
     const entry = this.running.get(key);
     const answer = this.ports.permission(this.record);
     if (entry === undefined || answer.kind === 'refused') return;
-    this.hedgesMade += 1;
+    this.hedging.hedged();
     this.node.counters.increment('samples_hedged');
     this.generate(entry, answer.permission, null);
   }
