--- a/lab/bench/hollow.ts
+++ b/lab/bench/hollow.ts
@@ -6,13 +6,14 @@
 import { mkdtempSync } from 'node:fs';
 import { loadavg, tmpdir } from 'node:os';
 import path from 'node:path';
+import { numberFlag } from '../common/flags.js';
+import { round } from '../common/statistics.js';
 import { ProcessGroup } from '../demo/process-group.js';
 import { pause } from '../demo/running-deployment.js';
 import { HollowFleetProcesses } from '../hollow/hollow-fleet-processes.js';
 import type { FleetReport } from '../hollow/rack-report.js';
 import type { CommandFlags } from '../main.js';
 import { TRAINERS } from './fleet-plan.js';
-import { round } from './hollow-fleet-measures.js';
 
 const DEFAULT_RACKS = 16;
 const DEFAULT_NODES_PER_RACK = 8;
@@ -26,8 +27,8 @@
 
 /** Runs the bench; flags: `--racks N`, `--nodes N` for the nodes of a rack. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const racks = Number(flags.racks ?? DEFAULT_RACKS);
-  const nodesPerRack = Number(flags.nodes ?? DEFAULT_NODES_PER_RACK);
+  const racks = numberFlag(flags, 'racks', DEFAULT_RACKS);
+  const nodesPerRack = numberFlag(flags, 'nodes', DEFAULT_NODES_PER_RACK);
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-hollow-'));
   const group = new ProcessGroup(folder);
   const fleet = new HollowFleetProcesses(group, { racks, nodesPerRack });
--- a/lab/bench/letter-run.ts
+++ b/lab/bench/letter-run.ts
@@ -5,13 +5,9 @@
 import { createRandomSource } from '../../src/core/random.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
 import { NodeCore } from '../../src/node/node-core.js';
+import { round } from '../common/statistics.js';
 import { Simulation } from '../simulation/simulation.js';
-import {
-  type DurationSummary,
-  heapInUse,
-  processorMilliseconds,
-  round,
-} from './hollow-fleet-measures.js';
+import { type DurationSummary, heapInUse, processorMilliseconds } from './hollow-fleet-measures.js';
 import { LetterCallers } from './letter-callers.js';
 import { EngineWatch, letterEngine } from './letter-engines.js';
 import { type BusiestNode, LetterMeter } from './letter-meter.js';
--- a/lab/bench/letter-steps.ts
+++ b/lab/bench/letter-steps.ts
@@ -6,8 +6,9 @@
 import { loadavg } from 'node:os';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
 import { NODE_DEFAULTS } from '../../src/node/node-options.js';
+import { numberFlag } from '../common/flags.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
-import { round } from './hollow-fleet-measures.js';
 import { LETTER, type LetterShare, scaledShare, wholeStepShare } from './letter-plan.js';
 import { type LetterFigures, loadShare, measureLetter } from './letter-run.js';
 
@@ -38,9 +39,9 @@
  * `--body-mib N` limit of bodies a node, `--cpu-seconds N` for each run.
  */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
-  const meanTokens = Number(flags.tokens ?? MEAN_TOKENS);
-  const processorLimit = Number(flags['cpu-seconds'] ?? PROCESSOR_LIMIT / SECOND) * SECOND;
+  const seed = numberFlag(flags, 'seed', 1);
+  const meanTokens = numberFlag(flags, 'tokens', MEAN_TOKENS);
+  const processorLimit = numberFlag(flags, 'cpu-seconds', PROCESSOR_LIMIT / SECOND) * SECOND;
   const all: LetterFigures[] = [];
   for (const share of sharesOf(flags)) {
     const figures = measureLetter({
@@ -48,7 +49,7 @@
       share,
       meanTokens,
       maxTokens: MAX_TOKENS,
-      maxResultBytes: Number(flags['body-mib'] ?? BODY_MIB) * 1_048_576,
+      maxResultBytes: numberFlag(flags, 'body-mib', BODY_MIB) * 1_048_576,
       interactivePerSecond: share.workers * INTERACTIVE_A_WORKER,
       limit: 2 * LETTER.stepLimitSeconds * SECOND,
       processorLimit,
@@ -77,8 +78,8 @@
 }
 
 function sharesOf(flags: CommandFlags): readonly LetterShare[] {
-  const whole = wholeStepShare(Number(flags.nodes ?? WHOLE_STEP_NODES));
+  const whole = wholeStepShare(numberFlag(flags, 'nodes', WHOLE_STEP_NODES));
   if (flags.share === 'whole') return [whole];
-  if (flags.share !== undefined) return [scaledShare(Number(flags.share))];
+  if (flags.share !== undefined) return [scaledShare(numberFlag(flags, 'share', 0))];
   return [...DIVISORS.map(scaledShare), whole];
 }
