--- a/lab/demo/running-deployment.ts
+++ b/lab/demo/running-deployment.ts
@@ -17,6 +17,9 @@
 const PEER_TOKEN = 'demo-peer-token-of-all-nodes';
 /** How late the machine list shows a change, in milliseconds. */
 export const MACHINE_LIST_LAG = 1_000;
+/** The weight store takes a second for one version. */
+const WEIGHT_BYTES_PER_SECOND = 1_000_000_000;
+const WEIGHT_VERSION_BYTES = 1_000_000_000;
 const LAB_TIMEOUT_MILLISECONDS = 5_000;
 const READY_LIMIT_MILLISECONDS = 20_000;
 const READY_POLL_MILLISECONDS = 100;
@@ -46,8 +49,8 @@
   readonly engines: RunningEngines;
   /** Proxies before the nodes' peer ports, by node; empty without proxies. */
   readonly peerProxies = new Map<string, TcpProxy>();
-  /** Proxy before the key-value service; `null` without proxies. */
-  keyValueProxy: TcpProxy | null = null;
+  /** Proxies before the key-value service, one for each zone's nodes; empty without proxies. */
+  readonly keyValueProxies = new Map<string, TcpProxy>();
   private readonly proxied: boolean;
   private readonly leavingWorkers = new Set<string>();
   private machineListAddress = '';
@@ -66,18 +69,24 @@
   /** Starts everything and waits until all nodes are ready. */
   async start(): Promise<void> {
     const { name } = this.deployment;
-    const [keyValue, machineList] = await Promise.all([
+    const [keyValue, machineList, weightStore] = await Promise.all([
       this.group.startEmulator(`${name}-key-value`, ['key-value']),
       this.group.startEmulator(`${name}-machine-list`, [
         'machine-list',
         '--lag',
         String(MACHINE_LIST_LAG),
       ]),
-      this.group.startEmulator(`${name}-weight-store`, ['weight-store']),
+      this.group.startEmulator(`${name}-weight-store`, [
+        'weight-store',
+        '--bytes-per-second',
+        String(WEIGHT_BYTES_PER_SECOND),
+        '--version-bytes',
+        String(WEIGHT_VERSION_BYTES),
+      ]),
     ]);
     this.keyValueAddress = keyValue;
     this.machineListAddress = machineList;
-    await this.engines.start();
+    await this.engines.start(weightStore);
     await this.planNodes();
     await this.publishMachines();
     for (const node of this.nodes) node.process = this.startNode(node);
@@ -124,6 +133,12 @@
     await this.publishMachines();
   }
 
+  /** Marks the machine of a worker as live again. */
+  async markLive(worker: string): Promise<void> {
+    this.leavingWorkers.delete(worker);
+    await this.publishMachines();
+  }
+
   /** Sets faults of the key-value service; see its `/lab/faults`. */
   async setKeyValueFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
     await this.post(this.keyValueAddress, '/lab/faults', faults);
@@ -136,8 +151,8 @@
 
   /** Ends the proxies, which run in this process. */
   async close(): Promise<void> {
-    const proxies = [...this.peerProxies.values(), ...this.engines.proxies.values()];
-    if (this.keyValueProxy !== null) proxies.push(this.keyValueProxy);
+    const groups = [this.peerProxies, this.engines.proxies, this.keyValueProxies];
+    const proxies = groups.flatMap((group) => [...group.values()]);
     await Promise.all(proxies.map((proxy) => proxy.close()));
   }
 
@@ -148,7 +163,7 @@
         return { zone, node: `${zone.split('-')[0]}-${index + 1}` };
       }),
     );
-    const keyValue = await this.keyValueEndpoint();
+    const keyValueOf = await this.keyValueEndpoints();
     const ports = await freePorts(names.length * 2);
     for (const [index, { zone, node }] of names.entries()) {
       const address = `127.0.0.1:${ports[index * 2]}`;
@@ -157,6 +172,7 @@
       const settingsFile = path.join(this.folder, `${name}-${node}.toml`);
       const planned = { name: node, zone, address, peerAddress, advertised };
       const machineList = this.machineListAddress;
+      const keyValue = keyValueOf.get(zone) ?? this.keyValueAddress;
       const text = nodeSettingsText(this.deployment, { ...planned, keyValue, machineList });
       writeFileSync(settingsFile, text);
       const process = undefined as unknown as StartedProcess;
@@ -164,10 +180,16 @@
     }
   }
 
-  private async keyValueEndpoint(): Promise<string> {
-    if (!this.proxied) return this.keyValueAddress;
-    this.keyValueProxy = new TcpProxy({ target: this.keyValueAddress });
-    return this.keyValueProxy.start();
+  /** Where the nodes of each zone reach the key-value service; empty without proxies. */
+  private async keyValueEndpoints(): Promise<ReadonlyMap<string, string>> {
+    const endpoints = new Map<string, string>();
+    if (!this.proxied) return endpoints;
+    for (const zone of this.deployment.zones) {
+      const proxy = new TcpProxy({ target: this.keyValueAddress });
+      this.keyValueProxies.set(zone, proxy);
+      endpoints.set(zone, await proxy.start());
+    }
+    return endpoints;
   }
 
   private async advertisedAddress(node: string, peerAddress: string): Promise<string> {
--- a/lab/hollow/rack-process.ts
+++ b/lab/hollow/rack-process.ts
@@ -33,6 +33,7 @@
   keyValue: [new KeyValueClient({ address: keyValueAddress })],
   engines: new EngineClient(),
   machineList: new MachineListClient({ address: machineListAddress }),
+  disk: null,
 };
 
 async function startNode(self: ReturnType<typeof rackRecords>[number]): Promise<HollowNode> {
--- a/lab/proofs/prove.ts
+++ b/lab/proofs/prove.ts
@@ -3,10 +3,9 @@
  * were taken; the first run that breaks the promise is made shorter for a bounded time.
  */
 import fc from 'fast-check';
-import { isFault, type Step } from '../simulation/action.js';
+import type { Step } from '../simulation/action.js';
 import type { NodeFactory } from '../simulation/ports.js';
 import { steps } from './action-arbitraries.js';
-import { FaultBudget } from './fault-budget.js';
 import type { Violation } from './oracle.js';
 import type { ProofDefinition } from './proof-definition.js';
 import { beginRun, endRun, type ProofRun, type RunSetting, takeStep } from './run-steps.js';
@@ -47,19 +46,22 @@
 /** Thrown inside a model run as soon as an oracle objects. */
 class PromiseBroken extends Error {}
 
-class StepCommand implements fc.Command<FaultBudget, ProofRun> {
+/** The model of a run is empty: oracles judge, and the scenario limits the faults. */
+type NoModel = Readonly<Record<string, never>>;
+
+class StepCommand implements fc.Command<NoModel, ProofRun> {
   readonly #step: Step;
 
   constructor(step: Step) {
     this.#step = step;
   }
 
-  check(budget: Readonly<FaultBudget>): boolean {
-    return budget.allows(this.#step);
+  check(): boolean {
+    return true;
   }
 
-  run(budget: FaultBudget, run: ProofRun): void {
-    if (takeStep(run, this.#step)) budget.note(this.#step);
+  run(_model: NoModel, run: ProofRun): void {
+    takeStep(run, this.#step);
     if (run.oracle.violationCount > 0) throw new PromiseBroken();
   }
 
@@ -74,8 +76,8 @@
   for (let round = 0; total.steps < options.steps; round += 1) {
     const seed = roundSeed(options.seed, round);
     const attempt = tryRound(options, seed);
-    total.steps += attempt.first.taken.length;
-    total.faults += attempt.first.taken.filter((step) => isFault(step.action)).length;
+    total.steps += attempt.first.taken;
+    total.faults += attempt.first.faults;
     total.checked += attempt.first.oracle.checked;
     const { failing } = attempt;
     if (failing !== undefined) {
@@ -102,7 +104,7 @@
     const run = beginRun(setting);
     first ??= run;
     try {
-      fc.modelRun(() => ({ model: new FaultBudget(), real: run }), generated);
+      fc.modelRun(() => ({ model: {}, real: run }), generated);
       endRun(run);
     } catch (error) {
       if (!(error instanceof PromiseBroken)) throw error;
@@ -125,7 +127,7 @@
 
 function failingRun(run: ProofRun, simulationSeed: number): FailingRun {
   const { violations, violationCount, checked } = run.oracle;
-  return { simulationSeed, steps: run.taken, violations, violationCount, checked };
+  return { simulationSeed, steps: run.steps, violations, violationCount, checked };
 }
 
 /** Seed of one generated run; rounds of neighbouring seeds do not coincide. */
--- a/lab/simulation/simulated-engine.ts
+++ b/lab/simulation/simulated-engine.ts
@@ -11,6 +11,7 @@
   WorkerRecord,
 } from '../../src/platform/worker.js';
 import type { EngineCore, EngineOutput } from '../emulator/engine-core.js';
+import type { MadeTokens } from '../emulator/made-tokens.js';
 import type { EventQueue } from './event-queue.js';
 import type { SimulatedNetwork } from './network.js';
 import type { ObservationBody } from './observation.js';
@@ -49,6 +50,7 @@
   readonly #streams = new Map<string, Stream>();
   readonly #orders = new Map<string, Stream>();
   #down = false;
+  #leaving = false;
   #scheduledAt: Milliseconds | undefined;
 
   constructor(options: SimulatedEngineOptions) {
@@ -59,6 +61,11 @@
     this.#observe = options.observe;
   }
 
+  /** What the engine has made itself. */
+  get made(): MadeTokens {
+    return this.#engine.made;
+  }
+
   /** Sends work from one life of a node to the engine. */
   start(node: SimulatedNode, life: number, dispatchId: string, request: GenerationRequest): void {
     const stream: Stream = { node, life, notBefore: 0, broken: false };
@@ -141,12 +148,14 @@
     if (!this.#down) return;
     this.#down = false;
     this.#engine.restart(this.#queue.now);
+    if (this.#leaving) this.#reportLeaving(true);
     this.#reschedule();
   }
 
   /** Lets the engine say that it is on its way out, or that it stays. */
   setLeaving(leaving: boolean): void {
-    this.#engine.setLeaving(leaving);
+    this.#leaving = leaving;
+    if (!this.#down) this.#reportLeaving(leaving);
   }
 
   /** Share of later loads of weights that fail, in `[0, 1]`. */
@@ -154,6 +163,12 @@
     this.#engine.setLoadFailureRate(rate);
   }
 
+  #reportLeaving(leaving: boolean): void {
+    this.#engine.setLeaving(leaving);
+    const { worker } = this.worker;
+    this.#observe({ kind: 'worker-leaving', worker, sign: 'report', leaving });
+  }
+
   #accept(stream: Stream, dispatchId: string, request: GenerationRequest): void {
     if (this.#down) {
       this.#fail(stream, dispatchId, this.#delay(stream.node), 'no', 'connection refused');
--- a/lab/simulation/simulation.ts
+++ b/lab/simulation/simulation.ts
@@ -13,7 +13,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import type { NodeEffect } from '../../src/node/node-events.js';
 import { EngineCore } from '../emulator/engine-core.js';
-import { DEFAULT_ENGINE_SETTINGS } from '../emulator/engine-settings.js';
+import { DEFAULT_ENGINE_SETTINGS, type EngineSettings } from '../emulator/engine-settings.js';
 import { KeyValueCore } from '../emulator/key-value-core.js';
 import { SimulatedCalls } from './calls.js';
 import { EffectRunner } from './effect-runner.js';
@@ -32,11 +32,16 @@
 /** Engines of a simulation. */
 export const SIMULATED_ENGINE_SETTINGS = {
   ...DEFAULT_ENGINE_SETTINGS,
-  chunkTokens: 4,
   lengthSpread: 0.8,
   loadTime: 400,
 };
 
+/** Tokens between two segments of a short answer. */
+const SMALLEST_CHUNK = 4;
+
+/** Segments of a median answer, where answers are long. */
+const CHUNKS_PER_ANSWER = 10;
+
 /** Largest value a node's clock starts at. */
 const CLOCK_START_LIMIT: Milliseconds = 1_000_000;
 
@@ -50,6 +55,8 @@
   readonly createNode: NodeFactory;
   /** Whether messages between nodes are observed, which costs time. */
   readonly observeMessages: boolean;
+  /** Settings of all engines that differ from the simulator's own. @default none */
+  readonly engineSettings?: Partial<EngineSettings>;
 }
 
 /** One run. */
@@ -172,7 +179,12 @@
         worker: worker.worker,
         slots: worker.slots,
         medianTokens: this.plan.medianTokens,
+        chunkTokens: Math.max(
+          SMALLEST_CHUNK,
+          Math.round(this.plan.medianTokens / CHUNKS_PER_ANSWER),
+        ),
         initialVersion: this.plan.firstVersion,
+        ...this.#options.engineSettings,
       };
       const engine = new EngineCore(settings, this.#fork());
       const { queue, network } = this;
--- a/src/dispatch/dispatch-client.ts
+++ b/src/dispatch/dispatch-client.ts
@@ -14,6 +14,8 @@
 
 /** What the origin is told of one dispatch. */
 export interface DispatchListener {
+  /** The home has taken the dispatch in; called once at most. */
+  onAccepted?(): void;
   onSegment?(segment: TokenSegment, text: string): void;
   /** Called once. */
   onEnd(outcome: OriginOutcome): void;
@@ -31,12 +33,16 @@
 /** Settings of the client. */
 export interface DispatchClientOptions {
   readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
+  /** Told of each dispatch whose home fell silent, was declared dead or came back. */
+  readonly onLost?: () => void;
   /** Time between repetitions to a silent home. @default 400 */
   readonly repeatInterval?: Milliseconds;
   /** Silence after which the dispatch counts as lost. @default 2000 */
   readonly silenceLimit?: Milliseconds;
   /** Time between queries to a home that runs a dispatch. @default 1000 */
   readonly queryInterval?: Milliseconds;
+  /** Off only in the lab: an answer without an owner then goes to some open dispatch. */
+  readonly matchIdentity?: boolean;
 }
 
 interface OpenDispatch {
@@ -55,15 +61,19 @@
 export class DispatchClient {
   private readonly open = new Map<string, OpenDispatch>();
   private readonly send: DispatchClientOptions['send'];
+  private readonly onLost: () => void;
   private readonly repeatInterval: Milliseconds;
   private readonly silenceLimit: Milliseconds;
   private readonly queryInterval: Milliseconds;
+  private readonly matchIdentity: boolean;
 
   constructor(options: DispatchClientOptions) {
     this.send = options.send;
+    this.onLost = options.onLost ?? (() => undefined);
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
     this.silenceLimit = options.silenceLimit ?? DEFAULT_SILENCE_LIMIT;
     this.queryInterval = options.queryInterval ?? DEFAULT_QUERY_INTERVAL;
+    this.matchIdentity = options.matchIdentity ?? true;
   }
 
   /** How many dispatches have no outcome yet. */
@@ -93,7 +103,7 @@
 
   /** Takes in a home's message. */
   receive(from: NodeIdentity, message: DispatchMessage, now: Milliseconds): void {
-    const dispatch = this.open.get(message.dispatchId);
+    const dispatch = this.open.get(message.dispatchId) ?? this.substitute(from);
     if (message.kind === 'dispatch-ended') this.acknowledge(from, message.dispatchId);
     if (dispatch === undefined) {
       this.cancelUnwanted(from, message);
@@ -101,13 +111,20 @@
     }
     if (!sameIdentity(from, dispatch.order.home)) return;
     dispatch.lastHeard = now;
-    dispatch.accepted = true;
+    this.noteAccepted(dispatch, message);
     if (message.kind === 'dispatch-segment') {
       dispatch.listener.onSegment?.(message.segment, message.text);
     }
     if (message.kind === 'dispatch-ended') this.end(dispatch, message.outcome);
   }
 
+  /** An outcome that says the work ran tells that it was taken in, as its first answer was lost. */
+  private noteAccepted(dispatch: OpenDispatch, message: DispatchMessage): void {
+    const isRefusal = message.kind === 'dispatch-ended' && message.outcome.kind !== 'finished';
+    if (!dispatch.accepted && !isRefusal) dispatch.listener.onAccepted?.();
+    dispatch.accepted = true;
+  }
+
   /** Repeats what was not answered and gives silent homes up. */
   tick(now: Milliseconds): void {
     for (const dispatch of [...this.open.values()]) this.check(dispatch, now);
@@ -123,6 +140,12 @@
     }
   }
 
+  /** Some open dispatch of a home, where answers are not matched by identifier. */
+  private substitute(home: NodeIdentity): OpenDispatch | undefined {
+    if (this.matchIdentity) return undefined;
+    return [...this.open.values()].find((one) => sameIdentity(one.order.home, home));
+  }
+
   private check(dispatch: OpenDispatch, now: Milliseconds): void {
     if (now - dispatch.lastHeard >= this.silenceLimit) {
       this.send(dispatch.order.home, {
@@ -142,6 +165,7 @@
 
   private end(dispatch: OpenDispatch, outcome: OriginOutcome): void {
     this.open.delete(dispatch.order.dispatchId);
+    if (outcome.kind === 'lost') this.onLost();
     dispatch.listener.onEnd(outcome);
   }
 
--- a/src/dispatch/home-dispatcher.ts
+++ b/src/dispatch/home-dispatcher.ts
@@ -4,96 +4,44 @@
  * most once in one life of a home, whatever is repeated, late or out of order.
  */
 import type { GenerationRequest } from '../core/generation.js';
-import type { NodeId, NodeIdentity, WorkerId } from '../core/identity.js';
+import type { NodeId, NodeIdentity } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { MINUTE } from '../core/units.js';
-import { type Failure, failure, ranStateOf } from '../errors/error-kinds.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
 import type { EngineEvent, WorkerRecord } from '../platform/worker.js';
+import { DispatchMemory, type HomeDispatch } from './dispatch-memory.js';
+import { outcomeOf, withdrawnOutcome } from './dispatch-outcomes.js';
+import type { HomeDispatcherOptions } from './home-dispatcher-options.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
-
-/** A decision of the worker's admission control. */
-export type AdmissionDecision =
-  | { readonly kind: 'admitted'; readonly preempt: string | null }
-  | { readonly kind: 'queued' }
-  | { readonly kind: 'refused'; readonly failure: Failure };
-
-/** Admission control as the dispatcher needs it; see `src/routing/home-admission.ts`. */
-export interface AdmissionPort {
-  admit(
-    dispatchId: string,
-    request: GenerationRequest,
-    worker: WorkerRecord,
-    now: Milliseconds,
-  ): AdmissionDecision;
-  /** Frees the place of a dispatch; returns the queued dispatches that may now start. */
-  release(dispatchId: string, now: Milliseconds): readonly string[];
-}
-
-/** What the dispatcher asks of its node. */
-export interface HomeDispatcherOptions {
-  readonly send: (to: NodeIdentity, message: DispatchMessage) => void;
-  readonly startEngine: (
-    dispatchId: string,
-    worker: WorkerRecord,
-    request: GenerationRequest,
-  ) => void;
-  readonly cancelEngine: (dispatchId: string, worker: WorkerRecord) => void;
-  readonly admission: AdmissionPort;
-  /** The worker's record, or why it takes no work from this node now. */
-  readonly acceptable: (
-    worker: WorkerId,
-    request: GenerationRequest,
-    now: Milliseconds,
-  ) => { readonly worker: WorkerRecord } | { readonly failure: Failure };
-  readonly outcomeSeen: (worker: WorkerId, outcome: DispatchOutcome, now: Milliseconds) => void;
-  /** Whether repeated dispatches are recognised; off only in the lab. @default true */
-  readonly deduplicate?: boolean;
-  /** Whether a query for an unknown dispatch bars it from running later. @default true */
-  readonly barUnknown?: boolean;
-  /** Time between repetitions of an outcome. @default 400 */
-  readonly repeatInterval?: Milliseconds;
-}
-
-interface HomeDispatch {
-  readonly dispatchId: string;
-  readonly origin: NodeIdentity;
-  readonly stream: boolean;
-  readonly request: GenerationRequest | null;
-  readonly worker: WorkerRecord | null;
-  state: 'queued' | 'running' | 'ended';
-  outcome: DispatchOutcome | null;
-  changedAt: Milliseconds;
-  lastSent: Milliseconds;
-}
+import { PartialAnswer } from './partial-answer.js';
+import { SegmentIntake } from './segment-intake.js';
 
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
-/** How long an ended dispatch is remembered, so that a late repetition is not run. */
-const MEMORY_OF_ENDED: Milliseconds = 5 * MINUTE;
 /** How long an outcome is repeated to an origin that does not acknowledge it. */
 const REPEAT_LIMIT: Milliseconds = MINUTE;
-/** How often forgotten dispatches are looked for. */
-const SWEEP_INTERVAL: Milliseconds = 10_000;
 
 /** Home side of all dispatches of one node. */
 export class HomeDispatcher {
-  private readonly dispatches = new Map<string, HomeDispatch>();
+  private readonly dispatches = new DispatchMemory();
   /** Dispatches whose outcome is not acknowledged yet. */
   private readonly unacknowledged = new Set<HomeDispatch>();
+  private readonly intake: SegmentIntake;
   private readonly repeatInterval: Milliseconds;
-  private nextSweep: Milliseconds = 0;
 
   constructor(private readonly options: HomeDispatcherOptions) {
+    this.intake = new SegmentIntake(options);
     this.repeatInterval = options.repeatInterval ?? DEFAULT_REPEAT_INTERVAL;
   }
 
   /** How many dispatches are queued or run here. */
   get activeCount(): number {
-    let count = 0;
-    for (const dispatch of this.dispatches.values()) {
-      if (dispatch.state !== 'ended') count += 1;
-    }
-    return count;
+    return this.dispatches.activeCount;
+  }
+
+  /** How many outcomes are kept for origins that may ask again. */
+  get outcomeCount(): number {
+    return this.dispatches.outcomeCount;
   }
 
   /** How many outcomes their origins have not acknowledged. */
@@ -125,27 +73,23 @@
   engineEvent(dispatchId: string, event: EngineEvent, now: Milliseconds): void {
     const dispatch = this.dispatches.get(dispatchId);
     if (dispatch === undefined || dispatch.state !== 'running') return;
-    if (event.kind === 'segment') {
-      this.forwardSegment(dispatch, event);
+    if (event.kind !== 'segment') {
+      this.end(dispatch, outcomeOf(event, this.intake.partialOf(dispatch)), now);
       return;
     }
-    this.end(dispatch, outcomeOf(event), now);
+    const fault = this.intake.take(dispatch, event, now);
+    if (fault !== null) this.endEarly(dispatch, fault, now);
   }
 
   /** Repeats unacknowledged outcomes and forgets old dispatches. */
   tick(now: Milliseconds): void {
     for (const dispatch of [...this.unacknowledged]) this.repeatOutcome(dispatch, now);
-    if (now < this.nextSweep) return;
-    this.nextSweep = now + SWEEP_INTERVAL;
-    for (const dispatch of this.dispatches.values()) {
-      const old = now - dispatch.changedAt > MEMORY_OF_ENDED;
-      if (dispatch.state === 'ended' && old) this.dispatches.delete(dispatch.dispatchId);
-    }
+    this.dispatches.sweep(now);
   }
 
   /** The origin's life ended: its work is cancelled, for nobody would take the outcome. */
   originGone(node: NodeId, survivor: NodeIdentity | null, now: Milliseconds): void {
-    for (const dispatch of [...this.dispatches.values()]) {
+    for (const dispatch of [...this.dispatches.activeDispatches(), ...this.unacknowledged]) {
       if (dispatch.origin.node !== node) continue;
       if (survivor !== null && sameIdentity(dispatch.origin, survivor)) continue;
       this.unacknowledged.delete(dispatch);
@@ -159,15 +103,14 @@
     now: Milliseconds,
   ): number {
     let withdrawn = 0;
-    for (const dispatch of [...this.dispatches.values()]) {
+    for (const dispatch of this.dispatches.activeDispatches()) {
       if (dispatch.state === 'ended' || dispatch.request === null || dispatch.worker === null) {
         continue;
       }
       const reason = test(dispatch.request, dispatch.worker);
       if (reason === null) continue;
       withdrawn += 1;
-      this.stopRunning(dispatch);
-      this.end(dispatch, withdrawnOutcome(dispatch.state, reason), now);
+      this.endEarly(dispatch, reason, now);
     }
     return withdrawn;
   }
@@ -177,10 +120,13 @@
     message: Extract<DispatchMessage, { kind: 'dispatch' }>,
     now: Milliseconds,
   ): void {
-    const known = this.dispatches.get(message.dispatchId);
-    if (known !== undefined && this.options.deduplicate !== false) {
-      this.answer(known, now);
-      return;
+    if (this.options.deduplicate !== false) {
+      if (this.dispatches.isSettled(message.dispatchId)) return;
+      const known = this.dispatches.get(message.dispatchId);
+      if (known !== undefined) {
+        this.answer(known, now);
+        return;
+      }
     }
     const decision = this.options.acceptable(message.worker, message.request, now);
     if ('failure' in decision) {
@@ -210,10 +156,11 @@
       worker,
       state: 'queued',
       outcome: null,
+      answer: request.trafficClass === 'training' ? new PartialAnswer(now) : null,
       changedAt: now,
       lastSent: now,
     };
-    this.dispatches.set(dispatchId, dispatch);
+    this.dispatches.keep(dispatch);
     this.options.send(from, { kind: 'dispatch-accepted', dispatchId });
     if (admission.kind === 'queued') return;
     if (admission.preempt !== null) this.preempt(admission.preempt, now);
@@ -236,10 +183,11 @@
     const victim = this.dispatches.get(dispatchId);
     if (victim === undefined || victim.state === 'ended') return;
     this.stopRunning(victim);
-    this.end(victim, { kind: 'preempted' }, now);
+    this.end(victim, { kind: 'preempted', partial: this.intake.partialOf(victim) }, now);
   }
 
   private receiveQuery(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    if (this.dispatches.isSettled(dispatchId)) return;
     const known = this.dispatches.get(dispatchId);
     if (known !== undefined) {
       this.answer(known, now);
@@ -249,6 +197,7 @@
   }
 
   private receiveCancel(from: NodeIdentity, dispatchId: string, now: Milliseconds): void {
+    if (this.dispatches.isSettled(dispatchId)) return;
     const known = this.dispatches.get(dispatchId);
     if (known === undefined) {
       this.bar(from, dispatchId, now);
@@ -271,12 +220,15 @@
 
   private receiveAcknowledgement(dispatchId: string): void {
     const known = this.dispatches.get(dispatchId);
-    if (known !== undefined) this.unacknowledged.delete(known);
+    if (known?.state !== 'ended') return;
+    this.unacknowledged.delete(known);
+    // Messages of the home to itself come once and in order, so none is left to come.
+    this.dispatches.settle(dispatchId, !this.intake.isSelf(known.origin));
   }
 
   private refuse(from: NodeIdentity, dispatchId: string, reason: Failure, now: Milliseconds): void {
     const outcome: DispatchOutcome = { kind: 'refused', failure: reason };
-    this.dispatches.set(dispatchId, {
+    this.dispatches.keep({
       dispatchId,
       origin: from,
       stream: false,
@@ -284,6 +236,7 @@
       worker: null,
       state: 'ended',
       outcome,
+      answer: null,
       changedAt: now,
       lastSent: now,
     });
@@ -297,23 +250,17 @@
     else this.options.send(origin, { kind: 'dispatch-ended', dispatchId, outcome });
   }
 
-  private forwardSegment(
-    dispatch: HomeDispatch,
-    event: Extract<EngineEvent, { kind: 'segment' }>,
-  ): void {
-    if (!dispatch.stream) return;
-    this.options.send(dispatch.origin, {
-      kind: 'dispatch-segment',
-      dispatchId: dispatch.dispatchId,
-      segment: event.segment,
-      text: event.text,
-    });
+  /** Ends a dispatch that may not go on here. */
+  private endEarly(dispatch: HomeDispatch, reason: Failure, now: Milliseconds): void {
+    this.stopRunning(dispatch);
+    const partial = this.intake.partialOf(dispatch);
+    this.end(dispatch, withdrawnOutcome(dispatch.state, reason, partial), now);
   }
 
   private abort(dispatch: HomeDispatch, now: Milliseconds): void {
     this.stopRunning(dispatch);
     const reason = failure('outcome_unknown', 'the origin gave the dispatch up');
-    dispatch.outcome = { kind: 'failed', failure: reason };
+    dispatch.outcome = { kind: 'failed', failure: reason, partial: null };
     this.close(dispatch, now);
   }
 
@@ -334,7 +281,9 @@
 
   private close(dispatch: HomeDispatch, now: Milliseconds): void {
     dispatch.state = 'ended';
+    dispatch.answer = null;
     dispatch.changedAt = now;
+    this.dispatches.keep(dispatch);
     for (const startable of this.options.admission.release(dispatch.dispatchId, now)) {
       const next = this.dispatches.get(startable);
       if (next !== undefined && next.state === 'queued') this.start(next, now);
@@ -349,15 +298,3 @@
     if (now - dispatch.lastSent >= this.repeatInterval) this.answer(dispatch, now);
   }
 }
-
-function outcomeOf(event: Exclude<EngineEvent, { kind: 'segment' }>): DispatchOutcome {
-  if (event.kind === 'finished') return { kind: 'finished', result: event.result };
-  const reason = failure('engine_failed', event.reason, { ran: event.ran });
-  if (ranStateOf(reason) === 'no') return { kind: 'refused', failure: reason };
-  return { kind: 'failed', failure: reason };
-}
-
-function withdrawnOutcome(state: HomeDispatch['state'], reason: Failure): DispatchOutcome {
-  if (state === 'queued') return { kind: 'refused', failure: reason };
-  return { kind: 'failed', failure: { ...reason, ran: 'unknown' } };
-}
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -7,6 +7,7 @@
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import { withoutPromise } from '../errors/error-kinds.js';
 import type { NodeGauges } from '../telemetry/node-metrics.js';
 import type { NodeCall, Readiness } from './calls.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
@@ -53,7 +54,7 @@
 
   /** Whether the node can take calls: its configuration is known and fresh. */
   readiness(now: Milliseconds): Readiness {
-    return this.modules.readiness(now);
+    return this.modules.report.readiness(now);
   }
 
   /** All counters. */
@@ -63,7 +64,7 @@
 
   /** The state at this moment, for metrics. */
   gauges(now: Milliseconds): NodeGauges {
-    return this.modules.gauges(now);
+    return this.modules.report.gauges(now);
   }
 
   /** All members of the fleet as this node sees them. */
@@ -105,7 +106,7 @@
         modules.keyValueResult(event.requestId, event.result);
         return;
       case 'watch':
-        modules.applyFeed(modules.feed.watchEvent(event.watchId, event.event, now));
+        modules.effects.feed(modules.feed.watchEvent(event.watchId, event.event, now));
         return;
       case 'engine':
         modules.work.engineEvent(event.dispatchId, event.event);
@@ -114,14 +115,17 @@
         modules.workerReport(event.report);
         return;
       case 'worker-unreachable':
-        modules.applyDirectory(modules.directory.workerUnreachable(event.worker, now));
+        modules.effects.directory(modules.directory.workerUnreachable(event.worker, now));
         return;
       case 'order-result':
-        modules.applyWeights(modules.weights.orderResult(event.orderId, event.result, now));
+        modules.effects.weights(modules.weights.orderResult(event.orderId, event.result, now));
         return;
       case 'machine-list':
         modules.machineList(event.machines);
         return;
+      case 'body-loaded':
+        modules.ledgerAdapter.apply(modules.ledger.bodyLoaded(event.name, event.body, now));
+        return;
       case 'call':
         this.call(event.callId, event.call);
         return;
@@ -138,7 +142,7 @@
     const { modules } = this;
     if (this.machineListPoll.isDue(now)) modules.context.emit({ kind: 'machine-list-poll' });
     modules.tickFoundation(now);
-    if (this.refresh.isDue(now)) modules.refreshViews(now);
+    if (this.refresh.isDue(now)) modules.views.refresh(now);
     modules.work.tick(now);
     modules.context.runTimers();
     this.checkStopped(now);
@@ -158,10 +162,10 @@
     const now = modules.context.now();
     switch (message.module) {
       case 'membership':
-        modules.applyMembership(modules.membership.receive(from, message.body, now));
+        modules.effects.membership(modules.membership.receive(from, message.body, now));
         return;
       case 'config-feed':
-        modules.applyFeed(modules.feed.receive(from, message.body, now));
+        modules.effects.feed(modules.feed.receive(from, message.body, now));
         return;
       case 'ledger':
         modules.ledgerAdapter.apply(modules.ledger.receive(from, message.body, now));
@@ -173,7 +177,7 @@
         modules.work.supervisor.receive(from, message.body);
         return;
       case 'routing':
-        modules.applyDirectory(modules.directory.receive(from, message.body, now));
+        modules.effects.directory(modules.directory.receive(from, message.body, now));
         return;
       case 'status':
         modules.status.receive(from, message.body);
@@ -185,9 +189,12 @@
     this.modules.context.counters.increment('calls');
     const refusal = this.stoppingSince === null ? null : this.modules.stoppingFailure();
     if (refusal !== null && call.kind !== 'status' && call.kind !== 'explain') {
-      this.modules.context.reply(callId, { kind: 'failed', failure: refusal });
+      const mayHaveRunBefore = call.kind === 'generate' && !call.repeatable;
+      const told = mayHaveRunBefore ? withoutPromise(refusal) : refusal;
+      this.modules.context.reply(callId, { kind: 'failed', failure: told });
       return;
     }
+    this.modules.context.beginCall(callId);
     this.modules.startCall(callId, call);
   }
 
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -13,13 +13,14 @@
 import { HomeDispatcher } from '../dispatch/home-dispatcher.js';
 import type { DispatchMessage, DispatchOutcome } from '../dispatch/messages.js';
 import { ranStateOf } from '../errors/error-kinds.js';
-import type { EngineEvent } from '../platform/worker.js';
+import type { EngineEvent, WorkerRecord } from '../platform/worker.js';
 import { RequestCalls } from '../requests/request-calls.js';
 import { RetentionSweeper } from '../retention/retention-sweeper.js';
 import { StepCalls } from '../rollouts/step-calls.js';
 import type { StepPorts } from '../rollouts/step-ports.js';
 import { StepSupervisor } from '../rollouts/step-supervisor.js';
 import { HomeAdmission } from '../routing/home-admission.js';
+import { LengthPredictor } from '../routing/length-predictor.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import { Router } from '../routing/router.js';
 import { createRoutingPolicies } from '../routing/routing-policies.js';
@@ -27,6 +28,7 @@
 import type { NodeModules } from './node-modules.js';
 import { PeriodicTask } from './periodic-task.js';
 import { sampleGeneration } from './sample-generation.js';
+import { SampleGuard } from './sample-guard.js';
 import { WorkPlacement } from './work-placement.js';
 
 /** How often running work is checked against the permissions of the moment. */
@@ -42,6 +44,7 @@
   private readonly retention: RetentionSweeper;
   private readonly admission: HomeAdmission;
   private readonly placement: WorkPlacement;
+  private readonly guard: SampleGuard;
   private readonly runner: GenerationRunner;
   private readonly retryBudget = new RetryBudget({}, 0);
   private readonly withdrawal = new PeriodicTask(WITHDRAWAL_INTERVAL);
@@ -58,10 +61,16 @@
     this.placement = new WorkPlacement(ports, directory, router, zones, (request) =>
       this.permissionOf(request.intent, request.trafficClass === 'training'),
     );
+    const reported = (worker: string) => directory.report(worker)?.activeVersion;
+    this.guard = new SampleGuard(ports, reported, settings.resumeRoom);
     this.admission = new HomeAdmission({
       isLeaving: (worker) => ports.mechanisms['drain-refusal'] && directory.isLeaving(worker),
     });
-    this.client = new DispatchClient({ send: (to, message) => this.sendDispatch(to, message) });
+    this.client = new DispatchClient({
+      send: (to, message) => this.sendDispatch(to, message),
+      matchIdentity: ports.mechanisms['request-identity'],
+      onLost: () => ports.counters.increment('dispatches_lost'),
+    });
     this.home = this.createHome();
     this.runner = this.createRunner();
     this.requests = new RequestCalls(ports, this.runner, (account, model) =>
@@ -105,7 +114,10 @@
   /** Ends what runs here although its intent no longer allows it. */
   withdrawForbidden(): void {
     if (!this.ports.mechanisms['withdraw-on-change']) return;
-    const withdraw = (request: GenerationRequest) => this.placement.withdrawal(request);
+    const { resume } = this.modules.settings;
+    const withdraw = (request: GenerationRequest, { worker }: WorkerRecord) =>
+      this.placement.withdrawal(request) ??
+      (resume ? this.placement.moveAway(request, worker) : null);
     const count = this.home.withdraw(withdraw, this.ports.now());
     if (count > 0) this.ports.counters.increment('dispatches_withdrawn', count);
   }
@@ -139,6 +151,7 @@
   private createHome(): HomeDispatcher {
     const { context, directory } = this.modules;
     return new HomeDispatcher({
+      self: this.ports.self,
       send: (to, message) => this.sendDispatch(to, message),
       startEngine: (dispatchId, worker, request) => {
         context.counters.increment('dispatches_admitted');
@@ -157,6 +170,9 @@
       },
       acceptable: (worker, request) => this.placement.acceptable(worker, request),
       outcomeSeen: (worker, outcome, now) => this.outcomeSeen(worker, outcome, now),
+      segmentFault: (request, previous, segment, oldest) =>
+        this.guard.segmentFault(request, previous, segment, oldest),
+      resume: this.modules.settings.resume,
       deduplicate: this.ports.mechanisms['dispatch-deduplication'],
       barUnknown: this.ports.mechanisms['barred-dispatch'],
     });
@@ -167,7 +183,7 @@
     if (outcome.kind === 'refused') counters.increment('dispatches_refused');
     if (outcome.kind === 'preempted') counters.increment('dispatches_preempted');
     const { directory } = this.modules;
-    this.modules.applyDirectory(directory.recordOutcome(worker, callOutcomeOf(outcome), now));
+    this.modules.effects.directory(directory.recordOutcome(worker, callOutcomeOf(outcome), now));
     const record = directory.worker(worker);
     if (record !== undefined) {
       directory.setOutstanding(worker, this.admission.counts(record), now);
@@ -185,8 +201,17 @@
         countFirstAttempt: (now) => this.retryBudget.recordFirstAttempt(now),
         nextDispatchId: () => this.modules.nextId(),
         explain: (subject, decision, reason) => this.ports.explain(subject, decision, reason),
+        mayResume: (request, partial, worker) =>
+          this.modules.settings.resume && this.guard.mayResume(request, partial, worker),
+        onResumed: (tokens) => {
+          this.ports.counters.increment('samples_resumed');
+          this.ports.counters.increment('tokens_resumed', tokens);
+        },
         singleDispatch: mechanisms['single-dispatch'],
         truthfulUnknown: mechanisms['unknown-outcome'],
+        wholeAnswer: mechanisms['whole-answer'],
+        streamOrder: mechanisms['stream-order'],
+        segmentVersions: mechanisms['segment-versions'],
       },
       () => this.ports.now(),
     );
@@ -196,11 +221,12 @@
     return {
       node: this.ports,
       hedging: this.modules.settings.hedging,
+      predictor: new LengthPredictor(),
       permission: (record) => this.permissionOf(record.intent, true),
-      generate: (record, permission, sample, deadline, listener) => {
+      generate: (record, permission, sample, { deadline, resume }, listener) => {
         const request = sampleGeneration(record, permission, sample);
         const { zones } = permission;
-        const order = { request, zones, stream: false, deadline, maxAttempts: 2 };
+        const order = { request, zones, stream: false, deadline, maxAttempts: 2, resume };
         return this.runner.run(order, listener);
       },
     };
@@ -217,9 +243,9 @@
   }
 }
 
-/** What an outcome says of the worker's health. */
+/** What an outcome says of the worker's health; work that was withdrawn says nothing. */
 function callOutcomeOf(outcome: DispatchOutcome): CallOutcome {
   if (outcome.kind === 'finished' || outcome.kind === 'preempted') return 'succeeded';
-  if (outcome.kind === 'refused') return 'refused';
+  if (outcome.kind === 'refused' || outcome.failure.kind !== 'engine_failed') return 'refused';
   return ranStateOf(outcome.failure) === 'no' ? 'refused' : 'failed';
 }
--- a/src/platform/engine-wire-client.ts
+++ b/src/platform/engine-wire-client.ts
@@ -6,8 +6,11 @@
 
 const count = z.number().int().nonnegative();
 
+/** Longest name of an adapter, in characters. */
+const ADAPTER_LENGTH = 256;
+
 /** A run of tokens of one version. */
-const tokenSegment = z.object({ version: count, firstToken: count, tokenCount: count });
+export const tokenSegment = z.object({ version: count, firstToken: count, tokenCount: count });
 
 /** One event of a completion's stream. */
 export const completionChunk = z.object({
@@ -29,9 +32,14 @@
 });
 
 /** Body of `/orders`. */
-export const workerOrder = z.object({
+export const engineOrder = z.object({
   epoch: count,
-  action: z.object({ kind: z.enum(['load', 'activate']), version: count }),
+  action: z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('load'), version: count }),
+    z.object({ kind: z.literal('activate'), version: count }),
+    z.object({ kind: z.literal('load-adapter'), adapter: z.string().min(1).max(ADAPTER_LENGTH) }),
+    z.object({ kind: z.literal('change-role'), role: z.enum(['mixed', 'prefill', 'decode']) }),
+  ]),
 });
 
 /** Answer of `/orders`. */
@@ -53,11 +61,17 @@
     priority: z.enum(['interactive', 'training']),
     oldestVersion: count,
     promptGroup: z.string(),
+    /**
+     * The answer goes on after these tokens. The engine streams them first, as they are given; one
+     * that does not know the field makes the answer from its start.
+     */
+    resume: z.object({ text: z.string(), segments: z.array(tokenSegment).min(1) }).optional(),
   }),
 });
 
 /** Body that asks an engine for a generation. */
 export function encodeGeneration(request: GenerationRequest): z.infer<typeof completionRequest> {
+  const { resume } = request;
   return {
     model: request.model,
     prompt: request.prompt,
@@ -69,6 +83,9 @@
       priority: request.trafficClass,
       oldestVersion: request.oldestVersion,
       promptGroup: request.promptGroup,
+      ...(resume === undefined
+        ? {}
+        : { resume: { text: resume.text, segments: [...resume.segments] } }),
     },
   };
 }
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -43,17 +43,16 @@
 export class MachineListClient {
   private readonly options: Required<MachineListClientOptions>;
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-  /** The last answer that kept the schema, as text and as the list made of it. */
-  private last: { readonly text: string; readonly machines: readonly MachineRecord[] } | null =
-    null;
+  private lastBody: string | undefined;
+  private lastList: readonly MachineRecord[] | undefined;
 
   constructor(options: MachineListClientOptions) {
     this.options = { ...DEFAULTS, ...options };
   }
 
   /**
-   * The list; `undefined` where the service fails or breaks the schema. The same array object is
-   * returned until the answer differs, since decoding it costs time for each machine.
+   * The list; `undefined` where the service fails or breaks the schema. The same array object as
+   * before where the answer is the same, so that what rests on it need not be worked out anew.
    */
   async list(): Promise<readonly MachineRecord[] | undefined> {
     const outcome = await exchangeHttp({
@@ -65,10 +64,10 @@
       maximumBytes: this.options.maximumBytes,
     });
     if (outcome.kind !== 'answer' || outcome.status !== 200) return undefined;
-    if (this.last?.text === outcome.body) return this.last.machines;
-    const machines = machineList.safeParse(parseJson(outcome.body)).data;
-    if (machines !== undefined) this.last = { text: outcome.body, machines };
-    return machines;
+    if (outcome.body === this.lastBody) return this.lastList;
+    this.lastBody = outcome.body;
+    this.lastList = machineList.safeParse(parseJson(outcome.body)).data;
+    return this.lastList;
   }
 
   /** Ends all connections. */
--- a/src/rollouts/delivery-appender.ts
+++ b/src/rollouts/delivery-appender.ts
@@ -1,14 +1,15 @@
 /**
  * Appends finished samples to a step's delivery log, several at a time, and keeps track of what
- * the log holds. The staleness bound is checked here once more, at the moment of the change, with
- * the newest version known then.
+ * the log holds. The versions that made a sample are checked here once more, at the moment of the
+ * change, with the newest version known then.
  */
-import { newestVersion, oldestAllowedVersion } from '../config-feed/configuration.js';
-import { type GenerationResult, oldestVersionOf } from '../core/generation.js';
+import type { GenerationResult } from '../core/generation.js';
 import type { NodePorts, RegisterAddress } from '../core/node-ports.js';
-import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
+import { checkHandOver, type HandOverVerdict } from '../weights/staleness-bound.js';
 import { appendEntries, closeLog, isSealed, pageOf } from './delivery-log.js';
+import { readPages } from './delivery-log-reader.js';
 import {
   type ClosingMark,
   type DeliveryEntry,
@@ -19,17 +20,23 @@
 
 /** What the owner of the appender is told. */
 export interface DeliveryListener {
-  /** These keys are in the log now, whoever put them there. */
-  delivered(keys: readonly string[]): void;
+  /** These entries are in the log now, whoever put them there; in the order of the log. */
+  delivered(entries: readonly DeliveryEntry[]): void;
   /** The log is closed. */
   closed(): void;
-  /** A result was dropped because a token is older than the bound. */
-  stale(sampleKey: string): void;
+  /** A result was dropped: the versions that made it may not be handed over. */
+  inadmissible(sampleKey: string, reason: string): void;
 }
 
+/** What the checks at hand-over need of an answer. */
+type SampleVersions = Pick<GenerationResult, 'segments' | 'tokenCount'>;
+
+/** No intent allows the step here any more. */
+type SampleVerdict = HandOverVerdict | { readonly kind: 'intent-ended' };
+
 interface PendingEntry {
   readonly entry: DeliveryEntry;
-  readonly oldestVersion: WeightVersion | undefined;
+  readonly answer: SampleVersions;
 }
 
 /** Time given to one ledger operation. */
@@ -64,17 +71,15 @@
   load(done: () => void): void {
     if (this.busy || this.loaded) return;
     this.busy = true;
-    const address = this.addressOf(this.page);
-    this.node.ledger.read(address, this.node.now() + LEDGER_TIMEOUT, (outcome) => {
+    readPages(this.node, this.record.intent, this.stepKey, this.page, (pages) => {
       this.busy = false;
-      if (outcome.kind !== 'changed') {
+      if (pages === null) {
         this.node.later(RETRY_PAUSE, () => this.load(done));
         return;
       }
-      const before = this.page;
-      this.absorb(pageOf(outcome.value, this.page));
+      for (const page of pages) this.absorb(page);
       if (this.over) return;
-      if (this.page > before) {
+      if (pages.every(isSealed)) {
         this.load(done);
         return;
       }
@@ -83,13 +88,21 @@
     });
   }
 
+  /** Reads what another driver may have appended meanwhile. */
+  refresh(): void {
+    if (!this.loaded || this.busy || this.over) return;
+    this.loaded = false;
+    this.load(() => this.append());
+  }
+
   /** Takes in a finished sample whose body is stored. */
   add(entry: DeliveryEntry, result: GenerationResult): void {
     if (this.over || this.deliveredKeys.has(entry.key)) {
       this.node.counters.increment('samples_late');
       return;
     }
-    this.pending.set(entry.key, { entry, oldestVersion: oldestVersionOf(result) });
+    const { segments, tokenCount } = result;
+    this.pending.set(entry.key, { entry, answer: { segments, tokenCount } });
     this.append();
   }
 
@@ -118,7 +131,7 @@
         return;
       }
       this.absorb(pageOf(outcome.value, this.page));
-      this.dropStale();
+      this.dropInadmissible();
       this.append();
     });
   }
@@ -128,13 +141,13 @@
     if (this.pending.size === 0) return null;
     const entries = [...this.pending.values()].map((pending) => pending.entry);
     const unique = this.node.mechanisms['result-claim'];
-    return appendEntries(this.page, entries, (entry) => this.isAdmissible(entry.key), unique);
+    return appendEntries(this.page, entries, (entry) => this.verdict(entry.key) === null, unique);
   }
 
   private absorb(page: DeliveryPage): void {
     const fresh = page.entries.filter((entry) => !this.deliveredKeys.has(entry.key));
     for (const entry of fresh) this.absorbEntry(entry);
-    if (fresh.length > 0) this.listener.delivered(fresh.map((entry) => entry.key));
+    if (fresh.length > 0) this.listener.delivered(fresh);
     if (page.closed !== null) {
       this.finish();
       return;
@@ -160,24 +173,26 @@
     this.listener.closed();
   }
 
-  private dropStale(): void {
+  private dropInadmissible(): void {
     for (const key of [...this.pending.keys()]) {
-      if (this.isAdmissible(key)) continue;
+      const verdict = this.verdict(key);
+      if (verdict === null || verdict.kind === 'hold') continue;
       this.pending.delete(key);
-      this.listener.stale(key);
+      this.listener.inadmissible(key, `its versions may not be handed over: ${verdict.kind}`);
     }
   }
 
-  /** Whether a result may be handed over with what is known now. */
-  private isAdmissible(key: string): boolean {
-    const oldest = this.pending.get(key)?.oldestVersion;
-    if (oldest === undefined) return true;
-    if (!this.node.mechanisms['staleness-check-at-hand-over']) return true;
+  /** Why a sample may not be handed over with what is known now; `null` where it may. */
+  private verdict(key: string): SampleVerdict | null {
+    const answer = this.pending.get(key)?.answer;
+    if (answer === undefined) return null;
+    if (!this.node.mechanisms['staleness-check-at-hand-over']) return null;
     const configuration = this.node.configuration();
     const intent = configuration.intents.get(this.record.intent);
-    const newest = newestVersion(configuration, this.record.model);
-    if (intent === undefined || newest === undefined) return false;
-    return oldest >= oldestAllowedVersion(intent, newest);
+    if (intent === undefined) return { kind: 'intent-ended' };
+    const view = { configuration, configurationFresh: this.node.isFresh() };
+    const verdict = checkHandOver(view, intent, answer);
+    return verdict.kind === 'allowed' ? null : verdict;
   }
 
   private addressOf(page: number): RegisterAddress {
--- a/src/rollouts/step-driver.ts
+++ b/src/rollouts/step-driver.ts
@@ -3,19 +3,24 @@
  * Every member of the step's replica group can drive it; two drivers at once cost work, never a
  * doubled sample, since the log takes each key once.
  */
-import type { GenerationResult } from '../core/generation.js';
+import type { Permission } from '../access/permission.js';
+import type { GenerationResult, PartialGeneration } from '../core/generation.js';
 import type { NodePorts } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
-import type { GenerationOutcome, RunningGeneration } from '../dispatch/generation-runner.js';
+import type { GenerationOutcome } from '../dispatch/generation-runner.js';
 import { type ErrorKind, ranStateOf, retryAfterOf } from '../errors/error-kinds.js';
 import type { SampleRequest } from '../node/calls.js';
+import { AcknowledgedBodies } from './acknowledged-bodies.js';
 import { DeliveryAppender } from './delivery-appender.js';
 import { endStep } from './delivery-log.js';
 import { DispatchWindow } from './dispatch-window.js';
-import type { StepRecord } from './records.js';
+import type { DeliveryEntry, StepRecord } from './records.js';
+import { ResultKeeper } from './result-keeper.js';
+import { type RunningSample, RunningSamples } from './running-samples.js';
 import { SampleQueue } from './sample-queue.js';
-import { decodeSamples, encodeResult } from './step-bodies.js';
+import { decodeSamples } from './step-bodies.js';
+import { StepHedging } from './step-hedging.js';
 import type { StepPorts } from './step-ports.js';
 
 /** Time given to one ledger operation before it is tried anew. */
@@ -23,22 +28,18 @@
 /** Pause after a failed ledger operation. */
 const RETRY_PAUSE: Milliseconds = 200;
 
-interface RunningSample {
-  readonly sample: SampleRequest;
-  readonly startedAt: Milliseconds;
-  readonly generations: RunningGeneration[];
-  /** Copies that have not ended. */
-  liveCopies: number;
-}
-
 /** Drives one step until it is complete, closed, or given over to another member. */
 export class StepDriver {
   private phase: 'loading' | 'running' | 'ending' | 'ended' = 'loading';
-  private readonly running = new Map<string, RunningSample>();
+  private readonly running = new RunningSamples();
   private readonly window = new DispatchWindow();
+  private readonly hedging: StepHedging;
   private queue: SampleQueue | null = null;
   private readonly appender: DeliveryAppender;
+  private readonly keeper: ResultKeeper;
+  private readonly acknowledgedBodies: AcknowledgedBodies;
   private pausedUntil: Milliseconds = 0;
+  private endState: 'complete' | 'closed' = 'complete';
 
   /**
    * @param key the step record's key, which also picks the shard.
@@ -50,10 +51,17 @@
     readonly record: StepRecord,
     private readonly deadline: Milliseconds,
   ) {
+    this.hedging = new StepHedging(record.sampleCount);
+    this.acknowledgedBodies = new AcknowledgedBodies(ports.node, key, record);
+    this.keeper = new ResultKeeper(ports.node, key, record, {
+      stored: (entry, result) => this.appender.add(entry, result),
+      full: () => this.makeRoom(),
+      refused: () => this.appender.refresh(),
+    });
     this.appender = new DeliveryAppender(ports.node, key, record, {
-      delivered: (keys) => this.delivered(keys),
+      delivered: (entries) => this.delivered(entries),
       closed: () => this.end('closed'),
-      stale: (sampleKey) => this.regenerate(sampleKey),
+      inadmissible: (sampleKey, reason) => this.regenerate(sampleKey, reason),
     });
   }
 
@@ -76,7 +84,8 @@
         this.pausedUntil = this.node.now() + RETRY_PAUSE;
         return;
       }
-      this.queue = new SampleQueue(decodeSamples(outcome.body));
+      const samples = decodeSamples(outcome.body);
+      this.queue = new SampleQueue(samples, this.record.model, this.ports.predictor);
       this.appender.load(() => this.begin());
     });
     this.pausedUntil = Number.POSITIVE_INFINITY;
@@ -89,6 +98,7 @@
     if (now >= this.deadline && this.phase !== 'ending') this.close('deadline_exceeded');
     if (now < this.pausedUntil) return;
     if (this.phase === 'loading') this.retryLoading();
+    if (this.phase === 'running') this.keeper.tick();
     if (this.phase === 'running') this.dispatchMore();
     if (this.phase === 'ending') this.markEnded();
     this.appender.tick();
@@ -96,7 +106,8 @@
 
   /** Stops driving; what runs is cancelled. Another member goes on. */
   abandon(): void {
-    this.cancelAll();
+    this.keeper.stop();
+    this.running.forgetAll();
     this.phase = 'ended';
   }
 
@@ -116,13 +127,13 @@
   private dispatchMore(): void {
     const queue = this.queue;
     const now = this.node.now();
-    if (queue === null || now < this.pausedUntil) return;
+    if (queue === null || now < this.pausedUntil || this.keeper.isBlocked) return;
     while (this.running.size < this.window.size) {
-      const sample = queue.next();
+      const sample = queue.next(now);
       if (sample === undefined) break;
       if (!this.dispatch(sample)) break;
     }
-    if (queue.size === 0) this.hedgeSlowest(now);
+    if (queue.size === 0) this.hedgeLate(now);
   }
 
   /** Starts one sample; false where no more should be started now. */
@@ -133,87 +144,82 @@
       this.pausedUntil = this.node.now() + RETRY_PAUSE;
       return false;
     }
-    const entry: RunningSample = {
-      sample,
-      startedAt: this.node.now(),
-      generations: [],
-      liveCopies: 0,
-    };
-    this.running.set(sample.key, entry);
-    this.generate(entry, answer.permission);
+    const entry = this.running.start(sample, this.node.now());
+    this.generate(entry, answer.permission, this.running.takePartial(sample.key));
     return this.node.now() >= this.pausedUntil;
   }
 
-  private generate(entry: RunningSample, permission: Parameters<StepPorts['generate']>[1]): void {
+  private generate(
+    entry: RunningSample,
+    permission: Permission,
+    resume: PartialGeneration | null,
+  ): void {
     entry.liveCopies += 1;
-    const running = this.ports.generate(this.record, permission, entry.sample, this.deadline, {
+    const limits = { deadline: this.deadline, resume };
+    const running = this.ports.generate(this.record, permission, entry.sample, limits, {
+      onAccepted: () => this.accepted(),
       onEnd: (outcome) => this.generated(entry, outcome),
     });
     entry.generations.push(running);
   }
 
+  private accepted(): void {
+    if (this.phase !== 'running') return;
+    this.window.accepted(this.running.size);
+    this.dispatchMore();
+  }
+
   private generated(entry: RunningSample, outcome: GenerationOutcome): void {
     const { sample } = entry;
     entry.liveCopies -= 1;
     if (this.phase !== 'running' || this.running.get(sample.key) !== entry) return;
     if (outcome.kind === 'finished') {
-      this.window.succeeded();
-      this.queue?.observe(outcome.result.tokenCount, this.node.now() - entry.startedAt);
+      this.observe(entry, outcome.result);
       this.keep(entry, outcome.result);
       return;
     }
+    this.running.keepPartial(sample.key, outcome.partial);
     if (entry.liveCopies > 0) return;
-    this.running.delete(sample.key);
+    this.running.stop(sample.key);
     this.queue?.putBack(sample);
     if (ranStateOf(outcome.failure) === 'no') {
-      this.window.refused();
+      this.window.refused(this.running.size);
       const pause = Math.min(retryAfterOf(outcome.failure) ?? RETRY_PAUSE, RETRY_PAUSE);
       this.pausedUntil = this.node.now() + pause;
     }
   }
 
-  /** Stores a result on a majority, then has it appended. */
+  /** Has a result stored on a majority, then appended. */
   private keep(entry: RunningSample, result: GenerationResult): void {
     for (const other of entry.generations) other.cancel();
-    const { sample } = entry;
-    const body = encodeResult(sample.key, result);
-    const deadline = this.node.now() + LEDGER_TIMEOUT;
-    const { intent } = this.record;
-    this.node.ledger.storeBody(intent, this.key, body, deadline, (digest, outcome) => {
-      if (this.phase !== 'running') return;
-      if (outcome.kind === 'stored') {
-        this.appender.add({ key: sample.key, digest }, result);
-        return;
-      }
-      this.pausedUntil = this.node.now() + RETRY_PAUSE;
-      if (outcome.kind === 'full') this.node.explain(this.key, 'paused', 'the ledger is full');
-      this.node.later(RETRY_PAUSE, () => this.keepAgain(entry, result));
-    });
+    this.keeper.keep(entry.sample.key, result);
+  }
+
+  /** The trainer has all samples below the cursor. */
+  acknowledged(cursor: number): void {
+    this.acknowledgedBodies.raise(cursor);
   }
 
-  private keepAgain(entry: RunningSample, result: GenerationResult): void {
-    if (this.phase === 'running') this.keep(entry, result);
+  private makeRoom(): void {
+    if (this.acknowledgedBodies.forget() > 0) return;
+    this.node.explain(this.key, 'paused', 'the ledger is full');
   }
 
-  private regenerate(sampleKey: string): void {
+  private regenerate(sampleKey: string, reason: string): void {
     const entry = this.running.get(sampleKey);
     if (entry === undefined) return;
-    this.running.delete(sampleKey);
+    this.running.forget(sampleKey);
     this.node.counters.increment('samples_stale');
-    this.node.explain(
-      this.key,
-      `sample ${sampleKey} runs again`,
-      'a token is older than the bound',
-    );
+    this.node.explain(this.key, `sample ${sampleKey} runs again`, reason);
     this.queue?.putBack(entry.sample);
   }
 
-  private delivered(keys: readonly string[]): void {
-    for (const key of keys) {
-      const entry = this.running.get(key);
-      this.running.delete(key);
+  private delivered(entries: readonly DeliveryEntry[]): void {
+    this.acknowledgedBodies.delivered(entries);
+    this.keeper.delivered(new Set(entries.map((entry) => entry.key)));
+    for (const { key } of entries) {
+      this.running.forget(key);
       this.queue?.remove(key);
-      for (const generation of entry?.generations ?? []) generation.cancel();
     }
     if (this.phase === 'running') this.checkComplete();
     if (this.phase === 'running') this.dispatchMore();
@@ -226,13 +232,14 @@
   }
 
   private close(kind: ErrorKind): void {
-    this.cancelAll();
+    this.running.forgetAll();
     this.appender.close({ kind, detail: 'the step was not whole when its time was over' });
   }
 
   private end(state: 'complete' | 'closed'): void {
     if (this.phase === 'ending' || this.phase === 'ended') return;
-    this.cancelAll();
+    this.keeper.stop();
+    this.running.forgetAll();
     this.phase = 'ending';
     this.endState = state;
     this.node.explain(this.key, `ended: ${state}`, `${this.appender.deliveredCount} delivered`);
@@ -240,8 +247,6 @@
     this.markEnded();
   }
 
-  private endState: 'complete' | 'closed' = 'complete';
-
   private markEnded(): void {
     const { intent } = this.record;
     const address = { domain: intent, shardKey: this.key, key: this.key };
@@ -253,24 +258,27 @@
     });
   }
 
-  private cancelAll(): void {
-    for (const entry of this.running.values()) {
-      for (const generation of entry.generations) generation.cancel();
-    }
-    this.running.clear();
+  private observe(entry: RunningSample, result: GenerationResult): void {
+    this.queue?.observe(entry.sample, result.tokenCount);
+    this.hedging.finished(result.tokenCount, this.node.now() - entry.startedAt);
   }
 
-  /** With nothing left to start, a second copy of the slowest samples guards against a bad worker. */
-  private hedgeSlowest(now: Milliseconds): void {
-    const threshold = this.queue?.hedgeThreshold() ?? null;
-    if (threshold === null || !this.ports.hedging) return;
-    for (const entry of this.running.values()) {
-      const slow = now - entry.startedAt > threshold;
-      if (!slow || entry.generations.length > 1) continue;
-      const answer = this.ports.permission(this.record);
-      if (answer.kind === 'refused') return;
-      this.node.counters.increment('samples_hedged');
-      this.generate(entry, answer.permission);
-    }
+  /** Starts a second copy of the last few samples that are late. */
+  private hedgeLate(now: Milliseconds): void {
+    if (!this.ports.hedging || !this.hedging.isTail(this.running.size)) return;
+    const candidates = this.running.all().map(({ sample, startedAt, liveCopies }) => {
+      const predictedTokens = this.queue?.predict(sample) ?? 0;
+      return { key: sample.key, startedAt, liveCopies, predictedTokens };
+    });
+    for (const key of this.hedging.samplesToHedge(candidates, now)) this.hedge(key);
+  }
+
+  private hedge(key: string): void {
+    const entry = this.running.get(key);
+    const answer = this.ports.permission(this.record);
+    if (entry === undefined || answer.kind === 'refused') return;
+    this.hedging.hedged();
+    this.node.counters.increment('samples_hedged');
+    this.generate(entry, answer.permission, null);
   }
 }
