--- a/lab/bench/fleet.ts
+++ b/lab/bench/fleet.ts
@@ -5,10 +5,12 @@
  */
 import { loadavg } from 'node:os';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag, sizesFlag } from '../common/flags.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { type MachineListFigures, measureMachineList } from './fleet-machine-list.js';
 import { type FleetFigures, measureFleet } from './fleet-run.js';
-import { round, slopePerThousand } from './hollow-fleet-measures.js';
+import { slopePerThousand } from './hollow-fleet-measures.js';
 
 /** Sizes that take about two minutes together; larger ones by `--size`. */
 const SIZES = [100, 200, 300, 400] as const;
@@ -38,9 +40,9 @@
 
 /** Runs the bench; flags: `--seed N`, `--size N` for one size, `--seconds N` for the phases. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
-  const sizes = flags.size === undefined ? SIZES : [Number(flags.size)];
-  const phase = flags.seconds === undefined ? PHASE : Number(flags.seconds) * SECOND;
+  const seed = numberFlag(flags, 'seed', 1);
+  const sizes = sizesFlag(flags, SIZES);
+  const phase = numberFlag(flags, 'seconds', PHASE / SECOND) * SECOND;
   const fleets: FleetFigures[] = [];
   const lists: MachineListFigures[] = [];
   for (const nodes of sizes) {
--- a/lab/bench/weights-activation.ts
+++ b/lab/bench/weights-activation.ts
@@ -4,6 +4,8 @@
  */
 import { createRandomSource } from '../../src/core/random.js';
 import { MINUTE, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
+import { round } from '../common/statistics.js';
 import { KeyValueCore } from '../emulator/key-value-core.js';
 import { WeightsZone } from '../experiments/weights-zone.js';
 import type { CommandFlags } from '../main.js';
@@ -90,22 +92,18 @@
   return {
     workers: workers.length,
     all_active: isDone(),
-    activation_p100_seconds: round(Math.max(...zones.map(longestActivation)) / SECOND),
-    publication_p100_seconds: round((lastActive - WARM_UP) / SECOND),
-    orders_per_second: round(orders / elapsed),
-    polls_per_second: round(polls / (queue.now / SECOND)),
+    activation_p100_seconds: round(Math.max(...zones.map(longestActivation)) / SECOND, 2),
+    publication_p100_seconds: round((lastActive - WARM_UP) / SECOND, 2),
+    orders_per_second: round(orders / elapsed, 2),
+    polls_per_second: round(polls / (queue.now / SECOND), 2),
     loads_at_once_per_zone_max: Math.max(...zones.map((zone) => zone.mostLoadsAtOnce)),
-    wall_seconds: round((performance.now() - wallStart) / SECOND),
+    wall_seconds: round((performance.now() - wallStart) / SECOND, 2),
   };
 }
 
-function round(value: number): number {
-  return Math.round(value * 100) / 100;
-}
-
 /** Runs the bench; exit code 0 when every fleet size is within the target. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const seed = Number(flags.seed ?? 1);
+  const seed = numberFlag(flags, 'seed', 1);
   const sizes = WORKER_COUNTS.map((workers) => measure(workers, seed));
   for (const figures of sizes) console.log(JSON.stringify(figures));
   const holds = sizes.every(
--- a/lab/hollow/rack-report.ts
+++ b/lab/hollow/rack-report.ts
@@ -3,7 +3,7 @@
 /** State of all nodes of one process at one moment. */
 export interface RackReport {
   readonly rack: number;
-  /** Fewest and most living members that a node knows. */
+  /** Fewest and most living members that a node knows, suspected ones included. */
   readonly fewestMembers: number;
   readonly mostMembers: number;
   /** Lowest configuration revision in force on a node. */
@@ -19,6 +19,8 @@
   readonly messagesSent: number;
   readonly bytesSent: number;
   readonly droppedMessages: number;
+  /** A few of the members that some node suspects or holds for dead. */
+  readonly missing: readonly string[];
 }
 
 /** The state of a whole fleet. */
@@ -55,5 +57,6 @@
     messagesSent: sum((report) => report.messagesSent),
     bytesSent: sum((report) => report.bytesSent),
     droppedMessages: sum((report) => report.droppedMessages),
+    missing: reports.flatMap((report) => report.missing),
   };
 }
