--- a/lab/bench/resume.ts
+++ b/lab/bench/resume.ts
@@ -8,6 +8,8 @@
 import type { Intent } from '../../src/config-feed/configuration.js';
 import type { TokenCount } from '../../src/core/units.js';
 import { type Milliseconds, SECOND } from '../../src/core/units.js';
+import { numberFlag } from '../common/flags.js';
+import { round } from '../common/statistics.js';
 import type { CommandFlags } from '../main.js';
 import { CompleteAnswerOracle } from '../proofs/oracles/complete-answer.js';
 import { StalenessBoundOracle } from '../proofs/oracles/staleness-bound.js';
@@ -146,10 +148,10 @@
     samples_delivered: meter.delivered.size,
     tokens_made: made,
     tokens_delivered: delivered,
-    wasted_share: rounded((made - delivered) / made),
+    wasted_share: round((made - delivered) / made, 4),
     resumed_starts: meter.resumedStarts,
     tokens_read_again: meter.tokensReadAgain,
-    whole_after_seconds: rounded((meter.lastDelivery - startedAt) / SECOND),
+    whole_after_seconds: round((meter.lastDelivery - startedAt) / SECOND, 4),
     mixed_samples: meter.mixedSamples,
     violations: meter.oracles.reduce((sum, oracle) => sum + oracle.violationCount, 0),
   };
@@ -157,8 +159,8 @@
 
 /** Runs the bench; exit code 0 when its target is reached on each seed. */
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
-  const first = Number(flags.seed ?? 1);
-  const count = Number(flags.seeds ?? DEFAULT_SEEDS);
+  const first = numberFlag(flags, 'seed', 1);
+  const count = numberFlag(flags, 'seeds', DEFAULT_SEEDS);
   const names = Object.keys(VARIANTS) as ResumeVariant[];
   const seeds = Array.from({ length: count }, (_, index) => first + index);
   const runs = seeds.flatMap((seed) => names.map((variant) => measureResume(seed, variant)));
@@ -196,7 +198,3 @@
 function isSound(figures: ResumeFigures): boolean {
   return figures.samples_delivered === figures.samples_asked && figures.violations === 0;
 }
-
-function rounded(value: number): number {
-  return Math.round(value * 10_000) / 10_000;
-}
--- a/lab/experiments/zone-scenario.ts
+++ b/lab/experiments/zone-scenario.ts
@@ -1,5 +1,4 @@
 /** A small zone for the tests of the controller. */
-
 import { SECOND } from '../../src/core/units.js';
 import { KeyValueCore } from '../emulator/key-value-core.js';
 import { EventQueue } from '../simulation/event-queue.js';
--- a/src/config-feed/feed-effects.ts
+++ b/src/config-feed/feed-effects.ts
@@ -1,6 +1,7 @@
 /** Effects of the configuration feed, its options, and the list in which one call gathers them. */
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
+import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds } from '../core/units.js';
 import type { KeyValueOperation } from '../platform/key-value.js';
 import type { Configuration } from './configuration.js';
@@ -35,7 +36,7 @@
   | {
       readonly kind: 'state-change';
       readonly change: string;
-      readonly details: Readonly<Record<string, string | number | boolean>>;
+      readonly details: ChangeDetails;
     };
 
 /** Timing and fan-out; every field has a default. */
@@ -102,15 +103,18 @@
 export class FeedEffectList {
   private effects: ConfigurationFeedEffect[] = [];
 
+  /** Adds an effect. */
   add(effect: ConfigurationFeedEffect): void {
     this.effects.push(effect);
   }
 
+  /** Adds a message to a peer. */
   send(to: NodeRecord, message: ConfigurationFeedMessage): void {
     this.add({ kind: 'send', to, address: to.address, message });
   }
 
-  logChange(change: string, details: Readonly<Record<string, string | number | boolean>>): void {
+  /** Adds a change of state for the log. */
+  logChange(change: string, details: ChangeDetails): void {
     this.add({ kind: 'state-change', change, details });
   }
 
--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -16,6 +16,7 @@
   type Intent,
   intentKey,
   type ModelCatalogue,
+  RESERVED_SHARE_LIMIT,
 } from './configuration.js';
 
 const name = z.string().min(1).max(200);
@@ -41,7 +42,7 @@
     versionSpan: z.enum(['record', 'restart']),
     interactive: z.strictObject({
       accounts: z.array(name).readonly(),
-      reservedShare: z.number().min(0).max(0.9),
+      reservedShare: z.number().min(0).max(RESERVED_SHARE_LIMIT),
     }),
     cutOff: cutOffRule,
   })
@@ -57,7 +58,7 @@
 const publishedVersion = z.strictObject({ version, digest: name, bytes: wholeNumber });
 
 /** Schema of a model's catalogue. */
-export const catalogueSchema = z
+const catalogueSchema = z
   .strictObject({ model: name, versions: z.array(publishedVersion).readonly() })
   .refine((catalogue) => isRising(catalogue.versions.map((published) => published.version)), {
     message: 'versions are not in rising order',
@@ -67,7 +68,7 @@
 const identity = z.strictObject({ node: name, incarnation: wholeNumber });
 
 /** Schema of a replica group. */
-export const groupSchema = z.strictObject({
+const groupSchema = z.strictObject({
   domain: name,
   shard: wholeNumber,
   epoch: wholeNumber,
--- a/src/gateway/problem-document.ts
+++ b/src/gateway/problem-document.ts
@@ -2,7 +2,6 @@
  * Failures as problem documents (RFC 9457) with wardwing's own members `kind`, `ran` and
  * `retry_after_ms`.
  */
-
 import { type Milliseconds, SECOND } from '../core/units.js';
 import type { RanState } from '../errors/error-kinds.js';
 import {
@@ -14,7 +13,7 @@
 } from '../errors/error-kinds.js';
 
 /** Media type of a problem document. */
-export const PROBLEM_MEDIA_TYPE = 'application/problem+json';
+const PROBLEM_MEDIA_TYPE = 'application/problem+json';
 
 /** Prefix of the `type` member; the kind follows. */
 const TYPE_PREFIX = 'urn:wardwing:error:';
