A test that external loads end only when told

Cause: a trial change that gave external loads an end by time passed the tests. Ruled out: covering it over HTTP, where it would need a slow store and real time. Change: a test of EngineCore alone, with a crash before the load was handed out.

--- a/test/lab/emulator/engine-core.test.ts
+++ b/test/lab/emulator/engine-core.test.ts
@@ -240,3 +240,25 @@
   const sequences = cache.takeEvents(1_000).map((event) => event.sequence);
   t.ok(sequences.length > 0 && sequences.length < (sequences.at(-1) ?? 0), 'some are missing');
 });
+
+t.test('an external load lasts until its end is told, which counts once', (t) => {
+  const core = new EngineCore(SETTINGS, createRandomSource(7), true);
+  const load = { epoch: 1, action: { kind: 'load', version: 2 } } as const;
+  core.order('load', load, 0);
+  t.same(core.takeExternalLoads(), [{ orderId: 'load', version: 2 }]);
+  t.same(core.takeExternalLoads(), [], 'handed out once');
+  t.equal(core.nextEventAt(), undefined);
+  t.same(core.advance(1_000 * SETTINGS.loadTime), [], 'time alone ends nothing');
+  core.endExternalLoad('load', true, 1_000 * SETTINGS.loadTime);
+  core.endExternalLoad('load', false, 1_000 * SETTINGS.loadTime);
+  const now = 1_000 * SETTINGS.loadTime;
+  t.same(core.advance(now), [{ kind: 'order', orderId: 'load', result: { kind: 'done' } }]);
+  core.order('lost', { ...load, action: { kind: 'load', version: 3 } }, now);
+  core.crash(now);
+  core.restart(now);
+  core.endExternalLoad('lost', true, now);
+  t.match(core.advance(now), [{ orderId: 'lost', result: { kind: 'failed' } }]);
+  t.same(core.takeExternalLoads(), [], 'a crash withdraws loads not handed out');
+  t.same(core.report(now).loadedVersions, [1]);
+  t.end();
+});
