--- a/lab/bench/letter-meter.ts
+++ b/lab/bench/letter-meter.ts
@@ -7,8 +7,8 @@
 import { SECOND } from '../../src/core/units.js';
 import type { NodeCore } from '../../src/node/node-core.js';
 import type { NodeEffect, NodeEvent } from '../../src/node/node-events.js';
+import { round } from '../common/statistics.js';
 import type { NodeLogic } from '../simulation/ports.js';
-import { round } from './hollow-fleet-measures.js';
 
 /** What one node used. */
 interface NodeUse {
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -5,7 +5,7 @@
  * 2018), a node that hears nothing from its helpers doubts itself first.
  */
 import type { NodeId, NodeRecord } from '../core/identity.js';
-import type { RandomSource } from '../core/random.js';
+import { jittered, type RandomSource } from '../core/random.js';
 import type { Milliseconds } from '../core/units.js';
 import type { MemberTable } from './member-table.js';
 import type { EffectList } from './membership-effects.js';
@@ -16,6 +16,9 @@
 /** Rounds without any answer from helpers after which a target is suspected all the same. */
 const SELF_DOUBT_ROUNDS = 2;
 
+/** Share by which the time between probes is spread both ways. */
+const PROBE_JITTER = 0.1;
+
 interface Probe {
   readonly target: NodeRecord;
   readonly sequence: number;
@@ -83,13 +86,13 @@
     return this.sequence + 1;
   }
 
+  /** Moves running probes and suspicions on, and starts the next probe when it is due. */
   tick(now: Milliseconds): void {
     this.advanceProbes(now);
     this.advanceSuspicions(now);
     this.expireRelayed(now);
     if (now < this.nextProbeAt) return;
-    const jitter = 0.9 + 0.2 * this.host.random.fraction();
-    this.nextProbeAt = now + this.interval() * jitter;
+    this.nextProbeAt = now + jittered(this.host.random, this.interval(), PROBE_JITTER);
     const target = this.probeOrder.next();
     if (target !== undefined) this.startProbe(target, now);
   }
@@ -106,6 +109,7 @@
     this.suspicions.delete(node);
   }
 
+  /** Pings a target on behalf of a member that got no answer from it. */
   pingRequested(from: NodeRecord, sequence: number, target: NodeRecord, now: Milliseconds): void {
     this.sequence += 1;
     this.relayed.set(this.sequence, {
@@ -116,6 +120,7 @@
     this.sendPing(target, this.sequence, now);
   }
 
+  /** A ping was answered: ends its probe, or passes the answer on to whoever asked for the ping. */
   acknowledged(sequence: number, now: Milliseconds): void {
     const relayed = this.relayed.get(sequence);
     if (relayed !== undefined) {
@@ -132,6 +137,7 @@
     this.selfDoubt = 0;
   }
 
+  /** A helper is there but got no answer from the target either. */
   negativelyAcknowledged(sequence: number): void {
     const probe = this.probes.get(sequence);
     if (probe !== undefined) probe.helpersAnswered += 1;
--- a/src/routing/worker-topology.ts
+++ b/src/routing/worker-topology.ts
@@ -43,6 +43,7 @@
     this.#subsetSize = subsetSize;
   }
 
+  /** Takes in the machine list. */
   updateMachines(machines: readonly MachineRecord[]): boolean {
     const index = machineIndexOf(machines);
     if (index === this.#index) return false;
@@ -53,6 +54,7 @@
     return true;
   }
 
+  /** Takes in the live nodes of the zones in use. */
   updateNodes(liveInZone: (zone: ZoneName) => readonly NodeRecord[]): boolean {
     const wantedZones = this.#wanted.flatMap((model) => model.zones);
     let changed = false;
@@ -62,12 +64,14 @@
     return changed;
   }
 
+  /** Takes in the operators' drains. */
   updateDrains(drains: readonly DrainRecord[]): boolean {
     if (this.#drains.isFor(drains)) return false;
     this.#drains = new DrainIndex(drains);
     return true;
   }
 
+  /** Takes in the models this node routes for. */
   updateWanted(models: readonly WantedModel[]): boolean {
     if (wantedText(models) === wantedText(this.#wanted)) return false;
     this.#wanted = models;
