Origins ask a home for a sign of life by one dispatch, not by each

Ruled out: longer intervals alone, as a silent home is to be noticed within 2 s; lists of dispatches in one message, as each would still be walked at both ends. Change: any message of a home shows that it lives; a home silent for 1 s is asked by one of its dispatches, again each 400 ms until 2 s are over; each accepted dispatch is asked about for itself after 10 s. What a home has not accepted is repeated and given up as before. Conclusion: messages of a step grow with homes and samples, no longer with the time samples take.

--- a/src/dispatch/dispatch-client.ts
+++ b/src/dispatch/dispatch-client.ts
@@ -7,6 +7,7 @@
 import type { NodeId, NodeIdentity, WorkerId } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import { type HomeContact, HomeSilence } from './home-silence.js';
 import type { DispatchMessage, DispatchOutcome } from './messages.js';
 
 /** How a dispatch ended, as its origin knows it. */
@@ -39,7 +40,7 @@
   readonly repeatInterval?: Milliseconds;
   /** Silence after which the dispatch counts as lost. @default 2000 */
   readonly silenceLimit?: Milliseconds;
-  /** Time between queries to a home that runs a dispatch. @default 1000 */
+  /** Silence of a home that runs dispatches after which it is asked by one. @default 1000 */
   readonly queryInterval?: Milliseconds;
   /** Off only in the lab: an answer without an owner then goes to some open dispatch. */
   readonly matchIdentity?: boolean;
@@ -48,6 +49,7 @@
 interface OpenDispatch {
   readonly order: DispatchOrder;
   readonly listener: DispatchListener;
+  readonly contact: HomeContact;
   accepted: boolean;
   lastHeard: Milliseconds;
   lastSent: Milliseconds;
@@ -56,10 +58,13 @@
 const DEFAULT_REPEAT_INTERVAL: Milliseconds = 400;
 const DEFAULT_SILENCE_LIMIT: Milliseconds = 2_000;
 const DEFAULT_QUERY_INTERVAL: Milliseconds = 1_000;
+/** A dispatch is asked about for itself at this multiple of the interval. */
+const OWN_QUERY_FACTOR = 10;
 
 /** Origin side of all dispatches of one node. */
 export class DispatchClient {
   private readonly open = new Map<string, OpenDispatch>();
+  private readonly homes = new HomeSilence();
   private readonly send: DispatchClientOptions['send'];
   private readonly onLost: () => void;
   private readonly repeatInterval: Milliseconds;
@@ -86,6 +91,7 @@
     this.open.set(order.dispatchId, {
       order,
       listener,
+      contact: this.homes.opened(order.home, now),
       accepted: false,
       lastHeard: now,
       lastSent: now,
@@ -97,12 +103,13 @@
   cancel(dispatchId: string): void {
     const dispatch = this.open.get(dispatchId);
     if (dispatch === undefined) return;
-    this.open.delete(dispatchId);
+    this.forget(dispatch);
     this.send(dispatch.order.home, { kind: 'dispatch-cancel', dispatchId });
   }
 
   /** Takes in a home's message. */
   receive(from: NodeIdentity, message: DispatchMessage, now: Milliseconds): void {
+    this.homes.heard(from, now);
     const dispatch = this.open.get(message.dispatchId) ?? this.substitute(from);
     if (message.kind === 'dispatch-ended') this.acknowledge(from, message.dispatchId);
     if (dispatch === undefined) {
@@ -147,7 +154,7 @@
   }
 
   private check(dispatch: OpenDispatch, now: Milliseconds): void {
-    if (now - dispatch.lastHeard >= this.silenceLimit) {
+    if (now - this.heardAt(dispatch) >= this.silenceLimit) {
       this.send(dispatch.order.home, {
         kind: 'dispatch-cancel',
         dispatchId: dispatch.order.dispatchId,
@@ -155,20 +162,41 @@
       this.end(dispatch, { kind: 'lost' });
       return;
     }
-    const interval = dispatch.accepted ? this.queryInterval : this.repeatInterval;
-    const quietSince = Math.max(dispatch.lastSent, dispatch.accepted ? dispatch.lastHeard : 0);
-    if (now - quietSince < interval) return;
+    if (dispatch.accepted) this.query(dispatch, now);
+    else if (now - dispatch.lastSent >= this.repeatInterval) this.repeat(dispatch, now);
+  }
+
+  /** A home that has taken a dispatch in lives while any message of it comes. */
+  private heardAt({ contact, accepted, lastHeard }: OpenDispatch): Milliseconds {
+    return accepted ? Math.max(lastHeard, contact.heardAt) : lastHeard;
+  }
+
+  private repeat(dispatch: OpenDispatch, now: Milliseconds): void {
     dispatch.lastSent = now;
-    if (dispatch.accepted) this.sendQuery(dispatch.order);
-    else this.sendDispatch(dispatch.order);
+    this.sendDispatch(dispatch.order);
+  }
+
+  /** Asks by one dispatch for all of a silent home, and now and then by each for itself. */
+  private query(dispatch: OpenDispatch, now: Milliseconds): void {
+    const quietSince = Math.max(dispatch.lastSent, dispatch.lastHeard);
+    const ownInterval = this.queryInterval * OWN_QUERY_FACTOR;
+    const isDue = now - quietSince >= ownInterval;
+    if (!isDue && !dispatch.contact.shouldAsk(this.queryInterval, this.repeatInterval, now)) return;
+    dispatch.lastSent = now;
+    this.sendQuery(dispatch.order);
   }
 
   private end(dispatch: OpenDispatch, outcome: OriginOutcome): void {
-    this.open.delete(dispatch.order.dispatchId);
+    this.forget(dispatch);
     if (outcome.kind === 'lost') this.onLost();
     dispatch.listener.onEnd(outcome);
   }
 
+  private forget(dispatch: OpenDispatch): void {
+    this.open.delete(dispatch.order.dispatchId);
+    this.homes.closed(dispatch.order.home, dispatch.contact);
+  }
+
   private acknowledge(home: NodeIdentity, dispatchId: string): void {
     this.send(home, { kind: 'dispatch-acknowledged', dispatchId });
   }
