--- a/lab/main.ts
+++ b/lab/main.ts
@@ -18,6 +18,7 @@
   'fleet',
   'letter-steps',
   'resume',
+  'hollow',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -7,6 +7,7 @@
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import { sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import { withoutPromise } from '../errors/error-kinds.js';
 import type { NodeGauges } from '../telemetry/node-metrics.js';
 import type { NodeCall, Readiness } from './calls.js';
 import type { NodeEffect, NodeEvent } from './node-events.js';
@@ -66,6 +67,11 @@
     return this.modules.report.gauges(now);
   }
 
+  /** All members of the fleet as this node sees them. */
+  members(): ReturnType<NodeModules['membership']['members']> {
+    return this.modules.membership.members();
+  }
+
   /** The configuration in force on this node. */
   configuration(): ReturnType<NodeModules['feed']['configuration']> {
     return this.modules.feed.configuration();
@@ -183,7 +189,9 @@
     this.modules.context.counters.increment('calls');
     const refusal = this.stoppingSince === null ? null : this.modules.stoppingFailure();
     if (refusal !== null && call.kind !== 'status' && call.kind !== 'explain') {
-      this.modules.context.reply(callId, { kind: 'failed', failure: refusal });
+      const mayHaveRunBefore = call.kind === 'generate' && !call.repeatable;
+      const told = mayHaveRunBefore ? withoutPromise(refusal) : refusal;
+      this.modules.context.reply(callId, { kind: 'failed', failure: told });
       return;
     }
     this.modules.context.beginCall(callId);
--- a/src/node/node-modules.ts
+++ b/src/node/node-modules.ts
@@ -68,7 +68,7 @@
     const { self, random } = settings;
     this.settings = settings;
     this.context = new NodeContext(self, random, (to) => this.addressOf(to), this.explainLog);
-    this.membership = new Membership({ self, random });
+    this.membership = new Membership({ self, random, initialMembers: settings.initialMembers });
     const { mechanisms } = settings;
     this.feed = new ConfigurationFeed({ self, random, ordered: mechanisms['revision-order'] });
     this.ledger = new Ledger<LedgerRecord>({
--- a/src/node/view-refresher.ts
+++ b/src/node/view-refresher.ts
@@ -2,6 +2,7 @@
  * Passes on what the modules of a node know of each other's subjects: members to the feed and the
  * ledger, configuration to the directory and the weight controller, and so on.
  */
+import type { Configuration } from '../config-feed/configuration.js';
 import type { NodeRecord } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { LedgerDomain } from '../ledger/ledger.js';
@@ -13,6 +14,10 @@
 /** Refreshes the views of one node's modules. */
 export class ViewRefresher {
   private membershipVersion = -1;
+  /** The view of members that the ledger has. */
+  private ledgerMembersVersion = -1;
+  /** The configuration that the ledger's domains were made from. */
+  private ledgerConfiguration: Configuration | null = null;
   private zoneWorkers: readonly WorkerRecord[] = [];
   /** The machine list that `zoneWorkers` was made from. */
   private zoneWorkersOf: readonly MachineRecord[] = [];
@@ -32,6 +37,7 @@
       );
     }
     this.refreshLedger(now);
+    this.refreshDisk();
     this.modules.effects.directory(
       this.modules.directory.updateDrains(this.modules.effectiveDrains(), now),
     );
@@ -49,12 +55,15 @@
     this.modules.work.refresh(configuration);
   }
 
+  /** Does nothing while neither members nor records changed, as it costs time for each member. */
   private refreshLedger(now: Milliseconds): void {
     const configuration = this.modules.feed.configuration();
-    const domains = [...configuration.intents.values()].map(({ name, zones }) => {
-      return { name, zones: this.residentZones(zones) };
-    });
-    this.refreshDisk(domains);
+    const { version } = this.modules.membership;
+    const isSameConfiguration = configuration === this.ledgerConfiguration;
+    if (isSameConfiguration && version === this.ledgerMembersVersion) return;
+    this.ledgerMembersVersion = version;
+    this.ledgerConfiguration = configuration;
+    const domains = this.domainsOf(configuration);
     const members = this.modules.membership.members().map(({ record, state }) => {
       return { record, alive: state === 'alive' || state === 'suspect' };
     });
@@ -64,10 +73,18 @@
     );
   }
 
+  private domainsOf(configuration: Configuration): readonly LedgerDomain[] {
+    return [...configuration.intents.values()].map(({ name, zones }) => {
+      return { name, zones: this.residentZones(zones) };
+    });
+  }
+
   /** Tells the disk which domains may have bodies here, once the configuration is known. */
-  private refreshDisk(domains: readonly LedgerDomain[]): void {
-    if (this.diskResidency === null || this.modules.feed.completeRevision() === 0) return;
-    const request = this.diskResidency.update(domains, this.modules.settings.self.zone);
+  private refreshDisk(): void {
+    const { feed, settings } = this.modules;
+    if (this.diskResidency === null || feed.completeRevision() === 0) return;
+    const domains = this.domainsOf(feed.configuration());
+    const request = this.diskResidency.update(domains, settings.self.zone);
     if (request !== null) this.modules.context.emit({ kind: 'disk', request });
   }
 
--- a/src/platform/engine-client.ts
+++ b/src/platform/engine-client.ts
@@ -4,13 +4,14 @@
  */
 import http from 'node:http';
 import type { GenerationRequest } from '../core/generation.js';
-import type { Milliseconds } from '../core/units.js';
+import { HTTP_STATUS } from '../core/http-status.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { startGeneration } from './engine-stream-client.js';
 import { orderResult, workerReport } from './engine-wire-client.js';
 import { exchangeHttp, type HttpOutcome, parseJson } from './http-exchange-client.js';
 import type {
   EngineEvent,
-  WorkerOrder,
+  EngineOrder,
   WorkerOrderResult,
   WorkerRecord,
   WorkerReport,
@@ -32,7 +33,7 @@
   reportTimeout: 1_000,
   orderTimeout: 60_000,
   streamSilenceLimit: 120_000,
-  maximumBytes: 16 * 1_048_576,
+  maximumBytes: 16 * MEBIBYTE,
 } as const;
 
 /** Connections an engine for reports and orders; generations have one each. */
@@ -70,12 +71,12 @@
   /** The engine's load report; `undefined` where it fails, is too late or breaks the schema. */
   async report(worker: WorkerRecord): Promise<WorkerReport | undefined> {
     const outcome = await this.exchange(worker, '/load', this.options.reportTimeout);
-    if (outcome.kind !== 'answer' || outcome.status !== 200) return undefined;
+    if (outcome.kind !== 'answer' || outcome.status !== HTTP_STATUS.ok) return undefined;
     return workerReport.safeParse(parseJson(outcome.body)).data;
   }
 
   /** Gives a fenced order; a missing answer is `failed`, and the order may still take effect. */
-  async order(worker: WorkerRecord, order: WorkerOrder): Promise<WorkerOrderResult> {
+  async order(worker: WorkerRecord, order: EngineOrder): Promise<WorkerOrderResult> {
     const outcome = await this.exchange(worker, '/orders', this.options.orderTimeout, order);
     if (outcome.kind !== 'answer') return { kind: 'failed', reason: outcome.reason };
     const result = orderResult.safeParse(parseJson(outcome.body));
