--- a/lab/proofs/action-arbitraries.ts
+++ b/lab/proofs/action-arbitraries.ts
@@ -2,10 +2,11 @@
  * How actions are generated: one arbitrary a kind, and weights that say how often each comes.
  */
 import fc from 'fast-check';
+import type { Milliseconds } from '../../src/core/units.js';
 import type { Action, Step } from '../simulation/action.js';
 
-/** Longest pause between two steps, in milliseconds. */
-const LONGEST_PAUSE = 80;
+/** Longest pause between two steps. */
+export const LONGEST_PAUSE: Milliseconds = 80;
 
 /** Largest position; positions wrap around the plan's lists. */
 const position = fc.nat({ max: 99 });
@@ -183,11 +184,14 @@
 };
 
 /** Steps with actions of the given weights. */
-export function steps(weights: ActionWeights): fc.Arbitrary<Step> {
+export function steps(
+  weights: ActionWeights,
+  longestPause: Milliseconds = LONGEST_PAUSE,
+): fc.Arbitrary<Step> {
   const kinds = Object.keys(weights) as Action['kind'][];
   const weighted = kinds.map((kind) => ({
     weight: weights[kind] ?? 0,
     arbitrary: ACTIONS[kind] as fc.Arbitrary<Action>,
   }));
-  return fc.record({ after: fc.nat({ max: LONGEST_PAUSE }), action: fc.oneof(...weighted) });
+  return fc.record({ after: fc.nat({ max: longestPause }), action: fc.oneof(...weighted) });
 }
