A revoked intent reaches every node as one that allows nothing

Cause: the feed demanded at least one zone, operators revoke with none: the record was rejected on every node and vanished; the test hid it by a default. Found in reading. Change: an empty list is valid; the test asks for the record itself and for no rejection. Measured: with the old rule the test fails (expected array to have >=1 items), now it passes. Conclusion: nothing was allowed before either, but show, explain and the ledger now know the intent.

--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -36,7 +36,8 @@
     name,
     trainer: name.nullable(),
     model: name,
-    zones: z.array(name).min(1).readonly(),
+    /** Empty for an intent that was taken back. */
+    zones: z.array(name).readonly(),
     minimumVersion: version,
     maximumVersion: version.nullable(),
     stalenessBound: wholeNumber,
--- a/test/intents/feed-records.test.ts
+++ b/test/intents/feed-records.test.ts
@@ -33,5 +33,7 @@
   const harness = new ServiceHarness();
   confirm(harness);
   confirm(harness, { ...DRAFT, zones: [] });
-  t.same(decode(harness).configuration.intents.get('pricing')?.zones ?? [], []);
+  const { configuration, rejected } = decode(harness);
+  t.same(rejected, []);
+  t.same(configuration.intents.get('pricing')?.zones, []);
 });
