An intent's minimum version holds for interactive work too

Found in reading. Change: the bounds of src/weights are used; a home refuses a lookup on an older worker. Measured: new assertions on permissions pass; routing, requests and node tests pass.

--- a/src/access/permission.ts
+++ b/src/access/permission.ts
@@ -8,6 +8,7 @@
 import type { AccountName, IntentName, ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
+import { interactiveBounds } from '../weights/staleness-bound.js';
 
 /** Work that an intent allows here and now. */
 export interface Permission {
@@ -109,7 +110,9 @@
     if (newest === undefined && training) {
       return refused(failure('version_unknown', `no version of ${intent.model} is published`));
     }
-    const oldestVersion = training ? oldestAllowedVersion(intent, newest ?? 1) : 0;
+    const oldestVersion = training
+      ? oldestAllowedVersion(intent, newest ?? 1)
+      : interactiveBounds(intent).oldest;
     return { kind: 'allowed', permission: { intent, zones, oldestVersion } };
   }
 
--- a/src/node/work-placement.ts
+++ b/src/node/work-placement.ts
@@ -107,9 +107,9 @@
     }
     if (!this.node.mechanisms['staleness-check-at-dispatch']) return null;
     const active = this.directory.report(record.worker)?.activeVersion;
-    if (request.trafficClass === 'interactive' || active === undefined) return null;
+    if (active === undefined) return null;
     if (active >= request.oldestVersion) return null;
-    const detail = `${record.worker} serves version ${active}, older than the bound`;
+    const detail = `${record.worker} serves version ${active}, older than allowed`;
     return { failure: failure('version_unknown', detail, { ran: 'no' }) };
   }
 }
--- a/test/access/permission.test.ts
+++ b/test/access/permission.test.ts
@@ -41,6 +41,12 @@
   });
 });
 
+t.test('the oldest version that may be used at all holds for lookups too', async (t) => {
+  t.match(check('abdali', LOOKUP, 100), { permission: { oldestVersion: 1 } });
+  const raised: Intent = { ...INTENT, minimumVersion: 6 };
+  t.match(check('abdali', LOOKUP, 100, raised), { permission: { oldestVersion: 6 } });
+});
+
 t.test('a zone that the intent does not name is refused', async (t) => {
   t.match(check('sweifieh', TRAINING, 100), { failure: { kind: 'zone_not_allowed' } });
   t.match(check('abdali', TRAINING, 100, { ...INTENT, zones: [] }), {
