Settings that did nothing: one works now, one is gone

Cause: timing.stop_timeout was checked and never read; limits.max_queued_requests had nothing to limit, as queues belong to workers' slots. Change: a stop waits stop_timeout (default 60 s, as it did); the other key is gone and is refused as unknown. Measured: settings and node tests pass.

--- a/src/node.ts
+++ b/src/node.ts
@@ -111,6 +111,7 @@
     zones: settings.fleet.zones,
     operators: operators.map((account) => account.name),
     freshnessBound: settings.timing.freshnessBound,
+    stopLimit: settings.timing.stopTimeout,
     replicaCount: settings.fleet.replicas,
     shardsPerDomain: settings.fleet.shardsPerDomain,
     maxResultBytes: settings.limits.maxResultBytes,
--- a/src/node/node-core.ts
+++ b/src/node/node-core.ts
@@ -20,8 +20,6 @@
 const LOCAL_ROUNDS_LIMIT = 10_000;
 /** How often the view of members, workers and permissions is passed on to the modules. */
 const REFRESH_INTERVAL: Milliseconds = 200;
-/** How long a stopping node waits for its work to end before it stops all the same. */
-const STOP_LIMIT: Milliseconds = 60_000;
 /** How long a stopping node stays at least, so that others have heard of it. */
 const STOP_MINIMUM: Milliseconds = 1_500;
 
@@ -209,7 +207,7 @@
     const elapsed = now - this.stoppingSince;
     const graceful = this.modules.settings.mechanisms['graceful-stop'];
     const idle = this.modules.isIdle() && elapsed >= STOP_MINIMUM;
-    if (graceful && !idle && elapsed < STOP_LIMIT) return;
+    if (graceful && !idle && elapsed < this.modules.settings.stopLimit) return;
     this.stopped = true;
     this.modules.context.emit({ kind: 'stopped' });
   }
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -42,6 +42,8 @@
    * fewer samples resumed; see docs/design/resume.md. @default 0
    */
   readonly resumeRoom?: number;
+  /** Longest time a stopping node waits for its work to end, in milliseconds. @default 60000 */
+  readonly stopLimit?: Milliseconds;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
   /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
@@ -66,6 +68,7 @@
   maxResultBytes: 64 * 1024 * 1024,
   shardsPerDomain: 8,
   routingPolicy: 'home-counting',
+  stopLimit: 60_000,
   machineListInterval: 2_000,
   diskBodies: null,
 } as const;
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -105,7 +105,6 @@
       bodyTimeout: limits.body_timeout,
       maxConnections: limits.max_connections,
       maxResultBytes: limits.max_result_bytes,
-      maxQueuedRequests: limits.max_queued_requests,
     },
     timing: {
       freshnessBound: timing.freshness_bound,
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -74,12 +74,11 @@
   body_timeout: duration('10s'),
   max_connections: wholeNumber(1, 100_000).default(1_024),
   max_result_bytes: wholeNumber(MEBIBYTE, 65_536 * MEBIBYTE).default(64 * MEBIBYTE),
-  max_queued_requests: wholeNumber(1, 1_000_000).default(4_096),
 });
 
 const timingSchema = z.strictObject({
   freshness_bound: duration('6s'),
-  stop_timeout: duration('30s'),
+  stop_timeout: duration('60s'),
   request_timeout: duration('60s'),
   key_value_timeout: duration('2s'),
   machine_list_interval: duration('1s'),
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -72,15 +72,13 @@
   readonly maxConnections: number;
   /** Most results kept by the ledger replicas of this node. @default 67108864 */
   readonly maxResultBytes: number;
-  /** Most requests that wait for a worker at this node. @default 4096 */
-  readonly maxQueuedRequests: number;
 }
 
 /** Times, in milliseconds. */
 export interface TimingSettings {
   /** Age from which the configuration is no longer fresh. @default 6000 */
   readonly freshnessBound: Milliseconds;
-  /** Longest time a stop waits for running work. @default 30000 */
+  /** Longest time a stop waits for running work. @default 60000 */
   readonly stopTimeout: Milliseconds;
   /** Deadline of a request that names none. @default 60000 */
   readonly requestTimeout: Milliseconds;
--- a/test/settings/load-settings.test.ts
+++ b/test/settings/load-settings.test.ts
@@ -30,7 +30,7 @@
     accounts: [{ name: 'amal', role: 'operator' }],
     peers: { token: 'a-shared-peer-token' },
     limits: { bodyTimeout: 2_500, maxHeaderBytes: 16_384 },
-    timing: { freshnessBound: 6_000, stopTimeout: 30_000 },
+    timing: { freshnessBound: 6_000, stopTimeout: 60_000 },
     log: { level: 'info' },
   });
 });
