An order whose answer could not be kept is not claimed for ever

Cause: where the result's body could not be stored nothing was written to the register, so a repeat polled until its deadline while the first node lived. Found in reading. Change: the register says that it ran and its answer is lost. Measured: a new test; requests pass.

--- a/src/requests/claimed-request.ts
+++ b/src/requests/claimed-request.ts
@@ -207,9 +207,11 @@
     const body = encodeResult(key, result);
     const deadline = this.node.now() + LEDGER_TIMEOUT;
     this.node.ledger.storeBody(domain, shardKey, body, deadline, (digest, outcome) => {
-      const finish = (): void => this.end({ kind: 'finished', result });
-      if (outcome.kind !== 'stored') finish();
-      else this.recordState({ kind: 'done', resultDigest: digest }, finish);
+      const state: RequestRecord['state'] =
+        outcome.kind === 'stored'
+          ? { kind: 'done', resultDigest: digest }
+          : { kind: 'unknown', failure: answerNotKept() };
+      this.recordState(state, () => this.end({ kind: 'finished', result }));
     });
   }
 
@@ -231,3 +233,8 @@
     this.ended(outcome);
   }
 }
+
+/** What a repeat is told where the first call got an answer that could not be kept. */
+function answerNotKept(): Failure {
+  return failure('outcome_unknown', 'it ran; its answer could not be kept', { ran: 'yes' });
+}
--- a/test/requests/claimed-request.test.ts
+++ b/test/requests/claimed-request.test.ts
@@ -27,6 +27,7 @@
 class Bench {
   register: LedgerRecord | null = null;
   available = true;
+  hasRoom = true;
   alive = true;
   readonly bodies = new Map<string, string>();
   readonly running: GenerationListener[] = [];
@@ -77,7 +78,7 @@
   }
 
   private ports(self: NodeIdentity): NodePorts {
-    const stored: LedgerOutcome<LedgerRecord> = { kind: 'stored' };
+    const stored: LedgerOutcome<LedgerRecord> = { kind: this.hasRoom ? 'stored' : 'full' };
     return {
       self,
       random: this.random,
@@ -173,3 +174,14 @@
   bench.alive = false;
   t.equal(failureOf(bench.call('bolt', 'n3').outcomes).kind, 'outcome_unknown');
 });
+
+t.test('an answer that could not be kept is given once; a repeat learns that it ran', async (t) => {
+  const bench = new Bench();
+  bench.hasRoom = false;
+  const first = bench.call('bolt');
+  bench.end({ kind: 'finished', result: RESULT, worker: 'w' });
+  t.match(first.outcomes, [{ kind: 'finished' }]);
+  const repeat = bench.call('bolt', 'n2');
+  t.match(failureOf(repeat.outcomes), { kind: 'outcome_unknown', ran: 'yes' });
+  t.equal(bench.running.length, 0);
+});
