The ledger does not count on nodes of a zone that cannot be reached

Ruled out: declaring them dead (a healed cut would bring back lives thought dead). Change: a member counts as living only while its zone's bridges answer; planChange never removes more than a minority, so the cut-off side changes nothing.

--- a/src/node/view-refresher.ts
+++ b/src/node/view-refresher.ts
@@ -14,8 +14,8 @@
 /** Refreshes the views of one node's modules. */
 export class ViewRefresher {
   private membershipVersion = -1;
-  /** The view of members that the ledger has. */
-  private ledgerMembersVersion = -1;
+  /** What the ledger's view of members was made from. */
+  private ledgerMembersBasis = '';
   /** The configuration that the ledger's domains were made from. */
   private ledgerConfiguration: Configuration | null = null;
   private zoneWorkers: readonly WorkerRecord[] = [];
@@ -58,14 +58,16 @@
   /** Does nothing while neither members nor records changed, as it costs time for each member. */
   private refreshLedger(now: Milliseconds): void {
     const configuration = this.modules.feed.configuration();
-    const { version } = this.modules.membership;
-    const isSameConfiguration = configuration === this.ledgerConfiguration;
-    if (isSameConfiguration && version === this.ledgerMembersVersion) return;
-    this.ledgerMembersVersion = version;
+    const { membership } = this.modules;
+    const reachable = this.reachableZones(now);
+    const basis = `${membership.version} ${reachable.join(' ')}`;
+    if (configuration === this.ledgerConfiguration && basis === this.ledgerMembersBasis) return;
+    this.ledgerMembersBasis = basis;
     this.ledgerConfiguration = configuration;
     const domains = this.domainsOf(configuration);
-    const members = this.modules.membership.members().map(({ record, state }) => {
-      return { record, alive: state === 'alive' || state === 'suspect' };
+    const members = membership.members().map(({ record, state }) => {
+      const inService = state === 'alive' || state === 'suspect';
+      return { record, alive: inService && reachable.includes(record.zone) };
     });
     this.modules.ledgerAdapter.apply(this.modules.ledger.updateMembers(members, domains, now));
     this.modules.ledgerAdapter.apply(
@@ -73,6 +75,15 @@
     );
   }
 
+  /**
+   * Zones whose nodes can be reached. Nodes of a lost zone are not declared dead, but the ledger
+   * must not count on them: it replaces a minority of a group's members, never a majority.
+   */
+  private reachableZones(now: Milliseconds): readonly string[] {
+    const { membership } = this.modules;
+    return membership.zones().filter((zone) => membership.zoneReachable(zone, now));
+  }
+
   private domainsOf(configuration: Configuration): readonly LedgerDomain[] {
     return [...configuration.intents.values()].map(({ name, zones }) => {
       return { name, zones: this.residentZones(zones) };
