--- a/lab/bench/hollow-feed-fleet.ts
+++ b/lab/bench/hollow-feed-fleet.ts
@@ -11,7 +11,7 @@
 import { fleetRecords, HollowFleet } from './hollow-fleet.js';
 import { HollowKeyValue } from './hollow-key-value.js';
 
-/** The fleet. */
+/** Hollow nodes that run a configuration feed each, beside one key-value service. */
 export class HollowFeedFleet {
   readonly fleet: HollowFleet<ConfigurationFeedMessage>;
   readonly keyValue: HollowKeyValue;
--- a/lab/bench/hollow-key-value.ts
+++ b/lab/bench/hollow-key-value.ts
@@ -20,7 +20,7 @@
   readonly notify: (event: KeyValueWatchEvent) => void;
 }
 
-/** The service. */
+/** The simulated service; one instance serves a fleet. */
 export class HollowKeyValue {
   private readonly entries = new Map<string, KeyValueEntry>();
   private readonly history: KeyValueChange[] = [];
--- a/lab/bench/hollow-membership-fleet.ts
+++ b/lab/bench/hollow-membership-fleet.ts
@@ -10,7 +10,7 @@
 import type { MembershipMessage } from '../../src/membership/messages.js';
 import { fleetRecords, HollowFleet } from './hollow-fleet.js';
 
-/** Settings of the fleet. */
+/** Settings of {@link HollowMembershipFleet}. */
 export interface HollowMembershipOptions {
   readonly size: number;
   readonly seed: number;
@@ -20,7 +20,7 @@
   readonly timing?: MembershipOptions['timing'];
 }
 
-/** The fleet. */
+/** Hollow nodes that run a membership module each. */
 export class HollowMembershipFleet {
   readonly fleet: HollowFleet<MembershipMessage>;
   readonly records: NodeRecord[];
--- a/lab/bench/ledger-fleet.ts
+++ b/lab/bench/ledger-fleet.ts
@@ -68,7 +68,7 @@
 const TICK_MILLISECONDS = 50;
 const FEED_DELAY_MILLISECONDS = 100;
 
-/** The fleet. */
+/** Nodes that run a ledger each, in one domain over all zones of the fleet. */
 export class LedgerFleet {
   readonly queue = new EventQueue();
   readonly random: RandomSource;
--- a/lab/bench/storage-fleet.ts
+++ b/lab/bench/storage-fleet.ts
@@ -42,7 +42,7 @@
 const TICK = 50;
 const RESTART_LIMIT = 60_000;
 
-/** The group. */
+/** A replica group of which one member restarts, with or without a disk. */
 export class RestartFleet {
   readonly #options: RestartFleetOptions;
   readonly #random: RandomSource;
