A node that does not become ready is told with its last answer; ports are given out once

Ruled out: nothing yet; without its log, a taken port, a crash or an unready node look alike. Both deployments draw their ports at once and could have drawn the same one. Change: a port is given out once a process; the error names the exit code or the last answer.

--- a/lab/demo/process-group.ts
+++ b/lab/demo/process-group.ts
@@ -100,8 +100,11 @@
   return path.join(import.meta.dirname, '..', '..', 'src', 'cli', 'main.js');
 }
 
+/** Ports given out by this process, which may not be taken yet. */
+const givenPorts = new Set<number>();
+
 /**
- * Finds free ports on loopback. They lie below the ports that systems give to outgoing
+ * Finds free ports on loopback, each given out once. They lie below the ports that systems give to outgoing
  * connections, one of which could otherwise take the port of a node before it starts, or while it
  * is down.
  */
@@ -109,7 +112,9 @@
   const ports = new Set<number>();
   while (ports.size < count) {
     const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (!ports.has(port) && (await isFree(port))) ports.add(port);
+    if (givenPorts.has(port)) continue;
+    givenPorts.add(port);
+    if (await isFree(port)) ports.add(port);
   }
   return [...ports];
 }
--- a/lab/demo/running-deployment.ts
+++ b/lab/demo/running-deployment.ts
@@ -118,13 +118,17 @@
   /** Waits until a node says that it is ready. Throws where it takes too long. */
   async untilReady(node: DemoNode): Promise<void> {
     const end = performance.now() + READY_LIMIT_MILLISECONDS;
+    let last = 'no answer';
     while (performance.now() < end) {
       const request = { method: 'GET', address: node.address, path: '/readyz' } as const;
       const answer = await requestJson({ ...request, timeout: 1_000 });
       if (answer?.status === 200) return;
+      if (answer !== undefined) last = JSON.stringify(answer.document);
+      const { exitCode } = node.process.child;
+      if (exitCode !== null) throw new Error(`node ${node.name} ended with ${exitCode}`);
       await pause(READY_POLL_MILLISECONDS);
     }
-    throw new Error(`node ${node.name} did not become ready`);
+    throw new Error(`node ${node.name} did not become ready: ${last}`);
   }
 
   /** Marks the machine of a worker as leaving in the machine list. */
