--- a/lab/faults/scenarios/node-faults.ts
+++ b/lab/faults/scenarios/node-faults.ts
@@ -14,7 +14,7 @@
 const EXIT_ENDED_AT_ONCE = 1;
 
 interface StatusDocument {
-  readonly nodes: readonly { readonly node: string; readonly drivenSteps: number }[];
+  readonly nodes: readonly { readonly node: string; readonly drivenSteps: readonly string[] }[];
 }
 
 /** The node that drives the trainer's step; any node where none says so in time. */
@@ -24,7 +24,7 @@
   while (performance.now() < end) {
     const answer = await load.operator.status();
     const nodes = (answer?.document as StatusDocument | undefined)?.nodes ?? [];
-    const driving = nodes.find((status) => status.drivenSteps > 0);
+    const driving = nodes.find((status) => status.drivenSteps.length > 0);
     const node = running.nodes.find(({ name }) => name === driving?.node);
     if (node !== undefined) return node;
     await pause(POLL_MILLISECONDS);
--- a/src/node/node-report.ts
+++ b/src/node/node-report.ts
@@ -43,7 +43,7 @@
 
   /** The state of the node, for operators. */
   status(now: Milliseconds): NodeStatus {
-    const { settings, feed, work, directory } = this.modules;
+    const { settings, feed, work, directory, weights } = this.modules;
     const { node, incarnation, zone } = settings.self;
     const age = feed.freshnessAge(now);
     return {
@@ -54,7 +54,8 @@
       freshnessAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : -1,
       ...this.readiness(now),
       stopping: this.isStopping(),
-      drivenSteps: work.supervisor.drivenSteps().length,
+      drivenSteps: work.supervisor.drivenSteps(),
+      rollouts: weights.status(now),
       openCalls: work.requests.openCount,
       activeDispatches: work.home.activeCount,
       workersAtHome: directory.workersAtHome().map((worker) => worker.worker),
--- a/src/node/status-messages.ts
+++ b/src/node/status-messages.ts
@@ -1,6 +1,7 @@
 /** Messages by which a node gathers the state of others for an operator's `status` or `explain`. */
 import type { IntentName, ZoneName } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
+import type { ModelControlStatus } from '../weights/weight-controller-types.js';
 import type { ExplainRecord } from './calls.js';
 
 /** The state of one node. */
@@ -14,7 +15,10 @@
   readonly ready: boolean;
   readonly reason: string;
   readonly stopping: boolean;
-  readonly drivenSteps: number;
+  /** Keys of the steps this node drives. */
+  readonly drivenSteps: readonly string[];
+  /** Where the weights stand of the models this node controls in its zone. */
+  readonly rollouts: readonly ModelControlStatus[];
   readonly openCalls: number;
   readonly activeDispatches: number;
   readonly workersAtHome: readonly string[];
--- a/src/rollouts/step-calls.ts
+++ b/src/rollouts/step-calls.ts
@@ -7,10 +7,10 @@
 import type { LedgerCallback, NodePorts, RegisterAddress } from '../core/node-ports.js';
 import type { Milliseconds } from '../core/units.js';
 import { SECOND } from '../core/units.js';
-import { type ErrorKind, type Failure, failure } from '../errors/error-kinds.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
 import type { NodeCall, ReplyBody } from '../node/calls.js';
-import { acknowledge, closeLog, isSealed, locate, pageOf } from './delivery-log.js';
-import { findOpenPage } from './delivery-log-reader.js';
+import { acknowledge, locate, pageOf } from './delivery-log.js';
+import { closeDeliveryLog } from './log-closing.js';
 import { pageKey, type StepRecord, stepKey } from './records.js';
 import { encodeSamples } from './step-bodies.js';
 import { StepReader } from './step-reader.js';
@@ -206,35 +206,13 @@
   private close(callId: string, call: Extract<StepCall, { kind: 'step-close' }>): void {
     this.findStep(callId, call.account, call.stepId, (_record, intent) => {
       const key = stepKey(call.account, call.stepId);
-      findOpenPage(this.node, intent, key, (page) => {
-        if (page === null) this.fail(callId, unavailable());
-        else this.closeAt(callId, call, intent, page);
+      closeDeliveryLog(this.node, intent, key, (closed) => {
+        if (closed) this.done(callId, { kind: 'step-closed', stepId: call.stepId });
+        else this.fail(callId, unavailable());
       });
     });
   }
 
-  /** Puts the closing mark on a page, or on a later one where that page has become full. */
-  private closeAt(
-    callId: string,
-    call: Extract<StepCall, { kind: 'step-close' }>,
-    intent: IntentName,
-    page: number,
-  ): void {
-    const key = stepKey(call.account, call.stepId);
-    const address = { domain: intent, shardKey: key, key: pageKey(key, page) };
-    const mark = { kind: 'step_closed' as ErrorKind, detail: 'the trainer closed the step' };
-    const deadline = this.node.now() + LEDGER_TIMEOUT;
-    this.node.ledger.change(address, closeLog(page, mark), deadline, (outcome) => {
-      if (outcome.kind !== 'changed') {
-        this.fail(callId, unavailable());
-        return;
-      }
-      const value = pageOf(outcome.value, page);
-      if (isSealed(value) && value.closed === null) this.closeAt(callId, call, intent, page + 1);
-      else this.done(callId, { kind: 'step-closed', stepId: call.stepId });
-    });
-  }
-
   /** Looks a step up under each intent of its trainer that names this zone. */
   private findStep(
     callId: string,
