A suspicion of another zone's member is not taken over with a table

Ruled out: lost refutations (they are not sent abroad at all). Change: such an update counts as alive where it is taken in, whatever message brought it.

--- a/src/membership/member-intake.ts
+++ b/src/membership/member-intake.ts
@@ -2,7 +2,7 @@
  * Takes in updates of members: decides what is news, reports changes to the other modules, and
  * answers claims about this node itself.
  */
-import type { NodeId, NodeRecord } from '../core/identity.js';
+import type { NodeId, NodeRecord, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Confirmation } from './confirmation.js';
 import { type MemberTable, sameAbroad, supersedes } from './member-table.js';
@@ -57,8 +57,9 @@
   }
 
   /** Takes in an update if it is news; `passOn` says whether the zone should hear of it. */
-  apply(update: MemberUpdate, now: Milliseconds, passOn = true): void {
+  apply(received: MemberUpdate, now: Milliseconds, passOn = true): void {
     const { table, queue, self } = this.parts;
+    const update = asSeenFrom(self.zone, received);
     if (update.record.node === self.node) {
       this.applyToSelf(update, now);
       return;
@@ -174,3 +175,12 @@
     return this.parts.table.find(this.parts.self.node) ?? aliveUpdate(this.parts.self);
   }
 }
+
+/**
+ * An update as it counts in a zone: a suspicion of another zone's member is that zone's business.
+ * Its end would never be heard here, as digests between zones leave suspicion out.
+ */
+function asSeenFrom(zone: ZoneName, update: MemberUpdate): MemberUpdate {
+  const isAbroad = update.record.zone !== zone;
+  return isAbroad && update.state === 'suspect' ? { ...update, state: 'alive' } : update;
+}
