--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -8,6 +8,7 @@
 import {
   type Configuration,
   catalogueKey,
+  DRAIN_KINDS,
   type DrainRecord,
   drainKey,
   FEED_PREFIXES,
@@ -35,7 +36,8 @@
     name,
     trainer: name.nullable(),
     model: name,
-    zones: z.array(name).min(1).readonly(),
+    /** Empty for an intent that was taken back. */
+    zones: z.array(name).readonly(),
     minimumVersion: version,
     maximumVersion: version.nullable(),
     stalenessBound: wholeNumber,
@@ -78,7 +80,7 @@
 
 /** Schema of a drain. */
 export const drainSchema = z.strictObject({
-  target: z.strictObject({ kind: z.enum(['node', 'worker', 'zone']), name }),
+  target: z.strictObject({ kind: z.enum(DRAIN_KINDS), name }),
   reason: z.string().max(2_000),
 });
 
