Lower ranked members leave the first one time to drive a step

Ruled out: doubled samples (the log takes each key once); it cost work only. Change: the first live member begins at once where no driver was ever known; all others wait the whole silence from when they saw the step.

--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -28,8 +28,10 @@
   readonly firstSeen: Milliseconds;
   record: StepRecord;
   driver: StepDriver | null;
-  /** When another member was last heard to drive it. */
+  /** When another member was last heard to drive it, or the step was first seen. */
   lastHeard: Milliseconds;
+  /** Whether any member was ever known to drive it; until then the first one begins at once. */
+  wasDriven: boolean;
   endedSince: Milliseconds | null;
 }
 
@@ -100,9 +102,9 @@
   private notice(key: string, record: StepRecord, now: Milliseconds): void {
     const known = this.steps.get(key);
     if (known === undefined) {
-      const lastHeard = now - SILENCE_LIMIT;
       const endedSince = record.state === 'open' ? null : now;
-      this.steps.set(key, { key, firstSeen: now, record, driver: null, lastHeard, endedSince });
+      const seen = { firstSeen: now, lastHeard: now, wasDriven: false };
+      this.steps.set(key, { key, record, driver: null, endedSince, ...seen });
       return;
     }
     known.record = record;
@@ -129,6 +131,7 @@
     const rank = this.rankOf(node.self, step.key, group);
     if (rank === null) return false;
     if (!node.mechanisms['step-take-over']) return this.isFirstMember(step.key, group);
+    if (rank === 0 && !step.wasDriven) return true;
     return now - step.lastHeard >= SILENCE_LIMIT + rank * RANK_DELAY;
   }
 
@@ -158,6 +161,7 @@
     }
     node.explain(step.key, 'driven here', 'first live member of the replica group');
     const deadline = step.firstSeen + step.record.timeout;
+    step.wasDriven = true;
     step.driver = new StepDriver(this.ports, step.key, step.record, deadline);
     step.driver.start();
     this.sendHeartbeats();
@@ -167,6 +171,7 @@
     const step = this.steps.get(key);
     if (step === undefined) return;
     step.lastHeard = this.ports.node.now();
+    step.wasDriven = true;
     if (step.driver === null || !this.outranks(from, step)) return;
     this.ports.node.explain(key, 'stood back', `${from.node} drives the step`);
     step.driver.abandon();
