A member ranks itself only when a step's driver may be silent

Cause: a profile of proof staleness-bound put a fifth of the time into hashing for ranks that every member worked out for every step at every tick (rendezvousOrder from the supervisor). Change: the time since the driver was heard is looked at first.

--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -125,6 +125,8 @@
   private shouldDrive(step: KnownStep, now: Milliseconds): boolean {
     const { node } = this.ports;
     if (node.isStopping() || !node.isConfirmed()) return false;
+    const silence = now - step.lastHeard;
+    if (step.wasDriven && silence < SILENCE_LIMIT) return false;
     const group = node.ledger.view.groupFor(step.record.intent, step.key);
     if (group === undefined) return false;
     if (!node.ledger.view.isActiveMember(step.record.intent, step.key)) return false;
@@ -132,7 +134,7 @@
     if (rank === null) return false;
     if (!node.mechanisms['step-take-over']) return this.isFirstMember(step.key, group);
     if (rank === 0 && !step.wasDriven) return true;
-    return now - step.lastHeard >= SILENCE_LIMIT + rank * RANK_DELAY;
+    return silence >= SILENCE_LIMIT + rank * RANK_DELAY;
   }
 
   /** Place of a member among the live ones; `null` for others. */
