Planned-stop judges work that an engine accepted; hand-over-on-stop leaves the table

Cause: a refusal of an order now says 'unknown' out of caution, which the oracle took for a cut-off. Change: a failure counts as cut off only where an engine accepted the work since the call.

--- a/lab/proofs/oracles/planned-stop.ts
+++ b/lab/proofs/oracles/planned-stop.ts
@@ -7,19 +7,22 @@
 import { Oracle } from '../oracle.js';
 
 interface OpenCall {
+  readonly at: Milliseconds;
   readonly node: NodeId;
   readonly call: NodeCall;
 }
 
 /**
  * A call that is open at a node that was asked to stop may not lose its connection, and no call
- * whose work may have begun may fail for the stop of a node or worker. A node that was asked to
+ * whose work an engine accepted may fail for the stop of a node or worker. A node that was asked to
  * stop must end by itself. Meant for runs whose only faults are planned
  * stops and such as must not matter to a running request.
  */
 export class PlannedStopOracle extends Oracle {
   readonly #open = new Map<string, OpenCall>();
   readonly #stopping = new Set<NodeId>();
+  /** When an engine last accepted each prompt. */
+  readonly #acceptedAt = new Map<string, Milliseconds>();
   /** Whether anything has been asked to stop so far. */
   #anyStop = false;
 
@@ -28,6 +31,9 @@
       case 'call':
         this.#open.set(observation.callId, observation);
         break;
+      case 'engine-accepted':
+        this.#acceptedAt.set(observation.request.prompt, observation.at);
+        break;
       case 'node-stop-asked':
         this.#stopping.add(observation.node);
         this.#anyStop = true;
@@ -65,6 +71,7 @@
       reply.kind === 'failed' &&
       open.call.kind === 'generate' &&
       reply.failure.kind !== 'deadline_exceeded' &&
+      (this.#acceptedAt.get(open.call.prompt) ?? Number.NEGATIVE_INFINITY) >= open.at &&
       ranStateOf(reply.failure) !== 'no';
     if (!this.#anyStop) return;
     this.compare(!cutOff, at, () => `${callId} at ${open.node} failed for a planned stop`);
--- a/test/lab/proofs/oracles.test.ts
+++ b/test/lab/proofs/oracles.test.ts
@@ -209,6 +209,7 @@
       'an outcome lost': [
         asked,
         at(1, { kind: 'worker-leaving', worker: 'w', sign: 'report', leaving: true }),
+        ran(1, 'q'),
         ...replied(2, 'c', failed('unknown')),
       ],
     },
