--- a/lab/bench/ledger-fleet.ts
+++ b/lab/bench/ledger-fleet.ts
@@ -14,7 +14,7 @@
   type LedgerOptions,
   type LedgerOutcome,
 } from '../../src/ledger/ledger.js';
-import { EventQueue } from './ledger-event-queue.js';
+import { EventQueue } from '../simulation/event-queue.js';
 import { SimulatedKeyValue } from './ledger-key-value.js';
 
 /** How the network behaves; times in milliseconds, shares in `[0, 1]`. */
@@ -68,7 +68,7 @@
 const TICK_MILLISECONDS = 50;
 const FEED_DELAY_MILLISECONDS = 100;
 
-/** The fleet. */
+/** Nodes that run a ledger each, in one domain over all zones of the fleet. */
 export class LedgerFleet {
   readonly queue = new EventQueue();
   readonly random: RandomSource;
--- a/lab/demo/running-deployment.ts
+++ b/lab/demo/running-deployment.ts
@@ -17,6 +17,9 @@
 const PEER_TOKEN = 'demo-peer-token-of-all-nodes';
 /** How late the machine list shows a change, in milliseconds. */
 export const MACHINE_LIST_LAG = 1_000;
+/** The weight store takes a second for one version. */
+const WEIGHT_BYTES_PER_SECOND = 1_000_000_000;
+const WEIGHT_VERSION_BYTES = 1_000_000_000;
 const LAB_TIMEOUT_MILLISECONDS = 5_000;
 const READY_LIMIT_MILLISECONDS = 20_000;
 const READY_POLL_MILLISECONDS = 100;
@@ -66,18 +69,24 @@
   /** Starts everything and waits until all nodes are ready. */
   async start(): Promise<void> {
     const { name } = this.deployment;
-    const [keyValue, machineList] = await Promise.all([
+    const [keyValue, machineList, weightStore] = await Promise.all([
       this.group.startEmulator(`${name}-key-value`, ['key-value']),
       this.group.startEmulator(`${name}-machine-list`, [
         'machine-list',
         '--lag',
         String(MACHINE_LIST_LAG),
       ]),
-      this.group.startEmulator(`${name}-weight-store`, ['weight-store']),
+      this.group.startEmulator(`${name}-weight-store`, [
+        'weight-store',
+        '--bytes-per-second',
+        String(WEIGHT_BYTES_PER_SECOND),
+        '--version-bytes',
+        String(WEIGHT_VERSION_BYTES),
+      ]),
     ]);
     this.keyValueAddress = keyValue;
     this.machineListAddress = machineList;
-    await this.engines.start();
+    await this.engines.start(weightStore);
     await this.planNodes();
     await this.publishMachines();
     for (const node of this.nodes) node.process = this.startNode(node);
@@ -109,13 +118,17 @@
   /** Waits until a node says that it is ready. Throws where it takes too long. */
   async untilReady(node: DemoNode): Promise<void> {
     const end = performance.now() + READY_LIMIT_MILLISECONDS;
+    let last = 'no answer';
     while (performance.now() < end) {
       const request = { method: 'GET', address: node.address, path: '/readyz' } as const;
       const answer = await requestJson({ ...request, timeout: 1_000 });
       if (answer?.status === 200) return;
+      if (answer !== undefined) last = JSON.stringify(answer.document);
+      const { exitCode } = node.process.child;
+      if (exitCode !== null) throw new Error(`node ${node.name} ended with ${exitCode}`);
       await pause(READY_POLL_MILLISECONDS);
     }
-    throw new Error(`node ${node.name} did not become ready`);
+    throw new Error(`node ${node.name} did not become ready: ${last}`);
   }
 
   /** Marks the machine of a worker as leaving in the machine list. */
@@ -124,6 +137,12 @@
     await this.publishMachines();
   }
 
+  /** Marks the machine of a worker as live again. */
+  async markLive(worker: string): Promise<void> {
+    this.leavingWorkers.delete(worker);
+    await this.publishMachines();
+  }
+
   /** Sets faults of the key-value service; see its `/lab/faults`. */
   async setKeyValueFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
     await this.post(this.keyValueAddress, '/lab/faults', faults);
--- a/lab/experiments/deployment-bench.ts
+++ b/lab/experiments/deployment-bench.ts
@@ -1,8 +1,9 @@
 /** Runs all variants of a deployment on several seeds and compares them with ours. */
+import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { runDeployment } from './deployment-model.js';
 import { DEPLOYMENTS, type DeploymentName } from './deployment-settings.js';
-import { medianFigures, round } from './measures.js';
+import { medianFigures, roundFigure } from './measures.js';
 import { writeReport } from './report.js';
 import { bestBaseline, compare, type VariantOutcome } from './targets.js';
 import { ISSUE_ROUTINGS, variantsOf } from './variants.js';
@@ -15,7 +16,7 @@
 const REPORT_FOLDER = 'docs/results';
 
 /** Runs the variants; one seed fixes faults and work for all of them. */
-export function runVariants(
+function runVariants(
   deployment: DeploymentName,
   seeds: readonly number[],
 ): readonly VariantOutcome[] {
@@ -53,13 +54,13 @@
 /** Runs a bench by the flags `--seed`, `--seeds` and `--report`; exit code 0 at the target. */
 export async function runBench(deployment: DeploymentName, flags: CommandFlags): Promise<number> {
   const wallStart = performance.now();
-  const firstSeed = Number(flags.seed ?? 1);
-  const count = Number(flags.seeds ?? DEFAULT_SEED_COUNT);
+  const firstSeed = numberFlag(flags, 'seed', 1);
+  const count = numberFlag(flags, 'seeds', DEFAULT_SEED_COUNT);
   const seeds = Array.from({ length: count }, (_, index) => firstSeed + index * SEED_STEP);
   const outcomes = runVariants(deployment, seeds);
   const summary = summaryOf(deployment, seeds, outcomes);
   if (flags.report) writeReport(REPORT_FOLDER, deployment, seeds, outcomes, summary);
-  const wall_seconds = round((performance.now() - wallStart) / 1_000);
+  const wall_seconds = roundFigure((performance.now() - wallStart) / 1_000);
   console.log(JSON.stringify({ ...summary, wall_seconds }));
   return summary.holds ? 0 : 1;
 }
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -16,7 +16,9 @@
   'storage',
   'weights-activation',
   'fleet',
+  'letter-steps',
   'resume',
+  'hollow',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
--- a/src/config-feed/configuration.ts
+++ b/src/config-feed/configuration.ts
@@ -31,11 +31,14 @@
       readonly duration: Milliseconds;
     };
 
+/** Largest share of a worker's slots that may be reserved for interactive traffic. */
+export const RESERVED_SHARE_LIMIT = 0.9;
+
 /** How interactive traffic is protected against training work on the same workers. */
 export interface InteractiveProtection {
   /** Accounts that may ask interactively under this intent. */
   readonly accounts: readonly AccountName[];
-  /** Share of each worker's slots that training work never takes, in `[0, 0.9]`. */
+  /** Share of a worker's slots that training never takes, at most {@link RESERVED_SHARE_LIMIT}. */
   readonly reservedShare: number;
 }
 
@@ -89,11 +92,14 @@
   readonly reason: string;
 }
 
+/** Kinds of things that can be drained. */
+export const DRAIN_KINDS = ['node', 'worker', 'zone'] as const;
+
 /** What is drained. */
-export type DrainTarget =
-  | { readonly kind: 'node'; readonly name: string }
-  | { readonly kind: 'worker'; readonly name: string }
-  | { readonly kind: 'zone'; readonly name: string };
+export interface DrainTarget {
+  readonly kind: (typeof DRAIN_KINDS)[number];
+  readonly name: string;
+}
 
 /** One revision of the whole configuration. */
 export interface Configuration {
--- a/src/config-feed/feed-copy.ts
+++ b/src/config-feed/feed-copy.ts
@@ -8,7 +8,7 @@
 import { EntryStore } from './entry-store.js';
 import type { FeedEffectList } from './feed-effects.js';
 import type { FeedContent } from './messages.js';
-import { decodeConfiguration, EMPTY_CONFIGURATION } from './records.js';
+import { EMPTY_CONFIGURATION, RecordDecoder } from './records.js';
 
 /** What taking over content did. */
 export interface TakeOver {
@@ -20,6 +20,7 @@
 /** The copy of one node. */
 export class FeedCopy {
   readonly store: EntryStore;
+  private readonly decoder = new RecordDecoder();
   private freshAt: Milliseconds | null = null;
   private current: Configuration = EMPTY_CONFIGURATION;
   private changedRevision: Revision = 0;
@@ -39,6 +40,7 @@
     return this.current;
   }
 
+  /** The copy holds all that was written up to this revision; 0 before the first content. */
   get revision(): Revision {
     return this.store.revision;
   }
@@ -58,14 +60,17 @@
     return this.freshAt;
   }
 
+  /** Time since the copy was surely complete; `null` where it never was. */
   age(now: Milliseconds): Milliseconds | null {
     return this.freshAt === null ? null : Math.max(0, now - this.freshAt);
   }
 
+  /** Notes that the copy is fresh as of a time; an earlier time than known changes nothing. */
   noteFresh(at: Milliseconds): void {
     if (this.freshAt === null || at > this.freshAt) this.freshAt = at;
   }
 
+  /** Takes over content that is complete up to a revision, and publishes what it changes. */
   take(content: FeedContent, revision: Revision): TakeOver {
     const isFirst = this.store.revision === 0 && revision > 0;
     const changedKeys = this.store.apply(content, revision);
@@ -77,7 +82,7 @@
 
   private publish(changedKeys: readonly string[]): void {
     this.changedRevision = this.store.revision;
-    const decoded = decodeConfiguration(this.store.existing(), this.store.revision);
+    const decoded = this.decoder.decode(this.store.existing(), this.store.revision);
     this.current = decoded.configuration;
     const rejectedNow = new Set(decoded.rejected.map((rejected) => rejected.key));
     for (const { key, reason } of decoded.rejected) {
--- a/src/node/node-options.ts
+++ b/src/node/node-options.ts
@@ -21,6 +21,8 @@
   readonly operators: readonly AccountName[];
   /** Addresses of other nodes known from the start; the machine list adds more. @default none */
   readonly seedAddresses?: readonly string[];
+  /** Members known from the start; the lab starts large fleets with it. @default none */
+  readonly initialMembers?: readonly NodeRecord[];
   /** Age up to which a configuration counts as fresh, in milliseconds. @default 6000 */
   readonly freshnessBound?: Milliseconds;
   /** Replicas of each ledger group. @default 5 */
@@ -40,6 +42,8 @@
    * fewer samples resumed; see docs/design/resume.md. @default 0
    */
   readonly resumeRoom?: number;
+  /** Longest time a stopping node waits for its work to end, in milliseconds. @default 60000 */
+  readonly stopLimit?: Milliseconds;
   /** Time between polls of the machine list, in milliseconds. @default 2000 */
   readonly machineListInterval?: Milliseconds;
   /** Bodies an earlier life left on this node's disk; `null` without a disk. @default null */
@@ -53,6 +57,7 @@
 /** Defaults of {@link NodeCoreOptions}. */
 export const NODE_DEFAULTS = {
   seedAddresses: [] as readonly string[],
+  initialMembers: [] as readonly NodeRecord[],
   hedging: true,
   resume: true,
   resumeRoom: 0,
@@ -63,6 +68,7 @@
   maxResultBytes: 64 * 1024 * 1024,
   shardsPerDomain: 8,
   routingPolicy: 'home-counting',
+  stopLimit: 60_000,
   machineListInterval: 2_000,
   diskBodies: null,
 } as const;
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -4,7 +4,8 @@
  */
 import http from 'node:http';
 import { z } from 'zod';
-import type { Milliseconds } from '../core/units.js';
+import { HTTP_STATUS } from '../core/http-status.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { exchangeHttp, parseJson } from './http-exchange-client.js';
 import type { MachineRecord } from './worker.js';
 
@@ -18,7 +19,7 @@
   readonly maximumBytes?: number;
 }
 
-const DEFAULTS = { requestTimeout: 2_000, maximumBytes: 32 * 1_048_576 } as const;
+const DEFAULTS = { requestTimeout: 2_000, maximumBytes: 32 * MEBIBYTE } as const;
 
 const workerRecord = z.object({
   worker: z.string().min(1),
@@ -63,7 +64,7 @@
       timeout: this.options.requestTimeout,
       maximumBytes: this.options.maximumBytes,
     });
-    if (outcome.kind !== 'answer' || outcome.status !== 200) return undefined;
+    if (outcome.kind !== 'answer' || outcome.status !== HTTP_STATUS.ok) return undefined;
     if (outcome.body === this.lastBody) return this.lastList;
     this.lastBody = outcome.body;
     this.lastList = machineList.safeParse(parseJson(outcome.body)).data;
--- a/src/rollouts/step-supervisor.ts
+++ b/src/rollouts/step-supervisor.ts
@@ -7,7 +7,7 @@
 
 import type { GroupRecord } from '../config-feed/configuration.js';
 import { rendezvousOrder } from '../core/hashing.js';
-import { identityKey, type NodeIdentity, sameIdentity } from '../core/identity.js';
+import { identityKey, type ModelName, type NodeIdentity, sameIdentity } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { RolloutMessage } from './messages.js';
 import { STEP_PREFIX, type StepRecord } from './records.js';
@@ -28,8 +28,10 @@
   readonly firstSeen: Milliseconds;
   record: StepRecord;
   driver: StepDriver | null;
-  /** When another member was last heard to drive it. */
+  /** When another member was last heard to drive it, or the step was first seen. */
   lastHeard: Milliseconds;
+  /** Whether any member was ever known to drive it; until then the first one begins at once. */
+  wasDriven: boolean;
   endedSince: Milliseconds | null;
 }
 
@@ -48,6 +50,16 @@
       .map((step) => step.key);
   }
 
+  /** Samples of the steps this node drives now, by model. */
+  drivenSamples(): ReadonlyMap<ModelName, number> {
+    const samples = new Map<ModelName, number>();
+    for (const { driver, record } of this.steps.values()) {
+      if (driver === null || driver.isOver) continue;
+      samples.set(record.model, (samples.get(record.model) ?? 0) + record.sampleCount);
+    }
+    return samples;
+  }
+
   /** Takes in another member's message. */
   receive(from: NodeIdentity, message: RolloutMessage): void {
     for (const key of message.steps) this.heardDriver(from, key);
@@ -90,12 +102,13 @@
   private notice(key: string, record: StepRecord, now: Milliseconds): void {
     const known = this.steps.get(key);
     if (known === undefined) {
-      const lastHeard = now - SILENCE_LIMIT;
       const endedSince = record.state === 'open' ? null : now;
-      this.steps.set(key, { key, firstSeen: now, record, driver: null, lastHeard, endedSince });
+      const seen = { firstSeen: now, lastHeard: now, wasDriven: false };
+      this.steps.set(key, { key, record, driver: null, endedSince, ...seen });
       return;
     }
     known.record = record;
+    known.driver?.acknowledged(record.acknowledged);
     if (record.state !== 'open') known.endedSince ??= now;
   }
 
@@ -118,6 +131,7 @@
     const rank = this.rankOf(node.self, step.key, group);
     if (rank === null) return false;
     if (!node.mechanisms['step-take-over']) return this.isFirstMember(step.key, group);
+    if (rank === 0 && !step.wasDriven) return true;
     return now - step.lastHeard >= SILENCE_LIMIT + rank * RANK_DELAY;
   }
 
@@ -147,6 +161,7 @@
     }
     node.explain(step.key, 'driven here', 'first live member of the replica group');
     const deadline = step.firstSeen + step.record.timeout;
+    step.wasDriven = true;
     step.driver = new StepDriver(this.ports, step.key, step.record, deadline);
     step.driver.start();
     this.sendHeartbeats();
@@ -156,6 +171,7 @@
     const step = this.steps.get(key);
     if (step === undefined) return;
     step.lastHeard = this.ports.node.now();
+    step.wasDriven = true;
     if (step.driver === null || !this.outranks(from, step)) return;
     this.ports.node.explain(key, 'stood back', `${from.node} drives the step`);
     step.driver.abandon();
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -5,15 +5,12 @@
 import { isIP } from 'node:net';
 import { Result } from 'true-myth';
 import { z } from 'zod';
-import { checkDocument, durationField, type SchemaProblem } from './schema-problems.js';
+import { KIBIBYTE, MEBIBYTE } from '../core/units.js';
+import { checkDocument, durationField, nameField, type SchemaProblem } from './schema-problems.js';
 
-const MEBIBYTE = 1_048_576;
 const LARGEST_PORT = 65_535;
 
-const nameSchema = z
-  .string()
-  .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'this is not a name')
-  .describe('letters, digits, ".", "_" and "-", at most 63 characters');
+const nameSchema = nameField();
 
 const endpointSchema = z
   .string()
@@ -72,24 +69,23 @@
   .describe('token_file or token_variable, not both');
 
 const limitsSchema = z.strictObject({
-  max_body_bytes: wholeNumber(1_024, 1_024 * MEBIBYTE).default(4 * MEBIBYTE),
-  max_header_bytes: wholeNumber(1_024, MEBIBYTE).default(16_384),
+  max_body_bytes: wholeNumber(KIBIBYTE, 1_024 * MEBIBYTE).default(4 * MEBIBYTE),
+  max_header_bytes: wholeNumber(KIBIBYTE, MEBIBYTE).default(16 * KIBIBYTE),
   body_timeout: duration('10s'),
   max_connections: wholeNumber(1, 100_000).default(1_024),
   max_result_bytes: wholeNumber(MEBIBYTE, 65_536 * MEBIBYTE).default(64 * MEBIBYTE),
-  max_queued_requests: wholeNumber(1, 1_000_000).default(4_096),
 });
 
 const timingSchema = z.strictObject({
   freshness_bound: duration('6s'),
-  stop_timeout: duration('30s'),
+  stop_timeout: duration('60s'),
   request_timeout: duration('60s'),
   key_value_timeout: duration('2s'),
   machine_list_interval: duration('1s'),
 });
 
 /** The written form of the settings. */
-export const settingsSchema = z.strictObject({
+const settingsSchema = z.strictObject({
   node: nodeSchema,
   platform: platformSchema,
   fleet: fleetSchema,
