A second mechanism of not-run-is-true can be switched off

Cause: the memory of earlier attempts, which keeps a later refusal from hiding one that may have run, had a unit test and no proof of its own.

--- a/lab/proofs/catalogue.ts
+++ b/lab/proofs/catalogue.ts
@@ -71,7 +71,7 @@
   {
     name: 'not-run-is-true',
     createOracle: () => new NotRunIsTrueOracle(),
-    trials: [TRIALS.unknownOutcome],
+    trials: [TRIALS.unknownOutcome, TRIALS.attemptMemory],
     weights: { ...OPERATIONS, ...FAULTS, 'isolate-zone': 8, 'disturb-network': 10 },
     observeMessages: false,
     medianTokens: SHORT_ANSWERS,
--- a/lab/proofs/trials.ts
+++ b/lab/proofs/trials.ts
@@ -49,6 +49,10 @@
   wholeAnswer: { mechanism: 'whole-answer', weights: ENDS },
   streamOrder: { mechanism: 'stream-order', weights: NETWORK },
   unknownOutcome: { mechanism: 'unknown-outcome', weights: { ...ENDS, 'isolate-zone': 8 } },
+  attemptMemory: {
+    mechanism: 'attempt-memory',
+    weights: { ...ENDS, ask: 500, 'crash-engine': 80, 'isolate-zone': 4 },
+  },
   claimBeforeDispatch: { mechanism: 'claim-before-dispatch', weights: { ...NETWORK, ask: 700 } },
   dispatchDeduplication: {
     mechanism: 'dispatch-deduplication',
--- a/src/dispatch/generation-runner.ts
+++ b/src/dispatch/generation-runner.ts
@@ -50,6 +50,8 @@
   readonly singleDispatch: boolean;
   /** Off only in the lab: a lost dispatch is then reported as not run. */
   readonly truthfulUnknown: boolean;
+  /** Off only in the lab: an attempt that may have run is then forgotten by a later refusal. */
+  readonly rememberAttempts: boolean;
   /** Off only in the lab: a stream that broke off is then taken for the whole answer. */
   readonly wholeAnswer: boolean;
   /** Off only in the lab: segments are then passed on as they come. */
@@ -243,7 +245,7 @@
     const ran = ranStateOf(reason);
     const hidden = this.mayHaveRun && ran === 'no';
     const told: Failure =
-      hidden && this.options.truthfulUnknown ? { ...reason, ran: 'unknown' } : reason;
+      hidden && this.options.rememberAttempts ? { ...reason, ran: 'unknown' } : reason;
     this.options.explain(this.order.request.requestId, `gave up: ${told.kind}`, told.detail);
     const { partial } = this;
     this.listener.onEnd({ kind: 'failed', failure: told, preempted, partial }, this.clock());
--- a/src/node/mechanisms.ts
+++ b/src/node/mechanisms.ts
@@ -16,6 +16,7 @@
   'dispatch-deduplication',
   'single-dispatch',
   'unknown-outcome',
+  'attempt-memory',
   'barred-dispatch',
   'request-identity',
   'whole-answer',
--- a/src/node/work-modules.ts
+++ b/src/node/work-modules.ts
@@ -209,6 +209,7 @@
         },
         singleDispatch: mechanisms['single-dispatch'],
         truthfulUnknown: mechanisms['unknown-outcome'],
+        rememberAttempts: mechanisms['attempt-memory'],
         wholeAnswer: mechanisms['whole-answer'],
         streamOrder: mechanisms['stream-order'],
         segmentVersions: mechanisms['segment-versions'],
--- a/test/dispatch/generation-runner.test.ts
+++ b/test/dispatch/generation-runner.test.ts
@@ -48,6 +48,7 @@
       mayResume: () => true,
       singleDispatch: true,
       truthfulUnknown: true,
+      rememberAttempts: true,
       wholeAnswer: true,
       streamOrder: true,
       segmentVersions: true,
--- a/test/dispatch/resume.test.ts
+++ b/test/dispatch/resume.test.ts
@@ -60,6 +60,7 @@
       mayResume: () => this.mayResume,
       singleDispatch: true,
       truthfulUnknown: true,
+      rememberAttempts: true,
       wholeAnswer: true,
       streamOrder: true,
       segmentVersions: true,
