--- a/lab/main.ts
+++ b/lab/main.ts
@@ -12,6 +12,7 @@
   'ledger',
   'membership',
   'config-feed',
+  'machine-feed',
   'node',
   'storage',
   'weights-activation',
