The import check lets off two named files only

Cause: files by the endings -store.ts and -runner.ts were let off, among them four pure modules. Change: the two files that run the core as a process are named. Measured: the check passes over all other modules as they are.

--- a/lab/import-check.ts
+++ b/lab/import-check.ts
@@ -27,8 +27,8 @@
 /** Packages and built-in modules that decision modules may import. */
 const ALLOWED_PACKAGES = ['node:crypto', 'murmurhash', 'pure-rand', 'true-myth', 'zod', 'devalue'];
 
-/** Files that sit in a decision folder and yet do I/O, because they wire or store. */
-const WIRING_SUFFIXES = ['-store.ts', '-runner.ts'];
+/** Files that sit in a decision folder and yet do I/O, because they run the core as a process. */
+const WIRING_FILES = ['src/node/effect-runner.ts', 'src/node/node-runner.ts'];
 
 const IMPORT_PATTERN = /(?:from|import)\s+'([^']+)'/g;
 
@@ -44,8 +44,7 @@
 
 function wrongImportsOf(file: string): string[] {
   const folder = path.relative('src', file).split(path.sep)[0] ?? '';
-  const decides =
-    DECISION_FOLDERS.includes(folder) && !WIRING_SUFFIXES.some((suffix) => file.endsWith(suffix));
+  const decides = DECISION_FOLDERS.includes(folder) && !WIRING_FILES.includes(file);
   const specifiers = [...readFileSync(file, 'utf8').matchAll(IMPORT_PATTERN)].map(
     (match) => match[1] ?? '',
   );
