--- a/lab/proofs/trials.ts
+++ b/lab/proofs/trials.ts
@@ -34,7 +34,7 @@
   resultClaim: { mechanism: 'result-claim', weights: { ...EVERYTHING, 'submit-step': 200 } },
   groupCatchUp: {
     mechanism: 'group-catch-up',
-    weights: { 'submit-step': 40, 'read-again': 60, kill: 60, freeze: 3 },
+    weights: { 'submit-step': 80, 'read-again': 60, kill: 50, 'isolate-zone': 40 },
     longestPause: PAUSE_FOR_REPAIR,
   },
   bodyReplication: {
