One type for starting and stopping a watch

Cause: the feed's effects and the node's spelled the same request twice. Change: KeyValueWatchRequest beside the other requests to the key-value service. Measured: 4186 assertions pass.

--- a/src/config-feed/feed-effects.ts
+++ b/src/config-feed/feed-effects.ts
@@ -3,7 +3,7 @@
 import type { RandomSource } from '../core/random.js';
 import type { ChangeDetails } from '../core/state-change.js';
 import type { Milliseconds } from '../core/units.js';
-import type { KeyValueOperation } from '../platform/key-value.js';
+import type { KeyValueOperation, KeyValueWatchRequest } from '../platform/key-value.js';
 import type { Configuration } from './configuration.js';
 import type { ConfigurationFeedMessage } from './messages.js';
 
@@ -20,13 +20,7 @@
       readonly requestId: string;
       readonly operation: KeyValueOperation;
     }
-  | {
-      readonly kind: 'watch-start';
-      readonly watchId: string;
-      readonly prefix: string;
-      readonly fromRevision: number;
-    }
-  | { readonly kind: 'watch-stop'; readonly watchId: string }
+  | KeyValueWatchRequest
   | {
       /** A new configuration is in force on this node. */
       readonly kind: 'applied';
--- a/src/node/node-events.ts
+++ b/src/node/node-events.ts
@@ -9,6 +9,7 @@
   KeyValueOperation,
   KeyValueResult,
   KeyValueWatchEvent,
+  KeyValueWatchRequest,
 } from '../platform/key-value.js';
 import type {
   EngineEvent,
@@ -66,13 +67,7 @@
       readonly requestId: string;
       readonly operation: KeyValueOperation;
     }
-  | {
-      readonly kind: 'watch-start';
-      readonly watchId: string;
-      readonly prefix: string;
-      readonly fromRevision: number;
-    }
-  | { readonly kind: 'watch-stop'; readonly watchId: string }
+  | KeyValueWatchRequest
   | {
       readonly kind: 'engine-start';
       readonly dispatchId: string;
--- a/src/platform/key-value.ts
+++ b/src/platform/key-value.ts
@@ -59,6 +59,16 @@
   readonly modRevision: Revision;
 }
 
+/** Starts a watch of a prefix, from a revision on, or stops it. */
+export type KeyValueWatchRequest =
+  | {
+      readonly kind: 'watch-start';
+      readonly watchId: string;
+      readonly prefix: string;
+      readonly fromRevision: Revision;
+    }
+  | { readonly kind: 'watch-stop'; readonly watchId: string };
+
 /** What a watch reports. */
 export type KeyValueWatchEvent =
   | {
