An unused constant is gone; the feed asks a map for its size

Cause: found on reading the change once more: NO_CONFIGURATION stood beside EMPTY_CONFIGURATION and nothing imported it; a list was built to learn whether a map is empty. Ruled out for now: one class for the held pulls of the configuration and the machine feed; they share three short methods, but differ in when a pull is due and in what a fetch pauses. Change: as named; no change of behaviour.

--- a/src/config-feed/feed-exchange.ts
+++ b/src/config-feed/feed-exchange.ts
@@ -78,8 +78,7 @@
 
   private keepPulling(now: Milliseconds): void {
     if (this.topology.isWatcher) {
-      const isPulling = [...this.pulls.values()].length > 0;
-      const watcher = isPulling ? undefined : this.topology.randomForeignWatcher();
+      const watcher = this.pulls.size > 0 ? undefined : this.topology.randomForeignWatcher();
       if (watcher !== undefined) this.pull(watcher, this.timing.holdLimit, now);
       return;
     }
--- a/src/node/node-context.ts
+++ b/src/node/node-context.ts
@@ -2,7 +2,6 @@
  * Collects what the modules of one node cause while an event is handled, and gives them the time,
  * timers and counters they share. Messages to the node itself are kept apart, to be handled next.
  */
-import type { Configuration } from '../config-feed/configuration.js';
 import { MemoryCounters } from '../core/counter-names.js';
 import { type NodeIdentity, type NodeRecord, sameIdentity } from '../core/identity.js';
 import type { RandomSource } from '../core/random.js';
@@ -129,12 +128,3 @@
     this.emit({ kind: 'state-change', module, change, details });
   }
 }
-
-/** A configuration before any was learned. */
-export const NO_CONFIGURATION: Configuration = {
-  revision: 0,
-  intents: new Map(),
-  catalogues: new Map(),
-  groups: new Map(),
-  drains: [],
-};
