--- a/lab/import-check.ts
+++ b/lab/import-check.ts
@@ -1,6 +1,7 @@
 /**
  * Checks the direction of imports: `src/` never imports `lab/`, and decision modules import no
- * I/O. Run after a build; exits 1 and names each wrong import.
+ * I/O; and that the spelling of the users' platform stays in its adapter, `platform/`, which in turn
+ * repeats and chooses nothing. Run after a build; exits 1 and names each problem.
  */
 import { readdirSync, readFileSync } from 'node:fs';
 import path from 'node:path';
@@ -30,6 +31,16 @@
 /** Files that sit in a decision folder and yet do I/O, because they run the core as a process. */
 const WIRING_FILES = ['src/node/effect-runner.ts', 'src/node/node-runner.ts'];
 
+/** Spellings of the users' platform that only its adapter, `platform/`, may know. */
+const PLATFORM_SPELLINGS =
+  /x-wardwing-|\/wardwing\/(?:kv-|lots|items|report|order|readiness)|['"`]op\/(?:config|version|retire)['"`/]|['"`]servers\/|status\/retire|tls_key|expected_revision/i;
+
+/** What an adapter may not hold: repetition and choices belong to the product. */
+const ADAPTER_DECISIONS = /setInterval\(|Math\.random\(|\bretry\(/;
+
+/** The one file of the adapter that keeps an otherwise idle process alive. */
+const ADAPTER_ENTRY = 'platform/main.ts';
+
 const IMPORT_PATTERN = /(?:from|import)\s+'([^']+)'/g;
 
 function sourceFiles(folder: string): string[] {
@@ -54,8 +65,23 @@
   });
 }
 
-const problems = sourceFiles('src').flatMap((file) =>
-  wrongImportsOf(file).map((specifier) => `${file} must not import ${specifier}`),
-);
+/** Lines of a file that match a pattern, each with what is wrong about it. */
+function matchingLines(file: string, pattern: RegExp, problem: string): string[] {
+  return readFileSync(file, 'utf8')
+    .split('\n')
+    .flatMap((line, index) => (pattern.test(line) ? [`${file}:${index + 1} ${problem}`] : []));
+}
+
+const problems = [
+  ...sourceFiles('src').flatMap((file) =>
+    wrongImportsOf(file).map((specifier) => `${file} must not import ${specifier}`),
+  ),
+  ...sourceFiles('src').flatMap((file) =>
+    matchingLines(file, PLATFORM_SPELLINGS, "uses the platform's spelling"),
+  ),
+  ...sourceFiles('platform')
+    .filter((file) => file !== ADAPTER_ENTRY)
+    .flatMap((file) => matchingLines(file, ADAPTER_DECISIONS, 'decides in the adapter')),
+];
 for (const problem of problems) console.error(problem);
 process.exitCode = problems.length === 0 ? 0 : 1;
--- /dev/null
+++ b/src/fleet/coordinator-lock.ts
@@ -0,0 +1,135 @@
+/**
+ * The lock of the fleet's coordinator: the one node that orders weights. Its key hangs on the
+ * holder's lease; the fencing token is the revision at which the key was made, so it rises with
+ * each holder. A new holder waits until orders of the one before can no longer be under way.
+ */
+import { randomUUID } from 'node:crypto';
+import { rendezvousOrder } from '../core/hashing.js';
+import type { Milliseconds, Revision } from '../core/units.js';
+import type { JobOwner } from '../jobs/job-records.js';
+import type { Clock } from '../serving/clock.js';
+import {
+  ABSENT,
+  NO_LEASE,
+  type SharedStore,
+  type StoreChange,
+} from '../shared-store/shared-store.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import { FLEET_PREFIX, type FleetRegistry } from './fleet-registry.js';
+
+const LOCK_KEY = `${FLEET_PREFIX}coordinator`;
+const TERM_KEY = `${FLEET_PREFIX}coordinator-term`;
+
+/** Time by which each rank lets the nodes before it take a free lock. */
+const RANK_DELAY: Milliseconds = 400;
+
+/** Orders are given only while the lease surely goes on for this long. */
+const LEASE_MARGIN: Milliseconds = 500;
+
+/** Options of {@link CoordinatorLock}. */
+export interface CoordinatorLockOptions {
+  readonly store: SharedStore;
+  readonly fleet: FleetRegistry;
+  readonly self: JobOwner;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Least time between the last order of one holder and the first of the next. */
+  readonly handOverDelay: Milliseconds;
+}
+
+/** Takes the lock when it is free, and tells whether this node may give orders. */
+export class CoordinatorLock {
+  private holderNonce: string | undefined;
+  private isKnown = false;
+  private ownNonce: string | undefined;
+  private token: Revision = 0;
+  private termRevision: Revision | undefined;
+  private activeFrom: Milliseconds = Number.POSITIVE_INFINITY;
+  private freeSince: Milliseconds = 0;
+  private isTrying = false;
+
+  constructor(private readonly options: CoordinatorLockOptions) {
+    options.fleet.otherChanges.subscribe((change) => this.take(change));
+    options.fleet.listed.subscribe(() => {
+      this.isKnown = true;
+      this.freeSince = options.clock.now();
+    });
+  }
+
+  /** The fencing token while this node may give orders; `undefined` otherwise. */
+  fencingToken(): Revision | undefined {
+    if (this.ownNonce === undefined || this.options.clock.now() < this.activeFrom) return undefined;
+    return this.options.fleet.leaseRemaining() > LEASE_MARGIN ? this.token : undefined;
+  }
+
+  /** Tries to take a lock that has been free for this node's turn. */
+  tick(): void {
+    const { fleet, clock } = this.options;
+    if (!this.isKnown || this.holderNonce !== undefined || this.isTrying) return;
+    if (fleet.leaseId === NO_LEASE || fleet.leaseRemaining() < LEASE_MARGIN) return;
+    if (clock.now() - this.freeSince < this.rank() * RANK_DELAY) return;
+    this.isTrying = true;
+    void this.acquire().finally(() => {
+      this.isTrying = false;
+      this.freeSince = clock.now();
+    });
+  }
+
+  private rank(): number {
+    const nodes = rendezvousOrder(LOCK_KEY, this.options.fleet.liveNodes(), (node) => node);
+    return Math.max(0, nodes.indexOf(this.options.self.node));
+  }
+
+  private async acquire(): Promise<void> {
+    const { store, fleet, self, clock, log, handOverDelay } = this.options;
+    const nonce = randomUUID();
+    const termRevision = this.termRevision ?? ABSENT;
+    const value = JSON.stringify({ node: self.node, nonce });
+    const outcome = await store.commit({
+      expected: [
+        { key: LOCK_KEY, revision: ABSENT },
+        { key: TERM_KEY, revision: termRevision },
+      ],
+      put: [
+        { key: LOCK_KEY, value, lease: fleet.leaseId },
+        { key: TERM_KEY, value },
+      ],
+    });
+    const revision = outcome.kind === 'committed' ? outcome.revision : await this.settle(nonce);
+    if (revision === undefined) return;
+    const isFirst = termRevision === ABSENT;
+    this.ownNonce = nonce;
+    this.holderNonce = nonce;
+    this.token = revision;
+    this.activeFrom = clock.now() + (isFirst ? 0 : handOverDelay);
+    log.state('coordinator-acquired', { fencingToken: revision, isFirst });
+  }
+
+  /** After a lost answer or a conflict: whether the lock is this attempt's. */
+  private async settle(nonce: string): Promise<Revision | undefined> {
+    const read = await this.options.store.get(LOCK_KEY);
+    if (read.kind !== 'item' || read.item === undefined) return undefined;
+    return nonceOf(read.item.value) === nonce ? read.item.revision : undefined;
+  }
+
+  private take(change: StoreChange): void {
+    if (change.key === TERM_KEY && change.value !== undefined) this.termRevision = change.revision;
+    if (change.key !== LOCK_KEY) return;
+    const nonce = change.value === undefined ? undefined : nonceOf(change.value);
+    if (nonce === undefined && change.revision < this.token) return;
+    this.holderNonce = nonce;
+    if (nonce === undefined) this.freeSince = this.options.clock.now();
+    if (this.ownNonce === undefined || nonce === this.ownNonce) return;
+    this.ownNonce = undefined;
+    this.options.log.state('coordinator-lost', { fencingToken: this.token });
+  }
+}
+
+function nonceOf(text: string): string | undefined {
+  try {
+    const { nonce } = JSON.parse(text) as { readonly nonce?: unknown };
+    return typeof nonce === 'string' ? nonce : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/fleet/gateway-node.ts
@@ -0,0 +1,248 @@
+/**
+ * A gateway of the fleet: joins configuration, workers, requests, jobs and, on one node at a time,
+ * the coordination of weights. Everything outside it is reached through ports.
+ */
+import { randomUUID } from 'node:crypto';
+import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
+import { ItemDispatcher } from '../jobs/item-dispatcher.js';
+import { JobReader } from '../jobs/job-reader.js';
+import type { JobSpecification } from '../jobs/job-records.js';
+import { JobService } from '../jobs/job-service.js';
+import { JobStore } from '../jobs/job-store.js';
+import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
+import type { Clock } from '../serving/clock.js';
+import type { EnginePort } from '../serving/engine-port.js';
+import { RequestForwarder } from '../serving/request-forwarder.js';
+import { RouteMatcher } from '../serving/route-matcher.js';
+import type {
+  Route,
+  TrafficConfiguration,
+  TrafficLimits,
+  WorkerRecord,
+} from '../serving/traffic-configuration.js';
+import { WorkerRegistry } from '../serving/worker-registry.js';
+import type { SharedStore } from '../shared-store/shared-store.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import { CoordinatorLock } from './coordinator-lock.js';
+import { type FeedTranslation, type FleetEvent, FleetFeeds } from './fleet-feeds.js';
+import { FleetRegistry } from './fleet-registry.js';
+import { JobTakeover } from './job-takeover.js';
+import { type StorageDrainPort, StorageDrains } from './storage-drains.js';
+import { WeightRollout } from './weight-rollout.js';
+
+/** Options of {@link GatewayNode}. */
+export interface GatewayNodeOptions {
+  readonly node: NodeId;
+  readonly zone: ZoneName;
+  readonly store: SharedStore;
+  readonly engine: EnginePort;
+  readonly feeds: FeedTranslation;
+  /** Line by which an event tells a change of weights, in lower case. */
+  readonly versionField: string;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Least time between orders of two coordinators. */
+  readonly coordinatorHandOver: Milliseconds;
+  /** Time for which a job stays readable. */
+  readonly jobRetention: Milliseconds;
+  readonly storageDrains: StorageDrainPort;
+}
+
+/** Time between two rounds of regular work. */
+const TICK_INTERVAL: Milliseconds = 50;
+
+/** Time that a stopping node spends on handing its jobs over. */
+const RELEASE_LIMIT: Milliseconds = 2_500;
+
+/** One gateway. */
+export class GatewayNode {
+  readonly registry = new WorkerRegistry();
+  readonly jobs: JobService;
+  private readonly forwarder: RequestForwarder;
+  private readonly dispatcher: ItemDispatcher;
+  private readonly feeds: FleetFeeds;
+  private readonly fleet: FleetRegistry;
+  private readonly takeover: JobTakeover;
+  private readonly lock: CoordinatorLock;
+  private readonly rollout: WeightRollout;
+  private readonly drains: StorageDrains;
+  private readonly named = new Map<ModelName, WeightVersion>();
+  private matcher: RouteMatcher | undefined;
+  private workersListed = false;
+  private isStopping = false;
+  private ticker: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: GatewayNodeOptions) {
+    const { store, engine, versionField, clock, log, zone } = options;
+    const self = { node: options.node, incarnation: randomUUID() };
+    const routes = (): RouteMatcher | undefined => this.matcher;
+    const registry = this.registry;
+    const jobStore = new JobStore(store);
+    this.forwarder = new RequestForwarder({ engine, versionField, registry, clock, log, zone });
+    this.dispatcher = new ItemDispatcher({ engine, versionField, registry, clock, log, routes });
+    this.jobs = new JobService({
+      store: jobStore,
+      reader: new JobReader(jobStore),
+      dispatcher: this.dispatcher,
+      clock,
+      log,
+      self,
+      routes,
+      retention: options.jobRetention,
+    });
+    this.feeds = new FleetFeeds({ store, translation: options.feeds, log });
+    this.feeds.events.subscribe((event) => this.take(event));
+    this.fleet = new FleetRegistry({ store, self, zone, clock, log });
+    this.takeover = new JobTakeover({
+      store: jobStore,
+      service: this.jobs,
+      fleet: this.fleet,
+      self,
+    });
+    this.lock = new CoordinatorLock({
+      store,
+      fleet: this.fleet,
+      self,
+      clock,
+      log,
+      handOverDelay: options.coordinatorHandOver,
+    });
+    this.rollout = new WeightRollout({
+      engine,
+      registry,
+      lock: this.lock,
+      clock,
+      log,
+      holder: options.node,
+      named: this.named,
+      mode: () => (this.needsWholeVersions() ? 'wait' : 'keep'),
+    });
+    this.drains = new StorageDrains({ port: options.storageDrains, lock: this.lock, log });
+  }
+
+  /** Begins to take part in the fleet. */
+  start(): void {
+    this.feeds.start();
+    this.fleet.start();
+    this.ticker = setInterval(() => this.tick(), TICK_INTERVAL);
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    return this.matcher !== undefined && this.workersListed && !this.isStopping;
+  }
+
+  /** Version of the configuration in force; `undefined` before the first. */
+  get configurationVersion(): number | undefined {
+    return this.matcher?.configuration.version;
+  }
+
+  /** What callers may send; `undefined` before the first configuration. */
+  get limits(): TrafficLimits | undefined {
+    return this.matcher?.configuration.limits;
+  }
+
+  /** Takes in what changed outside the fleet. */
+  take(event: FleetEvent): void {
+    if (event.kind === 'configuration') this.applyConfiguration(event.configuration);
+    else if (event.kind === 'worker') this.putWorker(event.record);
+    else if (event.kind === 'worker-gone') this.removeWorker(event.worker);
+    else if (event.kind === 'workers-listed') this.workersListed = true;
+    else if (event.kind === 'version-named') this.nameVersion(event.model, event.version);
+    else if (event.kind === 'storage-drain') this.drains.request(event.node);
+    else this.options.log.state('record-unreadable', { key: event.key });
+  }
+
+  /** Takes a configuration into force, unless a newer one is. */
+  private applyConfiguration(configuration: TrafficConfiguration): void {
+    const current = this.configurationVersion;
+    if (current !== undefined && configuration.version <= current) return;
+    this.matcher = new RouteMatcher(configuration);
+    this.options.log.state('configuration-applied', {
+      version: configuration.version,
+      previous: current ?? 0,
+      routes: configuration.routes.length,
+    });
+    this.dispatcher.schedule();
+  }
+
+  private putWorker(record: WorkerRecord): void {
+    const before = this.registry.get(record.id)?.record;
+    this.registry.put(record);
+    this.dispatcher.schedule();
+    if (before?.draining === record.draining) return;
+    const { id, service, zone, draining } = record;
+    this.options.log.state('worker-known', { worker: id, service, zone, draining });
+  }
+
+  private removeWorker(id: string): void {
+    this.registry.remove(id);
+    this.options.engine.forget(id);
+    this.options.log.state('worker-gone', { worker: id });
+  }
+
+  private nameVersion(model: ModelName, version: WeightVersion): void {
+    if (version <= (this.named.get(model) ?? 0)) return;
+    this.named.set(model, version);
+    this.options.log.state('version-named', { model, version });
+    this.rollout.tick();
+  }
+
+  /** Finds the route of a request, or why there is none. */
+  route(host: string, path: string): Route | Failure {
+    if (this.matcher === undefined) {
+      return failure('configuration_unavailable', 'no configuration is known yet', {
+        retryAfter: CONFIGURATION_RETRY_AFTER,
+      });
+    }
+    return this.matcher.match(host, path) ?? failure('not_found', 'no route matches');
+  }
+
+  /** Forwards a request and answers it. */
+  async forward(request: CallerRequest, route: Route, sink: AnswerSink): Promise<void> {
+    const service = this.matcher?.nextService(route);
+    if (service === undefined) return sink.fail(failure('no_worker', 'the route has no service'));
+    await this.forwarder.forward(request, route, service, sink);
+  }
+
+  /** Takes a job in; `undefined` means that it is kept. */
+  submit(spec: JobSpecification, wanted: () => boolean): Promise<Failure | undefined> {
+    return this.jobs.submit(spec, wanted);
+  }
+
+  /** Says at once that no more callers are wanted; what runs goes on. */
+  beginStop(): void {
+    this.isStopping = true;
+    this.options.log.state('stopping');
+  }
+
+  /** Hands jobs over and leaves the fleet. */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    this.dispatcher.stop();
+    this.takeover.stop();
+    clearInterval(this.ticker);
+    const limit = this.options.clock.now() + RELEASE_LIMIT;
+    await this.jobs.release(() => this.options.clock.now() < limit);
+    await this.fleet.stop();
+    this.feeds.stop();
+  }
+
+  private tick(): void {
+    this.jobs.tick();
+    this.dispatcher.tick();
+    if (this.isStopping) return;
+    this.lock.tick();
+    this.rollout.tick();
+    this.drains.tick();
+  }
+
+  private needsWholeVersions(): boolean {
+    return this.matcher?.configuration.routes.some((route) => route.singleVersion) ?? false;
+  }
+}
+
+/** When to come back to a node that has no configuration yet. */
+const CONFIGURATION_RETRY_AFTER: Milliseconds = 300;
--- /dev/null
+++ b/src/fleet/gateway-process.ts
@@ -0,0 +1,62 @@
+/** The life of a gateway process: start, reload, and a stop that cuts off no request. */
+import { type Milliseconds, SECOND } from '../core/units.js';
+import type { Clock } from '../serving/clock.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { GatewayNode } from './gateway-node.js';
+
+/** The server that callers reach. */
+export interface CallerServer {
+  /** Requests under way. */
+  readonly requestsInFlight: number;
+  /** Takes no more connections and closes those that carry no request. */
+  close(): void;
+}
+
+/** Options of {@link GatewayProcess}. */
+export interface GatewayProcessOptions {
+  readonly node: GatewayNode;
+  readonly server: CallerServer;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Time between the request to stop and the forced end. */
+  readonly stopLimit: Milliseconds;
+  /** Ends the process. */
+  readonly exit: () => void;
+}
+
+/** Time until callers are no longer sent here: two missed answers, a second apart, and some. */
+const NOTICE_TIME: Milliseconds = 2.5 * SECOND;
+
+/** Time kept back of the time to stop. */
+const STOP_MARGIN: Milliseconds = 700;
+
+const STOP_POLL: Milliseconds = 50;
+
+/** Runs one gateway. */
+export class GatewayProcess {
+  private isStopping = false;
+
+  constructor(private readonly options: GatewayProcessOptions) {}
+
+  /** Stops: jobs are handed over, running requests end, then the process ends. */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const { node, server, clock, log, stopLimit, exit } = this.options;
+    const startedAt = clock.now();
+    const elapsed = (): Milliseconds => clock.now() - startedAt;
+    node.beginStop();
+    const released = node.stop();
+    while (elapsed() < NOTICE_TIME) await pause(STOP_POLL);
+    server.close();
+    const limit = stopLimit - STOP_MARGIN;
+    while (server.requestsInFlight > 0 && elapsed() < limit) await pause(STOP_POLL);
+    await Promise.race([released, pause(Math.max(0, limit - elapsed()))]);
+    log.state('stopped', { requestsLeft: server.requestsInFlight });
+    setTimeout(exit, STOP_POLL);
+  }
+}
+
+function pause(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/src/fleet/job-takeover.ts
@@ -0,0 +1,81 @@
+/**
+ * Takes over jobs whose owner is gone. The live nodes are ranked for each job by rendezvous hash;
+ * the first may take it at once, the next ones later, so that they rarely race. Where they do,
+ * the commit on the job's head decides.
+ */
+import { rendezvousOrder } from '../core/hashing.js';
+import type { Milliseconds } from '../core/units.js';
+import type { JobOwner } from '../jobs/job-records.js';
+import { isFinished } from '../jobs/job-records.js';
+import type { JobService } from '../jobs/job-service.js';
+import type { JobStore, VersionedHead } from '../jobs/job-store.js';
+import type { FleetRegistry } from './fleet-registry.js';
+
+/** Options of {@link JobTakeover}. */
+export interface JobTakeoverOptions {
+  readonly store: JobStore;
+  readonly service: JobService;
+  readonly fleet: FleetRegistry;
+  readonly self: JobOwner;
+}
+
+/** A departed node may be back with a new lease within this time; then nothing is taken over. */
+const DEPARTURE_GRACE: Milliseconds = 700;
+
+/** Time by which each rank lets the ones before it go first. */
+const RANK_DELAY: Milliseconds = 1_200;
+
+/** Scans after a departure: the last one takes jobs of any rank. */
+const SCANS = 3;
+
+/** Looks for jobs without a live owner after nodes have left. */
+export class JobTakeover {
+  private timers: NodeJS.Timeout[] = [];
+
+  constructor(private readonly options: JobTakeoverOptions) {
+    options.fleet.departures.subscribe(() => this.scanSoon());
+    options.fleet.listed.subscribe(() => this.scanSoon());
+  }
+
+  /** Scans after the grace, and again for jobs that better ranked nodes left alone. */
+  scanSoon(): void {
+    this.stop();
+    for (let scan = 0; scan < SCANS; scan += 1) {
+      const delay = DEPARTURE_GRACE + scan * RANK_DELAY;
+      this.timers.push(setTimeout(() => void this.scan(scan), delay));
+    }
+  }
+
+  /** Cancels scans that are due. */
+  stop(): void {
+    for (const timer of this.timers) clearTimeout(timer);
+    this.timers = [];
+  }
+
+  private async scan(allowedRank: number): Promise<void> {
+    const read = await this.options.store.heads();
+    if (read.kind !== 'found') return this.scanSoon();
+    const orphans = [...read.value].filter(([job, found]) => this.isOrphan(job, found));
+    if (orphans.length === 0) return this.stop();
+    for (const [job, found] of orphans) {
+      const rank = this.rankFor(job);
+      if (rank > allowedRank && allowedRank < SCANS - 1) continue;
+      await this.options.service.adopt(job, found);
+    }
+  }
+
+  private rankFor(job: string): number {
+    const nodes = rendezvousOrder(job, this.options.fleet.liveNodes(), (node) => node);
+    const rank = nodes.indexOf(this.options.self.node);
+    return rank < 0 ? nodes.length : rank;
+  }
+
+  private isOrphan(job: string, { head }: VersionedHead): boolean {
+    const { self, fleet, service } = this.options;
+    if (isFinished(head)) return false;
+    if (head.owner === null) return true;
+    const isOwn = head.owner.node === self.node && head.owner.incarnation === self.incarnation;
+    if (!isOwn) return !fleet.isLive(head.owner);
+    return !service.ownedJobs().some((owned) => owned.spec.id === job && owned.isOpen);
+  }
+}
--- /dev/null
+++ b/src/fleet/weight-rollout.ts
@@ -0,0 +1,149 @@
+/**
+ * Moves the workers to the weights that trainers named: a few at a time, with fenced orders, each
+ * bound to the worker's life and to the number of orders it had taken.
+ */
+import type { ModelName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { Clock } from '../serving/clock.js';
+import type { EnginePort, OrderOutcome, WeightOrderMode } from '../serving/engine-port.js';
+import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { CoordinatorLock } from './coordinator-lock.js';
+
+/** Options of {@link WeightRollout}. */
+export interface WeightRolloutOptions {
+  readonly engine: EnginePort;
+  readonly registry: WorkerRegistry;
+  readonly lock: CoordinatorLock;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly holder: string;
+  /** Newest version that a trainer named, by model. */
+  readonly named: ReadonlyMap<ModelName, WeightVersion>;
+  /** What becomes of runs at a worker that changes its weights. */
+  readonly mode: () => WeightOrderMode;
+  /** Workers that load at once; more make each load slower. @default 2 */
+  readonly loadsAtOnce?: number;
+}
+
+const DEFAULT_LOADS_AT_ONCE = 2;
+
+/** Time after an order at which the worker is first asked whether it is done. */
+const FIRST_CHECK: Milliseconds = 900;
+const CHECK_INTERVAL: Milliseconds = 250;
+
+/** A change that has not shown after this time is decided anew. */
+const CHANGE_LIMIT: Milliseconds = 4_000;
+
+/** Pause before a worker that could not be asked is asked again. */
+const RETRY_PAUSE: Milliseconds = 500;
+
+/** What one worker still has to do. */
+interface PendingChange {
+  readonly worker: KnownWorker;
+  readonly model: ModelName;
+  readonly version: WeightVersion;
+}
+
+/** Rolls named versions out. */
+export class WeightRollout {
+  private readonly underWay = new Set<string>();
+  private readonly notBefore = new Map<string, Milliseconds>();
+
+  constructor(private readonly options: WeightRolloutOptions) {}
+
+  /** Starts changes while there is room for more loads. */
+  tick(): void {
+    const limit = this.options.loadsAtOnce ?? DEFAULT_LOADS_AT_ONCE;
+    if (this.underWay.size >= limit) return;
+    if (this.options.lock.fencingToken() === undefined) return;
+    for (const change of this.pendingChanges()) {
+      if (this.underWay.size >= limit) return;
+      const id = change.worker.record.id;
+      if (this.underWay.has(id)) continue;
+      this.underWay.add(id);
+      void this.perform(change).finally(() => this.underWay.delete(id));
+    }
+  }
+
+  /** Workers behind a named version, the most outdated first, then the least busy. */
+  private pendingChanges(): PendingChange[] {
+    const now = this.options.clock.now();
+    const changes = this.options.registry
+      .all()
+      .filter(({ record }) => !record.draining && (this.notBefore.get(record.id) ?? 0) <= now)
+      .flatMap((worker) => this.changesOf(worker));
+    const lag = (change: PendingChange): number =>
+      change.version - change.worker.versionOf(change.model);
+    return changes.sort(
+      (a, b) => lag(b) - lag(a) || a.worker.occupancy(now) - b.worker.occupancy(now),
+    );
+  }
+
+  private changesOf(worker: KnownWorker): PendingChange[] {
+    return worker.record.models.flatMap(({ name }) => {
+      const version = this.options.named.get(name);
+      if (version === undefined || worker.versionOf(name) >= version) return [];
+      return [{ worker, model: name, version }];
+    });
+  }
+
+  private async perform(change: PendingChange): Promise<void> {
+    const { engine, lock, holder, log, mode } = this.options;
+    const { worker, model } = change;
+    const report = await engine.report(worker.record);
+    if (report === undefined) return this.postpone(worker, RETRY_PAUSE);
+    for (const held of report.models) worker.noteVersion(held.name, held.version);
+    const version = this.options.named.get(model) ?? change.version;
+    if (worker.versionOf(model) >= version) return;
+    if (report.busy) return this.postpone(worker, CHECK_INTERVAL);
+    const fencingToken = lock.fencingToken();
+    if (fencingToken === undefined) return;
+    const outcome = await engine.order({
+      worker: worker.record,
+      model,
+      version,
+      mode: mode(),
+      holder,
+      fencingToken,
+      expectedSequence: report.sequence,
+    });
+    const details = { worker: worker.record.id, model, version, fencingToken, outcome };
+    log.state('weights-ordered', { ...details, sequence: report.sequence });
+    await this.afterOrder(change, version, outcome);
+  }
+
+  private async afterOrder(
+    change: PendingChange,
+    version: WeightVersion,
+    outcome: OrderOutcome,
+  ): Promise<void> {
+    const { worker, model } = change;
+    if (outcome === 'holds') worker.noteVersion(model, version);
+    else if (outcome === 'started' || outcome === 'unknown') await this.await(change, version);
+    else this.postpone(worker, outcome === 'conflict' ? CHECK_INTERVAL : RETRY_PAUSE);
+  }
+
+  /** Asks until the worker holds the version, or shows that it does nothing about it. */
+  private async await(change: PendingChange, version: WeightVersion): Promise<void> {
+    const { worker, model } = change;
+    const startedAt = this.options.clock.now();
+    await pause(FIRST_CHECK);
+    while (this.options.clock.now() - startedAt < CHANGE_LIMIT) {
+      if (worker.versionOf(model) >= version) return;
+      const report = await this.options.engine.report(worker.record);
+      for (const held of report?.models ?? []) worker.noteVersion(held.name, held.version);
+      if (worker.versionOf(model) >= version) return;
+      if (report !== undefined && !report.busy) return this.postpone(worker, CHECK_INTERVAL);
+      await pause(CHECK_INTERVAL);
+    }
+  }
+
+  private postpone(worker: KnownWorker, duration: Milliseconds): void {
+    this.notBefore.set(worker.record.id, this.options.clock.now() + duration);
+  }
+}
+
+function pause(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/src/jobs/item-placement.ts
@@ -0,0 +1,66 @@
+/**
+ * Which item goes to which worker next. Earlier jobs go first; within a job the longest items, as
+ * the trainer waits for nearly all of them and a long one that begins late holds up its step.
+ */
+import type { ModelName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { KnownWorker } from '../serving/worker-registry.js';
+
+/** What a worker must offer for an item. */
+export interface ItemNeeds {
+  readonly model: ModelName;
+  readonly minVersion: WeightVersion;
+  /** The only version that fits, where events exist that must not be mixed. */
+  readonly boundVersion: WeightVersion | undefined;
+}
+
+/** Weight of a worker's occupied share beside its pace, in multiples of the median pace. */
+const OCCUPANCY_WEIGHT = 0.6;
+
+/** Gain of a worker that has read the group's shared prompt. */
+const SHARED_PROMPT_GAIN = 0.15;
+
+/** A worker counts as slow if its pace is this many times the median. */
+const SLOW_PACE_RATIO = 1.7;
+
+/** Whether a worker may run an item now. */
+export function mayRun(worker: KnownWorker, needs: ItemNeeds, now: Milliseconds): boolean {
+  if (worker.record.draining || worker.isPenalized(now)) return false;
+  const version = worker.versionOf(needs.model);
+  if (version < needs.minVersion) return false;
+  if (needs.boundVersion !== undefined && version !== needs.boundVersion) return false;
+  return worker.inFlight < worker.record.slots;
+}
+
+/** Median pace of the workers that have one; 1 where none has. */
+export function medianPace(workers: readonly KnownWorker[]): Milliseconds {
+  const paces = workers.map((worker) => worker.pace).filter((pace) => pace !== undefined);
+  paces.sort((left, right) => left - right);
+  return paces[Math.floor(paces.length / 2)] ?? 1;
+}
+
+/** Whether a worker makes events much more slowly than most. */
+export function isSlow(worker: KnownWorker, median: Milliseconds): boolean {
+  return worker.pace !== undefined && worker.pace > SLOW_PACE_RATIO * median;
+}
+
+/** The best worker for an item among those that may run it, or `undefined`. */
+export function placeItem(
+  workers: readonly KnownWorker[],
+  needs: ItemNeeds,
+  sharedPromptWorker: string | undefined,
+  now: Milliseconds,
+): KnownWorker | undefined {
+  const median = medianPace(workers);
+  const score = (worker: KnownWorker): number => {
+    const pace = (worker.pace ?? median) / median;
+    const occupied = worker.occupancy(now) / worker.record.slots;
+    const shared = worker.record.id === sharedPromptWorker ? SHARED_PROMPT_GAIN : 0;
+    return pace + OCCUPANCY_WEIGHT * occupied - shared;
+  };
+  const candidates = workers.filter((worker) => mayRun(worker, needs, now));
+  return candidates.reduce<KnownWorker | undefined>(
+    (best, worker) => (best === undefined || score(worker) < score(best) ? worker : best),
+    undefined,
+  );
+}
--- /dev/null
+++ b/src/jobs/item-run.ts
@@ -0,0 +1,127 @@
+/** One run of an item at one worker, from sending the request to the end of its stream. */
+
+import type { Milliseconds } from '../core/units.js';
+import type { Clock } from '../serving/clock.js';
+import type { EngineAnswer, EnginePort, EngineRequest } from '../serving/engine-port.js';
+import { EventStreamReader } from '../serving/event-stream.js';
+import type { KnownWorker } from '../serving/worker-registry.js';
+import type { ItemProgress } from './item-progress.js';
+
+/** How a run ended. */
+export type ItemRunEnd =
+  | 'completed'
+  /** The worker answered that the attempt failed. */
+  | 'attempt-failed'
+  /** The worker answered that the item can never be done. */
+  | 'impossible'
+  /** The worker did not begin; it is full, or gone. */
+  | 'full'
+  | 'gone'
+  /** It broke off, fell silent or sent wrong bytes; what came whole is kept. */
+  | 'interrupted'
+  /** Its weights are older than the job allows. */
+  | 'version-too-old'
+  /** Ended from here: moved, cancelled or handed over. */
+  | 'cancelled';
+
+/** Silence after which a run is given up: before the first event, and between two. */
+export interface SilenceLimits {
+  readonly beforeFirst: Milliseconds;
+  readonly betweenEvents: Milliseconds;
+}
+
+/** What a run works with. */
+export interface ItemRunContext {
+  readonly engine: EnginePort;
+  readonly clock: Clock;
+  readonly versionField: string;
+  readonly silence: SilenceLimits;
+}
+
+const OK = 200;
+const UNPROCESSABLE = 422;
+const SERVER_ERROR = 500;
+
+/** Runs an item once; adds whole events to its progress as they come. */
+export class ItemRun {
+  private readonly abort = new AbortController();
+  private readonly context: ItemRunContext;
+  private silenceTimer: NodeJS.Timeout | undefined;
+  private isSilent = false;
+  readonly startedAt: Milliseconds;
+
+  constructor(
+    context: ItemRunContext,
+    readonly worker: KnownWorker,
+    private readonly progress: ItemProgress,
+  ) {
+    this.context = context;
+    this.startedAt = context.clock.now();
+  }
+
+  /** Ends the run from here; the worker drops the request as its connection closes. */
+  cancel(): void {
+    this.abort.abort();
+  }
+
+  /** Sends the request and follows its stream; never rejects. */
+  async perform(request: EngineRequest): Promise<ItemRunEnd> {
+    this.watchSilence(this.context.silence.beforeFirst);
+    const outcome = await this.context.engine.send(request, this.abort.signal);
+    const end = outcome.kind === 'answered' ? await this.follow(outcome) : undefined;
+    clearTimeout(this.silenceTimer);
+    if (this.abort.signal.aborted && end !== 'completed') {
+      return this.isSilent ? 'interrupted' : 'cancelled';
+    }
+    if (end !== undefined) return end;
+    if (outcome.kind === 'not-run') return outcome.reason;
+    return 'interrupted';
+  }
+
+  private async follow(answer: EngineAnswer): Promise<ItemRunEnd> {
+    this.worker.noteLoad(answer.load, this.context.clock.now());
+    if (answer.status !== OK) {
+      answer.discard();
+      if (answer.status === UNPROCESSABLE) return 'impossible';
+      return answer.status === SERVER_ERROR ? 'attempt-failed' : 'interrupted';
+    }
+    this.progress.beginRun(answer.weightVersion);
+    const end = await this.readEvents(answer);
+    if (end !== 'completed') answer.discard();
+    return end;
+  }
+
+  private async readEvents(answer: EngineAnswer): Promise<ItemRunEnd> {
+    const reader = new EventStreamReader(this.context.versionField);
+    let lastAt: Milliseconds | undefined;
+    try {
+      for await (const chunk of answer.body) {
+        this.watchSilence(this.context.silence.betweenEvents);
+        const events = reader.push(chunk as Buffer);
+        const now = this.context.clock.now();
+        if (events.length > 0 && lastAt !== undefined) {
+          this.worker.notePace((now - lastAt) / events.length);
+        }
+        if (events.length > 0) lastAt = now;
+        for (const event of events) {
+          const verdict = this.progress.add(event);
+          if (verdict === 'version-too-old') return 'version-too-old';
+          if (verdict === 'version-mixed') this.progress.reset();
+          if (verdict !== 'added') return 'interrupted';
+        }
+      }
+    } catch {
+      return 'interrupted';
+    }
+    const isWhole = !reader.hasPartialEvent() && this.progress.eventCount > 0;
+    return isWhole ? 'completed' : 'interrupted';
+  }
+
+  private watchSilence(limit: Milliseconds): void {
+    clearTimeout(this.silenceTimer);
+    this.silenceTimer = setTimeout(() => {
+      this.isSilent = true;
+      this.abort.abort();
+    }, limit);
+  }
+}
--- /dev/null
+++ b/src/jobs/job-records.ts
@@ -0,0 +1,136 @@
+/** What is kept of batch jobs in the shared store: specification, head, pages of results. */
+import { z } from 'zod';
+import type { Milliseconds } from '../core/units.js';
+
+/** One item of a job: a request for a worker. */
+const ITEM = z.object({
+  id: z.string(),
+  path: z.string(),
+  /** Header names and values in turn. */
+  headers: z.array(z.string()),
+  /** Base64. */
+  body: z.string(),
+  /** Tokens of the prompt and most out, summed. */
+  tokens: z.number(),
+  /** Items of one group share their prompt and count only when all are whole. */
+  group: z.string(),
+  /** Guess of the size of the answer in tokens; longer ones are run first. */
+  expectedLength: z.number(),
+});
+
+const SPECIFICATION = z.object({
+  id: z.string(),
+  host: z.string(),
+  /** Path of the submission; its route is the job's route. */
+  path: z.string(),
+  step: z.number(),
+  model: z.string(),
+  /** Oldest version of the weights that may make its results. */
+  minVersion: z.number(),
+  /** Whole groups that the trainer waits for. */
+  desiredCount: z.number(),
+  /** Time of day of the submission, in milliseconds since 1970. */
+  submittedAt: z.number(),
+  items: z.array(ITEM),
+});
+
+const OWNER = z.object({ node: z.string(), incarnation: z.string() });
+
+const HEAD = z.object({
+  /** The life of a node that runs the items; `null` where none does. */
+  owner: OWNER.nullable(),
+  total: z.number(),
+  listed: z.number(),
+  pages: z.number(),
+  ended: z.boolean(),
+  submittedAt: z.number(),
+  /** Drawn anew for each change, to tell one's own change after a lost answer. */
+  changeId: z.string(),
+});
+
+const RESULT = z.object({
+  id: z.string(),
+  state: z.enum(['completed', 'terminated']),
+  text: z.string(),
+  versions: z.array(z.number()),
+});
+
+const PAGE = z.object({ first: z.number(), results: z.array(RESULT) });
+
+const PROGRESS = z.record(
+  z.string(),
+  z.object({ events: z.array(z.string()), lastEventId: z.number(), versions: z.array(z.number()) }),
+);
+
+/** One item of a job. */
+export type JobItem = z.infer<typeof ITEM>;
+/** A job as it was submitted; never changes. */
+export type JobSpecification = z.infer<typeof SPECIFICATION>;
+/** One life of a node. */
+export type JobOwner = z.infer<typeof OWNER>;
+/** The part of a job that changes; every change is conditional on its revision. */
+export type JobHead = z.infer<typeof HEAD>;
+/** One listed result. */
+export type JobResult = z.infer<typeof RESULT>;
+/** Results at successive positions; never changes once written. */
+export type ResultPage = z.infer<typeof PAGE>;
+/** What was made of items that are not listed yet, by item. */
+export type KeptProgress = z.infer<typeof PROGRESS>;
+
+const HEADS = 'job/head/';
+const SPECIFICATIONS = 'job/spec/';
+const PAGES = 'job/page/';
+const PROGRESSES = 'job/progress/';
+
+/** Digits of a page's number in its key, so that keys sort as numbers do. */
+const PAGE_DIGITS = 6;
+
+/** Keys of the shared store. */
+export const JOB_KEYS = {
+  heads: HEADS,
+  head: (job: string): string => `${HEADS}${job}`,
+  jobOfHead: (key: string): string => key.slice(HEADS.length),
+  specification: (job: string, part: number): string =>
+    `${SPECIFICATIONS}${job}/${String(part).padStart(PAGE_DIGITS, '0')}`,
+  specificationParts: (job: string): string => `${SPECIFICATIONS}${job}/`,
+  pages: (job: string): string => `${PAGES}${job}/`,
+  page: (job: string, number: number): string =>
+    `${PAGES}${job}/${String(number).padStart(PAGE_DIGITS, '0')}`,
+  progress: (job: string): string => `${PROGRESSES}${job}`,
+} as const;
+
+/** Reads a record; `undefined` where it is not one. */
+function decode<Schema extends z.ZodType>(
+  schema: Schema,
+  text: string,
+): z.infer<Schema> | undefined {
+  try {
+    const parsed = schema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads a head; `undefined` where the text is none. */
+export const decodeHead = (text: string): JobHead | undefined => decode(HEAD, text);
+/** Reads a specification; `undefined` where the text is none. */
+export const decodeSpecification = (text: string): JobSpecification | undefined =>
+  decode(SPECIFICATION, text);
+/** Reads a page; `undefined` where the text is none. */
+export const decodePage = (text: string): ResultPage | undefined => decode(PAGE, text);
+/** Reads kept progress; `undefined` where the text is none. */
+export const decodeProgress = (text: string): KeptProgress | undefined => decode(PROGRESS, text);
+
+/** Whether nothing is left to run for a job. */
+export function isFinished(head: JobHead): boolean {
+  return head.ended || head.listed >= head.total;
+}
+
+/** Age of a job by the time of day. */
+export function ageOf(
+  record: { readonly submittedAt: number },
+  wallTime: Milliseconds,
+): Milliseconds {
+  return Math.max(0, wallTime - record.submittedAt);
+}
--- /dev/null
+++ b/src/jobs/job-service.ts
@@ -0,0 +1,247 @@
+/** What trainers ask of jobs, at any node: submit, read results, ask for a body, end. */
+import type { Milliseconds } from '../core/units.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
+import type { Clock } from '../serving/clock.js';
+import type { RouteMatcher } from '../serving/route-matcher.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { ItemDispatcher } from './item-dispatcher.js';
+import type { JobListing, JobReader } from './job-reader.js';
+import {
+  isFinished,
+  type JobOwner,
+  type JobResult,
+  type JobSpecification,
+  type KeptProgress,
+} from './job-records.js';
+import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
+import { OwnedJob } from './owned-job.js';
+
+/** Options of {@link JobService}. */
+export interface JobServiceOptions {
+  readonly store: JobStore;
+  readonly reader: JobReader;
+  readonly dispatcher: ItemDispatcher;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly self: JobOwner;
+  readonly routes: () => RouteMatcher | undefined;
+  /** Time for which a job stays readable after its submission. */
+  readonly retention: Milliseconds;
+}
+
+/** A page of results as a trainer reads it. */
+export interface ResultSlice {
+  readonly total: number;
+  readonly results: readonly JobResult[];
+  readonly nextPosition: number;
+}
+
+/** Bytes of result text in one answer, beyond the first result. */
+const MAXIMUM_SLICE_BYTES = 900_000;
+
+/** An owner whose head was confirmed this recently may say that nothing more is listed. */
+const FRESH_CONFIRMATION: Milliseconds = 700;
+
+/** When to come back after the store did not answer. */
+const STORE_RETRY_AFTER: Milliseconds = 300;
+
+/** Jobs that are finished and still kept in memory by the node that ran them. */
+const KEPT_FINISHED_JOBS = 24;
+
+/** The jobs of a fleet, as one node serves them. */
+export class JobService {
+  private readonly owned = new Map<string, OwnedJob>();
+
+  constructor(private readonly options: JobServiceOptions) {}
+
+  /** Jobs that this node runs or ran. */
+  ownedJobs(): readonly OwnedJob[] {
+    return [...this.owned.values()];
+  }
+
+  /** Takes a job in; `undefined` means that all of it is kept from now on. */
+  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+    if (this.owned.has(spec.id)) return undefined;
+    const head = {
+      owner: this.options.self,
+      total: spec.items.length,
+      listed: 0,
+      pages: 0,
+      ended: false,
+      submittedAt: spec.submittedAt,
+    };
+    const startedAt = this.options.clock.now();
+    const change = await this.options.store.create(spec, head, wanted);
+    const details = {
+      job: spec.id,
+      step: spec.step,
+      items: spec.items.length,
+      tookMs: Math.round(this.options.clock.now() - startedAt),
+      outcome: change.kind,
+    };
+    this.options.log.decision('job-submitted', details);
+    if (change.kind === 'changed') this.own(spec, change.current, []);
+    if (change.kind !== 'unavailable') return undefined;
+    if (change.mayBeDone) return failure('outcome_unknown', 'the job may have been stored');
+    return failure('ledger_unavailable', 'the store takes no jobs now', {
+      retryAfter: STORE_RETRY_AFTER,
+    });
+  }
+
+  /** Results from a position on; waits for the first where the job is run here. */
+  async read(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
+    const own = this.owned.get(job);
+    if (own !== undefined && own.ending !== 'superseded' && own.ending !== 'released') {
+      return this.readOwned(own, after, wait);
+    }
+    const read = await this.options.reader.listing(job, after);
+    if (read.kind === 'absent') return failure('not_found', 'there is no such job');
+    if (read.kind === 'unavailable') return storeSilent();
+    return slice(read.value, after);
+  }
+
+  /** The body of one item. */
+  async body(job: string, item: string): Promise<Buffer | Failure> {
+    const own = this.owned.get(job);
+    const read =
+      own === undefined
+        ? await this.options.reader.specification(job)
+        : ({ kind: 'found', value: own.spec } as const);
+    if (read.kind === 'absent') return failure('not_found', 'there is no such job');
+    if (read.kind === 'unavailable') return storeSilent();
+    const found = read.value.items.find((entry) => entry.id === item);
+    if (found === undefined) return failure('not_found', 'the job has no such item');
+    return Buffer.from(found.body, 'base64');
+  }
+
+  /** Ends a job; `undefined` means that it has ended. */
+  async end(job: string, wanted: StillWanted): Promise<Failure | undefined> {
+    const own = this.owned.get(job);
+    if (own?.isOpen === true && (await own.end(wanted))) return undefined;
+    for (;;) {
+      const read = await this.options.store.head(job);
+      if (read.kind === 'absent') return failure('not_found', 'there is no such job');
+      if (read.kind === 'found') {
+        if (read.value.head.ended) return undefined;
+        const ended = { ended: true };
+        const change = await this.options.store.replace(job, read.value, ended, wanted);
+        if (change.kind === 'changed') return undefined;
+      }
+      if (!wanted()) return storeSilent();
+      await pause(STORE_RETRY_AFTER);
+    }
+  }
+
+  /** Takes over a job whose owner is gone; tells whether it is run here now. */
+  async adopt(job: string, found: VersionedHead): Promise<boolean> {
+    const { store, self, log } = this.options;
+    const wanted = (): boolean => false;
+    const change = await store.replace(job, found, { owner: self }, wanted);
+    if (change.kind !== 'changed') return false;
+    const [spec, results, progress] = await Promise.all([
+      untilAvailable(() => store.specification(job)),
+      untilAvailable(() => store.results(job, 0)),
+      untilAvailable(() => store.progress(job)),
+    ]);
+    if (spec === undefined) return false;
+    const listed = (results ?? []).flat();
+    this.own(spec, change.current, listed, progress);
+    const previous = found.head.owner?.node ?? 'none';
+    log.state('job-adopted', { job, previous, listed: listed.length });
+    return true;
+  }
+
+  /** Regular work of the jobs that this node runs. */
+  tick(): void {
+    for (const job of this.owned.values()) job.advance();
+    this.forgetOld();
+  }
+
+  /** Gives all open jobs up for other nodes. */
+  async release(wanted: StillWanted): Promise<void> {
+    await Promise.all(this.ownedJobs().map((job) => job.release(wanted)));
+  }
+
+  private own(
+    spec: JobSpecification,
+    head: VersionedHead,
+    listed: readonly JobResult[],
+    kept?: KeptProgress,
+  ): void {
+    const { store, clock, self, dispatcher } = this.options;
+    const route = this.options.routes()?.match(spec.host, spec.path);
+    const rule = { minVersion: spec.minVersion, singleVersion: route?.singleVersion ?? false };
+    const job = new OwnedJob(spec, head, listed, rule, self, store, clock, kept);
+    this.owned.delete(spec.id);
+    this.owned.set(spec.id, job);
+    if (!isFinished(head.head)) dispatcher.add(job);
+  }
+
+  private async readOwned(
+    job: OwnedJob,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<ResultSlice | Failure> {
+    if (after >= job.results.length && job.isOpen && wait > 0) await firstChange(job, wait);
+    const isShort = after >= job.results.length && job.isOpen;
+    if (isShort && job.confirmationAge() > FRESH_CONFIRMATION) await job.verifyNow();
+    if (job.ending === 'superseded') return this.read(job.spec.id, after, 0);
+    return slice({ total: job.spec.items.length, results: job.results }, after);
+  }
+
+  private forgetOld(): void {
+    const closed = this.ownedJobs().filter((job) => !job.isOpen);
+    for (const job of closed.slice(0, Math.max(0, closed.length - KEPT_FINISHED_JOBS))) {
+      this.owned.delete(job.spec.id);
+    }
+  }
+}
+
+function storeSilent(): Failure {
+  return failure('ledger_unavailable', 'the store does not answer', {
+    retryAfter: STORE_RETRY_AFTER,
+  });
+}
+
+/** Waits until a job lists something or closes, or until the time is over. */
+function firstChange(job: OwnedJob, wait: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = (): void => {
+      clearTimeout(timer);
+      subscription.unsubscribe();
+      resolve();
+    };
+    const timer = setTimeout(finish, wait);
+    const subscription = job.changed.subscribe(finish);
+  });
+}
+
+/** The results from a position on, as many as fit into one answer. */
+function slice(listing: JobListing, after: number): ResultSlice {
+  const results: JobResult[] = [];
+  let bytes = 0;
+  for (const result of listing.results.slice(after)) {
+    bytes += Buffer.byteLength(result.text);
+    if (results.length > 0 && bytes > MAXIMUM_SLICE_BYTES) break;
+    results.push(result);
+  }
+  return { total: listing.total, results, nextPosition: after + results.length };
+}
+
+/** Repeats a read until the store answers; `undefined` where there is nothing. */
+async function untilAvailable<Value>(
+  read: () => Promise<
+    { kind: 'found'; value: Value } | { kind: 'absent' } | { kind: 'unavailable' }
+  >,
+): Promise<Value | undefined> {
+  for (;;) {
+    const outcome = await read();
+    if (outcome.kind === 'found') return outcome.value;
+    if (outcome.kind === 'absent') return undefined;
+    await pause(STORE_RETRY_AFTER);
+  }
+}
+
+function pause(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/src/jobs/job-store.ts
@@ -0,0 +1,207 @@
+/**
+ * Batch jobs in the shared store. Each change of a job is one commit on the revision of its head,
+ * so two nodes that both believe to run a job can never both list results: one commit wins and the
+ * other node learns of it.
+ *
+ * A commit whose answer is lost is repeated as it was. Its condition lets it take effect once at
+ * most, and the change id in the head tells afterwards whether it did.
+ */
+import { randomUUID } from 'node:crypto';
+import type { Milliseconds, Revision } from '../core/units.js';
+import { ABSENT, type SharedStore, type StorePut } from '../shared-store/shared-store.js';
+import {
+  decodeHead,
+  decodePage,
+  decodeProgress,
+  decodeSpecification,
+  JOB_KEYS,
+  type JobHead,
+  type JobResult,
+  type JobSpecification,
+  type KeptProgress,
+} from './job-records.js';
+
+/** A head and the revision that it was read at. */
+export interface VersionedHead {
+  readonly head: JobHead;
+  readonly revision: Revision;
+}
+
+/** Outcome of a change of a head. */
+export type HeadChange =
+  | { readonly kind: 'changed'; readonly current: VersionedHead }
+  /** Somebody else changed it first; `current` is undefined where the job is gone. */
+  | { readonly kind: 'superseded'; readonly current: VersionedHead | undefined }
+  /** The store did not answer in time; with `mayBeDone` the change may still take effect. */
+  | { readonly kind: 'unavailable'; readonly mayBeDone: boolean };
+
+/** Outcome of a read. */
+export type Read<Value> =
+  | { readonly kind: 'found'; readonly value: Value }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'unavailable' };
+
+/** Whether a caller still waits; checked before each repetition. */
+export type StillWanted = () => boolean;
+
+/** Pause before a commit is repeated: first, and at most. */
+const FIRST_PAUSE: Milliseconds = 60;
+const LONGEST_PAUSE: Milliseconds = 500;
+
+/** Characters of a specification in one key: base64 makes 4 of 3, under 1 MiB together. */
+const PART_LENGTH = 600_000;
+
+/** Fields of a head that a change sets; the change id is drawn by the store. */
+export type HeadFields = Omit<JobHead, 'changeId'>;
+
+/** Reads and changes jobs. */
+export class JobStore {
+  constructor(private readonly store: SharedStore) {}
+
+  /** Makes a job; `superseded` says that it was there before. */
+  create(spec: JobSpecification, head: HeadFields, wanted: StillWanted): Promise<HeadChange> {
+    const text = JSON.stringify(spec);
+    const puts: StorePut[] = [];
+    for (let part = 0; part * PART_LENGTH < text.length; part += 1) {
+      const value = text.slice(part * PART_LENGTH, (part + 1) * PART_LENGTH);
+      puts.push({ key: JOB_KEYS.specification(spec.id, part), value });
+    }
+    return this.change(spec.id, ABSENT, head, puts, wanted);
+  }
+
+  /** Lists further results behind those of `base`. */
+  append(
+    job: string,
+    base: VersionedHead,
+    results: readonly JobResult[],
+    progress: KeptProgress | undefined,
+    wanted: StillWanted,
+  ): Promise<HeadChange> {
+    const page = { first: base.head.listed, results };
+    const puts: StorePut[] = [
+      { key: JOB_KEYS.page(job, base.head.pages), value: JSON.stringify(page) },
+    ];
+    if (progress !== undefined) puts.push(progressPut(job, progress));
+    const listed = base.head.listed + results.length;
+    const head = { ...base.head, listed, pages: base.head.pages + 1 };
+    return this.change(job, base.revision, head, puts, wanted);
+  }
+
+  /** Replaces the head of a job, and what is kept of unfinished items where given. */
+  replace(
+    job: string,
+    base: VersionedHead,
+    fields: Partial<HeadFields>,
+    wanted: StillWanted,
+    progress?: KeptProgress,
+  ): Promise<HeadChange> {
+    const puts = progress === undefined ? [] : [progressPut(job, progress)];
+    return this.change(job, base.revision, { ...base.head, ...fields }, puts, wanted);
+  }
+
+  /** Reads the head of a job. */
+  async head(job: string): Promise<Read<VersionedHead>> {
+    const outcome = await this.store.get(JOB_KEYS.head(job));
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    if (outcome.item === undefined) return { kind: 'absent' };
+    const head = decodeHead(outcome.item.value);
+    if (head === undefined) return { kind: 'unavailable' };
+    return { kind: 'found', value: { head, revision: outcome.item.revision } };
+  }
+
+  /** Reads the heads of all jobs, by job. */
+  async heads(): Promise<Read<ReadonlyMap<string, VersionedHead>>> {
+    const outcome = await this.store.range(JOB_KEYS.heads);
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    const heads = new Map<string, VersionedHead>();
+    for (const item of outcome.items) {
+      const head = decodeHead(item.value);
+      if (head === undefined) continue;
+      heads.set(JOB_KEYS.jobOfHead(item.key), { head, revision: item.revision });
+    }
+    return { kind: 'found', value: heads };
+  }
+
+  /** Reads a job as it was submitted. */
+  async specification(job: string): Promise<Read<JobSpecification>> {
+    const outcome = await this.store.range(JOB_KEYS.specificationParts(job));
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    if (outcome.items.length === 0) return { kind: 'absent' };
+    const spec = decodeSpecification(outcome.items.map((item) => item.value).join(''));
+    return spec === undefined ? { kind: 'unavailable' } : { kind: 'found', value: spec };
+  }
+
+  /** Reads the results in pages from number `fromPage` on, in order of position. */
+  async results(job: string, fromPage: number): Promise<Read<readonly (readonly JobResult[])[]>> {
+    const after = fromPage === 0 ? undefined : JOB_KEYS.page(job, fromPage - 1);
+    const outcome = await this.store.range(JOB_KEYS.pages(job), after);
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    const pages = outcome.items.map((item) => decodePage(item.value)?.results);
+    const readable = pages.filter((page) => page !== undefined);
+    if (readable.length < pages.length) return { kind: 'unavailable' };
+    return { kind: 'found', value: readable };
+  }
+
+  /** Reads what an earlier owner kept of unfinished items. */
+  async progress(job: string): Promise<Read<KeptProgress>> {
+    const outcome = await this.store.get(JOB_KEYS.progress(job));
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    const progress = outcome.item === undefined ? undefined : decodeProgress(outcome.item.value);
+    return progress === undefined ? { kind: 'absent' } : { kind: 'found', value: progress };
+  }
+
+  /** Removes all that is kept of a job. */
+  async remove(job: string, base: VersionedHead, parts: number): Promise<void> {
+    const pages = Array.from({ length: base.head.pages }, (_, page) => JOB_KEYS.page(job, page));
+    const specs = Array.from({ length: parts }, (_, part) => JOB_KEYS.specification(job, part));
+    const keys = [...pages, ...specs, JOB_KEYS.progress(job)];
+    for (let start = 0; start < keys.length; start += REMOVALS_A_COMMIT) {
+      const remove = keys.slice(start, start + REMOVALS_A_COMMIT);
+      await this.store.commit({ expected: [], remove });
+    }
+    const expected = [{ key: JOB_KEYS.head(job), revision: base.revision }];
+    await this.store.commit({ expected, remove: [JOB_KEYS.head(job)] });
+  }
+
+  private async change(
+    job: string,
+    base: Revision,
+    fields: HeadFields,
+    puts: readonly StorePut[],
+    wanted: StillWanted,
+  ): Promise<HeadChange> {
+    const head: JobHead = { ...fields, changeId: randomUUID() };
+    const key = JOB_KEYS.head(job);
+    const put = [{ key, value: JSON.stringify(head) }, ...puts];
+    let mayBeDone = false;
+    for (let pause = FIRST_PAUSE; ; pause = Math.min(2 * pause, LONGEST_PAUSE)) {
+      const outcome = await this.store.commit({ expected: [{ key, revision: base }], put });
+      if (outcome.kind === 'committed') {
+        return { kind: 'changed', current: { head, revision: outcome.revision } };
+      }
+      if (outcome.kind === 'conflict') {
+        const settled = await this.settle(job, head);
+        if (settled !== undefined) return settled;
+      }
+      if (outcome.kind === 'failed' && outcome.effect === 'unknown') mayBeDone = true;
+      if (!wanted()) return { kind: 'unavailable', mayBeDone };
+      await new Promise((resolve) => setTimeout(resolve, pause));
+    }
+  }
+
+  /** After a conflict: whether the head is the one that was to be written. */
+  private async settle(job: string, written: JobHead): Promise<HeadChange | undefined> {
+    const read = await this.head(job);
+    if (read.kind === 'unavailable') return undefined;
+    if (read.kind === 'absent') return { kind: 'superseded', current: undefined };
+    const own = read.value.head.changeId === written.changeId;
+    return { kind: own ? 'changed' : 'superseded', current: read.value };
+  }
+}
+
+/** Keys that one commit removes at most. */
+const REMOVALS_A_COMMIT = 30;
+
+function progressPut(job: string, progress: KeptProgress): StorePut {
+  return { key: JOB_KEYS.progress(job), value: JSON.stringify(progress) };
+}
--- /dev/null
+++ b/src/jobs/owned-job.ts
@@ -0,0 +1,262 @@
+/**
+ * A job that this node runs: its items, what is made of them, and the results that are listed.
+ * Results are listed through the job's head, one commit at a time; losing that race to another
+ * node ends the ownership.
+ */
+import { Subject } from 'rxjs';
+import type { Milliseconds } from '../core/units.js';
+import type { Clock } from '../serving/clock.js';
+import { ItemProgress, type VersionRule } from './item-progress.js';
+import type { ItemRun } from './item-run.js';
+import type {
+  JobItem,
+  JobOwner,
+  JobResult,
+  JobSpecification,
+  KeptProgress,
+} from './job-records.js';
+import { isFinished } from './job-records.js';
+import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
+
+/** Where one item stands. */
+export interface OwnedItem {
+  readonly item: JobItem;
+  readonly progress: ItemProgress;
+  state: 'waiting' | 'running' | 'done';
+  run: ItemRun | undefined;
+  /** Not sent again before this time. */
+  notBefore: Milliseconds;
+  /** Answers that said the attempt failed. */
+  failedAttempts: number;
+  /** Times that a run was ended to go on at a faster worker. */
+  moves: number;
+}
+
+/** Least time between two commits of results, while many items are still open. */
+const LISTING_INTERVAL: Milliseconds = 350;
+
+/** The same once the groups that the trainer waits for are nearly whole. */
+const CLOSING_LISTING_INTERVAL: Milliseconds = 120;
+
+/** Share of the items still open below which a job counts as closing. */
+const CLOSING_SHARE = 0.25;
+
+/** A head that no commit confirmed for this long is read again. */
+const VERIFY_INTERVAL: Milliseconds = 1_200;
+
+/** Why a job is no longer run here. */
+export type OwnershipEnd = 'finished' | 'ended' | 'superseded' | 'released';
+
+/** One job that this node runs. */
+export class OwnedJob {
+  readonly items = new Map<string, OwnedItem>();
+  /** Fires when results were listed or the ownership ended. */
+  readonly changed = new Subject<void>();
+  private readonly listed: JobResult[] = [];
+  private pending: JobResult[] = [];
+  private endReason: OwnershipEnd | undefined;
+  private queue: Promise<unknown> = Promise.resolve();
+  private lastListingAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  private confirmedAt: Milliseconds;
+
+  constructor(
+    readonly spec: JobSpecification,
+    private current: VersionedHead,
+    listed: readonly JobResult[],
+    rule: VersionRule,
+    private readonly self: JobOwner,
+    private readonly store: JobStore,
+    private readonly clock: Clock,
+    kept: KeptProgress = {},
+  ) {
+    this.listed.push(...listed);
+    this.confirmedAt = clock.now();
+    const done = new Set(listed.map((result) => result.id));
+    for (const item of spec.items) {
+      if (done.has(item.id)) continue;
+      const progress = new ItemProgress(rule);
+      const before = kept[item.id];
+      if (before !== undefined) progress.restore(before);
+      this.items.set(item.id, {
+        item,
+        progress,
+        state: 'waiting',
+        run: undefined,
+        notBefore: 0,
+        failedAttempts: 0,
+        moves: 0,
+      });
+    }
+  }
+
+  /** Whether items of it may be sent to workers. */
+  get isOpen(): boolean {
+    return this.endReason === undefined;
+  }
+
+  /** Why it is no longer run here. */
+  get ending(): OwnershipEnd | undefined {
+    return this.endReason;
+  }
+
+  /** Results listed so far. */
+  get results(): readonly JobResult[] {
+    return this.listed;
+  }
+
+  /** The head as this node last saw it. */
+  get head(): VersionedHead {
+    return this.current;
+  }
+
+  /** Time since the store last confirmed that the head is the newest. */
+  confirmationAge(): Milliseconds {
+    return this.clock.now() - this.confirmedAt;
+  }
+
+  /** Items that wait to be sent. */
+  waiting(now: Milliseconds): OwnedItem[] {
+    return [...this.items.values()].filter(
+      (entry) => entry.state === 'waiting' && entry.notBefore <= now,
+    );
+  }
+
+  /** Takes the result of an item; it is listed with the next commit. */
+  finish(entry: OwnedItem, result: JobResult): void {
+    if (entry.state === 'done') return;
+    entry.state = 'done';
+    entry.run = undefined;
+    this.pending.push(result);
+  }
+
+  /** Does what is due: lists results, or confirms the head. Called often; commits in turn. */
+  advance(): void {
+    if (!this.isOpen || this.isBusy) return;
+    const now = this.clock.now();
+    if (this.pending.length > 0 && now - this.lastListingAt >= this.listingInterval()) {
+      void this.inTurn(() => this.list());
+    } else if (now - this.confirmedAt >= VERIFY_INTERVAL) {
+      void this.inTurn(() => this.verify());
+    }
+  }
+
+  /** Ends the job for good; resolves with whether the store took it. */
+  async end(wanted: () => boolean): Promise<boolean> {
+    return this.inTurn(async () => {
+      if (this.current.head.ended) return true;
+      const change = await this.store.replace(this.spec.id, this.current, { ended: true }, wanted);
+      this.take(change);
+      if (change.kind === 'changed') this.close('ended');
+      return this.current.head.ended;
+    });
+  }
+
+  /** Gives the job up for another node to take, with what was made of its items. */
+  async release(wanted: () => boolean): Promise<void> {
+    this.stopRuns();
+    await this.inTurn(async () => {
+      if (!this.isOpen) return;
+      if (this.pending.length > 0) await this.list(wanted);
+      if (!this.isOpen) return;
+      const fields = { owner: null };
+      const kept = this.keptProgress();
+      this.take(await this.store.replace(this.spec.id, this.current, fields, wanted, kept));
+      this.close('released');
+    });
+  }
+
+  /** Asks the store whether the head is still the newest. */
+  verifyNow(): Promise<void> {
+    return this.inTurn(() => this.verify());
+  }
+
+  private isBusy = false;
+
+  private inTurn<Value>(work: () => Promise<Value>): Promise<Value> {
+    const turn = this.queue.then(async () => {
+      this.isBusy = true;
+      try {
+        return await work();
+      } finally {
+        this.isBusy = false;
+      }
+    });
+    this.queue = turn.catch(() => undefined);
+    return turn;
+  }
+
+  private async list(wanted: () => boolean = () => this.isOpen): Promise<void> {
+    // A copy: items that finish while the commit is under way belong to the next one.
+    const batch = [...this.pending];
+    if (batch.length === 0 || !this.isOpen) return;
+    const startedAt = this.clock.now();
+    this.lastListingAt = startedAt;
+    const change = await this.store.append(
+      this.spec.id,
+      this.current,
+      batch,
+      this.keptProgress(),
+      wanted,
+    );
+    if (change.kind === 'changed') {
+      this.pending = this.pending.filter((result) => !batch.includes(result));
+      this.listed.push(...batch);
+      this.confirmedAt = startedAt;
+    }
+    this.take(change);
+    if (isFinished(this.current.head)) this.close('finished');
+    this.changed.next();
+  }
+
+  private async verify(): Promise<void> {
+    const startedAt = this.clock.now();
+    const read = await this.store.head(this.spec.id);
+    if (read.kind === 'unavailable') return;
+    if (read.kind === 'absent') return this.close('superseded');
+    if (read.value.revision === this.current.revision) this.confirmedAt = startedAt;
+    else this.take({ kind: 'superseded', current: read.value });
+  }
+
+  /** Takes over what a change told of the head. */
+  private take(change: HeadChange): void {
+    if (change.kind === 'unavailable') return;
+    if (change.current === undefined) {
+      this.close('superseded');
+      return;
+    }
+    const listedElsewhere = change.current.head.pages !== this.current.head.pages;
+    this.current = change.current;
+    if (change.kind === 'changed') return;
+    const { owner, ended } = change.current.head;
+    const isOwn = owner?.node === this.self.node && owner.incarnation === this.self.incarnation;
+    if (ended) this.close('ended');
+    else if (!isOwn || listedElsewhere) this.close('superseded');
+  }
+
+  private close(reason: OwnershipEnd): void {
+    if (this.endReason !== undefined) return;
+    this.endReason = reason;
+    this.stopRuns();
+    this.changed.next();
+  }
+
+  private stopRuns(): void {
+    for (const entry of this.items.values()) entry.run?.cancel();
+  }
+
+  /** What was made of unfinished items, so that another node can go on from there. */
+  keptProgress(): KeptProgress {
+    const kept: KeptProgress = {};
+    for (const [id, entry] of this.items) {
+      const progress = entry.state === 'done' ? undefined : entry.progress.toKept();
+      if (progress !== undefined) kept[id] = progress;
+    }
+    return kept;
+  }
+
+  private listingInterval(): Milliseconds {
+    const open = this.spec.items.length - this.listed.length - this.pending.length;
+    const isClosing = open <= this.spec.items.length * CLOSING_SHARE;
+    return isClosing ? CLOSING_LISTING_INTERVAL : LISTING_INTERVAL;
+  }
+}
--- /dev/null
+++ b/src/serving/event-stream.ts
@@ -0,0 +1,76 @@
+/**
+ * Reads a series of server-sent events from bytes that arrive in any pieces. Only whole events
+ * come out; the rest of a broken stream is never passed on.
+ */
+import type { WeightVersion } from '../core/units.js';
+
+/** One whole event. */
+export interface StreamEvent {
+  /** Its number, where it bears one. */
+  readonly id: number | undefined;
+  /** Its data lines, joined by line feeds. */
+  readonly data: string;
+  /** Weights from this event on, where the event tells a change. */
+  readonly weightVersion: WeightVersion | undefined;
+  /** The event as it came, with the blank line that ends it. */
+  readonly raw: Buffer;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** Collects bytes and gives whole events. */
+export class EventStreamReader {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** `versionField` names the line by which an event tells a change of weights, in lower case. */
+  constructor(private readonly versionField: string) {}
+
+  /** Takes further bytes; gives the events that are whole now. */
+  push(chunk: Buffer): StreamEvent[] {
+    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const events: StreamEvent[] = [];
+    let start = 0;
+    for (let end = endOfEvent(this.rest, start); end > 0; end = endOfEvent(this.rest, start)) {
+      const event = this.parse(this.rest.subarray(start, end));
+      if (event !== undefined) events.push(event);
+      start = end;
+    }
+    this.rest = this.rest.subarray(start);
+    return events;
+  }
+
+  /** Whether bytes of an event that is not whole are left. */
+  hasPartialEvent(): boolean {
+    return this.rest.length > 0;
+  }
+
+  private parse(raw: Buffer): StreamEvent | undefined {
+    const data: string[] = [];
+    let id: number | undefined;
+    let weightVersion: WeightVersion | undefined;
+    for (const line of raw.toString('utf8').split(/\r?\n/)) {
+      const colon = line.indexOf(':');
+      if (colon <= 0) continue;
+      const field = line.slice(0, colon).toLowerCase();
+      const value = line.slice(colon + 1).replace(/^ /, '');
+      if (field === 'data') data.push(value);
+      else if (field === 'id') id = Number(value);
+      else if (field === this.versionField) weightVersion = Number(value);
+    }
+    if (data.length === 0 && id === undefined) return undefined;
+    return { id, data: data.join('\n'), weightVersion, raw };
+  }
+}
+
+/** Index after the blank line that ends the event which begins at `start`; 0 where none does. */
+function endOfEvent(bytes: Buffer, start: number): number {
+  let index = bytes.indexOf(LINE_FEED, start);
+  while (index >= 0) {
+    let next = index + 1;
+    if (bytes[next] === CARRIAGE_RETURN) next += 1;
+    if (bytes[next] === LINE_FEED) return next + 1;
+    index = bytes.indexOf(LINE_FEED, index + 1);
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/serving/route-matcher.ts
@@ -0,0 +1,64 @@
+/** Finds the route of a request: same host, longest path prefix; and splits routes by weight. */
+import type {
+  Route,
+  RouteTarget,
+  ServiceName,
+  TrafficConfiguration,
+} from './traffic-configuration.js';
+
+/** Smooth weighted round robin, as in nginx: shares are exact over any run of picks. */
+class WeightedSplit {
+  private readonly credits: number[];
+  private readonly total: number;
+
+  constructor(private readonly targets: readonly RouteTarget[]) {
+    this.credits = targets.map(() => 0);
+    this.total = targets.reduce((sum, target) => sum + target.weight, 0);
+  }
+
+  next(): ServiceName | undefined {
+    let best = -1;
+    for (const [index, target] of this.targets.entries()) {
+      if (target.weight <= 0) continue;
+      this.credits[index] = (this.credits[index] ?? 0) + target.weight;
+      if (best < 0 || (this.credits[index] ?? 0) > (this.credits[best] ?? 0)) best = index;
+    }
+    if (best < 0) return undefined;
+    this.credits[best] = (this.credits[best] ?? 0) - this.total;
+    return this.targets[best]?.service;
+  }
+}
+
+/** The routes of one configuration, ready to be matched. */
+export class RouteMatcher {
+  private readonly byHost = new Map<string, Route[]>();
+  private readonly splits = new Map<string, WeightedSplit>();
+
+  constructor(readonly configuration: TrafficConfiguration) {
+    for (const route of configuration.routes) {
+      const routes = this.byHost.get(route.host) ?? [];
+      routes.push(route);
+      this.byHost.set(route.host, routes);
+      this.splits.set(route.name, new WeightedSplit(route.targets));
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    }
+  }
+
+  /** The route with the longest prefix that begins the path; a port in `host` is ignored. */
+  match(host: string, path: string): Route | undefined {
+    const name = host.toLowerCase().replace(/:\d+$/, '');
+    return this.byHost.get(name)?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** The service that the next request of a route goes to, by the weights of its targets. */
+  nextService(route: Route): ServiceName | undefined {
+    return this.splits.get(route.name)?.next();
+  }
+
+  /** The route of this name, if the configuration still has it. */
+  routeNamed(name: string): Route | undefined {
+    return this.configuration.routes.find((route) => route.name === name);
+  }
+}
--- /dev/null
+++ b/src/serving/stream-relay.ts
@@ -0,0 +1,48 @@
+/**
+ * Passes the events of a stream on to a caller, whole event by whole event, also when the stream
+ * goes on at another worker after a break.
+ */
+import type { AnswerSink } from './answer-sink.js';
+import type { EngineAnswer } from './engine-port.js';
+import { EventStreamReader, type StreamEvent } from './event-stream.js';
+
+/** The caller's side of one stream. */
+export class StreamRelay {
+  private lastId: number | undefined;
+
+  constructor(
+    private readonly sink: AnswerSink,
+    private readonly versionField: string,
+    resumedAfter: number | undefined,
+  ) {
+    this.lastId = resumedAfter;
+  }
+
+  /** Number of the last event that was passed on. */
+  get lastEventId(): number | undefined {
+    return this.lastId;
+  }
+
+  /** Passes on what one worker sends; tells whether its stream came to its end. */
+  async follow(answer: EngineAnswer): Promise<boolean> {
+    const reader = new EventStreamReader(this.versionField);
+    try {
+      for await (const chunk of answer.body) {
+        const events = reader.push(chunk as Buffer);
+        const inOrder = events.filter((event) => this.take(event));
+        if (inOrder.length > 0) await this.sink.write(Buffer.concat(inOrder.map((e) => e.raw)));
+        if (inOrder.length < events.length) return false;
+      }
+    } catch {
+      return false;
+    }
+    return !reader.hasPartialEvent();
+  }
+
+  private take(event: StreamEvent): boolean {
+    if (event.id === undefined) return true;
+    if (this.lastId !== undefined && event.id !== this.lastId + 1) return false;
+    this.lastId = event.id;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/serving/worker-registry.ts
@@ -0,0 +1,151 @@
+/**
+ * The workers that a node knows: their records, what is under way on each from here, what they
+ * told of their load, and how their last requests ended.
+ */
+import type { ModelName, ZoneName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { ReportedLoad } from './engine-port.js';
+import type { ServiceName, WorkerRecord } from './traffic-configuration.js';
+
+/** How one request at a worker ended, for the choice of later ones. */
+export type WorkerOutcome = 'success' | 'failure' | 'full';
+
+/** Time that a worker is passed over after failures in a row: base, doubled up to the limit. */
+const FAILURE_PENALTY: Milliseconds = 400;
+const LONGEST_PENALTY: Milliseconds = 3_200;
+
+/** Time that a worker is passed over after it said that it was full. */
+const FULL_PENALTY: Milliseconds = 100;
+
+/** Age beyond which a reported load no longer counts. */
+const LOAD_LIFETIME: Milliseconds = 2_000;
+
+/** Share of a new sample in the moving mean of the time for one event. */
+const PACE_SMOOTHING = 0.2;
+
+/** A worker of another zone is chosen only if it has this share of its slots more room. */
+const ZONE_RANK = 0.4;
+
+/** One known worker. */
+export class KnownWorker {
+  /** Requests under way from this node. */
+  inFlight = 0;
+  /** Moving mean of the time between two events, or `undefined` before the first. */
+  pace: Milliseconds | undefined;
+  private penalizedUntil: Milliseconds = 0;
+  private failuresInARow = 0;
+  private readonly shownVersions = new Map<ModelName, WeightVersion>();
+  private load: ReportedLoad | undefined;
+  private loadAt: Milliseconds = 0;
+
+  constructor(public record: WorkerRecord) {}
+
+  /** Takes note of how a request ended. */
+  noteOutcome(outcome: WorkerOutcome, now: Milliseconds): void {
+    if (outcome === 'success') {
+      this.failuresInARow = 0;
+      this.penalizedUntil = 0;
+      return;
+    }
+    if (outcome === 'full') {
+      this.penalizedUntil = Math.max(this.penalizedUntil, now + FULL_PENALTY);
+      return;
+    }
+    const penalty = Math.min(FAILURE_PENALTY * 2 ** this.failuresInARow, LONGEST_PENALTY);
+    this.failuresInARow += 1;
+    this.penalizedUntil = now + penalty;
+  }
+
+  /** Takes note of the load that the worker told. */
+  noteLoad(load: ReportedLoad | undefined, now: Milliseconds): void {
+    if (load === undefined) return;
+    this.load = load;
+    this.loadAt = now;
+  }
+
+  /** Takes note of the time between two events of a stream. */
+  notePace(sample: Milliseconds): void {
+    this.pace =
+      this.pace === undefined ? sample : this.pace + PACE_SMOOTHING * (sample - this.pace);
+  }
+
+  /** Whether failures or fullness speak against the worker now. */
+  isPenalized(now: Milliseconds): boolean {
+    return now < this.penalizedUntil;
+  }
+
+  /** Requests at the worker, as far as this node can tell. */
+  occupancy(now: Milliseconds): number {
+    if (this.load === undefined || now - this.loadAt > LOAD_LIFETIME) return this.inFlight;
+    return Math.max(this.inFlight, this.load.running + this.load.waiting);
+  }
+
+  /** Version of a model that it holds; 0 where it does not hold the model. */
+  versionOf(model: ModelName): WeightVersion {
+    const registered = this.record.models.find((held) => held.name === model)?.version ?? 0;
+    return Math.max(registered, this.shownVersions.get(model) ?? 0);
+  }
+
+  /** Takes note of a version that the worker itself showed; its record may lag behind. */
+  noteVersion(model: ModelName, version: WeightVersion): void {
+    if (version > this.versionOf(model)) this.shownVersions.set(model, version);
+  }
+}
+
+/** All known workers. */
+export class WorkerRegistry {
+  private readonly workers = new Map<string, KnownWorker>();
+
+  /** Adds a worker or replaces its record. */
+  put(record: WorkerRecord): void {
+    const known = this.workers.get(record.id);
+    if (known === undefined) this.workers.set(record.id, new KnownWorker(record));
+    else known.record = record;
+  }
+
+  /** Forgets a worker that has left. */
+  remove(id: string): void {
+    this.workers.delete(id);
+  }
+
+  /** The worker of this id, if it is still known. */
+  get(id: string): KnownWorker | undefined {
+    return this.workers.get(id);
+  }
+
+  /** All workers of a service, also those that are leaving. */
+  ofService(service: ServiceName): KnownWorker[] {
+    return [...this.workers.values()].filter((worker) => worker.record.service === service);
+  }
+
+  /** Workers of a service that take new work. */
+  available(service: ServiceName): KnownWorker[] {
+    return this.ofService(service).filter((worker) => !worker.record.draining);
+  }
+
+  /** All workers. */
+  all(): KnownWorker[] {
+    return [...this.workers.values()];
+  }
+
+  /**
+   * The worker for an interactive request: not tried before, not penalized if possible, then with
+   * the most free room; ties go to the own zone.
+   */
+  pick(
+    service: ServiceName,
+    tried: ReadonlySet<string>,
+    zone: ZoneName,
+    now: Milliseconds,
+  ): KnownWorker | undefined {
+    const fresh = this.available(service).filter((worker) => !tried.has(worker.record.id));
+    const sound = fresh.filter((worker) => !worker.isPenalized(now));
+    const candidates = sound.length > 0 ? sound : fresh;
+    const rank = (worker: KnownWorker): number =>
+      worker.occupancy(now) / worker.record.slots + (worker.record.zone === zone ? 0 : ZONE_RANK);
+    return candidates.reduce<KnownWorker | undefined>(
+      (best, worker) => (best === undefined || rank(worker) < rank(best) ? worker : best),
+      undefined,
+    );
+  }
+}
--- /dev/null
+++ b/src/shared-store/prefix-watcher.ts
@@ -0,0 +1,128 @@
+/**
+ * Follows a prefix of the shared store: lists it once, then watches from the list's revision on.
+ * After lost history it lists again and reports the difference, so that followers see a deletion
+ * that no watch told.
+ */
+import { Subject } from 'rxjs';
+import type { Milliseconds, Revision } from '../core/units.js';
+import type { SharedStore, StoreChange, StoreItem } from './shared-store.js';
+
+/** Options of {@link PrefixWatcher}. */
+export interface PrefixWatcherOptions {
+  readonly store: SharedStore;
+  readonly prefix: string;
+  /** Longest wait of one watch call. @default 25,000 ms */
+  readonly wait?: Milliseconds;
+  /**
+   * Pause between an answer and the next watch: changes that come close together then cost one
+   * call. @default 100 ms
+   */
+  readonly coalesce?: Milliseconds;
+  /** Pause after a failed call. @default 250 ms */
+  readonly retryPause?: Milliseconds;
+}
+
+const DEFAULTS = { wait: 25_000, coalesce: 100, retryPause: 250 } as const;
+
+/** What a watcher reports: a batch of changes, and whether it came from a full list. */
+export interface PrefixUpdate {
+  readonly changes: readonly StoreChange[];
+  readonly listed: boolean;
+}
+
+/** Whether a watcher hears from the store. */
+export type WatchHealth = 'lost' | 'regained';
+
+/** Follows one prefix until stopped. */
+export class PrefixWatcher {
+  /** All changes, in order. */
+  readonly updates = new Subject<PrefixUpdate>();
+  /** Losses of the store, and its return. */
+  readonly health = new Subject<WatchHealth>();
+  private readonly options: Required<PrefixWatcherOptions>;
+  private readonly abort = new AbortController();
+  private readonly known = new Map<string, Revision>();
+  private revision: Revision = 0;
+  private isLost = false;
+  private isListed = false;
+
+  constructor(options: PrefixWatcherOptions) {
+    this.options = { ...DEFAULTS, ...options };
+  }
+
+  /** What it follows. */
+  get prefix(): string {
+    return this.options.prefix;
+  }
+
+  /** Runs until {@link stop}. */
+  async run(): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      const pause = this.isListed ? await this.watchOnce() : await this.listOnce();
+      if (pause > 0) await this.pause(pause);
+    }
+  }
+
+  /** Ends the watch. */
+  stop(): void {
+    this.abort.abort();
+  }
+
+  private async listOnce(): Promise<Milliseconds> {
+    const outcome = await this.options.store.range(this.options.prefix);
+    if (outcome.kind === 'failed') return this.noteLost();
+    this.noteHeard();
+    this.isListed = true;
+    this.revision = outcome.revision;
+    this.updates.next({ changes: this.differences(outcome.items), listed: true });
+    return 0;
+  }
+
+  private async watchOnce(): Promise<Milliseconds> {
+    const { store, prefix, wait, coalesce } = this.options;
+    const outcome = await store.watch(prefix, this.revision, wait, this.abort.signal);
+    if (this.abort.signal.aborted) return 0;
+    if (outcome.kind === 'failed') return this.noteLost();
+    this.noteHeard();
+    if (outcome.kind === 'compacted') {
+      this.isListed = false;
+      return 0;
+    }
+    this.revision = Math.max(this.revision, outcome.revision);
+    const changes = outcome.changes.filter((change) => this.isNew(change));
+    if (changes.length === 0) return 0;
+    this.updates.next({ changes, listed: false });
+    return coalesce;
+  }
+
+  private isNew(change: StoreChange): boolean {
+    if (change.revision <= (this.known.get(change.key) ?? 0)) return false;
+    if (change.value === undefined) this.known.delete(change.key);
+    else this.known.set(change.key, change.revision);
+    return true;
+  }
+
+  private differences(items: readonly StoreItem[]): StoreChange[] {
+    const present = new Set(items.map((item) => item.key));
+    const removed = [...this.known.keys()]
+      .filter((key) => !present.has(key))
+      .map((key) => ({ key, value: undefined, revision: this.revision }));
+    for (const { key } of removed) this.known.delete(key);
+    return [...removed, ...items.filter((item) => this.isNew(item))];
+  }
+
+  private noteLost(): Milliseconds {
+    if (!this.isLost) this.health.next('lost');
+    this.isLost = true;
+    return this.options.retryPause;
+  }
+
+  private noteHeard(): void {
+    if (this.isLost) this.health.next('regained');
+    this.isLost = false;
+  }
+
+  private pause(duration: Milliseconds): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, duration));
+  }
+}
