Watches ask anew once the store answers a lease renewal again

Ruled out: the pause that joins changes of workers (400 ms); the log of the gateway has no worker change between 14 s and 40 s. Change: lease renewals, each 600 ms, show when the store is silent and when it is back; then the watches give their waiting calls up and ask anew. This costs no call beside the new watches.

--- a/src/fleet/fleet-feeds.ts
+++ b/src/fleet/fleet-feeds.ts
@@ -75,6 +75,12 @@
     this.workers.stop();
   }
 
+  /** Asks anew after the store was silent. */
+  restart(): void {
+    this.operator.restart();
+    this.workers.restart();
+  }
+
   private watch(watcher: PrefixWatcher): PrefixWatcher {
     const { translation, log } = this.options;
     watcher.updates.subscribe(({ changes }) => {
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -43,12 +43,15 @@
   readonly departures = new Subject<string>();
   /** Changes under the fleet's prefix that are not about nodes. */
   readonly otherChanges = new Subject<StoreChange>();
+  /** Fires when the store answers again after a renewal went unanswered. */
+  readonly storeRegained = new Subject<void>();
   /** Fires once the fleet was listed whole. */
   readonly listed = new Subject<void>();
   private readonly live = new Map<string, string>();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
   private renewedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  private isStoreSilent = false;
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
@@ -117,11 +120,21 @@
     const sentAt = this.options.clock.now();
     const isKept = this.lease === NO_LEASE ? await this.register() : await this.keep();
     if (isKept) this.renewedAt = sentAt;
+    this.noteStore(isKept);
     if (this.isStopped) return;
     const elapsed = this.options.clock.now() - sentAt;
     this.timer = setTimeout(() => void this.renew(), Math.max(50, RENEWAL_INTERVAL - elapsed));
   }
 
+  private noteStore(answers: boolean): void {
+    if (answers === !this.isStoreSilent) return;
+    this.isStoreSilent = !answers;
+    this.options.log.state(answers ? 'store-regained' : 'store-lost');
+    if (!answers) return;
+    this.watcher.restart();
+    this.storeRegained.next();
+  }
+
   private async register(): Promise<boolean> {
     const { store, self, zone, log } = this.options;
     const grant = await store.grantLease(LEASE_TTL);
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -95,6 +95,7 @@
     this.feeds = new FleetFeeds({ store, translation: options.feeds, log });
     this.feeds.events.subscribe((event) => this.take(event));
     this.fleet = new FleetRegistry({ store, self, zone, clock, log });
+    this.fleet.storeRegained.subscribe(() => this.feeds.restart());
     this.takeover = new JobTakeover({
       store: jobStore,
       service: this.jobs,
--- a/src/shared-store/prefix-watcher.ts
+++ b/src/shared-store/prefix-watcher.ts
@@ -40,7 +40,8 @@
   /** Losses of the store, and its return. */
   readonly health = new Subject<WatchHealth>();
   private readonly options: Required<PrefixWatcherOptions>;
-  private readonly abort = new AbortController();
+  private isStopped = false;
+  private call = new AbortController();
   private readonly known = new Map<string, Revision>();
   private revision: Revision = 0;
   private isLost = false;
@@ -57,7 +58,7 @@
 
   /** Runs until {@link stop}. */
   async run(): Promise<void> {
-    while (!this.abort.signal.aborted) {
+    while (!this.isStopped) {
       const pause = this.isListed ? await this.watchOnce() : await this.listOnce();
       if (pause > 0) await this.pause(pause);
     }
@@ -65,7 +66,16 @@
 
   /** Ends the watch. */
   stop(): void {
-    this.abort.abort();
+    this.isStopped = true;
+    this.call.abort();
+  }
+
+  /**
+   * Gives a waiting call up and asks anew. A call that was sent before the store fell silent may
+   * wait for an answer that never comes; whoever hears from the store again says so here.
+   */
+  restart(): void {
+    this.call.abort();
   }
 
   private async listOnce(): Promise<Milliseconds> {
@@ -80,8 +90,10 @@
 
   private async watchOnce(): Promise<Milliseconds> {
     const { store, prefix, wait, coalesce } = this.options;
-    const outcome = await store.watch(prefix, this.revision, wait, this.abort.signal);
-    if (this.abort.signal.aborted) return 0;
+    this.call = new AbortController();
+    const { signal } = this.call;
+    const outcome = await store.watch(prefix, this.revision, wait, signal);
+    if (signal.aborted) return 0;
     if (outcome.kind === 'failed') return this.noteLost();
     this.noteHeard();
     if (outcome.kind === 'compacted') {
