A woken owner does not answer for a job that another node took and ended

The woken gateway read the head, saw the end first and went on answering from its own, shorter list. Ruled out: the reader of other nodes' jobs (the log shows the job as owned), the store (the head it read was the newest). Change: not being the owner, or results listed elsewhere, counts before the end.

--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -229,8 +229,9 @@
     if (change.kind === 'changed') return;
     const { owner, ended } = change.current.head;
     const isOwn = owner?.node === this.self.node && owner.incarnation === this.self.incarnation;
-    if (ended) this.close('ended');
-    else if (!isOwn || listedElsewhere) this.close('superseded');
+    // Who does not hold all results must not answer for the job, even where it has ended.
+    if (!isOwn || listedElsewhere) this.close('superseded');
+    else if (ended) this.close('ended');
   }
 
   private close(reason: OwnershipEnd): void {
--- /dev/null
+++ b/test/jobs/item-placement.test.ts
@@ -0,0 +1,51 @@
+import t from 'tap';
+import { type ItemNeeds, isSlow, medianPace, placeItem } from '../../src/jobs/item-placement.js';
+import { KnownWorker } from '../../src/serving/worker-registry.js';
+import { worker } from '../serving/serving-fixtures.js';
+
+const NOW = 10_000;
+const NEEDS: ItemNeeds = { model: 'model-a', minVersion: 1, boundVersion: undefined };
+
+function known(id: string, pace: number, fields = {}): KnownWorker {
+  const made = new KnownWorker(worker(id, fields));
+  made.notePace(pace);
+  return made;
+}
+
+t.test('the faster worker is chosen, until it is full', async (t) => {
+  const fast = known('fast', 40);
+  const slow = known('slow', 120);
+  t.equal(placeItem([slow, fast], NEEDS, undefined, NOW), fast);
+  fast.inFlight = 4;
+  t.equal(placeItem([slow, fast], NEEDS, undefined, NOW), slow);
+});
+
+t.test('of equal workers the emptier one, or the one that read the shared prompt', async (t) => {
+  const one = known('one', 40);
+  const two = known('two', 40);
+  one.inFlight = 2;
+  t.equal(placeItem([one, two], NEEDS, undefined, NOW), two);
+  one.inFlight = 1;
+  t.equal(placeItem([one, two], NEEDS, 'one', NOW), one);
+});
+
+t.test('workers that leave, have failed or hold other weights are passed over', async (t) => {
+  const leaving = known('leaving', 40, { draining: true });
+  const failed = known('failed', 40);
+  failed.noteOutcome('failure', NOW);
+  const old = known('old', 40, { models: [{ name: 'model-a', version: 2 }] });
+  const needs = { ...NEEDS, minVersion: 3 };
+  t.equal(placeItem([leaving, failed, old], needs, undefined, NOW), undefined);
+  old.noteVersion('model-a', 3);
+  t.equal(placeItem([leaving, failed, old], needs, undefined, NOW), old);
+  t.equal(placeItem([old], { ...needs, boundVersion: 4 }, undefined, NOW), undefined);
+});
+
+t.test('a worker is slow only beside the others', async (t) => {
+  const workers = [known('a', 40), known('b', 44), known('c', 150)];
+  const median = medianPace(workers);
+  t.same(
+    workers.map((entry) => isSlow(entry, median)),
+    [false, false, true],
+  );
+});
--- /dev/null
+++ b/test/jobs/job-fixtures.ts
@@ -0,0 +1,58 @@
+/** Jobs for tests. */
+import type { JobOwner, JobResult, JobSpecification } from '../../src/jobs/job-records.js';
+import type { HeadFields } from '../../src/jobs/job-store.js';
+import type { Clock } from '../../src/serving/clock.js';
+
+/** A clock that a test moves. */
+export class ManualClock implements Clock {
+  time = 1_000;
+  now(): number {
+    return this.time;
+  }
+  wallTime(): number {
+    return this.time;
+  }
+}
+
+export const OWNER: JobOwner = { node: 'node-1', incarnation: 'life-1' };
+export const OTHER: JobOwner = { node: 'node-2', incarnation: 'life-2' };
+export const always = (): boolean => true;
+export const never = (): boolean => false;
+
+/** A job with items `item-0` and so on, two to a group. */
+export function specification(id: string, items: number, minVersion = 1): JobSpecification {
+  return {
+    id,
+    host: 'trainer.example',
+    path: '/rollouts/',
+    step: 0,
+    model: 'model-a',
+    minVersion,
+    desiredCount: 1,
+    submittedAt: 1_000,
+    items: Array.from({ length: items }, (_, index) => ({
+      id: `item-${index}`,
+      path: `/rollouts/${index}`,
+      headers: ['X-Test', String(index)],
+      body: Buffer.from(`body ${index}`).toString('base64'),
+      tokens: 100,
+      group: `group-${Math.floor(index / 2)}`,
+      expectedLength: index,
+    })),
+  };
+}
+
+export function headOf(spec: JobSpecification, owner: JobOwner = OWNER): HeadFields {
+  return {
+    owner,
+    total: spec.items.length,
+    listed: 0,
+    pages: 0,
+    ended: false,
+    submittedAt: spec.submittedAt,
+  };
+}
+
+export function result(index: number): JobResult {
+  return { id: `item-${index}`, state: 'completed', text: `text ${index}`, versions: [1] };
+}
--- /dev/null
+++ b/test/jobs/owned-job.test.ts
@@ -0,0 +1,122 @@
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { JobSpecification } from '../../src/jobs/job-records.js';
+import { JobStore } from '../../src/jobs/job-store.js';
+import { OwnedJob } from '../../src/jobs/owned-job.js';
+import {
+  always,
+  headOf,
+  ManualClock,
+  OTHER,
+  OWNER,
+  result,
+  specification,
+} from './job-fixtures.js';
+
+const RULE = { minVersion: 1, singleVersion: false };
+
+interface Fixture {
+  readonly emulator: SharedStoreEmulator;
+  readonly store: JobStore;
+  readonly clock: ManualClock;
+  readonly spec: JobSpecification;
+  readonly job: OwnedJob;
+}
+
+async function ownedJob(items: number): Promise<Fixture> {
+  const emulator = new SharedStoreEmulator();
+  const store = new JobStore(emulator);
+  const clock = new ManualClock();
+  const spec = specification('job', items);
+  const change = await store.create(spec, headOf(spec), always);
+  if (change.kind !== 'changed') throw new Error(change.kind);
+  const job = new OwnedJob(spec, change.current, [], RULE, OWNER, store, clock);
+  return { emulator, store, clock, spec, job };
+}
+
+/** Finishes one item with its result. */
+function finish(job: OwnedJob, index: number): void {
+  const entry = job.items.get(`item-${index}`);
+  if (entry !== undefined) job.finish(entry, result(index));
+}
+
+/** Lets what is due be done and waits until the job changed. */
+async function advance({ job, clock }: Fixture): Promise<void> {
+  clock.time += 2_000;
+  const done = new Promise<void>((resolve) => job.changed.subscribe(() => resolve()));
+  job.advance();
+  await done;
+}
+
+t.test('results are listed in the order in which they were finished', async (t) => {
+  const fixture = await ownedJob(3);
+  finish(fixture.job, 2);
+  finish(fixture.job, 0);
+  await advance(fixture);
+  t.same(fixture.job.results, [result(2), result(0)]);
+  t.same(await fixture.store.results('job', 0), { kind: 'found', value: [[result(2), result(0)]] });
+});
+
+t.test('an item that finishes while a commit is under way belongs to the next one', async (t) => {
+  const fixture = await ownedJob(4);
+  const { job, emulator, store } = fixture;
+  const commit = emulator.commit.bind(emulator);
+  let isFirst = true;
+  emulator.commit = (change) => {
+    if (isFirst) finish(job, 1);
+    isFirst = false;
+    return commit(change);
+  };
+  finish(job, 0);
+  await advance(fixture);
+  t.same(job.results, [result(0)]);
+  await advance(fixture);
+  t.same(job.results, [result(0), result(1)]);
+  t.same(await store.results('job', 0), { kind: 'found', value: [[result(0)], [result(1)]] });
+});
+
+t.test('a job whose results are all listed is finished', async (t) => {
+  const fixture = await ownedJob(1);
+  finish(fixture.job, 0);
+  await advance(fixture);
+  t.equal(fixture.job.ending, 'finished');
+});
+
+t.test('an end by another node is seen and nothing more is listed', async (t) => {
+  const fixture = await ownedJob(2);
+  const { job, store } = fixture;
+  await store.replace('job', job.head, { ended: true }, always);
+  await advance(fixture);
+  t.equal(job.ending, 'ended');
+});
+
+t.test(
+  'a woken owner whose job another node took and ended knows that it is not whole',
+  async (t) => {
+    const fixture = await ownedJob(3);
+    const { job, store } = fixture;
+    const adopted = await store.replace('job', job.head, { owner: OTHER }, always);
+    if (adopted.kind !== 'changed') throw new Error(adopted.kind);
+    const listed = await store.append('job', adopted.current, [result(0)], undefined, always);
+    if (listed.kind !== 'changed') throw new Error(listed.kind);
+    await store.replace('job', listed.current, { ended: true }, always);
+    await advance(fixture);
+    t.equal(job.ending, 'superseded');
+    t.same(job.results, []);
+  },
+);
+
+t.test('a released job is free, with what was made of its items', async (t) => {
+  const { job, store } = await ownedJob(2);
+  const entry = job.items.get('item-1');
+  entry?.progress.beginRun(5);
+  entry?.progress.add({ id: 0, data: 'a', weightVersion: undefined, raw: Buffer.alloc(0) });
+  await job.release(always);
+  t.equal(job.ending, 'released');
+  const read = await store.head('job');
+  t.equal(read.kind === 'found' && read.value.head.owner, null);
+  t.same(await store.progress('job'), {
+    kind: 'found',
+    value: { 'item-1': { events: ['a'], lastEventId: 0, versions: [5] } },
+  });
+});
--- /dev/null
+++ b/test/serving/event-stream.test.ts
@@ -0,0 +1,36 @@
+import t from 'tap';
+import { EventStreamReader } from '../../src/serving/event-stream.js';
+import { events, VERSION_FIELD } from './serving-fixtures.js';
+
+t.test('events come out whole, however the bytes are cut', async (t) => {
+  const bytes = Buffer.from(events(3, 'abcd'));
+  for (let size = 1; size <= bytes.length; size += 1) {
+    const reader = new EventStreamReader(VERSION_FIELD);
+    const seen: string[] = [];
+    for (let start = 0; start < bytes.length; start += size) {
+      for (const event of reader.push(bytes.subarray(start, start + size))) {
+        seen.push(`${event.id}${event.data}`);
+      }
+    }
+    t.same(seen, ['3a', '4b', '5c', '6d']);
+    t.notOk(reader.hasPartialEvent());
+  }
+});
+
+t.test('a part of an event is never given', async (t) => {
+  const reader = new EventStreamReader(VERSION_FIELD);
+  t.same(reader.push(Buffer.from('id: 1\ndata: wh')), []);
+  t.ok(reader.hasPartialEvent());
+});
+
+t.test('lines may end with a carriage return, and data may span lines', async (t) => {
+  const reader = new EventStreamReader(VERSION_FIELD);
+  const [event] = reader.push(Buffer.from('id: 1\r\ndata: a\r\ndata: b\r\n\r\n'));
+  t.equal(event?.data, 'a\nb');
+});
+
+t.test('an event tells a change of weights by its own line', async (t) => {
+  const reader = new EventStreamReader(VERSION_FIELD);
+  const [event] = reader.push(Buffer.from(`${VERSION_FIELD}: 7\nid: 1\ndata: a\n\n`));
+  t.equal(event?.weightVersion, 7);
+});
--- /dev/null
+++ b/test/serving/request-forwarder.test.ts
@@ -0,0 +1,141 @@
+import t from 'tap';
+import type { CallerRequest } from '../../src/serving/answer-sink.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { RequestForwarder } from '../../src/serving/request-forwarder.js';
+import type { Route } from '../../src/serving/traffic-configuration.js';
+import { WorkerRegistry } from '../../src/serving/worker-registry.js';
+import {
+  answer,
+  BROKEN,
+  brokenAnswer,
+  callerRequest,
+  events,
+  NOT_RUN,
+  RecordingSink,
+  recordingLog,
+  route,
+  type Script,
+  ScriptedEngine,
+  UNREACHED,
+  VERSION_FIELD,
+  worker,
+} from './serving-fixtures.js';
+
+interface Forwarded {
+  readonly sink: RecordingSink;
+  readonly engine: ScriptedEngine;
+}
+
+async function forward(
+  scripts: Script[],
+  routeFields: Partial<Route> = {},
+  requestFields: Partial<CallerRequest> = {},
+): Promise<Forwarded> {
+  const engine = new ScriptedEngine(scripts);
+  const registry = new WorkerRegistry();
+  for (const id of ['w1', 'w2', 'w3']) registry.put(worker(id));
+  const forwarder = new RequestForwarder({
+    engine,
+    versionField: VERSION_FIELD,
+    registry,
+    clock: PROCESS_CLOCK,
+    log: recordingLog().log,
+    zone: 'zone-1',
+  });
+  const sink = new RecordingSink();
+  const request = callerRequest(requestFields);
+  await forwarder.forward(request, route(routeFields), 'service', sink);
+  return { sink, engine };
+}
+
+t.test('the answer of a worker goes back as it is', async (t) => {
+  const { sink, engine } = await forward([answer('reply', { status: 201 })]);
+  t.equal(sink.status, 201);
+  t.same(sink.headers, ['X-Stamp', 'stamp']);
+  t.equal(sink.body, 'reply');
+  t.equal(engine.requests.length, 1);
+});
+
+t.test('a repeatable request goes to another worker after each kind of failure', async (t) => {
+  for (const first of [BROKEN, UNREACHED, NOT_RUN, brokenAnswer('par')]) {
+    const { sink, engine } = await forward([first, answer('reply')]);
+    t.equal(sink.body, 'reply');
+    const [one, two] = engine.requests.map((request) => request.worker.id);
+    t.not(one, two);
+  }
+});
+
+t.test('no more workers are tried than the route allows', async (t) => {
+  const { sink, engine } = await forward([BROKEN, BROKEN, answer('late')], { maxAttempts: 2 });
+  t.equal(engine.requests.length, 2);
+  t.equal(sink.failure?.kind, 'engine_failed');
+});
+
+t.test('a late worker is overtaken by another and cancelled', async (t) => {
+  const { sink, engine } = await forward(['hang', answer('reply')], { targetLatency: 20 });
+  t.equal(sink.body, 'reply');
+  t.same(engine.cancelled, [engine.requests[0]?.worker.id]);
+});
+
+t.test("a worker's own failure is passed on when no other worker does better", async (t) => {
+  const { sink } = await forward([answer('sorry', { status: 500 })], { maxAttempts: 1 });
+  t.equal(sink.status, 500);
+  t.equal(sink.body, 'sorry');
+});
+
+t.test('a refusal says "not run" only where no worker can have begun', async (t) => {
+  const refused = await forward([NOT_RUN, UNREACHED, NOT_RUN], { kind: 'mutating' });
+  t.equal(refused.sink.failure?.kind, 'overloaded');
+  t.ok((refused.sink.failure?.retryAfter ?? 0) > 0);
+  const unknown = await forward([NOT_RUN, BROKEN], { kind: 'mutating' });
+  t.equal(unknown.sink.failure?.kind, 'engine_failed');
+});
+
+t.test('what may not be repeated is sent to one worker that may have run it', async (t) => {
+  const { engine } = await forward([BROKEN, answer('again')], { kind: 'mutating' });
+  t.equal(engine.requests.length, 1);
+});
+
+t.test('a request is answered at its timeout, and its worker is told', async (t) => {
+  const { sink, engine } = await forward(['hang'], { timeout: 30 });
+  t.equal(sink.failure?.kind, 'deadline_exceeded');
+  t.equal(engine.cancelled.length, 1);
+});
+
+t.test('the time that is left travels with the request', async (t) => {
+  const receivedAt = PROCESS_CLOCK.now() - 1_000;
+  const { engine } = await forward([answer('reply')], {}, { receivedAt, patience: 3_000 });
+  const remaining = engine.requests[0]?.remaining ?? 0;
+  t.ok(remaining <= 2_000 && remaining > 0);
+});
+
+t.test('when the caller leaves, the worker is cancelled and nothing is answered', async (t) => {
+  const gone = new AbortController();
+  setTimeout(() => gone.abort(), 20);
+  const { sink, engine } = await forward(['hang'], {}, { gone: gone.signal });
+  t.equal(sink.ending, 'open');
+  t.equal(engine.cancelled.length, 1);
+});
+
+t.test('a resumable stream goes on at another worker without a gap', async (t) => {
+  const first = brokenAnswer(`${events(0, 'ab')}id: 2\nda`, { isStream: true });
+  const second = answer(events(2, 'cd'), { isStream: true });
+  const { sink, engine } = await forward([first, second], { kind: 'streaming', resumable: true });
+  t.equal(sink.body, events(0, 'abcd'));
+  t.equal(sink.ending, 'complete');
+  t.equal(engine.requests[1]?.lastEventId, 1);
+});
+
+t.test('a stream that may not be resumed is broken off, so that it looks incomplete', async (t) => {
+  const first = brokenAnswer(events(0, 'ab'), { isStream: true });
+  const { sink } = await forward([first], { kind: 'streaming' });
+  t.equal(sink.body, events(0, 'ab'));
+  t.equal(sink.ending, 'broken');
+});
+
+t.test('events out of order are not passed on', async (t) => {
+  const odd = answer(events(0, 'ab') + events(5, 'x'), { isStream: true });
+  const { sink } = await forward([odd], { kind: 'streaming' });
+  t.equal(sink.body, events(0, 'ab'));
+  t.equal(sink.ending, 'broken');
+});
--- /dev/null
+++ b/test/serving/serving-fixtures.ts
@@ -0,0 +1,205 @@
+/** Routes, workers, requests and a scripted engine for tests. */
+import { Readable } from 'node:stream';
+import type { Failure } from '../../src/errors/error-kinds.js';
+import type { AnswerSink, CallerRequest } from '../../src/serving/answer-sink.js';
+import type {
+  EngineAnswer,
+  EngineOutcome,
+  EnginePort,
+  EngineReport,
+  EngineRequest,
+  HeaderList,
+  OrderOutcome,
+  WeightOrder,
+} from '../../src/serving/engine-port.js';
+import type {
+  Route,
+  TrafficConfiguration,
+  WorkerRecord,
+} from '../../src/serving/traffic-configuration.js';
+import { DecisionLog } from '../../src/telemetry/decision-log.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+
+export const VERSION_FIELD = 'weights-version';
+
+export function route(fields: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'site.example',
+    pathPrefix: '/a/',
+    kind: 'read-only',
+    timeout: 5_000,
+    targetLatency: 5_000,
+    priority: 1,
+    maxAttempts: 3,
+    targets: [{ service: 'service', weight: 1 }],
+    resumable: false,
+    singleVersion: false,
+    maxQueue: 40_000,
+    resultDeadline: 7_500,
+    ...fields,
+  };
+}
+
+export function configuration(routes: readonly Route[], version = 1): TrafficConfiguration {
+  const limits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeout: 3_000,
+    idleTimeout: 15_000,
+  };
+  return { version, routes, services: [], limits };
+}
+
+export function worker(id: string, fields: Partial<WorkerRecord> = {}): WorkerRecord {
+  return {
+    id,
+    service: 'service',
+    address: '127.0.0.1:1',
+    zone: 'zone-1',
+    slots: 4,
+    draining: false,
+    models: [{ name: 'model-a', version: 1 }],
+    ...fields,
+  };
+}
+
+export function callerRequest(fields: Partial<CallerRequest> = {}): CallerRequest {
+  return {
+    requestId: 'request-1',
+    method: 'POST',
+    path: '/a/x',
+    host: 'site.example',
+    headers: [],
+    body: Buffer.from('question'),
+    patience: 5_000,
+    receivedAt: performance.now(),
+    lastEventId: undefined,
+    gone: new AbortController().signal,
+    ...fields,
+  };
+}
+
+/** An answer with a whole body. */
+export function answer(body: string, fields: Partial<EngineAnswer> = {}): EngineAnswer {
+  return {
+    kind: 'answered',
+    status: 200,
+    headers: ['X-Stamp', 'stamp'],
+    body: Readable.from([Buffer.from(body)]),
+    isStream: false,
+    weightVersion: 1,
+    load: undefined,
+    discard: () => {},
+    ...fields,
+  };
+}
+
+/** An answer whose body breaks off after some bytes. */
+export function brokenAnswer(body: string, fields: Partial<EngineAnswer> = {}): EngineAnswer {
+  const pieces = async function* (): AsyncGenerator<Buffer> {
+    yield Buffer.from(body);
+    throw new Error('reset');
+  };
+  return answer('', { body: Readable.from(pieces()), ...fields });
+}
+
+/** Events numbered from `first`, with one letter of data each. */
+export function events(first: number, letters: string): string {
+  return [...letters].map((letter, index) => `id: ${first + index}\ndata: ${letter}\n\n`).join('');
+}
+
+export const NOT_RUN: EngineOutcome = {
+  kind: 'not-run',
+  reason: 'full',
+  status: 503,
+  load: undefined,
+};
+export const BROKEN: EngineOutcome = { kind: 'failed', mayHaveRun: true, cause: 'broken' };
+export const UNREACHED: EngineOutcome = {
+  kind: 'failed',
+  mayHaveRun: false,
+  cause: 'refused-connection',
+};
+
+/** What a worker does with a request; `hang` waits until it is cancelled. */
+export type Script = EngineOutcome | 'hang';
+
+/** An engine whose outcomes are given one after the other. */
+export class ScriptedEngine implements EnginePort {
+  readonly requests: EngineRequest[] = [];
+  readonly orders: WeightOrder[] = [];
+  readonly cancelled: string[] = [];
+  orderOutcomes: OrderOutcome[] = [];
+  reports: (EngineReport | undefined)[] = [];
+
+  constructor(private readonly scripts: Script[] = []) {}
+
+  send(request: EngineRequest, signal: AbortSignal): Promise<EngineOutcome> {
+    this.requests.push(request);
+    const script = this.scripts.shift() ?? 'hang';
+    return new Promise((resolve) => {
+      const cancel = (): void => {
+        this.cancelled.push(request.worker.id);
+        resolve({ kind: 'failed', mayHaveRun: true, cause: 'cancelled' });
+      };
+      signal.addEventListener('abort', cancel);
+      if (script === 'hang') return;
+      setImmediate(() => {
+        signal.removeEventListener('abort', cancel);
+        resolve(script);
+      });
+    });
+  }
+
+  async order(order: WeightOrder): Promise<OrderOutcome> {
+    this.orders.push(order);
+    return this.orderOutcomes.shift() ?? 'started';
+  }
+
+  async report(): Promise<EngineReport | undefined> {
+    return this.reports.shift();
+  }
+
+  forget(): void {}
+}
+
+/** A sink that keeps what it was given. */
+export class RecordingSink implements AnswerSink {
+  status: number | undefined;
+  headers: HeaderList = [];
+  body = '';
+  failure: Failure | undefined;
+  ending: 'open' | 'complete' | 'broken' = 'open';
+
+  sendWhole(status: number, headers: HeaderList, body: Buffer): void {
+    this.begin(status, headers);
+    this.body = body.toString();
+    this.ending = 'complete';
+  }
+  begin(status: number, headers: HeaderList): void {
+    this.status = status;
+    this.headers = headers;
+  }
+  async write(chunk: Buffer): Promise<void> {
+    this.body += chunk.toString();
+  }
+  end(): void {
+    this.ending = 'complete';
+  }
+  breakOff(): void {
+    this.ending = 'broken';
+  }
+  fail(failure: Failure): void {
+    this.failure = failure;
+    this.ending = 'complete';
+  }
+}
+
+/** A log that keeps its lines. */
+export function recordingLog(): { readonly log: DecisionLog; readonly lines: string[] } {
+  const lines: string[] = [];
+  const destination = { write: (line: string) => void lines.push(line) };
+  const clock = new ManualClock();
+  return { log: new DecisionLog({ node: 'node-1', zone: 'zone-1', clock, destination }), lines };
+}
