Groups that a trainer brings back go on from the text that was kept

Cause: a trainer ends a step with nine tenths of its groups and brings the others back with a later step; their items, the longest of all, were made again from the start and held that step up as well (jipa: steps up to 11 s behind their time). Change: a closed job leaves what it made of groups that are not whole, by item id and a digest of the request; a later job goes on from it where the versions fit. Only on the node that ran both steps yet. A line tells how each job closed.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -202,6 +202,7 @@
       events: entry.progress.eventCount,
       workerVersion: worker.versionOf(job.spec.model),
       minVersion: job.spec.minVersion,
+      ageMs: Math.round(ageOf(job.spec, this.options.clock.wallTime())),
     };
   }
 
--- a/src/jobs/item-progress.ts
+++ b/src/jobs/item-progress.ts
@@ -16,6 +16,12 @@
   readonly singleVersion: boolean;
 }
 
+/** Whether text made by these versions may be part of a result. */
+export function fitsVersions(versions: readonly WeightVersion[], rule: VersionRule): boolean {
+  if (rule.singleVersion && versions.length > 1) return false;
+  return versions.every((version) => version >= rule.minVersion);
+}
+
 /** The text of an item as it grows, also across workers. */
 export class ItemProgress {
   private events: string[] = [];
@@ -27,9 +33,7 @@
 
   /** Takes over what was kept before, if its versions fit the rule; tells whether it did. */
   restore(kept: KeptItem): boolean {
-    const fits = kept.versions.every((version) => version >= this.rule.minVersion);
-    if (!fits || kept.events.length === 0) return false;
-    if (this.rule.singleVersion && kept.versions.length > 1) return false;
+    if (!fitsVersions(kept.versions, this.rule) || kept.events.length === 0) return false;
     this.events = [...kept.events];
     this.lastId = kept.lastEventId;
     this.versions.clear();
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -7,6 +7,7 @@
 import type { ItemDispatcher } from './item-dispatcher.js';
 import type { JobListing, JobReader } from './job-reader.js';
 import {
+  ageOf,
   isFinished,
   type JobOwner,
   type JobResult,
@@ -14,6 +15,7 @@
   type KeptProgress,
 } from './job-records.js';
 import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
+import { KeptItems, type KeptWork } from './kept-items.js';
 import { OwnedJob } from './owned-job.js';
 
 /** Options of {@link JobService}. */
@@ -51,8 +53,11 @@
 /** The jobs of a fleet, as one node serves them. */
 export class JobService {
   private readonly owned = new Map<string, OwnedJob>();
+  private readonly kept: KeptItems;
 
-  constructor(private readonly options: JobServiceOptions) {}
+  constructor(private readonly options: JobServiceOptions) {
+    this.kept = new KeptItems(options.clock);
+  }
 
   /** Jobs that this node runs or ran. */
   ownedJobs(): readonly OwnedJob[] {
@@ -166,17 +171,46 @@
     spec: JobSpecification,
     head: VersionedHead,
     listed: readonly JobResult[],
-    kept?: KeptProgress,
+    progress: KeptProgress = {},
   ): void {
     const { store, clock, self, dispatcher } = this.options;
     const route = this.options.routes()?.match(spec.host, spec.path);
     const rule = { minVersion: spec.minVersion, singleVersion: route?.singleVersion ?? false };
+    const kept = this.keptWork(spec, progress);
     const job = new OwnedJob(spec, head, listed, rule, self, store, clock, kept);
+    job.changed.subscribe(() => {
+      if (!job.isOpen) this.noteClosed(job);
+    });
     this.owned.delete(spec.id);
     this.owned.set(spec.id, job);
     if (!isFinished(head.head)) dispatcher.add(job);
   }
 
+  private noteClosed(job: OwnedJob): void {
+    if (job.ending === 'ended') this.kept.keep(job);
+    const { clock, log } = this.options;
+    log.state('job-closed', {
+      job: job.spec.id,
+      step: job.spec.step,
+      reason: job.ending ?? 'open',
+      items: job.spec.items.length,
+      listed: job.results.length,
+      ageMs: Math.round(ageOf(job.spec, clock.wallTime())),
+    });
+  }
+
+  /** What earlier owners and earlier jobs made of the items. */
+  private keptWork(spec: JobSpecification, progress: KeptProgress): Map<string, KeptWork> {
+    const kept = new Map<string, KeptWork>();
+    for (const item of spec.items) {
+      const own = progress[item.id];
+      const work: KeptWork | undefined =
+        own === undefined ? this.kept.find(item) : { kind: 'unfinished', progress: own };
+      if (work !== undefined) kept.set(item.id, work);
+    }
+    return kept;
+  }
+
   private async readOwned(
     job: OwnedJob,
     after: number,
--- /dev/null
+++ b/src/jobs/kept-items.ts
@@ -0,0 +1,95 @@
+/**
+ * Work on items whose job ended before their group was whole. A trainer may bring such a group
+ * back with a later job, under the same ids; what was made of it is then taken over, if its
+ * weights fit the later job.
+ */
+import { contentDigest } from '../core/hashing.js';
+import type { Milliseconds } from '../core/units.js';
+import type { Clock } from '../serving/clock.js';
+import type { KeptItem } from './item-progress.js';
+import type { JobItem, JobResult } from './job-records.js';
+import type { OwnedJob } from './owned-job.js';
+
+/** What is kept of one item. */
+export type KeptWork =
+  | { readonly kind: 'unfinished'; readonly progress: KeptItem }
+  | { readonly kind: 'finished'; readonly result: JobResult };
+
+/** Time for which work is kept; a trainer brings a group back with its next steps. */
+const KEEP_TIME: Milliseconds = 20_000;
+
+/** Items kept at most; the oldest go first. */
+const MOST_ITEMS = 4_000;
+
+interface Entry {
+  readonly work: KeptWork;
+  /** Digest of what was asked, so that an id that is used for something else is not mistaken. */
+  readonly digest: string;
+  readonly keptAt: Milliseconds;
+}
+
+/** Keeps work by item id. */
+export class KeptItems {
+  private readonly entries = new Map<string, Entry>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Keeps what a closed job made of the groups that are not whole. */
+  keep(job: OwnedJob): void {
+    const results = new Map(job.finishedResults().map((result) => [result.id, result]));
+    const progress = job.keptProgress();
+    for (const group of groupsOf(job.spec.items)) {
+      if (group.every((item) => results.has(item.id))) continue;
+      for (const item of group) this.keepItem(item, results.get(item.id), progress[item.id]);
+    }
+    this.dropOld();
+  }
+
+  /** What is kept of an item; a digest of the request must agree. */
+  find(item: JobItem): KeptWork | undefined {
+    const entry = this.entries.get(item.id);
+    if (entry === undefined || this.clock.now() - entry.keptAt > KEEP_TIME) return undefined;
+    return entry.digest === digestOf(item) ? entry.work : undefined;
+  }
+
+  private keepItem(
+    item: JobItem,
+    result: JobResult | undefined,
+    progress: KeptItem | undefined,
+  ): void {
+    const work = workOf(result, progress);
+    if (work === undefined) return;
+    this.entries.delete(item.id);
+    this.entries.set(item.id, { work, digest: digestOf(item), keptAt: this.clock.now() });
+  }
+
+  private dropOld(): void {
+    const limit = this.clock.now() - KEEP_TIME;
+    for (const [id, entry] of this.entries) {
+      if (entry.keptAt > limit && this.entries.size <= MOST_ITEMS) return;
+      this.entries.delete(id);
+    }
+  }
+}
+
+function workOf(
+  result: JobResult | undefined,
+  progress: KeptItem | undefined,
+): KeptWork | undefined {
+  if (result?.state === 'completed') return { kind: 'finished', result };
+  return progress === undefined ? undefined : { kind: 'unfinished', progress };
+}
+
+function groupsOf(items: readonly JobItem[]): JobItem[][] {
+  const groups = new Map<string, JobItem[]>();
+  for (const item of items) {
+    const group = groups.get(item.group) ?? [];
+    group.push(item);
+    groups.set(item.group, group);
+  }
+  return [...groups.values()];
+}
+
+function digestOf(item: JobItem): string {
+  return contentDigest(JSON.stringify([item.headers, item.body]));
+}
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -6,7 +6,7 @@
 import { Subject } from 'rxjs';
 import type { Milliseconds } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
-import { ItemProgress, type VersionRule } from './item-progress.js';
+import { fitsVersions, ItemProgress, type VersionRule } from './item-progress.js';
 import type { ItemRun } from './item-run.js';
 import type {
   JobItem,
@@ -17,6 +17,7 @@
 } from './job-records.js';
 import { isFinished } from './job-records.js';
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
+import type { KeptWork } from './kept-items.js';
 
 /** Where one item stands. */
 export interface OwnedItem {
@@ -67,7 +68,7 @@
     private readonly self: JobOwner,
     private readonly store: JobStore,
     private readonly clock: Clock,
-    kept: KeptProgress = {},
+    kept: ReadonlyMap<string, KeptWork> = new Map(),
   ) {
     this.listed.push(...listed);
     this.confirmedAt = clock.now();
@@ -75,9 +76,7 @@
     for (const item of spec.items) {
       if (done.has(item.id)) continue;
       const progress = new ItemProgress(rule);
-      const before = kept[item.id];
-      if (before !== undefined) progress.restore(before);
-      this.items.set(item.id, {
+      const entry: OwnedItem = {
         item,
         progress,
         state: 'waiting',
@@ -85,10 +84,19 @@
         notBefore: 0,
         failedAttempts: 0,
         moves: 0,
-      });
+      };
+      this.items.set(item.id, entry);
+      this.takeOver(entry, kept.get(item.id), rule);
     }
   }
 
+  /** Takes over what was made of an item before, if its weights fit. */
+  private takeOver(entry: OwnedItem, kept: KeptWork | undefined, rule: VersionRule): void {
+    if (kept?.kind === 'unfinished') entry.progress.restore(kept.progress);
+    if (kept?.kind !== 'finished' || !fitsVersions(kept.result.versions, rule)) return;
+    this.finish(entry, kept.result);
+  }
+
   /** Whether items of it may be sent to workers. */
   get isOpen(): boolean {
     return this.endReason === undefined;
@@ -104,6 +112,11 @@
     return this.listed;
   }
 
+  /** All results, also those that are not listed yet. */
+  finishedResults(): JobResult[] {
+    return [...this.listed, ...this.pending];
+  }
+
   /** The head as this node last saw it. */
   get head(): VersionedHead {
     return this.current;
