Counters and latency histograms of a gateway, at the metrics address

Change: a closed list of counters, gauges and histograms (prom-client) served at the role's metrics address, one line with all counters each 10 s and at the stop.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -2,6 +2,7 @@
  * A gateway of the fleet: joins configuration, workers, requests, jobs and, on one node at a time,
  * the coordination of weights. Everything outside it is reached through ports.
  */
+
 import { randomUUID } from 'node:crypto';
 import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
@@ -23,8 +24,10 @@
   WorkerRecord,
 } from '../serving/traffic-configuration.js';
 import { WorkerRegistry } from '../serving/worker-registry.js';
+import { meteredStore } from '../shared-store/metered-store.js';
 import type { SharedStore } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { CoordinatorLock } from './coordinator-lock.js';
 import { type FeedTranslation, type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetRegistry } from './fleet-registry.js';
@@ -43,6 +46,7 @@
   readonly versionField: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
   /** Least time between orders of two coordinators. */
   readonly coordinatorHandOver: Milliseconds;
   /** Time for which a job stays readable. */
@@ -53,6 +57,9 @@
 /** Time between two rounds of regular work. */
 const TICK_INTERVAL: Milliseconds = 50;
 
+/** Time between two lines with all counters. */
+const REPORT_INTERVAL: Milliseconds = 10_000;
+
 /** Time that a stopping node spends on handing its jobs over. */
 const RELEASE_LIMIT: Milliseconds = 2_500;
 
@@ -73,21 +80,40 @@
   private workersListed = false;
   private isStopping = false;
   private ticker: NodeJS.Timeout | undefined;
+  private reporter: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GatewayNodeOptions) {
-    const { store, engine, versionField, clock, log, zone } = options;
+    const { engine, versionField, clock, log, metrics, zone } = options;
+    const store = meteredStore(options.store, metrics, clock);
     const self = { node: options.node, incarnation: randomUUID() };
     const routes = (): RouteMatcher | undefined => this.matcher;
     const registry = this.registry;
     const jobStore = new JobStore(store);
-    this.forwarder = new RequestForwarder({ engine, versionField, registry, clock, log, zone });
-    this.dispatcher = new ItemDispatcher({ engine, versionField, registry, clock, log, routes });
+    this.forwarder = new RequestForwarder({
+      engine,
+      versionField,
+      registry,
+      clock,
+      log,
+      metrics,
+      zone,
+    });
+    this.dispatcher = new ItemDispatcher({
+      engine,
+      versionField,
+      registry,
+      clock,
+      log,
+      metrics,
+      routes,
+    });
     this.jobs = new JobService({
       store: jobStore,
       reader: new JobReader(jobStore),
       dispatcher: this.dispatcher,
       clock,
       log,
+      metrics,
       self,
       routes,
       retention: options.jobRetention,
@@ -116,6 +142,7 @@
       lock: this.lock,
       clock,
       log,
+      metrics,
       holder: options.node,
       named: this.named,
       mode: () => (this.needsWholeVersions() ? 'wait' : 'keep'),
@@ -128,6 +155,7 @@
     this.feeds.start();
     this.fleet.start();
     this.ticker = setInterval(() => this.tick(), TICK_INTERVAL);
+    this.reporter = setInterval(() => this.report(), REPORT_INTERVAL);
   }
 
   /** Whether callers should be sent here. */
@@ -225,6 +253,8 @@
     this.dispatcher.stop();
     this.takeover.stop();
     clearInterval(this.ticker);
+    clearInterval(this.reporter);
+    this.report();
     const limit = this.options.clock.now() + RELEASE_LIMIT;
     await this.jobs.release(() => this.options.clock.now() < limit);
     await this.fleet.stop();
@@ -240,6 +270,18 @@
     this.drains.tick();
   }
 
+  /** Sets the gauges and writes the counters as one line. */
+  private report(): void {
+    const { metrics, log } = this.options;
+    metrics.set('configuration_version', this.configurationVersion ?? 0);
+    metrics.set('live_nodes', this.fleet.liveNodes().length);
+    metrics.set('known_workers', this.registry.all().length);
+    metrics.set('open_jobs', this.jobs.ownedJobs().filter((job) => job.isOpen).length);
+    metrics.set('running_items', this.dispatcher.running);
+    metrics.set('is_coordinator', this.lock.fencingToken() === undefined ? 0 : 1);
+    log.state('counters', metrics.snapshot());
+  }
+
   private needsWholeVersions(): boolean {
     return this.matcher?.configuration.routes.some((route) => route.singleVersion) ?? false;
   }
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -2,12 +2,14 @@
  * Moves the workers to the weights that trainers named: a few at a time, with fenced orders, each
  * bound to the worker's life and to the number of orders it had taken.
  */
+
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort, OrderOutcome, WeightOrderMode } from '../serving/engine-port.js';
 import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
 
 /** Options of {@link WeightRollout}. */
@@ -17,6 +19,7 @@
   readonly lock: CoordinatorLock;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
   readonly holder: string;
   /** Newest version that a trainer named, by model. */
   readonly named: ReadonlyMap<ModelName, WeightVersion>;
@@ -108,6 +111,7 @@
       fencingToken,
       expectedSequence: report.sequence,
     });
+    this.options.metrics.count('weight_orders', { outcome });
     const details = { worker: worker.record.id, model, version, fencingToken, outcome };
     log.state('weights-ordered', { ...details, sequence: report.sequence });
     await this.afterOrder(change, version, outcome);
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -1,4 +1,5 @@
 /** Sends the items of all jobs that this node runs to workers, and takes in how the runs end. */
+
 import type { Milliseconds } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort } from '../serving/engine-port.js';
@@ -6,6 +7,7 @@
 import type { Route } from '../serving/traffic-configuration.js';
 import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { type ItemNeeds, isSlow, medianPace, placeItem } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ageOf } from './job-records.js';
@@ -18,6 +20,7 @@
   readonly registry: WorkerRegistry;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
   /** The routes in force; `undefined` before the first configuration. */
   readonly routes: () => RouteMatcher | undefined;
 }
@@ -173,8 +176,13 @@
   ): void {
     const now = this.options.clock.now();
     this.noteWorker(worker, end, now);
+    this.options.metrics.count('item_runs', { end });
     entry.notBefore = now + pauseAfter(end);
-    if (end === 'completed') job.finish(entry, entry.progress.toResult(entry.item.id));
+    if (end === 'completed') {
+      job.finish(entry, entry.progress.toResult(entry.item.id));
+      const age = ageOf(job.spec, this.options.clock.wallTime());
+      this.options.metrics.observe('item_seconds', {}, age);
+    }
     if (end === 'attempt-failed') entry.failedAttempts += 1;
     const isHopeless = end === 'impossible' && IMPOSSIBLE_LIMIT <= 1;
     if (isHopeless || entry.failedAttempts >= route.maxAttempts) {
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -1,9 +1,11 @@
 /** What trainers ask of jobs, at any node: submit, read results, ask for a body, end. */
+
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { Clock } from '../serving/clock.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { ItemDispatcher } from './item-dispatcher.js';
 import type { JobListing, JobReader } from './job-reader.js';
 import {
@@ -25,6 +27,7 @@
   readonly dispatcher: ItemDispatcher;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
   readonly self: JobOwner;
   readonly routes: () => RouteMatcher | undefined;
   /** Time for which a job stays readable after its submission. */
@@ -85,6 +88,8 @@
       outcome: change.kind,
     };
     this.options.log.decision('job-submitted', details);
+    this.options.metrics.count('jobs_submitted', { outcome: change.kind });
+    this.options.metrics.observe('submit_seconds', {}, this.options.clock.now() - startedAt);
     if (change.kind === 'changed') this.own(spec, change.current, []);
     if (change.kind !== 'unavailable') return undefined;
     if (change.mayBeDone) return failure('outcome_unknown', 'the job may have been stored');
@@ -139,7 +144,7 @@
 
   /** Takes over a job whose owner is gone; tells whether it is run here now. */
   async adopt(job: string, found: VersionedHead): Promise<boolean> {
-    const { store, self, log } = this.options;
+    const { store, self, log, metrics } = this.options;
     const wanted = (): boolean => false;
     const change = await store.replace(job, found, { owner: self }, wanted);
     if (change.kind !== 'changed') return false;
@@ -153,6 +158,7 @@
     this.own(spec, change.current, listed, progress);
     const previous = found.head.owner?.node ?? 'none';
     log.state('job-adopted', { job, previous, listed: listed.length });
+    metrics.count('jobs_adopted', { cause: found.head.owner === null ? 'released' : 'lost' });
     return true;
   }
 
@@ -188,7 +194,8 @@
 
   private noteClosed(job: OwnedJob): void {
     if (job.ending === 'ended') this.kept.keep(job);
-    const { clock, log } = this.options;
+    const { clock, log, metrics } = this.options;
+    metrics.count('jobs_closed', { reason: job.ending ?? 'open' });
     log.state('job-closed', {
       job: job.spec.id,
       step: job.spec.step,
--- a/src/serving/request-forwarder.ts
+++ b/src/serving/request-forwarder.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { AnswerSink, CallerRequest } from './answer-sink.js';
 import type { Clock } from './clock.js';
 import type { EngineAnswer, EngineOutcome, EnginePort } from './engine-port.js';
@@ -21,6 +22,7 @@
   readonly registry: WorkerRegistry;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
   readonly zone: ZoneName;
 }
 
@@ -295,6 +297,7 @@
     if (this.isAnswered || this.request.gone.aborted) return;
     this.isAnswered = true;
     this.sink.fail(reason);
+    this.meter(reason.kind);
     this.options.log.decision('request-refused', {
       request: this.request.requestId,
       route: this.route.name,
@@ -306,7 +309,14 @@
     });
   }
 
+  private meter(outcome: string): void {
+    const kind = this.route.kind;
+    this.options.metrics.count('requests', { kind, outcome });
+    this.options.metrics.observe('request_seconds', { kind }, this.elapsed());
+  }
+
   private logEnd(event: string, worker: KnownWorker, status: number): void {
+    this.meter(event);
     this.options.log.decision(event, {
       request: this.request.requestId,
       route: this.route.name,
--- /dev/null
+++ b/src/telemetry/fleet-metrics.ts
@@ -0,0 +1,112 @@
+/**
+ * Counters and latency histograms of one gateway, in the Prometheus text format. The closed lists
+ * below name every metric; labels have few values each.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { Milliseconds } from '../core/units.js';
+
+/** A closed list of counters: help text and label names. */
+const COUNTERS = {
+  requests: { help: 'Requests of callers that came to an end', labels: ['kind', 'outcome'] },
+  item_runs: { help: 'Runs of items at workers, by how they ended', labels: ['end'] },
+  jobs_submitted: { help: 'Jobs handed in, by what came of it', labels: ['outcome'] },
+  jobs_closed: { help: 'Jobs no longer run here, by reason', labels: ['reason'] },
+  jobs_adopted: { help: 'Jobs taken over from another node', labels: ['cause'] },
+  results_listed: { help: 'Results given a position', labels: ['state'] },
+  store_calls: { help: 'Calls to the shared store', labels: ['call', 'outcome'] },
+  weight_orders: { help: 'Orders to change weights, by outcome', labels: ['outcome'] },
+  peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
+} as const;
+
+/** A closed list of gauges. */
+const GAUGES = {
+  configuration_version: { help: 'Version of the configuration in force' },
+  live_nodes: { help: 'Nodes of the fleet that count as live' },
+  known_workers: { help: 'Workers that are registered' },
+  open_jobs: { help: 'Jobs that are run here' },
+  running_items: { help: 'Items under way at workers from here' },
+  is_coordinator: { help: '1 while this node may order weights' },
+} as const;
+
+/** A closed list of histograms, in seconds. */
+const HISTOGRAMS = {
+  request_seconds: { help: 'Time to the answer of a request', labels: ['kind'] },
+  item_seconds: { help: 'Age of an item when it was whole, since its submission', labels: [] },
+  submit_seconds: { help: 'Time to store a job', labels: [] },
+  store_seconds: { help: 'Time of calls to the shared store, watches apart', labels: ['call'] },
+} as const;
+
+const BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+const PREFIX = 'wardwing_fleet_';
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Name of a counter. */
+export type FleetCounter = keyof typeof COUNTERS;
+/** Name of a gauge. */
+export type FleetGauge = keyof typeof GAUGES;
+/** Name of a histogram. */
+export type FleetHistogram = keyof typeof HISTOGRAMS;
+/** Label values by label name. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+/** The metrics of one process. */
+export class FleetMetrics {
+  private readonly registry = new Registry();
+  private readonly counters = new Map<FleetCounter, Counter>();
+  private readonly gauges = new Map<FleetGauge, Gauge>();
+  private readonly histograms = new Map<FleetHistogram, Histogram>();
+  private readonly totals = new Map<string, number>();
+
+  constructor() {
+    const registers = [this.registry];
+    for (const [name, { help, labels }] of Object.entries(COUNTERS)) {
+      const options = { name: `${PREFIX}${name}_total`, help, labelNames: [...labels], registers };
+      this.counters.set(name as FleetCounter, new Counter(options));
+    }
+    for (const [name, { help }] of Object.entries(GAUGES)) {
+      this.gauges.set(name as FleetGauge, new Gauge({ name: `${PREFIX}${name}`, help, registers }));
+    }
+    for (const [name, { help, labels }] of Object.entries(HISTOGRAMS)) {
+      const options = {
+        name: `${PREFIX}${name}`,
+        help,
+        labelNames: [...labels],
+        buckets: BUCKETS,
+        registers,
+      };
+      this.histograms.set(name as FleetHistogram, new Histogram(options));
+    }
+  }
+
+  /** Raises a counter. */
+  count(name: FleetCounter, labels: MetricLabels, amount = 1): void {
+    this.counters.get(name)?.inc(labels, amount);
+    const key = [name, ...Object.values(labels)].join('.');
+    this.totals.set(key, (this.totals.get(key) ?? 0) + amount);
+  }
+
+  /** Sets a gauge. */
+  set(name: FleetGauge, value: number): void {
+    this.gauges.get(name)?.set(value);
+  }
+
+  /** Notes a duration. */
+  observe(name: FleetHistogram, labels: MetricLabels, duration: Milliseconds): void {
+    this.histograms.get(name)?.observe(labels, duration / MILLISECONDS_PER_SECOND);
+  }
+
+  /** All counters since the start, as `name.label` to count. */
+  snapshot(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.totals);
+  }
+
+  /** All metrics in the text format. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** Media type of {@link text}. */
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+}
--- a/test/serving/request-forwarder.test.ts
+++ b/test/serving/request-forwarder.test.ts
@@ -4,6 +4,7 @@
 import { RequestForwarder } from '../../src/serving/request-forwarder.js';
 import type { Route } from '../../src/serving/traffic-configuration.js';
 import { WorkerRegistry } from '../../src/serving/worker-registry.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import {
   answer,
   BROKEN,
@@ -40,6 +41,7 @@
     registry,
     clock: PROCESS_CLOCK,
     log: recordingLog().log,
+    metrics: new FleetMetrics(),
     zone: 'zone-1',
   });
   const sink = new RecordingSink();
