Nodes of the fleet ask each other: kept work, listings, ends, hand-over, probes

Change: src/peers asks and answers in devalue over HTTP on the internal ports. Nodes of the own zone are asked for kept work; owners list, and end, for other nodes; a stopping node offers its jobs to another; two nodes on a ring watch each node and take its jobs over when it falls silent (0.6 s where the connection is refused, about 1.2 s otherwise). A wrong suspicion costs work only, since every change of a job is conditional on its head.

--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -4,7 +4,9 @@
  * each holder. A new holder waits until orders of the one before can no longer be under way.
  */
 import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
 import { rendezvousOrder } from '../core/hashing.js';
+import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { Clock } from '../serving/clock.js';
@@ -20,6 +22,8 @@
 const LOCK_KEY = `${FLEET_PREFIX}coordinator`;
 const TERM_KEY = `${FLEET_PREFIX}coordinator-term`;
 
+const LOCK = z.object({ node: z.string(), nonce: z.string() });
+
 /** Time by which each rank lets the nodes before it take a free lock. */
 const RANK_DELAY: Milliseconds = 400;
 
@@ -40,6 +44,7 @@
 /** Takes the lock when it is free, and tells whether this node may give orders. */
 export class CoordinatorLock {
   private holderNonce: string | undefined;
+  private holderNode: NodeId | undefined;
   private isKnown = false;
   private ownNonce: string | undefined;
   private token: Revision = 0;
@@ -56,6 +61,11 @@
     });
   }
 
+  /** The node that holds the lock, as far as this node knows. */
+  get holder(): NodeId | undefined {
+    return this.holderNode;
+  }
+
   /** The fencing token while this node may give orders; `undefined` otherwise. */
   fencingToken(): Revision | undefined {
     if (this.ownNonce === undefined || this.options.clock.now() < this.activeFrom) return undefined;
@@ -100,6 +110,7 @@
     const isFirst = termRevision === ABSENT;
     this.ownNonce = nonce;
     this.holderNonce = nonce;
+    this.holderNode = self.node;
     this.token = revision;
     this.activeFrom = clock.now() + (isFirst ? 0 : handOverDelay);
     log.state('coordinator-acquired', { fencingToken: revision, isFirst });
@@ -109,15 +120,17 @@
   private async settle(nonce: string): Promise<Revision | undefined> {
     const read = await this.options.store.get(LOCK_KEY);
     if (read.kind !== 'item' || read.item === undefined) return undefined;
-    return nonceOf(read.item.value) === nonce ? read.item.revision : undefined;
+    return parseLock(read.item.value)?.nonce === nonce ? read.item.revision : undefined;
   }
 
   private take(change: StoreChange): void {
     if (change.key === TERM_KEY && change.value !== undefined) this.termRevision = change.revision;
     if (change.key !== LOCK_KEY) return;
-    const nonce = change.value === undefined ? undefined : nonceOf(change.value);
+    const lock = change.value === undefined ? undefined : parseLock(change.value);
+    const nonce = lock?.nonce;
     if (nonce === undefined && change.revision < this.token) return;
     this.holderNonce = nonce;
+    this.holderNode = lock?.node;
     if (nonce === undefined) this.freeSince = this.options.clock.now();
     if (this.ownNonce === undefined || nonce === this.ownNonce) return;
     this.ownNonce = undefined;
@@ -125,10 +138,9 @@
   }
 }
 
-function nonceOf(text: string): string | undefined {
+function parseLock(text: string): z.infer<typeof LOCK> | undefined {
   try {
-    const { nonce } = JSON.parse(text) as { readonly nonce?: unknown };
-    return typeof nonce === 'string' ? nonce : undefined;
+    return LOCK.safeParse(JSON.parse(text)).data;
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/src/fleet/fleet-peers.ts
@@ -0,0 +1,152 @@
+/** Questions between the nodes of a fleet: how this node asks them, and how it answers. */
+import { rendezvousOrder } from '../core/hashing.js';
+import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { JobPeers } from '../jobs/job-peers.js';
+import type { OwnerListing } from '../jobs/job-reader.js';
+import type { JobOwner } from '../jobs/job-records.js';
+import type { JobService } from '../jobs/job-service.js';
+import type { DigestedWork } from '../jobs/kept-items.js';
+import type {
+  PeerAnswers,
+  PeerHandler,
+  PeerOutcome,
+  PeerPort,
+  PeerRequest,
+  PeerRequestOf,
+} from '../peers/peer-messages.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { CoordinatorLock } from './coordinator-lock.js';
+import type { FleetRegistry } from './fleet-registry.js';
+
+/** Time for an answer. */
+const KEPT_WORK_LIMIT: Milliseconds = 120;
+const RESULTS_LIMIT: Milliseconds = 250;
+const END_LIMIT: Milliseconds = 600;
+const HAND_OVER_LIMIT: Milliseconds = 600;
+const NEED_LIMIT: Milliseconds = 300;
+
+/** Nodes that are asked for kept work: those of the own zone, where a trainer's calls arrive. */
+const MOST_KEPT_WORK_PEERS = 8;
+
+/** Nodes that a released job is offered to, one after the other. */
+const HAND_OVER_OFFERS = 2;
+
+/** Options of {@link FleetPeers}. */
+export interface FleetPeersOptions {
+  readonly port: PeerPort;
+  readonly fleet: FleetRegistry;
+  readonly self: JobOwner;
+  readonly zone: ZoneName;
+  readonly metrics: FleetMetrics;
+  readonly jobs: () => JobService;
+  readonly lock: () => CoordinatorLock;
+  /** Called on the coordinator: a job needs weights of at least this version. */
+  readonly weightsNeeded: (model: ModelName, version: WeightVersion) => void;
+}
+
+/** The other nodes of the fleet. */
+export class FleetPeers implements JobPeers, PeerHandler {
+  constructor(private readonly options: FleetPeersOptions) {}
+
+  async keptWork(items: readonly string[]): Promise<ReadonlyMap<string, DigestedWork>> {
+    const { fleet, self, zone } = this.options;
+    const nodes = fleet
+      .liveNodes()
+      .filter((node) => node !== self.node && fleet.zoneOf(node) === zone)
+      .slice(0, MOST_KEPT_WORK_PEERS);
+    const request = { kind: 'kept-work', items } as const;
+    const outcomes = await Promise.all(
+      nodes.map((node) => this.ask<'kept-work'>(node, request, KEPT_WORK_LIMIT)),
+    );
+    const work = new Map<string, DigestedWork>();
+    for (const outcome of outcomes) {
+      if (outcome?.kind !== 'answered') continue;
+      for (const [id, kept] of outcome.answer.work) {
+        if (isFurther(kept, work.get(id))) work.set(id, kept);
+      }
+    }
+    return work;
+  }
+
+  async ownerListing(
+    owner: JobOwner,
+    job: string,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<OwnerListing | undefined> {
+    if (!this.options.fleet.isLive(owner)) return undefined;
+    const request = { kind: 'job-results', job, after, wait } as const;
+    const outcome = await this.ask<'job-results'>(owner.node, request, wait + RESULTS_LIMIT);
+    if (outcome?.kind !== 'answered' || !outcome.answer.isOwner) return undefined;
+    return outcome.answer;
+  }
+
+  async endAtOwner(owner: JobOwner, job: string): Promise<boolean> {
+    if (!this.options.fleet.isLive(owner)) return false;
+    const outcome = await this.ask<'end-job'>(owner.node, { kind: 'end-job', job }, END_LIMIT);
+    return outcome?.kind === 'answered' && outcome.answer.isEnded;
+  }
+
+  async handOver(job: string): Promise<void> {
+    const { fleet, self } = this.options;
+    const others = fleet.liveNodes().filter((node) => node !== self.node);
+    const nodes = rendezvousOrder(job, others, (node) => node).slice(0, HAND_OVER_OFFERS);
+    for (const node of nodes) {
+      const request = { kind: 'take-job', job } as const;
+      const outcome = await this.ask<'take-job'>(node, request, HAND_OVER_LIMIT);
+      if (outcome?.kind === 'answered' && outcome.answer.isTaken) return;
+    }
+  }
+
+  needWeights(model: ModelName, version: WeightVersion): void {
+    const holder = this.options.lock().holder;
+    if (holder === undefined) return;
+    if (holder === this.options.self.node) {
+      this.options.weightsNeeded(model, version);
+      return;
+    }
+    void this.ask<'need-weights'>(holder, { kind: 'need-weights', model, version }, NEED_LIMIT);
+  }
+
+  async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
+    const { self, jobs, weightsNeeded } = this.options;
+    switch (request.kind) {
+      case 'probe':
+        return { isAlive: request.owner.incarnation === self.incarnation };
+      case 'kept-work':
+        return { work: jobs().keptWorkOf(request.items) };
+      case 'job-results':
+        return jobs().ownListing(request.job, request.after, request.wait);
+      case 'end-job':
+        return { isEnded: await jobs().endOwn(request.job) };
+      case 'take-job':
+        return { isTaken: await jobs().takeReleased(request.job) };
+      case 'need-weights':
+        weightsNeeded(request.model, request.version);
+        return { isNoted: true };
+    }
+  }
+
+  private async ask<Kind extends PeerRequest['kind']>(
+    node: NodeId,
+    request: PeerRequestOf<Kind>,
+    limit: Milliseconds,
+  ): Promise<PeerOutcome<Kind> | undefined> {
+    const address = this.options.fleet.addressOf(node);
+    if (address === undefined) return undefined;
+    const outcome = await this.options.port.ask<Kind>(address, request, limit);
+    const labels = { call: request.kind, outcome: outcome.kind };
+    this.options.metrics.count('peer_calls', labels);
+    return outcome;
+  }
+}
+
+/** Whether one node's work on an item got further than another's. */
+function isFurther(one: DigestedWork, other: DigestedWork | undefined): boolean {
+  return other === undefined || progressOf(one) > progressOf(other);
+}
+
+function progressOf({ work }: DigestedWork): number {
+  return work.kind === 'finished' ? Number.POSITIVE_INFINITY : work.progress.events.length;
+}
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -5,7 +5,7 @@
  */
 import { Subject } from 'rxjs';
 import { z } from 'zod';
-import type { ZoneName } from '../core/identity.js';
+import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { Clock } from '../serving/clock.js';
@@ -26,13 +26,24 @@
 export const LEASE_TTL: Milliseconds = 2_000;
 const RENEWAL_INTERVAL: Milliseconds = 600;
 
-const NODE_RECORD = z.object({ incarnation: z.string(), zone: z.string() });
+const NODE_RECORD = z.object({ incarnation: z.string(), zone: z.string(), address: z.string() });
+
+/** What a node tells of itself. */
+type NodeRecord = z.infer<typeof NODE_RECORD>;
+
+/** A life of a node that ended; a node that is replaced is surely gone, its lease may just lapse. */
+export interface Departure {
+  readonly node: NodeId;
+  readonly cause: 'replaced' | 'lease-over';
+}
 
 /** Options of {@link FleetRegistry}. */
 export interface FleetRegistryOptions {
   readonly store: SharedStore;
   readonly self: JobOwner;
   readonly zone: ZoneName;
+  /** Where other nodes reach this one. */
+  readonly address: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
 }
@@ -40,14 +51,14 @@
 /** Knows which lives of nodes are live, and keeps this node's own record. */
 export class FleetRegistry {
   /** Fires after a node left or was replaced by a new life. */
-  readonly departures = new Subject<string>();
+  readonly departures = new Subject<Departure>();
   /** Changes under the fleet's prefix that are not about nodes. */
   readonly otherChanges = new Subject<StoreChange>();
   /** Fires when the store answers again after a renewal went unanswered. */
   readonly storeRegained = new Subject<void>();
   /** Fires once the fleet was listed whole. */
   readonly listed = new Subject<void>();
-  private readonly live = new Map<string, string>();
+  private readonly live = new Map<NodeId, NodeRecord>();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
   private renewedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -82,7 +93,7 @@
 
   /** Whether this life of a node is live, as far as this node knows. */
   isLive(owner: JobOwner): boolean {
-    return this.live.get(owner.node) === owner.incarnation;
+    return this.live.get(owner.node)?.incarnation === owner.incarnation;
   }
 
   /** Names of the live nodes. */
@@ -90,6 +101,22 @@
     return [...this.live.keys()];
   }
 
+  /** The live life of a node. */
+  ownerOf(node: NodeId): JobOwner | undefined {
+    const record = this.live.get(node);
+    return record === undefined ? undefined : { node, incarnation: record.incarnation };
+  }
+
+  /** Where a live node is reached. */
+  addressOf(node: NodeId): string | undefined {
+    return this.live.get(node)?.address;
+  }
+
+  /** The zone of a live node. */
+  zoneOf(node: NodeId): ZoneName | undefined {
+    return this.live.get(node)?.zone;
+  }
+
   /** The lease of this node's record; `NO_LEASE` while there is none. */
   get leaseId(): LeaseId {
     return this.lease;
@@ -109,11 +136,12 @@
     const before = this.live.get(node);
     const record = change.value === undefined ? undefined : parseRecord(change.value);
     if (record === undefined) this.live.delete(node);
-    else this.live.set(node, record.incarnation);
-    if (before === record?.incarnation) return;
+    else this.live.set(node, record);
+    if (before?.incarnation === record?.incarnation) return;
     const state = record === undefined ? 'gone' : 'live';
     this.options.log.state('fleet-node', { peer: node, state, live: this.live.size });
-    if (before !== undefined) this.departures.next(node);
+    const cause = record === undefined ? 'lease-over' : 'replaced';
+    if (before !== undefined) this.departures.next({ node, cause });
   }
 
   private async renew(): Promise<void> {
@@ -136,10 +164,10 @@
   }
 
   private async register(): Promise<boolean> {
-    const { store, self, zone, log } = this.options;
+    const { store, self, zone, address, log } = this.options;
     const grant = await store.grantLease(LEASE_TTL);
     if (grant.kind !== 'granted' || this.isStopped) return false;
-    const value = JSON.stringify({ incarnation: self.incarnation, zone });
+    const value = JSON.stringify({ incarnation: self.incarnation, zone, address });
     const put = [{ key: `${NODE_PREFIX}${self.node}`, value, lease: grant.lease }];
     const outcome = await store.commit({ expected: [], put });
     if (outcome.kind !== 'committed') return false;
@@ -159,7 +187,7 @@
   }
 }
 
-function parseRecord(text: string): z.infer<typeof NODE_RECORD> | undefined {
+function parseRecord(text: string): NodeRecord | undefined {
   try {
     return NODE_RECORD.safeParse(JSON.parse(text)).data;
   } catch {
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -12,6 +12,7 @@
 import type { JobSpecification } from '../jobs/job-records.js';
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
+import type { PeerPort } from '../peers/peer-messages.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort } from '../serving/engine-port.js';
@@ -30,8 +31,10 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { CoordinatorLock } from './coordinator-lock.js';
 import { type FeedTranslation, type FleetEvent, FleetFeeds } from './fleet-feeds.js';
+import { FleetPeers } from './fleet-peers.js';
 import { FleetRegistry } from './fleet-registry.js';
 import { JobTakeover } from './job-takeover.js';
+import { PeerMonitor, type Suspicion } from './peer-monitor.js';
 import { type StorageDrainPort, StorageDrains } from './storage-drains.js';
 import { WeightRollout } from './weight-rollout.js';
 
@@ -41,6 +44,9 @@
   readonly zone: ZoneName;
   readonly store: SharedStore;
   readonly engine: EnginePort;
+  readonly peers: PeerPort;
+  /** Where other nodes reach this one. */
+  readonly peerAddress: string;
   readonly feeds: FeedTranslation;
   /** Line by which an event tells a change of weights, in lower case. */
   readonly versionField: string;
@@ -57,6 +63,9 @@
 /** Time between two rounds of regular work. */
 const TICK_INTERVAL: Milliseconds = 50;
 
+/** Time by which each watching node lets the one before it take over first. */
+const SUSPICION_RANK_DELAY: Milliseconds = 500;
+
 /** Time between two lines with all counters. */
 const REPORT_INTERVAL: Milliseconds = 10_000;
 
@@ -72,6 +81,9 @@
   private readonly feeds: FleetFeeds;
   private readonly fleet: FleetRegistry;
   private readonly takeover: JobTakeover;
+  private readonly monitor: PeerMonitor;
+  /** Answers the questions of other nodes. */
+  readonly peerHandler: FleetPeers;
   private readonly lock: CoordinatorLock;
   private readonly rollout: WeightRollout;
   private readonly drains: StorageDrains;
@@ -89,6 +101,19 @@
     const routes = (): RouteMatcher | undefined => this.matcher;
     const registry = this.registry;
     const jobStore = new JobStore(store);
+    const address = options.peerAddress;
+    this.fleet = new FleetRegistry({ store, self, zone, address, clock, log });
+    const peers = new FleetPeers({
+      port: options.peers,
+      fleet: this.fleet,
+      self,
+      zone,
+      metrics,
+      jobs: () => this.jobs,
+      lock: () => this.lock,
+      weightsNeeded: (model, version) => this.rollout.require(model, version),
+    });
+    this.peerHandler = peers;
     this.forwarder = new RequestForwarder({
       engine,
       versionField,
@@ -109,7 +134,8 @@
     });
     this.jobs = new JobService({
       store: jobStore,
-      reader: new JobReader(jobStore),
+      reader: new JobReader(jobStore, (...question) => peers.ownerListing(...question)),
+      peers,
       dispatcher: this.dispatcher,
       clock,
       log,
@@ -120,7 +146,6 @@
     });
     this.feeds = new FleetFeeds({ store, translation: options.feeds, log });
     this.feeds.events.subscribe((event) => this.take(event));
-    this.fleet = new FleetRegistry({ store, self, zone, clock, log });
     this.fleet.storeRegained.subscribe(() => this.feeds.restart());
     this.takeover = new JobTakeover({
       store: jobStore,
@@ -128,6 +153,8 @@
       fleet: this.fleet,
       self,
     });
+    this.monitor = new PeerMonitor({ fleet: this.fleet, peers: options.peers, self, log });
+    this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     this.lock = new CoordinatorLock({
       store,
       fleet: this.fleet,
@@ -154,6 +181,7 @@
   start(): void {
     this.feeds.start();
     this.fleet.start();
+    this.monitor.start();
     this.ticker = setInterval(() => this.tick(), TICK_INTERVAL);
     this.reporter = setInterval(() => this.report(), REPORT_INTERVAL);
   }
@@ -252,6 +280,7 @@
     this.isStopping = true;
     this.dispatcher.stop();
     this.takeover.stop();
+    this.monitor.stop();
     clearInterval(this.ticker);
     clearInterval(this.reporter);
     this.report();
@@ -270,6 +299,14 @@
     this.drains.tick();
   }
 
+  /** The nodes that watch a suspected one act in turn, so that they rarely race. */
+  private takeOverFrom({ owner, rank }: Suspicion): void {
+    setTimeout(() => {
+      if (this.isStopping || !this.monitor.isSuspected(owner)) return;
+      void this.takeover.takeFrom(owner, () => this.monitor.isSuspected(owner));
+    }, rank * SUSPICION_RANK_DELAY);
+  }
+
   /** Sets the gauges and writes the counters as one line. */
   private report(): void {
     const { metrics, log } = this.options;
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -22,8 +22,11 @@
 /** A departed node may be back with a new lease within this time; then nothing is taken over. */
 const DEPARTURE_GRACE: Milliseconds = 700;
 
+/** A life that was replaced is surely over; others may be replaced at the same time. */
+const REPLACEMENT_GRACE: Milliseconds = 150;
+
 /** Time by which each rank lets the ones before it go first. */
-const RANK_DELAY: Milliseconds = 1_200;
+const RANK_DELAY: Milliseconds = 900;
 
 /** Scans after a departure: the last one takes jobs of any rank. */
 const SCANS = 3;
@@ -33,19 +36,32 @@
   private timers: NodeJS.Timeout[] = [];
 
   constructor(private readonly options: JobTakeoverOptions) {
-    options.fleet.departures.subscribe(() => this.scanSoon());
+    options.fleet.departures.subscribe(({ cause }) =>
+      this.scanSoon(cause === 'replaced' ? REPLACEMENT_GRACE : DEPARTURE_GRACE),
+    );
     options.fleet.listed.subscribe(() => this.scanSoon());
   }
 
   /** Scans after the grace, and again for jobs that better ranked nodes left alone. */
-  scanSoon(): void {
+  scanSoon(grace: Milliseconds = REPLACEMENT_GRACE): void {
     this.stop();
     for (let scan = 0; scan < SCANS; scan += 1) {
-      const delay = DEPARTURE_GRACE + scan * RANK_DELAY;
+      const delay = grace + scan * RANK_DELAY;
       this.timers.push(setTimeout(() => void this.scan(scan), delay));
     }
   }
 
+  /** Takes over what a life of a node runs that fell silent, unless it is trusted again. */
+  async takeFrom(owner: JobOwner, isStillSuspected: () => boolean): Promise<void> {
+    const read = await this.options.store.heads();
+    if (read.kind !== 'found' || !isStillSuspected()) return;
+    for (const [job, found] of read.value) {
+      const { owner: current } = found.head;
+      const isTheirs = current?.node === owner.node && current.incarnation === owner.incarnation;
+      if (isTheirs && !isFinished(found.head)) await this.options.service.adopt(job, found);
+    }
+  }
+
   /** Cancels scans that are due. */
   stop(): void {
     for (const timer of this.timers) clearTimeout(timer);
--- /dev/null
+++ b/src/fleet/peer-monitor.ts
@@ -0,0 +1,143 @@
+/**
+ * Watches a few other nodes by asking them directly, so that a dead or frozen one is noticed long
+ * before its lease runs out. Each node is watched by the nodes that follow it on a ring of names;
+ * the cost for one node therefore does not grow with the fleet.
+ *
+ * A suspicion only lets jobs be taken over; a node that is suspected wrongly loses a commit and
+ * stops, so nothing rests on it being right.
+ */
+import { Subject } from 'rxjs';
+import { placementHash } from '../core/hashing.js';
+import type { NodeId } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { JobOwner } from '../jobs/job-records.js';
+import type { PeerPort } from '../peers/peer-messages.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetRegistry } from './fleet-registry.js';
+
+/** Nodes that each node watches. */
+const WATCHED_NODES = 2;
+
+/** Time between two probes of a node, and for the answer to one. */
+const PROBE_INTERVAL: Milliseconds = 300;
+const PROBE_LIMIT: Milliseconds = 400;
+
+/** Probes in a row without an answer that make a suspicion. */
+const SILENT_LIMIT = 3;
+/** The same where the connection is refused, as the process is then gone. */
+const REFUSED_LIMIT = 2;
+
+/** Options of {@link PeerMonitor}. */
+export interface PeerMonitorOptions {
+  readonly fleet: FleetRegistry;
+  readonly peers: PeerPort;
+  readonly self: JobOwner;
+  readonly log: DecisionLog;
+}
+
+/** A life of a node that fell silent. */
+export interface Suspicion {
+  readonly owner: JobOwner;
+  /** Nodes between the suspected one and this one on the ring; they act first. */
+  readonly rank: number;
+}
+
+interface WatchedNode {
+  readonly owner: JobOwner;
+  silent: number;
+  refused: number;
+  isSuspected: boolean;
+  isAsked: boolean;
+}
+
+/** Probes the nodes that this one watches. */
+export class PeerMonitor {
+  /** Lives of nodes that fell silent. */
+  readonly suspicions = new Subject<Suspicion>();
+  private readonly watched = new Map<NodeId, WatchedNode>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: PeerMonitorOptions) {}
+
+  /** Begins to probe. */
+  start(): void {
+    this.timer = setInterval(() => this.round(), PROBE_INTERVAL);
+  }
+
+  /** Probes no more. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Whether this life of a node counts as dead here. */
+  isSuspected(owner: JobOwner): boolean {
+    const watched = this.watched.get(owner.node);
+    return watched?.owner.incarnation === owner.incarnation && watched.isSuspected;
+  }
+
+  private round(): void {
+    const targets = this.targets();
+    for (const node of this.watched.keys()) if (!targets.includes(node)) this.watched.delete(node);
+    for (const node of targets) {
+      const owner = this.options.fleet.ownerOf(node);
+      const address = this.options.fleet.addressOf(node);
+      if (owner === undefined || address === undefined) continue;
+      const watched = this.watchedNode(owner);
+      if (!watched.isAsked) void this.probe(watched, address);
+    }
+  }
+
+  private watchedNode(owner: JobOwner): WatchedNode {
+    const known = this.watched.get(owner.node);
+    if (known?.owner.incarnation === owner.incarnation) return known;
+    const fresh = { owner, silent: 0, refused: 0, isSuspected: false, isAsked: false };
+    this.watched.set(owner.node, fresh);
+    return fresh;
+  }
+
+  private async probe(watched: WatchedNode, address: string): Promise<void> {
+    watched.isAsked = true;
+    const { owner } = watched;
+    const outcome = await this.options.peers.ask(address, { kind: 'probe', owner }, PROBE_LIMIT);
+    watched.isAsked = false;
+    const isAlive = outcome.kind === 'answered' && outcome.answer.isAlive;
+    const isOtherLife = outcome.kind === 'answered' && !outcome.answer.isAlive;
+    if (isAlive) {
+      watched.silent = 0;
+      watched.refused = 0;
+      this.clear(watched);
+      return;
+    }
+    watched.silent += 1;
+    if (outcome.kind === 'refused') watched.refused += 1;
+    const isGone = isOtherLife || watched.refused >= REFUSED_LIMIT;
+    if (isGone || watched.silent >= SILENT_LIMIT) this.suspect(watched, outcome.kind);
+  }
+
+  private suspect(watched: WatchedNode, cause: string): void {
+    if (watched.isSuspected || this.watched.get(watched.owner.node) !== watched) return;
+    watched.isSuspected = true;
+    this.options.log.state('node-suspected', { peer: watched.owner.node, cause });
+    const rank = Math.max(0, this.targets().indexOf(watched.owner.node));
+    this.suspicions.next({ owner: watched.owner, rank });
+  }
+
+  private clear(watched: WatchedNode): void {
+    if (!watched.isSuspected) return;
+    watched.isSuspected = false;
+    this.options.log.state('node-trusted', { peer: watched.owner.node });
+  }
+
+  /** The nodes that follow this one on the ring of hashed names. */
+  private targets(): NodeId[] {
+    const self = this.options.self.node;
+    const others = this.options.fleet.liveNodes().filter((node) => node !== self);
+    const place = (node: NodeId): number =>
+      (placementHash(node) - placementHash(self) + RING_SIZE) % RING_SIZE;
+    others.sort((left, right) => place(left) - place(right));
+    return others.slice(0, WATCHED_NODES);
+  }
+}
+
+/** Hashes lie in `[0, 2^32)`. */
+const RING_SIZE = 2 ** 32;
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -52,9 +52,15 @@
 export class WeightRollout {
   private readonly underWay = new Set<string>();
   private readonly notBefore = new Map<string, Milliseconds>();
+  private readonly required = new Map<ModelName, WeightVersion>();
 
   constructor(private readonly options: WeightRolloutOptions) {}
 
+  /** A job needs weights of at least this version: workers behind it change first. */
+  require(model: ModelName, version: WeightVersion): void {
+    if (version > (this.required.get(model) ?? 0)) this.required.set(model, version);
+  }
+
   /** Starts changes while there is room for more loads. */
   tick(): void {
     const limit = this.options.loadsAtOnce ?? DEFAULT_LOADS_AT_ONCE;
--- /dev/null
+++ b/src/jobs/job-peers.ts
@@ -0,0 +1,25 @@
+/** What a node asks the other nodes about jobs. Every answer may fail to come. */
+import type { ModelName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { OwnerListing } from './job-reader.js';
+import type { JobOwner } from './job-records.js';
+import type { DigestedWork } from './kept-items.js';
+
+/** The other nodes, as the jobs' modules see them. */
+export interface JobPeers {
+  /** What other nodes kept of items, by item id. */
+  keptWork(items: readonly string[]): Promise<ReadonlyMap<string, DigestedWork>>;
+  /** Results behind a position, from the owner; `undefined` where it does not tell. */
+  ownerListing(
+    owner: JobOwner,
+    job: string,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<OwnerListing | undefined>;
+  /** Asks the owner to end a job; tells whether it did. */
+  endAtOwner(owner: JobOwner, job: string): Promise<boolean>;
+  /** Offers a released job to another node. */
+  handOver(job: string): Promise<void>;
+  /** Tells the coordinator that weights of at least this version are needed. */
+  needWeights(model: ModelName, version: WeightVersion): void;
+}
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -1,8 +1,9 @@
 /**
  * Reads jobs that another node runs. Listed results and specifications never change, so they are
- * kept; only what may be missing is asked of the store.
+ * kept; only what may be missing is asked of the owner, and of the store where that does not help.
  */
-import type { JobResult, JobSpecification } from './job-records.js';
+import type { Milliseconds } from '../core/units.js';
+import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
 import type { JobStore, Read } from './job-store.js';
 
 /** Jobs whose results, and whose specifications, are kept at most. */
@@ -12,6 +13,8 @@
 /** What is known of a job. */
 interface KnownJob {
   readonly total: number;
+  /** Who ran it when its head was read. */
+  owner: JobOwner | null;
   pages: number;
   readonly results: JobResult[];
 }
@@ -22,21 +25,40 @@
   readonly results: readonly JobResult[];
 }
 
-/** Reads jobs from the store. */
+/** Results that the owner of a job told, behind those that are known. */
+export interface OwnerListing {
+  readonly results: readonly JobResult[];
+  /** Pages up to the last of all results. */
+  readonly pages: number;
+}
+
+/** Asks the owner of a job; `undefined` where it does not answer or is not the owner any more. */
+export type AskOwner = (
+  owner: JobOwner,
+  job: string,
+  after: number,
+  wait: Milliseconds,
+) => Promise<OwnerListing | undefined>;
+
+/** Reads jobs from their owners, and from the store. */
 export class JobReader {
   private readonly jobs = new Map<string, KnownJob>();
   private readonly specifications = new Map<string, JobSpecification>();
 
-  constructor(private readonly store: JobStore) {}
+  constructor(
+    private readonly store: JobStore,
+    private readonly askOwner: AskOwner,
+  ) {}
 
   /** All results of a job, at least up to those that were listed when the call came. */
-  async listing(job: string, after: number): Promise<Read<JobListing>> {
+  async listing(job: string, after: number, wait: Milliseconds): Promise<Read<JobListing>> {
     const known = this.jobs.get(job);
     if (known !== undefined && (after < known.results.length || isWhole(known))) {
       return { kind: 'found', value: known };
     }
     const opened = known ?? (await this.open(job));
     if ('kind' in opened) return opened;
+    if (await this.readFromOwner(job, opened, wait)) return { kind: 'found', value: opened };
     const read = await this.store.results(job, opened.pages);
     if (read.kind !== 'found') return { kind: 'unavailable' };
     this.extend(opened, read.value);
@@ -55,11 +77,26 @@
   private async open(job: string): Promise<KnownJob | Read<never>> {
     const read = await this.store.head(job);
     if (read.kind !== 'found') return read;
-    const opened = { total: read.value.head.total, pages: 0, results: [] };
+    const { total, owner, ended } = read.value.head;
+    const opened = { total, owner: ended ? null : owner, pages: 0, results: [] };
     keep(this.jobs, job, opened, KEPT_JOBS);
     return opened;
   }
 
+  private async readFromOwner(job: string, known: KnownJob, wait: Milliseconds): Promise<boolean> {
+    if (known.owner === null) return false;
+    const from = known.results.length;
+    const listing = await this.askOwner(known.owner, job, from, wait);
+    if (listing === undefined) {
+      known.owner = null;
+      return false;
+    }
+    // Another read may have brought some of them meanwhile.
+    known.results.push(...listing.results.slice(known.results.length - from));
+    known.pages = Math.max(known.pages, listing.pages);
+    return true;
+  }
+
   /** Two reads at a time may bring the same pages; only the next one in order is added. */
   private extend(known: KnownJob, pages: readonly (readonly JobResult[])[]): void {
     const seen = new Set(known.results.map((result) => result.id));
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -2,11 +2,13 @@
 
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
+import type { PeerAnswers } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { ItemDispatcher } from './item-dispatcher.js';
+import type { JobPeers } from './job-peers.js';
 import type { JobListing, JobReader } from './job-reader.js';
 import {
   ageOf,
@@ -17,13 +19,15 @@
   type KeptProgress,
 } from './job-records.js';
 import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
-import { KeptItems, type KeptWork } from './kept-items.js';
+import type { DigestedWork } from './kept-items.js';
+import { isFor, KeptItems, type KeptWork } from './kept-items.js';
 import { OwnedJob } from './owned-job.js';
 
 /** Options of {@link JobService}. */
 export interface JobServiceOptions {
   readonly store: JobStore;
   readonly reader: JobReader;
+  readonly peers: JobPeers;
   readonly dispatcher: ItemDispatcher;
   readonly clock: Clock;
   readonly log: DecisionLog;
@@ -79,7 +83,10 @@
       submittedAt: spec.submittedAt,
     };
     const startedAt = this.options.clock.now();
-    const change = await this.options.store.create(spec, head, wanted);
+    const [change, kept] = await Promise.all([
+      this.options.store.create(spec, head, wanted),
+      this.keptElsewhere(spec),
+    ]);
     const details = {
       job: spec.id,
       step: spec.step,
@@ -90,7 +97,10 @@
     this.options.log.decision('job-submitted', details);
     this.options.metrics.count('jobs_submitted', { outcome: change.kind });
     this.options.metrics.observe('submit_seconds', {}, this.options.clock.now() - startedAt);
-    if (change.kind === 'changed') this.own(spec, change.current, []);
+    if (change.kind === 'changed') {
+      this.own(spec, change.current, [], this.keptWork(spec, {}, kept));
+      this.options.peers.needWeights(spec.model, spec.minVersion);
+    }
     if (change.kind !== 'unavailable') return undefined;
     if (change.mayBeDone) return failure('outcome_unknown', 'the job may have been stored');
     return failure('ledger_unavailable', 'the store takes no jobs now', {
@@ -100,11 +110,9 @@
 
   /** Results from a position on; waits for the first where the job is run here. */
   async read(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
-    const own = this.owned.get(job);
-    if (own !== undefined && own.ending !== 'superseded' && own.ending !== 'released') {
-      return this.readOwned(own, after, wait);
-    }
-    const read = await this.options.reader.listing(job, after);
+    const own = this.answeringJob(job);
+    if (own !== undefined) return this.readOwned(own, after, wait);
+    const read = await this.options.reader.listing(job, after, wait);
     if (read.kind === 'absent') return failure('not_found', 'there is no such job');
     if (read.kind === 'unavailable') return storeSilent();
     return slice(read.value, after);
@@ -132,7 +140,9 @@
       const read = await this.options.store.head(job);
       if (read.kind === 'absent') return failure('not_found', 'there is no such job');
       if (read.kind === 'found') {
-        if (read.value.head.ended) return undefined;
+        const { ended: hasEnded, owner } = read.value.head;
+        if (hasEnded) return undefined;
+        if (owner !== null && (await this.options.peers.endAtOwner(owner, job))) return undefined;
         const ended = { ended: true };
         const change = await this.options.store.replace(job, read.value, ended, wanted);
         if (change.kind === 'changed') return undefined;
@@ -155,7 +165,8 @@
     ]);
     if (spec === undefined) return false;
     const listed = (results ?? []).flat();
-    this.own(spec, change.current, listed, progress);
+    this.own(spec, change.current, listed, this.keptWork(spec, progress ?? {}));
+    this.options.peers.needWeights(spec.model, spec.minVersion);
     const previous = found.head.owner?.node ?? 'none';
     log.state('job-adopted', { job, previous, listed: listed.length });
     metrics.count('jobs_adopted', { cause: found.head.owner === null ? 'released' : 'lost' });
@@ -170,19 +181,24 @@
 
   /** Gives all open jobs up for other nodes. */
   async release(wanted: StillWanted): Promise<void> {
-    await Promise.all(this.ownedJobs().map((job) => job.release(wanted)));
+    const open = this.ownedJobs().filter((job) => job.isOpen);
+    await Promise.all(
+      open.map(async (job) => {
+        await job.release(wanted);
+        if (job.ending === 'released') await this.options.peers.handOver(job.spec.id);
+      }),
+    );
   }
 
   private own(
     spec: JobSpecification,
     head: VersionedHead,
     listed: readonly JobResult[],
-    progress: KeptProgress = {},
+    kept: ReadonlyMap<string, KeptWork>,
   ): void {
     const { store, clock, self, dispatcher } = this.options;
     const route = this.options.routes()?.match(spec.host, spec.path);
     const rule = { minVersion: spec.minVersion, singleVersion: route?.singleVersion ?? false };
-    const kept = this.keptWork(spec, progress);
     const job = new OwnedJob(spec, head, listed, rule, self, store, clock, kept);
     job.changed.subscribe(() => {
       if (!job.isOpen) this.noteClosed(job);
@@ -206,14 +222,70 @@
     });
   }
 
-  /** What earlier owners and earlier jobs made of the items. */
-  private keptWork(spec: JobSpecification, progress: KeptProgress): Map<string, KeptWork> {
+  /** What this node kept of items, for another node. */
+  keptWorkOf(items: readonly string[]): Map<string, DigestedWork> {
+    const work = new Map<string, DigestedWork>();
+    for (const id of items) {
+      const kept = this.kept.findById(id);
+      if (kept !== undefined) work.set(id, kept);
+    }
+    return work;
+  }
+
+  /** Results of a job that this node runs, for another node. */
+  async ownListing(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<PeerAnswers['job-results']> {
+    const own = this.answeringJob(job);
+    if (own === undefined) return { isOwner: false };
+    await this.awaitFresh(own, after, wait);
+    if (own.ending === 'superseded') return { isOwner: false };
+    const { pages, total } = own.head.head;
+    return { isOwner: true, total, pages, results: own.results.slice(after) };
+  }
+
+  /** Ends a job that this node runs; tells whether it has ended. */
+  async endOwn(job: string): Promise<boolean> {
+    const own = this.owned.get(job);
+    if (own === undefined) return false;
+    return own.isOpen ? own.end(() => false) : own.ending === 'ended';
+  }
+
+  /** Takes a job that its owner has just released. */
+  async takeReleased(job: string): Promise<boolean> {
+    const read = await this.options.store.head(job);
+    if (read.kind !== 'found' || isFinished(read.value.head)) return false;
+    return read.value.head.owner === null && this.adopt(job, read.value);
+  }
+
+  /** A job that this node may answer for. */
+  private answeringJob(job: string): OwnedJob | undefined {
+    const own = this.owned.get(job);
+    return own?.ending === 'superseded' || own?.ending === 'released' ? undefined : own;
+  }
+
+  /** What nodes of the zone kept of the items of a later step. */
+  private async keptElsewhere(spec: JobSpecification): Promise<ReadonlyMap<string, DigestedWork>> {
+    if (spec.step === 0) return new Map();
+    return this.options.peers.keptWork(spec.items.map((item) => item.id));
+  }
+
+  /** What earlier owners and earlier jobs made of the items, here and elsewhere. */
+  private keptWork(
+    spec: JobSpecification,
+    progress: KeptProgress,
+    elsewhere: ReadonlyMap<string, DigestedWork> = new Map(),
+  ): Map<string, KeptWork> {
     const kept = new Map<string, KeptWork>();
     for (const item of spec.items) {
       const own = progress[item.id];
+      const other = elsewhere.get(item.id);
       const work: KeptWork | undefined =
         own === undefined ? this.kept.find(item) : { kind: 'unfinished', progress: own };
       if (work !== undefined) kept.set(item.id, work);
+      else if (other !== undefined && isFor(other, item)) kept.set(item.id, other.work);
     }
     return kept;
   }
@@ -223,11 +295,16 @@
     after: number,
     wait: Milliseconds,
   ): Promise<ResultSlice | Failure> {
+    await this.awaitFresh(job, after, wait);
+    if (job.ending === 'superseded') return this.read(job.spec.id, after, 0);
+    return slice({ total: job.spec.items.length, results: job.results }, after);
+  }
+
+  /** Waits for a result behind a position, or makes sure that there is none. */
+  private async awaitFresh(job: OwnedJob, after: number, wait: Milliseconds): Promise<void> {
     if (after >= job.results.length && job.isOpen && wait > 0) await firstChange(job, wait);
     const isShort = after >= job.results.length && job.isOpen;
     if (isShort && job.confirmationAge() > FRESH_CONFIRMATION) await job.verifyNow();
-    if (job.ending === 'superseded') return this.read(job.spec.id, after, 0);
-    return slice({ total: job.spec.items.length, results: job.results }, after);
   }
 
   private forgetOld(): void {
--- a/src/jobs/kept-items.ts
+++ b/src/jobs/kept-items.ts
@@ -15,16 +15,20 @@
   | { readonly kind: 'unfinished'; readonly progress: KeptItem }
   | { readonly kind: 'finished'; readonly result: JobResult };
 
+/** Kept work with the digest of what was asked. */
+export interface DigestedWork {
+  readonly work: KeptWork;
+  /** Of headers and body, so that an id that is used for something else is not mistaken. */
+  readonly digest: string;
+}
+
 /** Time for which work is kept; a trainer brings a group back with its next steps. */
 const KEEP_TIME: Milliseconds = 20_000;
 
 /** Items kept at most; the oldest go first. */
 const MOST_ITEMS = 4_000;
 
-interface Entry {
-  readonly work: KeptWork;
-  /** Digest of what was asked, so that an id that is used for something else is not mistaken. */
-  readonly digest: string;
+interface Entry extends DigestedWork {
   readonly keptAt: Milliseconds;
 }
 
@@ -47,9 +51,15 @@
 
   /** What is kept of an item; a digest of the request must agree. */
   find(item: JobItem): KeptWork | undefined {
-    const entry = this.entries.get(item.id);
+    const entry = this.findById(item.id);
+    return entry !== undefined && isFor(entry, item) ? entry.work : undefined;
+  }
+
+  /** What is kept under an id, for another node. */
+  findById(id: string): DigestedWork | undefined {
+    const entry = this.entries.get(id);
     if (entry === undefined || this.clock.now() - entry.keptAt > KEEP_TIME) return undefined;
-    return entry.digest === digestOf(item) ? entry.work : undefined;
+    return { work: entry.work, digest: entry.digest };
   }
 
   private keepItem(
@@ -72,6 +82,11 @@
   }
 }
 
+/** Whether kept work belongs to the same request. */
+export function isFor(kept: DigestedWork, item: JobItem): boolean {
+  return kept.digest === digestOf(item);
+}
+
 function workOf(
   result: JobResult | undefined,
   progress: KeptItem | undefined,
--- /dev/null
+++ b/src/peers/peer-messages.ts
@@ -0,0 +1,73 @@
+/** What nodes of a fleet ask each other directly. */
+import type { ModelName } from '../core/identity.js';
+import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { JobOwner, JobResult } from '../jobs/job-records.js';
+import type { DigestedWork } from '../jobs/kept-items.js';
+
+/** A question to one node. */
+export type PeerRequest =
+  /** Is this life of you still running? */
+  | { readonly kind: 'probe'; readonly owner: JobOwner }
+  /** What have you kept of these items? */
+  | { readonly kind: 'kept-work'; readonly items: readonly string[] }
+  /** Which results are listed from a position on, as the owner of the job knows? */
+  | {
+      readonly kind: 'job-results';
+      readonly job: string;
+      readonly after: number;
+      readonly wait: Milliseconds;
+    }
+  /** End this job, as its owner. */
+  | { readonly kind: 'end-job'; readonly job: string }
+  /** Take this job, which was just released. */
+  | { readonly kind: 'take-job'; readonly job: string }
+  /** A job needs weights of at least this version; asked of the coordinator. */
+  | {
+      readonly kind: 'need-weights';
+      readonly model: ModelName;
+      readonly version: WeightVersion;
+    };
+
+/** The answer to a question, by its kind. */
+export interface PeerAnswers {
+  readonly probe: { readonly isAlive: boolean };
+  readonly 'kept-work': { readonly work: ReadonlyMap<string, DigestedWork> };
+  readonly 'job-results':
+    | { readonly isOwner: false }
+    | {
+        readonly isOwner: true;
+        readonly total: number;
+        readonly results: readonly JobResult[];
+        /** Pages of results up to the last one of `results`, where they end with a page. */
+        readonly pages: number;
+      };
+  readonly 'end-job': { readonly isEnded: boolean };
+  readonly 'take-job': { readonly isTaken: boolean };
+  readonly 'need-weights': { readonly isNoted: boolean };
+}
+
+/** A question of one kind. */
+export type PeerRequestOf<Kind extends PeerRequest['kind']> = Extract<PeerRequest, { kind: Kind }>;
+
+/** Answers the questions of other nodes. */
+export interface PeerHandler {
+  answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]>;
+}
+
+/**
+ * Outcome of a question. `refused`: nobody listens there, so the process is gone; `silent`: no
+ * answer in time, or the connection broke.
+ */
+export type PeerOutcome<Kind extends PeerRequest['kind']> =
+  | { readonly kind: 'answered'; readonly answer: PeerAnswers[Kind] }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'silent' };
+
+/** Asks other nodes. */
+export interface PeerPort {
+  ask<Kind extends PeerRequest['kind']>(
+    address: string,
+    request: PeerRequestOf<Kind>,
+    limit: Milliseconds,
+  ): Promise<PeerOutcome<Kind>>;
+}
--- /dev/null
+++ b/src/peers/peer-server.ts
@@ -0,0 +1,87 @@
+/** Takes the questions of other nodes. */
+import http from 'node:http';
+import { parse, stringify } from 'devalue';
+import { z } from 'zod';
+import { PEER_PATH } from './peer-client.js';
+import type { PeerHandler, PeerRequest } from './peer-messages.js';
+
+/** Kinds of questions; the fields of each are trusted, as only nodes reach the address. */
+const KINDS: Readonly<Record<PeerRequest['kind'], true>> = {
+  probe: true,
+  'kept-work': true,
+  'job-results': true,
+  'end-job': true,
+  'take-job': true,
+  'need-weights': true,
+};
+
+const REQUEST = z.looseObject({ kind: z.enum(Object.keys(KINDS)) });
+
+const OK = 200;
+const BAD_REQUEST = 400;
+const NOT_FOUND = 404;
+const FAILED = 500;
+
+/** Largest question in bytes. */
+const MAXIMUM_BYTES = 4_194_304;
+
+/** Listens on the node-to-node address. */
+export class PeerServer {
+  private readonly server: http.Server;
+
+  constructor(private readonly handler: PeerHandler) {
+    this.server = http.createServer((request, response) => void this.serve(request, response));
+    this.server.keepAliveTimeout = 60_000;
+  }
+
+  /** Listens; resolves with the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        const address = this.server.address();
+        resolve(typeof address === 'object' && address !== null ? address.port : port);
+      });
+    });
+  }
+
+  /** Takes no more questions. */
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (request.url !== PEER_PATH) {
+      response.writeHead(NOT_FOUND).end();
+      return;
+    }
+    const question = await readRequest(request);
+    if (question === undefined) {
+      response.writeHead(BAD_REQUEST).end();
+      return;
+    }
+    try {
+      const body = stringify(await this.handler.answer(question));
+      response.writeHead(OK, { 'content-type': 'application/json' }).end(body);
+    } catch {
+      response.writeHead(FAILED).end();
+    }
+  }
+}
+
+async function readRequest(request: http.IncomingMessage): Promise<PeerRequest | undefined> {
+  try {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of request) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > MAXIMUM_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+    const value: unknown = parse(Buffer.concat(chunks).toString('utf8'));
+    return REQUEST.safeParse(value).success ? (value as PeerRequest) : undefined;
+  } catch {
+    return undefined;
+  }
+}
