Half of the workers change their weights at once, the rest with the next version

Cause: each named version was loaded by every worker, though trainers allow one version of lag: twice the free loads where two trainers share the workers, and workers refuse requests of the model while they load. Ruled out: workers set aside for one model each (they would have to be reloaded whenever one is lost). Change: a version goes to half of the workers at once, those that would be unusable first; the others change with the next version or after 6 s. A job that needs newer weights tells the coordinator, and workers behind that change first.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -36,7 +36,7 @@
 import { JobTakeover } from './job-takeover.js';
 import { PeerMonitor, type Suspicion } from './peer-monitor.js';
 import { type StorageDrainPort, StorageDrains } from './storage-drains.js';
-import { WeightRollout } from './weight-rollout.js';
+import { type NamedVersion, WeightRollout } from './weight-rollout.js';
 
 /** Options of {@link GatewayNode}. */
 export interface GatewayNodeOptions {
@@ -87,7 +87,7 @@
   private readonly lock: CoordinatorLock;
   private readonly rollout: WeightRollout;
   private readonly drains: StorageDrains;
-  private readonly named = new Map<ModelName, WeightVersion>();
+  private readonly named = new Map<ModelName, NamedVersion>();
   private matcher: RouteMatcher | undefined;
   private workersListed = false;
   private isStopping = false;
@@ -241,8 +241,8 @@
   }
 
   private nameVersion(model: ModelName, version: WeightVersion): void {
-    if (version <= (this.named.get(model) ?? 0)) return;
-    this.named.set(model, version);
+    if (version <= (this.named.get(model)?.version ?? 0)) return;
+    this.named.set(model, { version, namedAt: this.options.clock.now() });
     this.options.log.state('version-named', { model, version });
     this.rollout.tick();
   }
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -1,6 +1,8 @@
 /**
  * Moves the workers to the weights that trainers named: a few at a time, with fenced orders, each
- * bound to the worker's life and to the number of orders it had taken.
+ * bound to the worker's life and to the number of orders it had taken. Half of the workers change
+ * as soon as a version is named, those that would be unusable first; the others follow with the
+ * next version, or after a while.
  */
 
 import type { ModelName } from '../core/identity.js';
@@ -22,7 +24,7 @@
   readonly metrics: FleetMetrics;
   readonly holder: string;
   /** Newest version that a trainer named, by model. */
-  readonly named: ReadonlyMap<ModelName, WeightVersion>;
+  readonly named: ReadonlyMap<ModelName, NamedVersion>;
   /** What becomes of runs at a worker that changes its weights. */
   readonly mode: () => WeightOrderMode;
   /** Workers that load at once; more make each load slower. @default 2 */
@@ -41,16 +43,72 @@
 /** Pause before a worker that could not be asked is asked again. */
 const RETRY_PAUSE: Milliseconds = 500;
 
+/**
+ * Where only one version is missing, the workers beyond this share change after the delay below.
+ * Trainers that allow one version of lag then find all workers usable at any time, while only half
+ * of them load at each step.
+ */
+const SHARE_AT_ONCE = 0.5;
+
+/** Time after which all workers hold a version that no newer one has replaced. */
+const CATCH_UP_DELAY: Milliseconds = 6_000;
+
+/** Versions that a worker may miss without being unusable for most trainers. */
+const TOLERATED_LAG = 1;
+
+/** A version that a trainer named. */
+export interface NamedVersion {
+  readonly version: WeightVersion;
+  /** Steady time. */
+  readonly namedAt: Milliseconds;
+}
+
+/** A version to roll out. */
+export interface RolloutTarget {
+  readonly model: ModelName;
+  readonly version: WeightVersion;
+  /** Oldest version that an open job may use; 0 where none is known. */
+  readonly required: WeightVersion;
+}
+
 /** What one worker still has to do. */
-interface PendingChange {
+export interface PendingChange {
   readonly worker: KnownWorker;
   readonly model: ModelName;
   readonly version: WeightVersion;
+  /** Larger is sooner. */
+  readonly urgency: number;
+}
+
+/** Changes that are due for one model, among the workers that hold it. */
+export function dueChanges(
+  holders: readonly KnownWorker[],
+  target: RolloutTarget,
+  mayWait: boolean,
+  isChanging: (worker: string) => boolean,
+): PendingChange[] {
+  const { model, version, required } = target;
+  const behind = holders.filter((worker) => worker.versionOf(model) < version);
+  const changing = behind.filter((worker) => isChanging(worker.record.id)).length;
+  const current = holders.length - behind.length + changing;
+  const changes: PendingChange[] = [];
+  let room = Math.ceil(holders.length * SHARE_AT_ONCE) - current;
+  const byLag = [...behind].sort((a, b) => a.versionOf(model) - b.versionOf(model));
+  for (const worker of byLag) {
+    if (isChanging(worker.record.id)) continue;
+    const held = worker.versionOf(model);
+    const isUnusable = held < required || version - held > TOLERATED_LAG;
+    if (!isUnusable && mayWait && room <= 0) continue;
+    room -= 1;
+    changes.push({ worker, model, version, urgency: isUnusable ? version - held : 0 });
+  }
+  return changes;
 }
 
 /** Rolls named versions out. */
 export class WeightRollout {
-  private readonly underWay = new Set<string>();
+  /** Model that is being changed, by worker. */
+  private readonly changing = new Map<string, ModelName>();
   private readonly notBefore = new Map<string, Milliseconds>();
   private readonly required = new Map<ModelName, WeightVersion>();
 
@@ -64,37 +122,30 @@
   /** Starts changes while there is room for more loads. */
   tick(): void {
     const limit = this.options.loadsAtOnce ?? DEFAULT_LOADS_AT_ONCE;
-    if (this.underWay.size >= limit) return;
+    if (this.changing.size >= limit) return;
     if (this.options.lock.fencingToken() === undefined) return;
     for (const change of this.pendingChanges()) {
-      if (this.underWay.size >= limit) return;
+      if (this.changing.size >= limit) return;
       const id = change.worker.record.id;
-      if (this.underWay.has(id)) continue;
-      this.underWay.add(id);
-      void this.perform(change).finally(() => this.underWay.delete(id));
+      if (this.changing.has(id)) continue;
+      this.changing.set(id, change.model);
+      void this.perform(change).finally(() => this.changing.delete(id));
     }
   }
 
-  /** Workers behind a named version, the most outdated first, then the least busy. */
+  /** What is to be changed now, the most urgent first, then the least busy worker. */
   private pendingChanges(): PendingChange[] {
     const now = this.options.clock.now();
-    const changes = this.options.registry
-      .all()
-      .filter(({ record }) => !record.draining && (this.notBefore.get(record.id) ?? 0) <= now)
-      .flatMap((worker) => this.changesOf(worker));
-    const lag = (change: PendingChange): number =>
-      change.version - change.worker.versionOf(change.model);
-    return changes.sort(
-      (a, b) => lag(b) - lag(a) || a.worker.occupancy(now) - b.worker.occupancy(now),
-    );
-  }
-
-  private changesOf(worker: KnownWorker): PendingChange[] {
-    return worker.record.models.flatMap(({ name }) => {
-      const version = this.options.named.get(name);
-      if (version === undefined || worker.versionOf(name) >= version) return [];
-      return [{ worker, model: name, version }];
+    const workers = this.options.registry.all().filter(({ record }) => !record.draining);
+    const changes = [...this.options.named].flatMap(([model, { version, namedAt }]) => {
+      const holders = workers.filter((worker) => worker.versionOf(model) > 0);
+      const target = { model, version, required: this.required.get(model) ?? 0 };
+      const mayWait = now - namedAt < CATCH_UP_DELAY;
+      return dueChanges(holders, target, mayWait, (id) => this.changing.get(id) === model);
     });
+    return changes
+      .filter(({ worker }) => (this.notBefore.get(worker.record.id) ?? 0) <= now)
+      .sort((a, b) => b.urgency - a.urgency || a.worker.occupancy(now) - b.worker.occupancy(now));
   }
 
   private async perform(change: PendingChange): Promise<void> {
@@ -103,7 +154,7 @@
     const report = await engine.report(worker.record);
     if (report === undefined) return this.postpone(worker, RETRY_PAUSE);
     for (const held of report.models) worker.noteVersion(held.name, held.version);
-    const version = this.options.named.get(model) ?? change.version;
+    const version = this.options.named.get(model)?.version ?? change.version;
     if (worker.versionOf(model) >= version) return;
     if (report.busy) return this.postpone(worker, CHECK_INTERVAL);
     const fencingToken = lock.fencingToken();
