--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -49,6 +49,10 @@
   private ownNonce: string | undefined;
   private token: Revision = 0;
   private termRevision: Revision | undefined;
+  /** The last holder, also after its lock was gone. */
+  private termNonce: string | undefined;
+  /** The nonce of this node's last term. */
+  private ownTermNonce: string | undefined;
   private activeFrom: Milliseconds = Number.POSITIVE_INFINITY;
   private freeSince: Milliseconds = 0;
   private isTrying = false;
@@ -77,7 +81,7 @@
     const { fleet, clock } = this.options;
     if (!this.isKnown || this.holderNonce !== undefined || this.isTrying) return;
     if (fleet.leaseId === NO_LEASE || fleet.leaseRemaining() < LEASE_MARGIN) return;
-    if (clock.now() - this.freeSince < this.rank() * RANK_DELAY) return;
+    if (clock.now() - this.freeSince < this.turn() * RANK_DELAY) return;
     this.isTrying = true;
     void this.acquire().finally(() => {
       this.isTrying = false;
@@ -85,6 +89,16 @@
     });
   }
 
+  private get isLastHolder(): boolean {
+    return this.ownTermNonce !== undefined && this.ownTermNonce === this.termNonce;
+  }
+
+  /** How many turns this node lets others go first; after the first term, the last holder. */
+  private turn(): number {
+    if (this.isLastHolder) return 0;
+    return this.termRevision === undefined ? this.rank() : 1 + this.rank();
+  }
+
   private rank(): number {
     const nodes = rendezvousOrder(LOCK_KEY, this.options.fleet.liveNodes(), (node) => node);
     return Math.max(0, nodes.indexOf(this.options.self.node));
@@ -107,7 +121,10 @@
     });
     const revision = outcome.kind === 'committed' ? outcome.revision : await this.settle(nonce);
     if (revision === undefined) return;
-    const isFirst = termRevision === ABSENT;
+    // Nobody else gave orders since this node's last term, so there is nobody to wait for.
+    const isFirst = termRevision === ABSENT || this.isLastHolder;
+    this.ownTermNonce = nonce;
+    this.termNonce = nonce;
     this.ownNonce = nonce;
     this.holderNonce = nonce;
     this.holderNode = self.node;
@@ -124,7 +141,10 @@
   }
 
   private take(change: StoreChange): void {
-    if (change.key === TERM_KEY && change.value !== undefined) this.termRevision = change.revision;
+    if (change.key === TERM_KEY && change.value !== undefined) {
+      this.termRevision = change.revision;
+      this.termNonce = parseLock(change.value)?.nonce;
+    }
     if (change.key !== LOCK_KEY) return;
     const lock = change.value === undefined ? undefined : parseLock(change.value);
     const nonce = lock?.nonce;
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -59,10 +59,13 @@
   /** Fires once the fleet was listed whole. */
   readonly listed = new Subject<void>();
   private readonly live = new Map<NodeId, NodeRecord>();
+  /** The last record of each node, also after its lease was over. */
+  private readonly last = new Map<NodeId, NodeRecord>();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
   private renewedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private isStoreSilent = false;
+  private regainedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
 
@@ -112,11 +115,22 @@
     return this.live.get(node)?.address;
   }
 
+  /** Where a life of a node was reached, unless another life has replaced it. */
+  lastAddressOf(owner: JobOwner): string | undefined {
+    const record = this.last.get(owner.node);
+    return record?.incarnation === owner.incarnation ? record.address : undefined;
+  }
+
   /** The zone of a live node. */
   zoneOf(node: NodeId): ZoneName | undefined {
     return this.live.get(node)?.zone;
   }
 
+  /** Whether the store was silent, as the renewals show, within the last time. */
+  wasSilentWithin(duration: Milliseconds): boolean {
+    return this.isStoreSilent || this.options.clock.now() - this.regainedAt < duration;
+  }
+
   /** The lease of this node's record; `NO_LEASE` while there is none. */
   get leaseId(): LeaseId {
     return this.lease;
@@ -137,6 +151,7 @@
     const record = change.value === undefined ? undefined : parseRecord(change.value);
     if (record === undefined) this.live.delete(node);
     else this.live.set(node, record);
+    if (record !== undefined) this.last.set(node, record);
     if (before?.incarnation === record?.incarnation) return;
     const state = record === undefined ? 'gone' : 'live';
     this.options.log.state('fleet-node', { peer: node, state, live: this.live.size });
@@ -159,6 +174,7 @@
     this.isStoreSilent = !answers;
     this.options.log.state(answers ? 'store-regained' : 'store-lost');
     if (!answers) return;
+    this.regainedAt = this.options.clock.now();
     this.watcher.restart();
     this.storeRegained.next();
   }
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -66,6 +66,12 @@
 /** Time by which each watching node lets the one before it take over first. */
 const SUSPICION_RANK_DELAY: Milliseconds = 500;
 
+/** Records that go within this time after the store was silent may have lapsed. */
+const LAPSE_WINDOW: Milliseconds = 1_000;
+
+/** Time in which a live worker registers again; the bound on leaving workers is 2 s. */
+const LAPSE_GRACE: Milliseconds = 1_500;
+
 /** Time between two lines with all counters. */
 const REPORT_INTERVAL: Milliseconds = 10_000;
 
@@ -152,6 +158,7 @@
       service: this.jobs,
       fleet: this.fleet,
       self,
+      peers: options.peers,
     });
     this.monitor = new PeerMonitor({ fleet: this.fleet, peers: options.peers, self, log });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
@@ -205,7 +212,7 @@
   take(event: FleetEvent): void {
     if (event.kind === 'configuration') this.applyConfiguration(event.configuration);
     else if (event.kind === 'worker') this.putWorker(event.record);
-    else if (event.kind === 'worker-gone') this.removeWorker(event.worker);
+    else if (event.kind === 'worker-gone') this.noteWorkerGone(event.worker);
     else if (event.kind === 'workers-listed') this.workersListed = true;
     else if (event.kind === 'version-named') this.nameVersion(event.model, event.version);
     else if (event.kind === 'storage-drain') this.drains.request(event.node);
@@ -234,6 +241,22 @@
     this.options.log.state('worker-known', { worker: id, service, zone, draining });
   }
 
+  /**
+   * Records that go while the store is silent may have lapsed with it; such a worker is kept for a
+   * moment, in which a live one registers again.
+   */
+  private noteWorkerGone(id: string): void {
+    const record = this.registry.get(id)?.record;
+    if (record === undefined || !this.fleet.wasSilentWithin(LAPSE_WINDOW)) {
+      this.removeWorker(id);
+      return;
+    }
+    this.options.log.state('worker-lapsed', { worker: id });
+    setTimeout(() => {
+      if (this.registry.get(id)?.record === record) this.removeWorker(id);
+    }, LAPSE_GRACE);
+  }
+
   private removeWorker(id: string): void {
     this.registry.remove(id);
     this.options.engine.forget(id);
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -9,6 +9,7 @@
 import { isFinished } from '../jobs/job-records.js';
 import type { JobService } from '../jobs/job-service.js';
 import type { JobStore, VersionedHead } from '../jobs/job-store.js';
+import type { PeerPort } from '../peers/peer-messages.js';
 import type { FleetRegistry } from './fleet-registry.js';
 
 /** Options of {@link JobTakeover}. */
@@ -17,6 +18,7 @@
   readonly service: JobService;
   readonly fleet: FleetRegistry;
   readonly self: JobOwner;
+  readonly peers: PeerPort;
 }
 
 /** A departed node may be back with a new lease within this time; then nothing is taken over. */
@@ -25,6 +27,9 @@
 /** A life that was replaced is surely over; others may be replaced at the same time. */
 const REPLACEMENT_GRACE: Milliseconds = 150;
 
+/** Time for a node whose lease is over to show that it lives. */
+const PROBE_LIMIT: Milliseconds = 300;
+
 /** Time by which each rank lets the ones before it go first. */
 const RANK_DELAY: Milliseconds = 900;
 
@@ -76,10 +81,25 @@
     for (const [job, found] of orphans) {
       const rank = this.rankFor(job);
       if (rank > allowedRank && allowedRank < SCANS - 1) continue;
+      if (await this.stillRuns(found.head.owner)) continue;
       await this.options.service.adopt(job, found);
     }
   }
 
+  /** A lease may lapse while its node lives; one that answers goes on with its jobs. */
+  private async stillRuns(owner: JobOwner | null): Promise<boolean> {
+    const address = owner === null ? undefined : this.options.fleet.lastAddressOf(owner);
+    if (owner === null || address === undefined || this.isSelf(owner)) return false;
+    const request = { kind: 'probe', owner } as const;
+    const outcome = await this.options.peers.ask<'probe'>(address, request, PROBE_LIMIT);
+    return outcome.kind === 'answered' && outcome.answer.isAlive;
+  }
+
+  private isSelf(owner: JobOwner): boolean {
+    const { self } = this.options;
+    return owner.node === self.node && owner.incarnation === self.incarnation;
+  }
+
   private rankFor(job: string): number {
     const nodes = rendezvousOrder(job, this.options.fleet.liveNodes(), (node) => node);
     const rank = nodes.indexOf(this.options.self.node);
@@ -87,11 +107,10 @@
   }
 
   private isOrphan(job: string, { head }: VersionedHead): boolean {
-    const { self, fleet, service } = this.options;
+    const { fleet, service } = this.options;
     if (isFinished(head)) return false;
     if (head.owner === null) return true;
-    const isOwn = head.owner.node === self.node && head.owner.incarnation === self.incarnation;
-    if (!isOwn) return !fleet.isLive(head.owner);
+    if (!this.isSelf(head.owner)) return !fleet.isLive(head.owner);
     return !service.ownedJobs().some((owned) => owned.spec.id === job && owned.isOpen);
   }
 }
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -18,7 +18,7 @@
   type JobSpecification,
   type KeptProgress,
 } from './job-records.js';
-import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
+import type { HeadChange, HeadFields, JobStore, StillWanted, VersionedHead } from './job-store.js';
 import type { DigestedWork } from './kept-items.js';
 import { isFor, KeptItems, type KeptWork } from './kept-items.js';
 import { OwnedJob } from './owned-job.js';
@@ -54,6 +54,9 @@
 /** When to come back after the store did not answer. */
 const STORE_RETRY_AFTER: Milliseconds = 300;
 
+/** A store that has not taken a job after this time no longer holds up its items. */
+const EARLY_START_DELAY: Milliseconds = 100;
+
 /** Jobs that are finished and still kept in memory by the node that ran them. */
 const KEPT_FINISHED_JOBS = 24;
 
@@ -61,6 +64,8 @@
 export class JobService {
   private readonly owned = new Map<string, OwnedJob>();
   private readonly kept: KeptItems;
+  /** Submissions that the store has not settled yet, by job. */
+  private readonly submissions = new Map<string, Promise<Failure | undefined>>();
 
   constructor(private readonly options: JobServiceOptions) {
     this.kept = new KeptItems(options.clock);
@@ -74,40 +79,73 @@
   /** Takes a job in; `undefined` means that all of it is kept from now on. */
   async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
     if (this.owned.has(spec.id)) return undefined;
-    const head = {
-      owner: this.options.self,
-      total: spec.items.length,
-      listed: 0,
-      pages: 0,
-      ended: false,
-      submittedAt: spec.submittedAt,
-    };
-    const startedAt = this.options.clock.now();
-    const [change, kept] = await Promise.all([
-      this.options.store.create(spec, head, wanted),
-      this.keptElsewhere(spec),
-    ]);
-    const details = {
-      job: spec.id,
-      step: spec.step,
-      items: spec.items.length,
-      tookMs: Math.round(this.options.clock.now() - startedAt),
-      outcome: change.kind,
-    };
-    this.options.log.decision('job-submitted', details);
-    this.options.metrics.count('jobs_submitted', { outcome: change.kind });
-    this.options.metrics.observe('submit_seconds', {}, this.options.clock.now() - startedAt);
-    if (change.kind === 'changed') {
-      this.own(spec, change.current, [], this.keptWork(spec, {}, kept));
-      this.options.peers.needWeights(spec.model, spec.minVersion);
-    }
+    const underWay = this.submissions.get(spec.id);
+    if (underWay !== undefined) return underWay;
+    const submission = this.store(spec, wanted);
+    this.submissions.set(spec.id, submission);
+    return submission.finally(() => this.submissions.delete(spec.id));
+  }
+
+  private async store(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+    const { store, clock } = this.options;
+    const startedAt = clock.now();
+    const kept = this.keptElsewhere(spec);
+    const creation = store.create(spec, firstHead(spec, this.options.self), wanted);
+    const early = await this.startEarly(spec, creation, kept);
+    const change = await creation;
+    this.noteSubmitted(spec, change, clock.now() - startedAt);
+    if (change.kind === 'changed') await this.ownCreated(spec, change.current, early, kept);
+    else early?.abandon();
     if (change.kind !== 'unavailable') return undefined;
-    if (change.mayBeDone) return failure('outcome_unknown', 'the job may have been stored');
+    // What has begun to run must not be answered as if it had not.
+    if (change.mayBeDone || early !== undefined) {
+      return failure('outcome_unknown', 'the job may have been stored');
+    }
     return failure('ledger_unavailable', 'the store takes no jobs now', {
       retryAfter: STORE_RETRY_AFTER,
     });
   }
 
+  /** Runs a job's items while a slow or silent store has not taken it yet; nothing is listed. */
+  private async startEarly(
+    spec: JobSpecification,
+    creation: Promise<HeadChange>,
+    kept: Promise<ReadonlyMap<string, DigestedWork>>,
+  ): Promise<OwnedJob | undefined> {
+    const isSettled = await Promise.race([
+      creation.then(() => true),
+      pause(EARLY_START_DELAY).then(() => false),
+    ]);
+    if (isSettled) return undefined;
+    this.options.log.state('job-started-early', { job: spec.id, step: spec.step });
+    const job = this.makeJob(spec, undefined, [], this.keptWork(spec, {}, await kept));
+    this.options.dispatcher.add(job);
+    return job;
+  }
+
+  private async ownCreated(
+    spec: JobSpecification,
+    head: VersionedHead,
+    early: OwnedJob | undefined,
+    kept: Promise<ReadonlyMap<string, DigestedWork>>,
+  ): Promise<void> {
+    if (early === undefined) this.own(spec, head, [], this.keptWork(spec, {}, await kept));
+    else {
+      early.attach(head);
+      this.owned.set(spec.id, early);
+    }
+    this.options.peers.needWeights(spec.model, spec.minVersion);
+  }
+
+  private noteSubmitted(spec: JobSpecification, change: HeadChange, took: Milliseconds): void {
+    const { log, metrics } = this.options;
+    const { id: job, step, items } = spec;
+    const details = { job, step, items: items.length, tookMs: Math.round(took) };
+    log.decision('job-submitted', { ...details, outcome: change.kind });
+    metrics.count('jobs_submitted', { outcome: change.kind });
+    metrics.observe('submit_seconds', {}, took);
+  }
+
   /** Results from a position on; waits for the first where the job is run here. */
   async read(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
     const own = this.answeringJob(job);
@@ -196,16 +234,28 @@
     listed: readonly JobResult[],
     kept: ReadonlyMap<string, KeptWork>,
   ): void {
-    const { store, clock, self, dispatcher } = this.options;
+    const job = this.makeJob(spec, head, listed, kept);
+    this.owned.delete(spec.id);
+    this.owned.set(spec.id, job);
+    if (!isFinished(head.head)) this.options.dispatcher.add(job);
+  }
+
+  private makeJob(
+    spec: JobSpecification,
+    head: VersionedHead | undefined,
+    listed: readonly JobResult[],
+    kept: ReadonlyMap<string, KeptWork>,
+  ): OwnedJob {
+    const { store, clock, self } = this.options;
     const route = this.options.routes()?.match(spec.host, spec.path);
     const rule = { minVersion: spec.minVersion, singleVersion: route?.singleVersion ?? false };
     const job = new OwnedJob(spec, head, listed, rule, self, store, clock, kept);
-    job.changed.subscribe(() => {
-      if (!job.isOpen) this.noteClosed(job);
+    const watching = job.changed.subscribe(() => {
+      if (job.isOpen) return;
+      watching.unsubscribe();
+      this.noteClosed(job);
     });
-    this.owned.delete(spec.id);
-    this.owned.set(spec.id, job);
-    if (!isFinished(head.head)) dispatcher.add(job);
+    return job;
   }
 
   private noteClosed(job: OwnedJob): void {
@@ -242,7 +292,8 @@
     if (own === undefined) return { isOwner: false };
     await this.awaitFresh(own, after, wait);
     if (own.ending === 'superseded') return { isOwner: false };
-    const { pages, total } = own.head.head;
+    const total = own.spec.items.length;
+    const pages = own.head?.head.pages ?? 0;
     return { isOwner: true, total, pages, results: own.results.slice(after) };
   }
 
@@ -315,6 +366,12 @@
   }
 }
 
+/** The head of a job that this node is to run. */
+function firstHead(spec: JobSpecification, owner: JobOwner): HeadFields {
+  const { submittedAt, items } = spec;
+  return { owner, total: items.length, listed: 0, pages: 0, ended: false, submittedAt };
+}
+
 function storeSilent(): Failure {
   return failure('ledger_unavailable', 'the store does not answer', {
     retryAfter: STORE_RETRY_AFTER,
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -62,7 +62,7 @@
 
   constructor(
     readonly spec: JobSpecification,
-    private current: VersionedHead,
+    private current: VersionedHead | undefined,
     listed: readonly JobResult[],
     rule: VersionRule,
     private readonly self: JobOwner,
@@ -117,11 +117,22 @@
     return [...this.listed, ...this.pending];
   }
 
-  /** The head as this node last saw it. */
-  get head(): VersionedHead {
+  /** The head as this node last saw it; `undefined` while the store has not taken the job. */
+  get head(): VersionedHead | undefined {
     return this.current;
   }
 
+  /** The store has taken the job: results may be listed from now on. */
+  attach(head: VersionedHead): void {
+    this.current = head;
+    this.confirmedAt = this.clock.now();
+  }
+
+  /** The job is not this node's after all. */
+  abandon(): void {
+    this.close('superseded');
+  }
+
   /** Time since the store last confirmed that the head is the newest. */
   confirmationAge(): Milliseconds {
     return this.clock.now() - this.confirmedAt;
@@ -144,7 +155,7 @@
 
   /** Does what is due: lists results, or confirms the head. Called often; commits in turn. */
   advance(): void {
-    if (!this.isOpen || this.isBusy) return;
+    if (!this.isOpen || this.isBusy || this.current === undefined) return;
     const now = this.clock.now();
     if (this.pending.length > 0 && now - this.lastListingAt >= this.listingInterval()) {
       void this.inTurn(() => this.list());
@@ -156,6 +167,7 @@
   /** Ends the job for good; resolves with whether the store took it. */
   async end(wanted: () => boolean): Promise<boolean> {
     return this.inTurn(async () => {
+      if (this.current === undefined) return false;
       if (this.current.head.ended) return true;
       const change = await this.store.replace(this.spec.id, this.current, { ended: true }, wanted);
       this.take(change);
@@ -170,7 +182,7 @@
     await this.inTurn(async () => {
       if (!this.isOpen) return;
       if (this.pending.length > 0) await this.list(wanted);
-      if (!this.isOpen) return;
+      if (!this.isOpen || this.current === undefined) return;
       const fields = { owner: null };
       const kept = this.keptProgress();
       this.take(await this.store.replace(this.spec.id, this.current, fields, wanted, kept));
@@ -201,7 +213,7 @@
   private async list(wanted: () => boolean = () => this.isOpen): Promise<void> {
     // A copy: items that finish while the commit is under way belong to the next one.
     const batch = [...this.pending];
-    if (batch.length === 0 || !this.isOpen) return;
+    if (batch.length === 0 || !this.isOpen || this.current === undefined) return;
     const startedAt = this.clock.now();
     this.lastListingAt = startedAt;
     const change = await this.store.append(
@@ -217,7 +229,7 @@
       this.confirmedAt = startedAt;
     }
     this.take(change);
-    if (isFinished(this.current.head)) this.close('finished');
+    if (this.current !== undefined && isFinished(this.current.head)) this.close('finished');
     this.changed.next();
   }
 
@@ -226,7 +238,7 @@
     const read = await this.store.head(this.spec.id);
     if (read.kind === 'unavailable') return;
     if (read.kind === 'absent') return this.close('superseded');
-    if (read.value.revision === this.current.revision) this.confirmedAt = startedAt;
+    if (read.value.revision === this.current?.revision) this.confirmedAt = startedAt;
     else this.take({ kind: 'superseded', current: read.value });
   }
 
@@ -237,7 +249,7 @@
       this.close('superseded');
       return;
     }
-    const listedElsewhere = change.current.head.pages !== this.current.head.pages;
+    const listedElsewhere = change.current.head.pages !== this.current?.head.pages;
     this.current = change.current;
     if (change.kind === 'changed') return;
     const { owner, ended } = change.current.head;
--- a/test/jobs/owned-job.test.ts
+++ b/test/jobs/owned-job.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { JobSpecification } from '../../src/jobs/job-records.js';
-import { JobStore } from '../../src/jobs/job-store.js';
+import { JobStore, type VersionedHead } from '../../src/jobs/job-store.js';
 import { OwnedJob } from '../../src/jobs/owned-job.js';
 import {
   always,
@@ -34,6 +34,12 @@
   return { emulator, store, clock, spec, job };
 }
 
+/** The head of a job that the store has taken. */
+function held(job: OwnedJob): VersionedHead {
+  if (job.head === undefined) throw new Error('the store has not taken the job');
+  return job.head;
+}
+
 /** Finishes one item with its result. */
 function finish(job: OwnedJob, index: number): void {
   const entry = job.items.get(`item-${index}`);
@@ -85,7 +91,7 @@
 t.test('an end by another node is seen and nothing more is listed', async (t) => {
   const fixture = await ownedJob(2);
   const { job, store } = fixture;
-  await store.replace('job', job.head, { ended: true }, always);
+  await store.replace('job', held(job), { ended: true }, always);
   await advance(fixture);
   t.equal(job.ending, 'ended');
 });
@@ -95,7 +101,7 @@
   async (t) => {
     const fixture = await ownedJob(3);
     const { job, store } = fixture;
-    const adopted = await store.replace('job', job.head, { owner: OTHER }, always);
+    const adopted = await store.replace('job', held(job), { owner: OTHER }, always);
     if (adopted.kind !== 'changed') throw new Error(adopted.kind);
     const listed = await store.append('job', adopted.current, [result(0)], undefined, always);
     if (listed.kind !== 'changed') throw new Error(listed.kind);
