Tests of the fleet, of jobs and of the adapter; a reset answer without a length is not whole

Cause: found by a new test against a stand-in worker: Node ends the body of an answer that has no length in the same way when its connection ends well and when it is reset, so half an answer could have been passed on as whole. Tests: registry, coordinator lock, takeover, weight rollout, the jobs' modules joined over a stand-in store (early starts, shared submissions, hand-over, ends, bodies), and the adapter against stand-ins on loopback: settings, configuration, store calls, workers that garble, reset, stay silent or answer for others.

--- /dev/null
+++ b/test/fleet/coordinator-lock.test.ts
@@ -0,0 +1,79 @@
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { CoordinatorLock } from '../../src/fleet/coordinator-lock.js';
+import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
+import type { JobOwner } from '../../src/jobs/job-records.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { OTHER, OWNER } from '../jobs/job-fixtures.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+import { eventually } from './fleet-fixtures.js';
+
+interface Contender {
+  readonly fleet: FleetRegistry;
+  readonly lock: CoordinatorLock;
+  stop(): Promise<void>;
+}
+
+function contender(store: SharedStoreEmulator, self: JobOwner, handOverDelay: number): Contender {
+  const { log } = recordingLog();
+  const clock = PROCESS_CLOCK;
+  const address = '127.0.0.1:1';
+  const fleet = new FleetRegistry({ store, self, zone: 'zone-1', address, clock, log });
+  const lock = new CoordinatorLock({ store, fleet, self, clock, log, handOverDelay });
+  fleet.start();
+  const ticker = setInterval(() => lock.tick(), 5);
+  const stop = (): Promise<void> => {
+    clearInterval(ticker);
+    return fleet.stop();
+  };
+  return { fleet, lock, stop };
+}
+
+t.test('one of two nodes holds the lock; tokens rise from holder to holder', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const two = contender(store, OTHER, 0);
+  await eventually(() => two.lock.holder === 'node-1');
+  const first = one.lock.fencingToken() ?? 0;
+  t.equal(two.lock.fencingToken(), undefined);
+  await one.stop();
+  await eventually(() => two.lock.fencingToken() !== undefined);
+  t.ok((two.lock.fencingToken() ?? 0) > first);
+  t.equal(two.lock.holder, 'node-2');
+  await two.stop();
+});
+
+t.test('a new holder waits out the orders of the one before', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 60_000);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const two = contender(store, OTHER, 60_000);
+  await eventually(() => two.lock.holder === 'node-1');
+  await one.stop();
+  await eventually(() => two.lock.holder === 'node-2');
+  t.equal(two.lock.fencingToken(), undefined);
+  await two.stop();
+});
+
+t.test('the last holder takes a lapsed lock again at once, under a higher token', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 60_000);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const first = one.lock.fencingToken() ?? 0;
+  store.lapseLeases();
+  await eventually(() => (one.lock.fencingToken() ?? 0) > first);
+  t.pass('no wait though the hand-over delay is a minute');
+  await one.stop();
+});
+
+t.test('no orders without a lease that surely goes on', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  store.setAvailability('refusing');
+  await eventually(() => one.lock.fencingToken() === undefined);
+  t.equal(one.lock.holder, 'node-1', 'nobody said that the lock is gone');
+  store.setAvailability('up');
+  await one.stop();
+});
--- /dev/null
+++ b/test/fleet/job-takeover.test.ts
@@ -0,0 +1,91 @@
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
+import { JobTakeover } from '../../src/fleet/job-takeover.js';
+import { JobStore } from '../../src/jobs/job-store.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { always, headOf, OTHER, OWNER, result, specification } from '../jobs/job-fixtures.js';
+import { type JobNode, jobNode } from '../jobs/job-node.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+import { eventually, StubPeers } from './fleet-fixtures.js';
+
+interface Fixture extends JobNode {
+  readonly emulator: SharedStoreEmulator;
+  readonly fleet: FleetRegistry;
+  readonly peers: StubPeers;
+  readonly takeover: JobTakeover;
+  stop(): Promise<void>;
+}
+
+const OTHER_ADDRESS = '127.0.0.1:2';
+const OTHER_RECORD = JSON.stringify({
+  incarnation: OTHER.incarnation,
+  zone: 'zone-1',
+  address: OTHER_ADDRESS,
+});
+
+/** A node beside another one that runs a job of four items, one of which is listed. */
+async function besideOwner(): Promise<Fixture> {
+  const emulator = new SharedStoreEmulator();
+  const peers = new StubPeers();
+  const { log } = recordingLog();
+  const clock = PROCESS_CLOCK;
+  const options = { store: emulator, self: OWNER, zone: 'zone-1', address: '127.0.0.1:1' };
+  const fleet = new FleetRegistry({ ...options, clock, log });
+  const node = jobNode(emulator, OWNER);
+  const store = new JobStore(emulator);
+  const takeover = new JobTakeover({ store, service: node.service, fleet, self: OWNER, peers });
+  const spec = specification('job', 4);
+  const created = await store.create(spec, headOf(spec, OTHER), always);
+  if (created.kind !== 'changed') throw new Error(created.kind);
+  await store.append('job', created.current, [result(0)], undefined, always);
+  emulator.write('fleet/node/node-2', OTHER_RECORD);
+  fleet.start();
+  await eventually(() => fleet.isLive(OTHER) && fleet.isLive(OWNER));
+  const stop = async (): Promise<void> => {
+    takeover.stop();
+    node.dispatcher.stop();
+    await fleet.stop();
+  };
+  return { ...node, emulator, fleet, peers, takeover, stop };
+}
+
+const runsJob = (fixture: Fixture): boolean =>
+  fixture.service.ownedJobs().some((job) => job.spec.id === 'job' && job.isOpen);
+
+t.test('a job of a node that is gone is taken over with its results', async (t) => {
+  const fixture = await besideOwner();
+  fixture.emulator.erase('fleet/node/node-2');
+  await eventually(() => runsJob(fixture));
+  t.same(fixture.service.ownedJobs()[0]?.results, [result(0)]);
+  t.equal(fixture.service.ownedJobs()[0]?.items.size, 3);
+  await fixture.stop();
+});
+
+t.test('an owner whose lease lapsed, but that answers, keeps its job', async (t) => {
+  const fixture = await besideOwner();
+  fixture.peers.alive.add(OTHER_ADDRESS);
+  fixture.emulator.erase('fleet/node/node-2');
+  await eventually(() => fixture.peers.asked.length >= 2);
+  t.notOk(runsJob(fixture));
+  await fixture.stop();
+});
+
+t.test('a suspected owner loses its job unless it is trusted again meanwhile', async (t) => {
+  const fixture = await besideOwner();
+  await fixture.takeover.takeFrom(OTHER, () => false);
+  t.notOk(runsJob(fixture));
+  await fixture.takeover.takeFrom(OTHER, () => true);
+  t.ok(runsJob(fixture));
+  await fixture.stop();
+});
+
+t.test('a replaced life of the owner is surely gone', async (t) => {
+  const fixture = await besideOwner();
+  fixture.peers.alive.add(OTHER_ADDRESS);
+  const replaced = { ...JSON.parse(OTHER_RECORD), incarnation: 'life-3' };
+  fixture.emulator.write('fleet/node/node-2', JSON.stringify(replaced));
+  await eventually(() => runsJob(fixture));
+  t.pass('no probe keeps a life that was replaced');
+  await fixture.stop();
+});
--- /dev/null
+++ b/test/fleet/weight-rollout.test.ts
@@ -0,0 +1,46 @@
+import t from 'tap';
+import { dueChanges, type RolloutTarget } from '../../src/fleet/weight-rollout.js';
+import { KnownWorker } from '../../src/serving/worker-registry.js';
+import { worker } from '../serving/serving-fixtures.js';
+
+function holders(...versions: number[]): KnownWorker[] {
+  return versions.map(
+    (version, index) =>
+      new KnownWorker(worker(`w${index}`, { models: [{ name: 'model-a', version }] })),
+  );
+}
+
+function due(workers: KnownWorker[], target: Partial<RolloutTarget>, mayWait = true): string[] {
+  const whole = { model: 'model-a', version: 5, required: 0, ...target };
+  return dueChanges(workers, whole, mayWait, () => false).map(({ worker }) => worker.record.id);
+}
+
+t.test('half of the workers change at once', async (t) => {
+  t.equal(due(holders(4, 4, 4, 4), {}).length, 2);
+  t.equal(due(holders(4, 4, 4), {}).length, 2);
+  t.same(due(holders(5, 5, 4, 4), {}), []);
+});
+
+t.test('workers that lag two versions change in any case, and first', async (t) => {
+  t.same(due(holders(4, 3, 4, 3, 3), {}), ['w1', 'w3', 'w4']);
+});
+
+t.test('workers behind what a job needs change in any case', async (t) => {
+  t.equal(due(holders(4, 4, 4, 4), { required: 5 }).length, 4);
+  t.equal(due(holders(4, 4, 4, 4), { required: 4 }).length, 2);
+});
+
+t.test('after a while all workers change', async (t) => {
+  t.same(due(holders(5, 5, 4, 4), {}, false), ['w2', 'w3']);
+});
+
+t.test('workers that are changing count as changed', async (t) => {
+  const workers = holders(4, 4, 4, 4);
+  const target = { model: 'model-a', version: 5, required: 0 };
+  const isChanging = (id: string): boolean => id === 'w0';
+  const changes = dueChanges(workers, target, true, isChanging);
+  t.same(
+    changes.map((change) => change.worker.record.id),
+    ['w1'],
+  );
+});
--- a/test/jobs/job-fixtures.ts
+++ b/test/jobs/job-fixtures.ts
@@ -19,6 +19,9 @@
 export const always = (): boolean => true;
 export const never = (): boolean => false;
 
+/** Time of day of all submissions; recent, so that no item counts as expired. */
+const SUBMITTED_AT = Date.now();
+
 /** A job with items `item-0` and so on, two to a group. */
 export function specification(id: string, items: number, minVersion = 1): JobSpecification {
   return {
@@ -29,7 +32,7 @@
     model: 'model-a',
     minVersion,
     desiredCount: 1,
-    submittedAt: 1_000,
+    submittedAt: SUBMITTED_AT,
     items: Array.from({ length: items }, (_, index) => ({
       id: `item-${index}`,
       path: `/rollouts/${index}`,
--- /dev/null
+++ b/test/jobs/job-node.ts
@@ -0,0 +1,71 @@
+/** The jobs' modules of one node, joined as a gateway joins them. */
+import type { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { ItemDispatcher } from '../../src/jobs/item-dispatcher.js';
+import type { JobPeers } from '../../src/jobs/job-peers.js';
+import { JobReader } from '../../src/jobs/job-reader.js';
+import type { JobOwner } from '../../src/jobs/job-records.js';
+import { JobService } from '../../src/jobs/job-service.js';
+import { JobStore } from '../../src/jobs/job-store.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import type { EnginePort } from '../../src/serving/engine-port.js';
+import { RouteMatcher } from '../../src/serving/route-matcher.js';
+import { WorkerRegistry } from '../../src/serving/worker-registry.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import {
+  configuration,
+  recordingLog,
+  route,
+  ScriptedEngine,
+  VERSION_FIELD,
+} from '../serving/serving-fixtures.js';
+
+/** One node's part in jobs. */
+export interface JobNode {
+  readonly service: JobService;
+  readonly dispatcher: ItemDispatcher;
+  readonly registry: WorkerRegistry;
+  readonly lines: readonly string[];
+}
+
+/** Peers of a node that is alone. */
+export const NO_PEERS: JobPeers = {
+  keptWork: async () => new Map(),
+  ownerListing: async () => undefined,
+  endAtOwner: async () => false,
+  handOver: async () => {},
+  needWeights: () => {},
+};
+
+export const JOB_ROUTE = route({
+  name: 'rollouts',
+  host: 'trainer.example',
+  pathPrefix: '/rollouts/',
+  kind: 'batch',
+  resumable: true,
+});
+
+/** Joins the modules. */
+export function jobNode(
+  emulator: SharedStoreEmulator,
+  self: JobOwner,
+  engine: EnginePort = new ScriptedEngine(),
+  peers: JobPeers = NO_PEERS,
+): JobNode {
+  const { log, lines } = recordingLog();
+  const clock = PROCESS_CLOCK;
+  const metrics = new FleetMetrics();
+  const registry = new WorkerRegistry();
+  const matcher = new RouteMatcher(configuration([JOB_ROUTE]));
+  const routes = (): RouteMatcher => matcher;
+  const store = new JobStore(emulator);
+  const shared = { clock, log, metrics, routes };
+  const dispatcher = new ItemDispatcher({
+    ...shared,
+    engine,
+    versionField: VERSION_FIELD,
+    registry,
+  });
+  const reader = new JobReader(store, (...question) => peers.ownerListing(...question));
+  const options = { ...shared, store, reader, peers, dispatcher, self, retention: 60_000 };
+  return { service: new JobService(options), dispatcher, registry, lines };
+}
--- /dev/null
+++ b/test/jobs/job-service.test.ts
@@ -0,0 +1,196 @@
+import { Readable } from 'node:stream';
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { EngineOutcome } from '../../src/serving/engine-port.js';
+import { eventually } from '../fleet/fleet-fixtures.js';
+import {
+  answer,
+  brokenAnswer,
+  events,
+  ScriptedEngine,
+  worker,
+} from '../serving/serving-fixtures.js';
+import { always, never, OTHER, OWNER, specification } from './job-fixtures.js';
+import { type JobNode, jobNode } from './job-node.js';
+
+const stream = (letters: string, first = 0): EngineOutcome =>
+  answer(events(first, letters), { isStream: true });
+
+/** Lets a node work until a condition holds. */
+async function workUntil(node: JobNode, holds: () => boolean): Promise<void> {
+  const ticker = setInterval(() => {
+    node.service.tick();
+    node.dispatcher.tick();
+  }, 5);
+  await eventually(holds).finally(() => clearInterval(ticker));
+}
+
+const isFinished = (node: JobNode) => (): boolean => node.service.ownedJobs()[0]?.isOpen === false;
+
+t.test('a job is run, listed and read by position, here and at another node', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const engine = new ScriptedEngine([stream('ab'), stream('cd')]);
+  const node = jobNode(emulator, OWNER, engine);
+  node.registry.put(worker('w1'));
+  t.equal(await node.service.submit(specification('job', 2), always), undefined);
+  await workUntil(node, isFinished(node));
+  const here = await node.service.read('job', 0, 0);
+  if ('detail' in here) throw new Error(here.detail);
+  t.equal(here.total, 2);
+  t.equal(here.nextPosition, 2);
+  t.same(here.results.map((result) => result.text).sort(), ['a\nb', 'c\nd']);
+  const other = jobNode(emulator, OTHER);
+  const there = await other.service.read('job', 1, 0);
+  t.same(there, { total: 2, results: here.results.slice(1), nextPosition: 2 });
+});
+
+t.test('an item goes on where its stream broke, at a worker that is sound', async (t) => {
+  const first = brokenAnswer(`${events(0, 'ab')}id: 2\nda`, { isStream: true });
+  const engine = new ScriptedEngine([first, stream('cd', 2)]);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('w1'));
+  node.registry.put(worker('w2'));
+  await node.service.submit(specification('job', 1), always);
+  await workUntil(node, isFinished(node));
+  t.equal(engine.requests[1]?.lastEventId, 1);
+  t.not(engine.requests[0]?.worker.id, engine.requests[1]?.worker.id);
+  const read = await node.service.read('job', 0, 0);
+  t.equal('results' in read && read.results[0]?.text, 'a\nb\nc\nd');
+});
+
+t.test('an item whose attempts all fail is listed as terminated', async (t) => {
+  const failed = (): EngineOutcome => answer('', { status: 500 });
+  const engine = new ScriptedEngine([failed(), failed(), failed()]);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('w1'));
+  await node.service.submit(specification('job', 1), always);
+  await workUntil(node, isFinished(node));
+  const read = await node.service.read('job', 0, 0);
+  t.equal('results' in read && read.results[0]?.state, 'terminated');
+  t.equal(engine.requests.length, 3);
+});
+
+t.test('no worker with older weights than the job allows is asked', async (t) => {
+  const engine = new ScriptedEngine();
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('old', { models: [{ name: 'model-a', version: 4 }] }));
+  await node.service.submit(specification('job', 1, 5), always);
+  node.dispatcher.tick();
+  t.equal(engine.requests.length, 0);
+  node.registry.put(worker('new', { models: [{ name: 'model-a', version: 5 }] }));
+  await workUntil(node, () => engine.requests.length === 1);
+  t.equal(engine.requests[0]?.worker.id, 'new');
+});
+
+t.test('a job that no node knows is not found; a silent store is said so', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const node = jobNode(emulator, OWNER);
+  const absent = await node.service.read('none', 0, 0);
+  t.equal('kind' in absent && absent.kind, 'not_found');
+  emulator.setAvailability('refusing');
+  const unsure = await node.service.read('none', 0, 0);
+  t.equal('kind' in unsure && unsure.kind, 'ledger_unavailable');
+});
+
+t.test('bodies come back as they were, at any node', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  await jobNode(emulator, OWNER).service.submit(specification('job', 2), always);
+  const body = await jobNode(emulator, OTHER).service.body('job', 'item-1');
+  t.equal(Buffer.isBuffer(body) && body.toString(), 'body 1');
+  const none = await jobNode(emulator, OTHER).service.body('job', 'item-9');
+  t.equal('kind' in none && none.kind, 'not_found');
+});
+
+t.test('a job ends at any node, once and again', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const owner = jobNode(emulator, OWNER);
+  await owner.service.submit(specification('job', 2), always);
+  const other = jobNode(emulator, OTHER);
+  t.equal(await other.service.end('job', always), undefined);
+  t.equal(await other.service.end('job', always), undefined);
+  t.equal((await other.service.end('none', always))?.kind, 'not_found');
+  await workUntil(owner, isFinished(owner));
+  t.equal(owner.service.ownedJobs()[0]?.ending, 'ended');
+});
+
+t.test(
+  'items start while a silent store has not taken the job, and are listed after',
+  async (t) => {
+    const emulator = new SharedStoreEmulator();
+    const engine = new ScriptedEngine([stream('a')]);
+    const node = jobNode(emulator, OWNER, engine);
+    node.registry.put(worker('w1'));
+    emulator.setAvailability('silent');
+    const submission = node.service.submit(specification('job', 1), always);
+    await workUntil(node, () => engine.requests.length === 1);
+    t.same(emulator.keys('job/'), []);
+    emulator.setAvailability('up');
+    t.equal(await submission, undefined);
+    await workUntil(node, isFinished(node));
+    const read = await jobNode(emulator, OTHER).service.read('job', 0, 0);
+    t.equal('results' in read && read.results[0]?.text, 'a');
+  },
+);
+
+t.test('a refusal never promises "not run" of a job whose items have started', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const refusedAtOnce = jobNode(emulator, OWNER);
+  emulator.setAvailability('refusing');
+  const refused = await refusedAtOnce.service.submit(specification('one', 1), never);
+  t.equal(refused?.kind, 'ledger_unavailable');
+  const engine = new ScriptedEngine();
+  const node = jobNode(emulator, OWNER, engine);
+  node.registry.put(worker('w1'));
+  let isWanted = true;
+  const submission = node.service.submit(specification('two', 1), () => isWanted);
+  await workUntil(node, () => engine.requests.length === 1);
+  isWanted = false;
+  t.equal((await submission)?.kind, 'outcome_unknown');
+  t.same(engine.cancelled, ['w1']);
+});
+
+t.test('a repeated submission at the same node shares the first one', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const engine = new ScriptedEngine();
+  const node = jobNode(emulator, OWNER, engine);
+  node.registry.put(worker('w1'));
+  emulator.setAvailability('silent');
+  const spec = specification('job', 1);
+  const both = [node.service.submit(spec, always), node.service.submit(spec, always)];
+  await workUntil(node, () => engine.requests.length === 1);
+  emulator.setAvailability('up');
+  t.same(await Promise.all(both), [undefined, undefined]);
+  t.equal(node.service.ownedJobs().length, 1);
+});
+
+t.test('a released job goes on at another node from the last event', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const open = answer('', { isStream: true, body: openStream(events(0, 'ab')) });
+  const first = jobNode(emulator, OWNER, new ScriptedEngine([open]));
+  first.registry.put(worker('w1'));
+  await first.service.submit(specification('job', 1), always);
+  await workUntil(
+    first,
+    () => first.service.ownedJobs()[0]?.keptProgress()['item-0'] !== undefined,
+  );
+  await first.service.release(always);
+  const engine = new ScriptedEngine([stream('cd', 2)]);
+  const second = jobNode(emulator, OTHER, engine);
+  second.registry.put(worker('w1'));
+  t.ok(await second.service.takeReleased('job'));
+  await workUntil(second, isFinished(second));
+  t.equal(engine.requests[0]?.lastEventId, 1);
+  const read = await second.service.read('job', 0, 0);
+  t.equal('results' in read && read.results[0]?.text, 'a\nb\nc\nd');
+});
+
+/** A body that gives some bytes and stays open. */
+function openStream(bytes: string): Readable {
+  let isGiven = false;
+  return new Readable({
+    read() {
+      if (!isGiven) this.push(Buffer.from(bytes));
+      isGiven = true;
+    },
+  });
+}
--- /dev/null
+++ b/test/platform-adapter/engine-client.test.ts
@@ -0,0 +1,211 @@
+import net from 'node:net';
+import t from 'tap';
+import { EngineClient } from '../../platform/engine-client.js';
+import type { EngineOutcome, EngineRequest } from '../../src/serving/engine-port.js';
+import { worker } from '../serving/serving-fixtures.js';
+
+/** What the stand-in worker writes for each request that it reads, as raw bytes. */
+type Script = (requestId: string, socket: net.Socket) => void;
+
+interface StandIn {
+  readonly client: EngineClient;
+  readonly requests: string[];
+  /** Connections that were opened. */
+  connections(): number;
+  send(fields?: Partial<EngineRequest>, signal?: AbortSignal): Promise<EngineOutcome>;
+}
+
+async function standIn(test: Pick<typeof t, 'teardown'>, ...scripts: Script[]): Promise<StandIn> {
+  const requests: string[] = [];
+  const sockets = new Set<net.Socket>();
+  let opened = 0;
+  const server = net.createServer((socket) => {
+    opened += 1;
+    sockets.add(socket);
+    let pending = '';
+    socket.on('error', () => {});
+    socket.on('data', (chunk: Buffer) => {
+      pending += chunk.toString('latin1');
+      const length = Number(/content-length: (\d+)/i.exec(pending)?.[1] ?? 0);
+      const head = pending.indexOf('\r\n\r\n');
+      if (head < 0 || pending.length < head + 4 + length) return;
+      requests.push(pending);
+      const id = /x-wardwing-request-id: (\S+)/i.exec(pending)?.[1] ?? '';
+      pending = '';
+      scripts.shift()?.(id, socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const client = new EngineClient();
+  const target = worker('i-1', { address: `127.0.0.1:${port}` });
+  test.teardown(() => {
+    client.forget('i-1');
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  let sent = 0;
+  const send: StandIn['send'] = (fields = {}, signal = new AbortController().signal) => {
+    sent += 1;
+    const request: EngineRequest = {
+      worker: target,
+      requestId: `request-${sent}`,
+      method: 'POST',
+      path: '/a/x?y=1',
+      host: 'site.example',
+      headers: ['X-Own', 'kept', 'Connection', 'close', 'X-Wardwing-Deadline-Ms', '9999'],
+      body: Buffer.from('question'),
+      remaining: 1_234.5,
+      ...fields,
+    };
+    return client.send(request, signal);
+  };
+  return { client, requests, connections: () => opened, send };
+}
+
+function reply(status: string, headers: readonly string[], body: string): string {
+  const lines = [`HTTP/1.1 ${status}`, ...headers, `Content-Length: ${body.length}`];
+  return `${lines.join('\r\n')}\r\n\r\n${body}`;
+}
+
+const stamped = (id: string): string[] => [
+  `X-Wardwing-Request-Id: ${id}`,
+  'X-Wardwing-Server-Stamp: s',
+];
+
+const answers =
+  (body: string, ...headers: string[]): Script =>
+  (id, socket) =>
+    socket.write(reply('200 OK', [...stamped(id), ...headers], body));
+
+async function bodyOf(outcome: EngineOutcome): Promise<string> {
+  if (outcome.kind !== 'answered') return outcome.kind;
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of outcome.body) chunks.push(chunk as Buffer);
+  } catch {
+    return 'broken off';
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+t.test('a request travels with its own headers and those of the system', async (t) => {
+  const worker = await standIn(t, answers('reply', 'X-Wardwing-Server-Load: 3,1,8'));
+  const outcome = await worker.send();
+  t.equal(await bodyOf(outcome), 'reply');
+  t.same(outcome.kind === 'answered' && outcome.load, { running: 3, waiting: 1, slots: 8 });
+  const sent = worker.requests[0] ?? '';
+  t.match(sent, /^POST \/a\/x\?y=1 HTTP\/1.1\r\n/);
+  t.match(sent, /Host: site.example\r\n/);
+  t.match(sent, /X-Own: kept\r\n/);
+  t.match(sent, /x-wardwing-expect-instance: i-1\r\n/);
+  t.match(sent, /x-wardwing-deadline-ms: 1234\r\n/);
+  t.notMatch(sent, /9999/);
+  t.notMatch(sent, /Connection: close/);
+  t.match(sent, /\r\n\r\nquestion$/);
+});
+
+t.test('a connection is used again after a whole answer', async (t) => {
+  const worker = await standIn(t, answers('one'), answers('two'));
+  t.equal(await bodyOf(await worker.send()), 'one');
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  t.equal(await bodyOf(await worker.send()), 'two');
+  t.equal(worker.connections(), 1);
+});
+
+t.test('only the mark of a refusal promises that nothing ran', async (t) => {
+  const refusal: Script = (_id, socket) =>
+    socket.write(reply('503 Service Unavailable', ['X-Wardwing-Not-Run: 1'], ''));
+  const moved: Script = (_id, socket) => socket.write(reply('421 Misdirected Request', [], ''));
+  const unmarked: Script = (_id, socket) => socket.write(reply('503 Service Unavailable', [], ''));
+  const worker = await standIn(t, refusal, moved, unmarked);
+  t.match(await worker.send(), { kind: 'not-run', reason: 'full' });
+  t.match(await worker.send(), { kind: 'not-run', reason: 'gone' });
+  t.match(await worker.send(), { kind: 'failed', mayHaveRun: true, cause: 'wrong-answer' });
+});
+
+t.test('an answer to another request, or without a signature, is never passed on', async (t) => {
+  const other: Script = (_id, socket) =>
+    socket.write(reply('200 OK', stamped('another-request'), 'stale'));
+  const unsigned: Script = (id, socket) =>
+    socket.write(reply('200 OK', [`X-Wardwing-Request-Id: ${id}`], 'odd'));
+  const worker = await standIn(t, other, unsigned, answers('fine'));
+  t.match(await worker.send(), { kind: 'failed', cause: 'wrong-answer' });
+  t.match(await worker.send(), { kind: 'failed', cause: 'wrong-answer' });
+  t.equal(await bodyOf(await worker.send()), 'fine');
+  t.equal(worker.connections(), 3, 'each odd connection was closed');
+});
+
+t.test('a second answer on a connection is never taken for the next one', async (t) => {
+  const twice: Script = (id, socket) => {
+    socket.write(reply('200 OK', stamped(id), 'one'));
+    setTimeout(() => socket.write(reply('200 OK', stamped(id), 'surplus')), 10);
+  };
+  const worker = await standIn(t, twice, answers('two'));
+  t.equal(await bodyOf(await worker.send()), 'one');
+  await new Promise((resolve) => setTimeout(resolve, 40));
+  t.equal(await bodyOf(await worker.send()), 'two');
+  t.equal(worker.connections(), 2);
+});
+
+t.test('an answer that breaks off is not whole, however it is framed', async (t) => {
+  const short: Script = (id, socket) => {
+    const head = reply('200 OK', stamped(id), 'x'.repeat(100)).slice(0, -50);
+    socket.write(head, () => socket.destroy());
+  };
+  const reset: Script = (id, socket) => {
+    const head = `HTTP/1.1 200 OK\r\n${stamped(id).join('\r\n')}\r\n\r\npart`;
+    socket.write(head, () => setTimeout(() => socket.resetAndDestroy(), 10));
+  };
+  const worker = await standIn(t, short, reset);
+  t.equal(await bodyOf(await worker.send()), 'broken off');
+  t.equal(await bodyOf(await worker.send()), 'broken off');
+});
+
+t.test('an answer without a length is whole when its connection ends well', async (t) => {
+  const unframed: Script = (id, socket) => {
+    socket.end(`HTTP/1.1 200 OK\r\n${stamped(id).join('\r\n')}\r\n\r\nall of it`);
+  };
+  const worker = await standIn(t, unframed);
+  t.equal(await bodyOf(await worker.send()), 'all of it');
+});
+
+t.test('bytes that are no answer are a failure after which the work may have run', async (t) => {
+  const noise: Script = (_id, socket) => socket.write('this is no answer\r\n\r\n');
+  const worker = await standIn(t, noise);
+  t.match(await worker.send(), { kind: 'failed', mayHaveRun: true, cause: 'broken' });
+});
+
+t.test('a worker that nobody reaches cannot have run the work', async (t) => {
+  const client = new EngineClient();
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await new Promise((resolve) => server.once('listening', resolve));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  const request: EngineRequest = {
+    worker: worker('i-1', { address: `127.0.0.1:${port}` }),
+    requestId: 'r',
+    method: 'GET',
+    path: '/',
+    host: 'h',
+    headers: [],
+    body: Buffer.alloc(0),
+    remaining: undefined,
+  };
+  const outcome = await client.send(request, new AbortController().signal);
+  t.match(outcome, { kind: 'failed', mayHaveRun: false, cause: 'refused-connection' });
+});
+
+t.test('a cancelled request closes its connection', async (t) => {
+  let closed = (): void => {};
+  const isClosed = new Promise<void>((resolve) => {
+    closed = resolve;
+  });
+  const silent: Script = (_id, socket) => socket.once('close', closed);
+  const worker = await standIn(t, silent);
+  const abort = new AbortController();
+  const outcome = worker.send({}, abort.signal);
+  setTimeout(() => abort.abort(), 20);
+  t.match(await outcome, { kind: 'failed', cause: 'cancelled' });
+  await isClosed;
+});
--- /dev/null
+++ b/test/platform-adapter/settings.test.ts
@@ -0,0 +1,40 @@
+import t from 'tap';
+import { parseSettings, SettingsProblem } from '../../platform/settings.js';
+
+const LINES = [
+  'node_name=front-1',
+  'zone=hall-1',
+  'machine_class=front',
+  'ip=10.0.0.1',
+  'internal_ports=7720,7735',
+  'listen.front=10.0.0.1:8161',
+  'listen.readiness=10.0.0.1:8167',
+  'platform.address=10.0.0.9:8169',
+  'bounds.lease_ms=2500',
+  'bounds.grace_s=6',
+  'some.new.field=1,2,3',
+];
+
+t.test('fields are read under the names of the product, unknown ones passed over', async (t) => {
+  t.same(parseSettings(LINES.join('\n')), {
+    node: 'front-1',
+    zone: 'hall-1',
+    machineClass: 'front',
+    ip: '10.0.0.1',
+    callerAddress: '10.0.0.1:8161',
+    readinessAddress: '10.0.0.1:8167',
+    peerPort: 7_720,
+    storeAddress: '10.0.0.9:8169',
+    coordinatorHandOver: 2_500,
+    stopLimit: 6_000,
+    jobRetention: 120_000,
+  });
+});
+
+t.test('a missing or malformed field is named', async (t) => {
+  const without = LINES.filter((line) => !line.startsWith('platform.address'));
+  t.throws(() => parseSettings(without.join('\n')), new SettingsProblem());
+  t.throws(() => parseSettings(without.join('\n')), /platform\.address/);
+  const malformed = LINES.map((line) => line.replace('grace_s=6', 'grace_s=soon'));
+  t.throws(() => parseSettings(malformed.join('\n')), /bounds\.grace_s/);
+});
