A stopping node takes jobs in for another node to run

Ruled out: the hand-over itself (jobs open at the stop moved within 0.3 s). Change: such a job is stored without an owner and offered to another node at once; refusing it would have cost the caller a try. Test: test/jobs/job-service.test.ts, failed first.

--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -64,6 +64,8 @@
 export class JobService {
   private readonly owned = new Map<string, OwnedJob>();
   private readonly kept: KeptItems;
+  /** Whether this node stops: it takes jobs in, but runs none any more. */
+  private isReleasing = false;
   /** Submissions that the store has not settled yet, by job. */
   private readonly submissions = new Map<string, Promise<Failure | undefined>>();
 
@@ -90,12 +92,14 @@
     const { store, clock } = this.options;
     const startedAt = clock.now();
     const kept = this.keptElsewhere(spec);
-    const creation = store.create(spec, firstHead(spec, this.options.self), wanted);
-    const early = await this.startEarly(spec, creation, kept);
+    const owner = this.isReleasing ? null : this.options.self;
+    const creation = store.create(spec, firstHead(spec, owner), wanted);
+    const early = owner === null ? undefined : await this.startEarly(spec, creation, kept);
     const change = await creation;
     this.noteSubmitted(spec, change, clock.now() - startedAt);
-    if (change.kind === 'changed') await this.ownCreated(spec, change.current, early, kept);
-    else early?.abandon();
+    if (change.kind !== 'changed') early?.abandon();
+    else if (owner === null) await this.options.peers.handOver(spec.id);
+    else await this.ownCreated(spec, change.current, early, kept);
     if (change.kind !== 'unavailable') return undefined;
     // What has begun to run must not be answered as if it had not.
     if (change.mayBeDone || early !== undefined) {
@@ -219,6 +223,7 @@
 
   /** Gives all open jobs up for other nodes. */
   async release(wanted: StillWanted): Promise<void> {
+    this.isReleasing = true;
     const open = this.ownedJobs().filter((job) => job.isOpen);
     await Promise.all(
       open.map(async (job) => {
@@ -366,8 +371,8 @@
   }
 }
 
-/** The head of a job that this node is to run. */
-function firstHead(spec: JobSpecification, owner: JobOwner): HeadFields {
+/** The head of a job that its owner is to run; without one it is offered to another node. */
+function firstHead(spec: JobSpecification, owner: JobOwner | null): HeadFields {
   const { submittedAt, items } = spec;
   return { owner, total: items.length, listed: 0, pages: 0, ended: false, submittedAt };
 }
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -11,7 +11,7 @@
   worker,
 } from '../serving/serving-fixtures.js';
 import { always, never, OTHER, OWNER, specification } from './job-fixtures.js';
-import { type JobNode, jobNode } from './job-node.js';
+import { type JobNode, jobNode, NO_PEERS } from './job-node.js';
 
 const stream = (letters: string, first = 0): EngineOutcome =>
   answer(events(first, letters), { isStream: true });
@@ -194,3 +194,18 @@
     },
   });
 }
+
+t.test('a stopping node takes a job for another one to run', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const offered: string[] = [];
+  const peers = { ...NO_PEERS, handOver: async (job: string) => void offered.push(job) };
+  const engine = new ScriptedEngine();
+  const node = jobNode(emulator, OWNER, engine, peers);
+  node.registry.put(worker('w1'));
+  await node.service.release(always);
+  t.equal(await node.service.submit(specification('job', 1), always), undefined);
+  node.dispatcher.tick();
+  t.same(offered, ['job']);
+  t.equal(engine.requests.length, 0);
+  t.ok(await jobNode(emulator, OTHER).service.takeReleased('job'));
+});
