explain reads the logs of nodes; finished jobs are removed after their retention

Cause: the chain of decisions behind a complaint could only be asked of a running node, and the platform's nodes have no operators' interface; and nothing removed the records of jobs from the platform's store. The coordinator looks once a minute for finished jobs that are 30 s past their retention and removes them, the head last, so that a rest is found again.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -72,6 +72,9 @@
 /** Time in which a live worker registers again; the bound on leaving workers is 2 s. */
 const LAPSE_GRACE: Milliseconds = 1_500;
 
+/** Time between two looks for jobs that need not be kept. */
+const REMOVAL_INTERVAL: Milliseconds = 60_000;
+
 /** Time between two lines with all counters. */
 const REPORT_INTERVAL: Milliseconds = 10_000;
 
@@ -97,6 +100,7 @@
   private matcher: RouteMatcher | undefined;
   private workersListed = false;
   private isStopping = false;
+  private nextRemovalAt: Milliseconds = REMOVAL_INTERVAL;
   private ticker: NodeJS.Timeout | undefined;
   private reporter: NodeJS.Timeout | undefined;
 
@@ -320,6 +324,7 @@
     this.lock.tick();
     this.rollout.tick();
     this.drains.tick();
+    this.removeExpiredJobs();
   }
 
   /** The nodes that watch a suspected one act in turn, so that they rarely race. */
@@ -330,6 +335,14 @@
     }, rank * SUSPICION_RANK_DELAY);
   }
 
+  /** The coordinator removes what need not be kept any longer. */
+  private removeExpiredJobs(): void {
+    const now = this.options.clock.now();
+    if (now < this.nextRemovalAt || this.lock.fencingToken() === undefined) return;
+    this.nextRemovalAt = now + REMOVAL_INTERVAL;
+    void this.jobs.removeExpired();
+  }
+
   /** Sets the gauges and writes the counters as one line. */
   private report(): void {
     const { metrics, log } = this.options;
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -44,6 +44,8 @@
   pages: z.number(),
   ended: z.boolean(),
   submittedAt: z.number(),
+  /** Keys that the specification takes. */
+  specificationParts: z.number(),
   /** Drawn anew for each change, to tell one's own change after a lost answer. */
   changeId: z.string(),
 });
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -57,6 +57,9 @@
 /** A store that has not taken a job after this time no longer holds up its items. */
 const EARLY_START_DELAY: Milliseconds = 100;
 
+/** Jobs are kept this much longer than asked, as clocks of machines may differ. */
+const RETENTION_MARGIN: Milliseconds = 30_000;
+
 /** Jobs that are finished and still kept in memory by the node that ran them. */
 const KEPT_FINISHED_JOBS = 24;
 
@@ -221,6 +224,19 @@
     this.forgetOld();
   }
 
+  /** Removes jobs whose results need not be kept any longer. */
+  async removeExpired(): Promise<void> {
+    const { store, clock, log, retention } = this.options;
+    const read = await store.heads();
+    if (read.kind !== 'found') return;
+    for (const [job, found] of read.value) {
+      const age = ageOf(found.head, clock.wallTime());
+      if (!isFinished(found.head) || age < retention + RETENTION_MARGIN) continue;
+      await store.remove(job, found);
+      log.state('job-removed', { job, ageMs: Math.round(age) });
+    }
+  }
+
   /** Gives all open jobs up for other nodes. */
   async release(wanted: StillWanted): Promise<void> {
     this.isReleasing = true;
--- a/src/jobs/job-store.ts
+++ b/src/jobs/job-store.ts
@@ -51,8 +51,8 @@
 /** Characters of a specification in one key: base64 makes 4 of 3, under 1 MiB together. */
 const PART_LENGTH = 600_000;
 
-/** Fields of a head that a change sets; the change id is drawn by the store. */
-export type HeadFields = Omit<JobHead, 'changeId'>;
+/** Fields of a head that a change sets; the others are the store's own. */
+export type HeadFields = Omit<JobHead, 'changeId' | 'specificationParts'>;
 
 /** Reads and changes jobs. */
 export class JobStore {
@@ -66,7 +66,8 @@
       const value = text.slice(part * PART_LENGTH, (part + 1) * PART_LENGTH);
       puts.push({ key: JOB_KEYS.specification(spec.id, part), value });
     }
-    return this.change(spec.id, ABSENT, head, puts, wanted);
+    const whole = { ...head, specificationParts: puts.length };
+    return this.change(spec.id, ABSENT, whole, puts, wanted);
   }
 
   /** Lists further results behind those of `base`. */
@@ -150,8 +151,9 @@
     return progress === undefined ? { kind: 'absent' } : { kind: 'found', value: progress };
   }
 
-  /** Removes all that is kept of a job. */
-  async remove(job: string, base: VersionedHead, parts: number): Promise<void> {
+  /** Removes all that is kept of a job; the head goes last, so that a rest is found again. */
+  async remove(job: string, base: VersionedHead): Promise<void> {
+    const parts = base.head.specificationParts;
     const pages = Array.from({ length: base.head.pages }, (_, page) => JOB_KEYS.page(job, page));
     const specs = Array.from({ length: parts }, (_, part) => JOB_KEYS.specification(job, part));
     const keys = [...pages, ...specs, JOB_KEYS.progress(job)];
@@ -166,7 +168,7 @@
   private async change(
     job: string,
     base: Revision,
-    fields: HeadFields,
+    fields: Omit<JobHead, 'changeId'>,
     puts: readonly StorePut[],
     wanted: StillWanted,
   ): Promise<HeadChange> {
--- /dev/null
+++ b/src/telemetry/log-trace.ts
@@ -0,0 +1,105 @@
+/**
+ * Traces one request, item, job or worker through the logs of several nodes: the decisions that
+ * name it, those about its job, and the changes of state around them on the nodes and workers that
+ * took part.
+ */
+
+/** One line of a log. */
+export interface LogLine {
+  /** Milliseconds since 1970, by the clock of its node. */
+  readonly at: number;
+  readonly node: string;
+  readonly event: string;
+  readonly fields: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Why a line is part of a trace. */
+export type TraceRelation = 'subject' | 'job' | 'context';
+
+/** One line of a trace. */
+export interface TraceLine extends LogLine {
+  readonly relation: TraceRelation;
+}
+
+/** Changes of state that explain decisions around them. */
+const CONTEXT_EVENTS = new Set([
+  'started',
+  'stopping',
+  'stopped',
+  'store-lost',
+  'store-regained',
+  'lease-lost',
+  'node-suspected',
+  'node-trusted',
+  'worker-gone',
+  'worker-lapsed',
+  'weights-ordered',
+  'configuration-applied',
+  'coordinator-acquired',
+  'coordinator-lost',
+  'log-lines-dropped',
+]);
+
+/** Events about single items, of which a job has hundreds; they are told for the subject only. */
+const ITEM_EVENTS = new Set(['item-run-completed', 'item-run-ended']);
+
+/** Time before and after the subject's own lines from which context is told, in milliseconds. */
+const CONTEXT_WINDOW = 3_000;
+
+/** Fields of every line that are told apart from the others. */
+const COMMON_FIELDS = new Set(['level', 'time', 'node', 'zone', 'msg']);
+
+/** Reads a line; whatever stands before its JSON is passed over. `undefined` for other lines. */
+export function parseLogLine(text: string): LogLine | undefined {
+  const start = text.indexOf('{');
+  if (start < 0) return undefined;
+  try {
+    const value = JSON.parse(text.slice(start)) as Record<string, unknown>;
+    const at = Date.parse(String(value.time));
+    const { msg, node } = value;
+    if (typeof msg !== 'string' || typeof node !== 'string' || Number.isNaN(at)) return undefined;
+    const fields = Object.entries(value).filter(
+      (entry): entry is [string, string | number | boolean] =>
+        !COMMON_FIELDS.has(entry[0]) && ['string', 'number', 'boolean'].includes(typeof entry[1]),
+    );
+    return { at, node, event: msg, fields: Object.fromEntries(fields) };
+  } catch {
+    return undefined;
+  }
+}
+
+/** The lines that tell what became of a subject, in order of time; empty where none names it. */
+export function traceSubject(lines: readonly LogLine[], subject: string): TraceLine[] {
+  const own = lines.filter((line) => Object.values(line.fields).includes(subject));
+  if (own.length === 0) return [];
+  const ownLines = new Set(own);
+  const jobs = new Set(own.map((line) => line.fields.job).filter((job) => job !== undefined));
+  const workers = new Set(own.map((line) => line.fields.worker));
+  const nodes = new Set(own.map((line) => line.node));
+  const times = own.map((line) => line.at);
+  const from = Math.min(...times) - CONTEXT_WINDOW;
+  const until = Math.max(...times) + CONTEXT_WINDOW;
+  const relationOf = (line: LogLine): TraceRelation | undefined => {
+    if (ownLines.has(line)) return 'subject';
+    const job = line.fields.job;
+    if (job !== undefined && jobs.has(job) && !ITEM_EVENTS.has(line.event)) return 'job';
+    if (!CONTEXT_EVENTS.has(line.event) || line.at < from || line.at > until) return undefined;
+    const worker = line.fields.worker;
+    const concerns = worker === undefined ? nodes.has(line.node) : workers.has(worker);
+    return concerns && (worker === undefined || nodes.has(line.node)) ? 'context' : undefined;
+  };
+  return lines
+    .flatMap((line) => {
+      const relation = relationOf(line);
+      return relation === undefined ? [] : [{ ...line, relation }];
+    })
+    .sort((left, right) => left.at - right.at);
+}
+
+/** One line of a trace as text; `start` is the time from which it counts. */
+export function formatTraceLine(line: TraceLine, start: number): string {
+  const seconds = ((line.at - start) / 1_000).toFixed(3).padStart(9);
+  const mark = line.relation === 'subject' ? '*' : ' ';
+  const fields = Object.entries(line.fields).map(([name, value]) => `${name}=${value}`);
+  return `${seconds} s ${mark} ${line.node}  ${line.event}  ${fields.join(' ')}`.trimEnd();
+}
--- a/test/cli/program.test.ts
+++ b/test/cli/program.test.ts
@@ -206,3 +206,18 @@
   );
   t.equal(late.paused, 2_000);
 });
+
+t.test('explain reads the logs of nodes from a folder', async (t) => {
+  const time = '2026-01-01T00:00:00.000Z';
+  const entry = { time, node: 'n1', request: 'r1', kind: 'overloaded', msg: 'request-refused' };
+  const logs = t.testdir({ 'n1.log': `${JSON.stringify(entry)}\n`, 'n2.log': 'no line\n' });
+  const found = await run(['explain', 'r1', '--logs', logs]);
+  t.equal(found.code, 0);
+  t.match(found.lines.join(), /n1 {2}request-refused {2}request=r1 kind=overloaded/);
+  const none = await run(['explain', 'r2', '--logs', logs]);
+  t.equal(none.code, 1);
+  t.match(none.errors.join(), /none of 1 lines names "r2"/);
+  const unreadable = await run(['explain', 'r1', '--logs', path.join(logs, 'none')]);
+  t.equal(unreadable.code, 2);
+  t.match(unreadable.errors.join(), /--logs/);
+});
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -209,3 +209,20 @@
   t.equal(engine.requests.length, 0);
   t.ok(await jobNode(emulator, OTHER).service.takeReleased('job'));
 });
+
+t.test('finished jobs are removed after their retention, open ones are kept', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const node = jobNode(emulator, OWNER);
+  const old = (id: string) => ({ ...specification(id, 2), submittedAt: Date.now() - 600_000 });
+  await node.service.submit(old('ended'), always);
+  await node.service.end('ended', always);
+  await node.service.submit(old('open'), always);
+  await node.service.submit(specification('recent', 2), always);
+  await node.service.end('recent', always);
+  await node.service.removeExpired();
+  t.same(emulator.keys('job/head/'), ['job/head/open', 'job/head/recent']);
+  t.same(
+    emulator.keys('job/').filter((key) => key.includes('/ended')),
+    [],
+  );
+});
