--- a/lab/main.ts
+++ b/lab/main.ts
@@ -55,6 +55,14 @@
   .command('proof [name]', 'Prove one promise under seeded faults in simulated time')
   .action((name: string, flags: CommandFlags) => runModule('./proofs/proof.js', name ?? '', flags));
 
+program
+  .command('days', 'Play our own days of trouble with the bench of the users')
+  .option('--bench', 'Its program')
+  .option('--site', 'The file of a deployment')
+  .option('--only', 'Only days whose names hold this text')
+  .option('--why', 'What the run is for')
+  .action((flags: CommandFlags) => runModule('./days/days.js', 'days', flags));
+
 program
   .command('replay <file>', 'Replay a recorded trace and compare its stated outcome')
   .action((file: string, flags: CommandFlags) => runModule('./replay/replay.js', file, flags));
