Proof durable-jobs: what a submission and a read position promise, under faults

Change: lab/proofs/durable-jobs runs the product's own job modules on three nodes over a store in memory, in turns of the event loop: submissions, work, reads, ends, takeovers, freezes, restarts without memory, lost and late answers, a store that refuses. An oracle that knows nothing of the implementation judges positions, doubled items, lost jobs and false refusals. Five mechanisms can be switched off: conditional-commit, superseded-owner-stops, one-commit-a-page, read-verification, stored-before-accepted. The oracle first objected to short answers, which the pages allow: a reader asks on from the end; it objects to nothing at a position that was read.

--- /dev/null
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -0,0 +1,342 @@
+/**
+ * Three nodes with the product's own job modules over one store in memory, and the faults that may
+ * meet them: lost and late answers, a store that refuses, nodes that restart without memory or are
+ * wrongly taken for gone. Nothing waits for real time.
+ */
+import type { Failure } from '../../../src/errors/error-kinds.js';
+import { ItemDispatcher } from '../../../src/jobs/item-dispatcher.js';
+import type { JobPeers } from '../../../src/jobs/job-peers.js';
+import { JobReader } from '../../../src/jobs/job-reader.js';
+import type { JobSpecification } from '../../../src/jobs/job-records.js';
+import { JobService } from '../../../src/jobs/job-service.js';
+import { JobStore } from '../../../src/jobs/job-store.js';
+import { OwnedJob } from '../../../src/jobs/owned-job.js';
+import type { Clock } from '../../../src/serving/clock.js';
+import type { EnginePort } from '../../../src/serving/engine-port.js';
+import { WorkerRegistry } from '../../../src/serving/worker-registry.js';
+import type { SharedStore } from '../../../src/shared-store/shared-store.js';
+import { DecisionLog } from '../../../src/telemetry/decision-log.js';
+import { FleetMetrics } from '../../../src/telemetry/fleet-metrics.js';
+import { type LostAnswer, SharedStoreEmulator } from '../../emulator/shared-store-emulator.js';
+import { JobOracle } from './job-oracle.js';
+import type { JobMechanism } from './mechanisms.js';
+
+/** Nodes, jobs and items of the world. */
+export const NODES = 3;
+export const JOBS = 2;
+export const ITEMS = 12;
+
+/** Turns of the event loop in which what is under way goes on. */
+const SETTLE_TURNS = 12;
+
+/** Time that passes with each step; heads then count as unconfirmed. */
+const STEP_TIME = 3_000;
+
+/** Repetitions of a commit that a caller of a refusing store waits for. */
+const PATIENCE = 3;
+
+class WorldClock implements Clock {
+  time = 1_000_000;
+  now(): number {
+    return this.time;
+  }
+  wallTime(): number {
+    return this.time;
+  }
+  sleep(): Promise<void> {
+    return nextTurn();
+  }
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** No worker is known, so nothing is sent; items are finished by the steps of a run. */
+const NO_ENGINE: EnginePort = {
+  send: async () => ({ kind: 'failed', mayHaveRun: false, cause: 'refused-connection' }),
+  order: async () => 'refused',
+  report: async () => undefined,
+  forget: () => {},
+};
+
+const NO_PEERS: JobPeers = {
+  keptWork: async () => new Map(),
+  ownerListing: async () => undefined,
+  endAtOwner: async () => false,
+  handOver: async () => {},
+  needWeights: () => {},
+};
+
+interface WorldNode {
+  readonly name: string;
+  life: number;
+  service: JobService;
+}
+
+/** The world of one run. */
+export class JobWorld {
+  readonly oracle = new JobOracle();
+  private readonly emulator = new SharedStoreEmulator();
+  private readonly clock = new WorldClock();
+  private readonly nodes: WorldNode[] = [];
+  private readonly store: SharedStore;
+  private isUp = true;
+  private runs = 0;
+  private readonly frozen = new Set<number>();
+  /** Jobs that lost owners go on with, where that is on trial. */
+  private readonly revived = new Map<string, OwnedJob>();
+
+  constructor(private readonly without: ReadonlySet<JobMechanism>) {
+    this.store = without.has('conditional-commit') ? unconditional(this.emulator) : this.emulator;
+    if (without.has('one-commit-a-page')) this.store = pagesApart(this.store);
+    for (let index = 0; index < NODES; index += 1) {
+      const name = `node-${index}`;
+      this.nodes.push({ name, life: 1, service: this.makeService(name, 1) });
+    }
+  }
+
+  /** Hands a job in at a node; the answer is judged when it comes. */
+  submit(node: number, job: number): void {
+    if (this.frozen.has(node)) return;
+    const spec = specificationOf(job, this.clock.time);
+    const { service } = this.node(node);
+    if (this.without.has('stored-before-accepted')) this.oracle.submitted(spec.id, 'accepted');
+    let tries = 0;
+    const wanted = (): boolean => ++tries <= PATIENCE;
+    void service.submit(spec, wanted).then((reason) => this.judgeSubmission(spec.id, reason));
+  }
+
+  /** An item is made whole at the node that runs its job; each run makes another text. */
+  finish(node: number, job: number, item: number): void {
+    if (this.frozen.has(node)) return;
+    const owned = this.ownedBy(node, job);
+    const entry = owned?.isOpen === true ? owned.items.get(`item-${item}`) : undefined;
+    if (owned === undefined || entry === undefined) return;
+    this.runs += 1;
+    const result = { id: entry.item.id, state: 'completed', text: `run ${this.runs}` } as const;
+    owned.finish(entry, { ...result, versions: [1] });
+  }
+
+  /** A node stands still: it does nothing and learns nothing until it wakes. */
+  freeze(node: number): void {
+    this.frozen.add(node);
+  }
+
+  /** A node goes on as if no time had passed. */
+  wake(node: number): void {
+    this.frozen.delete(node);
+  }
+
+  /**
+   * A node is frozen while another takes its job over and lists a result that is read; it wakes, and
+   * a trainer goes on reading there.
+   */
+  async overtake(node: number, job: number, item: number): Promise<void> {
+    const other = (node + 1) % NODES;
+    const position = this.ownedBy(node, job)?.results.length ?? 0;
+    this.freeze(node);
+    await this.adopt(other, job);
+    await this.settle();
+    this.finish(other, job, item);
+    this.work(other);
+    await this.settle();
+    await this.read(other, job, 0);
+    this.wake(node);
+    await this.read(node, job, position);
+  }
+
+  /** A node does its regular work. */
+  work(node: number): void {
+    if (this.frozen.has(node)) return;
+    this.node(node).service.tick();
+    for (const job of this.revived.values()) job.advance();
+  }
+
+  /** A node takes a job for its owner's being gone, rightly or not. */
+  async adopt(node: number, job: number): Promise<void> {
+    if (this.frozen.has(node)) return;
+    const store = new JobStore(this.store, this.clock);
+    const read = await store.head(jobName(job));
+    if (read.kind !== 'found' || read.value.head.ended) return;
+    if (read.value.head.listed >= read.value.head.total) return;
+    void this.node(node).service.adopt(jobName(job), read.value);
+  }
+
+  /** A trainer ends a job at a node. */
+  end(node: number, job: number): void {
+    if (this.frozen.has(node)) return;
+    void this.node(node).service.end(jobName(job), () => false);
+  }
+
+  /** A trainer reads a job at a node; judged only while the store answers. */
+  async read(node: number, job: number, from: number): Promise<void> {
+    if (!this.isUp || this.frozen.has(node)) return;
+    const owned = this.ownedBy(node, job);
+    const isBlind = this.without.has('read-verification') && owned?.isOpen === true;
+    const answer = isBlind
+      ? { results: owned.results.slice(from) }
+      : await this.node(node).service.read(jobName(job), from, 0);
+    if ('results' in answer) this.oracle.read(jobName(job), from, answer.results);
+    else if (answer.kind === 'not_found') this.oracle.notFound(jobName(job));
+  }
+
+  /** A node dies and comes back without memory. */
+  restart(node: number): void {
+    const dead = this.node(node);
+    for (const job of dead.service.ownedJobs()) job.abandon();
+    dead.life += 1;
+    dead.service = this.makeService(dead.name, dead.life);
+  }
+
+  /** The store refuses everything, or answers again. */
+  setStore(isUp: boolean): void {
+    this.isUp = isUp;
+    this.emulator.setAvailability(isUp ? 'up' : 'refusing');
+  }
+
+  /** The next commit's answer is lost. */
+  loseAnswer(kind: LostAnswer): void {
+    this.emulator.loseAnswers(kind);
+  }
+
+  /** What was held back is carried out. */
+  applyLate(): void {
+    this.emulator.applyLateCommits();
+  }
+
+  /** Time passes, and what is under way goes on. */
+  async settle(): Promise<void> {
+    this.clock.time += STEP_TIME;
+    for (let turn = 0; turn < SETTLE_TURNS; turn += 1) await nextTurn();
+    if (this.without.has('superseded-owner-stops')) this.reviveSuperseded();
+  }
+
+  /** The last look: everything is up, and every job is read whole at every node. */
+  async close(): Promise<void> {
+    this.setStore(true);
+    this.frozen.clear();
+    this.applyLate();
+    for (let node = 0; node < NODES; node += 1) this.work(node);
+    await this.settle();
+    for (let node = 0; node < NODES; node += 1) {
+      for (let job = 0; job < JOBS; job += 1) await this.read(node, job, 0);
+    }
+    for (let node = 0; node < NODES; node += 1) this.restart(node);
+  }
+
+  private judgeSubmission(job: string, reason: Failure | undefined): void {
+    if (reason === undefined) this.oracle.submitted(job, 'accepted');
+    else this.oracle.submitted(job, reason.kind === 'outcome_unknown' ? 'unknown' : 'refused');
+  }
+
+  /** Without the mechanism, an owner that lost its job goes on from the newer head. */
+  private reviveSuperseded(): void {
+    for (const { name, life, service } of this.nodes) {
+      for (const lost of [...service.ownedJobs(), ...this.revived.values()]) {
+        if (lost.ending !== 'superseded' || lost.head === undefined) continue;
+        const rule = { minVersion: 1, singleVersion: false };
+        const self = { node: name, incarnation: `life-${life}` };
+        const store = new JobStore(this.store, this.clock);
+        const { spec, head, results } = lost;
+        const job = new OwnedJob(spec, head, results, rule, self, store, this.clock);
+        this.revived.set(`${name}/${spec.id}`, job);
+      }
+    }
+  }
+
+  private ownedBy(node: number, job: number): OwnedJob | undefined {
+    const { name, service } = this.node(node);
+    const revived = this.revived.get(`${name}/${jobName(job)}`);
+    if (revived !== undefined) return revived;
+    return service.ownedJobs().find((owned) => owned.spec.id === jobName(job));
+  }
+
+  private node(index: number): WorldNode {
+    const node = this.nodes[index % NODES];
+    if (node === undefined) throw new Error('no such node');
+    return node;
+  }
+
+  private makeService(name: string, life: number): JobService {
+    const { clock } = this;
+    const log = new DecisionLog({ node: name, zone: 'zone', clock, destination: { write() {} } });
+    const metrics = new FleetMetrics();
+    const routes = (): undefined => undefined;
+    const store = new JobStore(this.store, clock);
+    const dispatcher = new ItemDispatcher({
+      engine: NO_ENGINE,
+      versionField: 'version',
+      registry: new WorkerRegistry(),
+      clock,
+      log,
+      metrics,
+      routes,
+    });
+    return new JobService({
+      store,
+      reader: new JobReader(store, NO_PEERS.ownerListing),
+      peers: NO_PEERS,
+      dispatcher,
+      clock,
+      log,
+      metrics,
+      self: { node: name, incarnation: `life-${life}` },
+      routes,
+      retention: 1e9,
+    });
+  }
+}
+
+function jobName(job: number): string {
+  return `job-${job % JOBS}`;
+}
+
+function specificationOf(job: number, submittedAt: number): JobSpecification {
+  return {
+    id: jobName(job),
+    host: 'host',
+    path: '/',
+    step: 0,
+    model: 'model',
+    minVersion: 1,
+    desiredCount: 1,
+    submittedAt,
+    items: Array.from({ length: ITEMS }, (_, index) => ({
+      id: `item-${index}`,
+      path: '/',
+      headers: [],
+      body: '',
+      tokens: 1,
+      group: 'group',
+      expectedLength: 1,
+    })),
+  };
+}
+
+/** A store whose commits are made whatever their conditions say. */
+function unconditional(store: SharedStore): SharedStore {
+  return wrapCommits(store, (commit) => store.commit({ ...commit, expected: [] }));
+}
+
+/** A store that writes all keys but the first, the head, by themselves and before it. */
+function pagesApart(store: SharedStore): SharedStore {
+  return wrapCommits(store, async (commit) => {
+    const [head, ...others] = commit.put ?? [];
+    if (head === undefined || others.length === 0) return store.commit(commit);
+    const outcome = await store.commit({ expected: [], put: others });
+    return outcome.kind === 'committed' ? store.commit({ ...commit, put: [head] }) : outcome;
+  });
+}
+
+function wrapCommits(store: SharedStore, commit: SharedStore['commit']): SharedStore {
+  return {
+    get: (key) => store.get(key),
+    range: (prefix, after) => store.range(prefix, after),
+    watch: (prefix, after, wait, signal) => store.watch(prefix, after, wait, signal),
+    commit,
+    grantLease: (ttl) => store.grantLease(ttl),
+    keepLease: (lease) => store.keepLease(lease),
+    endLease: (lease) => store.endLease(lease),
+  };
+}
--- a/lab/proofs/proof.ts
+++ b/lab/proofs/proof.ts
@@ -5,17 +5,23 @@
  * A step is one generated operation or fault that was carried out. Exit code 0 means that no
  * oracle objected and that oracles compared something.
  */
+
 import { SECOND } from '../../src/core/units.js';
 import type { MechanismName } from '../../src/node/mechanisms.js';
 import { numberFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { createNodeFactory } from '../simulation/node-core-factory.js';
 import { PROOFS, proofNamed } from './catalogue.js';
+import { proveDurableJobs } from './durable-jobs/durable-jobs.js';
+import { isJobMechanism, JOB_MECHANISM_NAMES } from './durable-jobs/mechanisms.js';
 import { isMechanismName } from './mechanism-names.js';
 import type { ProofDefinition } from './proof-definition.js';
 import { type FailingRun, type ProofOutcome, prove } from './prove.js';
 import { type Trace, traceLines, writeTrace } from './trace.js';
 
+/** The proof that accepted jobs stay whole. */
+const DURABLE_JOBS = 'durable-jobs';
+
 const DEFAULT_SEED = 1;
 const DEFAULT_STEPS = 10_000;
 
@@ -34,10 +40,11 @@
     printPairs();
     return 0;
   }
+  if (name === DURABLE_JOBS) return runDurableJobs(flags);
   const proof = proofNamed(name);
   if (proof === undefined) {
     console.error(
-      `There is no proof "${name}"; known: ${PROOFS.map((one) => one.name).join(', ')}`,
+      `There is no proof "${name}"; known: ${[...PROOFS.map((one) => one.name), DURABLE_JOBS].join(', ')}`,
     );
     return USAGE_ERROR;
   }
@@ -49,6 +56,21 @@
   return runProof(proof, without, flags);
 }
 
+/** The proof of jobs in the shared store has nodes, faults and mechanisms of its own. */
+async function runDurableJobs(flags: CommandFlags): Promise<number> {
+  const without = flags.without === undefined ? [] : [String(flags.without)];
+  if (!without.every(isJobMechanism)) {
+    console.error(`There is no mechanism "${without.join()}"; see proof --list`);
+    return USAGE_ERROR;
+  }
+  const seed = numberFlag(flags, 'seed', DEFAULT_SEED);
+  const steps = numberFlag(flags, 'steps', DEFAULT_STEPS);
+  const { details, ...outcome } = await proveDurableJobs(seed, steps, without);
+  for (const line of details) console.error(line);
+  console.log(JSON.stringify({ proof: DURABLE_JOBS, seed, ...outcome }));
+  return outcome.holds ? 0 : 1;
+}
+
 function runProof(
   proof: ProofDefinition,
   without: readonly MechanismName[],
@@ -72,6 +94,7 @@
   for (const proof of PROOFS) {
     for (const { mechanism } of proof.trials) console.log(`${proof.name} ${mechanism}`);
   }
+  for (const mechanism of JOB_MECHANISM_NAMES) console.log(`${DURABLE_JOBS} ${mechanism}`);
 }
 
 function printResult(proof: ProofDefinition, seed: number, outcome: ProofOutcome): void {
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -110,7 +110,7 @@
     const self = { node: options.node, incarnation: randomUUID() };
     const routes = (): RouteMatcher | undefined => this.matcher;
     const registry = this.registry;
-    const jobStore = new JobStore(store);
+    const jobStore = new JobStore(store, clock);
     const address = options.peerAddress;
     this.fleet = new FleetRegistry({ store, self, zone, address, clock, log });
     const peers = new FleetPeers({
--- a/src/fleet/gateway-process.ts
+++ b/src/fleet/gateway-process.ts
@@ -47,16 +47,12 @@
     const elapsed = (): Milliseconds => clock.now() - startedAt;
     node.beginStop();
     const released = node.stop();
-    while (elapsed() < NOTICE_TIME) await pause(STOP_POLL);
+    while (elapsed() < NOTICE_TIME) await clock.sleep(STOP_POLL);
     server.close();
     const limit = stopLimit - STOP_MARGIN;
-    while (server.requestsInFlight > 0 && elapsed() < limit) await pause(STOP_POLL);
-    await Promise.race([released, pause(Math.max(0, limit - elapsed()))]);
+    while (server.requestsInFlight > 0 && elapsed() < limit) await clock.sleep(STOP_POLL);
+    await Promise.race([released, clock.sleep(Math.max(0, limit - elapsed()))]);
     log.state('stopped', { requestsLeft: server.requestsInFlight });
     setTimeout(exit, STOP_POLL);
   }
 }
-
-function pause(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -189,14 +189,14 @@
   private async await(change: PendingChange, version: WeightVersion): Promise<void> {
     const { worker, model } = change;
     const startedAt = this.options.clock.now();
-    await pause(FIRST_CHECK);
+    await this.options.clock.sleep(FIRST_CHECK);
     while (this.options.clock.now() - startedAt < CHANGE_LIMIT) {
       if (worker.versionOf(model) >= version) return;
       const report = await this.options.engine.report(worker.record);
       for (const held of report?.models ?? []) worker.noteVersion(held.name, held.version);
       if (worker.versionOf(model) >= version) return;
       if (report !== undefined && !report.busy) return this.postpone(worker, CHECK_INTERVAL);
-      await pause(CHECK_INTERVAL);
+      await this.options.clock.sleep(CHECK_INTERVAL);
     }
   }
 
@@ -204,7 +204,3 @@
     this.notBefore.set(worker.record.id, this.options.clock.now() + duration);
   }
 }
-
-function pause(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -121,7 +121,7 @@
   ): Promise<OwnedJob | undefined> {
     const isSettled = await Promise.race([
       creation.then(() => true),
-      pause(EARLY_START_DELAY).then(() => false),
+      this.options.clock.sleep(EARLY_START_DELAY).then(() => false),
     ]);
     if (isSettled) return undefined;
     this.options.log.state('job-started-early', { job: spec.id, step: spec.step });
@@ -193,20 +193,20 @@
         if (change.kind === 'changed') return undefined;
       }
       if (!wanted()) return storeSilent();
-      await pause(STORE_RETRY_AFTER);
+      await this.options.clock.sleep(STORE_RETRY_AFTER);
     }
   }
 
   /** Takes over a job whose owner is gone; tells whether it is run here now. */
   async adopt(job: string, found: VersionedHead): Promise<boolean> {
-    const { store, self, log, metrics } = this.options;
+    const { store, self, log, metrics, clock } = this.options;
     const wanted = (): boolean => false;
     const change = await store.replace(job, found, { owner: self }, wanted);
     if (change.kind !== 'changed') return false;
     const [spec, results, progress] = await Promise.all([
-      untilAvailable(() => store.specification(job)),
-      untilAvailable(() => store.results(job, 0)),
-      untilAvailable(() => store.progress(job)),
+      untilAvailable(clock, () => store.specification(job)),
+      untilAvailable(clock, () => store.results(job, 0)),
+      untilAvailable(clock, () => store.progress(job)),
     ]);
     if (spec === undefined) return false;
     const listed = (results ?? []).flat();
@@ -426,6 +426,7 @@
 
 /** Repeats a read until the store answers; `undefined` where there is nothing. */
 async function untilAvailable<Value>(
+  clock: Clock,
   read: () => Promise<
     { kind: 'found'; value: Value } | { kind: 'absent' } | { kind: 'unavailable' }
   >,
@@ -434,10 +435,6 @@
     const outcome = await read();
     if (outcome.kind === 'found') return outcome.value;
     if (outcome.kind === 'absent') return undefined;
-    await pause(STORE_RETRY_AFTER);
+    await clock.sleep(STORE_RETRY_AFTER);
   }
 }
-
-function pause(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/jobs/job-store.ts
+++ b/src/jobs/job-store.ts
@@ -8,6 +8,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { Milliseconds, Revision } from '../core/units.js';
+import type { Clock } from '../serving/clock.js';
 import { ABSENT, type SharedStore, type StorePut } from '../shared-store/shared-store.js';
 import {
   decodeHead,
@@ -56,7 +57,10 @@
 
 /** Reads and changes jobs. */
 export class JobStore {
-  constructor(private readonly store: SharedStore) {}
+  constructor(
+    private readonly store: SharedStore,
+    private readonly clock: Pick<Clock, 'sleep'>,
+  ) {}
 
   /** Makes a job; `superseded` says that it was there before. */
   create(spec: JobSpecification, head: HeadFields, wanted: StillWanted): Promise<HeadChange> {
@@ -187,7 +191,7 @@
       }
       if (outcome.kind === 'failed' && outcome.effect === 'unknown') mayBeDone = true;
       if (!wanted()) return { kind: 'unavailable', mayBeDone };
-      await new Promise((resolve) => setTimeout(resolve, pause));
+      await this.clock.sleep(pause);
     }
   }
 
--- a/src/shared-store/prefix-watcher.ts
+++ b/src/shared-store/prefix-watcher.ts
@@ -3,6 +3,7 @@
  * After lost history it lists again and reports the difference, so that followers see a deletion
  * that no watch told.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Subject } from 'rxjs';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { SharedStore, StoreChange, StoreItem } from './shared-store.js';
@@ -60,7 +61,7 @@
   async run(): Promise<void> {
     while (!this.isStopped) {
       const pause = this.isListed ? await this.watchOnce() : await this.listOnce();
-      if (pause > 0) await this.pause(pause);
+      if (pause > 0) await sleep(pause);
     }
   }
 
@@ -133,8 +134,4 @@
     if (this.isLost) this.health.next('regained');
     this.isLost = false;
   }
-
-  private pause(duration: Milliseconds): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, duration));
-  }
 }
--- a/test/fleet/job-takeover.test.ts
+++ b/test/fleet/job-takeover.test.ts
@@ -33,7 +33,7 @@
   const options = { store: emulator, self: OWNER, zone: 'zone-1', address: '127.0.0.1:1' };
   const fleet = new FleetRegistry({ ...options, clock, log });
   const node = jobNode(emulator, OWNER);
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, clock);
   const takeover = new JobTakeover({ store, service: node.service, fleet, self: OWNER, peers });
   const spec = specification('job', 4);
   const created = await store.create(spec, headOf(spec, OTHER), always);
--- a/test/jobs/job-fixtures.ts
+++ b/test/jobs/job-fixtures.ts
@@ -12,6 +12,10 @@
   wallTime(): number {
     return this.time;
   }
+  /** Lets others go on; no time passes. */
+  sleep(): Promise<void> {
+    return new Promise((resolve) => setImmediate(resolve));
+  }
 }
 
 export const OWNER: JobOwner = { node: 'node-1', incarnation: 'life-1' };
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -57,7 +57,7 @@
   const registry = new WorkerRegistry();
   const matcher = new RouteMatcher(configuration([JOB_ROUTE]));
   const routes = (): RouteMatcher => matcher;
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, clock);
   const shared = { clock, log, metrics, routes };
   const dispatcher = new ItemDispatcher({
     ...shared,
--- a/test/jobs/job-store.test.ts
+++ b/test/jobs/job-store.test.ts
@@ -1,7 +1,15 @@
 import t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import { type HeadChange, JobStore, type VersionedHead } from '../../src/jobs/job-store.js';
-import { always, headOf, never, OTHER, result, specification } from './job-fixtures.js';
+import {
+  always,
+  headOf,
+  ManualClock,
+  never,
+  OTHER,
+  result,
+  specification,
+} from './job-fixtures.js';
 
 function changed(change: HeadChange): VersionedHead {
   if (change.kind !== 'changed') throw new Error(`the change was ${change.kind}`);
@@ -9,7 +17,7 @@
 }
 
 async function created(emulator: SharedStoreEmulator): Promise<[JobStore, VersionedHead]> {
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, new ManualClock());
   const spec = specification('job', 4);
   return [store, changed(await store.create(spec, headOf(spec), always))];
 }
@@ -26,7 +34,7 @@
 
 t.test('a long specification is kept in parts and read whole', async (t) => {
   const emulator = new SharedStoreEmulator();
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, new ManualClock());
   const plain = specification('job', 40);
   const body = Buffer.alloc(30_000, 'x').toString('base64');
   const spec = { ...plain, items: plain.items.map((item) => ({ ...item, body })) };
@@ -79,7 +87,7 @@
 
 t.test('a refusal by the store is told apart from an unknown outcome', async (t) => {
   const emulator = new SharedStoreEmulator();
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, new ManualClock());
   const spec = specification('job', 1);
   emulator.setAvailability('refusing');
   const refused = await store.create(spec, headOf(spec), never);
@@ -99,7 +107,7 @@
 
 t.test('an unknown job is absent, a silent store is not', async (t) => {
   const emulator = new SharedStoreEmulator();
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, new ManualClock());
   t.same(await store.head('none'), { kind: 'absent' });
   emulator.setAvailability('refusing');
   t.same(await store.head('none'), { kind: 'unavailable' });
--- a/test/jobs/kept-items.test.ts
+++ b/test/jobs/kept-items.test.ts
@@ -7,7 +7,7 @@
 
 /** A job of two groups of two items; three items are finished, and a part of the fourth made. */
 async function closedJob(clock: ManualClock): Promise<OwnedJob> {
-  const store = new JobStore(new SharedStoreEmulator());
+  const store = new JobStore(new SharedStoreEmulator(), clock);
   const spec = specification('job', 4);
   const change = await store.create(spec, headOf(spec), always);
   if (change.kind !== 'changed') throw new Error(change.kind);
@@ -54,7 +54,7 @@
 
 t.test('a later job goes on from kept work only where its versions fit', async (t) => {
   const clock = new ManualClock();
-  const store = new JobStore(new SharedStoreEmulator());
+  const store = new JobStore(new SharedStoreEmulator(), clock);
   const first = await closedJob(clock);
   const kept = new KeptItems(clock);
   kept.keep(first);
--- a/test/jobs/owned-job.test.ts
+++ b/test/jobs/owned-job.test.ts
@@ -25,7 +25,7 @@
 
 async function ownedJob(items: number): Promise<Fixture> {
   const emulator = new SharedStoreEmulator();
-  const store = new JobStore(emulator);
+  const store = new JobStore(emulator, new ManualClock());
   const clock = new ManualClock();
   const spec = specification('job', items);
   const change = await store.create(spec, headOf(spec), always);
