The jobs' service is divided by job: submissions, hand-over, owned jobs, reads

Change: job-submissions.ts takes jobs in, job-handover.ts passes them on, owned-jobs.ts holds those that this node runs and the work it kept, store-reads.ts repeats reads; the service is left with what readers ask. Items are given up 10 s past the route's time only, since clocks of machines may step by seconds.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -28,14 +28,14 @@
 /** Silence after which a run is given up. Loading weights may pause a worker for a second. */
 const SILENCE = { beforeFirst: 2_500, betweenEvents: 2_000 } as const;
 
+/** Items may be given up after the route's time; clocks of machines differ, so it is exceeded. */
+const GIVE_UP_MARGIN: Milliseconds = 10_000;
+
 /** Pause before an item is sent again. */
 const RETRY_PAUSE: Milliseconds = 40;
 const FULL_PAUSE: Milliseconds = 80;
 const FAILED_ATTEMPT_PAUSE: Milliseconds = 100;
 
-/** Answers of 422 after which an item is given up. */
-const IMPOSSIBLE_LIMIT = 1;
-
 /** Runs are not moved before this age, nor more often than this. */
 const LEAST_AGE_TO_MOVE: Milliseconds = 300;
 const MOST_MOVES = 3;
@@ -92,15 +92,6 @@
     this.dispatch();
   }
 
-  /** Ends runs at workers that are no longer known. */
-  workerGone(id: string): void {
-    for (const job of this.jobs) {
-      for (const entry of job.items.values()) {
-        if (entry.run?.worker.record.id === id) this.schedule();
-      }
-    }
-  }
-
   private dropClosedJobs(): void {
     for (const job of this.jobs) {
       if (job.isOpen) continue;
@@ -184,17 +175,13 @@
       this.options.metrics.observe('item_seconds', {}, age);
     }
     if (end === 'attempt-failed') entry.failedAttempts += 1;
-    const isHopeless = end === 'impossible' && IMPOSSIBLE_LIMIT <= 1;
-    if (isHopeless || entry.failedAttempts >= route.maxAttempts) {
+    if (end === 'impossible' || entry.failedAttempts >= route.maxAttempts) {
       job.finish(entry, entry.progress.toTerminated(entry.item.id));
     }
     if (end === 'cancelled') return;
-    const isQuiet = end === 'completed';
-    if (isQuiet) this.options.log.decision('item-run-completed', this.describe(job, entry, worker));
-    else {
-      const details = { ...this.describe(job, entry, worker), end };
-      this.options.log.decision('item-run-ended', details);
-    }
+    const details = this.describe(job, entry, worker);
+    if (end === 'completed') this.options.log.decision('item-run-completed', details);
+    else this.options.log.decision('item-run-ended', { ...details, end });
     job.advance();
   }
 
@@ -223,7 +210,8 @@
   private giveUpExpired(job: OwnedJob): void {
     const route = this.options.routes()?.match(job.spec.host, job.spec.path);
     if (route === undefined || !job.isOpen) return;
-    if (ageOf(job.spec, this.options.clock.wallTime()) < route.maxQueue) return;
+    const age = ageOf(job.spec, this.options.clock.wallTime());
+    if (age < route.maxQueue + GIVE_UP_MARGIN) return;
     for (const entry of job.items.values()) {
       entry.run?.cancel();
       job.finish(entry, entry.progress.toTerminated(entry.item.id));
--- /dev/null
+++ b/src/jobs/job-handover.ts
@@ -0,0 +1,64 @@
+/** How jobs pass from node to node: taken over, released and offered, taken when offered. */
+import type { Clock } from '../serving/clock.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { JobPeers } from './job-peers.js';
+import { isFinished, type JobOwner } from './job-records.js';
+import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
+import type { OwnedJobs } from './owned-jobs.js';
+import { untilAvailable } from './store-reads.js';
+
+/** Options of {@link JobHandover}. */
+export interface JobHandoverOptions {
+  readonly store: JobStore;
+  readonly owned: OwnedJobs;
+  readonly peers: JobPeers;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+  readonly self: JobOwner;
+}
+
+/** Passes jobs on. */
+export class JobHandover {
+  constructor(private readonly options: JobHandoverOptions) {}
+
+  /** Takes over a job whose owner is gone; tells whether it is run here now. */
+  async adopt(job: string, found: VersionedHead): Promise<boolean> {
+    const { store, owned, peers, self, log, metrics, clock } = this.options;
+    const wanted = (): boolean => false;
+    const change = await store.replace(job, found, { owner: self }, wanted);
+    if (change.kind !== 'changed') return false;
+    const [spec, results, progress] = await Promise.all([
+      untilAvailable(clock, () => store.specification(job)),
+      untilAvailable(clock, () => store.results(job, 0)),
+      untilAvailable(clock, () => store.progress(job)),
+    ]);
+    if (spec === undefined) return false;
+    const listed = (results ?? []).flat();
+    owned.own(spec, change.current, listed, owned.keptWork(spec, progress ?? {}));
+    peers.needWeights(spec.model, spec.minVersion);
+    const previous = found.head.owner?.node ?? 'none';
+    log.state('job-adopted', { job, previous, listed: listed.length });
+    metrics.count('jobs_adopted', { cause: found.head.owner === null ? 'released' : 'lost' });
+    return true;
+  }
+
+  /** Takes a job that its owner has just released. */
+  async takeReleased(job: string): Promise<boolean> {
+    const read = await this.options.store.head(job);
+    if (read.kind !== 'found' || isFinished(read.value.head)) return false;
+    return read.value.head.owner === null && this.adopt(job, read.value);
+  }
+
+  /** Gives all open jobs up for other nodes. */
+  async release(wanted: StillWanted): Promise<void> {
+    const open = this.options.owned.all().filter((job) => job.isOpen);
+    await Promise.all(
+      open.map(async (job) => {
+        await job.release(wanted);
+        if (job.ending === 'released') await this.options.peers.handOver(job.spec.id);
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/src/jobs/owned-jobs.ts
@@ -0,0 +1,156 @@
+/** The jobs that this node runs or ran, and the work that it kept of them. */
+import type { Clock } from '../serving/clock.js';
+import type { RouteMatcher } from '../serving/route-matcher.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { ItemDispatcher } from './item-dispatcher.js';
+import {
+  ageOf,
+  isFinished,
+  type JobOwner,
+  type JobResult,
+  type JobSpecification,
+  type KeptProgress,
+} from './job-records.js';
+import type { JobStore, VersionedHead } from './job-store.js';
+import { type DigestedWork, isFor, KeptItems, type KeptWork } from './kept-items.js';
+import { OwnedJob } from './owned-job.js';
+
+/** Options of {@link OwnedJobs}. */
+export interface OwnedJobsOptions {
+  readonly store: JobStore;
+  readonly dispatcher: ItemDispatcher;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+  readonly self: JobOwner;
+  readonly routes: () => RouteMatcher | undefined;
+}
+
+/** Jobs that are finished and still kept in memory by the node that ran them. */
+const KEPT_FINISHED_JOBS = 24;
+
+/** Jobs by id. */
+export class OwnedJobs {
+  private readonly jobs = new Map<string, OwnedJob>();
+  private readonly kept: KeptItems;
+
+  constructor(private readonly options: OwnedJobsOptions) {
+    this.kept = new KeptItems(options.clock);
+  }
+
+  /** All of them. */
+  all(): readonly OwnedJob[] {
+    return [...this.jobs.values()];
+  }
+
+  /** A job that this node runs or ran. */
+  get(job: string): OwnedJob | undefined {
+    return this.jobs.get(job);
+  }
+
+  /** A job that this node may answer for. */
+  answering(job: string): OwnedJob | undefined {
+    const own = this.jobs.get(job);
+    return own?.ending === 'superseded' || own?.ending === 'released' ? undefined : own;
+  }
+
+  /** Runs a job from now on. */
+  own(
+    spec: JobSpecification,
+    head: VersionedHead,
+    listed: readonly JobResult[],
+    kept: ReadonlyMap<string, KeptWork>,
+  ): void {
+    const job = this.makeJob(spec, head, listed, kept);
+    this.jobs.delete(spec.id);
+    this.jobs.set(spec.id, job);
+    if (!isFinished(head.head)) this.options.dispatcher.add(job);
+  }
+
+  /** Runs the items of a job that the store has not taken yet; nothing is listed. */
+  startEarly(spec: JobSpecification, kept: ReadonlyMap<string, KeptWork>): OwnedJob {
+    const job = this.makeJob(spec, undefined, [], kept);
+    this.options.dispatcher.add(job);
+    return job;
+  }
+
+  /** The store has taken a job that was started early. */
+  keepEarly(job: OwnedJob, head: VersionedHead): void {
+    job.attach(head);
+    this.jobs.set(job.spec.id, job);
+  }
+
+  /** Regular work of the jobs that this node runs. */
+  tick(): void {
+    for (const job of this.jobs.values()) job.advance();
+    this.forgetOld();
+  }
+
+  /** What this node kept of items, for another node. */
+  keptWorkOf(items: readonly string[]): Map<string, DigestedWork> {
+    const work = new Map<string, DigestedWork>();
+    for (const id of items) {
+      const kept = this.kept.findById(id);
+      if (kept !== undefined) work.set(id, kept);
+    }
+    return work;
+  }
+
+  /** What earlier owners and earlier jobs made of the items, here and elsewhere. */
+  keptWork(
+    spec: JobSpecification,
+    progress: KeptProgress,
+    elsewhere: ReadonlyMap<string, DigestedWork> = new Map(),
+  ): Map<string, KeptWork> {
+    const kept = new Map<string, KeptWork>();
+    for (const item of spec.items) {
+      const own = progress[item.id];
+      const other = elsewhere.get(item.id);
+      const work: KeptWork | undefined =
+        own === undefined ? this.kept.find(item) : { kind: 'unfinished', progress: own };
+      if (work !== undefined) kept.set(item.id, work);
+      else if (other !== undefined && isFor(other, item)) kept.set(item.id, other.work);
+    }
+    return kept;
+  }
+
+  private makeJob(
+    spec: JobSpecification,
+    head: VersionedHead | undefined,
+    listed: readonly JobResult[],
+    kept: ReadonlyMap<string, KeptWork>,
+  ): OwnedJob {
+    const { store, clock, self } = this.options;
+    const route = this.options.routes()?.match(spec.host, spec.path);
+    const rule = { minVersion: spec.minVersion, singleVersion: route?.singleVersion ?? false };
+    const job = new OwnedJob(spec, head, listed, rule, self, store, clock, kept);
+    const watching = job.changed.subscribe(() => {
+      if (job.isOpen) return;
+      watching.unsubscribe();
+      this.noteClosed(job);
+    });
+    return job;
+  }
+
+  private noteClosed(job: OwnedJob): void {
+    if (job.ending === 'ended') this.kept.keep(job);
+    const { clock, log, metrics } = this.options;
+    metrics.count('jobs_closed', { reason: job.ending ?? 'open' });
+    log.state('job-closed', {
+      job: job.spec.id,
+      step: job.spec.step,
+      reason: job.ending ?? 'open',
+      items: job.spec.items.length,
+      listed: job.results.length,
+      ageMs: Math.round(ageOf(job.spec, clock.wallTime())),
+    });
+  }
+
+  private forgetOld(): void {
+    const closed = this.all().filter((job) => !job.isOpen);
+    for (const job of closed.slice(0, Math.max(0, closed.length - KEPT_FINISHED_JOBS))) {
+      this.jobs.delete(job.spec.id);
+    }
+  }
+}
