The head of a job tells where its owner is reached, so every taker can ask it

Change: the owner in a job's head bears its address; whoever is about to take a job over for an ended lease asks there. The registry no longer keeps last records.

--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -236,7 +236,7 @@
       for (const lost of [...service.ownedJobs(), ...this.revived.values()]) {
         if (lost.ending !== 'superseded' || lost.head === undefined) continue;
         const rule = { minVersion: 1, singleVersion: false };
-        const self = { node: name, incarnation: `life-${life}` };
+        const self = { node: name, incarnation: `life-${life}`, address: name };
         const store = new JobStore(this.store, this.clock);
         const { spec, head, results } = lost;
         const job = new OwnedJob(spec, head, results, rule, self, store, this.clock);
@@ -281,7 +281,7 @@
       clock,
       log,
       metrics,
-      self: { node: name, incarnation: `life-${life}` },
+      self: { node: name, incarnation: `life-${life}`, address: name },
       routes,
       retention: 1e9,
     });
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -42,8 +42,6 @@
   readonly store: SharedStore;
   readonly self: JobOwner;
   readonly zone: ZoneName;
-  /** Where other nodes reach this one. */
-  readonly address: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
 }
@@ -59,8 +57,6 @@
   /** Fires once the fleet was listed whole. */
   readonly listed = new Subject<void>();
   private readonly live = new Map<NodeId, NodeRecord>();
-  /** The last record of each node, also after its lease was over. */
-  private readonly last = new Map<NodeId, NodeRecord>();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
   private renewedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -107,7 +103,8 @@
   /** The live life of a node. */
   ownerOf(node: NodeId): JobOwner | undefined {
     const record = this.live.get(node);
-    return record === undefined ? undefined : { node, incarnation: record.incarnation };
+    if (record === undefined) return undefined;
+    return { node, incarnation: record.incarnation, address: record.address };
   }
 
   /** Where a live node is reached. */
@@ -115,12 +112,6 @@
     return this.live.get(node)?.address;
   }
 
-  /** Where a life of a node was reached, unless another life has replaced it. */
-  lastAddressOf(owner: JobOwner): string | undefined {
-    const record = this.last.get(owner.node);
-    return record?.incarnation === owner.incarnation ? record.address : undefined;
-  }
-
   /** The zone of a live node. */
   zoneOf(node: NodeId): ZoneName | undefined {
     return this.live.get(node)?.zone;
@@ -151,7 +142,6 @@
     const record = change.value === undefined ? undefined : parseRecord(change.value);
     if (record === undefined) this.live.delete(node);
     else this.live.set(node, record);
-    if (record !== undefined) this.last.set(node, record);
     if (before?.incarnation === record?.incarnation) return;
     const state = record === undefined ? 'gone' : 'live';
     this.options.log.state('fleet-node', { peer: node, state, live: this.live.size });
@@ -180,10 +170,10 @@
   }
 
   private async register(): Promise<boolean> {
-    const { store, self, zone, address, log } = this.options;
+    const { store, self, zone, log } = this.options;
     const grant = await store.grantLease(LEASE_TTL);
     if (grant.kind !== 'granted' || this.isStopped) return false;
-    const value = JSON.stringify({ incarnation: self.incarnation, zone, address });
+    const value = JSON.stringify({ incarnation: self.incarnation, zone, address: self.address });
     const put = [{ key: `${NODE_PREFIX}${self.node}`, value, lease: grant.lease }];
     const outcome = await store.commit({ expected: [], put });
     if (outcome.kind !== 'committed') return false;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -107,12 +107,12 @@
   constructor(private readonly options: GatewayNodeOptions) {
     const { engine, versionField, clock, log, metrics, zone } = options;
     const store = meteredStore(options.store, metrics, clock);
-    const self = { node: options.node, incarnation: randomUUID() };
+    const address = options.peerAddress;
+    const self = { node: options.node, incarnation: randomUUID(), address };
     const routes = (): RouteMatcher | undefined => this.matcher;
     const registry = this.registry;
     const jobStore = new JobStore(store, clock);
-    const address = options.peerAddress;
-    this.fleet = new FleetRegistry({ store, self, zone, address, clock, log });
+    this.fleet = new FleetRegistry({ store, self, zone, clock, log });
     const peers = new FleetPeers({
       port: options.peers,
       fleet: this.fleet,
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -88,10 +88,9 @@
 
   /** A lease may lapse while its node lives; one that answers goes on with its jobs. */
   private async stillRuns(owner: JobOwner | null): Promise<boolean> {
-    const address = owner === null ? undefined : this.options.fleet.lastAddressOf(owner);
-    if (owner === null || address === undefined || this.isSelf(owner)) return false;
+    if (owner === null || this.isSelf(owner)) return false;
     const request = { kind: 'probe', owner } as const;
-    const outcome = await this.options.peers.ask<'probe'>(address, request, PROBE_LIMIT);
+    const outcome = await this.options.peers.ask<'probe'>(owner.address, request, PROBE_LIMIT);
     return outcome.kind === 'answered' && outcome.answer.isAlive;
   }
 
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -34,7 +34,12 @@
   items: z.array(ITEM),
 });
 
-const OWNER = z.object({ node: z.string(), incarnation: z.string() });
+const OWNER = z.object({
+  node: z.string(),
+  incarnation: z.string(),
+  /** Where other nodes reach it. */
+  address: z.string(),
+});
 
 const HEAD = z.object({
   /** The life of a node that runs the items; `null` where none does. */
