--- /dev/null
+++ b/test/platform-adapter/ingress.test.ts
@@ -0,0 +1,206 @@
+import http from 'node:http';
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { FEED_TRANSLATION, storageDrainPort } from '../../platform/feeds.js';
+import { Ingress } from '../../platform/ingress.js';
+import { GatewayNode } from '../../src/fleet/gateway-node.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { eventually, StubPeers } from '../fleet/fleet-fixtures.js';
+import {
+  answer,
+  events,
+  recordingLog,
+  type Script,
+  ScriptedEngine,
+  VERSION_FIELD,
+} from '../serving/serving-fixtures.js';
+
+const CONFIGURATION = {
+  version: 3,
+  routes: [
+    { name: 'look', host: 'h', path_prefix: '/look/', kind: 'read_only', service: 's' },
+    {
+      name: 'draw',
+      host: 'h',
+      path_prefix: '/draw/',
+      kind: 'rollout',
+      service: 's',
+      max_attempts: 3,
+      resumable: true,
+    },
+  ],
+  services: [{ name: 's' }],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 2_000,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+};
+
+const WORKER = {
+  service: 's',
+  address: '127.0.0.1:9',
+  zone: 'z',
+  slots: 4,
+  state: 'ready',
+  models: [{ name: 'm', version: 1 }],
+};
+
+interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+interface Fixture {
+  readonly store: SharedStoreEmulator;
+  readonly node: GatewayNode;
+  readonly engine: ScriptedEngine;
+  call(method: string, path: string, body?: string, headers?: object): Promise<Answer>;
+}
+
+const PORT_OF_ANY = '127.0.0.1:0';
+
+async function gateway(test: Pick<typeof t, 'teardown'>, ...scripts: Script[]): Promise<Fixture> {
+  const store = new SharedStoreEmulator();
+  const engine = new ScriptedEngine(scripts);
+  const clock = PROCESS_CLOCK;
+  const node = new GatewayNode({
+    node: 'node-1',
+    zone: 'z',
+    store,
+    engine,
+    peers: new StubPeers(),
+    peerAddress: '127.0.0.1:1',
+    feeds: FEED_TRANSLATION,
+    versionField: VERSION_FIELD,
+    clock,
+    log: recordingLog().log,
+    metrics: new FleetMetrics(),
+    coordinatorHandOver: 0,
+    jobRetention: 60_000,
+    storageDrains: storageDrainPort(store),
+  });
+  const server = new Ingress(node, clock);
+  const port = await server.listen(PORT_OF_ANY);
+  node.start();
+  test.teardown(async () => {
+    server.close();
+    await node.stop();
+  });
+  const call: Fixture['call'] = (method, path, body = '', headers = {}) =>
+    new Promise((resolve, reject) => {
+      const options = { port, host: '127.0.0.1', method, path, agent: false };
+      const all = { host: 'h', 'x-wardwing-request-id': 'id-1', ...headers };
+      const request = http.request({ ...options, headers: all }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => {
+          const text = Buffer.concat(chunks).toString();
+          resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text });
+        });
+      });
+      request.on('error', reject);
+      request.end(body);
+    });
+  return { store, node, engine, call };
+}
+
+async function configured(
+  test: Pick<typeof t, 'teardown'>,
+  ...scripts: Script[]
+): Promise<Fixture> {
+  const fixture = await gateway(test, ...scripts);
+  fixture.store.write('op/config', JSON.stringify(CONFIGURATION));
+  fixture.store.write('servers/w1', JSON.stringify(WORKER));
+  await eventually(() => fixture.node.isReady && fixture.node.registry.get('w1') !== undefined);
+  return fixture;
+}
+
+const submission = (items: number): string =>
+  JSON.stringify({
+    step: 0,
+    model: 'm',
+    min_version: 1,
+    desired_count: 1,
+    requests: Array.from({ length: items }, (_, index) => ({
+      id: `item-${index}`,
+      path: `/draw/${index}`,
+      headers: { 'X-Own': 'kept' },
+      body: Buffer.from(`body ${index}`).toString('base64'),
+      tokens: 10,
+      group: 'g',
+    })),
+  });
+
+t.test('before any configuration the answer is "come back", never "not found"', async (t) => {
+  const { node, call } = await gateway(t);
+  const early = await call('GET', '/look/x');
+  t.equal(early.status, 503);
+  t.ok(Number(early.headers['retry-after']) > 0);
+  t.notOk(node.isReady);
+});
+
+t.test('requests are routed; what no route matches is not found', async (t) => {
+  const { call, engine } = await configured(t, answer('reply'));
+  const found = await call('POST', '/look/x?y=1', 'question', { 'x-wardwing-deadline-ms': '900' });
+  t.equal(found.status, 200);
+  t.equal(found.body, 'reply');
+  t.equal(engine.requests[0]?.path, '/look/x?y=1');
+  t.ok((engine.requests[0]?.remaining ?? 0) <= 900);
+  t.equal((await call('GET', '/none/x')).status, 404);
+});
+
+t.test('a job goes in, is run, read, asked for a body and ended', async (t) => {
+  const stream = answer(events(0, 'ab'), { isStream: true });
+  const { call, engine } = await configured(t, stream);
+  const taken = await call('POST', '/draw/submit', submission(1), {
+    'x-wardwing-request-id': 'job-1',
+  });
+  t.equal(taken.status, 202);
+  const again = await call('POST', '/draw/submit', submission(1), {
+    'x-wardwing-request-id': 'job-1',
+  });
+  t.equal(again.status, 202, 'the same job again is taken once');
+  let read = await call('GET', '/wardwing/lots/job-1?after_revision=0');
+  while (JSON.parse(read.body).results.length === 0) {
+    read = await call('GET', '/wardwing/lots/job-1?after_revision=0', '', {
+      'x-wardwing-wait-ms': '500',
+    });
+  }
+  t.same(JSON.parse(read.body), {
+    total: 1,
+    next_page_token: 1,
+    results: [{ id: 'item-0', state: 'completed', text: 'a\nb', versions: [1] }],
+  });
+  t.equal(engine.requests.length, 1);
+  const body = await call('GET', '/wardwing/items/job-1?id=item-0');
+  t.equal(body.body, 'body 0');
+  t.equal((await call('DELETE', '/wardwing/lots/job-1')).status, 200);
+  t.equal((await call('DELETE', '/wardwing/lots/job-1')).status, 200);
+  t.equal((await call('GET', '/wardwing/lots/none?after_revision=0')).status, 404);
+});
+
+t.test('bad input gets a clear answer and changes nothing', async (t) => {
+  const { call, store } = await configured(t);
+  t.equal((await call('POST', '/draw/submit', 'not json')).status, 400);
+  const missing = await call('POST', '/draw/submit', '{"requests":[{"path":"/draw/1"}]}');
+  t.equal(missing.status, 400);
+  t.match(JSON.parse(missing.body).detail, /requests\.0\.id/);
+  t.equal((await call('GET', '/wardwing/lots/job-1?after_revision=-1')).status, 400);
+  t.equal((await call('GET', '/wardwing/lots/%E0%A4%A?after_revision=0')).status, 400);
+  t.equal((await call('POST', '/draw/submit', 'x'.repeat(3_000))).status, 413);
+  t.same(store.keys('job/'), []);
+});
+
+t.test('an unreadable configuration leaves the last good one in force', async (t) => {
+  const { call, store, node } = await configured(t, answer('one'), answer('two'));
+  store.write('op/config', 'not a configuration');
+  store.write('op/version/m', '{"model":"m","version":2}');
+  store.write('op/config', JSON.stringify({ ...CONFIGURATION, version: 2 }));
+  await eventually(() => store.calls.get('watch') !== undefined);
+  t.equal((await call('GET', '/look/x')).status, 200);
+  t.equal(node.configurationVersion, 3, 'an older version never comes back');
+});
