--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -4,7 +4,7 @@
  */
 
 import { randomUUID } from 'node:crypto';
-import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
+import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { ItemDispatcher } from '../jobs/item-dispatcher.js';
@@ -12,10 +12,7 @@
 import type { JobSpecification } from '../jobs/job-records.js';
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
-import type { PeerPort } from '../peers/peer-messages.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
-import type { Clock } from '../serving/clock.js';
-import type { EnginePort } from '../serving/engine-port.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
 import { RouteMatcher } from '../serving/route-matcher.js';
 import type {
@@ -26,40 +23,16 @@
 } from '../serving/traffic-configuration.js';
 import { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
-import type { SharedStore } from '../shared-store/shared-store.js';
-import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { CoordinatorLock } from './coordinator-lock.js';
-import { type FeedTranslation, type FleetEvent, FleetFeeds } from './fleet-feeds.js';
+import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FleetRegistry } from './fleet-registry.js';
+import type { GatewayNodeOptions } from './gateway-options.js';
 import { JobTakeover } from './job-takeover.js';
 import { PeerMonitor, type Suspicion } from './peer-monitor.js';
-import { type StorageDrainPort, StorageDrains } from './storage-drains.js';
+import { StorageDrains } from './storage-drains.js';
 import { type NamedVersion, WeightRollout } from './weight-rollout.js';
 
-/** Options of {@link GatewayNode}. */
-export interface GatewayNodeOptions {
-  readonly node: NodeId;
-  readonly zone: ZoneName;
-  readonly store: SharedStore;
-  readonly engine: EnginePort;
-  readonly peers: PeerPort;
-  /** Where other nodes reach this one. */
-  readonly peerAddress: string;
-  readonly feeds: FeedTranslation;
-  /** Line by which an event tells a change of weights, in lower case. */
-  readonly versionField: string;
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  readonly metrics: FleetMetrics;
-  /** Least time between orders of two coordinators. */
-  readonly coordinatorHandOver: Milliseconds;
-  /** Time for which a job stays readable. */
-  readonly jobRetention: Milliseconds;
-  readonly storageDrains: StorageDrainPort;
-}
-
 /** Time between two rounds of regular work. */
 const TICK_INTERVAL: Milliseconds = 50;
 
@@ -105,16 +78,15 @@
   private reporter: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GatewayNodeOptions) {
-    const { engine, versionField, clock, log, metrics, zone } = options;
+    const { clock, log, metrics, peers: port, zone } = options;
+    const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const store = meteredStore(options.store, metrics, clock);
-    const address = options.peerAddress;
-    const self = { node: options.node, incarnation: randomUUID(), address };
-    const routes = (): RouteMatcher | undefined => this.matcher;
-    const registry = this.registry;
     const jobStore = new JobStore(store, clock);
-    this.fleet = new FleetRegistry({ store, self, zone, clock, log });
-    const peers = new FleetPeers({
-      port: options.peers,
+    const routes = (): RouteMatcher | undefined => this.matcher;
+    const shared = { ...options, store, self, routes, registry: this.registry };
+    this.fleet = new FleetRegistry(shared);
+    this.peerHandler = new FleetPeers({
+      port,
       fleet: this.fleet,
       self,
       zone,
@@ -123,64 +95,29 @@
       lock: () => this.lock,
       weightsNeeded: (model, version) => this.rollout.require(model, version),
     });
-    this.peerHandler = peers;
-    this.forwarder = new RequestForwarder({
-      engine,
-      versionField,
-      registry,
-      clock,
-      log,
-      metrics,
-      zone,
-    });
-    this.dispatcher = new ItemDispatcher({
-      engine,
-      versionField,
-      registry,
-      clock,
-      log,
-      metrics,
-      routes,
-    });
+    const peers = this.peerHandler;
+    this.forwarder = new RequestForwarder(shared);
+    this.dispatcher = new ItemDispatcher(shared);
     this.jobs = new JobService({
+      ...shared,
       store: jobStore,
       reader: new JobReader(jobStore, (...question) => peers.ownerListing(...question)),
       peers,
       dispatcher: this.dispatcher,
-      clock,
-      log,
-      metrics,
-      self,
-      routes,
       retention: options.jobRetention,
     });
     this.feeds = new FleetFeeds({ store, translation: options.feeds, log });
     this.feeds.events.subscribe((event) => this.take(event));
     this.fleet.storeRegained.subscribe(() => this.feeds.restart());
-    this.takeover = new JobTakeover({
-      store: jobStore,
-      service: this.jobs,
-      fleet: this.fleet,
-      self,
-      peers: options.peers,
-    });
-    this.monitor = new PeerMonitor({ fleet: this.fleet, peers: options.peers, self, log });
+    const { fleet, jobs: service } = this;
+    this.takeover = new JobTakeover({ store: jobStore, service, fleet, self, peers: port });
+    this.monitor = new PeerMonitor({ fleet, peers: port, self, log });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
-    this.lock = new CoordinatorLock({
-      store,
-      fleet: this.fleet,
-      self,
-      clock,
-      log,
-      handOverDelay: options.coordinatorHandOver,
-    });
+    const handOverDelay = options.coordinatorHandOver;
+    this.lock = new CoordinatorLock({ store, fleet, self, clock, log, handOverDelay });
     this.rollout = new WeightRollout({
-      engine,
-      registry,
+      ...shared,
       lock: this.lock,
-      clock,
-      log,
-      metrics,
       holder: options.node,
       named: this.named,
       mode: () => (this.needsWholeVersions() ? 'wait' : 'keep'),
--- /dev/null
+++ b/src/fleet/gateway-options.ts
@@ -0,0 +1,33 @@
+/** What a gateway is made of: its identity, and the ports to everything outside it. */
+import type { NodeId, ZoneName } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { PeerPort } from '../peers/peer-messages.js';
+import type { Clock } from '../serving/clock.js';
+import type { EnginePort } from '../serving/engine-port.js';
+import type { SharedStore } from '../shared-store/shared-store.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { FeedTranslation } from './fleet-feeds.js';
+import type { StorageDrainPort } from './storage-drains.js';
+
+/** Options of a gateway. */
+export interface GatewayNodeOptions {
+  readonly node: NodeId;
+  readonly zone: ZoneName;
+  readonly store: SharedStore;
+  readonly engine: EnginePort;
+  readonly peers: PeerPort;
+  /** Where other nodes reach this one. */
+  readonly peerAddress: string;
+  readonly feeds: FeedTranslation;
+  /** Line by which an event tells a change of weights, in lower case. */
+  readonly versionField: string;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+  /** Least time between orders of two coordinators. */
+  readonly coordinatorHandOver: Milliseconds;
+  /** Time for which a job stays readable. */
+  readonly jobRetention: Milliseconds;
+  readonly storageDrains: StorageDrainPort;
+}
--- /dev/null
+++ b/src/serving/attempt.ts
@@ -0,0 +1,38 @@
+/** One attempt at a worker: what came of it, and what that says of the worker. */
+import type { Milliseconds } from '../core/units.js';
+import type { EngineAnswer, EngineOutcome } from './engine-port.js';
+import type { KnownWorker } from './worker-registry.js';
+
+/** The lowest status by which a worker tells a failure of its own. */
+const SERVER_ERROR = 500;
+
+/** One attempt that has come to an outcome. */
+export interface AttemptEnd {
+  readonly worker: KnownWorker;
+  readonly outcome: EngineOutcome;
+  /** The body, where the answer came whole. */
+  readonly body: Buffer | undefined;
+}
+
+/** A whole answer that is not a failure of the worker. */
+export function isUsable(end: AttemptEnd): boolean {
+  if (end.outcome.kind !== 'answered' || end.body === undefined) return false;
+  return end.outcome.status < SERVER_ERROR;
+}
+
+export function noteFailure(worker: KnownWorker, outcome: EngineOutcome, now: Milliseconds): void {
+  const isFull = outcome.kind === 'not-run' && outcome.reason === 'full';
+  worker.noteOutcome(isFull ? 'full' : 'failure', now);
+}
+
+/** Reads a body to its end; `undefined` where it broke off. */
+export async function readWhole(answer: EngineAnswer): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of answer.body) chunks.push(chunk as Buffer);
+    return Buffer.concat(chunks);
+  } catch {
+    answer.discard();
+    return undefined;
+  }
+}
