--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -209,3 +209,41 @@
   t.match(await outcome, { kind: 'failed', cause: 'cancelled' });
   await isClosed;
 });
+
+t.test('a connection whose answer came before the whole request is never used again', async (t) => {
+  let opened = 0;
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer((socket) => {
+    opened += 1;
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.once('data', (chunk: Buffer) => {
+      const id = /x-wardwing-request-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1] ?? '';
+      socket.pause();
+      socket.write(reply('413 Payload Too Large', stamped(id), 'too long'));
+      setTimeout(() => socket.resume(), 30);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const client = new EngineClient();
+  t.teardown(() => {
+    client.forget('i-1');
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const request = (requestId: string): EngineRequest => ({
+    worker: worker('i-1', { address: `127.0.0.1:${port}` }),
+    requestId,
+    method: 'POST',
+    path: '/',
+    host: 'h',
+    headers: [],
+    body: Buffer.alloc(16 * 1_048_576),
+    remaining: undefined,
+  });
+  const { signal } = new AbortController();
+  t.equal(await bodyOf(await client.send(request('one'), signal)), 'too long');
+  t.equal(await bodyOf(await client.send(request('two'), signal)), 'too long');
+  t.equal(opened, 2);
+});
