--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -20,6 +20,7 @@
 import { type LostAnswer, SharedStoreEmulator } from '../../emulator/shared-store-emulator.js';
 import { JobOracle } from './job-oracle.js';
 import type { JobMechanism } from './mechanisms.js';
+import { pagesApart, unconditional } from './store-trials.js';
 
 /** Nodes, jobs and items of the world. */
 export const NODES = 3;
@@ -313,30 +314,3 @@
     })),
   };
 }
-
-/** A store whose commits are made whatever their conditions say. */
-function unconditional(store: SharedStore): SharedStore {
-  return wrapCommits(store, (commit) => store.commit({ ...commit, expected: [] }));
-}
-
-/** A store that writes all keys but the first, the head, by themselves and before it. */
-function pagesApart(store: SharedStore): SharedStore {
-  return wrapCommits(store, async (commit) => {
-    const [head, ...others] = commit.put ?? [];
-    if (head === undefined || others.length === 0) return store.commit(commit);
-    const outcome = await store.commit({ expected: [], put: others });
-    return outcome.kind === 'committed' ? store.commit({ ...commit, put: [head] }) : outcome;
-  });
-}
-
-function wrapCommits(store: SharedStore, commit: SharedStore['commit']): SharedStore {
-  return {
-    get: (key) => store.get(key),
-    range: (prefix, after) => store.range(prefix, after),
-    watch: (prefix, after, wait, signal) => store.watch(prefix, after, wait, signal),
-    commit,
-    grantLease: (ttl) => store.grantLease(ttl),
-    keepLease: (lease) => store.keepLease(lease),
-    endLease: (lease) => store.endLease(lease),
-  };
-}
