--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -284,7 +284,7 @@
       metrics,
       self: { node: name, incarnation: `life-${life}`, address: name },
       routes,
-      retention: 1e9,
+      retention: () => 1e9,
     });
   }
 }
--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -38,7 +38,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Least time between the last order of one holder and the first of the next. */
-  readonly handOverDelay: Milliseconds;
+  readonly handOverDelay: () => Milliseconds;
 }
 
 /** Takes the lock when it is free, and tells whether this node may give orders. */
@@ -129,7 +129,7 @@
     this.holderNonce = nonce;
     this.holderNode = self.node;
     this.token = revision;
-    this.activeFrom = clock.now() + (isFirst ? 0 : handOverDelay);
+    this.activeFrom = clock.now() + (isFirst ? 0 : handOverDelay());
     log.state('coordinator-acquired', { fencingToken: revision, isFirst });
   }
 
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -104,7 +104,7 @@
       reader: new JobReader(jobStore, (...question) => peers.ownerListing(...question)),
       peers,
       dispatcher: this.dispatcher,
-      retention: options.jobRetention,
+      retention: () => options.timings().jobRetention,
     });
     this.feeds = new FleetFeeds({ store, translation: options.feeds, log });
     this.feeds.events.subscribe((event) => this.take(event));
@@ -113,7 +113,7 @@
     this.takeover = new JobTakeover({ store: jobStore, service, fleet, self, peers: port });
     this.monitor = new PeerMonitor({ fleet, peers: port, self, log });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
-    const handOverDelay = options.coordinatorHandOver;
+    const handOverDelay = (): Milliseconds => options.timings().coordinatorHandOver;
     this.lock = new CoordinatorLock({ store, fleet, self, clock, log, handOverDelay });
     this.rollout = new WeightRollout({
       ...shared,
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -10,6 +10,16 @@
 import type { FeedTranslation } from './fleet-feeds.js';
 import type { StorageDrainPort } from './storage-drains.js';
 
+/** Times that the operator sets and that may change while a process runs. */
+export interface FleetTimings {
+  /** Least time between orders of two coordinators. */
+  readonly coordinatorHandOver: Milliseconds;
+  /** Time between the request to stop and the forced end. */
+  readonly stopLimit: Milliseconds;
+  /** Time for which a job stays readable. */
+  readonly jobRetention: Milliseconds;
+}
+
 /** Options of a gateway. */
 export interface GatewayNodeOptions {
   readonly node: NodeId;
@@ -25,9 +35,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
-  /** Least time between orders of two coordinators. */
-  readonly coordinatorHandOver: Milliseconds;
-  /** Time for which a job stays readable. */
-  readonly jobRetention: Milliseconds;
+  /** The times in force; a reload of the settings may change them. */
+  readonly timings: () => FleetTimings;
   readonly storageDrains: StorageDrainPort;
 }
--- a/src/fleet/gateway-process.ts
+++ b/src/fleet/gateway-process.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { GatewayNode } from './gateway-node.js';
+import type { FleetTimings } from './gateway-options.js';
 
 /** The server that callers reach. */
 export interface CallerServer {
@@ -18,8 +19,8 @@
   readonly server: CallerServer;
   readonly clock: Clock;
   readonly log: DecisionLog;
-  /** Time between the request to stop and the forced end. */
-  readonly stopLimit: Milliseconds;
+  /** The times in force when the stop begins count. */
+  readonly timings: () => FleetTimings;
   /** Ends the process. */
   readonly exit: () => void;
 }
@@ -42,14 +43,14 @@
   async stop(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
-    const { node, server, clock, log, stopLimit, exit } = this.options;
+    const { node, server, clock, log, timings, exit } = this.options;
     const startedAt = clock.now();
     const elapsed = (): Milliseconds => clock.now() - startedAt;
     node.beginStop();
     const released = node.stop();
     while (elapsed() < NOTICE_TIME) await clock.sleep(STOP_POLL);
     server.close();
-    const limit = stopLimit - STOP_MARGIN;
+    const limit = timings().stopLimit - STOP_MARGIN;
     while (server.requestsInFlight > 0 && elapsed() < limit) await clock.sleep(STOP_POLL);
     await Promise.race([released, clock.sleep(Math.max(0, limit - elapsed()))]);
     log.state('stopped', { requestsLeft: server.requestsInFlight });
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -18,7 +18,7 @@
   readonly reader: JobReader;
   readonly peers: JobPeers;
   /** Time for which a job stays readable after its submission. */
-  readonly retention: Milliseconds;
+  readonly retention: () => Milliseconds;
 }
 
 /** A page of results as a trainer reads it. */
@@ -137,7 +137,7 @@
     if (read.kind !== 'found') return;
     for (const [job, found] of read.value) {
       const age = ageOf(found.head, clock.wallTime());
-      if (!isFinished(found.head) || age < retention + RETENTION_MARGIN) continue;
+      if (!isFinished(found.head) || age < retention() + RETENTION_MARGIN) continue;
       await store.remove(job, found);
       log.state('job-removed', { job, ageMs: Math.round(age) });
     }
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -18,7 +18,14 @@
   const { log } = recordingLog();
   const clock = PROCESS_CLOCK;
   const fleet = new FleetRegistry({ store, self, zone: 'zone-1', clock, log });
-  const lock = new CoordinatorLock({ store, fleet, self, clock, log, handOverDelay });
+  const lock = new CoordinatorLock({
+    store,
+    fleet,
+    self,
+    clock,
+    log,
+    handOverDelay: () => handOverDelay,
+  });
   fleet.start();
   const ticker = setInterval(() => lock.tick(), 5);
   const stop = (): Promise<void> => {
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -66,6 +66,6 @@
     registry,
   });
   const reader = new JobReader(store, (...question) => peers.ownerListing(...question));
-  const options = { ...shared, store, reader, peers, dispatcher, self, retention: 60_000 };
+  const options = { ...shared, store, reader, peers, dispatcher, self, retention: () => 60_000 };
   return { service: new JobService(options), dispatcher, registry, lines };
 }
--- a/test/platform-adapter/ingress.test.ts
+++ b/test/platform-adapter/ingress.test.ts
@@ -79,8 +79,7 @@
     clock,
     log: recordingLog().log,
     metrics: new FleetMetrics(),
-    coordinatorHandOver: 0,
-    jobRetention: 60_000,
+    timings: () => ({ coordinatorHandOver: 0, jobRetention: 60_000, stopLimit: 8_000 }),
     storageDrains: storageDrainPort(store),
   });
   const server = new Ingress(node, clock);
--- a/test/platform-adapter/settings.test.ts
+++ b/test/platform-adapter/settings.test.ts
@@ -25,12 +25,15 @@
     readinessAddress: '10.0.0.1:8167',
     peerPort: 7_720,
     storeAddress: '10.0.0.9:8169',
-    coordinatorHandOver: 2_500,
-    stopLimit: 6_000,
-    jobRetention: 120_000,
+    timings: { coordinatorHandOver: 2_500, stopLimit: 6_000, jobRetention: 120_000 },
   });
 });
 
+t.test('figures may be fractions', async (t) => {
+  const lines = LINES.map((line) => line.replace('grace_s=6', 'grace_s=6.5'));
+  t.equal(parseSettings(lines.join('\n')).timings.stopLimit, 6_500);
+});
+
 t.test('a missing or malformed field is named', async (t) => {
   const without = LINES.filter((line) => !line.startsWith('platform.address'));
   t.throws(() => parseSettings(without.join('\n')), new SettingsProblem());
