A large fleet: loads in step with its size, workers divided among models, watches through few nodes

Causes: at most two workers loaded weights at once, whatever the fleet's size, so 29 workers that hold three models each fell versions behind; every worker loaded every model's versions, three times as many loads as are free; each of 68 gateways watched three prefixes of the store, 132 answers each, and each read all jobs three times after any departure. Changes: loads at once are a share of the workers; ModelAssignment divides the workers by the work asked of each model; WatchRelay lets a node in sixteen of a zone watch the store and the others follow it, with a fall-back to the store where the relay's lease is not confirmed within 1 s; three ranked nodes look for the jobs of one that left, and the coordinator each 5 s.

--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -1,8 +1,8 @@
 /** Questions between the nodes of a fleet: how this node asks them, and how it answers. */
 import { rendezvousOrder } from '../core/hashing.js';
-import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
-import type { Milliseconds, WeightVersion } from '../core/units.js';
-import type { JobPeers } from '../jobs/job-peers.js';
+import type { NodeId, ZoneName } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { JobPeers, WeightNeed } from '../jobs/job-peers.js';
 import type { OwnerListing } from '../jobs/job-reader.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { JobService } from '../jobs/job-service.js';
@@ -18,6 +18,7 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
 import type { FleetRegistry } from './fleet-registry.js';
+import type { WatchRelay } from './watch-relay.js';
 
 /** Time for an answer. */
 const KEPT_WORK_LIMIT: Milliseconds = 120;
@@ -41,8 +42,9 @@
   readonly metrics: FleetMetrics;
   readonly jobs: () => JobService;
   readonly lock: () => CoordinatorLock;
-  /** Called on the coordinator: a job needs weights of at least this version. */
-  readonly weightsNeeded: (model: ModelName, version: WeightVersion) => void;
+  readonly relay: () => WatchRelay;
+  /** Called on the coordinator: what a job needs. */
+  readonly weightsNeeded: (need: WeightNeed) => void;
 }
 
 /** The other nodes of the fleet. */
@@ -99,14 +101,14 @@
     }
   }
 
-  needWeights(model: ModelName, version: WeightVersion): void {
+  needWeights(need: WeightNeed): void {
     const holder = this.options.lock().holder;
     if (holder === undefined) return;
     if (holder === this.options.self.node) {
-      this.options.weightsNeeded(model, version);
+      this.options.weightsNeeded(need);
       return;
     }
-    void this.ask<'need-weights'>(holder, { kind: 'need-weights', model, version }, NEED_LIMIT);
+    void this.ask<'need-weights'>(holder, { kind: 'need-weights', need }, NEED_LIMIT);
   }
 
   async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
@@ -122,8 +124,10 @@
         return { isEnded: await jobs().endOwn(request.job) };
       case 'take-job':
         return { isTaken: await jobs().takeReleased(request.job) };
+      case 'follow-prefix':
+        return this.options.relay().answer(request);
       case 'need-weights':
-        weightsNeeded(request.model, request.version);
+        weightsNeeded(request.need);
         return { isNoted: true };
     }
   }
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -132,6 +132,11 @@
     return this.renewedAt + LEASE_TTL - this.options.clock.now();
   }
 
+  /** Time since the store last renewed the lease, counted from when the renewal was sent. */
+  renewalAge(): Milliseconds {
+    return this.options.clock.now() - this.renewedAt;
+  }
+
   private take(change: StoreChange): void {
     if (!change.key.startsWith(NODE_PREFIX)) {
       this.otherChanges.next(change);
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -31,6 +31,7 @@
 import { JobTakeover } from './job-takeover.js';
 import { PeerMonitor, type Suspicion } from './peer-monitor.js';
 import { StorageDrains } from './storage-drains.js';
+import { WatchRelay } from './watch-relay.js';
 import { type NamedVersion, WeightRollout } from './weight-rollout.js';
 
 /** Time between two rounds of regular work. */
@@ -48,6 +49,9 @@
 /** Time between two looks for jobs that need not be kept. */
 const REMOVAL_INTERVAL: Milliseconds = 60_000;
 
+/** Time between two looks of the coordinator for jobs without a live owner. */
+const SWEEP_INTERVAL: Milliseconds = 5_000;
+
 /** Time between two lines with all counters. */
 const REPORT_INTERVAL: Milliseconds = 10_000;
 
@@ -74,13 +78,25 @@
   private workersListed = false;
   private isStopping = false;
   private nextRemovalAt: Milliseconds = REMOVAL_INTERVAL;
+  private nextSweepAt: Milliseconds = 0;
   private ticker: NodeJS.Timeout | undefined;
   private reporter: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: GatewayNodeOptions) {
     const { clock, log, metrics, peers: port, zone } = options;
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
-    const store = meteredStore(options.store, metrics, clock);
+    const { node } = options;
+    const direct = meteredStore(options.store, metrics, clock);
+    const relay = new WatchRelay({
+      store: direct,
+      peers: port,
+      fleet: () => this.fleet,
+      self: node,
+      zone,
+      clock,
+      metrics,
+    });
+    const store = relay.relayedStore();
     const jobStore = new JobStore(store, clock);
     const routes = (): RouteMatcher | undefined => this.matcher;
     const shared = { ...options, store, self, routes, registry: this.registry };
@@ -93,7 +109,8 @@
       metrics,
       jobs: () => this.jobs,
       lock: () => this.lock,
-      weightsNeeded: (model, version) => this.rollout.require(model, version),
+      relay: () => relay,
+      weightsNeeded: (need) => this.rollout.require(need),
     });
     const peers = this.peerHandler;
     this.forwarder = new RequestForwarder(shared);
@@ -261,7 +278,7 @@
     this.lock.tick();
     this.rollout.tick();
     this.drains.tick();
-    this.removeExpiredJobs();
+    this.sweepJobs();
   }
 
   /** The nodes that watch a suspected one act in turn, so that they rarely race. */
@@ -272,12 +289,18 @@
     }, rank * SUSPICION_RANK_DELAY);
   }
 
-  /** The coordinator removes what need not be kept any longer. */
-  private removeExpiredJobs(): void {
+  /** The coordinator finds jobs that nobody runs, and removes what need not be kept any longer. */
+  private sweepJobs(): void {
     const now = this.options.clock.now();
-    if (now < this.nextRemovalAt || this.lock.fencingToken() === undefined) return;
-    this.nextRemovalAt = now + REMOVAL_INTERVAL;
-    void this.jobs.removeExpired();
+    if (this.lock.fencingToken() === undefined) return;
+    if (now >= this.nextSweepAt) {
+      this.nextSweepAt = now + SWEEP_INTERVAL;
+      void this.takeover.sweep();
+    }
+    if (now >= this.nextRemovalAt) {
+      this.nextRemovalAt = now + REMOVAL_INTERVAL;
+      void this.jobs.removeExpired();
+    }
   }
 
   /** Sets the gauges and writes the counters as one line. */
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -1,7 +1,7 @@
 /**
- * Takes over jobs whose owner is gone. The live nodes are ranked for each job by rendezvous hash;
- * the first may take it at once, the next ones later, so that they rarely race. Where they do,
- * the commit on the job's head decides.
+ * Takes over jobs whose owner is gone. After a node has left, a few of the others look for its
+ * jobs, one after the other by rendezvous hash of its name; a node that joins looks too, and so
+ * does the coordinator now and then. Where two race, the commit on the job's head decides.
  */
 import { rendezvousOrder } from '../core/hashing.js';
 import type { Milliseconds } from '../core/units.js';
@@ -10,7 +10,7 @@
 import type { JobService } from '../jobs/job-service.js';
 import type { JobStore, VersionedHead } from '../jobs/job-store.js';
 import type { PeerPort } from '../peers/peer-messages.js';
-import type { FleetRegistry } from './fleet-registry.js';
+import type { Departure, FleetRegistry } from './fleet-registry.js';
 
 /** Options of {@link JobTakeover}. */
 export interface JobTakeoverOptions {
@@ -33,27 +33,56 @@
 /** Time by which each rank lets the ones before it go first. */
 const RANK_DELAY: Milliseconds = 900;
 
-/** Scans after a departure: the last one takes jobs of any rank. */
+/** Nodes that look for the jobs of one that left. */
+const SCANNING_NODES = 3;
+
+/** Scans of a node that joins: the last one takes jobs of any rank. */
 const SCANS = 3;
 
+/** What a scan found; `unavailable`: the store did not answer. */
+type ScanOutcome = 'no-orphans' | 'orphans-seen' | 'unavailable';
+
 /** Looks for jobs without a live owner after nodes have left. */
 export class JobTakeover {
-  private timers: NodeJS.Timeout[] = [];
+  private readonly timers = new Set<NodeJS.Timeout>();
 
   constructor(private readonly options: JobTakeoverOptions) {
-    options.fleet.departures.subscribe(({ cause }) =>
-      this.scanSoon(cause === 'replaced' ? REPLACEMENT_GRACE : DEPARTURE_GRACE),
-    );
+    options.fleet.departures.subscribe((departure) => this.scanAfter(departure));
     options.fleet.listed.subscribe(() => this.scanSoon());
   }
 
-  /** Scans after the grace, and again for jobs that better ranked nodes left alone. */
-  scanSoon(grace: Milliseconds = REPLACEMENT_GRACE): void {
-    this.stop();
-    for (let scan = 0; scan < SCANS; scan += 1) {
-      const delay = grace + scan * RANK_DELAY;
-      this.timers.push(setTimeout(() => void this.scan(scan), delay));
-    }
+  /** Takes over whatever has no live owner now. */
+  async sweep(): Promise<void> {
+    if ((await this.scan(SCANS - 1)) === 'unavailable') this.later(RANK_DELAY, () => this.sweep());
+  }
+
+  /** Scans after a departure, if this node is one of the few that do. */
+  private scanAfter({ node, cause }: Departure): void {
+    const nodes = rendezvousOrder(node, this.options.fleet.liveNodes(), (name) => name);
+    const rank = nodes.indexOf(this.options.self.node);
+    if (rank < 0 || rank >= SCANNING_NODES) return;
+    const grace = cause === 'replaced' ? REPLACEMENT_GRACE : DEPARTURE_GRACE;
+    this.later(grace + rank * RANK_DELAY, () => this.sweep());
+  }
+
+  /** Scans soon, and again for jobs that better ranked nodes left alone. */
+  scanSoon(): void {
+    this.later(REPLACEMENT_GRACE, () => this.scanInTurn(0));
+  }
+
+  private async scanInTurn(allowedRank: number): Promise<void> {
+    const outcome = await this.scan(allowedRank);
+    if (outcome === 'no-orphans') return;
+    const next = outcome === 'unavailable' ? allowedRank : allowedRank + 1;
+    if (next < SCANS) this.later(RANK_DELAY, () => this.scanInTurn(next));
+  }
+
+  private later(delay: Milliseconds, work: () => Promise<void>): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      void work();
+    }, delay);
+    this.timers.add(timer);
   }
 
   /** Takes over what a life of a node runs that fell silent, unless it is trusted again. */
@@ -70,20 +99,20 @@
   /** Cancels scans that are due. */
   stop(): void {
     for (const timer of this.timers) clearTimeout(timer);
-    this.timers = [];
+    this.timers.clear();
   }
 
-  private async scan(allowedRank: number): Promise<void> {
+  private async scan(allowedRank: number): Promise<ScanOutcome> {
     const read = await this.options.store.heads();
-    if (read.kind !== 'found') return this.scanSoon();
+    if (read.kind !== 'found') return 'unavailable';
     const orphans = [...read.value].filter(([job, found]) => this.isOrphan(job, found));
-    if (orphans.length === 0) return this.stop();
     for (const [job, found] of orphans) {
       const rank = this.rankFor(job);
       if (rank > allowedRank && allowedRank < SCANS - 1) continue;
       if (await this.stillRuns(found.head.owner)) continue;
       await this.options.service.adopt(job, found);
     }
+    return orphans.length === 0 ? 'no-orphans' : 'orphans-seen';
   }
 
   /** A lease may lapse while its node lives; one that answers goes on with its jobs. */
--- /dev/null
+++ b/src/fleet/model-assignment.ts
@@ -0,0 +1,177 @@
+/**
+ * Divides the workers among the models that they hold, so that a new version of one model is
+ * loaded by the workers that serve it and by no others. Shares follow the work that was asked of
+ * each model lately; a worker stays with its model as long as the shares allow, since moving it
+ * costs a load.
+ */
+import type { ModelName } from '../core/identity.js';
+import type { WeightVersion } from '../core/units.js';
+
+/** A worker as the division sees it. */
+export interface AssignableWorker {
+  readonly id: string;
+  /** Versions that it holds, by model. */
+  readonly versions: ReadonlyMap<ModelName, WeightVersion>;
+}
+
+/**
+ * In a fleet with fewer workers for each model every worker serves every model: there a part of
+ * them would hold too little memory for one model's busy moments.
+ */
+const LEAST_FLEET_PER_MODEL = 6;
+
+/** Workers that each model gets at least. */
+const FEWEST_WORKERS_PER_MODEL = 2;
+
+/** Weight of the newest job in the moving mean of a model's work. */
+const DEMAND_SMOOTHING = 0.4;
+
+/** Workers by which a model's count may be off its share before a worker is moved. */
+const TOLERATED_EXCESS = 1;
+
+/** Knows which model each worker serves. */
+export class ModelAssignment {
+  private readonly demand = new Map<ModelName, number>();
+  private current = new Map<string, ModelName>();
+
+  /** A job asked this much work of a model, in tokens. */
+  noteWork(model: ModelName, tokens: number): void {
+    const before = this.demand.get(model);
+    const mean = before === undefined ? tokens : before + DEMAND_SMOOTHING * (tokens - before);
+    this.demand.set(model, mean);
+  }
+
+  /**
+   * Divides the workers anew; tells which serve a model. `named` gives the newest versions, by
+   * which a new coordinator finds the division of the one before.
+   */
+  update(
+    workers: readonly AssignableWorker[],
+    named: ReadonlyMap<ModelName, WeightVersion>,
+  ): (worker: string, model: ModelName) => boolean {
+    const models = [...new Set(workers.flatMap((worker) => [...worker.versions.keys()]))].sort();
+    if (workers.length < LEAST_FLEET_PER_MODEL * models.length) {
+      this.current.clear();
+      return () => true;
+    }
+    this.current = this.divide(workers, models, named);
+    return (worker, model) => this.current.get(worker) === model;
+  }
+
+  private divide(
+    workers: readonly AssignableWorker[],
+    models: readonly ModelName[],
+    named: ReadonlyMap<ModelName, WeightVersion>,
+  ): Map<string, ModelName> {
+    const wanted = new Map<string, ModelName>();
+    for (const worker of workers) {
+      const model = this.current.get(worker.id) ?? mostCurrentModel(worker, named);
+      if (model !== undefined && worker.versions.has(model)) wanted.set(worker.id, model);
+    }
+    const quotas = this.quotas(workers.length, models, countsOf(wanted));
+    const assigned = keepWithinQuotas(wanted, quotas);
+    for (const worker of workers) {
+      if (assigned.has(worker.id)) continue;
+      const model = neediestModel(worker, quotas, countsOf(assigned));
+      if (model !== undefined) assigned.set(worker.id, model);
+    }
+    return assigned;
+  }
+
+  /** Workers that each model gets; the counts as they are, where these are close enough. */
+  private quotas(
+    total: number,
+    models: readonly ModelName[],
+    counts: ReadonlyMap<ModelName, number>,
+  ): Map<ModelName, number> {
+    const shares = this.shares(total, models);
+    const sum = models.reduce((so, model) => so + (counts.get(model) ?? 0), 0);
+    const areClose = models.every(
+      (model) => Math.abs((counts.get(model) ?? 0) - (shares.get(model) ?? 0)) <= TOLERATED_EXCESS,
+    );
+    if (sum === total && areClose) return new Map(counts);
+    return wholeQuotas(total, shares);
+  }
+
+  /** The share of each model in workers, by its work; at least the fewest. */
+  private shares(total: number, models: readonly ModelName[]): Map<ModelName, number> {
+    const known = models
+      .map((model) => this.demand.get(model))
+      .filter((work) => work !== undefined);
+    const mean = known.reduce((sum, work) => sum + work, 0) / Math.max(1, known.length) || 1;
+    const works = models.map((model) => this.demand.get(model) ?? mean);
+    const sum = works.reduce((so, work) => so + work, 0);
+    const spare = total - FEWEST_WORKERS_PER_MODEL * models.length;
+    return new Map(
+      models.map((model, index) => [
+        model,
+        FEWEST_WORKERS_PER_MODEL + (spare * (works[index] ?? 0)) / sum,
+      ]),
+    );
+  }
+}
+
+/** The model of which a worker lags least, if that tells one from the others. */
+function mostCurrentModel(
+  worker: AssignableWorker,
+  named: ReadonlyMap<ModelName, WeightVersion>,
+): ModelName | undefined {
+  const lags = [...worker.versions]
+    .map(([model, version]) => ({ model, lag: (named.get(model) ?? version) - version }))
+    .sort((a, b) => a.lag - b.lag);
+  const [first, second] = lags;
+  if (second !== undefined && first?.lag === second.lag) return undefined;
+  return first?.model;
+}
+
+function countsOf(assigned: ReadonlyMap<string, ModelName>): Map<ModelName, number> {
+  const counts = new Map<ModelName, number>();
+  for (const model of assigned.values()) counts.set(model, (counts.get(model) ?? 0) + 1);
+  return counts;
+}
+
+/** Whole numbers that add up to the total, by largest remainder. */
+function wholeQuotas(
+  total: number,
+  shares: ReadonlyMap<ModelName, number>,
+): Map<ModelName, number> {
+  const quotas = new Map([...shares].map(([model, share]) => [model, Math.floor(share)]));
+  let left = total - [...quotas.values()].reduce((sum, quota) => sum + quota, 0);
+  const byRemainder = [...shares].sort(([, a], [, b]) => (b % 1) - (a % 1));
+  for (const [model] of byRemainder) {
+    if (left <= 0) break;
+    quotas.set(model, (quotas.get(model) ?? 0) + 1);
+    left -= 1;
+  }
+  return quotas;
+}
+
+/** Workers keep their models up to each quota; the others are free for another model. */
+function keepWithinQuotas(
+  wanted: ReadonlyMap<string, ModelName>,
+  quotas: ReadonlyMap<ModelName, number>,
+): Map<string, ModelName> {
+  const kept = new Map<string, ModelName>();
+  const counts = new Map<ModelName, number>();
+  for (const [worker, model] of wanted) {
+    const count = counts.get(model) ?? 0;
+    if (count >= (quotas.get(model) ?? 0)) continue;
+    counts.set(model, count + 1);
+    kept.set(worker, model);
+  }
+  return kept;
+}
+
+/** The model, among those that a worker holds, that misses most workers. */
+function neediestModel(
+  worker: AssignableWorker,
+  quotas: ReadonlyMap<ModelName, number>,
+  counts: ReadonlyMap<ModelName, number>,
+): ModelName | undefined {
+  const missing = (model: ModelName): number => (quotas.get(model) ?? 0) - (counts.get(model) ?? 0);
+  const models = [...worker.versions.keys()].sort();
+  return models.reduce<ModelName | undefined>(
+    (best, model) => (best === undefined || missing(model) > missing(best) ? model : best),
+    undefined,
+  );
+}
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -7,12 +7,14 @@
 
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { WeightNeed } from '../jobs/job-peers.js';
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort, OrderOutcome, WeightOrderMode } from '../serving/engine-port.js';
 import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
+import { type AssignableWorker, ModelAssignment } from './model-assignment.js';
 
 /** Options of {@link WeightRollout}. */
 export interface WeightRolloutOptions {
@@ -27,11 +29,18 @@
   readonly named: ReadonlyMap<ModelName, NamedVersion>;
   /** What becomes of runs at a worker that changes its weights. */
   readonly mode: () => WeightOrderMode;
-  /** Workers that load at once; more make each load slower. @default 2 */
-  readonly loadsAtOnce?: number;
 }
 
-const DEFAULT_LOADS_AT_ONCE = 2;
+/** Share of all workers that may load at once: more at a time make each load slower. */
+const LOADING_SHARE = 0.28;
+
+/** Workers that may load at once in a small fleet. */
+const FEWEST_LOADS_AT_ONCE = 2;
+
+/** How many of this many workers may load at the same time. */
+export function loadsAtOnce(workers: number): number {
+  return Math.max(FEWEST_LOADS_AT_ONCE, Math.round(LOADING_SHARE * workers));
+}
 
 /** Time after an order at which the worker is first asked whether it is done. */
 const FIRST_CHECK: Milliseconds = 900;
@@ -111,19 +120,22 @@
   private readonly changing = new Map<string, ModelName>();
   private readonly notBefore = new Map<string, Milliseconds>();
   private readonly required = new Map<ModelName, WeightVersion>();
+  private readonly assignment = new ModelAssignment();
 
   constructor(private readonly options: WeightRolloutOptions) {}
 
   /** A job needs weights of at least this version: workers behind it change first. */
-  require(model: ModelName, version: WeightVersion): void {
+  require({ model, version, tokens }: WeightNeed): void {
     if (version > (this.required.get(model) ?? 0)) this.required.set(model, version);
+    this.assignment.noteWork(model, tokens);
   }
 
   /** Starts changes while there is room for more loads. */
   tick(): void {
-    const limit = this.options.loadsAtOnce ?? DEFAULT_LOADS_AT_ONCE;
-    if (this.changing.size >= limit) return;
     if (this.options.lock.fencingToken() === undefined) return;
+    const holders = this.options.registry.all().filter(({ record }) => record.models.length > 0);
+    const limit = loadsAtOnce(holders.length);
+    if (this.changing.size >= limit) return;
     for (const change of this.pendingChanges()) {
       if (this.changing.size >= limit) return;
       const id = change.worker.record.id;
@@ -136,9 +148,14 @@
   /** What is to be changed now, the most urgent first, then the least busy worker. */
   private pendingChanges(): PendingChange[] {
     const now = this.options.clock.now();
-    const workers = this.options.registry.all().filter(({ record }) => !record.draining);
+    const workers = this.options.registry
+      .all()
+      .filter(({ record }) => !record.draining && record.models.length > 0);
+    const serves = this.assignment.update(workers.map(assignable), this.namedVersions());
     const changes = [...this.options.named].flatMap(([model, { version, namedAt }]) => {
-      const holders = workers.filter((worker) => worker.versionOf(model) > 0);
+      const holders = workers.filter(
+        (worker) => worker.versionOf(model) > 0 && serves(worker.record.id, model),
+      );
       const target = { model, version, required: this.required.get(model) ?? 0 };
       const mayWait = now - namedAt < CATCH_UP_DELAY;
       return dueChanges(holders, target, mayWait, (id) => this.changing.get(id) === model);
@@ -148,6 +165,10 @@
       .sort((a, b) => b.urgency - a.urgency || a.worker.occupancy(now) - b.worker.occupancy(now));
   }
 
+  private namedVersions(): Map<ModelName, WeightVersion> {
+    return new Map([...this.options.named].map(([model, { version }]) => [model, version]));
+  }
+
   private async perform(change: PendingChange): Promise<void> {
     const { engine, lock, holder, log, mode } = this.options;
     const { worker, model } = change;
@@ -204,3 +225,8 @@
     this.notBefore.set(worker.record.id, this.options.clock.now() + duration);
   }
 }
+
+function assignable(worker: KnownWorker): AssignableWorker {
+  const versions = worker.record.models.map(({ name }) => [name, worker.versionOf(name)] as const);
+  return { id: worker.record.id, versions: new Map(versions) };
+}
--- a/src/jobs/job-handover.ts
+++ b/src/jobs/job-handover.ts
@@ -3,7 +3,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobPeers } from './job-peers.js';
-import { isFinished, type JobOwner } from './job-records.js';
+import { isFinished, type JobOwner, weightNeedOf } from './job-records.js';
 import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { untilAvailable } from './store-reads.js';
@@ -37,7 +37,7 @@
     if (spec === undefined) return false;
     const listed = (results ?? []).flat();
     owned.own(spec, change.current, listed, owned.keptWork(spec, progress ?? {}));
-    peers.needWeights(spec.model, spec.minVersion);
+    peers.needWeights(weightNeedOf(spec));
     const previous = found.head.owner?.node ?? 'none';
     log.state('job-adopted', { job, previous, listed: listed.length });
     metrics.count('jobs_adopted', { cause: found.head.owner === null ? 'released' : 'lost' });
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -5,6 +5,15 @@
 import type { JobOwner } from './job-records.js';
 import type { DigestedWork } from './kept-items.js';
 
+/** What a job asks of the workers of its model. */
+export interface WeightNeed {
+  readonly model: ModelName;
+  /** Oldest version that may make its results. */
+  readonly version: WeightVersion;
+  /** Tokens that its items are expected to make. */
+  readonly tokens: number;
+}
+
 /** The other nodes, as the jobs' modules see them. */
 export interface JobPeers {
   /** What other nodes kept of items, by item id. */
@@ -20,6 +29,6 @@
   endAtOwner(owner: JobOwner, job: string): Promise<boolean>;
   /** Offers a released job to another node. */
   handOver(job: string): Promise<void>;
-  /** Tells the coordinator that weights of at least this version are needed. */
-  needWeights(model: ModelName, version: WeightVersion): void;
+  /** Tells the coordinator what a job needs. */
+  needWeights(need: WeightNeed): void;
 }
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -1,6 +1,7 @@
 /** What is kept of batch jobs in the shared store: specification, head, pages of results. */
 import { z } from 'zod';
 import type { Milliseconds } from '../core/units.js';
+import type { WeightNeed } from './job-peers.js';
 
 /** One item of a job: a request for a worker. */
 const ITEM = z.object({
@@ -134,6 +135,12 @@
   return head.ended || head.listed >= head.total;
 }
 
+/** What a job asks of the workers of its model. */
+export function weightNeedOf({ model, minVersion, items }: JobSpecification): WeightNeed {
+  const tokens = items.reduce((sum, item) => sum + item.expectedLength, 0);
+  return { model, version: minVersion, tokens };
+}
+
 /** Age of a job by the time of day. */
 export function ageOf(
   record: { readonly submittedAt: number },
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -8,7 +8,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobPeers } from './job-peers.js';
-import type { JobOwner, JobSpecification } from './job-records.js';
+import { type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
 import type { HeadChange, HeadFields, JobStore, StillWanted, VersionedHead } from './job-store.js';
 import type { DigestedWork } from './kept-items.js';
 import type { OwnedJob } from './owned-job.js';
@@ -100,7 +100,7 @@
     const { owned, peers } = this.options;
     if (early !== undefined) owned.keepEarly(early, head);
     else owned.own(spec, head, [], owned.keptWork(spec, {}, await kept));
-    peers.needWeights(spec.model, spec.minVersion);
+    peers.needWeights(weightNeedOf(spec));
   }
 
   private noteSubmitted(spec: JobSpecification, change: HeadChange, took: Milliseconds): void {
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -1,8 +1,9 @@
 /** What nodes of a fleet ask each other directly. */
-import type { ModelName } from '../core/identity.js';
-import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { Milliseconds, Revision } from '../core/units.js';
+import type { WeightNeed } from '../jobs/job-peers.js';
 import type { JobOwner, JobResult } from '../jobs/job-records.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
+import type { StoreChange } from '../shared-store/shared-store.js';
 
 /** A question to one node. */
 export type PeerRequest =
@@ -21,12 +22,15 @@
   | { readonly kind: 'end-job'; readonly job: string }
   /** Take this job, which was just released. */
   | { readonly kind: 'take-job'; readonly job: string }
-  /** A job needs weights of at least this version; asked of the coordinator. */
+  /** What has changed under a prefix of the shared store, as you saw it there? */
   | {
-      readonly kind: 'need-weights';
-      readonly model: ModelName;
-      readonly version: WeightVersion;
-    };
+      readonly kind: 'follow-prefix';
+      readonly prefix: string;
+      readonly after: Revision;
+      readonly wait: Milliseconds;
+    }
+  /** What a job needs; told to the coordinator. */
+  | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
 /** The answer to a question, by its kind. */
 export interface PeerAnswers {
@@ -43,6 +47,14 @@
       };
   readonly 'end-job': { readonly isEnded: boolean };
   readonly 'take-job': { readonly isTaken: boolean };
+  readonly 'follow-prefix': /** The node does not surely hear from the store, or does not know that far back. */
+    | { readonly isCurrent: false }
+    | {
+        readonly isCurrent: true;
+        readonly changes: readonly StoreChange[];
+        /** The next question goes on from here. */
+        readonly revision: Revision;
+      };
   readonly 'need-weights': { readonly isNoted: boolean };
 }
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -13,6 +13,7 @@
   'end-job': true,
   'take-job': true,
   'need-weights': true,
+  'follow-prefix': true,
 };
 
 const REQUEST = z.looseObject({ kind: z.enum(Object.keys(KINDS)) });
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -14,6 +14,10 @@
   jobs_adopted: { help: 'Jobs taken over from another node', labels: ['cause'] },
   results_listed: { help: 'Results given a position', labels: ['state'] },
   store_calls: { help: 'Calls to the shared store', labels: ['call', 'outcome'] },
+  relayed_watches: {
+    help: 'Watches of the shared store by way of another node',
+    labels: ['outcome'],
+  },
   weight_orders: { help: 'Orders to change weights, by outcome', labels: ['outcome'] },
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
--- a/test/fleet/job-takeover.test.ts
+++ b/test/fleet/job-takeover.test.ts
@@ -103,3 +103,37 @@
   t.notOk(fixture.service.ownedJobs().some((job) => job.spec.id === 'unseen'));
   await fixture.stop();
 });
+
+t.test('of many nodes a few look for the jobs of one that left', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const { log } = recordingLog();
+  const clock = PROCESS_CLOCK;
+  const scans = new Map<string, number>();
+  const names = Array.from({ length: 12 }, (_, index) => `node-${index}`);
+  const nodes = names.map((node) => {
+    const self = { node, incarnation: `life-${node}`, address: `127.0.0.1:${node}` };
+    const fleet = new FleetRegistry({ store: emulator, self, zone: 'zone-1', clock, log });
+    const jobs = jobNode(emulator, self);
+    const store = new JobStore(emulator, clock);
+    const heads = store.heads.bind(store);
+    store.heads = () => {
+      scans.set(node, (scans.get(node) ?? 0) + 1);
+      return heads();
+    };
+    const options = { store, service: jobs.service, fleet, self, peers: new StubPeers() };
+    return { fleet, jobs, takeover: new JobTakeover(options) };
+  });
+  for (const { fleet } of nodes) fleet.start();
+  await eventually(() => nodes.every(({ fleet }) => fleet.liveNodes().length === names.length));
+  await eventually(() => scans.size === names.length);
+  scans.clear();
+  await nodes[0]?.fleet.stop();
+  await eventually(() => scans.size === 3);
+  await clock.sleep(300);
+  t.equal(scans.size, 3);
+  for (const { fleet, jobs, takeover } of nodes) {
+    takeover.stop();
+    jobs.dispatcher.stop();
+    await fleet.stop();
+  }
+});
--- /dev/null
+++ b/test/fleet/watch-relay.test.ts
@@ -0,0 +1,153 @@
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { type RelayFleet, WatchRelay } from '../../src/fleet/watch-relay.js';
+import type { PeerOutcome, PeerPort, PeerRequestOf } from '../../src/peers/peer-messages.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { PrefixWatcher } from '../../src/shared-store/prefix-watcher.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { eventually } from './fleet-fixtures.js';
+
+const NODES = ['node-1', 'node-2', 'node-3', 'node-4'];
+const PREFIX = 'workers/';
+
+/** Nodes of one zone over one store; each may be cut off from the store or from the others. */
+class Zone {
+  readonly store = new SharedStoreEmulator();
+  readonly renewalAges = new Map(NODES.map((node) => [node, 0]));
+  readonly silent = new Set<string>();
+  private readonly nodes = new Map<string, { relay: WatchRelay; watcher: PrefixWatcher }>();
+  private readonly values = new Map(NODES.map((node) => [node, new Map<string, string>()]));
+
+  constructor() {
+    this.store.write(`${PREFIX}w1`, 'ready');
+    for (const node of NODES) this.add(node);
+  }
+
+  start(): void {
+    for (const { watcher } of this.nodes.values()) void watcher.run();
+  }
+
+  stop(): void {
+    for (const { watcher } of this.nodes.values()) watcher.stop();
+  }
+
+  /** Nodes that know the value. */
+  knowing(key: string, value: string): string[] {
+    return NODES.filter((node) => this.values.get(node)?.get(`${PREFIX}${key}`) === value);
+  }
+
+  get watchCalls(): number {
+    return this.store.calls.get('watch') ?? 0;
+  }
+
+  private add(node: string): void {
+    const fleet: RelayFleet = {
+      liveNodes: () => NODES,
+      zoneOf: () => 'zone-1',
+      addressOf: (asked) => asked,
+      renewalAge: () => this.renewalAges.get(node) ?? 0,
+    };
+    const peers: PeerPort = {
+      ask: async (address, request, limit) => {
+        if (!this.silent.has(address)) return this.answerAt(address, request);
+        await PROCESS_CLOCK.sleep(limit);
+        return { kind: 'silent' };
+      },
+    };
+    const relay = new WatchRelay({
+      store: this.store,
+      peers,
+      fleet: () => fleet,
+      self: node,
+      zone: 'zone-1',
+      clock: PROCESS_CLOCK,
+      metrics: new FleetMetrics(),
+    });
+    const store = relay.relayedStore();
+    const watcher = new PrefixWatcher({ store, prefix: PREFIX, coalesce: 5, retryPause: 5 });
+    watcher.updates.subscribe(({ changes }) => {
+      for (const { key, value } of changes) this.values.get(node)?.set(key, value ?? 'gone');
+    });
+    this.nodes.set(node, { relay, watcher });
+  }
+
+  private async answerAt(
+    address: string,
+    request: { readonly kind: string },
+  ): Promise<PeerOutcome<never>> {
+    const relay = this.nodes.get(address)?.relay;
+    if (relay === undefined) return { kind: 'refused' };
+    const answer = await relay.answer(request as PeerRequestOf<'follow-prefix'>);
+    return { kind: 'answered', answer: answer as never };
+  }
+}
+
+async function settled(): Promise<Zone> {
+  const zone = new Zone();
+  zone.start();
+  await eventually(() => zone.knowing('w1', 'ready').length === NODES.length);
+  // The first questions may come before the relay itself watches.
+  zone.store.write(`${PREFIX}w1`, 'busy');
+  await eventually(() => zone.knowing('w1', 'busy').length === NODES.length);
+  await PROCESS_CLOCK.sleep(20);
+  return zone;
+}
+
+t.test('a change reaches all nodes of a zone at the price of one', async (t) => {
+  const zone = await settled();
+  let cost = Number.POSITIVE_INFINITY;
+  // A relay that was asked before it watched is left alone for a while; then ten changes cost ten
+  // answers of the store and not forty.
+  for (let tries = 0; cost > 12 && tries < 40; tries += 1) {
+    const before = zone.watchCalls;
+    for (let round = 0; round < 10; round += 1) {
+      zone.store.write(`${PREFIX}w1`, `${tries}-${round}`);
+      await eventually(() => zone.knowing('w1', `${tries}-${round}`).length === NODES.length);
+    }
+    cost = zone.watchCalls - before;
+    await PROCESS_CLOCK.sleep(100);
+  }
+  t.ok(cost <= 12, `ten changes cost ${cost} watches`);
+  zone.store.erase(`${PREFIX}w1`);
+  await eventually(() => zone.knowing('w1', 'gone').length === NODES.length);
+  zone.stop();
+});
+
+t.test('nodes do without a relay that is cut off from the store', async (t) => {
+  const zone = await settled();
+  for (const node of NODES) zone.renewalAges.set(node, 5_000);
+  zone.store.write(`${PREFIX}w1`, 'cut');
+  await eventually(() => zone.knowing('w1', 'cut').length === NODES.length);
+  t.pass();
+  zone.stop();
+});
+
+t.test('nodes do without a relay that falls silent', async (t) => {
+  const zone = await settled();
+  for (const node of NODES) zone.silent.add(node);
+  zone.store.write(`${PREFIX}w1`, 'silence');
+  await eventually(() => zone.knowing('w1', 'silence').length === NODES.length);
+  t.pass();
+  zone.stop();
+});
+
+t.test('a node that does not watch the store itself tells nothing', async (t) => {
+  const zone = new Zone();
+  const metrics = new FleetMetrics();
+  const relay = new WatchRelay({
+    store: zone.store,
+    peers: { ask: async () => ({ kind: 'refused' }) },
+    fleet: () => ({
+      liveNodes: () => NODES,
+      zoneOf: () => 'zone-1',
+      addressOf: (asked) => asked,
+      renewalAge: () => 0,
+    }),
+    self: 'node-1',
+    zone: 'zone-1',
+    clock: PROCESS_CLOCK,
+    metrics,
+  });
+  const question = { kind: 'follow-prefix', prefix: PREFIX, after: 0, wait: 10 } as const;
+  t.same(await relay.answer(question), { isCurrent: false });
+});
--- a/test/fleet/weight-rollout.test.ts
+++ b/test/fleet/weight-rollout.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { dueChanges, type RolloutTarget } from '../../src/fleet/weight-rollout.js';
+import { dueChanges, loadsAtOnce, type RolloutTarget } from '../../src/fleet/weight-rollout.js';
 import { KnownWorker } from '../../src/serving/worker-registry.js';
 import { worker } from '../serving/serving-fixtures.js';
 
@@ -44,3 +44,9 @@
     ['w1'],
   );
 });
+
+t.test('a large fleet loads more workers at once than a small one', async (t) => {
+  t.equal(loadsAtOnce(3), 2);
+  t.equal(loadsAtOnce(8), 2);
+  t.equal(loadsAtOnce(32), 9);
+});
