A stalled stream goes on at another worker

The longest items of a step decide when it is whole. Ruled out: the order 'wait' (a worker with a long item would be out for seconds). Change: a run whose stream pauses for 300 ms (600 ms before the first event) is ended and goes on elsewhere, where a worker has room; begun items go first. The worker is passed over for 600 ms. Tests: job-service (a stream that pauses; nowhere to go). The scripted engine of the tests now breaks an answer off when its request is ended, as a worker does.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -36,9 +36,9 @@
 const FULL_PAUSE: Milliseconds = 80;
 const FAILED_ATTEMPT_PAUSE: Milliseconds = 100;
 
-/** Runs are not moved before this age, nor more often than this. */
+/** Runs are not moved from slow workers before this age, nor moved more often than this. */
 const LEAST_AGE_TO_MOVE: Milliseconds = 300;
-const MOST_MOVES = 3;
+const MOST_MOVES = 8;
 
 /** Sends items to workers. */
 export class ItemDispatcher {
@@ -88,7 +88,7 @@
   tick(): void {
     this.dropClosedJobs();
     for (const job of this.jobs) this.giveUpExpired(job);
-    this.moveFromSlowWorkers();
+    this.moveRuns();
     this.dispatch();
   }
 
@@ -110,7 +110,7 @@
     for (const job of inOrder) {
       if (!job.isOpen) continue;
       const waiting = job.waiting(now);
-      waiting.sort((a, b) => b.item.expectedLength - a.item.expectedLength);
+      waiting.sort(byUrgency);
       for (const entry of waiting) this.start(job, entry, routes, now);
     }
   }
@@ -220,24 +220,61 @@
   }
 
   /** A stream goes on elsewhere at the price of reading its prompt again, which is little. */
-  private moveFromSlowWorkers(): void {
+  private moveRuns(): void {
     const now = this.options.clock.now();
     const median = medianPace(this.options.registry.all());
     for (const job of this.jobs) {
       for (const entry of job.items.values()) {
-        const run = entry.run;
-        if (run === undefined || entry.moves >= MOST_MOVES) continue;
-        if (now - run.startedAt < LEAST_AGE_TO_MOVE || !isSlow(run.worker, median)) continue;
-        const others = this.options.registry
-          .available(run.worker.record.service)
-          .filter((worker) => !isSlow(worker, median));
-        const target = placeItem(others, needsOf(job, entry), undefined, now);
-        if (target === undefined) continue;
-        entry.moves += 1;
-        run.cancel();
+        if (entry.run === undefined || entry.moves >= MOST_MOVES) continue;
+        const cause = reasonToMove(entry.run, median, now);
+        if (cause !== undefined) this.move(job, entry, entry.run, cause, median);
       }
     }
   }
+
+  /** Ends a run so that its item goes on elsewhere, if another worker can take it now. */
+  private move(
+    job: OwnedJob,
+    entry: OwnedItem,
+    run: ItemRun,
+    cause: MoveCause,
+    median: Milliseconds,
+  ): void {
+    const now = this.options.clock.now();
+    const others = this.options.registry
+      .available(run.worker.record.service)
+      .filter((worker) => worker !== run.worker && !isSlow(worker, median));
+    const target = placeItem(others, needsOf(job, entry), undefined, now);
+    if (target === undefined) return;
+    entry.moves += 1;
+    if (cause === 'stalled') run.worker.noteOutcome('stalled', now);
+    this.options.metrics.count('item_moves', { cause });
+    this.options.log.decision('item-run-moved', {
+      ...this.describe(job, entry, run.worker),
+      cause,
+      runMs: Math.round(now - run.startedAt),
+    });
+    run.cancel();
+  }
+}
+
+/** Why a run is moved to another worker. */
+type MoveCause = 'stalled' | 'slow-worker';
+
+function reasonToMove(
+  run: ItemRun,
+  median: Milliseconds,
+  now: Milliseconds,
+): MoveCause | undefined {
+  if (run.isStalled(now)) return 'stalled';
+  const isOldEnough = now - run.startedAt >= LEAST_AGE_TO_MOVE;
+  return isOldEnough && isSlow(run.worker, median) ? 'slow-worker' : undefined;
+}
+
+/** Items that were begun go on first, then the longest. */
+function byUrgency(left: OwnedItem, right: OwnedItem): number {
+  const begun = Number(right.progress.eventCount > 0) - Number(left.progress.eventCount > 0);
+  return begun === 0 ? right.item.expectedLength - left.item.expectedLength : begun;
 }
 
 function needsOf(job: OwnedJob, entry: OwnedItem): ItemNeeds {
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -30,6 +30,12 @@
   readonly betweenEvents: Milliseconds;
 }
 
+/**
+ * Pauses after which a run counts as stalled: a worker that loads weights holds its streams up
+ * for most of a second, while going on elsewhere costs some milliseconds.
+ */
+const STALL = { beforeFirst: 600, betweenEvents: 300, paces: 5 } as const;
+
 /** What a run works with. */
 export interface ItemRunContext {
   readonly engine: EnginePort;
@@ -48,6 +54,8 @@
   private readonly context: ItemRunContext;
   private silenceTimer: NodeJS.Timeout | undefined;
   private isSilent = false;
+  private heardAt: Milliseconds;
+  private hasBegun = false;
   readonly startedAt: Milliseconds;
 
   constructor(
@@ -57,6 +65,7 @@
   ) {
     this.context = context;
     this.startedAt = context.clock.now();
+    this.heardAt = this.startedAt;
   }
 
   /** Ends the run from here; the worker drops the request as its connection closes. */
@@ -64,6 +73,13 @@
     this.abort.abort();
   }
 
+  /** Whether its stream has paused for so long that another worker would go on sooner. */
+  isStalled(now: Milliseconds): boolean {
+    const silence = now - this.heardAt;
+    if (!this.hasBegun) return silence > STALL.beforeFirst;
+    return silence > Math.max(STALL.betweenEvents, STALL.paces * (this.worker.pace ?? 0));
+  }
+
   /** Sends the request and follows its stream; never rejects. */
   async perform(request: EngineRequest): Promise<ItemRunEnd> {
     this.watchSilence(this.context.silence.beforeFirst);
@@ -97,6 +113,8 @@
     try {
       for await (const chunk of answer.body) {
         this.watchSilence(this.context.silence.betweenEvents);
+        this.hasBegun = true;
+        this.heardAt = this.context.clock.now();
         const events = reader.push(chunk as Buffer);
         const now = this.context.clock.now();
         if (events.length > 0 && lastAt !== undefined) {
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -8,7 +8,7 @@
 import type { ServiceName, WorkerRecord } from './traffic-configuration.js';
 
 /** How one request at a worker ended, for the choice of later ones. */
-export type WorkerOutcome = 'success' | 'failure' | 'full';
+export type WorkerOutcome = 'success' | 'failure' | 'full' | 'stalled';
 
 /** Time that a worker is passed over after failures in a row: base, doubled up to the limit. */
 const FAILURE_PENALTY: Milliseconds = 400;
@@ -17,6 +17,9 @@
 /** Time that a worker is passed over after it said that it was full. */
 const FULL_PENALTY: Milliseconds = 100;
 
+/** Time that a worker is passed over after its streams paused. */
+const STALL_PENALTY: Milliseconds = 600;
+
 /** Age beyond which a reported load no longer counts. */
 const LOAD_LIFETIME: Milliseconds = 2_000;
 
@@ -47,8 +50,9 @@
       this.penalizedUntil = 0;
       return;
     }
-    if (outcome === 'full') {
-      this.penalizedUntil = Math.max(this.penalizedUntil, now + FULL_PENALTY);
+    if (outcome !== 'failure') {
+      const penalty = outcome === 'full' ? FULL_PENALTY : STALL_PENALTY;
+      this.penalizedUntil = Math.max(this.penalizedUntil, now + penalty);
       return;
     }
     const penalty = Math.min(FAILURE_PENALTY * 2 ** this.failuresInARow, LONGEST_PENALTY);
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -58,6 +58,38 @@
   t.equal('results' in read && read.results[0]?.text, 'a\nb\nc\nd');
 });
 
+/** A stream that gives some events and then nothing more. */
+function pausingAnswer(letters: string): EngineOutcome {
+  const body = new Readable({ read: () => {} });
+  body.push(Buffer.from(events(0, letters)));
+  return answer('', { body, isStream: true });
+}
+
+t.test('an item whose stream pauses goes on at another worker', async (t) => {
+  const engine = new ScriptedEngine([pausingAnswer('ab'), stream('cd', 2)]);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('w1'));
+  node.registry.put(worker('w2'));
+  await node.service.submit(specification('job', 1), always);
+  await workUntil(node, isFinished(node));
+  t.equal(engine.requests[1]?.lastEventId, 1);
+  t.not(engine.requests[0]?.worker.id, engine.requests[1]?.worker.id);
+  const moved = node.lines.map((line) => JSON.parse(line)).find((l) => l.msg === 'item-run-moved');
+  t.match(moved, { cause: 'stalled', events: 2 });
+});
+
+t.test('an item whose stream pauses stays where no other worker can take it', async (t) => {
+  const engine = new ScriptedEngine([pausingAnswer('ab')]);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('w1'));
+  node.registry.put(worker('w2', { draining: true }));
+  await node.service.submit(specification('job', 1), always);
+  const startedAt = performance.now();
+  await workUntil(node, () => performance.now() - startedAt > 600);
+  t.equal(engine.requests.length, 1);
+  node.dispatcher.stop();
+});
+
 t.test('an item whose attempts all fail is listed as terminated', async (t) => {
   const failed = (): EngineOutcome => answer('', { status: 500 });
   const engine = new ScriptedEngine([failed(), failed(), failed()]);
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -147,6 +147,11 @@
       if (script === 'hang') return;
       setImmediate(() => {
         signal.removeEventListener('abort', cancel);
+        // As at a real worker, ending the request breaks its answer off.
+        const breakOff = (): void => {
+          if (script.kind === 'answered') script.body.destroy(new Error('cancelled'));
+        };
+        signal.addEventListener('abort', breakOff);
         resolve(script);
       });
     });
