A coordinator that was restarted takes its own lock back at once

Ruled out: a shorter hand-over between machines (orders of two machines may not take turns). Change: the lock names the machine; a process that finds its own machine's lock of a former life replaces it under a higher token, and needs no hand-over, as that process has ended. Tests: a restarted holder; a machine of the same name elsewhere.

--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -22,7 +22,10 @@
 const LOCK_KEY = `${FLEET_PREFIX}coordinator`;
 const TERM_KEY = `${FLEET_PREFIX}coordinator-term`;
 
-const LOCK = z.object({ node: z.string(), nonce: z.string() });
+const LOCK = z.object({ node: z.string(), address: z.string(), nonce: z.string() });
+
+/** Who holds the lock, or held it last. */
+type LockRecord = z.infer<typeof LOCK>;
 
 /** Time by which each rank lets the nodes before it take a free lock. */
 const RANK_DELAY: Milliseconds = 400;
@@ -43,16 +46,14 @@
 
 /** Takes the lock when it is free, and tells whether this node may give orders. */
 export class CoordinatorLock {
-  private holderNonce: string | undefined;
-  private holderNode: NodeId | undefined;
+  private holding: LockRecord | undefined;
+  private lockRevision: Revision = ABSENT;
   private isKnown = false;
   private ownNonce: string | undefined;
   private token: Revision = 0;
-  private termRevision: Revision | undefined;
+  private termRevision: Revision = ABSENT;
   /** The last holder, also after its lock was gone. */
-  private termNonce: string | undefined;
-  /** The nonce of this node's last term. */
-  private ownTermNonce: string | undefined;
+  private lastHolder: LockRecord | undefined;
   private activeFrom: Milliseconds = Number.POSITIVE_INFINITY;
   private freeSince: Milliseconds = 0;
   private isTrying = false;
@@ -67,7 +68,7 @@
 
   /** The node that holds the lock, as far as this node knows. */
   get holder(): NodeId | undefined {
-    return this.holderNode;
+    return this.holding?.node;
   }
 
   /** The fencing token while this node may give orders; `undefined` otherwise. */
@@ -79,7 +80,8 @@
   /** Tries to take a lock that has been free for this node's turn. */
   tick(): void {
     const { fleet, clock } = this.options;
-    if (!this.isKnown || this.holderNonce !== undefined || this.isTrying) return;
+    if (!this.isKnown || this.isTrying) return;
+    if (this.holding !== undefined && !this.isHeldByFormerLife) return;
     if (fleet.leaseId === NO_LEASE || fleet.leaseRemaining() < LEASE_MARGIN) return;
     if (clock.now() - this.freeSince < this.turn() * RANK_DELAY) return;
     this.isTrying = true;
@@ -89,14 +91,20 @@
     });
   }
 
-  private get isLastHolder(): boolean {
-    return this.ownTermNonce !== undefined && this.ownTermNonce === this.termNonce;
+  /** Whether a former life of this machine holds the lock: that process surely has ended. */
+  private get isHeldByFormerLife(): boolean {
+    return this.isThisMachine(this.holding) && this.holding?.nonce !== this.ownNonce;
+  }
+
+  private isThisMachine(record: LockRecord | undefined): boolean {
+    const { self } = this.options;
+    return record?.node === self.node && record.address === self.address;
   }
 
   /** How many turns this node lets others go first; after the first term, the last holder. */
   private turn(): number {
-    if (this.isLastHolder) return 0;
-    return this.termRevision === undefined ? this.rank() : 1 + this.rank();
+    if (this.isThisMachine(this.lastHolder)) return 0;
+    return this.termRevision === ABSENT ? this.rank() : 1 + this.rank();
   }
 
   private rank(): number {
@@ -107,11 +115,12 @@
   private async acquire(): Promise<void> {
     const { store, fleet, self, clock, log, handOverDelay } = this.options;
     const nonce = randomUUID();
-    const termRevision = this.termRevision ?? ABSENT;
-    const value = JSON.stringify({ node: self.node, nonce });
+    const { termRevision, lockRevision, lastHolder } = this;
+    const record: LockRecord = { node: self.node, address: self.address, nonce };
+    const value = JSON.stringify(record);
     const outcome = await store.commit({
       expected: [
-        { key: LOCK_KEY, revision: ABSENT },
+        { key: LOCK_KEY, revision: lockRevision },
         { key: TERM_KEY, revision: termRevision },
       ],
       put: [
@@ -121,16 +130,16 @@
     });
     const revision = outcome.kind === 'committed' ? outcome.revision : await this.settle(nonce);
     if (revision === undefined) return;
-    // Nobody else gave orders since this node's last term, so there is nobody to wait for.
-    const isFirst = termRevision === ABSENT || this.isLastHolder;
-    this.ownTermNonce = nonce;
-    this.termNonce = nonce;
+    // Where no other machine gave orders since this one did, there is nobody to wait for.
+    const mayActAtOnce = termRevision === ABSENT || this.isThisMachine(lastHolder);
+    this.lastHolder = record;
+    this.termRevision = revision;
     this.ownNonce = nonce;
-    this.holderNonce = nonce;
-    this.holderNode = self.node;
+    this.holding = record;
+    this.lockRevision = revision;
     this.token = revision;
-    this.activeFrom = clock.now() + (isFirst ? 0 : handOverDelay());
-    log.state('coordinator-acquired', { fencingToken: revision, isFirst });
+    this.activeFrom = clock.now() + (mayActAtOnce ? 0 : handOverDelay());
+    log.state('coordinator-acquired', { fencingToken: revision, mayActAtOnce });
   }
 
   /** After a lost answer or a conflict: whether the lock is this attempt's. */
@@ -142,23 +151,22 @@
 
   private take(change: StoreChange): void {
     if (change.key === TERM_KEY && change.value !== undefined) {
+      if (change.revision < this.termRevision) return;
       this.termRevision = change.revision;
-      this.termNonce = parseLock(change.value)?.nonce;
+      this.lastHolder = parseLock(change.value);
     }
-    if (change.key !== LOCK_KEY) return;
+    if (change.key !== LOCK_KEY || change.revision < this.lockRevision) return;
     const lock = change.value === undefined ? undefined : parseLock(change.value);
-    const nonce = lock?.nonce;
-    if (nonce === undefined && change.revision < this.token) return;
-    this.holderNonce = nonce;
-    this.holderNode = lock?.node;
-    if (nonce === undefined) this.freeSince = this.options.clock.now();
-    if (this.ownNonce === undefined || nonce === this.ownNonce) return;
+    this.holding = lock;
+    this.lockRevision = change.value === undefined ? ABSENT : change.revision;
+    if (lock === undefined) this.freeSince = this.options.clock.now();
+    if (this.ownNonce === undefined || lock?.nonce === this.ownNonce) return;
     this.ownNonce = undefined;
     this.options.log.state('coordinator-lost', { fencingToken: this.token });
   }
 }
 
-function parseLock(text: string): z.infer<typeof LOCK> | undefined {
+function parseLock(text: string): LockRecord | undefined {
   try {
     return LOCK.safeParse(JSON.parse(text)).data;
   } catch {
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -12,6 +12,8 @@
   readonly fleet: FleetRegistry;
   readonly lock: CoordinatorLock;
   stop(): Promise<void>;
+  /** Ends it without a farewell: its lease goes on. */
+  kill(): void;
 }
 
 function contender(store: SharedStoreEmulator, self: JobOwner, handOverDelay: number): Contender {
@@ -32,7 +34,12 @@
     clearInterval(ticker);
     return fleet.stop();
   };
-  return { fleet, lock, stop };
+  const kill = (): void => {
+    clearInterval(ticker);
+    store.endLease = async () => {};
+    void fleet.stop();
+  };
+  return { fleet, lock, stop, kill };
 }
 
 t.test('one of two nodes holds the lock; tokens rise from holder to holder', async (t) => {
@@ -73,6 +80,39 @@
   await one.stop();
 });
 
+t.test('a restarted holder takes its own lock back at once, under a higher token', async (t) => {
+  const store = new SharedStoreEmulator();
+  const before = contender(store, OWNER, 60_000);
+  await eventually(() => before.lock.fencingToken() !== undefined);
+  const first = before.lock.fencingToken() ?? 0;
+  const other = contender(store, OTHER, 60_000);
+  await eventually(() => other.lock.holder === 'node-1');
+  before.kill();
+  const after = contender(store, { ...OWNER, incarnation: 'life-after' }, 60_000);
+  await eventually(() => after.lock.fencingToken() !== undefined);
+  t.ok((after.lock.fencingToken() ?? 0) > first);
+  t.equal(other.lock.fencingToken(), undefined);
+  await after.stop();
+  await other.stop();
+});
+
+t.test('a machine of the same name at another address is another holder', async (t) => {
+  const store = new SharedStoreEmulator();
+  const before = contender(store, OWNER, 60_000);
+  await eventually(() => before.lock.fencingToken() !== undefined);
+  before.kill();
+  const moved = { ...OWNER, incarnation: 'life-after', address: '127.0.0.1:77' };
+  const after = contender(store, moved, 60_000);
+  await eventually(() => after.lock.holder === 'node-1');
+  t.equal(after.lock.fencingToken(), undefined);
+  const lockBefore = store.valueOf('fleet/coordinator');
+  store.lapseLeases();
+  await eventually(() => (store.valueOf('fleet/coordinator') ?? lockBefore) !== lockBefore);
+  await eventually(() => after.lock.holder === 'node-1');
+  t.equal(after.lock.fencingToken(), undefined, 'it waits out the orders of the one before');
+  await after.stop();
+});
+
 t.test('no orders without a lease that surely goes on', async (t) => {
   const store = new SharedStoreEmulator();
   const one = contender(store, OWNER, 0);
