A settings file that changes while it is first read is not missed

Cause: the file was followed by the library's poller, which takes its first look some time after it was asked; a change between the read and that look was never seen. Found as a red run of test/settings/live-settings.test.ts (once in four runs of the whole suite). Ruled out: load; the missed change shows without load where the file is written before the watch begins, which is now a test of its own. Change: the state of the file is taken before each read and compared at each look.

--- a/src/settings/live-settings.ts
+++ b/src/settings/live-settings.ts
@@ -2,7 +2,7 @@
  * Settings that are read again while the process runs: on a signal, and when their file has
  * changed without one. A file that can't be used changes nothing; the log names the key at fault.
  */
-import { unwatchFile, watchFile } from 'node:fs';
+import { statSync } from 'node:fs';
 import { isDeepStrictEqual } from 'node:util';
 import type { Milliseconds } from '../core/units.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -27,8 +27,12 @@
 /** Holds the settings in force. */
 export class LiveSettings<Settings extends object> {
   private settings: Settings;
+  /** State of the file before it was last read, so that no later change is missed. */
+  private seen: string;
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: LiveSettingsOptions<Settings>) {
+    this.seen = fileState(options.path);
     this.settings = options.read(options.path);
   }
 
@@ -39,18 +43,20 @@
 
   /** Follows the file until {@link unwatch}. */
   watch(): void {
-    const { path, lookInterval = DEFAULT_LOOK_INTERVAL } = this.options;
-    watchFile(path, { interval: lookInterval, persistent: false }, this.onFileChange);
+    const { lookInterval = DEFAULT_LOOK_INTERVAL } = this.options;
+    this.timer = setInterval(() => this.look(), lookInterval);
+    this.timer.unref();
   }
 
   /** Follows the file no more. */
   unwatch(): void {
-    unwatchFile(this.options.path, this.onFileChange);
+    clearInterval(this.timer);
   }
 
   /** Reads the file again; the settings in force stay where it can't be used. */
   reload(cause: ReloadCause): void {
     const { path, read, log, reloadable } = this.options;
+    this.seen = fileState(path);
     let fresh: Settings;
     try {
       fresh = read(path);
@@ -69,10 +75,18 @@
     });
   }
 
-  private readonly onFileChange = (): void => this.reload('file');
+  private look(): void {
+    if (fileState(this.options.path) !== this.seen) this.reload('file');
+  }
 
   private changedKeys(fresh: Settings): (keyof Settings & string)[] {
     const keys = Object.keys(fresh) as (keyof Settings & string)[];
     return keys.filter((key) => !isDeepStrictEqual(fresh[key], this.settings[key]));
   }
 }
+
+/** What changes when a file is written anew; `missing` where there is none. */
+function fileState(path: string): string {
+  const stat = statSync(path, { throwIfNoEntry: false });
+  return stat === undefined ? 'missing' : `${stat.ino} ${stat.size} ${stat.mtimeMs}`;
+}
--- a/test/settings/live-settings.test.ts
+++ b/test/settings/live-settings.test.ts
@@ -71,6 +71,26 @@
   await eventually(() => live.current.timings.stopLimit === 5_500);
 });
 
+t.test('a change just before the file is followed is not missed', async (t) => {
+  const { live, write } = fixture(t);
+  write(['grace_s=8', 'grace_s=4.5']);
+  live.watch();
+  t.teardown(() => live.unwatch());
+  await eventually(() => live.current.timings.stopLimit === 4_500);
+});
+
+t.test('a file that is gone changes nothing, and is said once', async (t) => {
+  const { live, lines, file } = fixture(t);
+  rmSync(file);
+  live.watch();
+  t.teardown(() => live.unwatch());
+  await eventually(() => lines.length > 0);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.equal(lines.length, 1);
+  t.match(JSON.parse(lines[0] ?? ''), { msg: 'settings-rejected', cause: 'file' });
+  t.equal(live.current.timings.stopLimit, 8_000);
+});
+
 t.test('a file that cannot be used at the start ends the start', async (t) => {
   const { write, log, file } = fixture(t);
   write(['ip=10.0.0.1', '']);
