--- a/lab/emulator/shared-store-emulator.ts
+++ b/lab/emulator/shared-store-emulator.ts
@@ -87,6 +87,11 @@
     for (const lease of [...this.leases]) this.dropLease(lease);
   }
 
+  /** One lease runs out, with its keys. */
+  lapseLease(lease: LeaseId): void {
+    this.dropLease(lease);
+  }
+
   /** Writes a key without a condition, as the operator does. */
   write(key: string, value: string): Revision {
     this.apply({ expected: [], put: [{ key, value }] });
--- a/lab/faults/tcp-proxy.ts
+++ b/lab/faults/tcp-proxy.ts
@@ -7,7 +7,12 @@
 import { type AddressInfo, createServer, type Server, Socket } from 'node:net';
 
 /** What happens to traffic. */
-export type LinkState = 'open' | 'refuse' | 'black-hole';
+export type LinkState =
+  | 'open'
+  | 'refuse'
+  | 'black-hole'
+  /** What clients send arrives; what comes back is swallowed. */
+  | 'one-way';
 
 /** Options of {@link TcpProxy}. */
 export interface TcpProxyOptions {
@@ -115,7 +120,8 @@
   }
 
   private forward(link: Link, data: Buffer, to: Socket): void {
-    if (this.stateOf(link) === 'black-hole') {
+    const state = this.stateOf(link);
+    if (state === 'black-hole' || (state === 'one-way' && to === link.client)) {
       link.swallowed = true;
       return;
     }
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -63,6 +63,13 @@
   .option('--why', 'What the run is for')
   .action((flags: CommandFlags) => runModule('./days/days.js', 'days', flags));
 
+program
+  .command('soak', 'Run real gateways under random faults from outside and check the promises')
+  .option('--seed', 'Draws the faults; a fresh one where absent')
+  .option('--seconds', 'How long', 60)
+  .option('--keep', 'Keep the logs')
+  .action((flags: CommandFlags) => runModule('./soak/soak.js', 'soak', flags));
+
 program
   .command('replay <file>', 'Replay a recorded trace and compare its stated outcome')
   .action((file: string, flags: CommandFlags) => runModule('./replay/replay.js', file, flags));
--- /dev/null
+++ b/lab/soak/gateway-group.ts
@@ -0,0 +1,111 @@
+/** Real gateways as processes of their own, each behind a proxy on its way to the store. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
+import { TcpProxy } from '../faults/tcp-proxy.js';
+
+/** One gateway; its process may be down. */
+export interface SoakGateway {
+  readonly name: string;
+  readonly address: string;
+  readonly storeLink: TcpProxy;
+  readonly settingsFile: string;
+  process: StartedProcess;
+}
+
+const ZONES = ['zone-a', 'zone-b'];
+
+/** Time to the forced end of a gateway that is asked to stop, in seconds. */
+const GRACE_SECONDS = 6;
+
+/** First address of gateways on loopback: each has one of its own, as their metrics share a port. */
+const FIRST_HOST = 11;
+
+/** Path of the program that the platform starts. */
+function gatewayScript(): string {
+  return path.join(import.meta.dirname, '..', '..', 'platform', 'main.js');
+}
+
+/** Starts, signals and restarts gateways. */
+export class GatewayGroup {
+  readonly gateways: SoakGateway[] = [];
+  private readonly processes: ProcessGroup;
+
+  constructor(private readonly folder: string) {
+    mkdirSync(folder, { recursive: true });
+    this.processes = new ProcessGroup(path.join(folder, 'logs'));
+  }
+
+  /** Starts so many gateways before a store. */
+  async start(count: number, store: string): Promise<void> {
+    const ports = await freePorts(2 * count);
+    for (let index = 0; index < count; index += 1) {
+      const [front = 0, peer = 0] = ports.slice(2 * index);
+      await this.add(index, front, peer, store);
+    }
+  }
+
+  /** Kills a gateway as a crash does, and starts it again after a while. */
+  async killAndRestart(gateway: SoakGateway, pause: number): Promise<void> {
+    gateway.process.child.kill('SIGKILL');
+    await gateway.process.exited;
+    await sleep(pause);
+    this.launch(gateway);
+  }
+
+  /** Asks a gateway to stop, and starts it again when it has. */
+  async stopAndRestart(gateway: SoakGateway): Promise<void> {
+    gateway.process.child.kill('SIGTERM');
+    const forced = setTimeout(() => gateway.process.child.kill('SIGKILL'), 1_000 * GRACE_SECONDS);
+    await gateway.process.exited;
+    clearTimeout(forced);
+    this.launch(gateway);
+  }
+
+  /** Lets a gateway stand still for a while. */
+  async pause(gateway: SoakGateway, duration: number): Promise<void> {
+    const { child } = gateway.process;
+    child.kill('SIGSTOP');
+    await sleep(duration);
+    child.kill('SIGCONT');
+  }
+
+  /** Ends all gateways and their links. */
+  async stop(): Promise<void> {
+    await this.processes.stopAll();
+    for (const { storeLink } of this.gateways) await storeLink.close();
+  }
+
+  private async add(index: number, front: number, peer: number, store: string): Promise<void> {
+    const name = `gateway-${index + 1}`;
+    const host = `127.0.0.${FIRST_HOST + index}`;
+    const storeLink = new TcpProxy({ target: store });
+    const storeAddress = await storeLink.start();
+    const settingsFile = path.join(this.folder, `${name}.conf`);
+    const lines = [
+      `node_name=${name}`,
+      `zone=${ZONES[index % ZONES.length]}`,
+      'machine_class=front',
+      `ip=${host}`,
+      `internal_ports=${peer},${peer}`,
+      `listen.front=${host}:${front}`,
+      `platform.address=${storeAddress}`,
+      `bounds.grace_s=${GRACE_SECONDS}`,
+    ];
+    writeFileSync(settingsFile, `${lines.join('\n')}\n`);
+    const gateway = { name, address: `${host}:${front}`, storeLink, settingsFile };
+    this.gateways.push({ ...gateway, process: this.process(name, settingsFile) });
+  }
+
+  private launch(gateway: SoakGateway): void {
+    gateway.process = this.process(gateway.name, gateway.settingsFile);
+  }
+
+  private process(name: string, settingsFile: string): StartedProcess {
+    return this.processes.start(name, gatewayScript(), [], { WARDWING_CONFIG: settingsFile });
+  }
+}
+
+function sleep(duration: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/lab/soak/platform-store.ts
@@ -0,0 +1,177 @@
+/**
+ * The platform's store on a socket: the emulator of the shared store behind the calls of the
+ * published protocol, with leases that run out by themselves.
+ */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { z } from 'zod';
+import { STORE } from '../../platform/names.js';
+import type { StoreChange, StoreItem } from '../../src/shared-store/shared-store.js';
+import { SharedStoreEmulator } from '../emulator/shared-store-emulator.js';
+
+const ROW = z.object({ tls_key: z.string(), revision: z.number() });
+const PUT = z.object({ tls_key: z.string(), value: z.string(), lease: z.number().default(0) });
+const COMMIT = z.object({
+  expected_revision: z.array(ROW).default([]),
+  put: z.array(PUT).default([]),
+  remove: z.array(z.string()).default([]),
+});
+const GRANT = z.object({ ttl_ms: z.number() });
+
+/** An answer; `undefined` drops the connection without one. */
+type Reply = { readonly status: number; readonly body: unknown } | undefined;
+
+const UNAVAILABLE: Reply = { status: 503, body: {} };
+
+/** The stand-in. */
+export class PlatformStore {
+  readonly emulator = new SharedStoreEmulator();
+  private readonly server: http.Server;
+  private readonly leases = new Map<number, { readonly ttl: number; timer: NodeJS.Timeout }>();
+
+  constructor() {
+    this.server = http.createServer((request, response) => void this.serve(request, response));
+    this.server.keepAliveTimeout = 60_000;
+  }
+
+  /** Listens; resolves with the address. */
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Listens no more. */
+  stop(): void {
+    for (const { timer } of this.leases.values()) clearTimeout(timer);
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const gone = new AbortController();
+    response.once('close', () => gone.abort());
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      return;
+    }
+    const reply = await this.answer(request, Buffer.concat(chunks).toString(), gone.signal);
+    if (reply === undefined) request.socket.destroy();
+    else {
+      response.writeHead(reply.status, { 'content-type': 'application/json' });
+      response.end(JSON.stringify(reply.body));
+    }
+  }
+
+  private answer(
+    request: http.IncomingMessage,
+    body: string,
+    gone: AbortSignal,
+  ): Promise<Reply> | Reply {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const query = (name: string): string => url.searchParams.get(name) ?? '';
+    const { pathname } = url;
+    if (pathname === STORE.key) return this.get(query('tls_key'));
+    if (pathname === STORE.range) return this.range(query('path_prefix'), query('after_revision'));
+    if (pathname === STORE.watch) {
+      const after = Number(query('after_revision'));
+      return this.watch(query('path_prefix'), after, Number(query('wait_ms')), gone);
+    }
+    if (pathname === STORE.commit) return this.commit(body);
+    if (pathname === STORE.grant) return this.grant(body);
+    if (pathname.startsWith(STORE.keep)) return this.keep(Number(pathname.split('/').at(-1)));
+    if (pathname.startsWith(STORE.end)) return this.end(Number(pathname.split('/').at(-1)));
+    return { status: 404, body: {} };
+  }
+
+  private async get(key: string): Promise<Reply> {
+    const outcome = await this.emulator.get(key);
+    if (outcome.kind === 'failed') return UNAVAILABLE;
+    if (outcome.item === undefined) return { status: 404, body: {} };
+    return { status: 200, body: wireItem(outcome.item) };
+  }
+
+  private async range(prefix: string, after: string): Promise<Reply> {
+    const outcome = await this.emulator.range(prefix, after);
+    if (outcome.kind === 'failed') return UNAVAILABLE;
+    const requests = outcome.items.map(wireItem);
+    return { status: 200, body: { requests, more: false, at: outcome.revision } };
+  }
+
+  private async watch(
+    prefix: string,
+    after: number,
+    wait: number,
+    gone: AbortSignal,
+  ): Promise<Reply> {
+    const outcome = await this.emulator.watch(prefix, after, wait, gone);
+    if (outcome.kind === 'failed') return undefined;
+    if (outcome.kind === 'compacted') return { status: 410, body: {} };
+    return { status: 200, body: { events: outcome.changes.map(wireChange), at: outcome.revision } };
+  }
+
+  private async commit(body: string): Promise<Reply> {
+    const commit = COMMIT.parse(JSON.parse(body));
+    const outcome = await this.emulator.commit({
+      expected: commit.expected_revision.map((row) => ({
+        key: row.tls_key,
+        revision: row.revision,
+      })),
+      put: commit.put.map(({ tls_key, value, lease }) => ({
+        key: tls_key,
+        value: Buffer.from(value, 'base64').toString('utf8'),
+        lease,
+      })),
+      remove: commit.remove,
+    });
+    if (outcome.kind === 'committed') return { status: 200, body: { revision: outcome.revision } };
+    if (outcome.kind === 'conflict') return { status: 412, body: { requests: [] } };
+    if (outcome.kind === 'lease-gone') return { status: 404, body: {} };
+    return outcome.effect === 'not-done' ? UNAVAILABLE : undefined;
+  }
+
+  private async grant(body: string): Promise<Reply> {
+    const { ttl_ms: ttl } = GRANT.parse(JSON.parse(body));
+    const outcome = await this.emulator.grantLease(ttl);
+    if (outcome.kind === 'failed') return UNAVAILABLE;
+    this.renew(outcome.lease, ttl);
+    return { status: 200, body: { lease: outcome.lease, ttl_ms: ttl } };
+  }
+
+  private async keep(lease: number): Promise<Reply> {
+    const outcome = await this.emulator.keepLease(lease);
+    if (outcome.kind === 'failed') return UNAVAILABLE;
+    const known = this.leases.get(lease);
+    if (outcome.kind === 'gone' || known === undefined) return { status: 404, body: {} };
+    this.renew(lease, known.ttl);
+    return { status: 200, body: { ttl_ms: known.ttl } };
+  }
+
+  private async end(lease: number): Promise<Reply> {
+    await this.emulator.endLease(lease);
+    return { status: 200, body: {} };
+  }
+
+  private renew(lease: number, ttl: number): void {
+    clearTimeout(this.leases.get(lease)?.timer);
+    const timer = setTimeout(() => {
+      this.leases.delete(lease);
+      this.emulator.lapseLease(lease);
+    }, ttl);
+    this.leases.set(lease, { ttl, timer });
+  }
+}
+
+function encode(value: string): string {
+  return Buffer.from(value, 'utf8').toString('base64');
+}
+
+function wireItem({ key, value, revision }: StoreItem): unknown {
+  return { tls_key: key, value: encode(value), revision, made: revision, lease: 0 };
+}
+
+function wireChange({ key, value, revision }: StoreChange): unknown {
+  if (value === undefined) return { tls_key: key, revision, gone: true };
+  return { tls_key: key, value: encode(value), revision, made: revision, lease: 0 };
+}
--- /dev/null
+++ b/lab/soak/promise-checker.ts
@@ -0,0 +1,186 @@
+/**
+ * Checks the promises by what callers and workers see on their sockets: complete answers, samples
+ * whose text and versions are those that were made, positions that never change, jobs that stay,
+ * refusals that are true, orders under rising tokens, and no work for jobs that have ended.
+ */
+import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+
+/** A promise that was broken. */
+export interface Violation {
+  readonly promise:
+    | 'complete-answer'
+    | 'sample-text'
+    | 'sample-versions'
+    | 'positions'
+    | 'job-kept'
+    | 'refusal-true'
+    | 'fencing'
+    | 'ended-job'
+    | 'leaving-worker';
+  readonly detail: string;
+  /** Milliseconds since the soak began. */
+  readonly at: Milliseconds;
+}
+
+/** One listed result as a trainer read it. */
+export interface ReadResult {
+  readonly id: string;
+  readonly state: string;
+  readonly text: string;
+  readonly versions: readonly WeightVersion[];
+}
+
+/** What a trainer handed in. */
+export interface SubmittedJob {
+  readonly id: string;
+  readonly minVersion: WeightVersion;
+  /** Events that a whole sample has, by item. */
+  readonly events: ReadonlyMap<string, number>;
+}
+
+interface KnownJob extends SubmittedJob {
+  isAccepted: boolean;
+  endedAt: Milliseconds | undefined;
+  readonly positions: string[];
+}
+
+/** Time after the acknowledged end of a job in which its items may still reach a worker. */
+const CANCEL_LIMIT: Milliseconds = 3_000;
+
+/** Time after a worker said that it leaves in which work may still reach it. */
+const DRAIN_LIMIT: Milliseconds = 2_000;
+
+/** Line of a sample that event `index` of an item makes at a version. */
+export function sampleLine(item: string, index: number, version: WeightVersion): string {
+  return `${item}.${index}.v${version}`;
+}
+
+/** Collects what was seen and says what was broken. */
+export class PromiseChecker {
+  readonly violations: Violation[] = [];
+  /** Comparisons made. */
+  checked = 0;
+  private readonly jobs = new Map<string, KnownJob>();
+  private readonly jobOfItem = new Map<string, string>();
+  private readonly startedItems = new Set<string>();
+  private readonly holders = new Map<number, string>();
+
+  constructor(private readonly now: () => Milliseconds) {}
+
+  /** A lookup got a success with this body. */
+  lookupAnswered(request: string, body: string, expected: string): void {
+    this.check(body === expected, 'complete-answer', `${request} got ${body.slice(0, 60)}`);
+  }
+
+  /** A job is about to be handed in for the first time. */
+  jobOffered(job: SubmittedJob): void {
+    this.jobs.set(job.id, { ...job, isAccepted: false, endedAt: undefined, positions: [] });
+    for (const item of job.events.keys()) this.jobOfItem.set(item, job.id);
+  }
+
+  /** A job was answered with 202. */
+  jobAccepted(job: string): void {
+    const known = this.jobs.get(job);
+    if (known !== undefined) known.isAccepted = true;
+  }
+
+  /** All attempts at a job were refused with a promise that nothing of it runs. */
+  jobRefused(job: string): void {
+    const started = [...(this.jobs.get(job)?.events.keys() ?? [])].filter((item) =>
+      this.startedItems.has(item),
+    );
+    this.check(started.length === 0, 'refusal-true', `${job} was refused, ${started[0]} ran`);
+  }
+
+  /** The end of a job was acknowledged. */
+  jobEnded(job: string): void {
+    const known = this.jobs.get(job);
+    if (known !== undefined) known.endedAt ??= this.now();
+  }
+
+  /** An accepted job was answered as unknown. */
+  jobUnknown(job: string): void {
+    const isAccepted = this.jobs.get(job)?.isAccepted === true;
+    this.check(!isAccepted, 'job-kept', `${job} was accepted and is not known`);
+  }
+
+  /** Results were read from a position on. */
+  resultsRead(job: string, total: number, after: number, results: readonly ReadResult[]): void {
+    const known = this.jobs.get(job);
+    if (known === undefined) return;
+    this.check(total === known.events.size, 'positions', `${job} has total ${total}`);
+    for (const [offset, result] of results.entries()) {
+      this.checkPosition(known, after + offset, result);
+      this.checkSample(known, result);
+    }
+  }
+
+  /** Results that were read before and are asked for again, from the start. */
+  resultsReadAgain(job: string, count: number): void {
+    const seen = this.jobs.get(job)?.positions.length ?? 0;
+    this.check(count >= seen, 'job-kept', `${job} had ${seen} results and has ${count}`);
+  }
+
+  /** A worker began to run an item. */
+  itemStarted(item: string, isLeavingSince: Milliseconds | undefined, isCalm: boolean): void {
+    this.startedItems.add(item);
+    const job = this.jobs.get(this.jobOfItem.get(item) ?? '');
+    const endedFor = job?.endedAt === undefined ? 0 : this.now() - job.endedAt;
+    if (isCalm)
+      this.check(endedFor <= CANCEL_LIMIT, 'ended-job', `${item} ran ${endedFor} ms late`);
+    if (isLeavingSince === undefined || !isCalm) return;
+    const leavingFor = this.now() - isLeavingSince;
+    this.check(leavingFor <= DRAIN_LIMIT, 'leaving-worker', `${item} after ${leavingFor} ms`);
+  }
+
+  /** A worker took an order. */
+  orderTaken(holder: string, token: number, highestBefore: number): void {
+    const before = this.holders.get(token);
+    this.check(
+      before === undefined || before === holder,
+      'fencing',
+      `${token}: ${before}, ${holder}`,
+    );
+    this.holders.set(token, holder);
+    this.check(token >= highestBefore, 'fencing', `${token} after ${highestBefore}`);
+  }
+
+  /** Jobs that were accepted, with the results that were read. */
+  acceptedJobs(): readonly { readonly id: string; readonly read: number }[] {
+    return [...this.jobs.values()]
+      .filter((job) => job.isAccepted)
+      .map(({ id, positions }) => ({ id, read: positions.length }));
+  }
+
+  private checkPosition(job: KnownJob, position: number, result: ReadResult): void {
+    const key = JSON.stringify([result.id, result.state, result.text]);
+    const before = job.positions[position];
+    if (before === undefined) {
+      const isNew = !job.positions.some((other) => JSON.parse(other)[0] === result.id);
+      this.check(isNew, 'positions', `${result.id} stands twice in ${job.id}`);
+      job.positions[position] = key;
+    } else this.check(before === key, 'positions', `${job.id}[${position}] has changed`);
+  }
+
+  private checkSample(job: KnownJob, result: ReadResult): void {
+    const events = job.events.get(result.id);
+    this.check(events !== undefined, 'positions', `${result.id} is not of ${job.id}`);
+    if (result.state !== 'completed' || events === undefined) return;
+    const lines = result.text.split('\n');
+    const versions = lines.map((line) => Number(line.split('.v').at(-1)));
+    const isWhole =
+      lines.length === events &&
+      lines.every((line, index) => line === sampleLine(result.id, index, versions[index] ?? 0));
+    this.check(isWhole, 'sample-text', `${result.id} has ${lines.length} of ${events} events`);
+    const told = [...result.versions].sort((a, b) => a - b).join();
+    const made = [...new Set(versions)].sort((a, b) => a - b).join();
+    this.check(told === made, 'sample-versions', `${result.id} names ${told}, made by ${made}`);
+    const oldest = Math.min(...versions);
+    this.check(oldest >= job.minVersion, 'sample-versions', `${result.id} is of ${oldest}`);
+  }
+
+  private check(holds: boolean, promise: Violation['promise'], detail: string): void {
+    this.checked += 1;
+    if (!holds) this.violations.push({ promise, detail, at: Math.round(this.now()) });
+  }
+}
--- /dev/null
+++ b/lab/soak/soak-callers.ts
@@ -0,0 +1,267 @@
+/** The callers of the soak: lookups, and a trainer that draws step after step. */
+import http from 'node:http';
+import { z } from 'zod';
+import { HEADERS, PATHS } from '../../platform/names.js';
+import type { RandomSource } from '../../src/core/random.js';
+import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import type { PromiseChecker } from './promise-checker.js';
+import { EVENT_COUNT_HEADER } from './worker-stand-in.js';
+
+/** Where the routes of the soak lead. */
+export const SOAK_HOST = 'soak.example';
+export const LOOKUP_PREFIX = '/lookups/';
+export const ROLLOUT_PREFIX = '/rollouts/';
+
+const GROUPS = 3;
+const GROUP_SIZE = 4;
+const MOST_EVENTS = 40;
+
+/** Longest time for a step, and for one call. */
+const STEP_LIMIT: Milliseconds = 12_000;
+const CALL_LIMIT: Milliseconds = 2_500;
+const LOOKUP_LIMIT: Milliseconds = 1_500;
+
+const RESULTS = z.object({
+  total: z.number(),
+  next_page_token: z.number(),
+  results: z.array(
+    z.object({
+      id: z.string(),
+      state: z.string(),
+      text: z.string(),
+      versions: z.array(z.number()),
+    }),
+  ),
+});
+
+/** What callers need of the soak around them. */
+export interface CallerSurroundings {
+  readonly checker: PromiseChecker;
+  readonly random: RandomSource;
+  readonly now: () => Milliseconds;
+  /** Front addresses of the gateways. */
+  readonly addresses: readonly string[];
+  readonly model: string;
+  /** Names a version to the platform. */
+  readonly nameVersion: (version: WeightVersion) => void;
+}
+
+/** What came of all calls. */
+export interface CallerCounts {
+  lookups: number;
+  lookupsServed: number;
+  steps: number;
+  stepsWhole: number;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Asks until told to stop. */
+export class SoakCallers {
+  readonly counts: CallerCounts = { lookups: 0, lookupsServed: 0, steps: 0, stepsWhole: 0 };
+  private isStopped = false;
+  private loops: Promise<void>[] = [];
+
+  constructor(private readonly surroundings: CallerSurroundings) {}
+
+  /** Begins to ask. */
+  start(): void {
+    this.loops = [this.lookups(), this.lookups(), this.trainer()];
+  }
+
+  /** Asks no more; resolves when nothing is under way. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.loops);
+  }
+
+  /** Reads all accepted jobs once more, each at some gateway, until each has answered. */
+  async readAllAgain(limit: Milliseconds): Promise<void> {
+    const { checker, now } = this.surroundings;
+    const giveUpAt = now() + limit;
+    for (const { id, read } of checker.acceptedJobs()) {
+      let count = -1;
+      while (count < read && now() < giveUpAt) {
+        count = Math.max(count, await this.countResults(id));
+        if (count < read) await sleep(200);
+      }
+      checker.resultsReadAgain(id, count);
+    }
+  }
+
+  private async lookups(): Promise<void> {
+    const { checker, random } = this.surroundings;
+    while (!this.isStopped) {
+      const id = random.identifier();
+      const answer = await this.call('POST', `${LOOKUP_PREFIX}${id}`, {
+        id,
+        body: `question-${id}`,
+        limit: LOOKUP_LIMIT,
+      });
+      this.counts.lookups += 1;
+      if (answer?.status === 200) {
+        this.counts.lookupsServed += 1;
+        checker.lookupAnswered(id, answer.body, `${id}:question-${id}`);
+      }
+      await sleep(40);
+    }
+  }
+
+  private async trainer(): Promise<void> {
+    for (let step = 0; !this.isStopped; step += 1) {
+      this.counts.steps += 1;
+      const isWhole = await this.drawStep(step);
+      if (isWhole) this.counts.stepsWhole += 1;
+      this.surroundings.nameVersion(step + 2);
+    }
+  }
+
+  /** Draws one step; tells whether all its samples came. */
+  private async drawStep(step: number): Promise<boolean> {
+    const { checker, random, now } = this.surroundings;
+    const id = random.identifier();
+    const minVersion = Math.max(1, step);
+    const items = Array.from({ length: GROUPS * GROUP_SIZE }, (_, index) => ({
+      id: random.identifier(),
+      events: 1 + random.integer(MOST_EVENTS),
+      group: `group-${Math.floor(index / GROUP_SIZE)}`,
+    }));
+    const events = new Map(items.map((item) => [item.id, item.events]));
+    checker.jobOffered({ id, minVersion, events });
+    const deadline = now() + STEP_LIMIT;
+    const body = JSON.stringify({
+      step,
+      model: this.surroundings.model,
+      min_version: minVersion,
+      desired_count: GROUPS,
+      requests: items.map((item) => ({
+        id: item.id,
+        path: `${ROLLOUT_PREFIX}${item.id}`,
+        headers: { [EVENT_COUNT_HEADER]: String(item.events) },
+        body: Buffer.from(item.id).toString('base64'),
+        tokens: 10 * item.events,
+        group: item.group,
+      })),
+    });
+    if (!(await this.submit(id, body, deadline))) return false;
+    const isWhole = await this.readUntilWhole(id, items.length, deadline);
+    await this.end(id, deadline);
+    return isWhole;
+  }
+
+  private async submit(id: string, body: string, deadline: Milliseconds): Promise<boolean> {
+    const { checker, now } = this.surroundings;
+    let isPromise = true;
+    while (now() < deadline) {
+      const answer = await this.call('POST', `${ROLLOUT_PREFIX}${id}`, { id, body });
+      if (answer?.status === 202) {
+        checker.jobAccepted(id);
+        return true;
+      }
+      isPromise &&= answer?.status === 503 || answer?.status === 429;
+      await sleep(150);
+    }
+    if (isPromise) checker.jobRefused(id);
+    return false;
+  }
+
+  private async readUntilWhole(
+    id: string,
+    total: number,
+    deadline: Milliseconds,
+  ): Promise<boolean> {
+    const { random, now } = this.surroundings;
+    let position = 0;
+    while (position < total && now() < deadline) {
+      // Now and then a trainer reads from an earlier position.
+      const after = random.integer(6) === 0 ? random.integer(position + 1) : position;
+      position = Math.max(position, await this.read(id, after));
+      await sleep(100);
+    }
+    return position >= total;
+  }
+
+  /** Reads results from a position on; gives the position after them, 0 where none came. */
+  private async read(id: string, after: number): Promise<number> {
+    const { checker } = this.surroundings;
+    const answer = await this.call('GET', `${PATHS.jobs}${id}?after_revision=${after}`, {
+      id,
+      wait: 500,
+    });
+    if (answer?.status === 404) checker.jobUnknown(id);
+    if (answer?.status !== 200) return 0;
+    const page = RESULTS.parse(JSON.parse(answer.body));
+    checker.resultsRead(id, page.total, after, page.results);
+    return page.next_page_token;
+  }
+
+  private async countResults(id: string): Promise<number> {
+    let position = 0;
+    for (;;) {
+      const next = await this.read(id, position);
+      if (next <= position) return position;
+      position = next;
+    }
+  }
+
+  private async end(id: string, deadline: Milliseconds): Promise<void> {
+    const { checker, now } = this.surroundings;
+    while (now() < deadline + STEP_LIMIT) {
+      const answer = await this.call('DELETE', `${PATHS.jobs}${id}`, { id });
+      if (answer?.status === 404) checker.jobUnknown(id);
+      if (answer?.status === 200) return checker.jobEnded(id);
+      await sleep(150);
+    }
+  }
+
+  private call(
+    method: string,
+    path: string,
+    { id, body, wait, limit = CALL_LIMIT }: CallOptions,
+  ): Promise<Answer | undefined> {
+    const { random, addresses } = this.surroundings;
+    const address = addresses[random.integer(addresses.length)] ?? '';
+    const [host, port] = address.split(':');
+    const headers: http.OutgoingHttpHeaders = {
+      host: SOAK_HOST,
+      connection: 'close',
+      [HEADERS.requestId]: id,
+      [HEADERS.deadline]: String(limit),
+    };
+    if (wait !== undefined) headers[HEADERS.wait] = String(wait);
+    return new Promise((resolve) => {
+      const request = http.request({ agent: false, host, port, method, path, headers });
+      const timer = setTimeout(() => request.destroy(), limit);
+      const settle = (answer: Answer | undefined): void => {
+        clearTimeout(timer);
+        resolve(answer);
+      };
+      request.on('error', () => settle(undefined));
+      request.on('response', (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => settle(undefined));
+        response.on('close', () => {
+          const text = Buffer.concat(chunks).toString();
+          const status = response.statusCode ?? 0;
+          settle(response.complete ? { status, body: text } : undefined);
+        });
+      });
+      request.end(body);
+    });
+  }
+}
+
+interface CallOptions {
+  readonly id: string;
+  readonly body?: string;
+  readonly wait?: Milliseconds;
+  readonly limit?: Milliseconds;
+}
+
+function sleep(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/lab/soak/soak-run.ts
@@ -0,0 +1,247 @@
+/** One soak: a fleet of real gateways, stand-ins around it, callers, and faults from outside. */
+import { KEY_PREFIXES } from '../../platform/names.js';
+import { createRandomSource } from '../../src/core/random.js';
+import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { type PlannedFault, planFaults, QUIET_END } from './fault-schedule.js';
+import { GatewayGroup, type SoakGateway } from './gateway-group.js';
+import { PlatformStore } from './platform-store.js';
+import { PromiseChecker, type Violation } from './promise-checker.js';
+import {
+  type CallerCounts,
+  LOOKUP_PREFIX,
+  ROLLOUT_PREFIX,
+  SOAK_HOST,
+  SoakCallers,
+} from './soak-callers.js';
+import { WorkerPool } from './worker-pool.js';
+
+/** What to run. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly length: Milliseconds;
+  readonly gateways: number;
+  readonly modelWorkers: number;
+  readonly lookupWorkers: number;
+  /** Where settings and logs go. */
+  readonly folder: string;
+}
+
+/** What came of it. */
+export interface SoakReport {
+  readonly faults: number;
+  readonly checked: number;
+  readonly violations: readonly Violation[];
+  readonly counts: CallerCounts;
+}
+
+const MODEL = 'soak-model';
+const MODEL_SERVICE = 'models';
+const LOOKUP_SERVICE = 'lookups';
+
+/** Time after a fault in which late work is excused. */
+const CALM_AFTER: Milliseconds = 3_500;
+
+/** Time for reading everything again at the end. */
+const LAST_READ_LIMIT: Milliseconds = 15_000;
+
+/** Delay of a slow link to the store. */
+const SLOW_LINK: Milliseconds = 150;
+const SLOW_WORKER: Milliseconds = 60;
+
+/** Carries out one soak. */
+export class SoakRun {
+  private readonly startedAt = performance.now();
+  private readonly store = new PlatformStore();
+  private readonly checker: PromiseChecker;
+  private readonly gateways: GatewayGroup;
+  private readonly workers: WorkerPool;
+  private readonly underWay = new Set<Promise<void>>();
+  private newest: WeightVersion = 1;
+  private configurationVersion = 0;
+  private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: SoakOptions) {
+    const now = (): Milliseconds => performance.now() - this.startedAt;
+    this.checker = new PromiseChecker(now);
+    this.gateways = new GatewayGroup(options.folder);
+    const isCalm = (): boolean => this.underWay.size === 0 && now() - this.lastFaultAt > CALM_AFTER;
+    const surroundings = { checker: this.checker, model: MODEL, now, isCalm };
+    const random = createRandomSource(options.seed + 1);
+    this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
+  }
+
+  /** Runs to the end. */
+  async run(): Promise<SoakReport> {
+    const { seed, length } = this.options;
+    const faults = planFaults(seed, length);
+    const address = await this.store.start();
+    this.writeConfiguration();
+    await this.workers.start(MODEL_SERVICE, this.options.modelWorkers);
+    await this.workers.start(LOOKUP_SERVICE, this.options.lookupWorkers);
+    await this.gateways.start(this.options.gateways, address);
+    const callers = new SoakCallers({
+      checker: this.checker,
+      random: createRandomSource(seed + 2),
+      now: () => this.elapsed(),
+      addresses: this.gateways.gateways.map((gateway) => gateway.address),
+      model: MODEL,
+      nameVersion: (version) => this.nameVersion(version),
+    });
+    callers.start();
+    for (const fault of faults) await this.bringOn(fault);
+    await this.sleepUntil(length - QUIET_END);
+    await Promise.all(this.underWay);
+    await callers.stop();
+    await callers.readAllAgain(LAST_READ_LIMIT);
+    await this.gateways.stop();
+    await this.workers.stop();
+    this.store.stop();
+    const { violations, checked } = this.checker;
+    return { faults: faults.length, checked, violations, counts: callers.counts };
+  }
+
+  private elapsed(): Milliseconds {
+    return performance.now() - this.startedAt;
+  }
+
+  private async sleepUntil(at: Milliseconds): Promise<void> {
+    await sleep(Math.max(0, at - this.elapsed()));
+  }
+
+  private async bringOn(fault: PlannedFault): Promise<void> {
+    await this.sleepUntil(fault.at);
+    const work = this.perform(fault).finally(() => {
+      this.underWay.delete(work);
+      this.lastFaultAt = this.elapsed();
+    });
+    this.underWay.add(work);
+  }
+
+  private async perform({ kind, duration, target }: PlannedFault): Promise<void> {
+    const { emulator } = this.store;
+    const gateway = pick(this.gateways.gateways, target);
+    const place = pick(this.workers.places, target);
+    switch (kind) {
+      case 'gateway-killed':
+        return this.gateways.killAndRestart(gateway, duration / 4);
+      case 'gateway-paused':
+        return this.gateways.pause(gateway, duration);
+      case 'gateway-stopped':
+        return this.gateways.stopAndRestart(gateway);
+      case 'gateway-without-store':
+        return this.withLink(gateway, 'black-hole', duration);
+      case 'gateway-hears-no-store':
+        return this.withLink(gateway, 'one-way', duration);
+      case 'gateway-store-slow':
+        gateway.storeLink.delay = SLOW_LINK;
+        await sleep(duration);
+        gateway.storeLink.delay = 0;
+        return undefined;
+      case 'gateway-store-reset':
+        return gateway.storeLink.cut();
+      case 'all-gateways-killed':
+        await Promise.all(
+          this.gateways.gateways.map((one) => this.gateways.killAndRestart(one, 300)),
+        );
+        return undefined;
+      case 'store-refusing':
+      case 'store-silent':
+        emulator.setAvailability(kind === 'store-silent' ? 'silent' : 'refusing');
+        await sleep(duration);
+        emulator.setAvailability('up');
+        return undefined;
+      case 'store-forgets':
+        return emulator.compact();
+      case 'store-leases-lapse':
+        return emulator.lapseLeases();
+      case 'store-answers-lost':
+        return emulator.loseAnswers('applied', 'applied', 'applied');
+      case 'store-writes-late':
+        emulator.loseAnswers('applied-late', 'applied-late');
+        await sleep(duration);
+        return emulator.applyLateCommits();
+      case 'worker-crashed':
+        return this.workers.crash(place, duration / 2);
+      case 'worker-silent':
+        place.link.set('black-hole');
+        await sleep(duration);
+        return place.link.set('open');
+      case 'worker-slow':
+        place.link.delay = SLOW_WORKER;
+        await sleep(duration);
+        place.link.delay = 0;
+        return undefined;
+      case 'worker-reset':
+        return place.link.cut();
+      case 'worker-leaves':
+        return this.workers.leave(place);
+      case 'configuration-changed':
+        return this.writeConfiguration();
+    }
+  }
+
+  private async withLink(
+    { storeLink }: SoakGateway,
+    state: 'black-hole' | 'one-way',
+    duration: Milliseconds,
+  ): Promise<void> {
+    storeLink.set(state);
+    await sleep(duration);
+    storeLink.set('open');
+  }
+
+  private nameVersion(version: WeightVersion): void {
+    this.newest = version;
+    const named = JSON.stringify({ model: MODEL, version });
+    this.store.emulator.write(`${KEY_PREFIXES.version}${MODEL}`, named);
+  }
+
+  private writeConfiguration(): void {
+    this.configurationVersion += 1 + (this.configurationVersion % 3);
+    const route = { host: SOAK_HOST, timeout_ms: 10_000, target_latency_ms: 200, priority: 1 };
+    const configuration = {
+      version: this.configurationVersion,
+      routes: [
+        {
+          ...route,
+          name: 'lookups',
+          path_prefix: LOOKUP_PREFIX,
+          kind: 'read_only',
+          service: LOOKUP_SERVICE,
+          max_attempts: 3,
+        },
+        {
+          ...route,
+          name: 'rollouts',
+          path_prefix: ROLLOUT_PREFIX,
+          kind: 'rollout',
+          service: MODEL_SERVICE,
+          max_attempts: 3,
+          resumable: true,
+          max_queue_s: 60,
+        },
+      ],
+      services: [
+        { name: MODEL_SERVICE, engine: { models: [{ name: MODEL }] } },
+        { name: LOOKUP_SERVICE },
+      ],
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 33_554_432,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+      },
+    };
+    this.store.emulator.write(KEY_PREFIXES.configuration, JSON.stringify(configuration));
+  }
+}
+
+function pick<Item>(items: readonly Item[], target: number): Item {
+  const item = items[target % items.length];
+  if (item === undefined) throw new Error('there is nothing to pick from');
+  return item;
+}
+
+function sleep(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/lab/soak/worker-pool.ts
@@ -0,0 +1,98 @@
+/** The workers of the soak: each behind a proxy, registered in the store as the platform does it. */
+import { KEY_PREFIXES } from '../../platform/names.js';
+import type { RandomSource } from '../../src/core/random.js';
+import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { TcpProxy } from '../faults/tcp-proxy.js';
+import type { PlatformStore } from './platform-store.js';
+import { WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
+
+/** A place for a worker; its lives follow each other there. */
+export interface WorkerPlace {
+  readonly service: string;
+  worker: WorkerStandIn;
+  link: TcpProxy;
+  address: string;
+}
+
+/** Time that a worker serves on after it said that it leaves. */
+const LINGER: Milliseconds = 2_600;
+
+/** Time after which the record of a worker that fell silent goes. */
+const RECORD_LIFE: Milliseconds = 2_000;
+
+/** Keeps workers running. */
+export class WorkerPool {
+  readonly places: WorkerPlace[] = [];
+
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly random: RandomSource,
+    private readonly surroundings: Omit<WorkerSurroundings, 'onChange'>,
+    private readonly newestVersion: () => WeightVersion,
+  ) {}
+
+  /** Starts so many workers of a service. */
+  async start(service: string, count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) this.places.push(await this.launch(service));
+  }
+
+  /** A worker ends in the middle of everything; another life begins after a while. */
+  async crash(place: WorkerPlace, pause: Milliseconds): Promise<void> {
+    const { worker, link } = place;
+    worker.crash();
+    await link.close();
+    await sleep(Math.max(pause, RECORD_LIFE));
+    this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
+    Object.assign(place, await this.launch(place.service));
+  }
+
+  /** A worker says that it leaves, serves on for a while, and is replaced. */
+  async leave(place: WorkerPlace): Promise<void> {
+    const { worker, link } = place;
+    if (worker.isLeaving) return;
+    worker.leave();
+    await sleep(LINGER);
+    worker.crash();
+    await link.close();
+    this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
+    Object.assign(place, await this.launch(place.service));
+  }
+
+  /** Ends all workers. */
+  async stop(): Promise<void> {
+    for (const { worker, link } of this.places) {
+      worker.crash();
+      await link.close();
+    }
+  }
+
+  private async launch(service: string): Promise<WorkerPlace> {
+    const onChange = (changed: WorkerStandIn): void => this.register(service, changed, address);
+    const id = `i-${this.random.identifier().slice(0, 10)}`;
+    const worker = new WorkerStandIn(id, this.newestVersion(), { ...this.surroundings, onChange });
+    const link = new TcpProxy({ target: await worker.start() });
+    const address = await link.start();
+    this.register(service, worker, address);
+    return { service, worker, link, address };
+  }
+
+  private register(service: string, worker: WorkerStandIn, address: string): void {
+    const models = [{ name: this.surroundings.model, version: worker.weightVersion, adapters: [] }];
+    const record = {
+      service,
+      address,
+      zone: 'zone-a',
+      version: 'v1',
+      slots: 8,
+      state: worker.isLeaving ? 'draining' : 'ready',
+      cold_remaining_ms: 0,
+      models,
+      sequence: 1,
+    };
+    this.store.emulator.write(`${KEY_PREFIXES.workers}${worker.id}`, JSON.stringify(record));
+  }
+}
+
+function sleep(duration: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/lab/soak/worker-stand-in.ts
@@ -0,0 +1,179 @@
+/**
+ * A model worker on a socket: streams samples, answers lookups, takes fenced orders, tells its
+ * load. What it makes of an item follows from the item's id, the event's number and its weights.
+ */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { z } from 'zod';
+import { HEADERS, PATHS } from '../../platform/names.js';
+import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { type PromiseChecker, sampleLine } from './promise-checker.js';
+
+/** Time for one event, for a lookup, and for loading weights. */
+const EVENT_TIME: Milliseconds = 20;
+const LOOKUP_TIME: Milliseconds = 20;
+const LOAD_TIME: Milliseconds = 600;
+
+const SLOTS = 8;
+
+/** Header by which the soak tells a worker how many events an item has. */
+export const EVENT_COUNT_HEADER = 'x-soak-events';
+
+const ORDER = z.object({
+  version: z.number(),
+  holder: z.string(),
+  fencing_token: z.number(),
+  expected_revision: z.number().optional(),
+});
+
+/** What a worker needs of the soak around it. */
+export interface WorkerSurroundings {
+  readonly checker: PromiseChecker;
+  readonly model: string;
+  readonly now: () => Milliseconds;
+  /** Whether no fault is going on that excuses late work. */
+  readonly isCalm: () => boolean;
+  /** Called after a change that the worker's record shows. */
+  readonly onChange: (worker: WorkerStandIn) => void;
+}
+
+/** One life of a worker. */
+export class WorkerStandIn {
+  private readonly server: http.Server;
+  private version: WeightVersion;
+  private running = 0;
+  private sequence = 0;
+  private highestToken = 0;
+  private isLoading = false;
+  private leavingSince: Milliseconds | undefined;
+
+  constructor(
+    readonly id: string,
+    version: WeightVersion,
+    private readonly surroundings: WorkerSurroundings,
+  ) {
+    this.version = version;
+    this.server = http.createServer((request, response) => void this.serve(request, response));
+  }
+
+  /** Weights that it holds. */
+  get weightVersion(): WeightVersion {
+    return this.version;
+  }
+
+  /** Whether it has said that it leaves. */
+  get isLeaving(): boolean {
+    return this.leavingSince !== undefined;
+  }
+
+  /** Listens; resolves with the address. */
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Ends at once, in the middle of everything. */
+  crash(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Says that it leaves; it goes on serving until {@link crash}. */
+  leave(): void {
+    this.leavingSince ??= this.surroundings.now();
+    this.surroundings.onChange(this);
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      return;
+    }
+    const expected = request.headers[HEADERS.expectInstance];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { [HEADERS.instance]: this.id }).end();
+      return;
+    }
+    const body = Buffer.concat(chunks).toString();
+    if (request.url === PATHS.report) this.report(response);
+    else if (request.url === PATHS.order) this.order(body, response);
+    else this.work(request, body, response);
+  }
+
+  private report(response: http.ServerResponse): void {
+    const models = [{ name: this.surroundings.model, version: this.version, adapters: [] }];
+    const { sequence, running } = this;
+    const report = { stage: 'both', models, busy: this.isLoading, sequence, waiting: 0, running };
+    response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(report));
+  }
+
+  private order(body: string, response: http.ServerResponse): void {
+    const order = ORDER.parse(JSON.parse(body));
+    if (order.fencing_token < this.highestToken) return void response.writeHead(412).end();
+    const { checker } = this.surroundings;
+    checker.orderTaken(order.holder, order.fencing_token, this.highestToken);
+    this.highestToken = order.fencing_token;
+    if (order.version === this.version) return void response.writeHead(200).end();
+    const isExpected = (order.expected_revision ?? this.sequence) === this.sequence;
+    if (this.isLoading || !isExpected) return void response.writeHead(409).end();
+    this.sequence += 1;
+    this.isLoading = true;
+    response.writeHead(202).end();
+    setTimeout(() => {
+      this.isLoading = false;
+      this.version = order.version;
+      this.surroundings.onChange(this);
+    }, LOAD_TIME);
+  }
+
+  private work(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
+    const id = String(request.headers[HEADERS.requestId] ?? '');
+    const events = Number(request.headers[EVENT_COUNT_HEADER] ?? 0);
+    const base = { [HEADERS.requestId]: id, [HEADERS.load]: `${this.running},0,${SLOTS}` };
+    if (this.running >= SLOTS || (events > 0 && this.isLoading)) {
+      response.writeHead(503, { ...base, [HEADERS.notRun]: '1' }).end();
+      return;
+    }
+    const stamped = { ...base, [HEADERS.stamp]: `stamp-${this.id}` };
+    this.running += 1;
+    response.once('close', () => {
+      this.running -= 1;
+    });
+    if (events > 0) this.stream(request, id, events, stamped, response);
+    else setTimeout(() => response.writeHead(200, stamped).end(`${id}:${body}`), LOOKUP_TIME);
+  }
+
+  private stream(
+    request: http.IncomingMessage,
+    id: string,
+    events: number,
+    headers: http.OutgoingHttpHeaders,
+    response: http.ServerResponse,
+  ): void {
+    const { checker, isCalm } = this.surroundings;
+    checker.itemStarted(id, this.leavingSince, isCalm());
+    const last = request.headers[HEADERS.lastEventId];
+    let index = last === undefined ? 0 : Number(last) + 1;
+    let told = this.version;
+    response.writeHead(200, {
+      ...headers,
+      'content-type': 'text/event-stream',
+      [HEADERS.versions]: String(told),
+    });
+    const timer = setInterval(() => {
+      if (this.isLoading) return;
+      if (index >= events) {
+        clearInterval(timer);
+        response.end();
+        return;
+      }
+      const change = told === this.version ? '' : `${HEADERS.versions}: ${this.version}\n`;
+      told = this.version;
+      response.write(`${change}id: ${index}\ndata: ${sampleLine(id, index, told)}\n\n`);
+      index += 1;
+    }, EVENT_TIME);
+    response.once('close', () => clearInterval(timer));
+  }
+}
--- /dev/null
+++ b/test/lab/soak/platform-store.test.ts
@@ -0,0 +1,53 @@
+import t from 'tap';
+import { PlatformStore } from '../../../lab/soak/platform-store.js';
+import { StoreClient } from '../../../platform/store-client.js';
+import { eventually } from '../../fleet/fleet-fixtures.js';
+
+async function fixture(test: { teardown(work: () => void): void }) {
+  const store = new PlatformStore();
+  const client = new StoreClient(await store.start());
+  test.teardown(() => store.stop());
+  return { store, client };
+}
+
+t.test('the adapter commits, reads and watches through the stand-in', async (t) => {
+  const { client } = await fixture(t);
+  const put = [{ key: 'a/1', value: 'one' }];
+  const made = await client.commit({ expected: [{ key: 'a/1', revision: 0 }], put });
+  t.match(made, { kind: 'committed', revision: 1 });
+  t.match(await client.commit({ expected: [{ key: 'a/1', revision: 0 }], put }), {
+    kind: 'conflict',
+  });
+  t.match(await client.get('a/1'), { item: { key: 'a/1', value: 'one', revision: 1 } });
+  t.match(await client.get('a/2'), { kind: 'item', item: undefined });
+  t.match(await client.range('a/'), { items: [{ key: 'a/1' }], revision: 1 });
+  const { signal } = new AbortController();
+  const waiting = client.watch('a/', 1, 5_000, signal);
+  await client.commit({ expected: [], remove: ['a/1'] });
+  t.match(await waiting, { changes: [{ key: 'a/1', value: undefined }], revision: 2 });
+});
+
+t.test('a lease that is not renewed takes its keys along', async (t) => {
+  const { store, client } = await fixture(t);
+  const grant = await client.grantLease(60);
+  if (grant.kind !== 'granted') throw new Error(grant.kind);
+  await client.commit({ expected: [], put: [{ key: 'k', value: 'v', lease: grant.lease }] });
+  t.equal(store.emulator.valueOf('k'), 'v');
+  await eventually(() => store.emulator.valueOf('k') === undefined);
+  t.match(await client.keepLease(grant.lease), { kind: 'gone' });
+});
+
+t.test('a store that refuses, forgets or loses answers shows it to the adapter', async (t) => {
+  const { store, client } = await fixture(t);
+  store.emulator.write('a/1', 'one');
+  store.emulator.setAvailability('refusing');
+  t.same(await client.get('a/1'), { kind: 'failed', effect: 'not-done' });
+  store.emulator.setAvailability('up');
+  store.emulator.loseAnswers('applied');
+  const put = [{ key: 'a/2', value: 'two' }];
+  t.same(await client.commit({ expected: [], put }), { kind: 'failed', effect: 'unknown' });
+  t.equal(store.emulator.valueOf('a/2'), 'two');
+  store.emulator.compact();
+  const { signal } = new AbortController();
+  t.match(await client.watch('a/', 1, 100, signal), { kind: 'compacted' });
+});
--- /dev/null
+++ b/test/lab/soak/promise-checker.test.ts
@@ -0,0 +1,116 @@
+import t from 'tap';
+import { PromiseChecker, type ReadResult, sampleLine } from '../../../lab/soak/promise-checker.js';
+
+function fixture() {
+  let time = 0;
+  const checker = new PromiseChecker(() => time);
+  const events = new Map([
+    ['one', 2],
+    ['two', 1],
+  ]);
+  checker.jobOffered({ id: 'job', minVersion: 2, events });
+  const advance = (duration: number): void => {
+    time += duration;
+  };
+  const broken = (): string[] => checker.violations.map(({ promise }) => promise);
+  return { checker, advance, broken };
+}
+
+function sample(
+  id: string,
+  versions: readonly number[],
+  fields: Partial<ReadResult> = {},
+): ReadResult {
+  const text = versions.map((version, index) => sampleLine(id, index, version)).join('\n');
+  return { id, state: 'completed', text, versions: [...new Set(versions)], ...fields };
+}
+
+t.test('what is whole and true breaks nothing', async (t) => {
+  const { checker, broken } = fixture();
+  checker.jobAccepted('job');
+  checker.itemStarted('one', undefined, true);
+  checker.resultsRead('job', 2, 0, [sample('one', [2, 3])]);
+  checker.resultsRead('job', 2, 0, [sample('one', [2, 3]), sample('two', [3])]);
+  checker.resultsReadAgain('job', 2);
+  checker.lookupAnswered('ask', 'answer', 'answer');
+  checker.orderTaken('node-1', 4, 0);
+  checker.orderTaken('node-1', 4, 4);
+  checker.orderTaken('node-2', 9, 4);
+  t.same(broken(), []);
+  t.ok(checker.checked >= 10);
+});
+
+t.test('samples that lack events, mix versions or are too old are found', async (t) => {
+  const { checker, broken } = fixture();
+  checker.resultsRead('job', 2, 0, [sample('one', [2])]);
+  t.same(broken(), ['sample-text']);
+  checker.resultsRead('job', 2, 1, [sample('two', [2], { versions: [3] })]);
+  t.same(broken(), ['sample-text', 'sample-versions']);
+  const old = fixture();
+  old.checker.resultsRead('job', 2, 0, [sample('one', [1, 2])]);
+  t.same(old.broken(), ['sample-versions']);
+});
+
+t.test('positions that change, repeat an item or count wrongly are found', async (t) => {
+  const { checker, broken } = fixture();
+  checker.resultsRead('job', 2, 0, [sample('one', [2, 2])]);
+  checker.resultsRead('job', 2, 0, [sample('one', [2, 3])]);
+  t.same(broken(), ['positions']);
+  checker.resultsRead('job', 2, 1, [sample('one', [2, 2])]);
+  t.same(broken(), ['positions', 'positions']);
+  checker.resultsRead('job', 3, 2, []);
+  t.equal(broken().length, 3);
+  checker.resultsRead('job', 2, 2, [sample('other', [2])]);
+  t.equal(broken().length, 4);
+});
+
+t.test('accepted jobs that are lost, or lose results, are found', async (t) => {
+  const { checker, broken } = fixture();
+  checker.jobUnknown('job');
+  t.same(broken(), [], 'it was not accepted yet');
+  checker.jobAccepted('job');
+  checker.jobUnknown('job');
+  checker.resultsRead('job', 2, 0, [sample('one', [2, 2])]);
+  checker.resultsReadAgain('job', 0);
+  t.same(broken(), ['job-kept', 'job-kept']);
+});
+
+t.test('a refusal is found untrue where an item ran', async (t) => {
+  const { checker, broken } = fixture();
+  checker.jobRefused('job');
+  t.same(broken(), []);
+  checker.itemStarted('one', undefined, true);
+  checker.jobRefused('job');
+  t.same(broken(), ['refusal-true']);
+});
+
+t.test(
+  'work for an ended job or a leaving worker is found, unless a fault excuses it',
+  async (t) => {
+    const { checker, advance, broken } = fixture();
+    checker.jobEnded('job');
+    advance(2_900);
+    checker.itemStarted('one', undefined, true);
+    t.same(broken(), []);
+    advance(200);
+    checker.itemStarted('one', undefined, false);
+    t.same(broken(), []);
+    checker.itemStarted('one', undefined, true);
+    t.same(broken(), ['ended-job']);
+    const leaving = fixture();
+    leaving.advance(2_500);
+    leaving.checker.itemStarted('one', 1_000, true);
+    t.same(leaving.broken(), []);
+    leaving.checker.itemStarted('one', 400, true);
+    t.same(leaving.broken(), ['leaving-worker']);
+  },
+);
+
+t.test('shared and falling tokens, and wrong answers, are found', async (t) => {
+  const { checker, broken } = fixture();
+  checker.orderTaken('node-1', 4, 0);
+  checker.orderTaken('node-2', 4, 4);
+  checker.orderTaken('node-1', 3, 4);
+  checker.lookupAnswered('ask', 'another answer', 'answer');
+  t.same(broken(), ['fencing', 'fencing', 'complete-answer']);
+});
