The longest items of a job move once to a faster worker; the pace is a steadier mean; a roster of workers

Change: a sample weighs 3% and counts twice the mean at most; once most of a job is done, each run that is left may move once to a worker that is 15% faster. Tests: item-placement, job-service.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -33,6 +33,7 @@
 import { StorageDrains } from './storage-drains.js';
 import { WatchRelay } from './watch-relay.js';
 import { type NamedVersion, WeightRollout } from './weight-rollout.js';
+import { WorkerRoster } from './worker-roster.js';
 
 /** Time between two rounds of regular work. */
 const TICK_INTERVAL: Milliseconds = 50;
@@ -40,12 +41,6 @@
 /** Time by which each watching node lets the one before it take over first. */
 const SUSPICION_RANK_DELAY: Milliseconds = 500;
 
-/** Records that go within this time after the store was silent may have lapsed. */
-const LAPSE_WINDOW: Milliseconds = 1_000;
-
-/** Time in which a live worker registers again; the bound on leaving workers is 2 s. */
-const LAPSE_GRACE: Milliseconds = 1_500;
-
 /** Time between two looks for jobs that need not be kept. */
 const REMOVAL_INTERVAL: Milliseconds = 60_000;
 
@@ -66,6 +61,7 @@
   private readonly dispatcher: ItemDispatcher;
   private readonly feeds: FleetFeeds;
   private readonly fleet: FleetRegistry;
+  private readonly roster: WorkerRoster;
   private readonly takeover: JobTakeover;
   private readonly monitor: PeerMonitor;
   /** Answers the questions of other nodes. */
@@ -101,6 +97,7 @@
     const routes = (): RouteMatcher | undefined => this.matcher;
     const shared = { ...options, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
+    this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
     this.peerHandler = new FleetPeers({
       port,
       fleet: this.fleet,
@@ -169,8 +166,8 @@
   /** Takes in what changed outside the fleet. */
   take(event: FleetEvent): void {
     if (event.kind === 'configuration') this.applyConfiguration(event.configuration);
-    else if (event.kind === 'worker') this.putWorker(event.record);
-    else if (event.kind === 'worker-gone') this.noteWorkerGone(event.worker);
+    else if (event.kind === 'worker') this.takeWorker(event.record);
+    else if (event.kind === 'worker-gone') this.roster.noteGone(event.worker);
     else if (event.kind === 'workers-listed') this.workersListed = true;
     else if (event.kind === 'version-named') this.nameVersion(event.model, event.version);
     else if (event.kind === 'storage-drain') this.drains.request(event.node);
@@ -190,35 +187,9 @@
     this.dispatcher.schedule();
   }
 
-  private putWorker(record: WorkerRecord): void {
-    const before = this.registry.get(record.id)?.record;
-    this.registry.put(record);
+  private takeWorker(record: WorkerRecord): void {
+    this.roster.put(record);
     this.dispatcher.schedule();
-    if (before?.draining === record.draining) return;
-    const { id, service, zone, draining } = record;
-    this.options.log.state('worker-known', { worker: id, service, zone, draining });
-  }
-
-  /**
-   * Records that go while the store is silent may have lapsed with it; such a worker is kept for a
-   * moment, in which a live one registers again.
-   */
-  private noteWorkerGone(id: string): void {
-    const record = this.registry.get(id)?.record;
-    if (record === undefined || !this.fleet.wasSilentWithin(LAPSE_WINDOW)) {
-      this.removeWorker(id);
-      return;
-    }
-    this.options.log.state('worker-lapsed', { worker: id });
-    setTimeout(() => {
-      if (this.registry.get(id)?.record === record) this.removeWorker(id);
-    }, LAPSE_GRACE);
-  }
-
-  private removeWorker(id: string): void {
-    this.registry.remove(id);
-    this.options.engine.forget(id);
-    this.options.log.state('worker-gone', { worker: id });
   }
 
   private nameVersion(model: ModelName, version: WeightVersion): void {
--- /dev/null
+++ b/src/fleet/worker-roster.ts
@@ -0,0 +1,59 @@
+/** Which workers are there, by their records in the shared store, and which of them only lapsed. */
+import type { Milliseconds } from '../core/units.js';
+import type { EnginePort } from '../serving/engine-port.js';
+import type { WorkerRecord } from '../serving/traffic-configuration.js';
+import type { WorkerRegistry } from '../serving/worker-registry.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetRegistry } from './fleet-registry.js';
+
+/** Records that go within this time after the store was silent may have lapsed. */
+const LAPSE_WINDOW: Milliseconds = 1_000;
+
+/** Time in which a live worker registers again; the bound on leaving workers is 2 s. */
+const LAPSE_GRACE: Milliseconds = 1_500;
+
+/** Options of {@link WorkerRoster}. */
+export interface WorkerRosterOptions {
+  readonly registry: WorkerRegistry;
+  readonly engine: EnginePort;
+  readonly fleet: FleetRegistry;
+  readonly log: DecisionLog;
+}
+
+/** Takes records of workers into the registry and out of it. */
+export class WorkerRoster {
+  constructor(private readonly options: WorkerRosterOptions) {}
+
+  /** Takes in a record, new or changed. */
+  put(record: WorkerRecord): void {
+    const { registry, log } = this.options;
+    const before = registry.get(record.id)?.record;
+    registry.put(record);
+    if (before?.draining === record.draining) return;
+    const { id, service, zone, draining } = record;
+    log.state('worker-known', { worker: id, service, zone, draining });
+  }
+
+  /**
+   * A record has gone. One that goes while the store is silent may have lapsed with it; such a
+   * worker is kept for a moment, in which a live one registers again.
+   */
+  noteGone(id: string): void {
+    const { registry, fleet, log } = this.options;
+    const record = registry.get(id)?.record;
+    if (record === undefined || !fleet.wasSilentWithin(LAPSE_WINDOW)) {
+      this.remove(id);
+      return;
+    }
+    log.state('worker-lapsed', { worker: id });
+    setTimeout(() => {
+      if (registry.get(id)?.record === record) this.remove(id);
+    }, LAPSE_GRACE);
+  }
+
+  private remove(id: string): void {
+    this.options.registry.remove(id);
+    this.options.engine.forget(id);
+    this.options.log.state('worker-gone', { worker: id });
+  }
+}
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -8,7 +8,7 @@
 import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import { type ItemNeeds, isSlow, medianPace, placeItem } from './item-placement.js';
+import { type ItemNeeds, isFaster, isSlow, medianPace, placeItem } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ageOf } from './job-records.js';
 import type { OwnedItem, OwnedJob } from './owned-job.js';
@@ -224,10 +224,13 @@
     const now = this.options.clock.now();
     const median = medianPace(this.options.registry.all());
     for (const job of this.jobs) {
+      const isClosing = job.isClosing;
       for (const entry of job.items.values()) {
-        if (entry.run === undefined || entry.moves >= MOST_MOVES) continue;
-        const cause = reasonToMove(entry.run, median, now);
-        if (cause !== undefined) this.move(job, entry, entry.run, cause, median);
+        const { run } = entry;
+        if (run === undefined || entry.moves >= MOST_MOVES) continue;
+        const mayGoFaster = isClosing && !entry.hasGoneFaster;
+        const cause = reasonToMove(run, median, mayGoFaster, now);
+        if (cause !== undefined) this.move(job, entry, run, cause, median);
       }
     }
   }
@@ -241,16 +244,19 @@
     median: Milliseconds,
   ): void {
     const now = this.options.clock.now();
+    const { worker: from } = run;
     const others = this.options.registry
-      .available(run.worker.record.service)
-      .filter((worker) => worker !== run.worker && !isSlow(worker, median));
+      .available(from.record.service)
+      .filter((worker) => worker !== from && !isSlow(worker, median))
+      .filter((worker) => cause !== 'faster-elsewhere' || isFaster(worker, from));
     const target = placeItem(others, needsOf(job, entry), undefined, now);
     if (target === undefined) return;
     entry.moves += 1;
-    if (cause === 'stalled') run.worker.noteOutcome('stalled', now);
+    if (cause === 'stalled') from.noteOutcome('stalled', now);
+    if (cause === 'faster-elsewhere') entry.hasGoneFaster = true;
     this.options.metrics.count('item_moves', { cause });
     this.options.log.decision('item-run-moved', {
-      ...this.describe(job, entry, run.worker),
+      ...this.describe(job, entry, from),
       cause,
       runMs: Math.round(now - run.startedAt),
     });
@@ -259,16 +265,22 @@
 }
 
 /** Why a run is moved to another worker. */
-type MoveCause = 'stalled' | 'slow-worker';
+type MoveCause = 'stalled' | 'slow-worker' | 'faster-elsewhere';
 
+/**
+ * Why a run should move. Once most of a job is done, the runs that are left are its longest and
+ * hold its trainer up: then a somewhat faster worker is reason enough, once for each item.
+ */
 function reasonToMove(
   run: ItemRun,
   median: Milliseconds,
+  mayGoFaster: boolean,
   now: Milliseconds,
 ): MoveCause | undefined {
   if (run.isStalled(now)) return 'stalled';
-  const isOldEnough = now - run.startedAt >= LEAST_AGE_TO_MOVE;
-  return isOldEnough && isSlow(run.worker, median) ? 'slow-worker' : undefined;
+  if (now - run.startedAt < LEAST_AGE_TO_MOVE) return undefined;
+  if (isSlow(run.worker, median)) return 'slow-worker';
+  return mayGoFaster ? 'faster-elsewhere' : undefined;
 }
 
 /** Items that were begun go on first, then the longest. */
--- a/src/jobs/item-placement.ts
+++ b/src/jobs/item-placement.ts
@@ -23,6 +23,9 @@
 /** A worker counts as slow if its pace is this many times the median. */
 const SLOW_PACE_RATIO = 1.7;
 
+/** A worker counts as faster than another if the other's pace is this many times its own. */
+const FASTER_PACE_RATIO = 1.15;
+
 /** Whether a worker may run an item now. */
 export function mayRun(worker: KnownWorker, needs: ItemNeeds, now: Milliseconds): boolean {
   if (worker.record.draining || worker.isPenalized(now)) return false;
@@ -44,6 +47,12 @@
   return worker.pace !== undefined && worker.pace > SLOW_PACE_RATIO * median;
 }
 
+/** Whether a worker makes events so much faster than another that a long run should move there. */
+export function isFaster(worker: KnownWorker, than: KnownWorker): boolean {
+  if (worker.pace === undefined || than.pace === undefined) return false;
+  return worker.pace * FASTER_PACE_RATIO <= than.pace;
+}
+
 /** The best worker for an item among those that may run it, or `undefined`. */
 export function placeItem(
   workers: readonly KnownWorker[],
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -31,6 +31,8 @@
   failedAttempts: number;
   /** Times that a run was ended to go on at a faster worker. */
   moves: number;
+  /** Whether it was moved to a worker that is somewhat faster. */
+  hasGoneFaster: boolean;
 }
 
 /** Least time between two commits of results, while many items are still open. */
@@ -42,6 +44,9 @@
 /** Share of the items still open below which a job counts as closing. */
 const CLOSING_SHARE = 0.25;
 
+/** Share of the items still open below which those under way are the longest of the job. */
+const LONGEST_SHARE = 0.5;
+
 /** A head that no commit confirmed for this long is read again. */
 const VERIFY_INTERVAL: Milliseconds = 1_200;
 
@@ -84,6 +89,7 @@
         notBefore: 0,
         failedAttempts: 0,
         moves: 0,
+        hasGoneFaster: false,
       };
       this.items.set(item.id, entry);
       this.takeOver(entry, kept.get(item.id), rule);
@@ -145,6 +151,13 @@
     );
   }
 
+  /** Whether most items are done and all others are under way. */
+  get isClosing(): boolean {
+    const open = [...this.items.values()].filter((entry) => entry.state !== 'done');
+    const isMostDone = open.length <= this.spec.items.length * LONGEST_SHARE;
+    return isMostDone && open.every((entry) => entry.state === 'running');
+  }
+
   /** Takes the result of an item; it is listed with the next commit. */
   finish(entry: OwnedItem, result: JobResult): void {
     if (entry.state === 'done') return;
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -23,8 +23,14 @@
 /** Age beyond which a reported load no longer counts. */
 const LOAD_LIFETIME: Milliseconds = 2_000;
 
-/** Share of a new sample in the moving mean of the time for one event. */
-const PACE_SMOOTHING = 0.2;
+/**
+ * Share of a new sample in the moving mean of the time for one event. A worker that streams some
+ * answers gives hundreds of samples a second.
+ */
+const PACE_SMOOTHING = 0.03;
+
+/** A single pause counts as this many times the mean at most: it need not mean a slow worker. */
+const LARGEST_PACE_STEP = 2;
 
 /** A worker of another zone is chosen only if it has this share of its slots more room. */
 const ZONE_RANK = 0.4;
@@ -69,8 +75,12 @@
 
   /** Takes note of the time between two events of a stream. */
   notePace(sample: Milliseconds): void {
-    this.pace =
-      this.pace === undefined ? sample : this.pace + PACE_SMOOTHING * (sample - this.pace);
+    if (this.pace === undefined) {
+      this.pace = sample;
+      return;
+    }
+    const bounded = Math.min(sample, LARGEST_PACE_STEP * this.pace);
+    this.pace += PACE_SMOOTHING * (bounded - this.pace);
   }
 
   /** Whether failures or fullness speak against the worker now. */
--- a/test/jobs/item-placement.test.ts
+++ b/test/jobs/item-placement.test.ts
@@ -1,5 +1,11 @@
 import t from 'tap';
-import { type ItemNeeds, isSlow, medianPace, placeItem } from '../../src/jobs/item-placement.js';
+import {
+  type ItemNeeds,
+  isFaster,
+  isSlow,
+  medianPace,
+  placeItem,
+} from '../../src/jobs/item-placement.js';
 import { KnownWorker } from '../../src/serving/worker-registry.js';
 import { worker } from '../serving/serving-fixtures.js';
 
@@ -49,3 +55,18 @@
     [false, false, true],
   );
 });
+
+t.test('a worker is faster only by a margin, and only where both paces are known', async (t) => {
+  t.ok(isFaster(known('fast', 40), known('slow', 52)));
+  t.notOk(isFaster(known('fast', 48), known('slow', 52)));
+  t.notOk(isFaster(new KnownWorker(worker('new')), known('slow', 52)));
+  t.notOk(isFaster(known('fast', 40), new KnownWorker(worker('new'))));
+});
+
+t.test('a few pauses do not make a worker slow, lasting slowness does', async (t) => {
+  const paused = known('paused', 50);
+  for (let sample = 0; sample < 10; sample += 1) paused.notePace(900);
+  t.notOk(isSlow(paused, 50));
+  for (let sample = 0; sample < 30; sample += 1) paused.notePace(175);
+  t.ok(isSlow(paused, 50));
+});
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -90,6 +90,27 @@
   node.dispatcher.stop();
 });
 
+t.test('the last run of a job moves to a worker that is somewhat faster, once', async (t) => {
+  const script = [pausingAnswer('ab'), stream('xy'), stream('cd', 2)];
+  const engine = new ScriptedEngine(script);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('slow'));
+  await node.service.submit(specification('job', 2), always);
+  node.dispatcher.tick();
+  await eventually(() => engine.requests.length === 2);
+  node.registry.put(worker('fast'));
+  // Paces so long that the pause of the stream is no reason of its own to move.
+  node.registry.get('slow')?.notePace(390);
+  node.registry.get('fast')?.notePace(300);
+  await workUntil(node, isFinished(node));
+  t.equal(engine.requests[2]?.worker.id, 'fast');
+  const moved = node.lines
+    .map((line) => JSON.parse(line))
+    .filter((l) => l.msg === 'item-run-moved');
+  t.equal(moved.length, 1);
+  t.match(moved[0], { cause: 'faster-elsewhere', worker: 'slow' });
+});
+
 t.test('an item whose attempts all fail is listed as terminated', async (t) => {
   const failed = (): EngineOutcome => answer('', { status: 500 });
   const engine = new ScriptedEngine([failed(), failed(), failed()]);
