A job that is being taken over is not taken over again

Cause: a node that has taken a job's head reads its specification before it runs it; another scan in that time saw its own name in the head, no such job, and took it over again. Two copies then ran the same items until the first one's next commit failed, 2.9 s later. Ruled out: a lost update (the commit on the head decides, and did). Change: a job is taken over once at a time, and has an owner meanwhile.

--- a/lab/proofs/oracles/planned-stop.ts
+++ b/lab/proofs/oracles/planned-stop.ts
@@ -74,7 +74,10 @@
       (this.#acceptedAt.get(open.call.prompt) ?? Number.NEGATIVE_INFINITY) >= open.at &&
       ranStateOf(reply.failure) !== 'no';
     if (!this.#anyStop) return;
-    this.compare(!cutOff, at, () => `${callId} at ${open.node} failed for a planned stop`);
+    this.compare(!cutOff, at, () => {
+      const cause = reply.kind === 'failed' ? `${reply.failure.kind}, ${reply.failure.detail}` : '';
+      return `${callId} at ${open.node} failed for a planned stop: ${cause}`;
+    });
   }
 
   #noteLost(at: Milliseconds, callId: string, cause: LostCallCause): void {
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -139,6 +139,7 @@
     if (isFinished(head)) return false;
     if (head.owner === null) return true;
     if (!this.isSelf(head.owner)) return !fleet.isLive(head.owner);
+    if (service.isAdopting(job)) return false;
     return !service.ownedJobs().some((owned) => owned.spec.id === job && owned.isOpen);
   }
 }
--- a/src/jobs/job-handover.ts
+++ b/src/jobs/job-handover.ts
@@ -21,10 +21,23 @@
 
 /** Passes jobs on. */
 export class JobHandover {
+  private readonly adopting = new Set<string>();
+
   constructor(private readonly options: JobHandoverOptions) {}
 
-  /** Takes over a job whose owner is gone; tells whether it is run here now. */
+  /** Whether a job is being taken over here. */
+  isAdopting(job: string): boolean {
+    return this.adopting.has(job);
+  }
+
+  /** Takes over a job whose owner is gone, once at a time; tells whether it is run here now. */
   async adopt(job: string, found: VersionedHead): Promise<boolean> {
+    if (this.adopting.has(job)) return false;
+    this.adopting.add(job);
+    return this.takeOver(job, found).finally(() => this.adopting.delete(job));
+  }
+
+  private async takeOver(job: string, found: VersionedHead): Promise<boolean> {
     const { store, owned, peers, self, log, metrics, clock } = this.options;
     const wanted = (): boolean => false;
     const change = await store.replace(job, found, { owner: self }, wanted);
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -65,6 +65,11 @@
     return this.handover.adopt(job, found);
   }
 
+  /** Whether a job is being taken over here, and so has an owner that does not run it yet. */
+  isAdopting(job: string): boolean {
+    return this.handover.isAdopting(job);
+  }
+
   /** Takes a job that its owner has just released. */
   takeReleased(job: string): Promise<boolean> {
     return this.handover.takeReleased(job);
--- a/test/fleet/job-takeover.test.ts
+++ b/test/fleet/job-takeover.test.ts
@@ -137,3 +137,22 @@
     await fleet.stop();
   }
 });
+
+t.test('a job that is being taken over is not taken over again', async (t) => {
+  const fixture = await besideOwner();
+  const { emulator, takeover, lines } = fixture;
+  const range = emulator.range.bind(emulator);
+  emulator.range = async (prefix, afterKey) => {
+    if (prefix.startsWith('job/spec/')) await PROCESS_CLOCK.sleep(100);
+    return range(prefix, afterKey);
+  };
+  emulator.erase('fleet/node/node-2');
+  await eventually(() => !fixture.fleet.isLive(OTHER));
+  const first = takeover.sweep();
+  await eventually(() => emulator.valueOf('job/head/job')?.includes(OWNER.incarnation) === true);
+  await takeover.sweep();
+  await first;
+  const adopted = lines.filter((line) => line.includes('job-adopted'));
+  t.equal(adopted.length, 1);
+  await fixture.stop();
+});
