--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -1,6 +1,8 @@
 /** Real gateways as processes of their own, each behind a proxy on its way to the store. */
+
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
 
@@ -105,7 +107,3 @@
     return this.processes.start(name, gatewayScript(), [], { WARDWING_CONFIG: settingsFile });
   }
 }
-
-function sleep(duration: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -1,5 +1,7 @@
 /** The callers of the soak: lookups, and a trainer that draws step after step. */
+
 import http from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { z } from 'zod';
 import { HEADERS, PATHS } from '../../platform/names.js';
 import type { RandomSource } from '../../src/core/random.js';
@@ -261,7 +263,3 @@
   readonly wait?: Milliseconds;
   readonly limit?: Milliseconds;
 }
-
-function sleep(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -1,4 +1,5 @@
 /** One soak: a fleet of real gateways, stand-ins around it, callers, and faults from outside. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
 import { createRandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
@@ -241,7 +242,3 @@
   if (item === undefined) throw new Error('there is nothing to pick from');
   return item;
 }
-
-function sleep(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -1,4 +1,5 @@
 /** The workers of the soak: each behind a proxy, registered in the store as the platform does it. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
@@ -92,7 +93,3 @@
     this.store.emulator.write(`${KEY_PREFIXES.workers}${worker.id}`, JSON.stringify(record));
   }
 }
-
-function sleep(duration: Milliseconds): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
