A relay that lost its history tells its followers so at once

Cause: after a watch came back 'compacted', a relay kept its series of changes with the end of before until its next watch answered, though it had listed the prefix anew meanwhile. Ruled out: the list itself (linearizable, its revision is that of the first page). Change: a watch that ends in anything but changes drops the series and wakes the followers that wait, who then ask the store. Two tests, both red before (the follower waited 1 s and was told 'current').

--- a/lab/emulator/shared-store-emulator.ts
+++ b/lab/emulator/shared-store-emulator.ts
@@ -56,6 +56,7 @@
   private readonly waiting = new Set<() => void>();
   private lostAnswers: LostAnswer[] = [];
   private lateCommits: StoreCommit[] = [];
+  private areWatchesDeaf = false;
 
   /** Changes whether the store answers; calls that a silent store held back fail now. */
   setAvailability(availability: StoreAvailability): void {
@@ -75,8 +76,14 @@
     for (const commit of commits) this.apply(commit);
   }
 
+  /** Watches hear of no change until the history is forgotten. */
+  deafenWatches(): void {
+    this.areWatchesDeaf = true;
+  }
+
   /** Forgets the history; watches from an older revision learn so. */
   compact(): void {
+    this.areWatchesDeaf = false;
     this.compactedTo = this.revision;
     this.history = [];
     this.wake();
@@ -140,7 +147,7 @@
     const limit = Date.now() + wait;
     for (;;) {
       if (signal.aborted || this.availability === 'refusing') return UNKNOWN;
-      if (this.availability === 'up') {
+      if (this.availability === 'up' && !this.areWatchesDeaf) {
         if (after < this.compactedTo) return { kind: 'compacted' };
         const changes = this.history.filter(
           (change) => change.revision > after && change.key.startsWith(prefix),
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -92,7 +92,8 @@
       await firstValueFrom(growth.pipe(race(timer(Math.max(0, patience)))), { defaultValue: 0 });
     }
     const changes = watch.log.changesAfter(after);
-    if (changes === undefined || !this.isCurrent(watch)) return { isCurrent: false };
+    const isFollowed = this.direct.get(prefix) === watch && this.isCurrent(watch);
+    if (changes === undefined || !isFollowed) return { isCurrent: false };
     return { isCurrent: true, changes, revision: Math.max(after, watch.log.revision) };
   }
 
@@ -145,12 +146,13 @@
     watch.isWaiting = true;
     const outcome = await store.watch(prefix, after, wait, signal);
     watch.isWaiting = false;
-    if (outcome.kind === 'failed') {
+    if (outcome.kind === 'changes') {
+      watch.lastOutcomeAt = clock.now();
+      watch.log.take(after, outcome);
+    } else {
+      // What comes until the next watch begins is not known here: followers must not wait for it.
       this.direct.delete(prefix);
-      return outcome;
     }
-    watch.lastOutcomeAt = clock.now();
-    watch.log.take(after, outcome);
     this.grown.next(prefix);
     return outcome;
   }
--- a/test/fleet/watch-relay.test.ts
+++ b/test/fleet/watch-relay.test.ts
@@ -4,6 +4,7 @@
 import type { PeerOutcome, PeerPort, PeerRequestOf } from '../../src/peers/peer-messages.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import { PrefixWatcher } from '../../src/shared-store/prefix-watcher.js';
+import type { StoreWatchOutcome } from '../../src/shared-store/shared-store.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { eventually } from './fleet-fixtures.js';
 
@@ -151,3 +152,59 @@
   const question = { kind: 'follow-prefix', prefix: PREFIX, after: 0, wait: 10 } as const;
   t.same(await relay.answer(question), { isCurrent: false });
 });
+
+/** A relay of its own zone, whose watch from revision 1 waits at the store. */
+async function watchingRelay(): Promise<{
+  readonly store: SharedStoreEmulator;
+  readonly relay: WatchRelay;
+  readonly outcome: Promise<StoreWatchOutcome>;
+}> {
+  const store = new SharedStoreEmulator();
+  store.write(`${PREFIX}w1`, 'ready');
+  const relay = new WatchRelay({
+    store,
+    peers: { ask: async () => ({ kind: 'refused' }) },
+    fleet: () => ({
+      liveNodes: () => ['node-1'],
+      zoneOf: () => 'zone-1',
+      addressOf: (asked) => asked,
+      renewalAge: () => 0,
+    }),
+    self: 'node-1',
+    zone: 'zone-1',
+    clock: PROCESS_CLOCK,
+    metrics: new FleetMetrics(),
+  });
+  const outcome = relay.relayedStore().watch(PREFIX, 1, 60_000, new AbortController().signal);
+  return { store, relay, outcome };
+}
+
+t.test('a follower is told at once that its relay has lost the history', async (t) => {
+  const { store, relay, outcome } = await watchingRelay();
+  const question = { kind: 'follow-prefix', prefix: PREFIX, after: 1, wait: 10_000 } as const;
+  const answer = relay.answer(question);
+  store.deafenWatches();
+  store.write(`${PREFIX}w1`, 'changed');
+  store.compact();
+  t.same(await outcome, { kind: 'compacted' });
+  const startedAt = performance.now();
+  t.same(await answer, { isCurrent: false });
+  t.ok(performance.now() - startedAt < 500);
+  t.same(await relay.answer(question), { isCurrent: false });
+});
+
+t.test('a relay that listed anew does not call a follower of before current', async (t) => {
+  const { store, relay, outcome } = await watchingRelay();
+  store.deafenWatches();
+  const listedAt = store.write(`${PREFIX}w1`, 'changed');
+  store.compact();
+  t.same(await outcome, { kind: 'compacted' });
+  const abort = new AbortController();
+  const next = relay.relayedStore().watch(PREFIX, listedAt, 60_000, abort.signal);
+  const question = { kind: 'follow-prefix', prefix: PREFIX, after: 1, wait: 20 } as const;
+  t.same(await relay.answer(question), { isCurrent: false }, 'what the list told is missing');
+  const current = await relay.answer({ ...question, after: listedAt });
+  t.same(current, { isCurrent: true, changes: [], revision: listedAt });
+  abort.abort();
+  await next;
+});
