The coordinator's token hangs on the lease of its own lock

Cause: fencingToken() asked whether a lease goes on, not whether the lease of the lock does. Besides, a lock that is taken away at once (keys revoked) left its holder up to 1.5 s of trust in it, less than lease_ms before the next holder's first order. Change: a token is used only under the lease that the lock was taken with, and within 1 s of its last renewal; the next machine's wait is longer by that second; after a conflict the records are read, as a watch may be behind; a token that a worker refused is dropped. Ruled out: clocks (the steady clock goes on while frozen), equal tokens (they are revisions).

--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -1,7 +1,9 @@
 /**
  * The lock of the fleet's coordinator: the one node that orders weights. Its key hangs on the
  * holder's lease; the fencing token is the revision at which the key was made, so it rises with
- * each holder. A new holder waits until orders of the one before can no longer be under way.
+ * each holder. A token is used only while the very lease that the lock hangs on was renewed a short
+ * time ago. A new holder waits until orders of the one before can no longer be under way, even if
+ * the lock was taken away from a holder that could not learn of it.
  */
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
@@ -12,6 +14,7 @@
 import type { Clock } from '../serving/clock.js';
 import {
   ABSENT,
+  type LeaseId,
   NO_LEASE,
   type SharedStore,
   type StoreChange,
@@ -30,8 +33,11 @@
 /** Time by which each rank lets the nodes before it take a free lock. */
 const RANK_DELAY: Milliseconds = 400;
 
-/** Orders are given only while the lease surely goes on for this long. */
-const LEASE_MARGIN: Milliseconds = 500;
+/** Time after a renewal of its lease was sent in which the holder may give orders. */
+export const LOCK_VALIDITY: Milliseconds = 1_000;
+
+/** Pause after an attempt that did not get the lock. */
+const RETRY_PAUSE: Milliseconds = 300;
 
 /** Options of {@link CoordinatorLock}. */
 export interface CoordinatorLockOptions {
@@ -50,12 +56,15 @@
   private lockRevision: Revision = ABSENT;
   private isKnown = false;
   private ownNonce: string | undefined;
+  /** The lease that the lock of `ownNonce` hangs on. */
+  private ownLease: LeaseId = NO_LEASE;
   private token: Revision = 0;
   private termRevision: Revision = ABSENT;
   /** The last holder, also after its lock was gone. */
   private lastHolder: LockRecord | undefined;
   private activeFrom: Milliseconds = Number.POSITIVE_INFINITY;
   private freeSince: Milliseconds = 0;
+  private notBefore: Milliseconds = 0;
   private isTrying = false;
 
   constructor(private readonly options: CoordinatorLockOptions) {
@@ -73,21 +82,31 @@
 
   /** The fencing token while this node may give orders; `undefined` otherwise. */
   fencingToken(): Revision | undefined {
-    if (this.ownNonce === undefined || this.options.clock.now() < this.activeFrom) return undefined;
-    return this.options.fleet.leaseRemaining() > LEASE_MARGIN ? this.token : undefined;
+    const { fleet, clock } = this.options;
+    if (this.ownNonce === undefined || clock.now() < this.activeFrom) return undefined;
+    if (fleet.leaseId !== this.ownLease) return undefined;
+    return fleet.renewalAge() < LOCK_VALIDITY ? this.token : undefined;
+  }
+
+  /** A worker refused this token for a lower one than it knows: it is not used again. */
+  noteRefused(token: Revision): void {
+    if (this.ownNonce !== undefined && token === this.token) this.lose();
   }
 
   /** Tries to take a lock that has been free for this node's turn. */
   tick(): void {
     const { fleet, clock } = this.options;
-    if (!this.isKnown || this.isTrying) return;
+    if (!this.isKnown || this.isTrying || clock.now() < this.notBefore) return;
+    // With the lease before went the lock, whether or not a watch has told so.
+    if (this.ownNonce !== undefined && fleet.leaseId !== this.ownLease) this.lose();
     if (this.holding !== undefined && !this.isHeldByFormerLife) return;
-    if (fleet.leaseId === NO_LEASE || fleet.leaseRemaining() < LEASE_MARGIN) return;
+    if (fleet.leaseId === NO_LEASE || fleet.renewalAge() >= LOCK_VALIDITY) return;
     if (clock.now() - this.freeSince < this.turn() * RANK_DELAY) return;
     this.isTrying = true;
     void this.acquire().finally(() => {
       this.isTrying = false;
       this.freeSince = clock.now();
+      if (this.ownNonce === undefined) this.notBefore = clock.now() + RETRY_PAUSE;
     });
   }
 
@@ -116,6 +135,7 @@
     const { store, fleet, self, clock, log, handOverDelay } = this.options;
     const nonce = randomUUID();
     const { termRevision, lockRevision, lastHolder } = this;
+    const lease = fleet.leaseId;
     const record: LockRecord = { node: self.node, address: self.address, nonce };
     const value = JSON.stringify(record);
     const outcome = await store.commit({
@@ -124,7 +144,7 @@
         { key: TERM_KEY, revision: termRevision },
       ],
       put: [
-        { key: LOCK_KEY, value, lease: fleet.leaseId },
+        { key: LOCK_KEY, value, lease },
         { key: TERM_KEY, value },
       ],
     });
@@ -135,18 +155,40 @@
     this.lastHolder = record;
     this.termRevision = revision;
     this.ownNonce = nonce;
+    this.ownLease = lease;
     this.holding = record;
     this.lockRevision = revision;
     this.token = revision;
-    this.activeFrom = clock.now() + (mayActAtOnce ? 0 : handOverDelay());
+    this.activeFrom = clock.now() + (mayActAtOnce ? 0 : handOverDelay() + LOCK_VALIDITY);
     log.state('coordinator-acquired', { fencingToken: revision, mayActAtOnce });
   }
 
-  /** After a lost answer or a conflict: whether the lock is this attempt's. */
+  /**
+   * After a lost answer or a conflict: whether the lock is this attempt's. Both records are read, as
+   * a watch that fell behind may not have told of them.
+   */
   private async settle(nonce: string): Promise<Revision | undefined> {
-    const read = await this.options.store.get(LOCK_KEY);
-    if (read.kind !== 'item' || read.item === undefined) return undefined;
-    return parseLock(read.item.value)?.nonce === nonce ? read.item.revision : undefined;
+    const { store } = this.options;
+    const lock = await store.get(LOCK_KEY);
+    if (lock.kind !== 'item') return undefined;
+    const { item } = lock;
+    if (item !== undefined && parseLock(item.value)?.nonce === nonce) return item.revision;
+    const term = await store.get(TERM_KEY);
+    if (term.kind === 'item' && term.item !== undefined) this.take(term.item);
+    if (item !== undefined) this.take(item);
+    else if (this.holding !== undefined) this.noteFree();
+    return undefined;
+  }
+
+  private noteFree(): void {
+    this.holding = undefined;
+    this.lockRevision = ABSENT;
+    this.freeSince = this.options.clock.now();
+  }
+
+  private lose(): void {
+    this.ownNonce = undefined;
+    this.options.log.state('coordinator-lost', { fencingToken: this.token });
   }
 
   private take(change: StoreChange): void {
@@ -158,11 +200,9 @@
     if (change.key !== LOCK_KEY || change.revision < this.lockRevision) return;
     const lock = change.value === undefined ? undefined : parseLock(change.value);
     this.holding = lock;
-    this.lockRevision = change.value === undefined ? ABSENT : change.revision;
-    if (lock === undefined) this.freeSince = this.options.clock.now();
-    if (this.ownNonce === undefined || lock?.nonce === this.ownNonce) return;
-    this.ownNonce = undefined;
-    this.options.log.state('coordinator-lost', { fencingToken: this.token });
+    this.lockRevision = change.revision;
+    if (change.value === undefined) this.noteFree();
+    if (this.ownNonce !== undefined && lock?.nonce !== this.ownNonce) this.lose();
   }
 }
 
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -190,6 +190,7 @@
       expectedSequence: report.sequence,
     });
     this.options.metrics.count('weight_orders', { outcome });
+    if (outcome === 'fenced') lock.noteRefused(fencingToken);
     const details = { worker: worker.record.id, model, version, fencingToken, outcome };
     log.state('weights-ordered', { ...details, sequence: report.sequence });
     await this.afterOrder(change, version, outcome);
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
-import { CoordinatorLock } from '../../src/fleet/coordinator-lock.js';
+import { CoordinatorLock, LOCK_VALIDITY } from '../../src/fleet/coordinator-lock.js';
 import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
 import type { JobOwner } from '../../src/jobs/job-records.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
@@ -123,3 +123,66 @@
   store.setAvailability('up');
   await one.stop();
 });
+
+t.test('a new lease does not bring back a lock that went with the lease before', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const lease = one.fleet.leaseId;
+  const first = one.lock.fencingToken() ?? 0;
+  // No watch tells this node that its lock is gone, nor that another machine has taken it.
+  store.deafenWatches();
+  store.lapseLease(lease);
+  const lock = { node: 'node-2', address: '127.0.0.1:2', nonce: 'other' };
+  store.write('fleet/coordinator', JSON.stringify(lock));
+  await eventually(() => one.fleet.leaseId !== lease && one.fleet.leaseRemaining() > 1_500);
+  t.equal(one.lock.fencingToken(), undefined, `token ${first} is not used again`);
+  store.compact();
+  await eventually(() => one.lock.holder === 'node-2');
+  t.equal(one.lock.fencingToken(), undefined);
+  await one.stop();
+});
+
+t.test('a node whose lock lapsed unseen takes it again, without asking all the time', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 60_000);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const first = one.lock.fencingToken() ?? 0;
+  store.deafenWatches();
+  store.lapseLease(one.fleet.leaseId);
+  const before = store.calls.get('commit') ?? 0;
+  await eventually(() => (one.lock.fencingToken() ?? 0) > first);
+  const commits = (store.calls.get('commit') ?? 0) - before;
+  t.ok(commits <= 5, `${commits} commits`);
+  store.compact();
+  await one.stop();
+});
+
+t.test('a token that a worker refused is not used again', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 60_000);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const refused = one.lock.fencingToken() ?? 0;
+  one.lock.noteRefused(refused);
+  t.not(one.lock.fencingToken(), refused);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  t.ok((one.lock.fencingToken() ?? 0) > refused, 'only a newer one is');
+  await one.stop();
+});
+
+t.test('a new holder waits for as long as the one before may trust its lease', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const two = contender(store, OTHER, 0);
+  await eventually(() => two.lock.holder === 'node-1');
+  // The lock is taken away while its holder, which is silent here, may still trust its lease.
+  one.kill();
+  store.erase('fleet/coordinator');
+  await eventually(() => two.lock.holder === 'node-2');
+  const takenAt = performance.now();
+  t.equal(two.lock.fencingToken(), undefined);
+  await eventually(() => two.lock.fencingToken() !== undefined);
+  t.ok(performance.now() - takenAt >= LOCK_VALIDITY - 50);
+  await two.stop();
+});
