Scores of items: a state of the item, asked for by the route of the score request

Change: the item's new state 'unscored' (text whole, score missing), ItemScorer with room left to interactive requests, a second call when the first is late by the observed mean and deviation, termination after the route's attempts of 500, whole texts kept for new owners and later jobs.

--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -269,6 +269,7 @@
       engine: NO_ENGINE,
       versionField: 'version',
       registry: new WorkerRegistry(),
+      zone: 'zone',
       clock,
       log,
       metrics,
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -1,5 +1,6 @@
 /** Sends the items of all jobs that this node runs to workers, and takes in how the runs end. */
 
+import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort } from '../serving/engine-port.js';
@@ -10,8 +11,10 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { type ItemNeeds, isFaster, isSlow, medianPace, placeItem } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
+import { ItemScorer } from './item-scorer.js';
 import { ageOf } from './job-records.js';
-import type { OwnedItem, OwnedJob } from './owned-job.js';
+import { cancelWork, type OwnedItem } from './owned-item.js';
+import type { OwnedJob } from './owned-job.js';
 
 /** Options of {@link ItemDispatcher}. */
 export interface ItemDispatcherOptions {
@@ -21,6 +24,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
+  /** Zone of this node. */
+  readonly zone: ZoneName;
   /** The routes in force; `undefined` before the first configuration. */
   readonly routes: () => RouteMatcher | undefined;
 }
@@ -46,12 +51,14 @@
   /** Worker that read the shared prompt of a group last, by job and group. */
   private readonly promptWorkers = new Map<string, string>();
   private readonly runContext: ItemRunContext;
+  private readonly scorer: ItemScorer;
   private isScheduled = false;
   private isStopped = false;
 
   constructor(private readonly options: ItemDispatcherOptions) {
     const { engine, clock, versionField } = options;
     this.runContext = { engine, clock, versionField, silence: SILENCE };
+    this.scorer = new ItemScorer({ ...options, ended: () => this.schedule() });
   }
 
   /** Takes in a job whose items are to be run. */
@@ -113,6 +120,7 @@
       waiting.sort(byUrgency);
       for (const entry of waiting) this.start(job, entry, routes, now);
     }
+    this.scorer.dispatch(inOrder, routes);
   }
 
   private start(job: OwnedJob, entry: OwnedItem, routes: RouteMatcher, now: Milliseconds): void {
@@ -170,7 +178,7 @@
     this.options.metrics.count('item_runs', { end });
     entry.notBefore = now + pauseAfter(end);
     if (end === 'completed') {
-      job.finish(entry, entry.progress.toResult(entry.item.id));
+      job.completeText(entry);
       const age = ageOf(job.spec, this.options.clock.wallTime());
       this.options.metrics.observe('item_seconds', {}, age);
     }
@@ -213,7 +221,7 @@
     const age = ageOf(job.spec, this.options.clock.wallTime());
     if (age < route.maxQueue + GIVE_UP_MARGIN) return;
     for (const entry of job.items.values()) {
-      entry.run?.cancel();
+      cancelWork(entry);
       job.finish(entry, entry.progress.toTerminated(entry.item.id));
     }
     job.advance();
--- a/src/jobs/item-progress.ts
+++ b/src/jobs/item-progress.ts
@@ -28,6 +28,7 @@
   private lastId: number | undefined;
   private readonly versions = new Set<WeightVersion>();
   private currentVersion: WeightVersion | undefined;
+  private isTextWhole = false;
 
   constructor(private readonly rule: VersionRule) {}
 
@@ -38,6 +39,7 @@
     this.lastId = kept.lastEventId;
     this.versions.clear();
     for (const version of kept.versions) this.versions.add(version);
+    this.isTextWhole = kept.isWhole ?? false;
     return true;
   }
 
@@ -67,6 +69,17 @@
     this.lastId = undefined;
     this.versions.clear();
     this.currentVersion = undefined;
+    this.isTextWhole = false;
+  }
+
+  /** The last event has come. */
+  markWhole(): void {
+    this.isTextWhole = true;
+  }
+
+  /** Whether the last event has come. */
+  get isWhole(): boolean {
+    return this.isTextWhole;
   }
 
   /** Number of the last event, or `undefined` before the first. */
@@ -98,6 +111,11 @@
   /** What to keep, so that another node can go on; `undefined` before the first event. */
   toKept(): KeptItem | undefined {
     if (this.lastId === undefined) return undefined;
-    return { events: [...this.events], lastEventId: this.lastId, versions: [...this.versions] };
+    const kept = {
+      events: [...this.events],
+      lastEventId: this.lastId,
+      versions: [...this.versions],
+    };
+    return this.isTextWhole ? { ...kept, isWhole: true } : kept;
   }
 }
--- /dev/null
+++ b/src/jobs/item-scorer.ts
@@ -0,0 +1,235 @@
+/**
+ * Asks for the scores of items whose texts are whole. A score request goes by the route of its own
+ * host and path, under its own id, and may be repeated: it goes to another worker when one fails,
+ * and to a second one beside the first when the answer is late by what was observed of the
+ * service. Its service is shared with interactive requests, so a part of each worker is left to them.
+ */
+import type { Milliseconds } from '../core/units.js';
+import { readWhole } from '../serving/attempt.js';
+import type { EngineAnswer, EngineOutcome } from '../serving/engine-port.js';
+import { LatencyEstimate } from '../serving/latency-estimate.js';
+import type { RouteMatcher } from '../serving/route-matcher.js';
+import type { Route, ServiceName } from '../serving/traffic-configuration.js';
+import type { KnownWorker } from '../serving/worker-registry.js';
+import type { ItemDispatcherOptions } from './item-dispatcher.js';
+import { ItemScoring } from './item-scoring.js';
+import { ageOf, type ScoreRequest } from './job-records.js';
+import type { OwnedItem } from './owned-item.js';
+import type { OwnedJob } from './owned-job.js';
+
+/** Options of {@link ItemScorer}. */
+export interface ItemScorerOptions extends ItemDispatcherOptions {
+  /** Called after a call has ended, so that the next is sent soon. */
+  readonly ended: () => void;
+}
+
+/** Share of a worker's places beyond which it is sent no score request. */
+const PLACES_SHARE = 0.75;
+
+/** Calls for one item at a time. */
+const MOST_CALLS = 2;
+
+/** Pause before a request is sent again: after a refusal, and after a failure. */
+const FULL_PAUSE: Milliseconds = 60;
+const FAILURE_PAUSE: Milliseconds = 30;
+
+/** Least time that a score request gives its worker. */
+const LEAST_TIME: Milliseconds = 1_000;
+
+const SERVER_ERROR = 500;
+
+/** What a call came to. */
+type ScoreOutcome =
+  | { readonly kind: 'scored'; readonly score: string }
+  | { readonly kind: 'attempt-failed' | 'refused' | 'failed' | 'cancelled' };
+
+/** One item on its way to its score. */
+interface UnscoredItem {
+  readonly job: OwnedJob;
+  readonly entry: OwnedItem;
+  readonly request: ScoreRequest;
+}
+
+/** Sends score requests for the jobs of one node. */
+export class ItemScorer {
+  /** By the name of the route. */
+  private readonly estimates = new Map<string, LatencyEstimate>();
+
+  constructor(private readonly options: ItemScorerOptions) {}
+
+  /** Sends what is due, items of nearly whole groups first. */
+  dispatch(jobs: readonly OwnedJob[], routes: RouteMatcher): void {
+    const due = jobs.flatMap((job) => (job.isOpen ? unscoredItems(job) : []));
+    for (const item of due) this.send(item, routes);
+  }
+
+  private send(item: UnscoredItem, routes: RouteMatcher): void {
+    const { entry, request } = item;
+    const now = this.options.clock.now();
+    entry.scoring ??= new ItemScoring();
+    const { scoring } = entry;
+    if (scoring.notBefore > now || scoring.callsUnderWay >= MOST_CALLS) return;
+    const route = routes.match(request.host, request.path);
+    if (route === undefined) return;
+    scoring.cancelOlderThan(now - route.timeout);
+    const isLate = now - scoring.lastSentAt > this.estimate(route).limit(route.timeout);
+    if (scoring.callsUnderWay > 0 && !isLate) return;
+    const service = routes.nextService(route);
+    const worker = service === undefined ? undefined : this.choose(service, scoring, now);
+    if (worker !== undefined) void this.ask(item, scoring, route, worker);
+  }
+
+  /** A worker with room beside what it leaves to others, one not asked before if possible. */
+  private choose(
+    service: ServiceName,
+    scoring: ItemScoring,
+    now: Milliseconds,
+  ): KnownWorker | undefined {
+    const { registry, zone } = this.options;
+    const hasRoom = (worker: KnownWorker): boolean =>
+      worker.occupancy(now) < Math.max(1, PLACES_SHARE * worker.record.slots);
+    const withRoom = (tried: ReadonlySet<string>): KnownWorker | undefined => {
+      const worker = registry.pick(service, tried, zone, now);
+      return worker !== undefined && hasRoom(worker) ? worker : undefined;
+    };
+    const fresh = withRoom(scoring.tried);
+    return fresh ?? (scoring.callsUnderWay === 0 ? withRoom(new Set()) : undefined);
+  }
+
+  private async ask(
+    item: UnscoredItem,
+    scoring: ItemScoring,
+    route: Route,
+    worker: KnownWorker,
+  ): Promise<void> {
+    const { clock, metrics } = this.options;
+    const sentAt = clock.now();
+    const call = scoring.begin(worker.record.id, sentAt);
+    worker.inFlight += 1;
+    const outcome = await this.call(item, route, worker, call.signal);
+    worker.inFlight -= 1;
+    scoring.end(call);
+    metrics.count('score_calls', { outcome: outcome.kind });
+    if (outcome.kind === 'scored') this.estimate(route).note(clock.now() - sentAt);
+    if (item.entry.scoring === scoring) this.take(item, scoring, route, outcome);
+    this.options.ended();
+  }
+
+  private async call(
+    { job, request }: UnscoredItem,
+    route: Route,
+    worker: KnownWorker,
+    signal: AbortSignal,
+  ): Promise<ScoreOutcome> {
+    const { engine, clock } = this.options;
+    const outcome = await engine.send(
+      {
+        worker: worker.record,
+        requestId: request.id,
+        method: 'POST',
+        path: request.path,
+        host: request.host,
+        headers: [],
+        body: Buffer.from(request.body, 'base64'),
+        remaining: this.timeLeft(job),
+        priority: route.priority,
+      },
+      signal,
+    );
+    if (signal.aborted) {
+      if (outcome.kind === 'answered') outcome.discard();
+      return { kind: 'cancelled' };
+    }
+    const read = await readOutcome(outcome);
+    if (signal.aborted && read.kind !== 'scored') return { kind: 'cancelled' };
+    this.noteWorker(worker, outcome, read, clock.now());
+    return read;
+  }
+
+  /** All calls for the items of a job end at the same time: when these may be given up. */
+  private timeLeft(job: OwnedJob): Milliseconds {
+    const { spec } = job;
+    const maxQueue = this.options.routes()?.match(spec.host, spec.path)?.maxQueue ?? 0;
+    return Math.max(LEAST_TIME, maxQueue - ageOf(spec, this.options.clock.wallTime()));
+  }
+
+  private noteWorker(
+    worker: KnownWorker,
+    outcome: EngineOutcome,
+    read: ScoreOutcome,
+    now: Milliseconds,
+  ): void {
+    if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, now);
+    if (read.kind === 'scored') worker.noteOutcome('success', now);
+    else if (read.kind === 'refused') worker.noteOutcome('full', now);
+    else if (read.kind === 'failed') worker.noteOutcome('failure', now);
+  }
+
+  private take(
+    { job, entry, request }: UnscoredItem,
+    scoring: ItemScoring,
+    route: Route,
+    outcome: ScoreOutcome,
+  ): void {
+    const { text, item } = entry;
+    if (text === undefined || !job.isOpen) return;
+    const details = { item: item.id, job: job.spec.id, request: request.id };
+    if (outcome.kind === 'scored') {
+      scoring.cancel();
+      job.finish(entry, { ...text, score: outcome.score });
+      this.options.log.decision('item-scored', details);
+      job.advance();
+      return;
+    }
+    const now = this.options.clock.now();
+    scoring.notBefore = now + (outcome.kind === 'refused' ? FULL_PAUSE : FAILURE_PAUSE);
+    if (outcome.kind !== 'attempt-failed') return;
+    scoring.failedAttempts += 1;
+    this.options.log.decision('score-attempt-failed', {
+      ...details,
+      attempts: scoring.failedAttempts,
+    });
+    if (scoring.failedAttempts < route.maxAttempts) return;
+    scoring.cancel();
+    job.finish(entry, entry.progress.toTerminated(item.id));
+    job.advance();
+  }
+
+  private estimate(route: Route): LatencyEstimate {
+    const known = this.estimates.get(route.name);
+    if (known !== undefined) return known;
+    const estimate = new LatencyEstimate(route.targetLatency);
+    this.estimates.set(route.name, estimate);
+    return estimate;
+  }
+}
+
+async function readOutcome(outcome: EngineOutcome): Promise<ScoreOutcome> {
+  if (outcome.kind === 'not-run') return { kind: 'refused' };
+  if (outcome.kind === 'failed') return { kind: 'failed' };
+  const body = await readWhole(outcome);
+  if (body === undefined) return { kind: 'failed' };
+  if (outcome.status === SERVER_ERROR) return { kind: 'attempt-failed' };
+  const score = isSuccess(outcome) ? outcome.signature : undefined;
+  return score === undefined ? { kind: 'failed' } : { kind: 'scored', score };
+}
+
+function isSuccess({ status }: EngineAnswer): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** A job's items that lack their scores, those first whose groups lack the fewest results. */
+function unscoredItems(job: OwnedJob): UnscoredItem[] {
+  const unscored = job.unscored();
+  if (unscored.length === 0) return [];
+  const open = new Map<string, number>();
+  for (const { item, state } of job.items.values()) {
+    if (state !== 'done') open.set(item.group, (open.get(item.group) ?? 0) + 1);
+  }
+  const openInGroup = ({ item }: OwnedItem): number => open.get(item.group) ?? 0;
+  unscored.sort((left, right) => openInGroup(left) - openInGroup(right));
+  return unscored.flatMap((entry) => {
+    const { scoreRequest: request } = entry.item;
+    return request === undefined ? [] : [{ job, entry, request }];
+  });
+}
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -3,6 +3,16 @@
 import type { Milliseconds } from '../core/units.js';
 import type { WeightNeed } from './job-peers.js';
 
+/** The request that asks for the score of an item's text, at the service of its own route. */
+const SCORE_REQUEST = z.object({
+  id: z.string(),
+  host: z.string(),
+  /** Path and query. */
+  path: z.string(),
+  /** Base64. */
+  body: z.string(),
+});
+
 /** One item of a job: a request for a worker. */
 const ITEM = z.object({
   id: z.string(),
@@ -17,6 +27,8 @@
   group: z.string(),
   /** Guess of the size of the answer in tokens; longer ones are run first. */
   expectedLength: z.number(),
+  /** Where its result needs a score to be listed as completed. */
+  scoreRequest: SCORE_REQUEST.optional(),
 });
 
 const SPECIFICATION = z.object({
@@ -61,15 +73,25 @@
   state: z.enum(['completed', 'terminated']),
   text: z.string(),
   versions: z.array(z.number()),
+  /** The signature of the answer to the item's score request. */
+  score: z.string().optional(),
 });
 
 const PAGE = z.object({ first: z.number(), results: z.array(RESULT) });
 
 const PROGRESS = z.record(
   z.string(),
-  z.object({ events: z.array(z.string()), lastEventId: z.number(), versions: z.array(z.number()) }),
+  z.object({
+    events: z.array(z.string()),
+    lastEventId: z.number(),
+    versions: z.array(z.number()),
+    /** Whether the text is whole and lacks only its score. */
+    isWhole: z.boolean().optional(),
+  }),
 );
 
+/** A request for a score. */
+export type ScoreRequest = z.infer<typeof SCORE_REQUEST>;
 /** One item of a job. */
 export type JobItem = z.infer<typeof ITEM>;
 /** A job as it was submitted; never changes. */
--- a/src/jobs/kept-items.ts
+++ b/src/jobs/kept-items.ts
@@ -15,11 +15,13 @@
   | { readonly kind: 'unfinished'; readonly progress: KeptItem }
   | { readonly kind: 'finished'; readonly result: JobResult };
 
-/** Kept work with the digest of what was asked. */
+/** Kept work with the digests of what was asked. */
 export interface DigestedWork {
   readonly work: KeptWork;
   /** Of headers and body, so that an id that is used for something else is not mistaken. */
   readonly digest: string;
+  /** Of the request for the score: a score is the answer to that request alone. */
+  readonly scoreDigest: string;
 }
 
 /** Time for which work is kept; a trainer brings a group back with its next steps. */
@@ -52,14 +54,15 @@
   /** What is kept of an item; a digest of the request must agree. */
   find(item: JobItem): KeptWork | undefined {
     const entry = this.findById(item.id);
-    return entry !== undefined && isFor(entry, item) ? entry.work : undefined;
+    return entry === undefined ? undefined : workFor(entry, item);
   }
 
   /** What is kept under an id, for another node. */
   findById(id: string): DigestedWork | undefined {
     const entry = this.entries.get(id);
     if (entry === undefined || this.clock.now() - entry.keptAt > KEEP_TIME) return undefined;
-    return { work: entry.work, digest: entry.digest };
+    const { work, digest, scoreDigest } = entry;
+    return { work, digest, scoreDigest };
   }
 
   private keepItem(
@@ -70,7 +73,8 @@
     const work = workOf(result, progress);
     if (work === undefined) return;
     this.entries.delete(item.id);
-    this.entries.set(item.id, { work, digest: digestOf(item), keptAt: this.clock.now() });
+    const digests = { digest: digestOf(item), scoreDigest: scoreDigestOf(item) };
+    this.entries.set(item.id, { work, ...digests, keptAt: this.clock.now() });
   }
 
   private dropOld(): void {
@@ -82,9 +86,20 @@
   }
 }
 
-/** Whether kept work belongs to the same request. */
-export function isFor(kept: DigestedWork, item: JobItem): boolean {
-  return kept.digest === digestOf(item);
+/**
+ * What kept work is worth to an item: nothing if it was another request; the text alone, to be
+ * scored anew, if the score was asked for by another request.
+ */
+export function workFor(kept: DigestedWork, item: JobItem): KeptWork | undefined {
+  if (kept.digest !== digestOf(item)) return undefined;
+  const { work } = kept;
+  if (work.kind === 'unfinished' || kept.scoreDigest === scoreDigestOf(item)) return work;
+  return { kind: 'unfinished', progress: unscoredText(work.result) };
+}
+
+/** A whole text as kept progress; it is never continued, so its number of events is of no use. */
+function unscoredText({ text, versions }: JobResult): KeptItem {
+  return { events: [text], lastEventId: 0, versions, isWhole: true };
 }
 
 function workOf(
@@ -105,6 +120,10 @@
   return [...groups.values()];
 }
 
+function scoreDigestOf({ scoreRequest }: JobItem): string {
+  return scoreRequest === undefined ? '' : contentDigest(JSON.stringify(scoreRequest));
+}
+
 function digestOf(item: JobItem): string {
   return contentDigest(JSON.stringify([item.headers, item.body]));
 }
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -6,34 +6,12 @@
 import { Subject } from 'rxjs';
 import type { Milliseconds } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
-import { fitsVersions, ItemProgress, type VersionRule } from './item-progress.js';
-import type { ItemRun } from './item-run.js';
-import type {
-  JobItem,
-  JobOwner,
-  JobResult,
-  JobSpecification,
-  KeptProgress,
-} from './job-records.js';
+import { fitsVersions, type VersionRule } from './item-progress.js';
+import type { JobOwner, JobResult, JobSpecification, KeptProgress } from './job-records.js';
 import { isFinished } from './job-records.js';
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
 import type { KeptWork } from './kept-items.js';
-
-/** Where one item stands. */
-export interface OwnedItem {
-  readonly item: JobItem;
-  readonly progress: ItemProgress;
-  state: 'waiting' | 'running' | 'done';
-  run: ItemRun | undefined;
-  /** Not sent again before this time. */
-  notBefore: Milliseconds;
-  /** Answers that said the attempt failed. */
-  failedAttempts: number;
-  /** Times that a run was ended to go on at a faster worker. */
-  moves: number;
-  /** Whether it was moved to a worker that is somewhat faster. */
-  hasGoneFaster: boolean;
-}
+import { cancelWork, lacksText, newOwnedItem, type OwnedItem } from './owned-item.js';
 
 /** Least time between two commits of results, while many items are still open. */
 const LISTING_INTERVAL: Milliseconds = 350;
@@ -80,17 +58,7 @@
     const done = new Set(listed.map((result) => result.id));
     for (const item of spec.items) {
       if (done.has(item.id)) continue;
-      const progress = new ItemProgress(rule);
-      const entry: OwnedItem = {
-        item,
-        progress,
-        state: 'waiting',
-        run: undefined,
-        notBefore: 0,
-        failedAttempts: 0,
-        moves: 0,
-        hasGoneFaster: false,
-      };
+      const entry = newOwnedItem(item, rule);
       this.items.set(item.id, entry);
       this.takeOver(entry, kept.get(item.id), rule);
     }
@@ -98,7 +66,9 @@
 
   /** Takes over what was made of an item before, if its weights fit. */
   private takeOver(entry: OwnedItem, kept: KeptWork | undefined, rule: VersionRule): void {
-    if (kept?.kind === 'unfinished') entry.progress.restore(kept.progress);
+    if (kept?.kind === 'unfinished' && entry.progress.restore(kept.progress)) {
+      if (entry.progress.isWhole) this.completeText(entry);
+    }
     if (kept?.kind !== 'finished' || !fitsVersions(kept.result.versions, rule)) return;
     this.finish(entry, kept.result);
   }
@@ -153,16 +123,31 @@
 
   /** Whether most items are done and all others are under way. */
   get isClosing(): boolean {
-    const open = [...this.items.values()].filter((entry) => entry.state !== 'done');
+    const open = [...this.items.values()].filter(lacksText);
     const isMostDone = open.length <= this.spec.items.length * LONGEST_SHARE;
     return isMostDone && open.every((entry) => entry.state === 'running');
   }
 
+  /** The text of an item is whole: its result is known, or only its score is missing. */
+  completeText(entry: OwnedItem): void {
+    entry.progress.markWhole();
+    const text = entry.progress.toResult(entry.item.id);
+    if (entry.item.scoreRequest === undefined) {
+      this.finish(entry, text);
+      return;
+    }
+    entry.state = 'unscored';
+    entry.run = undefined;
+    entry.text = text;
+  }
+
   /** Takes the result of an item; it is listed with the next commit. */
   finish(entry: OwnedItem, result: JobResult): void {
     if (entry.state === 'done') return;
     entry.state = 'done';
     entry.run = undefined;
+    entry.text = undefined;
+    entry.scoring = undefined;
     this.pending.push(result);
   }
 
@@ -280,7 +265,12 @@
   }
 
   private stopRuns(): void {
-    for (const entry of this.items.values()) entry.run?.cancel();
+    for (const entry of this.items.values()) cancelWork(entry);
+  }
+
+  /** Items whose texts are whole and lack their scores. */
+  unscored(): OwnedItem[] {
+    return [...this.items.values()].filter((entry) => entry.state === 'unscored');
   }
 
   /** What was made of unfinished items, so that another node can go on from there. */
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -13,7 +13,7 @@
   type KeptProgress,
 } from './job-records.js';
 import type { JobStore, VersionedHead } from './job-store.js';
-import { type DigestedWork, isFor, KeptItems, type KeptWork } from './kept-items.js';
+import { type DigestedWork, KeptItems, type KeptWork, workFor } from './kept-items.js';
 import { OwnedJob } from './owned-job.js';
 
 /** Options of {@link OwnedJobs}. */
@@ -107,10 +107,10 @@
     for (const item of spec.items) {
       const own = progress[item.id];
       const other = elsewhere.get(item.id);
-      const work: KeptWork | undefined =
+      const here: KeptWork | undefined =
         own === undefined ? this.kept.find(item) : { kind: 'unfinished', progress: own };
+      const work = here ?? (other === undefined ? undefined : workFor(other, item));
       if (work !== undefined) kept.set(item.id, work);
-      else if (other !== undefined && isFor(other, item)) kept.set(item.id, other.work);
     }
     return kept;
   }
--- a/src/serving/engine-port.ts
+++ b/src/serving/engine-port.ts
@@ -43,6 +43,8 @@
   readonly isStream: boolean;
   /** Weights at the beginning of the answer, where the worker told them. */
   readonly weightVersion: WeightVersion | undefined;
+  /** The worker's signature of its answer. */
+  readonly signature: string | undefined;
   readonly load: ReportedLoad | undefined;
   /** Ends the request and never uses its connection again. */
   discard(): void;
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -10,6 +10,7 @@
   requests: { help: 'Requests of callers that came to an end', labels: ['kind', 'outcome'] },
   item_runs: { help: 'Runs of items at workers, by how they ended', labels: ['end'] },
   item_moves: { help: 'Runs of items moved to another worker, by cause', labels: ['cause'] },
+  score_calls: { help: 'Calls for the scores of items, by how they ended', labels: ['outcome'] },
   jobs_submitted: { help: 'Jobs handed in, by what came of it', labels: ['outcome'] },
   jobs_closed: { help: 'Jobs no longer run here, by reason', labels: ['reason'] },
   jobs_adopted: { help: 'Jobs taken over from another node', labels: ['cause'] },
--- /dev/null
+++ b/test/jobs/item-scorer.test.ts
@@ -0,0 +1,222 @@
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { JobResult, JobSpecification } from '../../src/jobs/job-records.js';
+import { JobStore } from '../../src/jobs/job-store.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import type { EngineOutcome } from '../../src/serving/engine-port.js';
+import { eventually } from '../fleet/fleet-fixtures.js';
+import {
+  answer,
+  BROKEN,
+  brokenAnswer,
+  events,
+  NOT_RUN,
+  type Script,
+  ScriptedEngine,
+  worker,
+} from '../serving/serving-fixtures.js';
+import { always, headOf, never, OTHER, OWNER, scoredSpecification } from './job-fixtures.js';
+import { type JobNode, jobNode } from './job-node.js';
+
+const text = (letters: string): EngineOutcome =>
+  answer(events(0, letters), { isStream: true, signature: 'text-signature' });
+
+const scored = (signature: string): EngineOutcome => answer('judged', { signature });
+
+interface Scenario {
+  readonly node: JobNode;
+  readonly engine: ScriptedEngine;
+  readonly store: SharedStoreEmulator;
+}
+
+/** A node with one worker for items and some for scores. */
+function scenario(scripts: Script[], scorers = ['s1'], slots = 4): Scenario {
+  const store = new SharedStoreEmulator();
+  const engine = new ScriptedEngine(scripts);
+  const node = jobNode(store, OWNER, engine);
+  node.registry.put(worker('w1'));
+  for (const id of scorers) node.registry.put(worker(id, { service: 'scorers', slots }));
+  return { node, engine, store };
+}
+
+async function workUntil(node: JobNode, holds: () => boolean): Promise<void> {
+  const ticker = setInterval(() => {
+    node.service.tick();
+    node.dispatcher.tick();
+  }, 5);
+  await eventually(holds).finally(() => clearInterval(ticker));
+}
+
+const isFinished = (node: JobNode) => (): boolean => node.service.ownedJobs()[0]?.isOpen === false;
+
+async function resultsOf(node: JobNode, job = 'job'): Promise<readonly JobResult[]> {
+  const read = await node.service.read(job, 0, 0);
+  if ('detail' in read) throw new Error(read.detail);
+  return read.results;
+}
+
+async function runToEnd({ node }: Scenario, spec: JobSpecification): Promise<JobResult[]> {
+  await node.service.submit(spec, always);
+  await workUntil(node, isFinished(node));
+  return [...(await resultsOf(node))];
+}
+
+t.test(
+  'a result is listed with the signature of the answer to its own score request',
+  async (t) => {
+    const run = scenario([text('ab'), scored('score-signature')]);
+    const results = await runToEnd(run, scoredSpecification('job', 1));
+    t.match(results, [{ state: 'completed', text: 'a\nb', score: 'score-signature' }]);
+    const [item, score] = run.engine.requests;
+    t.equal(item?.requestId, 'item-0');
+    t.match(score, {
+      requestId: 'score-0',
+      method: 'POST',
+      path: '/score/0',
+      host: 'scorer.example',
+    });
+    t.equal(score?.body.toString(), 'score 0');
+    t.ok((score?.remaining ?? 0) > 1_000, 'the worker is given a time');
+  },
+);
+
+t.test('no score is asked for before the last event of the text', async (t) => {
+  const run = scenario([brokenAnswer(events(0, 'a'), { isStream: true })]);
+  await run.node.service.submit(scoredSpecification('job', 1), always);
+  await workUntil(run.node, () => run.engine.requests.length >= 2);
+  t.equal(run.engine.requests[1]?.requestId, 'item-0');
+  t.equal(run.engine.requests[1]?.lastEventId, 0);
+  run.node.dispatcher.stop();
+});
+
+t.test('nothing is listed as completed while the score is missing', async (t) => {
+  const run = scenario([text('ab'), 'hang']);
+  await run.node.service.submit(scoredSpecification('job', 1), always);
+  await workUntil(run.node, () => run.engine.requests.length === 2);
+  t.same(await resultsOf(run.node), []);
+  run.node.dispatcher.stop();
+});
+
+t.test('a score request goes again after a refusal, a break and a broken body', async (t) => {
+  const bad = [NOT_RUN, BROKEN, brokenAnswer('jud', { signature: 'broken' })];
+  const run = scenario([text('ab'), ...bad, scored('good')], ['s1', 's2']);
+  const results = await runToEnd(run, scoredSpecification('job', 1));
+  t.match(results, [{ state: 'completed', score: 'good' }]);
+  t.equal(run.engine.requests.filter(({ requestId }) => requestId === 'item-0').length, 1);
+});
+
+t.test('a success without a signature is no score', async (t) => {
+  const unsigned = answer('judged', { signature: undefined });
+  const run = scenario([text('ab'), unsigned, scored('good')], ['s1', 's2']);
+  t.match(await runToEnd(run, scoredSpecification('job', 1)), [{ score: 'good' }]);
+});
+
+t.test('an item whose score attempts all fail is terminated', async (t) => {
+  const failed = (): EngineOutcome => answer('', { status: 500, signature: 'failure' });
+  const run = scenario([text('ab'), failed(), failed(), failed()], ['s1', 's2', 's3']);
+  const results = await runToEnd(run, scoredSpecification('job', 1));
+  t.match(results, [{ state: 'terminated', text: '' }]);
+  t.equal(results[0]?.score, undefined);
+  t.equal(run.engine.requests.length, 4, 'not before all attempts of the route, and none after');
+});
+
+t.test('a late answer is asked for at a second worker, and the slower call is ended', async (t) => {
+  const run = scenario([text('ab'), 'hang', scored('second')], ['s1', 's2']);
+  const startedAt = performance.now();
+  const results = await runToEnd(run, scoredSpecification('job', 1));
+  t.match(results, [{ score: 'second' }]);
+  t.ok(performance.now() - startedAt < 1_400, 'long before the timeout of the route');
+  const [, first, second] = run.engine.requests;
+  t.not(first?.worker.id, second?.worker.id);
+  t.same(run.engine.cancelled, [first?.worker.id]);
+});
+
+t.test('the calls of a job that ends are ended', async (t) => {
+  const run = scenario([text('ab'), 'hang']);
+  await run.node.service.submit(scoredSpecification('job', 1), always);
+  await workUntil(run.node, () => run.engine.requests.length === 2);
+  t.equal(await run.node.service.end('job', always), undefined);
+  t.same(run.engine.cancelled, ['s1']);
+  await workUntil(run.node, always);
+  t.equal(run.engine.requests.length, 2);
+});
+
+t.test('workers whose places are nearly taken are left to interactive requests', async (t) => {
+  const run = scenario([text('ab'), scored('late')]);
+  const scorer = run.node.registry.get('s1');
+  if (scorer === undefined) throw new Error('no worker');
+  scorer.inFlight = 3;
+  await run.node.service.submit(scoredSpecification('job', 1), always);
+  await workUntil(run.node, () => run.node.service.ownedJobs()[0]?.unscored().length === 1);
+  await PROCESS_CLOCK.sleep(50);
+  t.equal(run.engine.requests.length, 1, 'three of four places are taken');
+  scorer.inFlight = 1;
+  await workUntil(run.node, isFinished(run.node));
+  t.match(await resultsOf(run.node), [{ score: 'late' }]);
+});
+
+t.test('a new owner scores a whole text again and does not run the item again', async (t) => {
+  const store = new SharedStoreEmulator();
+  const records = new JobStore(store, PROCESS_CLOCK);
+  const spec = scoredSpecification('job', 1);
+  const made = await records.create(spec, headOf(spec, OTHER), never);
+  if (made.kind !== 'changed') throw new Error('not made');
+  const whole = { events: ['a', 'b'], lastEventId: 1, versions: [1], isWhole: true };
+  const kept = { 'item-0': whole };
+  const freed = await records.replace('job', made.current, { owner: null }, never, kept);
+  if (freed.kind !== 'changed') throw new Error('not released');
+  const engine = new ScriptedEngine([scored('anew')]);
+  const node = jobNode(store, OWNER, engine);
+  node.registry.put(worker('w1'));
+  node.registry.put(worker('s1', { service: 'scorers' }));
+  t.equal(await node.service.adopt('job', freed.current), true);
+  await workUntil(node, isFinished(node));
+  t.match(await resultsOf(node), [{ text: 'a\nb', score: 'anew' }]);
+  t.same(
+    engine.requests.map(({ requestId }) => requestId),
+    ['score-0'],
+  );
+});
+
+t.test('a whole text is kept with each commit while its score is missing', async (t) => {
+  const run = scenario([text('ab'), 'hang']);
+  await run.node.service.submit(scoredSpecification('job', 1), always);
+  await workUntil(run.node, () => run.engine.requests.length === 2);
+  const kept = run.node.service.ownedJobs()[0]?.keptProgress();
+  t.match(kept, { 'item-0': { events: ['a', 'b'], isWhole: true } });
+  run.node.dispatcher.stop();
+});
+
+/** Runs a first job whose second item never ends, ends it, and runs `next` at the same node. */
+async function bringBack(next: JobSpecification, scripts: Script[]): Promise<Scenario> {
+  const run = scenario([...scripts]);
+  await run.node.service.submit(scoredSpecification('first', 2), always);
+  const first = (): JobResult[] => run.node.service.ownedJobs()[0]?.finishedResults() ?? [];
+  await workUntil(run.node, () => first().length === 1);
+  await run.node.service.end('first', always);
+  await run.node.service.submit(next, always);
+  return run;
+}
+
+t.test('a score of an earlier job counts for the same score request', async (t) => {
+  const scripts: Script[] = [text('ab'), 'hang', scored('earlier')];
+  const spec = scoredSpecification('job', 2);
+  const run = await bringBack({ ...spec, items: spec.items.slice(1) }, scripts);
+  await workUntil(run.node, () => run.node.service.ownedJobs()[1]?.isOpen === false);
+  const [result] = await resultsOf(run.node);
+  t.equal(result?.score, 'earlier');
+  t.equal(run.engine.requests.length, 3);
+});
+
+t.test('a text of an earlier job is scored anew for another score request', async (t) => {
+  const spec = scoredSpecification('job', 2);
+  const items = spec.items.map((item) => ({
+    ...item,
+    scoreRequest: { id: 'another', host: 'scorer.example', path: '/score/x', body: '' },
+  }));
+  const scripts: Script[] = [text('ab'), 'hang', scored('earlier'), scored('new')];
+  const run = await bringBack({ ...spec, items: items.slice(1) }, scripts);
+  await workUntil(run.node, () => run.node.service.ownedJobs()[1]?.isOpen === false);
+  t.match(await resultsOf(run.node), [{ text: 'a\nb', score: 'new' }]);
+  t.equal(run.engine.requests.at(-1)?.requestId, 'another');
+});
--- a/test/jobs/job-fixtures.ts
+++ b/test/jobs/job-fixtures.ts
@@ -49,6 +49,23 @@
   };
 }
 
+/** The same job with a score request for each item: `score-0` and so on. */
+export function scoredSpecification(id: string, items: number): JobSpecification {
+  const spec = specification(id, items);
+  return {
+    ...spec,
+    items: spec.items.map((item, index) => ({
+      ...item,
+      scoreRequest: {
+        id: `score-${index}`,
+        host: 'scorer.example',
+        path: `/score/${index}`,
+        body: Buffer.from(`score ${index}`).toString('base64'),
+      },
+    })),
+  };
+}
+
 export function headOf(spec: JobSpecification, owner: JobOwner = OWNER): HeadFields {
   return {
     owner,
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -44,6 +44,17 @@
   resumable: true,
 });
 
+/** Where the scores of items are asked for. */
+export const SCORE_ROUTE = route({
+  name: 'scores',
+  host: 'scorer.example',
+  pathPrefix: '/score/',
+  maxAttempts: 3,
+  targetLatency: 80,
+  timeout: 1_500,
+  targets: [{ service: 'scorers', weight: 1 }],
+});
+
 /** Joins the modules. */
 export function jobNode(
   emulator: SharedStoreEmulator,
@@ -55,7 +66,7 @@
   const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
   const registry = new WorkerRegistry();
-  const matcher = new RouteMatcher(configuration([JOB_ROUTE]));
+  const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
   const routes = (): RouteMatcher => matcher;
   const store = new JobStore(emulator, clock);
   const shared = { clock, log, metrics, routes };
@@ -64,6 +75,7 @@
     engine,
     versionField: VERSION_FIELD,
     registry,
+    zone: 'zone-1',
   });
   const reader = new JobReader(store, (...question) => peers.ownerListing(...question));
   const options = { ...shared, store, reader, peers, dispatcher, self, retention: () => 60_000 };
--- a/test/platform-adapter/ingress.test.ts
+++ b/test/platform-adapter/ingress.test.ts
@@ -203,3 +203,33 @@
   t.equal((await call('GET', '/look/x')).status, 200);
   t.equal(node.configurationVersion, 3, 'an older version never comes back');
 });
+
+t.test('an item with a scorer is listed with the signature of its score alone', async (t) => {
+  const stream = answer(events(0, 'ab'), { isStream: true, signature: 'of the text' });
+  const score = answer('judged', { signature: 'of the score' });
+  const { call, engine } = await configured(t, stream, score);
+  const job = JSON.parse(submission(1));
+  const body = Buffer.from('judge').toString('base64');
+  job.requests[0].scorer = { id: 'score-1', host: 'h', path: '/look/score', body };
+  const headers = { 'x-wardwing-request-id': 'job-1' };
+  t.equal((await call('POST', '/draw/submit', JSON.stringify(job), headers)).status, 202);
+  let read = await call('GET', '/wardwing/lots/job-1?after_revision=0');
+  while (JSON.parse(read.body).results.length === 0) {
+    read = await call('GET', '/wardwing/lots/job-1?after_revision=0', '', {
+      'x-wardwing-wait-ms': '500',
+    });
+  }
+  const [result] = JSON.parse(read.body).results;
+  t.match(result, { id: 'item-0', state: 'completed', score: 'of the score' });
+  t.match(engine.requests[1], { requestId: 'score-1', method: 'POST', path: '/look/score' });
+  t.equal(engine.requests[1]?.body.toString(), 'judge');
+});
+
+t.test('a scorer that is not readable is refused with its key', async (t) => {
+  const { call } = await configured(t);
+  const job = JSON.parse(submission(1));
+  job.requests[0].scorer = { id: 'score-1', host: 'h', path: 'no slash' };
+  const refused = await call('POST', '/draw/submit', JSON.stringify(job));
+  t.equal(refused.status, 400);
+  t.match(JSON.parse(refused.body).detail, /requests\.0\.scorer\.path/);
+});
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -89,6 +89,7 @@
     body: Readable.from([Buffer.from(body)]),
     isStream: false,
     weightVersion: 1,
+    signature: 'stamp',
     load: undefined,
     discard: () => {},
     ...fields,
