A cut watch is followed by a list, and by a second one a moment later

Change: after a failed call, lost history or a relay that isn't current the prefix is listed anew (linearizable), watched for one second, and listed once more. Two tests, both hang before.

--- a/lab/emulator/shared-store-emulator.ts
+++ b/lab/emulator/shared-store-emulator.ts
@@ -147,6 +147,9 @@
     const limit = Date.now() + wait;
     for (;;) {
       if (signal.aborted || this.availability === 'refusing') return UNKNOWN;
+      if (this.areWatchesDeaf && Date.now() >= limit) {
+        return { kind: 'changes', changes: [], revision: after };
+      }
       if (this.availability === 'up' && !this.areWatchesDeaf) {
         if (after < this.compactedTo) return { kind: 'compacted' };
         const changes = this.history.filter(
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -107,7 +107,8 @@
     if (relay !== undefined) {
       this.direct.delete(prefix);
       const outcome = await this.watchAt(relay, prefix, after, Math.min(wait, RELAYED_WAIT));
-      if (outcome !== undefined) return outcome;
+      // What the relay missed, a watch of this node may miss as well: the prefix is listed anew.
+      return outcome ?? { kind: 'compacted' };
     }
     return this.watchStore(prefix, after, wait, signal);
   }
--- a/src/shared-store/prefix-watcher.ts
+++ b/src/shared-store/prefix-watcher.ts
@@ -1,7 +1,8 @@
 /**
  * Follows a prefix of the shared store: lists it once, then watches from the list's revision on.
- * After lost history it lists again and reports the difference, so that followers see a deletion
- * that no watch told.
+ * After lost history or a failed call it lists again and reports the difference, so that followers
+ * see a change that no watch told; and once more a moment later, as a watch that begins while the
+ * store recovers may not hear what changes meanwhile.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Subject } from 'rxjs';
@@ -21,9 +22,16 @@
   readonly coalesce?: Milliseconds;
   /** Pause after a failed call. @default 250 ms */
   readonly retryPause?: Milliseconds;
+  /** Time after a list that followed a loss, when it is made once more. @default 1,000 ms */
+  readonly confirmationDelay?: Milliseconds;
 }
 
-const DEFAULTS = { wait: 25_000, coalesce: 100, retryPause: 250 } as const;
+const DEFAULTS = {
+  wait: 25_000,
+  coalesce: 100,
+  retryPause: 250,
+  confirmationDelay: 1_000,
+} as const;
 
 /** What a watcher reports: a batch of changes, and whether it came from a full list. */
 export interface PrefixUpdate {
@@ -47,6 +55,10 @@
   private revision: Revision = 0;
   private isLost = false;
   private isListed = false;
+  /** Whether something was lost since the last list. */
+  private hasLost = false;
+  /** Steady time at which the prefix is listed once more. */
+  private confirmAt: Milliseconds | undefined;
 
   constructor(options: PrefixWatcherOptions) {
     this.options = { ...DEFAULTS, ...options };
@@ -84,23 +96,26 @@
     if (outcome.kind === 'failed') return this.noteLost();
     this.noteHeard();
     this.isListed = true;
+    this.confirmAt = this.hasLost ? performance.now() + this.options.confirmationDelay : undefined;
+    this.hasLost = false;
     this.revision = outcome.revision;
     this.updates.next({ changes: this.differences(outcome.items), listed: true });
     return 0;
   }
 
   private async watchOnce(): Promise<Milliseconds> {
-    const { store, prefix, wait, coalesce } = this.options;
+    const { store, prefix, coalesce } = this.options;
     this.call = new AbortController();
     const { signal } = this.call;
-    const outcome = await store.watch(prefix, this.revision, wait, signal);
+    const outcome = await store.watch(prefix, this.revision, this.nextWait(), signal);
     if (signal.aborted) return 0;
     if (outcome.kind === 'failed') return this.noteLost();
     this.noteHeard();
     if (outcome.kind === 'compacted') {
-      this.isListed = false;
+      this.listAfterLoss();
       return 0;
     }
+    if (this.timeToConfirm() <= 0) this.isListed = false;
     this.revision = Math.max(this.revision, outcome.revision);
     const changes = outcome.changes.filter((change) => this.isNew(change));
     if (changes.length === 0) return 0;
@@ -108,6 +123,19 @@
     return coalesce;
   }
 
+  private nextWait(): Milliseconds {
+    return Math.max(1, Math.min(this.options.wait, Math.ceil(this.timeToConfirm())));
+  }
+
+  private timeToConfirm(): Milliseconds {
+    return (this.confirmAt ?? Number.POSITIVE_INFINITY) - performance.now();
+  }
+
+  private listAfterLoss(): void {
+    this.isListed = false;
+    this.hasLost = true;
+  }
+
   private isNew(change: StoreChange): boolean {
     if (change.revision <= (this.known.get(change.key) ?? 0)) return false;
     if (change.value === undefined) this.known.delete(change.key);
@@ -127,6 +155,7 @@
   private noteLost(): Milliseconds {
     if (!this.isLost) this.health.next('lost');
     this.isLost = true;
+    this.listAfterLoss();
     return this.options.retryPause;
   }
 
--- a/test/shared-store/prefix-watcher.test.ts
+++ b/test/shared-store/prefix-watcher.test.ts
@@ -11,7 +11,8 @@
 }
 
 function follow(store: SharedStoreEmulator, wait = 60_000): Followed {
-  const options = { store, prefix: 'a/', coalesce: 1, retryPause: 1, wait };
+  const pauses = { coalesce: 1, retryPause: 1, confirmationDelay: 60 };
+  const options = { store, prefix: 'a/', ...pauses, wait };
   const watcher = new PrefixWatcher(options);
   const seen: StoreChange[] = [];
   let check = (): void => {};
@@ -111,3 +112,40 @@
   watcher.stop();
   t.same(health, ['lost', 'regained']);
 });
+
+/** A store whose watches were cut and hear nothing yet, with one change that they did not tell. */
+async function cutWhileDeaf(store: SharedStoreEmulator): Promise<void> {
+  store.deafenWatches();
+  store.write('a/1', 'unheard');
+  store.setAvailability('refusing');
+  await new Promise((resolve) => setTimeout(resolve, 5));
+  store.setAvailability('up');
+}
+
+t.test('a change that a cut watch did not tell is found by a list', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.write('a/1', 'one');
+  const { watcher, seen, until } = follow(store);
+  await until(1);
+  await cutWhileDeaf(store);
+  await until(2);
+  watcher.stop();
+  t.equal(seen.at(-1)?.value, 'unheard');
+});
+
+t.test('a change made while new watches are still deaf is found by a second list', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.write('a/1', 'one');
+  const { watcher, seen, until } = follow(store);
+  await until(1);
+  await cutWhileDeaf(store);
+  await until(2);
+  store.write('a/2', 'later');
+  const startedAt = performance.now();
+  await until(3);
+  watcher.stop();
+  t.equal(seen.at(-1)?.value, 'later');
+  t.ok(performance.now() - startedAt < 2_000);
+  const lists = store.calls.get('range');
+  t.ok((lists ?? 0) <= 6, `${lists} lists`);
+});
