A worker whose record goes finishes what it runs

Cause: some workers leave without a notice, their record goes and they serve on for drain_ms and longer; the roster closed all connections to them at once, and so cut their streams and lookups. Change: such a worker is sent nothing new; its connections are closed after 12 s if it has not come back.

--- a/src/fleet/worker-roster.ts
+++ b/src/fleet/worker-roster.ts
@@ -12,11 +12,17 @@
 /** Time in which a live worker registers again; the bound on leaving workers is 2 s. */
 const LAPSE_GRACE: Milliseconds = 1_500;
 
+/**
+ * Time for which a worker whose record has gone may finish what it runs. Some workers leave without
+ * a notice and serve on for a while; one that crashed is noticed by its silent streams.
+ */
+const LINGER_TIME: Milliseconds = 12_000;
+
 /** Options of {@link WorkerRoster}. */
 export interface WorkerRosterOptions {
   readonly registry: WorkerRegistry;
   readonly engine: EnginePort;
-  readonly fleet: FleetRegistry;
+  readonly fleet: Pick<FleetRegistry, 'wasSilentWithin'>;
   readonly log: DecisionLog;
 }
 
@@ -51,9 +57,18 @@
     }, LAPSE_GRACE);
   }
 
+  /** Sends a worker nothing more; its connections are closed once it had time to finish. */
   private remove(id: string): void {
-    this.options.registry.remove(id);
-    this.options.engine.forget(id);
-    this.options.log.state('worker-gone', { worker: id });
+    const { registry, engine, log } = this.options;
+    const record = registry.get(id)?.record;
+    if (record === undefined) return;
+    const leaving = { ...record, draining: true };
+    registry.put(leaving);
+    log.state('worker-gone', { worker: id });
+    setTimeout(() => {
+      if (registry.get(id)?.record !== leaving) return;
+      registry.remove(id);
+      engine.forget(id);
+    }, LINGER_TIME);
   }
 }
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -131,6 +131,7 @@
   readonly requests: EngineRequest[] = [];
   readonly orders: WeightOrder[] = [];
   readonly cancelled: string[] = [];
+  readonly forgotten: string[] = [];
   orderOutcomes: OrderOutcome[] = [];
   reports: (EngineReport | undefined)[] = [];
 
@@ -167,7 +168,9 @@
     return this.reports.shift();
   }
 
-  forget(): void {}
+  forget(worker: string): void {
+    this.forgotten.push(worker);
+  }
 }
 
 /** A sink that keeps what it was given. */
