The soak draws scored items, turns single gateways away and replaces machines

Trainers of the soak name a score request for each item; workers sign each answer anew, fail one in twelve, and the checker holds: the score is one given to the item's own request, and no request comes before the last event of its text. New faults: a gateway gets 503 or 429 while the others are served, its keys are taken away at once, a machine is gone for good and its successor has another name and address. Tests of the door and of each violation that the checker must find.

--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -5,13 +5,17 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
+import type { StoreDoor } from './store-door.js';
 
 /** One gateway; its process may be down. */
 export interface SoakGateway {
-  readonly name: string;
-  readonly address: string;
+  name: string;
+  address: string;
   readonly storeLink: TcpProxy;
-  readonly settingsFile: string;
+  readonly storeAddress: string;
+  /** Its own entrance to the store, which may turn it away. */
+  readonly storeDoor: StoreDoor;
+  settingsFile: string;
   process: StartedProcess;
 }
 
@@ -32,19 +36,28 @@
 export class GatewayGroup {
   readonly gateways: SoakGateway[] = [];
   private readonly processes: ProcessGroup;
+  private added = 0;
 
-  constructor(private readonly folder: string) {
+  constructor(
+    private readonly folder: string,
+    private readonly openStore: () => Promise<StoreDoor>,
+  ) {
     mkdirSync(folder, { recursive: true });
     this.processes = new ProcessGroup(path.join(folder, 'logs'));
   }
 
   /** Starts so many gateways before a store. */
-  async start(count: number, store: string): Promise<void> {
-    const ports = await freePorts(2 * count);
-    for (let index = 0; index < count; index += 1) {
-      const [front = 0, peer = 0] = ports.slice(2 * index);
-      await this.add(index, front, peer, store);
-    }
+  async start(count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) await this.add();
+  }
+
+  /** A machine is gone for good; another one takes its place under another name and address. */
+  async replace(gateway: SoakGateway, pause: number): Promise<void> {
+    gateway.process.child.kill('SIGKILL');
+    await gateway.process.exited;
+    await sleep(pause);
+    Object.assign(gateway, await this.settle(gateway.storeAddress));
+    this.launch(gateway);
   }
 
   /** Kills a gateway as a crash does, and starts it again after a while. */
@@ -78,11 +91,24 @@
     for (const { storeLink } of this.gateways) await storeLink.close();
   }
 
-  private async add(index: number, front: number, peer: number, store: string): Promise<void> {
+  private async add(): Promise<void> {
+    const storeDoor = await this.openStore();
+    const storeLink = new TcpProxy({ target: storeDoor.address });
+    const storeAddress = await storeLink.start();
+    const place = await this.settle(storeAddress);
+    const process = this.process(place.name, place.settingsFile);
+    this.gateways.push({ ...place, storeLink, storeAddress, storeDoor, process });
+  }
+
+  /** A name, an address and a settings file that no gateway had before. */
+  private async settle(
+    storeAddress: string,
+  ): Promise<Pick<SoakGateway, 'name' | 'address' | 'settingsFile'>> {
+    const index = this.added;
+    this.added += 1;
+    const [front = 0, peer = 0] = await freePorts(2);
     const name = `gateway-${index + 1}`;
     const host = `127.0.0.${FIRST_HOST + index}`;
-    const storeLink = new TcpProxy({ target: store });
-    const storeAddress = await storeLink.start();
     const settingsFile = path.join(this.folder, `${name}.conf`);
     const lines = [
       `node_name=${name}`,
@@ -95,8 +121,7 @@
       `bounds.grace_s=${GRACE_SECONDS}`,
     ];
     writeFileSync(settingsFile, `${lines.join('\n')}\n`);
-    const gateway = { name, address: `${host}:${front}`, storeLink, settingsFile };
-    this.gateways.push({ ...gateway, process: this.process(name, settingsFile) });
+    return { name, address: `${host}:${front}`, settingsFile };
   }
 
   private launch(gateway: SoakGateway): void {
--- a/lab/soak/platform-store.ts
+++ b/lab/soak/platform-store.ts
@@ -1,13 +1,14 @@
 /**
  * The platform's store on a socket: the emulator of the shared store behind the calls of the
- * published protocol, with leases that run out by themselves.
+ * published protocol, with leases that run out by themselves. Each of its doors is an address of
+ * its own, which may turn its callers away while the others are served.
  */
-import http from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type http from 'node:http';
 import { z } from 'zod';
 import { STORE } from '../../platform/names.js';
 import type { StoreChange, StoreItem } from '../../src/shared-store/shared-store.js';
 import { SharedStoreEmulator } from '../emulator/shared-store-emulator.js';
+import { StoreDoor } from './store-door.js';
 
 const ROW = z.object({ tls_key: z.string(), revision: z.number() });
 const PUT = z.object({ tls_key: z.string(), value: z.string(), lease: z.number().default(0) });
@@ -26,28 +27,36 @@
 /** The stand-in. */
 export class PlatformStore {
   readonly emulator = new SharedStoreEmulator();
-  private readonly server: http.Server;
+  private readonly doors: StoreDoor[] = [];
   private readonly leases = new Map<number, { readonly ttl: number; timer: NodeJS.Timeout }>();
 
-  constructor() {
-    this.server = http.createServer((request, response) => void this.serve(request, response));
-    this.server.keepAliveTimeout = 60_000;
+  /** Opens a door; resolves when it listens. */
+  async open(): Promise<StoreDoor> {
+    const door = new StoreDoor({
+      serve: (request, response) => void this.serve(door, request, response),
+      revoke: (lease) => this.lapse(lease),
+    });
+    this.doors.push(door);
+    await door.listen();
+    return door;
   }
 
-  /** Listens; resolves with the address. */
+  /** Opens one door; resolves with its address. */
   async start(): Promise<string> {
-    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return (await this.open()).address;
   }
 
   /** Listens no more. */
   stop(): void {
     for (const { timer } of this.leases.values()) clearTimeout(timer);
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const door of this.doors) door.close();
   }
 
-  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  private async serve(
+    door: StoreDoor,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
     const gone = new AbortController();
     response.once('close', () => gone.abort());
     const chunks: Buffer[] = [];
@@ -56,7 +65,7 @@
     } catch {
       return;
     }
-    const reply = await this.answer(request, Buffer.concat(chunks).toString(), gone.signal);
+    const reply = await this.answer(door, request, Buffer.concat(chunks).toString(), gone.signal);
     if (reply === undefined) request.socket.destroy();
     else {
       response.writeHead(reply.status, { 'content-type': 'application/json' });
@@ -65,6 +74,7 @@
   }
 
   private answer(
+    door: StoreDoor,
     request: http.IncomingMessage,
     body: string,
     gone: AbortSignal,
@@ -79,7 +89,7 @@
       return this.watch(query('path_prefix'), after, Number(query('wait_ms')), gone);
     }
     if (pathname === STORE.commit) return this.commit(body);
-    if (pathname === STORE.grant) return this.grant(body);
+    if (pathname === STORE.grant) return this.grant(door, body);
     if (pathname.startsWith(STORE.keep)) return this.keep(Number(pathname.split('/').at(-1)));
     if (pathname.startsWith(STORE.end)) return this.end(Number(pathname.split('/').at(-1)));
     return { status: 404, body: {} };
@@ -131,11 +141,12 @@
     return outcome.effect === 'not-done' ? UNAVAILABLE : undefined;
   }
 
-  private async grant(body: string): Promise<Reply> {
+  private async grant(door: StoreDoor, body: string): Promise<Reply> {
     const { ttl_ms: ttl } = GRANT.parse(JSON.parse(body));
     const outcome = await this.emulator.grantLease(ttl);
     if (outcome.kind === 'failed') return UNAVAILABLE;
     this.renew(outcome.lease, ttl);
+    door.noteGranted(outcome.lease);
     return { status: 200, body: { lease: outcome.lease, ttl_ms: ttl } };
   }
 
@@ -155,12 +166,15 @@
 
   private renew(lease: number, ttl: number): void {
     clearTimeout(this.leases.get(lease)?.timer);
-    const timer = setTimeout(() => {
-      this.leases.delete(lease);
-      this.emulator.lapseLease(lease);
-    }, ttl);
+    const timer = setTimeout(() => this.lapse(lease), ttl);
     this.leases.set(lease, { ttl, timer });
   }
+
+  private lapse(lease: number): void {
+    clearTimeout(this.leases.get(lease)?.timer);
+    this.leases.delete(lease);
+    this.emulator.lapseLease(lease);
+  }
 }
 
 function encode(value: string): string {
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -1,7 +1,8 @@
 /**
  * Checks the promises by what callers and workers see on their sockets: complete answers, samples
  * whose text and versions are those that were made, positions that never change, jobs that stay,
- * refusals that are true, orders under rising tokens, and no work for jobs that have ended.
+ * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
+ * score request after its text, and no work for jobs that have ended.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 
@@ -11,6 +12,7 @@
     | 'complete-answer'
     | 'sample-text'
     | 'sample-versions'
+    | 'sample-score'
     | 'positions'
     | 'job-kept'
     | 'refusal-true'
@@ -28,6 +30,7 @@
   readonly state: string;
   readonly text: string;
   readonly versions: readonly WeightVersion[];
+  readonly score?: string | undefined;
 }
 
 /** What a trainer handed in. */
@@ -36,6 +39,8 @@
   readonly minVersion: WeightVersion;
   /** Events that a whole sample has, by item. */
   readonly events: ReadonlyMap<string, number>;
+  /** The id of its score request, by item; items without one need no score. */
+  readonly scoreRequests?: ReadonlyMap<string, string>;
 }
 
 interface KnownJob extends SubmittedJob {
@@ -64,6 +69,11 @@
   private readonly jobOfItem = new Map<string, string>();
   private readonly startedItems = new Set<string>();
   private readonly holders = new Map<number, string>();
+  private readonly itemOfScore = new Map<string, string>();
+  /** Items whose text some worker has made to its end. */
+  private readonly endedTexts = new Set<string>();
+  /** Signatures of successful answers, by score request. */
+  private readonly signatures = new Map<string, Set<string>>();
 
   constructor(private readonly now: () => Milliseconds) {}
 
@@ -76,6 +86,7 @@
   jobOffered(job: SubmittedJob): void {
     this.jobs.set(job.id, { ...job, isAccepted: false, endedAt: undefined, positions: [] });
     for (const item of job.events.keys()) this.jobOfItem.set(item, job.id);
+    for (const [item, request] of job.scoreRequests ?? []) this.itemOfScore.set(request, item);
   }
 
   /** A job was answered with 202. */
@@ -125,14 +136,32 @@
   itemStarted(item: string, isLeavingSince: Milliseconds | undefined, isCalm: boolean): void {
     this.startedItems.add(item);
     const job = this.jobs.get(this.jobOfItem.get(item) ?? '');
-    const endedFor = job?.endedAt === undefined ? 0 : this.now() - job.endedAt;
-    if (isCalm)
-      this.check(endedFor <= CANCEL_LIMIT, 'ended-job', `${item} ran ${endedFor} ms late`);
+    this.checkNotEnded(item, job, isCalm);
     if (isLeavingSince === undefined || !isCalm) return;
     const leavingFor = this.now() - isLeavingSince;
     this.check(leavingFor <= DRAIN_LIMIT, 'leaving-worker', `${item} after ${leavingFor} ms`);
   }
 
+  /** A worker sent the last event of an item. */
+  textEnded(item: string): void {
+    this.endedTexts.add(item);
+  }
+
+  /** A worker took a score request. */
+  scoreAsked(request: string, isCalm: boolean): void {
+    const item = this.itemOfScore.get(request);
+    this.check(item !== undefined, 'sample-score', `nobody named the score request ${request}`);
+    if (item === undefined) return;
+    this.check(this.endedTexts.has(item), 'sample-score', `${request} came before its text`);
+    this.checkNotEnded(request, this.jobs.get(this.jobOfItem.get(item) ?? ''), isCalm);
+  }
+
+  /** A worker answered a score request with success. */
+  scoreGiven(request: string, signature: string): void {
+    const known = this.signatures.get(request) ?? new Set();
+    this.signatures.set(request, known.add(signature));
+  }
+
   /** A worker took an order. */
   orderTaken(holder: string, token: number, highestBefore: number): void {
     const before = this.holders.get(token);
@@ -152,8 +181,14 @@
       .map(({ id, positions }) => ({ id, read: positions.length }));
   }
 
+  private checkNotEnded(request: string, job: KnownJob | undefined, isCalm: boolean): void {
+    if (!isCalm) return;
+    const endedFor = job?.endedAt === undefined ? 0 : this.now() - job.endedAt;
+    this.check(endedFor <= CANCEL_LIMIT, 'ended-job', `${request} ran ${endedFor} ms late`);
+  }
+
   private checkPosition(job: KnownJob, position: number, result: ReadResult): void {
-    const key = JSON.stringify([result.id, result.state, result.text]);
+    const key = JSON.stringify([result.id, result.state, result.text, result.score]);
     const before = job.positions[position];
     if (before === undefined) {
       const isNew = !job.positions.some((other) => JSON.parse(other)[0] === result.id);
@@ -177,6 +212,14 @@
     this.check(told === made, 'sample-versions', `${result.id} names ${told}, made by ${made}`);
     const oldest = Math.min(...versions);
     this.check(oldest >= job.minVersion, 'sample-versions', `${result.id} is of ${oldest}`);
+    this.checkScore(job, result);
+  }
+
+  private checkScore(job: KnownJob, { id, score }: ReadResult): void {
+    const request = job.scoreRequests?.get(id);
+    if (request === undefined) return;
+    const isGiven = score !== undefined && this.signatures.get(request)?.has(score) === true;
+    this.check(isGiven, 'sample-score', `${id} has ${score}, which nobody gave to ${request}`);
   }
 
   private check(holds: boolean, promise: Violation['promise'], detail: string): void {
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -7,7 +7,7 @@
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import type { PromiseChecker } from './promise-checker.js';
-import { EVENT_COUNT_HEADER } from './worker-stand-in.js';
+import { EVENT_COUNT_HEADER, SCORE_PREFIX } from './worker-stand-in.js';
 
 /** Where the routes of the soak lead. */
 export const SOAK_HOST = 'soak.example';
@@ -32,6 +32,7 @@
       state: z.string(),
       text: z.string(),
       versions: z.array(z.number()),
+      score: z.string().optional(),
     }),
   ),
 });
@@ -42,7 +43,7 @@
   readonly random: RandomSource;
   readonly now: () => Milliseconds;
   /** Front addresses of the gateways. */
-  readonly addresses: readonly string[];
+  readonly addresses: () => readonly string[];
   readonly model: string;
   /** Names a version to the platform. */
   readonly nameVersion: (version: WeightVersion) => void;
@@ -128,11 +129,13 @@
     const minVersion = Math.max(1, step);
     const items = Array.from({ length: GROUPS * GROUP_SIZE }, (_, index) => ({
       id: random.identifier(),
+      scoreRequest: random.identifier(),
       events: 1 + random.integer(MOST_EVENTS),
       group: `group-${Math.floor(index / GROUP_SIZE)}`,
     }));
     const events = new Map(items.map((item) => [item.id, item.events]));
-    checker.jobOffered({ id, minVersion, events });
+    const scoreRequests = new Map(items.map((item) => [item.id, item.scoreRequest]));
+    checker.jobOffered({ id, minVersion, events, scoreRequests });
     const deadline = now() + STEP_LIMIT;
     const body = JSON.stringify({
       step,
@@ -146,6 +149,7 @@
         body: Buffer.from(item.id).toString('base64'),
         tokens: 10 * item.events,
         group: item.group,
+        scorer: scorerOf(item.scoreRequest),
       })),
     });
     if (!(await this.submit(id, body, deadline))) return false;
@@ -224,7 +228,8 @@
     path: string,
     { id, body, wait, limit = CALL_LIMIT }: CallOptions,
   ): Promise<Answer | undefined> {
-    const { random, addresses } = this.surroundings;
+    const { random } = this.surroundings;
+    const addresses = this.surroundings.addresses();
     const address = addresses[random.integer(addresses.length)] ?? '';
     const [host, port] = address.split(':');
     const headers: http.OutgoingHttpHeaders = {
@@ -257,6 +262,11 @@
   }
 }
 
+function scorerOf(id: string): unknown {
+  const body = Buffer.from(`judge ${id}`).toString('base64');
+  return { id, host: SOAK_HOST, path: `${SCORE_PREFIX}${id}`, body };
+}
+
 interface CallOptions {
   readonly id: string;
   readonly body?: string;
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -15,6 +15,7 @@
   SoakCallers,
 } from './soak-callers.js';
 import { WorkerPool } from './worker-pool.js';
+import { SCORE_PREFIX } from './worker-stand-in.js';
 
 /** What to run. */
 export interface SoakOptions {
@@ -64,7 +65,7 @@
   constructor(private readonly options: SoakOptions) {
     const now = (): Milliseconds => performance.now() - this.startedAt;
     this.checker = new PromiseChecker(now);
-    this.gateways = new GatewayGroup(options.folder);
+    this.gateways = new GatewayGroup(options.folder, () => this.store.open());
     const isCalm = (): boolean => this.underWay.size === 0 && now() - this.lastFaultAt > CALM_AFTER;
     const surroundings = { checker: this.checker, model: MODEL, now, isCalm };
     const random = createRandomSource(options.seed + 1);
@@ -75,16 +76,15 @@
   async run(): Promise<SoakReport> {
     const { seed, length } = this.options;
     const faults = planFaults(seed, length);
-    const address = await this.store.start();
     this.writeConfiguration();
     await this.workers.start(MODEL_SERVICE, this.options.modelWorkers);
     await this.workers.start(LOOKUP_SERVICE, this.options.lookupWorkers);
-    await this.gateways.start(this.options.gateways, address);
+    await this.gateways.start(this.options.gateways);
     const callers = new SoakCallers({
       checker: this.checker,
       random: createRandomSource(seed + 2),
       now: () => this.elapsed(),
-      addresses: this.gateways.gateways.map((gateway) => gateway.address),
+      addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
       model: MODEL,
       nameVersion: (version) => this.nameVersion(version),
     });
@@ -140,6 +140,15 @@
         return undefined;
       case 'gateway-store-reset':
         return gateway.storeLink.cut();
+      case 'gateway-turned-away':
+        return this.withDoor(gateway, 'unavailable', duration);
+      case 'gateway-throttled':
+        return this.withDoor(gateway, 'throttled', duration);
+      case 'gateway-keys-revoked':
+        gateway.storeDoor.revokeKeys();
+        return this.withDoor(gateway, 'unavailable', duration);
+      case 'gateway-replaced':
+        return this.gateways.replace(gateway, duration / 4);
       case 'all-gateways-killed':
         await Promise.all(
           this.gateways.gateways.map((one) => this.gateways.killAndRestart(one, 300)),
@@ -191,6 +200,17 @@
     storeLink.set('open');
   }
 
+  /** The store turns one gateway away and serves the others. */
+  private async withDoor(
+    { storeDoor }: SoakGateway,
+    refusal: 'unavailable' | 'throttled',
+    duration: Milliseconds,
+  ): Promise<void> {
+    storeDoor.refuse(refusal);
+    await sleep(duration);
+    storeDoor.refuse(undefined);
+  }
+
   private nameVersion(version: WeightVersion): void {
     this.newest = version;
     const named = JSON.stringify({ model: MODEL, version });
@@ -211,6 +231,14 @@
           service: LOOKUP_SERVICE,
           max_attempts: 3,
         },
+        {
+          ...route,
+          name: 'scores',
+          path_prefix: SCORE_PREFIX,
+          kind: 'read_only',
+          service: LOOKUP_SERVICE,
+          max_attempts: 4,
+        },
         {
           ...route,
           name: 'rollouts',
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -16,6 +16,12 @@
 
 const SLOTS = 8;
 
+/** Paths below this ask for scores; each answer is signed anew. */
+export const SCORE_PREFIX = '/scores/';
+
+/** One in so many first attempts at a score fails with the worker's own error. */
+const FAILING_SCORES = 12;
+
 /** Header by which the soak tells a worker how many events an item has. */
 export const EVENT_COUNT_HEADER = 'x-soak-events';
 
@@ -46,6 +52,7 @@
   private highestToken = 0;
   private isLoading = false;
   private leavingSince: Milliseconds | undefined;
+  private scoresGiven = 0;
 
   constructor(
     readonly id: string,
@@ -142,9 +149,27 @@
       this.running -= 1;
     });
     if (events > 0) this.stream(request, id, events, stamped, response);
+    else if (request.url?.startsWith(SCORE_PREFIX)) this.score(id, base, response);
     else setTimeout(() => response.writeHead(200, stamped).end(`${id}:${body}`), LOOKUP_TIME);
   }
 
+  private score(
+    id: string,
+    headers: http.OutgoingHttpHeaders,
+    response: http.ServerResponse,
+  ): void {
+    const { checker, isCalm } = this.surroundings;
+    checker.scoreAsked(id, isCalm());
+    this.scoresGiven += 1;
+    const signature = `score-${this.id}-${this.scoresGiven}`;
+    const isFailing = this.scoresGiven % FAILING_SCORES === 0;
+    setTimeout(() => {
+      if (!isFailing) checker.scoreGiven(id, signature);
+      const stamped = { ...headers, [HEADERS.stamp]: signature };
+      response.writeHead(isFailing ? 500 : 200, stamped).end(id);
+    }, LOOKUP_TIME);
+  }
+
   private stream(
     request: http.IncomingMessage,
     id: string,
@@ -166,6 +191,7 @@
       if (this.isLoading) return;
       if (index >= events) {
         clearInterval(timer);
+        checker.textEnded(id);
         response.end();
         return;
       }
--- a/test/lab/soak/platform-store.test.ts
+++ b/test/lab/soak/platform-store.test.ts
@@ -51,3 +51,22 @@
   const { signal } = new AbortController();
   t.match(await client.watch('a/', 1, 100, signal), { kind: 'compacted' });
 });
+
+t.test('a door that turns its callers away leaves the others served', async (t) => {
+  const { store, client } = await fixture(t);
+  const door = await store.open();
+  const turnedAway = new StoreClient(door.address);
+  const grant = await turnedAway.grantLease(60_000);
+  if (grant.kind !== 'granted') throw new Error(grant.kind);
+  await turnedAway.commit({ expected: [], put: [{ key: 'k', value: 'v', lease: grant.lease }] });
+  door.refuse('throttled');
+  t.match(await turnedAway.get('k'), { kind: 'failed' }, 'kept connections are cut');
+  t.same(await turnedAway.get('k'), { kind: 'failed', effect: 'not-done' });
+  t.match(await client.get('k'), { kind: 'item', item: { value: 'v' } });
+  door.refuse('unavailable');
+  t.same(await turnedAway.keepLease(grant.lease), { kind: 'failed', effect: 'not-done' });
+  door.revokeKeys();
+  t.match(await client.get('k'), { kind: 'item', item: undefined });
+  door.refuse(undefined);
+  t.match(await turnedAway.keepLease(grant.lease), { kind: 'gone' });
+});
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -114,3 +114,37 @@
   checker.lookupAnswered('ask', 'another answer', 'answer');
   t.same(broken(), ['fencing', 'fencing', 'complete-answer']);
 });
+
+function scoredFixture() {
+  const checker = new PromiseChecker(() => 0);
+  const events = new Map([['one', 1]]);
+  const scoreRequests = new Map([['one', 'score-of-one']]);
+  checker.jobOffered({ id: 'job', minVersion: 1, events, scoreRequests });
+  const broken = (): string[] => checker.violations.map(({ promise }) => promise);
+  return { checker, broken };
+}
+
+t.test('a score that was given to the own request after the text breaks nothing', async (t) => {
+  const { checker, broken } = scoredFixture();
+  checker.textEnded('one');
+  checker.scoreAsked('score-of-one', true);
+  checker.scoreGiven('score-of-one', 'signed');
+  checker.resultsRead('job', 1, 0, [sample('one', [1], { score: 'signed' })]);
+  t.same(broken(), []);
+});
+
+t.test('scores that are missing, of others, too early or asked by nobody are found', async (t) => {
+  const missing = scoredFixture();
+  missing.checker.resultsRead('job', 1, 0, [sample('one', [1])]);
+  t.same(missing.broken(), ['sample-score']);
+  const other = scoredFixture();
+  other.checker.scoreGiven('score-of-two', 'signed');
+  other.checker.resultsRead('job', 1, 0, [sample('one', [1], { score: 'signed' })]);
+  t.same(other.broken(), ['sample-score']);
+  const early = scoredFixture();
+  early.checker.scoreAsked('score-of-one', true);
+  t.same(early.broken(), ['sample-score']);
+  const unknown = scoredFixture();
+  unknown.checker.scoreAsked('score-of-none', true);
+  t.same(unknown.broken(), ['sample-score']);
+});
