The proof of accepted jobs holds scores too

The world of durable-jobs names a score request for each item; workers fail, refuse, break off or send the answer of an earlier request. The oracle holds: no score before its text, a score only of the own request, a text kept as whole never made again.

--- a/lab/proofs/durable-jobs/durable-jobs.ts
+++ b/lab/proofs/durable-jobs/durable-jobs.ts
@@ -99,6 +99,17 @@
       .constantFrom('applied' as const, 'applied-late' as const)
       .map((kind) => operation(`lose answer, ${kind}`, (world) => world.loseAnswer(kind), true)),
   },
+  {
+    weight: 15,
+    arbitrary: fc
+      .constantFrom(
+        'attempt-failed' as const,
+        'refused' as const,
+        'broken' as const,
+        'surplus' as const,
+      )
+      .map((kind) => operation(`score ${kind}`, (world) => world.troubleScore(kind), true)),
+  },
   {
     weight: 12,
     arbitrary: fc.constant(operation('apply late', (world) => world.applyLate(), true)),
--- a/lab/proofs/durable-jobs/job-oracle.ts
+++ b/lab/proofs/durable-jobs/job-oracle.ts
@@ -1,6 +1,8 @@
 /**
  * Judges what readers of jobs see, knowing nothing of the implementation: accepted jobs stay, a
- * position keeps its result, no item stands twice, and a refusal that promised "not run" is true.
+ * position keeps its result, no item stands twice, a refusal that promised "not run" is true, a score
+ * is one that was given to the item's own request after its text, and a text that is kept as whole
+ * is not made again.
  */
 import type { JobResult } from '../../../src/jobs/job-records.js';
 
@@ -12,12 +14,47 @@
   readonly items: Set<string>;
 }
 
+/** The score request of an item. */
+export function scoreRequestOf(job: string, item: string): string {
+  return `score-of-${job}-${item}`;
+}
+
 /** The oracle. */
 export class JobOracle {
   readonly violations: string[] = [];
   /** Comparisons made. */
   checked = 0;
   private readonly jobs = new Map<string, SeenJob>();
+  private readonly wholeTexts = new Set<string>();
+  private readonly keptTexts = new Set<string>();
+  private readonly signatures = new Map<string, Set<string>>();
+
+  /** A worker is about to make the text of an item. */
+  textBegun(job: string, item: string): void {
+    const name = scoreRequestOf(job, item);
+    this.expect(!this.keptTexts.has(name), `${job} made the kept text of ${item} again`);
+  }
+
+  /** A worker made the last event of an item. */
+  textWhole(job: string, item: string): void {
+    this.wholeTexts.add(scoreRequestOf(job, item));
+  }
+
+  /** The store keeps a whole text. */
+  textKept(job: string, item: string): void {
+    this.keptTexts.add(scoreRequestOf(job, item));
+  }
+
+  /** A worker was asked for a score. */
+  scoreAsked(request: string): void {
+    this.expect(this.wholeTexts.has(request), `${request} was sent before its text was whole`);
+  }
+
+  /** A worker gave a score. */
+  scoreGiven(request: string, signature: string): void {
+    const known = this.signatures.get(request) ?? new Set();
+    this.signatures.set(request, known.add(signature));
+  }
 
   /** A submission was answered. */
   submitted(job: string, answer: 'accepted' | 'unknown' | 'refused'): void {
@@ -44,6 +81,9 @@
   private place(job: string, position: number, result: JobResult): void {
     const seen = this.seen(job);
     const text = JSON.stringify(result);
+    const given = this.signatures.get(scoreRequestOf(job, result.id));
+    const isScored = result.score !== undefined && given?.has(result.score) === true;
+    this.expect(isScored || result.state === 'terminated', `${job} lists ${result.id} unscored`);
     const before = seen.results[position];
     if (before !== undefined) {
       this.expect(before === text, `${job} holds another result at position ${position}`);
--- a/lab/proofs/durable-jobs/mechanisms.ts
+++ b/lab/proofs/durable-jobs/mechanisms.ts
@@ -6,6 +6,10 @@
   'superseded-owner-stops': 'An owner that lost a commit goes on from the newer head',
   'one-commit-a-page': 'A page of results is written apart from the head that counts it',
   'read-verification': 'An owner answers for a job without asking whether it still is the owner',
+  'score-after-text': 'A score is asked for before the text of its item is whole',
+  'answers-matched-by-id':
+    'The answer to an earlier score request is taken for the one that is due',
+  'whole-texts-kept': 'What is kept of an item does not say that its text is whole',
   'stored-before-accepted': 'A job is accepted before the store has taken it',
 } as const;
 
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -126,6 +126,7 @@
   pages: (job: string): string => `${PAGES}${job}/`,
   page: (job: string, number: number): string =>
     `${PAGES}${job}/${String(number).padStart(PAGE_DIGITS, '0')}`,
+  progresses: PROGRESSES,
   progress: (job: string): string => `${PROGRESSES}${job}`,
 } as const;
 
