--- a/src/cli/check-command.ts
+++ b/src/cli/check-command.ts
@@ -13,7 +13,7 @@
     ...SETTINGS_FLAGS.map((entry) => valueFlag(entry.flag, entry.help)),
     switchFlag('json', 'Print one line of JSON in place of text'),
   ],
-  examples: ['check abdali-1.toml', 'check zone.toml --name abdali-2 --json'],
+  examples: ['check hall-a-1.toml', 'check zone.toml --name hall-a-2 --json'],
   async run({ parameters: [file = ''], flags, terminal }) {
     const settings = loadSettings(file, flags, terminal.environment);
     const problems = settings.isErr ? settings.error : [];
--- a/src/cli/drain-command.ts
+++ b/src/cli/drain-command.ts
@@ -14,8 +14,8 @@
     valueFlag('reason', 'Why, for the history'),
   ],
   examples: [
-    'drain worker model-bench-3 --reason "fan broken" --endpoint 127.0.0.1:7400',
-    'drain zone abdali-hall --undo --endpoint 127.0.0.1:7400',
+    'drain worker drafts-3 --reason "fan broken" --endpoint 127.0.0.1:7400',
+    'drain zone hall-a --undo --endpoint 127.0.0.1:7400',
   ],
   async run(input) {
     const [kind = '', name = ''] = input.parameters;
--- a/src/cli/intent-propose-command.ts
+++ b/src/cli/intent-propose-command.ts
@@ -12,7 +12,7 @@
   parameters: ['file'],
   summary: 'Propose the intent in a TOML file and print the plan; nothing changes until confirmed',
   flags: CLIENT_FLAGS,
-  examples: ['intent propose model-bench.toml --endpoint 127.0.0.1:7400'],
+  examples: ['intent propose drafts.toml --endpoint 127.0.0.1:7400'],
   async run(input) {
     const draft = readDraft(input.parameters[0] ?? '');
     if (draft.isErr) return reportProblems(input.terminal, draft.error);
--- a/src/cli/node-command.ts
+++ b/src/cli/node-command.ts
@@ -16,8 +16,8 @@
       ...SETTINGS_FLAGS.map((entry) => valueFlag(entry.flag, entry.help)),
     ],
     examples: [
-      'node --settings abdali-1.toml',
-      'node --settings zone.toml --name abdali-2 --listen 127.0.0.1:7410 --peer-listen 127.0.0.1:7411',
+      'node --settings hall-a-1.toml',
+      'node --settings zone.toml --name hall-a-2 --listen 127.0.0.1:7410 --peer-listen 127.0.0.1:7411',
     ],
     async run({ flags, terminal }): Promise<ExitCode> {
       const file = flagText(flags, 'settings');
--- a/src/cli/publish-command.ts
+++ b/src/cli/publish-command.ts
@@ -9,7 +9,7 @@
   parameters: ['model', 'version', 'digest', 'bytes'],
   summary: 'Announce a weight version of a model; versions only rise, repeating one is harmless',
   flags: CLIENT_FLAGS,
-  examples: ['publish model-bench 7 sha256-9f86d081 1048576 --endpoint 127.0.0.1:7400'],
+  examples: ['publish drafts 7 sha256-9f86d081 1048576 --endpoint 127.0.0.1:7400'],
   async run(input) {
     const [model = '', version = '', digest = '', bytes = ''] = input.parameters;
     const problems = [...numberProblems('version', version), ...numberProblems('bytes', bytes)];
--- a/src/core/identity.ts
+++ b/src/core/identity.ts
@@ -3,7 +3,7 @@
  * list or the key-value service, and compared by equality only.
  */
 
-/** Name of a node's place in the fleet, stable across restarts, e.g. `abdali-1`. */
+/** Name of a node's place in the fleet, stable across restarts, e.g. `hall-a-1`. */
 export type NodeId = string;
 
 /**
@@ -12,7 +12,7 @@
  */
 export type Incarnation = number;
 
-/** Name of a zone, e.g. `abdali-hall`. */
+/** Name of a zone, e.g. `hall-a`. */
 export type ZoneName = string;
 
 /** Name of a region that holds one or more zones. */
@@ -21,7 +21,7 @@
 /** Name of a model worker (one engine). */
 export type WorkerId = string;
 
-/** Name of a model, e.g. `model-bench`. */
+/** Name of a model, e.g. `drafts`. */
 export type ModelName = string;
 
 /** Name of a caller's account: a trainer, an interactive caller or an operator. */
--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -24,7 +24,7 @@
 /** Longest time a cut-off zone may go on serving: one day. */
 const CUT_OFF_DURATION_LIMIT: Milliseconds = 24 * 60 * MINUTE;
 
-const nameSchema = nameField('abdali-hall');
+const nameSchema = nameField('hall-a');
 
 const versionSchema = z.int().min(1).describe('a whole number, 1 or larger');
 
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -37,7 +37,7 @@
   zones: z
     .array(z.strictObject({ name: nameSchema, region: nameSchema }))
     .min(1)
-    .describe('a list of zones, e.g. [{ name = "abdali-hall", region = "amman" }]'),
+    .describe('a list of zones, e.g. [{ name = "hall-a", region = "region-1" }]'),
   shards_per_domain: wholeNumber(1, 1_024).default(4),
   replicas: z
     .int()
