A page of results and what is kept of items fit one value of the store

The emulator refuses larger values as the store does. Two tests, red before (one refused for ever, one never listed).

--- a/lab/emulator/shared-store-emulator.ts
+++ b/lab/emulator/shared-store-emulator.ts
@@ -33,6 +33,9 @@
   /** Carried out by {@link SharedStoreEmulator.applyLateCommits}, if the condition still holds. */
   | 'applied-late';
 
+/** Largest value in bytes; a commit with a larger one is refused. */
+const VALUE_LIMIT = 1_048_576;
+
 interface StoredItem {
   readonly value: string;
   readonly revision: Revision;
@@ -165,6 +168,8 @@
 
   async commit(commit: StoreCommit): Promise<StoreCommitOutcome> {
     if (!(await this.answers('commit'))) return NOT_DONE;
+    const isTooLarge = commit.put?.some(({ value }) => Buffer.byteLength(value) > VALUE_LIMIT);
+    if (isTooLarge === true) return NOT_DONE;
     const lost = this.lostAnswers.shift();
     if (lost === 'applied-late') {
       this.lateCommits.push(commit);
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -12,6 +12,7 @@
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
 import type { KeptWork } from './kept-items.js';
 import { cancelWork, lacksText, newOwnedItem, type OwnedItem } from './owned-item.js';
+import { firstPageOf, storableProgress } from './value-limits.js';
 
 /** Least time between two commits of results, while many items are still open. */
 const LISTING_INTERVAL: Milliseconds = 350;
@@ -93,6 +94,11 @@
     return [...this.listed, ...this.pending];
   }
 
+  /** Results that no commit is known to have listed. */
+  unlistedResults(): readonly JobResult[] {
+    return [...this.pending];
+  }
+
   /** The head as this node last saw it; `undefined` while the store has not taken the job. */
   get head(): VersionedHead | undefined {
     return this.current;
@@ -109,6 +115,11 @@
     this.close('superseded');
   }
 
+  /** Another node has ended the job in the store. */
+  noteEnded(): void {
+    this.close('ended');
+  }
+
   /** Time since the store last confirmed that the head is the newest. */
   confirmationAge(): Milliseconds {
     return this.clock.now() - this.confirmedAt;
@@ -179,10 +190,10 @@
     this.stopRuns();
     await this.inTurn(async () => {
       if (!this.isOpen) return;
-      if (this.pending.length > 0) await this.list(wanted);
+      while (this.pending.length > 0 && (await this.list(wanted)));
       if (!this.isOpen || this.current === undefined) return;
       const fields = { owner: null };
-      const kept = this.keptProgress();
+      const kept = storableProgress(this.keptProgress());
       this.take(await this.store.replace(this.spec.id, this.current, fields, wanted, kept));
       this.close('released');
     });
@@ -208,27 +219,32 @@
     return turn;
   }
 
-  private async list(wanted: () => boolean = () => this.isOpen): Promise<void> {
+  /** Lists what fits into one page; tells whether the store took it. */
+  private async list(wanted: () => boolean = () => this.isOpen): Promise<boolean> {
     // A copy: items that finish while the commit is under way belong to the next one.
-    const batch = [...this.pending];
-    if (batch.length === 0 || !this.isOpen || this.current === undefined) return;
+    const offered = this.pending.length;
+    const batch = firstPageOf(this.pending);
+    if (batch.length === 0 || !this.isOpen || this.current === undefined) return false;
     const startedAt = this.clock.now();
     this.lastListingAt = startedAt;
     const change = await this.store.append(
       this.spec.id,
       this.current,
       batch,
-      this.keptProgress(),
+      storableProgress(this.keptProgress()),
       wanted,
     );
     if (change.kind === 'changed') {
       this.pending = this.pending.filter((result) => !batch.includes(result));
       this.listed.push(...batch);
       this.confirmedAt = startedAt;
+      // What did not fit into the page is not made to wait.
+      if (batch.length < offered) this.lastListingAt = Number.NEGATIVE_INFINITY;
     }
     this.take(change);
     if (this.current !== undefined && isFinished(this.current.head)) this.close('finished');
     this.changed.next();
+    return change.kind === 'changed';
   }
 
   private async verify(): Promise<void> {
--- a/test/jobs/owned-job.test.ts
+++ b/test/jobs/owned-job.test.ts
@@ -126,3 +126,35 @@
     value: { 'item-1': { events: ['a'], lastEventId: 0, versions: [5] } },
   });
 });
+
+t.test('results that no single value holds are listed in several pages', async (t) => {
+  const fixture = await ownedJob(300);
+  const text = 'x'.repeat(7_000);
+  for (const entry of fixture.job.items.values()) {
+    fixture.job.finish(entry, { ...result(0), id: entry.item.id, text });
+  }
+  for (let round = 0; round < 40 && fixture.job.isOpen; round += 1) {
+    fixture.clock.time += 2_000;
+    fixture.job.advance();
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+  t.equal(fixture.job.results.length, 300);
+  t.equal(fixture.job.ending, 'finished');
+  t.ok((fixture.job.head?.head.pages ?? 0) > 1);
+});
+
+t.test('what is kept of unfinished items never keeps results from being listed', async (t) => {
+  const fixture = await ownedJob(300);
+  const data = 'x'.repeat(300);
+  for (const entry of fixture.job.items.values()) {
+    entry.progress.beginRun(1);
+    for (let id = 0; id < 20; id += 1) {
+      entry.progress.add({ id, data, weightVersion: 1, raw: Buffer.from(data) });
+    }
+  }
+  finish(fixture.job, 0);
+  await advance(fixture);
+  t.equal(fixture.job.results.length, 1);
+  const kept = await fixture.store.progress('job');
+  t.ok(kept.kind === 'found' && Object.keys(kept.value).length > 50);
+});
