Jobs pass from an owner that doesn't reach the store; calls there are passed on

Change: probes tell whether a node reaches the store; one that lives and doesn't, while the asker does, loses its jobs to a node that does, and hands over what it made and couldn't list (surrender-job). A node that is cut off has one of its zone take jobs in, read and end them (submit-for, read-for, end-for); a submission that may have been taken is never refused as not run. An owner that can't be sure of the head says so (503) and no longer 'nothing more', which another owner's listing may have made untrue. Ruled out: a global outage (the asker's own silence within 2 s stops all of it).

--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -95,6 +95,10 @@
   keptWork: async () => new Map(),
   ownerListing: async () => undefined,
   endAtOwner: async () => false,
+  surrenderedWork: async () => new Map(),
+  submitElsewhere: async () => undefined,
+  readElsewhere: async () => undefined,
+  endElsewhere: async () => undefined,
   handOver: async () => {},
   needWeights: () => {},
 };
--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -48,6 +48,8 @@
   readonly log: DecisionLog;
   /** Least time between the last order of one holder and the first of the next. */
   readonly handOverDelay: () => Milliseconds;
+  /** Whether workers refuse orders under a lower token than they have seen. */
+  readonly areTokensChecked: () => boolean;
 }
 
 /** Takes the lock when it is free, and tells whether this node may give orders. */
@@ -132,7 +134,7 @@
   }
 
   private async acquire(): Promise<void> {
-    const { store, fleet, self, clock, log, handOverDelay } = this.options;
+    const { store, fleet, self, clock, log } = this.options;
     const nonce = randomUUID();
     const { termRevision, lockRevision, lastHolder } = this;
     const lease = fleet.leaseId;
@@ -159,10 +161,19 @@
     this.holding = record;
     this.lockRevision = revision;
     this.token = revision;
-    this.activeFrom = clock.now() + (mayActAtOnce ? 0 : handOverDelay() + LOCK_VALIDITY);
+    this.activeFrom = clock.now() + (mayActAtOnce ? 0 : this.handOverDelay());
     log.state('coordinator-acquired', { fencingToken: revision, mayActAtOnce });
   }
 
+  /**
+   * Where workers check tokens, a holder of before that could not learn of its loss does no harm;
+   * elsewhere it may give orders until its last renewal is too old.
+   */
+  private handOverDelay(): Milliseconds {
+    const { handOverDelay, areTokensChecked } = this.options;
+    return handOverDelay() + (areTokensChecked() ? 0 : LOCK_VALIDITY);
+  }
+
   /**
    * After a lost answer or a conflict: whether the lock is this attempt's. Both records are read, as
    * a watch that fell behind may not have told of them.
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -2,9 +2,11 @@
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
-import type { JobPeers, WeightNeed } from '../jobs/job-peers.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
+import type { JobPeers, PassedOn, WeightNeed } from '../jobs/job-peers.js';
 import type { OwnerListing } from '../jobs/job-reader.js';
-import type { JobOwner } from '../jobs/job-records.js';
+import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
+import type { ResultSlice } from '../jobs/job-results.js';
 import type { JobService } from '../jobs/job-service.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type {
@@ -15,6 +17,7 @@
   PeerRequest,
   PeerRequestOf,
 } from '../peers/peer-messages.js';
+import type { Clock } from '../serving/clock.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
 import type { FleetRegistry } from './fleet-registry.js';
@@ -26,6 +29,15 @@
 const END_LIMIT: Milliseconds = 600;
 const HAND_OVER_LIMIT: Milliseconds = 600;
 const NEED_LIMIT: Milliseconds = 300;
+const SURRENDER_LIMIT: Milliseconds = 500;
+const PROBE_LIMIT: Milliseconds = 120;
+
+/** Time that a node takes a job in for another one, and time beyond a limit for the answer. */
+const SUBMIT_LIMIT: Milliseconds = 1_200;
+const ANSWER_TIME: Milliseconds = 200;
+
+/** Nodes that are asked whether they reach the store. */
+const MOST_STORE_PROBES = 4;
 
 /** Nodes that are asked for kept work: those of the own zone, where a trainer's calls arrive. */
 const MOST_KEPT_WORK_PEERS = 8;
@@ -39,6 +51,7 @@
   readonly fleet: FleetRegistry;
   readonly self: JobOwner;
   readonly zone: ZoneName;
+  readonly clock: Clock;
   readonly metrics: FleetMetrics;
   readonly jobs: () => JobService;
   readonly lock: () => CoordinatorLock;
@@ -90,6 +103,67 @@
     return outcome?.kind === 'answered' && outcome.answer.isEnded;
   }
 
+  async surrenderedWork(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>> {
+    const request = { kind: 'surrender-job', job } as const;
+    const outcome = await this.askAt<'surrender-job'>(owner.address, request, SURRENDER_LIMIT);
+    return outcome.kind === 'answered' ? outcome.answer.work : new Map();
+  }
+
+  async submitElsewhere(spec: JobSpecification): Promise<PassedOn | undefined> {
+    const node = await this.nodeThatReachesStore();
+    if (node === undefined) return undefined;
+    const request = { kind: 'submit-for', spec } as const;
+    const outcome = await this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+    if (outcome?.kind === 'answered') return outcome.answer;
+    if (outcome?.kind !== 'silent') return undefined;
+    return { failure: failure('outcome_unknown', 'another node may have stored the job') };
+  }
+
+  async readElsewhere(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<ResultSlice | Failure | undefined> {
+    const node = await this.nodeThatReachesStore();
+    if (node === undefined) return undefined;
+    const request = { kind: 'read-for', job, after, wait } as const;
+    const outcome = await this.ask<'read-for'>(node, request, wait + RESULTS_LIMIT + ANSWER_TIME);
+    return outcome?.kind === 'answered' ? outcome.answer.read : undefined;
+  }
+
+  async endElsewhere(job: string): Promise<PassedOn | undefined> {
+    const node = await this.nodeThatReachesStore();
+    if (node === undefined) return undefined;
+    const request = { kind: 'end-for', job } as const;
+    const outcome = await this.ask<'end-for'>(node, request, END_LIMIT + ANSWER_TIME);
+    return outcome?.kind === 'answered' ? outcome.answer : undefined;
+  }
+
+  /** Where this node is cut off from the store: one of the own zone that is not. */
+  private async nodeThatReachesStore(): Promise<NodeId | undefined> {
+    const { fleet, self, zone } = this.options;
+    if (!fleet.isCutOff) return undefined;
+    const others = fleet.liveNodes().filter((node) => node !== self.node);
+    const isNear = (node: NodeId): boolean => fleet.zoneOf(node) === zone;
+    const inOrder = [...others.filter(isNear), ...others.filter((node) => !isNear(node))];
+    const states = inOrder.slice(0, MOST_STORE_PROBES).map(async (node) => {
+      const owner = fleet.ownerOf(node);
+      if (owner === undefined) return undefined;
+      const request = { kind: 'probe', owner } as const;
+      const outcome = await this.ask<'probe'>(node, request, PROBE_LIMIT);
+      const reaches = outcome?.kind === 'answered' && outcome.answer.reachesStore;
+      return reaches ? node : undefined;
+    });
+    return (await Promise.all(states)).find((node) => node !== undefined);
+  }
+
+  /** True for a time from now on. */
+  private whileAsked(limit: Milliseconds): () => boolean {
+    const { clock } = this.options;
+    const end = clock.now() + limit;
+    return () => clock.now() < end;
+  }
+
   async handOver(job: string): Promise<void> {
     const { fleet, self } = this.options;
     const others = fleet.liveNodes().filter((node) => node !== self.node);
@@ -115,13 +189,24 @@
     const { self, jobs, weightsNeeded } = this.options;
     switch (request.kind) {
       case 'probe':
-        return { isAlive: request.owner.incarnation === self.incarnation };
+        return {
+          isAlive: request.owner.incarnation === self.incarnation,
+          reachesStore: !this.options.fleet.isCutOff,
+        };
       case 'kept-work':
         return { work: jobs().keptWorkOf(request.items) };
       case 'job-results':
         return jobs().ownListing(request.job, request.after, request.wait);
       case 'end-job':
-        return { isEnded: await jobs().endOwn(request.job) };
+        return { isEnded: !this.options.fleet.isCutOff && (await jobs().endOwn(request.job)) };
+      case 'surrender-job':
+        return { work: jobs().surrender(request.job) };
+      case 'submit-for':
+        return { failure: await jobs().submitHere(request.spec, this.whileAsked(SUBMIT_LIMIT)) };
+      case 'read-for':
+        return { read: await jobs().readHere(request.job, request.after, request.wait) };
+      case 'end-for':
+        return { failure: await jobs().endHere(request.job, this.whileAsked(END_LIMIT)) };
       case 'take-job':
         return { isTaken: await jobs().takeReleased(request.job) };
       case 'follow-prefix':
@@ -138,7 +223,14 @@
     limit: Milliseconds,
   ): Promise<PeerOutcome<Kind> | undefined> {
     const address = this.options.fleet.addressOf(node);
-    if (address === undefined) return undefined;
+    return address === undefined ? undefined : this.askAt<Kind>(address, request, limit);
+  }
+
+  private async askAt<Kind extends PeerRequest['kind']>(
+    address: string,
+    request: PeerRequestOf<Kind>,
+    limit: Milliseconds,
+  ): Promise<PeerOutcome<Kind>> {
     const outcome = await this.options.port.ask<Kind>(address, request, limit);
     const labels = { call: request.kind, outcome: outcome.kind };
     this.options.metrics.count('peer_calls', labels);
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -26,6 +26,9 @@
 export const LEASE_TTL: Milliseconds = 2_000;
 const RENEWAL_INTERVAL: Milliseconds = 600;
 
+/** A node whose last renewal is older than this, and whose newest one failed, counts as cut off. */
+const CUT_OFF_AGE: Milliseconds = 1_000;
+
 const NODE_RECORD = z.object({ incarnation: z.string(), zone: z.string(), address: z.string() });
 
 /** What a node tells of itself. */
@@ -122,6 +125,11 @@
     return this.isStoreSilent || this.options.clock.now() - this.regainedAt < duration;
   }
 
+  /** Whether the store has not answered this node for a while, whomever else it answers. */
+  get isCutOff(): boolean {
+    return this.isStoreSilent && this.renewalAge() > CUT_OFF_AGE;
+  }
+
   /** The lease of this node's record; `NO_LEASE` while there is none. */
   get leaseId(): LeaseId {
     return this.lease;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -103,6 +103,7 @@
       fleet: this.fleet,
       self,
       zone,
+      clock,
       metrics,
       jobs: () => this.jobs,
       lock: () => this.lock,
@@ -128,7 +129,9 @@
     this.monitor = new PeerMonitor({ fleet, peers: port, self, log });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     const handOverDelay = (): Milliseconds => options.timings().coordinatorHandOver;
-    this.lock = new CoordinatorLock({ store, fleet, self, clock, log, handOverDelay });
+    const areTokensChecked = (): boolean => options.timings().areTokensChecked;
+    const lockOptions = { store, fleet, self, clock, log, handOverDelay, areTokensChecked };
+    this.lock = new CoordinatorLock(lockOptions);
     this.rollout = new WeightRollout({
       ...shared,
       lock: this.lock,
@@ -253,10 +256,11 @@
   }
 
   /** The nodes that watch a suspected one act in turn, so that they rarely race. */
-  private takeOverFrom({ owner, rank }: Suspicion): void {
+  private takeOverFrom({ owner, ownerAnswers, rank }: Suspicion): void {
     setTimeout(() => {
       if (this.isStopping || !this.monitor.isSuspected(owner)) return;
-      void this.takeover.takeFrom(owner, () => this.monitor.isSuspected(owner));
+      const isStillSuspected = (): boolean => this.monitor.isSuspected(owner);
+      void this.takeover.takeFrom(owner, ownerAnswers, isStillSuspected);
     }, rank * SUSPICION_RANK_DELAY);
   }
 
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -14,6 +14,8 @@
 export interface FleetTimings {
   /** Least time between orders of two coordinators. */
   readonly coordinatorHandOver: Milliseconds;
+  /** Whether workers refuse orders under a lower fencing token than they have seen. */
+  readonly areTokensChecked: boolean;
   /** Time between the request to stop and the forced end. */
   readonly stopLimit: Milliseconds;
   /** Time for which a job stays readable. */
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -39,6 +39,12 @@
 /** Scans of a node that joins: the last one takes jobs of any rank. */
 const SCANS = 3;
 
+/** What a probe of an owner shows; `cut-off`: it lives and does not reach the store. */
+type OwnerState = 'running' | 'cut-off' | 'gone';
+
+/** After the store was silent here too, an owner that is cut off will be back as this node is. */
+const RETURN_TIME: Milliseconds = 2_000;
+
 /** What a scan found; `unavailable`: the store did not answer. */
 type ScanOutcome = 'no-orphans' | 'orphans-seen' | 'unavailable';
 
@@ -85,14 +91,19 @@
     this.timers.add(timer);
   }
 
-  /** Takes over what a life of a node runs that fell silent, unless it is trusted again. */
-  async takeFrom(owner: JobOwner, isStillSuspected: () => boolean): Promise<void> {
+  /** Takes over what a life of a node runs that is suspected, unless it is trusted again. */
+  async takeFrom(
+    owner: JobOwner,
+    ownerAnswers: boolean,
+    isStillSuspected: () => boolean,
+  ): Promise<void> {
     const read = await this.options.store.heads();
     if (read.kind !== 'found' || !isStillSuspected()) return;
     for (const [job, found] of read.value) {
       const { owner: current } = found.head;
       const isTheirs = current?.node === owner.node && current.incarnation === owner.incarnation;
-      if (isTheirs && !isFinished(found.head)) await this.options.service.adopt(job, found);
+      if (!isTheirs || isFinished(found.head)) continue;
+      await this.options.service.adopt(job, found, ownerAnswers);
     }
   }
 
@@ -109,18 +120,21 @@
     for (const [job, found] of orphans) {
       const rank = this.rankFor(job);
       if (rank > allowedRank && allowedRank < SCANS - 1) continue;
-      if (await this.stillRuns(found.head.owner)) continue;
-      await this.options.service.adopt(job, found);
+      const state = await this.stateOf(found.head.owner);
+      if (state === 'running') continue;
+      await this.options.service.adopt(job, found, state === 'cut-off');
     }
     return orphans.length === 0 ? 'no-orphans' : 'orphans-seen';
   }
 
-  /** A lease may lapse while its node lives; one that answers goes on with its jobs. */
-  private async stillRuns(owner: JobOwner | null): Promise<boolean> {
-    if (owner === null || this.isSelf(owner)) return false;
+  /** A lease may lapse while its node lives; one that reaches the store goes on with its jobs. */
+  private async stateOf(owner: JobOwner | null): Promise<OwnerState> {
+    if (owner === null || this.isSelf(owner)) return 'gone';
     const request = { kind: 'probe', owner } as const;
     const outcome = await this.options.peers.ask<'probe'>(owner.address, request, PROBE_LIMIT);
-    return outcome.kind === 'answered' && outcome.answer.isAlive;
+    if (outcome.kind !== 'answered' || !outcome.answer.isAlive) return 'gone';
+    const isAlone = !this.options.fleet.wasSilentWithin(RETURN_TIME);
+    return outcome.answer.reachesStore || !isAlone ? 'running' : 'cut-off';
   }
 
   private isSelf(owner: JobOwner): boolean {
--- a/src/fleet/peer-monitor.ts
+++ b/src/fleet/peer-monitor.ts
@@ -1,6 +1,6 @@
 /**
- * Watches a few other nodes by asking them directly, so that a dead or frozen one is noticed long
- * before its lease runs out. Each node is watched by the nodes that follow it on a ring of names;
+ * Watches a few other nodes by asking them directly, so that a dead or frozen one, or one that does
+ * not reach the store, is noticed long before its lease runs out. Each node is watched by the nodes that follow it on a ring of names;
  * the cost for one node therefore does not grow with the fleet.
  *
  * A suspicion only lets jobs be taken over; a node that is suspected wrongly loses a commit and
@@ -27,6 +27,12 @@
 /** The same where the connection is refused, as the process is then gone. */
 const REFUSED_LIMIT = 2;
 
+/** Answers in a row that tell of a store out of reach, while it answers here. */
+const CUT_OFF_LIMIT = 3;
+
+/** After the store was silent here too, others may need so long to hear of its return. */
+const RETURN_TIME: Milliseconds = 2_000;
+
 /** Options of {@link PeerMonitor}. */
 export interface PeerMonitorOptions {
   readonly fleet: FleetRegistry;
@@ -35,9 +41,10 @@
   readonly log: DecisionLog;
 }
 
-/** A life of a node that fell silent. */
+/** A life of a node that fell silent, or answers and does not reach the store. */
 export interface Suspicion {
   readonly owner: JobOwner;
+  readonly ownerAnswers: boolean;
   /** Nodes between the suspected one and this one on the ring; they act first. */
   readonly rank: number;
 }
@@ -46,6 +53,7 @@
   readonly owner: JobOwner;
   silent: number;
   refused: number;
+  cutOff: number;
   isSuspected: boolean;
   isAsked: boolean;
 }
@@ -90,7 +98,7 @@
   private watchedNode(owner: JobOwner): WatchedNode {
     const known = this.watched.get(owner.node);
     if (known?.owner.incarnation === owner.incarnation) return known;
-    const fresh = { owner, silent: 0, refused: 0, isSuspected: false, isAsked: false };
+    const fresh = { owner, silent: 0, refused: 0, cutOff: 0, isSuspected: false, isAsked: false };
     this.watched.set(owner.node, fresh);
     return fresh;
   }
@@ -105,21 +113,28 @@
     if (isAlive) {
       watched.silent = 0;
       watched.refused = 0;
-      this.clear(watched);
+      this.noteStoreReach(watched, outcome.answer.reachesStore);
       return;
     }
     watched.silent += 1;
     if (outcome.kind === 'refused') watched.refused += 1;
     const isGone = isOtherLife || watched.refused >= REFUSED_LIMIT;
-    if (isGone || watched.silent >= SILENT_LIMIT) this.suspect(watched, outcome.kind);
+    if (isGone || watched.silent >= SILENT_LIMIT) this.suspect(watched, outcome.kind, false);
+  }
+
+  private noteStoreReach(watched: WatchedNode, reachesStore: boolean): void {
+    const isAlone = !reachesStore && !this.options.fleet.wasSilentWithin(RETURN_TIME);
+    watched.cutOff = isAlone ? watched.cutOff + 1 : 0;
+    if (watched.cutOff >= CUT_OFF_LIMIT) this.suspect(watched, 'cut-off', true);
+    else if (reachesStore) this.clear(watched);
   }
 
-  private suspect(watched: WatchedNode, cause: string): void {
+  private suspect(watched: WatchedNode, cause: string, ownerAnswers: boolean): void {
     if (watched.isSuspected || this.watched.get(watched.owner.node) !== watched) return;
     watched.isSuspected = true;
     this.options.log.state('node-suspected', { peer: watched.owner.node, cause });
     const rank = Math.max(0, this.targets().indexOf(watched.owner.node));
-    this.suspicions.next({ owner: watched.owner, rank });
+    this.suspicions.next({ owner: watched.owner, ownerAnswers, rank });
   }
 
   private clear(watched: WatchedNode): void {
--- a/src/jobs/job-handover.ts
+++ b/src/jobs/job-handover.ts
@@ -30,30 +30,41 @@
     return this.adopting.has(job);
   }
 
-  /** Takes over a job whose owner is gone, once at a time; tells whether it is run here now. */
-  async adopt(job: string, found: VersionedHead): Promise<boolean> {
+  /**
+   * Takes over a job once at a time; tells whether it is run here now. An owner that answers is asked
+   * for what it made of the items and has not listed.
+   */
+  async adopt(job: string, found: VersionedHead, ownerAnswers: boolean): Promise<boolean> {
     if (this.adopting.has(job)) return false;
     this.adopting.add(job);
-    return this.takeOver(job, found).finally(() => this.adopting.delete(job));
+    return this.takeOver(job, found, ownerAnswers).finally(() => this.adopting.delete(job));
   }
 
-  private async takeOver(job: string, found: VersionedHead): Promise<boolean> {
+  private async takeOver(
+    job: string,
+    found: VersionedHead,
+    ownerAnswers: boolean,
+  ): Promise<boolean> {
     const { store, owned, peers, self, log, metrics, clock } = this.options;
     const wanted = (): boolean => false;
     const change = await store.replace(job, found, { owner: self }, wanted);
     if (change.kind !== 'changed') return false;
-    const [spec, results, progress] = await Promise.all([
+    const { owner } = found.head;
+    const asksOwner = ownerAnswers && owner !== null;
+    const [surrendered, spec, results, progress] = await Promise.all([
+      asksOwner ? peers.surrenderedWork(owner, job) : undefined,
       untilAvailable(clock, () => store.specification(job)),
       untilAvailable(clock, () => store.results(job, 0)),
       untilAvailable(clock, () => store.progress(job)),
     ]);
     if (spec === undefined) return false;
     const listed = (results ?? []).flat();
-    owned.own(spec, change.current, listed, owned.keptWork(spec, progress ?? {}));
+    owned.own(spec, change.current, listed, owned.keptWork(spec, progress ?? {}, surrendered));
     peers.needWeights(weightNeedOf(spec));
     const previous = found.head.owner?.node ?? 'none';
-    log.state('job-adopted', { job, previous, listed: listed.length });
-    metrics.count('jobs_adopted', { cause: found.head.owner === null ? 'released' : 'lost' });
+    const details = { job, previous, listed: listed.length, handed: surrendered?.size ?? 0 };
+    log.state('job-adopted', details);
+    metrics.count('jobs_adopted', { cause: causeOf(owner, ownerAnswers) });
     return true;
   }
 
@@ -61,7 +72,7 @@
   async takeReleased(job: string): Promise<boolean> {
     const read = await this.options.store.head(job);
     if (read.kind !== 'found' || isFinished(read.value.head)) return false;
-    return read.value.head.owner === null && this.adopt(job, read.value);
+    return read.value.head.owner === null && this.adopt(job, read.value, false);
   }
 
   /** Gives all open jobs up for other nodes. */
@@ -75,3 +86,9 @@
     );
   }
 }
+
+/** Why a job is taken over, for the counter. */
+function causeOf(owner: JobOwner | null, ownerAnswers: boolean): string {
+  if (owner === null) return 'released';
+  return ownerAnswers ? 'cut-off' : 'lost';
+}
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -1,8 +1,10 @@
 /** What a node asks the other nodes about jobs. Every answer may fail to come. */
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { Failure } from '../errors/error-kinds.js';
 import type { OwnerListing } from './job-reader.js';
-import type { JobOwner } from './job-records.js';
+import type { JobOwner, JobSpecification } from './job-records.js';
+import type { ResultSlice } from './job-results.js';
 import type { DigestedWork } from './kept-items.js';
 
 /** What a job asks of the workers of its model. */
@@ -14,6 +16,11 @@
   readonly tokens: number;
 }
 
+/** What another node answered in this one's place; no failure means that it was done. */
+export interface PassedOn {
+  readonly failure: Failure | undefined;
+}
+
 /** The other nodes, as the jobs' modules see them. */
 export interface JobPeers {
   /** What other nodes kept of items, by item id. */
@@ -27,6 +34,19 @@
   ): Promise<OwnerListing | undefined>;
   /** Asks the owner to end a job; tells whether it did. */
   endAtOwner(owner: JobOwner, job: string): Promise<boolean>;
+  /** Has the owner of before give a job up; what it made of the items. */
+  surrenderedWork(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>>;
+  /**
+   * Where this node does not reach the store and another one does, that one takes a job in, reads
+   * results or ends a job in its place; `undefined` where it is for this node to do.
+   */
+  submitElsewhere(spec: JobSpecification): Promise<PassedOn | undefined>;
+  readElsewhere(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+  ): Promise<ResultSlice | Failure | undefined>;
+  endElsewhere(job: string): Promise<PassedOn | undefined>;
   /** Offers a released job to another node. */
   handOver(job: string): Promise<void>;
   /** Tells the coordinator what a job needs. */
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -4,8 +4,9 @@
 import type { PeerAnswers } from '../peers/peer-messages.js';
 import { JobHandover } from './job-handover.js';
 import type { JobPeers } from './job-peers.js';
-import type { JobListing, JobReader } from './job-reader.js';
-import { ageOf, isFinished, type JobResult, type JobSpecification } from './job-records.js';
+import type { JobReader } from './job-reader.js';
+import { ageOf, isFinished, type JobSpecification } from './job-records.js';
+import { type ResultSlice, sliceOf } from './job-results.js';
 import type { StillWanted, VersionedHead } from './job-store.js';
 import { JobSubmissions } from './job-submissions.js';
 import type { DigestedWork } from './kept-items.js';
@@ -21,19 +22,12 @@
   readonly retention: () => Milliseconds;
 }
 
-/** A page of results as a trainer reads it. */
-export interface ResultSlice {
-  readonly total: number;
-  readonly results: readonly JobResult[];
-  readonly nextPosition: number;
-}
-
-/** Bytes of result text in one answer, beyond the first result. */
-const MAXIMUM_SLICE_BYTES = 900_000;
-
 /** An owner whose head was confirmed this recently may say that nothing more is listed. */
 const FRESH_CONFIRMATION: Milliseconds = 700;
 
+/** Time for the store to confirm a head that a reader waits for. */
+const VERIFY_LIMIT: Milliseconds = 400;
+
 /** Jobs are kept this much longer than asked, as clocks of machines may differ. */
 const RETENTION_MARGIN: Milliseconds = 30_000;
 
@@ -55,14 +49,32 @@
     return this.owned.all();
   }
 
-  /** Takes a job in; `undefined` means that all of it is kept from now on. */
-  submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  /**
+   * Takes a job in; `undefined` means that all of it is kept from now on. A node that does not reach
+   * the store has another one take it in.
+   */
+  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+    const passedOn = await this.options.peers.submitElsewhere(spec);
+    if (passedOn !== undefined) return passedOn.failure;
+    return this.submissions.submit(spec, wanted);
+  }
+
+  /** Takes a job in here, for another node. */
+  submitHere(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
     return this.submissions.submit(spec, wanted);
   }
 
-  /** Takes over a job whose owner is gone; tells whether it is run here now. */
-  adopt(job: string, found: VersionedHead): Promise<boolean> {
-    return this.handover.adopt(job, found);
+  /**
+   * Takes over a job whose owner is gone, or answers and does not reach the store; tells whether it
+   * is run here now.
+   */
+  adopt(job: string, found: VersionedHead, ownerAnswers = false): Promise<boolean> {
+    return this.handover.adopt(job, found, ownerAnswers);
+  }
+
+  /** Gives up a job that another node has taken over, with what was made of it here. */
+  surrender(job: string): Map<string, DigestedWork> {
+    return this.owned.surrender(job);
   }
 
   /** Whether a job is being taken over here, and so has an owner that does not run it yet. */
@@ -93,12 +105,18 @@
 
   /** Results from a position on; waits for the first where the job is run here. */
   async read(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
+    const passedOn = await this.options.peers.readElsewhere(job, after, wait);
+    return passedOn ?? this.readHere(job, after, wait);
+  }
+
+  /** The same by this node's own knowledge and the store's. */
+  async readHere(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
     const own = this.owned.answering(job);
     if (own !== undefined) return this.readOwned(own, after, wait);
     const read = await this.options.reader.listing(job, after, wait);
     if (read.kind === 'absent') return failure('not_found', 'there is no such job');
     if (read.kind === 'unavailable') return storeSilent();
-    return slice(read.value, after);
+    return sliceOf(read.value, after);
   }
 
   /** The body of one item. */
@@ -117,6 +135,16 @@
 
   /** Ends a job; `undefined` means that it has ended. */
   async end(job: string, wanted: StillWanted): Promise<Failure | undefined> {
+    const passedOn = await this.options.peers.endElsewhere(job);
+    if (passedOn !== undefined && passedOn.failure === undefined) {
+      this.owned.get(job)?.noteEnded();
+      return undefined;
+    }
+    return this.endHere(job, wanted);
+  }
+
+  /** The same by way of the store. */
+  async endHere(job: string, wanted: StillWanted): Promise<Failure | undefined> {
     const own = this.owned.get(job);
     if (own?.isOpen === true && (await own.end(wanted))) return undefined;
     for (;;) {
@@ -157,7 +185,7 @@
     const own = this.owned.answering(job);
     if (own === undefined) return { isOwner: false };
     await this.awaitFresh(own, after, wait);
-    if (own.ending === 'superseded') return { isOwner: false };
+    if (own.ending === 'superseded' || isUnsure(own, after)) return { isOwner: false };
     const total = own.spec.items.length;
     const pages = own.head?.head.pages ?? 0;
     return { isOwner: true, total, pages, results: own.results.slice(after) };
@@ -176,18 +204,26 @@
     wait: Milliseconds,
   ): Promise<ResultSlice | Failure> {
     await this.awaitFresh(job, after, wait);
-    if (job.ending === 'superseded') return this.read(job.spec.id, after, 0);
-    return slice({ total: job.spec.items.length, results: job.results }, after);
+    if (job.ending === 'superseded') return this.readHere(job.spec.id, after, 0);
+    if (isUnsure(job, after)) return storeSilent();
+    return sliceOf({ total: job.spec.items.length, results: job.results }, after);
   }
 
   /** Waits for a result behind a position, or makes sure that there is none. */
   private async awaitFresh(job: OwnedJob, after: number, wait: Milliseconds): Promise<void> {
     if (after >= job.results.length && job.isOpen && wait > 0) await firstChange(job, wait);
-    const isShort = after >= job.results.length && job.isOpen;
-    if (isShort && job.confirmationAge() > FRESH_CONFIRMATION) await job.verifyNow();
+    if (!isUnsure(job, after)) return;
+    // A commit that the store does not answer may hold the question up.
+    await Promise.race([job.verifyNow(), this.options.clock.sleep(VERIFY_LIMIT)]);
   }
 }
 
+/** Whether something may be listed that this owner does not know of, as another owner has listed it. */
+function isUnsure(job: OwnedJob, after: number): boolean {
+  const isShort = after >= job.results.length && job.isOpen;
+  return isShort && job.confirmationAge() > FRESH_CONFIRMATION;
+}
+
 function storeSilent(): Failure {
   return failure('ledger_unavailable', 'the store does not answer', {
     retryAfter: STORE_RETRY_AFTER,
@@ -206,15 +242,3 @@
     const subscription = job.changed.subscribe(finish);
   });
 }
-
-/** The results from a position on, as many as fit into one answer. */
-function slice(listing: JobListing, after: number): ResultSlice {
-  const results: JobResult[] = [];
-  let bytes = 0;
-  for (const result of listing.results.slice(after)) {
-    bytes += Buffer.byteLength(result.text);
-    if (results.length > 0 && bytes > MAXIMUM_SLICE_BYTES) break;
-    results.push(result);
-  }
-  return { total: listing.total, results, nextPosition: after + results.length };
-}
--- a/src/jobs/kept-items.ts
+++ b/src/jobs/kept-items.ts
@@ -73,8 +73,7 @@
     const work = workOf(result, progress);
     if (work === undefined) return;
     this.entries.delete(item.id);
-    const digests = { digest: digestOf(item), scoreDigest: scoreDigestOf(item) };
-    this.entries.set(item.id, { work, ...digests, keptAt: this.clock.now() });
+    this.entries.set(item.id, { ...digested(work, item), keptAt: this.clock.now() });
   }
 
   private dropOld(): void {
@@ -86,6 +85,18 @@
   }
 }
 
+/** Work on an item with the digests of what was asked. */
+export function digested(work: KeptWork, item: JobItem): DigestedWork {
+  return { work, digest: digestOf(item), scoreDigest: scoreDigestOf(item) };
+}
+
+/** How far work on an item got, to compare with other work on it. */
+export function extentOf(work: KeptWork | undefined): number {
+  if (work === undefined) return 0;
+  if (work.kind === 'finished' || work.progress.isWhole === true) return Number.POSITIVE_INFINITY;
+  return work.progress.events.length;
+}
+
 /**
  * What kept work is worth to an item: nothing if it was another request; the text alone, to be
  * scored anew, if the score was asked for by another request.
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -13,7 +13,14 @@
   type KeptProgress,
 } from './job-records.js';
 import type { JobStore, VersionedHead } from './job-store.js';
-import { type DigestedWork, KeptItems, type KeptWork, workFor } from './kept-items.js';
+import {
+  type DigestedWork,
+  digested,
+  extentOf,
+  KeptItems,
+  type KeptWork,
+  workFor,
+} from './kept-items.js';
 import { OwnedJob } from './owned-job.js';
 
 /** Options of {@link OwnedJobs}. */
@@ -109,12 +116,33 @@
       const other = elsewhere.get(item.id);
       const here: KeptWork | undefined =
         own === undefined ? this.kept.find(item) : { kind: 'unfinished', progress: own };
-      const work = here ?? (other === undefined ? undefined : workFor(other, item));
+      const there = other === undefined ? undefined : workFor(other, item);
+      const work = extentOf(there) > extentOf(here) ? there : here;
       if (work !== undefined) kept.set(item.id, work);
     }
     return kept;
   }
 
+  /** Gives up a job that is another node's now; what was made of it here and is not listed. */
+  surrender(id: string): Map<string, DigestedWork> {
+    const job = this.jobs.get(id);
+    const work = new Map<string, DigestedWork>();
+    if (job === undefined) return work;
+    const progress = job.keptProgress();
+    const finished = new Map(job.unlistedResults().map((result) => [result.id, result]));
+    for (const { item } of job.items.values()) {
+      const result = finished.get(item.id);
+      const unfinished = progress[item.id];
+      if (result?.state === 'completed') {
+        work.set(item.id, digested({ kind: 'finished', result }, item));
+      } else if (unfinished !== undefined) {
+        work.set(item.id, digested({ kind: 'unfinished', progress: unfinished }, item));
+      }
+    }
+    job.abandon();
+    return work;
+  }
+
   private makeJob(
     spec: JobSpecification,
     head: VersionedHead | undefined,
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -1,7 +1,9 @@
 /** What nodes of a fleet ask each other directly. */
 import type { Milliseconds, Revision } from '../core/units.js';
+import type { Failure } from '../errors/error-kinds.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
-import type { JobOwner, JobResult } from '../jobs/job-records.js';
+import type { JobOwner, JobResult, JobSpecification } from '../jobs/job-records.js';
+import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { StoreChange } from '../shared-store/shared-store.js';
 
@@ -20,6 +22,19 @@
     }
   /** End this job, as its owner. */
   | { readonly kind: 'end-job'; readonly job: string }
+  /** This job is mine now: what have you made of it? The store may not have told you yet. */
+  | { readonly kind: 'surrender-job'; readonly job: string }
+  /** I don't reach the store: take this job in for me. */
+  | { readonly kind: 'submit-for'; readonly spec: JobSpecification }
+  /** I don't reach the store: read these results for me. */
+  | {
+      readonly kind: 'read-for';
+      readonly job: string;
+      readonly after: number;
+      readonly wait: Milliseconds;
+    }
+  /** I don't reach the store: end this job for me. */
+  | { readonly kind: 'end-for'; readonly job: string }
   /** Take this job, which was just released. */
   | { readonly kind: 'take-job'; readonly job: string }
   /** What has changed under a prefix of the shared store, as you saw it there? */
@@ -34,7 +49,11 @@
 
 /** The answer to a question, by its kind. */
 export interface PeerAnswers {
-  readonly probe: { readonly isAlive: boolean };
+  readonly probe: {
+    readonly isAlive: boolean;
+    /** Whether the store has answered it lately. */
+    readonly reachesStore: boolean;
+  };
   readonly 'kept-work': { readonly work: ReadonlyMap<string, DigestedWork> };
   readonly 'job-results':
     | { readonly isOwner: false }
@@ -46,6 +65,11 @@
         readonly pages: number;
       };
   readonly 'end-job': { readonly isEnded: boolean };
+  readonly 'surrender-job': { readonly work: ReadonlyMap<string, DigestedWork> };
+  /** `failure` is undefined where the job is kept. */
+  readonly 'submit-for': { readonly failure: Failure | undefined };
+  readonly 'read-for': { readonly read: ResultSlice | Failure };
+  readonly 'end-for': { readonly failure: Failure | undefined };
   readonly 'take-job': { readonly isTaken: boolean };
   readonly 'follow-prefix': /** The node does not surely hear from the store, or does not know that far back. */
     | { readonly isCurrent: false }
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -16,7 +16,12 @@
   kill(): void;
 }
 
-function contender(store: SharedStoreEmulator, self: JobOwner, handOverDelay: number): Contender {
+function contender(
+  store: SharedStoreEmulator,
+  self: JobOwner,
+  handOverDelay: number,
+  areTokensChecked = false,
+): Contender {
   const { log } = recordingLog();
   const clock = PROCESS_CLOCK;
   const fleet = new FleetRegistry({ store, self, zone: 'zone-1', clock, log });
@@ -27,6 +32,7 @@
     clock,
     log,
     handOverDelay: () => handOverDelay,
+    areTokensChecked: () => areTokensChecked,
   });
   fleet.start();
   const ticker = setInterval(() => lock.tick(), 5);
@@ -186,3 +192,16 @@
   t.ok(performance.now() - takenAt >= LOCK_VALIDITY - 50);
   await two.stop();
 });
+
+t.test('where workers check tokens, a new holder waits the hand-over delay alone', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0, true);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const two = contender(store, OTHER, 0, true);
+  await eventually(() => two.lock.holder === 'node-1');
+  one.kill();
+  store.erase('fleet/coordinator');
+  await eventually(() => two.lock.holder === 'node-2');
+  t.not(two.lock.fencingToken(), undefined);
+  await two.stop();
+});
--- a/test/fleet/fleet-fixtures.ts
+++ b/test/fleet/fleet-fixtures.ts
@@ -1,10 +1,20 @@
 /** Nodes, peers and waiting for tests of a fleet. */
 import type { Milliseconds } from '../../src/core/units.js';
-import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
+import type { DigestedWork } from '../../src/jobs/kept-items.js';
+import type {
+  PeerAnswers,
+  PeerOutcome,
+  PeerPort,
+  PeerRequest,
+} from '../../src/peers/peer-messages.js';
 
 /** Answers probes: addresses in `alive` run the life that is asked for. */
 export class StubPeers implements PeerPort {
   readonly alive = new Set<string>();
+  /** Addresses that do not reach the store. */
+  readonly cutOff = new Set<string>();
+  /** What is given up when a job is asked for. */
+  readonly surrendered = new Map<string, DigestedWork>();
   /** Addresses at which another life answers. */
   readonly otherLives = new Set<string>();
   readonly asked: { readonly address: string; readonly request: PeerRequest }[] = [];
@@ -16,7 +26,12 @@
     this.asked.push({ address, request });
     const isAlive = this.alive.has(address);
     if (!isAlive && !this.otherLives.has(address)) return { kind: 'refused' };
-    return { kind: 'answered', answer: { isAlive } } as PeerOutcome<Kind>;
+    if (request.kind === 'surrender-job') {
+      const answer: PeerAnswers['surrender-job'] = { work: this.surrendered };
+      return { kind: 'answered', answer: answer as PeerAnswers[Kind] };
+    }
+    const reachesStore = !this.cutOff.has(address);
+    return { kind: 'answered', answer: { isAlive, reachesStore } } as PeerOutcome<Kind>;
   }
 }
 
--- a/test/fleet/job-takeover.test.ts
+++ b/test/fleet/job-takeover.test.ts
@@ -73,9 +73,9 @@
 
 t.test('a suspected owner loses its job unless it is trusted again meanwhile', async (t) => {
   const fixture = await besideOwner();
-  await fixture.takeover.takeFrom(OTHER, () => false);
+  await fixture.takeover.takeFrom(OTHER, false, () => false);
   t.notOk(runsJob(fixture));
-  await fixture.takeover.takeFrom(OTHER, () => true);
+  await fixture.takeover.takeFrom(OTHER, false, () => true);
   t.ok(runsJob(fixture));
   await fixture.stop();
 });
@@ -156,3 +156,13 @@
   t.equal(adopted.length, 1);
   await fixture.stop();
 });
+
+t.test('an owner that answers and does not reach the store loses its job', async (t) => {
+  const fixture = await besideOwner();
+  fixture.peers.alive.add(OTHER_ADDRESS);
+  fixture.peers.cutOff.add(OTHER_ADDRESS);
+  fixture.emulator.erase('fleet/node/node-2');
+  await eventually(() => runsJob(fixture));
+  t.same(fixture.service.ownedJobs()[0]?.results, [result(0)]);
+  await fixture.stop();
+});
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -1,5 +1,4 @@
 /** The jobs' modules of one node, joined as a gateway joins them. */
-import type { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import { ItemDispatcher } from '../../src/jobs/item-dispatcher.js';
 import type { JobPeers } from '../../src/jobs/job-peers.js';
 import { JobReader } from '../../src/jobs/job-reader.js';
@@ -10,6 +9,7 @@
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import { RouteMatcher } from '../../src/serving/route-matcher.js';
 import { WorkerRegistry } from '../../src/serving/worker-registry.js';
+import type { SharedStore } from '../../src/shared-store/shared-store.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import {
   configuration,
@@ -32,6 +32,10 @@
   keptWork: async () => new Map(),
   ownerListing: async () => undefined,
   endAtOwner: async () => false,
+  surrenderedWork: async () => new Map(),
+  submitElsewhere: async () => undefined,
+  readElsewhere: async () => undefined,
+  endElsewhere: async () => undefined,
   handOver: async () => {},
   needWeights: () => {},
 };
@@ -57,7 +61,7 @@
 
 /** Joins the modules. */
 export function jobNode(
-  emulator: SharedStoreEmulator,
+  emulator: SharedStore,
   self: JobOwner,
   engine: EnginePort = new ScriptedEngine(),
   peers: JobPeers = NO_PEERS,
--- /dev/null
+++ b/test/jobs/surrendered-job.test.ts
@@ -0,0 +1,135 @@
+import { Readable } from 'node:stream';
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { JobStore } from '../../src/jobs/job-store.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import type { EngineOutcome } from '../../src/serving/engine-port.js';
+import type { SharedStore, StoreFailure } from '../../src/shared-store/shared-store.js';
+import { eventually } from '../fleet/fleet-fixtures.js';
+import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
+import { always, OTHER, OWNER, specification } from './job-fixtures.js';
+import { type JobNode, jobNode, NO_PEERS } from './job-node.js';
+
+const REFUSED: StoreFailure = { kind: 'failed', effect: 'not-done' };
+
+/** One node's way to a store, which may be cut. */
+class StoreLink implements SharedStore {
+  isCut = false;
+
+  constructor(private readonly store: SharedStore) {}
+
+  get: SharedStore['get'] = async (key) => (this.isCut ? REFUSED : this.store.get(key));
+  range: SharedStore['range'] = async (prefix, after) =>
+    this.isCut ? REFUSED : this.store.range(prefix, after);
+  watch: SharedStore['watch'] = async (prefix, after, wait, signal) =>
+    this.isCut ? REFUSED : this.store.watch(prefix, after, wait, signal);
+  commit: SharedStore['commit'] = async (commit) =>
+    this.isCut ? REFUSED : this.store.commit(commit);
+  grantLease: SharedStore['grantLease'] = async (ttl) => this.store.grantLease(ttl);
+  keepLease: SharedStore['keepLease'] = async (lease) => this.store.keepLease(lease);
+  endLease: SharedStore['endLease'] = async (lease) => this.store.endLease(lease);
+}
+
+/** A stream that gives some events and then nothing more. */
+function pausingAnswer(letters: string): EngineOutcome {
+  const body = new Readable({ read: () => {} });
+  body.push(Buffer.from(events(0, letters)));
+  return answer('', { body, isStream: true });
+}
+
+function keepWorking(node: JobNode): NodeJS.Timeout {
+  return setInterval(() => {
+    node.service.tick();
+    node.dispatcher.tick();
+  }, 5);
+}
+
+/** An owner that is cut off after it took a job of two items; one is whole, one has two events. */
+async function cutOffOwner() {
+  const emulator = new SharedStoreEmulator();
+  const link = new StoreLink(emulator);
+  const engine = new ScriptedEngine([
+    answer(events(0, 'ab'), { isStream: true }),
+    pausingAnswer('xy'),
+  ]);
+  const owner = jobNode(link, OWNER, engine);
+  owner.registry.put(worker('w1'));
+  await owner.service.submit(specification('job', 2), always);
+  link.isCut = true;
+  const ticker = keepWorking(owner);
+  const job = owner.service.ownedJobs()[0];
+  const stop = (): void => {
+    clearInterval(ticker);
+    owner.dispatcher.stop();
+    for (const open of owner.service.ownedJobs()) open.abandon();
+  };
+  await eventually(() => {
+    const kept = job?.keptProgress()['item-0'];
+    return job?.finishedResults().length === 1 && kept?.events.length === 2;
+  });
+  return { emulator, owner, engine, stop };
+}
+
+t.test('a job passes from an owner that is cut off with all that was made of it', async (t) => {
+  const { emulator, owner, engine, stop } = await cutOffOwner();
+  t.equal(owner.service.ownedJobs()[0]?.results.length, 0, 'nothing could be listed');
+  const nextEngine = new ScriptedEngine([answer(events(2, 'z'), { isStream: true })]);
+  const peers = {
+    ...NO_PEERS,
+    surrenderedWork: async (_: unknown, job: string) => owner.service.surrender(job),
+  };
+  const next = jobNode(emulator, OTHER, nextEngine, peers);
+  next.registry.put(worker('w1'));
+  const head = await new JobStore(emulator, PROCESS_CLOCK).head('job');
+  if (head.kind !== 'found') throw new Error(head.kind);
+  t.equal(await next.service.adopt('job', head.value, true), true);
+  const ticker = keepWorking(next);
+  await eventually(() => next.service.ownedJobs()[0]?.isOpen === false);
+  clearInterval(ticker);
+  const read = await next.service.read('job', 0, 0);
+  const texts = 'results' in read ? read.results.map(({ id, text }) => [id, text]) : [];
+  t.same(texts.sort(), [
+    ['item-0', 'x\ny\nz'],
+    ['item-1', 'a\nb'],
+  ]);
+  t.same(
+    nextEngine.requests.map(({ requestId, lastEventId }) => [requestId, lastEventId]),
+    [['item-0', 1]],
+    'only the rest of the unfinished item is run',
+  );
+  t.equal(owner.service.ownedJobs()[0]?.ending, 'superseded');
+  t.same(engine.cancelled.length <= 1 && engine.requests.length, 2, 'the owner sends nothing more');
+  stop();
+});
+
+t.test('an owner that cannot be sure does not say that nothing more is listed', async (t) => {
+  const { owner, stop } = await cutOffOwner();
+  await PROCESS_CLOCK.sleep(800);
+  t.same(await owner.service.ownListing('job', 0, 0), { isOwner: false });
+  const read = await owner.service.read('job', 0, 0);
+  t.match(read, { kind: 'ledger_unavailable' });
+  stop();
+});
+
+t.test('a node that is cut off has others take in, read and end jobs', async (t) => {
+  const slice = { total: 3, results: [], nextPosition: 0 };
+  const ended: string[] = [];
+  const peers = {
+    ...NO_PEERS,
+    submitElsewhere: async () => ({ failure: undefined }),
+    readElsewhere: async () => slice,
+    endElsewhere: async (job: string) => {
+      ended.push(job);
+      return { failure: undefined };
+    },
+  };
+  const emulator = new SharedStoreEmulator();
+  emulator.setAvailability('refusing');
+  const node = jobNode(emulator, OWNER, new ScriptedEngine(), peers);
+  t.equal(await node.service.submit(specification('job', 1), always), undefined);
+  t.same(node.service.ownedJobs(), [], 'it is run by the other node');
+  t.equal(await node.service.read('job', 0, 0), slice);
+  t.equal(await node.service.end('job', always), undefined);
+  t.same(ended, ['job']);
+  node.dispatcher.stop();
+});
--- a/test/platform-adapter/ingress.test.ts
+++ b/test/platform-adapter/ingress.test.ts
@@ -79,7 +79,12 @@
     clock,
     log: recordingLog().log,
     metrics: new FleetMetrics(),
-    timings: () => ({ coordinatorHandOver: 0, jobRetention: 60_000, stopLimit: 8_000 }),
+    timings: () => ({
+      coordinatorHandOver: 0,
+      areTokensChecked: true,
+      jobRetention: 60_000,
+      stopLimit: 8_000,
+    }),
     storageDrains: storageDrainPort(store),
   });
   const server = new Ingress(node, clock);
--- a/test/platform-adapter/settings.test.ts
+++ b/test/platform-adapter/settings.test.ts
@@ -25,7 +25,12 @@
     readinessAddress: '10.0.0.1:8167',
     peerPort: 7_720,
     storeAddress: '10.0.0.9:8169',
-    timings: { coordinatorHandOver: 2_500, stopLimit: 6_000, jobRetention: 120_000 },
+    timings: {
+      coordinatorHandOver: 2_500,
+      areTokensChecked: false,
+      stopLimit: 6_000,
+      jobRetention: 120_000,
+    },
   });
 });
 
