--- a/lab/proofs/durable-jobs/durable-jobs.ts
+++ b/lab/proofs/durable-jobs/durable-jobs.ts
@@ -3,8 +3,9 @@
  * the product's own job modules, and an oracle judges what readers see.
  */
 import fc from 'fast-check';
-import { ITEMS, JOBS, JobWorld, NODES } from './job-world.js';
+import { JobWorld, NODES } from './job-world.js';
 import type { JobMechanism } from './mechanisms.js';
+import { ITEMS, JOBS } from './world-jobs.js';
 
 /** One generated operation or fault. */
 interface JobStep {
--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -8,13 +8,11 @@
 import { ItemDispatcher } from '../../../src/jobs/item-dispatcher.js';
 import type { JobPeers } from '../../../src/jobs/job-peers.js';
 import { JobReader } from '../../../src/jobs/job-reader.js';
-import type { JobSpecification } from '../../../src/jobs/job-records.js';
 import { JobService } from '../../../src/jobs/job-service.js';
 import { JobStore } from '../../../src/jobs/job-store.js';
 import { OwnedJob } from '../../../src/jobs/owned-job.js';
 import type { Clock } from '../../../src/serving/clock.js';
-import { RouteMatcher } from '../../../src/serving/route-matcher.js';
-import type { Route, WorkerRecord } from '../../../src/serving/traffic-configuration.js';
+import type { RouteMatcher } from '../../../src/serving/route-matcher.js';
 import { WorkerRegistry } from '../../../src/serving/worker-registry.js';
 import type { SharedStore } from '../../../src/shared-store/shared-store.js';
 import { DecisionLog } from '../../../src/telemetry/decision-log.js';
@@ -24,11 +22,10 @@
 import type { JobMechanism } from './mechanisms.js';
 import { ScoreDesk, type ScoreTrouble } from './score-desk.js';
 import { forgetsWholeTexts, pagesApart, tellsWholeTexts, unconditional } from './store-trials.js';
+import { JOBS, jobName, SCORE_WORKER, specificationOf, WORLD_ROUTES } from './world-jobs.js';
 
-/** Nodes, jobs and items of the world. */
+/** Nodes of the world. */
 export const NODES = 3;
-export const JOBS = 2;
-export const ITEMS = 12;
 
 /** Turns of the event loop in which what is under way goes on. */
 const SETTLE_TURNS = 24;
@@ -56,41 +53,6 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
-/** Items have no route, so none is sent; their texts are made whole by the steps of a run. */
-const SCORE_ROUTE: Route = {
-  name: 'scores',
-  host: 'scorer',
-  pathPrefix: '/',
-  kind: 'read-only',
-  timeout: 2_000,
-  targetLatency: 100,
-  priority: 0,
-  maxAttempts: 4,
-  targets: [{ service: 'scorers', weight: 1 }],
-  resumable: false,
-  singleVersion: false,
-  maxQueue: 60_000,
-  resultDeadline: 60_000,
-};
-
-const SCORE_WORKER: WorkerRecord = {
-  id: 'scorer',
-  service: 'scorers',
-  address: 'scorer',
-  zone: 'zone',
-  slots: 2 * ITEMS * JOBS,
-  draining: false,
-  models: [],
-};
-
-const LIMITS = { maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeout: 0, idleTimeout: 0 };
-const ROUTES = new RouteMatcher({
-  version: 1,
-  routes: [SCORE_ROUTE],
-  services: [],
-  limits: LIMITS,
-});
-
 const NO_PEERS: JobPeers = {
   keptWork: async () => new Map(),
   ownerListing: async () => undefined,
@@ -321,7 +283,7 @@
     const { clock } = this;
     const log = new DecisionLog({ node: name, zone: 'zone', clock, destination: { write() {} } });
     const metrics = new FleetMetrics();
-    const routes = (): RouteMatcher => ROUTES;
+    const routes = (): RouteMatcher => WORLD_ROUTES;
     const registry = new WorkerRegistry();
     registry.put(SCORE_WORKER);
     const store = new JobStore(this.store, clock);
@@ -350,35 +312,3 @@
     return { service, dispatcher };
   }
 }
-
-function jobName(job: number): string {
-  return `job-${job % JOBS}`;
-}
-
-function specificationOf(job: number, submittedAt: number): JobSpecification {
-  return {
-    id: jobName(job),
-    host: 'host',
-    path: '/',
-    step: 0,
-    model: 'model',
-    minVersion: 1,
-    desiredCount: 1,
-    submittedAt,
-    items: Array.from({ length: ITEMS }, (_, index) => ({
-      id: `item-${index}`,
-      path: '/',
-      headers: [],
-      body: '',
-      tokens: 1,
-      group: 'group',
-      expectedLength: 1,
-      scoreRequest: {
-        id: scoreRequestOf(jobName(job), `item-${index}`),
-        host: SCORE_ROUTE.host,
-        path: '/',
-        body: '',
-      },
-    })),
-  };
-}
