--- a/lab/days/run-days.ts
+++ b/lab/days/run-days.ts
@@ -7,7 +7,7 @@
 import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { parse } from 'smol-toml';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** What a run of the days works with. */
 export interface DaysOptions {
--- a/lab/emulator/accepted-log.ts
+++ b/lab/emulator/accepted-log.ts
@@ -3,7 +3,7 @@
  * are judged. Kept in a file where one is named, so that it outlives a killed process.
  */
 import { appendFileSync, existsSync, readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const acceptedRequest = z.object({
   requestId: z.string(),
--- a/lab/emulator/cache-handle.ts
+++ b/lab/emulator/cache-handle.ts
@@ -2,7 +2,7 @@
  * Handles under which emulated engines hand each other key-value caches. Callers treat a handle
  * as opaque; here it holds the cache itself, as the engines share no memory.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { tokenSegment } from '../../src/platform/engine-wire-client.js';
 import type { KeyValueCacheExport } from './sequence.js';
 
--- a/lab/emulator/engine-emulator.ts
+++ b/lab/emulator/engine-emulator.ts
@@ -3,7 +3,7 @@
  * orders, cache events, and faults set by `POST /lab/faults`. Drives {@link EngineCore} in time.
  */
 import type http from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { GenerationRequest } from '../../src/core/generation.js';
 import { placementHash } from '../../src/core/hashing.js';
 import { createRandomSource } from '../../src/core/random.js';
--- a/lab/emulator/key-value-requests.ts
+++ b/lab/emulator/key-value-requests.ts
@@ -2,7 +2,7 @@
  * Bodies the emulated key-value service reads: the subset of the etcd v3 JSON gateway that
  * wardwing uses. What is outside of it is refused with 400.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { KeyValueOperation, KeyValueWrite } from '../../src/platform/key-value.js';
 import { decodeText, prefixRangeEnd } from '../../src/platform/key-value-wire-client.js';
 
--- a/lab/load/client-events.ts
+++ b/lab/load/client-events.ts
@@ -3,7 +3,7 @@
  * line by `demo --record FILE`, so that a recording can be judged again. All times are wall-clock
  * milliseconds.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const versionRange = z.object({
   version: z.number(),
--- a/lab/load/client-recording.ts
+++ b/lab/load/client-recording.ts
@@ -4,7 +4,7 @@
  * judged again by the oracles of the run that made it.
  */
 import { readFileSync, writeFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type ClientEvent, clientEvent } from './client-events.js';
 import { InteractiveOracle } from './interactive-oracle.js';
 import { InteractiveReport } from './interactive-report.js';
--- a/lab/proofs/trace.ts
+++ b/lab/proofs/trace.ts
@@ -3,7 +3,7 @@
  * are the steps of a run.
  */
 import { readFileSync, writeFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Step } from '../simulation/action.js';
 
 const headerSchema = z.object({
--- a/lab/soak/platform-store.ts
+++ b/lab/soak/platform-store.ts
@@ -4,7 +4,7 @@
  * its own, which may turn its callers away while the others are served.
  */
 import type http from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import { STORE } from '../../platform/names.js';
 import type { StoreChange, StoreItem } from '../../src/shared-store/shared-store.js';
 import { SharedStoreEmulator } from '../emulator/shared-store-emulator.js';
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -2,7 +2,7 @@
 
 import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 import { HEADERS, PATHS } from '../../platform/names.js';
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -4,7 +4,7 @@
  */
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { z } from 'zod';
+import * as z from 'zod';
 import { HEADERS, PATHS } from '../../platform/names.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
--- a/src/config-feed/records.ts
+++ b/src/config-feed/records.ts
@@ -2,7 +2,7 @@
  * Decodes the JSON text of feed entries into the records of `configuration.ts`. A record that
  * does not parse is kept out and reported; it never stops the others.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { IntentName, ModelName } from '../core/identity.js';
 import type { Revision } from '../core/units.js';
 import {
--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -6,7 +6,7 @@
  * the lock was taken away from a holder that could not learn of it.
  */
 import { randomUUID } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -4,7 +4,7 @@
  * stay true rests on it: a node that is wrongly taken for gone loses work, never correctness.
  */
 import { Subject } from 'rxjs';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -4,8 +4,7 @@
  * each node. A node that relays says for how long the store has confirmed its lease; a follower
  * that hears nothing, or nothing current, asks the store itself.
  */
-import { firstValueFrom, Subject, timer } from 'rxjs';
-import { filter, race } from 'rxjs/operators';
+import { filter, firstValueFrom, raceWith, Subject, timer } from 'rxjs';
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
@@ -89,7 +88,7 @@
     if (watch.log.changesAfter(after)?.length === 0) {
       const patience = Math.min(wait, FRESHNESS - this.options.fleet().renewalAge());
       const growth = this.grown.pipe(filter((grownPrefix) => grownPrefix === prefix));
-      await firstValueFrom(growth.pipe(race(timer(Math.max(0, patience)))), { defaultValue: 0 });
+      await firstValueFrom(growth.pipe(raceWith(timer(Math.max(0, patience)))), { defaultValue: 0 });
     }
     const changes = watch.log.changesAfter(after);
     const isFollowed = this.direct.get(prefix) === watch && this.isCurrent(watch);
--- a/src/gateway/completion-schema.ts
+++ b/src/gateway/completion-schema.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Milliseconds } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { GatewayLimits } from './gateway-options.js';
--- a/src/gateway/operator-routes.ts
+++ b/src/gateway/operator-routes.ts
@@ -2,7 +2,7 @@
  * Routes for operators: intents, weight versions, drains, status and explanations.
  */
 import type { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { DRAIN_KINDS } from '../config-feed/configuration.js';
 import { HTTP_STATUS } from '../core/http-status.js';
 import type { Failure } from '../errors/error-kinds.js';
--- a/src/gateway/request-check.ts
+++ b/src/gateway/request-check.ts
@@ -3,7 +3,7 @@
  * failure that names the field.
  */
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Failure, failure } from '../errors/error-kinds.js';
 
 /** How much of a field's name an error repeats. */
--- a/src/gateway/rollout-schema.ts
+++ b/src/gateway/rollout-schema.ts
@@ -1,7 +1,7 @@
 /**
  * Bodies and query parameters of the rollout routes.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { MAX_NAME_LENGTH, MAX_SEED, MAX_TOKENS_LIMIT } from './completion-schema.js';
 import type { GatewayLimits } from './gateway-options.js';
 import { wholeNumberText } from './request-check.js';
--- a/src/intents/intent-schema.ts
+++ b/src/intents/intent-schema.ts
@@ -3,7 +3,7 @@
  * checks, and the form in which it is kept in the key-value service (JSON of {@link Intent}).
  */
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   type CutOffRule,
   type Intent,
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 /** What is kept of batch jobs in the shared store: specification, head, pages of results. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Milliseconds } from '../core/units.js';
 import type { WeightNeed } from './job-peers.js';
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -1,7 +1,7 @@
 /** Takes the questions of other nodes. */
 import http from 'node:http';
 import { parse, stringify } from 'devalue';
-import { z } from 'zod';
+import * as z from 'zod';
 import { PEER_PATH } from './peer-client.js';
 import type { PeerHandler, PeerRequest } from './peer-messages.js';
 
--- a/src/platform/engine-wire-client.ts
+++ b/src/platform/engine-wire-client.ts
@@ -1,7 +1,7 @@
 /**
  * Wire form of model engines: bodies and schemas of completions, reports and orders.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { GenerationRequest } from '../core/generation.js';
 
 const count = z.number().int().nonnegative();
--- a/src/platform/key-value-wire-client.ts
+++ b/src/platform/key-value-wire-client.ts
@@ -2,7 +2,7 @@
  * Wire form of the key-value service: the etcd v3 JSON gateway. Keys and values are base64,
  * 64-bit numbers are strings, and fields with their default value are left out.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type {
   KeyValueChange,
   KeyValueEntry,
--- a/src/platform/machine-list-client.ts
+++ b/src/platform/machine-list-client.ts
@@ -3,7 +3,7 @@
  * nodes find out for themselves.
  */
 import http from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import { HTTP_STATUS } from '../core/http-status.js';
 import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { exchangeHttp, parseJson } from './http-exchange-client.js';
--- a/src/settings/schema-problems.ts
+++ b/src/settings/schema-problems.ts
@@ -3,7 +3,7 @@
  * wrong with it, and what would be accepted. Pure; shared by settings and intents.
  */
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ACCEPTED_DURATIONS, parseDuration } from './duration.js';
 
 /** One thing that is wrong with a document. */
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -4,7 +4,7 @@
  */
 import { isIP } from 'node:net';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import { KIBIBYTE, MEBIBYTE } from '../core/units.js';
 import { checkDocument, durationField, nameField, type SchemaProblem } from './schema-problems.js';
 
--- a/src/transport/peer-envelope.ts
+++ b/src/transport/peer-envelope.ts
@@ -4,7 +4,7 @@
  */
 import { parse, stringify } from 'devalue';
 import { Result } from 'true-myth';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { NodeIdentity, NodeRecord } from '../core/identity.js';
 import type { PeerMessage } from '../node/peer-message.js';
 
