--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -102,8 +102,13 @@
     // With the lease before went the lock, whether or not a watch has told so.
     if (this.ownNonce !== undefined && fleet.leaseId !== this.ownLease) this.lose();
     if (this.holding !== undefined && !this.isHeldByFormerLife) return;
-    if (fleet.leaseId === NO_LEASE || fleet.renewalAge() >= LOCK_VALIDITY) return;
     if (clock.now() - this.freeSince < this.turn() * RANK_DELAY) return;
+    // The lock hangs on a lease that lapses soon after its holder fell silent.
+    fleet.takeDuties();
+    if (!fleet.hasPromptLease || fleet.renewalAge() >= LOCK_VALIDITY) {
+      fleet.renewSoon();
+      return;
+    }
     this.isTrying = true;
     void this.acquire().finally(() => {
       this.isTrying = false;
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -1,14 +1,20 @@
 /** Questions between the nodes of a fleet: how this node asks them, and how it answers. */
-import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
-import type { JobPeers, PassedOn, WeightNeed } from '../jobs/job-peers.js';
+import type {
+  JobPeers,
+  OwnedBody,
+  PassedOn,
+  SubmissionPath,
+  WeightNeed,
+} from '../jobs/job-peers.js';
 import type { OwnerListing } from '../jobs/job-reader.js';
 import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { JobService } from '../jobs/job-service.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
+import { STORE_RETRY_AFTER } from '../jobs/store-reads.js';
 import type {
   PeerAnswers,
   PeerHandler,
@@ -21,11 +27,13 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
 import type { FleetRegistry } from './fleet-registry.js';
+import type { JobPlacement } from './job-placement.js';
 import type { WatchRelay } from './watch-relay.js';
 
 /** Time for an answer. */
 const KEPT_WORK_LIMIT: Milliseconds = 120;
-const RESULTS_LIMIT: Milliseconds = 250;
+/** Beyond the wait that is asked for: the owner may have the store confirm that nothing is listed. */
+const RESULTS_LIMIT: Milliseconds = 700;
 const END_LIMIT: Milliseconds = 600;
 const HAND_OVER_LIMIT: Milliseconds = 600;
 const NEED_LIMIT: Milliseconds = 300;
@@ -39,16 +47,20 @@
 /** Nodes that are asked whether they reach the store. */
 const MOST_STORE_PROBES = 4;
 
-/** Nodes that are asked for kept work: those of the own zone, where a trainer's calls arrive. */
-const MOST_KEPT_WORK_PEERS = 8;
-
 /** Nodes that a released job is offered to, one after the other. */
 const HAND_OVER_OFFERS = 2;
 
+/** Owners that a submission is offered to before the node that took it runs it itself. */
+const SUBMISSION_OFFERS = 2;
+
+/** Time for a node to take a job over: it reads a head and writes it. */
+const ADOPT_LIMIT: Milliseconds = 600;
+
 /** Options of {@link FleetPeers}. */
 export interface FleetPeersOptions {
   readonly port: PeerPort;
   readonly fleet: FleetRegistry;
+  readonly placement: JobPlacement;
   readonly self: JobOwner;
   readonly zone: ZoneName;
   readonly clock: Clock;
@@ -65,11 +77,7 @@
   constructor(private readonly options: FleetPeersOptions) {}
 
   async keptWork(items: readonly string[]): Promise<ReadonlyMap<string, DigestedWork>> {
-    const { fleet, self, zone } = this.options;
-    const nodes = fleet
-      .liveNodes()
-      .filter((node) => node !== self.node && fleet.zoneOf(node) === zone)
-      .slice(0, MOST_KEPT_WORK_PEERS);
+    const nodes = this.options.placement.owners().filter((node) => node !== this.options.self.node);
     const request = { kind: 'kept-work', items } as const;
     const outcomes = await Promise.all(
       nodes.map((node) => this.ask<'kept-work'>(node, request, KEPT_WORK_LIMIT)),
@@ -93,6 +101,7 @@
     if (!this.options.fleet.isLive(owner)) return undefined;
     const request = { kind: 'job-results', job, after, wait } as const;
     const outcome = await this.ask<'job-results'>(owner.node, request, wait + RESULTS_LIMIT);
+    if (outcome?.kind === 'refused') this.options.placement.noteSilent(owner.node);
     if (outcome?.kind !== 'answered' || !outcome.answer.isOwner) return undefined;
     return outcome.answer;
   }
@@ -109,14 +118,62 @@
     return outcome.kind === 'answered' ? outcome.answer.work : new Map();
   }
 
-  async submitElsewhere(spec: JobSpecification): Promise<PassedOn | undefined> {
+  likelyOwners(job: string): readonly JobOwner[] {
+    const { fleet, placement, self } = this.options;
+    const nodes = placement.ownersOf(job).filter((node) => node !== self.node);
+    return nodes.map((node) => fleet.ownerOf(node)).filter((owner) => owner !== undefined);
+  }
+
+  async bodyAtOwner(job: string, item: string): Promise<OwnedBody | undefined> {
+    const [owner] = this.likelyOwners(job);
+    if (owner === undefined) return undefined;
+    const request = { kind: 'item-body', job, item } as const;
+    const outcome = await this.ask<'item-body'>(owner.node, request, RESULTS_LIMIT);
+    return outcome?.kind === 'answered' && outcome.answer.isOwner ? outcome.answer : undefined;
+  }
+
+  async submitElsewhere(spec: JobSpecification): Promise<SubmissionPath> {
+    const { fleet, placement, self } = this.options;
+    let mayRunElsewhere = false;
+    for (const node of placement.ownersOf(spec.id).slice(0, SUBMISSION_OFFERS)) {
+      if (node === self.node) {
+        if (fleet.isCutOff) continue;
+        break;
+      }
+      const request = { kind: 'submit-for', spec } as const;
+      const outcome = await this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+      if (outcome === undefined) continue;
+      if (outcome.kind === 'answered') {
+        const { failure: refusal } = outcome.answer;
+        if (refusal?.kind !== 'ledger_unavailable') return { kind: 'answered', failure: refusal };
+        continue;
+      }
+      placement.noteSilent(node);
+      if (outcome.kind === 'silent') {
+        mayRunElsewhere = true;
+        break;
+      }
+    }
+    return fleet.isCutOff
+      ? this.submitAnywhere(spec, mayRunElsewhere)
+      : { kind: 'here', mayRunElsewhere };
+  }
+
+  /** Has some node take a job in that reaches the store, as this one does not. */
+  private async submitAnywhere(
+    spec: JobSpecification,
+    mayRunElsewhere: boolean,
+  ): Promise<SubmissionPath> {
+    const unknown = failure('outcome_unknown', 'another node may have stored the job');
     const node = await this.nodeThatReachesStore();
-    if (node === undefined) return undefined;
+    if (node === undefined) return { kind: 'here', mayRunElsewhere };
     const request = { kind: 'submit-for', spec } as const;
     const outcome = await this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
-    if (outcome?.kind === 'answered') return outcome.answer;
-    if (outcome?.kind !== 'silent') return undefined;
-    return { failure: failure('outcome_unknown', 'another node may have stored the job') };
+    if (outcome?.kind === 'silent') return { kind: 'answered', failure: unknown };
+    if (outcome?.kind !== 'answered') return { kind: 'here', mayRunElsewhere };
+    const { failure: refusal } = outcome.answer;
+    const isUnsure = mayRunElsewhere && refusal !== undefined;
+    return { kind: 'answered', failure: isUnsure ? unknown : refusal };
   }
 
   async readElsewhere(
@@ -165,16 +222,26 @@
   }
 
   async handOver(job: string): Promise<void> {
-    const { fleet, self } = this.options;
-    const others = fleet.liveNodes().filter((node) => node !== self.node);
-    const nodes = rendezvousOrder(job, others, (node) => node).slice(0, HAND_OVER_OFFERS);
+    const nodes = this.likelyOwners(job).slice(0, HAND_OVER_OFFERS);
     for (const node of nodes) {
       const request = { kind: 'take-job', job } as const;
-      const outcome = await this.ask<'take-job'>(node, request, HAND_OVER_LIMIT);
+      const outcome = await this.ask<'take-job'>(node.node, request, HAND_OVER_LIMIT);
       if (outcome?.kind === 'answered' && outcome.answer.isTaken) return;
     }
   }
 
+  /** Has the node that is to run a job take it over; tells whether it did. */
+  async adoptElsewhere(
+    node: NodeId,
+    job: string,
+    owner: JobOwner,
+    ownerAnswers: boolean,
+  ): Promise<boolean> {
+    const request = { kind: 'adopt-job', job, owner, ownerAnswers } as const;
+    const outcome = await this.ask<'adopt-job'>(node, request, ADOPT_LIMIT);
+    return outcome?.kind === 'answered' && outcome.answer.isTaken;
+  }
+
   needWeights(need: WeightNeed): void {
     const holder = this.options.lock().holder;
     if (holder === undefined) return;
@@ -192,6 +259,7 @@
         return {
           isAlive: request.owner.incarnation === self.incarnation,
           reachesStore: !this.options.fleet.isCutOff,
+          hasDuties: this.options.fleet.hasDuties,
         };
       case 'kept-work':
         return { work: jobs().keptWorkOf(request.items) };
@@ -202,7 +270,13 @@
       case 'surrender-job':
         return { work: jobs().surrender(request.job) };
       case 'submit-for':
-        return { failure: await jobs().submitHere(request.spec, this.whileAsked(SUBMIT_LIMIT)) };
+        return { failure: await this.submitFor(request.spec) };
+      case 'adopt-job':
+        return {
+          isTaken: await jobs().adoptFrom(request.job, request.owner, request.ownerAnswers),
+        };
+      case 'item-body':
+        return jobs().ownBody(request.job, request.item);
       case 'read-for':
         return { read: await jobs().readHere(request.job, request.after, request.wait) };
       case 'end-for':
@@ -211,12 +285,25 @@
         return { isTaken: await jobs().takeReleased(request.job) };
       case 'follow-prefix':
         return this.options.relay().answer(request);
+      case 'list-prefix':
+        return this.options.relay().answerList(request);
       case 'need-weights':
         weightsNeeded(request.need);
         return { isNoted: true };
     }
   }
 
+  /** Takes a job in for another node; refuses at once where the store is out of reach. */
+  private async submitFor(spec: JobSpecification): Promise<Failure | undefined> {
+    const { fleet, jobs } = this.options;
+    if (fleet.isCutOff) {
+      return failure('ledger_unavailable', 'the store does not answer', {
+        retryAfter: STORE_RETRY_AFTER,
+      });
+    }
+    return jobs().submitHere(spec, this.whileAsked(SUBMIT_LIMIT));
+  }
+
   private async ask<Kind extends PeerRequest['kind']>(
     node: NodeId,
     request: PeerRequestOf<Kind>,
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -22,14 +22,40 @@
 export const FLEET_PREFIX = 'fleet/';
 const NODE_PREFIX = `${FLEET_PREFIX}node/`;
 
-/** Life of a node's lease after its last renewal, and time between renewals. */
-export const LEASE_TTL: Milliseconds = 2_000;
-const RENEWAL_INTERVAL: Milliseconds = 600;
+/** Life of a lease after its last renewal, and time between renewals. */
+interface LeasePace {
+  readonly ttl: Milliseconds;
+  readonly renewalInterval: Milliseconds;
+}
+
+/**
+ * A node that runs jobs, relays the store or gives orders is missed at once: its lease lapses soon
+ * after it fell silent, and it learns soon that the store is out of reach.
+ */
+export const PROMPT_PACE: LeasePace = { ttl: 2_000, renewalInterval: 600 };
+
+/**
+ * All others only forward requests. Their renewals are what most calls of a large fleet would be;
+ * two of them may fail before the lease lapses.
+ */
+export const RELAXED_PACE: LeasePace = { ttl: 8_000, renewalInterval: 2_500 };
+
+/** Time for which the store has to be silent before a node counts as cut off: more than one call. */
+const CUT_OFF_AGE: Milliseconds = 400;
+
+/** Least time between two renewals, whoever asks for them. */
+const LEAST_RENEWAL_PAUSE: Milliseconds = 300;
 
-/** A node whose last renewal is older than this, and whose newest one failed, counts as cut off. */
-const CUT_OFF_AGE: Milliseconds = 1_000;
+/** Time from the first start of a whole fleet until all nodes have registered themselves. */
+const FIRST_START_DELAY: Milliseconds = 1_500;
 
-const NODE_RECORD = z.object({ incarnation: z.string(), zone: z.string(), address: z.string() });
+const NODE_RECORD = z.object({
+  incarnation: z.string(),
+  zone: z.string(),
+  address: z.string(),
+  /** Processor share of its machine, in cores of ordinary speed. */
+  capacity: z.number().default(1),
+});
 
 /** What a node tells of itself. */
 type NodeRecord = z.infer<typeof NODE_RECORD>;
@@ -47,6 +73,10 @@
   readonly zone: ZoneName;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /** Processor share of this machine, in cores of ordinary speed. @default 1 */
+  readonly capacity?: number;
+  /** Whether the whole fleet starts for the first time, now. @default false */
+  readonly isFirstStart?: boolean;
 }
 
 /** Knows which lives of nodes are live, and keeps this node's own record. */
@@ -62,8 +92,15 @@
   private readonly live = new Map<NodeId, NodeRecord>();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
+  /** Life of the lease that is held. */
+  private ttl: Milliseconds = 0;
+  private areDutiesTaken = false;
   private renewedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  /** When the newest renewal was sent, whatever came of it. */
+  private triedAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  private isRenewing = false;
   private isStoreSilent = false;
+  private silentSince: Milliseconds = Number.POSITIVE_INFINITY;
   private regainedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
@@ -79,9 +116,40 @@
     );
   }
 
-  /** Registers this node and follows the others. */
-  start(): void {
-    void this.watcher.run();
+  /**
+   * Registers this node, so that its own list shows it, and follows the others. Where all nodes
+   * start for the first time, each waits until the others have registered: one list then shows the
+   * whole fleet.
+   */
+  async start(): Promise<void> {
+    await this.renew();
+    if (this.options.isFirstStart === true) await this.options.clock.sleep(FIRST_START_DELAY);
+    if (!this.isStopped) void this.watcher.run();
+  }
+
+  /** Whether this node is one that others would miss at once. */
+  get hasDuties(): boolean {
+    return this.areDutiesTaken;
+  }
+
+  /** Whether the lease lapses soon after this node fell silent. */
+  get hasPromptLease(): boolean {
+    return this.lease !== NO_LEASE && this.ttl <= PROMPT_PACE.ttl;
+  }
+
+  /** This node runs jobs, relays the store or gives orders from now on, and for as long as it lives. */
+  takeDuties(): void {
+    if (this.areDutiesTaken) return;
+    this.areDutiesTaken = true;
+    this.renewSoon();
+  }
+
+  /** Renews the lease now unless that was just done: something hints that the store is out of reach. */
+  renewSoon(): void {
+    const age = this.options.clock.now() - this.triedAt;
+    if (this.isStopped || this.isRenewing) return;
+    if (age < LEAST_RENEWAL_PAUSE && this.isPaceRight) return;
+    clearTimeout(this.timer);
     void this.renew();
   }
 
@@ -120,6 +188,11 @@
     return this.live.get(node)?.zone;
   }
 
+  /** Processor share of a live node's machine, in cores of ordinary speed. */
+  capacityOf(node: NodeId): number {
+    return this.live.get(node)?.capacity ?? 0;
+  }
+
   /** Whether the store was silent, as the renewals show, within the last time. */
   wasSilentWithin(duration: Milliseconds): boolean {
     return this.isStoreSilent || this.options.clock.now() - this.regainedAt < duration;
@@ -127,7 +200,7 @@
 
   /** Whether the store has not answered this node for a while, whomever else it answers. */
   get isCutOff(): boolean {
-    return this.isStoreSilent && this.renewalAge() > CUT_OFF_AGE;
+    return this.isStoreSilent && this.options.clock.now() - this.silentSince > CUT_OFF_AGE;
   }
 
   /** The lease of this node's record; `NO_LEASE` while there is none. */
@@ -137,7 +210,7 @@
 
   /** Time for which the lease surely goes on, by this node's own clock; negative when over. */
   leaseRemaining(): Milliseconds {
-    return this.renewedAt + LEASE_TTL - this.options.clock.now();
+    return this.renewedAt + this.ttl - this.options.clock.now();
   }
 
   /** Time since the store last renewed the lease, counted from when the renewal was sent. */
@@ -162,18 +235,34 @@
     if (before !== undefined) this.departures.next({ node, cause });
   }
 
+  private get pace(): LeasePace {
+    return this.areDutiesTaken ? PROMPT_PACE : RELAXED_PACE;
+  }
+
+  /** Whether the lease that is held is as short as this node's duties ask for. */
+  private get isPaceRight(): boolean {
+    return this.lease !== NO_LEASE && this.ttl <= this.pace.ttl;
+  }
+
   private async renew(): Promise<void> {
     const sentAt = this.options.clock.now();
-    const isKept = this.lease === NO_LEASE ? await this.register() : await this.keep();
+    this.triedAt = sentAt;
+    this.isRenewing = true;
+    const isKept = this.isPaceRight ? await this.keep() : await this.register();
+    this.isRenewing = false;
     if (isKept) this.renewedAt = sentAt;
-    this.noteStore(isKept);
+    this.noteStore(isKept, sentAt);
     if (this.isStopped) return;
     const elapsed = this.options.clock.now() - sentAt;
-    this.timer = setTimeout(() => void this.renew(), Math.max(50, RENEWAL_INTERVAL - elapsed));
+    // While the store is silent, its return is looked for as often as duties would ask.
+    const { renewalInterval } = isKept ? this.pace : PROMPT_PACE;
+    const pause = Math.max(LEAST_RENEWAL_PAUSE / 2, renewalInterval - elapsed);
+    this.timer = setTimeout(() => void this.renew(), this.isPaceRight || !isKept ? pause : 0);
   }
 
-  private noteStore(answers: boolean): void {
+  private noteStore(answers: boolean, sentAt: Milliseconds): void {
     if (answers === !this.isStoreSilent) return;
+    this.silentSince = answers ? Number.POSITIVE_INFINITY : sentAt;
     this.isStoreSilent = !answers;
     this.options.log.state(answers ? 'store-regained' : 'store-lost');
     if (!answers) return;
@@ -183,15 +272,18 @@
   }
 
   private async register(): Promise<boolean> {
-    const { store, self, zone, log } = this.options;
-    const grant = await store.grantLease(LEASE_TTL);
+    const { store, self, zone, log, capacity = 1 } = this.options;
+    const { ttl } = this.pace;
+    const grant = await store.grantLease(ttl);
     if (grant.kind !== 'granted' || this.isStopped) return false;
-    const value = JSON.stringify({ incarnation: self.incarnation, zone, address: self.address });
+    const { incarnation, address } = self;
+    const value = JSON.stringify({ incarnation, zone, address, capacity });
     const put = [{ key: `${NODE_PREFIX}${self.node}`, value, lease: grant.lease }];
     const outcome = await store.commit({ expected: [], put });
     if (outcome.kind !== 'committed') return false;
     this.lease = grant.lease;
-    log.state('lease-granted', { lease: grant.lease });
+    this.ttl = grant.ttl;
+    log.state('lease-granted', { lease: grant.lease, ttlMs: grant.ttl });
     return true;
   }
 
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -26,8 +26,9 @@
 import { CoordinatorLock } from './coordinator-lock.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
-import { FleetRegistry } from './fleet-registry.js';
+import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
 import type { GatewayNodeOptions } from './gateway-options.js';
+import { JobPlacement } from './job-placement.js';
 import { JobTakeover } from './job-takeover.js';
 import { PeerMonitor, type Suspicion } from './peer-monitor.js';
 import { StorageDrains } from './storage-drains.js';
@@ -38,6 +39,12 @@
 /** Time between two rounds of regular work. */
 const TICK_INTERVAL: Milliseconds = 50;
 
+/** The same while this node runs no jobs and gives no orders. */
+const IDLE_TICK_INTERVAL: Milliseconds = 300;
+
+/** Time between two looks at which duties this node has. */
+const DUTY_INTERVAL: Milliseconds = 500;
+
 /** Time by which each watching node lets the one before it take over first. */
 const SUSPICION_RANK_DELAY: Milliseconds = 500;
 
@@ -66,6 +73,8 @@
   private readonly monitor: PeerMonitor;
   /** Answers the questions of other nodes. */
   readonly peerHandler: FleetPeers;
+  private readonly relay: WatchRelay;
+  private readonly placement: JobPlacement;
   private readonly lock: CoordinatorLock;
   private readonly rollout: WeightRollout;
   private readonly drains: StorageDrains;
@@ -75,6 +84,7 @@
   private isStopping = false;
   private nextRemovalAt: Milliseconds = REMOVAL_INTERVAL;
   private nextSweepAt: Milliseconds = 0;
+  private nextDutyLookAt: Milliseconds = 0;
   private ticker: NodeJS.Timeout | undefined;
   private reporter: NodeJS.Timeout | undefined;
 
@@ -82,25 +92,33 @@
     const { clock, log, metrics, peers: port, zone } = options;
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node } = options;
-    const direct = meteredStore(options.store, metrics, clock);
+    const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const relay = new WatchRelay({
       store: direct,
       peers: port,
       fleet: () => this.fleet,
       self: node,
       zone,
+      prefixes: [FLEET_PREFIX, options.feeds.operatorPrefix, options.feeds.workerPrefix],
       clock,
       metrics,
     });
+    this.relay = relay;
     const store = relay.relayedStore();
     const jobStore = new JobStore(store, clock);
     const routes = (): RouteMatcher | undefined => this.matcher;
     const shared = { ...options, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
+    this.placement = new JobPlacement({
+      liveNodes: () => this.fleet.liveNodes(),
+      capacityOf: (name) => this.fleet.capacityOf(name),
+      clock,
+    });
     this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
     this.peerHandler = new FleetPeers({
       port,
       fleet: this.fleet,
+      placement: this.placement,
       self,
       zone,
       clock,
@@ -116,7 +134,11 @@
     this.jobs = new JobService({
       ...shared,
       store: jobStore,
-      reader: new JobReader(jobStore, (...question) => peers.ownerListing(...question)),
+      reader: new JobReader(
+        jobStore,
+        (...question) => peers.ownerListing(...question),
+        (job) => peers.likelyOwners(job),
+      ),
       peers,
       dispatcher: this.dispatcher,
       retention: () => options.timings().jobRetention,
@@ -125,8 +147,16 @@
     this.feeds.events.subscribe((event) => this.take(event));
     this.fleet.storeRegained.subscribe(() => this.feeds.restart());
     const { fleet, jobs: service } = this;
-    this.takeover = new JobTakeover({ store: jobStore, service, fleet, self, peers: port });
-    this.monitor = new PeerMonitor({ fleet, peers: port, self, log });
+    this.takeover = new JobTakeover({
+      store: jobStore,
+      service,
+      fleet,
+      self,
+      placement: this.placement,
+      peers: port,
+      adoptElsewhere: (...adoption) => peers.adoptElsewhere(...adoption),
+    });
+    this.monitor = new PeerMonitor({ fleet, peers: port, self, clock, log });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     const handOverDelay = (): Milliseconds => options.timings().coordinatorHandOver;
     const areTokensChecked = (): boolean => options.timings().areTokensChecked;
@@ -144,10 +174,9 @@
 
   /** Begins to take part in the fleet. */
   start(): void {
-    this.feeds.start();
-    this.fleet.start();
+    void this.fleet.start().then(() => this.feeds.start());
     this.monitor.start();
-    this.ticker = setInterval(() => this.tick(), TICK_INTERVAL);
+    this.scheduleTick();
     this.reporter = setInterval(() => this.report(), REPORT_INTERVAL);
   }
 
@@ -236,7 +265,7 @@
     this.dispatcher.stop();
     this.takeover.stop();
     this.monitor.stop();
-    clearInterval(this.ticker);
+    clearTimeout(this.ticker);
     clearInterval(this.reporter);
     this.report();
     const limit = this.options.clock.now() + RELEASE_LIMIT;
@@ -245,18 +274,45 @@
     this.feeds.stop();
   }
 
+  private scheduleTick(): void {
+    const interval = this.isBusy ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
+    this.ticker = setTimeout(() => {
+      this.tick();
+      if (!this.isStopping) this.scheduleTick();
+    }, interval);
+  }
+
+  /** Whether this node has work that is due at any moment. */
+  private get isBusy(): boolean {
+    if (this.lock.holder === undefined || this.lock.holder === this.options.node) return true;
+    return this.jobs.ownedJobs().some((job) => job.isOpen);
+  }
+
   private tick(): void {
     this.jobs.tick();
     this.dispatcher.tick();
     if (this.isStopping) return;
+    this.lookAtDuties();
     this.lock.tick();
     this.rollout.tick();
     this.drains.tick();
     this.sweepJobs();
   }
 
+  /** A node that would be missed at once keeps a lease that lapses soon. */
+  private lookAtDuties(): void {
+    const now = this.options.clock.now();
+    if (this.fleet.hasDuties || now < this.nextDutyLookAt) return;
+    this.nextDutyLookAt = now + DUTY_INTERVAL;
+    const { node } = this.options;
+    const runsJobs = this.jobs.ownedJobs().some((job) => job.isOpen);
+    const isOwner = this.placement.owners().includes(node);
+    if (runsJobs || isOwner || this.relay.isRelay) this.fleet.takeDuties();
+  }
+
   /** The nodes that watch a suspected one act in turn, so that they rarely race. */
   private takeOverFrom({ owner, ownerAnswers, rank }: Suspicion): void {
+    this.placement.noteSilent(owner.node);
     setTimeout(() => {
       if (this.isStopping || !this.monitor.isSuspected(owner)) return;
       const isStillSuspected = (): boolean => this.monitor.isSuspected(owner);
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -40,4 +40,8 @@
   /** The times in force; a reload of the settings may change them. */
   readonly timings: () => FleetTimings;
   readonly storageDrains: StorageDrainPort;
+  /** Processor share of this machine, in cores of ordinary speed. @default 1 */
+  readonly capacity?: number;
+  /** Whether the whole fleet starts for the first time, now. @default false */
+  readonly isFirstStart?: boolean;
 }
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -1,9 +1,11 @@
 /**
- * Takes over jobs whose owner is gone. After a node has left, a few of the others look for its
- * jobs, one after the other by rendezvous hash of its name; a node that joins looks too, and so
- * does the coordinator now and then. Where two race, the commit on the job's head decides.
+ * Takes over jobs whose owner is gone. After a node has left, a few of the nodes that run jobs look
+ * for its jobs, one after the other by rendezvous hash of its name; such a node looks too when it
+ * joins, and so does the coordinator now and then. Where two race, the commit on the job's head
+ * decides.
  */
 import { rendezvousOrder } from '../core/hashing.js';
+import type { NodeId } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import { isFinished } from '../jobs/job-records.js';
@@ -11,6 +13,7 @@
 import type { JobStore, VersionedHead } from '../jobs/job-store.js';
 import type { PeerPort } from '../peers/peer-messages.js';
 import type { Departure, FleetRegistry } from './fleet-registry.js';
+import type { JobPlacement } from './job-placement.js';
 
 /** Options of {@link JobTakeover}. */
 export interface JobTakeoverOptions {
@@ -18,7 +21,15 @@
   readonly service: JobService;
   readonly fleet: FleetRegistry;
   readonly self: JobOwner;
+  readonly placement: JobPlacement;
   readonly peers: PeerPort;
+  /** Has another node take a job over; tells whether it did. */
+  readonly adoptElsewhere: (
+    node: NodeId,
+    job: string,
+    owner: JobOwner,
+    ownerAnswers: boolean,
+  ) => Promise<boolean>;
 }
 
 /** A departed node may be back with a new lease within this time; then nothing is taken over. */
@@ -34,7 +45,10 @@
 const RANK_DELAY: Milliseconds = 900;
 
 /** Nodes that look for the jobs of one that left. */
-const SCANNING_NODES = 3;
+const SCANNING_NODES = 2;
+
+/** Looks that are due this close together are one: where many nodes leave at once, one look finds all. */
+const SWEEP_STEP: Milliseconds = 300;
 
 /** Scans of a node that joins: the last one takes jobs of any rank. */
 const SCANS = 3;
@@ -51,6 +65,8 @@
 /** Looks for jobs without a live owner after nodes have left. */
 export class JobTakeover {
   private readonly timers = new Set<NodeJS.Timeout>();
+  /** Sweeps that wait, by the time at which they are due in steps. */
+  private readonly sweepsDue = new Set<number>();
 
   constructor(private readonly options: JobTakeoverOptions) {
     options.fleet.departures.subscribe((departure) => this.scanAfter(departure));
@@ -64,11 +80,21 @@
 
   /** Scans after a departure, if this node is one of the few that do. */
   private scanAfter({ node, cause }: Departure): void {
-    const nodes = rendezvousOrder(node, this.options.fleet.liveNodes(), (name) => name);
+    const nodes = rendezvousOrder(node, this.options.placement.owners(), (name) => name);
     const rank = nodes.indexOf(this.options.self.node);
     if (rank < 0 || rank >= SCANNING_NODES) return;
     const grace = cause === 'replaced' ? REPLACEMENT_GRACE : DEPARTURE_GRACE;
-    this.later(grace + rank * RANK_DELAY, () => this.sweep());
+    this.sweepLater(grace + rank * RANK_DELAY);
+  }
+
+  private sweepLater(delay: Milliseconds): void {
+    const step = Math.ceil((performance.now() + delay) / SWEEP_STEP);
+    if (this.sweepsDue.has(step)) return;
+    this.sweepsDue.add(step);
+    this.later(delay, () => {
+      this.sweepsDue.delete(step);
+      return this.sweep();
+    });
   }
 
   /** Scans soon, and again for jobs that better ranked nodes left alone. */
@@ -77,7 +103,8 @@
   }
 
   private async scanInTurn(allowedRank: number): Promise<void> {
-    const outcome = await this.scan(allowedRank);
+    const isOwner = this.options.placement.owners().includes(this.options.self.node);
+    const outcome = isOwner ? await this.scan(allowedRank) : 'orphans-seen';
     if (outcome === 'no-orphans') return;
     const next = outcome === 'unavailable' ? allowedRank : allowedRank + 1;
     if (next < SCANS) this.later(RANK_DELAY, () => this.scanInTurn(next));
@@ -103,10 +130,24 @@
       const { owner: current } = found.head;
       const isTheirs = current?.node === owner.node && current.incarnation === owner.incarnation;
       if (!isTheirs || isFinished(found.head)) continue;
-      await this.options.service.adopt(job, found, ownerAnswers);
+      await this.adoptByPlacement(job, found, owner, ownerAnswers);
     }
   }
 
+  /** The node that is to run the job takes it, or this one where that one does not. */
+  private async adoptByPlacement(
+    job: string,
+    found: VersionedHead,
+    owner: JobOwner,
+    ownerAnswers: boolean,
+  ): Promise<void> {
+    const { placement, self, service, adoptElsewhere } = this.options;
+    const [node] = placement.ownersOf(job).filter((name) => name !== owner.node);
+    const isElsewhere = node !== undefined && node !== self.node;
+    if (isElsewhere && (await adoptElsewhere(node, job, owner, ownerAnswers))) return;
+    await service.adopt(job, found, ownerAnswers);
+  }
+
   /** Cancels scans that are due. */
   stop(): void {
     for (const timer of this.timers) clearTimeout(timer);
@@ -143,7 +184,7 @@
   }
 
   private rankFor(job: string): number {
-    const nodes = rendezvousOrder(job, this.options.fleet.liveNodes(), (node) => node);
+    const nodes = this.options.placement.ownersOf(job);
     const rank = nodes.indexOf(this.options.self.node);
     return rank < 0 ? nodes.length : rank;
   }
--- a/src/fleet/peer-monitor.ts
+++ b/src/fleet/peer-monitor.ts
@@ -12,6 +12,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { PeerPort } from '../peers/peer-messages.js';
+import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetRegistry } from './fleet-registry.js';
 
@@ -22,6 +23,9 @@
 const PROBE_INTERVAL: Milliseconds = 300;
 const PROBE_LIMIT: Milliseconds = 400;
 
+/** Time between two probes of a node that answers and whom nobody would miss at once. */
+const RELAXED_PROBE_INTERVAL: Milliseconds = 1_500;
+
 /** Probes in a row without an answer that make a suspicion. */
 const SILENT_LIMIT = 3;
 /** The same where the connection is refused, as the process is then gone. */
@@ -38,6 +42,7 @@
   readonly fleet: FleetRegistry;
   readonly peers: PeerPort;
   readonly self: JobOwner;
+  readonly clock: Pick<Clock, 'now'>;
   readonly log: DecisionLog;
 }
 
@@ -56,6 +61,8 @@
   cutOff: number;
   isSuspected: boolean;
   isAsked: boolean;
+  /** Steady time of the next probe. */
+  nextProbeAt: Milliseconds;
 }
 
 /** Probes the nodes that this one watches. */
@@ -91,14 +98,16 @@
       const address = this.options.fleet.addressOf(node);
       if (owner === undefined || address === undefined) continue;
       const watched = this.watchedNode(owner);
-      if (!watched.isAsked) void this.probe(watched, address);
+      const isDue = this.options.clock.now() >= watched.nextProbeAt;
+      if (isDue && !watched.isAsked) void this.probe(watched, address);
     }
   }
 
   private watchedNode(owner: JobOwner): WatchedNode {
     const known = this.watched.get(owner.node);
     if (known?.owner.incarnation === owner.incarnation) return known;
-    const fresh = { owner, silent: 0, refused: 0, cutOff: 0, isSuspected: false, isAsked: false };
+    const counts = { silent: 0, refused: 0, cutOff: 0 };
+    const fresh = { owner, ...counts, isSuspected: false, isAsked: false, nextProbeAt: 0 };
     this.watched.set(owner.node, fresh);
     return fresh;
   }
@@ -113,7 +122,12 @@
     if (isAlive) {
       watched.silent = 0;
       watched.refused = 0;
-      this.noteStoreReach(watched, outcome.answer.reachesStore);
+      const { hasDuties, reachesStore } = outcome.answer;
+      const isQuiet = !hasDuties && reachesStore;
+      // Half an interval early: rounds come a little late.
+      const pause = isQuiet ? RELAXED_PROBE_INTERVAL - PROBE_INTERVAL / 2 : 0;
+      watched.nextProbeAt = this.options.clock.now() + pause;
+      this.noteStoreReach(watched, reachesStore);
       return;
     }
     watched.silent += 1;
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -16,6 +16,19 @@
   readonly tokens: number;
 }
 
+/** Where a submission is settled. */
+export type SubmissionPath =
+  /** Another node settled it; no failure means that the job is kept. */
+  | { readonly kind: 'answered'; readonly failure: Failure | undefined }
+  /** It is for this node to store; with `mayRunElsewhere` another node may have taken it too. */
+  | { readonly kind: 'here'; readonly mayRunElsewhere: boolean };
+
+/** What a likely owner told of an item. */
+export interface OwnedBody {
+  /** Base64; `undefined` where the job has no such item. */
+  readonly body: string | undefined;
+}
+
 /** What another node answered in this one's place; no failure means that it was done. */
 export interface PassedOn {
   readonly failure: Failure | undefined;
@@ -36,11 +49,19 @@
   endAtOwner(owner: JobOwner, job: string): Promise<boolean>;
   /** Has the owner of before give a job up; what it made of the items. */
   surrenderedWork(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>>;
+  /** Lives of nodes that probably run a job, the likeliest first, without this node. */
+  likelyOwners(job: string): readonly JobOwner[];
+  /** Has a likely owner tell the body of an item; `undefined` where none does. */
+  bodyAtOwner(job: string, item: string): Promise<OwnedBody | undefined>;
+  /**
+   * Has the node that is to run a job take it in, or where this node does not reach the store one
+   * that does.
+   */
+  submitElsewhere(spec: JobSpecification): Promise<SubmissionPath>;
   /**
-   * Where this node does not reach the store and another one does, that one takes a job in, reads
-   * results or ends a job in its place; `undefined` where it is for this node to do.
+   * Where this node does not reach the store and another one does, that one reads results or ends a
+   * job in its place; `undefined` where it is for this node to do.
    */
-  submitElsewhere(spec: JobSpecification): Promise<PassedOn | undefined>;
   readElsewhere(
     job: string,
     after: number,
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -1,6 +1,7 @@
 /**
  * Reads jobs that another node runs. Listed results and specifications never change, so they are
- * kept; only what may be missing is asked of the owner, and of the store where that does not help.
+ * kept; only what may be missing is asked of the owner, who is mostly known by the job's id, and of
+ * the store where that does not help.
  */
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
@@ -10,6 +11,9 @@
 const KEPT_JOBS = 48;
 const KEPT_SPECIFICATIONS = 8;
 
+/** Nodes that are asked whether they run a job before the store is: the owner, and the next in turn. */
+const LIKELY_OWNERS = 2;
+
 /** What is known of a job. */
 interface KnownJob {
   readonly total: number;
@@ -27,6 +31,8 @@
 
 /** Results that the owner of a job told, behind those that are known. */
 export interface OwnerListing {
+  /** Items of the job. */
+  readonly total: number;
   readonly results: readonly JobResult[];
   /** Pages up to the last of all results. */
   readonly pages: number;
@@ -48,6 +54,8 @@
   constructor(
     private readonly store: JobStore,
     private readonly askOwner: AskOwner,
+    /** Lives of nodes that probably run a job, the likeliest first. */
+    private readonly likelyOwners: (job: string) => readonly JobOwner[] = () => [],
   ) {}
 
   /** All results of a job, at least up to those that were listed when the call came. */
@@ -75,6 +83,22 @@
   }
 
   private async open(job: string): Promise<KnownJob | Read<never>> {
+    return (await this.openAtOwner(job)) ?? this.openAtStore(job);
+  }
+
+  private async openAtOwner(job: string): Promise<KnownJob | undefined> {
+    for (const owner of this.likelyOwners(job).slice(0, LIKELY_OWNERS)) {
+      const listing = await this.askOwner(owner, job, 0, 0);
+      if (listing === undefined) continue;
+      const { total, pages, results } = listing;
+      const opened = { total, owner, pages, results: [...results] };
+      keep(this.jobs, job, opened, KEPT_JOBS);
+      return opened;
+    }
+    return undefined;
+  }
+
+  private async openAtStore(job: string): Promise<KnownJob | Read<never>> {
     const read = await this.store.head(job);
     if (read.kind !== 'found') return read;
     const { total, owner, ended } = read.value.head;
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -5,7 +5,7 @@
 import { JobHandover } from './job-handover.js';
 import type { JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
-import { ageOf, isFinished, type JobSpecification } from './job-records.js';
+import { ageOf, isFinished, type JobOwner, type JobSpecification } from './job-records.js';
 import { type ResultSlice, sliceOf } from './job-results.js';
 import type { StillWanted, VersionedHead } from './job-store.js';
 import { JobSubmissions } from './job-submissions.js';
@@ -50,13 +50,15 @@
   }
 
   /**
-   * Takes a job in; `undefined` means that all of it is kept from now on. A node that does not reach
-   * the store has another one take it in.
+   * Takes a job in; `undefined` means that all of it is kept from now on. The node that is to run it
+   * takes it in, which is mostly another one.
    */
   async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
-    const passedOn = await this.options.peers.submitElsewhere(spec);
-    if (passedOn !== undefined) return passedOn.failure;
-    return this.submissions.submit(spec, wanted);
+    const path = await this.options.peers.submitElsewhere(spec);
+    if (path.kind === 'answered') return path.failure;
+    const refusal = await this.submissions.submit(spec, wanted);
+    if (refusal === undefined || !path.mayRunElsewhere) return refusal;
+    return failure('outcome_unknown', 'another node may have stored the job');
   }
 
   /** Takes a job in here, for another node. */
@@ -122,15 +124,34 @@
   /** The body of one item. */
   async body(job: string, item: string): Promise<Buffer | Failure> {
     const own = this.owned.get(job);
+    if (own === undefined) {
+      const told = await this.options.peers.bodyAtOwner(job, item);
+      if (told !== undefined) return bodyOrAbsent(told.body);
+    }
     const read =
       own === undefined
         ? await this.options.reader.specification(job)
         : ({ kind: 'found', value: own.spec } as const);
     if (read.kind === 'absent') return failure('not_found', 'there is no such job');
     if (read.kind === 'unavailable') return storeSilent();
-    const found = read.value.items.find((entry) => entry.id === item);
-    if (found === undefined) return failure('not_found', 'the job has no such item');
-    return Buffer.from(found.body, 'base64');
+    return bodyOrAbsent(read.value.items.find((entry) => entry.id === item)?.body);
+  }
+
+  /** The body of an item of a job that this node runs or ran, for another node. */
+  ownBody(job: string, item: string): PeerAnswers['item-body'] {
+    const own = this.owned.get(job);
+    if (own === undefined) return { isOwner: false };
+    const body = own.spec.items.find((entry) => entry.id === item)?.body;
+    return { isOwner: true, body };
+  }
+
+  /** Takes a job over that another node found without an owner; tells whether it is run here. */
+  async adoptFrom(job: string, owner: JobOwner, ownerAnswers: boolean): Promise<boolean> {
+    const read = await this.options.store.head(job);
+    if (read.kind !== 'found' || isFinished(read.value.head)) return false;
+    const { owner: current } = read.value.head;
+    const isTheirs = current?.node === owner.node && current.incarnation === owner.incarnation;
+    return isTheirs && this.adopt(job, read.value, ownerAnswers);
   }
 
   /** Ends a job; `undefined` means that it has ended. */
@@ -147,6 +168,7 @@
   async endHere(job: string, wanted: StillWanted): Promise<Failure | undefined> {
     const own = this.owned.get(job);
     if (own?.isOpen === true && (await own.end(wanted))) return undefined;
+    if (own === undefined && (await this.endAtLikelyOwner(job))) return undefined;
     for (;;) {
       const read = await this.options.store.head(job);
       if (read.kind === 'absent') return failure('not_found', 'there is no such job');
@@ -163,6 +185,11 @@
     }
   }
 
+  private async endAtLikelyOwner(job: string): Promise<boolean> {
+    const [owner] = this.options.peers.likelyOwners(job);
+    return owner !== undefined && this.options.peers.endAtOwner(owner, job);
+  }
+
   /** Removes jobs whose results need not be kept any longer. */
   async removeExpired(): Promise<void> {
     const { store, clock, log, retention } = this.options;
@@ -224,6 +251,11 @@
   return isShort && job.confirmationAge() > FRESH_CONFIRMATION;
 }
 
+function bodyOrAbsent(body: string | undefined): Buffer | Failure {
+  if (body === undefined) return failure('not_found', 'the job has no such item');
+  return Buffer.from(body, 'base64');
+}
+
 function storeSilent(): Failure {
   return failure('ledger_unavailable', 'the store does not answer', {
     retryAfter: STORE_RETRY_AFTER,
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -5,7 +5,7 @@
 import type { JobOwner, JobResult, JobSpecification } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
-import type { StoreChange } from '../shared-store/shared-store.js';
+import type { StoreChange, StoreItem } from '../shared-store/shared-store.js';
 
 /** A question to one node. */
 export type PeerRequest =
@@ -35,6 +35,15 @@
     }
   /** I don't reach the store: end this job for me. */
   | { readonly kind: 'end-for'; readonly job: string }
+  /** Take this job over, whose owner is gone, or answers and does not reach the store. */
+  | {
+      readonly kind: 'adopt-job';
+      readonly job: string;
+      readonly owner: JobOwner;
+      readonly ownerAnswers: boolean;
+    }
+  /** What is the body of this item of a job that you run? */
+  | { readonly kind: 'item-body'; readonly job: string; readonly item: string }
   /** Take this job, which was just released. */
   | { readonly kind: 'take-job'; readonly job: string }
   /** What has changed under a prefix of the shared store, as you saw it there? */
@@ -44,6 +53,8 @@
       readonly after: Revision;
       readonly wait: Milliseconds;
     }
+  /** What lies under a prefix of the shared store, as you saw it there? */
+  | { readonly kind: 'list-prefix'; readonly prefix: string }
   /** What a job needs; told to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
@@ -53,6 +64,8 @@
     readonly isAlive: boolean;
     /** Whether the store has answered it lately. */
     readonly reachesStore: boolean;
+    /** Whether others would miss it at once: it runs jobs, relays the store or gives orders. */
+    readonly hasDuties: boolean;
   };
   readonly 'kept-work': { readonly work: ReadonlyMap<string, DigestedWork> };
   readonly 'job-results':
@@ -70,15 +83,30 @@
   readonly 'submit-for': { readonly failure: Failure | undefined };
   readonly 'read-for': { readonly read: ResultSlice | Failure };
   readonly 'end-for': { readonly failure: Failure | undefined };
+  readonly 'adopt-job': { readonly isTaken: boolean };
+  /** `body` is base64, and undefined where the job has no such item. */
+  readonly 'item-body':
+    | { readonly isOwner: false }
+    | { readonly isOwner: true; readonly body: string | undefined };
   readonly 'take-job': { readonly isTaken: boolean };
-  readonly 'follow-prefix': /** The node does not surely hear from the store, or does not know that far back. */
+  readonly 'follow-prefix': /** The node does not surely hear from the store. */
     | { readonly isCurrent: false }
+    /** The node does not know that far back: list the prefix anew. */
+    | { readonly isCurrent: true; readonly changes: undefined }
     | {
         readonly isCurrent: true;
         readonly changes: readonly StoreChange[];
         /** The next question goes on from here. */
         readonly revision: Revision;
       };
+  readonly 'list-prefix':
+    | { readonly isCurrent: false }
+    | {
+        readonly isCurrent: true;
+        readonly items: readonly StoreItem[];
+        /** A watch goes on from here. */
+        readonly revision: Revision;
+      };
   readonly 'need-weights': { readonly isNoted: boolean };
 }
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -15,9 +15,12 @@
   'submit-for': true,
   'read-for': true,
   'end-for': true,
+  'adopt-job': true,
+  'item-body': true,
   'take-job': true,
   'need-weights': true,
   'follow-prefix': true,
+  'list-prefix': true,
 };
 
 const REQUEST = z.looseObject({ kind: z.enum(Object.keys(KINDS)) });
--- a/src/shared-store/prefix-watcher.ts
+++ b/src/shared-store/prefix-watcher.ts
@@ -3,6 +3,10 @@
  * After lost history or a failed call it lists again and reports the difference, so that followers
  * see a change that no watch told; and once more a moment later, as a watch that begins while the
  * store recovers may not hear what changes meanwhile.
+ *
+ * A list may come from a node that is some changes behind: what is known to be newer than the list
+ * stays. Failed calls are repeated after pauses that double, with jitter, so that the end of an
+ * outage does not bring all nodes to the store at once.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Subject } from 'rxjs';
@@ -20,8 +24,10 @@
    * call. @default 100 ms
    */
   readonly coalesce?: Milliseconds;
-  /** Pause after a failed call. @default 250 ms */
+  /** Pause after the first failed call; it doubles with each further one. @default 250 ms */
   readonly retryPause?: Milliseconds;
+  /** Longest pause after a failed call. @default 1,000 ms */
+  readonly longestRetryPause?: Milliseconds;
   /** Time after a list that followed a loss, when it is made once more. @default 1,000 ms */
   readonly confirmationDelay?: Milliseconds;
 }
@@ -30,9 +36,13 @@
   wait: 25_000,
   coalesce: 100,
   retryPause: 250,
+  longestRetryPause: 1_000,
   confirmationDelay: 1_000,
 } as const;
 
+/** Share of a pause that is drawn at random, so that nodes do not repeat their calls together. */
+const JITTER_SHARE = 0.3;
+
 /** What a watcher reports: a batch of changes, and whether it came from a full list. */
 export interface PrefixUpdate {
   readonly changes: readonly StoreChange[];
@@ -52,6 +62,9 @@
   private isStopped = false;
   private call = new AbortController();
   private readonly known = new Map<string, Revision>();
+  /** Keys that are gone, by the revision of their removal: an older list may still show them. */
+  private readonly removed = new Map<string, Revision>();
+  private failures = 0;
   private revision: Revision = 0;
   private isLost = false;
   private isListed = false;
@@ -99,7 +112,8 @@
     this.confirmAt = this.hasLost ? performance.now() + this.options.confirmationDelay : undefined;
     this.hasLost = false;
     this.revision = outcome.revision;
-    this.updates.next({ changes: this.differences(outcome.items), listed: true });
+    const changes = this.differences(outcome.items, outcome.revision);
+    this.updates.next({ changes, listed: true });
     return 0;
   }
 
@@ -137,30 +151,44 @@
   }
 
   private isNew(change: StoreChange): boolean {
-    if (change.revision <= (this.known.get(change.key) ?? 0)) return false;
-    if (change.value === undefined) this.known.delete(change.key);
-    else this.known.set(change.key, change.revision);
+    const { key, value, revision } = change;
+    if (revision <= (this.known.get(key) ?? this.removed.get(key) ?? 0)) return false;
+    if (value === undefined) {
+      this.known.delete(key);
+      this.removed.set(key, revision);
+    } else {
+      this.known.set(key, revision);
+      this.removed.delete(key);
+    }
     return true;
   }
 
-  private differences(items: readonly StoreItem[]): StoreChange[] {
+  private differences(items: readonly StoreItem[], listRevision: Revision): StoreChange[] {
     const present = new Set(items.map((item) => item.key));
-    const removed = [...this.known.keys()]
-      .filter((key) => !present.has(key))
-      .map((key) => ({ key, value: undefined, revision: this.revision }));
-    for (const { key } of removed) this.known.delete(key);
-    return [...removed, ...items.filter((item) => this.isNew(item))];
+    const gone = [...this.known]
+      .filter(([key, revision]) => !present.has(key) && revision <= listRevision)
+      .map(([key]) => ({ key, value: undefined, revision: listRevision }));
+    for (const { key } of gone) this.known.delete(key);
+    const fresh = items.filter((item) => this.isNew(item));
+    for (const [key, revision] of this.removed) {
+      if (revision <= listRevision) this.removed.delete(key);
+    }
+    return [...gone, ...fresh];
   }
 
   private noteLost(): Milliseconds {
     if (!this.isLost) this.health.next('lost');
     this.isLost = true;
     this.listAfterLoss();
-    return this.options.retryPause;
+    const { retryPause, longestRetryPause } = this.options;
+    const pause = Math.min(retryPause * 2 ** this.failures, longestRetryPause);
+    this.failures += 1;
+    return pause * (1 - JITTER_SHARE * Math.random());
   }
 
   private noteHeard(): void {
     if (this.isLost) this.health.next('regained');
     this.isLost = false;
+    this.failures = 0;
   }
 }
--- a/test/fleet/fleet-registry.test.ts
+++ b/test/fleet/fleet-registry.test.ts
@@ -62,3 +62,56 @@
   t.same(fleet.liveNodes(), ['node-1']);
   await fleet.stop();
 });
+
+t.test(
+  'a node without duties renews rarely, one that takes them at once gets a prompt lease',
+  async (t) => {
+    const store = new SharedStoreEmulator();
+    const fleet = registry(store);
+    void fleet.start();
+    await eventually(() => fleet.isLive(OWNER));
+    t.notOk(fleet.hasPromptLease);
+    await PROCESS_CLOCK.sleep(1_000);
+    t.equal(store.calls.get('keep') ?? 0, 0, 'one renewal each 2.5 s');
+    fleet.takeDuties();
+    await eventually(() => fleet.hasPromptLease);
+    await eventually(() => (store.calls.get('keep') ?? 0) >= 2);
+    t.ok(fleet.isLive(OWNER), 'the same life goes on');
+    await fleet.stop();
+  },
+);
+
+t.test('a failed call shows within one renewal that the store is out of reach', async (t) => {
+  const store = new SharedStoreEmulator();
+  const fleet = registry(store);
+  void fleet.start();
+  await eventually(() => fleet.isLive(OWNER));
+  await PROCESS_CLOCK.sleep(400);
+  store.setAvailability('refusing');
+  const startedAt = performance.now();
+  fleet.renewSoon();
+  await eventually(() => fleet.isCutOff);
+  t.ok(performance.now() - startedAt < 1_000);
+  store.setAvailability('up');
+  await eventually(() => !fleet.isCutOff);
+  await fleet.stop();
+});
+
+t.test(
+  'where all nodes start for the first time, each lists once the others are there',
+  async (t) => {
+    const store = new SharedStoreEmulator();
+    const { log } = recordingLog();
+    const shared = { store, zone: 'zone-1', clock: PROCESS_CLOCK, log, isFirstStart: true };
+    const names = Array.from({ length: 20 }, (_, index) => `node-${index}`);
+    const fleets = names.map((node) => {
+      const self = { node, incarnation: `life-${node}`, address: `127.0.0.1:${node}` };
+      return new FleetRegistry({ ...shared, self });
+    });
+    for (const fleet of fleets) void fleet.start();
+    await eventually(() => fleets.every((fleet) => fleet.liveNodes().length === names.length));
+    t.equal(store.calls.get('range'), names.length);
+    t.ok((store.calls.get('watch') ?? 0) <= names.length);
+    for (const fleet of fleets) await fleet.stop();
+  },
+);
--- /dev/null
+++ b/test/fleet/job-placement.test.ts
@@ -0,0 +1,54 @@
+import t from 'tap';
+import { JobPlacement } from '../../src/fleet/job-placement.js';
+
+const NAMES = Array.from({ length: 165 }, (_, index) => `node-${index}`);
+const JOBS = Array.from({ length: 200 }, (_, index) => `job-${index}`);
+
+class HeldClock {
+  time = 0;
+  now(): number {
+    return this.time;
+  }
+}
+
+function placement(nodes: readonly string[], capacityOf: (node: string) => number = () => 1) {
+  const clock = new HeldClock();
+  return { clock, placed: new JobPlacement({ liveNodes: () => nodes, capacityOf, clock }) };
+}
+
+t.test('a few nodes own all jobs, and each of them some', async (t) => {
+  const { placed } = placement(NAMES);
+  t.equal(placed.owners().length, 5);
+  const first = new Set(JOBS.map((job) => placed.ownersOf(job)[0]));
+  t.same([...first].sort(), [...placed.owners()].sort());
+  t.equal(placement(NAMES.slice(0, 7)).placed.owners().length, 3);
+  t.same(placement(['node-1']).placed.ownersOf('job'), ['node-1']);
+});
+
+t.test('a node that leaves moves only the jobs that it owned', async (t) => {
+  const before = placement(NAMES).placed;
+  const [gone] = before.owners();
+  const after = placement(NAMES.filter((node) => node !== gone)).placed;
+  const stayed = JOBS.filter((job) => before.ownersOf(job)[0] !== gone);
+  const kept = stayed.filter((job) => before.ownersOf(job)[0] === after.ownersOf(job)[0]);
+  // One node takes the empty place among the owners, and a fifth of all jobs with it.
+  t.ok(kept.length > 0.7 * stayed.length, `${kept.length} of ${stayed.length}`);
+});
+
+t.test('the strongest machines own jobs where there are enough of them', async (t) => {
+  const isStrong = (node: string): boolean => Number(node.slice(5)) < 15;
+  const { placed } = placement(NAMES, (node) => (isStrong(node) ? 1.35 : 0.324));
+  t.ok(placed.owners().every(isStrong));
+  const fewStrong = placement(NAMES, (node) => (node === 'node-1' ? 1.35 : 0.324)).placed;
+  t.equal(fewStrong.owners().length, 5);
+  t.ok(fewStrong.owners().some((node) => node !== 'node-1'));
+});
+
+t.test('a node that did not answer is left alone for a while', async (t) => {
+  const { placed, clock } = placement(NAMES);
+  const [owner] = placed.ownersOf('job');
+  placed.noteSilent(owner ?? '');
+  t.notOk(placed.ownersOf('job').includes(owner ?? ''));
+  clock.time += 10_000;
+  t.equal(placed.ownersOf('job')[0], owner);
+});
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -1,5 +1,6 @@
 import { Readable } from 'node:stream';
 import t from 'tap';
+import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
@@ -11,7 +12,7 @@
   worker,
 } from '../serving/serving-fixtures.js';
 import { always, never, OTHER, OWNER, specification } from './job-fixtures.js';
-import { isFinished, jobNode, NO_PEERS, workUntil } from './job-node.js';
+import { isFinished, jobNode, workUntil } from './job-node.js';
 
 const stream = (letters: string, first = 0): EngineOutcome =>
   answer(events(first, letters), { isStream: true });
--- a/test/platform-adapter/settings.test.ts
+++ b/test/platform-adapter/settings.test.ts
@@ -10,6 +10,9 @@
   'listen.front=10.0.0.1:8161',
   'listen.readiness=10.0.0.1:8167',
   'platform.address=10.0.0.9:8169',
+  'limits.cpu_share=0.675',
+  'limits.cores=2',
+  'bootstrap=true',
   'bounds.lease_ms=2500',
   'bounds.grace_s=6',
   'some.new.field=1,2,3',
@@ -25,6 +28,8 @@
     readinessAddress: '10.0.0.1:8167',
     peerPort: 7_720,
     storeAddress: '10.0.0.9:8169',
+    capacity: 1.35,
+    isFirstStart: true,
     timings: {
       coordinatorHandOver: 2_500,
       areTokensChecked: false,
--- a/test/shared-store/prefix-watcher.test.ts
+++ b/test/shared-store/prefix-watcher.test.ts
@@ -151,3 +151,40 @@
   const lists = (store.calls.get('range') ?? 0) - listsBefore;
   t.ok(lists <= 2, `${lists} lists, where the refused ones of the cut do not count`);
 });
+
+t.test('a list that is older than what is known takes nothing back', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.write('a/1', 'one');
+  store.write('a/gone', 'old');
+  const older = await store.range('a/');
+  const real = store.range.bind(store);
+  const { watcher, seen, until } = follow(store);
+  await until(2);
+  store.write('a/2', 'two');
+  store.erase('a/gone');
+  await until(4);
+  store.range = async (prefix) => {
+    store.range = real;
+    await real(prefix);
+    return older;
+  };
+  store.setAvailability('refusing');
+  await new Promise((resolve) => setTimeout(resolve, 5));
+  store.setAvailability('up');
+  store.write('a/3', 'three');
+  await until(5);
+  watcher.stop();
+  t.same(summary(seen.slice(4)), [['a/3', 'three']]);
+});
+
+t.test('pauses after failed calls double, up to a limit', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.setAvailability('refusing');
+  const options = { store, prefix: 'a/', retryPause: 10, longestRetryPause: 80 };
+  const watcher = new PrefixWatcher(options);
+  void watcher.run();
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  watcher.stop();
+  const calls = store.calls.get('range') ?? 0;
+  t.ok(calls >= 6 && calls <= 16, `${calls} calls in 600 ms`);
+});
