A new coordinator asks the one before when it last ordered; submissions wait for a live owner

Change: the lock's new holder has the one before resign and waits only what is left since that machine's last order, counted at the latest from when its present life began; a node that watches a holder takes the lock from one that resigns or whose process is gone, never from a silent one. A submission waits for its owner as long as that one answers probes and does not alone miss the store. Tests: failing first, each case of the lock; an owner that falls silent, one that waits for the store.

--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -3,7 +3,8 @@
  * holder's lease; the fencing token is the revision at which the key was made, so it rises with
  * each holder. A token is used only while the very lease that the lock hangs on was renewed a short
  * time ago. A new holder waits until orders of the one before can no longer be under way, even if
- * the lock was taken away from a holder that could not learn of it.
+ * the lock was taken away from a holder that could not learn of it. It asks that one to resign: a
+ * holder that answers gives no more orders and tells when its last one ended, so the wait is shorter.
  */
 import { randomUUID } from 'node:crypto';
 import * as z from 'zod';
@@ -11,6 +12,7 @@
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
+import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
 import {
   ABSENT,
@@ -39,11 +41,21 @@
 /** Pause after an attempt that did not get the lock. */
 const RETRY_PAUSE: Milliseconds = 300;
 
+/** Time for the holder of before to answer. */
+const RESIGN_LIMIT: Milliseconds = 400;
+
+/** Time for which a holder that resigned leaves the lock to others. */
+const RESIGNED_PAUSE: Milliseconds = 3_000;
+
+/** Kept beyond the least time between two holders' orders, as messages take some time. */
+const HAND_OVER_MARGIN: Milliseconds = 100;
+
 /** Options of {@link CoordinatorLock}. */
 export interface CoordinatorLockOptions {
   readonly store: SharedStore;
   readonly fleet: FleetRegistry;
   readonly self: JobOwner;
+  readonly peers: PeerPort;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Least time between the last order of one holder and the first of the next. */
@@ -68,8 +80,14 @@
   private freeSince: Milliseconds = 0;
   private notBefore: Milliseconds = 0;
   private isTrying = false;
+  private ordersUnderWay = 0;
+  /** A former life of this machine may have given orders until this one began. */
+  private lastOrderAt: Milliseconds;
+  /** The lock record of a holder that resigned or is gone, though its lease may go on. */
+  private givenUpNonce: string | undefined;
 
   constructor(private readonly options: CoordinatorLockOptions) {
+    this.lastOrderAt = options.clock.now();
     options.fleet.otherChanges.subscribe((change) => this.take(change));
     options.fleet.listed.subscribe(() => {
       this.isKnown = true;
@@ -90,6 +108,45 @@
     return fleet.renewalAge() < LOCK_VALIDITY ? this.token : undefined;
   }
 
+  /** The token for one order; {@link endOrder} is called once the order is answered or given up. */
+  beginOrder(): Revision | undefined {
+    const token = this.fencingToken();
+    if (token !== undefined) this.ordersUnderWay += 1;
+    return token;
+  }
+
+  /** An order that {@link beginOrder} allowed is under way no longer. */
+  endOrder(): void {
+    this.ordersUnderWay -= 1;
+    this.lastOrderAt = this.options.clock.now();
+  }
+
+  /**
+   * Gives no more orders for another node's sake; the time since this machine's last one ended, at
+   * the latest when this life of it began.
+   */
+  resign(): Milliseconds {
+    const { clock } = this.options;
+    if (this.ownNonce !== undefined) this.lose();
+    this.notBefore = clock.now() + RESIGNED_PAUSE;
+    return this.ordersUnderWay > 0 ? 0 : clock.now() - this.lastOrderAt;
+  }
+
+  /**
+   * Takes the lock from a holder that is suspected, without waiting for its lease: one that resigns
+   * or whose process is gone gives no more orders. One that is silent may still give some.
+   */
+  async takeFrom(holder: JobOwner): Promise<void> {
+    const { holding } = this;
+    if (holding === undefined || holding.nonce === this.ownNonce) return;
+    if (holding.node !== holder.node || holding.address !== holder.address) return;
+    const outcome = await this.askToResign(holder.address);
+    if (outcome.kind === 'silent') return;
+    this.options.log.state('coordinator-given-up', { peer: holder.node, cause: outcome.kind });
+    this.givenUpNonce = holding.nonce;
+    this.tick();
+  }
+
   /** A worker refused this token for a lower one than it knows: it is not used again. */
   noteRefused(token: Revision): void {
     if (this.ownNonce !== undefined && token === this.token) this.lose();
@@ -101,8 +158,9 @@
     if (!this.isKnown || this.isTrying || clock.now() < this.notBefore) return;
     // With the lease before went the lock, whether or not a watch has told so.
     if (this.ownNonce !== undefined && fleet.leaseId !== this.ownLease) this.lose();
-    if (this.holding !== undefined && !this.isHeldByFormerLife) return;
-    if (clock.now() - this.freeSince < this.turn() * RANK_DELAY) return;
+    if (this.holding !== undefined && !this.isHeldByFormerLife && !this.isGivenUp) return;
+    const turn = this.isGivenUp ? 0 : this.turn();
+    if (clock.now() - this.freeSince < turn * RANK_DELAY) return;
     // The lock hangs on a lease that lapses soon after its holder fell silent.
     fleet.takeDuties();
     if (!fleet.hasPromptLease || fleet.renewalAge() >= LOCK_VALIDITY) {
@@ -117,6 +175,10 @@
     });
   }
 
+  private get isGivenUp(): boolean {
+    return this.holding !== undefined && this.holding.nonce === this.givenUpNonce;
+  }
+
   /** Whether a former life of this machine holds the lock: that process surely has ended. */
   private get isHeldByFormerLife(): boolean {
     return this.isThisMachine(this.holding) && this.holding?.nonce !== this.ownNonce;
@@ -168,6 +230,23 @@
     this.token = revision;
     this.activeFrom = clock.now() + (mayActAtOnce ? 0 : this.handOverDelay());
     log.state('coordinator-acquired', { fencingToken: revision, mayActAtOnce });
+    if (!mayActAtOnce && lastHolder !== undefined) await this.shortenWait(lastHolder, nonce);
+  }
+
+  /** Has the holder of before resign; what it tells of its last order may shorten the wait. */
+  private async shortenWait(previous: LockRecord, nonce: string): Promise<void> {
+    const { clock, log, handOverDelay } = this.options;
+    const outcome = await this.askToResign(previous.address);
+    if (outcome.kind !== 'answered' || this.ownNonce !== nonce) return;
+    const { lastOrderAge } = outcome.answer;
+    const wait = Math.max(0, handOverDelay() + HAND_OVER_MARGIN - lastOrderAge);
+    this.activeFrom = Math.min(this.activeFrom, clock.now() + wait);
+    log.state('coordinator-resigned', { peer: previous.node, waitMs: Math.round(wait) });
+  }
+
+  private askToResign(address: string): Promise<PeerOutcome<'resign-coordinator'>> {
+    const request = { kind: 'resign-coordinator' } as const;
+    return this.options.peers.ask<'resign-coordinator'>(address, request, RESIGN_LIMIT);
   }
 
   /**
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -38,12 +38,20 @@
 const HAND_OVER_LIMIT: Milliseconds = 600;
 const NEED_LIMIT: Milliseconds = 300;
 const SURRENDER_LIMIT: Milliseconds = 500;
-const PROBE_LIMIT: Milliseconds = 120;
+const PROBE_LIMIT: Milliseconds = 250;
 
-/** Time that a node takes a job in for another one, and time beyond a limit for the answer. */
-const SUBMIT_LIMIT: Milliseconds = 1_200;
+/**
+ * Time that a node takes a job in for another one: in an outage of the store it runs the job's items
+ * meanwhile. Callers wait some seconds for a job to be taken.
+ */
+const SUBMIT_LIMIT: Milliseconds = 6_000;
+
+/** Time beyond a limit for the answer. */
 const ANSWER_TIME: Milliseconds = 200;
 
+/** Time between two looks whether a node that takes a job in still lives and reaches the store. */
+const SUBMIT_CHECK_INTERVAL: Milliseconds = 800;
+
 /** Nodes that are asked whether they reach the store. */
 const MOST_STORE_PROBES = 4;
 
@@ -141,7 +149,7 @@
         break;
       }
       const request = { kind: 'submit-for', spec } as const;
-      const outcome = await this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+      const outcome = await this.askWhileAble(node, request);
       if (outcome === undefined) continue;
       if (outcome.kind === 'answered') {
         const { failure: refusal } = outcome.answer;
@@ -159,6 +167,33 @@
       : { kind: 'here', mayRunElsewhere };
   }
 
+  /**
+   * Asks a node to take a job in, for as long as it answers probes and does not alone miss the store;
+   * `silent` once it does not.
+   */
+  private async askWhileAble(
+    node: NodeId,
+    request: PeerRequestOf<'submit-for'>,
+  ): Promise<PeerOutcome<'submit-for'> | undefined> {
+    const { clock } = this.options;
+    const asked = this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+    for (;;) {
+      const pause = clock.sleep(SUBMIT_CHECK_INTERVAL).then(() => 'pending' as const);
+      const outcome = await Promise.race([asked, pause]);
+      if (outcome !== 'pending') return outcome;
+      const reaches = await this.reachesStore(node);
+      if (!reaches && !this.options.fleet.isCutOff) return { kind: 'silent' };
+    }
+  }
+
+  private async reachesStore(node: NodeId): Promise<boolean> {
+    const owner = this.options.fleet.ownerOf(node);
+    if (owner === undefined) return false;
+    const outcome = await this.ask<'probe'>(node, { kind: 'probe', owner }, PROBE_LIMIT);
+    if (outcome?.kind !== 'answered') return false;
+    return outcome.answer.isAlive && outcome.answer.reachesStore;
+  }
+
   /** Has some node take a job in that reaches the store, as this one does not. */
   private async submitAnywhere(
     spec: JobSpecification,
@@ -203,14 +238,9 @@
     const others = fleet.liveNodes().filter((node) => node !== self.node);
     const isNear = (node: NodeId): boolean => fleet.zoneOf(node) === zone;
     const inOrder = [...others.filter(isNear), ...others.filter((node) => !isNear(node))];
-    const states = inOrder.slice(0, MOST_STORE_PROBES).map(async (node) => {
-      const owner = fleet.ownerOf(node);
-      if (owner === undefined) return undefined;
-      const request = { kind: 'probe', owner } as const;
-      const outcome = await this.ask<'probe'>(node, request, PROBE_LIMIT);
-      const reaches = outcome?.kind === 'answered' && outcome.answer.reachesStore;
-      return reaches ? node : undefined;
-    });
+    const states = inOrder
+      .slice(0, MOST_STORE_PROBES)
+      .map(async (node) => ((await this.reachesStore(node)) ? node : undefined));
     return (await Promise.all(states)).find((node) => node !== undefined);
   }
 
@@ -287,6 +317,8 @@
         return this.options.relay().answer(request);
       case 'list-prefix':
         return this.options.relay().answerList(request);
+      case 'resign-coordinator':
+        return { lastOrderAge: this.options.lock().resign() };
       case 'need-weights':
         weightsNeeded(request.need);
         return { isNoted: true };
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -160,8 +160,8 @@
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     const handOverDelay = (): Milliseconds => options.timings().coordinatorHandOver;
     const areTokensChecked = (): boolean => options.timings().areTokensChecked;
-    const lockOptions = { store, fleet, self, clock, log, handOverDelay, areTokensChecked };
-    this.lock = new CoordinatorLock(lockOptions);
+    const timings = { handOverDelay, areTokensChecked };
+    this.lock = new CoordinatorLock({ store, fleet, self, peers: port, clock, log, ...timings });
     this.rollout = new WeightRollout({
       ...shared,
       lock: this.lock,
@@ -317,6 +317,7 @@
       if (this.isStopping || !this.monitor.isSuspected(owner)) return;
       const isStillSuspected = (): boolean => this.monitor.isSuspected(owner);
       void this.takeover.takeFrom(owner, ownerAnswers, isStillSuspected);
+      void this.lock.takeFrom(owner);
     }, rank * SUSPICION_RANK_DELAY);
   }
 
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -178,17 +178,19 @@
     const version = this.options.named.get(model)?.version ?? change.version;
     if (worker.versionOf(model) >= version) return;
     if (report.busy) return this.postpone(worker, CHECK_INTERVAL);
-    const fencingToken = lock.fencingToken();
+    const fencingToken = lock.beginOrder();
     if (fencingToken === undefined) return;
-    const outcome = await engine.order({
-      worker: worker.record,
-      model,
-      version,
-      mode: mode(),
-      holder,
-      fencingToken,
-      expectedSequence: report.sequence,
-    });
+    const outcome = await engine
+      .order({
+        worker: worker.record,
+        model,
+        version,
+        mode: mode(),
+        holder,
+        fencingToken,
+        expectedSequence: report.sequence,
+      })
+      .finally(() => lock.endOrder());
     this.options.metrics.count('weight_orders', { outcome });
     if (outcome === 'fenced') lock.noteRefused(fencingToken);
     const details = { worker: worker.record.id, model, version, fencingToken, outcome };
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -55,6 +55,8 @@
     }
   /** What lies under a prefix of the shared store, as you saw it there? */
   | { readonly kind: 'list-prefix'; readonly prefix: string }
+  /** Give no more orders as coordinator: the lock is mine, or is about to be. */
+  | { readonly kind: 'resign-coordinator' }
   /** What a job needs; told to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
@@ -107,6 +109,8 @@
         /** A watch goes on from here. */
         readonly revision: Revision;
       };
+  /** Time since the machine's last order ended, at the latest when this life of it began. */
+  readonly 'resign-coordinator': { readonly lastOrderAge: Milliseconds };
   readonly 'need-weights': { readonly isNoted: boolean };
 }
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -19,6 +19,7 @@
   'item-body': true,
   'take-job': true,
   'need-weights': true,
+  'resign-coordinator': true,
   'follow-prefix': true,
   'list-prefix': true,
 };
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -3,15 +3,20 @@
 import { CoordinatorLock, LOCK_VALIDITY } from '../../src/fleet/coordinator-lock.js';
 import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
 import type { JobOwner } from '../../src/jobs/job-records.js';
+import type { PeerOutcome, PeerPort } from '../../src/peers/peer-messages.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import { OTHER, OWNER } from '../jobs/job-fixtures.js';
 import { recordingLog } from '../serving/serving-fixtures.js';
 import { eventually } from './fleet-fixtures.js';
 
+const SILENT_PEERS: PeerPort = { ask: async () => ({ kind: 'silent' }) };
+
 interface Contender {
   readonly fleet: FleetRegistry;
   readonly lock: CoordinatorLock;
   stop(): Promise<void>;
+  /** It tries for the lock no more, and still answers. */
+  rest(): void;
   /** Ends it without a farewell: its lease goes on. */
   kill(): void;
 }
@@ -21,6 +26,8 @@
   self: JobOwner,
   handOverDelay: number,
   areTokensChecked = false,
+  /** How the holder of before answers when it is asked to resign. */
+  peers: PeerPort = SILENT_PEERS,
 ): Contender {
   const { log } = recordingLog();
   const clock = PROCESS_CLOCK;
@@ -29,6 +36,7 @@
     store,
     fleet,
     self,
+    peers,
     clock,
     log,
     handOverDelay: () => handOverDelay,
@@ -45,7 +53,7 @@
     store.endLease = async () => {};
     void fleet.stop();
   };
-  return { fleet, lock, stop, kill };
+  return { fleet, lock, stop, rest: () => clearInterval(ticker), kill };
 }
 
 t.test('one of two nodes holds the lock; tokens rise from holder to holder', async (t) => {
@@ -205,3 +213,108 @@
   t.not(two.lock.fencingToken(), undefined);
   await two.stop();
 });
+
+/** Peers through which a holder is asked to resign. */
+function resigning(holder: () => CoordinatorLock): PeerPort {
+  return {
+    ask: async () => {
+      const answer = { lastOrderAge: holder().resign() };
+      return { kind: 'answered', answer } as unknown as PeerOutcome<never>;
+    },
+  };
+}
+
+t.test('a holder that resigns shortens the wait by the age of its last order', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  t.not(one.lock.beginOrder(), undefined);
+  one.lock.endOrder();
+  one.rest();
+  await PROCESS_CLOCK.sleep(300);
+  const two = contender(
+    store,
+    OTHER,
+    1_500,
+    false,
+    resigning(() => one.lock),
+  );
+  await eventually(() => two.lock.holder === 'node-1');
+  store.lapseLease(one.fleet.leaseId);
+  await eventually(() => two.lock.holder === 'node-2');
+  const takenAt = performance.now();
+  t.equal(two.lock.fencingToken(), undefined, 'the last order is not old enough');
+  await eventually(() => two.lock.fencingToken() !== undefined);
+  t.ok(performance.now() - takenAt < 1_400, 'in place of 2,500 ms');
+  t.equal(one.lock.fencingToken(), undefined);
+  await one.stop();
+  await two.stop();
+});
+
+t.test('an order that is under way makes a successor wait in full', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  one.lock.beginOrder();
+  t.equal(one.lock.resign(), 0);
+  t.equal(one.lock.fencingToken(), undefined);
+  one.lock.endOrder();
+  await one.stop();
+});
+
+t.test('a suspected holder that resigns loses the lock though its lease goes on', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const two = contender(
+    store,
+    OTHER,
+    0,
+    false,
+    resigning(() => one.lock),
+  );
+  await eventually(() => two.lock.holder === 'node-1');
+  await two.lock.takeFrom(OWNER);
+  await eventually(() => two.lock.fencingToken() !== undefined);
+  t.equal(one.lock.fencingToken(), undefined);
+  await one.stop();
+  await two.stop();
+});
+
+t.test('a suspected holder that is silent keeps the lock until its lease is over', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const two = contender(store, OTHER, 0);
+  await eventually(() => two.lock.holder === 'node-1');
+  await two.lock.takeFrom(OWNER);
+  await PROCESS_CLOCK.sleep(100);
+  t.equal(two.lock.holder, 'node-1');
+  t.not(one.lock.fencingToken(), undefined);
+  await one.stop();
+  await two.stop();
+});
+
+t.test('the lock of a holder whose process is gone is free at once', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 0);
+  await eventually(() => one.lock.fencingToken() !== undefined);
+  const refusing: PeerPort = { ask: async () => ({ kind: 'refused' }) };
+  const two = contender(store, OTHER, 0, true, refusing);
+  await eventually(() => two.lock.holder === 'node-1');
+  one.kill();
+  await two.lock.takeFrom(OWNER);
+  await eventually(() => two.lock.fencingToken() !== undefined);
+  t.pass('before the lease of the one before is over');
+  await two.stop();
+});
+
+t.test('a life that began just now vouches for no longer than it lasts', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = contender(store, OWNER, 60_000);
+  const startedAt = performance.now();
+  await PROCESS_CLOCK.sleep(100);
+  const age = one.lock.resign();
+  t.ok(age >= 90 && age <= performance.now() - startedAt + 50, `${age} ms`);
+  await one.stop();
+});
--- a/test/fleet/fleet-peers.test.ts
+++ b/test/fleet/fleet-peers.test.ts
@@ -32,7 +32,7 @@
   const port: PeerPort = {
     async ask<Kind extends PeerRequest['kind']>(address: string, request: PeerRequest) {
       asked.push({ address, kind: request.kind });
-      const answer = answerOf(address, request);
+      const answer = await answerOf(address, request);
       const isMissing = answer === 'silent' || answer === 'refused';
       const outcome = isMissing ? { kind: answer } : { kind: 'answered', answer };
       return outcome as PeerOutcome<Kind>;
@@ -179,3 +179,26 @@
   const sound = fixture(false, reaching);
   t.same(await sound.peers.answer({ kind: 'end-job', job: 'job' }), { isEnded: true });
 });
+
+t.test('an owner that stops answering while it takes a job in is not waited for', async (t) => {
+  const { job } = jobOfOthers();
+  const never = new Promise<never>(() => {});
+  for (const probe of ['silent', { isAlive: true, reachesStore: false }]) {
+    const { peers } = fixture(false, (_, request) => (request.kind === 'probe' ? probe : never));
+    const startedAt = performance.now();
+    const path = await peers.submitElsewhere(specification(job, 1));
+    t.same(path, { kind: 'here', mayRunElsewhere: true });
+    t.ok(performance.now() - startedAt < 2_000);
+  }
+});
+
+t.test('an owner that waits for the store is waited for', async (t) => {
+  const { job, first } = jobOfOthers();
+  const slow = new Promise((resolve) => setTimeout(() => resolve({ failure: undefined }), 1_500));
+  const { peers, asked } = fixture(false, (_, request) =>
+    request.kind === 'probe' ? { isAlive: true, reachesStore: true } : slow,
+  );
+  const path = await peers.submitElsewhere(specification(job, 1));
+  t.same(path, { kind: 'answered', failure: undefined });
+  t.same(asked[0], { address: first, kind: 'submit-for' });
+});
