Loads go to the model with fewest usable workers; lost owners' jobs are taken as the store returns

A job whose owner was replaced in the outage was adopted 3 s after its end, as heads that could not be read were not read again. Change: the change that is made first is that of the model with the smallest share of usable workers; heads are read again while the suspicion holds; a start follows the other prefixes once the fleet is listed. Tests: failing first, one each.

--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -3,7 +3,7 @@
  * whose lease ran out counts as gone. A lease may lapse while its node lives, so nothing that must
  * stay true rests on it: a node that is wrongly taken for gone loses work, never correctness.
  */
-import { Subject } from 'rxjs';
+import { firstValueFrom, Subject } from 'rxjs';
 import * as z from 'zod';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
@@ -46,6 +46,9 @@
 /** Least time between two renewals, whoever asks for them. */
 const LEAST_RENEWAL_PAUSE: Milliseconds = 300;
 
+/** Time for which a start waits for the list of the fleet, which names the relays for all else. */
+const FIRST_LIST_LIMIT: Milliseconds = 1_000;
+
 /** Time from the first start of a whole fleet until all nodes have registered themselves. */
 const FIRST_START_DELAY: Milliseconds = 1_500;
 
@@ -119,12 +122,15 @@
   /**
    * Registers this node, so that its own list shows it, and follows the others. Where all nodes
    * start for the first time, each waits until the others have registered: one list then shows the
-   * whole fleet.
+   * whole fleet. Resolves once the fleet was listed, or the store has not told it for a while.
    */
   async start(): Promise<void> {
     await this.renew();
     if (this.options.isFirstStart === true) await this.options.clock.sleep(FIRST_START_DELAY);
-    if (!this.isStopped) void this.watcher.run();
+    if (this.isStopped) return;
+    const listed = firstValueFrom(this.listed, { defaultValue: undefined });
+    void this.watcher.run();
+    await Promise.race([listed, this.options.clock.sleep(FIRST_LIST_LIMIT)]);
   }
 
   /** Whether this node is one that others would miss at once. */
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -44,6 +44,9 @@
 /** Time by which each rank lets the ones before it go first. */
 const RANK_DELAY: Milliseconds = 900;
 
+/** Time after which heads that could not be read are read again. */
+const RETRY_DELAY: Milliseconds = 400;
+
 /** Nodes that look for the jobs of one that left. */
 const SCANNING_NODES = 2;
 
@@ -125,7 +128,12 @@
     isStillSuspected: () => boolean,
   ): Promise<void> {
     const read = await this.options.store.heads();
-    if (read.kind !== 'found' || !isStillSuspected()) return;
+    if (!isStillSuspected()) return;
+    if (read.kind !== 'found') {
+      // An owner that is lost during an outage of the store is still lost at its end.
+      this.later(RETRY_DELAY, () => this.takeFrom(owner, ownerAnswers, isStillSuspected));
+      return;
+    }
     for (const [job, found] of read.value) {
       const { owner: current } = found.head;
       const isTheirs = current?.node === owner.node && current.incarnation === owner.incarnation;
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -2,7 +2,8 @@
  * Moves the workers to the weights that trainers named: a few at a time, with fenced orders, each
  * bound to the worker's life and to the number of orders it had taken. Half of the workers change
  * as soon as a version is named, those that would be unusable first; the others follow with the
- * next version, or after a while.
+ * next version, or after a while. Where several models wait, the one with the smallest share of
+ * usable workers goes first.
  */
 
 import type { ModelName } from '../core/identity.js';
@@ -85,8 +86,11 @@
   readonly worker: KnownWorker;
   readonly model: ModelName;
   readonly version: WeightVersion;
-  /** Larger is sooner. */
-  readonly urgency: number;
+  /**
+   * Share of the model's workers that are usable before this change is made; 1 where this worker is
+   * usable already. Smaller is sooner: no model waits while another one is nearly done.
+   */
+  readonly usableShare: number;
 }
 
 /** Changes that are due for one model, among the workers that hold it. */
@@ -100,16 +104,23 @@
   const behind = holders.filter((worker) => worker.versionOf(model) < version);
   const changing = behind.filter((worker) => isChanging(worker.record.id)).length;
   const current = holders.length - behind.length + changing;
+  const isUnusable = (worker: KnownWorker): boolean => {
+    const held = worker.versionOf(model);
+    return held < required || version - held > TOLERATED_LAG;
+  };
+  const isWaiting = (worker: KnownWorker): boolean => !isChanging(worker.record.id);
+  let usable = holders.length - behind.filter((one) => isUnusable(one) && isWaiting(one)).length;
   const changes: PendingChange[] = [];
   let room = Math.ceil(holders.length * SHARE_AT_ONCE) - current;
   const byLag = [...behind].sort((a, b) => a.versionOf(model) - b.versionOf(model));
   for (const worker of byLag) {
     if (isChanging(worker.record.id)) continue;
-    const held = worker.versionOf(model);
-    const isUnusable = held < required || version - held > TOLERATED_LAG;
-    if (!isUnusable && mayWait && room <= 0) continue;
+    const isLost = isUnusable(worker);
+    if (!isLost && mayWait && room <= 0) continue;
     room -= 1;
-    changes.push({ worker, model, version, urgency: isUnusable ? version - held : 0 });
+    const usableShare = isLost ? usable / holders.length : 1;
+    if (isLost) usable += 1;
+    changes.push({ worker, model, version, usableShare });
   }
   return changes;
 }
@@ -162,7 +173,10 @@
     });
     return changes
       .filter(({ worker }) => (this.notBefore.get(worker.record.id) ?? 0) <= now)
-      .sort((a, b) => b.urgency - a.urgency || a.worker.occupancy(now) - b.worker.occupancy(now));
+      .sort(
+        (a, b) =>
+          a.usableShare - b.usableShare || a.worker.occupancy(now) - b.worker.occupancy(now),
+      );
   }
 
   private namedVersions(): Map<ModelName, WeightVersion> {
--- a/test/fleet/fleet-registry.test.ts
+++ b/test/fleet/fleet-registry.test.ts
@@ -115,3 +115,18 @@
     for (const fleet of fleets) await fleet.stop();
   },
 );
+
+t.test('a start is over once the fleet was listed, and at the latest after a second', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.write('fleet/node/node-2', record('life-2'));
+  const fleet = registry(store);
+  await fleet.start();
+  t.ok(fleet.isLive(OTHER), 'what relays there are is known now');
+  await fleet.stop();
+  store.setAvailability('refusing');
+  const late = registry(store);
+  const startedAt = performance.now();
+  await late.start();
+  t.ok(performance.now() - startedAt < 1_500);
+  await late.stop();
+});
--- a/test/fleet/job-takeover.test.ts
+++ b/test/fleet/job-takeover.test.ts
@@ -97,6 +97,19 @@
   await fixture.stop();
 });
 
+t.test('a job of an owner that is lost in an outage is taken as the store returns', async (t) => {
+  const fixture = await besideOwner();
+  fixture.emulator.setAvailability('refusing');
+  await fixture.takeover.takeFrom(OTHER, false, () => true);
+  t.notOk(runsJob(fixture));
+  await PROCESS_CLOCK.sleep(500);
+  fixture.emulator.setAvailability('up');
+  const startedAt = performance.now();
+  await eventually(() => runsJob(fixture));
+  t.ok(performance.now() - startedAt < 1_000);
+  await fixture.stop();
+});
+
 t.test('a replaced life of the owner is gone, though its address answers', async (t) => {
   const fixture = await besideOwner();
   fixture.peers.otherLives.add(OTHER_ADDRESS);
--- a/test/fleet/weight-rollout.test.ts
+++ b/test/fleet/weight-rollout.test.ts
@@ -45,6 +45,34 @@
   );
 });
 
+t.test('a model without usable workers goes before one that has some', async (t) => {
+  // Both models are on all four workers; the first is three versions behind on two of them.
+  const models = (a: number, b: number) => [
+    { name: 'model-a', version: a },
+    { name: 'model-b', version: b },
+  ];
+  const versions = [models(8, 1), models(8, 1), models(5, 1), models(5, 1)];
+  const workers = versions.map(
+    (held, index) => new KnownWorker(worker(`w${index}`, { models: held })),
+  );
+  const dueFor = (model: string, version: number) =>
+    dueChanges(workers, { model, version, required: 0 }, true, () => false);
+  const inOrder = [...dueFor('model-a', 8), ...dueFor('model-b', 3)].sort(
+    (one, other) => one.usableShare - other.usableShare,
+  );
+  t.same(
+    inOrder.map(({ model, usableShare }) => [model, usableShare]),
+    [
+      ['model-b', 0],
+      ['model-b', 0.25],
+      ['model-a', 0.5],
+      ['model-b', 0.5],
+      ['model-a', 0.75],
+      ['model-b', 0.75],
+    ],
+  );
+});
+
 t.test('a large fleet loads more workers at once than a small one', async (t) => {
   t.equal(loadsAtOnce(3), 2);
   t.equal(loadsAtOnce(8), 2);
