--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -15,19 +15,14 @@
 import type { JobService } from '../jobs/job-service.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import { STORE_RETRY_AFTER } from '../jobs/store-reads.js';
-import type {
-  PeerAnswers,
-  PeerHandler,
-  PeerOutcome,
-  PeerPort,
-  PeerRequest,
-  PeerRequestOf,
-} from '../peers/peer-messages.js';
+import type { PeerAnswers, PeerHandler, PeerPort, PeerRequest } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
 import type { FleetRegistry } from './fleet-registry.js';
 import type { JobPlacement } from './job-placement.js';
+import { PeerCalls } from './peer-calls.js';
+import { SUBMIT_LIMIT, SubmissionRouter } from './submission-router.js';
 import type { WatchRelay } from './watch-relay.js';
 
 /** Time for an answer. */
@@ -38,29 +33,13 @@
 const HAND_OVER_LIMIT: Milliseconds = 600;
 const NEED_LIMIT: Milliseconds = 300;
 const SURRENDER_LIMIT: Milliseconds = 500;
-const PROBE_LIMIT: Milliseconds = 250;
-
-/**
- * Time that a node takes a job in for another one: in an outage of the store it runs the job's items
- * meanwhile. Callers wait some seconds for a job to be taken.
- */
-const SUBMIT_LIMIT: Milliseconds = 6_000;
 
 /** Time beyond a limit for the answer. */
 const ANSWER_TIME: Milliseconds = 200;
 
-/** Time between two looks whether a node that takes a job in still lives and reaches the store. */
-const SUBMIT_CHECK_INTERVAL: Milliseconds = 800;
-
-/** Nodes that are asked whether they reach the store. */
-const MOST_STORE_PROBES = 4;
-
 /** Nodes that a released job is offered to, one after the other. */
 const HAND_OVER_OFFERS = 2;
 
-/** Owners that a submission is offered to before the node that took it runs it itself. */
-const SUBMISSION_OFFERS = 2;
-
 /** Time for a node to take a job over: it reads a head and writes it. */
 const ADOPT_LIMIT: Milliseconds = 600;
 
@@ -82,13 +61,19 @@
 
 /** The other nodes of the fleet. */
 export class FleetPeers implements JobPeers, PeerHandler {
-  constructor(private readonly options: FleetPeersOptions) {}
+  private readonly calls: PeerCalls;
+  private readonly submissions: SubmissionRouter;
+
+  constructor(private readonly options: FleetPeersOptions) {
+    this.calls = new PeerCalls(options);
+    this.submissions = new SubmissionRouter({ ...options, calls: this.calls });
+  }
 
   async keptWork(items: readonly string[]): Promise<ReadonlyMap<string, DigestedWork>> {
     const nodes = this.options.placement.owners().filter((node) => node !== this.options.self.node);
     const request = { kind: 'kept-work', items } as const;
     const outcomes = await Promise.all(
-      nodes.map((node) => this.ask<'kept-work'>(node, request, KEPT_WORK_LIMIT)),
+      nodes.map((node) => this.calls.ask<'kept-work'>(node, request, KEPT_WORK_LIMIT)),
     );
     const work = new Map<string, DigestedWork>();
     for (const outcome of outcomes) {
@@ -108,7 +93,7 @@
   ): Promise<OwnerListing | undefined> {
     if (!this.options.fleet.isLive(owner)) return undefined;
     const request = { kind: 'job-results', job, after, wait } as const;
-    const outcome = await this.ask<'job-results'>(owner.node, request, wait + RESULTS_LIMIT);
+    const outcome = await this.calls.ask<'job-results'>(owner.node, request, wait + RESULTS_LIMIT);
     if (outcome?.kind === 'refused') this.options.placement.noteSilent(owner.node);
     if (outcome?.kind !== 'answered' || !outcome.answer.isOwner) return undefined;
     return outcome.answer;
@@ -116,13 +101,21 @@
 
   async endAtOwner(owner: JobOwner, job: string): Promise<boolean> {
     if (!this.options.fleet.isLive(owner)) return false;
-    const outcome = await this.ask<'end-job'>(owner.node, { kind: 'end-job', job }, END_LIMIT);
+    const outcome = await this.calls.ask<'end-job'>(
+      owner.node,
+      { kind: 'end-job', job },
+      END_LIMIT,
+    );
     return outcome?.kind === 'answered' && outcome.answer.isEnded;
   }
 
   async surrenderedWork(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>> {
     const request = { kind: 'surrender-job', job } as const;
-    const outcome = await this.askAt<'surrender-job'>(owner.address, request, SURRENDER_LIMIT);
+    const outcome = await this.calls.askAt<'surrender-job'>(
+      owner.address,
+      request,
+      SURRENDER_LIMIT,
+    );
     return outcome.kind === 'answered' ? outcome.answer.work : new Map();
   }
 
@@ -136,79 +129,12 @@
     const [owner] = this.likelyOwners(job);
     if (owner === undefined) return undefined;
     const request = { kind: 'item-body', job, item } as const;
-    const outcome = await this.ask<'item-body'>(owner.node, request, RESULTS_LIMIT);
+    const outcome = await this.calls.ask<'item-body'>(owner.node, request, RESULTS_LIMIT);
     return outcome?.kind === 'answered' && outcome.answer.isOwner ? outcome.answer : undefined;
   }
 
-  async submitElsewhere(spec: JobSpecification): Promise<SubmissionPath> {
-    const { fleet, placement, self } = this.options;
-    let mayRunElsewhere = false;
-    for (const node of placement.ownersOf(spec.id).slice(0, SUBMISSION_OFFERS)) {
-      if (node === self.node) {
-        if (fleet.isCutOff) continue;
-        break;
-      }
-      const request = { kind: 'submit-for', spec } as const;
-      const outcome = await this.askWhileAble(node, request);
-      if (outcome === undefined) continue;
-      if (outcome.kind === 'answered') {
-        const { failure: refusal } = outcome.answer;
-        if (refusal?.kind !== 'ledger_unavailable') return { kind: 'answered', failure: refusal };
-        continue;
-      }
-      placement.noteSilent(node);
-      if (outcome.kind === 'silent') {
-        mayRunElsewhere = true;
-        break;
-      }
-    }
-    return fleet.isCutOff
-      ? this.submitAnywhere(spec, mayRunElsewhere)
-      : { kind: 'here', mayRunElsewhere };
-  }
-
-  /**
-   * Asks a node to take a job in, for as long as it answers probes and does not alone miss the store;
-   * `silent` once it does not.
-   */
-  private async askWhileAble(
-    node: NodeId,
-    request: PeerRequestOf<'submit-for'>,
-  ): Promise<PeerOutcome<'submit-for'> | undefined> {
-    const { clock } = this.options;
-    const asked = this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
-    for (;;) {
-      const pause = clock.sleep(SUBMIT_CHECK_INTERVAL).then(() => 'pending' as const);
-      const outcome = await Promise.race([asked, pause]);
-      if (outcome !== 'pending') return outcome;
-      const reaches = await this.reachesStore(node);
-      if (!reaches && !this.options.fleet.isCutOff) return { kind: 'silent' };
-    }
-  }
-
-  private async reachesStore(node: NodeId): Promise<boolean> {
-    const owner = this.options.fleet.ownerOf(node);
-    if (owner === undefined) return false;
-    const outcome = await this.ask<'probe'>(node, { kind: 'probe', owner }, PROBE_LIMIT);
-    if (outcome?.kind !== 'answered') return false;
-    return outcome.answer.isAlive && outcome.answer.reachesStore;
-  }
-
-  /** Has some node take a job in that reaches the store, as this one does not. */
-  private async submitAnywhere(
-    spec: JobSpecification,
-    mayRunElsewhere: boolean,
-  ): Promise<SubmissionPath> {
-    const unknown = failure('outcome_unknown', 'another node may have stored the job');
-    const node = await this.nodeThatReachesStore();
-    if (node === undefined) return { kind: 'here', mayRunElsewhere };
-    const request = { kind: 'submit-for', spec } as const;
-    const outcome = await this.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
-    if (outcome?.kind === 'silent') return { kind: 'answered', failure: unknown };
-    if (outcome?.kind !== 'answered') return { kind: 'here', mayRunElsewhere };
-    const { failure: refusal } = outcome.answer;
-    const isUnsure = mayRunElsewhere && refusal !== undefined;
-    return { kind: 'answered', failure: isUnsure ? unknown : refusal };
+  submitElsewhere(spec: JobSpecification): Promise<SubmissionPath> {
+    return this.submissions.route(spec);
   }
 
   async readElsewhere(
@@ -216,34 +142,25 @@
     after: number,
     wait: Milliseconds,
   ): Promise<ResultSlice | Failure | undefined> {
-    const node = await this.nodeThatReachesStore();
+    const node = await this.calls.nodeThatReachesStore();
     if (node === undefined) return undefined;
     const request = { kind: 'read-for', job, after, wait } as const;
-    const outcome = await this.ask<'read-for'>(node, request, wait + RESULTS_LIMIT + ANSWER_TIME);
+    const outcome = await this.calls.ask<'read-for'>(
+      node,
+      request,
+      wait + RESULTS_LIMIT + ANSWER_TIME,
+    );
     return outcome?.kind === 'answered' ? outcome.answer.read : undefined;
   }
 
   async endElsewhere(job: string): Promise<PassedOn | undefined> {
-    const node = await this.nodeThatReachesStore();
+    const node = await this.calls.nodeThatReachesStore();
     if (node === undefined) return undefined;
     const request = { kind: 'end-for', job } as const;
-    const outcome = await this.ask<'end-for'>(node, request, END_LIMIT + ANSWER_TIME);
+    const outcome = await this.calls.ask<'end-for'>(node, request, END_LIMIT + ANSWER_TIME);
     return outcome?.kind === 'answered' ? outcome.answer : undefined;
   }
 
-  /** Where this node is cut off from the store: one of the own zone that is not. */
-  private async nodeThatReachesStore(): Promise<NodeId | undefined> {
-    const { fleet, self, zone } = this.options;
-    if (!fleet.isCutOff) return undefined;
-    const others = fleet.liveNodes().filter((node) => node !== self.node);
-    const isNear = (node: NodeId): boolean => fleet.zoneOf(node) === zone;
-    const inOrder = [...others.filter(isNear), ...others.filter((node) => !isNear(node))];
-    const states = inOrder
-      .slice(0, MOST_STORE_PROBES)
-      .map(async (node) => ((await this.reachesStore(node)) ? node : undefined));
-    return (await Promise.all(states)).find((node) => node !== undefined);
-  }
-
   /** True for a time from now on. */
   private whileAsked(limit: Milliseconds): () => boolean {
     const { clock } = this.options;
@@ -255,7 +172,7 @@
     const nodes = this.likelyOwners(job).slice(0, HAND_OVER_OFFERS);
     for (const node of nodes) {
       const request = { kind: 'take-job', job } as const;
-      const outcome = await this.ask<'take-job'>(node.node, request, HAND_OVER_LIMIT);
+      const outcome = await this.calls.ask<'take-job'>(node.node, request, HAND_OVER_LIMIT);
       if (outcome?.kind === 'answered' && outcome.answer.isTaken) return;
     }
   }
@@ -268,7 +185,7 @@
     ownerAnswers: boolean,
   ): Promise<boolean> {
     const request = { kind: 'adopt-job', job, owner, ownerAnswers } as const;
-    const outcome = await this.ask<'adopt-job'>(node, request, ADOPT_LIMIT);
+    const outcome = await this.calls.ask<'adopt-job'>(node, request, ADOPT_LIMIT);
     return outcome?.kind === 'answered' && outcome.answer.isTaken;
   }
 
@@ -279,7 +196,7 @@
       this.options.weightsNeeded(need);
       return;
     }
-    void this.ask<'need-weights'>(holder, { kind: 'need-weights', need }, NEED_LIMIT);
+    void this.calls.ask<'need-weights'>(holder, { kind: 'need-weights', need }, NEED_LIMIT);
   }
 
   async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
@@ -335,26 +252,6 @@
     }
     return jobs().submitHere(spec, this.whileAsked(SUBMIT_LIMIT));
   }
-
-  private async ask<Kind extends PeerRequest['kind']>(
-    node: NodeId,
-    request: PeerRequestOf<Kind>,
-    limit: Milliseconds,
-  ): Promise<PeerOutcome<Kind> | undefined> {
-    const address = this.options.fleet.addressOf(node);
-    return address === undefined ? undefined : this.askAt<Kind>(address, request, limit);
-  }
-
-  private async askAt<Kind extends PeerRequest['kind']>(
-    address: string,
-    request: PeerRequestOf<Kind>,
-    limit: Milliseconds,
-  ): Promise<PeerOutcome<Kind>> {
-    const outcome = await this.options.port.ask<Kind>(address, request, limit);
-    const labels = { call: request.kind, outcome: outcome.kind };
-    this.options.metrics.count('peer_calls', labels);
-    return outcome;
-  }
 }
 
 /** Whether one node's work on an item got further than another's. */
--- /dev/null
+++ b/src/fleet/peer-calls.ts
@@ -0,0 +1,71 @@
+/** Questions to other nodes by their names, counted by kind and outcome. */
+import type { NodeId, ZoneName } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import type { JobOwner } from '../jobs/job-records.js';
+import type { PeerOutcome, PeerPort, PeerRequest, PeerRequestOf } from '../peers/peer-messages.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { FleetRegistry } from './fleet-registry.js';
+
+/** Time for the answer to a probe: a few turns of a busy node's event loop. */
+const PROBE_LIMIT: Milliseconds = 250;
+
+/** Nodes that are asked whether they reach the store. */
+const MOST_STORE_PROBES = 4;
+
+/** Options of {@link PeerCalls}. */
+export interface PeerCallsOptions {
+  readonly port: PeerPort;
+  readonly fleet: FleetRegistry;
+  readonly self: JobOwner;
+  readonly zone: ZoneName;
+  readonly metrics: FleetMetrics;
+}
+
+/** Asks other nodes. */
+export class PeerCalls {
+  constructor(private readonly options: PeerCallsOptions) {}
+
+  /** Asks a live node; `undefined` where it is not known. */
+  async ask<Kind extends PeerRequest['kind']>(
+    node: NodeId,
+    request: PeerRequestOf<Kind>,
+    limit: Milliseconds,
+  ): Promise<PeerOutcome<Kind> | undefined> {
+    const address = this.options.fleet.addressOf(node);
+    return address === undefined ? undefined : this.askAt<Kind>(address, request, limit);
+  }
+
+  /** Asks whoever lives at an address. */
+  async askAt<Kind extends PeerRequest['kind']>(
+    address: string,
+    request: PeerRequestOf<Kind>,
+    limit: Milliseconds,
+  ): Promise<PeerOutcome<Kind>> {
+    const outcome = await this.options.port.ask<Kind>(address, request, limit);
+    const labels = { call: request.kind, outcome: outcome.kind };
+    this.options.metrics.count('peer_calls', labels);
+    return outcome;
+  }
+
+  /** Whether a node answers and reaches the store. */
+  async reachesStore(node: NodeId): Promise<boolean> {
+    const owner = this.options.fleet.ownerOf(node);
+    if (owner === undefined) return false;
+    const outcome = await this.ask<'probe'>(node, { kind: 'probe', owner }, PROBE_LIMIT);
+    if (outcome?.kind !== 'answered') return false;
+    return outcome.answer.isAlive && outcome.answer.reachesStore;
+  }
+
+  /** Where this node is cut off from the store: another one that is not, of the own zone if possible. */
+  async nodeThatReachesStore(): Promise<NodeId | undefined> {
+    const { fleet, self, zone } = this.options;
+    if (!fleet.isCutOff) return undefined;
+    const others = fleet.liveNodes().filter((node) => node !== self.node);
+    const isNear = (node: NodeId): boolean => fleet.zoneOf(node) === zone;
+    const inOrder = [...others.filter(isNear), ...others.filter((node) => !isNear(node))];
+    const states = inOrder
+      .slice(0, MOST_STORE_PROBES)
+      .map(async (node) => ((await this.reachesStore(node)) ? node : undefined));
+    return (await Promise.all(states)).find((node) => node !== undefined);
+  }
+}
--- /dev/null
+++ b/src/fleet/submission-router.ts
@@ -0,0 +1,107 @@
+/**
+ * Where a submitted job goes: to the node that is to run it, to the next one where that one is gone,
+ * or to this node itself. A node that may have taken the job is never forgotten: what is refused
+ * afterwards is then refused as unknown, not as if the job had not run.
+ */
+import type { NodeId } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
+import { failure } from '../errors/error-kinds.js';
+import type { SubmissionPath } from '../jobs/job-peers.js';
+import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
+import type { PeerOutcome, PeerRequestOf } from '../peers/peer-messages.js';
+import type { Clock } from '../serving/clock.js';
+import type { FleetRegistry } from './fleet-registry.js';
+import type { JobPlacement } from './job-placement.js';
+import type { PeerCalls } from './peer-calls.js';
+
+/**
+ * Time that a node takes a job in for another one: in an outage of the store it runs the job's items
+ * meanwhile. Callers wait some seconds for a job to be taken.
+ */
+export const SUBMIT_LIMIT: Milliseconds = 6_000;
+
+/** Time beyond a limit for the answer. */
+const ANSWER_TIME: Milliseconds = 200;
+
+/** Time between two looks whether a node that takes a job in still lives and reaches the store. */
+const CHECK_INTERVAL: Milliseconds = 800;
+
+/** Owners that a job is offered to before the node that took the call runs it itself. */
+const OFFERS = 2;
+
+/** Options of {@link SubmissionRouter}. */
+export interface SubmissionRouterOptions {
+  readonly calls: PeerCalls;
+  readonly fleet: FleetRegistry;
+  readonly placement: JobPlacement;
+  readonly self: JobOwner;
+  readonly clock: Pick<Clock, 'sleep'>;
+}
+
+/** Finds the node that takes a job in. */
+export class SubmissionRouter {
+  constructor(private readonly options: SubmissionRouterOptions) {}
+
+  /** Has another node take the job in, or tells that it is for this one to store. */
+  async route(spec: JobSpecification): Promise<SubmissionPath> {
+    const { fleet, placement, self } = this.options;
+    let mayRunElsewhere = false;
+    for (const node of placement.ownersOf(spec.id).slice(0, OFFERS)) {
+      if (node === self.node) {
+        if (fleet.isCutOff) continue;
+        break;
+      }
+      const outcome = await this.offer(node, { kind: 'submit-for', spec });
+      if (outcome === undefined) continue;
+      if (outcome.kind === 'answered') {
+        const { failure: refusal } = outcome.answer;
+        if (refusal?.kind !== 'ledger_unavailable') return { kind: 'answered', failure: refusal };
+        continue;
+      }
+      placement.noteSilent(node);
+      if (outcome.kind === 'silent') {
+        mayRunElsewhere = true;
+        break;
+      }
+    }
+    if (fleet.isCutOff) return this.routeAnywhere(spec, mayRunElsewhere);
+    return { kind: 'here', mayRunElsewhere };
+  }
+
+  /**
+   * Offers the job to a node for as long as that one answers probes and does not alone miss the
+   * store; `silent` once it does not.
+   */
+  private async offer(
+    node: NodeId,
+    request: PeerRequestOf<'submit-for'>,
+  ): Promise<PeerOutcome<'submit-for'> | undefined> {
+    const { calls, clock, fleet } = this.options;
+    const asked = calls.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+    for (;;) {
+      const pause = clock.sleep(CHECK_INTERVAL).then(() => 'pending' as const);
+      const outcome = await Promise.race([asked, pause]);
+      if (outcome !== 'pending') return outcome;
+      const reaches = await calls.reachesStore(node);
+      if (!reaches && !fleet.isCutOff) return { kind: 'silent' };
+    }
+  }
+
+  /** Has some node take the job in that reaches the store, as this one does not. */
+  private async routeAnywhere(
+    spec: JobSpecification,
+    mayRunElsewhere: boolean,
+  ): Promise<SubmissionPath> {
+    const { calls } = this.options;
+    const unknown = failure('outcome_unknown', 'another node may have stored the job');
+    const node = await calls.nodeThatReachesStore();
+    if (node === undefined) return { kind: 'here', mayRunElsewhere };
+    const request = { kind: 'submit-for', spec } as const;
+    const outcome = await calls.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+    if (outcome?.kind === 'silent') return { kind: 'answered', failure: unknown };
+    if (outcome?.kind !== 'answered') return { kind: 'here', mayRunElsewhere };
+    const { failure: refusal } = outcome.answer;
+    const isUnsure = mayRunElsewhere && refusal !== undefined;
+    return { kind: 'answered', failure: isUnsure ? unknown : refusal };
+  }
+}
