--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -39,7 +39,11 @@
 export class PeerServer {
   private readonly server: http.Server;
 
-  constructor(private readonly handler: PeerHandler) {
+  /** `noteFault` is told of questions whose answer failed here; who asked is told of no cause. */
+  constructor(
+    private readonly handler: PeerHandler,
+    private readonly noteFault: (error: unknown) => void = () => {},
+  ) {
     this.server = http.createServer((request, response) => void this.serve(request, response));
     this.server.keepAliveTimeout = 60_000;
   }
@@ -74,7 +78,8 @@
     try {
       const body = stringify(await this.handler.answer(question));
       response.writeHead(OK, { 'content-type': 'application/json' }).end(body);
-    } catch {
+    } catch (error) {
+      this.noteFault(error);
       response.writeHead(FAILED).end();
     }
   }
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -21,6 +21,10 @@
     labels: ['outcome'],
   },
   weight_orders: { help: 'Orders to change weights, by outcome', labels: ['outcome'] },
+  unreadable_answers: {
+    help: 'Answers that came whole and could not be read, by who gave them and to which call',
+    labels: ['from', 'call'],
+  },
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
 
--- /dev/null
+++ b/test/peers/peer-server.test.ts
@@ -0,0 +1,32 @@
+import t from 'tap';
+import { PeerClient } from '../../src/peers/peer-client.js';
+import type { PeerHandler } from '../../src/peers/peer-messages.js';
+import { PeerServer } from '../../src/peers/peer-server.js';
+
+const OWNER = { node: 'node-1', incarnation: 'life-1', address: '127.0.0.1:1' };
+
+t.test('a question whose answer fails is told of, and counts as silence', async (t) => {
+  const faults: unknown[] = [];
+  const handler: PeerHandler = {
+    answer: async (request) => {
+      if (request.kind === 'probe') throw new Error('not now');
+      return { isTaken: true };
+    },
+  };
+  const server = new PeerServer(handler, (error) => faults.push(error));
+  const port = await server.listen('127.0.0.1', 0);
+  const client = new PeerClient();
+  t.teardown(() => {
+    client.stop();
+    server.stop();
+  });
+  const address = `127.0.0.1:${port}`;
+  t.same(await client.ask<'probe'>(address, { kind: 'probe', owner: OWNER }, 1_000), {
+    kind: 'silent',
+  });
+  t.match(faults, [{ message: 'not now' }]);
+  t.same(await client.ask<'take-job'>(address, { kind: 'take-job', job: 'job' }, 1_000), {
+    kind: 'answered',
+    answer: { isTaken: true },
+  });
+});
--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -247,3 +247,23 @@
   t.equal(await bodyOf(await client.send(request('two'), signal)), 'too long');
   t.equal(opened, 2);
 });
+
+t.test('a report of another shape is none, and is told of', async (t) => {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {});
+    socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as net.AddressInfo;
+  let told = 0;
+  const client = new EngineClient(() => {
+    told += 1;
+  });
+  t.teardown(() => {
+    client.forget('i-1');
+    server.close();
+  });
+  const target = worker('i-1', { address: `127.0.0.1:${port}` });
+  t.equal(await client.report(target), undefined);
+  t.equal(told, 1);
+});
--- a/test/platform-adapter/store-client.test.ts
+++ b/test/platform-adapter/store-client.test.ts
@@ -15,8 +15,9 @@
 async function store(
   test: Pick<typeof t, 'teardown'>,
   ...replies: Reply[]
-): Promise<{ client: StoreClient; calls: Call[] }> {
+): Promise<{ client: StoreClient; calls: Call[]; unreadable: string[] }> {
   const calls: Call[] = [];
+  const unreadable: string[] = [];
   const server = http.createServer((request, response) => {
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -34,7 +35,8 @@
     server.closeAllConnections();
   });
   const { port } = server.address() as AddressInfo;
-  return { client: new StoreClient(`127.0.0.1:${port}`), calls };
+  const client = new StoreClient(`127.0.0.1:${port}`, (call) => unreadable.push(call));
+  return { client, calls, unreadable };
 }
 
 const base64 = (text: string): string => Buffer.from(text).toString('base64');
@@ -127,3 +129,14 @@
   t.same(await client.keepLease(77), { kind: 'gone' });
   t.equal(calls[1]?.url, '/wardwing/kv-keep/77');
 });
+
+t.test('a good answer of another shape is told of, a refusal is not', async (t) => {
+  const odd = { status: 200, body: { other: 1 } };
+  const { client, unreadable } = await store(t, odd, odd, odd, odd, { status: 503 });
+  t.match(await client.get('a'), { kind: 'failed' });
+  t.match(await client.range('p/'), { kind: 'failed' });
+  t.match(await client.commit({ expected: [] }), { kind: 'failed', effect: 'unknown' });
+  t.match(await client.grantLease(1_000), { kind: 'failed' });
+  t.match(await client.get('a'), { kind: 'failed', effect: 'not-done' });
+  t.same(unreadable, ['get', 'range', 'commit', 'grant']);
+});
