--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -4,6 +4,7 @@
  * wrongly taken for gone; and workers that give scores, with faults of their own. Nothing waits for
  * real time.
  */
+
 import type { Failure } from '../../../src/errors/error-kinds.js';
 import { ItemDispatcher } from '../../../src/jobs/item-dispatcher.js';
 import { JobReader } from '../../../src/jobs/job-reader.js';
@@ -16,6 +17,7 @@
 import type { SharedStore } from '../../../src/shared-store/shared-store.js';
 import { DecisionLog } from '../../../src/telemetry/decision-log.js';
 import { FleetMetrics } from '../../../src/telemetry/fleet-metrics.js';
+import { UNRESTRICTED } from '../../../src/tenants/tenant.js';
 import { NO_PEERS } from '../../common/no-peers.js';
 import { type LostAnswer, SharedStoreEmulator } from '../../emulator/shared-store-emulator.js';
 import { JobOracle, scoreRequestOf } from './job-oracle.js';
@@ -174,7 +176,7 @@
   /** A trainer ends a job at a node. */
   end(node: number, job: number): void {
     if (this.frozen.has(node)) return;
-    void this.node(node).service.end(jobName(job), () => false);
+    void this.node(node).service.end(jobName(job), UNRESTRICTED, () => false);
   }
 
   /** A trainer reads a job at a node; judged only while the store answers. */
@@ -184,7 +186,7 @@
     const isBlind = this.without.has('read-verification') && owned?.isOpen === true;
     const answer = isBlind
       ? { results: owned.results.slice(from) }
-      : await this.node(node).service.read(jobName(job), from, 0);
+      : await this.node(node).service.read(jobName(job), from, 0, UNRESTRICTED);
     if ('results' in answer) this.oracle.read(jobName(job), from, answer.results);
     else if (answer.kind === 'not_found') this.oracle.notFound(jobName(job));
   }
--- a/lab/proofs/durable-jobs/world-jobs.ts
+++ b/lab/proofs/durable-jobs/world-jobs.ts
@@ -19,6 +19,7 @@
   priority: 0,
   maxAttempts: 4,
   targets: [{ service: 'scorers', weight: 1 }],
+  isPublic: false,
   resumable: false,
   singleVersion: false,
   maxQueue: 60_000,
@@ -43,6 +44,7 @@
   routes: [SCORE_ROUTE],
   services: [],
   limits: LIMITS,
+  tenants: undefined,
 });
 
 /** Name of a job. */
--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -11,6 +11,7 @@
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
+import type { DutyLock } from '../duties/duty-lock.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
@@ -65,7 +66,7 @@
 }
 
 /** Takes the lock when it is free, and tells whether this node may give orders. */
-export class CoordinatorLock {
+export class CoordinatorLock implements DutyLock {
   private holding: LockRecord | undefined;
   private lockRevision: Revision = ABSENT;
   private isKnown = false;
@@ -100,6 +101,11 @@
     return this.holding?.node;
   }
 
+  /** Revision at which the lock was last taken; it changes with each holder. */
+  get term(): Revision {
+    return this.lockRevision;
+  }
+
   /** The fencing token while this node may give orders; `undefined` otherwise. */
   fencingToken(): Revision | undefined {
     const { fleet, clock } = this.options;
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -1,6 +1,7 @@
 /** Questions between the nodes of a fleet: how this node asks them, and how it answers. */
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { UsageSource, WindowCounts } from '../duties/usage-counts.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type {
   JobPeers,
@@ -15,9 +16,16 @@
 import type { JobService } from '../jobs/job-service.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import { STORE_RETRY_AFTER } from '../jobs/store-reads.js';
-import type { PeerAnswers, PeerHandler, PeerPort, PeerRequest } from '../peers/peer-messages.js';
+import type {
+  PeerAnswers,
+  PeerHandler,
+  PeerPort,
+  PeerRequest,
+  PeerRequestOf,
+} from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { CallerIdentity } from '../tenants/tenant.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
 import type { FleetRegistry } from './fleet-registry.js';
 import type { JobPlacement } from './job-placement.js';
@@ -32,6 +40,7 @@
 const END_LIMIT: Milliseconds = 600;
 const HAND_OVER_LIMIT: Milliseconds = 600;
 const NEED_LIMIT: Milliseconds = 300;
+const USAGE_LIMIT: Milliseconds = 600;
 const SURRENDER_LIMIT: Milliseconds = 500;
 
 /** Time beyond a limit for the answer. */
@@ -55,6 +64,8 @@
   readonly jobs: () => JobService;
   readonly lock: () => CoordinatorLock;
   readonly relay: () => WatchRelay;
+  /** Called on the holder of the duties: what workers began to run for another node. */
+  readonly usageTold: (source: UsageSource, counts: WindowCounts) => void;
   /** Called on the coordinator: what a job needs. */
   readonly weightsNeeded: (need: WeightNeed) => void;
 }
@@ -99,11 +110,11 @@
     return outcome.answer;
   }
 
-  async endAtOwner(owner: JobOwner, job: string): Promise<boolean> {
+  async endAtOwner(owner: JobOwner, job: string, caller: CallerIdentity): Promise<boolean> {
     if (!this.options.fleet.isLive(owner)) return false;
     const outcome = await this.calls.ask<'end-job'>(
       owner.node,
-      { kind: 'end-job', job },
+      { kind: 'end-job', job, caller },
       END_LIMIT,
     );
     return outcome?.kind === 'answered' && outcome.answer.isEnded;
@@ -141,10 +152,11 @@
     job: string,
     after: number,
     wait: Milliseconds,
+    caller: CallerIdentity,
   ): Promise<ResultSlice | Failure | undefined> {
     const node = await this.calls.nodeThatReachesStore();
     if (node === undefined) return undefined;
-    const request = { kind: 'read-for', job, after, wait } as const;
+    const request = { kind: 'read-for', job, after, wait, caller } as const;
     const outcome = await this.calls.ask<'read-for'>(
       node,
       request,
@@ -153,10 +165,10 @@
     return outcome?.kind === 'answered' ? outcome.answer.read : undefined;
   }
 
-  async endElsewhere(job: string): Promise<PassedOn | undefined> {
+  async endElsewhere(job: string, caller: CallerIdentity): Promise<PassedOn | undefined> {
     const node = await this.calls.nodeThatReachesStore();
     if (node === undefined) return undefined;
-    const request = { kind: 'end-for', job } as const;
+    const request = { kind: 'end-for', job, caller } as const;
     const outcome = await this.calls.ask<'end-for'>(node, request, END_LIMIT + ANSWER_TIME);
     return outcome?.kind === 'answered' ? outcome.answer : undefined;
   }
@@ -199,6 +211,13 @@
     void this.calls.ask<'need-weights'>(holder, { kind: 'need-weights', need }, NEED_LIMIT);
   }
 
+  /** Tells the holder of the duties what workers began to run for this node. */
+  async tellUsage(holder: NodeId, source: UsageSource, counts: WindowCounts): Promise<boolean> {
+    const request = { kind: 'usage-counts', source, counts } as const;
+    const outcome = await this.calls.ask<'usage-counts'>(holder, request, USAGE_LIMIT);
+    return outcome?.kind === 'answered' && outcome.answer.isNoted;
+  }
+
   async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
     const { self, jobs, weightsNeeded } = this.options;
     switch (request.kind) {
@@ -213,7 +232,7 @@
       case 'job-results':
         return jobs().ownListing(request.job, request.after, request.wait);
       case 'end-job':
-        return { isEnded: !this.options.fleet.isCutOff && (await jobs().endOwn(request.job)) };
+        return { isEnded: await this.endHere(request.job, request.caller) };
       case 'surrender-job':
         return { work: jobs().surrender(request.job) };
       case 'submit-for':
@@ -225,9 +244,9 @@
       case 'item-body':
         return jobs().ownBody(request.job, request.item);
       case 'read-for':
-        return { read: await jobs().readHere(request.job, request.after, request.wait) };
+        return { read: await this.readHere(request) };
       case 'end-for':
-        return { failure: await jobs().endHere(request.job, this.whileAsked(END_LIMIT)) };
+        return { failure: await this.endFor(request.job, request.caller) };
       case 'take-job':
         return { isTaken: await jobs().takeReleased(request.job) };
       case 'follow-prefix':
@@ -236,12 +255,28 @@
         return this.options.relay().answerList(request);
       case 'resign-coordinator':
         return { lastOrderAge: this.options.lock().resign() };
+      case 'usage-counts':
+        this.options.usageTold(request.source, request.counts);
+        return { isNoted: true };
       case 'need-weights':
         weightsNeeded(request.need);
         return { isNoted: true };
     }
   }
 
+  private async endHere(job: string, caller: CallerIdentity): Promise<boolean> {
+    return !this.options.fleet.isCutOff && this.options.jobs().endOwn(job, caller);
+  }
+
+  private endFor(job: string, caller: CallerIdentity): Promise<Failure | undefined> {
+    return this.options.jobs().endHere(job, caller, this.whileAsked(END_LIMIT));
+  }
+
+  private readHere(request: PeerRequestOf<'read-for'>): Promise<ResultSlice | Failure> {
+    const { job, after, wait, caller } = request;
+    return this.options.jobs().readHere(job, after, wait, caller);
+  }
+
   /** Takes a job in for another node; refuses at once where the store is out of reach. */
   private async submitFor(spec: JobSpecification): Promise<Failure | undefined> {
     const { fleet, jobs } = this.options;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -13,17 +13,18 @@
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
+import { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
-import { RouteMatcher } from '../serving/route-matcher.js';
+import type { RouteMatcher } from '../serving/route-matcher.js';
 import type {
   Route,
   TrafficConfiguration,
-  TrafficLimits,
   WorkerRecord,
 } from '../serving/traffic-configuration.js';
 import { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
 import { CoordinatorLock } from './coordinator-lock.js';
+import { FleetDuties } from './fleet-duties.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
@@ -63,6 +64,8 @@
 /** One gateway. */
 export class GatewayNode {
   readonly registry = new WorkerRegistry();
+  /** The configuration that this node acts on. */
+  readonly configuration: ConfigurationInForce;
   readonly jobs: JobService;
   private readonly forwarder: RequestForwarder;
   private readonly dispatcher: ItemDispatcher;
@@ -78,8 +81,8 @@
   private readonly lock: CoordinatorLock;
   private readonly rollout: WeightRollout;
   private readonly drains: StorageDrains;
+  private readonly duties: FleetDuties | undefined;
   private readonly named = new Map<ModelName, NamedVersion>();
-  private matcher: RouteMatcher | undefined;
   private workersListed = false;
   private isStopping = false;
   private nextRemovalAt: Milliseconds = REMOVAL_INTERVAL;
@@ -107,7 +110,8 @@
     this.relay = relay;
     const store = relay.relayedStore();
     const jobStore = new JobStore(store, clock);
-    const routes = (): RouteMatcher | undefined => this.matcher;
+    this.configuration = new ConfigurationInForce({ log, metrics });
+    const routes = (): RouteMatcher | undefined => this.configuration.routes;
     const shared = { ...options, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
     this.placement = new JobPlacement({
@@ -127,10 +131,14 @@
       jobs: () => this.jobs,
       lock: () => this.lock,
       relay: () => relay,
+      usageTold: (source, counts) => this.duties?.take(source, counts),
       weightsNeeded: (need) => this.rollout.require(need),
     });
     const peers = this.peerHandler;
-    this.forwarder = new RequestForwarder(shared);
+    this.forwarder = new RequestForwarder({
+      ...shared,
+      noteBegun: (tenant, at) => this.duties?.meter?.noteBegun(tenant, at),
+    });
     this.dispatcher = new ItemDispatcher(shared);
     this.jobs = new JobService({
       ...shared,
@@ -168,37 +176,39 @@
       lock: this.lock,
       holder: options.node,
       named: this.named,
-      mode: () => (this.needsWholeVersions() ? 'wait' : 'keep'),
+      mode: () => (this.configuration.needsWholeVersions ? 'wait' : 'keep'),
     });
     this.drains = new StorageDrains({ port: options.storageDrains, lock: this.lock, log });
+    if (options.duties !== undefined) {
+      this.duties = new FleetDuties({
+        ...shared,
+        duties: options.duties,
+        lock: this.lock,
+        services: () => this.configuration.services,
+        liveNodes: () => this.fleet.liveNodes().length,
+        tell: (...usage) => peers.tellUsage(...usage),
+        isFirstStart: options.isFirstStart ?? false,
+      });
+    }
   }
 
   /** Begins to take part in the fleet. */
   start(): void {
     void this.fleet.start().then(() => this.feeds.start());
     this.monitor.start();
+    this.duties?.start();
     this.scheduleTick();
     this.reporter = setInterval(() => this.report(), REPORT_INTERVAL);
   }
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return this.matcher !== undefined && this.workersListed && !this.isStopping;
-  }
-
-  /** Version of the configuration in force; `undefined` before the first. */
-  get configurationVersion(): number | undefined {
-    return this.matcher?.configuration.version;
-  }
-
-  /** What callers may send; `undefined` before the first configuration. */
-  get limits(): TrafficLimits | undefined {
-    return this.matcher?.configuration.limits;
+    return this.configuration.version !== undefined && this.workersListed && !this.isStopping;
   }
 
   /** Takes in what changed outside the fleet. */
   take(event: FleetEvent): void {
-    if (event.kind === 'configuration') this.applyConfiguration(event.configuration);
+    if (event.kind === 'configuration') this.takeConfiguration(event.configuration);
     else if (event.kind === 'worker') this.takeWorker(event.record);
     else if (event.kind === 'worker-gone') this.roster.noteGone(event.worker);
     else if (event.kind === 'workers-listed') this.workersListed = true;
@@ -207,17 +217,8 @@
     else this.options.log.state('record-unreadable', { key: event.key });
   }
 
-  /** Takes a configuration into force, unless a newer one is. */
-  private applyConfiguration(configuration: TrafficConfiguration): void {
-    const current = this.configurationVersion;
-    if (current !== undefined && configuration.version <= current) return;
-    this.matcher = new RouteMatcher(configuration);
-    this.options.log.state('configuration-applied', {
-      version: configuration.version,
-      previous: current ?? 0,
-      routes: configuration.routes.length,
-    });
-    this.dispatcher.schedule();
+  private takeConfiguration(configuration: TrafficConfiguration): void {
+    if (this.configuration.apply(configuration)) this.dispatcher.schedule();
   }
 
   private takeWorker(record: WorkerRecord): void {
@@ -232,19 +233,9 @@
     this.rollout.tick();
   }
 
-  /** Finds the route of a request, or why there is none. */
-  route(host: string, path: string): Route | Failure {
-    if (this.matcher === undefined) {
-      return failure('configuration_unavailable', 'no configuration is known yet', {
-        retryAfter: CONFIGURATION_RETRY_AFTER,
-      });
-    }
-    return this.matcher.match(host, path) ?? failure('not_found', 'no route matches');
-  }
-
   /** Forwards a request and answers it. */
   async forward(request: CallerRequest, route: Route, sink: AnswerSink): Promise<void> {
-    const service = this.matcher?.nextService(route);
+    const service = this.configuration.nextService(route);
     if (service === undefined) return sink.fail(failure('no_worker', 'the route has no service'));
     await this.forwarder.forward(request, route, service, sink);
   }
@@ -275,6 +266,11 @@
     this.feeds.stop();
   }
 
+  /** After the last request has ended: nothing that was counted is lost. */
+  async finish(): Promise<void> {
+    await this.duties?.finish();
+  }
+
   private scheduleTick(): void {
     const interval = this.isBusy ? TICK_INTERVAL : IDLE_TICK_INTERVAL;
     this.ticker = setTimeout(() => {
@@ -297,6 +293,7 @@
     this.lock.tick();
     this.rollout.tick();
     this.drains.tick();
+    this.duties?.tick();
     this.sweepJobs();
   }
 
@@ -339,7 +336,7 @@
   /** Sets the gauges and writes the counters as one line. */
   private report(): void {
     const { metrics, log } = this.options;
-    metrics.set('configuration_version', this.configurationVersion ?? 0);
+    metrics.set('configuration_version', this.configuration.version ?? 0);
     metrics.set('live_nodes', this.fleet.liveNodes().length);
     metrics.set('known_workers', this.registry.all().length);
     metrics.set('open_jobs', this.jobs.ownedJobs().filter((job) => job.isOpen).length);
@@ -347,11 +344,4 @@
     metrics.set('is_coordinator', this.lock.fencingToken() === undefined ? 0 : 1);
     log.state('counters', metrics.snapshot());
   }
-
-  private needsWholeVersions(): boolean {
-    return this.matcher?.configuration.routes.some((route) => route.singleVersion) ?? false;
-  }
 }
-
-/** When to come back to a node that has no configuration yet. */
-const CONFIGURATION_RETRY_AFTER: Milliseconds = 300;
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -7,6 +7,7 @@
 import type { SharedStore } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { DutyOptions } from './fleet-duties.js';
 import type { FeedTranslation } from './fleet-feeds.js';
 import type { StorageDrainPort } from './storage-drains.js';
 
@@ -44,6 +45,8 @@
   readonly storageDrains: StorageDrainPort;
   /** Processor share of this machine, in cores of ordinary speed. @default 1 */
   readonly capacity?: number;
+  /** Duties towards the operator's cloud interface. @default none */
+  readonly duties?: DutyOptions;
   /** Whether the whole fleet starts for the first time, now. @default false */
   readonly isFirstStart?: boolean;
 }
--- a/src/fleet/gateway-process.ts
+++ b/src/fleet/gateway-process.ts
@@ -52,7 +52,8 @@
     server.close();
     const limit = timings().stopLimit - STOP_MARGIN;
     while (server.requestsInFlight > 0 && elapsed() < limit) await clock.sleep(STOP_POLL);
-    await Promise.race([released, clock.sleep(Math.max(0, limit - elapsed()))]);
+    const finished = released.then(() => node.finish());
+    await Promise.race([finished, clock.sleep(Math.max(0, limit - elapsed()))]);
     log.state('stopped', { requestsLeft: server.requestsInFlight });
     setTimeout(exit, STOP_POLL);
   }
--- a/src/fleet/worker-roster.ts
+++ b/src/fleet/worker-roster.ts
@@ -37,7 +37,7 @@
     registry.put(record);
     if (before?.draining === record.draining) return;
     const { id, service, zone, draining } = record;
-    log.state('worker-known', { worker: id, service, zone, draining });
+    log.state('worker-known', { worker: id, service, workerZone: zone, draining });
   }
 
   /**
--- a/src/gateway/account-registry.ts
+++ b/src/gateway/account-registry.ts
@@ -2,7 +2,8 @@
  * Accounts and the tokens they hold. Only digests of tokens are kept, and looking up a token takes
  * the same time whether it is known or not.
  */
-import { createHash, timingSafeEqual } from 'node:crypto';
+import { timingSafeEqual } from 'node:crypto';
+import { digestOf } from '../core/secret-digest.js';
 import type { GatewayAccount } from './gateway-options.js';
 
 const DIGEST_PATTERN = /^[0-9a-f]{64}$/;
@@ -30,7 +31,7 @@
   /** The account named by an `Authorization` header, or `undefined`. */
   find(authorization: string | undefined): GatewayAccount | undefined {
     const token = BEARER_PATTERN.exec(authorization ?? '')?.[1] ?? '';
-    const digest = createHash('sha256').update(token).digest();
+    const digest = Buffer.from(digestOf(token), 'hex');
     let found: GatewayAccount | undefined;
     for (const known of this.#known) {
       if (timingSafeEqual(known.digest, digest)) found = known.account;
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -156,6 +156,7 @@
       headers: item.headers,
       body: Buffer.from(item.body, 'base64'),
       remaining: undefined,
+      ...(job.spec.tenant === undefined ? {} : { tenant: job.spec.tenant }),
       ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
     });
     worker.inFlight -= 1;
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -2,6 +2,7 @@
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
+import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
 import type { OwnerListing } from './job-reader.js';
 import type { JobOwner, JobSpecification } from './job-records.js';
 import type { ResultSlice } from './job-results.js';
@@ -25,6 +26,8 @@
 
 /** What a likely owner told of an item. */
 export interface OwnedBody {
+  /** The tenant that submitted the job. */
+  readonly tenant: TenantName | undefined;
   /** Base64; `undefined` where the job has no such item. */
   readonly body: string | undefined;
 }
@@ -45,8 +48,8 @@
     after: number,
     wait: Milliseconds,
   ): Promise<OwnerListing | undefined>;
-  /** Asks the owner to end a job; tells whether it did. */
-  endAtOwner(owner: JobOwner, job: string): Promise<boolean>;
+  /** Asks the owner to end a job on a caller's behalf; tells whether it did. */
+  endAtOwner(owner: JobOwner, job: string, caller: CallerIdentity): Promise<boolean>;
   /** Has the owner of before give a job up; what it made of the items. */
   surrenderedWork(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>>;
   /** Lives of nodes that probably run a job, the likeliest first, without this node. */
@@ -66,8 +69,9 @@
     job: string,
     after: number,
     wait: Milliseconds,
+    caller: CallerIdentity,
   ): Promise<ResultSlice | Failure | undefined>;
-  endElsewhere(job: string): Promise<PassedOn | undefined>;
+  endElsewhere(job: string, caller: CallerIdentity): Promise<PassedOn | undefined>;
   /** Offers a released job to another node. */
   handOver(job: string): Promise<void>;
   /** Tells the coordinator what a job needs. */
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -4,6 +4,7 @@
  * the store where that does not help.
  */
 import type { Milliseconds } from '../core/units.js';
+import type { TenantName } from '../tenants/tenant.js';
 import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
 import type { JobStore, Read } from './job-store.js';
 
@@ -16,6 +17,7 @@
 
 /** What is known of a job. */
 interface KnownJob {
+  readonly tenant: TenantName | undefined;
   readonly total: number;
   /** Who ran it when its head was read. */
   owner: JobOwner | null;
@@ -25,12 +27,15 @@
 
 /** What a reader of results learns. */
 export interface JobListing {
+  /** The tenant that submitted the job. */
+  readonly tenant: TenantName | undefined;
   readonly total: number;
   readonly results: readonly JobResult[];
 }
 
 /** Results that the owner of a job told, behind those that are known. */
 export interface OwnerListing {
+  readonly tenant: TenantName | undefined;
   /** Items of the job. */
   readonly total: number;
   readonly results: readonly JobResult[];
@@ -90,8 +95,8 @@
     for (const owner of this.likelyOwners(job).slice(0, LIKELY_OWNERS)) {
       const listing = await this.askOwner(owner, job, 0, 0);
       if (listing === undefined) continue;
-      const { total, pages, results } = listing;
-      const opened = { total, owner, pages, results: [...results] };
+      const { tenant, total, pages, results } = listing;
+      const opened = { tenant, total, owner, pages, results: [...results] };
       keep(this.jobs, job, opened, KEPT_JOBS);
       return opened;
     }
@@ -101,8 +106,8 @@
   private async openAtStore(job: string): Promise<KnownJob | Read<never>> {
     const read = await this.store.head(job);
     if (read.kind !== 'found') return read;
-    const { total, owner, ended } = read.value.head;
-    const opened = { total, owner: ended ? null : owner, pages: 0, results: [] };
+    const { tenant, total, owner, ended } = read.value.head;
+    const opened = { tenant, total, owner: ended ? null : owner, pages: 0, results: [] };
     keep(this.jobs, job, opened, KEPT_JOBS);
     return opened;
   }
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -40,6 +40,8 @@
   model: z.string(),
   /** Oldest version of the weights that may make its results. */
   minVersion: z.number(),
+  /** The tenant that submitted it; records of fleets without tenants lack it. */
+  tenant: z.string().optional(),
   /** Whole groups that the trainer waits for. */
   desiredCount: z.number(),
   /** Time of day of the submission, in milliseconds since 1970. */
@@ -57,6 +59,8 @@
 const HEAD = z.object({
   /** The life of a node that runs the items; `null` where none does. */
   owner: OWNER.nullable(),
+  /** The tenant that submitted the job, as in its specification. */
+  tenant: z.string().optional(),
   total: z.number(),
   listed: z.number(),
   pages: z.number(),
--- a/src/jobs/job-results.ts
+++ b/src/jobs/job-results.ts
@@ -13,7 +13,7 @@
 const MAXIMUM_SLICE_BYTES = 900_000;
 
 /** The results from a position on, as many as fit into one answer. */
-export function sliceOf(listing: JobListing, after: number): ResultSlice {
+export function sliceOf(listing: Omit<JobListing, 'tenant'>, after: number): ResultSlice {
   const results: JobResult[] = [];
   let bytes = 0;
   for (const result of listing.results.slice(after)) {
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -2,6 +2,12 @@
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { PeerAnswers } from '../peers/peer-messages.js';
+import {
+  type CallerIdentity,
+  mayAccess,
+  type TenantName,
+  tenantNameOf,
+} from '../tenants/tenant.js';
 import { JobHandover } from './job-handover.js';
 import type { JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
@@ -106,35 +112,55 @@
   }
 
   /** Results from a position on; waits for the first where the job is run here. */
-  async read(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
-    const passedOn = await this.options.peers.readElsewhere(job, after, wait);
-    return passedOn ?? this.readHere(job, after, wait);
+  async read(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+    caller: CallerIdentity,
+  ): Promise<ResultSlice | Failure> {
+    const passedOn = await this.options.peers.readElsewhere(job, after, wait, caller);
+    return passedOn ?? this.readHere(job, after, wait, caller);
   }
 
   /** The same by this node's own knowledge and the store's. */
-  async readHere(job: string, after: number, wait: Milliseconds): Promise<ResultSlice | Failure> {
+  async readHere(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+    caller: CallerIdentity,
+  ): Promise<ResultSlice | Failure> {
     const own = this.owned.answering(job);
-    if (own !== undefined) return this.readOwned(own, after, wait);
+    if (own !== undefined) {
+      if (!mayAccess(caller, own.spec.tenant)) return this.refuse(job, own.spec.tenant, caller);
+      return this.readOwned(own, after, wait, caller);
+    }
     const read = await this.options.reader.listing(job, after, wait);
-    if (read.kind === 'absent') return failure('not_found', 'there is no such job');
+    if (read.kind === 'absent') return NO_SUCH_JOB;
     if (read.kind === 'unavailable') return storeSilent();
+    const { tenant } = read.value;
+    if (!mayAccess(caller, tenant)) return this.refuse(job, tenant, caller);
     return sliceOf(read.value, after);
   }
 
   /** The body of one item. */
-  async body(job: string, item: string): Promise<Buffer | Failure> {
+  async body(job: string, item: string, caller: CallerIdentity): Promise<Buffer | Failure> {
     const own = this.owned.get(job);
     if (own === undefined) {
       const told = await this.options.peers.bodyAtOwner(job, item);
-      if (told !== undefined) return bodyOrAbsent(told.body);
+      if (told !== undefined) {
+        if (!mayAccess(caller, told.tenant)) return this.refuse(job, told.tenant, caller);
+        return bodyOrAbsent(told.body);
+      }
     }
     const read =
       own === undefined
         ? await this.options.reader.specification(job)
         : ({ kind: 'found', value: own.spec } as const);
-    if (read.kind === 'absent') return failure('not_found', 'there is no such job');
+    if (read.kind === 'absent') return NO_SUCH_JOB;
     if (read.kind === 'unavailable') return storeSilent();
-    return bodyOrAbsent(read.value.items.find((entry) => entry.id === item)?.body);
+    const { tenant, items } = read.value;
+    if (!mayAccess(caller, tenant)) return this.refuse(job, tenant, caller);
+    return bodyOrAbsent(items.find((entry) => entry.id === item)?.body);
   }
 
   /** The body of an item of a job that this node runs or ran, for another node. */
@@ -142,7 +168,7 @@
     const own = this.owned.get(job);
     if (own === undefined) return { isOwner: false };
     const body = own.spec.items.find((entry) => entry.id === item)?.body;
-    return { isOwner: true, body };
+    return { isOwner: true, tenant: own.spec.tenant, body };
   }
 
   /** Takes a job over that another node found without an owner; tells whether it is run here. */
@@ -155,27 +181,40 @@
   }
 
   /** Ends a job; `undefined` means that it has ended. */
-  async end(job: string, wanted: StillWanted): Promise<Failure | undefined> {
-    const passedOn = await this.options.peers.endElsewhere(job);
+  async end(
+    job: string,
+    caller: CallerIdentity,
+    wanted: StillWanted,
+  ): Promise<Failure | undefined> {
+    const passedOn = await this.options.peers.endElsewhere(job, caller);
     if (passedOn !== undefined && passedOn.failure === undefined) {
       this.owned.get(job)?.noteEnded();
       return undefined;
     }
-    return this.endHere(job, wanted);
+    return this.endHere(job, caller, wanted);
   }
 
   /** The same by way of the store. */
-  async endHere(job: string, wanted: StillWanted): Promise<Failure | undefined> {
+  async endHere(
+    job: string,
+    caller: CallerIdentity,
+    wanted: StillWanted,
+  ): Promise<Failure | undefined> {
     const own = this.owned.get(job);
+    if (own !== undefined && !mayAccess(caller, own.spec.tenant)) {
+      return this.refuse(job, own.spec.tenant, caller);
+    }
     if (own?.isOpen === true && (await own.end(wanted))) return undefined;
-    if (own === undefined && (await this.endAtLikelyOwner(job))) return undefined;
+    if (own === undefined && (await this.endAtLikelyOwner(job, caller))) return undefined;
     for (;;) {
       const read = await this.options.store.head(job);
-      if (read.kind === 'absent') return failure('not_found', 'there is no such job');
+      if (read.kind === 'absent') return NO_SUCH_JOB;
       if (read.kind === 'found') {
-        const { ended: hasEnded, owner } = read.value.head;
+        const { ended: hasEnded, owner, tenant } = read.value.head;
+        if (!mayAccess(caller, tenant)) return this.refuse(job, tenant, caller);
         if (hasEnded) return undefined;
-        if (owner !== null && (await this.options.peers.endAtOwner(owner, job))) return undefined;
+        const isEnded = owner !== null && (await this.options.peers.endAtOwner(owner, job, caller));
+        if (isEnded) return undefined;
         const ended = { ended: true };
         const change = await this.options.store.replace(job, read.value, ended, wanted);
         if (change.kind === 'changed') return undefined;
@@ -185,9 +224,16 @@
     }
   }
 
-  private async endAtLikelyOwner(job: string): Promise<boolean> {
+  private async endAtLikelyOwner(job: string, caller: CallerIdentity): Promise<boolean> {
     const [owner] = this.options.peers.likelyOwners(job);
-    return owner !== undefined && this.options.peers.endAtOwner(owner, job);
+    return owner !== undefined && this.options.peers.endAtOwner(owner, job, caller);
+  }
+
+  /** Another tenant learns nothing, not even that the job is there; only the log tells them apart. */
+  private refuse(job: string, tenant: TenantName | undefined, caller: CallerIdentity): Failure {
+    const details = { job, tenant: tenant ?? 'none', caller: tenantNameOf(caller) ?? caller.kind };
+    this.options.log.decision('job-access-refused', details);
+    return NO_SUCH_JOB;
   }
 
   /** Removes jobs whose results need not be kept any longer. */
@@ -213,15 +259,16 @@
     if (own === undefined) return { isOwner: false };
     await this.awaitFresh(own, after, wait);
     if (own.ending === 'superseded' || isUnsure(own, after)) return { isOwner: false };
-    const total = own.spec.items.length;
+    const { items, tenant } = own.spec;
+    const total = items.length;
     const pages = own.head?.head.pages ?? 0;
-    return { isOwner: true, total, pages, results: own.results.slice(after) };
+    return { isOwner: true, tenant, total, pages, results: own.results.slice(after) };
   }
 
   /** Ends a job that this node runs; tells whether it has ended. */
-  async endOwn(job: string): Promise<boolean> {
+  async endOwn(job: string, caller: CallerIdentity): Promise<boolean> {
     const own = this.owned.get(job);
-    if (own === undefined) return false;
+    if (own === undefined || !mayAccess(caller, own.spec.tenant)) return false;
     return own.isOpen ? own.end(() => false) : own.ending === 'ended';
   }
 
@@ -229,9 +276,10 @@
     job: OwnedJob,
     after: number,
     wait: Milliseconds,
+    caller: CallerIdentity,
   ): Promise<ResultSlice | Failure> {
     await this.awaitFresh(job, after, wait);
-    if (job.ending === 'superseded') return this.readHere(job.spec.id, after, 0);
+    if (job.ending === 'superseded') return this.readHere(job.spec.id, after, 0, caller);
     if (isUnsure(job, after)) return storeSilent();
     return sliceOf({ total: job.spec.items.length, results: job.results }, after);
   }
@@ -245,6 +293,8 @@
   }
 }
 
+const NO_SUCH_JOB = failure('not_found', 'there is no such job');
+
 /** Whether something may be listed that this owner does not know of, as another owner has listed it. */
 function isUnsure(job: OwnedJob, after: number): boolean {
   const isShort = after >= job.results.length && job.isOpen;
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { TenantName } from '../tenants/tenant.js';
 import type { JobPeers } from './job-peers.js';
 import { type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
 import type { HeadChange, HeadFields, JobStore, StillWanted, VersionedHead } from './job-store.js';
@@ -26,6 +27,12 @@
   readonly self: JobOwner;
 }
 
+/** A submission that the store has not settled yet. */
+interface SubmissionUnderWay {
+  readonly tenant: TenantName | undefined;
+  readonly outcome: Promise<Failure | undefined>;
+}
+
 /** A store that has not taken a job after this time no longer holds up its items. */
 const EARLY_START_DELAY: Milliseconds = 100;
 
@@ -34,7 +41,7 @@
   /** Whether this node stops: it takes jobs in, but runs none any more. */
   private isReleasing = false;
   /** Submissions that the store has not settled yet, by job. */
-  private readonly underWay = new Map<string, Promise<Failure | undefined>>();
+  private readonly underWay = new Map<string, SubmissionUnderWay>();
 
   constructor(private readonly options: JobSubmissionsOptions) {}
 
@@ -45,11 +52,12 @@
 
   /** Takes a job in; `undefined` means that all of it is kept from now on. */
   async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
-    if (this.options.owned.get(spec.id) !== undefined) return undefined;
+    const own = this.options.owned.get(spec.id);
+    if (own !== undefined) return belongsElsewhere(spec, own.spec.tenant);
     const known = this.underWay.get(spec.id);
-    if (known !== undefined) return known;
+    if (known !== undefined) return belongsElsewhere(spec, known.tenant) ?? known.outcome;
     const submission = this.store(spec, wanted);
-    this.underWay.set(spec.id, submission);
+    this.underWay.set(spec.id, { tenant: spec.tenant, outcome: submission });
     return submission.finally(() => this.underWay.delete(spec.id));
   }
 
@@ -65,6 +73,8 @@
     if (change.kind !== 'changed') early?.abandon();
     else if (owner === null) await this.options.peers.handOver(spec.id);
     else await this.ownCreated(spec, change.current, early, kept);
+    const present = change.kind === 'superseded' ? change.current : undefined;
+    if (present !== undefined) return belongsElsewhere(spec, present.head.tenant);
     if (change.kind !== 'unavailable') return undefined;
     // What has begun to run must not be answered as if it had not.
     if (change.mayBeDone || early !== undefined) {
@@ -119,8 +129,18 @@
   }
 }
 
+/** Refuses a job whose id names one of another tenant's, without telling that it is there. */
+function belongsElsewhere(
+  spec: JobSpecification,
+  tenant: TenantName | undefined,
+): Failure | undefined {
+  if (tenant === undefined || tenant === spec.tenant) return undefined;
+  return failure('not_found', 'the id is not usable');
+}
+
 /** The head of a job that its owner is to run; without one it is offered to another node. */
 function firstHead(spec: JobSpecification, owner: JobOwner | null): HeadFields {
-  const { submittedAt, items } = spec;
-  return { owner, total: items.length, listed: 0, pages: 0, ended: false, submittedAt };
+  const { submittedAt, items, tenant } = spec;
+  const head = { owner, total: items.length, listed: 0, pages: 0, ended: false, submittedAt };
+  return tenant === undefined ? head : { ...head, tenant };
 }
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -1,11 +1,13 @@
 /** What nodes of a fleet ask each other directly. */
 import type { Milliseconds, Revision } from '../core/units.js';
+import type { UsageSource, WindowCounts } from '../duties/usage-counts.js';
 import type { Failure } from '../errors/error-kinds.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
 import type { JobOwner, JobResult, JobSpecification } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { StoreChange, StoreItem } from '../shared-store/shared-store.js';
+import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
 
 /** A question to one node. */
 export type PeerRequest =
@@ -21,7 +23,7 @@
       readonly wait: Milliseconds;
     }
   /** End this job, as its owner. */
-  | { readonly kind: 'end-job'; readonly job: string }
+  | { readonly kind: 'end-job'; readonly job: string; readonly caller: CallerIdentity }
   /** This job is mine now: what have you made of it? The store may not have told you yet. */
   | { readonly kind: 'surrender-job'; readonly job: string }
   /** I don't reach the store: take this job in for me. */
@@ -32,9 +34,10 @@
       readonly job: string;
       readonly after: number;
       readonly wait: Milliseconds;
+      readonly caller: CallerIdentity;
     }
   /** I don't reach the store: end this job for me. */
-  | { readonly kind: 'end-for'; readonly job: string }
+  | { readonly kind: 'end-for'; readonly job: string; readonly caller: CallerIdentity }
   /** Take this job over, whose owner is gone, or answers and does not reach the store. */
   | {
       readonly kind: 'adopt-job';
@@ -57,6 +60,8 @@
   | { readonly kind: 'list-prefix'; readonly prefix: string }
   /** Give no more orders as coordinator: the lock is mine, or is about to be. */
   | { readonly kind: 'resign-coordinator' }
+  /** What workers began to run for me; told to the holder of the duties. */
+  | { readonly kind: 'usage-counts'; readonly source: UsageSource; readonly counts: WindowCounts }
   /** What a job needs; told to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
@@ -74,6 +79,8 @@
     | { readonly isOwner: false }
     | {
         readonly isOwner: true;
+        /** The tenant that submitted the job. */
+        readonly tenant: TenantName | undefined;
         readonly total: number;
         readonly results: readonly JobResult[];
         /** Pages of results up to the last one of `results`, where they end with a page. */
@@ -89,7 +96,11 @@
   /** `body` is base64, and undefined where the job has no such item. */
   readonly 'item-body':
     | { readonly isOwner: false }
-    | { readonly isOwner: true; readonly body: string | undefined };
+    | {
+        readonly isOwner: true;
+        readonly tenant: TenantName | undefined;
+        readonly body: string | undefined;
+      };
   readonly 'take-job': { readonly isTaken: boolean };
   readonly 'follow-prefix': /** The node does not surely hear from the store. */
     | { readonly isCurrent: false }
@@ -111,6 +122,7 @@
       };
   /** Time since the machine's last order ended, at the latest when this life of it began. */
   readonly 'resign-coordinator': { readonly lastOrderAge: Milliseconds };
+  readonly 'usage-counts': { readonly isNoted: boolean };
   readonly 'need-weights': { readonly isNoted: boolean };
 }
 
--- a/src/serving/answer-sink.ts
+++ b/src/serving/answer-sink.ts
@@ -1,5 +1,6 @@
 /** Where the answer to one caller's request goes; the ingress implements it. */
 import type { Failure } from '../errors/error-kinds.js';
+import type { CallerIdentity } from '../tenants/tenant.js';
 import type { HeaderList } from './engine-port.js';
 
 /** The caller's side of one request. */
@@ -22,6 +23,8 @@
 export interface CallerRequest {
   readonly requestId: string;
   readonly method: string;
+  /** On whose behalf it comes. */
+  readonly caller: CallerIdentity;
   /** Path and query. */
   readonly path: string;
   readonly host: string;
--- /dev/null
+++ b/src/serving/configuration-in-force.ts
@@ -0,0 +1,120 @@
+/**
+ * The operator's configuration that a node acts on: which route a request takes, on whose behalf it
+ * comes, and what callers may send. It never goes back to an older version.
+ */
+import type { Milliseconds } from '../core/units.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { CallerIdentity } from '../tenants/tenant.js';
+import { RouteMatcher } from './route-matcher.js';
+import type {
+  Route,
+  Service,
+  ServiceName,
+  TrafficConfiguration,
+  TrafficLimits,
+} from './traffic-configuration.js';
+
+/** When to come back to a node that has no configuration yet: some looks at the store later. */
+const CONFIGURATION_RETRY_AFTER: Milliseconds = 300;
+
+const NO_CONFIGURATION = failure('configuration_unavailable', 'no configuration is known yet', {
+  retryAfter: CONFIGURATION_RETRY_AFTER,
+});
+
+/** Options of {@link ConfigurationInForce}. */
+export interface ConfigurationInForceOptions {
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+}
+
+/** Holds the newest configuration. */
+export class ConfigurationInForce {
+  private matcher: RouteMatcher | undefined;
+
+  constructor(private readonly options: ConfigurationInForceOptions) {}
+
+  /** Takes a configuration into force, unless a newer one is; tells whether it did. */
+  apply(configuration: TrafficConfiguration): boolean {
+    const current = this.version;
+    if (current !== undefined && configuration.version <= current) return false;
+    this.matcher = new RouteMatcher(configuration);
+    this.options.log.state('configuration-applied', {
+      version: configuration.version,
+      previous: current ?? 0,
+      routes: configuration.routes.length,
+      tenants: configuration.tenants?.length ?? 0,
+    });
+    return true;
+  }
+
+  /** Routes, ready to be matched; `undefined` before the first configuration. */
+  get routes(): RouteMatcher | undefined {
+    return this.matcher;
+  }
+
+  /** `undefined` before the first configuration. */
+  get version(): number | undefined {
+    return this.matcher?.configuration.version;
+  }
+
+  /** What callers may send; `undefined` before the first configuration. */
+  get limits(): TrafficLimits | undefined {
+    return this.matcher?.configuration.limits;
+  }
+
+  /** All services. */
+  get services(): readonly Service[] {
+    return this.matcher?.configuration.services ?? [];
+  }
+
+  /** Whether results of some route must come from one weight version each. */
+  get needsWholeVersions(): boolean {
+    return this.matcher?.configuration.routes.some((route) => route.singleVersion) ?? false;
+  }
+
+  /** Finds the route of a request, or why there is none. */
+  route(host: string, path: string): Route | Failure {
+    if (this.matcher === undefined) return NO_CONFIGURATION;
+    return this.matcher.match(host, path) ?? failure('not_found', 'no route matches');
+  }
+
+  /** The service that the next request of a route goes to. */
+  nextService(route: Route): ServiceName | undefined {
+    return this.matcher?.nextService(route);
+  }
+
+  /** On whose behalf a request on a route comes, or why it is refused. */
+  identify(key: string | undefined, route: Route, requestId: string): CallerIdentity | Failure {
+    if (this.matcher === undefined) return NO_CONFIGURATION;
+    const caller = this.matcher.tenants.identify(key, route.isPublic);
+    return this.noteIdentified(caller, requestId, route.name);
+  }
+
+  /** On whose behalf a call about a job comes, which names no route, or why it is refused. */
+  identifyJobCaller(
+    key: string | undefined,
+    host: string,
+    requestId: string,
+  ): CallerIdentity | Failure {
+    const { matcher } = this;
+    if (matcher === undefined) return NO_CONFIGURATION;
+    const caller = matcher.tenants.identify(key, matcher.hasPublicBatchRoute(host));
+    return this.noteIdentified(caller, requestId, 'jobs');
+  }
+
+  /** A refusal names the key by its fingerprint only. */
+  private noteIdentified(
+    caller: CallerIdentity | Failure,
+    request: string,
+    route: string,
+  ): CallerIdentity | Failure {
+    if (!('detail' in caller)) return caller;
+    const { kind, detail } = caller;
+    this.options.metrics.count('requests', { kind: 'unidentified', outcome: kind });
+    const details = { request, route, detail, version: this.version ?? 0 };
+    this.options.log.decision('request-unauthenticated', details);
+    return caller;
+  }
+}
--- a/src/serving/engine-port.ts
+++ b/src/serving/engine-port.ts
@@ -2,6 +2,7 @@
 import type { Readable } from 'node:stream';
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { TenantName } from '../tenants/tenant.js';
 import type { HeldModel, WorkerRecord } from './traffic-configuration.js';
 
 /** Header names and values in turn, as they came: spelling and order are kept. */
@@ -21,6 +22,8 @@
   readonly remaining: Milliseconds | undefined;
   /** Rank of the request among those that wait at the worker, 0 the most urgent. */
   readonly priority?: number;
+  /** On whose behalf it runs; the worker is told it, and never the key that proved it. */
+  readonly tenant?: TenantName;
   /** The answer goes on after this event. */
   readonly lastEventId?: number;
 }
--- a/src/serving/forwarded-exchange.ts
+++ b/src/serving/forwarded-exchange.ts
@@ -8,6 +8,7 @@
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
 import type { AnswerSink, CallerRequest } from './answer-sink.js';
 import { type AttemptEnd, isUsable, noteFailure, readAnswerBody } from './attempt.js';
 import type { Clock } from './clock.js';
@@ -25,6 +26,8 @@
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
   readonly zone: ZoneName;
+  /** Told when a worker began to run a tenant's request, by steady time. */
+  readonly noteBegun?: (tenant: TenantName, steadyTime: Milliseconds) => void;
 }
 
 /** A repeatable request goes to a second worker after this share of its wanted latency. */
@@ -42,6 +45,7 @@
   private readonly timeIsUp = new AbortController();
   private mayHaveRun = false;
   private attempts = 0;
+  private hasBegun = false;
   private isAnswered = false;
 
   constructor(
@@ -100,7 +104,11 @@
     this.tried.add(worker.record.id);
     this.attempts += 1;
     worker.inFlight += 1;
+    const sentAt = clock.now();
     const resumeAfter = lastEventId ?? this.request.lastEventId;
+    const { caller } = this.request;
+    const tenant = tenantNameOf(caller);
+    const ownPriority = caller.kind === 'tenant' ? caller.tenant.priority : undefined;
     const outcome = await engine.send(
       {
         worker: worker.record,
@@ -111,7 +119,8 @@
         headers: this.request.headers,
         body: this.request.body,
         remaining: this.request.patience === undefined ? this.routeTime() : this.remaining(),
-        priority: this.route.priority,
+        priority: ownPriority ?? this.route.priority,
+        ...(tenant === undefined ? {} : { tenant }),
         ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
       },
       abort.signal,
@@ -119,9 +128,24 @@
     worker.inFlight -= 1;
     if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, clock.now());
     if (outcome.kind === 'failed' && outcome.mayHaveRun) this.mayHaveRun = true;
+    this.noteBegun(outcome, sentAt);
     return outcome;
   }
 
+  /**
+   * Counts the request once, when its first run began: with the first event of a stream, else when
+   * it was sent, as workers begin such requests as they come.
+   */
+  private noteBegun(outcome: EngineOutcome, sentAt: Milliseconds): void {
+    const { noteBegun, clock } = this.options;
+    const tenant = tenantNameOf(this.request.caller);
+    const hasRun = outcome.kind === 'answered' || (outcome.kind === 'failed' && outcome.mayHaveRun);
+    if (this.hasBegun || !hasRun || tenant === undefined) return;
+    this.hasBegun = true;
+    const isStream = outcome.kind === 'answered' && outcome.isStream;
+    noteBegun?.(tenant, isStream ? clock.now() : sentAt);
+  }
+
   private routeTime(): Milliseconds {
     return Math.max(0, this.remaining());
   }
--- a/src/serving/route-matcher.ts
+++ b/src/serving/route-matcher.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a request: same host, longest path prefix; and splits routes by weight. */
+import { TenantDirectory } from '../tenants/tenant-directory.js';
 import type {
   Route,
   RouteTarget,
@@ -33,8 +34,11 @@
 export class RouteMatcher {
   private readonly byHost = new Map<string, Route[]>();
   private readonly splits = new Map<string, WeightedSplit>();
+  /** Who holds which API key. */
+  readonly tenants: TenantDirectory;
 
   constructor(readonly configuration: TrafficConfiguration) {
+    this.tenants = new TenantDirectory(configuration.tenants);
     for (const route of configuration.routes) {
       const routes = this.byHost.get(route.host) ?? [];
       routes.push(route);
@@ -48,8 +52,13 @@
 
   /** The route with the longest prefix that begins the path; a port in `host` is ignored. */
   match(host: string, path: string): Route | undefined {
-    const name = host.toLowerCase().replace(/:\d+$/, '');
-    return this.byHost.get(name)?.find((route) => path.startsWith(route.pathPrefix));
+    return this.byHost.get(hostNameOf(host))?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** Whether a batch route of this host is open to callers without a key. */
+  hasPublicBatchRoute(host: string): boolean {
+    const routes = this.byHost.get(hostNameOf(host)) ?? [];
+    return routes.some((route) => route.kind === 'batch' && route.isPublic);
   }
 
   /** The service that the next request of a route goes to, by the weights of its targets. */
@@ -62,3 +71,8 @@
     return this.configuration.routes.find((route) => route.name === name);
   }
 }
+
+/** The name in a `Host` header, without its port. */
+function hostNameOf(host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '');
+}
--- a/src/serving/traffic-configuration.ts
+++ b/src/serving/traffic-configuration.ts
@@ -4,6 +4,7 @@
  */
 import type { ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { Tenant } from '../tenants/tenant.js';
 
 /** Name of a pool of workers that serve the same thing. */
 export type ServiceName = string;
@@ -37,6 +38,8 @@
   /** Workers that one request may be sent to. */
   readonly maxAttempts: number;
   readonly targets: readonly RouteTarget[];
+  /** Whether callers need no API key on it. */
+  readonly isPublic: boolean;
   /** Whether a stream may be taken up at another worker. */
   readonly resumable: boolean;
   /** Whether all events of one result must come from one weight version. */
@@ -55,6 +58,18 @@
   readonly maxConnections: number;
   /** Models that its workers hold; empty where they hold none. */
   readonly models: readonly ModelName[];
+  /** `undefined` where the number of its workers is not ours to choose. */
+  readonly scaling: ScalingLimits | undefined;
+}
+
+/** Within which limits the number of a service's workers may be chosen, in each zone by itself. */
+export interface ScalingLimits {
+  readonly fewest: number;
+  readonly most: number;
+  /** Time from an order until a new worker serves. */
+  readonly bootTime: Milliseconds;
+  /** Price of a second of a worker in each zone, against one another. */
+  readonly zonePrices: ReadonlyMap<ZoneName, number>;
 }
 
 /** What clients may send. */
@@ -72,6 +87,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: TrafficLimits;
+  /** `undefined` where callers need no keys. */
+  readonly tenants: readonly Tenant[] | undefined;
 }
 
 /** One model that a worker holds, and at which weights. */
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -21,6 +21,7 @@
     labels: ['outcome'],
   },
   weight_orders: { help: 'Orders to change weights, by outcome', labels: ['outcome'] },
+  duty_calls: { help: "Calls to the operator's cloud interface", labels: ['duty', 'outcome'] },
   unreadable_answers: {
     help: 'Answers that came whole and could not be read, by who gave them and to which call',
     labels: ['from', 'call'],
--- /dev/null
+++ b/test/duties/duty-fixtures.ts
@@ -0,0 +1,106 @@
+/** A cloud interface, a lock and a node's share of usage for tests of duties. */
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { DutyLock } from '../../src/duties/duty-lock.js';
+import type {
+  DutyOutcome,
+  DutyPort,
+  DutyStamp,
+  UsageReport,
+  WorkerOrder,
+} from '../../src/duties/duty-port.js';
+import { UsageCounts } from '../../src/duties/usage-counts.js';
+import { UsageMeter } from '../../src/duties/usage-meter.js';
+import { UsageRecords } from '../../src/duties/usage-records.js';
+import { UsageReporter } from '../../src/duties/usage-reporter.js';
+import { UsageWindows } from '../../src/duties/usage-windows.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+
+export const WINDOW = 5_000;
+export const DUE_AFTER = 10_000;
+
+/** Takes calls down; outcomes that were not given are `accepted`. */
+export class StubCloud implements DutyPort {
+  readonly reports: { readonly report: UsageReport; readonly stamp: DutyStamp }[] = [];
+  readonly orders: WorkerOrder[] = [];
+  outcomes: DutyOutcome[] = [];
+
+  async reportUsage(report: UsageReport, stamp: DutyStamp): Promise<DutyOutcome> {
+    this.reports.push({ report, stamp });
+    return this.outcomes.shift() ?? 'accepted';
+  }
+
+  async orderWorkers(order: WorkerOrder): Promise<DutyOutcome> {
+    this.orders.push(order);
+    return this.outcomes.shift() ?? 'accepted';
+  }
+}
+
+/** A lock that a test gives and takes. */
+export class StubLock implements DutyLock {
+  token: number | undefined = 7;
+  readonly refused: number[] = [];
+  underWay = 0;
+
+  fencingToken(): number | undefined {
+    return this.token;
+  }
+  beginOrder(): number | undefined {
+    if (this.token !== undefined) this.underWay += 1;
+    return this.token;
+  }
+  endOrder(): void {
+    this.underWay -= 1;
+  }
+  noteRefused(token: number): void {
+    this.refused.push(token);
+    this.token = undefined;
+  }
+}
+
+/** One node that may hold the duty. */
+export interface UsageNode {
+  readonly reporter: UsageReporter;
+  readonly meter: UsageMeter;
+  readonly gathered: UsageCounts;
+  readonly records: UsageRecords;
+  readonly lock: StubLock;
+  readonly lines: readonly string[];
+}
+
+/** Nodes that share a store, a cloud and the time. */
+export class UsageFleet {
+  readonly store = new SharedStoreEmulator();
+  readonly cloud = new StubCloud();
+  readonly clock = new ManualClock();
+
+  node(name: string, firstWindow = 0): UsageNode {
+    const { clock, cloud: port } = this;
+    const { log, lines } = recordingLog();
+    const windows = new UsageWindows(clock, WINDOW);
+    const meter = new UsageMeter(windows, 5);
+    const gathered = new UsageCounts();
+    const records = new UsageRecords(this.store, (key) => log.state('record-unreadable', { key }));
+    const lock = new StubLock();
+    const reporter = new UsageReporter({
+      ...{ port, lock, records, windows, gathered, meter, clock, log },
+      source: `${name}-life`,
+      node: name,
+      dueAfter: DUE_AFTER,
+      firstWindow,
+      metrics: new FleetMetrics(),
+    });
+    return { reporter, meter, gathered, records, lock, lines };
+  }
+
+  /** Lets time pass while a node does its regular work. */
+  async pass(duration: number, node: UsageNode): Promise<void> {
+    const end = this.clock.time + duration;
+    while (this.clock.time < end) {
+      this.clock.time += 100;
+      node.reporter.tick();
+      for (let turn = 0; turn < 6; turn += 1) await new Promise((go) => setImmediate(go));
+    }
+  }
+}
--- /dev/null
+++ b/test/duties/worker-scaler.test.ts
@@ -0,0 +1,108 @@
+import t from 'tap';
+import { WorkerScaler } from '../../src/duties/worker-scaler.js';
+import type { Service } from '../../src/serving/traffic-configuration.js';
+import { WorkerRegistry } from '../../src/serving/worker-registry.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+import { recordingLog, worker } from '../serving/serving-fixtures.js';
+import { StubCloud, StubLock } from './duty-fixtures.js';
+
+const scaling = {
+  fewest: 1,
+  most: 9,
+  bootTime: 4_000,
+  zonePrices: new Map([
+    ['zone-1', 1],
+    ['zone-2', 2],
+  ]),
+};
+const service = (name: string, limits: Service['scaling']): Service => ({
+  name,
+  healthPath: '/health',
+  maxConnections: 10,
+  models: [],
+  scaling: limits,
+});
+
+interface Fixture {
+  readonly cloud: StubCloud;
+  readonly lock: StubLock;
+  readonly clock: ManualClock;
+  readonly registry: WorkerRegistry;
+  readonly wanted: Map<string, number>;
+  pass(duration: number): Promise<void>;
+}
+
+function fixture(): Fixture {
+  const cloud = new StubCloud();
+  const lock = new StubLock();
+  const clock = new ManualClock();
+  const registry = new WorkerRegistry();
+  const wanted = new Map([
+    ['zone-1', 1],
+    ['zone-2', 2],
+  ]);
+  const scaler = new WorkerScaler({
+    ...{ port: cloud, lock, clock, registry, node: 'one' },
+    policy: { wanted: () => wanted },
+    services: () => [service('fixed', undefined), service('service', scaling)],
+    log: recordingLog().log,
+    metrics: new FleetMetrics(),
+  });
+  const pass = async (duration: number): Promise<void> => {
+    const end = clock.time + duration;
+    while (clock.time < end) {
+      clock.time += 100;
+      scaler.tick();
+      await new Promise((go) => setImmediate(go));
+    }
+  };
+  return { cloud, lock, clock, registry, wanted, pass };
+}
+
+const ordered = (cloud: StubCloud): string[] =>
+  cloud.orders.map(({ service: name, zone, wanted }) => `${name} ${zone} ${wanted}`);
+
+t.test(
+  'each zone of a scaled service is ordered once, and again when the need changes',
+  async (t) => {
+    const run = fixture();
+    await run.pass(2_000);
+    t.same(ordered(run.cloud), ['service zone-1 1', 'service zone-2 2']);
+    run.wanted.set('zone-2', 3);
+    await run.pass(2_000);
+    t.same(ordered(run.cloud).slice(2), ['service zone-2 3']);
+  },
+);
+
+t.test('an order without an answer is sent again as it was', async (t) => {
+  const run = fixture();
+  run.wanted.delete('zone-2');
+  run.cloud.outcomes = ['unknown', 'throttled', 'unavailable'];
+  await run.pass(5_000);
+  t.same(ordered(run.cloud), Array(4).fill('service zone-1 1'));
+});
+
+t.test('workers that do not come are ordered again after their time to start', async (t) => {
+  const run = fixture();
+  run.wanted.delete('zone-2');
+  await run.pass(9_000);
+  t.equal(run.cloud.orders.length, 1);
+  await run.pass(2_000);
+  t.equal(run.cloud.orders.length, 2);
+  run.registry.put(worker('w1'));
+  await run.pass(30_000);
+  t.equal(run.cloud.orders.length, 2);
+});
+
+t.test('without the lock nothing is ordered, and a refused token is dropped', async (t) => {
+  const run = fixture();
+  run.lock.token = undefined;
+  await run.pass(2_000);
+  t.equal(run.cloud.orders.length, 0);
+  run.lock.token = 8;
+  run.cloud.outcomes = ['superseded'];
+  await run.pass(2_000);
+  t.equal(run.cloud.orders.length, 1);
+  t.same(run.lock.refused, [8]);
+});
--- a/test/fleet/fleet-peers.test.ts
+++ b/test/fleet/fleet-peers.test.ts
@@ -6,6 +6,7 @@
 import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { OWNER, specification } from '../jobs/job-fixtures.js';
 
 /** Zone of each node; `node-1` is the one on trial. */
@@ -66,6 +67,7 @@
     jobs: () => JOBS as unknown as JobService,
     lock: unused,
     relay: unused,
+    usageTold: () => t.fail('nobody told usage'),
     weightsNeeded: unused,
   });
   return { peers, asked, owners: placement.ownersOf(jobId) };
@@ -129,8 +131,8 @@
 
 t.test('a node that reaches the store asks nobody', async (t) => {
   const { peers, asked } = fixture(false, reaching);
-  t.equal(await peers.readElsewhere('job', 0, 0), undefined);
-  t.equal(await peers.endElsewhere('job'), undefined);
+  t.equal(await peers.readElsewhere('job', 0, 0, UNRESTRICTED), undefined);
+  t.equal(await peers.endElsewhere('job', UNRESTRICTED), undefined);
   t.same(asked, []);
 });
 
@@ -138,13 +140,13 @@
   const { peers } = fixture(true, reaching);
   const path = await peers.submitElsewhere(specification('job', 1));
   t.same(path, { kind: 'answered', failure: undefined });
-  t.match(await peers.endElsewhere('job'), { at: 'near' });
+  t.match(await peers.endElsewhere('job', UNRESTRICTED), { at: 'near' });
   const farOnly = fixture(true, (address, request) =>
     request.kind === 'probe'
       ? { isAlive: true, reachesStore: address === 'far' }
       : { read: { at: address } },
   );
-  t.same(await farOnly.peers.readElsewhere('job', 0, 0), { at: 'far' });
+  t.same(await farOnly.peers.readElsewhere('job', 0, 0, UNRESTRICTED), { at: 'far' });
 });
 
 t.test('where no node reaches the store, each does what it can by itself', async (t) => {
@@ -175,9 +177,13 @@
   const { peers } = fixture(true, reaching);
   const probe = await peers.answer({ kind: 'probe', owner: OWNER });
   t.same(probe, { isAlive: true, reachesStore: false, hasDuties: true });
-  t.same(await peers.answer({ kind: 'end-job', job: 'job' }), { isEnded: false });
+  t.same(await peers.answer({ kind: 'end-job', job: 'job', caller: UNRESTRICTED }), {
+    isEnded: false,
+  });
   const sound = fixture(false, reaching);
-  t.same(await sound.peers.answer({ kind: 'end-job', job: 'job' }), { isEnded: true });
+  t.same(await sound.peers.answer({ kind: 'end-job', job: 'job', caller: UNRESTRICTED }), {
+    isEnded: true,
+  });
 });
 
 t.test('an owner that stops answering while it takes a job in is not waited for', async (t) => {
--- a/test/jobs/item-scorer.test.ts
+++ b/test/jobs/item-scorer.test.ts
@@ -4,6 +4,7 @@
 import { JobStore } from '../../src/jobs/job-store.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import {
   answer,
   BROKEN,
@@ -39,7 +40,7 @@
 }
 
 async function resultsOf(node: JobNode, job = 'job'): Promise<readonly JobResult[]> {
-  const read = await node.service.read(job, 0, 0);
+  const read = await node.service.read(job, 0, 0, UNRESTRICTED);
   if ('detail' in read) throw new Error(read.detail);
   return read.results;
 }
@@ -124,7 +125,7 @@
   const run = scenario([text('ab'), 'hang']);
   await run.node.service.submit(scoredSpecification('job', 1), always);
   await workUntil(run.node, () => run.engine.requests.length === 2);
-  t.equal(await run.node.service.end('job', always), undefined);
+  t.equal(await run.node.service.end('job', UNRESTRICTED, always), undefined);
   t.same(run.engine.cancelled, ['s1']);
   await workUntil(run.node, always);
   t.equal(run.engine.requests.length, 2);
@@ -182,7 +183,7 @@
   await run.node.service.submit(scoredSpecification('first', 2), always);
   const first = (): JobResult[] => run.node.service.ownedJobs()[0]?.finishedResults() ?? [];
   await workUntil(run.node, () => first().length === 1);
-  await run.node.service.end('first', always);
+  await run.node.service.end('first', UNRESTRICTED, always);
   await run.node.service.submit(next, always);
   return run;
 }
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -3,6 +3,7 @@
 import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
 import {
   answer,
@@ -24,13 +25,13 @@
   node.registry.put(worker('w1'));
   t.equal(await node.service.submit(specification('job', 2), always), undefined);
   await workUntil(node, isFinished(node));
-  const here = await node.service.read('job', 0, 0);
+  const here = await node.service.read('job', 0, 0, UNRESTRICTED);
   if ('detail' in here) throw new Error(here.detail);
   t.equal(here.total, 2);
   t.equal(here.nextPosition, 2);
   t.same(here.results.map((result) => result.text).sort(), ['a\nb', 'c\nd']);
   const other = jobNode(emulator, OTHER);
-  const there = await other.service.read('job', 1, 0);
+  const there = await other.service.read('job', 1, 0, UNRESTRICTED);
   t.same(there, { total: 2, results: here.results.slice(1), nextPosition: 2 });
 });
 
@@ -44,7 +45,7 @@
   await workUntil(node, isFinished(node));
   t.equal(engine.requests[1]?.lastEventId, 1);
   t.not(engine.requests[0]?.worker.id, engine.requests[1]?.worker.id);
-  const read = await node.service.read('job', 0, 0);
+  const read = await node.service.read('job', 0, 0, UNRESTRICTED);
   t.equal('results' in read && read.results[0]?.text, 'a\nb\nc\nd');
 });
 
@@ -108,7 +109,7 @@
   node.registry.put(worker('w1'));
   await node.service.submit(specification('job', 1), always);
   await workUntil(node, isFinished(node));
-  const read = await node.service.read('job', 0, 0);
+  const read = await node.service.read('job', 0, 0, UNRESTRICTED);
   t.equal('results' in read && read.results[0]?.state, 'terminated');
   t.equal(engine.requests.length, 3);
 });
@@ -128,19 +129,19 @@
 t.test('a job that no node knows is not found; a silent store is said so', async (t) => {
   const emulator = new SharedStoreEmulator();
   const node = jobNode(emulator, OWNER);
-  const absent = await node.service.read('none', 0, 0);
+  const absent = await node.service.read('none', 0, 0, UNRESTRICTED);
   t.equal('kind' in absent && absent.kind, 'not_found');
   emulator.setAvailability('refusing');
-  const unsure = await node.service.read('none', 0, 0);
+  const unsure = await node.service.read('none', 0, 0, UNRESTRICTED);
   t.equal('kind' in unsure && unsure.kind, 'ledger_unavailable');
 });
 
 t.test('bodies come back as they were, at any node', async (t) => {
   const emulator = new SharedStoreEmulator();
   await jobNode(emulator, OWNER).service.submit(specification('job', 2), always);
-  const body = await jobNode(emulator, OTHER).service.body('job', 'item-1');
+  const body = await jobNode(emulator, OTHER).service.body('job', 'item-1', UNRESTRICTED);
   t.equal(Buffer.isBuffer(body) && body.toString(), 'body 1');
-  const none = await jobNode(emulator, OTHER).service.body('job', 'item-9');
+  const none = await jobNode(emulator, OTHER).service.body('job', 'item-9', UNRESTRICTED);
   t.equal('kind' in none && none.kind, 'not_found');
 });
 
@@ -149,9 +150,9 @@
   const owner = jobNode(emulator, OWNER);
   await owner.service.submit(specification('job', 2), always);
   const other = jobNode(emulator, OTHER);
-  t.equal(await other.service.end('job', always), undefined);
-  t.equal(await other.service.end('job', always), undefined);
-  t.equal((await other.service.end('none', always))?.kind, 'not_found');
+  t.equal(await other.service.end('job', UNRESTRICTED, always), undefined);
+  t.equal(await other.service.end('job', UNRESTRICTED, always), undefined);
+  t.equal((await other.service.end('none', UNRESTRICTED, always))?.kind, 'not_found');
   await workUntil(owner, isFinished(owner));
   t.equal(owner.service.ownedJobs()[0]?.ending, 'ended');
 });
@@ -170,7 +171,7 @@
     emulator.setAvailability('up');
     t.equal(await submission, undefined);
     await workUntil(node, isFinished(node));
-    const read = await jobNode(emulator, OTHER).service.read('job', 0, 0);
+    const read = await jobNode(emulator, OTHER).service.read('job', 0, 0, UNRESTRICTED);
     t.equal('results' in read && read.results[0]?.text, 'a');
   },
 );
@@ -223,7 +224,7 @@
   t.ok(await second.service.takeReleased('job'));
   await workUntil(second, isFinished(second));
   t.equal(engine.requests[0]?.lastEventId, 1);
-  const read = await second.service.read('job', 0, 0);
+  const read = await second.service.read('job', 0, 0, UNRESTRICTED);
   t.equal('results' in read && read.results[0]?.text, 'a\nb\nc\nd');
 });
 
@@ -258,10 +259,10 @@
   const node = jobNode(emulator, OWNER);
   const old = (id: string) => ({ ...specification(id, 2), submittedAt: Date.now() - 600_000 });
   await node.service.submit(old('ended'), always);
-  await node.service.end('ended', always);
+  await node.service.end('ended', UNRESTRICTED, always);
   await node.service.submit(old('open'), always);
   await node.service.submit(specification('recent', 2), always);
-  await node.service.end('recent', always);
+  await node.service.end('recent', UNRESTRICTED, always);
   await node.service.removeExpired();
   t.same(emulator.keys('job/head/'), ['job/head/open', 'job/head/recent']);
   t.same(
--- a/test/jobs/surrendered-job.test.ts
+++ b/test/jobs/surrendered-job.test.ts
@@ -6,6 +6,7 @@
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
 import type { SharedStore, StoreFailure } from '../../src/shared-store/shared-store.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
 import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 import { always, OTHER, OWNER, specification } from './job-fixtures.js';
@@ -80,7 +81,7 @@
   const ticker = keepWorking(next);
   await eventually(() => next.service.ownedJobs()[0]?.isOpen === false);
   clearInterval(ticker);
-  const read = await next.service.read('job', 0, 0);
+  const read = await next.service.read('job', 0, 0, UNRESTRICTED);
   const texts = 'results' in read ? read.results.map(({ id, text }) => [id, text]) : [];
   t.same(texts.sort(), [
     ['item-0', 'x\ny\nz'],
@@ -100,7 +101,7 @@
   const { owner, stop } = await cutOffOwner();
   await PROCESS_CLOCK.sleep(800);
   t.same(await owner.service.ownListing('job', 0, 0), { isOwner: false });
-  const read = await owner.service.read('job', 0, 0);
+  const read = await owner.service.read('job', 0, 0, UNRESTRICTED);
   t.match(read, { kind: 'ledger_unavailable' });
   stop();
 });
@@ -122,8 +123,8 @@
   const node = jobNode(emulator, OWNER, new ScriptedEngine(), peers);
   t.equal(await node.service.submit(specification('job', 1), always), undefined);
   t.same(node.service.ownedJobs(), [], 'it is run by the other node');
-  t.equal(await node.service.read('job', 0, 0), slice);
-  t.equal(await node.service.end('job', always), undefined);
+  t.equal(await node.service.read('job', 0, 0, UNRESTRICTED), slice);
+  t.equal(await node.service.end('job', UNRESTRICTED, always), undefined);
   t.same(ended, ['job']);
   node.dispatcher.stop();
 });
--- a/test/platform-adapter/configuration.test.ts
+++ b/test/platform-adapter/configuration.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { parseConfiguration, parseWorker } from '../../platform/configuration.js';
 import { FEED_TRANSLATION } from '../../platform/feeds.js';
+import { digestOf } from '../../src/core/secret-digest.js';
 
 const CONFIGURATION = {
   version: 7,
@@ -83,3 +84,33 @@
   });
   t.equal(event('op/other', '{}'), undefined);
 });
+
+t.test('tenants are read with digests of their keys, and routes that need none', async (t) => {
+  const tenants = [
+    { name: 'north', api_keys: ['key-1', 'key-2'], priority: 1 },
+    { name: 'south', api_keys: [] },
+  ];
+  const open = { ...CONFIGURATION.routes[0], name: 'r-3', public: true };
+  const text = JSON.stringify({ ...CONFIGURATION, routes: [open], tenants });
+  const parsed = parseConfiguration(text);
+  t.notMatch(JSON.stringify(parsed), /key-1/);
+  t.match(parsed?.tenants, [
+    { name: 'north', keyDigests: [digestOf('key-1'), digestOf('key-2')], priority: 1 },
+    { name: 'south', keyDigests: [], priority: undefined },
+  ]);
+  t.equal(parsed?.routes[0]?.isPublic, true);
+  t.equal(parseConfiguration(JSON.stringify(CONFIGURATION))?.tenants, undefined);
+});
+
+t.test('the limits of a service whose workers may be ordered are read', async (t) => {
+  const scaling = { min: 1, max: 21, boot_s: 4, spot_price: 0.18, zone_prices: { a: 1, b: 0.8 } };
+  const services = [{ name: 'one', scaling }, { name: 'two' }];
+  const parsed = parseConfiguration(JSON.stringify({ ...CONFIGURATION, services }));
+  t.same(parsed?.services[0]?.scaling, {
+    fewest: 1,
+    most: 21,
+    bootTime: 4_000,
+    zonePrices: new Map(Object.entries(scaling.zone_prices)),
+  });
+  t.equal(parsed?.services[1]?.scaling, undefined);
+});
--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -267,3 +267,21 @@
   t.equal(await client.report(target), undefined);
   t.equal(told, 1);
 });
+
+t.test(
+  'the worker is told the tenant, whatever the caller sent, and never sees a key',
+  async (t) => {
+    const fixture = await standIn(t, (id, socket) =>
+      socket.write(reply('200 OK', stamped(id), 'ok')),
+    );
+    const headers = [
+      ...['X-WARDWING-TENANT', 'forged', 'x-wardwing-tenant', 'forged', 'X-Own', 'kept'],
+      ...['X-Wardwing-Key', 'secret-1', 'x-wardwing-KEY', 'secret-2'],
+    ];
+    await fixture.send({ headers, tenant: 'north' });
+    const [request = ''] = fixture.requests;
+    t.same(request.match(/x-wardwing-tenant: (.*)/gi), ['x-wardwing-tenant: north']);
+    t.notMatch(request, /secret|forged/);
+    t.match(request, /X-Own: kept/);
+  },
+);
--- a/test/platform-adapter/ingress.test.ts
+++ b/test/platform-adapter/ingress.test.ts
@@ -207,7 +207,7 @@
   store.write('op/config', JSON.stringify({ ...CONFIGURATION, version: 2 }));
   await eventually(() => store.calls.get('watch') !== undefined);
   t.equal((await call('GET', '/look/x')).status, 200);
-  t.equal(node.configurationVersion, 3, 'an older version never comes back');
+  t.equal(node.configuration.version, 3, 'an older version never comes back');
 });
 
 t.test('an item with a scorer is listed with the signature of its score alone', async (t) => {
@@ -239,3 +239,73 @@
   t.equal(refused.status, 400);
   t.match(JSON.parse(refused.body).detail, /requests\.0\.scorer\.path/);
 });
+
+const WITH_TENANTS = {
+  ...CONFIGURATION,
+  version: 4,
+  routes: [
+    ...CONFIGURATION.routes,
+    { ...CONFIGURATION.routes[0], name: 'open', path_prefix: '/open/', public: true },
+  ],
+  tenants: [
+    { name: 'north', api_keys: ['north-1', 'north-2'], priority: 3 },
+    { name: 'south', api_keys: ['south-1'] },
+  ],
+};
+
+async function withTenants(
+  test: Pick<typeof t, 'teardown'>,
+  ...scripts: Script[]
+): Promise<Fixture> {
+  const fixture = await configured(test, ...scripts);
+  fixture.store.write('op/config', JSON.stringify(WITH_TENANTS));
+  await eventually(() => fixture.node.configuration.version === 4);
+  return fixture;
+}
+
+t.test('a key is asked for, checked, and names the tenant to the worker', async (t) => {
+  const fixture = await withTenants(t, answer('one'), answer('two'));
+  t.equal((await fixture.call('POST', '/look/x')).status, 401);
+  t.equal((await fixture.call('POST', '/look/x', '', { 'x-wardwing-key': 'wrong' })).status, 401);
+  t.equal(fixture.engine.requests.length, 0, 'nothing has run');
+  const keyed = await fixture.call('POST', '/look/x', '', { 'x-wardwing-key': 'north-2' });
+  t.equal(keyed.status, 200);
+  t.match(fixture.engine.requests[0], { tenant: 'north', priority: 3 });
+  t.equal((await fixture.call('POST', '/open/x')).status, 200);
+  t.equal(fixture.engine.requests[1]?.tenant, undefined);
+});
+
+t.test('a key that was taken away is refused on a kept connection too', async (t) => {
+  const fixture = await withTenants(t, answer('one'));
+  const key = { 'x-wardwing-key': 'south-1' };
+  t.equal((await fixture.call('POST', '/look/x', '', key)).status, 200);
+  const [north] = WITH_TENANTS.tenants;
+  const without = {
+    ...WITH_TENANTS,
+    version: 5,
+    tenants: [north, { name: 'south', api_keys: [] }],
+  };
+  fixture.store.write('op/config', JSON.stringify(without));
+  await eventually(() => fixture.node.configuration.version === 5);
+  t.equal((await fixture.call('POST', '/look/x', '', key)).status, 401);
+});
+
+t.test('a job is answered for with any key of its tenant, and with no other', async (t) => {
+  const fixture = await withTenants(t, answer(events(0, 'ab'), { isStream: true }));
+  const key = (value: string): object => ({ 'x-wardwing-key': value });
+  t.equal((await fixture.call('POST', '/draw/1', submission(1))).status, 401);
+  t.equal((await fixture.call('POST', '/draw/1', submission(1), key('north-1'))).status, 202);
+  const path = '/wardwing/lots/id-1';
+  t.equal((await fixture.call('GET', path, '', key('north-2'))).status, 200);
+  t.equal((await fixture.call('GET', path)).status, 401);
+  t.equal((await fixture.call('GET', path, '', key('south-1'))).status, 404);
+  t.equal((await fixture.call('DELETE', path, '', key('south-1'))).status, 404);
+  t.equal((await fixture.call('DELETE', path, '', key('north-2'))).status, 200);
+});
+
+t.test('a node without a configuration refuses no key', async (t) => {
+  const fixture = await gateway(t);
+  const key = { 'x-wardwing-key': 'any' };
+  t.equal((await fixture.call('POST', '/look/x', '', key)).status, 503);
+  t.equal((await fixture.call('GET', '/wardwing/lots/id-1', '', key)).status, 503);
+});
--- a/test/platform-adapter/settings.test.ts
+++ b/test/platform-adapter/settings.test.ts
@@ -31,6 +31,7 @@
     storeAddress: '10.0.0.9:8169',
     capacity: 1.35,
     isFirstStart: true,
+    cloud: undefined,
     timings: {
       coordinatorHandOver: 2_500,
       changeBound: 4_000,
@@ -53,3 +54,19 @@
   const malformed = LINES.map((line) => line.replace('grace_s=6', 'grace_s=soon'));
   t.throws(() => parseSettings(malformed.join('\n')), /bounds\.grace_s/);
 });
+
+t.test('the duties towards the cloud interface are read where there is one', async (t) => {
+  const cloud = [
+    'cloud_api.address=10.0.0.8:8560',
+    'cloud_api.duties=usage_report,scaling',
+    'bounds.usage_window_s=5',
+    'bounds.usage_late_s=12',
+  ];
+  t.same(parseSettings([...LINES, ...cloud].join('\n')).cloud, {
+    address: '10.0.0.8:8560',
+    usage: { window: 5_000, dueAfter: 12_000 },
+    scalesWorkers: true,
+  });
+  const oneDuty = cloud.map((line) => line.replace('usage_report,scaling', 'scaling'));
+  t.equal(parseSettings([...LINES, ...oneDuty].join('\n')).cloud?.usage, undefined);
+});
--- a/test/serving/request-forwarder.test.ts
+++ b/test/serving/request-forwarder.test.ts
@@ -5,6 +5,7 @@
 import type { Route } from '../../src/serving/traffic-configuration.js';
 import { WorkerRegistry } from '../../src/serving/worker-registry.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import type { Tenant } from '../../src/tenants/tenant.js';
 import {
   answer,
   BROKEN,
@@ -25,6 +26,8 @@
 interface Forwarded {
   readonly sink: RecordingSink;
   readonly engine: ScriptedEngine;
+  /** Tenants whose requests began to run. */
+  readonly begun: readonly string[];
 }
 
 async function forward(
@@ -35,7 +38,9 @@
   const engine = new ScriptedEngine(scripts);
   const registry = new WorkerRegistry();
   for (const id of ['w1', 'w2', 'w3']) registry.put(worker(id));
+  const begun: string[] = [];
   const forwarder = new RequestForwarder({
+    noteBegun: (tenant) => begun.push(tenant),
     engine,
     versionField: VERSION_FIELD,
     registry,
@@ -47,7 +52,7 @@
   const sink = new RecordingSink();
   const request = callerRequest(requestFields);
   await forwarder.forward(request, route(routeFields), 'service', sink);
-  return { sink, engine };
+  return { sink, engine, begun };
 }
 
 t.test('the answer of a worker goes back as it is', async (t) => {
@@ -141,3 +146,25 @@
   t.equal(sink.body, events(0, 'ab'));
   t.equal(sink.ending, 'broken');
 });
+
+const NORTH: Tenant = { name: 'north', keyDigests: [], priority: 2 };
+
+t.test('a request counts once for its tenant when a worker may have begun it', async (t) => {
+  const caller = { kind: 'tenant', tenant: NORTH } as const;
+  const counts = async (scripts: Script[], routeFields: Partial<Route> = {}): Promise<number> =>
+    (await forward(scripts, routeFields, { caller })).begun.length;
+  t.equal(await counts([answer('one')]), 1);
+  t.equal(await counts([BROKEN, answer('one')]), 1, 'two runs are one request');
+  t.equal(await counts([NOT_RUN, UNREACHED, NOT_RUN]), 0, 'what no worker began is not counted');
+  t.equal(await counts([BROKEN], { kind: 'mutating' }), 1);
+  t.same((await forward([answer('one')])).begun, [], 'nobody to count for');
+});
+
+t.test("a tenant's priority goes before the route's", async (t) => {
+  const caller = { kind: 'tenant', tenant: NORTH } as const;
+  const own = await forward([answer('one')], { priority: 4 }, { caller });
+  t.match(own.engine.requests[0], { tenant: 'north', priority: 2 });
+  const tenant = { ...NORTH, priority: undefined };
+  const none = await forward([answer('one')], { priority: 4 }, { caller: { ...caller, tenant } });
+  t.equal(none.engine.requests[0]?.priority, 4);
+});
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -18,6 +18,7 @@
   WorkerRecord,
 } from '../../src/serving/traffic-configuration.js';
 import { DecisionLog } from '../../src/telemetry/decision-log.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { ManualClock } from '../jobs/job-fixtures.js';
 
 export const VERSION_FIELD = 'weights-version';
@@ -33,6 +34,7 @@
     priority: 1,
     maxAttempts: 3,
     targets: [{ service: 'service', weight: 1 }],
+    isPublic: false,
     resumable: false,
     singleVersion: false,
     maxQueue: 40_000,
@@ -48,7 +50,7 @@
     headerTimeout: 3_000,
     idleTimeout: 15_000,
   };
-  return { version, routes, services: [], limits };
+  return { version, routes, services: [], limits, tenants: undefined };
 }
 
 export function worker(id: string, fields: Partial<WorkerRecord> = {}): WorkerRecord {
@@ -67,6 +69,7 @@
 export function callerRequest(fields: Partial<CallerRequest> = {}): CallerRequest {
   return {
     requestId: 'request-1',
+    caller: UNRESTRICTED,
     method: 'POST',
     path: '/a/x',
     host: 'site.example',
--- /dev/null
+++ b/test/tenants/tenant-directory.test.ts
@@ -0,0 +1,55 @@
+import t from 'tap';
+import { digestOf } from '../../src/core/secret-digest.js';
+import { mayAccess, type Tenant, UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { TenantDirectory } from '../../src/tenants/tenant-directory.js';
+
+const tenant = (name: string, ...keys: string[]): Tenant => ({
+  name,
+  keyDigests: keys.map(digestOf),
+  priority: undefined,
+});
+
+const DIRECTORY = new TenantDirectory([
+  tenant('north', 'key-1', 'key-2'),
+  tenant('south', 'key-3'),
+]);
+
+t.test('each key of a tenant proves it', async (t) => {
+  t.match(DIRECTORY.identify('key-2', false), { kind: 'tenant', tenant: { name: 'north' } });
+  t.match(DIRECTORY.identify('key-3', false), { kind: 'tenant', tenant: { name: 'south' } });
+});
+
+t.test('an unknown key, two keys in one and a missing key are refused', async (t) => {
+  for (const key of ['key-4', 'key-1, key-1', 'KEY-1', '', undefined]) {
+    t.match(DIRECTORY.identify(key, false), { kind: 'unauthenticated' }, `key ${key}`);
+  }
+});
+
+t.test('a refusal names the key by its fingerprint only', async (t) => {
+  const refusal = DIRECTORY.identify('wrong-secret', false);
+  t.notMatch(JSON.stringify(refusal), /wrong-secret/);
+  t.match(JSON.stringify(refusal), digestOf('wrong-secret').slice(0, 8));
+});
+
+t.test(
+  'a route that is open to all needs no key, and a known one still names its tenant',
+  async (t) => {
+    t.same(DIRECTORY.identify(undefined, true), { kind: 'anonymous' });
+    t.same(DIRECTORY.identify('key-4', true), { kind: 'anonymous' });
+    t.match(DIRECTORY.identify('key-1', true), { kind: 'tenant', tenant: { name: 'north' } });
+  },
+);
+
+t.test('without tenants nobody is asked; with an empty list nobody gets in', async (t) => {
+  t.equal(new TenantDirectory(undefined).identify('key', false), UNRESTRICTED);
+  t.match(new TenantDirectory([]).identify('key', false), { kind: 'unauthenticated' });
+});
+
+t.test('what belongs to a tenant is reached by that tenant only', async (t) => {
+  const north = { kind: 'tenant', tenant: tenant('north') } as const;
+  t.ok(mayAccess(north, 'north'));
+  t.notOk(mayAccess(north, 'south'));
+  t.notOk(mayAccess({ kind: 'anonymous' }, 'south'));
+  t.ok(mayAccess({ kind: 'anonymous' }, undefined));
+  t.ok(mayAccess(UNRESTRICTED, 'south'));
+});
