The soak has tenants, rotates their keys and checks what workers are told

Change: each configuration of the soak gives every tenant a new key and takes its oldest away; workers check the tenant they are told against the caller's, and that no header holds a key; a caller asks with keys that went 3 s before, in calm. Promises tenant-told and key-revoked, with tests of the checker.

--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -2,7 +2,8 @@
  * Checks the promises by what callers and workers see on their sockets: complete answers, samples
  * whose text and versions are those that were made, positions that never change, jobs that stay,
  * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
- * score request after its text, and no work for jobs that have ended.
+ * score request after its text, no work for jobs that have ended, and none under another tenant than
+ * the one whose key was shown.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 
@@ -16,6 +17,8 @@
     | 'positions'
     | 'job-kept'
     | 'refusal-true'
+    | 'tenant-told'
+    | 'key-revoked'
     | 'fencing'
     | 'ended-job'
     | 'leaving-worker';
@@ -60,6 +63,9 @@
   return `${item}.${index}.v${version}`;
 }
 
+/** How all API keys of the soak begin. */
+export const KEY_PREFIX = 'key-';
+
 /** Collects what was seen and says what was broken. */
 export class PromiseChecker {
   readonly violations: Violation[] = [];
@@ -67,6 +73,7 @@
   checked = 0;
   private readonly jobs = new Map<string, KnownJob>();
   private readonly jobOfItem = new Map<string, string>();
+  private readonly tenants = new Map<string, string>();
   private readonly startedItems = new Set<string>();
   private readonly holders = new Map<number, string>();
   private readonly itemOfScore = new Map<string, string>();
@@ -82,6 +89,25 @@
     this.check(body === expected, 'complete-answer', `${request} got ${body.slice(0, 60)}`);
   }
 
+  /** A caller is about to ask under a tenant's key; its items run under the same tenant. */
+  requestOffered(request: string, tenant: string): void {
+    this.tenants.set(request, tenant);
+  }
+
+  /** A worker took a request, told of a tenant; its headers are looked through for keys. */
+  tenantTold(request: string, tenant: string | undefined, headers: readonly string[]): void {
+    const job = this.jobOfItem.get(request);
+    const asked = this.tenants.get(job ?? request);
+    this.check(tenant === asked, 'tenant-told', `${request} of ${asked} ran for ${tenant}`);
+    const holdsKey = headers.some((value) => value.startsWith(KEY_PREFIX));
+    this.check(!holdsKey, 'tenant-told', `${request} came with its key`);
+  }
+
+  /** A request with a key that was taken away came to a status. */
+  revokedKeyAnswered(status: number, age: Milliseconds): void {
+    this.check(status !== 200, 'key-revoked', `served ${Math.round(age)} ms after its key went`);
+  }
+
   /** A job is about to be handed in for the first time. */
   jobOffered(job: SubmittedJob): void {
     this.jobs.set(job.id, { ...job, isAccepted: false, endedAt: undefined, positions: [] });
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -7,6 +7,7 @@
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import type { PromiseChecker } from './promise-checker.js';
+import type { SoakKeys } from './soak-keys.js';
 import { EVENT_COUNT_HEADER, SCORE_PREFIX } from './worker-stand-in.js';
 
 /** Where the routes of the soak lead. */
@@ -23,6 +24,10 @@
 const CALL_LIMIT: Milliseconds = 2_500;
 const LOOKUP_LIMIT: Milliseconds = 1_500;
 
+/** Time after which a key that was taken away is of no use at any calm gateway. */
+const REVOCATION_LIMIT: Milliseconds = 3_000;
+const REVOKED_INTERVAL: Milliseconds = 150;
+
 const RESULTS = z.object({
   total: z.number(),
   next_page_token: z.number(),
@@ -40,6 +45,9 @@
 /** What callers need of the soak around them. */
 export interface CallerSurroundings {
   readonly checker: PromiseChecker;
+  readonly keys: SoakKeys;
+  /** Whether no fault is going on that excuses a key's late end. */
+  readonly isCalm: () => boolean;
   readonly random: RandomSource;
   readonly now: () => Milliseconds;
   /** Front addresses of the gateways. */
@@ -72,7 +80,7 @@
 
   /** Begins to ask. */
   start(): void {
-    this.loops = [this.lookups(), this.lookups(), this.trainer()];
+    this.loops = [this.lookups(), this.lookups(), this.trainer(), this.revokedLookups()];
   }
 
   /** Asks no more; resolves when nothing is under way. */
@@ -95,12 +103,28 @@
     }
   }
 
+  /** Asks with keys that were taken away some time ago; nothing may run for them. */
+  private async revokedLookups(): Promise<void> {
+    const { checker, random, keys, isCalm } = this.surroundings;
+    while (!this.isStopped) {
+      await sleep(REVOKED_INTERVAL);
+      const age = keys.timeSinceRotation;
+      if (!isCalm() || age < REVOCATION_LIMIT) continue;
+      const id = random.identifier();
+      const key = keys.revokedKey('brokers');
+      const answer = await this.call('POST', `${LOOKUP_PREFIX}${id}`, { id, key });
+      if (answer !== undefined) checker.revokedKeyAnswered(answer.status, age);
+    }
+  }
+
   private async lookups(): Promise<void> {
-    const { checker, random } = this.surroundings;
+    const { checker, random, keys } = this.surroundings;
     while (!this.isStopped) {
       const id = random.identifier();
+      checker.requestOffered(id, 'brokers');
       const answer = await this.call('POST', `${LOOKUP_PREFIX}${id}`, {
         id,
+        key: keys.currentKey('brokers'),
         body: `question-${id}`,
         limit: LOOKUP_LIMIT,
       });
@@ -135,6 +159,7 @@
     }));
     const events = new Map(items.map((item) => [item.id, item.events]));
     const scoreRequests = new Map(items.map((item) => [item.id, item.scoreRequest]));
+    checker.requestOffered(id, 'trainers');
     checker.jobOffered({ id, minVersion, events, scoreRequests });
     const deadline = now() + STEP_LIMIT;
     const body = JSON.stringify({
@@ -226,7 +251,7 @@
   private call(
     method: string,
     path: string,
-    { id, body, wait, limit = CALL_LIMIT }: CallOptions,
+    { id, body, wait, limit = CALL_LIMIT, key }: CallOptions,
   ): Promise<Answer | undefined> {
     const { random } = this.surroundings;
     const addresses = this.surroundings.addresses();
@@ -237,6 +262,8 @@
       connection: 'close',
       [HEADERS.requestId]: id,
       [HEADERS.deadline]: String(limit),
+      [HEADERS.key]: key ?? this.surroundings.keys.currentKey('trainers'),
+      [HEADERS.tenant]: 'forged',
     };
     if (wait !== undefined) headers[HEADERS.wait] = String(wait);
     return new Promise((resolve) => {
@@ -268,6 +295,8 @@
 }
 
 interface CallOptions {
+  /** API key; that of the trainer where none is given. */
+  readonly key?: string;
   readonly id: string;
   readonly body?: string;
   readonly wait?: Milliseconds;
--- /dev/null
+++ b/lab/soak/soak-keys.ts
@@ -0,0 +1,50 @@
+/**
+ * The API keys of the soak: each new configuration gives every tenant a new key and takes the oldest
+ * of its two away, so that callers always hold one that is in force in two configurations.
+ */
+import type { Milliseconds } from '../../src/core/units.js';
+import { KEY_PREFIX } from './promise-checker.js';
+
+/** The tenant of lookups, and the one of the trainer. */
+export type SoakTenant = 'brokers' | 'trainers';
+
+/** All tenants. */
+export const SOAK_TENANTS: readonly SoakTenant[] = ['brokers', 'trainers'];
+
+/** Knows which keys hold. */
+export class SoakKeys {
+  private generation = 1;
+  private rotatedAt: Milliseconds = 0;
+
+  constructor(private readonly now: () => Milliseconds) {}
+
+  /** A new configuration: the keys that it holds, by tenant. */
+  rotate(): readonly { readonly name: SoakTenant; readonly api_keys: readonly string[] }[] {
+    this.generation += 1;
+    this.rotatedAt = this.now();
+    const generations = [this.generation - 1, this.generation];
+    return SOAK_TENANTS.map((name) => ({
+      name,
+      api_keys: generations.map((generation) => keyOf(name, generation)),
+    }));
+  }
+
+  /** A key that the newest configuration and the one before hold. */
+  currentKey(tenant: SoakTenant): string {
+    return keyOf(tenant, this.generation - 1);
+  }
+
+  /** A key that the newest configuration took away. */
+  revokedKey(tenant: SoakTenant): string {
+    return keyOf(tenant, this.generation - 2);
+  }
+
+  /** Time since keys were last taken away. */
+  get timeSinceRotation(): Milliseconds {
+    return this.now() - this.rotatedAt;
+  }
+}
+
+function keyOf(tenant: SoakTenant, generation: number): string {
+  return `${KEY_PREFIX}${tenant}-${generation}`;
+}
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -14,6 +14,7 @@
   SOAK_HOST,
   SoakCallers,
 } from './soak-callers.js';
+import { SoakKeys } from './soak-keys.js';
 import { WorkerPool } from './worker-pool.js';
 import { SCORE_PREFIX } from './worker-stand-in.js';
 
@@ -60,13 +61,14 @@
   private readonly underWay = new Set<Promise<void>>();
   private newest: WeightVersion = 1;
   private configurationVersion = 0;
+  private readonly keys = new SoakKeys(() => this.elapsed());
   private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: SoakOptions) {
     const now = (): Milliseconds => performance.now() - this.startedAt;
     this.checker = new PromiseChecker(now);
     this.gateways = new GatewayGroup(options.folder, () => this.store.open());
-    const isCalm = (): boolean => this.underWay.size === 0 && now() - this.lastFaultAt > CALM_AFTER;
+    const isCalm = (): boolean => this.isCalm();
     const surroundings = { checker: this.checker, model: MODEL, now, isCalm };
     const random = createRandomSource(options.seed + 1);
     this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
@@ -82,6 +84,8 @@
     await this.gateways.start(this.options.gateways);
     const callers = new SoakCallers({
       checker: this.checker,
+      keys: this.keys,
+      isCalm: () => this.isCalm(),
       random: createRandomSource(seed + 2),
       now: () => this.elapsed(),
       addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
@@ -101,6 +105,10 @@
     return { faults: faults.length, checked, violations, counts: callers.counts };
   }
 
+  private isCalm(): boolean {
+    return this.underWay.size === 0 && this.elapsed() - this.lastFaultAt > CALM_AFTER;
+  }
+
   private elapsed(): Milliseconds {
     return performance.now() - this.startedAt;
   }
@@ -254,6 +262,7 @@
         { name: MODEL_SERVICE, engine: { models: [{ name: MODEL }] } },
         { name: LOOKUP_SERVICE },
       ],
+      tenants: this.keys.rotate(),
       limits: {
         max_header_bytes: 16_384,
         max_body_bytes: 33_554_432,
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -144,6 +144,12 @@
       return;
     }
     const stamped = { ...base, [HEADERS.stamp]: `stamp-${this.id}` };
+    const { checker } = this.surroundings;
+    // Score requests come without a tenant.
+    if (!request.url?.startsWith(SCORE_PREFIX)) {
+      const tenant = request.headers[HEADERS.tenant];
+      checker.tenantTold(id, typeof tenant === 'string' ? tenant : undefined, request.rawHeaders);
+    }
     this.running += 1;
     response.once('close', () => {
       this.running -= 1;
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -148,3 +148,29 @@
   unknown.checker.scoreAsked('score-of-none', true);
   t.same(unknown.broken(), ['sample-score']);
 });
+
+t.test('work under another tenant, or with the key, is told', async (t) => {
+  const checker = new PromiseChecker(() => 0);
+  checker.requestOffered('job', 'north');
+  checker.jobOffered({ id: 'job', minVersion: 1, events: new Map([['item', 1]]) });
+  checker.requestOffered('lookup', 'south');
+  checker.tenantTold('item', 'north', ['X-Own', 'kept']);
+  checker.tenantTold('lookup', 'south', []);
+  t.same(checker.violations, []);
+  checker.tenantTold('item', 'south', []);
+  checker.tenantTold('lookup', undefined, []);
+  checker.tenantTold('lookup', 'south', ['X-Any', 'key-south-3']);
+  t.same(
+    checker.violations.map(({ promise }) => promise),
+    ['tenant-told', 'tenant-told', 'tenant-told'],
+  );
+});
+
+t.test('a request that was served with a key long gone is told', async (t) => {
+  const checker = new PromiseChecker(() => 0);
+  checker.revokedKeyAnswered(401, 4_000);
+  checker.revokedKeyAnswered(503, 4_000);
+  t.same(checker.violations, []);
+  checker.revokedKeyAnswered(200, 4_000);
+  t.match(checker.violations, [{ promise: 'key-revoked' }]);
+});
