A worker's pace weighs by the length of the item that is placed

Cause: a third of the workers need 64 ms for an event where the others need 50. Change: the pace counts by the guessed length against the job's mean, between 0.25 and 4 times; what goes on after a break counts as long.

--- a/src/jobs/item-placement.ts
+++ b/src/jobs/item-placement.ts
@@ -12,6 +12,8 @@
 export interface ItemNeeds {
   readonly model: ModelName;
   readonly minVersion: WeightVersion;
+  /** How long the item is expected to run, against the mean of its job. */
+  readonly relativeLength: number;
   /** The only version that fits, where events exist that must not be mixed. */
   readonly boundVersion: WeightVersion | undefined;
 }
@@ -19,6 +21,16 @@
 /** Weight of a worker's occupied share beside its pace, in multiples of the median pace. */
 const OCCUPANCY_WEIGHT = 0.6;
 
+/**
+ * A slow worker costs a long item seconds and a short one little, so the pace weighs by the item's
+ * length, within these limits: guesses of lengths are often far off.
+ */
+const LEAST_LENGTH_WEIGHT = 0.25;
+const LARGEST_LENGTH_WEIGHT = 4;
+
+/** An item that goes on after a break was mostly a long one: it counts as this many means at least. */
+const RESUMED_LENGTH = 3;
+
 /** Gain of a worker that has read the group's shared prompt. */
 const SHARED_PROMPT_GAIN = 0.15;
 
@@ -29,9 +41,11 @@
 const FASTER_PACE_RATIO = 1.15;
 
 /** What the next run of an item needs. */
-export function needsOf({ spec }: OwnedJob, { progress }: OwnedItem): ItemNeeds {
-  const { model, minVersion } = spec;
-  return { model, minVersion, boundVersion: progress.boundVersion };
+export function needsOf(job: OwnedJob, { item, progress }: OwnedItem): ItemNeeds {
+  const { model, minVersion } = job.spec;
+  const guess = item.expectedLength / job.meanExpectedLength;
+  const relativeLength = progress.eventCount > 0 ? Math.max(RESUMED_LENGTH, guess) : guess;
+  return { model, minVersion, relativeLength, boundVersion: progress.boundVersion };
 }
 
 /** Whether a worker may run an item now. */
@@ -69,11 +83,16 @@
   now: Milliseconds,
 ): KnownWorker | undefined {
   const median = medianPace(workers);
+  const { relativeLength } = needs;
+  const lengthWeight = Math.min(
+    LARGEST_LENGTH_WEIGHT,
+    Math.max(LEAST_LENGTH_WEIGHT, relativeLength),
+  );
   const score = (worker: KnownWorker): number => {
     const pace = (worker.pace ?? median) / median;
     const occupied = worker.occupancy(now) / worker.record.slots;
     const shared = worker.record.id === sharedPromptWorker ? SHARED_PROMPT_GAIN : 0;
-    return pace + OCCUPANCY_WEIGHT * occupied - shared;
+    return lengthWeight * pace + OCCUPANCY_WEIGHT * occupied - shared;
   };
   const candidates = workers.filter((worker) => mayRun(worker, needs, now));
   return candidates.reduce<KnownWorker | undefined>(
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -34,6 +34,8 @@
 
 /** One job that this node runs. */
 export class OwnedJob {
+  /** Mean of the guessed lengths of its items; at least 1. */
+  readonly meanExpectedLength: number;
   readonly items = new Map<string, OwnedItem>();
   /** Fires when results were listed or the ownership ended. */
   readonly changed = new Subject<void>();
@@ -57,6 +59,7 @@
     this.listed.push(...listed);
     this.confirmedAt = clock.now();
     const done = new Set(listed.map((result) => result.id));
+    this.meanExpectedLength = meanLengthOf(spec);
     for (const item of spec.items) {
       if (done.has(item.id)) continue;
       const entry = newOwnedItem(item, rule);
@@ -305,3 +308,8 @@
     return isClosing ? CLOSING_LISTING_INTERVAL : LISTING_INTERVAL;
   }
 }
+
+function meanLengthOf({ items }: JobSpecification): number {
+  const sum = items.reduce((total, item) => total + item.expectedLength, 0);
+  return Math.max(1, sum / Math.max(1, items.length));
+}
--- a/test/jobs/item-placement.test.ts
+++ b/test/jobs/item-placement.test.ts
@@ -10,7 +10,12 @@
 import { worker } from '../serving/serving-fixtures.js';
 
 const NOW = 10_000;
-const NEEDS: ItemNeeds = { model: 'model-a', minVersion: 1, boundVersion: undefined };
+const NEEDS: ItemNeeds = {
+  model: 'model-a',
+  minVersion: 1,
+  relativeLength: 1,
+  boundVersion: undefined,
+};
 
 function known(id: string, pace: number, fields = {}): KnownWorker {
   const made = new KnownWorker(worker(id, fields));
@@ -35,6 +40,16 @@
   t.equal(placeItem([one, two], NEEDS, 'one', NOW), one);
 });
 
+t.test('a long item keeps off a slower worker, a short one takes the emptier one', async (t) => {
+  const usual = known('usual', 50, { slots: 8 });
+  const slower = known('slower', 64, { slots: 8 });
+  usual.inFlight = 5;
+  t.equal(placeItem([usual, slower], { ...NEEDS, relativeLength: 4 }, undefined, NOW), usual);
+  t.equal(placeItem([usual, slower], { ...NEEDS, relativeLength: 0.3 }, undefined, NOW), slower);
+  usual.inFlight = 8;
+  t.equal(placeItem([usual, slower], { ...NEEDS, relativeLength: 4 }, undefined, NOW), slower);
+});
+
 t.test('workers that leave, have failed or hold other weights are passed over', async (t) => {
   const leaving = known('leaving', 40, { draining: true });
   const failed = known('failed', 40);
