A worker that goes on refusing is passed over for longer each time

Change: the time for which a refusing worker is passed over doubles with each refusal in a row, 100 to 800 ms; refusals of requests that were sent together count once; the item itself waits 10 ms instead of 80, as others are asked.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -39,7 +39,8 @@
 
 /** Pause before an item is sent again. */
 const RETRY_PAUSE: Milliseconds = 40;
-const FULL_PAUSE: Milliseconds = 80;
+/** The worker that refused is passed over meanwhile; others are asked soon. */
+const FULL_PAUSE: Milliseconds = 10;
 const FAILED_ATTEMPT_PAUSE: Milliseconds = 100;
 
 /** Sends items to workers. */
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -14,8 +14,12 @@
 const FAILURE_PENALTY: Milliseconds = 400;
 const LONGEST_PENALTY: Milliseconds = 3_200;
 
-/** Time that a worker is passed over after it said that it was full. */
+/**
+ * Time that a worker is passed over after it said that it was full, doubled with each refusal in a row
+ * up to the limit: one that loads weights refuses everything for most of a second, and looks empty.
+ */
 const FULL_PENALTY: Milliseconds = 100;
+const LONGEST_FULL_PENALTY: Milliseconds = 800;
 
 /** Time that a worker is passed over after its streams paused. */
 const STALL_PENALTY: Milliseconds = 600;
@@ -43,6 +47,7 @@
   pace: Milliseconds | undefined;
   private penalizedUntil: Milliseconds = 0;
   private failuresInARow = 0;
+  private refusalsInARow = 0;
   private readonly shownVersions = new Map<ModelName, WeightVersion>();
   private load: ReportedLoad | undefined;
   private loadAt: Milliseconds = 0;
@@ -53,12 +58,16 @@
   noteOutcome(outcome: WorkerOutcome, now: Milliseconds): void {
     if (outcome === 'success') {
       this.failuresInARow = 0;
+      this.refusalsInARow = 0;
       this.penalizedUntil = 0;
       return;
     }
-    if (outcome !== 'failure') {
-      const penalty = outcome === 'full' ? FULL_PENALTY : STALL_PENALTY;
-      this.penalizedUntil = Math.max(this.penalizedUntil, now + penalty);
+    if (outcome === 'full') {
+      this.noteRefusal(now);
+      return;
+    }
+    if (outcome === 'stalled') {
+      this.penalizedUntil = Math.max(this.penalizedUntil, now + STALL_PENALTY);
       return;
     }
     const penalty = Math.min(FAILURE_PENALTY * 2 ** this.failuresInARow, LONGEST_PENALTY);
@@ -66,6 +75,14 @@
     this.penalizedUntil = now + penalty;
   }
 
+  /** Requests that were sent together are refused together: that counts once. */
+  private noteRefusal(now: Milliseconds): void {
+    if (this.isPenalized(now)) return;
+    const penalty = Math.min(FULL_PENALTY * 2 ** this.refusalsInARow, LONGEST_FULL_PENALTY);
+    this.refusalsInARow += 1;
+    this.penalizedUntil = now + penalty;
+  }
+
   /** Takes note of the load that the worker told. */
   noteLoad(load: ReportedLoad | undefined, now: Milliseconds): void {
     if (load === undefined) return;
--- /dev/null
+++ b/test/serving/worker-registry.test.ts
@@ -0,0 +1,25 @@
+import t from 'tap';
+import { KnownWorker } from '../../src/serving/worker-registry.js';
+import { worker } from './serving-fixtures.js';
+
+/** Time for which a worker is passed over after a refusal at a moment. */
+function penaltyOf(known: KnownWorker, now: number): number {
+  known.noteOutcome('full', now);
+  let duration = 0;
+  while (known.isPenalized(now + duration)) duration += 1;
+  return duration;
+}
+
+t.test('a worker that goes on refusing is passed over for longer each time', async (t) => {
+  const known = new KnownWorker(worker('w1'));
+  const penalties = [0, 1_000, 2_000, 3_000, 4_000].map((now) => penaltyOf(known, now));
+  t.same(penalties, [100, 200, 400, 800, 800]);
+});
+
+t.test('requests that are refused together count once, and an answer forgives', async (t) => {
+  const known = new KnownWorker(worker('w1'));
+  for (let request = 0; request < 8; request += 1) known.noteOutcome('full', 50);
+  t.notOk(known.isPenalized(150));
+  known.noteOutcome('success', 160);
+  t.equal(penaltyOf(known, 200), 100);
+});
