--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -4,8 +4,7 @@
  */
 
 import { randomUUID } from 'node:crypto';
-import type { ModelName } from '../core/identity.js';
-import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { ItemDispatcher } from '../jobs/item-dispatcher.js';
 import { JobReader } from '../jobs/job-reader.js';
@@ -23,8 +22,7 @@
 } from '../serving/traffic-configuration.js';
 import { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
-import { CoordinatorLock } from './coordinator-lock.js';
-import { FleetDuties } from './fleet-duties.js';
+import { Coordination } from './coordination.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
@@ -32,9 +30,7 @@
 import { JobPlacement } from './job-placement.js';
 import { JobTakeover } from './job-takeover.js';
 import { PeerMonitor, type Suspicion } from './peer-monitor.js';
-import { StorageDrains } from './storage-drains.js';
 import { WatchRelay } from './watch-relay.js';
-import { type NamedVersion, WeightRollout } from './weight-rollout.js';
 import { WorkerRoster } from './worker-roster.js';
 
 /** Time between two rounds of regular work. */
@@ -49,12 +45,6 @@
 /** Time by which each watching node lets the one before it take over first. */
 const SUSPICION_RANK_DELAY: Milliseconds = 500;
 
-/** Time between two looks for jobs that need not be kept. */
-const REMOVAL_INTERVAL: Milliseconds = 60_000;
-
-/** Time between two looks of the coordinator for jobs without a live owner. */
-const SWEEP_INTERVAL: Milliseconds = 5_000;
-
 /** Time between two lines with all counters. */
 const REPORT_INTERVAL: Milliseconds = 10_000;
 
@@ -78,15 +68,9 @@
   readonly peerHandler: FleetPeers;
   private readonly relay: WatchRelay;
   private readonly placement: JobPlacement;
-  private readonly lock: CoordinatorLock;
-  private readonly rollout: WeightRollout;
-  private readonly drains: StorageDrains;
-  private readonly duties: FleetDuties | undefined;
-  private readonly named = new Map<ModelName, NamedVersion>();
+  private readonly coordination: Coordination;
   private workersListed = false;
   private isStopping = false;
-  private nextRemovalAt: Milliseconds = REMOVAL_INTERVAL;
-  private nextSweepAt: Milliseconds = 0;
   private nextDutyLookAt: Milliseconds = 0;
   private ticker: NodeJS.Timeout | undefined;
   private reporter: NodeJS.Timeout | undefined;
@@ -129,15 +113,15 @@
       clock,
       metrics,
       jobs: () => this.jobs,
-      lock: () => this.lock,
+      lock: () => this.coordination.lock,
       relay: () => relay,
-      usageTold: (source, counts) => this.duties?.take(source, counts),
-      weightsNeeded: (need) => this.rollout.require(need),
+      usageTold: (source, counts) => this.coordination.duties?.take(source, counts),
+      weightsNeeded: (need) => this.coordination.requireWeights(need),
     });
     const peers = this.peerHandler;
     this.forwarder = new RequestForwarder({
       ...shared,
-      noteBegun: (tenant, at) => this.duties?.meter?.noteBegun(tenant, at),
+      noteBegun: (tenant, at) => this.coordination.duties?.meter?.noteBegun(tenant, at),
     });
     this.dispatcher = new ItemDispatcher(shared);
     this.jobs = new JobService({
@@ -167,36 +151,20 @@
     });
     this.monitor = new PeerMonitor({ fleet, peers: port, self, clock, log });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
-    const handOverDelay = (): Milliseconds => options.timings().coordinatorHandOver;
-    const areTokensChecked = (): boolean => options.timings().areTokensChecked;
-    const timings = { handOverDelay, areTokensChecked };
-    this.lock = new CoordinatorLock({ store, fleet, self, peers: port, clock, log, ...timings });
-    this.rollout = new WeightRollout({
-      ...shared,
-      lock: this.lock,
-      holder: options.node,
-      named: this.named,
-      mode: () => (this.configuration.needsWholeVersions ? 'wait' : 'keep'),
+    this.coordination = new Coordination({
+      ...{ node: options, self, store, fleet, peers },
+      registry: this.registry,
+      configuration: this.configuration,
+      sweep: () => void this.takeover.sweep(),
+      removeExpired: () => void service.removeExpired(),
     });
-    this.drains = new StorageDrains({ port: options.storageDrains, lock: this.lock, log });
-    if (options.duties !== undefined) {
-      this.duties = new FleetDuties({
-        ...shared,
-        duties: options.duties,
-        lock: this.lock,
-        services: () => this.configuration.services,
-        liveNodes: () => this.fleet.liveNodes().length,
-        tell: (...usage) => peers.tellUsage(...usage),
-        isFirstStart: options.isFirstStart ?? false,
-      });
-    }
   }
 
   /** Begins to take part in the fleet. */
   start(): void {
     void this.fleet.start().then(() => this.feeds.start());
     this.monitor.start();
-    this.duties?.start();
+    this.coordination.start();
     this.scheduleTick();
     this.reporter = setInterval(() => this.report(), REPORT_INTERVAL);
   }
@@ -212,8 +180,9 @@
     else if (event.kind === 'worker') this.takeWorker(event.record);
     else if (event.kind === 'worker-gone') this.roster.noteGone(event.worker);
     else if (event.kind === 'workers-listed') this.workersListed = true;
-    else if (event.kind === 'version-named') this.nameVersion(event.model, event.version);
-    else if (event.kind === 'storage-drain') this.drains.request(event.node);
+    else if (event.kind === 'version-named')
+      this.coordination.nameVersion(event.model, event.version);
+    else if (event.kind === 'storage-drain') this.coordination.drainStorage(event.node);
     else this.options.log.state('record-unreadable', { key: event.key });
   }
 
@@ -226,13 +195,6 @@
     this.dispatcher.schedule();
   }
 
-  private nameVersion(model: ModelName, version: WeightVersion): void {
-    if (version <= (this.named.get(model)?.version ?? 0)) return;
-    this.named.set(model, { version, namedAt: this.options.clock.now() });
-    this.options.log.state('version-named', { model, version });
-    this.rollout.tick();
-  }
-
   /** Forwards a request and answers it. */
   async forward(request: CallerRequest, route: Route, sink: AnswerSink): Promise<void> {
     const service = this.configuration.nextService(route);
@@ -268,7 +230,7 @@
 
   /** After the last request has ended: nothing that was counted is lost. */
   async finish(): Promise<void> {
-    await this.duties?.finish();
+    await this.coordination.finish();
   }
 
   private scheduleTick(): void {
@@ -281,7 +243,8 @@
 
   /** Whether this node has work that is due at any moment. */
   private get isBusy(): boolean {
-    if (this.lock.holder === undefined || this.lock.holder === this.options.node) return true;
+    const { holder } = this.coordination;
+    if (holder === undefined || holder === this.options.node) return true;
     return this.jobs.ownedJobs().some((job) => job.isOpen);
   }
 
@@ -290,11 +253,7 @@
     this.dispatcher.tick();
     if (this.isStopping) return;
     this.lookAtDuties();
-    this.lock.tick();
-    this.rollout.tick();
-    this.drains.tick();
-    this.duties?.tick();
-    this.sweepJobs();
+    this.coordination.tick();
   }
 
   /** A node that would be missed at once keeps a lease that lapses soon. */
@@ -315,24 +274,10 @@
       if (this.isStopping || !this.monitor.isSuspected(owner)) return;
       const isStillSuspected = (): boolean => this.monitor.isSuspected(owner);
       void this.takeover.takeFrom(owner, ownerAnswers, isStillSuspected);
-      void this.lock.takeFrom(owner);
+      void this.coordination.lock.takeFrom(owner);
     }, rank * SUSPICION_RANK_DELAY);
   }
 
-  /** The coordinator finds jobs that nobody runs, and removes what need not be kept any longer. */
-  private sweepJobs(): void {
-    const now = this.options.clock.now();
-    if (this.lock.fencingToken() === undefined) return;
-    if (now >= this.nextSweepAt) {
-      this.nextSweepAt = now + SWEEP_INTERVAL;
-      void this.takeover.sweep();
-    }
-    if (now >= this.nextRemovalAt) {
-      this.nextRemovalAt = now + REMOVAL_INTERVAL;
-      void this.jobs.removeExpired();
-    }
-  }
-
   /** Sets the gauges and writes the counters as one line. */
   private report(): void {
     const { metrics, log } = this.options;
@@ -341,7 +286,7 @@
     metrics.set('known_workers', this.registry.all().length);
     metrics.set('open_jobs', this.jobs.ownedJobs().filter((job) => job.isOpen).length);
     metrics.set('running_items', this.dispatcher.running);
-    metrics.set('is_coordinator', this.lock.fencingToken() === undefined ? 0 : 1);
+    metrics.set('is_coordinator', this.coordination.isActive ? 1 : 0);
     log.state('counters', metrics.snapshot());
   }
 }
