A property test: all reports of a usage window that leave the fleet are the same

Cause: the promise rested on examples only. Change: fast-check draws holders (two at a time too), restarts, outages and lost answers of the store, lost and refused calls; every text sent for a window is compared with the first.

--- /dev/null
+++ b/test/duties/usage-report-property.test.ts
@@ -0,0 +1,127 @@
+/**
+ * Any mix of holders, lost answers, outages of the store and counts that come late: all reports of a
+ * window that ever leave the fleet are the same, and none is sent under a token that was refused.
+ */
+import * as fc from 'fast-check';
+import t from 'tap';
+import { UsageFleet, type UsageNode, WINDOW } from './duty-fixtures.js';
+
+const NODES = 3;
+
+type Action =
+  | { readonly kind: 'pass'; readonly duration: number }
+  | { readonly kind: 'hold'; readonly node: number }
+  | { readonly kind: 'second-holder'; readonly node: number }
+  | { readonly kind: 'count'; readonly node: number; readonly tenant: string }
+  | { readonly kind: 'restart'; readonly node: number }
+  | { readonly kind: 'store'; readonly up: boolean }
+  | { readonly kind: 'lose-answers' }
+  | { readonly kind: 'cloud'; readonly outcome: 'unknown' | 'throttled' | 'superseded' };
+
+const node = fc.integer({ min: 0, max: NODES - 1 });
+const ACTION: fc.Arbitrary<Action> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('pass' as const),
+      duration: fc.integer({ min: 200, max: WINDOW }),
+    }),
+  },
+  fc.record({ kind: fc.constant('hold' as const), node }),
+  fc.record({ kind: fc.constant('second-holder' as const), node }),
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('count' as const),
+      node,
+      tenant: fc.constantFrom('north', 'south'),
+    }),
+  },
+  fc.record({ kind: fc.constant('restart' as const), node }),
+  fc.record({ kind: fc.constant('store' as const), up: fc.boolean() }),
+  fc.constant({ kind: 'lose-answers' as const }),
+  fc.record({
+    kind: fc.constant('cloud' as const),
+    outcome: fc.constantFrom('unknown' as const, 'throttled' as const, 'superseded' as const),
+  }),
+);
+
+/** A fleet whose nodes hold the duty in any order, some of them at the same time. */
+class World {
+  readonly fleet = new UsageFleet();
+  private readonly nodes: UsageNode[] = [];
+  private token = 10;
+  private lives = 0;
+
+  constructor() {
+    for (let index = 0; index < NODES; index += 1) this.nodes.push(this.born());
+    this.hold(0);
+  }
+
+  async perform(action: Action): Promise<void> {
+    const { fleet } = this;
+    if (action.kind === 'pass') return this.pass(action.duration);
+    if (action.kind === 'hold') return this.hold(action.node);
+    if (action.kind === 'second-holder') return this.give(action.node);
+    if (action.kind === 'count')
+      this.at(action.node).meter.noteBegun(action.tenant, fleet.clock.now());
+    if (action.kind === 'restart') this.nodes[action.node] = this.born();
+    if (action.kind === 'store') fleet.store.setAvailability(action.up ? 'up' : 'refusing');
+    if (action.kind === 'lose-answers') fleet.store.loseAnswers('applied', 'applied');
+    if (action.kind === 'cloud') fleet.cloud.outcomes.push(action.outcome);
+  }
+
+  private at(index: number): UsageNode {
+    const found = this.nodes[index];
+    if (found === undefined) throw new Error(`there is no node ${index}`);
+    return found;
+  }
+
+  private born(): UsageNode {
+    this.lives += 1;
+    const made = this.fleet.node(`node-${this.lives}`);
+    made.lock.token = undefined;
+    return made;
+  }
+
+  private hold(index: number): void {
+    for (const one of this.nodes) one.lock.token = undefined;
+    this.give(index);
+  }
+
+  /** A holder of before may not know yet that it holds the duty no more. */
+  private give(index: number): void {
+    this.token += 1;
+    this.at(index).lock.token = this.token;
+  }
+
+  private async pass(duration: number): Promise<void> {
+    const end = this.fleet.clock.time + duration;
+    while (this.fleet.clock.time < end) {
+      this.fleet.clock.time += 200;
+      for (const one of this.nodes) one.reporter.tick();
+      for (let turn = 0; turn < 4; turn += 1) await new Promise((go) => setImmediate(go));
+    }
+  }
+}
+
+t.test('all reports of a window that leave the fleet are the same', async (t) => {
+  let compared = 0;
+  const property = fc.asyncProperty(
+    fc.array(ACTION, { minLength: 20, maxLength: 60 }),
+    async (actions) => {
+      const world = new World();
+      for (const action of actions) await world.perform(action);
+      const first = new Map<number, string>();
+      for (const { report } of world.fleet.cloud.reports) {
+        const text = JSON.stringify(report);
+        const before = first.get(report.window) ?? text;
+        first.set(report.window, before);
+        compared += 1;
+        if (before !== text) throw new Error(`window ${report.window}: ${before}, then ${text}`);
+      }
+    },
+  );
+  await fc.assert(property, { numRuns: 60 });
+  t.ok(compared > 100, `${compared} reports were compared`);
+});
