--- a/lab/main.ts
+++ b/lab/main.ts
@@ -16,10 +16,8 @@
   'node',
   'storage',
   'weights-activation',
-  'fleet',
   'letter-steps',
   'resume',
-  'hollow',
 ] as const;
 
 /** Flags a command was given, as sade parsed them. */
