--- /dev/null
+++ b/lab/soak/soak-call.ts
@@ -0,0 +1,67 @@
+/** One call of a caller of the soak, on a connection of its own. */
+import http from 'node:http';
+import { HEADERS } from '../../platform/names.js';
+import type { Milliseconds } from '../../src/core/units.js';
+
+/** Where the routes of the soak lead. */
+export const SOAK_HOST = 'soak.example';
+
+/** A call to one gateway. */
+export interface SoakCall {
+  /** IP and port. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly id: string;
+  /** API key. */
+  readonly key: string;
+  readonly body: string | undefined;
+  /** Time for which the answer may be held. */
+  readonly wait: Milliseconds | undefined;
+  readonly limit: Milliseconds;
+}
+
+/** An answer that came whole. */
+export interface SoakAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Makes the call; `undefined` where no whole answer came in time. Each call forges a tenant. */
+export function performCall(call: SoakCall): Promise<SoakAnswer | undefined> {
+  const [host, port] = call.address.split(':');
+  const { method, path, limit } = call;
+  return new Promise((resolve) => {
+    const headers = headersOf(call);
+    const request = http.request({ agent: false, host, port, method, path, headers });
+    const timer = setTimeout(() => request.destroy(), limit);
+    const settle = (answer: SoakAnswer | undefined): void => {
+      clearTimeout(timer);
+      resolve(answer);
+    };
+    request.on('error', () => settle(undefined));
+    request.on('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', () => settle(undefined));
+      response.on('close', () => {
+        const text = Buffer.concat(chunks).toString();
+        const status = response.statusCode ?? 0;
+        settle(response.complete ? { status, body: text } : undefined);
+      });
+    });
+    request.end(call.body);
+  });
+}
+
+function headersOf({ id, key, wait, limit }: SoakCall): http.OutgoingHttpHeaders {
+  return {
+    host: SOAK_HOST,
+    connection: 'close',
+    [HEADERS.requestId]: id,
+    [HEADERS.deadline]: String(limit),
+    [HEADERS.key]: key,
+    [HEADERS.tenant]: 'forged',
+    ...(wait === undefined ? {} : { [HEADERS.wait]: String(wait) }),
+  };
+}
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -1,17 +1,16 @@
 /** The callers of the soak: lookups, and a trainer that draws step after step. */
 
-import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import * as z from 'zod';
-import { HEADERS, PATHS } from '../../platform/names.js';
+import { PATHS } from '../../platform/names.js';
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import type { PromiseChecker } from './promise-checker.js';
+import { performCall, SOAK_HOST, type SoakAnswer } from './soak-call.js';
 import type { SoakKeys } from './soak-keys.js';
 import { EVENT_COUNT_HEADER, SCORE_PREFIX } from './worker-stand-in.js';
 
-/** Where the routes of the soak lead. */
-export const SOAK_HOST = 'soak.example';
+/** Prefixes of the soak's routes. */
 export const LOOKUP_PREFIX = '/lookups/';
 export const ROLLOUT_PREFIX = '/rollouts/';
 
@@ -65,11 +64,6 @@
   stepsWhole: number;
 }
 
-interface Answer {
-  readonly status: number;
-  readonly body: string;
-}
-
 /** Asks until told to stop. */
 export class SoakCallers {
   readonly counts: CallerCounts = { lookups: 0, lookupsServed: 0, steps: 0, stepsWhole: 0 };
@@ -251,41 +245,14 @@
   private call(
     method: string,
     path: string,
-    { id, body, wait, limit = CALL_LIMIT, key }: CallOptions,
-  ): Promise<Answer | undefined> {
-    const { random } = this.surroundings;
-    const addresses = this.surroundings.addresses();
-    const address = addresses[random.integer(addresses.length)] ?? '';
-    const [host, port] = address.split(':');
-    const headers: http.OutgoingHttpHeaders = {
-      host: SOAK_HOST,
-      connection: 'close',
-      [HEADERS.requestId]: id,
-      [HEADERS.deadline]: String(limit),
-      [HEADERS.key]: key ?? this.surroundings.keys.currentKey('trainers'),
-      [HEADERS.tenant]: 'forged',
-    };
-    if (wait !== undefined) headers[HEADERS.wait] = String(wait);
-    return new Promise((resolve) => {
-      const request = http.request({ agent: false, host, port, method, path, headers });
-      const timer = setTimeout(() => request.destroy(), limit);
-      const settle = (answer: Answer | undefined): void => {
-        clearTimeout(timer);
-        resolve(answer);
-      };
-      request.on('error', () => settle(undefined));
-      request.on('response', (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('error', () => settle(undefined));
-        response.on('close', () => {
-          const text = Buffer.concat(chunks).toString();
-          const status = response.statusCode ?? 0;
-          settle(response.complete ? { status, body: text } : undefined);
-        });
-      });
-      request.end(body);
-    });
+    options: CallOptions,
+  ): Promise<SoakAnswer | undefined> {
+    const { random, keys, addresses } = this.surroundings;
+    const all = addresses();
+    const { id, body, wait, limit = CALL_LIMIT } = options;
+    const key = options.key ?? keys.currentKey('trainers');
+    const address = all[random.integer(all.length)] ?? '';
+    return performCall({ address, method, path, id, key, body, wait, limit });
   }
 }
 
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -7,13 +7,8 @@
 import { GatewayGroup, type SoakGateway } from './gateway-group.js';
 import { PlatformStore } from './platform-store.js';
 import { PromiseChecker, type Violation } from './promise-checker.js';
-import {
-  type CallerCounts,
-  LOOKUP_PREFIX,
-  ROLLOUT_PREFIX,
-  SOAK_HOST,
-  SoakCallers,
-} from './soak-callers.js';
+import { SOAK_HOST } from './soak-call.js';
+import { type CallerCounts, LOOKUP_PREFIX, ROLLOUT_PREFIX, SoakCallers } from './soak-callers.js';
 import { SoakKeys } from './soak-keys.js';
 import { WorkerPool } from './worker-pool.js';
 import { SCORE_PREFIX } from './worker-stand-in.js';
