Logs tell by whom a node hears of the store's changes

Change: a line prefix-followed at each change of the source of a prefix, with the time unheard and each relay's answer. The fixture of the relays' tests knows zones, nodes cut off from the store and watches that hang.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -89,6 +89,7 @@
       changeBound: () => options.timings().changeBound,
       prefixes: [FLEET_PREFIX, options.feeds.operatorPrefix, options.feeds.workerPrefix],
       clock,
+      log,
       metrics,
     });
     this.relay = relay;
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -17,6 +17,7 @@
   StoreRangeOutcome,
   StoreWatchOutcome,
 } from '../shared-store/shared-store.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 
 /** Nodes of one zone for each one that follows the store. One relay answers some 90 questions a second. */
@@ -77,9 +78,16 @@
   /** Time in which a change has to be in force at all nodes. */
   readonly changeBound: () => Milliseconds;
   readonly clock: Clock;
+  readonly log: Pick<DecisionLog, 'state'>;
   readonly metrics: FleetMetrics;
 }
 
+/** Who told of a prefix last, and when: a relay by its name, the store, or nobody. */
+interface FollowedPrefix {
+  readonly source: string;
+  readonly heardAt: Milliseconds;
+}
+
 /** One prefix that this node follows at the store itself. */
 interface DirectWatch {
   readonly mirror: PrefixMirror;
@@ -95,12 +103,19 @@
   | { readonly kind: 'not-current' }
   | { readonly kind: 'no-relay' };
 
+/** The source of a prefix that comes from the store without a relay. */
+const STORE_SOURCE = 'store';
+
+/** The source of a prefix of which neither a relay nor the store tells. */
+const NO_SOURCE = 'nobody';
+
 /** Follows the store through other nodes, and lets others follow it through this one. */
 export class WatchRelay {
   private readonly direct = new Map<string, DirectWatch>();
   private readonly grown = new Subject<string>();
   private readonly penalizedUntil = new Map<NodeId, Milliseconds>();
   private readonly believedAnswers = new Map<string, number>();
+  private readonly followed = new Map<string, FollowedPrefix>();
 
   constructor(private readonly options: WatchRelayOptions) {}
 
@@ -154,6 +169,7 @@
     const relays = this.relays();
     if (relays === 'self') return this.listStore(prefix, true);
     const outcome = await this.askRelays<'list-prefix'>(
+      prefix,
       relays,
       { kind: 'list-prefix', prefix },
       LIST_LIMIT,
@@ -186,7 +202,12 @@
     }
     const limit = Math.min(wait, RELAYED_WAIT_SHARE * this.options.changeBound());
     const request = { kind: 'follow-prefix', prefix, after, wait: limit } as const;
-    const outcome = await this.askRelays<'follow-prefix'>(relays, request, limit + ANSWER_LIMIT);
+    const outcome = await this.askRelays<'follow-prefix'>(
+      prefix,
+      relays,
+      request,
+      limit + ANSWER_LIMIT,
+    );
     // What the relay missed, a watch of this node may miss as well: the prefix is listed anew.
     if (outcome.kind !== 'answered') return { kind: 'compacted' };
     const { answer } = outcome;
@@ -196,12 +217,14 @@
 
   /** Asks the relays in turn until one is current. */
   private async askRelays<Kind extends 'follow-prefix' | 'list-prefix'>(
+    prefix: string,
     relays: readonly NodeId[],
     request: PeerRequestOf<Kind>,
     limit: Milliseconds,
   ): Promise<RelayedOutcome<Extract<PeerAnswers[Kind], { isCurrent: true }>>> {
     const { peers, fleet, metrics, clock } = this.options;
     let isAlive = false;
+    const refusals: string[] = [];
     for (const relay of relays) {
       const address = fleet().addressOf(relay);
       if (address === undefined) continue;
@@ -210,22 +233,51 @@
       const told = outcome.kind === 'answered' ? 'not-current' : outcome.kind;
       metrics.count('relayed_watches', { outcome: isCurrent ? 'current' : told });
       if (isCurrent) {
+        this.noteHeard(prefix, relay);
         const answer = outcome.answer as Extract<PeerAnswers[Kind], { isCurrent: true }>;
         return { kind: 'answered', answer };
       }
+      refusals.push(`${relay}:${told}`);
       if (outcome.kind === 'answered') isAlive = true;
       else this.penalizedUntil.set(relay, clock.now() + RELAY_PENALTY);
     }
+    this.noteUnheard(prefix, refusals);
     return { kind: isAlive ? 'not-current' : 'no-relay' };
   }
 
+  /** A change of who tells of a prefix, and how long nobody did, is what a late change is explained by. */
+  private noteHeard(prefix: string, source: string): void {
+    const now = this.options.clock.now();
+    const before = this.followed.get(prefix);
+    this.followed.set(prefix, { source, heardAt: now });
+    if (before === undefined || before.source === source) return;
+    const unheardMs = Math.round(now - before.heardAt);
+    this.options.log.state('prefix-followed', {
+      prefix,
+      by: source,
+      before: before.source,
+      unheardMs,
+    });
+  }
+
+  private noteUnheard(prefix: string, refusals: readonly string[]): void {
+    const before = this.followed.get(prefix);
+    if (before === undefined || before.source === NO_SOURCE) return;
+    this.followed.set(prefix, { source: NO_SOURCE, heardAt: before.heardAt });
+    const unheardMs = Math.round(this.options.clock.now() - before.heardAt);
+    const details = { prefix, by: NO_SOURCE, before: before.source, unheardMs };
+    this.options.log.state('prefix-followed', { ...details, asked: refusals.join(' ') });
+  }
+
   private async listStore(prefix: string, isKept: boolean): Promise<StoreRangeOutcome> {
     const { store, clock } = this.options;
     const outcome = await store.range(prefix);
     if (outcome.kind === 'failed' || !isKept) {
       this.direct.delete(prefix);
+      if (outcome.kind === 'items') this.noteHeard(prefix, STORE_SOURCE);
       return outcome;
     }
+    this.noteHeard(prefix, STORE_SOURCE);
     const known = this.direct.get(prefix);
     if (known === undefined) {
       const mirror = new PrefixMirror(outcome);
@@ -253,6 +305,7 @@
     watch.isWaiting = false;
     if (outcome.kind === 'changes') {
       watch.lastOutcomeAt = clock.now();
+      this.noteHeard(prefix, STORE_SOURCE);
       watch.mirror.takeChanges(after, outcome.changes, outcome.revision);
     } else if (!signal.aborted) {
       // What comes until the next list is not known here: followers must not wait for it.
--- /dev/null
+++ b/test/fleet/relayed-fleet.ts
@@ -0,0 +1,214 @@
+/** Nodes of several zones over one store, for tests: each may lose the store, fall silent, or hang. */
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { Milliseconds } from '../../src/core/units.js';
+import { type RelayFleet, WatchRelay } from '../../src/fleet/watch-relay.js';
+import type { PeerOutcome, PeerPort, PeerRequestOf } from '../../src/peers/peer-messages.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { PrefixWatcher, type PrefixWatcherOptions } from '../../src/shared-store/prefix-watcher.js';
+import type { SharedStore } from '../../src/shared-store/shared-store.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { eventually } from './fleet-fixtures.js';
+
+/** What all nodes follow. */
+export const PREFIX = 'workers/';
+
+/** Time in which a change has to be in force at all nodes. */
+export const CHANGE_BOUND: Milliseconds = 2_000;
+
+/** Time after which a call without an answer fails, as the store's client has it. */
+const CALL_TIMEOUT: Milliseconds = 900;
+
+/** A line of a node's log. */
+export interface LoggedState {
+  readonly node: string;
+  readonly event: string;
+  readonly details: Readonly<Record<string, unknown>>;
+}
+
+interface RelayedNode {
+  readonly zone: string;
+  readonly relay: WatchRelay;
+  readonly watcher: PrefixWatcher;
+  readonly values: Map<string, string>;
+  readonly heardAt: Map<string, Milliseconds>;
+}
+
+type Pauses = Pick<PrefixWatcherOptions, 'coalesce' | 'retryPause'>;
+
+/** The nodes. */
+export class RelayedFleet {
+  readonly store = new SharedStoreEmulator();
+  /** Nodes that do not answer other nodes. */
+  readonly silent = new Set<string>();
+  /** Nodes whose watches hang although all other calls are answered. */
+  readonly hanging = new Set<string>();
+  /** Nodes whose leases were renewed too long ago, though the store answers them. */
+  readonly staleLeases = new Set<string>();
+  readonly lines: LoggedState[] = [];
+  private readonly nodes = new Map<string, RelayedNode>();
+  private readonly cutOffSince = new Map<string, Milliseconds>();
+
+  /** Names of zones by node. */
+  constructor(
+    zones: Readonly<Record<string, string>>,
+    private readonly pauses: Pauses = {},
+  ) {
+    this.store.write(`${PREFIX}w1`, 'ready');
+    for (const [node, zone] of Object.entries(zones)) this.add(node, zone);
+  }
+
+  /** Starts all nodes; resolves once all of them follow. */
+  async start(): Promise<void> {
+    for (const { watcher } of this.nodes.values()) void watcher.run();
+    await this.allKnow('w1', 'ready');
+    // The first questions may come before the relay itself watches.
+    this.store.write(`${PREFIX}w1`, 'busy');
+    await this.allKnow('w1', 'busy');
+    await PROCESS_CLOCK.sleep(20);
+  }
+
+  stop(): void {
+    for (const { watcher } of this.nodes.values()) watcher.stop();
+  }
+
+  /** The nodes that follow the store for the others. */
+  relays(): string[] {
+    return this.names().filter((name) => this.nodes.get(name)?.relay.isRelay === true);
+  }
+
+  /** The nodes that ask relays. */
+  followers(): string[] {
+    return this.names().filter((name) => this.nodes.get(name)?.relay.isRelay === false);
+  }
+
+  names(): string[] {
+    return [...this.nodes.keys()];
+  }
+
+  zoneOf(node: string): string | undefined {
+    return this.nodes.get(node)?.zone;
+  }
+
+  /** The store answers this node no more from now on, and renewed its lease just before. */
+  cutOff(node: string): void {
+    this.cutOffSince.set(node, PROCESS_CLOCK.now());
+  }
+
+  /** Nodes that know the value. */
+  knowing(key: string, value: string): string[] {
+    return this.names().filter(
+      (node) => this.nodes.get(node)?.values.get(`${PREFIX}${key}`) === value,
+    );
+  }
+
+  async allKnow(key: string, value: string, nodes = this.names()): Promise<void> {
+    await eventually(() => nodes.every((node) => this.knowing(key, value).includes(node)));
+  }
+
+  /** Writes a change; resolves to the time until the last of the nodes knew it. */
+  async timeToKnow(value: string, nodes: readonly string[]): Promise<Milliseconds> {
+    const startedAt = PROCESS_CLOCK.now();
+    this.store.write(`${PREFIX}w1`, value);
+    await this.allKnow('w1', value, [...nodes]);
+    const times = nodes.map((node) => this.nodes.get(node)?.heardAt.get(value) ?? 0);
+    return Math.max(...times) - startedAt;
+  }
+
+  get watchCalls(): number {
+    return this.store.calls.get('watch') ?? 0;
+  }
+
+  /** Lists and watches that came to the store. */
+  get calls(): number {
+    return this.watchCalls + (this.store.calls.get('range') ?? 0);
+  }
+
+  private add(node: string, zone: string): void {
+    const fleet: RelayFleet = {
+      liveNodes: () => this.names(),
+      zoneOf: (asked) => this.zoneOf(asked),
+      addressOf: (asked) => asked,
+      renewalAge: () => this.renewalAge(node),
+    };
+    const relay = new WatchRelay({
+      store: this.storeOf(node),
+      peers: this.peers(),
+      fleet: () => fleet,
+      self: node,
+      zone,
+      prefixes: [PREFIX],
+      changeBound: () => CHANGE_BOUND,
+      clock: PROCESS_CLOCK,
+      log: { state: (event, details = {}) => this.lines.push({ node, event, details }) },
+      metrics: new FleetMetrics(),
+    });
+    const watcher = new PrefixWatcher({
+      store: relay.relayedStore(),
+      prefix: PREFIX,
+      ...this.pauses,
+    });
+    const values = new Map<string, string>();
+    const heardAt = new Map<string, Milliseconds>();
+    watcher.updates.subscribe(({ changes }) => {
+      for (const { key, value = 'gone' } of changes) {
+        values.set(key, value);
+        heardAt.set(value, PROCESS_CLOCK.now());
+      }
+    });
+    this.nodes.set(node, { zone, relay, watcher, values, heardAt });
+  }
+
+  private renewalAge(node: string): Milliseconds {
+    if (this.staleLeases.has(node)) return Number.POSITIVE_INFINITY;
+    const now = PROCESS_CLOCK.now();
+    return now - (this.cutOffSince.get(node) ?? now);
+  }
+
+  /** The store as this node reaches it. */
+  private storeOf(node: string): SharedStore {
+    const store = this.store;
+    const unanswered = async (wait: Milliseconds) => {
+      await PROCESS_CLOCK.sleep(wait);
+      return { kind: 'failed', effect: 'unknown' } as const;
+    };
+    const isCut = (): boolean => this.cutOffSince.has(node);
+    return {
+      get: (key) => store.get(key),
+      range: (prefix) => (isCut() ? unanswered(CALL_TIMEOUT) : store.range(prefix)),
+      watch: async (prefix, after, wait, signal) => {
+        if (isCut()) return unanswered(CALL_TIMEOUT);
+        const isHanging = (): boolean => isCut() || this.hanging.has(node);
+        const outcome = await store.watch(prefix, after, wait, signal);
+        // Whatever the watch would have told is lost on the way; the caller's own limit ends it.
+        return isHanging() ? unanswered(CALL_TIMEOUT) : outcome;
+      },
+      commit: (commit) => store.commit(commit),
+      grantLease: (ttl) => store.grantLease(ttl),
+      keepLease: (lease) => store.keepLease(lease),
+      endLease: (lease) => store.endLease(lease),
+    };
+  }
+
+  private peers(): PeerPort {
+    return {
+      ask: async (address, request, limit) => {
+        if (!this.silent.has(address)) return this.answerAt(address, request);
+        await PROCESS_CLOCK.sleep(limit);
+        return { kind: 'silent' };
+      },
+    };
+  }
+
+  private async answerAt(
+    address: string,
+    request: { readonly kind: string },
+  ): Promise<PeerOutcome<never>> {
+    const relay = this.nodes.get(address)?.relay;
+    if (relay === undefined) return { kind: 'refused' };
+    const answer =
+      request.kind === 'list-prefix'
+        ? relay.answerList(request as PeerRequestOf<'list-prefix'>)
+        : await relay.answer(request as PeerRequestOf<'follow-prefix'>);
+    return { kind: 'answered', answer: answer as never };
+  }
+}
--- a/test/fleet/watch-relay.test.ts
+++ b/test/fleet/watch-relay.test.ts
@@ -1,107 +1,24 @@
 import t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
-import { type RelayFleet, WatchRelay } from '../../src/fleet/watch-relay.js';
-import type { PeerOutcome, PeerPort, PeerRequestOf } from '../../src/peers/peer-messages.js';
+import { WatchRelay } from '../../src/fleet/watch-relay.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
-import { PrefixWatcher } from '../../src/shared-store/prefix-watcher.js';
 import type { StoreWatchOutcome } from '../../src/shared-store/shared-store.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { eventually } from './fleet-fixtures.js';
+import { PREFIX, RelayedFleet } from './relayed-fleet.js';
 
 const NODES = ['node-1', 'node-2', 'node-3', 'node-4'];
-const PREFIX = 'workers/';
 
-/** Nodes of one zone over one store; each may be cut off from the store or from the others. */
-class Zone {
-  readonly store = new SharedStoreEmulator();
-  readonly renewalAges = new Map(NODES.map((node) => [node, 0]));
-  readonly silent = new Set<string>();
-  private readonly nodes = new Map<string, { relay: WatchRelay; watcher: PrefixWatcher }>();
-  private readonly values = new Map(NODES.map((node) => [node, new Map<string, string>()]));
-
-  constructor() {
-    this.store.write(`${PREFIX}w1`, 'ready');
-    for (const node of NODES) this.add(node);
-  }
-
-  start(): void {
-    for (const { watcher } of this.nodes.values()) void watcher.run();
-  }
-
-  stop(): void {
-    for (const { watcher } of this.nodes.values()) watcher.stop();
-  }
-
-  /** Nodes that know the value. */
-  knowing(key: string, value: string): string[] {
-    return NODES.filter((node) => this.values.get(node)?.get(`${PREFIX}${key}`) === value);
-  }
-
-  get watchCalls(): number {
-    return this.store.calls.get('watch') ?? 0;
-  }
-
-  /** Lists and watches that came to the store. */
-  get calls(): number {
-    return this.watchCalls + (this.store.calls.get('range') ?? 0);
-  }
-
-  private add(node: string): void {
-    const fleet: RelayFleet = {
-      liveNodes: () => NODES,
-      zoneOf: () => 'zone-1',
-      addressOf: (asked) => asked,
-      renewalAge: () => this.renewalAges.get(node) ?? 0,
-    };
-    const peers: PeerPort = {
-      ask: async (address, request, limit) => {
-        if (!this.silent.has(address)) return this.answerAt(address, request);
-        await PROCESS_CLOCK.sleep(limit);
-        return { kind: 'silent' };
-      },
-    };
-    const relay = new WatchRelay({
-      store: this.store,
-      peers,
-      fleet: () => fleet,
-      self: node,
-      zone: 'zone-1',
-      prefixes: [PREFIX],
-      changeBound: () => 2_000,
-      clock: PROCESS_CLOCK,
-      metrics: new FleetMetrics(),
-    });
-    const store = relay.relayedStore();
-    const watcher = new PrefixWatcher({ store, prefix: PREFIX, coalesce: 5, retryPause: 5 });
-    watcher.updates.subscribe(({ changes }) => {
-      for (const { key, value } of changes) this.values.get(node)?.set(key, value ?? 'gone');
-    });
-    this.nodes.set(node, { relay, watcher });
-  }
-
-  private async answerAt(
-    address: string,
-    request: { readonly kind: string },
-  ): Promise<PeerOutcome<never>> {
-    const relay = this.nodes.get(address)?.relay;
-    if (relay === undefined) return { kind: 'refused' };
-    const answer =
-      request.kind === 'list-prefix'
-        ? relay.answerList(request as PeerRequestOf<'list-prefix'>)
-        : await relay.answer(request as PeerRequestOf<'follow-prefix'>);
-    return { kind: 'answered', answer: answer as never };
-  }
+/** Four nodes of one zone, whose watchers pause shortly. */
+function zone(): RelayedFleet {
+  const zones = Object.fromEntries(NODES.map((node) => [node, 'zone-1']));
+  return new RelayedFleet(zones, { coalesce: 5, retryPause: 5 });
 }
 
-async function settled(): Promise<Zone> {
-  const zone = new Zone();
-  zone.start();
-  await eventually(() => zone.knowing('w1', 'ready').length === NODES.length);
-  // The first questions may come before the relay itself watches.
-  zone.store.write(`${PREFIX}w1`, 'busy');
-  await eventually(() => zone.knowing('w1', 'busy').length === NODES.length);
-  await PROCESS_CLOCK.sleep(20);
-  return zone;
+async function settled(): Promise<RelayedFleet> {
+  const fleet = zone();
+  await fleet.start();
+  return fleet;
 }
 
 t.test('a change reaches all nodes of a zone at the price of one', async (t) => {
@@ -126,7 +43,7 @@
 
 t.test('nodes do without a relay that is cut off from the store', async (t) => {
   const zone = await settled();
-  for (const node of NODES) zone.renewalAges.set(node, 5_000);
+  for (const node of NODES) zone.staleLeases.add(node);
   zone.store.write(`${PREFIX}w1`, 'cut');
   await eventually(() => zone.knowing('w1', 'cut').length === NODES.length);
   t.pass();
@@ -143,10 +60,9 @@
 });
 
 t.test('a node that does not watch the store itself tells nothing', async (t) => {
-  const zone = new Zone();
   const metrics = new FleetMetrics();
   const relay = new WatchRelay({
-    store: zone.store,
+    store: new SharedStoreEmulator(),
     peers: { ask: async () => ({ kind: 'refused' }) },
     fleet: () => ({
       liveNodes: () => NODES,
@@ -159,6 +75,7 @@
     prefixes: [PREFIX],
     changeBound: () => 2_000,
     clock: PROCESS_CLOCK,
+    log: { state: () => {} },
     metrics,
   });
   const question = { kind: 'follow-prefix', prefix: PREFIX, after: 0, wait: 10 } as const;
@@ -187,6 +104,7 @@
     prefixes: [PREFIX],
     changeBound: () => 2_000,
     clock: PROCESS_CLOCK,
+    log: { state: () => {} },
     metrics: new FleetMetrics(),
   });
   await relay.relayedStore().range(PREFIX);
@@ -257,3 +175,17 @@
     zone.stop();
   },
 );
+
+t.test('a change of whom a follower hears is logged, with who did not help', async (t) => {
+  const zone = await settled();
+  const relays = zone.relays();
+  for (const node of relays) zone.staleLeases.add(node);
+  const lines = (by: string) =>
+    zone.lines.filter(({ event, details }) => event === 'prefix-followed' && details.by === by);
+  await eventually(() => lines('store').length > 0);
+  const [lost] = lines('nobody');
+  t.equal(lost?.details.before, relays[0]);
+  t.equal(lost?.details.asked, `${relays[0]}:not-current`);
+  t.type(lost?.details.unheardMs, 'number');
+  zone.stop();
+});
