Only watches whose changes have a bound are short

Change: the fleet's own records, whose changes have no bound, are watched for as long as before. Before and after: test/fleet 179 passed. Conclusion: kept for the operator's and the workers' prefix.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -28,18 +28,25 @@
  */
 const WATCH_SHARE = 0.75;
 
+/** Which changes have to be known when. */
+export interface ChangeBound {
+  /** The prefixes whose changes have to be in force at all nodes in time. */
+  readonly boundPrefixes: readonly string[];
+  /** Time in which such a change has to be in force. */
+  readonly changeBound: () => Milliseconds;
+}
+
 /** Time for which a watch may wait at the store, of what its caller would wait. */
-export function longestWatch(wait: Milliseconds, changeBound: Milliseconds): Milliseconds {
-  return Math.min(wait, Math.ceil(WATCH_SHARE * changeBound));
+export function longestWatch(prefix: string, wait: Milliseconds, bound: ChangeBound): Milliseconds {
+  if (!bound.boundPrefixes.includes(prefix)) return wait;
+  return Math.min(wait, Math.ceil(WATCH_SHARE * bound.changeBound()));
 }
 
 /** Options of {@link DirectPrefixes}. */
-export interface DirectPrefixesOptions {
+export interface DirectPrefixesOptions extends ChangeBound {
   readonly store: SharedStore;
   /** Time since the store last renewed this node's lease. */
   readonly renewalAge: () => Milliseconds;
-  /** Time in which a change has to be in force at all nodes. */
-  readonly changeBound: () => Milliseconds;
   readonly clock: Clock;
 }
 
@@ -85,12 +92,12 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
-    const { store, clock, changeBound } = this.options;
+    const { store, clock } = this.options;
     const watch = this.watches.get(prefix);
     // A node that just became a relay lists first, so that it can tell its followers all.
     if (watch === undefined || after > watch.mirror.revision) return { kind: 'compacted' };
     watch.isWaiting = true;
-    const limit = longestWatch(wait, changeBound());
+    const limit = longestWatch(prefix, wait, this.options);
     const outcome = await store.watch(prefix, after, limit, signal);
     watch.isWaiting = false;
     if (outcome.kind === 'changes') {
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -80,6 +80,7 @@
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node } = options;
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
+    const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
     const relay = new WatchRelay({
       store: direct,
       peers: port,
@@ -87,7 +88,8 @@
       self: node,
       zone,
       changeBound: () => options.timings().changeBound,
-      prefixes: [FLEET_PREFIX, options.feeds.operatorPrefix, options.feeds.workerPrefix],
+      prefixes: [FLEET_PREFIX, ...boundPrefixes],
+      boundPrefixes,
       clock,
       log,
       metrics,
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -17,7 +17,7 @@
 } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import { DirectPrefixes, longestWatch } from './direct-prefixes.js';
+import { type ChangeBound, DirectPrefixes, longestWatch } from './direct-prefixes.js';
 import { RelayChoice, type RelayChoiceOptions } from './relay-choice.js';
 
 /**
@@ -48,13 +48,11 @@
 const NO_SOURCE = 'nobody';
 
 /** Options of {@link WatchRelay}. */
-export interface WatchRelayOptions extends RelayChoiceOptions {
+export interface WatchRelayOptions extends RelayChoiceOptions, ChangeBound {
   readonly store: SharedStore;
   readonly peers: PeerPort;
   /** The prefixes that all nodes follow; others are always read at the store. */
   readonly prefixes: readonly string[];
-  /** Time in which a change has to be in force at all nodes. */
-  readonly changeBound: () => Milliseconds;
   readonly log: Pick<DecisionLog, 'state'>;
   readonly metrics: FleetMetrics;
 }
@@ -98,9 +96,9 @@
   private readonly followed = new Map<string, FollowedPrefix>();
 
   constructor(private readonly options: WatchRelayOptions) {
-    const { store, clock, changeBound, fleet } = options;
+    const { fleet } = options;
     const renewalAge = (): Milliseconds => fleet().renewalAge();
-    this.direct = new DirectPrefixes({ store, clock, changeBound, renewalAge });
+    this.direct = new DirectPrefixes({ ...options, renewalAge });
     this.choice = new RelayChoice(options);
   }
 
@@ -208,7 +206,7 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
-    const limit = longestWatch(wait, this.options.changeBound());
+    const limit = longestWatch(prefix, wait, this.options);
     const outcome = await this.options.store.watch(prefix, after, limit, signal);
     if (outcome.kind === 'changes') this.noteHeard(prefix, STORE_SOURCE);
     return outcome;
--- a/test/fleet/watch-relay.test.ts
+++ b/test/fleet/watch-relay.test.ts
@@ -72,6 +72,7 @@
     self: 'node-1',
     zone: 'zone-1',
     prefixes: [PREFIX],
+    boundPrefixes: [PREFIX],
     changeBound: () => 2_000,
     clock: PROCESS_CLOCK,
     log: { state: () => {} },
