A look for places costs the same however many workers there are

Each waiting item was compared with all 3,003 workers, with the median of all paces sorted anew for each; the coordinator looked through all of them each 50 ms; each node hashed 299 names some thousand times for its two probes; each wrote 3,003 lines. Change: one round of placements for all items of a look, at most 64 workers compared for one, needs that nobody meets looked for once; the coordinator's looks take a twentieth of its time at most; names are hashed once a round; workers that become known together are told in one line; the registry keeps workers by service.

--- a/src/fleet/model-assignment.ts
+++ b/src/fleet/model-assignment.ts
@@ -70,10 +70,13 @@
     }
     const quotas = this.quotas(workers.length, models, countsOf(wanted));
     const assigned = keepWithinQuotas(wanted, quotas);
+    const counts = countsOf(assigned);
     for (const worker of workers) {
       if (assigned.has(worker.id)) continue;
-      const model = neediestModel(worker, quotas, countsOf(assigned));
-      if (model !== undefined) assigned.set(worker.id, model);
+      const model = neediestModel(worker, quotas, counts);
+      if (model === undefined) continue;
+      assigned.set(worker.id, model);
+      counts.set(model, (counts.get(model) ?? 0) + 1);
     }
     return assigned;
   }
--- a/src/fleet/peer-monitor.ts
+++ b/src/fleet/peer-monitor.ts
@@ -160,11 +160,14 @@
   /** The nodes that follow this one on the ring of hashed names. */
   private targets(): NodeId[] {
     const self = this.options.self.node;
+    const start = placementHash(self);
     const others = this.options.fleet.liveNodes().filter((node) => node !== self);
-    const place = (node: NodeId): number =>
-      (placementHash(node) - placementHash(self) + RING_SIZE) % RING_SIZE;
-    others.sort((left, right) => place(left) - place(right));
-    return others.slice(0, WATCHED_NODES);
+    const placed = others.map((node) => ({
+      node,
+      place: (placementHash(node) - start + RING_SIZE) % RING_SIZE,
+    }));
+    placed.sort((left, right) => left.place - right.place);
+    return placed.slice(0, WATCHED_NODES).map(({ node }) => node);
   }
 }
 
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -63,6 +63,12 @@
 /** Time after which all workers hold a version that no newer one has replaced. */
 const CATCH_UP_DELAY: Milliseconds = 6_000;
 
+/**
+ * Largest share of its time that a node spends on looking for changes: with 3,003 workers and three
+ * models a look takes 7 ms of a whole core, and one at each tick takes 42% of a third of a core.
+ */
+const LOOK_SHARE = 0.05;
+
 /** Versions that a worker may miss without being unusable for most trainers. */
 const TOLERATED_LAG = 1;
 
@@ -132,6 +138,7 @@
   private readonly notBefore = new Map<string, Milliseconds>();
   private readonly required = new Map<ModelName, WeightVersion>();
   private readonly assignment = new ModelAssignment();
+  private nextLookAt: Milliseconds = 0;
 
   constructor(private readonly options: WeightRolloutOptions) {}
 
@@ -143,7 +150,14 @@
 
   /** Starts changes while there is room for more loads. */
   tick(): void {
-    if (this.options.lock.fencingToken() === undefined) return;
+    const startedAt = this.options.clock.now();
+    if (startedAt < this.nextLookAt || this.options.lock.fencingToken() === undefined) return;
+    this.startChanges();
+    const endedAt = this.options.clock.now();
+    this.nextLookAt = endedAt + (endedAt - startedAt) / LOOK_SHARE;
+  }
+
+  private startChanges(): void {
     const holders = this.options.registry.all().filter(({ record }) => record.models.length > 0);
     const limit = loadsAtOnce(holders.length);
     if (this.changing.size >= limit) return;
--- a/src/fleet/worker-roster.ts
+++ b/src/fleet/worker-roster.ts
@@ -18,6 +18,12 @@
  */
 const LINGER_TIME: Milliseconds = 12_000;
 
+/**
+ * Workers that become known together up to which each has a line of its own; a first list of 3,003
+ * workers at 299 nodes would make 900,000 lines.
+ */
+const MOST_LINES_TOGETHER = 40;
+
 /** Options of {@link WorkerRoster}. */
 export interface WorkerRosterOptions {
   readonly registry: WorkerRegistry;
@@ -28,16 +34,31 @@
 
 /** Takes records of workers into the registry and out of it. */
 export class WorkerRoster {
+  /** Records that became known in this turn of the event loop. */
+  private newlyKnown: WorkerRecord[] = [];
+
   constructor(private readonly options: WorkerRosterOptions) {}
 
   /** Takes in a record, new or changed. */
   put(record: WorkerRecord): void {
-    const { registry, log } = this.options;
+    const { registry } = this.options;
     const before = registry.get(record.id)?.record;
     registry.put(record);
     if (before?.draining === record.draining) return;
-    const { id, service, zone, draining } = record;
-    log.state('worker-known', { worker: id, service, workerZone: zone, draining });
+    this.newlyKnown.push(record);
+    if (this.newlyKnown.length === 1) setImmediate(() => this.logNewlyKnown());
+  }
+
+  private logNewlyKnown(): void {
+    const { log } = this.options;
+    const known = this.newlyKnown;
+    this.newlyKnown = [];
+    const isCrowd = known.length > MOST_LINES_TOGETHER;
+    const named = isCrowd ? known.filter(({ draining }) => draining) : known;
+    if (isCrowd) log.state('workers-known', { workers: known.length, draining: named.length });
+    for (const { id, service, zone, draining } of named.slice(0, MOST_LINES_TOGETHER)) {
+      log.state('worker-known', { worker: id, service, workerZone: zone, draining });
+    }
   }
 
   /**
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -5,16 +5,17 @@
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort } from '../serving/engine-port.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
-import type { Route } from '../serving/traffic-configuration.js';
+import type { Route, ServiceName } from '../serving/traffic-configuration.js';
 import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import { needsOf, placeItem } from './item-placement.js';
+import { needsOf } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ItemScorer } from './item-scorer.js';
 import { ageOf } from './job-records.js';
 import { cancelWork, type OwnedItem } from './owned-item.js';
 import type { OwnedJob } from './owned-job.js';
+import { PlacementRound } from './placement-round.js';
 import { describeRun, RunMover } from './run-mover.js';
 
 /** Options of {@link ItemDispatcher}. */
@@ -113,24 +114,33 @@
     const routes = this.options.routes();
     if (routes === undefined || this.isStopped) return;
     const now = this.options.clock.now();
+    const rounds = new Map<ServiceName, PlacementRound>();
     const inOrder = [...this.jobs].sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
     for (const job of inOrder) {
       if (!job.isOpen) continue;
       const waiting = job.waiting(now);
       waiting.sort(byUrgency);
-      for (const entry of waiting) this.start(job, entry, routes, now);
+      for (const entry of waiting) this.start(job, entry, routes, rounds, now);
     }
     this.scorer.dispatch(inOrder, routes);
   }
 
-  private start(job: OwnedJob, entry: OwnedItem, routes: RouteMatcher, now: Milliseconds): void {
+  private start(
+    job: OwnedJob,
+    entry: OwnedItem,
+    routes: RouteMatcher,
+    rounds: Map<ServiceName, PlacementRound>,
+    now: Milliseconds,
+  ): void {
     const route = routes.match(job.spec.host, entry.item.path);
     const service = route === undefined ? undefined : routes.nextService(route);
     if (route === undefined || service === undefined) return;
-    const workers = this.options.registry.available(service);
+    const round =
+      rounds.get(service) ?? new PlacementRound(this.options.registry.available(service), now);
+    rounds.set(service, round);
     const groupKey = `${job.spec.id}/${entry.item.group}`;
     const shared = this.promptWorkers.get(groupKey);
-    const worker = placeItem(workers, needsOf(job, entry), shared, now);
+    const worker = round.place(needsOf(job, entry), shared);
     if (worker === undefined) return;
     this.promptWorkers.set(groupKey, worker.record.id);
     void this.run(job, entry, route, worker);
--- a/src/jobs/item-placement.ts
+++ b/src/jobs/item-placement.ts
@@ -50,11 +50,10 @@
 
 /** Whether a worker may run an item now. */
 export function mayRun(worker: KnownWorker, needs: ItemNeeds, now: Milliseconds): boolean {
-  if (worker.record.draining || worker.isPenalized(now)) return false;
+  if (!worker.hasRoom(now)) return false;
   const version = worker.versionOf(needs.model);
   if (version < needs.minVersion) return false;
-  if (needs.boundVersion !== undefined && version !== needs.boundVersion) return false;
-  return worker.inFlight < worker.record.slots;
+  return needs.boundVersion === undefined || version === needs.boundVersion;
 }
 
 /** Median pace of the workers that have one; 1 where none has. */
@@ -75,28 +74,21 @@
   return worker.pace * FASTER_PACE_RATIO <= than.pace;
 }
 
-/** The best worker for an item among those that may run it, or `undefined`. */
-export function placeItem(
-  workers: readonly KnownWorker[],
+/** How little a worker suits an item: the least is the best. */
+export function placementScore(
   needs: ItemNeeds,
+  median: Milliseconds,
   sharedPromptWorker: string | undefined,
   now: Milliseconds,
-): KnownWorker | undefined {
-  const median = medianPace(workers);
-  const { relativeLength } = needs;
+): (worker: KnownWorker) => number {
   const lengthWeight = Math.min(
     LARGEST_LENGTH_WEIGHT,
-    Math.max(LEAST_LENGTH_WEIGHT, relativeLength),
+    Math.max(LEAST_LENGTH_WEIGHT, needs.relativeLength),
   );
-  const score = (worker: KnownWorker): number => {
+  return (worker) => {
     const pace = (worker.pace ?? median) / median;
     const occupied = worker.occupancy(now) / worker.record.slots;
     const shared = worker.record.id === sharedPromptWorker ? SHARED_PROMPT_GAIN : 0;
     return lengthWeight * pace + OCCUPANCY_WEIGHT * occupied - shared;
   };
-  const candidates = workers.filter((worker) => mayRun(worker, needs, now));
-  return candidates.reduce<KnownWorker | undefined>(
-    (best, worker) => (best === undefined || score(worker) < score(best) ? worker : best),
-    undefined,
-  );
 }
--- /dev/null
+++ b/src/jobs/placement-round.ts
@@ -0,0 +1,71 @@
+/**
+ * Places many items in a row among the workers of one service as they are at one moment. What does
+ * not change from item to item (the median pace, which workers have room) is worked out once.
+ */
+import type { Milliseconds } from '../core/units.js';
+import type { KnownWorker } from '../serving/worker-registry.js';
+import { type ItemNeeds, mayRun, medianPace, placementScore } from './item-placement.js';
+
+/**
+ * Workers that are compared for one item at most. A random part of a large fleet holds a fast, empty
+ * worker nearly as surely as all of it, and owners of jobs that do not know of each other's items
+ * collide less often.
+ */
+const MOST_COMPARED = 64;
+
+/** Workers that may turn out to be full, in the search for one item, before the list is made anew. */
+const MOST_PASSED_OVER = 64;
+
+/** One round of placements. */
+export class PlacementRound {
+  private readonly median: Milliseconds;
+  private free: readonly KnownWorker[];
+  /** Where the next search begins; a place at random, so that owners begin at different workers. */
+  private cursor: number;
+  /** Needs for which no worker was found; workers only become fuller within a round. */
+  private readonly unmet = new Set<string>();
+
+  constructor(
+    workers: readonly KnownWorker[],
+    private readonly now: Milliseconds,
+  ) {
+    this.median = medianPace(workers);
+    this.free = workers.filter((worker) => worker.hasRoom(now));
+    const isLarge = this.free.length > MOST_COMPARED;
+    this.cursor = isLarge ? Math.floor(Math.random() * this.free.length) : 0;
+  }
+
+  /** The best worker for an item among those that may run it, or `undefined`. */
+  place(needs: ItemNeeds, sharedPromptWorker: string | undefined): KnownWorker | undefined {
+    const key = `${needs.model}/${needs.minVersion}/${needs.boundVersion ?? ''}`;
+    if (this.unmet.has(key)) return undefined;
+    const candidates = this.candidates(needs, sharedPromptWorker);
+    if (candidates.length === 0) this.unmet.add(key);
+    const score = placementScore(needs, this.median, sharedPromptWorker, this.now);
+    let best: { readonly worker: KnownWorker; readonly score: number } | undefined;
+    for (const worker of candidates) {
+      const own = score(worker);
+      if (best === undefined || own < best.score) best = { worker, score: own };
+    }
+    return best?.worker;
+  }
+
+  private candidates(needs: ItemNeeds, sharedPromptWorker: string | undefined): KnownWorker[] {
+    if (this.free.length <= MOST_COMPARED) {
+      return this.free.filter((worker) => mayRun(worker, needs, this.now));
+    }
+    const found: KnownWorker[] = [];
+    let passedOver = 0;
+    const { free, cursor } = this;
+    for (let step = 0; step < free.length && found.length < MOST_COMPARED; step += 1) {
+      const worker = free[(cursor + step) % free.length];
+      if (worker !== undefined && mayRun(worker, needs, this.now)) found.push(worker);
+      else passedOver += 1;
+    }
+    const shared = free.find((worker) => worker.record.id === sharedPromptWorker);
+    if (shared !== undefined && mayRun(shared, needs, this.now)) found.push(shared);
+    this.cursor = (cursor + found.length) % free.length;
+    if (passedOver > MOST_PASSED_OVER) this.free = free.filter((one) => one.hasRoom(this.now));
+    return found;
+  }
+}
--- a/src/jobs/run-mover.ts
+++ b/src/jobs/run-mover.ts
@@ -6,11 +6,12 @@
 import type { Milliseconds } from '../core/units.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import type { ItemDispatcherOptions } from './item-dispatcher.js';
-import { isFaster, isSlow, medianPace, needsOf, placeItem } from './item-placement.js';
+import { isFaster, isSlow, medianPace, needsOf } from './item-placement.js';
 import type { ItemRun } from './item-run.js';
 import { ageOf } from './job-records.js';
 import type { OwnedItem } from './owned-item.js';
 import type { OwnedJob } from './owned-job.js';
+import { PlacementRound } from './placement-round.js';
 
 /** Runs are not moved from slow workers before this age, nor moved more often than this. */
 const LEAST_AGE_TO_MOVE: Milliseconds = 300;
@@ -57,7 +58,7 @@
       .available(from.record.service)
       .filter((worker) => worker !== from && !isSlow(worker, median))
       .filter((worker) => cause !== 'faster-elsewhere' || isFaster(worker, from));
-    const target = placeItem(others, needsOf(job, entry), undefined, now);
+    const target = new PlacementRound(others, now).place(needsOf(job, entry), undefined);
     if (target === undefined) return;
     entry.moves += 1;
     if (cause === 'stalled') from.noteOutcome('stalled', now);
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -105,6 +105,12 @@
     return now < this.penalizedUntil;
   }
 
+  /** Whether one more request from here may go there now. */
+  hasRoom(now: Milliseconds): boolean {
+    if (this.record.draining || this.isPenalized(now)) return false;
+    return this.inFlight < this.record.slots;
+  }
+
   /** Requests at the worker, as far as this node can tell. */
   occupancy(now: Milliseconds): number {
     if (this.load === undefined || now - this.loadAt > LOAD_LIFETIME) return this.inFlight;
@@ -126,17 +132,31 @@
 /** All known workers. */
 export class WorkerRegistry {
   private readonly workers = new Map<string, KnownWorker>();
+  private readonly services = new Map<ServiceName, Set<KnownWorker>>();
 
   /** Adds a worker or replaces its record. */
   put(record: WorkerRecord): void {
     const known = this.workers.get(record.id);
-    if (known === undefined) this.workers.set(record.id, new KnownWorker(record));
-    else known.record = record;
+    if (known === undefined || known.record.service !== record.service) {
+      this.remove(record.id);
+      this.add(new KnownWorker(record));
+    } else known.record = record;
+  }
+
+  private add(worker: KnownWorker): void {
+    const { id, service } = worker.record;
+    this.workers.set(id, worker);
+    const others = this.services.get(service);
+    if (others === undefined) this.services.set(service, new Set([worker]));
+    else others.add(worker);
   }
 
   /** Forgets a worker that has left. */
   remove(id: string): void {
+    const worker = this.workers.get(id);
+    if (worker === undefined) return;
     this.workers.delete(id);
+    this.services.get(worker.record.service)?.delete(worker);
   }
 
   /** The worker of this id, if it is still known. */
@@ -146,7 +166,7 @@
 
   /** All workers of a service, also those that are leaving. */
   ofService(service: ServiceName): KnownWorker[] {
-    return [...this.workers.values()].filter((worker) => worker.record.service === service);
+    return [...(this.services.get(service) ?? [])];
   }
 
   /** Workers of a service that take new work. */
--- a/test/jobs/item-placement.test.ts
+++ b/test/jobs/item-placement.test.ts
@@ -1,11 +1,6 @@
 import t from 'tap';
-import {
-  type ItemNeeds,
-  isFaster,
-  isSlow,
-  medianPace,
-  placeItem,
-} from '../../src/jobs/item-placement.js';
+import { type ItemNeeds, isFaster, isSlow, medianPace } from '../../src/jobs/item-placement.js';
+import { PlacementRound } from '../../src/jobs/placement-round.js';
 import { KnownWorker } from '../../src/serving/worker-registry.js';
 import { worker } from '../serving/serving-fixtures.js';
 
@@ -17,6 +12,15 @@
   boundVersion: undefined,
 };
 
+function placeItem(
+  workers: readonly KnownWorker[],
+  needs: ItemNeeds,
+  sharedPromptWorker: string | undefined,
+  now: number,
+): KnownWorker | undefined {
+  return new PlacementRound(workers, now).place(needs, sharedPromptWorker);
+}
+
 function known(id: string, pace: number, fields = {}): KnownWorker {
   const made = new KnownWorker(worker(id, fields));
   made.notePace(pace);
