Failing tests: calls that follow a silent one take kept connections

Cause: kept connections that fell silent together look like late workers; the call that overtakes takes another of them. Change: three tests (adapter, requests, items) that fail on the code as it is; the field of the request that they name. Before: 'a request that asks for it', 'the call that overtakes a late one', 'an item that got no answer at all' fail.

--- a/src/serving/engine-port.ts
+++ b/src/serving/engine-port.ts
@@ -26,6 +26,11 @@
   readonly tenant?: TenantName;
   /** The answer goes on after this event. */
   readonly lastEventId?: number;
+  /**
+   * Whether it goes over a connection of its own: those that are kept may all have gone silent, which
+   * shows only by answers that do not come.
+   */
+  readonly wantsNewConnection?: boolean;
 }
 
 /** What a worker tells of its load with an answer. */
--- a/test/jobs/job-service.test.ts
+++ b/test/jobs/job-service.test.ts
@@ -69,6 +69,19 @@
   t.match(moved, { cause: 'stalled', events: 2 });
 });
 
+t.test('an item that got no answer at all goes on over a new connection', async (t) => {
+  const engine = new ScriptedEngine(['hang', stream('abcd')]);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
+  node.registry.put(worker('w1'));
+  node.registry.put(worker('w2'));
+  await node.service.submit(specification('job', 1), always);
+  await workUntil(node, isFinished(node));
+  t.same(
+    engine.requests.map(({ wantsNewConnection = false }) => wantsNewConnection),
+    [false, true],
+  );
+});
+
 t.test('an item whose stream pauses stays where no other worker can take it', async (t) => {
   const engine = new ScriptedEngine([pausingAnswer('ab')]);
   const node = jobNode(new SharedStoreEmulator(), OWNER, engine);
--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -113,6 +113,21 @@
   t.equal(worker.connections(), 1);
 });
 
+t.test('a request that asks for it goes over a connection of its own', async (t) => {
+  const silent: Script = () => {};
+  const worker = await standIn(t, answers('one'), answers('two'), silent, answers('four'));
+  const kept = await Promise.all([worker.send(), worker.send()]);
+  t.same(await Promise.all(kept.map(bodyOf)), ['one', 'two']);
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  const abort = new AbortController();
+  const lost = worker.send({}, abort.signal);
+  const found = await worker.send({ wantsNewConnection: true });
+  t.equal(await bodyOf(found), 'four');
+  t.equal(worker.connections(), 3, 'the other kept one was left alone');
+  abort.abort();
+  t.match(await lost, { kind: 'failed', cause: 'cancelled' });
+});
+
 t.test('only the mark of a refusal promises that nothing ran', async (t) => {
   const refusal: Script = (_id, socket) =>
     socket.write(reply('503 Service Unavailable', ['X-Wardwing-Not-Run: 1'], ''));
--- a/test/serving/request-forwarder.test.ts
+++ b/test/serving/request-forwarder.test.ts
@@ -72,6 +72,26 @@
   }
 });
 
+/**
+ * Kept connections that fell silent together look like late workers: a second call over another one
+ * of them would wait as well, until the caller's time is over.
+ */
+t.test('the call that overtakes a late one goes over a new connection', async (t) => {
+  const { engine } = await forward(['hang', answer('reply')], { targetLatency: 100 });
+  t.same(
+    engine.requests.map(({ wantsNewConnection = false }) => wantsNewConnection),
+    [false, true],
+  );
+});
+
+t.test('the call after a failed one uses a kept connection', async (t) => {
+  const { engine } = await forward([NOT_RUN, answer('reply')]);
+  t.same(
+    engine.requests.map(({ wantsNewConnection = false }) => wantsNewConnection),
+    [false, false],
+  );
+});
+
 t.test('no more workers are tried than the route allows', async (t) => {
   const { sink, engine } = await forward([BROKEN, BROKEN, answer('late')], { maxAttempts: 2 });
   t.equal(engine.requests.length, 2);
