A call that follows a silent one goes over a new connection

Cause: kept connections that fell silent together look like late workers: the call that overtakes a late one, and the next run of an item that got no byte of an answer, took another of them and waited in full. Change: both go over a connection of their own; a call after a refusal or a failure uses kept ones as before.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -169,9 +169,11 @@
       remaining: undefined,
       ...(job.spec.tenant === undefined ? {} : { tenant: job.spec.tenant }),
       ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
+      ...(entry.wasUnanswered ? { wantsNewConnection: true } : {}),
     });
     worker.inFlight -= 1;
     entry.run = undefined;
+    entry.wasUnanswered = !run.hasBegun && (end === 'cancelled' || end === 'interrupted');
     if (entry.state === 'running') entry.state = 'waiting';
     this.takeEnd(job, entry, route, worker, end);
     this.schedule();
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -56,9 +56,10 @@
   private silenceTimer: NodeJS.Timeout | undefined;
   private isSilent = false;
   private heardAt: Milliseconds;
-  private hasBegun = false;
   private lastEventAt: Milliseconds | undefined;
   readonly startedAt: Milliseconds;
+  /** Whether a byte of an answer has come. */
+  hasBegun = false;
 
   constructor(
     context: ItemRunContext,
--- a/src/jobs/owned-item.ts
+++ b/src/jobs/owned-item.ts
@@ -23,6 +23,8 @@
   failedAttempts: number;
   /** Times that a run was ended to go on at a faster worker. */
   moves: number;
+  /** Whether its last run ended without a byte of an answer, perhaps on a connection gone silent. */
+  wasUnanswered: boolean;
   /** Whether it was moved to a worker that is somewhat faster. */
   hasGoneFaster: boolean;
   /** The whole text without its score; only while `unscored`. */
@@ -41,6 +43,7 @@
     notBefore: 0,
     failedAttempts: 0,
     moves: 0,
+    wasUnanswered: false,
     hasGoneFaster: false,
     text: undefined,
     scoring: undefined,
--- a/src/serving/forwarded-exchange.ts
+++ b/src/serving/forwarded-exchange.ts
@@ -37,6 +37,13 @@
 /** When to come back after a refusal. */
 const RETRY_AFTER: Milliseconds = 100;
 
+/** How a request goes to one worker. */
+interface SendOptions {
+  /** The answer goes on after this event. */
+  readonly lastEventId?: number | undefined;
+  readonly wantsNewConnection?: boolean;
+}
+
 /** One request under way. */
 export class ForwardedExchange {
   private readonly tried = new Set<string>();
@@ -97,7 +104,10 @@
     return this.options.registry.pick(this.service, this.tried, this.options.zone, now);
   }
 
-  private async send(worker: KnownWorker, lastEventId?: number): Promise<EngineOutcome> {
+  private async send(
+    worker: KnownWorker,
+    { lastEventId, wantsNewConnection = false }: SendOptions = {},
+  ): Promise<EngineOutcome> {
     const { engine, clock } = this.options;
     const abort = new AbortController();
     this.aborts.add(abort);
@@ -122,6 +132,7 @@
         priority: ownPriority ?? this.route.priority,
         ...(tenant === undefined ? {} : { tenant }),
         ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
+        ...(wantsNewConnection ? { wantsNewConnection } : {}),
       },
       abort.signal,
     );
@@ -174,9 +185,11 @@
           finish();
           return;
         }
+        // A call that waits may hang on a kept connection that fell silent with all others.
+        const wantsNewConnection = pending > 0;
         pending += 1;
         hedge = setTimeout(startNext, hedgeDelay);
-        void this.attemptWhole(worker).then((end) => {
+        void this.attemptWhole(worker, wantsNewConnection).then((end) => {
           pending -= 1;
           if (this.isOver) return finish();
           if (isUsable(end)) {
@@ -193,8 +206,11 @@
     });
   }
 
-  private async attemptWhole(worker: KnownWorker): Promise<AttemptEnd> {
-    const outcome = await this.send(worker);
+  private async attemptWhole(
+    worker: KnownWorker,
+    wantsNewConnection: boolean,
+  ): Promise<AttemptEnd> {
+    const outcome = await this.send(worker, { wantsNewConnection });
     const now = this.options.clock.now();
     if (outcome.kind !== 'answered') {
       if (!this.isOver) noteFailure(worker, outcome, now);
@@ -266,7 +282,7 @@
     while (this.route.resumable && !this.request.gone.aborted && this.remaining() > 0) {
       const worker = this.pick();
       if (worker === undefined) return undefined;
-      const outcome = await this.send(worker, relay.lastEventId);
+      const outcome = await this.send(worker, { lastEventId: relay.lastEventId });
       if (outcome.kind === 'answered' && outcome.isStream && outcome.status < 300) return outcome;
       if (outcome.kind === 'answered') outcome.discard();
     }
