A forwarded request's attempts and its report are modules of their own

Cause: forwarded-exchange.ts held attempts, hedges, streams, counts and logs in one class of 345 lines. No decision changed. Before and after: serving and fleet tests 374 passed; import check clean.

--- /dev/null
+++ b/src/serving/exchange-report.ts
@@ -0,0 +1,62 @@
+/** Counts and logs how one caller's request ended. */
+import type { Milliseconds } from '../core/units.js';
+import type { Failure } from '../errors/error-kinds.js';
+import type { CallerRequest } from './answer-sink.js';
+import type { RequestForwarderOptions } from './forwarding-options.js';
+import type { Route, ServiceName } from './traffic-configuration.js';
+import type { KnownWorker } from './worker-registry.js';
+
+/** Options of {@link ExchangeReport}. */
+export interface ExchangeReportOptions
+  extends Pick<RequestForwarderOptions, 'clock' | 'log' | 'metrics'> {
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly service: ServiceName;
+}
+
+/** How an answered request ended. */
+export type AnsweredEnd = 'request-answered' | 'stream-answered' | 'stream-broken-off';
+
+/** What is told of one request. */
+export class ExchangeReport {
+  constructor(private readonly options: ExchangeReportOptions) {}
+
+  /** The caller was told why it gets no worker's answer. */
+  noteFailed(reason: Failure, attempts: number): void {
+    const { request, route, service, log } = this.options;
+    this.meter(reason.kind);
+    log.decision('request-refused', {
+      request: request.requestId,
+      route: route.name,
+      service,
+      kind: reason.kind,
+      detail: reason.detail,
+      attempts,
+      tookMs: this.elapsed(),
+    });
+  }
+
+  /** The caller got a worker's answer, or a part of it. */
+  noteAnswered(end: AnsweredEnd, worker: KnownWorker, status: number, attempts: number): void {
+    const { request, route, log } = this.options;
+    this.meter(end);
+    log.decision(end, {
+      request: request.requestId,
+      route: route.name,
+      worker: worker.record.id,
+      status,
+      attempts,
+      tookMs: this.elapsed(),
+    });
+  }
+
+  private meter(outcome: string): void {
+    const { route, metrics } = this.options;
+    metrics.count('requests', { kind: route.kind, outcome });
+    metrics.observe('request_seconds', { kind: route.kind }, this.elapsed());
+  }
+
+  private elapsed(): Milliseconds {
+    return Math.round(this.options.clock.now() - this.options.request.receivedAt);
+  }
+}
--- a/src/serving/forwarded-exchange.ts
+++ b/src/serving/forwarded-exchange.ts
@@ -3,32 +3,17 @@
  * goes to another worker when one fails or is late, within the route's number of attempts; one
  * that may not be repeated goes to another only where the first promised that it did not run.
  */
-import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
-import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
 import type { AnswerSink, CallerRequest } from './answer-sink.js';
 import { type AttemptEnd, isUsable, noteFailure, readAnswerBody } from './attempt.js';
-import type { Clock } from './clock.js';
-import type { EngineAnswer, EngineOutcome, EnginePort } from './engine-port.js';
+import type { EngineAnswer } from './engine-port.js';
+import { type AnsweredEnd, ExchangeReport } from './exchange-report.js';
+import type { RequestForwarderOptions } from './forwarding-options.js';
 import { StreamRelay } from './stream-relay.js';
 import type { Route, ServiceName } from './traffic-configuration.js';
-import type { KnownWorker, WorkerRegistry } from './worker-registry.js';
-
-/** Options of a request forwarder. */
-export interface RequestForwarderOptions {
-  readonly engine: EnginePort;
-  readonly versionField: string;
-  readonly registry: WorkerRegistry;
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  readonly metrics: FleetMetrics;
-  readonly zone: ZoneName;
-  /** Told when a worker began to run a tenant's request, by steady time. */
-  readonly noteBegun?: (tenant: TenantName, steadyTime: Milliseconds) => void;
-}
+import type { KnownWorker } from './worker-registry.js';
+import { WorkerSender } from './worker-sender.js';
 
 /** A repeatable request goes to a second worker after this share of its wanted latency. */
 const HEDGE_SHARE = 0.6;
@@ -37,38 +22,31 @@
 /** When to come back after a refusal. */
 const RETRY_AFTER: Milliseconds = 100;
 
-/** How a request goes to one worker. */
-interface SendOptions {
-  /** The answer goes on after this event. */
-  readonly lastEventId?: number | undefined;
-  readonly wantsNewConnection?: boolean;
-}
-
 /** One request under way. */
 export class ForwardedExchange {
-  private readonly tried = new Set<string>();
-  private readonly aborts = new Set<AbortController>();
+  private readonly sender: WorkerSender;
+  private readonly report: ExchangeReport;
   private readonly deadline: Milliseconds;
   private readonly timeIsUp = new AbortController();
-  private mayHaveRun = false;
-  private attempts = 0;
-  private hasBegun = false;
   private isAnswered = false;
 
   constructor(
     private readonly options: RequestForwarderOptions,
     private readonly request: CallerRequest,
     private readonly route: Route,
-    private readonly service: ServiceName,
+    service: ServiceName,
     private readonly sink: AnswerSink,
   ) {
     const patience = Math.min(request.patience ?? Number.POSITIVE_INFINITY, route.timeout);
     this.deadline = request.receivedAt + patience;
+    const parts = { ...options, request, route, service };
+    this.sender = new WorkerSender({ ...parts, remaining: () => this.remaining() });
+    this.report = new ExchangeReport(parts);
   }
 
   async perform(): Promise<void> {
     const timer = setTimeout(() => this.expire(), Math.max(0, this.remaining()));
-    const leave = (): void => this.cancelAll();
+    const leave = (): void => this.sender.cancelAll();
     this.request.gone.addEventListener('abort', leave);
     try {
       if (this.route.kind === 'read-only') await this.forwardRepeatable();
@@ -76,7 +54,7 @@
     } finally {
       clearTimeout(timer);
       this.request.gone.removeEventListener('abort', leave);
-      this.cancelAll();
+      this.sender.cancelAll();
     }
   }
 
@@ -87,80 +65,13 @@
   private expire(): void {
     this.timeIsUp.abort();
     this.fail(failure('deadline_exceeded', 'no worker answered in time'));
-    this.cancelAll();
-  }
-
-  private cancelAll(): void {
-    for (const abort of this.aborts) abort.abort();
+    this.sender.cancelAll();
   }
 
   private get isOver(): boolean {
     return this.isAnswered || this.request.gone.aborted || this.timeIsUp.signal.aborted;
   }
 
-  private pick(): KnownWorker | undefined {
-    if (this.attempts >= this.route.maxAttempts) return undefined;
-    const now = this.options.clock.now();
-    return this.options.registry.pick(this.service, this.tried, this.options.zone, now);
-  }
-
-  private async send(
-    worker: KnownWorker,
-    { lastEventId, wantsNewConnection = false }: SendOptions = {},
-  ): Promise<EngineOutcome> {
-    const { engine, clock } = this.options;
-    const abort = new AbortController();
-    this.aborts.add(abort);
-    this.tried.add(worker.record.id);
-    this.attempts += 1;
-    worker.inFlight += 1;
-    const sentAt = clock.now();
-    const resumeAfter = lastEventId ?? this.request.lastEventId;
-    const { caller } = this.request;
-    const tenant = tenantNameOf(caller);
-    const ownPriority = caller.kind === 'tenant' ? caller.tenant.priority : undefined;
-    const outcome = await engine.send(
-      {
-        worker: worker.record,
-        requestId: this.request.requestId,
-        method: this.request.method,
-        path: this.request.path,
-        host: this.request.host,
-        headers: this.request.headers,
-        body: this.request.body,
-        remaining: this.request.patience === undefined ? this.routeTime() : this.remaining(),
-        priority: ownPriority ?? this.route.priority,
-        ...(tenant === undefined ? {} : { tenant }),
-        ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
-        ...(wantsNewConnection ? { wantsNewConnection } : {}),
-      },
-      abort.signal,
-    );
-    worker.inFlight -= 1;
-    if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, clock.now());
-    if (outcome.kind === 'failed' && outcome.mayHaveRun) this.mayHaveRun = true;
-    this.noteBegun(outcome, sentAt);
-    return outcome;
-  }
-
-  /**
-   * Counts the request once, when its first run began: with the first event of a stream, else when
-   * it was sent, as workers begin such requests as they come.
-   */
-  private noteBegun(outcome: EngineOutcome, sentAt: Milliseconds): void {
-    const { noteBegun, clock } = this.options;
-    const tenant = tenantNameOf(this.request.caller);
-    const hasRun = outcome.kind === 'answered' || (outcome.kind === 'failed' && outcome.mayHaveRun);
-    if (this.hasBegun || !hasRun || tenant === undefined) return;
-    this.hasBegun = true;
-    const isStream = outcome.kind === 'answered' && outcome.isStream;
-    noteBegun?.(tenant, isStream ? clock.now() : sentAt);
-  }
-
-  private routeTime(): Milliseconds {
-    return Math.max(0, this.remaining());
-  }
-
   /** Attempts side by side: the first whole answer wins, the others are cancelled. */
   private forwardRepeatable(): Promise<void> {
     const hedgeDelay = Math.max(LEAST_HEDGE_DELAY, HEDGE_SHARE * this.route.targetLatency);
@@ -178,7 +89,7 @@
           finish();
           return;
         }
-        const worker = this.pick();
+        const worker = this.sender.pick();
         if (worker === undefined) {
           if (pending > 0) return;
           this.giveUp(lastEnd);
@@ -210,7 +121,7 @@
     worker: KnownWorker,
     wantsNewConnection: boolean,
   ): Promise<AttemptEnd> {
-    const outcome = await this.send(worker, { wantsNewConnection });
+    const outcome = await this.sender.send(worker, { wantsNewConnection });
     const now = this.options.clock.now();
     if (outcome.kind !== 'answered') {
       if (!this.isOver) noteFailure(worker, outcome, now);
@@ -218,7 +129,7 @@
     }
     const body = await readAnswerBody(outcome);
     if (body === undefined) {
-      this.mayHaveRun = true;
+      this.sender.mayHaveRun = true;
       if (!this.isOver) worker.noteOutcome('failure', this.options.clock.now());
     } else worker.noteOutcome('success', this.options.clock.now());
     return { worker, outcome, body };
@@ -228,15 +139,15 @@
     if (end.outcome.kind !== 'answered' || end.body === undefined) return;
     this.isAnswered = true;
     this.sink.sendWhole(end.outcome.status, end.outcome.headers, end.body);
-    this.logEnd('request-answered', end.worker, end.outcome.status);
+    this.noteAnswered('request-answered', end.worker, end.outcome.status);
   }
 
   /** One attempt at a time; the next only after a promise that the last one did not run. */
   private async forwardOnce(): Promise<void> {
     while (!this.isOver) {
-      const worker = this.pick();
+      const worker = this.sender.pick();
       if (worker === undefined) return this.giveUp(undefined);
-      const outcome = await this.send(worker);
+      const outcome = await this.sender.send(worker);
       if (this.isOver) return;
       if (outcome.kind === 'answered') return this.relay(worker, outcome);
       noteFailure(worker, outcome, this.options.clock.now());
@@ -257,13 +168,13 @@
       const isComplete = await relay.follow(current);
       if (isComplete) {
         this.sink.end();
-        return this.logEnd('stream-answered', worker, answer.status);
+        return this.noteAnswered('stream-answered', worker, answer.status);
       }
       current.discard();
       current = await this.resumeStream(relay);
     }
     this.sink.breakOff();
-    this.logEnd('stream-broken-off', worker, answer.status);
+    this.noteAnswered('stream-broken-off', worker, answer.status);
   }
 
   private async relayWhole(worker: KnownWorker, answer: EngineAnswer): Promise<void> {
@@ -271,18 +182,18 @@
     if (this.request.gone.aborted || this.timeIsUp.signal.aborted) return;
     if (body === undefined) {
       this.isAnswered = false;
-      this.mayHaveRun = true;
+      this.sender.mayHaveRun = true;
       return this.giveUp(undefined);
     }
     this.sink.sendWhole(answer.status, answer.headers, body);
-    this.logEnd('request-answered', worker, answer.status);
+    this.noteAnswered('request-answered', worker, answer.status);
   }
 
   private async resumeStream(relay: StreamRelay): Promise<EngineAnswer | undefined> {
     while (this.route.resumable && !this.request.gone.aborted && this.remaining() > 0) {
-      const worker = this.pick();
+      const worker = this.sender.pick();
       if (worker === undefined) return undefined;
-      const outcome = await this.send(worker, { lastEventId: relay.lastEventId });
+      const outcome = await this.sender.send(worker, { lastEventId: relay.lastEventId });
       if (outcome.kind === 'answered' && outcome.isStream && outcome.status < 300) return outcome;
       if (outcome.kind === 'answered') outcome.discard();
     }
@@ -295,53 +206,28 @@
       this.deliver(last);
       return;
     }
-    if (this.mayHaveRun && this.route.kind !== 'read-only') {
+    if (this.sender.mayHaveRun && this.route.kind !== 'read-only') {
       this.fail(failure('engine_failed', 'the worker broke off; the work may have run'));
       return;
     }
-    if (this.mayHaveRun) {
+    if (this.sender.mayHaveRun) {
       this.fail(failure('engine_failed', 'no worker gave an answer'));
       return;
     }
-    const kind = this.attempts === 0 ? 'no_worker' : 'overloaded';
-    this.fail(failure(kind, `${this.attempts} workers were tried`, { retryAfter: RETRY_AFTER }));
+    const kind = this.sender.attempts === 0 ? 'no_worker' : 'overloaded';
+    this.fail(
+      failure(kind, `${this.sender.attempts} workers were tried`, { retryAfter: RETRY_AFTER }),
+    );
   }
 
   private fail(reason: Failure): void {
     if (this.isAnswered || this.request.gone.aborted) return;
     this.isAnswered = true;
     this.sink.fail(reason);
-    this.meter(reason.kind);
-    this.options.log.decision('request-refused', {
-      request: this.request.requestId,
-      route: this.route.name,
-      service: this.service,
-      kind: reason.kind,
-      detail: reason.detail,
-      attempts: this.attempts,
-      tookMs: this.elapsed(),
-    });
-  }
-
-  private meter(outcome: string): void {
-    const kind = this.route.kind;
-    this.options.metrics.count('requests', { kind, outcome });
-    this.options.metrics.observe('request_seconds', { kind }, this.elapsed());
-  }
-
-  private logEnd(event: string, worker: KnownWorker, status: number): void {
-    this.meter(event);
-    this.options.log.decision(event, {
-      request: this.request.requestId,
-      route: this.route.name,
-      worker: worker.record.id,
-      status,
-      attempts: this.attempts,
-      tookMs: this.elapsed(),
-    });
+    this.report.noteFailed(reason, this.sender.attempts);
   }
 
-  private elapsed(): Milliseconds {
-    return Math.round(this.options.clock.now() - this.request.receivedAt);
+  private noteAnswered(end: AnsweredEnd, worker: KnownWorker, status: number): void {
+    this.report.noteAnswered(end, worker, status, this.sender.attempts);
   }
 }
--- a/src/serving/request-forwarder.ts
+++ b/src/serving/request-forwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards requests of callers to workers; see `forwarded-exchange.ts` for the rules. */
 import type { AnswerSink, CallerRequest } from './answer-sink.js';
-import { ForwardedExchange, type RequestForwarderOptions } from './forwarded-exchange.js';
+import { ForwardedExchange } from './forwarded-exchange.js';
+import type { RequestForwarderOptions } from './forwarding-options.js';
 import type { Route, ServiceName } from './traffic-configuration.js';
 
 /** Forwards requests. */
--- /dev/null
+++ b/src/serving/worker-sender.ts
@@ -0,0 +1,109 @@
+/**
+ * Sends one caller's request to workers: picks them, counts attempts, and keeps in mind whether any
+ * of them may have run it.
+ */
+import type { Milliseconds } from '../core/units.js';
+import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
+import type { CallerRequest } from './answer-sink.js';
+import type { EngineOutcome } from './engine-port.js';
+import type { RequestForwarderOptions } from './forwarding-options.js';
+import type { Route, ServiceName } from './traffic-configuration.js';
+import type { KnownWorker } from './worker-registry.js';
+
+/** How a request goes to one worker. */
+export interface SendOptions {
+  /** The answer goes on after this event. */
+  readonly lastEventId?: number | undefined;
+  readonly wantsNewConnection?: boolean;
+}
+
+/** Options of {@link WorkerSender}. */
+export interface WorkerSenderOptions extends RequestForwarderOptions {
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly service: ServiceName;
+  /** Time that is left for the answer. */
+  readonly remaining: () => Milliseconds;
+}
+
+/** The attempts of one request. */
+export class WorkerSender {
+  private readonly tried = new Set<string>();
+  private readonly aborts = new Set<AbortController>();
+  private hasBegun = false;
+  /** Workers that it was sent to. */
+  attempts = 0;
+  /** Whether a worker may have run it. */
+  mayHaveRun = false;
+
+  constructor(private readonly options: WorkerSenderOptions) {}
+
+  /** The worker for the next attempt; `undefined` where there is none, or the route allows no more. */
+  pick(): KnownWorker | undefined {
+    const { route, registry, service, zone, clock } = this.options;
+    if (this.attempts >= route.maxAttempts) return undefined;
+    return registry.pick(service, this.tried, zone, clock.now());
+  }
+
+  /** Sends the request to a worker; never rejects. */
+  async send(
+    worker: KnownWorker,
+    { lastEventId, wantsNewConnection = false }: SendOptions = {},
+  ): Promise<EngineOutcome> {
+    const { engine, clock, request, route, remaining } = this.options;
+    const abort = new AbortController();
+    this.aborts.add(abort);
+    this.tried.add(worker.record.id);
+    this.attempts += 1;
+    worker.inFlight += 1;
+    const sentAt = clock.now();
+    const resumeAfter = lastEventId ?? request.lastEventId;
+    const { caller } = request;
+    const tenant = tenantNameOf(caller);
+    const ownPriority = caller.kind === 'tenant' ? caller.tenant.priority : undefined;
+    const outcome = await engine.send(
+      {
+        worker: worker.record,
+        requestId: request.requestId,
+        method: request.method,
+        path: request.path,
+        host: request.host,
+        headers: request.headers,
+        body: request.body,
+        remaining: request.patience === undefined ? Math.max(0, remaining()) : remaining(),
+        priority: ownPriority ?? route.priority,
+        ...(tenant === undefined ? {} : { tenant }),
+        ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
+        ...(wantsNewConnection ? { wantsNewConnection } : {}),
+      },
+      abort.signal,
+    );
+    worker.inFlight -= 1;
+    if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, clock.now());
+    if (outcome.kind === 'failed' && outcome.mayHaveRun) this.mayHaveRun = true;
+    this.noteBegun(outcome, sentAt, tenant);
+    return outcome;
+  }
+
+  /** Ends all attempts. */
+  cancelAll(): void {
+    for (const abort of this.aborts) abort.abort();
+  }
+
+  /**
+   * Counts the request once, when its first run began: with the first event of a stream, else when
+   * it was sent, as workers begin such requests as they come.
+   */
+  private noteBegun(
+    outcome: EngineOutcome,
+    sentAt: Milliseconds,
+    tenant: TenantName | undefined,
+  ): void {
+    const { noteBegun, clock } = this.options;
+    const hasRun = outcome.kind === 'answered' || (outcome.kind === 'failed' && outcome.mayHaveRun);
+    if (this.hasBegun || !hasRun || tenant === undefined) return;
+    this.hasBegun = true;
+    const isStream = outcome.kind === 'answered' && outcome.isStream;
+    noteBegun?.(tenant, isStream ? clock.now() : sentAt);
+  }
+}
