Tests: callers that leave with two calls under way, mid-stream, between workers, before their request is read

Cause: only one of the ways to leave had a test. Conclusion: nothing to mend found here; held reads and calls passed between gateways have no such test yet.

--- a/test/serving/request-forwarder.test.ts
+++ b/test/serving/request-forwarder.test.ts
@@ -1,3 +1,4 @@
+import { Readable } from 'node:stream';
 import t from 'tap';
 import type { CallerRequest } from '../../src/serving/answer-sink.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
@@ -144,6 +145,67 @@
   t.equal(engine.cancelled.length, 1);
 });
 
+/** The time after which no worker may work for a caller that has left. */
+const LEAVING_BOUND = 500;
+
+/** A stream that gives some events and then waits, until its request is ended. */
+function waitingStream(letters: string): Script {
+  const body = new Readable({ read: () => {} });
+  body.push(Buffer.from(events(0, letters)));
+  return answer('', { body, isStream: true });
+}
+
+async function timeAfterLeaving(
+  scripts: Script[],
+  leaveAfter: number,
+  routeFields: Partial<Route>,
+): Promise<Forwarded & { readonly time: number }> {
+  const gone = new AbortController();
+  let leftAt = performance.now();
+  const leave = (): void => {
+    leftAt = performance.now();
+    gone.abort();
+  };
+  if (leaveAfter === 0) leave();
+  else setTimeout(leave, leaveAfter);
+  const forwarded = await forward(scripts, routeFields, { gone: gone.signal });
+  return { ...forwarded, time: performance.now() - leftAt };
+}
+
+t.test('when the caller leaves, both calls under way end', async (t) => {
+  const scripts: Script[] = ['hang', 'hang', 'hang'];
+  const { sink, engine, time } = await timeAfterLeaving(scripts, 90, { targetLatency: 100 });
+  t.equal(engine.requests.length, 2);
+  t.equal(engine.cancelled.length, 2);
+  t.equal(sink.ending, 'open');
+  t.ok(time < LEAVING_BOUND, `ended after ${time} ms`);
+});
+
+t.test('when the caller leaves a stream, its run ends and no other begins', async (t) => {
+  const stream = waitingStream('ab');
+  const fields = { kind: 'streaming', resumable: true } as const;
+  const { engine, time } = await timeAfterLeaving([stream, 'hang'], 30, fields);
+  t.equal(engine.requests.length, 1);
+  t.ok(stream !== 'hang' && stream.kind === 'answered' && stream.body.destroyed);
+  t.ok(time < LEAVING_BOUND, `ended after ${time} ms`);
+});
+
+t.test('when the caller leaves between two workers, the second call ends', async (t) => {
+  const first = brokenAnswer(events(0, 'ab'), { isStream: true });
+  const fields = { kind: 'streaming', resumable: true } as const;
+  const { engine, time } = await timeAfterLeaving([first, 'hang', 'hang'], 60, fields);
+  t.equal(engine.requests.length, 2);
+  t.same(engine.cancelled, [engine.requests[1]?.worker.id]);
+  t.ok(time < LEAVING_BOUND, `ended after ${time} ms`);
+});
+
+t.test('for a caller that left before its request was read whole, nothing is sent', async (t) => {
+  for (const kind of ['read-only', 'mutating', 'streaming'] as const) {
+    const { engine } = await timeAfterLeaving([answer('reply')], 0, { kind });
+    t.equal(engine.requests.length, 0, kind);
+  }
+});
+
 t.test('a resumable stream goes on at another worker without a gap', async (t) => {
   const first = brokenAnswer(`${events(0, 'ab')}id: 2\nda`, { isStream: true });
   const second = answer(events(2, 'cd'), { isStream: true });
