The soak silences open connections, sends signals and changes in series, and checks each configuration at each calm gateway

Change: three kinds of silent connections, configurations and signals in series; a gateway to which nothing happened has no excuse for what befell others: a key that was just added is asked for there over kept connections, 401 after 2.1 s breaks 'configuration-in-force'.

--- a/lab/faults/tcp-proxy.ts
+++ b/lab/faults/tcp-proxy.ts
@@ -28,6 +28,8 @@
   sender: string | null;
   /** Whether bytes of this connection were swallowed, so that it cannot be used any more. */
   swallowed: boolean;
+  /** Whether it carries nothing any more and stays open: neither side is told. */
+  isSilenced: boolean;
 }
 
 /** Bytes of a connection in which its sender is looked for. */
@@ -68,6 +70,11 @@
     return [...this.links].filter((link) => link.swallowed).length;
   }
 
+  /** Open connections carry nothing from now on and stay open; new ones work. */
+  silence(): void {
+    for (const link of this.links) link.isSilenced = true;
+  }
+
   /** Breaks all open connections once. */
   cut(): void {
     for (const link of [...this.links]) this.end(link);
@@ -88,7 +95,7 @@
     }
     const [host, port] = this.options.target.split(':');
     const server = new Socket();
-    const link: Link = { client, server, sender: null, swallowed: false };
+    const link: Link = { client, server, sender: null, swallowed: false, isSilenced: false };
     this.links.add(link);
     client.setNoDelay(true);
     server.setNoDelay(true);
@@ -120,6 +127,7 @@
   }
 
   private forward(link: Link, data: Buffer, to: Socket): void {
+    if (link.isSilenced) return;
     const state = this.stateOf(link);
     if (state === 'black-hole' || (state === 'one-way' && to === link.client)) {
       link.swallowed = true;
--- a/lab/soak/fault-schedule.ts
+++ b/lab/soak/fault-schedule.ts
@@ -12,6 +12,7 @@
   'gateway-hears-no-store',
   'gateway-store-slow',
   'gateway-store-reset',
+  'gateway-store-links-silent',
   'gateway-turned-away',
   'gateway-throttled',
   'gateway-keys-revoked',
@@ -27,8 +28,12 @@
   'worker-silent',
   'worker-slow',
   'worker-reset',
+  'worker-links-silent',
+  'all-links-silent',
   'worker-leaves',
   'configuration-changed',
+  'configurations-in-series',
+  'signals-in-series',
 ] as const;
 
 /** One kind. */
--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -85,6 +85,18 @@
     child.kill('SIGCONT');
   }
 
+  /** Reloads, pauses and stops a gateway in quick turns; it starts again after it has ended. */
+  async signalInSeries(gateway: SoakGateway, count: number, pause: number): Promise<void> {
+    const { child } = gateway.process;
+    for (let sent = 0; sent < count; sent += 1) {
+      child.kill('SIGHUP');
+      child.kill('SIGSTOP');
+      await sleep(pause);
+      child.kill('SIGCONT');
+    }
+    await this.stopAndRestart(gateway);
+  }
+
   /** Ends all gateways and their links. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -3,7 +3,7 @@
  * whose text and versions are those that were made, positions that never change, jobs that stay,
  * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
  * score request after its text, no work for jobs that have ended, and none under another tenant than
- * the one whose key was shown.
+ * the one whose key was shown, and a new configuration in force in time.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 
@@ -19,6 +19,7 @@
     | 'refusal-true'
     | 'tenant-told'
     | 'key-revoked'
+    | 'configuration-in-force'
     | 'fencing'
     | 'ended-job'
     | 'leaving-worker';
@@ -63,6 +64,9 @@
   return `${item}.${index}.v${version}`;
 }
 
+/** The answer to a key that is not known. */
+const UNAUTHORIZED = 401;
+
 /** How all API keys of the soak begin. */
 export const KEY_PREFIX = 'key-';
 
@@ -108,6 +112,12 @@
     this.check(status !== 200, 'key-revoked', `served ${Math.round(age)} ms after its key went`);
   }
 
+  /** A calm gateway was asked with a key that the newest configuration brought. */
+  newKeyAnswered(gateway: string, status: number, age: Milliseconds): void {
+    const detail = `${gateway} refused a key ${Math.round(age)} ms after it was added`;
+    this.check(status !== UNAUTHORIZED, 'configuration-in-force', detail);
+  }
+
   /** A job is about to be handed in for the first time. */
   jobOffered(job: SubmittedJob): void {
     this.jobs.set(job.id, { ...job, isAccepted: false, endedAt: undefined, positions: [] });
--- a/lab/soak/soak-call.ts
+++ b/lab/soak/soak-call.ts
@@ -1,4 +1,4 @@
-/** One call of a caller of the soak, on a connection of its own. */
+/** One call of a caller of the soak. */
 import http from 'node:http';
 import { HEADERS } from '../../platform/names.js';
 import type { Milliseconds } from '../../src/core/units.js';
@@ -19,6 +19,8 @@
   /** Time for which the answer may be held. */
   readonly wait: Milliseconds | undefined;
   readonly limit: Milliseconds;
+  /** Keeps connections; without it each call has one of its own. */
+  readonly agent?: http.Agent;
 }
 
 /** An answer that came whole. */
@@ -30,10 +32,10 @@
 /** Makes the call; `undefined` where no whole answer came in time. Each call forges a tenant. */
 export function performCall(call: SoakCall): Promise<SoakAnswer | undefined> {
   const [host, port] = call.address.split(':');
-  const { method, path, limit } = call;
+  const { method, path, limit, agent = false } = call;
   return new Promise((resolve) => {
     const headers = headersOf(call);
-    const request = http.request({ agent: false, host, port, method, path, headers });
+    const request = http.request({ agent, host, port, method, path, headers });
     const timer = setTimeout(() => request.destroy(), limit);
     const settle = (answer: SoakAnswer | undefined): void => {
       clearTimeout(timer);
@@ -54,10 +56,10 @@
   });
 }
 
-function headersOf({ id, key, wait, limit }: SoakCall): http.OutgoingHttpHeaders {
+function headersOf({ id, key, wait, limit, agent }: SoakCall): http.OutgoingHttpHeaders {
   return {
     host: SOAK_HOST,
-    connection: 'close',
+    ...(agent === undefined ? { connection: 'close' } : {}),
     [HEADERS.requestId]: id,
     [HEADERS.deadline]: String(limit),
     [HEADERS.key]: key,
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -1,5 +1,6 @@
 /** The callers of the soak: lookups, and a trainer that draws step after step. */
 
+import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import * as z from 'zod';
 import { PATHS } from '../../platform/names.js';
@@ -27,6 +28,10 @@
 const REVOCATION_LIMIT: Milliseconds = 3_000;
 const REVOKED_INTERVAL: Milliseconds = 150;
 
+/** Time in which a new configuration has to be in force at a calm gateway, and the way of a call. */
+const CHANGE_LIMIT: Milliseconds = 2_100;
+const NEW_KEY_INTERVAL: Milliseconds = 50;
+
 const RESULTS = z.object({
   total: z.number(),
   next_page_token: z.number(),
@@ -49,6 +54,8 @@
   readonly isCalm: () => boolean;
   readonly random: RandomSource;
   readonly now: () => Milliseconds;
+  /** Front addresses of gateways that nothing has happened to lately, whatever befell others. */
+  readonly calmAddresses: () => readonly string[];
   /** Front addresses of the gateways. */
   readonly addresses: () => readonly string[];
   readonly model: string;
@@ -68,19 +75,28 @@
 export class SoakCallers {
   readonly counts: CallerCounts = { lookups: 0, lookupsServed: 0, steps: 0, stepsWhole: 0 };
   private isStopped = false;
+  /** Connections that stay open until their gateway is gone. */
+  private readonly kept = new http.Agent({ keepAlive: true });
   private loops: Promise<void>[] = [];
 
   constructor(private readonly surroundings: CallerSurroundings) {}
 
   /** Begins to ask. */
   start(): void {
-    this.loops = [this.lookups(), this.lookups(), this.trainer(), this.revokedLookups()];
+    this.loops = [
+      this.lookups(),
+      this.lookups(),
+      this.trainer(),
+      this.revokedLookups(),
+      this.newKeyLookups(),
+    ];
   }
 
   /** Asks no more; resolves when nothing is under way. */
   async stop(): Promise<void> {
     this.isStopped = true;
     await Promise.all(this.loops);
+    this.kept.destroy();
   }
 
   /** Reads all accepted jobs once more, each at some gateway, until each has answered. */
@@ -111,6 +127,32 @@
     }
   }
 
+  /** Asks calm gateways with keys that were just added, over kept connections. */
+  private async newKeyLookups(): Promise<void> {
+    const { checker, random, keys, calmAddresses } = this.surroundings;
+    while (!this.isStopped) {
+      await sleep(NEW_KEY_INTERVAL);
+      const calm = calmAddresses();
+      const address = calm[random.integer(Math.max(1, calm.length))];
+      const age = keys.timeSinceRotation;
+      if (address === undefined || age < CHANGE_LIMIT) continue;
+      const id = random.identifier();
+      checker.requestOffered(id, 'brokers');
+      const answer = await performCall({
+        address,
+        method: 'POST',
+        path: `${LOOKUP_PREFIX}${id}`,
+        id,
+        key: keys.newestKey('brokers'),
+        body: `question-${id}`,
+        wait: undefined,
+        limit: LOOKUP_LIMIT,
+        agent: this.kept,
+      });
+      if (answer !== undefined) checker.newKeyAnswered(address, answer.status, age);
+    }
+  }
+
   private async lookups(): Promise<void> {
     const { checker, random, keys } = this.surroundings;
     while (!this.isStopped) {
--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -34,6 +34,11 @@
     return keyOf(tenant, this.generation - 1);
   }
 
+  /** A key that only the newest configuration holds. */
+  newestKey(tenant: SoakTenant): string {
+    return keyOf(tenant, this.generation);
+  }
+
   /** A key that the newest configuration took away. */
   revokedKey(tenant: SoakTenant): string {
     return keyOf(tenant, this.generation - 2);
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -3,6 +3,7 @@
 import { KEY_PREFIXES } from '../../platform/names.js';
 import { createRandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { Disturbances, isOfOneGateway, leavesGatewaysAlone } from './disturbances.js';
 import { type PlannedFault, planFaults, QUIET_END } from './fault-schedule.js';
 import { GatewayGroup, type SoakGateway } from './gateway-group.js';
 import { PlatformStore } from './platform-store.js';
@@ -46,6 +47,10 @@
 const SLOW_LINK: Milliseconds = 150;
 const SLOW_WORKER: Milliseconds = 60;
 
+/** Changes or signals that come one after the other. */
+const SERIES_LENGTH = 4;
+const SERIES_PAUSE: Milliseconds = 150;
+
 /** Carries out one soak. */
 export class SoakRun {
   private readonly startedAt = performance.now();
@@ -58,6 +63,7 @@
   private configurationVersion = 0;
   private readonly keys = new SoakKeys(() => this.elapsed());
   private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  private readonly disturbances = new Disturbances(() => this.elapsed());
 
   constructor(private readonly options: SoakOptions) {
     const now = (): Milliseconds => performance.now() - this.startedAt;
@@ -83,6 +89,10 @@
       isCalm: () => this.isCalm(),
       random: createRandomSource(seed + 2),
       now: () => this.elapsed(),
+      calmAddresses: () =>
+        this.gateways.gateways
+          .filter((gateway) => this.disturbances.areOverFor(gateway, CALM_AFTER))
+          .map((gateway) => gateway.address),
       addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
       model: MODEL,
       nameVersion: (version) => this.nameVersion(version),
@@ -114,7 +124,12 @@
 
   private async bringOn(fault: PlannedFault): Promise<void> {
     await this.sleepUntil(fault.at);
+    const struck = isOfOneGateway(fault.kind)
+      ? pick(this.gateways.gateways, fault.target)
+      : undefined;
+    const end = leavesGatewaysAlone(fault.kind) ? () => {} : this.disturbances.begin(struck);
     const work = this.perform(fault).finally(() => {
+      end();
       this.underWay.delete(work);
       this.lastFaultAt = this.elapsed();
     });
@@ -143,6 +158,8 @@
         return undefined;
       case 'gateway-store-reset':
         return gateway.storeLink.cut();
+      case 'gateway-store-links-silent':
+        return gateway.storeLink.silence();
       case 'gateway-turned-away':
         return this.withDoor(gateway, 'unavailable', duration);
       case 'gateway-throttled':
@@ -186,10 +203,24 @@
         return undefined;
       case 'worker-reset':
         return place.link.cut();
+      case 'worker-links-silent':
+        return place.link.silence();
+      case 'all-links-silent':
+        for (const { storeLink } of this.gateways.gateways) storeLink.silence();
+        for (const { link } of this.workers.places) link.silence();
+        return undefined;
       case 'worker-leaves':
         return this.workers.leave(place);
       case 'configuration-changed':
         return this.writeConfiguration();
+      case 'configurations-in-series':
+        for (let count = 0; count < SERIES_LENGTH; count += 1) {
+          this.writeConfiguration();
+          await sleep(SERIES_PAUSE);
+        }
+        return undefined;
+      case 'signals-in-series':
+        return this.gateways.signalInSeries(gateway, SERIES_LENGTH, SERIES_PAUSE);
     }
   }
 
--- a/test/lab/faults/tcp-proxy.test.ts
+++ b/test/lab/faults/tcp-proxy.test.ts
@@ -77,3 +77,15 @@
   t.equal(await exchange(open(t, port), '{"north" to "south"}'), 'closed');
   t.equal(await exchange(open(t, port), '{"south" to "north"}'), '{"south" to "north"}');
 });
+
+t.test('silenced links stay open and carry nothing, new ones work', async (t) => {
+  const { proxy, port } = await echoBehindProxy(t);
+  const silenced = open(t, port);
+  t.equal(await exchange(silenced, 'one'), 'one');
+  proxy.silence();
+  const answer = exchange(silenced, 'two');
+  t.equal(await exchange(open(t, port), 'three'), 'three');
+  const pause = new Promise((resolve) => setTimeout(() => resolve('nothing'), 100));
+  t.equal(await Promise.race([answer, pause]), 'nothing');
+  t.notOk(silenced.destroyed);
+});
