Half of a gateway's connections to the store fall silent in the soak

Cause: where all of them do, the next renewal of the lease shows it; a watch that hangs while renewals are answered did not. Change: each open connection of the struck gateway falls silent with a chance of one half, drawn from the seed. Before and after: proxy tests pass.

--- a/lab/faults/tcp-proxy.ts
+++ b/lab/faults/tcp-proxy.ts
@@ -70,9 +70,9 @@
     return [...this.links].filter((link) => link.swallowed).length;
   }
 
-  /** Open connections carry nothing from now on and stay open; new ones work. */
-  silence(): void {
-    for (const link of this.links) link.isSilenced = true;
+  /** Open connections, or those of them that are chosen, carry nothing from now on; new ones work. */
+  silence(isChosen: () => boolean = () => true): void {
+    for (const link of this.links) link.isSilenced ||= isChosen();
   }
 
   /** Breaks all open connections once. */
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -1,7 +1,7 @@
 /** One soak: a fleet of real gateways, stand-ins around it, callers, and faults from outside. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
-import { createRandomSource } from '../../src/core/random.js';
+import { createRandomSource, type RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { Disturbances, isOfOneGateway, leavesGatewaysAlone } from './disturbances.js';
 import { type PlannedFault, planFaults, QUIET_END } from './fault-schedule.js';
@@ -47,6 +47,9 @@
 const SLOW_LINK: Milliseconds = 150;
 const SLOW_WORKER: Milliseconds = 60;
 
+/** Share of one gateway's connections to the store that fall silent: those of watches may, or others. */
+const SILENCED_SHARE = 0.5;
+
 /** Changes or signals that come one after the other. */
 const SERIES_LENGTH = 4;
 const SERIES_PAUSE: Milliseconds = 150;
@@ -63,6 +66,7 @@
   private configurationVersion = 0;
   private readonly keys = new SoakKeys(() => this.elapsed());
   private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  private readonly silenced: RandomSource;
   private readonly disturbances = new Disturbances(() => this.elapsed());
 
   constructor(private readonly options: SoakOptions) {
@@ -72,6 +76,7 @@
     const isCalm = (): boolean => this.isCalm();
     const surroundings = { checker: this.checker, model: MODEL, now, isCalm };
     const random = createRandomSource(options.seed + 1);
+    this.silenced = createRandomSource(options.seed + 3);
     this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
   }
 
@@ -159,7 +164,7 @@
       case 'gateway-store-reset':
         return gateway.storeLink.cut();
       case 'gateway-store-links-silent':
-        return gateway.storeLink.silence();
+        return gateway.storeLink.silence(() => this.silenced.fraction() < SILENCED_SHARE);
       case 'gateway-turned-away':
         return this.withDoor(gateway, 'unavailable', duration);
       case 'gateway-throttled':
--- a/test/lab/faults/tcp-proxy.test.ts
+++ b/test/lab/faults/tcp-proxy.test.ts
@@ -88,4 +88,8 @@
   const pause = new Promise((resolve) => setTimeout(() => resolve('nothing'), 100));
   t.equal(await Promise.race([answer, pause]), 'nothing');
   t.notOk(silenced.destroyed);
+  const spared = open(t, port);
+  t.equal(await exchange(spared, 'four'), 'four');
+  proxy.silence(() => false);
+  t.equal(await exchange(spared, 'five'), 'five');
 });
