The soak's configuration and its callers with keys are modules of their own

Change: soak-configuration.ts, soak-key-callers.ts; routes' prefixes with the calls. No check or fault changed.

--- a/lab/soak/soak-call.ts
+++ b/lab/soak/soak-call.ts
@@ -6,6 +6,13 @@
 /** Where the routes of the soak lead. */
 export const SOAK_HOST = 'soak.example';
 
+/** Prefixes of the soak's routes. */
+export const LOOKUP_PREFIX = '/lookups/';
+export const ROLLOUT_PREFIX = '/rollouts/';
+
+/** Longest time for a lookup. */
+export const LOOKUP_LIMIT: Milliseconds = 1_500;
+
 /** A call to one gateway. */
 export interface SoakCall {
   /** IP and port. */
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -1,20 +1,23 @@
 /** The callers of the soak: lookups, and a trainer that draws step after step. */
 
-import http from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import * as z from 'zod';
 import { PATHS } from '../../platform/names.js';
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import type { PromiseChecker } from './promise-checker.js';
-import { performCall, SOAK_HOST, type SoakAnswer } from './soak-call.js';
+import {
+  LOOKUP_LIMIT,
+  LOOKUP_PREFIX,
+  performCall,
+  ROLLOUT_PREFIX,
+  SOAK_HOST,
+  type SoakAnswer,
+} from './soak-call.js';
+import { SoakKeyCallers } from './soak-key-callers.js';
 import type { SoakKeys } from './soak-keys.js';
 import { EVENT_COUNT_HEADER, SCORE_PREFIX } from './worker-stand-in.js';
 
-/** Prefixes of the soak's routes. */
-export const LOOKUP_PREFIX = '/lookups/';
-export const ROLLOUT_PREFIX = '/rollouts/';
-
 const GROUPS = 3;
 const GROUP_SIZE = 4;
 const MOST_EVENTS = 40;
@@ -22,15 +25,6 @@
 /** Longest time for a step, and for one call. */
 const STEP_LIMIT: Milliseconds = 12_000;
 const CALL_LIMIT: Milliseconds = 2_500;
-const LOOKUP_LIMIT: Milliseconds = 1_500;
-
-/** Time after which a key that was taken away is of no use at any calm gateway. */
-const REVOCATION_LIMIT: Milliseconds = 3_000;
-const REVOKED_INTERVAL: Milliseconds = 150;
-
-/** Time in which a new configuration has to be in force at a calm gateway, and the way of a call. */
-const CHANGE_LIMIT: Milliseconds = 2_100;
-const NEW_KEY_INTERVAL: Milliseconds = 50;
 
 const RESULTS = z.object({
   total: z.number(),
@@ -75,28 +69,23 @@
 export class SoakCallers {
   readonly counts: CallerCounts = { lookups: 0, lookupsServed: 0, steps: 0, stepsWhole: 0 };
   private isStopped = false;
-  /** Connections that stay open until their gateway is gone. */
-  private readonly kept = new http.Agent({ keepAlive: true });
+  private readonly keyCallers: SoakKeyCallers;
   private loops: Promise<void>[] = [];
 
-  constructor(private readonly surroundings: CallerSurroundings) {}
+  constructor(private readonly surroundings: CallerSurroundings) {
+    this.keyCallers = new SoakKeyCallers(surroundings);
+  }
 
   /** Begins to ask. */
   start(): void {
-    this.loops = [
-      this.lookups(),
-      this.lookups(),
-      this.trainer(),
-      this.revokedLookups(),
-      this.newKeyLookups(),
-    ];
+    this.loops = [this.lookups(), this.lookups(), this.trainer()];
+    this.keyCallers.start();
   }
 
   /** Asks no more; resolves when nothing is under way. */
   async stop(): Promise<void> {
     this.isStopped = true;
-    await Promise.all(this.loops);
-    this.kept.destroy();
+    await Promise.all([...this.loops, this.keyCallers.stop()]);
   }
 
   /** Reads all accepted jobs once more, each at some gateway, until each has answered. */
@@ -113,46 +102,6 @@
     }
   }
 
-  /** Asks with keys that were taken away some time ago; nothing may run for them. */
-  private async revokedLookups(): Promise<void> {
-    const { checker, random, keys, isCalm } = this.surroundings;
-    while (!this.isStopped) {
-      await sleep(REVOKED_INTERVAL);
-      const age = keys.timeSinceRotation;
-      if (!isCalm() || age < REVOCATION_LIMIT) continue;
-      const id = random.identifier();
-      const key = keys.revokedKey('brokers');
-      const answer = await this.call('POST', `${LOOKUP_PREFIX}${id}`, { id, key });
-      if (answer !== undefined) checker.revokedKeyAnswered(answer.status, age);
-    }
-  }
-
-  /** Asks calm gateways with keys that were just added, over kept connections. */
-  private async newKeyLookups(): Promise<void> {
-    const { checker, random, keys, calmAddresses } = this.surroundings;
-    while (!this.isStopped) {
-      await sleep(NEW_KEY_INTERVAL);
-      const calm = calmAddresses();
-      const address = calm[random.integer(Math.max(1, calm.length))];
-      const age = keys.timeSinceRotation;
-      if (address === undefined || age < CHANGE_LIMIT) continue;
-      const id = random.identifier();
-      checker.requestOffered(id, 'brokers');
-      const answer = await performCall({
-        address,
-        method: 'POST',
-        path: `${LOOKUP_PREFIX}${id}`,
-        id,
-        key: keys.newestKey('brokers'),
-        body: `question-${id}`,
-        wait: undefined,
-        limit: LOOKUP_LIMIT,
-        agent: this.kept,
-      });
-      if (answer !== undefined) checker.newKeyAnswered(address, answer.status, age);
-    }
-  }
-
   private async lookups(): Promise<void> {
     const { checker, random, keys } = this.surroundings;
     while (!this.isStopped) {
--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -11,6 +11,12 @@
 /** All tenants. */
 export const SOAK_TENANTS: readonly SoakTenant[] = ['brokers', 'trainers'];
 
+/** The keys that a configuration holds of one tenant. */
+export interface SoakTenantKeys {
+  readonly name: SoakTenant;
+  readonly api_keys: readonly string[];
+}
+
 /** Knows which keys hold. */
 export class SoakKeys {
   private generation = 1;
@@ -19,7 +25,7 @@
   constructor(private readonly now: () => Milliseconds) {}
 
   /** A new configuration: the keys that it holds, by tenant. */
-  rotate(): readonly { readonly name: SoakTenant; readonly api_keys: readonly string[] }[] {
+  rotate(): readonly SoakTenantKeys[] {
     this.generation += 1;
     this.rotatedAt = this.now();
     const generations = [this.generation - 1, this.generation];
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -8,11 +8,10 @@
 import { GatewayGroup, type SoakGateway } from './gateway-group.js';
 import { PlatformStore } from './platform-store.js';
 import { PromiseChecker, type Violation } from './promise-checker.js';
-import { SOAK_HOST } from './soak-call.js';
-import { type CallerCounts, LOOKUP_PREFIX, ROLLOUT_PREFIX, SoakCallers } from './soak-callers.js';
+import { type CallerCounts, SoakCallers } from './soak-callers.js';
+import { LOOKUP_SERVICE, MODEL, MODEL_SERVICE, soakConfiguration } from './soak-configuration.js';
 import { SoakKeys } from './soak-keys.js';
 import { WorkerPool } from './worker-pool.js';
-import { SCORE_PREFIX } from './worker-stand-in.js';
 
 /** What to run. */
 export interface SoakOptions {
@@ -33,10 +32,6 @@
   readonly counts: CallerCounts;
 }
 
-const MODEL = 'soak-model';
-const MODEL_SERVICE = 'models';
-const LOOKUP_SERVICE = 'lookups';
-
 /** Time after a fault in which late work is excused. */
 const CALM_AFTER: Milliseconds = 3_500;
 
@@ -258,49 +253,7 @@
 
   private writeConfiguration(): void {
     this.configurationVersion += 1 + (this.configurationVersion % 3);
-    const route = { host: SOAK_HOST, timeout_ms: 10_000, target_latency_ms: 200, priority: 1 };
-    const configuration = {
-      version: this.configurationVersion,
-      routes: [
-        {
-          ...route,
-          name: 'lookups',
-          path_prefix: LOOKUP_PREFIX,
-          kind: 'read_only',
-          service: LOOKUP_SERVICE,
-          max_attempts: 3,
-        },
-        {
-          ...route,
-          name: 'scores',
-          path_prefix: SCORE_PREFIX,
-          kind: 'read_only',
-          service: LOOKUP_SERVICE,
-          max_attempts: 4,
-        },
-        {
-          ...route,
-          name: 'rollouts',
-          path_prefix: ROLLOUT_PREFIX,
-          kind: 'rollout',
-          service: MODEL_SERVICE,
-          max_attempts: 3,
-          resumable: true,
-          max_queue_s: 60,
-        },
-      ],
-      services: [
-        { name: MODEL_SERVICE, engine: { models: [{ name: MODEL }] } },
-        { name: LOOKUP_SERVICE },
-      ],
-      tenants: this.keys.rotate(),
-      limits: {
-        max_header_bytes: 16_384,
-        max_body_bytes: 33_554_432,
-        header_timeout_ms: 3_000,
-        idle_timeout_ms: 15_000,
-      },
-    };
+    const configuration = soakConfiguration(this.configurationVersion, this.keys.rotate());
     this.store.emulator.write(KEY_PREFIXES.configuration, JSON.stringify(configuration));
   }
 }
