Logs tell which failed tries of several nodes are the same request, and at which workers they were

Cause: a refused request's line names the route and the number of attempts; the six tries of the incident can be tied together only by guess, and whether a second worker was asked beside the first is not to be seen. Change: a line attempt-broken for each connection that breaks with a request on it: fingerprint of what was asked and for whom, worker, time there, others of this node there, copies elsewhere. No decision changes.

--- a/src/serving/worker-sender.ts
+++ b/src/serving/worker-sender.ts
@@ -7,6 +7,7 @@
 import type { CallerRequest } from './answer-sink.js';
 import type { EngineOutcome } from './engine-port.js';
 import type { RequestForwarderOptions } from './forwarding-options.js';
+import { requestFingerprint } from './request-fingerprint.js';
 import type { Route, ServiceName } from './traffic-configuration.js';
 import type { KnownWorker } from './worker-registry.js';
 
@@ -31,6 +32,7 @@
   private readonly tried = new Set<string>();
   private readonly aborts = new Set<AbortController>();
   private hasBegun = false;
+  private underWay = 0;
   /** Workers that it was sent to. */
   attempts = 0;
   /** Whether a worker may have run it. */
@@ -55,6 +57,7 @@
     this.aborts.add(abort);
     this.tried.add(worker.record.id);
     this.attempts += 1;
+    this.underWay += 1;
     worker.inFlight += 1;
     const sentAt = clock.now();
     const resumeAfter = lastEventId ?? request.lastEventId;
@@ -79,12 +82,32 @@
       abort.signal,
     );
     worker.inFlight -= 1;
+    this.underWay -= 1;
+    if (outcome.kind === 'failed' && outcome.cause === 'broken') this.noteBrokenOff(worker, sentAt);
     if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, clock.now());
     if (outcome.kind === 'failed' && outcome.mayHaveRun) this.mayHaveRun = true;
     this.noteBegun(outcome, sentAt, tenant);
     return outcome;
   }
 
+  /**
+   * The connection to a worker broke while the request was there. With the fingerprint, lines of
+   * several nodes and tries can be told to be about one request; the others that were at the worker
+   * or under way elsewhere tell whether it was alone, and whether it was sent to two workers at once.
+   */
+  noteBrokenOff(worker: KnownWorker, sentAt: Milliseconds): void {
+    const { request, route, log, clock } = this.options;
+    log.decision('attempt-broken', {
+      request: request.requestId,
+      asked: requestFingerprint({ ...request, tenant: tenantNameOf(request.caller) }),
+      route: route.name,
+      worker: worker.record.id,
+      atWorkerMs: Math.round(clock.now() - sentAt),
+      othersThere: worker.inFlight,
+      elsewhere: this.underWay,
+    });
+  }
+
   /** Ends all attempts. */
   cancelAll(): void {
     for (const abort of this.aborts) abort.abort();
--- a/test/serving/request-forwarder.test.ts
+++ b/test/serving/request-forwarder.test.ts
@@ -35,6 +35,7 @@
   scripts: Script[],
   routeFields: Partial<Route> = {},
   requestFields: Partial<CallerRequest> = {},
+  { log } = recordingLog(),
 ): Promise<Forwarded> {
   const engine = new ScriptedEngine(scripts);
   const registry = new WorkerRegistry();
@@ -46,7 +47,7 @@
     versionField: VERSION_FIELD,
     registry,
     clock: PROCESS_CLOCK,
-    log: recordingLog().log,
+    log,
     metrics: new FleetMetrics(),
     zone: 'zone-1',
   });
@@ -99,6 +100,20 @@
   t.equal(sink.failure?.kind, 'engine_failed');
 });
 
+t.test('lines about broken attempts tell which tries were the same request', async (t) => {
+  const recorded = recordingLog();
+  await forward([BROKEN, answer('reply')], {}, { requestId: 'first try' }, recorded);
+  await forward([BROKEN, answer('reply')], {}, { requestId: 'second try' }, recorded);
+  await forward([BROKEN, answer('reply')], {}, { path: '/a/other' }, recorded);
+  const broken = recorded.lines
+    .map((line) => JSON.parse(line) as Record<string, unknown>)
+    .filter(({ msg }) => msg === 'attempt-broken');
+  const [first, second, other] = broken.map(({ asked }) => asked);
+  t.equal(first, second);
+  t.not(first, other);
+  t.match(broken[0], { request: 'first try', worker: 'w1', othersThere: 0, elsewhere: 0 });
+});
+
 t.test('a late worker is overtaken by another and cancelled', async (t) => {
   const { sink, engine } = await forward(['hang', answer('reply')], { targetLatency: 20 });
   t.equal(sink.body, 'reply');
