--- a/src/fleet/worker-roster.ts
+++ b/src/fleet/worker-roster.ts
@@ -86,10 +86,12 @@
     const leaving = { ...record, draining: true };
     registry.put(leaving);
     log.state('worker-gone', { worker: id });
-    setTimeout(() => {
+    const forget = setTimeout(() => {
       if (registry.get(id)?.record !== leaving) return;
       registry.remove(id);
       engine.forget(id);
     }, LINGER_TIME);
+    // A node that has stopped need not wait for it.
+    forget.unref();
   }
 }
