A request under which three workers ended is sent to none, at any gateway

Cause: what a request did to workers was counted by the object that forwards it once and forgotten with it, while its caller comes again at any gateway. The class: a limit that each part keeps for itself where the promise is the sum. Change: requests are recognized by a fingerprint of what is asked and for whom. A connection that breaks with a request on it is looked into over a new one: a worker that has ended speaks against the request, one that lives does not. What no other worker answered within 60 ms is told to all nodes, straight and by a record in the shared store; a whole answer anywhere clears it. Three ends, and it is refused at once with 503, when to come back, and no promise broken. With evidence against it copies side by side count as ended. The same for items (their next run waits 4.5 s, none after six ends) and for scores. Store away, peers silent, fleet ended as a whole, gateway that joins: known. Requests beside it, lost answers at workers that live: never refused.

--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -12,6 +12,7 @@
 import { JobStore } from '../../../src/jobs/job-store.js';
 import { OwnedJob } from '../../../src/jobs/owned-job.js';
 import type { Clock } from '../../../src/serving/clock.js';
+import { RequestQuarantine } from '../../../src/serving/request-quarantine.js';
 import type { RouteMatcher } from '../../../src/serving/route-matcher.js';
 import { WorkerRegistry } from '../../../src/serving/worker-registry.js';
 import type { SharedStore } from '../../../src/shared-store/shared-store.js';
@@ -281,6 +282,12 @@
       engine: this.scoreDesk,
       versionField: 'version',
       registry,
+      quarantine: new RequestQuarantine({
+        standingOf: () => this.scoreDesk.standingOf(),
+        report: () => {},
+        reportAcquittal: () => {},
+        ...{ clock, log, metrics },
+      }),
       zone: 'zone',
       clock,
       log,
--- a/lab/proofs/durable-jobs/score-desk.ts
+++ b/lab/proofs/durable-jobs/score-desk.ts
@@ -52,6 +52,10 @@
     return answered(200, signature);
   }
 
+  async standingOf(): Promise<'lives'> {
+    return 'lives';
+  }
+
   async order(): Promise<'refused'> {
     return 'refused';
   }
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -44,6 +44,7 @@
   headers_too_large: answer(431, 'no', null, 'The headers are larger than the limit.'),
   invalid_intent: answer(422, 'no', null, 'The intent is not valid.'),
   rate_limited: answer(429, 'no', 1_000, 'The account has used up its share.'),
+  request_quarantined: answer(503, 'no', 600_000, 'Workers ended while they ran this request.'),
   overloaded: answer(503, 'no', 1_000, 'All workers that may run this are full.'),
   no_worker: answer(503, 'no', 2_000, 'No worker that may run this is in service.'),
   cut_off: answer(503, 'no', 5_000, 'This zone cannot show that its configuration is fresh.'),
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -24,6 +24,7 @@
   PeerRequestOf,
 } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
+import type { CrashReport } from '../serving/request-quarantine.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CallerIdentity } from '../tenants/tenant.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
@@ -42,6 +43,7 @@
 const NEED_LIMIT: Milliseconds = 300;
 const USAGE_LIMIT: Milliseconds = 600;
 const SURRENDER_LIMIT: Milliseconds = 500;
+const CRASH_REPORT_LIMIT: Milliseconds = 300;
 
 /** Time beyond a limit for the answer. */
 const ANSWER_TIME: Milliseconds = 200;
@@ -66,6 +68,8 @@
   readonly relay: () => WatchRelay;
   /** Called on the holder of the duties: what workers began to run for another node. */
   readonly usageTold: (source: UsageSource, counts: WindowCounts) => void;
+  /** Another node was told by a broken connection that a worker ended. */
+  readonly workerEnded: (report: CrashReport) => void;
   /** Called on the coordinator: what a job needs. */
   readonly weightsNeeded: (need: WeightNeed) => void;
 }
@@ -218,6 +222,13 @@
     return outcome?.kind === 'answered' && outcome.answer.isNoted;
   }
 
+  /** Tells a node what was at a worker that ended; resolves with whether it knows now. */
+  async tellWorkerEnded(node: NodeId, report: CrashReport): Promise<boolean> {
+    const request = { kind: 'worker-ended', report } as const;
+    const outcome = await this.calls.ask<'worker-ended'>(node, request, CRASH_REPORT_LIMIT);
+    return outcome?.kind === 'answered' && outcome.answer.isNoted;
+  }
+
   async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
     const { self, jobs, weightsNeeded } = this.options;
     switch (request.kind) {
@@ -255,6 +266,9 @@
         return this.options.relay().answerList(request);
       case 'resign-coordinator':
         return { lastOrderAge: this.options.lock().resign() };
+      case 'worker-ended':
+        this.options.workerEnded(request.report);
+        return { isNoted: true };
       case 'usage-counts':
         this.options.usageTold(request.source, request.counts);
         return { isNoted: true };
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -14,6 +14,7 @@
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
+import { RequestQuarantine } from '../serving/request-quarantine.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type {
   Route,
@@ -23,6 +24,7 @@
 import { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
 import { Coordination } from './coordination.js';
+import { CrashReports } from './crash-reports.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
@@ -51,6 +53,9 @@
 /** Time that a stopping node spends on handing its jobs over. */
 const RELEASE_LIMIT: Milliseconds = 2_500;
 
+/** Where workers of a service that is no longer configured tell their health. */
+const DEFAULT_HEALTH_PATH = '/health';
+
 /** One gateway. */
 export class GatewayNode {
   readonly registry = new WorkerRegistry();
@@ -59,6 +64,8 @@
   readonly jobs: JobService;
   private readonly forwarder: RequestForwarder;
   private readonly dispatcher: ItemDispatcher;
+  private readonly quarantine: RequestQuarantine;
+  private readonly crashReports: CrashReports;
   private readonly feeds: FleetFeeds;
   private readonly fleet: FleetRegistry;
   private readonly roster: WorkerRoster;
@@ -118,15 +125,33 @@
       jobs: () => this.jobs,
       lock: () => this.coordination.lock,
       relay: () => relay,
+      workerEnded: (report) => this.quarantine.take(report, clock.now()),
       usageTold: (source, counts) => this.coordination.duties?.take(source, counts),
       weightsNeeded: (need) => this.coordination.requireWeights(need),
     });
     const peers = this.peerHandler;
-    this.forwarder = new RequestForwarder({
+    this.crashReports = new CrashReports({
+      ...shared,
+      self: node,
+      liveNodes: () => this.fleet.liveNodes(),
+      tell: (...report) => peers.tellWorkerEnded(...report),
+      taken: (report, at) => quarantine.take(report, at),
+      withdrawn: (report) => quarantine.withdraw(report),
+    });
+    this.fleet.otherChanges.subscribe((change) => this.crashReports.take(change));
+    const quarantine = new RequestQuarantine({
       ...shared,
+      standingOf: (worker) => options.engine.standingOf(worker, this.healthPathOf(worker)),
+      report: (report) => this.crashReports.report(report),
+      reportAcquittal: (request) => this.crashReports.acquit(request),
+    });
+    this.quarantine = quarantine;
+    const sending = { ...shared, quarantine };
+    this.forwarder = new RequestForwarder({
+      ...sending,
       noteBegun: (tenant, at) => this.coordination.duties?.meter?.noteBegun(tenant, at),
     });
-    this.dispatcher = new ItemDispatcher(shared);
+    this.dispatcher = new ItemDispatcher(sending);
     this.jobs = new JobService({
       ...shared,
       store: jobStore,
@@ -159,7 +184,10 @@
       registry: this.registry,
       configuration: this.configuration,
       sweep: () => void this.takeover.sweep(),
-      removeExpired: () => void service.removeExpired(),
+      removeExpired: () => {
+        void service.removeExpired();
+        void this.crashReports.removeExpired();
+      },
     });
   }
 
@@ -205,6 +233,11 @@
     await this.forwarder.forward(request, route, service, sink);
   }
 
+  private healthPathOf({ service }: WorkerRecord): string {
+    const known = this.configuration.services.find(({ name }) => name === service);
+    return known?.healthPath ?? DEFAULT_HEALTH_PATH;
+  }
+
   /** Takes a job in; `undefined` means that it is kept. */
   submit(spec: JobSpecification, wanted: () => boolean): Promise<Failure | undefined> {
     return this.jobs.submit(spec, wanted);
@@ -229,6 +262,7 @@
     await this.jobs.release(() => this.options.clock.now() < limit);
     await this.fleet.stop();
     this.feeds.stop();
+    this.crashReports.stop();
   }
 
   /** After the last request has ended: nothing that was counted is lost. */
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -3,7 +3,9 @@
 import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
+import { MOST_ENDED_WORKERS } from '../serving/crash-evidence.js';
 import type { EnginePort } from '../serving/engine-port.js';
+import type { RequestQuarantine } from '../serving/request-quarantine.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
 import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
@@ -23,6 +25,7 @@
   readonly engine: EnginePort;
   readonly versionField: string;
   readonly registry: WorkerRegistry;
+  readonly quarantine: RequestQuarantine;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
@@ -44,6 +47,15 @@
 const FULL_PAUSE: Milliseconds = 10;
 const FAILED_ATTEMPT_PAUSE: Milliseconds = 100;
 
+/**
+ * Time between two runs of an item under which as many workers ended as may end under a request. An
+ * item of an open step is not left without a run for 5 s, as it can't be given up before its time.
+ */
+const SUSPECT_PAUSE: Milliseconds = 4_500;
+
+/** Workers that may end under an item: as many again as under a request that is refused at once. */
+const MOST_ENDED_UNDER_ITEM = 2 * MOST_ENDED_WORKERS;
+
 /** Sends items to workers. */
 export class ItemDispatcher {
   private readonly jobs = new Set<OwnedJob>();
@@ -135,6 +147,7 @@
     const route = routes.match(job.spec.host, entry.item.path);
     const service = route === undefined ? undefined : routes.nextService(route);
     if (route === undefined || service === undefined) return;
+    if (this.isHeldBack(entry, now)) return;
     const round =
       rounds.get(service) ?? new PlacementRound(this.options.registry.available(service), now);
     rounds.set(service, round);
@@ -152,6 +165,7 @@
     route: Route,
     worker: KnownWorker,
   ): Promise<void> {
+    const { quarantine } = this.options;
     const { item, progress } = entry;
     const run = new ItemRun(this.runContext, worker, progress);
     entry.run = run;
@@ -175,10 +189,20 @@
     entry.run = undefined;
     entry.wasUnanswered = !run.hasBegun && (end === 'cancelled' || end === 'interrupted');
     if (entry.state === 'running') entry.state = 'waiting';
+    if (run.wasBroken) void quarantine.noteBroken(worker.record, entry.asked, 'this-node');
+    else if (end === 'completed') quarantine.noteAnswered(entry.asked);
     this.takeEnd(job, entry, route, worker, end);
     this.schedule();
   }
 
+  /** Whether an item has to wait, or is sent no more, since workers ended under it. */
+  private isHeldBack(entry: OwnedItem, now: Milliseconds): boolean {
+    const ends = this.options.quarantine.endedUnder(entry.asked);
+    if (ends.length < MOST_ENDED_WORKERS) return false;
+    if (ends.length >= MOST_ENDED_UNDER_ITEM) return true;
+    return now - (ends.at(-1)?.at ?? now) < SUSPECT_PAUSE;
+  }
+
   private takeEnd(
     job: OwnedJob,
     entry: OwnedItem,
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -58,6 +58,8 @@
   private heardAt: Milliseconds;
   private lastEventAt: Milliseconds | undefined;
   readonly startedAt: Milliseconds;
+  /** Whether its connection broke, from whichever side but this one. */
+  wasBroken = false;
   /** Whether a byte of an answer has come. */
   hasBegun = false;
 
@@ -94,6 +96,7 @@
     }
     if (end !== undefined) return end;
     if (outcome.kind === 'not-run') return outcome.reason;
+    if (outcome.kind === 'failed' && outcome.cause === 'broken') this.wasBroken = true;
     return 'interrupted';
   }
 
@@ -119,6 +122,7 @@
       return end === undefined;
     });
     if (end !== undefined) return end;
+    this.wasBroken = streamEnd === 'broken' && !this.abort.signal.aborted;
     const isWhole = !reader.hasPartialEvent() && this.progress.eventCount > 0;
     return streamEnd === 'ended' && isWhole ? 'completed' : 'interrupted';
   }
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -41,7 +41,7 @@
 /** What a call came to. */
 type ScoreOutcome =
   | { readonly kind: 'scored'; readonly score: string }
-  | { readonly kind: 'attempt-failed' | 'refused' | 'failed' | 'cancelled' };
+  | { readonly kind: 'attempt-failed' | 'refused' | 'broken' | 'failed' | 'cancelled' };
 
 /** One item on its way to its score. */
 interface UnscoredItem {
@@ -66,7 +66,7 @@
   private send(item: UnscoredItem, routes: RouteMatcher): void {
     const { entry, request } = item;
     const now = this.options.clock.now();
-    entry.scoring ??= new ItemScoring();
+    entry.scoring ??= new ItemScoring(request);
     const { scoring } = entry;
     if (scoring.notBefore > now || scoring.callsUnderWay >= MOST_CALLS) return;
     const route = routes.match(request.host, request.path);
@@ -74,6 +74,7 @@
     scoring.cancelOlderThan(now - route.timeout);
     const isLate = now - scoring.lastSentAt > this.estimate(route).limit(route.timeout);
     if (scoring.callsUnderWay > 0 && !isLate) return;
+    if (!this.options.quarantine.admits(scoring.asked, scoring.callsUnderWay)) return;
     const service = routes.nextService(route);
     const worker = service === undefined ? undefined : this.choose(service, scoring, now);
     if (worker !== undefined) void this.ask(item, scoring, route, worker);
@@ -102,7 +103,7 @@
     route: Route,
     worker: KnownWorker,
   ): Promise<void> {
-    const { clock, metrics } = this.options;
+    const { clock, metrics, quarantine } = this.options;
     const sentAt = clock.now();
     const call = scoring.begin(worker.record.id, sentAt);
     worker.inFlight += 1;
@@ -110,6 +111,9 @@
     worker.inFlight -= 1;
     scoring.end(call);
     metrics.count('score_calls', { outcome: outcome.kind });
+    if (outcome.kind === 'broken')
+      void quarantine.noteBroken(worker.record, scoring.asked, 'this-node');
+    if (outcome.kind === 'scored') quarantine.noteAnswered(scoring.asked);
     if (outcome.kind === 'scored') this.estimate(route).note(clock.now() - sentAt);
     if (item.entry.scoring === scoring) this.take(item, scoring, route, outcome);
     this.options.ended();
@@ -162,7 +166,7 @@
     if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, now);
     if (read.kind === 'scored') worker.noteOutcome('success', now);
     else if (read.kind === 'refused') worker.noteOutcome('full', now);
-    else if (read.kind === 'failed') worker.noteOutcome('failure', now);
+    else if (read.kind === 'failed' || read.kind === 'broken') worker.noteOutcome('failure', now);
   }
 
   private take(
@@ -206,9 +210,9 @@
 
 async function readOutcome(outcome: EngineOutcome): Promise<ScoreOutcome> {
   if (outcome.kind === 'not-run') return { kind: 'refused' };
-  if (outcome.kind === 'failed') return { kind: 'failed' };
+  if (outcome.kind === 'failed') return { kind: outcome.cause === 'broken' ? 'broken' : 'failed' };
   const body = await readAnswerBody(outcome);
-  if (body === undefined) return { kind: 'failed' };
+  if (body === undefined) return { kind: 'broken' };
   if (outcome.status === SERVER_ERROR) return { kind: 'attempt-failed' };
   const score = isSuccess(outcome) ? outcome.signature : undefined;
   return score === undefined ? { kind: 'failed' } : { kind: 'scored', score };
--- a/src/jobs/item-scoring.ts
+++ b/src/jobs/item-scoring.ts
@@ -1,5 +1,7 @@
 /** The calls for the score of one item, at one or two workers at a time. */
 import type { Milliseconds } from '../core/units.js';
+import { AskedRequest } from '../serving/request-fingerprint.js';
+import type { ScoreRequest } from './job-records.js';
 
 /** The state of an item's calls for its score. */
 export class ItemScoring {
@@ -9,8 +11,20 @@
   failedAttempts = 0;
   /** Nothing is sent before this time. */
   notBefore: Milliseconds = 0;
+  /** What the calls ask of workers. */
+  readonly asked: AskedRequest;
   private readonly calls = new Map<AbortController, Milliseconds>();
 
+  constructor({ host, path, body }: ScoreRequest) {
+    this.asked = new AskedRequest(() => ({
+      method: 'POST',
+      host,
+      path,
+      tenant: undefined,
+      body: Buffer.from(body, 'base64'),
+    }));
+  }
+
   /** Calls under way. */
   get callsUnderWay(): number {
     return this.calls.size;
--- a/src/jobs/owned-item.ts
+++ b/src/jobs/owned-item.ts
@@ -1,9 +1,10 @@
 /** Where one item of a job stands at the node that runs the job. */
 import type { Milliseconds } from '../core/units.js';
+import { AskedRequest } from '../serving/request-fingerprint.js';
 import { ItemProgress, type VersionRule } from './item-progress.js';
 import type { ItemRun } from './item-run.js';
 import type { ItemScoring } from './item-scoring.js';
-import type { JobItem, JobResult } from './job-records.js';
+import type { JobItem, JobResult, JobSpecification } from './job-records.js';
 
 /**
  * `waiting` to be sent to a worker, `running` at one, `unscored`: its text is whole and its score
@@ -15,6 +16,8 @@
 export interface OwnedItem {
   readonly item: JobItem;
   readonly progress: ItemProgress;
+  /** What its runs ask of workers; the same at each node that runs the job, and in a later job. */
+  readonly asked: AskedRequest;
   state: OwnedItemState;
   run: ItemRun | undefined;
   /** Not sent again before this time. */
@@ -34,9 +37,21 @@
 }
 
 /** An item of which nothing was made yet. */
-export function newOwnedItem(item: JobItem, rule: VersionRule): OwnedItem {
+export function newOwnedItem(
+  item: JobItem,
+  rule: VersionRule,
+  { host, tenant }: Pick<JobSpecification, 'host' | 'tenant'>,
+): OwnedItem {
+  const asked = new AskedRequest(() => ({
+    method: 'POST',
+    host,
+    path: item.path,
+    tenant,
+    body: Buffer.from(item.body, 'base64'),
+  }));
   return {
     item,
+    asked,
     progress: new ItemProgress(rule),
     state: 'waiting',
     run: undefined,
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -62,7 +62,7 @@
     this.meanExpectedLength = meanLengthOf(spec);
     for (const item of spec.items) {
       if (done.has(item.id)) continue;
-      const entry = newOwnedItem(item, rule);
+      const entry = newOwnedItem(item, rule, this.spec);
       this.items.set(item.id, entry);
       this.takeOver(entry, kept.get(item.id), rule);
     }
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -6,6 +6,7 @@
 import type { JobOwner, JobResult, JobSpecification } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
+import type { CrashReport } from '../serving/request-quarantine.js';
 import type { StoreChange, StoreItem } from '../shared-store/shared-store.js';
 import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
 
@@ -62,6 +63,8 @@
   | { readonly kind: 'resign-coordinator' }
   /** What workers began to run for me; told to the holder of the duties. */
   | { readonly kind: 'usage-counts'; readonly source: UsageSource; readonly counts: WindowCounts }
+  /** A worker ended, and these requests were there. */
+  | { readonly kind: 'worker-ended'; readonly report: CrashReport }
   /** What a job needs; told to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
@@ -122,6 +125,7 @@
       };
   /** Time since the machine's last order ended, at the latest when this life of it began. */
   readonly 'resign-coordinator': { readonly lastOrderAge: Milliseconds };
+  readonly 'worker-ended': { readonly isNoted: boolean };
   readonly 'usage-counts': { readonly isNoted: boolean };
   readonly 'need-weights': { readonly isNoted: boolean };
 }
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -19,6 +19,7 @@
   'adopt-job': true,
   'item-body': true,
   'take-job': true,
+  'worker-ended': true,
   'usage-counts': true,
   'need-weights': true,
   'resign-coordinator': true,
--- a/src/serving/engine-port.ts
+++ b/src/serving/engine-port.ts
@@ -115,12 +115,20 @@
   readonly running: number;
 }
 
+/**
+ * Whether a life of a worker goes on. `ended`: nobody listens at its address, or another life does;
+ * `unknown`: it does not answer in time.
+ */
+export type WorkerStanding = 'lives' | 'ended' | 'unknown';
+
 /** Workers as the product sees them. No method rejects. */
 export interface EnginePort {
   /** Sends a request; aborting the signal ends it and closes its connection. */
   send(request: EngineRequest, signal: AbortSignal): Promise<EngineOutcome>;
   order(order: WeightOrder): Promise<OrderOutcome>;
   report(worker: WorkerRecord): Promise<EngineReport | undefined>;
+  /** Asks over a new connection, by the path at which its service tells its health. */
+  standingOf(worker: WorkerRecord, healthPath: string): Promise<WorkerStanding>;
   /** Closes the connections to a worker that has left. */
   forget(worker: string): void;
 }
--- a/src/serving/forwarded-exchange.ts
+++ b/src/serving/forwarded-exchange.ts
@@ -22,6 +22,12 @@
 /** When to come back after a refusal. */
 const RETRY_AFTER: Milliseconds = 100;
 
+/** A stream that a worker has begun. */
+interface BegunStream {
+  readonly worker: KnownWorker;
+  readonly answer: EngineAnswer;
+}
+
 /** One request under way. */
 export class ForwardedExchange {
   private readonly sender: WorkerSender;
@@ -49,7 +55,9 @@
     const leave = (): void => this.sender.cancelAll();
     this.request.gone.addEventListener('abort', leave);
     try {
-      if (this.route.kind === 'read-only') await this.forwardRepeatable();
+      const refusal = this.sender.refusal();
+      if (refusal !== undefined) this.fail(refusal);
+      else if (this.route.kind === 'read-only') await this.forwardRepeatable();
       else await this.forwardOnce();
     } finally {
       clearTimeout(timer);
@@ -130,8 +138,14 @@
     const body = await readAnswerBody(outcome);
     if (body === undefined) {
       this.sender.mayHaveRun = true;
-      if (!this.isOver) worker.noteOutcome('failure', this.options.clock.now());
-    } else worker.noteOutcome('success', this.options.clock.now());
+      if (!this.isOver) {
+        worker.noteOutcome('failure', this.options.clock.now());
+        this.sender.noteBrokenOff(worker);
+      }
+    } else {
+      worker.noteOutcome('success', this.options.clock.now());
+      this.sender.noteAnswered();
+    }
     return { worker, outcome, body };
   }
 
@@ -163,14 +177,16 @@
     if (!answer.isStream) return this.relayWhole(worker, answer);
     const relay = new StreamRelay(this.sink, this.options.versionField, this.request.lastEventId);
     this.sink.begin(answer.status, answer.headers);
-    let current: EngineAnswer | undefined = answer;
+    let current: BegunStream | undefined = { worker, answer };
     while (current !== undefined) {
-      const isComplete = await relay.follow(current);
+      const isComplete = await relay.follow(current.answer);
       if (isComplete) {
         this.sink.end();
+        this.sender.noteAnswered();
         return this.noteAnswered('stream-answered', worker, answer.status);
       }
-      current.discard();
+      current.answer.discard();
+      if (!this.request.gone.aborted) this.sender.noteBrokenOff(current.worker);
       current = await this.resumeStream(relay);
     }
     this.sink.breakOff();
@@ -183,18 +199,22 @@
     if (body === undefined) {
       this.isAnswered = false;
       this.sender.mayHaveRun = true;
+      this.sender.noteBrokenOff(worker);
       return this.giveUp(undefined);
     }
+    this.sender.noteAnswered();
     this.sink.sendWhole(answer.status, answer.headers, body);
     this.noteAnswered('request-answered', worker, answer.status);
   }
 
-  private async resumeStream(relay: StreamRelay): Promise<EngineAnswer | undefined> {
+  private async resumeStream(relay: StreamRelay): Promise<BegunStream | undefined> {
     while (this.route.resumable && !this.request.gone.aborted && this.remaining() > 0) {
       const worker = this.sender.pick();
       if (worker === undefined) return undefined;
       const outcome = await this.sender.send(worker, { lastEventId: relay.lastEventId });
-      if (outcome.kind === 'answered' && outcome.isStream && outcome.status < 300) return outcome;
+      if (outcome.kind === 'answered' && outcome.isStream && outcome.status < 300) {
+        return { worker, answer: outcome };
+      }
       if (outcome.kind === 'answered') outcome.discard();
     }
     return undefined;
--- a/src/serving/forwarding-options.ts
+++ b/src/serving/forwarding-options.ts
@@ -6,6 +6,7 @@
 import type { TenantName } from '../tenants/tenant.js';
 import type { Clock } from './clock.js';
 import type { EnginePort } from './engine-port.js';
+import type { RequestQuarantine } from './request-quarantine.js';
 import type { WorkerRegistry } from './worker-registry.js';
 
 /** Options of a request forwarder. */
@@ -13,6 +14,7 @@
   readonly engine: EnginePort;
   readonly versionField: string;
   readonly registry: WorkerRegistry;
+  readonly quarantine: RequestQuarantine;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
--- a/src/serving/request-fingerprint.ts
+++ b/src/serving/request-fingerprint.ts
@@ -32,3 +32,16 @@
   hash.update([method, host, path, tenant, ''].join(SEPARATOR)).update(body);
   return hash.digest('hex').slice(0, FINGERPRINT_DIGITS);
 }
+
+/** A request whose fingerprint is worked out when it is first needed, and once. */
+export class AskedRequest {
+  private known: RequestFingerprint | undefined;
+
+  /** `work` is called at most once. */
+  constructor(private readonly work: () => AskedWork) {}
+
+  get fingerprint(): RequestFingerprint {
+    this.known ??= requestFingerprint(this.work());
+    return this.known;
+  }
+}
--- /dev/null
+++ b/src/serving/request-quarantine.ts
@@ -0,0 +1,205 @@
+/**
+ * Keeps requests that end their workers away from workers. A connection that breaks with a request
+ * on it is looked into: where the worker has ended, that speaks against the request, at all nodes.
+ * Once {@link MOST_ENDED_WORKERS} have ended under it, it is sent to none until the evidence is old.
+ *
+ * The caller of such a request sees a failure and comes again at any node. Counting by exchange, a
+ * request that may go to two workers ended eleven within 13 s where its caller came six times; by
+ * request and over the fleet it ends three.
+ */
+import type { Milliseconds } from '../core/units.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { Clock } from './clock.js';
+import {
+  CrashEvidence,
+  EVIDENCE_LIFETIME,
+  MOST_ENDED_WORKERS,
+  type WorkerEnd,
+} from './crash-evidence.js';
+import type { WorkerStanding } from './engine-port.js';
+import type { AskedRequest, RequestFingerprint } from './request-fingerprint.js';
+import type { WorkerRecord } from './traffic-configuration.js';
+
+/**
+ * Time from the end of a worker until others are told what was there. Most of it is answered by
+ * another worker meanwhile and need not be told: a lookup takes some 30 ms.
+ */
+const SETTLE_TIME: Milliseconds = 60;
+
+/** Time for which the end of a worker need not be looked into again. */
+const VERDICT_LIFETIME: Milliseconds = 1_000;
+
+/** Evidence from which on a request that only one node sends is told to the others. */
+const SUSPICIOUS_ENDS = 2;
+
+/** What was at a worker when it ended. */
+export interface CrashReport {
+  readonly worker: string;
+  readonly requests: readonly RequestFingerprint[];
+}
+
+/** Who may send a request next: its caller at any node, or the node that sends it now. */
+export type NextSender = 'any-node' | 'this-node';
+
+/** Options of {@link RequestQuarantine}. */
+export interface RequestQuarantineOptions {
+  /** Asks a worker whose connection broke whether it still lives. */
+  readonly standingOf: (worker: WorkerRecord) => Promise<WorkerStanding>;
+  /** Tells the other nodes what was at a worker that ended. */
+  readonly report: (report: CrashReport) => void;
+  /** Tells the other nodes that a worker answered a request that was reported. */
+  readonly reportAcquittal: (request: RequestFingerprint) => void;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+}
+
+/** Decides whether a request may go to a worker. */
+export class RequestQuarantine {
+  private readonly evidence: CrashEvidence;
+  private readonly verdicts = new Map<string, Promise<WorkerStanding>>();
+  /** Workers whose end under a request the other nodes have not been told. */
+  private readonly unreported = new Map<RequestFingerprint, Set<string>>();
+  /** Requests whose quarantine stands in the log. */
+  private readonly announced = new Set<RequestFingerprint>();
+  /** Requests that are looked at when the settling time is over. */
+  private readonly settling = new Map<RequestFingerprint, NextSender>();
+  private settleTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: RequestQuarantineOptions) {
+    this.evidence = new CrashEvidence(options.clock);
+  }
+
+  /**
+   * Whether a request may go to one more worker while it is at some others. With evidence against
+   * it, those count as if they had ended: copies side by side end several workers at once.
+   */
+  admits(asked: AskedRequest, underWay = 0): boolean {
+    const ended = this.endedUnder(asked).length;
+    return ended === 0 || ended + underWay < MOST_ENDED_WORKERS;
+  }
+
+  /** Why a request is sent to no worker; `undefined` where it may be sent. */
+  refusalOf(asked: AskedRequest): Failure | undefined {
+    const ends = this.endedUnder(asked);
+    if (ends.length < MOST_ENDED_WORKERS) return undefined;
+    const workers = ends.map(({ worker }) => worker).join(', ');
+    const firstToLapse = ends[ends.length - MOST_ENDED_WORKERS]?.at ?? 0;
+    const retryAfter = firstToLapse + EVIDENCE_LIFETIME - this.options.clock.now();
+    return failure('request_quarantined', `these workers ended under it: ${workers}`, {
+      retryAfter,
+    });
+  }
+
+  /** The workers that ended under a request. */
+  endedUnder(asked: AskedRequest): readonly WorkerEnd[] {
+    return this.evidence.isEmpty ? [] : this.evidence.endedUnder(asked.fingerprint);
+  }
+
+  /**
+   * The connection to a worker broke while a request was there. That counts at once, as the request
+   * may come again before the worker was asked, and is taken back where the worker lives.
+   */
+  async noteBroken(worker: WorkerRecord, asked: AskedRequest, next: NextSender): Promise<void> {
+    const request = asked.fingerprint;
+    this.evidence.note(request, { worker: worker.id, at: this.options.clock.now() });
+    const standing = await this.verdictOn(worker);
+    if (standing === 'lives') {
+      this.evidence.withdraw(request, worker.id);
+      return;
+    }
+    if (!this.evidence.endedUnder(request).some((end) => end.worker === worker.id)) return;
+    this.announce(request);
+    const workers = this.unreported.get(request);
+    if (workers === undefined) this.unreported.set(request, new Set([worker.id]));
+    else workers.add(worker.id);
+    this.settling.set(request, next);
+    this.settleTimer ??= setTimeout(() => this.settle(), SETTLE_TIME);
+  }
+
+  /** A worker gave a whole answer: the request does not end workers. */
+  noteAnswered(asked: AskedRequest): void {
+    const ends = this.endedUnder(asked);
+    if (ends.length === 0) return;
+    const request = asked.fingerprint;
+    const untold = this.unreported.get(request)?.size ?? 0;
+    this.evidence.clear(request);
+    this.unreported.delete(request);
+    this.announced.delete(request);
+    if (ends.length > untold) this.options.reportAcquittal(request);
+  }
+
+  /** Takes in what another node, or an earlier life of this one, was told by a broken connection. */
+  take(report: CrashReport, at: Milliseconds): void {
+    for (const request of report.requests) {
+      this.evidence.note(request, { worker: report.worker, at });
+      this.announce(request);
+    }
+  }
+
+  /** Another node took back that a request was at a worker when it ended, or an operator did. */
+  withdraw({ worker, requests }: CrashReport): void {
+    for (const request of requests) {
+      this.evidence.withdraw(request, worker);
+      this.announced.delete(request);
+    }
+  }
+
+  private announce(request: RequestFingerprint): void {
+    const ends = this.evidence.endedUnder(request);
+    if (ends.length < MOST_ENDED_WORKERS || this.announced.has(request)) return;
+    this.announced.add(request);
+    const workers = ends.map(({ worker }) => worker);
+    this.options.log.state('request-quarantined', { asked: request, workers: workers.join(', ') });
+    this.options.metrics.count('quarantined_requests', {});
+  }
+
+  /** One question for all requests that were at a worker. */
+  private verdictOn(worker: WorkerRecord): Promise<WorkerStanding> {
+    const known = this.verdicts.get(worker.id);
+    if (known !== undefined) return known;
+    const verdict = this.askWorker(worker);
+    this.verdicts.set(worker.id, verdict);
+    void verdict.then((standing) => {
+      if (standing === 'lives') this.verdicts.delete(worker.id);
+      else setTimeout(() => this.verdicts.delete(worker.id), VERDICT_LIFETIME).unref();
+    });
+    return verdict;
+  }
+
+  private async askWorker(worker: WorkerRecord): Promise<WorkerStanding> {
+    const { standingOf, log, metrics, clock } = this.options;
+    const askedAt = clock.now();
+    const standing = await standingOf(worker);
+    const tookMs = Math.round(clock.now() - askedAt);
+    metrics.count('broken_connections', { standing });
+    log.decision('broken-connection-looked-into', { worker: worker.id, standing, tookMs });
+    return standing;
+  }
+
+  /** Tells the others what is still unanswered of what was at workers that ended. */
+  private settle(): void {
+    this.settleTimer = undefined;
+    const requestsByWorker = new Map<string, RequestFingerprint[]>();
+    for (const [request, next] of this.settling) {
+      const workers = this.unreported.get(request);
+      if (workers === undefined || !this.isWorthTelling(request, next)) continue;
+      this.unreported.delete(request);
+      for (const worker of workers) {
+        requestsByWorker.set(worker, [...(requestsByWorker.get(worker) ?? []), request]);
+      }
+    }
+    this.settling.clear();
+    for (const [worker, requests] of requestsByWorker) {
+      this.options.log.state('worker-ended', { worker, requests: requests.length });
+      this.options.report({ worker, requests });
+    }
+  }
+
+  private isWorthTelling(request: RequestFingerprint, next: NextSender): boolean {
+    const least = next === 'any-node' ? 1 : SUSPICIOUS_ENDS;
+    return this.evidence.endedUnder(request).length >= least;
+  }
+}
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -185,7 +185,7 @@
    */
   pick(
     service: ServiceName,
-    tried: ReadonlySet<string>,
+    tried: Pick<ReadonlySet<string>, 'has'>,
     zone: ZoneName,
     now: Milliseconds,
   ): KnownWorker | undefined {
--- a/src/serving/worker-sender.ts
+++ b/src/serving/worker-sender.ts
@@ -3,11 +3,12 @@
  * of them may have run it.
  */
 import type { Milliseconds } from '../core/units.js';
+import type { Failure } from '../errors/error-kinds.js';
 import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
 import type { CallerRequest } from './answer-sink.js';
 import type { EngineOutcome } from './engine-port.js';
 import type { RequestForwarderOptions } from './forwarding-options.js';
-import { requestFingerprint } from './request-fingerprint.js';
+import { AskedRequest } from './request-fingerprint.js';
 import type { Route, ServiceName } from './traffic-configuration.js';
 import type { KnownWorker } from './worker-registry.js';
 
@@ -29,21 +30,36 @@
 
 /** The attempts of one request. */
 export class WorkerSender {
-  private readonly tried = new Set<string>();
+  /** Workers that it was sent to, and when. */
+  private readonly tried = new Map<string, Milliseconds>();
   private readonly aborts = new Set<AbortController>();
   private hasBegun = false;
   private underWay = 0;
+  private readonly asked: AskedRequest;
   /** Workers that it was sent to. */
   attempts = 0;
   /** Whether a worker may have run it. */
   mayHaveRun = false;
 
-  constructor(private readonly options: WorkerSenderOptions) {}
+  constructor(private readonly options: WorkerSenderOptions) {
+    const { request } = options;
+    const tenant = tenantNameOf(request.caller);
+    this.asked = new AskedRequest(() => ({ ...request, tenant }));
+  }
+
+  /** Why no worker may be sent the request, whatever its route allows; `undefined` where one may. */
+  refusal(): Failure | undefined {
+    return this.options.quarantine.refusalOf(this.asked);
+  }
 
-  /** The worker for the next attempt; `undefined` where there is none, or the route allows no more. */
+  /**
+   * The worker for the next attempt; `undefined` where there is none, the route allows no more, or
+   * workers ended under the request.
+   */
   pick(): KnownWorker | undefined {
-    const { route, registry, service, zone, clock } = this.options;
+    const { route, registry, service, zone, clock, quarantine } = this.options;
     if (this.attempts >= route.maxAttempts) return undefined;
+    if (!quarantine.admits(this.asked, this.underWay)) return undefined;
     return registry.pick(service, this.tried, zone, clock.now());
   }
 
@@ -55,11 +71,11 @@
     const { engine, clock, request, route, remaining } = this.options;
     const abort = new AbortController();
     this.aborts.add(abort);
-    this.tried.add(worker.record.id);
     this.attempts += 1;
     this.underWay += 1;
     worker.inFlight += 1;
     const sentAt = clock.now();
+    this.tried.set(worker.record.id, sentAt);
     const resumeAfter = lastEventId ?? request.lastEventId;
     const { caller } = request;
     const tenant = tenantNameOf(caller);
@@ -83,7 +99,7 @@
     );
     worker.inFlight -= 1;
     this.underWay -= 1;
-    if (outcome.kind === 'failed' && outcome.cause === 'broken') this.noteBrokenOff(worker, sentAt);
+    if (outcome.kind === 'failed' && outcome.cause === 'broken') this.noteBrokenOff(worker);
     if (outcome.kind !== 'failed') worker.noteLoad(outcome.load, clock.now());
     if (outcome.kind === 'failed' && outcome.mayHaveRun) this.mayHaveRun = true;
     this.noteBegun(outcome, sentAt, tenant);
@@ -95,17 +111,24 @@
    * several nodes and tries can be told to be about one request; the others that were at the worker
    * or under way elsewhere tell whether it was alone, and whether it was sent to two workers at once.
    */
-  noteBrokenOff(worker: KnownWorker, sentAt: Milliseconds): void {
-    const { request, route, log, clock } = this.options;
+  noteBrokenOff(worker: KnownWorker): void {
+    const { request, route, log, clock, quarantine } = this.options;
+    const { id } = worker.record;
     log.decision('attempt-broken', {
       request: request.requestId,
-      asked: requestFingerprint({ ...request, tenant: tenantNameOf(request.caller) }),
+      asked: this.asked.fingerprint,
       route: route.name,
-      worker: worker.record.id,
-      atWorkerMs: Math.round(clock.now() - sentAt),
+      worker: id,
+      atWorkerMs: Math.round(clock.now() - (this.tried.get(id) ?? clock.now())),
       othersThere: worker.inFlight,
       elsewhere: this.underWay,
     });
+    void quarantine.noteBroken(worker.record, this.asked, 'any-node');
+  }
+
+  /** A worker gave the whole answer. */
+  noteAnswered(): void {
+    this.options.quarantine.noteAnswered(this.asked);
   }
 
   /** Ends all attempts. */
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -26,6 +26,18 @@
     help: 'Answers that came whole and could not be read, by who gave them and to which call',
     labels: ['from', 'call'],
   },
+  broken_connections: {
+    help: 'Connections to workers that broke with a request on them, by what had become of the worker',
+    labels: ['standing'],
+  },
+  quarantined_requests: {
+    help: 'Requests that are sent to no worker, as too many ended under them',
+    labels: [],
+  },
+  crash_reports: {
+    help: 'Reports of what was at workers that ended, by way and outcome',
+    labels: ['way', 'outcome'],
+  },
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
 
--- a/test/fleet/crashing-workers.ts
+++ b/test/fleet/crashing-workers.ts
@@ -1,7 +1,12 @@
 /** Workers that end under some requests, and come back as new instances after a while. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Milliseconds } from '../../src/core/units.js';
-import type { EngineOutcome, EnginePort, EngineRequest } from '../../src/serving/engine-port.js';
+import type {
+  EngineOutcome,
+  EngineRequest,
+  WorkerStanding,
+} from '../../src/serving/engine-port.js';
+import type { WorkerRecord } from '../../src/serving/traffic-configuration.js';
 import { answer, BROKEN, ScriptedEngine, UNREACHED } from '../serving/serving-fixtures.js';
 
 /** A request with this body ends the worker that runs it. */
@@ -25,7 +30,7 @@
 }
 
 /** The workers. */
-export class CrashingWorkers extends ScriptedEngine implements EnginePort {
+export class CrashingWorkers extends ScriptedEngine {
   /** Workers that ended, in order. */
   readonly ended: string[] = [];
   /** Requests that reached a worker that lived. */
@@ -63,6 +68,10 @@
     setTimeout(() => this.add(), RESTART_TIME);
   }
 
+  override async standingOf(worker?: WorkerRecord): Promise<WorkerStanding> {
+    return this.live.has(worker?.id ?? '') ? 'lives' : 'ended';
+  }
+
   override async send(request: EngineRequest, signal: AbortSignal): Promise<EngineOutcome> {
     const { id } = request.worker;
     const life = this.live.get(id);
--- a/test/fleet/fleet-peers.test.ts
+++ b/test/fleet/fleet-peers.test.ts
@@ -68,6 +68,7 @@
     lock: unused,
     relay: unused,
     usageTold: () => t.fail('nobody told usage'),
+    workerEnded: unused,
     weightsNeeded: unused,
   });
   return { peers, asked, owners: placement.ownersOf(jobId) };
--- a/test/fleet/query-of-death.test.ts
+++ b/test/fleet/query-of-death.test.ts
@@ -14,13 +14,20 @@
  * with the fingerprint of what was asked in the line attempt-broken they are one request. Each
  * worker that it had to itself ended too, and no other request was at each of them.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import t from 'tap';
-import { CrashingWorkers, LETHAL } from './crashing-workers.js';
-import { JoinedGateways } from './joined-gateways.js';
+import type { Milliseconds } from '../../src/core/units.js';
+import { ranStateOf } from '../../src/errors/error-kinds.js';
+import { CrashingWorkers, DISCONNECTING, LETHAL } from './crashing-workers.js';
+import { eventually } from './fleet-fixtures.js';
+import { type JoinedGateway, JoinedGateways } from './joined-gateways.js';
 
 /** Workers that may end under one request. */
 const MOST_ENDED = 3;
 
+/** A quarter of the shortest bound within which all nodes have to know. */
+const TELLING_TIME: Milliseconds = 750;
+
 const GATEWAYS = 4;
 const WORKERS = 3;
 
@@ -69,3 +76,141 @@
   }
   t.ok(workers.ended.length <= MOST_ENDED, `${workers.ended.length} workers ended`);
 });
+
+const LETHAL_PATH = '/look/same';
+
+/** Sends the request until no try ends a worker any more. */
+async function quarantine({ workers, fleet }: Fleet): Promise<void> {
+  for (let round = 0; round < 2; round += 1) {
+    await workers.whole(WORKERS);
+    await fleet.ask(gatewayAt(fleet, round), LETHAL_PATH, LETHAL);
+  }
+  await workers.whole(WORKERS);
+}
+
+function gatewayAt(fleet: JoinedGateways, index: number): JoinedGateway {
+  const gateway = fleet.gateways[index];
+  if (gateway === undefined) throw new Error('no such gateway');
+  return gateway;
+}
+
+t.test('a refusal of it comes at once, is a promise, and says when to come back', async (t) => {
+  const all = await startFleet(t, 2);
+  await quarantine(all);
+  const startedAt = performance.now();
+  const { failure } = await all.fleet.ask(gatewayAt(all.fleet, 3), LETHAL_PATH, LETHAL);
+  t.ok(performance.now() - startedAt < 50);
+  t.equal(failure?.kind, 'request_quarantined');
+  t.equal(failure === undefined ? undefined : ranStateOf(failure), 'no');
+  t.ok((failure?.retryAfter ?? 0) > 590_000);
+});
+
+t.test('a gateway that joins later knows it', async (t) => {
+  const all = await startFleet(t, 2);
+  await quarantine(all);
+  const late = all.fleet.add();
+  await eventually(() => late.node.isReady);
+  const { failure } = await all.fleet.ask(late, LETHAL_PATH, LETHAL);
+  t.equal(failure?.kind, 'request_quarantined');
+});
+
+t.test('a fleet that was ended as a whole knows it when it is back', async (t) => {
+  const all = await startFleet(t, 2);
+  await quarantine(all);
+  for (const gateway of [...all.fleet.gateways]) await all.fleet.remove(gateway);
+  const again = all.fleet.add();
+  await eventually(() => again.node.isReady);
+  const { failure } = await all.fleet.ask(again, LETHAL_PATH, LETHAL);
+  t.equal(failure?.kind, 'request_quarantined');
+});
+
+t.test('gateways know it while the store is away', async (t) => {
+  const all = await startFleet(t, 3);
+  all.fleet.store.setAvailability('refusing');
+  await all.fleet.ask(gatewayAt(all.fleet, 0), LETHAL_PATH, LETHAL);
+  t.equal(all.workers.ended.length, MOST_ENDED);
+  await sleep(TELLING_TIME);
+  for (const gateway of all.fleet.gateways) {
+    const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
+    t.equal(failure?.kind, 'request_quarantined', gateway.name);
+  }
+});
+
+t.test('gateways know it that do not answer each other', async (t) => {
+  const all = await startFleet(t, 2);
+  for (const { name } of all.fleet.gateways) all.fleet.silent.add(`address-of-${name}`);
+  await quarantine(all);
+  for (const gateway of all.fleet.gateways) {
+    const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
+    t.equal(failure?.kind, 'request_quarantined', gateway.name);
+  }
+});
+
+t.test('what was reported while the store was away is stored when it is back', async (t) => {
+  const all = await startFleet(t, 3);
+  all.fleet.store.setAvailability('refusing');
+  await all.fleet.ask(gatewayAt(all.fleet, 0), LETHAL_PATH, LETHAL);
+  await sleep(TELLING_TIME);
+  all.fleet.store.setAvailability('up');
+  await eventually(() => all.fleet.store.keys('fleet/worker-end/').length === MOST_ENDED);
+  t.pass();
+});
+
+t.test('requests that were at the same workers are answered, and stay clear', async (t) => {
+  const { workers, fleet } = await startFleet(t, 2);
+  const gateway = gatewayAt(fleet, 0);
+  for (let round = 0; round < 4; round += 1) {
+    await workers.whole(WORKERS);
+    const lethal = fleet.ask(gateway, `/look/lethal-${round}`, LETHAL);
+    const others = ['a', 'b', 'c'].map((name) => fleet.ask(gateway, `/look/${name}`, 'lookup'));
+    await lethal;
+    await Promise.all(others);
+  }
+  await workers.whole(WORKERS);
+  for (const name of ['a', 'b', 'c']) {
+    const { body } = await fleet.ask(gateway, `/look/${name}`, 'lookup');
+    t.equal(body, 'answer to lookup');
+  }
+});
+
+t.test('connections that break at workers that live speak against nothing', async (t) => {
+  const { fleet } = await startFleet(t, 2);
+  for (let round = 0; round < 4; round += 1) {
+    const { failure } = await fleet.ask(gatewayAt(fleet, 0), '/look/lost', DISCONNECTING);
+    t.equal(failure?.kind, 'engine_failed');
+  }
+  t.equal(fleet.store.keys('fleet/worker-end/').length, 0);
+});
+
+t.test('an answer at one gateway clears a request at all of them', async (t) => {
+  const { workers, fleet } = await startFleet(t, 1);
+  const path = '/look/unlucky';
+  // Workers end by themselves while the request is there.
+  for (let round = 0; round < MOST_ENDED - 1; round += 1) {
+    await workers.whole(WORKERS);
+    const asked = fleet.ask(gatewayAt(fleet, round), path, 'lookup');
+    const at = workers.reached.at(-1)?.worker.id ?? '';
+    workers.end(at);
+    t.equal((await asked).failure?.kind, 'engine_failed');
+    await eventually(() => fleet.store.keys('fleet/worker-end/').length === round + 1);
+  }
+  await workers.whole(WORKERS);
+  t.equal((await fleet.ask(gatewayAt(fleet, 2), path, 'lookup')).status, 200);
+  await eventually(() => fleet.store.keys('fleet/worker-end/').length === 0);
+  const last = fleet.ask(gatewayAt(fleet, 3), path, 'lookup');
+  workers.end(workers.reached.at(-1)?.worker.id ?? '');
+  await last;
+  await workers.whole(WORKERS);
+  t.equal((await fleet.ask(gatewayAt(fleet, 3), path, 'lookup')).status, 200);
+});
+
+t.test('whoever removes the records of a request releases it', async (t) => {
+  const all = await startFleet(t, 3);
+  await quarantine(all);
+  for (const key of all.fleet.store.keys('fleet/worker-end/')) all.fleet.store.erase(key);
+  const gateway = gatewayAt(all.fleet, 2);
+  await eventually(() => gateway.lines.length > 0);
+  await sleep(TELLING_TIME);
+  const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
+  t.equal(failure?.kind, 'engine_failed');
+});
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -16,6 +16,7 @@
 import { eventually } from '../fleet/fleet-fixtures.js';
 import {
   configuration,
+  quarantine,
   recordingLog,
   route,
   ScriptedEngine,
@@ -69,6 +70,7 @@
     engine,
     versionField: VERSION_FIELD,
     registry,
+    quarantine: quarantine((worker) => engine.standingOf(worker, '/health')),
     zone: 'zone-1',
   });
   const reader = new JobReader(store, (...question) => peers.ownerListing(...question));
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -2,6 +2,7 @@
 import { Readable } from 'node:stream';
 import type { Failure } from '../../src/errors/error-kinds.js';
 import type { AnswerSink, CallerRequest } from '../../src/serving/answer-sink.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type {
   EngineAnswer,
   EngineOutcome,
@@ -11,13 +12,16 @@
   HeaderList,
   OrderOutcome,
   WeightOrder,
+  WorkerStanding,
 } from '../../src/serving/engine-port.js';
+import { RequestQuarantine } from '../../src/serving/request-quarantine.js';
 import type {
   Route,
   TrafficConfiguration,
   WorkerRecord,
 } from '../../src/serving/traffic-configuration.js';
 import { DecisionLog } from '../../src/telemetry/decision-log.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { ManualClock } from '../jobs/job-fixtures.js';
 
@@ -171,11 +175,29 @@
     return this.reports.shift();
   }
 
+  async standingOf(): Promise<WorkerStanding> {
+    return 'lives';
+  }
+
   forget(worker: string): void {
     this.forgotten.push(worker);
   }
 }
 
+/** A quarantine of a node that is alone; all workers live unless it is told otherwise. */
+export function quarantine(
+  standingOf: (worker: WorkerRecord) => Promise<WorkerStanding> = async () => 'lives',
+): RequestQuarantine {
+  return new RequestQuarantine({
+    standingOf,
+    report: () => {},
+    reportAcquittal: () => {},
+    clock: PROCESS_CLOCK,
+    log: recordingLog().log,
+    metrics: new FleetMetrics(),
+  });
+}
+
 /** A sink that keeps what it was given. */
 export class RecordingSink implements AnswerSink {
   status: number | undefined;
