What a node believes ages while its machine is suspended

Cause: a suspended machine's steady clock stands still, so a lease looked as fresh on waking as before: orders under a lock that had gone to another node, 'nothing new' of a store that was not heard. Change: the clock port tells suspended time; renewal age and remaining lease, a relay's last outcome and an owner's confirmation age by it. A node that notices renews its lease and begins all watches anew; a line and a counter. Open: windows of usage after a suspension (a lead of the time of day is taken for a wrong clock for 60 s).

--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -44,6 +44,9 @@
   now(): number {
     return this.time;
   }
+  suspendedTime(): number {
+    return 0;
+  }
   wallTime(): number {
     return this.time;
   }
--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -6,7 +6,7 @@
 import { filter, firstValueFrom, raceWith, Subject, timer } from 'rxjs';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { PeerAnswers, PeerRequestOf } from '../peers/peer-messages.js';
-import type { Clock } from '../serving/clock.js';
+import { ageingTime, type Clock } from '../serving/clock.js';
 import { PrefixMirror, type PrefixSnapshot } from '../shared-store/prefix-mirror.js';
 import type {
   SharedStore,
@@ -78,10 +78,10 @@
     const known = this.watches.get(prefix);
     if (known === undefined) {
       const mirror = new PrefixMirror(outcome);
-      this.watches.set(prefix, { mirror, isWaiting: false, lastOutcomeAt: clock.now() });
+      this.watches.set(prefix, { mirror, isWaiting: false, lastOutcomeAt: ageingTime(clock) });
     } else {
       known.mirror.takeList(outcome);
-      known.lastOutcomeAt = clock.now();
+      known.lastOutcomeAt = ageingTime(clock);
     }
     this.grown.next(prefix);
     return outcome;
@@ -103,7 +103,7 @@
     const outcome = await store.watch(prefix, after, limit, signal);
     watch.isWaiting = false;
     if (outcome.kind === 'changes') {
-      watch.lastOutcomeAt = clock.now();
+      watch.lastOutcomeAt = ageingTime(clock);
       watch.mirror.takeChanges(after, outcome.changes, outcome.revision);
     } else if (!signal.aborted) {
       // What comes until the next list is not known here: followers must not wait for it.
@@ -149,7 +149,7 @@
   /** Whether this node surely hears of changes now. */
   private isCurrent(watch: DirectWatch): boolean {
     const isFollowing =
-      watch.isWaiting || this.options.clock.now() - watch.lastOutcomeAt < FRESHNESS;
+      watch.isWaiting || ageingTime(this.options.clock) - watch.lastOutcomeAt < FRESHNESS;
     return isFollowing && this.options.renewalAge() < FRESHNESS;
   }
 
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -8,7 +8,7 @@
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
-import type { Clock } from '../serving/clock.js';
+import { ageingTime, type Clock } from '../serving/clock.js';
 import { PrefixWatcher } from '../shared-store/prefix-watcher.js';
 import {
   type LeaseId,
@@ -98,6 +98,7 @@
   /** Life of the lease that is held. */
   private ttl: Milliseconds = 0;
   private areDutiesTaken = false;
+  /** By {@link ageingTime}, as the lease goes on while this machine is suspended. */
   private renewedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   /** When the newest renewal was sent, whatever came of it. */
   private triedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -159,6 +160,13 @@
     void this.renew();
   }
 
+  /** The machine may have been suspended: its lease may be over, and connections may be dead. */
+  noteSuspended(): void {
+    this.watcher.restart();
+    this.triedAt = Number.NEGATIVE_INFINITY;
+    this.renewSoon();
+  }
+
   /** Removes this node's record, so that others need not wait for its lease to run out. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -216,12 +224,12 @@
 
   /** Time for which the lease surely goes on, by this node's own clock; negative when over. */
   leaseRemaining(): Milliseconds {
-    return this.renewedAt + this.ttl - this.options.clock.now();
+    return this.renewedAt + this.ttl - ageingTime(this.options.clock);
   }
 
   /** Time since the store last renewed the lease, counted from when the renewal was sent. */
   renewalAge(): Milliseconds {
-    return this.options.clock.now() - this.renewedAt;
+    return ageingTime(this.options.clock) - this.renewedAt;
   }
 
   private take(change: StoreChange): void {
@@ -252,11 +260,12 @@
 
   private async renew(): Promise<void> {
     const sentAt = this.options.clock.now();
+    const renewedAt = ageingTime(this.options.clock);
     this.triedAt = sentAt;
     this.isRenewing = true;
     const isKept = this.isPaceRight ? await this.keep() : await this.register();
     this.isRenewing = false;
-    if (isKept) this.renewedAt = sentAt;
+    if (isKept) this.renewedAt = renewedAt;
     this.noteStore(isKept, sentAt);
     if (this.isStopped) return;
     const elapsed = this.options.clock.now() - sentAt;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -79,6 +79,8 @@
   private workersListed = false;
   private isStopping = false;
   private nextDutyLookAt: Milliseconds = 0;
+  /** Suspensions that were acted on. */
+  private knownSuspended: Milliseconds = 0;
   private ticker: NodeJS.Timeout | undefined;
   private reporter: NodeJS.Timeout | undefined;
 
@@ -286,6 +288,7 @@
   }
 
   private tick(): void {
+    this.lookForSuspension();
     this.jobs.tick();
     this.dispatcher.tick();
     if (this.isStopping) return;
@@ -293,6 +296,22 @@
     this.coordination.tick();
   }
 
+  /**
+   * After a suspension leases may be over and connections dead, while timers still wait for what was
+   * left of them: all watches begin anew, and the lease is renewed.
+   */
+  private lookForSuspension(): void {
+    const { clock, log, metrics } = this.options;
+    const suspended = clock.suspendedTime();
+    const lengthMs = Math.round(suspended - this.knownSuspended);
+    if (lengthMs === 0) return;
+    this.knownSuspended = suspended;
+    metrics.count('suspensions', {});
+    log.state('suspended', { lengthMs, renewalAgeMs: Math.round(this.fleet.renewalAge()) });
+    this.fleet.noteSuspended();
+    this.feeds.restart();
+  }
+
   /** A node that would be missed at once keeps a lease that lapses soon. */
   private lookAtDuties(): void {
     const now = this.options.clock.now();
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -5,7 +5,7 @@
  */
 import { Subject } from 'rxjs';
 import type { Milliseconds } from '../core/units.js';
-import type { Clock } from '../serving/clock.js';
+import { ageingTime, type Clock } from '../serving/clock.js';
 import { fitsVersions, type VersionRule } from './item-progress.js';
 import type { JobOwner, JobResult, JobSpecification, KeptProgress } from './job-records.js';
 import { isFinished } from './job-records.js';
@@ -57,7 +57,7 @@
     kept: ReadonlyMap<string, KeptWork> = new Map(),
   ) {
     this.listed.push(...listed);
-    this.confirmedAt = clock.now();
+    this.confirmedAt = ageingTime(clock);
     const done = new Set(listed.map((result) => result.id));
     this.meanExpectedLength = meanLengthOf(spec);
     for (const item of spec.items) {
@@ -110,7 +110,7 @@
   /** The store has taken the job: results may be listed from now on. */
   attach(head: VersionedHead): void {
     this.current = head;
-    this.confirmedAt = this.clock.now();
+    this.confirmedAt = ageingTime(this.clock);
   }
 
   /** The job is not this node's after all. */
@@ -125,7 +125,7 @@
 
   /** Time since the store last confirmed that the head is the newest. */
   confirmationAge(): Milliseconds {
-    return this.clock.now() - this.confirmedAt;
+    return ageingTime(this.clock) - this.confirmedAt;
   }
 
   /** Items that wait to be sent. */
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -38,6 +38,10 @@
     help: 'Reports of what was at workers that ended, by way and outcome',
     labels: ['way', 'outcome'],
   },
+  suspensions: {
+    help: 'Times that the machine may have been suspended: its time of day got ahead of its steady clock',
+    labels: [],
+  },
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
 
--- /dev/null
+++ b/test/fleet/suspended-node.test.ts
@@ -0,0 +1,123 @@
+/**
+ * A machine that is suspended for seconds stands still with its steady clock. Whatever a node
+ * believed for a limited time looked as fresh as before when it woke: it gave orders under a lock
+ * that had gone to another, and told its followers "nothing new" of a store that it had not heard.
+ */
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { CoordinatorLock } from '../../src/fleet/coordinator-lock.js';
+import { DirectPrefixes } from '../../src/fleet/direct-prefixes.js';
+import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
+import type { PeerPort } from '../../src/peers/peer-messages.js';
+import { type Clock, PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { OWNER } from '../jobs/job-fixtures.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+import { eventually } from './fleet-fixtures.js';
+
+const SILENT_PEERS: PeerPort = { ask: async () => ({ kind: 'silent' }) };
+
+/** The clock of this process, on a machine that a test suspends. */
+class SuspendableClock implements Clock {
+  suspended = 0;
+  now(): number {
+    return PROCESS_CLOCK.now();
+  }
+  suspendedTime(): number {
+    return this.suspended;
+  }
+  wallTime(): number {
+    return PROCESS_CLOCK.wallTime() + this.suspended;
+  }
+  sleep(duration: number): Promise<void> {
+    return PROCESS_CLOCK.sleep(duration);
+  }
+}
+
+interface Node {
+  readonly store: SharedStoreEmulator;
+  readonly clock: SuspendableClock;
+  readonly fleet: FleetRegistry;
+  readonly lock: CoordinatorLock;
+}
+
+async function coordinator(test: Pick<typeof t, 'teardown'>): Promise<Node> {
+  const store = new SharedStoreEmulator();
+  const clock = new SuspendableClock();
+  const { log } = recordingLog();
+  const fleet = new FleetRegistry({ store, self: OWNER, zone: 'zone-1', clock, log });
+  const lock = new CoordinatorLock({
+    store,
+    fleet,
+    self: OWNER,
+    peers: SILENT_PEERS,
+    clock,
+    log,
+    handOverDelay: () => 0,
+    areTokensChecked: () => false,
+  });
+  void fleet.start();
+  const ticker = setInterval(() => lock.tick(), 5);
+  test.teardown(async () => {
+    clearInterval(ticker);
+    store.setAvailability('up');
+    await fleet.stop();
+  });
+  await eventually(() => lock.fencingToken() !== undefined);
+  return { store, clock, fleet, lock };
+}
+
+t.test('a coordinator that was suspended gives no order before its lease is renewed', async (t) => {
+  const { store, clock, fleet, lock } = await coordinator(t);
+  store.setAvailability('silent');
+  clock.suspended += 3_000;
+  t.equal(lock.fencingToken(), undefined, 'at once, before any timer or answer');
+  t.ok(fleet.leaseRemaining() < 0);
+  t.ok(fleet.renewalAge() >= 3_000);
+  store.setAvailability('up');
+  fleet.noteSuspended();
+  await eventually(() => lock.fencingToken() !== undefined);
+  t.ok(fleet.renewalAge() < 1_000);
+});
+
+t.test('a lease that lapsed meanwhile takes the lock with it', async (t) => {
+  const { store, clock, lock } = await coordinator(t);
+  const before = lock.fencingToken() ?? 0;
+  store.setAvailability('silent');
+  clock.suspended += 3_000;
+  store.lapseLeases();
+  t.equal(lock.fencingToken(), undefined);
+  store.setAvailability('up');
+  await eventually(() => (lock.fencingToken() ?? 0) > before);
+  t.pass('it is taken again under a higher token');
+});
+
+t.test('a suspension shorter than the lease costs nothing', async (t) => {
+  const { clock, fleet, lock } = await coordinator(t);
+  const before = lock.fencingToken();
+  await eventually(() => fleet.renewalAge() < 100);
+  clock.suspended += 200;
+  t.equal(lock.fencingToken(), before);
+});
+
+t.test(
+  'a relay that was suspended does not say "nothing new" of what it has not heard',
+  async (t) => {
+    const store = new SharedStoreEmulator();
+    const clock = new SuspendableClock();
+    store.write('workers/w1', 'ready');
+    const renewedAt = clock.now();
+    const direct = new DirectPrefixes({
+      store,
+      clock,
+      renewalAge: () => clock.now() + clock.suspended - renewedAt,
+      boundPrefixes: ['workers/'],
+      changeBound: () => 2_000,
+    });
+    await direct.list('workers/');
+    const question = { kind: 'follow-prefix', prefix: 'workers/', after: 1, wait: 0 } as const;
+    t.match(await direct.answer(question), { isCurrent: true });
+    clock.suspended += 1_500;
+    t.same(await direct.answer(question), { isCurrent: false });
+    t.same(direct.answerList({ kind: 'list-prefix', prefix: 'workers/' }), { isCurrent: false });
+  },
+);
--- a/test/jobs/job-fixtures.ts
+++ b/test/jobs/job-fixtures.ts
@@ -9,6 +9,11 @@
   now(): number {
     return this.time;
   }
+  /** Time that `time` lacks, as the machine was suspended. */
+  suspended = 0;
+  suspendedTime(): number {
+    return this.suspended;
+  }
   wallTime(): number {
     return this.time;
   }
