The soak has requests that end their workers and gateways that are suspended

Cause: nothing in the soak ended a worker by what was asked of it, and its pauses counted on the steady clock. Every second gateway runs behind a shim that withholds the time of a stop from its steady clock. Workers of the soak answer health checks. A refusal names no workers to callers.

--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -28,9 +28,10 @@
 const FIRST_HOST = 11;
 
 /** Path of the program that the platform starts. */
-function gatewayScript(): string {
-  return path.join(import.meta.dirname, '..', '..', 'platform', 'main.js');
-}
+const GATEWAY_SCRIPT = path.join(import.meta.dirname, '..', '..', 'platform', 'main.js');
+
+/** The same program on a machine whose steady clock stands still with it. */
+const SUSPENDED_SCRIPT = path.join(import.meta.dirname, 'suspended-gateway.js');
 
 /** Starts, signals and restarts gateways. */
 export class GatewayGroup {
@@ -141,6 +142,12 @@
   }
 
   private process(name: string, settingsFile: string): StartedProcess {
-    return this.processes.start(name, gatewayScript(), [], { WARDWING_CONFIG: settingsFile });
+    const script = this.isSuspendable(name) ? SUSPENDED_SCRIPT : GATEWAY_SCRIPT;
+    return this.processes.start(name, script, [], { WARDWING_CONFIG: settingsFile });
+  }
+
+  /** A pause of every second gateway is a suspension; of the others, a machine that stands still. */
+  private isSuspendable(name: string): boolean {
+    return Number(name.split('-').at(-1)) % 2 === 0;
   }
 }
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -22,6 +22,7 @@
     | 'configuration-in-force'
     | 'fencing'
     | 'ended-job'
+    | 'query-of-death'
     | 'leaving-worker';
   readonly detail: string;
   /** Milliseconds since the soak began. */
@@ -56,6 +57,13 @@
 /** Time after the acknowledged end of a job in which its items may still reach a worker. */
 const CANCEL_LIMIT: Milliseconds = 3_000;
 
+/** Workers that may end under one request before all gateways have to know it, and the time for that. */
+const MOST_ENDED = 3;
+const QUARANTINE_LIMIT: Milliseconds = 3_000;
+
+/** Workers that may still begin it after that time. */
+const MOST_LATE_RUNS = 3;
+
 /** Time after a worker said that it leaves in which work may still reach it. */
 const DRAIN_LIMIT: Milliseconds = 2_000;
 
@@ -86,8 +94,32 @@
   /** Signatures of successful answers, by score request. */
   private readonly signatures = new Map<string, Set<string>>();
 
+  /** When workers began to run requests that end them, by path. */
+  private readonly lethalRuns = new Map<string, Milliseconds[]>();
+
   constructor(private readonly now: () => Milliseconds) {}
 
+  /** Most workers that ended under one request. */
+  get mostEndedUnderOne(): number {
+    return Math.max(0, ...[...this.lethalRuns.values()].map((runs) => runs.length));
+  }
+
+  /** A worker began a request that ends it. */
+  lethalBegun(path: string, worker: string): void {
+    const runs = this.lethalRuns.get(path) ?? [];
+    this.lethalRuns.set(path, runs);
+    runs.push(this.now());
+    const knownAt = (runs[MOST_ENDED - 1] ?? Number.POSITIVE_INFINITY) + QUARANTINE_LIMIT;
+    const late = runs.filter((at) => at > knownAt).length;
+    const detail = `${worker} is number ${runs.length} that ends under ${path}`;
+    this.check(late <= MOST_LATE_RUNS, 'query-of-death', detail);
+  }
+
+  /** A request that ends its workers was answered: never with success. */
+  lethalAnswered(path: string, status: number): void {
+    this.check(status !== 200, 'query-of-death', `${path} was answered with ${status}`);
+  }
+
   /** A lookup got a success with this body. */
   lookupAnswered(request: string, body: string, expected: string): void {
     this.check(body === expected, 'complete-answer', `${request} got ${body.slice(0, 60)}`);
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -16,6 +16,7 @@
 } from './soak-call.js';
 import { SoakKeyCallers } from './soak-key-callers.js';
 import type { SoakKeys } from './soak-keys.js';
+import { SoakLethalCallers } from './soak-lethal-callers.js';
 import { EVENT_COUNT_HEADER, SCORE_PREFIX } from './worker-stand-in.js';
 
 const GROUPS = 3;
@@ -70,22 +71,25 @@
   readonly counts: CallerCounts = { lookups: 0, lookupsServed: 0, steps: 0, stepsWhole: 0 };
   private isStopped = false;
   private readonly keyCallers: SoakKeyCallers;
+  private readonly lethalCallers: SoakLethalCallers;
   private loops: Promise<void>[] = [];
 
   constructor(private readonly surroundings: CallerSurroundings) {
     this.keyCallers = new SoakKeyCallers(surroundings);
+    this.lethalCallers = new SoakLethalCallers(surroundings);
   }
 
   /** Begins to ask. */
   start(): void {
     this.loops = [this.lookups(), this.lookups(), this.trainer()];
     this.keyCallers.start();
+    this.lethalCallers.start();
   }
 
   /** Asks no more; resolves when nothing is under way. */
   async stop(): Promise<void> {
     this.isStopped = true;
-    await Promise.all([...this.loops, this.keyCallers.stop()]);
+    await Promise.all([...this.loops, this.keyCallers.stop(), this.lethalCallers.stop()]);
   }
 
   /** Reads all accepted jobs once more, each at some gateway, until each has answered. */
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -30,6 +30,8 @@
   readonly checked: number;
   readonly violations: readonly Violation[];
   readonly counts: CallerCounts;
+  /** Most workers that ended under one request. */
+  readonly mostEndedUnderOne: number;
 }
 
 /** Time after a fault in which late work is excused. */
@@ -106,8 +108,9 @@
     await this.gateways.stop();
     await this.workers.stop();
     this.store.stop();
-    const { violations, checked } = this.checker;
-    return { faults: faults.length, checked, violations, counts: callers.counts };
+    const { violations, checked, mostEndedUnderOne } = this.checker;
+    const { counts } = callers;
+    return { faults: faults.length, checked, violations, counts, mostEndedUnderOne };
   }
 
   private isCalm(): boolean {
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -23,12 +23,20 @@
   const seconds = numberFlag(flags, 'seconds', DEFAULT_SECONDS);
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-soak-'));
   const soak = new SoakRun({ ...FLEET, seed, length: seconds * SECOND, folder });
-  const { faults, checked, violations, counts } = await soak.run();
+  const { faults, checked, violations, counts, mostEndedUnderOne } = await soak.run();
   for (const { at, promise, detail } of violations) console.log(`${at} ms  ${promise}  ${detail}`);
   const holds = violations.length === 0 && checked > 0 && counts.stepsWhole > 0;
   if (holds && flags.keep !== true) rmSync(folder, { recursive: true });
   else console.log(`settings and logs are in ${folder}`);
-  const summary = { soak: 'fleet', seed, seconds, faults, checked, violations: violations.length };
+  const summary = {
+    soak: 'fleet',
+    seed,
+    seconds,
+    faults,
+    checked,
+    violations: violations.length,
+    mostEndedUnderOne,
+  };
   console.log(JSON.stringify({ ...summary, ...counts, holds }));
   return holds ? 0 : 1;
 }
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -24,11 +24,12 @@
 /** Keeps workers running. */
 export class WorkerPool {
   readonly places: WorkerPlace[] = [];
+  private isStopped = false;
 
   constructor(
     private readonly store: PlatformStore,
     private readonly random: RandomSource,
-    private readonly surroundings: Omit<WorkerSurroundings, 'onChange'>,
+    private readonly surroundings: Omit<WorkerSurroundings, 'onChange' | 'onLethal'>,
     private readonly newestVersion: () => WeightVersion,
   ) {}
 
@@ -40,11 +41,12 @@
   /** A worker ends in the middle of everything; another life begins after a while. */
   async crash(place: WorkerPlace, pause: Milliseconds): Promise<void> {
     const { worker, link } = place;
+    if (worker.hasEnded) return;
     worker.crash();
     await link.close();
     await sleep(Math.max(pause, RECORD_LIFE));
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
-    Object.assign(place, await this.launch(place.service));
+    if (!this.isStopped) Object.assign(place, await this.launch(place.service));
   }
 
   /** A worker says that it leaves, serves on for a while, and is replaced. */
@@ -53,6 +55,7 @@
     if (worker.isLeaving) return;
     worker.leave();
     await sleep(LINGER);
+    if (worker.hasEnded) return;
     worker.crash();
     await link.close();
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
@@ -65,18 +68,28 @@
       worker.crash();
       await link.close();
     }
+    this.isStopped = true;
   }
 
   private async launch(service: string): Promise<WorkerPlace> {
     const onChange = (changed: WorkerStandIn): void => this.register(service, changed, address);
     const id = `i-${this.random.identifier().slice(0, 10)}`;
-    const worker = new WorkerStandIn(id, this.newestVersion(), { ...this.surroundings, onChange });
+    const worker = new WorkerStandIn(id, this.newestVersion(), {
+      ...this.surroundings,
+      onChange,
+      onLethal: (ended) => this.endUnderRequest(ended),
+    });
     const link = new TcpProxy({ target: await worker.start() });
     const address = await link.start();
     this.register(service, worker, address);
     return { service, worker, link, address };
   }
 
+  private endUnderRequest(worker: WorkerStandIn): void {
+    const place = this.places.find((one) => one.worker === worker);
+    if (place !== undefined) void this.crash(place, 0);
+  }
+
   private register(service: string, worker: WorkerStandIn, address: string): void {
     const models = [{ name: this.surroundings.model, version: worker.weightVersion, adapters: [] }];
     const record = {
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -19,6 +19,15 @@
 /** Paths below this ask for scores; each answer is signed anew. */
 export const SCORE_PREFIX = '/scores/';
 
+/** Paths below this end the worker that begins to run them. */
+export const LETHAL_PREFIX = '/lookups/lethal/';
+
+/** Time for which a worker runs a request that ends it. */
+const LETHAL_TIME: Milliseconds = 15;
+
+/** Where a worker tells whether it is sound. */
+const HEALTH_PATH = '/health';
+
 /** One in so many first attempts at a score fails with the worker's own error. */
 const FAILING_SCORES = 12;
 
@@ -41,6 +50,8 @@
   readonly isCalm: () => boolean;
   /** Called after a change that the worker's record shows. */
   readonly onChange: (worker: WorkerStandIn) => void;
+  /** Called when a request ends the worker. */
+  readonly onLethal: (worker: WorkerStandIn) => void;
 }
 
 /** One life of a worker. */
@@ -51,6 +62,7 @@
   private sequence = 0;
   private highestToken = 0;
   private isLoading = false;
+  private isOver = false;
   private leavingSince: Milliseconds | undefined;
   private scoresGiven = 0;
 
@@ -79,8 +91,14 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Whether its life is over. */
+  get hasEnded(): boolean {
+    return this.isOver;
+  }
+
   /** Ends at once, in the middle of everything. */
   crash(): void {
+    this.isOver = true;
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -105,7 +123,9 @@
     }
     const body = Buffer.concat(chunks).toString();
     if (request.url === PATHS.report) this.report(response);
-    else if (request.url === PATHS.order) this.order(body, response);
+    else if (request.url === HEALTH_PATH) {
+      response.writeHead(200, { [HEADERS.instance]: this.id }).end();
+    } else if (request.url === PATHS.order) this.order(body, response);
     else this.work(request, body, response);
   }
 
@@ -154,11 +174,17 @@
     response.once('close', () => {
       this.running -= 1;
     });
-    if (events > 0) this.stream(request, id, events, stamped, response);
+    if (request.url?.startsWith(LETHAL_PREFIX)) this.endUnder(request.url);
+    else if (events > 0) this.stream(request, id, events, stamped, response);
     else if (request.url?.startsWith(SCORE_PREFIX)) this.score(id, base, response);
     else setTimeout(() => response.writeHead(200, stamped).end(`${id}:${body}`), LOOKUP_TIME);
   }
 
+  private endUnder(path: string): void {
+    this.surroundings.checker.lethalBegun(path, this.id);
+    setTimeout(() => this.surroundings.onLethal(this), LETHAL_TIME);
+  }
+
   private score(
     id: string,
     headers: http.OutgoingHttpHeaders,
--- a/src/serving/request-quarantine.ts
+++ b/src/serving/request-quarantine.ts
@@ -85,12 +85,9 @@
   refusalOf(asked: AskedRequest): Failure | undefined {
     const ends = this.endedUnder(asked);
     if (ends.length < MOST_ENDED_WORKERS) return undefined;
-    const workers = ends.map(({ worker }) => worker).join(', ');
     const firstToLapse = ends[ends.length - MOST_ENDED_WORKERS]?.at ?? 0;
     const retryAfter = firstToLapse + EVIDENCE_LIFETIME - this.options.clock.now();
-    return failure('request_quarantined', `these workers ended under it: ${workers}`, {
-      retryAfter,
-    });
+    return failure('request_quarantined', `${ends.length} workers ended under it`, { retryAfter });
   }
 
   /** The workers that ended under a request. */
