Only a success or a caller's own fault clears a request under which workers ended

Cause: a worker that answers 504 at the deadline, or any failure of its own, was taken for proof that the request does no harm; one that had little time left when it came would have cleared itself. Change: answers of 500 and above clear nothing. Tests of the quarantine by itself. Before and after: the new test of the forwarder sent the request to a fifth worker, now to four (one of them answered 504).

--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -5,7 +5,7 @@
 import type { KnownWorker } from './worker-registry.js';
 
 /** The lowest status by which a worker tells a failure of its own. */
-const SERVER_ERROR = 500;
+export const SERVER_ERROR = 500;
 
 /** One attempt that has come to an outcome. */
 export interface AttemptEnd {
--- a/src/serving/forwarded-exchange.ts
+++ b/src/serving/forwarded-exchange.ts
@@ -144,7 +144,7 @@
       }
     } else {
       worker.noteOutcome('success', this.options.clock.now());
-      this.sender.noteAnswered();
+      this.sender.noteAnswered(outcome.status);
     }
     return { worker, outcome, body };
   }
@@ -182,7 +182,7 @@
       const isComplete = await relay.follow(current.answer);
       if (isComplete) {
         this.sink.end();
-        this.sender.noteAnswered();
+        this.sender.noteAnswered(answer.status);
         return this.noteAnswered('stream-answered', worker, answer.status);
       }
       current.answer.discard();
@@ -202,7 +202,7 @@
       this.sender.noteBrokenOff(worker);
       return this.giveUp(undefined);
     }
-    this.sender.noteAnswered();
+    this.sender.noteAnswered(answer.status);
     this.sink.sendWhole(answer.status, answer.headers, body);
     this.noteAnswered('request-answered', worker, answer.status);
   }
--- a/src/serving/worker-sender.ts
+++ b/src/serving/worker-sender.ts
@@ -6,6 +6,7 @@
 import type { Failure } from '../errors/error-kinds.js';
 import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
 import type { CallerRequest } from './answer-sink.js';
+import { SERVER_ERROR } from './attempt.js';
 import type { EngineOutcome } from './engine-port.js';
 import type { RequestForwarderOptions } from './forwarding-options.js';
 import { AskedRequest } from './request-fingerprint.js';
@@ -126,9 +127,12 @@
     void quarantine.noteBroken(worker.record, this.asked, 'any-node');
   }
 
-  /** A worker gave the whole answer. */
-  noteAnswered(): void {
-    this.options.quarantine.noteAnswered(this.asked);
+  /**
+   * A worker gave the whole answer. One that tells a failure, as at the deadline, says little: the
+   * request may have been cut short before it could end the worker.
+   */
+  noteAnswered(status: number): void {
+    if (status < SERVER_ERROR) this.options.quarantine.noteAnswered(this.asked);
   }
 
   /** Ends all attempts. */
--- a/test/serving/request-forwarder.test.ts
+++ b/test/serving/request-forwarder.test.ts
@@ -116,6 +116,30 @@
   t.match(broken[0], { request: 'first try', worker: 'w1', othersThere: 0, elsewhere: 0 });
 });
 
+t.test(
+  'a failure that a worker tells does not clear a request under which workers ended',
+  async (t) => {
+    const registry = new WorkerRegistry();
+    for (const id of ['w1', 'w2', 'w3', 'w4', 'w5']) registry.put(worker(id));
+    const late = answer('', { status: 504 });
+    const engine = new ScriptedEngine([BROKEN, BROKEN, late, BROKEN, answer('reply')]);
+    const forwarder = new RequestForwarder({
+      engine,
+      versionField: VERSION_FIELD,
+      registry,
+      quarantine: quarantine(async () => 'ended'),
+      clock: PROCESS_CLOCK,
+      log: recordingLog().log,
+      metrics: new FleetMetrics(),
+      zone: 'zone-1',
+    });
+    const sink = new RecordingSink();
+    await forwarder.forward(callerRequest(), route({ maxAttempts: 5 }), 'service', sink);
+    t.equal(engine.requests.length, 4, 'not sent again after the third');
+    t.equal(sink.failure?.kind, 'engine_failed');
+  },
+);
+
 t.test('a late worker is overtaken by another and cancelled', async (t) => {
   const { sink, engine } = await forward(['hang', answer('reply')], { targetLatency: 20 });
   t.equal(sink.body, 'reply');
--- /dev/null
+++ b/test/serving/request-quarantine.test.ts
@@ -0,0 +1,176 @@
+import t from 'tap';
+import { EVIDENCE_LIFETIME, MOST_ENDED_WORKERS } from '../../src/serving/crash-evidence.js';
+import type { WorkerStanding } from '../../src/serving/engine-port.js';
+import { AskedRequest } from '../../src/serving/request-fingerprint.js';
+import {
+  type CrashReport,
+  type NextSender,
+  RequestQuarantine,
+} from '../../src/serving/request-quarantine.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { eventually } from '../fleet/fleet-fixtures.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+import { recordingLog, worker } from './serving-fixtures.js';
+
+function asked(path: string): AskedRequest {
+  const work = { method: 'POST', host: 'h', path, tenant: undefined, body: Buffer.from('b') };
+  return new AskedRequest(() => work);
+}
+
+class Fixture {
+  readonly clock = new ManualClock();
+  readonly reports: CrashReport[] = [];
+  readonly acquittals: string[] = [];
+  readonly lines: readonly string[];
+  readonly quarantine: RequestQuarantine;
+  questions = 0;
+  standing: WorkerStanding = 'ended';
+
+  constructor() {
+    const { log, lines } = recordingLog();
+    this.lines = lines;
+    this.quarantine = new RequestQuarantine({
+      standingOf: async () => {
+        this.questions += 1;
+        return this.standing;
+      },
+      report: (report) => this.reports.push(report),
+      reportAcquittal: (request) => this.acquittals.push(request),
+      clock: this.clock,
+      log,
+      metrics: new FleetMetrics(),
+    });
+  }
+
+  /** Workers of these names end while the request is there. */
+  async endUnder(request: AskedRequest, names: string[], next: NextSender = 'any-node') {
+    for (const name of names) await this.quarantine.noteBroken(worker(name), request, next);
+  }
+}
+
+t.test('a request is refused once three workers ended under it', async (t) => {
+  const fixture = new Fixture();
+  const request = asked('/x');
+  await fixture.endUnder(request, ['w1', 'w2']);
+  t.equal(fixture.quarantine.refusalOf(request), undefined);
+  await fixture.endUnder(request, ['w3']);
+  t.equal(fixture.quarantine.refusalOf(request)?.kind, 'request_quarantined');
+  t.equal(fixture.quarantine.refusalOf(asked('/y')), undefined);
+  t.ok(fixture.lines.some((line) => line.includes('"request-quarantined"')));
+});
+
+t.test('one worker counts once, however often it is told', async (t) => {
+  const fixture = new Fixture();
+  const request = asked('/x');
+  await fixture.endUnder(request, ['w1', 'w1']);
+  fixture.quarantine.take({ worker: 'w1', requests: [request.fingerprint] }, 0);
+  t.equal(fixture.quarantine.endedUnder(request).length, 1);
+});
+
+t.test('copies side by side count as ended where something speaks against it', async (t) => {
+  const fixture = new Fixture();
+  const request = asked('/x');
+  t.ok(fixture.quarantine.admits(request, 5), 'nothing does');
+  await fixture.endUnder(request, ['w1']);
+  t.ok(fixture.quarantine.admits(request, MOST_ENDED_WORKERS - 2));
+  t.notOk(fixture.quarantine.admits(request, MOST_ENDED_WORKERS - 1));
+});
+
+t.test('a broken connection counts until its worker has said that it lives', async (t) => {
+  const fixture = new Fixture();
+  fixture.standing = 'lives';
+  const request = asked('/x');
+  const verdict = fixture.quarantine.noteBroken(worker('w1'), request, 'any-node');
+  t.equal(fixture.quarantine.endedUnder(request).length, 1);
+  await verdict;
+  t.equal(fixture.quarantine.endedUnder(request).length, 0);
+});
+
+t.test('a worker that does not answer in time counts as ended', async (t) => {
+  const fixture = new Fixture();
+  fixture.standing = 'unknown';
+  const request = asked('/x');
+  await fixture.endUnder(request, ['w1']);
+  t.equal(fixture.quarantine.endedUnder(request).length, 1);
+});
+
+t.test('a worker is asked once for all requests that were there', async (t) => {
+  const fixture = new Fixture();
+  const requests = ['/a', '/b', '/c', '/d'].map(asked);
+  await Promise.all(requests.map((request) => fixture.endUnder(request, ['w1'])));
+  t.equal(fixture.questions, 1);
+  await eventually(() => fixture.reports.length > 0);
+  t.equal(fixture.reports.length, 1, 'and one report names all of them');
+  t.equal(fixture.reports[0]?.requests.length, 4);
+});
+
+t.test('what another worker answers soon is told to nobody', async (t) => {
+  const fixture = new Fixture();
+  const [answered, unanswered] = [asked('/a'), asked('/b')];
+  await fixture.endUnder(answered, ['w1']);
+  await fixture.endUnder(unanswered, ['w1']);
+  fixture.quarantine.noteAnswered(answered);
+  await eventually(() => fixture.reports.length > 0);
+  t.same(fixture.reports, [{ worker: 'w1', requests: [unanswered.fingerprint] }]);
+  t.same(fixture.acquittals, []);
+});
+
+t.test('an answer after the report takes it back everywhere', async (t) => {
+  const fixture = new Fixture();
+  const request = asked('/x');
+  await fixture.endUnder(request, ['w1', 'w2']);
+  await eventually(() => fixture.reports.length === 2);
+  fixture.quarantine.noteAnswered(request);
+  t.same(fixture.acquittals, [request.fingerprint]);
+  t.equal(fixture.quarantine.endedUnder(request).length, 0);
+  fixture.quarantine.noteAnswered(request);
+  t.equal(fixture.acquittals.length, 1);
+});
+
+t.test(
+  'what one node alone sends is told with its second end, and the first with it',
+  async (t) => {
+    const fixture = new Fixture();
+    const request = asked('/x');
+    await fixture.endUnder(request, ['w1'], 'this-node');
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    t.equal(fixture.reports.length, 0);
+    await fixture.endUnder(request, ['w2'], 'this-node');
+    await eventually(() => fixture.reports.length === 2);
+    t.same(fixture.reports.map((report) => report.worker).sort(), ['w1', 'w2']);
+  },
+);
+
+t.test('evidence grows old, and the refusal tells when', async (t) => {
+  const fixture = new Fixture();
+  const request = asked('/x');
+  await fixture.endUnder(request, ['w1']);
+  fixture.clock.time += 5_000;
+  await fixture.endUnder(request, ['w2', 'w3']);
+  const retryAfter = fixture.quarantine.refusalOf(request)?.retryAfter ?? 0;
+  t.equal(retryAfter, EVIDENCE_LIFETIME - 5_000);
+  fixture.clock.time += retryAfter + 1;
+  t.equal(fixture.quarantine.refusalOf(request), undefined);
+  t.equal(fixture.quarantine.endedUnder(request).length, 2);
+});
+
+t.test('a request of which nothing is known costs no pass over its body', async (t) => {
+  const fixture = new Fixture();
+  const request = new AskedRequest(() => {
+    throw new Error('worked out');
+  });
+  t.ok(fixture.quarantine.admits(request));
+  t.equal(fixture.quarantine.refusalOf(request), undefined);
+  fixture.quarantine.noteAnswered(request);
+});
+
+t.test('200,000 ends of workers leave 20,000 requests in memory', async (t) => {
+  const fixture = new Fixture();
+  for (let index = 0; index < 200_000; index += 1) {
+    fixture.quarantine.take({ worker: 'w1', requests: [`request-${index}`] }, 0);
+  }
+  const newest = { fingerprint: 'request-199999' } as AskedRequest;
+  const oldest = { fingerprint: 'request-100000' } as AskedRequest;
+  t.equal(fixture.quarantine.endedUnder(newest).length, 1);
+  t.equal(fixture.quarantine.endedUnder(oldest).length, 0);
+});
