--- a/lab/soak/soak-lethal-callers.ts
+++ b/lab/soak/soak-lethal-callers.ts
@@ -9,7 +9,7 @@
 import { LETHAL_PREFIX } from './worker-stand-in.js';
 
 /** Tries of one request, and the pauses between them. */
-const TRIES = 16;
+const TRIES = 40;
 const SHORTEST_PAUSE: Milliseconds = 100;
 const LONGEST_PAUSE: Milliseconds = 900;
 
