--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -9,6 +9,7 @@
 import { JobStore } from '../../src/jobs/job-store.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
+import type { RequestQuarantine } from '../../src/serving/request-quarantine.js';
 import { RouteMatcher } from '../../src/serving/route-matcher.js';
 import { WorkerRegistry } from '../../src/serving/worker-registry.js';
 import type { SharedStore } from '../../src/shared-store/shared-store.js';
@@ -28,6 +29,7 @@
   readonly service: JobService;
   readonly dispatcher: ItemDispatcher;
   readonly registry: WorkerRegistry;
+  readonly quarantine: RequestQuarantine;
   readonly lines: readonly string[];
 }
 
@@ -65,17 +67,24 @@
   const routes = (): RouteMatcher => matcher;
   const store = new JobStore(emulator, clock);
   const shared = { clock, log, metrics, routes };
+  const ownQuarantine = quarantine((worker) => engine.standingOf(worker, '/health'));
   const dispatcher = new ItemDispatcher({
     ...shared,
     engine,
     versionField: VERSION_FIELD,
     registry,
-    quarantine: quarantine((worker) => engine.standingOf(worker, '/health')),
+    quarantine: ownQuarantine,
     zone: 'zone-1',
   });
   const reader = new JobReader(store, (...question) => peers.ownerListing(...question));
   const options = { ...shared, store, reader, peers, dispatcher, self, retention: () => 60_000 };
-  return { service: new JobService(options), dispatcher, registry, lines };
+  return {
+    service: new JobService(options),
+    dispatcher,
+    registry,
+    quarantine: ownQuarantine,
+    lines,
+  };
 }
 
 /** Has a node do its regular work until the timer is cleared. */
--- /dev/null
+++ b/test/platform-adapter/worker-standing.test.ts
@@ -0,0 +1,63 @@
+import http from 'node:http';
+import net, { type AddressInfo } from 'node:net';
+import t from 'tap';
+import { askStanding } from '../../platform/worker-standing.js';
+import { worker } from '../serving/serving-fixtures.js';
+
+const HEALTH = '/health';
+
+async function listening(test: Pick<typeof t, 'teardown'>, server: net.Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  test.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+t.test('a worker that answers its health check lives, well or not', async (t) => {
+  for (const status of [200, 503, 429]) {
+    const server = http.createServer((request, response) => {
+      t.equal(request.url, HEALTH);
+      t.equal(request.headers['x-wardwing-expect-instance'], 'w1');
+      response.writeHead(status, { 'x-wardwing-instance-id': 'w1' }).end();
+    });
+    const address = await listening(t, server);
+    t.equal(await askStanding(worker('w1', { address }), HEALTH), 'lives');
+  }
+});
+
+t.test('another life at its address means that it has ended', async (t) => {
+  for (const [status, id] of [
+    [421, undefined],
+    [200, 'w2'],
+  ] as const) {
+    const server = http.createServer((_request, response) => {
+      response.writeHead(status, id === undefined ? {} : { 'x-wardwing-instance-id': id }).end();
+    });
+    const address = await listening(t, server);
+    t.equal(await askStanding(worker('w1', { address }), HEALTH), 'ended');
+  }
+});
+
+t.test('an address at which nobody listens means that it has ended', async (t) => {
+  const server = net.createServer();
+  const address = await listening(t, server);
+  await new Promise((resolve) => server.close(resolve));
+  t.equal(await askStanding(worker('w1', { address }), HEALTH), 'ended');
+});
+
+t.test('a worker that takes the connection and is too busy to answer lives', async (t) => {
+  const sockets: net.Socket[] = [];
+  const address = await listening(
+    t,
+    net.createServer((socket) => sockets.push(socket)),
+  );
+  t.equal(await askStanding(worker('w1', { address }), HEALTH), 'lives');
+  for (const socket of sockets) socket.destroy();
+});
+
+t.test('one that closes the connection at once says nothing', async (t) => {
+  const address = await listening(
+    t,
+    net.createServer((socket) => socket.destroy()),
+  );
+  t.equal(await askStanding(worker('w1', { address }), HEALTH), 'unknown');
+});
