Reports of workers that ended reach nodes that join in an outage; a job is offered within one time

Change: (1) a node that joins is told what the store does not hold; the store's return ends a pause, 2 s at most. (2) all offers of a job share 6 s; an owner that used them up says no in the caller's time, and nobody is asked for whom no time is left.

--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -7,6 +7,7 @@
  * live, did not answer, or were all killed. Each way alone has a hole: nodes that are told directly
  * forget with their process, and the store may be away, or a watch of it silent, for seconds.
  */
+import { firstValueFrom, Subject } from 'rxjs';
 import * as z from 'zod';
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
@@ -24,9 +25,12 @@
 /** Times that a node which does not answer is told: the first may hang on a connection gone silent. */
 const TELL_ATTEMPTS = 3;
 
-/** Pause before a commit that failed is tried again; doubled up to the longest. */
+/**
+ * Pause before a commit that failed is tried again; doubled up to the longest. The end of an outage
+ * is noticed by the lease's renewal, and ends a pause at once.
+ */
 const RETRY_PAUSE: Milliseconds = 250;
-const LONGEST_RETRY_PAUSE: Milliseconds = 4_000;
+const LONGEST_RETRY_PAUSE: Milliseconds = 2_000;
 
 /** Keys that one commit of the store may write. */
 const MOST_KEYS_TOGETHER = 32;
@@ -70,6 +74,8 @@
   /** Answered requests that records may still name. */
   private readonly acquitted = new Set<RequestFingerprint>();
   private isSaving = false;
+  /** Fires when a commit that failed is to be tried again now. */
+  private readonly retries = new Subject<void>();
   private isStopped = false;
 
   constructor(private readonly options: CrashReportsOptions) {}
@@ -90,6 +96,19 @@
     void this.save();
   }
 
+  /** Tells a node that has just joined what the store does not hold yet: no list can show it. */
+  inform(node: NodeId): void {
+    if (node === this.options.self) return;
+    for (const [key, { requests }] of this.unsaved) {
+      void this.tell(node, { worker: workerOf(key), requests });
+    }
+  }
+
+  /** The store answers again: what waits is written now. */
+  retrySoon(): void {
+    this.retries.next();
+  }
+
   /** A worker answered a request: records must not speak against it at other nodes. */
   acquit(request: RequestFingerprint): void {
     this.acquitted.add(request);
@@ -144,7 +163,10 @@
       const isDone = await this.commit(next);
       if (isDone) pause = RETRY_PAUSE;
       else {
-        await this.options.clock.sleep(pause);
+        await Promise.race([
+          this.options.clock.sleep(pause),
+          firstValueFrom(this.retries, { defaultValue: undefined }),
+        ]);
         pause = Math.min(2 * pause, LONGEST_RETRY_PAUSE);
       }
     }
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -31,7 +31,7 @@
 import type { FleetRegistry } from './fleet-registry.js';
 import type { JobPlacement } from './job-placement.js';
 import { PeerCalls } from './peer-calls.js';
-import { SUBMIT_LIMIT, SubmissionRouter } from './submission-router.js';
+import { SubmissionRouter } from './submission-router.js';
 import type { WatchRelay } from './watch-relay.js';
 
 /** Time for an answer. */
@@ -247,7 +247,7 @@
       case 'surrender-job':
         return { work: jobs().surrender(request.job) };
       case 'submit-for':
-        return { failure: await this.submitFor(request.spec) };
+        return { failure: await this.submitFor(request.spec, request.limit) };
       case 'adopt-job':
         return {
           isTaken: await jobs().adoptFrom(request.job, request.owner, request.ownerAnswers),
@@ -292,14 +292,17 @@
   }
 
   /** Takes a job in for another node; refuses at once where the store is out of reach. */
-  private async submitFor(spec: JobSpecification): Promise<Failure | undefined> {
+  private async submitFor(
+    spec: JobSpecification,
+    limit: Milliseconds,
+  ): Promise<Failure | undefined> {
     const { fleet, jobs } = this.options;
     if (fleet.isCutOff) {
       return failure('ledger_unavailable', 'the store does not answer', {
         retryAfter: STORE_RETRY_AFTER,
       });
     }
-    return jobs().submitHere(spec, this.whileAsked(SUBMIT_LIMIT));
+    return jobs().submitHere(spec, this.whileAsked(limit));
   }
 }
 
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -86,6 +86,8 @@
 export class FleetRegistry {
   /** Fires after a node left or was replaced by a new life. */
   readonly departures = new Subject<Departure>();
+  /** Fires after a node joined or began a new life. */
+  readonly arrivals = new Subject<NodeId>();
   /** Changes under the fleet's prefix that are not about nodes. */
   readonly otherChanges = new Subject<StoreChange>();
   /** Fires when the store answers again after a renewal went unanswered. */
@@ -247,6 +249,7 @@
     this.options.log.state('fleet-node', { peer: node, state, live: this.live.size });
     const cause = record === undefined ? 'lease-over' : 'replaced';
     if (before !== undefined) this.departures.next({ node, cause });
+    if (record !== undefined) this.arrivals.next(node);
   }
 
   private get pace(): LeasePace {
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -141,6 +141,8 @@
       withdrawn: (report) => quarantine.withdraw(report),
     });
     this.fleet.otherChanges.subscribe((change) => this.crashReports.take(change));
+    this.fleet.arrivals.subscribe((arrived) => this.crashReports.inform(arrived));
+    this.fleet.storeRegained.subscribe(() => this.crashReports.retrySoon());
     const quarantine = new RequestQuarantine({
       ...shared,
       standingOf: (worker) => options.engine.standingOf(worker, this.healthPathOf(worker)),
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -15,8 +15,9 @@
 import type { PeerCalls } from './peer-calls.js';
 
 /**
- * Time that a node takes a job in for another one: in an outage of the store it runs the job's items
- * meanwhile. Callers wait some seconds for a job to be taken.
+ * Time for all nodes together to which a job is offered: in an outage of the store the first of them
+ * runs the job's items meanwhile. Callers wait some seconds for a job to be taken; where each of
+ * two nodes had this time for itself, a caller waited 12.4 s for a refusal.
  */
 export const SUBMIT_LIMIT: Milliseconds = 6_000;
 
@@ -26,6 +27,9 @@
 /** Time between two looks whether a node that takes a job in still lives and reaches the store. */
 const CHECK_INTERVAL: Milliseconds = 800;
 
+/** Least time for which a node is asked: less would not take a job in on a calm day. */
+const LEAST_OFFER: Milliseconds = 500;
+
 /** Owners that a job is offered to before the node that took the call runs it itself. */
 const OFFERS = 2;
 
@@ -35,7 +39,7 @@
   readonly fleet: FleetRegistry;
   readonly placement: JobPlacement;
   readonly self: JobOwner;
-  readonly clock: Pick<Clock, 'sleep'>;
+  readonly clock: Pick<Clock, 'now' | 'sleep'>;
 }
 
 /** Finds the node that takes a job in. */
@@ -44,18 +48,23 @@
 
   /** Has another node take the job in, or tells that it is for this one to store. */
   async route(spec: JobSpecification): Promise<SubmissionPath> {
-    const { fleet, placement, self } = this.options;
+    const { fleet, placement, self, clock } = this.options;
+    const deadline = clock.now() + SUBMIT_LIMIT;
     let mayRunElsewhere = false;
     for (const node of placement.ownersOf(spec.id).slice(0, OFFERS)) {
       if (node === self.node) {
         if (fleet.isCutOff) continue;
         break;
       }
-      const outcome = await this.offer(node, { kind: 'submit-for', spec });
+      const limit = deadline - clock.now();
+      if (limit < LEAST_OFFER) break;
+      const outcome = await this.offer(node, { kind: 'submit-for', spec, limit });
       if (outcome === undefined) continue;
       if (outcome.kind === 'answered') {
         const { failure: refusal } = outcome.answer;
-        if (refusal?.kind !== 'ledger_unavailable') return { kind: 'answered', failure: refusal };
+        const isOutage = refusal?.kind === 'ledger_unavailable';
+        const isTimeLeft = deadline - clock.now() >= LEAST_OFFER;
+        if (!isOutage || !isTimeLeft) return { kind: 'answered', failure: refusal };
         continue;
       }
       placement.noteSilent(node);
@@ -64,7 +73,7 @@
         break;
       }
     }
-    if (fleet.isCutOff) return this.routeAnywhere(spec, mayRunElsewhere);
+    if (fleet.isCutOff) return this.routeAnywhere(spec, mayRunElsewhere, deadline);
     return { kind: 'here', mayRunElsewhere };
   }
 
@@ -77,7 +86,7 @@
     request: PeerRequestOf<'submit-for'>,
   ): Promise<PeerOutcome<'submit-for'> | undefined> {
     const { calls, clock, fleet } = this.options;
-    const asked = calls.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+    const asked = calls.ask<'submit-for'>(node, request, request.limit + ANSWER_TIME);
     for (;;) {
       const pause = clock.sleep(CHECK_INTERVAL).then(() => 'pending' as const);
       const outcome = await Promise.race([asked, pause]);
@@ -91,13 +100,15 @@
   private async routeAnywhere(
     spec: JobSpecification,
     mayRunElsewhere: boolean,
+    deadline: Milliseconds,
   ): Promise<SubmissionPath> {
-    const { calls } = this.options;
+    const { calls, clock } = this.options;
     const unknown = failure('outcome_unknown', 'another node may have stored the job');
     const node = await calls.nodeThatReachesStore();
     if (node === undefined) return { kind: 'here', mayRunElsewhere };
-    const request = { kind: 'submit-for', spec } as const;
-    const outcome = await calls.ask<'submit-for'>(node, request, SUBMIT_LIMIT + ANSWER_TIME);
+    const limit = Math.max(LEAST_OFFER, deadline - clock.now());
+    const request = { kind: 'submit-for', spec, limit } as const;
+    const outcome = await calls.ask<'submit-for'>(node, request, limit + ANSWER_TIME);
     if (outcome?.kind === 'silent') return { kind: 'answered', failure: unknown };
     if (outcome?.kind !== 'answered') return { kind: 'here', mayRunElsewhere };
     const { failure: refusal } = outcome.answer;
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -28,7 +28,12 @@
   /** This job is mine now: what have you made of it? The store may not have told you yet. */
   | { readonly kind: 'surrender-job'; readonly job: string }
   /** I don't reach the store: take this job in for me. */
-  | { readonly kind: 'submit-for'; readonly spec: JobSpecification }
+  | {
+      readonly kind: 'submit-for';
+      readonly spec: JobSpecification;
+      /** Time for which it is waited for; also in an outage of the store. */
+      readonly limit: Milliseconds;
+    }
   /** I don't reach the store: read these results for me. */
   | {
       readonly kind: 'read-for';
--- a/test/fleet/fleet-peers.test.ts
+++ b/test/fleet/fleet-peers.test.ts
@@ -170,7 +170,11 @@
 
 t.test('a node that is cut off refuses at once to take a job in for another', async (t) => {
   const { peers } = fixture(true, reaching);
-  const answer = await peers.answer({ kind: 'submit-for', spec: specification('job', 1) });
+  const answer = await peers.answer({
+    kind: 'submit-for',
+    spec: specification('job', 1),
+    limit: 1_000,
+  });
   t.match(answer, { failure: { kind: 'ledger_unavailable' } });
 });
 
--- a/test/fleet/query-of-death.test.ts
+++ b/test/fleet/query-of-death.test.ts
@@ -136,6 +136,23 @@
   }
 });
 
+t.test('a gateway that joins while the store takes no reports is told directly', async (t) => {
+  const all = await startFleet(t, 3);
+  const commit = all.fleet.store.commit.bind(all.fleet.store);
+  // Registrations come through, records of workers that ended do not.
+  all.fleet.store.commit = (change) =>
+    change.put?.some(({ key }) => key.startsWith('fleet/worker-end/')) === true
+      ? Promise.resolve({ kind: 'failed', effect: 'not-done' })
+      : commit(change);
+  await all.fleet.ask(gatewayAt(all.fleet, 0), LETHAL_PATH, LETHAL);
+  await sleep(TELLING_TIME);
+  const late = all.fleet.add();
+  await eventually(() => late.node.isReady);
+  await sleep(TELLING_TIME);
+  const { failure } = await all.fleet.ask(late, LETHAL_PATH, LETHAL);
+  t.equal(failure?.kind, 'request_quarantined');
+});
+
 t.test('gateways know it that do not answer each other', async (t) => {
   const all = await startFleet(t, 2);
   for (const { name } of all.fleet.gateways) all.fleet.silent.add(`address-of-${name}`);
