A gateway that stops leaves its reports of ended workers behind

The request came to a gateway that was stopping; it told its peers and did not write the record, as reports ended with the first step of the stop; two gateways that started a second later knew nothing. Change: reports end with the last step, after the last request; what the store has not taken gets a second more. A stopped node wants no further scans for jobs without an owner (a scan under way at the stop went on for ever against a store that was away). Open: a gateway that is killed while the store is away takes reports along that only its live peers know.

--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -32,6 +32,9 @@
 const RETRY_PAUSE: Milliseconds = 250;
 const LONGEST_RETRY_PAUSE: Milliseconds = 2_000;
 
+/** Time that a node which stops spends on reports that the store has not taken. */
+const FINISH_LIMIT: Milliseconds = 1_000;
+
 /** Keys that one commit of the store may write. */
 const MOST_KEYS_TOGETHER = 32;
 
@@ -73,16 +76,19 @@
   private readonly unsaved = new Map<string, CrashRecord>();
   /** Answered requests that records may still name. */
   private readonly acquitted = new Set<RequestFingerprint>();
-  private isSaving = false;
+  private saving: Promise<void> | undefined;
   /** Fires when a commit that failed is to be tried again now. */
   private readonly retries = new Subject<void>();
   private isStopped = false;
 
   constructor(private readonly options: CrashReportsOptions) {}
 
-  /** Writes nothing more. */
-  stop(): void {
+  /** Writes what is left, as far as the store takes it soon, and nothing more. */
+  async finish(): Promise<void> {
+    this.retrySoon();
+    await Promise.race([this.saving, this.options.clock.sleep(FINISH_LIMIT)]);
     this.isStopped = true;
+    this.retrySoon();
   }
 
   /** Tells all nodes. */
@@ -93,7 +99,7 @@
     const before = this.unsaved.get(key)?.requests ?? this.stored.get(key)?.requests ?? [];
     const requests = [...new Set([...before, ...report.requests])];
     this.unsaved.set(key, { requests, at: clock.wallTime() });
-    void this.save();
+    this.save();
   }
 
   /** Tells a node that has just joined what the store does not hold yet: no list can show it. */
@@ -112,7 +118,7 @@
   /** A worker answered a request: records must not speak against it at other nodes. */
   acquit(request: RequestFingerprint): void {
     this.acquitted.add(request);
-    void this.save();
+    this.save();
   }
 
   /** Takes in a change under the prefix of the fleet. */
@@ -154,10 +160,14 @@
     metrics.count('crash_reports', { way: 'peer', outcome: isTold ? 'told' : 'silent' });
   }
 
+  private save(): void {
+    this.saving ??= this.saveAll();
+  }
+
   /** Commits until nothing is left to write. */
-  private async save(): Promise<void> {
-    if (this.isSaving) return;
-    this.isSaving = true;
+  private async saveAll(): Promise<void> {
+    // Only then is the promise known by which another call sees that this one is under way.
+    await Promise.resolve();
     let pause = RETRY_PAUSE;
     for (let next = this.nextCommit(); next !== undefined; next = this.nextCommit()) {
       const isDone = await this.commit(next);
@@ -170,7 +180,7 @@
         pause = Math.min(2 * pause, LONGEST_RETRY_PAUSE);
       }
     }
-    this.isSaving = false;
+    this.saving = undefined;
   }
 
   /** What is to be written next: own reports first, then records without what was acquitted. */
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -266,12 +266,12 @@
     await this.jobs.release(() => this.options.clock.now() < limit);
     await this.fleet.stop();
     this.feeds.stop();
-    this.crashReports.stop();
   }
 
   /** After the last request has ended: nothing that was counted is lost. */
   async finish(): Promise<void> {
-    await this.coordination.finish();
+    this.quarantine.settle();
+    await Promise.all([this.coordination.finish(), this.crashReports.finish()]);
   }
 
   private scheduleTick(): void {
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -68,6 +68,7 @@
 /** Looks for jobs without a live owner after nodes have left. */
 export class JobTakeover {
   private readonly timers = new Set<NodeJS.Timeout>();
+  private isStopped = false;
   /** Sweeps that wait, by the time at which they are due in steps. */
   private readonly sweepsDue = new Set<number>();
 
@@ -114,6 +115,8 @@
   }
 
   private later(delay: Milliseconds, work: () => Promise<void>): void {
+    // A scan that was under way when the node stopped may end after it, and want another.
+    if (this.isStopped) return;
     const timer = setTimeout(() => {
       this.timers.delete(timer);
       void work();
@@ -158,6 +161,7 @@
 
   /** Cancels scans that are due. */
   stop(): void {
+    this.isStopped = true;
     for (const timer of this.timers) clearTimeout(timer);
     this.timers.clear();
   }
--- a/src/serving/request-quarantine.ts
+++ b/src/serving/request-quarantine.ts
@@ -176,8 +176,12 @@
     return standing;
   }
 
-  /** Tells the others what is still unanswered of what was at workers that ended. */
-  private settle(): void {
+  /**
+   * Tells the others now what is still unanswered of what was at workers that ended; a node that is
+   * about to stop takes it along otherwise.
+   */
+  settle(): void {
+    clearTimeout(this.settleTimer);
     this.settleTimer = undefined;
     const requestsByWorker = new Map<string, RequestFingerprint[]>();
     for (const [request, next] of this.settling) {
--- a/test/fleet/joined-gateways.ts
+++ b/test/fleet/joined-gateways.ts
@@ -60,7 +60,7 @@
     this.store.write('op/config', JSON.stringify(configuration));
     for (let index = 0; index < count; index += 1) this.add();
     test.teardown(async () => {
-      await Promise.all(this.gateways.map(({ node }) => node.stop()));
+      await Promise.all([...this.gateways].map((gateway) => this.remove(gateway)));
       // Ends the watches that relays hold for others.
       this.store.setAvailability('refusing');
     });
@@ -105,6 +105,7 @@
   async remove(gateway: JoinedGateway): Promise<void> {
     this.gateways.splice(this.gateways.indexOf(gateway), 1);
     await gateway.node.stop();
+    await gateway.node.finish();
   }
 
   /** Registers a worker of the service `lookups`. */
--- a/test/fleet/query-of-death.test.ts
+++ b/test/fleet/query-of-death.test.ts
@@ -124,6 +124,24 @@
   t.equal(failure?.kind, 'request_quarantined');
 });
 
+t.test('a gateway that stops leaves behind what its last request did', async (t) => {
+  const all = await startFleet(t, 3);
+  const [leaving, ...others] = all.fleet.gateways;
+  if (leaving === undefined) return t.fail('no gateway');
+  for (const { name } of all.fleet.gateways) all.fleet.silent.add(`address-of-${name}`);
+  leaving.node.beginStop();
+  const stopping = leaving.node.stop();
+  await all.fleet.ask(leaving, LETHAL_PATH, LETHAL);
+  await stopping;
+  await all.fleet.remove(leaving);
+  t.equal(all.fleet.store.keys('fleet/worker-end/').length, MOST_ENDED);
+  await sleep(TELLING_TIME);
+  for (const gateway of others) {
+    const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
+    t.equal(failure?.kind, 'request_quarantined', gateway.name);
+  }
+});
+
 t.test('gateways know it while the store is away', async (t) => {
   const all = await startFleet(t, 3);
   all.fleet.store.setAvailability('refusing');
