--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -1,16 +1,11 @@
 /** Sends the items of all jobs that this node runs to workers, and takes in how the runs end. */
 
-import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
-import type { Clock } from '../serving/clock.js';
 import { MOST_ENDED_WORKERS } from '../serving/crash-evidence.js';
-import type { EnginePort } from '../serving/engine-port.js';
-import type { RequestQuarantine } from '../serving/request-quarantine.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
+import type { SendingOptions } from '../serving/sending-options.js';
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
-import type { KnownWorker, WorkerRegistry } from '../serving/worker-registry.js';
-import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { KnownWorker } from '../serving/worker-registry.js';
 import { needsOf } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ItemScorer } from './item-scorer.js';
@@ -21,16 +16,7 @@
 import { describeRun, RunMover } from './run-mover.js';
 
 /** Options of {@link ItemDispatcher}. */
-export interface ItemDispatcherOptions {
-  readonly engine: EnginePort;
-  readonly versionField: string;
-  readonly registry: WorkerRegistry;
-  readonly quarantine: RequestQuarantine;
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  readonly metrics: FleetMetrics;
-  /** Zone of this node. */
-  readonly zone: ZoneName;
+export interface ItemDispatcherOptions extends SendingOptions {
   /** The routes in force; `undefined` before the first configuration. */
   readonly routes: () => RouteMatcher | undefined;
 }
--- /dev/null
+++ b/src/serving/sending-options.ts
@@ -0,0 +1,22 @@
+/** What work is sent to workers with, whoever's work it is. */
+import type { ZoneName } from '../core/identity.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { Clock } from './clock.js';
+import type { EnginePort } from './engine-port.js';
+import type { RequestQuarantine } from './request-quarantine.js';
+import type { WorkerRegistry } from './worker-registry.js';
+
+/** Options of everything that sends work to workers. */
+export interface SendingOptions {
+  readonly engine: EnginePort;
+  /** Line by which an event tells a change of weights, in lower case. */
+  readonly versionField: string;
+  readonly registry: WorkerRegistry;
+  readonly quarantine: RequestQuarantine;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+  /** Zone of this node. */
+  readonly zone: ZoneName;
+}
