--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -6,6 +6,7 @@
  * the one whose key was shown, and a new configuration in force in time.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { LethalRequestChecker } from './lethal-request-checker.js';
 
 /** A promise that was broken. */
 export interface Violation {
@@ -57,13 +58,6 @@
 /** Time after the acknowledged end of a job in which its items may still reach a worker. */
 const CANCEL_LIMIT: Milliseconds = 3_000;
 
-/** Workers that may end under one request before all gateways have to know it, and the time for that. */
-const MOST_ENDED = 3;
-const QUARANTINE_LIMIT: Milliseconds = 3_000;
-
-/** Workers that may still begin it after that time. */
-const MOST_LATE_RUNS = 3;
-
 /** Time after a worker said that it leaves in which work may still reach it. */
 const DRAIN_LIMIT: Milliseconds = 2_000;
 
@@ -94,25 +88,20 @@
   /** Signatures of successful answers, by score request. */
   private readonly signatures = new Map<string, Set<string>>();
 
-  /** When workers began to run requests that end them, by path. */
-  private readonly lethalRuns = new Map<string, Milliseconds[]>();
+  private readonly lethalRequests = new LethalRequestChecker();
 
   constructor(private readonly now: () => Milliseconds) {}
 
   /** Most workers that ended under one request. */
   get mostEndedUnderOne(): number {
-    return Math.max(0, ...[...this.lethalRuns.values()].map((runs) => runs.length));
+    return this.lethalRequests.mostEndedUnderOne;
   }
 
   /** A worker began a request that ends it. */
   lethalBegun(path: string, worker: string): void {
-    const runs = this.lethalRuns.get(path) ?? [];
-    this.lethalRuns.set(path, runs);
-    runs.push(this.now());
-    const knownAt = (runs[MOST_ENDED - 1] ?? Number.POSITIVE_INFINITY) + QUARANTINE_LIMIT;
-    const late = runs.filter((at) => at > knownAt).length;
-    const detail = `${worker} is number ${runs.length} that ends under ${path}`;
-    this.check(late <= MOST_LATE_RUNS, 'query-of-death', detail);
+    const isAllowed = this.lethalRequests.begin(path, this.now());
+    const detail = `${worker} is number ${this.lethalRequests.runsOf(path)} that ends under ${path}`;
+    this.check(isAllowed, 'query-of-death', detail);
   }
 
   /** A request that ends its workers was answered: never with success. */
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -174,3 +174,26 @@
   checker.revokedKeyAnswered(200, 4_000);
   t.match(checker.violations, [{ promise: 'key-revoked' }]);
 });
+
+t.test('a request that goes on ending workers after all have to know it is found', async (t) => {
+  const { checker, advance, broken } = fixture();
+  for (let count = 0; count < 3; count += 1) checker.lethalBegun('/x', `w${count}`);
+  advance(2_900);
+  for (let count = 0; count < 4; count += 1) checker.lethalBegun('/x', `in time ${count}`);
+  advance(200);
+  for (let count = 0; count < 3; count += 1) checker.lethalBegun('/x', `late ${count}`);
+  checker.lethalBegun('/y', 'w');
+  t.same(broken(), []);
+  checker.lethalBegun('/x', 'one too many');
+  t.same(broken(), ['query-of-death']);
+  t.equal(checker.mostEndedUnderOne, 11);
+});
+
+t.test('a request that ends its workers is never answered with success', async (t) => {
+  const { checker, broken } = fixture();
+  checker.lethalAnswered('/x', 502);
+  checker.lethalAnswered('/x', 503);
+  t.same(broken(), []);
+  checker.lethalAnswered('/x', 200);
+  t.same(broken(), ['query-of-death']);
+});
