--- a/test/fleet/query-of-death.test.ts
+++ b/test/fleet/query-of-death.test.ts
@@ -104,6 +104,18 @@
   return gateway;
 }
 
+/** Asserts that gateways send the request to no worker. */
+async function allRefuse(
+  test: Pick<typeof t, 'equal'>,
+  fleet: JoinedGateways,
+  gateways: readonly JoinedGateway[] = fleet.gateways,
+): Promise<void> {
+  for (const gateway of gateways) {
+    const { failure } = await fleet.ask(gateway, LETHAL_PATH, LETHAL);
+    test.equal(failure?.kind, 'request_quarantined', gateway.name);
+  }
+}
+
 t.test('a refusal of it comes at once, is a promise, and says when to come back', async (t) => {
   const all = await startFleet(t, 2);
   await quarantine(all);
@@ -120,8 +132,7 @@
   await quarantine(all);
   const late = all.fleet.add();
   await eventually(() => late.node.isReady);
-  const { failure } = await all.fleet.ask(late, LETHAL_PATH, LETHAL);
-  t.equal(failure?.kind, 'request_quarantined');
+  await allRefuse(t, all.fleet, [late]);
 });
 
 t.test('a fleet that was ended as a whole knows it when it is back', async (t) => {
@@ -130,8 +141,7 @@
   for (const gateway of [...all.fleet.gateways]) await all.fleet.remove(gateway);
   const again = all.fleet.add();
   await eventually(() => again.node.isReady);
-  const { failure } = await all.fleet.ask(again, LETHAL_PATH, LETHAL);
-  t.equal(failure?.kind, 'request_quarantined');
+  await allRefuse(t, all.fleet, [again]);
 });
 
 t.test('a worker that ends just after its request was given up is seen', async (t) => {
@@ -160,10 +170,7 @@
   await all.fleet.remove(leaving);
   t.equal(all.fleet.store.keys('fleet/worker-end/').length, MOST_ENDED);
   await sleep(TELLING_TIME);
-  for (const gateway of others) {
-    const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
-    t.equal(failure?.kind, 'request_quarantined', gateway.name);
-  }
+  await allRefuse(t, all.fleet, others);
 });
 
 t.test('gateways know it while the store is away', async (t) => {
@@ -172,10 +179,7 @@
   await all.fleet.ask(gatewayAt(all.fleet, 0), LETHAL_PATH, LETHAL);
   t.equal(all.workers.ended.length, MOST_ENDED);
   await sleep(TELLING_TIME);
-  for (const gateway of all.fleet.gateways) {
-    const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
-    t.equal(failure?.kind, 'request_quarantined', gateway.name);
-  }
+  await allRefuse(t, all.fleet);
 });
 
 t.test('a gateway that joins while the store takes no reports is told directly', async (t) => {
@@ -191,18 +195,14 @@
   const late = all.fleet.add();
   await eventually(() => late.node.isReady);
   await sleep(TELLING_TIME);
-  const { failure } = await all.fleet.ask(late, LETHAL_PATH, LETHAL);
-  t.equal(failure?.kind, 'request_quarantined');
+  await allRefuse(t, all.fleet, [late]);
 });
 
 t.test('gateways know it that do not answer each other', async (t) => {
   const all = await startFleet(t, 2);
   all.fleet.silenceAll();
   await quarantine(all);
-  for (const gateway of all.fleet.gateways) {
-    const { failure } = await all.fleet.ask(gateway, LETHAL_PATH, LETHAL);
-    t.equal(failure?.kind, 'request_quarantined', gateway.name);
-  }
+  await allRefuse(t, all.fleet);
 });
 
 t.test('what was reported while the store was away is stored when it is back', async (t) => {
