Comments of the quarantine say where their figures come from

Cause: the lifetime of evidence was explained by something that was not seen; the memory of a suspect was an estimate.

--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -166,7 +166,7 @@
 
   /** Commits until nothing is left to write. */
   private async saveAll(): Promise<void> {
-    // Only then is the promise known by which another call sees that this one is under way.
+    // `save` has to know the promise before the loop can end, or the next call would begin none.
     await Promise.resolve();
     let pause = RETRY_PAUSE;
     for (let next = this.nextCommit(); next !== undefined; next = this.nextCommit()) {
--- a/src/serving/crash-evidence.ts
+++ b/src/serving/crash-evidence.ts
@@ -14,10 +14,16 @@
  */
 export const MOST_ENDED_WORKERS = 3;
 
-/** Time for which the end of a worker speaks against a request; the longest that a caller was seen to come again. */
+/**
+ * Time for which the end of a worker speaks against a request. Callers came again for 13 s where this
+ * was seen, one try each 2 s; a request that was refused without reason is served again after it.
+ */
 export const EVIDENCE_LIFETIME: Milliseconds = 600_000;
 
-/** Requests of which evidence is kept, about 300 bytes each; beyond it the oldest is dropped. */
+/**
+ * Requests of which evidence is kept; beyond it the oldest is dropped. With one
+ * worker each they take 323 bytes (heap of 20,000), all of them 6.5 MB of the 200 MB that a gateway may use.
+ */
 const MOST_SUSPECTS = 20_000;
 
 /** The end of one worker under one request. */
