Interfaces for two customers: regions, evacuations, cold workers; one gate before each send

Cause: nothing read allowed regions, zones' regions, evacuations or cold starts, and six paths lead to a worker (requests, hedges, resumed streams, items, moved runs, scores). Change: types for all of them, read by the adapter; SendRules in src/placement, asked by the choices of workers and once more by GuardedEngine right before each request; residency and evacuation as the first two rules, wired.

--- a/lab/import-check.ts
+++ b/lab/import-check.ts
@@ -33,7 +33,7 @@
 
 /** Spellings of the users' platform that only its adapter, `platform/`, may know. */
 const PLATFORM_SPELLINGS =
-  /x-wardwing-|\/wardwing\/(?:kv-|lots|items|report|order|readiness)|['"`]op\/(?:config|version|retire)['"`/]|['"`]servers\/|status\/retire|tls_key|expected_revision/i;
+  /x-wardwing-|\/wardwing\/(?:kv-|lots|items|report|order|readiness)|['"`]op\/(?:config|version|retire|evacuate)['"`/]|['"`]servers\/|status\/retire|tls_key|expected_revision/i;
 
 /** What an adapter may not hold: repetition and choices belong to the product. */
 const ADAPTER_DECISIONS = /setInterval\(|Math\.random\(|\bretry\(/;
--- a/lab/proofs/durable-jobs/score-desk.ts
+++ b/lab/proofs/durable-jobs/score-desk.ts
@@ -14,7 +14,7 @@
   /** The answer to the request before comes in its place. */
   | 'surplus';
 
-const REFUSED: EngineOutcome = { kind: 'not-run', reason: 'full', status: 503, load: undefined };
+const REFUSED: EngineOutcome = { kind: 'not-run', reason: 'full', load: undefined };
 const BROKEN: EngineOutcome = { kind: 'failed', mayHaveRun: true, cause: 'broken' };
 const WRONG_ANSWER: EngineOutcome = { kind: 'failed', mayHaveRun: true, cause: 'wrong-answer' };
 
--- a/src/fleet/fleet-feeds.ts
+++ b/src/fleet/fleet-feeds.ts
@@ -3,7 +3,7 @@
  * on as events. A translation knows the spelling of keys and records.
  */
 import { Subject } from 'rxjs';
-import type { ModelName, NodeId } from '../core/identity.js';
+import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { TrafficConfiguration, WorkerRecord } from '../serving/traffic-configuration.js';
 import { PrefixWatcher } from '../shared-store/prefix-watcher.js';
@@ -28,6 +28,9 @@
       readonly version: WeightVersion;
     }
   | { readonly kind: 'storage-drain'; readonly node: NodeId }
+  /** The operator wants the workers of a zone to be sent nothing, or takes that back. */
+  | { readonly kind: 'zone-evacuated'; readonly zone: ZoneName }
+  | { readonly kind: 'zone-returned'; readonly zone: ZoneName }
   /** A record that cannot be read; what was in force before stays. */
   | { readonly kind: 'unreadable'; readonly key: string };
 
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -4,6 +4,7 @@
  */
 
 import { randomUUID } from 'node:crypto';
+import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { ItemDispatcher } from '../jobs/item-dispatcher.js';
@@ -13,6 +14,11 @@
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
+import { GuardedEngine } from '../placement/guarded-engine.js';
+import { ResidencyRule } from '../placement/residency-rule.js';
+import { SendRules } from '../placement/send-rules.js';
+import { ZoneEvacuations } from '../placement/zone-evacuations.js';
+import { ZoneTopology } from '../placement/zone-topology.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
@@ -64,7 +70,9 @@
 
 /** One gateway. */
 export class GatewayNode {
-  readonly registry = new WorkerRegistry();
+  private readonly topology: ZoneTopology;
+  private readonly evacuations = new ZoneEvacuations();
+  readonly registry: WorkerRegistry;
   /** The configuration that this node acts on. */
   readonly configuration: ConfigurationInForce;
   readonly jobs: JobService;
@@ -97,6 +105,10 @@
     const { clock, log, metrics, peers: port, zone } = options;
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node, zonesServeAlone: servesAlone = false } = options;
+    this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
+    const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
+    this.registry = new WorkerRegistry(rules);
+    const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
     const relay = new WatchRelay({
@@ -117,7 +129,7 @@
     const jobStore = new JobStore(store, clock);
     this.configuration = new ConfigurationInForce({ log, metrics });
     const routes = (): RouteMatcher | undefined => this.configuration.routes;
-    const shared = { ...options, store, self, routes, registry: this.registry };
+    const shared = { ...options, engine, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
     this.placement = new JobPlacement({
       liveNodes: () => this.fleet.liveNodes(),
@@ -249,6 +261,8 @@
     else if (event.kind === 'version-named')
       this.coordination.nameVersion(event.model, event.version);
     else if (event.kind === 'storage-drain') this.takeStorageDrain(event.node);
+    else if (event.kind === 'zone-evacuated') this.evacuate(event.zone);
+    else if (event.kind === 'zone-returned') this.endEvacuation(event.zone);
     else this.options.log.state('record-unreadable', { key: event.key });
   }
 
@@ -272,6 +286,21 @@
     this.coordination.drainStorage(node);
   }
 
+  private evacuate(zone: ZoneName): void {
+    if (this.evacuations.begin(zone)) this.noteEvacuations('zone-evacuated', zone);
+  }
+
+  private endEvacuation(zone: ZoneName): void {
+    if (this.evacuations.end(zone)) this.noteEvacuations('zone-returned', zone);
+  }
+
+  private noteEvacuations(change: 'zone-evacuated' | 'zone-returned', workerZone: ZoneName): void {
+    const { log, metrics } = this.options;
+    log.state(change, { workerZone });
+    metrics.set('evacuated_zones', this.evacuations.evacuated().length);
+    this.dispatcher.schedule();
+  }
+
   private takeWorker(record: WorkerRecord): void {
     this.roster.put(record);
     this.dispatcher.schedule();
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -1,7 +1,8 @@
 /** What a gateway is made of: its identity, and the ports to everything outside it. */
-import type { NodeId, ZoneName } from '../core/identity.js';
+import type { NodeId, RegionName, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { PeerPort } from '../peers/peer-messages.js';
+import type { ColdTolerance } from '../placement/cold-tolerance.js';
 import type { Clock } from '../serving/clock.js';
 import type { EnginePort } from '../serving/engine-port.js';
 import type { SharedStore } from '../shared-store/shared-store.js';
@@ -57,6 +58,10 @@
    * the machines with disks that may be lost at once. @default 0
    */
   readonly journalReplicas?: number;
+  /** The region of each zone of the deployment. @default one region */
+  readonly zoneRegions?: ReadonlyMap<ZoneName, RegionName>;
+  /** What cold workers may be sent beyond what they bear. @default nothing */
+  readonly coldTolerance?: ColdTolerance;
   /** Whether the whole fleet starts for the first time, now. @default false */
   readonly isFirstStart?: boolean;
 }
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -2,6 +2,7 @@
 
 import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import { MOST_ENDED_WORKERS } from '../serving/crash-evidence.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { SendingOptions } from '../serving/sending-options.js';
@@ -145,15 +146,17 @@
     const round = rounds.get(service) ?? this.beginRound(service, now);
     rounds.set(service, round);
     const groupKey = `${job.spec.id}/${entry.item.group}`;
-    const worker = round.place(needsOf(job, entry), this.promptWorkerOf(groupKey));
+    const allowed = routes.allowedRegions(route, job.spec.tenant);
+    const needs = needsOf(job, entry, allowed);
+    const worker = round.place(needs, this.promptWorkerOf(groupKey));
     if (worker === undefined) return;
     this.promptWorkers.set(groupKey, worker);
-    void this.run(job, entry, route, worker);
+    void this.run(job, entry, route, worker, allowed);
   }
 
   private beginRound(service: ServiceName, now: Milliseconds): PlacementRound {
     const { registry, nearZone } = this.options;
-    return new PlacementRound(registry.available(service), now, nearZone);
+    return new PlacementRound(registry.available(service), now, nearZone, registry.rules);
   }
 
   /** The worker that keeps a group's prompt; one that has started anew has not read it. */
@@ -169,6 +172,7 @@
     entry: OwnedItem,
     route: Route,
     worker: KnownWorker,
+    allowedRegions: AllowedRegions,
   ): Promise<void> {
     const { quarantine } = this.options;
     const { item, progress } = entry;
@@ -186,6 +190,7 @@
       headers: item.headers,
       body: Buffer.from(item.body, 'base64'),
       remaining: undefined,
+      allowedRegions,
       ...(job.spec.tenant === undefined ? {} : { tenant: job.spec.tenant }),
       ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
       ...(entry.wasUnanswered ? { wantsNewConnection: true } : {}),
--- a/src/jobs/item-placement.ts
+++ b/src/jobs/item-placement.ts
@@ -4,6 +4,7 @@
  */
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import type { OwnedItem } from './owned-item.js';
 import type { OwnedJob } from './owned-job.js';
@@ -16,6 +17,8 @@
   readonly relativeLength: number;
   /** The only version that fits, where events exist that must not be mixed. */
   readonly boundVersion: WeightVersion | undefined;
+  /** Regions whose workers may run it. @default any */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** Weight of a worker's occupied share beside its pace, in multiples of the median pace. */
@@ -41,11 +44,16 @@
 const FASTER_PACE_RATIO = 1.15;
 
 /** What the next run of an item needs. */
-export function needsOf(job: OwnedJob, { item, progress }: OwnedItem): ItemNeeds {
+export function needsOf(
+  job: OwnedJob,
+  { item, progress }: OwnedItem,
+  allowedRegions: AllowedRegions,
+): ItemNeeds {
   const { model, minVersion } = job.spec;
   const guess = item.expectedLength / job.meanExpectedLength;
   const relativeLength = progress.eventCount > 0 ? Math.max(RESUMED_LENGTH, guess) : guess;
-  return { model, minVersion, relativeLength, boundVersion: progress.boundVersion };
+  const { boundVersion } = progress;
+  return { model, minVersion, relativeLength, boundVersion, allowedRegions };
 }
 
 /** Whether a worker may run an item now. */
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -18,6 +18,8 @@
   /** The worker did not begin; it is full, or gone. */
   | 'full'
   | 'gone'
+  /** It was not sent: a rule keeps work from the worker. */
+  | 'withheld'
   /** It broke off, fell silent or sent wrong bytes; what came whole is kept. */
   | 'interrupted'
   /** Its weights are older than the job allows. */
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -5,6 +5,7 @@
  * service. Its service is shared with interactive requests, so a part of each worker is left to them.
  */
 import type { Milliseconds } from '../core/units.js';
+import { type AllowedRegions, allowedByBoth } from '../placement/allowed-regions.js';
 import { readAnswerBody } from '../serving/attempt.js';
 import type { EngineAnswer, EngineOutcome } from '../serving/engine-port.js';
 import { LatencyEstimate } from '../serving/latency-estimate.js';
@@ -76,8 +77,9 @@
     if (scoring.callsUnderWay > 0 && !isLate) return;
     if (!this.options.quarantine.admits(scoring.asked, scoring.callsUnderWay)) return;
     const service = routes.nextService(route);
-    const worker = service === undefined ? undefined : this.choose(service, scoring, now);
-    if (worker !== undefined) void this.ask(item, scoring, route, worker);
+    const allowed = allowedRegionsOf(item, route, routes);
+    const worker = service === undefined ? undefined : this.choose(service, scoring, now, allowed);
+    if (worker !== undefined) void this.ask(item, scoring, route, worker, allowed);
   }
 
   /** A worker with room beside what it leaves to others, one not asked before if possible. */
@@ -85,12 +87,13 @@
     service: ServiceName,
     scoring: ItemScoring,
     now: Milliseconds,
+    allowed: AllowedRegions,
   ): KnownWorker | undefined {
     const { registry, zone } = this.options;
     const hasRoom = (worker: KnownWorker): boolean =>
       worker.occupancy(now) < Math.max(1, PLACES_SHARE * worker.record.slots);
     const withRoom = (tried: ReadonlySet<string>): KnownWorker | undefined => {
-      const worker = registry.pick(service, tried, zone, now);
+      const worker = registry.pick(service, tried, zone, now, allowed);
       return worker !== undefined && hasRoom(worker) ? worker : undefined;
     };
     const fresh = withRoom(scoring.tried);
@@ -102,12 +105,13 @@
     scoring: ItemScoring,
     route: Route,
     worker: KnownWorker,
+    allowed: AllowedRegions,
   ): Promise<void> {
     const { clock, metrics, quarantine } = this.options;
     const sentAt = clock.now();
     const call = scoring.begin(worker.record.id, sentAt);
     worker.inFlight += 1;
-    const outcome = await this.call(item, route, worker, call.signal);
+    const outcome = await this.call(item, route, worker, allowed, call.signal);
     worker.inFlight -= 1;
     scoring.end(call);
     metrics.count('score_calls', { outcome: outcome.kind });
@@ -123,6 +127,7 @@
     { job, request }: UnscoredItem,
     route: Route,
     worker: KnownWorker,
+    allowedRegions: AllowedRegions,
     signal: AbortSignal,
   ): Promise<ScoreOutcome> {
     const { engine, clock } = this.options;
@@ -137,6 +142,7 @@
         body: Buffer.from(request.body, 'base64'),
         remaining: this.timeLeft(job),
         priority: route.priority,
+        allowedRegions,
       },
       signal,
     );
@@ -208,6 +214,18 @@
   }
 }
 
+/** A score request carries what an item made: it stays where both of their routes allow it. */
+function allowedRegionsOf(
+  { job, entry }: UnscoredItem,
+  route: Route,
+  routes: RouteMatcher,
+): AllowedRegions {
+  const { host, tenant } = job.spec;
+  const itemRoute = routes.match(host, entry.item.path);
+  const allowed = routes.allowedRegions(route, tenant);
+  return allowedByBoth(allowed, itemRoute?.allowedRegions);
+}
+
 async function readOutcome(outcome: EngineOutcome): Promise<ScoreOutcome> {
   if (outcome.kind === 'not-run') return { kind: 'refused' };
   if (outcome.kind === 'failed') return { kind: outcome.cause === 'broken' ? 'broken' : 'failed' };
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -4,6 +4,7 @@
  */
 import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import { SendRules } from '../placement/send-rules.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { type ItemNeeds, mayRun, medianPace, placementScore } from './item-placement.js';
 
@@ -33,11 +34,15 @@
   /** Needs for which no worker was found; workers only become fuller within a round. */
   private readonly unmet = new Set<string>();
 
-  /** `nearZone`: the zone whose workers are preferred; any zone is as good where it is not given. */
+  /**
+   * `nearZone`: the zone whose workers are preferred; any zone is as good where it is not given.
+   * `rules`: which workers may be sent work.
+   */
   constructor(
     workers: readonly KnownWorker[],
     private readonly now: Milliseconds,
     private readonly nearZone?: ZoneName,
+    private readonly rules: SendRules = new SendRules(),
   ) {
     this.median = medianPace(workers);
     this.free = workers.filter((worker) => worker.hasRoom(now));
@@ -47,7 +52,8 @@
 
   /** The best worker for an item among those that may run it, or `undefined`. */
   place(needs: ItemNeeds, sharedPromptWorker: string | undefined): KnownWorker | undefined {
-    const key = `${needs.model}/${needs.minVersion}/${needs.boundVersion ?? ''}`;
+    const regions = needs.allowedRegions?.join() ?? 'any';
+    const key = `${needs.model}/${needs.minVersion}/${needs.boundVersion ?? ''}/${regions}`;
     if (this.unmet.has(key)) return undefined;
     const candidates = this.candidates(needs, sharedPromptWorker);
     if (candidates.length === 0) this.unmet.add(key);
@@ -70,20 +76,25 @@
     return (worker) => score(worker) + (worker.record.zone === nearZone ? 0 : FAR_ZONE_COST);
   }
 
+  private mayTake(worker: KnownWorker, needs: ItemNeeds): boolean {
+    if (!mayRun(worker, needs, this.now)) return false;
+    return this.rules.mayReceive(worker.record, needs.allowedRegions);
+  }
+
   private candidates(needs: ItemNeeds, sharedPromptWorker: string | undefined): KnownWorker[] {
     if (this.free.length <= MOST_COMPARED) {
-      return this.free.filter((worker) => mayRun(worker, needs, this.now));
+      return this.free.filter((worker) => this.mayTake(worker, needs));
     }
     const found: KnownWorker[] = [];
     let passedOver = 0;
     const { free, cursor } = this;
     for (let step = 0; step < free.length && found.length < MOST_COMPARED; step += 1) {
       const worker = free[(cursor + step) % free.length];
-      if (worker !== undefined && mayRun(worker, needs, this.now)) found.push(worker);
+      if (worker !== undefined && this.mayTake(worker, needs)) found.push(worker);
       else passedOver += 1;
     }
     const shared = free.find((worker) => worker.record.id === sharedPromptWorker);
-    if (shared !== undefined && mayRun(shared, needs, this.now)) found.push(shared);
+    if (shared !== undefined && this.mayTake(shared, needs)) found.push(shared);
     this.cursor = (cursor + found.length) % free.length;
     if (passedOver > MOST_PASSED_OVER) this.free = free.filter((one) => one.hasRoom(this.now));
     return found;
--- a/src/jobs/run-mover.ts
+++ b/src/jobs/run-mover.ts
@@ -4,6 +4,7 @@
  * reading its prompt again, which is little.
  */
 import type { Milliseconds } from '../core/units.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import type { ItemDispatcherOptions } from './item-dispatcher.js';
 import { isFaster, isSlow, medianPace, needsOf } from './item-placement.js';
@@ -23,7 +24,7 @@
 /** Options of {@link RunMover}. */
 export type RunMoverOptions = Pick<
   ItemDispatcherOptions,
-  'registry' | 'clock' | 'log' | 'metrics' | 'nearZone'
+  'registry' | 'clock' | 'log' | 'metrics' | 'nearZone' | 'routes'
 >;
 
 /** Looks at all runs of a node and moves those that should go on elsewhere. */
@@ -61,7 +62,9 @@
       .available(from.record.service)
       .filter((worker) => worker !== from && !isSlow(worker, median))
       .filter((worker) => cause !== 'faster-elsewhere' || isFaster(worker, from));
-    const target = new PlacementRound(others, now, nearZone).place(needsOf(job, entry), undefined);
+    const needs = needsOf(job, entry, this.allowedRegionsOf(job, entry));
+    const round = new PlacementRound(others, now, nearZone, registry.rules);
+    const target = round.place(needs, undefined);
     if (target === undefined) return;
     entry.moves += 1;
     if (cause === 'stalled') from.noteOutcome('stalled', now);
@@ -74,6 +77,12 @@
     });
     run.cancel();
   }
+
+  private allowedRegionsOf({ spec }: OwnedJob, { item }: OwnedItem): AllowedRegions {
+    const routes = this.options.routes();
+    const route = routes?.match(spec.host, item.path);
+    return route === undefined ? undefined : routes?.allowedRegions(route, spec.tenant);
+  }
 }
 
 /** The inputs of a decision about a run, for the log. */
--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -21,7 +21,9 @@
   return end.outcome.status < SERVER_ERROR;
 }
 
+/** Takes note of an attempt without an answer; one that was not sent says nothing of the worker. */
 export function noteFailure(worker: KnownWorker, outcome: EngineOutcome, now: Milliseconds): void {
+  if (outcome.kind === 'not-run' && outcome.reason === 'withheld') return;
   const isFull = outcome.kind === 'not-run' && outcome.reason === 'full';
   worker.noteOutcome(isFull ? 'full' : 'failure', now);
 }
--- a/src/serving/engine-port.ts
+++ b/src/serving/engine-port.ts
@@ -2,6 +2,7 @@
 import type { Readable } from 'node:stream';
 import type { ModelName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { TenantName } from '../tenants/tenant.js';
 import type { HeldModel, WorkerRecord } from './traffic-configuration.js';
 
@@ -31,6 +32,8 @@
    * shows only by answers that do not come.
    */
   readonly wantsNewConnection?: boolean;
+  /** Regions whose workers may run it. @default any */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** What a worker tells of its load with an answer. */
@@ -61,9 +64,8 @@
 /** The worker promised that it did not run the request. */
 export interface EngineRefusal {
   readonly kind: 'not-run';
-  /** `gone`: another worker lives at the address now. */
-  readonly reason: 'full' | 'gone';
-  readonly status: number;
+  /** `gone`: another worker lives at the address now; `withheld`: it was not sent. */
+  readonly reason: 'full' | 'gone' | 'withheld';
   readonly load: ReportedLoad | undefined;
 }
 
--- a/src/serving/route-matcher.ts
+++ b/src/serving/route-matcher.ts
@@ -1,4 +1,6 @@
 /** Finds the route of a request: same host, longest path prefix; and splits routes by weight. */
+import { type AllowedRegions, allowedByBoth } from '../placement/allowed-regions.js';
+import type { TenantName } from '../tenants/tenant.js';
 import { TenantDirectory } from '../tenants/tenant-directory.js';
 import type {
   Route,
@@ -66,6 +68,12 @@
     return this.splits.get(route.name)?.next();
   }
 
+  /** Where a tenant's requests on a route may be served and kept: both bind. */
+  allowedRegions(route: Route, tenant: TenantName | undefined): AllowedRegions {
+    const owner = tenant === undefined ? undefined : this.tenants.named(tenant);
+    return allowedByBoth(route.allowedRegions, owner?.allowedRegions);
+  }
+
   /** The route of this name, if the configuration still has it. */
   routeNamed(name: string): Route | undefined {
     return this.configuration.routes.find((route) => route.name === name);
--- a/src/serving/traffic-configuration.ts
+++ b/src/serving/traffic-configuration.ts
@@ -4,6 +4,7 @@
  */
 import type { ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { Tenant } from '../tenants/tenant.js';
 
 /** Name of a pool of workers that serve the same thing. */
@@ -48,6 +49,8 @@
   readonly maxQueue: Milliseconds;
   /** Results of a job are due this long after its submission. */
   readonly resultDeadline: Milliseconds;
+  /** Where its requests may be served and kept. @default anywhere */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** One service. */
@@ -60,6 +63,16 @@
   readonly models: readonly ModelName[];
   /** `undefined` where the number of its workers is not ours to choose. */
   readonly scaling: ScalingLimits | undefined;
+  /** What its workers bear after a start. @default as much as at any time */
+  readonly coldStart?: ColdStart | undefined;
+}
+
+/** A worker is cold after it has started, and at times later: it bears few requests until it is warm. */
+export interface ColdStart {
+  /** Time from a start until the worker is warm. */
+  readonly duration: Milliseconds;
+  /** Requests a second that a cold worker bears, from all callers together. */
+  readonly requestsPerSecond: number;
 }
 
 /** Within which limits the number of a service's workers may be chosen, in each zone by itself. */
@@ -112,4 +125,6 @@
   /** Whether it is about to leave and wants no new work. */
   readonly draining: boolean;
   readonly models: readonly HeldModel[];
+  /** Time for which it stays cold, as of the writing of this record; `undefined` where it is not told. */
+  readonly coldFor?: Milliseconds | undefined;
 }
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -4,6 +4,8 @@
  */
 import type { ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import { SendRules } from '../placement/send-rules.js';
 import type { ReportedLoad } from './engine-port.js';
 import type { ServiceName, WorkerRecord } from './traffic-configuration.js';
 import { isLaterLife } from './worker-life.js';
@@ -151,6 +153,9 @@
   private readonly workers = new Map<string, KnownWorker>();
   private readonly services = new Map<ServiceName, Set<KnownWorker>>();
 
+  /** `rules` tell which workers may be sent work; without them all may. */
+  constructor(readonly rules: SendRules = new SendRules()) {}
+
   /**
    * Adds a worker or replaces its record. What is known of an earlier life under the same id
    * (versions, pace, load, penalties) says nothing of a later one, which begins as a new worker; a
@@ -200,13 +205,18 @@
     return this.ofService(service).filter((worker) => !worker.record.draining);
   }
 
+  /** Workers of a service that may be sent work of these regions now. */
+  receivers(service: ServiceName, allowed: AllowedRegions): KnownWorker[] {
+    return this.available(service).filter(({ record }) => this.rules.mayReceive(record, allowed));
+  }
+
   /** All workers. */
   all(): KnownWorker[] {
     return [...this.workers.values()];
   }
 
   /**
-   * The worker for an interactive request: not tried before, not penalized if possible, then with
+   * The worker for an interactive request: one that may be sent it, not tried before, not penalized if possible, then with
    * the most free room; ties go to the own zone.
    */
   pick(
@@ -214,8 +224,10 @@
     tried: Pick<ReadonlySet<string>, 'has'>,
     zone: ZoneName,
     now: Milliseconds,
+    allowed?: AllowedRegions,
   ): KnownWorker | undefined {
-    const fresh = this.available(service).filter((worker) => !tried.has(worker.record.id));
+    const receivers = this.receivers(service, allowed);
+    const fresh = receivers.filter((worker) => !tried.has(worker.record.id));
     const sound = fresh.filter((worker) => !worker.isPenalized(now));
     const candidates = sound.length > 0 ? sound : fresh;
     const rank = (worker: KnownWorker): number =>
--- a/src/serving/worker-sender.ts
+++ b/src/serving/worker-sender.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
+import { type AllowedRegions, allowedByBoth } from '../placement/allowed-regions.js';
 import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
 import type { CallerRequest } from './answer-sink.js';
 import { SERVER_ERROR } from './attempt.js';
@@ -37,6 +38,7 @@
   private hasBegun = false;
   private underWay = 0;
   private readonly asked: AskedRequest;
+  private readonly allowedRegions: AllowedRegions;
   /** Workers that it was sent to. */
   attempts = 0;
   /** Whether a worker may have run it. */
@@ -46,6 +48,9 @@
     const { request } = options;
     const tenant = tenantNameOf(request.caller);
     this.asked = new AskedRequest(() => ({ ...request, tenant }));
+    const ownRegions =
+      request.caller.kind === 'tenant' ? request.caller.tenant.allowedRegions : undefined;
+    this.allowedRegions = allowedByBoth(options.route.allowedRegions, ownRegions);
   }
 
   /** Why no worker may be sent the request, whatever its route allows; `undefined` where one may. */
@@ -61,7 +66,7 @@
     const { route, registry, service, zone, clock, quarantine } = this.options;
     if (this.attempts >= route.maxAttempts) return undefined;
     if (!quarantine.admits(this.asked, this.underWay)) return undefined;
-    return registry.pick(service, this.tried, zone, clock.now());
+    return registry.pick(service, this.tried, zone, clock.now(), this.allowedRegions);
   }
 
   /** Sends the request to a worker; never rejects. */
@@ -95,6 +100,7 @@
         ...(tenant === undefined ? {} : { tenant }),
         ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
         ...(wantsNewConnection ? { wantsNewConnection } : {}),
+        allowedRegions: this.allowedRegions,
       },
       abort.signal,
     );
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -54,6 +54,10 @@
     help: 'Times that the machine may have been suspended: its time of day got ahead of its steady clock',
     labels: [],
   },
+  sends_withheld: {
+    help: 'Requests that were about to go to a worker and were held back, by obstacle',
+    labels: ['obstacle'],
+  },
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
 
@@ -64,6 +68,7 @@
   known_workers: { help: 'Workers that are registered' },
   open_jobs: { help: 'Jobs that are run here' },
   running_items: { help: 'Items under way at workers from here' },
+  evacuated_zones: { help: 'Zones whose workers are sent nothing, as the operator asked' },
   is_coordinator: { help: '1 while this node may order weights' },
 } as const;
 
--- a/src/tenants/tenant-directory.ts
+++ b/src/tenants/tenant-directory.ts
@@ -4,19 +4,26 @@
  */
 import { digestOf, fingerprintOf, type SecretDigest } from '../core/secret-digest.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
-import { type CallerIdentity, type Tenant, UNRESTRICTED } from './tenant.js';
+import { type CallerIdentity, type Tenant, type TenantName, UNRESTRICTED } from './tenant.js';
 
 /** The tenants of one configuration, by their keys. */
 export class TenantDirectory {
   private readonly byDigest = new Map<SecretDigest, Tenant>();
+  private readonly byName = new Map<TenantName, Tenant>();
 
   /** `tenants` is undefined where the configuration knows none; keys are then not asked for. */
   constructor(private readonly tenants: readonly Tenant[] | undefined) {
     for (const tenant of tenants ?? []) {
+      this.byName.set(tenant.name, tenant);
       for (const digest of tenant.keyDigests) this.byDigest.set(digest, tenant);
     }
   }
 
+  /** The tenant of this name, if the configuration still has it. */
+  named(name: TenantName): Tenant | undefined {
+    return this.byName.get(name);
+  }
+
   /**
    * On whose behalf a call with this key comes, or why it is refused. Where `isPublic`, no key is
    * needed, and a known one still names its tenant.
--- a/src/tenants/tenant.ts
+++ b/src/tenants/tenant.ts
@@ -1,5 +1,6 @@
 /** Tenants, and what a caller may reach by the tenant that its key proves. */
 import type { SecretDigest } from '../core/secret-digest.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 
 /** Name of a tenant, as workers and usage reports are told it. */
 export type TenantName = string;
@@ -11,6 +12,8 @@
   readonly keyDigests: readonly SecretDigest[];
   /** Rank of its requests, 0 the most urgent; `undefined` leaves that to the route. */
   readonly priority: number | undefined;
+  /** Where its requests may be served and kept, whatever their routes allow. @default anywhere */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** On whose behalf a call comes. */
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -120,7 +120,7 @@
 export const NOT_RUN: EngineOutcome = {
   kind: 'not-run',
   reason: 'full',
-  status: 503,
+
   load: undefined,
 };
 export const BROKEN: EngineOutcome = { kind: 'failed', mayHaveRun: true, cause: 'broken' };
