Workers are chosen by the way to them: own zone, own region, elsewhere

Cause: WorkerRegistry.pick and PlacementRound told near from far by the zone alone, so a worker of another region counted as one of the next zone, and items went anywhere where zones do not serve alone.

Change: one table of costs by distance (way-costs.ts), asked for direct requests, hedges and retries, scores, items and moved runs. Between zones of one region the figures are the ones there were; another region costs a direct request 1.4 of a worker's places (all places of the region are taken before) and an item 0.55 of its score, only where a fleet spans regions. A zone that the settings do not name lies in the own region where there is only one.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -17,6 +17,7 @@
 import { GuardedEngine } from '../placement/guarded-engine.js';
 import { ResidencyRule } from '../placement/residency-rule.js';
 import { SendRules } from '../placement/send-rules.js';
+import { itemWayCost } from '../placement/way-costs.js';
 import { ZoneEvacuations } from '../placement/zone-evacuations.js';
 import { ZoneTopology } from '../placement/zone-topology.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
@@ -107,7 +108,8 @@
     const { node, zonesServeAlone: servesAlone = false } = options;
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
     const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
-    this.registry = new WorkerRegistry(rules);
+    const { topology } = this;
+    this.registry = new WorkerRegistry(rules, (...zones) => topology.distanceBetween(...zones));
     const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
@@ -186,7 +188,7 @@
     this.dispatcher = new ItemDispatcher({
       ...sending,
       isStoreSilent: () => this.fleet.isCutOff,
-      nearZone: servesAlone ? zone : undefined,
+      wayCost: itemWayCost(topology, servesAlone),
     });
     this.jobs = new JobService({
       ...shared,
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -1,8 +1,8 @@
 /** Sends the items of all jobs that this node runs to workers, and takes in how the runs end. */
 
-import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
+import type { WayCost } from '../placement/way-costs.js';
 import { MOST_ENDED_WORKERS } from '../serving/crash-evidence.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { SendingOptions } from '../serving/sending-options.js';
@@ -26,8 +26,8 @@
    * go on.
    */
   readonly isStoreSilent: () => boolean;
-  /** The zone whose workers run items first, where zones serve their own callers. @default none */
-  readonly nearZone?: ZoneName | undefined;
+  /** What the way to a worker of a zone costs. @default all workers are as near */
+  readonly wayCost?: WayCost | undefined;
 }
 
 /** Silence after which a run is given up. Loading weights may pause a worker for a second. */
@@ -155,8 +155,8 @@
   }
 
   private beginRound(service: ServiceName, now: Milliseconds): PlacementRound {
-    const { registry, nearZone } = this.options;
-    return new PlacementRound(registry.available(service), now, nearZone, registry.rules);
+    const { registry, wayCost } = this.options;
+    return new PlacementRound(registry.available(service), now, wayCost, registry.rules);
   }
 
   /** The worker that keeps a group's prompt; one that has started anew has not read it. */
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -2,9 +2,9 @@
  * Places many items in a row among the workers of one service as they are at one moment. What does
  * not change from item to item (the median pace, which workers have room) is worked out once.
  */
-import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { SendRules } from '../placement/send-rules.js';
+import type { WayCost } from '../placement/way-costs.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { type ItemNeeds, mayRun, medianPace, placementScore } from './item-placement.js';
 
@@ -18,13 +18,6 @@
 /** Workers that may turn out to be full, in the search for one item, before the list is made anew. */
 const MOST_PASSED_OVER = 64;
 
-/**
- * Cost of a worker of another zone, against {@link placementScore}: an item goes there when the near
- * workers have half of their places more taken than the far one, or are slower by a third. Its text
- * crosses between the zones, and its run breaks where they are cut off from each other.
- */
-const FAR_ZONE_COST = 0.3;
-
 /** One round of placements. */
 export class PlacementRound {
   private readonly median: Milliseconds;
@@ -35,13 +28,13 @@
   private readonly unmet = new Set<string>();
 
   /**
-   * `nearZone`: the zone whose workers are preferred; any zone is as good where it is not given.
+   * `wayCost`: what the way to a worker of a zone costs; any zone is as good where it is not given.
    * `rules`: which workers may be sent work.
    */
   constructor(
     workers: readonly KnownWorker[],
     private readonly now: Milliseconds,
-    private readonly nearZone?: ZoneName,
+    private readonly wayCost?: WayCost,
     private readonly rules: SendRules = new SendRules(),
   ) {
     this.median = medianPace(workers);
@@ -71,9 +64,9 @@
     sharedPromptWorker: string | undefined,
   ): (worker: KnownWorker) => number {
     const score = placementScore(needs, this.median, sharedPromptWorker, this.now);
-    const { nearZone } = this;
-    if (nearZone === undefined) return score;
-    return (worker) => score(worker) + (worker.record.zone === nearZone ? 0 : FAR_ZONE_COST);
+    const { wayCost } = this;
+    if (wayCost === undefined) return score;
+    return (worker) => score(worker) + wayCost(worker.record.zone);
   }
 
   private mayTake(worker: KnownWorker, needs: ItemNeeds): boolean {
--- a/src/jobs/run-mover.ts
+++ b/src/jobs/run-mover.ts
@@ -24,7 +24,7 @@
 /** Options of {@link RunMover}. */
 export type RunMoverOptions = Pick<
   ItemDispatcherOptions,
-  'registry' | 'clock' | 'log' | 'metrics' | 'nearZone' | 'routes'
+  'registry' | 'clock' | 'log' | 'metrics' | 'wayCost' | 'routes'
 >;
 
 /** Looks at all runs of a node and moves those that should go on elsewhere. */
@@ -55,7 +55,7 @@
     cause: MoveCause,
     median: Milliseconds,
   ): void {
-    const { registry, clock, log, metrics, nearZone } = this.options;
+    const { registry, clock, log, metrics, wayCost } = this.options;
     const now = clock.now();
     const { worker: from } = run;
     const others = registry
@@ -63,7 +63,7 @@
       .filter((worker) => worker !== from && !isSlow(worker, median))
       .filter((worker) => cause !== 'faster-elsewhere' || isFaster(worker, from));
     const needs = needsOf(job, entry, this.allowedRegionsOf(job, entry));
-    const round = new PlacementRound(others, now, nearZone, registry.rules);
+    const round = new PlacementRound(others, now, wayCost, registry.rules);
     const target = round.place(needs, undefined);
     if (target === undefined) return;
     entry.moves += 1;
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -6,6 +6,8 @@
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import { SendRules } from '../placement/send-rules.js';
+import { requestWayCost } from '../placement/way-costs.js';
+import { type DistanceBetween, distanceInOneRegion } from '../placement/zone-topology.js';
 import type { ReportedLoad } from './engine-port.js';
 import type { ServiceName, WorkerRecord } from './traffic-configuration.js';
 import { isLaterLife } from './worker-life.js';
@@ -39,9 +41,6 @@
 /** A single pause counts as this many times the mean at most: it need not mean a slow worker. */
 const LARGEST_PACE_STEP = 2;
 
-/** A worker of another zone is chosen only if it has this share of its slots more room. */
-const ZONE_RANK = 0.4;
-
 /** One known worker. */
 export class KnownWorker {
   /** Requests under way from this node. */
@@ -153,8 +152,14 @@
   private readonly workers = new Map<string, KnownWorker>();
   private readonly services = new Map<ServiceName, Set<KnownWorker>>();
 
-  /** `rules` tell which workers may be sent work; without them all may. */
-  constructor(readonly rules: SendRules = new SendRules()) {}
+  /**
+   * `rules` tell which workers may be sent work; without them all may. `distanceBetween` tells how
+   * far zones are from each other.
+   */
+  constructor(
+    readonly rules: SendRules = new SendRules(),
+    private readonly distanceBetween: DistanceBetween = distanceInOneRegion,
+  ) {}
 
   /**
    * Adds a worker or replaces its record. What is known of an earlier life under the same id
@@ -216,8 +221,8 @@
   }
 
   /**
-   * The worker for an interactive request: one that may be sent it, not tried before, not penalized if possible, then with
-   * the most free room; ties go to the own zone.
+   * The worker for an interactive request from a zone: one that may be sent it, not tried before, not
+   * penalized if possible, then with the most free room, of which the way there takes some.
    */
   pick(
     service: ServiceName,
@@ -231,7 +236,8 @@
     const sound = fresh.filter((worker) => !worker.isPenalized(now));
     const candidates = sound.length > 0 ? sound : fresh;
     const rank = (worker: KnownWorker): number =>
-      worker.occupancy(now) / worker.record.slots + (worker.record.zone === zone ? 0 : ZONE_RANK);
+      worker.occupancy(now) / worker.record.slots +
+      requestWayCost(this.distanceBetween(zone, worker.record.zone));
     return candidates.reduce<KnownWorker | undefined>(
       (best, worker) => (best === undefined || rank(worker) < rank(best) ? worker : best),
       undefined,
--- /dev/null
+++ b/test/placement/way-costs.test.ts
@@ -0,0 +1,127 @@
+/**
+ * A fleet over two regions, 12 ms apart. A direct request that takes 36 ms went to a worker of the other
+ * region as readily as to one of the next zone, 1.4 ms away, and items went to any worker: a far place
+ * was as good as a near one.
+ */
+import t from 'tap';
+import type { ItemNeeds } from '../../src/jobs/item-placement.js';
+import { PlacementRound } from '../../src/jobs/placement-round.js';
+import { itemWayCost } from '../../src/placement/way-costs.js';
+import { withoutRegions, ZoneTopology } from '../../src/placement/zone-topology.js';
+import { KnownWorker, WorkerRegistry } from '../../src/serving/worker-registry.js';
+import { worker } from '../serving/serving-fixtures.js';
+
+const NOW = 10_000;
+const SLOTS = 4;
+const SERVICE = 'service';
+const TOPOLOGY = new ZoneTopology(
+  'north-1',
+  new Map([
+    ['north-1', 'north'],
+    ['north-2', 'north'],
+    ['south-1', 'south'],
+  ]),
+);
+
+/** One worker a zone, with so many requests under way each. */
+function registryWith(inFlight: Readonly<Record<string, number>>): WorkerRegistry {
+  const registry = new WorkerRegistry(undefined, (...zones) => TOPOLOGY.distanceBetween(...zones));
+  for (const [zone, count] of Object.entries(inFlight)) {
+    registry.put(worker(zone, { zone, slots: SLOTS }));
+    const known = registry.get(zone);
+    if (known !== undefined) known.inFlight = count;
+  }
+  return registry;
+}
+
+/** The zone of the worker that a direct request from `north-1` goes to. */
+function pickedFrom(registry: WorkerRegistry, tried: readonly string[] = []): string | undefined {
+  return registry.pick(SERVICE, new Set(tried), 'north-1', NOW)?.record.zone;
+}
+
+t.test('a direct request goes to the own zone, then the own region, then elsewhere', async (t) => {
+  t.equal(pickedFrom(registryWith({ 'south-1': 0, 'north-2': 0, 'north-1': 1 })), 'north-1');
+  t.equal(pickedFrom(registryWith({ 'south-1': 0, 'north-2': 0, 'north-1': 2 })), 'north-2');
+  t.equal(pickedFrom(registryWith({ 'south-1': 0, 'north-2': 3, 'north-1': 4 })), 'north-1');
+  const isFull = { 'south-1': 0, 'north-2': SLOTS + 1, 'north-1': SLOTS + 2 };
+  t.equal(pickedFrom(registryWith(isFull)), 'south-1', 'no place is left in the region');
+});
+
+t.test('a retry and a hedge stay in the region while it has a worker not tried', async (t) => {
+  const registry = registryWith({ 'south-1': 0, 'north-2': 2, 'north-1': 0 });
+  t.equal(pickedFrom(registry, ['north-1']), 'north-2');
+  t.equal(pickedFrom(registry, ['north-1', 'north-2']), 'south-1');
+});
+
+t.test('workers that refuse in the region send a direct request over the link', async (t) => {
+  const registry = registryWith({ 'south-1': 0, 'north-2': 0, 'north-1': 0 });
+  for (const id of ['north-1', 'north-2']) registry.get(id)?.noteOutcome('full', NOW);
+  t.equal(pickedFrom(registry), 'south-1');
+});
+
+const NEEDS: ItemNeeds = {
+  model: 'model-a',
+  minVersion: 1,
+  relativeLength: 1,
+  boundVersion: undefined,
+};
+
+/** Places items among two workers a zone, which make events at these times, and counts them by zone. */
+function placeItems(
+  items: number,
+  paces: Readonly<Record<string, number>>,
+  needs = NEEDS,
+): (zone: string) => number {
+  const workers = Object.entries(paces).flatMap(([zone, pace]) =>
+    [1, 2].map((number) => {
+      const made = new KnownWorker(worker(`${zone}/${number}`, { zone, slots: SLOTS }));
+      made.notePace(pace);
+      return made;
+    }),
+  );
+  const round = new PlacementRound(workers, NOW, itemWayCost(TOPOLOGY, false));
+  const placed: string[] = [];
+  for (let item = 0; item < items; item += 1) {
+    const chosen = round.place(needs, undefined);
+    if (chosen === undefined) continue;
+    chosen.inFlight += 1;
+    placed.push(chosen.record.zone);
+  }
+  return (zone) => placed.filter((name) => name === zone).length;
+}
+
+t.test('items spread over the zones of their region until all its places are taken', async (t) => {
+  const even = { 'north-1': 40, 'north-2': 40, 'south-1': 40 };
+  const near = placeItems(16, even);
+  t.same([near('north-1'), near('north-2'), near('south-1')], [8, 8, 0]);
+  const more = placeItems(20, even);
+  t.same([more('north-1'), more('north-2'), more('south-1')], [8, 8, 4], 'the rest finds a place');
+});
+
+t.test('items cross the link where the near workers are much slower', async (t) => {
+  const muchSlower = { 'north-1': 100, 'north-2': 100, 'south-1': 40 };
+  t.equal(placeItems(2, muchSlower)('south-1'), 2);
+  const slower = { 'north-1': 60, 'north-2': 60, 'south-1': 40 };
+  t.equal(placeItems(4, slower)('south-1'), 0, 'the way would cost more than it gains');
+  const long = { ...NEEDS, relativeLength: 3 };
+  t.equal(placeItems(2, slower, long)('south-1'), 2, 'a long item gains more');
+});
+
+t.test('a near worker that others have filled is no reason to stay', async (t) => {
+  const near = new KnownWorker(worker('near', { zone: 'north-2', slots: SLOTS }));
+  const far = new KnownWorker(worker('far', { zone: 'south-1', slots: SLOTS }));
+  const round = new PlacementRound([near, far], NOW, itemWayCost(TOPOLOGY, false));
+  near.noteLoad({ running: SLOTS - 1, waiting: 0, slots: SLOTS }, NOW);
+  t.equal(round.place(NEEDS, undefined), near);
+  near.noteLoad({ running: SLOTS, waiting: 1, slots: SLOTS }, NOW);
+  t.equal(round.place(NEEDS, undefined), far);
+});
+
+t.test('in one region all workers are as near to an item, unless zones serve alone', async (t) => {
+  t.equal(itemWayCost(withoutRegions('zone-1'), false), undefined);
+  const oneRegion = new ZoneTopology('zone-1', new Map([['zone-1', 'north']]));
+  t.equal(itemWayCost(oneRegion, false), undefined);
+  t.equal(oneRegion.distanceTo('zone-unknown'), 'same-region', 'a zone the settings do not name');
+  const byZone = itemWayCost(withoutRegions('zone-1'), true);
+  t.same([byZone?.('zone-1'), byZone?.('zone-2')], [0, 0.3]);
+});
