Where a fleet spans regions, a region's nodes run the jobs handed in there

Cause: without zones that serve alone, three owners by hash anywhere ran all jobs. A job's items, texts and readers crossed the link for whichever owner the hash named; the nodes of a region that was cut off watched, suspected and were suspected over the link; a job whose owner was lost went to whoever looked first.

Change: a locality (locality.ts) is the zone where zones serve alone, else the region where there are several; JobPlacement names owners by locality, three a region, those of the job's region first. A job is offered to the own region, and to the other only where the own has no node that answers. Nodes watch nodes of their region. Where a region alone is cut off from the store, two of the four nodes that are asked whether they reach it are of the other region. Owners of regions are told of weight changes, as those of zones are.

fleet-registry.test.ts also expects the zone of a node that left.

--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -15,6 +15,7 @@
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { PeerPort } from '../peers/peer-messages.js';
+import type { DistanceBetween } from '../placement/zone-topology.js';
 import type { Clock } from '../serving/clock.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -57,6 +58,8 @@
   readonly placement: JobPlacement;
   readonly self: JobOwner;
   readonly zone: ZoneName;
+  /** How far zones are from each other. @default all are of one region */
+  readonly distanceBetween?: DistanceBetween;
   readonly clock: Clock;
   readonly metrics: FleetMetrics;
   readonly lock: () => CoordinatorLock;
@@ -135,7 +138,10 @@
     return owners.slice(0, this.mostLikelyOwners);
   }
 
-  /** The owner and the next in turn; where zones run their own jobs, one in each of three zones. */
+  /**
+   * The owner and the next in turn, both of the own region where regions run their own jobs; where
+   * zones do, one in each of three zones.
+   */
   private get mostLikelyOwners(): number {
     return this.options.placement.isByZone ? LIKELY_OWNERS_BY_ZONE : LIKELY_OWNERS;
   }
@@ -202,7 +208,7 @@
 
   needWeights(needed: WeightNeed): void {
     const { placement, zone } = this.options;
-    const need = placement.isByZone ? { ...needed, zone } : needed;
+    const need = placement.isLocal ? { ...needed, zone } : needed;
     const holder = this.options.lock().holder;
     if (holder === undefined) return;
     if (holder === this.options.self.node) {
@@ -212,10 +218,10 @@
     void this.calls.ask<'need-weights'>(holder, { kind: 'need-weights', need }, NEED_LIMIT);
   }
 
-  /** Tells the nodes that run the zones' jobs that a worker changes weights. */
+  /** Tells the nodes that run the zones' or regions' jobs that a worker changes weights. */
   tellWeightChange(change: WeightChange): void {
     const { placement, self, weightChanged } = this.options;
-    if (!placement.isByZone) return;
+    if (!placement.isLocal) return;
     weightChanged(change);
     const request = { kind: 'weights-change', change } as const;
     for (const node of placement.owners()) {
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -66,6 +66,7 @@
 /** A life of a node that ended; a node that is replaced is surely gone, its lease may just lapse. */
 export interface Departure {
   readonly node: NodeId;
+  readonly zone: ZoneName;
   readonly cause: 'replaced' | 'lease-over';
 }
 
@@ -254,7 +255,7 @@
     const state = record === undefined ? 'gone' : 'live';
     this.options.log.state('fleet-node', { peer: node, state, live: this.live.size });
     const cause = record === undefined ? 'lease-over' : 'replaced';
-    if (before !== undefined) this.departures.next({ node, cause });
+    if (before !== undefined) this.departures.next({ node, zone: before.zone, cause });
     if (record !== undefined) this.arrivals.next(node);
   }
 
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -15,11 +15,12 @@
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
 import { GuardedEngine } from '../placement/guarded-engine.js';
+import { localitiesOf } from '../placement/locality.js';
 import { ResidencyRule } from '../placement/residency-rule.js';
 import { SendRules } from '../placement/send-rules.js';
 import { itemWayCost } from '../placement/way-costs.js';
 import { ZoneEvacuations } from '../placement/zone-evacuations.js';
-import { ZoneTopology } from '../placement/zone-topology.js';
+import { type DistanceBetween, ZoneTopology } from '../placement/zone-topology.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
@@ -109,7 +110,9 @@
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
     const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
     const { topology } = this;
-    this.registry = new WorkerRegistry(rules, (...zones) => topology.distanceBetween(...zones));
+    const localities = localitiesOf(topology, servesAlone);
+    const distanceBetween: DistanceBetween = (...zones) => topology.distanceBetween(...zones);
+    this.registry = new WorkerRegistry(rules, distanceBetween);
     const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
@@ -136,7 +139,7 @@
     this.placement = new JobPlacement({
       liveNodes: () => this.fleet.liveNodes(),
       capacityOf: (name) => this.fleet.capacityOf(name),
-      zones: servesAlone ? { own: zone, zoneOf: (name) => this.fleet.zoneOf(name) } : undefined,
+      localities: localities && { ...localities, zoneOf: (name) => this.fleet.zoneOf(name) },
       clock,
     });
     this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
@@ -148,7 +151,8 @@
     this.autonomy = autonomy;
     const { journals } = autonomy;
     const asked = {
-      ...{ port, self, zone, clock, metrics, fleet: this.fleet, placement: this.placement },
+      ...{ port, self, zone, distanceBetween, clock, metrics },
+      ...{ fleet: this.fleet, placement: this.placement },
       lock: () => this.coordination.lock,
       weightsNeeded: (need: WeightNeed) => this.coordination.requireWeights(need),
       weightChanged: (change: WeightChange) => noteWeightChange(this.registry, change, clock.now()),
@@ -219,7 +223,10 @@
       peers: port,
       adoptElsewhere: (...adoption) => peers.adoptElsewhere(...adoption),
     });
-    this.monitor = new PeerMonitor({ fleet, peers: port, self, clock, log });
+    this.monitor = new PeerMonitor({
+      ...{ fleet, peers: port, self, clock, log },
+      isNear: (name) => topology.isInOwnRegion(fleet.zoneOf(name) ?? zone),
+    });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     this.coordination = new Coordination({
       ...{ node: options, self, store, fleet, peers },
--- a/src/fleet/job-placement.ts
+++ b/src/fleet/job-placement.ts
@@ -3,7 +3,8 @@
  * own all jobs: what they have sent to the workers is then known in few places, connections to
  * workers are used again, and any node finds the owner of a job by its id without asking the store.
  * Where zones serve their own callers, the owners of a zone run the jobs that were handed in there,
- * so that a zone that is cut off goes on with them.
+ * so that a zone that is cut off goes on with them. Where a fleet spans regions, the owners of a
+ * region do: their items, texts and answers then stay off the link between the regions.
  *
  * Two nodes that see different fleets may name different owners; the commit on the job's head
  * decides, and whoever asked the wrong node reads the head.
@@ -11,6 +12,7 @@
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { Localities, LocalityName } from '../placement/locality.js';
 import type { Clock } from '../serving/clock.js';
 
 /** Key under which nodes are ordered as owners of jobs. */
@@ -39,16 +41,14 @@
 const SILENCE_PENALTY: Milliseconds = 3_000;
 
 /** Where the nodes are, as far as one of them knows. */
-export interface ZoneView {
-  /** The zone of this node. */
-  readonly own: ZoneName;
+export interface LocalityView extends Localities {
   readonly zoneOf: (node: NodeId) => ZoneName | undefined;
 }
 
 /** Options of {@link JobPlacement}. */
 export interface JobPlacementOptions {
-  /** Where each zone runs the jobs of its own callers; else any zone runs any job. @default none */
-  readonly zones?: ZoneView | undefined;
+  /** Where each part of the fleet runs the jobs of its own callers; else any runs any job. @default none */
+  readonly localities?: LocalityView | undefined;
   readonly liveNodes: () => readonly NodeId[];
   /** Processor share of a node's machine. */
   readonly capacityOf: (node: NodeId) => number;
@@ -61,27 +61,33 @@
 
   constructor(private readonly options: JobPlacementOptions) {}
 
-  /** Whether each zone runs the jobs of its own callers. */
+  /** Whether each zone runs the jobs of its own callers, also while it is cut off. */
   get isByZone(): boolean {
-    return this.options.zones !== undefined;
+    return this.options.localities?.kind === 'zone';
+  }
+
+  /** Whether each zone or each region runs the jobs of its own callers. */
+  get isLocal(): boolean {
+    return this.options.localities !== undefined;
   }
 
   /** Nodes that run jobs, as this node sees the fleet. */
   owners(): NodeId[] {
-    const { zones } = this.options;
+    const { localities } = this.options;
     const nodes = this.reachableNodes();
-    if (zones === undefined) return this.ownersAmong(nodes, FEWEST_OWNERS);
-    return this.zonesInOrder(zones.own).flatMap((zone) => this.ownersIn(zone));
+    if (localities === undefined) return this.ownersAmong(nodes, FEWEST_OWNERS);
+    return this.localitiesFrom(localities.own).flatMap((name) => this.ownersIn(name));
   }
 
   /**
-   * The owners in the order in which they are to run a job. Where zones serve their own callers,
-   * those of the job's zone come first; a zone that is not told is taken for this node's.
+   * The owners in the order in which they are to run a job. Where zones or regions serve their own
+   * callers, those of the job's come first; a zone that is not told is taken for this node's.
    */
   ownersOf(job: string, zone?: ZoneName): NodeId[] {
-    const { zones } = this.options;
-    if (zones === undefined) return rendezvousOrder(job, this.owners(), (node) => node);
-    return this.zonesInOrder(zone ?? zones.own).flatMap((name) =>
+    const { localities } = this.options;
+    if (localities === undefined) return rendezvousOrder(job, this.owners(), (node) => node);
+    const first = zone === undefined ? localities.own : localities.of(zone);
+    return this.localitiesFrom(first).flatMap((name) =>
       rendezvousOrder(job, this.ownersIn(name), (node) => node),
     );
   }
@@ -89,11 +95,30 @@
   /**
    * The owners that a job is offered to which a caller handed in here. A zone that serves its own
    * callers hands no job to another one: both could be cut off from each other with the job at both.
+   * A region does where none of its own nodes answers; the store tells whose the job is.
    */
   offersFor(job: string): NodeId[] {
-    const { zones } = this.options;
-    if (zones === undefined) return this.ownersOf(job);
-    return rendezvousOrder(job, this.ownersIn(zones.own), (node) => node);
+    const { localities } = this.options;
+    if (localities?.kind !== 'zone') return this.ownersOf(job);
+    return rendezvousOrder(job, this.ownersIn(localities.own), (node) => node);
+  }
+
+  /**
+   * The nodes that look for the jobs of one that left a zone: the owners of its region, if it has
+   * any left, so that its jobs stay there.
+   */
+  successorsIn(zone: ZoneName): NodeId[] {
+    const { localities } = this.options;
+    if (localities?.kind !== 'region') return this.owners();
+    const near = this.ownersIn(localities.of(zone));
+    return near.length > 0 ? near : this.owners();
+  }
+
+  /** Whether another region than this node's runs the jobs that are handed in at a zone. */
+  isOfOtherRegion(zone: ZoneName | undefined): boolean {
+    const { localities } = this.options;
+    if (localities?.kind !== 'region' || zone === undefined) return false;
+    return localities.of(zone) !== localities.own;
   }
 
   /** A node did not answer: others run its jobs for a while. */
@@ -105,19 +130,24 @@
     return this.options.liveNodes().filter((node) => !this.isAvoided(node));
   }
 
-  private ownersIn(zone: ZoneName): NodeId[] {
-    const nodes = this.reachableNodes().filter((node) => this.options.zones?.zoneOf(node) === zone);
-    return this.ownersAmong(nodes, FEWEST_OWNERS_IN_ZONE);
+  private ownersIn(locality: LocalityName): NodeId[] {
+    const nodes = this.reachableNodes().filter((node) => this.localityOf(node) === locality);
+    return this.ownersAmong(nodes, this.isByZone ? FEWEST_OWNERS_IN_ZONE : FEWEST_OWNERS);
   }
 
-  /** All zones with live nodes, from a given one on. */
-  private zonesInOrder(first: ZoneName): ZoneName[] {
-    const { zones, liveNodes } = this.options;
-    const names = new Set(liveNodes().map((node) => zones?.zoneOf(node)));
+  /** All localities with live nodes, from a given one on. */
+  private localitiesFrom(first: LocalityName): LocalityName[] {
+    const names = new Set(this.options.liveNodes().map((node) => this.localityOf(node)));
     names.delete(first);
     return [first, ...[...names].filter((name) => name !== undefined).sort()];
   }
 
+  private localityOf(node: NodeId): LocalityName | undefined {
+    const { localities } = this.options;
+    const zone = localities?.zoneOf(node);
+    return zone === undefined ? undefined : localities?.of(zone);
+  }
+
   private ownersAmong(nodes: readonly NodeId[], fewest: number): NodeId[] {
     const count = Math.max(fewest, Math.ceil(nodes.length / NODES_PER_OWNER));
     const strong = this.strongest(nodes, fewest);
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -83,8 +83,9 @@
   }
 
   /** Scans after a departure, if this node is one of the few that do. */
-  private scanAfter({ node, cause }: Departure): void {
-    const nodes = rendezvousOrder(node, this.options.placement.owners(), (name) => name);
+  private scanAfter({ node, zone, cause }: Departure): void {
+    const successors = this.options.placement.successorsIn(zone);
+    const nodes = rendezvousOrder(node, successors, (name) => name);
     const rank = nodes.indexOf(this.options.self.node);
     if (rank < 0 || rank >= SCANNING_NODES) return;
     const grace = cause === 'replaced' ? REPLACEMENT_GRACE : DEPARTURE_GRACE;
@@ -160,6 +161,19 @@
     await service.adopt(job, found, ownerAnswers);
   }
 
+  /** A job without a live owner is taken here, or first offered to the region that it is of. */
+  private async adoptFound(
+    job: string,
+    found: VersionedHead,
+    ownerAnswers: boolean,
+  ): Promise<void> {
+    const { placement, service } = this.options;
+    const { owner, zone } = found.head;
+    if (owner !== null && placement.isOfOtherRegion(zone)) {
+      await this.adoptByPlacement(job, found, owner, ownerAnswers);
+    } else await service.adopt(job, found, ownerAnswers);
+  }
+
   /** Cancels scans that are due. */
   stop(): void {
     this.isStopped = true;
@@ -176,7 +190,7 @@
       if (rank > allowedRank && allowedRank < SCANS - 1) continue;
       const state = await this.stateOf(found.head.owner);
       if (state === 'running') continue;
-      await this.options.service.adopt(job, found, state === 'cut-off');
+      await this.adoptFound(job, found, state === 'cut-off');
     }
     return orphans.length === 0 ? 'no-orphans' : 'orphans-seen';
   }
--- a/src/fleet/peer-calls.ts
+++ b/src/fleet/peer-calls.ts
@@ -3,6 +3,11 @@
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { PeerOutcome, PeerPort, PeerRequest, PeerRequestOf } from '../peers/peer-messages.js';
+import {
+  type DistanceBetween,
+  distanceInOneRegion,
+  type ZoneDistance,
+} from '../placement/zone-topology.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { FleetRegistry } from './fleet-registry.js';
 
@@ -19,6 +24,8 @@
   readonly self: JobOwner;
   readonly zone: ZoneName;
   readonly metrics: FleetMetrics;
+  /** How far zones are from each other. @default all are of one region */
+  readonly distanceBetween?: DistanceBetween;
 }
 
 /** Asks other nodes. */
@@ -56,19 +63,29 @@
     return outcome.answer.isAlive && outcome.answer.reachesStore;
   }
 
-  /** Where this node is cut off from the store: another one that is not, of the own zone if possible. */
+  /**
+   * Where this node is cut off from the store: another one that is not, of the own zone if possible,
+   * else of the own region.
+   */
   async nodeThatReachesStore(
     where: 'anywhere' | 'own-zone' = 'anywhere',
   ): Promise<NodeId | undefined> {
-    const { fleet, self, zone } = this.options;
-    if (!fleet.isCutOff) return undefined;
-    const others = fleet.liveNodes().filter((node) => node !== self.node);
-    const isNear = (node: NodeId): boolean => fleet.zoneOf(node) === zone;
-    const far = where === 'own-zone' ? [] : others.filter((node) => !isNear(node));
-    const inOrder = [...others.filter(isNear), ...far];
-    const states = inOrder
-      .slice(0, MOST_STORE_PROBES)
-      .map(async (node) => ((await this.reachesStore(node)) ? node : undefined));
+    if (!this.options.fleet.isCutOff) return undefined;
+    const states = this.nodesToProbe(where).map(async (node) =>
+      (await this.reachesStore(node)) ? node : undefined,
+    );
     return (await Promise.all(states)).find((node) => node !== undefined);
   }
+
+  /** The nearest nodes; some of the other region, if there is one, as a whole region may be cut off. */
+  private nodesToProbe(where: 'anywhere' | 'own-zone'): NodeId[] {
+    const { fleet, self, zone, distanceBetween = distanceInOneRegion } = this.options;
+    const others = fleet.liveNodes().filter((node) => node !== self.node);
+    const at = (distance: ZoneDistance): NodeId[] =>
+      others.filter((node) => distanceBetween(zone, fleet.zoneOf(node) ?? zone) === distance);
+    if (where === 'own-zone') return at('same-zone').slice(0, MOST_STORE_PROBES);
+    const beyond = at('other-region').slice(0, MOST_STORE_PROBES / 2);
+    const near = [...at('same-zone'), ...at('same-region')];
+    return [...near.slice(0, MOST_STORE_PROBES - beyond.length), ...beyond];
+  }
 }
--- a/src/fleet/peer-monitor.ts
+++ b/src/fleet/peer-monitor.ts
@@ -1,7 +1,8 @@
 /**
  * Watches a few other nodes by asking them directly, so that a dead or frozen one, or one that does
  * not reach the store, is noticed long before its lease runs out. Each node is watched by the nodes that follow it on a ring of names;
- * the cost for one node therefore does not grow with the fleet.
+ * the cost for one node therefore does not grow with the fleet. A region is a ring of its own: a link
+ * between regions that is cut makes nobody suspect all nodes beyond it.
  *
  * A suspicion only lets jobs be taken over; a node that is suspected wrongly loses a commit and
  * stops, so nothing rests on it being right.
@@ -44,6 +45,8 @@
   readonly self: JobOwner;
   readonly clock: Pick<Clock, 'now'>;
   readonly log: DecisionLog;
+  /** Whether a node is of this node's region, and so may be watched. @default all are */
+  readonly isNear?: (node: NodeId) => boolean;
 }
 
 /** A life of a node that fell silent, or answers and does not reach the store. */
@@ -159,9 +162,10 @@
 
   /** The nodes that follow this one on the ring of hashed names. */
   private targets(): NodeId[] {
+    const { isNear = () => true } = this.options;
     const self = this.options.self.node;
     const start = placementHash(self);
-    const others = this.options.fleet.liveNodes().filter((node) => node !== self);
+    const others = this.options.fleet.liveNodes().filter((node) => node !== self && isNear(node));
     const placed = others.map((node) => ({
       node,
       place: (placementHash(node) - start + RING_SIZE) % RING_SIZE,
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -15,7 +15,7 @@
   readonly version: WeightVersion;
   /** Tokens that its items are expected to make. */
   readonly tokens: number;
-  /** The zone whose workers are to run it, where zones run their own jobs. */
+  /** The zone whose workers, or whose region's, are to run it, where these run their own jobs. */
   readonly zone?: ZoneName;
 }
 
--- a/test/fleet/fleet-registry.test.ts
+++ b/test/fleet/fleet-registry.test.ts
@@ -31,8 +31,8 @@
   store.erase('fleet/node/node-2');
   await eventually(() => departures.length === 2);
   t.same(departures, [
-    { node: 'node-2', cause: 'replaced' },
-    { node: 'node-2', cause: 'lease-over' },
+    { node: 'node-2', zone: 'zone-2', cause: 'replaced' },
+    { node: 'node-2', zone: 'zone-2', cause: 'lease-over' },
   ]);
   t.notOk(fleet.isLive(OTHER));
   await fleet.stop();
--- a/test/fleet/job-placement.test.ts
+++ b/test/fleet/job-placement.test.ts
@@ -1,5 +1,7 @@
 import t from 'tap';
 import { JobPlacement } from '../../src/fleet/job-placement.js';
+import { localitiesOf } from '../../src/placement/locality.js';
+import { withoutRegions, ZoneTopology } from '../../src/placement/zone-topology.js';
 
 const NAMES = Array.from({ length: 165 }, (_, index) => `node-${index}`);
 const JOBS = Array.from({ length: 200 }, (_, index) => `job-${index}`);
@@ -59,8 +61,9 @@
 
 function zonedPlacement(own: string, capacityOf: (node: string) => number = () => 1) {
   const clock = new HeldClock();
-  const zones = { own, zoneOf };
-  const placed = new JobPlacement({ liveNodes: () => ZONED, capacityOf, zones, clock });
+  const zones = localitiesOf(withoutRegions(own), true);
+  const localities = zones && { ...zones, zoneOf };
+  const placed = new JobPlacement({ liveNodes: () => ZONED, capacityOf, localities, clock });
   return { clock, placed };
 }
 
@@ -91,3 +94,55 @@
   clock.time += 10_000;
   t.equal(placed.offersFor('job')[0], first);
 });
+
+/** The regions of the three zones. */
+const REGIONS = new Map([
+  ['zone-0', 'north'],
+  ['zone-1', 'north'],
+  ['zone-2', 'south'],
+]);
+const regionOf = (node: string): string | undefined => REGIONS.get(zoneOf(node));
+
+function regionalPlacement(own: string, nodes: readonly string[] = ZONED) {
+  const clock = new HeldClock();
+  const regions = localitiesOf(new ZoneTopology(own, REGIONS), false);
+  const localities = regions && { ...regions, zoneOf };
+  const placed = new JobPlacement({
+    liveNodes: () => nodes,
+    capacityOf: () => 1,
+    localities,
+    clock,
+  });
+  return { clock, placed };
+}
+
+t.test('where a fleet spans regions, a few nodes of each run its jobs', async (t) => {
+  const { placed } = regionalPlacement('zone-2');
+  const owners = placed.owners().map(regionOf);
+  t.same(owners, ['south', 'south', 'south', 'north', 'north', 'north']);
+  t.same(placed.ownersOf('job', 'zone-0').map(regionOf).slice(0, 3), ['north', 'north', 'north']);
+  t.same(placed.offersFor('job').map(regionOf).slice(0, 3), ['south', 'south', 'south']);
+  t.equal(placed.isByZone, false, 'a region keeps no journal');
+});
+
+t.test('all nodes name the same owner for a region, whichever of its zones asks', async (t) => {
+  const named = ['zone-0', 'zone-1', 'zone-2'].flatMap((own) =>
+    ['zone-0', 'zone-1'].map((zone) => regionalPlacement(own).placed.ownersOf('job', zone)[0]),
+  );
+  t.equal(new Set(named).size, 1);
+});
+
+t.test('a region without a node that answers has its jobs run by the other', async (t) => {
+  const northOnly = ZONED.filter((node) => regionOf(node) === 'north');
+  const { placed } = regionalPlacement('zone-2', northOnly);
+  t.same(placed.offersFor('job').map(regionOf), ['north', 'north', 'north']);
+  t.ok(placed.successorsIn('zone-2').length > 0);
+});
+
+t.test('the jobs of a node that left are looked for in its region first', async (t) => {
+  const { placed } = regionalPlacement('zone-2');
+  t.ok(placed.successorsIn('zone-0').every((node) => regionOf(node) === 'north'));
+  t.equal(placed.isOfOtherRegion('zone-0'), true);
+  t.equal(placed.isOfOtherRegion('zone-2'), false);
+  t.equal(placed.isOfOtherRegion(undefined), false, 'a record of an older program');
+});
