Models get the workers of their trainer's region first

Cause: models' homes were zones, and known only where zones serve alone; a fleet over two regions divided each model over both.

Change: ModelAssignment compares localities (a zone, or the region where a fleet spans several); jobs tell the zone that they were handed in at, and the coordinator knows its region. How many workers a model gets goes by its load as before; which ones, by region, in equal shares among the models of a region.

--- a/src/fleet/coordination.ts
+++ b/src/fleet/coordination.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
 import type { JobOwner } from '../jobs/job-records.js';
+import type { Localities } from '../placement/locality.js';
 import type { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import type { WorkerRegistry } from '../serving/worker-registry.js';
 import type { SharedStore } from '../shared-store/shared-store.js';
@@ -32,6 +33,8 @@
   readonly peers: FleetPeers;
   readonly registry: WorkerRegistry;
   readonly configuration: ConfigurationInForce;
+  /** The parts of the fleet that serve their own callers; `undefined` where any serves any. */
+  readonly localities: Localities | undefined;
   /** Whether nothing that must last lies on a storage machine alone. */
   readonly isStorageEmpty: (node: NodeId) => Promise<boolean>;
   /** Finds jobs that nobody runs. */
@@ -68,6 +71,7 @@
       named: this.named,
       noteChange: (change) => options.peers.tellWeightChange(change),
       isConfigured: (service) => configuration.services.some(({ name }) => name === service),
+      localityOf: options.localities?.of,
       mode: () => (configuration.needsWholeVersions ? 'wait' : 'keep'),
     });
     this.drains = new StorageDrains({ port, lock, log, isEmpty: options.isStorageEmpty });
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -232,6 +232,7 @@
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
       configuration: this.configuration,
+      localities,
       isStorageEmpty: (name) => autonomy.isStorageEmpty(name),
       sweep: () => void this.takeover.sweep(),
       removeExpired: () => {
--- a/src/fleet/model-assignment.ts
+++ b/src/fleet/model-assignment.ts
@@ -2,11 +2,13 @@
  * Divides the workers among the models that they hold, so that a new version of one model is
  * loaded by the workers that serve it and by no others. Shares follow the work that was asked of
  * each model lately; a worker stays with its model as long as the shares allow, since moving it
- * costs a load. A model whose work comes from one zone gets the workers of that zone first: what
- * they make need not cross to another zone, and goes on where the zone is cut off.
+ * costs a load. A model whose work comes from one zone, or one region of a fleet that spans several,
+ * gets the workers there first: what they make need not cross to another one, and goes on where it is
+ * cut off.
  */
 import type { ModelName, ZoneName } from '../core/identity.js';
 import type { WeightVersion } from '../core/units.js';
+import type { LocalityName } from '../placement/locality.js';
 
 /** A worker as the division sees it. */
 export interface AssignableWorker {
@@ -34,10 +36,13 @@
 /** Knows which model each worker serves. */
 export class ModelAssignment {
   private readonly demand = new Map<ModelName, number>();
-  /** The zone that a model's work comes from, where that is known. */
-  private readonly homes = new Map<ModelName, ZoneName>();
+  /** The zone or region that a model's work comes from, where that is known. */
+  private readonly homes = new Map<ModelName, LocalityName>();
   private current = new Map<string, ModelName>();
 
+  /** `localityOf` tells which zones are as near to each other's work; each zone is by itself else. */
+  constructor(private readonly localityOf: (zone: ZoneName) => LocalityName = (zone) => zone) {}
+
   /** A job asked this much work of a model, in tokens, of the workers of a zone or of any. */
   noteWork(model: ModelName, tokens: number, zone?: ZoneName): void {
     if (zone !== undefined) this.noteHome(model, zone);
@@ -49,7 +54,7 @@
   /** A division from before the homes of the models were known was as good as any other. */
   private noteHome(model: ModelName, zone: ZoneName): void {
     if (!this.homes.has(model)) this.current.clear();
-    this.homes.set(model, zone);
+    this.homes.set(model, this.localityOf(zone));
   }
 
   /**
@@ -97,9 +102,10 @@
     return assigned;
   }
 
-  /** The models that a worker holds and whose work comes from its zone. */
+  /** The models that a worker holds and whose work comes from its zone or region. */
   private modelsAtHome({ zone, versions }: AssignableWorker): ModelName[] {
-    return [...versions.keys()].filter((model) => this.homes.get(model) === zone).sort();
+    const locality = this.localityOf(zone);
+    return [...versions.keys()].filter((model) => this.homes.get(model) === locality).sort();
   }
 
   /** A division in the order in which workers keep their models: those at home first. */
@@ -108,9 +114,9 @@
     workers: readonly AssignableWorker[],
   ): ReadonlyMap<string, ModelName> {
     if (this.homes.size === 0) return wanted;
-    const zones = new Map(workers.map(({ id, zone }) => [id, zone]));
+    const localities = new Map(workers.map(({ id, zone }) => [id, this.localityOf(zone)]));
     const isAway = ([worker, model]: [string, ModelName]): number =>
-      this.homes.get(model) === zones.get(worker) ? 0 : 1;
+      this.homes.get(model) === localities.get(worker) ? 0 : 1;
     return new Map([...wanted].sort((a, b) => isAway(a) - isAway(b)));
   }
 
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -6,9 +6,10 @@
  * usable workers goes first.
  */
 
-import type { ModelName } from '../core/identity.js';
+import type { ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
+import type { LocalityName } from '../placement/locality.js';
 import type { Clock } from '../serving/clock.js';
 import type {
   EnginePort,
@@ -40,6 +41,8 @@
   readonly isConfigured: (service: ServiceName) => boolean;
   /** Told of each change that was ordered, and of each that has shown. */
   readonly noteChange: (change: WeightChange) => void;
+  /** The zone or region that serves the callers of a zone first. @default each zone by itself */
+  readonly localityOf?: ((zone: ZoneName) => LocalityName) | undefined;
   /** What becomes of runs at a worker that changes its weights. */
   readonly mode: () => WeightOrderMode;
 }
@@ -149,10 +152,12 @@
   private readonly changing = new Map<KnownWorker, ModelName>();
   private readonly notBefore = new WeakMap<KnownWorker, Milliseconds>();
   private readonly required = new Map<ModelName, WeightVersion>();
-  private readonly assignment = new ModelAssignment();
+  private readonly assignment: ModelAssignment;
   private nextLookAt: Milliseconds = 0;
 
-  constructor(private readonly options: WeightRolloutOptions) {}
+  constructor(private readonly options: WeightRolloutOptions) {
+    this.assignment = new ModelAssignment(options.localityOf);
+  }
 
   /** A job needs weights of at least this version: workers behind it change first. */
   require({ model, version, tokens, zone }: WeightNeed): void {
--- a/test/fleet/model-assignment.test.ts
+++ b/test/fleet/model-assignment.test.ts
@@ -168,3 +168,53 @@
   ask();
   t.same(divide(assignment, fleet), before);
 });
+
+/**
+ * Three models on 34 workers in two regions, two trainers in `north`: each of the models was served in
+ * both regions alike, and half of all texts crossed the link.
+ */
+const NORTH_OR_SOUTH = (zone: string): string => (zone === 'zone-2' ? 'south' : 'north');
+
+/** Half of the workers in the one zone of `south`, the others in the two of `north`. */
+function regionalWorkers(): AssignableWorker[] {
+  const versions = new Map(MODELS.map((model) => [model, 1]));
+  return Array.from({ length: 34 }, (_, index) => ({
+    id: `w${index}`,
+    zone: index % 2 === 0 ? 'zone-2' : `zone-${index % 4 === 1 ? 0 : 1}`,
+    versions,
+  }));
+}
+
+t.test('a model gets the workers of its region, and others only as its load asks', async (t) => {
+  const assignment = new ModelAssignment(NORTH_OR_SOUTH);
+  const fleet = regionalWorkers();
+  assignment.noteWork('a', 2_000, 'zone-0');
+  assignment.noteWork('b', 2_000, 'zone-1');
+  assignment.noteWork('c', 1_000, 'zone-2');
+  const division = divide(assignment, fleet);
+  const regions = new Map(fleet.map(({ id, zone }) => [id, NORTH_OR_SOUTH(zone)]));
+  const inNorth = MODELS.map(
+    (model) => (division.get(model) ?? []).filter((id) => regions.get(id) === 'north').length,
+  );
+  t.same(sizes(division), [13, 13, 8]);
+  t.equal(inNorth[2], 0, 'the model of the south has no worker in the north');
+  t.equal((inNorth[0] ?? 0) + (inNorth[1] ?? 0), 17, 'all of the north serve its own models');
+  t.ok(
+    Math.abs((inNorth[0] ?? 0) - (inNorth[1] ?? 0)) <= 1,
+    'in equal shares, whatever their names',
+  );
+});
+
+t.test('work that moves from zone to zone of a region changes nothing', async (t) => {
+  const assignment = new ModelAssignment(NORTH_OR_SOUTH);
+  const fleet = regionalWorkers();
+  const ask = (zones: readonly string[]): void => {
+    MODELS.forEach((model, index) => {
+      assignment.noteWork(model, 1_000, zones[index]);
+    });
+  };
+  ask(['zone-0', 'zone-1', 'zone-2']);
+  const before = divide(assignment, fleet);
+  ask(['zone-1', 'zone-0', 'zone-2']);
+  t.same(divide(assignment, fleet), before);
+});
