One relay of each region reads the store; the others of the region read it by way of that one

Cause: one relay of each zone read the store, so each change of the configuration, of a worker's record or of the fleet crossed the link to a region of three zones three times, and cost the store as many answers.

A relay tells other relays only what it follows at the store itself (forRelay), so no two can believe each other. Followers ask the relays of their region before those of another.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -1,5 +1,6 @@
 /**
- * The prefixes that this node follows at the shared store itself, and what it tells others of them.
+ * The prefixes that this node follows for others, at the shared store or by way of the first relay of
+ * its region, and what it tells others of them.
  * It answers only while it surely hears from the store: the store has renewed its lease lately, and
  * its own watch waits there on a call that is not old.
  */
@@ -44,7 +45,9 @@
 
 /** Options of {@link DirectPrefixes}. */
 export interface DirectPrefixesOptions extends ChangeBound {
-  readonly store: SharedStore;
+  readonly store: Pick<SharedStore, 'range' | 'watch'>;
+  /** Whether this node reads the store itself, and not by way of another relay. @default it does */
+  readonly isFirst?: () => boolean;
   /** Time since the store last renewed this node's lease. */
   readonly renewalAge: () => Milliseconds;
   readonly clock: Clock;
@@ -123,7 +126,7 @@
     const { prefix, after, wait } = request;
     const deadline = this.options.clock.now() + wait;
     const watch = this.watches.get(prefix);
-    if (watch === undefined) return { isCurrent: false };
+    if (watch === undefined || this.isTooFar(request)) return { isCurrent: false };
     for (;;) {
       if (this.watches.get(prefix) !== watch || !this.isCurrent(watch)) return { isCurrent: false };
       const changes = watch.mirror.changesAfter(after);
@@ -140,12 +143,19 @@
   answerList(request: PeerRequestOf<'list-prefix'>): PeerAnswers['list-prefix'] {
     const watch = this.watches.get(request.prefix);
     if (watch === undefined || !this.isCurrent(watch)) return { isCurrent: false };
+    if (this.isTooFar(request)) return { isCurrent: false };
     const { snapshot } = watch.mirror;
     const known = this.listAnswers.get(snapshot) ?? { isCurrent: true, ...snapshot };
     this.listAnswers.set(snapshot, known);
     return known;
   }
 
+  /** Whether another relay asks, and this node is no nearer to the store than that one. */
+  private isTooFar({ forRelay = false }: PeerRequestOf<'follow-prefix' | 'list-prefix'>): boolean {
+    const { isFirst = () => true } = this.options;
+    return forRelay && !isFirst();
+  }
+
   /** Whether this node surely hears of changes now. */
   private isCurrent(watch: DirectWatch): boolean {
     const isFollowing =
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -122,6 +122,7 @@
       fleet: () => this.fleet,
       self: node,
       zone,
+      regionOf: topology.spansRegions ? (name) => topology.regionOf(name) ?? name : undefined,
       changeBound: () => options.timings().changeBound,
       prefixes: [FLEET_PREFIX, ...boundPrefixes],
       boundPrefixes,
--- a/src/fleet/relay-choice.ts
+++ b/src/fleet/relay-choice.ts
@@ -2,10 +2,14 @@
  * Which nodes follow the shared store for others, and which of them a follower asks in turn. Each
  * node works this out from the live nodes that it knows; two that disagree for a moment cost a
  * question more, as a node that does not follow the store says so.
+ *
+ * Where a fleet spans regions, one relay of each region reads the store, and the others of the region
+ * read it by way of that one; followers ask the relays of their region before those of another.
  */
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { LocalityName } from '../placement/locality.js';
 import type { Clock } from '../serving/clock.js';
 
 /** Nodes of one zone for each one that follows the store. One relay answers some 90 questions a second. */
@@ -35,6 +39,8 @@
   readonly self: NodeId;
   readonly zone: ZoneName;
   readonly clock: Clock;
+  /** The region of a zone, where the fleet spans several. @default it does not */
+  readonly regionOf?: ((zone: ZoneName) => LocalityName) | undefined;
 }
 
 /** Chooses relays. */
@@ -55,12 +61,40 @@
     const zones = this.nodesByZone(fleet());
     const own = this.relaysOf(zone, zones);
     if (own.includes(self) || own.length === 0) return 'self';
-    const others = [...zones.keys()]
-      .filter((name) => name !== zone)
+    const others = [...zones.keys()].filter((name) => name !== zone);
+    const near = others.filter((name) => this.isInOwnRegion(name));
+    const far = others.filter((name) => !this.isInOwnRegion(name));
+    const relaysIn = (names: ZoneName[]): NodeId[] =>
+      names.flatMap((name) => this.relaysOf(name, zones));
+    const ranked = [own, relaysIn(near), relaysIn(far)].flatMap((nodes) =>
+      rendezvousOrder(self, nodes, (node) => node),
+    );
+    return ranked.filter((node) => this.isUsable(node, clock.now())).slice(0, RELAYS_ASKED);
+  }
+
+  /**
+   * The relay of the own region that reads the store for the others; `undefined` where this node is
+   * that one, is to do without it for a while, or the fleet does not span regions.
+   */
+  firstRelay(): NodeId | undefined {
+    const { fleet, self, zone, clock, regionOf } = this.options;
+    if (regionOf === undefined) return undefined;
+    const zones = this.nodesByZone(fleet());
+    const relays = [...zones.keys()]
+      .filter((name) => this.isInOwnRegion(name))
       .flatMap((name) => this.relaysOf(name, zones));
-    const ranked = [own, others].flatMap((nodes) => rendezvousOrder(self, nodes, (node) => node));
-    const isUsable = (node: NodeId): boolean => clock.now() >= (this.penalizedUntil.get(node) ?? 0);
-    return ranked.filter(isUsable).slice(0, RELAYS_ASKED);
+    const [first] = rendezvousOrder(regionOf(zone), relays, (node) => node);
+    if (first === undefined || first === self) return undefined;
+    return this.isUsable(first, clock.now()) ? first : undefined;
+  }
+
+  private isInOwnRegion(zone: ZoneName): boolean {
+    const { regionOf } = this.options;
+    return regionOf === undefined || regionOf(zone) === regionOf(this.options.zone);
+  }
+
+  private isUsable(node: NodeId, now: Milliseconds): boolean {
+    return now >= (this.penalizedUntil.get(node) ?? 0);
   }
 
   /** Leaves a relay alone for a while. */
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -19,6 +19,7 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { type ChangeBound, DirectPrefixes, longestWatch } from './direct-prefixes.js';
 import { RelayChoice, type RelayChoiceOptions } from './relay-choice.js';
+import { RelayUpstream } from './relay-upstream.js';
 
 /**
  * Shares of the bound for a configuration, which add up to 0.7, and to 0.85 with
@@ -103,8 +104,11 @@
   constructor(private readonly options: WatchRelayOptions) {
     const { fleet } = options;
     const renewalAge = (): Milliseconds => fleet().renewalAge();
-    this.direct = new DirectPrefixes({ ...options, renewalAge });
     this.choice = new RelayChoice(options);
+    const { choice } = this;
+    const upstream = new RelayUpstream({ ...options, choice });
+    const isFirst = (): boolean => choice.firstRelay() === undefined;
+    this.direct = new DirectPrefixes({ ...options, store: upstream, renewalAge, isFirst });
   }
 
   /** The store with its lists and watches by way of other nodes where there is one to ask. */
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -66,9 +66,11 @@
       readonly prefix: string;
       readonly after: Revision;
       readonly wait: Milliseconds;
+      /** Another relay asks, to tell its own followers: only what you follow at the store counts. */
+      readonly forRelay?: boolean;
     }
   /** What lies under a prefix of the shared store, as you saw it there? */
-  | { readonly kind: 'list-prefix'; readonly prefix: string }
+  | { readonly kind: 'list-prefix'; readonly prefix: string; readonly forRelay?: boolean }
   /** Give no more orders as coordinator: the lock is mine, or is about to be. */
   | { readonly kind: 'resign-coordinator' }
   /** What workers began to run for me; told to the holder of the duties. */
--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -46,6 +46,8 @@
   readonly lines: LoggedState[] = [];
   /** Questions to relays, by kind. */
   readonly asked = new Map<string, number>();
+  /** Lists and watches of each node at the store. */
+  readonly callsBy = new Map<string, number>();
   private readonly nodes = new Map<string, RelayedNode>();
   private readonly cutOffSince = new Map<string, Milliseconds>();
   private silencedAt: Milliseconds = Number.NEGATIVE_INFINITY;
@@ -54,6 +56,8 @@
   constructor(
     zones: Readonly<Record<string, string>>,
     private readonly pauses: Pauses = {},
+    /** The region of a zone, where the fleet spans several. */
+    private readonly regionOf?: (zone: string) => string,
   ) {
     this.store.write(`${PREFIX}w1`, 'ready');
     for (const [node, zone] of Object.entries(zones)) this.add(node, zone);
@@ -121,6 +125,11 @@
     return Math.max(...times) - startedAt;
   }
 
+  /** What a node answers to one question for a list. */
+  askOne(node: string, request: PeerRequestOf<'list-prefix'>): unknown {
+    return this.nodes.get(node)?.relay.answerList(request);
+  }
+
   get watchCalls(): number {
     return this.store.calls.get('watch') ?? 0;
   }
@@ -143,6 +152,7 @@
       fleet: () => fleet,
       self: node,
       zone,
+      regionOf: this.regionOf,
       prefixes: [PREFIX],
       boundPrefixes: [PREFIX],
       changeBound: () => CHANGE_BOUND,
@@ -180,10 +190,15 @@
       return { kind: 'failed', effect: 'unknown' } as const;
     };
     const isCut = (): boolean => this.cutOffSince.has(node);
+    const noteCall = (): void => void this.callsBy.set(node, (this.callsBy.get(node) ?? 0) + 1);
     return {
       get: (key) => store.get(key),
-      range: (prefix) => (isCut() ? unanswered(CALL_TIMEOUT) : store.range(prefix)),
+      range: (prefix) => {
+        noteCall();
+        return isCut() ? unanswered(CALL_TIMEOUT) : store.range(prefix);
+      },
       watch: async (prefix, after, wait, signal) => {
+        noteCall();
         if (isCut()) return unanswered(CALL_TIMEOUT);
         const startedAt = PROCESS_CLOCK.now();
         const outcome = await store.watch(prefix, after, wait, signal);
