A region that is cut off: tests of what goes on, and a job offered across where the region can't take it

Cause: found by the test of a region that is cut off from the store alone. Its two owners refused a job at once, and the node that was called tried the store itself, whose answer never came: the caller was told that the outcome is unknown, though any node of the other region could have taken the job.

Change: JobPlacement.offersFor names the nodes that a job is offered to, two as before, and where a fleet spans regions one of the other region after them.

--- a/src/fleet/job-placement.ts
+++ b/src/fleet/job-placement.ts
@@ -40,6 +40,9 @@
 /** Time for which a node that did not answer is not asked to own jobs. */
 const SILENCE_PENALTY: Milliseconds = 3_000;
 
+/** Owners that a job is offered to before the node that took the call runs it itself. */
+const OFFERS = 2;
+
 /** Where the nodes are, as far as one of them knows. */
 export interface LocalityView extends Localities {
   readonly zoneOf: (node: NodeId) => ZoneName | undefined;
@@ -95,12 +98,16 @@
   /**
    * The owners that a job is offered to which a caller handed in here. A zone that serves its own
    * callers hands no job to another one: both could be cut off from each other with the job at both.
-   * A region does where none of its own nodes answers; the store tells whose the job is.
+   * A region does where its own nodes do not take it; the store tells whose the job is.
    */
   offersFor(job: string): NodeId[] {
     const { localities } = this.options;
-    if (localities?.kind !== 'zone') return this.ownersOf(job);
-    return rendezvousOrder(job, this.ownersIn(localities.own), (node) => node);
+    if (localities === undefined) return this.ownersOf(job).slice(0, OFFERS);
+    const near = rendezvousOrder(job, this.ownersIn(localities.own), (node) => node);
+    const own = near.slice(0, OFFERS);
+    if (localities.kind === 'zone') return own;
+    const others = this.ownersOf(job).filter((node) => !near.includes(node));
+    return [...own, ...others.slice(0, 1)];
   }
 
   /**
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -30,9 +30,6 @@
 /** Least time for which a node is asked: less would not take a job in on a calm day. */
 const LEAST_OFFER: Milliseconds = 500;
 
-/** Owners that a job is offered to before the node that took the call runs it itself. */
-const OFFERS = 2;
-
 /** Options of {@link SubmissionRouter}. */
 export interface SubmissionRouterOptions {
   readonly calls: PeerCalls;
@@ -53,7 +50,7 @@
     const { fleet, placement, self, clock, takesJobsAlone } = this.options;
     const deadline = clock.now() + SUBMIT_LIMIT;
     let mayRunElsewhere = false;
-    for (const node of placement.offersFor(spec.id).slice(0, OFFERS)) {
+    for (const node of placement.offersFor(spec.id)) {
       if (node === self.node) {
         if (fleet.isCutOff && !takesJobsAlone()) continue;
         break;
--- /dev/null
+++ b/test/fleet/region-cut.test.ts
@@ -0,0 +1,188 @@
+/**
+ * A fleet over two regions with the store in `north`. `south` is cut off from the other region, or from
+ * the store alone: what it serves, what it refuses, and what becomes of its jobs.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import t from 'tap';
+import { JoinedGateways } from '../../lab/emulator/joined-gateways.js';
+import type { EngineOutcome, EnginePort, EngineRequest } from '../../src/serving/engine-port.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { always, specification } from '../jobs/job-fixtures.js';
+import { answer, events, ScriptedEngine } from '../serving/serving-fixtures.js';
+import { eventually } from './fleet-fixtures.js';
+
+const REGIONS = new Map([
+  ['zone-1', 'north'],
+  ['zone-2', 'south'],
+]);
+const SOUTH = 'zone-2';
+const ITEMS = 6;
+
+/** Time beyond the first call without an answer until a node counts itself as cut off. */
+const CUT_OFF_TIME = 500;
+
+/** Workers that answer each request at once, and items after a while. */
+class RegionalWorkers extends ScriptedEngine implements EnginePort {
+  itemTime = 5;
+
+  override async send(request: EngineRequest, signal: AbortSignal): Promise<EngineOutcome> {
+    this.requests.push(request);
+    if (request.path.startsWith('/look/')) return answer(`from ${request.worker.zone}`);
+    await sleep(this.itemTime, undefined, { signal }).catch(() => {});
+    if (signal.aborted) return { kind: 'failed', mayHaveRun: true, cause: 'cancelled' };
+    return answer(events(0, request.path.at(-1) ?? ''), { isStream: true });
+  }
+
+  /** Zones of the workers that items went to. */
+  itemZones(): Set<string> {
+    const items = this.requests.filter(({ path }) => path.startsWith('/rollouts/'));
+    return new Set(items.map(({ worker }) => worker.zone));
+  }
+}
+
+const CONFIGURATION = {
+  version: 2,
+  routes: [
+    { ...routeOf('lookups', 'site.example', '/look/', 'read_only'), service: 'lookups' },
+    { ...routeOf('rollouts', 'trainer.example', '/rollouts/', 'rollout'), service: 'models' },
+  ],
+  services: [{ name: 'lookups' }, { name: 'models' }],
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 2_000_000,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+  },
+};
+
+function routeOf(name: string, host: string, path: string, kind: string) {
+  return { name, host, path_prefix: path, kind, max_attempts: 2, timeout_ms: 5_000 };
+}
+
+/** Four gateways and a worker of each service in each of two regions. */
+async function startFleet(test: Pick<typeof t, 'teardown'>) {
+  const engine = new RegionalWorkers();
+  const fleet = new JoinedGateways(engine, REGIONS);
+  await fleet.start(8, 2, 2);
+  test.teardown(() => fleet.stop());
+  await fleet.formed();
+  fleet.store.write('op/config', JSON.stringify(CONFIGURATION));
+  for (const zone of REGIONS.keys()) {
+    fleet.register(`lookups-${zone}`, zone);
+    const models = [{ name: 'model-a', version: 1 }];
+    const record = { service: 'models', address: '10.0.0.2:80', zone, slots: 8, state: 'ready' };
+    fleet.store.write(`servers/models-${zone}`, JSON.stringify({ ...record, models }));
+  }
+  await eventually(() =>
+    fleet.gateways.every(
+      ({ node }) => node.registry.all().length === 4 && node.configuration.version === 2,
+    ),
+  );
+  const inSouth = fleet.gateways.filter((_, index) => index % 2 === 1);
+  return { engine, fleet, inSouth };
+}
+
+type Started = Awaited<ReturnType<typeof startFleet>>;
+type Gateway = Started['inSouth'][number];
+
+/** The leases of a region's nodes run out, as the store does not hear of them. */
+function lapseSouth({ fleet, inSouth }: Started): void {
+  for (const { name } of inSouth) fleet.store.erase(`fleet/node/${name}`);
+}
+
+/** Resolves once all nodes of the region know that they do not reach the store. */
+async function cutNoticed({ inSouth }: Started): Promise<void> {
+  const isNoticed = (line: string): boolean => line.includes('store-lost');
+  await eventually(() => inSouth.every(({ lines }) => lines.some(isNoticed)));
+  await sleep(CUT_OFF_TIME);
+}
+
+/** Reads a job at one gateway from position to position until it is whole; its texts in order. */
+async function untilTold({ node }: Gateway, job: string): Promise<readonly string[]> {
+  const texts: string[] = [];
+  while (texts.length < ITEMS) {
+    const read = await node.jobs.read(job, texts.length, 0, UNRESTRICTED);
+    if (!('detail' in read)) texts.push(...read.results.map(({ id, text }) => `${id} ${text}`));
+    await sleep(50);
+  }
+  return texts;
+}
+
+t.test('on a calm day a region serves its own callers and jobs', async (t) => {
+  const { engine, fleet, inSouth } = await startFleet(t);
+  for (const gateway of inSouth) {
+    t.equal((await fleet.ask(gateway, '/look/a', 'x')).body, `from ${SOUTH}`);
+  }
+  const [first] = inSouth;
+  if (first === undefined) return t.fail('no gateway');
+  t.equal(await first.node.submit(specification('job', ITEMS), always), undefined);
+  t.equal((await untilTold(first, 'job')).length, ITEMS);
+  t.same([...engine.itemZones()], [SOUTH]);
+  const owners = fleet.gateways.filter(({ node }) => node.jobs.ownedJobs().length > 0);
+  t.equal(owners.length, 1);
+  t.ok(
+    owners.every((gateway) => inSouth.includes(gateway)),
+    'a node of the region runs the job',
+  );
+});
+
+t.test('a region that is cut off from the other serves lookups and refuses jobs', async (t) => {
+  const started = await startFleet(t);
+  const { engine, fleet, inSouth } = started;
+  fleet.isLinkUp = false;
+  fleet.withoutStore.add('south');
+  await cutNoticed(started);
+  engine.requests.length = 0;
+  for (let round = 0; round < 5; round += 1) {
+    for (const gateway of inSouth) {
+      t.equal((await fleet.ask(gateway, '/look/a', 'x')).body, `from ${SOUTH}`);
+    }
+  }
+  t.ok(engine.requests.every(({ worker }) => worker.zone === SOUTH));
+  const [first] = inSouth;
+  if (first === undefined) return t.fail('no gateway');
+  let isWanted = true;
+  setTimeout(() => {
+    isWanted = false;
+  }, 1_000);
+  const refusal = await first.node.submit(specification('job', ITEMS), () => isWanted);
+  t.ok(refusal !== undefined, 'nothing is promised that only this region would know');
+  fleet.isLinkUp = true;
+  fleet.withoutStore.clear();
+  await eventually(() => fleet.gateways.every(({ node }) => node.liveNodes === 8));
+  t.equal(await first.node.submit(specification('job', ITEMS), always), undefined);
+  t.equal((await untilTold(first, 'job')).length, ITEMS);
+});
+
+t.test('a job of a region that is cut off goes on in the other, and is listed once', async (t) => {
+  const started = await startFleet(t);
+  const { engine, fleet, inSouth } = started;
+  const [first] = inSouth;
+  const inNorth = fleet.gateways.find((gateway) => !inSouth.includes(gateway));
+  if (first === undefined || inNorth === undefined) return t.fail('no gateway');
+  engine.itemTime = 400;
+  t.equal(await first.node.submit(specification('job', ITEMS), always), undefined);
+  fleet.isLinkUp = false;
+  fleet.withoutStore.add('south');
+  lapseSouth(started);
+  const atNorth = await untilTold(inNorth, 'job');
+  t.equal(new Set(atNorth).size, ITEMS, 'each item once');
+  const meanwhile = await first.node.jobs.read('job', 0, 0, UNRESTRICTED);
+  const told = 'detail' in meanwhile ? [] : meanwhile.results;
+  t.same(told, [], 'the region that is cut off tells nothing that the store has not taken');
+  fleet.isLinkUp = true;
+  fleet.withoutStore.clear();
+  t.same(await untilTold(first, 'job'), atNorth, 'the same results at the same positions');
+});
+
+t.test('a region that is cut off from the store alone has jobs taken by the other', async (t) => {
+  const started = await startFleet(t);
+  const { fleet, inSouth } = started;
+  fleet.withoutStore.add('south');
+  await cutNoticed(started);
+  const [first] = inSouth;
+  if (first === undefined) return t.fail('no gateway');
+  t.equal(await first.node.submit(specification('job', ITEMS), always), undefined);
+  t.equal((await untilTold(first, 'job')).length, ITEMS);
+  t.equal((await fleet.ask(first, '/look/a', 'x')).body, `from ${SOUTH}`);
+});
