The adapter's new fields have tests: regions, cold starts, evacuations

Cause: the fields came with the interfaces; the settings' test names all fields and failed on the two new ones. Change: the settings' test expects them, one more says what holds without them; routes', tenants', services' and workers' new fields and the evacuation's key are read in tests.

--- a/test/platform-adapter/configuration.test.ts
+++ b/test/platform-adapter/configuration.test.ts
@@ -142,3 +142,44 @@
     t.same(FEED_TRANSLATION.translate(change), { kind: 'worker-unreadable', worker: 'i-1' });
   }
 });
+
+t.test('regions of routes and tenants, and cold starts of services, are read', async (t) => {
+  const [look, draw] = CONFIGURATION.routes;
+  const parsed = parseConfiguration(
+    JSON.stringify({
+      ...CONFIGURATION,
+      routes: [{ ...look, allowed_regions: ['north'] }, draw],
+      services: [
+        { name: 'one', cold_start_s: 3, cold_per_s: 9 },
+        { name: 'two', cold_start_s: 0, cold_per_s: 0 },
+        { name: 'three' },
+      ],
+      tenants: [{ name: 'a', api_keys: ['k'], allowed_regions: ['north', 'south'] }],
+    }),
+  );
+  t.same(
+    parsed?.routes.map(({ allowedRegions }) => allowedRegions),
+    [['north'], undefined],
+  );
+  t.same(parsed?.tenants?.[0]?.allowedRegions, ['north', 'south']);
+  t.same(
+    parsed?.services.map(({ coldStart }) => coldStart),
+    [{ duration: 3_000, requestsPerSecond: 9 }, undefined, undefined],
+  );
+});
+
+t.test('how long a worker stays cold is read, and unknown where it is not told', async (t) => {
+  const entry = { service: 'one', address: '10.0.0.1:80', zone: 'hall-1', state: 'ready' };
+  const told = parseWorker('w', JSON.stringify({ ...entry, cold_remaining_ms: 1_200 }));
+  t.equal(told?.coldFor, 1_200);
+  t.equal(parseWorker('w', JSON.stringify(entry))?.coldFor, undefined);
+});
+
+t.test('an evacuation begins with its key and ends as the key goes', async (t) => {
+  const key = 'op/evacuate/hall-1';
+  const change = (value: string | undefined) => ({ key, value, revision: 4 });
+  const begun = FEED_TRANSLATION.translate(change('{}'));
+  t.same(begun, { kind: 'zone-evacuated', zone: 'hall-1' });
+  const ended = FEED_TRANSLATION.translate(change(undefined));
+  t.same(ended, { kind: 'zone-returned', zone: 'hall-1' });
+});
--- a/test/platform-adapter/settings.test.ts
+++ b/test/platform-adapter/settings.test.ts
@@ -13,6 +13,10 @@
   'limits.cpu_share=0.675',
   'limits.cores=2',
   'bootstrap=true',
+  'zones.hall-1=north',
+  'zones.hall-2=south',
+  'bounds.cold_overrun=1.5',
+  'bounds.cold_slack=5',
   'bounds.lease_ms=2500',
   'bounds.config_apply_ms=4000',
   'bounds.grace_s=6',
@@ -23,6 +27,11 @@
   t.same(parseSettings(LINES.join('\n')), {
     node: 'front-1',
     zone: 'hall-1',
+    zoneRegions: new Map([
+      ['hall-1', 'north'],
+      ['hall-2', 'south'],
+    ]),
+    coldTolerance: { factor: 1.5, requests: 5 },
     machineClass: 'front',
     ip: '10.0.0.1',
     callerAddress: '10.0.0.1:8161',
@@ -45,6 +54,13 @@
   });
 });
 
+t.test('settings that name no regions and no cold starts leave both out', async (t) => {
+  const lines = LINES.filter((line) => !/^(zones|bounds\.cold)/.test(line));
+  const settings = parseSettings(lines.join('\n'));
+  t.equal(settings.zoneRegions.size, 0);
+  t.same(settings.coldTolerance, { factor: 1, requests: 0 });
+});
+
 t.test('figures may be fractions', async (t) => {
   const lines = LINES.map((line) => line.replace('grace_s=6', 'grace_s=6.5'));
   t.equal(parseSettings(lines.join('\n')).timings.stopLimit, 6_500);
