--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -67,13 +67,21 @@
 export interface CallerCounts {
   lookups: number;
   lookupsServed: number;
+  /** Lookups that were not served, by the status and detail of the answer, or `no answer`. */
+  readonly lookupsUnserved: Record<string, number>;
   steps: number;
   stepsWhole: number;
 }
 
 /** Asks until told to stop. */
 export class SoakCallers {
-  readonly counts: CallerCounts = { lookups: 0, lookupsServed: 0, steps: 0, stepsWhole: 0 };
+  readonly counts: CallerCounts = {
+    lookups: 0,
+    lookupsServed: 0,
+    lookupsUnserved: {},
+    steps: 0,
+    stepsWhole: 0,
+  };
   private isStopped = false;
   private readonly keyCallers: SoakKeyCallers;
   private readonly lethalCallers: SoakLethalCallers;
@@ -128,6 +136,9 @@
       if (answer?.status === 200) {
         this.counts.lookupsServed += 1;
         checker.lookupAnswered(id, answer.body, `${id}:question-${id}`);
+      } else {
+        const outcome = outcomeOf(answer);
+        this.counts.lookupsUnserved[outcome] = (this.counts.lookupsUnserved[outcome] ?? 0) + 1;
       }
       await sleep(40);
     }
@@ -271,6 +282,11 @@
   }
 }
 
+/** Status and body of an answer, which name the kind of a refusal; callers tell them apart by it. */
+function outcomeOf(answer: SoakAnswer | undefined): string {
+  return answer === undefined ? 'no answer' : `${answer.status} ${answer.body}`.slice(0, 120);
+}
+
 function scorerOf(id: string): unknown {
   const body = Buffer.from(`judge ${id}`).toString('base64');
   return { id, host: SOAK_HOST, path: `${SCORE_PREFIX}${id}`, body };
