Scores that find no room in their region go to the other one

Cause: with the cost of the other region, a near worker that has no room left for scores is still ranked before an idle far one, and the scorer then sent nothing.

Change: WorkerRegistry.pickBeyondRegion chooses among the workers of other regions; the scorer asks it where its choice has no room. In a deployment of one region it finds nothing, and choices are as before.

Tests: item-scorer (the new case), way-costs and serving, 428 assertions pass.

--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -94,7 +94,9 @@
       worker.occupancy(now) < Math.max(1, PLACES_SHARE * worker.record.slots);
     const withRoom = (tried: ReadonlySet<string>): KnownWorker | undefined => {
       const worker = registry.pick(service, tried, zone, now, allowed);
-      return worker !== undefined && hasRoom(worker) ? worker : undefined;
+      if (worker === undefined || hasRoom(worker)) return worker;
+      const far = registry.pickBeyondRegion(service, tried, zone, now, allowed);
+      return far !== undefined && hasRoom(far) ? far : undefined;
     };
     const fresh = withRoom(scoring.tried);
     return fresh ?? (scoring.callsUnderWay === 0 ? withRoom(new Set()) : undefined);
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -231,7 +231,29 @@
     now: Milliseconds,
     allowed?: AllowedRegions,
   ): KnownWorker | undefined {
-    const receivers = this.receivers(service, allowed);
+    return this.leastRanked(this.receivers(service, allowed), tried, zone, now);
+  }
+
+  /** The same among the workers of other regions, for work that has to find room and has none in its own. */
+  pickBeyondRegion(
+    service: ServiceName,
+    tried: Pick<ReadonlySet<string>, 'has'>,
+    zone: ZoneName,
+    now: Milliseconds,
+    allowed?: AllowedRegions,
+  ): KnownWorker | undefined {
+    const beyond = this.receivers(service, allowed).filter(
+      ({ record }) => this.distanceBetween(zone, record.zone) === 'other-region',
+    );
+    return this.leastRanked(beyond, tried, zone, now);
+  }
+
+  private leastRanked(
+    receivers: readonly KnownWorker[],
+    tried: Pick<ReadonlySet<string>, 'has'>,
+    zone: ZoneName,
+    now: Milliseconds,
+  ): KnownWorker | undefined {
     const fresh = receivers.filter((worker) => !tried.has(worker.record.id));
     const sound = fresh.filter((worker) => !worker.isPenalized(now));
     const candidates = sound.length > 0 ? sound : fresh;
--- a/test/jobs/item-scorer.test.ts
+++ b/test/jobs/item-scorer.test.ts
@@ -210,3 +210,19 @@
   t.match(await resultsOf(run.node), [{ text: 'a\nb', score: 'new' }]);
   t.equal(run.engine.requests.at(-1)?.requestId, 'another');
 });
+
+/** Workers of scores in `zone-1` leave a quarter of their places to lookups; the far one is idle. */
+t.test('scores that find no room in their region go to the other one', async (t) => {
+  const engine = new ScriptedEngine([text('ab'), scored('far')]);
+  const node = jobNode(new SharedStoreEmulator(), OWNER, engine, undefined, {
+    distanceBetween: (one, other) => (one === other ? 'same-zone' : 'other-region'),
+  });
+  node.registry.put(worker('w1'));
+  node.registry.put(worker('near', { service: 'scorers', slots: 4 }));
+  node.registry.put(worker('far', { service: 'scorers', slots: 4, zone: 'zone-2' }));
+  const near = node.registry.get('near');
+  if (near !== undefined) near.inFlight = 3;
+  await node.service.submit(scoredSpecification('job', 1), always);
+  await workUntil(node, isFinished(node));
+  t.equal(engine.requests.at(-1)?.worker.id, 'far');
+});
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -8,6 +8,7 @@
 import { JobService } from '../../src/jobs/job-service.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
+import type { DistanceBetween } from '../../src/placement/zone-topology.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import type { RequestQuarantine } from '../../src/serving/request-quarantine.js';
@@ -59,6 +60,8 @@
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether the store answers nobody. @default it does not */
   readonly isStoreSilent?: () => boolean;
+  /** How far zones are from each other. @default all are of one region */
+  readonly distanceBetween?: DistanceBetween;
 }
 
 /** Joins the modules. */
@@ -73,7 +76,7 @@
   const { log, lines } = recordingLog();
   const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
-  const registry = new WorkerRegistry();
+  const registry = new WorkerRegistry(undefined, extras.distanceBetween);
   const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
   const routes = (): RouteMatcher => matcher;
   const store = new JobStore(emulator, clock);
