Cold workers are sent requests under permits of one granter

Nothing bounded what all gateways together send to a worker that has just started; each counted for itself. A worker that is not known to be warm now gets a request only under a permit. The coordinator grants them for each life of a worker, by a token bucket that stays within the bound over a second and the time by which a permitted request may be late; a new holder waits until what the one before granted has gone. Permits are void 250 ms after their question was sent, in time that ages in a suspension.

Who is cold: a life whose record or health check says so; doubtful, and treated alike, is a life that is new to the node, and every worker of a zone whose evacuation was taken back, until a look settles it or the cold time is over. Only the granter looks, and only at doubted workers. Services without a cold start are served as before.

Tests of single failures without a network: test/placement/cold-workers.test.ts.

--- a/lab/emulator/crashing-workers.ts
+++ b/lab/emulator/crashing-workers.ts
@@ -101,6 +101,10 @@
     return this.live.has(id) ? 'lives' : 'ended';
   }
 
+  async coldTimeOf(): Promise<undefined> {
+    return undefined;
+  }
+
   async order(): Promise<OrderOutcome> {
     return 'refused';
   }
--- a/lab/proofs/durable-jobs/score-desk.ts
+++ b/lab/proofs/durable-jobs/score-desk.ts
@@ -56,6 +56,10 @@
     return 'lives';
   }
 
+  async coldTimeOf(): Promise<undefined> {
+    return undefined;
+  }
+
   async order(): Promise<'refused'> {
     return 'refused';
   }
--- /dev/null
+++ b/src/fleet/cold-workers.ts
@@ -0,0 +1,225 @@
+/**
+ * One node's part in sparing cold workers: it learns which are cold, asks the granter for permits, and grants them
+ * while it is the coordinator. The decisions are in `src/placement`; here they meet the fleet.
+ */
+import type { NodeId, ZoneName } from '../core/identity.js';
+import { type Milliseconds, type Revision, SECOND } from '../core/units.js';
+import { NOT_GRANTER, type PermitAnswer, type PermitWish } from '../placement/cold-permits.js';
+import type { ColdTolerance } from '../placement/cold-tolerance.js';
+import { ColdWorkerRule } from '../placement/cold-worker-rule.js';
+import { type GranterState, PermitGranter } from '../placement/permit-granter.js';
+import { WorkerWarmth } from '../placement/worker-warmth.js';
+import { ageingTime, type Clock } from '../serving/clock.js';
+import type { ColdStart, Service, WorkerRecord } from '../serving/traffic-configuration.js';
+import { lifeOf } from '../serving/worker-life.js';
+import type { WorkerRegistry } from '../serving/worker-registry.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import { LOCK_VALIDITY } from './coordinator-lock.js';
+
+/** Least time between two questions of this node. */
+const ASK_INTERVAL: Milliseconds = 100;
+
+/** Least time between two looks at one worker; a look is a health check, which takes the worker's time. */
+const LOOK_INTERVAL: Milliseconds = 500;
+
+/** Looks under way at once. */
+const MOST_LOOKS = 8;
+
+/** Time between two rounds of counting and forgetting. */
+const REVIEW_INTERVAL: Milliseconds = SECOND;
+
+/** A deployment that names no tolerance wants the rate kept in every second. */
+const NO_TOLERANCE: ColdTolerance = { factor: 1, requests: 0 };
+
+/** Options of {@link ColdWorkers}. */
+export interface ColdWorkersOptions {
+  readonly self: NodeId;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+  readonly tolerance: ColdTolerance | undefined;
+  readonly registry: () => WorkerRegistry;
+  readonly services: () => readonly Service[];
+  /** The node that coordinates, as far as this one knows. */
+  readonly coordinator: () => NodeId | undefined;
+  readonly fencingToken: () => Revision | undefined;
+  /** Asks another node; `undefined` where no answer came in time. */
+  readonly ask: (node: NodeId, wishes: readonly PermitWish[]) => Promise<PermitAnswer | undefined>;
+  /** Asks a worker how long it stays cold. */
+  readonly coldTimeOf: (worker: WorkerRecord) => Promise<Milliseconds | undefined>;
+  /** Whether this node is out of touch with the store, and may miss what the operator does. */
+  readonly isCutOff: () => boolean;
+  /** Some worker may be sent something that it might not before. */
+  readonly freed: () => void;
+}
+
+/** Knows cold workers, and gets and grants permits for them. */
+export class ColdWorkers {
+  /** Holds for all that this node sends. */
+  readonly rule: ColdWorkerRule;
+  private readonly warmth: WorkerWarmth;
+  private readonly granter: PermitGranter;
+  private granterState: GranterState = 'none';
+  private askTimer: NodeJS.Timeout | undefined;
+  private isAsking = false;
+  private nextAskAt: Milliseconds = 0;
+  private nextReviewAt: Milliseconds = 0;
+  private looksUnderWay = 0;
+  private readonly nextLookAt = new Map<string, Milliseconds>();
+
+  constructor(private readonly options: ColdWorkersOptions) {
+    const { clock, metrics, tolerance = NO_TOLERANCE, fencingToken, registry } = options;
+    this.warmth = new WorkerWarmth(clock);
+    const coldStartOf = (name: string): ColdStart | undefined => this.coldStartOf(name);
+    const shared = { clock, metrics, warmth: this.warmth, coldStartOf };
+    this.rule = new ColdWorkerRule({ ...shared, wanted: () => this.askSoon() });
+    this.granter = new PermitGranter({
+      ...shared,
+      tolerance,
+      fencingToken,
+      tokenValidity: LOCK_VALIDITY,
+      workerOf: (id) => registry().get(id)?.record,
+      look: (worker) => this.lookSoon(worker),
+    });
+  }
+
+  /** Takes in a worker's record, new or changed. */
+  noteRecord(record: WorkerRecord): void {
+    this.warmth.noteRecord(record);
+  }
+
+  /** All workers that were there before this node have been told. */
+  noteListed(): void {
+    this.warmth.noteListed();
+  }
+
+  /** A zone is sent work again; its workers may have turned cold meanwhile. */
+  noteReturned(zone: ZoneName): void {
+    const workers = this.coldStarters().filter((worker) => worker.zone === zone);
+    for (const worker of workers) this.warmth.doubt(worker);
+    if (workers.length === 0) return;
+    this.options.log.state('workers-doubted', { workerZone: zone, workers: workers.length });
+  }
+
+  /** Answers another node's wishes. */
+  answer(wishes: readonly PermitWish[]): PermitAnswer {
+    const answer = this.granter.answer(wishes);
+    if (answer.term === undefined) return NOT_GRANTER;
+    const wanted = wishes.reduce((sum, { permits }) => sum + permits, 0);
+    const granted = answer.grants.reduce((sum, { permits }) => sum + permits, 0);
+    const { metrics } = this.options;
+    metrics.count('cold_permits', { state: 'granted' }, granted);
+    metrics.count('cold_permits', { state: 'refused' }, wanted - granted);
+    return answer;
+  }
+
+  /** Regular work. */
+  tick(): void {
+    if (!this.options.services().some(({ coldStart }) => coldStart !== undefined)) return;
+    this.followGranter();
+    const now = this.options.clock.now();
+    if (now < this.nextReviewAt) return;
+    this.nextReviewAt = now + REVIEW_INTERVAL;
+    this.review();
+    if (this.options.isCutOff()) void this.askAboutAll();
+  }
+
+  private followGranter(): void {
+    const { log, metrics } = this.options;
+    const state = this.granter.observe();
+    if (state === this.granterState) return;
+    this.granterState = state;
+    log.state('cold-permits-granter', { state });
+    metrics.set('grants_cold_permits', state === 'open' ? 1 : 0);
+  }
+
+  private review(): void {
+    const { registry, metrics, clock } = this.options;
+    const isKnown = (id: string): boolean => registry().get(id) !== undefined;
+    this.warmth.retain(isKnown);
+    this.granter.prune();
+    for (const [id, at] of this.nextLookAt) if (at < clock.now()) this.nextLookAt.delete(id);
+    metrics.set('cold_workers', this.coldStarters().filter((one) => this.isCold(one)).length);
+  }
+
+  private isCold(worker: WorkerRecord): boolean {
+    const coldStart = this.coldStartOf(worker.service);
+    return coldStart !== undefined && this.warmth.of(worker, coldStart).kind !== 'warm';
+  }
+
+  private coldStartOf(service: string): ColdStart | undefined {
+    return this.options.services().find(({ name }) => name === service)?.coldStart;
+  }
+
+  /** Workers of services that have a cold start. */
+  private coldStarters(): WorkerRecord[] {
+    const workers = this.options.registry().all();
+    const isStarter = ({ service }: WorkerRecord): boolean =>
+      this.coldStartOf(service) !== undefined;
+    return workers.map(({ record }) => record).filter(isStarter);
+  }
+
+  /** All that one turn wishes for goes in one question. */
+  private askSoon(): void {
+    if (this.askTimer !== undefined || this.isAsking) return;
+    const pause = Math.max(0, this.nextAskAt - this.options.clock.now());
+    this.askTimer = setTimeout(() => {
+      this.askTimer = undefined;
+      void this.ask(this.rule.takeWishes());
+    }, pause);
+    this.askTimer.unref();
+  }
+
+  /** While the store is silent here, the granter may know of a zone's return that this node missed. */
+  private askAboutAll(): Promise<void> {
+    const wishes = this.coldStarters().map((worker) => ({
+      worker: worker.id,
+      life: lifeOf(worker),
+      permits: 0,
+      doubtAge: undefined,
+    }));
+    return this.ask(wishes);
+  }
+
+  private async ask(wishes: readonly PermitWish[]): Promise<void> {
+    const { clock, registry, freed } = this.options;
+    if (wishes.length === 0 || this.isAsking) return;
+    this.isAsking = true;
+    this.nextAskAt = clock.now() + ASK_INTERVAL;
+    const sentAt = ageingTime(clock);
+    const answer = await this.answerOfGranter(wishes);
+    this.isAsking = false;
+    if (answer === undefined) return;
+    const isAnyFree = this.rule.takeAnswer(answer, sentAt, (id) => registry().get(id)?.record);
+    if (isAnyFree) freed();
+  }
+
+  private async answerOfGranter(wishes: readonly PermitWish[]): Promise<PermitAnswer | undefined> {
+    const { self, coordinator, ask } = this.options;
+    const granter = coordinator();
+    if (granter === undefined) return undefined;
+    return granter === self ? this.answer(wishes) : ask(granter, wishes);
+  }
+
+  private lookSoon(worker: WorkerRecord): void {
+    const now = this.options.clock.now();
+    if (this.looksUnderWay >= MOST_LOOKS || now < (this.nextLookAt.get(worker.id) ?? 0)) return;
+    this.nextLookAt.set(worker.id, now + LOOK_INTERVAL);
+    this.looksUnderWay += 1;
+    void this.look(worker).finally(() => {
+      this.looksUnderWay -= 1;
+    });
+  }
+
+  private async look(worker: WorkerRecord): Promise<void> {
+    const { clock, log, metrics, coldTimeOf } = this.options;
+    const askedAt = clock.now();
+    const coldFor = await coldTimeOf(worker);
+    const found = coldFor === undefined ? 'unknown' : coldFor > 0 ? 'cold' : 'warm';
+    metrics.count('warmth_looks', { found });
+    if (coldFor === undefined) return;
+    this.warmth.noteTold(worker, coldFor, askedAt);
+    log.state('worker-warmth-told', { worker: worker.id, workerZone: worker.zone, coldFor });
+  }
+}
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -15,6 +15,7 @@
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { PeerPort } from '../peers/peer-messages.js';
+import { PERMIT_VALIDITY, type PermitAnswer, type PermitWish } from '../placement/cold-permits.js';
 import type { Clock } from '../serving/clock.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -230,6 +231,13 @@
     return outcome?.kind === 'answered' && outcome.answer.isNoted;
   }
 
+  /** Asks the node that grants permits for cold workers; `undefined` where no answer came in time. */
+  async permits(node: NodeId, wishes: readonly PermitWish[]): Promise<PermitAnswer | undefined> {
+    const request = { kind: 'cold-permits', wishes } as const;
+    const outcome = await this.calls.ask<'cold-permits'>(node, request, PERMIT_VALIDITY);
+    return outcome?.kind === 'answered' ? outcome.answer : undefined;
+  }
+
   /** Tells a node what was at a worker that ended; resolves with whether it knows now. */
   async tellWorkerEnded(node: NodeId, report: CrashReport): Promise<boolean> {
     const request = { kind: 'worker-ended', report } as const;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -32,6 +32,7 @@
 } from '../serving/traffic-configuration.js';
 import { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
+import { ColdWorkers } from './cold-workers.js';
 import { Coordination } from './coordination.js';
 import { CrashReports } from './crash-reports.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
@@ -72,6 +73,7 @@
 export class GatewayNode {
   private readonly topology: ZoneTopology;
   private readonly evacuations = new ZoneEvacuations();
+  private readonly coldWorkers: ColdWorkers;
   readonly registry: WorkerRegistry;
   /** The configuration that this node acts on. */
   readonly configuration: ConfigurationInForce;
@@ -106,7 +108,22 @@
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node, zonesServeAlone: servesAlone = false } = options;
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
-    const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
+    this.coldWorkers = new ColdWorkers({
+      ...{ self: node, clock, log, metrics, tolerance: options.coldTolerance },
+      registry: () => this.registry,
+      services: () => this.configuration.services,
+      coordinator: () => this.coordination.holder,
+      fencingToken: () => this.coordination.lock.fencingToken(),
+      ask: (...question) => peers.permits(...question),
+      coldTimeOf: (worker) => options.engine.coldTimeOf(worker, this.healthPathOf(worker)),
+      isCutOff: () => this.fleet.isCutOff,
+      freed: () => this.dispatcher.schedule(),
+    });
+    const rules = new SendRules([
+      new ResidencyRule(this.topology),
+      this.evacuations,
+      this.coldWorkers.rule,
+    ]);
     this.registry = new WorkerRegistry(rules);
     const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
@@ -158,6 +175,7 @@
       jobs: () => this.jobs,
       relay: () => relay,
       workerEnded: (report) => this.quarantine.take(report, clock.now()),
+      permits: (wishes) => this.coldWorkers.answer(wishes),
       usageTold: (source, counts) => this.coordination.duties?.take(source, counts),
     });
     this.crashReports = new CrashReports({
@@ -273,6 +291,7 @@
 
   private noteWorkersListed(): void {
     this.workersListed = true;
+    this.coldWorkers.noteListed();
     this.openWhenKnown();
   }
 
@@ -291,7 +310,9 @@
   }
 
   private endEvacuation(zone: ZoneName): void {
-    if (this.evacuations.end(zone)) this.noteEvacuations('zone-returned', zone);
+    if (!this.evacuations.end(zone)) return;
+    this.coldWorkers.noteReturned(zone);
+    this.noteEvacuations('zone-returned', zone);
   }
 
   private noteEvacuations(change: 'zone-evacuated' | 'zone-returned', workerZone: ZoneName): void {
@@ -303,6 +324,7 @@
 
   private takeWorker(record: WorkerRecord): void {
     this.roster.put(record);
+    this.coldWorkers.noteRecord(record);
     this.dispatcher.schedule();
   }
 
@@ -367,6 +389,7 @@
 
   private tick(): void {
     this.lookForSuspension();
+    this.coldWorkers.tick();
     this.jobs.tick();
     this.dispatcher.tick();
     if (this.isStopping) return;
--- a/src/fleet/peer-answers.ts
+++ b/src/fleet/peer-answers.ts
@@ -13,6 +13,7 @@
   PeerRequest,
   PeerRequestOf,
 } from '../peers/peer-messages.js';
+import type { PermitAnswer, PermitWish } from '../placement/cold-permits.js';
 import type { Clock } from '../serving/clock.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { CallerIdentity } from '../tenants/tenant.js';
@@ -38,6 +39,8 @@
   readonly weightsNeeded: (need: WeightNeed) => void;
   /** A worker changes weights, or has. */
   readonly weightChanged: (change: WeightChange) => void;
+  /** Called on the coordinator: permits that another node wishes for. */
+  readonly permits: (wishes: readonly PermitWish[]) => PermitAnswer;
   /** Whether this zone takes jobs in while the store is out of reach. */
   readonly takesJobsAlone: () => boolean;
 }
@@ -93,6 +96,8 @@
       case 'weights-change':
         this.options.weightChanged(request.change);
         return { isNoted: true };
+      case 'cold-permits':
+        return this.options.permits(request.wishes);
       case 'need-weights':
         weightsNeeded(request.need);
         return { isNoted: true };
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -8,6 +8,7 @@
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { JournalAnswers, JournalRequest } from '../journal/journal-entries.js';
+import type { PermitAnswer, PermitWish } from '../placement/cold-permits.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { StoreChange, StoreItem } from '../shared-store/shared-store.js';
 import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
@@ -77,6 +78,8 @@
   | { readonly kind: 'worker-ended'; readonly report: CrashReport }
   /** A worker changes weights; told to the nodes that run jobs. */
   | { readonly kind: 'weights-change'; readonly change: WeightChange }
+  /** How warm are these workers, and may I send them requests? Asked of the coordinator. */
+  | { readonly kind: 'cold-permits'; readonly wishes: readonly PermitWish[] }
   /** What a job needs; told to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
@@ -140,6 +143,7 @@
   readonly 'worker-ended': { readonly isNoted: boolean };
   readonly 'usage-counts': { readonly isNoted: boolean };
   readonly 'weights-change': { readonly isNoted: boolean };
+  readonly 'cold-permits': PermitAnswer;
   readonly 'need-weights': { readonly isNoted: boolean };
 }
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -21,6 +21,7 @@
   'take-job': true,
   'worker-ended': true,
   'usage-counts': true,
+  'cold-permits': true,
   'need-weights': true,
   'weights-change': true,
   'resign-coordinator': true,
--- a/src/placement/guarded-engine.ts
+++ b/src/placement/guarded-engine.ts
@@ -17,6 +17,7 @@
   readonly order: EnginePort['order'];
   readonly report: EnginePort['report'];
   readonly standingOf: EnginePort['standingOf'];
+  readonly coldTimeOf: EnginePort['coldTimeOf'];
   readonly forget: EnginePort['forget'];
 
   constructor(private readonly options: GuardedEngineOptions) {
@@ -24,6 +25,7 @@
     this.order = engine.order.bind(engine);
     this.report = engine.report.bind(engine);
     this.standingOf = engine.standingOf.bind(engine);
+    this.coldTimeOf = engine.coldTimeOf.bind(engine);
     this.forget = engine.forget.bind(engine);
   }
 
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -58,6 +58,11 @@
     help: 'Requests that were about to go to a worker and were held back, by obstacle',
     labels: ['obstacle'],
   },
+  cold_permits: {
+    help: 'Permits to send a request to a cold worker, by what became of them at this node',
+    labels: ['state'],
+  },
+  warmth_looks: { help: 'Looks at workers that may be cold, by what they told', labels: ['found'] },
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
 
@@ -69,6 +74,8 @@
   open_jobs: { help: 'Jobs that are run here' },
   running_items: { help: 'Items under way at workers from here' },
   evacuated_zones: { help: 'Zones whose workers are sent nothing, as the operator asked' },
+  cold_workers: { help: 'Workers that are sent requests under permits only' },
+  grants_cold_permits: { help: '1 while this node grants permits for cold workers' },
   is_coordinator: { help: '1 while this node may order weights' },
 } as const;
 
--- a/test/fleet/fleet-peers.test.ts
+++ b/test/fleet/fleet-peers.test.ts
@@ -72,6 +72,7 @@
     jobs: () => JOBS as unknown as JobService,
     relay: unused,
     usageTold: () => t.fail('nobody told usage'),
+    permits: unused,
     workerEnded: unused,
   });
   return { peers, answering, asked, owners: placement.ownersOf(jobId) };
--- /dev/null
+++ b/test/placement/cold-fleet.ts
@@ -0,0 +1,75 @@
+/** Gateways that share one granter of permits for cold workers, in time that a test holds. */
+import type { Milliseconds, Revision } from '../../src/core/units.js';
+import type { PermitAnswer } from '../../src/placement/cold-permits.js';
+import type { ColdTolerance } from '../../src/placement/cold-tolerance.js';
+import { ColdWorkerRule } from '../../src/placement/cold-worker-rule.js';
+import { PermitGranter } from '../../src/placement/permit-granter.js';
+import { SendRules } from '../../src/placement/send-rules.js';
+import { WorkerWarmth } from '../../src/placement/worker-warmth.js';
+import { ageingTime } from '../../src/serving/clock.js';
+import type { ColdStart, WorkerRecord } from '../../src/serving/traffic-configuration.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+
+export const COLD_START: ColdStart = { duration: 3_000, requestsPerSecond: 9 };
+export const TOLERANCE: ColdTolerance = { factor: 1.5, requests: 5 };
+
+/** Requests that may go to one cold worker within a second. */
+export const HARD_BOUND = 18;
+
+/** Time for which a holder may take its token for valid after it lost it. */
+export const TOKEN_VALIDITY: Milliseconds = 1_000;
+
+/** One gateway: what it knows of workers, its permits, and its right to grant. */
+export class ColdGateway {
+  readonly clock = new ManualClock();
+  readonly warmth = new WorkerWarmth(this.clock);
+  readonly metrics = new FleetMetrics();
+  readonly looked: string[] = [];
+  /** The fencing token that it takes for valid. */
+  token: Revision | undefined;
+  wantsPermits = false;
+  readonly granter: PermitGranter;
+  readonly rule: ColdWorkerRule;
+  readonly rules: SendRules;
+
+  constructor(private readonly workers: ReadonlyMap<string, WorkerRecord>) {
+    const coldStartOf = (service: string): ColdStart | undefined =>
+      service === 'service' ? COLD_START : undefined;
+    const shared = { clock: this.clock, warmth: this.warmth, metrics: this.metrics, coldStartOf };
+    this.granter = new PermitGranter({
+      ...shared,
+      tolerance: TOLERANCE,
+      fencingToken: () => this.token,
+      tokenValidity: TOKEN_VALIDITY,
+      workerOf: (id) => workers.get(id),
+      look: ({ id }) => this.looked.push(id),
+    });
+    const wanted = (): void => {
+      this.wantsPermits = true;
+    };
+    this.rule = new ColdWorkerRule({ ...shared, wanted });
+    this.rules = new SendRules([this.rule]);
+  }
+
+  /** Takes in the answer to a question that was sent at `sentAt`. */
+  take(answer: PermitAnswer, sentAt: Milliseconds): boolean {
+    return this.rule.takeAnswer(answer, sentAt, (id) => this.workers.get(id));
+  }
+
+  /** Asks a granter that answers at once. */
+  ask(granter: ColdGateway): PermitAnswer {
+    const sentAt = ageingTime(this.clock);
+    this.wantsPermits = false;
+    const answer = granter.granter.answer(this.rule.takeWishes());
+    this.take(answer, sentAt);
+    return answer;
+  }
+
+  /** Sends requests to a worker as long as the rules let them go, up to a number; tells how many went. */
+  send(worker: WorkerRecord, most: number): number {
+    let sent = 0;
+    while (sent < most && this.rules.admit(worker, undefined) === undefined) sent += 1;
+    return sent;
+  }
+}
--- /dev/null
+++ b/test/placement/cold-workers.test.ts
@@ -0,0 +1,311 @@
+import t from 'tap';
+import { NOT_GRANTER } from '../../src/placement/cold-permits.js';
+import { GRANT_SPREAD, PermitBucket, permitPace } from '../../src/placement/permit-bucket.js';
+import { WorkerWarmth } from '../../src/placement/worker-warmth.js';
+import type { WorkerRecord } from '../../src/serving/traffic-configuration.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+import { worker } from '../serving/serving-fixtures.js';
+import { COLD_START, ColdGateway, HARD_BOUND, TOKEN_VALIDITY, TOLERANCE } from './cold-fleet.js';
+
+const COLD = worker('w1', { coldFor: 3_000 });
+
+/** Time after which a holder that just got the token may grant. */
+const TAKE_OVER = TOKEN_VALIDITY + GRANT_SPREAD + 1_000;
+
+/** Gateways that have just seen a cold worker start; the first one has granted for long. */
+function fleet(count: number, record: WorkerRecord = COLD): ColdGateway[] {
+  const workers = new Map([[record.id, record]]);
+  const gateways = Array.from({ length: count }, () => new ColdGateway(workers));
+  const [granter] = gateways;
+  if (granter === undefined) throw new Error('a fleet has gateways');
+  granter.token = 7;
+  granter.granter.observe();
+  for (const { clock, warmth } of gateways) {
+    warmth.noteListed();
+    clock.time += TAKE_OVER;
+    warmth.noteRecord(record);
+  }
+  return gateways;
+}
+
+function pass(gateways: readonly ColdGateway[], time: number): void {
+  for (const { clock } of gateways) clock.time += time;
+}
+
+t.test('a bucket keeps the bound in every window over which its permits may go', async (t) => {
+  const cases = [
+    [COLD_START, TOLERANCE],
+    [
+      { duration: 3_000, requestsPerSecond: 9 },
+      { factor: 1, requests: 0 },
+    ],
+    [
+      { duration: 3_000, requestsPerSecond: 100 },
+      { factor: 1, requests: 2 },
+    ],
+    [
+      { duration: 3_000, requestsPerSecond: 1 },
+      { factor: 1, requests: 0 },
+    ],
+    [
+      { duration: 3_000, requestsPerSecond: 0.5 },
+      { factor: 1, requests: 0 },
+    ],
+  ] as const;
+  for (const [coldStart, tolerance] of cases) {
+    const pace = permitPace(coldStart, tolerance);
+    const bound = Math.floor(coldStart.requestsPerSecond * tolerance.factor + tolerance.requests);
+    const bucket = new PermitBucket();
+    const grants: number[] = [];
+    for (let now = 0; now < 20_000; now += 7) {
+      const wanted = now % 3_001 < 1_500 ? 5 : 0;
+      for (let left = bucket.take(wanted, pace, now); left > 0; left -= 1) grants.push(now);
+    }
+    const window = 1_000 + GRANT_SPREAD;
+    const most = Math.max(
+      0,
+      ...grants.map((from) => grants.filter((at) => at >= from && at <= from + window).length),
+    );
+    t.ok(most <= bound, `${most} of ${bound}`);
+  }
+});
+
+t.test('a worker of a service without a cold start needs no permit', async (t) => {
+  const [gateway] = fleet(1);
+  t.equal(gateway?.send(worker('w9', { service: 'other' }), 100), 100);
+  t.equal(gateway?.wantsPermits, false);
+});
+
+t.test('no permit, no send; a permit lets one request go, for a short time', async (t) => {
+  const gateways = fleet(2);
+  const [granter, asker] = gateways as [ColdGateway, ColdGateway];
+  t.equal(asker.send(COLD, 5), 0);
+  t.equal(asker.wantsPermits, true);
+  asker.ask(granter);
+  t.equal(asker.send(COLD, 5), 2, 'the two that were granted');
+  pass(gateways, 1_000);
+  asker.send(COLD, 1);
+  asker.ask(granter);
+  pass(gateways, 250);
+  t.equal(asker.send(COLD, 5), 0, 'too old');
+  t.equal(asker.metrics.snapshot()['cold_permits.void'], 2);
+});
+
+t.test(
+  'a lost answer and a silent granter let nothing go, and warmth comes by itself',
+  async (t) => {
+    const gateways = fleet(2);
+    const [granter, asker] = gateways as [ColdGateway, ColdGateway];
+    asker.send(COLD, 1);
+    granter.granter.answer(asker.rule.takeWishes());
+    t.equal(asker.send(COLD, 1), 0);
+    asker.take(NOT_GRANTER, asker.clock.time);
+    t.equal(asker.send(COLD, 1), 0);
+    pass(gateways, 2_900);
+    t.equal(asker.send(COLD, 1), 0);
+    pass(gateways, 300);
+    t.equal(asker.send(COLD, 50), 50, 'warm, without a word of the granter');
+  },
+);
+
+t.test('an asker that is suspended with permits in hand wakes without them', async (t) => {
+  const [granter, asker] = fleet(2) as [ColdGateway, ColdGateway];
+  asker.send(COLD, 1);
+  asker.ask(granter);
+  asker.clock.suspended += 400;
+  t.equal(asker.send(COLD, 5), 0);
+});
+
+t.test('an answer that comes late grants nothing, though it was granted in time', async (t) => {
+  const [granter, asker] = fleet(2) as [ColdGateway, ColdGateway];
+  asker.send(COLD, 1);
+  const sentAt = asker.clock.time;
+  const answer = granter.granter.answer(asker.rule.takeWishes());
+  asker.clock.time += 300;
+  asker.take(answer, sentAt);
+  t.equal(asker.send(COLD, 5), 0);
+});
+
+t.test(
+  'a granter that was suspended under an answer grants nothing that still holds',
+  async (t) => {
+    const [granter, asker] = fleet(2) as [ColdGateway, ColdGateway];
+    asker.send(COLD, 1);
+    const sentAt = asker.clock.time;
+    const wishes = asker.rule.takeWishes();
+    // It stands still for long; another grants meanwhile, and it does not know that yet.
+    asker.clock.time += TAKE_OVER + 5_000;
+    const answer = granter.granter.answer(wishes);
+    asker.warmth.noteTold(COLD, 3_000, asker.clock.time);
+    asker.take(answer, sentAt);
+    t.equal(asker.send(COLD, 5), 0);
+  },
+);
+
+t.test('a new holder waits until what the one before granted has gone', async (t) => {
+  const gateways = fleet(3);
+  const [before, after, asker] = gateways as [ColdGateway, ColdGateway, ColdGateway];
+  asker.send(COLD, 1);
+  asker.ask(before);
+  t.equal(asker.send(COLD, 9), 2);
+  before.token = undefined;
+  after.token = 8;
+  for (let time = 0; time < TAKE_OVER; time += 100) {
+    asker.warmth.noteTold(COLD, 3_000, asker.clock.time);
+    asker.send(COLD, 1);
+    asker.ask(after);
+    t.equal(asker.send(COLD, 9), 0);
+    pass(gateways, 100);
+  }
+  after.warmth.noteTold(COLD, 3_000, after.clock.time);
+  asker.send(COLD, 1);
+  asker.ask(after);
+  t.equal(asker.send(COLD, 9), 2);
+});
+
+t.test('two that both believe to grant for a moment keep the bound together', async (t) => {
+  const gateways = fleet(4);
+  const [before, after, ...askers] = gateways as [ColdGateway, ColdGateway, ...ColdGateway[]];
+  after.token = 8;
+  const sentAt: number[] = [];
+  for (let time = 0; time < TAKE_OVER + 3_000; time += 20) {
+    // The holder of before learns of its loss as late as its token allows.
+    if (time >= TOKEN_VALIDITY) before.token = undefined;
+    for (const [index, asker] of askers.entries()) {
+      for (const { warmth, clock } of gateways) warmth.noteTold(COLD, 3_000, clock.time);
+      asker.send(COLD, 1);
+      const mayKnowOnlyBefore = index === 0 && before.token !== undefined;
+      asker.ask(mayKnowOnlyBefore ? before : after);
+      const sent = asker.send(COLD, 9);
+      for (let left = sent; left > 0; left -= 1) sentAt.push(time);
+    }
+    pass(gateways, 20);
+  }
+  const within = (from: number): number =>
+    sentAt.filter((at) => at >= from && at <= from + 1_000).length;
+  t.ok(sentAt.some((at) => at < TOKEN_VALIDITY) && sentAt.some((at) => at > TAKE_OVER));
+  t.ok(Math.max(...sentAt.map(within)) <= HARD_BOUND);
+});
+
+t.test('a grant under an older term than one that was seen is not used', async (t) => {
+  const gateways = fleet(3);
+  const [before, after, asker] = gateways as [ColdGateway, ColdGateway, ColdGateway];
+  after.token = 8;
+  asker.send(COLD, 1);
+  asker.ask(after);
+  asker.send(COLD, 1);
+  asker.ask(before);
+  t.equal(asker.send(COLD, 9), 0);
+});
+
+t.test('a holder that is cut off from the store grants nothing', async (t) => {
+  const [granter, asker] = fleet(2) as [ColdGateway, ColdGateway];
+  asker.send(COLD, 1);
+  granter.token = undefined;
+  t.same(asker.ask(granter), NOT_GRANTER);
+  t.equal(asker.send(COLD, 9), 0);
+});
+
+t.test(
+  'a gateway that has just started takes warm workers for doubtful until it is told',
+  async (t) => {
+    const warm = worker('w1', { coldFor: 0 });
+    const [granter] = fleet(1, warm) as [ColdGateway];
+    granter.warmth.noteTold(warm, 0, granter.clock.time + 1);
+    const started = new ColdGateway(new Map([[warm.id, warm]]));
+    started.warmth.noteRecord(warm);
+    started.warmth.noteListed();
+    t.equal(started.send(warm, 1), 0);
+    started.clock.time += 1;
+    started.ask(granter);
+    t.equal(started.send(warm, 50), 50);
+    t.same(granter.looked, [], 'the granter knew');
+  },
+);
+
+t.test('a record of a worker that was there before says nothing of now', async (t) => {
+  const [granter] = fleet(1) as [ColdGateway];
+  granter.clock.time += 10_000;
+  const started = new ColdGateway(new Map([[COLD.id, COLD]]));
+  started.clock.time = granter.clock.time;
+  started.warmth.noteRecord(COLD);
+  started.warmth.noteListed();
+  started.send(COLD, 1);
+  started.clock.time += 1;
+  started.ask(granter);
+  t.equal(started.send(COLD, 50), 50, 'it was cold long ago');
+});
+
+t.test(
+  'after the return of a zone its workers are doubted, also by a granter that learns late',
+  async (t) => {
+    const gateways = fleet(2);
+    const [granter, asker] = gateways as [ColdGateway, ColdGateway];
+    pass(gateways, 10_000);
+    t.equal(asker.send(COLD, 50), 50);
+    asker.warmth.doubt(COLD);
+    t.equal(asker.send(COLD, 1), 0);
+    pass(gateways, 20);
+    asker.ask(granter);
+    t.same(granter.looked, ['w1'], 'the granter has not heard of the return');
+    t.equal(asker.send(COLD, 9), 2, 'under permits');
+    granter.warmth.noteTold(COLD, 2_000, granter.clock.time);
+    asker.send(COLD, 1);
+    asker.ask(granter);
+    pass(gateways, 1_900);
+    t.equal(asker.warmth.of(COLD, COLD_START).kind, 'cold', 'as the worker told');
+    pass(gateways, 300);
+    asker.send(COLD, 1);
+    asker.ask(granter);
+    t.equal(asker.send(COLD, 50), 50);
+  },
+);
+
+t.test('a look that was begun before the return does not settle the doubt', async (t) => {
+  const clock = new ManualClock();
+  const warmth = new WorkerWarmth(clock);
+  warmth.noteRecord(COLD);
+  const askedAt = clock.time;
+  clock.time += 50;
+  warmth.doubt(COLD);
+  warmth.noteTold(COLD, 0, askedAt);
+  t.equal(warmth.of(COLD, COLD_START).kind, 'doubtful');
+  clock.time += 10;
+  warmth.noteTold(COLD, 0, clock.time);
+  t.equal(warmth.of(COLD, COLD_START).kind, 'warm');
+});
+
+t.test(
+  'a worker that starts again under its id is cold again; a record that lags says nothing',
+  async (t) => {
+    const clock = new ManualClock();
+    const warmth = new WorkerWarmth(clock);
+    warmth.noteListed();
+    const first = worker('w1', { startedAt: 1_000, coldFor: 3_000 });
+    const second = worker('w1', { startedAt: 9_000, coldFor: 3_000 });
+    warmth.noteRecord(first);
+    clock.time += 8_000;
+    t.equal(warmth.of(first, COLD_START).kind, 'warm');
+    warmth.noteRecord(second);
+    t.equal(warmth.of(second, COLD_START).kind, 'cold');
+    warmth.noteRecord(first);
+    t.equal(warmth.of(second, COLD_START).kind, 'cold');
+    clock.time += 4_000;
+    warmth.noteRecord({ ...second, coldFor: 2_000 });
+    t.equal(warmth.of(second, COLD_START).kind, 'cold', 'its record says so again');
+    warmth.noteRecord({ ...second, coldFor: 0 });
+    t.equal(warmth.of(second, COLD_START).kind, 'cold', 'no record shortens it');
+  },
+);
+
+t.test('a new life that tells no cold time is doubtful as long as a start takes', async (t) => {
+  const clock = new ManualClock();
+  const warmth = new WorkerWarmth(clock);
+  warmth.noteListed();
+  const untold = worker('w1');
+  warmth.noteRecord(untold);
+  clock.time += 2_900;
+  t.equal(warmth.of(untold, COLD_START).kind, 'doubtful');
+  clock.time += 300;
+  t.equal(warmth.of(untold, COLD_START).kind, 'warm');
+});
--- a/test/placement/send-rules.test.ts
+++ b/test/placement/send-rules.test.ts
@@ -84,6 +84,7 @@
       order: async () => 'holds',
       report: async () => undefined,
       standingOf: async () => 'lives',
+      coldTimeOf: async () => undefined,
       forget: () => {},
       send: async ({ requestId }: EngineRequest) => {
         sent.push(requestId);
--- a/test/serving/serving-fixtures.ts
+++ b/test/serving/serving-fixtures.ts
@@ -179,6 +179,10 @@
     return 'lives';
   }
 
+  async coldTimeOf(): Promise<undefined> {
+    return undefined;
+  }
+
   forget(worker: string): void {
     this.forgotten.push(worker);
   }
