The return of a cold zone under load, played in three ways; a granter that asks itself

What another node tells now has no further margin; a test without the play shows it.

The play: 8 workers come back cold for 3 s, three zones bear 480 of 600 requests a second; one sender is suspended, the granter killed.

--- a/src/placement/cold-worker-rule.ts
+++ b/src/placement/cold-worker-rule.ts
@@ -108,9 +108,7 @@
     sentAt: Milliseconds,
   ): boolean {
     const { warmth, clock } = this.options;
-    const askedAt = sentAt - clock.suspendedTime();
-    if (told.kind === 'warm') warmth.noteTold(worker, 0, askedAt);
-    if (told.kind === 'cold') warmth.noteTold(worker, told.remaining, askedAt);
+    warmth.noteShared(worker, told, sentAt - clock.suspendedTime());
     if (permits > 0) this.keep(life, permits, sentAt + PERMIT_VALIDITY);
     return told.kind === 'warm' || this.inHand(life) !== undefined;
   }
--- a/src/placement/worker-warmth.ts
+++ b/src/placement/worker-warmth.ts
@@ -58,7 +58,7 @@
     if (known.life !== lifeOf(record) || known.recordedColdFor === record.coldFor) return;
     known.recordedColdFor = record.coldFor;
     const remaining = record.coldFor ?? 0;
-    if (remaining > 0) this.lengthen(known, remaining);
+    if (remaining > 0) this.lengthen(known, remaining + COLD_MARGIN);
   }
 
   /** Something happened after which a worker may be cold. */
@@ -70,6 +70,19 @@
 
   /** The worker told how long it stays cold, asked at `askedAt`; an earlier doubt is settled by that. */
   noteTold(record: WorkerRecord, remaining: Milliseconds, askedAt: Milliseconds): void {
+    this.noteLook(record, remaining > 0 ? remaining + COLD_MARGIN : 0, askedAt);
+  }
+
+  /**
+   * Another node, asked at `askedAt`, told what it knows. Its margin is in that: with one more in each
+   * answer, a node that answers itself would never take a worker for warm again.
+   */
+  noteShared(record: WorkerRecord, warmth: Warmth, askedAt: Milliseconds): void {
+    if (warmth.kind === 'doubtful') return;
+    this.noteLook(record, warmth.kind === 'cold' ? warmth.remaining : 0, askedAt);
+  }
+
+  private noteLook(record: WorkerRecord, remaining: Milliseconds, askedAt: Milliseconds): void {
     const known = this.known(record);
     known.lookedAt = Math.max(known.lookedAt, askedAt);
     if (remaining > 0) this.lengthen(known, remaining);
@@ -127,6 +140,6 @@
   }
 
   private lengthen(known: KnownLife, remaining: Milliseconds): void {
-    known.coldUntil = Math.max(known.coldUntil, this.clock.now() + remaining + COLD_MARGIN);
+    known.coldUntil = Math.max(known.coldUntil, this.clock.now() + remaining);
   }
 }
--- a/test/placement/cold-workers.test.ts
+++ b/test/placement/cold-workers.test.ts
@@ -309,3 +309,13 @@
   clock.time += 300;
   t.equal(warmth.of(untold, COLD_START).kind, 'warm');
 });
+
+t.test('a granter that asks itself takes a worker for warm in time', async (t) => {
+  const [granter] = fleet(1) as [ColdGateway];
+  for (let time = 0; time < 3_200; time += 50) {
+    granter.send(COLD, 1);
+    granter.ask(granter);
+    granter.clock.time += 50;
+  }
+  t.equal(granter.send(COLD, 50), 50);
+});
--- /dev/null
+++ b/test/placement/zone-return.ts
@@ -0,0 +1,308 @@
+/**
+ * A zone's workers come back together, cold, while the other zones are at their limit; one of the nodes that send is
+ * suspended meanwhile, and the one that grants permits is killed. Time passes in steps; nothing is random.
+ */
+import { rendezvousOrder } from '../../src/core/hashing.js';
+import type { Milliseconds } from '../../src/core/units.js';
+import { PermitBucket, type PermitPace, permitPace } from '../../src/placement/permit-bucket.js';
+import type { SendObstacle, SendRule } from '../../src/placement/send-rules.js';
+import { SendRules } from '../../src/placement/send-rules.js';
+import type { WorkerRecord } from '../../src/serving/traffic-configuration.js';
+import { worker } from '../serving/serving-fixtures.js';
+import { COLD_START, ColdGateway, HARD_BOUND, TOLERANCE } from './cold-fleet.js';
+
+/** How cold workers are spared: not at all, by few senders that share the rate, or by permits. */
+export type Way = 'none' | 'shares' | 'permits';
+
+/** What became of the callers, and the most that any cold worker was sent within a second. */
+export interface ReturnOutcome {
+  servedInTime: number;
+  servedLate: number;
+  /** Had to wait for a place for more than {@link LONG_WAIT}. */
+  waited: number;
+  refused: number;
+  /** Cold workers that were sent more than they bear, and ended. */
+  fallen: number;
+  mostInOneSecond: number;
+  /** Requests to workers while they were cold. */
+  sentToCold: number;
+}
+
+const STEP: Milliseconds = 10;
+const END: Milliseconds = 15_000;
+const ZONES = ['zone-1', 'zone-2', 'zone-3', 'zone-4'];
+const WORKERS_OF_ZONE = 8;
+const SLOTS = 6;
+const GATEWAYS = 4;
+const WORK: Milliseconds = 300;
+const IN_TIME: Milliseconds = 600;
+const LONG_WAIT: Milliseconds = 100;
+const PATIENCE: Milliseconds = 2_000;
+/** Three zones bear 480 a second, four 640. */
+const REQUESTS_PER_STEP = 6;
+const RETURN_AT: Milliseconds = 1_000;
+const FALL_TIME: Milliseconds = 2_000;
+const GRANTER = 0;
+const GRANTER_KILLED_AT: Milliseconds = 2_500;
+/** The lock's lease has lapsed, and another gateway has the lock. */
+const NEXT_GRANTER_AT: Milliseconds = 4_500;
+const SUSPENDED = 3;
+const SUSPENSION = { from: 1_800, to: 2_600 } as const;
+const VIEW_DELAY: Milliseconds = 1_000;
+const ANSWER_TIME: Milliseconds = 20;
+const ASK_INTERVAL: Milliseconds = 100;
+
+/**
+ * The other way: the first two nodes in an order of a worker's own share its rate. Two nodes may differ
+ * in whom they take for alive, so four may believe to be among the two, and each has a fourth.
+ */
+class SharedRate implements SendRule {
+  private readonly buckets = new Map<string, PermitBucket>();
+
+  constructor(
+    private readonly gateway: ColdGateway,
+    private readonly name: string,
+    private readonly alive: () => readonly string[],
+  ) {}
+
+  obstacleTo(record: WorkerRecord): SendObstacle | undefined {
+    if (this.gateway.warmth.of(record, COLD_START).kind === 'warm') return undefined;
+    const senders = rendezvousOrder(record.id, this.alive(), (name) => name).slice(0, 2);
+    if (!senders.includes(this.name)) return 'worker-cold';
+    const bucket = this.buckets.get(record.id) ?? new PermitBucket();
+    this.buckets.set(record.id, bucket);
+    return bucket.take(1, this.pace(), this.gateway.clock.now()) > 0 ? undefined : 'worker-cold';
+  }
+
+  private pace(): PermitPace {
+    const { rate } = permitPace(COLD_START, TOLERANCE);
+    return { rate: rate / 4, saved: 1 };
+  }
+}
+
+interface Request {
+  readonly cameAt: Milliseconds;
+  readonly gateway: number;
+}
+
+interface PermitsUnderWay {
+  readonly gateway: number;
+  readonly at: Milliseconds;
+  readonly take: () => void;
+}
+
+class Worker {
+  running: { readonly request: Request; readonly endsAt: Milliseconds }[] = [];
+  sentWhileCold: Milliseconds[] = [];
+  constructor(
+    readonly record: WorkerRecord,
+    public coldUntil: Milliseconds,
+    public downUntil: Milliseconds,
+  ) {}
+}
+
+/** Plays the return of a zone in one of the ways. */
+export function playReturn(way: Way): ReturnOutcome {
+  return new ZoneReturn(way).play();
+}
+
+class ZoneReturn {
+  private now: Milliseconds = 0;
+  private came = 0;
+  private waiting: Request[] = [];
+  private readonly workers: Worker[] = [];
+  private readonly gateways: ColdGateway[];
+  private readonly rules: SendRules[];
+  private readonly nextAskAt = Array.from({ length: GATEWAYS }, () => 0);
+  private answers: PermitsUnderWay[] = [];
+  private readonly outcome: ReturnOutcome = {
+    ...{ servedInTime: 0, servedLate: 0, waited: 0, refused: 0 },
+    ...{ fallen: 0, mostInOneSecond: 0, sentToCold: 0 },
+  };
+
+  constructor(private readonly way: Way) {
+    const records = new Map<string, WorkerRecord>();
+    for (const zone of ZONES) {
+      const isAway = zone === ZONES.at(-1);
+      for (let index = 0; index < WORKERS_OF_ZONE; index += 1) {
+        const coldFor = isAway ? COLD_START.duration : 0;
+        const record = worker(`${zone}-${index}`, { zone, slots: SLOTS, coldFor });
+        records.set(record.id, record);
+        const coldUntil = isAway ? RETURN_AT + COLD_START.duration : 0;
+        this.workers.push(new Worker(record, coldUntil, isAway ? RETURN_AT : 0));
+      }
+    }
+    this.gateways = Array.from({ length: GATEWAYS }, () => new ColdGateway(records));
+    this.rules = this.gateways.map((gateway, index) => new SendRules(this.rulesOf(gateway, index)));
+    this.startGateways();
+  }
+
+  private rulesOf(gateway: ColdGateway, index: number): SendRule[] {
+    if (this.way === 'none') return [];
+    if (this.way === 'permits') return [gateway.rule];
+    return [new SharedRate(gateway, `g${index}`, () => this.aliveInView())];
+  }
+
+  /** All of them have been there for long, and the first one grants. */
+  private startGateways(): void {
+    for (const [index, gateway] of this.gateways.entries()) {
+      if (index === GRANTER) gateway.token = 1;
+      gateway.granter.observe();
+      gateway.warmth.noteListed();
+      for (const { record, downUntil } of this.workers) {
+        if (downUntil === 0) gateway.warmth.noteRecord(record);
+      }
+      gateway.clock.time += 60_000;
+    }
+  }
+
+  play(): ReturnOutcome {
+    for (; this.now < END; this.now += STEP) {
+      this.passTime();
+      this.learnOfReturn();
+      this.followGranter();
+      this.takeIn();
+      this.finishWork();
+      this.dispatch();
+      this.askForPermits();
+    }
+    return this.outcome;
+  }
+
+  private isAlive(index: number): boolean {
+    return index !== GRANTER || this.now < GRANTER_KILLED_AT;
+  }
+
+  private isUp(index: number): boolean {
+    if (!this.isAlive(index)) return false;
+    return index !== SUSPENDED || this.now < SUSPENSION.from || this.now >= SUSPENSION.to;
+  }
+
+  private aliveInView(): string[] {
+    const isGranterMissed = this.now >= GRANTER_KILLED_AT + VIEW_DELAY;
+    return this.gateways.map((_, index) => `g${index}`).slice(isGranterMissed ? 1 : 0);
+  }
+
+  /** A suspended machine's steady clock stands still; what it lacks is told once it wakes. */
+  private passTime(): void {
+    for (const [index, { clock }] of this.gateways.entries()) {
+      if (this.isUp(index)) clock.time += STEP;
+      else clock.suspended += STEP;
+    }
+  }
+
+  /** Each gateway reads the new records a little later than the one before. */
+  private learnOfReturn(): void {
+    for (const [index, { warmth }] of this.gateways.entries()) {
+      if (this.now !== RETURN_AT + 100 * index) continue;
+      for (const { record, downUntil } of this.workers) {
+        if (downUntil !== 0) warmth.noteRecord(record);
+      }
+    }
+  }
+
+  private followGranter(): void {
+    const next = this.gateways[GRANTER + 1];
+    if (this.now === NEXT_GRANTER_AT && next !== undefined) next.token = 2;
+    for (const [index, gateway] of this.gateways.entries()) {
+      if (this.isUp(index)) gateway.granter.observe();
+    }
+  }
+
+  private takeIn(): void {
+    for (let count = 0; count < REQUESTS_PER_STEP; count += 1) {
+      const first = this.came % GATEWAYS;
+      this.came += 1;
+      const gateway = this.isAlive(first) ? first : first + 1;
+      this.waiting.push({ cameAt: this.now, gateway });
+    }
+  }
+
+  private finishWork(): void {
+    for (const one of this.workers) {
+      const done = one.running.filter(({ endsAt }) => endsAt <= this.now);
+      one.running = one.running.filter(({ endsAt }) => endsAt > this.now);
+      for (const { request } of done) {
+        if (this.now - request.cameAt <= IN_TIME) this.outcome.servedInTime += 1;
+        else this.outcome.servedLate += 1;
+      }
+    }
+  }
+
+  private dispatch(): void {
+    const left: Request[] = [];
+    for (const request of this.waiting) {
+      if (this.now - request.cameAt > PATIENCE) this.outcome.refused += 1;
+      else if (!this.isUp(this.ownerOf(request)) || !this.start(request)) left.push(request);
+    }
+    this.waiting = left;
+  }
+
+  /** A killed gateway's work is another's at once. */
+  private ownerOf({ gateway }: Request): number {
+    return this.isAlive(gateway) ? gateway : gateway + 1;
+  }
+
+  private start(request: Request): boolean {
+    const owner = this.ownerOf(request);
+    const knows = (one: Worker): boolean =>
+      one.downUntil === 0 || this.now >= RETURN_AT + 100 * owner;
+    const free = this.workers.filter(
+      (one) => one.running.length < SLOTS && this.now >= one.downUntil && knows(one),
+    );
+    free.sort((one, other) => one.running.length - other.running.length);
+    const best = free.find((one) => this.rules[owner]?.admit(one.record, undefined) === undefined);
+    if (best === undefined) return false;
+    if (this.now - request.cameAt > LONG_WAIT) this.outcome.waited += 1;
+    best.running.push({ request, endsAt: this.now + WORK });
+    if (this.now < best.coldUntil) this.noteSentToCold(best);
+    return true;
+  }
+
+  private noteSentToCold(one: Worker): void {
+    one.sentWhileCold.push(this.now);
+    const within = one.sentWhileCold.filter((at) => at >= this.now - 1_000).length;
+    this.outcome.sentToCold += 1;
+    this.outcome.mostInOneSecond = Math.max(this.outcome.mostInOneSecond, within);
+    if (within > HARD_BOUND) this.fall(one);
+  }
+
+  private fall(one: Worker): void {
+    this.outcome.fallen += 1;
+    this.waiting.push(...one.running.map(({ request }) => request));
+    one.running = [];
+    one.sentWhileCold = [];
+    one.downUntil = this.now + FALL_TIME;
+    one.coldUntil = one.downUntil + COLD_START.duration;
+  }
+
+  private askForPermits(): void {
+    if (this.way !== 'permits') return;
+    for (const [index, gateway] of this.gateways.entries()) {
+      if (!this.isUp(index)) continue;
+      this.hearAnswers(index);
+      if (!gateway.wantsPermits || this.now < (this.nextAskAt[index] ?? 0)) continue;
+      this.nextAskAt[index] = this.now + ASK_INTERVAL;
+      this.ask(gateway, index);
+    }
+  }
+
+  private ask(gateway: ColdGateway, index: number): void {
+    const granter = this.now < NEXT_GRANTER_AT ? GRANTER : GRANTER + 1;
+    gateway.wantsPermits = false;
+    const wishes = gateway.rule.takeWishes();
+    if (!this.isUp(granter)) return;
+    const way = granter === index ? 0 : ANSWER_TIME;
+    const sentAt = gateway.clock.now() + gateway.clock.suspendedTime();
+    const answer = this.gateways[granter]?.granter.answer(wishes);
+    if (answer === undefined) return;
+    const take = (): void => void gateway.take(answer, sentAt);
+    this.answers.push({ gateway: index, at: this.now + way, take });
+  }
+
+  private hearAnswers(index: number): void {
+    const mine = this.answers.filter((one) => one.gateway === index && one.at <= this.now);
+    this.answers = this.answers.filter((one) => !mine.includes(one));
+    for (const { take } of mine) take();
+  }
+}
