--- a/test/platform-adapter/worker-standing.test.ts
+++ b/test/platform-adapter/worker-standing.test.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import net, { type AddressInfo } from 'node:net';
 import t from 'tap';
-import { askStanding } from '../../platform/worker-standing.js';
+import { askColdTime, askStanding } from '../../platform/worker-standing.js';
 import { worker } from '../serving/serving-fixtures.js';
 
 const HEALTH = '/health';
@@ -61,3 +61,23 @@
   );
   t.equal(await askStanding(worker('w1', { address }), HEALTH), 'unknown');
 });
+
+t.test('a health answer tells how long a worker stays cold', async (t) => {
+  const cases = [
+    [{ 'x-wardwing-cold-ms': '1250' }, 1_250],
+    [{ 'x-wardwing-cold-ms': '0' }, 0],
+    [{}, undefined],
+    [{ 'x-wardwing-cold-ms': 'soon' }, undefined],
+    [{ 'x-wardwing-cold-ms': '-5' }, undefined],
+    [{ 'x-wardwing-cold-ms': '1250', 'x-wardwing-instance-id': 'w2' }, undefined],
+  ] as const;
+  for (const [headers, coldFor] of cases) {
+    const server = http.createServer((_request, response) => {
+      response.writeHead(503, headers).end();
+    });
+    const address = await listening(t, server);
+    t.equal(await askColdTime(worker('w1', { address }), HEALTH), coldFor);
+  }
+  const nobody = worker('w1', { address: '127.0.0.1:1' });
+  t.equal(await askColdTime(nobody, HEALTH), undefined);
+});
