--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -24,7 +24,8 @@
     | 'fencing'
     | 'ended-job'
     | 'query-of-death'
-    | 'leaving-worker';
+    | 'leaving-worker'
+    | 'cold-worker';
   readonly detail: string;
   /** Milliseconds since the soak began. */
   readonly at: Milliseconds;
@@ -109,6 +110,11 @@
     this.check(status !== 200, 'query-of-death', `${path} was answered with ${status}`);
   }
 
+  /** A request came to a cold worker; `excess` tells how many came within a second where it bears fewer. */
+  coldRequestCame(worker: string, excess: number | undefined): void {
+    this.check(excess === undefined, 'cold-worker', `${worker} got ${excess} within a second`);
+  }
+
   /** A lookup got a success with this body. */
   lookupAnswered(request: string, body: string, expected: string): void {
     this.check(body === expected, 'complete-answer', `${request} got ${body.slice(0, 60)}`);
--- a/lab/soak/soak-configuration.ts
+++ b/lab/soak/soak-configuration.ts
@@ -1,4 +1,5 @@
 /** The configuration of the soak as the operator writes it. */
+import { COLD } from './cold-request-counter.js';
 import { LOOKUP_PREFIX, ROLLOUT_PREFIX, SOAK_HOST } from './soak-call.js';
 import type { SoakTenantKeys } from './soak-keys.js';
 import { SCORE_PREFIX } from './worker-stand-in.js';
@@ -42,7 +43,12 @@
       },
     ],
     services: [
-      { name: MODEL_SERVICE, engine: { models: [{ name: MODEL }] } },
+      {
+        name: MODEL_SERVICE,
+        engine: { models: [{ name: MODEL }] },
+        cold_start_s: COLD.seconds,
+        cold_per_s: COLD.requestsPerSecond,
+      },
       { name: LOOKUP_SERVICE },
     ],
     tenants,
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
 import type { PlatformStore } from './platform-store.js';
+import { MODEL_SERVICE } from './soak-configuration.js';
 import { WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
 
 /** A place for a worker; its lives follow each other there. */
@@ -29,7 +30,10 @@
   constructor(
     private readonly store: PlatformStore,
     private readonly random: RandomSource,
-    private readonly surroundings: Omit<WorkerSurroundings, 'onChange' | 'onLethal'>,
+    private readonly surroundings: Omit<
+      WorkerSurroundings,
+      'onChange' | 'onLethal' | 'bearsLittleWhenCold'
+    >,
     private readonly newestVersion: () => WeightVersion,
   ) {}
 
@@ -77,6 +81,7 @@
     const worker = new WorkerStandIn(id, this.newestVersion(), {
       ...this.surroundings,
       onChange,
+      bearsLittleWhenCold: service === MODEL_SERVICE,
       onLethal: (ended) => this.endUnderRequest(ended),
     });
     const link = new TcpProxy({ target: await worker.start() });
@@ -99,7 +104,7 @@
       version: 'v1',
       slots: 8,
       state: worker.isLeaving ? 'draining' : 'ready',
-      cold_remaining_ms: 0,
+      cold_remaining_ms: worker.coldFor,
       models,
       sequence: 1,
     };
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -7,6 +7,7 @@
 import * as z from 'zod';
 import { HEADERS, PATHS } from '../../platform/names.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { ColdRequestCounter } from './cold-request-counter.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
 
 /** Time for one event, for a lookup, and for loading weights. */
@@ -46,6 +47,8 @@
   readonly checker: PromiseChecker;
   readonly model: string;
   readonly now: () => Milliseconds;
+  /** Whether its service says that it bears few requests while it is cold. */
+  readonly bearsLittleWhenCold: boolean;
   /** Whether no fault is going on that excuses late work. */
   readonly isCalm: () => boolean;
   /** Called after a change that the worker's record shows. */
@@ -65,6 +68,7 @@
   private isOver = false;
   private leavingSince: Milliseconds | undefined;
   private scoresGiven = 0;
+  private readonly coldRequests: ColdRequestCounter;
 
   constructor(
     readonly id: string,
@@ -72,6 +76,7 @@
     private readonly surroundings: WorkerSurroundings,
   ) {
     this.version = version;
+    this.coldRequests = new ColdRequestCounter(surroundings.now);
     this.server = http.createServer((request, response) => void this.serve(request, response));
   }
 
@@ -80,6 +85,11 @@
     return this.version;
   }
 
+  /** How much longer it is cold. */
+  get coldFor(): Milliseconds {
+    return this.coldRequests.remaining;
+  }
+
   /** Whether it has said that it leaves. */
   get isLeaving(): boolean {
     return this.leavingSince !== undefined;
@@ -124,7 +134,9 @@
     const body = Buffer.concat(chunks).toString();
     if (request.url === PATHS.report) this.report(response);
     else if (request.url === HEALTH_PATH) {
-      response.writeHead(200, { [HEADERS.instance]: this.id }).end();
+      const coldFor = String(this.coldFor);
+      const headers = { [HEADERS.instance]: this.id, [HEADERS.coldMs]: coldFor };
+      response.writeHead(200, headers).end();
     } else if (request.url === PATHS.order) this.order(body, response);
     else this.work(request, body, response);
   }
@@ -156,6 +168,7 @@
   }
 
   private work(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
+    if (this.surroundings.bearsLittleWhenCold) this.countWhileCold();
     const id = String(request.headers[HEADERS.requestId] ?? '');
     const events = Number(request.headers[EVENT_COUNT_HEADER] ?? 0);
     const base = { [HEADERS.requestId]: id, [HEADERS.load]: `${this.running},0,${SLOTS}` };
@@ -180,6 +193,12 @@
     else setTimeout(() => response.writeHead(200, stamped).end(`${id}:${body}`), LOOKUP_TIME);
   }
 
+  private countWhileCold(): void {
+    if (this.coldFor === 0) return;
+    const excess = this.coldRequests.noteRequest();
+    this.surroundings.checker.coldRequestCame(this.id, excess);
+  }
+
   private endUnder(path: string): void {
     this.surroundings.checker.lethalBegun(path, this.id);
     setTimeout(() => this.surroundings.onLethal(this), LETHAL_TIME);
