--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -63,6 +63,9 @@
   private granterState: GranterState = 'none';
   private askTimer: NodeJS.Timeout | undefined;
   private isAsking = false;
+  private isListed = false;
+  /** Whether a granter has told of the workers that were there before this node. */
+  private isInformed = false;
   private nextAskAt: Milliseconds = 0;
   private nextReviewAt: Milliseconds = 0;
   private looksUnderWay = 0;
@@ -91,6 +94,7 @@
 
   /** All workers that were there before this node have been told. */
   noteListed(): void {
+    this.isListed = true;
     this.warmth.noteListed();
   }
 
@@ -118,6 +122,8 @@
   tick(): void {
     if (!this.options.services().some(({ coldStart }) => coldStart !== undefined)) return;
     this.followGranter();
+    // Before callers come, if possible: what is not known to be warm is not sent their requests.
+    if (this.isListed && !this.isInformed) void this.askAboutAll();
     const now = this.options.clock.now();
     if (now < this.nextReviewAt) return;
     this.nextReviewAt = now + REVIEW_INTERVAL;
@@ -139,6 +145,7 @@
     const isKnown = (id: string): boolean => registry().get(id) !== undefined;
     this.warmth.retain(isKnown);
     this.granter.prune();
+    this.rule.prune();
     for (const [id, at] of this.nextLookAt) if (at < clock.now()) this.nextLookAt.delete(id);
     metrics.set('cold_workers', this.coldStarters().filter((one) => this.isCold(one)).length);
   }
@@ -171,7 +178,7 @@
     this.askTimer.unref();
   }
 
-  /** While the store is silent here, the granter may know of a zone's return that this node missed. */
+  /** Without permits: what a node that has just started, or is out of touch with the store, may have missed. */
   private askAboutAll(): Promise<void> {
     const wishes = this.coldStarters().map((worker) => ({
       worker: worker.id,
@@ -190,7 +197,10 @@
     const sentAt = ageingTime(clock);
     const answer = await this.answerOfGranter(wishes);
     this.isAsking = false;
+    // What was wished for meanwhile found no timer to wait for.
+    if (this.rule.hasWishes) this.askSoon();
     if (answer === undefined) return;
+    this.isInformed ||= answer.term !== undefined;
     const isAnyFree = this.rule.takeAnswer(answer, sentAt, (id) => registry().get(id)?.record);
     if (isAnyFree) freed();
   }
--- a/src/placement/cold-worker-rule.ts
+++ b/src/placement/cold-worker-rule.ts
@@ -68,6 +68,11 @@
     this.options.metrics.count('cold_permits', { state: 'used' });
   }
 
+  /** Whether there is something to ask the granter. */
+  get hasWishes(): boolean {
+    return this.wishedFor.size > 0;
+  }
+
   /** What to ask the granter now; a wish is told once. */
   takeWishes(): PermitWish[] {
     const { warmth, metrics } = this.options;
@@ -102,6 +107,13 @@
     return isAnyFree;
   }
 
+  /** Forgets permits that are void and pauses that are over. */
+  prune(): void {
+    const now = this.options.clock.now();
+    for (const life of this.held.keys()) this.dropExpired(life);
+    for (const [life, until] of this.pausedUntil) if (until <= now) this.pausedUntil.delete(life);
+  }
+
   private takeGrant(
     { life, warmth: told, permits }: PermitGrant,
     worker: WorkerRecord,
--- a/src/placement/permit-granter.ts
+++ b/src/placement/permit-granter.ts
@@ -31,7 +31,7 @@
   readonly workerOf: (id: string) => WorkerRecord | undefined;
   /** What workers of a service bear while cold; `undefined` where they are never cold. */
   readonly coldStartOf: (service: ServiceName) => ColdStart | undefined;
-  /** Has a doubtful worker asked whether it is cold. */
+  /** Has a doubtful worker that somebody would send work to asked whether it is cold. */
   readonly look: (worker: WorkerRecord) => void;
 }
 
@@ -84,7 +84,7 @@
     if (coldStart === undefined) return undefined;
     if (wish.doubtAge !== undefined) warmth.doubt(record, wish.doubtAge);
     const state = warmth.of(record, coldStart);
-    if (state.kind === 'doubtful') look(record);
+    if (state.kind === 'doubtful' && wish.permits > 0) look(record);
     const { worker, life } = wish;
     const mayHave = mayGrant && state.kind !== 'warm';
     const pace = permitPace(coldStart, tolerance);
