--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -122,9 +122,9 @@
   tick(): void {
     if (!this.options.services().some(({ coldStart }) => coldStart !== undefined)) return;
     this.followGranter();
-    // Before callers come, if possible: what is not known to be warm is not sent their requests.
-    if (this.isListed && !this.isInformed) void this.askAboutAll();
     const now = this.options.clock.now();
+    // Before callers come, if possible: what is not known to be warm is not sent their requests.
+    if (this.isListed && !this.isInformed && now >= this.nextAskAt) void this.askAboutAll();
     if (now < this.nextReviewAt) return;
     this.nextReviewAt = now + REVIEW_INTERVAL;
     this.review();
--- a/test/fleet/cold-workers.test.ts
+++ b/test/fleet/cold-workers.test.ts
@@ -229,6 +229,7 @@
   node.clock.time += 1;
   node.part.tick();
   await node.clock.sleep();
+  node.clock.time += 100;
   node.answer = {
     term: 3,
     grants: [{ life: 'w1', worker: 'w1', warmth: { kind: 'warm' }, permits: 0 }],
--- a/test/fleet/suspended-node.test.ts
+++ b/test/fleet/suspended-node.test.ts
@@ -9,9 +9,12 @@
 import { DirectPrefixes } from '../../src/fleet/direct-prefixes.js';
 import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
 import type { PeerPort } from '../../src/peers/peer-messages.js';
+import { NOT_GRANTER } from '../../src/placement/cold-permits.js';
+import { PermitGranter } from '../../src/placement/permit-granter.js';
+import { WorkerWarmth } from '../../src/placement/worker-warmth.js';
 import { type Clock, PROCESS_CLOCK } from '../../src/serving/clock.js';
 import { OWNER } from '../jobs/job-fixtures.js';
-import { recordingLog } from '../serving/serving-fixtures.js';
+import { recordingLog, worker } from '../serving/serving-fixtures.js';
 import { eventually } from './fleet-fixtures.js';
 
 const SILENT_PEERS: PeerPort = { ask: async () => ({ kind: 'silent' }) };
@@ -79,6 +82,31 @@
   t.ok(fleet.renewalAge() < 1_000);
 });
 
+t.test('one that grants permits for cold workers grants none after a suspension', async (t) => {
+  const { store, clock, lock } = await coordinator(t);
+  const warmth = new WorkerWarmth(clock);
+  const cold = worker('w1', { coldFor: 60_000 });
+  warmth.noteListed();
+  warmth.noteRecord(cold);
+  const granter = new PermitGranter({
+    ...{ clock, warmth, tokenValidity: 0, workerOf: () => cold, look: () => {} },
+    tolerance: { factor: 1, requests: 0 },
+    fencingToken: () => lock.fencingToken(),
+    coldStartOf: () => ({ duration: 60_000, requestsPerSecond: 9 }),
+  });
+  const wish = { worker: 'w1', life: 'w1', permits: 1, doubtAge: undefined };
+  await eventually(() => granter.answer([wish]).grants[0]?.permits === 1);
+  store.setAvailability('silent');
+  clock.suspended += 3_000;
+  t.same(granter.answer([wish]), NOT_GRANTER, 'at once');
+  store.lapseLeases();
+  store.setAvailability('up');
+  const before = granter.observe();
+  await eventually(() => lock.fencingToken() !== undefined);
+  t.equal(before, 'none');
+  t.equal(granter.answer([wish]).grants[0]?.permits, 0, 'a new term waits');
+});
+
 t.test('a lease that lapsed meanwhile takes the lock with it', async (t) => {
   const { store, clock, lock } = await coordinator(t);
   const before = lock.fencingToken() ?? 0;
