--- a/lab/common/no-peers.ts
+++ b/lab/common/no-peers.ts
@@ -13,5 +13,6 @@
   readElsewhere: async () => undefined,
   endElsewhere: async () => undefined,
   handOver: async () => {},
+  moveAway: async () => false,
   needWeights: () => {},
 };
--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -47,6 +47,7 @@
   request_quarantined: answer(503, 'no', 600_000, 'Workers ended while they ran this request.'),
   overloaded: answer(503, 'no', 1_000, 'All workers that may run this are full.'),
   no_worker: answer(503, 'no', 2_000, 'No worker that may run this is in service.'),
+  region_unavailable: answer(503, 'no', 2_000, 'No place that may serve this answers now.'),
   cut_off: answer(503, 'no', 5_000, 'This zone cannot show that its configuration is fresh.'),
   version_unknown: answer(503, 'no', 2_000, 'No worker serves weights within the bound.'),
   ledger_unavailable: answer(503, 'no', 2_000, 'No majority of the replicas answers.'),
--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -14,7 +14,9 @@
 import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
-import type { PeerPort } from '../peers/peer-messages.js';
+import type { PeerPort, PeerRequestOf } from '../peers/peer-messages.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import { JOBS_ANYWHERE, type JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -66,21 +68,25 @@
   readonly weightChanged: (change: WeightChange) => void;
   /** Whether this zone takes jobs in while the store is out of reach. */
   readonly takesJobsAlone: () => boolean;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency | undefined;
 }
 
 /** The other nodes of the fleet. */
 export class FleetPeers implements JobPeers {
   private readonly calls: PeerCalls;
   private readonly submissions: SubmissionRouter;
+  private readonly residency: JobResidency;
 
   constructor(private readonly options: FleetPeersOptions) {
+    this.residency = options.residency ?? JOBS_ANYWHERE;
     this.calls = new PeerCalls(options);
     this.submissions = new SubmissionRouter({ ...options, calls: this.calls });
   }
 
   async keptWork(items: readonly string[]): Promise<ReadonlyMap<string, DigestedWork>> {
     const nodes = this.options.placement.owners().filter((node) => node !== this.options.self.node);
-    const request = { kind: 'kept-work', items } as const;
+    const request = { kind: 'kept-work', items, zone: this.options.zone } as const;
     const outcomes = await Promise.all(
       nodes.map((node) => this.calls.ask<'kept-work'>(node, request, KEPT_WORK_LIMIT)),
     );
@@ -119,7 +125,7 @@
   }
 
   async surrenderedWork(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>> {
-    const request = { kind: 'surrender-job', job } as const;
+    const request = { kind: 'surrender-job', job, zone: this.options.zone } as const;
     const outcome = await this.calls.askAt<'surrender-job'>(
       owner.address,
       request,
@@ -129,10 +135,15 @@
   }
 
   likelyOwners(job: string): readonly JobOwner[] {
+    return this.otherOwners(job).slice(0, this.mostLikelyOwners);
+  }
+
+  /** Lives of the other nodes that are to run a job, in their order. */
+  private otherOwners(job: string, allowed?: AllowedRegions): JobOwner[] {
     const { fleet, placement, self } = this.options;
-    const nodes = placement.ownersOf(job).filter((node) => node !== self.node);
-    const owners = nodes.map((node) => fleet.ownerOf(node)).filter((owner) => owner !== undefined);
-    return owners.slice(0, this.mostLikelyOwners);
+    const inOrder = placement.ownersOf(job, undefined, this.residency.holders(allowed));
+    const others = inOrder.filter((node) => node !== self.node);
+    return others.map((node) => fleet.ownerOf(node)).filter((owner) => owner !== undefined);
   }
 
   /** The owner and the next in turn; where zones run their own jobs, one in each of three zones. */
@@ -163,11 +174,23 @@
     const node = await this.calls.nodeThatReachesStore();
     if (node === undefined) return undefined;
     const request = { kind: 'read-for', job, after, wait, caller } as const;
-    const outcome = await this.calls.ask<'read-for'>(
-      node,
-      request,
-      wait + RESULTS_LIMIT + ANSWER_TIME,
+    const read = await this.readAt(node, request);
+    if (!isOutsideRegions(read)) return read;
+    const { fleet } = this.options;
+    const zone = fleet.zoneOf(node);
+    const inside = await this.calls.nodeThatReachesStore(
+      'anywhere',
+      (other) => !this.residency.areInOneRegion(fleet.zoneOf(other), zone),
     );
+    return inside === undefined ? read : this.readAt(inside, request);
+  }
+
+  private async readAt(
+    node: NodeId,
+    request: PeerRequestOf<'read-for'>,
+  ): Promise<ResultSlice | Failure | undefined> {
+    const limit = request.wait + RESULTS_LIMIT + ANSWER_TIME;
+    const outcome = await this.calls.ask<'read-for'>(node, request, limit);
     return outcome?.kind === 'answered' ? outcome.answer.read : undefined;
   }
 
@@ -179,8 +202,8 @@
     return outcome?.kind === 'answered' ? outcome.answer : undefined;
   }
 
-  async handOver(job: string): Promise<void> {
-    const nodes = this.likelyOwners(job).slice(0, HAND_OVER_OFFERS);
+  async handOver(job: string, allowed?: AllowedRegions): Promise<void> {
+    const nodes = this.otherOwners(job, allowed).slice(0, HAND_OVER_OFFERS);
     for (const node of nodes) {
       const request = { kind: 'take-job', job } as const;
       const outcome = await this.calls.ask<'take-job'>(node.node, request, HAND_OVER_LIMIT);
@@ -188,13 +211,26 @@
     }
   }
 
+  async moveAway(job: string, owner: JobOwner, allowed: AllowedRegions): Promise<boolean> {
+    const nodes = this.otherOwners(job, allowed).slice(0, HAND_OVER_OFFERS);
+    for (const { node } of nodes) {
+      if (await this.adoptElsewhere(node, job, owner, true)) return true;
+    }
+    return false;
+  }
+
   /** Has the node that is to run a job take it over; tells whether it did. */
   async adoptElsewhere(
     node: NodeId,
     job: string,
-    owner: JobOwner,
+    owner: JobOwner | null,
     ownerAnswers: boolean,
   ): Promise<boolean> {
+    if (owner === null) {
+      const released = { kind: 'take-job', job } as const;
+      const taken = await this.calls.ask<'take-job'>(node, released, HAND_OVER_LIMIT);
+      return taken?.kind === 'answered' && taken.answer.isTaken;
+    }
     const request = { kind: 'adopt-job', job, owner, ownerAnswers } as const;
     const outcome = await this.calls.ask<'adopt-job'>(node, request, ADOPT_LIMIT);
     return outcome?.kind === 'answered' && outcome.answer.isTaken;
@@ -238,6 +274,11 @@
   }
 }
 
+/** Whether a node must not pass on what it was to read, as the job is limited to other regions. */
+function isOutsideRegions(read: ResultSlice | Failure | undefined): boolean {
+  return read !== undefined && 'kind' in read && read.kind === 'region_unavailable';
+}
+
 /** Whether one node's work on an item got further than another's. */
 function isFurther(one: DigestedWork, other: DigestedWork | undefined): boolean {
   return other === undefined || progressOf(one) > progressOf(other);
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -15,6 +15,7 @@
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
 import { GuardedEngine } from '../placement/guarded-engine.js';
+import { JobResidency } from '../placement/job-residency.js';
 import { ResidencyRule } from '../placement/residency-rule.js';
 import { SendRules } from '../placement/send-rules.js';
 import { ZoneEvacuations } from '../placement/zone-evacuations.js';
@@ -127,7 +128,10 @@
     this.relay = relay;
     const store = relay.relayedStore();
     const jobStore = new JobStore(store, clock);
-    this.configuration = new ConfigurationInForce({ log, metrics });
+    this.configuration = new ConfigurationInForce({
+      ...{ log, metrics },
+      isRegionKnown: (region) => this.topology.hasRegion(region),
+    });
     const routes = (): RouteMatcher | undefined => this.configuration.routes;
     const shared = { ...options, engine, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
@@ -137,6 +141,10 @@
       zones: servesAlone ? { own: zone, zoneOf: (name) => this.fleet.zoneOf(name) } : undefined,
       clock,
     });
+    const residency = new JobResidency({
+      ...{ topology: this.topology, self: node, routes },
+      zoneOf: (name) => this.fleet.zoneOf(name),
+    });
     this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
     const autonomy = new ZoneAutonomy({
       ...{ self, zone, fleet: this.fleet, port, clock, metrics },
@@ -151,6 +159,7 @@
       weightsNeeded: (need: WeightNeed) => this.coordination.requireWeights(need),
       weightChanged: (change: WeightChange) => noteWeightChange(this.registry, change, clock.now()),
       takesJobsAlone: () => autonomy.takesJobsAlone,
+      residency,
     };
     const peers = new FleetPeers(asked);
     this.peerHandler = new PeerAnswering({
@@ -196,8 +205,9 @@
         (...question) => peers.ownerListing(...question),
         (job) => peers.likelyOwners(job),
         journals,
+        residency,
       ),
-      journals,
+      ...{ journals, residency },
       isWriterLive: (writer) => autonomy.isWriterLive(writer),
       mayRecover: () => !this.fleet.isCutOff && this.placement.owners().includes(node),
       peers,
@@ -213,7 +223,7 @@
       service,
       fleet,
       self,
-      placement: this.placement,
+      ...{ placement: this.placement, residency },
       peers: port,
       adoptElsewhere: (...adoption) => peers.adoptElsewhere(...adoption),
     });
--- a/src/fleet/job-placement.ts
+++ b/src/fleet/job-placement.ts
@@ -11,6 +11,7 @@
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { MayHold } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 
 /** Key under which nodes are ordered as owners of jobs. */
@@ -55,6 +56,9 @@
   readonly clock: Pick<Clock, 'now'>;
 }
 
+/** Any node may own a job. */
+const ANY_NODE: MayHold = () => true;
+
 /** Names the owners of jobs. */
 export class JobPlacement {
   private readonly avoidedUntil = new Map<NodeId, Milliseconds>();
@@ -76,13 +80,17 @@
 
   /**
    * The owners in the order in which they are to run a job. Where zones serve their own callers,
-   * those of the job's zone come first; a zone that is not told is taken for this node's.
+   * those of the job's zone come first; a zone that is not told is taken for this node's. A job that
+   * not every node may hold has its owners among those that may.
    */
-  ownersOf(job: string, zone?: ZoneName): NodeId[] {
+  ownersOf(job: string, zone?: ZoneName, mayOwn: MayHold = ANY_NODE): NodeId[] {
     const { zones } = this.options;
-    if (zones === undefined) return rendezvousOrder(job, this.owners(), (node) => node);
+    if (zones === undefined) {
+      const owners = this.ownersAmong(this.reachableNodes().filter(mayOwn), FEWEST_OWNERS);
+      return rendezvousOrder(job, owners, (node) => node);
+    }
     return this.zonesInOrder(zone ?? zones.own).flatMap((name) =>
-      rendezvousOrder(job, this.ownersIn(name), (node) => node),
+      rendezvousOrder(job, this.ownersIn(name).filter(mayOwn), (node) => node),
     );
   }
 
@@ -90,12 +98,17 @@
    * The owners that a job is offered to which a caller handed in here. A zone that serves its own
    * callers hands no job to another one: both could be cut off from each other with the job at both.
    */
-  offersFor(job: string): NodeId[] {
+  offersFor(job: string, mayOwn: MayHold = ANY_NODE): NodeId[] {
     const { zones } = this.options;
-    if (zones === undefined) return this.ownersOf(job);
+    if (zones === undefined) return this.ownersOf(job, undefined, mayOwn);
     return rendezvousOrder(job, this.ownersIn(zones.own), (node) => node);
   }
 
+  /** The owners that a job is offered to that this node's zone must not hold, over all other zones. */
+  offersElsewhere(job: string, mayOwn: MayHold): NodeId[] {
+    return rendezvousOrder(job, this.ownersOf(job, undefined, mayOwn), (node) => node);
+  }
+
   /** A node did not answer: others run its jobs for a while. */
   noteSilent(node: NodeId): void {
     this.avoidedUntil.set(node, this.options.clock.now() + SILENCE_PENALTY);
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -2,7 +2,7 @@
  * Takes over jobs whose owner is gone. After a node has left, a few of the nodes that run jobs look
  * for its jobs, one after the other by rendezvous hash of its name; such a node looks too when it
  * joins, and so does the coordinator now and then. Where two race, the commit on the job's head
- * decides.
+ * decides. A node that may not hold a job has one that may take it.
  */
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId } from '../core/identity.js';
@@ -12,6 +12,7 @@
 import type { JobService } from '../jobs/job-service.js';
 import type { JobStore, VersionedHead } from '../jobs/job-store.js';
 import type { PeerPort } from '../peers/peer-messages.js';
+import { JOBS_ANYWHERE, type JobResidency, type MayHold } from '../placement/job-residency.js';
 import type { Departure, FleetRegistry } from './fleet-registry.js';
 import type { JobPlacement } from './job-placement.js';
 
@@ -27,9 +28,11 @@
   readonly adoptElsewhere: (
     node: NodeId,
     job: string,
-    owner: JobOwner,
+    owner: JobOwner | null,
     ownerAnswers: boolean,
   ) => Promise<boolean>;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency | undefined;
 }
 
 /** A departed node may be back with a new lease within this time; then nothing is taken over. */
@@ -53,6 +56,9 @@
 /** Looks that are due this close together are one: where many nodes leave at once, one look finds all. */
 const SWEEP_STEP: Milliseconds = 300;
 
+/** Nodes that are asked to take a job which the asking one may not hold. */
+const MOST_ADOPTERS = 2;
+
 /** Scans of a node that joins: the last one takes jobs of any rank. */
 const SCANS = 3;
 
@@ -71,8 +77,10 @@
   private isStopped = false;
   /** Sweeps that wait, by the time at which they are due in steps. */
   private readonly sweepsDue = new Set<number>();
+  private readonly residency: JobResidency;
 
   constructor(private readonly options: JobTakeoverOptions) {
+    this.residency = options.residency ?? JOBS_ANYWHERE;
     options.fleet.departures.subscribe((departure) => this.scanAfter(departure));
     options.fleet.listed.subscribe(() => this.scanSoon());
   }
@@ -149,15 +157,23 @@
   private async adoptByPlacement(
     job: string,
     found: VersionedHead,
-    owner: JobOwner,
+    owner: JobOwner | null,
     ownerAnswers: boolean,
   ): Promise<void> {
     const { placement, self, service, adoptElsewhere } = this.options;
-    const { zone } = found.head;
-    const [node] = placement.ownersOf(job, zone).filter((name) => name !== owner.node);
-    const isElsewhere = node !== undefined && node !== self.node;
-    if (isElsewhere && (await adoptElsewhere(node, job, owner, ownerAnswers))) return;
-    await service.adopt(job, found, ownerAnswers);
+    const mayHold = this.mayHold(found);
+    const nodes = placement.ownersOf(job, found.head.zone, mayHold);
+    const others = nodes.filter((name) => name !== owner?.node);
+    const mayAdopt = mayHold(self.node);
+    for (const node of others.slice(0, mayAdopt ? 1 : MOST_ADOPTERS)) {
+      if (node === self.node) break;
+      if (await adoptElsewhere(node, job, owner, ownerAnswers)) return;
+    }
+    if (mayAdopt) await service.adopt(job, found, ownerAnswers);
+  }
+
+  private mayHold({ head }: VersionedHead): MayHold {
+    return this.residency.holders(this.residency.allowedOf(head));
   }
 
   /** Cancels scans that are due. */
@@ -172,11 +188,14 @@
     if (read.kind !== 'found') return 'unavailable';
     const orphans = [...read.value].filter(([job, found]) => this.isOrphan(job, found));
     for (const [job, found] of orphans) {
+      const mayAdopt = this.mayHold(found)(this.options.self.node);
       const rank = this.rankFor(job, found);
-      if (rank > allowedRank && allowedRank < SCANS - 1) continue;
+      if (mayAdopt && rank > allowedRank && allowedRank < SCANS - 1) continue;
       const state = await this.stateOf(found.head.owner);
       if (state === 'running') continue;
-      await this.options.service.adopt(job, found, state === 'cut-off');
+      const ownerAnswers = state === 'cut-off';
+      if (mayAdopt) await this.options.service.adopt(job, found, ownerAnswers);
+      else await this.adoptByPlacement(job, found, found.head.owner, ownerAnswers);
     }
     return orphans.length === 0 ? 'no-orphans' : 'orphans-seen';
   }
@@ -196,8 +215,8 @@
     return owner.node === self.node && owner.incarnation === self.incarnation;
   }
 
-  private rankFor(job: string, { head }: VersionedHead): number {
-    const nodes = this.options.placement.ownersOf(job, head.zone);
+  private rankFor(job: string, found: VersionedHead): number {
+    const nodes = this.options.placement.ownersOf(job, found.head.zone, this.mayHold(found));
     const rank = nodes.indexOf(this.options.self.node);
     return rank < 0 ? nodes.length : rank;
   }
--- a/src/fleet/peer-answers.ts
+++ b/src/fleet/peer-answers.ts
@@ -57,13 +57,13 @@
           hasDuties: this.options.fleet.hasDuties,
         };
       case 'kept-work':
-        return { work: jobs().keptWorkOf(request.items) };
+        return { work: jobs().keptWorkOf(request.items, request.zone) };
       case 'job-results':
         return jobs().ownListing(request.job, request.after, request.wait);
       case 'end-job':
         return { isEnded: await this.endHere(request.job, request.caller) };
       case 'surrender-job':
-        return { work: jobs().surrender(request.job) };
+        return { work: jobs().surrender(request.job, request.zone) };
       case 'submit-for':
         return { failure: await this.submitFor(request.spec, request.limit) };
       case 'adopt-job':
@@ -112,7 +112,7 @@
 
   private readHere(request: PeerRequestOf<'read-for'>): Promise<ResultSlice | Failure> {
     const { job, after, wait, caller } = request;
-    return this.options.jobs().readHere(job, after, wait, caller);
+    return this.options.jobs().readFor(job, after, wait, caller);
   }
 
   /** Takes a job in for another node; refuses at once where the store is out of reach. */
--- a/src/fleet/peer-calls.ts
+++ b/src/fleet/peer-calls.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import type { PeerOutcome, PeerPort, PeerRequest, PeerRequestOf } from '../peers/peer-messages.js';
+import type { MayHold } from '../placement/job-residency.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { FleetRegistry } from './fleet-registry.js';
 
@@ -59,10 +60,11 @@
   /** Where this node is cut off from the store: another one that is not, of the own zone if possible. */
   async nodeThatReachesStore(
     where: 'anywhere' | 'own-zone' = 'anywhere',
+    mayAsk: MayHold = () => true,
   ): Promise<NodeId | undefined> {
     const { fleet, self, zone } = this.options;
     if (!fleet.isCutOff) return undefined;
-    const others = fleet.liveNodes().filter((node) => node !== self.node);
+    const others = fleet.liveNodes().filter((node) => node !== self.node && mayAsk(node));
     const isNear = (node: NodeId): boolean => fleet.zoneOf(node) === zone;
     const far = where === 'own-zone' ? [] : others.filter((node) => !isNear(node));
     const inOrder = [...others.filter(isNear), ...far];
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -2,13 +2,18 @@
  * Where a submitted job goes: to the node that is to run it, to the next one where that one is gone,
  * or to this node itself. A node that may have taken the job is never forgotten: what is refused
  * afterwards is then refused as unknown, not as if the job had not run.
+ *
+ * A job that is limited to regions goes to nodes in these alone. A node outside them that a caller
+ * has connected to passes it straight to one inside, or refuses it.
  */
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
-import { failure } from '../errors/error-kinds.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
 import type { SubmissionPath } from '../jobs/job-peers.js';
 import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
 import type { PeerOutcome, PeerRequestOf } from '../peers/peer-messages.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import { JOBS_ANYWHERE, type JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { FleetRegistry } from './fleet-registry.js';
 import type { JobPlacement } from './job-placement.js';
@@ -42,18 +47,30 @@
   readonly clock: Pick<Clock, 'now' | 'sleep'>;
   /** Whether this zone takes jobs in while the store is out of reach. */
   readonly takesJobsAlone: () => boolean;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency | undefined;
 }
 
 /** Finds the node that takes a job in. */
 export class SubmissionRouter {
-  constructor(private readonly options: SubmissionRouterOptions) {}
+  private readonly residency: JobResidency;
+
+  constructor(private readonly options: SubmissionRouterOptions) {
+    this.residency = options.residency ?? JOBS_ANYWHERE;
+  }
 
   /** Has another node take the job in, or tells that it is for this one to store. */
   async route(spec: JobSpecification): Promise<SubmissionPath> {
     const { fleet, placement, self, clock, takesJobsAlone } = this.options;
     const deadline = clock.now() + SUBMIT_LIMIT;
+    const allowed = this.residency.allowedFor(spec);
+    const mayStayHere = this.residency.mayHoldHere(allowed);
+    const mayOwn = this.residency.holders(allowed);
+    const offers = mayStayHere
+      ? placement.offersFor(spec.id, mayOwn)
+      : placement.offersElsewhere(spec.id, mayOwn);
     let mayRunElsewhere = false;
-    for (const node of placement.offersFor(spec.id).slice(0, OFFERS)) {
+    for (const node of offers.slice(0, OFFERS)) {
       if (node === self.node) {
         if (fleet.isCutOff && !takesJobsAlone()) continue;
         break;
@@ -75,6 +92,8 @@
         break;
       }
     }
+    if (!mayStayHere)
+      return { kind: 'answered', failure: refusalOutside(allowed, mayRunElsewhere) };
     if (fleet.isCutOff) return this.routeAnywhere(spec, mayRunElsewhere, deadline);
     return { kind: 'here', mayRunElsewhere };
   }
@@ -105,8 +124,10 @@
     deadline: Milliseconds,
   ): Promise<SubmissionPath> {
     const { calls, clock, placement } = this.options;
-    const unknown = failure('outcome_unknown', 'another node may have stored the job');
-    const node = await calls.nodeThatReachesStore(placement.isByZone ? 'own-zone' : 'anywhere');
+    const unknown = MAY_BE_STORED;
+    const mayAsk = this.residency.holders(this.residency.allowedFor(spec));
+    const where = placement.isByZone ? 'own-zone' : 'anywhere';
+    const node = await calls.nodeThatReachesStore(where, mayAsk);
     if (node === undefined) return { kind: 'here', mayRunElsewhere };
     const limit = Math.max(LEAST_OFFER, deadline - clock.now());
     const request = { kind: 'submit-for', spec, limit } as const;
@@ -118,3 +139,12 @@
     return { kind: 'answered', failure: isUnsure ? unknown : refusal };
   }
 }
+
+const MAY_BE_STORED = failure('outcome_unknown', 'another node may have stored the job');
+
+/** Why a node outside a job's regions does not take it: no node inside them did. */
+function refusalOutside(allowed: AllowedRegions, mayRunElsewhere: boolean): Failure {
+  if (mayRunElsewhere) return MAY_BE_STORED;
+  const regions = allowed?.join(', ') ?? '';
+  return failure('region_unavailable', `no node in the allowed regions (${regions}) answers`);
+}
--- a/src/jobs/job-handover.ts
+++ b/src/jobs/job-handover.ts
@@ -2,6 +2,8 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
 import { FIRST_TERM, type ZoneJournals } from '../journal/zone-journals.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import type { JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -9,6 +11,7 @@
 import { isFinished, type JobHead, type JobOwner, weightNeedOf } from './job-records.js';
 import type { JobStore, StillWanted, VersionedHead } from './job-store.js';
 import type { ListingChange } from './listing-writer.js';
+import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { untilAvailable } from './store-reads.js';
 
@@ -29,11 +32,13 @@
   readonly self: JobOwner;
   /** The zones' journals, where zones serve their own callers. */
   readonly journals?: ZoneJournals | undefined;
+  readonly residency: JobResidency;
 }
 
 /** Passes jobs on. */
 export class JobHandover {
   private readonly adopting = new Set<string>();
+  private isMoving = false;
 
   constructor(private readonly options: JobHandoverOptions) {}
 
@@ -47,11 +52,20 @@
    * for what it made of the items and has not listed.
    */
   async adopt(job: string, found: VersionedHead, ownerAnswers: boolean): Promise<boolean> {
-    if (this.adopting.has(job)) return false;
+    if (this.adopting.has(job) || !this.mayAdopt(job, found.head)) return false;
     this.adopting.add(job);
     return this.takeOver(job, found, ownerAnswers).finally(() => this.adopting.delete(job));
   }
 
+  /** Whether the job may lie here; its head tells, so that nothing else of it is read. */
+  private mayAdopt(job: string, head: JobHead): boolean {
+    const { residency, log } = this.options;
+    const allowed = residency.allowedOf(head);
+    if (residency.mayHoldHere(allowed)) return true;
+    log.state('job-not-adopted', { job, allowedRegions: allowed?.join() ?? 'any' });
+    return false;
+  }
+
   private async takeOver(
     job: string,
     found: VersionedHead,
@@ -119,10 +133,31 @@
     await Promise.all(
       open.map(async (job) => {
         await job.release(wanted);
-        if (job.ending === 'released') await this.options.peers.handOver(job.spec.id);
+        const allowed = this.options.residency.allowedFor(job.spec);
+        if (job.ending === 'released') await this.options.peers.handOver(job.spec.id, allowed);
       }),
     );
   }
+
+  /** Has other nodes take the jobs that a changed configuration no longer lets lie here. */
+  async moveMisplaced(): Promise<void> {
+    const { owned, residency } = this.options;
+    if (!residency.isLimiting || this.isMoving) return;
+    this.isMoving = true;
+    for (const job of owned.all()) {
+      const allowed = residency.allowedFor(job.spec);
+      if (job.isOpen && !residency.mayHoldHere(allowed)) await this.moveAway(job, allowed);
+    }
+    this.isMoving = false;
+  }
+
+  private async moveAway(job: OwnedJob, allowed: AllowedRegions): Promise<void> {
+    const { peers, self, log, metrics } = this.options;
+    const isMoved = await peers.moveAway(job.spec.id, self, allowed);
+    metrics.count('jobs_moved_by_region', { outcome: isMoved ? 'moved' : 'not-taken' });
+    const allowedRegions = allowed?.join() ?? 'any';
+    if (isMoved) log.state('job-moved-by-region', { job: job.spec.id, allowedRegions });
+  }
 }
 
 /** Changes that a journal holds beyond the pages that the store has, in order. */
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -2,6 +2,7 @@
 import type { ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { Failure } from '../errors/error-kinds.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
 import type { OwnerListing } from './job-reader.js';
 import type { JobOwner, JobSpecification } from './job-records.js';
@@ -74,8 +75,10 @@
     caller: CallerIdentity,
   ): Promise<ResultSlice | Failure | undefined>;
   endElsewhere(job: string, caller: CallerIdentity): Promise<PassedOn | undefined>;
-  /** Offers a released job to another node. */
-  handOver(job: string): Promise<void>;
+  /** Offers a released job to another node that may hold it. */
+  handOver(job: string, allowed?: AllowedRegions): Promise<void>;
+  /** Has a node that may hold a job take it from a live owner; tells whether one did. */
+  moveAway(job: string, owner: JobOwner, allowed: AllowedRegions): Promise<boolean>;
   /** Tells the coordinator what a job needs. */
   needWeights(need: WeightNeed): void;
 }
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -1,10 +1,13 @@
 /**
  * Reads jobs that another node runs. Listed results and specifications never change, so they are
  * kept; only what may be missing is asked of the owner, who is mostly known by the job's id, and of
- * the store where that does not help.
+ * the store where that does not help. A node that may not hold a job passes on what its caller asks
+ * for, and keeps nothing.
  */
 import type { Milliseconds } from '../core/units.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import { JOBS_ANYWHERE, type JobResidency } from '../placement/job-residency.js';
 import type { TenantName } from '../tenants/tenant.js';
 import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
 import type { JobStore, Read } from './job-store.js';
@@ -46,6 +49,8 @@
   readonly results: readonly JobResult[];
   /** Pages up to the last of all results. */
   readonly pages: number;
+  /** Where they may be kept; `undefined` where anywhere. */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** Asks the owner of a job; `undefined` where it does not answer or is not the owner any more. */
@@ -68,6 +73,7 @@
     private readonly likelyOwners: (job: string) => readonly JobOwner[] = () => [],
     /** The zones' journals, where zones serve their own callers. */
     private readonly journals?: Pick<ZoneJournals, 'sightOf' | 'sightAnywhere'>,
+    private readonly residency: JobResidency = JOBS_ANYWHERE,
   ) {}
 
   /**
@@ -136,7 +142,9 @@
     if (known !== undefined) return { kind: 'found', value: known };
     const read = await this.store.specification(job);
     if (read.kind === 'absent' && !(await this.isSurelyAbsent(job))) return { kind: 'unavailable' };
-    if (read.kind === 'found') keep(this.specifications, job, read.value, KEPT_SPECIFICATIONS);
+    if (read.kind !== 'found') return read;
+    const mayKeep = this.residency.mayHoldHere(this.residency.allowedFor(read.value));
+    if (mayKeep) keep(this.specifications, job, read.value, KEPT_SPECIFICATIONS);
     return read;
   }
 
@@ -148,10 +156,13 @@
     for (const owner of this.likelyOwners(job)) {
       const listing = await this.askOwner(owner, job, after, 0);
       if (listing === undefined) continue;
-      const { tenant, total, pages, results } = listing;
+      const { tenant, total, pages, results, allowedRegions } = listing;
       const opened = { tenant, total, owner, pages, offset: after, results: [...results] };
       // Without results it is not known whether so many are listed: the position is the reader's.
-      if (after === 0 || results.length > 0) keep(this.jobs, job, opened, KEPT_JOBS);
+      const isSure = after === 0 || results.length > 0;
+      if (isSure && this.residency.mayHoldHere(allowedRegions)) {
+        keep(this.jobs, job, opened, KEPT_JOBS);
+      }
       return opened;
     }
     return undefined;
@@ -164,7 +175,8 @@
     const { tenant, total, owner, ended } = read.value.head;
     const runsAt = ended ? null : owner;
     const opened = { tenant, total, owner: runsAt, pages: 0, offset: 0, results: [] };
-    keep(this.jobs, job, opened, KEPT_JOBS);
+    const mayKeep = this.residency.mayHoldHere(this.residency.allowedOf(read.value.head));
+    if (mayKeep) keep(this.jobs, job, opened, KEPT_JOBS);
     return opened;
   }
 
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -58,6 +58,8 @@
   address: z.string(),
 });
 
+const ROUTED_REQUEST = z.object({ host: z.string(), path: z.string() });
+
 const HEAD = z.object({
   /** The life of a node that runs the items; `null` where none does. */
   owner: OWNER.nullable(),
@@ -69,6 +71,8 @@
   replicas: z.array(REPLICA_PLACE).optional(),
   /** The zone that it was handed in at; records of older programs lack it. */
   zone: z.string().optional(),
+  /** A request for each route that it takes, where regions matter: who may run it depends on them. */
+  requests: z.array(ROUTED_REQUEST).optional(),
   total: z.number(),
   listed: z.number(),
   pages: z.number(),
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -1,7 +1,9 @@
 /** What trainers ask of jobs, at any node: submit, read results, ask for a body, end. */
+import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { PeerAnswers } from '../peers/peer-messages.js';
+import { JOBS_ANYWHERE, type JobResidency } from '../placement/job-residency.js';
 import {
   type CallerIdentity,
   mayAccess,
@@ -14,7 +16,7 @@
 import { ageOf, isFinished, type JobOwner, type JobSpecification } from './job-records.js';
 import { type ResultSlice, sliceOf } from './job-results.js';
 import type { StillWanted, VersionedHead } from './job-store.js';
-import { JobSubmissions } from './job-submissions.js';
+import { belongsElsewhere, JobSubmissions } from './job-submissions.js';
 import { JournalRecovery } from './journal-recovery.js';
 import type { DigestedWork } from './kept-items.js';
 import type { OwnedJob } from './owned-job.js';
@@ -29,6 +31,8 @@
   readonly retention: () => Milliseconds;
   /** Whether a life of a node that wrote to a journal is still live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency | undefined;
   /** Whether this node takes over what only the zone's journal knows. @default it does not */
   readonly mayRecover?: () => boolean;
 }
@@ -36,6 +40,9 @@
 /** An owner whose head was confirmed this recently may say that nothing more is listed. */
 const FRESH_CONFIRMATION: Milliseconds = 700;
 
+/** Time between two looks for jobs that may no longer lie here. */
+const PLACE_LOOK_INTERVAL: Milliseconds = 500;
+
 /** Time for the store to confirm a head that a reader waits for. */
 const VERIFY_LIMIT: Milliseconds = 400;
 
@@ -48,10 +55,13 @@
   private readonly submissions: JobSubmissions;
   private readonly handover: JobHandover;
   private readonly recovery: JournalRecovery | undefined;
+  private readonly residency: JobResidency;
+  private nextPlaceLookAt: Milliseconds = 0;
 
   constructor(private readonly options: JobServiceOptions) {
     this.owned = new OwnedJobs(options);
-    const shared = { ...options, owned: this.owned };
+    this.residency = options.residency ?? JOBS_ANYWHERE;
+    const shared = { ...options, owned: this.owned, residency: this.residency };
     this.submissions = new JobSubmissions(shared);
     this.handover = new JobHandover(shared);
     const { journals, isWriterLive = () => true, mayRecover = () => false } = options;
@@ -70,12 +80,33 @@
    */
   async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
     const path = await this.options.peers.submitElsewhere(spec);
-    if (path.kind === 'answered') return path.failure;
+    if (path.kind === 'answered') {
+      const isOutside = path.failure?.kind === 'region_unavailable';
+      return isOutside ? this.refuseOutside(spec, path.failure) : path.failure;
+    }
     const refusal = await this.submissions.submit(spec, wanted);
     if (refusal === undefined || !path.mayRunElsewhere) return refusal;
     return failure('outcome_unknown', 'another node may have stored the job');
   }
 
+  /**
+   * The answer to a job that no place takes that may hold it. Its caller may repeat what another
+   * node took in before: that it has not run is told only where that is sure.
+   */
+  private async refuseOutside(
+    spec: JobSpecification,
+    refusal: Failure,
+  ): Promise<Failure | undefined> {
+    const { store, reader, log, metrics } = this.options;
+    const read = await store.head(spec.id);
+    if (read.kind === 'found') return belongsElsewhere(spec, read.value.head.tenant);
+    const isAbsent = read.kind === 'absent' && (await reader.isSurelyAbsent(spec.id));
+    const answer = isAbsent ? refusal : { ...refusal, ...MAY_BE_TAKEN };
+    log.decision('job-refused', { job: spec.id, kind: answer.kind, detail: refusal.detail });
+    metrics.count('jobs_submitted', { outcome: answer.kind });
+    return answer;
+  }
+
   /** Takes a job in here, for another node. */
   submitHere(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
     return this.submissions.submit(spec, wanted);
@@ -90,8 +121,8 @@
   }
 
   /** Gives up a job that another node has taken over, with what was made of it here. */
-  surrender(job: string): Map<string, DigestedWork> {
-    return this.owned.surrender(job);
+  surrender(job: string, zone?: ZoneName): Map<string, DigestedWork> {
+    return this.owned.surrender(job, zone);
   }
 
   /** Whether a job is being taken over here, and so has an owner that does not run it yet. */
@@ -111,8 +142,8 @@
   }
 
   /** What this node kept of items, for another node. */
-  keptWorkOf(items: readonly string[]): Map<string, DigestedWork> {
-    return this.owned.keptWorkOf(items);
+  keptWorkOf(items: readonly string[], zone?: ZoneName): Map<string, DigestedWork> {
+    return this.owned.keptWorkOf(items, zone);
   }
 
   /** This machine may have been suspended. */
@@ -123,7 +154,11 @@
   /** Regular work of the jobs that this node runs. */
   tick(): void {
     this.owned.tick();
-    this.recovery?.tick(this.options.clock.now());
+    const now = this.options.clock.now();
+    this.recovery?.tick(now);
+    if (now < this.nextPlaceLookAt) return;
+    this.nextPlaceLookAt = now + PLACE_LOOK_INTERVAL;
+    void this.handover.moveMisplaced();
   }
 
   /** Results from a position on; waits for the first where the job is run here. */
@@ -137,6 +172,31 @@
     return passedOn ?? this.readHere(job, after, wait, caller);
   }
 
+  /**
+   * The same for a node that does not reach the store: what is read passes through here, so this node
+   * has to be one that may hold it.
+   */
+  async readFor(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+    caller: CallerIdentity,
+  ): Promise<ResultSlice | Failure> {
+    const { residency } = this;
+    if (residency.isLimiting && this.owned.answering(job) === undefined) {
+      const read = await this.options.store.head(job);
+      if (read.kind === 'unavailable') return storeSilent();
+      // Without a head it is not known where the job may lie: nobody is asked for it.
+      if (read.kind === 'absent') return this.absence(job);
+      if (!residency.mayHoldHere(residency.allowedOf(read.value.head))) return NOT_READ_HERE;
+    }
+    return this.readHere(job, after, wait, caller);
+  }
+
+  private async absence(job: string): Promise<Failure> {
+    return (await this.options.reader.isSurelyAbsent(job)) ? NO_SUCH_JOB : storeSilent();
+  }
+
   /** The same by this node's own knowledge and the store's. */
   async readHere(
     job: string,
@@ -224,7 +284,7 @@
     for (;;) {
       const read = await this.options.store.head(job);
       if (read.kind === 'absent') {
-        return (await this.options.reader.isSurelyAbsent(job)) ? NO_SUCH_JOB : storeSilent();
+        return this.absence(job);
       }
       if (read.kind === 'found') {
         const { ended: hasEnded, owner, tenant } = read.value.head;
@@ -279,7 +339,9 @@
     const { items, tenant } = own.spec;
     const total = items.length;
     const { pages, results } = own;
-    return { isOwner: true, tenant, total, pages, results: results.slice(after) };
+    const allowedRegions = this.residency.allowedFor(own.spec);
+    const kept = allowedRegions === undefined ? {} : { allowedRegions };
+    return { isOwner: true, tenant, total, pages, results: results.slice(after), ...kept };
   }
 
   /** Ends a job that this node runs; tells whether it has ended. */
@@ -310,6 +372,10 @@
   }
 }
 
+/** What is told of a job where it is not sure that no node has taken it. */
+const MAY_BE_TAKEN = { kind: 'outcome_unknown', retryAfter: STORE_RETRY_AFTER } as const;
+
+const NOT_READ_HERE = failure('region_unavailable', 'the job may not lie in this region');
 const NO_SUCH_JOB = failure('not_found', 'there is no such job');
 
 /** Whether something may be listed that this owner does not know of, as another owner has listed it. */
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -8,6 +8,7 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import type { JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -35,6 +36,7 @@
   readonly zone: ZoneName;
   /** Where zones serve their own callers: what takes jobs in while the store is silent. */
   readonly journals?: ZoneJournals | undefined;
+  readonly residency: JobResidency;
 }
 
 /** A submission that the store has not settled yet. */
@@ -90,6 +92,8 @@
     if (own !== undefined) return belongsElsewhere(spec, own.spec.tenant);
     const known = this.underWay.get(spec.id);
     if (known !== undefined) return belongsElsewhere(spec, known.tenant) ?? known.outcome;
+    const { residency } = this.options;
+    if (!residency.mayHoldHere(residency.allowedFor(spec))) return NOT_IN_THIS_REGION;
     const submission = this.store(spec, wanted);
     this.underWay.set(spec.id, { tenant: spec.tenant, outcome: submission });
     return submission.finally(() => this.underWay.delete(spec.id));
@@ -116,7 +120,8 @@
     const startedAt = clock.now();
     const kept = this.keptElsewhere(spec);
     let isJournaled = false;
-    const head = firstHead(spec, owner, zone, journal);
+    const noted = this.options.residency.noteFor(spec);
+    const head = { ...firstHead(spec, owner, zone, journal), ...noted };
     const creation = store.create(spec, head, () => isJournaled || wanted());
     const mayStart = owner !== null && (isNextStep || journals === undefined);
     const early = mayStart ? await this.startEarly(spec, creation, kept, journal) : undefined;
@@ -130,7 +135,7 @@
     const change = await creation;
     this.noteSubmitted(spec, change, clock.now() - startedAt);
     if (change.kind !== 'changed') early?.abandon();
-    else if (owner === null) await this.options.peers.handOver(spec.id);
+    else if (owner === null) await this.handOver(spec);
     else {
       this.steps.note(spec);
       await this.ownCreated(spec, change.current, early, kept, journal);
@@ -271,6 +276,11 @@
     metrics.observe('submit_seconds', {}, took);
   }
 
+  private handOver(spec: JobSpecification): Promise<void> {
+    const { peers, residency } = this.options;
+    return peers.handOver(spec.id, residency.allowedFor(spec));
+  }
+
   /** What nodes of the zone kept of the items of a later step. */
   private async keptElsewhere(spec: JobSpecification): Promise<ReadonlyMap<string, DigestedWork>> {
     if (spec.step === 0) return new Map();
@@ -278,10 +288,11 @@
   }
 }
 
+const NOT_IN_THIS_REGION = failure('region_unavailable', 'the job may not lie in this region');
 const TAKEN_ELSEWHERE = failure('outcome_unknown', 'another node may have taken the job');
 
 /** Refuses a job whose id names one of another tenant's, without telling that it is there. */
-function belongsElsewhere(
+export function belongsElsewhere(
   spec: JobSpecification,
   tenant: TenantName | undefined,
 ): Failure | undefined {
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -7,6 +7,7 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry, JournalHolder } from '../journal/journal-entries.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import type { JobResidency } from '../placement/job-residency.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { changesBeyond } from './job-handover.js';
@@ -26,6 +27,7 @@
   readonly journals: ZoneJournals;
   readonly store: JobStore;
   readonly owned: OwnedJobs;
+  readonly residency: JobResidency;
   readonly peers: JobPeers;
   readonly self: JobOwner;
   readonly log: DecisionLog;
@@ -109,6 +111,7 @@
       ...{ owner: self, zone: journals.zone, total: items.length, listed: 0, pages: 0 },
       ...{ ended: false, submittedAt, term: journal.term, replicas },
       ...(tenant === undefined ? {} : { tenant }),
+      ...this.options.residency.noteFor(spec),
     };
     const change = await store.create(spec, head, () => false);
     if (change.kind !== 'changed') return;
--- a/src/jobs/kept-items.ts
+++ b/src/jobs/kept-items.ts
@@ -5,6 +5,7 @@
  */
 import { contentDigest } from '../core/hashing.js';
 import type { Milliseconds } from '../core/units.js';
+import type { JobOrigin } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { KeptItem } from './item-progress.js';
 import type { JobItem, JobResult } from './job-records.js';
@@ -32,6 +33,8 @@
 
 interface Entry extends DigestedWork {
   readonly keptAt: Milliseconds;
+  /** What tells in which regions it may lie. */
+  readonly origin: JobOrigin;
 }
 
 /** Keeps work by item id. */
@@ -41,12 +44,15 @@
   constructor(private readonly clock: Clock) {}
 
   /** Keeps what a closed job made of the groups that are not whole. */
-  keep(job: OwnedJob): void {
+  keep(job: OwnedJob, origin: JobOrigin = {}): void {
     const results = new Map(job.finishedResults().map((result) => [result.id, result]));
     const progress = job.keptProgress();
     for (const group of groupsOf(job.spec.items)) {
       if (group.every((item) => results.has(item.id))) continue;
-      for (const item of group) this.keepItem(item, results.get(item.id), progress[item.id]);
+      for (const item of group) {
+        const work = workOf(results.get(item.id), progress[item.id]);
+        if (work !== undefined) this.keepItem(item, work, origin);
+      }
     }
     this.dropOld();
   }
@@ -57,23 +63,21 @@
     return entry === undefined ? undefined : workFor(entry, item);
   }
 
-  /** What is kept under an id, for another node. */
-  findById(id: string): DigestedWork | undefined {
+  /** What is kept under an id, for another node, if that one may be told. */
+  findById(
+    id: string,
+    mayTell: (origin: JobOrigin) => boolean = () => true,
+  ): DigestedWork | undefined {
     const entry = this.entries.get(id);
     if (entry === undefined || this.clock.now() - entry.keptAt > KEEP_TIME) return undefined;
+    if (!mayTell(entry.origin)) return undefined;
     const { work, digest, scoreDigest } = entry;
     return { work, digest, scoreDigest };
   }
 
-  private keepItem(
-    item: JobItem,
-    result: JobResult | undefined,
-    progress: KeptItem | undefined,
-  ): void {
-    const work = workOf(result, progress);
-    if (work === undefined) return;
+  private keepItem(item: JobItem, work: KeptWork, origin: JobOrigin): void {
     this.entries.delete(item.id);
-    this.entries.set(item.id, { ...digested(work, item), keptAt: this.clock.now() });
+    this.entries.set(item.id, { ...digested(work, item), keptAt: this.clock.now(), origin });
   }
 
   private dropOld(): void {
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -1,6 +1,7 @@
 /** The jobs that this node runs or ran, and the work that it kept of them. */
 import type { ZoneName } from '../core/identity.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import { JOBS_ANYWHERE, type JobOrigin, type JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -39,6 +40,8 @@
   readonly routes: () => RouteMatcher | undefined;
   /** The zones' journals, where zones serve their own callers. */
   readonly journals?: ZoneJournals | undefined;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency | undefined;
 }
 
 /** Jobs that are finished and still kept in memory by the node that ran them. */
@@ -48,8 +51,10 @@
 export class OwnedJobs {
   private readonly jobs = new Map<string, OwnedJob>();
   private readonly kept: KeptItems;
+  private readonly residency: JobResidency;
 
   constructor(private readonly options: OwnedJobsOptions) {
+    this.residency = options.residency ?? JOBS_ANYWHERE;
     this.kept = new KeptItems(options.clock);
   }
 
@@ -112,11 +117,13 @@
     this.forgetOld();
   }
 
-  /** What this node kept of items, for another node. */
-  keptWorkOf(items: readonly string[]): Map<string, DigestedWork> {
+  /** What this node kept of items, for a node of a zone that may hold it. */
+  keptWorkOf(items: readonly string[], zone: ZoneName | undefined): Map<string, DigestedWork> {
+    const mayTell = (origin: JobOrigin): boolean =>
+      this.residency.mayHoldIn(zone, this.residency.allowedOf(origin));
     const work = new Map<string, DigestedWork>();
     for (const id of items) {
-      const kept = this.kept.findById(id);
+      const kept = this.kept.findById(id, mayTell);
       if (kept !== undefined) work.set(id, kept);
     }
     return work;
@@ -142,10 +149,14 @@
   }
 
   /** Gives up a job that is another node's now; what was made of it here and is not listed. */
-  surrender(id: string): Map<string, DigestedWork> {
+  surrender(id: string, zone?: ZoneName): Map<string, DigestedWork> {
     const job = this.jobs.get(id);
     const work = new Map<string, DigestedWork>();
     if (job === undefined) return work;
+    if (!this.residency.mayHoldIn(zone, this.residency.allowedFor(job.spec))) {
+      job.abandon();
+      return work;
+    }
     const progress = job.keptProgress();
     const finished = new Map(job.unlistedResults().map((result) => [result.id, result]));
     for (const { item } of job.items.values()) {
@@ -184,7 +195,8 @@
   }
 
   private noteClosed(job: OwnedJob): void {
-    if (job.ending === 'ended') this.kept.keep(job);
+    const mayKeep = this.residency.mayHoldHere(this.residency.allowedFor(job.spec));
+    if (job.ending === 'ended' && mayKeep) this.kept.keep(job, this.residency.originOf(job.spec));
     const { clock, log, metrics } = this.options;
     metrics.count('jobs_closed', { reason: job.ending ?? 'open' });
     log.state('job-closed', {
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -1,4 +1,5 @@
 /** What nodes of a fleet ask each other directly. */
+import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { UsageSource, WindowCounts } from '../duties/usage-counts.js';
 import type { Failure } from '../errors/error-kinds.js';
@@ -8,6 +9,7 @@
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { JournalAnswers, JournalRequest } from '../journal/journal-entries.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { StoreChange, StoreItem } from '../shared-store/shared-store.js';
 import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
@@ -20,7 +22,12 @@
   /** Is this life of you still running? */
   | { readonly kind: 'probe'; readonly owner: JobOwner }
   /** What have you kept of these items? */
-  | { readonly kind: 'kept-work'; readonly items: readonly string[] }
+  | {
+      readonly kind: 'kept-work';
+      readonly items: readonly string[];
+      /** Where the node that asks stands; older programs do not tell. */
+      readonly zone?: ZoneName;
+    }
   /** Which results are listed from a position on, as the owner of the job knows? */
   | {
       readonly kind: 'job-results';
@@ -31,7 +38,12 @@
   /** End this job, as its owner. */
   | { readonly kind: 'end-job'; readonly job: string; readonly caller: CallerIdentity }
   /** This job is mine now: what have you made of it? The store may not have told you yet. */
-  | { readonly kind: 'surrender-job'; readonly job: string }
+  | {
+      readonly kind: 'surrender-job';
+      readonly job: string;
+      /** Where the node that asks stands; older programs do not tell. */
+      readonly zone?: ZoneName;
+    }
   /** I don't reach the store: take this job in for me. */
   | {
       readonly kind: 'submit-for';
@@ -100,6 +112,8 @@
         readonly results: readonly JobResult[];
         /** Pages of results up to the last one of `results`, where they end with a page. */
         readonly pages: number;
+        /** Where they may be kept; `undefined` where anywhere. */
+        readonly allowedRegions?: AllowedRegions;
       };
   readonly 'end-job': { readonly isEnded: boolean };
   readonly 'surrender-job': { readonly work: ReadonlyMap<string, DigestedWork> };
--- a/src/placement/zone-topology.ts
+++ b/src/placement/zone-topology.ts
@@ -27,6 +27,11 @@
     return this.regions.get(zone);
   }
 
+  /** Whether any zone lies in a region. */
+  hasRegion(region: RegionName): boolean {
+    return [...this.regions.values()].includes(region);
+  }
+
   /** Whether a zone lies in this node's region; in a deployment without regions every zone does. */
   isInOwnRegion(zone: ZoneName): boolean {
     return this.regions.get(zone) === this.region;
--- a/src/serving/configuration-in-force.ts
+++ b/src/serving/configuration-in-force.ts
@@ -2,6 +2,7 @@
  * The operator's configuration that a node acts on: which route a request takes, on whose behalf it
  * comes, and what callers may send. It never goes back to an older version.
  */
+import type { RegionName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -27,6 +28,8 @@
 export interface ConfigurationInForceOptions {
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
+  /** Whether the settings know a region. @default they know any */
+  readonly isRegionKnown?: (region: RegionName) => boolean;
 }
 
 /** Holds the newest configuration. */
@@ -46,9 +49,25 @@
       routes: configuration.routes.length,
       tenants: configuration.tenants?.length ?? 0,
     });
+    this.noteUnknownRegions(configuration);
     return true;
   }
 
+  /** A region that no zone lies in allows nothing; its name may be a slip. */
+  private noteUnknownRegions({ version, routes, tenants = [] }: TrafficConfiguration): void {
+    const { log, isRegionKnown = () => true } = this.options;
+    const limited = [
+      ...routes.map(({ name, allowedRegions }) => ({ limits: `route ${name}`, allowedRegions })),
+      ...tenants.map(({ name, allowedRegions }) => ({ limits: `tenant ${name}`, allowedRegions })),
+    ];
+    for (const { limits, allowedRegions = [] } of limited) {
+      for (const region of allowedRegions.filter((name) => !isRegionKnown(name))) {
+        const reason = 'no zone of the settings lies in this region: it allows nothing';
+        log.state('region-unknown', { limits, region, reason, version });
+      }
+    }
+  }
+
   /** Routes, ready to be matched; `undefined` before the first configuration. */
   get routes(): RouteMatcher | undefined {
     return this.matcher;
--- a/src/serving/route-matcher.ts
+++ b/src/serving/route-matcher.ts
@@ -38,9 +38,13 @@
   private readonly splits = new Map<string, WeightedSplit>();
   /** Who holds which API key. */
   readonly tenants: TenantDirectory;
+  /** Whether some route or tenant is limited to regions. */
+  readonly limitsRegions: boolean;
 
   constructor(readonly configuration: TrafficConfiguration) {
     this.tenants = new TenantDirectory(configuration.tenants);
+    const limited = [...configuration.routes, ...(configuration.tenants ?? [])];
+    this.limitsRegions = limited.some(({ allowedRegions }) => allowedRegions !== undefined);
     for (const route of configuration.routes) {
       const routes = this.byHost.get(route.host) ?? [];
       routes.push(route);
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -210,6 +210,14 @@
     return this.available(service).filter(({ record }) => this.rules.mayReceive(record, allowed));
   }
 
+  /** Whether a service has workers and none of them stands where work of these regions may go. */
+  areAllOutside(service: ServiceName, allowed: AllowedRegions): boolean {
+    const workers = this.available(service);
+    const isOutside = ({ record }: KnownWorker): boolean =>
+      this.rules.obstacleTo(record, allowed) === 'region-not-allowed';
+    return allowed !== undefined && workers.length > 0 && workers.every(isOutside);
+  }
+
   /** All workers. */
   all(): KnownWorker[] {
     return [...this.workers.values()];
--- a/src/serving/worker-sender.ts
+++ b/src/serving/worker-sender.ts
@@ -3,7 +3,7 @@
  * of them may have run it.
  */
 import type { Milliseconds } from '../core/units.js';
-import type { Failure } from '../errors/error-kinds.js';
+import { type Failure, failure } from '../errors/error-kinds.js';
 import { type AllowedRegions, allowedByBoth } from '../placement/allowed-regions.js';
 import { type TenantName, tenantNameOf } from '../tenants/tenant.js';
 import type { CallerRequest } from './answer-sink.js';
@@ -55,7 +55,15 @@
 
   /** Why no worker may be sent the request, whatever its route allows; `undefined` where one may. */
   refusal(): Failure | undefined {
-    return this.options.quarantine.refusalOf(this.asked);
+    return this.options.quarantine.refusalOf(this.asked) ?? this.refusalByRegion();
+  }
+
+  /** Waiting does not bring a worker to the regions in which the request may be served. */
+  private refusalByRegion(): Failure | undefined {
+    const { registry, service } = this.options;
+    if (!registry.areAllOutside(service, this.allowedRegions)) return undefined;
+    const regions = this.allowedRegions?.join(', ') ?? '';
+    return failure('region_unavailable', `no worker in the allowed regions (${regions})`);
   }
 
   /**
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -14,6 +14,10 @@
   jobs_submitted: { help: 'Jobs handed in, by what came of it', labels: ['outcome'] },
   jobs_closed: { help: 'Jobs no longer run here, by reason', labels: ['reason'] },
   jobs_adopted: { help: 'Jobs taken over from another node', labels: ['cause'] },
+  jobs_moved_by_region: {
+    help: 'Jobs that a changed configuration no longer lets lie here, by whether another node took them',
+    labels: ['outcome'],
+  },
   results_listed: { help: 'Results given a position', labels: ['state'] },
   store_calls: { help: 'Calls to the shared store', labels: ['call', 'outcome'] },
   relayed_watches: {
