--- a/src/fleet/peer-calls.ts
+++ b/src/fleet/peer-calls.ts
@@ -2,7 +2,13 @@
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
-import type { PeerOutcome, PeerPort, PeerRequest, PeerRequestOf } from '../peers/peer-messages.js';
+import type {
+  PeerAnswers,
+  PeerOutcome,
+  PeerPort,
+  PeerRequest,
+  PeerRequestOf,
+} from '../peers/peer-messages.js';
 import type { MayHold } from '../placement/job-residency.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { FleetRegistry } from './fleet-registry.js';
@@ -50,11 +56,20 @@
 
   /** Whether a node answers and reaches the store. */
   async reachesStore(node: NodeId): Promise<boolean> {
+    const answer = await this.probe(node);
+    return answer?.isAlive === true && answer.reachesStore;
+  }
+
+  /** Whether a node answers, whatever it reaches. */
+  async lives(node: NodeId): Promise<boolean> {
+    return (await this.probe(node))?.isAlive ?? false;
+  }
+
+  private async probe(node: NodeId): Promise<PeerAnswers['probe'] | undefined> {
     const owner = this.options.fleet.ownerOf(node);
-    if (owner === undefined) return false;
+    if (owner === undefined) return undefined;
     const outcome = await this.ask<'probe'>(node, { kind: 'probe', owner }, PROBE_LIMIT);
-    if (outcome?.kind !== 'answered') return false;
-    return outcome.answer.isAlive && outcome.answer.reachesStore;
+    return outcome?.kind === 'answered' ? outcome.answer : undefined;
   }
 
   /** Where this node is cut off from the store: another one that is not, of the own zone if possible. */
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -68,7 +68,7 @@
     const mayOwn = this.residency.holders(allowed);
     const offers = mayStayHere
       ? placement.offersFor(spec.id, mayOwn)
-      : placement.offersElsewhere(spec.id, mayOwn);
+      : await this.answering(placement.offersElsewhere(spec.id, mayOwn));
     let mayRunElsewhere = false;
     for (const node of offers.slice(0, OFFERS)) {
       if (node === self.node) {
@@ -92,12 +92,21 @@
         break;
       }
     }
-    if (!mayStayHere)
-      return { kind: 'answered', failure: refusalOutside(allowed, mayRunElsewhere) };
+    if (!mayStayHere) return { kind: 'nowhere', failure: refusalOutside(allowed, mayRunElsewhere) };
     if (fleet.isCutOff) return this.routeAnywhere(spec, mayRunElsewhere, deadline);
     return { kind: 'here', mayRunElsewhere };
   }
 
+  /** Those of the first nodes that answer: no job is sent to where nobody is, and may be. */
+  private async answering(nodes: readonly NodeId[]): Promise<NodeId[]> {
+    const { calls, placement } = this.options;
+    const first = nodes.slice(0, 2 * OFFERS);
+    const lives = await Promise.all(first.map((node) => calls.lives(node)));
+    const silent = first.filter((_, index) => lives[index] !== true);
+    for (const node of silent) placement.noteSilent(node);
+    return first.filter((_, index) => lives[index] === true);
+  }
+
   /**
    * Offers the job to a node for as long as that one answers probes and does not alone miss the
    * store; `silent` once it does not.
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -80,10 +80,8 @@
    */
   async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
     const path = await this.options.peers.submitElsewhere(spec);
-    if (path.kind === 'answered') {
-      const isOutside = path.failure?.kind === 'region_unavailable';
-      return isOutside ? this.refuseOutside(spec, path.failure) : path.failure;
-    }
+    if (path.kind === 'answered') return path.failure;
+    if (path.kind === 'nowhere') return this.refuseOutside(spec, path.failure);
     const refusal = await this.submissions.submit(spec, wanted);
     if (refusal === undefined || !path.mayRunElsewhere) return refusal;
     return failure('outcome_unknown', 'another node may have stored the job');
--- /dev/null
+++ b/test/fleet/jobs-in-regions.test.ts
@@ -0,0 +1,211 @@
+import t from 'tap';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { always } from '../jobs/job-fixtures.js';
+import { eventually } from './fleet-fixtures.js';
+import { jobOn, type Limits, RegionalGateways } from './regional-gateways.js';
+
+/** Three gateways in each region, so that owners by hash alone would be found in both. */
+const LAYOUT = {
+  ...{ 'n-1': 'north-1', 'n-2': 'north-1', 'n-3': 'north-2' },
+  ...{ 's-1': 'south-1', 's-2': 'south-1', 's-3': 'south-2' },
+};
+const SOUTHERN = ['s-1', 's-2', 's-3'];
+const WALLED: Limits = { routes: { pinned: ['south'] } };
+const JOBS = ['job-1', 'job-2', 'job-3', 'job-4', 'job-5', 'job-6'];
+
+async function fleetWith(limits: Limits): Promise<RegionalGateways> {
+  const fleet = new RegionalGateways();
+  await fleet.start(LAYOUT, limits);
+  return fleet;
+}
+
+async function whole(fleet: RegionalGateways, at: string, job: string): Promise<void> {
+  const { node } = fleet.named(at);
+  for (;;) {
+    const read = await node.jobs.read(job, 0, 100, UNRESTRICTED);
+    if ('results' in read && read.results.length === 2) return;
+    await PROCESS_CLOCK.sleep(20);
+  }
+}
+
+t.test(
+  'a job lies, runs and is read in its region, whichever gateway its caller has',
+  async (t) => {
+    const fleet = await fleetWith(WALLED);
+    for (const [index, job] of JOBS.entries()) {
+      const at = ['n-1', 's-1', 'n-3'][index % 3] ?? 'n-1';
+      t.equal(await fleet.named(at).node.submit(jobOn('pinned', job), always), undefined, job);
+      await whole(fleet, at, job);
+    }
+    t.same(fleet.workerRegions(), ['south']);
+    const north = fleet.deliveries.filter(({ to }) => to.startsWith('n'));
+    t.ok(
+      north.every(({ by }) => by === 'job-results'),
+      'results go to the caller’s own gateway only',
+    );
+    t.notOk(
+      north.some(({ to }) => to === 'n-2'),
+      'no caller is connected there',
+    );
+    t.equal(fleet.reachedIn('south').length > 0, true, 'the oracle sees bodies');
+    await fleet.stop();
+  },
+);
+
+t.test(
+  'where a route and a tenant disagree, nothing is allowed, and that is told at once',
+  async (t) => {
+    const fleet = await fleetWith({ ...WALLED, tenants: { owner: ['north'] } });
+    const startedAt = PROCESS_CLOCK.now();
+    for (const { node } of fleet.all()) {
+      const refusal = await node.submit(jobOn('pinned', 'job', 'owner'), always);
+      t.match(refusal, { kind: 'region_unavailable' });
+    }
+    t.ok(PROCESS_CLOCK.now() - startedAt < 1_000);
+    t.same(fleet.deliveries, []);
+    t.same(fleet.engine.requests, []);
+    t.match(fleet.named('n-1').lines.join(''), /job-refused/);
+    await fleet.stop();
+  },
+);
+
+t.test('a tenant’s regions bind on a route without any', async (t) => {
+  const fleet = await fleetWith({ tenants: { owner: ['south'] } });
+  for (const job of JOBS) {
+    await fleet.named('n-1').node.submit(jobOn('free', job, 'owner'), always);
+  }
+  await eventually(() => fleet.engine.requests.length >= 2 * JOBS.length);
+  t.same(fleet.workerRegions(), ['south']);
+  t.same(fleet.reachedIn('north'), []);
+  await fleet.stop();
+});
+
+t.test('a region that no zone lies in allows nothing, and the log names it', async (t) => {
+  const fleet = await fleetWith({ routes: { pinned: ['suoth'] } });
+  const { node, lines } = fleet.named('n-1');
+  t.match(lines.join(''), /"limits":"route pinned".*"region":"suoth".*region-unknown/);
+  t.match(await node.submit(jobOn('pinned', 'job'), always), { kind: 'region_unavailable' });
+  t.same(fleet.deliveries, []);
+  t.equal(await node.submit(jobOn('free', 'other'), always), undefined, 'other work goes on');
+  await fleet.stop();
+});
+
+t.test('while the regions are apart, a gateway outside refuses what nobody has', async (t) => {
+  const fleet = await fleetWith(WALLED);
+  fleet.areRegionsApart = true;
+  const refusal = await fleet.named('n-1').node.submit(jobOn('pinned', 'job'), always);
+  t.match(refusal, { kind: 'region_unavailable' }, 'nobody was sent it');
+  t.same(fleet.deliveries, []);
+  t.same(fleet.runnersOf('job'), []);
+  fleet.areRegionsApart = false;
+  t.equal(await fleet.named('s-1').node.submit(jobOn('pinned', 'job'), always), undefined);
+  fleet.areRegionsApart = true;
+  t.equal(
+    await fleet.named('n-2').node.submit(jobOn('pinned', 'job'), always),
+    undefined,
+    'a repetition of what the store knows is taken',
+  );
+  await fleet.stop();
+});
+
+t.test('after all owners of a region are gone their jobs wait for that region', async (t) => {
+  const fleet = await fleetWith(WALLED);
+  fleet.engine.holds = true;
+  await fleet.named('n-1').node.submit(jobOn('pinned', 'job'), always);
+  const [owner = ''] = fleet.runnersOf('job');
+  t.ok(SOUTHERN.includes(owner), owner);
+  for (const name of SOUTHERN) fleet.store.erase(`fleet/node/${name}`);
+  fleet.areRegionsApart = true;
+  // Longer than the turns of all nodes that look for the jobs of one that left.
+  await PROCESS_CLOCK.sleep(3_500);
+  t.notOk(fleet.runnersOf('job').some((name) => name.startsWith('n')));
+  t.same(fleet.reachedIn('north'), []);
+  await fleet.stop();
+});
+
+t.test('a job is taken over within its region, whoever finds it without an owner', async (t) => {
+  const fleet = await fleetWith(WALLED);
+  fleet.engine.holds = true;
+  for (const job of JOBS) await fleet.named('n-1').node.submit(jobOn('pinned', job), always);
+  const [lost = ''] = fleet.runnersOf('job-1');
+  await fleet.named(lost).node.stop();
+  await eventually(() => JOBS.every((job) => fleet.runnersOf(job).some((name) => name !== lost)));
+  const runners = JOBS.flatMap((job) => fleet.runnersOf(job));
+  t.ok(
+    runners.every((name) => SOUTHERN.includes(name)),
+    runners.join(),
+  );
+  t.same(fleet.reachedIn('north'), []);
+  await fleet.stop();
+});
+
+t.test(
+  'a limit that comes while a job runs moves it, and nothing of it is sent elsewhere',
+  async (t) => {
+    const fleet = await fleetWith({ routes: { pinned: ['north'] } });
+    fleet.engine.holds = true;
+    for (const job of JOBS) await fleet.named('n-1').node.submit(jobOn('pinned', job), always);
+    t.ok(JOBS.flatMap((job) => fleet.runnersOf(job)).every((name) => name.startsWith('n')));
+    fleet.configure(WALLED);
+    await fleet.configured();
+    const sentBefore = fleet.engine.requests.length;
+    await eventually(() =>
+      JOBS.every((job) => {
+        const runners = fleet.runnersOf(job);
+        return runners.length === 1 && SOUTHERN.includes(runners[0] ?? '');
+      }),
+    );
+    fleet.engine.holds = false;
+    const later = fleet.engine.requests.slice(sentBefore).map(({ worker }) => worker.zone);
+    t.ok(
+      later.every((zone) => zone === 'south-1'),
+      later.join(),
+    );
+    await fleet.stop();
+  },
+);
+
+t.test('a job whose route is gone stays in the region in which it was taken in', async (t) => {
+  const fleet = await fleetWith({ routes: { pinned: ['south'], other: ['north'] } });
+  fleet.engine.holds = true;
+  await fleet.named('s-1').node.submit(jobOn('pinned', 'job'), always);
+  fleet.configure({ routes: { other: ['north'] } });
+  await fleet.configured();
+  const [lost = ''] = fleet.runnersOf('job');
+  await fleet.named(lost).node.stop();
+  await eventually(() => fleet.runnersOf('job').some((name) => name !== lost));
+  t.ok(fleet.runnersOf('job').every((name) => SOUTHERN.includes(name)));
+  t.same(fleet.reachedIn('north'), []);
+  await fleet.stop();
+});
+
+t.test('a gateway without the store has results read within their region', async (t) => {
+  const fleet = await fleetWith(WALLED);
+  await fleet.named('s-1').node.submit(jobOn('pinned', 'job'), always);
+  await whole(fleet, 's-1', 'job');
+  fleet.withoutStore.add('n-1');
+  await PROCESS_CLOCK.sleep(1_500);
+  fleet.deliveries.length = 0;
+  const read = await fleet.named('n-1').node.jobs.read('job', 0, 0, UNRESTRICTED);
+  t.match(read, { total: 2, results: { length: 2 } });
+  t.ok(fleet.deliveries.every(({ to }) => to === 'n-1' || SOUTHERN.includes(to)));
+  await fleet.stop();
+});
+
+t.test('without limits jobs go to any region', async (t) => {
+  const fleet = await fleetWith({});
+  fleet.engine.holds = true;
+  const jobs = Array.from({ length: 20 }, (_, index) => `job-${index}`);
+  for (const job of jobs) await fleet.named('n-1').node.submit(jobOn('free', job), always);
+  const owners = new Set(jobs.flatMap((job) => fleet.runnersOf(job)));
+  t.same(
+    [...owners].sort(),
+    fleet
+      .all()
+      .map(({ name }) => name)
+      .filter((name) => owners.has(name)),
+  );
+  t.ok(owners.size > 1);
+  await fleet.stop();
+});
--- /dev/null
+++ b/test/placement/job-residency.test.ts
@@ -0,0 +1,164 @@
+import fc from 'fast-check';
+import t from 'tap';
+import type { FleetRegistry } from '../../src/fleet/fleet-registry.js';
+import { JobPlacement } from '../../src/fleet/job-placement.js';
+import type { PeerCalls } from '../../src/fleet/peer-calls.js';
+import { SubmissionRouter } from '../../src/fleet/submission-router.js';
+import { JobResidency } from '../../src/placement/job-residency.js';
+import { ZoneTopology } from '../../src/placement/zone-topology.js';
+import { RouteMatcher } from '../../src/serving/route-matcher.js';
+import { ManualClock, OWNER, scoredSpecification, specification } from '../jobs/job-fixtures.js';
+import { JOB_ROUTE, SCORE_ROUTE } from '../jobs/job-node.js';
+import { configuration, route } from '../serving/serving-fixtures.js';
+
+const REGIONS = new Map([
+  ['north-1', 'north'],
+  ['south-1', 'south'],
+  ['west-1', 'west'],
+]);
+
+interface Walls {
+  readonly job?: readonly string[] | undefined;
+  readonly score?: readonly string[];
+  readonly tenant?: readonly string[] | undefined;
+}
+
+const limited = (regions: readonly string[] | undefined): object =>
+  regions === undefined ? {} : { allowedRegions: regions };
+
+function matcherOf({ job, score, tenant }: Walls): RouteMatcher {
+  const routes = [
+    { ...JOB_ROUTE, ...limited(job) },
+    { ...SCORE_ROUTE, ...limited(score) },
+    route({ name: 'other', host: 'other.example', allowedRegions: ['west'] }),
+  ];
+  const owner = { name: 'owner', keyDigests: [], priority: undefined, ...limited(tenant) };
+  return new RouteMatcher({ ...configuration(routes), tenants: [owner] });
+}
+
+function residencyOf(walls: Walls, own = 'north-1', zones = REGIONS): JobResidency {
+  const matcher = matcherOf(walls);
+  return new JobResidency({
+    topology: new ZoneTopology(own, zones),
+    self: 'node-1',
+    zoneOf: (node) => (zones.has(node) ? node : undefined),
+    routes: () => matcher,
+  });
+}
+
+t.test('the routes of a job, of its items and of their scores bind, and its tenant', async (t) => {
+  const spec = { ...scoredSpecification('job', 2), tenant: 'owner' };
+  t.equal(residencyOf({}).allowedFor(spec), undefined);
+  t.same(residencyOf({ job: ['north', 'south'] }).allowedFor(spec), ['north', 'south']);
+  t.same(residencyOf({ job: ['north', 'south'], score: ['south'] }).allowedFor(spec), ['south']);
+  t.same(residencyOf({ job: ['north'], tenant: ['south'] }).allowedFor(spec), []);
+  t.same(residencyOf({ tenant: ['west'] }).allowedFor(spec), ['west']);
+});
+
+t.test('what a head notes tells the same as the whole job', async (t) => {
+  const spec = { ...scoredSpecification('job', 8), tenant: 'owner' };
+  const walls = { job: ['north', 'south'], score: ['south', 'west'], tenant: ['south'] };
+  const residency = residencyOf(walls);
+  const { requests } = residency.noteFor(spec);
+  t.equal(requests?.length, 2, 'one for each route');
+  const head = { tenant: 'owner', zone: 'north-1', requests };
+  t.same(residency.allowedOf(head), residency.allowedFor(spec));
+  const inOneRegion = new Map([['north-1', 'north']]);
+  t.same(residencyOf(walls, 'north-1', inOneRegion).noteFor(spec), {}, 'nothing is to be told');
+});
+
+t.test('a job of an unknown route stays where it was taken in', async (t) => {
+  const residency = residencyOf({ job: ['north'] });
+  const gone = { zone: 'south-1', requests: [{ host: 'gone.example', path: '/' }] };
+  t.same(residency.allowedOf(gone), ['south']);
+  t.same(residency.allowedOf({ zone: 'south-1' }), ['south'], 'nothing was noted');
+  t.same(residency.allowedOf({ zone: 'south-1', tenant: 'nobody' }), ['south']);
+  t.equal(residency.allowedOf({}), undefined, 'it is not known where that was');
+});
+
+t.test('a zone that no region is known of may hold only what is not limited', async (t) => {
+  const residency = residencyOf({ job: ['north'] });
+  t.equal(residency.mayHoldIn('nowhere', ['north']), false);
+  t.equal(residency.mayHoldIn(undefined, ['north']), false);
+  t.equal(residency.mayHoldIn(undefined, undefined), true);
+  t.equal(residency.mayHold('stranger', ['north']), false);
+  t.equal(residency.mayHoldHere(['north']), true, 'its own zone is known by the settings');
+});
+
+/** Regions by number of zone, zone by number of node, walls, and which nodes live. */
+const FLEETS = fc.record({
+  regionOfZone: fc.array(fc.nat(3), { minLength: 1, maxLength: 6 }),
+  zoneOfNode: fc.array(fc.nat(7), { minLength: 1, maxLength: 14 }),
+  dead: fc.array(fc.nat(13)),
+  job: fc.option(fc.array(fc.nat(4), { maxLength: 3 }), { nil: undefined }),
+  tenant: fc.option(fc.array(fc.nat(4), { maxLength: 3 }), { nil: undefined }),
+  servesAlone: fc.boolean(),
+  isCutOff: fc.boolean(),
+  outcomes: fc.infiniteStream(fc.constantFrom('refused', 'silent', 'unavailable', 'taken')),
+});
+
+t.test('no node outside its regions is offered a job, owns it or keeps it', async (t) => {
+  const spec = { ...specification('job', 2), tenant: 'owner' };
+  const drawn = fc.asyncProperty(FLEETS, async (fleet) => {
+    const zoneName = (zone: number): string => `zone-${zone}`;
+    const regionName = (region: number): string => `region-${region}`;
+    const zones = new Map(fleet.regionOfZone.map((r, zone) => [zoneName(zone), regionName(r)]));
+    const zoneOf = (node: string): string | undefined => {
+      const zone = fleet.zoneOfNode[Number(node.slice('node-'.length))];
+      return zone === undefined ? undefined : zoneName(zone);
+    };
+    const names = fleet.zoneOfNode.map((_, index) => `node-${index}`);
+    const live = names.filter((_, index) => index === 0 || !fleet.dead.includes(index));
+    const walls = { job: fleet.job?.map(regionName), tenant: fleet.tenant?.map(regionName) };
+    const routes = matcherOf(walls);
+    const own = zoneOf('node-0') ?? '';
+    const topology = new ZoneTopology(own, zones);
+    const residency = new JobResidency({ topology, self: 'node-0', zoneOf, routes: () => routes });
+    const isInside = (node: string): boolean => {
+      const region = zones.get(zoneOf(node) ?? '') ?? 'unknown';
+      const isAllowedBy = (wall: readonly string[] | undefined): boolean =>
+        wall === undefined || wall.includes(region);
+      return isAllowedBy(walls.job) && isAllowedBy(walls.tenant);
+    };
+    const clock = new ManualClock();
+    const placement = new JobPlacement({
+      ...{ liveNodes: () => live, capacityOf: () => 1, clock },
+      zones: fleet.servesAlone ? { own, zoneOf } : undefined,
+    });
+    const reached: string[] = [];
+    const calls = {
+      ask: async (node: string) => {
+        reached.push(node);
+        const kind = fleet.outcomes.next().value;
+        if (kind === 'refused' || kind === 'silent') return { kind };
+        const failure = kind === 'taken' ? undefined : { kind: 'ledger_unavailable' };
+        return { kind: 'answered', answer: { failure } };
+      },
+      lives: async (node: string) => {
+        reached.push(node);
+        return fleet.outcomes.next().value !== 'silent';
+      },
+      reachesStore: async () => true,
+      nodeThatReachesStore: async (_: string, mayAsk: (node: string) => boolean) =>
+        live.filter((node) => node !== 'node-0').find(mayAsk),
+    } as unknown as PeerCalls;
+    const router = new SubmissionRouter({
+      ...{ calls, placement, clock, residency },
+      fleet: { isCutOff: fleet.isCutOff } as unknown as FleetRegistry,
+      self: { ...OWNER, node: 'node-0' },
+      takesJobsAlone: () => false,
+    });
+    const owners = placement.ownersOf(
+      'job',
+      undefined,
+      residency.holders(residency.allowedFor(spec)),
+    );
+    const isAnyInside = live.some(isInside);
+    const path = await router.route(spec);
+    const isKeptInside = path.kind !== 'here' || isInside('node-0');
+    const canBeOwned = isAnyInside === owners.length > 0;
+    return [...reached, ...owners].every(isInside) && isKeptInside && canBeOwned;
+  });
+  await fc.assert(drawn, { numRuns: 1_000 });
+  t.pass('over drawn topologies, walls and live nodes');
+});
