--- a/test/fleet/jobs-in-regions.test.ts
+++ b/test/fleet/jobs-in-regions.test.ts
@@ -3,7 +3,13 @@
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { always } from '../jobs/job-fixtures.js';
 import { eventually } from './fleet-fixtures.js';
-import { jobOn, type Limits, RegionalGateways } from './regional-gateways.js';
+import {
+  jobOn,
+  type Limits,
+  RegionalGateways,
+  type Replicas,
+  replicasInAllZones,
+} from './regional-gateways.js';
 
 /** Three gateways in each region, so that owners by hash alone would be found in both. */
 const LAYOUT = {
@@ -14,19 +20,24 @@
 const WALLED: Limits = { routes: { pinned: ['south'] } };
 const JOBS = ['job-1', 'job-2', 'job-3', 'job-4', 'job-5', 'job-6'];
 
-async function fleetWith(limits: Limits): Promise<RegionalGateways> {
-  const fleet = new RegionalGateways();
+async function fleetWith(limits: Limits, replicas?: Replicas): Promise<RegionalGateways> {
+  const fleet = new RegionalGateways(replicas);
   await fleet.start(LAYOUT, limits);
   return fleet;
 }
 
+/** Reads a job until all of its results are listed. */
 async function whole(fleet: RegionalGateways, at: string, job: string): Promise<void> {
   const { node } = fleet.named(at);
-  for (;;) {
-    const read = await node.jobs.read(job, 0, 100, UNRESTRICTED);
-    if ('results' in read && read.results.length === 2) return;
-    await PROCESS_CLOCK.sleep(20);
-  }
+  let listed = 0;
+  const read = async (): Promise<void> => {
+    const told = await node.jobs.read(job, 0, 0, UNRESTRICTED);
+    listed = 'results' in told ? told.results.length : 0;
+  };
+  await eventually(() => {
+    void read();
+    return listed === 2;
+  });
 }
 
 t.test(
@@ -209,3 +220,34 @@
   t.ok(owners.size > 1);
   await fleet.stop();
 });
+
+t.test(
+  'where zones serve their own callers, a job and its journal lie in its region',
+  async (t) => {
+    const fleet = await fleetWith(WALLED, await replicasInAllZones(t));
+    await fleet.named('n-1').node.submit(jobOn('pinned', 'first'), always);
+    // A journal takes in what a slow store has not taken yet.
+    fleet.commitTime = 300;
+    for (const [index, job] of JOBS.entries()) {
+      const at = ['n-1', 's-1', 'n-3'][index % 3] ?? 'n-1';
+      t.equal(await fleet.named(at).node.submit(jobOn('pinned', job), always), undefined, job);
+      await whole(fleet, at, job);
+    }
+    t.same(fleet.workerRegions(), ['south']);
+    const north = fleet.deliveries.filter(({ to }) => to.startsWith('n'));
+    t.ok(north.every(({ by }) => by === 'job-results'));
+    t.ok(
+      fleet.deliveries.some(({ to, by }) => to.startsWith('replica') && by === 'journal-append'),
+    );
+    t.same(
+      fleet.reachedIn('north').filter((name) => name.startsWith('replica')),
+      [],
+    );
+    // What the journal has and the store lacks is repeated until the store takes it.
+    fleet.commitTime = 0;
+    const listed = (job: string): boolean =>
+      fleet.store.valueOf(`job/head/${job}`)?.includes('"listed":2') === true;
+    await eventually(() => JOBS.every(listed));
+    await fleet.stop();
+  },
+);
--- a/test/fleet/regional-gateways.ts
+++ b/test/fleet/regional-gateways.ts
@@ -3,17 +3,28 @@
  * looked into: whether it carries the body of an item, or what was made of one.
  */
 
+import { setTimeout as sleep } from 'node:timers/promises';
+import type t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import { FEED_TRANSLATION, storageDrainPort } from '../../platform/feeds.js';
+import type { Milliseconds } from '../../src/core/units.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
 import type { JobSpecification } from '../../src/jobs/job-records.js';
-import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
+import { REPLICA_PREFIX } from '../../src/journal/replica-directory.js';
+import type { ReplicaPlace } from '../../src/journal/replica-place.js';
+import type {
+  PeerHandler,
+  PeerOutcome,
+  PeerPort,
+  PeerRequest,
+} from '../../src/peers/peer-messages.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EngineOutcome, EngineRequest } from '../../src/serving/engine-port.js';
 import type { SharedStore } from '../../src/shared-store/shared-store.js';
 import { DecisionLog } from '../../src/telemetry/decision-log.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { specification } from '../jobs/job-fixtures.js';
+import { openReplica, temporaryFolder } from '../journal/journal-fixtures.js';
 import { answer, ScriptedEngine } from '../serving/serving-fixtures.js';
 import { eventually } from './fleet-fixtures.js';
 
@@ -50,6 +61,15 @@
   readonly by: PeerRequest['kind'];
 }
 
+/** The replicas of the zones' journals, by address, and where each of them stands. */
+export interface Replicas {
+  readonly byAddress: ReadonlyMap<string, PeerHandler>;
+  readonly places: readonly ReplicaPlace[];
+}
+
+/** Replicas that keep a job. */
+const GROUP_SIZE = 2;
+
 /** Regions to which routes and tenants limit their work; those not named may go anywhere. */
 export interface Limits {
   readonly routes?: Readonly<Record<string, readonly string[]>>;
@@ -84,11 +104,20 @@
   readonly deliveries: Delivery[] = [];
   /** Regions that are cut off from each other. */
   areRegionsApart = false;
+  /** Time that each commit takes at the store. */
+  commitTime: Milliseconds = 0;
   /** Gateways that do not reach the store. */
   readonly withoutStore = new Set<string>();
   private readonly gateways = new Map<string, RegionalGateway>();
   private version = 0;
 
+  /** With replicas each zone serves its own callers. */
+  constructor(private readonly replicas: Replicas = { byAddress: new Map(), places: [] }) {
+    for (const place of replicas.places) {
+      this.store.write(`${REPLICA_PREFIX}${place.node}`, JSON.stringify(place));
+    }
+  }
+
   /** Starts gateways, given by the zone of each; one worker stands in each region. */
   async start(zones: Readonly<Record<string, string>>, limits: Limits): Promise<void> {
     this.configure(limits);
@@ -162,7 +191,8 @@
   }
 
   private regionOf(name: string): string | undefined {
-    return ZONE_REGIONS.get(this.named(name).zone);
+    const replica = this.replicas.places.find(({ address }) => address === name);
+    return ZONE_REGIONS.get((replica ?? this.named(name)).zone);
   }
 
   private add(name: string, zone: string): void {
@@ -180,6 +210,8 @@
       timings: () => TIMINGS,
       storageDrains: storageDrainPort(this.store),
       zoneRegions: ZONE_REGIONS,
+      zonesServeAlone: this.replicas.places.length > 0,
+      journalReplicas: GROUP_SIZE,
     });
     this.gateways.set(name, { name, zone, node, metrics, lines });
     node.start();
@@ -192,8 +224,10 @@
       get: (store, property) => {
         const member: unknown = Reflect.get(store, property);
         if (typeof member !== 'function') return member;
-        return (...given: unknown[]) =>
-          this.withoutStore.has(name) ? Promise.resolve(failed) : member.apply(store, given);
+        return async (...given: unknown[]) => {
+          if (property === 'commit' && this.commitTime > 0) await sleep(this.commitTime);
+          return this.withoutStore.has(name) ? failed : member.apply(store, given);
+        };
       },
     });
   }
@@ -204,10 +238,10 @@
         to: string,
         request: PeerRequest,
       ): Promise<PeerOutcome<Kind>> => {
-        const target = this.gateways.get(to);
+        const target = this.replicas.byAddress.get(to) ?? this.gateways.get(to)?.node.peerHandler;
         if (target === undefined || this.areApart(from, to)) return { kind: 'silent' };
         this.noteDelivery(to, request.kind, request);
-        const told = await target.node.peerHandler.answer(request);
+        const told = await target.answer(request);
         this.noteDelivery(from, request.kind, told);
         return { kind: 'answered', answer: told } as PeerOutcome<Kind>;
       },
@@ -226,6 +260,22 @@
   }
 }
 
+/** Two replicas in each zone, which go with a test. */
+export async function replicasInAllZones(test: Pick<typeof t, 'teardown'>): Promise<Replicas> {
+  const byAddress = new Map<string, PeerHandler>();
+  const places: ReplicaPlace[] = [];
+  for (const zone of ZONE_REGIONS.keys()) {
+    for (const number of [1, 2]) {
+      const replica = await openReplica(temporaryFolder(test));
+      test.teardown(() => replica.stop());
+      const address = `replica-${number}-${zone}`;
+      byAddress.set(address, replica);
+      places.push({ node: address, zone, address, disk: replica.disk });
+    }
+  }
+  return { byAddress, places };
+}
+
 /** A job on a route, whose items take the same route. */
 export function jobOn(route: string, id: string, tenant?: string): JobSpecification {
   const spec = specification(id, 2);
