--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -8,6 +8,7 @@
 import { JobService } from '../../src/jobs/job-service.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
+import type { JobResidency } from '../../src/placement/job-residency.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import type { RequestQuarantine } from '../../src/serving/request-quarantine.js';
@@ -59,6 +60,8 @@
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether the store answers nobody. @default it does not */
   readonly isStoreSilent?: () => boolean;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency;
 }
 
 /** Joins the modules. */
@@ -69,7 +72,7 @@
   peers: JobPeers = NO_PEERS,
   extras: JobNodeExtras = {},
 ): JobNode {
-  const { journals, isWriterLive = () => true, isStoreSilent = () => true } = extras;
+  const { journals, isWriterLive = () => true, isStoreSilent = () => true, residency } = extras;
   const { log, lines } = recordingLog();
   const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
@@ -93,13 +96,14 @@
     (...question) => peers.ownerListing(...question),
     (job) => peers.likelyOwners(job),
     journals,
+    residency,
   );
   const options = {
     ...shared,
     ...{ store, reader, peers, dispatcher, self },
     zone: 'zone-1',
     retention: () => 60_000,
-    ...{ journals, isWriterLive, mayRecover: () => journals !== undefined },
+    ...{ journals, residency, isWriterLive, mayRecover: () => journals !== undefined },
   };
   return {
     service: new JobService(options),
--- /dev/null
+++ b/test/serving/regional-requests.test.ts
@@ -0,0 +1,91 @@
+import t from 'tap';
+import { ResidencyRule } from '../../src/placement/residency-rule.js';
+import { SendRules } from '../../src/placement/send-rules.js';
+import { ZoneTopology } from '../../src/placement/zone-topology.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { RequestForwarder } from '../../src/serving/request-forwarder.js';
+import type { Route } from '../../src/serving/traffic-configuration.js';
+import { WorkerRegistry } from '../../src/serving/worker-registry.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import type { Tenant } from '../../src/tenants/tenant.js';
+import {
+  answer,
+  callerRequest,
+  quarantine,
+  RecordingSink,
+  recordingLog,
+  route,
+  ScriptedEngine,
+  VERSION_FIELD,
+  worker,
+} from './serving-fixtures.js';
+
+const TOPOLOGY = new ZoneTopology(
+  'north-1',
+  new Map([
+    ['north-1', 'north'],
+    ['south-1', 'south'],
+  ]),
+);
+
+interface Tried {
+  readonly sink: RecordingSink;
+  readonly zones: readonly string[];
+  readonly lines: readonly string[];
+}
+
+/** One try at a gateway in the north, with a worker in each of some zones. */
+async function tryWith(
+  workerZones: readonly string[],
+  fields: Partial<Route>,
+  tenantRegions?: readonly string[],
+): Promise<Tried> {
+  const registry = new WorkerRegistry(new SendRules([new ResidencyRule(TOPOLOGY)]));
+  for (const zone of workerZones) registry.put(worker(`w-${zone}`, { zone }));
+  const engine = new ScriptedEngine([answer('done')]);
+  const { log, lines } = recordingLog();
+  const forwarder = new RequestForwarder({
+    ...{ engine, registry, log, zone: 'north-1', versionField: VERSION_FIELD },
+    ...{ quarantine: quarantine(), clock: PROCESS_CLOCK, metrics: new FleetMetrics() },
+    noteBegun: () => {},
+  });
+  const tenant: Tenant = {
+    ...{ name: 'owner', keyDigests: [], priority: undefined },
+    ...(tenantRegions === undefined ? {} : { allowedRegions: tenantRegions }),
+  };
+  const sink = new RecordingSink();
+  const request = callerRequest({ caller: { kind: 'tenant', tenant } });
+  await forwarder.forward(request, route(fields), 'service', sink);
+  return { sink, zones: engine.requests.map((sent) => sent.worker.zone), lines };
+}
+
+t.test('a request whose regions have no worker is refused at once, and says why', async (t) => {
+  for (const kind of ['read-only', 'mutating', 'streaming'] as const) {
+    const startedAt = PROCESS_CLOCK.now();
+    const { sink, zones, lines } = await tryWith(['north-1'], { kind, allowedRegions: ['south'] });
+    t.match(sink.failure, { kind: 'region_unavailable', detail: /south/ }, kind);
+    t.ok(PROCESS_CLOCK.now() - startedAt < 200);
+    t.same(zones, []);
+    t.match(lines.join(''), /request-refused/);
+  }
+});
+
+t.test('a request goes past the near workers to those in its regions', async (t) => {
+  const limited = { allowedRegions: ['south'] };
+  const { sink, zones } = await tryWith(['north-1', 'south-1'], limited);
+  t.equal(sink.status, 200);
+  t.same(zones, ['south-1']);
+});
+
+t.test('where route and tenant disagree nothing is sent', async (t) => {
+  const { sink, zones } = await tryWith(['north-1', 'south-1'], { allowedRegions: ['south'] }, [
+    'north',
+  ]);
+  t.match(sink.failure, { kind: 'region_unavailable' });
+  t.same(zones, []);
+});
+
+t.test('a service without any worker is told as before', async (t) => {
+  const { sink } = await tryWith([], { allowedRegions: ['south'] });
+  t.match(sink.failure, { kind: 'no_worker' });
+});
