--- a/src/fleet/peer-answers.ts
+++ b/src/fleet/peer-answers.ts
@@ -3,7 +3,7 @@
 import type { UsageSource, WindowCounts } from '../duties/usage-counts.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
-import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
+import type { JobOwner } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { JobService } from '../jobs/job-service.js';
 import { STORE_RETRY_AFTER } from '../jobs/store-reads.js';
@@ -65,7 +65,7 @@
       case 'surrender-job':
         return { work: jobs().surrender(request.job, request.zone) };
       case 'submit-for':
-        return { failure: await this.submitFor(request.spec, request.limit) };
+        return { failure: await this.submitFor(request) };
       case 'adopt-job':
         return {
           isTaken: await jobs().adoptFrom(request.job, request.owner, request.ownerAnswers),
@@ -116,17 +116,18 @@
   }
 
   /** Takes a job in for another node; refuses at once where the store is out of reach. */
-  private async submitFor(
-    spec: JobSpecification,
-    limit: Milliseconds,
-  ): Promise<Failure | undefined> {
+  private async submitFor({
+    spec,
+    limit,
+    isFromOutside = false,
+  }: PeerRequestOf<'submit-for'>): Promise<Failure | undefined> {
     const { fleet, jobs, takesJobsAlone } = this.options;
-    if (fleet.isCutOff && !takesJobsAlone()) {
+    if (fleet.isCutOff && (isFromOutside || !takesJobsAlone())) {
       return failure('ledger_unavailable', 'the store does not answer', {
         retryAfter: STORE_RETRY_AFTER,
       });
     }
-    return jobs().submitHere(spec, this.whileAsked(limit));
+    return jobs().submitHere(spec, this.whileAsked(limit), isFromOutside);
   }
 
   /** True for a time from now on. */
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -77,7 +77,8 @@
       }
       const limit = deadline - clock.now();
       if (limit < LEAST_OFFER) break;
-      const outcome = await this.offer(node, { kind: 'submit-for', spec, limit });
+      const outside = mayStayHere ? {} : { isFromOutside: true };
+      const outcome = await this.offer(node, { kind: 'submit-for', spec, limit, ...outside });
       if (outcome === undefined) continue;
       if (outcome.kind === 'answered') {
         const { failure: refusal } = outcome.answer;
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -106,8 +106,12 @@
   }
 
   /** Takes a job in here, for another node. */
-  submitHere(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
-    return this.submissions.submit(spec, wanted);
+  submitHere(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside = false,
+  ): Promise<Failure | undefined> {
+    return this.submissions.submit(spec, wanted, isFromOutside);
   }
 
   /**
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -61,6 +61,8 @@
   readonly journal: JobJournal | undefined;
   /** Whether it follows a step that was taken in here, and so is at no other zone. */
   readonly isNextStep: boolean;
+  /** Whether it was handed in where it may not lie, and so its trainer's steps are at several zones. */
+  readonly isFromOutside: boolean;
 }
 
 /** A store that has not taken a job after this time no longer holds up its items. */
@@ -86,34 +88,45 @@
     this.steps.forget();
   }
 
-  /** Takes a job in; `undefined` means that all of it is kept from now on. */
-  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  /**
+   * Takes a job in; `undefined` means that all of it is kept from now on. One that was handed in where
+   * it may not lie can be passed to any zone of its regions, and none of these takes it in alone.
+   */
+  async submit(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside = false,
+  ): Promise<Failure | undefined> {
     const own = this.options.owned.get(spec.id);
     if (own !== undefined) return belongsElsewhere(spec, own.spec.tenant);
     const known = this.underWay.get(spec.id);
     if (known !== undefined) return belongsElsewhere(spec, known.tenant) ?? known.outcome;
     const { residency } = this.options;
     if (!residency.mayHoldHere(residency.allowedFor(spec))) return NOT_IN_THIS_REGION;
-    const submission = this.store(spec, wanted);
+    const submission = this.store(spec, wanted, isFromOutside);
     this.underWay.set(spec.id, { tenant: spec.tenant, outcome: submission });
     return submission.finally(() => this.underWay.delete(spec.id));
   }
 
-  private async store(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  private async store(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside: boolean,
+  ): Promise<Failure | undefined> {
     const owner = this.isReleasing ? null : this.options.self;
     const journal = owner === null ? undefined : await this.openJournal(spec.id);
     if (journal === 'held-elsewhere') return TAKEN_ELSEWHERE;
-    const isNextStep = this.steps.isNext(spec);
+    const isNextStep = !isFromOutside && this.steps.isNext(spec);
     if (!isNextStep && !(await this.isUnknownToOtherZones(spec.id, wanted))) {
       return this.answerAsKnown(spec);
     }
-    return this.create(spec, { owner, journal, isNextStep }, wanted);
+    return this.create(spec, { owner, journal, isNextStep, isFromOutside }, wanted);
   }
 
   /** Makes a job in the store, or while that is silent in the zone's journal. */
   private async create(
     spec: JobSpecification,
-    { owner, journal, isNextStep }: AdmittedJob,
+    { owner, journal, isNextStep, isFromOutside }: AdmittedJob,
     wanted: StillWanted,
   ): Promise<Failure | undefined> {
     const { store, clock, zone, journals } = this.options;
@@ -137,7 +150,7 @@
     if (change.kind !== 'changed') early?.abandon();
     else if (owner === null) await this.handOver(spec);
     else {
-      this.steps.note(spec);
+      if (!isFromOutside) this.steps.note(spec);
       await this.ownCreated(spec, change.current, early, kept, journal);
     }
     const present = change.kind === 'superseded' ? change.current : undefined;
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -50,6 +50,8 @@
       readonly spec: JobSpecification;
       /** Time for which it is waited for; also in an outage of the store. */
       readonly limit: Milliseconds;
+      /** Whether it was handed in where it may not lie. @default it was not */
+      readonly isFromOutside?: boolean;
     }
   /** I don't reach the store: read these results for me. */
   | {
--- a/test/jobs/misplaced-jobs.test.ts
+++ b/test/jobs/misplaced-jobs.test.ts
@@ -9,6 +9,7 @@
 import { RouteMatcher } from '../../src/serving/route-matcher.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
+import { JournalZone } from '../journal/journal-fixtures.js';
 import {
   answer,
   configuration,
@@ -16,7 +17,7 @@
   ScriptedEngine,
   worker,
 } from '../serving/serving-fixtures.js';
-import { always, headOf, OTHER, OWNER, specification } from './job-fixtures.js';
+import { always, headOf, never, OTHER, OWNER, specification } from './job-fixtures.js';
 import { JOB_ROUTE, type JobNode, jobNode, keepWorking, workUntil } from './job-node.js';
 
 const REGIONS = new Map([
@@ -191,3 +192,20 @@
   t.match(node.lines.join(''), /job-moved-by-region/);
   node.dispatcher.stop();
 });
+
+t.test('a step that was handed in outside is not taken in without the store', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const zone = await JournalZone.open(t);
+  const journals = zone.journals(`${OWNER.node}/${OWNER.incarnation}`);
+  const node = jobNode(emulator, OWNER, new ScriptedEngine(), NO_PEERS, { journals });
+  t.teardown(() => node.dispatcher.stop());
+  const step = (id: string, number: number) => ({ ...specification(id, 1), step: number });
+  t.equal(await node.service.submitHere(step('own-0', 0), always), undefined);
+  t.equal(await node.service.submitHere(step('far-9', 9), always, true), undefined);
+  emulator.setAvailability('refusing');
+  const refusal = await node.service.submitHere(step('far-10', 10), never, true);
+  t.match(refusal, { kind: 'ledger_unavailable' }, 'another zone may be handed it too');
+  const started = await node.service.submitHere(step('own-1', 1), always);
+  t.equal(started, undefined, 'the zone’s own trainer goes on, whatever step the other is at');
+  emulator.setAvailability('up');
+});
