--- a/src/jobs/job-handover.ts
+++ b/src/jobs/job-handover.ts
@@ -108,11 +108,14 @@
    */
   private async claimJournal(
     job: string,
-    { replicas, term = FIRST_TERM }: JobHead,
+    head: JobHead,
   ): Promise<ClaimedJournal | undefined | 'not-claimed'> {
-    const { journals, log } = this.options;
+    const { journals, log, residency } = this.options;
+    const { replicas, term = FIRST_TERM } = head;
     if (replicas === undefined || journals === undefined) return undefined;
     const journal = journals.open(job, replicas, term + 1);
+    const allowed = residency.allowedOf(head);
+    if (!replicas.every(({ zone }) => residency.mayHoldIn(zone, allowed))) journal.takeNoEntries();
     const claim = await journal.claim();
     if (claim.kind === 'claimed') return { journal, entries: claim.entries };
     if (claim.kind === 'disks-gone') return { journal, entries: [] };
--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -50,6 +50,7 @@
 /** Writes the entries of one job. */
 export class JobJournal {
   private isLost = false;
+  private takesEntries = true;
 
   constructor(private readonly options: JournalOptions) {}
 
@@ -89,10 +90,16 @@
     return { kind: otherDisks === answers.length ? 'disks-gone' : 'silent' };
   }
 
+  /** Its replicas stand where nothing more of the job may be kept: only the store takes changes. */
+  takeNoEntries(): void {
+    this.takesEntries = false;
+  }
+
   /** Has all replicas keep entries; without any: whether this owner could still write. */
   async keep(entries: readonly JournalEntry[]): Promise<KeepOutcome> {
     const { holder } = this.options;
     if (this.isLost) return 'lost';
+    if (entries.length > 0 && !this.takesEntries) return 'unsure';
     const answers = await this.askAll((disk) => ({
       kind: 'journal-append',
       disk,
--- a/test/jobs/misplaced-jobs.test.ts
+++ b/test/jobs/misplaced-jobs.test.ts
@@ -209,3 +209,41 @@
   t.equal(started, undefined, 'the zone’s own trainer goes on, whatever step the other is at');
   emulator.setAvailability('up');
 });
+
+t.test(
+  'a job that was moved to another region writes no more to the journal of the first',
+  async (t) => {
+    for (const [regions, mayAppend] of [
+      [['south'], false],
+      [['north', 'south'], true],
+    ] as const) {
+      const emulator = new SharedStoreEmulator();
+      const zone = await JournalZone.open(t);
+      const limit: Limit = { regions: ['north'] };
+      const journaled = (self: JobOwner, where: string, engine = new ScriptedEngine()): JobNode =>
+        jobNode(emulator, self, engine, NO_PEERS, {
+          journals: zone.journals(`${self.node}/${self.incarnation}`, where),
+          residency: residencyIn(where, limit),
+        });
+      const first = journaled(OWNER, 'zone-1');
+      await first.service.submitHere(specification('job', 1), always);
+      limit.regions = regions;
+      const engine = new ScriptedEngine([answer(events(0, 'ab'), { isStream: true })]);
+      const next = journaled(OTHER, 'zone-2', engine);
+      t.equal(await next.service.adoptFrom('job', OWNER, false), true);
+      emulator.setAvailability('refusing');
+      next.registry.put(worker('w1'));
+      const appended = (): boolean =>
+        zone.asked.some((asked) => asked.kind === 'journal-append' && asked.entries.length > 0);
+      const ticker = keepWorking(next);
+      if (mayAppend) await eventually(appended);
+      else await PROCESS_CLOCK.sleep(800);
+      t.equal(appended(), mayAppend, regions.join());
+      emulator.setAvailability('up');
+      await eventually(() => next.service.ownedJobs()[0]?.results.length === 1);
+      clearInterval(ticker);
+      first.dispatcher.stop();
+      next.dispatcher.stop();
+    }
+  },
+);
