--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -160,6 +160,7 @@
     this.recovery?.tick(now);
     if (now < this.nextPlaceLookAt) return;
     this.nextPlaceLookAt = now + PLACE_LOOK_INTERVAL;
+    this.owned.forgetMisplaced();
     void this.handover.moveMisplaced();
   }
 
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -117,6 +117,15 @@
     this.forgetOld();
   }
 
+  /** Forgets closed jobs that a changed configuration no longer lets lie here. */
+  forgetMisplaced(): void {
+    if (!this.residency.isLimiting) return;
+    for (const job of this.all()) {
+      const mayStay = this.residency.mayHoldHere(this.residency.allowedFor(job.spec));
+      if (!job.isActive && !mayStay) this.jobs.delete(job.spec.id);
+    }
+  }
+
   /** What this node kept of items, for a node of a zone that may hold it. */
   keptWorkOf(items: readonly string[], zone: ZoneName | undefined): Map<string, DigestedWork> {
     const mayTell = (origin: JobOrigin): boolean =>
--- a/test/jobs/misplaced-jobs.test.ts
+++ b/test/jobs/misplaced-jobs.test.ts
@@ -170,6 +170,16 @@
   },
 );
 
+t.test('a closed job that may no longer lie here is forgotten', async (t) => {
+  const limit: Limit = { regions: ['north'] };
+  const node = await withEndedJob(limit);
+  node.service.tick();
+  t.equal(node.service.ownedJobs().length, 1);
+  limit.regions = ['south'];
+  await workUntil(node, () => node.service.ownedJobs().length === 0);
+  t.same(node.service.ownBody('job', 'item-0'), { isOwner: false });
+});
+
 t.test('a job that may no longer lie here is offered again until a node takes it', async (t) => {
   const limit: Limit = { regions: ['north'] };
   const offers: unknown[] = [];
