--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -31,6 +31,9 @@
   readonly results: JobResult[];
 }
 
+/** What is known of a job whose results may not be kept here. */
+type JobPlace = Pick<KnownJob, 'tenant' | 'total' | 'owner'>;
+
 /** What a reader of results learns. */
 export interface JobListing {
   /** The tenant that submitted the job. */
@@ -64,6 +67,7 @@
 /** Reads jobs from their owners, and from the store. */
 export class JobReader {
   private readonly jobs = new Map<string, KnownJob>();
+  private readonly places = new Map<string, JobPlace>();
   private readonly specifications = new Map<string, JobSpecification>();
 
   constructor(
@@ -86,7 +90,7 @@
     if (known !== undefined && (after < endOf(known) || isWhole(known))) {
       return { kind: 'found', value: known };
     }
-    const opened = known ?? (await this.open(job, after));
+    const opened = known ?? this.openAtPlace(job, after) ?? (await this.open(job, after));
     if ('kind' in opened) return opened;
     if (after < endOf(opened)) return { kind: 'found', value: opened };
     if (await this.readFromOwner(job, opened, wait)) return { kind: 'found', value: opened };
@@ -148,6 +152,18 @@
     return read;
   }
 
+  private openAtPlace(job: string, after: number): KnownJob | undefined {
+    const place = this.places.get(job);
+    return place === undefined ? undefined : { ...place, pages: 0, offset: after, results: [] };
+  }
+
+  /** Keeps what is known of a job; where its results may not lie here, who has them. */
+  private keepJob(job: string, known: KnownJob, allowed: AllowedRegions): void {
+    const { tenant, total, owner } = known;
+    if (this.residency.mayHoldHere(allowed)) keep(this.jobs, job, known, KEPT_JOBS);
+    else keep(this.places, job, { tenant, total, owner }, KEPT_JOBS);
+  }
+
   private async open(job: string, after: number): Promise<KnownJob | Read<never>> {
     return (await this.openAtOwner(job, after)) ?? this.openAtStore(job);
   }
@@ -159,10 +175,7 @@
       const { tenant, total, pages, results, allowedRegions } = listing;
       const opened = { tenant, total, owner, pages, offset: after, results: [...results] };
       // Without results it is not known whether so many are listed: the position is the reader's.
-      const isSure = after === 0 || results.length > 0;
-      if (isSure && this.residency.mayHoldHere(allowedRegions)) {
-        keep(this.jobs, job, opened, KEPT_JOBS);
-      }
+      if (after === 0 || results.length > 0) this.keepJob(job, opened, allowedRegions);
       return opened;
     }
     return undefined;
@@ -175,8 +188,7 @@
     const { tenant, total, owner, ended } = read.value.head;
     const runsAt = ended ? null : owner;
     const opened = { tenant, total, owner: runsAt, pages: 0, offset: 0, results: [] };
-    const mayKeep = this.residency.mayHoldHere(this.residency.allowedOf(read.value.head));
-    if (mayKeep) keep(this.jobs, job, opened, KEPT_JOBS);
+    this.keepJob(job, opened, this.residency.allowedOf(read.value.head));
     return opened;
   }
 
@@ -186,6 +198,7 @@
     const listing = await this.askOwner(known.owner, job, from, wait);
     if (listing === undefined) {
       known.owner = null;
+      this.places.delete(job);
       return false;
     }
     // Another read may have brought some of them meanwhile.
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -212,10 +212,11 @@
 
   /** Whether a service has workers and none of them stands where work of these regions may go. */
   areAllOutside(service: ServiceName, allowed: AllowedRegions): boolean {
+    if (allowed === undefined) return false;
     const workers = this.available(service);
     const isOutside = ({ record }: KnownWorker): boolean =>
       this.rules.obstacleTo(record, allowed) === 'region-not-allowed';
-    return allowed !== undefined && workers.length > 0 && workers.every(isOutside);
+    return workers.length > 0 && workers.every(isOutside);
   }
 
   /** All workers. */
--- a/test/fleet/jobs-in-regions.test.ts
+++ b/test/fleet/jobs-in-regions.test.ts
@@ -204,6 +204,21 @@
   await fleet.stop();
 });
 
+t.test('a gateway outside remembers who has a job, and asks the store no more', async (t) => {
+  const fleet = await fleetWith(WALLED);
+  await fleet.named('s-1').node.submit(jobOn('pinned', 'job'), always);
+  await whole(fleet, 'n-1', 'job');
+  fleet.store.calls.clear();
+  const { node } = fleet.named('n-1');
+  for (const after of [0, 1, 2, 0]) {
+    t.match(await node.jobs.read('job', after, 0, UNRESTRICTED), {
+      results: { length: 2 - after },
+    });
+  }
+  t.equal(fleet.store.calls.get('get') ?? 0, 0);
+  await fleet.stop();
+});
+
 t.test('without limits jobs go to any region', async (t) => {
   const fleet = await fleetWith({});
   fleet.engine.holds = true;
