--- /dev/null
+++ b/src/jobs/job-admission.ts
@@ -0,0 +1,57 @@
+/**
+ * A job on its way in at the gateway that its caller connected to: another node takes it in, this one
+ * does, or it is refused.
+ */
+import { type Failure, failure } from '../errors/error-kinds.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { JobPeers } from './job-peers.js';
+import type { JobReader } from './job-reader.js';
+import type { JobSpecification } from './job-records.js';
+import type { JobStore, StillWanted } from './job-store.js';
+import { belongsElsewhere, type JobSubmissions } from './job-submissions.js';
+import { STORE_RETRY_AFTER } from './store-reads.js';
+
+/** Options of {@link JobAdmission}. */
+export interface JobAdmissionOptions {
+  readonly store: JobStore;
+  readonly reader: JobReader;
+  readonly peers: JobPeers;
+  readonly submissions: JobSubmissions;
+  readonly log: DecisionLog;
+  readonly metrics: FleetMetrics;
+}
+
+/** What is told of a job where it is not sure that no node has taken it. */
+const MAY_BE_TAKEN = { kind: 'outcome_unknown', retryAfter: STORE_RETRY_AFTER } as const;
+
+/** Lets jobs in. */
+export class JobAdmission {
+  constructor(private readonly options: JobAdmissionOptions) {}
+
+  /** Has a job taken in; `undefined` means that all of it is kept from now on. */
+  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+    const { peers, submissions } = this.options;
+    const path = await peers.submitElsewhere(spec);
+    if (path.kind === 'answered') return path.failure;
+    if (path.kind === 'nowhere') return this.refuse(spec, path.failure);
+    const refusal = await submissions.submit(spec, wanted);
+    if (refusal === undefined || !path.mayRunElsewhere) return refusal;
+    return failure('outcome_unknown', 'another node may have stored the job');
+  }
+
+  /**
+   * The answer to a job that no node takes that may hold it. Its caller may repeat what another node
+   * took in before: that it has not run is told only where that is sure.
+   */
+  private async refuse(spec: JobSpecification, refusal: Failure): Promise<Failure | undefined> {
+    const { store, reader, log, metrics } = this.options;
+    const read = await store.head(spec.id);
+    if (read.kind === 'found') return belongsElsewhere(spec, read.value.head.tenant);
+    const isAbsent = read.kind === 'absent' && (await reader.isSurelyAbsent(spec.id));
+    const answer = isAbsent ? refusal : { ...refusal, ...MAY_BE_TAKEN };
+    log.decision('job-refused', { job: spec.id, kind: answer.kind, detail: refusal.detail });
+    metrics.count('jobs_submitted', { outcome: answer.kind });
+    return answer;
+  }
+}
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -10,13 +10,14 @@
   type TenantName,
   tenantNameOf,
 } from '../tenants/tenant.js';
+import { JobAdmission } from './job-admission.js';
 import { JobHandover } from './job-handover.js';
 import type { JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
 import { ageOf, isFinished, type JobOwner, type JobSpecification } from './job-records.js';
 import { type ResultSlice, sliceOf } from './job-results.js';
 import type { StillWanted, VersionedHead } from './job-store.js';
-import { belongsElsewhere, JobSubmissions } from './job-submissions.js';
+import { JobSubmissions } from './job-submissions.js';
 import { JournalRecovery } from './journal-recovery.js';
 import type { DigestedWork } from './kept-items.js';
 import type { OwnedJob } from './owned-job.js';
@@ -53,6 +54,7 @@
 export class JobService {
   private readonly owned: OwnedJobs;
   private readonly submissions: JobSubmissions;
+  private readonly admission: JobAdmission;
   private readonly handover: JobHandover;
   private readonly recovery: JournalRecovery | undefined;
   private readonly residency: JobResidency;
@@ -63,6 +65,7 @@
     this.residency = options.residency ?? JOBS_ANYWHERE;
     const shared = { ...options, owned: this.owned, residency: this.residency };
     this.submissions = new JobSubmissions(shared);
+    this.admission = new JobAdmission({ ...options, submissions: this.submissions });
     this.handover = new JobHandover(shared);
     const { journals, isWriterLive = () => true, mayRecover = () => false } = options;
     if (journals === undefined) return;
@@ -78,31 +81,8 @@
    * Takes a job in; `undefined` means that all of it is kept from now on. The node that is to run it
    * takes it in, which is mostly another one.
    */
-  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
-    const path = await this.options.peers.submitElsewhere(spec);
-    if (path.kind === 'answered') return path.failure;
-    if (path.kind === 'nowhere') return this.refuseOutside(spec, path.failure);
-    const refusal = await this.submissions.submit(spec, wanted);
-    if (refusal === undefined || !path.mayRunElsewhere) return refusal;
-    return failure('outcome_unknown', 'another node may have stored the job');
-  }
-
-  /**
-   * The answer to a job that no place takes that may hold it. Its caller may repeat what another
-   * node took in before: that it has not run is told only where that is sure.
-   */
-  private async refuseOutside(
-    spec: JobSpecification,
-    refusal: Failure,
-  ): Promise<Failure | undefined> {
-    const { store, reader, log, metrics } = this.options;
-    const read = await store.head(spec.id);
-    if (read.kind === 'found') return belongsElsewhere(spec, read.value.head.tenant);
-    const isAbsent = read.kind === 'absent' && (await reader.isSurelyAbsent(spec.id));
-    const answer = isAbsent ? refusal : { ...refusal, ...MAY_BE_TAKEN };
-    log.decision('job-refused', { job: spec.id, kind: answer.kind, detail: refusal.detail });
-    metrics.count('jobs_submitted', { outcome: answer.kind });
-    return answer;
+  submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+    return this.admission.submit(spec, wanted);
   }
 
   /** Takes a job in here, for another node. */
@@ -375,9 +355,6 @@
   }
 }
 
-/** What is told of a job where it is not sure that no node has taken it. */
-const MAY_BE_TAKEN = { kind: 'outcome_unknown', retryAfter: STORE_RETRY_AFTER } as const;
-
 const NOT_READ_HERE = failure('region_unavailable', 'the job may not lie in this region');
 const NO_SUCH_JOB = failure('not_found', 'there is no such job');
 
