--- a/test/fleet/regional-gateways.ts
+++ b/test/fleet/regional-gateways.ts
@@ -108,6 +108,8 @@
   commitTime: Milliseconds = 0;
   /** Gateways that do not reach the store. */
   readonly withoutStore = new Set<string>();
+  /** Gateways that no other one reaches. */
+  readonly alone = new Set<string>();
   private readonly gateways = new Map<string, RegionalGateway>();
   private version = 0;
 
@@ -249,6 +251,7 @@
   }
 
   private areApart(from: string, to: string): boolean {
+    if (this.alone.has(from) || this.alone.has(to)) return true;
     return this.areRegionsApart && this.regionOf(from) !== this.regionOf(to);
   }
 
