--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -16,10 +16,12 @@
 import type { PeerHandler } from '../peers/peer-messages.js';
 import { GuardedEngine } from '../placement/guarded-engine.js';
 import { JobResidency } from '../placement/job-residency.js';
+import { localitiesOf } from '../placement/locality.js';
 import { ResidencyRule } from '../placement/residency-rule.js';
 import { SendRules } from '../placement/send-rules.js';
+import { itemWayCost } from '../placement/way-costs.js';
 import { ZoneEvacuations } from '../placement/zone-evacuations.js';
-import { ZoneTopology } from '../placement/zone-topology.js';
+import { type DistanceBetween, ZoneTopology } from '../placement/zone-topology.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
@@ -108,7 +110,10 @@
     const { node, zonesServeAlone: servesAlone = false } = options;
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
     const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
-    this.registry = new WorkerRegistry(rules);
+    const { topology } = this;
+    const localities = localitiesOf(topology, servesAlone);
+    const distanceBetween: DistanceBetween = (...zones) => topology.distanceBetween(...zones);
+    this.registry = new WorkerRegistry(rules, distanceBetween);
     const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
@@ -118,6 +123,7 @@
       fleet: () => this.fleet,
       self: node,
       zone,
+      regionOf: topology.spansRegions ? (name) => topology.regionOf(name) ?? name : undefined,
       changeBound: () => options.timings().changeBound,
       prefixes: [FLEET_PREFIX, ...boundPrefixes],
       boundPrefixes,
@@ -138,7 +144,7 @@
     this.placement = new JobPlacement({
       liveNodes: () => this.fleet.liveNodes(),
       capacityOf: (name) => this.fleet.capacityOf(name),
-      zones: servesAlone ? { own: zone, zoneOf: (name) => this.fleet.zoneOf(name) } : undefined,
+      localities: localities && { ...localities, zoneOf: (name) => this.fleet.zoneOf(name) },
       clock,
     });
     const residency = new JobResidency({
@@ -154,7 +160,8 @@
     this.autonomy = autonomy;
     const { journals } = autonomy;
     const asked = {
-      ...{ port, self, zone, clock, metrics, fleet: this.fleet, placement: this.placement },
+      ...{ port, self, zone, distanceBetween, clock, metrics },
+      ...{ fleet: this.fleet, placement: this.placement },
       lock: () => this.coordination.lock,
       weightsNeeded: (need: WeightNeed) => this.coordination.requireWeights(need),
       weightChanged: (change: WeightChange) => noteWeightChange(this.registry, change, clock.now()),
@@ -195,7 +202,7 @@
     this.dispatcher = new ItemDispatcher({
       ...sending,
       isStoreSilent: () => this.fleet.isCutOff,
-      nearZone: servesAlone ? zone : undefined,
+      wayCost: itemWayCost(topology, servesAlone),
     });
     this.jobs = new JobService({
       ...shared,
@@ -227,12 +234,16 @@
       peers: port,
       adoptElsewhere: (...adoption) => peers.adoptElsewhere(...adoption),
     });
-    this.monitor = new PeerMonitor({ fleet, peers: port, self, clock, log });
+    this.monitor = new PeerMonitor({
+      ...{ fleet, peers: port, self, clock, log },
+      isNear: (name) => topology.isInOwnRegion(fleet.zoneOf(name) ?? zone),
+    });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     this.coordination = new Coordination({
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
       configuration: this.configuration,
+      localities,
       isStorageEmpty: (name) => autonomy.isStorageEmpty(name),
       sweep: () => void this.takeover.sweep(),
       removeExpired: () => {
--- a/src/fleet/job-takeover.ts
+++ b/src/fleet/job-takeover.ts
@@ -91,8 +91,9 @@
   }
 
   /** Scans after a departure, if this node is one of the few that do. */
-  private scanAfter({ node, cause }: Departure): void {
-    const nodes = rendezvousOrder(node, this.options.placement.owners(), (name) => name);
+  private scanAfter({ node, zone, cause }: Departure): void {
+    const successors = this.options.placement.successorsIn(zone);
+    const nodes = rendezvousOrder(node, successors, (name) => name);
     const rank = nodes.indexOf(this.options.self.node);
     if (rank < 0 || rank >= SCANNING_NODES) return;
     const grace = cause === 'replaced' ? REPLACEMENT_GRACE : DEPARTURE_GRACE;
@@ -176,6 +177,20 @@
     return this.residency.holders(this.residency.allowedOf(head));
   }
 
+  /** A job without a live owner is taken here, or offered where it is at home or may lie. */
+  private async adoptFound(
+    job: string,
+    found: VersionedHead,
+    ownerAnswers: boolean,
+  ): Promise<void> {
+    const { placement, service, self } = this.options;
+    const { owner, zone } = found.head;
+    const isOfOthers = owner !== null && placement.isOfOtherRegion(zone);
+    if (isOfOthers || !this.mayHold(found)(self.node)) {
+      await this.adoptByPlacement(job, found, owner, ownerAnswers);
+    } else await service.adopt(job, found, ownerAnswers);
+  }
+
   /** Cancels scans that are due. */
   stop(): void {
     this.isStopped = true;
@@ -193,9 +208,7 @@
       if (mayAdopt && rank > allowedRank && allowedRank < SCANS - 1) continue;
       const state = await this.stateOf(found.head.owner);
       if (state === 'running') continue;
-      const ownerAnswers = state === 'cut-off';
-      if (mayAdopt) await this.options.service.adopt(job, found, ownerAnswers);
-      else await this.adoptByPlacement(job, found, found.head.owner, ownerAnswers);
+      await this.adoptFound(job, found, state === 'cut-off');
     }
     return orphans.length === 0 ? 'no-orphans' : 'orphans-seen';
   }
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -35,8 +35,9 @@
 /** Least time for which a node is asked: less would not take a job in on a calm day. */
 const LEAST_OFFER: Milliseconds = 500;
 
-/** Owners that a job is offered to before the node that took the call runs it itself. */
-const OFFERS = 2;
+/** Nodes that are probed, and nodes that are offered a job, where it may not lie at this one. */
+const MOST_PROBED = 4;
+const OFFERS_ACROSS = 2;
 
 /** Options of {@link SubmissionRouter}. */
 export interface SubmissionRouterOptions {
@@ -70,7 +71,7 @@
       ? placement.offersFor(spec.id, mayOwn)
       : await this.answering(placement.offersElsewhere(spec.id, mayOwn));
     let mayRunElsewhere = false;
-    for (const node of offers.slice(0, OFFERS)) {
+    for (const node of offers) {
       if (node === self.node) {
         if (fleet.isCutOff && !takesJobsAlone()) continue;
         break;
@@ -101,11 +102,11 @@
   /** Those of the first nodes that answer: no job is sent to where nobody is, and may be. */
   private async answering(nodes: readonly NodeId[]): Promise<NodeId[]> {
     const { calls, placement } = this.options;
-    const first = nodes.slice(0, 2 * OFFERS);
+    const first = nodes.slice(0, MOST_PROBED);
     const lives = await Promise.all(first.map((node) => calls.lives(node)));
     const silent = first.filter((_, index) => lives[index] !== true);
     for (const node of silent) placement.noteSilent(node);
-    return first.filter((_, index) => lives[index] === true);
+    return first.filter((_, index) => lives[index] === true).slice(0, OFFERS_ACROSS);
   }
 
   /**
--- a/test/placement/job-residency.test.ts
+++ b/test/placement/job-residency.test.ts
@@ -5,6 +5,7 @@
 import type { PeerCalls } from '../../src/fleet/peer-calls.js';
 import { SubmissionRouter } from '../../src/fleet/submission-router.js';
 import { JobResidency } from '../../src/placement/job-residency.js';
+import { localitiesOf } from '../../src/placement/locality.js';
 import { ZoneTopology } from '../../src/placement/zone-topology.js';
 import { RouteMatcher } from '../../src/serving/route-matcher.js';
 import { ManualClock, OWNER, scoredSpecification, specification } from '../jobs/job-fixtures.js';
@@ -121,9 +122,10 @@
       return isAllowedBy(walls.job) && isAllowedBy(walls.tenant);
     };
     const clock = new ManualClock();
+    const localities = localitiesOf(topology, fleet.servesAlone);
     const placement = new JobPlacement({
       ...{ liveNodes: () => live, capacityOf: () => 1, clock },
-      zones: fleet.servesAlone ? { own, zoneOf } : undefined,
+      localities: localities && { ...localities, zoneOf },
     });
     const reached: string[] = [];
     const calls = {
