--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -120,15 +120,14 @@
 
   /** Regular work. */
   tick(): void {
+    const now = this.options.clock.now();
+    const isReviewDue = now >= this.nextReviewAt;
+    if (isReviewDue) this.review(now);
     if (!this.options.services().some(({ coldStart }) => coldStart !== undefined)) return;
     this.followGranter();
-    const now = this.options.clock.now();
     // Before callers come, if possible: what is not known to be warm is not sent their requests.
-    if (this.isListed && !this.isInformed && now >= this.nextAskAt) void this.askAboutAll();
-    if (now < this.nextReviewAt) return;
-    this.nextReviewAt = now + REVIEW_INTERVAL;
-    this.review();
-    if (this.options.isCutOff()) void this.askAboutAll();
+    const isNew = this.isListed && !this.isInformed && now >= this.nextAskAt;
+    if (isNew || (isReviewDue && this.options.isCutOff())) void this.askAboutAll();
   }
 
   private followGranter(): void {
@@ -140,13 +139,15 @@
     metrics.set('grants_cold_permits', state === 'open' ? 1 : 0);
   }
 
-  private review(): void {
-    const { registry, metrics, clock } = this.options;
+  /** Forgets what is over, and counts; also where no service has a cold start, as one may get it. */
+  private review(now: Milliseconds): void {
+    const { registry, metrics } = this.options;
+    this.nextReviewAt = now + REVIEW_INTERVAL;
     const isKnown = (id: string): boolean => registry().get(id) !== undefined;
     this.warmth.retain(isKnown);
     this.granter.prune();
     this.rule.prune();
-    for (const [id, at] of this.nextLookAt) if (at < clock.now()) this.nextLookAt.delete(id);
+    for (const [id, at] of this.nextLookAt) if (at < now) this.nextLookAt.delete(id);
     metrics.set('cold_workers', this.coldStarters().filter((one) => this.isCold(one)).length);
   }
 
