--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -16,6 +16,7 @@
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { PeerPort } from '../peers/peer-messages.js';
 import { PERMIT_VALIDITY, type PermitAnswer, type PermitWish } from '../placement/cold-permits.js';
+import type { DistanceBetween } from '../placement/zone-topology.js';
 import type { Clock } from '../serving/clock.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -58,6 +59,8 @@
   readonly placement: JobPlacement;
   readonly self: JobOwner;
   readonly zone: ZoneName;
+  /** How far zones are from each other. @default all are of one region */
+  readonly distanceBetween?: DistanceBetween;
   readonly clock: Clock;
   readonly metrics: FleetMetrics;
   readonly lock: () => CoordinatorLock;
@@ -136,7 +139,10 @@
     return owners.slice(0, this.mostLikelyOwners);
   }
 
-  /** The owner and the next in turn; where zones run their own jobs, one in each of three zones. */
+  /**
+   * The owner and the next in turn, both of the own region where regions run their own jobs; where
+   * zones do, one in each of three zones.
+   */
   private get mostLikelyOwners(): number {
     return this.options.placement.isByZone ? LIKELY_OWNERS_BY_ZONE : LIKELY_OWNERS;
   }
@@ -203,7 +209,7 @@
 
   needWeights(needed: WeightNeed): void {
     const { placement, zone } = this.options;
-    const need = placement.isByZone ? { ...needed, zone } : needed;
+    const need = placement.isLocal ? { ...needed, zone } : needed;
     const holder = this.options.lock().holder;
     if (holder === undefined) return;
     if (holder === this.options.self.node) {
@@ -213,10 +219,10 @@
     void this.calls.ask<'need-weights'>(holder, { kind: 'need-weights', need }, NEED_LIMIT);
   }
 
-  /** Tells the nodes that run the zones' jobs that a worker changes weights. */
+  /** Tells the nodes that run the zones' or regions' jobs that a worker changes weights. */
   tellWeightChange(change: WeightChange): void {
     const { placement, self, weightChanged } = this.options;
-    if (!placement.isByZone) return;
+    if (!placement.isLocal) return;
     weightChanged(change);
     const request = { kind: 'weights-change', change } as const;
     for (const node of placement.owners()) {
