A job is claimed from a live node no more, and who lost its claim does not run it

Change: a claim is taken over only from a writer whose life has ended; a claim is looked at again after the wait for other zones and after the store made the job; a job made for a node that lost its claim is left to the holder's successor.

--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -36,6 +36,8 @@
   readonly zone: ZoneName;
   /** Where zones serve their own callers: what takes jobs in while the store is silent. */
   readonly journals?: ZoneJournals | undefined;
+  /** Whether a life of a node that claimed a job is still live. @default all are */
+  readonly isWriterLive?: (writer: string) => boolean;
   readonly residency: JobResidency;
 }
 
@@ -120,6 +122,8 @@
     if (!isNextStep && !(await this.isUnknownToOtherZones(spec.id, wanted))) {
       return this.answerAsKnown(spec);
     }
+    // While the other zones were asked, a node of this one may have taken the job in.
+    if (!isNextStep && (await isLost(journal))) return TAKEN_ELSEWHERE;
     return this.create(spec, { owner, journal, isNextStep, isFromOutside }, wanted);
   }
 
@@ -148,7 +152,10 @@
     const change = await creation;
     this.noteSubmitted(spec, change, clock.now() - startedAt);
     if (change.kind !== 'changed') early?.abandon();
-    else if (owner === null) await this.handOver(spec);
+    else if (owner !== null && (await isLost(journal))) {
+      early?.abandon();
+      await this.passToHolder(spec, change.current, journal);
+    } else if (owner === null) await this.handOver(spec);
     else {
       if (!isFromOutside) this.steps.note(spec);
       await this.ownCreated(spec, change.current, early, kept, journal);
@@ -168,21 +175,41 @@
   /**
    * The zone's journal of a new job, claimed for this node: another node of the zone that was handed
    * the same job, and does not reach the store, can then not take it in too. One that has claimed it
-   * and kept nothing has told nobody that it took it in, and may have ended since.
+   * and kept nothing has told nobody that it took it in, and may have ended since; one that lives may
+   * yet do so, as it waits for the store or for the other zones.
    */
   private async openJournal(job: string): Promise<JobJournal | 'held-elsewhere' | undefined> {
-    const { journals } = this.options;
+    const { journals, isWriterLive = () => true } = this.options;
     const journal = journals?.openNew(job);
     if (journals === undefined || journal === undefined) return undefined;
     const claim = await journal.claim();
     if (claim.kind !== 'held-elsewhere') return claim.kind === 'claimed' ? journal : undefined;
     const { replicas } = journal;
+    if (isWriterLive(claim.holder.writer)) return claim.kind;
     if ((await journals.sightOf(job, replicas)) !== 'not-held') return claim.kind;
     const next = journals.open(job, replicas, claim.holder.term + 1);
     const second = await next.claim();
     return second.kind === 'claimed' && second.entries.length === 0 ? next : claim.kind;
   }
 
+  /**
+   * The store made a job for this node while another one of its zone claimed it, and may have told its
+   * caller more: a node that takes it over by its journal goes on with that.
+   */
+  private async passToHolder(
+    { id }: JobSpecification,
+    made: VersionedHead,
+    journal: JobJournal | undefined,
+  ): Promise<void> {
+    const { store, peers, log } = this.options;
+    const claim = await journal?.claim();
+    const term = claim?.kind === 'held-elsewhere' ? claim.holder.term : journal?.term;
+    const fields = { owner: null, ...(term === undefined ? {} : { term }) };
+    const change = await store.replace(id, made, fields, () => true);
+    log.state('job-passed-to-holder', { job: id, term: term ?? 0, outcome: change.kind });
+    await peers.handOver(id);
+  }
+
   /**
    * Whether no other zone has taken a job in that the store may not know. A caller may repeat at any
    * node what a zone has taken in by itself. Zones that do not answer are asked again for a while.
@@ -302,6 +329,11 @@
 }
 
 const NOT_IN_THIS_REGION = failure('region_unavailable', 'the job may not lie in this region');
+/** Whether another node has claimed a job since this one did; a journal that is not there is not lost. */
+async function isLost(journal: JobJournal | undefined): Promise<boolean> {
+  return journal !== undefined && (await journal.keep([])) === 'lost';
+}
+
 const TAKEN_ELSEWHERE = failure('outcome_unknown', 'another node may have taken the job');
 
 /** Refuses a job whose id names one of another tenant's, without telling that it is there. */
--- a/test/jobs/journaled-jobs.test.ts
+++ b/test/jobs/journaled-jobs.test.ts
@@ -12,6 +12,7 @@
 import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import { JobStore } from '../../src/jobs/job-store.js';
+import type { ReplicaPlace } from '../../src/journal/replica-place.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
@@ -302,6 +303,62 @@
   t.equal(head.kind === 'found' && head.value.head.term, 2);
 });
 
+/**
+ * Seen on a day on which a zone was cut off: 278 positions of a job held other items than they had been
+ * told to hold. Two nodes of the zone were handed the job. The first had claimed it and waited for the other
+ * zones, which did not answer; the second, which ran the trainer's steps before, claimed it under the next
+ * term and took it in by the journal. When the cut healed, the other zones answered the first one, and it
+ * made the job in the store and ran it from its begin, beside what the second had told.
+ */
+t.test('a job that a live node has claimed is not claimed by another', async (t) => {
+  const place = await zoneWithStore(t);
+  const { emulator, zone } = place;
+  emulator.setAvailability('refusing');
+  const first = zone.journals(WRITER).openNew('job');
+  t.equal((await first?.claim())?.kind, 'claimed');
+  const journals = zone.journals(`${OTHER.node}/${OTHER.incarnation}`);
+  const second = jobNode(emulator, OTHER, new ScriptedEngine(), NO_PEERS, { journals });
+  const refusal = await second.service.submit(specification('job', 1), never);
+  t.equal(refusal?.kind, 'outcome_unknown');
+  t.equal(await first?.keep([]), 'kept', 'the first may still take it in');
+});
+
+t.test('who lost its claim while it asked the other zones takes the job in no more', async (t) => {
+  const place = await zoneWithStore(t);
+  const { emulator, zone, node } = place;
+  const far: ReplicaPlace = { node: 'far', zone: 'zone-2', address: '10.0.9.9:1', disk: 'far' };
+  const journals = zone.journals(WRITER, 'zone-1', undefined, [far]);
+  const waiting = jobNode(emulator, OWNER, new ScriptedEngine(), NO_PEERS, { journals });
+  node.dispatcher.stop();
+  const answer = waiting.service.submit(specification('job', 1), always);
+  await eventually(() => zone.asked.some(({ kind }) => kind === 'journal-claim'));
+  const next = zone.journals('other/life').open('job', journals.ownReplicas(), 2);
+  t.equal((await next.claim()).kind, 'claimed');
+  zone.denying.set(far.address, far);
+  t.equal((await answer)?.kind, 'outcome_unknown');
+  t.same(waiting.service.ownedJobs(), []);
+  t.equal((await new JobStore(emulator, new ManualClock()).head('job')).kind, 'absent');
+});
+
+t.test('a job that the store makes for one that lost its claim is left to others', async (t) => {
+  const place = await zoneWithStore(t);
+  const { emulator, zone, node } = place;
+  const commit = emulator.commit.bind(emulator);
+  emulator.commit = async (...parts) => {
+    emulator.commit = commit;
+    const next = zone.journals('other/life').open('job', zone.places, 2);
+    await next.claim();
+    return commit(...parts);
+  };
+  t.equal(await node.service.submit(specification('job', 1), always), undefined);
+  t.same(
+    node.service.ownedJobs().filter((job) => job.isOpen),
+    [],
+  );
+  const head = await new JobStore(emulator, new ManualClock()).head('job');
+  t.match(head.kind === 'found' && head.value.head, { owner: null, term: 2 });
+});
+
 t.test('zones that do not answer yet are asked again for a while', async (t) => {
   const place = await zoneWithStore(t);
   const { zone } = place;
--- a/test/journal/journal-fixtures.ts
+++ b/test/journal/journal-fixtures.ts
@@ -35,6 +35,8 @@
   readonly replicas = new Map<string, JournalReplica>();
   /** Addresses that cannot be reached. */
   readonly unreachable = new Set<string>();
+  /** Addresses of replicas of other zones that hold nothing; the others of these do not answer. */
+  readonly denying = new Map<string, ReplicaPlace>();
   readonly folders = new Map<string, string>();
   readonly places: ReplicaPlace[] = [];
   readonly asked: PeerRequest[] = [];
@@ -76,16 +78,26 @@
     request: PeerRequest,
   ): Promise<PeerOutcome<Kind>> {
     this.asked.push(request);
+    const denying = this.denying.get(address);
+    if (denying !== undefined) {
+      const answer = { disk: denying.disk, holdsEntries: false };
+      return { kind: 'answered', answer } as unknown as PeerOutcome<Kind>;
+    }
     const replica = this.replicas.get(address);
     if (replica === undefined || this.unreachable.has(address)) return { kind: 'silent' };
     const answer = await replica.answer(request);
     return { kind: 'answered', answer } as PeerOutcome<Kind>;
   }
 
-  /** The journals as a node of a zone uses them; it knows all replicas. */
-  journals(writer: string, zone = ZONE, clock = new ManualClock()): ZoneJournals {
+  /** The journals as a node of a zone uses them; it knows all replicas, also those of other zones. */
+  journals(
+    writer: string,
+    zone = ZONE,
+    clock = new ManualClock(),
+    elsewhere: readonly ReplicaPlace[] = [],
+  ): ZoneJournals {
     const directory = new ReplicaDirectory({ clock, groupSize: 3 });
-    for (const place of this.places) {
+    for (const place of [...this.places, ...elsewhere]) {
       const key = `${REPLICA_PREFIX}${place.node}`;
       directory.take({ key, value: JSON.stringify(place), revision: 1 });
     }
