An owner that passed an end on no longer answers for the job; an end taken late closes it

And a job whose end the store took after its caller had left was never closed, so its items ran on. Change: a closing reason of its own, ended-elsewhere, under which nothing is answered from the own list; the head that a commit leaves behind closes the job where it has ended. The cut way to the store of one test moves to a file for both.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -28,8 +28,11 @@
 const LEAST_PATIENCE_STEPS = 10;
 const PATIENCE_STEP: Milliseconds = 50;
 
-/** Why a job is no longer run here. */
-export type OwnershipEnd = 'finished' | 'ended' | 'superseded' | 'released';
+/**
+ * Why a job is no longer run here. `ended-elsewhere`: another node was told to end it, as this one did
+ * not reach the store; somebody else may have listed more of it meanwhile.
+ */
+export type OwnershipEnd = 'finished' | 'ended' | 'ended-elsewhere' | 'superseded' | 'released';
 
 /** What a job has in its zone's journal. */
 export interface JournaledWork {
@@ -281,6 +284,8 @@
 
   /** Acts on what a change told of the head. */
   private noteHead(change: HeadChange): void {
+    // The store may take an end after all who waited for it have left.
+    if (change.kind === 'changed' && change.current.head.ended) this.options.close('ended');
     if (change.kind !== 'superseded') return;
     // Who does not hold all results must not answer for the job, even where it has ended.
     if (!this.isOwnChange(change)) this.options.close('superseded');
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -275,7 +275,7 @@
     const own = this.owned.answering(job);
     if (own === undefined) return { isOwner: false };
     await this.awaitFresh(own, after, wait);
-    if (own.ending === 'superseded' || isUnsure(own, after)) return { isOwner: false };
+    if (!own.mayAnswer || isUnsure(own, after)) return { isOwner: false };
     const { items, tenant } = own.spec;
     const total = items.length;
     const { pages, results } = own;
@@ -286,7 +286,7 @@
   async endOwn(job: string, caller: CallerIdentity): Promise<boolean> {
     const own = this.owned.get(job);
     if (own === undefined || !mayAccess(caller, own.spec.tenant)) return false;
-    return own.mayBeEnded ? own.end(() => false) : own.ending === 'ended';
+    return own.mayBeEnded ? own.end(() => false) : own.hasEnded;
   }
 
   private async readOwned(
@@ -296,7 +296,7 @@
     caller: CallerIdentity,
   ): Promise<ResultSlice | Failure> {
     await this.awaitFresh(job, after, wait);
-    if (job.ending === 'superseded') return this.readHere(job.spec.id, after, 0, caller);
+    if (!job.mayAnswer) return this.readHere(job.spec.id, after, 0, caller);
     if (isUnsure(job, after)) return storeSilent();
     return sliceOf({ total: job.spec.items.length, results: job.results }, after);
   }
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -125,9 +125,19 @@
     this.close('superseded');
   }
 
-  /** Another node has ended the job in the store. */
+  /** Another node has ended the job, which this one could not do. */
   noteEnded(): void {
-    this.close('ended');
+    this.close('ended-elsewhere');
+  }
+
+  /** Whether the job has ended, so that nobody runs it any more. */
+  get hasEnded(): boolean {
+    return this.endReason === 'ended' || this.endReason === 'ended-elsewhere';
+  }
+
+  /** Whether what this node listed is all that was listed, as far as it knows. */
+  get mayAnswer(): boolean {
+    return this.isOpen || this.endReason === 'finished' || this.endReason === 'ended';
   }
 
   /** Time since it was last confirmed that the job is this node's. */
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -66,7 +66,7 @@
   /** A job that this node may answer for. */
   answering(job: string): OwnedJob | undefined {
     const own = this.jobs.get(job);
-    return own?.ending === 'superseded' || own?.ending === 'released' ? undefined : own;
+    return own?.mayAnswer === true ? own : undefined;
   }
 
   /** Runs a job from now on. */
@@ -184,7 +184,7 @@
   }
 
   private noteClosed(job: OwnedJob): void {
-    if (job.ending === 'ended') this.kept.keep(job);
+    if (job.hasEnded) this.kept.keep(job);
     const { clock, log, metrics } = this.options;
     metrics.count('jobs_closed', { reason: job.ending ?? 'open' });
     log.state('job-closed', {
--- a/test/jobs/surrendered-job.test.ts
+++ b/test/jobs/surrendered-job.test.ts
@@ -5,32 +5,12 @@
 import { JobStore } from '../../src/jobs/job-store.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
-import type { SharedStore, StoreFailure } from '../../src/shared-store/shared-store.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
 import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 import { always, OTHER, OWNER, specification } from './job-fixtures.js';
 import { jobNode, keepWorking } from './job-node.js';
-
-const REFUSED: StoreFailure = { kind: 'failed', effect: 'not-done' };
-
-/** One node's way to a store, which may be cut. */
-class StoreLink implements SharedStore {
-  isCut = false;
-
-  constructor(private readonly store: SharedStore) {}
-
-  get: SharedStore['get'] = async (key) => (this.isCut ? REFUSED : this.store.get(key));
-  range: SharedStore['range'] = async (prefix, after) =>
-    this.isCut ? REFUSED : this.store.range(prefix, after);
-  watch: SharedStore['watch'] = async (prefix, after, wait, signal) =>
-    this.isCut ? REFUSED : this.store.watch(prefix, after, wait, signal);
-  commit: SharedStore['commit'] = async (commit) =>
-    this.isCut ? REFUSED : this.store.commit(commit);
-  grantLease: SharedStore['grantLease'] = async (ttl) => this.store.grantLease(ttl);
-  keepLease: SharedStore['keepLease'] = async (lease) => this.store.keepLease(lease);
-  endLease: SharedStore['endLease'] = async (lease) => this.store.endLease(lease);
-}
+import { StoreLink } from './store-link.js';
 
 /** A stream that gives some events and then nothing more. */
 function pausingAnswer(letters: string): EngineOutcome {
