A question that a node's build does not know gets a typed answer, and the asker does without

Cause: a build answers an unknown kind with status 400 and an empty body, as the deployed one does (tried on its code: its connection goes on, no fault is logged there), which the asker took for silence; a question to the wrong kind of process gave a fault line and status 500. Both would count against a live node once builds differ. Change: PeerOutcome 'unsupported', for status 501 and for the 400 of the build before; it is remembered while the connection is open over which it was told, for kinds that this build's predecessor lacks, and no node is avoided for it. Handlers answer undefined for a kind that is not theirs. Fields that a build lacks get their defaults in peer-protocol.ts. Conclusion: new kinds of questions can be asked of any node.

--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -147,7 +147,8 @@
     if (holding === undefined || holding.nonce === this.ownNonce) return;
     if (holding.node !== holder.node || holding.address !== holder.address) return;
     const outcome = await this.askToResign(holder.address);
-    if (outcome.kind === 'silent') return;
+    // One that has not acted on it may still give orders.
+    if (outcome.kind === 'silent' || outcome.kind === 'unsupported') return;
     this.options.log.state('coordinator-given-up', { peer: holder.node, cause: outcome.kind });
     this.givenUpNonce = holding.nonce;
     this.tick();
--- a/src/fleet/peer-answers.ts
+++ b/src/fleet/peer-answers.ts
@@ -46,8 +46,7 @@
 export class PeerAnswering implements PeerHandler {
   constructor(private readonly options: PeerAnsweringOptions) {}
 
-  /** Answers a question; rejects for what a gateway does not answer. */
-  async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
+  async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']] | undefined> {
     const { self, jobs, weightsNeeded } = this.options;
     switch (request.kind) {
       case 'probe':
@@ -97,7 +96,7 @@
         weightsNeeded(request.need);
         return { isNoted: true };
       default:
-        throw new Error(`a gateway keeps no journal to answer ${request.kind}`);
+        return undefined;
     }
   }
 
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -69,7 +69,7 @@
         if (!isOutage || !isTimeLeft) return { kind: 'answered', failure: refusal };
         continue;
       }
-      placement.noteSilent(node);
+      if (outcome.kind !== 'unsupported') placement.noteSilent(node);
       if (outcome.kind === 'silent') {
         mayRunElsewhere = true;
         break;
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -11,21 +11,21 @@
   PeerRequest,
   PeerRequestOf,
 } from './peer-messages.js';
-
-/** Path of the node-to-node endpoint. */
-export const PEER_PATH = '/fleet/peer';
-
-const OK = 200;
+import { isNewKind, isUnsupported, PEER_PATH, PEER_STATUS, wholeAnswer } from './peer-protocol.js';
+import { UnsupportedKinds } from './unsupported-kinds.js';
 
 /** Speaks to the other nodes of a fleet. */
 export class PeerClient implements PeerPort {
   private readonly agent = new KeptConnections();
+  private readonly unsupported = new UnsupportedKinds();
 
   ask<Kind extends PeerRequest['kind']>(
     address: string,
     request: PeerRequestOf<Kind>,
     limit: Milliseconds,
   ): Promise<PeerOutcome<Kind>> {
+    const isKnownInVain = this.unsupported.has(address, request.kind);
+    if (isKnownInVain) return Promise.resolve({ kind: 'unsupported' });
     return new Promise((resolve) => {
       const body = Buffer.from(stringify(request));
       const colon = address.lastIndexOf(':');
@@ -40,7 +40,8 @@
       const settle = (outcome: PeerOutcome<Kind>): void => {
         clearTimeout(timer);
         resolve(outcome);
-        if (outcome.kind !== 'answered') call.destroy();
+        const isAnswered = outcome.kind === 'answered' || outcome.kind === 'unsupported';
+        if (!isAnswered) call.destroy();
       };
       const timer = setTimeout(() => {
         this.agent.dropIdle(place);
@@ -50,8 +51,11 @@
         settle({ kind: error.code === 'ECONNREFUSED' ? 'refused' : 'silent' });
       });
       call.on('response', (response) => {
-        void readAnswer<Kind>(response).then((answer) => {
-          settle(answer === undefined ? { kind: 'silent' } : { kind: 'answered', answer });
+        const { socket } = response;
+        void readAnswer<Kind>(request.kind, response).then((outcome) => {
+          const isToRemember = outcome.kind === 'unsupported' && isNewKind(request.kind);
+          if (isToRemember) this.unsupported.note(address, request.kind, socket);
+          settle(outcome);
         });
       });
       call.end(body);
@@ -65,14 +69,18 @@
 }
 
 async function readAnswer<Kind extends PeerRequest['kind']>(
+  kind: Kind,
   response: http.IncomingMessage,
-): Promise<PeerAnswers[Kind] | undefined> {
+): Promise<PeerOutcome<Kind>> {
   const body = await readWhole(response);
-  if (body === undefined || response.statusCode !== OK) return undefined;
+  if (body === undefined) return { kind: 'silent' };
+  if (isUnsupported(response.statusCode)) return { kind: 'unsupported' };
+  if (response.statusCode !== PEER_STATUS.answered) return { kind: 'silent' };
   try {
-    return parse(body.toString('utf8')) as PeerAnswers[Kind];
+    const answer = parse(body.toString('utf8')) as PeerAnswers[Kind];
+    return { kind: 'answered', answer: wholeAnswer(kind, answer) };
   } catch {
     // Half an answer, or none of ours: it counts as silence, which the caller's counters tell.
-    return undefined;
+    return { kind: 'silent' };
   }
 }
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -148,15 +148,18 @@
 
 /** Answers the questions of other nodes. */
 export interface PeerHandler {
-  answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]>;
+  /** `undefined` where it does not answer such a kind, which a newer build may know. */
+  answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']] | undefined>;
 }
 
 /**
- * Outcome of a question. `refused`: nobody listens there, so the process is gone; `silent`: no
- * answer in time, or the connection broke.
+ * Outcome of a question. `unsupported`: the node lives, has not acted on the question and never will,
+ * as its build does not know the kind, so the asker does without; `refused`: nobody listens there, so
+ * the process is gone; `silent`: no answer in time, or the connection broke.
  */
 export type PeerOutcome<Kind extends PeerRequest['kind']> =
   | { readonly kind: 'answered'; readonly answer: PeerAnswers[Kind] }
+  | { readonly kind: 'unsupported' }
   | { readonly kind: 'refused' }
   | { readonly kind: 'silent' };
 
--- a/src/peers/peer-server.ts
+++ b/src/peers/peer-server.ts
@@ -3,42 +3,11 @@
 import { parse, stringify } from 'devalue';
 import * as z from 'zod';
 import { readWhole } from '../serving/read-chunks.js';
-import { PEER_PATH } from './peer-client.js';
 import type { PeerHandler, PeerRequest } from './peer-messages.js';
+import { PEER_PATH, PEER_STATUS, wholeQuestion } from './peer-protocol.js';
 
-/** Kinds of questions; the fields of each are trusted, as only nodes reach the address. */
-const KINDS: Readonly<Record<PeerRequest['kind'], true>> = {
-  probe: true,
-  'kept-work': true,
-  'job-results': true,
-  'end-job': true,
-  'surrender-job': true,
-  'submit-for': true,
-  'read-for': true,
-  'end-for': true,
-  'adopt-job': true,
-  'item-body': true,
-  'take-job': true,
-  'worker-ended': true,
-  'usage-counts': true,
-  'need-weights': true,
-  'weights-change': true,
-  'resign-coordinator': true,
-  'follow-prefix': true,
-  'list-prefix': true,
-  'journal-claim': true,
-  'journal-append': true,
-  'journal-release': true,
-  'journal-look': true,
-  'journal-list': true,
-};
-
-const REQUEST = z.looseObject({ kind: z.enum(Object.keys(KINDS)) });
-
-const OK = 200;
-const BAD_REQUEST = 400;
-const NOT_FOUND = 404;
-const FAILED = 500;
+/** The fields of a question are trusted, as only nodes reach the address. */
+const REQUEST = z.looseObject({ kind: z.string() });
 
 /** Largest question in bytes. */
 const MAXIMUM_BYTES = 4_194_304;
@@ -88,31 +57,36 @@
 
   private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     if (request.url !== PEER_PATH) {
-      response.writeHead(NOT_FOUND).end();
+      response.writeHead(PEER_STATUS.otherPath).end();
       return;
     }
     const question = await readRequest(request);
-    if (question === undefined) {
-      response.writeHead(BAD_REQUEST).end();
+    if (typeof question === 'number') {
+      response.writeHead(question).end();
       return;
     }
     try {
-      const body = this.write(await this.handler.answer(question));
-      response.writeHead(OK, { 'content-type': 'application/json' }).end(body);
+      const answer = await this.handler.answer(wholeQuestion(question));
+      if (answer === undefined) response.writeHead(PEER_STATUS.unknownKind).end();
+      else {
+        const headers = { 'content-type': 'application/json' };
+        response.writeHead(PEER_STATUS.answered, headers).end(this.write(answer));
+      }
     } catch (error) {
       this.noteFault(error);
-      response.writeHead(FAILED).end();
+      response.writeHead(PEER_STATUS.failed).end();
     }
   }
 }
 
-async function readRequest(request: http.IncomingMessage): Promise<PeerRequest | undefined> {
+/** The question, or the status that tells why there is none. */
+async function readRequest(request: http.IncomingMessage): Promise<PeerRequest | number> {
   const body = await readWhole(request, MAXIMUM_BYTES);
-  if (body === undefined) return undefined;
+  if (body === undefined) return PEER_STATUS.tooLong;
   try {
     const value: unknown = parse(body.toString('utf8'));
-    return REQUEST.safeParse(value).success ? (value as PeerRequest) : undefined;
+    return REQUEST.safeParse(value).success ? (value as PeerRequest) : PEER_STATUS.malformed;
   } catch {
-    return undefined;
+    return PEER_STATUS.malformed;
   }
 }
