--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -10,6 +10,7 @@
 import { firstValueFrom, Subject } from 'rxjs';
 import * as z from 'zod';
 import type { NodeId } from '../core/identity.js';
+import { openRecord } from '../core/open-record.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
 import { EVIDENCE_LIFETIME } from '../serving/crash-evidence.js';
@@ -38,7 +39,7 @@
 /** Keys that one commit of the store may write. */
 const MOST_KEYS_TOGETHER = 32;
 
-const CRASH_RECORD = z.object({
+const CRASH_RECORD = openRecord({
   /** Fingerprints. */
   requests: z.array(z.string()),
   /** Time of day. */
@@ -208,10 +209,10 @@
   private withoutAcquitted(records: readonly (readonly [string, StoredRecord])[]): StoreCommit {
     const put: { key: string; value: string }[] = [];
     const remove: string[] = [];
-    for (const [key, { requests, at }] of records) {
-      const left = requests.filter((request) => !this.acquitted.has(request));
-      if (left.length === 0) remove.push(key);
-      else put.push({ key, value: JSON.stringify({ requests: left, at }) });
+    for (const [key, { revision: _, ...record }] of records) {
+      const requests = record.requests.filter((request) => !this.acquitted.has(request));
+      if (requests.length === 0) remove.push(key);
+      else put.push({ key, value: JSON.stringify({ ...record, requests }) });
     }
     const expected = records.map(([key, { revision }]) => ({ key, revision }));
     return { expected, put, remove };
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -4,10 +4,11 @@
  * stay true rests on it: a node that is wrongly taken for gone loses work, never correctness.
  */
 import { firstValueFrom, Subject } from 'rxjs';
-import * as z from 'zod';
+import { type FormatVersion, OWN_FORMAT } from '../core/format-version.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
+import { REPLICA_PREFIX, replicaFormatOf } from '../journal/replica-record.js';
 import { ageingTime, type Clock } from '../serving/clock.js';
 import { PrefixWatcher } from '../shared-store/prefix-watcher.js';
 import {
@@ -17,6 +18,8 @@
   type StoreChange,
 } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
+import { FormatVersions } from './format-versions.js';
+import { type NodeRecord, parseNodeRecord } from './node-record.js';
 
 /** Where the records of nodes and of the coordinator lie. */
 export const FLEET_PREFIX = 'fleet/';
@@ -52,17 +55,6 @@
 /** Time from the first start of a whole fleet until all nodes have registered themselves. */
 const FIRST_START_DELAY: Milliseconds = 1_500;
 
-const NODE_RECORD = z.object({
-  incarnation: z.string(),
-  zone: z.string(),
-  address: z.string(),
-  /** Processor share of its machine, in cores of ordinary speed. */
-  capacity: z.number().default(1),
-});
-
-/** What a node tells of itself. */
-type NodeRecord = z.infer<typeof NODE_RECORD>;
-
 /** A life of a node that ended; a node that is replaced is surely gone, its lease may just lapse. */
 export interface Departure {
   readonly node: NodeId;
@@ -95,6 +87,7 @@
   /** Fires once the fleet was listed whole. */
   readonly listed = new Subject<void>();
   private readonly live = new Map<NodeId, NodeRecord>();
+  private readonly formats = new FormatVersions();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
   /** Life of the lease that is held. */
@@ -115,7 +108,9 @@
     this.watcher = new PrefixWatcher({ store: options.store, prefix: FLEET_PREFIX });
     this.watcher.updates.subscribe(({ changes, listed }) => {
       for (const change of changes) this.take(change);
-      if (listed) this.listed.next();
+      if (!listed) return;
+      this.formats.noteListed();
+      this.listed.next();
     });
     this.watcher.health.subscribe((health) =>
       options.log.state('store-watch', { prefix: FLEET_PREFIX, health }),
@@ -215,6 +210,11 @@
     return this.live.get(node)?.capacity ?? 0;
   }
 
+  /** Whether every node that may live reads a format, so that it may be written. */
+  isReadByAll(format: FormatVersion): boolean {
+    return this.formats.isReadByAll(format, ageingTime(this.options.clock));
+  }
+
   /** Whether the store was silent, as the renewals show, within the last time. */
   wasSilentWithin(duration: Milliseconds): boolean {
     return this.isStoreSilent || this.options.clock.now() - this.regainedAt < duration;
@@ -242,22 +242,36 @@
 
   private take(change: StoreChange): void {
     if (!change.key.startsWith(NODE_PREFIX)) {
+      if (change.key.startsWith(REPLICA_PREFIX)) this.noteReplica(change);
       this.otherChanges.next(change);
       return;
     }
     const node = change.key.slice(NODE_PREFIX.length);
     const before = this.live.get(node);
-    const record = change.value === undefined ? undefined : parseRecord(change.value);
-    if (record === undefined) this.live.delete(node);
-    else this.live.set(node, record);
+    const record = change.value === undefined ? undefined : parseNodeRecord(change.value);
+    if (record === undefined) {
+      this.live.delete(node);
+      this.formats.noteGone(node, ageingTime(this.options.clock));
+    } else {
+      this.live.set(node, record);
+      this.formats.note(node, record.format);
+    }
     if (before?.incarnation === record?.incarnation) return;
     const state = record === undefined ? 'gone' : 'live';
-    this.options.log.state('fleet-node', { peer: node, state, live: this.live.size });
+    const told = record === undefined ? {} : { format: record.format };
+    this.options.log.state('fleet-node', { peer: node, state, ...told, live: this.live.size });
     const cause = record === undefined ? 'lease-over' : 'replaced';
     if (before !== undefined) this.departures.next({ node, cause });
     if (record !== undefined) this.arrivals.next(node);
   }
 
+  /** The process on a machine with a disk writes what gateways hand to it, and reads it again. */
+  private noteReplica({ key, value }: StoreChange): void {
+    const format = value === undefined ? undefined : replicaFormatOf(value);
+    if (format !== undefined) this.formats.note(key, format);
+    else if (value === undefined) this.formats.noteGone(key, ageingTime(this.options.clock));
+  }
+
   private get pace(): LeasePace {
     return this.areDutiesTaken ? PROMPT_PACE : RELAXED_PACE;
   }
@@ -301,7 +315,8 @@
     const grant = await store.grantLease(ttl);
     if (grant.kind !== 'granted' || this.isStopped) return false;
     const { incarnation, address } = self;
-    const value = JSON.stringify({ incarnation, zone, address, capacity });
+    const record: NodeRecord = { incarnation, zone, address, capacity, format: OWN_FORMAT };
+    const value = JSON.stringify(record);
     const put = [{ key: `${NODE_PREFIX}${self.node}`, value, lease: grant.lease }];
     const outcome = await store.commit({ expected: [], put });
     if (outcome.kind !== 'committed') return false;
@@ -321,11 +336,3 @@
     return false;
   }
 }
-
-function parseRecord(text: string): NodeRecord | undefined {
-  try {
-    return NODE_RECORD.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -1,11 +1,17 @@
-/** What is kept of batch jobs in the shared store: specification, head, pages of results. */
+/**
+ * What is kept of batch jobs in the shared store: specification, head, pages of results. Builds of
+ * two formats may run a job in turn: each keeps the fields that it does not know, but for those of
+ * kept progress, which is made anew. The build of format 1 drops them from heads, so what a head
+ * gains must not be needed.
+ */
 import * as z from 'zod';
+import { openRecord } from '../core/open-record.js';
 import type { Milliseconds } from '../core/units.js';
 import { REPLICA_PLACE } from '../journal/replica-place.js';
 import type { WeightNeed } from './job-peers.js';
 
 /** The request that asks for the score of an item's text, at the service of its own route. */
-const SCORE_REQUEST = z.object({
+const SCORE_REQUEST = openRecord({
   id: z.string(),
   host: z.string(),
   /** Path and query. */
@@ -15,7 +21,7 @@
 });
 
 /** One item of a job: a request for a worker. */
-const ITEM = z.object({
+const ITEM = openRecord({
   id: z.string(),
   path: z.string(),
   /** Header names and values in turn. */
@@ -33,7 +39,7 @@
 });
 
 /** A job as it was submitted. */
-export const SPECIFICATION = z.object({
+export const SPECIFICATION = openRecord({
   id: z.string(),
   host: z.string(),
   /** Path of the submission; its route is the job's route. */
@@ -51,14 +57,14 @@
   items: z.array(ITEM),
 });
 
-const OWNER = z.object({
+const OWNER = openRecord({
   node: z.string(),
   incarnation: z.string(),
   /** Where other nodes reach it. */
   address: z.string(),
 });
 
-const HEAD = z.object({
+const HEAD = openRecord({
   /** The life of a node that runs the items; `null` where none does. */
   owner: OWNER.nullable(),
   /** The tenant that submitted the job, as in its specification. */
@@ -81,7 +87,7 @@
 });
 
 /** One listed result. */
-export const RESULT = z.object({
+export const RESULT = openRecord({
   id: z.string(),
   state: z.enum(['completed', 'terminated']),
   text: z.string(),
@@ -90,11 +96,11 @@
   score: z.string().optional(),
 });
 
-const PAGE = z.object({ first: z.number(), results: z.array(RESULT) });
+const PAGE = openRecord({ first: z.number(), results: z.array(RESULT) });
 
 const PROGRESS = z.record(
   z.string(),
-  z.object({
+  openRecord({
     events: z.array(z.string()),
     lastEventId: z.number(),
     versions: z.array(z.number()),
--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -8,6 +8,7 @@
 import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import {
+  isKnownEntry,
   type JournalEntry,
   type JournalHolder,
   type JournalRequest,
@@ -83,7 +84,9 @@
       if (answer?.kind === 'other-disk') otherDisks += 1;
       if (answer?.kind !== 'granted') continue;
       granted += 1;
-      for (const entry of answer.entries) entries.set(keyOfEntry(entry), entry);
+      // What a newer build has left stays at the replicas.
+      const known = answer.entries.filter(isKnownEntry);
+      for (const entry of known) entries.set(keyOfEntry(entry), entry);
     }
     if (granted > 0) return { kind: 'claimed', entries: [...entries.values()] };
     return { kind: otherDisks === answers.length ? 'disks-gone' : 'silent' };
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -3,28 +3,45 @@
  * each from the moment on at which the shared store did not take it until it has.
  */
 import * as z from 'zod';
+import { openRecord } from '../core/open-record.js';
 import { RESULT, SPECIFICATION } from '../jobs/job-records.js';
 import { type DiskId, REPLICA_PLACE } from './replica-place.js';
 
-/** One entry of a job. */
-export const JOURNAL_ENTRY = z.discriminatedUnion('kind', [
+const KNOWN_ENTRY = z.discriminatedUnion('kind', [
   /** All of the job is kept from now on. */
-  z.object({
+  openRecord({
     kind: z.literal('created'),
     spec: SPECIFICATION,
     replicas: z.array(REPLICA_PLACE),
   }),
   /** Results at successive positions, as the page of this number in the shared store will be. */
-  z.object({ kind: z.literal('page'), number: z.number(), results: z.array(RESULT) }),
+  openRecord({ kind: z.literal('page'), number: z.number(), results: z.array(RESULT) }),
   /** The job has ended. */
-  z.object({ kind: z.literal('ended') }),
+  openRecord({ kind: z.literal('ended') }),
 ]);
 
 /** One entry of a job. */
-export type JournalEntry = z.infer<typeof JOURNAL_ENTRY>;
+export type JournalEntry = z.infer<typeof KNOWN_ENTRY>;
+
+const KNOWN_KINDS: ReadonlySet<string> = new Set<JournalEntry['kind']>([
+  'created',
+  'page',
+  'ended',
+]);
+
+/**
+ * An entry of a kind that only a newer build knows. A replica keeps it; an owner passes over it. It
+ * tells itself under which key it is kept.
+ */
+const UNKNOWN_ENTRY = openRecord({ kind: z.string(), key: z.string() }).refine(
+  ({ kind }) => !KNOWN_KINDS.has(kind),
+);
+
+/** An entry as replicas keep it. The type names the kinds that an owner may act on. */
+export const JOURNAL_ENTRY = z.union([KNOWN_ENTRY, UNKNOWN_ENTRY]) as unknown as typeof KNOWN_ENTRY;
 
 /** Who writes a job's entries: one owner in each term, and each owner's term is higher. */
-export const JOURNAL_HOLDER = z.object({
+export const JOURNAL_HOLDER = openRecord({
   job: z.string(),
   term: z.number(),
   /** The life of the node that writes. */
@@ -36,7 +53,14 @@
 
 /** What tells the entries of one job apart; an entry under a key that exists takes its place. */
 export function keyOfEntry(entry: JournalEntry): string {
-  return entry.kind === 'page' ? `page/${entry.number}` : entry.kind;
+  const { kind, key }: { readonly kind: string; readonly key?: string } = entry;
+  if (entry.kind === 'page') return `page/${entry.number}`;
+  return isKnownEntry(entry) ? kind : (key ?? kind);
+}
+
+/** Whether an entry is of a kind that this build knows. */
+export function isKnownEntry(entry: JournalEntry): boolean {
+  return KNOWN_KINDS.has(entry.kind);
 }
 
 /** A replica's answer to a holder. */
--- a/src/journal/journal-file.ts
+++ b/src/journal/journal-file.ts
@@ -4,12 +4,17 @@
  * may be missing or torn; reading ends at the first that is not whole, as nothing behind it was
  * confirmed. A start writes what is left into a new file, which lasts with its own sync, and only
  * then removes the old ones; a torn end is thereby never written behind.
+ *
+ * A line that is whole and that this build can't read is one of a newer build, which ran here before:
+ * it is passed over, and written again as it is, for that build to find.
  */
 import { randomUUID } from 'node:crypto';
 import { type FileHandle, mkdir, open, readdir, readFile, rm } from 'node:fs/promises';
 import path from 'node:path';
 import * as z from 'zod';
+import { FORMAT_FIELD, OWN_FORMAT } from '../core/format-version.js';
 import { placementHash } from '../core/hashing.js';
+import { openRecord } from '../core/open-record.js';
 import { JOURNAL_ENTRY, JOURNAL_HOLDER } from './journal-entries.js';
 import type { JournalChange } from './journal-state.js';
 import type { DiskId } from './replica-place.js';
@@ -20,14 +25,14 @@
 const NUMBER_DIGITS = 8;
 
 const LINE = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('disk'), disk: z.string() }),
-  z.object({
+  openRecord({ kind: z.literal('disk'), disk: z.string(), format: FORMAT_FIELD }),
+  openRecord({
     kind: z.literal('held'),
     holder: JOURNAL_HOLDER,
     entries: z.array(JOURNAL_ENTRY),
     at: z.number(),
   }),
-  z.object({
+  openRecord({
     kind: z.literal('released'),
     holder: JOURNAL_HOLDER,
     keys: z.array(z.string()),
@@ -35,13 +40,21 @@
   }),
 ]);
 
-type Line = z.infer<typeof LINE>;
+/** A line of a newer build, as it stands in the file. */
+interface UnreadLine {
+  readonly kind: 'unread';
+  readonly text: string;
+}
+
+type Line = z.infer<typeof LINE> | UnreadLine;
 
 /** What was found in the files of a folder. */
 export interface JournalContent {
   readonly disk: DiskId;
   /** In the order in which they were made. */
   readonly changes: readonly JournalChange[];
+  /** Lines of a newer build. */
+  readonly unread: readonly UnreadLine[];
 }
 
 /** The files of one replica. */
@@ -54,6 +67,7 @@
     private readonly folder: string,
     /** The life of the disk that the folder is on. */
     readonly disk: DiskId,
+    private readonly unread: readonly UnreadLine[],
   ) {}
 
   /**
@@ -67,12 +81,17 @@
     await mkdir(folder, { recursive: true });
     const names = await journalNames(folder);
     const content = await readAll(folder, names);
-    const file = new JournalFile(folder, content.disk);
+    const file = new JournalFile(folder, content.disk, content.unread);
     file.number = numberOf(names.at(-1));
     await file.startAnew(select(content));
     return file;
   }
 
+  /** Lines of a newer build, which are kept and not read. */
+  get unreadLines(): number {
+    return this.unread.length;
+  }
+
   /** Bytes of the file that is written to. */
   get bytes(): number {
     return this.size;
@@ -104,7 +123,8 @@
     const handle = await open(path.join(this.folder, name), 'w');
     this.size = 0;
     try {
-      await this.writeLines(handle, [{ kind: 'disk', disk: this.disk }, ...changes]);
+      const first = { kind: 'disk', disk: this.disk, format: OWN_FORMAT } as const;
+      await this.writeLines(handle, [first, ...this.unread, ...changes]);
     } catch (error) {
       await handle.close().catch(() => undefined);
       await rm(path.join(this.folder, name), { force: true });
@@ -130,15 +150,16 @@
 }
 
 function encodeLine(line: Line | JournalChange): string {
-  const text = JSON.stringify(line);
+  const text = line.kind === 'unread' ? line.text : JSON.stringify(line);
   return `${placementHash(text)} ${text}\n`;
 }
 
+/** A line; `undefined` where it is not whole. */
 function decodeLine(text: string): Line | undefined {
   const space = text.indexOf(' ');
   const body = text.slice(space + 1);
   if (space < 0 || Number(text.slice(0, space)) !== placementHash(body)) return undefined;
-  return LINE.safeParse(JSON.parse(body)).data;
+  return LINE.safeParse(JSON.parse(body)).data ?? { kind: 'unread', text: body };
 }
 
 async function journalNames(folder: string): Promise<string[]> {
@@ -153,14 +174,19 @@
 async function readAll(folder: string, names: readonly string[]): Promise<JournalContent> {
   let disk: DiskId | undefined;
   const changes: JournalChange[] = [];
+  const unread: UnreadLine[] = [];
   for (const name of names) {
     const text = await readFile(path.join(folder, name), 'utf8');
     for (const line of wholeLines(text)) {
       if (line.kind === 'disk') disk ??= line.disk;
+      else if (line.kind === 'unread') unread.push(line);
       else changes.push(line);
     }
   }
-  return { disk: disk ?? randomUUID(), changes };
+  // A process that ended while it began a file left some of them in two.
+  const texts = new Set(unread.map(({ text }) => text));
+  const kept = [...texts].map((text) => ({ kind: 'unread', text }) as const);
+  return { disk: disk ?? randomUUID(), changes, unread: kept };
 }
 
 /** Lines up to the first that is not whole; an end without a line feed was torn. */
--- a/src/journal/journal-replica.ts
+++ b/src/journal/journal-replica.ts
@@ -6,7 +6,13 @@
 import type { PeerAnswers, PeerHandler, PeerRequest } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { JournalHolder, JournalRequest, ReplicaAnswer } from './journal-entries.js';
+import {
+  isKnownEntry,
+  type JournalEntry,
+  type JournalHolder,
+  type JournalRequest,
+  type ReplicaAnswer,
+} from './journal-entries.js';
 import { type JournalContent, JournalFile } from './journal-file.js';
 import { type JournalChange, JournalState } from './journal-state.js';
 
@@ -46,7 +52,8 @@
     };
     const file = await JournalFile.open(folder, select);
     const jobs = state.holders().length;
-    options.log.state('journal-opened', { disk: file.disk, jobs, bytes: file.bytes });
+    const { disk, bytes, unreadLines } = file;
+    options.log.state('journal-opened', { disk, jobs, bytes, unreadLines });
     return new JournalReplica(options, state, file);
   }
 
@@ -55,7 +62,7 @@
     return this.file.disk;
   }
 
-  async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']]> {
+  async answer(request: PeerRequest): Promise<PeerAnswers[PeerRequest['kind']] | undefined> {
     const { disk } = this;
     switch (request.kind) {
       case 'journal-claim':
@@ -67,7 +74,7 @@
       case 'journal-list':
         return { disk, jobs: this.state.holders() };
       default:
-        throw new Error(`a replica of the journal does not answer ${request.kind}`);
+        return undefined;
     }
   }
 
@@ -92,8 +99,18 @@
     if (rival !== undefined) return { kind: 'refused', holder: rival };
     const change = this.changeOf(request);
     if (change !== undefined && !(await this.keep(change))) return { kind: 'unwritable' };
-    const isClaim = request.kind === 'journal-claim';
-    return { kind: 'granted', entries: isClaim ? this.state.entriesOf(holder.job) : [] };
+    if (request.kind !== 'journal-claim') return { kind: 'granted', entries: [] };
+    const entries = this.state.entriesOf(holder.job);
+    this.logUnknown(holder, entries);
+    return { kind: 'granted', entries };
+  }
+
+  /** A newer build, which ran the job before, left something that the next owner passes over. */
+  private logUnknown({ job }: JournalHolder, entries: readonly JournalEntry[]): void {
+    const unknown = entries.filter((entry) => !isKnownEntry(entry));
+    if (unknown.length === 0) return;
+    const kinds = [...new Set(unknown.map(({ kind }) => kind))].join(',');
+    this.options.log.state('journal-entries-unknown', { job, kinds, entries: unknown.length });
   }
 
   /** What a question changes; `undefined` where nothing new has to be kept for it. */
--- a/src/journal/replica-directory.ts
+++ b/src/journal/replica-directory.ts
@@ -8,10 +8,8 @@
 import type { Milliseconds } from '../core/units.js';
 import { ageingTime, type Clock } from '../serving/clock.js';
 import type { StoreChange } from '../shared-store/shared-store.js';
-import { REPLICA_PLACE, type ReplicaPlace } from './replica-place.js';
-
-/** Key prefix of the replicas' records, under the prefix of the fleet. */
-export const REPLICA_PREFIX = 'fleet/replica/';
+import type { ReplicaPlace } from './replica-place.js';
+import { parseReplicaPlace, REPLICA_PREFIX } from './replica-record.js';
 
 /**
  * Key prefix of the zones that have a journal. Such a key stays: a gateway that starts while a zone is
@@ -63,7 +61,7 @@
       if (known !== undefined) known.lapsedAt = ageingTime(this.options.clock);
       return;
     }
-    const place = parsePlace(value);
+    const place = parseReplicaPlace(value);
     if (place === undefined) return;
     this.zones.add(place.zone);
     this.replicas.set(node, { place, lapsedAt: Number.POSITIVE_INFINITY });
@@ -111,12 +109,3 @@
       .filter(({ node }) => use === 'read' || !this.draining.has(node));
   }
 }
-
-function parsePlace(text: string): ReplicaPlace | undefined {
-  try {
-    return REPLICA_PLACE.safeParse(JSON.parse(text)).data;
-  } catch {
-    // Not one of ours; a replica that nobody can read is one that nobody uses.
-    return undefined;
-  }
-}
--- /dev/null
+++ b/src/journal/replica-record.ts
@@ -0,0 +1,35 @@
+/** What a replica of a zone's journal tells of itself in the shared store. */
+import * as z from 'zod';
+import { FORMAT_FIELD, type FormatVersion, OWN_FORMAT } from '../core/format-version.js';
+import { REPLICA_PLACE, type ReplicaPlace } from './replica-place.js';
+
+/** Key prefix of the replicas' records, under the prefix of the fleet. */
+export const REPLICA_PREFIX = 'fleet/replica/';
+
+const REPLICA_RECORD = z.object({ ...REPLICA_PLACE.shape, format: FORMAT_FIELD });
+
+/** The record of a replica that this build runs. */
+export function replicaRecordOf(place: ReplicaPlace): string {
+  return JSON.stringify({ ...place, format: OWN_FORMAT });
+}
+
+/** Reads where a replica is; a record that is none is one of a replica that nobody uses. */
+export function parseReplicaPlace(text: string): ReplicaPlace | undefined {
+  const record = parse(text);
+  if (record === undefined) return undefined;
+  const { node, zone, address, disk } = record;
+  return { node, zone, address, disk };
+}
+
+/** What the build of a replica reads; `undefined` where the text is no record. */
+export function replicaFormatOf(text: string): FormatVersion | undefined {
+  return parse(text)?.format;
+}
+
+function parse(text: string): (ReplicaPlace & { readonly format: FormatVersion }) | undefined {
+  try {
+    return REPLICA_RECORD.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/journal/replica-registration.ts
+++ b/src/journal/replica-registration.ts
@@ -7,8 +7,9 @@
 import type { Clock } from '../serving/clock.js';
 import { type LeaseId, NO_LEASE, type SharedStore } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import { JOURNAL_ZONE_PREFIX, REPLICA_PREFIX } from './replica-directory.js';
+import { JOURNAL_ZONE_PREFIX } from './replica-directory.js';
 import type { ReplicaPlace } from './replica-place.js';
+import { REPLICA_PREFIX, replicaRecordOf } from './replica-record.js';
 
 /** Life of the record without renewal: three renewals may fail. */
 const LEASE_TTL: Milliseconds = 10_000;
@@ -55,7 +56,7 @@
     if (grant.kind !== 'granted' || this.isStopped) return false;
     const { lease } = grant;
     const put = [
-      { key: keyOf(place.node), value: JSON.stringify(place), lease },
+      { key: keyOf(place.node), value: replicaRecordOf(place), lease },
       { key: `${JOURNAL_ZONE_PREFIX}${place.zone}`, value: '' },
     ];
     const outcome = await store.commit({ expected: [], put });
--- /dev/null
+++ b/test/journal/older-build.test.ts
@@ -0,0 +1,142 @@
+/** Files of journals that builds of two formats read and write in turn. */
+import { appendFileSync, mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import t from 'tap';
+import { placementHash } from '../../src/core/hashing.js';
+import { JobJournal } from '../../src/journal/job-journal.js';
+import type { JournalEntry } from '../../src/journal/journal-entries.js';
+import { JournalReplica } from '../../src/journal/journal-replica.js';
+import { parseReplicaPlace, replicaRecordOf } from '../../src/journal/replica-record.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { JOURNAL_DISK, JOURNAL_LINES, RECORDS } from '../fixtures/format-1.js';
+import { FORMAT_1 } from '../fixtures/format-1-schemas.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+import { JournalZone, openReplica, page, temporaryFolder } from './journal-fixtures.js';
+
+const HOLDER = { job: 'job', term: 1, writer: 'node-1/life-1' };
+const NEXT = { job: 'job', term: 2, writer: 'node-2/life-2' };
+
+/** An entry of a later build. */
+const LATER = { kind: 'moved', key: 'moved/1', to: 'zone-2' } as unknown as JournalEntry;
+
+function line(content: object): string {
+  const text = JSON.stringify(content);
+  return `${placementHash(text)} ${text}\n`;
+}
+
+function folderWith(test: Pick<typeof t, 'teardown'>, lines: readonly string[]): string {
+  const folder = temporaryFolder(test);
+  mkdirSync(folder, { recursive: true });
+  writeFileSync(path.join(folder, 'journal-00000001.log'), lines.join(''));
+  return folder;
+}
+
+function fileIn(folder: string): string {
+  return path.join(folder, readdirSync(folder)[0] ?? '');
+}
+
+function bodiesIn(folder: string): unknown[] {
+  const lines = readFileSync(fileIn(folder), 'utf8').trimEnd().split('\n');
+  return lines.map((text) => JSON.parse(text.slice(text.indexOf(' ') + 1)));
+}
+
+/** Opens a replica and tells what it logged. */
+async function opened(folder: string) {
+  const { log, lines } = recordingLog();
+  const options = { clock: new ManualClock(), log, retention: () => 120_000 };
+  return { replica: await JournalReplica.open(folder, options), lines };
+}
+
+async function entriesAt(replica: JournalReplica): Promise<unknown> {
+  const request = { kind: 'journal-claim', disk: replica.disk, holder: NEXT } as const;
+  return replica.answer(request);
+}
+
+t.test('a file of an older build is read whole', async (t) => {
+  const folder = folderWith(
+    t,
+    JOURNAL_LINES.map((text) => `${text}\n`),
+  );
+  const replica = await openReplica(folder);
+  t.equal(replica.disk, JOURNAL_DISK);
+  t.same(await entriesAt(replica), { kind: 'granted', entries: [page(0), { kind: 'ended' }] });
+  await replica.stop();
+});
+
+t.test('an older build reads what this one writes', async (t) => {
+  const folder = temporaryFolder(t);
+  const replica = await openReplica(folder);
+  const request = { kind: 'journal-append', disk: replica.disk, holder: HOLDER } as const;
+  await replica.answer({ ...request, entries: [page(0)] });
+  await replica.stop();
+  const read = bodiesIn(folder).map((body) => FORMAT_1.journalLine.safeParse(body));
+  t.ok(read.every(({ success }) => success));
+  t.same(read[0]?.data, { kind: 'disk', disk: replica.disk });
+  t.match(read.at(-1)?.data, { kind: 'held', entries: [page(0)] });
+});
+
+t.test(
+  'lines of a later build are kept through starts, and what stands behind is read',
+  async (t) => {
+    const later = line({ kind: 'moved', job: 'job', at: 1 });
+    const folder = folderWith(t, [
+      line({ kind: 'disk', disk: 'disk-1', format: 9 }),
+      later,
+      line({ kind: 'held', holder: HOLDER, entries: [page(0)], at: 1_000, further: true }),
+    ]);
+    const { replica, lines } = await opened(folder);
+    t.ok(lines.some((text) => text.includes('"unreadLines":1')));
+    await replica.stop();
+    const again = await opened(folder);
+    t.match(await entriesAt(again.replica), { kind: 'granted', entries: [page(0)] });
+    await again.replica.stop();
+    t.match(readFileSync(fileIn(folder), 'utf8'), later);
+  },
+);
+
+t.test('a torn line is still the end of a file', async (t) => {
+  const folder = temporaryFolder(t);
+  const first = await openReplica(folder);
+  await first.stop();
+  appendFileSync(fileIn(folder), line({ kind: 'moved', job: 'job' }).slice(0, -9));
+  appendFileSync(fileIn(folder), `\n${line({ kind: 'held', holder: HOLDER, entries: [], at: 1 })}`);
+  const { replica, lines } = await opened(folder);
+  t.ok(lines.some((text) => text.includes('"unreadLines":0')));
+  await replica.stop();
+  t.equal(bodiesIn(folder).length, 1);
+});
+
+t.test('an entry of a later build is kept, passed over and not released', async (t) => {
+  const folder = temporaryFolder(t);
+  const first = await openReplica(folder);
+  const append = { kind: 'journal-append', disk: first.disk, holder: HOLDER } as const;
+  await first.answer({ ...append, entries: [page(0), LATER] });
+  await first.stop();
+
+  const { replica, lines } = await opened(folder);
+  t.match(await entriesAt(replica), { kind: 'granted', entries: [page(0), LATER] });
+  t.ok(lines.some((text) => text.includes('"journal-entries-unknown"')));
+  const release = { kind: 'journal-release', disk: replica.disk, holder: NEXT } as const;
+  await replica.answer({ ...release, keys: ['page/0', 'moved'] });
+  t.match(await entriesAt(replica), { kind: 'granted', entries: [LATER] });
+  await replica.answer({ ...release, keys: ['moved/1'] });
+  t.match(await entriesAt(replica), { kind: 'granted', entries: [] });
+  await replica.stop();
+});
+
+t.test('an owner is told only of entries that it knows', async (t) => {
+  const zone = await JournalZone.open(t);
+  const options = { port: zone, metrics: new FleetMetrics(), replicas: zone.places };
+  const before = new JobJournal({ ...options, holder: HOLDER });
+  t.equal(await before.keep([page(0), LATER]), 'kept');
+  const next = new JobJournal({ ...options, holder: NEXT });
+  t.same(await next.claim(), { kind: 'claimed', entries: [page(0)] });
+});
+
+t.test('records of replicas are read both ways', async (t) => {
+  const record = RECORDS['fleet/replica/disk-1'];
+  t.same(parseReplicaPlace(record), JSON.parse(record));
+  const place = { node: 'disk-1', zone: 'zone-1', address: '10.0.0.9:1', disk: 'disk-life-1' };
+  t.same(FORMAT_1.replica.safeParse(JSON.parse(replicaRecordOf(place))).data, place);
+});
--- a/test/journal/replica-directory.test.ts
+++ b/test/journal/replica-directory.test.ts
@@ -7,11 +7,8 @@
  * same gateway 2.6 s later, with what the reader had been told before.
  */
 import t from 'tap';
-import {
-  JOURNAL_ZONE_PREFIX,
-  REPLICA_PREFIX,
-  ReplicaDirectory,
-} from '../../src/journal/replica-directory.js';
+import { JOURNAL_ZONE_PREFIX, ReplicaDirectory } from '../../src/journal/replica-directory.js';
+import { REPLICA_PREFIX } from '../../src/journal/replica-record.js';
 import { ZoneJournals } from '../../src/journal/zone-journals.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { ManualClock } from '../jobs/job-fixtures.js';
