--- a/lab/common/flags.ts
+++ b/lab/common/flags.ts
@@ -10,6 +10,14 @@
   return number;
 }
 
+/** A text; throws a `RangeError` where it is none. */
+export function textFlag(flags: CommandFlags, name: string): string | undefined {
+  const value = flags[name];
+  if (value === undefined) return undefined;
+  if (typeof value !== 'string' || value === '') throw new RangeError(`--${name} lacks its value`);
+  return value;
+}
+
 /** The sizes of fleets to measure: the standard ones, or the one of the flag `--size`. */
 export function sizesFlag(flags: CommandFlags, standard: readonly number[]): readonly number[] {
   return flags.size === undefined ? standard : [numberFlag(flags, 'size', 0)];
--- a/lab/emulator/joined-gateways.ts
+++ b/lab/emulator/joined-gateways.ts
@@ -13,11 +13,17 @@
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { SharedStoreEmulator } from './shared-store-emulator.js';
+import { StoreLink } from './store-link.js';
 
 /** The service that all requests go to. */
 export const LOOKUP_SERVICE = 'lookups';
 
-const HOST = 'site.example';
+/** The host of all routes. */
+export const HOST = 'site.example';
+
+/** The model that workers of jobs have. */
+export const MODEL = 'model-a';
+
 const PATIENCE: Milliseconds = 5_000;
 
 const LOOKUP_ROUTE = {
@@ -30,6 +36,18 @@
   timeout_ms: 1_500,
 };
 
+const JOB_ROUTE = {
+  name: 'rollouts',
+  host: HOST,
+  path_prefix: '/rollouts/',
+  kind: 'rollout',
+  service: LOOKUP_SERVICE,
+  target_latency_ms: 500,
+  max_attempts: 2,
+  max_queue_s: 60,
+  resumable: true,
+};
+
 const LIMITS = {
   max_header_bytes: 16_384,
   max_body_bytes: 2_000,
@@ -51,7 +69,10 @@
 /** One gateway, and what it counted and logged. */
 export interface JoinedGateway {
   readonly name: string;
+  readonly zone: ZoneName;
   readonly node: GatewayNode;
+  /** Its way to the store. */
+  readonly link: StoreLink;
   readonly metrics: FleetMetrics;
   readonly lines: readonly string[];
 }
@@ -93,14 +114,15 @@
   readonly silent = new Set<string>();
   /** Questions between the gateways, by kind. */
   readonly asked = new Map<string, number>();
-  private readonly byAddress = new Map<string, GatewayNode>();
+  /** `undefined` where nobody listens at an address any more. */
+  private readonly byAddress = new Map<string, GatewayNode | undefined>();
   private tries = 0;
 
   constructor(private readonly engine: EnginePort) {}
 
   /** Starts gateways in so many zones, on whose route a try may go to so many workers. */
   async start(count: number, maxAttempts: number, zones = 1): Promise<void> {
-    const routes = [{ ...LOOKUP_ROUTE, max_attempts: maxAttempts }];
+    const routes = [{ ...LOOKUP_ROUTE, max_attempts: maxAttempts }, JOB_ROUTE];
     const services = [{ name: LOOKUP_SERVICE }];
     const configuration = { version: 1, routes, services, limits: LIMITS };
     this.store.write('op/config', JSON.stringify(configuration));
@@ -120,17 +142,26 @@
     this.store.setAvailability('refusing');
   }
 
-  /** A further gateway joins. */
-  add(zone: ZoneName = 'zone-1'): JoinedGateway {
-    const name = `node-${this.byAddress.size + 1}`;
+  /** A gateway's process ends without a word, and its lease goes on; the machine may start again. */
+  crash(gateway: JoinedGateway): void {
+    const address = addressOf(gateway.name);
+    gateway.link.isCut = true;
+    this.byAddress.set(address, undefined);
+    this.gateways.splice(this.gateways.indexOf(gateway), 1);
+    void gateway.node.stop();
+  }
+
+  /** A further gateway joins, or the next life of one that has crashed. */
+  add(zone: ZoneName = 'zone-1', name = `node-${this.byAddress.size + 1}`): JoinedGateway {
     const address = addressOf(name);
+    const link = new StoreLink(this.store);
     const metrics = new FleetMetrics();
     const lines: string[] = [];
     const destination = { write: (line: string) => void lines.push(line) };
     const node = new GatewayNode({
       node: name,
       zone,
-      store: this.store,
+      store: link,
       engine: this.engine,
       peers: this.peers(),
       peerAddress: address,
@@ -143,7 +174,7 @@
       storageDrains: storageDrainPort(this.store),
     });
     this.byAddress.set(address, node);
-    const gateway = { name, node, metrics, lines };
+    const gateway = { name, zone, node, link, metrics, lines };
     this.gateways.push(gateway);
     node.start();
     return gateway;
@@ -164,7 +195,9 @@
   /** Registers a worker. */
   register(id: string): void {
     const record = { service: LOOKUP_SERVICE, address: '10.0.0.1:80', zone: 'zone-1' };
-    this.store.write(`servers/${id}`, JSON.stringify({ ...record, slots: 8, state: 'ready' }));
+    const models = [{ name: MODEL, version: 1 }];
+    const told = { ...record, slots: 8, state: 'ready', models };
+    this.store.write(`servers/${id}`, JSON.stringify(told));
   }
 
   /** Takes a worker's record away. */
@@ -209,8 +242,11 @@
       ): Promise<PeerOutcome<Kind>> => {
         this.asked.set(request.kind, (this.asked.get(request.kind) ?? 0) + 1);
         const node = this.byAddress.get(address);
-        if (node === undefined || this.silent.has(address)) return { kind: 'silent' };
+        if (this.silent.has(address)) return { kind: 'silent' };
+        if (node === undefined) return { kind: 'refused' };
         const answer = await node.peerHandler.answer(request);
+        if (answer === undefined) return { kind: 'unsupported' };
+        if (this.byAddress.get(address) !== node) return { kind: 'silent' };
         return { kind: 'answered', answer } as PeerOutcome<Kind>;
       },
     };
--- /dev/null
+++ b/lab/emulator/store-link.ts
@@ -0,0 +1,29 @@
+/** One node's way to the shared store. */
+import type { SharedStore, StoreFailure } from '../../src/shared-store/shared-store.js';
+
+const REFUSED: StoreFailure = { kind: 'failed', effect: 'not-done' };
+
+/** A way to a store that may be cut, while other nodes reach it. */
+export class StoreLink implements SharedStore {
+  isCut = false;
+
+  constructor(private readonly store: SharedStore) {}
+
+  get: SharedStore['get'] = (key) => this.pass(() => this.store.get(key));
+  range: SharedStore['range'] = (prefix, after) => this.pass(() => this.store.range(prefix, after));
+  watch: SharedStore['watch'] = (prefix, after, wait, signal) =>
+    this.pass(() => this.store.watch(prefix, after, wait, signal));
+  commit: SharedStore['commit'] = (commit) => this.pass(() => this.store.commit(commit));
+  grantLease: SharedStore['grantLease'] = (ttl) => this.pass(() => this.store.grantLease(ttl));
+  keepLease: SharedStore['keepLease'] = (lease) => this.pass(() => this.store.keepLease(lease));
+  endLease: SharedStore['endLease'] = async (lease) => {
+    if (!this.isCut) await this.store.endLease(lease);
+  };
+
+  /** What was asked before a cut is not answered during it either. */
+  private async pass<Outcome>(ask: () => Promise<Outcome>): Promise<Outcome | StoreFailure> {
+    if (this.isCut) return REFUSED;
+    const outcome = await ask();
+    return this.isCut ? { kind: 'failed', effect: 'unknown' } : outcome;
+  }
+}
--- a/lab/main.ts
+++ b/lab/main.ts
@@ -67,6 +67,7 @@
   .option('--seed', 'Draws the faults; a fresh one where absent')
   .option('--seconds', 'How long', 60)
   .option('--keep', 'Keep the logs')
+  .option('--other-build', 'A built tree of another commit; processes start with both in turn')
   .action((flags: CommandFlags) => runModule('./soak/soak.js', 'soak', flags));
 
 program
--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
+import type { BuildRotation } from './build-rotation.js';
 import type { StoreDoor } from './store-door.js';
 
 /** One gateway; its process may be down. */
@@ -29,12 +30,6 @@
 /** First address of gateways on loopback: each has one of its own, as their metrics share a port. */
 const FIRST_HOST = 11;
 
-/** Path of the program that the platform starts. */
-const GATEWAY_SCRIPT = path.join(import.meta.dirname, '..', '..', 'platform', 'main.js');
-
-/** The same program on a machine whose steady clock stands still with it. */
-const SUSPENDED_SCRIPT = path.join(import.meta.dirname, 'suspended-gateway.js');
-
 /** Starts, signals and restarts gateways. */
 export class GatewayGroup {
   readonly gateways: SoakGateway[] = [];
@@ -44,6 +39,7 @@
   constructor(
     private readonly folder: string,
     private readonly openStore: () => Promise<StoreDoor>,
+    private readonly builds: BuildRotation,
   ) {
     mkdirSync(folder, { recursive: true });
     this.processes = new ProcessGroup(path.join(folder, 'logs'));
@@ -148,7 +144,8 @@
   }
 
   private process(name: string, settingsFile: string): StartedProcess {
-    const script = this.isSuspendable(name) ? SUSPENDED_SCRIPT : GATEWAY_SCRIPT;
+    const program = this.isSuspendable(name) ? 'suspendableNode' : 'node';
+    const script = this.builds.scriptFor(name, program);
     return this.processes.start(name, script, [], { WARDWING_CONFIG: settingsFile });
   }
 
--- a/lab/soak/journal-group.ts
+++ b/lab/soak/journal-group.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
+import type { BuildRotation } from './build-rotation.js';
 
 /** One replica; its process may be down. */
 interface SoakReplica {
@@ -18,15 +19,15 @@
 /** First address of replicas on loopback. */
 const FIRST_HOST = 101;
 
-/** Path of the program that the platform starts. */
-const SCRIPT = path.join(import.meta.dirname, '..', '..', 'platform', 'main.js');
-
 /** Starts, kills and wipes replicas. */
 export class JournalGroup {
   private readonly replicas: SoakReplica[] = [];
   private readonly processes: ProcessGroup;
 
-  constructor(private readonly folder: string) {
+  constructor(
+    private readonly folder: string,
+    private readonly builds: BuildRotation,
+  ) {
     mkdirSync(folder, { recursive: true });
     this.processes = new ProcessGroup(path.join(folder, 'logs'));
   }
@@ -77,6 +78,7 @@
   }
 
   private launch(name: string, settingsFile: string): StartedProcess {
-    return this.processes.start(name, SCRIPT, [], { WARDWING_CONFIG: settingsFile });
+    const script = this.builds.scriptFor(name, 'node');
+    return this.processes.start(name, script, [], { WARDWING_CONFIG: settingsFile });
   }
 }
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -4,6 +4,7 @@
 import { KEY_PREFIXES } from '../../platform/names.js';
 import { createRandomSource, type RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { BuildRotation } from './build-rotation.js';
 import { Disturbances, isOfOneGateway, leavesGatewaysAlone } from './disturbances.js';
 import { type PlannedFault, planFaults, QUIET_END } from './fault-schedule.js';
 import { GatewayGroup, type SoakGateway, ZONES } from './gateway-group.js';
@@ -25,6 +26,8 @@
   readonly lookupWorkers: number;
   /** Where settings and logs go. */
   readonly folder: string;
+  /** A built tree of another commit, whose programs run beside this one's. */
+  readonly otherBuild: string | undefined;
 }
 
 /** What came of it. */
@@ -76,8 +79,9 @@
   constructor(private readonly options: SoakOptions) {
     const now = (): Milliseconds => performance.now() - this.startedAt;
     this.checker = new PromiseChecker(now);
-    this.gateways = new GatewayGroup(options.folder, () => this.store.open());
-    this.journals = new JournalGroup(path.join(options.folder, 'journals'));
+    const builds = new BuildRotation(options.otherBuild);
+    this.gateways = new GatewayGroup(options.folder, () => this.store.open(), builds);
+    this.journals = new JournalGroup(path.join(options.folder, 'journals'), builds);
     const isCalm = (): boolean => this.isCalm();
     const surroundings = { checker: this.checker, model: MODEL, now, isCalm };
     const random = createRandomSource(options.seed + 1);
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -6,7 +6,7 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
-import { numberFlag } from '../common/flags.js';
+import { numberFlag, textFlag } from '../common/flags.js';
 import type { CommandFlags } from '../main.js';
 import { SoakRun } from './soak-run.js';
 
@@ -21,8 +21,9 @@
 export async function run(_name: string, flags: CommandFlags): Promise<number> {
   const seed = numberFlag(flags, 'seed', Math.floor(Math.random() * SEED_LIMIT));
   const seconds = numberFlag(flags, 'seconds', DEFAULT_SECONDS);
+  const otherBuild = textFlag(flags, 'other-build');
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-soak-'));
-  const soak = new SoakRun({ ...FLEET, seed, length: seconds * SECOND, folder });
+  const soak = new SoakRun({ ...FLEET, seed, length: seconds * SECOND, folder, otherBuild });
   const { faults, checked, violations, counts, mostEndedUnderOne } = await soak.run();
   for (const { at, promise, detail } of violations) console.log(`${at} ms  ${promise}  ${detail}`);
   const holds = violations.length === 0 && checked > 0 && counts.stepsWhole > 0;
--- a/test/jobs/ended-elsewhere.test.ts
+++ b/test/jobs/ended-elsewhere.test.ts
@@ -7,6 +7,7 @@
 import t from 'tap';
 import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { StoreLink } from '../../lab/emulator/store-link.js';
 import type { JobPeers } from '../../src/jobs/job-peers.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
@@ -15,7 +16,6 @@
 import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 import { always, never, OTHER, OWNER, specification } from './job-fixtures.js';
 import { isFinished, type JobNode, jobNode, keepWorking, workUntil } from './job-node.js';
-import { StoreLink } from './store-link.js';
 
 const stream = (letters: string) => answer(events(0, letters), { isStream: true });
 
--- a/test/jobs/surrendered-job.test.ts
+++ b/test/jobs/surrendered-job.test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { StoreLink } from '../../lab/emulator/store-link.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
@@ -10,7 +11,6 @@
 import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 import { always, OTHER, OWNER, specification } from './job-fixtures.js';
 import { jobNode, keepWorking } from './job-node.js';
-import { StoreLink } from './store-link.js';
 
 /** A stream that gives some events and then nothing more. */
 function pausingAnswer(letters: string): EngineOutcome {
