--- a/lab/emulator/joined-gateways.ts
+++ b/lab/emulator/joined-gateways.ts
@@ -1,7 +1,7 @@
 /** Whole gateways in one process, over one store and with direct ways to each other. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { FEED_TRANSLATION, storageDrainPort } from '../../platform/feeds.js';
-import type { ZoneName } from '../../src/core/identity.js';
+import type { RegionName, ZoneName } from '../../src/core/identity.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Failure } from '../../src/errors/error-kinds.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
@@ -17,9 +17,11 @@
 import type { AnswerSink } from '../../src/serving/answer-sink.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
+import type { SharedStore } from '../../src/shared-store/shared-store.js';
 import { DecisionLog } from '../../src/telemetry/decision-log.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { cuttableStore } from './cuttable-store.js';
 import { SharedStoreEmulator } from './shared-store-emulator.js';
 import { StoreLink } from './store-link.js';
 
@@ -128,14 +130,22 @@
   readonly silent = new Set<string>();
   /** Zones that are cut off from all others. */
   readonly cutZones = new Set<ZoneName>();
+  /** Whether gateways of different regions reach each other. */
+  isLinkUp = true;
+  /** Regions that do not reach the store. */
+  readonly withoutStore = new Set<RegionName>();
   /** Questions between the gateways, by kind. */
   readonly asked = new Map<string, number>();
   private readonly byAddress = new Map<string, Listener>();
   private tries = 0;
 
-  /** With `replicasOfJob` above 0 zones serve their own callers, and so many replicas keep a job. */
+  /**
+   * `regions` names the region of each zone, where the fleet spans several. With `replicasOfJob` above 0
+   * zones serve their own callers, and so many replicas keep a job.
+   */
   constructor(
     private readonly engine: EnginePort,
+    private readonly regions: ReadonlyMap<ZoneName, RegionName> = new Map(),
     private readonly replicasOfJob = 0,
   ) {}
 
@@ -182,16 +192,17 @@
   /** A further gateway joins, or the next life of one that has crashed. */
   add(zone: ZoneName = 'zone-1', name = `node-${this.byAddress.size + 1}`): JoinedGateway {
     const address = addressOf(name);
-    const link = new StoreLink(this.store);
+    const link = new StoreLink(this.storeFrom(zone));
     const metrics = new FleetMetrics();
     const lines: string[] = [];
     const destination = { write: (line: string) => void lines.push(line) };
     const node = new GatewayNode({
       node: name,
       zone,
+      zoneRegions: this.regions,
       store: link,
       engine: this.engine,
-      peers: this.peers(zone, link),
+      peers: this.peersOf(zone, link),
       peerAddress: address,
       feeds: FEED_TRANSLATION,
       versionField: 'weights-version',
@@ -223,8 +234,8 @@
   }
 
   /** Registers a worker. */
-  register(id: string): void {
-    const record = { service: LOOKUP_SERVICE, address: '10.0.0.1:80', zone: 'zone-1' };
+  register(id: string, zone: ZoneName = 'zone-1'): void {
+    const record = { service: LOOKUP_SERVICE, address: '10.0.0.1:80', zone };
     const models = [{ name: MODEL, version: 1 }];
     const told = { ...record, slots: 8, state: 'ready', models };
     this.store.write(`servers/${id}`, JSON.stringify(told));
@@ -264,21 +275,38 @@
     return sink;
   }
 
-  /** The way of a gateway in a zone to all others. */
-  private peers(from: ZoneName, link: StoreLink): PeerPort {
+  private storeFrom(zone: ZoneName): SharedStore {
+    const region = this.regions.get(zone);
+    if (region === undefined) return this.store;
+    return cuttableStore(this.store, () => this.withoutStore.has(region));
+  }
+
+  private isReached(from: ZoneName, to: ZoneName): boolean {
+    if (from === to) return true;
+    if (this.cutZones.has(from) || this.cutZones.has(to)) return false;
+    return this.isLinkUp || this.regions.get(from) === this.regions.get(to);
+  }
+
+  /** All others as a gateway of a zone reaches them. */
+  private peersOf(from: ZoneName, link: StoreLink): PeerPort {
     return {
       ask: async <Kind extends PeerRequest['kind']>(
         address: string,
         request: PeerRequest,
+        limit: Milliseconds,
       ): Promise<PeerOutcome<Kind>> => {
         this.asked.set(request.kind, (this.asked.get(request.kind) ?? 0) + 1);
         if (link.hasEnded) return new Promise(() => {});
         const listener = this.byAddress.get(address);
         const { zone = from, handler } = listener ?? {};
-        const isCut = zone !== from && (this.cutZones.has(zone) || this.cutZones.has(from));
-        if (isCut || this.silent.has(address)) return { kind: 'silent' };
-        if (handler === undefined) return { kind: 'refused' };
-        const answer = await handler.answer(request);
+        if (this.silent.has(address)) return { kind: 'silent' };
+        const isReached = this.isReached(from, zone);
+        if (isReached && handler === undefined) return { kind: 'refused' };
+        const answer = isReached ? await handler?.answer(request) : undefined;
+        if (!this.isReached(from, zone)) {
+          await sleep(limit);
+          return { kind: 'silent' };
+        }
         if (answer === undefined) return { kind: 'unsupported' };
         if (this.byAddress.get(address) !== listener) return { kind: 'silent' };
         return { kind: 'answered', answer } as PeerOutcome<Kind>;
--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -58,6 +58,7 @@
 /** A life of a node that ended; a node that is replaced is surely gone, its lease may just lapse. */
 export interface Departure {
   readonly node: NodeId;
+  readonly zone: ZoneName;
   readonly cause: 'replaced' | 'lease-over';
 }
 
@@ -261,7 +262,7 @@
     const told = record === undefined ? {} : { format: record.format };
     this.options.log.state('fleet-node', { peer: node, state, ...told, live: this.live.size });
     const cause = record === undefined ? 'lease-over' : 'replaced';
-    if (before !== undefined) this.departures.next({ node, cause });
+    if (before !== undefined) this.departures.next({ node, zone: before.zone, cause });
     if (record !== undefined) this.arrivals.next(node);
   }
 
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -15,10 +15,13 @@
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
 import { GuardedEngine } from '../placement/guarded-engine.js';
+import { JobResidency } from '../placement/job-residency.js';
+import { localitiesOf } from '../placement/locality.js';
 import { ResidencyRule } from '../placement/residency-rule.js';
 import { SendRules } from '../placement/send-rules.js';
+import { itemWayCost } from '../placement/way-costs.js';
 import { ZoneEvacuations } from '../placement/zone-evacuations.js';
-import { ZoneTopology } from '../placement/zone-topology.js';
+import { type DistanceBetween, ZoneTopology } from '../placement/zone-topology.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
@@ -32,6 +35,7 @@
 } from '../serving/traffic-configuration.js';
 import { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
+import { ColdWorkers } from './cold-workers.js';
 import { Coordination } from './coordination.js';
 import { CrashReports } from './crash-reports.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
@@ -72,6 +76,7 @@
 export class GatewayNode {
   private readonly topology: ZoneTopology;
   private readonly evacuations = new ZoneEvacuations();
+  private readonly coldWorkers: ColdWorkers;
   readonly registry: WorkerRegistry;
   /** The configuration that this node acts on. */
   readonly configuration: ConfigurationInForce;
@@ -106,8 +111,26 @@
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node, zonesServeAlone: servesAlone = false } = options;
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
-    const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
-    this.registry = new WorkerRegistry(rules);
+    this.coldWorkers = new ColdWorkers({
+      ...{ self: node, clock, log, metrics, tolerance: options.coldTolerance },
+      registry: () => this.registry,
+      services: () => this.configuration.services,
+      coordinator: () => this.coordination.holder,
+      fencingToken: () => this.coordination.lock.fencingToken(),
+      ask: (...question) => peers.permits(...question),
+      coldTimeOf: (worker) => options.engine.coldTimeOf(worker, this.healthPathOf(worker)),
+      isCutOff: () => this.fleet.isCutOff,
+      freed: () => this.dispatcher.schedule(),
+    });
+    const rules = new SendRules([
+      new ResidencyRule(this.topology),
+      this.evacuations,
+      this.coldWorkers.rule,
+    ]);
+    const { topology } = this;
+    const localities = localitiesOf(topology, servesAlone);
+    const distanceBetween: DistanceBetween = (...zones) => topology.distanceBetween(...zones);
+    this.registry = new WorkerRegistry(rules, distanceBetween);
     const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
@@ -117,6 +140,7 @@
       fleet: () => this.fleet,
       self: node,
       zone,
+      regionOf: topology.spansRegions ? (name) => topology.regionOf(name) ?? name : undefined,
       changeBound: () => options.timings().changeBound,
       prefixes: [FLEET_PREFIX, ...boundPrefixes],
       boundPrefixes,
@@ -127,16 +151,23 @@
     this.relay = relay;
     const store = relay.relayedStore();
     const jobStore = new JobStore(store, clock);
-    this.configuration = new ConfigurationInForce({ log, metrics });
+    this.configuration = new ConfigurationInForce({
+      ...{ log, metrics },
+      isRegionKnown: (region) => this.topology.hasRegion(region),
+    });
     const routes = (): RouteMatcher | undefined => this.configuration.routes;
     const shared = { ...options, engine, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
     this.placement = new JobPlacement({
       liveNodes: () => this.fleet.liveNodes(),
       capacityOf: (name) => this.fleet.capacityOf(name),
-      zones: servesAlone ? { own: zone, zoneOf: (name) => this.fleet.zoneOf(name) } : undefined,
+      localities: localities && { ...localities, zoneOf: (name) => this.fleet.zoneOf(name) },
       clock,
     });
+    const residency = new JobResidency({
+      ...{ topology: this.topology, self: node, routes },
+      zoneOf: (name) => this.fleet.zoneOf(name),
+    });
     this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
     const autonomy = new ZoneAutonomy({
       ...{ self, zone, fleet: this.fleet, port, clock, metrics },
@@ -146,11 +177,13 @@
     this.autonomy = autonomy;
     const { journals } = autonomy;
     const asked = {
-      ...{ port, self, zone, clock, metrics, fleet: this.fleet, placement: this.placement },
+      ...{ port, self, zone, distanceBetween, clock, metrics },
+      ...{ fleet: this.fleet, placement: this.placement },
       lock: () => this.coordination.lock,
       weightsNeeded: (need: WeightNeed) => this.coordination.requireWeights(need),
       weightChanged: (change: WeightChange) => noteWeightChange(this.registry, change, clock.now()),
       takesJobsAlone: () => autonomy.takesJobsAlone,
+      residency,
     };
     const peers = new FleetPeers(asked);
     this.peerHandler = new PeerAnswering({
@@ -158,6 +191,7 @@
       jobs: () => this.jobs,
       relay: () => relay,
       workerEnded: (report) => this.quarantine.take(report, clock.now()),
+      permits: (wishes) => this.coldWorkers.answer(wishes),
       usageTold: (source, counts) => this.coordination.duties?.take(source, counts),
     });
     this.crashReports = new CrashReports({
@@ -186,7 +220,7 @@
     this.dispatcher = new ItemDispatcher({
       ...sending,
       isStoreSilent: () => this.fleet.isCutOff,
-      nearZone: servesAlone ? zone : undefined,
+      wayCost: itemWayCost(topology, servesAlone),
     });
     this.jobs = new JobService({
       ...shared,
@@ -196,8 +230,9 @@
         (...question) => peers.ownerListing(...question),
         (job) => peers.likelyOwners(job),
         journals,
+        residency,
       ),
-      journals,
+      ...{ journals, residency },
       isWriterLive: (writer) => autonomy.isWriterLive(writer),
       mayRecover: () => !this.fleet.isCutOff && this.placement.owners().includes(node),
       peers,
@@ -213,16 +248,20 @@
       service,
       fleet,
       self,
-      placement: this.placement,
+      ...{ placement: this.placement, residency },
       peers: port,
       adoptElsewhere: (...adoption) => peers.adoptElsewhere(...adoption),
     });
-    this.monitor = new PeerMonitor({ fleet, peers: port, self, clock, log });
+    this.monitor = new PeerMonitor({
+      ...{ fleet, peers: port, self, clock, log },
+      isNear: (name) => topology.isInOwnRegion(fleet.zoneOf(name) ?? zone),
+    });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
     this.coordination = new Coordination({
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
       configuration: this.configuration,
+      localities,
       isStorageEmpty: (name) => autonomy.isStorageEmpty(name),
       sweep: () => void this.takeover.sweep(),
       removeExpired: () => {
@@ -273,6 +312,7 @@
 
   private noteWorkersListed(): void {
     this.workersListed = true;
+    this.coldWorkers.noteListed();
     this.openWhenKnown();
   }
 
@@ -291,7 +331,9 @@
   }
 
   private endEvacuation(zone: ZoneName): void {
-    if (this.evacuations.end(zone)) this.noteEvacuations('zone-returned', zone);
+    if (!this.evacuations.end(zone)) return;
+    this.coldWorkers.noteReturned(zone);
+    this.noteEvacuations('zone-returned', zone);
   }
 
   private noteEvacuations(change: 'zone-evacuated' | 'zone-returned', workerZone: ZoneName): void {
@@ -303,6 +345,7 @@
 
   private takeWorker(record: WorkerRecord): void {
     this.roster.put(record);
+    this.coldWorkers.noteRecord(record);
     this.dispatcher.schedule();
   }
 
@@ -367,6 +410,7 @@
 
   private tick(): void {
     this.lookForSuspension();
+    this.coldWorkers.tick();
     this.jobs.tick();
     this.dispatcher.tick();
     if (this.isStopping) return;
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -64,6 +64,8 @@
   address: z.string(),
 });
 
+const ROUTED_REQUEST = openRecord({ host: z.string(), path: z.string() });
+
 const HEAD = openRecord({
   /** The life of a node that runs the items; `null` where none does. */
   owner: OWNER.nullable(),
@@ -75,6 +77,8 @@
   replicas: z.array(REPLICA_PLACE).optional(),
   /** The zone that it was handed in at; records of older programs lack it. */
   zone: z.string().optional(),
+  /** A request for each route that it takes, where regions matter: who may run it depends on them. */
+  requests: z.array(ROUTED_REQUEST).optional(),
   total: z.number(),
   listed: z.number(),
   pages: z.number(),
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -8,6 +8,7 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import type { JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -35,6 +36,7 @@
   readonly zone: ZoneName;
   /** Where zones serve their own callers: what takes jobs in while the store is silent. */
   readonly journals?: ZoneJournals | undefined;
+  readonly residency: JobResidency;
 }
 
 /** A submission that the store has not settled yet. */
@@ -59,6 +61,8 @@
   readonly journal: JobJournal | undefined;
   /** Whether it follows a step that was taken in here, and so is at no other zone. */
   readonly isNextStep: boolean;
+  /** Whether it was handed in where it may not lie, and so its trainer's steps are at several zones. */
+  readonly isFromOutside: boolean;
 }
 
 /** A store that has not taken a job after this time no longer holds up its items. */
@@ -84,39 +88,53 @@
     this.steps.forget();
   }
 
-  /** Takes a job in; `undefined` means that all of it is kept from now on. */
-  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  /**
+   * Takes a job in; `undefined` means that all of it is kept from now on. One that was handed in where
+   * it may not lie can be passed to any zone of its regions, and none of these takes it in alone.
+   */
+  async submit(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside = false,
+  ): Promise<Failure | undefined> {
     const own = this.options.owned.get(spec.id);
     if (own !== undefined) return belongsElsewhere(spec, own.spec.tenant);
     const known = this.underWay.get(spec.id);
     if (known !== undefined) return belongsElsewhere(spec, known.tenant) ?? known.outcome;
-    const submission = this.store(spec, wanted);
+    const { residency } = this.options;
+    if (!residency.mayHoldHere(residency.allowedFor(spec))) return NOT_IN_THIS_REGION;
+    const submission = this.store(spec, wanted, isFromOutside);
     this.underWay.set(spec.id, { tenant: spec.tenant, outcome: submission });
     return submission.finally(() => this.underWay.delete(spec.id));
   }
 
-  private async store(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  private async store(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside: boolean,
+  ): Promise<Failure | undefined> {
     const owner = this.isReleasing ? null : this.options.self;
     const journal = owner === null ? undefined : await this.openJournal(spec.id);
     if (journal === 'held-elsewhere') return TAKEN_ELSEWHERE;
-    const isNextStep = this.steps.isNext(spec);
+    const isNextStep = !isFromOutside && this.steps.isNext(spec);
     if (!isNextStep && !(await this.isUnknownToOtherZones(spec.id, wanted))) {
       return this.answerAsKnown(spec);
     }
-    return this.create(spec, { owner, journal, isNextStep }, wanted);
+    return this.create(spec, { owner, journal, isNextStep, isFromOutside }, wanted);
   }
 
   /** Makes a job in the store, or while that is silent in the zone's journal. */
   private async create(
     spec: JobSpecification,
-    { owner, journal, isNextStep }: AdmittedJob,
+    { owner, journal, isNextStep, isFromOutside }: AdmittedJob,
     wanted: StillWanted,
   ): Promise<Failure | undefined> {
     const { store, clock, zone, journals } = this.options;
     const startedAt = clock.now();
     const kept = this.keptElsewhere(spec);
     let isJournaled = false;
-    const head = firstHead(spec, owner, zone, journal);
+    const noted = this.options.residency.noteFor(spec);
+    const head = { ...firstHead(spec, owner, zone, journal), ...noted };
     const creation = store.create(spec, head, () => isJournaled || wanted());
     const mayStart = owner !== null && (isNextStep || journals === undefined);
     const early = mayStart ? await this.startEarly(spec, creation, kept, journal) : undefined;
@@ -130,9 +148,9 @@
     const change = await creation;
     this.noteSubmitted(spec, change, clock.now() - startedAt);
     if (change.kind !== 'changed') early?.abandon();
-    else if (owner === null) await this.options.peers.handOver(spec.id);
+    else if (owner === null) await this.handOver(spec);
     else {
-      this.steps.note(spec);
+      if (!isFromOutside) this.steps.note(spec);
       await this.ownCreated(spec, change.current, early, kept, journal);
     }
     const present = change.kind === 'superseded' ? change.current : undefined;
@@ -271,6 +289,11 @@
     metrics.observe('submit_seconds', {}, took);
   }
 
+  private handOver(spec: JobSpecification): Promise<void> {
+    const { peers, residency } = this.options;
+    return peers.handOver(spec.id, residency.allowedFor(spec));
+  }
+
   /** What nodes of the zone kept of the items of a later step. */
   private async keptElsewhere(spec: JobSpecification): Promise<ReadonlyMap<string, DigestedWork>> {
     if (spec.step === 0) return new Map();
@@ -278,10 +301,11 @@
   }
 }
 
+const NOT_IN_THIS_REGION = failure('region_unavailable', 'the job may not lie in this region');
 const TAKEN_ELSEWHERE = failure('outcome_unknown', 'another node may have taken the job');
 
 /** Refuses a job whose id names one of another tenant's, without telling that it is there. */
-function belongsElsewhere(
+export function belongsElsewhere(
   spec: JobSpecification,
   tenant: TenantName | undefined,
 ): Failure | undefined {
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -1,4 +1,5 @@
 /** What nodes of a fleet ask each other directly. */
+import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { UsageSource, WindowCounts } from '../duties/usage-counts.js';
 import type { Failure } from '../errors/error-kinds.js';
@@ -8,6 +9,8 @@
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { DigestedWork } from '../jobs/kept-items.js';
 import type { JournalAnswers, JournalRequest } from '../journal/journal-entries.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import type { PermitAnswer, PermitWish } from '../placement/cold-permits.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { StoreChange, StoreItem } from '../shared-store/shared-store.js';
 import type { CallerIdentity, TenantName } from '../tenants/tenant.js';
@@ -20,7 +23,12 @@
   /** Is this life of you still running? */
   | { readonly kind: 'probe'; readonly owner: JobOwner }
   /** What have you kept of these items? */
-  | { readonly kind: 'kept-work'; readonly items: readonly string[] }
+  | {
+      readonly kind: 'kept-work';
+      readonly items: readonly string[];
+      /** Where the node that asks stands; older programs do not tell. */
+      readonly zone?: ZoneName;
+    }
   /** Which results are listed from a position on, as the owner of the job knows? */
   | {
       readonly kind: 'job-results';
@@ -31,13 +39,20 @@
   /** End this job, as its owner. */
   | { readonly kind: 'end-job'; readonly job: string; readonly caller: CallerIdentity }
   /** This job is mine now: what have you made of it? The store may not have told you yet. */
-  | { readonly kind: 'surrender-job'; readonly job: string }
+  | {
+      readonly kind: 'surrender-job';
+      readonly job: string;
+      /** Where the node that asks stands; older programs do not tell. */
+      readonly zone?: ZoneName;
+    }
   /** I don't reach the store: take this job in for me. */
   | {
       readonly kind: 'submit-for';
       readonly spec: JobSpecification;
       /** Time for which it is waited for; also in an outage of the store. */
       readonly limit: Milliseconds;
+      /** Whether it was handed in where it may not lie. @default it was not */
+      readonly isFromOutside?: boolean;
     }
   /** I don't reach the store: read these results for me. */
   | {
@@ -66,9 +81,11 @@
       readonly prefix: string;
       readonly after: Revision;
       readonly wait: Milliseconds;
+      /** Another relay asks, to tell its own followers: only what you follow at the store counts. */
+      readonly forRelay?: boolean;
     }
   /** What lies under a prefix of the shared store, as you saw it there? */
-  | { readonly kind: 'list-prefix'; readonly prefix: string }
+  | { readonly kind: 'list-prefix'; readonly prefix: string; readonly forRelay?: boolean }
   /** Give no more orders as coordinator: the lock is mine, or is about to be. */
   | { readonly kind: 'resign-coordinator' }
   /** What workers began to run for me; told to the holder of the duties. */
@@ -77,6 +94,8 @@
   | { readonly kind: 'worker-ended'; readonly report: CrashReport }
   /** A worker changes weights; told to the nodes that run jobs. */
   | { readonly kind: 'weights-change'; readonly change: WeightChange }
+  /** How warm are these workers, and may I send them requests? Asked of the coordinator. */
+  | { readonly kind: 'cold-permits'; readonly wishes: readonly PermitWish[] }
   /** What a job needs; told to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
@@ -100,6 +119,8 @@
         readonly results: readonly JobResult[];
         /** Pages of results up to the last one of `results`, where they end with a page. */
         readonly pages: number;
+        /** Where they may be kept; `undefined` where anywhere. */
+        readonly allowedRegions?: AllowedRegions;
       };
   readonly 'end-job': { readonly isEnded: boolean };
   readonly 'surrender-job': { readonly work: ReadonlyMap<string, DigestedWork> };
@@ -140,6 +161,7 @@
   readonly 'worker-ended': { readonly isNoted: boolean };
   readonly 'usage-counts': { readonly isNoted: boolean };
   readonly 'weights-change': { readonly isNoted: boolean };
+  readonly 'cold-permits': PermitAnswer;
   readonly 'need-weights': { readonly isNoted: boolean };
 }
 
--- a/test/jobs/looks-from-anywhere.test.ts
+++ b/test/jobs/looks-from-anywhere.test.ts
@@ -96,7 +96,7 @@
   zonesServeAlone: boolean,
 ): Promise<JobInFleet> {
   const workers = new ItemWorkers();
-  const fleet = new JoinedGateways(workers, zonesServeAlone ? REPLICAS : 0);
+  const fleet = new JoinedGateways(workers, new Map(), zonesServeAlone ? REPLICAS : 0);
   test.teardown(() => fleet.stop());
   if (zonesServeAlone) await addReplicas(test, fleet);
   await fleet.start(GATEWAYS, 1, ZONES.length);
