--- a/test/fleet/regional-gateways.ts
+++ b/test/fleet/regional-gateways.ts
@@ -10,8 +10,8 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
 import type { JobSpecification } from '../../src/jobs/job-records.js';
-import { REPLICA_PREFIX } from '../../src/journal/replica-directory.js';
 import type { ReplicaPlace } from '../../src/journal/replica-place.js';
+import { REPLICA_PREFIX } from '../../src/journal/replica-record.js';
 import type {
   PeerHandler,
   PeerOutcome,
