Weights, division of models and orders of workers count an evacuated zone's workers as away

Cause: a zone whose workers are sent nothing still took its share of loads, of the division of models and of orders. A model whose workers all lay there had none that served it, and loads went to workers that served nobody while others of the model waited.

Change: WeightRollout divides the models among the workers that may be sent work. Those that are away keep their models for their return, and load after all others, for versions that no newer one has replaced for six seconds. Whether the fleet is large enough to be divided counts all workers, so that an evacuation does not make each of the others load every model. No worker is ordered in an evacuated zone; each other zone is ordered the operator's largest number already.

--- a/src/duties/worker-scaler.ts
+++ b/src/duties/worker-scaler.ts
@@ -30,6 +30,11 @@
   readonly policy: ScalingPolicy;
   readonly services: () => readonly Service[];
   readonly registry: WorkerRegistry;
+  /**
+   * Whether the workers of a zone are sent no work for the time being: none is ordered there until they
+   * are again. @default none is evacuated
+   */
+  readonly isEvacuated?: (zone: ZoneName) => boolean;
   readonly node: NodeId;
   readonly clock: Clock;
   readonly log: DecisionLog;
@@ -69,13 +74,13 @@
   }
 
   private dueOrder(): WorkerOrder | undefined {
-    const { policy, services } = this.options;
+    const { policy, services, isEvacuated = () => false } = this.options;
     for (const service of services()) {
       const { scaling } = service;
       if (scaling === undefined) continue;
       const present = (zone: ZoneName): number => this.present(service.name, zone);
       for (const [zone, wanted] of policy.wanted(scaling, present)) {
-        if (this.isDue(service.name, zone, wanted, scaling)) {
+        if (!isEvacuated(zone) && this.isDue(service.name, zone, wanted, scaling)) {
           return { service: service.name, zone, wanted };
         }
       }
--- a/src/fleet/coordination.ts
+++ b/src/fleet/coordination.ts
@@ -2,7 +2,7 @@
  * What one node at a time does for the fleet, and every node's part in choosing it: the coordinator's
  * lock, the weights of workers, emptied storage nodes, and the duties towards the operator's cloud interface.
  */
-import type { ModelName, NodeId } from '../core/identity.js';
+import type { ModelName, NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
 import type { JobOwner } from '../jobs/job-records.js';
@@ -32,6 +32,8 @@
   readonly peers: FleetPeers;
   readonly registry: WorkerRegistry;
   readonly configuration: ConfigurationInForce;
+  /** Whether the workers of a zone are sent no work for the time being. */
+  readonly isEvacuated: (zone: ZoneName) => boolean;
   /** Whether nothing that must last lies on a storage machine alone. */
   readonly isStorageEmpty: (node: NodeId) => Promise<boolean>;
   /** Finds jobs that nobody runs. */
@@ -68,6 +70,7 @@
       named: this.named,
       noteChange: (change) => options.peers.tellWeightChange(change),
       isConfigured: (service) => configuration.services.some(({ name }) => name === service),
+      isAway: ({ record }) => options.isEvacuated(record.zone),
       mode: () => (configuration.needsWholeVersions ? 'wait' : 'keep'),
     });
     this.drains = new StorageDrains({ port, lock, log, isEmpty: options.isStorageEmpty });
--- a/src/fleet/fleet-duties.ts
+++ b/src/fleet/fleet-duties.ts
@@ -2,7 +2,7 @@
  * The duties of one node at a time, joined: counts of usage told to the holder and reported by it,
  * and orders of workers. The holder is the fleet's coordinator.
  */
-import type { NodeId } from '../core/identity.js';
+import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { DutyPort } from '../duties/duty-port.js';
 import { LargestFleetPolicy } from '../duties/scaling-policy.js';
@@ -47,6 +47,8 @@
   readonly self: JobOwner;
   readonly registry: WorkerRegistry;
   readonly services: () => readonly Service[];
+  /** Whether the workers of a zone are sent no work for the time being. */
+  readonly isEvacuated: (zone: ZoneName) => boolean;
   readonly liveNodes: () => number;
   /** Tells another node what workers began to run for this one; whether it took it. */
   readonly tell: (holder: NodeId, source: UsageSource, counts: WindowCounts) => Promise<boolean>;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -223,6 +223,7 @@
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
       configuration: this.configuration,
+      isEvacuated: (zoneName) => this.evacuations.isEvacuated(zoneName),
       isStorageEmpty: (name) => autonomy.isStorageEmpty(name),
       sweep: () => void this.takeover.sweep(),
       removeExpired: () => {
@@ -296,7 +297,9 @@
 
   private noteEvacuations(change: 'zone-evacuated' | 'zone-returned', workerZone: ZoneName): void {
     const { log, metrics } = this.options;
-    log.state(change, { workerZone });
+    // A zone without workers may be misspelled, or its workers may come later.
+    const workers = this.registry.all().filter(({ record }) => record.zone === workerZone).length;
+    log.state(change, { workerZone, workers });
     metrics.set('evacuated_zones', this.evacuations.evacuated().length);
     this.dispatcher.schedule();
   }
--- a/src/fleet/model-assignment.ts
+++ b/src/fleet/model-assignment.ts
@@ -16,6 +16,9 @@
   readonly versions: ReadonlyMap<ModelName, WeightVersion>;
 }
 
+/** Tells whether a worker serves a model. */
+export type Division = (worker: string, model: ModelName) => boolean;
+
 /**
  * In a fleet with fewer workers for each model every worker serves every model: there a part of
  * them would hold too little memory for one model's busy moments.
@@ -54,21 +57,41 @@
 
   /**
    * Divides the workers anew; tells which serve a model. `named` gives the newest versions, by
-   * which a new coordinator finds the division of the one before.
+   * which a new coordinator finds the division of the one before. Workers that are `away` take no
+   * part, and keep their models for their return: the others change only as far as the shares ask.
    */
   update(
     workers: readonly AssignableWorker[],
     named: ReadonlyMap<ModelName, WeightVersion>,
-  ): (worker: string, model: ModelName) => boolean {
-    const models = [...new Set(workers.flatMap((worker) => [...worker.versions.keys()]))].sort();
-    if (workers.length < LEAST_FLEET_PER_MODEL * models.length) {
-      this.current.clear();
-      return () => true;
+    away: readonly AssignableWorker[] = [],
+  ): Division {
+    const all = [...workers, ...away];
+    const models = [...new Set(all.flatMap((worker) => [...worker.versions.keys()]))].sort();
+    const isSmall = all.length < LEAST_FLEET_PER_MODEL * models.length;
+    if (isSmall) this.current.clear();
+    if (isSmall || workers.length < FEWEST_WORKERS_PER_MODEL * models.length) {
+      const present = new Set(workers.map(({ id }) => id));
+      return (worker, model) => present.has(worker) || this.servesAlone(worker, model);
     }
-    this.current = this.divide(workers, models, named);
+    const kept = away.flatMap((worker) => this.entryOf(worker, named));
+    this.current = new Map([...this.divide(workers, models, named), ...kept]);
     return (worker, model) => this.current.get(worker) === model;
   }
 
+  /** Whether a worker serves a model in the division as it is; one without a model serves all. */
+  private servesAlone(worker: string, model: ModelName): boolean {
+    return (this.current.get(worker) ?? model) === model;
+  }
+
+  /** The model that a worker has served, as far as that is known. */
+  private entryOf(
+    worker: AssignableWorker,
+    named: ReadonlyMap<ModelName, WeightVersion>,
+  ): [string, ModelName][] {
+    const model = this.current.get(worker.id) ?? mostCurrentModel(worker, named);
+    return model === undefined ? [] : [[worker.id, model]];
+  }
+
   private divide(
     workers: readonly AssignableWorker[],
     models: readonly ModelName[],
@@ -76,8 +99,9 @@
   ): Map<string, ModelName> {
     const wanted = new Map<string, ModelName>();
     for (const worker of workers) {
-      const model = this.current.get(worker.id) ?? mostCurrentModel(worker, named);
-      if (model !== undefined && worker.versions.has(model)) wanted.set(worker.id, model);
+      for (const [id, model] of this.entryOf(worker, named)) {
+        if (worker.versions.has(model)) wanted.set(id, model);
+      }
     }
     const quotas = this.quotas(workers.length, models, countsOf(wanted));
     const assigned = keepWithinQuotas(this.homeFirst(wanted, workers), quotas);
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -22,7 +22,8 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { CoordinatorLock } from './coordinator-lock.js';
-import { type AssignableWorker, ModelAssignment } from './model-assignment.js';
+import { dueChanges, type PendingChange } from './due-changes.js';
+import { type AssignableWorker, type Division, ModelAssignment } from './model-assignment.js';
 import type { WeightChange } from './weight-changes.js';
 
 /** Options of {@link WeightRollout}. */
@@ -40,6 +41,8 @@
   readonly isConfigured: (service: ServiceName) => boolean;
   /** Told of each change that was ordered, and of each that has shown. */
   readonly noteChange: (change: WeightChange) => void;
+  /** Whether a worker is sent no work for the time being, as its zone is evacuated. @default none is */
+  readonly isAway?: (worker: KnownWorker) => boolean;
   /** What becomes of runs at a worker that changes its weights. */
   readonly mode: () => WeightOrderMode;
 }
@@ -65,13 +68,6 @@
 /** Pause before a worker that could not be asked is asked again. */
 const RETRY_PAUSE: Milliseconds = 500;
 
-/**
- * Where only one version is missing, the workers beyond this share change after the delay below.
- * Trainers that allow one version of lag then find all workers usable at any time, while only half
- * of them load at each step.
- */
-const SHARE_AT_ONCE = 0.5;
-
 /** Time after which all workers hold a version that no newer one has replaced. */
 const CATCH_UP_DELAY: Milliseconds = 6_000;
 
@@ -81,9 +77,6 @@
  */
 const LOOK_SHARE = 0.05;
 
-/** Versions that a worker may miss without being unusable for most trainers. */
-const TOLERATED_LAG = 1;
-
 /** A version that a trainer named. */
 export interface NamedVersion {
   readonly version: WeightVersion;
@@ -91,58 +84,6 @@
   readonly namedAt: Milliseconds;
 }
 
-/** A version to roll out. */
-export interface RolloutTarget {
-  readonly model: ModelName;
-  readonly version: WeightVersion;
-  /** Oldest version that an open job may use; 0 where none is known. */
-  readonly required: WeightVersion;
-}
-
-/** What one worker still has to do. */
-export interface PendingChange {
-  readonly worker: KnownWorker;
-  readonly model: ModelName;
-  readonly version: WeightVersion;
-  /**
-   * Share of the model's workers that are usable before this change is made; 1 where this worker is
-   * usable already. Smaller is sooner: no model waits while another one is nearly done.
-   */
-  readonly usableShare: number;
-}
-
-/** Changes that are due for one model, among the workers that hold it. */
-export function dueChanges(
-  holders: readonly KnownWorker[],
-  target: RolloutTarget,
-  mayWait: boolean,
-  isChanging: (worker: KnownWorker) => boolean,
-): PendingChange[] {
-  const { model, version, required } = target;
-  const behind = holders.filter((worker) => worker.versionOf(model) < version);
-  const changing = behind.filter(isChanging).length;
-  const current = holders.length - behind.length + changing;
-  const isUnusable = (worker: KnownWorker): boolean => {
-    const held = worker.versionOf(model);
-    return held < required || version - held > TOLERATED_LAG;
-  };
-  const isWaiting = (worker: KnownWorker): boolean => !isChanging(worker);
-  let usable = holders.length - behind.filter((one) => isUnusable(one) && isWaiting(one)).length;
-  const changes: PendingChange[] = [];
-  let room = Math.ceil(holders.length * SHARE_AT_ONCE) - current;
-  const byLag = [...behind].sort((a, b) => a.versionOf(model) - b.versionOf(model));
-  for (const worker of byLag) {
-    if (isChanging(worker)) continue;
-    const isLost = isUnusable(worker);
-    if (!isLost && mayWait && room <= 0) continue;
-    room -= 1;
-    const usableShare = isLost ? usable / holders.length : 1;
-    if (isLost) usable += 1;
-    changes.push({ worker, model, version, usableShare });
-  }
-  return changes;
-}
-
 /** Rolls named versions out. */
 export class WeightRollout {
   /** Model that is being changed, by the life of the worker: an order concerns one life. */
@@ -181,12 +122,37 @@
     }
   }
 
-  /** What is to be changed now, the most urgent first, then the least busy worker. */
+  /**
+   * What is to be changed now, the most urgent first, then the least busy worker. Workers that are away
+   * come after all others, and for versions that no newer one has replaced for a while.
+   */
   private pendingChanges(): PendingChange[] {
     const now = this.options.clock.now();
+    const { isAway = () => false } = this.options;
     const workers = this.orderable().filter(({ record }) => !record.draining);
-    const serves = this.assignment.update(workers.map(assignable), this.namedVersions());
-    const changes = [...this.options.named].flatMap(([model, { version, namedAt }]) => {
+    const present = workers.filter((worker) => !isAway(worker));
+    const away = workers.filter(isAway);
+    const serves = this.assignment.update(
+      present.map(assignable),
+      this.namedVersions(),
+      away.map(assignable),
+    );
+    const changes = this.changesAmong(present, serves, now);
+    const due = changes.length > 0 ? changes : this.lateChangesAmong(away, serves, now);
+    return due
+      .filter(({ worker }) => (this.notBefore.get(worker) ?? 0) <= now)
+      .sort(
+        (a, b) =>
+          a.usableShare - b.usableShare || a.worker.occupancy(now) - b.worker.occupancy(now),
+      );
+  }
+
+  private changesAmong(
+    workers: readonly KnownWorker[],
+    serves: Division,
+    now: Milliseconds,
+  ): PendingChange[] {
+    return [...this.options.named].flatMap(([model, { version, namedAt }]) => {
       const holders = workers.filter(
         (worker) => worker.versionOf(model) > 0 && serves(worker.record.id, model),
       );
@@ -194,12 +160,19 @@
       const mayWait = now - namedAt < CATCH_UP_DELAY;
       return dueChanges(holders, target, mayWait, (one) => this.changing.get(one) === model);
     });
-    return changes
-      .filter(({ worker }) => (this.notBefore.get(worker) ?? 0) <= now)
-      .sort(
-        (a, b) =>
-          a.usableShare - b.usableShare || a.worker.occupancy(now) - b.worker.occupancy(now),
-      );
+  }
+
+  /** Workers that are sent no work need no version that the next one may replace first. */
+  private lateChangesAmong(
+    workers: readonly KnownWorker[],
+    serves: Division,
+    now: Milliseconds,
+  ): PendingChange[] {
+    const { named } = this.options;
+    return this.changesAmong(workers, serves, now).filter(({ model }) => {
+      const namedAt = named.get(model)?.namedAt ?? now;
+      return now - namedAt >= CATCH_UP_DELAY;
+    });
   }
 
   /** Workers that hold models, of services that are configured: others are not ours to order. */
--- a/test/duties/worker-scaler.test.ts
+++ b/test/duties/worker-scaler.test.ts
@@ -30,6 +30,7 @@
   readonly clock: ManualClock;
   readonly registry: WorkerRegistry;
   readonly wanted: Map<string, number>;
+  readonly evacuated: Set<string>;
   pass(duration: number): Promise<void>;
 }
 
@@ -42,7 +43,9 @@
     ['zone-1', 1],
     ['zone-2', 2],
   ]);
+  const evacuated = new Set<string>();
   const scaler = new WorkerScaler({
+    isEvacuated: (zone) => evacuated.has(zone),
     ...{ port: cloud, lock, clock, registry, node: 'one' },
     policy: { wanted: () => wanted },
     services: () => [service('fixed', undefined), service('service', scaling)],
@@ -57,7 +60,7 @@
       await new Promise((go) => setImmediate(go));
     }
   };
-  return { cloud, lock, clock, registry, wanted, pass };
+  return { cloud, lock, clock, registry, wanted, evacuated, pass };
 }
 
 const ordered = (cloud: StubCloud): string[] =>
@@ -106,3 +109,22 @@
   t.equal(run.cloud.orders.length, 1);
   t.same(run.lock.refused, [8]);
 });
+
+t.test(
+  'no worker is ordered in an evacuated zone, and those that are missing at its return are',
+  async (t) => {
+    const run = fixture();
+    run.registry.put(worker('w1', { zone: 'zone-2' }));
+    run.registry.put(worker('w2', { zone: 'zone-2' }));
+    run.wanted.set('zone-1', 0);
+    await run.pass(1_000);
+    t.same(ordered(run.cloud), ['service zone-1 0', 'service zone-2 2']);
+    run.evacuated.add('zone-2');
+    run.registry.remove('w1');
+    await run.pass(30_000);
+    t.equal(run.cloud.orders.length, 2);
+    run.evacuated.delete('zone-2');
+    await run.pass(1_000);
+    t.same(ordered(run.cloud).slice(2), ['service zone-2 2']);
+  },
+);
--- a/test/fleet/model-assignment.test.ts
+++ b/test/fleet/model-assignment.test.ts
@@ -168,3 +168,92 @@
   ask();
   t.same(divide(assignment, fleet), before);
 });
+
+/** Thirty workers in three zones, each model spread over all of them. */
+function threeZones(): AssignableWorker[] {
+  return workers(30).map((one, index) => ({ ...one, zone: `zone-${1 + (index % 3)}` }));
+}
+
+/** The division over all workers while those of one zone are away. */
+function divideWithout(
+  assignment: ModelAssignment,
+  all: readonly AssignableWorker[],
+  zones: readonly string[],
+): Map<string, string[]> {
+  const present = all.filter(({ zone }) => !zones.includes(zone));
+  const away = all.filter(({ zone }) => zones.includes(zone));
+  const serves = assignment.update(present, new Map(), away);
+  return new Map(
+    MODELS.map((model) => [
+      model,
+      present.map(({ id }) => id).filter((worker) => serves(worker, model)),
+    ]),
+  );
+}
+
+/** Workers that serve another model than before. */
+function moved(
+  before: ReadonlyMap<string, readonly string[]>,
+  after: ReadonlyMap<string, readonly string[]>,
+): string[] {
+  const modelOf = (division: ReadonlyMap<string, readonly string[]>, worker: string) =>
+    [...division].find(([, ids]) => ids.includes(worker))?.[0];
+  return [...after.values()].flat().filter((id) => modelOf(before, id) !== modelOf(after, id));
+}
+
+t.test('workers of an evacuated zone take no part, and the others are divided anew', async (t) => {
+  const assignment = new ModelAssignment();
+  const all = threeZones();
+  divide(assignment, all);
+  const division = divideWithout(assignment, all, ['zone-1']);
+  t.equal([...division.values()].flat().length, 20);
+  for (const size of sizes(division)) t.ok(Math.abs(size - 20 / 3) <= 2, `${size} of 20`);
+});
+
+t.test('an evacuation that takes all workers of a model away gives it others', async (t) => {
+  const assignment = new ModelAssignment();
+  const all = threeZones();
+  assignment.noteWork('a', 1_000, 'zone-1');
+  assignment.noteWork('b', 1_000, 'zone-2');
+  assignment.noteWork('c', 1_000, 'zone-3');
+  const before = divide(assignment, all);
+  const during = divideWithout(assignment, all, ['zone-1']);
+  t.ok((during.get('a') ?? []).length >= 6, `${during.get('a')}`);
+  const back = divide(assignment, all);
+  const returned = all.filter(({ zone }) => zone === 'zone-1').map(({ id }) => id);
+  t.same(
+    moved(before, back).filter((id) => returned.includes(id)),
+    [],
+    'workers that return serve what they served',
+  );
+  t.same(sizes(back), [10, 10, 10]);
+});
+
+t.test('where shares allow it, an evacuation and its end move no worker', async (t) => {
+  const assignment = new ModelAssignment();
+  const all = workers(30).map((one, index) => ({
+    ...one,
+    zone: `zone-${1 + (Math.floor(index / 3) % 3)}`,
+  }));
+  const before = divide(assignment, all);
+  t.same(moved(before, divideWithout(assignment, all, ['zone-2'])), []);
+  t.same(moved(before, divide(assignment, all)), []);
+});
+
+t.test('a second evacuation leaves the division as far as there are workers', async (t) => {
+  const assignment = new ModelAssignment();
+  const all = threeZones();
+  divide(assignment, all);
+  const one = divideWithout(assignment, all, ['zone-1']);
+  const two = divideWithout(assignment, all, ['zone-1', 'zone-2']);
+  t.equal([...two.values()].flat().length, 10, 'each worker that is left serves one model');
+  t.ok(moved(one, two).length <= 4, `${moved(one, two)} moved`);
+});
+
+t.test('where hardly a worker is left, each serves every model', async (t) => {
+  const assignment = new ModelAssignment();
+  const all = workers(30).map((one, index) => ({ ...one, zone: index < 4 ? 'zone-1' : 'zone-2' }));
+  const before = divide(assignment, all);
+  t.same(sizes(divideWithout(assignment, all, ['zone-2'])), [4, 4, 4]);
+  t.same(moved(before, divide(assignment, all)), []);
+});
--- a/test/fleet/weight-rollout.test.ts
+++ b/test/fleet/weight-rollout.test.ts
@@ -1,11 +1,7 @@
 import t from 'tap';
+import { dueChanges, type RolloutTarget } from '../../src/fleet/due-changes.js';
 import { noteWeightChange, type WeightChange } from '../../src/fleet/weight-changes.js';
-import {
-  dueChanges,
-  loadsAtOnce,
-  type RolloutTarget,
-  WeightRollout,
-} from '../../src/fleet/weight-rollout.js';
+import { loadsAtOnce, WeightRollout } from '../../src/fleet/weight-rollout.js';
 import { mayRun } from '../../src/jobs/item-placement.js';
 import { KnownWorker, WorkerRegistry } from '../../src/serving/worker-registry.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
@@ -146,8 +142,10 @@
   engine: ScriptedEngine,
   clock: ManualClock,
   changes: WeightChange[] = [],
+  isAway: (worker: KnownWorker) => boolean = () => false,
 ) {
   return new WeightRollout({
+    isAway,
     registry,
     engine,
     clock,
@@ -250,3 +248,43 @@
   noteWeightChange(other, loading, 5_000);
   t.notOk(other.get('w1')?.isLoading('model-a', 5_100), 'that was another life');
 });
+
+/** Ten workers of two zones, all one version behind; the second zone is away. */
+function halfAway(): {
+  readonly engine: ScriptedEngine;
+  readonly clock: ManualClock;
+  readonly rollout: WeightRollout;
+  readonly ordered: () => string[];
+  readonly pass: (duration: number) => Promise<void>;
+} {
+  const registry = new WorkerRegistry();
+  for (let index = 0; index < 10; index += 1) {
+    const zone = index < 5 ? 'zone-1' : 'zone-2';
+    registry.put(worker(`w${index}`, { zone, models: [{ name: 'model-a', version: 3 }] }));
+  }
+  const engine = new ScriptedEngine();
+  engine.reports = Array(500).fill({ ...REPORT, models: [{ name: 'model-a', version: 3 }] });
+  const clock = new ManualClock();
+  const isAway = ({ record }: KnownWorker): boolean => record.zone === 'zone-2';
+  const rollout = rolloutOver(registry, engine, clock, [], isAway);
+  const ordered = (): string[] => engine.orders.map((order) => order.worker.id);
+  const pass = async (duration: number): Promise<void> => {
+    const end = clock.time + duration;
+    while (clock.time < end) {
+      clock.time += 50;
+      rollout.tick();
+      for (const { worker: told } of engine.orders)
+        registry.get(told.id)?.noteVersion('model-a', 5);
+      for (let turn = 0; turn < 5; turn += 1) await new Promise((go) => setImmediate(go));
+    }
+  };
+  return { engine, clock, rollout, ordered, pass };
+}
+
+t.test('workers of an evacuated zone load after all others, and not at once', async (t) => {
+  const run = halfAway();
+  await run.pass(3_000);
+  t.same(run.ordered().sort(), ['w0', 'w1', 'w2', 'w3', 'w4'], 'though all lag two versions');
+  await run.pass(8_000);
+  t.same(run.ordered().slice(5).sort(), ['w5', 'w6', 'w7', 'w8', 'w9']);
+});
