A relay that the store turns away hears of changes from the others; knowledge of evacuations ages

Cause: a node that follows the store by way of a relay hears of changes while the store turns it away.

Change: a relay whose list or watch failed, and whose lease has not been renewed since, asks the relays as a follower does, and the node that is its zone's relay without it. What a node knows of evacuations ages where the settings give a bound for them: a node that for that long has heard of them from neither the store nor a relay, and that no node it asked has answered, sends nothing and calls itself not ready until it hears again. Nodes that others answer go on, so that an outage of the store for all stops nobody. Who told of a prefix last is a module of its own.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -14,6 +14,7 @@
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
+import { EvacuationBelief } from '../placement/evacuation-belief.js';
 import { GuardedEngine } from '../placement/guarded-engine.js';
 import { ResidencyRule } from '../placement/residency-rule.js';
 import { SendRules } from '../placement/send-rules.js';
@@ -37,7 +38,7 @@
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
-import type { GatewayNodeOptions } from './gateway-options.js';
+import { evacuationAgeLimit, type GatewayNodeOptions } from './gateway-options.js';
 import { JobPlacement } from './job-placement.js';
 import { JobTakeover } from './job-takeover.js';
 import { PeerAnswering } from './peer-answers.js';
@@ -72,6 +73,7 @@
 export class GatewayNode {
   private readonly topology: ZoneTopology;
   private readonly evacuations = new ZoneEvacuations();
+  private readonly evacuationBelief: EvacuationBelief;
   readonly registry: WorkerRegistry;
   /** The configuration that this node acts on. */
   readonly configuration: ConfigurationInForce;
@@ -106,7 +108,14 @@
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node, zonesServeAlone: servesAlone = false } = options;
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
-    const rules = new SendRules([new ResidencyRule(this.topology), this.evacuations]);
+    this.evacuationBelief = new EvacuationBelief({
+      limit: () => evacuationAgeLimit(options.timings()),
+      contactAge: () => this.relay.contactAge(options.feeds.operatorPrefix),
+      hasPeers: () => this.fleet.liveNodes().some((name) => name !== node),
+      log,
+    });
+    const residency = new ResidencyRule(this.topology);
+    const rules = new SendRules([residency, this.evacuations, this.evacuationBelief]);
     this.registry = new WorkerRegistry(rules);
     const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
@@ -244,7 +253,8 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return this.configuration.version !== undefined && this.workersListed && !this.isStopping;
+    if (this.isStopping || this.evacuationBelief.isOutdated) return false;
+    return this.configuration.version !== undefined && this.workersListed;
   }
 
   /** Nodes that live, as far as this one knows. */
@@ -370,6 +380,7 @@
 
   private tick(): void {
     this.lookForSuspension();
+    this.evacuationBelief.tick();
     this.jobs.tick();
     this.dispatcher.tick();
     if (this.isStopping) return;
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -20,12 +20,27 @@
   readonly areTokensChecked: boolean;
   /** Time in which a change of the configuration has to be in force. */
   readonly changeBound: Milliseconds;
+  /** Time in which an evacuation of a zone has to be in force. @default nobody asks for one */
+  readonly evacuationBound?: Milliseconds | undefined;
   /** Time between the request to stop and the forced end. */
   readonly stopLimit: Milliseconds;
   /** Time for which a job stays readable. */
   readonly jobRetention: Milliseconds;
 }
 
+/**
+ * Multiple of the bound for a configuration within which a node that is in order hears from the store or
+ * from a relay, whatever becomes of its relays.
+ */
+const LONGEST_CONTACT_PAUSE = 1.5;
+
+/** Time without contact after which what a node knows of evacuations is too old to send work on. */
+export function evacuationAgeLimit(timings: FleetTimings): Milliseconds | undefined {
+  const { evacuationBound, changeBound } = timings;
+  if (evacuationBound === undefined) return undefined;
+  return Math.max(evacuationBound, LONGEST_CONTACT_PAUSE * changeBound);
+}
+
 /** Options of a gateway. */
 export interface GatewayNodeOptions {
   readonly node: NodeId;
--- a/src/fleet/relay-choice.ts
+++ b/src/fleet/relay-choice.ts
@@ -49,17 +49,39 @@
     return this.relaysOf(zone, this.nodesByZone(fleet())).includes(self);
   }
 
-  /** The nodes to ask in turn, of the own zone first; `self` where this node is a relay. */
-  inOrder(): 'self' | readonly NodeId[] {
-    const { fleet, self, zone, clock } = this.options;
+  /**
+   * The nodes to ask in turn, of the own zone first; `self` where this node is a relay. One that the
+   * store turns away is none for the time being: it asks the others, as long as there are any.
+   */
+  inOrder(isTurnedAway: boolean): 'self' | readonly NodeId[] {
+    const { fleet, self, zone } = this.options;
     const zones = this.nodesByZone(fleet());
     const own = this.relaysOf(zone, zones);
-    if (own.includes(self) || own.length === 0) return 'self';
-    const others = [...zones.keys()]
+    const isRelay = own.includes(self) || own.length === 0;
+    if (isRelay && !isTurnedAway) return 'self';
+    const ranked = this.ranked(isRelay ? this.withoutSelf(zones) : zones);
+    return isRelay && ranked.length === 0 ? 'self' : this.usable(ranked);
+  }
+
+  private withoutSelf(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): Map<ZoneName, NodeId[]> {
+    const { self, zone } = this.options;
+    const others = (zones.get(zone) ?? []).filter((node) => node !== self);
+    return new Map([...zones].map(([name, nodes]) => [name, name === zone ? others : [...nodes]]));
+  }
+
+  /** All relays, those of the own zone first. */
+  private ranked(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): NodeId[] {
+    const { self, zone } = this.options;
+    const elsewhere = [...zones.keys()]
       .filter((name) => name !== zone)
       .flatMap((name) => this.relaysOf(name, zones));
-    const ranked = [own, others].flatMap((nodes) => rendezvousOrder(self, nodes, (node) => node));
-    const isUsable = (node: NodeId): boolean => clock.now() >= (this.penalizedUntil.get(node) ?? 0);
+    const groups = [this.relaysOf(zone, zones), elsewhere];
+    return groups.flatMap((nodes) => rendezvousOrder(self, nodes, (node) => node));
+  }
+
+  private usable(ranked: readonly NodeId[]): NodeId[] {
+    const now = this.options.clock.now();
+    const isUsable = (node: NodeId): boolean => now >= (this.penalizedUntil.get(node) ?? 0);
     return ranked.filter(isUsable).slice(0, RELAYS_ASKED);
   }
 
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -10,6 +10,7 @@
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { PeerAnswers, PeerPort, PeerRequestOf } from '../peers/peer-messages.js';
+import { ageingTime } from '../serving/clock.js';
 import type {
   SharedStore,
   StoreRangeOutcome,
@@ -18,6 +19,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { type ChangeBound, DirectPrefixes, longestWatch } from './direct-prefixes.js';
+import { PrefixSources, STORE_SOURCE } from './prefix-sources.js';
 import { RelayChoice, type RelayChoiceOptions } from './relay-choice.js';
 
 /**
@@ -44,12 +46,6 @@
  */
 const BELIEVED_ANSWERS = 3;
 
-/** The source of a prefix that comes from the store without a relay. */
-const STORE_SOURCE = 'store';
-
-/** The source of a prefix of which neither a relay nor the store tells. */
-const NO_SOURCE = 'nobody';
-
 /** Options of {@link WatchRelay}. */
 export interface WatchRelayOptions extends RelayChoiceOptions, ChangeBound {
   readonly store: SharedStore;
@@ -60,12 +56,6 @@
   readonly metrics: FleetMetrics;
 }
 
-/** Who told of a prefix last, and when: a relay by its name, the store, or nobody. */
-interface FollowedPrefix {
-  readonly source: string;
-  readonly heardAt: Milliseconds;
-}
-
 /** The two questions to a relay. */
 type RelayedKind = 'follow-prefix' | 'list-prefix';
 
@@ -96,15 +86,18 @@
   private readonly choice: RelayChoice;
   /** Lists by prefix that failed, at the store or for want of a current relay, since it was last heard. */
   private readonly believedAnswers = new Map<string, number>();
-  private readonly followed = new Map<string, FollowedPrefix>();
+  private readonly sources: PrefixSources;
   /** Prefixes for which no relay helped a moment ago: their next list is the store's. */
   private readonly withoutRelay = new Set<string>();
+  /** When the store last failed this node as a relay, by {@link ageingTime}. */
+  private failedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: WatchRelayOptions) {
     const { fleet } = options;
     const renewalAge = (): Milliseconds => fleet().renewalAge();
     this.direct = new DirectPrefixes({ ...options, renewalAge });
     this.choice = new RelayChoice(options);
+    this.sources = new PrefixSources(options);
   }
 
   /** The store with its lists and watches by way of other nodes where there is one to ask. */
@@ -122,6 +115,14 @@
     };
   }
 
+  /**
+   * Time since the store told of a prefix, or another node that was asked answered, whatever that one
+   * knew; infinite before the first time.
+   */
+  contactAge(prefix: string): Milliseconds {
+    return this.sources.contactAge(prefix);
+  }
+
   /** Whether this node is to follow the store for others. */
   get isRelay(): boolean {
     return this.choice.isRelay;
@@ -138,8 +139,8 @@
   }
 
   private async list(prefix: string): Promise<StoreRangeOutcome> {
-    const relays = this.choice.inOrder();
-    if (relays === 'self') return this.noteListed(prefix, await this.direct.list(prefix));
+    const relays = this.choice.inOrder(this.isTurnedAway);
+    if (relays === 'self') return this.noteOwn(prefix, await this.direct.list(prefix));
     this.direct.forget(prefix);
     if (this.withoutRelay.delete(prefix)) {
       return this.noteListed(prefix, await this.options.store.range(prefix));
@@ -168,7 +169,7 @@
   private listLimits(
     prefix: string,
   ): Pick<RelayedQuestion<'list-prefix'>, 'answerLimit' | 'searchLimit'> {
-    if (!this.followed.has(prefix)) return { answerLimit: LIST_LIMIT, searchLimit: LIST_LIMIT };
+    if (!this.sources.isKnown(prefix)) return { answerLimit: LIST_LIMIT, searchLimit: LIST_LIMIT };
     return { answerLimit: SEARCH_SHARE * this.options.changeBound(), searchLimit: 0 };
   }
 
@@ -179,7 +180,7 @@
    */
   private believes(prefix: string): boolean {
     const believed =
-      this.believedAnswers.get(prefix) ?? (this.followed.has(prefix) ? BELIEVED_ANSWERS : 0);
+      this.believedAnswers.get(prefix) ?? (this.sources.isKnown(prefix) ? BELIEVED_ANSWERS : 0);
     const isBelieved = believed < BELIEVED_ANSWERS;
     this.believedAnswers.set(prefix, isBelieved ? believed + 1 : 0);
     return isBelieved;
@@ -191,11 +192,10 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
-    const relays = this.choice.inOrder();
+    const relays = this.choice.inOrder(this.isTurnedAway);
     if (relays === 'self') {
       const outcome = await this.direct.watch(prefix, after, wait, signal);
-      if (outcome.kind === 'changes') this.noteHeard(prefix, STORE_SOURCE);
-      return outcome;
+      return signal.aborted ? outcome : this.noteOwn(prefix, outcome);
     }
     this.direct.forget(prefix);
     if (relays.length === 0) return this.watchAlone(prefix, after, wait, signal);
@@ -255,10 +255,12 @@
         return { kind: 'answered', answer: outcome.answer as RelayedAnswer<Kind> };
       }
       refusals.push(`${relay}:${told}`);
-      if (outcome.kind === 'answered') notCurrent.push(relay);
-      else this.choice.penalize(relay);
+      if (outcome.kind === 'answered') {
+        this.sources.noteContact(prefix);
+        notCurrent.push(relay);
+      } else this.choice.penalize(relay);
     }
-    this.noteUnheard(prefix, refusals);
+    this.sources.noteUnheard(prefix, refusals);
     if (notCurrent.length === 0) return { kind: 'no-relay' };
     return { kind: 'not-current', relays: notCurrent };
   }
@@ -268,24 +270,27 @@
     return outcome;
   }
 
-  /** A change of who tells of a prefix, and how long nobody did, is what a late change is explained by. */
-  private noteHeard(prefix: string, source: string): void {
-    const now = this.options.clock.now();
-    const before = this.followed.get(prefix);
-    this.believedAnswers.delete(prefix);
-    this.followed.set(prefix, { source, heardAt: now });
-    if (before === undefined || before.source === source) return;
-    const unheardMs = Math.round(now - before.heardAt);
-    const details = { prefix, by: source, before: before.source, unheardMs };
-    this.options.log.state('prefix-followed', details);
+  /** Takes note of what the store answered to this node as a relay. */
+  private noteOwn<Outcome extends StoreRangeOutcome | StoreWatchOutcome>(
+    prefix: string,
+    outcome: Outcome,
+  ): Outcome {
+    if (outcome.kind === 'failed') this.failedAt = ageingTime(this.options.clock);
+    else if (outcome.kind !== 'compacted') this.noteHeard(prefix, STORE_SOURCE);
+    return outcome;
+  }
+
+  /**
+   * Whether the store failed this node as a relay, and has not renewed its lease since: others may
+   * be served meanwhile, and what they hear is not lost to this node.
+   */
+  private get isTurnedAway(): boolean {
+    const age = ageingTime(this.options.clock) - this.failedAt;
+    return this.options.fleet().renewalAge() > age;
   }
 
-  private noteUnheard(prefix: string, refusals: readonly string[]): void {
-    const before = this.followed.get(prefix);
-    if (before === undefined || before.source === NO_SOURCE) return;
-    this.followed.set(prefix, { source: NO_SOURCE, heardAt: before.heardAt });
-    const unheardMs = Math.round(this.options.clock.now() - before.heardAt);
-    const details = { prefix, by: NO_SOURCE, before: before.source, unheardMs };
-    this.options.log.state('prefix-followed', { ...details, asked: refusals.join(' ') });
+  private noteHeard(prefix: string, source: NodeId): void {
+    this.believedAnswers.delete(prefix);
+    this.sources.noteHeard(prefix, source);
   }
 }
--- /dev/null
+++ b/src/placement/evacuation-belief.ts
@@ -0,0 +1,49 @@
+/**
+ * How long a node may act on what it knows of evacuations. An evacuation comes by the shared store, so
+ * nobody can have ordered one while the store is out for all: a node that other nodes answer, though
+ * none of them hears from the store, goes on. One that hears from neither the store nor any other node
+ * is cut off by itself. An evacuation may be in force everywhere else, and its callers are served there.
+ */
+import type { Milliseconds } from '../core/units.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { SendObstacle, SendRule } from './send-rules.js';
+
+/** Options of {@link EvacuationBelief}. */
+export interface EvacuationBeliefOptions {
+  /** Time without any contact after which nothing is sent; `undefined` where nobody asks for a bound. */
+  readonly limit: () => Milliseconds | undefined;
+  /** Time since the store told of evacuations, or another node that was asked answered. */
+  readonly contactAge: () => Milliseconds;
+  /** Whether there are other nodes that might know more. */
+  readonly hasPeers: () => boolean;
+  readonly log: Pick<DecisionLog, 'state'>;
+}
+
+/** Keeps a node that is cut off by itself from sending work on old knowledge. */
+export class EvacuationBelief implements SendRule {
+  private isPastAge = false;
+
+  constructor(private readonly options: EvacuationBeliefOptions) {}
+
+  /** Whether what is known is too old to send work on. */
+  get isOutdated(): boolean {
+    if (this.isPastAge) this.tick();
+    return this.isPastAge;
+  }
+
+  /** Looks at the age of what is known; called at regular times and after a suspension. */
+  tick(): void {
+    const { limit, contactAge, hasPeers, log } = this.options;
+    const most = limit();
+    const age = contactAge();
+    const isPastAge = most !== undefined && age > most && hasPeers();
+    if (isPastAge === this.isPastAge) return;
+    this.isPastAge = isPastAge;
+    const contactAgeMs = Math.round(age);
+    log.state(isPastAge ? 'evacuations-unknown' : 'evacuations-known', { contactAgeMs });
+  }
+
+  obstacleTo(): SendObstacle | undefined {
+    return this.isOutdated ? 'evacuations-unknown' : undefined;
+  }
+}
--- a/src/placement/send-rules.ts
+++ b/src/placement/send-rules.ts
@@ -7,7 +7,12 @@
 import type { AllowedRegions } from './allowed-regions.js';
 
 /** What keeps a worker from being sent work. */
-export type SendObstacle = 'region-not-allowed' | 'zone-evacuated' | 'worker-cold';
+export type SendObstacle =
+  | 'region-not-allowed'
+  | 'zone-evacuated'
+  /** This node may have missed an evacuation. */
+  | 'evacuations-unknown'
+  | 'worker-cold';
 
 /** One reason for which workers are sent nothing. */
 export interface SendRule {
--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -96,6 +96,11 @@
     this.cutOffSince.set(node, PROCESS_CLOCK.now());
   }
 
+  /** The store answers this node again, and renews its lease. */
+  heal(node: string): void {
+    this.cutOffSince.delete(node);
+  }
+
   /** The connections on which watches wait now go silent for good; all other calls are answered. */
   silenceOpenWatches(): void {
     this.silencedAt = PROCESS_CLOCK.now();
--- /dev/null
+++ b/test/fleet/turned-away-relay.test.ts
@@ -0,0 +1,83 @@
+/**
+ * The store turns single nodes away and serves the others. Nodes that follow it by way of a relay go on
+ * to hear of changes, evacuations of zones among them; the relays themselves asked nobody but the store,
+ * and heard of none until it served them again.
+ */
+import t from 'tap';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { PREFIX, RelayedFleet } from './relayed-fleet.js';
+
+/**
+ * A relay's watch may wait 0.75 of the bound of 2 s on a silent store, its call fails 0.9 s later, and
+ * it waits 0.25 s before it asks the others.
+ */
+const LONGEST_TIME_TO_KNOW = 3_200;
+
+const TWO_ZONES = {
+  'zone-1-a': 'zone-1',
+  'zone-1-b': 'zone-1',
+  'zone-1-c': 'zone-1',
+  'zone-2-a': 'zone-2',
+  'zone-2-b': 'zone-2',
+};
+
+async function started(zones: Readonly<Record<string, string>>): Promise<RelayedFleet> {
+  const fleet = new RelayedFleet(zones);
+  await fleet.start();
+  return fleet;
+}
+
+t.test('a relay that the store turns away learns of changes from the others', async (t) => {
+  const fleet = await started(TWO_ZONES);
+  const [relay = ''] = fleet.relays();
+  fleet.cutOff(relay);
+  const time = await fleet.timeToKnow('changed', [relay]);
+  t.ok(time < LONGEST_TIME_TO_KNOW, `known after ${time} ms`);
+  const again = await fleet.timeToKnow('changed again', [relay]);
+  t.ok(again < LONGEST_TIME_TO_KNOW, `the next one after ${again} ms`);
+  fleet.stop();
+});
+
+t.test('a relay that is served again follows the store itself', async (t) => {
+  const fleet = await started(TWO_ZONES);
+  const [relay = ''] = fleet.relays();
+  fleet.cutOff(relay);
+  await fleet.timeToKnow('changed', [relay]);
+  fleet.heal(relay);
+  await fleet.timeToKnow('changed again', fleet.names());
+  const before = fleet.asked.get('follow-prefix') ?? 0;
+  const calls = fleet.watchCalls;
+  await PROCESS_CLOCK.sleep(2_500);
+  await fleet.timeToKnow('changed once more', [relay]);
+  t.ok(fleet.watchCalls > calls, 'both relays watch at the store');
+  t.ok((fleet.asked.get('follow-prefix') ?? 0) > before, 'the others still ask relays');
+  const lines = fleet.lines.filter(({ node }) => node === relay);
+  t.match(lines.at(-1)?.details, { prefix: PREFIX, by: 'store' });
+  fleet.stop();
+});
+
+t.test('while the store is out for all, relays ask each other and press it no more', async (t) => {
+  const fleet = await started(TWO_ZONES);
+  fleet.store.setAvailability('refusing');
+  for (const name of fleet.names()) fleet.staleLeases.add(name);
+  await PROCESS_CLOCK.sleep(2_000);
+  const calls = fleet.calls;
+  await PROCESS_CLOCK.sleep(4_000);
+  const made = fleet.calls - calls;
+  t.ok(made <= 4 * fleet.names().length, `${made} calls of five nodes in 4 s`);
+  fleet.store.setAvailability('up');
+  for (const name of fleet.names()) fleet.staleLeases.delete(name);
+  const time = await fleet.timeToKnow('back', fleet.names());
+  t.ok(time < LONGEST_TIME_TO_KNOW, `known after ${time} ms`);
+  fleet.stop();
+});
+
+t.test('a relay without another node asks the store alone', async (t) => {
+  const fleet = await started({ only: 'zone-1' });
+  fleet.cutOff('only');
+  await PROCESS_CLOCK.sleep(3_000);
+  fleet.heal('only');
+  const time = await fleet.timeToKnow('back', ['only']);
+  t.ok(time < LONGEST_TIME_TO_KNOW, `known after ${time} ms`);
+  fleet.stop();
+});
