Failure tests of evacuations, with joined gateways of three zones

The joined gateways get a way to the store each, which may be closed, cuts between zones, and workers of several zones.

--- a/lab/emulator/joined-gateways.ts
+++ b/lab/emulator/joined-gateways.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Failure } from '../../src/errors/error-kinds.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
+import type { FleetTimings } from '../../src/fleet/gateway-options.js';
 import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
 import type { AnswerSink } from '../../src/serving/answer-sink.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
@@ -12,6 +13,7 @@
 import { DecisionLog } from '../../src/telemetry/decision-log.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { EmulatorDoor } from './emulator-door.js';
 import { SharedStoreEmulator } from './shared-store-emulator.js';
 
 /** The service that all requests go to. */
@@ -52,6 +54,9 @@
 export interface JoinedGateway {
   readonly name: string;
   readonly node: GatewayNode;
+  readonly zone: ZoneName;
+  /** Its own way to the store. */
+  readonly storeDoor: EmulatorDoor;
   readonly metrics: FleetMetrics;
   readonly lines: readonly string[];
 }
@@ -91,12 +96,18 @@
   readonly gateways: JoinedGateway[] = [];
   /** Addresses that do not answer other nodes. */
   readonly silent = new Set<string>();
+  /** Zones whose gateways reach none of other zones, and are reached by none. */
+  readonly cutZones = new Set<ZoneName>();
   /** Questions between the gateways, by kind. */
   readonly asked = new Map<string, number>();
-  private readonly byAddress = new Map<string, GatewayNode>();
+  private readonly byAddress = new Map<string, JoinedGateway>();
   private tries = 0;
 
-  constructor(private readonly engine: EnginePort) {}
+  /** `timings`: those that differ from the usual ones. */
+  constructor(
+    private readonly engine: EnginePort,
+    private readonly timings: Partial<FleetTimings> = {},
+  ) {}
 
   /** Starts gateways in so many zones, on whose route a try may go to so many workers. */
   async start(count: number, maxAttempts: number, zones = 1): Promise<void> {
@@ -127,23 +138,24 @@
     const metrics = new FleetMetrics();
     const lines: string[] = [];
     const destination = { write: (line: string) => void lines.push(line) };
+    const storeDoor = new EmulatorDoor(this.store);
     const node = new GatewayNode({
       node: name,
       zone,
-      store: this.store,
+      store: storeDoor,
       engine: this.engine,
-      peers: this.peers(),
+      peers: this.peers(address, zone),
       peerAddress: address,
       feeds: FEED_TRANSLATION,
       versionField: 'weights-version',
       clock: PROCESS_CLOCK,
       log: new DecisionLog({ node: name, zone, clock: PROCESS_CLOCK, destination }),
       metrics,
-      timings: () => TIMINGS,
+      timings: () => ({ ...TIMINGS, ...this.timings }),
       storageDrains: storageDrainPort(this.store),
     });
-    this.byAddress.set(address, node);
-    const gateway = { name, node, metrics, lines };
+    const gateway = { name, node, zone, storeDoor, metrics, lines };
+    this.byAddress.set(address, gateway);
     this.gateways.push(gateway);
     node.start();
     return gateway;
@@ -162,8 +174,8 @@
   }
 
   /** Registers a worker. */
-  register(id: string): void {
-    const record = { service: LOOKUP_SERVICE, address: '10.0.0.1:80', zone: 'zone-1' };
+  register(id: string, zone: ZoneName = 'zone-1'): void {
+    const record = { service: LOOKUP_SERVICE, address: '10.0.0.1:80', zone };
     this.store.write(`servers/${id}`, JSON.stringify({ ...record, slots: 8, state: 'ready' }));
   }
 
@@ -201,16 +213,23 @@
     return sink;
   }
 
-  private peers(): PeerPort {
+  private isCut(zone: ZoneName, from: ZoneName): boolean {
+    return zone !== from && (this.cutZones.has(zone) || this.cutZones.has(from));
+  }
+
+  private peers(ownAddress: string, zone: ZoneName): PeerPort {
     return {
       ask: async <Kind extends PeerRequest['kind']>(
         address: string,
         request: PeerRequest,
       ): Promise<PeerOutcome<Kind>> => {
         this.asked.set(request.kind, (this.asked.get(request.kind) ?? 0) + 1);
-        const node = this.byAddress.get(address);
-        if (node === undefined || this.silent.has(address)) return { kind: 'silent' };
-        const answer = await node.peerHandler.answer(request);
+        const asked = this.byAddress.get(address);
+        const isSilent = this.silent.has(address) || this.silent.has(ownAddress);
+        if (asked === undefined || isSilent || this.isCut(asked.zone, zone)) {
+          return { kind: 'silent' };
+        }
+        const answer = await asked.node.peerHandler.answer(request);
         return { kind: 'answered', answer } as PeerOutcome<Kind>;
       },
     };
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -34,11 +34,14 @@
  */
 const LONGEST_CONTACT_PAUSE = 1.5;
 
+/** A node that hears nothing asks again within two seconds, its own call to the store among it. */
+const LEAST_EVACUATION_AGE: Milliseconds = 3_000;
+
 /** Time without contact after which what a node knows of evacuations is too old to send work on. */
 export function evacuationAgeLimit(timings: FleetTimings): Milliseconds | undefined {
   const { evacuationBound, changeBound } = timings;
   if (evacuationBound === undefined) return undefined;
-  return Math.max(evacuationBound, LONGEST_CONTACT_PAUSE * changeBound);
+  return Math.max(evacuationBound, LONGEST_CONTACT_PAUSE * changeBound, LEAST_EVACUATION_AGE);
 }
 
 /** Options of a gateway. */
