--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -8,6 +8,7 @@
 import { JobService } from '../../src/jobs/job-service.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
+import type { SendRules } from '../../src/placement/send-rules.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import type { RequestQuarantine } from '../../src/serving/request-quarantine.js';
@@ -59,6 +60,8 @@
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether the store answers nobody. @default it does not */
   readonly isStoreSilent?: () => boolean;
+  /** Which workers may be sent work. @default all */
+  readonly rules?: SendRules;
 }
 
 /** Joins the modules. */
@@ -73,7 +76,7 @@
   const { log, lines } = recordingLog();
   const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
-  const registry = new WorkerRegistry();
+  const registry = new WorkerRegistry(extras.rules);
   const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
   const routes = (): RouteMatcher => matcher;
   const store = new JobStore(emulator, clock);
