The soak evacuates zones and checks that nothing reaches their workers late

Workers of the soak lie in both zones now; zones are evacuated one after the other, drawn from a seed beside the faults, whose schedules stay what they were. Lookups are traced to the gateway that was asked, and checked where nothing happened to that gateway; items where nothing happened to any.

--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
+import { EVACUATION_BOUND } from './soak-evacuations.js';
 import type { StoreDoor } from './store-door.js';
 
 /** One gateway; its process may be down. */
@@ -136,6 +137,7 @@
       `listen.front=${host}:${front}`,
       `platform.address=${storeAddress}`,
       `bounds.grace_s=${GRACE_SECONDS}`,
+      `bounds.evacuation_ms=${EVACUATION_BOUND}`,
       'fault_tolerance.zones=1',
       'fault_tolerance.machines=2',
     ];
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -3,10 +3,11 @@
  * whose text and versions are those that were made, positions that never change, jobs that stay,
  * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
  * score request after its text, no work for jobs that have ended, and none under another tenant than
- * the one whose key was shown, and a new configuration in force in time.
+ * the one whose key was shown, a new configuration in force in time, and nothing for evacuated zones.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
+import { EVACUATION_BOUND } from './soak-evacuations.js';
 
 /** A promise that was broken. */
 export interface Violation {
@@ -24,7 +25,8 @@
     | 'fencing'
     | 'ended-job'
     | 'query-of-death'
-    | 'leaving-worker';
+    | 'leaving-worker'
+    | 'evacuated-zone';
   readonly detail: string;
   /** Milliseconds since the soak began. */
   readonly at: Milliseconds;
@@ -199,6 +201,12 @@
     this.check(leavingFor <= DRAIN_LIMIT, 'leaving-worker', `${item} after ${leavingFor} ms`);
   }
 
+  /** Something reached a worker whose zone had been evacuated for some time. */
+  evacuatedZoneReached(request: string, evacuatedFor: Milliseconds): void {
+    const detail = `${request} after ${Math.round(evacuatedFor)} ms`;
+    this.check(evacuatedFor <= EVACUATION_BOUND, 'evacuated-zone', detail);
+  }
+
   /** A worker sent the last event of an item. */
   textEnded(item: string): void {
     this.endedTexts.add(item);
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -14,6 +14,7 @@
   SOAK_HOST,
   type SoakAnswer,
 } from './soak-call.js';
+import type { SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeyCallers } from './soak-key-callers.js';
 import type { SoakKeys } from './soak-keys.js';
 import { SoakLethalCallers } from './soak-lethal-callers.js';
@@ -48,6 +49,7 @@
 export interface CallerSurroundings {
   readonly checker: PromiseChecker;
   readonly keys: SoakKeys;
+  readonly evacuations: Pick<SoakEvacuations, 'requestOffered'>;
   /** Whether no fault is going on that excuses a key's late end. */
   readonly isCalm: () => boolean;
   readonly random: RandomSource;
@@ -273,11 +275,12 @@
     path: string,
     options: CallOptions,
   ): Promise<SoakAnswer | undefined> {
-    const { random, keys, addresses, trainerAddresses } = this.surroundings;
+    const { random, keys, addresses, trainerAddresses, evacuations } = this.surroundings;
     const all = options.isOfTrainer === true ? trainerAddresses() : addresses();
     const { id, body, wait, limit = CALL_LIMIT } = options;
     const key = options.key ?? keys.currentKey('trainers');
     const address = all[random.integer(all.length)] ?? '';
+    evacuations.requestOffered(id, address);
     return performCall({ address, method, path, id, key, body, wait, limit });
   }
 }
--- a/lab/soak/soak-key-callers.ts
+++ b/lab/soak/soak-key-callers.ts
@@ -52,7 +52,7 @@
 
   /** Asks calm gateways with keys that were just added, over kept connections. */
   private async newKeyLookups(): Promise<void> {
-    const { checker, random, keys, calmAddresses } = this.surroundings;
+    const { checker, random, keys, calmAddresses, evacuations } = this.surroundings;
     while (!this.isStopped) {
       await sleep(NEW_KEY_INTERVAL);
       const calm = calmAddresses();
@@ -61,6 +61,7 @@
       if (address === undefined || age < CHANGE_LIMIT) continue;
       const id = random.identifier();
       checker.requestOffered(id, 'brokers');
+      evacuations.requestOffered(id, address);
       const key = keys.newestKey('brokers');
       const answer = await this.look(address, id, key, this.kept);
       if (answer !== undefined) checker.newKeyAnswered(address, answer.status, age);
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -12,8 +12,10 @@
 import { PromiseChecker, type Violation } from './promise-checker.js';
 import { type CallerCounts, SoakCallers } from './soak-callers.js';
 import { LOOKUP_SERVICE, MODEL, MODEL_SERVICE, soakConfiguration } from './soak-configuration.js';
+import { planEvacuations, SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeys } from './soak-keys.js';
 import { WorkerPool } from './worker-pool.js';
+import type { WorkerStandIn } from './worker-stand-in.js';
 import { planZoneFaults, type ZoneFault } from './zone-faults.js';
 
 /** What to run. */
@@ -68,6 +70,7 @@
   private readonly underWay = new Set<Promise<void>>();
   private newest: WeightVersion = 1;
   private configurationVersion = 0;
+  private readonly evacuations: SoakEvacuations;
   private readonly keys = new SoakKeys(() => this.elapsed());
   private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private readonly silenced: RandomSource;
@@ -79,7 +82,15 @@
     this.gateways = new GatewayGroup(options.folder, () => this.store.open());
     this.journals = new JournalGroup(path.join(options.folder, 'journals'));
     const isCalm = (): boolean => this.isCalm();
-    const surroundings = { checker: this.checker, model: MODEL, now, isCalm };
+    this.evacuations = new SoakEvacuations({
+      ...{ store: this.store.emulator, zones: ZONES, checker: this.checker, now, isCalm },
+      calmAddresses: () => this.calmAddresses(),
+    });
+    const surroundings = {
+      ...{ checker: this.checker, model: MODEL, now, isCalm },
+      onRequest: (request: string, { zone }: WorkerStandIn) =>
+        this.evacuations.requestArrived(request, zone),
+    };
     const random = createRandomSource(options.seed + 1);
     this.silenced = createRandomSource(options.seed + 3);
     this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
@@ -98,13 +109,11 @@
     const callers = new SoakCallers({
       checker: this.checker,
       keys: this.keys,
+      evacuations: this.evacuations,
       isCalm: () => this.isCalm(),
       random: createRandomSource(seed + 2),
       now: () => this.elapsed(),
-      calmAddresses: () =>
-        this.gateways.gateways
-          .filter((gateway) => this.disturbances.areOverFor(gateway, CALM_AFTER))
-          .map((gateway) => gateway.address),
+      calmAddresses: () => this.calmAddresses(),
       addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
       trainerAddresses: () =>
         this.gateways.gateways
@@ -116,8 +125,10 @@
     callers.start();
     const zoneFaults = planZoneFaults(seed + 4, length);
     const ofZones = this.bringOnZoneFaults(zoneFaults);
+    const evacuations = planEvacuations(seed + 5, length);
+    const ofEvacuations = this.evacuations.run(evacuations);
     for (const fault of faults) await this.bringOn(fault);
-    await ofZones;
+    await Promise.all([ofZones, ofEvacuations]);
     await this.sleepUntil(length - QUIET_END);
     await Promise.all(this.underWay);
     await callers.stop();
@@ -128,10 +139,16 @@
     this.store.stop();
     const { violations, checked, mostEndedUnderOne } = this.checker;
     const { counts } = callers;
-    const brought = faults.length + zoneFaults.length;
+    const brought = faults.length + zoneFaults.length + evacuations.length;
     return { faults: brought, checked, violations, counts, mostEndedUnderOne };
   }
 
+  private calmAddresses(): string[] {
+    const isCalm = (gateway: SoakGateway): boolean =>
+      this.disturbances.areOverFor(gateway, CALM_AFTER);
+    return this.gateways.gateways.filter(isCalm).map(({ address }) => address);
+  }
+
   private isCalm(): boolean {
     return this.underWay.size === 0 && this.elapsed() - this.lastFaultAt > CALM_AFTER;
   }
@@ -161,9 +178,10 @@
   private async bringOnZoneFaults(faults: readonly ZoneFault[]): Promise<void> {
     for (const fault of faults) {
       await this.sleepUntil(fault.at);
-      const end = this.disturbances.begin(undefined);
-      const work = this.performOnZone(fault).finally(() => {
-        end();
+      const struck = this.struckBy(fault);
+      const ends = struck.map((gateway) => this.disturbances.begin(gateway));
+      const work = this.performOnZone(fault, struck).finally(() => {
+        for (const end of ends) end();
         this.underWay.delete(work);
         this.lastFaultAt = this.elapsed();
       });
@@ -171,13 +189,21 @@
     }
   }
 
-  private async performOnZone({ kind, duration, target }: ZoneFault): Promise<void> {
+  /** The gateways that a fault of a zone strikes; the loss of a journal's replica strikes none. */
+  private struckBy({ kind, target }: ZoneFault): SoakGateway[] {
+    if (kind !== 'zone-without-store') return [];
+    const struck = pick(ZONES, target);
+    return this.gateways.gateways.filter(({ zone }) => zone === struck);
+  }
+
+  private async performOnZone(
+    { kind, duration, target }: ZoneFault,
+    struck: readonly SoakGateway[],
+  ): Promise<void> {
     if (kind !== 'zone-without-store') {
       const disk = kind === 'replica-wiped' ? 'empty' : 'kept';
       return this.journals.killAndRestart(target, disk, duration / 4);
     }
-    const zone = pick(ZONES, target);
-    const struck = this.gateways.gateways.filter((gateway) => gateway.zone === zone);
     await Promise.all(struck.map((gateway) => this.withLink(gateway, 'black-hole', duration)));
   }
 
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -4,12 +4,14 @@
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
+import { ZONES } from './gateway-group.js';
 import type { PlatformStore } from './platform-store.js';
 import { WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
 
 /** A place for a worker; its lives follow each other there. */
 export interface WorkerPlace {
   readonly service: string;
+  readonly zone: string;
   worker: WorkerStandIn;
   link: TcpProxy;
   address: string;
@@ -33,9 +35,12 @@
     private readonly newestVersion: () => WeightVersion,
   ) {}
 
-  /** Starts so many workers of a service. */
+  /** Starts so many workers of a service, in the zones in turn. */
   async start(service: string, count: number): Promise<void> {
-    for (let index = 0; index < count; index += 1) this.places.push(await this.launch(service));
+    for (let index = 0; index < count; index += 1) {
+      const zone = ZONES[index % ZONES.length] ?? '';
+      this.places.push(await this.launch(service, zone));
+    }
   }
 
   /** A worker ends in the middle of everything; another life begins after a while. */
@@ -46,7 +51,7 @@
     await link.close();
     await sleep(Math.max(pause, RECORD_LIFE));
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
-    if (!this.isStopped) Object.assign(place, await this.launch(place.service));
+    if (!this.isStopped) Object.assign(place, await this.launch(place.service, place.zone));
   }
 
   /** A worker says that it leaves, serves on for a while, and is replaced. */
@@ -59,7 +64,7 @@
     worker.crash();
     await link.close();
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
-    Object.assign(place, await this.launch(place.service));
+    Object.assign(place, await this.launch(place.service, place.zone));
   }
 
   /** Ends all workers. */
@@ -71,10 +76,10 @@
     this.isStopped = true;
   }
 
-  private async launch(service: string): Promise<WorkerPlace> {
+  private async launch(service: string, zone: string): Promise<WorkerPlace> {
     const onChange = (changed: WorkerStandIn): void => this.register(service, changed, address);
     const id = `i-${this.random.identifier().slice(0, 10)}`;
-    const worker = new WorkerStandIn(id, this.newestVersion(), {
+    const worker = new WorkerStandIn(id, zone, this.newestVersion(), {
       ...this.surroundings,
       onChange,
       onLethal: (ended) => this.endUnderRequest(ended),
@@ -82,7 +87,7 @@
     const link = new TcpProxy({ target: await worker.start() });
     const address = await link.start();
     this.register(service, worker, address);
-    return { service, worker, link, address };
+    return { service, zone, worker, link, address };
   }
 
   private endUnderRequest(worker: WorkerStandIn): void {
@@ -95,7 +100,7 @@
     const record = {
       service,
       address,
-      zone: 'zone-a',
+      zone: worker.zone,
       version: 'v1',
       slots: 8,
       state: worker.isLeaving ? 'draining' : 'ready',
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -50,6 +50,8 @@
   readonly isCalm: () => boolean;
   /** Called after a change that the worker's record shows. */
   readonly onChange: (worker: WorkerStandIn) => void;
+  /** Called with the id of each request that comes. */
+  readonly onRequest: (request: string, worker: WorkerStandIn) => void;
   /** Called when a request ends the worker. */
   readonly onLethal: (worker: WorkerStandIn) => void;
 }
@@ -68,6 +70,7 @@
 
   constructor(
     readonly id: string,
+    readonly zone: string,
     version: WeightVersion,
     private readonly surroundings: WorkerSurroundings,
   ) {
@@ -157,6 +160,7 @@
 
   private work(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
     const id = String(request.headers[HEADERS.requestId] ?? '');
+    this.surroundings.onRequest(id, this);
     const events = Number(request.headers[EVENT_COUNT_HEADER] ?? 0);
     const base = { [HEADERS.requestId]: id, [HEADERS.load]: `${this.running},0,${SLOTS}` };
     if (this.running >= SLOTS || (events > 0 && this.isLoading)) {
