A relay is in contact with the store while its watch waits and its lease is renewed

Change: contact counts from the renewal of the lease too where the watch waits at the store; the age is 4 s at least, which a relay to which the store falls silent needs at most to ask the others (1.5 s for its watch, 0.9 s for the call, the pause, and a question); before the first contact nothing is doubted, as a node without a configuration serves nothing.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -146,11 +146,20 @@
     return known;
   }
 
+  /** Time since the store was surely there to tell of a prefix; infinite where it is not followed. */
+  contactAge(prefix: string): Milliseconds {
+    const watch = this.watches.get(prefix);
+    const isFollowed = watch !== undefined && this.isFollowing(watch);
+    return isFollowed ? this.options.renewalAge() : Number.POSITIVE_INFINITY;
+  }
+
   /** Whether this node surely hears of changes now. */
   private isCurrent(watch: DirectWatch): boolean {
-    const isFollowing =
-      watch.isWaiting || ageingTime(this.options.clock) - watch.lastOutcomeAt < FRESHNESS;
-    return isFollowing && this.options.renewalAge() < FRESHNESS;
+    return this.isFollowing(watch) && this.options.renewalAge() < FRESHNESS;
+  }
+
+  private isFollowing({ isWaiting, lastOutcomeAt }: DirectWatch): boolean {
+    return isWaiting || ageingTime(this.options.clock) - lastOutcomeAt < FRESHNESS;
   }
 
   /** Time until the last renewal of the lease is too old to say anything, unless another comes. */
--- a/src/fleet/gateway-options.ts
+++ b/src/fleet/gateway-options.ts
@@ -34,8 +34,8 @@
  */
 const LONGEST_CONTACT_PAUSE = 1.5;
 
-/** A node that hears nothing asks again within two seconds, its own call to the store among it. */
-const LEAST_EVACUATION_AGE: Milliseconds = 3_000;
+/** A node to which the store falls silent asks the others within three seconds. */
+const LEAST_EVACUATION_AGE: Milliseconds = 4_000;
 
 /** Time without contact after which what a node knows of evacuations is too old to send work on. */
 export function evacuationAgeLimit(timings: FleetTimings): Milliseconds | undefined {
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -120,7 +120,7 @@
    * knew; infinite before the first time.
    */
   contactAge(prefix: string): Milliseconds {
-    return this.sources.contactAge(prefix);
+    return Math.min(this.sources.contactAge(prefix), this.direct.contactAge(prefix));
   }
 
   /** Whether this node is to follow the store for others. */
--- a/src/placement/evacuation-belief.ts
+++ b/src/placement/evacuation-belief.ts
@@ -36,7 +36,9 @@
     const { limit, contactAge, hasPeers, log } = this.options;
     const most = limit();
     const age = contactAge();
-    const isPastAge = most !== undefined && age > most && hasPeers();
+    // Before the first contact a node has no configuration either, and serves nothing.
+    const isOld = most !== undefined && Number.isFinite(age) && age > most;
+    const isPastAge = isOld && hasPeers();
     if (isPastAge === this.isPastAge) return;
     this.isPastAge = isPastAge;
     const contactAgeMs = Math.round(age);
--- a/test/fleet/turned-away-relay.test.ts
+++ b/test/fleet/turned-away-relay.test.ts
@@ -5,7 +5,7 @@
  */
 import t from 'tap';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
-import { PREFIX, RelayedFleet } from './relayed-fleet.js';
+import { PREFIX, RelayedFleet, watchingRelay } from './relayed-fleet.js';
 
 /**
  * A relay's watch may wait 0.75 of the bound of 2 s on a silent store, its call fails 0.9 s later, and
@@ -81,3 +81,19 @@
   t.ok(time < LONGEST_TIME_TO_KNOW, `known after ${time} ms`);
   fleet.stop();
 });
+
+/**
+ * What was seen: after an outage of the store two relays began their watches anew, which told nothing for
+ * 1.5 s as nothing changed. With the time before that was 3 s without a contact, though the store had
+ * renewed their leases meanwhile, and they sent nothing to any worker for 0.4 s.
+ */
+t.test('a relay is in contact while its watch waits and its lease is renewed', async (t) => {
+  let renewalAge = 20;
+  const { relay, stop } = await watchingRelay(() => renewalAge);
+  await PROCESS_CLOCK.sleep(300);
+  t.equal(relay.contactAge(PREFIX), 20);
+  renewalAge = 10_000;
+  t.ok(relay.contactAge(PREFIX) >= 290, 'since the store told the list');
+  t.ok(relay.contactAge(PREFIX) < 5_000);
+  stop();
+});
--- /dev/null
+++ b/test/placement/evacuation-belief.test.ts
@@ -0,0 +1,48 @@
+import t from 'tap';
+import { EvacuationBelief } from '../../src/placement/evacuation-belief.js';
+
+/** A belief whose surroundings a test sets. */
+function fixture() {
+  const surroundings = { limit: 5_000 as number | undefined, age: 0, hasPeers: true };
+  const lines: string[] = [];
+  const belief = new EvacuationBelief({
+    limit: () => surroundings.limit,
+    contactAge: () => surroundings.age,
+    hasPeers: () => surroundings.hasPeers,
+    log: { state: (event) => lines.push(event) },
+  });
+  const isOutdated = (): boolean => {
+    belief.tick();
+    return belief.isOutdated;
+  };
+  return { surroundings, belief, lines, isOutdated };
+}
+
+t.test('what is known counts for its age and is doubted past it', async (t) => {
+  const { surroundings, belief, lines, isOutdated } = fixture();
+  surroundings.age = 5_000;
+  t.notOk(isOutdated());
+  surroundings.age = 5_001;
+  t.ok(isOutdated());
+  t.equal(belief.obstacleTo(), 'evacuations-unknown');
+  surroundings.age = 20;
+  t.equal(belief.obstacleTo(), undefined, 'at once after a contact, before the next tick');
+  t.same(lines, ['evacuations-unknown', 'evacuations-known']);
+});
+
+t.test(
+  'nothing is doubted without a bound, without other nodes, or before the start',
+  async (t) => {
+    const { surroundings, isOutdated } = fixture();
+    surroundings.age = Number.POSITIVE_INFINITY;
+    t.notOk(isOutdated(), 'a node that has heard nothing yet serves nothing yet');
+    surroundings.age = 60_000;
+    surroundings.hasPeers = false;
+    t.notOk(isOutdated(), 'nobody could know more');
+    surroundings.hasPeers = true;
+    surroundings.limit = undefined;
+    t.notOk(isOutdated());
+    surroundings.limit = 5_000;
+    t.ok(isOutdated());
+  },
+);
