A node that the store turns away asks others in the place of relays that are gone

Change: while the store turns a node away, be it a relay or a follower, relays that did not answer a moment ago are passed over before relays are chosen, so that the next nodes by rank take their place.

--- a/src/fleet/relay-choice.ts
+++ b/src/fleet/relay-choice.ts
@@ -51,7 +51,8 @@
 
   /**
    * The nodes to ask in turn, of the own zone first; `self` where this node is a relay. One that the
-   * store turns away is none for the time being: it asks the others, as long as there are any.
+   * store turns away is none for the time being. What it knows of the fleet may be old as well: in the
+   * place of relays that did not answer it asks the nodes that come after them.
    */
   inOrder(isTurnedAway: boolean): 'self' | readonly NodeId[] {
     const { fleet, self, zone } = this.options;
@@ -59,14 +60,15 @@
     const own = this.relaysOf(zone, zones);
     const isRelay = own.includes(self) || own.length === 0;
     if (isRelay && !isTurnedAway) return 'self';
-    const ranked = this.ranked(isRelay ? this.withoutSelf(zones) : zones);
-    return isRelay && ranked.length === 0 ? 'self' : this.usable(ranked);
+    const ranked = this.ranked(isTurnedAway ? this.othersUsable(zones) : zones);
+    if (isRelay && ranked.length === 0) return 'self';
+    return ranked.filter((node) => this.isUsable(node)).slice(0, RELAYS_ASKED);
   }
 
-  private withoutSelf(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): Map<ZoneName, NodeId[]> {
-    const { self, zone } = this.options;
-    const others = (zones.get(zone) ?? []).filter((node) => node !== self);
-    return new Map([...zones].map(([name, nodes]) => [name, name === zone ? others : [...nodes]]));
+  private othersUsable(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): Map<ZoneName, NodeId[]> {
+    const { self } = this.options;
+    const isAsked = (node: NodeId): boolean => node !== self && this.isUsable(node);
+    return new Map([...zones].map(([name, nodes]) => [name, nodes.filter(isAsked)]));
   }
 
   /** All relays, those of the own zone first. */
@@ -79,10 +81,8 @@
     return groups.flatMap((nodes) => rendezvousOrder(self, nodes, (node) => node));
   }
 
-  private usable(ranked: readonly NodeId[]): NodeId[] {
-    const now = this.options.clock.now();
-    const isUsable = (node: NodeId): boolean => now >= (this.penalizedUntil.get(node) ?? 0);
-    return ranked.filter(isUsable).slice(0, RELAYS_ASKED);
+  private isUsable(node: NodeId): boolean {
+    return this.options.clock.now() >= (this.penalizedUntil.get(node) ?? 0);
   }
 
   /** Leaves a relay alone for a while. */
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -89,7 +89,7 @@
   private readonly sources: PrefixSources;
   /** Prefixes for which no relay helped a moment ago: their next list is the store's. */
   private readonly withoutRelay = new Set<string>();
-  /** When the store last failed this node as a relay, by {@link ageingTime}. */
+  /** When the store last failed a list or watch of this node, by {@link ageingTime}. */
   private failedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: WatchRelayOptions) {
@@ -143,7 +143,7 @@
     if (relays === 'self') return this.noteOwn(prefix, await this.direct.list(prefix));
     this.direct.forget(prefix);
     if (this.withoutRelay.delete(prefix)) {
-      return this.noteListed(prefix, await this.options.store.range(prefix));
+      return this.noteOwn(prefix, await this.options.store.range(prefix));
     }
     const outcome = await this.askRelays<'list-prefix'>({
       prefix,
@@ -159,7 +159,7 @@
     if (outcome.kind === 'not-current' && this.believes(prefix)) {
       return { kind: 'failed', effect: 'not-done' };
     }
-    const listed = this.noteListed(prefix, await this.options.store.range(prefix));
+    const listed = this.noteOwn(prefix, await this.options.store.range(prefix));
     const isAlone = listed.kind === 'items' && outcome.kind === 'not-current';
     if (isAlone) for (const relay of outcome.relays) this.choice.penalize(relay);
     return listed;
@@ -225,8 +225,7 @@
   ): Promise<StoreWatchOutcome> {
     const limit = longestWatch(prefix, wait, this.options);
     const outcome = await this.options.store.watch(prefix, after, limit, signal);
-    if (outcome.kind === 'changes') this.noteHeard(prefix, STORE_SOURCE);
-    return outcome;
+    return signal.aborted ? outcome : this.noteOwn(prefix, outcome);
   }
 
   /** Asks the relays in turn until one is current, or the time is over. */
@@ -265,12 +264,7 @@
     return { kind: 'not-current', relays: notCurrent };
   }
 
-  private noteListed(prefix: string, outcome: StoreRangeOutcome): StoreRangeOutcome {
-    if (outcome.kind === 'items') this.noteHeard(prefix, STORE_SOURCE);
-    return outcome;
-  }
-
-  /** Takes note of what the store answered to this node as a relay. */
+  /** Takes note of what the store itself answered. */
   private noteOwn<Outcome extends StoreRangeOutcome | StoreWatchOutcome>(
     prefix: string,
     outcome: Outcome,
@@ -281,8 +275,8 @@
   }
 
   /**
-   * Whether the store failed this node as a relay, and has not renewed its lease since: others may
-   * be served meanwhile, and what they hear is not lost to this node.
+   * Whether the store failed this node, and has not renewed its lease since: others may be served
+   * meanwhile, and what they hear is not lost to this node.
    */
   private get isTurnedAway(): boolean {
     const age = ageingTime(this.options.clock) - this.failedAt;
--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -126,6 +126,11 @@
     return Math.max(...times) - startedAt;
   }
 
+  /** Time since a node's last contact about the prefix. */
+  contactAgeOf(node: string): Milliseconds {
+    return this.nodes.get(node)?.relay.contactAge(PREFIX) ?? Number.POSITIVE_INFINITY;
+  }
+
   get watchCalls(): number {
     return this.store.calls.get('watch') ?? 0;
   }
--- a/test/fleet/turned-away-relay.test.ts
+++ b/test/fleet/turned-away-relay.test.ts
@@ -5,6 +5,7 @@
  */
 import t from 'tap';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { eventually } from './fleet-fixtures.js';
 import { PREFIX, RelayedFleet, watchingRelay } from './relayed-fleet.js';
 
 /**
@@ -13,6 +14,9 @@
  */
 const LONGEST_TIME_TO_KNOW = 3_200;
 
+/** Time without a contact after which a gateway may take itself for cut off, at the least. */
+const SHORTEST_AGE = 4_000;
+
 const TWO_ZONES = {
   'zone-1-a': 'zone-1',
   'zone-1-b': 'zone-1',
@@ -27,6 +31,16 @@
   return fleet;
 }
 
+/** The longest time without a contact that a node has within some seconds. */
+async function oldestContact(fleet: RelayedFleet, node: string): Promise<number> {
+  let oldest = 0;
+  for (let looks = 0; looks < 140; looks += 1) {
+    oldest = Math.max(oldest, fleet.contactAgeOf(node));
+    await PROCESS_CLOCK.sleep(50);
+  }
+  return oldest;
+}
+
 t.test('a relay that the store turns away learns of changes from the others', async (t) => {
   const fleet = await started(TWO_ZONES);
   const [relay = ''] = fleet.relays();
@@ -72,6 +86,31 @@
   fleet.stop();
 });
 
+/**
+ * What was seen: a relay was turned away, and while it was, both relays that it knew were replaced by other
+ * machines. It asked these two again and again and took itself for cut off, while two more nodes that it
+ * knew lived, and one of them had become a relay.
+ */
+t.test(
+  'a node that the store turns away asks others in the place of relays that are gone',
+  async (t) => {
+    for (const isRelay of [true, false]) {
+      const fleet = await started({ ...TWO_ZONES, 'zone-2-c': 'zone-2' });
+      const [own = '', far = ''] = fleet.relays();
+      const struck = isRelay ? own : (fleet.followers()[0] ?? '');
+      for (const relay of fleet.relays()) if (relay !== struck) fleet.silent.add(relay);
+      fleet.cutOff(struck);
+      await eventually(() => fleet.contactAgeOf(struck) > 1_000);
+      const oldest = await oldestContact(fleet, struck);
+      t.ok(
+        oldest < SHORTEST_AGE,
+        `${isRelay ? 'a relay' : 'a follower'}: ${oldest} ms without contact, ${far} gone`,
+      );
+      fleet.stop();
+    }
+  },
+);
+
 t.test('a relay without another node asks the store alone', async (t) => {
   const fleet = await started({ only: 'zone-1' });
   fleet.cutOff('only');
