--- a/lab/emulator/emulator-door.ts
+++ b/lab/emulator/emulator-door.ts
@@ -54,6 +54,7 @@
     signal.addEventListener('abort', end);
     const outcome = await this.store.watch(prefix, after, wait, given.signal);
     this.watches.delete(end);
+    signal.removeEventListener('abort', end);
     return this.isClosed ? REFUSED : outcome;
   }
 
--- a/lab/emulator/joined-gateways.ts
+++ b/lab/emulator/joined-gateways.ts
@@ -1,7 +1,7 @@
 /** Whole gateways in one process, over one store and with direct ways to each other. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { FEED_TRANSLATION, storageDrainPort } from '../../platform/feeds.js';
-import type { ZoneName } from '../../src/core/identity.js';
+import type { RegionName, ZoneName } from '../../src/core/identity.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Failure } from '../../src/errors/error-kinds.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
@@ -10,9 +10,11 @@
 import type { AnswerSink } from '../../src/serving/answer-sink.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
+import type { SharedStore } from '../../src/shared-store/shared-store.js';
 import { DecisionLog } from '../../src/telemetry/decision-log.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { cuttableStore } from './cuttable-store.js';
 import { EmulatorDoor } from './emulator-door.js';
 import { SharedStoreEmulator } from './shared-store-emulator.js';
 
@@ -98,14 +100,22 @@
   readonly silent = new Set<string>();
   /** Zones whose gateways reach none of other zones, and are reached by none. */
   readonly cutZones = new Set<ZoneName>();
+  /** Whether gateways of different regions reach each other. */
+  isLinkUp = true;
+  /** Regions that do not reach the store. */
+  readonly withoutStore = new Set<RegionName>();
   /** Questions between the gateways, by kind. */
   readonly asked = new Map<string, number>();
   private readonly byAddress = new Map<string, JoinedGateway>();
   private tries = 0;
 
-  /** `timings`: those that differ from the usual ones. */
+  /**
+   * `regions` names the region of each zone, where the fleet spans several; `timings` those that
+   * differ from the usual ones.
+   */
   constructor(
     private readonly engine: EnginePort,
+    private readonly regions: ReadonlyMap<ZoneName, RegionName> = new Map(),
     private readonly timings: Partial<FleetTimings> = {},
   ) {}
 
@@ -138,13 +148,14 @@
     const metrics = new FleetMetrics();
     const lines: string[] = [];
     const destination = { write: (line: string) => void lines.push(line) };
-    const storeDoor = new EmulatorDoor(this.store);
+    const storeDoor = new EmulatorDoor(this.storeFrom(zone));
     const node = new GatewayNode({
       node: name,
       zone,
+      zoneRegions: this.regions,
       store: storeDoor,
       engine: this.engine,
-      peers: this.peers(address, zone),
+      peers: this.peersOf(address, zone),
       peerAddress: address,
       feeds: FEED_TRANSLATION,
       versionField: 'weights-version',
@@ -213,23 +224,36 @@
     return sink;
   }
 
-  private isCut(zone: ZoneName, from: ZoneName): boolean {
-    return zone !== from && (this.cutZones.has(zone) || this.cutZones.has(from));
+  private storeFrom(zone: ZoneName): SharedStore {
+    const region = this.regions.get(zone);
+    if (region === undefined) return this.store;
+    return cuttableStore(this.store, () => this.withoutStore.has(region));
   }
 
-  private peers(ownAddress: string, zone: ZoneName): PeerPort {
+  private isReached(from: ZoneName, to: ZoneName): boolean {
+    if (from !== to && (this.cutZones.has(from) || this.cutZones.has(to))) return false;
+    return this.isLinkUp || this.regions.get(from) === this.regions.get(to);
+  }
+
+  /** The other gateways as one of a zone reaches them. */
+  private peersOf(ownAddress: string, zone: ZoneName): PeerPort {
     return {
       ask: async <Kind extends PeerRequest['kind']>(
         address: string,
         request: PeerRequest,
+        limit: Milliseconds,
       ): Promise<PeerOutcome<Kind>> => {
         this.asked.set(request.kind, (this.asked.get(request.kind) ?? 0) + 1);
         const asked = this.byAddress.get(address);
         const isSilent = this.silent.has(address) || this.silent.has(ownAddress);
-        if (asked === undefined || isSilent || this.isCut(asked.zone, zone)) {
+        if (asked === undefined || isSilent) return { kind: 'silent' };
+        const answer = this.isReached(zone, asked.zone)
+          ? await asked.node.peerHandler.answer(request)
+          : undefined;
+        if (!this.isReached(zone, asked.zone)) {
+          await sleep(limit);
           return { kind: 'silent' };
         }
-        const answer = await asked.node.peerHandler.answer(request);
         return { kind: 'answered', answer } as PeerOutcome<Kind>;
       },
     };
--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
+import { COLD } from './cold-request-counter.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
 import type { StoreDoor } from './store-door.js';
 
@@ -138,6 +139,8 @@
       `platform.address=${storeAddress}`,
       `bounds.grace_s=${GRACE_SECONDS}`,
       `bounds.evacuation_ms=${EVACUATION_BOUND}`,
+      `bounds.cold_overrun=${COLD.factor}`,
+      `bounds.cold_slack=${COLD.requests}`,
       'fault_tolerance.zones=1',
       'fault_tolerance.machines=2',
     ];
--- a/src/fleet/coordination.ts
+++ b/src/fleet/coordination.ts
@@ -6,6 +6,7 @@
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
 import type { JobOwner } from '../jobs/job-records.js';
+import type { Localities } from '../placement/locality.js';
 import type { ConfigurationInForce } from '../serving/configuration-in-force.js';
 import type { WorkerRegistry } from '../serving/worker-registry.js';
 import type { SharedStore } from '../shared-store/shared-store.js';
@@ -34,6 +35,8 @@
   readonly configuration: ConfigurationInForce;
   /** Whether the workers of a zone are sent no work for the time being. */
   readonly isEvacuated: (zone: ZoneName) => boolean;
+  /** The parts of the fleet that serve their own callers; `undefined` where any serves any. */
+  readonly localities: Localities | undefined;
   /** Whether nothing that must last lies on a storage machine alone. */
   readonly isStorageEmpty: (node: NodeId) => Promise<boolean>;
   /** Finds jobs that nobody runs. */
@@ -71,6 +74,7 @@
       noteChange: (change) => options.peers.tellWeightChange(change),
       isConfigured: (service) => configuration.services.some(({ name }) => name === service),
       isAway: ({ record }) => options.isEvacuated(record.zone),
+      localityOf: options.localities?.of,
       mode: () => (configuration.needsWholeVersions ? 'wait' : 'keep'),
     });
     this.drains = new StorageDrains({ port, lock, log, isEmpty: options.isStorageEmpty });
--- a/src/fleet/peer-answers.ts
+++ b/src/fleet/peer-answers.ts
@@ -3,7 +3,7 @@
 import type { UsageSource, WindowCounts } from '../duties/usage-counts.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
-import type { JobOwner, JobSpecification } from '../jobs/job-records.js';
+import type { JobOwner } from '../jobs/job-records.js';
 import type { ResultSlice } from '../jobs/job-results.js';
 import type { JobService } from '../jobs/job-service.js';
 import { STORE_RETRY_AFTER } from '../jobs/store-reads.js';
@@ -13,6 +13,7 @@
   PeerRequest,
   PeerRequestOf,
 } from '../peers/peer-messages.js';
+import type { PermitAnswer, PermitWish } from '../placement/cold-permits.js';
 import type { Clock } from '../serving/clock.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
 import type { CallerIdentity } from '../tenants/tenant.js';
@@ -38,6 +39,8 @@
   readonly weightsNeeded: (need: WeightNeed) => void;
   /** A worker changes weights, or has. */
   readonly weightChanged: (change: WeightChange) => void;
+  /** Called on the coordinator: permits that another node wishes for. */
+  readonly permits: (wishes: readonly PermitWish[]) => PermitAnswer;
   /** Whether this zone takes jobs in while the store is out of reach. */
   readonly takesJobsAlone: () => boolean;
 }
@@ -57,15 +60,15 @@
           hasDuties: this.options.fleet.hasDuties,
         };
       case 'kept-work':
-        return { work: jobs().keptWorkOf(request.items) };
+        return { work: jobs().keptWorkOf(request.items, request.zone) };
       case 'job-results':
         return jobs().ownListing(request.job, request.after, request.wait);
       case 'end-job':
         return { isEnded: await this.endHere(request.job, request.caller) };
       case 'surrender-job':
-        return { work: jobs().surrender(request.job) };
+        return { work: jobs().surrender(request.job, request.zone) };
       case 'submit-for':
-        return { failure: await this.submitFor(request.spec, request.limit) };
+        return { failure: await this.submitFor(request) };
       case 'adopt-job':
         return {
           isTaken: await jobs().adoptFrom(request.job, request.owner, request.ownerAnswers),
@@ -93,6 +96,8 @@
       case 'weights-change':
         this.options.weightChanged(request.change);
         return { isNoted: true };
+      case 'cold-permits':
+        return this.options.permits(request.wishes);
       case 'need-weights':
         weightsNeeded(request.need);
         return { isNoted: true };
@@ -112,21 +117,22 @@
 
   private readHere(request: PeerRequestOf<'read-for'>): Promise<ResultSlice | Failure> {
     const { job, after, wait, caller } = request;
-    return this.options.jobs().readHere(job, after, wait, caller);
+    return this.options.jobs().readFor(job, after, wait, caller);
   }
 
   /** Takes a job in for another node; refuses at once where the store is out of reach. */
-  private async submitFor(
-    spec: JobSpecification,
-    limit: Milliseconds,
-  ): Promise<Failure | undefined> {
+  private async submitFor({
+    spec,
+    limit,
+    isFromOutside = false,
+  }: PeerRequestOf<'submit-for'>): Promise<Failure | undefined> {
     const { fleet, jobs, takesJobsAlone } = this.options;
-    if (fleet.isCutOff && !takesJobsAlone()) {
+    if (fleet.isCutOff && (isFromOutside || !takesJobsAlone())) {
       return failure('ledger_unavailable', 'the store does not answer', {
         retryAfter: STORE_RETRY_AFTER,
       });
     }
-    return jobs().submitHere(spec, this.whileAsked(limit));
+    return jobs().submitHere(spec, this.whileAsked(limit), isFromOutside);
   }
 
   /** True for a time from now on. */
--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -6,9 +6,10 @@
  * usable workers goes first.
  */
 
-import type { ModelName } from '../core/identity.js';
+import type { ModelName, ZoneName } from '../core/identity.js';
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { WeightNeed } from '../jobs/job-peers.js';
+import type { LocalityName } from '../placement/locality.js';
 import type { Clock } from '../serving/clock.js';
 import type {
   EnginePort,
@@ -43,6 +44,8 @@
   readonly noteChange: (change: WeightChange) => void;
   /** Whether a worker is sent no work for the time being, as its zone is evacuated. @default none is */
   readonly isAway?: (worker: KnownWorker) => boolean;
+  /** The zone or region that serves the callers of a zone first. @default each zone by itself */
+  readonly localityOf?: ((zone: ZoneName) => LocalityName) | undefined;
   /** What becomes of runs at a worker that changes its weights. */
   readonly mode: () => WeightOrderMode;
 }
@@ -90,10 +93,12 @@
   private readonly changing = new Map<KnownWorker, ModelName>();
   private readonly notBefore = new WeakMap<KnownWorker, Milliseconds>();
   private readonly required = new Map<ModelName, WeightVersion>();
-  private readonly assignment = new ModelAssignment();
+  private readonly assignment: ModelAssignment;
   private nextLookAt: Milliseconds = 0;
 
-  constructor(private readonly options: WeightRolloutOptions) {}
+  constructor(private readonly options: WeightRolloutOptions) {
+    this.assignment = new ModelAssignment(options.localityOf);
+  }
 
   /** A job needs weights of at least this version: workers behind it change first. */
   require({ model, version, tokens, zone }: WeightNeed): void {
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -1,10 +1,13 @@
 /**
  * Reads jobs that another node runs. Listed results and specifications never change, so they are
  * kept; only what may be missing is asked of the owner, who is mostly known by the job's id, and of
- * the store where that does not help.
+ * the store where that does not help. A node that may not hold a job passes on what its caller asks
+ * for, and keeps nothing.
  */
 import type { Milliseconds } from '../core/units.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import type { AllowedRegions } from '../placement/allowed-regions.js';
+import { JOBS_ANYWHERE, type JobResidency } from '../placement/job-residency.js';
 import type { TenantName } from '../tenants/tenant.js';
 import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
 import type { JobStore, Read } from './job-store.js';
@@ -28,6 +31,9 @@
   readonly results: JobResult[];
 }
 
+/** What is known of a job whose results may not be kept here. */
+type JobPlace = Pick<KnownJob, 'tenant' | 'total' | 'owner'>;
+
 /** What a reader of results learns. */
 export interface JobListing {
   /** The tenant that submitted the job. */
@@ -46,6 +52,8 @@
   readonly results: readonly JobResult[];
   /** Pages up to the last of all results. */
   readonly pages: number;
+  /** Where they may be kept; `undefined` where anywhere. */
+  readonly allowedRegions?: AllowedRegions;
 }
 
 /** Asks the owner of a job; `undefined` where it does not answer or is not the owner any more. */
@@ -59,6 +67,7 @@
 /** Reads jobs from their owners, and from the store. */
 export class JobReader {
   private readonly jobs = new Map<string, KnownJob>();
+  private readonly places = new Map<string, JobPlace>();
   private readonly specifications = new Map<string, JobSpecification>();
 
   constructor(
@@ -68,6 +77,7 @@
     private readonly likelyOwners: (job: string) => readonly JobOwner[] = () => [],
     /** The zones' journals, where zones serve their own callers. */
     private readonly journals?: Pick<ZoneJournals, 'sightOf' | 'sightAnywhere'>,
+    private readonly residency: JobResidency = JOBS_ANYWHERE,
   ) {}
 
   /**
@@ -80,7 +90,7 @@
     if (known !== undefined && (after < endOf(known) || isWhole(known))) {
       return { kind: 'found', value: known };
     }
-    const opened = known ?? (await this.open(job, after));
+    const opened = known ?? this.openAtPlace(job, after) ?? (await this.open(job, after));
     if ('kind' in opened) return opened;
     if (after < endOf(opened)) return { kind: 'found', value: opened };
     if (await this.readFromOwner(job, opened, wait)) return { kind: 'found', value: opened };
@@ -136,10 +146,24 @@
     if (known !== undefined) return { kind: 'found', value: known };
     const read = await this.store.specification(job);
     if (read.kind === 'absent' && !(await this.isSurelyAbsent(job))) return { kind: 'unavailable' };
-    if (read.kind === 'found') keep(this.specifications, job, read.value, KEPT_SPECIFICATIONS);
+    if (read.kind !== 'found') return read;
+    const mayKeep = this.residency.mayHoldHere(this.residency.allowedFor(read.value));
+    if (mayKeep) keep(this.specifications, job, read.value, KEPT_SPECIFICATIONS);
     return read;
   }
 
+  private openAtPlace(job: string, after: number): KnownJob | undefined {
+    const place = this.places.get(job);
+    return place === undefined ? undefined : { ...place, pages: 0, offset: after, results: [] };
+  }
+
+  /** Keeps what is known of a job; where its results may not lie here, who has them. */
+  private keepJob(job: string, known: KnownJob, allowed: AllowedRegions): void {
+    const { tenant, total, owner } = known;
+    if (this.residency.mayHoldHere(allowed)) keep(this.jobs, job, known, KEPT_JOBS);
+    else keep(this.places, job, { tenant, total, owner }, KEPT_JOBS);
+  }
+
   private async open(job: string, after: number): Promise<KnownJob | Read<never>> {
     return (await this.openAtOwner(job, after)) ?? this.openAtStore(job);
   }
@@ -148,10 +172,10 @@
     for (const owner of this.likelyOwners(job)) {
       const listing = await this.askOwner(owner, job, after, 0);
       if (listing === undefined) continue;
-      const { tenant, total, pages, results } = listing;
+      const { tenant, total, pages, results, allowedRegions } = listing;
       const opened = { tenant, total, owner, pages, offset: after, results: [...results] };
       // Without results it is not known whether so many are listed: the position is the reader's.
-      if (after === 0 || results.length > 0) keep(this.jobs, job, opened, KEPT_JOBS);
+      if (after === 0 || results.length > 0) this.keepJob(job, opened, allowedRegions);
       return opened;
     }
     return undefined;
@@ -164,7 +188,7 @@
     const { tenant, total, owner, ended } = read.value.head;
     const runsAt = ended ? null : owner;
     const opened = { tenant, total, owner: runsAt, pages: 0, offset: 0, results: [] };
-    keep(this.jobs, job, opened, KEPT_JOBS);
+    this.keepJob(job, opened, this.residency.allowedOf(read.value.head));
     return opened;
   }
 
@@ -174,6 +198,7 @@
     const listing = await this.askOwner(known.owner, job, from, wait);
     if (listing === undefined) {
       known.owner = null;
+      this.places.delete(job);
       return false;
     }
     // Another read may have brought some of them meanwhile.
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -6,6 +6,8 @@
 import type { Milliseconds, WeightVersion } from '../core/units.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import { SendRules } from '../placement/send-rules.js';
+import { requestWayCost } from '../placement/way-costs.js';
+import { type DistanceBetween, distanceInOneRegion } from '../placement/zone-topology.js';
 import type { ReportedLoad } from './engine-port.js';
 import type { ServiceName, WorkerRecord } from './traffic-configuration.js';
 import { isLaterLife } from './worker-life.js';
@@ -39,9 +41,6 @@
 /** A single pause counts as this many times the mean at most: it need not mean a slow worker. */
 const LARGEST_PACE_STEP = 2;
 
-/** A worker of another zone is chosen only if it has this share of its slots more room. */
-const ZONE_RANK = 0.4;
-
 /** One known worker. */
 export class KnownWorker {
   /** Requests under way from this node. */
@@ -153,8 +152,14 @@
   private readonly workers = new Map<string, KnownWorker>();
   private readonly services = new Map<ServiceName, Set<KnownWorker>>();
 
-  /** `rules` tell which workers may be sent work; without them all may. */
-  constructor(readonly rules: SendRules = new SendRules()) {}
+  /**
+   * `rules` tell which workers may be sent work; without them all may. `distanceBetween` tells how
+   * far zones are from each other.
+   */
+  constructor(
+    readonly rules: SendRules = new SendRules(),
+    private readonly distanceBetween: DistanceBetween = distanceInOneRegion,
+  ) {}
 
   /**
    * Adds a worker or replaces its record. What is known of an earlier life under the same id
@@ -210,14 +215,23 @@
     return this.available(service).filter(({ record }) => this.rules.mayReceive(record, allowed));
   }
 
+  /** Whether a service has workers and none of them stands where work of these regions may go. */
+  areAllOutside(service: ServiceName, allowed: AllowedRegions): boolean {
+    if (allowed === undefined) return false;
+    const workers = this.available(service);
+    const isOutside = ({ record }: KnownWorker): boolean =>
+      this.rules.obstacleTo(record, allowed) === 'region-not-allowed';
+    return workers.length > 0 && workers.every(isOutside);
+  }
+
   /** All workers. */
   all(): KnownWorker[] {
     return [...this.workers.values()];
   }
 
   /**
-   * The worker for an interactive request: one that may be sent it, not tried before, not penalized if possible, then with
-   * the most free room; ties go to the own zone.
+   * The worker for an interactive request from a zone: one that may be sent it, not tried before, not
+   * penalized if possible, then with the most free room, of which the way there takes some.
    */
   pick(
     service: ServiceName,
@@ -226,12 +240,35 @@
     now: Milliseconds,
     allowed?: AllowedRegions,
   ): KnownWorker | undefined {
-    const receivers = this.receivers(service, allowed);
+    return this.leastRanked(this.receivers(service, allowed), tried, zone, now);
+  }
+
+  /** The same among the workers of other regions, for work that has to find room and has none in its own. */
+  pickBeyondRegion(
+    service: ServiceName,
+    tried: Pick<ReadonlySet<string>, 'has'>,
+    zone: ZoneName,
+    now: Milliseconds,
+    allowed?: AllowedRegions,
+  ): KnownWorker | undefined {
+    const beyond = this.receivers(service, allowed).filter(
+      ({ record }) => this.distanceBetween(zone, record.zone) === 'other-region',
+    );
+    return this.leastRanked(beyond, tried, zone, now);
+  }
+
+  private leastRanked(
+    receivers: readonly KnownWorker[],
+    tried: Pick<ReadonlySet<string>, 'has'>,
+    zone: ZoneName,
+    now: Milliseconds,
+  ): KnownWorker | undefined {
     const fresh = receivers.filter((worker) => !tried.has(worker.record.id));
     const sound = fresh.filter((worker) => !worker.isPenalized(now));
     const candidates = sound.length > 0 ? sound : fresh;
     const rank = (worker: KnownWorker): number =>
-      worker.occupancy(now) / worker.record.slots + (worker.record.zone === zone ? 0 : ZONE_RANK);
+      worker.occupancy(now) / worker.record.slots +
+      requestWayCost(this.distanceBetween(zone, worker.record.zone));
     return candidates.reduce<KnownWorker | undefined>(
       (best, worker) => (best === undefined || rank(worker) < rank(best) ? worker : best),
       undefined,
--- a/test/fleet/evacuation-fleet.ts
+++ b/test/fleet/evacuation-fleet.ts
@@ -41,6 +41,9 @@
   async report(): Promise<undefined> {
     return undefined;
   }
+  async coldTimeOf(): Promise<undefined> {
+    return undefined;
+  }
   async standingOf(): Promise<'lives'> {
     return 'lives';
   }
@@ -52,7 +55,7 @@
   readonly joined: JoinedGateways;
 
   private constructor(timings: Partial<FleetTimings>) {
-    this.joined = new JoinedGateways(new LookupWorkers(), {
+    this.joined = new JoinedGateways(new LookupWorkers(), new Map(), {
       changeBound: CHANGE_BOUND,
       evacuationBound: EVACUATION_BOUND,
       ...timings,
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -8,7 +8,9 @@
 import { JobService } from '../../src/jobs/job-service.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
+import type { JobResidency } from '../../src/placement/job-residency.js';
 import type { SendRules } from '../../src/placement/send-rules.js';
+import type { DistanceBetween } from '../../src/placement/zone-topology.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import type { RequestQuarantine } from '../../src/serving/request-quarantine.js';
@@ -62,6 +64,10 @@
   readonly isStoreSilent?: () => boolean;
   /** Which workers may be sent work. @default all */
   readonly rules?: SendRules;
+  /** Which nodes may hold a job. @default all */
+  readonly residency?: JobResidency;
+  /** How far zones are from each other. @default all are of one region */
+  readonly distanceBetween?: DistanceBetween;
 }
 
 /** Joins the modules. */
@@ -72,11 +78,11 @@
   peers: JobPeers = NO_PEERS,
   extras: JobNodeExtras = {},
 ): JobNode {
-  const { journals, isWriterLive = () => true, isStoreSilent = () => true } = extras;
+  const { journals, isWriterLive = () => true, isStoreSilent = () => true, residency } = extras;
   const { log, lines } = recordingLog();
   const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
-  const registry = new WorkerRegistry(extras.rules);
+  const registry = new WorkerRegistry(extras.rules, extras.distanceBetween);
   const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
   const routes = (): RouteMatcher => matcher;
   const store = new JobStore(emulator, clock);
@@ -96,13 +102,14 @@
     (...question) => peers.ownerListing(...question),
     (job) => peers.likelyOwners(job),
     journals,
+    residency,
   );
   const options = {
     ...shared,
     ...{ store, reader, peers, dispatcher, self },
     zone: 'zone-1',
     retention: () => 60_000,
-    ...{ journals, isWriterLive, mayRecover: () => journals !== undefined },
+    ...{ journals, residency, isWriterLive, mayRecover: () => journals !== undefined },
   };
   return {
     service: new JobService(options),
