--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -7,6 +7,7 @@
 import { TcpProxy } from '../faults/tcp-proxy.js';
 import type { BuildRotation } from './build-rotation.js';
 import { COLD } from './cold-request-counter.js';
+import { EVACUATION_BOUND } from './soak-evacuations.js';
 import type { StoreDoor } from './store-door.js';
 
 /** One gateway; its process may be down. */
@@ -133,6 +134,7 @@
       `listen.front=${host}:${front}`,
       `platform.address=${storeAddress}`,
       `bounds.grace_s=${GRACE_SECONDS}`,
+      `bounds.evacuation_ms=${EVACUATION_BOUND}`,
       `bounds.cold_overrun=${COLD.factor}`,
       `bounds.cold_slack=${COLD.requests}`,
       'fault_tolerance.zones=1',
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -14,6 +14,7 @@
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
+import { EvacuationBelief } from '../placement/evacuation-belief.js';
 import { GuardedEngine } from '../placement/guarded-engine.js';
 import { JobResidency } from '../placement/job-residency.js';
 import { localitiesOf } from '../placement/locality.js';
@@ -41,7 +42,7 @@
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
-import type { GatewayNodeOptions } from './gateway-options.js';
+import { evacuationAgeLimit, type GatewayNodeOptions } from './gateway-options.js';
 import { JobPlacement } from './job-placement.js';
 import { JobTakeover } from './job-takeover.js';
 import { PeerAnswering } from './peer-answers.js';
@@ -76,6 +77,7 @@
 export class GatewayNode {
   private readonly topology: ZoneTopology;
   private readonly evacuations = new ZoneEvacuations();
+  private readonly evacuationBelief: EvacuationBelief;
   private readonly coldWorkers: ColdWorkers;
   readonly registry: WorkerRegistry;
   /** The configuration that this node acts on. */
@@ -111,6 +113,12 @@
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node, zonesServeAlone: servesAlone = false } = options;
     this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
+    this.evacuationBelief = new EvacuationBelief({
+      limit: () => evacuationAgeLimit(options.timings()),
+      contactAge: () => this.relay.contactAge(options.feeds.operatorPrefix),
+      hasPeers: () => this.fleet.liveNodes().some((name) => name !== node),
+      log,
+    });
     this.coldWorkers = new ColdWorkers({
       ...{ self: node, clock, log, metrics, tolerance: options.coldTolerance },
       registry: () => this.registry,
@@ -125,6 +133,7 @@
     const rules = new SendRules([
       new ResidencyRule(this.topology),
       this.evacuations,
+      this.evacuationBelief,
       this.coldWorkers.rule,
     ]);
     const { topology } = this;
@@ -261,6 +270,7 @@
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
       configuration: this.configuration,
+      isEvacuated: (zoneName) => this.evacuations.isEvacuated(zoneName),
       localities,
       isStorageEmpty: (name) => autonomy.isStorageEmpty(name),
       sweep: () => void this.takeover.sweep(),
@@ -282,7 +292,8 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return this.configuration.version !== undefined && this.workersListed && !this.isStopping;
+    if (this.isStopping || this.evacuationBelief.isOutdated) return false;
+    return this.configuration.version !== undefined && this.workersListed;
   }
 
   /** Nodes that live, as far as this one knows. */
@@ -338,7 +349,9 @@
 
   private noteEvacuations(change: 'zone-evacuated' | 'zone-returned', workerZone: ZoneName): void {
     const { log, metrics } = this.options;
-    log.state(change, { workerZone });
+    // A zone without workers may be misspelled, or its workers may come later.
+    const workers = this.registry.all().filter(({ record }) => record.zone === workerZone).length;
+    log.state(change, { workerZone, workers });
     metrics.set('evacuated_zones', this.evacuations.evacuated().length);
     this.dispatcher.schedule();
   }
@@ -410,6 +423,7 @@
 
   private tick(): void {
     this.lookForSuspension();
+    this.evacuationBelief.tick();
     this.coldWorkers.tick();
     this.jobs.tick();
     this.dispatcher.tick();
--- /dev/null
+++ b/test/fleet/prefix-sources.test.ts
@@ -0,0 +1,36 @@
+import t from 'tap';
+import { PrefixSources, STORE_SOURCE } from '../../src/fleet/prefix-sources.js';
+import { ManualClock } from '../jobs/job-fixtures.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+
+t.test('a contact ages by the time for which the machine was suspended, too', async (t) => {
+  const clock = new ManualClock();
+  const sources = new PrefixSources({ clock, log: recordingLog().log });
+  t.equal(sources.contactAge('op/'), Number.POSITIVE_INFINITY);
+  sources.noteHeard('op/', STORE_SOURCE);
+  clock.time += 100;
+  clock.suspended += 9_000;
+  t.equal(sources.contactAge('op/'), 9_100);
+  sources.noteContact('op/');
+  t.equal(sources.contactAge('op/'), 0);
+});
+
+t.test('a change of the source is told with the time in between, and silence once', async (t) => {
+  const clock = new ManualClock();
+  const { log, lines } = recordingLog();
+  const sources = new PrefixSources({ clock, log });
+  sources.noteUnheard('op/', []);
+  sources.noteHeard('op/', 'node-1');
+  clock.time += 400;
+  sources.noteUnheard('op/', ['node-1:silent']);
+  sources.noteUnheard('op/', ['node-1:silent']);
+  clock.time += 300;
+  sources.noteHeard('op/', STORE_SOURCE);
+  t.match(
+    lines.map((line) => JSON.parse(line)),
+    [
+      { by: 'nobody', before: 'node-1', unheardMs: 400, asked: 'node-1:silent' },
+      { by: 'store', before: 'nobody', unheardMs: 700 },
+    ],
+  );
+});
--- a/test/fleet/region-cut.test.ts
+++ b/test/fleet/region-cut.test.ts
@@ -62,7 +62,7 @@
 /** Four gateways and a worker of each service in each of two regions. */
 async function startFleet(test: Pick<typeof t, 'teardown'>) {
   const engine = new RegionalWorkers();
-  const fleet = new JoinedGateways(engine, REGIONS);
+  const fleet = new JoinedGateways(engine, { regions: REGIONS });
   await fleet.start(8, 2, 2);
   test.teardown(() => fleet.stop());
   await fleet.formed();
