--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -24,6 +24,12 @@
 /** The zones; gateways are in them in turn. */
 export const ZONES = ['zone-a', 'zone-b'];
 
+/** The region of each zone. */
+export const ZONE_REGIONS: ReadonlyMap<string, string> = new Map([
+  ['zone-a', 'region-a'],
+  ['zone-b', 'region-b'],
+]);
+
 /** Time to the forced end of a gateway that is asked to stop, in seconds. */
 const GRACE_SECONDS = 6;
 
@@ -139,6 +145,7 @@
       `bounds.grace_s=${GRACE_SECONDS}`,
       `bounds.cold_overrun=${COLD.factor}`,
       `bounds.cold_slack=${COLD.requests}`,
+      ...[...ZONE_REGIONS].map(([name, region]) => `zones.${name}=${region}`),
       'fault_tolerance.zones=1',
       'fault_tolerance.machines=2',
     ];
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -3,10 +3,11 @@
  * whose text and versions are those that were made, positions that never change, jobs that stay,
  * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
  * score request after its text, no work for jobs that have ended, and none under another tenant than
- * the one whose key was shown, and a new configuration in force in time.
+ * the one whose key was shown, no lookup outside the region that may serve it, and a new configuration in force in time.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
+import { ALLOWED_REGION } from './soak-call.js';
 
 /** A promise that was broken. */
 export interface Violation {
@@ -25,7 +26,8 @@
     | 'ended-job'
     | 'query-of-death'
     | 'leaving-worker'
-    | 'cold-worker';
+    | 'cold-worker'
+    | 'residency';
   readonly detail: string;
   /** Milliseconds since the soak began. */
   readonly at: Milliseconds;
@@ -115,6 +117,11 @@
     this.check(excess === undefined, 'cold-worker', `${worker} got ${excess} within a second`);
   }
 
+  /** A lookup that only one region may serve came to a worker. */
+  regionalLookupCame(request: string, region: string): void {
+    this.check(region === ALLOWED_REGION, 'residency', `${request} came to ${region}`);
+  }
+
   /** A lookup got a success with this body. */
   lookupAnswered(request: string, body: string, expected: string): void {
     this.check(body === expected, 'complete-answer', `${request} got ${body.slice(0, 60)}`);
--- a/lab/soak/soak-call.ts
+++ b/lab/soak/soak-call.ts
@@ -8,8 +8,13 @@
 
 /** Prefixes of the soak's routes. */
 export const LOOKUP_PREFIX = '/lookups/';
+/** Lookups that only one region may serve. */
+export const REGIONAL_PREFIX = '/regional/';
 export const ROLLOUT_PREFIX = '/rollouts/';
 
+/** The region in which alone regional lookups may be served. */
+export const ALLOWED_REGION = 'region-b';
+
 /** Longest time for a lookup. */
 export const LOOKUP_LIMIT: Milliseconds = 1_500;
 
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -10,6 +10,7 @@
   LOOKUP_LIMIT,
   LOOKUP_PREFIX,
   performCall,
+  REGIONAL_PREFIX,
   ROLLOUT_PREFIX,
   SOAK_HOST,
   type SoakAnswer,
@@ -95,7 +96,8 @@
 
   /** Begins to ask. */
   start(): void {
-    this.loops = [this.lookups(), this.lookups(), this.trainer()];
+    const lookups = [LOOKUP_PREFIX, LOOKUP_PREFIX, REGIONAL_PREFIX].map((at) => this.lookups(at));
+    this.loops = [...lookups, this.trainer()];
     this.keyCallers.start();
     this.lethalCallers.start();
   }
@@ -121,12 +123,12 @@
     }
   }
 
-  private async lookups(): Promise<void> {
+  private async lookups(prefix: string): Promise<void> {
     const { checker, random, keys } = this.surroundings;
     while (!this.isStopped) {
       const id = random.identifier();
       checker.requestOffered(id, 'brokers');
-      const answer = await this.call('POST', `${LOOKUP_PREFIX}${id}`, {
+      const answer = await this.call('POST', `${prefix}${id}`, {
         id,
         key: keys.currentKey('brokers'),
         body: `question-${id}`,
--- a/lab/soak/soak-configuration.ts
+++ b/lab/soak/soak-configuration.ts
@@ -1,6 +1,12 @@
 /** The configuration of the soak as the operator writes it. */
 import { COLD } from './cold-request-counter.js';
-import { LOOKUP_PREFIX, ROLLOUT_PREFIX, SOAK_HOST } from './soak-call.js';
+import {
+  ALLOWED_REGION,
+  LOOKUP_PREFIX,
+  REGIONAL_PREFIX,
+  ROLLOUT_PREFIX,
+  SOAK_HOST,
+} from './soak-call.js';
 import type { SoakTenantKeys } from './soak-keys.js';
 import { SCORE_PREFIX } from './worker-stand-in.js';
 
@@ -23,6 +29,15 @@
         service: LOOKUP_SERVICE,
         max_attempts: 3,
       },
+      {
+        ...route,
+        name: 'regional',
+        path_prefix: REGIONAL_PREFIX,
+        kind: 'read_only',
+        service: LOOKUP_SERVICE,
+        max_attempts: 3,
+        allowed_regions: [ALLOWED_REGION],
+      },
       {
         ...route,
         name: 'scores',
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -4,18 +4,23 @@
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
+import { ZONE_REGIONS, ZONES } from './gateway-group.js';
 import type { PlatformStore } from './platform-store.js';
-import { MODEL_SERVICE } from './soak-configuration.js';
+import { LOOKUP_SERVICE, MODEL_SERVICE } from './soak-configuration.js';
 import { WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
 
 /** A place for a worker; its lives follow each other there. */
 export interface WorkerPlace {
   readonly service: string;
+  readonly zone: string;
   worker: WorkerStandIn;
   link: TcpProxy;
   address: string;
 }
 
+/** Where the model's workers stand; those for lookups stand in the zones in turn. */
+const MODEL_ZONE = 'zone-a';
+
 /** Time that a worker serves on after it said that it leaves. */
 const LINGER: Milliseconds = 2_600;
 
@@ -32,14 +37,17 @@
     private readonly random: RandomSource,
     private readonly surroundings: Omit<
       WorkerSurroundings,
-      'onChange' | 'onLethal' | 'bearsLittleWhenCold'
+      'onChange' | 'onLethal' | 'region' | 'bearsLittleWhenCold'
     >,
     private readonly newestVersion: () => WeightVersion,
   ) {}
 
   /** Starts so many workers of a service. */
   async start(service: string, count: number): Promise<void> {
-    for (let index = 0; index < count; index += 1) this.places.push(await this.launch(service));
+    for (let index = 0; index < count; index += 1) {
+      const zone = service === LOOKUP_SERVICE ? ZONES[index % ZONES.length] : MODEL_ZONE;
+      this.places.push(await this.launch(service, zone ?? MODEL_ZONE));
+    }
   }
 
   /** A worker ends in the middle of everything; another life begins after a while. */
@@ -50,7 +58,7 @@
     await link.close();
     await sleep(Math.max(pause, RECORD_LIFE));
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
-    if (!this.isStopped) Object.assign(place, await this.launch(place.service));
+    if (!this.isStopped) Object.assign(place, await this.launch(place.service, place.zone));
   }
 
   /** A worker says that it leaves, serves on for a while, and is replaced. */
@@ -63,7 +71,7 @@
     worker.crash();
     await link.close();
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
-    Object.assign(place, await this.launch(place.service));
+    Object.assign(place, await this.launch(place.service, place.zone));
   }
 
   /** Ends all workers. */
@@ -75,19 +83,21 @@
     this.isStopped = true;
   }
 
-  private async launch(service: string): Promise<WorkerPlace> {
-    const onChange = (changed: WorkerStandIn): void => this.register(service, changed, address);
+  private async launch(service: string, zone: string): Promise<WorkerPlace> {
+    const place = { service, zone };
+    const onChange = (changed: WorkerStandIn): void => this.register(place, changed, address);
     const id = `i-${this.random.identifier().slice(0, 10)}`;
     const worker = new WorkerStandIn(id, this.newestVersion(), {
       ...this.surroundings,
+      region: ZONE_REGIONS.get(zone) ?? '',
       onChange,
       bearsLittleWhenCold: service === MODEL_SERVICE,
       onLethal: (ended) => this.endUnderRequest(ended),
     });
     const link = new TcpProxy({ target: await worker.start() });
     const address = await link.start();
-    this.register(service, worker, address);
-    return { service, worker, link, address };
+    this.register(place, worker, address);
+    return { ...place, worker, link, address };
   }
 
   private endUnderRequest(worker: WorkerStandIn): void {
@@ -95,12 +105,16 @@
     if (place !== undefined) void this.crash(place, 0);
   }
 
-  private register(service: string, worker: WorkerStandIn, address: string): void {
+  private register(
+    { service, zone }: Pick<WorkerPlace, 'service' | 'zone'>,
+    worker: WorkerStandIn,
+    address: string,
+  ): void {
     const models = [{ name: this.surroundings.model, version: worker.weightVersion, adapters: [] }];
     const record = {
       service,
       address,
-      zone: 'zone-a',
+      zone,
       version: 'v1',
       slots: 8,
       state: worker.isLeaving ? 'draining' : 'ready',
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { ColdRequestCounter } from './cold-request-counter.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
+import { REGIONAL_PREFIX } from './soak-call.js';
 
 /** Time for one event, for a lookup, and for loading weights. */
 const EVENT_TIME: Milliseconds = 20;
@@ -46,6 +47,8 @@
 export interface WorkerSurroundings {
   readonly checker: PromiseChecker;
   readonly model: string;
+  /** The region in which it stands. */
+  readonly region: string;
   readonly now: () => Milliseconds;
   /** Whether its service says that it bears few requests while it is cold. */
   readonly bearsLittleWhenCold: boolean;
@@ -177,7 +180,8 @@
       return;
     }
     const stamped = { ...base, [HEADERS.stamp]: `stamp-${this.id}` };
-    const { checker } = this.surroundings;
+    const { checker, region } = this.surroundings;
+    if (request.url?.startsWith(REGIONAL_PREFIX)) checker.regionalLookupCame(id, region);
     // Score requests come without a tenant.
     if (!request.url?.startsWith(SCORE_PREFIX)) {
       const tenant = request.headers[HEADERS.tenant];
