--- a/lab/emulator/joined-gateways.ts
+++ b/lab/emulator/joined-gateways.ts
@@ -5,7 +5,15 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Failure } from '../../src/errors/error-kinds.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
-import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
+import { JOURNAL_ZONE_PREFIX } from '../../src/journal/replica-directory.js';
+import type { ReplicaPlace } from '../../src/journal/replica-place.js';
+import { REPLICA_PREFIX, replicaRecordOf } from '../../src/journal/replica-record.js';
+import type {
+  PeerHandler,
+  PeerOutcome,
+  PeerPort,
+  PeerRequest,
+} from '../../src/peers/peer-messages.js';
 import type { AnswerSink } from '../../src/serving/answer-sink.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
@@ -15,11 +23,17 @@
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { cuttableStore } from './cuttable-store.js';
 import { SharedStoreEmulator } from './shared-store-emulator.js';
+import { StoreLink } from './store-link.js';
 
 /** The service that all requests go to. */
 export const LOOKUP_SERVICE = 'lookups';
 
-const HOST = 'site.example';
+/** The host of all routes. */
+export const HOST = 'site.example';
+
+/** The model that workers of jobs have. */
+export const MODEL = 'model-a';
+
 const PATIENCE: Milliseconds = 5_000;
 
 const LOOKUP_ROUTE = {
@@ -32,6 +46,18 @@
   timeout_ms: 1_500,
 };
 
+const JOB_ROUTE = {
+  name: 'rollouts',
+  host: HOST,
+  path_prefix: '/rollouts/',
+  kind: 'rollout',
+  service: LOOKUP_SERVICE,
+  target_latency_ms: 500,
+  max_attempts: 2,
+  max_queue_s: 60,
+  resumable: true,
+};
+
 const LIMITS = {
   max_header_bytes: 16_384,
   max_body_bytes: 2_000,
@@ -53,7 +79,10 @@
 /** One gateway, and what it counted and logged. */
 export interface JoinedGateway {
   readonly name: string;
+  readonly zone: ZoneName;
   readonly node: GatewayNode;
+  /** Its way to the store. */
+  readonly link: StoreLink;
   readonly metrics: FleetMetrics;
   readonly lines: readonly string[];
 }
@@ -87,31 +116,49 @@
   }
 }
 
+/** Who is at an address; without a handler nobody listens there any more. */
+interface Listener {
+  readonly zone: ZoneName;
+  readonly handler: PeerHandler | undefined;
+}
+
 /** The gateways. */
 export class JoinedGateways {
   readonly store = new SharedStoreEmulator();
   readonly gateways: JoinedGateway[] = [];
   /** Addresses that do not answer other nodes. */
   readonly silent = new Set<string>();
+  /** Zones that are cut off from all others. */
+  readonly cutZones = new Set<ZoneName>();
   /** Whether gateways of different regions reach each other. */
   isLinkUp = true;
   /** Regions that do not reach the store. */
   readonly withoutStore = new Set<RegionName>();
   /** Questions between the gateways, by kind. */
   readonly asked = new Map<string, number>();
-  private readonly byAddress = new Map<string, GatewayNode>();
-  private readonly zones = new Map<string, ZoneName>();
+  private readonly byAddress = new Map<string, Listener>();
   private tries = 0;
 
-  /** `regions` names the region of each zone, where the fleet spans several. */
+  /**
+   * `regions` names the region of each zone, where the fleet spans several. With `replicasOfJob` above 0
+   * zones serve their own callers, and so many replicas keep a job.
+   */
   constructor(
     private readonly engine: EnginePort,
     private readonly regions: ReadonlyMap<ZoneName, RegionName> = new Map(),
+    private readonly replicasOfJob = 0,
   ) {}
 
+  /** A replica of a zone's journal answers at its address from now on. */
+  addReplica(place: ReplicaPlace, handler: PeerHandler): void {
+    this.byAddress.set(place.address, { zone: place.zone, handler });
+    this.store.write(`${REPLICA_PREFIX}${place.node}`, replicaRecordOf(place));
+    this.store.write(`${JOURNAL_ZONE_PREFIX}${place.zone}`, '');
+  }
+
   /** Starts gateways in so many zones, on whose route a try may go to so many workers. */
   async start(count: number, maxAttempts: number, zones = 1): Promise<void> {
-    const routes = [{ ...LOOKUP_ROUTE, max_attempts: maxAttempts }];
+    const routes = [{ ...LOOKUP_ROUTE, max_attempts: maxAttempts }, JOB_ROUTE];
     const services = [{ name: LOOKUP_SERVICE }];
     const configuration = { version: 1, routes, services, limits: LIMITS };
     this.store.write('op/config', JSON.stringify(configuration));
@@ -127,14 +174,25 @@
 
   /** Stops all gateways, and the watches that relays hold for others. */
   async stop(): Promise<void> {
-    await Promise.all([...this.gateways].map((gateway) => this.remove(gateway)));
+    const all = [...this.gateways];
+    await Promise.all(all.map((gateway) => this.remove(gateway)));
+    for (const { link } of all) link.hasEnded = true;
     this.store.setAvailability('refusing');
   }
 
-  /** A further gateway joins. */
-  add(zone: ZoneName = 'zone-1'): JoinedGateway {
-    const name = `node-${this.byAddress.size + 1}`;
+  /** A gateway's process ends without a word, and its lease goes on; the machine may start again. */
+  crash(gateway: JoinedGateway): void {
+    const address = addressOf(gateway.name);
+    gateway.link.hasEnded = true;
+    this.byAddress.set(address, { zone: gateway.zone, handler: undefined });
+    this.gateways.splice(this.gateways.indexOf(gateway), 1);
+    void gateway.node.stop();
+  }
+
+  /** A further gateway joins, or the next life of one that has crashed. */
+  add(zone: ZoneName = 'zone-1', name = `node-${this.byAddress.size + 1}`): JoinedGateway {
     const address = addressOf(name);
+    const link = new StoreLink(this.storeFrom(zone));
     const metrics = new FleetMetrics();
     const lines: string[] = [];
     const destination = { write: (line: string) => void lines.push(line) };
@@ -142,9 +200,9 @@
       node: name,
       zone,
       zoneRegions: this.regions,
-      store: this.storeFrom(zone),
+      store: link,
       engine: this.engine,
-      peers: this.peersOf(zone),
+      peers: this.peersOf(zone, link),
       peerAddress: address,
       feeds: FEED_TRANSLATION,
       versionField: 'weights-version',
@@ -153,10 +211,11 @@
       metrics,
       timings: () => TIMINGS,
       storageDrains: storageDrainPort(this.store),
+      zonesServeAlone: this.replicasOfJob > 0,
+      journalReplicas: this.replicasOfJob,
     });
-    this.byAddress.set(address, node);
-    this.zones.set(address, zone);
-    const gateway = { name, node, metrics, lines };
+    this.byAddress.set(address, { zone, handler: node.peerHandler });
+    const gateway = { name, zone, node, link, metrics, lines };
     this.gateways.push(gateway);
     node.start();
     return gateway;
@@ -177,7 +236,9 @@
   /** Registers a worker. */
   register(id: string, zone: ZoneName = 'zone-1'): void {
     const record = { service: LOOKUP_SERVICE, address: '10.0.0.1:80', zone };
-    this.store.write(`servers/${id}`, JSON.stringify({ ...record, slots: 8, state: 'ready' }));
+    const models = [{ name: MODEL, version: 1 }];
+    const told = { ...record, slots: 8, state: 'ready', models };
+    this.store.write(`servers/${id}`, JSON.stringify(told));
   }
 
   /** Takes a worker's record away. */
@@ -220,13 +281,14 @@
     return cuttableStore(this.store, () => this.withoutStore.has(region));
   }
 
-  private isReached(from: ZoneName, address: string): boolean {
-    const to = this.zones.get(address) ?? from;
+  private isReached(from: ZoneName, to: ZoneName): boolean {
+    if (from === to) return true;
+    if (this.cutZones.has(from) || this.cutZones.has(to)) return false;
     return this.isLinkUp || this.regions.get(from) === this.regions.get(to);
   }
 
-  /** The other gateways as one of a zone reaches them. */
-  private peersOf(zone: ZoneName): PeerPort {
+  /** All others as a gateway of a zone reaches them. */
+  private peersOf(from: ZoneName, link: StoreLink): PeerPort {
     return {
       ask: async <Kind extends PeerRequest['kind']>(
         address: string,
@@ -234,15 +296,19 @@
         limit: Milliseconds,
       ): Promise<PeerOutcome<Kind>> => {
         this.asked.set(request.kind, (this.asked.get(request.kind) ?? 0) + 1);
-        const node = this.byAddress.get(address);
-        if (node === undefined || this.silent.has(address)) return { kind: 'silent' };
-        const answer = this.isReached(zone, address)
-          ? await node.peerHandler.answer(request)
-          : undefined;
-        if (!this.isReached(zone, address)) {
+        if (link.hasEnded) return new Promise(() => {});
+        const listener = this.byAddress.get(address);
+        const { zone = from, handler } = listener ?? {};
+        if (this.silent.has(address)) return { kind: 'silent' };
+        const isReached = this.isReached(from, zone);
+        if (isReached && handler === undefined) return { kind: 'refused' };
+        const answer = isReached ? await handler?.answer(request) : undefined;
+        if (!this.isReached(from, zone)) {
           await sleep(limit);
           return { kind: 'silent' };
         }
+        if (answer === undefined) return { kind: 'unsupported' };
+        if (this.byAddress.get(address) !== listener) return { kind: 'silent' };
         return { kind: 'answered', answer } as PeerOutcome<Kind>;
       },
     };
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -71,7 +71,7 @@
   /** A job that this node may answer for. */
   answering(job: string): OwnedJob | undefined {
     const own = this.jobs.get(job);
-    return own?.ending === 'superseded' || own?.ending === 'released' ? undefined : own;
+    return own?.mayAnswer === true ? own : undefined;
   }
 
   /** Runs a job from now on. */
@@ -205,7 +205,7 @@
 
   private noteClosed(job: OwnedJob): void {
     const mayKeep = this.residency.mayHoldHere(this.residency.allowedFor(job.spec));
-    if (job.ending === 'ended' && mayKeep) this.kept.keep(job, this.residency.originOf(job.spec));
+    if (job.hasEnded && mayKeep) this.kept.keep(job, this.residency.originOf(job.spec));
     const { clock, log, metrics } = this.options;
     metrics.count('jobs_closed', { reason: job.ending ?? 'open' });
     log.state('job-closed', {
