--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -3,10 +3,12 @@
  * whose text and versions are those that were made, positions that never change, jobs that stay,
  * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
  * score request after its text, no work for jobs that have ended, and none under another tenant than
- * the one whose key was shown, a new configuration in force in time, and nothing for evacuated zones.
+ * the one whose key was shown, no lookup outside the region that may serve it, a new configuration in
+ * force in time, and nothing for evacuated zones.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
+import { ALLOWED_REGION } from './soak-call.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
 
 /** A promise that was broken. */
@@ -27,7 +29,8 @@
     | 'query-of-death'
     | 'leaving-worker'
     | 'cold-worker'
-    | 'evacuated-zone';
+    | 'evacuated-zone'
+    | 'residency';
   readonly detail: string;
   /** Milliseconds since the soak began. */
   readonly at: Milliseconds;
@@ -117,6 +120,11 @@
     this.check(excess === undefined, 'cold-worker', `${worker} got ${excess} within a second`);
   }
 
+  /** A lookup that only one region may serve came to a worker. */
+  regionalLookupCame(request: string, region: string): void {
+    this.check(region === ALLOWED_REGION, 'residency', `${request} came to ${region}`);
+  }
+
   /** A lookup got a success with this body. */
   lookupAnswered(request: string, body: string, expected: string): void {
     this.check(body === expected, 'complete-answer', `${request} got ${body.slice(0, 60)}`);
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -4,7 +4,7 @@
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
-import { ZONES } from './gateway-group.js';
+import { ZONE_REGIONS, ZONES } from './gateway-group.js';
 import type { PlatformStore } from './platform-store.js';
 import { MODEL_SERVICE } from './soak-configuration.js';
 import { WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
@@ -34,7 +34,7 @@
     private readonly random: RandomSource,
     private readonly surroundings: Omit<
       WorkerSurroundings,
-      'onChange' | 'onLethal' | 'bearsLittleWhenCold'
+      'onChange' | 'onLethal' | 'region' | 'bearsLittleWhenCold'
     >,
     private readonly newestVersion: () => WeightVersion,
   ) {}
@@ -85,6 +85,7 @@
     const id = `i-${this.random.identifier().slice(0, 10)}`;
     const worker = new WorkerStandIn(id, zone, this.newestVersion(), {
       ...this.surroundings,
+      region: ZONE_REGIONS.get(zone) ?? '',
       onChange,
       bearsLittleWhenCold: service === MODEL_SERVICE,
       onLethal: (ended) => this.endUnderRequest(ended),
