One owner a region in place of three, with the next in line to take its place

Cause: three owners of a region do not know of each other's items; they met at the same workers, and each kept connections to all of them.

Change: a region has one owner (one more for each 40 nodes), as a zone that serves alone has. The next in line comes after it wherever a job is offered, handed over, taken over or asked for, so that a planned restart or a loss of the owner moves its jobs within the region.

--- a/src/fleet/job-placement.ts
+++ b/src/fleet/job-placement.ts
@@ -22,11 +22,11 @@
 const FEWEST_OWNERS = 3;
 
 /**
- * Owners of a zone that serves its own callers. One node that runs all jobs of its zone knows of all
- * their items, so that they do not compete for places at workers; where it does not answer, the next
- * in order takes its place.
+ * Owners of a zone or region that serves its own callers. One node that runs all jobs there knows of
+ * all their items, so that they do not compete for places at workers; where it does not answer, the
+ * next in order takes its place.
  */
-const FEWEST_OWNERS_IN_ZONE = 1;
+const FEWEST_OWNERS_IN_LOCALITY = 1;
 
 /**
  * Nodes of the fleet for each owner. The smallest machines carry some 40 items a second; a fleet of
@@ -90,9 +90,7 @@
     const { localities } = this.options;
     if (localities === undefined) return rendezvousOrder(job, this.owners(), (node) => node);
     const first = zone === undefined ? localities.own : localities.of(zone);
-    return this.localitiesFrom(first).flatMap((name) =>
-      rendezvousOrder(job, this.ownersIn(name), (node) => node),
-    );
+    return this.localitiesFrom(first).flatMap((name) => this.inTurnIn(name, job));
   }
 
   /**
@@ -103,7 +101,7 @@
   offersFor(job: string): NodeId[] {
     const { localities } = this.options;
     if (localities === undefined) return this.ownersOf(job).slice(0, OFFERS);
-    const near = rendezvousOrder(job, this.ownersIn(localities.own), (node) => node);
+    const near = this.inTurnIn(localities.own, job);
     const own = near.slice(0, OFFERS);
     if (localities.kind === 'zone') return own;
     const others = this.ownersOf(job).filter((node) => !near.includes(node));
@@ -137,9 +135,22 @@
     return this.options.liveNodes().filter((node) => !this.isAvoided(node));
   }
 
-  private ownersIn(locality: LocalityName): NodeId[] {
+  private ownersIn(locality: LocalityName, fewest = FEWEST_OWNERS_IN_LOCALITY): NodeId[] {
     const nodes = this.reachableNodes().filter((node) => this.localityOf(node) === locality);
-    return this.ownersAmong(nodes, this.isByZone ? FEWEST_OWNERS_IN_ZONE : FEWEST_OWNERS);
+    return this.ownersAmong(nodes, fewest);
+  }
+
+  /**
+   * The owners of a locality in the order in which they are to run a job, and for a region the node
+   * that is to take their place: a job that its owner gives up or loses then stays in its region.
+   */
+  private inTurnIn(locality: LocalityName, job: string): NodeId[] {
+    const owners = this.ownersIn(locality);
+    const inOrder = rendezvousOrder(job, owners, (node) => node);
+    if (this.isByZone) return inOrder;
+    const further = this.ownersIn(locality, owners.length + 1);
+    const [next] = further.filter((node) => !owners.includes(node));
+    return next === undefined ? inOrder : [...inOrder, next];
   }
 
   /** All localities with live nodes, from a given one on. */
