--- a/src/fleet/job-placement.ts
+++ b/src/fleet/job-placement.ts
@@ -12,6 +12,7 @@
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
+import type { MayHold } from '../placement/job-residency.js';
 import type { Localities, LocalityName } from '../placement/locality.js';
 import type { Clock } from '../serving/clock.js';
 
@@ -58,6 +59,9 @@
   readonly clock: Pick<Clock, 'now'>;
 }
 
+/** Any node may own a job. */
+const ANY_NODE: MayHold = () => true;
+
 /** Names the owners of jobs. */
 export class JobPlacement {
   private readonly avoidedUntil = new Map<NodeId, Milliseconds>();
@@ -84,13 +88,17 @@
 
   /**
    * The owners in the order in which they are to run a job. Where zones or regions serve their own
-   * callers, those of the job's come first; a zone that is not told is taken for this node's.
+   * callers, those of the job's come first; a zone that is not told is taken for this node's. A job
+   * that not every node may hold has its owners among those that may.
    */
-  ownersOf(job: string, zone?: ZoneName): NodeId[] {
+  ownersOf(job: string, zone?: ZoneName, mayOwn: MayHold = ANY_NODE): NodeId[] {
     const { localities } = this.options;
-    if (localities === undefined) return rendezvousOrder(job, this.owners(), (node) => node);
+    if (localities === undefined) {
+      const owners = this.ownersAmong(this.reachableNodes().filter(mayOwn), FEWEST_OWNERS);
+      return rendezvousOrder(job, owners, (node) => node);
+    }
     const first = zone === undefined ? localities.own : localities.of(zone);
-    return this.localitiesFrom(first).flatMap((name) => this.inTurnIn(name, job));
+    return this.localitiesFrom(first).flatMap((name) => this.inTurnIn(name, job).filter(mayOwn));
   }
 
   /**
@@ -98,13 +106,13 @@
    * callers hands no job to another one: both could be cut off from each other with the job at both.
    * A region does where its own nodes do not take it; the store tells whose the job is.
    */
-  offersFor(job: string): NodeId[] {
+  offersFor(job: string, mayOwn: MayHold = ANY_NODE): NodeId[] {
     const { localities } = this.options;
-    if (localities === undefined) return this.ownersOf(job).slice(0, OFFERS);
+    if (localities === undefined) return this.ownersOf(job, undefined, mayOwn).slice(0, OFFERS);
     const near = this.inTurnIn(localities.own, job);
     const own = near.slice(0, OFFERS);
     if (localities.kind === 'zone') return own;
-    const others = this.ownersOf(job).filter((node) => !near.includes(node));
+    const others = this.ownersOf(job, undefined, mayOwn).filter((node) => !near.includes(node));
     return [...own, ...others.slice(0, 1)];
   }
 
@@ -126,6 +134,11 @@
     return localities.of(zone) !== localities.own;
   }
 
+  /** The owners that a job is offered to that this node's zone must not hold, over all other zones. */
+  offersElsewhere(job: string, mayOwn: MayHold): NodeId[] {
+    return rendezvousOrder(job, this.ownersOf(job, undefined, mayOwn), (node) => node);
+  }
+
   /** A node did not answer: others run its jobs for a while. */
   noteSilent(node: NodeId): void {
     this.avoidedUntil.set(node, this.options.clock.now() + SILENCE_PENALTY);
--- a/src/fleet/peer-calls.ts
+++ b/src/fleet/peer-calls.ts
@@ -2,7 +2,14 @@
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
-import type { PeerOutcome, PeerPort, PeerRequest, PeerRequestOf } from '../peers/peer-messages.js';
+import type {
+  PeerAnswers,
+  PeerOutcome,
+  PeerPort,
+  PeerRequest,
+  PeerRequestOf,
+} from '../peers/peer-messages.js';
+import type { MayHold } from '../placement/job-residency.js';
 import {
   type DistanceBetween,
   distanceInOneRegion,
@@ -56,11 +63,20 @@
 
   /** Whether a node answers and reaches the store. */
   async reachesStore(node: NodeId): Promise<boolean> {
+    const answer = await this.probe(node);
+    return answer?.isAlive === true && answer.reachesStore;
+  }
+
+  /** Whether a node answers, whatever it reaches. */
+  async lives(node: NodeId): Promise<boolean> {
+    return (await this.probe(node))?.isAlive ?? false;
+  }
+
+  private async probe(node: NodeId): Promise<PeerAnswers['probe'] | undefined> {
     const owner = this.options.fleet.ownerOf(node);
-    if (owner === undefined) return false;
+    if (owner === undefined) return undefined;
     const outcome = await this.ask<'probe'>(node, { kind: 'probe', owner }, PROBE_LIMIT);
-    if (outcome?.kind !== 'answered') return false;
-    return outcome.answer.isAlive && outcome.answer.reachesStore;
+    return outcome?.kind === 'answered' ? outcome.answer : undefined;
   }
 
   /**
@@ -69,18 +85,19 @@
    */
   async nodeThatReachesStore(
     where: 'anywhere' | 'own-zone' = 'anywhere',
+    mayAsk: MayHold = () => true,
   ): Promise<NodeId | undefined> {
     if (!this.options.fleet.isCutOff) return undefined;
-    const states = this.nodesToProbe(where).map(async (node) =>
+    const states = this.nodesToProbe(where, mayAsk).map(async (node) =>
       (await this.reachesStore(node)) ? node : undefined,
     );
     return (await Promise.all(states)).find((node) => node !== undefined);
   }
 
   /** The nearest nodes; some of the other region, if there is one, as a whole region may be cut off. */
-  private nodesToProbe(where: 'anywhere' | 'own-zone'): NodeId[] {
+  private nodesToProbe(where: 'anywhere' | 'own-zone', mayAsk: MayHold): NodeId[] {
     const { fleet, self, zone, distanceBetween = distanceInOneRegion } = this.options;
-    const others = fleet.liveNodes().filter((node) => node !== self.node);
+    const others = fleet.liveNodes().filter((node) => node !== self.node && mayAsk(node));
     const at = (distance: ZoneDistance): NodeId[] =>
       others.filter((node) => distanceBetween(zone, fleet.zoneOf(node) ?? zone) === distance);
     if (where === 'own-zone') return at('same-zone').slice(0, MOST_STORE_PROBES);
--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -28,8 +28,11 @@
 const LEAST_PATIENCE_STEPS = 10;
 const PATIENCE_STEP: Milliseconds = 50;
 
-/** Why a job is no longer run here. */
-export type OwnershipEnd = 'finished' | 'ended' | 'superseded' | 'released';
+/**
+ * Why a job is no longer run here. `ended-elsewhere`: another node was told to end it, as this one did
+ * not reach the store; somebody else may have listed more of it meanwhile.
+ */
+export type OwnershipEnd = 'finished' | 'ended' | 'ended-elsewhere' | 'superseded' | 'released';
 
 /** What a job has in its zone's journal. */
 export interface JournaledWork {
@@ -163,9 +166,12 @@
     }
   }
 
-  /** Ends the job for good; resolves with whether that is kept. */
+  /**
+   * Ends the job for good; resolves with whether that is kept. A page that the store does not take
+   * may hold the turn: the end is then made after it, whoever waits.
+   */
   end(wanted: StillWanted): Promise<boolean> {
-    return this.inTurn(async () => {
+    const ending = this.inTurn(async () => {
       if (!this.mayList) return false;
       if (this.isEndKept || this.isEndedInStore) return true;
       this.isEnding = true;
@@ -174,12 +180,13 @@
       if (this.isEndKept) this.options.close('ended');
       return this.isEndKept || this.isEndedInStore;
     });
+    return this.whileWanted(ending, wanted);
   }
 
-  /** Gives the job up for another node to take. */
-  release(wanted: StillWanted): Promise<void> {
+  /** Gives the job up for another node to take, if its turn comes in time. */
+  async release(wanted: StillWanted): Promise<void> {
     const { store, spec, progress, isOpen, close } = this.options;
-    return this.inTurn(async () => {
+    const releasing = this.inTurn(async () => {
       if (!isOpen()) return;
       while (this.pending.length > 0 && (await this.whileWanted(this.list(), wanted)));
       const { head } = this.writer;
@@ -189,6 +196,10 @@
       }
       close('released');
     });
+    await this.whileWanted(
+      releasing.then(() => true),
+      wanted,
+    );
   }
 
   /** Makes sure now that the job is still run here. */
@@ -281,6 +292,8 @@
 
   /** Acts on what a change told of the head. */
   private noteHead(change: HeadChange): void {
+    // The store may take an end after all who waited for it have left.
+    if (change.kind === 'changed' && change.current.head.ended) this.options.close('ended');
     if (change.kind !== 'superseded') return;
     // Who does not hold all results must not answer for the job, even where it has ended.
     if (!this.isOwnChange(change)) this.options.close('superseded');
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -8,6 +8,7 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import type { JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -35,6 +36,9 @@
   readonly zone: ZoneName;
   /** Where zones serve their own callers: what takes jobs in while the store is silent. */
   readonly journals?: ZoneJournals | undefined;
+  /** Whether a life of a node that claimed a job is still live. @default all are */
+  readonly isWriterLive?: (writer: string) => boolean;
+  readonly residency: JobResidency;
 }
 
 /** A submission that the store has not settled yet. */
@@ -59,6 +63,8 @@
   readonly journal: JobJournal | undefined;
   /** Whether it follows a step that was taken in here, and so is at no other zone. */
   readonly isNextStep: boolean;
+  /** Whether it was handed in where it may not lie, and so its trainer's steps are at several zones. */
+  readonly isFromOutside: boolean;
 }
 
 /** A store that has not taken a job after this time no longer holds up its items. */
@@ -84,39 +90,55 @@
     this.steps.forget();
   }
 
-  /** Takes a job in; `undefined` means that all of it is kept from now on. */
-  async submit(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  /**
+   * Takes a job in; `undefined` means that all of it is kept from now on. One that was handed in where
+   * it may not lie can be passed to any zone of its regions, and none of these takes it in alone.
+   */
+  async submit(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside = false,
+  ): Promise<Failure | undefined> {
     const own = this.options.owned.get(spec.id);
     if (own !== undefined) return belongsElsewhere(spec, own.spec.tenant);
     const known = this.underWay.get(spec.id);
     if (known !== undefined) return belongsElsewhere(spec, known.tenant) ?? known.outcome;
-    const submission = this.store(spec, wanted);
+    const { residency } = this.options;
+    if (!residency.mayHoldHere(residency.allowedFor(spec))) return NOT_IN_THIS_REGION;
+    const submission = this.store(spec, wanted, isFromOutside);
     this.underWay.set(spec.id, { tenant: spec.tenant, outcome: submission });
     return submission.finally(() => this.underWay.delete(spec.id));
   }
 
-  private async store(spec: JobSpecification, wanted: StillWanted): Promise<Failure | undefined> {
+  private async store(
+    spec: JobSpecification,
+    wanted: StillWanted,
+    isFromOutside: boolean,
+  ): Promise<Failure | undefined> {
     const owner = this.isReleasing ? null : this.options.self;
     const journal = owner === null ? undefined : await this.openJournal(spec.id);
     if (journal === 'held-elsewhere') return TAKEN_ELSEWHERE;
-    const isNextStep = this.steps.isNext(spec);
+    const isNextStep = !isFromOutside && this.steps.isNext(spec);
     if (!isNextStep && !(await this.isUnknownToOtherZones(spec.id, wanted))) {
       return this.answerAsKnown(spec);
     }
-    return this.create(spec, { owner, journal, isNextStep }, wanted);
+    // While the other zones were asked, a node of this one may have taken the job in.
+    if (!isNextStep && (await isLost(journal))) return TAKEN_ELSEWHERE;
+    return this.create(spec, { owner, journal, isNextStep, isFromOutside }, wanted);
   }
 
   /** Makes a job in the store, or while that is silent in the zone's journal. */
   private async create(
     spec: JobSpecification,
-    { owner, journal, isNextStep }: AdmittedJob,
+    { owner, journal, isNextStep, isFromOutside }: AdmittedJob,
     wanted: StillWanted,
   ): Promise<Failure | undefined> {
     const { store, clock, zone, journals } = this.options;
     const startedAt = clock.now();
     const kept = this.keptElsewhere(spec);
     let isJournaled = false;
-    const head = firstHead(spec, owner, zone, journal);
+    const noted = this.options.residency.noteFor(spec);
+    const head = { ...firstHead(spec, owner, zone, journal), ...noted };
     const creation = store.create(spec, head, () => isJournaled || wanted());
     const mayStart = owner !== null && (isNextStep || journals === undefined);
     const early = mayStart ? await this.startEarly(spec, creation, kept, journal) : undefined;
@@ -130,9 +152,12 @@
     const change = await creation;
     this.noteSubmitted(spec, change, clock.now() - startedAt);
     if (change.kind !== 'changed') early?.abandon();
-    else if (owner === null) await this.options.peers.handOver(spec.id);
+    else if (owner !== null && (await isLost(journal))) {
+      early?.abandon();
+      await this.passToHolder(spec, change.current, journal);
+    } else if (owner === null) await this.handOver(spec);
     else {
-      this.steps.note(spec);
+      if (!isFromOutside) this.steps.note(spec);
       await this.ownCreated(spec, change.current, early, kept, journal);
     }
     const present = change.kind === 'superseded' ? change.current : undefined;
@@ -150,21 +175,41 @@
   /**
    * The zone's journal of a new job, claimed for this node: another node of the zone that was handed
    * the same job, and does not reach the store, can then not take it in too. One that has claimed it
-   * and kept nothing has told nobody that it took it in, and may have ended since.
+   * and kept nothing has told nobody that it took it in, and may have ended since; one that lives may
+   * yet do so, as it waits for the store or for the other zones.
    */
   private async openJournal(job: string): Promise<JobJournal | 'held-elsewhere' | undefined> {
-    const { journals } = this.options;
+    const { journals, isWriterLive = () => true } = this.options;
     const journal = journals?.openNew(job);
     if (journals === undefined || journal === undefined) return undefined;
     const claim = await journal.claim();
     if (claim.kind !== 'held-elsewhere') return claim.kind === 'claimed' ? journal : undefined;
     const { replicas } = journal;
+    if (isWriterLive(claim.holder.writer)) return claim.kind;
     if ((await journals.sightOf(job, replicas)) !== 'not-held') return claim.kind;
     const next = journals.open(job, replicas, claim.holder.term + 1);
     const second = await next.claim();
     return second.kind === 'claimed' && second.entries.length === 0 ? next : claim.kind;
   }
 
+  /**
+   * The store made a job for this node while another one of its zone claimed it, and may have told its
+   * caller more: a node that takes it over by its journal goes on with that.
+   */
+  private async passToHolder(
+    { id }: JobSpecification,
+    made: VersionedHead,
+    journal: JobJournal | undefined,
+  ): Promise<void> {
+    const { store, peers, log } = this.options;
+    const claim = await journal?.claim();
+    const term = claim?.kind === 'held-elsewhere' ? claim.holder.term : journal?.term;
+    const fields = { owner: null, ...(term === undefined ? {} : { term }) };
+    const change = await store.replace(id, made, fields, () => true);
+    log.state('job-passed-to-holder', { job: id, term: term ?? 0, outcome: change.kind });
+    await peers.handOver(id);
+  }
+
   /**
    * Whether no other zone has taken a job in that the store may not know. A caller may repeat at any
    * node what a zone has taken in by itself. Zones that do not answer are asked again for a while.
@@ -271,6 +316,11 @@
     metrics.observe('submit_seconds', {}, took);
   }
 
+  private handOver(spec: JobSpecification): Promise<void> {
+    const { peers, residency } = this.options;
+    return peers.handOver(spec.id, residency.allowedFor(spec));
+  }
+
   /** What nodes of the zone kept of the items of a later step. */
   private async keptElsewhere(spec: JobSpecification): Promise<ReadonlyMap<string, DigestedWork>> {
     if (spec.step === 0) return new Map();
@@ -278,10 +328,16 @@
   }
 }
 
+const NOT_IN_THIS_REGION = failure('region_unavailable', 'the job may not lie in this region');
+/** Whether another node has claimed a job since this one did; a journal that is not there is not lost. */
+async function isLost(journal: JobJournal | undefined): Promise<boolean> {
+  return journal !== undefined && (await journal.keep([])) === 'lost';
+}
+
 const TAKEN_ELSEWHERE = failure('outcome_unknown', 'another node may have taken the job');
 
 /** Refuses a job whose id names one of another tenant's, without telling that it is there. */
-function belongsElsewhere(
+export function belongsElsewhere(
   spec: JobSpecification,
   tenant: TenantName | undefined,
 ): Failure | undefined {
--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -8,6 +8,7 @@
 import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import {
+  isKnownEntry,
   type JournalEntry,
   type JournalHolder,
   type JournalRequest,
@@ -50,6 +51,7 @@
 /** Writes the entries of one job. */
 export class JobJournal {
   private isLost = false;
+  private takesEntries = true;
 
   constructor(private readonly options: JournalOptions) {}
 
@@ -83,16 +85,24 @@
       if (answer?.kind === 'other-disk') otherDisks += 1;
       if (answer?.kind !== 'granted') continue;
       granted += 1;
-      for (const entry of answer.entries) entries.set(keyOfEntry(entry), entry);
+      // What a newer build has left stays at the replicas.
+      const known = answer.entries.filter(isKnownEntry);
+      for (const entry of known) entries.set(keyOfEntry(entry), entry);
     }
     if (granted > 0) return { kind: 'claimed', entries: [...entries.values()] };
     return { kind: otherDisks === answers.length ? 'disks-gone' : 'silent' };
   }
 
+  /** Its replicas stand where nothing more of the job may be kept: only the store takes changes. */
+  takeNoEntries(): void {
+    this.takesEntries = false;
+  }
+
   /** Has all replicas keep entries; without any: whether this owner could still write. */
   async keep(entries: readonly JournalEntry[]): Promise<KeepOutcome> {
     const { holder } = this.options;
     if (this.isLost) return 'lost';
+    if (entries.length > 0 && !this.takesEntries) return 'unsure';
     const answers = await this.askAll((disk) => ({
       kind: 'journal-append',
       disk,
