--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -100,6 +100,11 @@
     this.cutOffSince.set(node, PROCESS_CLOCK.now());
   }
 
+  /** The store answers this node again, and renews its lease. */
+  heal(node: string): void {
+    this.cutOffSince.delete(node);
+  }
+
   /** The connections on which watches wait now go silent for good; all other calls are answered. */
   silenceOpenWatches(): void {
     this.silencedAt = PROCESS_CLOCK.now();
@@ -125,6 +130,11 @@
     return Math.max(...times) - startedAt;
   }
 
+  /** Time since a node's last contact about the prefix. */
+  contactAgeOf(node: string): Milliseconds {
+    return this.nodes.get(node)?.relay.contactAge(PREFIX) ?? Number.POSITIVE_INFINITY;
+  }
+
   /** What a node answers to one question for a list. */
   askOne(node: string, request: PeerRequestOf<'list-prefix'>): unknown {
     return this.nodes.get(node)?.relay.answerList(request);
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -9,6 +9,7 @@
 import { JobStore } from '../../src/jobs/job-store.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
 import type { JobResidency } from '../../src/placement/job-residency.js';
+import type { SendRules } from '../../src/placement/send-rules.js';
 import type { DistanceBetween } from '../../src/placement/zone-topology.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
@@ -61,6 +62,8 @@
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether the store answers nobody. @default it does not */
   readonly isStoreSilent?: () => boolean;
+  /** Which workers may be sent work. @default all */
+  readonly rules?: SendRules;
   /** Which nodes may hold a job. @default all */
   readonly residency?: JobResidency;
   /** How far zones are from each other. @default all are of one region */
@@ -79,7 +82,7 @@
   const { log, lines } = recordingLog();
   const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
-  const registry = new WorkerRegistry(undefined, extras.distanceBetween);
+  const registry = new WorkerRegistry(extras.rules, extras.distanceBetween);
   const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
   const routes = (): RouteMatcher => matcher;
   const store = new JobStore(emulator, clock);
