What a node may send to its workers stands in one module of its own

Change: WorkerGate holds the registry, the guarded engine, evacuations, their age, and cold workers; no behaviour changes.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -4,7 +4,6 @@
  */
 
 import { randomUUID } from 'node:crypto';
-import type { ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { ItemDispatcher } from '../jobs/item-dispatcher.js';
@@ -14,14 +13,9 @@
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
-import { EvacuationBelief } from '../placement/evacuation-belief.js';
-import { GuardedEngine } from '../placement/guarded-engine.js';
 import { JobResidency } from '../placement/job-residency.js';
 import { localitiesOf } from '../placement/locality.js';
-import { ResidencyRule } from '../placement/residency-rule.js';
-import { SendRules } from '../placement/send-rules.js';
 import { itemWayCost } from '../placement/way-costs.js';
-import { ZoneEvacuations } from '../placement/zone-evacuations.js';
 import { type DistanceBetween, ZoneTopology } from '../placement/zone-topology.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
 import { ConfigurationInForce } from '../serving/configuration-in-force.js';
@@ -34,21 +28,21 @@
   TrafficConfiguration,
   WorkerRecord,
 } from '../serving/traffic-configuration.js';
-import { WorkerRegistry } from '../serving/worker-registry.js';
+import type { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
-import { ColdWorkers } from './cold-workers.js';
 import { Coordination } from './coordination.js';
 import { CrashReports } from './crash-reports.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
 import { FleetPeers } from './fleet-peers.js';
 import { FLEET_PREFIX, FleetRegistry } from './fleet-registry.js';
-import { evacuationAgeLimit, type GatewayNodeOptions } from './gateway-options.js';
+import type { GatewayNodeOptions } from './gateway-options.js';
 import { JobPlacement } from './job-placement.js';
 import { JobTakeover } from './job-takeover.js';
 import { PeerAnswering } from './peer-answers.js';
 import { PeerMonitor, type Suspicion } from './peer-monitor.js';
 import { WatchRelay } from './watch-relay.js';
 import { noteWeightChange, type WeightChange } from './weight-changes.js';
+import { WorkerGate } from './worker-gate.js';
 import { WorkerRoster } from './worker-roster.js';
 import { ZoneAutonomy } from './zone-autonomy.js';
 
@@ -75,10 +69,7 @@
 
 /** One gateway. */
 export class GatewayNode {
-  private readonly topology: ZoneTopology;
-  private readonly evacuations = new ZoneEvacuations();
-  private readonly evacuationBelief: EvacuationBelief;
-  private readonly coldWorkers: ColdWorkers;
+  private readonly gate: WorkerGate;
   readonly registry: WorkerRegistry;
   /** The configuration that this node acts on. */
   readonly configuration: ConfigurationInForce;
@@ -112,35 +103,22 @@
     const { clock, log, metrics, peers: port, zone } = options;
     const self = { node: options.node, incarnation: randomUUID(), address: options.peerAddress };
     const { node, zonesServeAlone: servesAlone = false } = options;
-    this.topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
-    this.evacuationBelief = new EvacuationBelief({
-      limit: () => evacuationAgeLimit(options.timings()),
+    const topology = new ZoneTopology(zone, options.zoneRegions ?? new Map());
+    const localities = localitiesOf(topology, servesAlone);
+    const distanceBetween: DistanceBetween = (...zones) => topology.distanceBetween(...zones);
+    this.gate = new WorkerGate({
+      ...{ node: options, topology },
+      services: () => this.configuration.services,
+      healthPathOf: (worker) => this.healthPathOf(worker),
       contactAge: () => this.relay.contactAge(options.feeds.operatorPrefix),
       hasPeers: () => this.fleet.liveNodes().some((name) => name !== node),
-      log,
-    });
-    this.coldWorkers = new ColdWorkers({
-      ...{ self: node, clock, log, metrics, tolerance: options.coldTolerance },
-      registry: () => this.registry,
-      services: () => this.configuration.services,
+      isCutOff: () => this.fleet.isCutOff,
       coordinator: () => this.coordination.holder,
       fencingToken: () => this.coordination.lock.fencingToken(),
-      ask: (...question) => peers.permits(...question),
-      coldTimeOf: (worker) => options.engine.coldTimeOf(worker, this.healthPathOf(worker)),
-      isCutOff: () => this.fleet.isCutOff,
+      askForPermits: (...question) => peers.permits(...question),
       freed: () => this.dispatcher.schedule(),
     });
-    const rules = new SendRules([
-      new ResidencyRule(this.topology),
-      this.evacuations,
-      this.evacuationBelief,
-      this.coldWorkers.rule,
-    ]);
-    const { topology } = this;
-    const localities = localitiesOf(topology, servesAlone);
-    const distanceBetween: DistanceBetween = (...zones) => topology.distanceBetween(...zones);
-    this.registry = new WorkerRegistry(rules, distanceBetween);
-    const engine = new GuardedEngine({ engine: options.engine, rules, log, metrics });
+    this.registry = this.gate.registry;
     const direct = meteredStore(options.store, metrics, clock, () => this.fleet.renewSoon());
     const boundPrefixes = [options.feeds.operatorPrefix, options.feeds.workerPrefix];
     const relay = new WatchRelay({
@@ -162,9 +140,10 @@
     const jobStore = new JobStore(store, clock);
     this.configuration = new ConfigurationInForce({
       ...{ log, metrics },
-      isRegionKnown: (region) => this.topology.hasRegion(region),
+      isRegionKnown: (region) => topology.hasRegion(region),
     });
     const routes = (): RouteMatcher | undefined => this.configuration.routes;
+    const { engine } = this.gate;
     const shared = { ...options, engine, store, self, routes, registry: this.registry };
     this.fleet = new FleetRegistry(shared);
     this.placement = new JobPlacement({
@@ -174,7 +153,7 @@
       clock,
     });
     const residency = new JobResidency({
-      ...{ topology: this.topology, self: node, routes },
+      ...{ topology, self: node, routes },
       zoneOf: (name) => this.fleet.zoneOf(name),
     });
     this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
@@ -200,7 +179,7 @@
       jobs: () => this.jobs,
       relay: () => relay,
       workerEnded: (report) => this.quarantine.take(report, clock.now()),
-      permits: (wishes) => this.coldWorkers.answer(wishes),
+      permits: (wishes) => this.gate.answerWishes(wishes),
       usageTold: (source, counts) => this.coordination.duties?.take(source, counts),
     });
     this.crashReports = new CrashReports({
@@ -270,7 +249,7 @@
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
       configuration: this.configuration,
-      isEvacuated: (zoneName) => this.evacuations.isEvacuated(zoneName),
+      isEvacuated: (zoneName) => this.gate.isEvacuated(zoneName),
       localities,
       isStorageEmpty: (name) => autonomy.isStorageEmpty(name),
       sweep: () => void this.takeover.sweep(),
@@ -292,7 +271,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    if (this.isStopping || this.evacuationBelief.isOutdated) return false;
+    if (this.isStopping || this.gate.isOutdated) return false;
     return this.configuration.version !== undefined && this.workersListed;
   }
 
@@ -311,8 +290,8 @@
     else if (event.kind === 'version-named')
       this.coordination.nameVersion(event.model, event.version);
     else if (event.kind === 'storage-drain') this.takeStorageDrain(event.node);
-    else if (event.kind === 'zone-evacuated') this.evacuate(event.zone);
-    else if (event.kind === 'zone-returned') this.endEvacuation(event.zone);
+    else if (event.kind === 'zone-evacuated') this.gate.evacuate(event.zone);
+    else if (event.kind === 'zone-returned') this.gate.endEvacuation(event.zone);
     else this.options.log.state('record-unreadable', { key: event.key });
   }
 
@@ -323,7 +302,7 @@
 
   private noteWorkersListed(): void {
     this.workersListed = true;
-    this.coldWorkers.noteListed();
+    this.gate.noteListed();
     this.openWhenKnown();
   }
 
@@ -337,28 +316,9 @@
     this.coordination.drainStorage(node);
   }
 
-  private evacuate(zone: ZoneName): void {
-    if (this.evacuations.begin(zone)) this.noteEvacuations('zone-evacuated', zone);
-  }
-
-  private endEvacuation(zone: ZoneName): void {
-    if (!this.evacuations.end(zone)) return;
-    this.coldWorkers.noteReturned(zone);
-    this.noteEvacuations('zone-returned', zone);
-  }
-
-  private noteEvacuations(change: 'zone-evacuated' | 'zone-returned', workerZone: ZoneName): void {
-    const { log, metrics } = this.options;
-    // A zone without workers may be misspelled, or its workers may come later.
-    const workers = this.registry.all().filter(({ record }) => record.zone === workerZone).length;
-    log.state(change, { workerZone, workers });
-    metrics.set('evacuated_zones', this.evacuations.evacuated().length);
-    this.dispatcher.schedule();
-  }
-
   private takeWorker(record: WorkerRecord): void {
     this.roster.put(record);
-    this.coldWorkers.noteRecord(record);
+    this.gate.noteRecord(record);
     this.dispatcher.schedule();
   }
 
@@ -423,8 +383,7 @@
 
   private tick(): void {
     this.lookForSuspension();
-    this.evacuationBelief.tick();
-    this.coldWorkers.tick();
+    this.gate.tick();
     this.jobs.tick();
     this.dispatcher.tick();
     if (this.isStopping) return;
