--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -117,13 +117,13 @@
   ): Promise<Failure | undefined> {
     const owner = this.isReleasing ? null : this.options.self;
     const journal = owner === null ? undefined : await this.openJournal(spec.id);
-    if (journal === 'held-elsewhere') return TAKEN_ELSEWHERE;
+    if (journal === 'held-elsewhere') return this.answerAsKnown(spec);
     const isNextStep = !isFromOutside && this.steps.isNext(spec);
     if (!isNextStep && !(await this.isUnknownToOtherZones(spec.id, wanted))) {
       return this.answerAsKnown(spec);
     }
     // While the other zones were asked, a node of this one may have taken the job in.
-    if (!isNextStep && (await isLost(journal))) return TAKEN_ELSEWHERE;
+    if (!isNextStep && (await isLost(journal))) return this.answerAsKnown(spec);
     return this.create(spec, { owner, journal, isNextStep, isFromOutside }, wanted);
   }
 
@@ -226,7 +226,7 @@
     }
   }
 
-  /** The answer to a job that another zone may have taken in: only the store tells that it has. */
+  /** The answer to a job that another node may have taken in: only the store tells that it has. */
   private async answerAsKnown(spec: JobSpecification): Promise<Failure | undefined> {
     const read = await this.options.store.head(spec.id);
     if (read.kind !== 'found') return TAKEN_ELSEWHERE;
--- a/test/jobs/journaled-jobs.test.ts
+++ b/test/jobs/journaled-jobs.test.ts
@@ -323,6 +323,19 @@
   t.equal(await first?.keep([]), 'kept', 'the first may still take it in');
 });
 
+/**
+ * Seen in the test of looks from anywhere, beside load: gateways of the job's zone answered a client that
+ * handed an accepted job in once more as if it was not known who has it, for as long as they were asked.
+ */
+t.test('a job that the store has is confirmed where a live node holds its journal', async (t) => {
+  const { emulator, zone, node } = await zoneWithStore(t);
+  t.equal(await node.service.submit(specification('job', 1), always), undefined);
+  const journals = zone.journals(`${OTHER.node}/${OTHER.incarnation}`);
+  const second = jobNode(emulator, OTHER, new ScriptedEngine(), NO_PEERS, { journals });
+  t.equal(await second.service.submit(specification('job', 1), never), undefined);
+  t.same(second.service.ownedJobs(), []);
+});
+
 t.test('who lost its claim while it asked the other zones takes the job in no more', async (t) => {
   const place = await zoneWithStore(t);
   const { emulator, zone, node } = place;
