--- a/lab/emulator/joined-gateways.ts
+++ b/lab/emulator/joined-gateways.ts
@@ -5,6 +5,7 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import type { Failure } from '../../src/errors/error-kinds.js';
 import { GatewayNode } from '../../src/fleet/gateway-node.js';
+import type { FleetTimings } from '../../src/fleet/gateway-options.js';
 import { JOURNAL_ZONE_PREFIX } from '../../src/journal/replica-directory.js';
 import type { ReplicaPlace } from '../../src/journal/replica-place.js';
 import { REPLICA_PREFIX, replicaRecordOf } from '../../src/journal/replica-record.js';
@@ -76,6 +77,16 @@
 /** Time between two looks at a condition. */
 const LOOK_INTERVAL: Milliseconds = 5;
 
+/** What gateways are joined with. */
+export interface JoinedGatewaysOptions {
+  /** The region of each zone, where the fleet spans several. @default one region */
+  readonly regions?: ReadonlyMap<ZoneName, RegionName>;
+  /** Above 0 zones serve their own callers, and so many replicas keep a job. @default 0 */
+  readonly replicasOfJob?: number;
+  /** Times that differ from the usual ones. @default none */
+  readonly timings?: Partial<FleetTimings>;
+}
+
 /** One gateway, and what it counted and logged. */
 export interface JoinedGateway {
   readonly name: string;
@@ -138,16 +149,14 @@
   readonly asked = new Map<string, number>();
   private readonly byAddress = new Map<string, Listener>();
   private tries = 0;
+  private readonly regions: ReadonlyMap<ZoneName, RegionName>;
 
-  /**
-   * `regions` names the region of each zone, where the fleet spans several. With `replicasOfJob` above 0
-   * zones serve their own callers, and so many replicas keep a job.
-   */
   constructor(
     private readonly engine: EnginePort,
-    private readonly regions: ReadonlyMap<ZoneName, RegionName> = new Map(),
-    private readonly replicasOfJob = 0,
-  ) {}
+    private readonly options: JoinedGatewaysOptions = {},
+  ) {
+    this.regions = options.regions ?? new Map();
+  }
 
   /** A replica of a zone's journal answers at its address from now on. */
   addReplica(place: ReplicaPlace, handler: PeerHandler): void {
@@ -202,17 +211,17 @@
       zoneRegions: this.regions,
       store: link,
       engine: this.engine,
-      peers: this.peersOf(zone, link),
+      peers: this.peersOf(address, zone, link),
       peerAddress: address,
       feeds: FEED_TRANSLATION,
       versionField: 'weights-version',
       clock: PROCESS_CLOCK,
       log: new DecisionLog({ node: name, zone, clock: PROCESS_CLOCK, destination }),
       metrics,
-      timings: () => TIMINGS,
+      timings: () => ({ ...TIMINGS, ...this.options.timings }),
       storageDrains: storageDrainPort(this.store),
-      zonesServeAlone: this.replicasOfJob > 0,
-      journalReplicas: this.replicasOfJob,
+      zonesServeAlone: (this.options.replicasOfJob ?? 0) > 0,
+      journalReplicas: this.options.replicasOfJob ?? 0,
     });
     this.byAddress.set(address, { zone, handler: node.peerHandler });
     const gateway = { name, zone, node, link, metrics, lines };
@@ -288,7 +297,7 @@
   }
 
   /** All others as a gateway of a zone reaches them. */
-  private peersOf(from: ZoneName, link: StoreLink): PeerPort {
+  private peersOf(ownAddress: string, from: ZoneName, link: StoreLink): PeerPort {
     return {
       ask: async <Kind extends PeerRequest['kind']>(
         address: string,
@@ -299,7 +308,7 @@
         if (link.hasEnded) return new Promise(() => {});
         const listener = this.byAddress.get(address);
         const { zone = from, handler } = listener ?? {};
-        if (this.silent.has(address)) return { kind: 'silent' };
+        if (this.silent.has(address) || this.silent.has(ownAddress)) return { kind: 'silent' };
         const isReached = this.isReached(from, zone);
         if (isReached && handler === undefined) return { kind: 'refused' };
         const answer = isReached ? await handler?.answer(request) : undefined;
--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -7,6 +7,7 @@
 import { TcpProxy } from '../faults/tcp-proxy.js';
 import type { BuildRotation } from './build-rotation.js';
 import { COLD } from './cold-request-counter.js';
+import { EVACUATION_BOUND } from './soak-evacuations.js';
 import type { StoreDoor } from './store-door.js';
 
 /** One gateway; its process may be down. */
@@ -25,6 +26,12 @@
 /** The zones; gateways are in them in turn. */
 export const ZONES = ['zone-a', 'zone-b'];
 
+/** The region of each zone. */
+export const ZONE_REGIONS: ReadonlyMap<string, string> = new Map([
+  ['zone-a', 'region-a'],
+  ['zone-b', 'region-b'],
+]);
+
 /** Time to the forced end of a gateway that is asked to stop, in seconds. */
 const GRACE_SECONDS = 6;
 
@@ -133,8 +140,10 @@
       `listen.front=${host}:${front}`,
       `platform.address=${storeAddress}`,
       `bounds.grace_s=${GRACE_SECONDS}`,
+      `bounds.evacuation_ms=${EVACUATION_BOUND}`,
       `bounds.cold_overrun=${COLD.factor}`,
       `bounds.cold_slack=${COLD.requests}`,
+      ...[...ZONE_REGIONS].map(([name, region]) => `zones.${name}=${region}`),
       'fault_tolerance.zones=1',
       'fault_tolerance.machines=2',
     ];
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -10,10 +10,12 @@
   LOOKUP_LIMIT,
   LOOKUP_PREFIX,
   performCall,
+  REGIONAL_PREFIX,
   ROLLOUT_PREFIX,
   SOAK_HOST,
   type SoakAnswer,
 } from './soak-call.js';
+import type { SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeyCallers } from './soak-key-callers.js';
 import type { SoakKeys } from './soak-keys.js';
 import { SoakLethalCallers } from './soak-lethal-callers.js';
@@ -48,6 +50,7 @@
 export interface CallerSurroundings {
   readonly checker: PromiseChecker;
   readonly keys: SoakKeys;
+  readonly evacuations: Pick<SoakEvacuations, 'requestOffered'>;
   /** Whether no fault is going on that excuses a key's late end. */
   readonly isCalm: () => boolean;
   readonly random: RandomSource;
@@ -95,7 +98,8 @@
 
   /** Begins to ask. */
   start(): void {
-    this.loops = [this.lookups(), this.lookups(), this.trainer()];
+    const lookups = [LOOKUP_PREFIX, LOOKUP_PREFIX, REGIONAL_PREFIX].map((at) => this.lookups(at));
+    this.loops = [...lookups, this.trainer()];
     this.keyCallers.start();
     this.lethalCallers.start();
   }
@@ -121,12 +125,12 @@
     }
   }
 
-  private async lookups(): Promise<void> {
+  private async lookups(prefix: string): Promise<void> {
     const { checker, random, keys } = this.surroundings;
     while (!this.isStopped) {
       const id = random.identifier();
       checker.requestOffered(id, 'brokers');
-      const answer = await this.call('POST', `${LOOKUP_PREFIX}${id}`, {
+      const answer = await this.call('POST', `${prefix}${id}`, {
         id,
         key: keys.currentKey('brokers'),
         body: `question-${id}`,
@@ -273,11 +277,12 @@
     path: string,
     options: CallOptions,
   ): Promise<SoakAnswer | undefined> {
-    const { random, keys, addresses, trainerAddresses } = this.surroundings;
+    const { random, keys, addresses, trainerAddresses, evacuations } = this.surroundings;
     const all = options.isOfTrainer === true ? trainerAddresses() : addresses();
     const { id, body, wait, limit = CALL_LIMIT } = options;
     const key = options.key ?? keys.currentKey('trainers');
     const address = all[random.integer(all.length)] ?? '';
+    evacuations.requestOffered(id, address);
     return performCall({ address, method, path, id, key, body, wait, limit });
   }
 }
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { ColdRequestCounter } from './cold-request-counter.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
+import { REGIONAL_PREFIX } from './soak-call.js';
 
 /** Time for one event, for a lookup, and for loading weights. */
 const EVENT_TIME: Milliseconds = 20;
@@ -46,6 +47,8 @@
 export interface WorkerSurroundings {
   readonly checker: PromiseChecker;
   readonly model: string;
+  /** The region in which it stands. */
+  readonly region: string;
   readonly now: () => Milliseconds;
   /** Whether its service says that it bears few requests while it is cold. */
   readonly bearsLittleWhenCold: boolean;
@@ -53,6 +56,8 @@
   readonly isCalm: () => boolean;
   /** Called after a change that the worker's record shows. */
   readonly onChange: (worker: WorkerStandIn) => void;
+  /** Called with the id of each request that comes. */
+  readonly onRequest: (request: string, worker: WorkerStandIn) => void;
   /** Called when a request ends the worker. */
   readonly onLethal: (worker: WorkerStandIn) => void;
 }
@@ -72,6 +77,7 @@
 
   constructor(
     readonly id: string,
+    readonly zone: string,
     version: WeightVersion,
     private readonly surroundings: WorkerSurroundings,
   ) {
@@ -170,6 +176,7 @@
   private work(request: http.IncomingMessage, body: string, response: http.ServerResponse): void {
     if (this.surroundings.bearsLittleWhenCold) this.countWhileCold();
     const id = String(request.headers[HEADERS.requestId] ?? '');
+    this.surroundings.onRequest(id, this);
     const events = Number(request.headers[EVENT_COUNT_HEADER] ?? 0);
     const base = { [HEADERS.requestId]: id, [HEADERS.load]: `${this.running},0,${SLOTS}` };
     if (this.running >= SLOTS || (events > 0 && this.isLoading)) {
@@ -177,7 +184,8 @@
       return;
     }
     const stamped = { ...base, [HEADERS.stamp]: `stamp-${this.id}` };
-    const { checker } = this.surroundings;
+    const { checker, region } = this.surroundings;
+    if (request.url?.startsWith(REGIONAL_PREFIX)) checker.regionalLookupCame(id, region);
     // Score requests come without a tenant.
     if (!request.url?.startsWith(SCORE_PREFIX)) {
       const tenant = request.headers[HEADERS.tenant];
--- a/src/fleet/relay-choice.ts
+++ b/src/fleet/relay-choice.ts
@@ -55,21 +55,39 @@
     return this.relaysOf(zone, this.nodesByZone(fleet())).includes(self);
   }
 
-  /** The nodes to ask in turn, of the own zone first; `self` where this node is a relay. */
-  inOrder(): 'self' | readonly NodeId[] {
-    const { fleet, self, zone, clock } = this.options;
+  /**
+   * The nodes to ask in turn, of the own zone first; `self` where this node is a relay. One that the
+   * store turns away is none for the time being. What it knows of the fleet may be old as well: in the
+   * place of relays that did not answer it asks the nodes that come after them.
+   */
+  inOrder(isTurnedAway: boolean): 'self' | readonly NodeId[] {
+    const { fleet, self, zone } = this.options;
     const zones = this.nodesByZone(fleet());
     const own = this.relaysOf(zone, zones);
-    if (own.includes(self) || own.length === 0) return 'self';
+    const isRelay = own.includes(self) || own.length === 0;
+    if (isRelay && !isTurnedAway) return 'self';
+    const ranked = this.ranked(isTurnedAway ? this.othersUsable(zones) : zones);
+    if (isRelay && ranked.length === 0) return 'self';
+    return ranked.filter((node) => this.isUsable(node)).slice(0, RELAYS_ASKED);
+  }
+
+  private othersUsable(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): Map<ZoneName, NodeId[]> {
+    const { self } = this.options;
+    const isAsked = (node: NodeId): boolean => node !== self && this.isUsable(node);
+    return new Map([...zones].map(([name, nodes]) => [name, nodes.filter(isAsked)]));
+  }
+
+  /** All relays: those of the own zone first, then those of the own region. */
+  private ranked(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): NodeId[] {
+    const { self, zone } = this.options;
     const others = [...zones.keys()].filter((name) => name !== zone);
     const near = others.filter((name) => this.isInOwnRegion(name));
     const far = others.filter((name) => !this.isInOwnRegion(name));
     const relaysIn = (names: ZoneName[]): NodeId[] =>
       names.flatMap((name) => this.relaysOf(name, zones));
-    const ranked = [own, relaysIn(near), relaysIn(far)].flatMap((nodes) =>
+    return [relaysIn([zone]), relaysIn(near), relaysIn(far)].flatMap((nodes) =>
       rendezvousOrder(self, nodes, (node) => node),
     );
-    return ranked.filter((node) => this.isUsable(node, clock.now())).slice(0, RELAYS_ASKED);
   }
 
   /**
@@ -77,7 +95,7 @@
    * that one, is to do without it for a while, or the fleet does not span regions.
    */
   firstRelay(): NodeId | undefined {
-    const { fleet, self, zone, clock, regionOf } = this.options;
+    const { fleet, self, zone, regionOf } = this.options;
     if (regionOf === undefined) return undefined;
     const zones = this.nodesByZone(fleet());
     const relays = [...zones.keys()]
@@ -85,7 +103,7 @@
       .flatMap((name) => this.relaysOf(name, zones));
     const [first] = rendezvousOrder(regionOf(zone), relays, (node) => node);
     if (first === undefined || first === self) return undefined;
-    return this.isUsable(first, clock.now()) ? first : undefined;
+    return this.isUsable(first) ? first : undefined;
   }
 
   private isInOwnRegion(zone: ZoneName): boolean {
@@ -93,8 +111,8 @@
     return regionOf === undefined || regionOf(zone) === regionOf(this.options.zone);
   }
 
-  private isUsable(node: NodeId, now: Milliseconds): boolean {
-    return now >= (this.penalizedUntil.get(node) ?? 0);
+  private isUsable(node: NodeId): boolean {
+    return this.options.clock.now() >= (this.penalizedUntil.get(node) ?? 0);
   }
 
   /** Leaves a relay alone for a while. */
