--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -123,7 +123,7 @@
       return this.answerAsKnown(spec);
     }
     // While the other zones were asked, a node of this one may have taken the job in.
-    if (!isNextStep && (await isLost(journal))) return TAKEN_ELSEWHERE;
+    if (!isNextStep && (await isLost(journal))) return this.answerAsKnown(spec);
     return this.create(spec, { owner, journal, isNextStep, isFromOutside }, wanted);
   }
 
