--- a/test/fleet/jobs-in-regions.test.ts
+++ b/test/fleet/jobs-in-regions.test.ts
@@ -219,6 +219,19 @@
   await fleet.stop();
 });
 
+t.test('without limits the other region takes the jobs of one that is lost', async (t) => {
+  const fleet = await fleetWith({});
+  fleet.engine.holds = true;
+  await fleet.named('s-1').node.submit(jobOn('free', 'job'), always);
+  const [owner = ''] = fleet.runnersOf('job');
+  t.ok(SOUTHERN.includes(owner), owner);
+  fleet.areRegionsApart = true;
+  for (const name of SOUTHERN) fleet.store.erase(`fleet/node/${name}`);
+  await eventually(() => fleet.runnersOf('job').some((name) => name.startsWith('n')));
+  t.pass('what keeps a limited job back is its limit');
+  await fleet.stop();
+});
+
 t.test('without limits jobs are run in the region that they were handed in at', async (t) => {
   const fleet = await fleetWith({});
   fleet.engine.holds = true;
