Without a coordinator a gateway looks itself at workers that it doubts

Cause: after a start of all gateways each doubts all workers of a service with a cold start; only a coordinator's answer ended that, and the next one takes some seconds to come. Change: a gateway whose question no granter answers has the doubtful workers that it has work for tell their cold time. Figures: two tests; both failed before.

--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -156,6 +156,11 @@
     return coldStart !== undefined && this.warmth.of(worker, coldStart).kind !== 'warm';
   }
 
+  private isDoubtful(worker: WorkerRecord): boolean {
+    const coldStart = this.coldStartOf(worker.service);
+    return coldStart !== undefined && this.warmth.of(worker, coldStart).kind === 'doubtful';
+  }
+
   private coldStartOf(service: string): ColdStart | undefined {
     return this.options.services().find(({ name }) => name === service)?.coldStart;
   }
@@ -200,6 +205,7 @@
     this.isAsking = false;
     // What was wished for meanwhile found no timer to wait for.
     if (this.rule.hasWishes) this.askSoon();
+    if (answer?.term === undefined) this.lookForOneself(wishes);
     if (answer === undefined) return;
     this.isInformed ||= answer.term !== undefined;
     const isAnyFree = this.rule.takeAnswer(answer, sentAt, (id) => registry().get(id)?.record);
@@ -213,6 +219,17 @@
     return granter === self ? this.answer(wishes) : ask(granter, wishes);
   }
 
+  /**
+   * Without a granter nobody tells that a doubtful worker is warm, as after a start of all gateways: this
+   * node looks itself at those that it would send work to.
+   */
+  private lookForOneself(wishes: readonly PermitWish[]): void {
+    for (const { worker, permits } of wishes) {
+      const record = this.options.registry().get(worker)?.record;
+      if (permits > 0 && record !== undefined && this.isDoubtful(record)) this.lookSoon(record);
+    }
+  }
+
   private lookSoon(worker: WorkerRecord): void {
     const now = this.options.clock.now();
     if (this.looksUnderWay >= MOST_LOOKS || now < (this.nextLookAt.get(worker.id) ?? 0)) return;
@@ -231,6 +248,7 @@
     metrics.count('warmth_looks', { found });
     if (coldFor === undefined) return;
     this.warmth.noteTold(worker, coldFor, askedAt);
+    if (coldFor === 0) this.options.freed();
     log.state('worker-warmth-told', { worker: worker.id, workerZone: worker.zone, coldFor });
   }
 }
--- a/test/fleet/cold-workers.test.ts
+++ b/test/fleet/cold-workers.test.ts
@@ -106,6 +106,36 @@
   t.notOk(node.isFree(COLD));
 });
 
+/**
+ * After a start of all gateways the next coordinator takes some seconds to come, and each gateway doubts
+ * all workers, though they were warm all the while.
+ */
+t.test('without a coordinator a node looks itself at the workers that it doubts', async (t) => {
+  const node = new Node();
+  node.coordinator = undefined;
+  const there = worker('w1', { coldFor: 0 });
+  node.add(there);
+  node.part.noteListed();
+  node.clock.time += 1;
+  t.notOk(node.isFree(there), 'it may have turned cold since');
+  await eventually(() => node.freed === 1);
+  t.same(node.looked, ['w1']);
+  t.ok(node.isFree(there));
+});
+
+t.test('a worker that tells that it is cold is sent nothing without a permit', async (t) => {
+  const node = new Node();
+  node.coordinator = undefined;
+  node.coldTime = 2_000;
+  const there = worker('w1', { coldFor: 0 });
+  node.add(there);
+  node.part.noteListed();
+  t.notOk(node.isFree(there));
+  await eventually(() => node.looked.length === 1);
+  t.notOk(node.isFree(there));
+  t.equal(node.freed, 0);
+});
+
 t.test('without a coordinator nothing is asked and nothing goes', async (t) => {
   const node = new Node();
   node.coordinator = undefined;
