--- a/test/platform-adapter/configuration.test.ts
+++ b/test/platform-adapter/configuration.test.ts
@@ -168,6 +168,21 @@
   );
 });
 
+/**
+ * Seen on a copy of a site with walls on three of its four routes: the fourth, with an empty list, was
+ * refused all day, and so were the routes that configurations added.
+ */
+t.test('an empty list of regions limits nothing', async (t) => {
+  const routes = CONFIGURATION.routes.map((route) => ({ ...route, allowed_regions: [] }));
+  const tenants = [{ name: 'a', api_keys: ['k'], allowed_regions: [] }];
+  const parsed = parseConfiguration(JSON.stringify({ ...CONFIGURATION, routes, tenants }));
+  t.same(
+    parsed?.routes.map(({ allowedRegions }) => allowedRegions),
+    [undefined, undefined],
+  );
+  t.equal(parsed?.tenants?.[0]?.allowedRegions, undefined);
+});
+
 t.test('how long a worker stays cold is read, and unknown where it is not told', async (t) => {
   const entry = { service: 'one', address: '10.0.0.1:80', zone: 'hall-1', state: 'ready' };
   const told = parseWorker('w', JSON.stringify({ ...entry, cold_remaining_ms: 1_200 }));
