Comments and private names that a newcomer stumbled over

Cause: "holder" meant a coordinator, a granter and whoever has a permit; isCold was true of doubtful workers; isAway ranked models by home beside workers that are away; one comment stood for two constants; a comment told that added fields stand in a table that is empty, as optional ones have their default where they are read; a constant stood between a doc comment and its function. Change: comments; private names needsPermit, lookWithoutGranter, stepsFromHome, regionTakenIn; a constant moved beside its like; an alias of a constant gone. StoreLink and cuttableStore say how they differ.

--- a/lab/emulator/cuttable-store.ts
+++ b/lab/emulator/cuttable-store.ts
@@ -1,4 +1,7 @@
-/** A shared store that a node may be cut off from: its calls then end without an answer. */
+/**
+ * A shared store that falls silent for a node while it is cut off: calls end without an answer when their
+ * time is over. `StoreLink` turns a node away at once.
+ */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Milliseconds } from '../../src/core/units.js';
 import type { SharedStore, StoreFailure } from '../../src/shared-store/shared-store.js';
--- a/lab/emulator/store-link.ts
+++ b/lab/emulator/store-link.ts
@@ -1,4 +1,4 @@
-/** One node's way to the shared store. */
+/** One node's way to the shared store, which turns it away at once while it is cut. */
 import type {
   SharedStore,
   StoreFailure,
--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -50,7 +50,7 @@
   readonly coldTimeOf: (worker: WorkerRecord) => Promise<Milliseconds | undefined>;
   /** Whether this node is out of touch with the store, and may miss what the operator does. */
   readonly isCutOff: () => boolean;
-  /** Some worker may be sent something that it might not before. */
+  /** Called when some worker may be sent more than before. */
   readonly freed: () => void;
 }
 
@@ -148,10 +148,10 @@
     this.granter.prune();
     this.rule.prune();
     for (const [id, at] of this.nextLookAt) if (at < now) this.nextLookAt.delete(id);
-    metrics.set('cold_workers', this.coldStarters().filter((one) => this.isCold(one)).length);
+    metrics.set('cold_workers', this.coldStarters().filter((one) => this.needsPermit(one)).length);
   }
 
-  private isCold(worker: WorkerRecord): boolean {
+  private needsPermit(worker: WorkerRecord): boolean {
     const coldStart = this.coldStartOf(worker.service);
     return coldStart !== undefined && this.warmth.of(worker, coldStart).kind !== 'warm';
   }
@@ -205,7 +205,7 @@
     this.isAsking = false;
     // What was wished for meanwhile found no timer to wait for.
     if (this.rule.hasWishes) this.askSoon();
-    if (answer?.term === undefined) this.lookForOneself(wishes);
+    if (answer?.term === undefined) this.lookWithoutGranter(wishes);
     if (answer === undefined) return;
     this.isInformed ||= answer.term !== undefined;
     const isAnyFree = this.rule.takeAnswer(answer, sentAt, (id) => registry().get(id)?.record);
@@ -223,7 +223,7 @@
    * Without a granter nobody tells that a doubtful worker is warm, as after a start of all gateways: this
    * node looks itself at those that it would send work to.
    */
-  private lookForOneself(wishes: readonly PermitWish[]): void {
+  private lookWithoutGranter(wishes: readonly PermitWish[]): void {
     for (const { worker, permits } of wishes) {
       const record = this.options.registry().get(worker)?.record;
       if (permits > 0 && record !== undefined && this.isDoubtful(record)) this.lookSoon(record);
--- a/src/fleet/coordination.ts
+++ b/src/fleet/coordination.ts
@@ -35,7 +35,7 @@
   readonly configuration: ConfigurationInForce;
   /** Whether the workers of a zone are sent no work for the time being. */
   readonly isEvacuated: (zone: ZoneName) => boolean;
-  /** The parts of the fleet that serve their own callers; `undefined` where any serves any. */
+  /** The zones or regions that serve their own callers; `undefined` where any node serves any caller. */
   readonly localities: Localities | undefined;
   /** Whether nothing that must last lies on a storage machine alone. */
   readonly isStorageEmpty: (node: NodeId) => Promise<boolean>;
--- a/src/fleet/job-placement.ts
+++ b/src/fleet/job-placement.ts
@@ -44,14 +44,14 @@
 /** Owners that a job is offered to before the node that took the call runs it itself. */
 const OFFERS = 2;
 
-/** Where the nodes are, as far as one of them knows. */
+/** The localities of the fleet, and in which zone each node is as far as this one knows. */
 export interface LocalityView extends Localities {
   readonly zoneOf: (node: NodeId) => ZoneName | undefined;
 }
 
 /** Options of {@link JobPlacement}. */
 export interface JobPlacementOptions {
-  /** Where each part of the fleet runs the jobs of its own callers; else any runs any job. @default none */
+  /** The zones or regions that each run the jobs of their own callers. @default any node runs any job */
   readonly localities?: LocalityView | undefined;
   readonly liveNodes: () => readonly NodeId[];
   /** Processor share of a node's machine. */
@@ -102,7 +102,7 @@
   }
 
   /**
-   * The owners that a job is offered to which a caller handed in here. A zone that serves its own
+   * The owners that a job is offered to where a caller hands it in at this node. A zone that serves its own
    * callers hands no job to another one: both could be cut off from each other with the job at both.
    * A region does where its own nodes do not take it; the store tells whose the job is.
    */
@@ -134,7 +134,7 @@
     return localities.of(zone) !== localities.own;
   }
 
-  /** The owners that a job is offered to that this node's zone must not hold, over all other zones. */
+  /** The owners, of any zone, that a job is offered to where this node must not hold it. */
   offersElsewhere(job: string, mayOwn: MayHold): NodeId[] {
     return rendezvousOrder(job, this.ownersOf(job, undefined, mayOwn), (node) => node);
   }
--- a/src/fleet/model-assignment.ts
+++ b/src/fleet/model-assignment.ts
@@ -43,7 +43,7 @@
   private readonly homes = new Map<ModelName, LocalityName>();
   private current = new Map<string, ModelName>();
 
-  /** `localityOf` tells which zones are as near to each other's work; each zone is by itself else. */
+  /** `localityOf` gives the zone or region that serves the callers of a zone first. @default the zone */
   constructor(private readonly localityOf: (zone: ZoneName) => LocalityName = (zone) => zone) {}
 
   /** A job asked this much work of a model, in tokens, of the workers of a zone or of any. */
@@ -139,9 +139,9 @@
   ): ReadonlyMap<string, ModelName> {
     if (this.homes.size === 0) return wanted;
     const localities = new Map(workers.map(({ id, zone }) => [id, this.localityOf(zone)]));
-    const isAway = ([worker, model]: [string, ModelName]): number =>
+    const stepsFromHome = ([worker, model]: [string, ModelName]): number =>
       this.homes.get(model) === localities.get(worker) ? 0 : 1;
-    return new Map([...wanted].sort((a, b) => isAway(a) - isAway(b)));
+    return new Map([...wanted].sort((a, b) => stepsFromHome(a) - stepsFromHome(b)));
   }
 
   /** Workers that each model gets; the counts as they are, where these are close enough. */
--- a/src/fleet/relay-choice.ts
+++ b/src/fleet/relay-choice.ts
@@ -39,7 +39,10 @@
   readonly self: NodeId;
   readonly zone: ZoneName;
   readonly clock: Clock;
-  /** The region of a zone, where the fleet spans several. @default it does not */
+  /**
+   * The region of a zone, where the fleet spans several; a zone whose region is not known is one by
+   * itself. @default it does not
+   */
   readonly regionOf?: ((zone: ZoneName) => LocalityName) | undefined;
 }
 
--- a/src/fleet/submission-router.ts
+++ b/src/fleet/submission-router.ts
@@ -35,8 +35,10 @@
 /** Least time for which a node is asked: less would not take a job in on a calm day. */
 const LEAST_OFFER: Milliseconds = 500;
 
-/** Nodes that are probed, and nodes that are offered a job, where it may not lie at this one. */
+/** Nodes in its regions that are probed for a job that this node may not hold. */
 const MOST_PROBED = 4;
+
+/** Those of them that answered and are offered the job. */
 const OFFERS_ACROSS = 2;
 
 /** Options of {@link SubmissionRouter}. */
@@ -99,7 +101,7 @@
     return { kind: 'here', mayRunElsewhere };
   }
 
-  /** Those of the first nodes that answer: no job is sent to where nobody is, and may be. */
+  /** Those of the first nodes that answer a probe: an offer to a silent one might be taken unheard. */
   private async answering(nodes: readonly NodeId[]): Promise<NodeId[]> {
     const { calls, placement } = this.options;
     const first = nodes.slice(0, MOST_PROBED);
@@ -135,7 +137,6 @@
     deadline: Milliseconds,
   ): Promise<SubmissionPath> {
     const { calls, clock, placement } = this.options;
-    const unknown = MAY_BE_STORED;
     const mayAsk = this.residency.holders(this.residency.allowedFor(spec));
     const where = placement.isByZone ? 'own-zone' : 'anywhere';
     const node = await calls.nodeThatReachesStore(where, mayAsk);
@@ -143,11 +144,11 @@
     const limit = Math.max(LEAST_OFFER, deadline - clock.now());
     const request = { kind: 'submit-for', spec, limit } as const;
     const outcome = await calls.ask<'submit-for'>(node, request, limit + ANSWER_TIME);
-    if (outcome?.kind === 'silent') return { kind: 'answered', failure: unknown };
+    if (outcome?.kind === 'silent') return { kind: 'answered', failure: MAY_BE_STORED };
     if (outcome?.kind !== 'answered') return { kind: 'here', mayRunElsewhere };
     const { failure: refusal } = outcome.answer;
     const isUnsure = mayRunElsewhere && refusal !== undefined;
-    return { kind: 'answered', failure: isUnsure ? unknown : refusal };
+    return { kind: 'answered', failure: isUnsure ? MAY_BE_STORED : refusal };
   }
 }
 
--- a/src/fleet/worker-gate.ts
+++ b/src/fleet/worker-gate.ts
@@ -37,7 +37,7 @@
     node: NodeId,
     wishes: readonly PermitWish[],
   ) => Promise<PermitAnswer | undefined>;
-  /** Some worker may be sent more than a moment ago. */
+  /** Called when some worker may be sent more than before. */
   readonly freed: () => void;
 }
 
--- a/src/jobs/job-admission.ts
+++ b/src/jobs/job-admission.ts
@@ -41,8 +41,8 @@
   }
 
   /**
-   * The answer to a job that no node takes that may hold it. Its caller may repeat what another node
-   * took in before: that it has not run is told only where that is sure.
+   * The answer to a job that none of the nodes that may hold it takes. Its caller may repeat what
+   * another node took in before: that it has not run is told only where that is sure.
    */
   private async refuse(spec: JobSpecification, refusal: Failure): Promise<Failure | undefined> {
     const { store, reader, log, metrics } = this.options;
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -24,7 +24,7 @@
 export type SubmissionPath =
   /** Another node settled it; no failure means that the job is kept. */
   | { readonly kind: 'answered'; readonly failure: Failure | undefined }
-  /** No node takes it that may hold it, and this one must not. */
+  /** No node that may hold it takes it, and this one may not hold it. */
   | { readonly kind: 'nowhere'; readonly failure: Failure }
   /** It is for this node to store; with `mayRunElsewhere` another node may have taken it too. */
   | { readonly kind: 'here'; readonly mayRunElsewhere: boolean };
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -75,7 +75,7 @@
   term: z.number().optional(),
   /** The replicas of its zone's journal, where it has one. */
   replicas: z.array(REPLICA_PLACE).optional(),
-  /** The zone that it was handed in at; records of older programs lack it. */
+  /** The zone that it was handed in at; records of older builds lack it. */
   zone: z.string().optional(),
   /** A request for each route that it takes, where regions matter: who may run it depends on them. */
   requests: z.array(ROUTED_REQUEST).optional(),
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -328,12 +328,12 @@
   }
 }
 
-const NOT_IN_THIS_REGION = failure('region_unavailable', 'the job may not lie in this region');
 /** Whether another node has claimed a job since this one did; a journal that is not there is not lost. */
 async function isLost(journal: JobJournal | undefined): Promise<boolean> {
   return journal !== undefined && (await journal.keep([])) === 'lost';
 }
 
+const NOT_IN_THIS_REGION = failure('region_unavailable', 'the job may not lie in this region');
 const TAKEN_ELSEWHERE = failure('outcome_unknown', 'another node may have taken the job');
 
 /** Refuses a job whose id names one of another tenant's, without telling that it is there. */
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -26,7 +26,7 @@
   | {
       readonly kind: 'kept-work';
       readonly items: readonly string[];
-      /** Where the node that asks stands; older programs do not tell. */
+      /** Where the node that asks stands; older builds do not tell. */
       readonly zone?: ZoneName;
     }
   /** Which results are listed from a position on, as the owner of the job knows? */
@@ -42,7 +42,7 @@
   | {
       readonly kind: 'surrender-job';
       readonly job: string;
-      /** Where the node that asks stands; older programs do not tell. */
+      /** Where the node that asks stands; older builds do not tell. */
       readonly zone?: ZoneName;
     }
   /** I don't reach the store: take this job in for me. */
--- a/src/peers/peer-protocol.ts
+++ b/src/peers/peer-protocol.ts
@@ -20,8 +20,8 @@
 } as const;
 
 /**
- * Kinds that every build answers. One that says of these that it has no use for the question was
- * asked too much at once, so the next one may fare better.
+ * Kinds that every build knows. A build of format 1 gives a question that is too long the status of an
+ * unknown kind, so a refusal of these kinds speaks of that one question and is not remembered.
  */
 const KINDS_OF_FORMAT_1: readonly string[] = [
   'probe',
@@ -70,10 +70,13 @@
   readonly [Kind in PeerRequest['kind']]?: Partial<PeerAnswers[Kind]>;
 };
 
-/** A field that is added to a question stands here with what its absence means. */
+/**
+ * A required field that is added to a question stands here with what its absence means; an optional
+ * one says so where it is declared.
+ */
 const QUESTION_DEFAULTS: QuestionDefaults = {};
 
-/** A field that is added to an answer stands here with what its absence means. */
+/** The same for the fields of answers. */
 const ANSWER_DEFAULTS: AnswerDefaults = {};
 
 /** A question with the fields that an older build left out. */
--- a/src/placement/cold-permits.ts
+++ b/src/placement/cold-permits.ts
@@ -29,7 +29,7 @@
 
 /** The answer to wishes. */
 export interface PermitAnswer {
-  /** Rises with each granter; `undefined` where the node that was asked is none. */
+  /** The granter's fencing token, higher with each granter; `undefined` where the node that was asked is none. */
   readonly term: Revision | undefined;
   readonly grants: readonly PermitGrant[];
 }
--- a/src/placement/evacuation-belief.ts
+++ b/src/placement/evacuation-belief.ts
@@ -2,7 +2,8 @@
  * How long a node may act on what it knows of evacuations. An evacuation comes by the shared store, so
  * nobody can have ordered one while the store is out for all: a node that other nodes answer, though
  * none of them hears from the store, goes on. One that hears from neither the store nor any other node
- * is cut off by itself. An evacuation may be in force everywhere else, and its callers are served there.
+ * is cut off by itself: the others may act on an evacuation that it has missed. It sends nothing, and its
+ * callers are served by the others.
  */
 import type { Milliseconds } from '../core/units.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
--- a/src/placement/job-residency.ts
+++ b/src/placement/job-residency.ts
@@ -68,11 +68,11 @@
   allowedOf({ tenant, requests, zone }: JobOrigin): AllowedRegions {
     const routes = this.options.routes();
     if (routes === undefined || !routes.limitsRegions) return undefined;
-    const where = this.regionAlone(zone);
+    const regionTakenIn = this.regionAlone(zone);
     const owner = tenant === undefined ? undefined : routes.tenants.named(tenant);
     const byRoutes = (requests ?? [undefined]).map((request) => {
       const route = request && routes.match(request.host, request.path);
-      return route === undefined ? where : route.allowedRegions;
+      return route === undefined ? regionTakenIn : route.allowedRegions;
     });
     return byRoutes.reduce(allowedByBoth, owner?.allowedRegions);
   }
@@ -135,6 +135,7 @@
     return [...byRoute.values()];
   }
 
+  /** The region of a zone as the only one that is allowed; any where the zone or its region is not known. */
   private regionAlone(zone: ZoneName | undefined): AllowedRegions {
     const region: RegionName | undefined =
       zone === undefined ? undefined : this.options.topology.regionOf(zone);
--- a/src/placement/permit-bucket.ts
+++ b/src/placement/permit-bucket.ts
@@ -4,7 +4,7 @@
 import { PERMIT_VALIDITY } from './cold-permits.js';
 import type { ColdTolerance } from './cold-tolerance.js';
 
-/** A suspension up to this long is not noticed by the one that holds a permit. */
+/** A suspension up to this long is not noticed by the gateway that was granted a permit. */
 const UNNOTICED_SUSPENSION: Milliseconds = 100;
 
 /** A request may wait this long for its connection to come up after its permit was used. */
--- a/src/placement/permit-granter.ts
+++ b/src/placement/permit-granter.ts
@@ -1,6 +1,6 @@
 /**
  * Grants permits for cold workers, at one node of the fleet. Its right to do so is the coordinator's fencing token.
- * One that has just got it waits until no permit of a holder before it can still let a request go.
+ * One that has just got it waits until no permit of the granter before it can still let a request go.
  */
 import { MINUTE, type Milliseconds, type Revision, SECOND } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
@@ -26,7 +26,7 @@
   readonly tolerance: ColdTolerance;
   /** The fencing token while this node coordinates. */
   readonly fencingToken: () => Revision | undefined;
-  /** Longest time after its loss for which a holder may take its token for valid. */
+  /** Longest time after its loss for which a coordinator may take its token for valid. */
   readonly tokenValidity: Milliseconds;
   readonly workerOf: (id: string) => WorkerRecord | undefined;
   /** What workers of a service bear while cold; `undefined` where they are never cold. */
--- a/src/placement/worker-warmth.ts
+++ b/src/placement/worker-warmth.ts
@@ -23,7 +23,7 @@
 interface KnownLife {
   readonly fields: Pick<WorkerRecord, 'id' | 'startedAt'>;
   readonly life: WorkerLife;
-  /** What the last record told. */
+  /** The cold time that the last record told. */
   recordedColdFor: Milliseconds | undefined;
   coldUntil: Milliseconds;
   doubtedAt: Milliseconds;
