--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -26,8 +26,7 @@
 /**
  * Shares of the bound for a configuration, which add up to 0.7, and to 0.85 with
  * {@link ANSWER_LIMIT} where the bound is 2 s; the rest is for the store's answer and for taking the
- * change in. Measured where all relays fall silent at the moment of a change: known after 1.8 s;
- * 3.9 s where each wait had a limit of its own.
+ * change in.
  */
 const WAIT_SHARE = 0.5;
 const SEARCH_SHARE = 0.2;
--- a/test/placement/job-residency.test.ts
+++ b/test/placement/job-residency.test.ts
@@ -121,8 +121,8 @@
     const residency = new JobResidency({ topology, self: 'node-0', zoneOf, routes: () => routes });
     const isInside = (node: string): boolean => {
       const region = zones.get(zoneOf(node) ?? '') ?? 'unknown';
-      const isAllowedBy = (wall: readonly string[] | undefined): boolean =>
-        wall === undefined || wall.includes(region);
+      const isAllowedBy = (limit: readonly string[] | undefined): boolean =>
+        limit === undefined || limit.includes(region);
       return isAllowedBy(limits.job) && isAllowedBy(limits.tenant);
     };
     const clock = new ManualClock();
