--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -193,9 +193,12 @@
     this.askTimer.unref();
   }
 
-  /** Whether one question may be about all workers; in a larger fleet work for them brings the questions. */
+  /**
+   * Whether one question may be about all workers; in a larger fleet work for them brings the questions.
+   * Looked at in each tick, so workers are counted without a look at their services.
+   */
   private get isFleetSmall(): boolean {
-    return this.coldStarters().length <= MOST_ASKED_ABOUT;
+    return this.options.registry().all().length <= MOST_ASKED_ABOUT;
   }
 
   /**
