Log owner, term and durability of listed pages, and where reads were answered

Change: lines page-listed, page-stored, page-resumed, job-cancelled, cancellation-stored and cancellation-resumed by owners; results-read with its origin or the cause of a missing answer, job-unanswered for cancellations and item bodies; counters pages_listed{by}, results_read{from}. One line per page or read, within the budget of decision lines; empty polls are only counted.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -5,9 +5,11 @@
 import type { Milliseconds } from '../core/units.js';
 import type { JobJournal } from '../journal/job-journal.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
 import { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
 import type { HeadChange, JobStore, StillNeeded, VersionedHead } from './job-store.js';
+import { ListingLog, NO_TERM } from './listing-log.js';
 import { JOURNAL_DELAY, type ListingChange, ListingWriter } from './listing-writer.js';
 import { firstPageOf } from './value-limits.js';
 
@@ -45,6 +47,8 @@
   /** Changes that an earlier owner journaled and the store lacks. */
   readonly resumed?: readonly ListingChange[];
   readonly metrics?: FleetMetrics;
+  /** Where listed pages are logged; `undefined` if they are not. */
+  readonly log?: DecisionLog;
 }
 
 export interface JobListingOptions {
@@ -86,11 +90,13 @@
   private isChanging = false;
 
   constructor(private readonly options: JobListingOptions) {
-    const { spec, head, listed, journaled, store, clock } = options;
-    const { journal, resumed = [], metrics = new FleetMetrics() } = journaled;
+    const { spec, head, listed, journaled, store, clock, self } = options;
+    const { journal, resumed = [], metrics = new FleetMetrics(), log } = journaled;
+    const term = journal?.term ?? NO_TERM;
     this.writer = new ListingWriter(
       {
-        ...{ job: spec.id, store, clock, journal, metrics },
+        ...{ job: spec.id, store, clock, journal },
+        log: new ListingLog({ job: spec.id, self, term, metrics, log }),
         progress: options.progress,
         isStillNeeded: () => options.isOpen() || this.isCancelling,
         keepsOwnership: (change) => this.keepsOwnership(change),
@@ -106,8 +112,9 @@
 
   /** Writes an earlier owner's journaled changes to the store; they may include a cancellation. */
   resume(): void {
-    const { resumed = [] } = this.options.journaled;
-    this.writer.resume(resumed);
+    const { listed, journaled } = this.options;
+    const { resumed = [] } = journaled;
+    this.writer.resume(resumed, listed.length);
     if (resumed.some(({ kind }) => kind === 'ended')) this.options.close('ended');
   }
 
@@ -126,6 +133,11 @@
     return this.listedPages;
   }
 
+  /** This owner's term in the zone's journal; `undefined` if the job has none. */
+  get term(): number | undefined {
+    return this.options.journaled.journal?.term;
+  }
+
   /** The head as this node last read or wrote it in the store. */
   get head(): VersionedHead | undefined {
     return this.writer.head;
@@ -260,7 +272,7 @@
     if (batch.length === 0 || !isOpen() || !this.canList) return false;
     this.lastListingAt = clock.now();
     const startedAt = suspendAwareTime(clock);
-    const isListed = await this.writer.list(batch);
+    const isListed = await this.writer.list(batch, this.listed.length);
     if (isListed) {
       this.pending = this.pending.filter((result) => !batch.includes(result));
       this.listed.push(...batch);
--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -9,7 +9,8 @@
 import { type JobResidency, UNRESTRICTED_RESIDENCY } from '../placement/job-residency.js';
 import type { TenantName } from '../tenants/tenant.js';
 import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
-import type { JobStore, Read } from './job-store.js';
+import type { JobStore } from './job-store.js';
+import type { ReadOrigin, ReadSource, Unanswered, UnansweredCause } from './read-log.js';
 
 /** Cache sizes in jobs: results, and specifications. */
 const MAX_CACHED_JOBS = 48;
@@ -21,6 +22,8 @@
   readonly total: number;
   /** The owner when the job was last read; `null` if none is known. */
   owner: JobOwner | null;
+  /** The owner's term, if known. */
+  term?: number | undefined;
   pages: number;
   /**
    * Position of the first of `results`. Earlier results are not fetched for a read from a later
@@ -41,8 +44,12 @@
   /** Position of the first of `results`. */
   readonly offset: number;
   readonly results: readonly JobResult[];
+  readonly source: ReadSource;
 }
 
+/** A job's results, or why they cannot be read. */
+export type ListingRead = { readonly kind: 'found'; readonly value: ReadListing } | Unanswered;
+
 /** Results that the owner of a job reported, from the requested position on. */
 export interface OwnerListing {
   readonly tenant: TenantName | undefined;
@@ -83,55 +90,49 @@
    * Results of a job from position `after` on, including at least those listed before the call.
    * Cached results before the position may be included.
    */
-  async listing(job: string, after: number, wait: Milliseconds): Promise<Read<ReadListing>> {
+  async listing(job: string, after: number, wait: Milliseconds): Promise<ListingRead> {
     const cached = this.jobs.get(job);
     const usable = cached === undefined || after < cached.offset ? undefined : cached;
     if (usable !== undefined && (after < endOf(usable) || isComplete(usable))) {
-      return { kind: 'found', value: usable };
+      return readFrom('cache', usable);
     }
     const loaded = usable ?? this.loadCachedOwner(job, after) ?? (await this.load(job, after));
     if ('kind' in loaded) return loaded;
-    if (after < endOf(loaded)) return { kind: 'found', value: loaded };
-    if (await this.readFromOwner(job, loaded, wait)) return { kind: 'found', value: loaded };
+    if (after < endOf(loaded)) return readFrom('peer-owner', loaded);
+    if (await this.readFromOwner(job, loaded, wait)) return readFrom('peer-owner', loaded);
     return this.readFromStore(job, loaded, after);
   }
 
   /** Reads results from the store, unless a journal may have listed more. */
-  private async readFromStore(
-    job: string,
-    loaded: CachedJob,
-    after: number,
-  ): Promise<Read<ReadListing>> {
+  private async readFromStore(job: string, loaded: CachedJob, after: number): Promise<ListingRead> {
     // Page numbers are relative to the first position.
     const fromStart = loaded.offset === 0 ? loaded : await this.loadFromStore(job);
     if ('kind' in fromStart) return fromStart;
     return this.readPages(job, fromStart, after);
   }
 
-  private async readPages(
-    job: string,
-    cached: CachedJob,
-    after: number,
-  ): Promise<Read<ReadListing>> {
+  private async readPages(job: string, cached: CachedJob, after: number): Promise<ListingRead> {
     // The journal is checked first: entries released after that are already in the store.
-    const hasAllListed = await this.isStoreComplete(job);
+    const incompleteness = await this.incompletenessOfStore(job);
     const read = await this.store.results(job, cached.pages);
-    if (read.kind !== 'found') return { kind: 'unavailable' };
+    if (read.kind !== 'found') return { kind: 'unavailable', cause: 'store-silent' };
     this.extend(cached, read.value);
-    const isAnswerable = after < endOf(cached) || hasAllListed;
-    return isAnswerable ? { kind: 'found', value: cached } : { kind: 'unavailable' };
+    if (after < endOf(cached) || incompleteness === undefined) return readFrom('store', cached);
+    return { kind: 'unavailable', cause: incompleteness };
   }
 
-  /** Whether the store certainly has all listed results of a job. */
-  private async isStoreComplete(job: string): Promise<boolean> {
+  /** Why the store may lack listed results of a job; `undefined` if it certainly has all. */
+  private async incompletenessOfStore(job: string): Promise<UnansweredCause | undefined> {
     const { journals } = this;
-    if (journals === undefined) return true;
+    if (journals === undefined) return undefined;
     const storedHead = await this.store.head(job);
-    if (storedHead.kind !== 'found') return false;
+    if (storedHead.kind === 'unavailable') return 'store-silent';
+    if (storedHead.kind === 'absent') return 'may-be-journaled';
     const { head } = storedHead.value;
     // A job cancelled in the store may have results that only its partitioned zone has listed.
-    if (head.replicas === undefined || head.listed >= head.total) return true;
-    return (await journals.entryStatus(job, head.replicas)) === 'not-held';
+    if (head.replicas === undefined || head.listed >= head.total) return undefined;
+    const status = await journals.entryStatus(job, head.replicas);
+    return status === 'not-held' ? undefined : 'pages-may-be-journaled';
   }
 
   /** Whether a job that the store does not have is certain not to exist. */
@@ -144,18 +145,25 @@
   }
 
   /** Reads the specification of a job. */
-  async specification(job: string): Promise<Read<JobSpecification>> {
+  async specification(
+    job: string,
+  ): Promise<{ readonly kind: 'found'; readonly value: JobSpecification } | Unanswered> {
     const known = this.specifications.get(job);
     if (known !== undefined) return { kind: 'found', value: known };
     const read = await this.store.specification(job);
-    if (read.kind === 'absent' && !(await this.isCertainlyAbsent(job)))
-      return { kind: 'unavailable' };
-    if (read.kind !== 'found') return read;
+    if (read.kind !== 'found') return this.explainMissing(job, read.kind);
     const mayCache = this.residency.mayHoldHere(this.residency.regionsForSpec(read.value));
     if (mayCache) addBounded(this.specifications, job, read.value, MAX_CACHED_SPECIFICATIONS);
     return read;
   }
 
+  /** Whether a job that was not found in the store is absent, and why if that is unknown. */
+  async explainMissing(job: string, found: 'absent' | 'unavailable'): Promise<Unanswered> {
+    if (found === 'unavailable') return { kind: 'unavailable', cause: 'store-silent' };
+    if (await this.isCertainlyAbsent(job)) return { kind: 'absent', cause: 'not-held' };
+    return { kind: 'unavailable', cause: 'may-be-journaled' };
+  }
+
   private loadCachedOwner(job: string, after: number): CachedJob | undefined {
     const cached = this.owners.get(job);
     return cached === undefined ? undefined : { ...cached, pages: 0, offset: after, results: [] };
@@ -168,7 +176,7 @@
     else addBounded(this.owners, job, { tenant, total, owner }, MAX_CACHED_JOBS);
   }
 
-  private async load(job: string, after: number): Promise<CachedJob | Read<never>> {
+  private async load(job: string, after: number): Promise<CachedJob | Unanswered> {
     return (await this.loadFromOwner(job, after)) ?? this.loadFromStore(job);
   }
 
@@ -185,14 +193,12 @@
     return undefined;
   }
 
-  private async loadFromStore(job: string): Promise<CachedJob | Read<never>> {
+  private async loadFromStore(job: string): Promise<CachedJob | Unanswered> {
     const read = await this.store.head(job);
-    if (read.kind === 'absent' && !(await this.isCertainlyAbsent(job)))
-      return { kind: 'unavailable' };
-    if (read.kind !== 'found') return read;
-    const { tenant, total, owner, ended } = read.value.head;
+    if (read.kind !== 'found') return this.explainMissing(job, read.kind);
+    const { tenant, total, owner, ended, term } = read.value.head;
     const currentOwner = ended ? null : owner;
-    const loaded = { tenant, total, owner: currentOwner, pages: 0, offset: 0, results: [] };
+    const loaded = { tenant, total, owner: currentOwner, term, pages: 0, offset: 0, results: [] };
     this.cacheJob(job, loaded, this.residency.regionsForOrigin(read.value.head));
     return loaded;
   }
@@ -227,6 +233,12 @@
   }
 }
 
+function readFrom(from: ReadOrigin, cached: CachedJob): ListingRead {
+  const { tenant, total, offset, results, owner, pages, term } = cached;
+  const source = owner === null ? { from, pages } : { from, pages, owner, term };
+  return { kind: 'found', value: { tenant, total, offset, results, source } };
+}
+
 /** Position after the last cached result. */
 function endOf({ offset, results }: CachedJob): number {
   return offset + results.length;
--- a/src/jobs/job-results.ts
+++ b/src/jobs/job-results.ts
@@ -14,7 +14,7 @@
 
 /** The results from position `after` on, as many as fit into one response. */
 export function sliceOf(
-  listing: Omit<ReadListing, 'tenant' | 'offset'> & Partial<Pick<ReadListing, 'offset'>>,
+  listing: Pick<ReadListing, 'total' | 'results'> & Partial<Pick<ReadListing, 'offset'>>,
   after: number,
 ): ResultSlice {
   const { offset = 0 } = listing;
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -22,6 +22,7 @@
 import { JournalRecovery } from './journal-recovery.js';
 import type { OwnedJob } from './owned-job.js';
 import { OwnedJobs, type OwnedJobsOptions } from './owned-jobs.js';
+import { ReadLog, type Unanswered } from './read-log.js';
 import { STORE_RETRY_AFTER } from './store-reads.js';
 
 export interface JobServiceOptions extends OwnedJobsOptions {
@@ -60,10 +61,12 @@
   private readonly transfer: JobTransfer;
   private readonly recovery: JournalRecovery | undefined;
   private readonly residency: JobResidency;
+  private readonly reads: ReadLog;
   private nextResidencyScanAt: Milliseconds = 0;
 
   constructor(private readonly options: JobServiceOptions) {
     this.owned = new OwnedJobs(options);
+    this.reads = new ReadLog(options.log, options.metrics);
     this.residency = options.residency ?? UNRESTRICTED_RESIDENCY;
     const shared = { ...options, owned: this.owned, residency: this.residency };
     this.submissions = new JobSubmissions(shared);
@@ -153,7 +156,9 @@
     caller: CallerIdentity,
   ): Promise<ResultSlice | Failure> {
     const forwarded = await this.options.peers.readElsewhere(job, after, wait, caller);
-    return forwarded ?? this.readHere(job, after, wait, caller);
+    if (forwarded === undefined) return this.readHere(job, after, wait, caller);
+    if ('results' in forwarded) this.reads.noteRead(job, after, forwarded, { from: 'relay' });
+    return forwarded;
   }
 
   /**
@@ -169,18 +174,17 @@
     const { residency } = this;
     if (residency.limitsRegions && this.owned.answerable(job) === undefined) {
       const read = await this.options.store.head(job);
-      if (read.kind === 'unavailable') return storeUnavailable();
       // Without a head the allowed regions are unknown, so no other node is queried.
-      if (read.kind === 'absent') return this.absenceFailure(job);
+      if (read.kind !== 'found') {
+        const missing = await this.options.reader.explainMissing(job, read.kind);
+        this.reads.noteUnread(job, after, missing);
+        return failureOf(missing);
+      }
       if (!residency.mayHoldHere(residency.regionsForOrigin(read.value.head))) return REGION_DENIED;
     }
     return this.readHere(job, after, wait, caller);
   }
 
-  private async absenceFailure(job: string): Promise<Failure> {
-    return (await this.options.reader.isCertainlyAbsent(job)) ? NO_SUCH_JOB : storeUnavailable();
-  }
-
   /** Reads from this node's own jobs, the owner or the store. */
   async readHere(
     job: string,
@@ -195,11 +199,15 @@
       return this.readOwned(ownedJob, after, wait, caller);
     }
     const read = await this.options.reader.listing(job, after, wait);
-    if (read.kind === 'absent') return NO_SUCH_JOB;
-    if (read.kind === 'unavailable') return storeUnavailable();
-    const { tenant } = read.value;
+    if (read.kind !== 'found') {
+      this.reads.noteUnread(job, after, read);
+      return failureOf(read);
+    }
+    const { tenant, source } = read.value;
     if (!mayAccess(caller, tenant)) return this.deny(job, tenant, caller);
-    return sliceOf(read.value, after);
+    const slice = sliceOf(read.value, after);
+    this.reads.noteRead(job, after, slice, source);
+    return slice;
   }
 
   /** Reads the request body of one item, at the owner or in the store. */
@@ -216,8 +224,10 @@
       ownedJob === undefined
         ? await this.options.reader.specification(job)
         : ({ kind: 'found', value: ownedJob.spec } as const);
-    if (specification.kind === 'absent') return NO_SUCH_JOB;
-    if (specification.kind === 'unavailable') return storeUnavailable();
+    if (specification.kind !== 'found') {
+      this.reads.noteUnanswered('item-body', job, specification);
+      return failureOf(specification);
+    }
     const { tenant, items } = specification.value;
     if (!mayAccess(caller, tenant)) return this.deny(job, tenant, caller);
     return bodyOrAbsent(items.find((entry) => entry.id === item)?.body);
@@ -270,7 +280,9 @@
     for (;;) {
       const read = await this.options.store.head(job);
       if (read.kind === 'absent') {
-        return this.absenceFailure(job);
+        const missing = await this.options.reader.explainMissing(job, read.kind);
+        this.reads.noteUnanswered('cancel', job, missing);
+        return failureOf(missing);
       }
       if (read.kind === 'found') {
         const { ended: isCancelled, owner, tenant } = read.value.head;
@@ -281,9 +293,16 @@
         if (isCancelledByOwner) return undefined;
         const ended = { ended: true };
         const change = await this.options.store.replace(job, read.value, ended, isStillNeeded);
-        if (change.kind === 'changed') return undefined;
+        if (change.kind === 'changed') {
+          this.options.log.state('job-cancelled', { job, owner: 'none', durableBy: 'store' });
+          return undefined;
+        }
+      }
+      if (!isStillNeeded()) {
+        const cause = read.kind === 'found' ? 'change-not-confirmed' : 'store-silent';
+        this.reads.noteUnanswered('cancel', job, { kind: 'unavailable', cause });
+        return storeUnavailable();
       }
-      if (!isStillNeeded()) return storeUnavailable();
       await this.options.clock.sleep(STORE_RETRY_AFTER);
     }
   }
@@ -346,8 +365,16 @@
   ): Promise<ResultSlice | Failure> {
     await this.awaitResults(job, after, wait);
     if (!job.canAnswer) return this.readHere(job.spec.id, after, 0, caller);
-    if (mayLackResults(job, after)) return storeUnavailable();
-    return sliceOf({ total: job.spec.items.length, results: job.results }, after);
+    const { id, items } = job.spec;
+    if (mayLackResults(job, after)) {
+      const unread = { kind: 'unavailable', cause: 'ownership-unconfirmed' } as const;
+      this.reads.noteUnread(id, after, unread);
+      return storeUnavailable();
+    }
+    const { pages, term } = job;
+    const slice = sliceOf({ total: items.length, results: job.results }, after);
+    this.reads.noteRead(id, after, slice, { from: 'owner', owner: this.options.self, pages, term });
+    return slice;
   }
 
   /** Waits for a result at or after a position, or confirms that none is listed. */
@@ -368,6 +395,10 @@
   return isShort && job.confirmationAge() > MAX_END_OF_LIST_CONFIRMATION_AGE;
 }
 
+function failureOf({ kind }: Unanswered): Failure {
+  return kind === 'absent' ? NO_SUCH_JOB : storeUnavailable();
+}
+
 function bodyOrAbsent(body: string | undefined): Buffer | Failure {
   if (body === undefined) return failure('not_found', 'the job has no such item');
   return Buffer.from(body, 'base64');
--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -11,9 +11,9 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
 import type { Clock } from '../serving/clock.js';
-import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobResult, StoredProgress } from './job-records.js';
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
+import type { ListingLog, PositionedChange } from './listing-log.js';
 
 /** A result page, or the cancellation of the job. */
 export type ListingChange = Exclude<JournalEntry, { kind: 'created' }>;
@@ -33,10 +33,10 @@
 export interface ListingWriterOptions {
   readonly job: string;
   readonly store: JobStore;
-  readonly clock: Pick<Clock, 'sleep'>;
+  readonly clock: Pick<Clock, 'now' | 'sleep'>;
   /** The zone's journal of the job; `undefined` if there is none. */
   readonly journal: JobJournal | undefined;
-  readonly metrics: FleetMetrics;
+  readonly log: ListingLog;
   /** Progress of unfinished items, stored with each commit. */
   readonly progress: () => StoredProgress;
   /** Whether to keep retrying commits whose changes are not journaled. */
@@ -48,8 +48,8 @@
 }
 
 /** A change that the store does not have yet. */
-interface QueuedChange {
-  readonly change: ListingChange;
+interface QueuedChange extends PositionedChange {
+  readonly queuedAt: Milliseconds;
   /** Whether the journal has the change, so that the store must receive it. */
   isJournaled: boolean;
   /** Whether the outcome is known: durable in the journal or the store, or dropped. */
@@ -91,22 +91,33 @@
     void this.flush();
   }
 
-  /** Queues changes that an earlier owner journaled and the store lacks. */
-  resume(changes: readonly ListingChange[]): void {
+  /**
+   * Queues changes that an earlier owner journaled and the store lacks; `nextPosition` is the
+   * position of their first result.
+   */
+  resume(changes: readonly ListingChange[], nextPosition: number): void {
+    const { clock, log } = this.options;
+    let first = nextPosition;
     for (const change of changes) {
-      this.queue.push({ change, isJournaled: true, isSettled: true, settle: () => {} });
+      const queued = { change, first, queuedAt: clock.now() };
+      this.queue.push({ ...queued, isJournaled: true, isSettled: true, settle: () => {} });
+      log.noteResumed(queued);
+      if (change.kind === 'page') first += change.results.length;
     }
     void this.flush();
   }
 
-  /** Lists a page of results after all others; resolves with whether it is durable. */
-  list(results: readonly JobResult[]): Promise<boolean> {
-    return this.write({ kind: 'page', number: this.pages, results: [...results] });
+  /**
+   * Lists a page of results after all others, from position `first` on; resolves with whether it is
+   * durable.
+   */
+  list(results: readonly JobResult[], first: number): Promise<boolean> {
+    return this.write({ kind: 'page', number: this.pages, results: [...results] }, first);
   }
 
   /** Cancels the job; resolves with whether the cancellation is durable. */
   cancel(): Promise<boolean> {
-    return this.write({ kind: 'ended' });
+    return this.write({ kind: 'ended' }, 0);
   }
 
   /** Whether the zone's journal confirms that no other node has claimed the job. */
@@ -114,10 +125,10 @@
     return (await this.options.journal?.append([])) === 'kept';
   }
 
-  private write(change: ListingChange): Promise<boolean> {
+  private write(change: ListingChange, first: number): Promise<boolean> {
     return new Promise((resolve) => {
       const queued: QueuedChange = {
-        change,
+        ...{ change, first, queuedAt: this.options.clock.now() },
         isJournaled: false,
         isSettled: false,
         settle: (isDurable) => {
@@ -134,7 +145,7 @@
 
   /** Writes a change to the journal if the store has not accepted it after a delay. */
   private async journalIfDelayed(queued: QueuedChange): Promise<void> {
-    const { journal, clock, metrics } = this.options;
+    const { journal, clock, log } = this.options;
     if (journal === undefined) return;
     await clock.sleep(JOURNAL_DELAY);
     while (!queued.isSettled && !this.isSuperseded) {
@@ -147,7 +158,7 @@
       }
       if (outcome === 'kept') {
         queued.isJournaled = true;
-        metrics.count('journaled_changes', { change: queued.change.kind });
+        log.noteDurable(queued, 'journal', this.ageOf(queued));
         queued.settle(true);
         return;
       }
@@ -189,6 +200,7 @@
     if (change.kind === 'changed') {
       this.current = change.current;
       this.queue.splice(0, batch.length);
+      this.logStored(batch);
       const journaled = batch.filter(({ isJournaled }) => isJournaled);
       void this.options.journal?.release(journaled.map((queued) => queued.change));
       this.options.onHeadChange(change);
@@ -205,6 +217,18 @@
     }
     this.isSuperseded = !isStillOwner;
   }
+
+  private logStored(batch: readonly QueuedChange[]): void {
+    const { log } = this.options;
+    for (const queued of batch) {
+      if (queued.isJournaled) log.noteStored(queued, this.ageOf(queued));
+      else log.noteDurable(queued, 'store', this.ageOf(queued));
+    }
+  }
+
+  private ageOf(queued: QueuedChange): Milliseconds {
+    return this.options.clock.now() - queued.queuedAt;
+  }
 }
 
 /** Combines changes into one extension of the job. */
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -110,6 +110,11 @@
     return this.listing.pages;
   }
 
+  /** This owner's term in the zone's journal; `undefined` if the job has none. */
+  get term(): number | undefined {
+    return this.listing.term;
+  }
+
   /** Enables listing after the store has accepted the job. */
   attach(head: VersionedHead): void {
     this.listing.attach(head);
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -19,6 +19,14 @@
     labels: ['outcome'],
   },
   results_listed: { help: 'Results given a position', labels: ['state'] },
+  pages_listed: {
+    help: 'Pages of results listed here, by what first made them durable',
+    labels: ['by'],
+  },
+  results_read: {
+    help: 'Answers to readers of results, by where the results came from or why there are none',
+    labels: ['from'],
+  },
   store_calls: { help: 'Calls to the shared store', labels: ['call', 'outcome'] },
   relayed_watches: {
     help: 'Watches of the shared store by way of another node',
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -34,6 +34,7 @@
   readonly dispatcher: ItemDispatcher;
   readonly registry: WorkerRegistry;
   readonly quarantine: RequestQuarantine;
+  readonly metrics: FleetMetrics;
   readonly lines: readonly string[];
 }
 
@@ -120,6 +121,7 @@
     dispatcher,
     registry,
     quarantine: ownQuarantine,
+    metrics,
     lines,
   };
 }
