--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -11,7 +11,7 @@
 import type { JobResidency } from '../../src/placement/job-residency.js';
 import type { SendRules } from '../../src/placement/send-rules.js';
 import type { DistanceBetween } from '../../src/placement/zone-topology.js';
-import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { type Clock, PROCESS_CLOCK } from '../../src/serving/clock.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import type { RequestQuarantine } from '../../src/serving/request-quarantine.js';
 import { RouteMatcher } from '../../src/serving/route-matcher.js';
@@ -57,6 +57,10 @@
 
 /** Optional parts of a job node. */
 export interface JobNodeExtras {
+  /** The zone of the node. @default 'zone-1' */
+  readonly zone?: string;
+  /** @default the clocks of this process */
+  readonly clock?: Clock;
   readonly journals?: ZoneJournals;
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether the store is unreachable from the node. @default it is */
@@ -78,13 +82,14 @@
   extras: JobNodeExtras = {},
 ): JobNode {
   const {
+    zone = 'zone-1',
+    clock = PROCESS_CLOCK,
     journals,
     isWriterLive = () => true,
     isStoreUnreachable = () => true,
     residency,
   } = extras;
   const { log, lines } = recordingLog();
-  const clock = PROCESS_CLOCK;
   const metrics = new FleetMetrics();
   const registry = new WorkerRegistry(extras.rules, extras.distanceBetween);
   const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
@@ -99,7 +104,7 @@
     registry,
     quarantine: ownQuarantine,
     isStoreUnreachable,
-    zone: 'zone-1',
+    zone,
   });
   const reader = new JobReader(
     store,
@@ -111,7 +116,7 @@
   const options = {
     ...shared,
     ...{ store, reader, peers, dispatcher, self },
-    zone: 'zone-1',
+    zone,
     retention: () => 60_000,
     ...{ journals, residency, isWriterLive, canRecover: () => journals !== undefined },
   };
--- a/test/journal/journal-fixtures.ts
+++ b/test/journal/journal-fixtures.ts
@@ -10,6 +10,7 @@
 import { REPLICA_PREFIX } from '../../src/journal/replica-record.js';
 import { ZoneJournals } from '../../src/journal/zone-journals.js';
 import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
+import type { Clock } from '../../src/serving/clock.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { ManualClock, result, specification } from '../jobs/job-fixtures.js';
 import { recordingLog } from '../serving/serving-fixtures.js';
@@ -42,11 +43,15 @@
   readonly locations: ReplicaLocation[] = [];
   readonly requests: PeerRequest[] = [];
 
-  private constructor(private readonly test: Test) {}
+  private constructor(
+    private readonly test: Test,
+    /** Name of the zone. */
+    readonly name: string,
+  ) {}
 
-  static async open(test: Test, count = 3): Promise<JournalZone> {
-    const zone = new JournalZone(test);
-    for (let index = 0; index < count; index += 1) await zone.add(`10.0.0.${index}:1`);
+  static async open(test: Test, count = 3, name = ZONE, network = '10.0.0'): Promise<JournalZone> {
+    const zone = new JournalZone(test, name);
+    for (let index = 0; index < count; index += 1) await zone.add(`${network}.${index}:1`);
     return zone;
   }
 
@@ -59,10 +64,21 @@
     const replica = await openReplica(folder);
     this.replicas.set(address, replica);
     this.folders.set(address, folder);
-    this.locations.push({ node: `disk-${address}`, zone: ZONE, address, disk: replica.disk });
+    this.locations.push(this.locationOf(address, replica));
     this.test.teardown(() => replica.stop());
   }
 
+  private locationOf(address: string, { disk }: JournalReplica): ReplicaLocation {
+    return { node: `disk-${address}`, zone: this.name, address, disk };
+  }
+
+  /** Registers the disk that a replica has now, in place of an earlier one. */
+  register(address: string): void {
+    const replica = this.replicas.get(address);
+    const index = this.locations.findIndex((location) => location.address === address);
+    if (replica !== undefined) this.locations[index] = this.locationOf(address, replica);
+  }
+
   /** Simulates a power failure and a restart, with the same disk or an empty one. */
   async restart(address: string, disk: 'kept' | 'empty' = 'kept'): Promise<void> {
     await this.replicas.get(address)?.stop();
@@ -97,16 +113,39 @@
     clock = new ManualClock(),
     otherReplicas: readonly ReplicaLocation[] = [],
   ): ZoneJournals {
-    const directory = new ReplicaDirectory({ clock, groupSize: 3 });
-    for (const location of [...this.locations, ...otherReplicas]) {
-      const key = `${REPLICA_PREFIX}${location.node}`;
-      directory.applyChange({ key, value: JSON.stringify(location), revision: 1 });
-    }
-    directory.noteListed();
-    return new ZoneJournals({ port: this, metrics: new FleetMetrics(), directory, zone, writer });
+    const locations = [...this.locations, ...otherReplicas];
+    return openJournals({ port: this, locations, zone, writer, clock }).journals;
   }
 }
 
+/** What one node knows of the replicas, and the journals that it opens on them. */
+export interface NodeJournals {
+  readonly directory: ReplicaDirectory;
+  readonly journals: ZoneJournals;
+}
+
+/** Opens the journals of a node whose directory lists replicas. */
+export function openJournals(node: {
+  readonly port: PeerPort;
+  readonly locations: readonly ReplicaLocation[];
+  readonly zone: string;
+  readonly writer: string;
+  readonly clock: Clock;
+}): NodeJournals {
+  const { port, locations, zone, writer, clock } = node;
+  const directory = new ReplicaDirectory({ clock, groupSize: 3 });
+  for (const location of locations) listReplica(directory, location);
+  directory.noteListed();
+  const options = { port, metrics: new FleetMetrics(), directory, zone, writer };
+  return { directory, journals: new ZoneJournals(options) };
+}
+
+/** Has a directory list a replica, or the new disk of one that it lists. */
+export function listReplica(directory: ReplicaDirectory, location: ReplicaLocation): void {
+  const key = `${REPLICA_PREFIX}${location.node}`;
+  directory.applyChange({ key, value: JSON.stringify(location), revision: 1 });
+}
+
 export const CREATED_ENTRY: JournalEntry = {
   kind: 'created',
   spec: specification('job', 2),
