Accept a job only by the zone that its trainer's record names

Cause: an acceptance rested on what others had said a moment before, with nothing that bound them: looks at other zones' replicas, the belief that a next step was submitted nowhere else, a claim at a group of replicas that each gateway chose from its own list. Change: a record a trainer in the store names the zone, a term, the group of replicas and the last step. Each creation in the store replaces the record in the same commit, so a late one has no effect once another zone has accepted. Claims of new jobs use that group and term. Recovery stores a journaled job only if the right was not fenced or the zone that fenced it found the job. Tests: journaled-jobs.test.ts lets the first node's commits fail instead of the whole store, as a node that can't read the record claims nothing; its checks are unchanged.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -4,6 +4,7 @@
  */
 
 import { randomUUID } from 'node:crypto';
+import { TRAINER_RECORD_FORMAT_VERSION } from '../core/format-version.js';
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import { ItemDispatcher } from '../jobs/item-dispatcher.js';
@@ -223,6 +224,7 @@
       ),
       ...{ journals, residency },
       isWriterLive: (writer) => autonomy.isWriterLive(writer),
+      areTrainerRecordsUsedByAll: () => this.fleet.isReadByAll(TRAINER_RECORD_FORMAT_VERSION),
       canRecover: () => !this.fleet.isStoreUnreachable && this.placement.owners().includes(node),
       peers,
       dispatcher: this.dispatcher,
--- a/src/jobs/job-admission.ts
+++ b/src/jobs/job-admission.ts
@@ -2,11 +2,12 @@
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import { tenantConflict } from './job-acceptance.js';
 import type { JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
 import type { JobSpecification } from './job-records.js';
 import type { JobStore, StillNeeded } from './job-store.js';
-import { type JobSubmissions, tenantConflict } from './job-submissions.js';
+import type { JobSubmissions } from './job-submissions.js';
 import { STORE_RETRY_AFTER } from './store-reads.js';
 
 export interface JobAdmissionOptions {
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -24,6 +24,7 @@
 import { OwnedJobs, type OwnedJobsOptions } from './owned-jobs.js';
 import { ReadLog, type Unanswered } from './read-log.js';
 import { STORE_RETRY_AFTER } from './store-reads.js';
+import { TrainerHomes } from './trainer-homes.js';
 
 export interface JobServiceOptions extends OwnedJobsOptions {
   readonly reader: JobReader;
@@ -34,6 +35,8 @@
   readonly isWriterLive?: (writer: string) => boolean;
   /** Which nodes may store a job. @default all */
   readonly residency?: JobResidency | undefined;
+  /** Whether no build without trainer records may be running. @default none is */
+  readonly areTrainerRecordsUsedByAll?: () => boolean;
   /** Whether this node recovers jobs that only the zone's journal has. @default it does not */
   readonly canRecover?: () => boolean;
 }
@@ -61,6 +64,7 @@
   private readonly transfer: JobTransfer;
   private readonly recovery: JournalRecovery | undefined;
   private readonly residency: JobResidency;
+  private readonly homes: TrainerHomes | undefined;
   private readonly reads: ReadLog;
   private nextResidencyScanAt: Milliseconds = 0;
 
@@ -68,13 +72,17 @@
     this.owned = new OwnedJobs(options);
     this.reads = new ReadLog(options.log, options.metrics);
     this.residency = options.residency ?? UNRESTRICTED_RESIDENCY;
-    const shared = { ...options, owned: this.owned, residency: this.residency };
+    const { journals, isWriterLive = () => true, canRecover = () => false } = options;
+    if (journals !== undefined) this.homes = new TrainerHomes({ ...options, journals });
+    const { owned, residency, homes } = this;
+    const shared = { ...options, owned, residency, homes };
     this.submissions = new JobSubmissions(shared);
     this.admission = new JobAdmission({ ...options, submissions: this.submissions });
     this.transfer = new JobTransfer(shared);
-    const { journals, isWriterLive = () => true, canRecover = () => false } = options;
-    if (journals === undefined) return;
-    this.recovery = new JournalRecovery({ ...shared, journals, isWriterLive, canRecover });
+    if (journals === undefined || homes === undefined) return;
+    const isPending = (job: string): boolean => this.submissions.isPending(job);
+    const recovery = { ...shared, journals, homes, isWriterLive, canRecover, isPending };
+    this.recovery = new JournalRecovery(recovery);
   }
 
   /** Jobs that this node owns, and recently closed ones. */
@@ -135,7 +143,7 @@
 
   /** Called if this machine may have been suspended. */
   noteSuspended(): void {
-    this.submissions.noteSuspended();
+    this.homes?.clear();
   }
 
   tick(): void {
--- a/src/jobs/job-store.ts
+++ b/src/jobs/job-store.ts
@@ -8,7 +8,12 @@
 import { randomUUID } from 'node:crypto';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
-import { ABSENT, type SharedStore, type StorePut } from '../shared-store/shared-store.js';
+import {
+  ABSENT,
+  type SharedStore,
+  type StoreCondition,
+  type StorePut,
+} from '../shared-store/shared-store.js';
 import {
   decodeHead,
   decodePage,
@@ -20,6 +25,14 @@
   type JobSpecification,
   type StoredProgress,
 } from './job-records.js';
+import {
+  decodeTrainerRecord,
+  TRAINER_PREFIX,
+  type TrainerChange,
+  type TrainerKey,
+  type TrainerRecord,
+  type VersionedTrainerRecord,
+} from './trainer-record.js';
 
 /** A head and its revision in the store. */
 export interface VersionedHead {
@@ -35,6 +48,18 @@
   /** The store did not answer in time; with `mayBeDone` the change may still take effect. */
   | { readonly kind: 'unavailable'; readonly mayBeDone: boolean };
 
+/** Outcome of the creation of a job. */
+export type CreationOutcome =
+  | {
+      readonly kind: 'changed';
+      readonly current: VersionedHead;
+      /** Revision of the trainer's record; `undefined` if it is not known. */
+      readonly trainerRevision?: Revision | undefined;
+    }
+  | Exclude<HeadChange, { kind: 'changed' }>
+  /** The job does not exist, and another node changed the trainer's record first. */
+  | { readonly kind: 'trainer-changed' };
+
 /** Pages, and possibly a cancellation, that one commit adds to a job. */
 export interface JobExtension {
   readonly pages: readonly (readonly JobResult[])[];
@@ -67,12 +92,23 @@
     private readonly clock: Pick<Clock, 'sleep'>,
   ) {}
 
-  /** Creates a job; `superseded` means that it already exists. */
+  /**
+   * Creates a job, and changes its trainer's record in the same commit; `superseded` means that the
+   * job already exists.
+   */
+  create(spec: JobSpecification, head: HeadFields, isStillNeeded: StillNeeded): Promise<HeadChange>;
   create(
     spec: JobSpecification,
     head: HeadFields,
     isStillNeeded: StillNeeded,
-  ): Promise<HeadChange> {
+    trainer: TrainerChange | undefined,
+  ): Promise<CreationOutcome>;
+  async create(
+    spec: JobSpecification,
+    head: HeadFields,
+    isStillNeeded: StillNeeded,
+    trainer?: TrainerChange,
+  ): Promise<CreationOutcome> {
     const text = JSON.stringify(spec);
     const puts: StorePut[] = [];
     for (let part = 0; part * PART_LENGTH < text.length; part += 1) {
@@ -80,7 +116,42 @@
       puts.push({ key: JOB_KEYS.specification(spec.id, part), value });
     }
     const completeHead = { ...head, specificationParts: puts.length };
-    return this.change(spec.id, ABSENT, completeHead, puts, isStillNeeded);
+    const expected: StoreCondition[] = [];
+    if (trainer !== undefined) {
+      const { key, base, record } = trainer;
+      expected.push({ key, revision: base });
+      puts.push({ key, value: JSON.stringify(record) });
+    }
+    let committedAt: Revision | undefined;
+    const change = await this.change(spec.id, ABSENT, completeHead, puts, isStillNeeded, {
+      expected,
+      onCommitted: (revision) => {
+        committedAt = revision;
+      },
+    });
+    if (change.kind === 'changed') return { ...change, trainerRevision: committedAt };
+    const isAbsent = change.kind === 'superseded' && change.current === undefined;
+    return isAbsent && trainer !== undefined ? { kind: 'trainer-changed' } : change;
+  }
+
+  /** Reads the record of a trainer. */
+  async trainerRecord(key: TrainerKey): Promise<Read<VersionedTrainerRecord>> {
+    const outcome = await this.store.get(key);
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    if (outcome.item === undefined) return { kind: 'absent' };
+    const record = decodeTrainerRecord(outcome.item.value);
+    if (record === undefined) return { kind: 'unavailable' };
+    return { kind: 'found', value: { record, revision: outcome.item.revision } };
+  }
+
+  /** Reads the records of all trainers. */
+  async trainerRecords(): Promise<Read<readonly TrainerRecord[]>> {
+    const outcome = await this.store.range(TRAINER_PREFIX);
+    if (outcome.kind === 'failed') return { kind: 'unavailable' };
+    const records = outcome.items.map((item) => decodeTrainerRecord(item.value));
+    const readable = records.filter((record) => record !== undefined);
+    if (readable.length < records.length) return { kind: 'unavailable' };
+    return { kind: 'found', value: readable };
   }
 
   /** Lists one page of results after those of `base`. */
@@ -204,14 +275,17 @@
     fields: Omit<JobHead, 'changeId'>,
     puts: readonly StorePut[],
     isStillNeeded: StillNeeded,
+    { expected: conditions = [], onCommitted = () => {} }: CommitExtras = {},
   ): Promise<HeadChange> {
     const head: JobHead = { ...fields, changeId: randomUUID() };
     const key = JOB_KEYS.head(job);
     const put = [{ key, value: JSON.stringify(head) }, ...puts];
+    const expected = [{ key, revision: base }, ...conditions];
     let mayBeDone = false;
     for (let delay = MIN_RETRY_DELAY; ; delay = Math.min(2 * delay, MAX_RETRY_DELAY)) {
-      const outcome = await this.store.commit({ expected: [{ key, revision: base }], put });
+      const outcome = await this.store.commit({ expected, put });
       if (outcome.kind === 'committed') {
+        onCommitted(outcome.revision);
         return { kind: 'changed', current: { head, revision: outcome.revision } };
       }
       if (outcome.kind === 'conflict') {
@@ -234,6 +308,14 @@
   }
 }
 
+/** Further parts of a commit that changes a head. */
+interface CommitExtras {
+  /** Conditions beside that on the head. */
+  readonly expected?: readonly StoreCondition[];
+  /** Called with the revision if the store confirms the commit itself. */
+  readonly onCommitted?: (revision: Revision) => void;
+}
+
 /** Maximum number of keys that one commit removes. */
 const MAX_REMOVALS_PER_COMMIT = 30;
 
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -6,7 +6,6 @@
 import type { Milliseconds } from '../core/units.js';
 import { type Failure, failure } from '../errors/error-kinds.js';
 import type { JobJournal } from '../journal/job-journal.js';
-import type { JournalEntry } from '../journal/journal-entries.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
 import type { Clock } from '../serving/clock.js';
@@ -14,14 +13,28 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { TenantName } from '../tenants/tenant.js';
 import type { DigestedWork } from './item-work-cache.js';
+import {
+  type Acceptance,
+  JobAcceptance,
+  MAY_BE_ACCEPTED_ELSEWHERE,
+  type SubmittedJob,
+  tenantConflict,
+} from './job-acceptance.js';
+import { JobCreation } from './job-creation.js';
 import type { JobPeers } from './job-peers.js';
 import { ageOf, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
-import type { HeadChange, HeadFields, JobStore, StillNeeded, VersionedHead } from './job-store.js';
-import { JOURNAL_RETRY_DELAY } from './listing-writer.js';
+import type {
+  CreationOutcome,
+  HeadFields,
+  JobStore,
+  StillNeeded,
+  VersionedHead,
+} from './job-store.js';
+import { hasLostClaim } from './new-job-claim.js';
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { STORE_RETRY_AFTER } from './store-reads.js';
-import { TrainerSteps } from './trainer-steps.js';
+import type { TrainerHomes } from './trainer-homes.js';
 
 export interface JobSubmissionsOptions {
   readonly store: JobStore;
@@ -35,9 +48,13 @@
   readonly zone: ZoneName;
   /** The zones' journals, which accept jobs while the store does not answer. */
   readonly journals?: ZoneJournals | undefined;
+  /** Rights to accept the jobs of trainers; `undefined` where zones keep no journals. */
+  readonly homes: TrainerHomes | undefined;
   /** Whether the node incarnation that claimed a job is live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
   readonly residency: JobResidency;
+  /** Whether no build without trainer records may be running. @default none is */
+  readonly areTrainerRecordsUsedByAll?: () => boolean;
 }
 
 /** A submission whose outcome is pending. */
@@ -46,26 +63,8 @@
   readonly outcome: Promise<Failure | undefined>;
 }
 
-/**
- * Time for the other zones to confirm that they do not have a job. Long enough for journal replicas
- * to register after a full restart; a zone partition is not waited out.
- */
-const ZONE_QUERY_TIMEOUT: Milliseconds = 3_000;
-const ZONE_QUERY_RETRY_DELAY: Milliseconds = 200;
-
-/** Conditions under which a job is accepted. */
-interface Acceptance {
-  /** The future owner; `null` if this node is stopping and another one must take the job. */
-  readonly owner: JobOwner | null;
-  /** The zone's journal, claimed for this job; `undefined` if there is none. */
-  readonly journal: JobJournal | undefined;
-  /** Whether the job follows a step that this node accepted, and so is in no other zone. */
-  readonly isNextStep: boolean;
-  /**
-   * Whether it was submitted in a region that may not store it; several zones may get its steps.
-   */
-  readonly isFromOutside: boolean;
-}
+/** Outcome of an attempt; `retry` if another node changed the trainer's record first. */
+type AttemptOutcome = Failure | undefined | 'retry';
 
 /** Time after which items start although the store has not accepted their job. */
 const EARLY_START_DELAY: Milliseconds = 100;
@@ -74,22 +73,24 @@
 export class JobSubmissions {
   /** Whether this node is stopping: it accepts jobs only for other nodes to run. */
   private isReleasing = false;
-  private readonly steps = new TrainerSteps();
+  private readonly acceptance: JobAcceptance;
   /** Pending submissions by job id, so that a repeated submission shares the outcome. */
   private readonly pending = new Map<string, PendingSubmission>();
 
-  constructor(private readonly options: JobSubmissionsOptions) {}
+  constructor(private readonly options: JobSubmissionsOptions) {
+    this.acceptance = new JobAcceptance(options);
+  }
+
+  /** Whether a submission of the job is being processed. */
+  isPending(job: string): boolean {
+    return this.pending.has(job);
+  }
 
   /** Stores jobs only for other nodes to run from now on. */
   stopRunningJobs(): void {
     this.isReleasing = true;
   }
 
-  /** Called if this machine may have been suspended while another zone served its callers. */
-  noteSuspended(): void {
-    this.steps.clear();
-  }
-
   /**
    * Accepts a job; `undefined` means that the job is durably stored. A job `isFromOutside` its
    * allowed regions may be forwarded to any zone of these, so no zone accepts it by its journal
@@ -116,51 +117,59 @@
     isStillNeeded: StillNeeded,
     isFromOutside: boolean,
   ): Promise<Failure | undefined> {
-    const owner = this.isReleasing ? null : this.options.self;
-    const journal = owner === null ? undefined : await this.openJournal(spec.id);
-    if (journal === 'held-elsewhere') return this.answerFromStore(spec);
-    const isNextStep = !isFromOutside && this.steps.isNext(spec);
-    if (!isNextStep && !(await this.isAbsentInOtherZones(spec.id, isStillNeeded))) {
-      return this.answerFromStore(spec);
+    for (let isRetry = false; ; isRetry = true) {
+      const owner = this.isReleasing ? null : this.options.self;
+      const submitted = { spec, owner, isFromOutside };
+      const acceptance = await this.acceptance.prepare(submitted, isStillNeeded);
+      if ('answer' in acceptance) return acceptance.answer;
+      const outcome = await this.create(submitted, acceptance, isStillNeeded);
+      if (outcome === undefined) return undefined;
+      // The items may have started in an earlier attempt, which must not be reported as not run.
+      if (outcome !== 'retry') return isRetry ? MAY_BE_ACCEPTED_ELSEWHERE : outcome;
+      if (!isStillNeeded()) return MAY_BE_ACCEPTED_ELSEWHERE;
     }
-    // Another node of this zone may have accepted the job during the queries.
-    if (!isNextStep && (await hasLostClaim(journal))) return this.answerFromStore(spec);
-    return this.create(spec, { owner, journal, isNextStep, isFromOutside }, isStillNeeded);
   }
 
   /** Creates a job in the store or, while that does not answer, in the zone's journal. */
   private async create(
-    spec: JobSpecification,
-    { owner, journal, isNextStep, isFromOutside }: Acceptance,
+    { spec, isFromOutside }: SubmittedJob,
+    acceptance: Acceptance,
     isStillNeeded: StillNeeded,
-  ): Promise<Failure | undefined> {
-    const { store, clock, zone, journals } = this.options;
+  ): Promise<AttemptOutcome> {
+    const { store, clock, zone, journals, residency } = this.options;
+    const { owner, journal, right, mayJournal } = acceptance;
     const startedAt = clock.now();
     const cachedWork = this.cachedElsewhere(spec);
-    let isJournaled = false;
-    const residencyFields = this.options.residency.headFieldsFor(spec);
-    const head = { ...firstHead(spec, owner, zone, journal), ...residencyFields };
-    const creation = store.create(spec, head, () => isJournaled || isStillNeeded());
-    const mayStart = owner !== null && (isNextStep || journals === undefined);
+    const head = { ...firstHead(spec, owner, zone, journal), ...residency.headFieldsFor(spec) };
+    const attempt = {
+      store,
+      homes: this.options.homes,
+      clock,
+      spec,
+      right,
+      isFromOutside,
+      isStillNeeded,
+    };
+    const job = new JobCreation(attempt);
+    const creation = job.createInStore(head);
+    const mayStart = owner !== null && (mayJournal || journals === undefined);
     const early = mayStart ? await this.startEarly(spec, creation, cachedWork, journal) : undefined;
-    if (early !== undefined && journal !== undefined) {
-      isJournaled = await this.acceptByJournal(early, journal, creation, isStillNeeded);
-      if (isJournaled) {
-        void creation.then((change) => this.settleJournaled(early, journal, change));
-        return undefined;
-      }
+    if (early !== undefined && journal !== undefined && (await job.acceptByJournal(journal))) {
+      this.noteJournaled(early, journal, right?.record.term ?? 0);
+      void creation.then((change) => this.settleJournaled(early, job, journal, change));
+      return undefined;
     }
     const change = await creation;
     this.noteSubmitted(spec, change, clock.now() - startedAt);
+    const isStored = change.kind === 'changed' || change.kind === 'superseded';
+    if (isStored) void job.releaseEntry(journal);
     if (change.kind !== 'changed') early?.abandon();
     else if (owner !== null && (await hasLostClaim(journal))) {
       early?.abandon();
       await this.releaseToHolder(spec, change.current, journal);
     } else if (owner === null) await this.offerReleased(spec);
-    else {
-      if (!isFromOutside) this.steps.record(spec);
-      await this.addCreated(spec, change.current, early, cachedWork, journal);
-    }
+    else await this.addCreated(spec, change.current, early, cachedWork, journal);
+    if (change.kind === 'trainer-changed') return 'retry';
     const existing = change.kind === 'superseded' ? change.current : undefined;
     if (existing !== undefined) return tenantConflict(spec, existing.head.tenant);
     if (change.kind !== 'unavailable') return undefined;
@@ -173,27 +182,6 @@
     });
   }
 
-  /**
-   * Claims the zone's journal of a new job, so that no other node of the zone can accept the same
-   * job without the store. A claim without entries whose writer has terminated is taken over,
-   * because that writer has confirmed the job to no caller; a live writer may still accept it.
-   */
-  private async openJournal(job: string): Promise<JobJournal | 'held-elsewhere' | undefined> {
-    const { journals, isWriterLive = () => true } = this.options;
-    const journal = journals?.openNew(job);
-    if (journals === undefined || journal === undefined) return undefined;
-    const claim = await journal.claim();
-    if (claim.kind !== 'held-elsewhere') return claim.kind === 'claimed' ? journal : undefined;
-    const { replicas } = journal;
-    if (isWriterLive(claim.holder.writer)) return claim.kind;
-    if ((await journals.entryStatus(job, replicas)) !== 'not-held') return claim.kind;
-    const nextJournal = journals.open(job, replicas, claim.holder.term + 1);
-    const secondClaim = await nextJournal.claim();
-    return secondClaim.kind === 'claimed' && secondClaim.entries.length === 0
-      ? nextJournal
-      : claim.kind;
-  }
-
   /**
    * Releases a job that the store created for this node although another node of the zone holds the
    * claim and may have listed results. A node that takes the job over continues from the journal.
@@ -212,67 +200,31 @@
     await peers.offerReleased(id);
   }
 
-  /**
-   * Whether no other zone has accepted a job that the store may not have, since callers may retry a
-   * submission at any node. Zones that do not answer are queried again until a timeout.
-   */
-  private async isAbsentInOtherZones(job: string, isStillNeeded: StillNeeded): Promise<boolean> {
-    const { journals, clock } = this.options;
-    if (journals === undefined) return true;
-    const limit = clock.now() + ZONE_QUERY_TIMEOUT;
-    for (;;) {
-      const status = await journals.entryStatusInOtherZones(job);
-      if (status !== 'unsure') return status === 'not-held';
-      if (!isStillNeeded() || clock.now() >= limit) return false;
-      await clock.sleep(ZONE_QUERY_RETRY_DELAY);
-    }
-  }
-
-  /** Response to a job that another node may have accepted; only the store can confirm that. */
-  private async answerFromStore(spec: JobSpecification): Promise<Failure | undefined> {
-    const read = await this.options.store.head(spec.id);
-    if (read.kind !== 'found') return MAY_BE_ACCEPTED_ELSEWHERE;
-    return tenantConflict(spec, read.value.head.tenant);
-  }
-
-  /** Stores a job in the zone's journal until the store has it; returns whether it is journaled. */
-  private async acceptByJournal(
-    job: OwnedJob,
-    journal: JobJournal,
-    creation: Promise<HeadChange>,
-    isStillNeeded: StillNeeded,
-  ): Promise<boolean> {
-    const { clock, log, metrics, owned, peers } = this.options;
+  private noteJournaled(job: OwnedJob, journal: JobJournal, trainerTerm: number): void {
+    const { log, metrics, owned, peers } = this.options;
     const { spec } = job;
-    let isSettled = false;
-    void creation.then(() => {
-      isSettled = true;
+    owned.attachJournaled(job);
+    const replicas = journal.replicas.map(({ node }) => node).join(',');
+    log.state('job-journaled', {
+      ...{ job: spec.id, step: spec.step, items: spec.items.length },
+      ...{ term: journal.term, trainerTerm, replicas },
     });
-    const entry = createdEntry(spec, journal);
-    while (!isSettled && isStillNeeded()) {
-      const outcome = await journal.append([entry]);
-      if (outcome === 'lost') return false;
-      if (outcome === 'kept' && !isSettled) {
-        this.steps.record(spec);
-        owned.attachJournaled(job);
-        log.state('job-journaled', { job: spec.id, step: spec.step, items: spec.items.length });
-        metrics.count('journaled_changes', { change: entry.kind });
-        peers.reportWeightNeed(weightNeedOf(spec));
-        return true;
-      }
-      if (outcome === 'kept') await journal.release([entry]);
-      else await clock.sleep(JOURNAL_RETRY_DELAY);
-    }
-    return false;
+    metrics.count('journaled_changes', { change: 'created' });
+    peers.reportWeightNeed(weightNeedOf(spec));
   }
 
   /** Handles the store's outcome for a job that the zone's journal has accepted. */
-  private settleJournaled(job: OwnedJob, journal: JobJournal, change: HeadChange): void {
+  private settleJournaled(
+    job: OwnedJob,
+    creation: JobCreation,
+    journal: JobJournal,
+    change: CreationOutcome,
+  ): void {
     const { spec } = job;
     this.noteSubmitted(spec, change, ageOf(spec, this.options.clock.wallTime()));
     if (change.kind === 'changed') {
       job.attach(change.current);
-      void journal.release([createdEntry(spec, journal)]);
+      void creation.releaseEntry(journal);
       return;
     }
     this.options.log.state('journaled-job-superseded', { job: spec.id, outcome: change.kind });
@@ -282,7 +234,7 @@
   /** Runs a job's items while the store has not accepted it yet; no results are listed. */
   private async startEarly(
     spec: JobSpecification,
-    creation: Promise<HeadChange>,
+    creation: Promise<CreationOutcome>,
     cachedWork: Promise<ReadonlyMap<string, DigestedWork>>,
     journal: JobJournal | undefined,
   ): Promise<OwnedJob | undefined> {
@@ -309,7 +261,11 @@
     peers.reportWeightNeed(weightNeedOf(spec));
   }
 
-  private noteSubmitted(spec: JobSpecification, change: HeadChange, duration: Milliseconds): void {
+  private noteSubmitted(
+    spec: JobSpecification,
+    change: CreationOutcome,
+    duration: Milliseconds,
+  ): void {
     const { log, metrics } = this.options;
     const { id: job, step, items } = spec;
     const details = { job, step, items: items.length, tookMs: Math.round(duration) };
@@ -332,22 +288,7 @@
   }
 }
 
-/** Whether another node has claimed the job since; false without a journal. */
-async function hasLostClaim(journal: JobJournal | undefined): Promise<boolean> {
-  return journal !== undefined && (await journal.append([])) === 'lost';
-}
-
 const REGION_DENIED = failure('region_unavailable', 'the job may not lie in this region');
-const MAY_BE_ACCEPTED_ELSEWHERE = failure('outcome_unknown', 'another node may have taken the job');
-
-/** Rejects a job whose id another tenant uses, without revealing that job. */
-export function tenantConflict(
-  spec: JobSpecification,
-  tenant: TenantName | undefined,
-): Failure | undefined {
-  if (tenant === undefined || tenant === spec.tenant) return undefined;
-  return failure('not_found', 'the id is not usable');
-}
 
 /** The head of a new job; without an owner, the job is offered to another node. */
 function firstHead(
@@ -362,7 +303,3 @@
   if (journal === undefined) return headWithTenant;
   return { ...headWithTenant, term: journal.term, replicas: [...journal.replicas] };
 }
-
-function createdEntry(spec: JobSpecification, journal: JobJournal): JournalEntry {
-  return { kind: 'created', spec, replicas: [...journal.replicas] };
-}
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -15,6 +15,7 @@
 import type { JobStore, VersionedHead } from './job-store.js';
 import { changesAfter } from './job-transfer.js';
 import type { OwnedJobs } from './owned-jobs.js';
+import type { TrainerHomes } from './trainer-homes.js';
 
 /** Interval between scans, which find only jobs and results that the store does not have. */
 const SCAN_INTERVAL: Milliseconds = 3_000;
@@ -32,6 +33,10 @@
   readonly isWriterLive: (writer: string) => boolean;
   /** Whether this node runs jobs and reaches the store. */
   readonly canRecover: () => boolean;
+  /** Rights of this zone to accept the jobs of trainers. */
+  readonly homes: TrainerHomes;
+  /** Whether this node is processing a submission of the job. */
+  readonly isPending: (job: string) => boolean;
 }
 
 /** Scans the zone's journals for jobs without a live owner. */
@@ -53,13 +58,18 @@
 
   /** Recovers all journaled jobs that have no live owner. */
   async scan(): Promise<void> {
-    const { journals, owned, isWriterLive } = this.options;
-    for (const holder of await journals.unsyncedHolders()) {
-      if (isWriterLive(holder.writer) || owned.get(holder.job) !== undefined) continue;
-      await this.recover(holder);
+    for (const holder of await this.options.journals.unsyncedHolders()) {
+      if (this.isAbandoned(holder)) await this.recover(holder);
     }
   }
 
+  /** Whether no node runs the job: its writer has terminated, or is this node and gave it up. */
+  private isAbandoned({ job, writer }: JournalHolder): boolean {
+    const { journals, owned, isWriterLive, isPending } = this.options;
+    if (owned.get(job) !== undefined || isPending(job)) return false;
+    return writer === journals.writer || !isWriterLive(writer);
+  }
+
   private async recover(holder: JournalHolder): Promise<void> {
     const { journals, store } = this.options;
     const read = await store.head(holder.job);
@@ -98,10 +108,17 @@
   }
 
   private async recoverJob(journal: JobJournal, entries: readonly JournalEntry[]): Promise<void> {
-    const { store, owned, peers, self, log, metrics, journals } = this.options;
+    const { store, owned, peers, self, log, metrics, journals, homes } = this.options;
     const created = entries.find((entry) => entry.kind === 'created');
     if (created === undefined) return;
-    const { spec, replicas } = created;
+    const { spec, replicas, trainerTerm } = created;
+    const trainer = await homes.changeForRecovered(spec, trainerTerm);
+    if (trainer === 'unavailable') return;
+    if (trainer === 'not-accepted') {
+      log.state('journaled-job-dropped', { job: spec.id, step: spec.step, term: journal.term });
+      await journal.release(entries);
+      return;
+    }
     const { submittedAt, items, tenant } = spec;
     const head = {
       ...{ owner: self, zone: journals.zone, total: items.length, listed: 0, pages: 0 },
@@ -109,7 +126,8 @@
       ...(tenant === undefined ? {} : { tenant }),
       ...this.options.residency.headFieldsFor(spec),
     };
-    const change = await store.create(spec, head, () => false);
+    const change = await store.create(spec, head, () => false, trainer);
+    if (trainer !== undefined) homes.noteCreation(trainer, change);
     if (change.kind !== 'changed') return;
     const resumed = changesAfter(entries, 0);
     const initialWork = owned.earlierWork(spec, {});
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -13,6 +13,11 @@
     kind: z.literal('created'),
     spec: SPECIFICATION,
     replicas: z.array(REPLICA_LOCATION),
+    /**
+     * Fencing token under which the zone accepted the trainer's jobs; absent from builds without
+     * trainer records.
+     */
+    trainerTerm: z.number().optional(),
   }),
   /** Results at successive positions; becomes the page with this number in the shared store. */
   looseRecord({ kind: z.literal('page'), number: z.number(), results: z.array(RESULT) }),
--- a/src/journal/replica-directory.ts
+++ b/src/journal/replica-directory.ts
@@ -81,6 +81,13 @@
     return rendezvousOrder(job, usable, ({ node }) => node).slice(0, groupSize);
   }
 
+  /** Whether a replica is registered with the same disk and address, and accepts new jobs. */
+  isUsable({ address, zone, disk }: ReplicaLocation): boolean {
+    return this.locationsIn(zone, 'write').some(
+      (location) => location.address === address && location.disk === disk,
+    );
+  }
+
   /** Replicas that may hold entries, by zone; empty for a zone whose replicas are not known. */
   byZone(): ReadonlyMap<ZoneName, readonly ReplicaLocation[]> {
     return new Map([...this.zones].map((zone) => [zone, this.locationsIn(zone, 'read')]));
--- a/src/journal/zone-journals.ts
+++ b/src/journal/zone-journals.ts
@@ -11,6 +11,7 @@
 import type { JournalHolder } from './journal-entries.js';
 import type { ReplicaDirectory } from './replica-directory.js';
 import type { ReplicaLocation } from './replica-location.js';
+import { TrainerFence } from './trainer-fence.js';
 
 const REPLICA_QUERY_TIMEOUT: Milliseconds = 300;
 
@@ -20,7 +21,7 @@
  */
 const REQUIRED_DENIALS = 2;
 
-/** The first term of a job; each later owner writes under a higher one. */
+/** The first term of a trainer's right; each later holder has a higher one. */
 export const FIRST_TERM = 1;
 
 export interface ZoneJournalsOptions {
@@ -35,25 +36,53 @@
 /** `held`: at least one replica holds entries of the job; `not-held`: surely none does. */
 export type EntryStatus = 'held' | 'not-held' | 'unsure';
 
+/** Answer of one replica; `other-disk`: it no longer has the disk that may hold entries. */
+type ReplicaStatus = EntryStatus | 'other-disk';
+
 /** Opens the journals of owned jobs and queries those of other jobs. */
 export class ZoneJournals {
-  constructor(private readonly options: ZoneJournalsOptions) {}
+  /** The rights of zones to accept the jobs of trainers. */
+  readonly trainerFence: TrainerFence;
+
+  constructor(private readonly options: ZoneJournalsOptions) {
+    this.trainerFence = new TrainerFence(options);
+  }
 
   /** The zone of this node. */
   get zone(): ZoneName {
     return this.options.zone;
   }
 
+  /** The incarnation of this node, as it writes to journals. */
+  get writer(): string {
+    return this.options.writer;
+  }
+
   /** Whether this zone has enough replicas to accept jobs without the shared store. */
   get isUsable(): boolean {
     return this.options.directory.groupFor('', this.options.zone) !== undefined;
   }
 
-  /** The journal of a job submitted here; `undefined` if the zone has too few replicas. */
-  openNew(job: string): JobJournal | undefined {
-    const { directory, zone } = this.options;
-    const replicas = directory.groupFor(job, zone);
-    return replicas === undefined ? undefined : this.open(job, replicas, FIRST_TERM);
+  /** The replicas for the jobs of a trainer of this zone; `undefined` if there are too few. */
+  groupFor(trainer: string): readonly ReplicaLocation[] | undefined {
+    return this.options.directory.groupFor(trainer, this.options.zone);
+  }
+
+  /** Whether all replicas of a group are registered and accept new jobs. */
+  isGroupUsable(replicas: readonly ReplicaLocation[]): boolean {
+    return replicas.every((replica) => this.options.directory.isUsable(replica));
+  }
+
+  /**
+   * The journal of a new job, on the replicas of its trainer and under the term of its zone's right
+   * to accept it; `undefined` without replicas.
+   */
+  openNew(
+    job: string,
+    replicas = this.groupFor(job),
+    trainerTerm = FIRST_TERM,
+  ): JobJournal | undefined {
+    return replicas === undefined ? undefined : this.open(job, replicas, trainerTerm);
   }
 
   /** The journal of a job on the replicas that it already has, for an owner of the given term. */
@@ -66,7 +95,10 @@
   async entryStatus(job: string, replicas: readonly ReplicaLocation[]): Promise<EntryStatus> {
     const answers = await Promise.all(replicas.map((replica) => this.queryReplica(job, replica)));
     if (answers.includes('held')) return 'held';
-    return answers.includes('not-held') ? 'not-held' : 'unsure';
+    // An entry is durable once all replicas have it, so one original disk without it is enough.
+    const isAnyOriginal = answers.includes('not-held');
+    const areDisksGone = answers.every((answer) => answer === 'other-disk');
+    return isAnyOriginal || areDisksGone ? 'not-held' : 'unsure';
   }
 
   /**
@@ -147,7 +179,7 @@
   private async queryReplica(
     job: string,
     { address, disk }: ReplicaLocation,
-  ): Promise<EntryStatus> {
+  ): Promise<ReplicaStatus> {
     const request = { kind: 'journal-look', job } as const;
     const outcome = await this.options.port.request<'journal-look'>(
       address,
@@ -156,6 +188,6 @@
     );
     if (outcome.kind !== 'answered') return 'unsure';
     if (outcome.answer.holdsEntries) return 'held';
-    return outcome.answer.disk === disk ? 'not-held' : 'unsure';
+    return outcome.answer.disk === disk ? 'not-held' : 'other-disk';
   }
 }
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -13,6 +13,10 @@
   score_calls: { help: 'Calls for the scores of items, by how they ended', labels: ['outcome'] },
   jobs_submitted: { help: 'Jobs handed in, by what came of it', labels: ['outcome'] },
   jobs_closed: { help: 'Jobs no longer run here, by reason', labels: ['reason'] },
+  trainer_homes: {
+    help: "Rights of this zone to accept a trainer's jobs, by what became of them",
+    labels: ['outcome'],
+  },
   jobs_adopted: { help: 'Jobs taken over from another node', labels: ['cause'] },
   jobs_moved_by_region: {
     help: 'Jobs that a changed configuration no longer lets lie here, by whether another node took them',
--- a/test/jobs/journaled-jobs.test.ts
+++ b/test/jobs/journaled-jobs.test.ts
@@ -304,7 +304,7 @@
   async (t) => {
     const setup = await zoneWithStore(t);
     const { emulator, node } = setup;
-    emulator.setAvailability('refusing');
+    emulator.commit = async () => ({ kind: 'failed', effect: 'not-done' });
     const rejection = await node.service.submit(specification('job', 1), never);
     t.notSame(rejection, undefined);
     const reachableStore = new SharedStoreEmulator();
