Answer that a job does not exist only by replicas that may hold it

Cause: two denials counted, also from replicas with new, empty disks, of whichever replicas were listed. Change: JobAbsence asks the groups of replicas that trainers' records name. An entry is durable once all disks of its group have it, so one of the original disks has to answer; a replica with another disk abstains. Jobs that records hold for a zone are never absent.

--- a/src/jobs/job-reader.ts
+++ b/src/jobs/job-reader.ts
@@ -4,10 +4,10 @@
  * node that may not store a job forwards its results without caching them.
  */
 import type { Milliseconds } from '../core/units.js';
-import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import { type JobResidency, UNRESTRICTED_RESIDENCY } from '../placement/job-residency.js';
 import type { TenantName } from '../tenants/tenant.js';
+import { JobAbsence, type QueriedJournals } from './job-absence.js';
 import type { JobOwner, JobResult, JobSpecification } from './job-records.js';
 import type { JobStore } from './job-store.js';
 import type { ReadOrigin, ReadSource, Unanswered, UnansweredCause } from './read-log.js';
@@ -75,6 +75,7 @@
   private readonly jobs = new Map<string, CachedJob>();
   private readonly owners = new Map<string, CachedOwner>();
   private readonly specifications = new Map<string, JobSpecification>();
+  private readonly absence: JobAbsence;
 
   constructor(
     private readonly store: JobStore,
@@ -82,9 +83,11 @@
     /** Node incarnations that probably own a job, the likeliest first; tried before the store. */
     private readonly likelyOwners: (job: string) => readonly JobOwner[] = () => [],
     /** The zones' journals, if zones accept jobs without the store. */
-    private readonly journals?: Pick<ZoneJournals, 'entryStatus' | 'entryStatusInAllZones'>,
+    private readonly journals?: QueriedJournals,
     private readonly residency: JobResidency = UNRESTRICTED_RESIDENCY,
-  ) {}
+  ) {
+    this.absence = new JobAbsence(store, journals);
+  }
 
   /**
    * Results of a job from position `after` on, including at least those listed before the call.
@@ -136,12 +139,8 @@
   }
 
   /** Whether a job that the store does not have is certain not to exist. */
-  async isCertainlyAbsent(job: string): Promise<boolean> {
-    const { journals } = this;
-    if (journals === undefined) return true;
-    if ((await journals.entryStatusInAllZones(job)) !== 'not-held') return false;
-    // Entries released from a journal meanwhile are already in the store.
-    return (await this.store.head(job)).kind === 'absent';
+  isCertainlyAbsent(job: string): Promise<boolean> {
+    return this.absence.isCertain(job);
   }
 
   /** Reads the specification of a job. */
