--- a/test/jobs/listing-observability.test.ts
+++ b/test/jobs/listing-observability.test.ts
@@ -7,12 +7,21 @@
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { JobPeers } from '../../src/jobs/job-peers.js';
 import { JobStore } from '../../src/jobs/job-store.js';
+import { ListingLog } from '../../src/jobs/listing-log.js';
+import { ListingWriter } from '../../src/jobs/listing-writer.js';
 import type { EngineOutcome } from '../../src/serving/engine-port.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { eventually } from '../fleet/fleet-fixtures.js';
 import { JournalZone } from '../journal/journal-fixtures.js';
-import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
-import { always, ManualClock, never, OTHER, OWNER, specification } from './job-fixtures.js';
+import {
+  answer,
+  events,
+  recordingLog,
+  ScriptedEngine,
+  worker,
+} from '../serving/serving-fixtures.js';
+import { always, ManualClock, never, OTHER, OWNER, result, specification } from './job-fixtures.js';
 import { type JobNode, jobNode, workUntil } from './job-node.js';
 
 type Test = Pick<typeof t, 'teardown'>;
@@ -248,6 +257,39 @@
   t.match(linesOf(next, 'page-listed'), [{ page: 1, first: 1, results: 1, term: 2 }]);
 });
 
+t.test('positions of several pages that a new owner found in the journal', (t) => {
+  const { log, lines } = recordingLog();
+  const clock = new ManualClock();
+  const metrics = new FleetMetrics();
+  const writer = new ListingWriter(
+    {
+      job: 'job',
+      store: new JobStore(new SharedStoreEmulator(), clock),
+      clock,
+      journal: undefined,
+      log: new ListingLog({ job: 'job', self: OWNER, term: 2, metrics, log }),
+      progress: () => ({}),
+      isStillNeeded: never,
+      keepsOwnership: always,
+      onHeadChange: () => {},
+    },
+    undefined,
+  );
+  const pages = [[result(3), result(4)], [result(5)]];
+  writer.resume(
+    pages.map((results, index) => ({ kind: 'page', number: index + 1, results })),
+    3,
+  );
+  t.match(
+    lines.map((line) => JSON.parse(line)),
+    [
+      { msg: 'page-resumed', page: 1, first: 3, results: 2, firstItem: 'item-3' },
+      { msg: 'page-resumed', page: 2, first: 5, results: 1, firstItem: 'item-5' },
+    ],
+  );
+  t.end();
+});
+
 t.test('two listings of one page under two terms are told apart by the lines', async (t) => {
   const owner = await ownerOfJob(t, streamAnswer('ab'));
   const next = await nextOwnerOf(t, owner, 'empty');
