--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -10,7 +10,7 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobHead, type JobOwner, weightNeedOf } from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
-import type { ListingChange } from './listing-writer.js';
+import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { untilAvailable } from './store-reads.js';
@@ -38,8 +38,11 @@
 export class JobTransfer {
   private readonly jobsInTakeover = new Set<string>();
   private isTransferring = false;
+  private readonly writeBack: JournalWriteBack;
 
-  constructor(private readonly options: JobTransferOptions) {}
+  constructor(private readonly options: JobTransferOptions) {
+    this.writeBack = new JournalWriteBack(options);
+  }
 
   /** Whether a takeover of the job by this node is in progress. */
   isTakingOver(job: string): boolean {
@@ -91,14 +94,22 @@
       untilAvailable(clock, () => store.progress(job)),
     ]);
     if (spec === undefined) return false;
-    const listed = (results ?? []).flat();
-    const resumed = changesAfter(claimed?.entries ?? [], change.current.head.pages);
-    const initialWork = owned.earlierWork(spec, progress ?? {}, released);
-    owned.add(spec, change.current, listed, initialWork, { journal: claimed?.journal, resumed });
-    peers.reportWeightNeed(weightNeedOf(spec));
+    const { pages } = change.current.head;
+    const unstored = listableChanges(log, job, claimed?.entries ?? [], pages);
+    const durable = await this.writeBack.makeDurable(claimed?.journal, change.current, unstored);
+    if (durable === undefined) return false;
+    const { head, stored, journaled } = durable;
+    const listed = [...(results ?? []).flat(), ...stored];
+    // The store has all results of a finished job, so it is not run.
+    if (!isFinished(head.head)) {
+      const initialWork = owned.earlierWork(spec, progress ?? {}, released);
+      const state = { journal: claimed?.journal, resumed: journaled };
+      owned.add(spec, head, listed, initialWork, state);
+      peers.reportWeightNeed(weightNeedOf(spec));
+    }
     const previous = found.head.owner?.node ?? 'none';
     const details = { job, previous, listed: listed.length, handed: released?.size ?? 0 };
-    log.state('job-adopted', { ...details, journaled: resumed.length });
+    log.state('job-adopted', { ...details, journaled: journaled.length });
     metrics.count('jobs_adopted', { cause: takeoverCauseOf(owner, ownerAnswers) });
     return true;
   }
@@ -165,16 +176,6 @@
   }
 }
 
-/** Journal changes that the store does not have yet, in listing order. */
-export function changesAfter(entries: readonly JournalEntry[], pages: number): ListingChange[] {
-  const changes = entries.filter((entry) => entry.kind !== 'created');
-  const isNew = (change: ListingChange): boolean =>
-    change.kind !== 'page' || change.number >= pages;
-  const positionOf = (change: ListingChange): number =>
-    change.kind === 'page' ? change.number : Number.POSITIVE_INFINITY;
-  return changes.filter(isNew).sort((a, b) => positionOf(a) - positionOf(b));
-}
-
 /** Label of the takeover counter. */
 function takeoverCauseOf(owner: JobOwner | null, ownerAnswers: boolean): string {
   if (owner === null) return 'released';
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -6,14 +6,15 @@
 import type { Milliseconds } from '../core/units.js';
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry, JournalHolder } from '../journal/journal-entries.js';
+import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobPeers } from './job-peers.js';
-import { isFinished, type JobOwner, weightNeedOf } from './job-records.js';
-import type { JobStore, VersionedHead } from './job-store.js';
-import { changesAfter } from './job-transfer.js';
+import { isFinished, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
+import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
+import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJobs } from './owned-jobs.js';
 
 /** Interval between scans, which find only jobs and results that the store does not have. */
@@ -39,7 +40,11 @@
   private isScanning = false;
   private nextScanAt: Milliseconds = 0;
 
-  constructor(private readonly options: JournalRecoveryOptions) {}
+  private readonly writeBack: JournalWriteBack;
+
+  constructor(private readonly options: JournalRecoveryOptions) {
+    this.writeBack = new JournalWriteBack(options);
+  }
 
   /** Starts a scan if one is due. */
   tick(now: Milliseconds): void {
@@ -80,46 +85,60 @@
     entries: readonly JournalEntry[],
     found: VersionedHead,
   ): Promise<void> {
-    const { store, journals, log } = this.options;
-    const { replicas = [], pages: stored } = found.head;
+    const { journals, log } = this.options;
+    const { job } = journal;
+    const { replicas = [], pages, listed, total } = found.head;
     const ownDisks = new Set(journals.replicasInOwnZone().map(({ disk }) => disk));
     // Entries in replicas that the job's head does not name are not results of the job.
-    const isOfJob = replicas.some(({ disk }) => ownDisks.has(disk));
-    const changes = isOfJob ? changesAfter(entries, stored) : [];
-    const pages = changes.flatMap((change) => (change.kind === 'page' ? [change.results] : []));
-    if (pages.length > 0) {
-      const extension = { pages, ended: true };
-      const { job } = journal;
-      const change = await store.extend(job, found, extension, undefined, () => false);
-      if (change.kind !== 'changed') return;
-      log.state('job-listing-completed', { job, journaled: pages.length });
+    const isOfJob = replicas.some(({ disk }) => ownDisks.has(disk)) && listed < total;
+    const changes = isOfJob ? listableChanges(log, job, entries, pages) : [];
+    const journaled = changes.filter(({ kind }) => kind === 'page').length;
+    if (journaled > 0) {
+      const current = await this.writeBack.commit(job, found, changes, () => false);
+      if (current === undefined) return;
+      log.state('job-listing-completed', { job, journaled });
     }
     await journal.release(entries);
   }
 
   private async recoverJob(journal: JobJournal, entries: readonly JournalEntry[]): Promise<void> {
-    const { store, owned, peers, self, log, metrics, journals } = this.options;
+    const { owned, peers, log, metrics, journals } = this.options;
     const created = entries.find((entry) => entry.kind === 'created');
     if (created === undefined) return;
     const { spec, replicas } = created;
+    const change = await this.createInStore(spec, replicas, journal.term);
+    if (change.kind !== 'changed') return;
+    const ownJournal = journals.open(spec.id, replicas, journal.term);
+    const unstored = listableChanges(log, spec.id, entries, 0);
+    const durable = await this.writeBack.makeDurable(ownJournal, change.current, unstored);
+    await journal.release([created]);
+    if (durable === undefined) return;
+    const { head, stored, journaled } = durable;
+    // The store has all results of a finished job, so it is not run.
+    if (!isFinished(head.head)) {
+      const initialWork = owned.earlierWork(spec, {});
+      owned.add(spec, head, stored, initialWork, { journal: ownJournal, resumed: journaled });
+      peers.reportWeightNeed(weightNeedOf(spec));
+    }
+    const details = { listed: stored.length, journaled: journaled.length };
+    log.state('job-recovered', { job: spec.id, step: spec.step, ...details });
+    metrics.count('jobs_adopted', { cause: 'journal' });
+  }
+
+  /** Creates a journaled job in the store, owned by this node. */
+  private createInStore(
+    spec: JobSpecification,
+    replicas: readonly ReplicaLocation[],
+    term: number,
+  ): Promise<HeadChange> {
+    const { store, self, journals, residency } = this.options;
     const { submittedAt, items, tenant } = spec;
     const head = {
       ...{ owner: self, zone: journals.zone, total: items.length, listed: 0, pages: 0 },
-      ...{ ended: false, submittedAt, term: journal.term, replicas },
+      ...{ ended: false, submittedAt, term, replicas: [...replicas] },
       ...(tenant === undefined ? {} : { tenant }),
-      ...this.options.residency.headFieldsFor(spec),
+      ...residency.headFieldsFor(spec),
     };
-    const change = await store.create(spec, head, () => false);
-    if (change.kind !== 'changed') return;
-    const resumed = changesAfter(entries, 0);
-    const initialWork = owned.earlierWork(spec, {});
-    owned.add(spec, change.current, [], initialWork, {
-      journal: journals.open(spec.id, replicas, journal.term),
-      resumed,
-    });
-    await journal.release([created]);
-    peers.reportWeightNeed(weightNeedOf(spec));
-    log.state('job-recovered', { job: spec.id, step: spec.step, journaled: resumed.length });
-    metrics.count('jobs_adopted', { cause: 'journal' });
+    return store.create(spec, head, () => false);
   }
 }
--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -28,7 +28,7 @@
 export const JOURNAL_RETRY_DELAY: Milliseconds = 150;
 
 /** Maximum pages in one commit; four pages of 400 KB are below the store's request limit. */
-const MAX_PAGES_PER_COMMIT = 4;
+export const MAX_PAGES_PER_COMMIT = 4;
 
 export interface ListingWriterOptions {
   readonly job: string;
@@ -208,7 +208,7 @@
 }
 
 /** Combines changes into one extension of the job. */
-function extensionOf(changes: readonly ListingChange[]): {
+export function extensionOf(changes: readonly ListingChange[]): {
   readonly pages: readonly (readonly JobResult[])[];
   readonly ended: boolean;
 } {
