Replicas keep a fence for longer than a zone believes in its right

Cause: a fence lived as long as a job stays readable, while the right in a gateway's memory was bounded by 45 s, too short for trainers with longer steps whose zone is cut off. Change: holders under trainers' keys are kept for 24 hours; a right is used for 12 hours after its last confirmation, and for 45 s while a build that drops fences earlier may run.

--- a/src/core/units.ts
+++ b/src/core/units.ts
@@ -19,3 +19,5 @@
 export const SECOND: Milliseconds = 1_000;
 
 export const MINUTE: Milliseconds = 60 * SECOND;
+
+export const HOUR: Milliseconds = 60 * MINUTE;
--- a/src/jobs/job-store.ts
+++ b/src/jobs/job-store.ts
@@ -7,6 +7,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { Milliseconds, Revision } from '../core/units.js';
+import { TRAINER_KEY_PREFIX } from '../journal/journal-entries.js';
 import type { Clock } from '../serving/clock.js';
 import {
   ABSENT,
@@ -27,7 +28,6 @@
 } from './job-records.js';
 import {
   decodeTrainerRecord,
-  TRAINER_PREFIX,
   type TrainerChange,
   type TrainerKey,
   type TrainerRecord,
@@ -146,7 +146,7 @@
 
   /** Reads the records of all trainers. */
   async trainerRecords(): Promise<Read<readonly TrainerRecord[]>> {
-    const outcome = await this.store.range(TRAINER_PREFIX);
+    const outcome = await this.store.range(TRAINER_KEY_PREFIX);
     if (outcome.kind === 'failed') return { kind: 'unavailable' };
     const records = outcome.items.map((item) => decodeTrainerRecord(item.value));
     const readable = records.filter((record) => record !== undefined);
--- a/src/jobs/trainer-homes.ts
+++ b/src/jobs/trainer-homes.ts
@@ -7,6 +7,7 @@
  */
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { AppendOutcome } from '../journal/job-journal.js';
+import { RIGHT_RETENTION } from '../journal/journal-entries.js';
 import { FIRST_TERM, type ZoneJournals } from '../journal/zone-journals.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { ABSENT } from '../shared-store/shared-store.js';
@@ -35,10 +36,13 @@
 const ACQUISITION_RETRY_DELAY: Milliseconds = 200;
 
 /**
- * Age of the last confirmation up to which a right is used by the journal alone. Replicas drop a
- * fence that is older than the time for which a job stays readable, which must take longer.
+ * Age of the last confirmation up to which a right is used without reading the record again. Replicas
+ * retain a fence for longer, so that a right which was lost meanwhile is not confirmed.
  */
-const MAX_CONFIRMATION_AGE: Milliseconds = 45_000;
+const MAX_CONFIRMATION_AGE: Milliseconds = RIGHT_RETENTION / 2;
+
+/** The same while replicas of older builds may run, which retain a fence as long as a job. */
+const MAX_CONFIRMATION_AGE_BESIDE_OLDER_BUILDS: Milliseconds = 45_000;
 
 export interface TrainerHomesOptions {
   readonly store: JobStore;
@@ -46,6 +50,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
+  /** Whether no build without trainer records may be running. @default none is */
+  readonly areTrainerRecordsUsedByAll?: () => boolean;
 }
 
 /** The right of this zone to accept a trainer's jobs. */
@@ -266,8 +272,12 @@
   }
 
   private isCurrent({ record, confirmedAt }: CachedHome): boolean {
-    const age = suspendAwareTime(this.options.clock) - confirmedAt;
-    return age < MAX_CONFIRMATION_AGE && !this.needsOtherReplicas(record);
+    const { clock, areTrainerRecordsUsedByAll = () => true } = this.options;
+    const age = suspendAwareTime(clock) - confirmedAt;
+    const maxAge = areTrainerRecordsUsedByAll()
+      ? MAX_CONFIRMATION_AGE
+      : MAX_CONFIRMATION_AGE_BESIDE_OLDER_BUILDS;
+    return age < maxAge && !this.needsOtherReplicas(record);
   }
 
   /** Whether a record of this zone can be used as it is. */
--- a/src/jobs/trainer-record.ts
+++ b/src/jobs/trainer-record.ts
@@ -6,7 +6,8 @@
 import * as z from 'zod';
 import { contentDigest } from '../core/hashing.js';
 import { looseRecord } from '../core/open-record.js';
-import type { Milliseconds, Revision } from '../core/units.js';
+import { HOUR, type Milliseconds, type Revision } from '../core/units.js';
+import { TRAINER_KEY_PREFIX } from '../journal/journal-entries.js';
 import { REPLICA_LOCATION } from '../journal/replica-location.js';
 import type { JobSpecification } from './job-records.js';
 
@@ -49,13 +50,11 @@
 export const NO_STEP = -1;
 
 /** Time for a partitioned zone to store the jobs that its journal holds. */
-const JOURNALED_JOB_RETENTION: Milliseconds = 7_200_000;
+const JOURNALED_JOB_RETENTION: Milliseconds = 2 * HOUR;
 
 /** Time after which callers no longer repeat a submission. */
 const OUTSIDE_JOB_RETENTION: Milliseconds = 180_000;
 
-export const TRAINER_PREFIX = 'job/trainer/';
-
 /** Fields that identify the trainer of a job. */
 export type TrainerFields = Pick<JobSpecification, 'host' | 'model' | 'tenant'>;
 
@@ -63,7 +62,7 @@
 export type TrainerKey = string;
 
 export function trainerKeyOf({ host, model, tenant }: TrainerFields): TrainerKey {
-  return `${TRAINER_PREFIX}${contentDigest(JSON.stringify([host, model, tenant ?? null]))}`;
+  return `${TRAINER_KEY_PREFIX}${contentDigest(JSON.stringify([host, model, tenant ?? null]))}`;
 }
 
 /** The change of a trainer's record that is committed together with the creation of a job. */
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod';
 import { looseRecord } from '../core/open-record.js';
+import { HOUR, type Milliseconds } from '../core/units.js';
 import { RESULT, SPECIFICATION } from '../jobs/job-records.js';
 import { type DiskId, REPLICA_LOCATION } from './replica-location.js';
 
@@ -51,6 +52,18 @@
   writer: z.string(),
 });
 
+/**
+ * Prefix of the holders' keys that stand for the rights of zones to accept the jobs of a trainer, in
+ * place of a job.
+ */
+export const TRAINER_KEY_PREFIX = 'job/trainer/';
+
+/**
+ * Time for which the right of a zone to accept a trainer's jobs outlasts its last change. A zone that
+ * lost its right may believe in it for a shorter time.
+ */
+export const RIGHT_RETENTION: Milliseconds = 24 * HOUR;
+
 export type JournalHolder = z.infer<typeof JOURNAL_HOLDER>;
 
 /** Key of an entry within its job; an entry replaces the one stored under the same key. */
--- a/src/journal/journal-replica.ts
+++ b/src/journal/journal-replica.ts
@@ -12,6 +12,7 @@
   type JournalHolder,
   type JournalRequest,
   type ReplicaAnswer,
+  RIGHT_RETENTION,
 } from './journal-entries.js';
 import { type JournalContent, JournalFile } from './journal-file.js';
 import { type JournalChange, JournalState } from './journal-state.js';
@@ -46,7 +47,7 @@
       for (const change of changes) {
         if (state.conflictingHolder(change.holder) === undefined) state.apply(change);
       }
-      state.removeOlderThan(oldestRetainedTime(options));
+      state.removeOlderThan(oldestRetainedTimes(options));
       return state.changes();
     };
     const file = await JournalFile.open(folder, select);
@@ -140,12 +141,16 @@
   }
 
   private async compact(): Promise<void> {
-    this.state.removeOlderThan(oldestRetainedTime(this.options));
+    this.state.removeOlderThan(oldestRetainedTimes(this.options));
     await this.file.rewrite(this.state.changes());
   }
 }
 
-/** Time of day before which changes may be removed. */
-function oldestRetainedTime({ clock, retention }: JournalReplicaOptions): Milliseconds {
-  return clock.wallTime() - retention() - RETENTION_MARGIN;
+/** Times of day before which changes of jobs and of rights may be removed. */
+function oldestRetainedTimes({ clock, retention }: JournalReplicaOptions): {
+  readonly jobs: Milliseconds;
+  readonly rights: Milliseconds;
+} {
+  const now = clock.wallTime();
+  return { jobs: now - retention() - RETENTION_MARGIN, rights: now - RIGHT_RETENTION };
 }
--- a/src/journal/journal-state.ts
+++ b/src/journal/journal-state.ts
@@ -4,7 +4,12 @@
  * its job, one replica that has accepted a later holder stops the earlier one.
  */
 import type { Milliseconds } from '../core/units.js';
-import { type JournalEntry, type JournalHolder, keyOfEntry } from './journal-entries.js';
+import {
+  type JournalEntry,
+  type JournalHolder,
+  keyOfEntry,
+  TRAINER_KEY_PREFIX,
+} from './journal-entries.js';
 
 /** A change of the state, as stored on disk. */
 export type JournalChange =
@@ -68,9 +73,12 @@
     return withEntries.map(({ holder }) => holder);
   }
 
-  /** Removes jobs whose last change was before a time of day. */
-  removeOlderThan(limit: Milliseconds): void {
-    for (const [job, { changedAt }] of this.jobs) if (changedAt < limit) this.jobs.delete(job);
+  /** Removes jobs, and rights to accept jobs, whose last change was before a time of day. */
+  removeOlderThan(limits: { readonly jobs: Milliseconds; readonly rights: Milliseconds }): void {
+    for (const [key, { changedAt }] of this.jobs) {
+      const limit = key.startsWith(TRAINER_KEY_PREFIX) ? limits.rights : limits.jobs;
+      if (changedAt < limit) this.jobs.delete(key);
+    }
   }
 
   /** Changes that rebuild the current state. */
