--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -12,7 +12,9 @@
   type JournalHolder,
   type JournalRequest,
   keyOfEntry,
+  latestEntries,
   type ReplicaAnswer,
+  withTerm,
 } from './journal-entries.js';
 import type { ReplicaLocation } from './replica-location.js';
 
@@ -67,7 +69,7 @@
   async claim(): Promise<ClaimOutcome> {
     const { holder } = this.options;
     const answers = await this.requestFromAll((disk) => ({ kind: 'journal-claim', disk, holder }));
-    const entries = new Map<string, JournalEntry>();
+    const found: JournalEntry[] = [];
     let granted = 0;
     let otherDisks = 0;
     for (const answer of answers) {
@@ -79,10 +81,9 @@
       if (answer?.kind !== 'granted') continue;
       granted += 1;
       // Entries of newer builds are ignored and stay on the replicas.
-      const knownEntries = answer.entries.filter(isKnownEntry);
-      for (const entry of knownEntries) entries.set(keyOfEntry(entry), entry);
+      found.push(...answer.entries.filter(isKnownEntry));
     }
-    if (granted > 0) return { kind: 'claimed', entries: [...entries.values()] };
+    if (granted > 0) return { kind: 'claimed', entries: latestEntries(found) };
     return { kind: otherDisks === answers.length ? 'disks-gone' : 'silent' };
   }
 
@@ -96,11 +97,10 @@
     const { holder } = this.options;
     if (this.isSuperseded) return 'lost';
     if (entries.length > 0 && !this.acceptsAppends) return 'unsure';
+    const written = entries.map((entry) => withTerm(entry, holder.term));
     const answers = await this.requestFromAll((disk) => ({
-      kind: 'journal-append',
-      disk,
-      holder,
-      entries,
+      ...{ kind: 'journal-append', disk, holder },
+      entries: written,
     }));
     if (answers.some((answer) => answer?.kind === 'refused')) {
       this.isSuperseded = true;
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -7,16 +7,25 @@
 import { RESULT, SPECIFICATION } from '../jobs/job-records.js';
 import { type DiskId, REPLICA_LOCATION } from './replica-location.js';
 
+/** Term of the owner that wrote an entry; absent in entries of older builds. */
+const TERM = z.number().optional();
+
 const KNOWN_ENTRY = z.discriminatedUnion('kind', [
   /** The job was accepted. */
   looseRecord({
     kind: z.literal('created'),
     spec: SPECIFICATION,
     replicas: z.array(REPLICA_LOCATION),
+    term: TERM,
   }),
   /** Results at successive positions; becomes the page with this number in the shared store. */
-  looseRecord({ kind: z.literal('page'), number: z.number(), results: z.array(RESULT) }),
-  looseRecord({ kind: z.literal('ended') }),
+  looseRecord({
+    kind: z.literal('page'),
+    number: z.number(),
+    results: z.array(RESULT),
+    term: TERM,
+  }),
+  looseRecord({ kind: z.literal('ended'), term: TERM }),
 ]);
 
 export type JournalEntry = z.infer<typeof KNOWN_ENTRY>;
@@ -55,6 +64,35 @@
   return isKnownEntry(entry) ? kind : (key ?? kind);
 }
 
+/** The same entry as written by the owner of a term. */
+export function withTerm(entry: JournalEntry, term: number): JournalEntry {
+  return { ...entry, term };
+}
+
+/** The same entry without the term of its writer. */
+function withoutTerm(entry: JournalEntry): JournalEntry {
+  const { term: _, ...content } = entry;
+  return content as JournalEntry;
+}
+
+/**
+ * Merges the entries of several replicas, without their terms. Of different entries under one key,
+ * the one of the latest owner is taken: that owner had found or replaced the others.
+ */
+export function latestEntries(entries: readonly JournalEntry[]): JournalEntry[] {
+  const latest = new Map<string, JournalEntry>();
+  for (const entry of entries) {
+    const key = keyOfEntry(entry);
+    const other = latest.get(key);
+    if (other === undefined || termOf(entry) > termOf(other)) latest.set(key, entry);
+  }
+  return [...latest.values()].map(withoutTerm);
+}
+
+function termOf({ term = 0 }: JournalEntry): number {
+  return term;
+}
+
 /** Whether this build knows the kind of an entry. */
 export function isKnownEntry(entry: JournalEntry): boolean {
   return KNOWN_KINDS.has(entry.kind);
--- a/test/journal/job-journal.test.ts
+++ b/test/journal/job-journal.test.ts
@@ -6,6 +6,7 @@
 import t from 'tap';
 import type { JobJournal } from '../../src/journal/job-journal.js';
 import type { JournalEntry } from '../../src/journal/journal-entries.js';
+import { result } from '../jobs/job-fixtures.js';
 import { JournalZone, page } from './journal-fixtures.js';
 
 t.test('an entry is stored once all replicas have it', async (t) => {
@@ -66,6 +67,26 @@
   t.equal((await later.claim()).kind, 'disks-gone');
 });
 
+t.test('an entry of an earlier owner does not replace that of a later one', async (t) => {
+  for (const laterReplica of [0, 2]) {
+    const zone = await JournalZone.open(t);
+    /** Leaves an entry of one owner on one replica. */
+    const writeAt = async (replica: number, term: number, entry: JournalEntry) => {
+      for (const address of zone.addresses) zone.unreachable.add(address);
+      zone.unreachable.delete(zone.addresses[replica] ?? '');
+      const journal = zone.journals(`node-${term}/life`).open('job', zone.locations, term);
+      t.equal((await journal.claim()).kind, 'claimed');
+      t.equal(await journal.append([entry]), 'unsure');
+      zone.unreachable.clear();
+    };
+    const laterEntry: JournalEntry = { kind: 'page', number: 0, results: [result(7)] };
+    await writeAt(2 - laterReplica, 1, page(0));
+    await writeAt(laterReplica, 2, laterEntry);
+    const nextJournal = zone.journals('node-3/life').open('job', zone.locations, 3);
+    t.same(await nextJournal.claim(), { kind: 'claimed', entries: [laterEntry] });
+  }
+});
+
 /** One event of a random run. */
 type Step =
   | { readonly kind: 'append'; readonly owner: number }
--- a/test/journal/older-build.test.ts
+++ b/test/journal/older-build.test.ts
@@ -6,13 +6,15 @@
 import { JobJournal } from '../../src/journal/job-journal.js';
 import type { JournalEntry } from '../../src/journal/journal-entries.js';
 import { JournalReplica } from '../../src/journal/journal-replica.js';
+import type { ReplicaLocation } from '../../src/journal/replica-location.js';
 import { parseReplicaLocation, replicaRecordOf } from '../../src/journal/replica-record.js';
+import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { JOURNAL_DISK, JOURNAL_LINES, RECORDS } from '../fixtures/format-1.js';
 import { FORMAT_1 } from '../fixtures/format-1-schemas.js';
-import { ManualClock } from '../jobs/job-fixtures.js';
+import { ManualClock, result } from '../jobs/job-fixtures.js';
 import { recordingLog } from '../serving/serving-fixtures.js';
-import { JournalZone, openReplica, page, temporaryFolder } from './journal-fixtures.js';
+import { JournalZone, openReplica, page, temporaryFolder, ZONE } from './journal-fixtures.js';
 
 const HOLDER = { job: 'job', term: 1, writer: 'node-1/life-1' };
 const NEXT_HOLDER = { job: 'job', term: 2, writer: 'node-2/life-2' };
@@ -41,6 +43,20 @@
   return lines.map((text) => JSON.parse(text.slice(text.indexOf(' ') + 1)));
 }
 
+/** The location of a replica, at its disk's name as an address. */
+function locationOf({ disk }: JournalReplica): ReplicaLocation {
+  return { node: disk, zone: ZONE, address: disk, disk };
+}
+
+/** Sends requests to replicas by their disks. */
+function portTo(replicas: readonly JournalReplica[]): PeerPort {
+  const byDisk = new Map(replicas.map((replica) => [replica.disk, replica]));
+  return {
+    request: async <Kind extends PeerRequest['kind']>(disk: string, request: PeerRequest) =>
+      ({ kind: 'answered', answer: await byDisk.get(disk)?.answer(request) }) as PeerOutcome<Kind>,
+  };
+}
+
 /** Opens a replica and returns its log lines. */
 async function openWithLog(folder: string) {
   const { log, lines } = recordingLog();
@@ -131,6 +147,45 @@
   t.same(await nextJournal.claim(), { kind: 'claimed', entries: [page(0)] });
 });
 
+t.test('an older build reads an entry with the term of its writer', async (t) => {
+  const folder = temporaryFolder(t);
+  const replica = await openReplica(folder);
+  const journal = new JobJournal({
+    ...{ port: portTo([replica]), metrics: new FleetMetrics() },
+    ...{ replicas: [locationOf(replica)], holder: HOLDER },
+  });
+  t.equal(await journal.append([page(0), { kind: 'ended' }]), 'kept');
+  await replica.stop();
+  const written = bodiesIn(folder).at(-1);
+  t.match(written, {
+    entries: [
+      { kind: 'page', term: 1 },
+      { kind: 'ended', term: 1 },
+    ],
+  });
+  const read = FORMAT_1.journalLine.parse(written);
+  t.same(read, { kind: 'held', holder: HOLDER, entries: [page(0), { kind: 'ended' }], at: 1_000 });
+});
+
+t.test('an entry of an older build is read, and replaced by one with a term', async (t) => {
+  const laterPage: JournalEntry = { kind: 'page', number: 0, results: [result(7)] };
+  const older = folderWith(
+    t,
+    JOURNAL_LINES.map((text) => `${text}\n`),
+  );
+  const newer = folderWith(t, [
+    line({ kind: 'disk', disk: 'disk-2', format: 2 }),
+    line({ kind: 'held', holder: HOLDER, entries: [{ ...laterPage, term: 1 }], at: 1_000 }),
+  ]);
+  const replicas = [await openReplica(newer), await openReplica(older)];
+  const journal = new JobJournal({
+    ...{ port: portTo(replicas), metrics: new FleetMetrics() },
+    ...{ replicas: replicas.map(locationOf), holder: NEXT_HOLDER },
+  });
+  t.same(await journal.claim(), { kind: 'claimed', entries: [laterPage, { kind: 'ended' }] });
+  for (const replica of replicas) await replica.stop();
+});
+
 t.test('builds of both formats read replica records of each other', async (t) => {
   const record = RECORDS['fleet/replica/disk-1'];
   t.same(parseReplicaLocation(record), JSON.parse(record));
