Soak: several trainers, overlapping submissions, late commits, groups turned away, end without power

Cause: the soak repeated a submission only after its end, never had the store carry commits out late, lost disks one at a time, and ended without a loss of power, so that no run could show a position with two results. Change: overlap across zones while a call is under way, four trainers, spans of late commits and of groups that are turned away, and an end: trouble until all power is lost, two disks of a zone empty, all jobs read at fresh gateways.

--- a/lab/demo/process-group.ts
+++ b/lab/demo/process-group.ts
@@ -74,6 +74,13 @@
     });
   }
 
+  /** Kills all at the same moment, as a loss of power does; resolves when none is left. */
+  async killAll(): Promise<void> {
+    const running = this.processes.filter(isRunning);
+    for (const { child } of running) child.kill('SIGKILL');
+    await Promise.all(running.map((started) => started.exited));
+  }
+
   /** Asks all to end, and kills those that do not; resolves when none is left. */
   async stopAll(): Promise<void> {
     const running = this.processes.filter(isRunning);
--- a/lab/emulator/shared-store-emulator.ts
+++ b/lab/emulator/shared-store-emulator.ts
@@ -79,6 +79,11 @@
     for (const commit of commits) this.apply(commit);
   }
 
+  /** Carries out a commit whose sender got no answer, whether or not the store answers now. */
+  applyLate(commit: StoreCommit): StoreCommitOutcome {
+    return this.apply(commit);
+  }
+
   /** Watches hear of no change until the history is forgotten. */
   deafenWatches(): void {
     this.areWatchesDeaf = true;
--- /dev/null
+++ b/lab/soak/fault-timeline.ts
@@ -0,0 +1,88 @@
+/** Brings planned faults on in time, and keeps in mind what is under way. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Milliseconds } from '../../src/core/units.js';
+import { Disturbances } from './disturbances.js';
+import type { SoakGateway } from './gateway-group.js';
+
+/** Time after a fault in which late work is excused. */
+const CALM_AFTER: Milliseconds = 3_500;
+
+/** A planned fault, as far as the timeline needs it. */
+interface TimedFault {
+  /** Milliseconds since the soak began. */
+  readonly at: Milliseconds;
+}
+
+/** How faults of one plan are brought on. */
+export interface FaultPerformance<Fault extends TimedFault> {
+  /** The gateways that have an excuse while the fault is under way. */
+  readonly struckBy: (fault: Fault) => 'all' | readonly SoakGateway[];
+  /** Whether some gateways don't reach the store, or are not answered, meanwhile. */
+  readonly isStoreAway: (fault: Fault) => boolean;
+  /** Resolves when the fault is over. */
+  readonly perform: (fault: Fault, struck: readonly SoakGateway[]) => Promise<void>;
+}
+
+/** The faults of one soak. */
+export class FaultTimeline {
+  private readonly underWay = new Set<Promise<void>>();
+  private readonly disturbances: Disturbances;
+  private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
+  private storeFaults = 0;
+
+  constructor(private readonly now: () => Milliseconds) {
+    this.disturbances = new Disturbances(now);
+  }
+
+  /** Brings on the faults of a plan in order; resolves when the last one has begun. */
+  async bringOn<Fault extends TimedFault>(
+    faults: readonly Fault[],
+    performance: FaultPerformance<Fault>,
+  ): Promise<void> {
+    for (const fault of faults) {
+      await sleep(Math.max(0, fault.at - this.now()));
+      this.begin(fault, performance);
+    }
+  }
+
+  /** Resolves when no fault is under way. */
+  async allOver(): Promise<void> {
+    await Promise.all(this.underWay);
+  }
+
+  /** Whether nothing happens, nor did lately. */
+  get isCalm(): boolean {
+    return this.underWay.size === 0 && this.now() - this.lastFaultAt > CALM_AFTER;
+  }
+
+  /** Whether nothing has happened to a gateway lately, whatever befell others. */
+  isCalmFor(gateway: SoakGateway): boolean {
+    return this.disturbances.areOverFor(gateway, CALM_AFTER);
+  }
+
+  /** Whether a fault is under way in which the store does not answer some gateways. */
+  get isStoreAway(): boolean {
+    return this.storeFaults > 0;
+  }
+
+  private begin<Fault extends TimedFault>(
+    fault: Fault,
+    { struckBy, isStoreAway, perform }: FaultPerformance<Fault>,
+  ): void {
+    const struck = struckBy(fault);
+    const gateways = struck === 'all' ? [] : struck;
+    const ends =
+      struck === 'all'
+        ? [this.disturbances.begin(undefined)]
+        : struck.map((gateway) => this.disturbances.begin(gateway));
+    const storeFaults = isStoreAway(fault) ? 1 : 0;
+    this.storeFaults += storeFaults;
+    const work = perform(fault, gateways).finally(() => {
+      for (const end of ends) end();
+      this.storeFaults -= storeFaults;
+      this.underWay.delete(work);
+      this.lastFaultAt = this.now();
+    });
+    this.underWay.add(work);
+  }
+}
--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -41,6 +41,7 @@
 /** Starts, signals and restarts gateways. */
 export class GatewayGroup {
   readonly gateways: SoakGateway[] = [];
+  private readonly readers: SoakGateway[] = [];
   private readonly processes: ProcessGroup;
   private added = 0;
 
@@ -55,7 +56,30 @@
 
   /** Starts so many gateways before a store. */
   async start(count: number): Promise<void> {
-    for (let index = 0; index < count; index += 1) await this.add();
+    for (let index = 0; index < count; index += 1) {
+      this.gateways.push(await this.create(ZONES[this.added % ZONES.length] ?? ''));
+    }
+  }
+
+  /** Kills all gateways at the same moment. */
+  killAll(): Promise<void> {
+    return this.processes.killAll();
+  }
+
+  /** Starts all gateways again, each after its delay. */
+  async restartAll(delays: readonly number[]): Promise<void> {
+    await Promise.all(
+      this.gateways.map(async (gateway, index) => {
+        await sleep(delays[index] ?? 0);
+        this.launch(gateway);
+      }),
+    );
+  }
+
+  /** Starts one more gateway in each zone, which callers are not told of. */
+  async startReaders(): Promise<readonly SoakGateway[]> {
+    for (const zone of ZONES) this.readers.push(await this.create(zone));
+    return this.readers;
   }
 
   /** A machine is gone for good; another one takes its place under another name and address. */
@@ -107,17 +131,16 @@
   /** Ends all gateways and their links. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
-    for (const { storeLink } of this.gateways) await storeLink.close();
+    for (const { storeLink } of [...this.gateways, ...this.readers]) await storeLink.close();
   }
 
-  private async add(): Promise<void> {
+  private async create(zone: string): Promise<SoakGateway> {
     const storeDoor = await this.openStore();
     const storeLink = new TcpProxy({ target: storeDoor.address });
     const storeAddress = await storeLink.start();
-    const zone = ZONES[this.added % ZONES.length] ?? '';
     const place = await this.settle(storeAddress, zone);
     const process = this.process(place.name, place.settingsFile);
-    this.gateways.push({ ...place, zone, storeLink, storeAddress, storeDoor, process });
+    return { ...place, zone, storeLink, storeAddress, storeDoor, process };
   }
 
   /** A name, an address and a settings file that no gateway had before. */
--- a/lab/soak/platform-store.ts
+++ b/lab/soak/platform-store.ts
@@ -6,8 +6,10 @@
 import type http from 'node:http';
 import * as z from 'zod';
 import { STORE } from '../../platform/names.js';
-import type { StoreChange, StoreItem } from '../../src/shared-store/shared-store.js';
+import { createRandomSource, type RandomSource } from '../../src/core/random.js';
+import type { StoreChange, StoreCommit, StoreItem } from '../../src/shared-store/shared-store.js';
 import { SharedStoreEmulator } from '../emulator/shared-store-emulator.js';
+import { LateCommits } from './late-commits.js';
 import { StoreDoor } from './store-door.js';
 
 const ROW = z.object({ tls_key: z.string(), revision: z.number() });
@@ -19,17 +21,23 @@
 });
 const GRANT = z.object({ ttl_ms: z.number() });
 
-/** An answer; `undefined` drops the connection without one. */
-type Reply = { readonly status: number; readonly body: unknown } | undefined;
+/** An answer; `undefined` drops the connection without one, `unanswered` leaves it open. */
+type Reply = { readonly status: number; readonly body: unknown } | 'unanswered' | undefined;
 
 const UNAVAILABLE: Reply = { status: 503, body: {} };
 
 /** The stand-in. */
 export class PlatformStore {
   readonly emulator = new SharedStoreEmulator();
+  /** Commits that came through doors with a `lateShare`. */
+  readonly lateCommits: LateCommits;
   private readonly doors: StoreDoor[] = [];
   private readonly leases = new Map<number, { readonly ttl: number; timer: NodeJS.Timeout }>();
 
+  constructor(random: RandomSource = createRandomSource(0)) {
+    this.lateCommits = new LateCommits(this.emulator, random);
+  }
+
   /** Opens a door; resolves when it listens. */
   async open(): Promise<StoreDoor> {
     const door = new StoreDoor({
@@ -49,6 +57,7 @@
   /** Listens no more. */
   stop(): void {
     for (const { timer } of this.leases.values()) clearTimeout(timer);
+    this.lateCommits.stop();
     for (const door of this.doors) door.close();
   }
 
@@ -66,6 +75,7 @@
       return;
     }
     const reply = await this.answer(door, request, Buffer.concat(chunks).toString(), gone.signal);
+    if (reply === 'unanswered') return;
     if (reply === undefined) request.socket.destroy();
     else {
       response.writeHead(reply.status, { 'content-type': 'application/json' });
@@ -88,7 +98,7 @@
       const after = Number(query('after_revision'));
       return this.watch(query('path_prefix'), after, Number(query('wait_ms')), gone);
     }
-    if (pathname === STORE.commit) return this.commit(body);
+    if (pathname === STORE.commit) return this.commit(door, body);
     if (pathname === STORE.grant) return this.grant(door, body);
     if (pathname.startsWith(STORE.keep)) return this.keep(Number(pathname.split('/').at(-1)));
     if (pathname.startsWith(STORE.end)) return this.end(Number(pathname.split('/').at(-1)));
@@ -121,20 +131,10 @@
     return { status: 200, body: { events: outcome.changes.map(wireChange), at: outcome.revision } };
   }
 
-  private async commit(body: string): Promise<Reply> {
-    const commit = COMMIT.parse(JSON.parse(body));
-    const outcome = await this.emulator.commit({
-      expected: commit.expected_revision.map((row) => ({
-        key: row.tls_key,
-        revision: row.revision,
-      })),
-      put: commit.put.map(({ tls_key, value, lease }) => ({
-        key: tls_key,
-        value: Buffer.from(value, 'base64').toString('utf8'),
-        lease,
-      })),
-      remove: commit.remove,
-    });
+  private async commit(door: StoreDoor, body: string): Promise<Reply> {
+    const commit = commitOf(body);
+    if (this.lateCommits.takes(commit, door.lateShare)) return 'unanswered';
+    const outcome = await this.emulator.commit(commit);
     if (outcome.kind === 'committed') return { status: 200, body: { revision: outcome.revision } };
     if (outcome.kind === 'conflict') return { status: 412, body: { requests: [] } };
     if (outcome.kind === 'lease-gone') return { status: 404, body: {} };
@@ -177,6 +177,19 @@
   }
 }
 
+function commitOf(body: string): StoreCommit {
+  const { expected_revision, put, remove } = COMMIT.parse(JSON.parse(body));
+  return {
+    expected: expected_revision.map(({ tls_key: key, revision }) => ({ key, revision })),
+    put: put.map(({ tls_key: key, value, lease }) => ({
+      key,
+      value: Buffer.from(value, 'base64').toString('utf8'),
+      lease,
+    })),
+    remove,
+  };
+}
+
 function encode(value: string): string {
   return Buffer.from(value, 'utf8').toString('base64');
 }
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -8,53 +8,10 @@
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
+import type { KnownJobReads, ReadResult, SubmittedJob, Violation } from './promise-records.js';
 import { ALLOWED_REGION } from './soak-call.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
 
-/** A promise that was broken. */
-export interface Violation {
-  readonly promise:
-    | 'complete-answer'
-    | 'sample-text'
-    | 'sample-versions'
-    | 'sample-score'
-    | 'positions'
-    | 'job-kept'
-    | 'refusal-true'
-    | 'tenant-told'
-    | 'key-revoked'
-    | 'configuration-in-force'
-    | 'fencing'
-    | 'ended-job'
-    | 'query-of-death'
-    | 'leaving-worker'
-    | 'cold-worker'
-    | 'evacuated-zone'
-    | 'residency';
-  readonly detail: string;
-  /** Milliseconds since the soak began. */
-  readonly at: Milliseconds;
-}
-
-/** One listed result as a trainer read it. */
-export interface ReadResult {
-  readonly id: string;
-  readonly state: string;
-  readonly text: string;
-  readonly versions: readonly WeightVersion[];
-  readonly score?: string | undefined;
-}
-
-/** What a trainer handed in. */
-export interface SubmittedJob {
-  readonly id: string;
-  readonly minVersion: WeightVersion;
-  /** Events that a whole sample has, by item. */
-  readonly events: ReadonlyMap<string, number>;
-  /** The id of its score request, by item; items without one need no score. */
-  readonly scoreRequests?: ReadonlyMap<string, string>;
-}
-
 interface KnownJob extends SubmittedJob {
   isAccepted: boolean;
   endedAt: Milliseconds | undefined;
@@ -199,10 +156,20 @@
     }
   }
 
-  /** Results that were read before and are asked for again, from the start. */
-  resultsReadAgain(job: string, count: number): void {
-    const seen = this.jobs.get(job)?.positions.length ?? 0;
-    this.check(count >= seen, 'job-kept', `${job} had ${seen} results and has ${count}`);
+  /**
+   * Results that were read before and are asked for again, from the start, at one gateway; a count
+   * below 0 tells that the job could not be read.
+   */
+  resultsReadAgain(
+    job: string,
+    count: number,
+    gateway: string,
+    seen = this.jobs.get(job)?.positions.length ?? 0,
+  ): void {
+    const isReadable = count >= 0;
+    const detail = isReadable ? `has ${count}` : 'can not be read';
+    const holds = isReadable && count >= seen;
+    this.check(holds, 'job-kept', `${job} had ${seen} results and ${detail} at ${gateway}`);
   }
 
   /** A worker began to run an item. */
@@ -254,10 +221,13 @@
   }
 
   /** Jobs that were accepted, with the results that were read. */
-  acceptedJobs(): readonly { readonly id: string; readonly read: number }[] {
+  acceptedJobs(): readonly KnownJobReads[] {
     return [...this.jobs.values()]
       .filter((job) => job.isAccepted)
-      .map(({ id, positions }) => ({ id, read: positions.length }));
+      .map(({ id, events, positions }) => ({
+        ...{ id, total: events.size, read: positions.length },
+        tenant: this.tenants.get(id),
+      }));
   }
 
   private checkNotEnded(request: string, job: KnownJob | undefined, isCalm: boolean): void {
--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -5,11 +5,17 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import { KEY_PREFIX } from './promise-checker.js';
 
-/** The tenant of lookups, and the one of the trainer. */
-export type SoakTenant = 'brokers' | 'trainers';
+/** All tenants: that of lookups, and one of each trainer. */
+export const SOAK_TENANTS = [
+  'brokers',
+  'trainers',
+  'trainers-b',
+  'trainers-c',
+  'trainers-d',
+] as const;
 
-/** All tenants. */
-export const SOAK_TENANTS: readonly SoakTenant[] = ['brokers', 'trainers'];
+/** One tenant. */
+export type SoakTenant = (typeof SOAK_TENANTS)[number];
 
 /** The keys that a configuration holds of one tenant. */
 export interface SoakTenantKeys {
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -2,22 +2,32 @@
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
-import { createRandomSource, type RandomSource } from '../../src/core/random.js';
+import { createRandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { type AcceptanceCounts, countAcceptances } from './acceptance-log.js';
 import { BuildRotation } from './build-rotation.js';
-import { Disturbances, isOfOneGateway, leavesGatewaysAlone } from './disturbances.js';
-import { type PlannedFault, planFaults, QUIET_END } from './fault-schedule.js';
-import { GatewayGroup, type SoakGateway, ZONES } from './gateway-group.js';
-import { JournalGroup } from './journal-group.js';
+import { FaultRunner } from './fault-runner.js';
+import { planFaults, QUIET_END } from './fault-schedule.js';
+import { FaultTimeline } from './fault-timeline.js';
+import { planPowerLoss } from './final-power-loss.js';
+import { readAllJobs } from './final-reading.js';
+import { GatewayGroup, ZONES } from './gateway-group.js';
+import { JournalGroup, REPLICAS_A_ZONE } from './journal-group.js';
+import type { LateCommitCounts } from './late-commits.js';
 import { PlatformStore } from './platform-store.js';
-import { PromiseChecker, type Violation } from './promise-checker.js';
-import { type CallerCounts, SoakCallers } from './soak-callers.js';
+import { PowerLoss } from './power-loss.js';
+import { PromiseChecker } from './promise-checker.js';
+import type { Violation } from './promise-records.js';
+import { type CallerCounts, type CallerSurroundings, SoakCallers } from './soak-callers.js';
 import { LOOKUP_SERVICE, MODEL, MODEL_SERVICE, soakConfiguration } from './soak-configuration.js';
 import { planEvacuations, SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeys } from './soak-keys.js';
+import { StoreFaultRunner } from './store-fault-runner.js';
+import { planGatewaysTurnedAway, planLateCommits } from './store-faults.js';
 import { WorkerPool } from './worker-pool.js';
 import type { WorkerStandIn } from './worker-stand-in.js';
-import { planZoneFaults, type ZoneFault } from './zone-faults.js';
+import { ZoneFaultRunner } from './zone-fault-runner.js';
+import { planZoneFaults } from './zone-faults.js';
 
 /** What to run. */
 export interface SoakOptions {
@@ -38,286 +48,150 @@
   readonly checked: number;
   readonly violations: readonly Violation[];
   readonly counts: CallerCounts;
+  readonly lateCommits: LateCommitCounts;
+  readonly acceptances: AcceptanceCounts;
+  /** What happened at the loss of all power. */
+  readonly powerLoss: unknown;
   /** Most workers that ended under one request. */
   readonly mostEndedUnderOne: number;
 }
 
-/** The zone that the trainer is in; its calls to hand in and to end come to gateways there. */
-const TRAINER_ZONE = 'zone-a';
+/** Time after which no process runs any more. */
+const KILL_TIME: Milliseconds = 100;
 
-/** Time after a fault in which late work is excused. */
-const CALM_AFTER: Milliseconds = 3_500;
+/** Time for which callers go on after all that lost power has started again. */
+const CALLERS_AFTER_LOSS: Milliseconds = 2_000;
 
-/** Time for reading everything again at the end. */
-const LAST_READ_LIMIT: Milliseconds = 15_000;
-
-/** Delay of a slow link to the store. */
-const SLOW_LINK: Milliseconds = 150;
-const SLOW_WORKER: Milliseconds = 60;
-
-/** Share of one gateway's connections to the store that fall silent: those of watches may, or others. */
-const SILENCED_SHARE = 0.5;
-
-/** Changes or signals that come one after the other. */
-const SERIES_LENGTH = 4;
-const SERIES_PAUSE: Milliseconds = 150;
+/** Time in which all jobs can be read again after all that lost power has started, and a margin. */
+const FINISH_LIMIT: Milliseconds = 10_000;
+const FINISH_MARGIN: Milliseconds = 5_000;
 
 /** Carries out one soak. */
 export class SoakRun {
   private readonly startedAt = performance.now();
-  private readonly store = new PlatformStore();
-  private readonly checker: PromiseChecker;
+  private readonly now = (): Milliseconds => performance.now() - this.startedAt;
+  private readonly timeline = new FaultTimeline(this.now);
+  private readonly checker = new PromiseChecker(this.now);
+  private readonly keys = new SoakKeys(this.now);
+  private readonly store: PlatformStore;
   private readonly gateways: GatewayGroup;
   private readonly journals: JournalGroup;
   private readonly workers: WorkerPool;
-  private readonly underWay = new Set<Promise<void>>();
+  private readonly evacuations: SoakEvacuations;
   private newest: WeightVersion = 1;
   private configurationVersion = 0;
-  private readonly evacuations: SoakEvacuations;
-  private readonly keys = new SoakKeys(() => this.elapsed());
-  private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
-  private readonly silenced: RandomSource;
-  private readonly disturbances = new Disturbances(() => this.elapsed());
 
   constructor(private readonly options: SoakOptions) {
-    const now = (): Milliseconds => performance.now() - this.startedAt;
-    this.checker = new PromiseChecker(now);
+    const { seed, folder } = options;
     const builds = new BuildRotation(options.otherBuild);
-    this.gateways = new GatewayGroup(options.folder, () => this.store.open(), builds);
-    this.journals = new JournalGroup(path.join(options.folder, 'journals'), builds);
-    const isCalm = (): boolean => this.isCalm();
+    this.store = new PlatformStore(createRandomSource(seed + 9));
+    this.gateways = new GatewayGroup(folder, () => this.store.open(), builds);
+    this.journals = new JournalGroup(path.join(folder, 'journals'), builds);
+    const isCalm = (): boolean => this.timeline.isCalm;
     this.evacuations = new SoakEvacuations({
-      ...{ store: this.store.emulator, zones: ZONES, checker: this.checker, now, isCalm },
-      calmAddresses: () => this.calmAddresses(),
+      ...{ store: this.store.emulator, zones: ZONES, checker: this.checker },
+      ...{ now: this.now, isCalm, calmAddresses: () => this.calmAddresses() },
     });
     const surroundings = {
-      ...{ checker: this.checker, model: MODEL, now, isCalm },
+      ...{ checker: this.checker, model: MODEL, now: this.now, isCalm },
       onRequest: (request: string, { zone }: WorkerStandIn) =>
         this.evacuations.requestArrived(request, zone),
     };
-    const random = createRandomSource(options.seed + 1);
-    this.silenced = createRandomSource(options.seed + 3);
+    const random = createRandomSource(seed + 1);
     this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
   }
 
   /** Runs to the end. */
   async run(): Promise<SoakReport> {
-    const { seed, length } = this.options;
-    const faults = planFaults(seed, length);
+    const { length, folder } = this.options;
     this.writeConfiguration();
     await this.workers.start(MODEL_SERVICE, this.options.modelWorkers);
     await this.workers.start(LOOKUP_SERVICE, this.options.lookupWorkers);
     const openStore = async (): Promise<string> => (await this.store.open()).address;
     await this.journals.start(ZONES, openStore);
     await this.gateways.start(this.options.gateways);
-    const callers = new SoakCallers({
-      checker: this.checker,
-      keys: this.keys,
-      evacuations: this.evacuations,
-      isCalm: () => this.isCalm(),
-      random: createRandomSource(seed + 2),
-      now: () => this.elapsed(),
-      calmAddresses: () => this.calmAddresses(),
-      addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
-      trainerAddresses: () =>
-        this.gateways.gateways
-          .filter(({ zone }) => zone === TRAINER_ZONE)
-          .map((gateway) => gateway.address),
-      model: MODEL,
-      nameVersion: (version) => this.nameVersion(version),
-    });
+    const callers = new SoakCallers(this.callerSurroundings());
     callers.start();
-    const zoneFaults = planZoneFaults(seed + 4, length);
-    const ofZones = this.bringOnZoneFaults(zoneFaults);
-    const evacuations = planEvacuations(seed + 5, length);
-    const ofEvacuations = this.evacuations.run(evacuations);
-    for (const fault of faults) await this.bringOn(fault);
-    await Promise.all([ofZones, ofEvacuations]);
-    await this.sleepUntil(length - QUIET_END);
-    await Promise.all(this.underWay);
-    await callers.stop();
-    await callers.readAllAgain(LAST_READ_LIMIT);
+    const faults = await this.bringOnFaults();
+    await sleep(Math.max(0, length - QUIET_END - this.now()));
+    await this.timeline.allOver();
+    const powerLoss = await this.losePower(callers);
     await this.gateways.stop();
     await this.journals.stop();
     await this.workers.stop();
     this.store.stop();
     const { violations, checked, mostEndedUnderOne } = this.checker;
     const { counts } = callers;
-    const brought = faults.length + zoneFaults.length + evacuations.length;
-    return { faults: brought, checked, violations, counts, mostEndedUnderOne };
-  }
-
-  private calmAddresses(): string[] {
-    const isCalm = (gateway: SoakGateway): boolean =>
-      this.disturbances.areOverFor(gateway, CALM_AFTER);
-    return this.gateways.gateways.filter(isCalm).map(({ address }) => address);
-  }
-
-  private isCalm(): boolean {
-    return this.underWay.size === 0 && this.elapsed() - this.lastFaultAt > CALM_AFTER;
-  }
-
-  private elapsed(): Milliseconds {
-    return performance.now() - this.startedAt;
+    const { counts: lateCommits } = this.store.lateCommits;
+    const acceptances = countAcceptances(path.join(folder, 'logs'));
+    const seen = { checked, violations, counts, mostEndedUnderOne };
+    return { ...seen, faults: faults + 1, lateCommits, acceptances, powerLoss };
   }
 
-  private async sleepUntil(at: Milliseconds): Promise<void> {
-    await sleep(Math.max(0, at - this.elapsed()));
-  }
-
-  private async bringOn(fault: PlannedFault): Promise<void> {
-    await this.sleepUntil(fault.at);
-    const struck = isOfOneGateway(fault.kind)
-      ? pick(this.gateways.gateways, fault.target)
-      : undefined;
-    const end = leavesGatewaysAlone(fault.kind) ? () => {} : this.disturbances.begin(struck);
-    const work = this.perform(fault).finally(() => {
-      end();
-      this.underWay.delete(work);
-      this.lastFaultAt = this.elapsed();
-    });
-    this.underWay.add(work);
-  }
-
-  private async bringOnZoneFaults(faults: readonly ZoneFault[]): Promise<void> {
-    for (const fault of faults) {
-      await this.sleepUntil(fault.at);
-      const struck = this.struckBy(fault);
-      const ends = struck.map((gateway) => this.disturbances.begin(gateway));
-      const work = this.performOnZone(fault, struck).finally(() => {
-        for (const end of ends) end();
-        this.underWay.delete(work);
-        this.lastFaultAt = this.elapsed();
-      });
-      this.underWay.add(work);
-    }
-  }
-
-  /** The gateways that a fault of a zone strikes; the loss of a journal's replica strikes none. */
-  private struckBy({ kind, target }: ZoneFault): SoakGateway[] {
-    if (kind !== 'zone-without-store') return [];
-    const struck = pick(ZONES, target);
-    return this.gateways.gateways.filter(({ zone }) => zone === struck);
-  }
-
-  private async performOnZone(
-    { kind, duration, target }: ZoneFault,
-    struck: readonly SoakGateway[],
-  ): Promise<void> {
-    if (kind !== 'zone-without-store') {
-      const disk = kind === 'replica-wiped' ? 'empty' : 'kept';
-      return this.journals.killAndRestart(target, disk, duration / 4);
-    }
-    await Promise.all(struck.map((gateway) => this.withLink(gateway, 'black-hole', duration)));
+  /** Brings on all faults but the last; resolves with their number when the last one has begun. */
+  private async bringOnFaults(): Promise<number> {
+    const { seed, length } = this.options;
+    const { timeline, store, gateways, journals, workers } = this;
+    const faults = planFaults(seed, length);
+    const zoneFaults = planZoneFaults(seed + 4, length);
+    const evacuations = planEvacuations(seed + 5, length);
+    const lateCommits = planLateCommits(seed + 6, length);
+    const turnedAway = planGatewaysTurnedAway(seed + 7, length);
+    const writeConfiguration = (): void => this.writeConfiguration();
+    const silenced = createRandomSource(seed + 3);
+    const ofAny = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
+    const ofStore = new StoreFaultRunner(store, gateways);
+    await Promise.all([
+      timeline.bringOn(faults, ofAny),
+      timeline.bringOn(zoneFaults, new ZoneFaultRunner(gateways, journals)),
+      this.evacuations.run(evacuations),
+      timeline.bringOn(lateCommits, ofStore),
+      timeline.bringOn(turnedAway, ofStore),
+    ]);
+    const plans = [faults, zoneFaults, evacuations, lateCommits, turnedAway];
+    return plans.reduce((sum, plan) => sum + plan.length, 0);
   }
 
-  private async perform({ kind, duration, target }: PlannedFault): Promise<void> {
-    const { emulator } = this.store;
-    const gateway = pick(this.gateways.gateways, target);
-    const place = pick(this.workers.places, target);
-    switch (kind) {
-      case 'gateway-killed':
-        return this.gateways.killAndRestart(gateway, duration / 4);
-      case 'gateway-paused':
-        return this.gateways.pause(gateway, duration);
-      case 'gateway-stopped':
-        return this.gateways.stopAndRestart(gateway);
-      case 'gateway-without-store':
-        return this.withLink(gateway, 'black-hole', duration);
-      case 'gateway-hears-no-store':
-        return this.withLink(gateway, 'one-way', duration);
-      case 'gateway-store-slow':
-        gateway.storeLink.delay = SLOW_LINK;
-        await sleep(duration);
-        gateway.storeLink.delay = 0;
-        return undefined;
-      case 'gateway-store-reset':
-        return gateway.storeLink.cut();
-      case 'gateway-store-links-silent':
-        return gateway.storeLink.silence(() => this.silenced.fraction() < SILENCED_SHARE);
-      case 'gateway-turned-away':
-        return this.withDoor(gateway, 'unavailable', duration);
-      case 'gateway-throttled':
-        return this.withDoor(gateway, 'throttled', duration);
-      case 'gateway-keys-revoked':
-        gateway.storeDoor.revokeKeys();
-        return this.withDoor(gateway, 'unavailable', duration);
-      case 'gateway-replaced':
-        return this.gateways.replace(gateway, duration / 4);
-      case 'all-gateways-killed':
-        await Promise.all(
-          this.gateways.gateways.map((one) => this.gateways.killAndRestart(one, 300)),
-        );
-        return undefined;
-      case 'store-refusing':
-      case 'store-silent':
-        emulator.setAvailability(kind === 'store-silent' ? 'silent' : 'refusing');
-        await sleep(duration);
-        emulator.setAvailability('up');
-        return undefined;
-      case 'store-forgets':
-        return emulator.compact();
-      case 'store-leases-lapse':
-        return emulator.lapseLeases();
-      case 'store-answers-lost':
-        return emulator.loseAnswers('applied', 'applied', 'applied');
-      case 'store-writes-late':
-        emulator.loseAnswers('applied-late', 'applied-late');
-        await sleep(duration);
-        return emulator.applyLateCommits();
-      case 'worker-crashed':
-        return this.workers.crash(place, duration / 2);
-      case 'worker-silent':
-        place.link.set('black-hole');
-        await sleep(duration);
-        return place.link.set('open');
-      case 'worker-slow':
-        place.link.delay = SLOW_WORKER;
-        await sleep(duration);
-        place.link.delay = 0;
-        return undefined;
-      case 'worker-reset':
-        return place.link.cut();
-      case 'worker-links-silent':
-        return place.link.silence();
-      case 'all-links-silent':
-        for (const { storeLink } of this.gateways.gateways) storeLink.silence();
-        for (const { link } of this.workers.places) link.silence();
-        return undefined;
-      case 'worker-leaves':
-        return this.workers.leave(place);
-      case 'configuration-changed':
-        return this.writeConfiguration();
-      case 'configurations-in-series':
-        for (let count = 0; count < SERIES_LENGTH; count += 1) {
-          this.writeConfiguration();
-          await sleep(SERIES_PAUSE);
-        }
-        return undefined;
-      case 'signals-in-series':
-        return this.gateways.signalInSeries(gateway, SERIES_LENGTH, SERIES_PAUSE);
-    }
+  /** All power is lost at once; then all jobs are read at gateways that were not asked before. */
+  private async losePower(callers: SoakCallers): Promise<unknown> {
+    const { timeline, store, gateways, journals, checker, keys, evacuations, now } = this;
+    const plan = planPowerLoss(this.options.seed + 8, this.options.gateways, REPLICAS_A_ZONE);
+    const loss = new PowerLoss({ timeline, store, gateways, journals, now });
+    await loss.bringTrouble(plan);
+    const repeated = sleep(KILL_TIME).then(() => callers.repeatRecent());
+    const { readers, emptied } = await loss.loseAndRestart(plan);
+    const backAt = now();
+    await sleep(CALLERS_AFTER_LOSS);
+    await Promise.all([repeated, callers.stop()]);
+    const random = createRandomSource(this.options.seed + 10);
+    const giveUpAt = Math.max(backAt + FINISH_LIMIT, now()) + FINISH_MARGIN;
+    await readAllJobs(readers, giveUpAt, { checker, keys, evacuations, random, now });
+    const trouble = plan.trouble.map(({ effect, struck }) => `${effect} ${struck}`);
+    return { trouble, emptied, readAfterMs: Math.round(now() - backAt) };
   }
 
-  private async withLink(
-    { storeLink }: SoakGateway,
-    state: 'black-hole' | 'one-way',
-    duration: Milliseconds,
-  ): Promise<void> {
-    storeLink.set(state);
-    await sleep(duration);
-    storeLink.set('open');
+  private callerSurroundings(): CallerSurroundings {
+    const { checker, keys, evacuations, now } = this;
+    const addressesIn = (zone: string): string[] =>
+      this.gateways.gateways
+        .filter((gateway) => gateway.zone === zone)
+        .map((gateway) => gateway.address);
+    return {
+      ...{ checker, keys, evacuations, now, zones: ZONES, model: MODEL, addressesIn },
+      isCalm: () => this.timeline.isCalm,
+      isStoreAway: () => this.timeline.isStoreAway,
+      random: createRandomSource(this.options.seed + 2),
+      calmAddresses: () => this.calmAddresses(),
+      addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
+      nameVersion: (version) => this.nameVersion(version),
+      newestVersion: () => this.newest,
+    };
   }
 
-  /** The store turns one gateway away and serves the others. */
-  private async withDoor(
-    { storeDoor }: SoakGateway,
-    refusal: 'unavailable' | 'throttled',
-    duration: Milliseconds,
-  ): Promise<void> {
-    storeDoor.refuse(refusal);
-    await sleep(duration);
-    storeDoor.refuse(undefined);
+  private calmAddresses(): string[] {
+    return this.gateways.gateways
+      .filter((gateway) => this.timeline.isCalmFor(gateway))
+      .map(({ address }) => address);
   }
 
   private nameVersion(version: WeightVersion): void {
@@ -332,9 +206,3 @@
     this.store.emulator.write(KEY_PREFIXES.configuration, JSON.stringify(configuration));
   }
 }
-
-function pick<Item>(items: readonly Item[], target: number): Item {
-  const item = items[target % items.length];
-  if (item === undefined) throw new Error('there is nothing to pick from');
-  return item;
-}
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -24,7 +24,8 @@
   const otherBuild = textFlag(flags, 'other-build');
   const folder = mkdtempSync(path.join(tmpdir(), 'wardwing-soak-'));
   const soak = new SoakRun({ ...FLEET, seed, length: seconds * SECOND, folder, otherBuild });
-  const { faults, checked, violations, counts, mostEndedUnderOne } = await soak.run();
+  const report = await soak.run();
+  const { faults, checked, violations, counts, mostEndedUnderOne } = report;
   for (const { at, promise, detail } of violations) console.log(`${at} ms  ${promise}  ${detail}`);
   const holds = violations.length === 0 && checked > 0 && counts.stepsWhole > 0;
   if (holds && flags.keep !== true) rmSync(folder, { recursive: true });
@@ -37,6 +38,9 @@
     checked,
     violations: violations.length,
     mostEndedUnderOne,
+    lateCommits: report.lateCommits,
+    acceptances: report.acceptances,
+    powerLoss: report.powerLoss,
   };
   console.log(JSON.stringify({ ...summary, ...counts, holds }));
   return holds ? 0 : 1;
--- a/lab/soak/store-door.ts
+++ b/lab/soak/store-door.ts
@@ -19,6 +19,8 @@
   private readonly server: http.Server;
   private readonly leases = new Set<number>();
   private refusal: DoorRefusal | undefined;
+  /** Share of the commits that are carried out late and left without an answer. */
+  lateShare = 0;
 
   constructor(private readonly store: StoreBehindDoor) {
     this.server = http.createServer((request, response) => this.admit(request, response));
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
-import { PromiseChecker, type ReadResult, sampleLine } from '../../../lab/soak/promise-checker.js';
+import { PromiseChecker, sampleLine } from '../../../lab/soak/promise-checker.js';
+import type { ReadResult } from '../../../lab/soak/promise-records.js';
 
 function fixture() {
   let time = 0;
@@ -31,7 +32,7 @@
   checker.itemStarted('one', undefined, true);
   checker.resultsRead('job', 2, 0, [sample('one', [2, 3])]);
   checker.resultsRead('job', 2, 0, [sample('one', [2, 3]), sample('two', [3])]);
-  checker.resultsReadAgain('job', 2);
+  checker.resultsReadAgain('job', 2, 'gateway');
   checker.lookupAnswered('ask', 'answer', 'answer');
   checker.orderTaken('node-1', 4, 0);
   checker.orderTaken('node-1', 4, 4);
@@ -71,10 +72,22 @@
   checker.jobAccepted('job');
   checker.jobUnknown('job');
   checker.resultsRead('job', 2, 0, [sample('one', [2, 2])]);
-  checker.resultsReadAgain('job', 0);
+  checker.resultsReadAgain('job', 0, 'gateway');
   t.same(broken(), ['job-kept', 'job-kept']);
 });
 
+t.test(
+  'an accepted job that can not be read is found, although nothing of it was read',
+  async (t) => {
+    const { checker, broken } = fixture();
+    checker.jobAccepted('job');
+    checker.resultsReadAgain('job', 0, 'gateway');
+    t.same(broken(), [], 'it has no results yet');
+    checker.resultsReadAgain('job', -1, 'gateway');
+    t.same(broken(), ['job-kept']);
+  },
+);
+
 t.test('a refusal is found untrue where an item ran', async (t) => {
   const { checker, broken } = fixture();
   checker.jobRefused('job');
