--- /dev/null
+++ b/test/lab/soak/store-faults.test.ts
@@ -0,0 +1,78 @@
+/** Faults of the store towards groups of gateways that a soak draws from its seed. */
+import t from 'tap';
+import { SharedStoreEmulator } from '../../../lab/emulator/shared-store-emulator.js';
+import { QUIET_END, QUIET_START } from '../../../lab/soak/fault-schedule.js';
+import { jobOwnerIn, struckGateways } from '../../../lab/soak/store-fault-runner.js';
+import {
+  LATE_COMMIT_BOUNDS,
+  planGatewaysTurnedAway,
+  planLateCommits,
+  TURNED_AWAY_BOUNDS,
+} from '../../../lab/soak/store-faults.js';
+
+const PLANS = [
+  { name: 'late commits', plan: planLateCommits, bounds: LATE_COMMIT_BOUNDS },
+  { name: 'gateways turned away', plan: planGatewaysTurnedAway, bounds: TURNED_AWAY_BOUNDS },
+];
+
+const GATEWAYS = [1, 2, 3, 4, 5].map((number) => ({
+  name: `gateway-${number}`,
+  zone: number % 2 === 1 ? 'zone-a' : 'zone-b',
+}));
+
+for (const { name, plan, bounds } of PLANS) {
+  t.test(`${name}: a seed gives the same plan each time, another seed another`, async (t) => {
+    t.same(plan(7, 60_000), plan(7, 60_000));
+    t.not(JSON.stringify(plan(7, 60_000)), JSON.stringify(plan(8, 60_000)));
+  });
+
+  t.test(`${name}: one after the other, within the bounds`, async (t) => {
+    const faults = plan(3, 600_000);
+    t.ok(faults.length > 40);
+    let end = QUIET_START;
+    for (const { at, duration, effect, struck } of faults) {
+      t.ok(at >= end && duration >= bounds.shortest && duration <= bounds.longest);
+      t.ok(bounds.effects.includes(effect) && bounds.groups.includes(struck));
+      end = at + duration;
+    }
+    t.ok(end <= 600_000 - QUIET_END);
+    t.equal(new Set(faults.map(({ effect }) => effect)).size, new Set(bounds.effects).size);
+    t.equal(new Set(faults.map(({ struck }) => struck)).size, new Set(bounds.groups).size);
+  });
+}
+
+t.test('each short soak has both kinds', async (t) => {
+  for (let seed = 0; seed < 50; seed += 1) {
+    t.ok(planLateCommits(seed, 45_000).length >= 2);
+    t.ok(planGatewaysTurnedAway(seed, 45_000).length >= 1);
+  }
+});
+
+t.test('a group leaves the gateways out that it promises to serve', async (t) => {
+  const struckBy = (struck: Parameters<typeof struckGateways>[0]['struck'], target: number) =>
+    struckGateways({ struck, target }, GATEWAYS, (zone) =>
+      zone === 'zone-a' ? 'gateway-3' : undefined,
+    ).map(({ name }) => name);
+  t.equal(struckBy('all', 1).length, GATEWAYS.length);
+  t.same(struckBy('zone', 0), ['gateway-1', 'gateway-3', 'gateway-5']);
+  t.same(struckBy('zone-but-one', 0), ['gateway-3', 'gateway-5']);
+  t.same(struckBy('zone-but-one', 1), ['gateway-2']);
+  t.same(struckBy('half', 4), ['gateway-5', 'gateway-1', 'gateway-2']);
+  t.same(struckBy('job-owner', 0), ['gateway-3']);
+  t.same(struckBy('job-owner', 1), ['gateway-2', 'gateway-4'], 'the zone, as no owner is known');
+});
+
+t.test('the job owner of a zone is that of the job submitted there last', async (t) => {
+  const store = new SharedStoreEmulator();
+  const head = (job: string, zone: string, node: string, submittedAt: number): void => {
+    const owner = { node, incarnation: 'one', address: '127.0.0.1:1' };
+    const counts = { total: 1, listed: 0, pages: 0, ended: false, specificationParts: 1 };
+    const value = JSON.stringify({ owner, zone, submittedAt, changeId: 'change', ...counts });
+    store.write(`job/head/${job}`, value);
+  };
+  head('a', 'zone-a', 'gateway-1', 10);
+  head('b', 'zone-a', 'gateway-3', 20);
+  head('c', 'zone-b', 'gateway-2', 30);
+  t.equal(jobOwnerIn('zone-a', store), 'gateway-3');
+  t.equal(jobOwnerIn('zone-c', store), undefined);
+});
