--- a/lab/soak/journal-group.ts
+++ b/lab/soak/journal-group.ts
@@ -99,6 +99,12 @@
     return lost;
   }
 
+  /** How many jobs have entries that replicas hold and the store may lack. */
+  async countUnsyncedJobs(): Promise<number> {
+    const held = await Promise.all(this.replicas.map((replica) => this.jobsHeldBy(replica)));
+    return new Set(held.flatMap((jobs) => jobs ?? [])).size;
+  }
+
   /** Ends all replicas. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -128,10 +134,15 @@
     }
   }
 
-  private async holdsNothing({ address }: SoakReplica): Promise<boolean> {
+  private async holdsNothing(replica: SoakReplica): Promise<boolean> {
+    return (await this.jobsHeldBy(replica))?.length === 0;
+  }
+
+  /** Jobs of which a replica holds entries that the store may lack; `undefined` without an answer. */
+  private async jobsHeldBy({ address }: SoakReplica): Promise<readonly string[] | undefined> {
     const request = { kind: 'journal-list' } as const;
     const outcome = await this.peers.request<'journal-list'>(address, request, SYNC_CHECK_LIMIT);
-    return outcome.kind === 'answered' && outcome.answer.jobs.length === 0;
+    return outcome.kind === 'answered' ? outcome.answer.jobs.map(({ job }) => job) : undefined;
   }
 
   private async add(name: string, zone: string, storeAddress: string): Promise<void> {
--- a/lab/soak/power-loss.ts
+++ b/lab/soak/power-loss.ts
@@ -26,6 +26,8 @@
   readonly readers: readonly string[];
   /** Replicas whose disk is empty. */
   readonly emptied: readonly string[];
+  /** Jobs of which the replicas held what the store lacked just before the loss. */
+  readonly unsyncedJobs: number;
 }
 
 /** Brings the end on. */
@@ -59,12 +61,13 @@
     gatewayDelays,
   }: PlannedPowerLoss): Promise<RestartedFleet> {
     const { gateways, journals } = this.surroundings;
+    const unsyncedJobs = await journals.countUnsyncedJobs();
     await Promise.all([gateways.killAll(), journals.killAll()]);
     const [emptied, readers] = await Promise.all([
       journals.restartAll(replicas),
       gateways.startReaders(),
       gateways.restartAll(gatewayDelays),
     ]);
-    return { readers: readers.map(({ address }) => address), emptied };
+    return { readers: readers.map(({ address }) => address), emptied, unsyncedJobs };
   }
 }
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -40,6 +40,8 @@
   readonly violations: Violation[] = [];
   /** Comparisons made. */
   checked = 0;
+  /** Comparisons by promise; some are made only while nothing excuses a breach. */
+  readonly checkedByPromise: Partial<Record<Violation['promise'], number>> = {};
   private readonly jobs = new Map<string, KnownJob>();
   private readonly jobOfItem = new Map<string, string>();
   private readonly tenants = new Map<string, string>();
@@ -273,6 +275,7 @@
 
   private check(holds: boolean, promise: Violation['promise'], detail: string): void {
     this.checked += 1;
+    this.checkedByPromise[promise] = (this.checkedByPromise[promise] ?? 0) + 1;
     if (!holds) this.violations.push({ promise, detail, at: Math.round(this.now()) });
   }
 }
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { JobLookers } from './job-lookers.js';
 import type { PromiseChecker } from './promise-checker.js';
 import {
   LOOKUP_LIMIT,
@@ -73,11 +74,13 @@
   private readonly keyCallers: SoakKeyCallers;
   private readonly lethalCallers: SoakLethalCallers;
   private readonly trainers: readonly SoakTrainer[];
+  private readonly jobLookers: JobLookers;
   private loops: Promise<void>[] = [];
 
   constructor(private readonly surroundings: CallerSurroundings) {
     this.keyCallers = new SoakKeyCallers(surroundings);
     this.lethalCallers = new SoakLethalCallers(surroundings);
+    this.jobLookers = new JobLookers(surroundings);
     this.trainers = TRAINERS.map(
       (identity) => new SoakTrainer(identity, surroundings, this.counts),
     );
@@ -88,6 +91,7 @@
     const prefixes = [LOOKUP_PREFIX, LOOKUP_PREFIX, REGIONAL_PREFIX];
     this.loops = prefixes.map((prefix) => this.lookups(prefix));
     for (const trainer of this.trainers) trainer.start();
+    this.jobLookers.start();
     this.keyCallers.start();
     this.lethalCallers.start();
   }
@@ -101,7 +105,7 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     const trainers = this.trainers.map((trainer) => trainer.stop());
-    const others = [this.keyCallers.stop(), this.lethalCallers.stop()];
+    const others = [this.jobLookers.stop(), this.keyCallers.stop(), this.lethalCallers.stop()];
     await Promise.all([...this.loops, ...trainers, ...others]);
   }
 
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -46,6 +46,7 @@
 export interface SoakReport {
   readonly faults: number;
   readonly checked: number;
+  readonly checkedByPromise: PromiseChecker['checkedByPromise'];
   readonly violations: readonly Violation[];
   readonly counts: CallerCounts;
   readonly lateCommits: LateCommitCounts;
@@ -120,11 +121,11 @@
     await this.journals.stop();
     await this.workers.stop();
     this.store.stop();
-    const { violations, checked, mostEndedUnderOne } = this.checker;
+    const { violations, checked, checkedByPromise, mostEndedUnderOne } = this.checker;
     const { counts } = callers;
     const { counts: lateCommits } = this.store.lateCommits;
     const acceptances = countAcceptances(path.join(folder, 'logs'));
-    const seen = { checked, violations, counts, mostEndedUnderOne };
+    const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne };
     return { ...seen, faults: faults + 1, lateCommits, acceptances, powerLoss };
   }
 
@@ -159,7 +160,7 @@
     const loss = new PowerLoss({ timeline, store, gateways, journals, now });
     await loss.bringTrouble(plan);
     const repeated = sleep(KILL_TIME).then(() => callers.repeatRecent());
-    const { readers, emptied } = await loss.loseAndRestart(plan);
+    const { readers, emptied, unsyncedJobs } = await loss.loseAndRestart(plan);
     const backAt = now();
     await sleep(CALLERS_AFTER_LOSS);
     await Promise.all([repeated, callers.stop()]);
@@ -167,7 +168,7 @@
     const giveUpAt = Math.max(backAt + FINISH_LIMIT, now()) + FINISH_MARGIN;
     await readAllJobs(readers, giveUpAt, { checker, keys, evacuations, random, now });
     const trouble = plan.trouble.map(({ effect, struck }) => `${effect} ${struck}`);
-    return { trouble, emptied, readAfterMs: Math.round(now() - backAt) };
+    return { trouble, unsyncedJobs, emptied, readAfterMs: Math.round(now() - backAt) };
   }
 
   private callerSurroundings(): CallerSurroundings {
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -36,6 +36,7 @@
     seconds,
     faults,
     checked,
+    checkedByPromise: report.checkedByPromise,
     violations: violations.length,
     mostEndedUnderOne,
     lateCommits: report.lateCommits,
