--- a/lab/soak/final-reading.ts
+++ b/lab/soak/final-reading.ts
@@ -7,7 +7,6 @@
 import { type JobCallSurroundings, JobCalls } from './job-calls.js';
 import type { PromiseChecker } from './promise-checker.js';
 import type { KnownJobReads } from './promise-records.js';
-import type { SoakTenant } from './soak-keys.js';
 
 /** Pause before a job is asked for again. */
 const RETRY_PAUSE: Milliseconds = 200;
@@ -51,7 +50,7 @@
     private readonly surroundings: ReadingSurroundings,
   ) {
     const addresses = (): string[] => [address];
-    this.calls = new JobCalls(job.tenant as SoakTenant, { ...surroundings, addresses });
+    this.calls = new JobCalls(job.tenant, { ...surroundings, addresses });
   }
 
   async read(): Promise<void> {
--- a/lab/soak/job-calls.ts
+++ b/lab/soak/job-calls.ts
@@ -4,7 +4,6 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import { performCall, ROLLOUT_PREFIX, type SoakAnswer } from './soak-call.js';
 import type { CallerSurroundings } from './soak-callers.js';
-import type { SoakTenant } from './soak-keys.js';
 
 /** Longest time for one call, and for which a read may be held. */
 const CALL_LIMIT: Milliseconds = 2_500;
@@ -33,7 +32,7 @@
 /** Makes the calls, each at a gateway that is drawn. */
 export class JobCalls {
   constructor(
-    private readonly tenant: SoakTenant,
+    private readonly tenant: string,
     private readonly surroundings: JobCallSurroundings,
   ) {}
 
--- a/lab/soak/job-lookers.ts
+++ b/lab/soak/job-lookers.ts
@@ -3,7 +3,6 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import { JobCalls } from './job-calls.js';
 import type { CallerSurroundings } from './soak-callers.js';
-import type { SoakTenant } from './soak-keys.js';
 
 /** Pause between two looks, and the newest jobs among which they choose. */
 const LOOK_PAUSE: Milliseconds = 80;
@@ -34,7 +33,7 @@
       const newest = checker.acceptedJobs().slice(-NEWEST_JOBS);
       const job = newest[random.integer(Math.max(1, newest.length))];
       if (job === undefined) continue;
-      const calls = new JobCalls(job.tenant as SoakTenant, this.surroundings);
+      const calls = new JobCalls(job.tenant, this.surroundings);
       const after = random.integer(2) === 0 ? 0 : random.integer(job.read + 1);
       await calls.read(job.id, after, undefined, 0);
     }
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -228,7 +228,7 @@
       .filter((job) => job.isAccepted)
       .map(({ id, events, positions }) => ({
         ...{ id, total: events.size, read: positions.length },
-        tenant: this.tenants.get(id),
+        tenant: this.tenants.get(id) ?? '',
       }));
   }
 
--- a/lab/soak/promise-records.ts
+++ b/lab/soak/promise-records.ts
@@ -49,7 +49,7 @@
 export interface KnownJobReads {
   readonly id: string;
   /** The tenant under whose key it was handed in. */
-  readonly tenant: string | undefined;
+  readonly tenant: string;
   readonly total: number;
   readonly read: number;
 }
--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -42,7 +42,7 @@
   }
 
   /** A key that the newest configuration and the one before hold. */
-  currentKey(tenant: SoakTenant): string {
+  currentKey(tenant: string): string {
     return keyOf(tenant, this.generation - 1);
   }
 
@@ -62,6 +62,6 @@
   }
 }
 
-function keyOf(tenant: SoakTenant, generation: number): string {
+function keyOf(tenant: string, generation: number): string {
   return `${KEY_PREFIX}${tenant}-${generation}`;
 }
