Settle what a node may own after a commit without an answer

Change: a claim taken over from another node lets the store alone accept the job. UncertainOwnership reads the head of a job whose commit was not answered until its owner is certain, and takes it over if it is this node. Replicas write a repeated claim again, so that a fence is retained from its last use.

--- a/src/jobs/job-acceptance.ts
+++ b/src/jobs/job-acceptance.ts
@@ -83,14 +83,15 @@
         ? undefined
         : await claimNewJob(journals, spec.id, right.record, isWriterLive);
     if (typeof claim === 'string') return this.answerFromStore(spec);
-    const isNextStep = !isFromOutside && homes.mayAcceptByJournal(right, spec);
+    const mayBeStored = claim?.mayBeStored ?? false;
+    const isNextStep = !isFromOutside && !mayBeStored && homes.mayAcceptByJournal(right, spec);
     if (!isNextStep) {
       if (!(await this.isAbsentElsewhere(spec.id, right, isStillNeeded)))
         return this.answerFromStore(spec);
       // Another node of this zone may have accepted the job during the queries.
-      if (await hasLostClaim(claim)) return this.answerFromStore(spec);
+      if (await hasLostClaim(claim?.journal)) return this.answerFromStore(spec);
     }
-    return { owner, journal: claim, right, mayJournal: owner !== null && isNextStep };
+    return { owner, journal: claim?.journal, right, mayJournal: owner !== null && isNextStep };
   }
 
   /**
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -25,6 +25,7 @@
 import { ReadLog, type Unanswered } from './read-log.js';
 import { STORE_RETRY_AFTER } from './store-reads.js';
 import { TrainerHomes } from './trainer-homes.js';
+import { UncertainOwnership } from './uncertain-ownership.js';
 
 export interface JobServiceOptions extends OwnedJobsOptions {
   readonly reader: JobReader;
@@ -65,6 +66,7 @@
   private readonly recovery: JournalRecovery | undefined;
   private readonly residency: JobResidency;
   private readonly homes: TrainerHomes | undefined;
+  private readonly uncertain: UncertainOwnership;
   private readonly reads: ReadLog;
   private nextResidencyScanAt: Milliseconds = 0;
 
@@ -75,10 +77,19 @@
     const { journals, isWriterLive = () => true, canRecover = () => false } = options;
     if (journals !== undefined) this.homes = new TrainerHomes({ ...options, journals });
     const { owned, residency, homes } = this;
-    const shared = { ...options, owned, residency, homes };
+    const noteUncertain = (job: string): void => this.uncertain.note(job);
+    const shared = { ...options, owned, residency, homes, noteUncertain };
     this.submissions = new JobSubmissions(shared);
     this.admission = new JobAdmission({ ...options, submissions: this.submissions });
     this.transfer = new JobTransfer(shared);
+    this.uncertain = new UncertainOwnership({
+      ...options,
+      isHandled: (job) =>
+        owned.get(job)?.isActive === true ||
+        this.submissions.isPending(job) ||
+        this.transfer.isTakingOver(job),
+      takeOver: (job, found) => this.transfer.takeOver(job, found, false),
+    });
     if (journals === undefined || homes === undefined) return;
     const isPending = (job: string): boolean => this.submissions.isPending(job);
     const recovery = { ...shared, journals, homes, isWriterLive, canRecover, isPending };
@@ -150,6 +161,7 @@
     this.owned.tick();
     const now = this.options.clock.now();
     this.recovery?.tick(now);
+    this.uncertain.tick(now);
     if (now < this.nextResidencyScanAt) return;
     this.nextResidencyScanAt = now + RESIDENCY_SCAN_INTERVAL;
     this.owned.dropMisplaced();
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -53,6 +53,8 @@
   /** Whether the node incarnation that claimed a job is live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
   readonly residency: JobResidency;
+  /** Called if the store may still create the job, with this node as its owner. */
+  readonly noteUncertain: (job: string) => void;
   /** Whether no build without trainer records may be running. @default none is */
   readonly areTrainerRecordsUsedByAll?: () => boolean;
 }
@@ -163,6 +165,7 @@
     this.noteSubmitted(spec, change, clock.now() - startedAt);
     const isStored = change.kind === 'changed' || change.kind === 'superseded';
     if (isStored) void job.releaseEntry(journal);
+    if (change.kind === 'unavailable' && change.mayBeDone) this.options.noteUncertain(spec.id);
     if (change.kind !== 'changed') early?.abandon();
     else if (owner !== null && (await hasLostClaim(journal))) {
       early?.abandon();
--- a/src/jobs/new-job-claim.ts
+++ b/src/jobs/new-job-claim.ts
@@ -3,17 +3,24 @@
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { TrainerRecord } from './trainer-record.js';
 
+/** A journal that only this node may write to. */
+export interface ClaimedJob {
+  readonly journal: JobJournal;
+  /** Whether an earlier claimant under the same right may have stored the job in the shared store. */
+  readonly mayBeStored: boolean;
+}
+
 /**
  * `held-elsewhere`: another node of the zone may accept the job; `unanswered`: no replica with its
  * original disk answered, so another node may have accepted it.
  */
-export type NewJobClaim = JobJournal | 'held-elsewhere' | 'unanswered';
+export type NewJobClaim = ClaimedJob | 'held-elsewhere' | 'unanswered';
 
 /**
  * Claims a job at the replicas of its trainer. The term of the zone's right replaces claims under
- * earlier ones, whose holders can no longer accept the job. A claim without entries whose writer has terminated
- * is taken over, because that writer has confirmed the job to no caller; a live writer may still
- * accept it.
+ * earlier ones, whose holders can no longer accept the job. A claim without entries whose writer has
+ * terminated is taken over, because that writer has not accepted the job by the journal; a live
+ * writer may still do so.
  */
 export async function claimNewJob(
   journals: ZoneJournals,
@@ -25,14 +32,14 @@
   const claim = await journal?.claim();
   if (journal === undefined || claim === undefined) return 'unanswered';
   // Entries found here were left by earlier attempts, none of which has accepted the job.
-  if (claim.kind === 'claimed') return journal;
+  if (claim.kind === 'claimed') return { journal, mayBeStored: false };
   if (claim.kind !== 'held-elsewhere') return 'unanswered';
   if (isWriterLive(claim.holder.writer)) return 'held-elsewhere';
   if ((await journals.entryStatus(job, replicas)) !== 'not-held') return 'held-elsewhere';
   const nextJournal = journals.open(job, replicas, claim.holder.term + 1);
   const secondClaim = await nextJournal.claim();
   const isFree = secondClaim.kind === 'claimed' && secondClaim.entries.length === 0;
-  return isFree ? nextJournal : 'held-elsewhere';
+  return isFree ? { journal: nextJournal, mayBeStored: true } : 'held-elsewhere';
 }
 
 /** Whether another node has claimed the job since; false without a journal. */
--- a/src/journal/journal-replica.ts
+++ b/src/journal/journal-replica.ts
@@ -123,7 +123,9 @@
       return { kind: 'released', holder, keys: request.keys, at };
     }
     const entries = request.kind === 'journal-append' ? request.entries : [];
-    if (entries.length === 0 && this.state.isCurrentHolder(holder)) return undefined;
+    // A claim is written again, so that the holder is retained from the last one.
+    const isCheck = request.kind === 'journal-append' && entries.length === 0;
+    if (isCheck && this.state.isCurrentHolder(holder)) return undefined;
     return { kind: 'held', holder, entries, at };
   }
 
