--- a/src/journal/journal-file.ts
+++ b/src/journal/journal-file.ts
@@ -5,13 +5,14 @@
  * kinds come from a newer build and are copied unchanged.
  */
 import { randomUUID } from 'node:crypto';
-import { type FileHandle, mkdir, open, readdir, readFile, rm } from 'node:fs/promises';
+import { type FileHandle, open, readdir, readFile, rm } from 'node:fs/promises';
 import path from 'node:path';
 import * as z from 'zod';
 import { CURRENT_FORMAT_VERSION, FORMAT_VERSION_FIELD } from '../core/format-version.js';
 import { placementHash } from '../core/hashing.js';
 import { looseRecord } from '../core/open-record.js';
 import { JOURNAL_ENTRY, JOURNAL_HOLDER } from './journal-entries.js';
+import { createFolder, type FolderSync, syncFolder } from './journal-folder.js';
 import type { JournalChange } from './journal-state.js';
 import type { DiskId } from './replica-location.js';
 
@@ -63,6 +64,7 @@
     /** Identity of the disk that holds the folder. */
     readonly disk: DiskId,
     private readonly unread: readonly UnreadLine[],
+    private readonly sync: FolderSync,
   ) {}
 
   /**
@@ -72,11 +74,12 @@
   static async open(
     folder: string,
     select: (content: JournalContent) => readonly JournalChange[],
+    sync: FolderSync = syncFolder,
   ): Promise<JournalFile> {
-    await mkdir(folder, { recursive: true });
+    await createFolder(folder, sync);
     const names = await journalNames(folder);
     const content = await readAll(folder, names);
-    const file = new JournalFile(folder, content.disk, content.unread);
+    const file = new JournalFile(folder, content.disk, content.unread, sync);
     file.fileNumber = numberOf(names.at(-1));
     await file.rewrite(select(content));
     return file;
@@ -110,7 +113,10 @@
     return this.handle === undefined;
   }
 
-  /** Starts a new file with these changes only, and then removes the old files. */
+  /**
+   * Starts a new file with these changes only, and then removes the old files. The folder is synced
+   * in between: a power failure could otherwise keep the removals and lose the new file.
+   */
   async rewrite(changes: readonly JournalChange[]): Promise<void> {
     const previousFiles = await journalNames(this.folder);
     this.fileNumber += 1;
@@ -120,6 +126,7 @@
     try {
       const diskLine = { kind: 'disk', disk: this.disk, format: CURRENT_FORMAT_VERSION } as const;
       await this.writeLines(handle, [diskLine, ...this.unread, ...changes]);
+      await this.sync(this.folder);
     } catch (error) {
       await handle.close().catch(() => undefined);
       await rm(path.join(this.folder, name), { force: true });
--- a/test/journal/journal-file.test.ts
+++ b/test/journal/journal-file.test.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import t from 'tap';
 import { JournalFile } from '../../src/journal/journal-file.js';
+import { syncFolder } from '../../src/journal/journal-folder.js';
 import type { JournalChange } from '../../src/journal/journal-state.js';
 import { CREATED_ENTRY, openReplica, page, temporaryFolder } from './journal-fixtures.js';
 
@@ -88,6 +89,47 @@
   await third.file.close();
 });
 
+t.test('a power failure does not keep the removal of a file and lose the new one', async (t) => {
+  const folder = path.join(temporaryFolder(t), 'zone', 'journal');
+  const synced: { readonly folder: string; readonly files: readonly string[] }[] = [];
+  const sync = async (name: string): Promise<void> => {
+    synced.push({ folder: path.relative(folder, name), files: readdirSync(name).sort() });
+  };
+  const first = await JournalFile.open(folder, () => [held(0)], sync);
+  t.same(synced, [
+    { folder: '..', files: ['journal'] },
+    { folder: path.join('..', '..'), files: ['zone'] },
+    { folder: '', files: ['journal-00000001.log'] },
+  ]);
+  await first.rewrite([held(1)]);
+  t.same(synced.at(-1)?.files, ['journal-00000001.log', 'journal-00000002.log']);
+  t.same(readdirSync(folder), ['journal-00000002.log']);
+  await first.close();
+});
+
+t.test('a file whose folder cannot be synced does not replace the old one', async (t) => {
+  const folder = temporaryFolder(t);
+  let isFailing = false;
+  const sync = async (): Promise<void> => {
+    if (isFailing) throw new Error('the disk rejects the sync');
+  };
+  const file = await JournalFile.open(folder, () => [held(0)], sync);
+  isFailing = true;
+  await t.rejects(file.rewrite([held(1)]));
+  t.same(readdirSync(folder), ['journal-00000001.log']);
+  await file.append([held(2)]);
+  await file.close();
+  const reopened = await openFolder(folder);
+  t.same(reopened.changes, [held(0), held(2)]);
+  await reopened.file.close();
+});
+
+t.test('a folder is synced, and one that does not exist is reported', async (t) => {
+  const folder = temporaryFolder(t);
+  await t.resolves(syncFolder(folder));
+  await t.rejects(syncFolder(path.join(folder, 'missing')), { code: 'ENOENT' });
+});
+
 t.test('an empty folder gets a new disk identity', async (t) => {
   const firstOpening = await openFolder(temporaryFolder(t));
   const second = await openFolder(temporaryFolder(t));
