--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -1,6 +1,7 @@
 /** Changes the owner of jobs: takes over, releases and offers them, and accepts offered ones. */
+import type { Milliseconds } from '../core/units.js';
 import type { JobJournal } from '../journal/job-journal.js';
-import type { JournalEntry } from '../journal/journal-entries.js';
+import type { JournalEntry, JournalHolder } from '../journal/journal-entries.js';
 import { FIRST_TERM, type ZoneJournals } from '../journal/zone-journals.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { JobResidency } from '../placement/job-residency.js';
@@ -10,11 +11,15 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobHead, type JobOwner, weightNeedOf } from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
+import { JournalClaims, writerOf } from './journal-claims.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { untilAvailable } from './store-reads.js';
 
+/** Time in which a live node that claimed a journal becomes the owner of its job in the store. */
+const MAX_TAKEOVER_TIME: Milliseconds = 1_500;
+
 /** A journal that only this node may write to, and its entries. */
 interface ClaimedJournal {
   readonly journal: JobJournal;
@@ -32,6 +37,8 @@
   /** The zones' journals, if zones accept jobs without the store. */
   readonly journals?: ZoneJournals | undefined;
   readonly residency: JobResidency;
+  /** Whether the node incarnation that claimed a journal is live. @default all are */
+  readonly isWriterLive?: (writer: string) => boolean;
 }
 
 /** Takes over jobs from other owners and transfers own jobs to other nodes. */
@@ -39,9 +46,12 @@
   private readonly jobsInTakeover = new Set<string>();
   private isTransferring = false;
   private readonly writeBack: JournalWriteBack;
+  private readonly claims: JournalClaims | undefined;
 
   constructor(private readonly options: JobTransferOptions) {
     this.writeBack = new JournalWriteBack(options);
+    const { journals, log } = options;
+    this.claims = journals === undefined ? undefined : new JournalClaims({ journals, log });
   }
 
   /** Whether a takeover of the job by this node is in progress. */
@@ -76,7 +86,7 @@
     ownerAnswers: boolean,
   ): Promise<boolean> {
     const { store, owned, peers, self, log, metrics, clock } = this.options;
-    const claimed = await this.claimJournal(job, found.head);
+    const claimed = await this.claimJournal(job, found);
     if (claimed === 'not-claimed') return false;
     const isStillNeeded = (): boolean => false;
     const fields = {
@@ -120,21 +130,49 @@
    */
   private async claimJournal(
     job: string,
-    head: JobHead,
+    found: VersionedHead,
   ): Promise<ClaimedJournal | undefined | 'not-claimed'> {
-    const { journals, log, residency } = this.options;
-    const { replicas, term = FIRST_TERM } = head;
-    if (replicas === undefined || journals === undefined) return undefined;
-    const journal = journals.open(job, replicas, term + 1);
-    const allowed = residency.regionsForOrigin(head);
+    const { log, residency } = this.options;
+    const { replicas, term = FIRST_TERM } = found.head;
+    if (replicas === undefined || this.claims === undefined) return undefined;
+    const isAbandoned = (holder: JournalHolder): Promise<boolean> =>
+      this.isAbandoned(job, found, holder);
+    const { journal, claim } = await this.claims.claim(job, replicas, term + 1, isAbandoned);
+    const allowed = residency.regionsForOrigin(found.head);
     if (!replicas.every(({ zone }) => residency.mayHoldIn(zone, allowed))) journal.disableAppends();
-    const claim = await journal.claim();
     if (claim.kind === 'claimed') return { journal, entries: claim.entries };
     if (claim.kind === 'disks-gone') return { journal, entries: [] };
     log.state('job-not-adopted', { job, journal: claim.kind });
     return 'not-claimed';
   }
 
+  /**
+   * Whether the holder of a journal has not become the owner after its claim, and will not. A live
+   * node other than this one may still be taking the job over. If the holder becomes the owner
+   * nevertheless, this takeover fails at its commit, and the holder lists through the store alone.
+   */
+  private async isAbandoned(
+    job: string,
+    found: VersionedHead,
+    { writer }: JournalHolder,
+  ): Promise<boolean> {
+    const { self, clock, isWriterLive = () => true } = this.options;
+    if (writer !== writerOf(self) && isWriterLive(writer)) {
+      const { owner } = found.head;
+      if (owner !== null && writer === writerOf(owner)) return false;
+      if (!(await this.isCurrent(job, found))) return false;
+      // Random, so that two nodes that refused each other do not claim again at the same time.
+      await clock.sleep(MAX_TAKEOVER_TIME * (1 + Math.random()));
+    }
+    return this.isCurrent(job, found);
+  }
+
+  /** Whether the store still has this version of a job's head. */
+  private async isCurrent(job: string, { revision }: VersionedHead): Promise<boolean> {
+    const read = await this.options.store.head(job);
+    return read.kind === 'found' && read.value.revision === revision;
+  }
+
   /** Takes over a job that its owner has released. */
   async takeReleased(job: string): Promise<boolean> {
     const read = await this.options.store.head(job);
--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -38,7 +38,7 @@
 export type ClaimOutcome =
   /** Earlier owners can no longer write; carries the entries that the replicas hold. */
   | { readonly kind: 'claimed'; readonly entries: readonly JournalEntry[] }
-  /** Another owner, of the same or a later term, writes the job. */
+  /** Another owner, of the same or a later term, writes the job; the latest that refused. */
   | { readonly kind: 'held-elsewhere'; readonly holder: JournalHolder }
   /** No replica that still has its disk answered. */
   | { readonly kind: 'silent' }
@@ -65,6 +65,11 @@
     return this.options.holder.term;
   }
 
+  /** Incarnation of the node that writes. */
+  get writer(): string {
+    return this.options.holder.writer;
+  }
+
   /** Makes this owner the only one that can write; the grant of one replica is enough. */
   async claim(): Promise<ClaimOutcome> {
     const { holder } = this.options;
@@ -72,11 +77,12 @@
     const found: JournalEntry[] = [];
     let granted = 0;
     let otherDisks = 0;
+    const rival = latestHolder(answers);
+    if (rival !== undefined) {
+      this.isSuperseded = true;
+      return { kind: 'held-elsewhere', holder: rival };
+    }
     for (const answer of answers) {
-      if (answer?.kind === 'refused') {
-        this.isSuperseded = true;
-        return { kind: 'held-elsewhere', holder: answer.holder };
-      }
       if (answer?.kind === 'other-disk') otherDisks += 1;
       if (answer?.kind !== 'granted') continue;
       granted += 1;
@@ -137,3 +143,9 @@
     );
   }
 }
+
+/** The holder of the highest term that a replica named as it refused a request. */
+function latestHolder(answers: readonly (ReplicaAnswer | undefined)[]): JournalHolder | undefined {
+  const holders = answers.flatMap((answer) => (answer?.kind === 'refused' ? [answer.holder] : []));
+  return holders.sort((a, b) => b.term - a.term)[0];
+}
