--- a/test/jobs/second-acceptance.test.ts
+++ b/test/jobs/second-acceptance.test.ts
@@ -1,8 +1,9 @@
 /**
  * Guards against one job that is accepted twice, so that readers of different gateways get
- * different results at the same position.
+ * different results at the same position, and against told results that are no longer read.
  */
 import t from 'tap';
+import { JobStore } from '../../src/jobs/job-store.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { AnswerRecord } from './answer-record.js';
 import {
@@ -157,3 +158,48 @@
   t.same(record.differences(), [], 'one listing while the store is silent');
   await checkAfterHealing(t, zones, record, 2);
 });
+
+t.test(
+  'results are read after a node that claimed the journal ended during recovery',
+  async (t) => {
+    const zones = await ZonesWithStore.open(t, 2);
+    const record = new AnswerRecord(zones);
+    const owner = zones.start('zone-1');
+    await acceptStep(zones, owner, 0);
+    zones.setStore('late-and-unanswered', owner);
+    t.equal(await zones.answerOf(zones.submit(owner, step(JOB, 1))), 'accepted');
+    await zones.run(LISTING_TIME);
+    await record.read(owner, JOB);
+    t.equal(record.told.length, 2, 'the owner told both results');
+    zones.end(owner);
+    const recovering = zones.start('zone-1');
+    zones.setStore('late-and-unanswered', recovering);
+    await zones.run(500);
+    zones.end(recovering);
+    await owner.port.applyLateCommits();
+    await checkAfterHealing(t, zones, record, 1);
+  },
+);
+
+t.test(
+  'results are read after a node that claimed the journal ended during takeover',
+  async (t) => {
+    const zones = await ZonesWithStore.open(t, 2);
+    const record = new AnswerRecord(zones);
+    const owner = zones.start('zone-1');
+    await acceptStep(zones, owner, 0);
+    t.equal(await zones.answerOf(zones.submit(owner, step(JOB, 1))), 'accepted');
+    zones.setStore('silent', owner);
+    await zones.run(LISTING_TIME);
+    await record.read(owner, JOB);
+    t.equal(record.told.length, 2, 'the owner told both results');
+    zones.end(owner);
+    const next = zones.start('zone-1');
+    const head = await new JobStore(zones.store, zones.clock).head(JOB);
+    if (head.kind !== 'found') throw new Error(head.kind);
+    zones.setStore('refusing', next);
+    t.equal(await zones.answerOf(next.service.takeOver(JOB, head.value)), false);
+    zones.end(next);
+    await checkAfterHealing(t, zones, record, 1);
+  },
+);
