--- a/test/jobs/second-acceptance.test.ts
+++ b/test/jobs/second-acceptance.test.ts
@@ -203,3 +203,16 @@
     await checkAfterHealing(t, zones, record, 1);
   },
 );
+
+t.test('a recovery whose creation was not answered is tried again', async (t) => {
+  const { zones, record } = await journaledOnly(t);
+  const told = record.told.map(({ text }) => text);
+  const recovering = zones.start('zone-1');
+  zones.setStore('late-and-unanswered', recovering);
+  await zones.run(2_000);
+  zones.setStore('up', recovering);
+  await zones.run(20_000);
+  t.strictSame(await record.read(recovering, JOB), told);
+  t.equal(await zones.answerOf(zones.submit(recovering, step(JOB, 1))), 'accepted');
+  await checkAfterHealing(t, zones, record, 1);
+});
