Ask each replica once whether it holds a job that the store lacks

What callers saw: nothing but time; a 404 with 30 trainers on 11 replicas made 95 questions. Cause: each trainer's group was asked by itself, and the zones' replicas once more. Change: one question a disk, from which zones and groups are judged.

--- a/src/jobs/job-absence.ts
+++ b/src/jobs/job-absence.ts
@@ -24,11 +24,7 @@
     if (records.kind !== 'found') return false;
     if (records.value.some((record) => zoneHolding(record, job) !== undefined)) return false;
     const groups = distinctGroups(records.value);
-    const statuses = await Promise.all([
-      ...groups.map((replicas) => journals.entryStatus(job, replicas)),
-      journals.entryStatusInAllZones(job),
-    ]);
-    if (statuses.some((status) => status !== 'not-held')) return false;
+    if ((await journals.entryStatusInAllZones(job, groups)) !== 'not-held') return false;
     // Entries released from a journal meanwhile are already in the store.
     return (await store.head(job)).kind === 'absent';
   }
--- a/src/journal/zone-journals.ts
+++ b/src/journal/zone-journals.ts
@@ -93,38 +93,54 @@
 
   /** Whether the replicas of a job hold entries that the shared store may lack. */
   async entryStatus(job: string, replicas: readonly ReplicaLocation[]): Promise<EntryStatus> {
-    const answers = await Promise.all(replicas.map((replica) => this.queryReplica(job, replica)));
-    if (answers.includes('held')) return 'held';
-    // An entry is durable once all replicas have it, so one original disk without it is enough.
-    const isAnyOriginal = answers.includes('not-held');
-    const areDisksGone = answers.every((answer) => answer === 'other-disk');
-    return isAnyOriginal || areDisksGone ? 'not-held' : 'unsure';
+    return statusOfGroup(
+      await Promise.all(replicas.map((replica) => this.queryReplica(job, replica))),
+    );
   }
 
   /**
    * Whether the journal of any zone holds entries of a job that the shared store lacks. `not-held`
-   * takes enough answers from every zone that has a journal.
+   * takes enough answers from every zone that has a journal, and from each group of replicas that
+   * may hold the job.
    */
-  entryStatusInAllZones(job: string): Promise<EntryStatus> {
-    return this.entryStatusIn([...this.options.directory.byZone().values()], job);
+  async entryStatusInAllZones(
+    job: string,
+    groups: readonly (readonly ReplicaLocation[])[] = [],
+  ): Promise<EntryStatus> {
+    const query = this.queriesOf(job);
+    const statuses = await Promise.all([
+      this.entryStatusIn([...this.options.directory.byZone().values()], query),
+      ...groups.map(async (group) => statusOfGroup(await Promise.all(group.map(query)))),
+    ]);
+    if (statuses.includes('held')) return 'held';
+    return statuses.includes('unsure') ? 'unsure' : 'not-held';
   }
 
   /** Like {@link entryStatusInAllZones}, without this zone, whose journal this node has claimed. */
   entryStatusInOtherZones(job: string): Promise<EntryStatus> {
     const zones = new Map(this.options.directory.byZone());
     zones.delete(this.options.zone);
-    return this.entryStatusIn([...zones.values()], job);
+    return this.entryStatusIn([...zones.values()], this.queriesOf(job));
+  }
+
+  /** Queries each disk about a job once, however many groups it is in. */
+  private queriesOf(job: string): (replica: ReplicaLocation) => Promise<ReplicaStatus> {
+    const queries = new Map<string, Promise<ReplicaStatus>>();
+    return (replica) => {
+      const key = `${replica.address} ${replica.disk}`;
+      const query = queries.get(key) ?? this.queryReplica(job, replica);
+      queries.set(key, query);
+      return query;
+    };
   }
 
   private async entryStatusIn(
     zones: readonly (readonly ReplicaLocation[])[],
-    job: string,
+    query: (replica: ReplicaLocation) => Promise<ReplicaStatus>,
   ): Promise<EntryStatus> {
     if (!this.options.directory.isListed) return 'unsure';
     const statusesByZone = await Promise.all(
-      zones.map((replicas) =>
-        Promise.all(replicas.map((replica) => this.queryReplica(job, replica))),
-      ),
+      zones.map((replicas) => Promise.all(replicas.map(query))),
     );
     if (statusesByZone.flat().includes('held')) return 'held';
     const areAllZonesSure = statusesByZone.every((statuses) => {
@@ -191,3 +207,10 @@
     return outcome.answer.disk === disk ? 'not-held' : 'other-disk';
   }
 }
+
+/** Status of a group whose replicas all have to store an entry before it counts. */
+function statusOfGroup(statuses: readonly ReplicaStatus[]): EntryStatus {
+  if (statuses.includes('held')) return 'held';
+  const areDisksGone = statuses.every((status) => status === 'other-disk');
+  return statuses.includes('not-held') || areDisksGone ? 'not-held' : 'unsure';
+}
