One creation at a time for each trainer on a node

Cause: creations of one trainer's jobs that are under way together conflict on its record, and each loser read it again and claimed again: eight at once made 33 commits, 60 reads, 96 claims.

--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -34,6 +34,7 @@
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { STORE_RETRY_AFTER } from './store-reads.js';
+import { TrainerCreations } from './trainer-creations.js';
 import type { TrainerHomes } from './trainer-homes.js';
 
 export interface JobSubmissionsOptions {
@@ -76,11 +77,13 @@
   /** Whether this node is stopping: it accepts jobs only for other nodes to run. */
   private isReleasing = false;
   private readonly acceptance: JobAcceptance;
+  private readonly creations: TrainerCreations;
   /** Pending submissions by job id, so that a repeated submission shares the outcome. */
   private readonly pending = new Map<string, PendingSubmission>();
 
   constructor(private readonly options: JobSubmissionsOptions) {
     this.acceptance = new JobAcceptance(options);
+    this.creations = new TrainerCreations(options.clock);
   }
 
   /** Whether a submission of the job is being processed. */
@@ -109,7 +112,10 @@
     if (earlier !== undefined) return tenantConflict(spec, earlier.tenant) ?? earlier.outcome;
     const { residency } = this.options;
     if (!residency.mayHoldHere(residency.regionsForSpec(spec))) return REGION_DENIED;
-    const submission = this.claimAndCreate(spec, isStillNeeded, isFromOutside);
+    const claimAndCreate = (): Promise<Failure | undefined> =>
+      this.claimAndCreate(spec, isStillNeeded, isFromOutside);
+    const hasRecord = this.options.homes !== undefined;
+    const submission = hasRecord ? this.creations.run(spec, claimAndCreate) : claimAndCreate();
     this.pending.set(spec.id, { tenant: spec.tenant, outcome: submission });
     return submission.finally(() => this.pending.delete(spec.id));
   }
@@ -177,7 +183,7 @@
     if (existing !== undefined) return tenantConflict(spec, existing.head.tenant);
     if (change.kind !== 'unavailable') return undefined;
     // A job whose items have started must not be reported as not run.
-    if (change.mayBeDone || early !== undefined) {
+    if (change.mayBeDone || acceptance.mayBeStored || early !== undefined) {
       return failure('outcome_unknown', 'the job may have been stored');
     }
     return failure('ledger_unavailable', 'the store takes no jobs now', {
