--- a/src/jobs/job-acceptance.ts
+++ b/src/jobs/job-acceptance.ts
@@ -11,7 +11,7 @@
 import type { TenantName } from '../tenants/tenant.js';
 import type { JobOwner, JobSpecification } from './job-records.js';
 import type { JobStore, StillNeeded } from './job-store.js';
-import { claimNewJob, hasLostClaim } from './new-job-claim.js';
+import { claimBesideOlderBuilds, claimNewJob, hasLostClaim } from './new-job-claim.js';
 import type { AcceptanceRight, TrainerHomes } from './trainer-homes.js';
 
 export interface JobAcceptanceOptions {
@@ -37,6 +37,8 @@
   readonly right: AcceptanceRight | undefined;
   /** Whether the zone's journal may accept the job while the store does not answer. */
   readonly mayJournal: boolean;
+  /** Whether another node may have stored the job, or may still do so. */
+  readonly mayBeStored: boolean;
 }
 
 /** Answer to a submission that this node does not accept; without a failure, the job is stored. */
@@ -52,6 +54,11 @@
   readonly isFromOutside: boolean;
 }
 
+/** Conditions where zones keep no journals. */
+const NO_JOURNAL = {
+  ...{ journal: undefined, right: undefined, mayJournal: false, mayBeStored: false },
+} as const;
+
 /**
  * Time for the other zones to confirm that they do not have a job. Long enough for journal replicas
  * to register after a full restart; a zone partition is not waited out.
@@ -69,7 +76,7 @@
   ): Promise<Acceptance | SubmissionAnswer> {
     const { journals, homes, isWriterLive = () => true } = this.options;
     if (journals === undefined || homes === undefined) {
-      return { owner, journal: undefined, right: undefined, mayJournal: false };
+      return { ...NO_JOURNAL, owner };
     }
     const right = await homes.acquire(spec, isStillNeeded);
     if (right.kind === 'exists') return { answer: tenantConflict(spec, right.head.head.tenant) };
@@ -78,6 +85,11 @@
       const stored = await this.answerIfStored(spec);
       if (stored !== undefined) return stored;
     }
+    if (
+      !this.areRecordsUsedByAll &&
+      !(await claimBesideOlderBuilds(journals, spec.id, right.record))
+    )
+      return this.answerFromStore(spec);
     const claim =
       right.record.replicas.length === 0
         ? undefined
@@ -91,7 +103,8 @@
       // Another node of this zone may have accepted the job during the queries.
       if (await hasLostClaim(claim?.journal)) return this.answerFromStore(spec);
     }
-    return { owner, journal: claim?.journal, right, mayJournal: owner !== null && isNextStep };
+    const mayJournal = owner !== null && isNextStep;
+    return { owner, journal: claim?.journal, right, mayJournal, mayBeStored };
   }
 
   /**
@@ -103,9 +116,9 @@
     right: AcceptanceRight,
     isStillNeeded: StillNeeded,
   ): Promise<boolean> {
-    const { journals, clock, areTrainerRecordsUsedByAll = () => true } = this.options;
+    const { journals, clock } = this.options;
     const hasRecord = right.revision !== ABSENT;
-    if (journals === undefined || (hasRecord && areTrainerRecordsUsedByAll())) return true;
+    if (journals === undefined || (hasRecord && this.areRecordsUsedByAll)) return true;
     const limit = clock.now() + ZONE_QUERY_TIMEOUT;
     for (;;) {
       const status = await journals.entryStatusInOtherZones(job);
@@ -115,6 +128,10 @@
     }
   }
 
+  private get areRecordsUsedByAll(): boolean {
+    return this.options.areTrainerRecordsUsedByAll?.() ?? true;
+  }
+
   /** Response to a repeated submission; `undefined` if the store does not have the job. */
   private async answerIfStored(spec: JobSpecification): Promise<SubmissionAnswer | undefined> {
     const read = await this.options.store.head(spec.id);
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -9,6 +9,7 @@
 import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
+import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobPeers } from './job-peers.js';
@@ -16,6 +17,7 @@
 import type { CreationOutcome, JobStore, VersionedHead } from './job-store.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJobs } from './owned-jobs.js';
+import { changeOfRecovered } from './trainer-changes.js';
 import type { TrainerHomes } from './trainer-homes.js';
 import type { TrainerChange } from './trainer-record.js';
 
@@ -29,6 +31,7 @@
   readonly residency: JobResidency;
   readonly peers: JobPeers;
   readonly self: JobOwner;
+  readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
   /** Whether the node incarnation that wrote to the journal is live. */
@@ -113,11 +116,11 @@
   }
 
   private async recoverJob(journal: JobJournal, entries: readonly JournalEntry[]): Promise<void> {
-    const { owned, peers, log, metrics, journals, homes } = this.options;
+    const { owned, peers, log, metrics, journals } = this.options;
     const created = entries.find((entry) => entry.kind === 'created');
     if (created === undefined) return;
     const { spec, replicas, trainerTerm } = created;
-    const trainer = await homes.changeForRecovered(spec, trainerTerm);
+    const trainer = await changeOfRecovered(this.options, spec, trainerTerm);
     if (trainer === 'unavailable') return;
     if (trainer === 'not-accepted') {
       log.state('journaled-job-dropped', { job: spec.id, step: spec.step, term: journal.term });
--- a/src/jobs/new-job-claim.ts
+++ b/src/jobs/new-job-claim.ts
@@ -34,14 +34,31 @@
   // Entries found here were left by earlier attempts, none of which has accepted the job.
   if (claim.kind === 'claimed') return { journal, mayBeStored: false };
   if (claim.kind !== 'held-elsewhere') return 'unanswered';
-  if (isWriterLive(claim.holder.writer)) return 'held-elsewhere';
+  const { holder } = claim;
+  const isOwn = holder.writer === journals.writer;
+  if (!isOwn && isWriterLive(holder.writer)) return 'held-elsewhere';
   if ((await journals.entryStatus(job, replicas)) !== 'not-held') return 'held-elsewhere';
-  const nextJournal = journals.open(job, replicas, claim.holder.term + 1);
+  const nextJournal = journals.open(job, replicas, isOwn ? holder.term : holder.term + 1);
   const secondClaim = await nextJournal.claim();
   const isFree = secondClaim.kind === 'claimed' && secondClaim.entries.length === 0;
   return isFree ? { journal: nextJournal, mayBeStored: true } : 'held-elsewhere';
 }
 
+/**
+ * Claims a job at all replicas of the zone, since builds without trainer records choose the replicas
+ * of a job by its id; returns whether none of them has claimed it.
+ */
+export async function claimBesideOlderBuilds(
+  journals: ZoneJournals,
+  job: string,
+  { term }: TrainerRecord,
+): Promise<boolean> {
+  const replicas = journals.replicasInOwnZone();
+  if (replicas.length === 0) return true;
+  const claim = await journals.open(job, replicas, term).claim();
+  return claim.kind === 'claimed' && claim.entries.length === 0;
+}
+
 /** Whether another node has claimed the job since; false without a journal. */
 export async function hasLostClaim(journal: JobJournal | undefined): Promise<boolean> {
   return journal !== undefined && (await journal.append([])) === 'lost';
--- a/src/jobs/trainer-homes.ts
+++ b/src/jobs/trainer-homes.ts
@@ -15,6 +15,7 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobSpecification } from './job-records.js';
 import type { CreationOutcome, JobStore, StillNeeded, VersionedHead } from './job-store.js';
+import { changeOfJournaled } from './trainer-changes.js';
 import {
   NO_STEP,
   type TrainerChange,
@@ -75,7 +76,7 @@
   | { readonly kind: 'unavailable' };
 
 interface CachedHome extends VersionedTrainerRecord {
-  /** By {@link suspendAwareTime}. */
+  /** When the record was last read or changed, by {@link suspendAwareTime}. */
   confirmedAt: Milliseconds;
 }
 
@@ -96,15 +97,14 @@
   async acquire(spec: JobSpecification, isStillNeeded: StillNeeded): Promise<Acquisition> {
     const { clock } = this.options;
     const key = trainerKeyOf(spec);
-    const cached = this.homes.get(key);
-    if (cached !== undefined && this.isCurrent(cached)) {
-      if (zoneHolding(cached.record, spec.id) !== undefined) return { kind: 'journaled' };
-      return this.rightOf(key, cached, true);
-    }
+    const cached = this.cachedRight(key, spec);
+    if (cached !== undefined && !this.hasToMove(key)) return cached;
     const limit = clock.now() + ACQUISITION_TIMEOUT;
     for (;;) {
       const acquisition = await this.acquireFromStore(key, spec);
       if (acquisition.kind !== 'unavailable') return acquisition;
+      // Replicas whose records expired may still answer, and decide whether the right holds.
+      if (cached !== undefined) return cached;
       if (!isStillNeeded() || clock.now() >= limit) return acquisition;
       await clock.sleep(ACQUISITION_RETRY_DELAY);
     }
@@ -112,8 +112,9 @@
 
   /** Whether a job may be accepted by the journal alone, once its replicas confirm the right. */
   mayAcceptByJournal({ key, record, isStored }: AcceptanceRight, spec: JobSpecification): boolean {
-    if (!isStored || record.replicas.length === 0) return false;
-    return !this.isFenced(key, record) && spec.step > record.lastStep;
+    if (!isStored || record.replicas.length === 0 || this.isFenced(key, record)) return false;
+    if (!this.areRecordsUsedByAll || record.isComplete !== true) return false;
+    return spec.step > record.lastStep;
   }
 
   /** Whether the replicas confirm that no other zone has fenced the right. */
@@ -122,7 +123,9 @@
     const startedAt = suspendAwareTime(clock);
     const outcome = await journals.trainerFence.confirm(key, record.replicas, record.term);
     const cached = this.homes.get(key);
-    if (outcome === 'kept' && cached?.record.term === record.term) cached.confirmedAt = startedAt;
+    if (outcome === 'kept' && cached?.record.term === record.term) {
+      cached.confirmedAt = startedAt;
+    }
     if (outcome === 'lost') this.noteFenced(key, record);
     return outcome;
   }
@@ -134,61 +137,29 @@
     isFromOutside: boolean,
   ): TrainerChange {
     const change = isFromOutside ? withOutsideJob : withAcceptedJob;
-    return { key, base: revision, record: change(record, spec, this.options.clock.wallTime()) };
-  }
-
-  /**
-   * The change of the present record, whichever zone it names, for a job that this zone's journal
-   * has accepted; `undefined` if the store has no record of the trainer.
-   */
-  async changeForJournaled(spec: JobSpecification): Promise<TrainerChange | undefined> {
-    const { store, clock } = this.options;
-    const key = trainerKeyOf(spec);
-    this.homes.delete(key);
-    for (;;) {
-      const read = await store.trainerRecord(key);
-      if (read.kind === 'absent') return undefined;
-      if (read.kind === 'found') {
-        const { record, revision } = read.value;
-        const changed = withAcceptedJob(record, spec, clock.wallTime());
-        return { key, base: revision, record: changed };
-      }
-      await clock.sleep(ACQUISITION_RETRY_DELAY);
-    }
+    const changed = change(record, spec, this.options.clock.wallTime());
+    return { key, base: revision, record: { ...changed, isComplete: this.areRecordsUsedByAll } };
   }
 
-  /**
-   * The change of the present record for a job found in this zone's journal, if the zone accepted
-   * the job or still may: its right has not been fenced since, or the zone that fenced it found the
-   * job. `undefined` if the store has no record of the trainer, or an older build wrote the job.
-   */
-  async changeForRecovered(
-    spec: JobSpecification,
-    term: number | undefined,
-  ): Promise<TrainerChange | undefined | 'not-accepted' | 'unavailable'> {
-    const { store, journals, clock } = this.options;
-    const key = trainerKeyOf(spec);
-    const read = await store.trainerRecord(key);
-    if (read.kind === 'unavailable') return read.kind;
-    if (read.kind === 'absent') return undefined;
-    const { record, revision } = read.value;
-    const holder = zoneHolding(record, spec.id);
-    const isSameTerm = record.zone === journals.zone && record.term === term;
-    const isFree = holder === undefined && (isSameTerm || term === undefined);
-    if (!isFree && holder !== journals.zone) return 'not-accepted';
-    return { key, base: revision, record: withAcceptedJob(record, spec, clock.wallTime()) };
+  /** Like {@link changeOfJournaled}, for a job that this zone's journal has accepted. */
+  changeForJournaled(spec: JobSpecification): Promise<TrainerChange | undefined> {
+    this.homes.delete(trainerKeyOf(spec));
+    return changeOfJournaled(this.options, spec);
   }
 
   /** Updates the cache after the store settled the creation of a job. */
   noteCreation(change: TrainerChange, outcome: CreationOutcome): void {
     const { key, record } = change;
-    if (outcome.kind === 'trainer-changed') this.homes.delete(key);
+    const isCurrentBase = this.homes.get(key)?.revision === change.base;
+    if (outcome.kind === 'trainer-changed' && isCurrentBase) this.homes.delete(key);
     if (outcome.kind !== 'changed') return;
-    const { journals, clock, log, metrics } = this.options;
+    const { journals, log, metrics } = this.options;
     const { trainerRevision: revision } = outcome;
-    const previous = this.homes.get(key)?.record;
+    const cached = this.homes.get(key);
+    const previous = cached?.record;
     if (revision === undefined || record.zone !== journals.zone) this.homes.delete(key);
-    else this.homes.set(key, { record, revision, confirmedAt: suspendAwareTime(clock) });
+    else this.cache(key, { record, revision });
+    this.check(key);
     if (previous?.term === record.term || record.zone !== journals.zone) return;
     this.fencedTerms.delete(key);
     const { term, lastStep, heldJobs } = record;
@@ -203,6 +174,21 @@
     metrics.count('trainer_homes', { outcome: 'acquired' });
   }
 
+  private cache(key: TrainerKey, { record, revision }: VersionedTrainerRecord): void {
+    const confirmedAt = suspendAwareTime(this.options.clock);
+    this.homes.set(key, { record, revision, confirmedAt });
+  }
+
+  /**
+   * Checks a cached right at the replicas, as another zone may have fenced it without replacing the
+   * record. A lost right is acquired again with the next job, and only while the store answers.
+   */
+  private check(key: TrainerKey): void {
+    const cached = this.homes.get(key);
+    if (cached === undefined || cached.record.replicas.length === 0) return;
+    void this.confirm(this.rightOf(key, cached, true));
+  }
+
   private rightOf(
     key: TrainerKey,
     { record, revision }: VersionedTrainerRecord,
@@ -212,7 +198,7 @@
   }
 
   private async acquireFromStore(key: TrainerKey, spec: JobSpecification): Promise<Acquisition> {
-    const { store, journals, clock } = this.options;
+    const { store, journals } = this.options;
     const read = await store.trainerRecord(key);
     if (read.kind === 'unavailable') return read;
     if (read.kind === 'absent') {
@@ -222,7 +208,7 @@
     const { record, revision } = read.value;
     if (zoneHolding(record, spec.id) !== undefined) return { kind: 'journaled' };
     if (record.zone === journals.zone && this.keepsTerm(key, record)) {
-      this.homes.set(key, { record, revision, confirmedAt: suspendAwareTime(clock) });
+      this.cache(key, { record, revision });
       return this.rightOf(key, { record, revision }, true);
     }
     return this.acquireByFence(key, spec, read.value);
@@ -271,13 +257,26 @@
     };
   }
 
-  private isCurrent({ record, confirmedAt }: CachedHome): boolean {
-    const { clock, areTrainerRecordsUsedByAll = () => true } = this.options;
-    const age = suspendAwareTime(clock) - confirmedAt;
-    const maxAge = areTrainerRecordsUsedByAll()
+  /** The cached right to accept a job; `undefined` if there is none or it is too old. */
+  private cachedRight(key: TrainerKey, spec: JobSpecification): Acquisition | undefined {
+    const cached = this.homes.get(key);
+    if (cached === undefined) return undefined;
+    const { clock } = this.options;
+    const maxAge = this.areRecordsUsedByAll
       ? MAX_CONFIRMATION_AGE
       : MAX_CONFIRMATION_AGE_BESIDE_OLDER_BUILDS;
-    return age < maxAge && !this.needsOtherReplicas(record);
+    if (suspendAwareTime(clock) - cached.confirmedAt >= maxAge) return undefined;
+    if (zoneHolding(cached.record, spec.id) !== undefined) return { kind: 'journaled' };
+    return this.rightOf(key, cached, true);
+  }
+
+  private hasToMove(key: TrainerKey): boolean {
+    const cached = this.homes.get(key);
+    return cached !== undefined && this.needsOtherReplicas(cached.record);
+  }
+
+  private get areRecordsUsedByAll(): boolean {
+    return this.options.areTrainerRecordsUsedByAll?.() ?? true;
   }
 
   /** Whether a record of this zone can be used as it is. */
@@ -298,8 +297,9 @@
   }
 
   private noteFenced(key: TrainerKey, { term }: TrainerRecord): void {
+    if ((this.homes.get(key)?.record.term ?? term) === term) this.homes.delete(key);
+    if (term <= (this.fencedTerms.get(key) ?? Number.NEGATIVE_INFINITY)) return;
     this.fencedTerms.set(key, term);
-    this.homes.delete(key);
     this.options.log.state('trainer-right-lost', { trainer: key, term });
     this.options.metrics.count('trainer_homes', { outcome: 'lost' });
   }
--- a/src/jobs/trainer-record.ts
+++ b/src/jobs/trainer-record.ts
@@ -33,6 +33,11 @@
    * zone or term held and the store lacked, and those submitted outside their allowed regions.
    */
   heldJobs: z.array(HELD_JOB),
+  /**
+   * Whether no build without these records was running at the last job, so that `lastStep` covers all
+   * jobs that the store has accepted.
+   */
+  isComplete: z.boolean().optional(),
   /** Wall-clock time of the last change, in milliseconds since the Unix epoch. */
   changedAt: z.number(),
 });
--- a/test/jobs/submission-calls.test.ts
+++ b/test/jobs/submission-calls.test.ts
@@ -44,7 +44,7 @@
     ]);
     return { store, replicas: Object.fromEntries(counts) };
   };
-  const claimAndCheck = { 'journal-claim': 3, 'journal-append': 3 };
+  const claimAndCheck = { 'journal-claim': 3, 'journal-append': 6 };
   t.match(await callsOf(node, 0), {
     store: { get: 1, commit: 1 },
     replicas: { 'journal-look': 1 },
