Soak's proxy: the end of a delay lets nothing overtake what was held back

Change: one queue for each direction of a connection; a piece is never written before those that came earlier. Measured: the new test in test/lab/faults/tcp-proxy.test.ts gets 'threetwo ' before the change and 'two three' with it.

--- a/lab/faults/tcp-proxy.ts
+++ b/lab/faults/tcp-proxy.ts
@@ -5,6 +5,7 @@
  * with its sender.
  */
 import { type AddressInfo, createServer, type Server, Socket } from 'node:net';
+import { DelayedWrites } from './delayed-writes.js';
 
 /** What happens to traffic. */
 export type LinkState =
@@ -25,6 +26,8 @@
 interface Link {
   readonly client: Socket;
   readonly server: Socket;
+  readonly toClient: DelayedWrites;
+  readonly toServer: DelayedWrites;
   sender: string | null;
   /** Whether bytes of this connection were swallowed, so that it cannot be used any more. */
   swallowed: boolean;
@@ -38,7 +41,6 @@
 /** One proxy in front of one address. */
 export class TcpProxy {
   private readonly links = new Set<Link>();
-  private readonly timers = new Set<NodeJS.Timeout>();
   private readonly server: Server;
   private general: LinkState = 'open';
   private readonly bySender = new Map<string, LinkState>();
@@ -83,7 +85,6 @@
   /** Breaks everything and listens no more. */
   async close(): Promise<void> {
     this.cut();
-    for (const timer of this.timers) clearTimeout(timer);
     await new Promise((resolve) => this.server.close(resolve));
   }
 
@@ -95,7 +96,10 @@
     }
     const [host, port] = this.options.target.split(':');
     const server = new Socket();
-    const link: Link = { client, server, sender: null, swallowed: false, isSilenced: false };
+    const link: Link = {
+      ...{ client, server, sender: null, swallowed: false, isSilenced: false },
+      ...{ toClient: new DelayedWrites(client), toServer: new DelayedWrites(server) },
+    };
     this.links.add(link);
     client.setNoDelay(true);
     server.setNoDelay(true);
@@ -105,7 +109,7 @@
     }
     server.connect({ host: host ?? '127.0.0.1', port: Number(port) });
     client.on('data', (data: Buffer) => this.fromClient(link, data));
-    server.on('data', (data: Buffer) => this.forward(link, data, client));
+    server.on('data', (data: Buffer) => this.forward(link, data, link.toClient));
   }
 
   private fromClient(link: Link, data: Buffer): void {
@@ -113,7 +117,7 @@
       link.sender = this.senderOf(data);
       this.applyTo(link);
     }
-    this.forward(link, data, link.server);
+    this.forward(link, data, link.toServer);
   }
 
   /** The sender named first in a piece of data. */
@@ -126,23 +130,14 @@
     return found[0]?.sender ?? null;
   }
 
-  private forward(link: Link, data: Buffer, to: Socket): void {
+  private forward(link: Link, data: Buffer, to: DelayedWrites): void {
     if (link.isSilenced) return;
     const state = this.stateOf(link);
-    if (state === 'black-hole' || (state === 'one-way' && to === link.client)) {
+    if (state === 'black-hole' || (state === 'one-way' && to === link.toClient)) {
       link.swallowed = true;
       return;
     }
-    if (link.swallowed || to.destroyed) return;
-    if (this.delay === 0) {
-      to.write(data);
-      return;
-    }
-    const timer = setTimeout(() => {
-      this.timers.delete(timer);
-      if (!to.destroyed) to.write(data);
-    }, this.delay);
-    this.timers.add(timer);
+    if (!link.swallowed) to.push(data, this.delay);
   }
 
   /** A refused link breaks; one whose bytes were swallowed breaks when it is opened again. */
@@ -164,6 +159,8 @@
 
   private end(link: Link): void {
     if (!this.links.delete(link)) return;
+    link.toClient.stop();
+    link.toServer.stop();
     link.client.destroy();
     link.server.destroy();
   }
--- a/test/lab/faults/tcp-proxy.test.ts
+++ b/test/lab/faults/tcp-proxy.test.ts
@@ -93,3 +93,20 @@
   proxy.silence(() => false);
   t.equal(await exchange(spared, 'five'), 'five');
 });
+
+t.test('when a delay ends, nothing overtakes what was held back', async (t) => {
+  const { proxy, port } = await echoBehindProxy(t);
+  const socket = open(t, port);
+  t.equal(await exchange(socket, 'one '), 'one ');
+  let got = '';
+  socket.on('data', (data: Buffer) => {
+    got += data.toString();
+  });
+  proxy.delay = 60;
+  socket.write('two ');
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  proxy.delay = 0;
+  socket.write('three');
+  while (got.length < 'two three'.length) await new Promise((resolve) => setTimeout(resolve, 5));
+  t.equal(got, 'two three');
+});
