Soak: faults of the store come in episodes; the store tells how jobs were accepted

Change: late commits and groups turned away overlap within an episode and rest between; overlaps come mostly while the store is away; the zone that the store took a job from is read from the job's head.

--- a/lab/soak/overlapping-submission.ts
+++ b/lab/soak/overlapping-submission.ts
@@ -7,8 +7,12 @@
 import type { JobCalls } from './job-calls.js';
 import type { CallerSurroundings } from './soak-callers.js';
 
-/** Share of the submissions that come to another zone too, and of these, share that come at once. */
-const OVERLAP_SHARE = 0.6;
+/**
+ * Share of the submissions that come to another zone too, mostly while the store does not answer some
+ * gateways, and of these, share that come at once.
+ */
+const OVERLAP_SHARE = 0.4;
+const OVERLAP_SHARE_STORE_AWAY = 0.85;
 const AT_ONCE_SHARE = 0.3;
 const LONGEST_OVERLAP_DELAY: Milliseconds = 800;
 
@@ -57,9 +61,10 @@
 
   /** Resolves with whether the job was accepted, with false only when no call is under way. */
   async untilAccepted(): Promise<boolean> {
-    const { random, now } = this.surroundings;
+    const { random, now, isStoreAway } = this.surroundings;
     const { zone, deadline } = this.options;
-    if (random.fraction() < OVERLAP_SHARE) this.elsewhere = this.sendElsewhere();
+    const share = isStoreAway() ? OVERLAP_SHARE_STORE_AWAY : OVERLAP_SHARE;
+    if (random.fraction() < share) this.elsewhere = this.sendElsewhere();
     while (!this.isAccepted && now() < deadline) {
       this.ownCalls += 1;
       await this.sendTo(zone);
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -23,7 +23,7 @@
 import { planEvacuations, SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeys } from './soak-keys.js';
 import { StoreFaultRunner } from './store-fault-runner.js';
-import { planGatewaysTurnedAway, planLateCommits } from './store-faults.js';
+import { planStoreFaults } from './store-faults.js';
 import { WorkerPool } from './worker-pool.js';
 import type { WorkerStandIn } from './worker-stand-in.js';
 import { ZoneFaultRunner } from './zone-fault-runner.js';
@@ -124,7 +124,7 @@
     const { violations, checked, checkedByPromise, mostEndedUnderOne } = this.checker;
     const { counts } = callers;
     const { counts: lateCommits } = this.store.lateCommits;
-    const acceptances = countAcceptances(path.join(folder, 'logs'));
+    const acceptances = countAcceptances(path.join(folder, 'logs'), this.store.emulator);
     const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne };
     return { ...seen, faults: faults + 1, lateCommits, acceptances, powerLoss };
   }
@@ -136,20 +136,17 @@
     const faults = planFaults(seed, length);
     const zoneFaults = planZoneFaults(seed + 4, length);
     const evacuations = planEvacuations(seed + 5, length);
-    const lateCommits = planLateCommits(seed + 6, length);
-    const turnedAway = planGatewaysTurnedAway(seed + 7, length);
+    const storeFaults = planStoreFaults(seed + 6, length);
     const writeConfiguration = (): void => this.writeConfiguration();
     const silenced = createRandomSource(seed + 3);
     const ofAny = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
-    const ofStore = new StoreFaultRunner(store, gateways);
     await Promise.all([
       timeline.bringOn(faults, ofAny),
       timeline.bringOn(zoneFaults, new ZoneFaultRunner(gateways, journals)),
       this.evacuations.run(evacuations),
-      timeline.bringOn(lateCommits, ofStore),
-      timeline.bringOn(turnedAway, ofStore),
+      timeline.bringOn(storeFaults, new StoreFaultRunner(store, gateways)),
     ]);
-    const plans = [faults, zoneFaults, evacuations, lateCommits, turnedAway];
+    const plans = [faults, zoneFaults, evacuations, storeFaults];
     return plans.reduce((sum, plan) => sum + plan.length, 0);
   }
 
--- a/lab/soak/store-fault-runner.ts
+++ b/lab/soak/store-fault-runner.ts
@@ -13,7 +13,7 @@
 /** Interval at which it is checked whether the last late commit was carried out. */
 const LATE_CHECK_INTERVAL: Milliseconds = 50;
 
-/** How faults of `planLateCommits` and `planGatewaysTurnedAway` are brought on. */
+/** How faults of `planStoreFaults` are brought on. */
 export class StoreFaultRunner implements FaultPerformance<StoreFault> {
   constructor(
     private readonly store: PlatformStore,
--- a/lab/soak/store-faults.ts
+++ b/lab/soak/store-faults.ts
@@ -26,59 +26,62 @@
 /** Share of the commits that are late while such a fault lasts. */
 export const LATE_SHARE = 0.7;
 
-/** What sets a kind of faults apart: bounds of their duration and pauses, and what may be drawn. */
+/** What sets a kind of faults apart: bounds of their duration, and what may be drawn. */
 interface FaultBounds {
   readonly shortest: Milliseconds;
   readonly longest: Milliseconds;
-  readonly shortestPause: Milliseconds;
-  readonly longestPause: Milliseconds;
   readonly effects: readonly StoreEffect[];
   readonly groups: readonly StruckGroup[];
 }
 
-/** Bounds of {@link planLateCommits}. */
+/** Bounds of spans in which commits are late. */
 export const LATE_COMMIT_BOUNDS: FaultBounds = {
   shortest: 1_000,
   longest: 6_000,
-  shortestPause: 1_500,
-  longestPause: 5_000,
   effects: ['commits-late'],
-  groups: ['all', 'all', 'half', 'zone', 'job-owner'],
+  groups: ['all', 'all', 'all', 'half', 'zone', 'job-owner'],
 };
 
-/** Bounds of {@link planGatewaysTurnedAway}. */
+/** Bounds of spans in which gateways are turned away. */
 export const TURNED_AWAY_BOUNDS: FaultBounds = {
   shortest: 3_000,
   longest: 10_000,
-  shortestPause: 1_500,
-  longestPause: 5_000,
   effects: ['unavailable', 'throttled', 'silent'],
   groups: ['zone-but-one', 'half', 'job-owner'],
 };
 
-/** Draws spans in which commits are late; the same seed and length give the same ones. */
-export function planLateCommits(seed: number, length: Milliseconds): StoreFault[] {
-  return plan(seed, length, LATE_COMMIT_BOUNDS);
-}
+/** Kinds of faults that come together; the time between them leaves gateways without an excuse. */
+const EPISODES: readonly (readonly FaultBounds[])[] = [
+  [LATE_COMMIT_BOUNDS],
+  [TURNED_AWAY_BOUNDS],
+  [LATE_COMMIT_BOUNDS, TURNED_AWAY_BOUNDS],
+  [TURNED_AWAY_BOUNDS, LATE_COMMIT_BOUNDS],
+];
 
-/** Draws spans in which groups of gateways are turned away; the same seed and length give the same. */
-export function planGatewaysTurnedAway(seed: number, length: Milliseconds): StoreFault[] {
-  return plan(seed, length, TURNED_AWAY_BOUNDS);
-}
+/** Time between the faults of one episode, and between two episodes. */
+const LONGEST_OFFSET: Milliseconds = 2_000;
+export const SHORTEST_PAUSE: Milliseconds = 3_000;
+const LONGEST_PAUSE: Milliseconds = 6_000;
 
-function plan(seed: number, length: Milliseconds, bounds: FaultBounds): StoreFault[] {
+/** Draws the faults, in order; the same seed and length give the same ones. */
+export function planStoreFaults(seed: number, length: Milliseconds): StoreFault[] {
   const random = createRandomSource(seed);
   const between = (least: Milliseconds, most: Milliseconds): Milliseconds =>
     Math.round(least + random.fraction() * (most - least));
   const faults: StoreFault[] = [];
-  let at = QUIET_START + between(0, bounds.longestPause);
+  let begin = QUIET_START + between(0, SHORTEST_PAUSE);
   for (;;) {
-    const duration = between(bounds.shortest, bounds.longest);
-    if (at + duration > length - QUIET_END) return faults;
-    const effect = drawFrom(bounds.effects, random);
-    const struck = drawFrom(bounds.groups, random);
-    faults.push({ effect, struck, at, duration, target: random.integer(1_000) });
-    at += duration + between(bounds.shortestPause, bounds.longestPause);
+    const episode = drawFrom(EPISODES, random).map((bounds, index): StoreFault => {
+      const at = begin + (index === 0 ? 0 : between(0, LONGEST_OFFSET));
+      const duration = between(bounds.shortest, bounds.longest);
+      const effect = drawFrom(bounds.effects, random);
+      const struck = drawFrom(bounds.groups, random);
+      return { effect, struck, at, duration, target: random.integer(1_000) };
+    });
+    const end = Math.max(...episode.map(({ at, duration }) => at + duration));
+    if (end > length - QUIET_END) return faults;
+    faults.push(...episode);
+    begin = end + between(SHORTEST_PAUSE, LONGEST_PAUSE);
   }
 }
 
--- a/test/lab/soak/store-faults.test.ts
+++ b/test/lab/soak/store-faults.test.ts
@@ -5,47 +5,51 @@
 import { jobOwnerIn, struckGateways } from '../../../lab/soak/store-fault-runner.js';
 import {
   LATE_COMMIT_BOUNDS,
-  planGatewaysTurnedAway,
-  planLateCommits,
+  planStoreFaults,
+  SHORTEST_PAUSE,
   TURNED_AWAY_BOUNDS,
 } from '../../../lab/soak/store-faults.js';
 
-const PLANS = [
-  { name: 'late commits', plan: planLateCommits, bounds: LATE_COMMIT_BOUNDS },
-  { name: 'gateways turned away', plan: planGatewaysTurnedAway, bounds: TURNED_AWAY_BOUNDS },
-];
-
 const GATEWAYS = [1, 2, 3, 4, 5].map((number) => ({
   name: `gateway-${number}`,
   zone: number % 2 === 1 ? 'zone-a' : 'zone-b',
 }));
 
-for (const { name, plan, bounds } of PLANS) {
-  t.test(`${name}: a seed gives the same plan each time, another seed another`, async (t) => {
-    t.same(plan(7, 60_000), plan(7, 60_000));
-    t.not(JSON.stringify(plan(7, 60_000)), JSON.stringify(plan(8, 60_000)));
-  });
+t.test('a seed gives the same faults each time, another seed others', async (t) => {
+  t.same(planStoreFaults(7, 60_000), planStoreFaults(7, 60_000));
+  t.not(JSON.stringify(planStoreFaults(7, 60_000)), JSON.stringify(planStoreFaults(8, 60_000)));
+});
 
-  t.test(`${name}: one after the other, within the bounds`, async (t) => {
-    const faults = plan(3, 600_000);
-    t.ok(faults.length > 40);
-    let end = QUIET_START;
-    for (const { at, duration, effect, struck } of faults) {
-      t.ok(at >= end && duration >= bounds.shortest && duration <= bounds.longest);
-      t.ok(bounds.effects.includes(effect) && bounds.groups.includes(struck));
-      end = at + duration;
+t.test('each fault keeps the bounds of its kind, and all kinds and groups come up', async (t) => {
+  const faults = planStoreFaults(3, 600_000);
+  for (const bounds of [LATE_COMMIT_BOUNDS, TURNED_AWAY_BOUNDS]) {
+    const ofKind = faults.filter(({ effect }) => bounds.effects.includes(effect));
+    t.ok(ofKind.length > 20);
+    for (const { duration, struck } of ofKind) {
+      t.ok(duration >= bounds.shortest && duration <= bounds.longest);
+      t.ok(bounds.groups.includes(struck));
     }
-    t.ok(end <= 600_000 - QUIET_END);
-    t.equal(new Set(faults.map(({ effect }) => effect)).size, new Set(bounds.effects).size);
-    t.equal(new Set(faults.map(({ struck }) => struck)).size, new Set(bounds.groups).size);
-  });
-}
+    t.equal(new Set(ofKind.map(({ effect }) => effect)).size, new Set(bounds.effects).size);
+    t.equal(new Set(ofKind.map(({ struck }) => struck)).size, new Set(bounds.groups).size);
+  }
+});
 
-t.test('each short soak has both kinds', async (t) => {
-  for (let seed = 0; seed < 50; seed += 1) {
-    t.ok(planLateCommits(seed, 45_000).length >= 2);
-    t.ok(planGatewaysTurnedAway(seed, 45_000).length >= 1);
+t.test('kinds overlap, and between episodes nothing is under way', async (t) => {
+  const faults = planStoreFaults(3, 600_000);
+  let end = QUIET_START;
+  let overlaps = 0;
+  for (const [index, { at, duration }] of faults.entries()) {
+    t.ok(at >= (faults[index - 1]?.at ?? QUIET_START), 'in order');
+    if (at < end) overlaps += 1;
+    else t.ok(index === 0 || at >= end + SHORTEST_PAUSE || at <= end + 2_000);
+    end = Math.max(end, at + duration);
   }
+  t.ok(overlaps > 10);
+  t.ok(end <= 600_000 - QUIET_END);
+});
+
+t.test('each short soak has such faults', async (t) => {
+  for (let seed = 0; seed < 100; seed += 1) t.ok(planStoreFaults(seed, 45_000).length >= 2);
 });
 
 t.test('a group leaves the gateways out that it promises to serve', async (t) => {
