--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -1,7 +1,6 @@
 /** Changes the owner of jobs: takes over, releases and offers them, and accepts offered ones. */
 import type { Milliseconds } from '../core/units.js';
-import type { JobJournal } from '../journal/job-journal.js';
-import type { JournalEntry, JournalHolder } from '../journal/journal-entries.js';
+import type { JournalHolder } from '../journal/journal-entries.js';
 import { FIRST_TERM, type ZoneJournals } from '../journal/zone-journals.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { JobResidency } from '../placement/job-residency.js';
@@ -11,7 +10,7 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobHead, type JobOwner, weightNeedOf } from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
-import { JournalClaims, writerOf } from './journal-claims.js';
+import { type ClaimedJournal, JournalClaims, writerOf } from './journal-claims.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
@@ -20,12 +19,6 @@
 /** Time in which a live node that claimed a journal becomes the owner of its job in the store. */
 const MAX_TAKEOVER_TIME: Milliseconds = 1_500;
 
-/** A journal that only this node may write to, and its entries. */
-interface ClaimedJournal {
-  readonly journal: JobJournal;
-  readonly entries: readonly JournalEntry[];
-}
-
 export interface JobTransferOptions {
   readonly store: JobStore;
   readonly owned: OwnedJobs;
--- a/src/jobs/journal-claims.ts
+++ b/src/jobs/journal-claims.ts
@@ -1,6 +1,6 @@
 /** Claims journals of jobs whose owner has terminated, past claims that were not followed up. */
 import type { ClaimOutcome, JobJournal } from '../journal/job-journal.js';
-import type { JournalHolder } from '../journal/journal-entries.js';
+import type { JournalEntry, JournalHolder } from '../journal/journal-entries.js';
 import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
@@ -14,6 +14,12 @@
   readonly log: DecisionLog;
 }
 
+/** A journal that only this node may write to, and its entries. */
+export interface ClaimedJournal {
+  readonly journal: JobJournal;
+  readonly entries: readonly JournalEntry[];
+}
+
 /** The journal of the last attempt and the outcome of its claim. */
 export interface ClaimAttempt {
   readonly journal: JobJournal;
@@ -39,6 +45,7 @@
     for (let attempt = 1; ; attempt += 1) {
       const journal = journals.open(job, replicas, nextTerm);
       const claim = await journal.claim();
+      this.logClaim(journal, claim);
       if (claim.kind !== 'held-elsewhere' || attempt === MAX_CLAIM_ATTEMPTS)
         return { journal, claim };
       const { holder } = claim;
@@ -48,6 +55,12 @@
       nextTerm = holder.term + 1;
     }
   }
+
+  private logClaim({ job, term, claimTally }: JobJournal, claim: ClaimOutcome): void {
+    const entries = claim.kind === 'claimed' ? claim.entries.length : 0;
+    const details = { job, term, outcome: claim.kind, ...claimTally, entries };
+    this.options.log.state('journal-claimed', details);
+  }
 }
 
 /** The name under which a node incarnation writes to journals. */
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -4,8 +4,7 @@
  * in the store are taken over through their heads instead.
  */
 import type { Milliseconds } from '../core/units.js';
-import type { JobJournal } from '../journal/job-journal.js';
-import type { JournalEntry, JournalHolder } from '../journal/journal-entries.js';
+import type { JournalHolder } from '../journal/journal-entries.js';
 import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
@@ -14,6 +13,7 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
+import { type ClaimedJournal, JournalClaims } from './journal-claims.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJobs } from './owned-jobs.js';
 
@@ -39,11 +39,12 @@
 export class JournalRecovery {
   private isScanning = false;
   private nextScanAt: Milliseconds = 0;
-
   private readonly writeBack: JournalWriteBack;
+  private readonly claims: JournalClaims;
 
   constructor(private readonly options: JournalRecoveryOptions) {
     this.writeBack = new JournalWriteBack(options);
+    this.claims = new JournalClaims(options);
   }
 
   /** Starts a scan if one is due. */
@@ -69,59 +70,93 @@
     const { journals, store } = this.options;
     const read = await store.head(holder.job);
     if (read.kind === 'unavailable') return;
-    const head = read.kind === 'found' ? read.value.head : undefined;
+    if (read.kind === 'absent') {
+      // Only the entries in the zone name the replicas of the job.
+      const claimed = await this.claim(holder.job, journals.replicasInOwnZone(), holder.term + 1);
+      if (claimed !== undefined) await this.recoverJob(claimed);
+    } else if (isFinished(read.value.head)) await this.completeListing(holder, read.value);
     // An open job is taken over through its head, together with its journal.
-    if (head !== undefined && !isFinished(head)) return;
-    const journal = journals.open(holder.job, journals.replicasInOwnZone(), holder.term + 1);
-    const claim = await journal.claim();
-    if (claim.kind !== 'claimed') return;
-    if (read.kind === 'found') await this.completeListing(journal, claim.entries, read.value);
-    else await this.recoverJob(journal, claim.entries);
+  }
+
+  /** Claims a journal; `undefined` if it is held elsewhere or its replicas do not answer. */
+  private async claim(
+    job: string,
+    replicas: readonly ReplicaLocation[],
+    term: number,
+  ): Promise<ClaimedJournal | undefined> {
+    const isAbandoned = async ({ writer }: JournalHolder): Promise<boolean> =>
+      !this.options.isWriterLive(writer);
+    const { journal, claim } = await this.claims.claim(job, replicas, term, isAbandoned);
+    if (claim.kind === 'disks-gone') return { journal, entries: [] };
+    return claim.kind === 'claimed' ? { journal, entries: claim.entries } : undefined;
   }
 
   /** Lists journaled results of a job that was cancelled in the store before it had them. */
   private async completeListing(
-    journal: JobJournal,
-    entries: readonly JournalEntry[],
+    { job, term: heldTerm }: JournalHolder,
     found: VersionedHead,
   ): Promise<void> {
     const { journals, log } = this.options;
-    const { job } = journal;
-    const { replicas = [], pages, listed, total } = found.head;
-    const ownDisks = new Set(journals.replicasInOwnZone().map(({ disk }) => disk));
-    // Entries in replicas that the job's head does not name are not results of the job.
-    const isOfJob = replicas.some(({ disk }) => ownDisks.has(disk)) && listed < total;
-    const changes = isOfJob ? listableChanges(log, job, entries, pages) : [];
-    const journaled = changes.filter(({ kind }) => kind === 'page').length;
-    if (journaled > 0) {
-      const current = await this.writeBack.commit(job, found, changes, () => false);
-      if (current === undefined) return;
-      log.state('job-listing-completed', { job, journaled });
+    const { replicas = [], term: ownerTerm = 0, pages, listed, total } = found.head;
+    const ownReplicas = journals.replicasInOwnZone();
+    const others = withoutDisksOf(ownReplicas, replicas);
+    const term = Math.max(heldTerm, ownerTerm) + 1;
+    if (others.length < ownReplicas.length) {
+      const claimed = await this.claim(job, replicas, term);
+      if (claimed === undefined) return;
+      const { journal, entries } = claimed;
+      const changes = listed < total ? listableChanges(log, job, entries, pages) : [];
+      const journaled = changes.filter(({ kind }) => kind === 'page').length;
+      if (journaled > 0) {
+        const current = await this.writeBack.commit(job, found, changes, () => false);
+        if (current === undefined) return;
+        log.state('job-listing-completed', { job, journaled });
+      }
+      await journal.release(entries);
     }
-    await journal.release(entries);
+    if (others.length > 0) await this.discardOthers(job, others, term);
+  }
+
+  /** Removes entries in replicas that the job's head does not name: they are not its results. */
+  private async discardOthers(
+    job: string,
+    replicas: readonly ReplicaLocation[],
+    term: number,
+  ): Promise<void> {
+    const claimed = await this.claim(job, replicas, term);
+    if (claimed === undefined || claimed.entries.length === 0) return;
+    await claimed.journal.release(claimed.entries);
+    const { length: entries } = claimed.entries;
+    this.options.log.state('journal-entries-discarded', { job, entries });
   }
 
-  private async recoverJob(journal: JobJournal, entries: readonly JournalEntry[]): Promise<void> {
-    const { owned, peers, log, metrics, journals } = this.options;
-    const created = entries.find((entry) => entry.kind === 'created');
-    if (created === undefined) return;
+  /** Creates a job that only the journal has, and runs it. */
+  private async recoverJob({ journal: zoneJournal, entries }: ClaimedJournal): Promise<void> {
+    const { owned, peers, log, metrics } = this.options;
+    const { job } = zoneJournal;
+    const named = entries.find((entry) => entry.kind === 'created');
+    if (named === undefined) return;
+    // Entries in replicas that the job does not name are not its results.
+    const claimed = await this.claim(job, named.replicas, zoneJournal.term);
+    const created = claimed?.entries.find((entry) => entry.kind === 'created');
+    if (claimed === undefined || created === undefined) return;
     const { spec, replicas } = created;
+    const { journal } = claimed;
     const change = await this.createInStore(spec, replicas, journal.term);
     if (change.kind !== 'changed') return;
-    const ownJournal = journals.open(spec.id, replicas, journal.term);
-    const unstored = listableChanges(log, spec.id, entries, 0);
-    const durable = await this.writeBack.makeDurable(ownJournal, change.current, unstored);
+    const unstored = listableChanges(log, job, claimed.entries, 0);
+    const durable = await this.writeBack.makeDurable(journal, change.current, unstored);
     await journal.release([created]);
     if (durable === undefined) return;
     const { head, stored, journaled } = durable;
     // The store has all results of a finished job, so it is not run.
     if (!isFinished(head.head)) {
       const initialWork = owned.earlierWork(spec, {});
-      owned.add(spec, head, stored, initialWork, { journal: ownJournal, resumed: journaled });
+      owned.add(spec, head, stored, initialWork, { journal, resumed: journaled });
       peers.reportWeightNeed(weightNeedOf(spec));
     }
     const details = { listed: stored.length, journaled: journaled.length };
-    log.state('job-recovered', { job: spec.id, step: spec.step, ...details });
+    log.state('job-recovered', { job, step: spec.step, ...details });
     metrics.count('jobs_adopted', { cause: 'journal' });
   }
 
@@ -142,3 +177,12 @@
     return store.create(spec, head, () => false);
   }
 }
+
+/** Replicas that have none of the disks of `excluded`. */
+function withoutDisksOf(
+  replicas: readonly ReplicaLocation[],
+  excluded: readonly ReplicaLocation[],
+): ReplicaLocation[] {
+  const disks = new Set(excluded.map(({ disk }) => disk));
+  return replicas.filter(({ disk }) => !disks.has(disk));
+}
--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -45,10 +45,20 @@
   /** All replicas answered, and each of them has a new, empty disk. */
   | { readonly kind: 'disks-gone' };
 
+/** Number of replicas by their answer to a claim. */
+export interface ClaimTally {
+  readonly granted: number;
+  readonly refused: number;
+  readonly silent: number;
+  readonly otherDisks: number;
+  readonly unwritable: number;
+}
+
 /** Journal of one job, bound to one owner and term. */
 export class JobJournal {
   private isSuperseded = false;
   private acceptsAppends = true;
+  private tally: ClaimTally = tallyOf([]);
 
   constructor(private readonly options: JournalOptions) {}
 
@@ -70,26 +80,27 @@
     return this.options.holder.writer;
   }
 
+  /** Answers to the last claim. */
+  get claimTally(): ClaimTally {
+    return this.tally;
+  }
+
   /** Makes this owner the only one that can write; the grant of one replica is enough. */
   async claim(): Promise<ClaimOutcome> {
     const { holder } = this.options;
     const answers = await this.requestFromAll((disk) => ({ kind: 'journal-claim', disk, holder }));
-    const found: JournalEntry[] = [];
-    let granted = 0;
-    let otherDisks = 0;
+    this.tally = tallyOf(answers);
     const rival = latestHolder(answers);
     if (rival !== undefined) {
       this.isSuperseded = true;
       return { kind: 'held-elsewhere', holder: rival };
     }
-    for (const answer of answers) {
-      if (answer?.kind === 'other-disk') otherDisks += 1;
-      if (answer?.kind !== 'granted') continue;
-      granted += 1;
-      // Entries of newer builds are ignored and stay on the replicas.
-      found.push(...answer.entries.filter(isKnownEntry));
-    }
-    if (granted > 0) return { kind: 'claimed', entries: latestEntries(found) };
+    // Entries of newer builds are ignored and stay on the replicas.
+    const entries = answers
+      .flatMap((answer) => (answer?.kind === 'granted' ? answer.entries : []))
+      .filter(isKnownEntry);
+    const { granted, otherDisks } = this.tally;
+    if (granted > 0) return { kind: 'claimed', entries: latestEntries(entries) };
     return { kind: otherDisks === answers.length ? 'disks-gone' : 'silent' };
   }
 
@@ -144,6 +155,15 @@
   }
 }
 
+function tallyOf(answers: readonly (ReplicaAnswer | undefined)[]): ClaimTally {
+  const count = (kind: ReplicaAnswer['kind'] | undefined): number =>
+    answers.filter((answer) => answer?.kind === kind).length;
+  return {
+    ...{ granted: count('granted'), refused: count('refused'), silent: count(undefined) },
+    ...{ otherDisks: count('other-disk'), unwritable: count('unwritable') },
+  };
+}
+
 /** The holder of the highest term that a replica named as it refused a request. */
 function latestHolder(answers: readonly (ReplicaAnswer | undefined)[]): JournalHolder | undefined {
   const holders = answers.flatMap((answer) => (answer?.kind === 'refused' ? [answer.holder] : []));
