--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -13,7 +13,7 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
-import { type ClaimedJournal, JournalClaims } from './journal-claims.js';
+import { type ClaimedJournal, JournalClaims, writerOf } from './journal-claims.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJobs } from './owned-jobs.js';
 
@@ -39,6 +39,8 @@
 export class JournalRecovery {
   private isScanning = false;
   private nextScanAt: Milliseconds = 0;
+  /** Jobs that this node has claimed here and does not run; a later scan may claim them again. */
+  private readonly claimedJobs = new Set<string>();
   private readonly writeBack: JournalWriteBack;
   private readonly claims: JournalClaims;
 
@@ -59,13 +61,19 @@
 
   /** Recovers all journaled jobs that have no live owner. */
   async scan(): Promise<void> {
-    const { journals, owned, isWriterLive } = this.options;
+    const { journals, owned } = this.options;
     for (const holder of await journals.unsyncedHolders()) {
-      if (isWriterLive(holder.writer) || owned.get(holder.job) !== undefined) continue;
+      if (!this.isAbandoned(holder) || owned.get(holder.job) !== undefined) continue;
       await this.recover(holder);
     }
   }
 
+  /** Whether the holder has terminated, or is this node in a recovery that failed. */
+  private isAbandoned({ job, writer }: JournalHolder): boolean {
+    const { isWriterLive, self } = this.options;
+    return !isWriterLive(writer) || (writer === writerOf(self) && this.claimedJobs.has(job));
+  }
+
   private async recover(holder: JournalHolder): Promise<void> {
     const { journals, store } = this.options;
     const read = await store.head(holder.job);
@@ -84,8 +92,8 @@
     replicas: readonly ReplicaLocation[],
     term: number,
   ): Promise<ClaimedJournal | undefined> {
-    const isAbandoned = async ({ writer }: JournalHolder): Promise<boolean> =>
-      !this.options.isWriterLive(writer);
+    this.claimedJobs.add(job);
+    const isAbandoned = async (holder: JournalHolder): Promise<boolean> => this.isAbandoned(holder);
     const { journal, claim } = await this.claims.claim(job, replicas, term, isAbandoned);
     if (claim.kind === 'disks-gone') return { journal, entries: [] };
     return claim.kind === 'claimed' ? { journal, entries: claim.entries } : undefined;
@@ -147,6 +155,7 @@
     const unstored = listableChanges(log, job, claimed.entries, 0);
     const durable = await this.writeBack.makeDurable(journal, change.current, unstored);
     await journal.release([created]);
+    this.claimedJobs.delete(job);
     if (durable === undefined) return;
     const { head, stored, journaled } = durable;
     // The store has all results of a finished job, so it is not run.
--- a/test/jobs/journal-recovery.test.ts
+++ b/test/jobs/journal-recovery.test.ts
@@ -1,4 +1,4 @@
-/** Guards against entries in replicas that do not belong to a job being listed as its results. */
+/** Guards against journal entries being listed in the wrong job, or never listed or released. */
 import t from 'tap';
 import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
@@ -72,6 +72,15 @@
   return 'detail' in read ? read.kind : read.results.map(({ text }) => text);
 }
 
+/** Has the store reject one commit. */
+function failNextCommit({ emulator }: JournaledJob): void {
+  const commit = emulator.commit.bind(emulator);
+  emulator.commit = async () => {
+    emulator.commit = commit;
+    return { kind: 'failed', effect: 'not-done' };
+  };
+}
+
 const hasLogged = (node: JobNode, event: string) => (): boolean =>
   node.lines.some((line) => line.includes(`"${event}"`));
 
@@ -135,3 +144,28 @@
     ...{ granted: 1, silent: 1, otherDisks: 1, refused: 0, unwritable: 0 },
   });
 });
+
+t.test('a recovery whose creation failed in the store is repeated by the same node', async (t) => {
+  const setup = await journaledJob(t);
+  const replicas = [...setup.journal.replicas];
+  t.equal(await setup.journal.append([{ kind: 'created', spec: SPEC, replicas }]), 'kept');
+  failNextCommit(setup);
+  const node = recoveringNode(t, setup);
+  await workUntil(node, hasLogged(node, 'job-recovered'));
+  t.same((await headIn(setup)).replicas, replicas);
+});
+
+t.test('a replica that was away while a job was completed is released later', async (t) => {
+  const setup = await journaledJob(t);
+  const { store, journal, zone } = setup;
+  const head = { ...headOf(SPEC), term: 1, replicas: [...journal.replicas], ended: true };
+  await store.create(SPEC, head, always);
+  t.equal(await journal.append([page(0)]), 'kept');
+  const node = recoveringNode(t, setup);
+  zone.unreachable.add(journal.replicas[2]?.address ?? '');
+  failNextCommit(setup);
+  await workUntilReleased(node, setup);
+  zone.unreachable.clear();
+  await workUntilReleased(node, setup);
+  t.same(await textsAt(node), ['text 0']);
+});
