Owned jobs: a job whose results were all journaled is closed by its new owner

Cause: a listing closes the job when it lists the last result itself. Change: resuming the journaled changes closes the job as finished if they complete it; the queued pages still reach the store, as they are journaled (two lines in job-listing.ts).

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -106,9 +106,11 @@
 
   /** Writes an earlier owner's journaled changes to the store; they may include a cancellation. */
   resume(): void {
-    const { resumed = [] } = this.options.journaled;
+    const { spec, journaled, close } = this.options;
+    const { resumed = [] } = journaled;
     this.writer.resume(resumed);
-    if (resumed.some(({ kind }) => kind === 'ended')) this.options.close('ended');
+    if (resumed.some(({ kind }) => kind === 'ended')) close('ended');
+    else if (this.listed.length >= spec.items.length) close('finished');
   }
 
   /** Results listed so far. */
--- a/test/jobs/unconfirmed-entries.test.ts
+++ b/test/jobs/unconfirmed-entries.test.ts
@@ -209,3 +209,15 @@
   t.equal(await takeOver(thirdOwner, setup), true);
   t.same(await textsAt(thirdOwner), shown);
 });
+
+t.test('a job whose results are all journaled is closed by its new owner', async (t) => {
+  const setup = await unconfirmedJob(
+    t,
+    Array.from({ length: ITEMS }, (_, index) => page(index)),
+  );
+  const nextOwner = cutOffNode(t, setup, OTHER);
+  t.equal(await takeOver(nextOwner, setup), true);
+  await eventually(() => nextOwner.service.ownedJobs().every((job) => !job.isActive));
+  t.equal(nextOwner.service.ownedJobs()[0]?.closeReason, 'finished');
+  t.match((await headIn(setup.store)).head, { pages: ITEMS, listed: ITEMS });
+});
