Store usage checkpoints under a key of each incarnation

Cause: all holders of the singleton tasks wrote their checkpoint to one key, without a condition and without reading it. The first checkpoint of a new holder replaced the counts of ended nodes that only the former holder knew, and a late commit of the former holder replaced those of the new one. Change: a checkpoint is stored under the incarnation of its writer, as the counts of a stopping node are; a report merges all of these keys, by the larger total of each source and window, as before. Older builds read any key under the prefix and merge it too; their own key is still read. The format of the record is the same, and a checkpoint is still one call to the store.

--- a/src/singleton-tasks/usage-records.ts
+++ b/src/singleton-tasks/usage-records.ts
@@ -3,7 +3,7 @@
 import type { SharedStore, StoreItem } from '../shared-store/shared-store.js';
 import { ABSENT } from '../shared-store/shared-store.js';
 import type { UsageReport } from './cloud-port.js';
-import type { SourceCounts } from './usage-counts.js';
+import type { SourceCounts, UsageSource } from './usage-counts.js';
 import type { WindowNumber } from './usage-windows.js';
 
 const PREFIX = 'duty/usage/';
@@ -75,8 +75,11 @@
     return stored === undefined ? { kind: 'unavailable' } : { kind: 'kept', report: stored };
   }
 
-  /** Stores unreported counts under the name of their writer; returns whether it succeeded. */
-  async storeCounts(writer: string, counts: readonly SourceCounts[]): Promise<boolean> {
+  /**
+   * Stores unreported counts under a key of the writing incarnation, so that no writer replaces the
+   * counts of another; returns whether it succeeded.
+   */
+  async storeCounts(writer: UsageSource, counts: readonly SourceCounts[]): Promise<boolean> {
     const record = counts.map(({ source, counts: windows }) => ({
       source,
       windows: [...windows].map(([window, totals]) => [window, [...totals]]),
--- a/src/singleton-tasks/usage-reporter.ts
+++ b/src/singleton-tasks/usage-reporter.ts
@@ -25,9 +25,6 @@
 /** Time between two checkpoints of unreported counts. */
 const CHECKPOINT_INTERVAL: Milliseconds = 2_000;
 
-/** Name under which the holder stores its checkpoints. */
-const CHECKPOINT_WRITER = 'holder';
-
 /** Number of windows whose reports may still be sent, besides the open one. */
 export function retainedWindowCount(dueAfter: Milliseconds, length: Milliseconds): number {
   return Math.ceil((MAX_LATENESS_FACTOR * dueAfter) / length);
@@ -153,7 +150,7 @@
     const counts = gathered.since(this.oldestWindow);
     const requests = requestsIn(counts);
     if (requests === this.requestsAtCheckpoint) return;
-    if (await records.storeCounts(CHECKPOINT_WRITER, counts)) this.requestsAtCheckpoint = requests;
+    if (await records.storeCounts(source, counts)) this.requestsAtCheckpoint = requests;
   }
 
   private removeBefore(window: WindowNumber): void {
--- a/test/singleton-tasks/usage-reporter.test.ts
+++ b/test/singleton-tasks/usage-reporter.test.ts
@@ -103,6 +103,54 @@
   t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { north: 5 } });
 });
 
+t.test(
+  'a checkpoint that takes effect late does not replace that of the next holder',
+  async (t) => {
+    const fleet = new UsageFleet();
+    const firstHolder = fleet.node('one');
+    firstHolder.meter.noteBegun('north', fleet.clock.now());
+    fleet.store.loseAnswers('applied-late');
+    await fleet.pass(300, firstHolder);
+    const second = fleet.node('two');
+    second.gathered.merge('gone-life', new Map([[0, new Map([['south', 4]])]]));
+    await fleet.pass(300, second);
+    fleet.store.applyLateCommits();
+    const third = fleet.node('three');
+    await fleet.pass(WINDOW + DUE_AFTER / 2, third);
+    t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { south: 4 } });
+  },
+);
+
+t.test('a checkpoint of a new holder does not replace that of the previous one', async (t) => {
+  const fleet = new UsageFleet();
+  const firstHolder = fleet.node('one');
+  firstHolder.gathered.merge('gone-life', new Map([[0, new Map([['north', 4]])]]));
+  await fleet.pass(300, firstHolder);
+  const second = fleet.node('two');
+  second.meter.noteBegun('south', fleet.clock.now());
+  await fleet.pass(WINDOW + DUE_AFTER / 2, second);
+  t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { north: 4, south: 1 } });
+});
+
+t.test('a checkpoint takes one call to the store', async (t) => {
+  const fleet = new UsageFleet();
+  const node = fleet.node('one');
+  for (let requests = 1; requests <= 2; requests += 1) {
+    node.gathered.merge('other-life', new Map([[0, new Map([['north', requests]])]]));
+    await fleet.pass(2_100, node);
+  }
+  t.same([...fleet.store.calls], [['commit', 2]]);
+});
+
+t.test('counts that a holder of an older build stored are reported', async (t) => {
+  const fleet = new UsageFleet();
+  const node = fleet.node('one');
+  const record = [{ source: 'gone-life', windows: [[0, [['south', 2]]]] }];
+  fleet.store.write('duty/usage/counts/holder', JSON.stringify(record));
+  await fleet.pass(WINDOW + DUE_AFTER / 2, node);
+  t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { south: 2 } });
+});
+
 t.test('counts that a stopping node stored are reported', async (t) => {
   const fleet = new UsageFleet();
   const node = fleet.node('one');
