Store usage counts on the condition of their last revision

Cause: a node stored its counts without a condition. A checkpoint whose answer was lost could take effect seconds after a later one and replace it by smaller totals, which a next holder then reported. Change: counts expect the last known revision of their key. After a conflict, which follows a lost answer or a removal by another node, the revision is read and the write is repeated once. Writes of a node are made one after the other, so that an older one is not repeated after a newer one. The node knows of its own removal of an outdated record, so it needs no read then.

--- a/src/singleton-tasks/usage-records.ts
+++ b/src/singleton-tasks/usage-records.ts
@@ -1,5 +1,6 @@
 /** Usage records in the shared store: final reports, and counts that are not reported yet. */
 import * as z from 'zod';
+import type { Revision } from '../core/units.js';
 import type { SharedStore, StoreItem } from '../shared-store/shared-store.js';
 import { ABSENT } from '../shared-store/shared-store.js';
 import type { UsageReport } from './cloud-port.js';
@@ -34,8 +35,16 @@
   | { readonly kind: 'kept'; readonly report: UsageReport }
   | { readonly kind: 'unavailable' };
 
+/** The second attempt follows a conflict with an earlier commit whose answer was lost. */
+const STORE_COUNTS_ATTEMPTS = 2;
+
 /** Reads and writes usage records. */
 export class UsageRecords {
+  /** Last known revisions of the counts that this node stored, by key. */
+  private readonly countsRevisions = new Map<string, Revision>();
+  /** Resolves once the last write of counts has ended. */
+  private lastCountsWrite: Promise<unknown> = Promise.resolve();
+
   constructor(
     private readonly store: SharedStore,
     /** Called with the key of a record that can't be parsed. */
@@ -67,7 +76,10 @@
     const put = [{ key, value: JSON.stringify(report) }];
     const expected = [{ key, revision: ABSENT }];
     const outcome = await this.store.commit({ expected, put, remove: outdated });
-    if (outcome.kind === 'committed') return { kind: 'kept', report };
+    if (outcome.kind === 'committed') {
+      for (const removed of outdated) this.countsRevisions.delete(removed);
+      return { kind: 'kept', report };
+    }
     if (outcome.kind !== 'conflict') return { kind: 'unavailable' };
     const read = await this.store.get(key);
     const stored =
@@ -77,15 +89,34 @@
 
   /**
    * Stores unreported counts under a key of the writing incarnation, so that no writer replaces the
-   * counts of another; returns whether it succeeded.
+   * counts of another; returns whether it succeeded. Counts are stored in the order of the calls.
    */
-  async storeCounts(writer: UsageSource, counts: readonly SourceCounts[]): Promise<boolean> {
+  storeCounts(writer: UsageSource, counts: readonly SourceCounts[]): Promise<boolean> {
     const record = counts.map(({ source, counts: windows }) => ({
       source,
       windows: [...windows].map(([window, totals]) => [window, [...totals]]),
     }));
-    const put = [{ key: `${COUNTS}${writer}`, value: JSON.stringify(record) }];
-    return (await this.store.commit({ expected: [], put })).kind === 'committed';
+    const value = JSON.stringify(record);
+    const write = this.lastCountsWrite.then(() => this.putCounts(`${COUNTS}${writer}`, value));
+    this.lastCountsWrite = write;
+    return write;
+  }
+
+  /** Replaces counts under their last known revision, as an unanswered commit may still take effect. */
+  private async putCounts(key: string, value: string): Promise<boolean> {
+    for (let attempt = 0; attempt < STORE_COUNTS_ATTEMPTS; attempt += 1) {
+      const revision = this.countsRevisions.get(key) ?? ABSENT;
+      const outcome = await this.store.commit({
+        expected: [{ key, revision }],
+        put: [{ key, value }],
+      });
+      if (outcome.kind === 'committed') this.countsRevisions.set(key, outcome.revision);
+      if (outcome.kind !== 'conflict') return outcome.kind === 'committed';
+      const read = await this.store.get(key);
+      if (read.kind === 'failed') return false;
+      this.countsRevisions.set(key, read.item?.revision ?? ABSENT);
+    }
+    return false;
   }
 
   private addReport(
--- a/test/singleton-tasks/usage-reporter.test.ts
+++ b/test/singleton-tasks/usage-reporter.test.ts
@@ -132,6 +132,57 @@
   t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { north: 4, south: 1 } });
 });
 
+t.test('a checkpoint that takes effect late does not replace a later one', async (t) => {
+  const fleet = new UsageFleet();
+  const firstHolder = fleet.node('one');
+  firstHolder.gathered.merge('gone-life', new Map([[0, new Map([['north', 1]])]]));
+  fleet.store.loseAnswers('applied-late');
+  await fleet.pass(300, firstHolder);
+  firstHolder.gathered.merge('gone-life', new Map([[0, new Map([['north', 5]])]]));
+  await fleet.pass(2_000, firstHolder);
+  fleet.store.applyLateCommits();
+  const second = fleet.node('two');
+  await fleet.pass(WINDOW + DUE_AFTER / 2, second);
+  t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { north: 5 } });
+});
+
+t.test(
+  'a stopping node stores its counts although an earlier checkpoint had no answer',
+  async (t) => {
+    const fleet = new UsageFleet();
+    const node = fleet.node('one');
+    const source = 'one-life';
+    fleet.store.loseAnswers('applied');
+    const counted = (requests: number) => [
+      { source, counts: new Map([[0, new Map([['north', requests]])]]) },
+    ];
+    const outcomes = await Promise.all([
+      node.records.storeCounts(source, counted(1)),
+      node.records.storeCounts(source, counted(3)),
+    ]);
+    t.same(outcomes, [false, true]);
+    const second = fleet.node('two');
+    await fleet.pass(WINDOW + DUE_AFTER / 2, second);
+    t.match(fleet.cloud.reports[0]?.report, { window: 0, counts: { north: 3 } });
+  },
+);
+
+t.test('counts are stored again after their outdated record was removed', async (t) => {
+  const fleet = new UsageFleet();
+  const node = fleet.node('one');
+  node.meter.noteBegun('north', fleet.clock.now());
+  await fleet.pass(2 * WINDOW + 3 * DUE_AFTER, node);
+  t.same(fleet.store.keys('duty/usage/counts/'), []);
+  const window = Math.floor(fleet.clock.now() / WINDOW);
+  node.meter.noteBegun('south', fleet.clock.now());
+  const gets = fleet.store.calls.get('get') ?? 0;
+  await fleet.pass(300, node);
+  t.same(fleet.store.keys('duty/usage/counts/'), ['duty/usage/counts/one-life']);
+  t.equal(fleet.store.calls.get('get') ?? 0, gets, 'without a further read');
+  await fleet.pass(WINDOW + DUE_AFTER / 2, fleet.node('two', window));
+  t.match(fleet.cloud.reports.at(-1)?.report, { window, counts: { south: 1 } });
+});
+
 t.test('a checkpoint takes one call to the store', async (t) => {
   const fleet = new UsageFleet();
   const node = fleet.node('one');
