Remove outdated usage records on the condition of their revision

Cause: the commit that stores a report also removed outdated records without a condition. Counts that another node wrote under such a key between the read and the commit, or before a commit that took effect late, were removed with it. Change: the commit expects the revisions that were read. If one has changed, nothing is stored, and the reporter reads all records again after its usual pause. No call is added.

--- a/src/singleton-tasks/usage-records.ts
+++ b/src/singleton-tasks/usage-records.ts
@@ -1,7 +1,7 @@
 /** Usage records in the shared store: final reports, and counts that are not reported yet. */
 import * as z from 'zod';
 import type { Revision } from '../core/units.js';
-import type { SharedStore, StoreItem } from '../shared-store/shared-store.js';
+import type { SharedStore, StoreCondition, StoreItem } from '../shared-store/shared-store.js';
 import { ABSENT } from '../shared-store/shared-store.js';
 import type { UsageReport } from './cloud-port.js';
 import type { SourceCounts, UsageSource } from './usage-counts.js';
@@ -26,8 +26,8 @@
   readonly reports: ReadonlyMap<WindowNumber, UsageReport>;
   /** May contain a source several times. */
   readonly counts: readonly SourceCounts[];
-  /** Keys of records that contain older windows only. */
-  readonly outdated: readonly string[];
+  /** Records that contain older windows only, as they were read. */
+  readonly outdated: readonly StoreCondition[];
 }
 
 /** Outcome of storing a report; carries the report that the store holds. */
@@ -57,27 +57,33 @@
     if (outcome.kind === 'failed') return undefined;
     const reports = new Map<WindowNumber, UsageReport>();
     const counts: SourceCounts[] = [];
-    const outdated: string[] = [];
+    const outdated: StoreCondition[] = [];
     for (const item of outcome.items) {
       const isRecent = item.key.startsWith(REPORTS)
         ? this.addReport(item, oldest, reports)
         : this.addCounts(item, oldest, counts);
-      if (!isRecent) outdated.push(item.key);
+      if (!isRecent) outdated.push({ key: item.key, revision: item.revision });
     }
     return { reports, counts, outdated };
   }
 
   /**
    * Stores the report of a window before it is first sent. If the store already holds one, returns
-   * that one, so that no two different reports of a window are ever sent.
+   * that one, so that no two different reports of a window are ever sent. Outdated records are
+   * removed with it, unless one of them has changed; the caller then reads them again.
    */
-  async storeReport(report: UsageReport, outdated: readonly string[]): Promise<StoreReportOutcome> {
+  async storeReport(
+    report: UsageReport,
+    outdated: readonly StoreCondition[],
+  ): Promise<StoreReportOutcome> {
     const key = `${REPORTS}${report.window}`;
-    const put = [{ key, value: JSON.stringify(report) }];
-    const expected = [{ key, revision: ABSENT }];
-    const outcome = await this.store.commit({ expected, put, remove: outdated });
+    const outcome = await this.store.commit({
+      expected: [{ key, revision: ABSENT }, ...outdated],
+      put: [{ key, value: JSON.stringify(report) }],
+      remove: outdated.map((record) => record.key),
+    });
     if (outcome.kind === 'committed') {
-      for (const removed of outdated) this.countsRevisions.delete(removed);
+      for (const removed of outdated) this.countsRevisions.delete(removed.key);
       return { kind: 'kept', report };
     }
     if (outcome.kind !== 'conflict') return { kind: 'unavailable' };
--- a/test/singleton-tasks/usage-reporter.test.ts
+++ b/test/singleton-tasks/usage-reporter.test.ts
@@ -183,6 +183,30 @@
   t.match(fleet.cloud.reports.at(-1)?.report, { window, counts: { south: 1 } });
 });
 
+t.test('an outdated record that was written again is not removed', async (t) => {
+  const fleet = new UsageFleet();
+  const holder = fleet.node('one');
+  const other = fleet.node('two');
+  const source = 'two-life';
+  const counted = (window: number) => [
+    { source, counts: new Map([[window, new Map([['north', 1]])]]) },
+  ];
+  await other.records.storeCounts(source, counted(0));
+  const read = await holder.records.read(1);
+  const report = { window: 1, counts: {} };
+  fleet.store.loseAnswers('applied-late');
+  t.same(await holder.records.storeReport(report, read?.outdated ?? []), { kind: 'unavailable' });
+  t.ok(await other.records.storeCounts(source, counted(2)));
+  fleet.store.applyLateCommits();
+  t.same(await holder.records.storeReport(report, read?.outdated ?? []), { kind: 'unavailable' });
+  const readAgain = await holder.records.read(1);
+  t.same(readAgain?.counts, counted(2));
+  t.same(await holder.records.storeReport(report, readAgain?.outdated ?? []), {
+    kind: 'kept',
+    report,
+  });
+});
+
 t.test('a checkpoint takes one call to the store', async (t) => {
   const fleet = new UsageFleet();
   const node = fleet.node('one');
