Remove no more outdated usage records than fit one commit

Cause: the commit that stores a usage report removed all outdated records at once. After a restart of more than some thirty nodes that left counts, it had more than the 32 entries that the platform's store takes: every report was refused, and no later one was ever stored or sent. Change: one report removes 15 records at most; the rest follows with the next reports.

--- a/src/singleton-tasks/usage-records.ts
+++ b/src/singleton-tasks/usage-records.ts
@@ -26,7 +26,7 @@
   readonly reports: ReadonlyMap<WindowNumber, UsageReport>;
   /** May contain a source several times. */
   readonly counts: readonly SourceCounts[];
-  /** Records that contain older windows only, as they were read. */
+  /** Records that contain older windows only, as they were read; one report removes no more. */
   readonly outdated: readonly StoreCondition[];
 }
 
@@ -35,6 +35,9 @@
   | { readonly kind: 'kept'; readonly report: UsageReport }
   | { readonly kind: 'unavailable' };
 
+/** Keeps a commit within the 32 entries that stores may allow; each removal has a condition too. */
+const MAX_REMOVED_PER_REPORT = 15;
+
 /** The second attempt follows a conflict with an earlier commit whose answer was lost. */
 const STORE_COUNTS_ATTEMPTS = 2;
 
@@ -64,7 +67,7 @@
         : this.addCounts(item, oldest, counts);
       if (!isRecent) outdated.push({ key: item.key, revision: item.revision });
     }
-    return { reports, counts, outdated };
+    return { reports, counts, outdated: outdated.slice(0, MAX_REMOVED_PER_REPORT) };
   }
 
   /**
--- a/test/singleton-tasks/usage-reporter.test.ts
+++ b/test/singleton-tasks/usage-reporter.test.ts
@@ -207,6 +207,28 @@
   });
 });
 
+t.test('a report is stored although many nodes left counts', async (t) => {
+  const fleet = new UsageFleet();
+  const counts = new Map([[0, new Map([['north', 1]])]]);
+  const leftNodes = 50;
+  for (let number = 0; number < leftNodes; number += 1) {
+    const source = `left-${number}`;
+    await fleet.node(source).records.storeCounts(source, [{ source, counts }]);
+  }
+  // The platform's store refuses larger commits.
+  const maxEntries = 32;
+  const commit = fleet.store.commit.bind(fleet.store);
+  fleet.store.commit = async (change) => {
+    const { expected, put = [], remove = [] } = change;
+    const entries = expected.length + put.length + remove.length;
+    return entries > maxEntries ? { kind: 'failed', effect: 'not-done' } : commit(change);
+  };
+  await fleet.pass(20 * WINDOW, fleet.node('one'));
+  const reported = fleet.cloud.reports.map(({ report }) => report.window);
+  t.same(reported, [...Array(19).keys()]);
+  t.same(fleet.store.keys('duty/usage/counts/'), []);
+});
+
 t.test('a checkpoint takes one call to the store', async (t) => {
   const fleet = new UsageFleet();
   const node = fleet.node('one');
