Retain the newest usage reports for a holder whose clock is behind

Cause: a stored report was removed as soon as its window was too old to be sent by the clock of the holder. A later holder whose clock is behind (started during a jump, or suspended) found no report of that window, stored one with its own counts and sent it: two different reports of one window. Change: the newest 16 reports are not removed, which covers a lag of a minute with windows of 5 s, after which a node follows its clock. No more than 16, as older builds remove what they hold for outdated in one commit.

--- a/src/singleton-tasks/usage-records.ts
+++ b/src/singleton-tasks/usage-records.ts
@@ -26,15 +26,26 @@
   readonly reports: ReadonlyMap<WindowNumber, UsageReport>;
   /** May contain a source several times. */
   readonly counts: readonly SourceCounts[];
-  /** Records that contain older windows only, as they were read; one report removes no more. */
+  /** Records that are no longer needed, as they were read; one report removes no more. */
   readonly outdated: readonly StoreCondition[];
 }
 
+interface StoredReport {
+  readonly item: StoreItem;
+  readonly report: UsageReport;
+}
+
 /** Outcome of storing a report; carries the report that the store holds. */
 export type StoreReportOutcome =
   | { readonly kind: 'kept'; readonly report: UsageReport }
   | { readonly kind: 'unavailable' };
 
+/**
+ * Newest reports that are never removed, as a node whose clock is behind may send them again. Older
+ * builds remove all outdated records in one commit, which has to stay within the limit of a store.
+ */
+const RETAINED_REPORTS = 16;
+
 /** Keeps a commit within the 32 entries that stores may allow; each removal has a condition too. */
 const MAX_REMOVED_PER_REPORT = 15;
 
@@ -61,11 +72,20 @@
     const reports = new Map<WindowNumber, UsageReport>();
     const counts: SourceCounts[] = [];
     const outdated: StoreCondition[] = [];
+    const storedReports: StoredReport[] = [];
     for (const item of outcome.items) {
-      const isRecent = item.key.startsWith(REPORTS)
-        ? this.addReport(item, oldest, reports)
-        : this.addCounts(item, oldest, counts);
-      if (!isRecent) outdated.push({ key: item.key, revision: item.revision });
+      if (!item.key.startsWith(REPORTS)) {
+        if (!this.addCounts(item, oldest, counts)) outdated.push(conditionOf(item));
+        continue;
+      }
+      const report = this.parse(item);
+      // A report that can't be parsed is not removed, because no other may replace it.
+      if (report !== undefined) storedReports.push({ item, report });
+    }
+    storedReports.sort((a, b) => b.report.window - a.report.window);
+    for (const [rank, { item, report }] of storedReports.entries()) {
+      if (report.window >= oldest) reports.set(report.window, report);
+      else if (rank >= RETAINED_REPORTS) outdated.push(conditionOf(item));
     }
     return { reports, counts, outdated: outdated.slice(0, MAX_REMOVED_PER_REPORT) };
   }
@@ -128,19 +148,6 @@
     return false;
   }
 
-  private addReport(
-    item: StoreItem,
-    oldest: WindowNumber,
-    reports: Map<WindowNumber, UsageReport>,
-  ): boolean {
-    const report = this.parse(item);
-    // A report that can't be parsed is not removed, because no other may replace it.
-    if (report === undefined) return true;
-    if (report.window < oldest) return false;
-    reports.set(report.window, report);
-    return true;
-  }
-
   private addCounts(item: StoreItem, oldest: WindowNumber, counts: SourceCounts[]): boolean {
     const record = this.decode(COUNTS_RECORD, item) ?? [];
     const recent = record.map(({ source, windows }) => ({
@@ -176,3 +183,7 @@
     return parsed.data;
   }
 }
+
+function conditionOf({ key, revision }: StoreItem): StoreCondition {
+  return { key, revision };
+}
--- a/test/singleton-tasks/singleton-task-fixtures.ts
+++ b/test/singleton-tasks/singleton-task-fixtures.ts
@@ -1,5 +1,6 @@
 /** A stub cloud interface, a stub lock and nodes that report usage. */
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { Clock } from '../../src/serving/clock.js';
 import type {
   CloudCallOutcome,
   CloudPort,
@@ -75,8 +76,15 @@
   readonly cloud = new StubCloud();
   readonly clock = new ManualClock();
 
-  node(name: string, firstWindow = 0): UsageNode {
-    const { clock, cloud: port } = this;
+  /** `clockLag`: how far the node's time of day is behind. */
+  node(name: string, firstWindow = 0, clockLag = 0): UsageNode {
+    const { cloud: port } = this;
+    const clock: Clock = {
+      now: () => this.clock.now(),
+      suspendedTime: () => this.clock.suspendedTime(),
+      wallTime: () => this.clock.wallTime() - clockLag,
+      sleep: () => this.clock.sleep(),
+    };
     const { log, lines } = recordingLog();
     const windows = new UsageWindows(clock, WINDOW);
     const meter = new UsageMeter(windows, 5);
--- a/test/singleton-tasks/usage-report-property.test.ts
+++ b/test/singleton-tasks/usage-report-property.test.ts
@@ -7,14 +7,18 @@
 
 const NODES = 3;
 
+/** A node that starts during a jump of its clock follows it for up to a minute. */
+const MAX_CLOCK_LAG = 50_000;
+
 type Action =
   | { readonly kind: 'pass'; readonly duration: number }
   | { readonly kind: 'hold'; readonly node: number }
   | { readonly kind: 'second-holder'; readonly node: number }
   | { readonly kind: 'count'; readonly node: number; readonly tenant: string }
-  | { readonly kind: 'restart'; readonly node: number }
+  | { readonly kind: 'restart'; readonly node: number; readonly clockLag: number }
   | { readonly kind: 'store'; readonly up: boolean }
-  | { readonly kind: 'lose-answers' }
+  | { readonly kind: 'lose-answers'; readonly isApplied: boolean }
+  | { readonly kind: 'apply-late' }
   | { readonly kind: 'cloud'; readonly outcome: 'unknown' | 'throttled' | 'superseded' };
 
 const node = fc.integer({ min: 0, max: NODES - 1 });
@@ -36,9 +40,14 @@
       tenant: fc.constantFrom('north', 'south'),
     }),
   },
-  fc.record({ kind: fc.constant('restart' as const), node }),
+  fc.record({
+    kind: fc.constant('restart' as const),
+    node,
+    clockLag: fc.constantFrom(0, 0, WINDOW, MAX_CLOCK_LAG),
+  }),
   fc.record({ kind: fc.constant('store' as const), up: fc.boolean() }),
-  fc.constant({ kind: 'lose-answers' as const }),
+  fc.record({ kind: fc.constant('lose-answers' as const), isApplied: fc.boolean() }),
+  fc.constant({ kind: 'apply-late' as const }),
   fc.record({
     kind: fc.constant('cloud' as const),
     outcome: fc.constantFrom('unknown' as const, 'throttled' as const, 'superseded' as const),
@@ -64,9 +73,13 @@
     if (action.kind === 'second-holder') return this.grantLock(action.node);
     if (action.kind === 'count')
       this.at(action.node).meter.noteBegun(action.tenant, fleet.clock.now());
-    if (action.kind === 'restart') this.nodes[action.node] = this.startNode();
+    if (action.kind === 'restart') this.nodes[action.node] = this.startNode(action.clockLag);
     if (action.kind === 'store') fleet.store.setAvailability(action.up ? 'up' : 'refusing');
-    if (action.kind === 'lose-answers') fleet.store.loseAnswers('applied', 'applied');
+    if (action.kind === 'lose-answers') {
+      const answer = action.isApplied ? 'applied' : 'applied-late';
+      fleet.store.loseAnswers(answer, answer);
+    }
+    if (action.kind === 'apply-late') fleet.store.applyLateCommits();
     if (action.kind === 'cloud') fleet.cloud.outcomes.push(action.outcome);
   }
 
@@ -76,9 +89,9 @@
     return found;
   }
 
-  private startNode(): UsageNode {
+  private startNode(clockLag = 0): UsageNode {
     this.startedNodes += 1;
-    const started = this.fleet.node(`node-${this.startedNodes}`);
+    const started = this.fleet.node(`node-${this.startedNodes}`, 0, clockLag);
     started.lock.token = undefined;
     return started;
   }
--- a/test/singleton-tasks/usage-reporter.test.ts
+++ b/test/singleton-tasks/usage-reporter.test.ts
@@ -58,6 +58,22 @@
   for (const { report } of ofFirstWindow) t.same(report.counts, { north: 1 });
 });
 
+t.test('a holder whose clock is behind sends the stored reports again', async (t) => {
+  const fleet = new UsageFleet();
+  const firstHolder = fleet.node('one');
+  for (let window = 0; window < 12; window += 1) {
+    firstHolder.meter.noteBegun('north', fleet.clock.now());
+    await fleet.pass(WINDOW, firstHolder);
+  }
+  const sent = new Map(fleet.cloud.reports.map(({ report }) => [report.window, report.counts]));
+  fleet.cloud.reports.length = 0;
+  const second = fleet.node('two', 0, 6 * WINDOW);
+  second.meter.noteBegun('south', fleet.clock.now());
+  await fleet.pass(WINDOW, second);
+  t.ok(fleet.cloud.reports.length > 2);
+  for (const { report } of fleet.cloud.reports) t.same(report.counts, sent.get(report.window));
+});
+
 t.test('two simultaneous holders send identical reports', async (t) => {
   const fleet = new UsageFleet();
   const firstHolder = fleet.node('one');
