--- a/src/singleton-tasks/usage-records.ts
+++ b/src/singleton-tasks/usage-records.ts
@@ -1,9 +1,10 @@
 /** Usage records in the shared store: final reports, and counts that are not reported yet. */
 import * as z from 'zod';
-import type { SharedStore, StoreItem } from '../shared-store/shared-store.js';
+import type { Revision } from '../core/units.js';
+import type { SharedStore, StoreCondition, StoreItem } from '../shared-store/shared-store.js';
 import { ABSENT } from '../shared-store/shared-store.js';
 import type { UsageReport } from './cloud-port.js';
-import type { SourceCounts } from './usage-counts.js';
+import type { SourceCounts, UsageSource } from './usage-counts.js';
 import type { WindowNumber } from './usage-windows.js';
 
 const PREFIX = 'duty/usage/';
@@ -25,8 +26,13 @@
   readonly reports: ReadonlyMap<WindowNumber, UsageReport>;
   /** May contain a source several times. */
   readonly counts: readonly SourceCounts[];
-  /** Keys of records that contain older windows only. */
-  readonly outdated: readonly string[];
+  /** Records that are no longer needed, as they were read; one report removes no more. */
+  readonly outdated: readonly StoreCondition[];
+}
+
+interface StoredReport {
+  readonly item: StoreItem;
+  readonly report: UsageReport;
 }
 
 /** Outcome of storing a report; carries the report that the store holds. */
@@ -34,8 +40,25 @@
   | { readonly kind: 'kept'; readonly report: UsageReport }
   | { readonly kind: 'unavailable' };
 
+/**
+ * Newest reports that are never removed, as a node whose clock is behind may send them again. Older
+ * builds remove all outdated records in one commit, which has to stay within the limit of a store.
+ */
+const RETAINED_REPORTS = 16;
+
+/** Keeps a commit within the 32 entries that stores may allow; each removal has a condition too. */
+const MAX_REMOVED_PER_REPORT = 15;
+
+/** The second attempt follows a conflict with an earlier commit whose answer was lost. */
+const STORE_COUNTS_ATTEMPTS = 2;
+
 /** Reads and writes usage records. */
 export class UsageRecords {
+  /** Last known revisions of the counts that this node stored, by key. */
+  private readonly countsRevisions = new Map<string, Revision>();
+  /** Resolves once the last write of counts has ended. */
+  private lastCountsWrite: Promise<unknown> = Promise.resolve();
+
   constructor(
     private readonly store: SharedStore,
     /** Called with the key of a record that can't be parsed. */
@@ -48,26 +71,44 @@
     if (outcome.kind === 'failed') return undefined;
     const reports = new Map<WindowNumber, UsageReport>();
     const counts: SourceCounts[] = [];
-    const outdated: string[] = [];
+    const outdated: StoreCondition[] = [];
+    const storedReports: StoredReport[] = [];
     for (const item of outcome.items) {
-      const isRecent = item.key.startsWith(REPORTS)
-        ? this.addReport(item, oldest, reports)
-        : this.addCounts(item, oldest, counts);
-      if (!isRecent) outdated.push(item.key);
+      if (!item.key.startsWith(REPORTS)) {
+        if (!this.addCounts(item, oldest, counts)) outdated.push(conditionOf(item));
+        continue;
+      }
+      const report = this.parse(item);
+      // A report that can't be parsed is not removed, because no other may replace it.
+      if (report !== undefined) storedReports.push({ item, report });
+    }
+    storedReports.sort((a, b) => b.report.window - a.report.window);
+    for (const [rank, { item, report }] of storedReports.entries()) {
+      if (report.window >= oldest) reports.set(report.window, report);
+      else if (rank >= RETAINED_REPORTS) outdated.push(conditionOf(item));
     }
-    return { reports, counts, outdated };
+    return { reports, counts, outdated: outdated.slice(0, MAX_REMOVED_PER_REPORT) };
   }
 
   /**
    * Stores the report of a window before it is first sent. If the store already holds one, returns
-   * that one, so that no two different reports of a window are ever sent.
+   * that one, so that no two different reports of a window are ever sent. Outdated records are
+   * removed with it, unless one of them has changed; the caller then reads them again.
    */
-  async storeReport(report: UsageReport, outdated: readonly string[]): Promise<StoreReportOutcome> {
+  async storeReport(
+    report: UsageReport,
+    outdated: readonly StoreCondition[],
+  ): Promise<StoreReportOutcome> {
     const key = `${REPORTS}${report.window}`;
-    const put = [{ key, value: JSON.stringify(report) }];
-    const expected = [{ key, revision: ABSENT }];
-    const outcome = await this.store.commit({ expected, put, remove: outdated });
-    if (outcome.kind === 'committed') return { kind: 'kept', report };
+    const outcome = await this.store.commit({
+      expected: [{ key, revision: ABSENT }, ...outdated],
+      put: [{ key, value: JSON.stringify(report) }],
+      remove: outdated.map((record) => record.key),
+    });
+    if (outcome.kind === 'committed') {
+      for (const removed of outdated) this.countsRevisions.delete(removed.key);
+      return { kind: 'kept', report };
+    }
     if (outcome.kind !== 'conflict') return { kind: 'unavailable' };
     const read = await this.store.get(key);
     const stored =
@@ -75,27 +116,36 @@
     return stored === undefined ? { kind: 'unavailable' } : { kind: 'kept', report: stored };
   }
 
-  /** Stores unreported counts under the name of their writer; returns whether it succeeded. */
-  async storeCounts(writer: string, counts: readonly SourceCounts[]): Promise<boolean> {
+  /**
+   * Stores unreported counts under a key of the writing incarnation, so that no writer replaces the
+   * counts of another; returns whether it succeeded. Counts are stored in the order of the calls.
+   */
+  storeCounts(writer: UsageSource, counts: readonly SourceCounts[]): Promise<boolean> {
     const record = counts.map(({ source, counts: windows }) => ({
       source,
       windows: [...windows].map(([window, totals]) => [window, [...totals]]),
     }));
-    const put = [{ key: `${COUNTS}${writer}`, value: JSON.stringify(record) }];
-    return (await this.store.commit({ expected: [], put })).kind === 'committed';
+    const value = JSON.stringify(record);
+    const write = this.lastCountsWrite.then(() => this.putCounts(`${COUNTS}${writer}`, value));
+    this.lastCountsWrite = write;
+    return write;
   }
 
-  private addReport(
-    item: StoreItem,
-    oldest: WindowNumber,
-    reports: Map<WindowNumber, UsageReport>,
-  ): boolean {
-    const report = this.parse(item);
-    // A report that can't be parsed is not removed, because no other may replace it.
-    if (report === undefined) return true;
-    if (report.window < oldest) return false;
-    reports.set(report.window, report);
-    return true;
+  /** Replaces counts under their last known revision, as an unanswered commit may still take effect. */
+  private async putCounts(key: string, value: string): Promise<boolean> {
+    for (let attempt = 0; attempt < STORE_COUNTS_ATTEMPTS; attempt += 1) {
+      const revision = this.countsRevisions.get(key) ?? ABSENT;
+      const outcome = await this.store.commit({
+        expected: [{ key, revision }],
+        put: [{ key, value }],
+      });
+      if (outcome.kind === 'committed') this.countsRevisions.set(key, outcome.revision);
+      if (outcome.kind !== 'conflict') return outcome.kind === 'committed';
+      const read = await this.store.get(key);
+      if (read.kind === 'failed') return false;
+      this.countsRevisions.set(key, read.item?.revision ?? ABSENT);
+    }
+    return false;
   }
 
   private addCounts(item: StoreItem, oldest: WindowNumber, counts: SourceCounts[]): boolean {
@@ -133,3 +183,7 @@
     return parsed.data;
   }
 }
+
+function conditionOf({ key, revision }: StoreItem): StoreCondition {
+  return { key, revision };
+}
