Move trainers' records off a storage machine before it counts as empty

Cause: a drained machine was reported empty although trainers' records still named its disk. Once all machines of an idle trainer's group were removed nobody could fence the group: its jobs were refused for ever, and every unknown job was answered 503 in place of 404.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -158,7 +158,7 @@
     });
     this.roster = new WorkerRoster({ ...shared, fleet: this.fleet });
     const autonomy = new ZoneAutonomy({
-      ...{ self, zone, fleet: this.fleet, port, clock, metrics },
+      ...{ self, zone, fleet: this.fleet, port, store, clock, log, metrics },
       isEnabled: areZonesAutonomous,
       groupSize: options.journalReplicas ?? 0,
     });
--- a/src/fleet/zone-autonomy.ts
+++ b/src/fleet/zone-autonomy.ts
@@ -4,10 +4,13 @@
  */
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { JobOwner } from '../jobs/job-records.js';
+import { ReplicaDrain } from '../jobs/replica-drain.js';
 import { ReplicaDirectory } from '../journal/replica-directory.js';
 import { ZoneJournals } from '../journal/zone-journals.js';
 import type { PeerPort } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
+import type { SharedStore } from '../shared-store/shared-store.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { FleetRegistry } from './fleet-registry.js';
 
@@ -20,7 +23,9 @@
   readonly zone: ZoneName;
   readonly fleet: FleetRegistry;
   readonly port: PeerPort;
+  readonly store: SharedStore;
   readonly clock: Clock;
+  readonly log: DecisionLog;
   readonly metrics: FleetMetrics;
 }
 
@@ -28,6 +33,7 @@
   /** `undefined` where zones don't serve their own callers. */
   readonly journals: ZoneJournals | undefined;
   private readonly directory: ReplicaDirectory;
+  private readonly drain: ReplicaDrain | undefined;
 
   constructor(private readonly options: ZoneAutonomyOptions) {
     const { isEnabled, self, fleet } = options;
@@ -36,6 +42,8 @@
     fleet.listed.subscribe(() => this.directory.noteListed());
     const shared = { ...options, directory: this.directory };
     this.journals = isEnabled ? new ZoneJournals({ ...shared, writer: writerOf(self) }) : undefined;
+    const { journals } = this;
+    this.drain = journals && new ReplicaDrain({ ...options, journals });
   }
 
   /** Whether this zone accepts jobs while the store is unreachable. */
@@ -48,9 +56,12 @@
     return this.options.fleet.liveIncarnations().some((owner) => writerOf(owner) === writer);
   }
 
-  /** Whether a storage node holds no data that the store lacks. */
+  /**
+   * Whether a storage node that is being drained can be removed: it holds no data that the store
+   * lacks, and no trainer's jobs are accepted by it. Moves the trainers that still use it.
+   */
   async isStorageEmpty(node: NodeId): Promise<boolean> {
-    return this.journals === undefined || !(await this.journals.holdsEntries(node));
+    return this.drain === undefined || this.drain.isEmpty(node);
   }
 
   /** Excludes a storage node that is being drained from new jobs. */
--- a/src/journal/zone-journals.ts
+++ b/src/journal/zone-journals.ts
@@ -63,9 +63,14 @@
     return this.options.directory.groupFor('', this.options.zone) !== undefined;
   }
 
-  /** The replicas for the jobs of a trainer of this zone; `undefined` if there are too few. */
-  groupFor(trainer: string): readonly ReplicaLocation[] | undefined {
-    return this.options.directory.groupFor(trainer, this.options.zone);
+  /** Whether this node knows the replicas of all zones. */
+  get areReplicasListed(): boolean {
+    return this.options.directory.isListed;
+  }
+
+  /** The replicas for the jobs of a trainer of a zone; `undefined` if there are too few. */
+  groupFor(trainer: string, zone = this.options.zone): readonly ReplicaLocation[] | undefined {
+    return this.options.directory.groupFor(trainer, zone);
   }
 
   /** Whether all replicas of a group are registered and accept new jobs. */
--- a/test/jobs/zones-with-store.ts
+++ b/test/jobs/zones-with-store.ts
@@ -12,6 +12,7 @@
 import { JOURNAL_ZONE_PREFIX, type ReplicaDirectory } from '../../src/journal/replica-directory.js';
 import type { ReplicaLocation } from '../../src/journal/replica-location.js';
 import { REPLICA_PREFIX } from '../../src/journal/replica-record.js';
+import type { ZoneJournals } from '../../src/journal/zone-journals.js';
 import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { JournalZone, listReplica, openJournals } from '../journal/journal-fixtures.js';
@@ -27,6 +28,7 @@
   readonly zone: string;
   readonly port: StorePort;
   readonly directory: ReplicaDirectory;
+  readonly journals: ZoneJournals;
 }
 
 /** Selects the replicas that a node's directory lists. */
@@ -114,7 +116,7 @@
       isWriterLive: (writer) => !this.ended.has(writer),
       isStoreUnreachable: () => port.mode === 'silent' || port.mode === 'refusing',
     });
-    const node: ZoneNode = { ...parts, self, zone, port, directory };
+    const node: ZoneNode = { ...parts, self, zone, port, directory, journals };
     node.registry.put(worker('w1', { zone }));
     this.nodes.push(node);
     this.lists.set(node, lists);
