Read a trainer's record again where none of its replicas answers

Cause: a gateway kept its copy of a trainer's record when the zone had no other group. After the record was moved and the machines of the old group were removed, each claim at that group went unanswered, so the gateway answered outcome_unknown and never tried the commit that would conflict.

Change: after an unanswered claim the record is read once; if another revision is found the copy is discarded and the submission prepared anew. A copy that is current, or that the store can't confirm, is retained.

--- a/src/jobs/job-acceptance.ts
+++ b/src/jobs/job-acceptance.ts
@@ -64,9 +64,10 @@
 
   /** Acquires the right to accept the job and claims it, or answers without accepting it. */
   async prepare(
-    { spec, owner, isFromOutside }: SubmittedJob,
+    submitted: SubmittedJob,
     isStillNeeded: StillNeeded,
   ): Promise<Acceptance | SubmissionAnswer> {
+    const { spec, owner, isFromOutside } = submitted;
     const { journals, homes, isWriterLive = () => true } = this.options;
     if (journals === undefined || homes === undefined) {
       return { owner, journal: undefined, right: undefined, mayJournal: false };
@@ -82,6 +83,10 @@
       right.record.replicas.length === 0
         ? undefined
         : await claimNewJob(journals, spec.id, right.record, isWriterLive);
+    // The replicas may have been removed after another node moved the record to others.
+    if (claim === 'unanswered' && (await homes.discardIfReplaced(right))) {
+      return this.prepare(submitted, isStillNeeded);
+    }
     if (typeof claim === 'string') return this.answerFromStore(spec);
     const mayBeStored = claim?.mayBeStored ?? false;
     const isNextStep = !isFromOutside && !mayBeStored && homes.mayAcceptByJournal(right, spec);
--- a/src/jobs/trainer-homes.ts
+++ b/src/jobs/trainer-homes.ts
@@ -127,6 +127,14 @@
     return outcome;
   }
 
+  /** Discards a right if the store's record has changed, and returns whether it has. */
+  async discardIfReplaced({ key, revision }: AcceptanceRight): Promise<boolean> {
+    const read = await this.options.store.trainerRecord(key);
+    if (read.kind !== 'found' || read.value.revision === revision) return false;
+    this.homes.delete(key);
+    return true;
+  }
+
   /** The change of the trainer's record that is committed with the creation of a job. */
   changeFor(
     { key, record, revision }: AcceptanceRight,
--- a/test/jobs/drained-replicas.test.ts
+++ b/test/jobs/drained-replicas.test.ts
@@ -73,6 +73,19 @@
   t.equal(await zones.answerOf(zones.submit(node, step('next', 2))), 'accepted', 'by the journal');
 });
 
+t.test('a trainer of a zone whose replicas are all drained stays usable', async (t) => {
+  const zones = await ZonesWithStore.open(t, 2);
+  const [node, other] = [zones.start('zone-1'), zones.start('zone-2')];
+  await acceptStep(zones, node, 0);
+  await zones.run(LISTING_TIME);
+  for (const address of zones.zone('zone-1').addresses) {
+    t.ok(await drainAndRemove(zones, other, address), `${address} is empty`);
+  }
+  t.strictSame(await groupOf(zones), []);
+  await zones.run(FORGOTTEN_AFTER);
+  t.equal(await zones.answerOf(zones.submit(node, step(JOB, 1)), 10_000), 'accepted');
+});
+
 t.test('a machine is not empty before its record is moved', async (t) => {
   const zones = await ZonesWithStore.open(t, 2, 6);
   const [node, other] = [zones.start('zone-1'), zones.start('zone-2')];
