--- a/src/jobs/replica-drain.ts
+++ b/src/jobs/replica-drain.ts
@@ -25,7 +25,7 @@
   async isEmpty(node: NodeId): Promise<boolean> {
     const { journals } = this.options;
     if (!journals.areReplicasListed) return false;
-    return (await this.moveRecords(node)) && !(await journals.holdsEntries(node));
+    return (await this.moveRecords(node)) && journals.drainReplica(node);
   }
 
   /** Moves the records that name the replica; returns whether none is left. */
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -124,7 +124,7 @@
   | { readonly kind: 'refused'; readonly holder: JournalHolder }
   /** The replica no longer has the disk that the request names. */
   | { readonly kind: 'other-disk' }
-  /** The disk rejected the write. */
+  /** The disk rejected the write, or the replica is being drained. */
   | { readonly kind: 'unwritable' };
 
 export type JournalRequest =
@@ -151,7 +151,15 @@
   /** Whether the replica holds entries of a job. */
   | { readonly kind: 'journal-look'; readonly job: string }
   /** Lists the jobs with entries, which the shared store may lack. */
-  | { readonly kind: 'journal-list' };
+  | { readonly kind: 'journal-list' }
+  /** Like `journal-list`; before it answers, the replica stops storing entries until it restarts. */
+  | { readonly kind: 'journal-drain' };
+
+/** The jobs with entries on the disk of a replica. */
+export interface JournalList {
+  readonly disk: DiskId;
+  readonly jobs: readonly JournalHolder[];
+}
 
 /** Answers by the kind of the request. */
 export interface JournalAnswers {
@@ -159,5 +167,6 @@
   readonly 'journal-append': ReplicaAnswer;
   readonly 'journal-release': ReplicaAnswer;
   readonly 'journal-look': { readonly disk: DiskId; readonly holdsEntries: boolean };
-  readonly 'journal-list': { readonly disk: DiskId; readonly jobs: readonly JournalHolder[] };
+  readonly 'journal-list': JournalList;
+  readonly 'journal-drain': JournalList;
 }
--- a/src/journal/journal-replica.ts
+++ b/src/journal/journal-replica.ts
@@ -10,6 +10,7 @@
   isKnownEntry,
   type JournalEntry,
   type JournalHolder,
+  type JournalList,
   type JournalRequest,
   type ReplicaAnswer,
   RIGHT_RETENTION,
@@ -33,6 +34,7 @@
 /** Serves the journal requests of job owners. */
 export class JournalReplica implements PeerHandler {
   private queue: Promise<unknown> = Promise.resolve();
+  private isDraining = false;
 
   private constructor(
     private readonly options: JournalReplicaOptions,
@@ -73,6 +75,8 @@
         return { disk, holdsEntries: this.state.entriesOf(request.job).length > 0 };
       case 'journal-list':
         return { disk, jobs: this.state.holders() };
+      case 'journal-drain':
+        return this.enqueue(async () => this.drain());
       default:
         return undefined;
     }
@@ -90,6 +94,15 @@
     return result;
   }
 
+  /** Stores no more entries; those of earlier requests are in the list. */
+  private drain(): JournalList {
+    const { disk } = this;
+    const jobs = this.state.holders();
+    if (!this.isDraining) this.options.log.state('journal-draining', { disk, jobs: jobs.length });
+    this.isDraining = true;
+    return { disk, jobs };
+  }
+
   private async applyRequest(
     request: Extract<JournalRequest, { holder: JournalHolder }>,
   ): Promise<ReplicaAnswer> {
@@ -97,6 +110,8 @@
     if (request.disk !== this.disk) return { kind: 'other-disk' };
     const conflicting = this.state.conflictingHolder(holder);
     if (conflicting !== undefined) return { kind: 'refused', holder: conflicting };
+    const hasEntries = request.kind === 'journal-append' && request.entries.length > 0;
+    if (hasEntries && this.isDraining) return { kind: 'unwritable' };
     const change = this.changeOf(request);
     if (change !== undefined && !(await this.persist(change))) return { kind: 'unwritable' };
     if (request.kind !== 'journal-claim') return { kind: 'granted', entries: [] };
--- a/src/journal/zone-journals.ts
+++ b/src/journal/zone-journals.ts
@@ -5,7 +5,7 @@
  */
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
-import type { PeerPort } from '../peers/peer-messages.js';
+import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { JobJournal } from './job-journal.js';
 import type { JournalHolder } from './journal-entries.js';
@@ -163,17 +163,22 @@
     return [...holders.values()];
   }
 
-  /** Whether the replica on a machine may hold entries; a replica that does not answer may. */
-  async holdsEntries(node: NodeId): Promise<boolean> {
-    const replica = this.options.directory.replicaOn(node);
-    if (replica === undefined) return false;
-    const request = { kind: 'journal-list' } as const;
-    const outcome = await this.options.port.request<'journal-list'>(
-      replica.address,
-      request,
-      REPLICA_QUERY_TIMEOUT,
-    );
-    return outcome.kind !== 'answered' || outcome.answer.jobs.length > 0;
+  /**
+   * Stops the replica on a machine from storing entries, unless it runs an older build; returns
+   * whether it holds none. A replica that does not answer may hold some.
+   */
+  async drainReplica(node: NodeId): Promise<boolean> {
+    const { directory, port } = this.options;
+    const address = directory.replicaOn(node)?.address;
+    if (address === undefined) return true;
+    const drain = { kind: 'journal-drain' } as const;
+    let outcome: PeerOutcome<'journal-drain' | 'journal-list'> =
+      await port.request<'journal-drain'>(address, drain, REPLICA_QUERY_TIMEOUT);
+    if (outcome.kind === 'unsupported') {
+      const list = { kind: 'journal-list' } as const;
+      outcome = await port.request<'journal-list'>(address, list, REPLICA_QUERY_TIMEOUT);
+    }
+    return outcome.kind === 'answered' && outcome.answer.jobs.length === 0;
   }
 
   /** The replicas of this zone, for jobs whose own replicas are not known. */
