--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -27,6 +27,8 @@
   readonly metrics: FleetMetrics;
   readonly replicas: readonly ReplicaLocation[];
   readonly holder: JournalHolder;
+  /** Whether a replica is being drained and gets no more entries. @default none is */
+  readonly isDraining?: (replica: ReplicaLocation) => boolean;
 }
 
 /**
@@ -102,7 +104,7 @@
   async append(entries: readonly JournalEntry[]): Promise<AppendOutcome> {
     const { holder } = this.options;
     if (this.isSuperseded) return 'lost';
-    if (entries.length > 0 && !this.acceptsAppends) return 'unsure';
+    if (entries.length > 0 && !this.acceptsEntries) return 'unsure';
     const written = entries.map((entry) => withTerm(entry, holder.term));
     const answers = await this.requestFromAll((disk) => ({
       ...{ kind: 'journal-append', disk, holder },
@@ -123,6 +125,12 @@
     await this.requestFromAll((disk) => ({ kind: 'journal-release', disk, holder, keys }));
   }
 
+  /** Without one replica no entry becomes durable, so none is written to the others either. */
+  private get acceptsEntries(): boolean {
+    const { replicas, isDraining = () => false } = this.options;
+    return this.acceptsAppends && !replicas.some(isDraining);
+  }
+
   private requestFromAll(
     requestFor: (disk: string) => Extract<JournalRequest, { holder: JournalHolder }>,
   ): Promise<(ReplicaAnswer | undefined)[]> {
--- a/src/journal/replica-directory.ts
+++ b/src/journal/replica-directory.ts
@@ -103,6 +103,11 @@
     this.draining.add(node);
   }
 
+  /** Whether a machine is being drained. */
+  isDraining(node: NodeId): boolean {
+    return this.draining.has(node);
+  }
+
   private locationsIn(zone: ZoneName, use: ReplicaUse): ReplicaLocation[] {
     const now = suspendAwareTime(this.options.clock);
     const period = use === 'write' ? WRITE_PERIOD_AFTER_EXPIRY : READ_PERIOD_AFTER_EXPIRY;
--- a/src/journal/zone-journals.ts
+++ b/src/journal/zone-journals.ts
@@ -92,8 +92,9 @@
 
   /** The journal of a job on the replicas that it already has, for an owner of the given term. */
   open(job: string, replicas: readonly ReplicaLocation[], term: number): JobJournal {
-    const { port, metrics, writer } = this.options;
-    return new JobJournal({ port, metrics, replicas, holder: { job, term, writer } });
+    const { port, metrics, directory, writer } = this.options;
+    const isDraining = ({ node }: ReplicaLocation): boolean => directory.isDraining(node);
+    return new JobJournal({ port, metrics, replicas, holder: { job, term, writer }, isDraining });
   }
 
   /** Whether the replicas of a job hold entries that the shared store may lack. */
--- a/test/jobs/drained-replicas.test.ts
+++ b/test/jobs/drained-replicas.test.ts
@@ -159,3 +159,26 @@
   t.ok(await isEmpty(zones, other, drained));
   await checkAfterHealing(t, zones, record, 1);
 });
+
+t.test('results wait for the store while a replica of their job is drained', async (t) => {
+  const zones = await ZonesWithStore.open(t, 2, 6);
+  const record = new AnswerRecord(zones);
+  const [node, other] = [zones.start('zone-1'), zones.start('zone-2')];
+  await acceptStep(zones, node, 0);
+  await zones.run(LISTING_TIME);
+  const [drained = ''] = await groupOf(zones);
+  t.equal(await zones.answerOf(zones.submit(node, step(JOB, 1))), 'accepted');
+  zones.setStore('refusing', node);
+  noteDraining(drained, [other]);
+  t.ok(await isEmpty(zones, other, drained));
+  await zones.run(LISTING_TIME);
+  const stored = await new JobStore(zones.store, zones.clock).head(JOB);
+  const listed = stored.kind === 'found' ? stored.value.head.listed : undefined;
+  t.equal(listed, 1);
+  t.match(await record.read(node, JOB), { length: listed }, 'no result on two disks is told');
+  t.ok(await isEmpty(zones, other, drained));
+  zones.setStore('up', node);
+  await zones.run(LISTING_TIME);
+  t.match(await record.read(node, JOB), { length: 2 });
+  await checkAfterHealing(t, zones, record, 1);
+});
--- a/test/journal/drained-replica.test.ts
+++ b/test/journal/drained-replica.test.ts
@@ -67,3 +67,15 @@
   zone.unreachable.add(zone.addresses[0] ?? '');
   t.notOk(await nodeIn(zone).journals.drainReplica(zone.locations[0]?.node ?? ''));
 });
+
+t.test('an owner writes no entries to other replicas while one is drained', async (t) => {
+  const zone = await JournalZone.open(t);
+  const { directory, journals } = nodeIn(zone);
+  const journal = journals.openNew('job') as JobJournal;
+  await journal.claim();
+  const [drained, ...others] = zone.locations;
+  directory.noteDraining(drained?.node ?? '');
+  t.equal(await journal.append([page(0)]), 'unsure');
+  t.equal(await journal.append([]), 'kept', 'the owner still confirms its right');
+  for (const { node } of others) t.ok(await journals.drainReplica(node), `${node} has no entry`);
+});
