Check a draining storage node twice a second, not twenty times

Cause: the coordinator checked a node that was not empty at each tick of 50 ms. That was one request to a replica; a check reads all trainers' records from the shared store now and may fence their replicas, which would load the store for as long as a drain lasts.

Change: after a node that was not empty, the next check of any node waits for 500 ms.

--- a/src/fleet/coordination.ts
+++ b/src/fleet/coordination.ts
@@ -34,7 +34,7 @@
   readonly isEvacuated: (zone: ZoneName) => boolean;
   /** The zones or regions that serve their own callers; `undefined` if all nodes serve all. */
   readonly localities: Localities | undefined;
-  /** Whether a storage node holds no data that is durable only there. */
+  /** Whether a storage node that is being drained can be removed without loss. */
   readonly isStorageEmpty: (node: NodeId) => Promise<boolean>;
   /** Scans for jobs without a live owner and has them taken over. */
   readonly takeOverUnownedJobs: () => void;
@@ -74,7 +74,7 @@
       localityOf: options.localities?.of,
       orderMode: () => (configuration.requiresSingleVersion ? 'wait' : 'keep'),
     });
-    this.drains = new StorageDrains({ port, lock, log, isEmpty: options.isStorageEmpty });
+    this.drains = new StorageDrains({ port, lock, clock, log, isEmpty: options.isStorageEmpty });
     if (node.singletonTasks === undefined) return;
     this.singletonTasks = new SingletonTasks({
       ...shared,
