Withdraw requests from no more crash records than fit one commit

Cause: a commit without withdrawn requests rewrote or removed up to 32 crash records, each under a condition: 64 entries, where the platform's store takes 32. After a loss of many workers at once the commit was refused and repeated without end, and requests that a worker had answered since stayed named in the store, as evidence against them at every node that started later. Change: a commit holds 16 keys at most, so that conditions and writes together stay within 32.

--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -34,7 +34,8 @@
 /** Time for which a stopping node tries to store its reports. */
 const FLUSH_TIMEOUT: Milliseconds = 1_000;
 
-const MAX_KEYS_PER_COMMIT = 32;
+/** Stores may allow 32 entries in a commit; each key takes a condition and a write. */
+const MAX_KEYS_PER_COMMIT = 16;
 
 const CRASH_RECORD = looseRecord({
   /** Fingerprints. */
--- /dev/null
+++ b/test/fleet/crash-reports.test.ts
@@ -0,0 +1,63 @@
+import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { CrashReports } from '../../src/fleet/crash-reports.js';
+import { PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
+import { recordingLog } from '../serving/serving-fixtures.js';
+import { eventually } from './fleet-fixtures.js';
+
+const PREFIX = 'fleet/worker-end/';
+
+/** The platform's store refuses larger commits. */
+const MAX_COMMIT_ENTRIES = 32;
+
+/** A store that refuses commits with too many entries. */
+class LimitedStore extends SharedStoreEmulator {
+  override async commit(
+    change: Parameters<SharedStoreEmulator['commit']>[0],
+  ): ReturnType<SharedStoreEmulator['commit']> {
+    const { expected, put = [], remove = [] } = change;
+    const entries = expected.length + put.length + remove.length;
+    if (entries > MAX_COMMIT_ENTRIES) return { kind: 'failed', effect: 'not-done' };
+    return super.commit(change);
+  }
+}
+
+/** The crash reports of one node; `follow` applies what the store holds, as a watch does. */
+function startReports(
+  store: SharedStoreEmulator,
+  self: string,
+): { readonly reports: CrashReports; follow(): Promise<void> } {
+  const reports = new CrashReports({
+    store,
+    self,
+    liveNodes: () => [],
+    notifyNode: async () => true,
+    onReport: () => {},
+    onWithdrawal: () => {},
+    clock: PROCESS_CLOCK,
+    log: recordingLog().log,
+    metrics: new FleetMetrics(),
+  });
+  let followedTo = 0;
+  const follow = async (): Promise<void> => {
+    const outcome = await store.watch(PREFIX, followedTo, 0, new AbortController().signal);
+    if (outcome.kind !== 'changes') throw new Error(`the watch ended with ${outcome.kind}`);
+    for (const change of outcome.changes) reports.applyChange(change);
+    followedTo = outcome.revision;
+  };
+  return { reports, follow };
+}
+
+t.test('a request is withdrawn from the records of many workers', async (t) => {
+  const store = new LimitedStore();
+  const { reports } = startReports(store, 'node-1');
+  const workers = 70;
+  for (let number = 0; number < workers; number += 1) {
+    reports.report({ worker: `worker-${number}`, requests: ['same'] });
+  }
+  await eventually(() => store.keys(PREFIX).length === workers);
+  reports.withdraw('same');
+  await eventually(() => store.keys(PREFIX).length === 0);
+  t.ok((store.calls.get('commit') ?? 0) <= 10);
+});
