Store crash reports on the condition of the record's revision

Cause: a node put its crash record without a condition and with the requests that it knew of then. A put that took effect late, or one made before the node heard of a withdrawal, restored requests that a worker had answered; a restarted node replaced the record of its earlier incarnation. Change: a report adds its requests to the stored record and expects that record's revision. After a conflict it is made again from what the watch told meanwhile. Members of newer builds stay in it. No call is added where nothing conflicts.

--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -14,7 +14,12 @@
 import { EVIDENCE_LIFETIME } from '../serving/crash-evidence.js';
 import type { RequestFingerprint } from '../serving/request-fingerprint.js';
 import type { CrashReport } from '../serving/request-quarantine.js';
-import type { SharedStore, StoreChange, StoreCommit } from '../shared-store/shared-store.js';
+import {
+  ABSENT,
+  type SharedStore,
+  type StoreChange,
+  type StoreCommit,
+} from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 
@@ -70,7 +75,7 @@
 export class CrashReports {
   /** Records in the store, by key. */
   private readonly stored = new Map<string, StoredRecord>();
-  /** Own records that the store has not confirmed, by key. */
+  /** Own records that the store has not confirmed, without what it already holds, by key. */
   private readonly unsaved = new Map<string, CrashRecord>();
   /** Answered requests that stored records may still name. */
   private readonly withdrawn = new Set<RequestFingerprint>();
@@ -94,7 +99,7 @@
     const { self, liveNodes, clock } = this.options;
     for (const node of liveNodes()) if (node !== self) void this.notify(node, report);
     const key = `${CRASH_PREFIX}${report.worker}/${self}`;
-    const previous = this.unsaved.get(key)?.requests ?? this.stored.get(key)?.requests ?? [];
+    const previous = this.unsaved.get(key)?.requests ?? [];
     const requests = [...new Set([...previous, ...report.requests])];
     this.unsaved.set(key, { requests, at: clock.wallTime() });
     this.save();
@@ -187,8 +192,11 @@
     const unsaved = [...this.unsaved].slice(0, MAX_KEYS_PER_COMMIT);
     if (unsaved.length > 0) {
       return {
-        expected: [],
-        put: unsaved.map(([key, record]) => ({ key, value: JSON.stringify(record) })),
+        expected: unsaved.map(([key]) => ({ key, revision: this.revisionOf(key) })),
+        put: unsaved.map(([key, record]) => ({
+          key,
+          value: JSON.stringify(this.addedToStored(key, record)),
+        })),
       };
     }
     const named = [...this.stored].filter(([, record]) => this.namesWithdrawn(record));
@@ -199,6 +207,18 @@
     return this.commitWithoutWithdrawn(named.slice(0, MAX_KEYS_PER_COMMIT));
   }
 
+  private revisionOf(key: string): Revision {
+    return this.stored.get(key)?.revision ?? ABSENT;
+  }
+
+  /** The stored record with the requests of an unsaved one. */
+  private addedToStored(key: string, { requests, at }: CrashRecord): CrashRecord {
+    const stored = this.stored.get(key);
+    if (stored === undefined) return { requests, at };
+    const { revision: _, ...record } = stored;
+    return { ...record, requests: [...new Set([...record.requests, ...requests])], at };
+  }
+
   private namesWithdrawn({ requests }: CrashRecord): boolean {
     return this.withdrawn.size > 0 && requests.some((request) => this.withdrawn.has(request));
   }
--- a/test/fleet/crash-reports.test.ts
+++ b/test/fleet/crash-reports.test.ts
@@ -61,3 +61,52 @@
   await eventually(() => store.keys(PREFIX).length === 0);
   t.ok((store.calls.get('commit') ?? 0) <= 10);
 });
+
+/** The requests that the record of node-1 names. */
+function namedRequests(store: SharedStoreEmulator): readonly string[] | undefined {
+  const value = store.valueOf(`${PREFIX}worker-1/node-1`);
+  return value === undefined ? undefined : JSON.parse(value).requests;
+}
+
+t.test('a report that takes effect late does not restore a withdrawn request', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = startReports(store, 'node-1');
+  const two = startReports(store, 'node-2');
+  one.reports.report({ worker: 'worker-1', requests: ['first'] });
+  await eventually(() => namedRequests(store)?.length === 1);
+  store.loseAnswers('applied-late');
+  one.reports.report({ worker: 'worker-1', requests: ['second'] });
+  await eventually(() => namedRequests(store)?.length === 2);
+  await two.follow();
+  two.reports.withdraw('first');
+  await eventually(() => namedRequests(store)?.length === 1);
+  store.applyLateCommits();
+  t.same(namedRequests(store), ['second']);
+});
+
+t.test('a further report does not restore a request withdrawn by another node', async (t) => {
+  const store = new SharedStoreEmulator();
+  const one = startReports(store, 'node-1');
+  const two = startReports(store, 'node-2');
+  one.reports.report({ worker: 'worker-1', requests: ['first'] });
+  await eventually(() => namedRequests(store) !== undefined);
+  await two.follow();
+  two.reports.withdraw('first');
+  await eventually(() => namedRequests(store) === undefined);
+  one.reports.report({ worker: 'worker-1', requests: ['second'] });
+  await one.follow();
+  await eventually(() => namedRequests(store) !== undefined);
+  t.same(namedRequests(store), ['second']);
+});
+
+t.test('a restarted node adds its report to the record of its earlier incarnation', async (t) => {
+  const store = new SharedStoreEmulator();
+  startReports(store, 'node-1').reports.report({ worker: 'worker-1', requests: ['first'] });
+  await eventually(() => namedRequests(store) !== undefined);
+  const restarted = startReports(store, 'node-1');
+  restarted.reports.report({ worker: 'worker-1', requests: ['second'] });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  await restarted.follow();
+  await eventually(() => namedRequests(store)?.includes('second') === true);
+  t.same(namedRequests(store), ['first', 'second']);
+});
