Remove expired crash records on the condition of their revision

Cause: the coordinator removed expired crash records by its cached list without a condition. A record that its node had written again meanwhile, or before a removal that took effect late, went with it. Change: the removal expects the revisions of the list; a record that changed is left to the next round.

--- a/src/fleet/crash-reports.ts
+++ b/src/fleet/crash-reports.ts
@@ -149,9 +149,12 @@
   async removeExpired(): Promise<void> {
     const { store, clock } = this.options;
     const oldest = clock.wallTime() - EVIDENCE_LIFETIME;
-    const expired = [...this.stored].filter(([, { at }]) => at < oldest).map(([key]) => key);
+    const expired = [...this.stored]
+      .filter(([, { at }]) => at < oldest)
+      .slice(0, MAX_KEYS_PER_COMMIT)
+      .map(([key, { revision }]) => ({ key, revision }));
     if (expired.length === 0) return;
-    await store.commit({ expected: [], remove: expired.slice(0, MAX_KEYS_PER_COMMIT) });
+    await store.commit({ expected: expired, remove: expired.map(({ key }) => key) });
   }
 
   private async notify(node: NodeId, report: CrashReport): Promise<void> {
--- a/test/fleet/crash-reports.test.ts
+++ b/test/fleet/crash-reports.test.ts
@@ -110,3 +110,18 @@
   await eventually(() => namedRequests(store)?.includes('second') === true);
   t.same(namedRequests(store), ['first', 'second']);
 });
+
+t.test('an expired record that was written again is not removed', async (t) => {
+  const store = new SharedStoreEmulator();
+  const { reports, follow } = startReports(store, 'node-2');
+  const key = `${PREFIX}worker-1/node-1`;
+  store.write(key, JSON.stringify({ requests: ['first'], at: 0 }));
+  await follow();
+  store.write(key, JSON.stringify({ requests: ['first', 'second'], at: Date.now() }));
+  await reports.removeExpired();
+  t.same(namedRequests(store), ['first', 'second']);
+  store.write(key, JSON.stringify({ requests: ['first'], at: 0 }));
+  await follow();
+  await reports.removeExpired();
+  t.equal(namedRequests(store), undefined);
+});
