Test: drains among faults, restarts and lost disks

Cause: the drain was covered by single cases only; fences, held jobs and the replica's refusal meet late commits, power losses and partitions.

Change: the trainer's world knows drains, checked by any node and known at some nodes only; an emptied disk is replaced and does not count as lost.

--- a/test/jobs/drained-replicas.test.ts
+++ b/test/jobs/drained-replicas.test.ts
@@ -5,31 +5,15 @@
 import t from 'tap';
 import type { Milliseconds } from '../../src/core/units.js';
 import { JobStore } from '../../src/jobs/job-store.js';
-import { ReplicaDrain } from '../../src/jobs/replica-drain.js';
 import type { TrainerRecord } from '../../src/jobs/trainer-record.js';
-import { recordingLog } from '../serving/serving-fixtures.js';
 import { AnswerRecord } from './answer-record.js';
+import { isEmpty, noteDraining } from './replica-drains.js';
 import { acceptStep, checkAfterHealing, JOB, LISTING_TIME, step } from './zone-trainer.js';
 import { type ZoneNode, ZonesWithStore } from './zones-with-store.js';
 
 /** Longer than replicas with expired records are asked for entries. */
 const FORGOTTEN_AFTER: Milliseconds = 700_000;
 
-/** Checks a machine that is being drained, as the coordinator does. */
-async function isEmpty(
-  zones: ZonesWithStore,
-  { port, journals }: ZoneNode,
-  address: string,
-): Promise<boolean> {
-  const { clock } = zones;
-  const drain = new ReplicaDrain({ store: port, journals, clock, log: recordingLog().log });
-  return (await zones.answerOf(drain.isEmpty(`disk-${address}`))) ?? false;
-}
-
-function noteDraining(address: string, nodes: readonly ZoneNode[]): void {
-  for (const { directory } of nodes) directory.noteDraining(`disk-${address}`);
-}
-
 /** Removes a machine once it is empty. */
 async function drainAndRemove(
   zones: ZonesWithStore,
--- a/test/jobs/trainer-world.ts
+++ b/test/jobs/trainer-world.ts
@@ -1,5 +1,6 @@
 /** A trainer, and the faults that happen while it hands in its steps at nodes of several zones. */
 import { AnswerRecord } from './answer-record.js';
+import { isEmpty, noteDraining } from './replica-drains.js';
 import { step } from './zone-trainer.js';
 import type { ZoneNode, ZonesWithStore } from './zones-with-store.js';
 
@@ -52,6 +53,14 @@
   | { readonly kind: 'restart-node'; readonly node: number; readonly listed: number }
   | { readonly kind: 'restart-replica'; readonly replica: number; readonly disk: 'kept' | 'empty' }
   | { readonly kind: 'replica-away'; readonly replica: number; readonly isAway: boolean }
+  /** A machine is drained, checked by one node, and replaced once it is empty. */
+  | {
+      readonly kind: 'drain';
+      readonly replica: number;
+      readonly coordinator: number;
+      /** Nodes that have learned of the drain. */
+      readonly informed: readonly number[];
+    }
   | { readonly kind: 'pass'; readonly duration: number };
 
 /** A trainer whose current step is handed in at any nodes, while calls before are under way. */
@@ -63,6 +72,8 @@
   private readonly lostDisks = new Map<string, Set<string>>();
   private readonly record: AnswerRecord;
   private currentStep = 0;
+  /** Drained machines that were empty. */
+  replacedDisks = 0;
 
   constructor(private readonly zones: ZonesWithStore) {
     this.record = new AnswerRecord(zones);
@@ -90,6 +101,7 @@
     else if (action.kind === 'restart-replica') {
       await this.restartReplica(action.replica, action.disk);
     } else if (action.kind === 'replica-away') this.setAway(action.replica, action.isAway);
+    else if (action.kind === 'drain') await this.drain(action);
     else await zones.run(action.duration);
   }
 
@@ -182,6 +194,17 @@
     await this.zones.restartReplica(address, isLost ? 'empty' : 'kept');
   }
 
+  /** The disk of a machine that was reported as empty does not count as lost. */
+  private async drain(action: Extract<Action, { kind: 'drain' }>): Promise<void> {
+    const { address } = this.replicaAt(action.replica);
+    const coordinator = this.nodeAt(action.coordinator);
+    const informed = action.informed.map((index) => this.nodeAt(index));
+    noteDraining(address, [coordinator, ...informed]);
+    if (!(await isEmpty(this.zones, coordinator, address))) return;
+    this.replacedDisks += 1;
+    await this.zones.restartReplica(address, 'empty');
+  }
+
   private setAway(index: number, isAway: boolean): void {
     const { zone, address } = this.replicaAt(index);
     const { unreachable } = this.zones.zone(zone);
