Acknowledge usage counts only while holding the lock

Cause: a node acknowledged the usage counts of others whether or not it held the lock. A stopping node that still took a former holder for the holder sent its last counts there, was told that they were noted, and stored nothing; the former holder neither reports nor stores them. Change: the counts are merged as before, and acknowledged only under a valid fencing token. A node without an acknowledgement sends again, or stores its counts when it stops. SingletonTasks names the two ports of the lock that it uses, so that a test needs no coordinator lock.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -182,7 +182,7 @@
       onWorkerCrashed: (report) => this.quarantine.applyReport(report, clock.now()),
       decidePermits: (requests) => this.workerGate.answerPermitRequests(requests),
       onUsageReported: (source, counts) =>
-        this.coordination.singletonTasks?.applyUsage(source, counts),
+        this.coordination.singletonTasks?.applyUsage(source, counts) ?? false,
     });
     this.crashReports = new CrashReports({
       ...shared,
--- a/src/fleet/peer-request-handler.ts
+++ b/src/fleet/peer-request-handler.ts
@@ -30,8 +30,11 @@
   readonly jobs: () => JobService;
   readonly lock: () => CoordinatorLock;
   readonly relay: () => WatchRelay;
-  /** Called on the coordinator with the usage that another node reports. */
-  readonly onUsageReported: (source: UsageSource, counts: WindowCounts) => void;
+  /**
+   * Called on the coordinator with the usage that another node reports; returns whether this node
+   * accepts it.
+   */
+  readonly onUsageReported: (source: UsageSource, counts: WindowCounts) => boolean;
   /** Called when another node reports a crashed worker. */
   readonly onWorkerCrashed: (report: CrashReport) => void;
   /** Called on the coordinator with the weights that a job needs. */
@@ -91,8 +94,7 @@
         this.options.onWorkerCrashed(request.report);
         return { isNoted: true };
       case 'usage-counts':
-        this.options.onUsageReported(request.source, request.counts);
-        return { isNoted: true };
+        return { isNoted: this.options.onUsageReported(request.source, request.counts) };
       case 'weights-change':
         this.options.onWeightChanged(request.change);
         return { isNoted: true };
--- a/src/fleet/singleton-tasks.ts
+++ b/src/fleet/singleton-tasks.ts
@@ -11,6 +11,7 @@
 import type { SharedStore } from '../shared-store/shared-store.js';
 import type { CloudPort } from '../singleton-tasks/cloud-port.js';
 import { MaxWorkersPolicy } from '../singleton-tasks/scaling-policy.js';
+import type { SingletonTaskLock } from '../singleton-tasks/singleton-task-lock.js';
 import {
   UsageCounts,
   type UsageSource,
@@ -19,12 +20,11 @@
 import { UsageMeter } from '../singleton-tasks/usage-meter.js';
 import { UsageRecords } from '../singleton-tasks/usage-records.js';
 import { retainedWindowCount, UsageReporter } from '../singleton-tasks/usage-reporter.js';
-import { UsageSender } from '../singleton-tasks/usage-sender.js';
+import { type SingletonTaskHolder, UsageSender } from '../singleton-tasks/usage-sender.js';
 import { UsageWindows } from '../singleton-tasks/usage-windows.js';
 import { WorkerScaler } from '../singleton-tasks/worker-scaler.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import type { CoordinatorLock } from './coordinator-lock.js';
 
 export interface SingletonTaskSettings {
   readonly port: CloudPort;
@@ -44,7 +44,7 @@
 
 export interface SingletonTasksOptions {
   readonly settings: SingletonTaskSettings;
-  readonly lock: CoordinatorLock;
+  readonly lock: SingletonTaskLock & SingletonTaskHolder;
   readonly store: SharedStore;
   readonly self: JobOwner;
   readonly registry: WorkerRegistry;
@@ -104,9 +104,13 @@
     this.scaler?.tick();
   }
 
-  /** Applies the usage counts of another node. */
-  applyUsage(source: UsageSource, counts: WindowCounts): void {
+  /**
+   * Applies the usage counts of another node. Returns whether this node reports them: one that lost
+   * the lock does not, though others may still take it for the holder.
+   */
+  applyUsage(source: UsageSource, counts: WindowCounts): boolean {
     this.usage?.gathered.merge(source, counts);
+    return this.usage !== undefined && this.options.lock.fencingToken() !== undefined;
   }
 
   /** Sends the remaining counts before the process ends. */
@@ -131,7 +135,7 @@
       source,
       node,
     };
-    const taskHolder = (): { holder: NodeId | undefined; term: number } => lock;
+    const taskHolder = (): SingletonTaskHolder => lock;
     const firstWindow = isFirstStart ? windows.current : 0;
     return {
       meter,
