Test: a coordinator without the list of replicas moves no record

Cause: a coordinator that has just started knows no replicas. It would choose a group from an incomplete list, or none, and take the machine for empty; the check against this had no test.

Change: a test with a directory that is not listed: the machine counts as not empty and the record stays.

--- a/test/jobs/drained-replicas.test.ts
+++ b/test/jobs/drained-replicas.test.ts
@@ -6,6 +6,9 @@
 import type { Milliseconds } from '../../src/core/units.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import type { TrainerRecord } from '../../src/jobs/trainer-record.js';
+import { ReplicaDirectory } from '../../src/journal/replica-directory.js';
+import { ZoneJournals } from '../../src/journal/zone-journals.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { AnswerRecord } from './answer-record.js';
 import { isEmpty, noteDraining } from './replica-drains.js';
 import { acceptStep, checkAfterHealing, JOB, LISTING_TIME, step } from './zone-trainer.js';
@@ -93,6 +96,23 @@
   t.strictSame(await onlyRecord(zones), moved, 'a late change has no effect');
 });
 
+t.test('a coordinator that does not know the replicas yet moves no record', async (t) => {
+  const zones = await ZonesWithStore.open(t, 1, 6);
+  const node = zones.start('zone-1');
+  await acceptStep(zones, node, 0);
+  await zones.run(LISTING_TIME);
+  const before = await onlyRecord(zones);
+  const [drained = ''] = await groupOf(zones);
+  const { clock } = zones;
+  const directory = new ReplicaDirectory({ clock, groupSize: 3 });
+  const journals = new ZoneJournals({
+    ...{ port: zones.zone('zone-1'), metrics: new FleetMetrics(), directory },
+    ...{ zone: 'zone-1', writer: 'node-9/life-9' },
+  });
+  t.notOk(await isEmpty(zones, { ...node, directory, journals }, drained));
+  t.strictSame(await onlyRecord(zones), before);
+});
+
 t.test('a gateway with a copy of a moved record finds out by its next commit', async (t) => {
   const zones = await ZonesWithStore.open(t, 2, 6);
   const [node, other] = [zones.start('zone-1'), zones.start('zone-2')];
