Comment: what a right costs while its zone stays the same

Cause: replicas are asked after each creation now, so that it is not free of calls. Change: the comment says that it costs no call to the store. Measured: no code is changed; formatter and linter clean.

--- a/src/jobs/trainer-homes.ts
+++ b/src/jobs/trainer-homes.ts
@@ -3,7 +3,7 @@
  * trainer's record names accepts them by the store or by its journal. Another zone fences that zone's
  * journal first; the commit that creates its job then replaces the zone in the record.
  *
- * While the zone stays the same, the right costs no calls: the creation of a job checks it.
+ * While the zone stays the same, the right costs no call to the store: the creation of a job checks it.
  */
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { AppendOutcome } from '../journal/job-journal.js';
