Listing state in a module of its own; a test of a fence that is raised again

Change: types moved, no code; the test asks a replica that was restarted after the first fence's age and within the last one's. Two comments say what is meant in the usual words.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -3,14 +3,13 @@
  * Each stored change confirms the ownership; without changes it is verified periodically.
  */
 import type { Milliseconds } from '../core/units.js';
-import type { JobJournal } from '../journal/job-journal.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
-import type { DecisionLog } from '../telemetry/decision-log.js';
 import { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
 import type { HeadChange, JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import { ListingLog, NO_TERM } from './listing-log.js';
-import { JOURNAL_DELAY, type ListingChange, ListingWriter } from './listing-writer.js';
+import type { CloseReason, JournalState } from './listing-state.js';
+import { JOURNAL_DELAY, ListingWriter } from './listing-writer.js';
 import { firstPageOf } from './value-limits.js';
 
 /** Minimum interval between two pages of results while many items are open. */
@@ -29,28 +28,6 @@
 const MIN_WAIT_POLLS = 10;
 const WAIT_POLL_INTERVAL: Milliseconds = 50;
 
-/**
- * Why this node no longer runs a job:
- * - `finished`: all results are listed.
- * - `ended`: the job was cancelled.
- * - `ended-elsewhere`: another node cancelled the job because this node could not reach the store;
- *   this node's list may lack results that others have listed.
- * - `superseded`: another node owns the job.
- * - `released`: this node gave up its ownership.
- */
-export type CloseReason = 'finished' | 'ended' | 'ended-elsewhere' | 'superseded' | 'released';
-
-/** The state of a job in its zone's journal. */
-export interface JournalState {
-  /** The journal, claimed by this owner; `undefined` if the job has none. */
-  readonly journal?: JobJournal | undefined;
-  /** Changes that an earlier owner journaled and the store lacks. */
-  readonly resumed?: readonly ListingChange[];
-  readonly metrics?: FleetMetrics;
-  /** Where listed pages are logged; `undefined` if they are not. */
-  readonly log?: DecisionLog;
-}
-
 export interface JobListingOptions {
   readonly spec: JobSpecification;
   /** The stored head; `undefined` until the store has the job. */
--- /dev/null
+++ b/src/jobs/listing-state.ts
@@ -0,0 +1,27 @@
+/** State of an owned job's listing: its journal, and why its node no longer runs it. */
+import type { JobJournal } from '../journal/job-journal.js';
+import type { DecisionLog } from '../telemetry/decision-log.js';
+import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { ListingChange } from './listing-writer.js';
+
+/**
+ * Why this node no longer runs a job:
+ * - `finished`: all results are listed.
+ * - `ended`: the job was cancelled.
+ * - `ended-elsewhere`: another node cancelled the job because this node could not reach the store;
+ *   this node's list may lack results that others have listed.
+ * - `superseded`: another node owns the job.
+ * - `released`: this node gave up its ownership.
+ */
+export type CloseReason = 'finished' | 'ended' | 'ended-elsewhere' | 'superseded' | 'released';
+
+/** The state of a job in its zone's journal. */
+export interface JournalState {
+  /** The journal, claimed by this owner; `undefined` if the job has none. */
+  readonly journal?: JobJournal | undefined;
+  /** Changes that an earlier owner journaled and the store lacks. */
+  readonly resumed?: readonly ListingChange[];
+  readonly metrics?: FleetMetrics;
+  /** Where listed pages are logged; `undefined` if they are not. */
+  readonly log?: DecisionLog;
+}
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -7,9 +7,10 @@
 import type { Clock } from '../serving/clock.js';
 import { fitsVersions, type VersionRule } from './item-progress.js';
 import type { ItemWork } from './item-work-cache.js';
-import { type CloseReason, JobListing, type JournalState } from './job-listing.js';
+import { JobListing } from './job-listing.js';
 import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
+import type { CloseReason, JournalState } from './listing-state.js';
 import { cancelWork, isTextIncomplete, newOwnedItem, type OwnedItem } from './owned-item.js';
 import { storableProgress } from './value-limits.js';
 
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -19,7 +19,6 @@
   reusableWork,
   withDigests,
 } from './item-work-cache.js';
-import type { JournalState } from './job-listing.js';
 import {
   ageOf,
   isFinished,
@@ -29,6 +28,7 @@
   type StoredProgress,
 } from './job-records.js';
 import type { JobStore, VersionedHead } from './job-store.js';
+import type { JournalState } from './listing-state.js';
 import { OwnedJob } from './owned-job.js';
 
 export interface OwnedJobsOptions {
--- a/src/jobs/trainer-homes.ts
+++ b/src/jobs/trainer-homes.ts
@@ -296,7 +296,7 @@
     return term <= (this.fencedTerms.get(key) ?? Number.NEGATIVE_INFINITY);
   }
 
-  /** Whether some replicas of a record are gone and the zone has others. */
+  /** Whether some replicas of a record are not usable any more and the zone has others. */
   private needsOtherReplicas({ replicas, zone }: TrainerRecord): boolean {
     const { journals } = this.options;
     if (zone !== journals.zone) return false;
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -69,7 +69,7 @@
 
 /**
  * Time for which the right of a zone to accept a trainer's jobs outlasts its last change. A zone that
- * lost its right may believe in it for a shorter time.
+ * lost its right uses its cached copy for a shorter time.
  */
 export const RIGHT_RETENTION: Milliseconds = 24 * HOUR;
 
--- a/test/journal/trainer-fence.test.ts
+++ b/test/journal/trainer-fence.test.ts
@@ -78,3 +78,24 @@
   replica = await open();
   t.match(await claimBy(1, 'zone/zone-1'), { kind: 'refused' });
 });
+
+t.test('a fence that is raised again is retained from its last use', async (t) => {
+  const folder = temporaryFolder(t);
+  const clock = new ManualClock();
+  const { log } = recordingLog();
+  const open = (): Promise<JournalReplica> =>
+    JournalReplica.open(folder, { clock, log, retention: () => 120_000 });
+  let replica = await open();
+  t.teardown(() => replica.stop());
+  const { disk } = replica;
+  const holder = { job: TRAINER, term: 2, writer: 'zone/zone-2' };
+  await replica.answer({ kind: 'journal-claim', disk, holder });
+  clock.time += RIGHT_RETENTION - 1_000;
+  t.match(await replica.answer({ kind: 'journal-claim', disk, holder }), { kind: 'granted' });
+  clock.time += 10_000;
+  await replica.stop();
+  replica = await open();
+  const earlier = { ...holder, term: 1, writer: 'zone/zone-1' };
+  const request = { kind: 'journal-append', disk, holder: earlier, entries: [] } as const;
+  t.match(await replica.answer(request), { kind: 'refused' });
+});
