Soak: requests whose crashes no store took count anew after a loss of all power

Trace: the reporting gateway had had no store since 9 s before the loss (zone unavailable, commits late), so its reports lay in the memory of gateways alone, by docs/design/quarantine.md; after the restart three more workers ended under the same request. No gateway could know it. Change: at the loss, a request whose third crash came after the store had gone away from some gateway counts anew; those known before, and the bound, stay as they were.

--- a/lab/soak/fault-timeline.ts
+++ b/lab/soak/fault-timeline.ts
@@ -29,6 +29,7 @@
   private readonly disturbances: Disturbances;
   private lastFaultAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private storeFaults = 0;
+  private storeLostAt: Milliseconds = Number.POSITIVE_INFINITY;
 
   constructor(private readonly now: () => Milliseconds) {
     this.disturbances = new Disturbances(now);
@@ -65,6 +66,11 @@
     return this.storeFaults > 0;
   }
 
+  /** Since when the store has not answered some gateways; infinite while it answers all. */
+  get storeAwaySince(): Milliseconds {
+    return this.isStoreAway ? this.storeLostAt : Number.POSITIVE_INFINITY;
+  }
+
   private begin<Fault extends TimedFault>(
     fault: Fault,
     { struckBy, isStoreAway, perform }: FaultPerformance<Fault>,
@@ -76,6 +82,7 @@
         ? [this.disturbances.begin(undefined)]
         : struck.map((gateway) => this.disturbances.begin(gateway));
     const storeFaults = isStoreAway(fault) ? 1 : 0;
+    if (storeFaults > 0 && !this.isStoreAway) this.storeLostAt = this.now();
     this.storeFaults += storeFaults;
     const work = perform(fault, gateways).finally(() => {
       for (const end of ends) end();
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -69,6 +69,11 @@
     this.check(isAllowed, 'query-of-death', detail);
   }
 
+  /** All gateways lost their memory while the store was away from some of them since a moment. */
+  memoryLost(storeAwaySince: Milliseconds): void {
+    this.lethalRequests.noteMemoryLost(storeAwaySince);
+  }
+
   /** A request that ends its workers was answered: never with success. */
   lethalAnswered(path: string, status: number): void {
     this.check(status !== 200, 'query-of-death', `${path} was answered with ${status}`);
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -156,6 +156,7 @@
     const plan = planPowerLoss(this.options.seed + 8, this.options.gateways, REPLICAS_A_ZONE);
     const loss = new PowerLoss({ timeline, store, gateways, journals, now });
     await loss.bringTrouble(plan);
+    checker.memoryLost(timeline.storeAwaySince);
     const repeated = sleep(KILL_TIME).then(() => callers.repeatRecent());
     const { readers, emptied, unsyncedJobs } = await loss.loseAndRestart(plan);
     const backAt = now();
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -202,6 +202,27 @@
   t.equal(checker.mostEndedUnderOne, 11);
 });
 
+t.test('a loss of memory excuses only requests whose crashes could not be stored', async (t) => {
+  const { checker, advance, broken } = fixture();
+  const runs = (path: string, count: number): void => {
+    for (let run = 0; run < count; run += 1) checker.lethalBegun(path, `w${run}`);
+  };
+  runs('/stored', 3);
+  advance(5_000);
+  const storeAwaySince = 4_000;
+  runs('/not-stored', 3);
+  advance(5_000);
+  checker.memoryLost(storeAwaySince);
+  runs('/not-stored', 4);
+  runs('/stored', 3);
+  t.same(broken(), []);
+  runs('/stored', 1);
+  t.same(broken(), ['query-of-death']);
+  advance(5_000);
+  runs('/not-stored', 4);
+  t.same(broken(), ['query-of-death', 'query-of-death'], 'it counts anew, and is found again');
+});
+
 t.test('a request that ends its workers is never answered with success', async (t) => {
   const { checker, broken } = fixture();
   checker.lethalAnswered('/x', 502);
