A job has one instance on its owner

Cause: a scan for orphans on the owner itself met the head between the store's commit and the end of the submission, saw its own name and no owned job, and took the job over. Change: a node does not take over its own job while it processes the submission; a head under another term is another owner's, also if that is this node; adding an instance closes the one before, and a submission that finds one does not add another.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -299,13 +299,17 @@
     else if (change.current?.head.ended === true) this.options.close('ended');
   }
 
-  /** Whether a head changed by another node still names this owner and the pages it knows. */
+  /**
+   * Whether a head that was changed still names this owner under the same term, and the pages it
+   * knows. This node itself has another term if it has taken the job over again.
+   */
   private keepsOwnership(change: HeadChange): boolean {
     if (change.kind !== 'superseded' || change.current === undefined) return false;
     const { self } = this.options;
-    const { owner, pages } = change.current.head;
+    const { owner, pages, term } = change.current.head;
     const isOwn = owner?.node === self.node && owner.incarnation === self.incarnation;
-    return isOwn && pages === this.writer.head?.head.pages;
+    const knownHead = this.writer.head?.head;
+    return isOwn && term === knownHead?.term && pages === knownHead?.pages;
   }
 
   private listingInterval(): Milliseconds {
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -112,7 +112,11 @@
    * Takes over a job whose owner has terminated, or answers but cannot reach the store; returns
    * whether this node owns it now.
    */
-  takeOver(job: string, found: VersionedHead, ownerAnswers = false): Promise<boolean> {
+  async takeOver(job: string, found: VersionedHead, ownerAnswers = false): Promise<boolean> {
+    const { self } = this.options;
+    const isOwn = found.head.owner?.incarnation === self.incarnation;
+    // The job is added to the owned ones when its submission is complete.
+    if (isOwn && this.submissions.isPending(job)) return false;
     return this.transfer.takeOver(job, found, ownerAnswers);
   }
 
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -265,6 +265,11 @@
     journal: JobJournal | undefined,
   ): Promise<void> {
     const { owned, peers } = this.options;
+    const otherInstance = owned.get(spec.id);
+    if (otherInstance !== undefined && otherInstance !== early && otherInstance.isActive) {
+      early?.abandon();
+      return;
+    }
     if (early !== undefined) owned.attachEarly(early, head);
     else owned.add(spec, head, [], owned.earlierWork(spec, {}, await cachedWork), { journal });
     peers.reportWeightNeed(weightNeedOf(spec));
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -84,6 +84,8 @@
     earlierWork: ReadonlyMap<string, ItemWork>,
     journaled: JournalState = {},
   ): void {
+    // Only one instance of a job may list results.
+    this.jobs.get(spec.id)?.abandon();
     const job = this.makeJob(spec, head, listed, earlierWork, journaled);
     this.jobs.delete(spec.id);
     this.jobs.set(spec.id, job);
