A submission recognizes its own creation by its change id

Cause: a submission of a gateway was under way while the same gateway took the job over from another zone's owner; the takeover's commit was carried out without an answer. Change: all attempts of an owner to create a job under a term carry one change id, so that the store itself shows whether the head is that creation, unchanged; the comparison of names is gone. A takeover without an answer is checked until the owner is certain. The guard of own submissions compares the node as well as the incarnation.

--- a/src/jobs/job-creation.ts
+++ b/src/jobs/job-creation.ts
@@ -8,13 +8,7 @@
 import type { JournalEntry } from '../journal/journal-entries.js';
 import type { Clock } from '../serving/clock.js';
 import type { JobSpecification } from './job-records.js';
-import type {
-  CreationOutcome,
-  HeadFields,
-  JobStore,
-  StillNeeded,
-  VersionedHead,
-} from './job-store.js';
+import type { CreationOutcome, HeadFields, JobStore, StillNeeded } from './job-store.js';
 import { JOURNAL_RETRY_DELAY } from './listing-writer.js';
 import type { AcceptanceRight, TrainerHomes } from './trainer-homes.js';
 
@@ -52,7 +46,7 @@
       if (trainer !== undefined) homes?.noteCreation(trainer, outcome);
       if (outcome.kind !== 'trainer-changed' || !this.isJournaled) {
         this.isSettled = true;
-        return this.isOwnCreation(head, outcome) ? { ...outcome, kind: 'changed' } : outcome;
+        return outcome;
       }
       trainer = await homes?.changeForJournaled(spec);
     }
@@ -87,18 +81,6 @@
     if (this.writtenEntry !== undefined) await journal?.release([this.writtenEntry]);
   }
 
-  /** Whether the store carried out an earlier attempt of this node instead, and nothing since. */
-  private isOwnCreation(
-    head: HeadFields,
-    outcome: CreationOutcome,
-  ): outcome is Extract<CreationOutcome, { kind: 'superseded' }> & { current: VersionedHead } {
-    if (outcome.kind !== 'superseded' || outcome.current === undefined || head.owner === null)
-      return false;
-    const { owner, term, pages, ended } = outcome.current.head;
-    const isOwn = owner?.incarnation === head.owner.incarnation && term === head.term;
-    return isOwn && pages === 0 && !ended;
-  }
-
   /**
    * Writes the entry, and then confirms that no other zone has fenced the right to accept the job. A
    * zone that fences it later finds the entry.
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -114,7 +114,8 @@
    */
   async takeOver(job: string, found: VersionedHead, ownerAnswers = false): Promise<boolean> {
     const { self } = this.options;
-    const isOwn = found.head.owner?.incarnation === self.incarnation;
+    const { owner } = found.head;
+    const isOwn = owner?.node === self.node && owner.incarnation === self.incarnation;
     // The job is added to the owned ones when its submission is complete.
     if (isOwn && this.submissions.isPending(job)) return false;
     return this.transfer.takeOver(job, found, ownerAnswers);
--- a/src/jobs/job-store.ts
+++ b/src/jobs/job-store.ts
@@ -124,6 +124,7 @@
     }
     let committedAt: Revision | undefined;
     const change = await this.change(spec.id, ABSENT, completeHead, puts, isStillNeeded, {
+      changeId: creationIdOf(head),
       expected,
       onCommitted: (revision) => {
         committedAt = revision;
@@ -275,9 +276,13 @@
     fields: Omit<JobHead, 'changeId'>,
     puts: readonly StorePut[],
     isStillNeeded: StillNeeded,
-    { expected: conditions = [], onCommitted = () => {} }: CommitExtras = {},
+    {
+      changeId = randomUUID(),
+      expected: conditions = [],
+      onCommitted = () => {},
+    }: CommitExtras = {},
   ): Promise<HeadChange> {
-    const head: JobHead = { ...fields, changeId: randomUUID() };
+    const head: JobHead = { ...fields, changeId };
     const key = JOB_KEYS.head(job);
     const put = [{ key, value: JSON.stringify(head) }, ...puts];
     const expected = [{ key, revision: base }, ...conditions];
@@ -310,6 +315,8 @@
 
 /** Further parts of a commit that changes a head. */
 interface CommitExtras {
+  /** @default a random id */
+  readonly changeId?: string;
   /** Conditions beside that on the head. */
   readonly expected?: readonly StoreCondition[];
   /** Called with the revision if the store confirms the commit itself. */
@@ -319,6 +326,14 @@
 /** Maximum number of keys that one commit removes. */
 const MAX_REMOVALS_PER_COMMIT = 30;
 
+/**
+ * Change id of a creation, the same for all attempts of an owner under a term. An attempt that the
+ * store carried out earlier is recognized by it, unless the head was changed since.
+ */
+function creationIdOf({ owner, term }: HeadFields): string {
+  return owner === null ? randomUUID() : `created/${owner.node}/${owner.incarnation}/${term ?? 0}`;
+}
+
 function progressPut(job: string, progress: StoredProgress): StorePut {
   return { key: JOB_KEYS.progress(job), value: JSON.stringify(progress) };
 }
--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -30,6 +30,8 @@
   /** The zones' journals, if zones accept jobs without the store. */
   readonly journals?: ZoneJournals | undefined;
   readonly residency: JobResidency;
+  /** Called if the store may still make this node the owner of a job. */
+  readonly noteUncertain: (job: string) => void;
   /** Whether the node incarnation that claimed a journal is live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
 }
@@ -87,6 +89,7 @@
       ...(claimed === undefined ? {} : { term: claimed.journal.term }),
     };
     const change = await store.replace(job, found, fields, isStillNeeded);
+    if (change.kind === 'unavailable' && change.mayBeDone) this.options.noteUncertain(job);
     if (change.kind !== 'changed') return false;
     const { owner } = found.head;
     const isOwnerAsked = ownerAnswers && owner !== null;
--- a/test/jobs/late-creations.test.ts
+++ b/test/jobs/late-creations.test.ts
@@ -1,5 +1,6 @@
 /** Guards against accepted jobs that no node runs, since the store created them without an answer. */
 import t from 'tap';
+import { JobStore } from '../../src/jobs/job-store.js';
 import { AnswerRecord } from './answer-record.js';
 import { acceptStep, JOB, LISTING_TIME, step } from './zone-trainer.js';
 import { ZonesWithStore } from './zones-with-store.js';
@@ -60,3 +61,39 @@
     t.equal('failure' in texts ? texts.failure : texts.length, 2, 'the accepted job is run');
   },
 );
+
+t.test('a submission does not take its own takeover of the job for its creation', async (t) => {
+  const zones = await ZonesWithStore.open(t, 2);
+  const record = new AnswerRecord(zones);
+  const [owner, taker] = [zones.start('zone-1'), zones.start('zone-2')];
+  await acceptStep(zones, owner, 0);
+  const { port, service } = taker;
+  const commit = port.commit.bind(port);
+  let takeover: Promise<boolean> | undefined;
+  let isAnswerLost = true;
+  port.commit = async (change) => {
+    if (takeover !== undefined) {
+      const outcome = await commit(change);
+      if (!isAnswerLost) return outcome;
+      isAnswerLost = false;
+      return { kind: 'failed', effect: 'unknown' };
+    }
+    // The owner accepts the job and tells results that only its journal has, then it ends.
+    t.equal(await zones.answerOf(zones.submit(owner, step(JOB, 1))), 'accepted');
+    zones.setStore('refusing', owner);
+    await zones.run(LISTING_TIME);
+    await record.read(owner, JOB);
+    const read = await new JobStore(zones.store, zones.clock).head(JOB);
+    if (read.kind !== 'found') throw new Error(read.kind);
+    zones.end(owner);
+    takeover = service.takeOver(JOB, read.value);
+    await zones.answerOf(takeover);
+    return commit(change);
+  };
+  await zones.answerOf(zones.submit(taker, step(JOB, 1)), 30_000);
+  t.equal(await takeover, false, 'its commit was carried out without an answer');
+  await zones.run(10_000);
+  const texts = await record.read(taker, JOB);
+  t.equal('failure' in texts ? texts.failure : texts.length, 2, 'the taker reads the job');
+  t.same(record.differences(), [], 'the results that were told are kept');
+});
