Release the claim of a job that a gateway rejects

What callers saw: a trainer whose submission one gateway rejected as not run (503) and that followed the promise to come back was answered `outcome_unknown` (500, no promise) by every other gateway of the zone, for as long as the first one lived. It could neither repeat safely nor go on.

Cause: `claimNewJob` passes a claim on only when its writer has terminated or the zone's term is higher. A submission that ends without the job being accepted left its claim on the replicas, and nothing recorded there that its writer had given it up.

Change: a submission that ends without acceptance releases each claim that it made, also those whose answers were lost and those made beside older builds. The rejecting node writes nothing under the released term again and claims the job above it. Nobody waits for a release: it is retried each second while the replicas retain the claim, and a claim without one stays as safe as it was. Older builds ignore the field, and take the writer of a released claim, which is no live node, for terminated.

Why it is safe: above a released claim a node journals only if all replicas answered its first claim and none named a live holder; otherwise it creates the job in the store alone, on the usual condition, as above the claim of a terminated node.

The property `one-listing-per-job` now has callers of little patience among its events, and requires that a job is not found if every submission of it was rejected as not run.

--- a/src/jobs/job-acceptance.ts
+++ b/src/jobs/job-acceptance.ts
@@ -9,9 +9,10 @@
 import type { Clock } from '../serving/clock.js';
 import { ABSENT } from '../shared-store/shared-store.js';
 import type { TenantName } from '../tenants/tenant.js';
+import type { ClaimReleases } from './claim-releases.js';
 import type { JobOwner, JobSpecification } from './job-records.js';
 import type { JobStore, StillNeeded } from './job-store.js';
-import { claimBesideOlderBuilds, claimNewJob, hasLostClaim } from './new-job-claim.js';
+import { hasLostClaim, type NewJobClaim, NewJobClaims } from './new-job-claim.js';
 import type { AcceptanceRight, TrainerHomes } from './trainer-homes.js';
 
 export interface JobAcceptanceOptions {
@@ -21,6 +22,8 @@
   readonly journals?: ZoneJournals | undefined;
   /** Rights to accept the jobs of trainers; `undefined` where zones keep no journals. */
   readonly homes: TrainerHomes | undefined;
+  /** Tracks the claims that this node makes. */
+  readonly releases: ClaimReleases;
   /** Whether the node incarnation that claimed a job is live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether no build without trainer records may be running. @default none is */
@@ -39,6 +42,8 @@
   readonly mayJournal: boolean;
   /** Whether another node may have stored the job, or may still do so. */
   readonly mayBeStored: boolean;
+  /** Whether items of the job may have run at another node. */
+  readonly mayHaveRun: boolean;
 }
 
 /** Answer to a submission that this node does not accept; without a failure, the job is stored. */
@@ -56,7 +61,8 @@
 
 /** Conditions where zones keep no journals. */
 const NO_JOURNAL = {
-  ...{ journal: undefined, right: undefined, mayJournal: false, mayBeStored: false },
+  ...{ journal: undefined, right: undefined, mayJournal: false },
+  ...{ mayBeStored: false, mayHaveRun: false },
 } as const;
 
 /**
@@ -67,7 +73,14 @@
 const ZONE_QUERY_RETRY_DELAY: Milliseconds = 200;
 
 export class JobAcceptance {
-  constructor(private readonly options: JobAcceptanceOptions) {}
+  private readonly claims: NewJobClaims | undefined;
+
+  constructor(private readonly options: JobAcceptanceOptions) {
+    const { journals, releases, isWriterLive = () => true } = options;
+    if (journals !== undefined) {
+      this.claims = new NewJobClaims({ journals, releases, isWriterLive });
+    }
+  }
 
   /** Acquires the right to accept the job and claims it, or answers without accepting it. */
   async prepare(
@@ -75,8 +88,8 @@
     isStillNeeded: StillNeeded,
   ): Promise<Acceptance | SubmissionAnswer> {
     const { spec, owner, isFromOutside } = submitted;
-    const { journals, homes, isWriterLive = () => true } = this.options;
-    if (journals === undefined || homes === undefined) {
+    const { homes } = this.options;
+    if (this.claims === undefined || homes === undefined) {
       return { ...NO_JOURNAL, owner };
     }
     const right = await homes.acquire(spec, isStillNeeded);
@@ -86,21 +99,13 @@
       const stored = await this.answerIfStored(spec);
       if (stored !== undefined) return stored;
     }
-    if (
-      !this.areRecordsUsedByAll &&
-      !(await claimBesideOlderBuilds(journals, spec.id, right.record))
-    )
-      return this.answerFromStore(spec);
-    const claim =
-      right.record.replicas.length === 0
-        ? undefined
-        : await claimNewJob(journals, spec.id, right.record, isWriterLive);
+    const claim = await this.claim(this.claims, spec.id, right);
     // The replicas may have been removed after another node moved the record to others.
-    if (claim === 'unanswered' && (await homes.discardIfReplaced(right))) {
+    if (claim?.kind === 'unanswered' && (await homes.discardIfReplaced(right))) {
       return this.prepare(submitted, isStillNeeded);
     }
-    if (typeof claim === 'string') return this.answerFromStore(spec);
-    const mayBeStored = claim?.mayBeStored ?? false;
+    if (claim !== undefined && claim.kind !== 'claimed') return this.answerFromStore(spec);
+    const { mayBeStored, mayHaveRun } = claim ?? NO_JOURNAL;
     const isNextStep = !isFromOutside && !mayBeStored && homes.mayAcceptByJournal(right, spec);
     if (!isNextStep) {
       if (!(await this.isAbsentElsewhere(spec.id, right, isStillNeeded)))
@@ -109,7 +114,22 @@
       if (await hasLostClaim(claim?.journal)) return this.answerFromStore(spec);
     }
     const mayJournal = owner !== null && isNextStep;
-    return { owner, journal: claim?.journal, right, mayJournal, mayBeStored };
+    return { owner, journal: claim?.journal, right, mayJournal, mayBeStored, mayHaveRun };
+  }
+
+  /** Claims the job within the zone; `undefined` if its trainer has no replicas. */
+  private async claim(
+    claims: NewJobClaims,
+    job: string,
+    { record }: AcceptanceRight,
+  ): Promise<NewJobClaim | undefined> {
+    let { term } = record;
+    if (!this.areRecordsUsedByAll) {
+      const claimedTerm = await claims.claimBesideOlderBuilds(job, record);
+      if (claimedTerm === undefined) return { kind: 'held-elsewhere' };
+      term = claimedTerm;
+    }
+    return record.replicas.length === 0 ? undefined : claims.claim(job, record, term);
   }
 
   /**
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -78,6 +78,7 @@
         owned.get(job)?.isActive === true ||
         this.submissions.isPending(job) ||
         this.transfer.isTakingOver(job),
+      noteAbsent: (job) => this.submissions.noteAbsent(job),
       takeOver: (job, found) => this.transfer.takeOver(job, found, false),
     });
     if (journals === undefined || homes === undefined) return;
@@ -157,6 +158,7 @@
     const now = this.options.clock.now();
     this.recovery?.tick(now);
     this.uncertain.tick(now);
+    this.submissions.tick(now);
     if (now < this.nextResidencyScanAt) return;
     this.nextResidencyScanAt = now + RESIDENCY_SCAN_INTERVAL;
     this.owned.dropMisplaced();
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { TenantName } from '../tenants/tenant.js';
+import { ClaimReleases } from './claim-releases.js';
 import type { DigestedWork } from './item-work-cache.js';
 import {
   type Acceptance,
@@ -54,6 +55,8 @@
   /** Whether the node incarnation that claimed a job is live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
   readonly residency: JobResidency;
+  /** Time after its submission for which a job stays readable. */
+  readonly retention: () => Milliseconds;
   /** Called if the store may still create the job, with this node as its owner. */
   readonly noteUncertain: (job: string) => void;
   /** Whether no build without trainer records may be running. @default none is */
@@ -77,12 +80,14 @@
   /** Whether this node is stopping: it accepts jobs only for other nodes to run. */
   private isReleasing = false;
   private readonly acceptance: JobAcceptance;
+  private readonly releases: ClaimReleases;
   private readonly creations: TrainerCreations;
   /** Pending submissions by job id, so that a repeated submission shares the outcome. */
   private readonly pending = new Map<string, PendingSubmission>();
 
   constructor(private readonly options: JobSubmissionsOptions) {
-    this.acceptance = new JobAcceptance(options);
+    this.releases = new ClaimReleases(options);
+    this.acceptance = new JobAcceptance({ ...options, releases: this.releases });
     this.creations = new TrainerCreations(options.clock);
   }
 
@@ -91,6 +96,15 @@
     return this.pending.has(job);
   }
 
+  /** The store is certain not to have a job, nor to create it late. */
+  noteAbsent(job: string): void {
+    if (!this.pending.has(job)) this.releases.noteAbsent(job);
+  }
+
+  tick(now: Milliseconds): void {
+    this.releases.tick(now);
+  }
+
   /** Stores jobs only for other nodes to run from now on. */
   stopRunningJobs(): void {
     this.isReleasing = true;
@@ -128,13 +142,21 @@
     for (let isRetry = false; ; isRetry = true) {
       const owner = this.isReleasing ? null : this.options.self;
       const submitted = { spec, owner, isFromOutside };
+      // The items may have started in an earlier attempt, which must not be reported as not run.
+      const earlier = { mayBeStored: false, mayHaveRun: isRetry };
       const acceptance = await this.acceptance.prepare(submitted, isStillNeeded);
-      if ('answer' in acceptance) return acceptance.answer;
+      if ('answer' in acceptance) {
+        if (acceptance.answer === undefined) this.releases.forget(spec.id);
+        else this.releases.release(spec.id, earlier);
+        return acceptance.answer;
+      }
       const outcome = await this.create(submitted, acceptance, isStillNeeded);
       if (outcome === undefined) return undefined;
-      // The items may have started in an earlier attempt, which must not be reported as not run.
       if (outcome !== 'retry') return isRetry ? MAY_BE_ACCEPTED_ELSEWHERE : outcome;
-      if (!isStillNeeded()) return MAY_BE_ACCEPTED_ELSEWHERE;
+      if (!isStillNeeded()) {
+        this.releases.release(spec.id, { mayBeStored: acceptance.mayBeStored, mayHaveRun: true });
+        return MAY_BE_ACCEPTED_ELSEWHERE;
+      }
     }
   }
 
@@ -163,6 +185,7 @@
     const mayStart = owner !== null && (mayJournal || journals === undefined);
     const early = mayStart ? await this.startEarly(spec, creation, cachedWork, journal) : undefined;
     if (early !== undefined && journal !== undefined && (await job.acceptByJournal(journal))) {
+      this.releases.forget(spec.id);
       this.noteJournaled(early, journal, right?.record.term ?? 0);
       void creation.then((change) => this.settleJournaled(early, job, journal, change));
       return undefined;
@@ -171,6 +194,7 @@
     this.noteSubmitted(spec, change, clock.now() - startedAt);
     const isStored = change.kind === 'changed' || change.kind === 'superseded';
     if (isStored) void job.releaseEntry(journal);
+    if (isStored) this.releases.forget(spec.id);
     if (change.kind === 'unavailable' && change.mayBeDone) this.options.noteUncertain(spec.id);
     if (change.kind !== 'changed') early?.abandon();
     else if (owner !== null && (await hasLostClaim(journal))) {
@@ -182,8 +206,24 @@
     const existing = change.kind === 'superseded' ? change.current : undefined;
     if (existing !== undefined) return tenantConflict(spec, existing.head.tenant);
     if (change.kind !== 'unavailable') return undefined;
+    return this.reject(spec.id, change.mayBeDone, early !== undefined, acceptance);
+  }
+
+  /** Releases the claim of a job that was not accepted, and returns the answer to its caller. */
+  private reject(
+    job: string,
+    mayBeDone: boolean,
+    hasStarted: boolean,
+    { mayBeStored, mayHaveRun, mayJournal }: Acceptance,
+  ): Failure {
+    const doubts = {
+      mayBeStored: mayBeStored || mayBeDone,
+      mayHaveRun: mayHaveRun || hasStarted,
+    };
+    if (mayJournal && mayBeDone) this.releases.releaseOnceAbsent(job, doubts);
+    else this.releases.release(job, doubts);
     // A job whose items have started must not be reported as not run.
-    if (change.mayBeDone || acceptance.mayBeStored || early !== undefined) {
+    if (doubts.mayBeStored || doubts.mayHaveRun) {
       return failure('outcome_unknown', 'the job may have been stored');
     }
     return failure('ledger_unavailable', 'the store takes no jobs now', {
--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -150,10 +150,10 @@
   private async isAbandoned(
     job: string,
     found: VersionedHead,
-    { writer }: JournalHolder,
+    { writer, release }: JournalHolder,
   ): Promise<boolean> {
     const { self, clock, isWriterLive = () => true } = this.options;
-    if (writer !== writerOf(self) && isWriterLive(writer)) {
+    if (release === undefined && writer !== writerOf(self) && isWriterLive(writer)) {
       const { owner } = found.head;
       if (owner !== null && writer === writerOf(owner)) return false;
       if (!(await this.isCurrent(job, found))) return false;
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -73,11 +73,11 @@
     }
   }
 
-  /** Whether no node runs the job: its writer has terminated, or is this node and gave it up. */
-  private isAbandoned({ job, writer }: JournalHolder): boolean {
+  /** Whether no node runs the job: its writer has terminated, or gave it up. */
+  private isAbandoned({ job, writer, release }: JournalHolder): boolean {
     const { journals, owned, isWriterLive, isPending } = this.options;
     if (owned.get(job) !== undefined || isPending(job)) return false;
-    return writer === journals.writer || !isWriterLive(writer);
+    return release !== undefined || writer === journals.writer || !isWriterLive(writer);
   }
 
   private async recover(holder: JournalHolder): Promise<void> {
--- a/src/jobs/new-job-claim.ts
+++ b/src/jobs/new-job-claim.ts
@@ -1,62 +1,112 @@
 /** Claims the journal of a new job, so that no other node of the zone accepts it as well. */
 import type { JobJournal } from '../journal/job-journal.js';
+import { type ClaimRelease, isReleaseOf, type JournalHolder } from '../journal/journal-entries.js';
+import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
+import { anyOf, type ClaimReleases, UNTOUCHED } from './claim-releases.js';
 import type { TrainerRecord } from './trainer-record.js';
 
-/** A journal that only this node may write to. */
-export interface ClaimedJob {
+/** A journal that only this node may write to, and what became of the job before. */
+export interface ClaimedJob extends ClaimRelease {
+  readonly kind: 'claimed';
   readonly journal: JobJournal;
-  /** Whether an earlier claimant under the same right may have stored the job in the shared store. */
-  readonly mayBeStored: boolean;
 }
 
 /**
  * `held-elsewhere`: another node of the zone may accept the job; `unanswered`: no replica with its
  * original disk answered, so another node may have accepted it.
  */
-export type NewJobClaim = ClaimedJob | 'held-elsewhere' | 'unanswered';
+export type NewJobClaim = ClaimedJob | { readonly kind: 'held-elsewhere' | 'unanswered' };
 
-/**
- * Claims a job at the replicas of its trainer. The term of the zone's right replaces claims under
- * earlier ones, whose holders can no longer accept the job. A claim without entries whose writer has
- * terminated is taken over, because that writer has not accepted the job by the journal; a live
- * writer may still do so.
- */
-export async function claimNewJob(
-  journals: ZoneJournals,
-  job: string,
-  { replicas, term }: TrainerRecord,
-  isWriterLive: (writer: string) => boolean,
-): Promise<NewJobClaim> {
-  const journal = journals.openNew(job, replicas, term);
-  const claim = await journal?.claim();
-  if (journal === undefined || claim === undefined) return 'unanswered';
-  // Entries found here were left by earlier attempts, none of which has accepted the job.
-  if (claim.kind === 'claimed') return { journal, mayBeStored: false };
-  if (claim.kind !== 'held-elsewhere') return 'unanswered';
-  const { holder } = claim;
-  const isOwn = holder.writer === journals.writer;
-  if (!isOwn && isWriterLive(holder.writer)) return 'held-elsewhere';
-  if ((await journals.entryStatus(job, replicas)) !== 'not-held') return 'held-elsewhere';
-  const nextJournal = journals.open(job, replicas, isOwn ? holder.term : holder.term + 1);
-  const secondClaim = await nextJournal.claim();
-  const isFree = secondClaim.kind === 'claimed' && secondClaim.entries.length === 0;
-  return isFree ? { journal: nextJournal, mayBeStored: true } : 'held-elsewhere';
+export interface NewJobClaimsOptions {
+  readonly journals: ZoneJournals;
+  readonly releases: ClaimReleases;
+  /** Whether the node incarnation that claimed a job is live. */
+  readonly isWriterLive: (writer: string) => boolean;
 }
 
-/**
- * Claims a job at all replicas of the zone, since builds without trainer records choose the replicas
- * of a job by its id; returns whether none of them has claimed it.
- */
-export async function claimBesideOlderBuilds(
-  journals: ZoneJournals,
-  job: string,
-  { term }: TrainerRecord,
-): Promise<boolean> {
-  const replicas = journals.replicasInOwnZone();
-  if (replicas.length === 0) return true;
-  const claim = await journals.open(job, replicas, term).claim();
-  return claim.kind === 'claimed' && claim.entries.length === 0;
+const UNCERTAIN: ClaimRelease = { mayBeStored: true, mayHaveRun: true };
+
+/** Claims new jobs of trainers for this node. */
+export class NewJobClaims {
+  constructor(private readonly options: NewJobClaimsOptions) {}
+
+  /**
+   * Claims a job at the replicas of its trainer. The term of the zone's right replaces claims under
+   * earlier ones, whose holders can no longer accept the job. A claim without entries whose writer
+   * has terminated or released it is taken over, because that writer has not accepted the job by
+   * the journal; a live writer may still do so.
+   */
+  claim(job: string, { replicas, term }: TrainerRecord, minTerm = term): Promise<NewJobClaim> {
+    const { journals, isWriterLive } = this.options;
+    return this.claimFree(job, replicas, Math.max(term, minTerm), ({ writer, release }) => {
+      return release !== undefined || writer === journals.writer || !isWriterLive(writer);
+    });
+  }
+
+  /**
+   * Claims a job at all replicas of the zone, since builds without trainer records choose the
+   * replicas of a job by its id; returns the term, or `undefined` if one of them was claimed before.
+   */
+  async claimBesideOlderBuilds(job: string, { term }: TrainerRecord): Promise<number | undefined> {
+    const replicas = this.options.journals.replicasInOwnZone();
+    if (replicas.length === 0) return term;
+    const isReleased = ({ release }: JournalHolder): boolean => release !== undefined;
+    const claim = await this.claimFree(job, replicas, term, isReleased);
+    return claim.kind === 'claimed' ? claim.journal.term : undefined;
+  }
+
+  /** Claims a job under a term, or above a claim without entries that `isAbandoned`. */
+  private async claimFree(
+    job: string,
+    replicas: readonly ReplicaLocation[],
+    term: number,
+    isAbandoned: (holder: JournalHolder) => boolean,
+  ): Promise<NewJobClaim> {
+    const { journals, releases } = this.options;
+    const released = releases.releasedClaim(job);
+    const journal = journals.open(job, replicas, term);
+    releases.track(journal);
+    const claim = await journal.claim();
+    const isFirst = released === undefined || released.nextTerm <= term;
+    // Entries found here were left by earlier attempts, none of which has accepted the job.
+    if (claim.kind === 'claimed' && isFirst) return { kind: 'claimed', journal, ...UNTOUCHED };
+    if (claim.kind !== 'claimed' && claim.kind !== 'held-elsewhere') return { kind: 'unanswered' };
+    const holders = claim.kind === 'claimed' ? [] : withoutReleased(claim.holders);
+    const isLatest = ({ term: heldTerm }: JournalHolder): boolean => heldTerm === holders[0]?.term;
+    if (!holders.filter(isLatest).every(isAbandoned)) return { kind: 'held-elsewhere' };
+    const isOwn = holders.every((other) =>
+      isReleaseOf(other, { ...other, writer: journals.writer }),
+    );
+    // Entries of this node alone were left by earlier attempts, as above.
+    if (!isOwn && (await journals.entryStatus(job, replicas)) !== 'not-held') {
+      return { kind: 'held-elsewhere' };
+    }
+    const nextTerm = Math.max(released?.nextTerm ?? term, this.termAbove(holders) ?? term);
+    const nextJournal = journals.open(job, replicas, nextTerm);
+    releases.track(nextJournal);
+    const nextClaim = await nextJournal.claim();
+    const isFree = nextClaim.kind === 'claimed' && (isOwn || nextClaim.entries.length === 0);
+    if (!isFree) return { kind: 'held-elsewhere' };
+    const { silent, unwritable } = journal.claimTally;
+    // A replica without an answer may have another claim, which this one replaces unseen.
+    const unseen = silent + unwritable > 0 ? [UNCERTAIN] : [];
+    const earlier = holders.map(({ release = UNCERTAIN }) => release);
+    const own = released === undefined ? [] : [released];
+    const doubts = [...earlier, ...unseen, ...own];
+    return { kind: 'claimed', journal: nextJournal, ...anyOf(doubts) };
+  }
+
+  /** The lowest term under which this node can replace all holders. */
+  private termAbove([holder]: readonly JournalHolder[]): number | undefined {
+    if (holder === undefined) return undefined;
+    return holder.writer === this.options.journals.writer ? holder.term : holder.term + 1;
+  }
+}
+
+/** Holders without those whose release another replica has. */
+function withoutReleased(holders: readonly JournalHolder[]): JournalHolder[] {
+  return holders.filter((holder) => !holders.some((other) => isReleaseOf(other, holder)));
 }
 
 /** Whether another node has claimed the job since; false without a journal. */
--- a/src/jobs/uncertain-ownership.ts
+++ b/src/jobs/uncertain-ownership.ts
@@ -13,10 +13,18 @@
   readonly self: JobOwner;
   /** Whether this node runs the job, or decides about it now. */
   readonly isHandled: (job: string) => boolean;
+  /** Called once the store is certain not to have a job, nor to create it late. */
+  readonly noteAbsent: (job: string) => void;
   /** Takes over a job that this node owns without running it. */
   readonly takeOver: (job: string, found: VersionedHead) => Promise<boolean>;
 }
 
+/**
+ * What is known of a job's owner. `handled`: this node runs the job or decides about it; `not-taken`:
+ * this node is the owner and could not take it over; `unavailable`: the store does not answer.
+ */
+type Ownership = 'settled' | 'handled' | 'not-taken' | 'absent' | 'unavailable';
+
 const CHECK_INTERVAL: Milliseconds = 2_000;
 
 /** Time after which a commit without an answer is no longer carried out. */
@@ -46,22 +54,26 @@
 
   private async check(now: Milliseconds): Promise<void> {
     for (const [job, until] of this.jobs) {
-      const isSettled = await this.isSettled(job);
+      const ownership = await this.ownershipOf(job);
       // An outage may outlast the time, so a job is read at least once after it.
-      if (isSettled === true || (isSettled === false && now >= until)) this.jobs.delete(job);
+      const isOver = (ownership === 'absent' || ownership === 'not-taken') && now >= until;
+      const isNotedAgain = this.jobs.get(job) !== until;
+      if (isNotedAgain || (ownership !== 'settled' && !isOver)) continue;
+      this.jobs.delete(job);
+      if (ownership === 'absent') this.options.noteAbsent(job);
     }
   }
 
-  /** Whether the owner of a job is certain; `undefined` if the store does not answer. */
-  private async isSettled(job: string): Promise<boolean | undefined> {
+  private async ownershipOf(job: string): Promise<Ownership> {
     const { store, self, isHandled, takeOver } = this.options;
-    if (isHandled(job)) return false;
+    if (isHandled(job)) return 'handled';
     const read = await store.head(job);
-    if (read.kind === 'unavailable') return undefined;
-    if (read.kind === 'absent') return false;
+    if (read.kind === 'unavailable') return 'unavailable';
+    if (isHandled(job)) return 'handled';
+    if (read.kind === 'absent') return 'absent';
     const { owner } = read.value.head;
     const isOwn = owner?.node === self.node && owner.incarnation === self.incarnation;
-    if (!isOwn || isFinished(read.value.head)) return !isHandled(job);
-    return isHandled(job) || takeOver(job, read.value);
+    if (!isOwn || isFinished(read.value.head)) return 'settled';
+    return (await takeOver(job, read.value)) ? 'settled' : 'not-taken';
   }
 }
--- a/src/journal/job-journal.ts
+++ b/src/journal/job-journal.ts
@@ -7,6 +7,7 @@
 import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import {
+  type ClaimRelease,
   isKnownEntry,
   type JournalEntry,
   type JournalHolder,
@@ -40,8 +41,14 @@
 export type ClaimOutcome =
   /** Earlier owners can no longer write; carries the entries that the replicas hold. */
   | { readonly kind: 'claimed'; readonly entries: readonly JournalEntry[] }
-  /** Another owner, of the same or a later term, writes the job; the latest that refused. */
-  | { readonly kind: 'held-elsewhere'; readonly holder: JournalHolder }
+  /** Another owner, of the same or a later term, writes the job. */
+  | {
+      readonly kind: 'held-elsewhere';
+      /** The latest holder that a replica named. */
+      readonly holder: JournalHolder;
+      /** All holders that replicas named, the latest first. */
+      readonly holders: readonly JournalHolder[];
+    }
   /** No replica that still has its disk answered. */
   | { readonly kind: 'silent' }
   /** All replicas answered, and each of them has a new, empty disk. */
@@ -92,10 +99,11 @@
     const { holder } = this.options;
     const answers = await this.requestFromAll((disk) => ({ kind: 'journal-claim', disk, holder }));
     this.tally = tallyOf(answers);
-    const rival = latestHolder(answers);
+    const holders = refusingHolders(answers);
+    const [rival] = holders;
     if (rival !== undefined) {
       this.isSuperseded = true;
-      return { kind: 'held-elsewhere', holder: rival };
+      return { kind: 'held-elsewhere', holder: rival, holders };
     }
     // Entries of newer builds are ignored and stay on the replicas.
     const entries = answers
@@ -136,6 +144,20 @@
     await this.requestFromAll((disk) => ({ kind: 'journal-release', disk, holder, keys }));
   }
 
+  /**
+   * Releases the claim wherever this owner still holds it; it writes nothing from now on. Returns
+   * whether all replicas have answered.
+   */
+  async releaseClaim(release: ClaimRelease): Promise<boolean> {
+    const { holder } = this.options;
+    this.isSuperseded = true;
+    const answers = await this.requestFromAll((disk) => ({
+      ...{ kind: 'journal-release', disk, holder },
+      ...{ keys: [], release },
+    }));
+    return answers.every((answer) => answer !== undefined && answer.kind !== 'unwritable');
+  }
+
   /** Without one replica no entry becomes durable, so none is written to the others either. */
   private get acceptsEntries(): boolean {
     const { replicas, isDraining = () => false } = this.options;
@@ -172,8 +194,12 @@
   };
 }
 
-/** The holder of the highest term that a replica named as it refused a request. */
-function latestHolder(answers: readonly (ReplicaAnswer | undefined)[]): JournalHolder | undefined {
+/**
+ * The holders that replicas named as they refused a request, the one of the highest term first, and
+ * released ones before others.
+ */
+function refusingHolders(answers: readonly (ReplicaAnswer | undefined)[]): JournalHolder[] {
   const holders = answers.flatMap((answer) => (answer?.kind === 'refused' ? [answer.holder] : []));
-  return holders.sort((a, b) => b.term - a.term)[0];
+  const isOpen = ({ release }: JournalHolder): number => (release === undefined ? 1 : 0);
+  return holders.sort((a, b) => b.term - a.term || isOpen(a) - isOpen(b));
 }
--- a/src/journal/journal-entries.ts
+++ b/src/journal/journal-entries.ts
@@ -53,14 +53,30 @@
 /** An entry as replicas store it; the static type covers only the kinds that this build knows. */
 export const JOURNAL_ENTRY = z.union([KNOWN_ENTRY, UNKNOWN_ENTRY]) as unknown as typeof KNOWN_ENTRY;
 
+/** What became of a job before its claim was released. */
+const CLAIM_RELEASE = looseRecord({
+  /** Whether the shared store may still create the job for an earlier claimant. */
+  mayBeStored: z.boolean(),
+  /** Whether items of the job may have run, so that it must not be reported as not run. */
+  mayHaveRun: z.boolean(),
+});
+
+/** A claim that its node gave up without accepting the job. */
+export type ClaimRelease = z.infer<typeof CLAIM_RELEASE>;
+
 /** The owner that writes a job's entries. Each term has one owner, and terms only rise. */
 export const JOURNAL_HOLDER = looseRecord({
   job: z.string(),
   term: z.number(),
   /** Incarnation of the node that writes. */
   writer: z.string(),
+  /** Set if the writer has released its claim; nobody writes under the term then. */
+  release: CLAIM_RELEASE.optional(),
 });
 
+/** Prefix of the writer of a released claim, so that older builds take the writer for terminated. */
+const RELEASED_WRITER_PREFIX = 'released/';
+
 /**
  * Prefix of the holders' keys that stand for the rights of zones to accept the jobs of a trainer, in
  * place of a job.
@@ -75,6 +91,18 @@
 
 export type JournalHolder = z.infer<typeof JOURNAL_HOLDER>;
 
+/** The holder that replaces one whose claim is released. */
+export function releasedHolder(holder: JournalHolder, release: ClaimRelease): JournalHolder {
+  const { job, term, writer } = holder;
+  return { job, term, writer: `${RELEASED_WRITER_PREFIX}${writer}`, release };
+}
+
+/** Whether a holder stands for the release of another one's claim. */
+export function isReleaseOf(holder: JournalHolder, { term, writer }: JournalHolder): boolean {
+  const isReleased = holder.release !== undefined && holder.term === term;
+  return isReleased && holder.writer === `${RELEASED_WRITER_PREFIX}${writer}`;
+}
+
 /** Key of an entry within its job; an entry replaces the one stored under the same key. */
 export function keyOfEntry(entry: JournalEntry): string {
   const { kind, key }: { readonly kind: string; readonly key?: string } = entry;
@@ -141,12 +169,16 @@
       readonly holder: JournalHolder;
       readonly entries: readonly JournalEntry[];
     }
-  /** Removes the entries under these keys, which are now in the shared store. */
+  /**
+   * Removes the entries under these keys, which are now in the shared store. With `release`, also
+   * releases the claim if the sender holds it; older builds ignore that field.
+   */
   | {
       readonly kind: 'journal-release';
       readonly disk: DiskId;
       readonly holder: JournalHolder;
       readonly keys: readonly string[];
+      readonly release?: ClaimRelease;
     }
   /** Whether the replica holds entries of a job. */
   | { readonly kind: 'journal-look'; readonly job: string }
--- a/src/journal/journal-replica.ts
+++ b/src/journal/journal-replica.ts
@@ -14,6 +14,7 @@
   type JournalRequest,
   type ReplicaAnswer,
   RIGHT_RETENTION,
+  releasedHolder,
 } from './journal-entries.js';
 import { type JournalContent, JournalFile } from './journal-file.js';
 import { type JournalChange, JournalState } from './journal-state.js';
@@ -135,7 +136,10 @@
     const { holder } = request;
     const at = this.options.clock.wallTime();
     if (request.kind === 'journal-release') {
-      return { kind: 'released', holder, keys: request.keys, at };
+      const { keys, release } = request;
+      if (release === undefined) return { kind: 'released', holder, keys, at };
+      if (!this.state.isCurrentHolder(holder)) return undefined;
+      return { kind: 'held', holder: releasedHolder(holder, release), entries: [], at };
     }
     const entries = request.kind === 'journal-append' ? request.entries : [];
     // A claim is written again, so that the holder is retained from the last one.
--- a/src/journal/journal-state.ts
+++ b/src/journal/journal-state.ts
@@ -5,6 +5,7 @@
  */
 import type { Milliseconds } from '../core/units.js';
 import {
+  isReleaseOf,
   type JournalEntry,
   type JournalHolder,
   keyOfEntry,
@@ -41,6 +42,7 @@
   conflictingHolder(holder: JournalHolder): JournalHolder | undefined {
     const currentHolder = this.jobs.get(holder.job)?.holder;
     if (currentHolder === undefined || holder.term > currentHolder.term) return undefined;
+    if (isReleaseOf(holder, currentHolder)) return undefined;
     return holder.term === currentHolder.term && holder.writer === currentHolder.writer
       ? undefined
       : currentHolder;
--- a/test/jobs/one-listing-per-job.test.ts
+++ b/test/jobs/one-listing-per-job.test.ts
@@ -22,13 +22,21 @@
   'silent',
   'late-and-unanswered',
 );
+/** Times for which callers wait; after a short one, a node rejects what it has only claimed. */
+const patience = fc.constantFrom(undefined, undefined, undefined, 0, 60, 400, 1_200);
 const ACTION: fc.Arbitrary<Action> = fc.oneof(
-  { weight: 6, arbitrary: fc.record({ kind: fc.constant('submit' as const), node, back }) },
+  {
+    weight: 6,
+    arbitrary: fc.record({ kind: fc.constant('submit' as const), node, back, patience }),
+  },
   {
     weight: 5,
     arbitrary: fc.record({
       kind: fc.constant('next-step' as const),
-      submissions: fc.array(fc.record({ node, mode: MODE }), { minLength: 1, maxLength: 3 }),
+      submissions: fc.array(fc.record({ node, mode: MODE, patience }), {
+        minLength: 1,
+        maxLength: 3,
+      }),
     }),
   },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('read-asked' as const), back }) },
--- a/test/jobs/trainer-world.ts
+++ b/test/jobs/trainer-world.ts
@@ -1,4 +1,5 @@
 /** A trainer, and the faults that happen while it hands in its steps at nodes of several zones. */
+import type { Milliseconds } from '../../src/core/units.js';
 import { AnswerRecord } from './answer-record.js';
 import { isEmpty, noteDraining } from './replica-drains.js';
 import { step } from './zone-trainer.js';
@@ -18,6 +19,8 @@
 export interface Submission {
   readonly node: number;
   readonly mode: Mode;
+  /** Time for which the caller waits. @default the usual one */
+  readonly patience?: Milliseconds | undefined;
 }
 
 /** What happens next. */
@@ -44,7 +47,12 @@
       readonly empty: readonly number[];
       readonly away: number | null;
     }
-  | { readonly kind: 'submit'; readonly node: number; readonly back: number }
+  | {
+      readonly kind: 'submit';
+      readonly node: number;
+      readonly back: number;
+      readonly patience?: Milliseconds | undefined;
+    }
   | { readonly kind: 'read'; readonly node: number; readonly back: number }
   | { readonly kind: 'store'; readonly node: number; readonly mode: Mode }
   | { readonly kind: 'store-of-all'; readonly mode: 'up' | 'silent' }
@@ -66,6 +74,8 @@
 /** A trainer whose current step is handed in at any nodes, while calls before are under way. */
 export class World {
   readonly accepted = new Set<string>();
+  /** Submissions of each job, and how many of them were rejected as not run. */
+  private readonly submissions = new Map<string, { total: number; notRun: number }>();
   private readonly nodes: ZoneNode[] = [];
   /** Nodes at which a step was submitted. */
   private readonly askedNodes = new Map<number, Set<ZoneNode>>();
@@ -84,8 +94,9 @@
 
   async perform(action: Action): Promise<void> {
     const { zones } = this;
-    if (action.kind === 'submit') this.submit(this.nodeAt(action.node), this.stepBefore(action));
-    else if (action.kind === 'next-step') this.submitNextStep(action.submissions);
+    if (action.kind === 'submit') {
+      this.submit(this.nodeAt(action.node), this.stepBefore(action), action.patience);
+    } else if (action.kind === 'next-step') this.submitNextStep(action.submissions);
     else if (action.kind === 'read-asked') await this.readAsked(this.stepBefore(action));
     else if (action.kind === 'loss-after-acceptance') {
       for (const part of partsOf(action)) await this.perform(part);
@@ -107,7 +118,8 @@
 
   /**
    * Ends all faults and has nodes that were not asked before read everything. Returns what differs
-   * from earlier answers, and the accepted jobs that are not found.
+   * from earlier answers, the accepted jobs that are not found, and the jobs that are found though
+   * each submission was rejected as not run.
    */
   async contradictions(): Promise<string[]> {
     const { zones, record } = this;
@@ -120,14 +132,19 @@
         if ('failure' in read) contradictions.push(`${job}: accepted, then ${read.failure}`);
       }
     }
+    for (const [job, { total, notRun }] of this.submissions) {
+      if (total > notRun) continue;
+      const read = await zones.read(readers[0] as ZoneNode, job);
+      if (!('failure' in read)) contradictions.push(`${job}: rejected as not run, then accepted`);
+    }
     return contradictions;
   }
 
   private submitNextStep(submissions: readonly Submission[]): void {
     this.currentStep += 1;
-    for (const { node: index, mode } of submissions) {
+    for (const { node: index, mode, patience } of submissions) {
       this.zones.setStore(mode, this.nodeAt(index));
-      this.submit(this.nodeAt(index), this.currentStep);
+      this.submit(this.nodeAt(index), this.currentStep, patience);
     }
   }
 
@@ -151,11 +168,15 @@
     }
   }
 
-  private submit(at: ZoneNode, number: number): void {
+  private submit(at: ZoneNode, number: number, patience?: Milliseconds): void {
+    const counts = this.submissions.get(jobOf(number)) ?? { total: 0, notRun: 0 };
+    this.submissions.set(jobOf(number), counts);
+    counts.total += 1;
     const asked = this.askedNodes.get(number) ?? new Set<ZoneNode>();
     this.askedNodes.set(number, asked.add(at));
-    void this.zones.submit(at, step(jobOf(number), number)).then((answer) => {
+    void this.zones.submit(at, step(jobOf(number), number), patience).then((answer) => {
       if (answer === 'accepted') this.accepted.add(jobOf(number));
+      if (answer === 'ledger_unavailable') counts.notRun += 1;
     });
   }
 
--- a/test/jobs/zones-with-store.ts
+++ b/test/jobs/zones-with-store.ts
@@ -194,8 +194,8 @@
   }
 
   /** Submits a job without waiting for time to pass; resolves with how it was answered. */
-  async submit(node: ZoneNode, spec: JobSpecification): Promise<string> {
-    const limit = this.clock.now() + PATIENCE;
+  async submit(node: ZoneNode, spec: JobSpecification, patience = PATIENCE): Promise<string> {
+    const limit = this.clock.now() + patience;
     const isStillNeeded = (): boolean => this.clock.now() < limit && !this.hasEnded(node);
     const failure = await node.service.submit(spec, isStillNeeded);
     return failure?.kind ?? 'accepted';
