A repeated submission is not answered as not run while the first may be stored

What callers saw: a gateway whose creation of a job had no answer said `outcome_unknown`; handed the same job again while the store rejected it, the same gateway said `ledger_unavailable`: 503, not run and never will. The store could still carry the first creation out, and the job ran.

Cause: the answer looked at the last attempt alone. Shown by the test, which failed before (the second answer was `ledger_unavailable`, and the job was there after the late commit).

Change: the node remembers, as long as replicas retain its claim, what its submissions of a job may have led to, and answers `outcome_unknown` until the store is certain not to have the job. Likewise if items of the job may have run in an earlier attempt.

--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -12,7 +12,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { TenantName } from '../tenants/tenant.js';
-import { ClaimReleases } from './claim-releases.js';
+import { anyOf, ClaimReleases } from './claim-releases.js';
 import type { DigestedWork } from './item-work-cache.js';
 import {
   type Acceptance,
@@ -220,10 +220,14 @@
       mayBeStored: mayBeStored || mayBeDone,
       mayHaveRun: mayHaveRun || hasStarted,
     };
+    const { mayBeStored: mayBeStoredLate, mayHaveRun: mayHaveRunBefore } = anyOf([
+      this.releases.doubtsOf(job),
+      doubts,
+    ]);
     if (mayJournal && mayBeDone) this.releases.releaseOnceAbsent(job, doubts);
     else this.releases.release(job, doubts);
     // A job whose items have started must not be reported as not run.
-    if (doubts.mayBeStored || doubts.mayHaveRun) {
+    if (mayBeStoredLate || mayHaveRunBefore) {
       return failure('outcome_unknown', 'the job may have been stored');
     }
     return failure('ledger_unavailable', 'the store takes no jobs now', {
--- a/test/jobs/released-claims.test.ts
+++ b/test/jobs/released-claims.test.ts
@@ -116,6 +116,16 @@
   await checkAfterHealing(t, zones, record, 0);
 });
 
+t.test('a job is not reported as not run while its first creation may be late', async (t) => {
+  const { zones, first, second } = await twoNodes(t);
+  zones.setStore('late-and-unanswered', second);
+  t.equal(await rejected(zones, second), 'outcome_unknown');
+  refuseCommits(zones, second, first);
+  t.equal(await rejected(zones, second), 'outcome_unknown', 'a repeated submission');
+  await second.port.applyLateCommits();
+  t.notSame(await zones.read(first, JOB), { failure: 'not_found' }, 'the first one was late');
+});
+
 t.test(
   'a next step whose replica was away is accepted by the journal once it is back',
   async (t) => {
