A rejected node requests nodes that answer before those that do not

What callers saw: a gateway that the store turns away, while the relay of its zone is gone, lost contact for up to 4.2 s again and again. From 4 s on a gateway may count itself as cut off, and rejects requests.

Cause: such a node requests one candidate of each zone in place of the relays. A relay that did not answer is excluded for 2 s, and then is its zone's first candidate again. Its silence takes up the 400 ms of a round, so no other node is requested in that round; then the store is tried for 900 ms and the pause is up to 1,000 ms, twice over: 0.9 + 1.0 + 0.4 + 0.9 + 1.0 s between two contacts.

Evidence: a trace of the requests of the fleet in `turned-away-relay.test.ts`.

Change: nodes that did not answer their last request come after all others, from which a contact costs no time.

--- a/src/fleet/relay-choice.ts
+++ b/src/fleet/relay-choice.ts
@@ -47,6 +47,8 @@
 
 export class RelayChoice {
   private readonly penalizedUntil = new Map<NodeId, Milliseconds>();
+  /** Nodes that did not answer the last request. */
+  private readonly unanswering = new Set<NodeId>();
 
   constructor(private readonly options: RelayChoiceOptions) {}
 
@@ -59,7 +61,8 @@
   /**
    * The relays to request in order, those of this zone first; `self` if this node is a relay. A
    * relay that the store rejects acts as a follower for the time being, and requests the next nodes
-   * in place of relays that did not answer, as its list of the fleet may be stale.
+   * in place of relays that did not answer, as its list of the fleet may be stale. It requests those
+   * again only after the others, because one that stays silent takes up the time of a round.
    */
   relaysInOrder(isRejectedByStore: boolean): 'self' | readonly NodeId[] {
     const { fleet, self, zone } = this.options;
@@ -67,15 +70,20 @@
     const ownZoneRelays = this.relaysOf(zone, zones);
     const isRelay = ownZoneRelays.includes(self) || ownZoneRelays.length === 0;
     if (isRelay && !isRejectedByStore) return 'self';
-    const rankedRelays = this.rankedRelays(isRejectedByStore ? this.usableOthers(zones) : zones);
+    const rankedRelays = isRejectedByStore ? this.rankedOthers(zones) : this.rankedRelays(zones);
     if (isRelay && rankedRelays.length === 0) return 'self';
     return rankedRelays.filter((node) => this.isUsable(node)).slice(0, MAX_RELAY_ATTEMPTS);
   }
 
-  private usableOthers(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): Map<ZoneName, NodeId[]> {
+  /** Nodes to request in place of relays; those that did not answer the last request come last. */
+  private rankedOthers(zones: ReadonlyMap<ZoneName, readonly NodeId[]>): NodeId[] {
     const { self } = this.options;
-    const isCandidate = (node: NodeId): boolean => node !== self && this.isUsable(node);
-    return new Map([...zones].map(([name, nodes]) => [name, nodes.filter(isCandidate)]));
+    const select = (isAnswering: boolean): Map<ZoneName, NodeId[]> => {
+      const isCandidate = (node: NodeId): boolean =>
+        node !== self && this.isUsable(node) && this.unanswering.has(node) !== isAnswering;
+      return new Map([...zones].map(([name, nodes]) => [name, nodes.filter(isCandidate)]));
+    };
+    return [...this.rankedRelays(select(true)), ...this.rankedRelays(select(false))];
   }
 
   /** All relays: those of this zone first, then those of this region, then the others. */
@@ -116,6 +124,20 @@
     return this.options.clock.now() >= (this.penalizedUntil.get(node) ?? 0);
   }
 
+  /** Records that a node answered a request, with or without current data. */
+  noteAnswer(node: NodeId): void {
+    this.unanswering.delete(node);
+  }
+
+  /** Records that a node did not answer a request, and excludes it like {@link penalize}. */
+  noteSilence(node: NodeId): void {
+    const live = new Set(this.options.fleet().liveNodes());
+    for (const earlier of this.unanswering)
+      if (!live.has(earlier)) this.unanswering.delete(earlier);
+    this.unanswering.add(node);
+    this.penalize(node);
+  }
+
   /** Excludes a relay for {@link RELAY_PENALTY}. */
   penalize(relay: NodeId): void {
     this.penalizedUntil.set(relay, this.options.clock.now() + RELAY_PENALTY);
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -249,6 +249,7 @@
       const isCurrent = outcome.kind === 'answered' && outcome.answer.isCurrent;
       const failure = outcome.kind === 'answered' ? 'not-current' : outcome.kind;
       metrics.count('relayed_watches', { outcome: isCurrent ? 'current' : failure });
+      if (outcome.kind === 'answered') this.choice.noteAnswer(relay);
       if (isCurrent) {
         for (const skippedRelay of notCurrent) this.choice.penalize(skippedRelay);
         this.noteReceived(prefix, relay);
@@ -258,7 +259,7 @@
       if (outcome.kind === 'answered') {
         this.sources.noteContact(prefix);
         notCurrent.push(relay);
-      } else this.choice.penalize(relay);
+      } else this.choice.noteSilence(relay);
     }
     this.sources.noteUnavailable(prefix, failures);
     if (notCurrent.length === 0) return { kind: 'no-relay' };
