Remove the records of trainers that ended

Each submission reads its own one, but each answer that a job does not exist reads all of them and asks each group that they name; a group that an ended trainer left behind and whose machines are gone makes that answer a 503.

Change: with the other expired records, each 10 minutes, the coordinator removes records unchanged for 7 days.

--- a/src/core/units.ts
+++ b/src/core/units.ts
@@ -21,3 +21,5 @@
 export const MINUTE: Milliseconds = 60 * SECOND;
 
 export const HOUR: Milliseconds = 60 * MINUTE;
+
+export const DAY: Milliseconds = 24 * HOUR;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -13,6 +13,7 @@
 import type { JobSpecification } from '../jobs/job-records.js';
 import { JobService } from '../jobs/job-service.js';
 import { JobStore } from '../jobs/job-store.js';
+import { TrainerRetention } from '../jobs/trainer-retention.js';
 import type { PeerHandler } from '../peers/peer-messages.js';
 import { itemDistanceCost } from '../placement/distance-costs.js';
 import { JobResidency } from '../placement/job-residency.js';
@@ -248,6 +249,7 @@
       isInSameRegion: (name) => topology.isInOwnRegion(fleet.zoneOf(name) ?? zone),
     });
     this.monitor.suspicions.subscribe((suspicion) => this.takeOverFrom(suspicion));
+    const trainers = journals && new TrainerRetention({ store, journals, clock, log });
     this.coordination = new Coordination({
       ...{ node: options, self, store, fleet, peers },
       registry: this.registry,
@@ -259,6 +261,7 @@
       removeExpired: () => {
         void service.removeExpired();
         void this.crashReports.removeExpired();
+        void trainers?.removeExpired();
       },
     });
   }
