--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,7 +1,7 @@
 /**
- * Builds the program of the platform's machines as one file: a process that loads one module in
- * place of some hundreds starts in half the processor time, which counts on machines with a third
- * of a core. Types are checked by the tests' build, not here.
+ * Builds the program of the platform's machines, and that of their operators, as one file each: a
+ * process that loads one module in place of some hundreds starts in half the processor time, which
+ * counts on machines with a third of a core. Types are checked by the tests' build, not here.
  */
 import { build } from 'esbuild';
 
@@ -10,8 +10,9 @@
   'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);';
 
 await build({
-  entryPoints: ['platform/main.ts'],
-  outfile: 'target/wardwing.mjs',
+  entryPoints: { wardwing: 'platform/main.ts', operator: 'platform/operator.ts' },
+  outdir: 'target',
+  outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
   target: 'node20',
