A node whose record was replaced stores it again

What callers would see: a gateway that no other node knows until it restarts: its jobs are taken over while it lives, and requests are not forwarded to it.

Cause: a node puts its record in the store without a condition. A commit of an earlier incarnation, or an earlier attempt of this one whose answer was lost, may be carried out late; it replaces the record, and the record ends with that commit's lease. The node renews its own lease, which is kept, and looks no further.

Change: a node that sees its record with another incarnation, or without one, at a later revision than its own last commit stores it again under its lease.

--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -5,12 +5,13 @@
 import { firstValueFrom, Subject } from 'rxjs';
 import { CURRENT_FORMAT_VERSION, type FormatVersion } from '../core/format-version.js';
 import type { NodeId, ZoneName } from '../core/identity.js';
-import type { Milliseconds } from '../core/units.js';
+import type { Milliseconds, Revision } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
 import { REPLICA_PREFIX, replicaFormatOf } from '../journal/replica-record.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { PrefixWatcher } from '../shared-store/prefix-watcher.js';
 import {
+  ABSENT,
   type LeaseId,
   NO_LEASE,
   type SharedStore,
@@ -90,6 +91,10 @@
   private readonly formats = new FormatVersions();
   private readonly watcher: PrefixWatcher;
   private lease: LeaseId = NO_LEASE;
+  /** Revision at which this incarnation last stored its record. */
+  private registeredAt: Revision = ABSENT;
+  /** Whether the store has no record of this incarnation, though its lease may be valid. */
+  private isRecordMissing = false;
   /** Time to live of the current lease. */
   private ttl: Milliseconds = 0;
   private isShortLeaseRequired = false;
@@ -258,6 +263,7 @@
       this.live.set(node, record);
       this.formats.note(node, record.format);
     }
+    if (node === this.options.self.node) this.checkOwnRecord(change, record);
     if (previous?.incarnation === record?.incarnation) return;
     const state = record === undefined ? 'gone' : 'live';
     const formatField = record === undefined ? {} : { format: record.format };
@@ -272,6 +278,20 @@
     if (record !== undefined) this.arrivals.next(node);
   }
 
+  /**
+   * Stores the record of this incarnation again if it was replaced or removed. A commit of an
+   * earlier incarnation, or of an earlier attempt, may be carried out late, and its record ends with
+   * the earlier lease.
+   */
+  private checkOwnRecord({ revision }: StoreChange, record: NodeRecord | undefined): void {
+    const { self, log } = this.options;
+    if (this.lease === NO_LEASE || revision <= this.registeredAt) return;
+    if (record?.incarnation === self.incarnation) return;
+    log.state('record-replaced', { by: record?.incarnation ?? 'none', lease: this.lease });
+    this.isRecordMissing = true;
+    this.renewLeaseSoon();
+  }
+
   /** A journal replica reads the records that gateways write, so its format counts as well. */
   private noteReplica({ key, value }: StoreChange): void {
     const format = value === undefined ? undefined : replicaFormatOf(value);
@@ -323,10 +343,19 @@
   }
 
   private async register(): Promise<boolean> {
-    const { store, self, zone, log, capacity = 1 } = this.options;
+    const { store, log } = this.options;
     const { ttl } = this.leaseTiming;
     const grant = await store.grantLease(ttl);
     if (grant.kind !== 'granted' || this.isStopped) return false;
+    if (!(await this.storeRecord(grant.lease))) return false;
+    this.lease = grant.lease;
+    this.ttl = grant.ttl;
+    log.state('lease-granted', { lease: grant.lease, ttlMs: grant.ttl });
+    return true;
+  }
+
+  private async storeRecord(lease: LeaseId): Promise<boolean> {
+    const { store, self, zone, capacity = 1 } = this.options;
     const { incarnation, address } = self;
     const record: NodeRecord = {
       incarnation,
@@ -336,18 +365,17 @@
       format: CURRENT_FORMAT_VERSION,
     };
     const value = JSON.stringify(record);
-    const put = [{ key: `${NODE_PREFIX}${self.node}`, value, lease: grant.lease }];
+    const put = [{ key: `${NODE_PREFIX}${self.node}`, value, lease }];
     const outcome = await store.commit({ expected: [], put });
     if (outcome.kind !== 'committed') return false;
-    this.lease = grant.lease;
-    this.ttl = grant.ttl;
-    log.state('lease-granted', { lease: grant.lease, ttlMs: grant.ttl });
+    this.registeredAt = outcome.revision;
+    this.isRecordMissing = false;
     return true;
   }
 
   private async renewCurrentLease(): Promise<boolean> {
     const outcome = await this.options.store.renewLease(this.lease);
-    if (outcome.kind === 'kept') return true;
+    if (outcome.kind === 'kept') return !this.isRecordMissing || this.storeRecord(this.lease);
     if (outcome.kind === 'gone') {
       this.options.log.state('lease-lost', { lease: this.lease });
       this.lease = NO_LEASE;
--- a/test/fleet/fleet-registry.test.ts
+++ b/test/fleet/fleet-registry.test.ts
@@ -53,6 +53,23 @@
   await fleet.stop();
 });
 
+/** Guards against a node that no other node sees until it restarts. */
+t.test('a node whose record an earlier incarnation replaced registers again', async (t) => {
+  const store = new SharedStoreEmulator();
+  const fleet = registry(store);
+  void fleet.start();
+  await eventually(() => fleet.isLive(OWNER));
+  // A commit of the earlier incarnation that the store carries out late.
+  store.write('fleet/node/node-1', record('life-0'));
+  await eventually(() => !fleet.isLive(OWNER));
+  await eventually(() => fleet.isLive(OWNER));
+  store.erase('fleet/node/node-1');
+  await eventually(() => !fleet.isLive(OWNER));
+  await eventually(() => fleet.isLive(OWNER));
+  t.same(store.keys('fleet/node/'), ['fleet/node/node-1']);
+  await fleet.stop();
+});
+
 t.test('a record that cannot be parsed is ignored', async (t) => {
   const store = new SharedStoreEmulator();
   const fleet = registry(store);
