A recovered job whose creation had no answer is run by its owner

What callers saw: a job with a 202 is never listed further, and each reader gets a 503, until the gateway that recovered it ends.

Cause: the head then names that gateway, which is live, as the owner; nothing there runs the job, and the scan leaves open jobs to takeovers through their heads, which pass over live owners. The submission and the takeover note such a job until its owner is certain; the recovery did not.

Change: the recovery notes the job too, also where it lost the job before its entries were durable.

--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -42,6 +42,8 @@
   readonly homes: TrainerHomes;
   /** Whether this node is processing a submission of the job. */
   readonly isPending: (job: string) => boolean;
+  /** Called if the store may still create the job, with this node as its owner. */
+  readonly noteUncertain: (job: string) => void;
 }
 
 /** Scans the zone's journals for jobs without a live owner. */
@@ -145,7 +147,7 @@
 
   /** Creates a job that only the journal has, and runs it. */
   private async recoverJob({ journal: zoneJournal, entries }: ClaimedJournal): Promise<void> {
-    const { owned, peers, log, metrics } = this.options;
+    const { owned, peers, log, metrics, noteUncertain } = this.options;
     const { job } = zoneJournal;
     const named = entries.find((entry) => entry.kind === 'created');
     if (named === undefined) return;
@@ -163,11 +165,16 @@
       return;
     }
     const change = await this.createInStore(spec, replicas, journal.term, trainer);
+    // The head may name this node as the owner, which does not run the job yet.
+    if (change.kind === 'unavailable' && change.mayBeDone) noteUncertain(job);
     if (change.kind !== 'changed') return;
     const unstored = listableChanges(log, job, claimed.entries, 0);
     const durable = await this.writeBack.makeDurable(journal, change.current, unstored);
     await journal.release([created]);
-    if (durable === undefined) return;
+    if (durable === undefined) {
+      noteUncertain(job);
+      return;
+    }
     const { head, stored, journaled } = durable;
     // The store has all results of a finished job, so it is not run.
     if (!isFinished(head.head)) {
