Release the claims of a recovery that failed

Cause: as for rejected submissions. Shown by the test, which failed before: 14 s after another gateway with a store joined, the job was not recovered.

Change: a recovery that does not end with the job in the store releases its claims, as a rejected submission does, and says that the store may still create the job. Takeovers leave claims too, but pass over those of live nodes once the head has stayed the same (test `abandoned-claims`), so they need no release.

--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -4,7 +4,7 @@
  * in the store are taken over through their heads instead.
  */
 import type { Milliseconds } from '../core/units.js';
-import type { JournalHolder } from '../journal/journal-entries.js';
+import type { ClaimRelease, JournalHolder } from '../journal/journal-entries.js';
 import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
@@ -46,6 +46,8 @@
   readonly noteUncertain: (job: string) => void;
 }
 
+const MAY_BE_STORED: ClaimRelease = { mayBeStored: true, mayHaveRun: true };
+
 /** Scans the zone's journals for jobs without a live owner. */
 export class JournalRecovery {
   private isScanning = false;
@@ -89,7 +91,7 @@
     if (read.kind === 'absent') {
       // Only the entries in the zone name the replicas of the job.
       const claimed = await this.claim(holder.job, journals.replicasInOwnZone(), holder.term + 1);
-      if (claimed !== undefined) await this.recoverJob(claimed);
+      if (claimed !== undefined) await this.recoverOrRelease(claimed);
     } else if (isFinished(read.value.head)) await this.completeListing(holder, read.value);
     // An open job is taken over through its head, together with its journal.
   }
@@ -103,7 +105,10 @@
     const isAbandoned = async (holder: JournalHolder): Promise<boolean> => this.isAbandoned(holder);
     const { journal, claim } = await this.claims.claim(job, replicas, term, isAbandoned);
     if (claim.kind === 'disks-gone') return { journal, entries: [] };
-    return claim.kind === 'claimed' ? { journal, entries: claim.entries } : undefined;
+    if (claim.kind === 'claimed') return { journal, entries: claim.entries };
+    // Some replicas may have granted the claim.
+    void journal.releaseClaim(MAY_BE_STORED);
+    return undefined;
   }
 
   /** Lists journaled results of a job that was cancelled in the store before it had them. */
@@ -145,35 +150,47 @@
     this.options.log.state('journal-entries-discarded', { job, entries });
   }
 
-  /** Creates a job that only the journal has, and runs it. */
-  private async recoverJob({ journal: zoneJournal, entries }: ClaimedJournal): Promise<void> {
-    const { owned, peers, log, metrics, noteUncertain } = this.options;
-    const { job } = zoneJournal;
-    const named = entries.find((entry) => entry.kind === 'created');
+  /** Recovers a job, or releases its claims so that another node of the zone may recover it. */
+  private async recoverOrRelease(zoneClaim: ClaimedJournal): Promise<void> {
+    const named = zoneClaim.entries.find((entry) => entry.kind === 'created');
     if (named === undefined) return;
+    const { job, term } = zoneClaim.journal;
     // Entries in replicas that the job does not name are not its results.
-    const claimed = await this.claim(job, named.replicas, zoneJournal.term);
-    const created = claimed?.entries.find((entry) => entry.kind === 'created');
-    if (claimed === undefined || created === undefined) return;
+    const claimed = await this.claim(job, named.replicas, term);
+    if (claimed !== undefined && (await this.recoverJob(claimed))) return;
+    const journals = claimed === undefined ? [] : [claimed.journal];
+    await Promise.all(
+      [zoneClaim.journal, ...journals].map((journal) => journal.releaseClaim(MAY_BE_STORED)),
+    );
+  }
+
+  /**
+   * Creates a job that only the journal has, and runs it; returns whether the store has it, with
+   * this node or another one as its owner.
+   */
+  private async recoverJob({ journal, entries }: ClaimedJournal): Promise<boolean> {
+    const { owned, peers, log, metrics, noteUncertain } = this.options;
+    const { job } = journal;
+    const created = entries.find((entry) => entry.kind === 'created');
+    if (created === undefined) return false;
     const { spec, replicas, trainerTerm } = created;
-    const { journal } = claimed;
     const trainer = await changeOfRecovered(this.options, spec, trainerTerm);
-    if (trainer === 'unavailable') return;
+    if (trainer === 'unavailable') return false;
     if (trainer === 'not-accepted') {
       log.state('journaled-job-dropped', { job, step: spec.step, term: journal.term });
-      await journal.release(claimed.entries);
-      return;
+      await journal.release(entries);
+      return false;
     }
     const change = await this.createInStore(spec, replicas, journal.term, trainer);
     // The head may name this node as the owner, which does not run the job yet.
     if (change.kind === 'unavailable' && change.mayBeDone) noteUncertain(job);
-    if (change.kind !== 'changed') return;
-    const unstored = listableChanges(log, job, claimed.entries, 0);
+    if (change.kind !== 'changed') return change.kind === 'superseded';
+    const unstored = listableChanges(log, job, entries, 0);
     const durable = await this.writeBack.makeDurable(journal, change.current, unstored);
     await journal.release([created]);
     if (durable === undefined) {
       noteUncertain(job);
-      return;
+      return true;
     }
     const { head, stored, journaled } = durable;
     // The store has all results of a finished job, so it is not run.
@@ -185,6 +202,7 @@
     const details = { listed: stored.length, journaled: journaled.length };
     log.state('job-recovered', { job, step: spec.step, ...details });
     metrics.count('jobs_adopted', { cause: 'journal' });
+    return true;
   }
 
   /** Creates a journaled job in the store, owned by this node. */
