A released claim tells what all earlier claims may have led to

Found by reading the release of claims, before it landed. A node that had taken over the claim of a terminated node, and gave the job up before an attempt of its own, released its claim as one that led to nothing; so did one whose first attempt had started items and met a changed record, and a claim beside older builds passed on nothing of an earlier one.

Change: doubts are noted when the claim is made, a second attempt carries those of the first, and the two claims beside older builds are joined.

--- a/src/jobs/claim-releases.ts
+++ b/src/jobs/claim-releases.ts
@@ -59,6 +59,12 @@
     return this.jobs.get(job)?.doubts ?? UNTOUCHED;
   }
 
+  /** Notes what earlier claims of a job may have led to, which a release has to tell as well. */
+  noteDoubts(job: string, doubts: ClaimRelease): void {
+    const claims = this.jobs.get(job);
+    if (claims !== undefined) claims.doubts = anyOf([claims.doubts, doubts]);
+  }
+
   /** The last released claim of a job; `undefined` if there is none. */
   releasedClaim(job: string): ReleasedClaim | undefined {
     return this.jobs.get(job)?.released;
--- a/src/jobs/job-acceptance.ts
+++ b/src/jobs/job-acceptance.ts
@@ -12,7 +12,7 @@
 import type { ClaimReleases } from './claim-releases.js';
 import type { JobOwner, JobSpecification } from './job-records.js';
 import type { JobStore, StillNeeded } from './job-store.js';
-import { hasLostClaim, type NewJobClaim, NewJobClaims } from './new-job-claim.js';
+import { hasLostClaim, NewJobClaims } from './new-job-claim.js';
 import type { AcceptanceRight, TrainerHomes } from './trainer-homes.js';
 
 export interface JobAcceptanceOptions {
@@ -99,37 +99,24 @@
       const stored = await this.answerIfStored(spec);
       if (stored !== undefined) return stored;
     }
-    const claim = await this.claim(this.claims, spec.id, right);
+    const claim = this.areRecordsUsedByAll
+      ? await this.claims.claim(spec.id, right.record)
+      : await this.claims.claimBesideOlderBuilds(spec.id, right.record);
     // The replicas may have been removed after another node moved the record to others.
-    if (claim?.kind === 'unanswered' && (await homes.discardIfReplaced(right))) {
+    if (claim.kind === 'unanswered' && (await homes.discardIfReplaced(right))) {
       return this.prepare(submitted, isStillNeeded);
     }
-    if (claim !== undefined && claim.kind !== 'claimed') return this.answerFromStore(spec);
-    const { mayBeStored, mayHaveRun } = claim ?? NO_JOURNAL;
+    if (claim.kind !== 'claimed') return this.answerFromStore(spec);
+    const { journal, mayBeStored, mayHaveRun } = claim;
     const isNextStep = !isFromOutside && !mayBeStored && homes.mayAcceptByJournal(right, spec);
     if (!isNextStep) {
       if (!(await this.isAbsentElsewhere(spec.id, right, isStillNeeded)))
         return this.answerFromStore(spec);
       // Another node of this zone may have accepted the job during the queries.
-      if (await hasLostClaim(claim?.journal)) return this.answerFromStore(spec);
+      if (await hasLostClaim(journal)) return this.answerFromStore(spec);
     }
     const mayJournal = owner !== null && isNextStep;
-    return { owner, journal: claim?.journal, right, mayJournal, mayBeStored, mayHaveRun };
-  }
-
-  /** Claims the job within the zone; `undefined` if its trainer has no replicas. */
-  private async claim(
-    claims: NewJobClaims,
-    job: string,
-    { record }: AcceptanceRight,
-  ): Promise<NewJobClaim | undefined> {
-    let { term } = record;
-    if (!this.areRecordsUsedByAll) {
-      const claimedTerm = await claims.claimBesideOlderBuilds(job, record);
-      if (claimedTerm === undefined) return { kind: 'held-elsewhere' };
-      term = claimedTerm;
-    }
-    return record.replicas.length === 0 ? undefined : claims.claim(job, record, term);
+    return { owner, journal, right, mayJournal, mayBeStored, mayHaveRun };
   }
 
   /**
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -144,12 +144,13 @@
       const submitted = { spec, owner, isFromOutside };
       // The items may have started in an earlier attempt, which must not be reported as not run.
       const earlier = { mayBeStored: false, mayHaveRun: isRetry };
-      const acceptance = await this.acceptance.prepare(submitted, isStillNeeded);
-      if ('answer' in acceptance) {
-        if (acceptance.answer === undefined) this.releases.forget(spec.id);
+      const prepared = await this.acceptance.prepare(submitted, isStillNeeded);
+      if ('answer' in prepared) {
+        if (prepared.answer === undefined) this.releases.forget(spec.id);
         else this.releases.release(spec.id, earlier);
-        return acceptance.answer;
+        return prepared.answer;
       }
+      const acceptance = { ...prepared, ...anyOf([prepared, earlier]) };
       const outcome = await this.create(submitted, acceptance, isStillNeeded);
       if (outcome === undefined) return undefined;
       if (outcome !== 'retry') return isRetry ? MAY_BE_ACCEPTED_ELSEWHERE : outcome;
--- a/src/jobs/new-job-claim.ts
+++ b/src/jobs/new-job-claim.ts
@@ -9,7 +9,8 @@
 /** A journal that only this node may write to, and what became of the job before. */
 export interface ClaimedJob extends ClaimRelease {
   readonly kind: 'claimed';
-  readonly journal: JobJournal;
+  /** `undefined` if the trainer of the job has no replicas. */
+  readonly journal: JobJournal | undefined;
 }
 
 /**
@@ -37,23 +38,27 @@
    * has terminated or released it is taken over, because that writer has not accepted the job by
    * the journal; a live writer may still do so.
    */
-  claim(job: string, { replicas, term }: TrainerRecord, minTerm = term): Promise<NewJobClaim> {
+  async claim(job: string, { replicas, term }: TrainerRecord): Promise<NewJobClaim> {
     const { journals, isWriterLive } = this.options;
-    return this.claimFree(job, replicas, Math.max(term, minTerm), ({ writer, release }) => {
+    if (replicas.length === 0) return { kind: 'claimed', journal: undefined, ...UNTOUCHED };
+    return this.claimFree(job, replicas, term, ({ writer, release }) => {
       return release !== undefined || writer === journals.writer || !isWriterLive(writer);
     });
   }
 
   /**
-   * Claims a job at all replicas of the zone, since builds without trainer records choose the
-   * replicas of a job by its id; returns the term, or `undefined` if one of them was claimed before.
+   * Claims a job at all replicas of the zone before those of its trainer, since builds without
+   * trainer records choose the replicas of a job by its id.
    */
-  async claimBesideOlderBuilds(job: string, { term }: TrainerRecord): Promise<number | undefined> {
+  async claimBesideOlderBuilds(job: string, record: TrainerRecord): Promise<NewJobClaim> {
     const replicas = this.options.journals.replicasInOwnZone();
-    if (replicas.length === 0) return term;
+    if (replicas.length === 0) return this.claim(job, record);
     const isReleased = ({ release }: JournalHolder): boolean => release !== undefined;
-    const claim = await this.claimFree(job, replicas, term, isReleased);
-    return claim.kind === 'claimed' ? claim.journal.term : undefined;
+    const inZone = await this.claimFree(job, replicas, record.term, isReleased);
+    if (inZone.kind !== 'claimed') return { kind: 'held-elsewhere' };
+    const term = inZone.journal?.term ?? record.term;
+    const claim = await this.claim(job, { ...record, term });
+    return claim.kind === 'claimed' ? { ...claim, ...anyOf([inZone, claim]) } : claim;
   }
 
   /** Claims a job under a term, or above a claim without entries that `isAbandoned`. */
@@ -93,8 +98,9 @@
     const unseen = silent + unwritable > 0 ? [UNCERTAIN] : [];
     const earlier = holders.map(({ release = UNCERTAIN }) => release);
     const own = released === undefined ? [] : [released];
-    const doubts = [...earlier, ...unseen, ...own];
-    return { kind: 'claimed', journal: nextJournal, ...anyOf(doubts) };
+    const doubts = anyOf([...earlier, ...unseen, ...own]);
+    releases.noteDoubts(job, doubts);
+    return { kind: 'claimed', journal: nextJournal, ...doubts };
   }
 
   /** The lowest term under which this node can replace all holders. */
