--- a/src/jobs/claim-releases.ts
+++ b/src/jobs/claim-releases.ts
@@ -1,7 +1,7 @@
 /**
  * Releases the claims of jobs that this node did not accept, so that other nodes of its zone may
  * accept them. After a release this node writes nothing under the term of the claim, and claims the
- * job again only above it.
+ * job again only above it. What its submissions may have led to is remembered, also without claims.
  */
 import type { Milliseconds } from '../core/units.js';
 import type { JobJournal } from '../journal/job-journal.js';
@@ -77,8 +77,7 @@
 
   /** Releases all claims of a job that this node has not accepted. */
   release(job: string, doubts: ClaimRelease): void {
-    const claims = this.jobs.get(job);
-    if (claims === undefined) return;
+    const claims = this.claimsOf(job);
     claims.doubts = anyOf([claims.doubts, doubts]);
     claims.isInUse = false;
     if (!claims.awaitsAbsence) this.sendFirst(job, claims);
@@ -89,9 +88,7 @@
    * node may accept it by the journal under the same claim, as it recognizes its own late commit.
    */
   releaseOnceAbsent(job: string, doubts: ClaimRelease): void {
-    const claims = this.jobs.get(job);
-    if (claims === undefined) return;
-    claims.awaitsAbsence = true;
+    this.claimsOf(job).awaitsAbsence = true;
     this.release(job, doubts);
   }
 
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -101,6 +101,7 @@
     if (!this.pending.has(job)) this.releases.noteAbsent(job);
   }
 
+  /** Retries releases of claims that replicas have not answered. */
   tick(now: Milliseconds): void {
     this.releases.tick(now);
   }
@@ -221,14 +222,11 @@
       mayBeStored: mayBeStored || mayBeDone,
       mayHaveRun: mayHaveRun || hasStarted,
     };
-    const { mayBeStored: mayBeStoredLate, mayHaveRun: mayHaveRunBefore } = anyOf([
-      this.releases.doubtsOf(job),
-      doubts,
-    ]);
     if (mayJournal && mayBeDone) this.releases.releaseOnceAbsent(job, doubts);
     else this.releases.release(job, doubts);
-    // A job whose items have started must not be reported as not run.
-    if (mayBeStoredLate || mayHaveRunBefore) {
+    // Earlier submissions count as well: what they stored or started must not be reported as not run.
+    const allDoubts = this.releases.doubtsOf(job);
+    if (allDoubts.mayBeStored || allDoubts.mayHaveRun) {
       return failure('outcome_unknown', 'the job may have been stored');
     }
     return failure('ledger_unavailable', 'the store takes no jobs now', {
--- a/src/jobs/new-job-claim.ts
+++ b/src/jobs/new-job-claim.ts
@@ -1,5 +1,5 @@
 /** Claims the journal of a new job, so that no other node of the zone accepts it as well. */
-import type { JobJournal } from '../journal/job-journal.js';
+import type { ClaimTally, JobJournal } from '../journal/job-journal.js';
 import { type ClaimRelease, isReleaseOf, type JournalHolder } from '../journal/journal-entries.js';
 import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
@@ -70,8 +70,7 @@
   ): Promise<NewJobClaim> {
     const { journals, releases } = this.options;
     const released = releases.releasedClaim(job);
-    const journal = journals.open(job, replicas, term);
-    releases.track(journal);
+    const journal = this.openTracked(job, replicas, term);
     const claim = await journal.claim();
     const isFirst = released === undefined || released.nextTerm <= term;
     // Entries found here were left by earlier attempts, none of which has accepted the job.
@@ -88,21 +87,23 @@
       return { kind: 'held-elsewhere' };
     }
     const nextTerm = Math.max(released?.nextTerm ?? term, this.termAbove(holders) ?? term);
-    const nextJournal = journals.open(job, replicas, nextTerm);
-    releases.track(nextJournal);
+    const nextJournal = this.openTracked(job, replicas, nextTerm);
     const nextClaim = await nextJournal.claim();
     const isFree = nextClaim.kind === 'claimed' && (isOwn || nextClaim.entries.length === 0);
     if (!isFree) return { kind: 'held-elsewhere' };
-    const { silent, unwritable } = journal.claimTally;
-    // A replica without an answer may have another claim, which this one replaces unseen.
-    const unseen = silent + unwritable > 0 ? [UNCERTAIN] : [];
-    const earlier = holders.map(({ release = UNCERTAIN }) => release);
     const own = released === undefined ? [] : [released];
-    const doubts = anyOf([...earlier, ...unseen, ...own]);
+    const doubts = anyOf([...doubtsAfter(journal.claimTally, holders), ...own]);
     releases.noteDoubts(job, doubts);
     return { kind: 'claimed', journal: nextJournal, ...doubts };
   }
 
+  /** Opens the journal of a job for a claim, which is released unless the job is accepted. */
+  private openTracked(job: string, replicas: readonly ReplicaLocation[], term: number): JobJournal {
+    const journal = this.options.journals.open(job, replicas, term);
+    this.options.releases.track(journal);
+    return journal;
+  }
+
   /** The lowest term under which this node can replace all holders. */
   private termAbove([holder]: readonly JournalHolder[]): number | undefined {
     if (holder === undefined) return undefined;
@@ -110,6 +111,16 @@
   }
 }
 
+/** What the claims may have led to that a claim found, or replaced without seeing them. */
+function doubtsAfter(
+  { silent, unwritable }: ClaimTally,
+  holders: readonly JournalHolder[],
+): ClaimRelease[] {
+  const found = holders.map(({ release = UNCERTAIN }) => release);
+  // A replica without an answer may have a claim as well.
+  return silent + unwritable > 0 ? [...found, UNCERTAIN] : found;
+}
+
 /** Holders without those whose release another replica has. */
 function withoutReleased(holders: readonly JournalHolder[]): JournalHolder[] {
   return holders.filter((holder) => !holders.some((other) => isReleaseOf(other, holder)));
--- a/test/jobs/released-claims.test.ts
+++ b/test/jobs/released-claims.test.ts
@@ -1,6 +1,14 @@
 /** Guards against claims that block a job after the submission that made them was rejected. */
+import { setImmediate } from 'node:timers/promises';
 import t from 'tap';
+import { NO_PEERS } from '../../lab/common/no-peers.js';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { ScriptedEngine } from '../serving/serving-fixtures.js';
 import { AnswerRecord } from './answer-record.js';
+import { OWNER, specification } from './job-fixtures.js';
+import { jobNode } from './job-node.js';
+import { StorePort } from './store-port.js';
+import { VirtualClock } from './virtual-clock.js';
 import { acceptStep, checkAfterHealing, JOB, LISTING_TIME, step } from './zone-trainer.js';
 import { type ZoneNode, ZonesWithStore } from './zones-with-store.js';
 
@@ -126,6 +134,22 @@
   t.notSame(await zones.read(first, JOB), { failure: 'not_found' }, 'the first one was late');
 });
 
+t.test('where zones keep no journals, earlier submissions count as well', async (t) => {
+  const clock = new VirtualClock();
+  const port = new StorePort(new SharedStoreEmulator(), clock);
+  const { service } = jobNode(port, OWNER, new ScriptedEngine(), NO_PEERS, { clock });
+  port.mode = 'late-and-unanswered';
+  const first = service.submit(specification('job', 1), () => clock.now() < 500);
+  for (let turn = 0; turn < 100; turn += 1) {
+    await setImmediate();
+    clock.advanceTo(clock.now() + 50);
+  }
+  t.equal((await first)?.kind, 'outcome_unknown');
+  port.mode = 'refusing';
+  const second = await service.submit(specification('job', 1), () => false);
+  t.equal(second?.kind, 'outcome_unknown');
+});
+
 t.test(
   'a next step whose replica was away is accepted by the journal once it is back',
   async (t) => {
