--- a/src/jobs/claim-releases.ts
+++ b/src/jobs/claim-releases.ts
@@ -80,7 +80,7 @@
     const claims = this.claimsOf(job);
     claims.doubts = anyOf([claims.doubts, doubts]);
     claims.isInUse = false;
-    if (!claims.awaitsAbsence) this.sendFirst(job, claims);
+    if (!claims.awaitsAbsence) this.startRelease(job, claims);
   }
 
   /**
@@ -98,7 +98,7 @@
     if (claims === undefined) return;
     claims.doubts = { ...claims.doubts, mayBeStored: false };
     claims.awaitsAbsence = false;
-    if (!claims.isInUse) this.sendFirst(job, claims);
+    if (!claims.isInUse) this.startRelease(job, claims);
   }
 
   /** Retries releases that some replicas have not answered. */
@@ -111,7 +111,7 @@
     }
   }
 
-  private sendFirst(job: string, claims: JobClaims): void {
+  private startRelease(job: string, claims: JobClaims): void {
     if (claims.journals.size === 0) return;
     const { clock, retention, log } = this.options;
     const term = Math.max(...[...claims.journals].map((journal) => journal.term));
--- a/src/jobs/new-job-claim.ts
+++ b/src/jobs/new-job-claim.ts
@@ -72,24 +72,25 @@
     const released = releases.releasedClaim(job);
     const journal = this.openTracked(job, replicas, term);
     const claim = await journal.claim();
-    const isFirst = released === undefined || released.nextTerm <= term;
+    const isAboveRelease = released === undefined || released.nextTerm <= term;
     // Entries found here were left by earlier attempts, none of which has accepted the job.
-    if (claim.kind === 'claimed' && isFirst) return { kind: 'claimed', journal, ...UNTOUCHED };
+    if (claim.kind === 'claimed' && isAboveRelease)
+      return { kind: 'claimed', journal, ...UNTOUCHED };
     if (claim.kind !== 'claimed' && claim.kind !== 'held-elsewhere') return { kind: 'unanswered' };
     const holders = claim.kind === 'claimed' ? [] : withoutReleased(claim.holders);
     const isLatest = ({ term: heldTerm }: JournalHolder): boolean => heldTerm === holders[0]?.term;
     if (!holders.filter(isLatest).every(isAbandoned)) return { kind: 'held-elsewhere' };
-    const isOwn = holders.every((other) =>
+    const isOnlyOwn = holders.every((other) =>
       isReleaseOf(other, { ...other, writer: journals.writer }),
     );
     // Entries of this node alone were left by earlier attempts, as above.
-    if (!isOwn && (await journals.entryStatus(job, replicas)) !== 'not-held') {
+    if (!isOnlyOwn && (await journals.entryStatus(job, replicas)) !== 'not-held') {
       return { kind: 'held-elsewhere' };
     }
     const nextTerm = Math.max(released?.nextTerm ?? term, this.termAbove(holders) ?? term);
     const nextJournal = this.openTracked(job, replicas, nextTerm);
     const nextClaim = await nextJournal.claim();
-    const isFree = nextClaim.kind === 'claimed' && (isOwn || nextClaim.entries.length === 0);
+    const isFree = nextClaim.kind === 'claimed' && (isOnlyOwn || nextClaim.entries.length === 0);
     if (!isFree) return { kind: 'held-elsewhere' };
     const own = released === undefined ? [] : [released];
     const doubts = anyOf([...doubtsAfter(journal.claimTally, holders), ...own]);
