A removed record of a node is left to its lease

A record that goes while its node runs is the sign of a lease that ended, on which takeovers rely.

Change: a node stores its record again only if another incarnation replaced it, which was the fault shown.

--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -94,8 +94,8 @@
   private lease: LeaseId = NO_LEASE;
   /** Revision at which this incarnation last stored its record. */
   private registeredAt: Revision = ABSENT;
-  /** Whether the store has no record of this incarnation, though its lease may be valid. */
-  private isRecordMissing = false;
+  /** Whether the store has the record of another incarnation in place of this one's. */
+  private isRecordReplaced = false;
   /** Time to live of the current lease. */
   private ttl: Milliseconds = 0;
   private isShortLeaseRequired = false;
@@ -280,16 +280,15 @@
   }
 
   /**
-   * Stores the record of this incarnation again if it was replaced or removed. A commit of an
-   * earlier incarnation, or of an earlier attempt, may be carried out late, and its record ends with
-   * the earlier lease.
+   * Stores the record of this incarnation again if an earlier one replaced it: a commit of that one
+   * may be carried out late, and its record ends with the earlier lease.
    */
   private checkOwnRecord({ revision }: StoreChange, record: NodeRecord | undefined): void {
     const { self, log } = this.options;
     if (this.lease === NO_LEASE || revision <= this.registeredAt) return;
-    if (record?.incarnation === self.incarnation) return;
-    log.state('record-replaced', { by: record?.incarnation ?? 'none', lease: this.lease });
-    this.isRecordMissing = true;
+    if (record === undefined || record.incarnation === self.incarnation) return;
+    log.state('record-replaced', { by: record.incarnation, lease: this.lease });
+    this.isRecordReplaced = true;
     this.renewLeaseSoon();
   }
 
@@ -370,13 +369,13 @@
     const outcome = await store.commit({ expected: [], put });
     if (outcome.kind !== 'committed') return false;
     this.registeredAt = outcome.revision;
-    this.isRecordMissing = false;
+    this.isRecordReplaced = false;
     return true;
   }
 
   private async renewCurrentLease(): Promise<boolean> {
     const outcome = await this.options.store.renewLease(this.lease);
-    if (outcome.kind === 'kept') return !this.isRecordMissing || this.storeRecord(this.lease);
+    if (outcome.kind === 'kept') return !this.isRecordReplaced || this.storeRecord(this.lease);
     if (outcome.kind === 'gone') {
       this.options.log.state('lease-lost', { lease: this.lease });
       this.lease = NO_LEASE;
