--- a/src/cli/trainer-commands.ts
+++ b/src/cli/trainer-commands.ts
@@ -4,7 +4,7 @@
 import { type Command, reportProblems, switchFlag } from './command.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 
-/** States what the operator vouches for, since nobody else can tell. */
+/** No node can tell whether a lost disk will return, so the operator has to confirm it. */
 const CONFIRMATION_FLAG = 'disks-will-not-return';
 
 /** Commands on the trainers of one store, which is opened when a command runs. */
--- a/src/jobs/claim-releases.ts
+++ b/src/jobs/claim-releases.ts
@@ -59,7 +59,7 @@
     return this.jobs.get(job)?.doubts ?? UNTOUCHED;
   }
 
-  /** Notes what earlier claims of a job may have led to, which a release has to tell as well. */
+  /** Notes what earlier claims of a job may have led to; a later release passes it on. */
   noteDoubts(job: string, doubts: ClaimRelease): void {
     const claims = this.jobs.get(job);
     if (claims !== undefined) claims.doubts = anyOf([claims.doubts, doubts]);
--- a/src/jobs/lost-replicas.ts
+++ b/src/jobs/lost-replicas.ts
@@ -45,8 +45,8 @@
   }
 
   /**
-   * Removes the replicas from a trainer's record, if none of their disks is registered. Jobs that
-   * only these disks hold are given up, although callers were told that they are accepted.
+   * Removes the replicas from a trainer's record, if none of their disks is registered. Accepted
+   * jobs that only these disks hold are lost.
    */
   async abandon(trainer: string): Promise<AbandonOutcome> {
     const read = await this.read();
