Items are sent only while the store confirms that their job is not cancelled

Callers saw items of a job reach workers long after its end had been acknowledged, from an owner whose lease was renewed.

The head is read beside the queue of changes, as a commit may hang while reads are answered; while changes are unstored, a head of this owner and term that is not ended confirms, and an ended one closes the job. A job that the store does not have yet is not cancelled there. Confirmations date from the moment their read or commit was sent: 2 s of age and the sending stay below the 3 s promised.

While the store is unreachable from the node, items go on being sent as before.

Evidence: test/jobs/unnoticed-end.test.ts.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -1,15 +1,24 @@
 /**
  * Lists the results of an owned job in order, and records its cancellation. Changes are serialized.
- * Each stored change confirms the ownership; without changes it is verified periodically.
+ * Each durable change confirms the ownership; without changes it is verified periodically.
  */
 import type { Milliseconds } from '../core/units.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
+import { ChangeQueue } from './change-queue.js';
+import type {
+  JobHead,
+  JobOwner,
+  JobResult,
+  JobSpecification,
+  StoredProgress,
+} from './job-records.js';
 import type { HeadChange, JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import { ListingLog, NO_TERM } from './listing-log.js';
 import type { CloseReason, JournalState } from './listing-state.js';
-import { JOURNAL_DELAY, ListingWriter } from './listing-writer.js';
+import { ListingWriter } from './listing-writer.js';
+import { OwnershipConfirmation } from './ownership-confirmation.js';
+import { OwnershipVerification } from './ownership-verification.js';
 import { firstPageOf } from './value-limits.js';
 
 /** Minimum interval between two pages of results while many items are open. */
@@ -21,13 +30,6 @@
 /** A job counts as closing when a smaller share of its items than this is open. */
 const CLOSING_SHARE = 0.25;
 
-/** The ownership is verified again when its last confirmation is older than this. */
-const VERIFY_INTERVAL: Milliseconds = 1_200;
-
-/** Minimum wait for a cancellation or release: a number of polls, and their interval. */
-const MIN_WAIT_POLLS = 10;
-const WAIT_POLL_INTERVAL: Milliseconds = 50;
-
 export interface JobListingOptions {
   readonly spec: JobSpecification;
   /** The stored head; `undefined` until the store has the job. */
@@ -56,19 +58,20 @@
   /** Number of listed pages. */
   private listedPages: number;
   private lastListingAt: Milliseconds = Number.NEGATIVE_INFINITY;
-  /** By {@link suspendAwareTime}, because other nodes may act while this machine is suspended. */
-  private confirmedAt: Milliseconds;
+  private readonly confirmation: OwnershipConfirmation;
+  private readonly verification: OwnershipVerification;
   /** Whether a cancellation is being stored, and whether it is stored. */
   private isCancelling = false;
   private isCancellationStored = false;
   /** Whether the zone's journal has recorded the job's acceptance. */
   private isAcceptedByJournal = false;
-  private queue: Promise<unknown> = Promise.resolve();
-  private isChanging = false;
+  private readonly changes: ChangeQueue;
 
   constructor(private readonly options: JobListingOptions) {
     const { spec, head, listed, journaled, store, clock, self } = options;
     const { journal, resumed = [], metrics = new FleetMetrics(), log } = journaled;
+    this.changes = new ChangeQueue(clock);
+    this.confirmation = new OwnershipConfirmation(clock, suspendAwareTime(clock));
     const term = journal?.term ?? NO_TERM;
     this.writer = new ListingWriter(
       {
@@ -77,14 +80,18 @@
         progress: options.progress,
         isStillNeeded: () => options.isOpen() || this.isCancelling,
         keepsOwnership: (change) => this.keepsOwnership(change),
-        onHeadChange: (change) => this.handleHeadChange(change),
+        onHeadChange: (change, sentAt) => this.handleHeadChange(change, sentAt),
       },
       head,
     );
     const pages = resumed.flatMap((change) => (change.kind === 'page' ? [change.results] : []));
     this.listed.push(...listed, ...pages.flat());
     this.listedPages = (head?.head.pages ?? 0) + pages.length;
-    this.confirmedAt = suspendAwareTime(clock);
+    this.verification = new OwnershipVerification({
+      ...{ job: spec.id, store, clock, writer: this.writer, confirmation: this.confirmation },
+      ...{ hasJournal: journal !== undefined, isOpen: options.isOpen, close: options.close },
+      isOwn: (stored) => this.isOwn(stored),
+    });
   }
 
   /** Writes an earlier owner's journaled changes to the store; they may include a cancellation. */
@@ -126,9 +133,14 @@
     return this.writer.isPending;
   }
 
-  /** Time since the ownership of the job was last confirmed. */
-  confirmationAge(): Milliseconds {
-    return suspendAwareTime(this.options.clock) - this.confirmedAt;
+  /** Time since it was last confirmed that no other node owned the job. */
+  ownershipAge(): Milliseconds {
+    return this.confirmation.ownershipAge();
+  }
+
+  /** Time since it was last confirmed that no other node had cancelled the job. */
+  uncancelledAge(): Milliseconds {
+    return this.confirmation.uncancelledAge();
   }
 
   /** Queues a result for the next page. */
@@ -139,23 +151,23 @@
   /** Enables listing after the store has accepted the job. */
   attach(head: VersionedHead): void {
     this.writer.setHead(head);
-    this.confirmedAt = suspendAwareTime(this.options.clock);
   }
 
   /** Enables listing after the zone's journal has accepted the job, ahead of the store. */
   attachByJournal(): void {
     this.isAcceptedByJournal = true;
-    this.confirmedAt = suspendAwareTime(this.options.clock);
   }
 
   /** Lists pending results or verifies the ownership, whichever is due. */
   listOrVerify(): void {
-    if (this.isChanging || !this.canList) return;
+    if (!this.canList) return;
+    this.verification.readIfDue();
+    if (this.changes.isBusy) return;
     const sinceListing = this.options.clock.now() - this.lastListingAt;
     if (this.pending.length > 0 && sinceListing >= this.listingInterval()) {
-      void this.runSerially(() => this.list());
-    } else if (this.confirmationAge() >= VERIFY_INTERVAL) {
-      void this.runSerially(() => this.verify());
+      void this.changes.run(() => this.list());
+    } else if (this.verification.isJournalCheckDue) {
+      void this.changes.run(() => this.verification.checkJournal());
     }
   }
 
@@ -164,34 +176,43 @@
    * that is being written, and proceeds even if the caller stops waiting.
    */
   cancel(isStillNeeded: StillNeeded): Promise<boolean> {
-    const cancellation = this.runSerially(async () => {
+    const cancellation = this.changes.run(async () => {
       if (!this.canList) return false;
       if (this.isCancellationStored || this.isCancelledInStore) return true;
       this.isCancelling = true;
-      this.isCancellationStored = await this.whileNeeded(this.writer.cancel(), isStillNeeded);
+      this.isCancellationStored = await this.changes.whileNeeded(
+        this.writer.cancel(),
+        isStillNeeded,
+      );
       this.isCancelling = false;
       if (this.isCancellationStored) this.options.close('ended');
       return this.isCancellationStored || this.isCancelledInStore;
     });
-    return this.whileNeeded(cancellation, isStillNeeded);
+    return this.changes.whileNeeded(cancellation, isStillNeeded);
   }
 
   /** Releases the job for another node, after earlier changes; `isStillNeeded` limits the wait. */
   async release(isStillNeeded: StillNeeded): Promise<void> {
     const { store, spec, progress, isOpen, close } = this.options;
-    const releasing = this.runSerially(async () => {
+    const releasing = this.changes.run(async () => {
       if (!isOpen()) return;
-      while (this.pending.length > 0 && (await this.whileNeeded(this.list(), isStillNeeded)));
+      while (
+        this.pending.length > 0 &&
+        (await this.changes.whileNeeded(this.list(), isStillNeeded))
+      );
       const { head } = this.writer;
       if (!isOpen() || head === undefined) return;
       if (!this.writer.isPending) {
+        const sentAt = this.confirmation.now();
+        const released = { owner: null };
         this.handleHeadChange(
-          await store.replace(spec.id, head, { owner: null }, isStillNeeded, progress()),
+          await store.replace(spec.id, head, released, isStillNeeded, progress()),
+          sentAt,
         );
       }
       close('released');
     });
-    await this.whileNeeded(
+    await this.changes.whileNeeded(
       releasing.then(() => true),
       isStillNeeded,
     );
@@ -199,7 +220,7 @@
 
   /** Verifies the ownership without waiting for the verification interval. */
   verifyNow(): Promise<void> {
-    return this.runSerially(() => this.verify());
+    return this.changes.run(() => this.verification.verify());
   }
 
   /** Whether the job is durably stored, so that results may be listed. */
@@ -211,36 +232,6 @@
     return this.writer.head?.head.ended ?? false;
   }
 
-  private runSerially<Value>(work: () => Promise<Value>): Promise<Value> {
-    const turn = this.queue.then(async () => {
-      this.isChanging = true;
-      try {
-        return await work();
-      } finally {
-        this.isChanging = false;
-      }
-    });
-    // A failed turn rejects only its own caller; the queue continues.
-    this.queue = turn.catch(() => undefined);
-    return turn;
-  }
-
-  /** Waits for a change while it is needed, and at least for a minimum time; false on timeout. */
-  private async whileNeeded(
-    change: Promise<boolean>,
-    isStillNeeded: StillNeeded,
-  ): Promise<boolean> {
-    let outcome: boolean | undefined;
-    void change.then((value) => {
-      outcome = value;
-    });
-    for (let step = 0; step < MIN_WAIT_POLLS || isStillNeeded(); step += 1) {
-      await Promise.race([change, this.options.clock.sleep(WAIT_POLL_INTERVAL)]);
-      if (outcome !== undefined) return outcome;
-    }
-    return false;
-  }
-
   /** Lists one page of pending results; returns whether it is stored. */
   private async list(): Promise<boolean> {
     const { clock, spec, isOpen, close, onListed } = this.options;
@@ -249,13 +240,13 @@
     const batch = firstPageOf(this.pending);
     if (batch.length === 0 || !isOpen() || !this.canList) return false;
     this.lastListingAt = clock.now();
-    const startedAt = suspendAwareTime(clock);
+    const sentAt = this.confirmation.now();
     const isListed = await this.writer.list(batch, this.listed.length);
     if (isListed) {
       this.pending = this.pending.filter((result) => !batch.includes(result));
       this.listed.push(...batch);
       this.listedPages += 1;
-      this.confirmedAt = startedAt;
+      this.confirmation.noteByJournal(sentAt);
       // The results that did not fit into the page are due immediately.
       if (batch.length < pendingCount) this.lastListingAt = Number.NEGATIVE_INFINITY;
       if (this.listed.length >= spec.items.length) close('finished');
@@ -264,52 +255,37 @@
     return isListed;
   }
 
-  /** Verifies the ownership at the store or, while that does not answer, at the journal. */
-  private async verify(): Promise<void> {
-    const { clock, journaled, isOpen } = this.options;
-    const startedAt = suspendAwareTime(clock);
-    const byStore = this.writer.isPending ? undefined : this.verifyAtStore(startedAt);
-    if (journaled.journal === undefined) return byStore;
-    await Promise.race([byStore, clock.sleep(byStore === undefined ? 0 : JOURNAL_DELAY)]);
-    if (this.confirmedAt >= startedAt || !isOpen()) return;
-    if (await this.writer.isConfirmedByJournal()) this.confirmedAt = startedAt;
-  }
-
-  private async verifyAtStore(startedAt: Milliseconds): Promise<void> {
-    const { store, spec, close } = this.options;
-    const knownHead = this.writer.head;
-    const read = await store.head(spec.id);
-    if (read.kind === 'unavailable' || this.writer.head !== knownHead || this.writer.isPending)
-      return;
-    if (read.kind === 'absent') {
-      if (knownHead !== undefined) close('superseded');
-      return;
+  /**
+   * Closes the job if the outcome of a change shows that it was cancelled or superseded, and else
+   * confirms what the store had when the change was sent.
+   */
+  private handleHeadChange(change: HeadChange, sentAt: Milliseconds): void {
+    if (change.kind === 'changed') {
+      // The store may accept a cancellation after its callers have stopped waiting.
+      if (change.current.head.ended) this.options.close('ended');
+      else this.confirmation.noteByStore(sentAt);
     }
-    if (read.value.revision === knownHead?.revision) this.confirmedAt = startedAt;
-    else this.handleHeadChange({ kind: 'superseded', current: read.value });
-  }
-
-  /** Closes the job if the outcome of a change shows that it was cancelled or superseded. */
-  private handleHeadChange(change: HeadChange): void {
-    // The store may accept a cancellation after its callers have stopped waiting.
-    if (change.kind === 'changed' && change.current.head.ended) this.options.close('ended');
     if (change.kind !== 'superseded') return;
     // A node that lacks listed results must not answer for the job, even a cancelled one.
     if (!this.keepsOwnership(change)) this.options.close('superseded');
     else if (change.current?.head.ended === true) this.options.close('ended');
   }
 
-  /**
-   * Whether a head that was changed still names this owner under the same term, and the pages it
-   * knows. This node itself has another term if it has taken the job over again.
-   */
+  /** Whether a head that was changed still names this owner, and the pages it knows. */
   private keepsOwnership(change: HeadChange): boolean {
     if (change.kind !== 'superseded' || change.current === undefined) return false;
+    const { head } = change.current;
+    return this.isOwn(head) && head.pages === this.writer.head?.head.pages;
+  }
+
+  /**
+   * Whether a head names this owner under the same term. This node itself has another term if it has
+   * taken the job over again.
+   */
+  private isOwn({ owner, term }: JobHead): boolean {
     const { self } = this.options;
-    const { owner, pages, term } = change.current.head;
-    const isOwn = owner?.node === self.node && owner.incarnation === self.incarnation;
-    const knownHead = this.writer.head?.head;
-    return isOwn && term === knownHead?.term && pages === knownHead?.pages;
+    const isSelf = owner?.node === self.node && owner.incarnation === self.incarnation;
+    return isSelf && term === this.writer.head?.head.term;
   }
 
   private listingInterval(): Milliseconds {
--- a/src/jobs/job-readings.ts
+++ b/src/jobs/job-readings.ts
@@ -192,7 +192,7 @@
 /** Whether another owner may have listed results that this one does not have. */
 function mayLackResults(job: OwnedJob, after: number): boolean {
   const isShort = after >= job.results.length && job.isOpen;
-  return isShort && job.confirmationAge() > MAX_END_OF_LIST_CONFIRMATION_AGE;
+  return isShort && job.ownershipAge() > MAX_END_OF_LIST_CONFIRMATION_AGE;
 }
 
 function bodyOrAbsent(body: string | undefined): Buffer | Failure {
--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -10,7 +10,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
-import type { Clock } from '../serving/clock.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type { JobResult, StoredProgress } from './job-records.js';
 import type { HeadChange, JobStore, VersionedHead } from './job-store.js';
 import type { ListingLog, PositionedChange } from './listing-log.js';
@@ -33,7 +33,7 @@
 export interface ListingWriterOptions {
   readonly job: string;
   readonly store: JobStore;
-  readonly clock: Pick<Clock, 'now' | 'sleep'>;
+  readonly clock: Pick<Clock, 'now' | 'suspendedTime' | 'sleep'>;
   /** The zone's journal of the job; `undefined` if there is none. */
   readonly journal: JobJournal | undefined;
   readonly log: ListingLog;
@@ -43,8 +43,11 @@
   readonly isStillNeeded: () => boolean;
   /** Whether this node is still the owner, with all listed pages, after another node's change. */
   readonly keepsOwnership: (change: HeadChange) => boolean;
-  /** Called when this node or another has changed the head in the store. */
-  readonly onHeadChange: (change: HeadChange) => void;
+  /**
+   * Called when this node or another has changed the head in the store, with the time by
+   * {@link suspendAwareTime} at which this node's change was sent.
+   */
+  readonly onHeadChange: (change: HeadChange, sentAt: Milliseconds) => void;
 }
 
 /** A change that the store does not have yet. */
@@ -173,6 +176,7 @@
     while (this.queue.length > 0 && this.current !== undefined && !this.isSuperseded) {
       const batch = this.nextBatch();
       const base = this.current;
+      const sentAt = suspendAwareTime(this.options.clock);
       const change = await this.options.store.extend(
         this.options.job,
         base,
@@ -180,7 +184,7 @@
         this.options.progress(),
         () => this.options.isStillNeeded() || batch.some(({ isJournaled }) => isJournaled),
       );
-      this.handleOutcome(batch, change);
+      this.handleOutcome(batch, change, sentAt);
     }
     this.isFlushing = false;
   }
@@ -196,19 +200,23 @@
     return batch;
   }
 
-  private handleOutcome(batch: readonly QueuedChange[], change: HeadChange): void {
+  private handleOutcome(
+    batch: readonly QueuedChange[],
+    change: HeadChange,
+    sentAt: Milliseconds,
+  ): void {
     if (change.kind === 'changed') {
       this.current = change.current;
       this.queue.splice(0, batch.length);
       this.logStored(batch);
       const journaled = batch.filter(({ isJournaled }) => isJournaled);
       void this.options.journal?.release(journaled.map((queued) => queued.change));
-      this.options.onHeadChange(change);
+      this.options.onHeadChange(change, sentAt);
       for (const queued of batch) queued.settle(true);
       return;
     }
     const isStillOwner = this.options.keepsOwnership(change);
-    this.options.onHeadChange(change);
+    this.options.onHeadChange(change, sentAt);
     if (change.kind === 'superseded' && change.current !== undefined) this.current = change.current;
     // Even if another node has cancelled the job, journaled results must reach the store.
     const remaining = isStillOwner ? this.queue.filter(({ isJournaled }) => isJournaled) : [];
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -18,8 +18,8 @@
 const REMAINING_SHARE = 0.5;
 
 /**
- * No items are sent when the last ownership confirmation is older than this. Items may reach
- * workers for at most 3 s after the job's cancellation, and the ownership is verified every 1.2 s.
+ * No items are sent when the store last had the job as not cancelled longer ago than this. Items may
+ * reach workers for at most 3 s after the job's cancellation, and the head is read every 1.2 s.
  */
 const MAX_CONFIRMATION_AGE: Milliseconds = 2_000;
 
@@ -145,17 +145,17 @@
     return this.isOpen || this.recordedReason === 'finished' || this.recordedReason === 'ended';
   }
 
-  /** Time since the ownership of the job was last confirmed. */
-  confirmationAge(): Milliseconds {
-    return this.listing.confirmationAge();
+  /** Time since it was last confirmed that no other node owned the job. */
+  ownershipAge(): Milliseconds {
+    return this.listing.ownershipAge();
   }
 
   /**
-   * Whether another node may have cancelled the job or taken it over unnoticed. No items are sent
-   * until the ownership is confirmed.
+   * Whether another node may have cancelled the job unnoticed. No items are sent until the store
+   * confirms that none has.
    */
   get isUnconfirmed(): boolean {
-    return this.confirmationAge() > MAX_CONFIRMATION_AGE;
+    return this.listing.uncancelledAge() > MAX_CONFIRMATION_AGE;
   }
 
   /** Items that may be sent now. */
--- /dev/null
+++ b/src/jobs/ownership-confirmation.ts
@@ -0,0 +1,56 @@
+/**
+ * When this node's ownership of a job was last confirmed. A confirmation counts only for what its
+ * source records:
+ * - The store records owners and cancellations.
+ * - The zone's journal records which node has claimed the job. A cancellation that another node
+ *   commits to the store leaves no trace in it.
+ *
+ * A confirmation dates from the moment at which its read or commit was sent.
+ */
+import type { Milliseconds } from '../core/units.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
+
+export class OwnershipConfirmation {
+  private ownedAt: Milliseconds;
+  private uncancelledAt: Milliseconds;
+
+  /** `confirmedAt` is when the store was asked for the head that made this node the owner. */
+  constructor(
+    private readonly clock: Pick<Clock, 'now' | 'suspendedTime'>,
+    confirmedAt: Milliseconds,
+  ) {
+    this.ownedAt = confirmedAt;
+    this.uncancelledAt = confirmedAt;
+  }
+
+  /** By {@link suspendAwareTime}, because other nodes may act while this machine is suspended. */
+  now(): Milliseconds {
+    return suspendAwareTime(this.clock);
+  }
+
+  /** Time since no other node owned the job, by the store or the journal. */
+  ownershipAge(): Milliseconds {
+    return this.now() - this.ownedAt;
+  }
+
+  /** Time since the store had the job with this owner and not cancelled. */
+  uncancelledAge(): Milliseconds {
+    return this.now() - this.uncancelledAt;
+  }
+
+  /** The store had the job with this owner and not cancelled at a time. */
+  noteByStore(at: Milliseconds): void {
+    this.noteByJournal(at);
+    this.noteUncancelled(at);
+  }
+
+  /** The journal had no claim of another node at a time, or has stored a change since. */
+  noteByJournal(at: Milliseconds): void {
+    this.ownedAt = Math.max(this.ownedAt, at);
+  }
+
+  /** The store had the job as not cancelled, or did not have it yet, at a time. */
+  noteUncancelled(at: Milliseconds): void {
+    this.uncancelledAt = Math.max(this.uncancelledAt, at);
+  }
+}
--- /dev/null
+++ b/test/jobs/unnoticed-end.test.ts
@@ -0,0 +1,118 @@
+/**
+ * Guards against an owner that goes on sending the items of a job which another node has cancelled in
+ * the store, because the zone's journal confirms its ownership while the store does not.
+ */
+import t from 'tap';
+import type { Milliseconds } from '../../src/core/units.js';
+import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { SendRecorder } from './send-recorder.js';
+import type { StorePortMode } from './store-port.js';
+import { JOB, step } from './zone-trainer.js';
+import { type ZoneNode, ZonesWithStore } from './zones-with-store.js';
+
+/** Items may reach workers for this long after the cancellation of their job. */
+const MAX_SEND_DELAY: Milliseconds = 3_000;
+
+/** Longest pause between two requests while nothing keeps an owner from sending. */
+const MAX_PAUSE: Milliseconds = 150;
+
+/** Number of journal replicas of each zone. */
+type Replicas = 0 | 3;
+
+interface CancellableJob {
+  readonly zones: ZonesWithStore;
+  readonly owner: ZoneNode;
+  readonly engine: SendRecorder;
+  /** Cancels the job in the store without a message to its owner; returns when it was cancelled. */
+  readonly cancelInStore: () => Promise<Milliseconds>;
+}
+
+/** A job whose owner sends its items all the time. */
+async function cancellableJob(
+  test: Parameters<typeof ZonesWithStore.open>[0],
+  replicas: Replicas,
+): Promise<CancellableJob> {
+  const zones = await ZonesWithStore.open(test, 2, replicas);
+  const engine = new SendRecorder(zones.clock);
+  const owner = zones.start('zone-1', undefined, engine);
+  const other = zones.start('zone-2');
+  const answer = await zones.answerOf(zones.submit(owner, step(JOB, 0)), 10_000);
+  if (answer !== 'accepted') throw new Error(`the submission was answered ${answer}`);
+  await zones.run(1_000);
+  const cancelInStore = async (): Promise<Milliseconds> => {
+    zones.partitioned.add('zone-2');
+    const cancellation = other.service.cancel(JOB, UNRESTRICTED, () => true);
+    const outcome = await zones.answerOf(cancellation.then((failure) => ({ failure })));
+    if (outcome?.failure !== undefined) throw new Error(outcome.failure.detail);
+    if (outcome === undefined) throw new Error('the cancellation was not answered');
+    return zones.clock.now();
+  };
+  return { zones, owner, engine, cancelInStore };
+}
+
+const READ_FAULTS: readonly StorePortMode[] = ['reads-silent', 'reads-refusing'];
+
+for (const replicas of [3, 0] as const) {
+  const journal = replicas === 0 ? 'without a journal' : 'with a journal';
+  for (const mode of READ_FAULTS) {
+    t.test(`no item is sent long after the end of its job, ${mode}, ${journal}`, async (t) => {
+      const { zones, owner, engine, cancelInStore } = await cancellableJob(t, replicas);
+      zones.setStore(mode, owner);
+      const cancelledAt = await cancelInStore();
+      await zones.run(MAX_SEND_DELAY + 4_000);
+      t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
+      zones.setStore('up', owner);
+      await zones.run(1_500);
+      t.equal(owner.service.ownedJobs()[0]?.closeReason, 'ended');
+      await zones.close();
+    });
+  }
+}
+
+t.test('a page that only the journal has does not rule out an end in the store', async (t) => {
+  const { zones, owner, engine, cancelInStore } = await cancellableJob(t, 3);
+  zones.setStore('keys-silent', owner);
+  const cancelledAt = await cancelInStore();
+  await zones.run(MAX_SEND_DELAY - 500);
+  engine.completing.add('item-0');
+  await zones.run(3_000);
+  t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
+  await zones.close();
+});
+
+t.test('an owner with unstored results notices an end in the store', async (t) => {
+  const { zones, owner, engine, cancelInStore } = await cancellableJob(t, 3);
+  zones.setStore('late-and-unanswered', owner);
+  engine.completing.add('item-0');
+  await zones.run(1_000);
+  t.equal(owner.service.ownedJobs()[0]?.results.length, 1, 'the journal has a page');
+  const cancelledAt = await cancelInStore();
+  await zones.run(MAX_SEND_DELAY + 3_000);
+  t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
+  await zones.close();
+});
+
+const TOLERATED: readonly StorePortMode[] = ['slow', 'late-and-unanswered', 'silent', 'refusing'];
+
+for (const mode of TOLERATED) {
+  t.test(`an owner that lists results goes on sending, ${mode}`, async (t) => {
+    const { zones, owner, engine } = await cancellableJob(t, 3);
+    zones.setStore(mode, owner);
+    engine.completing.add('item-0');
+    const from = zones.clock.now();
+    await zones.run(10_000);
+    t.equal(owner.service.ownedJobs()[0]?.results.length, 1);
+    t.ok(engine.longestPauseSince(from) <= MAX_PAUSE, `${engine.longestPauseSince(from)} ms`);
+    await zones.close();
+  });
+}
+
+t.test('a commit that hangs without a journal does not stop a healthy owner', async (t) => {
+  const { zones, owner, engine } = await cancellableJob(t, 0);
+  zones.setStore('late-and-unanswered', owner);
+  engine.completing.add('item-0');
+  const from = zones.clock.now();
+  await zones.run(8_000);
+  t.ok(engine.longestPauseSince(from) <= MAX_PAUSE, `${engine.longestPauseSince(from)} ms`);
+  await zones.close();
+});
--- a/test/jobs/zones-with-store.ts
+++ b/test/jobs/zones-with-store.ts
@@ -14,6 +14,7 @@
 import { REPLICA_PREFIX } from '../../src/journal/replica-record.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
 import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
+import type { EnginePort } from '../../src/serving/engine-port.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { JournalZone, listReplica, openJournals } from '../journal/journal-fixtures.js';
 import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
@@ -66,7 +67,7 @@
 
   private constructor() {}
 
-  /** Opens zones `zone-1`, `zone-2` and so on. */
+  /** Opens zones `zone-1`, `zone-2` and so on; without `replicas`, they have no journals. */
   static async open(
     test: Pick<typeof t, 'teardown'>,
     zones: number,
@@ -90,8 +91,8 @@
     return zone;
   }
 
-  /** Starts a node; its texts differ from those of all other nodes. */
-  start(zone: string, lists: Lists = () => true): ZoneNode {
+  /** Starts a node; without `engine`, its texts differ from those of all other nodes. */
+  start(zone: string, lists: Lists = () => true, engine?: EnginePort): ZoneNode {
     const number = this.nodes.length;
     const letter = String.fromCharCode('A'.charCodeAt(0) + number);
     const self = { node: `node-${number}`, incarnation: 'life-1', address: `10.1.0.${number}:1` };
@@ -110,9 +111,9 @@
       directory.applyChange({ key: `${JOURNAL_ZONE_PREFIX}${name}`, value: '', revision: 1 });
     }
     const peers = { ...NO_PEERS, ...this.peersOf(() => node) };
-    const engine = new ScriptedEngine(scripts);
-    const parts = jobNode(port, self, engine, peers, {
-      ...{ zone, clock: this.clock, journals },
+    const parts = jobNode(port, self, engine ?? new ScriptedEngine(scripts), peers, {
+      ...{ zone, clock: this.clock },
+      ...(this.locations().length === 0 ? {} : { journals }),
       isWriterLive: (writer) => !this.ended.has(writer),
       isStoreUnreachable: () => port.mode === 'silent' || port.mode === 'refusing',
     });
