A job whose creation is unanswered is not given up

The head that it found there was that of its own creation, whose answer was outstanding; as this node knew no head yet, it took the job for another node's and closed it as superseded.

Evidence: test/jobs/unanswered-creations.test.ts failed before (closed as superseded 1.2 s after its acceptance, 0 of 2 results in the end); now its items are sent meanwhile and both results are listed.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -283,9 +283,11 @@
    * taken the job over again.
    */
   private isOwn({ owner, term }: JobHead): boolean {
-    const { self } = this.options;
+    const { self, journaled } = this.options;
+    const known = this.writer.head;
+    const ownTerm = known === undefined ? journaled.journal?.term : known.head.term;
     const isSelf = owner?.node === self.node && owner.incarnation === self.incarnation;
-    return isSelf && term === this.writer.head?.head.term;
+    return isSelf && term === ownTerm;
   }
 
   private listingInterval(): Milliseconds {
--- a/src/jobs/ownership-verification.ts
+++ b/src/jobs/ownership-verification.ts
@@ -86,7 +86,7 @@
     const known = writer.head;
     const read = await store.head(job);
     if (read.kind === 'unavailable' || !isOpen()) return;
-    const isUnchanged = writer.head === known && !writer.isPending;
+    const isUnchanged = known !== undefined && writer.head === known && !writer.isPending;
     if (read.kind === 'found') this.handleHead(read.value, isUnchanged, sentAt);
     // A job that the store does not have yet is not cancelled there.
     else if (known === undefined) confirmation.noteUncancelled(sentAt);
@@ -95,7 +95,7 @@
 
   /**
    * Handles a head as read. Unless this node's head `isUnchanged` since the read was sent and nothing
-   * is to be written, the number of pages may be that after a commit without an answer.
+   * is to be written, the head may be that of a commit without an answer, such as the job's creation.
    */
   private handleHead(found: VersionedHead, isUnchanged: boolean, sentAt: Milliseconds): void {
     const { writer, confirmation, isOwn, close } = this.options;
