A job that a node takes over is confirmed as of its takeover

Callers saw items of an ended job sent by a node that had taken the job over: an end that was acknowledged while the new owner still read the job was noticed only at its first verification, 1.2 s after it had begun to send items.

Cause: the ownership counted as confirmed from the moment at which the job was added, not from the commit that made this node the owner. The reads of the specification, the results and the progress lie between them, and are repeated until the store answers. The same held for recovered and for newly created jobs, whose commits may be answered late.

The confirmation now dates from the moment at which that commit was sent.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -70,8 +70,9 @@
   constructor(private readonly options: JobListingOptions) {
     const { spec, head, listed, journaled, store, clock, self } = options;
     const { journal, resumed = [], metrics = new FleetMetrics(), log } = journaled;
+    const { ownedSince = suspendAwareTime(clock) } = journaled;
     this.changes = new ChangeQueue(clock);
-    this.confirmation = new OwnershipConfirmation(clock, suspendAwareTime(clock));
+    this.confirmation = new OwnershipConfirmation(clock, ownedSince);
     const term = journal?.term ?? NO_TERM;
     this.writer = new ListingWriter(
       {
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -8,7 +8,7 @@
 import type { JobJournal } from '../journal/job-journal.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
-import type { Clock } from '../serving/clock.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { TenantName } from '../tenants/tenant.js';
@@ -31,6 +31,7 @@
   StillNeeded,
   VersionedHead,
 } from './job-store.js';
+import type { JournalState } from './listing-state.js';
 import { hasLostClaim } from './new-job-claim.js';
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
@@ -171,6 +172,7 @@
     const { store, clock, zone, journals, residency } = this.options;
     const { owner, journal, right, mayJournal } = acceptance;
     const startedAt = clock.now();
+    const ownedSince = suspendAwareTime(clock);
     const cachedWork = this.cachedElsewhere(spec);
     const head = { ...firstHead(spec, owner, zone, journal), ...residency.headFieldsFor(spec) };
     const attempt = {
@@ -184,8 +186,9 @@
     };
     const job = new JobCreation(attempt);
     const creation = job.createInStore(head);
+    const state = { journal, ownedSince };
     const mayStart = owner !== null && (mayJournal || journals === undefined);
-    const early = mayStart ? await this.startEarly(spec, creation, cachedWork, journal) : undefined;
+    const early = mayStart ? await this.startEarly(spec, creation, cachedWork, state) : undefined;
     if (early !== undefined && journal !== undefined && (await job.acceptByJournal(journal))) {
       this.releases.forget(spec.id);
       this.noteJournaled(early, journal, right?.record.term ?? 0);
@@ -203,7 +206,7 @@
       early?.abandon();
       await this.releaseToHolder(spec, change.current, journal);
     } else if (owner === null) await this.offerReleased(spec);
-    else await this.addCreated(spec, change.current, early, cachedWork, journal);
+    else await this.addCreated(spec, change.current, early, cachedWork, state);
     if (change.kind === 'trainer-changed') return 'retry';
     const existing = change.kind === 'superseded' ? change.current : undefined;
     if (existing !== undefined) return tenantConflict(spec, existing.head.tenant);
@@ -288,7 +291,7 @@
     spec: JobSpecification,
     creation: Promise<CreationOutcome>,
     cachedWork: Promise<ReadonlyMap<string, DigestedWork>>,
-    journal: JobJournal | undefined,
+    state: JournalState,
   ): Promise<OwnedJob | undefined> {
     const isSettled = await Promise.race([
       creation.then(() => true),
@@ -297,7 +300,7 @@
     if (isSettled) return undefined;
     this.options.log.state('job-started-early', { job: spec.id, step: spec.step });
     const { owned } = this.options;
-    return owned.startEarly(spec, owned.earlierWork(spec, {}, await cachedWork), { journal });
+    return owned.startEarly(spec, owned.earlierWork(spec, {}, await cachedWork), state);
   }
 
   private async addCreated(
@@ -305,7 +308,7 @@
     head: VersionedHead,
     early: OwnedJob | undefined,
     cachedWork: Promise<ReadonlyMap<string, DigestedWork>>,
-    journal: JobJournal | undefined,
+    state: JournalState,
   ): Promise<void> {
     const { owned, peers } = this.options;
     const otherInstance = owned.get(spec.id);
@@ -314,7 +317,7 @@
       return;
     }
     if (early !== undefined) owned.attachEarly(early, head);
-    else owned.add(spec, head, [], owned.earlierWork(spec, {}, await cachedWork), { journal });
+    else owned.add(spec, head, [], owned.earlierWork(spec, {}, await cachedWork), state);
     peers.reportWeightNeed(weightNeedOf(spec));
   }
 
--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -4,7 +4,7 @@
 import { FIRST_TERM, type ZoneJournals } from '../journal/zone-journals.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { JobResidency } from '../placement/job-residency.js';
-import type { Clock } from '../serving/clock.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobPeers } from './job-peers.js';
@@ -88,6 +88,7 @@
       owner: self,
       ...(claimed === undefined ? {} : { term: claimed.journal.term }),
     };
+    const ownedSince = suspendAwareTime(clock);
     const change = await store.replace(job, found, fields, isStillNeeded);
     if (change.kind === 'unavailable' && change.mayBeDone) this.options.noteUncertain(job);
     if (change.kind !== 'changed') return false;
@@ -109,7 +110,7 @@
     // The store has all results of a finished job, so it is not run.
     if (!isFinished(head.head)) {
       const initialWork = owned.earlierWork(spec, progress ?? {}, released);
-      const state = { journal: claimed?.journal, resumed: journaled };
+      const state = { journal: claimed?.journal, resumed: journaled, ownedSince };
       owned.add(spec, head, listed, initialWork, state);
       peers.reportWeightNeed(weightNeedOf(spec));
     }
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -8,7 +8,7 @@
 import type { ReplicaLocation } from '../journal/replica-location.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import type { JobResidency } from '../placement/job-residency.js';
-import type { Clock } from '../serving/clock.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { JobPeers } from './job-peers.js';
@@ -172,7 +172,7 @@
    * this node or another one as its owner.
    */
   private async recoverJob({ journal, entries }: ClaimedJournal): Promise<boolean> {
-    const { owned, peers, log, metrics, noteUncertain } = this.options;
+    const { owned, peers, clock, log, metrics, noteUncertain } = this.options;
     const { job } = journal;
     const created = entries.find((entry) => entry.kind === 'created');
     if (created === undefined) return false;
@@ -184,6 +184,7 @@
       await journal.release(entries);
       return false;
     }
+    const ownedSince = suspendAwareTime(clock);
     const change = await this.createInStore(spec, replicas, journal.term, trainer);
     // The head may name this node as the owner, which does not run the job yet.
     if (change.kind === 'unavailable' && change.mayBeDone) noteUncertain(job);
@@ -199,7 +200,7 @@
     // The store has all results of a finished job, so it is not run.
     if (!isFinished(head.head)) {
       const initialWork = owned.earlierWork(spec, {});
-      owned.add(spec, head, stored, initialWork, { journal, resumed: journaled });
+      owned.add(spec, head, stored, initialWork, { journal, resumed: journaled, ownedSince });
       peers.reportWeightNeed(weightNeedOf(spec));
     }
     const details = { listed: stored.length, journaled: journaled.length };
--- a/src/jobs/listing-state.ts
+++ b/src/jobs/listing-state.ts
@@ -1,4 +1,5 @@
 /** State of an owned job's listing: its journal, and why its node no longer runs it. */
+import type { Milliseconds } from '../core/units.js';
 import type { JobJournal } from '../journal/job-journal.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
@@ -21,6 +22,11 @@
   readonly journal?: JobJournal | undefined;
   /** Changes that an earlier owner journaled and the store lacks. */
   readonly resumed?: readonly ListingChange[];
+  /**
+   * When the commit that made this node the owner was sent, by `suspendAwareTime`; the job may have
+   * been cancelled since. @default now
+   */
+  readonly ownedSince?: Milliseconds;
   readonly metrics?: FleetMetrics;
   /** Where listed pages are logged; `undefined` if they are not. */
   readonly log?: DecisionLog;
--- a/src/jobs/ownership-confirmation.ts
+++ b/src/jobs/ownership-confirmation.ts
@@ -14,7 +14,7 @@
   private ownedAt: Milliseconds;
   private uncancelledAt: Milliseconds;
 
-  /** `confirmedAt` is when the store was asked for the head that made this node the owner. */
+  /** `confirmedAt` is when the commit that made this node the owner was sent. */
   constructor(
     private readonly clock: Pick<Clock, 'now' | 'suspendedTime'>,
     confirmedAt: Milliseconds,
--- a/test/jobs/unnoticed-end.test.ts
+++ b/test/jobs/unnoticed-end.test.ts
@@ -4,9 +4,10 @@
  */
 import t from 'tap';
 import type { Milliseconds } from '../../src/core/units.js';
+import { JobStore } from '../../src/jobs/job-store.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { SendRecorder } from './send-recorder.js';
-import type { StorePortMode } from './store-port.js';
+import { SLOW_ANSWER_TIME, type StorePortMode } from './store-port.js';
 import { JOB, step } from './zone-trainer.js';
 import { type ZoneNode, ZonesWithStore } from './zones-with-store.js';
 
@@ -116,3 +117,24 @@
   t.ok(engine.longestPauseSince(from) <= MAX_PAUSE, `${engine.longestPauseSince(from)} ms`);
   await zones.close();
 });
+
+t.test('a job that ends while its new owner reads it is not run', async (t) => {
+  const { zones, owner, cancelInStore } = await cancellableJob(t, 3);
+  zones.end(owner);
+  const engine = new SendRecorder(zones.clock);
+  const newOwner = zones.start('zone-1', undefined, engine);
+  const read = await new JobStore(zones.store, zones.clock).head(JOB);
+  if (read.kind !== 'found') throw new Error(read.kind);
+  zones.setStore('slow', newOwner);
+  const takeover = newOwner.service.takeOver(JOB, read.value);
+  await zones.run(SLOW_ANSWER_TIME);
+  zones.setStore('reads-silent', newOwner);
+  await cancelInStore();
+  await zones.run(MAX_SEND_DELAY);
+  zones.setStore('up', newOwner);
+  t.ok(await zones.answerOf(takeover));
+  await zones.run(3_000);
+  t.equal(engine.sends.length, 0);
+  t.equal(newOwner.service.ownedJobs()[0]?.closeReason, 'ended');
+  await zones.close();
+});
