Scores are requested only while their job is not cancelled

A worker got requests for scores of items long after the end of their job had been acknowledged, from an owner that no longer sent the job's items.

Cause: only items were held back while the store had not confirmed that the job was not cancelled; the scorer went through all open jobs.

The dispatcher now selects the jobs whose requests may be sent once, for items and scores alike.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -21,8 +21,8 @@
   /** The routes in force; `undefined` before the first configuration. */
   readonly routes: () => RouteMatcher | undefined;
   /**
-   * Whether the store is unreachable from this node. Only then are items of jobs with unconfirmed
-   * ownership sent.
+   * Whether the store is unreachable from this node. Only then are requests of unconfirmed jobs
+   * sent.
    */
   readonly isStoreUnreachable: () => boolean;
   /** Distance cost of sending to a worker in a zone. @default no zone has a cost */
@@ -124,9 +124,10 @@
     if (routes === undefined || this.isStopped) return;
     const now = this.options.clock.now();
     const rounds = new Map<ServiceName, PlacementRound>();
-    const jobsByAge = [...this.jobs].sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
+    const jobsByAge = [...this.jobs]
+      .filter((job) => job.isOpen && this.maySend(job))
+      .sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
     for (const job of jobsByAge) {
-      if (!job.isOpen || (job.isUnconfirmed && !this.options.isStoreUnreachable())) continue;
       const waiting = job.waiting(now);
       waiting.sort(startedThenLongest);
       for (const entry of waiting) this.startRun(job, entry, routes, rounds, now);
@@ -134,6 +135,11 @@
     this.scorer.dispatch(jobsByAge, routes);
   }
 
+  /** Whether requests of a job may be sent: it is not cancelled, or this node cannot find out. */
+  private maySend(job: OwnedJob): boolean {
+    return !job.isUnconfirmed || this.options.isStoreUnreachable();
+  }
+
   private startRun(
     job: OwnedJob,
     entry: OwnedItem,
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -56,9 +56,12 @@
 
   constructor(private readonly options: ItemScorerOptions) {}
 
-  /** Sends due score requests, starting with the groups that lack the fewest results. */
+  /**
+   * Sends due score requests of jobs whose requests may be sent, starting with the groups that lack
+   * the fewest results.
+   */
   dispatch(jobs: readonly OwnedJob[], routes: RouteMatcher): void {
-    const due = jobs.flatMap((job) => (job.isOpen ? unscoredItems(job) : []));
+    const due = jobs.flatMap(unscoredItems);
     for (const item of due) this.send(item, routes);
   }
 
--- a/test/jobs/unnoticed-end.test.ts
+++ b/test/jobs/unnoticed-end.test.ts
@@ -4,8 +4,11 @@
  */
 import t from 'tap';
 import type { Milliseconds } from '../../src/core/units.js';
+import type { JobSpecification } from '../../src/jobs/job-records.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
+import { worker } from '../serving/serving-fixtures.js';
+import { scoredSpecification } from './job-fixtures.js';
 import { SendRecorder } from './send-recorder.js';
 import { SLOW_ANSWER_TIME, type StorePortMode } from './store-port.js';
 import { JOB, step } from './zone-trainer.js';
@@ -32,12 +35,13 @@
 async function cancellableJob(
   test: Parameters<typeof ZonesWithStore.open>[0],
   replicas: Replicas,
+  spec: JobSpecification = step(JOB, 0),
 ): Promise<CancellableJob> {
   const zones = await ZonesWithStore.open(test, 2, replicas);
   const engine = new SendRecorder(zones.clock);
   const owner = zones.start('zone-1', undefined, engine);
   const other = zones.start('zone-2');
-  const answer = await zones.answerOf(zones.submit(owner, step(JOB, 0)), 10_000);
+  const answer = await zones.answerOf(zones.submit(owner, spec), 10_000);
   if (answer !== 'accepted') throw new Error(`the submission was answered ${answer}`);
   await zones.run(1_000);
   const cancelInStore = async (): Promise<Milliseconds> => {
@@ -138,3 +142,17 @@
   t.equal(newOwner.service.ownedJobs()[0]?.closeReason, 'ended');
   await zones.close();
 });
+
+t.test('no score is requested long after the end of a job', async (t) => {
+  const spec = scoredSpecification(JOB, 2);
+  const { zones, owner, engine, cancelInStore } = await cancellableJob(t, 3, spec);
+  owner.registry.put(worker('s1', { service: 'scorers' }));
+  for (const { id } of spec.items) engine.completing.add(id);
+  await zones.run(500);
+  zones.setStore('reads-silent', owner);
+  const cancelledAt = await cancelInStore();
+  t.ok(engine.sends.some(({ id }) => id === 'score-0'));
+  await zones.run(MAX_SEND_DELAY + 3_000);
+  t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
+  await zones.close();
+});
