Runs are moved only while their items may be sent again

Samples of a slow worker were broken off with nothing to follow: a run that stalls, or runs on a slow worker, is cancelled so that its item is sent to a better one, and that was done as well while requests of the job were held back because the store had not confirmed that it was not cancelled.

Only runs of jobs whose requests may be sent are moved now.

Evidence: the test "a run is not moved while its item could not be sent again" saw both runs of an unconfirmed job cancelled before, with no request after them; now they go on until the job is confirmed, and are moved then.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -105,7 +105,7 @@
   tick(): void {
     this.dropClosedJobs();
     for (const job of this.jobs) this.terminateExpired(job);
-    this.migrator.migrateRuns(this.jobs);
+    this.migrator.migrateRuns([...this.jobs].filter((job) => this.maySend(job)));
     this.dispatch();
   }
 
--- a/src/jobs/run-migrator.ts
+++ b/src/jobs/run-migrator.ts
@@ -29,7 +29,7 @@
 export class RunMigrator {
   constructor(private readonly options: RunMigratorOptions) {}
 
-  /** Moves all eligible runs; called periodically. */
+  /** Moves all eligible runs of jobs whose requests may be sent; called periodically. */
   migrateRuns(jobs: Iterable<OwnedJob>): void {
     const now = this.options.clock.now();
     const median = medianEventInterval(this.options.registry.all());
--- a/test/jobs/unnoticed-end.test.ts
+++ b/test/jobs/unnoticed-end.test.ts
@@ -7,7 +7,7 @@
 import type { JobSpecification } from '../../src/jobs/job-records.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
-import { worker } from '../serving/serving-fixtures.js';
+import { ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 import { scoredSpecification } from './job-fixtures.js';
 import { SendRecorder } from './send-recorder.js';
 import { SLOW_ANSWER_TIME, type StorePortMode } from './store-port.js';
@@ -156,3 +156,22 @@
   t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
   await zones.close();
 });
+
+t.test('a run is not moved while its item could not be sent again', async (t) => {
+  const zones = await ZonesWithStore.open(t, 1);
+  const engine = new ScriptedEngine();
+  const owner = zones.start('zone-1', undefined, engine);
+  owner.registry.remove('w1');
+  t.equal(await zones.answerOf(zones.submit(owner, step(JOB, 0)), 10_000), 'accepted');
+  zones.setStore('reads-silent', owner);
+  await zones.run(1_800);
+  owner.registry.put(worker('w1'));
+  owner.registry.put(worker('w2'));
+  await zones.run(2_000);
+  const { length: sent } = engine.requests;
+  t.same([sent, engine.cancelled.length], [2, 0]);
+  zones.setStore('up', owner);
+  await zones.run(1_000);
+  t.ok(engine.cancelled.length > 0, 'stalled runs are moved once the job is confirmed');
+  await zones.close();
+});
