An owner sends nothing while the outcome of a cancellation is not known

Callers ended a job and saw its items reach workers for as long as the store turned its owner away.

The owner knew that the job was about to be cancelled, and went on sending its items because it could not reach the store.

A cancellation that was asked for is now noted before it is carried out or refused. Until the store has the job uncancelled after that, requests of the job are sent only on a recent confirmation, also while the store is unreachable. A zone that is cut off goes on with all other jobs.

--- a/src/fleet/peer-request-handler.ts
+++ b/src/fleet/peer-request-handler.ts
@@ -110,7 +110,10 @@
 
   private async cancelOwned(job: string, caller: CallerIdentity): Promise<boolean> {
     const { fleet, jobs, acceptsJobsWithoutStore: acceptsJobs } = this.options;
-    return (!fleet.isStoreUnreachable || acceptsJobs()) && jobs().cancelOwn(job, caller);
+    if (!fleet.isStoreUnreachable || acceptsJobs()) return jobs().cancelOwn(job, caller);
+    // The sender cancels the job in the store instead.
+    jobs().noteCancellationRequested(job, caller);
+    return false;
   }
 
   private cancelFor(job: string, caller: CallerIdentity): Promise<Failure | undefined> {
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -137,7 +137,8 @@
 
   /** Whether requests of a job may be sent: it is not cancelled, or this node cannot find out. */
   private maySend(job: OwnedJob): boolean {
-    return !job.isUnconfirmed || this.options.isStoreUnreachable();
+    if (!job.isUnconfirmed) return true;
+    return this.options.isStoreUnreachable() && !job.isCancellationUnsettled;
   }
 
   private startRun(
--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -52,13 +52,14 @@
 
 /** Lists the results of one job. */
 export class JobListing {
+  /** When the ownership was last confirmed. */
+  readonly confirmation: OwnershipConfirmation;
   private readonly listed: JobResult[] = [];
   private pending: JobResult[] = [];
   private readonly writer: ListingWriter;
   /** Number of listed pages. */
   private listedPages: number;
   private lastListingAt: Milliseconds = Number.NEGATIVE_INFINITY;
-  private readonly confirmation: OwnershipConfirmation;
   private readonly verification: OwnershipVerification;
   /** Whether a cancellation is being stored, and whether it is stored. */
   private isCancelling = false;
@@ -134,16 +135,6 @@
     return this.writer.isPending;
   }
 
-  /** Time since it was last confirmed that no other node owned the job. */
-  ownershipAge(): Milliseconds {
-    return this.confirmation.ownershipAge();
-  }
-
-  /** Time since it was last confirmed that no other node had cancelled the job. */
-  uncancelledAge(): Milliseconds {
-    return this.confirmation.uncancelledAge();
-  }
-
   /** Queues a result for the next page. */
   add(result: JobResult): void {
     this.pending.push(result);
@@ -177,6 +168,7 @@
    * that is being written, and proceeds even if the caller stops waiting.
    */
   cancel(isStillNeeded: StillNeeded): Promise<boolean> {
+    this.confirmation.noteCancellationRequested();
     const cancellation = this.changes.run(async () => {
       if (!this.canList) return false;
       if (this.isCancellationStored || this.isCancelledInStore) return true;
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -290,4 +290,11 @@
     if (ownedJob === undefined || !mayAccess(caller, ownedJob.spec.tenant)) return false;
     return ownedJob.canCancel ? ownedJob.cancel(() => false) : ownedJob.isCancelled;
   }
+
+  /** Notes that another node may cancel a job that this node owns, because this one does not. */
+  noteCancellationRequested(job: string, caller: CallerIdentity): void {
+    const ownedJob = this.owned.get(job);
+    if (ownedJob === undefined || !mayAccess(caller, ownedJob.spec.tenant)) return;
+    ownedJob.noteCancellationRequested();
+  }
 }
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -147,7 +147,7 @@
 
   /** Time since it was last confirmed that no other node owned the job. */
   ownershipAge(): Milliseconds {
-    return this.listing.ownershipAge();
+    return this.listing.confirmation.ownershipAge();
   }
 
   /**
@@ -155,7 +155,20 @@
    * confirms that none has.
    */
   get isUnconfirmed(): boolean {
-    return this.listing.uncancelledAge() > MAX_CONFIRMATION_AGE;
+    return this.listing.confirmation.uncancelledAge() > MAX_CONFIRMATION_AGE;
+  }
+
+  /**
+   * Whether a caller has asked to cancel the job and its outcome is not known: no items are sent, even
+   * while the store is unreachable, because another node may have stored the cancellation.
+   */
+  get isCancellationUnsettled(): boolean {
+    return this.listing.confirmation.isCancellationUnsettled;
+  }
+
+  /** Called if this node does not carry out a cancellation that a caller asked for. */
+  noteCancellationRequested(): void {
+    this.listing.confirmation.noteCancellationRequested();
   }
 
   /** Items that may be sent now. */
--- a/src/jobs/ownership-confirmation.ts
+++ b/src/jobs/ownership-confirmation.ts
@@ -13,6 +13,8 @@
 export class OwnershipConfirmation {
   private ownedAt: Milliseconds;
   private uncancelledAt: Milliseconds;
+  /** When a caller last asked to cancel the job. */
+  private cancellationRequestedAt: Milliseconds = Number.NEGATIVE_INFINITY;
 
   /** `confirmedAt` is when the commit that made this node the owner was sent. */
   constructor(
@@ -38,6 +40,16 @@
     return this.now() - this.uncancelledAt;
   }
 
+  /** Whether a caller has asked to cancel the job, and the store has not had it uncancelled since. */
+  get isCancellationUnsettled(): boolean {
+    return this.cancellationRequestedAt > this.uncancelledAt;
+  }
+
+  /** A caller asked to cancel the job; another node may do so if this one does not. */
+  noteCancellationRequested(): void {
+    this.cancellationRequestedAt = this.now();
+  }
+
   /** The store had the job with this owner and not cancelled at a time. */
   noteByStore(at: Milliseconds): void {
     this.noteByJournal(at);
