An owner whose lease has expired is asked to stop a cancelled job

Callers ended a job whose owner the store had turned away for over 2 s, and saw its items reach workers until the store served that owner again.

Cause: a node asks only live owners to cancel a job. One that runs on with an expired lease is not asked: the cancellation goes into the store, which this owner does not reach, and a cancelled job is not taken over, so nothing else stops it either.

A node that has cancelled a job in the store now sends the existing surrender-job request to an owner whose lease has expired, at the address in the head. It is sent once, after the store has the cancellation, and no answer waits for it; an owner that has terminated costs one refused connection. A live owner is asked to cancel the job itself, as before, and keeps its work on the items.

--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -4,10 +4,10 @@
 import type { Failure } from '../errors/error-kinds.js';
 import type { PeerAnswers } from '../peers/peer-messages.js';
 import { type JobResidency, UNRESTRICTED_RESIDENCY } from '../placement/job-residency.js';
-import { type CallerIdentity, mayAccess } from '../tenants/tenant.js';
+import type { CallerIdentity } from '../tenants/tenant.js';
 import type { DigestedWork } from './item-work-cache.js';
 import { JobAdmission } from './job-admission.js';
-import { denyAccess, failureOf, storeUnavailable } from './job-answers.js';
+import { JobCancellations } from './job-cancellations.js';
 import type { JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
 import { JobReadings } from './job-readings.js';
@@ -20,7 +20,6 @@
 import type { OwnedJob } from './owned-job.js';
 import { OwnedJobs, type OwnedJobsOptions } from './owned-jobs.js';
 import { ReadLog } from './read-log.js';
-import { STORE_RETRY_AFTER } from './store-reads.js';
 import { TrainerHomes } from './trainer-homes.js';
 import { UncertainOwnership } from './uncertain-ownership.js';
 
@@ -57,6 +56,7 @@
   private readonly uncertain: UncertainOwnership;
   private readonly reads: ReadLog;
   private readonly readings: JobReadings;
+  private readonly cancellations: JobCancellations;
   private nextResidencyScanAt: Milliseconds = 0;
 
   constructor(private readonly options: JobServiceOptions) {
@@ -69,6 +69,7 @@
     const noteUncertain = (job: string): void => this.uncertain.note(job);
     const shared = { ...options, owned, residency, homes, noteUncertain };
     this.readings = new JobReadings({ ...shared, reads: this.reads });
+    this.cancellations = new JobCancellations({ ...shared, reads: this.reads });
     this.submissions = new JobSubmissions(shared);
     this.admission = new JobAdmission({ ...options, submissions: this.submissions });
     this.transfer = new JobTransfer(shared);
@@ -210,91 +211,44 @@
     return isStillOwner && this.takeOver(job, read.value, ownerAnswers);
   }
 
+  /** Removes finished jobs whose retention has expired from the store. */
+  async removeExpired(): Promise<void> {
+    const { store, clock, log, retention } = this.options;
+    const read = await store.heads();
+    if (read.kind !== 'found') return;
+    for (const [job, found] of read.value) {
+      const age = ageOf(found.head, clock.wallTime());
+      if (!isFinished(found.head) || age < retention() + RETENTION_MARGIN) continue;
+      await store.remove(job, found);
+      log.state('job-removed', { job, ageMs: Math.round(age) });
+    }
+  }
+
   /** Cancels a job; `undefined` means that it is cancelled. */
-  async cancel(
+  cancel(
     job: string,
     caller: CallerIdentity,
     isStillNeeded: StillNeeded,
   ): Promise<Failure | undefined> {
-    const forwarded = await this.options.peers.cancelElsewhere(job, caller);
-    if (forwarded !== undefined && forwarded.failure === undefined) {
-      this.owned.get(job)?.noteCancelledElsewhere();
-      return undefined;
-    }
-    return this.cancelHere(job, caller, isStillNeeded);
+    return this.cancellations.cancel(job, caller, isStillNeeded);
   }
 
   /** Cancels a job on this node, at its owner or in the store. */
-  async cancelHere(
+  cancelHere(
     job: string,
     caller: CallerIdentity,
     isStillNeeded: StillNeeded,
   ): Promise<Failure | undefined> {
-    const ownedJob = this.owned.get(job);
-    if (ownedJob !== undefined && !mayAccess(caller, ownedJob.spec.tenant)) {
-      return denyAccess(this.options.log, job, ownedJob.spec.tenant, caller);
-    }
-    if (ownedJob?.canCancel === true && (await ownedJob.cancel(isStillNeeded))) return undefined;
-    if (ownedJob === undefined && (await this.cancelAtLikelyOwner(job, caller))) return undefined;
-    for (;;) {
-      const read = await this.options.store.head(job);
-      if (read.kind === 'absent') {
-        const missing = await this.options.reader.explainMissing(job, read.kind);
-        this.reads.noteUnanswered('cancel', job, missing);
-        return failureOf(missing);
-      }
-      if (read.kind === 'found') {
-        const { ended: isCancelled, owner, tenant } = read.value.head;
-        if (!mayAccess(caller, tenant)) return denyAccess(this.options.log, job, tenant, caller);
-        if (isCancelled) return undefined;
-        const isCancelledByOwner =
-          owner !== null && (await this.options.peers.cancelAtOwner(owner, job, caller));
-        if (isCancelledByOwner) return undefined;
-        const ended = { ended: true };
-        const change = await this.options.store.replace(job, read.value, ended, isStillNeeded);
-        if (change.kind === 'changed') {
-          this.options.log.state('job-cancelled', { job, owner: 'none', durableBy: 'store' });
-          return undefined;
-        }
-      }
-      if (!isStillNeeded()) {
-        const cause = read.kind === 'found' ? 'change-not-confirmed' : 'store-silent';
-        this.reads.noteUnanswered('cancel', job, { kind: 'unavailable', cause });
-        return storeUnavailable();
-      }
-      await this.options.clock.sleep(STORE_RETRY_AFTER);
-    }
-  }
-
-  private async cancelAtLikelyOwner(job: string, caller: CallerIdentity): Promise<boolean> {
-    const [owner] = this.options.peers.likelyOwners(job);
-    return owner !== undefined && this.options.peers.cancelAtOwner(owner, job, caller);
-  }
-
-  /** Removes finished jobs whose retention has expired from the store. */
-  async removeExpired(): Promise<void> {
-    const { store, clock, log, retention } = this.options;
-    const read = await store.heads();
-    if (read.kind !== 'found') return;
-    for (const [job, found] of read.value) {
-      const age = ageOf(found.head, clock.wallTime());
-      if (!isFinished(found.head) || age < retention() + RETENTION_MARGIN) continue;
-      await store.remove(job, found);
-      log.state('job-removed', { job, ageMs: Math.round(age) });
-    }
+    return this.cancellations.cancelHere(job, caller, isStillNeeded);
   }
 
   /** Cancels a job that this node owns; returns whether it is cancelled. */
-  async cancelOwn(job: string, caller: CallerIdentity): Promise<boolean> {
-    const ownedJob = this.owned.get(job);
-    if (ownedJob === undefined || !mayAccess(caller, ownedJob.spec.tenant)) return false;
-    return ownedJob.canCancel ? ownedJob.cancel(() => false) : ownedJob.isCancelled;
+  cancelOwn(job: string, caller: CallerIdentity): Promise<boolean> {
+    return this.cancellations.cancelOwn(job, caller);
   }
 
   /** Notes that another node may cancel a job that this node owns, because this one does not. */
   noteCancellationRequested(job: string, caller: CallerIdentity): void {
-    const ownedJob = this.owned.get(job);
-    if (ownedJob === undefined || !mayAccess(caller, ownedJob.spec.tenant)) return;
-    ownedJob.noteCancellationRequested();
+    this.cancellations.noteRequested(job, caller);
   }
 }
--- a/test/jobs/refused-cancellation.test.ts
+++ b/test/jobs/refused-cancellation.test.ts
@@ -60,3 +60,18 @@
   await zones.run(2_000);
   t.equal(owner.service.ownedJobs()[0]?.closeReason, 'ended');
 });
+
+t.test(
+  'an owner whose lease has expired is asked to stop after its job was cancelled',
+  async (t) => {
+    const { zones, owner, engine } = await turnedAwayOwner(t);
+    zones.withoutLease.add(owner);
+    const other = zones.start('zone-2');
+    const cancellation = other.service.cancel(JOB, UNRESTRICTED, () => true);
+    const answer = await zones.answerOf(cancellation.then((failure) => ({ failure })));
+    t.same(answer, { failure: undefined });
+    const cancelledAt = zones.clock.now();
+    await zones.run(MAX_SEND_DELAY + 2_000);
+    t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
+  },
+);
--- a/test/jobs/zones-with-store.ts
+++ b/test/jobs/zones-with-store.ts
@@ -32,6 +32,9 @@
   readonly journals: ZoneJournals;
 }
 
+/** Requests about jobs that the nodes answer each other. */
+type JobsAtPeers = Pick<JobPeers, 'ownerListing' | 'cancelAtOwner' | 'releaseAtOwner'>;
+
 /** Selects the replicas that a node's directory lists. */
 export type Lists = (location: ReplicaLocation) => boolean;
 
@@ -60,6 +63,8 @@
   readonly nodes: ZoneNode[] = [];
   /** Zones that are partitioned from the other zones. */
   readonly partitioned = new Set<string>();
+  /** Live nodes whose leases have expired, as the store turns them away. */
+  readonly withoutLease = new Set<ZoneNode>();
   private readonly lists = new Map<ZoneNode, Lists>();
   private readonly ended = new Set<string>();
   private requestsInProgress = 0;
@@ -114,7 +119,7 @@
     const parts = jobNode(port, self, engine ?? new ScriptedEngine(scripts), peers, {
       ...{ zone, clock: this.clock },
       ...(this.locations().length === 0 ? {} : { journals }),
-      isWriterLive: (writer) => !this.ended.has(writer),
+      isWriterLive: (writer) => !this.ended.has(writer) && !this.hasLostLease(writer),
       isStoreUnreachable: () => port.mode === 'silent' || port.mode === 'refusing',
     });
     const node: ZoneNode = { ...parts, self, zone, port, directory, journals };
@@ -240,6 +245,10 @@
     return this.ended.has(writerOf(self));
   }
 
+  private hasLostLease(writer: string): boolean {
+    return [...this.withoutLease].some(({ self }) => writerOf(self) === writer);
+  }
+
   private locations(): ReplicaLocation[] {
     return [...this.zones.values()].flatMap(({ locations }) => locations);
   }
@@ -283,7 +292,7 @@
   }
 
   /** Requests about jobs to other nodes. */
-  private peersOf(from: () => ZoneNode): Pick<JobPeers, 'ownerListing' | 'cancelAtOwner'> {
+  private peersOf(from: () => ZoneNode): JobsAtPeers {
     const reached = (owner: JobOwner): ZoneNode | undefined =>
       this.live().find(
         ({ self, zone }) => self.node === owner.node && !this.isCut(from().zone, zone),
@@ -293,8 +302,12 @@
         const listing = await reached(owner)?.service.ownListing(...position);
         return listing?.isOwner === true ? listing : undefined;
       },
-      cancelAtOwner: async (owner, ...cancellation) =>
-        (await reached(owner)?.service.cancelOwn(...cancellation)) ?? false,
+      cancelAtOwner: async (owner, ...cancellation) => {
+        if (this.hasLostLease(writerOf(owner))) return false;
+        return (await reached(owner)?.service.cancelOwn(...cancellation)) ?? false;
+      },
+      releaseAtOwner: async (owner, job) =>
+        reached(owner)?.service.releaseTakenOver(job) ?? new Map(),
     };
   }
 
