--- a/test/jobs/zones-with-store.ts
+++ b/test/jobs/zones-with-store.ts
@@ -14,6 +14,7 @@
 import { REPLICA_PREFIX } from '../../src/journal/replica-record.js';
 import type { ZoneJournals } from '../../src/journal/zone-journals.js';
 import type { PeerOutcome, PeerPort, PeerRequest } from '../../src/peers/peer-messages.js';
+import type { EnginePort } from '../../src/serving/engine-port.js';
 import { UNRESTRICTED } from '../../src/tenants/tenant.js';
 import { JournalZone, listReplica, openJournals } from '../journal/journal-fixtures.js';
 import { answer, events, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
@@ -31,6 +32,9 @@
   readonly journals: ZoneJournals;
 }
 
+/** Requests about jobs that the nodes answer each other. */
+type JobsAtPeers = Pick<JobPeers, 'ownerListing' | 'cancelAtOwner' | 'releaseAtOwner'>;
+
 /** Selects the replicas that a node's directory lists. */
 export type Lists = (location: ReplicaLocation) => boolean;
 
@@ -59,6 +63,8 @@
   readonly nodes: ZoneNode[] = [];
   /** Zones that are partitioned from the other zones. */
   readonly partitioned = new Set<string>();
+  /** Live nodes whose leases have expired, as the store turns them away. */
+  readonly withoutLease = new Set<ZoneNode>();
   private readonly lists = new Map<ZoneNode, Lists>();
   private readonly ended = new Set<string>();
   private requestsInProgress = 0;
@@ -66,7 +72,7 @@
 
   private constructor() {}
 
-  /** Opens zones `zone-1`, `zone-2` and so on. */
+  /** Opens zones `zone-1`, `zone-2` and so on; without `replicas`, they have no journals. */
   static async open(
     test: Pick<typeof t, 'teardown'>,
     zones: number,
@@ -90,8 +96,8 @@
     return zone;
   }
 
-  /** Starts a node; its texts differ from those of all other nodes. */
-  start(zone: string, lists: Lists = () => true): ZoneNode {
+  /** Starts a node; without `engine`, its texts differ from those of all other nodes. */
+  start(zone: string, lists: Lists = () => true, engine?: EnginePort): ZoneNode {
     const number = this.nodes.length;
     const letter = String.fromCharCode('A'.charCodeAt(0) + number);
     const self = { node: `node-${number}`, incarnation: 'life-1', address: `10.1.0.${number}:1` };
@@ -110,10 +116,10 @@
       directory.applyChange({ key: `${JOURNAL_ZONE_PREFIX}${name}`, value: '', revision: 1 });
     }
     const peers = { ...NO_PEERS, ...this.peersOf(() => node) };
-    const engine = new ScriptedEngine(scripts);
-    const parts = jobNode(port, self, engine, peers, {
-      ...{ zone, clock: this.clock, journals },
-      isWriterLive: (writer) => !this.ended.has(writer),
+    const parts = jobNode(port, self, engine ?? new ScriptedEngine(scripts), peers, {
+      ...{ zone, clock: this.clock },
+      ...(this.locations().length === 0 ? {} : { journals }),
+      isWriterLive: (writer) => !this.ended.has(writer) && !this.hasLostLease(writer),
       isStoreUnreachable: () => port.mode === 'silent' || port.mode === 'refusing',
     });
     const node: ZoneNode = { ...parts, self, zone, port, directory, journals };
@@ -239,6 +245,10 @@
     return this.ended.has(writerOf(self));
   }
 
+  private hasLostLease(writer: string): boolean {
+    return [...this.withoutLease].some(({ self }) => writerOf(self) === writer);
+  }
+
   private locations(): ReplicaLocation[] {
     return [...this.zones.values()].flatMap(({ locations }) => locations);
   }
@@ -282,7 +292,7 @@
   }
 
   /** Requests about jobs to other nodes. */
-  private peersOf(from: () => ZoneNode): Pick<JobPeers, 'ownerListing' | 'cancelAtOwner'> {
+  private peersOf(from: () => ZoneNode): JobsAtPeers {
     const reached = (owner: JobOwner): ZoneNode | undefined =>
       this.live().find(
         ({ self, zone }) => self.node === owner.node && !this.isCut(from().zone, zone),
@@ -292,8 +302,12 @@
         const listing = await reached(owner)?.service.ownListing(...position);
         return listing?.isOwner === true ? listing : undefined;
       },
-      cancelAtOwner: async (owner, ...cancellation) =>
-        (await reached(owner)?.service.cancelOwn(...cancellation)) ?? false,
+      cancelAtOwner: async (owner, ...cancellation) => {
+        if (this.hasLostLease(writerOf(owner))) return false;
+        return (await reached(owner)?.service.cancelOwn(...cancellation)) ?? false;
+      },
+      releaseAtOwner: async (owner, job) =>
+        reached(owner)?.service.releaseTakenOver(job) ?? new Map(),
     };
   }
 
