Items of a submitted job are not sent before the store shows that it has not ended

What callers saw: workers got items of a job that its trainer had ended, from a gateway that got the submission of that job again.

Cause: while the store has not answered the creation of a job for 100 ms, the accepting node starts its items. Where zones keep no journals nothing shows that the job is new: the submission may repeat one that another node accepted and whose end was acknowledged. That node usually answers the repetition from memory; once it is lost or cut off another one gets it, sends items until its creation is superseded, and counts as confirmed for 2 s meanwhile. The class: a decision to send that rests on a request alone, while its contrary is recorded at the store.

Change: a job that starts early is unconfirmed unless the trainer's right shows that it is new. Its head is read at once and, until the job is accepted, whenever its confirmation is old; a head that is absent, or this node's own and not ended, confirms it. Items of an unconfirmed job wait while the store is reachable, as elsewhere. The price is one read for a submission that the store has not answered within 100 ms, and the time of that read. Items of a new job are still sent before a slow commit is answered (test).

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -161,9 +161,8 @@
 
   /** Lists pending results or verifies the ownership, whichever is due. */
   listOrVerify(): void {
-    if (!this.canList) return;
     this.verification.readIfDue();
-    if (this.changes.isBusy) return;
+    if (!this.canList || this.changes.isBusy) return;
     const sinceListing = this.options.clock.now() - this.lastListingAt;
     if (this.pending.length > 0 && sinceListing >= this.listingInterval()) {
       void this.changes.run(() => this.list());
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -76,6 +76,9 @@
 /** Time after which items start although the store has not accepted their job. */
 const EARLY_START_DELAY: Milliseconds = 100;
 
+/** Date of an ownership that nothing has confirmed. */
+const NEVER: Milliseconds = Number.NEGATIVE_INFINITY;
+
 /** Accepts submitted jobs on this node. */
 export class JobSubmissions {
   /** Whether this node is stopping: it accepts jobs only for other nodes to run. */
@@ -188,7 +191,11 @@
     const creation = job.createInStore(head);
     const state = { journal, ownedSince };
     const mayStart = owner !== null && (mayJournal || journals === undefined);
-    const early = mayStart ? await this.startEarly(spec, creation, cachedWork, state) : undefined;
+    // Only the trainer's right shows that the job is new.
+    const earlyState = mayJournal ? state : { journal, ownedSince: NEVER };
+    const early = mayStart
+      ? await this.startEarly(spec, creation, cachedWork, earlyState)
+      : undefined;
     if (early !== undefined && journal !== undefined && (await job.acceptByJournal(journal))) {
       this.releases.forget(spec.id);
       this.noteJournaled(early, journal, right?.record.term ?? 0);
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -52,6 +52,8 @@
 
 export class OwnedJobs {
   private readonly jobs = new Map<string, OwnedJob>();
+  /** Open jobs that were started early and are not accepted yet. */
+  private readonly unacceptedJobs = new Set<OwnedJob>();
   private readonly workCache: ItemWorkCache;
   private readonly residency: JobResidency;
 
@@ -92,31 +94,39 @@
     if (!isFinished(head.head)) this.options.dispatcher.add(job);
   }
 
-  /** Runs the items of a job that is not stored yet; no results are listed. */
+  /**
+   * Runs the items of a job that is not stored yet; no results are listed. An unconfirmed job is
+   * verified first, because its submission may repeat that of a job that has ended since.
+   */
   startEarly(
     spec: JobSpecification,
     earlierWork: ReadonlyMap<string, ItemWork>,
     journaled: JournalState = {},
   ): OwnedJob {
+    const { dispatcher } = this.options;
     const job = this.makeJob(spec, undefined, [], earlierWork, journaled);
-    this.options.dispatcher.add(job);
+    this.unacceptedJobs.add(job);
+    dispatcher.add(job);
+    if (job.isUnconfirmed) void job.verifyNow().then(() => dispatcher.schedule());
     return job;
   }
 
   /** Adds a job that was started early, after the store has accepted it. */
   attachEarly(job: OwnedJob, head: VersionedHead): void {
+    this.unacceptedJobs.delete(job);
     job.attach(head);
     this.jobs.set(job.spec.id, job);
   }
 
   /** Adds a job that was started early, after the zone's journal has accepted it. */
   attachJournaled(job: OwnedJob): void {
+    this.unacceptedJobs.delete(job);
     job.attachByJournal();
     this.jobs.set(job.spec.id, job);
   }
 
   tick(): void {
-    for (const job of this.jobs.values()) job.listOrVerify();
+    for (const job of [...this.jobs.values(), ...this.unacceptedJobs]) job.listOrVerify();
     this.dropOld();
   }
 
@@ -207,6 +217,7 @@
   }
 
   private noteClosed(job: OwnedJob): void {
+    this.unacceptedJobs.delete(job);
     const mayCache = this.residency.mayHoldHere(this.residency.regionsForSpec(job.spec));
     if (job.isCancelled && mayCache) this.workCache.add(job, this.residency.originOf(job.spec));
     const { clock, log, metrics } = this.options;
