A property of sends after the acknowledged end of a job

Sequences of store faults of single nodes (reads or commits that hang, are refused, slow, late or unanswered; all calls refused or silent), partitions, lost replicas, expired leases, takeovers, restarts, pages and cancellations at any node: no item is sent by a node whose lease is renewed later than 3 s after the end of its job was acknowledged.

--- a/test/jobs/send-recorder.ts
+++ b/test/jobs/send-recorder.ts
@@ -8,6 +8,8 @@
 export interface Send {
   readonly id: string;
   readonly at: Milliseconds;
+  /** Whether the store renewed the lease of the sending node then. */
+  readonly hasLease: boolean;
 }
 
 /** Items that are not completed are sent again and again. */
@@ -16,13 +18,16 @@
   /** Ids of the items that are completed when they are sent next. */
   readonly completing = new Set<string>();
 
-  constructor(private readonly clock: Pick<Clock, 'now'>) {
+  constructor(
+    private readonly clock: Pick<Clock, 'now'>,
+    private readonly hasLease: () => boolean = () => true,
+  ) {
     super();
   }
 
   override async send(request: EngineRequest): Promise<EngineOutcome> {
     const { requestId: id } = request;
-    this.sends.push({ id, at: this.clock.now() });
+    this.sends.push({ id, at: this.clock.now(), hasLease: this.hasLease() });
     if (this.completing.has(id)) return answer(events(0, 'text'), { isStream: true });
     return { kind: 'not-run', reason: 'withheld', load: undefined };
   }
