A failed read of a head is repeated sooner at first, and then less often

A single refused read of a head could hold the items of a healthy job back: it was due at an age of 1.2 s, repeated 600 ms later, and items are held back from 2 s on. Failed reads are now repeated every 300 ms, three in all before items are held back, and every 900 ms once the last confirmation is 2.4 s old.

--- a/src/jobs/ownership-verification.ts
+++ b/src/jobs/ownership-verification.ts
@@ -13,8 +13,9 @@
 /** The ownership is verified again when its last confirmation is older than this. */
 const VERIFY_INTERVAL: Milliseconds = 1_200;
 
-/** Minimum interval between periodic reads; a failed one is repeated before items are held back. */
-const MIN_READ_INTERVAL: Milliseconds = 600;
+/** Interval of reads after a failed one: some before items are held back, then fewer. */
+const RETRY_INTERVAL: Milliseconds = 300;
+const OUTAGE_RETRY_INTERVAL: Milliseconds = 900;
 
 export interface OwnershipVerificationOptions {
   readonly job: string;
@@ -45,10 +46,11 @@
    */
   readIfDue(): void {
     const { clock, confirmation } = this.options;
-    const isDue = confirmation.uncancelledAge() >= VERIFY_INTERVAL;
-    if (!isDue || this.isReading || clock.now() < this.nextReadAt) return;
+    const age = confirmation.uncancelledAge();
+    if (age < VERIFY_INTERVAL || this.isReading || clock.now() < this.nextReadAt) return;
     this.isReading = true;
-    this.nextReadAt = clock.now() + MIN_READ_INTERVAL;
+    const isOutage = age >= 2 * VERIFY_INTERVAL;
+    this.nextReadAt = clock.now() + (isOutage ? OUTAGE_RETRY_INTERVAL : RETRY_INTERVAL);
     void this.readHead().finally(() => {
       this.isReading = false;
     });
