A log line shows when and why requests of a job are held back

An item that reached a worker after the end of its job left no trace of what its owner had relied on.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -16,6 +16,7 @@
 import type { OwnedJob } from './owned-job.js';
 import { PlacementRound } from './placement-round.js';
 import { describeRun, RunMigrator } from './run-migrator.js';
+import { SendingPermission } from './sending-permission.js';
 
 export interface ItemDispatcherOptions extends SendingOptions {
   /** The routes in force; `undefined` before the first configuration. */
@@ -61,6 +62,7 @@
   private readonly runContext: ItemRunContext;
   private readonly scorer: ItemScorer;
   private readonly migrator: RunMigrator;
+  private readonly permission: SendingPermission;
   private isScheduled = false;
   private isStopped = false;
 
@@ -68,6 +70,7 @@
     const { engine, clock, versionField } = options;
     this.runContext = { engine, clock, versionField, idleTimeouts: IDLE_TIMEOUTS };
     this.migrator = new RunMigrator(options);
+    this.permission = new SendingPermission(options);
     this.scorer = new ItemScorer({ ...options, onCallEnded: () => this.schedule() });
   }
 
@@ -105,7 +108,7 @@
   tick(): void {
     this.dropClosedJobs();
     for (const job of this.jobs) this.terminateExpired(job);
-    this.migrator.migrateRuns([...this.jobs].filter((job) => this.maySend(job)));
+    this.migrator.migrateRuns([...this.jobs].filter((job) => this.permission.maySend(job)));
     this.dispatch();
   }
 
@@ -125,7 +128,7 @@
     const now = this.options.clock.now();
     const rounds = new Map<ServiceName, PlacementRound>();
     const jobsByAge = [...this.jobs]
-      .filter((job) => job.isOpen && this.maySend(job))
+      .filter((job) => this.permission.maySend(job))
       .sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
     for (const job of jobsByAge) {
       const waiting = job.waiting(now);
@@ -135,12 +138,6 @@
     this.scorer.dispatch(jobsByAge, routes);
   }
 
-  /** Whether requests of a job may be sent: it is not cancelled, or this node cannot find out. */
-  private maySend(job: OwnedJob): boolean {
-    if (!job.isUnconfirmed) return true;
-    return this.options.isStoreUnreachable() && !job.isCancellationUnsettled;
-  }
-
   private startRun(
     job: OwnedJob,
     entry: OwnedItem,
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -12,6 +12,7 @@
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import type { CloseReason, JournalState } from './listing-state.js';
 import { cancelWork, isTextIncomplete, newOwnedItem, type OwnedItem } from './owned-item.js';
+import type { LastConfirmation } from './ownership-confirmation.js';
 import { storableProgress } from './value-limits.js';
 
 /** Share of incomplete items below which the remaining runs count as the job's longest. */
@@ -150,6 +151,10 @@
     return this.listing.confirmation.ownershipAge();
   }
 
+  lastConfirmation(): LastConfirmation {
+    return this.listing.confirmation.last();
+  }
+
   /**
    * Whether another node may have cancelled the job unnoticed. No items are sent until the store
    * confirms that none has.
--- a/src/jobs/ownership-confirmation.ts
+++ b/src/jobs/ownership-confirmation.ts
@@ -10,6 +10,16 @@
 import type { Milliseconds } from '../core/units.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 
+/** The last confirmation of an ownership. */
+export interface LastConfirmation {
+  /** Which of the two confirmed last that no other node owned the job. */
+  readonly ownedBy: 'store' | 'journal';
+  /** Time since then. */
+  readonly ownedMs: Milliseconds;
+  /** Time since the store had the job uncancelled. */
+  readonly uncancelledMs: Milliseconds;
+}
+
 export class OwnershipConfirmation {
   private ownedAt: Milliseconds;
   private uncancelledAt: Milliseconds;
@@ -40,6 +50,11 @@
     return this.now() - this.uncancelledAt;
   }
 
+  last(): LastConfirmation {
+    const ownedBy = this.ownedAt > this.uncancelledAt ? 'journal' : 'store';
+    return { ownedBy, ownedMs: this.ownershipAge(), uncancelledMs: this.uncancelledAge() };
+  }
+
   /** Whether a caller has asked to cancel the job, and the store has not had it uncancelled since. */
   get isCancellationUnsettled(): boolean {
     return this.cancellationRequestedAt > this.uncancelledAt;
--- a/test/jobs/unnoticed-end.test.ts
+++ b/test/jobs/unnoticed-end.test.ts
@@ -175,3 +175,27 @@
   t.ok(engine.cancelled.length > 0, 'stalled runs are moved once the job is confirmed');
   await zones.close();
 });
+
+t.test('the log shows when items are held back, and who confirmed the ownership', async (t) => {
+  const { zones, owner } = await cancellableJob(t, 3);
+  zones.setStore('reads-silent', owner);
+  await zones.run(5_000);
+  zones.setStore('up', owner);
+  await zones.run(1_500);
+  zones.setStore('silent', owner);
+  await zones.run(5_000);
+  zones.setStore('up', owner);
+  await zones.run(1_500);
+  const changes = owner.lines
+    .map((line) => JSON.parse(line))
+    .filter(({ msg }) => msg === 'item-sending-changed')
+    .map(({ sending, before, ownedBy }) => [before, sending, ownedBy]);
+  t.same(changes, [
+    ['confirmed', 'held-back', 'journal'],
+    ['held-back', 'confirmed', 'store'],
+    ['confirmed', 'store-unreachable', 'journal'],
+    ['store-unreachable', 'held-back', 'journal'],
+    ['held-back', 'confirmed', 'store'],
+  ]);
+  await zones.close();
+});
