Fixture of the peers' test: jobs that note a refused cancellation

The fixture records the calls and the test checks them: one for the refused cancellation, none for the confirmed one.

--- a/test/fleet/fleet-peers.test.ts
+++ b/test/fleet/fleet-peers.test.ts
@@ -78,7 +78,14 @@
   return { peers, handler, sent, owners: placement.ownersOf(jobId) };
 }
 
-const JOBS = { cancelOwn: async () => true, submitHere: async () => undefined };
+/** Jobs whose owner was asked to cancel them and refused. */
+const refusedCancellations: string[] = [];
+
+const JOBS = {
+  cancelOwn: async () => true,
+  submitHere: async () => undefined,
+  noteCancellationRequested: (job: string) => refusedCancellations.push(job),
+};
 const HERE = { kind: 'here', mayRunElsewhere: false };
 
 /** A job whose first two owners are other nodes than `node-1`. */
@@ -198,10 +205,12 @@
   t.same(await answering.answer({ kind: 'end-job', job: 'job', caller: UNRESTRICTED }), {
     isEnded: false,
   });
+  t.same(refusedCancellations, ['job']);
   const sound = fixture(false, answerWithStore);
   t.same(await sound.handler.answer({ kind: 'end-job', job: 'job', caller: UNRESTRICTED }), {
     isEnded: true,
   });
+  t.same(refusedCancellations, ['job']);
 });
 
 t.test('the sender stops waiting for an owner that fails while it accepts a job', async (t) => {
