The earlier owner of a journaled page stays cut off from its store

Cause: the test, not the product. Usually one of the three replicas was being restarted as the removal came, and kept the page.

A new test covers what the race showed: a page that the store has by the time of the claim isn't resumed, and isn't missing.

Without the call that logs resumed pages both tests of it still fail.

--- a/test/jobs/listing-observability.test.ts
+++ b/test/jobs/listing-observability.test.ts
@@ -5,6 +5,7 @@
 import t from 'tap';
 import { NO_PEERS } from '../../lab/common/no-peers.js';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import type { Revision } from '../../src/core/units.js';
 import type { JobPeers } from '../../src/jobs/job-peers.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import { ListingLog } from '../../src/jobs/listing-log.js';
@@ -209,18 +210,23 @@
   ]);
 });
 
-/** A copy of a store without the pages of the job. */
-async function withoutPages(from: SharedStoreEmulator): Promise<SharedStoreEmulator> {
-  from.setAvailability('up');
+/**
+ * A copy of a store without the pages of the job, whose other keys were last changed at `revision`.
+ * The store itself stays unavailable, so that the earlier owner can't store its pages and remove
+ * them from the journal.
+ */
+async function withoutPages(
+  from: SharedStoreEmulator,
+  revision: Revision,
+): Promise<SharedStoreEmulator> {
   const copy = new SharedStoreEmulator();
-  const outcome = await from.range('job/');
-  if (outcome.kind !== 'items') throw new Error(outcome.kind);
-  const items = outcome.items.filter(({ key }) => !key.includes('/page/'));
+  const keys = from.keys('job/').filter((key) => !key.includes('/page/'));
   // Advances the revision of the copy to that of the original.
-  for (let revision = 1; revision < (items[0]?.revision ?? 1); revision += 1) {
-    await copy.commit({ expected: [], put: [{ key: 'padding', value: String(revision) }] });
+  for (let earlier = 1; earlier < revision; earlier += 1) {
+    await copy.commit({ expected: [], put: [{ key: 'padding', value: String(earlier) }] });
   }
-  await copy.commit({ expected: [], put: items.map(({ key, value }) => ({ key, value })) });
+  const put = keys.map((key) => ({ key, value: from.valueOf(key) ?? '' }));
+  await copy.commit({ expected: [], put });
   return copy;
 }
 
@@ -232,7 +238,7 @@
   emulator.setAvailability('refusing');
   await untilListed(node, 1);
   node.dispatcher.stop();
-  const copy = await withoutPages(emulator);
+  const copy = await withoutPages(emulator, found.value.revision);
   for (const address of zone.addresses) await zone.restart(address, disks);
   const journals = zone.journals(OTHER_NAME);
   const next = jobNode(copy, OTHER, new ScriptedEngine([streamAnswer('xy')]), NO_PEERS, {
@@ -257,6 +263,24 @@
   t.match(linesOf(next, 'page-listed'), [{ page: 1, first: 1, results: 1, term: 2 }]);
 });
 
+t.test('a page that the store has by the time a new owner claims the journal', async (t) => {
+  const owner = await ownerOfJob(t, streamAnswer('ab'));
+  const { emulator, zone, node } = owner;
+  emulator.setAvailability('refusing');
+  await untilListed(node, 1);
+  node.dispatcher.stop();
+  const results = [...(node.service.ownedJobs()[0]?.results ?? [])];
+  emulator.setAvailability('up');
+  await eventually(() => linesOf(node, 'page-stored').length > 0);
+  const found = await new JobStore(emulator, new ManualClock()).head('job');
+  if (found.kind !== 'found') throw new Error(found.kind);
+  const journals = zone.journals(OTHER_NAME);
+  const next = jobNode(emulator, OTHER, new ScriptedEngine(), NO_PEERS, { journals });
+  t.equal(await next.service.takeOver('job', found.value, false), true);
+  t.same(linesOf(next, 'page-resumed'), [], 'the journal adds nothing to the store');
+  t.same(next.service.ownedJobs()[0]?.results, results, 'nor is anything missing');
+});
+
 t.test('positions of several pages that a new owner found in the journal', (t) => {
   const { log, lines } = recordingLog();
   const clock = new ManualClock();
