One time budget for a change from the store to a node, over any relays

What callers saw: in a fleet of two regions a gateway in touch with the store applied a configuration later than its bound (2 s) while several relays failed within a second of each other.

Cause: a follower waits for the relay of its zone, that one for the first relay of its region, that one for the store, and each spent a share of the bound of its own: 0.5, 300 ms and 0.2 at the follower, 0.25 and 300 ms at the relay, which then watched the store for the same time again. No share knew of the others. A relay with a request pending counted as current whatever the age of its data.

Change: data carries its age, the time for which changes may be missing. A node that watches the store is current as of its last answer, or as of a lease renewal that was sent after the pending watch; a node that reads through another one adds that one's age and the way of the answer. `follow-prefix` and `list-prefix` carry the maximum age that is of use (`maxAge`, optional); a relay that waits answers "not current" once its data is older. Waits are chosen by the age at hand. At 0.55 of the bound a relay, at 0.75 a follower, reads the store beside its pending requests, so a healthy node has each change by then and the store's answer, whichever nodes failed. Requests of older builds are answered as before; the data of an older relay counts as 0.25 of the bound old. A node that the store has just failed does not read it early.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -8,11 +8,8 @@
 import type { PeerAnswers, PeerRequestOf } from '../peers/peer-messages.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { PrefixMirror, type PrefixSnapshot } from '../shared-store/prefix-mirror.js';
-import type {
-  SharedStore,
-  StoreRangeOutcome,
-  StoreWatchOutcome,
-} from '../shared-store/shared-store.js';
+import type { StoreRangeOutcome, StoreWatchOutcome } from '../shared-store/shared-store.js';
+import type { Aged } from './prefix-freshness.js';
 
 /**
  * Maximum age of the last lease renewal at which a relay answers, so that a relay that is
@@ -45,8 +42,24 @@
   return Math.min(wait, Math.ceil(WATCH_SHARE * bound.changeBound()));
 }
 
+/** The store, or another node in its place. */
+export interface PrefixUpstream {
+  range(prefix: string): Promise<Aged<StoreRangeOutcome>>;
+  watch(
+    prefix: string,
+    after: Revision,
+    wait: Milliseconds,
+    signal: AbortSignal,
+  ): Promise<Aged<StoreWatchOutcome>>;
+  /**
+   * When the pending watch of a prefix was sent to the store, by {@link suspendAwareTime};
+   * `undefined` while it waits at another node. Absent if all watches are sent to the store.
+   */
+  readonly storeWatchSentAt?: (prefix: string) => Milliseconds | undefined;
+}
+
 export interface DirectPrefixesOptions extends ChangeBound {
-  readonly store: Pick<SharedStore, 'range' | 'watch'>;
+  readonly store: PrefixUpstream;
   /**
    * Whether this node reads the store itself rather than through another relay. @default it does
    */
@@ -59,9 +72,12 @@
 /** A prefix that this node watches itself. */
 interface DirectWatch {
   readonly mirror: PrefixMirror;
-  /** Whether a watch call is pending at the store. */
+  /** Whether a watch call is pending at the store or at another relay. */
   isWaiting: boolean;
+  sentAt: Milliseconds;
   lastOutcomeAt: Milliseconds;
+  /** Time as of which the mirror is known to be complete. */
+  currentAsOf: Milliseconds;
 }
 
 /** Watches prefixes and answers the followers of this relay. */
@@ -74,27 +90,29 @@
   constructor(private readonly options: DirectPrefixesOptions) {}
 
   /** Lists a prefix for this node and its followers. */
-  async list(prefix: string): Promise<StoreRangeOutcome> {
+  async list(prefix: string): Promise<Aged<StoreRangeOutcome>> {
     const { store, clock } = this.options;
+    const sentAt = suspendAwareTime(clock);
     const outcome = await store.range(prefix);
     if (outcome.kind === 'failed') {
       this.stopServing(prefix);
       return outcome;
     }
+    const lastOutcomeAt = suspendAwareTime(clock);
+    // A list is complete as of the time when the store began to read it.
+    const { age = lastOutcomeAt - sentAt } = outcome;
+    const currentAsOf = lastOutcomeAt - age;
     const existing = this.watches.get(prefix);
     if (existing === undefined) {
       const mirror = new PrefixMirror(outcome);
-      this.watches.set(prefix, {
-        mirror,
-        isWaiting: false,
-        lastOutcomeAt: suspendAwareTime(clock),
-      });
+      this.watches.set(prefix, { mirror, isWaiting: false, sentAt, lastOutcomeAt, currentAsOf });
     } else {
       existing.mirror.applyList(outcome);
-      existing.lastOutcomeAt = suspendAwareTime(clock);
+      existing.lastOutcomeAt = lastOutcomeAt;
+      existing.currentAsOf = Math.max(existing.currentAsOf, currentAsOf);
     }
     this.prefixUpdates.next(prefix);
-    return outcome;
+    return { ...outcome, age };
   }
 
   /** Watches a prefix for this node and its followers. */
@@ -103,17 +121,19 @@
     after: Revision,
     wait: Milliseconds,
     signal: AbortSignal,
-  ): Promise<StoreWatchOutcome> {
+  ): Promise<Aged<StoreWatchOutcome>> {
     const { store, clock } = this.options;
     const watch = this.watches.get(prefix);
     // A node that just became a relay lists first, so that its followers miss nothing.
     if (watch === undefined || after > watch.mirror.revision) return { kind: 'compacted' };
     watch.isWaiting = true;
+    watch.sentAt = suspendAwareTime(clock);
     const limit = maxWatchDuration(prefix, wait, this.options);
     const outcome = await store.watch(prefix, after, limit, signal);
     watch.isWaiting = false;
     if (outcome.kind === 'changes') {
       watch.lastOutcomeAt = suspendAwareTime(clock);
+      watch.currentAsOf = Math.max(watch.currentAsOf, watch.lastOutcomeAt - (outcome.age ?? 0));
       watch.mirror.applyChanges(after, outcome.changes, outcome.revision);
     } else if (!signal.aborted) {
       // Changes until the next list are unknown here, so followers must not wait for them.
@@ -130,19 +150,25 @@
 
   /** Answers a follower's watch: at once if there are changes or this node may have missed some. */
   async answer(request: PeerRequestOf<'follow-prefix'>): Promise<PeerAnswers['follow-prefix']> {
-    const { prefix, after, wait } = request;
-    const deadline = this.options.clock.now() + wait;
+    const { prefix, after, wait, maxAge } = request;
+    const receivedAt = this.options.clock.now();
     const watch = this.watches.get(prefix);
     if (watch === undefined || this.mustRejectRelay(request)) return { isCurrent: false };
     for (;;) {
-      if (this.watches.get(prefix) !== watch || !this.isCurrent(watch)) return { isCurrent: false };
+      if (this.watches.get(prefix) !== watch) return { isCurrent: false };
+      const age = this.ageOf(prefix, watch);
+      if (!this.isCurrent(watch) || age > (maxAge ?? age)) return { isCurrent: false };
       const changes = watch.mirror.changesAfter(after);
       if (changes === undefined) return { isCurrent: true, changes: undefined };
-      const remaining = deadline - this.options.clock.now();
-      if (changes.length > 0 || remaining <= 0) {
-        return { isCurrent: true, changes, revision: Math.max(after, watch.mirror.revision) };
+      const heldFor = this.options.clock.now() - receivedAt;
+      if (changes.length > 0 || heldFor >= wait) {
+        const revision = Math.max(after, watch.mirror.revision);
+        const freshness = maxAge === undefined ? {} : { freshness: { age, heldFor } };
+        return { isCurrent: true, changes, revision, ...freshness };
       }
-      await this.waitForUpdate(prefix, Math.min(remaining, this.timeUntilStale()));
+      const timeUntilTooOld = maxAge === undefined ? wait : Math.max(1, maxAge - age);
+      const time = Math.min(wait - heldFor, timeUntilTooOld, this.timeUntilStale());
+      await this.waitForUpdate(prefix, time);
     }
   }
 
@@ -150,6 +176,8 @@
     const watch = this.watches.get(request.prefix);
     if (watch === undefined || !this.isCurrent(watch)) return { isCurrent: false };
     if (this.mustRejectRelay(request)) return { isCurrent: false };
+    const { maxAge = Number.POSITIVE_INFINITY } = request;
+    if (this.ageOf(request.prefix, watch) > maxAge) return { isCurrent: false };
     const { snapshot } = watch.mirror;
     const cached = this.listAnswers.get(snapshot) ?? { isCurrent: true, ...snapshot };
     this.listAnswers.set(snapshot, cached);
@@ -174,6 +202,20 @@
     return forRelay && !readsStoreDirectly();
   }
 
+  /**
+   * Time for which changes may be missing from a mirror. A watch that waits at the store has missed
+   * nothing until a renewal of the lease that was sent after the watch and answered; a watch that
+   * waits at another node proves nothing until its answer.
+   */
+  private ageOf(prefix: string, { isWaiting, sentAt, currentAsOf }: DirectWatch): Milliseconds {
+    const { store, clock, renewalAge } = this.options;
+    const now = suspendAwareTime(clock);
+    const sentToStoreAt = store.storeWatchSentAt ? store.storeWatchSentAt(prefix) : sentAt;
+    const renewedAt = now - renewalAge();
+    const isConfirmed = isWaiting && sentToStoreAt !== undefined && renewedAt >= sentToStoreAt;
+    return now - Math.max(currentAsOf, isConfirmed ? renewedAt : currentAsOf);
+  }
+
   /** Whether this node is certain to receive changes now. */
   private isCurrent(watch: DirectWatch): boolean {
     return this.isFollowing(watch) && this.options.renewalAge() < MAX_RENEWAL_AGE;
--- /dev/null
+++ b/src/fleet/prefix-follower.ts
@@ -0,0 +1,245 @@
+/**
+ * Lists and watches prefixes through relays. A change must take effect within a bound even if
+ * relays fail, so a node whose data becomes too old reads the store beside its requests to relays.
+ */
+import type { NodeId } from '../core/identity.js';
+import type { Milliseconds, Revision } from '../core/units.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
+import type {
+  SharedStore,
+  StoreRangeOutcome,
+  StoreWatchOutcome,
+} from '../shared-store/shared-store.js';
+import { type ChangeBound, maxWatchDuration } from './direct-prefixes.js';
+import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
+import { type AgeLimits, ageOnArrival, followerLimits, maxWait } from './prefix-freshness.js';
+import type { ReceivedPrefixes } from './received-prefixes.js';
+import type { RelayChoice } from './relay-choice.js';
+import type {
+  RelayRequestKind,
+  RelayRequests,
+  RelaysOutcome,
+  RelaysRequest,
+  RelaysTimeouts,
+} from './relay-requests.js';
+
+/** Time for a list at the relays, as a share of the change bound. */
+const LIST_SHARE = 0.2;
+
+/** Time for each relay after the first was silent, as a share of the change bound. */
+const NEXT_RELAY_SHARE = 0.075;
+
+/** Number of relays that are requested after the first was silent. */
+const NEXT_RELAYS = 3;
+
+/**
+ * Time for one relay to send a whole prefix, which is about 1 MB for 3,000 workers and takes 0.25 s
+ * on a link of 42 Mbit/s.
+ */
+const LIST_TIMEOUT: Milliseconds = 600;
+
+/**
+ * Number of consecutive lists for which relays that are not current are retried before the store is
+ * read.
+ */
+const MAX_STALE_RELAY_RETRIES = 3;
+
+export interface PrefixFollowerOptions extends ChangeBound {
+  readonly store: SharedStore;
+  readonly requests: RelayRequests;
+  readonly received: ReceivedPrefixes;
+  readonly choice: Pick<RelayChoice, 'penalize'>;
+  readonly clock: Clock;
+}
+
+/** A list of the store that was read in place of a watch. */
+interface ListedAtStore {
+  readonly outcome: StoreRangeOutcome;
+  readonly sentAt: Milliseconds;
+}
+
+export class PrefixFollower {
+  /** Consecutive lists of each prefix that failed since it was last received. */
+  private readonly staleRelayRetries = new Map<string, number>();
+  /** Prefixes for which no relay answered lately: their next list is read at the store. */
+  private readonly prefixesWithoutRelay = new Set<string>();
+  /** Lists that were read while a watch waited for relays, for the list that follows. */
+  private readonly lists = new Map<string, ListedAtStore>();
+
+  constructor(private readonly options: PrefixFollowerOptions) {}
+
+  async list(prefix: string, relays: readonly NodeId[]): Promise<StoreRangeOutcome> {
+    const listed = this.lists.get(prefix);
+    this.lists.delete(prefix);
+    if (listed !== undefined) return this.noteListed(prefix, listed);
+    if (this.prefixesWithoutRelay.delete(prefix)) return this.listAtStore(prefix);
+    const maxAge = this.limits.source;
+    const read = await this.read<'list-prefix'>({
+      ...{ prefix, relays, wait: 0 },
+      ...this.listTimeouts(prefix),
+      request: () => ({ kind: 'list-prefix', prefix, maxAge }),
+    });
+    if (read.by === 'second') return this.noteListed(prefix, read.outcome);
+    const { outcome } = read;
+    if (outcome.kind === 'answered') {
+      const { items, revision } = outcome.answer;
+      // The relay answers all followers alike, without the age, which is below the maximum.
+      const age = maxAge + outcome.duration;
+      return this.noteRelayed(prefix, { kind: 'items', items, revision }, age);
+    }
+    if (outcome.kind === 'not-current' && this.mayRetryStaleRelays(prefix)) {
+      return { kind: 'failed', effect: 'not-done' };
+    }
+    const listedAtStore = await this.listAtStore(prefix);
+    const areRelaysStale = listedAtStore.kind === 'items' && outcome.kind === 'not-current';
+    if (areRelaysStale) for (const relay of outcome.relays) this.options.choice.penalize(relay);
+    return listedAtStore;
+  }
+
+  async watch(
+    prefix: string,
+    relays: readonly NodeId[],
+    after: Revision,
+    wait: Milliseconds,
+    signal: AbortSignal,
+  ): Promise<StoreWatchOutcome> {
+    this.lists.delete(prefix);
+    if (relays.length === 0) return this.watchAtStore(prefix, after, wait, signal);
+    const { limits, options } = this;
+    const age = this.ageInBudget(prefix);
+    const limit = Math.min(wait, maxWait(limits, age, options.changeBound()));
+    const read = await this.read<'follow-prefix'>({
+      ...{ prefix, relays, wait: limit },
+      ...this.watchTimeouts(limit, age),
+      request: (remainingWait) => {
+        const time = { wait: remainingWait, maxAge: limits.source };
+        return { kind: 'follow-prefix', prefix, after, ...time };
+      },
+    });
+    if (read.by === 'second') return this.keepList(prefix, read.outcome);
+    const { outcome } = read;
+    if (outcome.kind === 'no-relay') this.prefixesWithoutRelay.add(prefix);
+    // A watch of this node may miss what the relays missed, so the prefix is listed again.
+    if (outcome.kind !== 'answered') return { kind: 'compacted' };
+    const { answer, duration } = outcome;
+    if (answer.changes === undefined) return { kind: 'compacted' };
+    const { changes, revision } = answer;
+    const watched = { kind: 'changes', changes, revision } as const;
+    // The caller does not use the outcome of an aborted watch.
+    if (signal.aborted) return watched;
+    const ageReceived = ageOnArrival(answer.freshness, duration, options.changeBound());
+    return this.noteRelayed(prefix, watched, ageReceived);
+  }
+
+  /** Requests relays, and lists the prefix at the store once this node's data is too old. */
+  private async read<Kind extends RelayRequestKind>(
+    round: Omit<RelaysRequest<Kind>, 'superseded'>,
+  ): Promise<HedgedOutcome<RelaysOutcome<Kind>, ListedAtStore>> {
+    const { requests, received } = this.options;
+    const { prefix } = round;
+    const superseded = new AbortController();
+    const first = requests.send<Kind>({ ...round, superseded: superseded.signal });
+    if (!received.mayReadAtStore(prefix)) return { by: 'first', outcome: await first };
+    const read = await hedgedRead({
+      first,
+      isFirstUsable: ({ kind }) => kind === 'answered',
+      delay: this.limits.store - received.freshness.age(prefix),
+      second: () => this.readStore(prefix),
+      isSecondUsable: ({ outcome }) => outcome.kind !== 'failed',
+    });
+    if (read.by === 'second') superseded.abort();
+    return read;
+  }
+
+  private async readStore(prefix: string): Promise<ListedAtStore> {
+    const sentAt = suspendAwareTime(this.options.clock);
+    return { outcome: await this.options.store.range(prefix), sentAt };
+  }
+
+  private async listAtStore(prefix: string): Promise<StoreRangeOutcome> {
+    return this.noteListed(prefix, await this.readStore(prefix));
+  }
+
+  private noteListed(prefix: string, { outcome, sentAt }: ListedAtStore): StoreRangeOutcome {
+    const { received, clock } = this.options;
+    if (outcome.kind !== 'failed') this.staleRelayRetries.delete(prefix);
+    return received.noteStoreOutcome(prefix, outcome, suspendAwareTime(clock) - sentAt);
+  }
+
+  /** Keeps a list that was read in place of a watch; the caller lists the prefix next. */
+  private keepList(prefix: string, listed: ListedAtStore): StoreWatchOutcome {
+    if (listed.outcome.kind === 'failed') {
+      this.noteListed(prefix, listed);
+      return listed.outcome;
+    }
+    this.lists.set(prefix, listed);
+    return { kind: 'compacted' };
+  }
+
+  private noteRelayed<Outcome extends StoreRangeOutcome | StoreWatchOutcome>(
+    prefix: string,
+    outcome: Outcome,
+    age: Milliseconds,
+  ): Outcome {
+    this.staleRelayRetries.delete(prefix);
+    this.options.received.noteReceived(prefix, age);
+    return outcome;
+  }
+
+  /** Watches the store directly for a limited time, after which relays are tried again. */
+  private async watchAtStore(
+    prefix: string,
+    after: Revision,
+    wait: Milliseconds,
+    signal: AbortSignal,
+  ): Promise<StoreWatchOutcome> {
+    const limit = maxWatchDuration(prefix, wait, this.options);
+    const outcome = await this.options.store.watch(prefix, after, limit, signal);
+    return signal.aborted ? outcome : this.options.received.noteStoreOutcome(prefix, outcome, 0);
+  }
+
+  private get limits(): AgeLimits {
+    return followerLimits(this.options.changeBound());
+  }
+
+  /** The age from which the time for relays is counted; a node that cannot read the store has all. */
+  private ageInBudget(prefix: string): Milliseconds {
+    const { received } = this.options;
+    return received.mayReadAtStore(prefix) ? received.freshness.age(prefix) : 0;
+  }
+
+  private watchTimeouts(wait: Milliseconds, age: Milliseconds): RelaysTimeouts {
+    const nextTimeout = NEXT_RELAY_SHARE * this.options.changeBound();
+    return timeouts(Math.max(wait + nextTimeout, this.limits.search - age), nextTimeout);
+  }
+
+  /** A node that has received the prefix before lists it within the search time. */
+  private listTimeouts(prefix: string): RelaysTimeouts {
+    const wasReceived = this.options.received.sources.wasReceived(prefix);
+    if (!wasReceived) return timeouts(LIST_TIMEOUT, LIST_TIMEOUT, 1);
+    const time = LIST_SHARE * this.options.changeBound();
+    return timeouts(time, time, 0);
+  }
+
+  /**
+   * Whether to retry relays that are not current for one more list. A node that has received the
+   * prefix before must learn of a change within the bound and requests the store first; any other
+   * node would only add load to the store.
+   */
+  private mayRetryStaleRelays(prefix: string): boolean {
+    const wasReceived = this.options.received.sources.wasReceived(prefix);
+    const retries =
+      this.staleRelayRetries.get(prefix) ?? (wasReceived ? MAX_STALE_RELAY_RETRIES : 0);
+    const isRetried = retries < MAX_STALE_RELAY_RETRIES;
+    this.staleRelayRetries.set(prefix, isRetried ? retries + 1 : 0);
+    return isRetried;
+  }
+}
+
+function timeouts(
+  firstTimeout: Milliseconds,
+  nextTimeout: Milliseconds,
+  nextRelays = NEXT_RELAYS,
+): RelaysTimeouts {
+  return { firstTimeout, nextTimeout, timeout: firstTimeout + nextRelays * nextTimeout };
+}
--- a/src/fleet/relay-upstream.ts
+++ b/src/fleet/relay-upstream.ts
@@ -9,6 +9,7 @@
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type {
   SharedStore,
   StoreRangeOutcome,
@@ -16,20 +17,27 @@
 } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
+import type { PrefixUpstream } from './direct-prefixes.js';
+import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
+import {
+  type Aged,
+  ageOnArrival,
+  maxWait,
+  type PrefixFreshness,
+  relayLimits,
+} from './prefix-freshness.js';
 import type { RelayChoice, RelayFleet } from './relay-choice.js';
+import { type CurrentAnswer, currentAnswer, type RelayRequestKind } from './relay-requests.js';
 
-/**
- * Share of the change bound for which a request to the first relay waits. A stalled first relay
- * delays the followers of this relay by as much, and they wait for half of the bound.
- */
-const WAIT_SHARE = 0.25;
-
-/** Time for the answer, in addition to the wait. */
-const ANSWER_MARGIN: Milliseconds = 300;
+/** Time for the answer of the first relay in addition to the wait, as a share of the bound. */
+const ANSWER_SHARE = 0.2;
 
 /** Time for the first relay to send a whole prefix. */
 const LIST_TIMEOUT: Milliseconds = 600;
 
+/** Wait of a watch that only reads the changes so far. */
+const NO_WAIT: Milliseconds = 1;
+
 export interface RelayUpstreamOptions {
   readonly store: SharedStore;
   readonly choice: Pick<RelayChoice, 'firstRelay' | 'penalize'>;
@@ -37,6 +45,9 @@
   readonly fleet: () => Pick<RelayFleet, 'addressOf'>;
   /** Time within which a configuration change must take effect. */
   readonly changeBound: () => Milliseconds;
+  /** The age of this node's data. */
+  readonly freshness: Pick<PrefixFreshness, 'age'>;
+  readonly clock: Clock;
   readonly log: Pick<DecisionLog, 'state'>;
   readonly metrics: FleetMetrics;
 }
@@ -47,58 +58,118 @@
   readonly address: string;
 }
 
-type RelayOutcome = PeerOutcome<'list-prefix'> | PeerOutcome<'follow-prefix'>;
+/** A request to the first relay, and the store as the fallback. */
+interface HedgedRelayRead<Kind extends RelayRequestKind, Outcome> {
+  readonly prefix: string;
+  readonly firstRelay: FirstRelay;
+  readonly request: Promise<PeerOutcome<Kind>>;
+  /** Time after which the store is read as well. */
+  readonly delay: Milliseconds;
+  readonly readStore: () => Promise<Outcome>;
+}
 
 /** Lists and watches prefixes through the first relay, with the store as the fallback. */
-export class RelayUpstream implements Pick<SharedStore, 'range' | 'watch'> {
+export class RelayUpstream implements PrefixUpstream {
   /** The relay from which each prefix was last read; `undefined` for the store. */
   private readonly sources = new Map<string, NodeId | undefined>();
+  private readonly storeWatches = new Map<string, Milliseconds>();
 
   constructor(private readonly options: RelayUpstreamOptions) {}
 
-  async range(prefix: string): Promise<StoreRangeOutcome> {
+  async range(prefix: string): Promise<Aged<StoreRangeOutcome>> {
+    const { store, peers, freshness, clock, changeBound } = this.options;
     const firstRelay = this.findFirstRelay();
-    if (firstRelay === undefined) return this.options.store.range(prefix);
-    const request = { kind: 'list-prefix', prefix, forRelay: true } as const;
-    const outcome = await this.options.peers.request<'list-prefix'>(
-      firstRelay.address,
-      request,
-      LIST_TIMEOUT,
-    );
-    if (outcome.kind === 'answered' && outcome.answer.isCurrent) {
-      const { items, revision } = outcome.answer;
-      this.noteAnswered(prefix, firstRelay.node);
-      return { kind: 'items', items, revision };
-    }
-    this.noteFailed(prefix, firstRelay.node, outcome);
-    return this.options.store.range(prefix);
+    if (firstRelay === undefined) return store.range(prefix);
+    const { source: maxAge, store: storeAge } = relayLimits(changeBound());
+    const request = { kind: 'list-prefix', prefix, forRelay: true, maxAge } as const;
+    const sentAt = suspendAwareTime(clock);
+    const ageOnRequest = freshness.age(prefix);
+    const timeUntilRead = Number.isFinite(ageOnRequest) ? storeAge - ageOnRequest : LIST_TIMEOUT;
+    const read = await this.read<'list-prefix', StoreRangeOutcome>({
+      ...{ prefix, firstRelay },
+      request: peers.request<'list-prefix'>(firstRelay.address, request, LIST_TIMEOUT),
+      delay: timeUntilRead,
+      readStore: () => store.range(prefix),
+    });
+    if (read.by === 'second') return read.outcome;
+    const { items, revision } = read.outcome;
+    // The receiver answers all relays alike, without the age, which is below the maximum.
+    const age = maxAge + suspendAwareTime(clock) - sentAt;
+    return { kind: 'items', items, revision, age };
   }
 
-  /** Watches a prefix; if the first relay fails, the store is watched from the same revision. */
+  /** Watches a prefix; if the first relay fails, the store is read from the same revision. */
   async watch(
     prefix: string,
     after: Revision,
     wait: Milliseconds,
     signal: AbortSignal,
-  ): Promise<StoreWatchOutcome> {
-    const { store, peers, changeBound } = this.options;
+  ): Promise<Aged<StoreWatchOutcome>> {
+    const { peers, freshness, clock, changeBound } = this.options;
     const firstRelay = this.findFirstRelay();
-    if (firstRelay === undefined) return store.watch(prefix, after, wait, signal);
-    const limit = Math.min(wait, WAIT_SHARE * changeBound());
-    const request = { kind: 'follow-prefix', prefix, after, wait: limit, forRelay: true } as const;
-    const outcome = await peers.request<'follow-prefix'>(
-      firstRelay.address,
-      request,
-      limit + ANSWER_MARGIN,
-    );
-    if (outcome.kind === 'answered' && outcome.answer.isCurrent) {
-      const { answer } = outcome;
-      this.noteAnswered(prefix, firstRelay.node);
-      if (answer.changes === undefined) return { kind: 'compacted' };
-      return { kind: 'changes', changes: answer.changes, revision: answer.revision };
-    }
-    this.noteFailed(prefix, firstRelay.node, outcome);
-    return store.watch(prefix, after, limit, signal);
+    if (firstRelay === undefined) return this.watchStore(prefix, after, wait, signal);
+    const limits = relayLimits(changeBound());
+    const ageOnRequest = freshness.age(prefix);
+    const limit = Math.min(wait, maxWait(limits, ageOnRequest, changeBound()));
+    const timeout = limit + ANSWER_SHARE * changeBound();
+    const time = { wait: limit, maxAge: limits.source };
+    const request = { kind: 'follow-prefix', prefix, after, ...time, forRelay: true } as const;
+    const sentAt = suspendAwareTime(clock);
+    const read = await this.read<'follow-prefix', StoreWatchOutcome>({
+      ...{ prefix, firstRelay },
+      request: peers.request<'follow-prefix'>(firstRelay.address, request, timeout),
+      delay: limits.store - ageOnRequest,
+      readStore: () => this.watchStore(prefix, after, NO_WAIT, signal),
+    });
+    if (read.by === 'second') return read.outcome;
+    const { outcome: answer } = read;
+    if (answer.changes === undefined) return { kind: 'compacted' };
+    const { changes, revision } = answer;
+    const duration = suspendAwareTime(clock) - sentAt;
+    const age = ageOnArrival(answer.freshness, duration, changeBound());
+    return { kind: 'changes', changes, revision, age };
+  }
+
+  /** When the pending watch of a prefix was sent to the store, by {@link suspendAwareTime}. */
+  storeWatchSentAt(prefix: string): Milliseconds | undefined {
+    return this.storeWatches.get(prefix);
+  }
+
+  /** Reads through the first relay; the store is read if that fails or takes too long. */
+  private async read<Kind extends RelayRequestKind, Outcome extends { readonly kind: string }>({
+    prefix,
+    firstRelay,
+    request,
+    delay,
+    readStore,
+  }: HedgedRelayRead<Kind, Outcome>): Promise<HedgedOutcome<CurrentAnswer<Kind>, Outcome>> {
+    const first = request.then((outcome) => {
+      const answer = currentAnswer(outcome);
+      if (answer !== undefined) this.noteAnswered(prefix, firstRelay.node);
+      else this.noteFailed(prefix, firstRelay.node, outcome.kind);
+      return answer;
+    });
+    const read = await hedgedRead({
+      ...{ first, delay, second: readStore },
+      isFirstUsable: (answer) => answer !== undefined,
+      isSecondUsable: (outcome) => outcome.kind !== 'failed',
+    });
+    if (read.by === 'second') return read;
+    if (read.outcome === undefined) return { by: 'second', outcome: await readStore() };
+    return { by: 'first', outcome: read.outcome };
+  }
+
+  private async watchStore(
+    prefix: string,
+    after: Revision,
+    wait: Milliseconds,
+    signal: AbortSignal,
+  ): Promise<StoreWatchOutcome> {
+    const sentAt = suspendAwareTime(this.options.clock);
+    this.storeWatches.set(prefix, sentAt);
+    const outcome = await this.options.store.watch(prefix, after, wait, signal);
+    if (this.storeWatches.get(prefix) === sentAt) this.storeWatches.delete(prefix);
+    return outcome;
   }
 
   private findFirstRelay(): FirstRelay | undefined {
@@ -114,8 +185,12 @@
     this.options.log.state('relay-upstream', { prefix, by: node });
   }
 
-  private noteFailed(prefix: string, node: NodeId, { kind }: RelayOutcome): void {
-    const failure = kind === 'answered' ? 'not-current' : kind;
+  private noteFailed(
+    prefix: string,
+    node: NodeId,
+    outcome: PeerOutcome<RelayRequestKind>['kind'],
+  ): void {
+    const failure = outcome === 'answered' ? 'not-current' : outcome;
     this.options.choice.penalize(node);
     this.options.metrics.count('relayed_watches', { outcome: failure });
     this.sources.set(prefix, undefined);
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -85,9 +85,20 @@
       readonly wait: Milliseconds;
       /** The sender is a relay: answer only from a watch on the store, not on another relay. */
       readonly forRelay?: boolean;
+      /**
+       * Maximum age of the receiver's data; once it is older, the receiver answers at once that it
+       * is not current. Absent from older builds, for which the receiver's own limit applies.
+       */
+      readonly maxAge?: Milliseconds;
     }
   /** Lists a prefix of the shared store, from the receiver's own copy. */
-  | { readonly kind: 'list-prefix'; readonly prefix: string; readonly forRelay?: boolean }
+  | {
+      readonly kind: 'list-prefix';
+      readonly prefix: string;
+      readonly forRelay?: boolean;
+      /** As in `follow-prefix`. */
+      readonly maxAge?: Milliseconds;
+    }
   /** Stops the orders of a coordinator whose lock the sender holds or is about to acquire. */
   | { readonly kind: 'resign-coordinator' }
   /** Reports the sender's request counts to the holder of the singleton tasks. */
@@ -101,6 +112,14 @@
   /** Reports the weights that a job needs to the coordinator. */
   | { readonly kind: 'need-weights'; readonly need: WeightNeed };
 
+/** How old the data in an answer is. */
+export interface AnswerFreshness {
+  /** Time for which changes of the store may be missing, when the answer was sent. */
+  readonly age: Milliseconds;
+  /** Time for which the request waited at the receiver. */
+  readonly heldFor: Milliseconds;
+}
+
 /** Answers by the kind of the request. */
 export interface PeerAnswers extends JournalAnswers {
   readonly probe: {
@@ -149,6 +168,8 @@
         readonly changes: readonly StoreChange[];
         /** The next request continues from here. */
         readonly revision: Revision;
+        /** Absent from older builds, and if the request has no `maxAge`. */
+        readonly freshness?: AnswerFreshness;
       };
   readonly 'list-prefix':
     | { readonly isCurrent: false }
