A list requests other relays after one that does not answer

What callers saw: a follower that the store turns away, whose relays fall silent, has no contact for up to 4.3 s and may count itself as cut off (4 s).

Cause: a list had one limit for all relays, 0.2 of the change bound, and the first that was silent used it up. The node then waited for the store (0.9 s) and a pause before it requested the next. It shows where one relay is excluded at the start, so that it is not yet known not to answer.

Change: the first relay has 0.15 of the bound, each of three more 0.075.

--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -23,8 +23,8 @@
   RelaysTimeouts,
 } from './relay-requests.js';
 
-/** Time for a list at the relays, as a share of the change bound. */
-const LIST_SHARE = 0.2;
+/** Time for a list at the first relay, as a share of the change bound. */
+const LIST_SHARE = 0.15;
 
 /** Time for each relay after the first was silent, as a share of the change bound. */
 const NEXT_RELAY_SHARE = 0.075;
@@ -213,12 +213,12 @@
     return timeouts(Math.max(wait + nextTimeout, this.limits.search - age), nextTimeout);
   }
 
-  /** A node that has received the prefix before lists it within the search time. */
+  /** A node that has received the prefix before does not wait long for a whole list. */
   private listTimeouts(prefix: string): RelaysTimeouts {
     const wasReceived = this.options.received.sources.wasReceived(prefix);
     if (!wasReceived) return timeouts(LIST_TIMEOUT, LIST_TIMEOUT, 1);
-    const time = LIST_SHARE * this.options.changeBound();
-    return timeouts(time, time, 0);
+    const bound = this.options.changeBound();
+    return timeouts(LIST_SHARE * bound, NEXT_RELAY_SHARE * bound);
   }
 
   /**
--- a/test/fleet/turned-away-relay.test.ts
+++ b/test/fleet/turned-away-relay.test.ts
@@ -135,3 +135,19 @@
   t.ok(relay.contactAge(PREFIX) < 5_000);
   stop();
 });
+
+/**
+ * Guards against a silent relay that uses up the time of a whole list, so that no other node is
+ * requested until the store has failed once more.
+ */
+t.test('a list is requested at other nodes after a relay that did not answer it', async (t) => {
+  const fleet = await startFleet({ ...TWO_ZONES, 'zone-2-c': 'zone-2' });
+  const affected = fleet.followers().find((node) => fleet.zoneOf(node) === 'zone-1') ?? '';
+  const own = fleet.relays().find((node) => fleet.zoneOf(node) === 'zone-1') ?? '';
+  // The node follows the relay of the other zone, as its own was requested before it watched.
+  for (const relay of fleet.relays()) fleet.silent.add(relay);
+  fleet.blockStore(affected);
+  const oldest = await maxContactAge(fleet, affected);
+  t.ok(oldest < 0.8 * MIN_PARTITION_AGE, `${oldest} ms without contact, ${own} failed`);
+  fleet.stop();
+});
