A watch of the store whose answer is overdue is followed by another call

What callers saw: where the connection of a relay's watch stalls while its lease is renewed over others, the gateways that follow it, themselves in touch, get a change after up to 2.4 s; the bound is 2 s.

Cause: such a watch counts as current, as its lease is renewed, and ended only with the limit of the call: its wait, 0.75 of the bound, and 0.9 s for the answer.

Change: 0.1 of the bound after its wait, the changes so far are read by another call, and the first usable answer counts. A watch that is answered in time costs nothing more.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -19,8 +19,7 @@
 
 /**
  * Maximum duration of a watch at the store, as a share of the change bound. A watch on a stalled
- * connection ends only by its own limit, and until then followers get no changes: for 2.4 s if the
- * bound is 2 s, with the 0.9 s that a call of the store's client may take for its answer.
+ * connection is replaced only once its answer is overdue, and until then followers get no changes.
  */
 const WATCH_SHARE = 0.75;
 
--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -12,6 +12,7 @@
 } from '../shared-store/shared-store.js';
 import { type ChangeBound, maxWatchDuration } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
+import { watchStore } from './overdue-watches.js';
 import { type AgeLimits, ageOnArrival, followerLimits, maxWait } from './prefix-freshness.js';
 import type { ReceivedPrefixes } from './received-prefixes.js';
 import type { RelayChoice } from './relay-choice.js';
@@ -193,9 +194,11 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
+    const { store, received } = this.options;
     const limit = maxWatchDuration(prefix, wait, this.options);
-    const outcome = await this.options.store.watch(prefix, after, limit, signal);
-    return signal.aborted ? outcome : this.options.received.noteStoreOutcome(prefix, outcome, 0);
+    const changeBound = this.options.changeBound();
+    const outcome = await watchStore({ store, prefix, after, wait: limit, signal, changeBound });
+    return signal.aborted ? outcome : received.noteStoreOutcome(prefix, outcome, 0);
   }
 
   private get limits(): AgeLimits {
--- a/src/fleet/relay-upstream.ts
+++ b/src/fleet/relay-upstream.ts
@@ -19,6 +19,7 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { PrefixUpstream } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
+import { NO_WAIT, watchStore } from './overdue-watches.js';
 import {
   type Aged,
   ageOnArrival,
@@ -35,9 +36,6 @@
 /** Time for the first relay to send a whole prefix. */
 const LIST_TIMEOUT: Milliseconds = 600;
 
-/** Wait of a watch that only reads the changes so far. */
-const NO_WAIT: Milliseconds = 1;
-
 export interface RelayUpstreamOptions {
   readonly store: SharedStore;
   readonly choice: Pick<RelayChoice, 'firstRelay' | 'penalize'>;
@@ -165,9 +163,11 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
-    const sentAt = suspendAwareTime(this.options.clock);
+    const { store, clock } = this.options;
+    const sentAt = suspendAwareTime(clock);
     this.storeWatches.set(prefix, sentAt);
-    const outcome = await this.options.store.watch(prefix, after, wait, signal);
+    const changeBound = this.options.changeBound();
+    const outcome = await watchStore({ store, prefix, after, wait, signal, changeBound });
     if (this.storeWatches.get(prefix) === sentAt) this.storeWatches.delete(prefix);
     return outcome;
   }
--- a/test/fleet/silent-watch.test.ts
+++ b/test/fleet/silent-watch.test.ts
@@ -17,3 +17,14 @@
   t.ok(time < CHANGE_BOUND + RECOVERY_TIME, `received after ${time} ms`);
   fleet.stop();
 });
+
+t.test('followers of a relay whose watch is stalled receive a change in time', async (t) => {
+  const zones = { 'node-1': 'zone-1', 'node-2': 'zone-1', 'node-3': 'zone-2', 'node-4': 'zone-2' };
+  const fleet = new RelayedFleet(zones, { renewalInterval: 600 });
+  await fleet.start();
+  await PROCESS_CLOCK.sleep(300);
+  fleet.silenceOpenWatches();
+  const time = await fleet.propagationTime('changed', fleet.followers());
+  t.ok(time < CHANGE_BOUND, `received after ${time} ms`);
+  fleet.stop();
+});
