Log the ages of the data where a change arrives late

`prefix-followed` shows by whom a node receives a prefix, but not how old that source's data was, so a late configuration could not be traced over two relays.

A node that receives changes of a prefix with a bound while its data is older than its path allows (0.55 of the bound at a relay, 0.7 at a follower) logs `late-changes`: `by`, `ageMs` of its own data before, `sourceAgeMs` of the sender's with the answer's way, `maxAgeMs`. At most one line each 10 s and prefix; the first list of a node is none. Each hop logs its own.

--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -86,7 +86,7 @@
       const { items, revision } = outcome.answer;
       // The relay answers all followers alike, without the age, which is below the maximum.
       const age = maxAge + outcome.duration;
-      return this.noteRelayed(prefix, { kind: 'items', items, revision }, age);
+      return this.noteRelayed(prefix, outcome.relay, { kind: 'items', items, revision }, age);
     }
     if (outcome.kind === 'not-current' && this.mayRetryStaleRelays(prefix)) {
       return { kind: 'failed', effect: 'not-done' };
@@ -122,14 +122,14 @@
     if (outcome.kind === 'no-relay') this.prefixesWithoutRelay.add(prefix);
     // A watch of this node may miss what the relays missed, so the prefix is listed again.
     if (outcome.kind !== 'answered') return { kind: 'compacted' };
-    const { answer, duration } = outcome;
+    const { answer, relay, duration } = outcome;
     if (answer.changes === undefined) return { kind: 'compacted' };
     const { changes, revision } = answer;
     const watched = { kind: 'changes', changes, revision } as const;
     // The caller does not use the outcome of an aborted watch.
     if (signal.aborted) return watched;
     const ageReceived = ageOnArrival(answer.freshness, duration, options.changeBound());
-    return this.noteRelayed(prefix, watched, ageReceived);
+    return this.noteRelayed(prefix, relay, watched, ageReceived);
   }
 
   /** Requests relays, and lists the prefix at the store once this node's data is too old. */
@@ -164,7 +164,12 @@
   private noteListed(prefix: string, { outcome, sentAt }: ListedAtStore): StoreRangeOutcome {
     const { received, clock } = this.options;
     if (outcome.kind !== 'failed') this.staleRelayRetries.delete(prefix);
-    return received.noteStoreOutcome(prefix, outcome, suspendAwareTime(clock) - sentAt);
+    return received.noteStoreOutcome(
+      prefix,
+      outcome,
+      suspendAwareTime(clock) - sentAt,
+      this.limits,
+    );
   }
 
   /** Keeps a list that was read in place of a watch; the caller lists the prefix next. */
@@ -179,11 +184,12 @@
 
   private noteRelayed<Outcome extends StoreRangeOutcome | StoreWatchOutcome>(
     prefix: string,
+    by: NodeId,
     outcome: Outcome,
     age: Milliseconds,
   ): Outcome {
     this.staleRelayRetries.delete(prefix);
-    this.options.received.noteReceived(prefix, age);
+    this.options.received.noteReceived({ prefix, by, outcome, age, limits: this.limits });
     return outcome;
   }
 
@@ -198,7 +204,7 @@
     const limit = maxWatchDuration(prefix, wait, this.options);
     const changeBound = this.options.changeBound();
     const outcome = await watchStore({ store, prefix, after, wait: limit, signal, changeBound });
-    return signal.aborted ? outcome : received.noteStoreOutcome(prefix, outcome, 0);
+    return signal.aborted ? outcome : received.noteStoreOutcome(prefix, outcome, 0, this.limits);
   }
 
   private get limits(): AgeLimits {
--- a/src/fleet/received-prefixes.ts
+++ b/src/fleet/received-prefixes.ts
@@ -2,23 +2,39 @@
  * What this node has received of each prefix: from which source, how old its data is, and whether
  * the store answers its reads.
  */
-import type { Milliseconds } from '../core/units.js';
+import type { NodeId } from '../core/identity.js';
+import type { Milliseconds, Revision } from '../core/units.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type { StoreRangeOutcome, StoreWatchOutcome } from '../shared-store/shared-store.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import { PrefixFreshness } from './prefix-freshness.js';
+import type { ChangeBound } from './direct-prefixes.js';
+import { LateChanges } from './late-changes.js';
+import { type AgeLimits, PrefixFreshness } from './prefix-freshness.js';
 import { PrefixSources, STORE_SOURCE } from './prefix-sources.js';
 import type { RelayFleet } from './relay-choice.js';
 
-export interface ReceivedPrefixesOptions {
+export interface ReceivedPrefixesOptions extends Pick<ChangeBound, 'boundPrefixes'> {
   readonly fleet: () => Pick<RelayFleet, 'renewalAge'>;
   readonly clock: Clock;
   readonly log: Pick<DecisionLog, 'state'>;
 }
 
+/** A list or changes, on arrival. */
+interface Receipt {
+  readonly prefix: string;
+  readonly by: NodeId;
+  readonly outcome: StoreRangeOutcome | StoreWatchOutcome;
+  /** Age of the data. */
+  readonly age: Milliseconds;
+  readonly limits: AgeLimits;
+}
+
 export class ReceivedPrefixes {
   readonly sources: PrefixSources;
   readonly freshness: PrefixFreshness;
+  private readonly lateChanges: LateChanges;
+  /** Revision up to which each prefix was received. */
+  private readonly revisions = new Map<string, Revision>();
   /** When a list or watch of this node at the store last failed, by {@link suspendAwareTime}. */
   private storeFailedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   /** Prefixes that were not received since this node last failed to read them at the store. */
@@ -27,6 +43,7 @@
   constructor(private readonly options: ReceivedPrefixesOptions) {
     this.sources = new PrefixSources(options);
     this.freshness = new PrefixFreshness(options.clock);
+    this.lateChanges = new LateChanges(options);
   }
 
   /**
@@ -52,20 +69,32 @@
     prefix: string,
     outcome: Outcome,
     age: Milliseconds,
+    limits: AgeLimits,
   ): Outcome {
     if (outcome.kind === 'failed') {
       this.storeFailedAt = suspendAwareTime(this.options.clock);
       this.unreadAtStore.add(prefix);
     } else if (outcome.kind !== 'compacted') {
       this.sources.noteReceived(prefix, STORE_SOURCE);
-      this.noteReceived(prefix, age);
+      this.noteReceived({ prefix, by: STORE_SOURCE, outcome, age, limits });
     }
     return outcome;
   }
 
   /** Records data that was received from the store or a relay, once it is certain to be used. */
-  noteReceived(prefix: string, age: Milliseconds): void {
+  noteReceived({ prefix, by, outcome, age: sourceAge, limits }: Receipt): void {
     this.unreadAtStore.delete(prefix);
-    this.freshness.noteReceived(prefix, age);
+    const age = this.freshness.age(prefix);
+    const isBound = this.options.boundPrefixes.includes(prefix);
+    if (isBound && this.hasChanges(prefix, outcome))
+      this.lateChanges.note({ prefix, by, age, sourceAge, maxAge: limits.search });
+    this.freshness.noteReceived(prefix, sourceAge);
+    if ('revision' in outcome) this.revisions.set(prefix, outcome.revision);
+  }
+
+  private hasChanges(prefix: string, outcome: StoreRangeOutcome | StoreWatchOutcome): boolean {
+    if (outcome.kind === 'changes') return outcome.changes.length > 0;
+    const known = this.revisions.get(prefix) ?? 0;
+    return outcome.kind === 'items' && outcome.items.some(({ revision }) => revision > known);
   }
 }
--- a/src/fleet/relay-requests.ts
+++ b/src/fleet/relay-requests.ts
@@ -18,6 +18,7 @@
 export type RelaysOutcome<Kind extends RelayRequestKind> =
   | {
       readonly kind: 'answered';
+      readonly relay: NodeId;
       readonly answer: CurrentAnswer<Kind>;
       /** Time from the request to its answer. */
       readonly duration: Milliseconds;
@@ -92,7 +93,7 @@
         this.penalize(notCurrent);
         if (!superseded.aborted) sources.noteReceived(prefix, relay);
         const duration = clock.now() - startedAt - elapsed;
-        return { kind: 'answered', answer, duration };
+        return { kind: 'answered', relay, answer, duration };
       }
       failures.push(`${relay}:${failure}`);
       if (outcome.kind === 'answered') {
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -16,6 +16,7 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { type ChangeBound, DirectPrefixes } from './direct-prefixes.js';
 import { PrefixFollower } from './prefix-follower.js';
+import { type AgeLimits, relayLimits } from './prefix-freshness.js';
 import { ReceivedPrefixes } from './received-prefixes.js';
 import { RelayChoice, type RelayChoiceOptions } from './relay-choice.js';
 import { RelayRequests } from './relay-requests.js';
@@ -99,7 +100,7 @@
       return this.follower.list(prefix, relays);
     }
     const outcome = await this.direct.list(prefix);
-    return received.noteStoreOutcome(prefix, outcome, outcome.age ?? 0);
+    return received.noteStoreOutcome(prefix, outcome, outcome.age ?? 0, this.limits);
   }
 
   private async watch(
@@ -116,6 +117,11 @@
     }
     const outcome = await this.direct.watch(prefix, after, wait, signal);
     if (signal.aborted) return outcome;
-    return received.noteStoreOutcome(prefix, outcome, outcome.age ?? 0);
+    return received.noteStoreOutcome(prefix, outcome, outcome.age ?? 0, this.limits);
+  }
+
+  /** The limits of a relay. */
+  private get limits(): AgeLimits {
+    return relayLimits(this.options.changeBound());
   }
 }
