Listed results outlive a page that the store took without an answer

Readers had got results of a job that nobody found any more after the job was cancelled: the store had only the earlier pages, and no node wrote the rest.

The retried commit of the owner then met a head with another change and one page more than it knew; it took itself for superseded and dropped all journaled pages. While it lives, no other node recovers them.

Only the owner of a term adds pages under it. A head of this owner and term with as many more pages as the commit had is now that commit's, and the pages after it are written on top of it. Without a term nothing changes.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -81,7 +81,7 @@
         log: new ListingLog({ job: spec.id, self, term, metrics, log }),
         progress: options.progress,
         isStillNeeded: () => options.isOpen() || this.isCancelling,
-        keepsOwnership: (change) => this.keepsOwnership(change),
+        keepsOwnership: (...change) => this.keepsOwnership(...change),
         onHeadChange: (change, sentAt) => this.handleHeadChange(change, sentAt),
       },
       head,
@@ -263,11 +263,16 @@
     else if (change.current?.head.ended === true) this.options.close('ended');
   }
 
-  /** Whether a head that was changed still names this owner, and the pages it knows. */
-  private keepsOwnership(change: HeadChange): boolean {
+  /**
+   * Whether a head that was changed still names this owner, and the pages it knows and `addedPages`
+   * more. Without a term, another instance of this owner may have added them.
+   */
+  private keepsOwnership(change: HeadChange, addedPages = 0): boolean {
     if (change.kind !== 'superseded' || change.current === undefined) return false;
     const { head } = change.current;
-    return this.isOwn(head) && head.pages === this.writer.head?.head.pages;
+    const known = this.writer.head?.head.pages;
+    if (known === undefined || (addedPages > 0 && head.term === undefined)) return false;
+    return this.isOwn(head) && head.pages === known + addedPages;
   }
 
   /**
--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -41,8 +41,11 @@
   readonly progress: () => StoredProgress;
   /** Whether to keep retrying commits whose changes are not journaled. */
   readonly isStillNeeded: () => boolean;
-  /** Whether this node is still the owner, with all listed pages, after another node's change. */
-  readonly keepsOwnership: (change: HeadChange) => boolean;
+  /**
+   * Whether this node is still the owner after another node's change, with all the pages of its head
+   * and `addedPages` more.
+   */
+  readonly keepsOwnership: (change: HeadChange, addedPages?: number) => boolean;
   /**
    * Called when this node or another has changed the head in the store, with the time by
    * {@link suspendAwareTime} at which this node's change was sent.
@@ -205,8 +208,9 @@
     change: HeadChange,
     sentAt: Milliseconds,
   ): void {
-    if (change.kind === 'changed') {
-      this.current = change.current;
+    const stored = this.headWith(batch, change);
+    if (stored !== undefined) {
+      this.current = stored;
       this.queue.splice(0, batch.length);
       this.logStored(batch);
       const journaled = batch.filter(({ isJournaled }) => isJournaled);
@@ -226,6 +230,17 @@
     this.isSuperseded = !isStillOwner;
   }
 
+  /**
+   * The head if the store has a batch. A commit without an answer may have been carried out before
+   * another node changed the head: only this owner adds pages under its term.
+   */
+  private headWith(batch: readonly QueuedChange[], change: HeadChange): VersionedHead | undefined {
+    if (change.kind === 'changed') return change.current;
+    const pages = batch.filter((queued) => queued.change.kind === 'page').length;
+    if (change.kind !== 'superseded' || pages === 0) return undefined;
+    return this.options.keepsOwnership(change, pages) ? change.current : undefined;
+  }
+
   private logStored(batch: readonly QueuedChange[]): void {
     const { log } = this.options;
     for (const queued of batch) {
--- a/test/jobs/unnoticed-end.test.ts
+++ b/test/jobs/unnoticed-end.test.ts
@@ -97,6 +97,25 @@
   await zones.close();
 });
 
+t.test(
+  'an owner that reaches the store again sends nothing before it has read the head',
+  async (t) => {
+    const { zones, owner, engine, cancelInStore } = await cancellableJob(t, 3);
+    zones.setStore('silent', owner);
+    await cancelInStore();
+    await zones.run(MAX_SEND_DELAY);
+    t.ok(engine.sentAfter(zones.clock.now() - 200).length > 0, 'it sends while the store is away');
+    zones.setStore('reads-silent', owner);
+    const reachedAt = zones.clock.now();
+    await zones.run(3_000);
+    zones.setStore('up', owner);
+    await zones.run(1_500);
+    t.equal(engine.sentAfter(reachedAt).length, 0);
+    t.equal(owner.service.ownedJobs()[0]?.closeReason, 'ended');
+    await zones.close();
+  },
+);
+
 const TOLERATED: readonly StorePortMode[] = ['slow', 'late-and-unanswered', 'silent', 'refusing'];
 
 for (const mode of TOLERATED) {
