Listed results outlive a creation that the store carried out without an answer

Cause: the retried creation found a head with another change, so the owner took the job for another node's and abandoned it together with its journaled pages. Nobody else recovers them while that node lives.

A head that names this owner under the term of its claim is the outcome of its own creation, whoever changed it since: the owner attaches to it, closes the job if it is cancelled, and writes the journaled pages.

Evidence: test/jobs/results-after-unanswered-commits.test.ts got ledger_unavailable in place of 1 result before; now the result.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -140,9 +140,10 @@
     this.pending.push(result);
   }
 
-  /** Enables listing after the store has accepted the job. */
+  /** Enables listing after the store has accepted the job, which may have been cancelled since. */
   attach(head: VersionedHead): void {
     this.writer.setHead(head);
+    if (head.head.ended) this.options.close('ended');
   }
 
   /** Enables listing after the zone's journal has accepted the job, ahead of the store. */
@@ -279,7 +280,7 @@
    * Whether a head names this owner under the same term. This node itself has another term if it has
    * taken the job over again.
    */
-  private isOwn({ owner, term }: JobHead): boolean {
+  isOwn({ owner, term }: JobHead): boolean {
     const { self, journaled } = this.options;
     const known = this.writer.head;
     const ownTerm = known === undefined ? journaled.journal?.term : known.head.term;
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -284,8 +284,11 @@
   ): void {
     const { spec } = job;
     this.noteSubmitted(spec, change, ageOf(spec, this.options.clock.wallTime()));
-    if (change.kind === 'changed') {
-      job.attach(change.current);
+    const current =
+      change.kind === 'changed' || change.kind === 'superseded' ? change.current : undefined;
+    // A creation without an answer may have been carried out before another node changed the head.
+    if (current !== undefined && job.isOwn(current.head)) {
+      job.attach(current);
       void creation.releaseEntry(journal);
       return;
     }
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -8,7 +8,13 @@
 import { fitsVersions, type VersionRule } from './item-progress.js';
 import type { ItemWork } from './item-work-cache.js';
 import { JobListing } from './job-listing.js';
-import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
+import type {
+  JobHead,
+  JobOwner,
+  JobResult,
+  JobSpecification,
+  StoredProgress,
+} from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import type { CloseReason, JournalState } from './listing-state.js';
 import { cancelWork, isTextIncomplete, newOwnedItem, type OwnedItem } from './owned-item.js';
@@ -117,6 +123,11 @@
     return this.listing.term;
   }
 
+  /** Whether a head names this owner under the term of this job. */
+  isOwn(head: JobHead): boolean {
+    return this.listing.isOwn(head);
+  }
+
   /** Enables listing after the store has accepted the job. */
   attach(head: VersionedHead): void {
     this.listing.attach(head);
--- a/test/jobs/results-after-unanswered-commits.test.ts
+++ b/test/jobs/results-after-unanswered-commits.test.ts
@@ -50,6 +50,16 @@
   return 'failure' in read ? read.failure : read.length;
 }
 
+t.test('results are kept if the creation was carried out without an answer', async (t) => {
+  const listed = await unansweredOwner(t, 'creation');
+  const { zones, owner, engine } = listed;
+  engine.completing.add('item-0');
+  await zones.run(1_000);
+  t.match(await zones.read(owner, JOB), { length: 1 });
+  await listed.cancelInStore();
+  t.equal(await readableAfterHealing(listed), 1);
+});
+
 t.test('results are kept if an earlier page was stored without an answer', async (t) => {
   const listed = await unansweredOwner(t, 'acceptance');
   const { zones, owner, engine } = listed;
