An owner sends nothing while it is storing a cancellation

Callers who asked an owner to end a job saw its items reach workers for as long as the store did not answer the owner's commit, though reads were answered.

Cause: the owner held requests back from the cancellation to the next head that was not ended. That head says nothing about the owner's own cancellation, which is retried until it is stored.

While a cancellation waits for the store at its owner, no request of the job is sent, confirmed or not; if it is dropped, as another change of the head came first, the usual confirmations decide again.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -6,13 +6,7 @@
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { ChangeQueue } from './change-queue.js';
-import type {
-  JobHead,
-  JobOwner,
-  JobResult,
-  JobSpecification,
-  StoredProgress,
-} from './job-records.js';
+import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
 import type { HeadChange, JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import { ListingLog, NO_TERM } from './listing-log.js';
 import type { CloseReason, JournalState } from './listing-state.js';
@@ -98,8 +92,8 @@
 
   /** Writes an earlier owner's journaled changes to the store; they may include a cancellation. */
   resume(): void {
-    const { spec, listed, journaled, close } = this.options;
-    const { resumed = [] } = journaled;
+    const { spec, listed, close } = this.options;
+    const { resumed = [] } = this.options.journaled;
     this.writer.resume(resumed, listed.length);
     if (resumed.some(({ kind }) => kind === 'ended')) close('ended');
     else if (this.listed.length >= spec.items.length) close('finished');
@@ -135,6 +129,11 @@
     return this.writer.isPending;
   }
 
+  /** Whether a caller has asked to cancel the job, and that is neither done nor ruled out. */
+  get isCancellationUnsettled(): boolean {
+    return this.writer.isCancelling || this.confirmation.isCancellationUnsettled;
+  }
+
   /** Queues a result for the next page. */
   add(result: JobResult): void {
     this.pending.push(result);
@@ -280,7 +279,7 @@
    * Whether a head names this owner under the same term. This node itself has another term if it has
    * taken the job over again.
    */
-  isOwn({ owner, term }: JobHead): boolean {
+  isOwn({ owner, term }: VersionedHead['head']): boolean {
     const { self, journaled } = this.options;
     const known = this.writer.head;
     const ownTerm = known === undefined ? journaled.journal?.term : known.head.term;
--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -85,6 +85,11 @@
     return this.queue.length > 0;
   }
 
+  /** Whether a cancellation of this owner waits for the store. */
+  get isCancelling(): boolean {
+    return this.queue.some(({ change }) => change.kind === 'ended');
+  }
+
   /** Number of pages, including queued ones. */
   get pages(): number {
     const queued = this.queue.filter(({ change }) => change.kind === 'page').length;
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -175,11 +175,11 @@
   }
 
   /**
-   * Whether a caller has asked to cancel the job and its outcome is not known: no items are sent, even
-   * while the store is unreachable, because another node may have stored the cancellation.
+   * Whether a caller has asked to cancel the job and its outcome is not known. No items are sent then,
+   * even while the store is unreachable, because this node or another may yet store the cancellation.
    */
   get isCancellationUnsettled(): boolean {
-    return this.listing.confirmation.isCancellationUnsettled;
+    return this.listing.isCancellationUnsettled;
   }
 
   /** Called if this node does not carry out a cancellation that a caller asked for. */
--- a/src/jobs/sending-permission.ts
+++ b/src/jobs/sending-permission.ts
@@ -9,7 +9,7 @@
  * Why requests are sent or not:
  * - `confirmed`: the store had the job uncancelled recently.
  * - `store-unreachable`: this node cannot ask the store, and goes on.
- * - `held-back`: another node may have cancelled the job.
+ * - `held-back`: the job may have been cancelled, or is about to be.
  */
 type SendingReason = 'confirmed' | 'store-unreachable' | 'held-back';
 
@@ -33,9 +33,9 @@
   }
 
   private reasonFor(job: OwnedJob): SendingReason {
+    if (job.isCancellationUnsettled) return 'held-back';
     if (!job.isUnconfirmed) return 'confirmed';
-    const mayGoOn = this.options.isStoreUnreachable() && !job.isCancellationUnsettled;
-    return mayGoOn ? 'store-unreachable' : 'held-back';
+    return this.options.isStoreUnreachable() ? 'store-unreachable' : 'held-back';
   }
 
   private note(job: OwnedJob, reason: SendingReason): void {
--- a/test/jobs/refused-cancellation.test.ts
+++ b/test/jobs/refused-cancellation.test.ts
@@ -75,3 +75,17 @@
     t.equal(engine.sentAfter(cancelledAt + MAX_SEND_DELAY).length, 0);
   },
 );
+
+t.test('an owner sends nothing while its commit of a cancellation is unanswered', async (t) => {
+  const { zones, owner, engine } = await turnedAwayOwner(t);
+  zones.setStore('late-and-unanswered', owner);
+  await zones.run(2_000);
+  const cancellation = owner.service.cancel(JOB, UNRESTRICTED, () => false);
+  t.match(await zones.answerOf(cancellation), { kind: 'ledger_unavailable' });
+  const refusedAt = zones.clock.now();
+  await zones.run(MAX_SEND_DELAY + 2_000);
+  t.equal(engine.sentAfter(refusedAt).length, 0);
+  zones.setStore('up', owner);
+  await zones.run(2_000);
+  t.equal(owner.service.ownedJobs()[0]?.closeReason, 'ended');
+});
