--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -6,13 +6,7 @@
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import { ChangeQueue } from './change-queue.js';
-import type {
-  JobHead,
-  JobOwner,
-  JobResult,
-  JobSpecification,
-  StoredProgress,
-} from './job-records.js';
+import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
 import type { HeadChange, JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import { ListingLog, NO_TERM } from './listing-log.js';
 import type { CloseReason, JournalState } from './listing-state.js';
@@ -81,7 +75,7 @@
         log: new ListingLog({ job: spec.id, self, term, metrics, log }),
         progress: options.progress,
         isStillNeeded: () => options.isOpen() || this.isCancelling,
-        keepsOwnership: (change) => this.keepsOwnership(change),
+        keepsOwnership: (...change) => this.keepsOwnership(...change),
         onHeadChange: (change, sentAt) => this.handleHeadChange(change, sentAt),
       },
       head,
@@ -98,8 +92,8 @@
 
   /** Writes an earlier owner's journaled changes to the store; they may include a cancellation. */
   resume(): void {
-    const { spec, listed, journaled, close } = this.options;
-    const { resumed = [] } = journaled;
+    const { spec, listed, close } = this.options;
+    const { resumed = [] } = this.options.journaled;
     this.writer.resume(resumed, listed.length);
     if (resumed.some(({ kind }) => kind === 'ended')) close('ended');
     else if (this.listed.length >= spec.items.length) close('finished');
@@ -135,14 +129,20 @@
     return this.writer.isPending;
   }
 
+  /** Whether a caller has asked to cancel the job, and that is neither done nor ruled out. */
+  get isCancellationUnsettled(): boolean {
+    return this.writer.isCancelling || this.confirmation.isCancellationUnsettled;
+  }
+
   /** Queues a result for the next page. */
   add(result: JobResult): void {
     this.pending.push(result);
   }
 
-  /** Enables listing after the store has accepted the job. */
+  /** Enables listing after the store has accepted the job, which may have been cancelled since. */
   attach(head: VersionedHead): void {
     this.writer.setHead(head);
+    if (head.head.ended) this.options.close('ended');
   }
 
   /** Enables listing after the zone's journal has accepted the job, ahead of the store. */
@@ -263,18 +263,23 @@
     else if (change.current?.head.ended === true) this.options.close('ended');
   }
 
-  /** Whether a head that was changed still names this owner, and the pages it knows. */
-  private keepsOwnership(change: HeadChange): boolean {
+  /**
+   * Whether a head that was changed still names this owner, and the pages it knows and `addedPages`
+   * more. Without a term, another instance of this owner may have added them.
+   */
+  private keepsOwnership(change: HeadChange, addedPages = 0): boolean {
     if (change.kind !== 'superseded' || change.current === undefined) return false;
     const { head } = change.current;
-    return this.isOwn(head) && head.pages === this.writer.head?.head.pages;
+    const known = this.writer.head?.head.pages;
+    if (known === undefined || (addedPages > 0 && head.term === undefined)) return false;
+    return this.isOwn(head) && head.pages === known + addedPages;
   }
 
   /**
    * Whether a head names this owner under the same term. This node itself has another term if it has
    * taken the job over again.
    */
-  private isOwn({ owner, term }: JobHead): boolean {
+  isOwn({ owner, term }: VersionedHead['head']): boolean {
     const { self, journaled } = this.options;
     const known = this.writer.head;
     const ownTerm = known === undefined ? journaled.journal?.term : known.head.term;
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -8,7 +8,13 @@
 import { fitsVersions, type VersionRule } from './item-progress.js';
 import type { ItemWork } from './item-work-cache.js';
 import { JobListing } from './job-listing.js';
-import type { JobOwner, JobResult, JobSpecification, StoredProgress } from './job-records.js';
+import type {
+  JobHead,
+  JobOwner,
+  JobResult,
+  JobSpecification,
+  StoredProgress,
+} from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import type { CloseReason, JournalState } from './listing-state.js';
 import { cancelWork, isTextIncomplete, newOwnedItem, type OwnedItem } from './owned-item.js';
@@ -117,6 +123,11 @@
     return this.listing.term;
   }
 
+  /** Whether a head names this owner under the term of this job. */
+  isOwn(head: JobHead): boolean {
+    return this.listing.isOwn(head);
+  }
+
   /** Enables listing after the store has accepted the job. */
   attach(head: VersionedHead): void {
     this.listing.attach(head);
@@ -164,11 +175,11 @@
   }
 
   /**
-   * Whether a caller has asked to cancel the job and its outcome is not known: no items are sent, even
-   * while the store is unreachable, because another node may have stored the cancellation.
+   * Whether a caller has asked to cancel the job and its outcome is not known. No items are sent then,
+   * even while the store is unreachable, because this node or another may yet store the cancellation.
    */
   get isCancellationUnsettled(): boolean {
-    return this.listing.confirmation.isCancellationUnsettled;
+    return this.listing.isCancellationUnsettled;
   }
 
   /** Called if this node does not carry out a cancellation that a caller asked for. */
