Soak: gateways are named in what they send, and reach other regions over links

A worker of the soak couldn't tell which gateway an item came from, as all gateways share one machine and each worker stands behind one proxy. So what came late was excused whenever anything happened to any gateway. And connections between gateways were never disturbed, as a gateway listens at the address that it tells its peers.

Each gateway now loads a module ahead of its program. It adds a header with the gateway's name to each request, and leads connections to gateways of another region to a second address of the target, at which the soak forwards them or lets them fall silent. The programs are unchanged; the module is this build's for programs of other builds too.

--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -7,6 +7,9 @@
 import { TcpProxy } from '../faults/tcp-proxy.js';
 import type { BuildRotation } from './build-rotation.js';
 import { COLD } from './cold-request-counter.js';
+import { gatewayHost, linkHost } from './gateway-hosts.js';
+import { RegionLink } from './region-link.js';
+import { SENDER_HOST, SENDER_NAME } from './request-sender.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
 import type { StoreDoor } from './store-door.js';
 
@@ -16,6 +19,8 @@
   readonly zone: string;
   address: string;
   readonly storeLink: TcpProxy;
+  /** The way to it from gateways of other regions. */
+  regionLink: RegionLink;
   readonly storeAddress: string;
   /** Its own entrance to the store, which may turn it away. */
   readonly storeDoor: StoreDoor;
@@ -23,6 +28,9 @@
   process: StartedProcess;
 }
 
+/** What a gateway gets anew when another machine takes its place. */
+type GatewayPlace = Pick<SoakGateway, 'name' | 'address' | 'settingsFile' | 'regionLink'>;
+
 /** The zones; gateways are in them in turn. */
 export const ZONES = ['zone-a', 'zone-b'];
 
@@ -35,8 +43,8 @@
 /** Time to the forced end of a gateway that is asked to stop, in seconds. */
 const GRACE_SECONDS = 6;
 
-/** First address of gateways on loopback: each has one of its own, as their metrics share a port. */
-const FIRST_HOST = 11;
+/** What each gateway loads ahead of its program; this build's for the programs of all builds. */
+const PRELOAD = new URL('gateway-preload.js', import.meta.url).href;
 
 /** Starts, signals and restarts gateways. */
 export class GatewayGroup {
@@ -87,6 +95,7 @@
     gateway.process.child.kill('SIGKILL');
     await gateway.process.exited;
     await sleep(pause);
+    gateway.regionLink.close();
     Object.assign(gateway, await this.settle(gateway.storeAddress, gateway.zone));
     this.launch(gateway);
   }
@@ -131,7 +140,15 @@
   /** Ends all gateways and their links. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
-    for (const { storeLink } of [...this.gateways, ...this.readers]) await storeLink.close();
+    for (const { storeLink, regionLink } of [...this.gateways, ...this.readers]) {
+      regionLink.close();
+      await storeLink.close();
+    }
+  }
+
+  /** The gateway that has a name now. */
+  named(name: string | undefined): SoakGateway | undefined {
+    return [...this.gateways, ...this.readers].find((gateway) => gateway.name === name);
   }
 
   private async create(zone: string): Promise<SoakGateway> {
@@ -139,20 +156,19 @@
     const storeLink = new TcpProxy({ target: storeDoor.address });
     const storeAddress = await storeLink.start();
     const place = await this.settle(storeAddress, zone);
-    const process = this.process(place.name, place.settingsFile);
+    const process = this.process(place);
     return { ...place, zone, storeLink, storeAddress, storeDoor, process };
   }
 
   /** A name, an address and a settings file that no gateway had before. */
-  private async settle(
-    storeAddress: string,
-    zone: string,
-  ): Promise<Pick<SoakGateway, 'name' | 'address' | 'settingsFile'>> {
+  private async settle(storeAddress: string, zone: string): Promise<GatewayPlace> {
     const index = this.added;
     this.added += 1;
     const [front = 0, peer = 0] = await freePorts(2);
     const name = `gateway-${index + 1}`;
-    const host = `127.0.0.${FIRST_HOST + index}`;
+    const host = gatewayHost(ZONES.indexOf(zone), index);
+    const regionLink = new RegionLink(host, peer);
+    await regionLink.listen(linkHost(host), peer);
     const settingsFile = path.join(this.folder, `${name}.conf`);
     const lines = [
       `node_name=${name}`,
@@ -171,17 +187,23 @@
       'fault_tolerance.machines=2',
     ];
     writeFileSync(settingsFile, `${lines.join('\n')}\n`);
-    return { name, address: `${host}:${front}`, settingsFile };
+    return { name, address: `${host}:${front}`, settingsFile, regionLink };
   }
 
   private launch(gateway: SoakGateway): void {
-    gateway.process = this.process(gateway.name, gateway.settingsFile);
+    gateway.process = this.process(gateway);
   }
 
-  private process(name: string, settingsFile: string): StartedProcess {
+  private process({ name, address, settingsFile }: GatewayPlace): StartedProcess {
     const program = this.isSuspendable(name) ? 'suspendableNode' : 'node';
     const script = this.builds.scriptFor(name, program);
-    return this.processes.start(name, script, [], { WARDWING_CONFIG: settingsFile });
+    const [host = ''] = address.split(':');
+    return this.processes.start(name, script, [], {
+      WARDWING_CONFIG: settingsFile,
+      NODE_OPTIONS: `${process.env.NODE_OPTIONS ?? ''} --import=${PRELOAD}`,
+      [SENDER_NAME]: name,
+      [SENDER_HOST]: host,
+    });
   }
 
   /** A pause of every second gateway is a suspension; of the others, a machine that stands still. */
