Soak: work for an ended job is excused only if its sender was out of touch

The promise ended-job was checked only while nothing had happened to any gateway or worker for 3.5 s, hence hardly ever while faults came: a fault begins each 0.3 to 2.5 s. An owner that went on to send would not have been seen.

Now each item and score request is judged by the gateway that sent it: in touch is one that was neither killed, started, stopped nor paused, whose connections to the store were neither cut nor silenced, which the store did not turn away, and while the store as a whole answered, all for 3 s. A slow link to the store and late commits excuse no more, nor does anything that befalls others. Work from a sender that is not known is judged as before. The bound of 3 s stays.

Checks changed: itemStarted and scoreAsked take the sender in place of "nothing happens anywhere"; the test of ended jobs and leaving workers is two tests now, the latter with the same cases as before.

--- a/lab/soak/fault-runner.ts
+++ b/lab/soak/fault-runner.ts
@@ -55,6 +55,14 @@
 
   readonly isStoreAway = ({ kind }: PlannedFault): boolean => STORE_AWAY.includes(kind);
 
+  /** A slow link carries everything. */
+  readonly breaksContact = ({ kind }: PlannedFault): boolean => kind !== 'gateway-store-slow';
+
+  readonly nameOf = (fault: PlannedFault): string => {
+    const struck = this.struckBy(fault);
+    return `${fault.kind} ${struck === 'all' ? struck : struck.map(({ name }) => name).join(' ')}`;
+  };
+
   readonly perform = async ({ kind, duration, target }: PlannedFault): Promise<void> => {
     const { store, gateways, workers, silenced, writeConfiguration } = this.surroundings;
     const { emulator } = store;
--- a/lab/soak/power-loss.ts
+++ b/lab/soak/power-loss.ts
@@ -51,6 +51,8 @@
     await timeline.bringOn([{ at: now() }], {
       struckBy: () => 'all',
       isStoreAway: () => false,
+      breaksContact: () => true,
+      nameOf: () => 'power-loss',
       perform: async () => void (await loss),
     });
     return loss;
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -7,20 +7,19 @@
  * force in time, and nothing for evacuated zones.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { EndedJobs } from './ended-jobs.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
 import type { KnownJobReads, ReadResult, SubmittedJob, Violation } from './promise-records.js';
+import type { RequestSender } from './request-sender.js';
 import { ALLOWED_REGION } from './soak-call.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
+import type { SoakLog } from './soak-log.js';
 
 interface KnownJob extends SubmittedJob {
   isAccepted: boolean;
-  endedAt: Milliseconds | undefined;
   readonly positions: string[];
 }
 
-/** Time after the acknowledged end of a job in which its items may still reach a worker. */
-const CANCEL_LIMIT: Milliseconds = 3_000;
-
 /** Time after a worker said that it leaves in which work may still reach it. */
 const DRAIN_LIMIT: Milliseconds = 2_000;
 
@@ -52,10 +51,20 @@
   private readonly endedTexts = new Set<string>();
   /** Signatures of successful answers, by score request. */
   private readonly signatures = new Map<string, Set<string>>();
-
   private readonly lethalRequests = new LethalRequestChecker();
+  private readonly endedJobs: EndedJobs;
 
-  constructor(private readonly now: () => Milliseconds) {}
+  constructor(
+    private readonly now: () => Milliseconds,
+    log?: Pick<SoakLog, 'note'>,
+  ) {
+    this.endedJobs = new EndedJobs(now, log);
+  }
+
+  /** Items and scores that came to workers after the end of their job, in time or not. */
+  get workAfterEnd(): number {
+    return this.endedJobs.workAfterEnd;
+  }
 
   /** Most workers that ended under one request. */
   get mostEndedUnderOne(): number {
@@ -121,7 +130,7 @@
 
   /** A job is about to be handed in for the first time. */
   jobOffered(job: SubmittedJob): void {
-    this.jobs.set(job.id, { ...job, isAccepted: false, endedAt: undefined, positions: [] });
+    this.jobs.set(job.id, { ...job, isAccepted: false, positions: [] });
     for (const item of job.events.keys()) this.jobOfItem.set(item, job.id);
     for (const [item, request] of job.scoreRequests ?? []) this.itemOfScore.set(request, item);
   }
@@ -142,8 +151,7 @@
 
   /** The end of a job was acknowledged. */
   jobEnded(job: string): void {
-    const known = this.jobs.get(job);
-    if (known !== undefined) known.endedAt ??= this.now();
+    this.endedJobs.noteEnded(job);
   }
 
   /** An accepted job was answered as unknown. */
@@ -180,10 +188,14 @@
   }
 
   /** A worker began to run an item. */
-  itemStarted(item: string, isLeavingSince: Milliseconds | undefined, isCalm: boolean): void {
+  itemStarted(
+    item: string,
+    sender: RequestSender,
+    isLeavingSince: Milliseconds | undefined,
+    isCalm: boolean,
+  ): void {
     this.startedItems.add(item);
-    const job = this.jobs.get(this.jobOfItem.get(item) ?? '');
-    this.checkNotEnded(item, job, isCalm);
+    this.checkNotEnded(item, item, sender);
     if (isLeavingSince === undefined || !isCalm) return;
     const leavingFor = this.now() - isLeavingSince;
     this.check(leavingFor <= DRAIN_LIMIT, 'leaving-worker', `${item} after ${leavingFor} ms`);
@@ -201,12 +213,12 @@
   }
 
   /** A worker took a score request. */
-  scoreAsked(request: string, isCalm: boolean): void {
+  scoreAsked(request: string, sender: RequestSender): void {
     const item = this.itemOfScore.get(request);
     this.check(item !== undefined, 'sample-score', `nobody named the score request ${request}`);
     if (item === undefined) return;
     this.check(this.endedTexts.has(item), 'sample-score', `${request} came before its text`);
-    this.checkNotEnded(request, this.jobs.get(this.jobOfItem.get(item) ?? ''), isCalm);
+    this.checkNotEnded(request, item, sender);
   }
 
   /** A worker answered a score request with success. */
@@ -237,10 +249,10 @@
       }));
   }
 
-  private checkNotEnded(request: string, job: KnownJob | undefined, isCalm: boolean): void {
-    if (!isCalm) return;
-    const endedFor = job?.endedAt === undefined ? 0 : this.now() - job.endedAt;
-    this.check(endedFor <= CANCEL_LIMIT, 'ended-job', `${request} ran ${endedFor} ms late`);
+  /** Whatever happens to others, a gateway in touch sends nothing of a job that ended a while ago. */
+  private checkNotEnded(request: string, item: string, sender: RequestSender): void {
+    const late = this.endedJobs.noteWork(request, this.jobOfItem.get(item) ?? '', sender);
+    if (sender.isInTouch) this.check(late === undefined, 'ended-job', late ?? '');
   }
 
   private checkPosition(job: KnownJob, position: number, result: ReadResult): void {
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -1,4 +1,5 @@
 /** One soak: a fleet of real gateways, stand-ins around it, callers, and faults from outside. */
+import { mkdirSync } from 'node:fs';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
@@ -18,10 +19,12 @@
 import { PowerLoss } from './power-loss.js';
 import { PromiseChecker } from './promise-checker.js';
 import type { Violation } from './promise-records.js';
+import type { RequestSender } from './request-sender.js';
 import { type CallerCounts, type CallerSurroundings, SoakCallers } from './soak-callers.js';
 import { LOOKUP_SERVICE, MODEL, MODEL_SERVICE, soakConfiguration } from './soak-configuration.js';
 import { planEvacuations, SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeys } from './soak-keys.js';
+import { SoakLog } from './soak-log.js';
 import { StoreFaultRunner } from './store-fault-runner.js';
 import { planStoreFaults } from './store-faults.js';
 import { WorkerPool } from './worker-pool.js';
@@ -55,6 +58,8 @@
   readonly powerLoss: unknown;
   /** Most workers that ended under one request. */
   readonly mostEndedUnderOne: number;
+  /** Items and scores that came to workers after the end of their job, in time or not. */
+  readonly workAfterEnd: number;
 }
 
 /** Time after which no process runs any more. */
@@ -71,20 +76,26 @@
 export class SoakRun {
   private readonly startedAt = performance.now();
   private readonly now = (): Milliseconds => performance.now() - this.startedAt;
-  private readonly timeline = new FaultTimeline(this.now);
-  private readonly checker = new PromiseChecker(this.now);
+  private readonly log: SoakLog;
+  private readonly timeline: FaultTimeline;
+  private readonly checker: PromiseChecker;
   private readonly keys = new SoakKeys(this.now);
   private readonly store: PlatformStore;
   private readonly gateways: GatewayGroup;
   private readonly journals: JournalGroup;
   private readonly workers: WorkerPool;
   private readonly evacuations: SoakEvacuations;
+  private readonly faultRunner: FaultRunner;
   private newest: WeightVersion = 1;
   private configurationVersion = 0;
 
   constructor(private readonly options: SoakOptions) {
     const { seed, folder } = options;
     const builds = new BuildRotation(options.otherBuild);
+    mkdirSync(folder, { recursive: true });
+    this.log = new SoakLog(path.join(folder, 'soak.jsonl'), this.now);
+    this.timeline = new FaultTimeline(this.now, this.log);
+    this.checker = new PromiseChecker(this.now, this.log);
     this.store = new PlatformStore(createRandomSource(seed + 9));
     this.gateways = new GatewayGroup(folder, () => this.store.open(), builds);
     this.journals = new JournalGroup(path.join(folder, 'journals'), builds);
@@ -95,11 +106,16 @@
     });
     const surroundings = {
       ...{ checker: this.checker, model: MODEL, now: this.now, isCalm },
+      senderNamed: (name: string | undefined) => this.senderNamed(name),
       onRequest: (request: string, { zone }: WorkerStandIn) =>
         this.evacuations.requestArrived(request, zone),
     };
     const random = createRandomSource(seed + 1);
     this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
+    const { store, gateways, workers } = this;
+    const writeConfiguration = (): void => this.writeConfiguration();
+    const silenced = createRandomSource(seed + 3);
+    this.faultRunner = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
   }
 
   /** Runs to the end. */
@@ -121,27 +137,24 @@
     await this.journals.stop();
     await this.workers.stop();
     this.store.stop();
-    const { violations, checked, checkedByPromise, mostEndedUnderOne } = this.checker;
+    const { violations, checked, checkedByPromise, mostEndedUnderOne, workAfterEnd } = this.checker;
     const { counts } = callers;
     const { counts: lateCommits } = this.store.lateCommits;
     const acceptances = countAcceptances(path.join(folder, 'logs'), this.store.emulator);
-    const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne };
+    const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne, workAfterEnd };
     return { ...seen, faults: faults + 1, lateCommits, acceptances, powerLoss };
   }
 
   /** Brings on all faults but the last; resolves with their number when the last one has begun. */
   private async bringOnFaults(): Promise<number> {
     const { seed, length } = this.options;
-    const { timeline, store, gateways, journals, workers } = this;
+    const { timeline, store, gateways, journals } = this;
     const faults = planFaults(seed, length);
     const zoneFaults = planZoneFaults(seed + 4, length);
     const evacuations = planEvacuations(seed + 5, length);
     const storeFaults = planStoreFaults(seed + 6, length);
-    const writeConfiguration = (): void => this.writeConfiguration();
-    const silenced = createRandomSource(seed + 3);
-    const ofAny = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
     await Promise.all([
-      timeline.bringOn(faults, ofAny),
+      timeline.bringOn(faults, this.faultRunner),
       timeline.bringOn(zoneFaults, new ZoneFaultRunner(gateways, journals)),
       this.evacuations.run(evacuations),
       timeline.bringOn(storeFaults, new StoreFaultRunner(store, gateways)),
@@ -187,6 +200,13 @@
     };
   }
 
+  private senderNamed(name: string | undefined): RequestSender {
+    const gateway = this.gateways.named(name);
+    const { timeline } = this;
+    const isInTouch = gateway === undefined ? timeline.isCalm : timeline.isInTouch(gateway);
+    return { name, isInTouch };
+  }
+
   private calmAddresses(): string[] {
     return this.gateways.gateways
       .filter((gateway) => this.timeline.isCalmFor(gateway))
@@ -201,6 +221,7 @@
 
   private writeConfiguration(): void {
     this.configurationVersion += 1 + (this.configurationVersion % 3);
+    this.log.note('configuration-written', { version: this.configurationVersion });
     const configuration = soakConfiguration(this.configurationVersion, this.keys.rotate());
     this.store.emulator.write(KEY_PREFIXES.configuration, JSON.stringify(configuration));
   }
--- a/lab/soak/soak.ts
+++ b/lab/soak/soak.ts
@@ -39,6 +39,7 @@
     checkedByPromise: report.checkedByPromise,
     violations: violations.length,
     mostEndedUnderOne,
+    workAfterEnd: report.workAfterEnd,
     lateCommits: report.lateCommits,
     acceptances: report.acceptances,
     powerLoss: report.powerLoss,
--- a/lab/soak/store-fault-runner.ts
+++ b/lab/soak/store-fault-runner.ts
@@ -25,6 +25,14 @@
 
   readonly isStoreAway = (): boolean => true;
 
+  /** A gateway whose commits are late is answered all else. */
+  readonly breaksContact = ({ effect }: StoreFault): boolean => effect !== 'commits-late';
+
+  readonly nameOf = (fault: StoreFault): string => {
+    const names = this.struckBy(fault).map(({ name }) => name);
+    return `${fault.effect} ${fault.struck} ${names.join(' ')}`;
+  };
+
   readonly perform = async (
     { effect, duration }: StoreFault,
     struck: readonly SoakGateway[],
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { ColdRequestCounter } from './cold-request-counter.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
+import { type RequestSender, SENDER_HEADER } from './request-sender.js';
 import { REGIONAL_PREFIX } from './soak-call.js';
 
 /** Time for one event, for a lookup, and for loading weights. */
@@ -54,6 +55,8 @@
   readonly bearsLittleWhenCold: boolean;
   /** Whether no fault is going on that excuses late work. */
   readonly isCalm: () => boolean;
+  /** The gateway of a name that a request came with. */
+  readonly senderNamed: (name: string | undefined) => RequestSender;
   /** Called after a change that the worker's record shows. */
   readonly onChange: (worker: WorkerStandIn) => void;
   /** Called with the id of each request that comes. */
@@ -197,7 +200,7 @@
     });
     if (request.url?.startsWith(LETHAL_PREFIX)) this.endUnder(request.url);
     else if (events > 0) this.stream(request, id, events, stamped, response);
-    else if (request.url?.startsWith(SCORE_PREFIX)) this.score(id, base, response);
+    else if (request.url?.startsWith(SCORE_PREFIX)) this.score(request, id, base, response);
     else setTimeout(() => response.writeHead(200, stamped).end(`${id}:${body}`), LOOKUP_TIME);
   }
 
@@ -212,13 +215,19 @@
     setTimeout(() => this.surroundings.onLethal(this), LETHAL_TIME);
   }
 
+  private senderOf(request: http.IncomingMessage): RequestSender {
+    const name = request.headers[SENDER_HEADER];
+    return this.surroundings.senderNamed(typeof name === 'string' ? name : undefined);
+  }
+
   private score(
+    request: http.IncomingMessage,
     id: string,
     headers: http.OutgoingHttpHeaders,
     response: http.ServerResponse,
   ): void {
-    const { checker, isCalm } = this.surroundings;
-    checker.scoreAsked(id, isCalm());
+    const { checker } = this.surroundings;
+    checker.scoreAsked(id, this.senderOf(request));
     this.scoresGiven += 1;
     const signature = `score-${this.id}-${this.scoresGiven}`;
     const isFailing = this.scoresGiven % FAILING_SCORES === 0;
@@ -237,7 +246,7 @@
     response: http.ServerResponse,
   ): void {
     const { checker, isCalm } = this.surroundings;
-    checker.itemStarted(id, this.leavingSince, isCalm());
+    checker.itemStarted(id, this.senderOf(request), this.leavingSince, isCalm());
     const last = request.headers[HEADERS.lastEventId];
     let index = last === undefined ? 0 : Number(last) + 1;
     let told = this.version;
--- a/lab/soak/zone-fault-runner.ts
+++ b/lab/soak/zone-fault-runner.ts
@@ -23,6 +23,13 @@
 
   readonly isStoreAway = ({ kind }: ZoneFault): boolean => kind === 'zone-without-store';
 
+  readonly breaksContact = (): boolean => true;
+
+  readonly nameOf = (fault: ZoneFault): string => {
+    const names = this.struckBy(fault).map(({ name }) => name);
+    return `${fault.kind} ${names.join(' ')}`;
+  };
+
   readonly perform = async (
     { kind, duration, target }: ZoneFault,
     struck: readonly SoakGateway[],
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -2,6 +2,9 @@
 import { PromiseChecker, sampleLine } from '../../../lab/soak/promise-checker.js';
 import type { ReadResult } from '../../../lab/soak/promise-records.js';
 
+const IN_TOUCH = { name: 'gateway-1', isInTouch: true };
+const OUT_OF_TOUCH = { name: 'gateway-2', isInTouch: false };
+
 function fixture() {
   let time = 0;
   const checker = new PromiseChecker(() => time);
@@ -29,7 +32,7 @@
 t.test('what is whole and true breaks nothing', async (t) => {
   const { checker, broken } = fixture();
   checker.jobAccepted('job');
-  checker.itemStarted('one', undefined, true);
+  checker.itemStarted('one', IN_TOUCH, undefined, true);
   checker.resultsRead('job', 2, 0, [sample('one', [2, 3])]);
   checker.resultsRead('job', 2, 0, [sample('one', [2, 3]), sample('two', [3])]);
   checker.resultsReadAgain('job', 2, 'gateway');
@@ -92,32 +95,34 @@
   const { checker, broken } = fixture();
   checker.jobRefused('job');
   t.same(broken(), []);
-  checker.itemStarted('one', undefined, true);
+  checker.itemStarted('one', IN_TOUCH, undefined, true);
   checker.jobRefused('job');
   t.same(broken(), ['refusal-true']);
 });
 
-t.test(
-  'work for an ended job or a leaving worker is found, unless a fault excuses it',
-  async (t) => {
-    const { checker, advance, broken } = fixture();
-    checker.jobEnded('job');
-    advance(2_900);
-    checker.itemStarted('one', undefined, true);
-    t.same(broken(), []);
-    advance(200);
-    checker.itemStarted('one', undefined, false);
-    t.same(broken(), []);
-    checker.itemStarted('one', undefined, true);
-    t.same(broken(), ['ended-job']);
-    const leaving = fixture();
-    leaving.advance(2_500);
-    leaving.checker.itemStarted('one', 1_000, true);
-    t.same(leaving.broken(), []);
-    leaving.checker.itemStarted('one', 400, true);
-    t.same(leaving.broken(), ['leaving-worker']);
-  },
-);
+t.test('work for an ended job is found, unless its sender is out of touch', async (t) => {
+  const { checker, advance, broken } = fixture();
+  checker.jobEnded('job');
+  advance(2_900);
+  checker.itemStarted('one', IN_TOUCH, undefined, true);
+  t.same(broken(), []);
+  advance(200);
+  checker.itemStarted('one', OUT_OF_TOUCH, undefined, true);
+  t.same(broken(), []);
+  checker.itemStarted('one', IN_TOUCH, undefined, false);
+  t.same(broken(), ['ended-job'], 'whatever happens to others');
+  t.match(checker.violations[0]?.detail, /^one of job from gateway-1 came 3100 ms/);
+});
+
+t.test('work for a leaving worker is found, unless a fault excuses it', async (t) => {
+  const { checker, advance, broken } = fixture();
+  advance(2_500);
+  checker.itemStarted('one', IN_TOUCH, 1_000, true);
+  checker.itemStarted('one', IN_TOUCH, 400, false);
+  t.same(broken(), []);
+  checker.itemStarted('one', IN_TOUCH, 400, true);
+  t.same(broken(), ['leaving-worker']);
+});
 
 t.test('shared and falling tokens, and wrong answers, are found', async (t) => {
   const { checker, broken } = fixture();
@@ -140,12 +145,26 @@
 t.test('a score that was given to the own request after the text breaks nothing', async (t) => {
   const { checker, broken } = scoredFixture();
   checker.textEnded('one');
-  checker.scoreAsked('score-of-one', true);
+  checker.scoreAsked('score-of-one', IN_TOUCH);
   checker.scoreGiven('score-of-one', 'signed');
   checker.resultsRead('job', 1, 0, [sample('one', [1], { score: 'signed' })]);
   t.same(broken(), []);
 });
 
+t.test('a score that is asked for long after the end of its job is found', async (t) => {
+  let time = 0;
+  const checker = new PromiseChecker(() => time);
+  const scoreRequests = new Map([['one', 'score-of-one']]);
+  checker.jobOffered({ id: 'job', minVersion: 1, events: new Map([['one', 1]]), scoreRequests });
+  checker.textEnded('one');
+  checker.jobEnded('job');
+  time = 3_100;
+  checker.scoreAsked('score-of-one', OUT_OF_TOUCH);
+  t.same(checker.violations, []);
+  checker.scoreAsked('score-of-one', IN_TOUCH);
+  t.match(checker.violations, [{ promise: 'ended-job' }]);
+});
+
 t.test('scores that are missing, of others, too early or asked by nobody are found', async (t) => {
   const missing = scoredFixture();
   missing.checker.resultsRead('job', 1, 0, [sample('one', [1])]);
@@ -155,10 +174,10 @@
   other.checker.resultsRead('job', 1, 0, [sample('one', [1], { score: 'signed' })]);
   t.same(other.broken(), ['sample-score']);
   const early = scoredFixture();
-  early.checker.scoreAsked('score-of-one', true);
+  early.checker.scoreAsked('score-of-one', IN_TOUCH);
   t.same(early.broken(), ['sample-score']);
   const unknown = scoredFixture();
-  unknown.checker.scoreAsked('score-of-none', true);
+  unknown.checker.scoreAsked('score-of-none', IN_TOUCH);
   t.same(unknown.broken(), ['sample-score']);
 });
 
