--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -1,4 +1,5 @@
 /** One soak: a fleet of real gateways, stand-ins around it, callers, and faults from outside. */
+import { mkdirSync } from 'node:fs';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
@@ -7,21 +8,27 @@
 import { type AcceptanceCounts, countAcceptances } from './acceptance-log.js';
 import { BuildRotation } from './build-rotation.js';
 import { FaultRunner } from './fault-runner.js';
-import { planFaults, QUIET_END } from './fault-schedule.js';
+import { planFaults, QUIET_END, QUIET_START } from './fault-schedule.js';
 import { FaultTimeline } from './fault-timeline.js';
 import { planPowerLoss } from './final-power-loss.js';
 import { readAllJobs } from './final-reading.js';
 import { GatewayGroup, ZONES } from './gateway-group.js';
 import { JournalGroup, REPLICAS_A_ZONE } from './journal-group.js';
 import type { LateCommitCounts } from './late-commits.js';
+import { PartialFaultRunner } from './partial-fault-runner.js';
+import { planPartialFaults } from './partial-faults.js';
+import { planStretch } from './partial-stretch.js';
 import { PlatformStore } from './platform-store.js';
 import { PowerLoss } from './power-loss.js';
 import { PromiseChecker } from './promise-checker.js';
 import type { Violation } from './promise-records.js';
+import type { RequestSender } from './request-sender.js';
 import { type CallerCounts, type CallerSurroundings, SoakCallers } from './soak-callers.js';
 import { LOOKUP_SERVICE, MODEL, MODEL_SERVICE, soakConfiguration } from './soak-configuration.js';
 import { planEvacuations, SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeys } from './soak-keys.js';
+import { SoakLog } from './soak-log.js';
+import type { StoreDoor } from './store-door.js';
 import { StoreFaultRunner } from './store-fault-runner.js';
 import { planStoreFaults } from './store-faults.js';
 import { WorkerPool } from './worker-pool.js';
@@ -55,6 +62,8 @@
   readonly powerLoss: unknown;
   /** Most workers that ended under one request. */
   readonly mostEndedUnderOne: number;
+  /** Items and scores that came to workers after the end of their job, in time or not. */
+  readonly workAfterEnd: number;
 }
 
 /** Time after which no process runs any more. */
@@ -71,22 +80,29 @@
 export class SoakRun {
   private readonly startedAt = performance.now();
   private readonly now = (): Milliseconds => performance.now() - this.startedAt;
-  private readonly timeline = new FaultTimeline(this.now);
-  private readonly checker = new PromiseChecker(this.now);
+  private readonly log: SoakLog;
+  private readonly timeline: FaultTimeline;
+  private readonly checker: PromiseChecker;
   private readonly keys = new SoakKeys(this.now);
   private readonly store: PlatformStore;
   private readonly gateways: GatewayGroup;
   private readonly journals: JournalGroup;
   private readonly workers: WorkerPool;
   private readonly evacuations: SoakEvacuations;
+  private readonly faultRunner: FaultRunner;
+  private readonly partialFaults: PartialFaultRunner;
   private newest: WeightVersion = 1;
   private configurationVersion = 0;
 
   constructor(private readonly options: SoakOptions) {
     const { seed, folder } = options;
     const builds = new BuildRotation(options.otherBuild);
+    mkdirSync(folder, { recursive: true });
+    this.log = new SoakLog(path.join(folder, 'soak.jsonl'), this.now);
+    this.timeline = new FaultTimeline(this.now, this.log);
+    this.checker = new PromiseChecker(this.now, this.log);
     this.store = new PlatformStore(createRandomSource(seed + 9));
-    this.gateways = new GatewayGroup(folder, () => this.store.open(), builds);
+    this.gateways = new GatewayGroup(folder, () => this.openStore(), builds);
     this.journals = new JournalGroup(path.join(folder, 'journals'), builds);
     const isCalm = (): boolean => this.timeline.isCalm;
     this.evacuations = new SoakEvacuations({
@@ -95,11 +111,17 @@
     });
     const surroundings = {
       ...{ checker: this.checker, model: MODEL, now: this.now, isCalm },
+      senderNamed: (name: string | undefined) => this.senderNamed(name),
       onRequest: (request: string, { zone }: WorkerStandIn) =>
         this.evacuations.requestArrived(request, zone),
     };
     const random = createRandomSource(seed + 1);
     this.workers = new WorkerPool(this.store, random, surroundings, () => this.newest);
+    const { store, gateways, workers } = this;
+    const writeConfiguration = (): void => this.writeConfiguration();
+    const silenced = createRandomSource(seed + 3);
+    this.faultRunner = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
+    this.partialFaults = new PartialFaultRunner({ store, gateways, writeConfiguration });
   }
 
   /** Runs to the end. */
@@ -116,40 +138,52 @@
     const faults = await this.bringOnFaults();
     await sleep(Math.max(0, length - QUIET_END - this.now()));
     await this.timeline.allOver();
+    const partialFaults = await this.bringOnStretch();
     const powerLoss = await this.losePower(callers);
     await this.gateways.stop();
     await this.journals.stop();
     await this.workers.stop();
     this.store.stop();
-    const { violations, checked, checkedByPromise, mostEndedUnderOne } = this.checker;
+    const { violations, checked, checkedByPromise, mostEndedUnderOne, workAfterEnd } = this.checker;
     const { counts } = callers;
     const { counts: lateCommits } = this.store.lateCommits;
     const acceptances = countAcceptances(path.join(folder, 'logs'), this.store.emulator);
-    const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne };
-    return { ...seen, faults: faults + 1, lateCommits, acceptances, powerLoss };
+    const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne, workAfterEnd };
+    return { ...seen, faults: faults + partialFaults + 1, lateCommits, acceptances, powerLoss };
   }
 
   /** Brings on all faults but the last; resolves with their number when the last one has begun. */
   private async bringOnFaults(): Promise<number> {
     const { seed, length } = this.options;
-    const { timeline, store, gateways, journals, workers } = this;
+    const { timeline, store, gateways, journals } = this;
     const faults = planFaults(seed, length);
     const zoneFaults = planZoneFaults(seed + 4, length);
     const evacuations = planEvacuations(seed + 5, length);
     const storeFaults = planStoreFaults(seed + 6, length);
-    const writeConfiguration = (): void => this.writeConfiguration();
-    const silenced = createRandomSource(seed + 3);
-    const ofAny = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
+    const partialFaults = planPartialFaults(seed + 11, QUIET_START, length - QUIET_END);
     await Promise.all([
-      timeline.bringOn(faults, ofAny),
+      timeline.bringOn(faults, this.faultRunner),
       timeline.bringOn(zoneFaults, new ZoneFaultRunner(gateways, journals)),
       this.evacuations.run(evacuations),
       timeline.bringOn(storeFaults, new StoreFaultRunner(store, gateways)),
+      timeline.bringOn(partialFaults, this.partialFaults),
     ]);
-    const plans = [faults, zoneFaults, evacuations, storeFaults];
+    const plans = [faults, zoneFaults, evacuations, storeFaults, partialFaults];
     return plans.reduce((sum, plan) => sum + plan.length, 0);
   }
 
+  /** Brings on the stretch without faults of all gateways; resolves with the number of its faults. */
+  private async bringOnStretch(): Promise<number> {
+    const { timeline, faultRunner, partialFaults } = this;
+    const { partial, single } = planStretch(this.options.seed + 12, this.now());
+    await Promise.all([
+      timeline.bringOn(single, faultRunner),
+      timeline.bringOn(partial, partialFaults),
+    ]);
+    await timeline.allOver();
+    return partial.length + single.length;
+  }
+
   /** All power is lost at once; then all jobs are read at gateways that were not asked before. */
   private async losePower(callers: SoakCallers): Promise<unknown> {
     const { timeline, store, gateways, journals, checker, keys, evacuations, now } = this;
@@ -179,6 +213,7 @@
       ...{ checker, keys, evacuations, now, zones: ZONES, model: MODEL, addressesIn },
       isCalm: () => this.timeline.isCalm,
       isStoreAway: () => this.timeline.isStoreAway,
+      arePartlyServed: () => this.partialFaults.isUnderWay,
       random: createRandomSource(this.options.seed + 2),
       calmAddresses: () => this.calmAddresses(),
       addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
@@ -187,6 +222,22 @@
     };
   }
 
+  /** An entrance of one gateway to the store; what it keeps back is logged. */
+  private async openStore(): Promise<StoreDoor> {
+    const door = await this.store.open((url, refusal) => {
+      const gateway = this.gateways.gateways.find(({ storeDoor }) => storeDoor === door)?.name;
+      this.log.note('call-kept-back', { gateway, refusal, url });
+    });
+    return door;
+  }
+
+  private senderNamed(name: string | undefined): RequestSender {
+    const gateway = this.gateways.named(name);
+    const { timeline } = this;
+    const isInTouch = gateway === undefined ? timeline.isCalm : timeline.isInTouch(gateway);
+    return { name, isInTouch };
+  }
+
   private calmAddresses(): string[] {
     return this.gateways.gateways
       .filter((gateway) => this.timeline.isCalmFor(gateway))
@@ -201,6 +252,7 @@
 
   private writeConfiguration(): void {
     this.configurationVersion += 1 + (this.configurationVersion % 3);
+    this.log.note('configuration-written', { version: this.configurationVersion });
     const configuration = soakConfiguration(this.configurationVersion, this.keys.rotate());
     this.store.emulator.write(KEY_PREFIXES.configuration, JSON.stringify(configuration));
   }
