Soak: the store keeps reads or watches of some gateways back, and links between regions fall silent

The store's faults took all calls of a gateway, or its commits.

Renewals, commits and the other gateways go through. Or the links to some gateways from those of the other region carry nothing. Faults that come together last 6.5 s or more, so that what is due within 3 s is due meanwhile. The configuration changes each 2.6 to 3.8 s. Silent links excuse no gateway; a gateway whose watches or reads are kept back is excused for configurations, and not for ended jobs.

Eight of 29 kinds of other faults strike the whole store or all gateways and so excuse everyone for 3 s. A stretch of 27 s after them has none of these, but these parts, and kills, stops, pauses and replacements of single gateways.

--- a/lab/soak/platform-store.ts
+++ b/lab/soak/platform-store.ts
@@ -10,7 +10,7 @@
 import type { StoreChange, StoreCommit, StoreItem } from '../../src/shared-store/shared-store.js';
 import { SharedStoreEmulator } from '../emulator/shared-store-emulator.js';
 import { LateCommits } from './late-commits.js';
-import { StoreDoor } from './store-door.js';
+import { type PartialRefusal, StoreDoor } from './store-door.js';
 
 const ROW = z.object({ tls_key: z.string(), revision: z.number() });
 const PUT = z.object({ tls_key: z.string(), value: z.string(), lease: z.number().default(0) });
@@ -38,12 +38,14 @@
     this.lateCommits = new LateCommits(this.emulator, random);
   }
 
-  /** Opens a door; resolves when it listens. */
-  async open(): Promise<StoreDoor> {
-    const door = new StoreDoor({
-      serve: (request, response) => void this.serve(door, request, response),
-      revoke: (lease) => this.lapse(lease),
-    });
+  /** Opens a door; resolves when it listens. `noteKeptBack` is passed on to it. */
+  async open(noteKeptBack?: (url: string, refusal: PartialRefusal) => void): Promise<StoreDoor> {
+    const behind = {
+      serve: (request: http.IncomingMessage, response: http.ServerResponse) =>
+        void this.serve(door, request, response),
+      revoke: (lease: number) => this.lapse(lease),
+    };
+    const door = new StoreDoor(behind, noteKeptBack);
     this.doors.push(door);
     await door.listen();
     return door;
@@ -75,7 +77,7 @@
       return;
     }
     const reply = await this.answer(door, request, Buffer.concat(chunks).toString(), gone.signal);
-    if (reply === 'unanswered') return;
+    if (reply === 'unanswered' || door.keepsBack(request, response)) return;
     if (reply === undefined) request.socket.destroy();
     else {
       response.writeHead(reply.status, { 'content-type': 'application/json' });
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -8,13 +8,16 @@
 import { type AcceptanceCounts, countAcceptances } from './acceptance-log.js';
 import { BuildRotation } from './build-rotation.js';
 import { FaultRunner } from './fault-runner.js';
-import { planFaults, QUIET_END } from './fault-schedule.js';
+import { planFaults, QUIET_END, QUIET_START } from './fault-schedule.js';
 import { FaultTimeline } from './fault-timeline.js';
 import { planPowerLoss } from './final-power-loss.js';
 import { readAllJobs } from './final-reading.js';
 import { GatewayGroup, ZONES } from './gateway-group.js';
 import { JournalGroup, REPLICAS_A_ZONE } from './journal-group.js';
 import type { LateCommitCounts } from './late-commits.js';
+import { PartialFaultRunner } from './partial-fault-runner.js';
+import { planPartialFaults } from './partial-faults.js';
+import { planStretch } from './partial-stretch.js';
 import { PlatformStore } from './platform-store.js';
 import { PowerLoss } from './power-loss.js';
 import { PromiseChecker } from './promise-checker.js';
@@ -25,6 +28,7 @@
 import { planEvacuations, SoakEvacuations } from './soak-evacuations.js';
 import { SoakKeys } from './soak-keys.js';
 import { SoakLog } from './soak-log.js';
+import type { StoreDoor } from './store-door.js';
 import { StoreFaultRunner } from './store-fault-runner.js';
 import { planStoreFaults } from './store-faults.js';
 import { WorkerPool } from './worker-pool.js';
@@ -86,6 +90,7 @@
   private readonly workers: WorkerPool;
   private readonly evacuations: SoakEvacuations;
   private readonly faultRunner: FaultRunner;
+  private readonly partialFaults: PartialFaultRunner;
   private newest: WeightVersion = 1;
   private configurationVersion = 0;
 
@@ -97,7 +102,7 @@
     this.timeline = new FaultTimeline(this.now, this.log);
     this.checker = new PromiseChecker(this.now, this.log);
     this.store = new PlatformStore(createRandomSource(seed + 9));
-    this.gateways = new GatewayGroup(folder, () => this.store.open(), builds);
+    this.gateways = new GatewayGroup(folder, () => this.openStore(), builds);
     this.journals = new JournalGroup(path.join(folder, 'journals'), builds);
     const isCalm = (): boolean => this.timeline.isCalm;
     this.evacuations = new SoakEvacuations({
@@ -116,6 +121,7 @@
     const writeConfiguration = (): void => this.writeConfiguration();
     const silenced = createRandomSource(seed + 3);
     this.faultRunner = new FaultRunner({ store, gateways, workers, silenced, writeConfiguration });
+    this.partialFaults = new PartialFaultRunner({ store, gateways, writeConfiguration });
   }
 
   /** Runs to the end. */
@@ -132,6 +138,7 @@
     const faults = await this.bringOnFaults();
     await sleep(Math.max(0, length - QUIET_END - this.now()));
     await this.timeline.allOver();
+    const partialFaults = await this.bringOnStretch();
     const powerLoss = await this.losePower(callers);
     await this.gateways.stop();
     await this.journals.stop();
@@ -142,7 +149,7 @@
     const { counts: lateCommits } = this.store.lateCommits;
     const acceptances = countAcceptances(path.join(folder, 'logs'), this.store.emulator);
     const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne, workAfterEnd };
-    return { ...seen, faults: faults + 1, lateCommits, acceptances, powerLoss };
+    return { ...seen, faults: faults + partialFaults + 1, lateCommits, acceptances, powerLoss };
   }
 
   /** Brings on all faults but the last; resolves with their number when the last one has begun. */
@@ -153,16 +160,30 @@
     const zoneFaults = planZoneFaults(seed + 4, length);
     const evacuations = planEvacuations(seed + 5, length);
     const storeFaults = planStoreFaults(seed + 6, length);
+    const partialFaults = planPartialFaults(seed + 11, QUIET_START, length - QUIET_END);
     await Promise.all([
       timeline.bringOn(faults, this.faultRunner),
       timeline.bringOn(zoneFaults, new ZoneFaultRunner(gateways, journals)),
       this.evacuations.run(evacuations),
       timeline.bringOn(storeFaults, new StoreFaultRunner(store, gateways)),
+      timeline.bringOn(partialFaults, this.partialFaults),
     ]);
-    const plans = [faults, zoneFaults, evacuations, storeFaults];
+    const plans = [faults, zoneFaults, evacuations, storeFaults, partialFaults];
     return plans.reduce((sum, plan) => sum + plan.length, 0);
   }
 
+  /** Brings on the stretch without faults of all gateways; resolves with the number of its faults. */
+  private async bringOnStretch(): Promise<number> {
+    const { timeline, faultRunner, partialFaults } = this;
+    const { partial, single } = planStretch(this.options.seed + 12, this.now());
+    await Promise.all([
+      timeline.bringOn(single, faultRunner),
+      timeline.bringOn(partial, partialFaults),
+    ]);
+    await timeline.allOver();
+    return partial.length + single.length;
+  }
+
   /** All power is lost at once; then all jobs are read at gateways that were not asked before. */
   private async losePower(callers: SoakCallers): Promise<unknown> {
     const { timeline, store, gateways, journals, checker, keys, evacuations, now } = this;
@@ -200,6 +221,15 @@
     };
   }
 
+  /** An entrance of one gateway to the store; what it keeps back is logged. */
+  private async openStore(): Promise<StoreDoor> {
+    const door = await this.store.open((url, refusal) => {
+      const gateway = this.gateways.gateways.find(({ storeDoor }) => storeDoor === door)?.name;
+      this.log.note('call-kept-back', { gateway, refusal, url });
+    });
+    return door;
+  }
+
   private senderNamed(name: string | undefined): RequestSender {
     const gateway = this.gateways.named(name);
     const { timeline } = this;
--- a/test/lab/soak/platform-store.test.ts
+++ b/test/lab/soak/platform-store.test.ts
@@ -70,3 +70,44 @@
   door.refuse(undefined);
   t.match(await turnedAway.renewLease(grant.lease), { kind: 'gone' });
 });
+
+t.test('a door that holds reads lets renewals, watches and commits through', async (t) => {
+  const { store } = await fixture(t);
+  const kept: string[] = [];
+  const door = await store.open((url, refusal) => kept.push(`${refusal} ${url.split('?')[0]}`));
+  const client = new StoreClient(door.address);
+  const grant = await client.grantLease(60_000);
+  if (grant.kind !== 'granted') throw new Error(grant.kind);
+  const end = door.keepBack('read', 'held');
+  t.match(await client.get('k'), { kind: 'failed', effect: 'unknown' });
+  t.match(await client.range('k'), { kind: 'failed', effect: 'unknown' });
+  t.match(await client.renewLease(grant.lease), { kind: 'kept' });
+  const { signal } = new AbortController();
+  const waiting = client.watch('k', 0, 2_000, signal);
+  t.match(await client.commit({ expected: [], put: [{ key: 'k', value: 'v' }] }), {
+    kind: 'committed',
+  });
+  t.match(await waiting, { kind: 'changes', changes: [{ key: 'k' }] });
+  t.same(kept, ['held /wardwing/kv-key', 'held /wardwing/kv-range']);
+  end();
+  t.match(await client.get('k'), { kind: 'item', item: { value: 'v' } });
+});
+
+t.test('watches that wait already are kept from their answers, and later ones', async (t) => {
+  const { store, client } = await fixture(t);
+  const door = await store.open();
+  const struck = new StoreClient(door.address);
+  const { signal } = new AbortController();
+  const waiting = struck.watch('k', 0, 200, signal);
+  const served = client.watch('k', 0, 2_000, signal);
+  const endHeld = door.keepBack('watch', 'held');
+  store.emulator.write('k', 'v');
+  t.match(await served, { kind: 'changes', changes: [{ key: 'k' }] });
+  t.match(await waiting, { kind: 'failed', effect: 'unknown' });
+  const endRefused = door.keepBack('watch', 'unavailable');
+  endHeld();
+  t.same(await struck.watch('k', 0, 200, signal), { kind: 'failed', effect: 'not-done' });
+  t.match(await struck.get('k'), { kind: 'item', item: { value: 'v' } });
+  endRefused();
+  t.match(await struck.watch('k', 0, 200, signal), { kind: 'changes' });
+});
