Soak: trainers abandon large jobs 1 to 3 s after their 202

A trainer ended a job only when it was whole or its 12 s were over, so that hardly an item was left to be sent then.

A tenth of the steps, and 0.7 of them while gateways lack a part of their calls, have 160 items of 100 to 200 events, more than the workers can run by then, and end 1 to 3 s after their 202, while the trainer still reads. 0.6 of all ends come to a gateway of another zone than the one that accepted the job, the others to any.

--- a/lab/soak/job-calls.ts
+++ b/lab/soak/job-calls.ts
@@ -45,9 +45,11 @@
     return this.call('POST', `${ROLLOUT_PREFIX}${id}`, { id, body, addresses });
   }
 
-  /** Ends a job. */
-  end(id: string): Promise<SoakAnswer | undefined> {
-    const addresses = this.surroundings.addresses();
+  /** Ends a job at one of some gateways. */
+  end(
+    id: string,
+    addresses: readonly string[] = this.surroundings.addresses(),
+  ): Promise<SoakAnswer | undefined> {
     return this.call('DELETE', `${PATHS.jobs}${id}`, { id, addresses });
   }
 
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -34,6 +34,8 @@
   readonly isCalm: () => boolean;
   /** Whether the store does not answer some gateways. */
   readonly isStoreAway: () => boolean;
+  /** Whether some gateways lack a part of the store's answers, or the gateways of other regions. */
+  readonly arePartlyServed: () => boolean;
   readonly random: RandomSource;
   readonly now: () => Milliseconds;
   readonly zones: readonly string[];
@@ -66,6 +68,7 @@
     lookupsUnserved: {},
     steps: 0,
     stepsWhole: 0,
+    stepsAbandoned: 0,
     overlappingSubmissions: 0,
     overlapsWhileStoreAway: 0,
     acceptedInOtherZone: 0,
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -213,6 +213,7 @@
       ...{ checker, keys, evacuations, now, zones: ZONES, model: MODEL, addressesIn },
       isCalm: () => this.timeline.isCalm,
       isStoreAway: () => this.timeline.isStoreAway,
+      arePartlyServed: () => this.partialFaults.isUnderWay,
       random: createRandomSource(this.options.seed + 2),
       calmAddresses: () => this.calmAddresses(),
       addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
--- a/lab/soak/soak-trainer.ts
+++ b/lab/soak/soak-trainer.ts
@@ -15,6 +15,22 @@
 const GROUP_SIZE = 4;
 const MOST_EVENTS = 40;
 
+/**
+ * Share of the steps that are abandoned some time after their 202, mostly while gateways lack a part of
+ * the store or the other region. They are larger than the workers can run by then, so that items wait
+ * when the end comes.
+ */
+const ABANDONED_SHARE = 0.1;
+const ABANDONED_SHARE_PARTLY_SERVED = 0.7;
+const ABANDONED_GROUPS = 40;
+const FEWEST_ABANDONED_EVENTS = 100;
+const MOST_ABANDONED_EVENTS = 200;
+const SHORTEST_ABANDONED: Milliseconds = 1_000;
+const LONGEST_ABANDONED: Milliseconds = 3_000;
+
+/** Share of the ends that come to a gateway of another zone than the job's; others come to any. */
+const END_ELSEWHERE_SHARE = 0.6;
+
 /** Longest time for a step. */
 const STEP_LIMIT: Milliseconds = 12_000;
 
@@ -42,6 +58,8 @@
 export interface TrainerCounts {
   steps: number;
   stepsWhole: number;
+  /** Steps whose end was acknowledged before they were whole. */
+  stepsAbandoned: number;
   /** Submissions to another zone while the trainer's own call was under way. */
   overlappingSubmissions: number;
   /** Those of them that were sent while the store did not answer some gateways. */
@@ -110,10 +128,15 @@
     const { tenant, namesVersions } = this.identity;
     const id = random.identifier();
     const minVersion: WeightVersion = Math.max(1, namesVersions ? step : newestVersion() - 1);
-    const items = Array.from({ length: GROUPS * GROUP_SIZE }, (_, index) => ({
+    const isAbandoned = random.fraction() < this.abandonedShare();
+    const groups = isAbandoned ? ABANDONED_GROUPS : GROUPS;
+    const [fewest, most] = isAbandoned
+      ? [FEWEST_ABANDONED_EVENTS, MOST_ABANDONED_EVENTS]
+      : [1, MOST_EVENTS];
+    const items = Array.from({ length: groups * GROUP_SIZE }, (_, index) => ({
       id: random.identifier(),
       scoreRequest: random.identifier(),
-      events: 1 + random.integer(MOST_EVENTS),
+      events: fewest + random.integer(most - fewest + 1),
       group: `group-${Math.floor(index / GROUP_SIZE)}`,
     }));
     const events = new Map(items.map((item) => [item.id, item.events]));
@@ -125,7 +148,7 @@
       step,
       model: this.surroundings.model,
       min_version: minVersion,
-      desired_count: GROUPS,
+      desired_count: groups,
       requests: items.map((item) => ({
         id: item.id,
         path: `${ROLLOUT_PREFIX}${item.id}`,
@@ -136,13 +159,26 @@
         scorer: scorerOf(item.scoreRequest),
       })),
     });
-    if (!(await this.submit(id, body, deadline))) return false;
+    const zone = await this.submit(id, body, deadline);
+    if (zone === undefined) return false;
+    const end = (): Promise<boolean> => this.end(id, zone, deadline);
+    if (isAbandoned) return this.abandon(id, items.length, end);
     const isWhole = await this.readUntilWhole(id, items.length, deadline);
-    await this.end(id, deadline);
+    await end();
     return isWhole;
   }
 
-  private async submit(id: string, body: string, deadline: Milliseconds): Promise<boolean> {
+  private abandonedShare(): number {
+    const { arePartlyServed } = this.surroundings;
+    return arePartlyServed() ? ABANDONED_SHARE_PARTLY_SERVED : ABANDONED_SHARE;
+  }
+
+  /** Hands a job in; returns the zone that accepted it, if any. */
+  private async submit(
+    id: string,
+    body: string,
+    deadline: Milliseconds,
+  ): Promise<string | undefined> {
     const { surroundings, calls, counts } = this;
     const zone = this.zoneOfStep();
     const submission = new OverlappingSubmission({ id, body, zone, deadline, calls }, surroundings);
@@ -151,13 +187,13 @@
     counts.overlapsWhileStoreAway += submission.overlappingWhileStoreAway;
     if (!isAccepted) {
       if (submission.wasAlwaysRefused) surroundings.checker.jobRefused(id);
-      return false;
+      return undefined;
     }
     if (submission.acceptingZone !== zone) counts.acceptedInOtherZone += 1;
     const now = surroundings.now();
     this.recent = [...this.recent.filter(({ at }) => now - at < RECENT), { id, body, at: now }];
     this.repeats.push(submission.finished(), this.sendOnceMore(id, body));
-    return true;
+    return submission.acceptingZone;
   }
 
   /** Mostly the trainer's own; for some steps now and then, any. */
@@ -197,14 +233,35 @@
     return position >= total;
   }
 
-  private async end(id: string, deadline: Milliseconds): Promise<void> {
+  /** Reads a job for a while and ends it meanwhile; tells whether it was whole by then. */
+  private async abandon(id: string, total: number, end: () => Promise<boolean>): Promise<boolean> {
+    const { random, now } = this.surroundings;
+    const duration = SHORTEST_ABANDONED + random.integer(LONGEST_ABANDONED - SHORTEST_ABANDONED);
+    const ending = sleep(duration).then(end);
+    const isWhole = await this.readUntilWhole(id, total, now() + duration);
+    if ((await ending) && !isWhole) this.counts.stepsAbandoned += 1;
+    return isWhole;
+  }
+
+  /** Ends a job; tells whether that was acknowledged. */
+  private async end(id: string, zone: string, deadline: Milliseconds): Promise<boolean> {
     const { checker, now } = this.surroundings;
     while (now() < deadline + STEP_LIMIT) {
-      const answer = await this.calls.end(id);
+      const answer = await this.calls.end(id, this.addressesForEnd(zone));
       if (answer?.status === 404) checker.jobUnknown(id);
-      if (answer?.status === 200) return checker.jobEnded(id);
+      if (answer?.status === 200) {
+        checker.jobEnded(id);
+        return true;
+      }
       await sleep(150);
     }
+    return false;
+  }
+
+  private addressesForEnd(jobZone: string): readonly string[] {
+    const { random, zones, addresses, addressesIn } = this.surroundings;
+    if (random.fraction() >= END_ELSEWHERE_SHARE) return addresses();
+    return zones.filter((zone) => zone !== jobZone).flatMap(addressesIn);
   }
 }
 
