Soak: each gateway without an excuse is asked for a new configuration ten times a second

One gateway drawn from those without an excuse was asked at a time, so a gateway that is 0.2 s late was mostly missed. Now all of them are asked each 100 ms from the bound on, without waiting for each other. Keys that were taken away are tried at gateways without an excuse, in place of any gateway while nothing happens anywhere; that was never the case between the first and the last fault.

--- a/lab/soak/soak-key-callers.ts
+++ b/lab/soak/soak-key-callers.ts
@@ -11,13 +11,14 @@
 
 /** Time in which a new configuration has to be in force at a calm gateway, and the way of a call. */
 const CHANGE_LIMIT: Milliseconds = 2_100;
-const NEW_KEY_INTERVAL: Milliseconds = 50;
+const NEW_KEY_INTERVAL: Milliseconds = 100;
 
 /** Asks until told to stop. */
 export class SoakKeyCallers {
   private isStopped = false;
   /** Connections that stay open until their gateway is gone. */
   private readonly kept = new http.Agent({ keepAlive: true });
+  private readonly newKeyCalls = new Set<Promise<void>>();
   private loops: Promise<void>[] = [];
 
   constructor(private readonly surroundings: CallerSurroundings) {}
@@ -36,36 +37,42 @@
 
   /** Asks with keys that were taken away some time ago; nothing may run for them. */
   private async revokedLookups(): Promise<void> {
-    const { checker, random, keys, isCalm, addresses } = this.surroundings;
+    const { checker, random, keys, calmAddresses } = this.surroundings;
     while (!this.isStopped) {
       await sleep(REVOKED_INTERVAL);
       const age = keys.timeSinceRotation;
-      if (!isCalm() || age < REVOCATION_LIMIT) continue;
+      const calm = calmAddresses();
+      const address = calm[random.integer(Math.max(1, calm.length))];
+      if (address === undefined || age < REVOCATION_LIMIT) continue;
       const id = random.identifier();
       const key = keys.revokedKey('brokers');
-      const all = addresses();
-      const address = all[random.integer(all.length)] ?? '';
       const answer = await this.look(address, id, key);
       if (answer !== undefined) checker.revokedKeyAnswered(answer.status, age);
     }
   }
 
-  /** Asks calm gateways with keys that were just added, over kept connections. */
+  /** Asks all calm gateways with keys that were just added, over kept connections. */
   private async newKeyLookups(): Promise<void> {
-    const { checker, random, keys, calmAddresses, evacuations } = this.surroundings;
+    const { keys, calmAddresses } = this.surroundings;
     while (!this.isStopped) {
       await sleep(NEW_KEY_INTERVAL);
-      const calm = calmAddresses();
-      const address = calm[random.integer(Math.max(1, calm.length))];
-      const age = keys.timeSinceRotation;
-      if (address === undefined || age < CHANGE_LIMIT) continue;
-      const id = random.identifier();
-      checker.requestOffered(id, 'brokers');
-      evacuations.requestOffered(id, address);
-      const key = keys.newestKey('brokers');
-      const answer = await this.look(address, id, key, this.kept);
-      if (answer !== undefined) checker.newKeyAnswered(address, answer.status, age);
+      if (keys.timeSinceRotation < CHANGE_LIMIT) continue;
+      for (const address of calmAddresses()) {
+        const call = this.askWithNewKey(address).finally(() => this.newKeyCalls.delete(call));
+        this.newKeyCalls.add(call);
+      }
     }
+    await Promise.all(this.newKeyCalls);
+  }
+
+  private async askWithNewKey(address: string): Promise<void> {
+    const { checker, random, keys, evacuations } = this.surroundings;
+    const id = random.identifier();
+    checker.requestOffered(id, 'brokers');
+    evacuations.requestOffered(id, address);
+    const age = keys.timeSinceRotation;
+    const answer = await this.look(address, id, keys.newestKey('brokers'), this.kept);
+    if (answer !== undefined) checker.newKeyAnswered(address, answer.status, age);
   }
 
   private look(
