A job that is released while its head is read is offered to other nodes

What callers would see: jobs of a stopping node wait for the next scan for jobs without an owner (up to 5 s) in place of a direct offer.

A read in flight when the release commits a head without an owner took that head for another node's and closed the job as superseded, and only jobs closed as released are offered.

A read decides nothing once the release is being committed; the outcome of that commit does, as before.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -58,6 +58,8 @@
   /** Whether a cancellation is being stored, and whether it is stored. */
   private isCancelling = false;
   private isCancellationStored = false;
+  /** Whether the job is being released, so that a head without an owner is this node's own. */
+  private isReleasing = false;
   /** Whether the zone's journal has recorded the job's acceptance. */
   private isAcceptedByJournal = false;
   private readonly changes: ChangeQueue;
@@ -85,7 +87,8 @@
     this.listedPages = (head?.head.pages ?? 0) + pages.length;
     this.verification = new OwnershipVerification({
       ...{ job: spec.id, store, clock, writer: this.writer, confirmation: this.confirmation },
-      ...{ hasJournal: journal !== undefined, isOpen: options.isOpen, close: options.close },
+      ...{ hasJournal: journal !== undefined, close: options.close },
+      isOpen: () => options.isOpen() && !this.isReleasing,
       isOwn: (stored) => this.isOwn(stored),
     });
   }
@@ -194,6 +197,7 @@
       );
       const { head } = this.writer;
       if (!isOpen() || head === undefined) return;
+      this.isReleasing = true;
       if (!this.writer.isPending) {
         const sentAt = this.confirmation.now();
         const released = { owner: null };
