A job that started early is confirmed by the answer to its creation

Cause: an early start is unconfirmed until a read of the head shows it, and an answered creation, which shows as much, was not counted.

The answer to a creation now confirms the job as of the time at which the creation was sent, unless the head is ended by then. A job that was never confirmed is read again at the shorter interval.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -142,10 +142,14 @@
     this.pending.push(result);
   }
 
-  /** Enables listing after the store has accepted the job, which may have been cancelled since. */
-  attach(head: VersionedHead): void {
+  /**
+   * Enables listing after the store has accepted the job, which may have been cancelled since. The
+   * creation was sent at `sentAt`, by `suspendAwareTime`.
+   */
+  attach(head: VersionedHead, sentAt: Milliseconds): void {
     this.writer.setHead(head);
     if (head.head.ended) this.options.close('ended');
+    else this.confirmation.noteByStore(sentAt);
   }
 
   /** Enables listing after the zone's journal has accepted the job, ahead of the store. */
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -70,6 +70,9 @@
   readonly outcome: Promise<Failure | undefined>;
 }
 
+/** The journal of a new job, and when its creation was sent, by `suspendAwareTime`. */
+type CreationState = JournalState & { readonly ownedSince: Milliseconds };
+
 /** Outcome of an attempt; `retry` if another node changed the trainer's record first. */
 type AttemptOutcome = Failure | undefined | 'retry';
 
@@ -199,7 +202,7 @@
     if (early !== undefined && journal !== undefined && (await job.acceptByJournal(journal))) {
       this.releases.forget(spec.id);
       this.noteJournaled(early, journal, right?.record.term ?? 0);
-      void creation.then((change) => this.settleJournaled(early, job, journal, change));
+      void creation.then((change) => this.settleJournaled(early, job, state, change));
       return undefined;
     }
     const change = await creation;
@@ -279,7 +282,7 @@
   private settleJournaled(
     job: OwnedJob,
     creation: JobCreation,
-    journal: JobJournal,
+    { journal, ownedSince }: CreationState,
     change: CreationOutcome,
   ): void {
     const { spec } = job;
@@ -288,7 +291,7 @@
       change.kind === 'changed' || change.kind === 'superseded' ? change.current : undefined;
     // A creation without an answer may have been carried out before another node changed the head.
     if (current !== undefined && job.isOwn(current.head)) {
-      job.attach(current);
+      job.attach(current, ownedSince);
       void creation.releaseEntry(journal);
       return;
     }
@@ -318,7 +321,7 @@
     head: VersionedHead,
     early: OwnedJob | undefined,
     cachedWork: Promise<ReadonlyMap<string, DigestedWork>>,
-    state: JournalState,
+    state: CreationState,
   ): Promise<void> {
     const { owned, peers } = this.options;
     const otherInstance = owned.get(spec.id);
@@ -326,7 +329,7 @@
       early?.abandon();
       return;
     }
-    if (early !== undefined) owned.attachEarly(early, head);
+    if (early !== undefined) owned.attachEarly(early, head, state.ownedSince);
     else owned.add(spec, head, [], owned.earlierWork(spec, {}, await cachedWork), state);
     peers.reportWeightNeed(weightNeedOf(spec));
   }
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -128,9 +128,9 @@
     return this.listing.isOwn(head);
   }
 
-  /** Enables listing after the store has accepted the job. */
-  attach(head: VersionedHead): void {
-    this.listing.attach(head);
+  /** Enables listing after the store has accepted the job, whose creation was sent at `sentAt`. */
+  attach(head: VersionedHead, sentAt: Milliseconds): void {
+    this.listing.attach(head, sentAt);
   }
 
   /** Enables listing after the zone's journal has accepted the job, ahead of the store. */
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -1,5 +1,6 @@
 /** Tracks the jobs that this node owns or owned, and caches work of cancelled ones. */
 import type { ZoneName } from '../core/identity.js';
+import type { Milliseconds } from '../core/units.js';
 import type { ZoneJournals } from '../journal/zone-journals.js';
 import {
   type JobOrigin,
@@ -111,10 +112,13 @@
     return job;
   }
 
-  /** Adds a job that was started early, after the store has accepted it. */
-  attachEarly(job: OwnedJob, head: VersionedHead): void {
+  /**
+   * Adds a job that was started early, after the store has accepted it; its creation was sent at
+   * `sentAt`, by `suspendAwareTime`.
+   */
+  attachEarly(job: OwnedJob, head: VersionedHead, sentAt: Milliseconds): void {
     this.unacceptedJobs.delete(job);
-    job.attach(head);
+    job.attach(head, sentAt);
     this.jobs.set(job.spec.id, job);
   }
 
--- a/src/jobs/ownership-verification.ts
+++ b/src/jobs/ownership-verification.ts
@@ -49,7 +49,7 @@
     const age = confirmation.uncancelledAge();
     if (age < VERIFY_INTERVAL || this.isReading || clock.now() < this.nextReadAt) return;
     this.isReading = true;
-    const isOutage = age >= 2 * VERIFY_INTERVAL;
+    const isOutage = Number.isFinite(age) && age >= 2 * VERIFY_INTERVAL;
     this.nextReadAt = clock.now() + (isOutage ? OUTAGE_RETRY_INTERVAL : RETRY_INTERVAL);
     void this.readHead().finally(() => {
       this.isReading = false;
--- a/test/jobs/resubmitted-after-end.test.ts
+++ b/test/jobs/resubmitted-after-end.test.ts
@@ -85,3 +85,14 @@
   t.ok(performance.now() - startedAt < SLOW_COMMIT);
   t.equal(await submission, undefined);
 });
+
+t.test(
+  'items of a new job are sent once its creation is answered, though reads are lost',
+  async (t) => {
+    const emulator = new SharedStoreEmulator();
+    const { node, sent } = nodeWithWorker(t, slowStore(emulator, 'hanging'));
+    t.equal(await node.service.submit(JOB, always), undefined);
+    await eventually(() => sent() > 0);
+    t.equal(node.service.ownedJobs()[0]?.isUnconfirmed, false);
+  },
+);
