--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -1,6 +1,6 @@
 /** Changes the owner of jobs: takes over, releases and offers them, and accepts offered ones. */
 import type { Milliseconds } from '../core/units.js';
-import type { JournalHolder } from '../journal/journal-entries.js';
+import type { ClaimRelease, JournalHolder } from '../journal/journal-entries.js';
 import { FIRST_TERM, type ZoneJournals } from '../journal/zone-journals.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { JobResidency } from '../placement/job-residency.js';
@@ -19,6 +19,8 @@
 /** Time in which a live node that claimed a journal becomes the owner of its job in the store. */
 const MAX_TAKEOVER_TIME: Milliseconds = 1_500;
 
+const MAY_BE_STORED: ClaimRelease = { mayBeStored: true, mayHaveRun: true };
+
 export interface JobTransferOptions {
   readonly store: JobStore;
   readonly owned: OwnedJobs;
@@ -91,7 +93,10 @@
     const ownedSince = suspendAwareTime(clock);
     const change = await store.replace(job, found, fields, isStillNeeded);
     if (change.kind === 'unavailable' && change.mayBeDone) this.options.noteUncertain(job);
-    if (change.kind !== 'changed') return false;
+    if (change.kind !== 'changed') {
+      void claimed?.journal.releaseClaim(MAY_BE_STORED);
+      return false;
+    }
     const { owner } = found.head;
     const isOwnerAsked = ownerAnswers && owner !== null;
     const [released, spec, results, progress] = await Promise.all([
@@ -140,6 +145,8 @@
     if (claim.kind === 'claimed') return { journal, entries: claim.entries };
     if (claim.kind === 'disks-gone') return { journal, entries: [] };
     log.state('job-not-adopted', { job, journal: claim.kind });
+    // Some replicas may have granted the claim.
+    void journal.releaseClaim(MAY_BE_STORED);
     return 'not-claimed';
   }
 
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -14,7 +14,7 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
 import type { CreationOutcome, JobStore, VersionedHead } from './job-store.js';
-import { type ClaimedJournal, JournalClaims } from './journal-claims.js';
+import { type ClaimedJournal, JournalClaims, writerOf } from './journal-claims.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { changeOfRecovered } from './trainer-changes.js';
@@ -55,6 +55,8 @@
 export class JournalRecovery {
   private isScanning = false;
   private nextScanAt: Milliseconds = 0;
+  /** Live holders that the last scan found, by job. */
+  private liveHolders: ReadonlyMap<string, JournalHolder> = new Map();
   private readonly writeBack: JournalWriteBack;
   private readonly claims: JournalClaims;
 
@@ -75,11 +77,32 @@
 
   /** Recovers all journaled jobs that have no live owner. */
   async scan(): Promise<void> {
-    for (const holder of await this.options.journals.unsyncedHolders()) {
+    const holders = await this.options.journals.unsyncedHolders();
+    const live = holders.filter((holder) => !this.isAbandoned(holder));
+    const earlier = this.liveHolders;
+    this.liveHolders = new Map(live.map((holder) => [holder.job, holder]));
+    for (const holder of holders) {
       if (this.isAbandoned(holder)) await this.recover(holder);
+      else if (isSameClaim(holder, earlier.get(holder.job))) await this.recoverFinished(holder);
     }
   }
 
+  /**
+   * Lists journaled results of a finished job although a live node has claimed its journal: that
+   * node did not become the owner, and a finished job is not taken over again.
+   */
+  private async recoverFinished(holder: JournalHolder): Promise<void> {
+    const { store, owned, isPending } = this.options;
+    if (owned.get(holder.job) !== undefined || isPending(holder.job)) return;
+    const read = await store.head(holder.job);
+    if (read.kind !== 'found' || !isFinished(read.value.head)) return;
+    const { owner, replicas = [] } = read.value.head;
+    const isHeldByOwner = owner !== null && writerOf(owner) === holder.writer;
+    const ownReplicas = this.options.journals.replicasInOwnZone();
+    const isInZone = withoutDisksOf(ownReplicas, replicas).length < ownReplicas.length;
+    if (!isHeldByOwner && isInZone) await this.listJournaled(holder, read.value);
+  }
+
   /** Whether no node runs the job: its writer has terminated, or gave it up. */
   private isAbandoned({ job, writer, release }: JournalHolder): boolean {
     const { journals, owned, isWriterLive, isPending } = this.options;
@@ -114,30 +137,34 @@
     return undefined;
   }
 
-  /** Lists journaled results of a job that was cancelled in the store before it had them. */
-  private async completeListing(
-    { job, term: heldTerm }: JournalHolder,
-    found: VersionedHead,
-  ): Promise<void> {
-    const { journals, log } = this.options;
-    const { replicas = [], term: ownerTerm = 0, pages, listed, total } = found.head;
-    const ownReplicas = journals.replicasInOwnZone();
-    const others = withoutDisksOf(ownReplicas, replicas);
-    const term = Math.max(heldTerm, ownerTerm) + 1;
-    if (others.length < ownReplicas.length) {
-      const claimed = await this.claim(job, replicas, term);
-      if (claimed === undefined) return;
-      const { journal, entries } = claimed;
-      const changes = listed < total ? listableChanges(log, job, entries, pages) : [];
-      const journaled = changes.filter(({ kind }) => kind === 'page').length;
-      if (journaled > 0) {
-        const current = await this.writeBack.commit(job, found, changes, () => false);
-        if (current === undefined) return;
-        log.state('job-listing-completed', { job, journaled });
-      }
-      await journal.release(entries);
+  /** Lists journaled results of a finished job, and removes entries that are not its results. */
+  private async completeListing(holder: JournalHolder, found: VersionedHead): Promise<void> {
+    const ownReplicas = this.options.journals.replicasInOwnZone();
+    const others = withoutDisksOf(ownReplicas, found.head.replicas ?? []);
+    if (others.length < ownReplicas.length && !(await this.listJournaled(holder, found))) return;
+    if (others.length > 0) await this.discardOthers(holder.job, others, termAbove(holder, found));
+  }
+
+  /**
+   * Lists journaled results of a job that was cancelled in the store before it had them; returns
+   * whether the store has all of them.
+   */
+  private async listJournaled(holder: JournalHolder, found: VersionedHead): Promise<boolean> {
+    const { log } = this.options;
+    const { job } = holder;
+    const { replicas = [], pages, listed, total } = found.head;
+    const claimed = await this.claim(job, replicas, termAbove(holder, found));
+    if (claimed === undefined) return false;
+    const { journal, entries } = claimed;
+    const changes = listed < total ? listableChanges(log, job, entries, pages) : [];
+    const journaled = changes.filter(({ kind }) => kind === 'page').length;
+    if (journaled > 0) {
+      const current = await this.writeBack.commit(job, found, changes, () => false);
+      if (current === undefined) return false;
+      log.state('job-listing-completed', { job, journaled });
     }
-    if (others.length > 0) await this.discardOthers(job, others, term);
+    await journal.release(entries);
+    return true;
   }
 
   /** Removes entries in replicas that the job's head does not name: they are not its results. */
@@ -230,6 +257,16 @@
   }
 }
 
+/** Whether a holder has not changed since an earlier scan. */
+function isSameClaim({ writer, term }: JournalHolder, earlier: JournalHolder | undefined): boolean {
+  return earlier?.writer === writer && earlier.term === term;
+}
+
+/** The lowest term above a holder and the owner of a job. */
+function termAbove({ term: heldTerm }: JournalHolder, { head }: VersionedHead): number {
+  return Math.max(heldTerm, head.term ?? 0) + 1;
+}
+
 /** Replicas that have none of the disks of `excluded`. */
 function withoutDisksOf(
   replicas: readonly ReplicaLocation[],
