Items that were held back are sent as soon as their job is confirmed

Once the store confirmed that a job was not cancelled, its items and scores waited for the next tick of the dispatcher, up to 50 ms on a busy node, and as long as it takes where nothing ticks in between.

A read of the head that confirms the job now schedules a dispatch. Repeated calls are coalesced, as before.

Evidence: the test "items are sent as soon as the head is read" did not end within 25 s without this change, as its dispatcher is not ticked.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -90,6 +90,7 @@
       ...{ hasJournal: journal !== undefined, close: options.close },
       isOpen: () => options.isOpen() && !this.isReleasing,
       isOwn: (stored) => this.isOwn(stored),
+      onConfirmed: () => journaled.onConfirmed?.(),
     });
   }
 
--- a/src/jobs/listing-state.ts
+++ b/src/jobs/listing-state.ts
@@ -27,6 +27,8 @@
    * been cancelled since. @default now
    */
   readonly ownedSince?: Milliseconds;
+  /** Called when a read of the head has confirmed that the job is not cancelled. */
+  readonly onConfirmed?: () => void;
   readonly metrics?: FleetMetrics;
   /** Where listed pages are logged; `undefined` if they are not. */
   readonly log?: DecisionLog;
--- a/src/jobs/owned-jobs.ts
+++ b/src/jobs/owned-jobs.ts
@@ -201,12 +201,12 @@
     earlierWork: ReadonlyMap<string, ItemWork>,
     journaled: JournalState,
   ): OwnedJob {
-    const { store, clock, self, metrics, log } = this.options;
+    const { store, clock, self, metrics, log, dispatcher } = this.options;
     const route = this.options.routes()?.match(spec.host, spec.path);
     const rule = { minVersion: spec.minVersion, singleVersion: route?.singleVersion ?? false };
     const job = new OwnedJob(spec, head, listed, rule, self, store, clock, earlierWork, {
       ...journaled,
-      ...{ metrics, log },
+      ...{ metrics, log, onConfirmed: () => dispatcher.schedule() },
     });
     const subscription = job.changed.subscribe(() => {
       if (job.isOpen) return;
--- a/src/jobs/ownership-confirmation.ts
+++ b/src/jobs/ownership-confirmation.ts
@@ -50,6 +50,11 @@
     return this.now() - this.uncancelledAt;
   }
 
+  /** Whether the store had the job uncancelled at a time or later. */
+  isConfirmedSince(at: Milliseconds): boolean {
+    return this.uncancelledAt >= at;
+  }
+
   last(): LastConfirmation {
     const ownedBy = this.ownedAt > this.uncancelledAt ? 'journal' : 'store';
     return { ownedBy, ownedMs: this.ownershipAge(), uncancelledMs: this.uncancelledAge() };
--- a/src/jobs/ownership-verification.ts
+++ b/src/jobs/ownership-verification.ts
@@ -29,6 +29,8 @@
   readonly isOwn: (head: JobHead) => boolean;
   /** Whether this node still runs the job. */
   readonly isOpen: () => boolean;
+  /** Called when a read has confirmed that the job is not cancelled. */
+  readonly onConfirmed: () => void;
   /** Called if this node no longer owns the job, or the job was cancelled. */
   readonly close: (reason: CloseReason) => void;
 }
@@ -83,7 +85,7 @@
   }
 
   private async readHead(): Promise<void> {
-    const { store, job, writer, confirmation, isOpen, close } = this.options;
+    const { store, job, writer, confirmation, isOpen, close, onConfirmed } = this.options;
     const sentAt = confirmation.now();
     const known = writer.head;
     const read = await store.head(job);
@@ -93,6 +95,7 @@
     // A job that the store does not have yet is not cancelled there.
     else if (known === undefined) confirmation.noteUncancelled(sentAt);
     else if (isUnchanged) close('superseded');
+    if (confirmation.isConfirmedSince(sentAt)) onConfirmed();
   }
 
   /**
--- a/test/jobs/unconfirmed-job.test.ts
+++ b/test/jobs/unconfirmed-job.test.ts
@@ -7,6 +7,7 @@
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import { JobStore } from '../../src/jobs/job-store.js';
 import { OwnedJob } from '../../src/jobs/owned-job.js';
+import { eventually } from '../fleet/fleet-fixtures.js';
 import { ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 import { always, headOf, ManualClock, OWNER, specification } from './job-fixtures.js';
 import { type JobNode, jobNode, workUntil } from './job-node.js';
@@ -58,3 +59,22 @@
   t.equal(sent(), 1);
   node.dispatcher.stop();
 });
+
+t.test('items are sent as soon as the head is read', async (t) => {
+  const emulator = new SharedStoreEmulator();
+  const engine = new ScriptedEngine();
+  const extras = { isStoreUnreachable: () => false };
+  const node = jobNode(emulator, OWNER, engine, NO_PEERS, extras);
+  await node.service.submit(specification('job', 1), always);
+  const startedAt = performance.now();
+  const get = emulator.get.bind(emulator);
+  emulator.get = async () => ({ kind: 'failed', effect: 'not-done' });
+  await workUntil(node, () => performance.now() - startedAt > 3_500);
+  node.registry.put(worker('w1'));
+  node.dispatcher.tick();
+  t.equal(engine.requests.length, 0);
+  emulator.get = get;
+  const ticker = setInterval(() => node.service.tick(), 5);
+  await eventually(() => engine.requests.length > 0).finally(() => clearInterval(ticker));
+  node.dispatcher.stop();
+});
