An answer that a relay finds after it was frozen does not count as new

Cause: an answer of the store counted as complete as of its arrival. It may have waited at a frozen process. The relay then vouched for data of before the freeze and waited for its upstream with a whole budget.

Change: while a relay's renewals are regular (one each 600 ms and 100 ms for the answer), an answer has just arrived; else it counts as old as the last renewal, or as the watch if that is younger.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -9,6 +9,7 @@
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { PrefixMirror, type PrefixSnapshot } from '../shared-store/prefix-mirror.js';
 import type { StoreRangeOutcome, StoreWatchOutcome } from '../shared-store/shared-store.js';
+import { SHORT_LEASE } from './fleet-registry.js';
 import type { Aged } from './prefix-freshness.js';
 
 /**
@@ -17,6 +18,9 @@
  */
 const MAX_RENEWAL_AGE: Milliseconds = 1_000;
 
+/** Time for the answer to a renewal of a relay's lease. */
+const RENEWAL_MARGIN: Milliseconds = 100;
+
 /**
  * Maximum duration of a watch at the store, as a share of the change bound. A watch on a stalled
  * connection is replaced only once its answer is overdue, and until then followers get no changes.
@@ -130,16 +134,17 @@
     const limit = maxWatchDuration(prefix, wait, this.options);
     const outcome = await store.watch(prefix, after, limit, signal);
     watch.isWaiting = false;
+    const { age = this.ageOnArrival(watch, outcome, limit) } = outcome;
     if (outcome.kind === 'changes') {
       watch.lastOutcomeAt = suspendAwareTime(clock);
-      watch.currentAsOf = Math.max(watch.currentAsOf, watch.lastOutcomeAt - (outcome.age ?? 0));
+      watch.currentAsOf = Math.max(watch.currentAsOf, watch.lastOutcomeAt - age);
       watch.mirror.applyChanges(after, outcome.changes, outcome.revision);
     } else if (!signal.aborted) {
       // Changes until the next list are unknown here, so followers must not wait for them.
       this.watches.delete(prefix);
     }
     this.prefixUpdates.next(prefix);
-    return outcome;
+    return outcome.kind === 'changes' ? { ...outcome, age } : outcome;
   }
 
   /** Stops serving a prefix. */
@@ -215,6 +220,22 @@
     return now - Math.max(currentAsOf, isConfirmed ? renewedAt : currentAsOf);
   }
 
+  /**
+   * Age of an answer of the store. If this node was frozen, the answer may have arrived at any time
+   * since the last renewal of the lease; while renewals are regular, it has just arrived.
+   */
+  private ageOnArrival(
+    { sentAt }: DirectWatch,
+    outcome: StoreWatchOutcome,
+    wait: Milliseconds,
+  ): Milliseconds {
+    const renewalAge = this.options.renewalAge();
+    if (renewalAge <= SHORT_LEASE.renewalInterval + RENEWAL_MARGIN) return 0;
+    const isEmpty = outcome.kind === 'changes' && outcome.changes.length === 0;
+    const duration = suspendAwareTime(this.options.clock) - sentAt;
+    return Math.min(renewalAge, Math.max(0, isEmpty ? duration - wait : duration));
+  }
+
   /** Whether this node is certain to receive changes now. */
   private isCurrent(watch: DirectWatch): boolean {
     return this.isFollowing(watch) && this.options.renewalAge() < MAX_RENEWAL_AGE;
--- a/test/fleet/prefix-freshness.test.ts
+++ b/test/fleet/prefix-freshness.test.ts
@@ -1,5 +1,7 @@
 /** Guards against data that counts as younger than it is, and against reads of the store for it. */
 import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { DirectPrefixes } from '../../src/fleet/direct-prefixes.js';
 import {
   ageOnArrival,
   followerLimits,
@@ -61,6 +63,28 @@
   stop();
 });
 
+t.test('an answer that a frozen relay found on its return does not count as new', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.write(`${PREFIX}w1`, 'ready');
+  let renewalAge = 20;
+  const direct = new DirectPrefixes({
+    store,
+    clock: PROCESS_CLOCK,
+    renewalAge: () => renewalAge,
+    boundPrefixes: [PREFIX],
+    changeBound: () => CHANGE_BOUND,
+  });
+  await direct.list(PREFIX);
+  const watch = direct.watch(PREFIX, 1, 1_000, new AbortController().signal);
+  await PROCESS_CLOCK.sleep(300);
+  renewalAge = 900;
+  store.write(`${PREFIX}w1`, 'busy');
+  await watch;
+  const answer = await direct.answer({ ...REQUEST, wait: 1, maxAge: 900 });
+  const { age = 0 } = 'freshness' in answer ? (answer.freshness ?? {}) : {};
+  t.ok(age >= 290, `${age} ms, since the watch was sent`);
+});
+
 t.test('a follower that waits is answered once the data is too old for it', async (t) => {
   const { relay, stop } = await relayRenewedBefore(0);
   const startedAt = performance.now();
