Proof durable-jobs: time passes after what is under way, not before it

In its world each step let 3 s pass before any answer of the store was handled, so that no confirmation was ever younger than 2 s, and no score was requested.

The 3 s now pass after the answers of a step, so heads still count as unconfirmed at the next one, and a node that does its work reads them first.

--- a/lab/proofs/durable-jobs/job-world.ts
+++ b/lab/proofs/durable-jobs/job-world.ts
@@ -220,10 +220,10 @@
     this.emulator.applyLateCommits();
   }
 
-  /** Time passes, and what is under way goes on. */
+  /** What is under way goes on, and time passes. */
   async settle(): Promise<void> {
-    this.clock.time += STEP_TIME;
     for (let turn = 0; turn < SETTLE_TURNS; turn += 1) await nextTurn();
+    this.clock.time += STEP_TIME;
     if (this.without.has('superseded-owner-stops')) this.reviveSuperseded();
   }
 
