An end is not answered with 404 while the creation of its job is undecided

What callers saw: a job was ended while its submission was still waiting for the store, or had got no answer; the end was answered 404 and forgotten, the creation was carried out, and all items ran.

Cause: a cancellation looked at jobs that a node owns and at the store. A creation under way, an early start, and a commit without an answer that may be carried out late are in neither, and an absent head counted as proof. The class: an absence that was read while its contrary was under way. Found by the review of this work.

A node that may still create the job now goes on reading the head until the caller's time is over, ends the job once it is created, and else answers 503; a node that is asked as the likely owner says that it may still create the job (`mayBeCreated` in the answer to `end-job`, optional; older builds ignore it). Such an answer has the cause may-be-created in the log.

Left: an end that meets a node which neither may create the job nor asks the one that may, and a caller who does not repeat an end that was answered with 503.

--- a/src/fleet/fleet-peers.ts
+++ b/src/fleet/fleet-peers.ts
@@ -4,6 +4,7 @@
 import type { Failure } from '../errors/error-kinds.js';
 import type { DigestedWork } from '../jobs/item-work-cache.js';
 import type {
+  CancellationAtOwner,
   ForwardedOutcome,
   JobPeers,
   OwnerItemBody,
@@ -126,14 +127,19 @@
     return outcome.answer;
   }
 
-  async cancelAtOwner(owner: JobOwner, job: string, caller: CallerIdentity): Promise<boolean> {
+  async cancelAtOwner(
+    owner: JobOwner,
+    job: string,
+    caller: CallerIdentity,
+  ): Promise<CancellationAtOwner> {
     if (!this.options.fleet.isLive(owner)) return false;
     const outcome = await this.requester.request<'end-job'>(
       owner.node,
       { kind: 'end-job', job, caller },
       CANCELLATION_TIMEOUT,
     );
-    return outcome?.kind === 'answered' && outcome.answer.isEnded;
+    if (outcome?.kind !== 'answered') return false;
+    return outcome.answer.mayBeCreated === true ? 'may-be-created' : outcome.answer.isEnded;
   }
 
   async releaseAtOwner(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>> {
--- a/src/fleet/peer-request-handler.ts
+++ b/src/fleet/peer-request-handler.ts
@@ -67,7 +67,7 @@
       case 'job-results':
         return jobs().ownListing(request.job, request.after, request.wait);
       case 'end-job':
-        return { isEnded: await this.cancelOwned(request.job, request.caller) };
+        return this.cancelOwned(request.job, request.caller);
       case 'surrender-job':
         return { work: jobs().releaseTakenOver(request.job, request.zone) };
       case 'submit-for':
@@ -108,12 +108,16 @@
     }
   }
 
-  private async cancelOwned(job: string, caller: CallerIdentity): Promise<boolean> {
+  private async cancelOwned(job: string, caller: CallerIdentity): Promise<PeerAnswers['end-job']> {
     const { fleet, jobs, acceptsJobsWithoutStore: acceptsJobs } = this.options;
-    if (!fleet.isStoreUnreachable || acceptsJobs()) return jobs().cancelOwn(job, caller);
+    if (!fleet.isStoreUnreachable || acceptsJobs()) {
+      const cancellation = await jobs().cancelOwn(job, caller);
+      if (cancellation === 'may-be-created') return { isEnded: false, mayBeCreated: true };
+      return { isEnded: cancellation };
+    }
     // The sender cancels the job in the store instead.
     jobs().noteCancellationRequested(job, caller);
-    return false;
+    return { isEnded: false };
   }
 
   private cancelFor(job: string, caller: CallerIdentity): Promise<Failure | undefined> {
--- a/src/jobs/job-cancellations.ts
+++ b/src/jobs/job-cancellations.ts
@@ -4,7 +4,7 @@
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import { type CallerIdentity, mayAccess } from '../tenants/tenant.js';
 import { denyAccess, failureOf, storeUnavailable } from './job-answers.js';
-import type { JobPeers } from './job-peers.js';
+import type { CancellationAtOwner, JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
 import type { JobOwner } from './job-records.js';
 import type { JobStore, StillNeeded } from './job-store.js';
@@ -21,10 +21,19 @@
   readonly clock: Pick<Clock, 'sleep'>;
   readonly log: DecisionLog;
   readonly reads: ReadLog;
+  /** Whether this node may still create a job that the store does not have. */
+  readonly mayBeCreated: (job: string) => boolean;
   /** Whether the node incarnation that owns a job is live. @default all are */
   readonly isWriterLive?: (writer: string) => boolean;
 }
 
+/** Why a cancellation got no answer, by the last read of the head. */
+const CAUSES = {
+  found: 'change-not-confirmed',
+  absent: 'may-be-created',
+  unavailable: 'store-silent',
+} as const;
+
 export class JobCancellations {
   constructor(private readonly options: JobCancellationsOptions) {}
 
@@ -53,10 +62,13 @@
       return denyAccess(this.options.log, job, ownedJob.spec.tenant, caller);
     }
     if (ownedJob?.canCancel === true && (await ownedJob.cancel(isStillNeeded))) return undefined;
-    if (ownedJob === undefined && (await this.cancelAtLikelyOwner(job, caller))) return undefined;
+    const atLikelyOwner = ownedJob === undefined && (await this.cancelAtLikelyOwner(job, caller));
+    if (atLikelyOwner === true) return undefined;
     for (;;) {
+      // A creation that is under way here may be carried out after the read.
+      const mayBeCreated = atLikelyOwner === 'may-be-created' || this.options.mayBeCreated(job);
       const read = await this.options.store.head(job);
-      if (read.kind === 'absent') {
+      if (read.kind === 'absent' && !mayBeCreated) {
         const missing = await this.options.reader.explainMissing(job, read.kind);
         this.options.reads.noteUnanswered('cancel', job, missing);
         return failureOf(missing);
@@ -67,7 +79,7 @@
         if (isCancelled) return undefined;
         const isCancelledByOwner =
           owner !== null && (await this.options.peers.cancelAtOwner(owner, job, caller));
-        if (isCancelledByOwner) return undefined;
+        if (isCancelledByOwner === true) return undefined;
         const ended = { ended: true };
         const change = await this.options.store.replace(job, read.value, ended, isStillNeeded);
         if (change.kind === 'changed') {
@@ -77,7 +89,7 @@
         }
       }
       if (!isStillNeeded()) {
-        const cause = read.kind === 'found' ? 'change-not-confirmed' : 'store-silent';
+        const cause = CAUSES[read.kind];
         this.options.reads.noteUnanswered('cancel', job, { kind: 'unavailable', cause });
         return storeUnavailable();
       }
@@ -94,15 +106,19 @@
     if (!isWriterLive(writerOf(owner))) void peers.releaseAtOwner(owner, job);
   }
 
-  private async cancelAtLikelyOwner(job: string, caller: CallerIdentity): Promise<boolean> {
+  private async cancelAtLikelyOwner(
+    job: string,
+    caller: CallerIdentity,
+  ): Promise<CancellationAtOwner> {
     const [owner] = this.options.peers.likelyOwners(job);
     return owner !== undefined && this.options.peers.cancelAtOwner(owner, job, caller);
   }
 
   /** Cancels a job that this node owns; returns whether it is cancelled. */
-  async cancelOwn(job: string, caller: CallerIdentity): Promise<boolean> {
+  async cancelOwn(job: string, caller: CallerIdentity): Promise<CancellationAtOwner> {
     const ownedJob = this.options.owned.get(job);
-    if (ownedJob === undefined || !mayAccess(caller, ownedJob.spec.tenant)) return false;
+    if (ownedJob === undefined) return this.options.mayBeCreated(job) ? 'may-be-created' : false;
+    if (!mayAccess(caller, ownedJob.spec.tenant)) return false;
     return ownedJob.canCancel ? ownedJob.cancel(() => false) : ownedJob.isCancelled;
   }
 
--- a/src/jobs/job-peers.ts
+++ b/src/jobs/job-peers.ts
@@ -44,6 +44,12 @@
   readonly failure: Failure | undefined;
 }
 
+/**
+ * Whether a node has cancelled a job as its owner; `may-be-created` if it does not own the job and may
+ * still create it.
+ */
+export type CancellationAtOwner = boolean | 'may-be-created';
+
 /** Client for the other nodes. */
 export interface JobPeers {
   /** Work on items that other nodes have cached, by item id. */
@@ -58,7 +64,7 @@
     wait: Milliseconds,
   ): Promise<OwnerListing | undefined>;
   /** Asks the owner to cancel a job for a caller; returns whether it did. */
-  cancelAtOwner(owner: JobOwner, job: string, caller: CallerIdentity): Promise<boolean>;
+  cancelAtOwner(owner: JobOwner, job: string, caller: CallerIdentity): Promise<CancellationAtOwner>;
   /** Asks the previous owner to release a job; returns its work on the items. */
   releaseAtOwner(owner: JobOwner, job: string): Promise<ReadonlyMap<string, DigestedWork>>;
   /** Node incarnations that probably own a job, the likeliest first, without this node. */
--- a/src/jobs/job-service.ts
+++ b/src/jobs/job-service.ts
@@ -8,7 +8,7 @@
 import type { DigestedWork } from './item-work-cache.js';
 import { JobAdmission } from './job-admission.js';
 import { JobCancellations } from './job-cancellations.js';
-import type { JobPeers } from './job-peers.js';
+import type { CancellationAtOwner, JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
 import { JobReadings } from './job-readings.js';
 import { ageOf, isFinished, type JobOwner, type JobSpecification } from './job-records.js';
@@ -69,7 +69,10 @@
     const noteUncertain = (job: string): void => this.uncertain.note(job);
     const shared = { ...options, owned, residency, homes, noteUncertain };
     this.readings = new JobReadings({ ...shared, reads: this.reads });
-    this.cancellations = new JobCancellations({ ...shared, reads: this.reads });
+    this.cancellations = new JobCancellations({
+      ...{ ...shared, reads: this.reads },
+      mayBeCreated: (job) => this.submissions.isPending(job) || this.uncertain.has(job),
+    });
     this.submissions = new JobSubmissions(shared);
     this.admission = new JobAdmission({ ...options, submissions: this.submissions });
     this.transfer = new JobTransfer(shared);
@@ -243,7 +246,7 @@
   }
 
   /** Cancels a job that this node owns; returns whether it is cancelled. */
-  cancelOwn(job: string, caller: CallerIdentity): Promise<boolean> {
+  cancelOwn(job: string, caller: CallerIdentity): Promise<CancellationAtOwner> {
     return this.cancellations.cancelOwn(job, caller);
   }
 
--- a/src/jobs/read-log.ts
+++ b/src/jobs/read-log.ts
@@ -26,6 +26,7 @@
  * - `pages-may-be-journaled`: the store has the job, and a journal may have more of its pages.
  * - `ownership-unconfirmed`: this node may have lost the job to another owner.
  * - `change-not-confirmed`: the store did not confirm a change in time.
+ * - `may-be-created`: the store does not have the job, and its creation is under way.
  * - `store-silent`: the store does not answer.
  */
 export type UnansweredCause =
@@ -34,6 +35,7 @@
   | 'pages-may-be-journaled'
   | 'ownership-unconfirmed'
   | 'change-not-confirmed'
+  | 'may-be-created'
   | 'store-silent';
 
 /** A call without an answer, and why. */
--- a/src/jobs/uncertain-ownership.ts
+++ b/src/jobs/uncertain-ownership.ts
@@ -43,6 +43,11 @@
     this.jobs.set(job, this.options.clock.now() + LATE_COMMIT_TIME);
   }
 
+  /** Whether the owner of a job is uncertain. */
+  has(job: string): boolean {
+    return this.jobs.has(job);
+  }
+
   tick(now: Milliseconds): void {
     if (this.jobs.size === 0 || this.isChecking || now < this.nextCheckAt) return;
     this.nextCheckAt = now + CHECK_INTERVAL;
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -143,7 +143,11 @@
         /** Regions that may store the results; `undefined` if any may. */
         readonly allowedRegions?: AllowedRegions;
       };
-  readonly 'end-job': { readonly isEnded: boolean };
+  readonly 'end-job': {
+    readonly isEnded: boolean;
+    /** Whether this node may still create the job. Absent from older builds. */
+    readonly mayBeCreated?: boolean;
+  };
   readonly 'surrender-job': { readonly work: ReadonlyMap<string, DigestedWork> };
   /** `failure` is `undefined` if the job is stored. */
   readonly 'submit-for': { readonly failure: Failure | undefined };
