--- a/test/fleet/change-bound-property.test.ts
+++ b/test/fleet/change-bound-property.test.ts
@@ -20,6 +20,10 @@
 /** Time after the last change, in which every healthy node receives it or is late. */
 const OBSERVED_TIME: Milliseconds = 3_500;
 
+/** Pauses of a node's watches, in which changes are collected. */
+const OPERATOR_COALESCE_TIME: Milliseconds = 100;
+const WORKER_COALESCE_TIME: Milliseconds = 400;
+
 const STALL_TICK: Milliseconds = 10;
 const MIN_STALL: Milliseconds = 60;
 
@@ -115,17 +119,17 @@
 }
 
 class SequenceRun {
-  private readonly fleet = new RelayedFleet(
-    NODES,
-    { renewalInterval: 600 },
-    (zone) => zone.split('-')[0] ?? zone,
-  );
+  private readonly fleet: RelayedFleet;
   private readonly failed = new Set<string>();
 
   constructor(
     private readonly sequence: Sequence,
     private readonly stallMeter: StallMeter,
-  ) {}
+    coalesce: Milliseconds,
+  ) {
+    const regionOf = (zone: string): string => zone.split('-')[0] ?? zone;
+    this.fleet = new RelayedFleet(NODES, { renewalInterval: 600, coalesce }, regionOf);
+  }
 
   /** Resolves to the time of the slowest change at a healthy node. */
   async slowestChange(): Promise<Milliseconds> {
@@ -178,9 +182,12 @@
   }
 }
 
-async function slowestOf(sequences: readonly Sequence[]): Promise<Milliseconds[]> {
+async function slowestOf(
+  sequences: readonly Sequence[],
+  coalesce = OPERATOR_COALESCE_TIME,
+): Promise<Milliseconds[]> {
   const stallMeter = new StallMeter();
-  const runs = sequences.map((sequence) => new SequenceRun(sequence, stallMeter));
+  const runs = sequences.map((sequence) => new SequenceRun(sequence, stallMeter, coalesce));
   const times = await Promise.all(runs.map((run) => run.slowestChange()));
   stallMeter.stop();
   return times;
@@ -203,6 +210,19 @@
   );
 });
 
+t.test(
+  "a worker's change arrives in time while each node on the path collects changes",
+  async (t) => {
+    const sequences = [...RELAYS_IN_TURN, ...RELAYS_IN_TURN, ...RELAYS_IN_TURN];
+    const times = await slowestOf(sequences, WORKER_COALESCE_TIME);
+    t.comment(`slowest of ${times.length}: ${rounded(times)} ms`);
+    t.same(
+      times.filter((time) => time >= CHANGE_BOUND),
+      [],
+    );
+  },
+);
+
 t.test('a change arrives in time whatever sequence of failures preceded it', async (t) => {
   const drawn = fc.sample(SEQUENCES, { seed: SEED, numRuns: BATCHES * SEQUENCES_PER_BATCH });
   const late: { readonly time: Milliseconds; readonly sequence: Sequence }[] = [];
