Renewals of a lease confirm a watch for a limited time, and only one sent with recent data

Cause: a relay whose lease is renewed counted its waiting watch as complete, as of the last renewal. That shows that the store answers the node, not that the connection of the watch is alive; and each further watch after one without an answer was confirmed anew. So followers saw no reason to read the store.

A renewal now confirms a watch for at most 0.15 of the bound after it was sent, and only if the data was recent then (0.25 of the bound), as it is unless an earlier call was not answered. A watch lasts for 0.55 of the bound in place of 0.75, so that data stays young enough for followers while nothing fails, and a follower reads the store at 0.7 in place of 0.75: 0.15 + 0.7 and the store's answer is below the bound.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -25,7 +25,16 @@
  * Maximum duration of a watch at the store, as a share of the change bound. A watch on a stalled
  * connection is replaced only once its answer is overdue, and until then followers get no changes.
  */
-const WATCH_SHARE = 0.75;
+const WATCH_SHARE = 0.55;
+
+/**
+ * Time for which renewals of the lease confirm a waiting watch, as a share of the change bound. They
+ * show that the store answers this node, not that the connection of the watch is alive.
+ */
+const RENEWAL_SHARE = 0.15;
+
+/** Maximum age of the data at which a watch is sent that renewals confirm, as a share of the bound. */
+const RECENT_SHARE = 0.25;
 
 /** Prefixes whose changes must take effect at all nodes within a time. */
 export interface ChangeBound {
@@ -208,17 +217,30 @@
   }
 
   /**
-   * Time for which changes may be missing from a mirror. A watch that waits at the store has missed
-   * nothing until a renewal of the lease that was sent after the watch and answered; a watch that
-   * waits at another node proves nothing until its answer.
+   * Time for which changes may be missing from a mirror. A watch that waits at the store counts as
+   * complete until a renewal of the lease that was sent after the watch and answered, for a limited
+   * time; a watch that waits at another node proves nothing until its answer.
    */
-  private ageOf(prefix: string, { isWaiting, sentAt, currentAsOf }: DirectWatch): Milliseconds {
-    const { store, clock, renewalAge } = this.options;
+  private ageOf(prefix: string, watch: DirectWatch): Milliseconds {
+    const { clock, renewalAge } = this.options;
     const now = suspendAwareTime(clock);
+    const confirmedAt = Math.min(now - renewalAge(), this.confirmableUntil(prefix, watch));
+    return now - Math.max(watch.currentAsOf, confirmedAt);
+  }
+
+  /** Until when renewals of the lease confirm the pending watch; not at all if it may be stalled. */
+  private confirmableUntil(
+    prefix: string,
+    { isWaiting, sentAt, currentAsOf }: DirectWatch,
+  ): Milliseconds {
+    const { store, boundPrefixes, changeBound, renewalAge, clock } = this.options;
     const sentToStoreAt = store.storeWatchSentAt ? store.storeWatchSentAt(prefix) : sentAt;
-    const renewedAt = now - renewalAge();
-    const isConfirmed = isWaiting && sentToStoreAt !== undefined && renewedAt >= sentToStoreAt;
-    return now - Math.max(currentAsOf, isConfirmed ? renewedAt : currentAsOf);
+    const renewedAt = suspendAwareTime(clock) - renewalAge();
+    if (!isWaiting || sentToStoreAt === undefined || renewedAt < sentToStoreAt) return currentAsOf;
+    if (!boundPrefixes.includes(prefix)) return Number.POSITIVE_INFINITY;
+    // Data that is old when a watch is sent shows that earlier calls were not answered.
+    const isRecent = sentToStoreAt - currentAsOf <= RECENT_SHARE * changeBound();
+    return isRecent ? sentToStoreAt + RENEWAL_SHARE * changeBound() : currentAsOf;
   }
 
   /**
--- a/src/fleet/prefix-freshness.ts
+++ b/src/fleet/prefix-freshness.ts
@@ -29,7 +29,7 @@
 const RELAY_SHARES: AgeLimits = { answer: 0.35, search: 0.55, store: 0.55, source: 0.525 };
 
 /** Accepts a relay that reads the store at the last moment, with some time for the store's answer. */
-const FOLLOWER_SHARES: AgeLimits = { answer: 0.65, search: 0.7, store: 0.75, source: 0.6 };
+const FOLLOWER_SHARES: AgeLimits = { answer: 0.6, search: 0.65, store: 0.7, source: 0.6 };
 
 /**
  * Limits of the wait of a request that is sent at an age near the limits, as shares of the change
--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -56,6 +56,8 @@
   readonly store = new SharedStoreEmulator();
   /** Nodes that do not answer other nodes. */
   readonly silent = new Set<string>();
+  /** Nodes whose watches the store does not answer, although it answers all other calls. */
+  readonly withoutWatches = new Set<string>();
   /** Nodes whose last lease renewal is too old, though the store answers them. */
   readonly staleLeases = new Set<string>();
   readonly lines: LoggedState[] = [];
@@ -297,7 +299,7 @@
         const startedAt = PROCESS_CLOCK.now();
         const outcome = await store.watch(prefix, after, wait, signal);
         await this.whileFrozen(node);
-        const isLost = isBlocked() || startedAt < this.silencedAt;
+        const isLost = isBlocked() || startedAt < this.silencedAt || this.withoutWatches.has(node);
         if (!isLost || signal.aborted) return outcome;
         // The answer is lost on the way; the caller's own limit ends the call.
         return unanswered(startedAt + wait + CALL_TIMEOUT - PROCESS_CLOCK.now());
--- a/test/fleet/silent-watch.test.ts
+++ b/test/fleet/silent-watch.test.ts
@@ -28,3 +28,26 @@
   t.ok(time < CHANGE_BOUND, `received after ${time} ms`);
   fleet.stop();
 });
+
+t.test(
+  'followers receive a change in time although all watches of their relays stall',
+  async (t) => {
+    const zones = ['far-1', 'far-2', 'near-1'];
+    const nodes = zones.flatMap((zone) => ['a', 'b', 'c'].map((name) => [`${zone}/${name}`, zone]));
+    const fleet = new RelayedFleet(
+      Object.fromEntries(nodes),
+      { renewalInterval: 600 },
+      (zone) => zone.split('-')[0] ?? zone,
+    );
+    await fleet.start();
+    // Relays that were requested before they watched are excluded for 2 s.
+    await PROCESS_CLOCK.sleep(3_000);
+    for (const relay of fleet.relays()) fleet.withoutWatches.add(relay);
+    for (const change of ['first', 'second', 'third']) {
+      const time = await fleet.propagationTime(change, fleet.followers());
+      t.comment(`received after ${Math.round(time)} ms`);
+      t.ok(time < CHANGE_BOUND, `received after ${time} ms`);
+    }
+    fleet.stop();
+  },
+);
