A takeover removes the entries that the store has

The same after a takeover that reached all replicas, once its job was cancelled.

Cause: a takeover removed only the changes that it wrote to the store itself. The `created` entry that it had found stayed, under the claim of a live owner, although the head shows that the store has the job.

It removes the job's creation and the pages that the store has, and all entries of a job that it found finished. Recovery, which removed the creation by itself, uses the same. Pages after a gap stay on the replicas of an open job, as their keys are written again.

Not run: the soak.

--- a/src/jobs/job-transfer.ts
+++ b/src/jobs/job-transfer.ts
@@ -11,7 +11,7 @@
 import { isFinished, type JobHead, type JobOwner, weightNeedOf } from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
 import { type ClaimedJournal, JournalClaims, writerOf } from './journal-claims.js';
-import { JournalWriteBack, listableChanges } from './journal-write-back.js';
+import { JournalWriteBack } from './journal-write-back.js';
 import type { OwnedJob } from './owned-job.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { untilAvailable } from './store-reads.js';
@@ -106,9 +106,7 @@
       untilAvailable(clock, () => store.progress(job)),
     ]);
     if (spec === undefined) return false;
-    const { pages } = change.current.head;
-    const unstored = listableChanges(log, job, claimed?.entries ?? [], pages);
-    const durable = await this.writeBack.makeDurable(claimed?.journal, change.current, unstored);
+    const durable = await this.writeBack.makeDurable(claimed, change.current);
     if (durable === undefined) return false;
     const { head, stored, journaled } = durable;
     const listed = [...(results ?? []).flat(), ...stored];
--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -216,9 +216,7 @@
     // The head may name this node as the owner, which does not run the job yet.
     if (change.kind === 'unavailable' && change.mayBeDone) noteUncertain(job);
     if (change.kind !== 'changed') return change.kind === 'superseded';
-    const unstored = listableChanges(log, job, entries, 0);
-    const durable = await this.writeBack.makeDurable(journal, change.current, unstored);
-    await journal.release([created]);
+    const durable = await this.writeBack.makeDurable({ journal, entries }, change.current);
     if (durable === undefined) {
       noteUncertain(job);
       return true;
--- a/src/jobs/journal-write-back.ts
+++ b/src/jobs/journal-write-back.ts
@@ -3,11 +3,11 @@
  * ended without an outcome may have left a change on one replica, and a disk lost after readers have
  * seen the change would take it away.
  */
-import type { JobJournal } from '../journal/job-journal.js';
 import type { JournalEntry } from '../journal/journal-entries.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import type { JobOwner, JobResult } from './job-records.js';
+import { isFinished, type JobOwner, type JobResult } from './job-records.js';
 import type { JobStore, StillNeeded, VersionedHead } from './job-store.js';
+import type { ClaimedJournal } from './journal-claims.js';
 import { extensionOf, type ListingChange, MAX_PAGES_PER_COMMIT } from './listing-writer.js';
 
 export interface JournalWriteBackOptions {
@@ -30,23 +30,29 @@
   constructor(private readonly options: JournalWriteBackOptions) {}
 
   /**
-   * Writes changes to all replicas or, if one of them does not store them, to the store; `undefined`
-   * if another node became the owner meanwhile.
+   * Writes the changes that the store lacks to all replicas or, if one of them does not store them,
+   * to the store; `undefined` if another node became the owner meanwhile. Removes the entries that
+   * the store has, and all of a finished job.
    */
   async makeDurable(
-    journal: JobJournal | undefined,
+    claimed: ClaimedJournal | undefined,
     head: VersionedHead,
-    changes: readonly ListingChange[],
   ): Promise<DurableListing | undefined> {
-    if (journal === undefined || changes.length === 0) return { head, stored: [], journaled: [] };
-    const { log } = this.options;
+    if (claimed === undefined) return { head, stored: [], journaled: [] };
+    const { journal, entries } = claimed;
     const { job, term } = journal;
+    const { pages } = head.head;
+    // Their keys are not written again, so a late removal takes nothing else away.
+    void journal.release(entries.filter((entry) => isStored(entry, pages)));
+    const changes = listableChanges(this.options.log, job, entries, pages);
+    if (changes.length === 0) return { head, stored: [], journaled: [] };
     const append = await journal.append(changes);
-    log.state('journal-written-back', { job, term, entries: changes.length, outcome: append });
+    const details = { job, term, entries: changes.length, outcome: append };
+    this.options.log.state('journal-written-back', details);
     if (append === 'kept') return { head, stored: [], journaled: changes };
     const current = await this.commit(job, head, changes, () => true);
     if (current === undefined) return undefined;
-    await journal.release(changes);
+    await journal.release(isFinished(current.head) ? entries : changes);
     return { head: current, stored: extensionOf(changes).pages.flat(), journaled: [] };
   }
 
@@ -101,6 +107,11 @@
   }
 }
 
+/** Whether an entry is in the store, which has the job and `pages` pages of it. */
+function isStored(entry: JournalEntry, pages: number): boolean {
+  return entry.kind === 'created' || (entry.kind === 'page' && entry.number < pages);
+}
+
 /** Journaled changes, divided by whether their positions are certain. */
 export interface UnstoredChanges {
   /** Changes that follow on from the pages in the store, in listing order. */
