Recovery removes the entries of a finished job past the claim of its live owner

The only gateway of a zone did not remove such entries of its own jobs either, until it had closed 24 more.

Cause: recovery passed over claims of live owners, as these were to write their changes themselves. An owner does so while it has changes to store; what it did not find, or believes to be removed, nobody looked for.

Fix: entries of a finished job are listed and removed past any claim that two scans in turn found, that of the owner included, and at the owner itself once it has nothing to store. Why it is safe: the claim above the owner's term fences its appends before entries are read; pages are committed on the head that was read, so of two commits of the same pages one takes effect; an owner recognizes pages that the store has got meanwhile, and closes the job.

Not run: the soak.

--- a/src/jobs/journal-recovery.ts
+++ b/src/jobs/journal-recovery.ts
@@ -14,7 +14,7 @@
 import type { JobPeers } from './job-peers.js';
 import { isFinished, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
 import type { CreationOutcome, JobStore, VersionedHead } from './job-store.js';
-import { type ClaimedJournal, JournalClaims, writerOf } from './journal-claims.js';
+import { type ClaimedJournal, JournalClaims } from './journal-claims.js';
 import { JournalWriteBack, listableChanges } from './journal-write-back.js';
 import type { OwnedJobs } from './owned-jobs.js';
 import { changeOfRecovered } from './trainer-changes.js';
@@ -88,19 +88,20 @@
   }
 
   /**
-   * Lists journaled results of a finished job although a live node has claimed its journal: that
-   * node did not become the owner, and a finished job is not taken over again.
+   * Lists journaled results of a finished job, and removes its entries, although a live node has
+   * claimed its journal. That node may have lost the removal of an entry or never became the owner,
+   * and a finished job is not taken over again. An owner that still writes results is fenced off
+   * first, and recognizes them in the store.
    */
   private async recoverFinished(holder: JournalHolder): Promise<void> {
     const { store, owned, isPending } = this.options;
-    if (owned.get(holder.job) !== undefined || isPending(holder.job)) return;
+    if (owned.get(holder.job)?.isActive === true || isPending(holder.job)) return;
     const read = await store.head(holder.job);
     if (read.kind !== 'found' || !isFinished(read.value.head)) return;
-    const { owner, replicas = [] } = read.value.head;
-    const isHeldByOwner = owner !== null && writerOf(owner) === holder.writer;
+    const { replicas = [] } = read.value.head;
     const ownReplicas = this.options.journals.replicasInOwnZone();
     const isInZone = withoutDisksOf(ownReplicas, replicas).length < ownReplicas.length;
-    if (!isHeldByOwner && isInZone) await this.listJournaled(holder, read.value);
+    if (isInZone) await this.listJournaled(holder, read.value);
   }
 
   /** Whether no node runs the job: its writer has terminated, or gave it up. */
