A list older than the one before restores no removed key

What callers saw: a gateway may use a worker that it knew to be gone, or hold a zone evacuated that it knew to be back, and do so for longer than the change bound, as the age of its data is that of the newer list.

Cause: a watcher forgot a removal once a list contained it, and noted none for the removals that a list itself showed. Lists come from the store or from any relay, whose data may be 0.6 of the bound old, and each loss is followed by two lists; so the second may be the older one, and its items counted as new.

Evidence: found by reading; "a list older than the one before restores no removed key" failed on the base (the removed key came back).

Why it works: a removal is kept with the revision as of which it is known, and a list from before that adds nothing under its key. A later list wins over a removal that only a list showed, so a relay that missed an item does not hide it. Removals are kept for 10 s beyond the list that contains them.

--- a/src/shared-store/prefix-watcher.ts
+++ b/src/shared-store/prefix-watcher.ts
@@ -35,6 +35,19 @@
 /** Randomized share of a pause, so that nodes do not retry simultaneously. */
 const JITTER_SHARE = 0.3;
 
+/** Time after a removal in which a list from before it may still arrive. */
+const MAX_LIST_DELAY: Milliseconds = 10_000;
+
+/** A key that was removed. */
+interface Removal {
+  /** The key was absent at this revision; lists of earlier revisions may still contain it. */
+  readonly asOf: Revision;
+  /** Items of the key up to this revision are gone, by a change that reported the removal. */
+  readonly itemsUpTo: Revision;
+  /** Steady time at which the removal was learned. */
+  readonly learnedAt: Milliseconds;
+}
+
 /** A batch of changes. */
 export interface PrefixUpdate {
   readonly changes: readonly StoreChange[];
@@ -55,8 +68,7 @@
   private isStopped = false;
   private watchAbort = new AbortController();
   private readonly knownRevisions = new Map<string, Revision>();
-  /** Removed keys with the revision of their removal, because an older list may still contain them. */
-  private readonly removedAt = new Map<string, Revision>();
+  private readonly removals = new Map<string, Removal>();
   private failures = 0;
   private revision: Revision = 0;
   private isDisconnected = false;
@@ -141,32 +153,53 @@
     this.hadLoss = true;
   }
 
-  private recordIfNew(change: StoreChange): boolean {
-    const { key, value, revision } = change;
-    if (revision <= (this.knownRevisions.get(key) ?? this.removedAt.get(key) ?? 0)) return false;
-    if (value === undefined) {
-      this.knownRevisions.delete(key);
-      this.removedAt.set(key, revision);
-    } else {
-      this.knownRevisions.set(key, revision);
-      this.removedAt.delete(key);
-    }
+  /** Records a change of a watch; returns false if it is known. */
+  private recordIfNew({ key, value, revision }: StoreChange): boolean {
+    const knownRevision = this.knownRevisions.get(key) ?? this.removals.get(key)?.asOf ?? 0;
+    if (revision <= knownRevision) return false;
+    if (value === undefined) this.recordRemoval(key, { asOf: revision, itemsUpTo: revision });
+    else this.recordItem(key, revision);
     return true;
   }
 
+  /** Records an item of a list; returns false if it is known, or was removed after the list. */
+  private recordIfListedAnew({ key, revision }: StoreItem, listRevision: Revision): boolean {
+    const { asOf = 0, itemsUpTo = 0 } = this.removals.get(key) ?? {};
+    const isRemoved = listRevision < asOf || revision <= itemsUpTo;
+    if (isRemoved || revision <= (this.knownRevisions.get(key) ?? 0)) return false;
+    this.recordItem(key, revision);
+    return true;
+  }
+
+  private recordItem(key: string, revision: Revision): void {
+    this.knownRevisions.set(key, revision);
+    this.removals.delete(key);
+  }
+
+  private recordRemoval(key: string, removal: Omit<Removal, 'learnedAt'>): void {
+    this.knownRevisions.delete(key);
+    this.removals.set(key, { ...removal, learnedAt: performance.now() });
+  }
+
   private differences(items: readonly StoreItem[], listRevision: Revision): StoreChange[] {
     const listedKeys = new Set(items.map((item) => item.key));
     const removals = [...this.knownRevisions]
       .filter(([key, revision]) => !listedKeys.has(key) && revision <= listRevision)
       .map(([key]) => ({ key, value: undefined, revision: listRevision }));
-    for (const { key } of removals) this.knownRevisions.delete(key);
-    const updates = items.filter((item) => this.recordIfNew(item));
-    for (const [key, revision] of this.removedAt) {
-      if (revision <= listRevision) this.removedAt.delete(key);
-    }
+    for (const { key } of removals) this.recordRemoval(key, { asOf: listRevision, itemsUpTo: 0 });
+    const updates = items.filter((item) => this.recordIfListedAnew(item, listRevision));
+    this.forgetRemovals(listRevision);
     return [...removals, ...updates];
   }
 
+  /** Forgets the removals that a list contains, once no list from before them can arrive. */
+  private forgetRemovals(listRevision: Revision): void {
+    const learnedBefore = performance.now() - MAX_LIST_DELAY;
+    for (const [key, { asOf, learnedAt }] of this.removals) {
+      if (asOf <= listRevision && learnedAt < learnedBefore) this.removals.delete(key);
+    }
+  }
+
   private recordFailure(): Milliseconds {
     if (!this.isDisconnected) this.health.next('lost');
     this.isDisconnected = true;
--- a/test/shared-store/prefix-watcher.test.ts
+++ b/test/shared-store/prefix-watcher.test.ts
@@ -177,6 +177,34 @@
   t.same(keysAndValues(seen.slice(4)), [['a/3', 'three']]);
 });
 
+t.test('a list older than the one before restores no removed key', async (t) => {
+  const store = new SharedStoreEmulator();
+  store.write('a/1', 'one');
+  store.write('a/gone', 'old');
+  const older = await store.range('a/');
+  const originalRange = store.range.bind(store);
+  const { watcher, seen, until } = follow(store);
+  await until(2);
+  store.setAvailability('silent');
+  store.erase('a/gone');
+  store.compact();
+  store.setAvailability('up');
+  await until(3);
+  store.range = async () => {
+    store.range = originalRange;
+    return older;
+  };
+  store.write('a/2', 'two');
+  store.compact();
+  watcher.restart();
+  await until(4);
+  watcher.stop();
+  t.same(keysAndValues(seen.slice(2)), [
+    ['a/gone', undefined],
+    ['a/2', 'two'],
+  ]);
+});
+
 t.test('pauses after failed calls double, up to a limit', async (t) => {
   const store = new SharedStoreEmulator();
   store.setAvailability('refusing');
