Batch items that HTTP cannot carry are rejected at their submission

A batch job whose item has a header value with a line break or a character beyond Latin-1, a header name that is no token, or a path with a space, got a 202. Its items never ended, and each attempt kept a place of a worker counted as taken.

Cause: the submission was checked for types only. Node's client throws at such a request (ERR_INVALID_CHAR, ERR_INVALID_HTTP_TOKEN, ERR_UNESCAPED_CHARACTERS), EnginePort.send then rejects, which no caller expects, and the item stays `running`. No request was smuggled, as nothing is sent. A path with a character of the upper half of Latin-1 was sent as one byte, which is another path than the one the caller meant.

--- a/test/platform-adapter/ingress.test.ts
+++ b/test/platform-adapter/ingress.test.ts
@@ -240,6 +240,45 @@
   t.match(JSON.parse(refused.body).detail, /requests\.0\.scorer\.path/);
 });
 
+t.test('an item that HTTP cannot carry is rejected with the name of its field', async (t) => {
+  const { call, store } = await startConfiguredGateway(t);
+  const smuggled = ' HTTP/1.1\r\nX-Wardwing-Request-Id: other\r\n\r\n';
+  const scorer = { id: 'score-1', host: 'h', path: '/look/score' };
+  const cases: [field: RegExp, item: object][] = [
+    [/requests\.0\.id/, { id: `item-0${smuggled}` }],
+    [/requests\.0\.id/, { id: 'item-\u{1f426}' }],
+    [/requests\.0\.path/, { path: `/draw/0${smuggled}` }],
+    [/requests\.0\.path/, { path: '/draw/a b' }],
+    [/requests\.0\.path/, { path: '/draw/\u00e9' }],
+    [/requests\.0\.headers/, { headers: { 'X-Own': smuggled } }],
+    [/requests\.0\.headers/, { headers: { 'X-Own': '\u{1f426}' } }],
+    [/requests\.0\.headers/, { headers: { 'X Own': 'kept' } }],
+    [/requests\.0\.headers/, { headers: { '': 'kept' } }],
+    [/requests\.0\.scorer\.id/, { scorer: { ...scorer, id: 'score\n1' } }],
+    [/requests\.0\.scorer\.host/, { scorer: { ...scorer, host: 'h\r\nX-Other: 1' } }],
+    [/requests\.0\.scorer\.path/, { scorer: { ...scorer, path: '/look/a b' } }],
+  ];
+  for (const [field, fields] of cases) {
+    const job = JSON.parse(submissionBody(1));
+    Object.assign(job.requests[0], fields);
+    const refused = await call('POST', '/draw/submit', JSON.stringify(job));
+    t.equal(refused.status, 400, JSON.stringify(fields));
+    t.match(JSON.parse(refused.body).detail, field);
+  }
+  t.same(store.keys('job/'), []);
+});
+
+t.test('header values of an item may hold all that HTTP can carry', async (t) => {
+  const { call, engine } = await startConfiguredGateway(t);
+  const job = JSON.parse(submissionBody(1));
+  job.requests[0].headers = { "X-Own.!#$%&'*+-^_`|~": 'tab\t space caf\u00e9', 'X-Empty': '' };
+  job.requests[0].path = "/draw/0?a=b&c=%20;[x]'~";
+  t.equal((await call('POST', '/draw/submit', JSON.stringify(job))).status, 202);
+  await eventually(() => engine.requests.length > 0);
+  t.match(engine.requests[0], { path: job.requests[0].path });
+  t.same(engine.requests[0]?.headers, Object.entries(job.requests[0].headers).flat());
+});
+
 const WITH_TENANTS = {
   ...CONFIGURATION,
   version: 4,
