--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -109,6 +109,17 @@
   t.match(sent, /\r\n\r\nquestion$/);
 });
 
+t.test('an empty body has a length and is not sent in chunks', async (t) => {
+  const methods = ['POST', 'PUT', 'PATCH', 'REPORT', 'GET', 'DELETE', 'OPTIONS'];
+  const worker = await startWorker(t, ...methods.map(() => answers('reply')));
+  for (const method of methods) {
+    await bodyOf(await worker.send({ method, body: Buffer.alloc(0) }));
+    const sent = worker.requests.at(-1) ?? '';
+    t.notMatch(sent, /transfer-encoding/i, method);
+    if (methods.indexOf(method) < 4) t.match(sent, /Content-Length: 0\r\n/, method);
+  }
+});
+
 t.test('a connection is reused after a complete response', async (t) => {
   const worker = await startWorker(t, answers('one'), answers('two'));
   t.equal(await bodyOf(await worker.send()), 'one');
