A list that the store refuses while relays are silent is repeated within the round

What callers saw: a follower whose relays did not answer, and whose list the store refused once or twice, applied a change after 1.9 to 2.6 s (bound 2 s) and handled requests as before it until then.

Cause: the round read the store once, at 0.7 of the bound. A refusal left the node waiting for the silent relays and then pausing, and the next list asked the relays first, as the store had failed.

Evidence: '2 refused lists do not delay the followers of silent relays' failed on the base (2,636 ms); with one refusal the base took 1,861 ms, below the limit of 1,900.

Why it works: a refused list is repeated after 0.05 of the bound, twice at most, so the last one is sent at 0.8 of it. It is not repeated once a relay has answered, current or not: relays that do not hear from the store show an outage, in which further calls only add load. An unanswered list is not repeated, as its time limit exceeds that age.

--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -45,6 +45,15 @@
  */
 const MAX_STALE_RELAY_RETRIES = 3;
 
+/**
+ * Pause before a list that the store refused is repeated while relays are silent, as a share of the
+ * change bound.
+ */
+const REPEAT_PAUSE_SHARE = 0.05;
+
+/** Number of repeated lists in one round. */
+const MAX_REPEATS = 2;
+
 export interface PrefixFollowerOptions extends ChangeBound {
   readonly store: SharedStore;
   readonly requests: RelayRequests;
@@ -140,18 +149,39 @@
     const { prefix } = round;
     const superseded = new AbortController();
     const first = requests.send<Kind>({ ...round, superseded: superseded.signal });
+    let areRelaysSilent = true;
+    void first.then(({ kind }) => {
+      areRelaysSilent = kind === 'no-relay';
+    });
     if (!received.mayReadAtStore(prefix)) return { by: 'first', outcome: await first };
     const read = await hedgedRead({
       first,
       isFirstUsable: ({ kind }) => kind === 'answered',
       delay: this.limits.store - received.freshness.age(prefix),
-      second: () => this.readStore(prefix),
+      second: () => this.readStoreRepeatedly(prefix, () => areRelaysSilent),
       isSecondUsable: ({ outcome }) => outcome.kind !== 'failed',
     });
     if (read.by === 'second') superseded.abort();
     return read;
   }
 
+  /** Repeats a refused list a few times, within the change bound. */
+  private async readStoreRepeatedly(
+    prefix: string,
+    mayRepeat: () => boolean,
+  ): Promise<ListedAtStore> {
+    const { clock, received, changeBound } = this.options;
+    const pause = REPEAT_PAUSE_SHARE * changeBound();
+    const lastAge = this.limits.store + MAX_REPEATS * pause;
+    for (let repeats = 0; ; repeats += 1) {
+      const listed = await this.readStore(prefix);
+      const isLast = repeats === MAX_REPEATS || received.freshness.age(prefix) > lastAge;
+      if (listed.outcome.kind !== 'failed' || isLast) return listed;
+      await clock.sleep(pause);
+      if (!mayRepeat()) return listed;
+    }
+  }
+
   private async readStore(prefix: string): Promise<ListedAtStore> {
     const sentAt = suspendAwareTime(this.options.clock);
     return { outcome: await this.options.store.range(prefix), sentAt };
--- a/test/fleet/late-configuration.test.ts
+++ b/test/fleet/late-configuration.test.ts
@@ -71,6 +71,18 @@
   fleet.stop();
 });
 
+for (const refusals of [1, 2]) {
+  t.test(`${refusals} refused lists do not delay the followers of silent relays`, async (t) => {
+    const fleet = await fourZones();
+    const lost = fleet.relays();
+    for (const relay of lost) fleet.silent.add(relay);
+    for (const node of fleet.followers()) fleet.refusedLists.set(node, refusals);
+    const time = await fleet.propagationTime('changed', reachableNodes(fleet, lost));
+    t.ok(time < CHANGE_BOUND - MARGIN, `received after ${time} ms`);
+    fleet.stop();
+  });
+}
+
 t.test('a relay that lost the store answers a waiting follower at once', async (t) => {
   // The last renewal of the relay's lease was 0.9 s ago.
   const renewedAt = performance.now() - 900;
--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -58,6 +58,8 @@
   readonly silent = new Set<string>();
   /** Nodes whose watches the store does not answer, although it answers all other calls. */
   readonly withoutWatches = new Set<string>();
+  /** How many of each node's next lists the store refuses. */
+  readonly refusedLists = new Map<string, number>();
   /** Nodes whose last lease renewal is too old, though the store answers them. */
   readonly staleLeases = new Set<string>();
   readonly lines: LoggedState[] = [];
@@ -288,6 +290,9 @@
       range: async (prefix) => {
         await this.whileFrozen(node);
         noteCall();
+        const refused = this.refusedLists.get(node) ?? 0;
+        this.refusedLists.set(node, refused - 1);
+        if (refused > 0) return { kind: 'failed', effect: 'not-done' };
         const outcome = await (isBlocked() ? unanswered(CALL_TIMEOUT) : store.range(prefix));
         await this.whileFrozen(node);
         return outcome;
