Soak: a new key that was taken away during its call may be refused

The check is wrong there: the calls were sent at 3.9 s and answered at 4.3 to 4.4 s; at 4.0 to 4.3 s three configurations were written, of which the second took the key away. Both gateways had started less than a second before; their logs say "no tenant holds the key" under versions 4 and 6, which do not hold it.

The check judges the answer if the newest configuration at its arrival holds the key; all else, its limit included, stays as strict.

--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -51,6 +51,11 @@
     return keyOf(tenant, this.generation);
   }
 
+  /** Whether the newest configuration holds a key. */
+  holds(tenant: SoakTenant, key: string): boolean {
+    return key === this.currentKey(tenant) || key === this.newestKey(tenant);
+  }
+
   /** A key that the newest configuration took away. */
   revokedKey(tenant: SoakTenant): string {
     return keyOf(tenant, this.generation - 2);
