Soak: workers compare each request with the one that its caller sent

The soak looked at answers, texts, tenants and ended jobs, and not at what reaches a worker. Callers, trainers and their score requests now note what they are about to send; workers compare id, method, path with query, body, and the headers of model, token counts and prompt prefix (promise `unasked-request`). This holds for items too, through takeovers, journals, resubmissions and scores.

New callers upload bodies of up to 7 MB in pieces, with a length or in chunks, break off, half-close or leave before the answer; workers answer before, within and after the body, reject before it, keep the connection and read on later, or reset.

--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -4,7 +4,7 @@
  * refusals that are true, orders under rising tokens, scores that are the answer to the item's own
  * score request after its text, no work for jobs that have ended, and none under another tenant than
  * the one whose key was shown, no lookup outside the region that may serve it, a new configuration in
- * force in time, and nothing for evacuated zones.
+ * force in time, nothing for evacuated zones, and no request that its caller had not sent so.
  */
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { EndedJobs } from './ended-jobs.js';
@@ -13,6 +13,7 @@
 import type { RequestSender } from './request-sender.js';
 import { ALLOWED_REGION } from './soak-call.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
+import { KEY_PREFIX, UNAUTHORIZED } from './soak-keys.js';
 import type { SoakLog } from './soak-log.js';
 
 interface KnownJob extends SubmittedJob {
@@ -28,12 +29,6 @@
   return `${item}.${index}.v${version}`;
 }
 
-/** The answer to a key that is not known. */
-const UNAUTHORIZED = 401;
-
-/** How all API keys of the soak begin. */
-export const KEY_PREFIX = 'key-';
-
 /** Collects what was seen and says what was broken. */
 export class PromiseChecker {
   readonly violations: Violation[] = [];
@@ -108,6 +103,11 @@
     this.tenants.set(request, tenant);
   }
 
+  /** A request came to a worker; `difference` tells what its caller had not sent so. */
+  requestCame(difference: string | undefined): void {
+    this.check(difference === undefined, 'unasked-request', difference ?? '');
+  }
+
   /** A worker took a request, told of a tenant; its headers are looked through for keys. */
   tenantTold(request: string, tenant: string | undefined, headers: readonly string[]): void {
     const job = this.jobOfItem.get(request);
--- a/lab/soak/promise-records.ts
+++ b/lab/soak/promise-records.ts
@@ -20,7 +20,8 @@
     | 'leaving-worker'
     | 'cold-worker'
     | 'evacuated-zone'
-    | 'residency';
+    | 'residency'
+    | 'unasked-request';
   readonly detail: string;
   /** Milliseconds since the soak began. */
   readonly at: Milliseconds;
--- a/lab/soak/soak-call.ts
+++ b/lab/soak/soak-call.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import { HEADERS } from '../../platform/names.js';
 import type { Milliseconds } from '../../src/core/units.js';
+import { describingHeaders } from './offered-requests.js';
 
 /** Where the routes of the soak lead. */
 export const SOAK_HOST = 'soak.example';
@@ -11,6 +12,7 @@
 /** Lookups that only one region may serve. */
 export const REGIONAL_PREFIX = '/regional/';
 export const ROLLOUT_PREFIX = '/rollouts/';
+export const UPLOAD_PREFIX = '/uploads/';
 
 /** The region in which alone regional lookups may be served. */
 export const ALLOWED_REGION = 'region-b';
@@ -45,15 +47,25 @@
 export function performCall(call: SoakCall): Promise<SoakAnswer | undefined> {
   const [host, port] = call.address.split(':');
   const { method, path, limit, agent = false } = call;
+  const request = http.request({ agent, host, port, method, path, headers: headersOf(call) });
+  const answer = readAnswer(request, limit);
+  request.end(call.body);
+  return answer;
+}
+
+/** Reads the answer to a request; `undefined` where it did not come whole in time. */
+export function readAnswer(
+  request: http.ClientRequest,
+  limit: Milliseconds,
+): Promise<SoakAnswer | undefined> {
   return new Promise((resolve) => {
-    const headers = headersOf(call);
-    const request = http.request({ agent, host, port, method, path, headers });
     const timer = setTimeout(() => request.destroy(), limit);
     const settle = (answer: SoakAnswer | undefined): void => {
       clearTimeout(timer);
       resolve(answer);
     };
     request.on('error', () => settle(undefined));
+    request.on('close', () => settle(undefined));
     request.on('response', (response) => {
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -64,11 +76,17 @@
         settle(response.complete ? { status, body: text } : undefined);
       });
     });
-    request.end(call.body);
   });
 }
 
-function headersOf({ id, key, wait, limit, agent }: SoakCall): http.OutgoingHttpHeaders {
+/** Headers of a call. */
+export function headersOf({
+  id,
+  key,
+  wait,
+  limit,
+  agent,
+}: Pick<SoakCall, 'id' | 'key' | 'wait' | 'limit' | 'agent'>): http.OutgoingHttpHeaders {
   return {
     host: SOAK_HOST,
     ...(agent === undefined ? { connection: 'close' } : {}),
@@ -76,6 +94,7 @@
     [HEADERS.deadline]: String(limit),
     [HEADERS.key]: key,
     [HEADERS.tenant]: 'forged',
+    ...describingHeaders(id),
     ...(wait === undefined ? {} : { [HEADERS.wait]: String(wait) }),
   };
 }
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../../src/core/random.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { JobLookers } from './job-lookers.js';
+import type { OfferedRequests } from './offered-requests.js';
 import type { PromiseChecker } from './promise-checker.js';
 import {
   LOOKUP_LIMIT,
@@ -16,6 +17,7 @@
 import type { SoakKeys } from './soak-keys.js';
 import { SoakLethalCallers } from './soak-lethal-callers.js';
 import { SoakTrainer, type TrainerCounts, type TrainerIdentity } from './soak-trainer.js';
+import { SoakUploadCallers, type UploadCounts } from './soak-upload-callers.js';
 
 /** The trainers; each has steps of its own. */
 const TRAINERS: readonly TrainerIdentity[] = [
@@ -28,6 +30,7 @@
 /** What callers need of the soak around them. */
 export interface CallerSurroundings {
   readonly checker: PromiseChecker;
+  readonly offered: OfferedRequests;
   readonly keys: SoakKeys;
   readonly evacuations: Pick<SoakEvacuations, 'requestOffered'>;
   /** Whether no fault is going on that excuses a key's late end. */
@@ -53,7 +56,7 @@
 }
 
 /** What came of all calls. */
-export interface CallerCounts extends TrainerCounts {
+export interface CallerCounts extends TrainerCounts, UploadCounts {
   lookups: number;
   lookupsServed: number;
   /** Lookups that were not served, by the status and detail of the answer, or `no answer`. */
@@ -66,6 +69,9 @@
     lookups: 0,
     lookupsServed: 0,
     lookupsUnserved: {},
+    uploads: 0,
+    uploadsServed: 0,
+    uploadsBrokenOff: 0,
     steps: 0,
     stepsWhole: 0,
     stepsAbandoned: 0,
@@ -76,6 +82,7 @@
   private isStopped = false;
   private readonly keyCallers: SoakKeyCallers;
   private readonly lethalCallers: SoakLethalCallers;
+  private readonly uploadCallers: SoakUploadCallers;
   private readonly trainers: readonly SoakTrainer[];
   private readonly jobLookers: JobLookers;
   private loops: Promise<void>[] = [];
@@ -83,6 +90,7 @@
   constructor(private readonly surroundings: CallerSurroundings) {
     this.keyCallers = new SoakKeyCallers(surroundings);
     this.lethalCallers = new SoakLethalCallers(surroundings);
+    this.uploadCallers = new SoakUploadCallers(surroundings, this.counts);
     this.jobLookers = new JobLookers(surroundings);
     this.trainers = TRAINERS.map(
       (identity) => new SoakTrainer(identity, surroundings, this.counts),
@@ -97,6 +105,7 @@
     this.jobLookers.start();
     this.keyCallers.start();
     this.lethalCallers.start();
+    this.uploadCallers.start();
   }
 
   /** After a loss of power, trainers hand in once more what was accepted a moment ago. */
@@ -108,25 +117,30 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     const trainers = this.trainers.map((trainer) => trainer.stop());
-    const others = [this.jobLookers.stop(), this.keyCallers.stop(), this.lethalCallers.stop()];
-    await Promise.all([...this.loops, ...trainers, ...others]);
+    const { jobLookers, keyCallers, lethalCallers, uploadCallers } = this;
+    const others = [jobLookers, keyCallers, lethalCallers, uploadCallers];
+    const stopped = others.map((callers) => callers.stop());
+    await Promise.all([...this.loops, ...trainers, ...stopped]);
   }
 
   private async lookups(prefix: string): Promise<void> {
-    const { checker, random, keys, addresses, evacuations } = this.surroundings;
+    const { checker, offered, random, keys, addresses, evacuations } = this.surroundings;
     while (!this.isStopped) {
       const id = random.identifier();
       checker.requestOffered(id, 'brokers');
       const all = addresses();
       const address = all[random.integer(all.length)] ?? '';
       evacuations.requestOffered(id, address);
+      const path = `${prefix}${id}`;
+      const body = `question-${id}`;
+      offered.note({ id, method: 'POST', path, body: Buffer.from(body) });
       const answer = await performCall({
         address,
         method: 'POST',
-        path: `${prefix}${id}`,
+        path,
         id,
         key: keys.currentKey('brokers'),
-        body: `question-${id}`,
+        body,
         wait: undefined,
         limit: LOOKUP_LIMIT,
       });
--- a/lab/soak/soak-configuration.ts
+++ b/lab/soak/soak-configuration.ts
@@ -6,6 +6,7 @@
   REGIONAL_PREFIX,
   ROLLOUT_PREFIX,
   SOAK_HOST,
+  UPLOAD_PREFIX,
 } from './soak-call.js';
 import type { SoakTenantKeys } from './soak-keys.js';
 import { SCORE_PREFIX } from './worker-stand-in.js';
@@ -38,6 +39,14 @@
         max_attempts: 3,
         allowed_regions: [ALLOWED_REGION],
       },
+      {
+        ...route,
+        name: 'uploads',
+        path_prefix: UPLOAD_PREFIX,
+        kind: 'read_only',
+        service: LOOKUP_SERVICE,
+        max_attempts: 3,
+      },
       {
         ...route,
         name: 'scores',
--- a/lab/soak/soak-key-callers.ts
+++ b/lab/soak/soak-key-callers.ts
@@ -84,13 +84,16 @@
     key: string,
     agent?: http.Agent,
   ): Promise<SoakAnswer | undefined> {
+    const path = `${LOOKUP_PREFIX}${id}`;
+    const body = `question-${id}`;
+    this.surroundings.offered.note({ id, method: 'POST', path, body: Buffer.from(body) });
     return performCall({
       address,
       method: 'POST',
-      path: `${LOOKUP_PREFIX}${id}`,
+      path,
       id,
       key,
-      body: `question-${id}`,
+      body,
       wait: undefined,
       limit: LOOKUP_LIMIT,
       ...(agent === undefined ? {} : { agent }),
--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -3,7 +3,12 @@
  * of its two away, so that callers always hold one that is in force in two configurations.
  */
 import type { Milliseconds } from '../../src/core/units.js';
-import { KEY_PREFIX } from './promise-checker.js';
+
+/** How all API keys of the soak begin. */
+export const KEY_PREFIX = 'key-';
+
+/** The answer to a key that is not known. */
+export const UNAUTHORIZED = 401;
 
 /** All tenants: that of lookups, and one of each trainer. */
 export const SOAK_TENANTS = [
--- a/lab/soak/soak-lethal-callers.ts
+++ b/lab/soak/soak-lethal-callers.ts
@@ -45,10 +45,11 @@
   }
 
   private async tryOnce(path: string): Promise<void> {
-    const { checker, random, keys, addresses } = this.surroundings;
+    const { checker, offered, random, keys, addresses } = this.surroundings;
     const all = addresses();
     const id = random.identifier();
     checker.requestOffered(id, 'brokers');
+    offered.note({ id, method: 'POST', path, body: Buffer.from('lethal') });
     const answer = await performCall({
       address: all[random.integer(all.length)] ?? '',
       method: 'POST',
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -1,5 +1,6 @@
 /** One soak: a fleet of real gateways, stand-ins around it, callers, and faults from outside. */
 import { mkdirSync } from 'node:fs';
+import type http from 'node:http';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
@@ -15,6 +16,7 @@
 import { GatewayGroup, ZONES } from './gateway-group.js';
 import { JournalGroup, REPLICAS_A_ZONE } from './journal-group.js';
 import type { LateCommitCounts } from './late-commits.js';
+import { OfferedRequests } from './offered-requests.js';
 import { PartialFaultRunner } from './partial-fault-runner.js';
 import { planPartialFaults } from './partial-faults.js';
 import { planStretch } from './partial-stretch.js';
@@ -83,6 +85,7 @@
   private readonly log: SoakLog;
   private readonly timeline: FaultTimeline;
   private readonly checker: PromiseChecker;
+  private readonly offered = new OfferedRequests();
   private readonly keys = new SoakKeys(this.now);
   private readonly store: PlatformStore;
   private readonly gateways: GatewayGroup;
@@ -112,6 +115,8 @@
     const surroundings = {
       ...{ checker: this.checker, model: MODEL, now: this.now, isCalm },
       senderNamed: (name: string | undefined) => this.senderNamed(name),
+      requestCame: (request: http.IncomingMessage, body?: Buffer) =>
+        this.checker.requestCame(this.offered.differenceOf(request, body)),
       onRequest: (request: string, { zone }: WorkerStandIn) =>
         this.evacuations.requestArrived(request, zone),
     };
@@ -204,13 +209,13 @@
   }
 
   private callerSurroundings(): CallerSurroundings {
-    const { checker, keys, evacuations, now } = this;
+    const { checker, offered, keys, evacuations, now } = this;
     const addressesIn = (zone: string): string[] =>
       this.gateways.gateways
         .filter((gateway) => gateway.zone === zone)
         .map((gateway) => gateway.address);
     return {
-      ...{ checker, keys, evacuations, now, zones: ZONES, model: MODEL, addressesIn },
+      ...{ checker, offered, keys, evacuations, now, zones: ZONES, model: MODEL, addressesIn },
       isCalm: () => this.timeline.isCalm,
       isStoreAway: () => this.timeline.isStoreAway,
       arePartlyServed: () => this.partialFaults.isUnderWay,
--- a/lab/soak/soak-trainer.ts
+++ b/lab/soak/soak-trainer.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { JobCalls } from './job-calls.js';
+import { describingHeaders } from './offered-requests.js';
 import { OverlappingSubmission } from './overlapping-submission.js';
 import { ROLLOUT_PREFIX, SOAK_HOST } from './soak-call.js';
 import type { CallerSurroundings } from './soak-callers.js';
@@ -143,6 +144,7 @@
     const scoreRequests = new Map(items.map((item) => [item.id, item.scoreRequest]));
     checker.requestOffered(id, tenant);
     checker.jobOffered({ id, minVersion, events, scoreRequests });
+    for (const item of items) this.noteRequests(item.id, item.scoreRequest);
     const deadline = now() + STEP_LIMIT;
     const body = JSON.stringify({
       step,
@@ -152,7 +154,7 @@
       requests: items.map((item) => ({
         id: item.id,
         path: `${ROLLOUT_PREFIX}${item.id}`,
-        headers: { [EVENT_COUNT_HEADER]: String(item.events) },
+        headers: { [EVENT_COUNT_HEADER]: String(item.events), ...describingHeaders(item.id) },
         body: Buffer.from(item.id).toString('base64'),
         tokens: 10 * item.events,
         group: item.group,
@@ -168,6 +170,15 @@
     return isWhole;
   }
 
+  private noteRequests(item: string, scoreRequest: string): void {
+    const { offered } = this.surroundings;
+    const path = `${ROLLOUT_PREFIX}${item}`;
+    offered.note({ id: item, method: 'POST', path, body: Buffer.from(item) });
+    const { id, path: scorePath, body } = scorerOf(scoreRequest);
+    const score = { id, method: 'POST', path: scorePath, body: Buffer.from(body, 'base64') };
+    offered.note({ ...score, isDescribed: false });
+  }
+
   private abandonedShare(): number {
     const { arePartlyServed } = this.surroundings;
     return arePartlyServed() ? ABANDONED_SHARE_PARTLY_SERVED : ABANDONED_SHARE;
@@ -265,7 +276,7 @@
   }
 }
 
-function scorerOf(id: string): unknown {
+function scorerOf(id: string) {
   const body = Buffer.from(`judge ${id}`).toString('base64');
   return { id, host: SOAK_HOST, path: `${SCORE_PREFIX}${id}`, body };
 }
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -10,7 +10,8 @@
 import { ColdRequestCounter } from './cold-request-counter.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
 import { type RequestSender, SENDER_HEADER } from './request-sender.js';
-import { REGIONAL_PREFIX } from './soak-call.js';
+import { REGIONAL_PREFIX, UPLOAD_PREFIX } from './soak-call.js';
+import { serveUpload } from './upload-service.js';
 
 /** Time for one event, for a lookup, and for loading weights. */
 const EVENT_TIME: Milliseconds = 20;
@@ -59,6 +60,8 @@
   readonly senderNamed: (name: string | undefined) => RequestSender;
   /** Called after a change that the worker's record shows. */
   readonly onChange: (worker: WorkerStandIn) => void;
+  /** Called with each request that comes, or with its head alone. */
+  readonly requestCame: (request: http.IncomingMessage, body?: Buffer) => void;
   /** Called with the id of each request that comes. */
   readonly onRequest: (request: string, worker: WorkerStandIn) => void;
   /** Called when a request ends the worker. */
@@ -129,6 +132,9 @@
   }
 
   private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (request.url?.startsWith(UPLOAD_PREFIX)) {
+      return serveUpload(request, response, this.id, this.surroundings);
+    }
     const chunks: Buffer[] = [];
     try {
       for await (const chunk of request) chunks.push(chunk as Buffer);
@@ -140,14 +146,18 @@
       response.writeHead(421, { [HEADERS.instance]: this.id }).end();
       return;
     }
-    const body = Buffer.concat(chunks).toString();
+    const content = Buffer.concat(chunks);
+    const body = content.toString();
     if (request.url === PATHS.report) this.report(response);
     else if (request.url === HEALTH_PATH) {
       const coldFor = String(this.coldFor);
       const headers = { [HEADERS.instance]: this.id, [HEADERS.coldMs]: coldFor };
       response.writeHead(200, headers).end();
     } else if (request.url === PATHS.order) this.order(body, response);
-    else this.work(request, body, response);
+    else {
+      this.surroundings.requestCame(request, content);
+      this.work(request, body, response);
+    }
   }
 
   private report(response: http.ServerResponse): void {
