--- a/lab/soak/soak-keys.ts
+++ b/lab/soak/soak-keys.ts
@@ -3,7 +3,12 @@
  * of its two away, so that callers always hold one that is in force in two configurations.
  */
 import type { Milliseconds } from '../../src/core/units.js';
-import { KEY_PREFIX } from './promise-checker.js';
+
+/** How all API keys of the soak begin. */
+export const KEY_PREFIX = 'key-';
+
+/** The answer to a key that is not known. */
+export const UNAUTHORIZED = 401;
 
 /** All tenants: that of lookups, and one of each trainer. */
 export const SOAK_TENANTS = [
@@ -51,6 +56,11 @@
     return keyOf(tenant, this.generation);
   }
 
+  /** Whether the newest configuration holds a key. */
+  holds(tenant: SoakTenant, key: string): boolean {
+    return key === this.currentKey(tenant) || key === this.newestKey(tenant);
+  }
+
   /** A key that the newest configuration took away. */
   revokedKey(tenant: SoakTenant): string {
     return keyOf(tenant, this.generation - 2);
