An end that comes before its job's creation is kept by the store

What callers saw: a job ran although its end had come: an end that reaches a node which does not know of the submission under way, or comes before it, is answered 404, and nothing remembers it.

Cause: the end of a job that the store lacks left no trace where the creation looks.

Fix: such an end marks the job in the store (`job/end/ID`, under a lease of two minutes), on condition that the job does not exist. A creation is conditional on the absence of a mark; one that meets a mark creates its job as cancelled, so that a repeated submission, a reader and a repeated end find it whole. A commit of a creation that is carried out late fails. An early start looks for the mark before it sends. A mark holds for the jobs of the caller's tenant alone. The answers stay: 404 or 503 until the job exists; 503 instead of 404 if the store does not take the mark.

Costs: two writing calls for the end of an unknown job; one condition more, and no call, for each creation; one read more for a creation that meets a changed trainer's record, and for each verification of a job not yet stored. An id can't be used for a new job for two minutes after its end.

--- a/src/jobs/job-cancellations.ts
+++ b/src/jobs/job-cancellations.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '../errors/error-kinds.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import { type CallerIdentity, mayAccess } from '../tenants/tenant.js';
+import { type CallerIdentity, mayAccess, tenantNameOf } from '../tenants/tenant.js';
 import { denyAccess, failureOf, storeUnavailable } from './job-answers.js';
 import type { CancellationAtOwner, JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
@@ -64,11 +64,12 @@
     if (ownedJob?.canCancel === true && (await ownedJob.cancel(isStillNeeded))) return undefined;
     const atLikelyOwner = ownedJob === undefined && (await this.cancelAtLikelyOwner(job, caller));
     if (atLikelyOwner === true) return undefined;
-    for (;;) {
+    for (let isMarked = false; ; ) {
       // A creation that is under way here may be carried out after the read.
       const mayBeCreated = atLikelyOwner === 'may-be-created' || this.options.mayBeCreated(job);
       const read = await this.options.store.head(job);
-      if (read.kind === 'absent' && !mayBeCreated) {
+      if (read.kind === 'absent') isMarked ||= await this.markEnd(job, caller);
+      if (read.kind === 'absent' && isMarked && !mayBeCreated) {
         const missing = await this.options.reader.explainMissing(job, read.kind);
         this.options.reads.noteUnanswered('cancel', job, missing);
         return failureOf(missing);
@@ -97,6 +98,16 @@
     }
   }
 
+  /**
+   * Marks a job that the store lacks, so that a creation under way or to come does not run it;
+   * returns whether the store has a mark and still lacks the job.
+   */
+  private async markEnd(job: string, caller: CallerIdentity): Promise<boolean> {
+    const outcome = await this.options.store.endMarks.record(job, tenantNameOf(caller));
+    this.options.log.state('job-end-marked', { job, outcome });
+    return outcome === 'recorded' || outcome === 'foreign';
+  }
+
   /**
    * Has an owner whose lease has expired stop running a job that this node has cancelled. It may run
    * on without the store, and nodes ask only live ones to cancel a job.
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -113,6 +113,12 @@
   }),
 );
 
+/** The end of a job that came before its creation. */
+const END_MARK = looseRecord({
+  /** The tenant of the caller, whose job alone it cancels. */
+  tenant: z.string().optional(),
+});
+
 /** A request for a score. */
 export type ScoreRequest = z.infer<typeof SCORE_REQUEST>;
 /** One item of a job. */
@@ -134,6 +140,7 @@
 const SPECIFICATIONS = 'job/spec/';
 const PAGES = 'job/page/';
 const PROGRESSES = 'job/progress/';
+const END_MARKS = 'job/end/';
 
 /** Digits of a page or part number in its key, so that keys sort numerically. */
 const PAGE_DIGITS = 6;
@@ -151,6 +158,7 @@
     `${PAGES}${job}/${String(number).padStart(PAGE_DIGITS, '0')}`,
   progresses: PROGRESSES,
   progress: (job: string): string => `${PROGRESSES}${job}`,
+  endMark: (job: string): string => `${END_MARKS}${job}`,
 } as const;
 
 /** Decodes a record; `undefined` if the text does not match the schema. */
@@ -173,6 +181,9 @@
   decode(SPECIFICATION, text);
 /** Decodes a page; `undefined` if the text is invalid. */
 export const decodePage = (text: string): ResultPage | undefined => decode(PAGE, text);
+/** Decodes the mark of an early end; `undefined` if the text is invalid. */
+export const decodeEndMark = (text: string): z.infer<typeof END_MARK> | undefined =>
+  decode(END_MARK, text);
 /** Decodes stored progress; `undefined` if the text is invalid. */
 export const decodeProgress = (text: string): StoredProgress | undefined => decode(PROGRESS, text);
 
--- a/src/jobs/job-store.ts
+++ b/src/jobs/job-store.ts
@@ -15,6 +15,7 @@
   type StoreCondition,
   type StorePut,
 } from '../shared-store/shared-store.js';
+import { cancelsJobsOf, conditionOn, EndMarks, NO_MARK } from './end-marks.js';
 import {
   decodeHead,
   decodePage,
@@ -87,14 +88,19 @@
 
 /** Reads and changes jobs in the shared store. */
 export class JobStore {
+  /** Cancellations that came before their jobs. */
+  readonly endMarks: EndMarks;
+
   constructor(
     private readonly store: SharedStore,
     private readonly clock: Pick<Clock, 'sleep'>,
-  ) {}
+  ) {
+    this.endMarks = new EndMarks(store);
+  }
 
   /**
    * Creates a job, and changes its trainer's record in the same commit; `superseded` means that the
-   * job already exists.
+   * job already exists. A job that was cancelled before is created as cancelled.
    */
   create(spec: JobSpecification, head: HeadFields, isStillNeeded: StillNeeded): Promise<HeadChange>;
   create(
@@ -122,17 +128,28 @@
       expected.push({ key, revision: base });
       puts.push({ key, value: JSON.stringify(record) });
     }
-    let committedAt: Revision | undefined;
-    const change = await this.change(spec.id, ABSENT, completeHead, puts, isStillNeeded, {
-      changeId: creationIdOf(head),
-      expected,
-      onCommitted: (revision) => {
-        committedAt = revision;
-      },
-    });
-    if (change.kind === 'changed') return { ...change, trainerRevision: committedAt };
-    const isAbsent = change.kind === 'superseded' && change.current === undefined;
-    return isAbsent && trainer !== undefined ? { kind: 'trainer-changed' } : change;
+    for (let mark = NO_MARK; ; ) {
+      let committedAt: Revision | undefined;
+      const ended = head.ended || cancelsJobsOf(mark, spec.tenant);
+      const fields = { ...completeHead, ended };
+      const change = await this.change(spec.id, ABSENT, fields, puts, isStillNeeded, {
+        changeId: creationIdOf(head),
+        expected: [...expected, conditionOn(spec.id, mark)],
+        onCommitted: (revision) => {
+          committedAt = revision;
+        },
+      });
+      if (change.kind === 'changed') return { ...change, trainerRevision: committedAt };
+      if (change.kind !== 'superseded' || change.current !== undefined) return change;
+      // The job does not exist: the mark or the trainer's record has changed.
+      const current = await this.endMarks.read(spec.id);
+      if (current === undefined && !isStillNeeded()) {
+        return { kind: 'unavailable', mayBeDone: true };
+      }
+      if (current === undefined) await this.clock.sleep(MAX_RETRY_DELAY);
+      else if (current.revision !== mark.revision) mark = current;
+      else return trainer === undefined ? change : { kind: 'trainer-changed' };
+    }
   }
 
   /** Reads the record of a trainer. */
--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -23,7 +23,13 @@
 } from './job-acceptance.js';
 import { JobCreation } from './job-creation.js';
 import type { JobPeers } from './job-peers.js';
-import { ageOf, type JobOwner, type JobSpecification, weightNeedOf } from './job-records.js';
+import {
+  ageOf,
+  isFinished,
+  type JobOwner,
+  type JobSpecification,
+  weightNeedOf,
+} from './job-records.js';
 import type {
   CreationOutcome,
   HeadFields,
@@ -330,6 +336,8 @@
       return;
     }
     if (early !== undefined) owned.attachEarly(early, head, state.ownedSince);
+    // A job that was cancelled before its creation is not run.
+    else if (isFinished(head.head)) return;
     else owned.add(spec, head, [], owned.earlierWork(spec, {}, await cachedWork), state);
     peers.reportWeightNeed(weightNeedOf(spec));
   }
--- a/src/jobs/ownership-verification.ts
+++ b/src/jobs/ownership-verification.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
+import { ABSENT } from '../shared-store/shared-store.js';
 import type { JobHead } from './job-records.js';
 import type { JobStore, VersionedHead } from './job-store.js';
 import type { CloseReason } from './listing-state.js';
@@ -92,9 +93,11 @@
     if (read.kind === 'unavailable' || !isOpen()) return;
     const isUnchanged = known !== undefined && writer.head === known && !writer.isPending;
     if (read.kind === 'found') this.handleHead(read.value, isUnchanged, sentAt);
-    // A job that the store does not have yet is not cancelled there.
-    else if (known === undefined) confirmation.noteUncancelled(sentAt);
-    else if (isUnchanged) close('superseded');
+    // A job that the store does not have yet is not cancelled there, unless its end was marked.
+    else if (known === undefined) {
+      const mark = await store.endMarks.read(job);
+      if (mark?.revision === ABSENT) confirmation.noteUncancelled(sentAt);
+    } else if (isUnchanged) close('superseded');
     if (confirmation.isConfirmedSince(sentAt)) onConfirmed();
   }
 
