A gateway accepts callers only once it has listed the fleet, with the crash reports

What callers saw: a gateway that had just started, or whose store had just returned, sent a request that the others had quarantined, and one more worker ended under it.

Cause: a node counted as ready with a configuration and the list of workers. The list of the fleet holds the crash reports; each list is retried by itself, with pauses of up to 1 s, so it may come later.

Evidence: 'a gateway does not accept callers before it has the crash reports' failed on the base: ready without a list of the fleet, and the request ended a further worker.

Why it works: readiness, and the gate that holds early requests for up to 1 s, wait for the first list of the fleet as well. Reports that others have not stored yet still reach a joining node only after it is in their lists, as before.

--- a/src/fleet/fleet-registry.ts
+++ b/src/fleet/fleet-registry.ts
@@ -109,12 +109,14 @@
   private reconnectedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private timer: NodeJS.Timeout | undefined;
   private isStopped = false;
+  private wasListed = false;
 
   constructor(private readonly options: FleetRegistryOptions) {
     this.watcher = new PrefixWatcher({ store: options.store, prefix: FLEET_PREFIX });
     this.watcher.updates.subscribe(({ changes, listed }) => {
       for (const change of changes) this.applyChange(change);
       if (!listed) return;
+      this.wasListed = true;
       this.formats.noteListed();
       this.listed.next();
     });
@@ -137,6 +139,11 @@
     await Promise.race([listed, this.options.clock.sleep(FIRST_LIST_TIMEOUT)]);
   }
 
+  /** Whether the fleet, with the records that nodes store beside their own, was listed once. */
+  get isListed(): boolean {
+    return this.wasListed;
+  }
+
   /** Whether this node needs a short lease, as others depend on noticing its failure soon. */
   get requiresShortLease(): boolean {
     return this.isShortLeaseRequired;
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -194,6 +194,7 @@
       onWithdrawal: (report) => quarantine.withdraw(report),
     });
     this.fleet.otherChanges.subscribe((change) => this.crashReports.applyChange(change));
+    this.fleet.listed.subscribe(() => this.openStartGateIfReady());
     this.fleet.arrivals.subscribe((arrived) => this.crashReports.sendUnsavedTo(arrived));
     this.fleet.storeReconnected.subscribe(() => this.crashReports.retryNow());
     const quarantine = new RequestQuarantine({
@@ -275,12 +276,21 @@
   }
 
   /**
-   * Whether this node accepts callers: it has a configuration and the list of workers, is not
-   * stopping, and its evacuation state is not stale.
+   * Whether this node accepts callers: it has received all that it needs, is not stopping, and its
+   * evacuation state is not stale.
    */
   get isReady(): boolean {
     if (this.isStopping || this.workerGate.isEvacuationStateStale) return false;
-    return this.configuration.version !== undefined && this.areWorkersListed;
+    return this.hasStarted;
+  }
+
+  /**
+   * Whether this node has a configuration, the list of workers, and that of the fleet with the
+   * reports of requests that crash workers.
+   */
+  private get hasStarted(): boolean {
+    const hasConfiguration = this.configuration.version !== undefined;
+    return hasConfiguration && this.areWorkersListed && this.fleet.isListed;
   }
 
   /** Count of live nodes, by this node's registry. */
@@ -315,7 +325,7 @@
   }
 
   private openStartGateIfReady(): void {
-    if (this.configuration.version !== undefined && this.areWorkersListed) this.startGate.open();
+    if (this.hasStarted) this.startGate.open();
   }
 
   /** Starts to drain a storage node: it gets no new jobs, and is reported once it holds none. */
--- a/test/fleet/query-of-death.test.ts
+++ b/test/fleet/query-of-death.test.ts
@@ -8,6 +8,7 @@
 import { type JoinedGateway, JoinedGateways } from '../../lab/emulator/joined-gateways.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import { executionStateOf } from '../../src/errors/error-kinds.js';
+import { FLEET_PREFIX } from '../../src/fleet/fleet-registry.js';
 import { eventually } from './fleet-fixtures.js';
 
 /** Workers that one request may crash. */
@@ -261,3 +262,21 @@
   const { failure } = await all.fleet.ask(gateway, CRASHING_PATH, LETHAL);
   t.equal(failure?.kind, 'engine_failed');
 });
+
+t.test('a gateway does not accept callers before it has the crash reports', async (t) => {
+  const { workers, fleet } = await startFleet(t, 2);
+  await quarantine({ workers, fleet });
+  const crashed = workers.ended.length;
+  const list = fleet.store.range.bind(fleet.store);
+  fleet.store.range = async (prefix, afterKey) => {
+    if (prefix === FLEET_PREFIX) return { kind: 'failed', effect: 'not-done' };
+    return list(prefix, afterKey);
+  };
+  const started = fleet.add();
+  await sleep(2_500);
+  t.notOk(started.node.isReady, 'without a list of the fleet');
+  fleet.store.range = list;
+  await eventually(() => started.node.isReady);
+  await fleet.ask(started, CRASHING_PATH, LETHAL);
+  t.equal(workers.ended.length, crashed, 'no further worker crashed');
+});
