The age of a relay's answer includes a suspension of the follower

A gateway whose machine was suspended while a request to a relay waited took the answer, given before the suspension, for as recent as if it had just been sent, and read the store that much later.

Cause: the duration of a request to a relay was measured by the steady clock, which stands still during a suspension; all other ages include it.

Evidence: 'the age of a relay answer includes a suspension of the follower' failed on the code before (0.7 ms in place of 3,000 ms and more). Why it works: the duration is measured as all ages are.

--- a/src/fleet/relay-requests.ts
+++ b/src/fleet/relay-requests.ts
@@ -2,7 +2,7 @@
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds } from '../core/units.js';
 import type { PeerAnswers, PeerOutcome, PeerPort, PeerRequestOf } from '../peers/peer-messages.js';
-import type { Clock } from '../serving/clock.js';
+import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { PrefixSources } from './prefix-sources.js';
 import type { RelayChoice, RelayFleet } from './relay-choice.js';
@@ -84,6 +84,7 @@
       const timeout = timeoutAfter(elapsed, round);
       if (timeout <= 0 || superseded.aborted) break;
       if (address === undefined) continue;
+      const sentAt = suspendAwareTime(clock);
       const outcome = await peers.request<Kind>(address, round.request(wait), timeout);
       const answer = currentAnswer(outcome);
       const failure = outcome.kind === 'answered' ? 'not-current' : outcome.kind;
@@ -92,7 +93,7 @@
       if (answer !== undefined) {
         this.penalize(notCurrent);
         if (!superseded.aborted) sources.noteReceived(prefix, relay);
-        const duration = clock.now() - startedAt - elapsed;
+        const duration = suspendAwareTime(clock) - sentAt;
         return { kind: 'answered', relay, answer, duration };
       }
       failures.push(`${relay}:${failure}`);
--- a/test/fleet/suspended-node.test.ts
+++ b/test/fleet/suspended-node.test.ts
@@ -7,11 +7,14 @@
 import { CoordinatorLock } from '../../src/fleet/coordinator-lock.js';
 import { DirectPrefixes } from '../../src/fleet/direct-prefixes.js';
 import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
+import { PrefixSources } from '../../src/fleet/prefix-sources.js';
+import { RelayRequests } from '../../src/fleet/relay-requests.js';
 import type { PeerPort } from '../../src/peers/peer-messages.js';
 import { NOT_GRANTER } from '../../src/placement/cold-permits.js';
 import { PermitGranter } from '../../src/placement/permit-granter.js';
 import { WorkerWarmth } from '../../src/placement/worker-warmth.js';
 import { type Clock, PROCESS_CLOCK } from '../../src/serving/clock.js';
+import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { OWNER } from '../jobs/job-fixtures.js';
 import { recordingLog, worker } from '../serving/serving-fixtures.js';
 import { eventually } from './fleet-fixtures.js';
@@ -148,3 +151,30 @@
     t.same(direct.answerList({ kind: 'list-prefix', prefix: 'workers/' }), { isCurrent: false });
   },
 );
+
+t.test('the age of a relay answer includes a suspension of the follower', async (t) => {
+  const clock = new SuspendableClock();
+  const answer = { isCurrent: true, changes: [], revision: 1, freshness: { age: 0, heldFor: 0 } };
+  const { log } = recordingLog();
+  const requests = new RelayRequests({
+    peers: {
+      request: async () => {
+        clock.suspended += 3_000;
+        return { kind: 'answered', answer: answer as never };
+      },
+    },
+    fleet: () => ({ addressOf: (node) => node }),
+    choice: { noteAnswer: () => {}, noteSilence: () => {}, penalize: () => {} },
+    sources: new PrefixSources({ clock, log }),
+    clock,
+    metrics: new FleetMetrics(),
+  });
+  const outcome = await requests.send<'follow-prefix'>({
+    ...{ prefix: 'workers/', relays: ['relay'], wait: 500 },
+    ...{ firstTimeout: 500, nextTimeout: 100, timeout: 800 },
+    request: (wait) => ({ kind: 'follow-prefix', prefix: 'workers/', after: 1, wait }),
+    superseded: new AbortController().signal,
+  });
+  const duration = outcome.kind === 'answered' ? outcome.duration : 0;
+  t.ok(duration >= 3_000, `${duration} ms`);
+});
