Soak: a restart that overlaps a gateway's replacement leaves no process behind

A fault of the soak itself.

Cause: two faults of one gateway may overlap; each ends the process and then starts one, so the second start replaced a running process, which nothing ended any more.

Why it works: a gateway that runs is not started again, and a replacement ends whatever runs under the old name before its successor starts.

--- a/lab/demo/process-group.ts
+++ b/lab/demo/process-group.ts
@@ -93,7 +93,8 @@
   }
 }
 
-function isRunning(started: StartedProcess): boolean {
+/** Whether a process has not ended. */
+export function isRunning(started: StartedProcess): boolean {
   return started.child.exitCode === null && started.child.signalCode === null;
 }
 
--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -3,7 +3,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { freePorts, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
+import { freePorts, isRunning, ProcessGroup, type StartedProcess } from '../demo/process-group.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
 import type { BuildRotation } from './build-rotation.js';
 import { COLD } from './cold-request-counter.js';
@@ -95,8 +95,14 @@
     gateway.process.child.kill('SIGKILL');
     await gateway.process.exited;
     await sleep(pause);
+    const place = await this.settle(gateway.storeAddress, gateway.zone);
+    // A restart that overlaps may have started the machine that is gone.
+    while (isRunning(gateway.process)) {
+      gateway.process.child.kill('SIGKILL');
+      await gateway.process.exited;
+    }
     gateway.regionLink.close();
-    Object.assign(gateway, await this.settle(gateway.storeAddress, gateway.zone));
+    Object.assign(gateway, place);
     this.launch(gateway);
   }
 
@@ -190,8 +196,9 @@
     return { name, address: `${host}:${front}`, settingsFile, regionLink };
   }
 
+  /** Starts a gateway, unless a fault that overlaps has started it already. */
   private launch(gateway: SoakGateway): void {
-    gateway.process = this.process(gateway);
+    if (!isRunning(gateway.process)) gateway.process = this.process(gateway);
   }
 
   private process({ name, address, settingsFile }: GatewayPlace): StartedProcess {
