A follower that changes its relay: calls are counted by node, from settled relays

Cause: the test, not the product. It allowed four calls of all nodes, one watch of each of the four relays after the change. A relay repeats its watch 1.2 s after the change (a pause of 100 ms, then a watch of 1.1 s), and the request of a follower to a silent relay ends up to 1.35 s after the change. So each relay calls twice where the change takes longer than 1.2 s, which is in time. Whether it does hangs on the phase of the follower's request after a fixed wait of 3.7 s.

Change: no follower calls the store at all, and a relay once, and once more per watch that has passed. That is stricter for followers, whose calls were counted with those of the relays. It runs at three phases, one of which always takes longer than 1.2 s. All tests of this file wait until each follower is answered by the relay of its zone in place of a fixed time or none, and run four at a time.

--- a/test/fleet/late-configuration.test.ts
+++ b/test/fleet/late-configuration.test.ts
@@ -2,21 +2,31 @@
  * Guards against changes arriving later than the change bound at followers of relays that lost the
  * store.
  */
-import t from 'tap';
+import t, { type Test } from 'tap';
+import type { Milliseconds } from '../../src/core/units.js';
+import { maxWatchDuration } from '../../src/fleet/direct-prefixes.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import { CHANGE_BOUND, PREFIX, RelayedFleet, watchingRelay } from './relayed-fleet.js';
 
 /** Part of the bound that is reserved for the path from a gateway to its callers. */
 const MARGIN = 100;
 
+/** Time after which a relay repeats its watch at the store. */
+const RELAY_WATCH_TIME = maxWatchDuration(PREFIX, Number.POSITIVE_INFINITY, {
+  boundPrefixes: [PREFIX],
+  changeBound: () => CHANGE_BOUND,
+});
+
 const ZONES = ['zone-1', 'zone-2', 'zone-3', 'zone-4'];
 
+/** Nodes that read through the relay of their zone. */
 async function fourZones(): Promise<RelayedFleet> {
   const names = ZONES.flatMap((zone) =>
     ['a', 'b', 'c'].map((letter) => [`${zone}-${letter}`, zone]),
   );
   const fleet = new RelayedFleet(Object.fromEntries(names));
   await fleet.start();
+  await fleet.settled();
   return fleet;
 }
 
@@ -25,6 +35,9 @@
   return fleet.names().filter((name) => !lost.includes(name));
 }
 
+// The fleets mostly wait, so several tests run at a time.
+t.jobs = 4;
+
 t.test('relays that lost the store do not delay their followers', async (t) => {
   const fleet = await fourZones();
   const lost = fleet.relays().slice(1);
@@ -91,19 +104,33 @@
   fleet.stop();
 });
 
-t.test('a follower that changes its relay continues at its revision, without a list', async (t) => {
+/** Calls of some nodes to the store so far. */
+function storeCallsOf(fleet: RelayedFleet, nodes: readonly string[]): number {
+  return nodes.reduce((sum, node) => sum + (fleet.storeCallsByNode.get(node) ?? 0), 0);
+}
+
+/** Silences the relay of a follower a time after its request began, and makes a change. */
+async function changeRelay(t: Test, phase: Milliseconds): Promise<void> {
   const fleet = await fourZones();
   const [own = ''] = fleet.relays();
   const follower = fleet.followers().find((node) => fleet.zoneOf(node) === fleet.zoneOf(own)) ?? '';
-  // Relays that were requested before they watched are excluded for 2 s, and the request to
-  // another one waits for up to 1.3 s.
-  await PROCESS_CLOCK.sleep(3_700);
+  await PROCESS_CLOCK.sleep(phase);
   fleet.silent.add(own);
-  const before = fleet.requestCounts.get('list-prefix') ?? 0;
-  const calls = fleet.calls;
+  const lists = fleet.requestCounts.get('list-prefix') ?? 0;
+  const followerCalls = storeCallsOf(fleet, fleet.followers());
+  const relayCalls = storeCallsOf(fleet, fleet.relays());
+  const startedAt = PROCESS_CLOCK.now();
   const time = await fleet.propagationTime('changed', [follower]);
+  const watches = 1 + Math.floor((PROCESS_CLOCK.now() - startedAt) / RELAY_WATCH_TIME);
   t.ok(time < CHANGE_BOUND - MARGIN, `received after ${time} ms`);
-  t.equal(fleet.requestCounts.get('list-prefix') ?? 0, before);
-  t.ok(fleet.calls - calls <= fleet.relays().length, `${fleet.calls - calls} calls to the store`);
+  t.equal(fleet.requestCounts.get('list-prefix') ?? 0, lists);
+  t.equal(storeCallsOf(fleet, fleet.followers()) - followerCalls, 0, 'no follower calls the store');
+  const calls = storeCallsOf(fleet, fleet.relays()) - relayCalls;
+  t.ok(calls <= watches * fleet.relays().length, `${calls} calls of relays in ${time} ms`);
   fleet.stop();
+}
+
+t.test('a follower that changes its relay continues at its revision, without a list', async (t) => {
+  // The request to the silent relay ends early or late, before or after the watches of the others.
+  await Promise.all([0, 450, 900].map((phase) => changeRelay(t, phase)));
 });
--- a/test/fleet/relayed-fleet.ts
+++ b/test/fleet/relayed-fleet.ts
@@ -5,6 +5,7 @@
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import type { RelayFleet } from '../../src/fleet/relay-choice.js';
+import { currentAnswer, type RelayRequestKind } from '../../src/fleet/relay-requests.js';
 import { WatchRelay } from '../../src/fleet/watch-relay.js';
 import type { PeerOutcome, PeerPort, PeerRequestOf } from '../../src/peers/peer-messages.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
@@ -66,6 +67,8 @@
   readonly requestCounts = new Map<string, number>();
   /** Lists and watches of each node at the store. */
   readonly storeCallsByNode = new Map<string, number>();
+  /** The node, or the store, that last answered a list or watch of each node. */
+  private readonly sources = new Map<string, string>();
   private readonly nodes = new Map<string, RelayedNode>();
   private readonly storeBlockedSince = new Map<string, Milliseconds>();
   private readonly frozen = new Map<string, FrozenNode>();
@@ -101,6 +104,19 @@
     for (const { watcher } of this.nodes.values()) watcher.stop();
   }
 
+  /**
+   * Resolves once each follower is answered by a relay of its zone. Relays that were requested
+   * before they watched are excluded at first.
+   */
+  async settled(): Promise<void> {
+    await eventually(() =>
+      this.followers().every((node) => {
+        const source = this.sources.get(node) ?? '';
+        return this.relays().includes(source) && this.zoneOf(source) === this.zoneOf(node);
+      }),
+    );
+  }
+
   relays(): string[] {
     return this.names().filter((name) => this.nodes.get(name)?.relay.isRelay === true);
   }
@@ -298,6 +314,7 @@
         noteCall();
         const outcome = await (isBlocked() ? unanswered(CALL_TIMEOUT) : store.range(prefix));
         await this.whileFrozen(node);
+        if (outcome.kind !== 'failed') this.sources.set(node, 'store');
         return outcome;
       },
       watch: async (prefix, after, wait, signal) => {
@@ -308,6 +325,7 @@
         const outcome = await store.watch(prefix, after, wait, signal);
         await this.whileFrozen(node);
         const isLost = isBlocked() || startedAt < this.silencedAt || this.withoutWatches.has(node);
+        if (!isLost) this.sources.set(node, 'store');
         if (!isLost || signal.aborted) return outcome;
         // The answer is lost on the way; the caller's own limit ends the call.
         return unanswered(startedAt + wait + CALL_TIMEOUT - PROCESS_CLOCK.now());
@@ -330,13 +348,24 @@
         const outcome = await Promise.race([answer ?? timeLimit, timeLimit]);
         await this.whileFrozen(sender);
         // A node that was silenced meanwhile does not answer earlier requests either.
-        if (outcome !== undefined && !this.silent.has(address)) return outcome;
+        if (outcome !== undefined && !this.silent.has(address)) {
+          this.noteAnswer(sender, address, outcome);
+          return outcome;
+        }
         await PROCESS_CLOCK.sleep(Math.max(0, startedAt + limit - PROCESS_CLOCK.now()));
         return { kind: 'silent' };
       },
     };
   }
 
+  private noteAnswer(
+    sender: string,
+    address: string,
+    outcome: PeerOutcome<RelayRequestKind>,
+  ): void {
+    if (currentAnswer(outcome) !== undefined) this.sources.set(sender, address);
+  }
+
   private async whileFrozen(node: string): Promise<void> {
     await this.frozen.get(node)?.thawed;
   }
