An owner whose page may be on some replicas doesn't answer alone for a job that another node cancelled

Cause: a page whose append had no outcome (a replica silent, the store not answering) was dropped by its owner when another node had cancelled the job, and the job closed as complete. Recovery now lists such a page from the replicas that have it, past the claim of the live owner.

Why it works: with a page of unknown outcome the job closes as cancelled elsewhere, and the owner reads it like every other node, from the store and the journals.

--- a/src/jobs/job-listing.ts
+++ b/src/jobs/job-listing.ts
@@ -269,7 +269,9 @@
     if (change.kind !== 'superseded') return;
     // A node that lacks listed results must not answer for the job, even a cancelled one.
     if (!this.keepsOwnership(change)) this.options.close('superseded');
-    else if (change.current?.head.ended === true) this.options.close('ended');
+    else if (change.current?.head.ended === true) {
+      this.options.close(this.writer.hasUncertainPages ? 'ended-elsewhere' : 'ended');
+    }
   }
 
   /**
--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -90,6 +90,12 @@
     return this.queue.some(({ change }) => change.kind === 'ended');
   }
 
+  /** Whether a replica of the journal may have a page whose outcome is not known. */
+  get hasUncertainPages(): boolean {
+    if (this.options.journal === undefined) return false;
+    return this.queue.some(({ change, isJournaled }) => change.kind === 'page' && !isJournaled);
+  }
+
   /** Number of pages, including queued ones. */
   get pages(): number {
     const queued = this.queue.filter(({ change }) => change.kind === 'page').length;
--- a/src/jobs/ownership-verification.ts
+++ b/src/jobs/ownership-verification.ts
@@ -23,7 +23,10 @@
   readonly store: JobStore;
   readonly clock: Pick<Clock, 'now' | 'sleep'>;
   readonly confirmation: OwnershipConfirmation;
-  readonly writer: Pick<ListingWriter, 'head' | 'isPending' | 'isConfirmedByJournal'>;
+  readonly writer: Pick<
+    ListingWriter,
+    'head' | 'isPending' | 'hasUncertainPages' | 'isConfirmedByJournal'
+  >;
   /** Whether the job has a journal. */
   readonly hasJournal: boolean;
   /** Whether a head names this owner under its term. */
@@ -112,7 +115,8 @@
     if (!isOwn(head) || (isUnchanged && !hasKnownPages)) {
       close('superseded');
     } else if (head.ended) {
-      close(hasKnownPages ? 'ended' : 'ended-elsewhere');
+      const isComplete = hasKnownPages && !writer.hasUncertainPages;
+      close(isComplete ? 'ended' : 'ended-elsewhere');
     } else if (isUnchanged && revision === writer.head?.revision) {
       confirmation.noteByStore(sentAt);
     } else confirmation.noteUncancelled(sentAt);
