Renewals of a lease confirm a watch only as far as a follower has time left

What callers saw: followers of a relay whose watches stalled applied a change of a worker after 2.0 s and a little more (bound 2 s), as the relay's data counted as more recent than it was.

Cause: a relay pauses 0.4 s after a change before it watches again, and renewals confirmed a watch sent with data up to 0.25 of the bound old for 0.15 of it. Both together, and the age of 0.7 at which a follower reads the store, are 1.1 of the bound.

Evidence: 'renewals let the data of a stalled watch count as little more recent than it is' failed before: 702 + 1,400 ms.

Why it works: the time that is taken on trust, from the data's own age on, is at most 0.25 of the bound; with 0.7 and the store's answer this is below the bound. A watch that is alive still counts as at most 0.5 old at its end, below what followers and relays accept.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -36,6 +36,12 @@
 /** Maximum age of the data at which a watch is sent that renewals confirm, as a share of the bound. */
 const RECENT_SHARE = 0.25;
 
+/**
+ * Maximum time by which renewals make the data of a stalled watch count as more recent than it is, as
+ * a share of the change bound. With the age at which a follower reads the store, it is below the bound.
+ */
+const UNPROVEN_SHARE = 0.25;
+
 /** Prefixes whose changes must take effect at all nodes within a time. */
 export interface ChangeBound {
   /** Prefixes to which the bound applies. */
@@ -239,8 +245,9 @@
     if (!isWaiting || sentToStoreAt === undefined || renewedAt < sentToStoreAt) return currentAsOf;
     if (!boundPrefixes.includes(prefix)) return Number.POSITIVE_INFINITY;
     // Data that is old when a watch is sent shows that earlier calls were not answered.
-    const isRecent = sentToStoreAt - currentAsOf <= RECENT_SHARE * changeBound();
-    return isRecent ? sentToStoreAt + RENEWAL_SHARE * changeBound() : currentAsOf;
+    const bound = changeBound();
+    if (sentToStoreAt - currentAsOf > RECENT_SHARE * bound) return currentAsOf;
+    return Math.min(sentToStoreAt + RENEWAL_SHARE * bound, currentAsOf + UNPROVEN_SHARE * bound);
   }
 
   /**
--- a/test/fleet/silent-watch.test.ts
+++ b/test/fleet/silent-watch.test.ts
@@ -1,5 +1,8 @@
 /** Guards against a relay reporting no changes while its watch waits on a stalled connection. */
 import t from 'tap';
+import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { DirectPrefixes } from '../../src/fleet/direct-prefixes.js';
+import { followerLimits } from '../../src/fleet/prefix-freshness.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
 import { CHANGE_BOUND, RelayedFleet } from './relayed-fleet.js';
 
@@ -80,3 +83,56 @@
     },
   );
 }
+
+async function missedInPause(phase: number): Promise<number> {
+  const zones = ['zone-1', 'zone-2'];
+  const nodes = zones.flatMap((zone) => ['a', 'b', 'c'].map((name) => [`${zone}/${name}`, zone]));
+  const delays = { renewalInterval: 600, coalesce: 400 };
+  const fleet = new RelayedFleet(Object.fromEntries(nodes), delays);
+  await fleet.start();
+  // Relays that were requested before they watched are excluded for 2 s.
+  await PROCESS_CLOCK.sleep(3_000 + phase);
+  await fleet.propagationTime('before', fleet.relays());
+  await PROCESS_CLOCK.sleep(20);
+  for (const relay of fleet.relays()) fleet.withoutWatches.add(relay);
+  const time = await fleet.propagationTime('missed', fleet.followers());
+  fleet.stop();
+  return time;
+}
+
+t.test('followers receive a change in time that a stalled relay missed in its pause', async (t) => {
+  // Spread over the time between two renewals of a lease.
+  const phases = Array.from({ length: 12 }, (_, index) => 50 * index);
+  const times = await Promise.all(phases.map((phase) => missedInPause(phase)));
+  t.comment(`received after ${times.map(Math.round).join(', ')} ms`);
+  t.same(
+    times.filter((time) => time >= CHANGE_BOUND),
+    [],
+  );
+});
+
+t.test(
+  'renewals let the data of a stalled watch count as little more recent than it is',
+  async (t) => {
+    const store = new SharedStoreEmulator();
+    store.write('workers/w1', 'ready');
+    store.deafenWatches();
+    const direct = new DirectPrefixes({
+      ...{ store, clock: PROCESS_CLOCK, renewalAge: () => 0, boundPrefixes: ['workers/'] },
+      changeBound: () => CHANGE_BOUND,
+    });
+    await direct.list('workers/');
+    const listedAt = PROCESS_CLOCK.now();
+    await PROCESS_CLOCK.sleep(400);
+    const abort = new AbortController();
+    void direct.watch('workers/', 1, 60_000, abort.signal);
+    await PROCESS_CLOCK.sleep(500);
+    const request = { kind: 'follow-prefix', prefix: 'workers/', after: 1, wait: 0 } as const;
+    const answer = await direct.answer({ ...request, maxAge: CHANGE_BOUND });
+    const age = answer.isCurrent && answer.changes !== undefined ? (answer.freshness?.age ?? 0) : 0;
+    const unproven = PROCESS_CLOCK.now() - listedAt - age;
+    abort.abort();
+    const followerAge = followerLimits(CHANGE_BOUND).store;
+    t.ok(unproven + followerAge < 0.96 * CHANGE_BOUND, `${unproven} + ${followerAge} ms`);
+  },
+);
