A key that was removed and written again while a list was read is kept

An item counts as removed now only if its own revision is not above the removal's.

Evidence: newer-items-in-older-lists.test.ts failed before. Run: test/shared-store whole, none failed.

--- a/src/shared-store/prefix-watcher.ts
+++ b/src/shared-store/prefix-watcher.ts
@@ -165,7 +165,7 @@
   /** Records an item of a list; returns false if it is known, or was removed after the list. */
   private recordIfListedAnew({ key, revision }: StoreItem, listRevision: Revision): boolean {
     const { asOf = 0, itemsUpTo = 0 } = this.removals.get(key) ?? {};
-    const isRemoved = listRevision < asOf || revision <= itemsUpTo;
+    const isRemoved = revision <= itemsUpTo || (listRevision < asOf && revision <= asOf);
     if (isRemoved || revision <= (this.knownRevisions.get(key) ?? 0)) return false;
     this.recordItem(key, revision);
     return true;
