A mark of an early end holds for each caller that sent one, and is written once

Cause: a mark held one tenant, and was written before it was looked for. It holds the tenants of all callers now, or those of none if a caller may end all jobs, by the rule that holds for jobs that exist; it is read first, and written only if it lacks the caller.

--- a/src/jobs/job-cancellations.ts
+++ b/src/jobs/job-cancellations.ts
@@ -2,7 +2,7 @@
 import type { Failure } from '../errors/error-kinds.js';
 import type { Clock } from '../serving/clock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import { type CallerIdentity, mayAccess, tenantNameOf } from '../tenants/tenant.js';
+import { type CallerIdentity, mayAccess } from '../tenants/tenant.js';
 import { denyAccess, failureOf, storeUnavailable } from './job-answers.js';
 import type { CancellationAtOwner, JobPeers } from './job-peers.js';
 import type { JobReader } from './job-reader.js';
@@ -103,9 +103,9 @@
    * returns whether the store has a mark and still lacks the job.
    */
   private async markEnd(job: string, caller: CallerIdentity): Promise<boolean> {
-    const outcome = await this.options.store.endMarks.record(job, tenantNameOf(caller));
+    const outcome = await this.options.store.endMarks.record(job, caller);
     this.options.log.state('job-end-marked', { job, outcome });
-    return outcome === 'recorded' || outcome === 'foreign';
+    return outcome === 'recorded';
   }
 
   /**
--- a/src/jobs/job-records.ts
+++ b/src/jobs/job-records.ts
@@ -115,8 +115,8 @@
 
 /** The end of a job that came before its creation. */
 const END_MARK = looseRecord({
-  /** The tenant of the caller, whose job alone it cancels. */
-  tenant: z.string().optional(),
+  /** The callers' tenants, whose jobs alone it cancels. @default those of all tenants */
+  tenants: z.array(z.string()).optional(),
 });
 
 /** A request for a score. */
