An early start under a trainer's right waits for the store as any other

Cause: the trainer's right shows that a step is the next one, not that nobody has ended it; an early start under it counted as confirmed.

Why it works: every early start is unconfirmed until the head and the mark of an early end were read; at a node that can't reach the store it begins once that is noticed. With a store that answers within 100 ms nothing changes.

--- a/src/jobs/job-submissions.ts
+++ b/src/jobs/job-submissions.ts
@@ -200,8 +200,8 @@
     const creation = job.createInStore(head);
     const state = { journal, ownedSince };
     const mayStart = owner !== null && (mayJournal || journals === undefined);
-    // Only the trainer's right shows that the job is new.
-    const earlyState = mayJournal ? state : { journal, ownedSince: NEVER };
+    // The job may have been cancelled before it was submitted.
+    const earlyState = { journal, ownedSince: NEVER };
     const early = mayStart
       ? await this.startEarly(spec, creation, cachedWork, earlyState)
       : undefined;
