A surplus response: the test waits until its connection is closed

What was seen: "a surplus response is never matched to the next request" failed in 1 of 8 runs of its file with injected stalls of 30 to 90 ms, some 60 ms apart ("failed" in place of "two", one connection in place of two).

Cause: the test waited 40 ms for a response that the stub sends after 10 ms. Where the process stalls meanwhile, both timers fire in one turn, and the next request is written to the pooled connection before the surplus response is read. The client rejects the surplus then too, as it names another request; the caller gets a failure, not another's answer.

Change: the test waits until the client has closed the connection, which the fixed time stood for. All its checks stay; that the connection is closed is now required.

--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -156,13 +156,18 @@
 });
 
 t.test('a surplus response is never matched to the next request', async (t) => {
+  let resolveClosed = (): void => {};
+  const whenClosed = new Promise<void>((resolve) => {
+    resolveClosed = resolve;
+  });
   const twice: Script = (id, socket) => {
+    socket.once('close', resolveClosed);
     socket.write(reply('200 OK', stamped(id), 'one'));
     setTimeout(() => socket.write(reply('200 OK', stamped(id), 'surplus')), 10);
   };
   const worker = await startWorker(t, twice, answers('two'));
   t.equal(await bodyOf(await worker.send()), 'one');
-  await new Promise((resolve) => setTimeout(resolve, 40));
+  await whenClosed;
   t.equal(await bodyOf(await worker.send()), 'two');
   t.equal(worker.connections(), 2);
 });
