Past the results that it has, the owner of a cancelled job reads like any other node

Cause: an owner that closed a job as cancelled answered for all positions, although recovery may list journaled results of a cancelled job for others.

Why it works: such an owner answers from memory only positions that it has, which never change; past them it asks the journals and the store as all do, and answers 503 if these are silent.

Evidence: pages-of-earlier-owner.test.ts failed before ('0 of 1 results at node-1 of zone-1').

--- a/src/jobs/job-readings.ts
+++ b/src/jobs/job-readings.ts
@@ -91,6 +91,16 @@
         return denyAccess(this.options.log, job, ownedJob.spec.tenant, caller);
       return this.readOwned(ownedJob, after, wait, caller);
     }
+    return this.readUnowned(job, after, wait, caller);
+  }
+
+  /** Reads from the owner or the store. */
+  private async readUnowned(
+    job: string,
+    after: number,
+    wait: Milliseconds,
+    caller: CallerIdentity,
+  ): Promise<ResultSlice | Failure> {
     const read = await this.options.reader.listing(job, after, wait);
     if (read.kind !== 'found') {
       this.options.reads.noteUnread(job, after, read);
@@ -145,6 +155,7 @@
     if (ownedJob === undefined) return { isOwner: false };
     await this.awaitResults(ownedJob, after, wait);
     if (!ownedJob.canAnswer || mayLackResults(ownedJob, after)) return { isOwner: false };
+    if (mayBeListedElsewhere(ownedJob, after)) return { isOwner: false };
     const { items, tenant } = ownedJob.spec;
     const total = items.length;
     const { pages, results } = ownedJob;
@@ -161,6 +172,7 @@
   ): Promise<ResultSlice | Failure> {
     await this.awaitResults(job, after, wait);
     if (!job.canAnswer) return this.readHere(job.spec.id, after, 0, caller);
+    if (mayBeListedElsewhere(job, after)) return this.readUnowned(job.spec.id, after, 0, caller);
     const { id, items } = job.spec;
     if (mayLackResults(job, after)) {
       const unread = { kind: 'unavailable', cause: 'ownership-unconfirmed' } as const;
@@ -195,6 +207,12 @@
   return isShort && job.ownershipAge() > MAX_END_OF_LIST_CONFIRMATION_AGE;
 }
 
+/** Whether a recovery of a cancelled job may have listed journaled results that its owner lacks. */
+function mayBeListedElsewhere(job: OwnedJob, after: number): boolean {
+  const isShort = after >= job.results.length && job.closeReason === 'ended';
+  return isShort && job.term !== undefined;
+}
+
 function bodyOrAbsent(body: string | undefined): Buffer | Failure {
   if (body === undefined) return failure('not_found', 'the job has no such item');
   return Buffer.from(body, 'base64');
