A request that is rejected for good leaves a line with the configuration that decided and its age

Change: decisions on callers' requests pass through one module, which writes request-rejected (id, host, path, kind, version, age of the data, by whom it came) and counts it. Rejections have a budget of lines of their own, 10 a second, so that neither they nor the lines of served requests crowd each other out. It replaces request-unauthenticated. The HTTP fixture of ingress.test.ts is a module of its own; its tests and their checks are as before. No answer changes.

--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -91,6 +91,11 @@
   return value.retryAfter ?? ERROR_ANSWERS[value.kind].retryAfter;
 }
 
+/** Whether the caller is told that the work did not run and that a retry cannot succeed. */
+export function isFinalRejection(value: Failure): boolean {
+  return executionStateOf(value) === 'no' && retryAfterOf(value) === null;
+}
+
 /**
  * Replaces `no` by `unknown` for a call whose key an earlier call used: this call did not run the
  * work, but the earlier one may have.
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -21,6 +21,7 @@
 import { type DistanceBetween, ZoneTopology } from '../placement/zone-topology.js';
 import { ActiveConfiguration } from '../serving/active-configuration.js';
 import type { AnswerSink, CallerRequest } from '../serving/answer-sink.js';
+import { ConfigurationDecisions } from '../serving/configuration-decisions.js';
 import { RequestForwarder } from '../serving/request-forwarder.js';
 import { RequestQuarantine } from '../serving/request-quarantine.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
@@ -72,6 +73,8 @@
   readonly registry: WorkerRegistry;
   /** The configuration that this node applies. */
   readonly configuration: ActiveConfiguration;
+  /** Decides on callers' requests by {@link configuration}. */
+  readonly decisions: ConfigurationDecisions;
   readonly jobs: JobService;
   private readonly forwarder: RequestForwarder;
   private readonly dispatcher: ItemDispatcher;
@@ -143,6 +146,18 @@
       ...{ log, metrics },
       isRegionKnown: (region) => topology.hasRegion(region),
     });
+    const { operatorPrefix } = options.feeds;
+    this.decisions = new ConfigurationDecisions({
+      ...{ configuration: this.configuration, log, metrics },
+      freshness: {
+        get age() {
+          return relay.dataAge(operatorPrefix);
+        },
+        get source() {
+          return relay.sourceOf(operatorPrefix);
+        },
+      },
+    });
     const routes = (): RouteMatcher | undefined => this.configuration.routes;
     const { engine } = this.workerGate;
     const shared = { ...options, engine, store, self, routes, registry: this.registry };
--- a/src/fleet/prefix-sources.ts
+++ b/src/fleet/prefix-sources.ts
@@ -38,6 +38,11 @@
     return this.sources.has(prefix);
   }
 
+  /** The source from which a prefix was last received; {@link NO_SOURCE} if there is none now. */
+  sourceOf(prefix: string): NodeId {
+    return this.sources.get(prefix)?.source ?? NO_SOURCE;
+  }
+
   /** Time since the last contact about a prefix; infinite before the first. */
   contactAge(prefix: string): Milliseconds {
     const contactAt = this.contacts.get(prefix) ?? Number.NEGATIVE_INFINITY;
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -5,6 +5,7 @@
  * A change must take effect at a follower within a bound even if relays fail, so one time budget
  * covers all nodes between the follower and the store ({@link PrefixFreshness}).
  */
+import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { PeerAnswers, PeerPort, PeerRequestOf } from '../peers/peer-messages.js';
 import type {
@@ -78,6 +79,16 @@
     return Math.min(this.received.sources.contactAge(prefix), this.direct.contactAge(prefix));
   }
 
+  /** Time for which changes of a prefix may be missing here; infinite before the first list. */
+  dataAge(prefix: string): Milliseconds {
+    return this.received.freshness.age(prefix);
+  }
+
+  /** The relay or the store from which this node last received a prefix. */
+  sourceOf(prefix: string): NodeId {
+    return this.received.sources.sourceOf(prefix);
+  }
+
   /** Whether this node is a relay. */
   get isRelay(): boolean {
     return this.choice.isRelay;
--- a/src/serving/active-configuration.ts
+++ b/src/serving/active-configuration.ts
@@ -102,35 +102,22 @@
   }
 
   /** The caller of a request on a route, or the failure with which the request is rejected. */
-  identify(key: string | undefined, route: Route, requestId: string): CallerIdentity | Failure {
+  identify(key: string | undefined, route: Route): CallerIdentity | Failure {
     if (this.matcher === undefined) return NO_CONFIGURATION;
-    const caller = this.matcher.tenants.identify(key, route.isPublic);
-    return this.noteIdentified(caller, requestId, route.name);
+    return this.countIdentified(this.matcher.tenants.identify(key, route.isPublic));
   }
 
   /** The caller of a request about a job, which matches no route, or the failure. */
-  identifyJobCaller(
-    key: string | undefined,
-    host: string,
-    requestId: string,
-  ): CallerIdentity | Failure {
+  identifyJobCaller(key: string | undefined, host: string): CallerIdentity | Failure {
     const { matcher } = this;
     if (matcher === undefined) return NO_CONFIGURATION;
-    const caller = matcher.tenants.identify(key, matcher.hasPublicBatchRoute(host));
-    return this.noteIdentified(caller, requestId, 'jobs');
+    return this.countIdentified(matcher.tenants.identify(key, matcher.hasPublicBatchRoute(host)));
   }
 
-  /** Logs and counts failures; the detail has only the fingerprint of the key. */
-  private noteIdentified(
-    caller: CallerIdentity | Failure,
-    request: string,
-    route: string,
-  ): CallerIdentity | Failure {
-    if (!('detail' in caller)) return caller;
-    const { kind, detail } = caller;
-    this.options.metrics.count('requests', { kind: 'unidentified', outcome: kind });
-    const details = { request, route, detail, version: this.version ?? 0 };
-    this.options.log.decision('request-unauthenticated', details);
+  private countIdentified(caller: CallerIdentity | Failure): CallerIdentity | Failure {
+    if ('detail' in caller) {
+      this.options.metrics.count('requests', { kind: 'unidentified', outcome: caller.kind });
+    }
     return caller;
   }
 }
--- a/src/telemetry/decision-log.ts
+++ b/src/telemetry/decision-log.ts
@@ -1,12 +1,13 @@
 /**
- * Logs decisions and state changes as JSON lines. Decisions are rate-limited: dropped lines are counted
- * by event and logged in one line. Writing never blocks; the library drops lines when its buffer is full.
+ * Logs decisions, rejections and state changes as JSON lines. Decisions and rejections are each
+ * rate-limited: dropped lines are counted by event and logged in one line. Writing never blocks; the
+ * library drops lines when its buffer is full.
  */
 import { type DestinationStream, type Logger, pino } from 'pino';
 import type { NodeId, ZoneName } from '../core/identity.js';
 import type { ChangeDetails } from '../core/state-change.js';
-import { SECOND } from '../core/units.js';
 import type { Clock } from '../serving/clock.js';
+import { LineBudget } from './line-budget.js';
 
 /** Options of {@link DecisionLog}. */
 export interface DecisionLogOptions {
@@ -21,18 +22,19 @@
 
 const DEFAULT_LINES_PER_SECOND = 60;
 
+/** Limit of rejection lines per second, beside that of decisions. */
+const REJECTION_LINES_PER_SECOND = 10;
+
 /** Buffer of the asynchronous destination; lines that exceed it are dropped. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 
-/** Writes decisions, state changes and faults. */
+/** Writes decisions, rejections, state changes and faults. */
 export class DecisionLog {
   private readonly logger: Logger;
-  private readonly linesPerWindow: number;
-  private windowStart = 0;
-  private linesInWindow = 0;
-  private readonly dropped = new Map<string, number>();
+  private readonly decisions: LineBudget;
+  private readonly rejections: LineBudget;
 
-  constructor(private readonly options: DecisionLogOptions) {
+  constructor(options: DecisionLogOptions) {
     const loggerOptions = {
       base: { node: options.node, zone: options.zone },
       timestamp: pino.stdTimeFunctions.isoTime,
@@ -41,7 +43,12 @@
       options.destination ??
       pino.destination({ sync: false, maxLength: MAX_BUFFERED_BYTES, minLength: 0 });
     this.logger = pino(loggerOptions, destination);
-    this.linesPerWindow = options.linesPerSecond ?? DEFAULT_LINES_PER_SECOND;
+    const { clock, linesPerSecond = DEFAULT_LINES_PER_SECOND } = options;
+    const onDropped = (counts: Readonly<Record<string, number>>): void =>
+      this.logger.info(counts, 'log-lines-dropped');
+    this.decisions = new LineBudget({ clock, linesPerSecond, onDropped });
+    const rejectionOptions = { clock, linesPerSecond: REJECTION_LINES_PER_SECOND, onDropped };
+    this.rejections = new LineBudget(rejectionOptions);
   }
 
   /** Logs a state change; not rate-limited, as state changes are rare. */
@@ -51,27 +58,16 @@
 
   /** Logs a decision about one request or item; only counts it when the rate limit is reached. */
   decision(event: string, details: ChangeDetails): void {
-    this.startWindowIfDue();
-    if (this.linesInWindow >= this.linesPerWindow) {
-      this.dropped.set(event, (this.dropped.get(event) ?? 0) + 1);
-      return;
-    }
-    this.linesInWindow += 1;
-    this.logger.info(details, event);
+    if (this.decisions.admit(event)) this.logger.info(details, event);
+  }
+
+  /** Logs the rejection of a request, like a decision, under a rate limit of its own. */
+  rejection(event: string, details: ChangeDetails): void {
+    if (this.rejections.admit(event)) this.logger.info(details, event);
   }
 
   /** Logs an internal error. */
   fault(event: string, error: unknown): void {
     this.logger.error({ err: error }, event);
   }
-
-  private startWindowIfDue(): void {
-    const now = this.options.clock.now();
-    if (now - this.windowStart < SECOND) return;
-    this.windowStart = now;
-    this.linesInWindow = 0;
-    if (this.dropped.size === 0) return;
-    this.logger.info(Object.fromEntries(this.dropped), 'log-lines-dropped');
-    this.dropped.clear();
-  }
 }
--- a/test/platform-adapter/ingress.test.ts
+++ b/test/platform-adapter/ingress.test.ts
@@ -1,144 +1,13 @@
-import http from 'node:http';
 import t from 'tap';
-import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
-import { FEED_TRANSLATION, storageDrainPort } from '../../platform/feeds.js';
-import { Ingress } from '../../platform/ingress.js';
-import { GatewayNode } from '../../src/fleet/gateway-node.js';
-import { PROCESS_CLOCK } from '../../src/serving/clock.js';
-import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
-import { eventually, StubPeers } from '../fleet/fleet-fixtures.js';
+import { eventually } from '../fleet/fleet-fixtures.js';
+import { answer, events, type Script } from '../serving/serving-fixtures.js';
 import {
-  answer,
-  events,
-  recordingLog,
-  type Script,
-  ScriptedEngine,
-  VERSION_FIELD,
-} from '../serving/serving-fixtures.js';
-
-const CONFIGURATION = {
-  version: 3,
-  routes: [
-    { name: 'look', host: 'h', path_prefix: '/look/', kind: 'read_only', service: 's' },
-    {
-      name: 'draw',
-      host: 'h',
-      path_prefix: '/draw/',
-      kind: 'rollout',
-      service: 's',
-      max_attempts: 3,
-      resumable: true,
-    },
-  ],
-  services: [{ name: 's' }],
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 2_000,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
-};
-
-const WORKER = {
-  service: 's',
-  address: '127.0.0.1:9',
-  zone: 'z',
-  slots: 4,
-  state: 'ready',
-  models: [{ name: 'm', version: 1 }],
-};
-
-interface Answer {
-  readonly status: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: string;
-}
-
-interface Fixture {
-  readonly store: SharedStoreEmulator;
-  readonly node: GatewayNode;
-  readonly engine: ScriptedEngine;
-  call(method: string, path: string, body?: string, headers?: object): Promise<Answer>;
-}
-
-const ANY_PORT = '127.0.0.1:0';
-
-async function gateway(test: Pick<typeof t, 'teardown'>, ...scripts: Script[]): Promise<Fixture> {
-  const store = new SharedStoreEmulator();
-  const engine = new ScriptedEngine(scripts);
-  const clock = PROCESS_CLOCK;
-  const node = new GatewayNode({
-    node: 'node-1',
-    zone: 'z',
-    store,
-    engine,
-    peers: new StubPeers(),
-    peerAddress: '127.0.0.1:1',
-    feeds: FEED_TRANSLATION,
-    versionField: VERSION_FIELD,
-    clock,
-    log: recordingLog().log,
-    metrics: new FleetMetrics(),
-    timings: () => ({
-      coordinatorHandOver: 0,
-      areTokensChecked: true,
-      changeBound: 2_000,
-      jobRetention: 60_000,
-      stopLimit: 8_000,
-    }),
-    storageDrains: storageDrainPort(store),
-  });
-  const server = new Ingress(node, clock);
-  const port = await server.listen(ANY_PORT);
-  node.start();
-  test.teardown(async () => {
-    server.close();
-    await node.stop();
-  });
-  const call: Fixture['call'] = (method, path, body = '', headers = {}) =>
-    new Promise((resolve, reject) => {
-      const options = { port, host: '127.0.0.1', method, path, agent: false };
-      const all = { host: 'h', 'x-wardwing-request-id': 'id-1', ...headers };
-      const request = http.request({ ...options, headers: all }, (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('end', () => {
-          const text = Buffer.concat(chunks).toString();
-          resolve({ status: response.statusCode ?? 0, headers: response.headers, body: text });
-        });
-      });
-      request.on('error', reject);
-      request.end(body);
-    });
-  return { store, node, engine, call };
-}
-
-async function startConfiguredGateway(
-  test: Pick<typeof t, 'teardown'>,
-  ...scripts: Script[]
-): Promise<Fixture> {
-  const fixture = await gateway(test, ...scripts);
-  fixture.store.write('op/config', JSON.stringify(CONFIGURATION));
-  fixture.store.write('servers/w1', JSON.stringify(WORKER));
-  await eventually(() => fixture.node.isReady && fixture.node.registry.get('w1') !== undefined);
-  return fixture;
-}
-
-const submissionBody = (items: number): string =>
-  JSON.stringify({
-    step: 0,
-    model: 'm',
-    min_version: 1,
-    desired_count: 1,
-    requests: Array.from({ length: items }, (_, index) => ({
-      id: `item-${index}`,
-      path: `/draw/${index}`,
-      headers: { 'X-Own': 'kept' },
-      body: Buffer.from(`body ${index}`).toString('base64'),
-      tokens: 10,
-      group: 'g',
-    })),
-  });
+  CONFIGURATION,
+  type Fixture,
+  gateway,
+  startConfiguredGateway,
+  submissionBody,
+} from './http-gateway.js';
 
 t.test('without a configuration the response is 503 with a retry delay, never 404', async (t) => {
   const { node, call } = await gateway(t);
@@ -149,7 +18,7 @@
 });
 
 t.test('requests are routed; an unmatched path is not found', async (t) => {
-  const { call, engine } = await startConfiguredGateway(t, answer('reply'));
+  const { call, engine } = await startConfiguredGateway(t, CONFIGURATION, answer('reply'));
   const found = await call('POST', '/look/x?y=1', 'question', { 'x-wardwing-deadline-ms': '900' });
   t.equal(found.status, 200);
   t.equal(found.body, 'reply');
@@ -160,7 +29,7 @@
 
 t.test('a job is submitted, run, read, queried for an item body and cancelled', async (t) => {
   const stream = answer(events(0, 'ab'), { isStream: true });
-  const { call, engine } = await startConfiguredGateway(t, stream);
+  const { call, engine } = await startConfiguredGateway(t, CONFIGURATION, stream);
   const accepted = await call('POST', '/draw/submit', submissionBody(1), {
     'x-wardwing-request-id': 'job-1',
   });
@@ -189,7 +58,7 @@
 });
 
 t.test('invalid input is rejected and has no effect', async (t) => {
-  const { call, store } = await startConfiguredGateway(t);
+  const { call, store } = await startConfiguredGateway(t, CONFIGURATION);
   t.equal((await call('POST', '/draw/submit', 'not json')).status, 400);
   const missing = await call('POST', '/draw/submit', '{"requests":[{"path":"/draw/1"}]}');
   t.equal(missing.status, 400);
@@ -201,7 +70,12 @@
 });
 
 t.test('an invalid configuration leaves the last valid one in force', async (t) => {
-  const { call, store, node } = await startConfiguredGateway(t, answer('one'), answer('two'));
+  const { call, store, node } = await startConfiguredGateway(
+    t,
+    CONFIGURATION,
+    answer('one'),
+    answer('two'),
+  );
   store.write('op/config', 'not a configuration');
   store.write('op/version/m', '{"model":"m","version":2}');
   store.write('op/config', JSON.stringify({ ...CONFIGURATION, version: 2 }));
@@ -213,7 +87,7 @@
 t.test('an item with a scorer is listed with the signature of its score only', async (t) => {
   const stream = answer(events(0, 'ab'), { isStream: true, signature: 'of the text' });
   const score = answer('judged', { signature: 'of the score' });
-  const { call, engine } = await startConfiguredGateway(t, stream, score);
+  const { call, engine } = await startConfiguredGateway(t, CONFIGURATION, stream, score);
   const job = JSON.parse(submissionBody(1));
   const body = Buffer.from('judge').toString('base64');
   job.requests[0].scorer = { id: 'score-1', host: 'h', path: '/look/score', body };
@@ -232,7 +106,7 @@
 });
 
 t.test('an invalid scorer is rejected with the name of its field', async (t) => {
-  const { call } = await startConfiguredGateway(t);
+  const { call } = await startConfiguredGateway(t, CONFIGURATION);
   const job = JSON.parse(submissionBody(1));
   job.requests[0].scorer = { id: 'score-1', host: 'h', path: 'no slash' };
   const refused = await call('POST', '/draw/submit', JSON.stringify(job));
@@ -241,7 +115,7 @@
 });
 
 t.test('an item that HTTP cannot carry is rejected with the name of its field', async (t) => {
-  const { call, store } = await startConfiguredGateway(t);
+  const { call, store } = await startConfiguredGateway(t, CONFIGURATION);
   const smuggled = ' HTTP/1.1\r\nX-Wardwing-Request-Id: other\r\n\r\n';
   const scorer = { id: 'score-1', host: 'h', path: '/look/score' };
   const cases: [field: RegExp, item: object][] = [
@@ -269,7 +143,7 @@
 });
 
 t.test('header values of an item may hold all that HTTP can carry', async (t) => {
-  const { call, engine } = await startConfiguredGateway(t);
+  const { call, engine } = await startConfiguredGateway(t, CONFIGURATION);
   const job = JSON.parse(submissionBody(1));
   job.requests[0].headers = { "X-Own.!#$%&'*+-^_`|~": 'tab\t space caf\u00e9', 'X-Empty': '' };
   job.requests[0].path = "/draw/0?a=b&c=%20;[x]'~";
@@ -296,7 +170,7 @@
   test: Pick<typeof t, 'teardown'>,
   ...scripts: Script[]
 ): Promise<Fixture> {
-  const fixture = await startConfiguredGateway(test, ...scripts);
+  const fixture = await startConfiguredGateway(test, CONFIGURATION, ...scripts);
   fixture.store.write('op/config', JSON.stringify(WITH_TENANTS));
   await eventually(() => fixture.node.configuration.version === 4);
   return fixture;
