A configuration rejects a request for good only while it is current

What callers saw: a gateway answered 404 for a route, or 401 for a key, that had been in force for longer than the bound, and the caller did not come back. Cause: a final rejection did not ask how old the data is on which it rests. Every holder of a prefix knows that age, and only the path of changes used it, so each path that is late, whichever, became a 404. The class: an absence that is concluded from data of unknown age. Change: ConfigurationDecisions passes a decision that admits a request at once. One that rejects it for good needs data of at most 0.75 of the change bound (ages that renewals of a lease confirm may be too low by the rest); else the configuration's key is read at the store, one read for all that wait and none for 300 ms after a failed one, and the request is decided once more. Where the read fails or takes too long, the answer is 503 with Retry-After. The doors: routes, keys, calls about jobs (keys and tenants), submissions to routes that take none any more, limits of bodies. Requests that are admitted on late data, and nodes that run jobs, have the key read too, so that a dropped route, a removed key or an old service is not used for longer than the bound while the store answers. Why it works: a read of the store is linearizable, so its answer is complete as of its sending; with it, no change older than the bound can be missing.

--- a/src/fleet/fleet-feeds.ts
+++ b/src/fleet/fleet-feeds.ts
@@ -42,6 +42,8 @@
 export interface FeedTranslation {
   /** Prefix of the records of the operator and the trainers. */
   readonly operatorPrefix: string;
+  /** Key of the configuration; under {@link operatorPrefix}. */
+  readonly configurationKey: string;
   /** Prefix of the records of workers. */
   readonly workerPrefix: string;
   /** Translates a change under either prefix; `undefined` for a record that is not used. */
--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -33,6 +33,7 @@
 } from '../serving/traffic-configuration.js';
 import type { WorkerRegistry } from '../serving/worker-registry.js';
 import { meteredStore } from '../shared-store/metered-store.js';
+import { ConfigurationRefresh } from './configuration-refresh.js';
 import { Coordination } from './coordination.js';
 import { CrashReports } from './crash-reports.js';
 import { type FleetEvent, FleetFeeds } from './fleet-feeds.js';
@@ -75,6 +76,7 @@
   readonly configuration: ActiveConfiguration;
   /** Decides on callers' requests by {@link configuration}. */
   readonly decisions: ConfigurationDecisions;
+  private readonly configurationRefresh: ConfigurationRefresh;
   readonly jobs: JobService;
   private readonly forwarder: RequestForwarder;
   private readonly dispatcher: ItemDispatcher;
@@ -146,18 +148,21 @@
       ...{ log, metrics },
       isRegionKnown: (region) => topology.hasRegion(region),
     });
-    const { operatorPrefix } = options.feeds;
-    this.decisions = new ConfigurationDecisions({
-      ...{ configuration: this.configuration, log, metrics },
-      freshness: {
-        get age() {
-          return relay.dataAge(operatorPrefix);
-        },
-        get source() {
-          return relay.sourceOf(operatorPrefix);
-        },
+    const { operatorPrefix, configurationKey, translate } = options.feeds;
+    this.configurationRefresh = new ConfigurationRefresh({
+      ...{ store: directStore, key: configurationKey, clock },
+      feedAge: () => relay.dataAge(operatorPrefix),
+      feedSource: () => relay.sourceOf(operatorPrefix),
+      changeBound: () => options.timings().changeBound,
+      isStoreUnreachable: () => this.fleet.isStoreUnreachable,
+      apply: (change) => {
+        const event = translate(change);
+        if (event !== undefined) this.applyEvent(event);
       },
     });
+    this.decisions = new ConfigurationDecisions({
+      ...{ configuration: this.configuration, freshness: this.configurationRefresh, log, metrics },
+    });
     const routes = (): RouteMatcher | undefined => this.configuration.routes;
     const { engine } = this.workerGate;
     const shared = { ...options, engine, store, self, routes, registry: this.registry };
@@ -424,6 +429,9 @@
     if (this.isStopping) return;
     this.shortenLeaseIfNeeded();
     this.coordination.tick();
+    // Items and orders follow the configuration without requests of callers.
+    if (this.isBusy && !this.configurationRefresh.isCurrent)
+      void this.configurationRefresh.refresh();
   }
 
   /**
--- a/src/fleet/prefix-freshness.ts
+++ b/src/fleet/prefix-freshness.ts
@@ -37,6 +37,12 @@
  */
 const SHORT_WAIT_SHARES = { min: 0.0125, max: 0.05 };
 
+/**
+ * Age up to which data proves that a change is absent, as a share of the change bound. Ages that
+ * include a confirmation by renewals of a lease may be too low by the rest.
+ */
+const CONCLUSIVE_SHARE = 0.75;
+
 /** Age of the data of an older build, which does not report it, as a share of the change bound. */
 const UNREPORTED_AGE_SHARE = 0.25;
 
@@ -48,6 +54,11 @@
   return scaled(FOLLOWER_SHARES, changeBound);
 }
 
+/** Age up to which data proves that nothing else has been in force for the change bound. */
+export function conclusiveAge(changeBound: Milliseconds): Milliseconds {
+  return CONCLUSIVE_SHARE * changeBound;
+}
+
 /** Time for which a request may wait for changes at another node. */
 export function maxWait(
   limits: AgeLimits,
--- a/src/serving/active-configuration.ts
+++ b/src/serving/active-configuration.ts
@@ -17,8 +17,8 @@
   TrafficLimits,
 } from './traffic-configuration.js';
 
-/** Retry hint of a node without a configuration: a few polls of the store. */
-const CONFIGURATION_RETRY_AFTER: Milliseconds = 300;
+/** Retry hint of a node without a current configuration: a few polls of the store. */
+export const CONFIGURATION_RETRY_AFTER: Milliseconds = 300;
 
 const NO_CONFIGURATION = failure('configuration_unavailable', 'no configuration is known yet', {
   retryAfter: CONFIGURATION_RETRY_AFTER,
--- a/src/serving/start-gate.ts
+++ b/src/serving/start-gate.ts
@@ -20,7 +20,7 @@
 export const MAX_HELD_REQUESTS = 256;
 
 /** Longest time for which a request is held, by the caller's timeout. */
-export function startWaitOf(timeout: Milliseconds | undefined): Milliseconds {
+export function holdLimitOf(timeout: Milliseconds | undefined): Milliseconds {
   return Math.min(MAX_START_WAIT, START_WAIT_SHARE * (timeout ?? DEFAULT_TIMEOUT));
 }
 
@@ -41,7 +41,7 @@
   }
 
   /**
-   * Resolves when the gate opens, after {@link startWaitOf}, or when the caller disconnects; at
+   * Resolves when the gate opens, after {@link holdLimitOf}, or when the caller disconnects; at
    * once if the gate is open or {@link MAX_HELD_REQUESTS} are held.
    */
   wait(timeout: Milliseconds | undefined, disconnectSignal: AbortSignal): Promise<void> {
@@ -54,7 +54,7 @@
         this.held.delete(release);
         resolve();
       };
-      const timer = setTimeout(release, startWaitOf(timeout));
+      const timer = setTimeout(release, holdLimitOf(timeout));
       disconnectSignal.addEventListener('abort', release);
       this.held.add(release);
     });
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -8,7 +8,10 @@
 /** All counters: help text and label names. */
 const COUNTERS = {
   requests: { help: 'Requests of callers that came to an end', labels: ['kind', 'outcome'] },
-  rejections: { help: 'Requests of callers that were rejected for good', labels: ['kind'] },
+  rejections: {
+    help: 'Requests of callers that the configuration rejects for good, by how current it was',
+    labels: ['kind', 'basis'],
+  },
   item_runs: { help: 'Runs of items at workers, by how they ended', labels: ['end'] },
   item_moves: { help: 'Runs of items moved to another worker, by cause', labels: ['cause'] },
   score_calls: { help: 'Calls for the scores of items, by how they ended', labels: ['outcome'] },
--- a/test/platform-adapter/held-store.ts
+++ b/test/platform-adapter/held-store.ts
@@ -14,13 +14,13 @@
   feeds: CallEffect = 'answered';
   /** Effect on reads of single keys. */
   reads: CallEffect = 'answered';
-  /** Reads of single keys so far, with those that get no answer. */
-  readCount = 0;
+  /** Reads of single keys so far, by key, with those that get no answer. */
+  readonly readCounts = new Map<string, number>();
 
   constructor(private readonly store: SharedStore) {}
 
   get: SharedStore['get'] = (key) => {
-    this.readCount += 1;
+    this.readCounts.set(key, (this.readCounts.get(key) ?? 0) + 1);
     return this.pass(
       () => this.reads,
       () => this.store.get(key),
--- a/test/serving/start-gate.test.ts
+++ b/test/serving/start-gate.test.ts
@@ -4,11 +4,11 @@
  */
 import t from 'tap';
 import {
+  holdLimitOf,
   MAX_HELD_REQUESTS,
   MAX_START_WAIT,
   START_WAIT_SHARE,
   StartGate,
-  startWaitOf,
 } from '../../src/serving/start-gate.js';
 
 const NEVER_ABORTED = new AbortController().signal;
@@ -20,16 +20,16 @@
   t.equal(gate.waiting, 20);
   setTimeout(() => gate.open(), 50);
   await Promise.all(waits);
-  t.ok(performance.now() - startedAt < startWaitOf(1_500));
+  t.ok(performance.now() - startedAt < holdLimitOf(1_500));
   t.equal(gate.waiting, 0);
   await gate.wait(1_500, NEVER_ABORTED);
   t.equal(gate.waiting, 0, 'no request is held once the gate is open');
 });
 
 t.test('a request is held for a share of its timeout, up to the maximum', async (t) => {
-  t.equal(startWaitOf(1_500), START_WAIT_SHARE * 1_500);
-  t.equal(startWaitOf(100), 40);
-  t.equal(startWaitOf(60_000), MAX_START_WAIT);
+  t.equal(holdLimitOf(1_500), START_WAIT_SHARE * 1_500);
+  t.equal(holdLimitOf(100), 40);
+  t.equal(holdLimitOf(60_000), MAX_START_WAIT);
   const gate = new StartGate();
   const startedAt = performance.now();
   await gate.wait(100, NEVER_ABORTED);
@@ -66,7 +66,7 @@
     let isServed = false;
     for (let attempt = 0; attempt < 2 && !isServed; attempt += 1) {
       const ready = readyAfter[(caller * 7 + attempt * 31) % readyAfter.length] ?? 0;
-      const hold = isHeld ? startWaitOf(end - now) : 0;
+      const hold = isHeld ? holdLimitOf(end - now) : 0;
       isServed = ready <= now + hold;
       // A rejected caller retries after at most a third of its remaining time.
       now += hold + Math.min(300, (end - now) / 3);
