A relay whose watches all stall lists the prefix, unless the store is slow for all calls

What callers saw: a gateway that relays the store, whose watches got no answer while its other calls did, applied a change of configuration or of a worker after 2.3 to 2.5 s of 2. Cause: an overdue watch was followed by another watch only, and a list came once both had failed by the time limit of a call. Change: the time of answered calls is estimated as in RFC 6298 (round-trip-estimate.ts). A watch that is unanswered for 0.175 of the bound after its wait, and for longer than nearly all calls take, is listed beside the pending watches, and whichever is answered first counts; a relay serves on meanwhile. Why it works: a stalled watch and a slow store differ in what other calls take, which each node sees for itself.

--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -12,7 +12,7 @@
 } from '../shared-store/shared-store.js';
 import { type ChangeBound, maxWatchDuration } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
-import { watchStore } from './overdue-watches.js';
+import { type ListedAtStore, watchStore } from './overdue-watches.js';
 import { type AgeLimits, ageOnArrival, followerLimits, maxWait } from './prefix-freshness.js';
 import type { ReceivedPrefixes } from './received-prefixes.js';
 import type { RelayChoice } from './relay-choice.js';
@@ -23,6 +23,7 @@
   RelaysRequest,
   RelaysTimeouts,
 } from './relay-requests.js';
+import type { RoundTripEstimate } from './round-trip-estimate.js';
 
 /** Time for a list at the first relay, as a share of the change bound. */
 const LIST_SHARE = 0.15;
@@ -59,15 +60,10 @@
   readonly requests: RelayRequests;
   readonly received: ReceivedPrefixes;
   readonly choice: Pick<RelayChoice, 'penalize'>;
+  readonly roundTrips: Pick<RoundTripEstimate, 'timeout'>;
   readonly clock: Clock;
 }
 
-/** A list of the store that was read in place of a watch. */
-interface ListedAtStore {
-  readonly outcome: StoreRangeOutcome;
-  readonly sentAt: Milliseconds;
-}
-
 export class PrefixFollower {
   /** Consecutive lists of each prefix that failed since it was last received. */
   private readonly staleRelayRetries = new Map<string, number>();
@@ -230,10 +226,14 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
-    const { store, received } = this.options;
-    const limit = maxWatchDuration(prefix, wait, this.options);
-    const changeBound = this.options.changeBound();
-    const outcome = await watchStore({ store, prefix, after, wait: limit, signal, changeBound });
+    const { store, received, roundTrips, clock } = this.options;
+    const time = {
+      wait: maxWatchDuration(prefix, wait, this.options),
+      changeBound: this.options.changeBound(),
+    };
+    const watched = await watchStore({ store, prefix, after, ...time, signal, roundTrips, clock });
+    if (watched.outcome === undefined) return this.keepList(prefix, watched.listed);
+    const { outcome } = watched;
     if (signal.aborted) return outcome;
     // Changes end such a watch at once, so none of them is late.
     return received.noteStoreOutcome(prefix, outcome, { age: 0, previousAge: 0 }, this.limits);
--- a/src/fleet/relay-upstream.ts
+++ b/src/fleet/relay-upstream.ts
@@ -19,7 +19,7 @@
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
 import type { PrefixUpstream } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
-import { NO_WAIT, watchStore } from './overdue-watches.js';
+import { type ListedAtStore, NO_WAIT, watchStore } from './overdue-watches.js';
 import {
   type Aged,
   ageOnArrival,
@@ -29,6 +29,7 @@
 } from './prefix-freshness.js';
 import type { RelayChoice, RelayFleet } from './relay-choice.js';
 import { type CurrentAnswer, currentAnswer, type RelayRequestKind } from './relay-requests.js';
+import type { RoundTripEstimate } from './round-trip-estimate.js';
 
 /** Time for the answer of the first relay in addition to the wait, as a share of the bound. */
 const ANSWER_SHARE = 0.2;
@@ -45,6 +46,7 @@
   readonly changeBound: () => Milliseconds;
   /** The age of this node's data. */
   readonly freshness: Pick<PrefixFreshness, 'age'>;
+  readonly roundTrips: Pick<RoundTripEstimate, 'timeout'>;
   readonly clock: Clock;
   readonly log: Pick<DecisionLog, 'state'>;
   readonly metrics: FleetMetrics;
@@ -71,11 +73,18 @@
   /** The relay from which each prefix was last read; `undefined` for the store. */
   private readonly sources = new Map<string, NodeId | undefined>();
   private readonly storeWatches = new Map<string, Milliseconds>();
+  /** Lists that were read in place of a watch, for the list that follows. */
+  private readonly lists = new Map<string, ListedAtStore>();
 
   constructor(private readonly options: RelayUpstreamOptions) {}
 
   async range(prefix: string): Promise<Aged<StoreRangeOutcome>> {
     const { store, peers, freshness, clock, changeBound } = this.options;
+    const listed = this.lists.get(prefix);
+    this.lists.delete(prefix);
+    if (listed !== undefined) {
+      return { ...listed.outcome, age: suspendAwareTime(clock) - listed.sentAt };
+    }
     const firstRelay = this.findFirstRelay();
     if (firstRelay === undefined) return store.range(prefix);
     const { source: maxAge, store: storeAge } = relayLimits(changeBound());
@@ -105,6 +114,7 @@
   ): Promise<Aged<StoreWatchOutcome>> {
     const { peers, freshness, clock, changeBound } = this.options;
     this.storeWatches.delete(prefix);
+    this.lists.delete(prefix);
     const firstRelay = this.findFirstRelay();
     if (firstRelay === undefined) return this.watchStore(prefix, after, wait, signal);
     const limits = relayLimits(changeBound());
@@ -164,10 +174,14 @@
     wait: Milliseconds,
     signal: AbortSignal,
   ): Promise<StoreWatchOutcome> {
-    const { store, clock } = this.options;
+    const { store, clock, roundTrips } = this.options;
     this.storeWatches.set(prefix, suspendAwareTime(clock));
-    const changeBound = this.options.changeBound();
-    return watchStore({ store, prefix, after, wait, signal, changeBound });
+    const time = { wait, changeBound: this.options.changeBound() };
+    const watched = await watchStore({ store, prefix, after, ...time, signal, roundTrips, clock });
+    if (watched.outcome !== undefined) return watched.outcome;
+    if (watched.listed.outcome.kind === 'failed') return watched.listed.outcome;
+    this.lists.set(prefix, watched.listed);
+    return { kind: 'compacted' };
   }
 
   private findFirstRelay(): FirstRelay | undefined {
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -22,6 +22,7 @@
 import { RelayChoice, type RelayChoiceOptions } from './relay-choice.js';
 import { RelayRequests } from './relay-requests.js';
 import { RelayUpstream } from './relay-upstream.js';
+import { RoundTripEstimate, timedStore } from './round-trip-estimate.js';
 
 export interface WatchRelayOptions extends RelayChoiceOptions, ChangeBound {
   readonly store: SharedStore;
@@ -38,9 +39,17 @@
   private readonly direct: DirectPrefixes;
   private readonly choice: RelayChoice;
   private readonly follower: PrefixFollower;
+  private readonly options: WatchRelayOptions;
 
-  constructor(private readonly options: WatchRelayOptions) {
-    const { fleet } = options;
+  constructor(untimed: WatchRelayOptions) {
+    const { fleet, clock } = untimed;
+    const roundTrips = new RoundTripEstimate();
+    const options = {
+      ...untimed,
+      store: timedStore(untimed.store, roundTrips, clock),
+      roundTrips,
+    };
+    this.options = options;
     const received = new ReceivedPrefixes(options);
     const choice = new RelayChoice(options);
     const { freshness, sources } = received;
