Followers of a slow store wait for the reads that their relays have under way

What callers saw: none directly; while the store is slow for all calls, and after an outage, each follower listed whole prefixes by itself, which slows the store further and grows with the fleet (six followers 21 to 36 lists in 12 s at answers of 400 ms and more). Cause: a relay watches for 0.55 of the bound and the time of the answer came on top, so its data grew too old for its followers in each round; and a follower took a relay that waits for a slow answer for one that lost the store. Change: the duration of a watch is shortened by the time of the last answered call. A relay whose lease is renewed and whose read is under way says so in its answer (absent from older builds: as before). Before a follower lists beside its relays, or in place of one that reads, a watch that returns at once shows whether the store answers within 0.075 of the bound; if not, the relays are asked again after a pause, until the bound is over. Silent relays and relays without the store are passed over as before. Why it works: a read that is already under way at a slow store is answered before one that is sent now.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -48,16 +48,26 @@
   readonly boundPrefixes: readonly string[];
   /** Time within which a change must take effect. */
   readonly changeBound: () => Milliseconds;
+  /** Time in which the store answered the last call. @default 0 */
+  readonly roundTripTime?: () => Milliseconds;
 }
 
-/** Duration of a watch at the store, given the duration that its caller requested. */
+/** Least duration of a watch at a store that takes long to answer, as a share of the change bound. */
+const MIN_WATCH_SHARE = 0.05;
+
+/**
+ * Duration of a watch at the store, given the duration that its caller requested. Together with the
+ * time of the answer it stays the same however slow the store is.
+ */
 export function maxWatchDuration(
   prefix: string,
   wait: Milliseconds,
   bound: ChangeBound,
 ): Milliseconds {
-  if (!bound.boundPrefixes.includes(prefix)) return wait;
-  return Math.min(wait, Math.ceil(WATCH_SHARE * bound.changeBound()));
+  const { boundPrefixes, changeBound, roundTripTime = () => 0 } = bound;
+  if (!boundPrefixes.includes(prefix)) return wait;
+  const share = WATCH_SHARE * changeBound() - roundTripTime();
+  return Math.min(wait, Math.ceil(Math.max(share, MIN_WATCH_SHARE * changeBound())));
 }
 
 /** The store, or another node in its place. */
@@ -177,7 +187,10 @@
     for (;;) {
       if (this.watches.get(prefix) !== watch) return { isCurrent: false };
       const age = this.ageOf(prefix, watch);
-      if (!this.isCurrent(watch) || age > (maxAge ?? age)) return { isCurrent: false };
+      if (!this.isCurrent(watch)) return { isCurrent: false };
+      if (age > (maxAge ?? age)) {
+        return { isCurrent: false, ...(watch.isWaiting ? { isReadingStore: true } : {}) };
+      }
       const changes = watch.mirror.changesAfter(after);
       if (changes === undefined) return { isCurrent: true, changes: undefined };
       const heldFor = this.options.clock.now() - receivedAt;
--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -12,7 +12,7 @@
 } from '../shared-store/shared-store.js';
 import { type ChangeBound, maxWatchDuration } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
-import { type ListedAtStore, watchStore } from './overdue-watches.js';
+import { type ListedAtStore, NO_WAIT, watchStore } from './overdue-watches.js';
 import { type AgeLimits, ageOnArrival, followerLimits, maxWait } from './prefix-freshness.js';
 import type { ReceivedPrefixes } from './received-prefixes.js';
 import type { RelayChoice } from './relay-choice.js';
@@ -52,6 +52,12 @@
  */
 const REPEAT_PAUSE_SHARE = 0.05;
 
+/** Time for the answer of a watch that shows how fast the store is, as a share of the change bound. */
+const PROBE_SHARE = 0.075;
+
+/** Pause before relays that are not current are requested again, as a share of the change bound. */
+const RELAY_RETRY_SHARE = 0.05;
+
 /** Number of repeated lists in one round. */
 const MAX_REPEATS = 2;
 
@@ -114,17 +120,28 @@
     const { limits, options } = this;
     const age = this.ageInBudget(prefix);
     const limit = Math.min(wait, maxWait(limits, age, options.changeBound()));
-    const read = await this.read<'follow-prefix'>({
+    let isFast: Promise<boolean> | undefined;
+    const isStoreFast = (): Promise<boolean> => {
+      isFast ??= this.isStoreFast(prefix, after);
+      return isFast;
+    };
+    const round = {
       ...{ prefix, relays, wait: limit },
       ...this.watchTimeouts(limit, age),
-      request: (remainingWait) => {
+      request: (remainingWait: Milliseconds) => {
         const time = { wait: remainingWait, maxAge: limits.source };
-        return { kind: 'follow-prefix', prefix, after, ...time };
+        return { kind: 'follow-prefix', prefix, after, ...time } as const;
       },
-    });
+    };
+    const read = await this.read<'follow-prefix'>(round, isStoreFast);
     if (read.by === 'second') return this.keepList(prefix, read.outcome);
     const { outcome } = read;
     if (outcome.kind === 'no-relay') this.prefixesWithoutRelay.add(prefix);
+    const mayWait = outcome.kind === 'not-current' && outcome.areReadingStore;
+    if (mayWait && this.mayWaitForRelays(prefix) && !(await isStoreFast())) {
+      await options.clock.sleep(RELAY_RETRY_SHARE * options.changeBound());
+      return { kind: 'changes', changes: [], revision: after };
+    }
     // A watch of this node may miss what the relays missed, so the prefix is listed again.
     if (outcome.kind !== 'answered') return { kind: 'compacted' };
     const { answer, relay, duration } = outcome;
@@ -140,6 +157,7 @@
   /** Requests relays, and lists the prefix at the store once this node's data is too old. */
   private async read<Kind extends RelayRequestKind>(
     round: Omit<RelaysRequest<Kind>, 'superseded'>,
+    mayList: () => Promise<boolean> = async () => true,
   ): Promise<HedgedOutcome<RelaysOutcome<Kind>, ListedAtStore>> {
     const { requests, received } = this.options;
     const { prefix } = round;
@@ -154,11 +172,34 @@
       first,
       isFirstUsable: ({ kind }) => kind === 'answered',
       delay: this.limits.store - received.freshness.age(prefix),
-      second: () => this.readStoreRepeatedly(prefix, () => areRelaysSilent),
-      isSecondUsable: ({ outcome }) => outcome.kind !== 'failed',
+      second: async () =>
+        (await mayList()) ? this.readStoreRepeatedly(prefix, () => areRelaysSilent) : undefined,
+      isSecondUsable: (listed) => listed !== undefined && listed.outcome.kind !== 'failed',
     });
-    if (read.by === 'second') superseded.abort();
-    return read;
+    if (read.by === 'first') return read;
+    if (read.outcome === undefined) return { by: 'first', outcome: await first };
+    superseded.abort();
+    return { by: 'second', outcome: read.outcome };
+  }
+
+  /** Whether the change bound leaves time for relays that read the store to be current again. */
+  private mayWaitForRelays(prefix: string): boolean {
+    const { received, changeBound } = this.options;
+    return received.mayReadAtStore(prefix) && received.freshness.age(prefix) < changeBound();
+  }
+
+  /**
+   * Whether the store answers fast enough for a list to arrive within the bound. A store that is
+   * slow for all nodes is left to the relays, as their reads under way are answered sooner.
+   */
+  private async isStoreFast(prefix: string, after: Revision): Promise<boolean> {
+    const { store, clock, changeBound } = this.options;
+    const abandoned = new AbortController();
+    const probe = store.watch(prefix, after, NO_WAIT, abandoned.signal);
+    const limit = clock.sleep(PROBE_SHARE * changeBound()).then(() => undefined);
+    const outcome = await Promise.race([probe, limit]);
+    abandoned.abort();
+    return outcome !== undefined;
   }
 
   /** Repeats a refused list a few times, within the change bound. */
--- a/src/fleet/relay-requests.ts
+++ b/src/fleet/relay-requests.ts
@@ -24,7 +24,12 @@
       readonly duration: Milliseconds;
     }
   /** Relays answered but may be missing changes of the store. */
-  | { readonly kind: 'not-current'; readonly relays: readonly NodeId[] }
+  | {
+      readonly kind: 'not-current';
+      readonly relays: readonly NodeId[];
+      /** Whether some of them read the store now. */
+      readonly areReadingStore: boolean;
+    }
   | { readonly kind: 'no-relay' };
 
 export interface RelaysTimeouts {
@@ -77,6 +82,7 @@
     const startedAt = clock.now();
     const notCurrent: NodeId[] = [];
     const failures: string[] = [];
+    let areReadingStore = false;
     for (const relay of round.relays) {
       const address = fleet().addressOf(relay);
       const elapsed = clock.now() - startedAt;
@@ -100,12 +106,13 @@
       if (outcome.kind === 'answered') {
         sources.noteContact(prefix);
         notCurrent.push(relay);
+        areReadingStore ||= 'isReadingStore' in outcome.answer;
       } else choice.noteSilence(relay);
     }
     if (superseded.aborted) this.penalize(notCurrent);
     else sources.noteUnavailable(prefix, failures);
     if (notCurrent.length === 0) return { kind: 'no-relay' };
-    return { kind: 'not-current', relays: notCurrent };
+    return { kind: 'not-current', relays: notCurrent, areReadingStore };
   }
 
   private penalize(relays: readonly NodeId[]): void {
--- a/src/fleet/round-trip-estimate.ts
+++ b/src/fleet/round-trip-estimate.ts
@@ -13,9 +13,11 @@
 export class RoundTripEstimate {
   private smoothed: Milliseconds | undefined;
   private variation: Milliseconds = 0;
+  private last: Milliseconds = 0;
 
   /** Records the time of an answered call, without the time for which the store was asked to wait. */
   note(time: Milliseconds): void {
+    this.last = time;
     if (this.smoothed === undefined) {
       this.smoothed = time;
       this.variation = time / 2;
@@ -26,6 +28,11 @@
     this.smoothed += SMOOTHING_SHARE * (time - this.smoothed);
   }
 
+  /** Time of the last answered call. */
+  get latest(): Milliseconds {
+    return this.last;
+  }
+
   /** Time within which nearly all calls are answered. */
   get timeout(): Milliseconds {
     return (this.smoothed ?? 0) + VARIATIONS_IN_TIMEOUT * this.variation;
--- a/src/fleet/watch-relay.ts
+++ b/src/fleet/watch-relay.ts
@@ -47,7 +47,7 @@
     const options = {
       ...untimed,
       store: timedStore(untimed.store, roundTrips, clock),
-      roundTrips,
+      ...{ roundTrips, roundTripTime: () => roundTrips.latest },
     };
     this.options = options;
     const received = new ReceivedPrefixes(options);
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -164,7 +164,14 @@
       };
   readonly 'take-job': { readonly isTaken: boolean };
   readonly 'follow-prefix': /** The node may have lost its watch on the store. */
-    | { readonly isCurrent: false }
+    | {
+        readonly isCurrent: false;
+        /**
+         * The node's lease is renewed and its read of the store is under way, so it may be current
+         * again shortly. @default false
+         */
+        readonly isReadingStore?: boolean;
+      }
     /** The node no longer has changes from that revision on: list the prefix again. */
     | { readonly isCurrent: true; readonly changes: undefined }
     | {
--- a/test/fleet/round-trip-estimate.test.ts
+++ b/test/fleet/round-trip-estimate.test.ts
@@ -1,6 +1,7 @@
 /** Guards against a slow store that counts as one that does not answer watches, and the reverse. */
 import t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
+import { maxWatchDuration } from '../../src/fleet/direct-prefixes.js';
 import { watchStore } from '../../src/fleet/overdue-watches.js';
 import { RoundTripEstimate, timedStore } from '../../src/fleet/round-trip-estimate.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
@@ -60,3 +61,17 @@
 t.test('a prefix whose watches are as slow as all calls is not listed', async (t) => {
   t.same(await listsBeside(WAIT + 600, [600, 600, 600]), { lists: 0, isListed: false });
 });
+
+t.test(
+  'a watch and its answer take the same time together however slow the store is',
+  async (t) => {
+    const duration = (roundTripTime: number): number =>
+      maxWatchDuration(PREFIX, 60_000, {
+        boundPrefixes: [PREFIX],
+        changeBound: () => CHANGE_BOUND,
+        roundTripTime: () => roundTripTime,
+      });
+    t.equal(duration(0), duration(400) + 400);
+    t.ok(duration(5_000) > 0, 'watches do not spin');
+  },
+);
