A page that the store took is released wherever an append may have written it

What callers saw: a machine with a disk was not reported empty while such a job was open, and after its end readers past the listed results were answered 503 until the next scan. Cause: only pages that all replicas had confirmed were released once the store took them; an append that some replica left unanswered stayed on the others. Change: a change remembers that an append was sent, and is released for that; an append that ends after the store took the change releases it again, as it may have come after the release. Why it works: whether an entry may exist is known from the request, not from its answers.

--- a/src/jobs/listing-writer.ts
+++ b/src/jobs/listing-writer.ts
@@ -58,6 +58,10 @@
   readonly queuedAt: Milliseconds;
   /** Whether the journal has the change, so that the store must receive it. */
   isJournaled: boolean;
+  /** Whether replicas of the journal may have the change, as an append was sent to them. */
+  wasAppended: boolean;
+  /** Whether the store has the change. */
+  isStored: boolean;
   /** Whether the outcome is known: durable in the journal or the store, or dropped. */
   isSettled: boolean;
   readonly settle: (isDurable: boolean) => void;
@@ -117,7 +121,8 @@
     let first = nextPosition;
     for (const change of changes) {
       const queued = { change, first, queuedAt: clock.now() };
-      this.queue.push({ ...queued, isJournaled: true, isSettled: true, settle: () => {} });
+      const state = { isJournaled: true, wasAppended: true, isStored: false, isSettled: true };
+      this.queue.push({ ...queued, ...state, settle: () => {} });
       log.noteResumed(queued);
       if (change.kind === 'page') first += change.results.length;
     }
@@ -146,8 +151,7 @@
     return new Promise((resolve) => {
       const queued: QueuedChange = {
         ...{ change, first, queuedAt: this.options.clock.now() },
-        isJournaled: false,
-        isSettled: false,
+        ...{ isJournaled: false, wasAppended: false, isStored: false, isSettled: false },
         settle: (isDurable) => {
           if (queued.isSettled) return;
           queued.isSettled = true;
@@ -166,10 +170,11 @@
     if (journal === undefined) return;
     await clock.sleep(JOURNAL_DELAY);
     while (!queued.isSettled && !this.isSuperseded) {
+      queued.wasAppended = true;
       const outcome = await journal.append([queued.change]);
       if (outcome === 'lost') return;
-      if (outcome === 'kept' && queued.isSettled) {
-        // The store accepted the change in the meantime.
+      if (queued.isStored) {
+        // The append may have reached replicas after the entry was released there.
         void journal.release([queued.change]);
         return;
       }
@@ -224,8 +229,9 @@
       this.current = stored;
       this.queue.splice(0, batch.length);
       this.logStored(batch);
-      const journaled = batch.filter(({ isJournaled }) => isJournaled);
-      void this.options.journal?.release(journaled.map((queued) => queued.change));
+      for (const queued of batch) queued.isStored = true;
+      const appended = batch.filter(({ wasAppended }) => wasAppended);
+      void this.options.journal?.release(appended.map((queued) => queued.change));
       this.options.onHeadChange(change, sentAt);
       for (const queued of batch) queued.settle(true);
       return;
