Soaks that run beside each other have networks of their own

Cause, likely: the gateways of all soaks listened on the same loopback addresses, and a port was looked for on 127.0.0.1 only. A gateway whose port another soak has (three ran, and 32 processes of ended ones) did not listen and went on, and callers reached the gateway of the other soak. Change: the second number of a gateway's address comes from the soak's process id.

--- a/lab/soak/gateway-hosts.ts
+++ b/lab/soak/gateway-hosts.ts
@@ -1,8 +1,12 @@
 /**
  * Addresses of the soak's gateways on loopback: one for each gateway, in a network for each region,
- * and beside it one at which the gateways of other regions reach it.
+ * and beside it one at which the gateways of other regions reach it. Soaks that run at the same time
+ * have networks of their own, so that none reaches a gateway of another one.
  */
 
+/** Number of the networks of this process; 127.0 is left to the machine and to stand-ins. */
+const RUN = 1 + (process.pid % 250);
+
 /** First address within a network; what comes before is left to the machine. */
 const FIRST_HOST = 11;
 
@@ -10,28 +14,28 @@
 const FIRST_NETWORK = 1;
 const LINK_OFFSET = 100;
 
-const HOST_PATTERN = /^127\.0\.(\d+)\.(\d+)$/;
+const HOST_PATTERN = /^127\.(\d+)\.(\d+)\.(\d+)$/;
 
 /** The address of a gateway. */
 export function gatewayHost(region: number, index: number): string {
-  return `127.0.${FIRST_NETWORK + region}.${FIRST_HOST + index}`;
+  return `127.${RUN}.${FIRST_NETWORK + region}.${FIRST_HOST + index}`;
 }
 
 /** The address at which gateways of other regions reach the gateway at `host`. */
 export function linkHost(host: string): string {
-  const [network, last] = partsOf(host);
-  return `127.0.${network + LINK_OFFSET}.${last}`;
+  const [run, network, last] = partsOf(host);
+  return `127.${run}.${network + LINK_OFFSET}.${last}`;
 }
 
 /** The address to which a gateway at `from` connects in order to reach `to`. */
 export function routedHost(from: string, to: string): string {
-  const [network] = partsOf(to);
-  const isGateway = network >= FIRST_NETWORK && network < LINK_OFFSET;
-  return isGateway && network !== partsOf(from)[0] ? linkHost(to) : to;
+  const [run, network] = partsOf(to);
+  const isGateway = run > 0 && network >= FIRST_NETWORK && network < LINK_OFFSET;
+  return isGateway && network !== partsOf(from)[1] ? linkHost(to) : to;
 }
 
-/** Network and number of an address; zeros for one that is not on loopback. */
-function partsOf(host: string): readonly [number, number] {
-  const [, network = 0, last = 0] = HOST_PATTERN.exec(host) ?? [];
-  return [Number(network), Number(last)];
+/** Run, network and number of an address; zeros for one that is not on loopback. */
+function partsOf(host: string): readonly [number, number, number] {
+  const [, run = 0, network = 0, last = 0] = HOST_PATTERN.exec(host) ?? [];
+  return [Number(run), Number(network), Number(last)];
 }
