Items and scores are terminated by the attempts in force when an attempt fails

What callers saw: an item or its score could be given up for good by a limit of attempts that the operator had raised while the run was under way. Cause: the limit came from the route by which the run had begun. The class is that of stale refusals: a final decision by a configuration that may have been replaced. Change: the limit is looked up when the attempt has failed; a route that is gone leaves the one by which the run began. Not changed: while the store is away a node gives items up by the configuration that it has, as zones that serve alone must go on.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -236,7 +236,9 @@
       this.options.metrics.observe('item_seconds', {}, age);
     }
     if (end === 'attempt-failed') entry.failedAttempts += 1;
-    if (end === 'impossible' || entry.failedAttempts >= route.maxAttempts) {
+    // The configuration may have changed since the run began.
+    const { maxAttempts } = this.options.routes()?.match(job.spec.host, entry.item.path) ?? route;
+    if (end === 'impossible' || entry.failedAttempts >= maxAttempts) {
       job.finish(entry, entry.progress.toTerminated(entry.item.id));
     }
     if (end === 'cancelled') return;
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -204,7 +204,9 @@
       ...details,
       attempts: scoring.failedAttempts,
     });
-    if (scoring.failedAttempts < route.maxAttempts) return;
+    // The configuration may have changed since the call began.
+    const { maxAttempts } = this.options.routes()?.match(request.host, request.path) ?? route;
+    if (scoring.failedAttempts < maxAttempts) return;
     scoring.cancel();
     job.finish(entry, entry.progress.toTerminated(item.id));
     job.listOrVerify();
--- a/test/jobs/job-node.ts
+++ b/test/jobs/job-node.ts
@@ -66,6 +66,8 @@
   readonly isWriterLive?: (writer: string) => boolean;
   /** Whether the store is unreachable from the node. @default it is */
   readonly isStoreUnreachable?: () => boolean;
+  /** The routes in force. @default {@link JOB_ROUTE} and {@link SCORE_ROUTE} */
+  readonly routes?: () => RouteMatcher;
   /** Which workers may be sent work. @default all */
   readonly rules?: SendRules;
   /** Which nodes may store a job. @default all */
@@ -94,7 +96,7 @@
   const metrics = new FleetMetrics();
   const registry = new WorkerRegistry(extras.rules, extras.distanceBetween);
   const matcher = new RouteMatcher(configuration([JOB_ROUTE, SCORE_ROUTE]));
-  const routes = (): RouteMatcher => matcher;
+  const { routes = (): RouteMatcher => matcher } = extras;
   const store = new JobStore(emulator, clock);
   const shared = { clock, log, metrics, routes };
   const ownQuarantine = quarantine((worker) => engine.probeLiveness(worker, '/health'));
