An answer of the store that a frozen follower finds on its return has the age of its watch

Cause: a follower that watches the store itself, as it has no relay, dated each answer by its arrival; of a process that stood still the answer may have come long before. With the age a final rejection rests on, that would be a 404 by old data. Relays took this into account already. Change: both use one function, ageOfStoreAnswer.

--- a/src/fleet/direct-prefixes.ts
+++ b/src/fleet/direct-prefixes.ts
@@ -9,8 +9,7 @@
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
 import { PrefixMirror, type PrefixSnapshot } from '../shared-store/prefix-mirror.js';
 import type { StoreRangeOutcome, StoreWatchOutcome } from '../shared-store/shared-store.js';
-import { SHORT_LEASE } from './fleet-registry.js';
-import type { Aged } from './prefix-freshness.js';
+import { type Aged, ageOfStoreAnswer } from './prefix-freshness.js';
 
 /**
  * Maximum age of the last lease renewal at which a relay answers, so that a relay that is
@@ -18,9 +17,6 @@
  */
 const MAX_RENEWAL_AGE: Milliseconds = 1_000;
 
-/** Time for the answer to a renewal of a relay's lease. */
-const RENEWAL_MARGIN: Milliseconds = 100;
-
 /**
  * Maximum duration of a watch at the store, as a share of the change bound. A watch on a stalled
  * connection is replaced only once its answer is overdue, and until then followers get no changes.
@@ -263,20 +259,14 @@
     return Math.min(sentToStoreAt + RENEWAL_SHARE * bound, currentAsOf + UNPROVEN_SHARE * bound);
   }
 
-  /**
-   * Age of an answer of the store. If this node was frozen, the answer may have arrived at any time
-   * since the last renewal of the lease; while renewals are regular, it has just arrived.
-   */
   private ageOnArrival(
     { sentAt }: DirectWatch,
     outcome: StoreWatchOutcome,
     wait: Milliseconds,
   ): Milliseconds {
-    const renewalAge = this.options.renewalAge();
-    if (renewalAge <= SHORT_LEASE.renewalInterval + RENEWAL_MARGIN) return 0;
-    const isEmpty = outcome.kind === 'changes' && outcome.changes.length === 0;
     const duration = suspendAwareTime(this.options.clock) - sentAt;
-    return Math.min(renewalAge, Math.max(0, isEmpty ? duration - wait : duration));
+    const isEmpty = outcome.kind === 'changes' && outcome.changes.length === 0;
+    return ageOfStoreAnswer({ duration, wait, isEmpty, renewalAge: this.options.renewalAge() });
   }
 
   /** Whether this node is certain to receive changes now. */
--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -13,7 +13,13 @@
 import { type ChangeBound, maxWatchDuration } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
 import { type ListedAtStore, NO_WAIT, watchStore } from './overdue-watches.js';
-import { type AgeLimits, ageOnArrival, followerLimits, maxWait } from './prefix-freshness.js';
+import {
+  type AgeLimits,
+  ageOfStoreAnswer,
+  ageOnArrival,
+  followerLimits,
+  maxWait,
+} from './prefix-freshness.js';
 import type { ReceivedPrefixes } from './received-prefixes.js';
 import type { RelayChoice } from './relay-choice.js';
 import type {
@@ -272,12 +278,19 @@
       wait: maxWatchDuration(prefix, wait, this.options),
       changeBound: this.options.changeBound(),
     };
+    const sentAt = suspendAwareTime(clock);
     const watched = await watchStore({ store, prefix, after, ...time, signal, roundTrips, clock });
     if (watched.outcome === undefined) return this.keepList(prefix, watched.listed);
     const { outcome } = watched;
     if (signal.aborted) return outcome;
+    const age = ageOfStoreAnswer({
+      duration: suspendAwareTime(clock) - sentAt,
+      wait: time.wait,
+      isEmpty: outcome.kind === 'changes' && outcome.changes.length === 0,
+      renewalAge: received.renewalAge,
+    });
     // Changes end such a watch at once, so none of them is late.
-    return received.noteStoreOutcome(prefix, outcome, { age: 0, previousAge: 0 }, this.limits);
+    return received.noteStoreOutcome(prefix, outcome, { age, previousAge: 0 }, this.limits);
   }
 
   private get limits(): AgeLimits {
--- a/src/fleet/prefix-freshness.ts
+++ b/src/fleet/prefix-freshness.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { AnswerFreshness } from '../peers/peer-messages.js';
 import { type Clock, suspendAwareTime } from '../serving/clock.js';
+import { SHORT_LEASE } from './fleet-registry.js';
 
 /** Ages of a node's data at which it acts, as shares of the change bound or as times. */
 export interface AgeLimits {
@@ -43,6 +44,9 @@
  */
 const CONCLUSIVE_SHARE = 0.75;
 
+/** Time for the answer to a renewal of a relay's lease. */
+const RENEWAL_MARGIN: Milliseconds = 100;
+
 /** Age of the data of an older build, which does not report it, as a share of the change bound. */
 const UNREPORTED_AGE_SHARE = 0.25;
 
@@ -81,6 +85,30 @@
   return freshness.age + Math.max(0, duration - freshness.heldFor);
 }
 
+/** An answer of the store to a watch. */
+interface StoreAnswer {
+  /** Time since the watch was sent. */
+  readonly duration: Milliseconds;
+  readonly wait: Milliseconds;
+  readonly isEmpty: boolean;
+  /** Time since the store last renewed this node's lease. */
+  readonly renewalAge: Milliseconds;
+}
+
+/**
+ * Age of an answer of the store. If this node was frozen, the answer may have arrived at any time
+ * since the last renewal of the lease; while renewals are regular, it has just arrived.
+ */
+export function ageOfStoreAnswer({
+  duration,
+  wait,
+  isEmpty,
+  renewalAge,
+}: StoreAnswer): Milliseconds {
+  if (renewalAge <= SHORT_LEASE.renewalInterval + RENEWAL_MARGIN) return 0;
+  return Math.min(renewalAge, Math.max(0, isEmpty ? duration - wait : duration));
+}
+
 function scaled(shares: AgeLimits, bound: Milliseconds): AgeLimits {
   return {
     answer: shares.answer * bound,
--- a/src/fleet/received-prefixes.ts
+++ b/src/fleet/received-prefixes.ts
@@ -54,7 +54,12 @@
    */
   get isRejectedByStore(): boolean {
     const age = suspendAwareTime(this.options.clock) - this.storeFailedAt;
-    return this.options.fleet().renewalAge() > age;
+    return this.renewalAge > age;
+  }
+
+  /** Time since the store last renewed this node's lease. */
+  get renewalAge(): Milliseconds {
+    return this.options.fleet().renewalAge();
   }
 
   /**
--- a/test/fleet/prefix-freshness.test.ts
+++ b/test/fleet/prefix-freshness.test.ts
@@ -3,6 +3,7 @@
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import { DirectPrefixes } from '../../src/fleet/direct-prefixes.js';
 import {
+  ageOfStoreAnswer,
   ageOnArrival,
   followerLimits,
   maxWait,
@@ -120,3 +121,13 @@
   t.equal(callers.length, 2, callers.join(', '));
   fleet.stop();
 });
+
+t.test(
+  'an answer of the store that a frozen node found on its return does not count as new',
+  async (t) => {
+    const answer = { duration: 3_000, wait: 1_000, isEmpty: false, renewalAge: 3_500 };
+    t.equal(ageOfStoreAnswer(answer), 3_000, 'it may have come right after the watch was sent');
+    t.equal(ageOfStoreAnswer({ ...answer, isEmpty: true }), 2_000, 'it came after the wait');
+    t.equal(ageOfStoreAnswer({ ...answer, renewalAge: 650 }), 0, 'renewals are regular');
+  },
+);
