Soak: no gateway refuses a key in force for good, whatever happened to it

Before, only gateways to which nothing had happened were asked with new keys. All are asked now, ten times a second over kept connections; one that is cut off, frozen or starting may answer 503, never 401 (stale-rejection). Runs beside another build leave the check out, as that one answers 401.

--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -128,6 +128,12 @@
     this.check(status !== UNAUTHORIZED, 'configuration-in-force', detail);
   }
 
+  /** A gateway was asked with a key that has been in force for longer than a change may take. */
+  keyInForceAnswered(gateway: string, status: number, age: Milliseconds): void {
+    const detail = `${gateway} refused a key for good ${Math.round(age)} ms after it was added`;
+    this.check(status !== UNAUTHORIZED, 'stale-rejection', detail);
+  }
+
   /** A job is about to be handed in for the first time. */
   jobOffered(job: SubmittedJob): void {
     this.jobs.set(job.id, { ...job, isAccepted: false, positions: [] });
--- a/lab/soak/promise-records.ts
+++ b/lab/soak/promise-records.ts
@@ -14,6 +14,7 @@
     | 'tenant-told'
     | 'key-revoked'
     | 'configuration-in-force'
+    | 'stale-rejection'
     | 'fencing'
     | 'ended-job'
     | 'query-of-death'
--- a/lab/soak/soak-callers.ts
+++ b/lab/soak/soak-callers.ts
@@ -44,6 +44,8 @@
   readonly zones: readonly string[];
   /** Front addresses of gateways that nothing has happened to lately, whatever befell others. */
   readonly calmAddresses: () => readonly string[];
+  /** Whether all gateways are of a build that refuses for good by a current configuration only. */
+  readonly rejectsOnlyWhenCurrent: boolean;
   /** Front addresses of the gateways. */
   readonly addresses: () => readonly string[];
   /** Those of one zone. */
--- a/lab/soak/soak-key-callers.ts
+++ b/lab/soak/soak-key-callers.ts
@@ -51,21 +51,26 @@
     }
   }
 
-  /** Asks all calm gateways with keys that were just added, over kept connections. */
+  /** Asks all gateways with keys that were just added, over kept connections. */
   private async newKeyLookups(): Promise<void> {
-    const { keys, calmAddresses } = this.surroundings;
+    const { keys, calmAddresses, addresses, rejectsOnlyWhenCurrent } = this.surroundings;
     while (!this.isStopped) {
       await sleep(NEW_KEY_INTERVAL);
       if (keys.timeSinceRotation < CHANGE_LIMIT) continue;
-      for (const address of calmAddresses()) {
-        const call = this.askWithNewKey(address).finally(() => this.newKeyCalls.delete(call));
+      const calm = calmAddresses();
+      for (const address of rejectsOnlyWhenCurrent ? addresses() : calm) {
+        const isCalm = calm.includes(address);
+        const call = this.askWithNewKey(address, isCalm).finally(() =>
+          this.newKeyCalls.delete(call),
+        );
         this.newKeyCalls.add(call);
       }
     }
     await Promise.all(this.newKeyCalls);
   }
 
-  private async askWithNewKey(address: string): Promise<void> {
+  /** A calm gateway has to serve the key; the others may only not refuse it for good. */
+  private async askWithNewKey(address: string, isCalm: boolean): Promise<void> {
     const { checker, random, keys, evacuations } = this.surroundings;
     const id = random.identifier();
     checker.requestOffered(id, 'brokers');
@@ -75,7 +80,8 @@
     const answer = await this.look(address, id, key, this.kept);
     // A configuration may have taken the key away while the call was under way.
     if (answer === undefined || !keys.holds('brokers', key)) return;
-    checker.newKeyAnswered(address, answer.status, age);
+    if (isCalm) checker.newKeyAnswered(address, answer.status, age);
+    else checker.keyInForceAnswered(address, answer.status, age);
   }
 
   private look(
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -221,6 +221,7 @@
       arePartlyServed: () => this.partialFaults.isUnderWay,
       random: createRandomSource(this.options.seed + 2),
       calmAddresses: () => this.calmAddresses(),
+      rejectsOnlyWhenCurrent: this.options.otherBuild === undefined,
       addresses: () => this.gateways.gateways.map((gateway) => gateway.address),
       nameVersion: (version) => this.nameVersion(version),
       newestVersion: () => this.newest,
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -250,3 +250,14 @@
   checker.lethalAnswered('/x', 200);
   t.same(broken(), ['query-of-death']);
 });
+
+t.test(
+  'a key in force that a gateway refuses for good is found, whatever happened to it',
+  async (t) => {
+    const checker = new PromiseChecker(() => 0);
+    checker.keyInForceAnswered('gateway', 503, 2_500);
+    t.same(checker.violations, []);
+    checker.keyInForceAnswered('gateway', 401, 2_500);
+    t.match(checker.violations, [{ promise: 'stale-rejection' }]);
+  },
+);
