The probe of the store and the time limits of relay requests are modules of their own

Functions are moved and take what they need as parameters; nothing else changes. test/fleet passes (1,837 checks).

--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -12,7 +12,7 @@
 } from '../shared-store/shared-store.js';
 import { type ChangeBound, maxWatchDuration } from './direct-prefixes.js';
 import { type HedgedOutcome, hedgedRead } from './hedged-read.js';
-import { type ListedAtStore, NO_WAIT, watchStore } from './overdue-watches.js';
+import { type ListedAtStore, watchStore } from './overdue-watches.js';
 import {
   type AgeLimits,
   ageOfStoreAnswer,
@@ -27,24 +27,10 @@
   RelayRequests,
   RelaysOutcome,
   RelaysRequest,
-  RelaysTimeouts,
 } from './relay-requests.js';
+import { listTimeouts, watchTimeouts } from './relay-timeouts.js';
 import type { RoundTripEstimate } from './round-trip-estimate.js';
-
-/** Time for a list at the first relay, as a share of the change bound. */
-const LIST_SHARE = 0.15;
-
-/** Time for each relay after the first was silent, as a share of the change bound. */
-const NEXT_RELAY_SHARE = 0.075;
-
-/** Number of relays that are requested after the first was silent. */
-const NEXT_RELAYS = 3;
-
-/**
- * Time for one relay to send a whole prefix, which is about 1 MB for 3,000 workers and takes 0.25 s
- * on a link of 42 Mbit/s.
- */
-const LIST_TIMEOUT: Milliseconds = 600;
+import { isStoreFast } from './store-probe.js';
 
 /**
  * Number of consecutive lists for which relays that are not current are retried before the store is
@@ -58,9 +44,6 @@
  */
 const REPEAT_PAUSE_SHARE = 0.05;
 
-/** Time for the answer of a watch that shows how fast the store is, as a share of the change bound. */
-const PROBE_SHARE = 0.075;
-
 /** Pause before relays that are not current are requested again, as a share of the change bound. */
 const RELAY_RETRY_SHARE = 0.05;
 
@@ -92,9 +75,10 @@
     if (listed !== undefined) return this.noteListed(prefix, listed);
     if (this.prefixesWithoutRelay.delete(prefix)) return this.listAtStore(prefix);
     const maxAge = this.limits.source;
+    const { received } = this.options;
     const read = await this.read<'list-prefix'>({
       ...{ prefix, relays, wait: 0 },
-      ...this.listTimeouts(prefix),
+      ...listTimeouts(this.options.changeBound(), received.sources.wasReceived(prefix)),
       request: () => ({ kind: 'list-prefix', prefix, maxAge }),
     });
     if (read.by === 'second') return this.noteListed(prefix, read.outcome);
@@ -126,26 +110,29 @@
     const { limits, options } = this;
     const age = this.ageInBudget(prefix);
     const limit = Math.min(wait, maxWait(limits, age, options.changeBound()));
+    const { store, clock } = options;
     let isFast: Promise<boolean> | undefined;
-    const isStoreFast = (): Promise<boolean> => {
-      isFast ??= this.isStoreFast(prefix, after);
+    // Once for this round, however many decisions need it.
+    const probeStore = (): Promise<boolean> => {
+      isFast ??= isStoreFast({ store, clock, prefix, after, changeBound: options.changeBound() });
       return isFast;
     };
     const round = {
       ...{ prefix, relays, wait: limit },
-      ...this.watchTimeouts(limit, age),
+      ...watchTimeouts(limits, options.changeBound(), { wait: limit, age }),
       request: (remainingWait: Milliseconds) => {
         const time = { wait: remainingWait, maxAge: limits.source };
         return { kind: 'follow-prefix', prefix, after, ...time } as const;
       },
     };
-    const read = await this.read<'follow-prefix'>(round, isStoreFast);
+    const read = await this.read<'follow-prefix'>(round, probeStore);
     if (read.by === 'second') return this.keepList(prefix, read.outcome);
     const { outcome } = read;
     if (outcome.kind === 'no-relay') this.prefixesWithoutRelay.add(prefix);
-    const mayWait = outcome.kind === 'not-current' && outcome.areReadingStore;
-    if (mayWait && this.mayWaitForRelays(prefix) && !(await isStoreFast())) {
-      await options.clock.sleep(RELAY_RETRY_SHARE * options.changeBound());
+    const areReading = outcome.kind === 'not-current' && outcome.areReadingStore;
+    // At a slow store, a list would be answered after the reads that relays have under way.
+    if (areReading && this.mayWaitForRelays(prefix) && !(await probeStore())) {
+      await clock.sleep(RELAY_RETRY_SHARE * options.changeBound());
       return { kind: 'changes', changes: [], revision: after };
     }
     // A watch of this node may miss what the relays missed, so the prefix is listed again.
@@ -194,20 +181,6 @@
     return received.mayReadAtStore(prefix) && received.freshness.age(prefix) < changeBound();
   }
 
-  /**
-   * Whether the store answers fast enough for a list to arrive within the bound. A store that is
-   * slow for all nodes is left to the relays, as their reads under way are answered sooner.
-   */
-  private async isStoreFast(prefix: string, after: Revision): Promise<boolean> {
-    const { store, clock, changeBound } = this.options;
-    const abandoned = new AbortController();
-    const probe = store.watch(prefix, after, NO_WAIT, abandoned.signal);
-    const limit = clock.sleep(PROBE_SHARE * changeBound()).then(() => undefined);
-    const outcome = await Promise.race([probe, limit]);
-    abandoned.abort();
-    return outcome !== undefined;
-  }
-
   /** Repeats a refused list a few times, within the change bound. */
   private async readStoreRepeatedly(
     prefix: string,
@@ -303,19 +276,6 @@
     return received.mayReadAtStore(prefix) ? received.freshness.age(prefix) : 0;
   }
 
-  private watchTimeouts(wait: Milliseconds, age: Milliseconds): RelaysTimeouts {
-    const nextTimeout = NEXT_RELAY_SHARE * this.options.changeBound();
-    return timeouts(Math.max(wait + nextTimeout, this.limits.search - age), nextTimeout);
-  }
-
-  /** A node that has received the prefix before does not wait long for a whole list. */
-  private listTimeouts(prefix: string): RelaysTimeouts {
-    const wasReceived = this.options.received.sources.wasReceived(prefix);
-    if (!wasReceived) return timeouts(LIST_TIMEOUT, LIST_TIMEOUT, 1);
-    const bound = this.options.changeBound();
-    return timeouts(LIST_SHARE * bound, NEXT_RELAY_SHARE * bound);
-  }
-
   /**
    * Whether to retry relays that are not current for one more list. A node that has received the
    * prefix before must learn of a change within the bound and requests the store first; any other
@@ -330,11 +290,3 @@
     return isRetried;
   }
 }
-
-function timeouts(
-  firstTimeout: Milliseconds,
-  nextTimeout: Milliseconds,
-  nextRelays = NEXT_RELAYS,
-): RelaysTimeouts {
-  return { firstTimeout, nextTimeout, timeout: firstTimeout + nextRelays * nextTimeout };
-}
