--- a/src/errors/error-kinds.ts
+++ b/src/errors/error-kinds.ts
@@ -91,7 +91,7 @@
   return value.retryAfter ?? ERROR_ANSWERS[value.kind].retryAfter;
 }
 
-/** Whether the caller is told that the work did not run and that a retry cannot succeed. */
+/** Whether the failure promises that the work did not run and that a retry cannot succeed. */
 export function isFinalRejection(value: Failure): boolean {
   return executionStateOf(value) === 'no' && retryAfterOf(value) === null;
 }
--- a/src/fleet/overdue-watches.ts
+++ b/src/fleet/overdue-watches.ts
@@ -59,7 +59,7 @@
   const answerShare = OVERDUE_SHARE + SECOND_ANSWER_SHARE;
   const read = await hedgedRead({
     first: watchTwice(watch, anySignal),
-    isFirstUsable,
+    isFirstUsable: isAnswered,
     delay: wait + Math.max(answerShare * changeBound, roundTrips.timeout),
     second: () => list(watch),
     isSecondUsable: ({ outcome }) => outcome.kind !== 'failed',
@@ -72,10 +72,10 @@
   const { store, prefix, after, wait, changeBound } = watch;
   const { outcome } = await hedgedRead({
     first: store.watch(prefix, after, wait, signal),
-    isFirstUsable,
+    isFirstUsable: isAnswered,
     delay: wait + OVERDUE_SHARE * changeBound,
     second: () => store.watch(prefix, after, NO_WAIT, signal),
-    isSecondUsable: isFirstUsable,
+    isSecondUsable: isAnswered: isAnswered,
   });
   return outcome;
 }
@@ -85,6 +85,6 @@
   return { outcome: await store.range(prefix), sentAt };
 }
 
-function isFirstUsable({ kind }: StoreWatchOutcome): boolean {
+function isAnswered({ kind }: StoreWatchOutcome): boolean {
   return kind !== 'failed';
 }
--- a/src/fleet/prefix-follower.ts
+++ b/src/fleet/prefix-follower.ts
@@ -112,7 +112,7 @@
     const limit = Math.min(wait, maxWait(limits, age, options.changeBound()));
     const { store, clock } = options;
     let isFast: Promise<boolean> | undefined;
-    // Once for this round, however many decisions need it.
+    // Both the list beside the relays and the one after them depend on it.
     const probeStore = (): Promise<boolean> => {
       isFast ??= isStoreFast({ store, clock, prefix, after, changeBound: options.changeBound() });
       return isFast;
--- a/src/serving/configuration-decisions.ts
+++ b/src/serving/configuration-decisions.ts
@@ -1,8 +1,8 @@
 /**
  * Decides on callers' requests by the active configuration. A request is rejected for good only by a
  * configuration that is current: where changes may be missing, the configuration is read anew, or the
- * caller is told to come back. Requests that are admitted never wait, so that a node serves on while
- * the store is away.
+ * rejection allows a retry. Requests that are admitted never wait, so that a node serves on while the
+ * store is unreachable.
  */
 import { firstValueFrom, from, race, timer } from 'rxjs';
 import type { NodeId } from '../core/identity.js';
@@ -43,7 +43,7 @@
   | 'current'
   /** Current since it was read anew. */
   | 'refreshed'
-  /** Changes may be missing, so the caller may come back. */
+  /** Changes may be missing, so the rejection allows a retry. */
   | 'unconfirmed';
 
 export interface ConfigurationDecisionsOptions {
