--- a/src/fleet/overdue-watches.ts
+++ b/src/fleet/overdue-watches.ts
@@ -75,7 +75,7 @@
     isFirstUsable: isAnswered,
     delay: wait + OVERDUE_SHARE * changeBound,
     second: () => store.watch(prefix, after, NO_WAIT, signal),
-    isSecondUsable: isAnswered: isAnswered,
+    isSecondUsable: isAnswered,
   });
   return outcome;
 }
