A coordinator waits for the orders of all nodes that may have given recent ones

Cause: whether a new coordinator waits was read from the node that acquired the lock last. A node that was killed, or stopped by SIGTERM, while it waited had acquired the lock and given no order; the orders before it were forgotten. Two more ways, by tests: a node that resigns while its commit of the lock is unanswered uses that lock later, and an order in flight at a resignation arrives after the margin.

Change: the record of the term names the nodes that may have given recent orders besides its holder. Each acquisition passes them on; a holder removes them once its wait is over. Only a holder without any acts at once, and only if all of them resign with no order in flight is the wait shortened. Records of earlier builds count as unknown. The view of the records and the wait are modules of their own. The log names the earlier holders.

Why it works: the promise counts over any number of holders that gave no order, and so does the record. A flag stored before the first order would hold each first order up by a commit.

--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -1,53 +1,41 @@
 /**
  * Elects the coordinator, the one node that orders weight changes, with a lock key attached to the
  * holder's lease; the fencing token is the revision at which the key was created. A new holder
- * gives no order while one of the previous holder may still be in flight.
+ * gives no order within the transfer delay after one of any other node. The record of the term names
+ * the nodes that may have given such orders, as a holder may end before it has given any.
  */
 import { randomUUID } from 'node:crypto';
-import * as z from 'zod';
 import { rendezvousOrder } from '../core/hashing.js';
 import type { NodeId } from '../core/identity.js';
 import type { Milliseconds, Revision } from '../core/units.js';
 import type { JobOwner } from '../jobs/job-records.js';
-import type { PeerOutcome, PeerPort } from '../peers/peer-messages.js';
+import type { PeerPort } from '../peers/peer-messages.js';
 import type { Clock } from '../serving/clock.js';
-import {
-  ABSENT,
-  type LeaseId,
-  NO_LEASE,
-  type SharedStore,
-  type StoreChange,
-} from '../shared-store/shared-store.js';
+import { type LeaseId, NO_LEASE, type SharedStore } from '../shared-store/shared-store.js';
 import type { SingletonTaskLock } from '../singleton-tasks/singleton-task-lock.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
-import { FLEET_PREFIX, type FleetRegistry } from './fleet-registry.js';
-
-const LOCK_KEY = `${FLEET_PREFIX}coordinator`;
-const TERM_KEY = `${FLEET_PREFIX}coordinator-term`;
-
-const LOCK_RECORD = z.object({ node: z.string(), address: z.string(), nonce: z.string() });
-
-/** A holder of the lock, as stored in the lock record. */
-type LockRecord = z.infer<typeof LOCK_RECORD>;
+import {
+  earlierHoldersAfter,
+  isSameHolder,
+  LOCK_KEY,
+  namesOf,
+  type TermRecord,
+} from './coordinator-records.js';
+import { CoordinatorView } from './coordinator-view.js';
+import type { FleetRegistry } from './fleet-registry.js';
+import { FENCING_TOKEN_VALIDITY, TransferWait } from './transfer-wait.js';
+
+export { FENCING_TOKEN_VALIDITY } from './transfer-wait.js';
 
 /** Delay per rank before a node tries to acquire a free lock. */
 const RANK_DELAY: Milliseconds = 400;
 
-/** Time after sending a renewal of its lease during which the holder may give orders. */
-export const FENCING_TOKEN_VALIDITY: Milliseconds = 1_000;
-
-/** Delay after a failed attempt to acquire the lock. */
+/** Delay after a failed commit of the lock or the term. */
 const RETRY_DELAY: Milliseconds = 300;
 
-/** Timeout of the request to resign to the previous holder. */
-const RESIGN_TIMEOUT: Milliseconds = 400;
-
 /** Time during which a node that resigned does not try to acquire the lock. */
 const RESIGNED_BACKOFF: Milliseconds = 3_000;
 
-/** Allowance for message latency, added to the minimum time between two holders' orders. */
-const TRANSFER_MARGIN: Milliseconds = 100;
-
 export interface CoordinatorLockOptions {
   readonly store: SharedStore;
   readonly fleet: FleetRegistry;
@@ -63,20 +51,21 @@
 
 /** Acquires the lock when it is free, and reports whether this node may give orders. */
 export class CoordinatorLock implements SingletonTaskLock {
-  private currentLock: LockRecord | undefined;
-  private lockRevision: Revision = ABSENT;
+  private readonly view: CoordinatorView;
   private isFleetListed = false;
+  /** The nonce of the lock while this node holds it. */
   private ownNonce: string | undefined;
   /** The lease to which the lock of `ownNonce` is attached. */
   private ownLease: LeaseId = NO_LEASE;
   private token: Revision = 0;
-  private termRevision: Revision = ABSENT;
-  /** The last holder, also after its lock was removed. */
-  private lastHolder: LockRecord | undefined;
-  private ordersAllowedFrom: Milliseconds = Number.POSITIVE_INFINITY;
-  private freeSince: Milliseconds = 0;
+  /** The nonce of this process's last term. */
+  private ownTermNonce: string | undefined;
+  private readonly transferWait: TransferWait;
   private nextAttemptAt: Milliseconds = 0;
   private isAcquiring = false;
+  private isClearingTerm = false;
+  private nextClearingAt: Milliseconds = 0;
+  private resignations = 0;
   private ordersInFlight = 0;
   /**
    * Time at which the last order of this node ended; initially its start time, because an earlier
@@ -88,27 +77,33 @@
 
   constructor(private readonly options: CoordinatorLockOptions) {
     this.lastOrderEndedAt = options.clock.now();
-    options.fleet.otherChanges.subscribe((change) => this.applyChange(change));
+    this.transferWait = new TransferWait(options);
+    this.view = new CoordinatorView(options.store, options.clock);
+    options.fleet.otherChanges.subscribe((change) => {
+      this.view.apply(change);
+      const isLockChanged = this.view.lock?.nonce !== this.ownNonce;
+      if (this.ownNonce !== undefined && isLockChanged) this.loseLock();
+    });
     options.fleet.listed.subscribe(() => {
       this.isFleetListed = true;
-      this.freeSince = options.clock.now();
+      this.view.restartDelays();
     });
   }
 
   /** The node that holds the lock according to the last change received. */
   get holder(): NodeId | undefined {
-    return this.currentLock?.node;
+    return this.view.lock?.node;
   }
 
   /** Revision at which the lock was last acquired; it differs for each holder. */
   get term(): Revision {
-    return this.lockRevision;
+    return this.view.lockRevision;
   }
 
   /** The fencing token while this node may give orders; `undefined` otherwise. */
   fencingToken(): Revision | undefined {
-    const { fleet, clock } = this.options;
-    if (this.ownNonce === undefined || clock.now() < this.ordersAllowedFrom) return undefined;
+    const { fleet } = this.options;
+    if (this.ownNonce === undefined || !this.transferWait.isOver) return undefined;
     if (fleet.leaseId !== this.ownLease) return undefined;
     return fleet.renewalAge() < FENCING_TOKEN_VALIDITY ? this.token : undefined;
   }
@@ -130,14 +125,18 @@
   }
 
   /**
-   * Stops giving orders at another node's request. Returns the time since the last order of this
-   * node ended, or since this incarnation started.
+   * Stops giving orders at another node's request, also under a lock that is being acquired. Returns
+   * the time since the last order of this node ended, or since this incarnation started; less if this
+   * node still waits for the orders of earlier holders, as the caller may not know of them. 0 means
+   * that an order may still be in flight.
    */
   resign(): Milliseconds {
     const { clock } = this.options;
+    this.resignations += 1;
     if (this.ownNonce !== undefined) this.loseLock();
     this.nextAttemptAt = clock.now() + RESIGNED_BACKOFF;
-    return this.ordersInFlight > 0 ? 0 : clock.now() - this.lastOrderEndedAt;
+    if (this.ordersInFlight > 0) return 0;
+    return Math.min(clock.now() - this.lastOrderEndedAt, this.transferWait.earlierOrderAge);
   }
 
   /**
@@ -146,14 +145,13 @@
    * orders.
    */
   async takeOverFrom(holder: JobOwner): Promise<void> {
-    const { currentLock } = this;
-    if (currentLock === undefined || currentLock.nonce === this.ownNonce) return;
-    if (currentLock.node !== holder.node || currentLock.address !== holder.address) return;
-    const outcome = await this.requestResignation(holder.address);
+    const { lock } = this.view;
+    if (lock === undefined || lock.nonce === this.ownNonce || !isSameHolder(lock, holder)) return;
+    const outcome = await this.transferWait.requestResignation(holder.address);
     // A holder that has not resigned may still give orders.
     if (outcome.kind === 'silent' || outcome.kind === 'unsupported') return;
     this.options.log.state('coordinator-given-up', { peer: holder.node, cause: outcome.kind });
-    this.abandonedNonce = currentLock.nonce;
+    this.abandonedNonce = lock.nonce;
     this.tick();
   }
 
@@ -168,10 +166,10 @@
     if (!this.isFleetListed || this.isAcquiring || clock.now() < this.nextAttemptAt) return;
     // The lock expired with the previous lease, whether or not a watch has reported it.
     if (this.ownNonce !== undefined && fleet.leaseId !== this.ownLease) this.loseLock();
-    if (this.currentLock !== undefined && !this.isHeldByEarlierIncarnation && !this.isLockAbandoned)
-      return;
+    if (this.ownNonce !== undefined) this.clearTermWhenDue();
+    if (!this.isLockAvailable) return;
     const attemptRank = this.isLockAbandoned ? 0 : this.attemptRank();
-    if (clock.now() - this.freeSince < attemptRank * RANK_DELAY) return;
+    if (clock.now() - this.view.freeSince < attemptRank * RANK_DELAY) return;
     // The lock needs a lease that expires soon after its holder stops answering.
     fleet.requireShortLease();
     if (!fleet.hasShortLease || fleet.renewalAge() >= FENCING_TOKEN_VALIDITY) {
@@ -181,33 +179,37 @@
     this.isAcquiring = true;
     void this.acquire().finally(() => {
       this.isAcquiring = false;
-      this.freeSince = clock.now();
-      if (this.ownNonce === undefined) this.nextAttemptAt = clock.now() + RETRY_DELAY;
+      this.view.restartDelays();
+      if (this.ownNonce !== undefined) return;
+      this.nextAttemptAt = Math.max(this.nextAttemptAt, clock.now() + RETRY_DELAY);
     });
   }
 
+  /** Whether the lock is free, or its holder certainly gives no more orders under it. */
+  private get isLockAvailable(): boolean {
+    if (this.view.lock === undefined) return true;
+    return this.isHeldByEarlierIncarnation || this.isLockAbandoned;
+  }
+
   private get isLockAbandoned(): boolean {
-    return this.currentLock !== undefined && this.currentLock.nonce === this.abandonedNonce;
+    const { lock } = this.view;
+    return lock !== undefined && lock.nonce === this.abandonedNonce;
   }
 
   /**
    * Whether an earlier incarnation of this node, which has certainly terminated, holds the lock.
    */
   private get isHeldByEarlierIncarnation(): boolean {
-    return this.isThisNode(this.currentLock) && this.currentLock?.nonce !== this.ownNonce;
-  }
-
-  private isThisNode(record: LockRecord | undefined): boolean {
-    const { self } = this.options;
-    return record?.node === self.node && record.address === self.address;
+    const { lock } = this.view;
+    return isSameHolder(lock, this.options.self) && lock?.nonce !== this.ownNonce;
   }
 
   /**
    * Number of delays to wait before an attempt; after the first term, the last holder goes first.
    */
   private attemptRank(): number {
-    if (this.isThisNode(this.lastHolder)) return 0;
-    return this.termRevision === ABSENT ? this.rank() : 1 + this.rank();
+    if (isSameHolder(this.view.term, this.options.self)) return 0;
+    return this.view.isBeforeFirstTerm ? this.rank() : 1 + this.rank();
   }
 
   private rank(): number {
@@ -216,111 +218,63 @@
   }
 
   private async acquire(): Promise<void> {
-    const { store, fleet, self, clock, log } = this.options;
-    const nonce = randomUUID();
-    const { termRevision, lockRevision, lastHolder } = this;
+    const { view, resignations } = this;
+    const { fleet, self } = this.options;
+    const { term: lastTerm, isBeforeFirstTerm } = view;
     const lease = fleet.leaseId;
-    const record: LockRecord = { node: self.node, address: self.address, nonce };
-    const value = JSON.stringify(record);
-    const outcome = await store.commit({
-      expected: [
-        { key: LOCK_KEY, revision: lockRevision },
-        { key: TERM_KEY, revision: termRevision },
-      ],
-      put: [
-        { key: LOCK_KEY, value, lease },
-        { key: TERM_KEY, value },
-      ],
-    });
-    const revision =
-      outcome.kind === 'committed' ? outcome.revision : await this.resolveUnconfirmedCommit(nonce);
-    if (revision === undefined) return;
-    // No wait is needed if no other node can have given orders since this one did.
-    const mayActAtOnce = termRevision === ABSENT || this.isThisNode(lastHolder);
-    this.lastHolder = record;
-    this.termRevision = revision;
+    const earlierHolders = isBeforeFirstTerm ? [] : earlierHoldersAfter(lastTerm, self);
+    const { node, address } = self;
+    const nonce = randomUUID();
+    const term: TermRecord = { node, address, nonce, ...(earlierHolders && { earlierHolders }) };
+    const revision = await view.acquire(lease, term);
+    // Another node may have acquired the lock since this one resigned.
+    if (revision === undefined || resignations !== this.resignations) return;
+    const isOwnTermContinued = lastTerm !== undefined && lastTerm.nonce === this.ownTermNonce;
     this.ownNonce = nonce;
+    this.ownTermNonce = nonce;
     this.ownLease = lease;
-    this.currentLock = record;
-    this.lockRevision = revision;
     this.token = revision;
-    this.ordersAllowedFrom = clock.now() + (mayActAtOnce ? 0 : this.maxTransferDelay());
-    log.state('coordinator-acquired', { fencingToken: revision, mayActAtOnce });
-    if (!mayActAtOnce && lastHolder !== undefined) await this.shortenWait(lastHolder, nonce);
+    await this.awaitEarlierHolders(term, isOwnTermContinued);
   }
 
-  /** Asks the previous holder to resign; the age of its last order may shorten the wait. */
-  private async shortenWait(previous: LockRecord, nonce: string): Promise<void> {
-    const { clock, log, transferDelay } = this.options;
-    const outcome = await this.requestResignation(previous.address);
-    if (outcome.kind !== 'answered' || this.ownNonce !== nonce) return;
-    const { lastOrderAge } = outcome.answer;
-    const wait = Math.max(0, transferDelay() + TRANSFER_MARGIN - lastOrderAge);
-    this.ordersAllowedFrom = Math.min(this.ordersAllowedFrom, clock.now() + wait);
-    log.state('coordinator-resigned', { peer: previous.node, waitMs: Math.round(wait) });
-  }
-
-  private requestResignation(address: string): Promise<PeerOutcome<'resign-coordinator'>> {
-    const request = { kind: 'resign-coordinator' } as const;
-    return this.options.peers.request<'resign-coordinator'>(address, request, RESIGN_TIMEOUT);
-  }
-
-  /**
-   * Returns the wait after a change of holder. If workers do not check tokens, the previous holder
-   * may still give orders until its last lease renewal is too old.
-   */
-  private maxTransferDelay(): Milliseconds {
-    const { transferDelay, areTokensChecked } = this.options;
-    return transferDelay() + (areTokensChecked() ? 0 : FENCING_TOKEN_VALIDITY);
+  /** Begins the wait of a new term; a term that continues this node's last one keeps its wait. */
+  private async awaitEarlierHolders(
+    { nonce, earlierHolders }: TermRecord,
+    isOwnTermContinued: boolean,
+  ): Promise<void> {
+    const { transferWait } = this;
+    let shortened: Promise<void> | undefined;
+    if (earlierHolders?.length === 0) transferWait.skip();
+    else if (!isOwnTermContinued) {
+      shortened = transferWait.begin(earlierHolders, () => this.ownNonce === nonce);
+    }
+    this.options.log.state('coordinator-acquired', {
+      fencingToken: this.token,
+      mayActAtOnce: transferWait.isOver,
+      earlierHolders: earlierHolders === undefined ? 'unknown' : namesOf(earlierHolders),
+    });
+    await shortened;
   }
 
   /**
-   * After an unanswered or conflicting commit: the revision of the lock if this attempt acquired
-   * it. Both records are read, as a watch may lag behind.
+   * Removes the earlier holders from the term once the wait for their orders is over, so that this
+   * node need not wait for them again after a restart.
    */
-  private async resolveUnconfirmedCommit(nonce: string): Promise<Revision | undefined> {
-    const { store } = this.options;
-    const lock = await store.get(LOCK_KEY);
-    if (lock.kind !== 'item') return undefined;
-    const { item } = lock;
-    if (item !== undefined && parseLock(item.value)?.nonce === nonce) return item.revision;
-    const term = await store.get(TERM_KEY);
-    if (term.kind === 'item' && term.item !== undefined) this.applyChange(term.item);
-    if (item !== undefined) this.applyChange(item);
-    else if (this.currentLock !== undefined) this.markFree();
-    return undefined;
-  }
-
-  private markFree(): void {
-    this.currentLock = undefined;
-    this.lockRevision = ABSENT;
-    this.freeSince = this.options.clock.now();
+  private clearTermWhenDue(): void {
+    const { ownNonce, transferWait, isClearingTerm, view } = this;
+    const { clock } = this.options;
+    if (isClearingTerm || !transferWait.isOver || clock.now() < this.nextClearingAt) return;
+    const { term } = view;
+    if (term === undefined || term.nonce !== ownNonce || term.earlierHolders?.length === 0) return;
+    this.isClearingTerm = true;
+    void view.replaceTerm({ ...term, earlierHolders: [] }).finally(() => {
+      this.isClearingTerm = false;
+      this.nextClearingAt = clock.now() + RETRY_DELAY;
+    });
   }
 
   private loseLock(): void {
     this.ownNonce = undefined;
     this.options.log.state('coordinator-lost', { fencingToken: this.token });
   }
-
-  private applyChange(change: StoreChange): void {
-    if (change.key === TERM_KEY && change.value !== undefined) {
-      if (change.revision < this.termRevision) return;
-      this.termRevision = change.revision;
-      this.lastHolder = parseLock(change.value);
-    }
-    if (change.key !== LOCK_KEY || change.revision < this.lockRevision) return;
-    const lock = change.value === undefined ? undefined : parseLock(change.value);
-    this.currentLock = lock;
-    this.lockRevision = change.revision;
-    if (change.value === undefined) this.markFree();
-    if (this.ownNonce !== undefined && lock?.nonce !== this.ownNonce) this.loseLock();
-  }
-}
-
-function parseLock(text: string): LockRecord | undefined {
-  try {
-    return LOCK_RECORD.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
 }
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -335,3 +335,82 @@
   t.ok(age >= 90 && age <= performance.now() - startedAt + 50, `${age} ms`);
   await candidate.stop();
 });
+
+/** Two nodes of which the first has acted as coordinator and crashed, and the second has the lock. */
+async function crashedAndWaiting(store: SharedStoreEmulator): Promise<Candidate> {
+  const first = startCandidate(store, OWNER, 0);
+  await eventually(() => first.lock.fencingToken() !== undefined);
+  const second = startCandidate(store, OTHER, 60_000);
+  await eventually(() => second.lock.holder === 'node-1');
+  first.crash();
+  store.erase('fleet/coordinator');
+  await eventually(() => second.lock.holder === 'node-2');
+  return second;
+}
+
+t.test('a holder that ended while it waited for earlier orders waits again', async (t) => {
+  const store = new SharedStoreEmulator();
+  const waiting = await crashedAndWaiting(store);
+  t.equal(waiting.lock.fencingToken(), undefined);
+  waiting.crash();
+  const lockBefore = store.valueOf('fleet/coordinator');
+  const restarted = startCandidate(store, { ...OTHER, incarnation: 'life-after' }, 60_000);
+  await eventually(() => (store.valueOf('fleet/coordinator') ?? lockBefore) !== lockBefore);
+  await PROCESS_CLOCK.sleep(50);
+  t.equal(restarted.lock.holder, 'node-2');
+  t.equal(restarted.lock.fencingToken(), undefined, 'the first node may just have given an order');
+  await restarted.stop();
+});
+
+t.test('a holder that resigns while it waits reports the age of earlier orders', async (t) => {
+  const store = new SharedStoreEmulator();
+  const waiting = await crashedAndWaiting(store);
+  t.equal(waiting.lock.resign(), 0, 'not the time since its start, as it gave no order');
+  await waiting.stop();
+});
+
+t.test('once its wait is over, a restarted holder acts at once', async (t) => {
+  const store = new SharedStoreEmulator();
+  const first = startCandidate(store, OWNER, 0);
+  await eventually(() => first.lock.fencingToken() !== undefined);
+  const second = startCandidate(store, OTHER, 100);
+  await eventually(() => second.lock.holder === 'node-1');
+  first.crash();
+  store.erase('fleet/coordinator');
+  await eventually(() => second.lock.fencingToken() !== undefined);
+  await eventually(() => (store.valueOf('fleet/coordinator-term') ?? '').includes('Holders":[]'));
+  second.crash();
+  const restarted = startCandidate(store, { ...OTHER, incarnation: 'life-after' }, 60_000);
+  await eventually(() => restarted.lock.fencingToken() !== undefined);
+  t.pass('no wait although the transfer delay is a minute');
+  await restarted.stop();
+});
+
+t.test('a term of an older build does not say who gave the last orders', async (t) => {
+  const store = new SharedStoreEmulator();
+  const { node, address } = OWNER;
+  store.write('fleet/coordinator-term', JSON.stringify({ node, address, nonce: 'older' }));
+  const restarted = startCandidate(store, OWNER, 60_000);
+  await eventually(() => restarted.lock.holder === 'node-1');
+  t.equal(restarted.lock.fencingToken(), undefined);
+  await restarted.stop();
+});
+
+t.test('a lock that is acquired after its node resigned is not used', async (t) => {
+  const store = new SharedStoreEmulator();
+  const commit = store.commit.bind(store);
+  let answerCommit = (): void => {};
+  const candidate = startCandidate(store, OWNER, 0);
+  store.commit = async (request) => {
+    const outcome = await commit(request);
+    const isLock = request.put?.some(({ key }) => key === 'fleet/coordinator') === true;
+    if (isLock) await new Promise<void>((resolve) => (answerCommit = resolve));
+    return outcome;
+  };
+  await eventually(() => store.valueOf('fleet/coordinator') !== undefined);
+  candidate.lock.resign();
+  answerCommit();
+  await PROCESS_CLOCK.sleep(50);
+  t.equal(candidate.lock.fencingToken(), undefined);
+  await candidate.stop();
+});
