An answer without a length that is cancelled unread raises no error

What was seen: found by the test of the exchanges' end, not by callers. Where an attempt is cancelled before anybody reads its answer, the stream that checks a body without a length fails without a listener: an uncaught exception, which the process logs.

--- a/test/platform-adapter/unframed-bodies.test.ts
+++ b/test/platform-adapter/unframed-bodies.test.ts
@@ -186,3 +186,20 @@
     t.equal(kind, ending.startsWith('close') ? 'item' : 'failed', ending);
   }
 });
+
+t.test('an answer without a length that is cancelled unread raises no error', async (t) => {
+  const address = await startPeer(t, {
+    head: unframedHead,
+    pieces: ['part', 'rest'],
+    ending: 'close',
+    pauseBefore: (index) => 200 * index,
+  });
+  const client = new EngineClient();
+  const abort = new AbortController();
+  const outcome = await client.send(engineRequest(address), abort.signal);
+  t.equal(outcome.kind, 'answered');
+  abort.abort();
+  await pause(50);
+  t.ok(outcome.kind === 'answered' && outcome.body.destroyed);
+  client.forget('i-1');
+});
