Each forwarded request has an answer or a closed connection at its timeout

What callers saw: nothing.

Cause: one flag meant that an answer was chosen and that the caller has one. A body that stalled, a status that writeHead refuses, or a caller of a stream that reads nothing fell in between. Ruled out: that the timer does not fire or the attempt does not end.

Change: CallerAnswer alone sends to the caller, and counts an answer from when it is sent.

--- a/src/serving/forwarded-exchange.ts
+++ b/src/serving/forwarded-exchange.ts
@@ -1,14 +1,16 @@
 /**
  * Forwards one request to workers of its route's service. A repeatable request is retried and
  * hedged at other workers, up to the route's number of attempts; any other is retried only if it
- * certainly did not run or the route is resumable.
+ * certainly did not run or the route is resumable. At its deadline the caller has an answer, or its
+ * connection is closed.
  */
 import type { Milliseconds } from '../core/units.js';
-import { type Failure, failure } from '../errors/error-kinds.js';
+import { failure } from '../errors/error-kinds.js';
 import type { AnswerSink, CallerRequest } from './answer-sink.js';
 import { type AttemptResult, isUsable, noteFailure, readAnswerBody } from './attempt.js';
+import { CallerAnswer } from './caller-answer.js';
 import type { EngineAnswer } from './engine-port.js';
-import { type AnsweredOutcome, ExchangeReport } from './exchange-report.js';
+import { ExchangeReport } from './exchange-report.js';
 import type { RequestForwarderOptions } from './forwarding-options.js';
 import { StreamRelay } from './stream-relay.js';
 import type { Route, ServiceName } from './traffic-configuration.js';
@@ -30,10 +32,9 @@
 /** One forwarded request. */
 export class ForwardedExchange {
   private readonly sender: WorkerSender;
-  private readonly report: ExchangeReport;
+  private readonly callerAnswer: CallerAnswer;
   private readonly deadline: Milliseconds;
   private readonly expiry = new AbortController();
-  private isAnswered = false;
 
   constructor(
     private readonly options: RequestForwarderOptions,
@@ -46,19 +47,29 @@
     this.deadline = request.receivedAt + timeout;
     const parts = { ...options, request, route, service };
     this.sender = new WorkerSender({ ...parts, remaining: () => this.remaining() });
-    this.report = new ExchangeReport(parts);
+    this.callerAnswer = new CallerAnswer({
+      sink,
+      report: new ExchangeReport(parts),
+      log: options.log,
+      disconnectSignal: request.disconnectSignal,
+      attempts: () => this.sender.attempts,
+    });
   }
 
+  /** Answers the caller; never rejects. */
   async perform(): Promise<void> {
     const timer = setTimeout(() => this.expire(), Math.max(0, this.remaining()));
     const cancelAttempts = (): void => this.sender.cancelAll();
     this.request.disconnectSignal.addEventListener('abort', cancelAttempts);
     try {
       const refusal = this.sender.refusal();
-      if (refusal !== undefined) this.fail(refusal);
+      if (refusal !== undefined) this.callerAnswer.fail(refusal);
       else if (this.route.kind === 'read-only') await this.forwardRepeatable();
       else await this.forwardNonRepeatable();
+    } catch (error) {
+      this.options.log.fault('exchange-failed', error);
     } finally {
+      this.callerAnswer.fail(failure('internal', 'the request ended without an answer'));
       clearTimeout(timer);
       this.request.disconnectSignal.removeEventListener('abort', cancelAttempts);
       this.sender.cancelAll();
@@ -71,18 +82,23 @@
 
   private expire(): void {
     this.expiry.abort();
-    this.fail(failure('deadline_exceeded', 'no worker answered in time'));
+    this.callerAnswer.fail(failure('deadline_exceeded', 'no worker answered in time'));
     this.sender.cancelAll();
   }
 
   private get isFinished(): boolean {
-    return this.isAnswered || this.request.disconnectSignal.aborted || this.expiry.signal.aborted;
+    return !this.callerAnswer.isAwaited || this.expiry.signal.aborted;
+  }
+
+  /** Whether nothing more may be sent for the caller. */
+  private get isCancelled(): boolean {
+    return this.request.disconnectSignal.aborted || this.expiry.signal.aborted;
   }
 
   /** Runs attempts in parallel: the first usable answer wins, the others are cancelled. */
   private forwardRepeatable(): Promise<void> {
     const hedgeDelay = Math.max(MIN_HEDGE_DELAY, HEDGE_SHARE * this.route.targetLatency);
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let pending = 0;
       let lastResult: AttemptResult | undefined;
       let hedge: NodeJS.Timeout | undefined;
@@ -107,16 +123,18 @@
         const wantsNewConnection = pending > 0;
         pending += 1;
         hedge = setTimeout(startNext, hedgeDelay);
-        void this.attemptWhole(worker, wantsNewConnection).then((result) => {
-          pending -= 1;
-          if (this.isFinished) return finish();
-          if (isUsable(result)) {
-            this.deliver(result);
-            return finish();
-          }
-          lastResult = result;
-          startNext();
-        });
+        this.attemptWhole(worker, wantsNewConnection)
+          .then((result) => {
+            pending -= 1;
+            if (this.isFinished) return finish();
+            if (isUsable(result)) {
+              this.deliver(result);
+              return finish();
+            }
+            lastResult = result;
+            startNext();
+          })
+          .catch(reject);
       };
       this.expiry.signal.addEventListener('abort', finish);
       this.request.disconnectSignal.addEventListener('abort', finish);
@@ -150,9 +168,7 @@
 
   private deliver(result: AttemptResult): void {
     if (result.outcome.kind !== 'answered' || result.body === undefined) return;
-    this.isAnswered = true;
-    this.sink.sendComplete(result.outcome.status, result.outcome.headers, result.body);
-    this.noteAnswered('request-answered', result.worker, result.outcome.status);
+    this.callerAnswer.sendComplete(result.worker, result.outcome, result.body);
   }
 
   /** Runs one attempt at a time; the next only after a worker that did not run the request. */
@@ -172,42 +188,42 @@
 
   /** Relays an answer; a broken resumable stream is resumed at another worker. */
   private async relay(worker: KnownWorker, answer: EngineAnswer): Promise<void> {
-    this.isAnswered = true;
     if (!answer.isStream) return this.relayWhole(worker, answer);
+    const { callerAnswer } = this;
     const relay = new StreamRelay(this.sink, this.options.versionField, this.request.lastEventId);
-    this.sink.begin(answer.status, answer.headers);
+    if (!callerAnswer.begin(worker, answer)) {
+      answer.discard();
+      return;
+    }
     let current: StartedStream | undefined = { worker, answer };
     while (current !== undefined) {
       const isComplete = await relay.follow(current.answer);
       if (isComplete) {
-        this.sink.end();
+        callerAnswer.end();
         this.sender.noteAnswered(answer.status);
-        return this.noteAnswered('stream-answered', worker, answer.status);
+        return;
       }
       current.answer.discard();
       if (!this.request.disconnectSignal.aborted) this.sender.noteConnectionBroken(current.worker);
       current = await this.resumeStream(relay);
     }
-    this.sink.abort();
-    this.noteAnswered('stream-broken-off', worker, answer.status);
+    callerAnswer.breakOff();
   }
 
   private async relayWhole(worker: KnownWorker, answer: EngineAnswer): Promise<void> {
     const body = await readAnswerBody(answer);
-    if (this.request.disconnectSignal.aborted || this.expiry.signal.aborted) return;
+    if (this.isFinished) return;
     if (body === undefined) {
-      this.isAnswered = false;
       this.sender.mayHaveRun = true;
       this.sender.noteConnectionBroken(worker);
       return this.giveUp(undefined);
     }
     this.sender.noteAnswered(answer.status);
-    this.sink.sendComplete(answer.status, answer.headers, body);
-    this.noteAnswered('request-answered', worker, answer.status);
+    this.callerAnswer.sendComplete(worker, answer, body);
   }
 
   private async resumeStream(relay: StreamRelay): Promise<StartedStream | undefined> {
-    while (this.route.resumable && !this.request.disconnectSignal.aborted && this.remaining() > 0) {
+    while (this.route.resumable && !this.isCancelled) {
       const worker = this.sender.pick();
       if (worker === undefined) return undefined;
       const outcome = await this.sender.send(worker, { lastEventId: relay.lastEventId });
@@ -226,27 +242,18 @@
       return;
     }
     if (this.sender.mayHaveRun && this.route.kind !== 'read-only') {
-      this.fail(failure('engine_failed', 'the worker broke off; the work may have run'));
+      this.callerAnswer.fail(
+        failure('engine_failed', 'the worker broke off; the work may have run'),
+      );
       return;
     }
     if (this.sender.mayHaveRun) {
-      this.fail(failure('engine_failed', 'no worker gave an answer'));
+      this.callerAnswer.fail(failure('engine_failed', 'no worker gave an answer'));
       return;
     }
     const kind = this.sender.attempts === 0 ? 'no_worker' : 'overloaded';
-    this.fail(
+    this.callerAnswer.fail(
       failure(kind, `${this.sender.attempts} workers were tried`, { retryAfter: RETRY_AFTER }),
     );
   }
-
-  private fail(reason: Failure): void {
-    if (this.isAnswered || this.request.disconnectSignal.aborted) return;
-    this.isAnswered = true;
-    this.sink.fail(reason);
-    this.report.noteFailed(reason, this.sender.attempts);
-  }
-
-  private noteAnswered(outcome: AnsweredOutcome, worker: KnownWorker, status: number): void {
-    this.report.noteAnswered(outcome, worker, status, this.sender.attempts);
-  }
 }
