Soak: no worker gets orders of two coordinators within the transfer delay

The soak checked that fencing tokens rise; that coordinators leave each other lease_ms was checked nowhere. Each order that comes to a worker is now compared with the last one of another node (coordinator-turns). The delay stands in the settings of the gateways, with the value that was the default.

--- a/lab/soak/gateway-group.ts
+++ b/lab/soak/gateway-group.ts
@@ -8,6 +8,7 @@
 import type { BuildRotation } from './build-rotation.js';
 import { COLD } from './cold-request-counter.js';
 import { gatewayHost, linkHost } from './gateway-hosts.js';
+import { TRANSFER_DELAY } from './order-turns.js';
 import { RegionLink } from './region-link.js';
 import { SENDER_HOST, SENDER_NAME } from './request-sender.js';
 import { EVACUATION_BOUND } from './soak-evacuations.js';
@@ -184,6 +185,8 @@
       `internal_ports=${peer},${peer}`,
       `listen.front=${host}:${front}`,
       `platform.address=${storeAddress}`,
+      `bounds.lease_ms=${TRANSFER_DELAY}`,
+      'bounds.require_fence=false',
       `bounds.grace_s=${GRACE_SECONDS}`,
       `bounds.evacuation_ms=${EVACUATION_BOUND}`,
       `bounds.cold_overrun=${COLD.factor}`,
--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { EndedJobs } from './ended-jobs.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
+import { OrderTurns } from './order-turns.js';
 import type { KnownJobReads, ReadResult, SubmittedJob, Violation } from './promise-records.js';
 import type { RequestSender } from './request-sender.js';
 import { ALLOWED_REGION } from './soak-call.js';
@@ -48,12 +49,14 @@
   private readonly signatures = new Map<string, Set<string>>();
   private readonly lethalRequests = new LethalRequestChecker();
   private readonly endedJobs: EndedJobs;
+  private readonly orderTurns: OrderTurns;
 
   constructor(
     private readonly now: () => Milliseconds,
     log?: Pick<SoakLog, 'note'>,
   ) {
     this.endedJobs = new EndedJobs(now, log);
+    this.orderTurns = new OrderTurns(now);
   }
 
   /** Items and scores that came to workers after the end of their job, in time or not. */
@@ -233,6 +236,12 @@
     this.signatures.set(request, known.add(signature));
   }
 
+  /** An order of a node came to a worker, whatever became of it. */
+  orderCame(worker: string, holder: string): void {
+    const mistake = this.orderTurns.note(worker, holder);
+    this.check(mistake === undefined, 'coordinator-turns', mistake ?? '');
+  }
+
   /** A worker took an order. */
   orderTaken(holder: string, token: number, highestBefore: number): void {
     const before = this.holders.get(token);
--- a/lab/soak/promise-records.ts
+++ b/lab/soak/promise-records.ts
@@ -16,6 +16,7 @@
     | 'configuration-in-force'
     | 'stale-rejection'
     | 'fencing'
+    | 'coordinator-turns'
     | 'ended-job'
     | 'query-of-death'
     | 'leaving-worker'
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -169,6 +169,7 @@
 
   private order(body: string, response: http.ServerResponse): void {
     const order = ORDER.parse(JSON.parse(body));
+    this.surroundings.checker.orderCame(this.id, order.holder);
     if (order.fencing_token < this.highestToken) return void response.writeHead(412).end();
     const { checker } = this.surroundings;
     checker.orderTaken(order.holder, order.fencing_token, this.highestToken);
