--- a/src/fleet/cold-workers.ts
+++ b/src/fleet/cold-workers.ts
@@ -16,7 +16,7 @@
 import type { WorkerRegistry } from '../serving/worker-registry.js';
 import type { DecisionLog } from '../telemetry/decision-log.js';
 import type { FleetMetrics } from '../telemetry/fleet-metrics.js';
-import { FENCING_TOKEN_VALIDITY } from './coordinator-lock.js';
+import { FENCING_TOKEN_VALIDITY } from './transfer-wait.js';
 
 /** Minimum time between two requests of this node to the granter. */
 const MIN_REQUEST_INTERVAL: Milliseconds = 100;
--- a/src/fleet/coordinator-lock.ts
+++ b/src/fleet/coordinator-lock.ts
@@ -25,8 +25,6 @@
 import type { FleetRegistry } from './fleet-registry.js';
 import { FENCING_TOKEN_VALIDITY, TransferWait } from './transfer-wait.js';
 
-export { FENCING_TOKEN_VALIDITY } from './transfer-wait.js';
-
 /** Delay per rank before a node tries to acquire a free lock. */
 const RANK_DELAY: Milliseconds = 400;
 
--- a/src/serving/answer-sink.ts
+++ b/src/serving/answer-sink.ts
@@ -13,9 +13,9 @@
   write(chunk: Buffer): Promise<void>;
   /** Completes the answer. */
   end(): void;
-  /** Aborts a started answer, so that the caller sees it as incomplete. */
+  /** Closes the connection, so that the caller sees an answer as incomplete. */
   abort(): void;
-  /** Answers with a failure of the gateway. */
+  /** Answers with a failure of the gateway; closes the connection if an answer has begun. */
   fail(failure: Failure): void;
 }
 
--- a/test/fleet/coordinator-lock.test.ts
+++ b/test/fleet/coordinator-lock.test.ts
@@ -1,8 +1,9 @@
 import t from 'tap';
 import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { Milliseconds } from '../../src/core/units.js';
-import { CoordinatorLock, FENCING_TOKEN_VALIDITY } from '../../src/fleet/coordinator-lock.js';
+import { CoordinatorLock } from '../../src/fleet/coordinator-lock.js';
 import { FleetRegistry } from '../../src/fleet/fleet-registry.js';
+import { FENCING_TOKEN_VALIDITY } from '../../src/fleet/transfer-wait.js';
 import type { JobOwner } from '../../src/jobs/job-records.js';
 import type { PeerOutcome, PeerPort } from '../../src/peers/peer-messages.js';
 import { PROCESS_CLOCK } from '../../src/serving/clock.js';
