Each waiting item has a reason, with its inputs and since when

Cause: an item that is not placed left no line and no metric, so that the three hypotheses of the incident (excluded by crashes, bound to weights that are gone, running without a run) look the same in a log. Change: each path of the dispatcher and the scorer that does not send an item records why, with what decided it. Once a second, items that have been at no worker for a second (5 s where all workers are busy) get a line item-waiting, at most five a second; the gauge waiting_items and the line items-waiting beside the counters count all of them by awaited work and reason. Nothing else changes: the reasons are recorded where the decisions are made.

--- a/src/fleet/gateway-node.ts
+++ b/src/fleet/gateway-node.ts
@@ -489,5 +489,7 @@
     metrics.set('running_items', this.dispatcher.runCount);
     metrics.set('is_coordinator', this.coordination.isActive ? 1 : 0);
     log.state('counters', metrics.snapshot());
+    const waiting = this.dispatcher.waitingCounts;
+    if (Object.keys(waiting).length > 0) log.state('items-waiting', waiting);
   }
 }
--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -17,6 +17,7 @@
 import { PlacementRound } from './placement-round.js';
 import { describeRun, RunMigrator } from './run-migrator.js';
 import { SendingPermission } from './sending-permission.js';
+import { WaitReporter } from './wait-reporter.js';
 
 export interface ItemDispatcherOptions extends SendingOptions {
   /** The routes in force; `undefined` before the first configuration. */
@@ -63,6 +64,7 @@
   private readonly scorer: ItemScorer;
   private readonly migrator: RunMigrator;
   private readonly permission: SendingPermission;
+  private readonly waitReporter: WaitReporter;
   private isScheduled = false;
   private isStopped = false;
 
@@ -71,6 +73,7 @@
     this.runContext = { engine, clock, versionField, idleTimeouts: IDLE_TIMEOUTS };
     this.migrator = new RunMigrator(options);
     this.permission = new SendingPermission(options);
+    this.waitReporter = new WaitReporter({ ...options, permission: this.permission });
     this.scorer = new ItemScorer({ ...options, onCallEnded: () => this.schedule() });
   }
 
@@ -104,12 +107,18 @@
     return count;
   }
 
-  /** Periodic work: terminates expired items, moves runs and dispatches waiting items. */
+  /** Items at no worker, by awaited work and reason, joined by a dot. */
+  get waitingCounts(): Readonly<Record<string, number>> {
+    return this.waitReporter.waitingCounts;
+  }
+
+  /** Periodic work: terminates expired items, moves runs, dispatches and reports waiting items. */
   tick(): void {
     this.dropClosedJobs();
     for (const job of this.jobs) this.terminateExpired(job);
     this.migrator.migrateRuns([...this.jobs].filter((job) => this.permission.maySend(job)));
     this.dispatch();
+    this.waitReporter.tick(this.jobs);
   }
 
   private dropClosedJobs(): void {
@@ -147,15 +156,26 @@
   ): void {
     const route = routes.match(job.spec.host, entry.item.path);
     const service = route === undefined ? undefined : routes.nextService(route);
-    if (route === undefined || service === undefined) return;
-    if (this.isDeferred(entry, now)) return;
+    if (route === undefined || service === undefined) {
+      entry.wait.note(now, { reason: 'no-route', inputs: {} });
+      return;
+    }
+    if (this.isDeferred(entry, now)) {
+      const crashes = this.options.quarantine.crashesUnder(entry.fingerprinted).length;
+      entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes } });
+      return;
+    }
     const round = rounds.get(service) ?? this.startRound(service, now);
     rounds.set(service, round);
     const groupKey = `${job.spec.id}/${entry.item.group}`;
     const allowed = routes.allowedRegions(route, job.spec.tenant);
     const needs = needsOf(job, entry, allowed);
     const worker = round.place(needs, this.promptWorkerOf(groupKey));
-    if (worker === undefined) return;
+    if (worker === undefined) {
+      const obstacle = round.obstacleOf(needs);
+      if (obstacle !== undefined) entry.wait.note(now, obstacle);
+      return;
+    }
     this.promptWorkers.set(groupKey, worker);
     void this.run(job, entry, route, worker, allowed);
   }
@@ -230,6 +250,7 @@
     this.recordOutcome(worker, end, now);
     this.options.metrics.count('item_runs', { end });
     entry.notBefore = now + retryDelayAfter(end);
+    entry.wait.restart(now, { reason: 'retry-delay', inputs: { end } });
     if (end === 'completed') {
       job.completeText(entry);
       const age = ageOf(job.spec, this.options.clock.wallTime());
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -17,6 +17,7 @@
 import { ageOf, type ScoreRequest } from './job-records.js';
 import type { OwnedItem } from './owned-item.js';
 import type { OwnedJob } from './owned-job.js';
+import type { Obstacle } from './work-wait.js';
 
 export interface ItemScorerOptions extends ItemDispatcherOptions {
   /** Called after a score call ends. */
@@ -72,16 +73,36 @@
     const { scoring } = entry;
     if (scoring.notBefore > now || scoring.callCount >= MAX_CONCURRENT_CALLS) return;
     const route = routes.match(request.host, request.path);
-    if (route === undefined) return;
+    if (route === undefined) {
+      entry.wait.note(now, { reason: 'no-route', inputs: {} });
+      return;
+    }
     scoring.cancelOlderThan(now - route.timeout);
     const isLate = now - scoring.lastSentAt > this.estimateFor(route).limit(route.timeout);
     if (scoring.callCount > 0 && !isLate) return;
-    if (!this.options.quarantine.admits(scoring.fingerprinted, scoring.callCount)) return;
+    if (!this.options.quarantine.admits(scoring.fingerprinted, scoring.callCount)) {
+      const crashes = this.options.quarantine.crashesUnder(scoring.fingerprinted).length;
+      entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes } });
+      return;
+    }
     const service = routes.nextService(route);
     const allowed = allowedRegionsOf(item, route, routes);
     const worker =
       service === undefined ? undefined : this.selectWorker(service, scoring, now, allowed);
     if (worker !== undefined) void this.startCall(item, scoring, route, worker, allowed);
+    else entry.wait.note(now, this.obstacleAt(service, allowed));
+  }
+
+  /** Why no worker can be called for a score. */
+  private obstacleAt(service: ServiceName | undefined, allowed: AllowedRegions): Obstacle {
+    if (service === undefined) return { reason: 'no-route', inputs: {} };
+    const { registry } = this.options;
+    const [first, ...others] = registry.available(service);
+    const inputs = { workers: first === undefined ? 0 : 1 + others.length };
+    if (first === undefined) return { reason: 'no-worker', inputs };
+    const isAnyEligible = registry.eligible(service, allowed).length > 0;
+    const rejection = registry.rules.rejectionOf(first.record, allowed);
+    return { reason: (isAnyEligible ? undefined : rejection) ?? 'workers-full', inputs };
   }
 
   /** Selects a worker below the slot share for scores, preferring one not tried before. */
@@ -118,6 +139,8 @@
     const outcome = await this.sendRequest(item, route, worker, allowed, call.signal);
     worker.inFlight -= 1;
     scoring.end(call);
+    const end = outcome.kind;
+    item.entry.wait.restart(clock.now(), { reason: 'retry-delay', inputs: { end } });
     metrics.count('score_calls', { outcome: outcome.kind });
     if (outcome.kind === 'broken')
       void quarantine.noteBroken(worker.record, scoring.fingerprinted, 'this-node');
--- a/src/jobs/owned-item.ts
+++ b/src/jobs/owned-item.ts
@@ -5,6 +5,7 @@
 import type { ItemRun } from './item-run.js';
 import type { ItemScoring } from './item-scoring.js';
 import type { JobItem, JobResult, JobSpecification } from './job-records.js';
+import { WorkWait } from './work-wait.js';
 
 /**
  * `waiting`: to be sent to a worker; `running`: on a worker; `unscored`: the text is complete, the
@@ -20,6 +21,8 @@
   readonly fingerprinted: FingerprintedRequest;
   state: OwnedItemState;
   run: ItemRun | undefined;
+  /** Why the item, or the request for its score, is at no worker; of no meaning while it is. */
+  readonly wait: WorkWait;
   /** Earliest time of the next run. */
   notBefore: Milliseconds;
   /** Number of responses that reported a failed attempt. */
@@ -36,10 +39,12 @@
   scoring: ItemScoring | undefined;
 }
 
+/** An item without progress, accepted at `now`. */
 export function newOwnedItem(
   item: JobItem,
   rule: VersionRule,
   { host, tenant }: Pick<JobSpecification, 'host' | 'tenant'>,
+  now: Milliseconds,
 ): OwnedItem {
   const fingerprinted = new FingerprintedRequest(() => ({
     method: 'POST',
@@ -54,6 +59,7 @@
     progress: new ItemProgress(rule),
     state: 'waiting',
     run: undefined,
+    wait: new WorkWait(now),
     notBefore: 0,
     failedAttempts: 0,
     moveCount: 0,
--- a/src/jobs/owned-job.ts
+++ b/src/jobs/owned-job.ts
@@ -62,7 +62,7 @@
     this.meanExpectedLength = meanLengthOf(spec);
     for (const item of spec.items) {
       if (listedIds.has(item.id)) continue;
-      const entry = newOwnedItem(item, rule, this.spec);
+      const entry = newOwnedItem(item, rule, this.spec, clock.now());
       this.items.set(item.id, entry);
       this.restoreWork(entry, earlierWork.get(item.id), rule);
     }
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -7,6 +7,8 @@
 import { SendRules } from '../placement/send-rules.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { type ItemNeeds, mayRun, medianEventInterval, placementScore } from './item-placement.js';
+import { obstacleTo } from './placement-obstacle.js';
+import type { Obstacle } from './work-wait.js';
 
 /**
  * Maximum number of workers compared for one item. A random sample of a large fleet almost always
@@ -23,15 +25,15 @@
   private freeWorkers: readonly KnownWorker[];
   /** Start of the next search; random at first, so that owners start at different workers. */
   private cursor: number;
-  /** Requirements that no worker meets; workers only become fuller within a round. */
-  private readonly unmetNeeds = new Set<string>();
+  /** Requirements that no worker meets, and why; workers only become fuller within a round. */
+  private readonly unmetNeeds = new Map<string, Obstacle>();
 
   /**
    * `distanceCost`: cost of sending to a worker in a zone; without it, all zones are equal.
    * `rules`: determine which workers may receive work.
    */
   constructor(
-    workers: readonly KnownWorker[],
+    private readonly workers: readonly KnownWorker[],
     private readonly now: Milliseconds,
     private readonly distanceCost?: DistanceCost,
     private readonly rules: SendRules = new SendRules(),
@@ -44,11 +46,12 @@
 
   /** The best worker for an item, or `undefined` if none can run it. */
   place(needs: ItemNeeds, sharedPromptWorker: string | undefined): KnownWorker | undefined {
-    const regions = needs.allowedRegions?.join() ?? 'any';
-    const key = `${needs.model}/${needs.minVersion}/${needs.boundVersion ?? ''}/${regions}`;
+    const key = keyOf(needs);
     if (this.unmetNeeds.has(key)) return undefined;
     const candidates = this.candidates(needs, sharedPromptWorker);
-    if (candidates.length === 0) this.unmetNeeds.add(key);
+    if (candidates.length === 0) {
+      this.unmetNeeds.set(key, obstacleTo(needs, this.workers, this.rules, this.now));
+    }
     const score = this.scoreFor(needs, sharedPromptWorker);
     let best: { readonly worker: KnownWorker; readonly score: number } | undefined;
     for (const worker of candidates) {
@@ -58,6 +61,11 @@
     return best?.worker;
   }
 
+  /** Why {@link place} found no worker for an item with these needs in this round. */
+  obstacleOf(needs: ItemNeeds): Obstacle | undefined {
+    return this.unmetNeeds.get(keyOf(needs));
+  }
+
   private scoreFor(
     needs: ItemNeeds,
     sharedPromptWorker: string | undefined,
@@ -93,3 +101,8 @@
     return found;
   }
 }
+
+/** Equal for items with the same requirements. */
+function keyOf({ model, minVersion, boundVersion, allowedRegions }: ItemNeeds): string {
+  return `${model}/${minVersion}/${boundVersion ?? ''}/${allowedRegions?.join() ?? 'any'}`;
+}
--- a/src/telemetry/fleet-metrics.ts
+++ b/src/telemetry/fleet-metrics.ts
@@ -86,13 +86,17 @@
   peer_calls: { help: 'Calls to other nodes', labels: ['call', 'outcome'] },
 } as const;
 
-/** All gauges. */
+/** All gauges: help text and label names; those without labels have none. */
 const GAUGES = {
   configuration_version: { help: 'Version of the configuration in force' },
   live_nodes: { help: 'Nodes of the fleet that count as live' },
   known_workers: { help: 'Workers that are registered' },
   open_jobs: { help: 'Jobs that are run here' },
   running_items: { help: 'Items under way at workers from here' },
+  waiting_items: {
+    help: 'Items at no worker, by the work that they await (run or score) and the reason',
+    labels: ['work', 'reason'],
+  },
   evacuated_zones: { help: 'Zones whose workers are sent nothing, as the operator asked' },
   cold_workers: { help: 'Workers that are sent requests under permits only' },
   grants_cold_permits: { help: '1 while this node grants permits for cold workers' },
@@ -136,11 +140,10 @@
       };
       this.counters.set(name as FleetCounter, new Counter(options));
     }
-    for (const [name, { help }] of Object.entries(GAUGES)) {
-      this.gauges.set(
-        name as FleetGauge,
-        new Gauge({ name: `${METRIC_PREFIX}${name}`, help, registers }),
-      );
+    for (const [name, gauge] of Object.entries(GAUGES)) {
+      const labelNames = 'labels' in gauge ? [...gauge.labels] : [];
+      const options = { name: `${METRIC_PREFIX}${name}`, help: gauge.help, labelNames, registers };
+      this.gauges.set(name as FleetGauge, new Gauge(options));
     }
     for (const [name, { help, labels }] of Object.entries(HISTOGRAMS)) {
       const options = {
@@ -165,6 +168,16 @@
     this.gauges.get(name)?.set(value);
   }
 
+  /** Replaces all values of a gauge with labels; label values that are not named are removed. */
+  setAll(
+    name: FleetGauge,
+    values: readonly { readonly labels: MetricLabels; readonly value: number }[],
+  ): void {
+    const gauge = this.gauges.get(name);
+    gauge?.reset();
+    for (const { labels, value } of values) gauge?.set(labels, value);
+  }
+
   /** Records a duration in a histogram. */
   observe(name: FleetHistogram, labels: MetricLabels, duration: Milliseconds): void {
     this.histograms.get(name)?.observe(labels, duration / MILLISECONDS_PER_SECOND);
