An item under which workers crashed is delayed, never left out

What callers saw: a trainer's step runs out of time while an item is at no worker, although workers are free. Cause: after six crashes under an item the dispatcher sent it no more for as long as the evidence lived (600 s, stored, and followed to other owners and later jobs). After three, the delay of 4.5 s left no room for a run that fails to start within the 5 s in which an owed item must be at a worker. A crash dated in the future by another machine's clock counts as one of now.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -3,11 +3,11 @@
 import type { Milliseconds } from '../core/units.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { DistanceCost } from '../placement/distance-costs.js';
-import { MAX_CRASHED_WORKERS } from '../serving/crash-evidence.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { SendingOptions } from '../serving/sending-options.js';
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
+import { crashDelay } from './crash-backoff.js';
 import { needsOf } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ItemScorer } from './item-scorer.js';
@@ -43,18 +43,6 @@
 const REJECTION_RETRY_DELAY: Milliseconds = 10;
 const FAILED_ATTEMPT_RETRY_DELAY: Milliseconds = 100;
 
-/**
- * Delay between runs of an item once its runs have crashed as many workers as one request may
- * crash. Below 5 s, because an item of an open step must not go that long without a run.
- */
-const CRASH_RETRY_DELAY: Milliseconds = 4_500;
-
-/**
- * Worker crashes after which an item is no longer sent: twice as many as for a request, which is
- * then rejected at once.
- */
-const MAX_CRASHES_PER_ITEM = 2 * MAX_CRASHED_WORKERS;
-
 /** Dispatches items to workers, moves slow runs and requests scores. */
 export class ItemDispatcher {
   private readonly jobs = new Set<OwnedJob>();
@@ -160,9 +148,9 @@
       entry.wait.note(now, { reason: 'no-route', inputs: {} });
       return;
     }
-    if (this.isDeferred(entry, now)) {
-      const crashes = this.options.quarantine.crashesUnder(entry.fingerprinted).length;
-      entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes } });
+    const crashes = this.options.quarantine.crashesUnder(entry.fingerprinted);
+    if (crashDelay(crashes, now) > 0) {
+      entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes: crashes.length } });
       return;
     }
     const round = rounds.get(service) ?? this.startRound(service, now);
@@ -231,14 +219,6 @@
     this.schedule();
   }
 
-  /** Whether an item is delayed or excluded from dispatch because its runs crashed workers. */
-  private isDeferred(entry: OwnedItem, now: Milliseconds): boolean {
-    const crashes = this.options.quarantine.crashesUnder(entry.fingerprinted);
-    if (crashes.length < MAX_CRASHED_WORKERS) return false;
-    if (crashes.length >= MAX_CRASHES_PER_ITEM) return true;
-    return now - (crashes.at(-1)?.at ?? now) < CRASH_RETRY_DELAY;
-  }
-
   private handleRunEnd(
     job: OwnedJob,
     entry: OwnedItem,
--- a/src/serving/crash-evidence.ts
+++ b/src/serving/crash-evidence.ts
@@ -46,10 +46,13 @@
     return this.crashes.size === 0;
   }
 
-  /** Records a crash under a request; the first record of a worker counts. */
+  /**
+   * Records a crash under a request; the first record of a worker counts. A time in the future, by the
+   * clock of another machine, counts as now.
+   */
   note(request: RequestFingerprint, { worker, at }: WorkerCrash): void {
     const crashes = this.of(request) ?? new Map<string, Milliseconds>();
-    if (!crashes.has(worker)) crashes.set(worker, at);
+    if (!crashes.has(worker)) crashes.set(worker, Math.min(at, this.clock.now()));
     this.crashes.delete(request);
     this.crashes.set(request, crashes);
     this.dropOldest();
