A score request under which workers crashed is delayed, never left out

What callers saw: an item whose text is whole is never listed, as its score is never asked for again. Cause: the scorer asked the quarantine of callers' requests, which admits nothing for 600 s after three crashes. Change: the first call for a score is delayed as a run of an item is, 2 s after the latest crash; a concurrent call is still not made where it may crash a further worker.

--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -12,6 +12,7 @@
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
+import { crashDelay } from './crash-backoff.js';
 import type { ItemDispatcherOptions } from './item-dispatcher.js';
 import { ItemScoring } from './item-scoring.js';
 import { ageOf, type ScoreRequest } from './job-records.js';
@@ -80,11 +81,7 @@
     scoring.cancelOlderThan(now - route.timeout);
     const isLate = now - scoring.lastSentAt > this.estimateFor(route).limit(route.timeout);
     if (scoring.callCount > 0 && !isLate) return;
-    if (!this.options.quarantine.admits(scoring.fingerprinted, scoring.callCount)) {
-      const crashes = this.options.quarantine.crashesUnder(scoring.fingerprinted).length;
-      entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes } });
-      return;
-    }
+    if (!this.mayCall(entry, scoring, now)) return;
     const service = routes.nextService(route);
     const allowed = allowedRegionsOf(item, route, routes);
     const worker =
@@ -93,6 +90,19 @@
     else entry.wait.note(now, this.obstacleAt(service, allowed));
   }
 
+  /**
+   * Whether the workers that crashed under earlier calls allow one more. The first call is only
+   * delayed, as the score is owed; a concurrent one is not made where it may crash a further worker.
+   */
+  private mayCall(entry: OwnedItem, scoring: ItemScoring, now: Milliseconds): boolean {
+    const { quarantine } = this.options;
+    if (scoring.callCount > 0) return quarantine.admits(scoring.fingerprinted, scoring.callCount);
+    const crashes = quarantine.crashesUnder(scoring.fingerprinted);
+    if (crashDelay(crashes, now) === 0) return true;
+    entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes: crashes.length } });
+    return false;
+  }
+
   /** Why no worker can be called for a score. */
   private obstacleAt(service: ServiceName | undefined, allowed: AllowedRegions): Obstacle {
     if (service === undefined) return { reason: 'no-route', inputs: {} };
--- a/test/jobs/crash-inducing-items.test.ts
+++ b/test/jobs/crash-inducing-items.test.ts
@@ -217,3 +217,14 @@
   await sleep(OBSERVATION_TIME);
   t.equal(workers.crashed.length, MAX_CRASHED_WORKERS);
 });
+
+t.test('such a score request is sent again after each delay, and one at a time', async (t) => {
+  const work = new CrashingWork('/score/');
+  await work.node.service.submit(scoredSpecification('job', 1), always);
+  await work.runFor(CRASH_TIME);
+  checkPauses(t, work);
+  t.ok(work.workers.crashed.length > 2 * MAX_CRASHED_WORKERS);
+  work.isCrashing = false;
+  await work.runFor(MAX_IDLE_TIME - FAILED_TRY_TIME);
+  t.same(work.finished, ['item-0']);
+});
