The reason of a failed placement is searched for at most five times a second

Change: the reason is found only when an item's last one is 200 ms old, and once for all items with the same requirements.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -160,8 +160,7 @@
     const needs = needsOf(job, entry, allowed);
     const worker = round.place(needs, this.promptWorkerOf(groupKey));
     if (worker === undefined) {
-      const obstacle = round.obstacleOf(needs);
-      if (obstacle !== undefined) entry.wait.note(now, obstacle);
+      if (entry.wait.isNoteDue(now)) entry.wait.note(now, round.obstacleTo(needs));
       return;
     }
     this.promptWorkers.set(groupKey, worker);
--- a/src/jobs/placement-obstacle.ts
+++ b/src/jobs/placement-obstacle.ts
@@ -31,7 +31,7 @@
  * The requirement that excludes the last of a service's workers. `workers` counts all of them,
  * `candidates` those that meet the requirements before it.
  */
-export function obstacleTo(
+export function placementObstacle(
   needs: ItemNeeds,
   workers: readonly KnownWorker[],
   rules: SendRules,
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -7,7 +7,7 @@
 import { SendRules } from '../placement/send-rules.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { type ItemNeeds, mayRun, medianEventInterval, placementScore } from './item-placement.js';
-import { obstacleTo } from './placement-obstacle.js';
+import { placementObstacle } from './placement-obstacle.js';
 import type { Obstacle } from './work-wait.js';
 
 /**
@@ -25,8 +25,10 @@
   private freeWorkers: readonly KnownWorker[];
   /** Start of the next search; random at first, so that owners start at different workers. */
   private cursor: number;
-  /** Requirements that no worker meets, and why; workers only become fuller within a round. */
-  private readonly unmetNeeds = new Map<string, Obstacle>();
+  /** Requirements that no worker meets; workers only become fuller within a round. */
+  private readonly unmetNeeds = new Set<string>();
+  /** By unmet requirements. */
+  private readonly obstacles = new Map<string, Obstacle>();
 
   /**
    * `distanceCost`: cost of sending to a worker in a zone; without it, all zones are equal.
@@ -49,9 +51,7 @@
     const key = keyOf(needs);
     if (this.unmetNeeds.has(key)) return undefined;
     const candidates = this.candidates(needs, sharedPromptWorker);
-    if (candidates.length === 0) {
-      this.unmetNeeds.set(key, obstacleTo(needs, this.workers, this.rules, this.now));
-    }
+    if (candidates.length === 0) this.unmetNeeds.add(key);
     const score = this.scoreFor(needs, sharedPromptWorker);
     let best: { readonly worker: KnownWorker; readonly score: number } | undefined;
     for (const worker of candidates) {
@@ -61,9 +61,14 @@
     return best?.worker;
   }
 
-  /** Why {@link place} found no worker for an item with these needs in this round. */
-  obstacleOf(needs: ItemNeeds): Obstacle | undefined {
-    return this.unmetNeeds.get(keyOf(needs));
+  /** Why {@link place} found no worker for an item with these needs; searches all workers once. */
+  obstacleTo(needs: ItemNeeds): Obstacle {
+    const key = keyOf(needs);
+    const known = this.obstacles.get(key);
+    if (known !== undefined) return known;
+    const obstacle = placementObstacle(needs, this.workers, this.rules, this.now);
+    this.obstacles.set(key, obstacle);
+    return obstacle;
   }
 
   private scoreFor(
--- a/src/jobs/work-wait.ts
+++ b/src/jobs/work-wait.ts
@@ -2,6 +2,9 @@
 import type { Milliseconds } from '../core/units.js';
 import type { SendRejection } from '../placement/send-rules.js';
 
+/** A reason is looked for at most this often, as it may take a search of all workers. */
+const NOTE_INTERVAL: Milliseconds = 200;
+
 /** Why work is at no worker; logged and counted under this value. */
 export type WaitReason =
   /** No dispatch pass has considered it yet. */
@@ -39,6 +42,7 @@
 export class WorkWait {
   private obstacle: Obstacle = { reason: 'not-considered', inputs: {} };
   private reasonSince: Milliseconds;
+  private notedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   /** Whether the reason has changed since it was last reported, and when that was. */
   private reported: { readonly reason: WaitReason; readonly at: Milliseconds } | undefined;
 
@@ -62,12 +66,19 @@
     this.reported = undefined;
     this.note(now, obstacle);
     this.reasonSince = now;
+    this.notedAt = Number.NEGATIVE_INFINITY;
   }
 
   /** Records why the work can't be sent now. */
   note(now: Milliseconds, obstacle: Obstacle): void {
     if (obstacle.reason !== this.obstacle.reason) this.reasonSince = now;
     this.obstacle = obstacle;
+    this.notedAt = now;
+  }
+
+  /** Whether the reason should be looked for again. */
+  isNoteDue(now: Milliseconds): boolean {
+    return now - this.notedAt >= NOTE_INTERVAL;
   }
 
   /** Whether the reason was not reported yet, or longer ago than `interval`. */
--- a/test/jobs/waiting-items.test.ts
+++ b/test/jobs/waiting-items.test.ts
@@ -31,9 +31,7 @@
 ): string | undefined {
   const round = new PlacementRound(workers, NOW, undefined, rules);
   const wanted = { ...NEEDS, ...needs };
-  return round.place(wanted, undefined) === undefined
-    ? round.obstacleOf(wanted)?.reason
-    : undefined;
+  return round.place(wanted, undefined) === undefined ? round.obstacleTo(wanted).reason : undefined;
 }
 
 t.test('a placement that fails names the requirement that excludes the last worker', async (t) => {
