Entries that can't be called leave nothing behind

What callers saw: items that stay running for good and lookups that get a 500, once an entry among the workers' names a port from 65,536. Cause: http.request throws for it. EnginePort, exchangeJson and the health checks say that they never reject, and all callers rely on it: the item stays 'running' without a run, and its slot at the worker stays taken. An item whose last run got no answer prefers a worker that answered its latest request. Numbers in load headers and events are checked, as NaN left a worker or an item out in the same way.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../core/units.js';
 import type { AllowedRegions } from '../placement/allowed-regions.js';
 import type { DistanceCost } from '../placement/distance-costs.js';
+import type { EngineRequest } from '../serving/engine-port.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { SendingOptions } from '../serving/sending-options.js';
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
@@ -194,7 +195,7 @@
     entry.state = 'running';
     worker.inFlight += 1;
     const resumeAfter = progress.lastEventId;
-    const end = await run.perform({
+    const request: EngineRequest = {
       worker: worker.record,
       requestId: item.id,
       method: 'POST',
@@ -207,6 +208,12 @@
       ...(job.spec.tenant === undefined ? {} : { tenant: job.spec.tenant }),
       ...(resumeAfter === undefined ? {} : { lastEventId: resumeAfter }),
       ...(entry.wasUnanswered ? { wantsNewConnection: true } : {}),
+    };
+    // An exception must leave neither a running item without a run nor a slot taken for good.
+    const end = await run.perform(request).catch((error: unknown): ItemRunEnd => {
+      this.options.log.fault('item-run-failed', error);
+      run.cancel();
+      return 'interrupted';
     });
     worker.inFlight -= 1;
     entry.run = undefined;
--- a/src/jobs/item-placement.ts
+++ b/src/jobs/item-placement.ts
@@ -16,6 +16,11 @@
   readonly boundVersion: WeightVersion | undefined;
   /** Regions whose workers may run the item. @default any */
   readonly allowedRegions?: AllowedRegions;
+  /**
+   * Whether a worker that answered its latest request is preferred to any other, because the last run
+   * of the item got no answer. @default false
+   */
+  readonly prefersResponsive?: boolean;
 }
 
 /** Weight of a worker's occupied share, in multiples of the median event interval. */
@@ -44,7 +49,7 @@
 /** Requirements of the next run of an item. */
 export function needsOf(
   job: OwnedJob,
-  { item, progress }: OwnedItem,
+  { item, progress, wasUnanswered }: OwnedItem,
   allowedRegions: AllowedRegions,
 ): ItemNeeds {
   const { model, minVersion } = job.spec;
@@ -52,7 +57,8 @@
   const relativeLength =
     progress.eventCount > 0 ? Math.max(MIN_RESUMED_LENGTH, estimate) : estimate;
   const { boundVersion } = progress;
-  return { model, minVersion, relativeLength, boundVersion, allowedRegions };
+  const prefersResponsive = wasUnanswered;
+  return { model, minVersion, relativeLength, boundVersion, allowedRegions, prefersResponsive };
 }
 
 /** Whether a worker has a free slot and suitable weights for an item. */
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -104,6 +104,7 @@
   }
 
   private async readAnswer(answer: EngineAnswer): Promise<ItemRunEnd> {
+    this.worker.noteAnswered();
     this.worker.noteLoad(answer.load, this.context.clock.now());
     if (answer.status !== OK) {
       answer.discard();
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -146,7 +146,12 @@
     const sentAt = clock.now();
     const call = scoring.begin(worker.record.id, sentAt);
     worker.inFlight += 1;
-    const outcome = await this.sendRequest(item, route, worker, allowed, call.signal);
+    const outcome = await this.sendRequest(item, route, worker, allowed, call.signal).catch(
+      (error: unknown): ScoreOutcome => {
+        this.options.log.fault('score-call-failed', error);
+        return { kind: 'failed' };
+      },
+    );
     worker.inFlight -= 1;
     scoring.end(call);
     const end = outcome.kind;
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -54,7 +54,9 @@
     if (candidates.length === 0) this.unmetNeeds.add(key);
     const score = this.scoreFor(needs, sharedPromptWorker);
     let best: { readonly worker: KnownWorker; readonly score: number } | undefined;
-    for (const worker of candidates) {
+    const responsive = candidates.filter((worker) => worker.isResponsive);
+    const prefersResponsive = needs.prefersResponsive === true && responsive.length > 0;
+    for (const worker of prefersResponsive ? responsive : candidates) {
       const workerScore = score(worker);
       if (best === undefined || workerScore < best.score) best = { worker, score: workerScore };
     }
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -1,9 +1,10 @@
 /** Sends requests to other nodes over keep-alive HTTP, encoded with devalue. */
-import http from 'node:http';
+import type http from 'node:http';
 import { parse, stringify } from 'devalue';
 import type { Milliseconds } from '../core/units.js';
 import { readAll } from '../serving/read-chunks.js';
 import { KeepAliveAgent } from './keep-alive-agent.js';
+import { openRequest } from './open-request.js';
 import type {
   PeerAnswers,
   PeerOutcome,
@@ -36,13 +37,14 @@
       const body = Buffer.from(stringify(request));
       const colon = address.lastIndexOf(':');
       const target = { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-      const call = http.request({
+      const call = openRequest({
         ...target,
         agent: this.agent,
         method: 'POST',
         path: PEER_PATH,
         headers: { 'content-type': 'application/json', 'content-length': body.length },
       });
+      if (call === undefined) return resolve({ kind: 'refused' });
       const settle = (outcome: PeerOutcome<Kind>): void => {
         clearTimeout(timer);
         resolve(outcome);
--- a/src/serving/event-stream.ts
+++ b/src/serving/event-stream.ts
@@ -25,7 +25,7 @@
   /** `versionField` is the field that reports a change of weights, in lower case. */
   constructor(private readonly versionField: string) {}
 
-  /** Appends bytes and returns the events that are now complete. */
+  /** Appends bytes and returns the events that are now complete; throws if one is malformed. */
   push(chunk: Buffer): StreamEvent[] {
     this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
     const events: StreamEvent[] = [];
@@ -58,14 +58,21 @@
       const field = line.slice(0, colon).toLowerCase();
       const value = line.slice(colon + 1).replace(/^ /, '');
       if (field === 'data') data.push(value);
-      else if (field === 'id') id = Number(value);
-      else if (field === this.versionField) weightVersion = Number(value);
+      else if (field === 'id') id = wholeNumberIn(value);
+      else if (field === this.versionField) weightVersion = wholeNumberIn(value);
     }
     if (data.length === 0 && id === undefined) return undefined;
     return { id, data: data.join('\n'), weightVersion, raw };
   }
 }
 
+/** Throws if the value of a field is not a whole number, as the stream is malformed then. */
+function wholeNumberIn(value: string): number {
+  const number = value.trim() === '' ? Number.NaN : Number(value);
+  if (!Number.isSafeInteger(number) || number < 0) throw new Error('malformed number in an event');
+  return number;
+}
+
 /** Index after the blank line that ends the event at `start`; 0 where the event is incomplete. */
 function endOfEvent(bytes: Buffer, start: number): number {
   let index = bytes.indexOf(LINE_FEED, start);
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -45,6 +45,7 @@
   inFlight = 0;
   /** Moving mean of the time between two stream events; `undefined` before the first sample. */
   eventInterval: Milliseconds | undefined;
+  private hasAnswered = false;
   private penalizedUntil: Milliseconds = 0;
   private consecutiveFailures = 0;
   private consecutiveRejections = 0;
@@ -56,8 +57,19 @@
 
   constructor(public record: WorkerRecord) {}
 
+  /** Whether the latest request got an answer; false before the first. */
+  get isResponsive(): boolean {
+    return this.hasAnswered;
+  }
+
+  /** Records that an answer has begun. */
+  noteAnswered(): void {
+    this.hasAnswered = true;
+  }
+
   /** Records the outcome of a request. */
   noteOutcome(outcome: WorkerOutcome, now: Milliseconds): void {
+    this.hasAnswered = outcome === 'success' || outcome === 'full';
     if (outcome === 'success') {
       this.consecutiveFailures = 0;
       this.consecutiveRejections = 0;
--- a/src/serving/worker-sender.ts
+++ b/src/serving/worker-sender.ts
@@ -99,7 +99,7 @@
     const { caller } = request;
     const tenant = tenantNameOf(caller);
     const ownPriority = caller.kind === 'tenant' ? caller.tenant.priority : undefined;
-    const outcome = await engine.send(
+    const sending = engine.send(
       {
         worker: worker.record,
         requestId: request.requestId,
@@ -117,8 +117,10 @@
       },
       abort.signal,
     );
-    worker.inFlight -= 1;
-    this.inFlight -= 1;
+    const outcome = await sending.finally(() => {
+      worker.inFlight -= 1;
+      this.inFlight -= 1;
+    });
     if (outcome.kind === 'failed' && outcome.cause === 'broken') this.noteConnectionBroken(worker);
     if (outcome.kind === 'failed' && outcome.cause === 'cancelled') {
       this.options.quarantine.noteCancelled(worker.record, this.fingerprinted);
--- a/test/platform-adapter/configuration.test.ts
+++ b/test/platform-adapter/configuration.test.ts
@@ -40,6 +40,28 @@
   },
 };
 
+t.test(
+  'a worker entry without a callable address, or with an odd version, is unreadable',
+  async (t) => {
+    const entry = { service: 's', address: '127.0.0.1:65535', zone: 'z', state: 'ready' };
+    t.equal(parseWorker('i-1', JSON.stringify(entry))?.address, '127.0.0.1:65535');
+    const odd = [
+      '127.0.0.1:65536',
+      '127.0.0.1:99999',
+      '127.0.0.1:0',
+      '256.0.0.1:80',
+      '999.1.1.1:80',
+    ];
+    for (const address of [...odd, '127.0.0.1', 'host:80', '127.0.0.1:80x', ' 127.0.0.1:80']) {
+      t.equal(parseWorker('i-1', JSON.stringify({ ...entry, address })), undefined, address);
+    }
+    for (const version of [1e308, -1, 1.5]) {
+      const models = [{ name: 'm', version }];
+      t.equal(parseWorker('i-1', JSON.stringify({ ...entry, models })), undefined, `${version}`);
+    }
+  },
+);
+
 t.test('routes, services and limits are parsed', async (t) => {
   const parsed = parseConfiguration(JSON.stringify(CONFIGURATION));
   t.equal(parsed?.version, 7);
--- a/test/platform-adapter/engine-client.test.ts
+++ b/test/platform-adapter/engine-client.test.ts
@@ -340,3 +340,33 @@
   t.equal(await livenessOf(), 'lives');
   t.equal((await client.report(worker('i-1', { address })))?.startedAt, 2_000);
 });
+
+t.test('a worker whose address cannot be called gets nothing, and no call rejects', async (t) => {
+  const client = new EngineClient();
+  const signal = new AbortController().signal;
+  for (const address of ['127.0.0.1:65536', '127.0.0.1:99999', '127.0.0.1:-1', 'no address']) {
+    const target = worker('i-odd', { address });
+    const request: EngineRequest = {
+      ...{ worker: target, requestId: 'request-1', method: 'POST', path: '/a/x' },
+      ...{ host: 'site.example', headers: [], body: Buffer.from('b'), remaining: 500 },
+    };
+    t.match(await client.send(request, signal), { kind: 'failed', mayHaveRun: false }, address);
+    t.equal(await client.report(target), undefined);
+    t.not(await client.probeLiveness(target, '/health'), 'lives');
+    t.equal(await client.probeColdTime(target, '/health'), undefined);
+    const order = { worker: target, model: 'm', version: 2, mode: 'wait', holder: 'h' } as const;
+    const outcome = await client.order({ ...order, fencingToken: 1, expectedSequence: 0 });
+    t.not(outcome, 'started');
+  }
+  client.forget('i-odd');
+});
+
+t.test('a reported load that is no count of requests is ignored', async (t) => {
+  const stub = await startWorker(t, (id, socket) => {
+    const head = `X-Wardwing-Request-Id: ${id}\r\nX-Wardwing-Server-Stamp: s\r\n`;
+    const load = 'X-Wardwing-Server-Load: many,1e999,-3\r\n';
+    socket.write(`HTTP/1.1 200 OK\r\n${head}${load}Content-Length: 2\r\n\r\nok`);
+  });
+  const outcome = await stub.send();
+  t.match(outcome, { kind: 'answered', load: undefined });
+});
--- a/test/serving/event-stream.test.ts
+++ b/test/serving/event-stream.test.ts
@@ -34,3 +34,13 @@
   const [event] = reader.push(Buffer.from(`${VERSION_FIELD}: 7\nid: 1\ndata: a\n\n`));
   t.equal(event?.weightVersion, 7);
 });
+
+t.test(
+  'an event whose number or version is no whole number makes the stream malformed',
+  async (t) => {
+    for (const field of ['id: x', 'id: ', 'id: -1', 'id: 1e999', `${VERSION_FIELD}: new`]) {
+      const reader = new EventStreamReader(VERSION_FIELD);
+      t.throws(() => reader.push(Buffer.from(`${field}\ndata: a\n\n`)), field);
+    }
+  },
+);
