Events whose weights are gone are given up after a second

What callers saw: on a route whose results must come from one version, items that have events of a version that no worker has any more are never run again (none of 12 listed in 55 s). Cause: the events of an item bind its next run to workers of their version, and nothing gives them up. Change: after a second at no worker the item starts anew where a worker of other weights has room. If none has, or workers return sooner, the events are kept.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -9,7 +9,7 @@
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { crashDelay } from './crash-backoff.js';
-import { needsOf } from './item-placement.js';
+import { type ItemNeeds, needsOf } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ItemScorer } from './item-scorer.js';
 import { ageOf } from './job-records.js';
@@ -44,6 +44,12 @@
 const REJECTION_RETRY_DELAY: Milliseconds = 10;
 const FAILED_ATTEMPT_RETRY_DELAY: Milliseconds = 100;
 
+/**
+ * Time for which an item waits for weights of the version of its events before it starts anew, on a
+ * route whose results must have a single version.
+ */
+const BOUND_VERSION_PATIENCE: Milliseconds = 1_000;
+
 /** Dispatches items to workers, moves slow runs and requests scores. */
 export class ItemDispatcher {
   private readonly jobs = new Set<OwnedJob>();
@@ -159,7 +165,10 @@
     const groupKey = `${job.spec.id}/${entry.item.group}`;
     const allowed = routes.allowedRegions(route, job.spec.tenant);
     const needs = needsOf(job, entry, allowed);
-    const worker = round.place(needs, this.promptWorkerOf(groupKey));
+    const sharedPromptWorker = this.promptWorkerOf(groupKey);
+    const worker =
+      round.place(needs, sharedPromptWorker) ??
+      this.placeAnew(round, entry, needs, sharedPromptWorker, now);
     if (worker === undefined) {
       if (entry.wait.isNoteDue(now)) entry.wait.note(now, round.obstacleTo(needs));
       return;
@@ -168,6 +177,33 @@
     void this.run(job, entry, route, worker, allowed);
   }
 
+  /**
+   * Places an item as if it had no events, once it has waited for long for the weights that made
+   * them; its events are discarded then, since no other weights may continue them.
+   */
+  private placeAnew(
+    round: PlacementRound,
+    entry: OwnedItem,
+    needs: ItemNeeds,
+    sharedPromptWorker: string | undefined,
+    now: Milliseconds,
+  ): KnownWorker | undefined {
+    const { boundVersion } = needs;
+    if (boundVersion === undefined) return undefined;
+    if (entry.wait.idleTime(now) < BOUND_VERSION_PATIENCE) return undefined;
+    const worker = round.place({ ...needs, boundVersion: undefined }, sharedPromptWorker);
+    if (worker === undefined) return undefined;
+    this.options.log.decision('item-events-discarded', {
+      item: entry.item.id,
+      events: entry.progress.eventCount,
+      boundVersion,
+      workerVersion: worker.versionOf(needs.model),
+      idleMs: Math.round(entry.wait.idleTime(now)),
+    });
+    entry.progress.reset();
+    return worker;
+  }
+
   private startRound(service: ServiceName, now: Milliseconds): PlacementRound {
     const { registry, distanceCost } = this.options;
     return new PlacementRound(registry.available(service), now, distanceCost, registry.rules);
--- a/test/jobs/simulated-workers.ts
+++ b/test/jobs/simulated-workers.ts
@@ -93,6 +93,8 @@
   readonly places = new Map<string, WorkPlace>();
   /** Requests that workers have finished. */
   readonly finished = new Set<string>();
+  /** All requests that came to workers. */
+  readonly requests: EngineRequest[] = [];
   private started = 0;
 
   constructor(
@@ -172,6 +174,7 @@
     const { version } = worker;
     const run = { request, body, startedAt: this.clock.now(), nextEvent, version };
     worker.runs.add(run);
+    this.requests.push(request);
     this.placeOf(request.requestId).running += 1;
     return new Promise((resolve) => {
       const cancel = (): void => {
--- a/test/jobs/uncallable-workers.test.ts
+++ b/test/jobs/uncallable-workers.test.ts
@@ -1,80 +1,48 @@
 /** Guards against items that stay running, or at no worker, because some entries can't be called. */
-import { setImmediate as nextTurn } from 'node:timers/promises';
 import t from 'tap';
-import { SharedStoreEmulator } from '../../lab/emulator/shared-store-emulator.js';
 import type { Milliseconds } from '../../src/core/units.js';
 import { GuardedEngine } from '../../src/placement/guarded-engine.js';
 import { SendRules } from '../../src/placement/send-rules.js';
 import type { EnginePort } from '../../src/serving/engine-port.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { recordingLog, worker } from '../serving/serving-fixtures.js';
-import { always, OWNER, scoredSpecification } from './job-fixtures.js';
-import { type JobNode, jobNode } from './job-node.js';
-import { SimulatedWorkers, type WorkerMode } from './simulated-workers.js';
-import { VirtualClock } from './virtual-clock.js';
+import { always, scoredSpecification } from './job-fixtures.js';
+import { JobScene } from './job-scene.js';
+import type { WorkerMode } from './simulated-workers.js';
 import { withVirtualTimers } from './virtual-timers.js';
 
 const ITEMS = 12;
-const EVENTS = 20;
-const STEP: Milliseconds = 20;
+
+/** Services of items and of the requests for their scores. */
+const SERVICES = ['service', 'scorers'];
 
 /** Time without a run after which owed work counts as left out. */
 const MAX_IDLE_TIME: Milliseconds = 5_000;
 
-/** One job at a node, among workers of which some can't be used. */
-class Scene {
-  readonly clock = new VirtualClock();
-  readonly workers = new SimulatedWorkers(this.clock, ({ requestId }) =>
-    requestId.startsWith('item-') ? EVENTS : 0,
-  );
-  readonly node: JobNode;
-
-  constructor(odd: WorkerMode, count: number, wrap = (engine: EnginePort): EnginePort => engine) {
-    const engine = wrap(this.workers.portOf(() => true));
-    const extras = { clock: this.clock };
-    this.node = jobNode(new SharedStoreEmulator(), OWNER, engine, undefined, extras);
-    for (const service of ['service', 'scorers']) {
-      for (let index = 0; index < count; index += 1) this.workers.add(service, 1, odd);
-      for (let index = 0; index < 4; index += 1) this.workers.add(service, 1);
-    }
-    for (const { record } of this.workers.workers.values()) this.node.registry.put(record);
-  }
-
-  async runFor(time: Milliseconds): Promise<void> {
-    const endAt = this.clock.now() + time;
-    while (this.clock.now() < endAt) {
-      this.clock.advanceTo(this.clock.now() + STEP);
-      this.workers.step();
-      this.node.service.tick();
-      this.node.dispatcher.tick();
-      for (let turn = 0; turn < 4; turn += 1) await nextTurn();
-    }
-  }
-
-  get finished(): number {
-    return this.node.service.ownedJobs()[0]?.finishedResults().length ?? 0;
-  }
-
-  /** Slots that are still counted as taken. */
-  get slotsTaken(): number {
-    return this.node.registry.all().reduce((sum, { inFlight }) => sum + inFlight, 0);
+/** Four sound workers of each service, beside `count` that can't be used. */
+function sceneWith(odd: WorkerMode, count: number): JobScene {
+  const scene = new JobScene();
+  for (const service of SERVICES) {
+    scene.addWorkers(service, count, 1, odd);
+    scene.addWorkers(service, 4, 1);
   }
+  return scene;
 }
 
 t.test('items and scores end although sending to some workers throws', async (t) => {
-  const scene = new Scene('uncallable', 7);
+  const scene = sceneWith('uncallable', 7);
   await withVirtualTimers(scene.clock, async () => {
     await scene.node.service.submit(scoredSpecification('job', ITEMS), always);
     await scene.runFor(MAX_IDLE_TIME);
   });
-  t.equal(scene.finished, ITEMS);
+  t.equal(scene.results.length, ITEMS);
   t.equal(scene.slotsTaken, 0, 'each slot is given back');
 });
 
 t.test(
   'an item that got no answer goes to a worker that answers, past any dark ones',
   async (t) => {
-    const scene = new Scene('dark', 16);
+    const scene = sceneWith('dark', 16);
     await withVirtualTimers(scene.clock, async () => {
       // These items learn which workers answer.
       await scene.node.service.submit(scoredSpecification('first', ITEMS), always);
