Bytes without end hold neither memory nor items

What callers saw: items that never end and lookups that fail while a worker of four sends without end; a gateway grows to 687 MB. Cause: bodies, events and rejections of workers were read without a limit of bytes, and any byte of a stream started the idle timeout of a run anew.

--- a/src/jobs/item-progress.ts
+++ b/src/jobs/item-progress.ts
@@ -2,12 +2,19 @@
 import type { WeightVersion } from '../core/units.js';
 import type { StreamEvent } from '../serving/event-stream.js';
 import type { JobResult, StoredProgress } from './job-records.js';
+import { MAX_TEXT_BYTES } from './value-limits.js';
 
 /** Progress of an item as it is stored and sent to other nodes. */
 export type StoredItemProgress = StoredProgress[string];
 
 /** Outcome of adding an event. */
-export type AddOutcome = 'added' | 'out-of-order' | 'version-too-old' | 'version-mixed';
+export type AddOutcome =
+  | 'added'
+  | 'out-of-order'
+  | 'version-too-old'
+  | 'version-mixed'
+  /** The text could not be listed; see {@link MAX_TEXT_BYTES}. */
+  | 'too-long';
 
 /** Weight versions that may generate an item's text. */
 export interface VersionRule {
@@ -25,6 +32,7 @@
 /** Accumulates the text of an item over all its runs. */
 export class ItemProgress {
   private events: string[] = [];
+  private textBytes = 0;
   private lastId: number | undefined;
   private readonly versions = new Set<WeightVersion>();
   private currentVersion: WeightVersion | undefined;
@@ -36,6 +44,7 @@
   restore(stored: StoredItemProgress): boolean {
     if (!fitsVersions(stored.versions, this.rule) || stored.events.length === 0) return false;
     this.events = [...stored.events];
+    this.textBytes = stored.events.reduce((sum, event) => sum + Buffer.byteLength(event), 0);
     this.lastId = stored.lastEventId;
     this.versions.clear();
     for (const version of stored.versions) this.versions.add(version);
@@ -56,6 +65,8 @@
     if (version === undefined || version < this.rule.minVersion) return 'version-too-old';
     const isOtherVersion = this.versions.size > 0 && !this.versions.has(version);
     if (this.rule.singleVersion && isOtherVersion) return 'version-mixed';
+    this.textBytes += Buffer.byteLength(event.data);
+    if (this.textBytes > MAX_TEXT_BYTES) return 'too-long';
     this.currentVersion = version;
     this.versions.add(version);
     this.lastId = event.id;
@@ -65,6 +76,7 @@
 
   reset(): void {
     this.events = [];
+    this.textBytes = 0;
     this.lastId = undefined;
     this.versions.clear();
     this.currentVersion = undefined;
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -28,7 +28,7 @@
   /** This node cancelled the run: it was moved, or its job was cancelled or transferred. */
   | 'cancelled';
 
-/** Idle timeouts after which a run is aborted: before the first byte, and between chunks. */
+/** Idle timeouts after which a run is aborted: before the first byte, and between events. */
 export interface IdleTimeouts {
   readonly beforeFirst: Milliseconds;
   readonly betweenEvents: Milliseconds;
@@ -121,7 +121,7 @@
     const reader = new EventStreamReader(this.context.versionField);
     let end: ItemRunEnd | undefined;
     const streamEnd = await readChunks(answer.body, (chunk) => {
-      this.noteActivity();
+      this.noteFirstByte();
       end = this.addEvents(reader, chunk);
       return end === undefined;
     });
@@ -131,9 +131,15 @@
     return streamEnd === 'ended' && isComplete ? 'completed' : 'interrupted';
   }
 
+  private noteFirstByte(): void {
+    if (this.hasBegun) return;
+    this.hasBegun = true;
+    this.noteActivity();
+  }
+
+  /** Only events count from the first byte on, since other bytes may come without end. */
   private noteActivity(): void {
     this.restartIdleTimer(this.context.idleTimeouts.betweenEvents);
-    this.hasBegun = true;
     this.lastActivityAt = this.context.clock.now();
   }
 
@@ -147,6 +153,7 @@
       return 'interrupted';
     }
     if (events.length === 0) return undefined;
+    this.noteActivity();
     const previous = this.lastEventAt;
     this.lastEventAt = this.lastActivityAt;
     if (previous !== undefined) {
@@ -155,7 +162,7 @@
     for (const event of events) {
       const outcome = this.progress.add(event);
       if (outcome === 'version-too-old') return 'version-too-old';
-      if (outcome === 'version-mixed') this.progress.reset();
+      if (outcome === 'version-mixed' || outcome === 'too-long') this.progress.reset();
       if (outcome !== 'added') return 'interrupted';
     }
     return undefined;
--- a/src/jobs/value-limits.ts
+++ b/src/jobs/value-limits.ts
@@ -10,6 +10,9 @@
 /** Limit on the stored events of unfinished items. */
 const MAX_PROGRESS_BYTES = 600_000;
 
+/** Limit on the text of one item, as a page has at least one result; a worker may never end a text. */
+export const MAX_TEXT_BYTES = 700_000;
+
 /** The leading results that fit into one page. */
 export function firstPageOf(results: readonly JobResult[]): JobResult[] {
   const page: JobResult[] = [];
--- a/src/peers/peer-client.ts
+++ b/src/peers/peer-client.ts
@@ -1,7 +1,7 @@
 /** Sends requests to other nodes over keep-alive HTTP, encoded with devalue. */
 import type http from 'node:http';
 import { parse, stringify } from 'devalue';
-import type { Milliseconds } from '../core/units.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import { readAll } from '../serving/read-chunks.js';
 import { KeepAliveAgent } from './keep-alive-agent.js';
 import { openRequest } from './open-request.js';
@@ -21,6 +21,9 @@
 } from './peer-protocol.js';
 import { UnsupportedKinds } from './unsupported-kinds.js';
 
+/** Longest answer of a node; its address may have passed to a process that sends without end. */
+const MAX_ANSWER_BYTES = 64 * MEBIBYTE;
+
 /** HTTP client for requests to the other nodes of a fleet. */
 export class PeerClient implements PeerPort {
   private readonly agent = new KeepAliveAgent();
@@ -79,7 +82,7 @@
   kind: Kind,
   response: http.IncomingMessage,
 ): Promise<PeerOutcome<Kind>> {
-  const body = await readAll(response);
+  const body = await readAll(response, MAX_ANSWER_BYTES);
   if (body === undefined) return { kind: 'silent' };
   if (isUnsupported(response.statusCode)) return { kind: 'unsupported' };
   if (response.statusCode !== PEER_STATUS.answered) return { kind: 'silent' };
--- a/src/serving/attempt.ts
+++ b/src/serving/attempt.ts
@@ -1,5 +1,5 @@
 /** Outcomes of attempts at workers. */
-import type { Milliseconds } from '../core/units.js';
+import { MEBIBYTE, type Milliseconds } from '../core/units.js';
 import type { EngineAnswer, EngineOutcome } from './engine-port.js';
 import { readAll } from './read-chunks.js';
 import type { KnownWorker } from './worker-registry.js';
@@ -7,6 +7,12 @@
 /** The lowest HTTP status of a worker's own failure. */
 export const SERVER_ERROR_STATUS = 500;
 
+/**
+ * Longest body of a worker's answer, which is held as a whole until it is complete. A worker may send
+ * bytes without end.
+ */
+const MAX_ANSWER_BYTES = 8 * MEBIBYTE;
+
 /** A finished attempt. */
 export interface AttemptResult {
   readonly worker: KnownWorker;
@@ -31,9 +37,9 @@
   worker.noteOutcome(isFull ? 'full' : 'failure', now);
 }
 
-/** Reads a whole body; `undefined` where the connection broke. */
+/** Reads a whole body; `undefined` where the connection broke or the body is too long. */
 export async function readAnswerBody(answer: EngineAnswer): Promise<Buffer | undefined> {
-  const body = await readAll(answer.body);
+  const body = await readAll(answer.body, MAX_ANSWER_BYTES);
   if (body === undefined) answer.discard();
   return body;
 }
--- a/src/serving/event-stream.ts
+++ b/src/serving/event-stream.ts
@@ -2,7 +2,7 @@
  * Parses server-sent events from chunks of bytes; incomplete events are buffered and never
  * returned.
  */
-import type { WeightVersion } from '../core/units.js';
+import { KIBIBYTE, type WeightVersion } from '../core/units.js';
 
 /** One complete event. */
 export interface StreamEvent {
@@ -19,33 +19,52 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
+/** Limits of one event; a longer one, or one in more chunks, makes the stream malformed. */
+const MAX_EVENT_BYTES = 256 * KIBIBYTE;
+const MAX_CHUNKS_PER_EVENT = 4_096;
+
 export class EventStreamReader {
-  private buffered: Buffer = Buffer.alloc(0);
+  /** The chunks of an incomplete event. */
+  private chunks: Buffer[] = [];
+  private bufferedBytes = 0;
 
   /** `versionField` is the field that reports a change of weights, in lower case. */
   constructor(private readonly versionField: string) {}
 
   /** Appends bytes and returns the events that are now complete; throws if one is malformed. */
   push(chunk: Buffer): StreamEvent[] {
-    this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
+    this.chunks.push(chunk);
+    this.bufferedBytes += chunk.length;
+    const events = chunk.includes(LINE_FEED) ? this.takeEvents() : [];
+    if (this.bufferedBytes > MAX_EVENT_BYTES || this.chunks.length > MAX_CHUNKS_PER_EVENT) {
+      throw new Error(
+        `an event has over ${MAX_EVENT_BYTES} bytes or comes in over ${MAX_CHUNKS_PER_EVENT} chunks`,
+      );
+    }
+    return events;
+  }
+
+  /** Removes the complete events from what is buffered. */
+  private takeEvents(): StreamEvent[] {
+    const bytes = this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
+    if (bytes === undefined) return [];
     const events: StreamEvent[] = [];
     let start = 0;
-    for (
-      let end = endOfEvent(this.buffered, start);
-      end > 0;
-      end = endOfEvent(this.buffered, start)
-    ) {
-      const event = this.parse(this.buffered.subarray(start, end));
+    for (let end = endOfEvent(bytes, start); end > 0; end = endOfEvent(bytes, start)) {
+      const event = this.parse(bytes.subarray(start, end));
       if (event !== undefined) events.push(event);
       start = end;
     }
-    this.buffered = this.buffered.subarray(start);
+    if (start === 0) return events;
+    const rest = bytes.subarray(start);
+    this.chunks = rest.length === 0 ? [] : [rest];
+    this.bufferedBytes = rest.length;
     return events;
   }
 
   /** Whether bytes of an incomplete event are buffered. */
   hasPartialEvent(): boolean {
-    return this.buffered.length > 0;
+    return this.bufferedBytes > 0;
   }
 
   private parse(raw: Buffer): StreamEvent | undefined {
--- a/src/serving/read-chunks.ts
+++ b/src/serving/read-chunks.ts
@@ -35,17 +35,20 @@
   });
 }
 
-/** Reads a whole stream; `undefined` where it broke or has more than `limit` bytes. */
-export async function readAll(
-  stream: Readable,
-  limit = Number.POSITIVE_INFINITY,
-): Promise<Buffer | undefined> {
+/** Most chunks of one stream that are held, as each takes memory beside its bytes. */
+const MAX_CHUNKS = 65_536;
+
+/**
+ * Reads a whole stream; `undefined` where it broke, has more than `limit` bytes or comes in more than
+ * {@link MAX_CHUNKS} chunks. The rest of such a stream is left unread.
+ */
+export async function readAll(stream: Readable, limit: number): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let bytes = 0;
   const end = await readChunks(stream, (chunk) => {
     bytes += chunk.length;
     chunks.push(chunk);
-    return bytes <= limit;
+    return bytes <= limit && chunks.length <= MAX_CHUNKS;
   });
   return end === 'ended' ? Buffer.concat(chunks) : undefined;
 }
--- a/test/platform-adapter/unframed-bodies.test.ts
+++ b/test/platform-adapter/unframed-bodies.test.ts
@@ -106,7 +106,7 @@
   const request = engineRequest(address, fields);
   const outcome = await client.send(request, new AbortController().signal);
   if (outcome.kind !== 'answered') return undefined;
-  const body = await readAll(outcome.body);
+  const body = await readAll(outcome.body, Number.POSITIVE_INFINITY);
   client.forget('i-1');
   return body?.toString('latin1');
 }
--- a/test/serving/read-chunks.test.ts
+++ b/test/serving/read-chunks.test.ts
@@ -3,13 +3,13 @@
 import { readAll, readChunks } from '../../src/serving/read-chunks.js';
 
 t.test('a stream that ends is returned complete', async (t) => {
-  const body = await readAll(Readable.from([Buffer.from('one '), Buffer.from('two')]));
+  const body = await readAll(Readable.from([Buffer.from('one '), Buffer.from('two')]), 100);
   t.equal(body?.toString(), 'one two');
 });
 
 t.test('a stream that breaks, or closes before its end, is reported as broken', async (t) => {
   const broken = new PassThrough();
-  const read = readAll(broken);
+  const read = readAll(broken, 100);
   broken.write('half');
   broken.destroy(new Error('connection reset'));
   t.equal(await read, undefined);
