A penalty excludes a worker from items for a second at most

What callers saw: items at no worker for up to 3.2 s after all workers had failed, and again after one more failed try. Cause: a penalized worker, the last choice for a request of a caller, was none at all for an item, and all workers may be penalized at once. Change: after a second the worker is the last choice for items too.

--- a/src/jobs/placement-obstacle.ts
+++ b/src/jobs/placement-obstacle.ts
@@ -22,7 +22,7 @@
       isMet: (worker) => !isBound || worker.versionOf(model) === boundVersion,
     },
     { reason: 'weights-loading', isMet: (worker) => !worker.isLoading(model, now) },
-    { reason: 'workers-penalized', isMet: (worker) => !worker.isPenalized(now) },
+    { reason: 'workers-penalized', isMet: (worker) => !worker.isExcluded(now) },
     { reason: 'workers-full', isMet: (worker) => worker.hasFreeSlot(now) },
   ];
 }
--- a/src/jobs/placement-round.ts
+++ b/src/jobs/placement-round.ts
@@ -54,9 +54,7 @@
     if (candidates.length === 0) this.unmetNeeds.add(key);
     const score = this.scoreFor(needs, sharedPromptWorker);
     let best: { readonly worker: KnownWorker; readonly score: number } | undefined;
-    const responsive = candidates.filter((worker) => worker.isResponsive);
-    const prefersResponsive = needs.prefersResponsive === true && responsive.length > 0;
-    for (const worker of prefersResponsive ? responsive : candidates) {
+    for (const worker of this.preferred(candidates, needs)) {
       const workerScore = score(worker);
       if (best === undefined || workerScore < best.score) best = { worker, score: workerScore };
     }
@@ -73,6 +71,17 @@
     return obstacle;
   }
 
+  /** The candidates to choose among: without those that are only a last choice, if others are left. */
+  private preferred(
+    candidates: readonly KnownWorker[],
+    { prefersResponsive = false }: ItemNeeds,
+  ): readonly KnownWorker[] {
+    const unpenalized = candidates.filter((worker) => !worker.isPenalized(this.now));
+    const sound = unpenalized.length > 0 ? unpenalized : candidates;
+    const responsive = prefersResponsive ? sound.filter((worker) => worker.isResponsive) : [];
+    return responsive.length > 0 ? responsive : sound;
+  }
+
   private scoreFor(
     needs: ItemNeeds,
     sharedPromptWorker: string | undefined,
--- a/src/serving/worker-registry.ts
+++ b/src/serving/worker-registry.ts
@@ -26,6 +26,12 @@
 const FULL_PENALTY: Milliseconds = 100;
 const MAX_FULL_PENALTY: Milliseconds = 800;
 
+/**
+ * Longest time for which a penalty excludes a worker from batch items; for the rest of it the worker
+ * is their last choice. Items are owed, and all workers may be penalized at once.
+ */
+const MAX_EXCLUSION: Milliseconds = 1_000;
+
 /** Penalty after a stream stalled. */
 const STALL_PENALTY: Milliseconds = 600;
 
@@ -46,6 +52,7 @@
   /** Moving mean of the time between two stream events; `undefined` before the first sample. */
   eventInterval: Milliseconds | undefined;
   private hasAnswered = false;
+  private penalizedAt: Milliseconds = Number.NEGATIVE_INFINITY;
   private penalizedUntil: Milliseconds = 0;
   private consecutiveFailures = 0;
   private consecutiveRejections = 0;
@@ -81,12 +88,12 @@
       return;
     }
     if (outcome === 'stalled') {
-      this.penalizedUntil = Math.max(this.penalizedUntil, now + STALL_PENALTY);
+      this.penalize(now, Math.max(this.penalizedUntil - now, STALL_PENALTY));
       return;
     }
     const penalty = Math.min(FAILURE_PENALTY * 2 ** this.consecutiveFailures, MAX_FAILURE_PENALTY);
     this.consecutiveFailures += 1;
-    this.penalizedUntil = now + penalty;
+    this.penalize(now, penalty);
   }
 
   /** Rejections of requests sent together count once. */
@@ -94,6 +101,11 @@
     if (this.isPenalized(now)) return;
     const penalty = Math.min(FULL_PENALTY * 2 ** this.consecutiveRejections, MAX_FULL_PENALTY);
     this.consecutiveRejections += 1;
+    this.penalize(now, penalty);
+  }
+
+  private penalize(now: Milliseconds, penalty: Milliseconds): void {
+    this.penalizedAt = now;
     this.penalizedUntil = now + penalty;
   }
 
@@ -119,9 +131,14 @@
     return now < this.penalizedUntil;
   }
 
-  /** Whether the worker may be sent one more request of this node. */
+  /** Whether a penalty excludes the worker from batch items. */
+  isExcluded(now: Milliseconds): boolean {
+    return this.isPenalized(now) && now - this.penalizedAt < MAX_EXCLUSION;
+  }
+
+  /** Whether the worker may be sent one more batch item of this node. */
   hasFreeSlot(now: Milliseconds): boolean {
-    if (this.record.draining || this.isPenalized(now)) return false;
+    if (this.record.draining || this.isExcluded(now)) return false;
     return this.inFlight < this.record.slots;
   }
 
--- a/test/jobs/placement-round.test.ts
+++ b/test/jobs/placement-round.test.ts
@@ -90,3 +90,13 @@
   t.equal(promptWorker?.eventInterval, 40);
   t.equal(new PlacementRound(workers, NOW).place(NEEDS, promptWorker?.record.id), promptWorker);
 });
+
+t.test('a penalized worker is the last choice for an item, and a choice', async (t) => {
+  const failed = new KnownWorker(worker('failed', { models: [{ name: 'model-a', version: 2 }] }));
+  for (const at of [0, 400, 1_200, 2_800]) failed.noteOutcome('failure', NOW - 4_000 + at);
+  const sound = new KnownWorker(worker('sound', { models: [{ name: 'model-a', version: 2 }] }));
+  t.ok(failed.isPenalized(NOW));
+  t.equal(new PlacementRound([failed, sound], NOW).place(NEEDS, 'failed'), sound);
+  sound.inFlight = sound.record.slots;
+  t.equal(new PlacementRound([failed, sound], NOW).place(NEEDS, undefined), failed);
+});
--- a/test/serving/worker-registry.test.ts
+++ b/test/serving/worker-registry.test.ts
@@ -23,3 +23,14 @@
   known.noteOutcome('success', 160);
   t.equal(penaltyOf(known, 200), 100);
 });
+
+t.test('a penalty excludes a worker from items for a second at most', async (t) => {
+  const known = new KnownWorker(worker('w'));
+  for (const at of [0, 400, 1_200, 2_800]) known.noteOutcome('failure', at);
+  t.ok(known.isPenalized(5_999));
+  t.notOk(known.hasFreeSlot(3_799));
+  t.ok(known.hasFreeSlot(3_800));
+  known.noteOutcome('failure', 3_800);
+  t.notOk(known.hasFreeSlot(4_799), 'each failed try excludes it anew');
+  t.ok(known.hasFreeSlot(4_800));
+});
