What was accepted is delayed, never left out: a property over random events

Change: only a worker that answers ends a wait; an item that waits too long for its weights prefers workers known to answer; weights that are too old count as a failure of the worker.

--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -9,7 +9,7 @@
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { crashDelay } from './crash-backoff.js';
-import { type ItemNeeds, needsOf } from './item-placement.js';
+import { type ItemNeeds, mayRun, needsOf } from './item-placement.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ItemScorer } from './item-scorer.js';
 import { ageOf } from './job-records.js';
@@ -19,6 +19,7 @@
 import { describeRun, RunMigrator } from './run-migrator.js';
 import { SendingPermission } from './sending-permission.js';
 import { WaitReporter } from './wait-reporter.js';
+import type { Obstacle } from './work-wait.js';
 
 export interface ItemDispatcherOptions extends SendingOptions {
   /** The routes in force; `undefined` before the first configuration. */
@@ -165,10 +166,7 @@
     const groupKey = `${job.spec.id}/${entry.item.group}`;
     const allowed = routes.allowedRegions(route, job.spec.tenant);
     const needs = needsOf(job, entry, allowed);
-    const sharedPromptWorker = this.promptWorkerOf(groupKey);
-    const worker =
-      round.place(needs, sharedPromptWorker) ??
-      this.placeAnew(round, entry, needs, sharedPromptWorker, now);
+    const worker = this.place(round, entry, needs, this.promptWorkerOf(groupKey), now);
     if (worker === undefined) {
       if (entry.wait.isNoteDue(now)) entry.wait.note(now, round.obstacleTo(needs));
       return;
@@ -178,9 +176,24 @@
   }
 
   /**
-   * Places an item as if it had no events, once it has waited for long for the weights that made
-   * them; its events are discarded then, since no other weights may continue them.
+   * Places an item. One that has waited for long for a worker with the weights of its events is placed
+   * as if it had none, unless such a worker is known to answer.
    */
+  private place(
+    round: PlacementRound,
+    entry: OwnedItem,
+    needs: ItemNeeds,
+    sharedPromptWorker: string | undefined,
+    now: Milliseconds,
+  ): KnownWorker | undefined {
+    const worker = round.place(needs, sharedPromptWorker);
+    const isBound = needs.boundVersion !== undefined;
+    const isOverdue = isBound && entry.wait.idleTime(now) >= BOUND_VERSION_PATIENCE;
+    if (!isOverdue || worker?.isResponsive === true) return worker;
+    return this.placeAnew(round, entry, needs, sharedPromptWorker, now) ?? worker;
+  }
+
+  /** Places an item on any weights; its events are discarded if these may not continue them. */
   private placeAnew(
     round: PlacementRound,
     entry: OwnedItem,
@@ -188,15 +201,12 @@
     sharedPromptWorker: string | undefined,
     now: Milliseconds,
   ): KnownWorker | undefined {
-    const { boundVersion } = needs;
-    if (boundVersion === undefined) return undefined;
-    if (entry.wait.idleTime(now) < BOUND_VERSION_PATIENCE) return undefined;
     const worker = round.place({ ...needs, boundVersion: undefined }, sharedPromptWorker);
-    if (worker === undefined) return undefined;
+    if (worker === undefined || mayRun(worker, needs, now)) return worker;
     this.options.log.decision('item-events-discarded', {
       item: entry.item.id,
       events: entry.progress.eventCount,
-      boundVersion,
+      boundVersion: needs.boundVersion ?? 0,
       workerVersion: worker.versionOf(needs.model),
       idleMs: Math.round(entry.wait.idleTime(now)),
     });
@@ -257,6 +267,9 @@
     if (entry.state === 'running') entry.state = 'waiting';
     if (run.wasBroken) void quarantine.noteBroken(worker.record, entry.fingerprinted, 'this-node');
     else if (end === 'completed') quarantine.noteAnswered(entry.fingerprinted);
+    const obstacle: Obstacle = { reason: 'retry-delay', inputs: { end } };
+    if (run.wasAnswered) entry.wait.restart(this.options.clock.now(), obstacle);
+    else entry.wait.resume(this.options.clock.now(), obstacle);
     this.handleRunEnd(job, entry, route, worker, end);
     this.schedule();
   }
@@ -272,7 +285,6 @@
     this.recordOutcome(worker, end, now);
     this.options.metrics.count('item_runs', { end });
     entry.notBefore = now + retryDelayAfter(end);
-    entry.wait.restart(now, { reason: 'retry-delay', inputs: { end } });
     if (end === 'completed') {
       job.completeText(entry);
       const age = ageOf(job.spec, this.options.clock.wallTime());
@@ -295,6 +307,8 @@
     if (end === 'completed') worker.noteOutcome('success', now);
     else if (end === 'full') worker.noteOutcome('full', now);
     else if (end === 'gone' || end === 'interrupted') worker.noteOutcome('failure', now);
+    // Its record names newer weights than it has, and would attract the item again at once.
+    else if (end === 'version-too-old') worker.noteOutcome('failure', now);
   }
 
   private terminateExpired(job: OwnedJob): void {
--- a/src/jobs/item-run.ts
+++ b/src/jobs/item-run.ts
@@ -63,6 +63,8 @@
   readonly startedAt: Milliseconds;
   /** Whether the connection broke, other than by cancellation from this node. */
   wasBroken = false;
+  /** Whether the worker has answered, with any status. */
+  wasAnswered = false;
   /** Whether any byte of a response body has arrived. */
   hasBegun = false;
 
@@ -104,6 +106,7 @@
   }
 
   private async readAnswer(answer: EngineAnswer): Promise<ItemRunEnd> {
+    this.wasAnswered = true;
     this.worker.noteAnswered();
     this.worker.noteLoad(answer.load, this.context.clock.now());
     if (answer.status !== OK) {
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -44,6 +44,9 @@
   | { readonly kind: 'scored'; readonly score: string }
   | { readonly kind: 'attempt-failed' | 'refused' | 'broken' | 'failed' | 'cancelled' };
 
+/** Outcomes of calls that a worker has answered, at least in part. */
+const ANSWERED: ReadonlySet<ScoreOutcome['kind']> = new Set(['scored', 'attempt-failed', 'broken']);
+
 /** An item that awaits its score. */
 interface UnscoredItem {
   readonly job: OwnedJob;
@@ -154,8 +157,9 @@
     );
     worker.inFlight -= 1;
     scoring.end(call);
-    const end = outcome.kind;
-    item.entry.wait.restart(clock.now(), { reason: 'retry-delay', inputs: { end } });
+    const obstacle: Obstacle = { reason: 'retry-delay', inputs: { end: outcome.kind } };
+    if (ANSWERED.has(outcome.kind)) item.entry.wait.restart(clock.now(), obstacle);
+    else item.entry.wait.resume(clock.now(), obstacle);
     metrics.count('score_calls', { outcome: outcome.kind });
     if (outcome.kind === 'broken')
       void quarantine.noteBroken(worker.record, scoring.fingerprinted, 'this-node');
--- a/src/jobs/work-wait.ts
+++ b/src/jobs/work-wait.ts
@@ -46,7 +46,7 @@
   /** Whether the reason has changed since it was last reported, and when that was. */
   private reported: { readonly reason: WaitReason; readonly at: Milliseconds } | undefined;
 
-  /** `idleSince`: when the work was accepted or last left a worker. */
+  /** `idleSince`: when the work was accepted, or last left a worker that had answered. */
   constructor(private idleSince: Milliseconds) {
     this.reasonSince = idleSince;
   }
@@ -55,15 +55,20 @@
     return this.obstacle.reason;
   }
 
-  /** Time since the work was accepted or last left a worker. */
+  /** Time since the work was accepted, or last left a worker that had answered. */
   idleTime(now: Milliseconds): Milliseconds {
     return now - this.idleSince;
   }
 
-  /** Begins a new wait, after the work left a worker. */
+  /** Begins a new wait, after a worker has answered and the work has left it. */
   restart(now: Milliseconds, obstacle: Obstacle): void {
     this.idleSince = now;
     this.reported = undefined;
+    this.resume(now, obstacle);
+  }
+
+  /** Goes on after a try that no worker answered. */
+  resume(now: Milliseconds, obstacle: Obstacle): void {
     this.note(now, obstacle);
     this.reasonSince = now;
     this.notedAt = Number.NEGATIVE_INFINITY;
--- a/test/jobs/simulated-workers.ts
+++ b/test/jobs/simulated-workers.ts
@@ -51,6 +51,8 @@
   readonly request: EngineRequest;
   readonly body: Readable;
   readonly startedAt: Milliseconds;
+  /** Whether the worker never answers it, whatever becomes of the worker. */
+  readonly isSilent: boolean;
   nextEvent: number;
   version: WeightVersion;
 }
@@ -172,7 +174,8 @@
     body.on('error', () => {});
     const nextEvent = request.lastEventId === undefined ? 0 : request.lastEventId + 1;
     const { version } = worker;
-    const run = { request, body, startedAt: this.clock.now(), nextEvent, version };
+    const isSilent = worker.mode === 'silent';
+    const run = { request, body, startedAt: this.clock.now(), isSilent, nextEvent, version };
     worker.runs.add(run);
     this.requests.push(request);
     this.placeOf(request.requestId).running += 1;
@@ -184,7 +187,7 @@
       if (signal.aborted) return cancel();
       signal.addEventListener('abort', cancel);
       body.once('close', () => resolve(BROKEN));
-      if (worker.mode === 'silent') return;
+      if (isSilent) return;
       const isStream = this.eventsOf(request) > 0;
       const discard = (): void => this.end(worker, run, 'cancelled');
       const fields = { body, isStream, weightVersion: version, discard };
@@ -196,7 +199,7 @@
     const { mode } = worker;
     if (mode === 'comments') run.body.push(COMMENT);
     else if (mode === 'endless-event') run.body.push(PARTIAL_EVENT);
-    if (mode !== 'sound') return;
+    if (mode !== 'sound' || run.isSilent) return;
     const events = this.eventsOf(run.request);
     if (events === 0) {
       if (now - run.startedAt >= SCORE_TIME) this.end(worker, run, 'whole');
