Calls for a score that hang are cancelled also when there are two

What callers saw: an item whose text is whole is never listed. Cause: calls older than their route's timeout are cancelled when the next call is considered, but behind the check that at most two are under way; two that hang at silent workers were never cancelled. Change: they are cancelled before their number is looked at.

--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -75,13 +75,13 @@
     const now = this.options.clock.now();
     entry.scoring ??= new ItemScoring(request);
     const { scoring } = entry;
-    if (scoring.notBefore > now || scoring.callCount >= MAX_CONCURRENT_CALLS) return;
     const route = routes.match(request.host, request.path);
     if (route === undefined) {
       entry.wait.note(now, { reason: 'no-route', inputs: {} });
       return;
     }
     scoring.cancelOlderThan(now - route.timeout);
+    if (scoring.notBefore > now || scoring.callCount >= MAX_CONCURRENT_CALLS) return;
     const isLate = now - scoring.lastSentAt > this.estimateFor(route).limit(route.timeout);
     if (scoring.callCount > 0 && !isLate) return;
     if (!this.mayCall(entry, scoring, now)) return;
