Workers that answer get new weights before those that do not

What callers saw: items whose job asks for new weights are at no worker, as no worker gets them. Cause: entries at which nobody answers look least busy, so the coordinator asked them first; each held one of the few places for loads until its call timed out, and was considered again half a second later. Change: workers that did not answer the latest question for their report come last.

--- a/src/fleet/weight-rollout.ts
+++ b/src/fleet/weight-rollout.ts
@@ -88,6 +88,8 @@
   /** The model that is being changed, by worker incarnation: a restarted worker is another key. */
   private readonly changing = new Map<KnownWorker, ModelName>();
   private readonly postponedUntil = new WeakMap<KnownWorker, Milliseconds>();
+  /** Workers that did not answer the latest question for their report. */
+  private readonly unresponsive = new WeakSet<KnownWorker>();
   private readonly requiredVersions = new Map<ModelName, WeightVersion>();
   private readonly assignment: ModelAssignment;
   private nextScanAt: Milliseconds = 0;
@@ -126,6 +128,7 @@
 
   /**
    * Returns the changes to make now: the most urgent first, then those of the least busy workers.
+   * Unresponsive workers come last, as each attempt at one takes the place of a load until it times out.
    * Evacuated workers come last, and only for versions that no newer one has replaced for a while.
    */
   private pendingChanges(): PendingChange[] {
@@ -145,10 +148,16 @@
       .filter(({ worker }) => (this.postponedUntil.get(worker) ?? 0) <= now)
       .sort(
         (a, b) =>
-          a.usableShare - b.usableShare || a.worker.occupancy(now) - b.worker.occupancy(now),
+          this.responseRank(a) - this.responseRank(b) ||
+          a.usableShare - b.usableShare ||
+          a.worker.occupancy(now) - b.worker.occupancy(now),
       );
   }
 
+  private responseRank({ worker }: PendingChange): number {
+    return this.unresponsive.has(worker) ? 1 : 0;
+  }
+
   private changesAmong(
     workers: readonly KnownWorker[],
     serves: ServesModel,
@@ -193,8 +202,10 @@
     const { worker, model } = change;
     const report = await engine.report(worker.record);
     if (report === undefined || isOtherIncarnation(report, worker)) {
+      this.unresponsive.add(worker);
       return this.postpone(worker, RETRY_DELAY);
     }
+    this.unresponsive.delete(worker);
     for (const loaded of report.models) worker.noteVersion(loaded.name, loaded.version);
     const version = this.options.namedVersions.get(model)?.version ?? change.version;
     if (worker.versionOf(model) >= version) return;
--- a/test/fleet/weight-rollout.test.ts
+++ b/test/fleet/weight-rollout.test.ts
@@ -3,9 +3,11 @@
 import { applyWeightChange, type WeightChange } from '../../src/fleet/weight-changes.js';
 import { maxConcurrentLoads, WeightRollout } from '../../src/fleet/weight-rollout.js';
 import { mayRun } from '../../src/jobs/item-placement.js';
+import type { EngineReport, OrderOutcome, WeightOrder } from '../../src/serving/engine-port.js';
 import { KnownWorker, WorkerRegistry } from '../../src/serving/worker-registry.js';
 import { FleetMetrics } from '../../src/telemetry/fleet-metrics.js';
 import { ManualClock } from '../jobs/job-fixtures.js';
+import { VirtualClock } from '../jobs/virtual-clock.js';
 import { recordingLog, ScriptedEngine, worker } from '../serving/serving-fixtures.js';
 
 function holders(...versions: number[]): KnownWorker[] {
@@ -289,3 +291,64 @@
   await run.advance(8_000);
   t.same(run.orderedWorkerIds().slice(5).sort(), ['w5', 'w6', 'w7', 'w8', 'w9']);
 });
+
+/** Time after which a call to a dark address is given up, and the duration of a load. */
+const CALL_TIMEOUT = 800;
+const LOAD_TIME = 900;
+
+/** Workers that take orders and load, beside entries at whose addresses nobody answers. */
+class LoadingEngine extends ScriptedEngine {
+  readonly versions = new Map<string, number>();
+
+  constructor(private readonly clock: VirtualClock) {
+    super();
+  }
+
+  override async report(asked?: { readonly id: string }): Promise<EngineReport | undefined> {
+    const version = this.versions.get(asked?.id ?? '');
+    if (version === undefined) {
+      await this.clock.sleep(CALL_TIMEOUT);
+      return undefined;
+    }
+    const models = [{ name: 'model-a', version }];
+    return { models, busy: false, sequence: 0, waiting: 0, running: 0 };
+  }
+
+  override async order({ worker: { id }, version }: WeightOrder): Promise<OrderOutcome> {
+    void this.clock.sleep(LOAD_TIME).then(() => this.versions.set(id, version));
+    return 'started';
+  }
+}
+
+t.test('entries at which nobody answers do not hold back the other workers', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new LoadingEngine(clock);
+  const registry = new WorkerRegistry();
+  const models = [{ name: 'model-a', version: 1 }];
+  for (let index = 0; index < 12; index += 1) registry.put(worker(`dark-${index}`, { models }));
+  for (let index = 0; index < 4; index += 1) {
+    registry.put(worker(`sound-${index}`, { models }));
+    engine.versions.set(`sound-${index}`, 1);
+    // Busy workers come after idle ones.
+    const known = registry.get(`sound-${index}`);
+    if (known !== undefined) known.inFlight = 2;
+  }
+  const { log } = recordingLog();
+  const rollout = new WeightRollout({
+    ...{ registry, engine, clock, log, metrics: new FleetMetrics(), holder: 'node-1' },
+    lock: { fencingToken: () => 1, beginOrder: () => 1, endOrder: () => {}, noteRefused: () => {} },
+    namedVersions: new Map([['model-a', { version: 3, namedAt: clock.now() }]]),
+    isConfigured: () => true,
+    noteChange: () => {},
+    orderMode: () => 'wait',
+  });
+  const isLoaded = (): boolean => [...engine.versions.values()].every((version) => version === 3);
+  const startedAt = clock.now();
+  while (!isLoaded() && clock.now() - startedAt < 30_000) {
+    clock.advanceTo(clock.now() + 50);
+    rollout.tick();
+    for (let turn = 0; turn < 6; turn += 1) await new Promise((resolve) => setImmediate(resolve));
+  }
+  const took = clock.now() - startedAt;
+  t.ok(took <= 3 * CALL_TIMEOUT + 4 * LOAD_TIME, `all have the version after ${took} ms`);
+});
