--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -10,6 +10,7 @@
 import { EndedJobs } from './ended-jobs.js';
 import { LethalRequestChecker } from './lethal-request-checker.js';
 import { OrderTurns } from './order-turns.js';
+import { OwedItems } from './owed-items.js';
 import type { KnownJobReads, ReadResult, SubmittedJob, Violation } from './promise-records.js';
 import type { RequestSender } from './request-sender.js';
 import { ALLOWED_REGION } from './soak-call.js';
@@ -25,6 +26,9 @@
 /** Time after a worker said that it leaves in which work may still reach it. */
 const DRAIN_LIMIT: Milliseconds = 2_000;
 
+/** Time without a run after which an item counts as left out. */
+const MAX_IDLE_TIME: Milliseconds = 5_000;
+
 /** Line of a sample that event `index` of an item makes at a version. */
 export function sampleLine(item: string, index: number, version: WeightVersion): string {
   return `${item}.${index}.v${version}`;
@@ -50,6 +54,8 @@
   private readonly lethalRequests = new LethalRequestChecker();
   private readonly endedJobs: EndedJobs;
   private readonly orderTurns: OrderTurns;
+  private readonly owedItems: OwedItems;
+  private readonly leftOut = new Set<string>();
 
   constructor(
     private readonly now: () => Milliseconds,
@@ -57,6 +63,7 @@
   ) {
     this.endedJobs = new EndedJobs(now, log);
     this.orderTurns = new OrderTurns(now);
+    this.owedItems = new OwedItems(now);
   }
 
   /** Items and scores that came to workers after the end of their job, in time or not. */
@@ -147,7 +154,9 @@
   /** A job was answered with 202. */
   jobAccepted(job: string): void {
     const known = this.jobs.get(job);
-    if (known !== undefined) known.isAccepted = true;
+    if (known === undefined) return;
+    known.isAccepted = true;
+    this.owedItems.noteAccepted(job, [...known.events.keys()]);
   }
 
   /** All attempts at a job were refused with a promise that nothing of it runs. */
@@ -161,6 +170,34 @@
   /** The end of a job was acknowledged. */
   jobEnded(job: string): void {
     this.endedJobs.noteEnded(job);
+    this.owedItems.noteEnded(job);
+  }
+
+  /** A caller is about to ask for the end of a job. */
+  endRequested(job: string): void {
+    this.owedItems.noteEnded(job);
+  }
+
+  /** A worker took an item or the request for a score. */
+  workBegan(request: string): void {
+    this.owedItems.noteStarted(this.itemOfScore.get(request) ?? request);
+  }
+
+  /** A worker is done with such a request, in whatever way. */
+  workLeft(request: string): void {
+    this.owedItems.noteLeft(this.itemOfScore.get(request) ?? request);
+  }
+
+  /** All is calm since a moment, and workers have room: each owed item is at one again and again. */
+  checkOwedItems(since: Milliseconds): void {
+    const leftOut = this.owedItems.leftOut(since, MAX_IDLE_TIME);
+    this.check(true, 'item-left-out', '');
+    for (const { item, idle } of leftOut) {
+      if (this.leftOut.has(item)) continue;
+      this.leftOut.add(item);
+      const detail = `${item} of ${this.jobOfItem.get(item)} was at no worker for ${Math.round(idle)} ms`;
+      this.check(false, 'item-left-out', detail);
+    }
   }
 
   /** An accepted job was answered as unknown. */
@@ -175,6 +212,7 @@
     if (known === undefined) return;
     this.check(total === known.events.size, 'positions', `${job} has total ${total}`);
     for (const [offset, result] of results.entries()) {
+      this.owedItems.noteDone(result.id);
       this.checkPosition(known, after + offset, result);
       this.checkSample(known, result);
     }
@@ -234,6 +272,8 @@
   scoreGiven(request: string, signature: string): void {
     const known = this.signatures.get(request) ?? new Set();
     this.signatures.set(request, known.add(signature));
+    const item = this.itemOfScore.get(request);
+    if (item !== undefined) this.owedItems.noteDone(item);
   }
 
   /** An order of a node came to a worker, whatever became of it. */
--- a/lab/soak/promise-records.ts
+++ b/lab/soak/promise-records.ts
@@ -10,6 +10,7 @@
     | 'sample-score'
     | 'positions'
     | 'job-kept'
+    | 'item-left-out'
     | 'refusal-true'
     | 'tenant-told'
     | 'key-revoked'
--- a/lab/soak/soak-run.ts
+++ b/lab/soak/soak-run.ts
@@ -5,9 +5,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { KEY_PREFIXES } from '../../platform/names.js';
 import { createRandomSource } from '../../src/core/random.js';
-import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
+import { type Milliseconds, SECOND, type WeightVersion } from '../../src/core/units.js';
 import { type AcceptanceCounts, countAcceptances } from './acceptance-log.js';
 import { BuildRotation } from './build-rotation.js';
+import { COLD } from './cold-request-counter.js';
 import { FaultRunner } from './fault-runner.js';
 import { planFaults, QUIET_END, QUIET_START } from './fault-schedule.js';
 import { FaultTimeline } from './fault-timeline.js';
@@ -33,6 +34,8 @@
 import type { StoreDoor } from './store-door.js';
 import { StoreFaultRunner } from './store-fault-runner.js';
 import { planStoreFaults } from './store-faults.js';
+import { WorkerFaultRunner } from './worker-fault-runner.js';
+import { planWorkerBurst, planWorkerFaults } from './worker-faults.js';
 import { WorkerPool } from './worker-pool.js';
 import type { WorkerStandIn } from './worker-stand-in.js';
 import { ZoneFaultRunner } from './zone-fault-runner.js';
@@ -68,6 +71,13 @@
   readonly workAfterEnd: number;
 }
 
+/** Time for which owed items are watched after a burst of worker faults, and how often. */
+const OWED_ITEMS_TIME: Milliseconds = 6_500;
+const OWED_ITEMS_INTERVAL: Milliseconds = 100;
+
+/** Items may wait for a place while more of the workers' slots are taken. */
+const MAX_OCCUPIED_SHARE = 0.5;
+
 /** Time after which no process runs any more. */
 const KILL_TIME: Milliseconds = 100;
 
@@ -143,6 +153,7 @@
     const faults = await this.bringOnFaults();
     await sleep(Math.max(0, length - QUIET_END - this.now()));
     await this.timeline.allOver();
+    const burstFaults = await this.bringOnBurst();
     const partialFaults = await this.bringOnStretch();
     const powerLoss = await this.losePower(callers);
     await this.gateways.stop();
@@ -154,7 +165,13 @@
     const { counts: lateCommits } = this.store.lateCommits;
     const acceptances = countAcceptances(path.join(folder, 'logs'), this.store.emulator);
     const seen = { checked, checkedByPromise, violations, counts, mostEndedUnderOne, workAfterEnd };
-    return { ...seen, faults: faults + partialFaults + 1, lateCommits, acceptances, powerLoss };
+    return {
+      ...seen,
+      faults: faults + burstFaults + partialFaults + 1,
+      lateCommits,
+      acceptances,
+      powerLoss,
+    };
   }
 
   /** Brings on all faults but the last; resolves with their number when the last one has begun. */
@@ -166,17 +183,39 @@
     const evacuations = planEvacuations(seed + 5, length);
     const storeFaults = planStoreFaults(seed + 6, length);
     const partialFaults = planPartialFaults(seed + 11, QUIET_START, length - QUIET_END);
+    const workerFaults = planWorkerFaults(seed + 13, QUIET_START, length - QUIET_END);
     await Promise.all([
       timeline.bringOn(faults, this.faultRunner),
       timeline.bringOn(zoneFaults, new ZoneFaultRunner(gateways, journals)),
       this.evacuations.run(evacuations),
       timeline.bringOn(storeFaults, new StoreFaultRunner(store, gateways)),
       timeline.bringOn(partialFaults, this.partialFaults),
+      timeline.bringOn(workerFaults, new WorkerFaultRunner(this.workers)),
     ]);
-    const plans = [faults, zoneFaults, evacuations, storeFaults, partialFaults];
+    const plans = [faults, zoneFaults, evacuations, storeFaults, partialFaults, workerFaults];
     return plans.reduce((sum, plan) => sum + plan.length, 0);
   }
 
+  /**
+   * Brings on a burst of worker faults, then watches in the calm after it that each owed item is at a
+   * worker again and again; resolves with the number of faults.
+   */
+  private async bringOnBurst(): Promise<number> {
+    const { timeline, now, checker, workers } = this;
+    const faults = planWorkerBurst(this.options.seed + 14, now());
+    await timeline.bringOn(faults, new WorkerFaultRunner(workers));
+    await timeline.allOver();
+    await sleep(COLD.seconds * SECOND);
+    let calmSince = now();
+    const watchedUntil = now() + OWED_ITEMS_TIME;
+    while (now() < watchedUntil) {
+      await sleep(OWED_ITEMS_INTERVAL);
+      if (workers.occupiedShare(MODEL_SERVICE) > MAX_OCCUPIED_SHARE) calmSince = now();
+      checker.checkOwedItems(calmSince);
+    }
+    return faults.length;
+  }
+
   /** Brings on the stretch without faults of all gateways; resolves with the number of its faults. */
   private async bringOnStretch(): Promise<number> {
     const { timeline, faultRunner, partialFaults } = this;
--- a/lab/soak/soak-trainer.ts
+++ b/lab/soak/soak-trainer.ts
@@ -257,6 +257,7 @@
   /** Ends a job; tells whether that was acknowledged. */
   private async end(id: string, zone: string, deadline: Milliseconds): Promise<boolean> {
     const { checker, now } = this.surroundings;
+    checker.endRequested(id);
     while (now() < deadline + STEP_LIMIT) {
       const answer = await this.calls.end(id, this.addressesForEnd(zone));
       if (answer?.status === 404) checker.jobUnknown(id);
--- a/lab/soak/worker-pool.ts
+++ b/lab/soak/worker-pool.ts
@@ -5,9 +5,11 @@
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { TcpProxy } from '../faults/tcp-proxy.js';
 import { ZONE_REGIONS, ZONES } from './gateway-group.js';
+import { oddEntriesOf } from './odd-entries.js';
+import { pick } from './pick.js';
 import type { PlatformStore } from './platform-store.js';
 import { MODEL_SERVICE } from './soak-configuration.js';
-import { WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
+import { SLOTS, WorkerStandIn, type WorkerSurroundings } from './worker-stand-in.js';
 
 /** A place for a worker; its lives follow each other there. */
 export interface WorkerPlace {
@@ -49,11 +51,33 @@
 
   /** A worker ends in the middle of everything; another life begins after a while. */
   async crash(place: WorkerPlace, pause: Milliseconds): Promise<void> {
+    if (place.worker.hasEnded) return undefined;
+    return this.replace(place, Math.max(pause, RECORD_LIFE));
+  }
+
+  /** The same, but its record goes and another life begins as soon as `pause` is over. */
+  async crashBriefly(place: WorkerPlace, pause: Milliseconds): Promise<void> {
+    if (!place.worker.hasEnded) await this.replace(place, pause);
+  }
+
+  /** Another writer leaves an odd entry among those of the workers, for good. */
+  addOddEntry(service: string, target: number): void {
+    const text = pick(oddEntriesOf(service), target);
+    this.store.emulator.write(`${KEY_PREFIXES.workers}odd-${service}-${target}`, text);
+  }
+
+  /** Requests at the workers of a service, as a share of their slots. */
+  occupiedShare(service: string): number {
+    const workers = this.places.filter((place) => place.service === service);
+    const running = workers.reduce((sum, { worker }) => sum + worker.runningRequests, 0);
+    return running / Math.max(1, workers.length * SLOTS);
+  }
+
+  private async replace(place: WorkerPlace, pause: Milliseconds): Promise<void> {
     const { worker, link } = place;
-    if (worker.hasEnded) return;
     worker.crash();
     await link.close();
-    await sleep(Math.max(pause, RECORD_LIFE));
+    await sleep(pause);
     this.store.emulator.erase(`${KEY_PREFIXES.workers}${worker.id}`);
     if (!this.isStopped) Object.assign(place, await this.launch(place.service, place.zone));
   }
@@ -108,7 +132,7 @@
       address,
       zone: worker.zone,
       version: 'v1',
-      slots: 8,
+      slots: SLOTS,
       state: worker.isLeaving ? 'draining' : 'ready',
       cold_remaining_ms: worker.coldFor,
       models,
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -8,6 +8,7 @@
 import { HEADERS, PATHS } from '../../platform/names.js';
 import type { Milliseconds, WeightVersion } from '../../src/core/units.js';
 import { ColdRequestCounter } from './cold-request-counter.js';
+import { sendWithoutEnd } from './endless-answers.js';
 import { type PromiseChecker, sampleLine } from './promise-checker.js';
 import { type RequestSender, SENDER_HEADER } from './request-sender.js';
 import { REGIONAL_PREFIX, UPLOAD_PREFIX } from './soak-call.js';
@@ -18,7 +19,8 @@
 const LOOKUP_TIME: Milliseconds = 20;
 const LOAD_TIME: Milliseconds = 600;
 
-const SLOTS = 8;
+/** Requests that a worker runs at a time. */
+export const SLOTS = 8;
 
 /** Paths below this ask for scores; each answer is signed anew. */
 export const SCORE_PREFIX = '/scores/';
@@ -79,6 +81,7 @@
   private isOver = false;
   private leavingSince: Milliseconds | undefined;
   private scoresGiven = 0;
+  private endlessAnswer: Parameters<typeof sendWithoutEnd>[1] | undefined;
   private readonly coldRequests: ColdRequestCounter;
 
   constructor(
@@ -107,6 +110,16 @@
     return this.leavingSince !== undefined;
   }
 
+  /** Requests at the worker. */
+  get runningRequests(): number {
+    return this.running;
+  }
+
+  /** Answers each request so from now on; as it should again without an answer. */
+  answerWithoutEnd(answer: Parameters<typeof sendWithoutEnd>[1] | undefined): void {
+    this.endlessAnswer = answer;
+  }
+
   /** Listens; resolves with the address. */
   async start(): Promise<string> {
     await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
@@ -206,9 +219,15 @@
       checker.tenantTold(id, typeof tenant === 'string' ? tenant : undefined, request.rawHeaders);
     }
     this.running += 1;
+    checker.workBegan(id);
     response.once('close', () => {
       this.running -= 1;
+      checker.workLeft(id);
     });
+    if (this.endlessAnswer !== undefined) {
+      sendWithoutEnd(response, this.endlessAnswer, stamped);
+      return;
+    }
     if (request.url?.startsWith(LETHAL_PREFIX)) this.endUnder(request.url);
     else if (events > 0) this.stream(request, id, events, stamped, response);
     else if (request.url?.startsWith(SCORE_PREFIX)) this.score(request, id, base, response);
--- a/test/lab/soak/promise-checker.test.ts
+++ b/test/lab/soak/promise-checker.test.ts
@@ -261,3 +261,18 @@
     t.match(checker.violations, [{ promise: 'stale-rejection' }]);
   },
 );
+
+t.test('an owed item that is at no worker in the calm is found, once', async (t) => {
+  const { checker, advance, broken } = fixture();
+  checker.jobAccepted('job');
+  checker.workBegan('one');
+  advance(5_001);
+  checker.checkOwedItems(0);
+  checker.checkOwedItems(0);
+  t.same(broken(), ['item-left-out'], 'the other item has never been at a worker');
+  checker.workLeft('one');
+  advance(5_001);
+  checker.endRequested('job');
+  checker.checkOwedItems(0);
+  t.same(broken(), ['item-left-out']);
+});
