--- a/src/jobs/item-dispatcher.ts
+++ b/src/jobs/item-dispatcher.ts
@@ -6,16 +6,15 @@
 import type { EngineRequest } from '../serving/engine-port.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { SendingOptions } from '../serving/sending-options.js';
-import type { Route, ServiceName } from '../serving/traffic-configuration.js';
+import type { Route } from '../serving/traffic-configuration.js';
 import type { KnownWorker } from '../serving/worker-registry.js';
 import { crashDelay } from './crash-backoff.js';
-import { type ItemNeeds, mayRun, needsOf } from './item-placement.js';
+import { ItemPlacer } from './item-placer.js';
 import { ItemRun, type ItemRunContext, type ItemRunEnd } from './item-run.js';
 import { ItemScorer } from './item-scorer.js';
 import { ageOf } from './job-records.js';
 import { cancelWork, type OwnedItem } from './owned-item.js';
 import type { OwnedJob } from './owned-job.js';
-import { PlacementRound } from './placement-round.js';
 import { describeRun, RunMigrator } from './run-migrator.js';
 import { SendingPermission } from './sending-permission.js';
 import { WaitReporter } from './wait-reporter.js';
@@ -45,17 +44,10 @@
 const REJECTION_RETRY_DELAY: Milliseconds = 10;
 const FAILED_ATTEMPT_RETRY_DELAY: Milliseconds = 100;
 
-/**
- * Time for which an item waits for weights of the version of its events before it starts anew, on a
- * route whose results must have a single version.
- */
-const BOUND_VERSION_PATIENCE: Milliseconds = 1_000;
-
 /** Dispatches items to workers, moves slow runs and requests scores. */
 export class ItemDispatcher {
   private readonly jobs = new Set<OwnedJob>();
-  /** Worker incarnation that last read the shared prompt of a group, by job and group. */
-  private readonly promptWorkers = new Map<string, KnownWorker>();
+  private readonly placer: ItemPlacer;
   private readonly runContext: ItemRunContext;
   private readonly scorer: ItemScorer;
   private readonly migrator: RunMigrator;
@@ -67,6 +59,7 @@
   constructor(private readonly options: ItemDispatcherOptions) {
     const { engine, clock, versionField } = options;
     this.runContext = { engine, clock, versionField, idleTimeouts: IDLE_TIMEOUTS };
+    this.placer = new ItemPlacer(options);
     this.migrator = new RunMigrator(options);
     this.permission = new SendingPermission(options);
     this.waitReporter = new WaitReporter({ ...options, permission: this.permission });
@@ -121,9 +114,7 @@
     for (const job of this.jobs) {
       if (job.isOpen) continue;
       this.jobs.delete(job);
-      for (const key of this.promptWorkers.keys()) {
-        if (key.startsWith(`${job.spec.id}/`)) this.promptWorkers.delete(key);
-      }
+      this.placer.forget(job);
     }
   }
 
@@ -131,25 +122,19 @@
     const routes = this.options.routes();
     if (routes === undefined || this.isStopped) return;
     const now = this.options.clock.now();
-    const rounds = new Map<ServiceName, PlacementRound>();
+    this.placer.beginPass(now);
     const jobsByAge = [...this.jobs]
       .filter((job) => this.permission.maySend(job))
       .sort((a, b) => a.spec.submittedAt - b.spec.submittedAt);
     for (const job of jobsByAge) {
       const waiting = job.waiting(now);
       waiting.sort(startedThenLongest);
-      for (const entry of waiting) this.startRun(job, entry, routes, rounds, now);
+      for (const entry of waiting) this.startRun(job, entry, routes, now);
     }
     this.scorer.dispatch(jobsByAge, routes);
   }
 
-  private startRun(
-    job: OwnedJob,
-    entry: OwnedItem,
-    routes: RouteMatcher,
-    rounds: Map<ServiceName, PlacementRound>,
-    now: Milliseconds,
-  ): void {
+  private startRun(job: OwnedJob, entry: OwnedItem, routes: RouteMatcher, now: Milliseconds): void {
     const route = routes.match(job.spec.host, entry.item.path);
     const service = route === undefined ? undefined : routes.nextService(route);
     if (route === undefined || service === undefined) {
@@ -161,72 +146,12 @@
       entry.wait.note(now, { reason: 'crash-delay', inputs: { crashes: crashes.length } });
       return;
     }
-    const round = rounds.get(service) ?? this.startRound(service, now);
-    rounds.set(service, round);
-    const groupKey = `${job.spec.id}/${entry.item.group}`;
     const allowed = routes.allowedRegions(route, job.spec.tenant);
-    const needs = needsOf(job, entry, allowed);
-    const worker = this.place(round, entry, needs, this.promptWorkerOf(groupKey), now);
-    if (worker === undefined) {
-      if (entry.wait.isNoteDue(now)) entry.wait.note(now, round.obstacleTo(needs));
-      return;
-    }
-    this.promptWorkers.set(groupKey, worker);
+    const worker = this.placer.place(job, entry, service, allowed);
+    if (worker === undefined) return;
     void this.run(job, entry, route, worker, allowed);
   }
 
-  /**
-   * Places an item. One that has waited for long for a worker with the weights of its events is placed
-   * as if it had none, unless such a worker is known to answer.
-   */
-  private place(
-    round: PlacementRound,
-    entry: OwnedItem,
-    needs: ItemNeeds,
-    sharedPromptWorker: string | undefined,
-    now: Milliseconds,
-  ): KnownWorker | undefined {
-    const worker = round.place(needs, sharedPromptWorker);
-    const isBound = needs.boundVersion !== undefined;
-    const isOverdue = isBound && entry.wait.idleTime(now) >= BOUND_VERSION_PATIENCE;
-    if (!isOverdue || worker?.isResponsive === true) return worker;
-    return this.placeAnew(round, entry, needs, sharedPromptWorker, now) ?? worker;
-  }
-
-  /** Places an item on any weights; its events are discarded if these may not continue them. */
-  private placeAnew(
-    round: PlacementRound,
-    entry: OwnedItem,
-    needs: ItemNeeds,
-    sharedPromptWorker: string | undefined,
-    now: Milliseconds,
-  ): KnownWorker | undefined {
-    const worker = round.place({ ...needs, boundVersion: undefined }, sharedPromptWorker);
-    if (worker === undefined || mayRun(worker, needs, now)) return worker;
-    this.options.log.decision('item-events-discarded', {
-      item: entry.item.id,
-      events: entry.progress.eventCount,
-      boundVersion: needs.boundVersion ?? 0,
-      workerVersion: worker.versionOf(needs.model),
-      idleMs: Math.round(entry.wait.idleTime(now)),
-    });
-    entry.progress.reset();
-    return worker;
-  }
-
-  private startRound(service: ServiceName, now: Milliseconds): PlacementRound {
-    const { registry, distanceCost } = this.options;
-    return new PlacementRound(registry.available(service), now, distanceCost, registry.rules);
-  }
-
-  /** The worker that cached a group's prompt; `undefined` if that worker has restarted since. */
-  private promptWorkerOf(groupKey: string): string | undefined {
-    const worker = this.promptWorkers.get(groupKey);
-    if (worker === undefined) return undefined;
-    const { id } = worker.record;
-    return this.options.registry.get(id) === worker ? id : undefined;
-  }
-
   private async run(
     job: OwnedJob,
     entry: OwnedItem,
--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -6,8 +6,7 @@
  */
 import type { Milliseconds } from '../core/units.js';
 import { type AllowedRegions, allowedByBoth } from '../placement/allowed-regions.js';
-import { readAnswerBody } from '../serving/attempt.js';
-import type { EngineAnswer, EngineOutcome } from '../serving/engine-port.js';
+import type { EngineOutcome } from '../serving/engine-port.js';
 import { LatencyEstimate } from '../serving/latency-estimate.js';
 import type { RouteMatcher } from '../serving/route-matcher.js';
 import type { Route, ServiceName } from '../serving/traffic-configuration.js';
@@ -18,6 +17,7 @@
 import { ageOf, type ScoreRequest } from './job-records.js';
 import type { OwnedItem } from './owned-item.js';
 import type { OwnedJob } from './owned-job.js';
+import { readOutcome, type ScoreOutcome, wasAnswered } from './score-outcome.js';
 import type { Obstacle } from './work-wait.js';
 
 export interface ItemScorerOptions extends ItemDispatcherOptions {
@@ -37,16 +37,6 @@
 /** Minimum time budget that a score request gives its worker. */
 const MIN_TIME_BUDGET: Milliseconds = 1_000;
 
-const SERVER_ERROR = 500;
-
-/** Outcome of a score call. */
-type ScoreOutcome =
-  | { readonly kind: 'scored'; readonly score: string }
-  | { readonly kind: 'attempt-failed' | 'refused' | 'broken' | 'failed' | 'cancelled' };
-
-/** Outcomes of calls that a worker has answered, at least in part. */
-const ANSWERED: ReadonlySet<ScoreOutcome['kind']> = new Set(['scored', 'attempt-failed', 'broken']);
-
 /** An item that awaits its score. */
 interface UnscoredItem {
   readonly job: OwnedJob;
@@ -158,7 +148,7 @@
     worker.inFlight -= 1;
     scoring.end(call);
     const obstacle: Obstacle = { reason: 'retry-delay', inputs: { end: outcome.kind } };
-    if (ANSWERED.has(outcome.kind)) item.entry.wait.restart(clock.now(), obstacle);
+    if (wasAnswered(outcome)) item.entry.wait.restart(clock.now(), obstacle);
     else item.entry.wait.resume(clock.now(), obstacle);
     metrics.count('score_calls', { outcome: outcome.kind });
     if (outcome.kind === 'broken')
@@ -275,20 +265,6 @@
   return allowedByBoth(allowed, itemRoute?.allowedRegions);
 }
 
-async function readOutcome(outcome: EngineOutcome): Promise<ScoreOutcome> {
-  if (outcome.kind === 'not-run') return { kind: 'refused' };
-  if (outcome.kind === 'failed') return { kind: outcome.cause === 'broken' ? 'broken' : 'failed' };
-  const body = await readAnswerBody(outcome);
-  if (body === undefined) return { kind: 'broken' };
-  if (outcome.status === SERVER_ERROR) return { kind: 'attempt-failed' };
-  const score = isSuccess(outcome) ? outcome.signature : undefined;
-  return score === undefined ? { kind: 'failed' } : { kind: 'scored', score };
-}
-
-function isSuccess({ status }: EngineAnswer): boolean {
-  return status >= 200 && status < 300;
-}
-
 /** A job's unscored items, ordered by how few results their groups lack. */
 function unscoredItems(job: OwnedJob): UnscoredItem[] {
   const unscored = job.unscored();
