A worker at which a call for a score ends in an exception counts as failed

In a gateway GuardedEngine turns such exceptions into outcomes before, so this guards against defects behind it. Change: the exception counts as a failure of the worker.

--- a/src/jobs/item-scorer.ts
+++ b/src/jobs/item-scorer.ts
@@ -142,6 +142,7 @@
     const outcome = await this.sendRequest(item, route, worker, allowed, call.signal).catch(
       (error: unknown): ScoreOutcome => {
         this.options.log.fault('score-call-failed', error);
+        worker.noteOutcome('failure', clock.now());
         return { kind: 'failed' };
       },
     );
