Soak: the score of an answer without a length that ends with its worker is known

The check did not know that signature (sample-score, 6 times for one item). Change: such a signature counts as given from the head on; the item counts as done only by a whole answer, as before.

--- a/lab/soak/promise-checker.ts
+++ b/lab/soak/promise-checker.ts
@@ -270,12 +270,17 @@
 
   /** A worker answered a score request with success. */
   scoreGiven(request: string, signature: string): void {
-    const known = this.signatures.get(request) ?? new Set();
-    this.signatures.set(request, known.add(signature));
+    this.scoreHeadSent(request, signature);
     const item = this.itemOfScore.get(request);
     if (item !== undefined) this.owedItems.noteDone(item);
   }
 
+  /** A worker sent the head of such an answer; without a length, its body is whole at any close. */
+  scoreHeadSent(request: string, signature: string): void {
+    const known = this.signatures.get(request) ?? new Set();
+    this.signatures.set(request, known.add(signature));
+  }
+
   /** An order of a node came to a worker, whatever became of it. */
   orderCame(worker: string, holder: string): void {
     const mistake = this.orderTurns.note(worker, holder);
--- a/lab/soak/worker-stand-in.ts
+++ b/lab/soak/worker-stand-in.ts
@@ -225,6 +225,7 @@
       checker.workLeft(id);
     });
     if (this.endlessAnswer !== undefined) {
+      if (request.url?.startsWith(SCORE_PREFIX)) checker.scoreHeadSent(id, `stamp-${this.id}`);
       sendWithoutEnd(response, this.endlessAnswer, stamped);
       return;
     }
