--- a/test/jobs/penalized-workers.test.ts
+++ b/test/jobs/penalized-workers.test.ts
@@ -33,3 +33,18 @@
     });
   }
 });
+
+t.test('items leave a worker whose entry names newer weights than it has', async (t) => {
+  const scene = new JobScene();
+  await withVirtualTimers(scene.clock, async () => {
+    const wrong = scene.workers.add('service', 1);
+    wrong.namedVersion = 5;
+    scene.node.registry.put(wrong.record);
+    scene.addWorkers('service', 1, 2);
+    await scene.node.service.submit(specification('job', 4, 2), always);
+    await scene.runFor(MAX_IDLE_TIME);
+    const wasted = scene.workers.requests.filter(({ worker }) => worker.id === wrong.id);
+    t.equal(scene.results.length, 4);
+    t.ok(wasted.length <= 8, `${wasted.length} requests at that worker`);
+  });
+});
